--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+LIBS := $(sort $(wildcard libs/*))
+export PYTHONPATH := $(subst $(eval ) ,:,$(addsuffix /src,$(addprefix $(CURDIR)/,$(LIBS)))):$(CURDIR)
+
+.PHONY: setup test lint format check demo bench
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt $(addsuffix /pyproject.toml,$(LIBS))
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements.txt
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation $(addprefix -e ./,$(LIBS))
+	touch $@
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+check: lint test
+
+demo: setup
+	$(PYTHON) -m demo
--- /dev/null
+++ b/libs/cluster/src/lycheeloom/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Peer links, membership and freshness."""
--- /dev/null
+++ b/libs/controller/src/lycheeloom/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance controller daemon."""
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon."""
--- /dev/null
+++ b/libs/fleet/src/lycheeloom/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance and buffer planning."""
--- /dev/null
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -0,0 +1,1 @@
+"""Log writer, log tail and snapshots."""
--- /dev/null
+++ b/libs/model/src/lycheeloom/model/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes, verdicts, configuration and log records."""
--- /dev/null
+++ b/libs/model/src/lycheeloom/model/resources.py
@@ -0,0 +1,54 @@
+"""Resource vectors of instances and tasks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of processors, memory and accelerators.
+
+    ``Resources(cores=2, memory_mb=4096)`` describes a task that needs two
+    processors and 4 GiB of memory.
+    """
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cores + other.cores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cores - other.cores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, free: Resources) -> bool:
+        """Tell whether this amount is available in ``free``."""
+        return (
+            self.cores <= free.cores
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+        )
+
+    def dominant_share(self, total: Resources) -> float:
+        """Return the largest fraction of ``total`` taken by any one resource."""
+        shares = [0.0]
+        if total.cores:
+            shares.append(self.cores / total.cores)
+        if total.memory_mb:
+            shares.append(self.memory_mb / total.memory_mb)
+        if total.accelerators:
+            shares.append(self.accelerators / total.accelerators)
+        return max(shares)
+
+
+NO_RESOURCES = Resources()
--- /dev/null
+++ b/libs/model/src/lycheeloom/model/verdict.py
@@ -0,0 +1,59 @@
+"""Verdicts: whether a request may have run, and why it was refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RefusalReason(StrEnum):
+    """Machine-readable reasons for not running a request."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_QUEUE = "unknown_queue"
+    KEY_MISSING = "key_missing"
+    KEY_REJECTED = "key_rejected"
+    TEAM_NOT_ALLOWED = "team_not_allowed"
+    IDEMPOTENCY_CONFLICT = "idempotency_conflict"
+    NEVER_FITS = "never_fits"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    STALE_ENTRY = "stale_entry"
+    LOG_UNAVAILABLE = "log_unavailable"
+    DRAINING = "draining"
+    NO_WORKER = "no_worker"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request was not run, for programs and for people."""
+
+    reason: RefusalReason
+    message: str
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request certainly did not run."""
+
+    refusal: Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """Nothing proves whether the request ran; it must not be repeated."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """The request ran and this is its whole answer."""
+
+    answer: bytes
+
+
+Verdict = NotRun | MayHaveRun | Ran
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator library and command."""
--- /dev/null
+++ b/libs/platform/src/lycheeloom/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the log service, workers and the instance list."""
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions."""
--- /dev/null
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, for tests and the demo."""
--- /dev/null
+++ b/libs/state/src/lycheeloom/state/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic replay of the log into fleet state."""
--- /dev/null
+++ b/libs/telemetry/src/lycheeloom/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/libs/wire/src/lycheeloom/wire/__init__.py
@@ -0,0 +1,27 @@
+"""Cap'n Proto codecs for log batches and peer messages."""
+
+from .batches import BadBatch, decode_batch, encode_batch
+from .peers import (
+    BadPeerMessage,
+    Heartbeat,
+    PeerMessage,
+    RangeRequest,
+    RecordRelay,
+    TeamUsage,
+    decode_peer_message,
+    encode_peer_message,
+)
+
+__all__ = [
+    "BadBatch",
+    "BadPeerMessage",
+    "Heartbeat",
+    "PeerMessage",
+    "RangeRequest",
+    "RecordRelay",
+    "TeamUsage",
+    "decode_batch",
+    "decode_peer_message",
+    "encode_batch",
+    "encode_peer_message",
+]
--- /dev/null
+++ b/libs/wire/src/lycheeloom/wire/peers.capnp
@@ -0,0 +1,44 @@
+@0xd9b0e1f4c65a7322;
+# Messages between entries, length-prefixed on TCP.
+
+struct PeerMessage {
+  sender @0 :Text;
+  union {
+    heartbeat @1 :Heartbeat;
+    recordRelay @2 :RecordRelay;
+    rangeRequest @3 :RangeRequest;
+  }
+}
+
+struct Heartbeat {
+  # Send time on the sender's monotonic clock, in microseconds.
+  sentUs @0 :UInt64;
+  # The receiver's newest sentUs, returned to it.
+  echoUs @1 :UInt64;
+  # The offset after the last replayed batch.
+  nextOffset @2 :UInt64;
+  # Time since the sender's last successful log read.
+  logAgeMs @3 :UInt32;
+  draining @4 :Bool;
+  # Only changed entries; complete at least every 10 s.
+  usage @5 :List(TeamUsage);
+  complete @6 :Bool;
+}
+
+struct TeamUsage {
+  team @0 :Text;
+  running @1 :UInt32;
+  queued @2 :UInt32;
+  cores @3 :Float32;
+  memoryMb @4 :UInt64;
+  accelerators @5 :UInt32;
+}
+
+struct RecordRelay {
+  offset @0 :UInt64;
+  batches @1 :List(Data);
+}
+
+struct RangeRequest {
+  firstOffset @0 :UInt64;
+}
--- /dev/null
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -0,0 +1,97 @@
+"""Encoding of messages between entries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import capnp
+
+from .structs import from_struct, to_fields
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
+
+
+@dataclass(frozen=True, slots=True)
+class TeamUsage:
+    """What one team runs and has queued on the sender."""
+
+    team: str
+    running: int
+    queued: int
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Liveness, replay position and usage of the sender."""
+
+    sent_us: int
+    echo_us: int
+    next_offset: int
+    log_age_ms: int
+    draining: bool = False
+    usage: tuple[TeamUsage, ...] = ()
+    complete: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRelay:
+    """Encoded batches starting at ``offset``."""
+
+    offset: int
+    batches: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RangeRequest:
+    """Asks a peer for its batches from ``first_offset`` on."""
+
+    first_offset: int
+
+
+PeerBody = Heartbeat | RecordRelay | RangeRequest
+
+_KIND_BY_TAG: dict[str, type] = {
+    "heartbeat": Heartbeat,
+    "recordRelay": RecordRelay,
+    "rangeRequest": RangeRequest,
+}
+_TAG_BY_KIND = {kind: tag for tag, kind in _KIND_BY_TAG.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message with the incarnation that sent it."""
+
+    sender: str
+    body: PeerBody
+
+
+@dataclass(frozen=True, slots=True)
+class BadPeerMessage:
+    """The bytes are no peer message that this version knows."""
+
+    reason: str
+
+
+def encode_peer_message(message: PeerMessage) -> bytes:
+    """Serialise a peer message."""
+    tag = _TAG_BY_KIND[type(message.body)]
+    fields = {"sender": message.sender, tag: to_fields(message.body)}
+    return _SCHEMA.PeerMessage.new_message(**fields).to_bytes()
+
+
+def decode_peer_message(data: bytes) -> PeerMessage | BadPeerMessage:
+    """Read a peer message."""
+    try:
+        with _SCHEMA.PeerMessage.from_bytes(data) as message:
+            tag = str(message.which())
+            kind = _KIND_BY_TAG.get(tag)
+            if kind is None:
+                return BadPeerMessage(f"unknown kind {tag}")
+            return PeerMessage(message.sender, from_struct(kind, getattr(message, tag)))
+    except (capnp.KjException, ValueError) as error:
+        return BadPeerMessage(str(error).splitlines()[0])
--- /dev/null
+++ b/libs/wire/tests/test_wire.py
@@ -0,0 +1,78 @@
+"""Guards against records and peer messages that do not survive their codec."""
+
+import pytest
+
+from lycheeloom.model import records as r
+from lycheeloom.model.records import Batch, UnknownRecord
+from lycheeloom.model.resources import Resources
+from lycheeloom.wire import (
+    BadBatch,
+    BadPeerMessage,
+    Heartbeat,
+    PeerMessage,
+    RangeRequest,
+    RecordRelay,
+    TeamUsage,
+    decode_batch,
+    decode_peer_message,
+    encode_batch,
+    encode_peer_message,
+)
+from lycheeloom.wire.batches import _SCHEMA
+
+RECORDS = [
+    r.ConfigChanged(3, '{"a":null}', "ada"),
+    r.MemberJoined("i1", "i1-a", "127.0.0.1:1", "z1", "0.1"),
+    r.MemberVote("i1-a", r.VoteReason.GONE),
+    r.MemberRefuted(),
+    r.MemberLeft(),
+    r.GrantsReclaimed("i1-a", 9),
+    r.GrantRequested("t", 4),
+    r.GrantReturned("t", 2),
+    r.RequestSubmitted(
+        "q1", "t", "q", b"x\x00", True, "k", b"d", Resources(1.5, 2, 3), 7, True
+    ),
+    r.RequestClaimed("q1", 1, "w", "b"),
+    r.RequestReleased("q1", 1),
+    r.RequestFinished("q1", 1, r.Outcome.RAN, b"\xff"),
+    r.RequestCancelled("q1"),
+    r.AnswersExpired(5),
+    r.DutyClaimed(r.Duty.SNAPSHOT, 2),
+    r.MoveStep("i", "m", r.MoveStage.DRAINED, 1, "p", True, "why"),
+    r.InstanceHealth("i", r.Health.PROBATION, 1, "why"),
+    r.WaveCommand("w", r.WaveState.ABSENT, r.WaveState.RUNNING, ("p", "q"), True),
+    r.SnapshotChunk("s", 8, 0, 1, b"d", b"p"),
+]
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
+def test_record_round_trip(record):
+    batch = Batch("author", 7, (record,))
+    assert decode_batch(encode_batch(batch)) == batch
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        Heartbeat(1, 2, 3, 4, True, (TeamUsage("t", 1, 2, 0.5, 3, 1),), True),
+        RecordRelay(5, (b"a", b"")),
+        RangeRequest(6),
+    ],
+    ids=lambda body: type(body).__name__,
+)
+def test_peer_message_round_trip(body):
+    message = PeerMessage("i1-a", body)
+    assert decode_peer_message(encode_peer_message(message)) == message
+
+
+def test_record_without_known_kind_is_unknown():
+    """A newer program's record must not stop replay in an older one."""
+    data = _SCHEMA.Batch.new_message(author="a", sequence=1, records=[{}]).to_bytes()
+    assert decode_batch(data) == Batch("a", 1, (UnknownRecord(),))
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00" * 3, b"\xff" * 64])
+def test_broken_bytes_are_reported(data):
+    """Truncated bytes must give a reason, not an exception in the reader."""
+    assert isinstance(decode_batch(data), BadBatch)
+    assert isinstance(decode_peer_message(data), BadPeerMessage)
