--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $@
 
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest $(ARGS)
 
 lint: setup
 	$(VENV)/bin/ruff format --check .
@@ -28,3 +28,8 @@
 
 demo: setup
 	$(PYTHON) -m demo
+
+# Prints the import path of the workspace, for running programs by hand.
+.PHONY: pythonpath
+pythonpath:
+	@echo $(PYTHONPATH)
