--- /dev/null
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -0,0 +1,155 @@
+"""Availability budgets: how many instances may be out at the same time.
+
+Planned and unplanned unavailability count together, per pool, per rack of a
+pool and per availability zone.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+from lycheeloom.model.config import FleetConfig
+
+
+class LimitKind(StrEnum):
+    """Which rule keeps an instance in service."""
+
+    POOL = "pool"
+    RACK = "rack"
+    ZONE = "zone"
+    LAST_SPARE = "last_spare"
+    NEED = "need"
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """A rule that allows no further instance to leave service."""
+
+    kind: LimitKind
+    scope: str
+    out: int
+    allowed: int
+
+
+class Layout:
+    """Instance counts that change only with configuration or pool changes."""
+
+    def __init__(self, config: FleetConfig, pool_by_instance: Mapping[str, str]):
+        self.config = config
+        self.pool_by_instance = dict(pool_by_instance)
+        self.place_by_instance: dict[str, tuple[str, str, str]] = {}
+        self.members_by_pool: dict[str, list[str]] = defaultdict(list)
+        self.members_by_rack: dict[str, list[str]] = defaultdict(list)
+        for name, instance in config.instance_by_id.items():
+            pool = self.pool_by_instance.get(name, instance.pool)
+            self.place_by_instance[name] = (pool, instance.rack, instance.zone)
+            self.members_by_pool[pool].append(name)
+            self.members_by_rack[instance.rack].append(name)
+        self.has_spare_pool = any(pool.spare for pool in config.pool_by_id.values())
+
+    def matches(
+        self, config: FleetConfig, pool_by_instance: Mapping[str, str]
+    ) -> bool:
+        """Tell whether the counts still hold for these inputs."""
+        return self.config is config and self.pool_by_instance == pool_by_instance
+
+
+class Ledger:
+    """Who is out of service now, counted against every budget.
+
+    ``blocking`` says which limit keeps an instance in service; ``take`` counts
+    it as out.
+    """
+
+    def __init__(self, layout: Layout, out: Iterable[str]):
+        self._layout = layout
+        self._out: set[str] = set()
+        self._out_by_pool: dict[str, int] = defaultdict(int)
+        self._out_by_rack: dict[tuple[str, str], int] = defaultdict(int)
+        self._out_by_zone: dict[str, int] = defaultdict(int)
+        for instance in out:
+            self.take(instance)
+
+    def is_out(self, instance: str) -> bool:
+        """Tell whether the instance is counted as out of service."""
+        return instance in self._out
+
+    def take(self, instance: str) -> None:
+        """Count an instance as out of service, once."""
+        place = self._layout.place_by_instance.get(instance)
+        if place is None or instance in self._out:
+            return
+        pool, rack, zone = place
+        self._out.add(instance)
+        self._out_by_pool[pool] += 1
+        self._out_by_rack[pool, rack] += 1
+        self._out_by_zone[zone] += 1
+
+    def available(self, pool: str) -> int:
+        """Return how many instances of the pool serve."""
+        return len(self._layout.members_by_pool[pool]) - self._out_by_pool[pool]
+
+    def free_in_pool(self, pool: str) -> int:
+        """Return how many more instances of a pool its own budget lets out."""
+        budget = self._layout.config.pool_by_id[pool].max_unavailable
+        return budget - self._out_by_pool[pool]
+
+    def blocking(self, instance: str) -> Limit | None:
+        """Return the limit that keeps a serving instance in service."""
+        return self._over(instance, 1)
+
+    def exceeded(self, instance: str) -> Limit | None:
+        """Return a limit that is already exceeded with the instance out."""
+        return self._over(instance, 0)
+
+    def _over(self, instance: str, more: int) -> Limit | None:
+        config = self._layout.config
+        pool_id, rack, zone_id = self._layout.place_by_instance[instance]
+        pool = config.pool_by_id.get(pool_id)
+        if pool is None:
+            return None
+        out = self._out_by_pool[pool_id]
+        if out + more > pool.max_unavailable:
+            return Limit(LimitKind.POOL, pool_id, out, pool.max_unavailable)
+        out = self._out_by_rack[pool_id, rack]
+        if out + more > pool.max_unavailable_per_rack:
+            return Limit(LimitKind.RACK, rack, out, pool.max_unavailable_per_rack)
+        zone = config.zone_by_id.get(zone_id)
+        out = self._out_by_zone[zone_id]
+        if zone and zone.max_unavailable is not None:
+            if out + more > zone.max_unavailable:
+                return Limit(LimitKind.ZONE, zone_id, out, zone.max_unavailable)
+        return self._over_spare(pool_id, more)
+
+    def _over_spare(self, pool_id: str, more: int) -> Limit | None:
+        """Keep every need covered and one spare instance untouched."""
+        pool = self._layout.config.pool_by_id[pool_id]
+        if not self._layout.has_spare_pool:
+            serving = self.available(pool_id)
+            if serving - more < pool.needed:
+                return Limit(LimitKind.NEED, pool_id, serving, pool.needed)
+            return None
+        spares, shortfall = self.spares_and_shortfall()
+        if pool.spare:
+            spares -= more
+        elif self.available(pool_id) - more < pool.needed:
+            shortfall += more
+        else:
+            return None
+        if spares - shortfall < 1:
+            return Limit(LimitKind.LAST_SPARE, pool_id, spares, shortfall)
+        return None
+
+    def spares_and_shortfall(self) -> tuple[int, int]:
+        """Return the serving spares and what the other pools lack."""
+        spares = shortfall = 0
+        for pool_id, pool in self._layout.config.pool_by_id.items():
+            serving = self.available(pool_id)
+            if pool.spare:
+                spares += serving - pool.needed
+            else:
+                shortfall += max(0, pool.needed - serving)
+        return spares, shortfall
