--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -180,17 +180,26 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswersExpired:
-    """Answers finished at or below ``through_offset`` are dropped."""
+    """Answers finished at or below ``through_offset`` are dropped.
+
+    ``queue`` limits this to one queue; empty means all.
+    """
 
     through_offset: int
+    queue: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class DutyClaimed:
-    """The author takes a duty whose epoch is ``expected_epoch``."""
+    """The author renews a duty, or takes it over from a silent holder.
+
+    ``expected_renewal`` is the offset of the last claim or renewal that the
+    author has seen; a takeover has no effect if the holder renewed since.
+    """
 
     duty: Duty
     expected_epoch: int
+    expected_renewal: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/libs/state/src/lycheeloom/state/grants.py
@@ -0,0 +1,123 @@
+"""Running slots of each team, divided among entry incarnations.
+
+The sum of a team's grants never grows beyond its upper limit. It may exceed a
+limit that was lowered; then nothing is granted and no task of the team starts
+until enough grants were returned.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class TeamGrants:
+    """Grants and unmet requests of one team, by incarnation."""
+
+    limit: int = 0
+    count_by_holder: dict[str, int] = field(default_factory=dict)
+    unmet_by_holder: dict[str, int] = field(default_factory=dict)
+
+    def total(self) -> int:
+        """Return the number of slots granted to all holders."""
+        return sum(self.count_by_holder.values())
+
+    def usable(self, holder: str) -> int:
+        """Return how many tasks ``holder`` may run at once."""
+        if self.total() > self.limit:
+            return 0
+        return self.count_by_holder.get(holder, 0)
+
+    def request(self, holder: str, count: int) -> None:
+        """Record a holder's demand and grant what is free."""
+        self.unmet_by_holder.pop(holder, None)
+        if count > 0:
+            self.unmet_by_holder[holder] = count
+        self.distribute()
+
+    def give_back(self, holder: str, count: int) -> bool:
+        """Return ``count`` slots of a holder that has as many."""
+        held = self.count_by_holder.get(holder, 0)
+        if count <= 0 or held < count:
+            return False
+        self._set(holder, held - count)
+        # A holder that returns slots has no unmet demand; without this rule the
+        # slots could go straight back to it.
+        self.unmet_by_holder.pop(holder, None)
+        self.distribute()
+        return True
+
+    def release_all(self, holder: str) -> None:
+        """Free every slot of a holder that is gone."""
+        self.count_by_holder.pop(holder, None)
+        self.unmet_by_holder.pop(holder, None)
+        self.distribute()
+
+    def forget_demand(self, holder: str) -> None:
+        """Drop the unmet request of a holder that was expelled."""
+        self.unmet_by_holder.pop(holder, None)
+
+    def distribute(self) -> None:
+        """Give free slots to unmet requests, oldest request first."""
+        free = self.limit - self.total()
+        for holder, wanted in list(self.unmet_by_holder.items()):
+            if free <= 0:
+                return
+            given = min(free, wanted)
+            self._set(holder, self.count_by_holder.get(holder, 0) + given)
+            free -= given
+            if given == wanted:
+                del self.unmet_by_holder[holder]
+                continue
+            self.unmet_by_holder[holder] = wanted - given
+
+    def _set(self, holder: str, count: int) -> None:
+        if count:
+            self.count_by_holder[holder] = count
+            return
+        self.count_by_holder.pop(holder, None)
+
+
+@dataclass(slots=True)
+class Grants:
+    """Grants of all teams."""
+
+    grants_by_team: dict[str, TeamGrants] = field(default_factory=dict)
+
+    def of(self, team: str) -> TeamGrants:
+        """Return the grants of a team; a team not configured has limit 0."""
+        return self.grants_by_team.get(team) or TeamGrants()
+
+    def set_limits(self, limit_by_team: dict[str, int]) -> None:
+        """Adopt the limits of a new configuration."""
+        for team, grants in list(self.grants_by_team.items()):
+            grants.limit = limit_by_team.get(team, 0)
+            if team not in limit_by_team and not grants.count_by_holder:
+                del self.grants_by_team[team]
+        for team, limit in limit_by_team.items():
+            grants = self.grants_by_team.setdefault(team, TeamGrants())
+            grants.limit = limit
+            grants.distribute()
+
+    def request(self, holder: str, team: str, count: int) -> bool:
+        """Ask for slots; has no effect for an unknown team."""
+        grants = self.grants_by_team.get(team)
+        if grants is None:
+            return False
+        grants.request(holder, count)
+        return True
+
+    def give_back(self, holder: str, team: str, count: int) -> bool:
+        """Return slots; has no effect if the holder has fewer."""
+        grants = self.grants_by_team.get(team)
+        return grants is not None and grants.give_back(holder, count)
+
+    def release_all(self, holder: str) -> None:
+        """Free every slot of a holder that is gone."""
+        for grants in self.grants_by_team.values():
+            grants.release_all(holder)
+
+    def forget_demand(self, holder: str) -> None:
+        """Drop the unmet requests of a holder that was expelled."""
+        for grants in self.grants_by_team.values():
+            grants.forget_demand(holder)
--- /dev/null
+++ b/libs/state/src/lycheeloom/state/maintenance.py
@@ -0,0 +1,175 @@
+"""Pools of instances, moves between them, health and maintenance waves."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from lycheeloom.model.records import (
+    Health,
+    InstanceHealth,
+    MoveStage,
+    MoveStep,
+    WaveCommand,
+    WaveState,
+)
+
+_ENDED = frozenset({MoveStage.JOINED, MoveStage.ABANDONED})
+_NEXT_STAGES: Mapping[MoveStage, frozenset[MoveStage]] = {
+    MoveStage.PLANNED: frozenset({MoveStage.DRAINING, MoveStage.ABANDONED}),
+    MoveStage.DRAINING: frozenset({MoveStage.DRAINED, MoveStage.ABANDONED}),
+    MoveStage.DRAINED: frozenset({MoveStage.REBOOTING, MoveStage.JOINED}),
+    MoveStage.REBOOTING: frozenset({MoveStage.JOINED}),
+    MoveStage.JOINED: frozenset(),
+    MoveStage.ABANDONED: frozenset(),
+}
+_ALLOWED_WAVE_CHANGES = frozenset(
+    {
+        (WaveState.ABSENT, WaveState.RUNNING),
+        (WaveState.RUNNING, WaveState.PAUSED),
+        (WaveState.PAUSED, WaveState.RUNNING),
+        (WaveState.RUNNING, WaveState.ABORTED),
+        (WaveState.PAUSED, WaveState.ABORTED),
+        (WaveState.RUNNING, WaveState.DONE),
+    }
+)
+
+
+@dataclass(slots=True)
+class Move:
+    """The last move of one instance, ended or in progress."""
+
+    move_id: str
+    stage: MoveStage
+    to_pool: str
+    reboot: bool
+    reason: str
+    changed_at: int
+
+    def is_ended(self) -> bool:
+        """Tell whether another move of the instance may begin."""
+        return self.stage in _ENDED
+
+
+@dataclass(slots=True)
+class HealthState:
+    """The last health decision about an instance."""
+
+    health: Health
+    reason: str
+    changed_at: int
+
+
+@dataclass(slots=True)
+class Wave:
+    """A maintenance wave over pools; no pools means all."""
+
+    wave_id: str
+    state: WaveState
+    pools: tuple[str, ...]
+    urgent: bool
+    reboot: bool
+    started_at: int
+    operator: str = ""
+
+
+@dataclass(slots=True)
+class Maintenance:
+    """Where each instance is and what is being done with it."""
+
+    pool_by_instance: dict[str, str] = field(default_factory=dict)
+    move_by_instance: dict[str, Move] = field(default_factory=dict)
+    health_by_instance: dict[str, HealthState] = field(default_factory=dict)
+    wave_by_id: dict[str, Wave] = field(default_factory=dict)
+
+    def adopt_instances(self, wanted_pool_by_instance: Mapping[str, str]) -> None:
+        """Put new instances into their wanted pools and forget removed ones."""
+        for instance, pool in wanted_pool_by_instance.items():
+            self.pool_by_instance.setdefault(instance, pool)
+        for instance in set(self.pool_by_instance) - set(wanted_pool_by_instance):
+            del self.pool_by_instance[instance]
+            self.move_by_instance.pop(instance, None)
+            self.health_by_instance.pop(instance, None)
+
+    def pools_in_use(self, instances: Iterable[str]) -> set[str]:
+        """Return the pools that hold or are about to hold these instances."""
+        pools = set()
+        for instance in instances:
+            if instance in self.pool_by_instance:
+                pools.add(self.pool_by_instance[instance])
+            move = self.move_by_instance.get(instance)
+            if move is not None and not move.is_ended():
+                pools.add(move.to_pool)
+        return pools
+
+    def step(self, offset: int, record: MoveStep, pools: Iterable[str]) -> bool:
+        """Advance a move by one stage; the last one changes the pool."""
+        if record.instance not in self.pool_by_instance:
+            return False
+        move = self.move_by_instance.get(record.instance)
+        if record.stage is MoveStage.PLANNED:
+            return self._plan(offset, record, move, pools)
+        if move is None or move.move_id != record.move_id:
+            return False
+        if record.stage not in _NEXT_STAGES[move.stage]:
+            return False
+        if move.reboot and (move.stage, record.stage) == (
+            MoveStage.DRAINED,
+            MoveStage.JOINED,
+        ):
+            return False
+        move.stage = record.stage
+        move.changed_at = offset
+        if record.stage is MoveStage.JOINED:
+            self.pool_by_instance[record.instance] = move.to_pool
+        return True
+
+    def set_health(self, offset: int, record: InstanceHealth) -> bool:
+        """Keep a health decision about a known instance."""
+        if record.instance not in self.pool_by_instance:
+            return False
+        self.health_by_instance[record.instance] = HealthState(
+            record.health, record.reason, offset
+        )
+        return True
+
+    def command_wave(self, offset: int, record: WaveCommand) -> bool:
+        """Change a wave whose state is the one the operator has seen."""
+        wave = self.wave_by_id.get(record.wave_id)
+        current = wave.state if wave is not None else WaveState.ABSENT
+        if record.expected is not current:
+            return False
+        if (current, record.wanted) not in _ALLOWED_WAVE_CHANGES:
+            return False
+        if wave is not None:
+            wave.state = record.wanted
+            return True
+        self.wave_by_id[record.wave_id] = Wave(
+            record.wave_id,
+            record.wanted,
+            record.pools,
+            record.urgent,
+            record.reboot,
+            offset,
+            record.operator,
+        )
+        return True
+
+    def _plan(
+        self, offset: int, record: MoveStep, move: Move | None, pools: Iterable[str]
+    ) -> bool:
+        if move is not None and not move.is_ended():
+            return False
+        if record.to_pool not in pools:
+            return False
+        if move is not None and move.move_id == record.move_id:
+            return False
+        self.move_by_instance[record.instance] = Move(
+            record.move_id,
+            record.stage,
+            record.to_pool,
+            record.reboot,
+            record.reason,
+            offset,
+        )
+        return True
--- /dev/null
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -0,0 +1,176 @@
+"""Recorded requests: where their bodies and answers lie, and who runs them.
+
+Bodies and answers stay in the log; the state keeps offsets. Appending the same
+submission or the same answer again moves its offset, which is how records are
+kept beyond the log's retention.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from lycheeloom.model.records import (
+    Outcome,
+    RequestClaimed,
+    RequestFinished,
+    RequestSubmitted,
+)
+from lycheeloom.model.resources import Resources
+
+
+class RequestStatus(StrEnum):
+    """Stage of a recorded request."""
+
+    PENDING = "pending"
+    CLAIMED = "claimed"
+    FINISHED = "finished"
+
+
+@dataclass(slots=True)
+class RecordedRequest:
+    """A request that survives the loss of every entry."""
+
+    request_id: str
+    team: str
+    queue: str
+    idempotent: bool
+    idempotency_key: str
+    body_digest: bytes
+    resources: Resources
+    run_ms: int
+    urgent: bool
+    body_offset: int
+    submitted_at: int
+    status: RequestStatus = RequestStatus.PENDING
+    attempt: int = 0
+    holder: str = ""
+    worker: str = ""
+    worker_boot: str = ""
+    outcome: Outcome | None = None
+    answer_offset: int | None = None
+    finished_at: int | None = None
+
+
+@dataclass(slots=True)
+class Requests:
+    """All recorded requests whose answers are still kept."""
+
+    request_by_id: dict[str, RecordedRequest] = field(default_factory=dict)
+    id_by_key: dict[str, str] = field(default_factory=dict)
+    pending: dict[str, None] = field(default_factory=dict)
+    claimed: dict[str, None] = field(default_factory=dict)
+
+    def find_by_key(self, team: str, key: str) -> RecordedRequest | None:
+        """Return the request a team submitted under an idempotency key."""
+        request_id = self.id_by_key.get(_key(team, key))
+        return self.request_by_id.get(request_id) if request_id else None
+
+    def submit(self, offset: int, record: RequestSubmitted) -> bool:
+        """Add a request, or move the body offset of a known one."""
+        known = self.request_by_id.get(record.request_id)
+        if known is not None:
+            if known.body_digest != record.body_digest:
+                return False
+            known.body_offset = offset
+            return True
+        if record.idempotency_key:
+            key = _key(record.team, record.idempotency_key)
+            if key in self.id_by_key:
+                return False
+            self.id_by_key[key] = record.request_id
+        self.request_by_id[record.request_id] = RecordedRequest(
+            request_id=record.request_id,
+            team=record.team,
+            queue=record.queue,
+            idempotent=record.idempotent,
+            idempotency_key=record.idempotency_key,
+            body_digest=record.body_digest,
+            resources=record.resources,
+            run_ms=record.run_ms,
+            urgent=record.urgent,
+            body_offset=offset,
+            submitted_at=offset,
+        )
+        self.pending[record.request_id] = None
+        return True
+
+    def claim(self, author: str, record: RequestClaimed) -> bool:
+        """Let the author start the next attempt of a pending request."""
+        request = self.request_by_id.get(record.request_id)
+        if request is None or request.status is not RequestStatus.PENDING:
+            return False
+        if record.attempt != request.attempt + 1:
+            return False
+        request.status = RequestStatus.CLAIMED
+        request.attempt = record.attempt
+        request.holder = author
+        request.worker = record.worker
+        request.worker_boot = record.worker_boot
+        del self.pending[record.request_id]
+        self.claimed[record.request_id] = None
+        return True
+
+    def release(self, request_id: str, attempt: int) -> bool:
+        """Make a claimed request pending again."""
+        request = self.find_claim(request_id, attempt)
+        if request is None:
+            return False
+        request.status = RequestStatus.PENDING
+        request.holder = ""
+        del self.claimed[request_id]
+        self.pending[request_id] = None
+        return True
+
+    def finish(self, offset: int, record: RequestFinished) -> bool:
+        """Keep an answer, or move the offset of the one that is kept."""
+        request = self.request_by_id.get(record.request_id)
+        if request is None or request.attempt != record.attempt:
+            return False
+        if request.status is RequestStatus.FINISHED:
+            if request.outcome is not record.outcome:
+                return False
+            request.answer_offset = offset
+            return True
+        if request.status is not RequestStatus.CLAIMED:
+            return False
+        del self.claimed[record.request_id]
+        self._end(request, offset, record.outcome)
+        request.answer_offset = offset
+        return True
+
+    def cancel(self, offset: int, request_id: str) -> bool:
+        """End a pending request as not run."""
+        request = self.request_by_id.get(request_id)
+        if request is None or request.status is not RequestStatus.PENDING:
+            return False
+        del self.pending[request_id]
+        self._end(request, offset, Outcome.NOT_RUN)
+        return True
+
+    def expire(self, through_offset: int, queue: str) -> None:
+        """Drop answers finished at or below an offset, of one queue or all."""
+        for request in list(self.request_by_id.values()):
+            if request.finished_at is None or request.finished_at > through_offset:
+                continue
+            if queue and request.queue != queue:
+                continue
+            del self.request_by_id[request.request_id]
+            if request.idempotency_key:
+                del self.id_by_key[_key(request.team, request.idempotency_key)]
+
+    def find_claim(self, request_id: str, attempt: int) -> RecordedRequest | None:
+        """Return a request that is claimed under this attempt."""
+        request = self.request_by_id.get(request_id)
+        if request is None or request.status is not RequestStatus.CLAIMED:
+            return None
+        return request if request.attempt == attempt else None
+
+    def _end(self, request: RecordedRequest, offset: int, outcome: Outcome) -> None:
+        request.status = RequestStatus.FINISHED
+        request.outcome = outcome
+        request.finished_at = offset
+
+
+def _key(team: str, key: str) -> str:
+    return f"{team}\n{key}"
--- a/libs/wire/src/lycheeloom/wire/records.capnp
+++ b/libs/wire/src/lycheeloom/wire/records.capnp
@@ -108,11 +108,13 @@
 
 struct AnswersExpired {
   throughOffset @0 :UInt64;
+  queue @1 :Text;
 }
 
 struct DutyClaimed {
   duty @0 :Text;
   expectedEpoch @1 :UInt64;
+  expectedRenewal @2 :UInt64;
 }
 
 struct MoveStep {
