Add the planner with waves, repair, buffers and a fleet on virtual time

A step of the planner returns records and platform actions; repeated steps return the same until the log and the platform show their effect.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/bench/fleet_world.py
@@ -0,0 +1,308 @@
+"""A fleet on virtual time: log, platform and workers for planner runs.
+
+The log is the real replay; platform and workers are simple stand-ins. The world
+counts what operators and callers would see: work lost, work started on leaving
+instances, and changes that went over an availability budget.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lycheeloom.fleet import ActionKind, ActionStatus, FleetView, Plan, PlatformAction
+from lycheeloom.model.config import canonical_json
+from lycheeloom.model.records import (
+    Batch,
+    ConfigChanged,
+    Duty,
+    DutyClaimed,
+    MoveStage,
+    MoveStep,
+)
+from lycheeloom.state import FleetState
+
+LEAVING = frozenset({MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING})
+
+
+@dataclass(slots=True)
+class FakeWorker:
+    """One worker; ``work_ends_s`` is when the work it holds at a drain ends."""
+
+    alive: bool = True
+    draining: bool = False
+    boots: int = 0
+    rebooting_until_s: float | None = None
+    work_ends_s: float = 0.0
+    running: int = 1
+
+
+@dataclass(slots=True)
+class World:
+    """A fleet with a log and a platform."""
+
+    document: dict
+    drain_s: float = 60.0
+    reboot_s: float = 120.0
+    now_s: float = 0.0
+    state: FleetState = field(default_factory=FleetState)
+    workers: dict[str, FakeWorker] = field(default_factory=dict)
+    status_by_action: dict[str, ActionStatus] = field(default_factory=dict)
+    reboot_of: dict[str, str] = field(default_factory=dict)
+    effects: Counter = field(default_factory=Counter)
+    lost_work: int = 0
+    started_on_leaving: int = 0
+    over_budget: list[str] = field(default_factory=list)
+    sequence: Counter = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        change = ConfigChanged(0, canonical_json(self.document), "operator")
+        assert self.append("operator", [change]) == (True,)
+        self.workers = {name: FakeWorker() for name in self.document["instances"]}
+
+    def append(self, author: str, records: Iterable) -> tuple[bool, ...]:
+        """Append one batch and replay it."""
+        self.sequence[author] += 1
+        batch = Batch(author, self.sequence[author], tuple(records))
+        applied = self.state.apply(self.state.next_offset, batch)
+        for record, effective in zip(batch.records, applied.effective, strict=True):
+            if effective and isinstance(record, MoveStep):
+                self._check_budget(record)
+        return applied.effective
+
+    def claim(self, author: str) -> int:
+        """Take the maintenance duty and return its epoch."""
+        held = self.state.duties.of(Duty.MAINTENANCE)
+        claim = DutyClaimed(Duty.MAINTENANCE, held.epoch, held.renewed_at)
+        self.append(author, [claim])
+        return self.state.duties.of(Duty.MAINTENANCE).epoch
+
+    def view(self, epoch: int) -> FleetView:
+        """Return what a controller sees now."""
+        maintenance = self.state.maintenance
+        return FleetView(
+            config=self.state.config,
+            offset=self.state.next_offset,
+            duty_epoch=epoch,
+            pool_by_instance=maintenance.pool_by_instance,
+            move_by_instance=maintenance.move_by_instance,
+            wave_by_id=maintenance.wave_by_id,
+            health_by_instance=maintenance.health_by_instance,
+            unavailable=frozenset(self.out_on_platform()),
+            running_by_instance={
+                name: worker.running
+                for name, worker in self.workers.items()
+                if worker.alive
+            },
+            status_by_action=dict(self.status_by_action),
+        )
+
+    def out_on_platform(self) -> set[str]:
+        """Return the instances that the platform does not show as live."""
+        return {
+            name
+            for name, worker in self.workers.items()
+            if worker.draining or not worker.alive
+        }
+
+    def heard(self) -> list[str]:
+        """Return the instances that answer now."""
+        return [name for name, worker in self.workers.items() if worker.alive]
+
+    def carry_out(self, author: str, plan: Plan) -> None:
+        """Append a plan's records and take its actions."""
+        if plan.records:
+            self.append(author, plan.records)
+        for action in plan.actions:
+            self.act(action)
+
+    def act(self, action: PlatformAction) -> ActionStatus:
+        """Take a platform action; a repeated id has no further effect."""
+        known = self.status_by_action.get(action.action_id)
+        if known is not None:
+            return known
+        self.effects[action.action_id] += 1
+        worker = self.workers[action.instance]
+        status = ActionStatus.DONE
+        match action.kind:
+            case ActionKind.DRAIN:
+                worker.draining = True
+                worker.work_ends_s = self.now_s + self.drain_s
+            case ActionKind.UNDRAIN:
+                worker.draining = False
+            case ActionKind.REBOOT:
+                self.lost_work += worker.running if worker.alive else 0
+                worker.alive = False
+                worker.running = 0
+                worker.rebooting_until_s = self.now_s + self.reboot_s
+                self.reboot_of[action.instance] = action.action_id
+                status = ActionStatus.RUNNING
+        self.status_by_action[action.action_id] = status
+        return status
+
+    def fail(self, names: Iterable[str]) -> None:
+        """Workers stop; their work ends with them as unplanned loss."""
+        for name in names:
+            self.workers[name].alive = False
+            self.workers[name].running = 0
+
+    def repair(self, names: Iterable[str]) -> None:
+        """Failed workers come back, unless a reboot is under way."""
+        for name in names:
+            if self.workers[name].rebooting_until_s is None:
+                self.workers[name].alive = True
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass: work ends and starts, reboots finish."""
+        self.now_s += seconds
+        for name, worker in self.workers.items():
+            if worker.rebooting_until_s is not None:
+                self._finish_reboot(name, worker)
+            if not worker.alive:
+                continue
+            if worker.draining:
+                if self.now_s >= worker.work_ends_s:
+                    worker.running = 0
+                continue
+            if not self._is_leaving(name):
+                worker.running = 1
+            elif self.now_s >= worker.work_ends_s:
+                worker.running = 0
+
+    def start_work(self, name: str) -> bool:
+        """An entry tries to start a task, as a caller would cause it to."""
+        worker = self.workers[name]
+        if not worker.alive or worker.draining or self._is_leaving(name):
+            return False
+        worker.running = max(1, worker.running)
+        return True
+
+    def _is_leaving(self, name: str) -> bool:
+        move = self.state.maintenance.move_by_instance.get(name)
+        return move is not None and move.stage in LEAVING
+
+    def _finish_reboot(self, name: str, worker: FakeWorker) -> None:
+        if self.now_s < worker.rebooting_until_s:
+            return
+        worker.rebooting_until_s = None
+        worker.alive = True
+        worker.boots += 1
+        self.status_by_action[self.reboot_of[name]] = ActionStatus.DONE
+
+    def _check_budget(self, record: MoveStep) -> None:
+        """Count the instances out, as an operator would, when one starts to leave."""
+        if record.stage is not MoveStage.DRAINING:
+            return
+        if not self.workers[record.instance].alive:
+            return
+        out = self.out_on_platform()
+        out |= {name for name in self.workers if self._is_leaving(name)}
+        for problem in self.budget_problems(record.instance, out):
+            self.over_budget.append(f"{self.now_s:.0f} {record.instance} {problem}")
+
+    def budget_problems(self, instance: str, out: set[str]) -> list[str]:
+        """Return the budgets of an instance that ``out`` goes over."""
+        config = self.state.config
+        pools = self.state.maintenance.pool_by_instance
+        place = config.instance_by_id[instance]
+        pool_id = pools[instance]
+        pool, zone = config.pool_by_id[pool_id], config.zone_by_id[place.zone]
+        in_pool = [name for name in out if pools[name] == pool_id]
+        in_rack = [
+            name
+            for name in in_pool
+            if (config.instance_by_id[name].zone, config.instance_by_id[name].rack)
+            == (place.zone, place.rack)
+        ]
+        in_zone = [n for n in out if config.instance_by_id[n].zone == place.zone]
+        problems = []
+        if len(in_pool) > pool.max_unavailable:
+            problems.append(f"pool {pool_id} {len(in_pool)}")
+        if len(in_rack) > pool.max_unavailable_per_rack:
+            problems.append(f"rack {place.rack} {len(in_rack)}")
+        if zone.max_unavailable is not None and len(in_zone) > zone.max_unavailable:
+            problems.append(f"zone {place.zone} {len(in_zone)}")
+        return problems
+
+
+def fleet_document(
+    pools: dict[str, dict], instances: Iterable[dict], zones: dict[str, dict]
+) -> dict:
+    """Return a configuration document; an instance names its pool, zone, rack."""
+    return {
+        "zones": zones,
+        "pools": pools,
+        "instances": {
+            item["id"]: {
+                "pool": item["pool"],
+                "zone": item["zone"],
+                "rack": item["rack"],
+                "address": f"127.0.0.1:{number + 1}",
+                "cores": item.get("cores", 64),
+                "memory_mb": item.get("memory_mb", 262144),
+            }
+            for number, item in enumerate(instances)
+        },
+    }
+
+
+def user_fleet(cores: int, memory_mb: int, needed: int = 4) -> dict:
+    """Return the fleet of users A and B: five pools of 6 over three zones.
+
+    The general pool is the spare pool; there are 4 workers to a rack.
+    """
+    names = ["north", "south", "east", "west", "general"]
+    pools = {name: {"needed": needed, "max_unavailable": 1} for name in names[:4]}
+    pools["general"] = {"spare": True, "max_unavailable": 1}
+    instances = []
+    for number in range(30):
+        zone = number % 3
+        instances.append(
+            {
+                "id": f"w{number:02}",
+                "pool": names[number // 6],
+                "zone": f"z{zone}",
+                "rack": f"r{number // 3 // 4}",
+                "cores": cores,
+                "memory_mb": memory_mb,
+            }
+        )
+    return fleet_document(pools, instances, {f"z{n}": {} for n in range(3)})
+
+
+def large_fleet(
+    seed: int, workers: int = 5100, pools: int = 139, zones: int = 10, rack: int = 20
+) -> dict:
+    """Return a fleet of the planned size with a spare pool."""
+    rng = random.Random(seed)
+    names = [f"p{number:03}" for number in range(pools - 1)]
+    spare = workers // 8
+    sizes = Counter(rng.choice(names) for _ in range(workers - spare))
+    owners = [name for name in names for _ in range(sizes[name])] + ["spare"] * spare
+    rng.shuffle(owners)
+    budget = {name: max(1, sizes[name] // 10) for name in names}
+    documents = {
+        name: {
+            "needed": int(sizes[name] * 0.95),
+            "max_unavailable": budget[name],
+            "max_unavailable_per_rack": 1,
+        }
+        for name in names
+    }
+    documents["spare"] = {
+        "spare": True,
+        "max_unavailable": max(1, spare // 10),
+        "max_unavailable_per_rack": 2,
+    }
+    instances = [
+        {
+            "id": f"w{number:04}",
+            "pool": owner,
+            "zone": f"z{number % zones}",
+            "rack": f"r{number // zones // rack}",
+        }
+        for number, owner in enumerate(owners)
+    ]
+    return fleet_document(documents, instances, {f"z{n}": {} for n in range(zones)})
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.config import FleetConfig, ZoneState
 
 
 class LimitKind(StrEnum):
@@ -43,16 +43,25 @@
         self.place_by_instance: dict[str, tuple[str, str, str]] = {}
         self.members_by_pool: dict[str, list[str]] = defaultdict(list)
         self.members_by_rack: dict[str, list[str]] = defaultdict(list)
+        self.members_by_zone: dict[str, list[str]] = defaultdict(list)
         for name, instance in config.instance_by_id.items():
             pool = self.pool_by_instance.get(name, instance.pool)
-            self.place_by_instance[name] = (pool, instance.rack, instance.zone)
+            # Rack names need not differ between zones.
+            rack = f"{instance.zone}/{instance.rack}"
+            self.place_by_instance[name] = (pool, rack, instance.zone)
             self.members_by_pool[pool].append(name)
-            self.members_by_rack[instance.rack].append(name)
+            self.members_by_rack[rack].append(name)
+            self.members_by_zone[instance.zone].append(name)
+        # Nothing starts in a zone that operators took out of service.
+        self.out_of_service = frozenset(
+            name
+            for zone_id, zone in config.zone_by_id.items()
+            if zone.state is ZoneState.OUT
+            for name in self.members_by_zone.get(zone_id, ())
+        )
         self.has_spare_pool = any(pool.spare for pool in config.pool_by_id.values())
 
-    def matches(
-        self, config: FleetConfig, pool_by_instance: Mapping[str, str]
-    ) -> bool:
+    def matches(self, config: FleetConfig, pool_by_instance: Mapping[str, str]) -> bool:
         """Tell whether the counts still hold for these inputs."""
         return self.config is config and self.pool_by_instance == pool_by_instance
 
@@ -97,15 +106,18 @@
         budget = self._layout.config.pool_by_id[pool].max_unavailable
         return budget - self._out_by_pool[pool]
 
-    def blocking(self, instance: str) -> Limit | None:
-        """Return the limit that keeps a serving instance in service."""
-        return self._over(instance, 1)
+    def blocking(self, instance: str, covers: str = "") -> Limit | None:
+        """Return the limit that keeps a serving instance in service.
 
-    def exceeded(self, instance: str) -> Limit | None:
+        ``covers`` is the pool that the instance is to serve instead.
+        """
+        return self._over(instance, 1, covers)
+
+    def exceeded(self, instance: str, covers: str = "") -> Limit | None:
         """Return a limit that is already exceeded with the instance out."""
-        return self._over(instance, 0)
+        return self._over(instance, 0, covers)
 
-    def _over(self, instance: str, more: int) -> Limit | None:
+    def _over(self, instance: str, more: int, covers: str) -> Limit | None:
         config = self._layout.config
         pool_id, rack, zone_id = self._layout.place_by_instance[instance]
         pool = config.pool_by_id.get(pool_id)
@@ -119,13 +131,16 @@
             return Limit(LimitKind.RACK, rack, out, pool.max_unavailable_per_rack)
         zone = config.zone_by_id.get(zone_id)
         out = self._out_by_zone[zone_id]
-        if zone and zone.max_unavailable is not None:
-            if out + more > zone.max_unavailable:
-                return Limit(LimitKind.ZONE, zone_id, out, zone.max_unavailable)
-        return self._over_spare(pool_id, more)
+        allowed = zone.max_unavailable if zone else None
+        if allowed is not None and out + more > allowed:
+            return Limit(LimitKind.ZONE, zone_id, out, allowed)
+        return self._over_spare(pool_id, more, covers)
+
+    def _over_spare(self, pool_id: str, more: int, covers: str) -> Limit | None:
+        """Keep every need covered and one spare instance untouched.
 
-    def _over_spare(self, pool_id: str, more: int) -> Limit | None:
-        """Keep every need covered and one spare instance untouched."""
+        A spare that goes to a pool in need does not make the need larger.
+        """
         pool = self._layout.config.pool_by_id[pool_id]
         if not self._layout.has_spare_pool:
             serving = self.available(pool_id)
@@ -135,6 +150,8 @@
         spares, shortfall = self.spares_and_shortfall()
         if pool.spare:
             spares -= more
+            if covers and self._is_short(covers):
+                shortfall = 0
         elif self.available(pool_id) - more < pool.needed:
             shortfall += more
         else:
@@ -143,6 +160,10 @@
             return Limit(LimitKind.LAST_SPARE, pool_id, spares, shortfall)
         return None
 
+    def _is_short(self, pool_id: str) -> bool:
+        pool = self._layout.config.pool_by_id.get(pool_id)
+        return pool is not None and self.available(pool_id) < pool.needed
+
     def spares_and_shortfall(self) -> tuple[int, int]:
         """Return the serving spares and what the other pools lack."""
         spares = shortfall = 0
--- a/libs/fleet/src/lycheeloom/fleet/buffers.py
+++ b/libs/fleet/src/lycheeloom/fleet/buffers.py
@@ -261,7 +261,9 @@
     ) -> tuple[str, tuple[str, str]] | None:
         """Return the pool and location whose surplus helps the most places."""
         if violations is None:
-            violations = {place: over for place, (_, over) in self._violations().items()}
+            violations = {
+                place: over for place, (_, over) in self._violations().items()
+            }
         weight = sum(violations.values())
         best, best_gain = None, (0 if violations else -1, 0)
         for pool in self._needed:
@@ -312,4 +314,4 @@
 
 
 def _places(zone: str, rack: str) -> tuple[tuple[str, str], tuple[str, str]]:
-    return ("zone", zone), ("rack", rack)
+    return ("zone", zone), ("rack", f"{zone}/{rack}")
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -77,35 +77,55 @@
 
 def action_ids(move: Move, max_tries: int) -> tuple[str, ...]:
     """Return the action ids whose status matters for an open move."""
-    if move.stage is MoveStage.PLANNED or not move.is_open:
-        return ()
-    ids = [action_id(move.move_id, MoveStage.DRAINING)]
-    if move.stage is MoveStage.REBOOTING:
-        ids += _tries(move, MoveStage.REBOOTING, max_tries)
-    if move.stage is not MoveStage.DRAINING:
-        ids += _tries(move, MoveStage.JOINED, MAX_RETURN_TRIES)
-    return (*ids, *_tries(move, MoveStage.ABANDONED, MAX_RETURN_TRIES))
+    match move.stage:
+        case MoveStage.DRAINING:
+            drain = action_id(move.move_id, MoveStage.DRAINING)
+            return (drain, *_tries(move, MoveStage.ABANDONED, MAX_RETURN_TRIES))
+        case MoveStage.DRAINED:
+            return _tries(move, MoveStage.JOINED, MAX_RETURN_TRIES)
+        case MoveStage.REBOOTING:
+            reboots = _tries(move, MoveStage.REBOOTING, max_tries)
+            return (*reboots, *_tries(move, MoveStage.JOINED, MAX_RETURN_TRIES))
+    return ()
 
 
-def advance(move: Move, facts: MoveFacts) -> MoveDecision:
+def advance(instance: str, move: Move, facts: MoveFacts) -> MoveDecision:
     """Decide the next step of an open move."""
-    if move.stage is MoveStage.PLANNED:
-        return _advance_planned(facts)
-    if _was_asked(move, MoveStage.ABANDONED, facts):
-        # Another holder has begun to return the instance; only that can go on.
-        return _return(move, MoveStage.ABANDONED, facts)
-    if _was_asked(move, MoveStage.JOINED, facts):
-        return _return(move, MoveStage.JOINED, facts)
+    step = _Step(instance, move, facts)
     match move.stage:
+        case MoveStage.PLANNED:
+            return _advance_planned(facts)
         case MoveStage.DRAINING:
-            return _advance_draining(move, facts)
+            return _advance_draining(step)
         case MoveStage.DRAINED:
-            return _advance_drained(move, facts)
+            return _advance_drained(step)
         case MoveStage.REBOOTING:
-            return _advance_rebooting(move, facts)
+            return _advance_rebooting(step)
     return MoveDecision()
 
 
+@dataclass(frozen=True, slots=True)
+class _Step:
+    instance: str
+    move: Move
+    facts: MoveFacts
+
+    def name(self, stage: MoveStage, attempt: int = 1) -> str:
+        return action_id(self.move.move_id, stage, attempt)
+
+    def status(self, stage: MoveStage, attempt: int = 1) -> ActionStatus:
+        name = self.name(stage, attempt)
+        return self.facts.status_by_action.get(name, ActionStatus.UNKNOWN)
+
+    def act(self, kind: ActionKind, stage: MoveStage, attempt: int = 1) -> MoveDecision:
+        name = self.name(stage, attempt)
+        return MoveDecision(action=PlatformAction(self.instance, kind, name))
+
+    def refused_recently(self, stage: MoveStage, attempt: int) -> bool:
+        since = self.facts.refused_for_s.get(self.name(stage, attempt), 0.0)
+        return since < self.facts.retry_after_s
+
+
 def _advance_planned(facts: MoveFacts) -> MoveDecision:
     if facts.abandon:
         return MoveDecision(MoveStage.ABANDONED, reason=facts.abandon)
@@ -114,100 +134,70 @@
     return MoveDecision(MoveStage.DRAINING)
 
 
-def _advance_draining(move: Move, facts: MoveFacts) -> MoveDecision:
-    status = _status(facts, action_id(move.move_id, MoveStage.DRAINING))
-    if facts.abandon or status is ActionStatus.REFUSED:
-        return _return(move, MoveStage.ABANDONED, facts)
-    if status is ActionStatus.UNKNOWN and not facts.dead:
-        return MoveDecision(
-            action=_action(move, ActionKind.DRAIN, MoveStage.DRAINING, 1)
-        )
-    if status is ActionStatus.RUNNING and not facts.dead:
+def _advance_draining(step: _Step) -> MoveDecision:
+    facts = step.facts
+    drain = step.status(MoveStage.DRAINING)
+    if step.status(MoveStage.ABANDONED) is not ActionStatus.UNKNOWN:
+        # Another holder has begun to return the instance; only that can go on.
+        reason = facts.abandon or "an earlier controller began to return it"
+        return _return(step, MoveStage.ABANDONED, reason)
+    if drain is ActionStatus.REFUSED:
+        reason = "the platform refused to drain it"
+        return _return(step, MoveStage.ABANDONED, reason)
+    if facts.abandon:
+        return _return(step, MoveStage.ABANDONED, facts.abandon)
+    if facts.dead:
+        return MoveDecision(MoveStage.DRAINED)
+    if drain is ActionStatus.UNKNOWN:
+        return step.act(ActionKind.DRAIN, MoveStage.DRAINING)
+    if drain is ActionStatus.RUNNING:
         return MoveDecision(wait=Wait.PLATFORM)
     if not facts.is_idle:
         return MoveDecision(wait=Wait.COUNT if facts.running is None else Wait.WORK)
     return MoveDecision(MoveStage.DRAINED)
 
 
-def _advance_drained(move: Move, facts: MoveFacts) -> MoveDecision:
-    if facts.abandon:
-        return _return(move, MoveStage.ABANDONED, facts)
-    if not move.reboot:
-        return _return(move, MoveStage.JOINED, facts)
-    if not facts.is_idle:
+def _advance_drained(step: _Step) -> MoveDecision:
+    if not step.move.reboot:
+        return _return(step, MoveStage.JOINED)
+    if not step.facts.is_idle:
         return MoveDecision(wait=Wait.WORK)
     return MoveDecision(MoveStage.REBOOTING)
 
 
-def _advance_rebooting(move: Move, facts: MoveFacts) -> MoveDecision:
-    for attempt in range(1, facts.max_tries + 1):
-        name = action_id(move.move_id, MoveStage.REBOOTING, attempt)
-        status = _status(facts, name)
-        if status is ActionStatus.DONE:
-            return _return(move, MoveStage.JOINED, facts)
-        if status is ActionStatus.RUNNING:
-            return MoveDecision(wait=Wait.PLATFORM)
-        if status is ActionStatus.REFUSED:
-            if _refused_recently(facts, name):
-                return MoveDecision(wait=Wait.RETRY)
-            continue
-        if not facts.is_idle:
-            # Work that slipped in must not be lost to the reboot.
-            return MoveDecision(wait=Wait.WORK)
-        return MoveDecision(
-            action=_action(move, ActionKind.REBOOT, MoveStage.REBOOTING, attempt)
-        )
-    return _return(move, MoveStage.ABANDONED, facts)
-
-
-def _return(move: Move, end: MoveStage, facts: MoveFacts) -> MoveDecision:
-    """Ask the platform to return the instance, then record the end."""
-    reason = _abandon_reason(move, facts) if end is MoveStage.ABANDONED else ""
-    for attempt in range(1, MAX_RETURN_TRIES + 1):
-        name = action_id(move.move_id, end, attempt)
-        status = _status(facts, name)
-        if status is ActionStatus.DONE:
-            return MoveDecision(end, reason=reason)
-        if status is ActionStatus.RUNNING:
-            return MoveDecision(wait=Wait.PLATFORM)
-        if status is ActionStatus.UNKNOWN:
-            return MoveDecision(action=_action(move, ActionKind.UNDRAIN, end, attempt))
-        if _refused_recently(facts, name):
+def _advance_rebooting(step: _Step) -> MoveDecision:
+    if step.status(MoveStage.JOINED) is not ActionStatus.UNKNOWN:
+        return _return(step, MoveStage.JOINED)
+    for attempt in range(1, step.facts.max_tries + 1):
+        match step.status(MoveStage.REBOOTING, attempt):
+            case ActionStatus.DONE:
+                return _return(step, MoveStage.JOINED)
+            case ActionStatus.RUNNING:
+                return MoveDecision(wait=Wait.PLATFORM)
+            case ActionStatus.UNKNOWN if not step.facts.is_idle:
+                # Work that slipped in must not be lost to the reboot.
+                return MoveDecision(wait=Wait.WORK)
+            case ActionStatus.UNKNOWN:
+                return step.act(ActionKind.REBOOT, MoveStage.REBOOTING, attempt)
+        if step.refused_recently(MoveStage.REBOOTING, attempt):
             return MoveDecision(wait=Wait.RETRY)
-    return MoveDecision(
-        MoveStage.ABANDONED, reason="the platform refused to return the instance"
-    )
-
-
-def _abandon_reason(move: Move, facts: MoveFacts) -> str:
-    if facts.abandon:
-        return facts.abandon
-    drain = _status(facts, action_id(move.move_id, MoveStage.DRAINING))
-    if drain is ActionStatus.REFUSED:
-        return "the platform refused to drain the instance"
-    if move.stage is MoveStage.REBOOTING:
-        return "the platform refused to reboot the instance"
-    return "an earlier controller began to return the instance"
-
+    return _return(step, MoveStage.JOINED, "the platform refused to reboot it")
 
-def _was_asked(move: Move, end: MoveStage, facts: MoveFacts) -> bool:
-    status = _status(facts, action_id(move.move_id, end))
-    return status is not ActionStatus.UNKNOWN
 
-
-def _refused_recently(facts: MoveFacts, name: str) -> bool:
-    return facts.refused_for_s.get(name, 0.0) < facts.retry_after_s
-
-
-def _status(facts: MoveFacts, name: str) -> ActionStatus:
-    return facts.status_by_action.get(name, ActionStatus.UNKNOWN)
-
-
-def _tries(move: Move, stage: MoveStage, count: int) -> list[str]:
-    return [action_id(move.move_id, stage, number + 1) for number in range(count)]
+def _return(step: _Step, end: MoveStage, reason: str = "") -> MoveDecision:
+    """Ask the platform to return the instance, then record the end."""
+    for attempt in range(1, MAX_RETURN_TRIES + 1):
+        match step.status(end, attempt):
+            case ActionStatus.DONE:
+                return MoveDecision(end, reason=reason)
+            case ActionStatus.RUNNING:
+                return MoveDecision(wait=Wait.PLATFORM)
+            case ActionStatus.UNKNOWN:
+                return step.act(ActionKind.UNDRAIN, end, attempt)
+        if step.refused_recently(end, attempt):
+            return MoveDecision(wait=Wait.RETRY)
+    return MoveDecision(end, reason="the platform refused to return it to service")
 
 
-def _action(
-    move: Move, kind: ActionKind, stage: MoveStage, attempt: int
-) -> PlatformAction:
-    return PlatformAction(move.instance, kind, action_id(move.move_id, stage, attempt))
+def _tries(move: Move, stage: MoveStage, count: int) -> tuple[str, ...]:
+    return tuple(action_id(move.move_id, stage, number + 1) for number in range(count))
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -38,35 +38,39 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """The last move of an instance as recorded in the log."""
+    """The last move of an instance; ``changed_at`` is a log offset.
+
+    Has the fields of the replayed state's move, which the planner takes as it
+    is, so that a step does not copy thousands of moves.
+    """
 
-    instance: str
     move_id: str
     stage: MoveStage
     to_pool: str = ""
     reboot: bool = False
     reason: str = ""
+    changed_at: int = 0
+
 
-    @property
-    def is_open(self) -> bool:
-        """Tell whether the move has started and not ended."""
-        return self.stage not in ENDED_STAGES
+@dataclass(frozen=True, slots=True)
+class HealthState:
+    """The last health decision about an instance."""
+
+    health: Health
+    reason: str = ""
+    changed_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Wave:
-    """A maintenance wave; ``done`` names the instances it has maintained."""
+    """A maintenance wave over pools; no pools means all."""
 
     wave_id: str
     state: WaveState
     pools: tuple[str, ...] = ()
     urgent: bool = False
     reboot: bool = True
-    done: frozenset[str] = frozenset()
-
-    def covers(self, pool: str) -> bool:
-        """Tell whether the wave maintains ``pool``; no pools means all."""
-        return not self.pools or pool in self.pools
+    started_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,9 +89,8 @@
     duty_epoch: int = 0
     pool_by_instance: Mapping[str, str] = field(default_factory=dict)
     move_by_instance: Mapping[str, Move] = field(default_factory=dict)
-    waves: tuple[Wave, ...] = ()
-    health_by_instance: Mapping[str, Health] = field(default_factory=dict)
-    health_reason_by_instance: Mapping[str, str] = field(default_factory=dict)
+    wave_by_id: Mapping[str, Wave] = field(default_factory=dict)
+    health_by_instance: Mapping[str, HealthState] = field(default_factory=dict)
     unavailable: frozenset[str] = frozenset()
     running_by_instance: Mapping[str, int] = field(default_factory=dict)
     status_by_action: Mapping[str, ActionStatus] = field(default_factory=dict)
@@ -122,6 +125,8 @@
     ``dead_after_s`` exceeds the 18 s after which no lease of a silent worker
     can still be running. ``settle_s`` keeps a short loss or return from
     changing the buffer plan; ``dwell_s`` keeps an instance in its new pool.
+    ``action_limit_s`` treats an action that the platform does not finish as
+    refused. ``correlated_pause_s`` holds waves after a correlated failure grew.
     ``regular_cycle_s`` starts a wave in each such period; 0 starts none.
     """
 
@@ -135,3 +140,5 @@
     regular_cycle_s: float = 0
     expected_move_s: float = 600
     abandoned_pause_s: float = 600
+    action_limit_s: float = 1800
+    correlated_pause_s: float = 300
