Drive every step of a move through a table of faults

The table found that a second copy of a plan, delivered late by a slow log, reopened an ended move whose action ids were used up. A plan whose drain is known to the platform is now abandoned at once.

--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -12,7 +12,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from lycheeloom.fleet import ActionKind, ActionStatus, FleetView, Plan, PlatformAction
+from lycheeloom.fleet import (
+    ActionKind,
+    ActionStatus,
+    FleetView,
+    Plan,
+    Planner,
+    PlatformAction,
+)
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
     Batch,
@@ -20,7 +27,6 @@
     Duty,
     DutyClaimed,
     MoveStage,
-    MoveStep,
 )
 from lycheeloom.state import FleetState
 
@@ -66,11 +72,7 @@
         """Append one batch and replay it."""
         self.sequence[author] += 1
         batch = Batch(author, self.sequence[author], tuple(records))
-        applied = self.state.apply(self.state.next_offset, batch)
-        for record, effective in zip(batch.records, applied.effective, strict=True):
-            if effective and isinstance(record, MoveStep):
-                self._check_budget(record)
-        return applied.effective
+        return self.state.apply(self.state.next_offset, batch).effective
 
     def claim(self, author: str) -> int:
         """Take the maintenance duty and return its epoch."""
@@ -79,7 +81,7 @@
         self.append(author, [claim])
         return self.state.duties.of(Duty.MAINTENANCE).epoch
 
-    def view(self, epoch: int) -> FleetView:
+    def view(self, epoch: int, action_ids: Iterable[str] = ()) -> FleetView:
         """Return what a controller sees now."""
         maintenance = self.state.maintenance
         return FleetView(
@@ -96,7 +98,10 @@
                 for name, worker in self.workers.items()
                 if worker.alive
             },
-            status_by_action=dict(self.status_by_action),
+            status_by_action={
+                key: self.status_by_action.get(key, ActionStatus.UNKNOWN)
+                for key in action_ids
+            },
         )
 
     def out_on_platform(self) -> set[str]:
@@ -128,6 +133,8 @@
         status = ActionStatus.DONE
         match action.kind:
             case ActionKind.DRAIN:
+                if worker.alive:
+                    self._check_budget(action.instance)
                 worker.draining = True
                 worker.work_ends_s = self.now_s + self.drain_s
             case ActionKind.UNDRAIN:
@@ -168,8 +175,6 @@
                 continue
             if not self._is_leaving(name):
                 worker.running = 1
-            elif self.now_s >= worker.work_ends_s:
-                worker.running = 0
 
     def start_work(self, name: str) -> bool:
         """An entry tries to start a task, as a caller would cause it to."""
@@ -191,16 +196,12 @@
         worker.boots += 1
         self.status_by_action[self.reboot_of[name]] = ActionStatus.DONE
 
-    def _check_budget(self, record: MoveStep) -> None:
-        """Count the instances out, as an operator would, when one starts to leave."""
-        if record.stage is not MoveStage.DRAINING:
-            return
-        if not self.workers[record.instance].alive:
-            return
+    def _check_budget(self, instance: str) -> None:
+        """Count who is out, as an operator would, when a drain begins."""
         out = self.out_on_platform()
         out |= {name for name in self.workers if self._is_leaving(name)}
-        for problem in self.budget_problems(record.instance, out):
-            self.over_budget.append(f"{self.now_s:.0f} {record.instance} {problem}")
+        for problem in self.budget_problems(instance, out):
+            self.over_budget.append(f"{self.now_s:.0f} {instance} {problem}")
 
     def budget_problems(self, instance: str, out: set[str]) -> list[str]:
         """Return the budgets of an instance that ``out`` goes over."""
@@ -227,6 +228,36 @@
         return problems
 
 
+class Controller:
+    """A controller process: a planner that holds the duty under one epoch."""
+
+    def __init__(self, world: World, author: str, settings=None):
+        self.world = world
+        self.author = author
+        self.planner = Planner(settings)
+        self.epoch = world.claim(author)
+
+    def plan(self) -> Plan:
+        """Hear the workers and plan one step, without carrying it out."""
+        world = self.world
+        for name in world.heard():
+            boot = str(world.workers[name].boots)
+            self.planner.health.heartbeat(name, world.now_s, boot)
+        return self.planner.step(self.view(), world.now_s)
+
+    def view(self) -> FleetView:
+        """Return what this controller sees, with the statuses it asks for."""
+        names = self.planner.action_ids(self.world.state.maintenance.move_by_instance)
+        return self.world.view(self.epoch, names)
+
+    def tick(self, seconds: float = 10.0) -> Plan:
+        """Plan one step, carry it out and let time pass."""
+        plan = self.plan()
+        self.world.carry_out(self.author, plan)
+        self.world.advance(seconds)
+        return plan
+
+
 def fleet_document(
     pools: dict[str, dict], instances: Iterable[dict], zones: dict[str, dict]
 ) -> dict:
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -59,6 +59,9 @@
             if zone.state is ZoneState.OUT
             for name in self.members_by_zone.get(zone_id, ())
         )
+        self.size_by_pool = {
+            name: len(self.members_by_pool.get(name, ())) for name in config.pool_by_id
+        }
         self.has_spare_pool = any(pool.spare for pool in config.pool_by_id.values())
 
     def matches(self, config: FleetConfig, pool_by_instance: Mapping[str, str]) -> bool:
@@ -79,6 +82,13 @@
         self._out_by_pool: dict[str, int] = defaultdict(int)
         self._out_by_rack: dict[tuple[str, str], int] = defaultdict(int)
         self._out_by_zone: dict[str, int] = defaultdict(int)
+        self._spares = self._shortfall = 0
+        for pool_id, pool in layout.config.pool_by_id.items():
+            size = layout.size_by_pool[pool_id]
+            if pool.spare:
+                self._spares += size - pool.needed
+            else:
+                self._shortfall += max(0, pool.needed - size)
         for instance in out:
             self.take(instance)
 
@@ -96,10 +106,17 @@
         self._out_by_pool[pool] += 1
         self._out_by_rack[pool, rack] += 1
         self._out_by_zone[zone] += 1
+        config = self._layout.config.pool_by_id.get(pool)
+        if config is None:
+            return
+        if config.spare:
+            self._spares -= 1
+        elif self.available(pool) < config.needed:
+            self._shortfall += 1
 
     def available(self, pool: str) -> int:
         """Return how many instances of the pool serve."""
-        return len(self._layout.members_by_pool[pool]) - self._out_by_pool[pool]
+        return self._layout.size_by_pool[pool] - self._out_by_pool[pool]
 
     def free_in_pool(self, pool: str) -> int:
         """Return how many more instances of a pool its own budget lets out."""
@@ -147,7 +164,7 @@
             if serving - more < pool.needed:
                 return Limit(LimitKind.NEED, pool_id, serving, pool.needed)
             return None
-        spares, shortfall = self.spares_and_shortfall()
+        spares, shortfall = self._spares, self._shortfall
         if pool.spare:
             spares -= more
             if covers and self._is_short(covers):
@@ -163,14 +180,3 @@
     def _is_short(self, pool_id: str) -> bool:
         pool = self._layout.config.pool_by_id.get(pool_id)
         return pool is not None and self.available(pool_id) < pool.needed
-
-    def spares_and_shortfall(self) -> tuple[int, int]:
-        """Return the serving spares and what the other pools lack."""
-        spares = shortfall = 0
-        for pool_id, pool in self._layout.config.pool_by_id.items():
-            serving = self.available(pool_id)
-            if pool.spare:
-                spares += serving - pool.needed
-            else:
-                shortfall += max(0, pool.needed - serving)
-        return spares, shortfall
--- a/libs/fleet/src/lycheeloom/fleet/buffers.py
+++ b/libs/fleet/src/lycheeloom/fleet/buffers.py
@@ -21,6 +21,10 @@
 from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.resources import Resources
 
+_Place = tuple[str, str]
+# Name, configured pool, location (zone and rack), zone place and rack place.
+_Member = tuple[str, str, tuple[str, str], _Place, _Place]
+
 
 @dataclass(frozen=True, slots=True)
 class BufferMove:
@@ -67,23 +71,22 @@
     config: FleetConfig,
     pool_by_instance: Mapping[str, str],
     unusable: frozenset[str] = frozenset(),
-    pinned: frozenset[str] = frozenset(),
+    index: FleetIndex | None = None,
 ) -> BufferPlan:
     """Plan the fewest moves that cover every need, over the whole fleet.
 
-    ``unusable`` instances are not counted and ``pinned`` ones are not moved.
+    ``unusable`` instances are not counted. ``index`` saves time if it was built
+    from the same configuration.
     """
-    size_by_pool = pool_sizes(config)
-    members: dict[Resources, list[str]] = defaultdict(list)
-    for name, instance in config.instance_by_id.items():
-        if name not in unusable:
-            members[instance.size].append(name)
+    index = index or FleetIndex(config)
+    size_by_pool = index.size_by_pool
     moves: list[BufferMove] = []
     shortages: list[Shortage] = []
     needs: list[SizeNeed] = []
-    for size in sorted(members, key=lambda item: (item.cores, item.memory_mb)):
+    for size, members in index.members_by_size.items():
         pools = {pool for pool, its in size_by_pool.items() if its == size}
-        plan = _SizePlan(config, pool_by_instance, members[size], pools, pinned)
+        usable = [item for item in members if item[0] not in unusable]
+        plan = _SizePlan(config, pool_by_instance, usable, pools)
         moves += plan.solve()
         shortages += plan.shortages(size)
         needs.append(plan.need(size))
@@ -98,6 +101,22 @@
     return {pool: count.most_common(1)[0][0] for pool, count in counts.items()}
 
 
+class FleetIndex:
+    """Instances by size with their places, for one configuration."""
+
+    def __init__(self, config: FleetConfig):
+        self.config = config
+        self.size_by_pool = pool_sizes(config)
+        found: dict[Resources, list[_Member]] = defaultdict(list)
+        for name, instance in config.instance_by_id.items():
+            zone, rack = instance.zone, instance.rack
+            found[instance.size].append(
+                (name, instance.pool, (zone, rack), *_places(zone, rack))
+            )
+        order = sorted(found, key=lambda item: (item.cores, item.memory_mb))
+        self.members_by_size = {size: found[size] for size in order}
+
+
 def least_in_service(
     needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
 ) -> int | None:
@@ -139,12 +158,9 @@
         self,
         config: FleetConfig,
         pool_by_instance: Mapping[str, str],
-        members: Iterable[str],
+        members: Iterable[_Member],
         pools: set[str],
-        pinned: frozenset[str],
     ):
-        self._config = config
-        self._pinned = pinned
         self._spare_pools = sorted(
             name for name, pool in config.pool_by_id.items() if pool.spare
         )
@@ -162,23 +178,24 @@
         self._total: Counter[tuple[str, str]] = Counter()
         self._racks: dict[str, Counter[str]] = defaultdict(Counter)
         self._size = 0
-        for name in members:
-            self._add(name, pool_by_instance)
+        for member in members:
+            self._add(member, pool_by_instance)
         self._sum_needed = sum(self._needed.values())
 
-    def _add(self, name: str, pool_by_instance: Mapping[str, str]) -> None:
-        instance = self._config.instance_by_id[name]
-        pool = pool_by_instance.get(name, instance.pool)
+    def _add(self, member: _Member, pool_by_instance: Mapping[str, str]) -> None:
+        name, home, location, zone, rack = member
+        pool = pool_by_instance.get(name, home)
         if pool not in self._needed and pool not in self._spare_pools:
             return
         self._size += 1
-        self._racks[instance.zone][instance.rack] += 1
+        self._racks[location[0]][location[1]] += 1
         self._count[pool] += 1
-        for place in _places(instance.zone, instance.rack):
-            self._held[pool][place] += 1
-            self._total[place] += 1
-        if name not in self._pinned:
-            self._group[pool][instance.zone, instance.rack].append(name)
+        held = self._held[pool]
+        held[zone] += 1
+        held[rack] += 1
+        self._total[zone] += 1
+        self._total[rack] += 1
+        self._group[pool][location].append(name)
 
     def solve(self) -> list[BufferMove]:
         """Return the moves: first what pools lack now, then the buffers."""
@@ -230,9 +247,7 @@
     def _excess(self, pool: str) -> int:
         return self._count[pool] - self._needed[pool]
 
-    def _violations(
-        self, strict: bool = False
-    ) -> dict[tuple[str, str], tuple[int, int]]:
+    def _violations(self, strict: bool = False) -> dict[_Place, tuple[int, int]]:
         """Return by how much each violated place is over its allowance.
 
         Moves cannot mend a lack of instances, so unless ``strict`` an
@@ -257,7 +272,7 @@
         return found
 
     def _best_surplus(
-        self, violations: Mapping[tuple[str, str], int] | None = None
+        self, violations: Mapping[_Place, int] | None = None
     ) -> tuple[str, tuple[str, str]] | None:
         """Return the pool and location whose surplus helps the most places."""
         if violations is None:
--- a/libs/fleet/src/lycheeloom/fleet/events.py
+++ b/libs/fleet/src/lycheeloom/fleet/events.py
@@ -151,7 +151,8 @@
             text = f"Instance {event.instance} waits for {_WAIT_TEXT[event.wait]}"
             return f"{text}{_because(event.limit)}."
         case MoveEnded(stage=MoveStage.JOINED):
-            return f"Instance {event.instance} is in service in pool {event.pool}."
+            but = f", but {event.reason}" if event.reason else ""
+            return f"Instance {event.instance} is in service in pool {event.pool}{but}."
         case MoveEnded():
             return (
                 f"The change of instance {event.instance} was called off and it stays"
--- a/libs/fleet/src/lycheeloom/fleet/movement.py
+++ b/libs/fleet/src/lycheeloom/fleet/movement.py
@@ -64,8 +64,13 @@
         self._timers.sweep()
 
     def _limit(self, step: Step, name: str, move: Move) -> Limit | None:
-        """Return a limit that is exceeded; the move itself counts already."""
-        if move.stage is not MoveStage.PLANNED or _is_unplanned(step, name, move):
+        """Return a limit that is exceeded; the move itself counts already.
+
+        It is asked again before the drain, because the log may have been slow.
+        """
+        if move.stage not in (MoveStage.PLANNED, MoveStage.DRAINING):
+            return None
+        if _is_unplanned(step, name, move):
             return None
         covers = (
             ""
@@ -114,18 +119,15 @@
     ) -> tuple[dict[str, ActionStatus], dict[str, float]]:
         """Return the statuses of a move's actions and the age of refusals.
 
-        An action that the platform never finishes counts as refused, so that
-        every move ends.
+        An action that the platform has accepted is waited for: if it were given
+        up, it could still take effect after the move has ended.
         """
         statuses, refused_for = {}, {}
         for key in action_ids(move, self._settings.max_tries):
-            status = view.status_by_action.get(key, ActionStatus.UNKNOWN)
-            if status is ActionStatus.RUNNING:
-                lasted_s = self._timers.elapsed(("running", key), now_s)
-                if lasted_s >= self._settings.action_limit_s:
-                    status = ActionStatus.REFUSED
-                    refused_for[key] = lasted_s
-            elif status is ActionStatus.REFUSED:
+            status = view.status_by_action.get(key)
+            if status is None:
+                continue
+            if status is ActionStatus.REFUSED:
                 refused_for[key] = self._timers.elapsed(("refused", key), now_s)
             statuses[key] = status
         return statuses, refused_for
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -13,6 +13,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import lru_cache
 
 from lycheeloom.model.records import MoveStage
 
@@ -77,15 +78,23 @@
 
 def action_ids(move: Move, max_tries: int) -> tuple[str, ...]:
     """Return the action ids whose status matters for an open move."""
-    match move.stage:
+    return _action_ids(move.move_id, move.stage, max_tries)
+
+
+# More than the moves that the budgets of a fleet of 5,100 let be open at once.
+@lru_cache(maxsize=4096)
+def _action_ids(move_id: str, stage: MoveStage, max_tries: int) -> tuple[str, ...]:
+    match stage:
+        case MoveStage.PLANNED:
+            return (action_id(move_id, MoveStage.DRAINING),)
         case MoveStage.DRAINING:
-            drain = action_id(move.move_id, MoveStage.DRAINING)
-            return (drain, *_tries(move, MoveStage.ABANDONED, MAX_RETURN_TRIES))
+            drain = action_id(move_id, MoveStage.DRAINING)
+            return (drain, *_tries(move_id, MoveStage.ABANDONED, MAX_RETURN_TRIES))
         case MoveStage.DRAINED:
-            return _tries(move, MoveStage.JOINED, MAX_RETURN_TRIES)
+            return _tries(move_id, MoveStage.JOINED, MAX_RETURN_TRIES)
         case MoveStage.REBOOTING:
-            reboots = _tries(move, MoveStage.REBOOTING, max_tries)
-            return (*reboots, *_tries(move, MoveStage.JOINED, MAX_RETURN_TRIES))
+            reboots = _tries(move_id, MoveStage.REBOOTING, max_tries)
+            return (*reboots, *_tries(move_id, MoveStage.JOINED, MAX_RETURN_TRIES))
     return ()
 
 
@@ -94,7 +103,7 @@
     step = _Step(instance, move, facts)
     match move.stage:
         case MoveStage.PLANNED:
-            return _advance_planned(facts)
+            return _advance_planned(step)
         case MoveStage.DRAINING:
             return _advance_draining(step)
         case MoveStage.DRAINED:
@@ -126,7 +135,19 @@
         return since < self.facts.retry_after_s
 
 
-def _advance_planned(facts: MoveFacts) -> MoveDecision:
+def _advance_planned(step: _Step) -> MoveDecision:
+    """Start a move, unless its ids were used before.
+
+    A slow log can deliver a second copy of a plan after the move has ended.
+    Its action ids would have no effect, so it must not be started again.
+    """
+    facts = step.facts
+    drain = facts.status_by_action.get(step.name(MoveStage.DRAINING))
+    if drain is None:
+        return MoveDecision(wait=Wait.PLATFORM)
+    if drain is not ActionStatus.UNKNOWN:
+        reason = "it is a late copy of a move that has ended"
+        return MoveDecision(MoveStage.ABANDONED, reason=reason)
     if facts.abandon:
         return MoveDecision(MoveStage.ABANDONED, reason=facts.abandon)
     if not facts.may_start:
@@ -135,21 +156,28 @@
 
 
 def _advance_draining(step: _Step) -> MoveDecision:
+    """Drain, wait until work ended, or return the instance.
+
+    The drain's id is always used up first: a copy of the request that is still
+    under way then finds its id known and cannot drain the instance later.
+    """
     facts = step.facts
     drain = step.status(MoveStage.DRAINING)
     if step.status(MoveStage.ABANDONED) is not ActionStatus.UNKNOWN:
         # Another holder has begun to return the instance; only that can go on.
         reason = facts.abandon or "an earlier controller began to return it"
         return _return(step, MoveStage.ABANDONED, reason)
-    if drain is ActionStatus.REFUSED:
-        reason = "the platform refused to drain it"
-        return _return(step, MoveStage.ABANDONED, reason)
+    if drain is ActionStatus.UNKNOWN:
+        if not facts.may_start and not facts.abandon:
+            return MoveDecision(wait=Wait.BUDGET)
+        return step.act(ActionKind.DRAIN, MoveStage.DRAINING)
     if facts.abandon:
         return _return(step, MoveStage.ABANDONED, facts.abandon)
     if facts.dead:
         return MoveDecision(MoveStage.DRAINED)
-    if drain is ActionStatus.UNKNOWN:
-        return step.act(ActionKind.DRAIN, MoveStage.DRAINING)
+    if drain is ActionStatus.REFUSED:
+        reason = "the platform refused to drain it"
+        return _return(step, MoveStage.ABANDONED, reason)
     if drain is ActionStatus.RUNNING:
         return MoveDecision(wait=Wait.PLATFORM)
     if not facts.is_idle:
@@ -167,7 +195,7 @@
 
 def _advance_rebooting(step: _Step) -> MoveDecision:
     if step.status(MoveStage.JOINED) is not ActionStatus.UNKNOWN:
-        return _return(step, MoveStage.JOINED)
+        return _return(step, MoveStage.JOINED, _unrebooted(step))
     for attempt in range(1, step.facts.max_tries + 1):
         match step.status(MoveStage.REBOOTING, attempt):
             case ActionStatus.DONE:
@@ -181,7 +209,15 @@
                 return step.act(ActionKind.REBOOT, MoveStage.REBOOTING, attempt)
         if step.refused_recently(MoveStage.REBOOTING, attempt):
             return MoveDecision(wait=Wait.RETRY)
-    return _return(step, MoveStage.JOINED, "the platform refused to reboot it")
+    return _return(step, MoveStage.JOINED, _unrebooted(step))
+
+
+def _unrebooted(step: _Step) -> str:
+    tries = range(1, step.facts.max_tries + 1)
+    statuses = {step.status(MoveStage.REBOOTING, attempt) for attempt in tries}
+    if statuses == {ActionStatus.REFUSED}:
+        return "the platform refused to reboot it"
+    return ""
 
 
 def _return(step: _Step, end: MoveStage, reason: str = "") -> MoveDecision:
@@ -199,5 +235,5 @@
     return MoveDecision(end, reason="the platform refused to return it to service")
 
 
-def _tries(move: Move, stage: MoveStage, count: int) -> tuple[str, ...]:
-    return tuple(action_id(move.move_id, stage, number + 1) for number in range(count))
+def _tries(move_id: str, stage: MoveStage, count: int) -> tuple[str, ...]:
+    return tuple(action_id(move_id, stage, number + 1) for number in range(count))
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from lycheeloom.model.records import (
@@ -82,10 +83,10 @@
         """The last buffer plan: moves, shortages and need by size."""
         return self._rebalancer.plan
 
-    def action_ids(self, view: FleetView) -> tuple[str, ...]:
+    def action_ids(self, moves: Mapping[str, Move]) -> tuple[str, ...]:
         """Return the action ids whose status the next step needs."""
         names: list[str] = []
-        for move in view.move_by_instance.values():
+        for move in moves.values():
             if move.stage not in ENDED_STAGES:
                 names += action_ids(move, self.settings.max_tries)
         return tuple(names)
@@ -265,13 +266,16 @@
             if wave.state is WaveState.RUNNING
         ]
         skipped = self._runner.recently_abandoned(step.now_s)
-        noted = 0
+        noted = started = 0
         for wave in sorted(
             running, key=lambda wave: (not wave.urgent, wave.started_at)
         ):
             moves = step.view.move_by_instance
             for choice in waves.choose(wave, step.layout, step.ledger, moves, skipped):
+                if started >= self.settings.max_starts_per_step:
+                    return
                 if choice.limit is None:
+                    started += 1
                     self._start_wave_move(step, wave, choice.instance)
                 elif noted < _MAX_EVENTS_PER_STEP:
                     noted += 1
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -9,11 +9,10 @@
 from collections import deque
 from collections.abc import Mapping
 
-from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.records import Health
 
 from .budgets import Layout
-from .buffers import BufferMove, BufferPlan, plan_buffers
+from .buffers import BufferMove, BufferPlan, FleetIndex, plan_buffers
 from .timers import SettledSet
 from .view import ENDED_STAGES, FleetView, PlannerSettings
 
@@ -31,6 +30,7 @@
         self._started_s: deque[float] = deque()
         self._moved_s: dict[str, float] = {}
         self._cache_key: tuple | None = None
+        self._index: FleetIndex | None = None
         self.plan = BufferPlan()
 
     def wanted(
@@ -41,9 +41,11 @@
         assigned, pinned = _assignment(view, layout)
         # An instance that is out because it moves is not lost.
         unusable = self._lost.update(out - pinned, now_s) | _given_up(view)
-        key = (view.config, assigned, unusable, pinned)
+        key = (view.config, assigned, unusable)
         if not self._is_cached(key):
-            self.plan = plan_with_homes(view.config, assigned, unusable, pinned)
+            if self._index is None or self._index.config is not view.config:
+                self._index = FleetIndex(view.config)
+            self.plan = plan_with_homes(self._index, assigned, unusable)
             self._cache_key = key
         room = self._settings.buffer_moves_per_hour - len(self._started_s)
         if room <= 0:
@@ -76,26 +78,24 @@
 
 
 def plan_with_homes(
-    config: FleetConfig,
-    assigned: Mapping[str, str],
-    unusable: frozenset[str],
-    pinned: frozenset[str],
+    index: FleetIndex, assigned: Mapping[str, str], unusable: frozenset[str]
 ) -> BufferPlan:
     """Plan buffers, sending instances home where that costs no further move.
 
     A plan made as if all were at home shows who is missed elsewhere; those
     stay where they are, and the plan is made again.
     """
-    kept = plan_buffers(config, assigned, unusable, pinned)
+    config = index.config
+    kept = plan_buffers(config, assigned, unusable, index)
     homes = {
         name: config.instance_by_id[name].pool
         for name, pool in assigned.items()
-        if name not in pinned and config.instance_by_id[name].pool != pool
+        if config.instance_by_id[name].pool != pool
     }
     for _ in range(MAX_HOME_ROUNDS):
         if not homes:
             return kept
-        plan = plan_buffers(config, {**assigned, **homes}, unusable, pinned)
+        plan = plan_buffers(config, {**assigned, **homes}, unusable, index)
         stay = _missed_elsewhere(plan, kept, assigned, homes)
         if not stay:
             going = [BufferMove(name, assigned[name], homes[name]) for name in homes]
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -79,7 +79,8 @@
 
     ``offset`` is the log position that the replayed part reflects; it makes
     move ids unique. ``unavailable`` names instances observed not to serve.
-    ``running_by_instance`` has no entry where the number is not known.
+    ``running_by_instance`` has no entry where the number is not known, and
+    ``status_by_action`` none where the platform could not be asked.
     ``listed`` says whether the platform's list could be read; nothing is
     started while it could not.
     """
@@ -125,8 +126,8 @@
     ``dead_after_s`` exceeds the 18 s after which no lease of a silent worker
     can still be running. ``settle_s`` keeps a short loss or return from
     changing the buffer plan; ``dwell_s`` keeps an instance in its new pool.
-    ``action_limit_s`` treats an action that the platform does not finish as
-    refused. ``correlated_pause_s`` holds waves after a correlated failure grew.
+    ``max_starts_per_step`` bounds the time of a step and the size of its batch.
+    ``correlated_pause_s`` holds waves after a correlated failure grew.
     ``regular_cycle_s`` starts a wave in each such period; 0 starts none.
     """
 
@@ -137,8 +138,8 @@
     settle_s: float = 600
     dwell_s: float = 1800
     buffer_moves_per_hour: int = 60
+    max_starts_per_step: int = 50
     regular_cycle_s: float = 0
     expected_move_s: float = 600
     abandoned_pause_s: float = 600
-    action_limit_s: float = 1800
     correlated_pause_s: float = 300
--- /dev/null
+++ b/libs/fleet/tests/test_move_faults.py
@@ -0,0 +1,209 @@
+"""Fault cases of each step of a drain, a move and a reboot.
+
+Each case guards against a move that hangs, runs an action twice, loses work or
+leaves an instance drained or in the wrong pool.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.fleet_world import Controller, World, user_fleet
+from lycheeloom.fleet import ActionStatus, PlatformAction
+from lycheeloom.model.config import canonical_json
+from lycheeloom.model.records import (
+    ConfigChanged,
+    MoveStage,
+    MoveStep,
+    WaveCommand,
+    WaveState,
+)
+
+TARGET = "w00"
+RECORD_STEPS = ("planned", "draining", "drained", "rebooting", "joined")
+ACTION_STEPS = ("drain", "reboot", "undrain")
+RECORD_FAULTS = (
+    "answer_lost",
+    "refused",
+    "slow",
+    "repeated",
+    "crash_before",
+    "crash_after",
+    "second_controller",
+)
+ACTION_FAULTS = RECORD_FAULTS
+SLOW_TICKS = 180  # half an hour in steps of 10 s
+STEPS_BY_KIND = {
+    "reboot": (*RECORD_STEPS, *ACTION_STEPS),
+    "move": ("planned", "draining", "drained", "joined", "drain", "undrain"),
+    "move_with_reboot": (*RECORD_STEPS, *ACTION_STEPS),
+}
+CASES = [
+    (kind, step, fault)
+    for kind, steps in STEPS_BY_KIND.items()
+    for step in steps
+    for fault in RECORD_FAULTS
+]
+
+
+class FaultyRun:
+    """Runs one move and injects one fault at one step of it."""
+
+    def __init__(self, kind: str, step: str, fault: str):
+        self.world = World(user_fleet(16, 65536))
+        self.controller = Controller(self.world, "first")
+        self.old: Controller | None = None
+        self.step, self.fault = step, fault
+        self.injected = 0
+        self.held: list[tuple[int, object]] = []
+        self.tick_number = 0
+        self._request(kind)
+
+    def _request(self, kind: str) -> None:
+        if kind != "move":
+            wave = WaveCommand(
+                "w", WaveState.ABSENT, WaveState.RUNNING, ("north",), reboot=True
+            )
+            self.world.append("operator", [wave])
+        if kind != "reboot":
+            patch = {"instances": {TARGET: {"pool": "south"}}}
+            change = ConfigChanged(1, canonical_json(patch), "operator")
+            assert self.world.append("operator", [change]) == (True,)
+
+    def run(self, ticks: int = 1000) -> None:
+        for self.tick_number in range(ticks):
+            self._release()
+            for controller in filter(None, (self.old, self.controller)):
+                plan = controller.plan()
+                for record in plan.records:
+                    self._append(controller, record)
+                for action in plan.actions:
+                    self._act(controller, action)
+            self.world.advance(10)
+
+    def _release(self) -> None:
+        due = [item for at, item in self.held if at <= self.tick_number]
+        self.held = [(at, item) for at, item in self.held if at > self.tick_number]
+        for item in due:
+            if isinstance(item, PlatformAction):
+                self.world.status_by_action.pop(item.action_id, None)
+                self.world.act(item)
+            else:
+                self.world.append(*item)
+
+    def _is_hit(self, step: str, instance: str) -> bool:
+        if step != self.step or instance != TARGET or self.injected:
+            return False
+        self.injected += 1
+        return True
+
+    def _append(self, controller: Controller, record) -> None:
+        author = controller.author
+        is_step = isinstance(record, MoveStep)
+        if not is_step or not self._is_hit(str(record.stage), record.instance):
+            self.world.append(author, [record])
+            return
+        match self.fault:
+            case "answer_lost" | "repeated":
+                self.world.append(author, [record])
+                self.world.append(author, [record])
+            case "refused":
+                return
+            case "slow":
+                self.held.append((self.tick_number + SLOW_TICKS, (author, [record])))
+            case "crash_before":
+                self._replace()
+            case "crash_after":
+                self.world.append(author, [record])
+                self._replace()
+            case "second_controller":
+                self.old = controller
+                self._replace()
+                self.world.append(author, [record])
+
+    def _act(self, controller: Controller, action: PlatformAction) -> None:
+        if not self._is_hit(str(action.kind), action.instance):
+            self.world.act(action)
+            return
+        match self.fault:
+            case "answer_lost":
+                self.world.act(action)
+            case "refused":
+                self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
+            case "slow":
+                self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
+                self.held.append((self.tick_number + SLOW_TICKS, action))
+            case "repeated":
+                self.world.act(action)
+                self.world.act(action)
+            case "crash_before":
+                self._replace()
+            case "crash_after":
+                self.world.act(action)
+                self._replace()
+            case "second_controller":
+                self.old = controller
+                self._replace()
+                self.world.act(action)
+                self.world.act(action)
+
+    def _replace(self) -> None:
+        self.controller = Controller(self.world, "second")
+
+
+@pytest.mark.parametrize(("kind", "step", "fault"), CASES)
+def test_move_survives_fault(kind, step, fault):
+    run = FaultyRun(kind, step, fault)
+    run.run()
+    world = run.world
+    maintenance = world.state.maintenance
+    move = maintenance.move_by_instance[TARGET]
+    assert run.injected == 1
+    assert move.stage in (MoveStage.JOINED, MoveStage.ABANDONED)
+    wanted = "north" if kind == "reboot" else "south"
+    assert maintenance.pool_by_instance[TARGET] == wanted
+    assert set(maintenance.pool_by_instance) == set(world.workers)
+    worker = world.workers[TARGET]
+    assert worker.alive
+    assert not worker.draining
+    assert worker.boots >= (kind != "move")
+    assert max(world.effects.values()) == 1
+    assert world.lost_work == 0
+    assert world.over_budget == []
+
+
+def test_reboot_waits_for_work_that_never_ends():
+    """Work that neither ends nor is checkpointed must end the move, not be lost."""
+    world = World(user_fleet(16, 65536), drain_s=float("inf"))
+    controller = Controller(world, "first")
+    wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
+    world.append("operator", [wave])
+    stages = set()
+    for _ in range(1500):
+        controller.tick()
+        stages |= {m.stage for m in world.state.maintenance.move_by_instance.values()}
+    assert world.lost_work == 0
+    assert MoveStage.ABANDONED in stages
+    assert MoveStage.DRAINED not in stages
+
+
+def test_reboot_refused_for_good_ends_the_move():
+    """A platform that refuses every reboot must not leave an instance drained."""
+    world = World(user_fleet(16, 65536))
+    controller = Controller(world, "first")
+    wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
+    world.append("operator", [wave])
+    for _ in range(100):
+        plan = controller.plan()
+        world.append("first", plan.records)
+        for action in plan.actions:
+            if action.kind == "reboot":
+                world.status_by_action[action.action_id] = ActionStatus.REFUSED
+            else:
+                world.act(action)
+        world.advance(10)
+    moves = world.state.maintenance.move_by_instance
+    assert any(move.stage is MoveStage.JOINED for move in moves.values())
+    texts = [item.text for item in controller.planner.explanations.of_pool("north")]
+    assert any("refused to reboot" in text for text in texts)
+    assert sum(worker.draining for worker in world.workers.values()) <= 1
