--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -116,6 +116,11 @@
         """Return the instances that answer now."""
         return [name for name, worker in self.workers.items() if worker.alive]
 
+    def open_moves(self) -> list[str]:
+        """Return the instances whose move has not ended."""
+        moves = self.state.maintenance.move_by_instance
+        return [name for name, move in moves.items() if not move.is_ended()]
+
     def carry_out(self, author: str, plan: Plan) -> None:
         """Append a plan's records and take its actions."""
         if plan.records:
@@ -223,6 +228,9 @@
             problems.append(f"pool {pool_id} {len(in_pool)}")
         if len(in_rack) > pool.max_unavailable_per_rack:
             problems.append(f"rack {place.rack} {len(in_rack)}")
+        members = sum(1 for owner in pools.values() if owner == pool_id)
+        if pool.spare and len(in_pool) >= members:
+            problems.append(f"last spare of {pool_id}")
         if zone.max_unavailable is not None and len(in_zone) > zone.max_unavailable:
             problems.append(f"zone {place.zone} {len(in_zone)}")
         return problems
