--- a/libs/fleet/src/lycheeloom/fleet/buffers.py
+++ b/libs/fleet/src/lycheeloom/fleet/buffers.py
@@ -94,11 +94,21 @@
 
 
 def pool_sizes(config: FleetConfig) -> dict[str, Resources]:
-    """Return the instance size of each pool: the most common in its own."""
+    """Return the instance size of each pool: the most common in its own.
+
+    A pool that has no instance in the configuration takes the most common size
+    of the fleet, so that its need is not overlooked.
+    """
     counts: dict[str, Counter[Resources]] = defaultdict(Counter)
     for instance in config.instance_by_id.values():
         counts[instance.pool][instance.size] += 1
-    return {pool: count.most_common(1)[0][0] for pool, count in counts.items()}
+    fleet: Counter[Resources] = sum(counts.values(), Counter())
+    if not fleet:
+        return {}
+    return {
+        pool: (counts.get(pool) or fleet).most_common(1)[0][0]
+        for pool in config.pool_by_id
+    }
 
 
 class FleetIndex:
@@ -139,6 +149,29 @@
     return needed + _first(peak, lambda buffer: covered(buffer) >= needed)
 
 
+def least_layout(
+    needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
+) -> dict[str, list[int]] | None:
+    """Return how many instances of each rack the least service uses.
+
+    ``least_layout(2, {"a": [2], "b": [2]})`` gives ``{"a": [2], "b": [2]}``.
+    """
+    least = least_in_service(needed, rack_counts_by_zone)
+    if least is None:
+        return None
+    buffer, left = least - needed, least
+    layout: dict[str, list[int]] = {}
+    for zone, counts in rack_counts_by_zone.items():
+        room = min(buffer, left)
+        layout[zone] = []
+        for count in counts:
+            used = min(buffer, count, room)
+            layout[zone].append(used)
+            room -= used
+            left -= used
+    return layout
+
+
 def _first(limit: int, holds) -> int:
     """Return the first number up to ``limit`` from which ``holds`` is true."""
     low, high = 0, limit
