--- /dev/null
+++ b/bench/fleet_plan_cost.py
@@ -0,0 +1,120 @@
+"""Processor time and memory of planning at several fleet sizes."""
+
+from __future__ import annotations
+
+import gc
+import time
+import tracemalloc
+from statistics import quantiles
+
+from lycheeloom.fleet.buffers import plan_buffers
+from lycheeloom.model.records import WaveCommand, WaveState
+
+from .fleet_world import Controller, World, large_fleet
+
+FULL_GOAL_S = 2.0
+STEP_GOAL_MS = 20.0
+# Workers and pools: today, ten times that, and the planned size.
+SIZES = ((30, 5), (300, 14), (5100, 139))
+STEPS = 400
+STEP_S = 2.0
+MEMORY_STEPS = 5
+
+
+def measure(seed: int) -> dict:
+    """Time a full plan and the steps of a running wave."""
+    rows = [_measure_size(workers, pools, seed) for workers, pools in SIZES]
+    return {"command": "plan-cost", "seed": seed, "rows": rows}
+
+
+def _measure_size(workers: int, pools: int, seed: int) -> dict:
+    document = large_fleet(seed, workers, pools)
+    full_s = _full_plan_s(document)
+    world, controller = _running_wave(document)
+    times_ms = _step_times_ms(world, controller)
+    cuts = quantiles(times_ms, n=100)
+    naive_s = _naive_step_s(world)
+    return {
+        "workers": workers,
+        "pools": pools,
+        "full plan s": round(full_s, 4),
+        "full goal s": FULL_GOAL_S,
+        "step p50 ms": round(cuts[49], 2),
+        "step p99 ms": round(cuts[98], 2),
+        "step max ms": round(max(times_ms), 2),
+        "step goal ms": STEP_GOAL_MS,
+        "plan anew each step ms": round(naive_s * 1000, 2),
+        "planner MB": round(_planner_bytes(document) / 1e6, 2),
+    }
+
+
+def _full_plan_s(document: dict) -> float:
+    """Time the first step of a new controller: wave, buffers and repair."""
+    world, controller = _running_wave(document)
+    _hear(controller)
+    view = controller.view()
+    begun = time.perf_counter()
+    controller.planner.step(view, world.now_s)
+    return time.perf_counter() - begun
+
+
+def _running_wave(document: dict) -> tuple[World, Controller]:
+    world = World(document)
+    for number, name in enumerate(world.workers):
+        # Unequal drains, so that moves do not go on in step.
+        world.drain_by_instance[name] = 30.0 + number % 61
+    controller = Controller(world, "controller")
+    wave = WaveCommand("wave", WaveState.ABSENT, WaveState.RUNNING)
+    world.append("operator", [wave])
+    return world, controller
+
+
+def _step_times_ms(world: World, controller: Controller) -> list[float]:
+    """Time the steps after the first of a wave in which instances also fail."""
+    controller.tick(STEP_S)
+    names = sorted(world.workers)
+    times_ms = []
+    for number in range(STEPS):
+        if number % 20 == 10:
+            world.fail([names[number % len(names)]])
+        _hear(controller)
+        view = controller.view()
+        begun = time.perf_counter()
+        plan = controller.planner.step(view, world.now_s)
+        times_ms.append((time.perf_counter() - begun) * 1000)
+        world.carry_out(controller.author, plan)
+        world.advance(STEP_S)
+    return times_ms
+
+
+def _hear(controller: Controller) -> None:
+    world = controller.world
+    for name in world.heard():
+        boot = str(world.workers[name].boots)
+        controller.planner.health.heartbeat(name, world.now_s, boot)
+
+
+def _naive_step_s(world: World) -> float:
+    """Naive baseline: a new planner that plans everything at each step."""
+    config = world.state.config
+    begun = time.perf_counter()
+    plan_buffers(config, world.state.maintenance.pool_by_instance)
+    controller = Controller(world, "naive")
+    _hear(controller)
+    controller.planner.step(controller.view(), world.now_s)
+    return time.perf_counter() - begun
+
+
+def _planner_bytes(document: dict) -> int:
+    """Return the memory that a planner takes in its first steps, without the
+    replayed state, which the controller holds in any case."""
+    world, controller = _running_wave(document)
+    gc.collect()
+    tracemalloc.start()
+    for number in range(MEMORY_STEPS):
+        _hear(controller)
+        controller.planner.step(controller.view(), world.now_s + number)
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -56,6 +56,7 @@
     state: FleetState = field(default_factory=FleetState)
     workers: dict[str, FakeWorker] = field(default_factory=dict)
     status_by_action: dict[str, ActionStatus] = field(default_factory=dict)
+    drain_by_instance: dict[str, float] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
     effects: Counter = field(default_factory=Counter)
     lost_work: int = 0
@@ -141,7 +142,8 @@
                 if worker.alive:
                     self._check_budget(action.instance)
                 worker.draining = True
-                worker.work_ends_s = self.now_s + self.drain_s
+                drain_s = self.drain_by_instance.get(action.instance, self.drain_s)
+                worker.work_ends_s = self.now_s + drain_s
             case ActionKind.UNDRAIN:
                 worker.draining = False
             case ActionKind.REBOOT:
