--- /dev/null
+++ b/libs/telemetry/src/lycheeloom/telemetry/traces.py
@@ -0,0 +1,121 @@
+"""Trace spans with W3C ``traceparent`` carried between processes.
+
+Instances have no disks, so finished spans are written to standard error as
+lines of key=value pairs.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TextIO
+
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span, StatusCode, format_span_id, format_trace_id
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from .logs import format_value
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+_NANOSECONDS_PER_MICROSECOND = 1000
+
+
+class LineSpanExporter(SpanExporter):
+    """Writes each finished span as one line of key=value pairs."""
+
+    def __init__(self, stream: TextIO | None = None) -> None:
+        self._stream = stream or sys.stderr
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write the spans and report success."""
+        for span in spans:
+            self._stream.write(_format_span(span))
+        self._stream.flush()
+        return SpanExportResult.SUCCESS
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveSpan:
+    """A span in progress; ``traceparent`` is the header for the next hop."""
+
+    span: Span
+    traceparent: str
+
+    def set(self, name: str, value: str | int | float) -> None:
+        """Add an attribute."""
+        self.span.set_attribute(name, value)
+
+    def fail(self, reason: str) -> None:
+        """Mark the span as failed."""
+        self.span.set_status(StatusCode.ERROR, reason)
+
+
+class Tracer:
+    """Creates spans of one process.
+
+    ``sample_ratio`` of the traces that begin here are recorded; a caller's
+    sampling decision is followed.
+    """
+
+    def __init__(
+        self, process: str, sample_ratio: float, exporter: SpanExporter | None = None
+    ) -> None:
+        self._provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
+            resource=Resource({"service.name": process}),
+        )
+        self._provider.add_span_processor(
+            SimpleSpanProcessor(exporter or LineSpanExporter())
+        )
+        self._tracer = self._provider.get_tracer("lycheeloom")
+
+    @contextmanager
+    def span(
+        self, name: str, traceparent: str | None = None, **attributes: str | int | float
+    ) -> Iterator[ActiveSpan]:
+        """Run a block in a span below the one that ``traceparent`` names."""
+        context = None
+        if traceparent:
+            context = _PROPAGATOR.extract({"traceparent": traceparent})
+        span = self._tracer.start_span(name, context, attributes=attributes)
+        try:
+            yield ActiveSpan(span, _header(span))
+        finally:
+            span.end()
+
+
+def _header(span: Span) -> str:
+    context = span.get_span_context()
+    trace_id = format_trace_id(context.trace_id)
+    span_id = format_span_id(context.span_id)
+    return f"00-{trace_id}-{span_id}-{context.trace_flags:02x}"
+
+
+def _format_span(span: ReadableSpan) -> str:
+    context = span.get_span_context()
+    duration_us = (span.end_time - span.start_time) // _NANOSECONDS_PER_MICROSECOND
+    pairs = {
+        "event": "span",
+        "name": span.name,
+        "process": span.resource.attributes["service.name"],
+        "trace": format_trace_id(context.trace_id),
+        "span": format_span_id(context.span_id),
+        "parent": format_span_id(span.parent.span_id) if span.parent else "-",
+        "duration_us": duration_us,
+        **span.attributes,
+    }
+    if span.status.status_code is StatusCode.ERROR:
+        pairs["error"] = span.status.description
+    text = " ".join(f"{name}={format_value(value)}" for name, value in pairs.items())
+    return text + "\n"
--- /dev/null
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -0,0 +1,62 @@
+"""Guards the format of log lines and the linking of spans."""
+
+import io
+
+import pytest
+
+from lycheeloom.telemetry import LineSpanExporter, Tracer, configure_logging, log_event
+from lycheeloom.telemetry.logs import format_value
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("plain", "plain"),
+        ("", '""'),
+        ("two words", '"two words"'),
+        ('a"b', '"a\\"b"'),
+        ("line\nbreak", '"line\\nbreak"'),
+        (1.23456, "1.235"),
+        (7, "7"),
+    ],
+)
+def test_values_stay_on_one_line(value, expected):
+    """A value with spaces or line breaks must not break the line format."""
+    assert format_value(value) == expected
+
+
+def test_log_event_is_one_line(capsys):
+    """Braces in values must not be taken for format fields."""
+    configure_logging("entry-1")
+    log_event("request_refused", message="bad {payload}\nsecond")
+    line = capsys.readouterr().err
+    assert line.count("\n") == 1
+    assert "process=entry-1" in line
+    assert 'event=request_refused message="bad {payload}\\nsecond"' in line
+
+
+def test_child_span_names_its_parent():
+    """A trace must be followed from one process to the next."""
+    stream = io.StringIO()
+    exporter = LineSpanExporter(stream)
+    first, second = (Tracer(name, 1.0, exporter) for name in ("caller", "entry"))
+    with (
+        first.span("call") as parent,
+        second.span("accept", parent.traceparent, team="t") as child,
+    ):
+        child.fail("no worker")
+    lines = stream.getvalue().splitlines()
+    trace_id, span_id = parent.traceparent.split("-")[1:3]
+    assert all(f"trace={trace_id}" in line for line in lines)
+    assert f"parent={span_id}" in lines[0]
+    assert 'error="no worker"' in lines[0]
+
+
+@pytest.mark.parametrize("header", ["", "garbage", "00-zz-1-01"])
+def test_bad_traceparent_starts_a_new_trace(header):
+    """A malformed header from a caller must not fail the request."""
+    stream = io.StringIO()
+    tracer = Tracer("entry", 1.0, LineSpanExporter(stream))
+    with tracer.span("accept", header):
+        pass
+    assert "parent=-" in stream.getvalue()
