Add platform clients and stand-ins

Gives the entry, controller and operator something to call: clients for log, workers and instance list over urllib3 pools, and stand-ins with fault switches.

--- a/libs/platform/src/lycheeloom/platform/__init__.py
+++ b/libs/platform/src/lycheeloom/platform/__init__.py
@@ -1,1 +1,63 @@
 """Clients for the log service, workers and the instance list."""
+
+from .instances import (
+    ActionState,
+    ActionStatus,
+    InstanceClient,
+    InstanceList,
+    InstanceState,
+    ListedInstance,
+)
+from .log import (
+    Appended,
+    AppendRefusal,
+    AppendRefused,
+    AppendUnknown,
+    Expired,
+    LogClient,
+    ReadBatches,
+)
+from .results import Unavailable
+from .tasks import (
+    ActionRefused,
+    Session,
+    StartRefusal,
+    StartRefused,
+    StartUnknown,
+    TaskReport,
+    TaskStart,
+    TaskStatus,
+    TaskUsage,
+    UsageReport,
+)
+from .transport import Transport
+from .worker import WorkerClient
+
+__all__ = [
+    "ActionRefused",
+    "ActionState",
+    "ActionStatus",
+    "AppendRefusal",
+    "AppendRefused",
+    "AppendUnknown",
+    "Appended",
+    "Expired",
+    "InstanceClient",
+    "InstanceList",
+    "InstanceState",
+    "ListedInstance",
+    "LogClient",
+    "ReadBatches",
+    "Session",
+    "StartRefusal",
+    "StartRefused",
+    "StartUnknown",
+    "TaskReport",
+    "TaskStart",
+    "TaskStatus",
+    "TaskUsage",
+    "Transport",
+    "Unavailable",
+    "UsageReport",
+    "WorkerClient",
+]
--- /dev/null
+++ b/libs/platform/src/lycheeloom/platform/log.py
@@ -0,0 +1,156 @@
+"""Client of the append-only log service."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from dataclasses import dataclass
+from enum import StrEnum
+
+from .results import Unavailable, read_object, read_reason, unavailable
+from .transport import CallFailed, Transport
+
+APPEND_TIMEOUT_S = 2.0
+# Added to the wait of a read for the answer to arrive.
+READ_MARGIN_S = 2.0
+READ_LIMIT = 1000
+# Beyond the end of any log: a read from here tells where the end is.
+_BEYOND_END = 2**62
+
+
+class AppendRefusal(StrEnum):
+    """Why the log certainly did not append."""
+
+    TOO_LARGE = "too_large"
+    BUSY = "busy"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """The batch is in the log at ``offset``."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class AppendUnknown:
+    """The batch may be in the log; append it again with its sequence number."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRefused:
+    """The batch is not in the log."""
+
+    reason: AppendRefusal
+
+
+@dataclass(frozen=True, slots=True)
+class ReadBatches:
+    """Batches from offset ``first``; ``next`` is the offset to read from next.
+
+    A read from beyond the end of the log returns no batch and the end in ``next``.
+    """
+
+    first: int
+    next: int
+    batches: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The offset is no longer retained; ``oldest`` still is."""
+
+    oldest: int
+
+
+_REFUSAL_BY_STATUS = {
+    413: AppendRefusal.TOO_LARGE,
+    429: AppendRefusal.BUSY,
+    503: AppendRefusal.DOWN,
+}
+
+
+class LogClient:
+    """Appends to and reads from the log at ``address`` (``"127.0.0.1:7000"``)."""
+
+    def __init__(self, address: str, transport: Transport | None = None) -> None:
+        self._address = address
+        self._transport = transport or Transport()
+
+    def append(
+        self,
+        batch: bytes,
+        *,
+        timeout_s: float = APPEND_TIMEOUT_S,
+        traceparent: str = "",
+    ) -> Appended | AppendUnknown | AppendRefused:
+        """Append one batch, once; the caller repeats it where that is right."""
+        headers = {"Content-Type": "application/octet-stream"}
+        if traceparent:
+            headers["traceparent"] = traceparent
+        response = self._transport.call(
+            self._address,
+            "POST",
+            "/v1/append",
+            body=batch,
+            headers=headers,
+            timeout_s=timeout_s,
+        )
+        if isinstance(response, CallFailed):
+            if response.sent:
+                return AppendUnknown(response.reason)
+            return AppendRefused(AppendRefusal.DOWN)
+        if response.status in _REFUSAL_BY_STATUS:
+            return AppendRefused(_REFUSAL_BY_STATUS[response.status])
+        offset = read_object(response).get("offset")
+        if response.status != 200 or not isinstance(offset, int):
+            return AppendUnknown(read_reason(response))
+        return Appended(offset)
+
+    def read(
+        self,
+        first_offset: int,
+        limit: int = READ_LIMIT,
+        wait_s: float = 0.0,
+        *,
+        margin_s: float = READ_MARGIN_S,
+    ) -> ReadBatches | Expired | Unavailable:
+        """Read up to ``limit`` batches, waiting ``wait_s`` if there is none yet.
+
+        The call ends within ``wait_s`` and ``margin_s``.
+        """
+        wait_ms = round(wait_s * 1000)
+        response = self._transport.call(
+            self._address,
+            "GET",
+            f"/v1/read?from={first_offset}&limit={limit}&wait_ms={wait_ms}",
+            timeout_s=wait_s + margin_s,
+        )
+        if isinstance(response, CallFailed):
+            return unavailable(response)
+        document = read_object(response)
+        try:
+            if response.status == 410:
+                return Expired(int(document["oldest"]))
+            if response.status == 200:
+                batches = tuple(b64decode(batch) for batch in document["batches"])
+                return ReadBatches(document["first"], document["next"], batches)
+        except (KeyError, TypeError, ValueError):
+            return Unavailable("malformed answer")
+        return Unavailable(read_reason(response))
+
+    def end(self, *, margin_s: float = READ_MARGIN_S) -> int | Unavailable:
+        """Return the offset that the next append will get."""
+        result = self.read(_BEYOND_END, 0, margin_s=margin_s)
+        match result:
+            case ReadBatches():
+                return result.next
+            case Expired():
+                return Unavailable("malformed answer")
+        return result
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._transport.close()
--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -1,1 +1,20 @@
 """Stand-ins for the platform, for tests and the demo."""
+
+from .faults import Faults
+from .instances import Instance, InstancesStandIn
+from .log import LogLimits, LogStandIn
+from .server import StandIn
+from .tasks import Amount, TaskStatus
+from .worker import WorkerStandIn
+
+__all__ = [
+    "Amount",
+    "Faults",
+    "Instance",
+    "InstancesStandIn",
+    "LogLimits",
+    "LogStandIn",
+    "StandIn",
+    "TaskStatus",
+    "WorkerStandIn",
+]
--- /dev/null
+++ b/libs/standins/src/lycheeloom/standins/instances.py
@@ -0,0 +1,200 @@
+"""Stand-in of the lagging instance list with drain and reboot actions."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections import deque
+from dataclasses import asdict, dataclass, replace
+from typing import Any
+
+import gevent
+
+from .server import Reply, Request, StandIn, refuse, split_path
+from .worker import WorkerStandIn
+
+KINDS = ("drain", "undrain", "reboot")
+DRAIN_CHECK_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """One line of the instance list."""
+
+    instance: str
+    role: str
+    address: str
+    zone: str
+    rack: str
+    state: str = "live"
+    boot_id: str = ""
+
+
+@dataclass(slots=True)
+class Action:
+    """A drain, undrain or reboot, known by its action id."""
+
+    action: str
+    instance: str
+    kind: str
+    state: str = "running"
+    reason: str = ""
+
+
+class InstancesStandIn(StandIn):
+    """The instance list; drain and reboot act on its worker stand-ins.
+
+    ``reboot_s`` is how long a rebooting worker refuses connections.
+    """
+
+    def __init__(
+        self,
+        name: str = "instances",
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        reboot_s: float = 0.0,
+    ) -> None:
+        super().__init__(name, host, port)
+        self.reboot_s = reboot_s
+        self._instance_by_id: dict[str, Instance] = {}
+        self._worker_by_id: dict[str, WorkerStandIn] = {}
+        self._action_by_id: dict[str, Action] = {}
+        self._listings: deque[tuple[float, tuple[Instance, ...]]] = deque([(0.0, ())])
+
+    def add(self, instance: Instance) -> None:
+        """Add or replace an instance that is not a worker stand-in."""
+        self._instance_by_id[instance.instance] = instance
+        self._record_listing()
+
+    def add_worker(self, worker: WorkerStandIn) -> None:
+        """Add a started worker stand-in under its name."""
+        self._worker_by_id[worker.name] = worker
+        self.add(
+            Instance(
+                worker.name,
+                "worker",
+                worker.address,
+                worker.zone,
+                worker.rack,
+                boot_id=worker.boot_id,
+            )
+        )
+
+    def remove(self, instance_id: str) -> None:
+        """Remove an instance; it disappears from the list after the lag."""
+        self._instance_by_id.pop(instance_id, None)
+        self._worker_by_id.pop(instance_id, None)
+        self._record_listing()
+
+    def handle(self, request: Request) -> Reply:
+        if self.faults.fail_all:
+            return refuse(500, "failed")
+        match request.method, split_path(request.path):
+            case "GET", ["instances"]:
+                listing = [asdict(instance) for instance in self.listing()]
+                return Reply(200, {"instances": listing})
+            case "PUT", ["instances", instance_id]:
+                return self._put(instance_id, request)
+            case "DELETE", ["instances", instance_id]:
+                self.remove(instance_id)
+                return Reply(200, {})
+            case "POST", ["instances", instance_id, kind] if kind in KINDS:
+                return self._handle_action(instance_id, kind, request)
+            case "GET", ["actions", action_id]:
+                action = self._action_by_id.get(action_id)
+                return refuse(404, "unknown") if action is None else _show(action)
+            case "GET", ["ledger"]:
+                return Reply(200, {"starts": self.ledger_entries()})
+        return refuse(404, "not_found")
+
+    def listing(self) -> tuple[Instance, ...]:
+        """Return the list as it was ``lag_ms`` ago."""
+        at = time.monotonic() - self.faults.lag_ms / 1000
+        seen = self._listings[0][1]
+        for recorded_at, listing in self._listings:
+            if recorded_at > at:
+                break
+            seen = listing
+        return seen
+
+    def ledger_entries(self) -> list[dict[str, Any]]:
+        """Return the starts at all workers, in the order of their times."""
+        workers = self._worker_by_id.values()
+        starts = [entry for worker in workers for entry in worker.ledger_entries()]
+        return sorted(starts, key=lambda entry: entry["started_at"])
+
+    def _put(self, instance_id: str, request: Request) -> Reply:
+        document = request.document()
+        try:
+            self.add(Instance(**{**document, "instance": instance_id}))
+        except TypeError as error:
+            return refuse(400, str(error))
+        return Reply(200, {})
+
+    def _handle_action(self, instance_id: str, kind: str, request: Request) -> Reply:
+        document = request.document()
+        action_id = document.get("action") if document else None
+        if not isinstance(action_id, str) or not action_id:
+            return refuse(400, "action must be a string")
+        known = self._action_by_id.get(action_id)
+        if known is not None:
+            if (known.instance, known.kind) != (instance_id, kind):
+                return refuse(409, "action_conflict")
+            return _show(known)
+        if instance_id not in self._instance_by_id:
+            return refuse(404, "unknown_instance")
+        action = Action(action_id, instance_id, kind)
+        self._action_by_id[action_id] = action
+        self._begin(action)
+        return _show(action)
+
+    def _begin(self, action: Action) -> None:
+        worker = self._worker_by_id.get(action.instance)
+        match action.kind:
+            case "drain":
+                self._update(action.instance, state="leaving")
+                gevent.spawn(_drain, action, worker)
+            case "undrain":
+                self._update(action.instance, state="live")
+                if worker is not None:
+                    worker.undrain()
+                action.state = "done"
+            case "reboot":
+                gevent.spawn(self._reboot, action, worker)
+
+    def _reboot(self, action: Action, worker: WorkerStandIn | None) -> None:
+        if worker is None:
+            gevent.sleep(self.reboot_s)
+            self._update(action.instance, boot_id=secrets.token_hex(8))
+        else:
+            worker.set_faults(down=True)
+            worker.reboot()
+            gevent.sleep(self.reboot_s)
+            worker.set_faults(down=False)
+            self._update(action.instance, boot_id=worker.boot_id)
+        action.state = "done"
+
+    def _update(self, instance_id: str, **changes: str) -> None:
+        instance = self._instance_by_id.get(instance_id)
+        if instance is not None:
+            self.add(replace(instance, **changes))
+
+    def _record_listing(self) -> None:
+        now = time.monotonic()
+        self._listings.append((now, tuple(self._instance_by_id.values())))
+        oldest_needed = now - self.faults.lag_ms / 1000
+        while len(self._listings) > 2 and self._listings[1][0] <= oldest_needed:
+            self._listings.popleft()
+
+
+def _drain(action: Action, worker: WorkerStandIn | None) -> None:
+    if worker is not None:
+        worker.drain()
+        while worker.running:
+            gevent.sleep(DRAIN_CHECK_S)
+    action.state = "done"
+
+
+def _show(action: Action) -> Reply:
+    return Reply(200, asdict(action))
--- /dev/null
+++ b/libs/standins/src/lycheeloom/standins/server.py
@@ -0,0 +1,229 @@
+"""HTTP server of a stand-in, with the faults that all stand-ins share."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+import gevent
+from gevent.event import Event
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from .faults import BadFaults, Faults, check_faults
+
+STATUS_LINES = {
+    200: "200 OK",
+    202: "202 Accepted",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    410: "410 Gone",
+    413: "413 Content Too Large",
+    429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+# A connection handler gets this long to write the answer to the request that
+# took its own stand-in down.
+DOWN_DELAY_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An HTTP status with a JSON document."""
+
+    status: int
+    document: Any
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def refuse(status: int, reason: str) -> Reply:
+    """Build a reply that only carries a reason."""
+    return Reply(status, {"reason": reason})
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """The parts of an HTTP request that stand-ins look at."""
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    def document(self) -> dict[str, Any] | None:
+        """Return the body as a JSON object, ``{}`` if empty, None if neither."""
+        if not self.body:
+            return {}
+        try:
+            document = json.loads(self.body)
+        except ValueError:
+            return None
+        return document if isinstance(document, dict) else None
+
+
+class _Handler(WSGIHandler):
+    """Handler of one connection that lets the application break it off."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.opened_in = self.server.silenced
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ["standin.connection"] = self
+        return environ
+
+    def is_silent(self) -> bool:
+        return self.opened_in < self.server.silenced
+
+    def break_off(self) -> None:
+        self.close_connection = True
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+
+class _Server(WSGIServer):
+    handler_class = _Handler
+    # Counts how often open connections were silenced.
+    silenced = 0
+
+
+class StandIn:
+    """Base of the stand-ins: start on a loopback port, faults, stop.
+
+    Port 0 picks a free port at the first start; the port is kept over restarts.
+    """
+
+    def __init__(self, name: str, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.name = name
+        self.faults = Faults()
+        self._host = host
+        self._port = port
+        self._server: _Server | None = None
+        self._forever = Event()
+
+    @property
+    def address(self) -> str:
+        return f"{self._host}:{self._port}"
+
+    def start(self) -> StandIn:
+        """Listen; connections are refused before this."""
+        if self._server is not None:
+            return self
+        self._server = _Server(
+            (self._host, self._port), self._application, spawn=Pool(), log=None
+        )
+        self._server.start()
+        self._port = self._server.server_port
+        return self
+
+    def stop(self) -> None:
+        """Stop listening and close every connection."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop(timeout=0)
+
+    def set_faults(self, **changes: Any) -> None:
+        """Change fault switches; raises ValueError for an unknown one."""
+        problem = check_faults(changes)
+        if problem is not None:
+            raise ValueError(problem.reason)
+        for name, value in changes.items():
+            setattr(self.faults, name, value)
+        if changes.get("silent") and self._server is not None:
+            self._server.silenced += 1
+        if "down" in changes:
+            self._follow_down()
+        self.faults_changed()
+
+    def faults_changed(self) -> None:
+        """Apply faults that act on the state of the stand-in."""
+
+    def handle(self, request: Request) -> Reply:
+        """Answer one request; overridden by each stand-in."""
+        raise NotImplementedError
+
+    def _follow_down(self) -> None:
+        if self.faults.down:
+            self.stop()
+        else:
+            self.start()
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        connection = environ["standin.connection"]
+        if connection.is_silent():
+            self._forever.wait()
+        body = environ["wsgi.input"].read()
+        query = environ["QUERY_STRING"]
+        request = Request(
+            environ["REQUEST_METHOD"],
+            environ["PATH_INFO"],
+            dict(parse_qsl(query)) if query else {},
+            body,
+        )
+        if request.path == "/v1/faults":
+            return _send(self._handle_faults(request), start_response)
+        reply = self._handle_with_faults(request)
+        if connection.is_silent():
+            self._forever.wait()
+        if self._loses_answer():
+            connection.break_off()
+        return _send(reply, start_response)
+
+    def _handle_with_faults(self, request: Request) -> Reply:
+        faults = self.faults
+        if faults.slow_ms:
+            gevent.sleep(faults.slow_ms / 1000)
+        if faults.outage:
+            return refuse(503, "down")
+        return self.handle(request)
+
+    def _loses_answer(self) -> bool:
+        left = self.faults.lose_answers
+        if not left:
+            return False
+        if left > 0:
+            self.faults.lose_answers = left - 1
+        return True
+
+    def _handle_faults(self, request: Request) -> Reply:
+        if request.method == "GET":
+            return Reply(200, self.faults.as_dict())
+        changes = request.document()
+        problem = BadFaults("not a JSON object")
+        if changes is not None:
+            problem = check_faults(changes)
+        if problem is not None:
+            return refuse(400, problem.reason)
+        # Taking the stand-in down or silencing it must not hit this answer.
+        later = {k: changes.pop(k) for k in ("down", "silent") if k in changes}
+        self.set_faults(**changes)
+        if later:
+            gevent.spawn_later(DOWN_DELAY_S, self.set_faults, **later)
+        return Reply(200, self.faults.as_dict() | later)
+
+
+def split_path(path: str) -> list[str]:
+    """Split a path into its unquoted segments after the version."""
+    return [unquote(segment) for segment in path.split("/")[2:]]
+
+
+def _send(reply: Reply, start_response: Callable[..., Any]) -> list[bytes]:
+    payload = json.dumps(reply.document, separators=(",", ":")).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(payload))),
+        *reply.headers,
+    ]
+    start_response(STATUS_LINES[reply.status], headers)
+    return [payload]
--- /dev/null
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -0,0 +1,132 @@
+"""Tasks of a worker stand-in: how they progress, end and are remembered."""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+
+class TaskStatus(StrEnum):
+    """State of a task at a worker."""
+
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    CHECKPOINTED = "checkpointed"
+
+
+@dataclass(slots=True)
+class Amount:
+    """An amount of processors, memory and accelerators."""
+
+    cores: float = 0.0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def as_dict(self) -> dict[str, Any]:
+        return {
+            "cores": self.cores,
+            "memory_mb": self.memory_mb,
+            "accelerators": self.accelerators,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a payload asks of the worker.
+
+    A payload that is a JSON object may name ``work_ms``, ``fail`` and the
+    resources really used (``used_cores``, ``used_memory_mb``). Any other payload
+    is work of the default duration.
+    """
+
+    duration_s: float
+    fails: bool = False
+    used_cores: float | None = None
+    used_memory_mb: int | None = None
+
+
+def parse_work(payload: bytes, default_s: float) -> Work:
+    """Read the work out of a payload."""
+    if not payload.startswith(b"{"):
+        return Work(default_s)
+    try:
+        document = json.loads(payload)
+        return Work(
+            float(document.get("work_ms", default_s * 1000)) / 1000,
+            bool(document.get("fail", False)),
+            document.get("used_cores"),
+            document.get("used_memory_mb"),
+        )
+    except (ValueError, TypeError):
+        return Work(default_s)
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One start of a task; times are from the monotonic clock, in seconds."""
+
+    id: str
+    request_id: str
+    team: str
+    queue: str
+    amount: Amount
+    work: Work
+    answer: bytes
+    started_at: float
+    lease_until: float
+    ended_at: float | None = None
+    status: TaskStatus = TaskStatus.RUNNING
+    rate: float = 1.0
+    worked_s: float = 0.0
+    counted_at: float = 0.0
+    changed: Event | None = None
+    ended: Event | None = None
+
+    def count_work(self, now: float) -> None:
+        """Add the work done since the last count at the current rate."""
+        self.worked_s += (now - self.counted_at) * self.rate
+        self.counted_at = now
+
+    def remaining_s(self, now: float) -> float:
+        """Return the time until the work is done at the current rate."""
+        self.count_work(now)
+        return (self.work.duration_s - self.worked_s) / self.rate
+
+    def wake(self) -> None:
+        """Make a running task look at its lease, rate and status again."""
+        if self.changed is not None:
+            self.changed.set()
+
+
+def run_task(task: Task) -> TaskStatus:
+    """Wait until the task's work is done, its lease lapses or it is stopped."""
+    while task.status is TaskStatus.RUNNING:
+        now = time.monotonic()
+        if now >= task.lease_until:
+            return TaskStatus.STOPPED
+        remaining_s = task.remaining_s(now)
+        if remaining_s <= 0:
+            return TaskStatus.FAILED if task.work.fails else TaskStatus.DONE
+        task.changed.clear()
+        task.changed.wait(min(remaining_s, task.lease_until - now))
+    return task.status
+
+
+def spawn_task(task: Task, on_end: Any) -> None:
+    """Run a task in its own greenlet; ``on_end(task, status)`` when it ends."""
+    task.changed = Event()
+    task.ended = Event()
+    gevent.spawn(_run_to_end, task, on_end)
+
+
+def _run_to_end(task: Task, on_end: Any) -> None:
+    on_end(task, run_task(task))
--- /dev/null
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -0,0 +1,348 @@
+"""Stand-in of a worker: sessions, task leases, capacity, usage, ledger."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import time
+from base64 import b64decode, b64encode
+from collections import deque
+from typing import Any
+from urllib.parse import unquote
+
+from .server import Reply, Request, StandIn, refuse
+from .tasks import Amount, Task, TaskStatus, parse_work, spawn_task
+
+# Ended tasks stay visible to lagging usage reports this long.
+USAGE_HISTORY_S = 60.0
+# Answers of ended tasks are kept this long; the status is kept until reboot.
+ANSWERS_KEPT_S = 300.0
+ACTIONS = ("renew", "cancel", "checkpoint", "throttle", "stop")
+
+
+class WorkerStandIn(StandIn):
+    """A worker that runs tasks by waiting.
+
+    ``default_work_s`` is the duration of a task whose payload names none.
+    """
+
+    def __init__(
+        self,
+        name: str = "worker",
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        zone: str = "z1",
+        rack: str = "r1",
+        capacity: Amount | None = None,
+        default_work_s: float = 0.0,
+    ) -> None:
+        super().__init__(name, host, port)
+        self.zone = zone
+        self.rack = rack
+        self.capacity = capacity or Amount(64, 256 * 1024, 0)
+        self.default_work_s = default_work_s
+        self.draining = False
+        self.boot_id = secrets.token_hex(8)
+        self.ledger: list[Task] = []
+        self.running: dict[str, Task] = {}
+        self._used = Amount()
+        self._task_by_id: dict[str, Task] = {}
+        self._lapse_at_by_session: dict[str, float] = {}
+        self._ended: deque[Task] = deque()
+        self._answered: deque[Task] = deque()
+
+    # Requests.
+
+    def handle(self, request: Request) -> Reply:
+        path = request.path
+        if path.startswith("/v1/tasks/"):
+            return self._handle_task(request, path[len("/v1/tasks/") :])
+        match request.method, path:
+            case "POST", "/v1/sessions":
+                return self._open_session(request)
+            case "GET", "/v1/usage":
+                return Reply(200, self.usage())
+            case "GET", "/v1/ledger":
+                return Reply(200, {"starts": self.ledger_entries()})
+        return refuse(404, "not_found")
+
+    def _handle_task(self, request: Request, rest: str) -> Reply:
+        task_id, _, action = rest.partition("/")
+        task_id = unquote(task_id)
+        if request.method == "GET" and not action:
+            return self._status(task_id)
+        document = request.document()
+        if request.method != "POST" or document is None:
+            return refuse(400, "expected a JSON object")
+        if not action:
+            return self._start(task_id, document)
+        if action not in ACTIONS:
+            return refuse(404, "not_found")
+        task = self._task_by_id.get(task_id)
+        if task is not None and task.status is TaskStatus.RUNNING:
+            refusal = self._act(task, action, document)
+            if refusal is not None:
+                return refusal
+        return self._status(task_id)
+
+    def _open_session(self, request: Request) -> Reply:
+        document = request.document()
+        try:
+            ttl_s = float(document["ttl_ms"]) / 1000
+        except (TypeError, KeyError, ValueError):
+            return refuse(400, "ttl_ms must be a number")
+        now = time.monotonic()
+        session = document.get("session") or secrets.token_hex(8)
+        if self._session_lapsed(session, now):
+            session = secrets.token_hex(8)
+        self._drop_lapsed_sessions(now)
+        self._lapse_at_by_session[session] = now + ttl_s
+        document = {
+            "session": session,
+            "boot_id": self.boot_id,
+            "draining": self.draining,
+            "free": self._free(),
+        }
+        return Reply(200, document)
+
+    def _session_lapsed(self, session: str, now: float) -> bool:
+        return now >= self._lapse_at_by_session.get(session, now)
+
+    def _drop_lapsed_sessions(self, now: float) -> None:
+        lapse_at = self._lapse_at_by_session
+        for session in [s for s, at in lapse_at.items() if at <= now]:
+            del lapse_at[session]
+
+    def _start(self, task_id: str, document: dict[str, Any]) -> Reply:
+        now = time.monotonic()
+        if task_id in self._task_by_id:
+            return self._refuse_start("duplicate")
+        if self.draining:
+            return self._refuse_start("draining")
+        if self.faults.lapse_leases or self._session_lapsed(
+            document.get("session", ""), now
+        ):
+            return self._refuse_start("lease_lapsed")
+        try:
+            task = self._read_task(task_id, document, now)
+        except (KeyError, TypeError, ValueError) as error:
+            return refuse(400, f"bad field: {error}")
+        if not self._fits(task.amount):
+            return self._refuse_start("no_capacity")
+        self._begin(task)
+        if task.ended is None:
+            return self._status(task_id)
+        if document.get("wait", True):
+            task.ended.wait()
+            return self._reply(200, task)
+        return self._reply(202, task)
+
+    def _read_task(self, task_id: str, document: dict[str, Any], now: float) -> Task:
+        payload = b64decode(document.get("payload", ""))
+        amount = Amount(**document.get("resources", {}))
+        request_id = document.get("request_id") or task_id.rpartition(".")[0]
+        work = parse_work(payload, self.default_work_s)
+        task = Task(
+            task_id,
+            request_id,
+            document["team"],
+            document.get("queue", ""),
+            amount,
+            work,
+            payload,
+            now,
+            now + float(document["lease_ms"]) / 1000,
+            counted_at=now,
+        )
+        if document.get("checkpoint"):
+            task.worked_s = float(json.loads(document["checkpoint"])["worked_s"])
+        return task
+
+    def _fits(self, amount: Amount) -> bool:
+        used, total = self._used, self.capacity
+        return (
+            used.cores + amount.cores <= total.cores
+            and used.memory_mb + amount.memory_mb <= total.memory_mb
+            and used.accelerators + amount.accelerators <= total.accelerators
+        )
+
+    def _begin(self, task: Task) -> None:
+        self._task_by_id[task.id] = task
+        self.ledger.append(task)
+        self.running[task.id] = task
+        self._take(task.amount, 1)
+        if self.faults.fail_all:
+            self._end(task, TaskStatus.FAILED)
+        elif task.work.duration_s <= task.worked_s:
+            failed = task.work.fails
+            self._end(task, TaskStatus.FAILED if failed else TaskStatus.DONE)
+        else:
+            spawn_task(task, self._end)
+
+    def _end(self, task: Task, status: TaskStatus) -> None:
+        if self.running.pop(task.id, None) is None:
+            return
+        now = time.monotonic()
+        task.status = status
+        task.ended_at = now
+        self._take(task.amount, -1)
+        self._ended.append(task)
+        while self._ended[0].ended_at < now - USAGE_HISTORY_S:
+            self._ended.popleft()
+        self._answered.append(task)
+        while self._answered[0].ended_at < now - ANSWERS_KEPT_S:
+            self._answered.popleft().answer = b""
+        if task.ended is not None:
+            task.wake()
+            task.ended.set()
+
+    def _act(self, task: Task, action: str, document: dict[str, Any]) -> Reply | None:
+        match action:
+            case "renew":
+                return self._renew(task, document)
+            case "throttle":
+                return self._throttle(task, document)
+            case "checkpoint":
+                task.count_work(time.monotonic())
+                self._end(task, TaskStatus.CHECKPOINTED)
+            case "stop" | "cancel":
+                self._end(task, TaskStatus.STOPPED)
+        return None
+
+    def _renew(self, task: Task, document: dict[str, Any]) -> Reply | None:
+        try:
+            lease_s = float(document["lease_ms"]) / 1000
+        except (KeyError, TypeError, ValueError):
+            return refuse(400, "lease_ms must be a number")
+        if not self.faults.lapse_leases:
+            task.lease_until = time.monotonic() + lease_s
+            task.wake()
+        return None
+
+    def _throttle(self, task: Task, document: dict[str, Any]) -> Reply | None:
+        """Run the task at a fraction of its speed and processors."""
+        fraction = document.get("fraction")
+        if not isinstance(fraction, int | float) or not 0 < fraction <= 1:
+            return refuse(400, "fraction must be above 0 and at most 1")
+        cores = task.amount.cores / task.rate * fraction
+        if not self._fits(Amount(cores - task.amount.cores)):
+            return self._refuse_start("no_capacity")
+        task.count_work(time.monotonic())
+        self._used.cores += cores - task.amount.cores
+        task.amount.cores = cores
+        task.rate = fraction
+        task.wake()
+        return None
+
+    # State.
+
+    def drain(self) -> None:
+        """Refuse new tasks; running ones go on."""
+        self.draining = True
+
+    def undrain(self) -> None:
+        self.draining = False
+
+    def reboot(self) -> None:
+        """Stop every task and forget sessions and tasks; the ledger stays."""
+        self.boot_id = secrets.token_hex(8)
+        for task in list(self.running.values()):
+            self._end(task, TaskStatus.STOPPED)
+        self._task_by_id.clear()
+        self._lapse_at_by_session.clear()
+
+    def faults_changed(self) -> None:
+        if not self.faults.lapse_leases:
+            return
+        self._lapse_at_by_session.clear()
+        for task in list(self.running.values()):
+            self._end(task, TaskStatus.STOPPED)
+
+    def usage(self) -> dict[str, Any]:
+        """Return what ran and what it used ``lag_ms`` ago."""
+        at = time.monotonic() - self.faults.lag_ms / 1000
+        tasks = [*self._ended, *self.running.values()]
+        return {
+            "boot_id": self.boot_id,
+            "age_ms": self.faults.lag_ms,
+            "tasks": [_usage_of(task, at) for task in tasks if _ran_at(task, at)],
+        }
+
+    def ledger_entries(self) -> list[dict[str, Any]]:
+        """Return every start so far, also those before a reboot."""
+        return [self._ledger_entry(task) for task in self.ledger]
+
+    def _ledger_entry(self, task: Task) -> dict[str, Any]:
+        return {
+            "worker": self.name,
+            "zone": self.zone,
+            "task": task.id,
+            "request_id": task.request_id,
+            "team": task.team,
+            "queue": task.queue,
+            "status": task.status,
+            "started_at": task.started_at,
+            "ended_at": task.ended_at,
+        }
+
+    def _take(self, amount: Amount, sign: int) -> None:
+        used = self._used
+        used.cores += sign * amount.cores
+        used.memory_mb += sign * amount.memory_mb
+        used.accelerators += sign * amount.accelerators
+
+    def _free(self) -> dict[str, Any]:
+        used, total = self._used, self.capacity
+        return {
+            "cores": total.cores - used.cores,
+            "memory_mb": total.memory_mb - used.memory_mb,
+            "accelerators": total.accelerators - used.accelerators,
+        }
+
+    def _status(self, task_id: str) -> Reply:
+        task = self._task_by_id.get(task_id)
+        if task is not None:
+            return self._reply(200, task)
+        document = {
+            "task": task_id,
+            "status": TaskStatus.UNKNOWN,
+            "boot_id": self.boot_id,
+            "free": self._free(),
+        }
+        return Reply(200, document)
+
+    def _reply(self, status: int, task: Task) -> Reply:
+        document = {
+            "task": task.id,
+            "status": task.status,
+            "boot_id": self.boot_id,
+            "free": self._free(),
+        }
+        if task.status is TaskStatus.CHECKPOINTED:
+            document["checkpoint"] = json.dumps({"worked_s": task.worked_s})
+        elif task.status in (TaskStatus.DONE, TaskStatus.FAILED):
+            document["answer"] = b64encode(task.answer).decode()
+        return Reply(status, document)
+
+    def _refuse_start(self, reason: str) -> Reply:
+        return Reply(409, {"reason": reason, "free": self._free()})
+
+
+def _ran_at(task: Task, at: float) -> bool:
+    ended = task.ended_at
+    return task.started_at <= at and (ended is None or ended > at)
+
+
+def _usage_of(task: Task, at: float) -> dict[str, Any]:
+    work = task.work
+    cores, memory_mb = task.amount.cores, task.amount.memory_mb
+    return {
+        "task": task.id,
+        "team": task.team,
+        "queue": task.queue,
+        "cores": cores if work.used_cores is None else work.used_cores,
+        "memory_mb": memory_mb if work.used_memory_mb is None else work.used_memory_mb,
+        "accelerators": task.amount.accelerators,
+        "ran_ms": round((at - task.started_at) * 1000),
+    }
