--- a/libs/platform/src/lycheeloom/platform/log.py
+++ b/libs/platform/src/lycheeloom/platform/log.py
@@ -73,17 +73,30 @@
 
 
 class LogClient:
-    """Appends to and reads from the log at ``address`` (``"127.0.0.1:7000"``)."""
+    """Appends to and reads from the log at ``address`` (``"127.0.0.1:7000"``).
 
-    def __init__(self, address: str, transport: Transport | None = None) -> None:
+    An append ends within ``append_timeout_s``, a read within its wait and
+    ``read_margin_s``; both can be given for a single call.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        transport: Transport | None = None,
+        *,
+        append_timeout_s: float = APPEND_TIMEOUT_S,
+        read_margin_s: float = READ_MARGIN_S,
+    ) -> None:
         self._address = address
         self._transport = transport or Transport()
+        self._append_timeout_s = append_timeout_s
+        self._read_margin_s = read_margin_s
 
     def append(
         self,
         batch: bytes,
         *,
-        timeout_s: float = APPEND_TIMEOUT_S,
+        timeout_s: float | None = None,
         traceparent: str = "",
     ) -> Appended | AppendUnknown | AppendRefused:
         """Append one batch, once; the caller repeats it where that is right."""
@@ -96,7 +109,7 @@
             "/v1/append",
             body=batch,
             headers=headers,
-            timeout_s=timeout_s,
+            timeout_s=self._append_timeout_s if timeout_s is None else timeout_s,
         )
         if isinstance(response, CallFailed):
             if response.sent:
@@ -115,12 +128,11 @@
         limit: int = READ_LIMIT,
         wait_s: float = 0.0,
         *,
-        margin_s: float = READ_MARGIN_S,
+        margin_s: float | None = None,
     ) -> ReadBatches | Expired | Unavailable:
-        """Read up to ``limit`` batches, waiting ``wait_s`` if there is none yet.
-
-        The call ends within ``wait_s`` and ``margin_s``.
-        """
+        """Read up to ``limit`` batches, waiting ``wait_s`` if there is none yet."""
+        if margin_s is None:
+            margin_s = self._read_margin_s
         wait_ms = round(wait_s * 1000)
         response = self._transport.call(
             self._address,
@@ -141,9 +153,9 @@
             return Unavailable("malformed answer")
         return Unavailable(read_reason(response))
 
-    def end(self, *, margin_s: float = READ_MARGIN_S) -> int | Unavailable:
+    def end(self) -> int | Unavailable:
         """Return the offset that the next append will get."""
-        result = self.read(_BEYOND_END, 0, margin_s=margin_s)
+        result = self.read(_BEYOND_END, 0)
         match result:
             case ReadBatches():
                 return result.next
--- a/libs/platform/src/lycheeloom/platform/transport.py
+++ b/libs/platform/src/lycheeloom/platform/transport.py
@@ -164,8 +164,11 @@
                 retries=_NO_RETRIES,
                 redirect=False,
                 assert_same_host=False,
+                # Connecting ends before the deadline of the call, so that an
+                # address that does not answer is known to have received nothing.
                 timeout=Timeout(
-                    connect=min(self._connect_timeout_s, timeout_s), read=timeout_s
+                    connect=min(self._connect_timeout_s, timeout_s / 2),
+                    read=timeout_s,
                 ),
                 preload_content=False,
                 decode_content=False,
--- /dev/null
+++ b/libs/platform/tests/test_instance_client.py
@@ -0,0 +1,90 @@
+"""Contract of the instance list client and of idempotent actions."""
+
+import gevent
+import pytest
+
+from lycheeloom.platform import (
+    ActionRefused,
+    ActionState,
+    InstanceList,
+    InstanceState,
+    Unavailable,
+)
+
+SHORT_S = 0.1
+
+
+def wait_done(client, action):
+    while client.action_status(action).state is not ActionState.DONE:
+        gevent.sleep(0.001)
+
+
+def test_list(instance_client, worker):
+    (line,) = instance_client.list().instances
+    assert (line.instance, line.address, line.zone, line.boot_id) == (
+        "w1",
+        worker.address,
+        "z1",
+        worker.boot_id,
+    )
+
+
+def test_drain_reboot_undrain(instance_client, worker):
+    """A drained instance leaves, a rebooted one has a new boot id."""
+    boot_id = worker.boot_id
+    instance_client.drain("w1", "m1-drain")
+    wait_done(instance_client, "m1-drain")
+    assert worker.draining
+    (line,) = instance_client.list().instances
+    assert line.state is InstanceState.LEAVING
+    instance_client.reboot("w1", "m1-reboot")
+    wait_done(instance_client, "m1-reboot")
+    instance_client.undrain("w1", "m1-undrain")
+    assert not worker.draining
+    (line,) = instance_client.list().instances
+    assert line.state is InstanceState.LIVE
+    assert line.boot_id == worker.boot_id != boot_id
+
+
+def test_action_takes_effect_once_though_its_answer_was_lost(
+    instance_client, instances, worker
+):
+    """A repeated reboot with the same id must not reboot again."""
+    instances.set_faults(lose_answers=1)
+    assert isinstance(instance_client.reboot("w1", "a1"), Unavailable)
+    wait_done(instance_client, "a1")
+    boot_id = worker.boot_id
+    assert instance_client.reboot("w1", "a1").state is ActionState.DONE
+    assert worker.boot_id == boot_id
+
+
+@pytest.mark.parametrize(
+    ("call", "reason"),
+    [
+        (lambda c: c.drain("w9", "a1"), "unknown_instance"),
+        (lambda c: c.action_status("a9"), "unknown"),
+        (lambda c: c.drain("w1", "used"), "action_conflict"),
+        (lambda c: c.drain("w1", ""), "action must be a string"),
+    ],
+)
+def test_refused(instance_client, call, reason):
+    instance_client.undrain("w1", "used")
+    assert call(instance_client) == ActionRefused(reason)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [{"down": True}, {"silent": True}, {"outage": True}, {"fail_all": True}],
+    ids=str,
+)
+@pytest.mark.parametrize(
+    "call",
+    [lambda c: c.list(), lambda c: c.drain("w1", "a1"), lambda c: c.action_status("a")],
+    ids=["list", "drain", "action_status"],
+)
+def test_unavailable(instance_client, instances, faults, call):
+    """No answer is no reason to believe anything about an instance."""
+    assert isinstance(instance_client.list(), InstanceList)
+    instances.set_faults(**faults)
+    instance_client._call_timeout_s = SHORT_S
+    assert isinstance(call(instance_client), Unavailable)
--- /dev/null
+++ b/libs/platform/tests/test_transport.py
@@ -0,0 +1,192 @@
+"""Connections: bounded waits, replacement of stale and idle ones, odd answers."""
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from lycheeloom.platform import (
+    AppendUnknown,
+    InstanceClient,
+    LogClient,
+    StartUnknown,
+    TaskReport,
+    Unavailable,
+    WorkerClient,
+)
+from lycheeloom.platform import (
+    transport as transport_module,
+)
+from lycheeloom.platform.transport import CallFailed, Response, Transport
+from lycheeloom.standins import StandIn
+from lycheeloom.standins.server import Reply
+
+LONG_S = 60.0
+SHORT_S = 0.1
+
+
+def call(client, standin, timeout_s=LONG_S):
+    return client.call(standin.address, "GET", "/v1/faults", timeout_s=timeout_s)
+
+
+def test_connection_is_reused_while_in_use(transport, worker):
+    for _ in range(3):
+        assert isinstance(call(transport, worker), Response)
+    assert worker.connections_opened == 1
+
+
+def test_idle_connection_is_replaced(transport, worker, monkeypatch):
+    """A connection idle for 10 s may have gone silent for good."""
+    call(transport, worker)
+    monkeypatch.setattr(transport_module, "MAX_IDLE_S", -1.0)
+    call(transport, worker)
+    assert worker.connections_opened == 2
+
+
+def test_silent_connection_is_not_reused(transport, worker):
+    """Guards against a second call waiting on a connection known to be silent."""
+    call(transport, worker)
+    worker.set_faults(silent=True)
+    assert call(transport, worker, SHORT_S) == CallFailed(True, "no answer in time")
+    assert isinstance(call(transport, worker), Response)
+    assert worker.connections_opened == 2
+
+
+def test_connection_closed_by_the_server_is_replaced(worker, workers, make_start):
+    """A restarted worker must not turn the next start into may-have-run."""
+    assert isinstance(
+        workers.start(worker.address, make_start(), timeout_s=LONG_S), TaskReport
+    )
+    worker.set_faults(down=True)
+    worker.set_faults(down=False)
+    start = make_start("r2.1")
+    report = workers.start(worker.address, start, timeout_s=LONG_S)
+    assert isinstance(report, TaskReport)
+    assert len(worker.ledger) == 2
+
+
+def test_refused_connection_proves_that_nothing_was_sent(transport, worker):
+    call(transport, worker)
+    worker.set_faults(down=True)
+    assert call(transport, worker) == CallFailed(
+        False, "not connected: NewConnectionError"
+    )
+
+
+def test_unanswered_connection_attempt_sent_nothing():
+    """A full accept queue drops connection attempts; the call must still end."""
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    address = listener.getsockname()
+    waiting = [gevent.socket.socket() for _ in range(4)]
+    for sock in waiting:
+        sock.setblocking(False)
+        sock.connect_ex(address)
+    result = Transport(connect_timeout_s=SHORT_S).call(
+        f"{address[0]}:{address[1]}", "GET", "/", timeout_s=LONG_S
+    )
+    assert result == CallFailed(False, "not connected: ConnectTimeoutError")
+    for sock in [*waiting, listener]:
+        sock.close()
+
+
+def test_close_idle_forgets_unused_addresses(transport, worker):
+    """Addresses of replaced workers must not accumulate."""
+    call(transport, worker)
+    transport.close_idle(LONG_S)
+    assert list(transport._pool_by_address) == [worker.address]
+    transport.close_idle(0.0)
+    assert transport._pool_by_address == {}
+
+
+def trickle(sock, _address):
+    """Send an answer that never ends, one byte at a time."""
+    sock.sendall(b"HTTP/1.1 200 OK\r\nX: ")
+    try:
+        while True:
+            sock.sendall(b"x")
+            gevent.sleep(0.005)
+    except OSError:
+        sock.close()
+
+
+def cut_short(sock, _address):
+    sock.recv(1)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}")
+    sock.close()
+
+
+def not_http(sock, _address):
+    sock.recv(1)
+    sock.sendall(b"\x00\x01\x02\r\n\r\n")
+    sock.close()
+
+
+@pytest.mark.parametrize("handler", [trickle, cut_short, not_http])
+def test_broken_answer_ends_the_call(handler, transport):
+    """A bound for each read only would never end a trickling answer."""
+    server = StreamServer(("127.0.0.1", 0), handler)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    timeout_s = 1.0 if handler is trickle else LONG_S
+    result = transport.call(address, "GET", "/", timeout_s=timeout_s)
+    assert isinstance(result, CallFailed)
+    assert result.sent
+    server.stop()
+
+
+def test_oversized_answer_is_not_read(transport, worker, monkeypatch):
+    monkeypatch.setattr(transport_module, "MAX_RESPONSE_BYTES", 10)
+    assert call(transport, worker) == CallFailed(True, "answer too large")
+    monkeypatch.undo()
+    assert isinstance(call(transport, worker), Response)
+
+
+class OddStandIn(StandIn):
+    """Answers every request with the same document."""
+
+    document: object = None
+
+    def handle(self, request):
+        return Reply(200, self.document)
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        None,
+        [],
+        {},
+        {"offset": "x", "batches": 3, "instances": 4, "task": 5, "action": 6},
+        {"task": "other.1", "status": "done", "boot_id": "b", "free": {}},
+        {"task": "other.1", "status": "new", "boot_id": "b", "free": None},
+        {
+            "task": "other.1",
+            "status": "done",
+            "boot_id": "b",
+            "free": {"cores": 1, "memory_mb": 1, "accelerators": 0},
+            "answer": "",
+        },
+    ],
+    ids=str,
+)
+def test_malformed_answer_is_no_result(document, transport, make_start):
+    """Guards against exceptions, and against the answer of another task (I6)."""
+    odd = OddStandIn("odd").start()
+    odd.document = document
+    log = LogClient(odd.address, transport, append_timeout_s=LONG_S)
+    workers = WorkerClient(transport)
+    instances = InstanceClient(odd.address, transport)
+    start = workers.start(odd.address, make_start(), timeout_s=LONG_S)
+    assert isinstance(start, StartUnknown)
+    assert isinstance(log.append(b"x"), AppendUnknown)
+    unavailable = [
+        log.read(0),
+        workers.status(odd.address, "r1.1"),
+        workers.open_session(odd.address, "e", 1.0),
+        workers.usage(odd.address),
+        instances.list(),
+        instances.drain("w1", "a"),
+    ]
+    assert {type(result) for result in unavailable} == {Unavailable}
+    odd.stop()
--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -3,6 +3,7 @@
 from .faults import Faults
 from .instances import Instance, InstancesStandIn
 from .log import LogLimits, LogStandIn
+from .platform import PlatformStandIns
 from .server import StandIn
 from .tasks import Amount, TaskStatus
 from .worker import WorkerStandIn
@@ -14,6 +15,7 @@
     "InstancesStandIn",
     "LogLimits",
     "LogStandIn",
+    "PlatformStandIns",
     "StandIn",
     "TaskStatus",
     "WorkerStandIn",
--- a/libs/standins/src/lycheeloom/standins/server.py
+++ b/libs/standins/src/lycheeloom/standins/server.py
@@ -6,13 +6,14 @@
 import socket
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Self
 from urllib.parse import parse_qsl, unquote
 
 import gevent
+from gevent import socket as gevent_socket
 from gevent.event import Event
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from .faults import BadFaults, Faults, check_faults
 
@@ -28,6 +29,7 @@
     500: "500 Internal Server Error",
     503: "503 Service Unavailable",
 }
+BACKLOG = 1024
 # A connection handler gets this long to write the answer to the request that
 # took its own stand-in down.
 DOWN_DELAY_S = 0.02
@@ -55,6 +57,7 @@
     path: str
     query: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    traceparent: str = ""
 
     def document(self) -> dict[str, Any] | None:
         """Return the body as a JSON object, ``{}`` if empty, None if neither."""
@@ -73,11 +76,38 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.opened_in = self.server.silenced
+        self.server.connections_opened += 1
 
     def get_environ(self) -> dict[str, Any]:
-        environ = super().get_environ()
-        environ["standin.connection"] = self
-        return environ
+        """Build only what the stand-ins read: the full one costs 40 microseconds."""
+        path, _, query = self.path.partition("?")
+        self.wsgi_input = Input(self.rfile, self.content_length)
+        return {
+            "REQUEST_METHOD": self.command,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "HTTP_TRACEPARENT": self.headers.get("traceparent", ""),
+            "wsgi.input": self.wsgi_input,
+            "standin.connection": self,
+        }
+
+    def log_request(self) -> None:
+        """Log nothing: formatting the line takes time also without a log."""
+
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send headers and body with one call; the original makes two."""
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"HTTP/1.1 " + self.status]
+        lines += [b"%b: %b" % header for header in self.response_headers]
+        self._sendall(b"\r\n".join(lines) + b"\r\n\r\n" + data)
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Close a connection whose stand-in stops; the original answers 500."""
+        if issubclass(t, gevent.GreenletExit):
+            self.close_connection = True
+            return
+        super().handle_error(t, v, tb)
 
     def is_silent(self) -> bool:
         return self.opened_in < self.server.silenced
@@ -94,6 +124,7 @@
     handler_class = _Handler
     # Counts how often open connections were silenced.
     silenced = 0
+    connections_opened = 0
 
 
 class StandIn:
@@ -108,21 +139,27 @@
         self._host = host
         self._port = port
         self._server: _Server | None = None
+        self._listener: gevent_socket.socket | None = None
         self._forever = Event()
 
     @property
     def address(self) -> str:
         return f"{self._host}:{self._port}"
 
-    def start(self) -> StandIn:
+    @property
+    def connections_opened(self) -> int:
+        """Connections accepted since the last start."""
+        return 0 if self._server is None else self._server.connections_opened
+
+    def start(self) -> Self:
         """Listen; connections are refused before this."""
         if self._server is not None:
             return self
-        self._server = _Server(
-            (self._host, self._port), self._application, spawn=Pool(), log=None
-        )
+        listener = self._listener or self._bind()
+        listener.listen(BACKLOG)
+        self._listener = None
+        self._server = _Server(listener, self._application, spawn=Pool(), log=None)
         self._server.start()
-        self._port = self._server.server_port
         return self
 
     def stop(self) -> None:
@@ -130,6 +167,19 @@
         server, self._server = self._server, None
         if server is not None:
             server.stop(timeout=0)
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.close()
+
+    def _bind(self) -> gevent_socket.socket:
+        listener = gevent_socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit this. Without it answers wait for the
+        # delayed acknowledgement of the client, 40 ms.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        listener.bind((self._host, self._port))
+        self._port = listener.getsockname()[1]
+        return listener
 
     def set_faults(self, **changes: Any) -> None:
         """Change fault switches; raises ValueError for an unknown one."""
@@ -151,11 +201,31 @@
         """Answer one request; overridden by each stand-in."""
         raise NotImplementedError
 
+    def handle_faults(self, request: Request) -> Reply:
+        """Answer a request to read or change the fault switches."""
+        if request.method == "GET":
+            return Reply(200, self.faults.as_dict())
+        changes = request.document()
+        problem = BadFaults("not a JSON object")
+        if changes is not None:
+            problem = check_faults(changes)
+        if problem is not None:
+            return refuse(400, problem.reason)
+        # Taking the stand-in down or silencing it must not hit this answer.
+        later = {k: changes.pop(k) for k in ("down", "silent") if k in changes}
+        self.set_faults(**changes)
+        if later:
+            gevent.spawn_later(DOWN_DELAY_S, self.set_faults, **later)
+        return Reply(200, self.faults.as_dict() | later)
+
     def _follow_down(self) -> None:
-        if self.faults.down:
-            self.stop()
-        else:
+        if not self.faults.down:
             self.start()
+            return
+        self.stop()
+        # Bound but not listening: connections are refused and nobody else can
+        # take the port meanwhile.
+        self._listener = self._bind()
 
     def _application(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -170,9 +240,10 @@
             environ["PATH_INFO"],
             dict(parse_qsl(query)) if query else {},
             body,
+            environ["HTTP_TRACEPARENT"],
         )
         if request.path == "/v1/faults":
-            return _send(self._handle_faults(request), start_response)
+            return _send(self.handle_faults(request), start_response)
         reply = self._handle_with_faults(request)
         if connection.is_silent():
             self._forever.wait()
@@ -196,22 +267,6 @@
             self.faults.lose_answers = left - 1
         return True
 
-    def _handle_faults(self, request: Request) -> Reply:
-        if request.method == "GET":
-            return Reply(200, self.faults.as_dict())
-        changes = request.document()
-        problem = BadFaults("not a JSON object")
-        if changes is not None:
-            problem = check_faults(changes)
-        if problem is not None:
-            return refuse(400, problem.reason)
-        # Taking the stand-in down or silencing it must not hit this answer.
-        later = {k: changes.pop(k) for k in ("down", "silent") if k in changes}
-        self.set_faults(**changes)
-        if later:
-            gevent.spawn_later(DOWN_DELAY_S, self.set_faults, **later)
-        return Reply(200, self.faults.as_dict() | later)
-
 
 def split_path(path: str) -> list[str]:
     """Split a path into its unquoted segments after the version."""
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -83,6 +83,7 @@
     answer: bytes
     started_at: float
     lease_until: float
+    traceparent: str = ""
     ended_at: float | None = None
     status: TaskStatus = TaskStatus.RUNNING
     rate: float = 1.0
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -76,7 +76,7 @@
         if request.method != "POST" or document is None:
             return refuse(400, "expected a JSON object")
         if not action:
-            return self._start(task_id, document)
+            return self._start(task_id, document, request.traceparent)
         if action not in ACTIONS:
             return refuse(404, "not_found")
         task = self._task_by_id.get(task_id)
@@ -114,7 +114,7 @@
         for session in [s for s, at in lapse_at.items() if at <= now]:
             del lapse_at[session]
 
-    def _start(self, task_id: str, document: dict[str, Any]) -> Reply:
+    def _start(self, task_id: str, document: dict[str, Any], traceparent: str) -> Reply:
         now = time.monotonic()
         if task_id in self._task_by_id:
             return self._refuse_start("duplicate")
@@ -130,6 +130,7 @@
             return refuse(400, f"bad field: {error}")
         if not self._fits(task.amount):
             return self._refuse_start("no_capacity")
+        task.traceparent = traceparent
         self._begin(task)
         if task.ended is None:
             return self._status(task_id)
@@ -141,18 +142,24 @@
     def _read_task(self, task_id: str, document: dict[str, Any], now: float) -> Task:
         payload = b64decode(document.get("payload", ""))
         amount = Amount(**document.get("resources", {}))
+        lease_s = float(document["lease_ms"]) / 1000
+        team = document["team"]
+        if not isinstance(team, str) or lease_s <= 0:
+            raise ValueError("team must be a string and lease_ms positive")
+        if min(amount.cores, amount.memory_mb, amount.accelerators) < 0:
+            raise ValueError("resources must not be negative")
         request_id = document.get("request_id") or task_id.rpartition(".")[0]
         work = parse_work(payload, self.default_work_s)
         task = Task(
             task_id,
             request_id,
-            document["team"],
+            team,
             document.get("queue", ""),
             amount,
             work,
             payload,
             now,
-            now + float(document["lease_ms"]) / 1000,
+            now + lease_s,
             counted_at=now,
         )
         if document.get("checkpoint"):
@@ -281,6 +288,7 @@
             "request_id": task.request_id,
             "team": task.team,
             "queue": task.queue,
+            "traceparent": task.traceparent,
             "status": task.status,
             "started_at": task.started_at,
             "ended_at": task.ended_at,
