--- a/libs/standins/src/lycheeloom/standins/main.py
+++ b/libs/standins/src/lycheeloom/standins/main.py
@@ -34,13 +34,16 @@
         print(f"{arguments.settings}: valid")
         return EXIT_OK
     platform = build_platform(settings)
+    stopped = Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(signum, stopped.set)
     try:
         platform.start()
     except OSError as error:
         print(f"cannot listen: {error}", file=sys.stderr)
         return EXIT_CANNOT_LISTEN
     _announce(platform)
-    _wait_for_signal()
+    stopped.wait()
     platform.stop()
     return EXIT_OK
 
@@ -71,12 +74,5 @@
     print("event=ready", flush=True)
 
 
-def _wait_for_signal() -> None:
-    stopped = Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(signum, stopped.set)
-    stopped.wait()
-
-
 if __name__ == "__main__":
     sys.exit(main())
