--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -1,1 +1,40 @@
 """Log writer, log tail and snapshots."""
+
+from .client import LogClient
+from .outcomes import (
+    Effective,
+    NoEffect,
+    NotWritten,
+    Outcome,
+    Pending,
+    Priority,
+    Unknown,
+)
+from .recovery import RecoveryFailed, recover
+from .ring import BatchRing
+from .snapshot_reader import SnapshotReader
+from .snapshot_writer import SnapshotPolicy, SnapshotResult, SnapshotWriter
+from .tail import LogTail, Offer, Replayed
+from .writer import LogWriter
+
+__all__ = [
+    "BatchRing",
+    "Effective",
+    "LogClient",
+    "LogTail",
+    "LogWriter",
+    "NoEffect",
+    "NotWritten",
+    "Offer",
+    "Outcome",
+    "Pending",
+    "Priority",
+    "RecoveryFailed",
+    "Replayed",
+    "SnapshotPolicy",
+    "SnapshotReader",
+    "SnapshotResult",
+    "SnapshotWriter",
+    "Unknown",
+    "recover",
+]
--- /dev/null
+++ b/libs/log/src/lycheeloom/log/snapshot_writer.py
@@ -0,0 +1,119 @@
+"""Writing snapshots of the fleet state into the log."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from lycheeloom.model.records import SnapshotChunk
+
+from .outcomes import Effective, Priority
+from .snapshot import SnapshotCollector, pack_snapshot
+from .tail import LogTail, Replayed
+from .writer import LogWriter
+
+CHUNK_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotPolicy:
+    """When a new snapshot is due, counted from the last complete one.
+
+    ``retention_s`` and ``retention_batches`` are the log's; a snapshot is
+    written at 0.4 of them, so that it is complete before records reach half.
+    ``max_tail_batches`` bounds the replay of a new entry.
+    """
+
+    retention_s: float
+    retention_batches: int | None = None
+    max_tail_batches: int = 10_000
+
+    def is_due(self, age_s: float, batches: int) -> bool:
+        """Tell whether the last snapshot is too old or too far back."""
+        if batches <= 0:
+            return False
+        if age_s >= 0.4 * self.retention_s or batches >= self.max_tail_batches:
+            return True
+        kept = self.retention_batches
+        return kept is not None and batches >= 0.4 * kept
+
+
+class SnapshotResult(Enum):
+    """What a call of ``SnapshotWriter.write`` did."""
+
+    WRITTEN = "written"
+    EMPTY = "empty"
+    TORN = "torn"
+
+
+class SnapshotWriter:
+    """Writes snapshots in the process that holds the snapshot duty.
+
+    It also watches complete snapshots of other processes go by, so that a new
+    holder of the duty knows the age of the last one.
+    """
+
+    def __init__(
+        self,
+        writer: LogWriter,
+        tail: LogTail,
+        policy: SnapshotPolicy,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._writer = writer
+        self._tail = tail
+        self._policy = policy
+        self._clock = clock
+        self._collector = SnapshotCollector()
+        self.written = 0
+        self.torn = 0
+        self.covers_offset = -1
+        self._covered_at: float | None = None
+        tail.add_listener(self._on_replayed)
+
+    def is_due(self) -> bool:
+        """Tell whether a snapshot should be written now.
+
+        The age of a snapshot that was not seen being written is unknown, and it
+        counts as too old.
+        """
+        batches = self._tail.next_offset - 1 - self.covers_offset
+        if self._covered_at is None:
+            return batches > 0
+        return self._policy.is_due(self._clock() - self._covered_at, batches)
+
+    def write(self, timeout_s: float = CHUNK_TIMEOUT_S) -> SnapshotResult:
+        """Write one snapshot and wait for the replay of each chunk.
+
+        Chunks are written one at a time, so that the records of others are not
+        kept waiting behind a snapshot.
+        """
+        state = self._tail.state
+        covers = state.next_offset - 1
+        if covers < 0:
+            return SnapshotResult.EMPTY
+        snapshot_id = f"{self._writer.author}-{covers}"
+        for chunk in pack_snapshot(snapshot_id, covers, state.dump_snapshot()):
+            pending = self._writer.append(chunk, Priority.REQUEST)
+            if not isinstance(pending.wait(timeout_s), Effective):
+                self.torn += 1
+                return SnapshotResult.TORN
+        self.written += 1
+        return SnapshotResult.WRITTEN
+
+    def _on_replayed(self, replayed: Replayed) -> None:
+        for record in replayed.batch.records:
+            if isinstance(record, SnapshotChunk):
+                self._watch(record)
+
+    def _watch(self, chunk: SnapshotChunk) -> None:
+        if chunk.covers_offset <= self.covers_offset:
+            return
+        if self._collector.add(chunk).unpack() is None:
+            return
+        self.covers_offset = chunk.covers_offset
+        self._covered_at = self._clock()
+        self._collector = SnapshotCollector()
--- /dev/null
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -0,0 +1,194 @@
+"""Replay of the log into the fleet state."""
+
+from __future__ import annotations
+
+import math
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import gevent
+from loguru import logger
+
+from lycheeloom.model.records import Batch
+from lycheeloom.platform import Expired, ReadBatches, Unavailable
+from lycheeloom.state import AppliedBatch, FleetState
+from lycheeloom.wire import BadBatch, decode_batch
+
+from .backoff import Backoff
+from .client import LogClient
+from .recovery import RecoveryFailed, recover
+from .ring import BatchRing
+
+# A long poll ends well within FRESHNESS_S (1.5 s), as freshness counts from the
+# time the read was sent.
+LONG_POLL_S = 0.25
+# With several hundred appends per second every long poll would return at once;
+# pacing keeps a reader at 25 reads per second.
+READ_INTERVAL_S = 0.04
+READ_LIMIT = 1000
+# The log ends an answer at 4 MiB; one below half of that reached the log's end.
+WHOLE_ANSWER_BYTES = 2 * 1024 * 1024
+# A read on a silent connection ends early enough for a second one on a new
+# connection within FRESHNESS_S. While the log is slow the margin grows, as late
+# records are better than none.
+READ_MARGIN_S = 0.5
+LONGEST_READ_MARGIN_S = 8.0
+FIRST_RETRY_S = 0.05
+LONGEST_RETRY_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """A batch that was applied at ``offset``, as given to listeners."""
+
+    offset: int
+    batch: Batch
+    encoded: bytes
+    applied: AppliedBatch
+
+
+class Offer(Enum):
+    """What became of a batch that a peer relayed."""
+
+    APPLIED = "applied"
+    KNOWN = "known"
+    GAP = "gap"
+
+
+class LogTail:
+    """Keeps a ``FleetState`` up to date from the log and from peers.
+
+    ``state`` is replaced when the log has dropped offsets that were not read;
+    hold the tail, not the state.
+    """
+
+    def __init__(
+        self,
+        client: LogClient,
+        state: FleetState,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        ring: BatchRing | None = None,
+    ) -> None:
+        self.state = state
+        self.ring = ring or BatchRing()
+        # Send time of the last read that reached the end of the log.
+        self.last_read_sent_at = -math.inf
+        self.undecodable_batches = 0
+        self.failed_reads = 0
+        self.resets = 0
+        self._client = client
+        self._clock = clock
+        self._backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S, rng or random.Random())
+        self._listeners: list[Callable[[Replayed], None]] = []
+        self._reset_listeners: list[Callable[[FleetState], None]] = []
+        self._margin_s = READ_MARGIN_S
+        self._greenlet: gevent.Greenlet | None = None
+
+    @property
+    def next_offset(self) -> int:
+        """The offset after the last replayed batch."""
+        return self.state.next_offset
+
+    def add_listener(self, listener: Callable[[Replayed], None]) -> None:
+        """Call ``listener`` after each applied batch; it must not block."""
+        self._listeners.append(listener)
+
+    def add_reset_listener(self, listener: Callable[[FleetState], None]) -> None:
+        """Call ``listener`` after the state was replaced from a snapshot."""
+        self._reset_listeners.append(listener)
+
+    def start(self) -> None:
+        """Start the greenlet."""
+        self._greenlet = gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Stop the greenlet."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def run(self) -> None:
+        """Read and replay until stopped."""
+        while True:
+            gevent.sleep(self.step())
+
+    def step(self) -> float:
+        """Make one read and return the delay before the next, in seconds."""
+        sent_at = self._clock()
+        first = self.next_offset
+        answer = self._client.read(
+            first, READ_LIMIT, LONG_POLL_S, margin_s=self._margin_s
+        )
+        took_s = self._clock() - sent_at
+        match answer:
+            case ReadBatches():
+                self._backoff.reset()
+                self._margin_s = max(READ_MARGIN_S, 2 * (took_s - LONG_POLL_S))
+                return self._take_answer(answer, first, sent_at)
+            case Expired():
+                return self._start_again()
+            case Unavailable():
+                self.failed_reads += 1
+                if took_s >= self._margin_s:
+                    self._margin_s = min(LONGEST_READ_MARGIN_S, 2 * self._margin_s)
+        return self._backoff.next_delay_s()
+
+    def offer(self, offset: int, encoded: bytes) -> Offer:
+        """Take a batch from a peer; it is applied only at the next offset."""
+        if offset < self.next_offset:
+            return Offer.KNOWN
+        if offset > self.next_offset:
+            return Offer.GAP
+        self._apply(offset, encoded)
+        return Offer.APPLIED
+
+    def _take_answer(self, answer: ReadBatches, first: int, sent_at: float) -> float:
+        for offset, encoded in enumerate(answer.batches, answer.first):
+            # A peer may have relayed some of these batches in the meantime.
+            self.offer(offset, encoded)
+        size = sum(len(encoded) for encoded in answer.batches)
+        is_whole = len(answer.batches) < READ_LIMIT and size < WHOLE_ANSWER_BYTES
+        if not is_whole:
+            return 0.0
+        if answer.first == first:
+            self.last_read_sent_at = sent_at
+        if not answer.batches:
+            return 0.0
+        return max(0.0, sent_at + READ_INTERVAL_S - self._clock())
+
+    def _apply(self, offset: int, encoded: bytes) -> None:
+        batch = decode_batch(encoded)
+        self.ring.add(offset, encoded)
+        if isinstance(batch, BadBatch):
+            self.undecodable_batches += 1
+            self.state.skip(offset)
+            return
+        applied = self.state.apply(offset, batch)
+        replayed = Replayed(offset, batch, encoded, applied)
+        for listener in self._listeners:
+            self._notify(listener, replayed)
+
+    def _notify(self, listener: Callable, argument: object) -> None:
+        # A listener with a fault must not stop replay, on which freshness and
+        # every other listener depend.
+        try:
+            listener(argument)
+        except Exception:
+            logger.exception("event=listener_failed offset={}", self.next_offset)
+
+    def _start_again(self) -> float:
+        """Replace the state from a snapshot, as the log dropped unread offsets."""
+        recovered = recover(self._client)
+        if isinstance(recovered, RecoveryFailed):
+            self.failed_reads += 1
+            return self._backoff.next_delay_s()
+        if recovered.next_offset > self.next_offset:
+            self.state = recovered
+            self.resets += 1
+            for listener in self._reset_listeners:
+                self._notify(listener, recovered)
+        return 0.0
