--- a/libs/cluster/src/lycheeloom/cluster/__init__.py
+++ b/libs/cluster/src/lycheeloom/cluster/__init__.py
@@ -1,1 +1,19 @@
 """Peer links, membership and freshness."""
+
+from .framing import Connection, PeerConnectionError, connect
+from .freshness import FreshBy, Freshness
+from .membership import Identity, MembershipKeeper, new_incarnation
+from .mesh import PeerMesh, PeerView
+
+__all__ = [
+    "Connection",
+    "PeerConnectionError",
+    "FreshBy",
+    "Freshness",
+    "Identity",
+    "MembershipKeeper",
+    "PeerMesh",
+    "PeerView",
+    "connect",
+    "new_incarnation",
+]
--- /dev/null
+++ b/libs/cluster/src/lycheeloom/cluster/usage.py
@@ -0,0 +1,78 @@
+"""Usage of teams as exchanged between entries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lycheeloom.wire import Heartbeat, TeamUsage
+
+COMPLETE_INTERVAL_S = 10.0
+# Bounds the bytes of a heartbeat when the usage of every team changes; the
+# largest changes go first and the rest follow in the next heartbeats.
+MAX_CHANGED_TEAMS = 16
+
+
+class UsageSender:
+    """Chooses what a heartbeat to one peer tells about the local usage."""
+
+    def __init__(self) -> None:
+        self._sent: dict[str, TeamUsage] = {}
+        self._complete_at: float | None = None
+
+    def forget(self) -> None:
+        """Send a complete list next, as the peer may have missed something."""
+        self._complete_at = None
+
+    def choose(
+        self, usage: dict[str, TeamUsage], now: float
+    ) -> tuple[tuple[TeamUsage, ...], bool]:
+        """Return the teams to send and whether they are all teams in use."""
+        is_old = (
+            self._complete_at is None or now >= self._complete_at + COMPLETE_INTERVAL_S
+        )
+        if is_old:
+            self._sent = dict(usage)
+            self._complete_at = now
+            return tuple(usage.values()), True
+        changed = self._changes(usage)
+        for item in changed:
+            self._sent[item.team] = item
+        return tuple(changed), False
+
+    def _changes(self, usage: dict[str, TeamUsage]) -> list[TeamUsage]:
+        changed: list[tuple[int, TeamUsage]] = []
+        for team in usage.keys() | self._sent.keys():
+            now = usage.get(team) or TeamUsage(team, 0, 0)
+            before = self._sent.get(team) or TeamUsage(team, 0, 0)
+            if now == before:
+                continue
+            size = abs(now.running - before.running) + abs(now.queued - before.queued)
+            changed.append((size, now))
+        changed.sort(key=lambda item: (-item[0], item[1].team))
+        return [item for _, item in changed[:MAX_CHANGED_TEAMS]]
+
+
+class UsageView:
+    """What one peer said about its usage."""
+
+    def __init__(self) -> None:
+        self.usage_by_team: dict[str, TeamUsage] = {}
+        self._newest_sent_us = 0
+
+    def take(self, heartbeat: Heartbeat) -> None:
+        """Adopt a heartbeat; one that arrives late over an old connection is
+        dropped.
+        """
+        if heartbeat.sent_us <= self._newest_sent_us:
+            return
+        self._newest_sent_us = heartbeat.sent_us
+        if heartbeat.complete:
+            self.usage_by_team = _in_use(heartbeat.usage)
+            return
+        for item in heartbeat.usage:
+            self.usage_by_team.pop(item.team, None)
+        self.usage_by_team.update(_in_use(heartbeat.usage))
+
+
+def _in_use(usage: Iterable[TeamUsage]) -> dict[str, TeamUsage]:
+    return {item.team: item for item in usage if item.running or item.queued}
