--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/capacity.py
@@ -0,0 +1,78 @@
+"""Index of free capacity that finds a fitting worker in logarithmic time."""
+
+from __future__ import annotations
+
+from lycheeloom.model.resources import Resources
+
+# Leaves that must not be used; no task needs less than nothing.
+CLOSED = (-1.0, -1, -1)
+
+
+class CapacityTree:
+    """A segment tree over slots; each node keeps the maximum of each resource.
+
+    ``find(need, start)`` returns the first slot at or after ``start`` that has
+    room for ``need``, or -1. The maxima of a node may come from different
+    slots, so the search may backtrack; it stays close to logarithmic because
+    a full fleet is mostly cut off near the root.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.size = 1
+        while self.size < count:
+            self.size *= 2
+        self.nodes = [CLOSED] * (2 * self.size)
+
+    def set(self, slot: int, free: Resources | None) -> None:
+        """Set the free capacity of a slot; None closes it."""
+        node = slot + self.size
+        value = CLOSED if free is None else _as_tuple(free)
+        nodes = self.nodes
+        if nodes[node] == value:
+            return
+        nodes[node] = value
+        node //= 2
+        while node:
+            left = nodes[2 * node]
+            right = nodes[2 * node + 1]
+            value = (
+                left[0] if left[0] > right[0] else right[0],
+                left[1] if left[1] > right[1] else right[1],
+                left[2] if left[2] > right[2] else right[2],
+            )
+            if nodes[node] == value:
+                return
+            nodes[node] = value
+            node //= 2
+
+    def find(self, need: Resources, start: int = 0) -> int:
+        """Return the first fitting slot at or after ``start``, or -1."""
+        nodes = self.nodes
+        cores, memory_mb, accelerators = need.cores, need.memory_mb, need.accelerators
+        stack = [(1, 0, self.size)]
+        while stack:
+            node, low, width = stack.pop()
+            if low + width <= start:
+                continue
+            free = nodes[node]
+            if free[0] < cores or free[1] < memory_mb or free[2] < accelerators:
+                continue
+            if width == 1:
+                return low
+            half = width // 2
+            stack.append((2 * node + 1, low + half, half))
+            stack.append((2 * node, low, half))
+        return -1
+
+    def may_fit(self, need: Resources) -> bool:
+        """Tell whether some slot may have room; cheap and never wrong on no."""
+        free = self.nodes[1]
+        return (
+            need.cores <= free[0]
+            and need.memory_mb <= free[1]
+            and need.accelerators <= free[2]
+        )
+
+
+def _as_tuple(free: Resources) -> tuple[float, int, int]:
+    return (free.cores, free.memory_mb, free.accelerators)
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -0,0 +1,230 @@
+"""Fills free capacity with queued tasks in the order of the teams' levels."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Mapping
+
+from lycheeloom.model.resources import Resources
+
+from .holds import Holds
+from .lanes import Lane
+from .reservations import Reservations
+from .state import SchedulerState
+from .tasks import Decision, Task, TaskRecord
+from .workers import Worker
+
+# Capacity is left to a peer's team only if that team is lower by this part of
+# a fair share; entries know each other's usage only up to a heartbeat ago.
+HOLD_MARGIN = 0.10
+# Everything is tried again this often, so that nothing waits on a missed cause.
+SWEEP_S = 1.0
+
+LanesByTeam = Mapping[str, Mapping[str, Lane]]
+Placer = Callable[[TaskRecord, Resources], Worker | None]
+
+
+class Filler:
+    """Starts queued tasks.
+
+    A pool serves its own queues first. What they leave goes to other queues,
+    from spare pools first, then from other pools. Batch work comes after
+    interactive work.
+    """
+
+    def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
+        self._state = state
+        self._reservations = reservations
+        self._holds = Holds()
+        self._next_sweep_at = 0.0
+
+    def fill(self, now: float) -> list[Decision]:
+        """Return the starts that use the capacity freed since the last call."""
+        state = self._state
+        freed = state.workers.freed_pools
+        fresh = state.queues.fresh_lanes
+        if now >= self._next_sweep_at:
+            self._next_sweep_at = now + SWEEP_S
+            freed = freed | set(state.config.pool_by_id)
+            for lane in state.queues.active_lanes():
+                fresh[lane.team, lane.queue] = lane
+        if not freed and not fresh:
+            return []
+        state.workers.freed_pools = set()
+        state.queues.fresh_lanes = {}
+        decisions: list[Decision] = []
+        for yielding in (False, True):
+            self._fill_own(freed, fresh, yielding, now, decisions)
+            self._lend(freed, fresh, yielding, now, decisions)
+        # Starts refresh workers, which marks their pools as freed again.
+        state.workers.freed_pools = set()
+        return decisions
+
+    def _fill_own(
+        self,
+        freed: set[str],
+        fresh: Mapping[tuple[str, str], Lane],
+        yielding: bool,
+        now: float,
+        decisions: list[Decision],
+    ) -> None:
+        state = self._state
+        pools = set(freed)
+        for _, queue in fresh:
+            pools.add(state.queues.home_pool(queue))
+        for pool in sorted(pools):
+            if self._is_spare(pool) or not state.workers.has_room(pool):
+                continue
+            lanes = state.queues.lanes_by_team(pool)
+            self._fill_pool(pool, lanes, yielding, now, decisions)
+
+    def _lend(
+        self,
+        freed: set[str],
+        fresh: dict[tuple[str, str], Lane],
+        yielding: bool,
+        now: float,
+        decisions: list[Decision],
+    ) -> None:
+        """Give spare pools, then what pools leave, to lanes of any queue."""
+        state = self._state
+        fresh_lanes: dict[str, dict[str, Lane]] = {}
+        for (team, queue), lane in fresh.items():
+            if lane.count:
+                fresh_lanes.setdefault(team, {})[queue] = lane
+        if not fresh_lanes and not freed:
+            return
+        order = sorted(state.config.pool_by_id, key=lambda p: not self._is_spare(p))
+        for pool in order:
+            if pool not in freed and not fresh_lanes:
+                continue
+            if not state.workers.has_room(pool):
+                continue
+            if not self._is_spare(pool) and self._kept_for_peers(pool, now):
+                continue
+            lanes = fresh_lanes
+            if pool in freed:
+                lanes = state.queues.all_lanes_by_team()
+            self._fill_pool(pool, lanes, yielding, now, decisions)
+
+    def _kept_for_peers(self, pool: str, now: float) -> bool:
+        """Tell whether peers have work queued that the pool itself serves."""
+        state = self._state
+        for queue, queued in state.peer_queued_by_queue.items():
+            if queued and state.queues.home_pool(queue) == pool:
+                return self._holds.active(f"lend/{pool}", now)
+        self._holds.satisfied(f"lend/{pool}")
+        return False
+
+    def _fill_pool(
+        self,
+        pool: str,
+        lanes_by_team: LanesByTeam,
+        yielding: bool,
+        now: float,
+        decisions: list[Decision],
+    ) -> None:
+        state = self._state
+        heap = [
+            (state.shares.level(team), team)
+            for team in lanes_by_team
+            if state.may_run(team)
+        ]
+        if not heap:
+            return
+        heapq.heapify(heap)
+        peer_level = self._lowest_peer_level(pool, lanes_by_team)
+        failed: dict[tuple, TaskRecord] = {}
+        while heap:
+            level, team = heap[0]
+            if peer_level is not None and level[0] > peer_level:
+                if self._holds.active(f"share/{pool}", now):
+                    return
+                peer_level = None
+            lanes = lanes_by_team.get(team)
+            decision = None
+            if lanes:
+                decision = self._start_one(lanes, pool, yielding, now, failed)
+            if decision is None:
+                heapq.heappop(heap)
+                continue
+            decisions.append(decision)
+            if not state.workers.has_room(pool):
+                return
+            if state.may_run(team):
+                heapq.heapreplace(heap, (state.shares.level(team), team))
+            else:
+                heapq.heappop(heap)
+
+    def _start_one(
+        self,
+        lanes: Mapping[str, Lane],
+        pool: str,
+        yielding: bool,
+        now: float,
+        failed: dict[tuple, TaskRecord],
+    ) -> Decision | None:
+        """Start the oldest task of a team that fits, if there is one."""
+        state = self._state
+        for lane in _by_age(lanes):
+            if state.queues.lane_yields(lane, now) != yielding:
+                continue
+            for size_class, record in lane.heads():
+                key = (lane.team, lane.queue, size_class)
+                if key in failed:
+                    continue
+                need = state.need(record.task, pool)
+                worker = self._place(record, need, pool, now)
+                if worker is None:
+                    failed[key] = record
+                    continue
+                for passed in failed.values():
+                    if passed.passed_over_at is None:
+                        passed.passed_over_at = now
+                state.queues.take(lane, size_class)
+                return state.start(record, worker, need, now)
+        return None
+
+    def _place(
+        self, record: TaskRecord, need: Resources, pool: str, now: float
+    ) -> Worker | None:
+        task: Task = record.task
+        excluded = self._state.excluded(record, now)
+        worker = self._state.workers.place(need, pool, task.queue, excluded)
+        if worker is not None:
+            return worker
+        return self._reservations.backfill(task, need, pool, excluded, now)
+
+    def _lowest_peer_level(self, pool: str, lanes_by_team: LanesByTeam) -> float | None:
+        """Return the level above which capacity is left to peers' teams."""
+        state = self._state
+        lowest: float | None = None
+        for team, queues in state.peer_queues_by_team.items():
+            if team in lanes_by_team:
+                continue
+            if not any(state.queues.home_pool(queue) == pool for queue in queues):
+                continue
+            level = state.shares.level(team)[0]
+            if lowest is None or level < lowest:
+                lowest = level
+        if lowest is None:
+            self._holds.satisfied(f"share/{pool}")
+            return None
+        return lowest + state.shares.margin(HOLD_MARGIN)
+
+    def _is_spare(self, pool: str) -> bool:
+        settings = self._state.config.pool_by_id.get(pool)
+        return settings is not None and settings.spare
+
+
+def _by_age(lanes: Mapping[str, Lane]) -> list[Lane]:
+    """Order a team's lanes by their oldest task."""
+    if len(lanes) == 1:
+        return list(lanes.values())
+    aged = []
+    for lane in lanes.values():
+        oldest = lane.oldest()
+        if oldest is not None:
+            aged.append((oldest.sequence, lane))
+    aged.sort(key=lambda item: item[0])
+    return [lane for _, lane in aged]
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/lanes.py
@@ -0,0 +1,100 @@
+"""Queued tasks, kept per team and queue and per size class."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterator
+
+from lycheeloom.model.resources import Resources
+
+from .tasks import TaskRecord, TaskState
+
+SizeClass = tuple[int, int, int]
+
+
+def size_class(resources: Resources) -> SizeClass:
+    """Group sizes by powers of two, so that a lane has few classes."""
+    return (
+        math.ceil(math.log2(resources.cores)) if resources.cores > 0 else -99,
+        max(resources.memory_mb - 1, 0).bit_length(),
+        resources.accelerators.bit_length(),
+    )
+
+
+class Lane:
+    """The queued tasks of one team on one queue.
+
+    Tasks of one size class start in the order of submission. A smaller class
+    may pass a larger one that does not fit anywhere.
+    """
+
+    def __init__(self, team: str, queue: str) -> None:
+        self.team = team
+        self.queue = queue
+        self.count = 0
+        self._records_by_class: dict[SizeClass, deque[TaskRecord]] = {}
+
+    def append(self, record: TaskRecord) -> bool:
+        """Add a record; tell whether its class was empty before."""
+        records = self._class_of(record)
+        while records and records[0].state is not TaskState.QUEUED:
+            records.popleft()
+        records.append(record)
+        self.count += 1
+        return len(records) == 1
+
+    def append_first(self, record: TaskRecord) -> None:
+        """Put back a record that had left the queue already."""
+        self._class_of(record).appendleft(record)
+        self.count += 1
+
+    def remove(self, record: TaskRecord) -> None:
+        """Take out a record in constant time; its place is dropped later."""
+        record.state = TaskState.ENDED
+        self.count -= 1
+
+    def heads(self) -> list[tuple[SizeClass, TaskRecord]]:
+        """Return the oldest record of each class, the oldest first."""
+        heads = []
+        for key in list(self._records_by_class):
+            record = self._head(key)
+            if record is not None:
+                heads.append((key, record))
+        if len(heads) > 1:
+            heads.sort(key=_age)
+        return heads
+
+    def take(self, key: SizeClass) -> TaskRecord:
+        """Remove and return the oldest record of a class."""
+        record = self._records_by_class[key].popleft()
+        self.count -= 1
+        return record
+
+    def oldest(self) -> TaskRecord | None:
+        """Return the record that has waited longest."""
+        heads = self.heads()
+        return heads[0][1] if heads else None
+
+    def __iter__(self) -> Iterator[TaskRecord]:
+        for records in self._records_by_class.values():
+            for record in records:
+                if record.state is TaskState.QUEUED:
+                    yield record
+
+    def _class_of(self, record: TaskRecord) -> deque[TaskRecord]:
+        key = size_class(record.task.resources)
+        return self._records_by_class.setdefault(key, deque())
+
+    def _head(self, key: SizeClass) -> TaskRecord | None:
+        records = self._records_by_class[key]
+        while records and records[0].state is not TaskState.QUEUED:
+            records.popleft()
+        if records:
+            return records[0]
+        del self._records_by_class[key]
+        return None
+
+
+def _age(item: tuple[SizeClass, TaskRecord]) -> int:
+    return item[1].sequence
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/outages.py
@@ -0,0 +1,45 @@
+"""Recognises the loss of a rack as one event instead of many."""
+
+from __future__ import annotations
+
+from .events import RackLost
+from .state import SchedulerState
+from .workers import Worker
+
+# Workers of a rack that go within this time have gone together.
+TOGETHER_S = 10.0
+
+
+class Outages:
+    """Follows which workers are unavailable, by rack."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        self._state = state
+        self._down_at_by_rack: dict[str, dict[str, float]] = {}
+        self._lost_racks: set[str] = set()
+
+    def observe(self, worker: Worker, available: bool, now: float) -> RackLost | None:
+        """Follow one worker; return an event when its whole rack is lost."""
+        down = self._down_at_by_rack.setdefault(worker.rack, {})
+        if available:
+            down.pop(worker.id, None)
+            self._lost_racks.discard(worker.rack)
+            return None
+        down.setdefault(worker.id, now)
+        if worker.rack in self._lost_racks:
+            return None
+        members = [
+            other.id
+            for other in self._state.workers.worker_by_id.values()
+            if other.rack == worker.rack
+        ]
+        if len(members) < 2 or any(member not in down for member in members):
+            return None
+        if now - min(down[member] for member in members) > TOGETHER_S:
+            return None
+        self._lost_racks.add(worker.rack)
+        return RackLost(now, worker.rack, tuple(sorted(members)))
+
+    def rack_is_lost(self, rack: str) -> bool:
+        """Tell whether all workers of the rack are unavailable together."""
+        return rack in self._lost_racks
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -0,0 +1,142 @@
+"""Finds workers that fail every task, without blaming them for bad tasks."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+# Failures in a row, of different tasks, that put a worker on probation.
+FAILURES_IN_A_ROW = 3
+FIRST_BACKOFF_S = 2.0
+MAX_BACKOFF_S = 120.0
+# Trials that must succeed in a row before a worker is used fully again.
+TRIALS_TO_RETURN = 2
+# Recent outcomes kept per team and queue.
+WINDOW_OUTCOMES = 50
+# A team's queue that fails this often on other workers is itself at fault.
+BAD_GROUP_RATE = 0.5
+REMEMBERED_TASKS = 5_000
+
+Group = tuple[str, str]
+
+
+@dataclass(slots=True)
+class _Record:
+    failed_tasks: list[str] = field(default_factory=list)
+    on_probation: bool = False
+    backoff_s: float = FIRST_BACKOFF_S
+    next_trial_at: float = 0.0
+    trial_task: str = ""
+    good_trials: int = 0
+
+
+class Probation:
+    """Keeps outcomes per worker and per team and queue."""
+
+    def __init__(self) -> None:
+        self._record_by_worker: dict[str, _Record] = {}
+        self._outcomes_by_group: dict[Group, deque[tuple[str, bool]]] = {}
+        self._workers_by_failed_task: OrderedDict[str, set[str]] = OrderedDict()
+
+    def on_probation(self, worker: str) -> bool:
+        """Tell whether the worker only gets trials."""
+        record = self._record_by_worker.get(worker)
+        return record is not None and record.on_probation
+
+    def may_try(self, worker: str, now: float) -> bool:
+        """Tell whether a worker on probation may get a trial task now."""
+        record = self._record_by_worker[worker]
+        return not record.trial_task and now >= record.next_trial_at
+
+    def trial_started(self, worker: str, task_id: str) -> None:
+        """Note the only task that runs on a worker on probation."""
+        self._record_by_worker[worker].trial_task = task_id
+
+    def done(self, worker: str, task_id: str, group: Group) -> bool:
+        """Count a success; tell whether the worker leaves probation."""
+        self._outcomes(group).append((worker, True))
+        record = self._record_by_worker.get(worker)
+        if record is None:
+            return False
+        if not record.on_probation:
+            record.failed_tasks.clear()
+            return False
+        if record.trial_task != task_id:
+            return False
+        record.trial_task = ""
+        record.good_trials += 1
+        if record.good_trials < TRIALS_TO_RETURN:
+            return False
+        del self._record_by_worker[worker]
+        return True
+
+    def failed(self, worker: str, task_id: str, group: Group, now: float) -> bool:
+        """Count a failure; tell whether the worker enters probation now."""
+        self._outcomes(group).append((worker, False))
+        record = self._record_by_worker.setdefault(worker, _Record())
+        if self._task_at_fault(task_id, worker):
+            self.abandoned(worker, task_id)
+            return False
+        if record.on_probation:
+            self._trial_failed(record, task_id, now)
+            return False
+        if self._group_at_fault(group, worker):
+            return False
+        if task_id not in record.failed_tasks:
+            record.failed_tasks.append(task_id)
+        if len(record.failed_tasks) < FAILURES_IN_A_ROW:
+            return False
+        record.on_probation = True
+        record.next_trial_at = now + record.backoff_s
+        return True
+
+    def abandoned(self, worker: str, task_id: str) -> None:
+        """Forget a trial that ended without saying anything on the worker."""
+        record = self._record_by_worker.get(worker)
+        if record is not None and record.trial_task == task_id:
+            record.trial_task = ""
+
+    def rebooted(self, worker: str) -> None:
+        """Allow a trial at once after a reboot."""
+        record = self._record_by_worker.get(worker)
+        if record is None:
+            return
+        record.failed_tasks.clear()
+        record.trial_task = ""
+        record.backoff_s = FIRST_BACKOFF_S
+        record.next_trial_at = 0.0
+
+    def _trial_failed(self, record: _Record, task_id: str, now: float) -> None:
+        record.good_trials = 0
+        if record.trial_task == task_id:
+            record.trial_task = ""
+            record.backoff_s = min(MAX_BACKOFF_S, record.backoff_s * 2)
+            record.next_trial_at = now + record.backoff_s
+
+    def _task_at_fault(self, task_id: str, worker: str) -> bool:
+        """Tell whether the task failed elsewhere too; then clear the others."""
+        workers = self._workers_by_failed_task.setdefault(task_id, set())
+        workers.add(worker)
+        if len(self._workers_by_failed_task) > REMEMBERED_TASKS:
+            self._workers_by_failed_task.popitem(last=False)
+        others = [w for w in workers if w != worker and not self.on_probation(w)]
+        if not others:
+            return False
+        for other in others:
+            record = self._record_by_worker.get(other)
+            if record is not None and task_id in record.failed_tasks:
+                record.failed_tasks.remove(task_id)
+        return True
+
+    def _group_at_fault(self, group: Group, worker: str) -> bool:
+        elsewhere = [
+            good
+            for name, good in self._outcomes(group)
+            if name != worker and not self.on_probation(name)
+        ]
+        if len(elsewhere) < FAILURES_IN_A_ROW:
+            return False
+        return elsewhere.count(False) >= BAD_GROUP_RATE * len(elsewhere)
+
+    def _outcomes(self, group: Group) -> deque[tuple[str, bool]]:
+        return self._outcomes_by_group.setdefault(group, deque(maxlen=WINDOW_OUTCOMES))
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -0,0 +1,177 @@
+"""All lanes, indexed by the pool that serves them, with strict bounds."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+
+from lycheeloom.model.config import FleetConfig, QueueKind
+
+from .lanes import Lane
+from .tasks import TaskRecord, TaskState
+
+# A queued batch task older than this is served like an interactive one.
+BATCH_AGE_S = 600.0
+
+
+class Queues:
+    """The queued tasks of this entry."""
+
+    def __init__(self) -> None:
+        self.urgent: dict[str, TaskRecord] = {}
+        # Lanes in which a task may start that could not be tried before.
+        self.fresh_lanes: dict[tuple[str, str], Lane] = {}
+        self.count_by_team: Counter[str] = Counter()
+        self._count_by_queue: Counter[str] = Counter()
+        self._lane_by_key: dict[tuple[str, str], Lane] = {}
+        # Only lanes with queued tasks: pool, then team, then queue.
+        self._active: dict[str, dict[str, dict[str, Lane]]] = {}
+        self._active_by_team: dict[str, dict[str, Lane]] = {}
+        self._config = FleetConfig()
+
+    def set_config(self, config: FleetConfig) -> None:
+        """Take over queues; lanes move to the pool that now serves them."""
+        self._config = config
+        self._active = {}
+        self._active_by_team = {}
+        for lane in self._lane_by_key.values():
+            if lane.count:
+                self._activate(lane)
+
+    def has_space(self, team: str, queue: str) -> bool:
+        """Tell whether the queue takes one more task of the team.
+
+        No queue exceeds its bound. Half of it is divided equally between the
+        teams, so that one team cannot make the queue refuse all others.
+        """
+        settings = self._config.queue_by_id[queue]
+        total = self._count_by_queue[queue]
+        if total >= settings.max_queued:
+            return False
+        teams = settings.teams
+        if total < settings.max_queued // 2 or team not in teams:
+            return True
+        kept = settings.max_queued // (2 * len(teams))
+        if self.queued(team, queue) < kept:
+            return True
+        owed = sum(
+            max(0, kept - self.queued(other, queue)) for other in teams if other != team
+        )
+        return total + owed < settings.max_queued
+
+    def add(self, record: TaskRecord, first: bool = False) -> None:
+        """Queue a task, or put it back in front."""
+        task = record.task
+        record.state = TaskState.QUEUED
+        self.count_by_team[task.team] += 1
+        self._count_by_queue[task.queue] += 1
+        if task.urgent:
+            self.urgent[task.id] = record
+            return
+        key = (task.team, task.queue)
+        lane = self._lane_by_key.get(key)
+        if lane is None:
+            lane = self._lane_by_key[key] = Lane(*key)
+        if first:
+            lane.append_first(record)
+            self.fresh_lanes[key] = lane
+        elif lane.append(record):
+            self.fresh_lanes[key] = lane
+        if lane.count == 1:
+            self._activate(lane)
+
+    def discard(self, record: TaskRecord) -> None:
+        """Take out a queued task in constant time."""
+        self._uncount(record)
+        if self.urgent.pop(record.task.id, None) is not None:
+            record.state = TaskState.ENDED
+            return
+        lane = self._lane_by_key[record.task.team, record.task.queue]
+        lane.remove(record)
+        if not lane.count:
+            self._deactivate(lane)
+
+    def take_urgent(self, record: TaskRecord) -> None:
+        """Take out an urgent task that starts."""
+        self._uncount(record)
+        del self.urgent[record.task.id]
+
+    def take(self, lane: Lane, key: tuple[int, int, int]) -> TaskRecord:
+        """Take out the oldest task of a size class, which starts."""
+        record = lane.take(key)
+        self._uncount(record)
+        if not lane.count:
+            self._deactivate(lane)
+        return record
+
+    def take_record(self, record: TaskRecord) -> None:
+        """Take out any queued task, which starts."""
+        if record.task.urgent:
+            self.take_urgent(record)
+            return
+        self.discard(record)
+
+    def mark_team_fresh(self, team: str) -> None:
+        """Try all lanes of a team again, as it may run more than before."""
+        for lane in self._active_by_team.get(team, {}).values():
+            self.fresh_lanes[team, lane.queue] = lane
+
+    def active_lanes(self) -> Iterator[Lane]:
+        """Return all lanes with queued tasks."""
+        for lanes in self._active_by_team.values():
+            yield from lanes.values()
+
+    def lanes_by_team(self, pool: str) -> dict[str, dict[str, Lane]]:
+        """Return the non-empty lanes whose queue is served by the pool."""
+        return self._active.get(pool, {})
+
+    def all_lanes_by_team(self) -> dict[str, dict[str, Lane]]:
+        """Return all non-empty lanes."""
+        return self._active_by_team
+
+    def home_pool(self, queue: str) -> str:
+        """Return the pool that serves a queue, or nothing if it is gone."""
+        settings = self._config.queue_by_id.get(queue)
+        return settings.pool if settings is not None else ""
+
+    def yields(self, record: TaskRecord, now: float) -> bool:
+        """Tell whether a task is batch work that is not old yet."""
+        settings = self._config.queue_by_id.get(record.task.queue)
+        if settings is None or settings.kind is not QueueKind.BATCH:
+            return False
+        return now - record.queued_at < BATCH_AGE_S
+
+    def lane_yields(self, lane: Lane, now: float) -> bool:
+        """Tell whether a lane only uses capacity that others leave."""
+        settings = self._config.queue_by_id.get(lane.queue)
+        if settings is None or settings.kind is not QueueKind.BATCH:
+            return False
+        oldest = lane.oldest()
+        return oldest is not None and self.yields(oldest, now)
+
+    def queued(self, team: str, queue: str) -> int:
+        """Return the number of queued tasks of a team on a queue."""
+        lane = self._lane_by_key.get((team, queue))
+        return lane.count if lane is not None else 0
+
+    def _uncount(self, record: TaskRecord) -> None:
+        self.count_by_team[record.task.team] -= 1
+        self._count_by_queue[record.task.queue] -= 1
+
+    def _activate(self, lane: Lane) -> None:
+        teams = self._active.setdefault(self.home_pool(lane.queue), {})
+        teams.setdefault(lane.team, {})[lane.queue] = lane
+        self._active_by_team.setdefault(lane.team, {})[lane.queue] = lane
+
+    def _deactivate(self, lane: Lane) -> None:
+        self.fresh_lanes.pop((lane.team, lane.queue), None)
+        pool = self.home_pool(lane.queue)
+        _remove(self._active.get(pool, {}), lane)
+        _remove(self._active_by_team, lane)
+
+
+def _remove(lanes_by_team: dict[str, dict[str, Lane]], lane: Lane) -> None:
+    lanes = lanes_by_team.get(lane.team, {})
+    lanes.pop(lane.queue, None)
+    if not lanes:
+        lanes_by_team.pop(lane.team, None)
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -0,0 +1,364 @@
+"""The scheduler of one entry: pure decisions, with the time passed in."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+
+from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.resources import Resources
+from lycheeloom.model.verdict import Refusal, RefusalReason
+
+from .admission import Admission
+from .events import (
+    FleetEvent,
+    TaskEvent,
+    TeamEvent,
+    WorkerOnProbation,
+    WorkerReturned,
+    ZoneChanged,
+)
+from .explain import explain_task, explain_team
+from .filler import Filler
+from .outages import Outages
+from .reclaim import Reclaim
+from .reservations import Reservations
+from .state import SchedulerState
+from .tasks import (
+    Accepted,
+    Decision,
+    Expire,
+    Held,
+    Outcome,
+    Task,
+    TaskRecord,
+    TaskState,
+    TeamUsage,
+    UsageReport,
+)
+from .trials import Trials
+from .urgent import Urgent
+from .workers import WorkerTable
+
+
+class Scheduler:
+    """Decides which queued task starts next and where.
+
+    The entry daemon tells it what happens and carries out the decisions:
+
+        scheduler = Scheduler(config, seed=1)
+        scheduler.set_grants({"search": 10})
+        scheduler.observe_worker("w1", True, None, "boot-1", now=0.0)
+        scheduler.submit(Task("t1", "search", "lookups"), now=0.0)
+        for decision in scheduler.next_starts(now=0.0):
+            match decision:
+                case Start(task, worker): ...
+
+    All times are seconds of one monotonic clock.
+    """
+
+    def __init__(self, config: FleetConfig, seed: int) -> None:
+        state = SchedulerState(WorkerTable(seed))
+        self._state = state
+        self._admission = Admission(state)
+        self._reservations = Reservations(state)
+        self._filler = Filler(state, self._reservations)
+        self._urgent = Urgent(state, self._reservations)
+        self._reclaim = Reclaim(state)
+        self._trials = Trials(state)
+        self._outages = Outages(state)
+        self._deadlines: list[tuple[float, str]] = []
+        self._pending: list[Decision] = []
+        self._now = 0.0
+        self.set_config(config, 0.0)
+
+    # What the fleet looks like.
+
+    def set_config(self, config: FleetConfig, now: float) -> None:
+        """Take over a configuration; zones that are out get no start at once."""
+        state = self._state
+        self._now = now
+        state.config = config
+        state.shares.set_config(config, now)
+        gone, back = state.workers.set_config(config, now)
+        state.queues.set_config(config)
+        self._refuse_disallowed(now)
+        for zone in sorted(gone | back):
+            state.fleet_events.append(ZoneChanged(now, zone, zone in gone))
+        if gone:
+            self._pending.extend(self._reclaim.evacuate(gone, now))
+        for lane in state.queues.active_lanes():
+            state.queues.fresh_lanes[lane.team, lane.queue] = lane
+
+    def set_pool_by_instance(self, mapping: Mapping[str, str]) -> None:
+        """Take over the actual pool of each worker, known from replay."""
+        self._state.workers.set_pool_by_instance(mapping, self._now)
+
+    def observe_worker(
+        self,
+        worker_id: str,
+        available: bool,
+        free: Resources | None,
+        boot_id: str,
+        now: float,
+    ) -> None:
+        """Take over what a worker reported; ``free`` is None if not known."""
+        self._now = now
+        state = self._state
+        worker = state.workers.worker_by_id.get(worker_id)
+        if worker is None:
+            return
+        if boot_id and boot_id != worker.boot_id:
+            if worker.boot_id:
+                state.probation.rebooted(worker_id)
+            worker.boot_id = boot_id
+        if available != worker.available:
+            event = self._outages.observe(worker, available, now)
+            if event is not None:
+                state.fleet_events.append(event)
+        state.workers.observe(worker, available, free, now)
+
+    def set_grants(self, slots_by_team: Mapping[str, int]) -> None:
+        """Set the running slots that this entry may use for each team."""
+        state = self._state
+        before = state.grant_by_team
+        state.grant_by_team = dict(slots_by_team)
+        for team, slots in slots_by_team.items():
+            if slots > before.get(team, 0):
+                state.queues.mark_team_fresh(team)
+
+    def set_peer_usage(
+        self,
+        usage_by_peer: Mapping[str, Mapping[str, TeamUsage]],
+        reserved_workers: Iterable[str] = (),
+    ) -> None:
+        """Take over the usage of all peers and the workers they reserve."""
+        state = self._state
+        state.shares.set_peer_usage(usage_by_peer, self._now)
+        state.workers.set_reserved_by_peers(reserved_workers, self._now)
+        queued: Counter[str] = Counter()
+        queues_by_team: dict[str, set[str]] = {}
+        for usage_by_team in usage_by_peer.values():
+            for team, usage in usage_by_team.items():
+                for queue, count in usage.queued_by_queue.items():
+                    if count:
+                        queued[queue] += count
+                        queues_by_team.setdefault(team, set()).add(queue)
+        state.peer_queued_by_queue = queued
+        state.peer_queues_by_team = queues_by_team
+
+    def observe_usage(self, reports: Iterable[UsageReport], now: float) -> None:
+        """Learn from lagged usage reports, and make room for larger tasks."""
+        self._now = now
+        for report in reports:
+            record = self._state.record_by_id.get(report.task_id)
+            if record is not None and record.state is TaskState.RUNNING:
+                self._grow(record, report.peak, now)
+            self._state.sizes.observe(report)
+
+    # Tasks.
+
+    def submit(self, task: Task, now: float) -> Accepted | Held | Refusal:
+        """Queue a task or refuse it; a repeated id is accepted once."""
+        self._now = now
+        if task.id in self._state.record_by_id:
+            return Accepted()
+        verdict = self._admission.check(task, now)
+        match verdict:
+            case Refusal(reason, message):
+                self._state.refused(task, reason.value, message, now)
+                return verdict
+            case Held(message):
+                self._state.enqueue(task, now, f"held, {message}")
+            case Accepted():
+                self._state.enqueue(task, now, "accepted")
+        if task.deadline is not None:
+            heapq.heappush(self._deadlines, (task.deadline, task.id))
+        return verdict
+
+    def cancel(self, task_ids: Iterable[str], now: float) -> tuple[str, ...]:
+        """Drop queued tasks; return those that certainly will not run.
+
+        Running tasks are not touched: the caller cancels them at the worker.
+        """
+        self._now = now
+        state = self._state
+        cancelled = []
+        for task_id in task_ids:
+            record = state.record_by_id.get(task_id)
+            if record is None or record.state is TaskState.RUNNING:
+                continue
+            if record.state is TaskState.QUEUED:
+                state.queues.discard(record)
+            state.forget(record, "cancelled before it ran", now)
+            cancelled.append(task_id)
+        return tuple(cancelled)
+
+    def next_starts(self, now: float) -> Sequence[Decision]:
+        """Return all decisions that can be made at this time."""
+        self._now = now
+        state = self._state
+        state.workers.tick(now)
+        decisions: list[Decision] = self._pending
+        self._pending = []
+        decisions.extend(self._expire(now))
+        decisions.extend(self._reservations.start_ready(now))
+        decisions.extend(self._urgent.place(now))
+        decisions.extend(self._trials.start(now))
+        self._reservations.scan(now)
+        decisions.extend(self._filler.fill(now))
+        decisions.extend(self._reclaim.scan(now))
+        return decisions
+
+    def finished(self, task_id: str, outcome: Outcome, now: float) -> None:
+        """Release a started task.
+
+        A task refused by its worker waits for ``requeue``; one stopped by a
+        checkpoint is queued again; any other leaves the scheduler.
+        """
+        self._now = now
+        state = self._state
+        record = state.record_by_id.get(task_id)
+        if record is None or record.state is not TaskState.RUNNING:
+            return
+        state.release(record, now)
+        self._judge_worker(record, outcome, now)
+        if outcome is Outcome.REFUSED_BY_WORKER:
+            record.state = TaskState.PARKED
+            return
+        if outcome is Outcome.STOPPED and record.checkpointing:
+            state.enqueue_again(record, now, "checkpointed", frozenset())
+            return
+        state.forget(record, outcome.value, now)
+
+    def requeue(self, task_id: str, excluded_worker: str) -> None:
+        """Queue a task again that a worker refused without running it."""
+        state = self._state
+        record = state.record_by_id.get(task_id)
+        if record is None:
+            return
+        if record.state is TaskState.RUNNING:
+            self.finished(task_id, Outcome.REFUSED_BY_WORKER, self._now)
+        if record.state is not TaskState.PARKED:
+            return
+        why = f"refused by worker {excluded_worker}"
+        state.enqueue_again(record, self._now, why, frozenset({excluded_worker}))
+
+    # What other parts of the entry ask.
+
+    def demand_by_team(self) -> dict[str, int]:
+        """Return running plus queued tasks per team, for asking for grants."""
+        state = self._state
+        demand = {t: n for t, n in state.queues.count_by_team.items() if n}
+        for team in state.shares.teams():
+            running = state.shares.running(team)
+            if running:
+                demand[team] = demand.get(team, 0) + running
+        return demand
+
+    def usage_by_team(self) -> dict[str, TeamUsage]:
+        """Return what this entry tells its peers."""
+        state = self._state
+        usage = {}
+        for team in self.demand_by_team():
+            queued_by_queue = {}
+            if state.may_run(team):
+                lanes = state.queues.all_lanes_by_team().get(team, {})
+                queued_by_queue = {queue: lane.count for queue, lane in lanes.items()}
+            usage[team] = TeamUsage(
+                state.shares.running_resources(team),
+                state.queues.count_by_team[team],
+                queued_by_queue,
+            )
+        return usage
+
+    def reserved_workers(self) -> tuple[str, ...]:
+        """Return the workers that peers should leave free for this entry."""
+        return self._reservations.worker_ids()
+
+    def explain(self, task_id: str) -> tuple[TaskEvent, ...]:
+        """Return what happened to a task and why it waits, oldest first."""
+        return explain_task(self._state, task_id, self._now)
+
+    def explain_team(self, team: str) -> tuple[TeamEvent, ...]:
+        """Return where a team stands and its latest refusals."""
+        return explain_team(self._state, team, self._now)
+
+    def fleet_events(self) -> tuple[FleetEvent, ...]:
+        """Return the latest events of workers, racks and zones."""
+        return tuple(self._state.fleet_events)
+
+    # Steps of the above.
+
+    def _expire(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, task_id = heapq.heappop(self._deadlines)
+            record = self._state.record_by_id.get(task_id)
+            if record is None or record.task.deadline != deadline:
+                continue
+            if record.state is TaskState.RUNNING:
+                continue
+            if record.state is TaskState.QUEUED:
+                self._state.queues.discard(record)
+            message = "the task could not start before its deadline"
+            refusal = Refusal(RefusalReason.DEADLINE, message)
+            self._state.refused(record.task, refusal.reason.value, message, now)
+            self._state.forget(record, "deadline passed before it ran", now)
+            decisions.append(Expire(record.task, refusal))
+        return decisions
+
+    def _refuse_disallowed(self, now: float) -> None:
+        """Refuse queued tasks whose queue is gone or closed to their team."""
+        state = self._state
+        for record in list(state.record_by_id.values()):
+            if record.state is TaskState.RUNNING:
+                continue
+            refusal = self._admission.check_allowed(record.task)
+            if refusal is None:
+                continue
+            if record.state is TaskState.QUEUED:
+                state.queues.discard(record)
+            state.forget(record, "no longer allowed", now)
+            self._pending.append(Expire(record.task, refusal))
+
+    def _grow(self, record: TaskRecord, peak: Resources, now: float) -> None:
+        need = record.need
+        extra = Resources(
+            max(0.0, peak.cores - need.cores),
+            max(0, peak.memory_mb - need.memory_mb),
+            max(0, peak.accelerators - need.accelerators),
+        )
+        if extra == Resources():
+            return
+        worker = self._state.workers.worker_by_id.get(record.worker)
+        if worker is not None and record.task.id in worker.running:
+            self._state.workers.resize(worker, extra, now)
+        record.need = need + extra
+        self._state.shares.resized(record.task.team, extra, now)
+
+    def _judge_worker(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
+        state = self._state
+        worker = state.workers.worker_by_id.get(record.worker)
+        if worker is None:
+            return
+        task = record.task
+        group = (task.team, task.queue)
+        match outcome:
+            case Outcome.DONE:
+                if state.probation.done(worker.id, task.id, group):
+                    self._trials.leave(worker, now)
+                    state.fleet_events.append(WorkerReturned(now, worker.id))
+            case Outcome.FAILED:
+                if self._outages.rack_is_lost(worker.rack):
+                    return
+                if state.probation.failed(worker.id, task.id, group, now):
+                    self._trials.enter(worker, now)
+                    state.fleet_events.append(WorkerOnProbation(now, worker.id))
+            case Outcome.STOPPED:
+                state.probation.abandoned(worker.id, task.id)
+            case Outcome.REFUSED_BY_WORKER:
+                state.probation.abandoned(worker.id, task.id)
+                # Nothing more is sent there until the worker reports its room.
+                state.workers.observe(worker, worker.available, Resources(), now)
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -0,0 +1,181 @@
+"""How far each team is above or below its weighted share of the fleet."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+from .tasks import TeamUsage
+
+MEMORY_HALF_LIFE_S = 60.0
+# Levels are compared in steps of this fraction of a team's fair share; within
+# a step the decaying memory of past use decides.
+LEVEL_STEP = 0.002
+# Weight of callers of an open queue that belong to no configured team.
+OPEN_WEIGHT = 1.0
+
+Level = tuple[float, float]
+
+
+@dataclass(slots=True)
+class _TeamState:
+    weight: float
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+    running: int = 0
+    # Resources run by peers at the last exchange, and our own at that time.
+    peers: Resources = NO_RESOURCES
+    own_at_exchange: Resources = NO_RESOURCES
+    # Peers that had tasks of the team queued at the last exchange.
+    reacting_peers: int = 0
+    task_share: float = 0.0
+    past_use: float = 0.0
+    past_use_at: float = 0.0
+    share: float = 0.0
+    level: Level = (0.0, 0.0)
+
+
+class TeamShares:
+    """Orders teams by running dominant share over weight, over the fleet.
+
+    Peers report their usage only now and then. All entries see the same
+    deficit and correct it at the same time, which overshoots; so each entry
+    assumes that every peer with queued work of the team has changed its
+    running tasks since the last exchange as it has itself.
+    """
+
+    def __init__(self) -> None:
+        self._state_by_team: dict[str, _TeamState] = {}
+        self._total = NO_RESOURCES
+        self._weight_sum = 1.0
+
+    def set_config(self, config: FleetConfig, now: float) -> None:
+        """Take over weights and the size of the fleet."""
+        total = NO_RESOURCES
+        for instance in config.instance_by_id.values():
+            total = total + instance.size
+        self._total = total
+        self._weight_sum = sum(t.share for t in config.team_by_id.values()) or 1.0
+        for team_id, team in config.team_by_id.items():
+            state = self._state_by_team.setdefault(team_id, _TeamState(team.share))
+            state.weight = team.share
+        for state in self._state_by_team.values():
+            self._update(state, now)
+
+    def level(self, team: str) -> Level:
+        """Return the sort key of a team; the lowest is served next."""
+        return self._state(team).level
+
+    def share(self, team: str) -> float:
+        """Return the team's estimated dominant share of the whole fleet."""
+        return self._state(team).share
+
+    def fair_share(self, team: str) -> float:
+        """Return the share the team gets when every team has enough work."""
+        return self._state(team).weight / self._weight_sum
+
+    @staticmethod
+    def margin(part: float) -> float:
+        """Return a part of a fair share as a difference of levels."""
+        return part / LEVEL_STEP
+
+    def teams(self) -> list[str]:
+        """Return every team seen so far."""
+        return list(self._state_by_team)
+
+    def running(self, team: str) -> int:
+        """Return the number of running tasks of this entry."""
+        return self._state(team).running
+
+    def running_resources(self, team: str) -> Resources:
+        """Return the resources that this entry runs for a team."""
+        state = self._state(team)
+        return Resources(state.cores, round(state.memory_mb), round(state.accelerators))
+
+    def started(self, team: str, need: Resources, now: float) -> None:
+        """Charge a started task to its team."""
+        state = self._state(team)
+        state.running += 1
+        share = need.dominant_share(self._total)
+        weight = 0.1 if state.task_share else 1.0
+        state.task_share += weight * (share - state.task_share)
+        self._add(state, need, 1, now)
+
+    def ended(self, team: str, need: Resources, now: float) -> None:
+        """Release the charge of a task that ended."""
+        state = self._state(team)
+        state.running -= 1
+        self._add(state, need, -1, now)
+
+    def resized(self, team: str, extra: Resources, now: float) -> None:
+        """Charge more for a task that uses more than was assumed."""
+        self._add(self._state(team), extra, 1, now)
+
+    def set_peer_usage(
+        self, usage_by_peer: Mapping[str, Mapping[str, TeamUsage]], now: float
+    ) -> None:
+        """Replace what is known of all peers."""
+        for state in self._state_by_team.values():
+            state.peers = NO_RESOURCES
+            state.reacting_peers = 0
+            state.own_at_exchange = Resources(
+                state.cores, round(state.memory_mb), round(state.accelerators)
+            )
+        for usage_by_team in usage_by_peer.values():
+            for team, usage in usage_by_team.items():
+                state = self._state(team)
+                state.peers = state.peers + usage.running
+                state.reacting_peers += usage.queued > 0
+        for state in self._state_by_team.values():
+            self._update(state, now)
+
+    def _state(self, team: str) -> _TeamState:
+        state = self._state_by_team.get(team)
+        if state is None:
+            state = self._state_by_team[team] = _TeamState(OPEN_WEIGHT)
+        return state
+
+    def _add(self, state: _TeamState, need: Resources, sign: int, now: float) -> None:
+        state.cores += sign * need.cores
+        state.memory_mb += sign * need.memory_mb
+        state.accelerators += sign * need.accelerators
+        if state.running == 0:
+            # Removes the rounding error of many additions.
+            state.cores = state.memory_mb = state.accelerators = 0.0
+        self._update(state, now)
+
+    def _update(self, state: _TeamState, now: float) -> None:
+        elapsed_s = max(0.0, now - state.past_use_at)
+        kept = 0.5 ** (elapsed_s / MEMORY_HALF_LIFE_S)
+        state.past_use = state.past_use * kept + state.share * (1.0 - kept)
+        state.past_use_at = now
+        state.share = self._estimate(state)
+        fair = state.weight / self._weight_sum
+        # Half of a task is added so that teams with large tasks, which move in
+        # large steps, are not above their share on average.
+        level = (state.share + state.task_share / 2) / fair
+        state.level = (math.floor(level / LEVEL_STEP), state.past_use / fair)
+
+    def _estimate(self, state: _TeamState) -> float:
+        total = self._total
+        factor = 1 + state.reacting_peers
+        before = state.own_at_exchange
+        peers = state.peers
+        share = 0.0
+        if total.cores:
+            used = peers.cores + before.cores + factor * (state.cores - before.cores)
+            share = max(share, max(used, state.cores) / total.cores)
+        if total.memory_mb:
+            change = factor * (state.memory_mb - before.memory_mb)
+            used = peers.memory_mb + before.memory_mb + change
+            share = max(share, max(used, state.memory_mb) / total.memory_mb)
+        if total.accelerators:
+            change = factor * (state.accelerators - before.accelerators)
+            used = peers.accelerators + before.accelerators + change
+            share = max(share, max(used, state.accelerators) / total.accelerators)
+        return share
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/sizes.py
@@ -0,0 +1,100 @@
+"""Corrected sizes and run times, learned from lagged usage reports."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from lycheeloom.model.resources import Resources
+
+from .tasks import Task, UsageReport
+
+# Fewer reports than this say too little about a queue and team.
+MIN_SAMPLES = 5
+WINDOW_SAMPLES = 64
+# Memory that is exceeded kills tasks, processors that are exceeded slow them
+# down; so memory is corrected to a high quantile and processors to the mean.
+MEMORY_QUANTILE = 0.95
+# Declared sizes are wrong by up to 4 times either way.
+MAX_CORRECTION = 4.0
+# Reports arrive after the task ended; this many ended tasks are remembered.
+REMEMBERED_TASKS = 20_000
+
+
+@dataclass(slots=True)
+class _Ratios:
+    cores: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
+    memory: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
+    run: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
+    cores_factor: float = 1.0
+    memory_factor: float = 1.0
+    run_factor: float = 1.0
+
+
+class SizeEstimator:
+    """Corrects declared sizes per queue and team."""
+
+    def __init__(self) -> None:
+        self._ratios_by_lane: dict[tuple[str, str], _Ratios] = {}
+        self._task_by_id: OrderedDict[str, Task] = OrderedDict()
+
+    def remember(self, task: Task) -> None:
+        """Keep a started task so that its report can be used later."""
+        self._task_by_id[task.id] = task
+        if len(self._task_by_id) > REMEMBERED_TASKS:
+            self._task_by_id.popitem(last=False)
+
+    def observe(self, report: UsageReport) -> None:
+        """Learn from the report of an ended task."""
+        if not report.ended:
+            return
+        task = self._task_by_id.pop(report.task_id, None)
+        if task is None:
+            return
+        ratios = self._ratios_by_lane.setdefault((task.team, task.queue), _Ratios())
+        if task.resources.cores > 0:
+            ratios.cores.append(_bounded(report.peak.cores / task.resources.cores))
+        if task.resources.memory_mb > 0:
+            ratio = report.peak.memory_mb / task.resources.memory_mb
+            ratios.memory.append(_bounded(ratio))
+        if task.run_s > 0:
+            ratios.run.append(_bounded(report.run_s / task.run_s))
+        ratios.cores_factor = _mean(ratios.cores)
+        ratios.memory_factor = _quantile(ratios.memory, MEMORY_QUANTILE)
+        ratios.run_factor = _mean(ratios.run)
+
+    def size(self, task: Task) -> Resources:
+        """Return the corrected size of a task that has not run yet."""
+        ratios = self._ratios_by_lane.get((task.team, task.queue))
+        if ratios is None:
+            return task.resources
+        declared = task.resources
+        return Resources(
+            declared.cores * ratios.cores_factor,
+            round(declared.memory_mb * ratios.memory_factor),
+            declared.accelerators,
+        )
+
+    def run_s(self, task: Task) -> float:
+        """Return the corrected run time in seconds."""
+        ratios = self._ratios_by_lane.get((task.team, task.queue))
+        if ratios is None:
+            return task.run_s
+        return task.run_s * ratios.run_factor
+
+
+def _bounded(ratio: float) -> float:
+    return min(max(ratio, 1.0 / MAX_CORRECTION), MAX_CORRECTION)
+
+
+def _mean(ratios: deque[float]) -> float:
+    if len(ratios) < MIN_SAMPLES:
+        return 1.0
+    return sum(ratios) / len(ratios)
+
+
+def _quantile(ratios: deque[float], quantile: float) -> float:
+    if len(ratios) < MIN_SAMPLES:
+        return 1.0
+    ordered = sorted(ratios)
+    return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -0,0 +1,207 @@
+"""The state that all parts of the scheduler share, and its basic steps."""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+from .events import (
+    FleetEvent,
+    TaskAsked,
+    TaskEnded,
+    TaskEvent,
+    TaskQueued,
+    TaskRefused,
+    TaskStarted,
+)
+from .probation import Probation
+from .queues import Queues
+from .shares import TeamShares
+from .sizes import SizeEstimator
+from .tasks import (
+    Checkpoint,
+    CheckpointReason,
+    Start,
+    Task,
+    TaskRecord,
+    TaskState,
+    Throttle,
+)
+from .waits import WaitEstimator
+from .workers import Worker, WorkerTable
+
+MAX_EVENTS_PER_TASK = 20
+MAX_EVENTS_PER_TEAM = 50
+MAX_FLEET_EVENTS = 500
+# Ended tasks that can still be explained.
+REMEMBERED_ENDED = 2_000
+# A worker that refused a task is not offered it again for this long.
+EXCLUSION_S = 2.0
+
+
+@dataclass(slots=True, eq=False)
+class SchedulerState:
+    """What the parts of the scheduler read and change together."""
+
+    workers: WorkerTable
+    config: FleetConfig = field(default_factory=FleetConfig)
+    shares: TeamShares = field(default_factory=TeamShares)
+    queues: Queues = field(default_factory=Queues)
+    sizes: SizeEstimator = field(default_factory=SizeEstimator)
+    probation: Probation = field(default_factory=Probation)
+    waits: WaitEstimator = field(default_factory=WaitEstimator)
+    record_by_id: dict[str, TaskRecord] = field(default_factory=dict)
+    grant_by_team: Mapping[str, int] = field(default_factory=dict)
+    # Tasks that peers may start but have not, per queue.
+    peer_queued_by_queue: Counter[str] = field(default_factory=Counter)
+    peer_queues_by_team: dict[str, set[str]] = field(default_factory=dict)
+    fleet_events: deque[FleetEvent] = field(
+        default_factory=lambda: deque(maxlen=MAX_FLEET_EVENTS)
+    )
+    ended_events: OrderedDict[str, list[TaskEvent]] = field(default_factory=OrderedDict)
+    refusals_by_team: dict[str, deque[TaskRefused]] = field(default_factory=dict)
+    sequence: int = 0
+
+    def may_run(self, team: str) -> bool:
+        """Tell whether a grant leaves the team a running slot.
+
+        Callers of open queues that belong to no configured team have no upper
+        limit and therefore no grants.
+        """
+        if team not in self.config.team_by_id:
+            return True
+        return self.shares.running(team) < self.grant_by_team.get(team, 0)
+
+    def need(self, task: Task, pool: str) -> Resources:
+        """Return the room to reserve for a task on a worker of the pool.
+
+        A correction never makes a task too large for a pool that has room for
+        its declared size.
+        """
+        corrected = self.sizes.size(task)
+        if corrected is task.resources:
+            return corrected
+        sizes = self.workers.sizes(pool)
+        if any(corrected.fits_in(size) for size in sizes):
+            return corrected
+        for size in sizes:
+            if task.resources.fits_in(size):
+                return Resources(
+                    min(corrected.cores, size.cores),
+                    min(corrected.memory_mb, size.memory_mb),
+                    min(corrected.accelerators, size.accelerators),
+                )
+        return corrected
+
+    def excluded(self, record: TaskRecord, now: float) -> frozenset[str]:
+        """Return the workers that must not be offered the task now."""
+        if record.excluded and now - record.queued_at < EXCLUSION_S:
+            return record.excluded | record.task.excluded_workers
+        return record.task.excluded_workers
+
+    def enqueue(self, task: Task, now: float, why: str) -> TaskRecord:
+        """Queue a new task."""
+        self.sequence += 1
+        record = TaskRecord(task, self.sequence, now)
+        self.record_by_id[task.id] = record
+        self.queues.add(record)
+        note(record, TaskQueued(now, task.queue, why))
+        return record
+
+    def enqueue_again(
+        self, record: TaskRecord, now: float, why: str, excluded: frozenset[str]
+    ) -> TaskRecord:
+        """Queue a task in front that had started or was refused by a worker.
+
+        A new record is used because lanes drop old ones only later.
+        """
+        again = replace(
+            record,
+            state=TaskState.QUEUED,
+            worker="",
+            pool="",
+            need=NO_RESOURCES,
+            queued_at=now if excluded else record.queued_at,
+            excluded=excluded,
+            checkpointing=False,
+            throttled=False,
+            passed_over_at=None,
+        )
+        self.record_by_id[record.task.id] = again
+        self.queues.add(again, first=True)
+        note(again, TaskQueued(now, record.task.queue, why))
+        return again
+
+    def start(
+        self, record: TaskRecord, worker: Worker, need: Resources, now: float
+    ) -> Start:
+        """Charge a task that has left its queue, and decide its start."""
+        task = record.task
+        record.state = TaskState.RUNNING
+        record.worker = worker.id
+        record.pool = worker.pool
+        record.need = need
+        record.started_at = now
+        record.expected_end = now + self.sizes.run_s(task)
+        self.workers.attach(worker, record, now)
+        self.shares.started(task.team, need, now)
+        self.sizes.remember(task)
+        self.waits.started(task.team, task.queue, now)
+        borrowed = worker.pool != self.queues.home_pool(task.queue)
+        note(record, TaskStarted(now, worker.id, worker.pool, need, borrowed))
+        return Start(task, worker.id, need)
+
+    def release(self, record: TaskRecord, now: float) -> None:
+        """Give back the slot and the room of a task that ended."""
+        worker = self.workers.worker_by_id.get(record.worker)
+        if worker is not None and record.task.id in worker.running:
+            self.workers.detach(worker, record, now)
+        team = record.task.team
+        was_at_grant = not self.may_run(team)
+        self.shares.ended(team, record.need, now)
+        if was_at_grant:
+            self.queues.mark_team_fresh(team)
+
+    def forget(self, record: TaskRecord, outcome: str, now: float) -> None:
+        """Drop an ended task but keep its events for a while."""
+        record.state = TaskState.ENDED
+        del self.record_by_id[record.task.id]
+        note(record, TaskEnded(now, record.worker or "no worker", outcome))
+        self.ended_events[record.task.id] = record.events
+        if len(self.ended_events) > REMEMBERED_ENDED:
+            self.ended_events.popitem(last=False)
+
+    def ask_checkpoint(
+        self, record: TaskRecord, reason: CheckpointReason, now: float
+    ) -> Checkpoint:
+        """Decide that a running task makes room and is queued again."""
+        record.checkpointing = True
+        note(record, TaskAsked(now, "checkpoint", reason.value))
+        return Checkpoint(record.task.id, reason)
+
+    def ask_throttle(
+        self, record: TaskRecord, reason: CheckpointReason, now: float
+    ) -> Throttle:
+        """Decide that a running task is slowed down."""
+        record.throttled = True
+        note(record, TaskAsked(now, "throttle", reason.value))
+        return Throttle(record.task.id)
+
+    def refused(self, task: Task, reason: str, message: str, now: float) -> None:
+        """Keep why a task of a team was refused."""
+        refusals = self.refusals_by_team.get(task.team)
+        if refusals is None:
+            refusals = deque(maxlen=MAX_EVENTS_PER_TEAM)
+            self.refusals_by_team[task.team] = refusals
+        refusals.append(TaskRefused(now, task.id, reason, message))
+
+
+def note(record: TaskRecord, event: TaskEvent) -> None:
+    """Keep an event of a task, dropping the oldest beyond a bound."""
+    if len(record.events) >= MAX_EVENTS_PER_TASK:
+        del record.events[1]
+    record.events.append(event)
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -0,0 +1,131 @@
+"""Starts urgent tasks at once, by checkpointing others if need be."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from lycheeloom.model.resources import Resources
+
+from .reservations import Reservations
+from .state import SchedulerState
+from .tasks import CheckpointReason, Decision, TaskRecord, TaskState
+from .workers import Worker
+
+# A worker that has not made room by then is given up for another one.
+PATIENCE_S = 0.9
+
+
+class Urgent:
+    """Places urgent tasks before all others; their team is charged for them."""
+
+    def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
+        self._state = state
+        self._reservations = reservations
+        self._asked_at: dict[str, float] = {}
+
+    def place(self, now: float) -> list[Decision]:
+        """Start urgent tasks, or ask for the room that they need."""
+        decisions: list[Decision] = []
+        urgent = self._state.queues.urgent
+        for task_id in [t for t in self._asked_at if t not in urgent]:
+            del self._asked_at[task_id]
+        for record in list(urgent.values()):
+            if self._waits_for_room(record, now):
+                continue
+            decisions.extend(self._place_one(record, now))
+        return decisions
+
+    def _waits_for_room(self, record: TaskRecord, now: float) -> bool:
+        task_id = record.task.id
+        asked_at = self._asked_at.get(task_id)
+        if asked_at is None or now - asked_at >= PATIENCE_S:
+            self._reservations.release(task_id, now)
+            return False
+        return self._reservations.has(task_id)
+
+    def _place_one(self, record: TaskRecord, now: float) -> list[Decision]:
+        state = self._state
+        task = record.task
+        if not state.may_run(task.team):
+            return self._free_slot_of_team(record, now)
+        for pool in self._pools(record):
+            need = state.need(task, pool)
+            excluded = state.excluded(record, now)
+            worker = state.workers.place(need, pool, task.queue, excluded)
+            if worker is not None:
+                state.queues.take_urgent(record)
+                return [state.start(record, worker, need, now)]
+        return self._make_room(record, now)
+
+    def _pools(self, record: TaskRecord) -> Iterator[str]:
+        """Return the queue's own pool, spare pools, then all others."""
+        home = self._state.queues.home_pool(record.task.queue)
+        yield home
+        pools = self._state.config.pool_by_id.values()
+        for spare in (True, False):
+            for pool in pools:
+                if pool.spare is spare and pool.id != home:
+                    yield pool.id
+
+    def _free_slot_of_team(self, record: TaskRecord, now: float) -> list[Decision]:
+        """Checkpoint one task of the same team, which is at its limit."""
+        if record.task.id in self._asked_at:
+            return []
+        for other in self._state.record_by_id.values():
+            if other.task.team == record.task.team and _can_make_room(other):
+                self._asked_at[record.task.id] = now
+                return [self._ask(other, now)]
+        return []
+
+    def _make_room(self, record: TaskRecord, now: float) -> list[Decision]:
+        """Reserve the worker that makes room with the fewest checkpoints."""
+        state = self._state
+        best: tuple[int, Worker, list[TaskRecord]] | None = None
+        for pool in self._pools(record):
+            need = state.need(record.task, pool)
+            for worker in state.workers.in_pool(pool):
+                victims = self._victims(worker, record, need, now)
+                if victims and (best is None or len(victims) < best[0]):
+                    best = (len(victims), worker, victims)
+            if best is not None:
+                break
+        if best is None:
+            return []
+        _, worker, victims = best
+        self._reservations.reserve(record, worker, now + PATIENCE_S, now)
+        self._asked_at[record.task.id] = now
+        return [self._ask(victim, now) for victim in victims]
+
+    def _victims(
+        self, worker: Worker, record: TaskRecord, need: Resources, now: float
+    ) -> list[TaskRecord]:
+        """Return the tasks to checkpoint on a worker, or none if not enough."""
+        state = self._state
+        if not state.workers.accepts(worker) or worker.on_probation:
+            return []
+        if worker.reserved_for or worker.id in state.excluded(record, now):
+            return []
+        if not need.fits_in(worker.size):
+            return []
+        running = [r for r in worker.running.values() if _can_make_room(r)]
+        # The teams furthest above their share give way first.
+        running.sort(key=lambda r: (state.shares.level(r.task.team), r.sequence))
+        free = worker.free
+        victims = []
+        while running and not need.fits_in(free):
+            victim = running.pop()
+            free = free + victim.need
+            victims.append(victim)
+        return victims if need.fits_in(free) else []
+
+    def _ask(self, victim: TaskRecord, now: float) -> Decision:
+        return self._state.ask_checkpoint(victim, CheckpointReason.URGENT, now)
+
+
+def _can_make_room(record: TaskRecord) -> bool:
+    return (
+        record.state is TaskState.RUNNING
+        and record.task.checkpointable
+        and not record.checkpointing
+        and not record.task.urgent
+    )
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/waits.py
@@ -0,0 +1,42 @@
+"""Expected waiting times, from recent start rates."""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Starts older than this say nothing about the present rate.
+WINDOW_S = 10.0
+MAX_STARTS = 200
+# A rate from fewer starts is too uncertain to refuse work by.
+MIN_STARTS = 5
+
+
+class WaitEstimator:
+    """Estimates how long a new task of a team waits on a queue."""
+
+    def __init__(self) -> None:
+        self._starts_by_lane: dict[tuple[str, str], deque[float]] = {}
+
+    def started(self, team: str, queue: str, now: float) -> None:
+        """Count a start."""
+        starts = self._starts_by_lane.get((team, queue))
+        if starts is None:
+            starts = deque(maxlen=MAX_STARTS)
+            self._starts_by_lane[team, queue] = starts
+        starts.append(now)
+
+    def wait_s(self, team: str, queue: str, queued: int, now: float) -> float | None:
+        """Return the expected wait in seconds behind ``queued`` tasks.
+
+        None means that too few tasks started lately to tell.
+        """
+        if not queued:
+            return 0.0
+        starts = self._starts_by_lane.get((team, queue))
+        if starts is None:
+            return None
+        while starts and now - starts[0] > WINDOW_S:
+            starts.popleft()
+        if len(starts) < MIN_STARTS or now <= starts[0]:
+            return None
+        return queued * (now - starts[0]) / len(starts)
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -0,0 +1,308 @@
+"""Workers with their free capacity, and the choice of a worker for a task."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from lycheeloom.model.config import FleetConfig, Instance, ZoneState
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+from .capacity import CapacityTree
+from .tasks import TaskRecord
+
+# Fitting workers compared for one start; more cost time and spread no better.
+CANDIDATES = 3
+# A returned zone starts at this part of its capacity and is full after RAMP_S,
+# so that workers with cold caches are not all filled in the same instant.
+RAMP_FIRST_PART = 0.25
+RAMP_S = 3.0
+RAMP_STEP_S = 0.25
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """One worker as seen by this entry."""
+
+    id: str
+    pool: str
+    zone: str
+    rack: str
+    size: Resources
+    slot: int = 0
+    available: bool = False
+    free: Resources = NO_RESOURCES
+    own_used: Resources = NO_RESOURCES
+    boot_id: str = ""
+    on_probation: bool = False
+    # The task for which this entry keeps the worker free.
+    reserved_for: str = ""
+    reserved_by_peer: bool = False
+    running: dict[str, TaskRecord] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class _ZoneIndex:
+    """The workers of one pool in one zone."""
+
+    zone: str
+    workers: list[Worker]
+    tree: CapacityTree
+
+
+class WorkerTable:
+    """All workers, indexed by pool and zone for placement."""
+
+    def __init__(self, seed: int) -> None:
+        self.worker_by_id: dict[str, Worker] = {}
+        self.freed_pools: set[str] = set()
+        self._random = random.Random(seed)
+        self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
+        self._sizes_by_pool: dict[str, set[Resources]] = {}
+        self._out_zones: set[str] = set()
+        self._returned_at_by_zone: dict[str, float] = {}
+        self._next_ramp_at = 0.0
+        self._pool_by_instance: Mapping[str, str] = {}
+        self._instance_by_id: Mapping[str, Instance] = {}
+        # Running tasks of this entry per queue and place, for spreading.
+        self._count_by_place: Counter[tuple[str, str]] = Counter()
+
+    def set_config(self, config: FleetConfig, now: float) -> tuple[set[str], set[str]]:
+        """Take over instances and zones; return zones gone out and come back."""
+        out = {z.id for z in config.zone_by_id.values() if z.state is ZoneState.OUT}
+        gone, back = out - self._out_zones, self._out_zones - out
+        self._out_zones = out
+        for zone in back:
+            self._returned_at_by_zone[zone] = now
+            self._next_ramp_at = now
+        for zone in gone:
+            self._returned_at_by_zone.pop(zone, None)
+        if config.instance_by_id != self._instance_by_id:
+            self._instance_by_id = config.instance_by_id
+            self._rebuild(now)
+        elif gone or back:
+            self._refresh_zones(gone | back, now)
+        return gone, back
+
+    def set_pool_by_instance(self, mapping: Mapping[str, str], now: float) -> None:
+        """Take over the actual pool of each worker."""
+        if mapping == self._pool_by_instance:
+            return
+        self._pool_by_instance = dict(mapping)
+        self._rebuild(now)
+
+    def zone_is_out(self, zone: str) -> bool:
+        """Tell whether operators have taken the zone out of service."""
+        return zone in self._out_zones
+
+    def sizes(self, pool: str) -> set[Resources]:
+        """Return the distinct worker sizes of a pool."""
+        return self._sizes_by_pool.get(pool, set())
+
+    def in_pool(self, pool: str) -> Iterable[Worker]:
+        """Return the workers of a pool."""
+        for index in self._zones_by_pool.get(pool, ()):
+            yield from index.workers
+
+    def has_room(self, pool: str) -> bool:
+        """Tell whether any usable worker of the pool has a free core."""
+        for index in self._zones_by_pool.get(pool, ()):
+            if index.tree.nodes[1][0] > 0:
+                return True
+        return False
+
+    def tick(self, now: float) -> None:
+        """Advance the ramps of returned zones."""
+        if not self._returned_at_by_zone or now < self._next_ramp_at:
+            return
+        self._next_ramp_at = now + RAMP_STEP_S
+        zones = set(self._returned_at_by_zone)
+        for zone, returned_at in list(self._returned_at_by_zone.items()):
+            if now - returned_at >= RAMP_S:
+                del self._returned_at_by_zone[zone]
+        self._refresh_zones(zones, now)
+
+    def place(
+        self, need: Resources, pool: str, queue: str, excluded: frozenset[str]
+    ) -> Worker | None:
+        """Choose a worker with room, spreading a queue over zones and racks."""
+        indexes = [
+            index
+            for index in self._zones_by_pool.get(pool, ())
+            if index.tree.may_fit(need)
+        ]
+        if len(indexes) > 1:
+            indexes.sort(key=lambda index: self._zone_load(queue, pool, index))
+        for index in indexes:
+            worker = self._place_in(index, need, queue, excluded)
+            if worker is not None:
+                return worker
+        return None
+
+    def attach(self, worker: Worker, record: TaskRecord, now: float) -> None:
+        """Take room on a worker for a started task."""
+        worker.running[record.task.id] = record
+        worker.free = worker.free - record.need
+        worker.own_used = worker.own_used + record.need
+        queue = record.task.queue
+        self._count_by_place[queue, f"{worker.pool}/{worker.zone}"] += 1
+        self._count_by_place[queue, worker.rack] += 1
+        self.refresh(worker, now)
+
+    def detach(self, worker: Worker, record: TaskRecord, now: float) -> None:
+        """Give back the room of a task that ended."""
+        del worker.running[record.task.id]
+        worker.free = worker.free + record.need
+        worker.own_used = worker.own_used - record.need
+        queue = record.task.queue
+        self._count_by_place[queue, f"{record.pool}/{worker.zone}"] -= 1
+        self._count_by_place[queue, worker.rack] -= 1
+        self.refresh(worker, now)
+
+    def resize(self, worker: Worker, extra: Resources, now: float) -> None:
+        """Take more room for a running task."""
+        worker.free = worker.free - extra
+        worker.own_used = worker.own_used + extra
+        self.refresh(worker, now)
+
+    def observe(
+        self, worker: Worker, available: bool, free: Resources | None, now: float
+    ) -> None:
+        """Take over what the worker said of itself.
+
+        Tasks that this entry has just started may be missing from ``free``, so
+        it is bounded by what they leave.
+        """
+        worker.available = available
+        if free is not None:
+            left = worker.size - worker.own_used
+            worker.free = Resources(
+                min(free.cores, left.cores),
+                min(free.memory_mb, left.memory_mb),
+                min(free.accelerators, left.accelerators),
+            )
+        self.refresh(worker, now)
+
+    def set_reserved_by_peers(self, worker_ids: Iterable[str], now: float) -> None:
+        """Leave the workers that peers keep for large tasks alone."""
+        wanted = set(worker_ids)
+        for worker in self.worker_by_id.values():
+            reserved = worker.id in wanted
+            if reserved != worker.reserved_by_peer:
+                worker.reserved_by_peer = reserved
+                self.refresh(worker, now)
+
+    def refresh(self, worker: Worker, now: float) -> None:
+        """Bring the index up to date with a worker that changed."""
+        for index in self._zones_by_pool.get(worker.pool, ()):
+            if index.zone == worker.zone:
+                usable = self._usable(worker, now)
+                index.tree.set(worker.slot, usable)
+                if usable is not None:
+                    self.freed_pools.add(worker.pool)
+                return
+
+    def accepts(self, worker: Worker) -> bool:
+        """Tell whether operators and the worker itself allow any start."""
+        return (
+            worker.available
+            and worker.zone not in self._out_zones
+            and worker.id in self.worker_by_id
+        )
+
+    def usable_for_reserved(self, worker: Worker, task_id: str) -> bool:
+        """Tell whether a reserved worker may start the task it is kept for."""
+        return (
+            self.accepts(worker)
+            and worker.reserved_for == task_id
+            and not worker.on_probation
+        )
+
+    def _usable(self, worker: Worker, now: float) -> Resources | None:
+        if not self.accepts(worker) or worker.on_probation:
+            return None
+        if worker.reserved_for or worker.reserved_by_peer:
+            return None
+        returned_at = self._returned_at_by_zone.get(worker.zone)
+        if returned_at is None or now - returned_at >= RAMP_S:
+            return worker.free
+        part = RAMP_FIRST_PART + (1 - RAMP_FIRST_PART) * (now - returned_at) / RAMP_S
+        kept = Resources(
+            worker.size.cores * (1 - part),
+            int(worker.size.memory_mb * (1 - part)),
+            int(worker.size.accelerators * (1 - part)),
+        )
+        return worker.free - kept
+
+    def _place_in(
+        self, index: _ZoneIndex, need: Resources, queue: str, excluded: frozenset[str]
+    ) -> Worker | None:
+        count = len(index.workers)
+        slot = self._random.randrange(count)
+        chosen: Worker | None = None
+        best = (0, 0.0)
+        found = 0
+        wrapped = False
+        while found < CANDIDATES:
+            slot = index.tree.find(need, slot)
+            if slot < 0:
+                if wrapped:
+                    break
+                wrapped, slot = True, 0
+                continue
+            worker = index.workers[slot]
+            slot += 1
+            if worker.id in excluded:
+                continue
+            found += 1
+            key = (self._count_by_place[queue, worker.rack], worker.free.cores)
+            if chosen is None or key < best:
+                chosen, best = worker, key
+        return chosen
+
+    def _zone_load(self, queue: str, pool: str, index: _ZoneIndex) -> float:
+        running = self._count_by_place[queue, f"{pool}/{index.zone}"]
+        return running / len(index.workers)
+
+    def _refresh_zones(self, zones: set[str], now: float) -> None:
+        for worker in self.worker_by_id.values():
+            if worker.zone in zones:
+                self.refresh(worker, now)
+
+    def _rebuild(self, now: float) -> None:
+        """Index all workers anew after instances or pools changed."""
+        previous = self.worker_by_id
+        self.worker_by_id = {}
+        grouped: dict[tuple[str, str], list[Worker]] = {}
+        self._sizes_by_pool = {}
+        for instance in self._instance_by_id.values():
+            worker = previous.get(instance.id) or _new_worker(instance)
+            worker.size = instance.size
+            worker.zone = instance.zone
+            worker.rack = instance.rack
+            worker.pool = self._pool_by_instance.get(instance.id, instance.pool)
+            self.worker_by_id[instance.id] = worker
+            grouped.setdefault((worker.pool, worker.zone), []).append(worker)
+            self._sizes_by_pool.setdefault(worker.pool, set()).add(worker.size)
+        self._zones_by_pool = {}
+        for (pool, zone), workers in grouped.items():
+            workers.sort(key=lambda worker: (worker.rack, worker.id))
+            index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
+            for slot, worker in enumerate(workers):
+                worker.slot = slot
+            self._zones_by_pool.setdefault(pool, []).append(index)
+        for worker in self.worker_by_id.values():
+            self.refresh(worker, now)
+
+
+def _new_worker(instance: Instance) -> Worker:
+    return Worker(
+        instance.id,
+        instance.pool,
+        instance.zone,
+        instance.rack,
+        instance.size,
+        free=instance.size,
+    )
--- /dev/null
+++ b/libs/sched/tests/fleet_fixtures.py
@@ -0,0 +1,75 @@
+"""Small fleets for the tests of the scheduler."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lycheeloom.model.config import (
+    FleetConfig,
+    Instance,
+    Pool,
+    Queue,
+    QueueKind,
+    Team,
+    Zone,
+    ZoneState,
+)
+from lycheeloom.model.resources import Resources
+from lycheeloom.sched import Scheduler, Start, Task
+
+ONE_CORE = Resources(1, 1024)
+WORKER_SIZE = Resources(4, 16384)
+
+
+def make_config(workers=6, weights=(1, 1), spare=0, zones=3, limit=1000, **queue):
+    """Return pool ``main`` (queue ``q``), ``other`` (``o``) and a spare pool."""
+    instances = {}
+    for pool, count in (("main", workers), ("other", workers), ("spare", spare)):
+        for n in range(count):
+            zone = f"z{n % zones}"
+            name = f"{pool}-{n}"
+            rack = f"{zone}-r{n // (2 * zones)}"
+            instances[name] = Instance(name, pool, zone, rack, "", WORKER_SIZE)
+    teams = {f"t{n}": Team(f"t{n}", w, limit) for n, w in enumerate(weights)}
+    names = frozenset(teams)
+    return FleetConfig(
+        version=1,
+        zone_by_id={f"z{n}": Zone(f"z{n}") for n in range(zones)},
+        pool_by_id={p: Pool(p, spare=p == "spare") for p in ("main", "other", "spare")},
+        instance_by_id=instances,
+        team_by_id=teams,
+        queue_by_id={
+            "q": Queue("q", "main", teams=names, **queue),
+            "o": Queue("o", "other", teams=names),
+            "b": Queue("b", "main", QueueKind.BATCH, teams=names),
+        },
+    )
+
+
+def with_zone(config, zone, state=ZoneState.OUT):
+    zones = dict(config.zone_by_id)
+    zones[zone] = replace(zones[zone], state=state)
+    return replace(config, zone_by_id=zones)
+
+
+def make_scheduler(config, grants=1000):
+    scheduler = Scheduler(config, seed=1)
+    scheduler.set_grants(dict.fromkeys(config.team_by_id, grants))
+    for name in config.instance_by_id:
+        scheduler.observe_worker(name, True, None, "boot", 0.0)
+    return scheduler
+
+
+def submit(scheduler, count, team="t0", queue="q", now=0.0, prefix="", **fields):
+    """Submit like tasks and return their ids."""
+    ids = []
+    for n in range(count):
+        task_id = f"{prefix}{team}-{queue}-{n}"
+        fields.setdefault("resources", ONE_CORE)
+        scheduler.submit(Task(task_id, team, queue, submitted_at=now, **fields), now)
+        ids.append(task_id)
+    return ids
+
+
+def starts(scheduler, now):
+    return [d for d in scheduler.next_starts(now) if isinstance(d, Start)]
