--- /dev/null
+++ b/libs/entry/tests/test_status_page.py
@@ -0,0 +1,59 @@
+"""The status page shows problems and stays one self-contained document."""
+
+from lycheeloom.entry.status_page import render_status_page
+from lycheeloom.model.status import (
+    MemberStatus,
+    PoolStatus,
+    StatusDocument,
+    TeamStatus,
+    WaveStatus,
+    ZoneStatus,
+)
+
+STATUS = StatusDocument(
+    name="suantrai",
+    config_version=7,
+    instance="entry-1",
+    incarnation="entry-1:ab",
+    zone="north",
+    fresh=True,
+    log_age_ms=120,
+    members=[MemberStatus(incarnation="entry-1:ab", instance="entry-1", zone="north")],
+    teams={"<b>loud</b>": TeamStatus(running=4, upper_limit=4, share=2)},
+    zones={"north": ZoneStatus(state="out", workers=10, in_service=0)},
+    pools={"lookup": PoolStatus(workers=6, in_service=2, needed=4)},
+    waves={"spring": WaveStatus(state="paused", total=30, done=12, reason="rack lost")},
+)
+
+
+def test_page_names_each_problem():
+    """Guards against an operator missing a zone that is out or a short pool."""
+    page = render_status_page(STATUS)
+    for text in (
+        "Zone north is out of service.",
+        "Pool lookup has 2 workers in service and needs 4.",
+        "Wave spring is paused. rack lost",
+        "at its limit",
+        "Configuration version 7",
+    ):
+        assert text in page
+
+
+def test_names_are_escaped_and_nothing_is_loaded():
+    """Guards against markup in names and against scripts from elsewhere."""
+    page = render_status_page(STATUS)
+    assert "&lt;b&gt;loud&lt;/b&gt;" in page
+    for text in ("<script", "src=", "href=", "@import", "url("):
+        assert text not in page
+
+
+def test_page_fits_a_phone():
+    """Guards against fixed widths; a phone window is 400 pixels wide."""
+    page = render_status_page(STATUS)
+    assert 'content="width=device-width' in page
+    assert "min-width" not in page
+
+
+def test_empty_document_renders():
+    """Guards against an entry that has read nothing yet failing its own page."""
+    assert "not fresh" in render_status_page(StatusDocument())
