--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -0,0 +1,130 @@
+"""Compares two configurations and builds the patch between them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION
+from .problems import join_key, show
+
+
+class _Absent:
+    def __repr__(self) -> str:
+        return "ABSENT"
+
+
+# Marks a side of a change on which the key does not exist.
+ABSENT: Any = _Absent()
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One key that differs; a side without it holds ``ABSENT``."""
+
+    path: tuple[str, ...]
+    before: Any
+    after: Any
+
+    def sentence(self) -> str:
+        """Return the change as a line that can be read aloud."""
+        place = _place(self.path)
+        if self.before is ABSENT:
+            return f"{place} is added: {_summary(self.path, self.after)}"
+        if self.after is ABSENT:
+            return f"{place} is removed; it was {_summary(self.path, self.before)}"
+        return f"{place} changes from {show(self.before)} to {show(self.after)}"
+
+
+def compare(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[Change]:
+    """Return every difference, in the order of the keys."""
+    return list(_walk((), before, after))
+
+
+def make_patch(before: Mapping[str, Any], after: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the RFC 7396 patch that turns ``before`` into ``after``."""
+    patch: dict[str, Any] = {}
+    for name in before.keys() - after.keys():
+        patch[name] = None
+    for name, value in after.items():
+        if name not in before:
+            patch[name] = value
+        elif isinstance(value, Mapping) and isinstance(before[name], Mapping):
+            nested = make_patch(before[name], value)
+            if nested:
+                patch[name] = nested
+        elif not _same(before[name], value):
+            patch[name] = value
+    return patch
+
+
+def patch_changes(before: Mapping[str, Any], patch: Mapping[str, Any]) -> set[tuple]:
+    """Return the paths of a patch, to find two changes of the same key."""
+    return set(_patch_paths((), patch, before))
+
+
+def overlap(first: set[tuple], second: set[tuple]) -> bool:
+    """Tell whether a path of one set equals or contains one of the other."""
+    return any(
+        one[: len(two)] == two or two[: len(one)] == one
+        for one in first
+        for two in second
+    )
+
+
+def _patch_paths(path: tuple, patch: Any, before: Any) -> Iterator[tuple]:
+    for name, value in patch.items():
+        old = before.get(name) if isinstance(before, Mapping) else None
+        if isinstance(value, Mapping) and isinstance(old, Mapping):
+            yield from _patch_paths((*path, name), value, old)
+            continue
+        yield (*path, name)
+
+
+def _walk(
+    path: tuple[str, ...], before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[Change]:
+    for name in [*before, *(name for name in after if name not in before)]:
+        here = (*path, name)
+        old, new = before.get(name, ABSENT), after.get(name, ABSENT)
+        if isinstance(old, Mapping) and isinstance(new, Mapping):
+            yield from _walk(here, old, new)
+        elif len(here) == 1 and isinstance(new, Mapping) and old is ABSENT:
+            yield from _walk(here, {}, new)
+        elif len(here) == 1 and isinstance(old, Mapping) and new is ABSENT:
+            yield from _walk(here, old, {})
+        elif old is ABSENT or new is ABSENT or not _same(old, new):
+            yield Change(here, old, new)
+
+
+def _same(first: Any, second: Any) -> bool:
+    # Python holds 1, 1.0 and True to be equal; a document does not.
+    return json.dumps(first, sort_keys=True) == json.dumps(second, sort_keys=True)
+
+
+def _place(path: tuple[str, ...]) -> str:
+    section = path[0]
+    if section not in NOUN_BY_SECTION or len(path) < 2:
+        return join_key(*path)
+    noun = f"{NOUN_BY_SECTION[section].capitalize()} {path[1]}"
+    if len(path) == 2:
+        return noun
+    if section == "teams" and path[2] == "keys" and len(path) == 4:
+        return f"{noun}: key {path[3]}"
+    return f"{noun}: {join_key(*path[2:])}"
+
+
+def _summary(path: tuple[str, ...], value: Any) -> str:
+    if path[-2:-1] == ("keys",):
+        return "a salted hash"
+    if not isinstance(value, Mapping):
+        return show(value)
+    known = MEANING_BY_FIELD.get(path[0], {})
+    parts = [
+        f"{name} {len(item)}" if name == "keys" else f"{name} {show(item)}"
+        for name, item in value.items()
+        if name in known or not known
+    ]
+    return ", ".join(parts) or "without settings"
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/problems.py
@@ -0,0 +1,67 @@
+"""Mistakes in a configuration or in settings, one clear message each."""
+
+from __future__ import annotations
+
+import difflib
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+
+class Severity(StrEnum):
+    """Errors prevent publication; warnings must be accepted explicitly."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """What is wrong with one key of one file, and what is allowed there.
+
+    ``str(Problem("a.toml", "teams.red.share", "is 0", "a number above 0"))``
+    gives ``a.toml: teams.red.share: is 0; allowed: a number above 0``.
+    """
+
+    file: str
+    key: str
+    wrong: str
+    allowed: str
+    severity: Severity = Severity.ERROR
+
+    def __str__(self) -> str:
+        return f"{self.file}: {self.key}: {self.wrong}; allowed: {self.allowed}"
+
+
+def errors_in(problems: Iterable[Problem]) -> list[Problem]:
+    """Return the problems that prevent publication."""
+    return [item for item in problems if item.severity is Severity.ERROR]
+
+
+def warnings_in(problems: Iterable[Problem]) -> list[Problem]:
+    """Return the problems that an operator may accept."""
+    return [item for item in problems if item.severity is Severity.WARNING]
+
+
+def near_match(name: str, known: Iterable[str]) -> str:
+    """Return ``(did you mean "lookup"?)`` for a close known name, or nothing."""
+    matches = difflib.get_close_matches(name, list(known), n=1)
+    if not matches:
+        return ""
+    return f' (did you mean "{matches[0]}"?)'
+
+
+def show(value: Any) -> str:
+    """Return a value as it would be written in a file, shortened."""
+    text = json.dumps(value, ensure_ascii=False, default=str)
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def join_key(*parts: str) -> str:
+    """Return a dotted key; parts with other characters are quoted."""
+    return ".".join(
+        part if part.replace("-", "").replace("_", "").isalnum() else json.dumps(part)
+        for part in parts
+    )
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -0,0 +1,82 @@
+"""Reads a configuration file and reports mistakes in its TOML."""
+
+from __future__ import annotations
+
+import ast
+import re
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from .problems import Problem, join_key
+
+_DECLARED_TWICE = re.compile(r"Cannot (?:declare|mutate immutable namespace) (\(.*\))")
+_PLACE = re.compile(r"\s*\(at (?:line (\d+), column \d+|end of document)\)$")
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigFile:
+    """A document as it stands in a file."""
+
+    source: str
+    document: dict[str, Any]
+
+
+def read_toml(path: str) -> ConfigFile | Problem:
+    """Read a TOML file."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        return Problem(path, "file", error.strerror or str(error), "a readable file")
+    except UnicodeDecodeError:
+        return Problem(path, "file", "is not UTF-8 text", "TOML text in UTF-8")
+    return read_toml_text(text, path)
+
+
+def read_toml_text(text: str, source: str) -> ConfigFile | Problem:
+    """Read TOML text; ``source`` names it in messages."""
+    try:
+        return ConfigFile(source, tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        return _describe(str(error), text, source)
+
+
+def _describe(message: str, text: str, source: str) -> Problem:
+    place = _PLACE.search(message)
+    line = int(place.group(1)) if place and place.group(1) else text.count("\n") + 1
+    reason = _PLACE.sub("", message)
+    declared = _DECLARED_TWICE.search(reason)
+    if declared:
+        parts = [str(part) for part in ast.literal_eval(declared.group(1))]
+        return _defined_twice(source, join_key(*parts), parts[0], line)
+    if reason == "Cannot overwrite a value":
+        key, section = _key_at(text, line)
+        return _defined_twice(source, key, section, line)
+    return Problem(
+        source, f"line {line}", reason[:1].lower() + reason[1:], "valid TOML"
+    )
+
+
+def _key_at(text: str, line: int) -> tuple[str, str]:
+    lines = text.splitlines()[:line]
+    name = lines[-1].partition("=")[0].strip()
+    for row in reversed(lines):
+        header = re.match(r"\s*\[([^\[\]]+)\]", row)
+        if header:
+            section = header.group(1).strip()
+            return f"{section}.{name}", section
+    return name, ""
+
+
+def _defined_twice(source: str, key: str, section: str, line: int) -> Problem:
+    if section == "instances":
+        return Problem(
+            source,
+            key,
+            f"is defined a second time in line {line}",
+            "each instance once, in exactly one pool",
+        )
+    return Problem(
+        source, key, f"is defined a second time in line {line}", "each key once"
+    )
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -0,0 +1,131 @@
+"""Prints a configuration as TOML that can be read aloud."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import tomlkit
+
+from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION, default_of
+
+SECTIONS = ("zones", "pools", "teams", "queues", "instances")
+UNKNOWN_FIELD = "Unknown to this program version; kept as it is."
+
+
+def print_config(document: Mapping[str, Any], version: int | None = None) -> str:
+    """Return the document as TOML with a sentence for each figure.
+
+    ``read_config_text`` reads back exactly the same document. Defaults that the
+    document leaves out are printed as comments. The document holds no null,
+    which TOML cannot express and a merge patch cannot leave in a table.
+    """
+    lines = list(_head(document, version))
+    for section in SECTIONS:
+        if section in document:
+            lines += _section(section, document[section])
+    return "\n".join(lines) + "\n"
+
+
+def _head(document: Mapping[str, Any], version: int | None) -> Iterator[str]:
+    counts = ", ".join(
+        f"{section} {len(document[section])}"
+        for section in SECTIONS
+        if isinstance(document.get(section), Mapping)
+    )
+    if version is not None:
+        yield f"# Configuration version {version}."
+    yield f"# Number of entries in each part: {counts or 'none'}."
+    yield "# Lines that start with # only explain; programs do not read them."
+    if "name" in document:
+        yield f"name = {_value(document['name'])}  # The name of this fleet."
+    for name, value in document.items():
+        if name != "name" and name not in SECTIONS:
+            yield f"{_key(name)} = {_value(value)}  # {UNKNOWN_FIELD}"
+
+
+def _section(section: str, entries: Any) -> Iterator[str]:
+    yield ""
+    yield f"[{section}]"
+    if section == "instances":
+        yield "# One line for each worker instance. cores counts processor cores,"
+        yield "# memory_mb is memory in MB, accelerators counts accelerators."
+    for name, entry in entries.items():
+        if section == "instances":
+            yield from _instance(name, entry)
+            continue
+        yield ""
+        yield from _table(section, (section, name), entry)
+
+
+def _instance(name: str, entry: Mapping[str, Any]) -> Iterator[str]:
+    if {"pool", "zone", "rack", "cores", "memory_mb"} <= entry.keys():
+        yield "# " + _comment(
+            f"Worker {name} of pool {entry['pool']} is in zone {entry['zone']}, rack "
+            f"{entry['rack']}; cores: {entry['cores']}, memory: {entry['memory_mb']} "
+            f"MB, accelerators: {entry.get('accelerators', 0)}."
+        )
+    yield f"{_key(name)} = {_value(entry)}"
+
+
+def _table(
+    section: str, path: tuple[str, ...], entry: Mapping[str, Any]
+) -> Iterator[str]:
+    yield f"[{'.'.join(_key(part) for part in path)}]"
+    meanings = MEANING_BY_FIELD[section]
+    for name, meaning in meanings.items():
+        if name in entry and name != "keys":
+            text = _comment(meaning.explain(entry[name]))
+            yield f"{name} = {_value(entry[name])}  # {text}"
+    for name, value in entry.items():
+        if name not in meanings:
+            yield f"{_key(name)} = {_value(value)}  # {UNKNOWN_FIELD}"
+    yield from _defaults(section, entry)
+    if section == "teams" and "keys" in entry:
+        yield from _keys(path, entry["keys"])
+
+
+def _defaults(section: str, entry: Mapping[str, Any]) -> Iterator[str]:
+    for name, meaning in MEANING_BY_FIELD[section].items():
+        default = default_of(section, name)
+        if name in entry or default is None or default == [] or default == {}:
+            continue
+        noun = NOUN_BY_SECTION[section]
+        yield (
+            f"# {name} is {_value(default)} unless this {noun} sets it. "
+            f"{meaning.explain(default)}"
+        )
+
+
+def _keys(path: tuple[str, ...], keys: Mapping[str, Any]) -> Iterator[str]:
+    yield f"[{'.'.join(_key(part) for part in (*path, 'keys'))}]"
+    yield f"# {MEANING_BY_FIELD['teams']['keys'].explain(None)}"
+    for key_id, entry in keys.items():
+        yield f"{_key(key_id)} = {_value(entry)}"
+
+
+def _key(name: str) -> str:
+    if name and all(
+        char.isascii() and (char.isalnum() or char in "-_") for char in name
+    ):
+        return name
+    return _value(name)
+
+
+def _value(value: Any) -> str:
+    if isinstance(value, Mapping):
+        parts = ", ".join(
+            f"{_key(name)} = {_value(item)}" for name, item in value.items()
+        )
+        return f"{{ {parts} }}" if parts else "{}"
+    if isinstance(value, list):
+        return f"[{', '.join(_value(item) for item in value)}]"
+    return tomlkit.item(value).as_string()
+
+
+def _comment(text: str) -> str:
+    """Return text without characters that would end the comment."""
+    if text.isprintable():
+        return text
+    return json.dumps(text)[1:-1]
