--- a/libs/model/src/lycheeloom/model/config.py
+++ b/libs/model/src/lycheeloom/model/config.py
@@ -34,7 +34,8 @@
 class _Document(BaseModel):
     # Fields of newer program versions are kept, not rejected, so that an older
     # program can read a newer document.
-    model_config = ConfigDict(extra="allow", frozen=True)
+    # JSON has no infinity, and shares are divided by each other.
+    model_config = ConfigDict(extra="allow", frozen=True, allow_inf_nan=False)
 
 
 class KeyDocument(_Document):
@@ -120,10 +121,25 @@
             for team in queue.teams:
                 if team not in self.teams:
                     problems.append(f"queues.{name}.teams: no team {team!r}")
+        problems += self._key_problems()
         if problems:
             raise ValueError("; ".join(problems))
         return self
 
+    def _key_problems(self) -> list[str]:
+        # Callers are told apart by the key id alone, up to its first dot.
+        problems = []
+        owner_by_key: dict[str, str] = {}
+        for team, document in self.teams.items():
+            for key_id in document.keys:
+                place = f"teams.{team}.keys.{key_id}"
+                if "." in key_id or not key_id:
+                    problems.append(f"{place}: a key id is not empty and has no dot")
+                owner = owner_by_key.setdefault(key_id, team)
+                if owner != team:
+                    problems.append(f"{place}: team {owner!r} has this key id too")
+        return problems
+
 
 @dataclass(frozen=True, slots=True)
 class Key:
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -0,0 +1,109 @@
+"""Appends batches and finds out what became of them."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lycheeloom.model.records import Batch, Record
+from lycheeloom.platform import (
+    Appended,
+    AppendRefusal,
+    AppendRefused,
+    AppendUnknown,
+)
+from lycheeloom.wire import encode_batch
+
+from .log_view import BatchOutcome, Log, LogView
+
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The batch is in the log; ``outcome`` says what took effect."""
+
+    outcome: BatchOutcome
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """The batch is certainly not in the log and never will be."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The batch may be in the log, now or later."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """Time as the library sees it, replaced in tests."""
+
+    now_s: Callable[[], float] = time.monotonic
+    sleep: Callable[[float], None] = time.sleep
+
+
+class Appender:
+    """Appends the batches of one author, each under the next sequence number.
+
+    A lost answer is resolved by reading the log back. The batch is repeated
+    with the same sequence number, so it takes effect at most once.
+    """
+
+    def __init__(self, log: Log, view: LogView, author: str, clock: Clock) -> None:
+        self._log = log
+        self._view = view
+        self._author = author
+        self._clock = clock
+        self._sequence = 0
+
+    def append(
+        self, records: tuple[Record, ...], timeout_s: float
+    ) -> Accepted | NotAccepted | OutcomeUnknown:
+        """Append records as one batch and read back what they did."""
+        self._sequence += 1
+        data = encode_batch(Batch(self._author, self._sequence, records))
+        give_up_at_s = self._clock.now_s() + timeout_s
+        pause_s = FIRST_PAUSE_S
+        is_appended = may_be_in_log = False
+        while True:
+            if not is_appended:
+                result = self._log.append(data)
+                is_appended = isinstance(result, Appended)
+                may_be_in_log |= isinstance(result, Appended | AppendUnknown)
+                reason = _reason(result)
+                if result == AppendRefused(AppendRefusal.TOO_LARGE):
+                    return _give_up(may_be_in_log, reason)
+            if may_be_in_log:
+                problem = self._view.catch_up()
+                outcome = self._view.outcome(self._sequence)
+                if outcome is not None:
+                    return Accepted(outcome, data)
+                if problem is not None:
+                    reason = f"the log cannot be read back: {problem.reason}"
+            if self._clock.now_s() + pause_s > give_up_at_s:
+                return _give_up(may_be_in_log, reason)
+            self._clock.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+
+def _reason(result: Appended | AppendUnknown | AppendRefused) -> str:
+    match result:
+        case AppendUnknown(reason):
+            return f"the answer of the log was lost: {reason}"
+        case AppendRefused(reason):
+            return f"the log refused the batch: {reason}"
+    return "the batch was accepted but not read back in time"
+
+
+def _give_up(may_be_in_log: bool, reason: str) -> NotAccepted | OutcomeUnknown:
+    return OutcomeUnknown(reason) if may_be_in_log else NotAccepted(reason)
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/checks.py
@@ -0,0 +1,71 @@
+"""Checks a configuration and returns every mistake in one go."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import math
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from lycheeloom.model.config import ConfigError, parse_config
+
+from .field_checks import check_fields
+from .problems import Problem, errors_in, join_key
+from .reference_checks import Usage, check_references
+
+NO_USAGE = Usage()
+
+
+def check_document(
+    document: Mapping[str, Any],
+    file: str,
+    in_force: Mapping[str, Any] | None = None,
+    usage: Usage = NO_USAGE,
+) -> list[Problem]:
+    """Return all problems of a document, without duplicates.
+
+    ``in_force`` is the document that this one replaces and ``usage`` what the
+    fleet does now. A document without errors is one that ``parse_config``
+    accepts, so every entry will accept it too.
+    """
+    problems = [
+        *check_fields(document, in_force or {}, file),
+        *check_references(document, usage, file),
+    ]
+    keys = {problem.key for problem in problems}
+    plain = _check_plain((), document, file)
+    problems += [problem for problem in plain if problem.key not in keys]
+    if not errors_in(problems):
+        parsed = parse_config(json.loads(json.dumps(document)), 0)
+        if isinstance(parsed, ConfigError):
+            problems += [
+                Problem(file, "document", text, "what docs/configuration.md describes")
+                for text in parsed.problems
+            ]
+    return list(dict.fromkeys(problems))
+
+
+def _check_plain(path: tuple[str, ...], value: Any, file: str) -> Iterator[Problem]:
+    """Find TOML values that JSON, in which documents are published, lacks."""
+    if isinstance(value, Mapping):
+        for name, item in value.items():
+            yield from _check_plain((*path, name), item, file)
+    elif isinstance(value, list):
+        for item in value:
+            yield from _check_plain(path, item, file)
+    else:
+        wrong = _wrong_plain(value)
+        if wrong:
+            allowed = "texts, finite numbers, true, false, lists and tables"
+            yield Problem(file, join_key(*path), wrong, allowed)
+
+
+def _wrong_plain(value: Any) -> str:
+    if value is None:
+        return "is null"
+    if isinstance(value, datetime.date | datetime.time):
+        return f"is the date or time {value}"
+    if isinstance(value, float) and not math.isfinite(value):
+        return f"is {value}"
+    return ""
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -0,0 +1,162 @@
+"""Builds a configuration step by step."""
+
+from __future__ import annotations
+
+import copy
+import secrets
+from collections.abc import Mapping
+from typing import Any
+
+from lycheeloom.model.config import ZoneState
+from lycheeloom.model.keys import NewKey, create_key
+
+from .checks import NO_USAGE, check_document
+from .meanings import NOUN_BY_SECTION
+from .problems import Problem, join_key, near_match
+from .reference_checks import Usage
+
+DRAFT = "draft"
+KEY_ID_BYTES = 4
+
+
+class Draft:
+    """A configuration being edited; mistakes are collected, not raised.
+
+    Each method makes one change. A change that cannot be made (an unknown
+    name, a name used twice) adds a problem, which ``check`` returns with all
+    others:
+
+        draft = Draft(in_force)
+        draft.set_limit("red", 40)
+        draft.move_instance("w-7", "general")
+        problems = draft.check()
+    """
+
+    def __init__(
+        self, in_force: Mapping[str, Any] | None = None, file: str = DRAFT
+    ) -> None:
+        self._in_force = copy.deepcopy(dict(in_force or {}))
+        self.document = copy.deepcopy(self._in_force)
+        self._file = file
+        self._problems: list[Problem] = []
+
+    def set_name(self, name: str) -> None:
+        """Name the fleet."""
+        self.document["name"] = name
+
+    def add_zone(self, name: str, **settings: Any) -> None:
+        """Add an availability zone; settings as in ``ZoneDocument``."""
+        self._add("zones", name, settings)
+
+    def add_pool(self, name: str, **settings: Any) -> None:
+        """Add a pool; settings as in ``PoolDocument``."""
+        self._add("pools", name, settings)
+
+    def add_instance(self, name: str, **settings: Any) -> None:
+        """Add a worker instance; settings as in ``InstanceDocument``."""
+        self._add("instances", name, settings)
+
+    def add_team(self, name: str, **settings: Any) -> None:
+        """Add a team; settings as in ``TeamDocument``."""
+        self._add("teams", name, settings)
+
+    def add_queue(self, name: str, **settings: Any) -> None:
+        """Add a queue; settings as in ``QueueDocument``."""
+        self._add("queues", name, settings)
+
+    def change(self, section: str, name: str, **settings: Any) -> None:
+        """Change settings of an entry that exists."""
+        entry = self._entry(section, name)
+        if entry is not None:
+            entry.update(settings)
+
+    def remove(self, section: str, name: str) -> None:
+        """Remove an entry that exists."""
+        if self._entry(section, name) is not None:
+            del self.document[section][name]
+
+    def set_share(self, team: str, share: float) -> None:
+        """Set how many parts of a full fleet a team gets."""
+        self.change("teams", team, share=share)
+
+    def set_limit(self, team: str, upper_limit: int) -> None:
+        """Set how many tasks of a team run at once across the fleet."""
+        self.change("teams", team, upper_limit=upper_limit)
+
+    def take_zone_out(self, zone: str) -> None:
+        """Let no task start in an availability zone."""
+        self.change("zones", zone, state=ZoneState.OUT.value)
+
+    def bring_zone_in(self, zone: str) -> None:
+        """Let tasks start in an availability zone again."""
+        self.change("zones", zone, state=ZoneState.IN.value)
+
+    def move_instance(self, instance: str, pool: str) -> None:
+        """Set the wanted pool of an instance; the controller drains and moves it."""
+        if self._entry("pools", pool) is not None:
+            self.change("instances", instance, pool=pool)
+
+    def grant_key(self, team: str, key_id: str = "") -> NewKey | None:
+        """Add a key to a team; its token exists nowhere else and is shown once."""
+        entry = self._entry("teams", team)
+        if entry is None:
+            return None
+        key = create_key(key_id or f"{team}-{secrets.token_hex(KEY_ID_BYTES)}")
+        place = join_key("teams", team, "keys", key.id)
+        owner = self._owner_of_key(key.id)
+        if owner is not None:
+            wrong = f'is a key of the team "{owner}" already'
+            self._report(place, wrong, "a key name that is not in use")
+            return None
+        entry.setdefault("keys", {})[key.id] = key.document.model_dump()
+        return key
+
+    def withdraw_key(self, key_id: str) -> None:
+        """Remove a key; every entry refuses it within 3 s."""
+        owner = self._owner_of_key(key_id)
+        if owner is None:
+            known = [
+                name
+                for team in self.document.get("teams", {}).values()
+                for name in team.get("keys", {})
+            ]
+            wrong = f'there is no key "{key_id}"{near_match(key_id, known)}'
+            self._report("teams", wrong, "the name of a key of some team")
+            return
+        del self.document["teams"][owner]["keys"][key_id]
+
+    def check(self, usage: Usage = NO_USAGE) -> list[Problem]:
+        """Return all mistakes of the draft in one go."""
+        found = check_document(self.document, self._file, self._in_force, usage)
+        return [*self._problems, *found]
+
+    def _add(self, section: str, name: str, settings: Mapping[str, Any]) -> None:
+        entries = self.document.setdefault(section, {})
+        if name in entries:
+            noun = NOUN_BY_SECTION[section]
+            wrong, allowed = "is added a second time", f"each {noun} once"
+            if section == "instances":
+                pools = f'"{entries[name].get("pool")}" and "{settings.get("pool")}"'
+                wrong += f", to the pools {pools}"
+                allowed += ", in exactly one pool"
+            self._report(join_key(section, name), wrong, allowed)
+            return
+        entries[name] = dict(settings)
+
+    def _entry(self, section: str, name: str) -> dict[str, Any] | None:
+        entries = self.document.get(section, {})
+        if name in entries:
+            return entries[name]
+        noun = NOUN_BY_SECTION[section]
+        wrong = f'there is no {noun} "{name}"{near_match(name, entries)}'
+        self._report(section, wrong, f"the name of a {noun} under [{section}]")
+        return None
+
+    def _owner_of_key(self, key_id: str) -> str | None:
+        for team, entry in self.document.get("teams", {}).items():
+            if key_id in entry.get("keys", {}):
+                return team
+        return None
+
+    def _report(self, key: str, wrong: str, allowed: str) -> None:
+        self._problems.append(Problem(self._file, key, wrong, allowed))
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/entries.py
@@ -0,0 +1,161 @@
+"""Asks entries for their status and hands accepted batches to them."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+from pydantic import ValidationError
+
+from lycheeloom.model.status import StatusDocument
+from lycheeloom.platform import Transport
+
+ENTRY_TIMEOUT_S = 2.0
+MAX_PARALLEL_CALLS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class EntryUnavailable:
+    """The entry gave no usable answer."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """What an entry knows about the decisions on one thing."""
+
+    sentences: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownThing:
+    """The entry has no record of it."""
+
+
+class EntryClient:
+    """Calls one entry; its connections are used by one thread at a time."""
+
+    def __init__(self, address: str, timeout_s: float = ENTRY_TIMEOUT_S) -> None:
+        self.address = address
+        self._timeout_s = timeout_s
+        self._transport = Transport()
+
+    def status(self) -> StatusDocument | EntryUnavailable:
+        """Return the status document of the entry."""
+        answer = self._call("GET", "/v1/status")
+        if isinstance(answer, EntryUnavailable):
+            return answer
+        status, body = answer
+        if status != 200:
+            return EntryUnavailable(f"http status {status}")
+        try:
+            return StatusDocument.model_validate_json(body)
+        except ValidationError:
+            return EntryUnavailable("the answer is not a status document")
+
+    def hand_over(
+        self, offset: int, batches: Sequence[bytes]
+    ) -> EntryUnavailable | None:
+        """Give batches of the log to the entry; returns why if that failed."""
+        encoded = [base64.b64encode(batch).decode() for batch in batches]
+        body = json.dumps({"offset": offset, "batches": encoded}).encode()
+        answer = self._call("POST", "/v1/records", body)
+        if isinstance(answer, EntryUnavailable):
+            return answer
+        status, _ = answer
+        if status // 100 != 2:
+            return EntryUnavailable(f"http status {status}")
+        return None
+
+    def explain(
+        self, kind: str, name: str
+    ) -> Explanation | UnknownThing | EntryUnavailable:
+        """Return the sentences that explain a request, instance, pool or team."""
+        path = f"/v1/explain/{quote(kind, safe='')}/{quote(name, safe='')}"
+        answer = self._call("GET", path)
+        if isinstance(answer, EntryUnavailable):
+            return answer
+        status, body = answer
+        if status == 404:
+            return UnknownThing()
+        if status != 200:
+            return EntryUnavailable(f"http status {status}")
+        return _read_explanation(body)
+
+    def _call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, bytes] | EntryUnavailable:
+        response = self._transport.call(
+            self.address, method, path, body=body, timeout_s=self._timeout_s
+        )
+        status = getattr(response, "status", None)
+        if status is None:
+            return EntryUnavailable(response.reason)
+        return status, response.body
+
+
+class Entries:
+    """All entries of the fleet, called in parallel."""
+
+    def __init__(self, clients: Sequence[EntryClient]) -> None:
+        self._clients = tuple(clients)
+
+    @classmethod
+    def at(cls, addresses: Sequence[str]) -> Entries:
+        """Return the entries at these addresses."""
+        return cls([EntryClient(address) for address in addresses])
+
+    def statuses(self) -> dict[str, StatusDocument | EntryUnavailable]:
+        """Return the status of each entry by address."""
+        return self._for_each(lambda client: client.status())
+
+    def hand_over(self, offset: int, batches: Sequence[bytes]) -> dict[str, str]:
+        """Hand batches to each entry; returns the reason of each failure."""
+        results = self._for_each(lambda client: client.hand_over(offset, batches))
+        return {
+            address: result.reason
+            for address, result in results.items()
+            if result is not None
+        }
+
+    def explain(
+        self, kind: str, name: str
+    ) -> dict[str, Explanation | UnknownThing | EntryUnavailable]:
+        """Ask each entry; a request may be known to one entry only."""
+        return self._for_each(lambda client: client.explain(kind, name))
+
+    def _for_each(self, call: Callable[[EntryClient], Any]) -> dict[str, Any]:
+        if not self._clients:
+            return {}
+        workers = min(len(self._clients), MAX_PARALLEL_CALLS)
+        with ThreadPoolExecutor(workers) as executor:
+            results = executor.map(call, self._clients)
+            return {
+                client.address: result
+                for client, result in zip(self._clients, results, strict=True)
+            }
+
+
+def newest_status(
+    statuses: Mapping[str, StatusDocument | EntryUnavailable],
+) -> StatusDocument | None:
+    """Return the status of the entry that has read the log furthest."""
+    found = [item for item in statuses.values() if isinstance(item, StatusDocument)]
+    if not found:
+        return None
+    return max(found, key=lambda item: (item.next_offset, item.fresh))
+
+
+def _read_explanation(body: bytes) -> Explanation | EntryUnavailable:
+    try:
+        document = json.loads(body)
+        sentences = tuple(str(item["sentence"]) for item in document["events"])
+    except (ValueError, KeyError, TypeError):
+        return EntryUnavailable("the answer is not an explanation")
+    return Explanation(sentences)
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/field_checks.py
@@ -0,0 +1,149 @@
+"""Checks of single fields: names, types, ranges and unknown keys."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from pydantic import ValidationError
+
+from .meanings import MEANING_BY_FIELD, MODEL_BY_SECTION, NOUN_BY_SECTION
+from .problems import Problem, join_key, near_match, show
+from .toml_writer import SECTIONS
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_KEY_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
+_ADDRESS = re.compile(r"(?:[A-Za-z0-9.-]+|\[[0-9A-Fa-f:]+\]):([0-9]{1,5})")
+NAME_RULE = "1 to 63 letters, digits, dots, hyphens or underscores, first no sign"
+KEY_ID_RULE = "1 to 63 letters, digits, hyphens or underscores, first no sign"
+TOP_LEVEL = ("name", *SECTIONS)
+
+
+def check_fields(
+    document: Mapping[str, Any], in_force: Mapping[str, Any], file: str
+) -> Iterator[Problem]:
+    """Yield a problem for each field that is wrong by itself.
+
+    A field unknown to this program is accepted only if it is in force already,
+    published by a newer program; otherwise it is taken for a mistake.
+    """
+    name = document.get("name", "fleet")
+    if not isinstance(name, str) or not name:
+        yield Problem(file, "name", f"is {show(name)}", "a text in quotation marks")
+    for key in document:
+        if key not in TOP_LEVEL and key not in in_force:
+            wrong = f"is not a known key{near_match(key, TOP_LEVEL)}"
+            yield Problem(file, join_key(key), wrong, ", ".join(TOP_LEVEL))
+    for section in SECTIONS:
+        entries = document.get(section, {})
+        if not isinstance(entries, Mapping):
+            noun = NOUN_BY_SECTION[section]
+            allowed = f"a table with one part for each {noun}"
+            yield Problem(file, section, f"is {show(entries)}", allowed)
+            continue
+        old = _mapping(in_force.get(section))
+        for entry_name, entry in entries.items():
+            path = (section, entry_name)
+            known = _mapping(old.get(entry_name))
+            yield from _check_entry(section, path, entry, known, file)
+
+
+def _check_entry(
+    section: str,
+    path: tuple[str, ...],
+    entry: Any,
+    in_force: Mapping[str, Any],
+    file: str,
+) -> Iterator[Problem]:
+    yield from _check_name(section, path, file)
+    if not isinstance(entry, Mapping):
+        noun = NOUN_BY_SECTION[section]
+        allowed = f"a table of the settings of one {noun}"
+        yield Problem(file, join_key(*path), f"is {show(entry)}", allowed)
+        return
+    fields = MEANING_BY_FIELD[section]
+    for name in entry:
+        if name not in fields and name not in in_force:
+            wrong = f"is not a known key{near_match(name, fields)}"
+            yield Problem(file, join_key(*path, name), wrong, ", ".join(fields))
+    yield from _check_values(section, path, entry, file)
+    if section == "instances" and isinstance(entry.get("address"), str):
+        yield from _check_address(path, entry["address"], file)
+    keys = entry.get("keys") if section == "teams" else None
+    if isinstance(keys, Mapping):
+        old = _mapping(in_force.get("keys"))
+        for key_id, key in keys.items():
+            known = _mapping(old.get(key_id))
+            yield from _check_entry("keys", (*path, "keys", key_id), key, known, file)
+
+
+def _check_name(section: str, path: tuple[str, ...], file: str) -> Iterator[Problem]:
+    name = path[-1]
+    pattern, rule = (_KEY_ID, KEY_ID_RULE) if section == "keys" else (_NAME, NAME_RULE)
+    if not pattern.fullmatch(name):
+        noun = NOUN_BY_SECTION[section]
+        wrong = f"{show(name)} cannot be the name of a {noun}"
+        yield Problem(file, join_key(*path), wrong, rule)
+
+
+def _check_values(
+    section: str, path: tuple[str, ...], entry: Mapping[str, Any], file: str
+) -> Iterator[Problem]:
+    model = MODEL_BY_SECTION[section]
+    fields = MEANING_BY_FIELD[section]
+    values = {name: value for name, value in entry.items() if name in fields}
+    if isinstance(values.get("keys"), Mapping):
+        # Keys are checked one by one, so that each gets its own message.
+        values.pop("keys")
+    seen = set()
+    for error in _validation_errors(model, values):
+        name = str(error["loc"][0])
+        if name in seen:
+            continue
+        seen.add(name)
+        allowed = fields[name].allowed
+        key = join_key(*path, name)
+        if error["type"] == "missing":
+            yield Problem(file, key, "is missing", allowed)
+            continue
+        yield Problem(file, key, _wrong_value(section, name, entry[name]), allowed)
+
+
+def _validation_errors(model: Any, values: Mapping[str, Any]) -> list[Any]:
+    # JSON mode is strict about types but accepts the texts of enums.
+    try:
+        model.model_validate_json(json.dumps(values, default=str), strict=True)
+    except ValidationError as error:
+        return error.errors()
+    return []
+
+
+def _wrong_value(section: str, name: str, value: Any) -> str:
+    if (section, name) == ("instances", "pool") and isinstance(value, list):
+        return f"puts the instance in {len(value)} pools, {show(value)}"
+    if section == "keys" and name == "digest":
+        # What stands here may be a secret key put in by mistake.
+        return "is not the salted hash of a key"
+    if isinstance(value, float) and not math.isfinite(value):
+        return f"is {value}"
+    return f"is {show(value)}"
+
+
+def _check_address(path: tuple[str, ...], address: str, file: str) -> Iterator[Problem]:
+    if is_address(address):
+        return
+    allowed = MEANING_BY_FIELD["instances"]["address"].allowed
+    yield Problem(file, join_key(*path, "address"), f"is {show(address)}", allowed)
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is a host and a port from 1 to 65535."""
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 1 <= int(match.group(1)) <= 65535
+
+
+def _mapping(value: Any) -> Mapping[str, Any]:
+    return value if isinstance(value, Mapping) else {}
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -0,0 +1,172 @@
+"""The operator's own replay of the log."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from lycheeloom.model.records import Batch
+from lycheeloom.platform import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    Expired,
+    ReadBatches,
+    Unavailable,
+)
+from lycheeloom.state import FleetState
+from lycheeloom.wire import decode_batch
+
+from .difference import compare
+
+READ_LIMIT = 1000
+# Documents kept for telling what an earlier change did.
+KEPT_DOCUMENTS = 100
+
+
+class Log(Protocol):
+    """What the operator library needs of ``lycheeloom.platform.LogClient``."""
+
+    def append(self, batch: bytes) -> Appended | AppendUnknown | AppendRefused:
+        """Append one batch."""
+
+    def read(
+        self, first_offset: int, limit: int = READ_LIMIT, wait_s: float = 0.0
+    ) -> ReadBatches | Expired | Unavailable:
+        """Read batches from an offset on."""
+
+
+class Restore(Protocol):
+    """Finds the state in the newest complete snapshot of the log."""
+
+    def __call__(self, log: Log, oldest: int) -> FleetState | Unavailable:
+        """Return the state, or why there is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedChange:
+    """One accepted change of the configuration, in sentences."""
+
+    version: int
+    operator: str
+    offset: int
+    patch: Mapping[str, Any]
+    sentences: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BatchOutcome:
+    """Where a batch first stood in the log and what took effect."""
+
+    offset: int
+    effective: tuple[bool, ...]
+
+
+class LogView:
+    """Reads the log and keeps what the operator needs of it.
+
+    The view of one author remembers the outcome of that author's batches.
+    """
+
+    def __init__(self, log: Log, author: str, restore: Restore | None = None) -> None:
+        self._log = log
+        self._author = author
+        self._restore = restore
+        self.state = FleetState()
+        self._outcome_by_sequence: dict[int, BatchOutcome] = {}
+        self._document_by_version: dict[int, dict[str, Any]] = {0: {}}
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force."""
+        return self.state.configuration.version
+
+    @property
+    def document(self) -> dict[str, Any]:
+        """The configuration document in force."""
+        return self.state.configuration.document
+
+    def catch_up(self) -> Unavailable | None:
+        """Replay the log to its end; returns why if that failed."""
+        while True:
+            first = self.state.next_offset
+            result = self._log.read(first, READ_LIMIT, 0.0)
+            match result:
+                case Unavailable():
+                    return result
+                case Expired(oldest):
+                    problem = self._load_snapshot(oldest)
+                    if problem is not None:
+                        return problem
+                case ReadBatches(batches=batches):
+                    if not batches:
+                        return None
+                    self._apply(result)
+                    if self.state.next_offset == first:
+                        return Unavailable(f"no batch at offset {first}")
+
+    def outcome(self, sequence: int) -> BatchOutcome | None:
+        """Return what became of a batch of the author, if it was read."""
+        return self._outcome_by_sequence.get(sequence)
+
+    def changes_since(self, version: int) -> list[PublishedChange]:
+        """Return the accepted changes after a version, the oldest first."""
+        history = self.state.configuration.history
+        return [
+            self._describe(change) for change in history if change.version > version
+        ]
+
+    def _apply(self, read: ReadBatches) -> None:
+        for offset, data in enumerate(read.batches, start=read.first):
+            if offset < self.state.next_offset:
+                continue
+            batch = decode_batch(data)
+            if not isinstance(batch, Batch):
+                self.state.skip(offset)
+                continue
+            applied = self.state.apply(offset, batch)
+            if batch.author == self._author and not applied.is_repeat:
+                outcome = BatchOutcome(offset, applied.effective)
+                self._outcome_by_sequence[batch.sequence] = outcome
+            self._remember_document()
+
+    def _remember_document(self) -> None:
+        documents = self._document_by_version
+        if self.version not in documents:
+            documents[self.version] = self.document
+            documents.pop(self.version - KEPT_DOCUMENTS, None)
+
+    def _load_snapshot(self, oldest: int) -> Unavailable | None:
+        if self._restore is None:
+            return Unavailable(f"the log starts at offset {oldest}")
+        state = self._restore(self._log, oldest)
+        if isinstance(state, Unavailable):
+            return state
+        if state.next_offset < oldest:
+            return Unavailable("the newest snapshot is older than the log")
+        self.state = state
+        self._document_by_version = {}
+        self._remember_document()
+        return None
+
+    def _describe(self, change: Any) -> PublishedChange:
+        before = self._document_by_version.get(change.version - 1)
+        after = self._document_by_version.get(change.version)
+        if before is None or after is None:
+            sentences = (f"patch {change.patch}",)
+        else:
+            sentences = tuple(item.sentence() for item in compare(before, after))
+        return PublishedChange(
+            change.version,
+            change.operator,
+            change.offset,
+            _load_patch(change.patch),
+            sentences,
+        )
+
+
+def _load_patch(text: str) -> Mapping[str, Any]:
+    patch = json.loads(text)
+    return patch if isinstance(patch, dict) else {}
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -0,0 +1,216 @@
+"""Checks that span several parts of a configuration."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from .problems import Problem, Severity, join_key, near_match, show
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What the fleet does now, as far as checks need it."""
+
+    running_by_team: Mapping[str, int] = field(default_factory=dict)
+    pool_by_instance: Mapping[str, str] = field(default_factory=dict)
+    target_pool_by_instance: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """The tables of a document; whatever is not a table is left out."""
+
+    zones: Mapping[str, Mapping[str, Any]]
+    pools: Mapping[str, Mapping[str, Any]]
+    instances: Mapping[str, Mapping[str, Any]]
+    teams: Mapping[str, Mapping[str, Any]]
+    queues: Mapping[str, Mapping[str, Any]]
+
+    @classmethod
+    def of(cls, document: Mapping[str, Any]) -> Parts:
+        """Pick the tables of a document that may be wrong elsewhere."""
+        return cls(
+            *(
+                _tables(document.get(section))
+                for section in ("zones", "pools", "instances", "teams", "queues")
+            )
+        )
+
+    def instances_of(self, pool: str) -> list[str]:
+        """Return the names of the instances of a pool."""
+        return [
+            name for name, item in self.instances.items() if item.get("pool") == pool
+        ]
+
+
+def check_references(
+    document: Mapping[str, Any], usage: Usage, file: str
+) -> Iterator[Problem]:
+    """Yield a problem for each contradiction between parts."""
+    parts = Parts.of(document)
+    yield from _check_instances(parts, file)
+    yield from _check_racks(parts, file)
+    yield from _check_queues(parts, file)
+    yield from _check_keys(parts, file)
+    yield from _check_pools(parts, file)
+    yield from _check_usage(parts, usage, file)
+    yield from _check_service(parts, file)
+
+
+def _check_instances(parts: Parts, file: str) -> Iterator[Problem]:
+    owner_by_address: dict[str, str] = {}
+    for name, instance in parts.instances.items():
+        for field_name, noun, known in (
+            ("pool", "pool", parts.pools),
+            ("zone", "zone", parts.zones),
+        ):
+            key = join_key("instances", name, field_name)
+            yield from _check_name(file, key, noun, instance.get(field_name), known)
+        address = instance.get("address")
+        if not isinstance(address, str):
+            continue
+        owner = owner_by_address.setdefault(address, name)
+        if owner != name:
+            pools = show(parts.instances[owner].get("pool")), show(instance.get("pool"))
+            wrong = f'is the address of "{owner}" too (pools {pools[0]} and {pools[1]})'
+            allowed = "one name for each instance, in exactly one pool"
+            key = join_key("instances", name, "address")
+            yield Problem(file, key, wrong, allowed)
+
+
+def _check_racks(parts: Parts, file: str) -> Iterator[Problem]:
+    zone_by_rack: dict[str, str] = {}
+    for name, instance in parts.instances.items():
+        rack, zone = instance.get("rack"), instance.get("zone")
+        if not isinstance(rack, str) or not isinstance(zone, str):
+            continue
+        first = zone_by_rack.setdefault(rack, zone)
+        if first != zone:
+            wrong = f'is {show(rack)} in zone "{zone}" and elsewhere in zone "{first}"'
+            key = join_key("instances", name, "rack")
+            yield Problem(file, key, wrong, "racks that stand in one zone each")
+
+
+def _check_queues(parts: Parts, file: str) -> Iterator[Problem]:
+    for name, queue in parts.queues.items():
+        key = join_key("queues", name, "pool")
+        yield from _check_name(file, key, "pool", queue.get("pool"), parts.pools)
+        teams = queue.get("teams", [])
+        if not isinstance(teams, list):
+            continue
+        key = join_key("queues", name, "teams")
+        names = [team for team in teams if isinstance(team, str)]
+        for team, count in Counter(names).items():
+            if count > 1:
+                wrong = f'names the team "{team}" {count} times'
+                yield Problem(file, key, wrong, "each team once")
+            yield from _check_name(file, key, "team", team, parts.teams)
+        if not teams and queue.get("open_to_all") is not True:
+            wrong = "names no team, so nobody can use this queue"
+            allowed = "at least one team, or open_to_all = true"
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+
+
+def _check_name(
+    file: str, key: str, noun: str, name: Any, known: Mapping[str, Any]
+) -> Iterator[Problem]:
+    if not isinstance(name, str) or name in known:
+        return
+    wrong = f'names the {noun} "{name}", which is not defined{near_match(name, known)}'
+    yield Problem(file, key, wrong, f"the name of a {noun} under [{noun}s]")
+
+
+def _check_keys(parts: Parts, file: str) -> Iterator[Problem]:
+    owner_by_key: dict[str, str] = {}
+    for team, entry in parts.teams.items():
+        keys = entry.get("keys")
+        for key_id in keys if isinstance(keys, Mapping) else ():
+            owner = owner_by_key.setdefault(key_id, team)
+            if owner != team:
+                wrong = f'is a key of the team "{owner}" too'
+                key = join_key("teams", team, "keys", key_id)
+                yield Problem(file, key, wrong, "key names used by one team only")
+
+
+def _check_pools(parts: Parts, file: str) -> Iterator[Problem]:
+    for name, pool in parts.pools.items():
+        count = len(parts.instances_of(name))
+        needed = pool.get("needed", 0)
+        budget = pool.get("max_unavailable", 1)
+        if not _is_count(needed) or not _is_count(budget):
+            continue
+        if needed > count:
+            wrong = f"is {needed}, but the pool has {count} instances"
+            key = join_key("pools", name, "needed")
+            yield Problem(file, key, wrong, f"a whole number from 0 to {count}")
+        elif needed and count - budget < needed:
+            wrong = (
+                f"is {budget}, which leaves {count - budget} of {count} instances "
+                f"though {needed} are needed"
+            )
+            key = join_key("pools", name, "max_unavailable")
+            allowed = f"a whole number from 0 to {count - needed}"
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+        if budget == 0 and count:
+            key = join_key("pools", name, "max_unavailable")
+            wrong = "is 0, so no instance of this pool can ever be maintained"
+            allowed = "1 or more for maintenance"
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+
+
+def _check_usage(parts: Parts, usage: Usage, file: str) -> Iterator[Problem]:
+    for team, running in usage.running_by_team.items():
+        limit = parts.teams.get(team, {}).get("upper_limit")
+        if _is_count(limit) and limit < running:
+            wrong = f"is {limit}, but {running} tasks of this team are running"
+            allowed = (
+                f"{running} or more; a lower limit starts no task until enough end"
+            )
+            key = join_key("teams", team, "upper_limit")
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+        if running and team not in parts.teams:
+            wrong = f"is removed, but {running} tasks of this team are running"
+            key = join_key("teams", team)
+            allowed = "to remove a team when none of its tasks run"
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+    for instance in parts.instances:
+        for pool in (
+            usage.pool_by_instance.get(instance),
+            usage.target_pool_by_instance.get(instance),
+        ):
+            if pool is None or pool in parts.pools:
+                continue
+            wrong = (
+                f'is removed, but the instance "{instance}" is in it or moving to it'
+            )
+            allowed = "to remove a pool when its last instance has moved away"
+            yield Problem(file, join_key("pools", pool), wrong, allowed)
+
+
+def _check_service(parts: Parts, file: str) -> Iterator[Problem]:
+    if parts.zones and all(zone.get("state") == "out" for zone in parts.zones.values()):
+        wrong = "are all out, so no task starts anywhere"
+        allowed = 'at least one zone with state = "in"'
+        yield Problem(file, "zones", wrong, allowed, Severity.WARNING)
+    for name, queue in parts.queues.items():
+        pool = queue.get("pool")
+        if isinstance(pool, str) and pool in parts.pools:
+            if parts.instances_of(pool):
+                continue
+            wrong = f'names the pool "{pool}", which has no instances'
+            allowed = "a pool with at least one instance"
+            key = join_key("queues", name, "pool")
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+
+
+def _is_count(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _tables(value: Any) -> dict[str, Mapping[str, Any]]:
+    if not isinstance(value, Mapping):
+        return {}
+    return {name: item for name, item in value.items() if isinstance(item, Mapping)}
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/settings.py
@@ -0,0 +1,96 @@
+"""Settings of the operator command."""
+
+from __future__ import annotations
+
+import getpass
+import math
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .field_checks import is_address
+from .problems import Problem, near_match, show
+from .toml_reader import read_toml
+
+DEFAULT_PATH = "lycheeloom.toml"
+PATH_VARIABLE = "LYCHEELOOM_SETTINGS"
+DEFAULT_TIMEOUT_S = 10.0
+MAX_TIMEOUT_S = 3600
+ADDRESS = 'host and port, such as "10.1.0.4:7100"'
+ADDRESSES = f"a list of at least one {ADDRESS}, each once"
+KNOWN_KEYS = ("log", "entries", "operator", "timeout_s")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Where the log and the entries are, and who is the operator."""
+
+    log: str
+    entries: tuple[str, ...]
+    operator: str
+    timeout_s: float = DEFAULT_TIMEOUT_S
+
+
+def load_settings(path: str) -> Settings | list[Problem]:
+    """Read and check a settings file, or return every mistake in it."""
+    file = read_toml(path)
+    if isinstance(file, Problem):
+        return [file]
+    problems = list(check_settings(file.document, path))
+    if problems:
+        return problems
+    values = file.document
+    return Settings(
+        log=values["log"],
+        entries=tuple(values["entries"]),
+        operator=values.get("operator") or getpass.getuser(),
+        timeout_s=float(values.get("timeout_s", DEFAULT_TIMEOUT_S)),
+    )
+
+
+def check_settings(values: Mapping[str, Any], path: str) -> Iterator[Problem]:
+    """Yield a problem for each wrong setting."""
+    for key in values:
+        if key not in KNOWN_KEYS:
+            wrong = f"is not a known key{near_match(key, KNOWN_KEYS)}"
+            yield Problem(path, key, wrong, ", ".join(KNOWN_KEYS))
+    yield from _check_log(values, path)
+    yield from _check_entries(values, path)
+    operator = values.get("operator", "")
+    if not isinstance(operator, str):
+        yield Problem(path, "operator", f"is {show(operator)}", "your name as a text")
+    timeout = values.get("timeout_s", DEFAULT_TIMEOUT_S)
+    if not _is_duration(timeout):
+        allowed = f"a number of seconds above 0, at most {MAX_TIMEOUT_S}"
+        yield Problem(path, "timeout_s", f"is {show(timeout)}", allowed)
+
+
+def _check_log(values: Mapping[str, Any], path: str) -> Iterator[Problem]:
+    if "log" not in values:
+        yield Problem(path, "log", "is missing", ADDRESS)
+        return
+    log = values["log"]
+    if not isinstance(log, str) or not is_address(log):
+        yield Problem(path, "log", f"is {show(log)}", ADDRESS)
+
+
+def _check_entries(values: Mapping[str, Any], path: str) -> Iterator[Problem]:
+    if "entries" not in values:
+        yield Problem(path, "entries", "is missing", ADDRESSES)
+        return
+    entries = values["entries"]
+    if not isinstance(entries, list) or not entries:
+        yield Problem(path, "entries", f"is {show(entries)}", ADDRESSES)
+        return
+    for index, entry in enumerate(entries):
+        if not isinstance(entry, str) or not is_address(entry):
+            yield Problem(path, "entries", f"contains {show(entry)}", ADDRESSES)
+        elif entry in entries[:index]:
+            wrong = f"contains {show(entry)} twice"
+            yield Problem(path, "entries", wrong, ADDRESSES)
+
+
+def _is_duration(value: Any) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return math.isfinite(value) and 0 < value <= MAX_TIMEOUT_S
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -0,0 +1,64 @@
+"""Splits a patch that is too large for one batch of the log."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from lycheeloom.model.limits import MAX_BATCH_BYTES
+
+# Leaves room for the author and the encoding of the batch.
+MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
+# Whatever is referred to is added first and removed last.
+_ADDED_IN_ORDER = ("zones", "pools", "teams", "instances", "queues")
+
+
+def patch_text(patch: Mapping[str, Any]) -> str:
+    """Serialise a patch for the log."""
+    return json.dumps(patch, separators=(",", ":"))
+
+
+def split_patch(
+    patch: Mapping[str, Any], max_bytes: int = MAX_PATCH_BYTES
+) -> list[dict[str, Any]]:
+    """Return patches that lead to the same document one after the other.
+
+    One patch is returned wherever it fits, so that a change takes effect at
+    once. A larger one is divided between the entries of its tables, additions
+    and changes first, removals last.
+    """
+    if len(patch_text(patch)) <= max_bytes:
+        return [dict(patch)]
+    parts: list[dict[str, Any]] = []
+    size = 0
+    for section, name, value in _pieces(patch):
+        piece_size = len(patch_text({section: {name: value}}))
+        if not parts or size + piece_size > max_bytes:
+            parts.append({})
+            size = 0
+        size += piece_size
+        if name is None:
+            parts[-1][section] = value
+        else:
+            parts[-1].setdefault(section, {})[name] = value
+    return parts
+
+
+def _pieces(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
+    for section, value in patch.items():
+        if section not in _ADDED_IN_ORDER or not isinstance(value, Mapping):
+            yield section, None, value
+    for section in _ADDED_IN_ORDER:
+        for name, value in _items(patch, section):
+            if value is not None:
+                yield section, name, value
+    for section in reversed(_ADDED_IN_ORDER):
+        for name, value in _items(patch, section):
+            if value is None:
+                yield section, name, value
+
+
+def _items(patch: Mapping[str, Any], section: str) -> list[tuple[str, Any]]:
+    value = patch.get(section)
+    return list(value.items()) if isinstance(value, Mapping) else []
