--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -0,0 +1,150 @@
+"""Commands that change the fleet."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable
+from typing import Any
+
+from lycheeloom.model.keys import NewKey
+from lycheeloom.model.records import WaveState
+
+from .draft import Draft
+from .exit_codes import ExitCode
+from .operator import Operator
+from .output import Report, report_mistakes, report_result
+from .problems import Problem, near_match
+from .results import Published
+from .toml_reader import VERSION_KEY, ConfigFile, read_config
+
+_WANTED_STATE = {
+    "wave start": (WaveState.RUNNING, (WaveState.ABSENT,)),
+    "wave pause": (WaveState.PAUSED, (WaveState.RUNNING,)),
+    "wave resume": (WaveState.RUNNING, (WaveState.PAUSED,)),
+    "wave abort": (WaveState.ABORTED, (WaveState.RUNNING, WaveState.PAUSED)),
+}
+
+
+def publish_file(operator: Operator, args: argparse.Namespace) -> Report:
+    """Publish a configuration file under the version it was printed from."""
+    file = read_config(args.file)
+    if isinstance(file, Problem):
+        return report_mistakes([file])
+    expected = args.expect if args.expect is not None else file.version
+    if expected is None:
+        problem = operator.refresh()
+        if problem is not None:
+            return report_result(problem)
+        if operator.version != 0:
+            return report_mistakes([_version_missing(file, operator.version)])
+        expected = 0
+    result = operator.publish(
+        file.document,
+        expected,
+        file=file.source,
+        accept_warnings=args.accept_warnings,
+        timeout_s=args.timeout_s,
+    )
+    return _finish(operator, args, result)
+
+
+def grant_key(operator: Operator, args: argparse.Namespace) -> Report:
+    """Make a key and show it."""
+    made: list[NewKey | None] = []
+    report = _change(
+        operator, args, lambda draft: made.append(draft.grant_key(args.team, args.id))
+    )
+    key = made[-1] if made else None
+    shown = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.UNKNOWN)
+    if key is None or report.code not in shown:
+        return report
+    lines = (
+        f"Key {key.id} of the team {args.team}, shown only now:",
+        f"  {key.token}",
+    )
+    return Report(lines, {"key": key.id, "token": key.token}) + report
+
+
+def withdraw_key(operator: Operator, args: argparse.Namespace) -> Report:
+    """Withdraw a key."""
+    return _change(operator, args, lambda draft: draft.withdraw_key(args.key))
+
+
+def take_zone_out(operator: Operator, args: argparse.Namespace) -> Report:
+    """Take a zone out of service."""
+    return _change(operator, args, lambda draft: draft.take_zone_out(args.zone))
+
+
+def bring_zone_in(operator: Operator, args: argparse.Namespace) -> Report:
+    """Bring a zone back into service."""
+    return _change(operator, args, lambda draft: draft.bring_zone_in(args.zone))
+
+
+def move_instance(operator: Operator, args: argparse.Namespace) -> Report:
+    """Set the wanted pool of an instance."""
+    return _change(
+        operator, args, lambda draft: draft.move_instance(args.instance, args.pool)
+    )
+
+
+def command_wave(operator: Operator, args: argparse.Namespace) -> Report:
+    """Start, pause, resume or abort a wave."""
+    wanted, expected = _WANTED_STATE[args.command]
+    pools = getattr(args, "pool", [])
+    problem = operator.refresh()
+    if problem is not None:
+        return report_result(problem)
+    mistakes = unknown_pools(operator, pools)
+    if mistakes:
+        return report_mistakes(mistakes)
+    result = operator.command_wave(
+        args.wave,
+        wanted,
+        pools=pools,
+        urgent=getattr(args, "urgent", False),
+        reboot=not getattr(args, "no_reboot", False),
+        expected=expected,
+        timeout_s=args.timeout_s,
+    )
+    return report_result(result)
+
+
+def unknown_pools(operator: Operator, pools: list[str]) -> list[Problem]:
+    """Return a problem for each name that is not a pool."""
+    known = operator.document.get("pools", {})
+    return [
+        Problem(
+            "command line",
+            "--pool",
+            f'there is no pool "{pool}"{near_match(pool, known)}',
+            "the name of a pool under [pools]",
+        )
+        for pool in pools
+        if pool not in known
+    ]
+
+
+def _change(
+    operator: Operator, args: argparse.Namespace, edit: Callable[[Draft], Any]
+) -> Report:
+    result = operator.change(
+        edit, accept_warnings=args.accept_warnings, timeout_s=args.timeout_s
+    )
+    return _finish(operator, args, result)
+
+
+def _finish(operator: Operator, args: argparse.Namespace, result: Any) -> Report:
+    report = report_result(result)
+    if not isinstance(result, Published) or args.no_wait:
+        return report
+    waited = operator.wait_in_force(result.version, args.timeout_s)
+    return report + report_result(waited)
+
+
+def _version_missing(file: ConfigFile, version: int) -> Problem:
+    return Problem(
+        file.source,
+        VERSION_KEY,
+        f"is missing, and version {version} is in force",
+        "the line that config show prints, or the option --expect VERSION",
+    )
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -46,8 +46,9 @@
 def make_patch(before: Mapping[str, Any], after: Mapping[str, Any]) -> dict[str, Any]:
     """Return the RFC 7396 patch that turns ``before`` into ``after``."""
     patch: dict[str, Any] = {}
-    for name in before.keys() - after.keys():
-        patch[name] = None
+    for name in before:
+        if name not in after:
+            patch[name] = None
     for name, value in after.items():
         if name not in before:
             patch[name] = value
@@ -91,9 +92,9 @@
         old, new = before.get(name, ABSENT), after.get(name, ABSENT)
         if isinstance(old, Mapping) and isinstance(new, Mapping):
             yield from _walk(here, old, new)
-        elif len(here) == 1 and isinstance(new, Mapping) and old is ABSENT:
+        elif len(here) == 1 and old is ABSENT and isinstance(new, Mapping) and new:
             yield from _walk(here, {}, new)
-        elif len(here) == 1 and isinstance(old, Mapping) and new is ABSENT:
+        elif len(here) == 1 and new is ABSENT and isinstance(old, Mapping) and old:
             yield from _walk(here, old, {})
         elif old is ABSENT or new is ABSENT or not _same(old, new):
             yield Change(here, old, new)
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -37,8 +37,8 @@
     ) -> None:
         self._in_force = copy.deepcopy(dict(in_force or {}))
         self.document = copy.deepcopy(self._in_force)
-        self._file = file
-        self._problems: list[Problem] = []
+        self.file = file
+        self.problems: list[Problem] = []
 
     def set_name(self, name: str) -> None:
         """Name the fleet."""
@@ -127,8 +127,8 @@
 
     def check(self, usage: Usage = NO_USAGE) -> list[Problem]:
         """Return all mistakes of the draft in one go."""
-        found = check_document(self.document, self._file, self._in_force, usage)
-        return [*self._problems, *found]
+        found = check_document(self.document, self.file, self._in_force, usage)
+        return [*self.problems, *found]
 
     def _add(self, section: str, name: str, settings: Mapping[str, Any]) -> None:
         entries = self.document.setdefault(section, {})
@@ -159,4 +159,4 @@
         return None
 
     def _report(self, key: str, wrong: str, allowed: str) -> None:
-        self._problems.append(Problem(self._file, key, wrong, allowed))
+        self.problems.append(Problem(self.file, key, wrong, allowed))
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -0,0 +1,110 @@
+"""Entry point of the ``lycheeloom`` command."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import time
+from collections.abc import Callable, Sequence
+
+from lycheeloom.platform import LogClient
+
+from . import changing_commands as changing
+from . import reading_commands as reading
+from .cli_parser import build_parser
+from .entries import Entries
+from .exit_codes import ExitCode
+from .operator import Operator
+from .output import Report, report_mistakes
+from .settings import Settings, load_settings
+
+# A new key must reach the caller even if it is not in force everywhere yet.
+_FAILED = frozenset(
+    {
+        ExitCode.MISTAKES,
+        ExitCode.LOST_RACE,
+        ExitCode.UNAVAILABLE,
+        ExitCode.NOT_FOUND,
+    }
+)
+Command = Callable[[Operator, argparse.Namespace], Report]
+
+COMMANDS: dict[str, Command] = {
+    "config show": reading.show_config,
+    "config diff": reading.diff_config,
+    "config publish": changing.publish_file,
+    "config history": reading.show_history,
+    "key grant": changing.grant_key,
+    "key withdraw": changing.withdraw_key,
+    "zone out": changing.take_zone_out,
+    "zone in": changing.bring_zone_in,
+    "wave plan": reading.plan_wave,
+    "wave start": changing.command_wave,
+    "wave pause": changing.command_wave,
+    "wave resume": changing.command_wave,
+    "wave abort": changing.command_wave,
+    "wave status": reading.show_waves,
+    "pool move": changing.move_instance,
+    "status": reading.show_status,
+    "explain": reading.explain,
+    "watch": reading.show_status,
+}
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    parser = build_parser()
+    args = parser.parse_args(argv)
+    try:
+        return _run(parser, args)
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+
+
+def make_operator(settings: Settings) -> Operator:
+    """Return an operator that talks to the log and the entries of a fleet."""
+    return Operator(
+        LogClient(settings.log), Entries.at(settings.entries), settings.operator
+    )
+
+
+def _run(parser: argparse.ArgumentParser, args: argparse.Namespace) -> int:
+    command = getattr(args, "command", None)
+    if command == "config check":
+        return _print(reading.check_file(args), args.json)
+    if command is None and not args.check_config:
+        parser.print_help(sys.stderr)
+        return ExitCode.USAGE
+    settings = load_settings(args.settings)
+    if not isinstance(settings, Settings):
+        return _print(report_mistakes(settings), args.json)
+    if command is None or args.check_config:
+        return _print(Report(("No errors.",), {"result": "ok"}), args.json)
+    if args.timeout_s is None:
+        args.timeout_s = settings.timeout_s
+    operator = make_operator(settings)
+    if command == "watch":
+        return _watch(operator, args)
+    return _print(COMMANDS[command](operator, args), args.json)
+
+
+def _watch(operator: Operator, args: argparse.Namespace) -> int:
+    printed = 0
+    while True:
+        code = _print(COMMANDS["watch"](operator, args), args.json)
+        printed += 1
+        if printed == args.count:
+            return code
+        print(flush=True)
+        time.sleep(args.interval_s)
+
+
+def _print(report: Report, as_json: bool) -> int:
+    failed = report.code in _FAILED
+    stream = sys.stderr if failed and not as_json else sys.stdout
+    print(report.render(as_json), file=stream)
+    return report.code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -0,0 +1,183 @@
+"""What a command prints, as text or as JSON, and how it ends."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from pydantic import BaseModel
+from tabulate import tabulate
+
+from .appending import NotAccepted, OutcomeUnknown
+from .difference import ABSENT
+from .exit_codes import ExitCode
+from .log_view import PublishedChange
+from .problems import Problem, Severity, errors_in
+from .results import (
+    InForce,
+    LogUnavailable,
+    LostRace,
+    NoEffect,
+    NothingToChange,
+    NotYetInForce,
+    PartlyPublished,
+    Published,
+    Rejected,
+    WaveChanged,
+    WaveRefused,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """Lines for people, ``data`` for ``--json``, and the exit code."""
+
+    lines: tuple[str, ...]
+    data: Mapping[str, Any] = field(default_factory=dict)
+    code: ExitCode = ExitCode.OK
+
+    def __add__(self, other: Report) -> Report:
+        """Join two reports; the first that is not OK decides the exit code."""
+        return Report(
+            self.lines + other.lines,
+            {**self.data, **other.data},
+            self.code or other.code,
+        )
+
+    def render(self, as_json: bool) -> str:
+        """Return what is printed."""
+        if as_json:
+            return json.dumps(to_plain(self.data), indent=2, ensure_ascii=False)
+        return "\n".join(self.lines)
+
+
+def report_mistakes(problems: Sequence[Problem]) -> Report:
+    """Report every mistake, one line each."""
+    lines = [
+        f"{'warning' if item.severity is Severity.WARNING else 'error'}: {item}"
+        for item in problems
+    ]
+    if not errors_in(problems):
+        lines.append("Nothing was published. Repeat with --accept-warnings to do it.")
+    data = {"result": "rejected", "problems": list(problems)}
+    return Report(tuple(lines), data, ExitCode.MISTAKES)
+
+
+def report_result(result: Any) -> Report:
+    """Report what became of a change."""
+    match result:
+        case Published(version, changes, not_handed):
+            lines = [item.sentence() for item in changes]
+            lines.append(f"Published as version {version}.")
+            lines += _not_handed(not_handed)
+            return _report(result, lines, ExitCode.OK)
+        case NothingToChange(version):
+            line = f"Nothing to change: version {version} says the same already."
+            return _report(result, [line], ExitCode.OK)
+        case Rejected(problems):
+            return report_mistakes(problems)
+        case LostRace():
+            return _report(result, _lost_race(result), ExitCode.LOST_RACE)
+        case NoEffect(reason) | WaveRefused(reason):
+            line = f"Not changed: {reason}."
+            return _report(result, [line], ExitCode.MISTAKES)
+        case NotAccepted(reason) | LogUnavailable(reason):
+            line = f"Nothing was changed: {reason}."
+            return _report(result, [line], ExitCode.UNAVAILABLE)
+        case OutcomeUnknown(reason):
+            lines = [
+                f"It is not known whether the change takes effect: {reason}.",
+                "Look at lycheeloom config history when the log answers again.",
+            ]
+            return _report(result, lines, ExitCode.UNKNOWN)
+        case PartlyPublished(version, parts, all_parts, stopped_by):
+            lines = [
+                f"Only {parts} of {all_parts} parts of the change are published; "
+                f"version {version} is in force. Compare and publish again."
+            ]
+            stopped = report_result(stopped_by)
+            return _report(result, [*lines, *stopped.lines], ExitCode.UNKNOWN)
+        case WaveChanged(not_handed):
+            return _report(result, ["Done.", *_not_handed(not_handed)], ExitCode.OK)
+        case InForce(version):
+            line = f"Version {version} is in force on every entry."
+            return Report((line,), {"in_force": True})
+        case NotYetInForce():
+            return _not_in_force(result)
+    raise TypeError(f"no report for {type(result).__name__}")
+
+
+def report_history(changes: Iterable[PublishedChange]) -> Report:
+    """Report accepted changes, the newest last."""
+    changes = tuple(changes)
+    lines = [line for change in changes for line in _change_lines(change)]
+    return Report(tuple(lines or ["No change is on record."]), {"changes": changes})
+
+
+def table(headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> list[str]:
+    """Return the lines of a table."""
+    text = tabulate(list(rows), headers=list(headers), tablefmt="simple")
+    return text.splitlines()
+
+
+def to_plain(value: Any) -> Any:
+    """Return a value that JSON can carry."""
+    if value is ABSENT:
+        return None
+    if isinstance(value, BaseModel):
+        return value.model_dump(mode="json")
+    if dataclasses.is_dataclass(value):
+        names = [item.name for item in dataclasses.fields(value)]
+        return {name: to_plain(getattr(value, name)) for name in names}
+    if isinstance(value, Mapping):
+        return {str(name): to_plain(item) for name, item in value.items()}
+    if isinstance(value, list | tuple | set | frozenset):
+        return [to_plain(item) for item in value]
+    return value
+
+
+def _report(result: Any, lines: Iterable[str], code: ExitCode) -> Report:
+    data = {"result": _snake_case(type(result).__name__), **to_plain(result)}
+    return Report(tuple(lines), data, code)
+
+
+def _lost_race(result: LostRace) -> list[str]:
+    lines = [
+        f"Nothing was changed: version {result.expected_version} was expected, but "
+        f"version {result.version} is in force."
+    ]
+    if result.expected_version > result.version:
+        return [*lines, "No such version exists yet."]
+    for winner in result.winners:
+        lines += _change_lines(winner)
+    lines.append("Print the configuration again and make your change on it.")
+    return lines
+
+
+def _change_lines(change: PublishedChange) -> list[str]:
+    who = change.operator or "an unnamed operator"
+    head = f"Version {change.version} by {who}:"
+    return [head, *(f"  {sentence}" for sentence in change.sentences)]
+
+
+def _not_handed(reason_by_entry: Mapping[str, str]) -> list[str]:
+    return [
+        f"Entry {address} was not told directly ({reason}); it reads the log."
+        for address, reason in reason_by_entry.items()
+    ]
+
+
+def _not_in_force(result: NotYetInForce) -> Report:
+    lines = [
+        f"Not yet in force on entry {address}: {reason}."
+        for address, reason in result.missing.items()
+    ]
+    data = {"in_force": False, "missing": dict(result.missing)}
+    return Report(tuple(lines), data, ExitCode.NOT_IN_FORCE)
+
+
+def _snake_case(name: str) -> str:
+    return "".join(f"_{char.lower()}" if char.isupper() else char for char in name)[1:]
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -0,0 +1,173 @@
+"""Commands that only read."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Mapping
+
+from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.records import WaveState
+from lycheeloom.model.status import StatusDocument, WaveStatus
+
+from .changing_commands import unknown_pools
+from .checks import check_document
+from .entries import EntryUnavailable, Explanation, UnknownThing, newest_status
+from .exit_codes import ExitCode
+from .operator import Operator
+from .output import Report, report_history, report_mistakes, report_result, table
+from .problems import Problem, errors_in
+from .status_text import duration, status_lines, wave_rows
+from .toml_reader import read_config
+from .toml_writer import print_config
+from .waves import preview_wave
+
+
+def show_config(operator: Operator, args: argparse.Namespace) -> Report:
+    """Print the configuration in force."""
+    problem = operator.refresh()
+    if problem is not None:
+        return report_result(problem)
+    text = print_config(operator.document, operator.version)
+    data = {"version": operator.version, "document": operator.document}
+    return Report(tuple(text.splitlines()), data)
+
+
+def check_file(args: argparse.Namespace) -> Report:
+    """Check a file by itself."""
+    file = read_config(args.file)
+    if isinstance(file, Problem):
+        return report_mistakes([file])
+    problems = check_document(file.document, file.source)
+    report = report_mistakes(problems)
+    if errors_in(problems):
+        return report
+    lines = [f"warning: {problem}" for problem in problems]
+    return Report((*lines, "No errors."), {"result": "ok", "problems": problems})
+
+
+def diff_config(operator: Operator, args: argparse.Namespace) -> Report:
+    """Compare a file with the configuration in force."""
+    file = read_config(args.file)
+    if isinstance(file, Problem):
+        return report_mistakes([file])
+    problem = operator.refresh()
+    if problem is not None:
+        return report_result(problem)
+    problems = operator.new_problems(file.document, file.source)
+    if errors_in(problems):
+        return report_mistakes(problems)
+    changes = operator.compare(file.document)
+    lines = [f"warning: {problem}" for problem in problems]
+    lines += [change.sentence() for change in changes] or ["No differences."]
+    data = {"changes": changes, "warnings": problems, "version": operator.version}
+    code = ExitCode.DIFFERENT if changes and args.exit_code else ExitCode.OK
+    return Report(tuple(lines), data, code)
+
+
+def show_history(operator: Operator, args: argparse.Namespace) -> Report:
+    """Say who changed what."""
+    problem = operator.refresh()
+    if problem is not None:
+        return report_result(problem)
+    changes = operator.history()
+    return report_history(changes[len(changes) - min(args.limit, len(changes)) :])
+
+
+def show_status(operator: Operator, args: argparse.Namespace) -> Report:
+    """Show the fleet and each entry."""
+    statuses = operator.statuses()
+    newest = newest_status(statuses)
+    data = {
+        "fleet": newest,
+        "entries": {
+            address: item
+            if isinstance(item, StatusDocument)
+            else {"unavailable": item.reason}
+            for address, item in statuses.items()
+        },
+    }
+    code = ExitCode.OK if newest is not None else ExitCode.UNAVAILABLE
+    return Report(tuple(status_lines(newest, statuses)), data, code)
+
+
+def plan_wave(operator: Operator, args: argparse.Namespace) -> Report:
+    """Show the rounds of a wave that is not started yet."""
+    problem = operator.refresh()
+    if problem is not None:
+        return report_result(problem)
+    mistakes = unknown_pools(operator, args.pool)
+    if mistakes:
+        return report_mistakes(mistakes)
+    config: FleetConfig = operator.view.state.config
+    preview = preview_wave(config, args.pool)
+    seconds = preview.duration_s(args.drain_s, args.reboot_s)
+    lines = [
+        f"Round {number}: {', '.join(names)}"
+        for number, names in enumerate(preview.rounds, start=1)
+    ]
+    lines.append(
+        f"Instances: {preview.instance_count}, rounds: {len(preview.rounds)}, about "
+        f"{duration(seconds)} if every round takes {duration(args.drain_s)} to drain "
+        f"and {duration(args.reboot_s)} to reboot."
+    )
+    lines += [
+        f"Instance {name} is never maintained: a budget allows 0 unavailable."
+        for name in preview.never
+    ]
+    data = {
+        "rounds": preview.rounds,
+        "never": preview.never,
+        "duration_s": seconds,
+    }
+    return Report(tuple(lines), data)
+
+
+def show_waves(operator: Operator, args: argparse.Namespace) -> Report:
+    """Show the progress of waves."""
+    problem = operator.refresh()
+    if problem is not None:
+        return report_result(problem)
+    waves = _waves(operator)
+    if args.wave:
+        if args.wave not in waves:
+            line = f'There is no wave "{args.wave}".'
+            return Report((line,), {"waves": {}}, ExitCode.NOT_FOUND)
+        waves = {args.wave: waves[args.wave]}
+    lines = table(*wave_rows(waves)) if waves else ["No wave is on record."]
+    return Report(tuple(lines), {"waves": waves})
+
+
+def explain(operator: Operator, args: argparse.Namespace) -> Report:
+    """Print what the entries know about the decisions on one thing."""
+    answers = operator.explain(args.kind, args.id)
+    found = {
+        address: answer
+        for address, answer in answers.items()
+        if isinstance(answer, Explanation)
+    }
+    if found:
+        lines = dict.fromkeys(
+            sentence for answer in found.values() for sentence in answer.sentences
+        )
+        return Report(tuple(lines), {"explanations": found})
+    if any(isinstance(answer, UnknownThing) for answer in answers.values()):
+        line = f"No entry knows the {args.kind} {args.id}."
+        return Report((line,), {"explanations": {}}, ExitCode.NOT_FOUND)
+    lines = [
+        f"Entry {address} gave no answer: {answer.reason}."
+        for address, answer in answers.items()
+        if isinstance(answer, EntryUnavailable)
+    ]
+    return Report(tuple(lines), {"explanations": {}}, ExitCode.UNAVAILABLE)
+
+
+def _waves(operator: Operator) -> Mapping[str, WaveStatus]:
+    """Return the waves on record, with the progress that entries report."""
+    newest = newest_status(operator.statuses())
+    reported = newest.waves if newest is not None else {}
+    waves = {}
+    for name, wave in operator.view.state.maintenance.wave_by_id.items():
+        status = reported.get(name, WaveStatus(pools=list(wave.pools)))
+        state = WaveState(wave.state)
+        waves[name] = status.model_copy(update={"state": state, "urgent": wave.urgent})
+    return waves
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -39,11 +39,17 @@
             )
         )
 
-    def instances_of(self, pool: str) -> list[str]:
-        """Return the names of the instances of a pool."""
-        return [
-            name for name, item in self.instances.items() if item.get("pool") == pool
-        ]
+    def instance_counts(self) -> Counter[str]:
+        """Return how many instances each pool has.
+
+        An instance that names no pool counts for each, since it may have been
+        meant for any: its mistake shall not cause messages about pools.
+        """
+        named = Counter(
+            pool if isinstance(pool, str) and pool in self.pools else ""
+            for pool in (item.get("pool") for item in self.instances.values())
+        )
+        return Counter({pool: named[pool] + named[""] for pool in self.pools})
 
 
 def check_references(
@@ -85,7 +91,7 @@
     zone_by_rack: dict[str, str] = {}
     for name, instance in parts.instances.items():
         rack, zone = instance.get("rack"), instance.get("zone")
-        if not isinstance(rack, str) or not isinstance(zone, str):
+        if not isinstance(rack, str) or zone not in list(parts.zones):
             continue
         first = zone_by_rack.setdefault(rack, zone)
         if first != zone:
@@ -136,8 +142,9 @@
 
 
 def _check_pools(parts: Parts, file: str) -> Iterator[Problem]:
+    counts = parts.instance_counts()
     for name, pool in parts.pools.items():
-        count = len(parts.instances_of(name))
+        count = counts[name]
         needed = pool.get("needed", 0)
         budget = pool.get("max_unavailable", 1)
         if not _is_count(needed) or not _is_count(budget):
@@ -164,7 +171,7 @@
 def _check_usage(parts: Parts, usage: Usage, file: str) -> Iterator[Problem]:
     for team, running in usage.running_by_team.items():
         limit = parts.teams.get(team, {}).get("upper_limit")
-        if _is_count(limit) and limit < running:
+        if _is_count(limit) and 0 < limit < running:
             wrong = f"is {limit}, but {running} tasks of this team are running"
             allowed = (
                 f"{running} or more; a lower limit starts no task until enough end"
@@ -195,11 +202,10 @@
         wrong = "are all out, so no task starts anywhere"
         allowed = 'at least one zone with state = "in"'
         yield Problem(file, "zones", wrong, allowed, Severity.WARNING)
+    counts = parts.instance_counts()
     for name, queue in parts.queues.items():
         pool = queue.get("pool")
-        if isinstance(pool, str) and pool in parts.pools:
-            if parts.instances_of(pool):
-                continue
+        if isinstance(pool, str) and pool in parts.pools and not counts[pool]:
             wrong = f'names the pool "{pool}", which has no instances'
             allowed = "a pool with at least one instance"
             key = join_key("queues", name, "pool")
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -47,7 +47,8 @@
 
 def _pieces(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
     for section, value in patch.items():
-        if section not in _ADDED_IN_ORDER or not isinstance(value, Mapping):
+        is_table = isinstance(value, Mapping) and value
+        if value is not None and not (is_table and section in _ADDED_IN_ORDER):
             yield section, None, value
     for section in _ADDED_IN_ORDER:
         for name, value in _items(patch, section):
@@ -57,6 +58,13 @@
         for name, value in _items(patch, section):
             if value is None:
                 yield section, name, value
+    for section in reversed([*_others(patch), *_ADDED_IN_ORDER]):
+        if section in patch and patch[section] is None:
+            yield section, None, None
+
+
+def _others(patch: Mapping[str, Any]) -> list[str]:
+    return [section for section in patch if section not in _ADDED_IN_ORDER]
 
 
 def _items(patch: Mapping[str, Any], section: str) -> list[tuple[str, Any]]:
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -0,0 +1,153 @@
+"""The status of the fleet as text."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from lycheeloom.model.status import StatusDocument, WaveStatus
+
+from .entries import EntryUnavailable
+from .output import table
+
+Rows = tuple[Sequence[str], list[Sequence[Any]]]
+
+
+def status_lines(
+    newest: StatusDocument | None,
+    statuses: Mapping[str, StatusDocument | EntryUnavailable],
+) -> list[str]:
+    """Return all tables; ``newest`` tells about the fleet."""
+    lines: list[str] = []
+    if newest is None:
+        lines.append("No entry answered.")
+    else:
+        lines.append(
+            f"Fleet {newest.name}, configuration version {newest.config_version}, "
+            f"seen by {newest.instance or newest.incarnation}."
+        )
+        for title, rows in _fleet_tables(newest):
+            lines += ["", title, *table(*rows)]
+    return [*lines, "", "Entries", *table(*_entry_rows(statuses))]
+
+
+def wave_rows(waves: Mapping[str, WaveStatus]) -> Rows:
+    """Return a row for each wave."""
+    headers = ("wave", "state", "done", "in progress", "failed", "ends in", "reason")
+    return headers, [
+        (
+            name,
+            str(wave.state),
+            f"{wave.done} of {wave.total}",
+            wave.in_progress,
+            wave.failed,
+            duration(wave.ends_in_s),
+            wave.reason,
+        )
+        for name, wave in waves.items()
+    ]
+
+
+def duration(seconds: float | None) -> str:
+    """Return a duration in the unit that people would use."""
+    if seconds is None:
+        return "unknown"
+    if seconds < 120:
+        return f"{seconds:.3g} s"
+    if seconds < 7200:
+        return f"{seconds / 60:.3g} min"
+    return f"{seconds / 3600:.3g} h"
+
+
+def _fleet_tables(status: StatusDocument) -> Iterator[tuple[str, Rows]]:
+    yield "Teams", _team_rows(status)
+    yield "Queues", _queue_rows(status)
+    yield "Zones", _zone_rows(status)
+    yield "Pools", _pool_rows(status)
+    if status.waves:
+        yield "Maintenance waves", wave_rows(status.waves)
+
+
+def _team_rows(status: StatusDocument) -> Rows:
+    headers = ("team", "running", "limit", "granted", "queued", "share", "uses", "due")
+    return headers, [
+        (
+            name,
+            team.running,
+            team.upper_limit,
+            team.granted,
+            team.queued,
+            team.share,
+            f"{team.dominant_share:.1%}",
+            f"{team.entitlement:.1%}",
+        )
+        for name, team in status.teams.items()
+    ]
+
+
+def _queue_rows(status: StatusDocument) -> Rows:
+    headers = ("queue", "pool", "kind", "running", "queued", "at most", "oldest")
+    return headers, [
+        (
+            name,
+            queue.pool,
+            str(queue.kind),
+            queue.running,
+            queue.queued,
+            queue.max_queued,
+            duration(queue.oldest_wait_ms / 1000),
+        )
+        for name, queue in status.queues.items()
+    ]
+
+
+def _zone_rows(status: StatusDocument) -> Rows:
+    headers = ("zone", "state", "in service", "workers", "running")
+    return headers, [
+        (name, str(zone.state), zone.in_service, zone.workers, zone.running)
+        for name, zone in status.zones.items()
+    ]
+
+
+def _pool_rows(status: StatusDocument) -> Rows:
+    headers = ("pool", "in service", "workers", "needed", "buffer", "wanted", "away")
+    return headers, [
+        (
+            f"{name} (spare)" if pool.spare else name,
+            pool.in_service,
+            pool.workers,
+            pool.needed,
+            pool.buffer,
+            pool.buffer_wanted,
+            f"{pool.unavailable} of {pool.max_unavailable}",
+        )
+        for name, pool in status.pools.items()
+    ]
+
+
+def _entry_rows(statuses: Mapping[str, StatusDocument | EntryUnavailable]) -> Rows:
+    headers = ("entry", "instance", "zone", "state", "version", "log read", "offset")
+    rows: list[Sequence[Any]] = []
+    for address, status in statuses.items():
+        if isinstance(status, EntryUnavailable):
+            rows.append((address, "", "", f"no answer: {status.reason}", "", "", ""))
+            continue
+        age = None if status.log_age_ms is None else status.log_age_ms / 1000
+        rows.append(
+            (
+                address,
+                status.instance,
+                status.zone,
+                _entry_state(status),
+                status.config_version,
+                "never" if age is None else f"{duration(age)} ago",
+                status.next_offset,
+            )
+        )
+    return headers, rows
+
+
+def _entry_state(status: StatusDocument) -> str:
+    if status.draining:
+        return "draining"
+    return "fresh" if status.fresh else "not fresh"
--- a/libs/operator/src/lycheeloom/operator/toml_reader.py
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -9,21 +9,57 @@
 from pathlib import Path
 from typing import Any
 
-from .problems import Problem, join_key
+from .problems import Problem, join_key, show
 
 _DECLARED_TWICE = re.compile(r"Cannot (?:declare|mutate immutable namespace) (\(.*\))")
 _PLACE = re.compile(r"\s*\(at (?:line (\d+), column \d+|end of document)\)$")
 
 
+# Written by ``print_config`` beside the document; not part of it.
+VERSION_KEY = "printed_from_version"
+
+
+@dataclass(frozen=True, slots=True)
+class TomlFile:
+    """The tables of a file."""
+
+    source: str
+    document: dict[str, Any]
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigFile:
-    """A document as it stands in a file."""
+    """A document as it stands in a file, and the version it was printed from."""
 
     source: str
     document: dict[str, Any]
+    version: int | None = None
+
+
+def read_config(path: str) -> ConfigFile | Problem:
+    """Read a configuration file."""
+    file = read_toml(path)
+    return file if isinstance(file, Problem) else _config_file(file)
+
+
+def read_config_text(text: str, source: str) -> ConfigFile | Problem:
+    """Read a configuration; ``source`` names it in messages."""
+    file = read_toml_text(text, source)
+    return file if isinstance(file, Problem) else _config_file(file)
+
+
+def _config_file(file: TomlFile) -> ConfigFile | Problem:
+    document = dict(file.document)
+    version = document.pop(VERSION_KEY, None)
+    if version is None:
+        return ConfigFile(file.source, document)
+    if not isinstance(version, int) or isinstance(version, bool) or version < 0:
+        allowed = "the version that config show printed, 0 or more"
+        return Problem(file.source, VERSION_KEY, f"is {show(version)}", allowed)
+    return ConfigFile(file.source, document, version)
 
 
-def read_toml(path: str) -> ConfigFile | Problem:
+def read_toml(path: str) -> TomlFile | Problem:
     """Read a TOML file."""
     try:
         text = Path(path).read_text(encoding="utf-8")
@@ -34,10 +70,10 @@
     return read_toml_text(text, path)
 
 
-def read_toml_text(text: str, source: str) -> ConfigFile | Problem:
+def read_toml_text(text: str, source: str) -> TomlFile | Problem:
     """Read TOML text; ``source`` names it in messages."""
     try:
-        return ConfigFile(source, tomllib.loads(text))
+        return TomlFile(source, tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
         return _describe(str(error), text, source)
 
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -9,14 +9,17 @@
 import tomlkit
 
 from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION, default_of
+from .toml_reader import VERSION_KEY
 
 SECTIONS = ("zones", "pools", "teams", "queues", "instances")
+PRINTED_FROM = "It can be published while this version is in force."
 UNKNOWN_FIELD = "Unknown to this program version; kept as it is."
 
 
 def print_config(document: Mapping[str, Any], version: int | None = None) -> str:
     """Return the document as TOML with a sentence for each figure.
 
+    ``version`` is the one in force, which a publication of the text expects.
     ``read_config_text`` reads back exactly the same document. Defaults that the
     document leaves out are printed as comments. The document holds no null,
     which TOML cannot express and a merge patch cannot leave in a table.
@@ -34,10 +37,10 @@
         for section in SECTIONS
         if isinstance(document.get(section), Mapping)
     )
-    if version is not None:
-        yield f"# Configuration version {version}."
     yield f"# Number of entries in each part: {counts or 'none'}."
     yield "# Lines that start with # only explain; programs do not read them."
+    if version is not None:
+        yield f"{VERSION_KEY} = {version}  # {PRINTED_FROM}"
     if "name" in document:
         yield f"name = {_value(document['name'])}  # The name of this fleet."
     for name, value in document.items():
--- /dev/null
+++ b/libs/operator/tests/conftest.py
@@ -0,0 +1,143 @@
+"""A small log and entries in memory."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import pytest
+
+from lycheeloom.model.status import StatusDocument
+from lycheeloom.operator import Clock, Entries, EntryUnavailable, Operator
+from lycheeloom.platform import (
+    Appended,
+    AppendRefusal,
+    AppendRefused,
+    AppendUnknown,
+    ReadBatches,
+    Unavailable,
+)
+from lycheeloom.state import FleetState
+from lycheeloom.wire import decode_batch
+
+
+@dataclass
+class FakeLog:
+    """Each append takes the next fault: "lost", "dropped", "late", "down", "large"."""
+
+    batches: list[bytes] = field(default_factory=list)
+    faults: deque = field(default_factory=deque)
+    late: list[bytes] = field(default_factory=list)
+    unreadable: int = 0
+    before_append: object = None
+
+    def append(self, batch):
+        if self.before_append is not None:
+            action, self.before_append = self.before_append, None
+            action()
+        fault = self.faults.popleft() if self.faults else ""
+        if fault == "down":
+            return AppendRefused(AppendRefusal.DOWN)
+        if fault == "large":
+            return AppendRefused(AppendRefusal.TOO_LARGE)
+        if fault == "dropped":
+            return AppendUnknown("no answer in time")
+        if fault == "late":
+            self.late.append(batch)
+            return AppendUnknown("no answer in time")
+        self.batches += [batch, *self.late]
+        self.late.clear()
+        if fault == "lost":
+            return AppendUnknown("no answer in time")
+        return Appended(self.batches.index(batch))
+
+    def read(self, first_offset, limit=1000, wait_s=0.0):
+        if self.unreadable:
+            self.unreadable -= 1
+            return Unavailable("http status 503")
+        found = tuple(self.batches[first_offset : first_offset + limit])
+        return ReadBatches(first_offset, first_offset + len(found), found)
+
+
+class FakeEntry:
+    """An entry that replays what is handed to it."""
+
+    def __init__(self, address, running=None, reachable=True):
+        self.address = address
+        self.state = FleetState()
+        self.teams = {
+            team: {"running": count} for team, count in (running or {}).items()
+        }
+        self.reachable = reachable
+
+    def status(self):
+        if not self.reachable:
+            return EntryUnavailable("no answer in time")
+        version = self.state.configuration.version
+        return StatusDocument(config_version=version, fresh=True, teams=self.teams)
+
+    def hand_over(self, offset, batches):
+        if not self.reachable:
+            return EntryUnavailable("no answer in time")
+        for index, batch in enumerate(batches, start=offset):
+            if index == self.state.next_offset:
+                self.state.apply(index, decode_batch(batch))
+        return None
+
+
+class FakeClock:
+    """Time that passes only in sleeps."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def sleep(self, seconds):
+        self.now += seconds
+
+    def clock(self):
+        return Clock(lambda: self.now, self.sleep)
+
+
+def small_fleet():
+    """Return a configuration without mistakes or warnings."""
+    instances = {
+        f"w{number}": {
+            "pool": "lookup" if number < 4 else "general",
+            "zone": "north" if number % 2 else "south",
+            "rack": "north-1" if number % 2 else "south-1",
+            "address": f"10.0.0.{number}:7100",
+            "cores": 16,
+            "memory_mb": 65536,
+        }
+        for number in range(1, 7)
+    }
+    return {
+        "name": "test",
+        "zones": {"north": {}, "south": {}},
+        "pools": {"lookup": {"needed": 2}, "general": {"spare": True}},
+        "instances": instances,
+        "teams": {
+            "red": {"share": 2, "upper_limit": 10, "keys": {}},
+            "blue": {"share": 1, "upper_limit": 5},
+        },
+        "queues": {"find": {"pool": "lookup", "teams": ["red", "blue"]}},
+    }
+
+
+@pytest.fixture
+def fleet():
+    return small_fleet()
+
+
+@pytest.fixture
+def log():
+    return FakeLog()
+
+
+@pytest.fixture
+def make_operator(log):
+    def make(name, *entries):
+        clock = FakeClock().clock()
+        return Operator(log, Entries(entries), name, clock=clock)
+
+    return make
--- /dev/null
+++ b/libs/operator/tests/test_mistakes.py
@@ -0,0 +1,369 @@
+"""Each kind of mistake gets one exact message, and all come in one go."""
+
+import datetime
+
+import pytest
+
+from lycheeloom.model.config import merge_patch
+from lycheeloom.operator import (
+    Draft,
+    Usage,
+    check_document,
+    print_config,
+    read_config_text,
+)
+from lycheeloom.operator.settings import load_settings
+
+from .conftest import small_fleet
+
+DIGEST = "ab" * 32
+KEY = {"salt": "ab" * 16, "digest": DIGEST}
+ABOVE_0 = "a number greater than 0"
+FROM_0 = "a whole number, 0 or more"
+FROM_1 = "a whole number, 1 or more"
+NAME = "1 to 63 letters, digits, dots, hyphens or underscores, first no sign"
+
+# A merge patch on a configuration without mistakes, and the message it causes.
+BAD_CONFIGURATIONS = [
+    ({"teams": {"red": {"share": 0}}}, f"teams.red.share: is 0; allowed: {ABOVE_0}"),
+    ({"teams": {"red": {"share": -1}}}, f"teams.red.share: is -1; allowed: {ABOVE_0}"),
+    (
+        {"teams": {"red": {"share": float("inf")}}},
+        f"teams.red.share: is inf; allowed: {ABOVE_0}",
+    ),
+    (
+        {"teams": {"red": {"share": "2"}}},
+        f'teams.red.share: is "2"; allowed: {ABOVE_0}',
+    ),
+    (
+        {"teams": {"red": {"share": None}}},
+        f"teams.red.share: is missing; allowed: {ABOVE_0}",
+    ),
+    (
+        {"teams": {"red": {"upper_limit": 0}}},
+        f"teams.red.upper_limit: is 0; allowed: {FROM_1}",
+    ),
+    (
+        {"teams": {"red": {"upper_limit": 2.5}}},
+        f"teams.red.upper_limit: is 2.5; allowed: {FROM_1}",
+    ),
+    (
+        {"teams": {"red": {"upper_limit": 7}}},
+        "teams.red.upper_limit: is 7, but 8 tasks of this team are running; "
+        "allowed: 8 or more; a lower limit starts no task until enough end",
+    ),
+    (
+        {"teams": {"red": {"uper_limit": 7}}},
+        'teams.red.uper_limit: is not a known key (did you mean "upper_limit"?); '
+        "allowed: share, upper_limit, keys",
+    ),
+    (
+        {"teams": {"red": {"keys": {"k1": {"salt": "ab" * 16, "digest": "secret"}}}}},
+        "teams.red.keys.k1.digest: is not the salted hash of a key; "
+        "allowed: 64 hexadecimal digits, made with the command key grant",
+    ),
+    (
+        {"teams": {"red": {"keys": {"k1": {"salt": "xyz", "digest": DIGEST}}}}},
+        'teams.red.keys.k1.salt: is "xyz"; allowed: 16 to 32 hexadecimal digits',
+    ),
+    (
+        {"teams": {"red": {"keys": {"k.1": KEY}}}},
+        'teams.red.keys."k.1": "k.1" cannot be the name of a key; allowed: 1 to 63 '
+        "letters, digits, hyphens or underscores, first no sign",
+    ),
+    (
+        {"teams": {"red": {"keys": {"k1": KEY}}, "blue": {"keys": {"k1": KEY}}}},
+        'teams.blue.keys.k1: is a key of the team "red" too; '
+        "allowed: key names used by one team only",
+    ),
+    (
+        {"teams": {"-red": {"share": 1, "upper_limit": 1}}},
+        f'teams.-red: "-red" cannot be the name of a team; allowed: {NAME}',
+    ),
+    (
+        {"teams": {"green": 4}},
+        "teams.green: is 4; allowed: a table of the settings of one team",
+    ),
+    (
+        {"instances": {"w1": {"pool": ["lookup", "general"]}}},
+        'instances.w1.pool: puts the instance in 2 pools, ["lookup", "general"]; '
+        "allowed: the name of exactly one pool under [pools]",
+    ),
+    (
+        {"instances": {"w4": {"address": "10.0.0.1:7100"}}},
+        'instances.w4.address: is the address of "w1" too (pools "lookup" and '
+        '"general"); allowed: one name for each instance, in exactly one pool',
+    ),
+    (
+        {"instances": {"w5": {"pool": "genral"}}},
+        'instances.w5.pool: names the pool "genral", which is not defined (did you '
+        'mean "general"?); allowed: the name of a pool under [pools]',
+    ),
+    (
+        {"instances": {"w5": {"zone": "nort"}}},
+        'instances.w5.zone: names the zone "nort", which is not defined (did you '
+        'mean "north"?); allowed: the name of a zone under [zones]',
+    ),
+    (
+        {"instances": {"w5": {"rack": "south-1"}}},
+        'instances.w5.rack: is "south-1" in zone "north" and elsewhere in zone '
+        '"south"; allowed: racks that stand in one zone each',
+    ),
+    (
+        {"instances": {"w5": {"rack": None}}},
+        "instances.w5.rack: is missing; allowed: a text in quotation marks",
+    ),
+    (
+        {"instances": {"w5": {"address": "10.0.0.5"}}},
+        'instances.w5.address: is "10.0.0.5"; allowed: host and port, such as '
+        '"10.1.0.4:7100"',
+    ),
+    (
+        {"instances": {"w5": {"cores": True}}},
+        f"instances.w5.cores: is true; allowed: {ABOVE_0}",
+    ),
+    (
+        {"instances": {"w5": {"memory_mb": 0}}},
+        f"instances.w5.memory_mb: is 0; allowed: {FROM_1}",
+    ),
+    (
+        {"instances": {"w5": {"accelerators": -1}}},
+        f"instances.w5.accelerators: is -1; allowed: {FROM_0}",
+    ),
+    (
+        {"queues": {"find": {"pool": "lokup"}}},
+        'queues.find.pool: names the pool "lokup", which is not defined (did you '
+        'mean "lookup"?); allowed: the name of a pool under [pools]',
+    ),
+    (
+        {"queues": {"find": {"teams": ["red", "bleu"]}}},
+        'queues.find.teams: names the team "bleu", which is not defined (did you '
+        'mean "blue"?); allowed: the name of a team under [teams]',
+    ),
+    (
+        {"queues": {"find": {"teams": ["red", "red"]}}},
+        'queues.find.teams: names the team "red" 2 times; allowed: each team once',
+    ),
+    (
+        {"queues": {"find": {"teams": []}}},
+        "queues.find.teams: names no team, so nobody can use this queue; "
+        "allowed: at least one team, or open_to_all = true",
+    ),
+    (
+        {"queues": {"find": {"kind": "interactiv"}}},
+        'queues.find.kind: is "interactiv"; allowed: one of "interactive", "batch"',
+    ),
+    (
+        {"queues": {"find": {"retry_budget_percent": 101}}},
+        "queues.find.retry_budget_percent: is 101; allowed: a number from 0 to 100",
+    ),
+    (
+        {"pools": {"empty": {}}, "queues": {"find": {"pool": "empty"}}},
+        'queues.find.pool: names the pool "empty", which has no instances; '
+        "allowed: a pool with at least one instance",
+    ),
+    (
+        {"pools": {"lookup": {"needed": 4}}},
+        "pools.lookup.needed: is 4, but the pool has 3 instances; "
+        "allowed: a whole number from 0 to 3",
+    ),
+    (
+        {"pools": {"lookup": {"max_unavailable": 2}}},
+        "pools.lookup.max_unavailable: is 2, which leaves 1 of 3 instances though 2 "
+        "are needed; allowed: a whole number from 0 to 1",
+    ),
+    (
+        {"pools": {"lookup": {"max_unavailable": 0}}},
+        "pools.lookup.max_unavailable: is 0, so no instance of this pool can ever be "
+        "maintained; allowed: 1 or more for maintenance",
+    ),
+    (
+        {"pools": {"lookup": {"spare": "yes"}}},
+        'pools.lookup.spare: is "yes"; allowed: true or false',
+    ),
+    (
+        {"zones": {"north": {"state": "off"}}},
+        'zones.north.state: is "off"; allowed: one of "in", "out"',
+    ),
+    (
+        {"zones": {"north": {"state": "out"}, "south": {"state": "out"}}},
+        "zones: are all out, so no task starts anywhere; "
+        'allowed: at least one zone with state = "in"',
+    ),
+    (
+        {"zone": {}},
+        'zone: is not a known key (did you mean "zones"?); '
+        "allowed: name, zones, pools, teams, queues, instances",
+    ),
+    (
+        {"queues": []},
+        "queues: is []; allowed: a table with one part for each queue",
+    ),
+    ({"name": 3}, "name: is 3; allowed: a text in quotation marks"),
+]
+USAGE = Usage(running_by_team={"red": 8})
+
+
+@pytest.mark.parametrize(("patch", "message"), BAD_CONFIGURATIONS)
+def test_each_mistake_has_one_exact_message(patch, message):
+    """Guards against a mistake that is missed, or told twice or unclearly."""
+    document = merge_patch(small_fleet(), patch)
+    problems = check_document(document, "fleet.toml", small_fleet(), USAGE)
+    assert [str(problem) for problem in problems] == [f"fleet.toml: {message}"]
+
+
+def test_a_fleet_without_mistakes_passes():
+    """Guards against messages about nothing."""
+    assert check_document(small_fleet(), "fleet.toml", {}, USAGE) == []
+
+
+def test_all_mistakes_come_in_one_go():
+    """Guards against operators who mend one mistake to be told the next."""
+    patch = {"teams": {"red": {"share": 0}}, "instances": {"w5": {"pool": "x"}}}
+    document = merge_patch(small_fleet(), patch)
+    document["queues"]["find"]["teams"] = ["rad"]
+    keys = {problem.key for problem in check_document(document, "fleet.toml")}
+    assert keys == {"teams.red.share", "instances.w5.pool", "queues.find.teams"}
+
+
+def test_removing_a_pool_that_still_holds_an_instance():
+    """Guards against a change that replay would silently give no effect."""
+    document = merge_patch(small_fleet(), {"pools": {"old": None}})
+    usage = Usage(pool_by_instance={"w1": "old"})
+    problems = check_document(document, "fleet.toml", {}, usage)
+    assert [str(problem) for problem in problems] == [
+        'fleet.toml: pools.old: is removed, but the instance "w1" is in it or moving '
+        "to it; allowed: to remove a pool when its last instance has moved away"
+    ]
+
+
+def test_fields_of_a_newer_program_are_kept():
+    """Guards against an older command that takes newer fields for mistakes."""
+    document = merge_patch(small_fleet(), {"teams": {"red": {"burst": 3}}})
+    assert check_document(document, "fleet.toml", in_force=document) == []
+    assert len(check_document(document, "fleet.toml", in_force=small_fleet())) == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        (
+            "[instances]\na = {}\na = {}\n",
+            "instances.a: is defined a second time in line 3; "
+            "allowed: each instance once, in exactly one pool",
+        ),
+        (
+            "[instances.a]\n[instances.a]\n",
+            "instances.a: is defined a second time in line 2; "
+            "allowed: each instance once, in exactly one pool",
+        ),
+        (
+            "[teams.red]\nshare = 1\nshare = 2\n",
+            "teams.red.share: is defined a second time in line 3; "
+            "allowed: each key once",
+        ),
+        (
+            "[teams\n",
+            "line 1: expected ']' at the end of a table declaration; "
+            "allowed: valid TOML",
+        ),
+        (
+            "printed_from_version = -1\n",
+            "printed_from_version: is -1; "
+            "allowed: the version that config show printed, 0 or more",
+        ),
+    ],
+)
+def test_mistakes_of_toml(text, message):
+    """Guards against parser messages that name no key."""
+    assert str(read_config_text(text, "fleet.toml")) == f"fleet.toml: {message}"
+
+
+def test_dates_are_no_settings():
+    """Guards against values that a published document cannot carry."""
+    file = read_config_text(print_config(small_fleet()) + "\n", "fleet.toml")
+    file.document["teams"]["red"]["since"] = datetime.date(2026, 1, 2)
+    problems = check_document(file.document, "fleet.toml", file.document)
+    assert [str(problem) for problem in problems] == [
+        "fleet.toml: teams.red.since: is the date or time 2026-01-02; "
+        "allowed: texts, finite numbers, true, false, lists and tables"
+    ]
+
+
+def test_a_draft_collects_its_mistakes():
+    """Guards against a builder that stops at the first mistake."""
+    draft = Draft(small_fleet())
+    draft.add_instance("w1", pool="general")
+    draft.move_instance("w2", "genral")
+    draft.set_limit("rad", 3)
+    draft.withdraw_key("k9")
+    assert [str(problem) for problem in draft.check()] == [
+        'draft: instances.w1: is added a second time, to the pools "lookup" and '
+        '"general"; allowed: each instance once, in exactly one pool',
+        'draft: pools: there is no pool "genral" (did you mean "general"?); '
+        "allowed: the name of a pool under [pools]",
+        'draft: teams: there is no team "rad" (did you mean "red"?); '
+        "allowed: the name of a team under [teams]",
+        'draft: teams: there is no key "k9"; allowed: the name of a key of some team',
+    ]
+
+
+ADDRESS = 'host and port, such as "10.1.0.4:7100"'
+GOOD_SETTINGS = 'log = "127.0.0.1:1"\nentries = ["127.0.0.1:2"]\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "messages"),
+    [
+        (
+            "",
+            [
+                f"log: is missing; allowed: {ADDRESS}",
+                f"entries: is missing; allowed: a list of at least one {ADDRESS}, "
+                "each once",
+            ],
+        ),
+        (
+            'log = "here"\nentries = []\n',
+            [
+                f'log: is "here"; allowed: {ADDRESS}',
+                f"entries: is []; allowed: a list of at least one {ADDRESS}, each once",
+            ],
+        ),
+        (
+            'log = "a:1"\nentries = ["a:2", "a:2", "a:70000"]\n',
+            [
+                f'entries: contains "a:2" twice; allowed: a list of at least one '
+                f"{ADDRESS}, each once",
+                f'entries: contains "a:70000"; allowed: a list of at least one '
+                f"{ADDRESS}, each once",
+            ],
+        ),
+        (
+            GOOD_SETTINGS + "timeout_s = 0\noperater = 'x'\n",
+            [
+                'operater: is not a known key (did you mean "operator"?); '
+                "allowed: log, entries, operator, timeout_s",
+                "timeout_s: is 0; allowed: a number of seconds above 0, at most 3600",
+            ],
+        ),
+        (
+            GOOD_SETTINGS + "operator = 4\n",
+            ["operator: is 4; allowed: your name as a text"],
+        ),
+    ],
+)
+def test_mistakes_of_settings(tmp_path, text, messages):
+    """Guards against settings that fail later and less clearly."""
+    path = tmp_path / "lycheeloom.toml"
+    path.write_text(text)
+    problems = load_settings(str(path))
+    assert [str(item) for item in problems] == [f"{path}: {text}" for text in messages]
+
+
+def test_missing_settings_file(tmp_path):
+    """Guards against a traceback where there is no file."""
+    path = str(tmp_path / "none.toml")
+    assert [str(item) for item in load_settings(path)] == [
+        f"{path}: file: No such file or directory; allowed: a readable file"
+    ]
