--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -91,7 +91,9 @@
     zone_by_rack: dict[str, str] = {}
     for name, instance in parts.instances.items():
         rack, zone = instance.get("rack"), instance.get("zone")
-        if not isinstance(rack, str) or zone not in list(parts.zones):
+        if not isinstance(rack, str) or not isinstance(zone, str):
+            continue
+        if zone not in parts.zones:
             continue
         first = zone_by_rack.setdefault(rack, zone)
         if first != zone:
--- /dev/null
+++ b/libs/operator/tests/test_command.py
@@ -0,0 +1,219 @@
+"""The ``lycheeloom`` command: output, exit codes and help."""
+
+import json
+
+import pytest
+
+from lycheeloom.model.config import merge_patch
+from lycheeloom.operator import (
+    Explanation,
+    Published,
+    print_config,
+)
+from lycheeloom.operator import (
+    main as command,
+)
+from lycheeloom.operator.cli_parser import build_parser
+from lycheeloom.operator.entries import UnknownThing
+from lycheeloom.operator.main import COMMANDS, main
+
+from .conftest import FakeEntry
+
+
+@pytest.fixture
+def entry():
+    return FakeEntry("10.0.0.1:7200", running={"red": 3})
+
+
+@pytest.fixture
+def run(monkeypatch, tmp_path, capsys, make_operator, entry):
+    """Run one command against the log and the entry in memory."""
+    settings = tmp_path / "lycheeloom.toml"
+    settings.write_text('log = "127.0.0.1:1"\nentries = ["10.0.0.1:7200"]\n')
+    monkeypatch.setattr(
+        command, "make_operator", lambda settings: make_operator("aoife", entry)
+    )
+
+    def run_command(*args):
+        code = main(["--settings", str(settings), *args])
+        printed = capsys.readouterr()
+        return code, printed.out + printed.err
+
+    return run_command
+
+
+@pytest.fixture
+def published(make_operator, entry, fleet):
+    operator = make_operator("brendan", entry)
+    assert isinstance(operator.publish(fleet, 0), Published)
+    return operator
+
+
+def test_a_printed_file_is_published_once(run, published, fleet, tmp_path):
+    """Guards against publishing a file over the change of another operator."""
+    code, text = run("config", "show")
+    assert (code, text) == (0, print_config(fleet, 1))
+    path = tmp_path / "fleet.toml"
+    path.write_text(text.replace("upper_limit = 10", "upper_limit = 12"))
+    assert run("config", "diff", str(path), "--exit-code") == (
+        8,
+        "Team red: upper_limit changes from 10 to 12\n",
+    )
+    assert run("config", "publish", str(path)) == (
+        0,
+        "Team red: upper_limit changes from 10 to 12\n"
+        "Published as version 2.\n"
+        "Version 2 is in force on every entry.\n",
+    )
+    code, text = run("config", "publish", str(path))
+    assert code == 3
+    assert text.startswith(
+        "Nothing was changed: version 1 was expected, but version 2 is in force.\n"
+        "Version 2 by aoife:\n"
+        "  Team red: upper_limit changes from 10 to 12\n"
+    )
+
+
+def test_a_file_without_its_version_is_refused(run, published, fleet, tmp_path):
+    """Guards against guessing the version that a file was made for."""
+    path = tmp_path / "fleet.toml"
+    path.write_text(print_config(fleet))
+    code, text = run("config", "publish", str(path))
+    assert code == 1
+    assert text == (
+        f"error: {path}: printed_from_version: is missing, and version 1 is in "
+        "force; allowed: the line that config show prints, or the option --expect "
+        "VERSION\n"
+    )
+    assert run("config", "publish", str(path), "--expect", "1")[0] == 0
+
+
+def test_checking_a_file_needs_no_fleet(run, fleet, tmp_path):
+    """Guards against mistakes that show only when publishing."""
+    path = tmp_path / "fleet.toml"
+    path.write_text(print_config(fleet))
+    assert run("config", "check", str(path)) == (0, "No errors.\n")
+    path.write_text(print_config(merge_patch(fleet, {"pools": {"lookup": None}})))
+    code, text = run("config", "check", str(path))
+    assert code == 1
+    assert text.count("error: ") == 4
+
+
+def test_zone_out_is_in_force_at_the_end(run, published, entry):
+    """Guards against reporting success before the entries know."""
+    code, text = run("zone", "out", "north")
+    assert code == 0
+    assert text.endswith("Version 2 is in force on every entry.\n")
+    assert entry.state.config.zone_by_id["north"].state == "out"
+    code, text = run("zone", "in", "norht")
+    assert code == 1
+    assert 'there is no zone "norht" (did you mean "north"?)' in text
+
+
+def test_an_entry_without_the_change_is_named(run, published, entry):
+    """Guards against a zone out that one entry does not know."""
+    entry.reachable = False
+    code, text = run("zone", "out", "north", "--timeout-s", "1")
+    assert code == 6
+    assert (
+        "Not yet in force on entry 10.0.0.1:7200: no answer: no answer in time." in text
+    )
+
+
+def test_a_key_is_shown_once_and_withdrawn(run, published, entry):
+    """Guards against a key that cannot be used or cannot be withdrawn."""
+    code, text = run("key", "grant", "red", "--id", "laptop", "--json")
+    data = json.loads(text)
+    assert (code, data["key"], data["result"]) == (0, "laptop", "published")
+    assert data["token"].startswith("laptop.")
+    assert data["token"] not in run("config", "show")[1]
+    assert run("key", "grant", "red", "--id", "laptop")[0] == 1
+    assert run("key", "withdraw", "laptop")[0] == 0
+    assert entry.state.config.key_by_id == {}
+
+
+def test_waves_and_moves(run, published):
+    """Guards against commands that are not wired to the library."""
+    code, text = run("wave", "plan", "--pool", "lookup", "--reboot-s", "240")
+    assert code == 0
+    assert "Instances: 3, rounds: 3, about 15 min" in text
+    assert run("wave", "start", "spring", "--pool", "lookup") == (0, "Done.\n")
+    assert run("wave", "start", "spring")[0] == 1
+    assert run("wave", "start", "autumn", "--pool", "lokup")[0] == 1
+    assert run("wave", "pause", "spring")[0] == 0
+    assert "paused" in run("wave", "status", "spring")[1]
+    assert run("wave", "status", "sprung")[0] == 7
+    assert run("pool", "move", "w4", "lookup")[0] == 0
+    code, text = run("config", "history", "--limit", "1")
+    assert text == (
+        'Version 2 by aoife:\n  Instance w4: pool changes from "general" to "lookup"\n'
+    )
+
+
+def test_status_watch_and_explain(run, published, entry):
+    """Guards against views that fail while an entry is down."""
+    code, text = run("status")
+    assert code == 0
+    assert "Fleet fleet, configuration version 1" in text
+    assert run("watch", "--count", "2", "--interval-s", "0.01")[1].count("Teams") == 2
+    entry.explain = lambda kind, name: Explanation((f"The {kind} {name} is full.",))
+    assert run("explain", "pool", "lookup") == (0, "The pool lookup is full.\n")
+    entry.explain = lambda kind, name: UnknownThing()
+    assert run("explain", "pool", "x") == (7, "No entry knows the pool x.\n")
+    entry.reachable = False
+    code, text = run("status")
+    assert code == 4
+    assert "no answer: no answer in time" in text
+
+
+def test_an_outage_of_the_log_changes_nothing(run, published, log):
+    """Guards against exit codes that a script would take for success."""
+    log.unreadable = 1000
+    assert run("zone", "out", "north") == (
+        4,
+        "Nothing was changed: http status 503.\n",
+    )
+
+
+def test_settings_are_checked(tmp_path, capsys):
+    """Guards against a command that starts with wrong settings."""
+    path = tmp_path / "s.toml"
+    path.write_text('log = "127.0.0.1:1"\nentries = ["10.0.0.1:7200"]\n')
+    assert main(["--settings", str(path), "--check-config"]) == 0
+    path.write_text('log = "x"\n')
+    assert main(["status", "--settings", str(path)]) == 1
+    assert capsys.readouterr().err.count("error: ") == 2
+
+
+def test_each_command_has_help_with_examples(capsys):
+    """Guards against a command without an example, a handler or a parser."""
+    for name in [*COMMANDS, "config check"]:
+        with pytest.raises(SystemExit) as ended:
+            build_parser().parse_args([*name.split(), "--help"])
+        assert ended.value.code == 0
+        assert f"lycheeloom {name}" in capsys.readouterr().out.split("examples:")[1]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["--version"], 0),
+        (["--print-completion", "bash"], 0),
+        (["zone", "sideways", "north"], 2),
+        (["config", "publish", "f", "--expect", "-1"], 2),
+        (["status", "--timeout-s", "0"], 2),
+    ],
+)
+def test_command_line(arguments, code, capsys):
+    """Guards against exit codes other than the documented ones."""
+    with pytest.raises(SystemExit) as ended:
+        main(arguments)
+    assert ended.value.code == code
+
+
+def test_no_command_prints_the_exit_codes(capsys):
+    """Guards against exit codes that are documented nowhere."""
+    assert main([]) == 2
+    text = capsys.readouterr().err
+    for code in (0, 1, 2, 3, 4, 5, 6, 7, 8, 130):
+        assert f"\n  {code:3}  " in text
