--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -0,0 +1,288 @@
+"""One attempt to run a request at a worker, from session to proven end.
+
+The attempt's running slot is free once ``run`` returns: every end means that the
+task ended, never started, or can no longer run because its lease expired.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
+from lycheeloom.model.resources import Resources
+from lycheeloom.platform import (
+    ActionRefused,
+    Session,
+    StartRefusal,
+    StartRefused,
+    StartUnknown,
+    TaskReport,
+    TaskStart,
+    TaskStatus,
+    Unavailable,
+    WorkerClient,
+)
+from lycheeloom.telemetry import Tracer
+
+from .jobs import Job
+from .sessions import WorkerSessions
+
+# A start that has not been answered by then is followed by status calls on new
+# connections, as the first one may have gone silent.
+START_WAIT_S = 2.0
+# Tasks with a longer declared run time do not hold a connection while they run.
+MAX_HELD_RUN_S = 1.0
+FIRST_POLL_S = 0.05
+LONGEST_POLL_S = 1.0
+RENEW_INTERVAL_S = 5.0
+# Covers differences of clock rates between this process and the worker.
+CLOCK_MARGIN_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The task is done; ``answer`` is whole."""
+
+    answer: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The task ran and failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The worker proved that the task did not start."""
+
+    reason: StartRefusal
+    free: Resources | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """This entry decided not to send the start."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """The task was stopped; it goes on from ``checkpoint`` if there is one."""
+
+    checkpoint: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Whether the task ran is not known; it does not run any more."""
+
+    message: str
+
+
+AttemptEnd = Answered | Failed | Refused | NotSent | Stopped | Lost
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where an attempt runs and the size to reserve there."""
+
+    worker: str
+    address: str
+    resources: Resources
+
+
+@dataclass(slots=True)
+class _Sent:
+    """A start that may have reached the worker."""
+
+    task: str
+    placement: Placement
+    boot_id: str
+    sent_at: float
+    # The worker stops the task at the latest then, by this process's clock.
+    runs_until: float
+    renewed_at: float
+    is_reachable: bool = True
+
+
+class AttemptRunner:
+    """Runs attempts; each call of ``run`` belongs to one greenlet.
+
+    ``may_start(job, placement)`` is asked in the same step in which a start is
+    sent and returns why not, or None. ``claim(job, attempt, worker, boot_id)``
+    records an attempt of a recorded request and returns why it may not start.
+    """
+
+    def __init__(
+        self,
+        client: WorkerClient,
+        sessions: WorkerSessions,
+        tracer: Tracer,
+        may_start: Callable[[Job, Placement], str | None],
+        may_renew: Callable[[], bool],
+        claim: Callable[[Job, int, str, str], str | None],
+        on_report: Callable[[str, TaskReport], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._client = client
+        self._sessions = sessions
+        self._tracer = tracer
+        self._may_start = may_start
+        self._may_renew = may_renew
+        self._claim = claim
+        self._on_report = on_report
+        self._clock = clock
+
+    def run(
+        self, job: Job, placement: Placement, on_doubt: Callable[[], None]
+    ) -> AttemptEnd:
+        """Run one attempt; ``on_doubt`` is called once if the worker is silent."""
+        session = self._sessions.get(placement.worker, placement.address)
+        if isinstance(session, Unavailable):
+            return Refused(StartRefusal.UNREACHABLE)
+        if session.draining:
+            return Refused(StartRefusal.DRAINING, session.free)
+        job.attempt += 1
+        attempt = job.attempt
+        job.address_by_attempt[attempt] = placement.address
+        try:
+            if job.is_recorded:
+                reason = self._claim(job, attempt, placement.worker, session.boot_id)
+                if reason is not None:
+                    return NotSent(reason)
+            return self._start(job, attempt, placement, session.boot_id, on_doubt)
+        finally:
+            del job.address_by_attempt[attempt]
+
+    def _start(
+        self,
+        job: Job,
+        attempt: int,
+        placement: Placement,
+        boot_id: str,
+        on_doubt: Callable[[], None],
+    ) -> AttemptEnd:
+        # A claim takes a commit of the log, after which the session may be old.
+        session = self._sessions.get(placement.worker, placement.address)
+        if isinstance(session, Unavailable) or session.boot_id != boot_id:
+            return Refused(StartRefusal.UNREACHABLE)
+        reason = self._may_start(job, placement)
+        if reason is not None:
+            return NotSent(reason)
+        return self._send(job, attempt, placement, session, on_doubt)
+
+    def _send(
+        self,
+        job: Job,
+        attempt: int,
+        placement: Placement,
+        session: Session,
+        on_doubt: Callable[[], None],
+    ) -> AttemptEnd:
+        submission = job.submission
+        start = TaskStart(
+            task=f"{job.id}.{attempt}",
+            session=session.id,
+            team=submission.team,
+            queue=submission.queue,
+            payload=submission.payload,
+            resources=placement.resources,
+            lease_s=TASK_LEASE_S,
+            run_s=submission.run_s,
+            request_id=job.id,
+            checkpoint=job.checkpoint,
+            wait=submission.run_s <= MAX_HELD_RUN_S,
+        )
+        now = self._clock()
+        with self._tracer.span(
+            "start_task", submission.traceparent, worker=placement.worker
+        ) as span:
+            result = self._client.start(
+                placement.address,
+                start,
+                timeout_s=START_WAIT_S,
+                traceparent=span.traceparent,
+            )
+            if not isinstance(result, TaskReport):
+                span.fail(str(result.reason))
+        sent = _Sent(
+            start.task,
+            placement,
+            session.boot_id,
+            now,
+            self._clock() + SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S,
+            now,
+        )
+        match result:
+            case StartRefused(reason, free):
+                if reason is StartRefusal.LEASE_LAPSED:
+                    self._sessions.drop(placement.worker)
+                return Refused(reason, free)
+            case StartUnknown():
+                return self._follow(sent, on_doubt)
+            case TaskReport():
+                end = self._judge(sent, result)
+                return end or self._follow(sent, on_doubt)
+
+    def _follow(self, sent: _Sent, on_doubt: Callable[[], None]) -> AttemptEnd:
+        """Ask for the task's status until it ended or its lease expired."""
+        poll_s = 0.0
+        is_doubted = False
+        while True:
+            report = self._poll(sent)
+            match report:
+                case TaskReport():
+                    sent.is_reachable = True
+                    end = self._judge(sent, report)
+                    if end is not None:
+                        return end
+                    poll_s = min(LONGEST_POLL_S, max(FIRST_POLL_S, poll_s * 1.5))
+                case Unavailable(reason) | ActionRefused(reason):
+                    sent.is_reachable = False
+                    if self._clock() >= sent.runs_until:
+                        return Lost(f"worker {sent.placement.worker}: {reason}")
+                    if not is_doubted:
+                        is_doubted = True
+                        on_doubt()
+                    poll_s = LONGEST_POLL_S
+            gevent.sleep(poll_s)
+
+    def _poll(self, sent: _Sent) -> TaskReport | Unavailable | ActionRefused:
+        address = sent.placement.address
+        is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
+        # A worker that does not answer is not sent further renewals: each one
+        # would put off the time at which its lease has certainly expired.
+        if not (is_due and sent.is_reachable and self._may_renew()):
+            return self._client.status(address, sent.task)
+        report = self._client.renew(address, sent.task, TASK_LEASE_S)
+        # Counted even if the answer is lost, as the renewal may have had effect.
+        sent.renewed_at = self._clock()
+        sent.runs_until = sent.renewed_at + TASK_LEASE_S + CLOCK_MARGIN_S
+        return report
+
+    def _judge(self, sent: _Sent, report: TaskReport) -> AttemptEnd | None:
+        """Return the end that a report proves, or None while the task runs."""
+        self._on_report(sent.placement.worker, report)
+        match report.status:
+            case TaskStatus.DONE:
+                return Answered(report.answer)
+            case TaskStatus.FAILED:
+                return Failed()
+            case TaskStatus.STOPPED:
+                return Stopped()
+            case TaskStatus.CHECKPOINTED:
+                return Stopped(report.checkpoint)
+            case TaskStatus.RUNNING:
+                return None
+        if report.boot_id != sent.boot_id:
+            return Lost(f"worker {sent.placement.worker} restarted")
+        session_ended_at = sent.sent_at + SESSION_TTL_S + CLOCK_MARGIN_S
+        if self._clock() < session_ended_at:
+            # The start may still arrive.
+            return None
+        return Refused(StartRefusal.UNREACHABLE)
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -0,0 +1,411 @@
+"""Carries out the scheduler's decisions and settles requests."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from lycheeloom.model.config import Queue
+from lycheeloom.model.resources import Resources
+from lycheeloom.model.verdict import (
+    MayHaveRun,
+    NotRun,
+    Ran,
+    Refusal,
+    RefusalReason,
+    Verdict,
+)
+from lycheeloom.platform import StartRefusal, TaskReport, WorkerClient
+from lycheeloom.sched import (
+    Checkpoint,
+    Expire,
+    Outcome,
+    RetryBudget,
+    Scheduler,
+    Start,
+    Task,
+    Throttle,
+)
+from lycheeloom.telemetry import log_event
+
+from .attempt import (
+    Answered,
+    AttemptEnd,
+    AttemptRunner,
+    Failed,
+    Lost,
+    NotSent,
+    Placement,
+    Refused,
+    Stopped,
+)
+from .jobs import Job, JobTable
+from .metrics import EntryMetrics
+
+# Deadlines, back-offs and zone ramps need a look at the queues without an event.
+TICK_S = 0.05
+# A worker may refuse or a commit may fail this often before a job is given up.
+MAX_TRIES = 50
+# A caller is told that a request may have run after this long without contact.
+DOUBT_S = 5.0
+THROTTLE_FRACTION = 0.25
+
+
+class Dispatcher:
+    """Owns the queue of this entry: submits, starts, retries and cancels.
+
+    ``on_settled`` is called once for each job, after its verdict is set.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        jobs: JobTable,
+        metrics: EntryMetrics,
+        client: WorkerClient,
+        address_of: Callable[[str], str | None],
+        may_dispatch: Callable[[], bool],
+        release: Callable[[Job, int], bool],
+        on_settled: Callable[[Job], None],
+    ) -> None:
+        self.runner: AttemptRunner | None = None
+        self.scheduler = scheduler
+        self._jobs = jobs
+        self._metrics = metrics
+        self._client = client
+        self._address_of = address_of
+        self._may_dispatch = may_dispatch
+        self._release = release
+        self._on_settled = on_settled
+        self._budget_by_queue: dict[str, RetryBudget] = {}
+        self._wake = Event()
+        self._running_by_team: dict[str, int] = {}
+        self.running_tasks = 0
+
+    def running(self, team: str) -> int:
+        """Return how many running slots of a team are taken here."""
+        return self._running_by_team.get(team, 0)
+
+    def wake(self) -> None:
+        """Ask for decisions soon; many calls cost one round."""
+        self._wake.set()
+
+    def run(self) -> None:
+        """Take decisions until stopped."""
+        while True:
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+            if self._may_dispatch():
+                self._take_decisions()
+
+    def submit(self, job: Job) -> Refusal | None:
+        """Queue a job, or return why it is refused as not run."""
+        verdict = self.scheduler.submit(_task_of(job), time.monotonic())
+        if isinstance(verdict, Refusal):
+            return verdict
+        if job.tries == 0:
+            self._budget(job.submission.queue).on_request()
+        self._jobs.add(job)
+        self.wake()
+        return None
+
+    def cancel(self, job: Job) -> None:
+        """Cancel a job: at once while queued, at the worker while running."""
+        job.cancel_requested = True
+        if self.scheduler.cancel([_task_id(job)], time.monotonic()):
+            self._settle(
+                job, NotRun(Refusal(RefusalReason.CANCELLED, "cancelled by the caller"))
+            )
+            return
+        for attempt, address in list(job.address_by_attempt.items()):
+            gevent.spawn(self._client.cancel, address, f"{job.id}.{attempt}")
+
+    def withdraw(self, job: Job) -> bool:
+        """Drop a queued job without a verdict, as another entry runs it."""
+        if not self.scheduler.cancel([_task_id(job)], time.monotonic()):
+            return False
+        self._jobs.remove(job)
+        return True
+
+    def adopt_queues(self, queues: list[Queue]) -> None:
+        """Create retry budgets for new queues and drop those of removed ones."""
+        known = self._budget_by_queue
+        self._budget_by_queue = {}
+        for queue in queues:
+            budget = known.get(queue.id)
+            if budget is None or budget.percent != queue.retry_budget_percent:
+                budget = RetryBudget(queue)
+            self._budget_by_queue[queue.id] = budget
+
+    def _take_decisions(self) -> None:
+        for decision in self.scheduler.next_starts(time.monotonic()):
+            match decision:
+                case Start(task, worker, resources):
+                    self._begin(task, worker, resources)
+                case Checkpoint(task_id, reason):
+                    log_event("checkpoint", "DEBUG", task=task_id, reason=reason)
+                    self._act_on_running(task_id, self._client.checkpoint)
+                case Throttle(task_id):
+                    self._act_on_running(task_id, self._throttle)
+                case Expire(task, refusal):
+                    job = self._jobs.job_by_id.get(_request_id(task.id))
+                    if job is not None:
+                        self._settle(job, NotRun(refusal))
+
+    def _throttle(self, address: str, task: str) -> object:
+        return self._client.throttle(address, task, THROTTLE_FRACTION)
+
+    def _act_on_running(
+        self, task_id: str, action: Callable[[str, str], object]
+    ) -> None:
+        job = self._jobs.job_by_id.get(_request_id(task_id))
+        if job is None:
+            return
+        for attempt, address in list(job.address_by_attempt.items()):
+            gevent.spawn(action, address, f"{job.id}.{attempt}")
+
+    def _begin(self, task: Task, worker: str, resources: Resources) -> None:
+        job = self._jobs.job_by_id.get(_request_id(task.id))
+        address = self._address_of(worker)
+        if job is None or address is None:
+            self.scheduler.finished(task.id, Outcome.STOPPED, time.monotonic())
+            return
+        team = task.team
+        self._running_by_team[team] = self.running(team) + 1
+        self.running_tasks += 1
+        gevent.spawn(self._run, job, task, Placement(worker, address, resources))
+
+    def _run(self, job: Job, task: Task, placement: Placement) -> None:
+        state = _Doubt()
+
+        def on_doubt() -> None:
+            if job.submission.idempotent and not job.is_recorded:
+                state.is_repeated = self._repeat(job, placement.worker)
+                return
+            message = f"worker {placement.worker} does not answer"
+            state.timer = gevent.spawn_later(
+                DOUBT_S, self._settle_unrecorded, job, MayHaveRun(message)
+            )
+
+        end: AttemptEnd = Lost("the attempt was interrupted")
+        try:
+            end = self.runner.run(job, placement, on_doubt)
+        finally:
+            team = task.team
+            self._running_by_team[team] = self.running(team) - 1
+            self.running_tasks -= 1
+            if state.timer is not None:
+                state.timer.kill(block=False)
+            self._finish(job, task, placement, end, state.is_repeated)
+            self.wake()
+
+    def _finish(
+        self,
+        job: Job,
+        task: Task,
+        placement: Placement,
+        end: AttemptEnd,
+        is_repeated: bool,
+    ) -> None:
+        now = time.monotonic()
+        self._metrics.starts.labels(type(end).__name__.lower()).inc()
+        match end:
+            case Answered(answer):
+                self.scheduler.finished(task.id, Outcome.DONE, now)
+                self._settle(job, Ran(answer))
+            case Failed():
+                self.scheduler.finished(task.id, Outcome.FAILED, now)
+                self._retry_or_give_up(
+                    job, placement, is_repeated, "the task failed after it had started"
+                )
+            case Refused(reason, free):
+                self._requeue(job, task, placement, reason, free)
+            case NotSent(reason):
+                log_event("start_not_sent", "DEBUG", request=job.id, reason=reason)
+                self._requeue(job, task, placement, None, None)
+            case Stopped(checkpoint):
+                self._resume(job, task, placement, checkpoint, is_repeated)
+            case Lost(message):
+                self.scheduler.finished(task.id, Outcome.FAILED, now)
+                self._retry_or_give_up(job, placement, is_repeated, message)
+
+    def _requeue(
+        self,
+        job: Job,
+        task: Task,
+        placement: Placement,
+        reason: StartRefusal | None,
+        free: Resources | None,
+    ) -> None:
+        """Queue a job again whose start certainly had no effect."""
+        now = time.monotonic()
+        self.scheduler.finished(task.id, Outcome.REFUSED_BY_WORKER, now)
+        if reason is StartRefusal.DRAINING or reason is StartRefusal.UNREACHABLE:
+            self.scheduler.observe_worker(placement.worker, False, free, "", now)
+        elif free is not None:
+            self.scheduler.observe_worker(placement.worker, True, free, "", now)
+        job.tries += 1
+        if job.is_foreign:
+            self.scheduler.cancel([task.id], now)
+            self._jobs.remove(job)
+            return
+        self._release_claim(job)
+        if job.verdict is not None:
+            self.scheduler.cancel([task.id], now)
+            return
+        if reason is StartRefusal.BAD_REQUEST or job.cancel_requested:
+            self.scheduler.cancel([task.id], now)
+            message = "the worker rejected the request"
+            if job.cancel_requested:
+                message = "cancelled by the caller"
+            self._settle(job, NotRun(Refusal(RefusalReason.CANCELLED, message)))
+            return
+        if job.tries > MAX_TRIES and not job.is_recorded:
+            self.scheduler.cancel([task.id], now)
+            message = f"no worker accepted the task in {MAX_TRIES} tries"
+            self._settle(job, NotRun(Refusal(RefusalReason.NO_WORKER, message, 1.0)))
+            return
+        self.scheduler.requeue(task.id, placement.worker)
+
+    def _resume(
+        self,
+        job: Job,
+        task: Task,
+        placement: Placement,
+        checkpoint: str,
+        is_repeated: bool,
+    ) -> None:
+        """Go on from a checkpoint, or decide about a task that was stopped."""
+        now = time.monotonic()
+        self.scheduler.finished(task.id, Outcome.STOPPED, now)
+        is_requeued = bool(self.scheduler.is_queued(task.id))
+        if job.cancel_requested:
+            self.scheduler.cancel([task.id], now)
+            self._settle(job, MayHaveRun("cancelled while it was running"))
+            return
+        if checkpoint:
+            job.checkpoint = checkpoint
+            self._release_claim(job)
+            if not is_requeued:
+                self._submit_again(job)
+            return
+        if is_requeued:
+            self.scheduler.cancel([task.id], now)
+        self._retry_or_give_up(
+            job, placement, is_repeated, "the worker stopped the task while it ran"
+        )
+
+    def _retry_or_give_up(
+        self, job: Job, placement: Placement, is_repeated: bool, message: str
+    ) -> None:
+        if is_repeated or job.verdict is not None:
+            return
+        if job.submission.idempotent and self._repeat(job, placement.worker):
+            return
+        self._settle(job, MayHaveRun(message))
+
+    def _repeat(self, job: Job, worker: str) -> bool:
+        """Run an idempotent job elsewhere if its queue's budget allows."""
+        if job.verdict is not None or job.cancel_requested:
+            return False
+        if not self._budget(job.submission.queue).try_spend():
+            return False
+        self._metrics.retries.labels(job.submission.queue).inc()
+        job.excluded_workers.add(worker)
+        self._release_claim(job)
+        return self._submit_again(job)
+
+    def _submit_again(self, job: Job) -> bool:
+        job.tries += 1
+        refusal = self.submit(job)
+        if refusal is None:
+            return True
+        log_event("retry_refused", request=job.id, reason=refusal.reason)
+        return False
+
+    def _release_claim(self, job: Job) -> None:
+        if job.is_recorded:
+            self._release(job, job.attempt)
+
+    def _settle_unrecorded(self, job: Job, verdict: Verdict) -> None:
+        if not job.is_recorded:
+            self._settle(job, verdict)
+
+    def _settle(self, job: Job, verdict: Verdict) -> None:
+        if not job.settle(verdict):
+            return
+        submission = job.submission
+        name = _verdict_name(verdict)
+        elapsed_s = max(0.0, job.settled_at - submission.submitted_at)
+        self._metrics.requests.labels(submission.queue, name).inc()
+        self._metrics.latency_s.labels(submission.queue).observe(elapsed_s)
+        if isinstance(verdict, NotRun):
+            self._metrics.refusals.labels(verdict.refusal.reason).inc()
+        log_event(
+            "request_settled",
+            "DEBUG",
+            request=job.id,
+            team=submission.team,
+            queue=submission.queue,
+            verdict=name,
+            seconds=elapsed_s,
+        )
+        self._jobs.note_settled(job)
+        self._on_settled(job)
+
+    def _budget(self, queue: str) -> RetryBudget:
+        budget = self._budget_by_queue.get(queue)
+        if budget is None:
+            budget = self._budget_by_queue[queue] = RetryBudget(Queue(queue, ""))
+        return budget
+
+    def observe_report(self, worker: str, report: TaskReport) -> None:
+        """Take over the free capacity that comes with an answer."""
+        now = time.monotonic()
+        self.scheduler.observe_worker(worker, True, report.free, report.boot_id, now)
+
+
+class _Doubt:
+    """What was done about an attempt whose worker does not answer."""
+
+    def __init__(self) -> None:
+        self.is_repeated = False
+        self.timer: gevent.Greenlet | None = None
+
+
+def _task_id(job: Job) -> str:
+    return f"{job.id}#{len(job.excluded_workers)}"
+
+
+def _request_id(task_id: str) -> str:
+    return task_id.partition("#")[0]
+
+
+def _task_of(job: Job) -> Task:
+    submission = job.submission
+    return Task(
+        id=_task_id(job),
+        team=submission.team,
+        queue=submission.queue,
+        resources=submission.resources,
+        run_s=submission.run_s,
+        submitted_at=submission.submitted_at,
+        deadline=submission.deadline if job.tries == 0 else None,
+        idempotent=submission.idempotent,
+        urgent=submission.urgent,
+        checkpointable=submission.checkpointable,
+        excluded_workers=frozenset(job.excluded_workers),
+    )
+
+
+def _verdict_name(verdict: Verdict) -> str:
+    match verdict:
+        case NotRun():
+            return "not_run"
+        case MayHaveRun():
+            return "may_have_run"
+        case Ran():
+            return "ran"
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/intake.py
@@ -0,0 +1,219 @@
+"""The path of a caller's request through an entry, from checks to answer."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+
+from lycheeloom.cluster import Freshness
+from lycheeloom.log import Effective, LogTail, NotWritten
+from lycheeloom.model.limits import FRESHNESS_S
+from lycheeloom.model.records import Outcome
+from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
+from lycheeloom.state import RecordedRequest, RequestStatus
+from lycheeloom.telemetry import Tracer
+
+from .admission import RequestHeaders, check_request, find_team
+from .dispatch import Dispatcher
+from .jobs import Job, JobTable, Submission
+from .journal import Journal
+from .metrics import EntryMetrics
+from .replies import (
+    Reply,
+    doubt_reply,
+    progress_reply,
+    ran_reply,
+    refusal_reply,
+    verdict_reply,
+)
+
+# A caller that waits longer is given its request id to collect the answer with.
+MAX_WAIT_S = 120.0
+
+
+class Intake:
+    """Accepts, answers, shows and cancels requests for the HTTP interface."""
+
+    def __init__(
+        self,
+        tail: LogTail,
+        freshness: Freshness,
+        jobs: JobTable,
+        dispatcher: Dispatcher,
+        journal: Journal,
+        metrics: EntryMetrics,
+        tracer: Tracer,
+    ) -> None:
+        self.is_draining = False
+        self.open_requests = 0
+        self._tail = tail
+        self._freshness = freshness
+        self._jobs = jobs
+        self._dispatcher = dispatcher
+        self._journal = journal
+        self._metrics = metrics
+        self._tracer = tracer
+
+    def submit(self, queue: str, headers: RequestHeaders, body: bytes) -> Reply:
+        """Run a request, or accept it for later, and answer the caller."""
+        self.open_requests += 1
+        try:
+            with self._tracer.span("request", headers.traceparent, queue=queue) as span:
+                headers = RequestHeaders(
+                    headers.authorization, headers.idempotency_key, span.traceparent
+                )
+                reply = self._submit(queue, headers, body)
+                span.set("status", reply.status)
+                return reply
+        finally:
+            self.open_requests -= 1
+
+    def show(self, request_id: str, authorization: str, wait_s: float) -> Reply:
+        """Answer with a request's verdict, or its progress after ``wait_s``."""
+        self.open_requests += 1
+        try:
+            return self._show(request_id, authorization, min(wait_s, MAX_WAIT_S))
+        finally:
+            self.open_requests -= 1
+
+    def cancel(self, request_id: str, authorization: str) -> Reply:
+        """Cancel a request and answer with its verdict as far as it is known."""
+        found = self._find(request_id, authorization)
+        if isinstance(found, Reply):
+            return found
+        job = self._jobs.job_by_id.get(request_id)
+        if isinstance(found, RecordedRequest):
+            return self._cancel_recorded(found, job)
+        self._dispatcher.cancel(found)
+        found.settled.wait(FRESHNESS_S)
+        return self._show(request_id, authorization, 0.0)
+
+    def _submit(self, queue: str, headers: RequestHeaders, body: bytes) -> Reply:
+        refusal = self._check_open()
+        if refusal is not None:
+            return self._refuse(refusal)
+        submission = check_request(self._tail.state.config, queue, headers, body)
+        if isinstance(submission, Refusal):
+            return self._refuse(submission)
+        if submission.is_recorded:
+            return self._submit_recorded(submission, body)
+        job = Job(submission)
+        refusal = self._dispatcher.submit(job)
+        if refusal is not None:
+            return self._refuse(refusal, job.id)
+        if not job.settled.wait(MAX_WAIT_S):
+            return progress_reply(job.id, "running")
+        return verdict_reply(job.id, job.verdict)
+
+    def _check_open(self) -> Refusal | None:
+        if self.is_draining:
+            return Refusal(RefusalReason.DRAINING, "this entry is shutting down", 1.0)
+        if not self._freshness.is_fresh():
+            message = "this entry has no recent contact with the log or its peers"
+            return Refusal(RefusalReason.STALE_ENTRY, message, 1.0)
+        return None
+
+    def _refuse(self, refusal: Refusal, request_id: str = "") -> Reply:
+        self._metrics.refusals.labels(refusal.reason).inc()
+        return refusal_reply(refusal, request_id)
+
+    def _submit_recorded(self, submission: Submission, body: bytes) -> Reply:
+        log_age_s = time.monotonic() - self._tail.last_read_sent_at
+        if log_age_s > FRESHNESS_S:
+            message = "the log is not available, and the request needs a record in it"
+            return self._refuse(Refusal(RefusalReason.LOG_UNAVAILABLE, message, 2.0))
+        digest = hashlib.sha256(submission.queue.encode() + b"\n" + body).digest()
+        result = self._journal.submit(submission, digest)
+        match result:
+            case Refusal():
+                return self._refuse(result)
+            case MayHaveRun(message):
+                return doubt_reply(submission.request_id, message)
+        if not submission.wait:
+            return progress_reply(result.request_id, result.status.value)
+        return self._await_recorded(result.request_id, MAX_WAIT_S)
+
+    def _await_recorded(self, request_id: str, wait_s: float) -> Reply:
+        """Wait for a recorded request here or, if it runs elsewhere, in the log.
+
+        That it did not run is said only once the log says so: until then another
+        entry could still take it over.
+        """
+        job = self._jobs.job_by_id.get(request_id)
+        if (
+            job is not None
+            and job.settled.wait(wait_s)
+            and isinstance(job.verdict, Ran)
+        ):
+            return ran_reply(request_id, job.verdict.answer)
+        request = self._journal.wait(request_id, wait_s)
+        if request is None:
+            return _unknown_request(request_id)
+        return self._recorded_reply(request)
+
+    def _recorded_reply(self, request: RecordedRequest) -> Reply:
+        request_id = request.request_id
+        if request.status is not RequestStatus.FINISHED:
+            return progress_reply(request_id, request.status.value)
+        if request.outcome is Outcome.NOT_RUN:
+            job = self._jobs.job_by_id.get(request_id)
+            if job is not None and isinstance(job.verdict, NotRun):
+                return refusal_reply(job.verdict.refusal, request_id)
+            refusal = Refusal(RefusalReason.CANCELLED, "cancelled before it ran")
+            return refusal_reply(refusal, request_id)
+        answer = self._journal.read_answer(request)
+        if answer is None:
+            return progress_reply(request_id, "finished, answer not readable now")
+        if request.outcome is Outcome.MAY_HAVE_RUN:
+            return doubt_reply(request_id, answer.decode(errors="replace"))
+        return ran_reply(request_id, answer)
+
+    def _show(self, request_id: str, authorization: str, wait_s: float) -> Reply:
+        found = self._find(request_id, authorization)
+        if isinstance(found, Reply):
+            return found
+        if isinstance(found, RecordedRequest):
+            return self._await_recorded(request_id, wait_s)
+        if found.settled.wait(wait_s):
+            return verdict_reply(request_id, found.verdict)
+        return progress_reply(request_id, "running")
+
+    def _find(
+        self, request_id: str, authorization: str
+    ) -> RecordedRequest | Job | Reply:
+        """Return a request that the key in ``authorization`` may see."""
+        if not self._freshness.is_fresh():
+            message = "this entry has no recent contact with the log or its peers"
+            refusal = Refusal(RefusalReason.STALE_ENTRY, message, 1.0)
+            return Reply(503, {"reason": refusal.reason, "message": message})
+        recorded = self._tail.state.requests.request_by_id.get(request_id)
+        job = self._jobs.job_by_id.get(request_id)
+        found = recorded or job
+        if found is None:
+            return _unknown_request(request_id)
+        owner = recorded or job.submission
+        queue = self._tail.state.config.queue_by_id.get(owner.queue)
+        if queue is None:
+            return _unknown_request(request_id)
+        team = find_team(self._tail.state.config, queue, authorization)
+        if isinstance(team, Refusal):
+            document = {"reason": team.reason.value, "message": team.message}
+            return Reply(401, document)
+        return found if team == owner.team else _unknown_request(request_id)
+
+    def _cancel_recorded(self, request: RecordedRequest, job: Job | None) -> Reply:
+        if request.status is RequestStatus.PENDING:
+            outcome = self._journal.cancel(request)
+            if isinstance(outcome, Effective):
+                return self._recorded_reply(request)
+            if isinstance(outcome, NotWritten):
+                return progress_reply(request.request_id, "not cancelled")
+        if job is not None and job.verdict is None:
+            self._dispatcher.cancel(job)
+            self._journal.wait(request.request_id, FRESHNESS_S)
+        return self._recorded_reply(request)
+
+
+def _unknown_request(request_id: str) -> Reply:
+    document = {"reason": "unknown_request", "message": f"no request {request_id!r}"}
+    return Reply(404, document)
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -0,0 +1,370 @@
+"""Requests recorded in the log: submission, claims, answers and takeover."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import gevent
+import xxhash
+from gevent.event import Event
+
+from lycheeloom.log import (
+    Effective,
+    LogTail,
+    LogWriter,
+    NoEffect,
+    NotWritten,
+    Replayed,
+    Unknown,
+)
+from lycheeloom.log import (
+    Outcome as WriteOutcome,
+)
+from lycheeloom.model import records as r
+from lycheeloom.model.limits import MAX_ANSWER_BYTES
+from lycheeloom.model.records import Batch, Outcome, Record
+from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
+from lycheeloom.platform import LogClient, ReadBatches
+from lycheeloom.state import RecordedRequest, RequestStatus
+from lycheeloom.telemetry import log_event
+from lycheeloom.wire import decode_batch
+
+from .dispatch import Dispatcher
+from .jobs import Job, JobTable, Submission
+
+COMMIT_TIMEOUT_S = 3.0
+# A claim whose outcome is unclear is awaited; the attempt holds its slot.
+CLAIM_WAIT_S = 5.0
+RETRY_INTERVAL_S = 0.5
+
+
+class Journal:
+    """The recorded requests as this entry sees and runs them.
+
+    The entry that took a request runs it while that entry is a member; any
+    other pending request is run by the member that rendezvous hashing selects.
+    Claims in the log decide when two entries differ about the members.
+    """
+
+    def __init__(
+        self,
+        tail: LogTail,
+        writer: LogWriter,
+        log_client: LogClient,
+        jobs: JobTable,
+        incarnation: Callable[[], str],
+        may_run: Callable[[], bool],
+    ) -> None:
+        self.dispatcher: Dispatcher | None = None
+        self._tail = tail
+        self._writer = writer
+        self._log_client = log_client
+        self._jobs = jobs
+        self._incarnation = incarnation
+        self._may_run = may_run
+        self._waiter_by_id: dict[str, Event] = {}
+        # What the log does not carry (deadline, trace) of requests taken here.
+        self._submission_by_id: dict[str, Submission] = {}
+        self._members_seen: frozenset[str] = frozenset()
+        tail.add_listener(self._on_replayed)
+        tail.add_reset_listener(lambda state: self.reassign())
+
+    def submit(
+        self, submission: Submission, digest: bytes
+    ) -> RecordedRequest | Refusal | MayHaveRun:
+        """Record a request, or find the one with the same idempotency key."""
+        known = self._find_repeated(submission, digest)
+        if known is not None:
+            return known
+        record = r.RequestSubmitted(
+            request_id=submission.request_id,
+            team=submission.team,
+            queue=submission.queue,
+            payload=submission.payload,
+            idempotent=submission.idempotent,
+            idempotency_key=submission.idempotency_key,
+            body_digest=digest,
+            resources=submission.resources,
+            run_ms=round(submission.run_s * 1000),
+            urgent=submission.urgent,
+        )
+        self._submission_by_id[submission.request_id] = submission
+        outcome = self._writer.append(record).wait(COMMIT_TIMEOUT_S)
+        self._submission_by_id.pop(submission.request_id, None)
+        match outcome:
+            case Effective():
+                return self._tail.state.requests.request_by_id[submission.request_id]
+            case NotWritten(reason):
+                message = f"the request could not be recorded: {reason}"
+                return Refusal(RefusalReason.LOG_UNAVAILABLE, message, 2.0)
+            case NoEffect():
+                known = self._find_repeated(submission, digest)
+                if known is not None:
+                    return known
+                message = "another request has the same id"
+                return Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, message)
+            case Unknown(reason):
+                return MayHaveRun(
+                    f"recording is not confirmed ({reason}); repeat the request with "
+                    "the same Idempotency-Key to learn its outcome"
+                )
+
+    def cancel(self, request: RecordedRequest) -> WriteOutcome:
+        """Cancel a pending request for all entries."""
+        record = r.RequestCancelled(request.request_id)
+        return self._writer.append(record).wait(COMMIT_TIMEOUT_S)
+
+    def claim(self, job: Job, attempt: int, worker: str, boot_id: str) -> str | None:
+        """Record an attempt; returns why it must not start, or None."""
+        pending = self._writer.append(
+            r.RequestClaimed(job.id, attempt, worker, boot_id)
+        )
+        outcome = pending.wait(CLAIM_WAIT_S)
+        while isinstance(outcome, Unknown) and pending.outcome is None:
+            outcome = pending.wait(CLAIM_WAIT_S)
+        match outcome:
+            case Effective():
+                return None
+            case NoEffect():
+                job.is_foreign = True
+                return "the request is claimed, finished or cancelled"
+            case _:
+                # The attempt number is free again.
+                job.attempt -= 1
+                return f"the claim was not recorded: {outcome.reason}"
+
+    def release(self, job: Job, attempt: int) -> bool:
+        """Make a claimed request pending again before its next attempt."""
+        if not self._is_own_claim(job.id, attempt):
+            return True
+        outcome = self._write(r.RequestReleased(job.id, attempt))
+        return isinstance(outcome, Effective)
+
+    def record_verdict(self, job: Job) -> None:
+        """Record the verdict of a settled job; called in its own greenlet."""
+        match job.verdict:
+            case Ran(answer) if len(answer) <= MAX_ANSWER_BYTES:
+                record: Record = r.RequestFinished(
+                    job.id, job.attempt, Outcome.RAN, answer
+                )
+            case Ran(answer):
+                message = f"it ran; its answer has {len(answer)} bytes, "
+                message += f"of which {MAX_ANSWER_BYTES} can be kept"
+                record = _doubtful(job.id, job.attempt, message)
+            case MayHaveRun(message):
+                record = _doubtful(job.id, job.attempt, message)
+            case NotRun():
+                self.release(job, job.attempt)
+                record = r.RequestCancelled(job.id)
+            case _:
+                return
+        self._write(record)
+
+    def wait(self, request_id: str, timeout_s: float) -> RecordedRequest | None:
+        """Wait until a recorded request is finished; returns what is known."""
+        request = self._tail.state.requests.request_by_id.get(request_id)
+        if request is None or request.status is RequestStatus.FINISHED:
+            return request
+        waiter = self._waiter_by_id.setdefault(request_id, Event())
+        waiter.wait(timeout_s)
+        return self._tail.state.requests.request_by_id.get(request_id)
+
+    def read_answer(self, request: RecordedRequest) -> bytes | None:
+        """Return the whole answer of a finished request, or None for now."""
+        record = self._find_record(
+            request.answer_offset, r.RequestFinished, request.request_id
+        )
+        return record.answer if record is not None else None
+
+    def reassign(self) -> None:
+        """Take over pending requests after a change of the members."""
+        requests = self._tail.state.requests
+        for request_id in list(requests.pending):
+            request = requests.request_by_id[request_id]
+            job = self._jobs.job_by_id.get(request_id)
+            if self.is_runner(request):
+                if job is None:
+                    gevent.spawn(self._take_over, request)
+                continue
+            if job is not None and job.verdict is None:
+                self.dispatcher.withdraw(job)
+
+    def is_runner(self, request: RecordedRequest) -> bool:
+        """Tell whether this entry should run a pending request."""
+        if not self._may_run():
+            return False
+        members = [m.incarnation for m in self._tail.state.members.active()]
+        own = self._incarnation()
+        if request.submitted_by in members:
+            return request.submitted_by == own
+        return select_member(request.request_id, members) == own
+
+    def _find_repeated(
+        self, submission: Submission, digest: bytes
+    ) -> RecordedRequest | Refusal | None:
+        if not submission.idempotency_key:
+            return None
+        known = self._tail.state.requests.find_by_key(
+            submission.team, submission.idempotency_key
+        )
+        if known is None or known.body_digest == digest:
+            return known
+        message = "the Idempotency-Key was used with another request"
+        return Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, message)
+
+    def _on_replayed(self, replayed: Replayed) -> None:
+        if replayed.applied.is_repeat:
+            return
+        effects = replayed.applied.effective
+        for record, is_effective in zip(replayed.batch.records, effects, strict=True):
+            if is_effective:
+                self._on_record(record)
+        members = frozenset(m.incarnation for m in self._tail.state.members.active())
+        if members != self._members_seen:
+            self._members_seen = members
+            self.reassign()
+
+    def _on_record(self, record: Record) -> None:
+        match record:
+            case r.RequestSubmitted() | r.RequestReleased():
+                self._consider(record)
+            case r.RequestFinished(request_id) | r.RequestCancelled(request_id):
+                waiter = self._waiter_by_id.pop(request_id, None)
+                if waiter is not None:
+                    waiter.set()
+                if isinstance(record, r.RequestCancelled):
+                    self._drop_cancelled(request_id)
+            case _:
+                pass
+
+    def _consider(self, record: r.RequestSubmitted | r.RequestReleased) -> None:
+        request = self._tail.state.requests.request_by_id.get(record.request_id)
+        if request is None or request.request_id in self._jobs.job_by_id:
+            return
+        if request.status is not RequestStatus.PENDING or not self.is_runner(request):
+            return
+        if isinstance(record, r.RequestSubmitted):
+            self._enqueue(request, record.payload)
+            return
+        gevent.spawn(self._take_over, request)
+
+    def _drop_cancelled(self, request_id: str) -> None:
+        job = self._jobs.job_by_id.get(request_id)
+        if job is not None and job.verdict is None:
+            self.dispatcher.cancel(job)
+
+    def _take_over(self, request: RecordedRequest) -> None:
+        submitted = self._find_record(
+            request.body_offset, r.RequestSubmitted, request.request_id
+        )
+        if submitted is None:
+            log_event("body_unavailable", "WARNING", request=request.request_id)
+            gevent.sleep(RETRY_INTERVAL_S)
+            gevent.spawn(self._take_over_again, request.request_id)
+            return
+        self._enqueue(request, submitted.payload)
+
+    def _take_over_again(self, request_id: str) -> None:
+        request = self._tail.state.requests.request_by_id.get(request_id)
+        if request is None or request.status is not RequestStatus.PENDING:
+            return
+        if self.is_runner(request):
+            self._take_over(request)
+
+    def _enqueue(self, request: RecordedRequest, payload: bytes) -> None:
+        if request.request_id in self._jobs.job_by_id:
+            return
+        if request.status is not RequestStatus.PENDING:
+            return
+        submission = self._submission_by_id.get(request.request_id)
+        if submission is None:
+            submission = _restore_submission(request, payload)
+        job = Job(submission, is_recorded=True, attempt=request.attempt)
+        refusal = self.dispatcher.submit(job)
+        if refusal is None:
+            return
+        if refusal.retry_after_s is not None:
+            gevent.spawn_later(
+                refusal.retry_after_s, self._take_over_again, request.request_id
+            )
+            return
+        log_event(
+            "recorded_request_refused",
+            "WARNING",
+            request=request.request_id,
+            reason=refusal.reason,
+            message=refusal.message,
+        )
+        gevent.spawn(self._write, r.RequestCancelled(request.request_id))
+
+    def _is_own_claim(self, request_id: str, attempt: int) -> bool:
+        request = self._tail.state.requests.find_claim(request_id, attempt)
+        return request is not None and request.holder == self._incarnation()
+
+    def _write(self, record: Record) -> WriteOutcome:
+        """Append a record until its outcome is known."""
+        author = self._incarnation()
+        while True:
+            pending = self._writer.append(record)
+            outcome = pending.wait(COMMIT_TIMEOUT_S)
+            while isinstance(outcome, Unknown) and pending.outcome is None:
+                outcome = pending.wait(COMMIT_TIMEOUT_S)
+            if not isinstance(outcome, NotWritten) or author != self._incarnation():
+                return outcome
+            gevent.sleep(RETRY_INTERVAL_S)
+
+    def _find_record(
+        self, offset: int | None, kind: type[Record], request_id: str
+    ) -> Any:
+        if offset is None:
+            return None
+        encoded = self._tail.ring.read(offset, 1)
+        if not encoded:
+            answer = self._log_client.read(offset, 1, 0.0)
+            if not isinstance(answer, ReadBatches) or answer.first != offset:
+                return None
+            encoded = answer.batches
+        for record in _records(encoded):
+            if isinstance(record, kind) and record.request_id == request_id:
+                return record
+        return None
+
+
+def _restore_submission(request: RecordedRequest, payload: bytes) -> Submission:
+    return Submission(
+        request_id=request.request_id,
+        team=request.team,
+        queue=request.queue,
+        payload=payload,
+        resources=request.resources,
+        run_s=request.run_ms / 1000,
+        submitted_at=time.monotonic(),
+        idempotent=request.idempotent,
+        idempotency_key=request.idempotency_key,
+        urgent=request.urgent,
+        wait=False,
+    )
+
+
+def select_member(request_id: str, members: list[str]) -> str:
+    """Return the member with the highest rendezvous hash, or ``""``."""
+    return max(
+        members,
+        key=lambda member: xxhash.xxh64_intdigest(f"{request_id}\n{member}"),
+        default="",
+    )
+
+
+def _records(encoded: tuple[bytes, ...]) -> Iterator[Record]:
+    for data in encoded[:1]:
+        batch = decode_batch(data)
+        if isinstance(batch, Batch):
+            yield from batch.records
+
+
+def _doubtful(request_id: str, attempt: int, message: str) -> r.RequestFinished:
+    return r.RequestFinished(
+        request_id, attempt, Outcome.MAY_HAVE_RUN, message.encode()
+    )
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -0,0 +1,393 @@
+"""The parts of an entry, put together, started and shut down."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+import gevent
+import gevent.event
+from gevent.pywsgi import WSGIServer
+
+from lycheeloom.cluster import (
+    Freshness,
+    Identity,
+    MembershipKeeper,
+    PeerMesh,
+    new_incarnation,
+)
+from lycheeloom.log import LogTail, LogWriter, RecoveryFailed, Replayed, recover
+from lycheeloom.model.config import ZoneState
+from lycheeloom.model.records import ConfigChanged, InstanceHealth, MoveStep
+from lycheeloom.model.resources import Resources
+from lycheeloom.platform import (
+    InstanceClient,
+    InstanceList,
+    LogClient,
+    Transport,
+    Unavailable,
+    WorkerClient,
+)
+from lycheeloom.sched import Scheduler
+from lycheeloom.sched import TeamUsage as PeerTeamUsage
+from lycheeloom.state import FleetState
+from lycheeloom.telemetry import Tracer, log_event
+from lycheeloom.wire import TeamUsage
+
+from .attempt import AttemptRunner, Placement
+from .dispatch import Dispatcher
+from .explanations import EntryExplanations
+from .grant_keeper import GrantKeeper
+from .http_api import HttpApi
+from .intake import Intake
+from .jobs import Job, JobTable
+from .journal import Journal
+from .metrics import EntryMetrics
+from .recovery import ClaimRecovery
+from .sessions import WorkerSessions
+from .settings import Settings, split_address
+from .status import StatusBuilder
+from .worker_watch import WorkerWatch
+
+PROGRAM_VERSION = "0.1.0"
+RECOVERY_RETRY_S = 0.5
+EXCHANGE_INTERVAL_S = 0.25
+METRICS_INTERVAL_S = 1.0
+IDLE_SWEEP_S = 5.0
+DRAIN_POLL_S = 0.05
+# The balancer learns from /readyz that this entry is leaving; until then new
+# requests are answered with a refusal instead of a closed connection.
+MIN_DRAIN_S = 1.0
+LEAVE_TIMEOUT_S = 3.0
+
+
+@dataclass(slots=True)
+class _Clients:
+    log: LogClient
+    workers: WorkerClient
+    instances: InstanceClient
+
+
+class EntryService:
+    """One entry: accepts requests, runs them at workers, answers callers."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        transport = Transport()
+        self._clients = _Clients(
+            LogClient(settings.log, transport),
+            WorkerClient(transport),
+            InstanceClient(settings.instances, transport),
+        )
+        self.metrics = EntryMetrics()
+        self.jobs = JobTable()
+        self._tracer = Tracer(settings.instance, settings.trace_ratio)
+        self._greenlets: list[gevent.Greenlet] = []
+        self._server: WSGIServer | None = None
+        self._stopping = gevent.event.Event()
+
+    def run(self) -> None:
+        """Serve until ``stop`` is called, then shut down without cutting requests."""
+        self._build(self._recover())
+        self._start()
+        log_event(
+            "entry_started",
+            listen=self.settings.listen,
+            incarnation=self.keeper.incarnation,
+            next_offset=self.tail.next_offset,
+        )
+        while not self._stopping.wait(0.5):
+            if self.keeper.is_replaced:
+                log_event("entry_replaced", "WARNING")
+                break
+            if self.keeper.is_leaving:
+                log_event("instance_leaving")
+                break
+        self._drain()
+        self._stop_all()
+        log_event("entry_stopped")
+
+    def stop(self) -> None:
+        """Ask ``run`` to shut down."""
+        self._stopping.set()
+
+    def _recover(self) -> FleetState:
+        while True:
+            state = recover(self._clients.log)
+            if isinstance(state, FleetState):
+                return state
+            self._log_recovery_failure(state)
+            if self._stopping.wait(RECOVERY_RETRY_S):
+                return FleetState()
+
+    def _log_recovery_failure(self, failed: RecoveryFailed) -> None:
+        log_event("recovery_failed", "WARNING", reason=failed.reason)
+
+    def _build(self, state: FleetState) -> None:
+        settings = self.settings
+        incarnation = new_incarnation(settings.instance)
+        self.tail = LogTail(self._clients.log, state)
+        self.writer = LogWriter(self._clients.log, incarnation, self.tail)
+        self.freshness = Freshness(self.tail, lambda: self.writer.author)
+        self.mesh = PeerMesh(incarnation, self.tail, self.freshness)
+        self.scheduler = Scheduler(state.config, settings.seed)
+        self.keeper = MembershipKeeper(
+            Identity(
+                settings.instance, settings.peer_listen, settings.zone, PROGRAM_VERSION
+            ),
+            self.writer,
+            self.tail,
+            self.mesh,
+            self.freshness,
+            self._list_instances,
+        )
+        self._build_work()
+        self._build_http()
+        self.tail.add_listener(self._on_replayed)
+        self.tail.add_reset_listener(lambda state: self._adopt_config())
+
+    def _build_work(self) -> None:
+        self.watch = WorkerWatch(
+            self.tail, self.scheduler, self._clients.workers, lambda: self._wake()
+        )
+        sessions = WorkerSessions(
+            self._clients.workers,
+            lambda: self.keeper.incarnation,
+            self.watch.observe_session,
+        )
+        self.watch.sessions = sessions
+        self.journal = Journal(
+            self.tail,
+            self.writer,
+            self._clients.log,
+            self.jobs,
+            lambda: self.keeper.incarnation,
+            lambda: self.keeper.is_member and not self.mesh.draining,
+        )
+        self.dispatcher = Dispatcher(
+            self.scheduler,
+            self.jobs,
+            self.metrics,
+            self._clients.workers,
+            self.watch.address_of,
+            self.freshness.is_fresh,
+            self.journal.release,
+            self._on_settled,
+        )
+        self.journal.dispatcher = self.dispatcher
+        self.grants = GrantKeeper(
+            self.tail,
+            self.writer,
+            self.scheduler,
+            lambda: self.keeper.incarnation,
+            self.dispatcher.running,
+            self._peer_demand,
+            lambda: self.mesh.draining,
+            self._wake,
+        )
+        self.dispatcher.runner = AttemptRunner(
+            self._clients.workers,
+            sessions,
+            self._tracer,
+            self._may_start,
+            self.freshness.is_fresh,
+            self.journal.claim,
+            self.dispatcher.observe_report,
+        )
+        self.recovery = ClaimRecovery(
+            self.tail,
+            self.writer,
+            self._clients.workers,
+            lambda: self.keeper.incarnation,
+            lambda: self.keeper.is_member and not self.mesh.draining,
+        )
+
+    def _build_http(self) -> None:
+        self.intake = Intake(
+            self.tail,
+            self.freshness,
+            self.jobs,
+            self.dispatcher,
+            self.journal,
+            self.metrics,
+            self._tracer,
+        )
+        self.status = StatusBuilder(
+            self.tail, self.mesh, self.freshness, self.scheduler, self.jobs, self.watch
+        )
+        explanations = EntryExplanations(self.tail, self.scheduler, self.jobs)
+        self._api = HttpApi(
+            self.intake,
+            self.tail,
+            self.metrics,
+            lambda: self.status.build(
+                self.settings.instance, self.settings.zone, PROGRAM_VERSION
+            ),
+            lambda: self.freshness.is_fresh() and not self.intake.is_draining,
+            explanations.explain,
+        )
+
+    def _start(self) -> None:
+        self._adopt_config()
+        self.tail.start()
+        self.writer.start()
+        self.mesh.start(*split_address(self.settings.peer_listen))
+        for loop in (
+            self.freshness.run,
+            self.keeper.run,
+            self.keeper.run_list,
+            self.dispatcher.run,
+            self.grants.run,
+            self.watch.run,
+            self.recovery.run,
+            self._run_exchange,
+            self._run_metrics,
+            self._run_idle_sweep,
+        ):
+            self._greenlets.append(gevent.spawn(loop))
+        self._server = WSGIServer(
+            split_address(self.settings.listen), self._api.app, log=None, error_log=None
+        )
+        self._server.start()
+
+    def _wake(self) -> None:
+        self.dispatcher.wake()
+
+    def _list_instances(self) -> InstanceList | Unavailable:
+        listing = self._clients.instances.list()
+        if isinstance(listing, InstanceList):
+            self.watch.observe_instances(listing)
+        return listing
+
+    def _on_replayed(self, replayed: Replayed) -> None:
+        kinds = {type(record) for record in replayed.batch.records}
+        if ConfigChanged in kinds:
+            self._adopt_config()
+        elif kinds & {MoveStep, InstanceHealth}:
+            self._adopt_pools()
+        self.grants.refresh()
+
+    def _adopt_config(self) -> None:
+        config = self.tail.state.config
+        self.scheduler.set_config(config, time.monotonic())
+        self.dispatcher.adopt_queues(list(config.queue_by_id.values()))
+        self._adopt_pools()
+        self.grants.refresh()
+        self.metrics.config_version.set(config.version)
+        self._wake()
+
+    def _adopt_pools(self) -> None:
+        pools = self.tail.state.maintenance.pool_by_instance
+        self.scheduler.set_pool_by_instance(dict(pools))
+        self.watch.apply_maintenance()
+        self._wake()
+
+    def _may_start(self, job: Job, placement: Placement) -> str | None:
+        """Return why a start must not be sent in this step, or None."""
+        if not self.freshness.is_fresh():
+            return "the state is not fresh"
+        if job.verdict is not None or job.cancel_requested:
+            return "the request is already settled"
+        team = job.submission.team
+        if self.dispatcher.running(team) > self.grants.usable(team):
+            return f"no running slot of team {team} is granted here"
+        config = self.tail.state.config
+        instance = config.instance_by_id.get(placement.worker)
+        if instance is None or not self.watch.may_serve(placement.worker):
+            return f"worker {placement.worker} is leaving"
+        zone = config.zone_by_id.get(instance.zone)
+        if zone is None or zone.state is ZoneState.OUT:
+            return f"availability zone {instance.zone} is out"
+        return None
+
+    def _on_settled(self, job: Job) -> None:
+        if job.is_recorded:
+            gevent.spawn(self.journal.record_verdict, job)
+
+    def _peer_demand(self, team: str) -> int:
+        demand = 0
+        for usage_by_team in self.mesh.usage_by_peer().values():
+            usage = usage_by_team.get(team)
+            if usage is not None:
+                demand += usage.running + usage.queued
+        return demand
+
+    def _run_exchange(self) -> None:
+        while True:
+            self._exchange_usage()
+            gevent.sleep(EXCHANGE_INTERVAL_S)
+
+    def _exchange_usage(self) -> None:
+        self.mesh.usage_by_team = {
+            team: TeamUsage(
+                team,
+                self.dispatcher.running(team),
+                usage.queued,
+                usage.running.cores,
+                usage.running.memory_mb,
+                usage.running.accelerators,
+            )
+            for team, usage in self.scheduler.usage_by_team().items()
+        }
+        self.scheduler.set_peer_usage(
+            {
+                peer: {team: _from_wire(usage) for team, usage in by_team.items()}
+                for peer, by_team in self.mesh.usage_by_peer().items()
+            }
+        )
+
+    def _run_metrics(self) -> None:
+        while True:
+            due = time.monotonic() + METRICS_INTERVAL_S
+            gevent.sleep(METRICS_INTERVAL_S)
+            self.metrics.loop_delay_s.set(max(0.0, time.monotonic() - due))
+            self._update_metrics()
+
+    def _update_metrics(self) -> None:
+        self.metrics.fresh.set(int(self.freshness.is_fresh()))
+        self.metrics.log_age_s.set(self.mesh.log_age_s())
+        size = self.status.fleet_size()
+        usage_by_team = self.status.fleet_usage()
+        for team in self.tail.state.config.team_by_id:
+            own = self.mesh.usage_by_team.get(team) or TeamUsage(team, 0, 0)
+            total = usage_by_team.get(team) or TeamUsage(team, 0, 0)
+            used = Resources(total.cores, total.memory_mb, total.accelerators)
+            self.metrics.running.labels(team).set(self.dispatcher.running(team))
+            self.metrics.queued.labels(team).set(own.queued)
+            self.metrics.granted.labels(team).set(self.grants.usable(team))
+            self.metrics.share_ratio.labels(team).set(used.dominant_share(size))
+
+    def _run_idle_sweep(self) -> None:
+        while True:
+            gevent.sleep(IDLE_SWEEP_S)
+            self._clients.workers.close_idle()
+
+    def _drain(self) -> None:
+        """Refuse new requests, end the accepted ones, and leave."""
+        self.intake.is_draining = True
+        self.mesh.draining = True
+        self.journal.reassign()
+        log_event("draining", open_requests=self.intake.open_requests)
+        gevent.sleep(MIN_DRAIN_S)
+        give_up_at = time.monotonic() + self.settings.drain_timeout_s
+        while time.monotonic() < give_up_at:
+            is_busy = self.intake.open_requests or self.dispatcher.running_tasks
+            if not is_busy and self.writer.is_idle:
+                break
+            gevent.sleep(DRAIN_POLL_S)
+        if self.dispatcher.running_tasks:
+            log_event("drain_timeout", "WARNING", tasks=self.dispatcher.running_tasks)
+            return
+        self.keeper.leave(LEAVE_TIMEOUT_S)
+
+    def _stop_all(self) -> None:
+        self._server.stop(timeout=1.0)
+        gevent.killall(self._greenlets)
+        self.mesh.stop()
+        self.writer.stop()
+        self.tail.stop()
+
+
+def _from_wire(usage: TeamUsage) -> PeerTeamUsage:
+    running = Resources(usage.cores, usage.memory_mb, usage.accelerators)
+    return PeerTeamUsage(running, usage.queued)
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -0,0 +1,232 @@
+"""Builds the status document of an entry."""
+
+from __future__ import annotations
+
+import math
+import time
+from collections import Counter
+
+from lycheeloom.cluster import Freshness, PeerMesh
+from lycheeloom.log import LogTail
+from lycheeloom.model.limits import SILENCE_S
+from lycheeloom.model.records import MoveStage, WaveState
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+from lycheeloom.model.status import (
+    MemberState,
+    MemberStatus,
+    PoolStatus,
+    QueueStatus,
+    StatusDocument,
+    TeamStatus,
+    WaveStatus,
+    ZoneStatus,
+)
+from lycheeloom.sched import Scheduler
+from lycheeloom.state import Member
+from lycheeloom.wire import TeamUsage
+
+from .jobs import JobTable
+from .worker_watch import WorkerWatch
+
+
+class StatusBuilder:
+    """Reads the parts of an entry into one ``StatusDocument``."""
+
+    def __init__(
+        self,
+        tail: LogTail,
+        mesh: PeerMesh,
+        freshness: Freshness,
+        scheduler: Scheduler,
+        jobs: JobTable,
+        watch: WorkerWatch,
+    ) -> None:
+        self._tail = tail
+        self._mesh = mesh
+        self._freshness = freshness
+        self._scheduler = scheduler
+        self._jobs = jobs
+        self._watch = watch
+
+    def build(self, instance: str, zone: str, version: str) -> StatusDocument:
+        """Return the status as of now."""
+        config = self._tail.state.config
+        log_age_s = self._mesh.log_age_s()
+        return StatusDocument(
+            name=config.name,
+            config_version=config.version,
+            instance=instance,
+            incarnation=self._mesh.incarnation,
+            zone=zone,
+            program_version=version,
+            fresh=self._freshness.is_fresh(),
+            draining=self._mesh.draining,
+            log_age_ms=None if math.isinf(log_age_s) else round(log_age_s * 1000),
+            next_offset=self._tail.next_offset,
+            members=self._members(),
+            teams=self._teams(),
+            queues=self._queues(),
+            zones=self._zones(),
+            pools=self._pools(),
+            waves=self._waves(),
+        )
+
+    def _members(self) -> list[MemberStatus]:
+        members = self._tail.state.members.member_by_incarnation.values()
+        return [self._member(member) for member in members]
+
+    def _member(self, member: Member) -> MemberStatus:
+        view = self._mesh.view(member.incarnation)
+        age_s = time.monotonic() - view.heard_at
+        is_self = member.incarnation == self._mesh.incarnation
+        if member.expelled_at is not None:
+            state = MemberState.EXPELLED
+        elif view.draining:
+            state = MemberState.DRAINING
+        elif not is_self and age_s > SILENCE_S:
+            state = MemberState.SILENT
+        else:
+            state = MemberState.LIVE
+        return MemberStatus(
+            incarnation=member.incarnation,
+            instance=member.instance,
+            address=member.address,
+            zone=member.zone,
+            state=state,
+            heard_ms=None if math.isinf(age_s) else round(age_s * 1000),
+            program_version=member.program_version,
+        )
+
+    def fleet_usage(self) -> dict[str, TeamUsage]:
+        """Return the usage of each team, summed over all entries."""
+        total: dict[str, TeamUsage] = {}
+        parts = [self._mesh.usage_by_team, *self._mesh.usage_by_peer().values()]
+        for usage_by_team in parts:
+            for team, usage in usage_by_team.items():
+                known = total.get(team) or TeamUsage(team, 0, 0)
+                total[team] = TeamUsage(
+                    team,
+                    known.running + usage.running,
+                    known.queued + usage.queued,
+                    known.cores + usage.cores,
+                    known.memory_mb + usage.memory_mb,
+                    known.accelerators + usage.accelerators,
+                )
+        return total
+
+    def fleet_size(self) -> Resources:
+        """Return the resources of all configured instances."""
+        instances = self._tail.state.config.instance_by_id.values()
+        return sum((item.size for item in instances), NO_RESOURCES)
+
+    def _teams(self) -> dict[str, TeamStatus]:
+        state = self._tail.state
+        usage_by_team = self.fleet_usage()
+        size = self.fleet_size()
+        own = self._mesh.incarnation
+        document = {}
+        for team_id, team in state.config.team_by_id.items():
+            usage = usage_by_team.get(team_id) or TeamUsage(team_id, 0, 0)
+            used = Resources(usage.cores, usage.memory_mb, usage.accelerators)
+            grants = state.grants.of(team_id)
+            standing = self._scheduler.explain_team(team_id)[0]
+            document[team_id] = TeamStatus(
+                running=usage.running,
+                queued=usage.queued,
+                share=team.share,
+                entitlement=standing.fair_share,
+                dominant_share=used.dominant_share(size),
+                upper_limit=team.upper_limit,
+                grant=grants.count_by_holder.get(own, 0),
+                granted=grants.total(),
+            )
+        return document
+
+    def _queues(self) -> dict[str, QueueStatus]:
+        running: Counter[str] = Counter()
+        queued: Counter[str] = Counter()
+        oldest: dict[str, float] = {}
+        for job in self._jobs.unsettled():
+            queue = job.submission.queue
+            if job.address_by_attempt:
+                running[queue] += 1
+                continue
+            queued[queue] += 1
+            submitted_at = job.submission.submitted_at
+            oldest[queue] = min(oldest.get(queue, submitted_at), submitted_at)
+        now = time.monotonic()
+        return {
+            queue_id: QueueStatus(
+                pool=queue.pool,
+                kind=queue.kind,
+                running=running[queue_id],
+                queued=queued[queue_id],
+                max_queued=queue.max_queued,
+                oldest_wait_ms=round((now - oldest.get(queue_id, now)) * 1000),
+            )
+            for queue_id, queue in self._tail.state.config.queue_by_id.items()
+        }
+
+    def _zones(self) -> dict[str, ZoneStatus]:
+        config = self._tail.state.config
+        workers: Counter[str] = Counter()
+        in_service: Counter[str] = Counter()
+        for instance in config.instance_by_id.values():
+            workers[instance.zone] += 1
+            in_service[instance.zone] += self._watch.may_serve(instance.id)
+        return {
+            zone_id: ZoneStatus(
+                region=zone.region,
+                state=zone.state,
+                workers=workers[zone_id],
+                in_service=in_service[zone_id],
+            )
+            for zone_id, zone in config.zone_by_id.items()
+        }
+
+    def _pools(self) -> dict[str, PoolStatus]:
+        state = self._tail.state
+        workers: Counter[str] = Counter()
+        in_service: Counter[str] = Counter()
+        for instance, pool in state.maintenance.pool_by_instance.items():
+            workers[pool] += 1
+            in_service[pool] += self._watch.may_serve(instance)
+        return {
+            pool_id: PoolStatus(
+                workers=workers[pool_id],
+                in_service=in_service[pool_id],
+                needed=pool.needed,
+                buffer=max(0, in_service[pool_id] - pool.needed),
+                unavailable=workers[pool_id] - in_service[pool_id],
+                max_unavailable=pool.max_unavailable,
+                spare=pool.spare,
+            )
+            for pool_id, pool in state.config.pool_by_id.items()
+        }
+
+    def _waves(self) -> dict[str, WaveStatus]:
+        maintenance = self._tail.state.maintenance
+        waves = {}
+        for wave in maintenance.wave_by_id.values():
+            covered = [
+                instance
+                for instance, pool in maintenance.pool_by_instance.items()
+                if not wave.pools or pool in wave.pools
+            ]
+            stages: Counter[MoveStage] = Counter()
+            for instance in covered:
+                move = maintenance.move_by_instance.get(instance)
+                if move is not None and move.changed_at > wave.started_at:
+                    stages[move.stage] += 1
+            done = stages[MoveStage.JOINED]
+            failed = stages[MoveStage.ABANDONED]
+            waves[wave.wave_id] = WaveStatus(
+                state=wave.state,
+                pools=list(wave.pools),
+                urgent=wave.urgent,
+                total=len(covered),
+                done=len(covered) if wave.state is WaveState.DONE else done,
+                in_progress=sum(stages.values()) - done - failed,
+                failed=failed,
+            )
+        return waves
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/worker_watch.py
@@ -0,0 +1,134 @@
+"""Which workers can take tasks: probes, usage reports and the instance list."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from itertools import count
+
+import gevent
+import gevent.pool
+
+from lycheeloom.log import LogTail
+from lycheeloom.model.records import Health, MoveStage
+from lycheeloom.platform import (
+    InstanceList,
+    InstanceState,
+    Session,
+    Unavailable,
+    WorkerClient,
+)
+from lycheeloom.sched import Scheduler, UsageReport
+
+from .sessions import WorkerSessions
+
+# Bounds the probes of one entry; 30 workers are then probed every 2 s each.
+PROBES_PER_S = 15
+# Probes outstanding at once; silent workers take the whole call timeout.
+MAX_PROBES = 16
+# Every this many probes of a worker its usage report is fetched instead.
+USAGE_EVERY = 3
+_LEAVING_STAGES = frozenset(
+    {MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING}
+)
+_UNFIT = frozenset({Health.REBOOTING, Health.GIVEN_UP})
+
+
+class WorkerWatch:
+    """Tells the scheduler which workers are available and how much is free."""
+
+    def __init__(
+        self,
+        tail: LogTail,
+        scheduler: Scheduler,
+        client: WorkerClient,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.sessions: WorkerSessions | None = None
+        self._tail = tail
+        self._scheduler = scheduler
+        self._client = client
+        self._on_change = on_change
+        self._leaving: frozenset[str] = frozenset()
+        self._reachable: dict[str, bool] = {}
+
+    def address_of(self, worker: str) -> str | None:
+        """Return a worker's address, or None if it is not configured."""
+        instance = self._tail.state.config.instance_by_id.get(worker)
+        return instance.address if instance else None
+
+    def may_serve(self, worker: str) -> bool:
+        """Tell whether a worker may get new tasks by all that was replayed."""
+        if worker in self._leaving:
+            return False
+        maintenance = self._tail.state.maintenance
+        move = maintenance.move_by_instance.get(worker)
+        if move is not None and move.stage in _LEAVING_STAGES:
+            return False
+        health = maintenance.health_by_instance.get(worker)
+        return health is None or health.health not in _UNFIT
+
+    def observe_instances(self, listing: InstanceList) -> None:
+        """Obey leaving marks of the platform's list."""
+        leaving = frozenset(
+            item.instance
+            for item in listing.instances
+            if item.state is InstanceState.LEAVING
+        )
+        for worker in leaving - self._leaving:
+            self._mark_unavailable(worker)
+        self._leaving = leaving
+
+    def observe_session(self, worker: str, result: Session | Unavailable) -> None:
+        """Take over what opening a session showed."""
+        now = time.monotonic()
+        match result:
+            case Session():
+                is_available = self.may_serve(worker) and not result.draining
+                self._reachable[worker] = True
+                self._scheduler.observe_worker(
+                    worker, is_available, result.free, result.boot_id, now
+                )
+            case Unavailable():
+                self._reachable[worker] = False
+                self._mark_unavailable(worker)
+        self._on_change()
+
+    def apply_maintenance(self) -> None:
+        """Take workers out of use as soon as a record says so."""
+        for worker in self._tail.state.maintenance.move_by_instance:
+            if not self.may_serve(worker):
+                self._mark_unavailable(worker)
+
+    def run(self) -> None:
+        """Probe all workers in turn until stopped."""
+        pool = gevent.pool.Pool(MAX_PROBES)
+        for round_number in count():
+            workers = list(self._tail.state.config.instance_by_id)
+            for worker in workers:
+                pool.spawn(self._probe, worker, round_number)
+                gevent.sleep(1 / PROBES_PER_S)
+            if not workers:
+                gevent.sleep(1 / PROBES_PER_S)
+
+    def _probe(self, worker: str, round_number: int) -> None:
+        address = self.address_of(worker)
+        if address is None:
+            return
+        if round_number % USAGE_EVERY == USAGE_EVERY - 1:
+            self._fetch_usage(address)
+            return
+        self.sessions.open(worker, address)
+
+    def _fetch_usage(self, address: str) -> None:
+        report = self._client.usage(address)
+        if isinstance(report, Unavailable):
+            return
+        reports = [
+            UsageReport(item.task, item.used, item.ran_s, ended=False)
+            for item in report.tasks
+        ]
+        self._scheduler.observe_usage(reports, time.monotonic())
+
+    def _mark_unavailable(self, worker: str) -> None:
+        self._scheduler.observe_worker(worker, False, None, "", time.monotonic())
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -247,6 +247,11 @@
 
     # What other parts of the entry ask.
 
+    def is_queued(self, task_id: str) -> bool:
+        """Tell whether a task waits for its start."""
+        record = self._state.record_by_id.get(task_id)
+        return record is not None and record.state is TaskState.QUEUED
+
     def demand_by_team(self) -> dict[str, int]:
         """Return running plus queued tasks per team, for asking for grants."""
         state = self._state
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -243,7 +243,7 @@
     def _change_request(self, offset: int, author: str, record: Record) -> bool:
         match record:
             case r.RequestSubmitted():
-                return self.requests.submit(offset, record)
+                return self.requests.submit(offset, author, record)
             case r.RequestClaimed():
                 is_member = self.members.is_active(author)
                 return is_member and self.requests.claim(author, record)
--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -42,6 +42,7 @@
     urgent: bool
     body_offset: int
     submitted_at: int
+    submitted_by: str = ""
     status: RequestStatus = RequestStatus.PENDING
     attempt: int = 0
     holder: str = ""
@@ -66,7 +67,7 @@
         request_id = self.id_by_key.get(_key(team, key))
         return self.request_by_id.get(request_id) if request_id else None
 
-    def submit(self, offset: int, record: RequestSubmitted) -> bool:
+    def submit(self, offset: int, author: str, record: RequestSubmitted) -> bool:
         """Add a request, or move the body offset of a known one."""
         known = self.request_by_id.get(record.request_id)
         if known is not None:
@@ -91,6 +92,7 @@
             urgent=record.urgent,
             body_offset=offset,
             submitted_at=offset,
+            submitted_by=author,
         )
         self.pending[record.request_id] = None
         return True
