--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -182,8 +182,9 @@
         "idempotent": Meaning(
             YES_NO,
             sentence_by_value={
-                True: "Running a request twice does no harm, so it may be retried.",
-                False: "A request runs at most once.",
+                True: "Unless a request says otherwise, running it twice does no "
+                "harm, so it may be retried.",
+                False: "Unless a request says otherwise, it runs at most once.",
             },
         ),
         "answer_retention_s": Meaning(
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -120,6 +120,13 @@
             wrong = "names no team, so nobody can use this queue"
             allowed = "at least one team, or open_to_all = true"
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
+        hedges = queue.get("hedge_budget_percent", 0)
+        is_number = _is_count(hedges) or isinstance(hedges, float)
+        if is_number and hedges > 0 and queue.get("idempotent") is not True:
+            wrong = f"is {hedges}, but no request of this queue may run twice"
+            key = join_key("queues", name, "hedge_budget_percent")
+            allowed = "0, or idempotent = true"
+            yield Problem(file, key, wrong, allowed, Severity.WARNING)
 
 
 def _check_name(
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -49,8 +49,9 @@
 
 
 def _section(section: str, entries: Any) -> Iterator[str]:
-    yield ""
-    yield f"[{section}]"
+    if section == "instances" or not entries:
+        yield ""
+        yield f"[{section}]"
     if section == "instances":
         yield "# One line for each worker instance. cores counts processor cores,"
         yield "# memory_mb is memory in MB, accelerators counts accelerators."
--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -157,6 +157,11 @@
         {"queues": {"find": {"retry_budget_percent": 101}}},
         "queues.find.retry_budget_percent: is 101; allowed: a number from 0 to 100",
     ),
+    (
+        {"queues": {"find": {"hedge_budget_percent": 0.5}}},
+        "queues.find.hedge_budget_percent: is 0.5, but no request of this queue may "
+        "run twice; allowed: 0, or idempotent = true",
+    ),
     (
         {"pools": {"empty": {}}, "queues": {"find": {"pool": "empty"}}},
         'queues.find.pool: names the pool "empty", which has no instances; '
