--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -61,6 +61,16 @@
     return patch
 
 
+def describe_patch(patch: Mapping[str, Any]) -> list[str]:
+    """Return what a patch sets, where the document before it is not known."""
+    return [
+        f"{_place(path)} is removed"
+        if value is None
+        else f"{_place(path)} is set to {_summary(path, value)}"
+        for path, value in _leaves((), patch)
+    ]
+
+
 def patch_changes(before: Mapping[str, Any], patch: Mapping[str, Any]) -> set[tuple]:
     """Return the paths of a patch, to find two changes of the same key."""
     return set(_patch_paths((), patch, before))
@@ -84,6 +94,14 @@
         yield (*path, name)
 
 
+def _leaves(path: tuple[str, ...], patch: Any) -> Iterator[tuple[tuple, Any]]:
+    for name, value in patch.items():
+        if isinstance(value, Mapping) and value:
+            yield from _leaves((*path, name), value)
+            continue
+        yield (*path, name), value
+
+
 def _walk(
     path: tuple[str, ...], before: Mapping[str, Any], after: Mapping[str, Any]
 ) -> Iterator[Change]:
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from lycheeloom.log import SnapshotReader
 from lycheeloom.model.records import Batch
 from lycheeloom.platform import (
     Appended,
@@ -19,9 +20,11 @@
 from lycheeloom.state import FleetState
 from lycheeloom.wire import decode_batch
 
-from .difference import compare
+from .difference import compare, describe_patch
 
 READ_LIMIT = 1000
+# Bounds one replay, also where retention overtakes it again and again.
+MAX_READS = 100_000
 # Documents kept for telling what an earlier change did.
 KEPT_DOCUMENTS = 100
 
@@ -33,18 +36,16 @@
         """Append one batch."""
 
     def read(
-        self, first_offset: int, limit: int = READ_LIMIT, wait_s: float = 0.0
+        self,
+        first_offset: int,
+        limit: int,
+        wait_s: float,
+        *,
+        margin_s: float = 2.0,
     ) -> ReadBatches | Expired | Unavailable:
         """Read batches from an offset on."""
 
 
-class Restore(Protocol):
-    """Finds the state in the newest complete snapshot of the log."""
-
-    def __call__(self, log: Log, oldest: int) -> FleetState | Unavailable:
-        """Return the state, or why there is none."""
-
-
 @dataclass(frozen=True, slots=True)
 class PublishedChange:
     """One accepted change of the configuration, in sentences."""
@@ -67,13 +68,15 @@
 class LogView:
     """Reads the log and keeps what the operator needs of it.
 
-    The view of one author remembers the outcome of that author's batches.
+    It begins with the newest snapshot, since a log of hours takes minutes to
+    replay. The view of one author remembers the outcome of that author's
+    batches.
     """
 
-    def __init__(self, log: Log, author: str, restore: Restore | None = None) -> None:
+    def __init__(self, log: Log, author: str) -> None:
         self._log = log
         self._author = author
-        self._restore = restore
+        self._is_recovered = False
         self.state = FleetState()
         self._outcome_by_sequence: dict[int, BatchOutcome] = {}
         self._document_by_version: dict[int, dict[str, Any]] = {0: {}}
@@ -90,14 +93,18 @@
 
     def catch_up(self) -> Unavailable | None:
         """Replay the log to its end; returns why if that failed."""
-        while True:
+        if not self._is_recovered:
+            problem = self._recover()
+            if problem is not None:
+                return problem
+        for _ in range(MAX_READS):
             first = self.state.next_offset
             result = self._log.read(first, READ_LIMIT, 0.0)
             match result:
                 case Unavailable():
                     return result
-                case Expired(oldest):
-                    problem = self._load_snapshot(oldest)
+                case Expired():
+                    problem = self._recover()
                     if problem is not None:
                         return problem
                 case ReadBatches(batches=batches):
@@ -106,6 +113,7 @@
                     self._apply(result)
                     if self.state.next_offset == first:
                         return Unavailable(f"no batch at offset {first}")
+        return Unavailable("the log grows faster than it is read")
 
     def outcome(self, sequence: int) -> BatchOutcome | None:
         """Return what became of a batch of the author, if it was read."""
@@ -138,16 +146,19 @@
             documents[self.version] = self.document
             documents.pop(self.version - KEPT_DOCUMENTS, None)
 
-    def _load_snapshot(self, oldest: int) -> Unavailable | None:
-        if self._restore is None:
-            return Unavailable(f"the log starts at offset {oldest}")
-        state = self._restore(self._log, oldest)
-        if isinstance(state, Unavailable):
-            return state
-        if state.next_offset < oldest:
-            return Unavailable("the newest snapshot is older than the log")
-        self.state = state
-        self._document_by_version = {}
+    def _recover(self) -> Unavailable | None:
+        """Begin with the newest snapshot, or with offset 0 if there is none."""
+        reader = SnapshotReader(self._log)
+        kept = reader.find_range()
+        if isinstance(kept, str):
+            return Unavailable(kept)
+        state = reader.find_newest(kept)
+        if isinstance(state, str):
+            return Unavailable(state)
+        if state is None and kept.oldest > 0:
+            return Unavailable(f"the log has no snapshot since offset {kept.oldest}")
+        self.state = state or FleetState()
+        self._is_recovered = True
         self._remember_document()
         return None
 
@@ -155,7 +166,7 @@
         before = self._document_by_version.get(change.version - 1)
         after = self._document_by_version.get(change.version)
         if before is None or after is None:
-            sentences = (f"patch {change.patch}",)
+            sentences = tuple(describe_patch(_load_patch(change.patch)))
         else:
             sentences = tuple(item.sentence() for item in compare(before, after))
         return PublishedChange(
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -15,7 +15,7 @@
 from .difference import Change, compare, make_patch, overlap, patch_changes
 from .draft import Draft
 from .entries import Entries, EntryUnavailable, Explanation, UnknownThing
-from .log_view import Log, LogView, PublishedChange, Restore
+from .log_view import Log, LogView, PublishedChange
 from .problems import Problem, errors_in, near_match
 from .reference_checks import Usage
 from .results import (
@@ -67,7 +67,6 @@
         entries: Entries,
         name: str,
         *,
-        restore: Restore | None = None,
         clock: Clock | None = None,
     ) -> None:
         # Each author numbers its batches from 1, so the id is never used again.
@@ -75,7 +74,7 @@
         self.name = name
         self._entries = entries
         self._clock = clock or Clock()
-        self._view = LogView(log, self.author, restore)
+        self._view = LogView(log, self.author)
         self._appender = Appender(log, self._view, self.author, self._clock)
 
     @property
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -14,6 +14,7 @@
     AppendRefusal,
     AppendRefused,
     AppendUnknown,
+    Expired,
     ReadBatches,
     Unavailable,
 )
@@ -29,6 +30,7 @@
     faults: deque = field(default_factory=deque)
     late: list[bytes] = field(default_factory=list)
     unreadable: int = 0
+    oldest: int = 0
     before_append: object = None
 
     def append(self, batch):
@@ -51,12 +53,15 @@
             return AppendUnknown("no answer in time")
         return Appended(self.batches.index(batch))
 
-    def read(self, first_offset, limit=1000, wait_s=0.0):
+    def read(self, first_offset, limit, wait_s, *, margin_s=2.0):
         if self.unreadable:
             self.unreadable -= 1
             return Unavailable("http status 503")
+        if first_offset < self.oldest:
+            return Expired(self.oldest)
         found = tuple(self.batches[first_offset : first_offset + limit])
-        return ReadBatches(first_offset, first_offset + len(found), found)
+        end = min(first_offset, len(self.batches)) + len(found)
+        return ReadBatches(first_offset, end, found)
 
 
 class FakeEntry:
--- a/libs/operator/tests/test_entries.py
+++ b/libs/operator/tests/test_entries.py
@@ -32,7 +32,7 @@
             return [body]
 
         server = make_server("127.0.0.1", 0, application, handler_class=_QuietHandler)
-        threading.Thread(target=server.serve_forever, daemon=True).start()
+        threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True).start()
         servers.append(server)
         return f"127.0.0.1:{server.server_port}", calls
 
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from lycheeloom.log.snapshot import pack_snapshot
 from lycheeloom.model.config import merge_patch
-from lycheeloom.model.records import WaveState
+from lycheeloom.model.records import Batch, WaveState
 from lycheeloom.operator import (
     InForce,
     LogUnavailable,
@@ -17,10 +18,18 @@
     WaveChanged,
     WaveRefused,
 )
+from lycheeloom.wire import encode_batch
 
 from .conftest import FakeEntry
 
 
+def snapshot_batch(state):
+    """Return a batch with a whole snapshot."""
+    covers = state.next_offset - 1
+    chunks = pack_snapshot("s1", covers, state.dump_snapshot())
+    return encode_batch(Batch("writer", 1, tuple(chunks)))
+
+
 def test_published_configuration_is_in_force_on_each_entry(make_operator, fleet):
     """Guards against an accepted change that entries learn of late."""
     entries = [FakeEntry("a"), FakeEntry("b")]
@@ -129,6 +138,25 @@
     assert first.document["teams"]["red"]["upper_limit"] == 9
 
 
+def test_an_expired_log_is_read_from_a_snapshot(make_operator, log, fleet):
+    """Guards against a command that works only while the log keeps offset 0."""
+    first = make_operator("aoife")
+    first.publish(fleet, 0)
+    first.change(lambda draft: draft.set_limit("red", 9))
+    snapshot = snapshot_batch(first.view.state)
+    log.batches.append(snapshot)
+    log.oldest = 1
+    second = make_operator("brendan")
+    assert isinstance(
+        second.change(lambda draft: draft.take_zone_out("north")), Published
+    )
+    assert second.version == 3
+    assert [change.sentences for change in second.history()][1:] == [
+        ("Team red: upper_limit is set to 9",),
+        ('Zone north: state is added: "out"',),
+    ]
+
+
 def test_warnings_must_be_accepted(make_operator, fleet):
     """Guards against a limit below what is running, set by mistake."""
     operator = make_operator("aoife", FakeEntry("a", running={"red": 8}))
--- /dev/null
+++ b/libs/operator/tests/test_with_standins.py
@@ -0,0 +1,75 @@
+"""The command against the stand-in of the log, in its own process."""
+
+import subprocess
+import sys
+
+import pytest
+import urllib3
+
+from lycheeloom.operator import Entries, Operator, Published, print_config
+from lycheeloom.operator.main import main
+from lycheeloom.platform import LogClient
+
+
+@pytest.fixture
+def log_address(tmp_path):
+    settings = tmp_path / "standins.toml"
+    settings.write_text("")
+    process = subprocess.Popen(
+        [sys.executable, "-m", "lycheeloom.standins.main", str(settings)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    address = ""
+    for line in process.stdout:
+        fields = dict(part.split("=", 1) for part in line.split())
+        if fields.get("standin") == "log":
+            address = fields["address"]
+        if fields["event"] == "ready":
+            break
+    yield address
+    process.terminate()
+    process.wait()
+    process.stdout.close()
+
+
+def set_faults(address, **faults):
+    """Switch faults of a stand-in."""
+    answer = urllib3.request("POST", f"http://{address}/v1/faults", json=faults)
+    assert answer.status == 200
+
+
+class LosingLog(LogClient):
+    """A log whose next answer to an append is lost."""
+
+    def append(self, batch, **options):
+        set_faults(self._address, lose_answers=1)
+        return super().append(batch, **options)
+
+
+def test_lost_append_answer(log_address, fleet):
+    """Guards against resolving a lost answer only against the log in memory."""
+    operator = Operator(LosingLog(log_address), Entries([]), "aoife")
+    result = operator.publish(fleet, 0)
+    assert isinstance(result, Published)
+    assert [change.version for change in operator.history()] == [1]
+
+
+def test_command_against_the_log(log_address, tmp_path, fleet, capsys):
+    """Guards against a command that works only with the log in memory."""
+    settings = tmp_path / "lycheeloom.toml"
+    settings.write_text(
+        f'log = "{log_address}"\nentries = ["127.0.0.1:1"]\noperator = "aoife"\n'
+    )
+    path = tmp_path / "fleet.toml"
+    path.write_text(print_config(fleet))
+    common = ["--settings", str(settings)]
+    assert main([*common, "config", "publish", str(path), "--no-wait"]) == 0
+    printed = capsys.readouterr().out
+    assert "Published as version 1." in printed
+    assert "Entry 127.0.0.1:1 was not told directly" in printed
+    assert main([*common, "zone", "out", "north", "--timeout-s", "1"]) == 6
+    assert main([*common, "config", "history"]) == 0
+    assert 'Zone north: state is added: "out"' in capsys.readouterr().out
+    set_faults(log_address, outage=True)
+    assert main([*common, "zone", "in", "north"]) == 4
