--- /dev/null
+++ b/libs/operator/tests/test_docs.py
@@ -0,0 +1,115 @@
+"""Pages and examples agree with the code."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from lycheeloom.model.verdict import RefusalReason
+from lycheeloom.operator import check_document, print_config, read_config
+from lycheeloom.operator.exit_codes import MEANING_BY_EXIT_CODE
+from lycheeloom.operator.meanings import (
+    MEANING_BY_FIELD,
+    MODEL_BY_SECTION,
+    default_of,
+)
+from lycheeloom.operator.settings import Settings, load_settings
+
+ROOT = Path(__file__).parents[3]
+
+
+def read_page(name):
+    return (ROOT / name).read_text(encoding="utf-8")
+
+
+def rows_of(text):
+    """Return the cells of all table rows of a page."""
+    return [
+        [cell.strip() for cell in line.strip("|").split("|")]
+        for line in text.splitlines()
+        if line.startswith("| ")
+    ]
+
+
+def plain_default(section, name):
+    if MODEL_BY_SECTION[section].model_fields[name].is_required():
+        return "required"
+    default = default_of(section, name)
+    return "none" if default in (None, [], {}) else f"`{json.dumps(default)}`"
+
+
+@pytest.mark.parametrize("section", MEANING_BY_FIELD)
+def test_configuration_page_describes_each_field(section):
+    """Guards against a field or default that the page lacks or has wrong."""
+    page = read_page("docs/configuration.md")
+    part = re.split(r"\n##", page.split(f"\n### `{section}`\n")[1])[0]
+    described = [tuple(row[:3]) for row in rows_of(part)[1:]]
+    assert list(MEANING_BY_FIELD[section]) == list(
+        MODEL_BY_SECTION[section].model_fields
+    )
+    assert described == [
+        (f"`{name}`", plain_default(section, name), meaning.allowed)
+        for name, meaning in MEANING_BY_FIELD[section].items()
+    ]
+
+
+def test_http_page_lists_each_refusal():
+    """Guards against a reason that callers cannot look up."""
+    part = read_page("docs/http.md").split("\n## Refusals\n")[1]
+    reasons = {row[0].strip("`"): row[1:3] for row in rows_of(part)[1:]}
+    assert set(reasons) == {str(reason) for reason in RefusalReason}
+    for verdict, status in reasons.values():
+        assert verdict == "`not_run`"
+        assert 400 <= int(status) < 600
+
+
+def test_each_alert_is_explained_and_its_metrics_are_listed():
+    """Guards against a page at night that nobody can act on."""
+    rules = read_page("ops/alerts.yml")
+    alerts = re.findall(r"- alert: (\w+)", rules)
+    assert len(alerts) == len(set(alerts)) > 10
+    headings = re.findall(r"^### (\w+)$", read_page("docs/operators-guide.md"), re.M)
+    assert headings == alerts
+    used = set(re.findall(r"lycheeloom_[a-z_]+", rules))
+    listed = set(
+        re.findall(r"^\| `(lycheeloom_\w+)`", read_page("docs/metrics.md"), re.M)
+    )
+    assert used <= listed
+
+
+def test_guide_lists_each_exit_code():
+    """Guards against an exit code that the guide lacks."""
+    rows = rows_of(read_page("docs/operators-guide.md"))
+    listed = [int(row[0]) for row in rows if row[0].isdigit()]
+    assert listed == [code.value for code in MEANING_BY_EXIT_CODE]
+
+
+@pytest.mark.parametrize(
+    ("name", "fleet"), [("user-a", "fachverband"), ("user-b", "suantrai")]
+)
+def test_examples_are_complete_and_without_mistakes(name, fleet):
+    """Guards against an example that cannot be published as it stands."""
+    file = read_config(str(ROOT / f"examples/{name}.toml"))
+    document = file.document
+    assert check_document(document, file.source) == []
+    assert print_config(document) == read_page(f"examples/{name}.toml")
+    assert document["name"] == fleet
+    sizes = {part: len(document[part]) for part in MEANING_BY_FIELD if part != "keys"}
+    assert sizes == {
+        "zones": 3,
+        "pools": 5,
+        "instances": 30,
+        "teams": 6,
+        "queues": 6,
+    }
+    pools = [item["pool"] for item in document["instances"].values()]
+    assert {pools.count(pool) for pool in document["pools"]} == {6}
+    racks = [item["rack"] for item in document["instances"].values()]
+    assert max(racks.count(rack) for rack in racks) == 4
+
+
+def test_example_settings_are_valid():
+    """Guards against settings in the first hour that do not load."""
+    path = str(ROOT / "examples/lycheeloom.toml")
+    assert isinstance(load_settings(path), Settings)
