--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -24,10 +24,15 @@
 
 @dataclass
 class FakeLog:
-    """Each append takes the next fault: "lost", "dropped", "late", "down", "large"."""
+    """Each append takes the next fault, or none.
+
+    "lost": appended without an answer. "dropped": neither. "delayed" and "late":
+    appended just before and after the next batch. "down", "large": refused.
+    """
 
     batches: list[bytes] = field(default_factory=list)
     faults: deque = field(default_factory=deque)
+    delayed: list[bytes] = field(default_factory=list)
     late: list[bytes] = field(default_factory=list)
     unreadable: int = 0
     oldest: int = 0
@@ -44,14 +49,16 @@
             return AppendRefused(AppendRefusal.TOO_LARGE)
         if fault == "dropped":
             return AppendUnknown("no answer in time")
-        if fault == "late":
-            self.late.append(batch)
+        if fault in ("delayed", "late"):
+            getattr(self, fault).append(batch)
             return AppendUnknown("no answer in time")
-        self.batches += [batch, *self.late]
+        offset = len(self.batches) + len(self.delayed)
+        self.batches += [*self.delayed, batch, *self.late]
+        self.delayed.clear()
         self.late.clear()
         if fault == "lost":
             return AppendUnknown("no answer in time")
-        return Appended(self.batches.index(batch))
+        return Appended(offset)
 
     def read(self, first_offset, limit, wait_s, *, margin_s=2.0):
         if self.unreadable:
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -1,17 +1,23 @@
 """Publishing under an expected version, through faults and against others."""
 
+from collections import deque
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lycheeloom.log.snapshot import pack_snapshot
 from lycheeloom.model.config import merge_patch
 from lycheeloom.model.records import Batch, WaveState
 from lycheeloom.operator import (
+    Entries,
     InForce,
     LogUnavailable,
     LostRace,
     NotAccepted,
     NothingToChange,
     NotYetInForce,
+    Operator,
     OutcomeUnknown,
     Published,
     Rejected,
@@ -20,7 +26,7 @@
 )
 from lycheeloom.wire import encode_batch
 
-from .conftest import FakeEntry
+from .conftest import FakeClock, FakeEntry, FakeLog, small_fleet
 
 
 def snapshot_batch(state):
@@ -58,7 +64,15 @@
 
 @pytest.mark.parametrize(
     "faults",
-    [["lost"], ["dropped"], ["late"], ["down", "lost"], ["late", "lost"], ["late"] * 3],
+    [
+        ["lost"],
+        ["dropped"],
+        ["delayed"],
+        ["late"],
+        ["down", "lost"],
+        ["late", "lost"],
+        ["late", "delayed", "late"],
+    ],
 )
 def test_a_lost_append_answer_is_resolved(make_operator, log, fleet, faults):
     """Guards against a change that is made twice or called lost after success."""
@@ -116,6 +130,60 @@
     assert first.publish(raised, 1) == result
 
 
+FAULTS = st.lists(
+    st.sampled_from(["", "lost", "dropped", "delayed", "late", "down"]), max_size=4
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(st.tuples(st.integers(0, 2), st.booleans(), FAULTS), max_size=6))
+def test_what_operators_are_told_is_true(steps):
+    """Guards against a result that the log does not bear out.
+
+    Three operators set one limit to values used once, some of them in between
+    the read and the append of another, while answers are lost.
+    """
+    log = FakeLog()
+    operators = [
+        Operator(log, Entries([]), str(number), clock=FakeClock().clock())
+        for number in range(3)
+    ]
+    assert isinstance(operators[0].publish(small_fleet(), 0), Published)
+    results = {}
+
+    def publish(operator, value):
+        patch = {"teams": {"red": {"upper_limit": value}}}
+        document = merge_patch(operator.document, patch)
+        version = operator.version
+        results[value] = operator.publish(document, version, timeout_s=1)
+
+    for value, (number, is_between, faults) in enumerate(steps, start=100):
+        operator = operators[number]
+        operator.refresh()
+        if is_between:
+            rival = operators[number - 1]
+            rival.refresh()
+            log.before_append = lambda rival=rival, value=value: publish(
+                rival, value + 100
+            )
+        log.faults = deque(faults)
+        publish(operator, value)
+    log.faults.clear()
+    log.append(encode_batch(Batch("end", 1, ())))
+    reader = Operator(log, Entries([]), "reader")
+    reader.refresh()
+    in_history = [
+        change.patch["teams"]["red"]["upper_limit"] for change in reader.history()[1:]
+    ]
+    assert len(in_history) == len(set(in_history))
+    for value, result in results.items():
+        if isinstance(result, Published):
+            assert value in in_history
+        elif not isinstance(result, OutcomeUnknown):
+            assert isinstance(result, LostRace | NotAccepted)
+            assert value not in in_history
+
+
 def test_small_changes_of_two_operators_both_take_effect(make_operator, log, fleet):
     """Guards against an emergency change lost to an unrelated one."""
     first, second = make_operator("aoife"), make_operator("brendan")
