Keep errors out of the Cap'n Proto library and run the fleet as processes

Cause: the library collects a stack trace for each error, which reads past the end of a greenlet's stack; setting a union member from a dict raises inside it. Every entry ended with a segmentation fault on its first append. Ruled out: thread-local state and the schema loader (encoding in a fresh greenlet worked; the trace ended in _Unwind_Backtrace below kj::getStackTrace). Records are now initialised by tag, and a checksum finds damaged bytes first.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a whole fleet as plain processes on one machine."""
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,184 @@
+"""Starts the programs of a fleet as plain processes and ends them by id."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import tomlkit
+
+from lycheeloom.platform import Response, Transport
+
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.05
+
+
+@dataclass(slots=True)
+class Program:
+    """One running program."""
+
+    name: str
+    process: subprocess.Popen
+    address: str = ""
+    log_path: Path | None = None
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process still runs."""
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once, as a crash would."""
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def terminate(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask the process to shut down and return its exit status."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            return self.process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+
+@dataclass(slots=True)
+class PlatformAddresses:
+    """Where the stand-ins listen."""
+
+    log: str
+    instances: str
+    control: str
+    workers: dict[str, str]
+
+
+@dataclass(slots=True)
+class Fleet:
+    """All programs of one run; files lie in a temporary folder."""
+
+    folder: Path
+    programs: list[Program] = field(default_factory=list)
+    platform: PlatformAddresses | None = None
+    transport: Transport = field(default_factory=Transport)
+
+    def start_platform(self, config_path: Path, *arguments: str) -> PlatformAddresses:
+        """Start the stand-ins for the fleet in a configuration file."""
+        command = ["demo.platform", str(config_path), *arguments]
+        program = self._spawn("platform", command, subprocess.PIPE)
+        line = program.process.stdout.readline()
+        self.platform = PlatformAddresses(**json.loads(line))
+        return self.platform
+
+    def start_entry(self, instance: str, zone: str, **settings: object) -> Program:
+        """Start an entry; a new process gets new ports."""
+        listen, peer_listen = free_address(), free_address()
+        values = {
+            "instance": instance,
+            "zone": zone,
+            "listen": listen,
+            "peer_listen": peer_listen,
+            "log": self.platform.log,
+            "instances": self.platform.instances,
+            **settings,
+        }
+        path = self._write_settings(f"{instance}-{len(self.programs)}", values)
+        program = self._spawn(instance, ["lycheeloom.entry.main", str(path)])
+        program.address = listen
+        return program
+
+    def wait_ready(self, programs: Sequence[Program]) -> float:
+        """Wait until each program answers at ``/readyz``; returns the seconds."""
+        started_at = time.monotonic()
+        for program in programs:
+            while not self._is_ready(program):
+                if time.monotonic() - started_at > START_TIMEOUT_S:
+                    raise TimeoutError(f"{program.name} is not ready")
+                time.sleep(POLL_S)
+        return time.monotonic() - started_at
+
+    def call(
+        self, address: str, method: str, path: str, document: dict | None = None
+    ) -> tuple[int, dict]:
+        """Make one JSON call and return status and document."""
+        body = None if document is None else json.dumps(document).encode()
+        answer = self.transport.call(address, method, path, body=body, timeout_s=10)
+        if not isinstance(answer, Response):
+            return 0, {"reason": answer.reason}
+        return answer.status, json.loads(answer.body or b"{}")
+
+    def set_faults(self, standin: str, **faults: object) -> None:
+        """Switch faults of a stand-in."""
+        path = f"/v1/standins/{standin}/faults"
+        status, document = self.call(self.platform.control, "POST", path, faults)
+        if status != 200:
+            raise ValueError(f"faults of {standin}: {document}")
+
+    def ledger(self) -> list[dict]:
+        """Return every start at every worker, as the workers counted them."""
+        _, document = self.call(self.platform.control, "GET", "/v1/ledger")
+        return document["starts"]
+
+    def stop(self) -> None:
+        """End every program that still runs, newest first."""
+        for program in reversed(self.programs):
+            program.signal(signal.SIGCONT)
+            program.kill()
+
+    def _is_ready(self, program: Program) -> bool:
+        if program.process.poll() is not None:
+            output = program.log_path.read_text()[-2000:] if program.log_path else ""
+            code = program.process.returncode
+            raise RuntimeError(f"{program.name} ended with {code}: {output}")
+        answer = self.transport.call(program.address, "GET", "/readyz", timeout_s=1)
+        return isinstance(answer, Response) and answer.status == 200
+
+    def _spawn(
+        self, name: str, command: Sequence[str], stdout: int | None = None
+    ) -> Program:
+        log_path = self.folder / f"{len(self.programs)}-{name}.log"
+        with log_path.open("w") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-X", "faulthandler", "-m", *command],
+                stdout=stdout or log,
+                stderr=log,
+                text=True,
+            )
+        program = Program(name, process, log_path=log_path)
+        self.programs.append(program)
+        return program
+
+    def _write_settings(self, name: str, values: dict) -> Path:
+        path = self.folder / f"{name}.toml"
+        path.write_text(tomlkit.dumps(values))
+        return path
+
+
+@contextmanager
+def running_fleet() -> Iterator[Fleet]:
+    """Provide an empty fleet and end all its programs afterwards."""
+    with tempfile.TemporaryDirectory(prefix="lycheeloom-") as folder:
+        fleet = Fleet(Path(folder))
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        return f"{host}:{port}"
--- a/libs/platform/src/lycheeloom/platform/__init__.py
+++ b/libs/platform/src/lycheeloom/platform/__init__.py
@@ -30,7 +30,7 @@
     TaskUsage,
     UsageReport,
 )
-from .transport import Transport
+from .transport import CallFailed, Response, Transport
 from .worker import WorkerClient
 
 __all__ = [
@@ -41,6 +41,7 @@
     "AppendRefused",
     "AppendUnknown",
     "Appended",
+    "CallFailed",
     "Expired",
     "InstanceClient",
     "InstanceList",
@@ -48,6 +49,7 @@
     "ListedInstance",
     "LogClient",
     "ReadBatches",
+    "Response",
     "Session",
     "StartRefusal",
     "StartRefused",
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -43,15 +43,17 @@
 class Work:
     """What a payload asks of the worker.
 
-    A payload that is a JSON object may name ``work_ms``, ``fail`` and the
-    resources really used (``used_cores``, ``used_memory_mb``). Any other payload
-    is work of the default duration.
+    A payload that is a JSON object may name ``work_ms``, ``fail``, the resources
+    really used (``used_cores``, ``used_memory_mb``) and the caller's own name of
+    the work (``call``), which the ledger keeps. Any other payload is work of the
+    default duration.
     """
 
     duration_s: float
     fails: bool = False
     used_cores: float | None = None
     used_memory_mb: int | None = None
+    call: str = ""
 
 
 def parse_work(payload: bytes, default_s: float) -> Work:
@@ -65,6 +67,7 @@
             bool(document.get("fail", False)),
             document.get("used_cores"),
             document.get("used_memory_mb"),
+            str(document.get("call", "")),
         )
     except (ValueError, TypeError):
         return Work(default_s)
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -289,6 +289,7 @@
             "team": task.team,
             "queue": task.queue,
             "traceparent": task.traceparent,
+            "call": task.work.call,
             "status": task.status,
             "started_at": task.started_at,
             "ended_at": task.ended_at,
--- a/libs/wire/src/lycheeloom/wire/batches.py
+++ b/libs/wire/src/lycheeloom/wire/batches.py
@@ -11,6 +11,7 @@
 from lycheeloom.model import records
 from lycheeloom.model.records import Batch, Record, UnknownRecord
 
+from .seal import seal, unseal
 from .structs import from_struct, to_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("records.capnp")))
@@ -48,21 +49,27 @@
 
 
 def encode_batch(batch: Batch) -> bytes:
-    """Serialise a batch for the log."""
-    message = _SCHEMA.Batch.new_message(
-        author=batch.author,
-        sequence=batch.sequence,
-        records=[
-            {_TAG_BY_KIND[type(record)]: to_fields(record)} for record in batch.records
-        ],
-    )
-    return message.to_bytes()
+    """Serialise a batch for the log.
+
+    Raises ``ValueError`` for a value that its field cannot hold.
+    """
+    fields_by_record = [to_fields(record) for record in batch.records]
+    message = _SCHEMA.Batch.new_message(author=batch.author, sequence=batch.sequence)
+    records = message.init("records", len(batch.records))
+    for index, record in enumerate(batch.records):
+        # Setting a union member from a dict raises inside the library first.
+        member = records[index].init(_TAG_BY_KIND[type(record)])
+        member.from_dict(fields_by_record[index])
+    return seal(message.to_bytes())
 
 
 def decode_batch(data: bytes) -> Batch | BadBatch:
     """Read a batch; record kinds of newer programs become ``UnknownRecord``."""
+    unsealed = unseal(data)
+    if unsealed is None:
+        return BadBatch("the checksum does not match")
     try:
-        with _SCHEMA.Batch.from_bytes(data) as message:
+        with _SCHEMA.Batch.from_bytes(unsealed) as message:
             return Batch(
                 message.author,
                 message.sequence,
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -7,6 +7,7 @@
 
 import capnp
 
+from .seal import seal, unseal
 from .structs import from_struct, to_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
@@ -79,15 +80,19 @@
 
 def encode_peer_message(message: PeerMessage) -> bytes:
     """Serialise a peer message."""
-    tag = _TAG_BY_KIND[type(message.body)]
-    fields = {"sender": message.sender, tag: to_fields(message.body)}
-    return _SCHEMA.PeerMessage.new_message(**fields).to_bytes()
+    fields = to_fields(message.body)
+    encoded = _SCHEMA.PeerMessage.new_message(sender=message.sender)
+    encoded.init(_TAG_BY_KIND[type(message.body)]).from_dict(fields)
+    return seal(encoded.to_bytes())
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | BadPeerMessage:
     """Read a peer message."""
+    unsealed = unseal(data)
+    if unsealed is None:
+        return BadPeerMessage("the checksum does not match")
     try:
-        with _SCHEMA.PeerMessage.from_bytes(data) as message:
+        with _SCHEMA.PeerMessage.from_bytes(unsealed) as message:
             tag = str(message.which())
             kind = _KIND_BY_TAG.get(tag)
             if kind is None:
--- a/libs/wire/src/lycheeloom/wire/structs.py
+++ b/libs/wire/src/lycheeloom/wire/structs.py
@@ -9,6 +9,8 @@
 from functools import cache
 from typing import Any
 
+_MAX_UINT64 = 2**64 - 1
+
 
 @cache
 def camel_case(name: str) -> str:
@@ -50,6 +52,8 @@
         return to_fields(value)
     if isinstance(value, tuple):
         return [_to_plain(item) for item in value]
+    if value is None or (isinstance(value, int) and not 0 <= value <= _MAX_UINT64):
+        raise ValueError(f"{value} does not fit into a field")
     return value
 
 
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -1,5 +1,6 @@
 """Guards against records and peer messages that do not survive their codec."""
 
+import gevent
 import pytest
 
 from lycheeloom.model import records as r
@@ -19,6 +20,7 @@
     encode_peer_message,
 )
 from lycheeloom.wire.batches import _SCHEMA
+from lycheeloom.wire.seal import seal
 
 RECORDS = [
     r.ConfigChanged(3, '{"a":null}', "ada"),
@@ -67,8 +69,38 @@
 
 def test_record_without_known_kind_is_unknown():
     """A newer program's record must not stop replay in an older one."""
-    data = _SCHEMA.Batch.new_message(author="a", sequence=1, records=[{}]).to_bytes()
-    assert decode_batch(data) == Batch("a", 1, (UnknownRecord(),))
+    message = _SCHEMA.Batch.new_message(author="a", sequence=1, records=[{}])
+    assert decode_batch(seal(message.to_bytes())) == Batch("a", 1, (UnknownRecord(),))
+
+
+def in_used_greenlet(function):
+    """Run a function in a greenlet that has been switched before.
+
+    An error inside the Cap'n Proto library ends the process there.
+    """
+
+    def run():
+        gevent.sleep(0)
+        return function()
+
+    return gevent.spawn(run).get()
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
+def test_codec_works_in_a_greenlet(record):
+    """Encoding a record in a greenlet ended the process with a segmentation fault."""
+    batch = Batch("author", 7, (record,))
+    encoded = in_used_greenlet(lambda: encode_batch(batch))
+    assert in_used_greenlet(lambda: decode_batch(encoded)) == batch
+    damaged = encoded[:-1] + bytes([encoded[-1] ^ 1])
+    assert isinstance(in_used_greenlet(lambda: decode_batch(damaged)), BadBatch)
+
+
+@pytest.mark.parametrize("count", [-1, 2**64, None])
+def test_value_out_of_range_is_rejected(count):
+    """A wrong value must be an error here, not inside the library."""
+    with pytest.raises(ValueError, match="does not fit"):
+        encode_batch(Batch("a", 1, (r.GrantRequested("t", count),)))
 
 
 @pytest.mark.parametrize("data", [b"", b"\x00" * 3, b"\xff" * 64])
