--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -62,9 +62,12 @@
 
 
 def make_operator(settings: Settings) -> Operator:
-    """Return an operator that talks to the log and the entries of a fleet."""
+    """Return an operator that talks to the log and the daemons of a fleet."""
     return Operator(
-        LogClient(settings.log), Entries.at(settings.entries), settings.operator
+        LogClient(settings.log),
+        Entries.at(settings.entries),
+        settings.operator,
+        controllers=Entries.at(settings.controllers),
     )
 
 
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -67,12 +67,14 @@
         entries: Entries,
         name: str,
         *,
+        controllers: Entries | None = None,
         clock: Clock | None = None,
     ) -> None:
         # Each author numbers its batches from 1, so the id is never used again.
         self.author = f"operator:{name}:{secrets.token_hex(8)}"
         self.name = name
         self._entries = entries
+        self._controllers = controllers or Entries([])
         self._clock = clock or Clock()
         self._view = LogView(log, self.author)
         self._appender = Appender(log, self._view, self.author, self._clock)
@@ -126,8 +128,9 @@
     def explain(
         self, kind: str, name: str
     ) -> dict[str, Explanation | UnknownThing | EntryUnavailable]:
-        """Ask each entry why something was decided."""
-        return self._entries.explain(kind, name)
+        """Ask each entry and controller why something was decided."""
+        answers = self._entries.explain(kind, name)
+        return answers | self._controllers.explain(kind, name)
 
     def check(self, document: Mapping[str, Any], file: str) -> list[Problem]:
         """Return all mistakes of a document that would replace the one in force."""
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -154,7 +154,7 @@
         line = f"No entry knows the {args.kind} {args.id}."
         return Report((line,), {"explanations": {}}, ExitCode.NOT_FOUND)
     lines = [
-        f"Entry {address} gave no answer: {answer.reason}."
+        f"{address} gave no answer: {answer.reason}."
         for address, answer in answers.items()
         if isinstance(answer, EntryUnavailable)
     ]
--- a/libs/operator/src/lycheeloom/operator/settings.py
+++ b/libs/operator/src/lycheeloom/operator/settings.py
@@ -18,16 +18,20 @@
 MAX_TIMEOUT_S = 3600
 ADDRESS = 'host and port, such as "10.1.0.4:7100"'
 ADDRESSES = f"a list of at least one {ADDRESS}, each once"
-KNOWN_KEYS = ("log", "entries", "operator", "timeout_s")
+KNOWN_KEYS = ("log", "entries", "controllers", "operator", "timeout_s")
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Where the log and the entries are, and who is the operator."""
+    """Where the log and the daemons are, and who is the operator.
+
+    Controllers are asked only for explanations.
+    """
 
     log: str
     entries: tuple[str, ...]
     operator: str
+    controllers: tuple[str, ...] = ()
     timeout_s: float = DEFAULT_TIMEOUT_S
 
 
@@ -43,6 +47,7 @@
     return Settings(
         log=values["log"],
         entries=tuple(values["entries"]),
+        controllers=tuple(values.get("controllers", ())),
         operator=values.get("operator") or getpass.getuser(),
         timeout_s=float(values.get("timeout_s", DEFAULT_TIMEOUT_S)),
     )
@@ -55,7 +60,12 @@
             wrong = f"is not a known key{near_match(key, KNOWN_KEYS)}"
             yield Problem(path, key, wrong, ", ".join(KNOWN_KEYS))
     yield from _check_log(values, path)
-    yield from _check_entries(values, path)
+    if "entries" in values:
+        yield from _check_addresses("entries", values["entries"], path)
+    else:
+        yield Problem(path, "entries", "is missing", ADDRESSES)
+    if "controllers" in values:
+        yield from _check_addresses("controllers", values["controllers"], path)
     operator = values.get("operator", "")
     if not isinstance(operator, str):
         yield Problem(path, "operator", f"is {show(operator)}", "your name as a text")
@@ -74,20 +84,15 @@
         yield Problem(path, "log", f"is {show(log)}", ADDRESS)
 
 
-def _check_entries(values: Mapping[str, Any], path: str) -> Iterator[Problem]:
-    if "entries" not in values:
-        yield Problem(path, "entries", "is missing", ADDRESSES)
-        return
-    entries = values["entries"]
-    if not isinstance(entries, list) or not entries:
-        yield Problem(path, "entries", f"is {show(entries)}", ADDRESSES)
+def _check_addresses(key: str, addresses: Any, path: str) -> Iterator[Problem]:
+    if not isinstance(addresses, list) or not addresses:
+        yield Problem(path, key, f"is {show(addresses)}", ADDRESSES)
         return
-    for index, entry in enumerate(entries):
-        if not isinstance(entry, str) or not is_address(entry):
-            yield Problem(path, "entries", f"contains {show(entry)}", ADDRESSES)
-        elif entry in entries[:index]:
-            wrong = f"contains {show(entry)} twice"
-            yield Problem(path, "entries", wrong, ADDRESSES)
+    for index, address in enumerate(addresses):
+        if not isinstance(address, str) or not is_address(address):
+            yield Problem(path, key, f"contains {show(address)}", ADDRESSES)
+        elif address in addresses[:index]:
+            yield Problem(path, key, f"contains {show(address)} twice", ADDRESSES)
 
 
 def _is_duration(value: Any) -> bool:
--- a/libs/operator/tests/test_docs.py
+++ b/libs/operator/tests/test_docs.py
@@ -14,7 +14,7 @@
     MODEL_BY_SECTION,
     default_of,
 )
-from lycheeloom.operator.settings import Settings, load_settings
+from lycheeloom.operator.settings import KNOWN_KEYS, Settings, load_settings
 
 ROOT = Path(__file__).parents[3]
 
@@ -109,6 +109,13 @@
     assert max(racks.count(rack) for rack in racks) == 4
 
 
+def test_configuration_page_describes_the_settings():
+    """Guards against a setting that the page lacks."""
+    page = read_page("docs/configuration.md")
+    rows = rows_of(page.split("\n## Settings of the command\n")[1])[1:]
+    assert [row[0].strip("`") for row in rows] == list(KNOWN_KEYS)
+
+
 def test_example_settings_are_valid():
     """Guards against settings in the first hour that do not load."""
     path = str(ROOT / "examples/lycheeloom.toml")
--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -348,13 +348,17 @@
             GOOD_SETTINGS + "timeout_s = 0\noperater = 'x'\n",
             [
                 'operater: is not a known key (did you mean "operator"?); '
-                "allowed: log, entries, operator, timeout_s",
+                "allowed: log, entries, controllers, operator, timeout_s",
                 "timeout_s: is 0; allowed: a number of seconds above 0, at most 3600",
             ],
         ),
         (
-            GOOD_SETTINGS + "operator = 4\n",
-            ["operator: is 4; allowed: your name as a text"],
+            GOOD_SETTINGS + 'operator = 4\ncontrollers = ["here"]\n',
+            [
+                'controllers: contains "here"; allowed: a list of at least one '
+                f"{ADDRESS}, each once",
+                "operator: is 4; allowed: your name as a text",
+            ],
         ),
     ],
 )
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -19,6 +19,7 @@
     NotYetInForce,
     Operator,
     OutcomeUnknown,
+    PartlyPublished,
     Published,
     Rejected,
     WaveChanged,
@@ -225,6 +226,38 @@
     ]
 
 
+def large_fleet():
+    """Return a fleet whose configuration needs several batches."""
+    fleet = small_fleet()
+    worker = fleet["instances"]["w1"]
+    for number in range(7, 2500):
+        address = f"10.1.{number // 250}.{number % 250}:7100"
+        fleet["instances"][f"w{number}"] = worker | {"address": address}
+    return fleet
+
+
+def test_a_large_configuration_is_published_in_parts(make_operator, log):
+    """Guards against a fleet that is too large for one batch of the log."""
+    entry = FakeEntry("a")
+    operator = make_operator("aoife", entry)
+    result = operator.publish(large_fleet(), 0)
+    assert isinstance(result, Published)
+    assert result.version > 1
+    assert operator.wait_in_force(result.version) == InForce(result.version)
+    assert entry.state.configuration.document == large_fleet()
+
+
+def test_a_part_that_fails_is_told(make_operator, log):
+    """Guards against calling a change unpublished of which a part is in force."""
+    log.faults.extend(["", "large"])
+    operator = make_operator("aoife")
+    result = operator.publish(large_fleet(), 0)
+    assert isinstance(result, PartlyPublished)
+    assert (result.version, result.parts) == (1, 1)
+    assert isinstance(result.stopped_by, NotAccepted)
+    assert isinstance(operator.publish(large_fleet(), 1), Published)
+
+
 def test_warnings_must_be_accepted(make_operator, fleet):
     """Guards against a limit below what is running, set by mistake."""
     operator = make_operator("aoife", FakeEntry("a", running={"red": 8}))
