--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,214 @@
+"""The main job: a whole fleet on one machine, with failures, in under a minute.
+
+Starts stand-ins for the platform and 6 entries over 3 availability zones, sends
+requests of several teams, revokes a key, takes a zone out and back, kills an
+entry and replaces it. Exits with 1 if a count that must be zero is not.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import gevent  # noqa: E402
+from tabulate import tabulate  # noqa: E402
+
+from lycheeloom.operator import (  # noqa: E402
+    ConfigFile,
+    Draft,
+    Entries,
+    InForce,
+    Operator,
+    Published,
+    read_config,
+)
+from lycheeloom.platform import LogClient  # noqa: E402
+
+from .callers import Callers, Work  # noqa: E402
+from .processes import Fleet, Program, running_fleet  # noqa: E402
+from .verdicts import Line, ZoneOut, check  # noqa: E402
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+ENTRIES_PER_ZONE = 2
+CALLS_PER_S = 60
+OVERNIGHT_REQUESTS = 60
+LOAD_S = 26.0
+REVOKE_AT_S = 4.0
+ZONE_OUT_AT_S = 7.0
+ZONE_IN_AT_S = 13.0
+KILL_AT_S = 16.0
+REPLACE_AT_S = 17.5
+END_TIMEOUT_S = 40.0
+
+
+class Demo:
+    """One run: a fleet, its callers and an operator."""
+
+    def __init__(self, fleet: Fleet, config_path: Path, seed: int) -> None:
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.document = self._read_document(config_path)
+        self.zones = list(self.document["zones"])
+        self.teams = list(self.document["teams"])
+        self.queues = [q for q in self.document["queues"] if q != "overnight"]
+        self.entries: list[Program] = []
+        self.zone_outs: list[ZoneOut] = []
+        self.revoked_at_by_team: dict[str, float] = {}
+        self.key_by_team: dict[str, str] = {}
+        self.operator = self._operator()
+        self.callers = Callers(self._addresses, {}, seed)
+
+    def _read_document(self, config_path: Path) -> dict:
+        platform = self.fleet.start_platform(config_path)
+        file = read_config(str(config_path))
+        if not isinstance(file, ConfigFile):
+            raise SystemExit(str(file))
+        for name, instance in file.document["instances"].items():
+            instance["address"] = platform.workers[name]
+        return file.document
+
+    def _operator(self) -> Operator:
+        entries = Entries.at([program.address for program in self.entries])
+        return Operator(LogClient(self.fleet.platform.log), entries, "demo")
+
+    def _addresses(self) -> list[str]:
+        return [program.address for program in self.entries]
+
+    def start(self) -> None:
+        """Publish the configuration, start the entries and grant the keys."""
+        result = self.operator.publish(self.document, 0, accept_warnings=True)
+        expect(result, Published)
+        for index in range(ENTRIES_PER_ZONE * len(self.zones)):
+            zone = self.zones[index % len(self.zones)]
+            self.entries.append(self.fleet.start_entry(f"entry-{index + 1}", zone))
+        ready_s = self.fleet.wait_ready(self.entries)
+        tell(f"{len(self.entries)} entries are ready after {ready_s:.1f} s")
+        self.operator = self._operator()
+        tokens = {}
+
+        def grant(draft: Draft) -> None:
+            for team in self.teams:
+                key = draft.grant_key(team)
+                tokens[team] = key.token
+                self.key_by_team[team] = key.id
+
+        self.change(grant, f"granted a key to each of {len(self.teams)} teams")
+        self.callers.token_by_team.update(tokens)
+
+    def change(self, edit: object, text: str) -> float:
+        """Publish a change and return when it was accepted."""
+        result = self.operator.change(edit, accept_warnings=True)
+        accepted_at = time.monotonic()
+        expect(result, Published)
+        in_force = self.operator.wait_in_force(result.version, 10)
+        took_s = time.monotonic() - accepted_at
+        state = "everywhere" if isinstance(in_force, InForce) else "not everywhere"
+        tell(f"{text}: version {result.version}, in force {state} after {took_s:.2f} s")
+        return accepted_at
+
+    def run_events(self) -> None:
+        """Make the changes and failures at their times."""
+        began_at = time.monotonic()
+        self._sleep_until(began_at + REVOKE_AT_S)
+        team = self.teams[-1]
+        key = self.key_by_team[team]
+        self.revoked_at_by_team[team] = self.change(
+            lambda draft: draft.withdraw_key(key), f"revoked the key of team {team}"
+        )
+        self._sleep_until(began_at + ZONE_OUT_AT_S)
+        zone = self.zones[0]
+        out_at = self.change(
+            lambda draft: draft.take_zone_out(zone), f"took zone {zone} out"
+        )
+        self._sleep_until(began_at + ZONE_IN_AT_S)
+        in_at = time.monotonic()
+        self.change(lambda draft: draft.bring_zone_in(zone), f"brought zone {zone} in")
+        self.zone_outs.append(ZoneOut(zone, out_at, in_at))
+        self._sleep_until(began_at + KILL_AT_S)
+        victim = self.entries[0]
+        victim.kill()
+        tell(f"killed {victim.name}")
+        self._sleep_until(began_at + REPLACE_AT_S)
+        replacement = self.fleet.start_entry(victim.name, zone)
+        ready_s = self.fleet.wait_ready([replacement])
+        self.entries[0] = replacement
+        tell(f"replaced {victim.name}, ready after {ready_s:.1f} s")
+        self.operator = self._operator()
+
+    def run_load(self) -> None:
+        """Send lookups and bookings of all teams, and an overnight batch."""
+        for index in range(OVERNIGHT_REQUESTS):
+            team = self.teams[index % (len(self.teams) - 1)]
+            self.callers.send(Work.OVERNIGHT, team, "overnight", 1500)
+        began_at = time.monotonic()
+        for index in range(int(LOAD_S * CALLS_PER_S)):
+            self._sleep_until(began_at + index / CALLS_PER_S)
+            team = self.rng.choice(self.teams)
+            queue = self.rng.choice(self.queues)
+            work = Work.BOOKING if self.rng.random() < 0.2 else Work.LOOKUP
+            self.callers.send(work, team, queue, self.rng.choice((20, 50, 200)))
+
+    def finish(self) -> list[Line]:
+        """Wait for the last answers and check the counts."""
+        self.callers.wait_all(END_TIMEOUT_S)
+        ledger = self.fleet.ledger()
+        limits = {
+            team: self.document["teams"][team]["upper_limit"] for team in self.teams
+        }
+        return check(
+            self.callers.calls,
+            ledger,
+            limits,
+            self.zone_outs,
+            self.revoked_at_by_team,
+        )
+
+    def _sleep_until(self, at: float) -> None:
+        gevent.sleep(max(0.0, at - time.monotonic()))
+
+
+def expect(result: object, kind: type) -> None:
+    """Stop the demonstration if an operator's change was not accepted."""
+    if not isinstance(result, kind):
+        raise SystemExit(f"expected {kind.__name__}, got {result}")
+
+
+def tell(text: str) -> None:
+    """Print one line of the story."""
+    print(text, flush=True)
+
+
+def main() -> int:
+    """Run the demonstration and return the exit status."""
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--config", type=Path, default=EXAMPLES / "user-a.toml")
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    with running_fleet() as fleet:
+        demo = Demo(fleet, arguments.config, arguments.seed)
+        demo.start()
+        load = gevent.spawn(demo.run_load)
+        events = gevent.spawn(demo.run_events)
+        gevent.joinall([load, events], raise_error=True)
+        lines = demo.finish()
+        failed_stops = sum(entry.terminate() != 0 for entry in demo.entries)
+    lines.append(Line("entries that did not shut down cleanly", failed_stops, 0))
+    rows = [
+        (line.name, line.count, "" if line.wanted is None else line.wanted)
+        for line in lines
+    ]
+    print(tabulate(rows, headers=("what", "count", "must be")))
+    wrong = [line.name for line in lines if not line.is_right]
+    print("all counts are right" if not wrong else f"wrong: {', '.join(wrong)}")
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -125,7 +125,8 @@
         if lines is None:
             message = f"nothing is known about {kind} {name!r}"
             return _respond(Reply(404, {"reason": "unknown", "message": message}))
-        return _respond(Reply(200, {"kind": kind, "id": name, "events": lines}))
+        events = [{"sentence": line} for line in lines]
+        return _respond(Reply(200, {"kind": kind, "id": name, "events": events}))
 
     def metrics(self) -> HTTPResponse:
         """``GET /metrics``."""
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -27,14 +27,14 @@
     RefusalReason.IDEMPOTENCY_CONFLICT: 409,
     RefusalReason.NEVER_FITS: 422,
     RefusalReason.QUEUE_FULL: 429,
-    RefusalReason.DEADLINE: 503,
+    RefusalReason.DEADLINE: 504,
     RefusalReason.CANCELLED: 409,
     RefusalReason.STALE_ENTRY: 503,
     RefusalReason.LOG_UNAVAILABLE: 503,
     RefusalReason.DRAINING: 503,
     RefusalReason.NO_WORKER: 503,
 }
-MAY_HAVE_RUN_STATUS = 504
+MAY_HAVE_RUN_STATUS = 502
 
 
 @dataclass(frozen=True, slots=True)
