Add the measuring program's share bench, and reserve workers per lane

A worker is now reserved for a lane's size class instead of one task, and a task that needs little room reserves early.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions of the library against goals and baselines."""
--- /dev/null
+++ b/bench/entitlement.py
@@ -0,0 +1,194 @@
+"""Max-min entitlements by water-filling, independent of the scheduler.
+
+The level of all teams is raised together by a linear program until some team
+cannot rise further; that team is frozen and the others go on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import highspy
+import numpy as np
+
+from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+DIMENSIONS = ("cores", "memory_mb")
+EPSILON = 1e-9
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """Work of a team on a queue that runs in a pool."""
+
+    team: str
+    queue: str
+    pool: str
+
+
+class WaterFilling:
+    """Computes entitlements for changing demands on one fleet."""
+
+    def __init__(self, config: FleetConfig) -> None:
+        self._config = config
+        self.total = NO_RESOURCES
+        self._capacity: dict[str, Resources] = {}
+        for instance in config.instance_by_id.values():
+            self.total = self.total + instance.size
+            held = self._capacity.get(instance.pool, NO_RESOURCES)
+            self._capacity[instance.pool] = held + instance.size
+
+    def shares(
+        self, demand: Mapping[tuple[str, str], Resources]
+    ) -> dict[tuple[str, str], float]:
+        """Return the entitled dominant share per team and queue.
+
+        ``demand`` is what each team could use now on each queue.
+        """
+        wanted = {
+            key: amount.dominant_share(self.total) for key, amount in demand.items()
+        }
+        wanted = {key: share for key, share in wanted.items() if share > EPSILON}
+        teams = sorted({team for team, _ in wanted})
+        if not teams:
+            return {}
+        uses = [Use(t, q, p) for t, q in wanted for p in self._capacity]
+        lp = self._program(uses, wanted, demand, teams)
+        frozen: dict[str, float] = {}
+        while len(frozen) < len(teams):
+            level, blocked = lp.raise_level(frozen)
+            for team in blocked:
+                frozen[team] = level * self._config.team_by_id[team].share
+        shares = dict.fromkeys(wanted, 0.0)
+        for use, share in zip(uses, lp.values(), strict=False):
+            shares[use.team, use.queue] += share
+        return shares
+
+    def _program(
+        self,
+        uses: list[Use],
+        wanted: Mapping[tuple[str, str], float],
+        demand: Mapping[tuple[str, str], Resources],
+        teams: list[str],
+    ) -> _Program:
+        rows: list[tuple[dict[int, float], float]] = []
+        for key, share in wanted.items():
+            mine = {n: 1.0 for n, u in enumerate(uses) if (u.team, u.queue) == key}
+            rows.append((mine, share))
+        for pool, capacity in self._capacity.items():
+            for name in DIMENSIONS:
+                part = getattr(capacity, name) / getattr(self.total, name)
+                own_demand = 0.0
+                every: dict[int, float] = {}
+                foreign: dict[int, float] = {}
+                for n, use in enumerate(uses):
+                    if use.pool != pool:
+                        continue
+                    amount = demand[use.team, use.queue]
+                    share = getattr(amount, name) / getattr(self.total, name)
+                    every[n] = share / wanted[use.team, use.queue]
+                    if self._config.queue_by_id[use.queue].pool == pool:
+                        own_demand += share
+                    else:
+                        foreign[n] = every[n]
+                rows.append((every, part))
+                # Only spare pools serve others before their own work is done.
+                if not self._config.pool_by_id[pool].spare:
+                    rows.append((foreign, max(0.0, part - own_demand)))
+        weights = [self._config.team_by_id[team].share for team in teams]
+        by_team = [[n for n, u in enumerate(uses) if u.team == t] for t in teams]
+        return _Program(len(uses), rows, teams, weights, by_team)
+
+
+class _Program:
+    """One linear program whose team rows change from round to round."""
+
+    def __init__(
+        self,
+        uses: int,
+        rows: list[tuple[dict[int, float], float]],
+        teams: list[str],
+        weights: list[float],
+        uses_by_team: list[list[int]],
+    ) -> None:
+        self._teams = teams
+        self._weights = weights
+        self._level = uses
+        self._first_team_row = len(rows)
+        solver = highspy.Highs()
+        solver.setOptionValue("output_flag", False)
+        infinity = highspy.kHighsInf
+        solver.addVars(uses + 1, np.zeros(uses + 1), np.full(uses + 1, infinity))
+        solver.changeColCost(uses, -1.0)
+        for terms, bound in rows:
+            indexes = np.array(list(terms), dtype=np.int32)
+            values = np.array(list(terms.values()))
+            solver.addRow(-infinity, bound, len(terms), indexes, values)
+        for own, weight in zip(uses_by_team, weights, strict=True):
+            indexes = np.array([*own, uses], dtype=np.int32)
+            values = np.array([1.0] * len(own) + [-weight])
+            solver.addRow(0.0, infinity, len(indexes), indexes, values)
+        self._solver = solver
+
+    def values(self) -> list[float]:
+        """Return the share of each use in the last solution."""
+        return list(self._solver.getSolution().col_value)
+
+    def raise_level(self, frozen: Mapping[str, float]) -> tuple[float, list[str]]:
+        """Return the highest level of the other teams and who blocks it."""
+        solver = self._solver
+        for number, team in enumerate(self._teams):
+            if team in frozen:
+                row = self._first_team_row + number
+                solver.changeCoeff(row, self._level, 0.0)
+                bound = frozen[team] * (1 - EPSILON)
+                solver.changeRowBounds(row, bound, highspy.kHighsInf)
+        solver.run()
+        solution = solver.getSolution()
+        level = solution.col_value[self._level]
+        blocked = []
+        for number, team in enumerate(self._teams):
+            dual = solution.row_dual[self._first_team_row + number]
+            if team not in frozen and abs(dual) > EPSILON:
+                blocked.append(team)
+        return level, blocked or [t for t in self._teams if t not in frozen]
+
+
+class ShareReference:
+    """The share that each team is entitled to, step by step.
+
+    A team can use what its callers offer during the step, refused or not, and
+    what was left in its queues. Offered work counts although it is refused, so
+    that a team does not become entitled to less by being served too little.
+    """
+
+    def __init__(self, config: FleetConfig) -> None:
+        self._water = WaterFilling(config)
+        self.total = self._water.total
+
+    def step(
+        self,
+        offered: Mapping[tuple[str, str], Resources],
+        backlog: Mapping[tuple[str, str], Resources],
+        seconds: float,
+    ) -> dict[str, float]:
+        """Return each team's entitled share during a step.
+
+        ``offered`` is the work offered during the step and ``backlog`` what
+        waited at its begin, both in resources times seconds.
+        """
+        demand = {}
+        for key in {*offered, *backlog}:
+            work = offered.get(key, NO_RESOURCES) + backlog.get(key, NO_RESOURCES)
+            demand[key] = _scaled(work, 1 / seconds)
+        by_team: dict[str, float] = {}
+        for (team, _), share in self._water.shares(demand).items():
+            by_team[team] = by_team.get(team, 0.0) + share
+        return by_team
+
+
+def _scaled(amount: Resources, factor: float) -> Resources:
+    # Work is a product with seconds, so memory may be fractional here.
+    return Resources(amount.cores * factor, amount.memory_mb * factor)
--- /dev/null
+++ b/bench/fleets.py
@@ -0,0 +1,86 @@
+"""Configurations in the users' shapes and at larger scales."""
+
+from __future__ import annotations
+
+from lycheeloom.model.config import (
+    FleetConfig,
+    Instance,
+    Pool,
+    Queue,
+    Team,
+    Zone,
+)
+from lycheeloom.model.resources import Resources
+
+ZONES = ("z0", "z1", "z2")
+REGIONAL_QUEUES = ("north", "east", "south", "west")
+QUEUES = (*REGIONAL_QUEUES, "general")
+WORKERS_PER_POOL = 6
+WORKERS_PER_RACK = 4
+USER_A_SIZE = Resources(64, 256 * 1024)
+USER_B_SIZE = Resources(16, 64 * 1024)
+# Six teams of unequal weight, a few of them large.
+WEIGHTS = (8.0, 5.0, 3.0, 2.0, 1.0, 1.0)
+NO_LIMIT = 1_000_000
+
+
+def user_fleet(size: Resources, max_queued: int = 400) -> FleetConfig:
+    """Return five pools of six workers over three zones, one pool spare."""
+    pools = {q: Pool(q, spare=q == "general") for q in QUEUES}
+    instances = {}
+    racked = dict.fromkeys(ZONES, 0)
+    for pool in pools:
+        for number in range(WORKERS_PER_POOL):
+            zone = ZONES[number % len(ZONES)]
+            rack = f"{zone}-r{racked[zone] // WORKERS_PER_RACK}"
+            racked[zone] += 1
+            name = f"{pool}-{number}"
+            instances[name] = Instance(name, pool, zone, rack, "", size)
+    teams = {f"team{n}": Team(f"team{n}", w, NO_LIMIT) for n, w in enumerate(WEIGHTS)}
+    return FleetConfig(
+        version=1,
+        zone_by_id={z: Zone(z) for z in ZONES},
+        pool_by_id=pools,
+        instance_by_id=instances,
+        team_by_id=teams,
+        queue_by_id={
+            q: Queue(
+                q, q, teams=frozenset(teams), max_queued=max_queued, idempotent=True
+            )
+            for q in QUEUES
+        },
+    )
+
+
+def scaled_fleet(workers: int, teams: int, max_queued: int) -> FleetConfig:
+    """Return about 37 workers to a pool over ten zones, one pool in 20 spare.
+
+    Each team may use every queue of a fifth of the pools, and at least two.
+    """
+    pool_count = max(2, round(workers * 139 / 5100))
+    pools = {f"p{n}": Pool(f"p{n}", spare=n % 20 == 1) for n in range(pool_count)}
+    names = list(pools)
+    instances = {}
+    for number in range(workers):
+        pool = names[number % pool_count]
+        zone = f"z{(number // pool_count) % 10}"
+        rack = f"{zone}-{pool}-r{number // (pool_count * 40)}"
+        name = f"w{number}"
+        instances[name] = Instance(name, pool, zone, rack, "", USER_B_SIZE)
+    team_by_id = {f"t{n}": Team(f"t{n}", 1.0 + n % 5, NO_LIMIT) for n in range(teams)}
+    queues = {}
+    for number, pool in enumerate(names):
+        members = frozenset(
+            f"t{n}" for n in range(teams) if pool_count < 10 or (n + number) % 5 == 0
+        )
+        queues[f"q{number}"] = Queue(
+            f"q{number}", pool, teams=members, max_queued=max_queued, idempotent=True
+        )
+    return FleetConfig(
+        version=1,
+        zone_by_id={f"z{n}": Zone(f"z{n}") for n in range(10)},
+        pool_by_id=pools,
+        instance_by_id=instances,
+        team_by_id=team_by_id,
+        queue_by_id=queues,
+    )
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,99 @@
+"""Random but repeatable arrivals of tasks at the entries."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lycheeloom.model.resources import Resources
+from lycheeloom.sched import Task
+
+from .entries import Entries
+from .fakes import Job
+
+MIN_RUN_S = 0.1
+MAX_RUN_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class TeamLoad:
+    """What one team sends: sizes, queue and entry probabilities."""
+
+    team: str
+    cores: tuple[float, ...]
+    memory_mb_per_core: int
+    queue_mix: tuple[float, ...]
+    entry_mix: tuple[float, ...]
+    # Part of the fleet's processors that the team asks for on average.
+    offered: float
+
+
+class Arrivals:
+    """Submits the tasks of one team as a Poisson process.
+
+    ``factor(queue, now)`` scales the rate of a queue over time.
+    """
+
+    def __init__(
+        self,
+        entries: Entries,
+        load: TeamLoad,
+        queues: tuple[str, ...],
+        fleet_cores: float,
+        mean_run_s: float,
+        seed: str,
+        factor: Callable[[str, float], float],
+        max_factor: float,
+        declare: Callable[[str, str, Job], tuple[Resources, float]] | None = None,
+    ) -> None:
+        self._entries = entries
+        self._load = load
+        self._queues = queues
+        self._mean_run_s = mean_run_s
+        self._random = random.Random(seed)
+        self._factor = factor
+        self._max_factor = max_factor
+        self._declare = declare
+        mean_cores = sum(load.cores) / len(load.cores)
+        base_rate = load.offered * fleet_cores / (mean_cores * mean_run_s)
+        self._rate = base_rate * max_factor
+        self._number = 0
+
+    def begin(self) -> None:
+        """Schedule the first arrival."""
+        self._schedule()
+
+    def _schedule(self) -> None:
+        delay = self._random.expovariate(self._rate)
+        self._entries.clock.at(self._entries.clock.now + delay, self._arrive)
+
+    def _arrive(self) -> None:
+        rng = self._random
+        now = self._entries.clock.now
+        queue = rng.choices(self._queues, self._load.queue_mix)[0]
+        entry = rng.choices(range(len(self._load.entry_mix)), self._load.entry_mix)[0]
+        cores = rng.choice(self._load.cores)
+        run_s = min(MAX_RUN_S, max(MIN_RUN_S, rng.expovariate(1 / self._mean_run_s)))
+        accepted = rng.random() * self._max_factor < self._factor(queue, now)
+        self._schedule()
+        if not accepted:
+            return
+        size = Resources(cores, int(cores * self._load.memory_mb_per_core))
+        self._submit(entry, queue, Job(size, run_s), now)
+
+    def _submit(self, entry: int, queue: str, job: Job, now: float) -> None:
+        self._number += 1
+        declared, run_s = job.size, job.run_s
+        if self._declare is not None:
+            declared, run_s = self._declare(self._load.team, queue, job)
+        task = Task(
+            f"{self._load.team}-{self._number}",
+            self._load.team,
+            queue,
+            declared,
+            run_s,
+            now,
+            idempotent=True,
+        )
+        self._entries.submit(entry, task, job)
--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,194 @@
+"""How close each team comes to its max-min entitlement on a full fleet.
+
+User B's shape: five pools of six workers with 16 cores, three entries that
+exchange usage every 0.5 s, six teams of unequal weight. Most teams send most
+of their requests to one entry. One team asks for less than its share, one
+needs mostly memory. ``full`` keeps every queue above capacity; ``surges`` lets
+each queue in turn surge to five times its mean and drops it to a twentieth in
+between.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.resources import Resources
+from lycheeloom.sched import Scheduler, Task
+
+from .baselines import EqualSplit, FirstComeFirstServed
+from .entitlement import ShareReference
+from .entries import Entries, Policy
+from .fakes import Job
+from .fleets import QUEUES, USER_B_SIZE, WEIGHTS, user_fleet
+from .load import Arrivals, TeamLoad
+from .report import Row
+
+ENTRIES = 3
+MEAN_RUN_S = 1.0
+WARM_UP_S = 20
+FULL_S = 240
+SURGE_S = 240
+# "Some seconds" of surge for each queue in turn.
+SURGE_LENGTH_S = 8.0
+WINDOW_S = 60
+WINDOW_STEP_S = 5
+SAMPLE_S = 1.0
+# Tasks are not preempted, so even the first in line waits for a slot to come
+# free. Work counts as unmet demand when it has waited longer than this.
+SLOT_WAIT_S = 0.25
+FULL_GOAL = 3.0
+SURGE_GOAL = 5.0
+
+
+class ShareRecorder:
+    """Keeps running resources per team, and offered and queued work."""
+
+    def __init__(self) -> None:
+        self.offered_work: dict[tuple[str, str], Resources] = defaultdict(Resources)
+        self.running: dict[str, Resources] = defaultdict(Resources)
+        self._queued: dict[str, tuple[Task, Job, float]] = {}
+
+    def offered(self, task: Task, job: Job, now: float) -> None:
+        """Count the work that callers want done."""
+        self.offered_work[task.team, task.queue] += _work(job)
+
+    def submitted(self, task: Task, job: Job, now: float) -> None:
+        """Count a task as queued."""
+        self._queued[task.id] = (task, job, now)
+
+    def started(self, task: Task, job: Job, worker: str, now: float) -> None:
+        """Count a task as running."""
+        del self._queued[task.id]
+        self.running[task.team] += job.size
+
+    def ended(self, task: Task, job: Job, good: bool, now: float) -> None:
+        """Count a task out."""
+        self.running[task.team] -= job.size
+
+    def dropped(self, task: Task, job: Job, now: float) -> None:
+        """Count a queued task out."""
+        del self._queued[task.id]
+
+    def backlog(self, now: float) -> dict[tuple[str, str], Resources]:
+        """Return the queued work that waits for more than the next free slot."""
+        backlog: dict[tuple[str, str], Resources] = defaultdict(Resources)
+        for task, job, since in self._queued.values():
+            if now - since > SLOT_WAIT_S:
+                backlog[task.team, task.queue] += _work(job)
+        return backlog
+
+
+def _work(job: Job) -> Resources:
+    return Resources(job.size.cores * job.run_s, int(job.size.memory_mb * job.run_s))
+
+
+def team_loads(full: bool) -> list[TeamLoad]:
+    """Return the six teams' requests."""
+    loads = []
+    for n, weight in enumerate(WEIGHTS):
+        fair = weight / sum(WEIGHTS)
+        # Every team but team1 asks for much more than its fair share.
+        offered = 0.4 * fair if n == 1 else fair + 0.3
+        if not full and n != 1:
+            offered = fair + 0.05
+        mix = tuple(float((n + q) % 5 + 1) for q in range(5))
+        favourite = n % ENTRIES
+        entry_mix = tuple(0.7 if e == favourite else 0.15 for e in range(ENTRIES))
+        memory = 10 * 1024 if n == 4 else 2 * 1024
+        cores = (1.0,) if n == 4 else (1.0, 1.0, 2.0)
+        loads.append(TeamLoad(f"team{n}", cores, memory, mix, entry_mix, offered))
+    return loads
+
+
+def surge_factor(queue: str, now: float) -> float:
+    """Return 5 for the queue whose turn it is and 1/20 for the others."""
+    turn = int(now / SURGE_LENGTH_S) % len(QUEUES)
+    return 5.0 if QUEUES[turn] == queue else 0.05
+
+
+def measure(
+    config: FleetConfig,
+    policies: list[Policy],
+    full: bool,
+    seed: int,
+    coordinated: bool,
+) -> dict[str, float]:
+    """Return each team's worst deviation in percent over 60 s windows."""
+    recorder = ShareRecorder()
+    entries = Entries(config, policies, recorder, coordinated)
+    reference = ShareReference(config)
+    total = reference.total
+    for load in team_loads(full):
+        factor = (lambda queue, now: 1.0) if full else surge_factor
+        arrivals = Arrivals(
+            entries,
+            load,
+            QUEUES,
+            total.cores,
+            MEAN_RUN_S,
+            f"{seed}/{load.team}",
+            factor,
+            1.0 if full else 5.0,
+        )
+        arrivals.begin()
+    length_s = WARM_UP_S + (FULL_S if full else SURGE_S)
+    actual: dict[str, list[float]] = defaultdict(list)
+    entitled: dict[str, list[float]] = defaultdict(list)
+    time = 0.0
+    while time < length_s:
+        backlog = recorder.backlog(time)
+        # Several samples of usage to one of the entitlement, which changes less.
+        used = dict.fromkeys(config.team_by_id, 0.0)
+        for _ in range(10):
+            time += SAMPLE_S / 10
+            entries.clock.run(time)
+            for team in used:
+                used[team] += recorder.running[team].dominant_share(total) / 10
+        offered = recorder.offered_work
+        recorder.offered_work = defaultdict(Resources)
+        shares = reference.step(offered, backlog, SAMPLE_S)
+        for team, share in used.items():
+            actual[team].append(share)
+            entitled[team].append(shares.get(team, 0.0))
+    return {
+        team: _worst_window(actual[team], entitled[team]) for team in config.team_by_id
+    }
+
+
+def _worst_window(actual: list[float], entitled: list[float]) -> float:
+    worst = 0.0
+    for begin in range(WARM_UP_S, len(actual) - WINDOW_S + 1, WINDOW_STEP_S):
+        got = sum(actual[begin : begin + WINDOW_S])
+        due = sum(entitled[begin : begin + WINDOW_S])
+        if due > 0:
+            worst = max(worst, 100.0 * abs(got - due) / due)
+    return worst
+
+
+def run(seed: int) -> list[Row]:
+    """Measure all policies in both phases."""
+    config = user_fleet(USER_B_SIZE)
+    rows = []
+    for full, goal in ((True, FULL_GOAL), (False, SURGE_GOAL)):
+        phase = "full load" if full else "surges"
+        own = [Scheduler(config, seed * 100 + n) for n in range(ENTRIES)]
+        ours = measure(config, own, full, seed, True)
+        simple = [FirstComeFirstServed(config) for _ in range(ENTRIES)]
+        first = measure(config, simple, full, seed, False)
+        split = [EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)]
+        equal = measure(config, split, full, seed, False)
+        for team, worst in ours.items():
+            weight = config.team_by_id[team].share
+            rows.append(
+                Row(
+                    f"{phase}: {team} (weight {weight:g}), worst 60 s window",
+                    f"within {goal:g} %",
+                    worst,
+                    worst <= goal,
+                    first[team],
+                    equal[team],
+                    "%",
+                )
+            )
+    return rows
--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -16,7 +16,7 @@
 
 # Capacity is left to a peer's team only if that team is lower by this part of
 # a fair share; entries know each other's usage only up to a heartbeat ago.
-HOLD_MARGIN = 0.10
+HOLD_MARGIN = 0.02
 # Everything is tried again this often, so that nothing waits on a missed cause.
 SWEEP_S = 1.0
 
@@ -112,10 +112,19 @@
         state = self._state
         for queue, queued in state.peer_queued_by_queue.items():
             if queued and state.queues.home_pool(queue) == pool:
-                return self._holds.active(f"lend/{pool}", now)
+                return self._held("lend", pool, now)
         self._holds.satisfied(f"lend/{pool}")
         return False
 
+    def _held(self, kind: str, pool: str, now: float) -> bool:
+        workers = self._state.workers
+        return self._holds.active(
+            f"{kind}/{pool}",
+            now,
+            workers.has_room(pool),
+            lambda: workers.peer_cores(pool),
+        )
+
     def _fill_pool(
         self,
         pool: str,
@@ -138,7 +147,7 @@
         while heap:
             level, team = heap[0]
             if peer_level is not None and level[0] > peer_level:
-                if self._holds.active(f"share/{pool}", now):
+                if self._held("share", pool, now):
                     return
                 peer_level = None
             lanes = lanes_by_team.get(team)
@@ -177,6 +186,9 @@
                 worker = self._place(record, need, pool, now)
                 if worker is None:
                     failed[key] = record
+                    self._reservations.consider(
+                        lane, size_class, record, need, pool, now
+                    )
                     continue
                 for passed in failed.values():
                     if passed.passed_over_at is None:
--- a/libs/sched/src/lycheeloom/sched/lanes.py
+++ b/libs/sched/src/lycheeloom/sched/lanes.py
@@ -58,7 +58,7 @@
         """Return the oldest record of each class, the oldest first."""
         heads = []
         for key in list(self._records_by_class):
-            record = self._head(key)
+            record = self.head(key)
             if record is not None:
                 heads.append((key, record))
         if len(heads) > 1:
@@ -86,8 +86,11 @@
         key = size_class(record.task.resources)
         return self._records_by_class.setdefault(key, deque())
 
-    def _head(self, key: SizeClass) -> TaskRecord | None:
-        records = self._records_by_class[key]
+    def head(self, key: SizeClass) -> TaskRecord | None:
+        """Return the oldest record of a class, if there is one."""
+        records = self._records_by_class.get(key)
+        if records is None:
+            return None
         while records and records[0].state is not TaskState.QUEUED:
             records.popleft()
         if records:
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -1,4 +1,9 @@
-"""Workers kept free for one task: large tasks that wait, and urgent ones."""
+"""Workers kept free for tasks that need more room than ends at once.
+
+A large task that waits would never start on a full fleet, because smaller tasks
+take whatever becomes free. A reserved worker takes only tasks that end before
+the room is expected. Urgent tasks reserve the worker they make room on.
+"""
 
 from __future__ import annotations
 
@@ -8,27 +13,36 @@
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 from .events import WorkerReserved
+from .lanes import Lane, SizeClass
 from .state import SchedulerState, note
 from .tasks import Decision, Task, TaskRecord, TaskState
 from .workers import Worker
 
-# A large task that smaller ones have passed for this long gets a reservation.
+# A task that smaller ones have passed gets a reservation once it has waited as
+# long as the reserved worker will take to make room, and at the latest after
+# this time. So small tasks, for which little is kept idle, get one early.
 RESERVE_AFTER_S = 2.0
-# At most this part of a pool, and at least one worker, is reserved.
+# The reserved room is at most this part of a pool, and at least one worker.
 MAX_RESERVED_PART = 0.1
 # The time after which tasks of other entries on a worker are assumed to end.
 UNKNOWN_END_S = 10.0
-SCAN_INTERVAL_S = 0.5
+# The search looks at every worker of a pool; this bounds its cost.
+TRY_INTERVAL_S = 0.002
+# Reservations whose task is gone are dropped within this time.
+CHECK_INTERVAL_S = 0.5
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Reservation:
-    """``worker`` is kept for a task until about ``at``."""
+    """A worker kept until about ``at`` for an urgent task or a lane's class."""
 
-    task_id: str
     worker: Worker
+    pool: str
+    part: float
     at: float
-    urgent: bool
+    urgent_task: str = ""
+    lane: Lane | None = None
+    size_class: SizeClass = (0, 0, 0)
 
 
 class Reservations:
@@ -36,54 +50,54 @@
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
-        self._by_task: dict[str, Reservation] = {}
-        self._next_scan_at = 0.0
+        self._by_worker: dict[str, Reservation] = {}
+        self._by_pool: dict[str, dict[str, Reservation]] = {}
+        self._worker_by_urgent_task: dict[str, str] = {}
+        self._next_check_at = 0.0
+        self._next_try_by_pool: dict[str, float] = {}
 
-    def has(self, task_id: str) -> bool:
-        """Tell whether a worker is kept for the task."""
-        return task_id in self._by_task
+    def has(self, urgent_task: str) -> bool:
+        """Tell whether a worker is kept for an urgent task."""
+        return urgent_task in self._worker_by_urgent_task
 
     def worker_ids(self) -> tuple[str, ...]:
         """Return the workers kept by this entry, for its peers to avoid."""
-        return tuple(r.worker.id for r in self._by_task.values())
+        return tuple(self._by_worker)
 
-    def reserve(
+    def reserve_urgent(
         self, record: TaskRecord, worker: Worker, at: float, now: float
     ) -> None:
-        """Keep a worker for a task."""
-        task = record.task
-        worker.reserved_for = task.id
-        self._by_task[task.id] = Reservation(task.id, worker, at, task.urgent)
-        self._state.workers.refresh(worker, now)
+        """Keep a worker for an urgent task."""
+        task_id = record.task.id
+        self._worker_by_urgent_task[task_id] = worker.id
+        reservation = Reservation(worker, worker.pool, 0.0, at, urgent_task=task_id)
+        self._add(reservation, now)
         note(record, WorkerReserved(now, worker.id, at))
 
-    def release(self, task_id: str, now: float) -> None:
-        """Stop keeping a worker for a task."""
-        reservation = self._by_task.pop(task_id, None)
-        if reservation is None:
-            return
-        reservation.worker.reserved_for = ""
-        self._state.workers.refresh(reservation.worker, now)
+    def release_urgent(self, task_id: str, now: float) -> None:
+        """Stop keeping a worker for an urgent task."""
+        worker_id = self._worker_by_urgent_task.get(task_id)
+        if worker_id is not None:
+            self._release(self._by_worker[worker_id], now)
 
     def start_ready(self, now: float) -> list[Decision]:
-        """Start the tasks whose reserved worker has room, and drop dead ones."""
-        state = self._state
+        """Start tasks whose reserved worker has room; drop what is not needed."""
+        touched = self._state.workers.touched_reserved
+        if now >= self._next_check_at:
+            self._next_check_at = now + CHECK_INTERVAL_S
+            touched.update(self._by_worker)
+        if not touched and not self._worker_by_urgent_task:
+            return []
+        self._state.workers.touched_reserved = set()
+        worker_ids = touched | set(self._worker_by_urgent_task.values())
         decisions: list[Decision] = []
-        for reservation in list(self._by_task.values()):
-            worker = reservation.worker
-            record = state.record_by_id.get(reservation.task_id)
-            if record is None or record.state is not TaskState.QUEUED:
-                self.release(reservation.task_id, now)
-                continue
-            if not state.workers.usable_for_reserved(worker, record.task.id):
-                self.release(reservation.task_id, now)
+        for worker_id in sorted(worker_ids):
+            reservation = self._by_worker.get(worker_id)
+            if reservation is None:
                 continue
-            need = state.need(record.task, worker.pool)
-            if not need.fits_in(worker.free) or not state.may_run(record.task.team):
-                continue
-            self.release(reservation.task_id, now)
-            state.queues.take_record(record)
-            decisions.append(state.start(record, worker, need, now))
+            decision = self._start_on(reservation, now)
+            if decision is not None:
+                decisions.append(decision)
         return decisions
 
     def backfill(
@@ -95,12 +109,13 @@
         now: float,
     ) -> Worker | None:
         """Return a reserved worker that the task leaves again in time."""
-        if not self._by_task:
+        reservations = self._by_pool.get(pool)
+        if not reservations:
             return None
         end = now + self._state.sizes.run_s(task)
-        for reservation in self._by_task.values():
+        for reservation in reservations.values():
             worker = reservation.worker
-            if worker.pool != pool or reservation.urgent or end > reservation.at:
+            if end > reservation.at or reservation.urgent_task:
                 continue
             if worker.id in excluded or not self._state.workers.accepts(worker):
                 continue
@@ -108,37 +123,86 @@
                 return worker
         return None
 
-    def scan(self, now: float) -> None:
-        """Reserve workers for large tasks that have been passed for too long."""
-        if now < self._next_scan_at:
-            return
-        self._next_scan_at = now + SCAN_INTERVAL_S
-        for lane in list(self._state.queues.active_lanes()):
-            if not self._state.may_run(lane.team):
-                continue
-            for _, record in lane.heads():
-                passed = record.passed_over_at
-                if passed is None or now - passed < RESERVE_AFTER_S:
-                    continue
-                self._reserve_earliest(record, now)
-
-    def _reserve_earliest(self, record: TaskRecord, now: float) -> None:
-        state = self._state
-        if self.has(record.task.id):
+    def consider(
+        self,
+        lane: Lane,
+        size_class: SizeClass,
+        record: TaskRecord,
+        need: Resources,
+        pool: str,
+        now: float,
+    ) -> None:
+        """Reserve a worker for a lane whose oldest task was passed too long."""
+        passed_at = record.passed_over_at
+        if passed_at is None or now <= passed_at:
             return
-        pool = state.queues.home_pool(record.task.queue)
-        need = state.need(record.task, pool)
-        workers = list(state.workers.in_pool(pool))
-        if self._reserved_in(pool) >= max(1, int(len(workers) * MAX_RESERVED_PART)):
+        if now < self._next_try_by_pool.get(pool, now):
             return
+        workers = list(self._state.workers.in_pool(pool))
+        self._next_try_by_pool[pool] = now + TRY_INTERVAL_S * len(workers)
         best: tuple[float, str] | None = None
         for worker in self._candidates(workers, need):
             at = expected_room_at(worker, need, now)
             if best is None or (at, worker.id) < best:
                 best = (at, worker.id)
-        if best is not None:
-            worker = state.workers.worker_by_id[best[1]]
-            self.reserve(record, worker, best[0], now)
+        if best is None or now - passed_at < min(RESERVE_AFTER_S, best[0] - now):
+            return
+        worker = self._state.workers.worker_by_id[best[1]]
+        part = need.dominant_share(worker.size)
+        reserved = sum(r.part for r in self._by_pool.get(pool, {}).values())
+        if reserved + part > max(1.0, len(workers) * MAX_RESERVED_PART):
+            return
+        reservation = Reservation(
+            worker, pool, part, best[0], lane=lane, size_class=size_class
+        )
+        self._add(reservation, now)
+        note(record, WorkerReserved(now, worker.id, best[0]))
+
+    def _start_on(self, reservation: Reservation, now: float) -> Decision | None:
+        state = self._state
+        worker = reservation.worker
+        record = self._wanted(reservation)
+        if record is None or not state.workers.usable_for_reserved(worker):
+            self._release(reservation, now)
+            return None
+        need = state.need(record.task, worker.pool)
+        if not need.fits_in(worker.size):
+            self._release(reservation, now)
+            return None
+        if not need.fits_in(worker.free):
+            return None
+        self._release(reservation, now)
+        if not state.may_run(record.task.team):
+            return None
+        if reservation.lane is None:
+            state.queues.take_urgent(record)
+        else:
+            state.queues.take(reservation.lane, reservation.size_class)
+        return state.start(record, worker, need, now)
+
+    def _wanted(self, reservation: Reservation) -> TaskRecord | None:
+        """Return the task that the reserved worker would start now."""
+        if reservation.lane is not None:
+            return reservation.lane.head(reservation.size_class)
+        record = self._state.record_by_id.get(reservation.urgent_task)
+        if record is None or record.state is not TaskState.QUEUED:
+            return None
+        return record
+
+    def _add(self, reservation: Reservation, now: float) -> None:
+        worker = reservation.worker
+        worker.reserved = True
+        self._by_worker[worker.id] = reservation
+        self._by_pool.setdefault(reservation.pool, {})[worker.id] = reservation
+        self._state.workers.refresh(worker, now)
+
+    def _release(self, reservation: Reservation, now: float) -> None:
+        worker = reservation.worker
+        worker.reserved = False
+        del self._by_worker[worker.id]
+        del self._by_pool[reservation.pool][worker.id]
+        self._worker_by_urgent_task.pop(reservation.urgent_task, None)
+        self._state.workers.refresh(worker, now)
 
     def _candidates(self, workers: Iterable[Worker], need: Resources) -> list[Worker]:
         accepts = self._state.workers.accepts
@@ -147,14 +211,11 @@
             for worker in workers
             if accepts(worker)
             and not worker.on_probation
-            and not worker.reserved_for
+            and not worker.reserved
             and not worker.reserved_by_peer
             and need.fits_in(worker.size)
         ]
 
-    def _reserved_in(self, pool: str) -> int:
-        return sum(r.worker.pool == pool for r in self._by_task.values())
-
 
 def expected_room_at(worker: Worker, need: Resources, now: float) -> float:
     """Return when the worker is expected to have room for ``need``."""
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -206,7 +206,6 @@
         decisions.extend(self._reservations.start_ready(now))
         decisions.extend(self._urgent.place(now))
         decisions.extend(self._trials.start(now))
-        self._reservations.scan(now)
         decisions.extend(self._filler.fill(now))
         decisions.extend(self._reclaim.scan(now))
         return decisions
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -39,7 +39,7 @@
         task_id = record.task.id
         asked_at = self._asked_at.get(task_id)
         if asked_at is None or now - asked_at >= PATIENCE_S:
-            self._reservations.release(task_id, now)
+            self._reservations.release_urgent(task_id, now)
             return False
         return self._reservations.has(task_id)
 
@@ -92,7 +92,7 @@
         if best is None:
             return []
         _, worker, victims = best
-        self._reservations.reserve(record, worker, now + PATIENCE_S, now)
+        self._reservations.reserve_urgent(record, worker, now + PATIENCE_S, now)
         self._asked_at[record.task.id] = now
         return [self._ask(victim, now) for victim in victims]
 
@@ -103,7 +103,7 @@
         state = self._state
         if not state.workers.accepts(worker) or worker.on_probation:
             return []
-        if worker.reserved_for or worker.id in state.excluded(record, now):
+        if worker.reserved or worker.id in state.excluded(record, now):
             return []
         if not need.fits_in(worker.size):
             return []
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -37,8 +37,8 @@
     own_used: Resources = NO_RESOURCES
     boot_id: str = ""
     on_probation: bool = False
-    # The task for which this entry keeps the worker free.
-    reserved_for: str = ""
+    # This entry keeps the worker free for a task that waits.
+    reserved: bool = False
     reserved_by_peer: bool = False
     running: dict[str, TaskRecord] = field(default_factory=dict)
 
@@ -58,6 +58,8 @@
     def __init__(self, seed: int) -> None:
         self.worker_by_id: dict[str, Worker] = {}
         self.freed_pools: set[str] = set()
+        # Reserved workers that changed since the last look.
+        self.touched_reserved: set[str] = set()
         self._random = random.Random(seed)
         self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
         self._sizes_by_pool: dict[str, set[Resources]] = {}
@@ -106,6 +108,14 @@
         for index in self._zones_by_pool.get(pool, ()):
             yield from index.workers
 
+    def peer_cores(self, pool: str) -> float:
+        """Return the processors of a pool that peers use, as last reported."""
+        return sum(
+            worker.size.cores - worker.free.cores - worker.own_used.cores
+            for worker in self.in_pool(pool)
+            if worker.available
+        )
+
     def has_room(self, pool: str) -> bool:
         """Tell whether any usable worker of the pool has a free core."""
         for index in self._zones_by_pool.get(pool, ()):
@@ -196,6 +206,8 @@
 
     def refresh(self, worker: Worker, now: float) -> None:
         """Bring the index up to date with a worker that changed."""
+        if worker.reserved:
+            self.touched_reserved.add(worker.id)
         for index in self._zones_by_pool.get(worker.pool, ()):
             if index.zone == worker.zone:
                 usable = self._usable(worker, now)
@@ -212,18 +224,14 @@
             and worker.id in self.worker_by_id
         )
 
-    def usable_for_reserved(self, worker: Worker, task_id: str) -> bool:
+    def usable_for_reserved(self, worker: Worker) -> bool:
         """Tell whether a reserved worker may start the task it is kept for."""
-        return (
-            self.accepts(worker)
-            and worker.reserved_for == task_id
-            and not worker.on_probation
-        )
+        return self.accepts(worker) and not worker.on_probation
 
     def _usable(self, worker: Worker, now: float) -> Resources | None:
         if not self.accepts(worker) or worker.on_probation:
             return None
-        if worker.reserved_for or worker.reserved_by_peer:
+        if worker.reserved or worker.reserved_by_peer:
             return None
         returned_at = self._returned_at_by_zone.get(worker.zone)
         if returned_at is None or now - returned_at >= RAMP_S:
