--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -10,6 +10,7 @@
 from .holds import Holds
 from .lanes import Lane
 from .reservations import Reservations
+from .shares import LEVEL_STEP
 from .state import SchedulerState
 from .tasks import Decision, Task, TaskRecord
 from .workers import Worker
@@ -17,6 +18,11 @@
 # Capacity is left to a peer's team only if that team is lower by this part of
 # a fair share; entries know each other's usage only up to a heartbeat ago.
 HOLD_MARGIN = 0.02
+# The running tasks of a small team vary by a few tasks all the time, which its
+# own entries make good without capacity from others.
+HOLD_TASKS = 3
+# The part of the fleet assumed for a task of a team not run here yet.
+UNKNOWN_TASK_SHARE = 0.01
 # Everything is tried again this often, so that nothing waits on a missed cause.
 SWEEP_S = 1.0
 
@@ -76,7 +82,7 @@
             if self._is_spare(pool) or not state.workers.has_room(pool):
                 continue
             lanes = state.queues.lanes_by_team(pool)
-            self._fill_pool(pool, lanes, yielding, now, decisions)
+            self._fill_pool(pool, False, lanes, yielding, now, decisions)
 
     def _lend(
         self,
@@ -105,7 +111,7 @@
             lanes = fresh_lanes
             if pool in freed:
                 lanes = state.queues.all_lanes_by_team()
-            self._fill_pool(pool, lanes, yielding, now, decisions)
+            self._fill_pool(pool, True, lanes, yielding, now, decisions)
 
     def _kept_for_peers(self, pool: str, now: float) -> bool:
         """Tell whether peers have work queued that the pool itself serves."""
@@ -128,6 +134,7 @@
     def _fill_pool(
         self,
         pool: str,
+        lent: bool,
         lanes_by_team: LanesByTeam,
         yielding: bool,
         now: float,
@@ -142,14 +149,12 @@
         if not heap:
             return
         heapq.heapify(heap)
-        peer_level = self._lowest_peer_level(pool, lanes_by_team)
+        peer_teams = self._peer_teams(pool, lent, lanes_by_team)
         failed: dict[tuple, TaskRecord] = {}
         while heap:
             level, team = heap[0]
-            if peer_level is not None and level[0] > peer_level:
-                if self._held("share", pool, now):
-                    return
-                peer_level = None
+            if peer_teams and self._left_to_peers(pool, level[0], peer_teams, now):
+                return
             lanes = lanes_by_team.get(team)
             decision = None
             if lanes:
@@ -207,22 +212,41 @@
             return worker
         return self._reservations.backfill(task, need, pool, excluded, now)
 
-    def _lowest_peer_level(self, pool: str, lanes_by_team: LanesByTeam) -> float | None:
-        """Return the level above which capacity is left to peers' teams."""
+    def _peer_teams(
+        self, pool: str, lent: bool, lanes_by_team: LanesByTeam
+    ) -> list[str]:
+        """Return the teams that wait for this pool at peers but not here."""
         state = self._state
-        lowest: float | None = None
+        teams = []
         for team, queues in state.peer_queues_by_team.items():
             if team in lanes_by_team:
                 continue
-            if not any(state.queues.home_pool(queue) == pool for queue in queues):
-                continue
-            level = state.shares.level(team)[0]
-            if lowest is None or level < lowest:
-                lowest = level
-        if lowest is None:
+            if lent or any(state.queues.home_pool(q) == pool for q in queues):
+                teams.append(team)
+        if not teams:
             self._holds.satisfied(f"share/{pool}")
-            return None
-        return lowest + state.shares.margin(HOLD_MARGIN)
+        return teams
+
+    def _left_to_peers(
+        self, pool: str, level: float, peer_teams: list[str], now: float
+    ) -> bool:
+        """Tell whether free capacity is left to lower teams at peers.
+
+        Only as much is left free as would bring them up to this level.
+        """
+        state = self._state
+        shares = state.shares
+        lacking = 0.0
+        for team in peer_teams:
+            below = (level - shares.level(team)[0]) * LEVEL_STEP
+            fair = shares.fair_share(team)
+            tolerated = max(HOLD_MARGIN * fair, HOLD_TASKS * shares.task_share(team))
+            task_share = shares.task_share(team) or UNKNOWN_TASK_SHARE
+            wanted = state.peer_queued_by_team[team] * task_share
+            lacking += min(wanted, max(0.0, below * fair - tolerated))
+        if not lacking or state.workers.free_part(pool) > lacking:
+            return False
+        return self._held("share", pool, now)
 
     def _is_spare(self, pool: str) -> bool:
         settings = self._state.config.pool_by_id.get(pool)
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -28,6 +28,7 @@
 UNKNOWN_END_S = 10.0
 # The search looks at every worker of a pool; this bounds its cost.
 TRY_INTERVAL_S = 0.002
+PUBLISH_AFTER_S = 1.0
 # Reservations whose task is gone are dropped within this time.
 CHECK_INTERVAL_S = 0.5
 
@@ -39,6 +40,7 @@
     worker: Worker
     pool: str
     part: float
+    since: float
     at: float
     urgent_task: str = ""
     lane: Lane | None = None
@@ -53,6 +55,7 @@
         self._by_worker: dict[str, Reservation] = {}
         self._by_pool: dict[str, dict[str, Reservation]] = {}
         self._worker_by_urgent_task: dict[str, str] = {}
+        self._now = 0.0
         self._next_check_at = 0.0
         self._next_try_by_pool: dict[str, float] = {}
 
@@ -61,8 +64,17 @@
         return urgent_task in self._worker_by_urgent_task
 
     def worker_ids(self) -> tuple[str, ...]:
-        """Return the workers kept by this entry, for its peers to avoid."""
-        return tuple(self._by_worker)
+        """Return the workers kept by this entry, for its peers to avoid.
+
+        Short reservations end before peers hear of them, and what peers then
+        leave free on the worker would stay idle until this entry sees it.
+        """
+        now = self._now
+        return tuple(
+            name
+            for name, reservation in self._by_worker.items()
+            if now - reservation.since > PUBLISH_AFTER_S
+        )
 
     def reserve_urgent(
         self, record: TaskRecord, worker: Worker, at: float, now: float
@@ -70,7 +82,9 @@
         """Keep a worker for an urgent task."""
         task_id = record.task.id
         self._worker_by_urgent_task[task_id] = worker.id
-        reservation = Reservation(worker, worker.pool, 0.0, at, urgent_task=task_id)
+        reservation = Reservation(
+            worker, worker.pool, 0.0, now, at, urgent_task=task_id
+        )
         self._add(reservation, now)
         note(record, WorkerReserved(now, worker.id, at))
 
@@ -82,6 +96,7 @@
 
     def start_ready(self, now: float) -> list[Decision]:
         """Start tasks whose reserved worker has room; drop what is not needed."""
+        self._now = now
         touched = self._state.workers.touched_reserved
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_S
@@ -153,7 +168,7 @@
         if reserved + part > max(1.0, len(workers) * MAX_RESERVED_PART):
             return
         reservation = Reservation(
-            worker, pool, part, best[0], lane=lane, size_class=size_class
+            worker, pool, part, now, best[0], lane=lane, size_class=size_class
         )
         self._add(reservation, now)
         note(record, WorkerReserved(now, worker.id, best[0]))
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -21,6 +21,7 @@
 )
 from .explain import explain_task, explain_team
 from .filler import Filler
+from .lanes import Lane
 from .outages import Outages
 from .reclaim import Reclaim
 from .reservations import Reservations
@@ -41,6 +42,10 @@
 from .urgent import Urgent
 from .workers import WorkerTable
 
+# Even the first in line waits for a slot to come free. Peers hear only of lanes
+# that have waited longer, so that they do not keep capacity idle for others.
+SLOT_WAIT_S = 0.25
+
 
 class Scheduler:
     """Decides which queued task starts next and where.
@@ -138,14 +143,17 @@
         state.shares.set_peer_usage(usage_by_peer, self._now)
         state.workers.set_reserved_by_peers(reserved_workers, self._now)
         queued: Counter[str] = Counter()
+        queued_by_team: Counter[str] = Counter()
         queues_by_team: dict[str, set[str]] = {}
         for usage_by_team in usage_by_peer.values():
             for team, usage in usage_by_team.items():
                 for queue, count in usage.queued_by_queue.items():
                     if count:
                         queued[queue] += count
+                        queued_by_team[team] += count
                         queues_by_team.setdefault(team, set()).add(queue)
         state.peer_queued_by_queue = queued
+        state.peer_queued_by_team = queued_by_team
         state.peer_queues_by_team = queues_by_team
 
     def observe_usage(self, reports: Iterable[UsageReport], now: float) -> None:
@@ -264,7 +272,11 @@
             queued_by_queue = {}
             if state.may_run(team):
                 lanes = state.queues.all_lanes_by_team().get(team, {})
-                queued_by_queue = {queue: lane.count for queue, lane in lanes.items()}
+                queued_by_queue = {
+                    queue: lane.count
+                    for queue, lane in lanes.items()
+                    if self._has_waited(lane)
+                }
             usage[team] = TeamUsage(
                 state.shares.running_resources(team),
                 state.queues.count_by_team[team],
@@ -322,6 +334,10 @@
             state.forget(record, "no longer allowed", now)
             self._pending.append(Expire(record.task, refusal))
 
+    def _has_waited(self, lane: Lane) -> bool:
+        oldest = lane.oldest()
+        return oldest is not None and self._now - oldest.queued_at > SLOT_WAIT_S
+
     def _grow(self, record: TaskRecord, peak: Resources, now: float) -> None:
         need = record.need
         extra = Resources(
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -28,11 +28,8 @@
     memory_mb: float = 0.0
     accelerators: float = 0.0
     running: int = 0
-    # Resources run by peers at the last exchange, and our own at that time.
+    # Resources run by peers at the last exchange.
     peers: Resources = NO_RESOURCES
-    own_at_exchange: Resources = NO_RESOURCES
-    # Peers that had tasks of the team queued at the last exchange.
-    reacting_peers: int = 0
     task_share: float = 0.0
     past_use: float = 0.0
     past_use_at: float = 0.0
@@ -43,10 +40,10 @@
 class TeamShares:
     """Orders teams by running dominant share over weight, over the fleet.
 
-    Peers report their usage only now and then. All entries see the same
-    deficit and correct it at the same time, which overshoots; so each entry
-    assumes that every peer with queued work of the team has changed its
-    running tasks since the last exchange as it has itself.
+    Peers report their usage only now and then; between reports it counts as
+    unchanged. Assuming that peers change as this entry does avoids correcting a
+    deficit several times over, but makes the levels of small teams so uncertain
+    that they are served too often.
     """
 
     def __init__(self) -> None:
@@ -79,10 +76,9 @@
         """Return the share the team gets when every team has enough work."""
         return self._state(team).weight / self._weight_sum
 
-    @staticmethod
-    def margin(part: float) -> float:
-        """Return a part of a fair share as a difference of levels."""
-        return part / LEVEL_STEP
+    def task_share(self, team: str) -> float:
+        """Return the usual dominant share of one task of the team."""
+        return self._state(team).task_share
 
     def teams(self) -> list[str]:
         """Return every team seen so far."""
@@ -122,15 +118,10 @@
         """Replace what is known of all peers."""
         for state in self._state_by_team.values():
             state.peers = NO_RESOURCES
-            state.reacting_peers = 0
-            state.own_at_exchange = Resources(
-                state.cores, round(state.memory_mb), round(state.accelerators)
-            )
         for usage_by_team in usage_by_peer.values():
             for team, usage in usage_by_team.items():
                 state = self._state(team)
                 state.peers = state.peers + usage.running
-                state.reacting_peers += usage.queued > 0
         for state in self._state_by_team.values():
             self._update(state, now)
 
@@ -154,28 +145,17 @@
         kept = 0.5 ** (elapsed_s / MEMORY_HALF_LIFE_S)
         state.past_use = state.past_use * kept + state.share * (1.0 - kept)
         state.past_use_at = now
-        state.share = self._estimate(state)
+        state.share = self._used(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
         # Half of a task is added so that teams with large tasks, which move in
         # large steps, are not above their share on average.
         level = (state.share + state.task_share / 2) / fair
         state.level = (math.floor(level / LEVEL_STEP), state.past_use / fair)
 
-    def _estimate(self, state: _TeamState) -> float:
-        total = self._total
-        factor = 1 + state.reacting_peers
-        before = state.own_at_exchange
+    def _used(self, state: _TeamState) -> Resources:
         peers = state.peers
-        share = 0.0
-        if total.cores:
-            used = peers.cores + before.cores + factor * (state.cores - before.cores)
-            share = max(share, max(used, state.cores) / total.cores)
-        if total.memory_mb:
-            change = factor * (state.memory_mb - before.memory_mb)
-            used = peers.memory_mb + before.memory_mb + change
-            share = max(share, max(used, state.memory_mb) / total.memory_mb)
-        if total.accelerators:
-            change = factor * (state.accelerators - before.accelerators)
-            used = peers.accelerators + before.accelerators + change
-            share = max(share, max(used, state.accelerators) / total.accelerators)
-        return share
+        return Resources(
+            peers.cores + state.cores,
+            peers.memory_mb + round(state.memory_mb),
+            peers.accelerators + round(state.accelerators),
+        )
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -57,6 +57,7 @@
 
     def __init__(self, seed: int) -> None:
         self.worker_by_id: dict[str, Worker] = {}
+        self.total_cores = 0.0
         self.freed_pools: set[str] = set()
         # Reserved workers that changed since the last look.
         self.touched_reserved: set[str] = set()
@@ -116,6 +117,11 @@
             if worker.available
         )
 
+    def free_part(self, pool: str) -> float:
+        """Return the free processors of a pool as a part of the fleet's."""
+        free = sum(w.free.cores for w in self.in_pool(pool) if self.accepts(w))
+        return free / self.total_cores if self.total_cores else 0.0
+
     def has_room(self, pool: str) -> bool:
         """Tell whether any usable worker of the pool has a free core."""
         for index in self._zones_by_pool.get(pool, ()):
@@ -285,6 +291,7 @@
         self.worker_by_id = {}
         grouped: dict[tuple[str, str], list[Worker]] = {}
         self._sizes_by_pool = {}
+        self.total_cores = sum(i.size.cores for i in self._instance_by_id.values())
         for instance in self._instance_by_id.values():
             worker = previous.get(instance.id) or _new_worker(instance)
             worker.size = instance.size
