--- a/libs/platform/src/lycheeloom/platform/log.py
+++ b/libs/platform/src/lycheeloom/platform/log.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 
 from .results import Unavailable, read_object, read_reason, unavailable
-from .transport import CallFailed, Transport
+from .transport import PLAIN_HEADERS, CallFailed, Transport
 
 APPEND_TIMEOUT_S = 2.0
 # Added to the wait of a read for the answer to arrive.
@@ -100,7 +100,7 @@
         traceparent: str = "",
     ) -> Appended | AppendUnknown | AppendRefused:
         """Append one batch, once; the caller repeats it where that is right."""
-        headers = {"Content-Type": "application/octet-stream"}
+        headers = {**PLAIN_HEADERS, "Content-Type": "application/octet-stream"}
         if traceparent:
             headers["traceparent"] = traceparent
         response = self._transport.call(
--- a/libs/platform/tests/test_transport.py
+++ b/libs/platform/tests/test_transport.py
@@ -94,9 +94,9 @@
     """Addresses of replaced workers must not accumulate."""
     call(transport, worker)
     transport.close_idle(LONG_S)
-    assert list(transport._pool_by_address) == [worker.address]
+    assert list(transport._idle_by_address) == [worker.address]
     transport.close_idle(0.0)
-    assert transport._pool_by_address == {}
+    assert transport._idle_by_address == {}
 
 
 def trickle(sock, _address):
--- a/libs/standins/src/lycheeloom/standins/server.py
+++ b/libs/standins/src/lycheeloom/standins/server.py
@@ -95,9 +95,11 @@
         """Log nothing: formatting the line takes time also without a log."""
 
     def _write_with_headers(self, data: bytes) -> None:
-        """Send headers and body with one call; the original makes two."""
+        """Send headers and body with one call; the original makes two.
+
+        The length is always given, and no date: each header costs the clients time.
+        """
         self.headers_sent = True
-        self.finalize_headers()
         lines = [b"HTTP/1.1 " + self.status]
         lines += [b"%b: %b" % header for header in self.response_headers]
         self._sendall(b"\r\n".join(lines) + b"\r\n\r\n" + data)
