--- a/libs/platform/tests/test_transport.py
+++ b/libs/platform/tests/test_transport.py
@@ -1,5 +1,8 @@
 """Connections: bounded waits, replacement of stale and idle ones, odd answers."""
 
+import subprocess
+import sys
+
 import gevent
 import pytest
 from gevent.server import StreamServer
@@ -135,6 +138,25 @@
     server.stop()
 
 
+UNPATCHED = """
+import sys
+from lycheeloom.platform.transport import Transport
+print(Transport().call(sys.argv[1], "GET", "/", timeout_s=0.1))
+"""
+
+
+def test_call_ends_without_monkey_patching():
+    """The operator's command runs unpatched, where gevent's timer never fires."""
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    command = [sys.executable, "-c", UNPATCHED, address]
+    output = subprocess.run(command, capture_output=True, text=True).stdout
+    assert "CallFailed" in output
+    listener.close()
+
+
 def test_oversized_answer_is_not_read(transport, worker, monkeypatch):
     monkeypatch.setattr(transport_module, "MAX_RESPONSE_BYTES", 10)
     assert call(transport, worker) == CallFailed(True, "answer too large")
--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -2,6 +2,7 @@
 
 from .faults import Faults
 from .instances import Instance, InstancesStandIn
+from .ledger import peak_running
 from .log import LogLimits, LogStandIn
 from .platform import PlatformStandIns
 from .server import StandIn
@@ -19,4 +20,5 @@
     "StandIn",
     "TaskStatus",
     "WorkerStandIn",
+    "peak_running",
 ]
--- a/libs/standins/src/lycheeloom/standins/instances.py
+++ b/libs/standins/src/lycheeloom/standins/instances.py
@@ -59,6 +59,8 @@
         self.reboot_s = reboot_s
         self._instance_by_id: dict[str, Instance] = {}
         self._worker_by_id: dict[str, WorkerStandIn] = {}
+        # Also workers that were removed: their starts still count.
+        self._ledger_workers: list[WorkerStandIn] = []
         self._action_by_id: dict[str, Action] = {}
         self._listings: deque[tuple[float, tuple[Instance, ...]]] = deque([(0.0, ())])
 
@@ -70,6 +72,8 @@
     def add_worker(self, worker: WorkerStandIn) -> None:
         """Add a started worker stand-in under its name."""
         self._worker_by_id[worker.name] = worker
+        if worker not in self._ledger_workers:
+            self._ledger_workers.append(worker)
         self.add(
             Instance(
                 worker.name,
@@ -120,8 +124,11 @@
 
     def ledger_entries(self) -> list[dict[str, Any]]:
         """Return the starts at all workers, in the order of their times."""
-        workers = self._worker_by_id.values()
-        starts = [entry for worker in workers for entry in worker.ledger_entries()]
+        starts = [
+            entry
+            for worker in self._ledger_workers
+            for entry in worker.ledger_entries()
+        ]
         return sorted(starts, key=lambda entry: entry["started_at"])
 
     def _put(self, instance_id: str, request: Request) -> Reply:
--- /dev/null
+++ b/libs/standins/src/lycheeloom/standins/ledger.py
@@ -0,0 +1,29 @@
+"""Counts over ledger entries, independent of the system under test."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+
+def peak_running(starts: Iterable[dict[str, Any]], key: str = "team") -> dict[str, int]:
+    """Return the largest number of tasks that ran at the same time, by ``key``.
+
+    Takes ledger entries of any number of workers of one process, whose time stamps
+    are from one clock. A task that ends when another starts does not overlap it.
+
+    >>> peak_running([{"team": "red", "started_at": 1.0, "ended_at": None}])
+    {'red': 1}
+    """
+    changes: list[tuple[float, int, str]] = []
+    for start in starts:
+        changes.append((start["started_at"], 1, start[key]))
+        if start["ended_at"] is not None:
+            changes.append((start["ended_at"], -1, start[key]))
+    running: Counter[str] = Counter()
+    peak: dict[str, int] = {}
+    for _, change, name in sorted(changes):
+        running[name] += change
+        peak[name] = max(peak.get(name, 0), running[name])
+    return peak
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -15,6 +15,7 @@
     LogStandIn,
     PlatformStandIns,
     WorkerStandIn,
+    peak_running,
 )
 from lycheeloom.standins.main import EXIT_BAD_SETTINGS, EXIT_OK, main
 from lycheeloom.standins.server import Request
@@ -59,6 +60,38 @@
         assert ids(platform.instances) == []
 
 
+def test_merged_ledger_keeps_removed_workers():
+    """The independent count must not lose starts when an instance is replaced."""
+    workers = [WorkerStandIn("w1"), WorkerStandIn("w2", zone="z2")]
+    with PlatformStandIns(workers=workers) as platform:
+        for worker in workers:
+            session = call(worker, "POST", "/v1/sessions", {"ttl_ms": 60_000})[1]
+            start = {"session": session["session"], "lease_ms": 1000, "team": "t"}
+            call(worker, "POST", f"/v1/tasks/{worker.name}.1", start)
+        platform.instances.remove("w1")
+        starts = call(platform.instances, "GET", "/v1/ledger")[1]["starts"]
+        assert [(s["worker"], s["zone"]) for s in starts] == [
+            ("w1", "z1"),
+            ("w2", "z2"),
+        ]
+        assert call(platform.control, "GET", "/v1/ledger")[1]["starts"] == starts
+
+
+@pytest.mark.parametrize(
+    ("times", "peak"),
+    [
+        ([(1, 2), (2, 3)], 1),
+        ([(1, 3), (2, 4), (2.5, None)], 3),
+        ([(1, None), (2, 2), (3, 4)], 2),
+        ([(1, 2), (3, None)], 1),
+    ],
+)
+def test_peak_running(times, peak):
+    """Team limits are judged by this count, at the borders of tasks too."""
+    starts = [{"team": "t", "started_at": a, "ended_at": b} for a, b in times]
+    assert peak_running(starts) == {"t": peak}
+
+
 def test_drain_waits_for_running_tasks():
     """A drain that ends early would let a reboot interrupt a request."""
     with PlatformStandIns(workers=[WorkerStandIn("w1")]) as platform:
