--- /dev/null
+++ b/libs/operator/tests/test_publishing.py
@@ -0,0 +1,305 @@
+"""Publishing under an expected version, through faults and against others."""
+
+from collections import deque
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lycheeloom.log.snapshot import pack_snapshot
+from lycheeloom.model.config import merge_patch
+from lycheeloom.model.records import Batch, WaveState
+from lycheeloom.operator import (
+    Entries,
+    InForce,
+    LogUnavailable,
+    LostRace,
+    NotAccepted,
+    NothingToChange,
+    NotYetInForce,
+    Operator,
+    OutcomeUnknown,
+    PartlyPublished,
+    Published,
+    Rejected,
+    WaveChanged,
+    WaveRefused,
+)
+from lycheeloom.wire import encode_batch
+
+from .conftest import FakeClock, FakeEntry, FakeLog, small_fleet
+
+
+def snapshot_batch(state):
+    """Return a batch with a whole snapshot."""
+    covers = state.next_offset - 1
+    chunks = pack_snapshot("s1", covers, state.dump_snapshot())
+    return encode_batch(Batch("writer", 1, tuple(chunks)))
+
+
+def test_published_configuration_is_in_force_on_each_entry(make_operator, fleet):
+    """Guards against an accepted change that entries learn of late."""
+    entries = [FakeEntry("a"), FakeEntry("b")]
+    operator = make_operator("aoife", *entries)
+    result = operator.publish(fleet, 0)
+    assert isinstance(result, Published)
+    assert result.version == 1
+    assert result.not_handed == {}
+    assert operator.wait_in_force(1) == InForce(1)
+    assert entries[1].state.configuration.document == fleet
+    assert operator.publish(fleet, 1) == NothingToChange(1)
+
+
+def test_an_entry_that_lacks_the_version_is_named(make_operator, fleet):
+    """Guards against calling a change in force that is not."""
+    lagging = FakeEntry("b")
+    lagging.state.skip(0)
+    silent = FakeEntry("c", reachable=False)
+    operator = make_operator("aoife", FakeEntry("a"), lagging, silent)
+    result = operator.publish(fleet, 0)
+    assert result.not_handed == {"c": "no answer in time"}
+    assert operator.wait_in_force(1, timeout_s=1) == NotYetInForce(
+        1, {"b": "has version 0", "c": "no answer: no answer in time"}
+    )
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        ["lost"],
+        ["dropped"],
+        ["delayed"],
+        ["late"],
+        ["down", "lost"],
+        ["late", "lost"],
+        ["late", "delayed", "late"],
+    ],
+)
+def test_a_lost_append_answer_is_resolved(make_operator, log, fleet, faults):
+    """Guards against a change that is made twice or called lost after success."""
+    log.faults.extend(faults)
+    operator = make_operator("aoife")
+    result = operator.publish(fleet, 0)
+    assert isinstance(result, Published)
+    assert operator.version == 1
+    assert make_operator("reader").refresh() is None
+    assert len(operator.history()) == 1
+
+
+def test_an_answer_that_stays_lost_is_unknown(make_operator, log, fleet):
+    """Guards against calling a change lost that may still take effect."""
+    log.faults.extend(["dropped"] * 100)
+    operator = make_operator("aoife")
+    result = operator.publish(fleet, 0, timeout_s=3)
+    assert isinstance(result, OutcomeUnknown)
+    # Refused later on, but the first append may still be on its way.
+    log.faults = type(log.faults)(["dropped", "large"])
+    assert isinstance(operator.publish(fleet, 0), OutcomeUnknown)
+
+
+@pytest.mark.parametrize("faults", [["large"], ["down"] * 100])
+def test_a_refused_append_changed_nothing(make_operator, log, fleet, faults):
+    """Guards against doubt where the log certainly refused."""
+    log.faults.extend(faults)
+    result = make_operator("aoife").publish(fleet, 0, timeout_s=3)
+    assert isinstance(result, NotAccepted)
+    assert log.batches == []
+
+
+def test_an_unreadable_log_publishes_nothing(make_operator, log, fleet):
+    """Guards against publishing without knowing what is in force."""
+    log.unreadable = 1
+    result = make_operator("aoife").publish(fleet, 0)
+    assert result == LogUnavailable("http status 503")
+
+
+def test_the_loser_of_a_race_is_told_who_won(make_operator, log, fleet):
+    """Guards against undoing the change of another operator."""
+    first, second = make_operator("aoife"), make_operator("brendan")
+    assert isinstance(first.publish(fleet, 0), Published)
+    raised = merge_patch(fleet, {"teams": {"red": {"upper_limit": 20}}})
+    lowered = merge_patch(fleet, {"teams": {"red": {"upper_limit": 6}}})
+    log.before_append = lambda: second.publish(lowered, 1)
+    result = first.publish(raised, 1)
+    assert isinstance(result, LostRace)
+    assert (result.expected_version, result.version) == (1, 2)
+    (winner,) = result.winners
+    assert winner.operator == "brendan"
+    assert winner.sentences == ("Team red: upper_limit changes from 10 to 6",)
+    assert first.document == lowered
+    # The same is told when the race was lost before the append.
+    assert first.publish(raised, 1) == result
+
+
+FAULTS = st.lists(
+    st.sampled_from(["", "lost", "dropped", "delayed", "late", "down"]), max_size=4
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(st.tuples(st.integers(0, 2), st.booleans(), FAULTS), max_size=6))
+def test_what_operators_are_told_is_true(steps):
+    """Guards against a result that the log does not bear out.
+
+    Three operators set one limit to values used once, some of them in between
+    the read and the append of another, while answers are lost.
+    """
+    log = FakeLog()
+    operators = [
+        Operator(log, Entries([]), str(number), clock=FakeClock().clock())
+        for number in range(3)
+    ]
+    assert isinstance(operators[0].publish(small_fleet(), 0), Published)
+    results = {}
+
+    def publish(operator, value):
+        patch = {"teams": {"red": {"upper_limit": value}}}
+        document = merge_patch(operator.document, patch)
+        version = operator.version
+        results[value] = operator.publish(document, version, timeout_s=1)
+
+    for value, (number, is_between, faults) in enumerate(steps, start=100):
+        operator = operators[number]
+        operator.refresh()
+        if is_between:
+            rival = operators[number - 1]
+            rival.refresh()
+            log.before_append = lambda rival=rival, value=value: publish(
+                rival, value + 100
+            )
+        log.faults = deque(faults)
+        publish(operator, value)
+    log.faults.clear()
+    log.append(encode_batch(Batch("end", 1, ())))
+    reader = Operator(log, Entries([]), "reader")
+    reader.refresh()
+    in_history = [
+        change.patch["teams"]["red"]["upper_limit"] for change in reader.history()[1:]
+    ]
+    assert len(in_history) == len(set(in_history))
+    for value, result in results.items():
+        if isinstance(result, Published):
+            assert value in in_history
+        elif not isinstance(result, OutcomeUnknown):
+            assert isinstance(result, LostRace | NotAccepted)
+            assert value not in in_history
+
+
+def test_small_changes_of_two_operators_both_take_effect(make_operator, log, fleet):
+    """Guards against an emergency change lost to an unrelated one."""
+    first, second = make_operator("aoife"), make_operator("brendan")
+    first.publish(fleet, 0)
+    log.before_append = lambda: second.change(lambda draft: draft.set_limit("red", 9))
+    result = first.change(lambda draft: draft.take_zone_out("north"))
+    assert isinstance(result, Published)
+    assert result.version == 3
+    assert first.document["teams"]["red"]["upper_limit"] == 9
+    assert first.document["zones"]["north"]["state"] == "out"
+
+
+def test_a_small_change_of_the_same_setting_loses(make_operator, log, fleet):
+    """Guards against overwriting what another operator just set."""
+    first, second = make_operator("aoife"), make_operator("brendan")
+    first.publish(fleet, 0)
+    log.before_append = lambda: second.change(lambda draft: draft.set_limit("red", 9))
+    result = first.change(lambda draft: draft.set_limit("red", 11))
+    assert isinstance(result, LostRace)
+    assert first.document["teams"]["red"]["upper_limit"] == 9
+
+
+def test_an_expired_log_is_read_from_a_snapshot(make_operator, log, fleet):
+    """Guards against a command that works only while the log keeps offset 0."""
+    first = make_operator("aoife")
+    first.publish(fleet, 0)
+    first.change(lambda draft: draft.set_limit("red", 9))
+    snapshot = snapshot_batch(first.view.state)
+    log.batches.append(snapshot)
+    log.oldest = 1
+    second = make_operator("brendan")
+    assert isinstance(
+        second.change(lambda draft: draft.take_zone_out("north")), Published
+    )
+    assert second.version == 3
+    assert [change.sentences for change in second.history()][1:] == [
+        ("Team red: upper_limit is set to 9",),
+        ('Zone north: state is added: "out"',),
+    ]
+
+
+def large_fleet():
+    """Return a fleet whose configuration needs several batches."""
+    fleet = small_fleet()
+    worker = fleet["instances"]["w1"]
+    for number in range(7, 2500):
+        address = f"10.1.{number // 250}.{number % 250}:7100"
+        fleet["instances"][f"w{number}"] = worker | {"address": address}
+    return fleet
+
+
+def test_a_large_configuration_is_published_in_parts(make_operator, log):
+    """Guards against a fleet that is too large for one batch of the log."""
+    entry = FakeEntry("a")
+    operator = make_operator("aoife", entry)
+    result = operator.publish(large_fleet(), 0)
+    assert isinstance(result, Published)
+    assert result.version > 1
+    assert operator.wait_in_force(result.version) == InForce(result.version)
+    assert entry.state.configuration.document == large_fleet()
+
+
+def test_a_part_that_fails_is_told(make_operator, log):
+    """Guards against calling a change unpublished of which a part is in force."""
+    log.faults.extend(["", "large"])
+    operator = make_operator("aoife")
+    result = operator.publish(large_fleet(), 0)
+    assert isinstance(result, PartlyPublished)
+    assert (result.version, result.parts) == (1, 1)
+    assert isinstance(result.stopped_by, NotAccepted)
+    assert isinstance(operator.publish(large_fleet(), 1), Published)
+
+
+def test_warnings_must_be_accepted(make_operator, fleet):
+    """Guards against a limit below what is running, set by mistake."""
+    operator = make_operator("aoife", FakeEntry("a", running={"red": 8}))
+    operator.publish(fleet, 0)
+    lower = merge_patch(fleet, {"teams": {"red": {"upper_limit": 3}}})
+    assert isinstance(operator.publish(lower, 1), Rejected)
+    assert isinstance(operator.publish(lower, 1, accept_warnings=True), Published)
+    # The warning is about what is in force now, and does not block other changes.
+    result = operator.change(lambda draft: draft.take_zone_out("north"))
+    assert isinstance(result, Published)
+
+
+def test_errors_cannot_be_accepted(make_operator, fleet):
+    """Guards against publishing what every entry would ignore."""
+    operator = make_operator("aoife")
+    fleet["teams"]["red"]["share"] = 0
+    assert isinstance(operator.publish(fleet, 0, accept_warnings=True), Rejected)
+
+
+def test_waves_follow_their_states(make_operator, log, fleet):
+    """Guards against two operators commanding one wave against each other."""
+    first, second = make_operator("aoife"), make_operator("brendan")
+    first.publish(fleet, 0)
+    assert first.command_wave("spring", WaveState.RUNNING) == WaveChanged()
+    log.before_append = lambda: second.command_wave("spring", WaveState.PAUSED)
+    assert first.command_wave("spring", WaveState.ABORTED) == WaveRefused(
+        'the wave "spring" is now "paused"; another operator was first'
+    )
+    assert second.command_wave("autumn", WaveState.PAUSED) == WaveRefused(
+        'there is no wave "autumn"'
+    )
+    assert second.command_wave("spring", WaveState.RUNNING) == WaveChanged()
+
+
+def test_a_key_is_published_only_as_a_hash(make_operator, log, fleet):
+    """Guards against a secret in the log."""
+    operator = make_operator("aoife")
+    operator.publish(fleet, 0)
+    made = []
+    operator.change(lambda draft: made.append(draft.grant_key("red", "laptop")))
+    secret = made[-1].token.partition(".")[2]
+    assert not any(secret.encode() in batch for batch in log.batches)
+    assert operator.view.state.config.key_by_id["laptop"].team == "red"
+    operator.change(lambda draft: draft.withdraw_key("laptop"))
+    assert operator.view.state.config.key_by_id == {}
