--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements."""
+"""Measurements of decisions, costs and behaviour under failure."""
--- /dev/null
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -0,0 +1,249 @@
+"""Workers kept free for tasks that need more room than ends at once.
+
+A large task that waits would never start on a full fleet, because smaller tasks
+take whatever becomes free. A reserved worker takes only tasks that end before
+the room is expected. Urgent tasks reserve the worker they make room on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+from .events import WorkerReserved
+from .lanes import Lane, SizeClass
+from .state import SchedulerState, note
+from .tasks import Decision, Task, TaskRecord, TaskState
+from .workers import Worker
+
+# A task that smaller ones have passed gets a reservation once it has waited as
+# long as the reserved worker will take to make room, and at the latest after
+# this time. So small tasks, for which little is kept idle, get one early.
+RESERVE_AFTER_S = 2.0
+# The reserved room is at most this part of a pool, and at least one worker.
+MAX_RESERVED_PART = 0.1
+# The time after which tasks of other entries on a worker are assumed to end.
+UNKNOWN_END_S = 10.0
+# The search looks at every worker of a pool; this bounds its cost.
+TRY_INTERVAL_S = 0.002
+PUBLISH_AFTER_S = 1.0
+# Reservations whose task is gone are dropped within this time.
+CHECK_INTERVAL_S = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Reservation:
+    """A worker kept until about ``at`` for an urgent task or a lane's class."""
+
+    worker: Worker
+    pool: str
+    part: float
+    since: float
+    at: float
+    urgent_task: str = ""
+    lane: Lane | None = None
+    size_class: SizeClass = (0, 0, 0)
+
+
+class Reservations:
+    """All reservations of this entry."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        self._state = state
+        self._by_worker: dict[str, Reservation] = {}
+        self._by_pool: dict[str, dict[str, Reservation]] = {}
+        self._worker_by_urgent_task: dict[str, str] = {}
+        self._now = 0.0
+        self._next_check_at = 0.0
+        self._next_try_by_pool: dict[str, float] = {}
+
+    def has(self, urgent_task: str) -> bool:
+        """Tell whether a worker is kept for an urgent task."""
+        return urgent_task in self._worker_by_urgent_task
+
+    def worker_ids(self) -> tuple[str, ...]:
+        """Return the workers kept by this entry, for its peers to avoid.
+
+        Short reservations end before peers hear of them, and what peers then
+        leave free on the worker would stay idle until this entry sees it.
+        """
+        now = self._now
+        return tuple(
+            name
+            for name, reservation in self._by_worker.items()
+            if now - reservation.since > PUBLISH_AFTER_S
+        )
+
+    def reserve_urgent(
+        self, record: TaskRecord, worker: Worker, at: float, now: float
+    ) -> None:
+        """Keep a worker for an urgent task."""
+        task_id = record.task.id
+        self._worker_by_urgent_task[task_id] = worker.id
+        reservation = Reservation(
+            worker, worker.pool, 0.0, now, at, urgent_task=task_id
+        )
+        self._add(reservation, now)
+        note(record, WorkerReserved(now, worker.id, at))
+
+    def release_urgent(self, task_id: str, now: float) -> None:
+        """Stop keeping a worker for an urgent task."""
+        worker_id = self._worker_by_urgent_task.get(task_id)
+        if worker_id is not None:
+            self._release(self._by_worker[worker_id], now)
+
+    def start_ready(self, now: float) -> list[Decision]:
+        """Start tasks whose reserved worker has room; drop what is not needed."""
+        self._now = now
+        touched = self._state.workers.touched_reserved
+        if now >= self._next_check_at:
+            self._next_check_at = now + CHECK_INTERVAL_S
+            touched.update(self._by_worker)
+        if not touched and not self._worker_by_urgent_task:
+            return []
+        self._state.workers.touched_reserved = set()
+        worker_ids = touched | set(self._worker_by_urgent_task.values())
+        decisions: list[Decision] = []
+        for worker_id in sorted(worker_ids):
+            reservation = self._by_worker.get(worker_id)
+            if reservation is None:
+                continue
+            decision = self._start_on(reservation, now)
+            if decision is not None:
+                decisions.append(decision)
+        return decisions
+
+    def backfill(
+        self,
+        task: Task,
+        need: Resources,
+        pool: str,
+        excluded: frozenset[str],
+        now: float,
+    ) -> Worker | None:
+        """Return a reserved worker that the task leaves again in time."""
+        reservations = self._by_pool.get(pool)
+        if not reservations:
+            return None
+        end = now + self._state.sizes.run_s(task)
+        for reservation in reservations.values():
+            worker = reservation.worker
+            if end > reservation.at or reservation.urgent_task:
+                continue
+            if worker.id in excluded or not self._state.workers.accepts(worker):
+                continue
+            if not worker.on_probation and need.fits_in(worker.free):
+                return worker
+        return None
+
+    def consider(
+        self,
+        lane: Lane,
+        size_class: SizeClass,
+        record: TaskRecord,
+        need: Resources,
+        pool: str,
+        now: float,
+    ) -> None:
+        """Reserve a worker for a lane whose oldest task was passed too long."""
+        passed_at = record.passed_over_at
+        if passed_at is None or now <= passed_at:
+            return
+        if now < self._next_try_by_pool.get(pool, now):
+            return
+        workers = list(self._state.workers.in_pool(pool))
+        self._next_try_by_pool[pool] = now + TRY_INTERVAL_S * len(workers)
+        best: tuple[float, str] | None = None
+        for worker in self._candidates(workers, need):
+            at = expected_room_at(worker, need, now)
+            if best is None or (at, worker.id) < best:
+                best = (at, worker.id)
+        if best is None or now - passed_at < min(RESERVE_AFTER_S, best[0] - now):
+            return
+        worker = self._state.workers.worker_by_id[best[1]]
+        part = need.dominant_share(worker.size)
+        reserved = sum(r.part for r in self._by_pool.get(pool, {}).values())
+        if reserved + part > max(1.0, len(workers) * MAX_RESERVED_PART):
+            return
+        reservation = Reservation(
+            worker, pool, part, now, best[0], lane=lane, size_class=size_class
+        )
+        self._add(reservation, now)
+        note(record, WorkerReserved(now, worker.id, best[0]))
+
+    def _start_on(self, reservation: Reservation, now: float) -> Decision | None:
+        state = self._state
+        worker = reservation.worker
+        record = self._wanted(reservation)
+        if record is None or not state.workers.usable_for_reserved(worker):
+            self._release(reservation, now)
+            return None
+        need = state.need(record.task, worker.pool)
+        if not need.fits_in(worker.size):
+            self._release(reservation, now)
+            return None
+        if not need.fits_in(worker.free):
+            return None
+        self._release(reservation, now)
+        if not state.may_run(record.task.team):
+            return None
+        if reservation.lane is None:
+            state.queues.take_urgent(record)
+        else:
+            state.queues.take(reservation.lane, reservation.size_class)
+        return state.start(record, worker, need, now)
+
+    def _wanted(self, reservation: Reservation) -> TaskRecord | None:
+        """Return the task that the reserved worker would start now."""
+        if reservation.lane is not None:
+            return reservation.lane.head(reservation.size_class)
+        record = self._state.record_by_id.get(reservation.urgent_task)
+        if record is None or record.state is not TaskState.QUEUED:
+            return None
+        return record
+
+    def _add(self, reservation: Reservation, now: float) -> None:
+        worker = reservation.worker
+        worker.reserved = True
+        self._by_worker[worker.id] = reservation
+        self._by_pool.setdefault(reservation.pool, {})[worker.id] = reservation
+        self._state.workers.refresh(worker, now)
+
+    def _release(self, reservation: Reservation, now: float) -> None:
+        worker = reservation.worker
+        worker.reserved = False
+        del self._by_worker[worker.id]
+        del self._by_pool[reservation.pool][worker.id]
+        self._worker_by_urgent_task.pop(reservation.urgent_task, None)
+        self._state.workers.refresh(worker, now)
+
+    def _candidates(self, workers: Iterable[Worker], need: Resources) -> list[Worker]:
+        accepts = self._state.workers.accepts
+        return [
+            worker
+            for worker in workers
+            if accepts(worker)
+            and not worker.on_probation
+            and not worker.reserved
+            and not worker.reserved_by_peer
+            and need.fits_in(worker.size)
+        ]
+
+
+def expected_room_at(worker: Worker, need: Resources, now: float) -> float:
+    """Return when the worker is expected to have room for ``need``."""
+    free = worker.free
+    if need.fits_in(free):
+        return now
+    ends = sorted(
+        (max(now, record.expected_end), record.sequence, record.need)
+        for record in worker.running.values()
+    )
+    freed = NO_RESOURCES
+    for end, _, size in ends:
+        freed = freed + size
+        if need.fits_in(free + freed):
+            return end
+    return now + UNKNOWN_END_S
