--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -12,7 +12,7 @@
 from lycheeloom.model.records import Health
 
 from .budgets import Layout
-from .buffers import BufferMove, BufferPlan, FleetIndex, plan_buffers
+from .buffers import BufferMove, BufferPlan, BufferPlanner
 from .timers import SettledSet
 from .view import ENDED_STAGES, FleetView, PlannerSettings
 
@@ -30,7 +30,7 @@
         self._started_s: deque[float] = deque()
         self._moved_s: dict[str, float] = {}
         self._cache_key: tuple | None = None
-        self._index: FleetIndex | None = None
+        self._planner: BufferPlanner | None = None
         self.plan = BufferPlan()
 
     def wanted(
@@ -43,9 +43,9 @@
         unusable = self._lost.update(out - pinned, now_s) | _given_up(view)
         key = (view.config, assigned, unusable)
         if not self._is_cached(key):
-            if self._index is None or self._index.config is not view.config:
-                self._index = FleetIndex(view.config)
-            self.plan = plan_with_homes(self._index, assigned, unusable)
+            if self._planner is None or self._planner.config is not view.config:
+                self._planner = BufferPlanner(view.config)
+            self.plan = plan_with_homes(self._planner, assigned, unusable)
             self._cache_key = key
         room = self._settings.buffer_moves_per_hour - len(self._started_s)
         if room <= 0:
@@ -78,15 +78,15 @@
 
 
 def plan_with_homes(
-    index: FleetIndex, assigned: Mapping[str, str], unusable: frozenset[str]
+    planner: BufferPlanner, assigned: Mapping[str, str], unusable: frozenset[str]
 ) -> BufferPlan:
     """Plan buffers, sending instances home where that costs no further move.
 
     A plan made as if all were at home shows who is missed elsewhere; those
     stay where they are, and the plan is made again.
     """
-    config = index.config
-    kept = plan_buffers(config, assigned, unusable, index)
+    config = planner.config
+    kept = planner.plan(assigned, unusable)
     homes = {
         name: config.instance_by_id[name].pool
         for name, pool in assigned.items()
@@ -95,7 +95,7 @@
     for _ in range(MAX_HOME_ROUNDS):
         if not homes:
             return kept
-        plan = plan_buffers(config, {**assigned, **homes}, unusable, index)
+        plan = planner.plan({**assigned, **homes}, unusable)
         stay = _missed_elsewhere(plan, kept, assigned, homes)
         if not stay:
             going = [BufferMove(name, assigned[name], homes[name]) for name in homes]
