Count silence from the first missed probe

Where probes are rare, or the observer itself stood still, the time since the last heartbeat says nothing about the worker. The test of a lasting loss now keeps its instance down instead of relying on when a reboot revives it.

--- a/bench/fleet_plan_cost.py
+++ b/bench/fleet_plan_cost.py
@@ -51,7 +51,7 @@
 def _full_plan_s(document: dict) -> float:
     """Time the first step of a new controller: wave, buffers and repair."""
     world, controller = _running_wave(document)
-    _hear(controller)
+    controller.hear()
     view = controller.view()
     begun = time.perf_counter()
     controller.planner.step(view, world.now_s)
@@ -77,7 +77,7 @@
     for number in range(STEPS):
         if number % 20 == 10:
             world.fail([names[number % len(names)]])
-        _hear(controller)
+        controller.hear()
         view = controller.view()
         begun = time.perf_counter()
         plan = controller.planner.step(view, world.now_s)
@@ -87,20 +87,13 @@
     return times_ms
 
 
-def _hear(controller: Controller) -> None:
-    world = controller.world
-    for name in world.heard():
-        boot = str(world.workers[name].boots)
-        controller.planner.health.heartbeat(name, world.now_s, boot)
-
-
 def _naive_step_s(world: World) -> float:
     """Naive baseline: a new planner that plans everything at each step."""
     config = world.state.config
     begun = time.perf_counter()
     plan_buffers(config, world.state.maintenance.pool_by_instance)
     controller = Controller(world, "naive")
-    _hear(controller)
+    controller.hear()
     controller.planner.step(controller.view(), world.now_s)
     return time.perf_counter() - begun
 
@@ -112,7 +105,7 @@
     gc.collect()
     tracemalloc.start()
     for number in range(MEMORY_STEPS):
-        _hear(controller)
+        controller.hear()
         controller.planner.step(controller.view(), world.now_s + number)
     gc.collect()
     size, _ = tracemalloc.get_traced_memory()
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -249,11 +249,18 @@
 
     def plan(self) -> Plan:
         """Hear the workers and plan one step, without carrying it out."""
+        self.hear()
+        return self.planner.step(self.view(), self.world.now_s)
+
+    def hear(self) -> None:
+        """Give the planner the heartbeats of this moment."""
         world = self.world
         for name in world.heard():
             boot = str(world.workers[name].boots)
             self.planner.health.heartbeat(name, world.now_s, boot)
-        return self.planner.step(self.view(), world.now_s)
+        for name, worker in world.workers.items():
+            if not worker.alive:
+                self.planner.health.missed(name, world.now_s)
 
     def view(self) -> FleetView:
         """Return what this controller sees, with the statuses it asks for."""
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -76,7 +76,7 @@
 
     def __init__(self, settings: MonitorSettings | None = None):
         self.settings = settings or MonitorSettings()
-        self._seen_s: dict[str, float] = {}
+        self._missed_s: dict[str, float] = {}
         self._boot: dict[str, str] = {}
         self._returns: dict[str, deque[float]] = {}
         self._outcomes: dict[str, deque[tuple[float, str, bool]]] = {}
@@ -84,14 +84,21 @@
 
     def heartbeat(self, instance: str, at_s: float, boot_id: str = "") -> None:
         """Note that the instance was heard; a new boot id is a return."""
-        seen = self._seen_s.get(instance)
-        was_silent = seen is not None and at_s - seen > self.settings.silent_s
+        missed = self._missed_s.pop(instance, None)
+        was_silent = missed is not None and at_s - missed > self.settings.silent_s
         last_boot = self._boot.get(instance, "")
         if was_silent or (last_boot and boot_id and boot_id != last_boot):
             self._append(self._returns, instance, at_s)
         if boot_id:
             self._boot[instance] = boot_id
-        self._seen_s[instance] = at_s
+
+    def missed(self, instance: str, at_s: float) -> None:
+        """Note that the instance did not answer.
+
+        Silence counts from the first miss, not from the last heartbeat: where
+        probes are rare or the observer stood still, nobody looks silent.
+        """
+        self._missed_s.setdefault(instance, at_s)
 
     def lease_lost(self, instance: str, at_s: float) -> None:
         """Note that a task's lease could not be renewed on the instance."""
@@ -109,7 +116,7 @@
     def retain(self, known: Container[str]) -> None:
         """Drop everything about instances that are not in ``known``."""
         for signals in (
-            self._seen_s,
+            self._missed_s,
             self._boot,
             self._returns,
             self._outcomes,
@@ -128,7 +135,7 @@
         oldest = now_s - self.settings.silent_s
         known = layout.place_by_instance
         silent = frozenset(
-            name for name, seen in self._seen_s.items() if seen < oldest
+            name for name, missed in self._missed_s.items() if missed < oldest
         ).intersection(known)
         symptoms = self._symptoms(silent, now_s)
         return Assessment(
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -8,10 +8,11 @@
 import pytest
 
 from bench.fleet_world import Controller, World, fleet_document, user_fleet
-from lycheeloom.fleet import Explanations, PlannerSettings
+from lycheeloom.fleet import Explanations, Planner, PlannerSettings
 from lycheeloom.fleet.budgets import Limit, LimitKind
 from lycheeloom.fleet.buffers import least_in_service, plan_buffers
 from lycheeloom.fleet.events import NotChosen
+from lycheeloom.fleet.repair import RepairSettings
 from lycheeloom.model.config import parse_config
 from lycheeloom.model.records import (
     Health,
@@ -238,21 +239,23 @@
 
 def test_lasting_loss_is_covered_and_undone_once():
     world = World(user_fleet(16, 65536, needed=6))
-    controller = Controller(world, "controller", PlannerSettings(dwell_s=60))
+    controller = Controller(world, "controller")
+    # Without reboots the instance stays silent until it is mended.
+    controller.planner = Planner(
+        PlannerSettings(dwell_s=60), repair=RepairSettings(probation_s=1e9)
+    )
     world.fail(["w00"])
-    for _ in range(150):
-        controller.tick()
+    run(controller, 100)
     pools = world.state.maintenance.pool_by_instance
     assert sum(pool == "north" for pool in pools.values()) == 7
-    world.workers["w00"].rebooting_until_s = None
-    for _ in range(300):
-        world.repair(["w00"])
-        controller.planner.health.task_ended("w00", "lookups", True, world.now_s)
-        controller.tick()
+    world.repair(["w00"])
+    run(controller, 300)
     homes = {
         name: item.pool for name, item in world.state.config.instance_by_id.items()
     }
     assert world.state.maintenance.pool_by_instance == homes
+    moves = world.state.maintenance.move_by_instance.values()
+    assert len([move for move in moves if move.move_id.startswith("pool.")]) == 1
 
 
 def test_pool_changes_are_rate_limited():
