--- /dev/null
+++ b/libs/controller/src/lycheeloom/controller/housekeeping.py
@@ -0,0 +1,112 @@
+"""The snapshot and housekeeping duties."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable
+
+from lycheeloom.log import (
+    LogTail,
+    LogWriter,
+    Pending,
+    Priority,
+    SnapshotPolicy,
+    SnapshotResult,
+    SnapshotWriter,
+)
+from lycheeloom.model.records import AnswersExpired
+from lycheeloom.telemetry import log_event
+
+from .duty import DutyKeeper
+
+EXPIRY_INTERVAL_S = 10.0
+
+
+class SnapshotKeeper:
+    """Writes a snapshot when one is due and the duty is held."""
+
+    def __init__(
+        self, duty: DutyKeeper, tail: LogTail, writer: LogWriter, retention_s: float
+    ) -> None:
+        self._duty = duty
+        self.writer = SnapshotWriter(writer, tail, SnapshotPolicy(retention_s))
+
+    def step(self) -> None:
+        """Write one snapshot if that is due."""
+        if not self._duty.is_held() or not self.writer.is_due():
+            return
+        result = self.writer.write()
+        if result is not SnapshotResult.EMPTY:
+            log_event("snapshot", result=result, covers=self.writer.covers_offset)
+
+
+class AnswerExpiry:
+    """Expires kept answers some time after this process saw them finish.
+
+    A new process counts from its own start, so answers are kept too long rather
+    than too short.
+    """
+
+    def __init__(
+        self,
+        duty: DutyKeeper,
+        tail: LogTail,
+        writer: LogWriter,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._duty = duty
+        self._tail = tail
+        self._writer = writer
+        self._clock = clock
+        # Log ends by time, one in each interval: what lies below is at least so old.
+        self._marks: deque[tuple[float, int]] = deque()
+        self._pending: Pending | None = None
+        self._is_due = False
+
+    def step(self) -> None:
+        """Expire what is older than the retention of its queue."""
+        now = self._clock()
+        if not self._marks or now - self._marks[-1][0] >= EXPIRY_INTERVAL_S:
+            self._marks.append((now, self._tail.next_offset - 1))
+            self._is_due = True
+        queues = self._tail.state.config.queue_by_id
+        longest = max((q.answer_retention_s for q in queues.values()), default=0)
+        while len(self._marks) > 1 and self._marks[1][0] <= now - longest:
+            self._marks.popleft()
+        if self._pending is not None and self._pending.outcome is None:
+            return
+        if self._is_due and self._duty.is_held():
+            self._is_due = False
+            self._expire_next(now)
+
+    def _expire_next(self, now: float) -> None:
+        """Append one expiry; that of another queue follows an interval later."""
+        oldest = self._oldest_by_queue()
+        for queue in self._tail.state.config.queue_by_id.values():
+            first = oldest.get(queue.id)
+            through = self._offset_at(now - queue.answer_retention_s)
+            if first is None or through < first:
+                continue
+            record = AnswersExpired(through, queue.id)
+            self._pending = self._writer.append(record, Priority.CONTROL)
+            return
+
+    def _oldest_by_queue(self) -> dict[str, int]:
+        """Return the offset of the oldest kept end of a request by queue."""
+        oldest: dict[str, int] = {}
+        for request in self._tail.state.requests.request_by_id.values():
+            ended_at = request.finished_at
+            if ended_at is not None:
+                first = oldest.get(request.queue, ended_at)
+                oldest[request.queue] = min(first, ended_at)
+        return oldest
+
+    def _offset_at(self, at: float) -> int:
+        offset = -1
+        for marked_at, end in self._marks:
+            if marked_at > at:
+                break
+            offset = end
+        return offset
--- /dev/null
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -0,0 +1,150 @@
+"""The maintenance loop: one planner step, its records and its actions."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from lycheeloom.fleet import FleetView, Plan, Planner
+from lycheeloom.log import LogTail, LogWriter, NoEffect, Pending, Priority
+from lycheeloom.model.records import MoveStage
+from lycheeloom.platform import (
+    InstanceClient,
+    InstanceList,
+    InstanceState,
+    ListedInstance,
+)
+from lycheeloom.telemetry import log_event
+
+from .actions import ActionRunner
+from .duty import DutyKeeper
+from .probes import WorkerProbes
+
+# An older list still shows who is leaving; without it nothing new is started.
+LIST_KEPT_S = 30.0
+_COUNTED = frozenset({MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING})
+
+
+class MaintenanceLoop:
+    """Runs the planner while this process holds the maintenance duty."""
+
+    def __init__(
+        self,
+        planner: Planner,
+        duty: DutyKeeper,
+        tail: LogTail,
+        writer: LogWriter,
+        instances: InstanceClient,
+        probes: WorkerProbes,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.planner = planner
+        self.last_step_s = 0.0
+        self.view: FleetView | None = None
+        self._duty = duty
+        self._tail = tail
+        self._writer = writer
+        self._client = instances
+        self._actions = ActionRunner(instances)
+        self._probes = probes
+        self._clock = clock
+        self._pending: dict[object, Pending] = {}
+        self._listing: InstanceList | None = None
+        self._listed_at = float("-inf")
+        self._ever_listed: set[str] = set()
+
+    def step(self) -> None:
+        """Plan and carry out one step, if the duty is held."""
+        if not self._duty.is_held():
+            self.view = None
+            self._withdraw_except(())
+            return
+        self._refresh_list()
+        view = self._observe()
+        begun = time.perf_counter()
+        plan = self.planner.step(view, self._clock())
+        self.last_step_s = time.perf_counter() - begun
+        self.view = view
+        self._append(plan)
+        # The calls above took time; a holder that is no longer fresh may have
+        # been replaced.
+        if plan.actions and self._duty.is_held():
+            self._actions.take(plan.actions)
+
+    def _refresh_list(self) -> None:
+        listing = self._client.list()
+        if not isinstance(listing, InstanceList):
+            log_event("instance_list_unavailable", "WARNING", reason=listing.reason)
+            return
+        self._listing, self._listed_at = listing, self._clock()
+
+    def _observe(self) -> FleetView:
+        state = self._tail.state
+        maintenance = state.maintenance
+        moves = maintenance.move_by_instance
+        known = state.config.instance_by_id
+        self._probes.forget(known.keys())
+        self._probes.probe_now(
+            name for name, move in moves.items() if move.stage in _COUNTED
+        )
+        epoch, offset = self._duty.epoch, state.next_offset
+        statuses = self._actions.statuses(self.planner.action_ids(moves))
+        state = self._tail.state
+        maintenance = state.maintenance
+        return FleetView(
+            config=state.config,
+            offset=offset,
+            duty_epoch=epoch,
+            pool_by_instance=maintenance.pool_by_instance,
+            move_by_instance=maintenance.move_by_instance,
+            wave_by_id=maintenance.wave_by_id,
+            health_by_instance=maintenance.health_by_instance,
+            unavailable=self._unavailable(state.config.instance_by_id),
+            running_by_instance=self._probes.running_by_instance(),
+            status_by_action=statuses,
+            listed=self._clock() - self._listed_at <= LIST_KEPT_S,
+        )
+
+    def _unavailable(self, known) -> frozenset[str]:
+        """Return who is leaving, or was listed before and no longer is.
+
+        The list lags, so absence alone does not count.
+        """
+        if self._listing is None:
+            return frozenset()
+        listed: dict[str, ListedInstance] = {
+            item.instance: item for item in self._listing.instances
+        }
+        self._ever_listed = (self._ever_listed | listed.keys()) & known.keys()
+        leaving = {
+            name
+            for name, item in listed.items()
+            if item.state is InstanceState.LEAVING and name in known
+        }
+        return frozenset(leaving | (self._ever_listed - listed.keys()))
+
+    def _append(self, plan: Plan) -> None:
+        """Append records that are not on their way already."""
+        self._withdraw_except(plan.records)
+        for record in plan.records:
+            if record in self._pending:
+                continue
+            self._pending[record] = self._writer.append(record, Priority.CONTROL)
+            log_event("record_appended", record=record)
+
+    def _withdraw_except(self, wanted) -> None:
+        """Withdraw what is no longer wanted and was not sent; drop the settled.
+
+        While the log is slow, records of past steps would otherwise pile up and
+        take effect late.
+        """
+        kept = set(wanted)
+        for record, pending in list(self._pending.items()):
+            if pending.outcome is None and record not in kept:
+                pending.withdraw()
+            if pending.outcome is None:
+                continue
+            if isinstance(pending.outcome, NoEffect):
+                log_event("record_without_effect", "WARNING", record=record)
+            del self._pending[record]
--- /dev/null
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -0,0 +1,175 @@
+"""The parts of a controller, put together, started and shut down."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+
+import gevent
+import gevent.event
+from gevent.pywsgi import WSGIServer
+from loguru import logger
+
+from lycheeloom.fleet import Planner, PlannerSettings
+from lycheeloom.log import LogTail, LogWriter, recover
+from lycheeloom.model.records import Duty
+from lycheeloom.platform import InstanceClient, LogClient, Transport, WorkerClient
+from lycheeloom.state import FleetState
+from lycheeloom.telemetry import log_event
+
+from .duty import DutyKeeper
+from .housekeeping import AnswerExpiry, SnapshotKeeper
+from .http_api import HttpApi
+from .maintenance import MaintenanceLoop
+from .metrics import ControllerMetrics
+from .probes import OutcomeWatch, WorkerProbes
+from .settings import Settings, split_address
+
+PROGRAM_VERSION = "0.1.0"
+RECOVERY_RETRY_S = 0.5
+DUTY_STEP_S = 1.0
+HOUSEKEEPING_STEP_S = 5.0
+METRICS_STEP_S = 5.0
+IDLE_SWEEP_S = 5.0
+WEEK_S = 7 * 24 * 3600.0
+
+
+class ControllerService:
+    """One controller; of all controllers, one holds each duty."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        transport = Transport()
+        self._log = LogClient(settings.log, transport)
+        self._workers = WorkerClient(transport)
+        self._instances = InstanceClient(settings.instances, transport)
+        self._stopping = gevent.event.Event()
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def run(self) -> None:
+        """Serve until ``stop`` is called.
+
+        Nothing is handed over at the end: moves continue under the next holder
+        from their last recorded stage.
+        """
+        state = self._recover()
+        if state is None:
+            return
+        self._build(state)
+        self._start()
+        log_event("controller_started", listen=self.settings.listen)
+        self._stopping.wait()
+        self._stop_all()
+        log_event("controller_stopped")
+
+    def stop(self) -> None:
+        """Ask ``run`` to shut down."""
+        self._stopping.set()
+
+    def _recover(self) -> FleetState | None:
+        while not self._stopping.is_set():
+            state = recover(self._log)
+            if isinstance(state, FleetState):
+                return state
+            log_event("recovery_failed", "WARNING", reason=state.reason)
+            self._stopping.wait(RECOVERY_RETRY_S)
+        return None
+
+    def _build(self, state: FleetState) -> None:
+        settings = self.settings
+        author = f"controller-{settings.instance}-{secrets.token_hex(4)}"
+        self.tail = LogTail(self._log, state)
+        self.writer = LogWriter(self._log, author, self.tail)
+        self.planner = Planner(
+            PlannerSettings(
+                drain_limit_s=settings.drain_limit_s,
+                buffer_moves_per_hour=settings.buffer_moves_per_hour,
+                regular_cycle_s=settings.regular_wave_weeks * WEEK_S,
+            )
+        )
+        self.duty_by_name = {
+            duty: DutyKeeper(duty, self.tail, self.writer) for duty in Duty
+        }
+        # One clock for the planner: it must not jump, yet number the cycles of
+        # regular waves equally in every process.
+        started_at, wall = time.monotonic(), time.time()
+        clock = lambda: wall + time.monotonic() - started_at  # noqa: E731
+        self.probes = WorkerProbes(
+            self.tail, self._workers, self.planner.health, clock=clock
+        )
+        self._outcomes = OutcomeWatch(self.tail, self.planner.health, clock=clock)
+        self.maintenance = MaintenanceLoop(
+            self.planner,
+            self.duty_by_name[Duty.MAINTENANCE],
+            self.tail,
+            self.writer,
+            self._instances,
+            self.probes,
+            clock=clock,
+        )
+        self._build_housekeeping()
+
+    def _build_housekeeping(self) -> None:
+        self.snapshots = SnapshotKeeper(
+            self.duty_by_name[Duty.SNAPSHOT],
+            self.tail,
+            self.writer,
+            self.settings.log_retention_s,
+        )
+        self.expiry = AnswerExpiry(
+            self.duty_by_name[Duty.HOUSEKEEPING], self.tail, self.writer
+        )
+        self.metrics = ControllerMetrics()
+        maintenance = self.duty_by_name[Duty.MAINTENANCE]
+        self._api = HttpApi(
+            self.planner,
+            self.metrics.registry,
+            maintenance.is_fresh,
+            maintenance.is_held,
+        )
+
+    def _start(self) -> None:
+        self.tail.start()
+        self.writer.start()
+        duties = list(self.duty_by_name.values())
+        self._spawn_loop(lambda: [duty.step() for duty in duties], DUTY_STEP_S)
+        self._spawn_loop(self.maintenance.step, self.settings.step_s)
+        self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_S)
+        self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_S)
+        self._spawn_loop(self._update_metrics, METRICS_STEP_S)
+        self._spawn_loop(self._workers.close_idle, IDLE_SWEEP_S)
+        self._greenlets.append(gevent.spawn(self.probes.run))
+        self._server = WSGIServer(
+            split_address(self.settings.listen), self._api.app, log=None, error_log=None
+        )
+        self._server.start()
+
+    def _spawn_loop(self, step: Callable[[], object], interval_s: float) -> None:
+        self._greenlets.append(gevent.spawn(_run_loop, step, interval_s))
+
+    def _update_metrics(self) -> None:
+        for name, duty in self.duty_by_name.items():
+            self.metrics.set_duty(name, duty.is_held())
+        self.metrics.set_fleet(self.maintenance.view, self.planner)
+        self.metrics.step_s.set(self.maintenance.last_step_s)
+        age_s = time.monotonic() - self.tail.last_read_sent_at
+        self.metrics.log_age_s.set(age_s)
+        covered = self.snapshots.writer.covers_offset
+        self.metrics.records_since_snapshot.set(self.tail.next_offset - 1 - covered)
+
+    def _stop_all(self) -> None:
+        gevent.killall(self._greenlets)
+        self._server.stop(timeout=1.0)
+        self.writer.stop()
+        self.tail.stop()
+
+
+def _run_loop(step: Callable[[], object], interval_s: float) -> None:
+    """Run a step again and again; a fault in one must not end the others."""
+    while True:
+        try:
+            step()
+        except Exception:
+            logger.exception("event=step_failed")
+        gevent.sleep(interval_s)
--- /dev/null
+++ b/libs/controller/tests/test_controller.py
@@ -0,0 +1,261 @@
+"""The controller as processes against the platform's stand-ins."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+import urllib3
+
+from lycheeloom.controller.actions import ActionRunner
+from lycheeloom.controller.duty import TAKEOVER_S, DutyKeeper
+from lycheeloom.fleet import ActionKind, ActionStatus, PlatformAction
+from lycheeloom.log import recover
+from lycheeloom.model.config import canonical_json
+from lycheeloom.model.records import (
+    Batch,
+    ConfigChanged,
+    Duty,
+    DutyClaimed,
+    WaveCommand,
+    WaveState,
+)
+from lycheeloom.platform import ActionRefused, LogClient, Unavailable
+from lycheeloom.state import FleetState
+from lycheeloom.wire import encode_batch
+
+STANDINS = """
+[instances]
+reboot_s = 0.2
+lag_ms = 100
+
+[[workers]]
+prefix = "w"
+count = 4
+zone = "z1"
+workers_per_rack = 2
+"""
+HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
+
+
+class Processes:
+    """Programs of one test; those still running are ended with it."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.started: list[subprocess.Popen] = []
+        self.address_by_name: dict[str, str] = {}
+
+    def start(self, module, settings, name):
+        path = self.directory / f"{name}.toml"
+        path.write_text(settings)
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, str(path)], stdout=subprocess.PIPE, text=True
+        )
+        self.started.append(process)
+        return process
+
+    def start_platform(self):
+        process = self.start("lycheeloom.standins.main", STANDINS, "platform")
+        for line in process.stdout:
+            fields = dict(pair.split("=", 1) for pair in line.split())
+            if fields["event"] == "ready":
+                return
+            self.address_by_name[fields["standin"]] = fields["address"]
+
+    def start_controller(self, name):
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            listen = f"127.0.0.1:{free.getsockname()[1]}"
+        settings = f"""
+            instance = "{name}"
+            zone = "z1"
+            listen = "{listen}"
+            log = "{self.address_by_name["log"]}"
+            instances = "{self.address_by_name["instances"]}"
+            step_s = 0.1
+            log_level = "WARNING"
+        """
+        return self.start("lycheeloom.controller.main", settings, name), listen
+
+
+@pytest.fixture
+def processes(tmp_path):
+    running = Processes(tmp_path)
+    running.start_platform()
+    yield running
+    for process in running.started:
+        process.kill()
+        process.wait()
+
+
+def publish(processes):
+    workers = {n: a for n, a in processes.address_by_name.items() if n[:2] == "w-"}
+    document = {
+        "zones": {"z1": {}},
+        "pools": {"main": {"max_unavailable": 1}},
+        "instances": {
+            name: {
+                "pool": "main",
+                "zone": "z1",
+                "rack": "r1",
+                "address": address,
+                "cores": 64,
+                "memory_mb": 262144,
+            }
+            for name, address in workers.items()
+        },
+    }
+    append(processes, 1, ConfigChanged(0, canonical_json(document), "operator"))
+
+
+def append(processes, sequence, *records):
+    client = LogClient(processes.address_by_name["log"])
+    client.append(encode_batch(Batch("operator", sequence, records)))
+
+
+def wait_for(processes, condition, timeout_s=90.0):
+    """Wait until the replayed state meets a condition; returns the state."""
+    client = LogClient(processes.address_by_name["log"])
+    give_up_at = time.monotonic() + timeout_s
+    while time.monotonic() < give_up_at:
+        state = recover(client)
+        if isinstance(state, FleetState) and condition(state):
+            return state
+        time.sleep(0.2)
+    raise AssertionError("the condition was not met in time")
+
+
+def wave_state(state):
+    wave = state.maintenance.wave_by_id.get("w")
+    return wave.state if wave else WaveState.ABSENT
+
+
+def joined(state):
+    moves = state.maintenance.move_by_instance.values()
+    return sum(move.stage == "joined" for move in moves)
+
+
+def get(address, path):
+    response = HTTP.request("GET", f"http://{address}{path}")
+    return response.status, response.data.decode()
+
+
+def test_wave_ends_although_its_controller_is_killed(processes):
+    """Another controller must continue the moves of one that was killed."""
+    publish(processes)
+    first, first_address = processes.start_controller("one")
+    wait_for(processes, lambda s: s.duties.of(Duty.MAINTENANCE).epoch == 1)
+    second, second_address = processes.start_controller("two")
+    append(processes, 2, WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING))
+    wait_for(processes, lambda state: joined(state) >= 1)
+    first.send_signal(signal.SIGKILL)
+    state = wait_for(processes, lambda s: wave_state(s) is WaveState.DONE)
+    assert joined(state) == 4
+    assert state.duties.of(Duty.MAINTENANCE).epoch == 2
+    assert get(second_address, "/healthz")[0] == 200
+    assert get(second_address, "/readyz")[0] == 200
+    status, body = get(second_address, "/v1/explain/pool/main")
+    sentences = [event["sentence"] for event in json.loads(body)["events"]]
+    assert status == 200
+    assert any("was chosen to be rebooted" in text for text in sentences)
+    assert get(second_address, "/v1/explain/instance/nobody")[0] == 404
+    time.sleep(5.5)
+    assert (
+        'lycheeloom_duty_held{duty="maintenance"} 1.0'
+        in get(second_address, "/metrics")[1]
+    )
+    listing = get(processes.address_by_name["instances"], "/v1/instances")[1]
+    states = {item["state"] for item in json.loads(listing)["instances"]}
+    assert states == {"live"}
+    second.send_signal(signal.SIGTERM)
+    assert second.wait(timeout=20) == 0
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("listen = 5", "listen: Input should be a valid string, got 5"),
+        ('colour = "red"', "colour: unknown key; allowed: instance, zone, listen"),
+        ("step_s = 0", "step_s: Input should be greater than 0, got 0"),
+    ],
+)
+def test_bad_settings_are_named(tmp_path, line, expected):
+    path = tmp_path / "controller.toml"
+    path.write_text(line)
+    program = [sys.executable, "-m", "lycheeloom.controller.main"]
+    done = subprocess.run(
+        [*program, str(path), "--check-config"], capture_output=True, text=True
+    )
+    assert done.returncode == 2
+    assert f"{path}: {expected}" in done.stderr
+    assert f"{path}: log: is missing" in done.stderr
+
+
+class FakeTail:
+    def __init__(self):
+        self.state = FleetState()
+        self.last_read_sent_at = 0.0
+
+
+class FakeWriter:
+    author = "me"
+
+    def __init__(self, tail):
+        self._tail = tail
+
+    def append(self, record, priority):
+        state = self._tail.state
+        state.apply(state.next_offset, Batch("me", state.next_offset + 9, (record,)))
+
+
+def test_duty_is_not_taken_from_a_holder_silenced_by_a_log_outage():
+    """After an outage the holder must get its time to renew again."""
+    tail, now = FakeTail(), [0.0]
+    tail.state.apply(0, Batch("other", 1, (DutyClaimed(Duty.MAINTENANCE, 0),)))
+    duty = DutyKeeper(Duty.MAINTENANCE, tail, FakeWriter(tail), clock=lambda: now[0])
+    for second in range(1800):
+        now[0] = float(second)
+        duty.step()
+    assert duty.epoch == 1
+    for second in range(1800, 1800 + int(TAKEOVER_S) - 1):
+        now[0] = tail.last_read_sent_at = float(second)
+        duty.step()
+    assert duty.epoch == 1
+    for second in range(1811, 1816):
+        now[0] = tail.last_read_sent_at = float(second)
+        duty.step()
+    assert duty.is_held()
+    now[0] += 5
+    assert not duty.is_held()
+
+
+class FakeInstances:
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    def action_status(self, name):
+        self.asked.append(name)
+        return self.answers.get(name, ActionRefused("unknown"))
+
+    def drain(self, instance, name):
+        return self.answers[name]
+
+
+def test_statuses_tell_unknown_from_not_learned():
+    """An unreachable platform must not look like an action that never was."""
+    client = FakeInstances({"b": Unavailable("timeout"), "d": ActionRefused("no")})
+    runner = ActionRunner(client)
+    assert runner.statuses(["a", "b", "a.2"]) == {"a": ActionStatus.UNKNOWN}
+    assert client.asked == ["a", "b"]
+    runner.take([PlatformAction("w", ActionKind.DRAIN, "d")])
+    assert runner.statuses(["d", "d.2"]) == {
+        "d": ActionStatus.REFUSED,
+        "d.2": ActionStatus.UNKNOWN,
+    }
--- a/libs/fleet/src/lycheeloom/fleet/__init__.py
+++ b/libs/fleet/src/lycheeloom/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Maintenance and buffer planning."""
 
 from .explanations import Explanation, Explanations
+from .monitor import HealthMonitor, MonitorSettings
 from .planner import Planner
 from .view import (
     ActionKind,
@@ -20,7 +21,9 @@
     "Explanation",
     "Explanations",
     "FleetView",
+    "HealthMonitor",
     "HealthState",
+    "MonitorSettings",
     "Move",
     "Plan",
     "Planner",
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -101,6 +101,8 @@
 def advance(instance: str, move: Move, facts: MoveFacts) -> MoveDecision:
     """Decide the next step of an open move."""
     step = _Step(instance, move, facts)
+    if not step.is_informed():
+        return MoveDecision(wait=Wait.PLATFORM)
     match move.stage:
         case MoveStage.PLANNED:
             return _advance_planned(step)
@@ -113,12 +115,32 @@
     return MoveDecision()
 
 
+_ASKED_STAGES = {
+    MoveStage.PLANNED: (MoveStage.DRAINING,),
+    MoveStage.DRAINING: (MoveStage.DRAINING, MoveStage.ABANDONED),
+    MoveStage.DRAINED: (MoveStage.JOINED,),
+    MoveStage.REBOOTING: (MoveStage.REBOOTING, MoveStage.JOINED),
+    MoveStage.JOINED: (),
+    MoveStage.ABANDONED: (),
+}
+
+
 @dataclass(frozen=True, slots=True)
 class _Step:
     instance: str
     move: Move
     facts: MoveFacts
 
+    def is_informed(self) -> bool:
+        """Tell whether the platform could be asked about the first tries.
+
+        Without that, what an earlier holder did could be overlooked.
+        """
+        return all(
+            self.name(stage) in self.facts.status_by_action
+            for stage in _ASKED_STAGES[self.move.stage]
+        )
+
     def name(self, stage: MoveStage, attempt: int = 1) -> str:
         return action_id(self.move.move_id, stage, attempt)
 
@@ -142,10 +164,7 @@
     Its action ids would have no effect, so it must not be started again.
     """
     facts = step.facts
-    drain = facts.status_by_action.get(step.name(MoveStage.DRAINING))
-    if drain is None:
-        return MoveDecision(wait=Wait.PLATFORM)
-    if drain is not ActionStatus.UNKNOWN:
+    if step.status(MoveStage.DRAINING) is not ActionStatus.UNKNOWN:
         reason = "it is a late copy of a move that has ended"
         return MoveDecision(MoveStage.ABANDONED, reason=reason)
     if facts.abandon:
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -138,6 +138,21 @@
         pool = last.layout.place_by_instance[instance][0]
         return events.sentence(events.NotChosen(instance, pool, limit))
 
+    def knows(self, instance: str) -> bool:
+        """Tell whether the last step saw an instance of this name."""
+        last = self._last
+        return last is not None and instance in last.layout.place_by_instance
+
+    def out_by_pool(self) -> dict[str, int]:
+        """Return how many instances of each pool the last step counted as out."""
+        if self._last is None:
+            return {}
+        layout, ledger = self._last.layout, self._last.ledger
+        return {
+            pool: size - ledger.available(pool)
+            for pool, size in layout.size_by_pool.items()
+        }
+
     def _begin(self, view: FleetView, now_s: float) -> Step:
         layout = self._layout_of(view)
         seen = self.health.assess(layout, now_s)
@@ -189,7 +204,7 @@
             return record.to_pool not in view.config.pool_by_id
         return move.move_id == record.move_id or move.stage not in ENDED_STAGES
 
-    def _start_move(self, step: Step, cause: str, record: MoveStep) -> None:
+    def _start_move(self, step: Step, record: MoveStep) -> None:
         name = record.instance
         step.ledger.take(name)
         self._pending[name] = record
@@ -226,7 +241,6 @@
         pool = step.layout.place_by_instance[repair.instance][0]
         self._start_move(
             step,
-            "repair",
             _planned(step, repair.instance, move_id, pool, True, repair.reason),
         )
 
@@ -286,9 +300,7 @@
         kind = "urgent maintenance" if wave.urgent else "maintenance"
         reason = f"{kind} wave {wave.wave_id} has reached it"
         move_id = f"{_wave_prefix(wave, name)}{step.view.offset}"
-        self._start_move(
-            step, "wave", _planned(step, name, move_id, pool, wave.reboot, reason)
-        )
+        self._start_move(step, _planned(step, name, move_id, pool, wave.reboot, reason))
 
     def _note_blocked(self, step: Step, name: str, limit: Limit) -> None:
         pool = step.layout.place_by_instance[name][0]
@@ -313,7 +325,7 @@
             record = _planned(
                 step, move.instance, move_id, move.to_pool, reboot, reason
             )
-            self._start_move(step, "pool", record)
+            self._start_move(step, record)
         for short in self._rebalancer.plan.shortages[:_MAX_EVENTS_PER_STEP]:
             size = f"{short.size.cores:g} cores"
             event = events.BufferShort(short.place, short.lacking, size)
