--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -57,6 +57,7 @@
     workers: dict[str, FakeWorker] = field(default_factory=dict)
     status_by_action: dict[str, ActionStatus] = field(default_factory=dict)
     drain_by_instance: dict[str, float] = field(default_factory=dict)
+    drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
     effects: Counter = field(default_factory=Counter)
     lost_work: int = 0
@@ -144,8 +145,11 @@
                 worker.draining = True
                 drain_s = self.drain_by_instance.get(action.instance, self.drain_s)
                 worker.work_ends_s = self.now_s + drain_s
+                self.drain_of[action.instance] = action.action_id
+                status = ActionStatus.RUNNING
             case ActionKind.UNDRAIN:
                 worker.draining = False
+                self._end_drain(action.instance)
             case ActionKind.REBOOT:
                 self.lost_work += worker.running if worker.alive else 0
                 worker.alive = False
@@ -179,6 +183,7 @@
             if worker.draining:
                 if self.now_s >= worker.work_ends_s:
                     worker.running = 0
+                    self._end_drain(name)
                 continue
             if not self._is_leaving(name):
                 worker.running = 1
@@ -195,6 +200,11 @@
         move = self.state.maintenance.move_by_instance.get(name)
         return move is not None and move.stage in LEAVING
 
+    def _end_drain(self, name: str) -> None:
+        action_id = self.drain_of.pop(name, None)
+        if action_id is not None:
+            self.status_by_action[action_id] = ActionStatus.DONE
+
     def _finish_reboot(self, name: str, worker: FakeWorker) -> None:
         if self.now_s < worker.rebooting_until_s:
             return
--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -20,8 +20,12 @@
 from .duty import DutyKeeper
 from .probes import WorkerProbes
 
-# An older list still shows who is leaving; without it nothing new is started.
-LIST_KEPT_S = 30.0
+# A line of the list has about 150 bytes; at 50 lines a second the list takes
+# 7.5 KB per second of the 24 KB that a daemon may use.
+LIST_LINES_PER_S = 50
+SHORTEST_LIST_INTERVAL_S = 1.0
+# Beyond its interval the list may be so much older; then nothing new is started.
+LIST_GRACE_S = 30.0
 _COUNTED = frozenset({MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING})
 
 
@@ -72,7 +76,13 @@
         if plan.actions and self._duty.is_held():
             self._actions.take(plan.actions)
 
+    def _list_interval_s(self) -> float:
+        lines = len(self._listing.instances) if self._listing else 0
+        return max(SHORTEST_LIST_INTERVAL_S, lines / LIST_LINES_PER_S)
+
     def _refresh_list(self) -> None:
+        if self._clock() - self._listed_at < self._list_interval_s():
+            return
         listing = self._client.list()
         if not isinstance(listing, InstanceList):
             log_event("instance_list_unavailable", "WARNING", reason=listing.reason)
@@ -103,9 +113,13 @@
             unavailable=self._unavailable(state.config.instance_by_id),
             running_by_instance=self._probes.running_by_instance(),
             status_by_action=statuses,
-            listed=self._clock() - self._listed_at <= LIST_KEPT_S,
+            listed=self._is_listed(),
         )
 
+    def _is_listed(self) -> bool:
+        age_s = self._clock() - self._listed_at
+        return age_s <= self._list_interval_s() + LIST_GRACE_S
+
     def _unavailable(self, known) -> frozenset[str]:
         """Return who is leaving, or was listed before and no longer is.
 
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -20,11 +20,12 @@
 )
 from lycheeloom.platform import Unavailable, UsageReport, WorkerClient
 
-# 5,100 workers are then probed every 255 s for about 10 KB per second, and 30
-# workers every 1.5 s.
-PROBES_PER_S = 20
+# 5,100 workers are then probed every 510 s, and 30 workers every 3 s; more would
+# take too much of the 3.5% of a core that a daemon may use.
+PROBES_PER_S = 10
 MAX_PROBES = 16
-# A worker that did not answer is probed again so soon.
+# A worker that did not answer is probed again so soon, and the others of its
+# rack at once, so that a lost rack is seen as a whole.
 MISS_RETRY_S = 5.0
 # A count of running tasks is not used when it is older.
 COUNT_KEPT_S = 10.0
@@ -47,7 +48,8 @@
         self._monitor = monitor
         self._clock = clock
         self._running: dict[str, tuple[float, int]] = {}
-        self._missed_at: dict[str, float] = {}
+        # When to probe out of turn.
+        self._due_at: dict[str, float] = {}
         self._pool = Pool(MAX_PROBES)
 
     def run(self) -> None:
@@ -55,7 +57,7 @@
         for _ in count():
             names = list(self._tail.state.config.instance_by_id)
             for name in names:
-                self._probe_missed()
+                self._probe_due()
                 self._pool.spawn(self._probe, name)
                 gevent.sleep(1 / PROBES_PER_S)
             if not names:
@@ -70,13 +72,11 @@
         oldest = self._clock() - COUNT_KEPT_S
         return {name: n for name, (at, n) in self._running.items() if at >= oldest}
 
-    def _probe_missed(self) -> None:
-        due = self._clock() - MISS_RETRY_S
-        known = self._tail.state.config.instance_by_id
-        for name in [name for name, at in self._missed_at.items() if at <= due]:
-            del self._missed_at[name]
-            if name in known:
-                self._pool.spawn(self._probe, name)
+    def _probe_due(self) -> None:
+        now = self._clock()
+        for name in [name for name, at in self._due_at.items() if at <= now]:
+            del self._due_at[name]
+            self._pool.spawn(self._probe, name)
 
     def _probe(self, name: str) -> None:
         instance = self._tail.state.config.instance_by_id.get(name)
@@ -85,14 +85,21 @@
         match self._client.usage(instance.address):
             case UsageReport() as report:
                 now = self._clock()
-                self._missed_at.pop(name, None)
                 self._running[name] = (now, len(report.tasks))
                 self._monitor.heartbeat(name, now, report.boot_id)
             case Unavailable():
                 now = self._clock()
-                self._missed_at[name] = now
                 self._running.pop(name, None)
-                self._monitor.missed(name, now)
+                if self._monitor.missed(name, now):
+                    self._probe_rack_soon(name, now)
+                self._due_at[name] = now + MISS_RETRY_S
+
+    def _probe_rack_soon(self, name: str, now: float) -> None:
+        instances = self._tail.state.config.instance_by_id
+        place = instances[name].zone, instances[name].rack
+        for other in instances.values():
+            if (other.zone, other.rack) == place:
+                self._due_at.setdefault(other.id, now)
 
     def forget(self, known: Collection[str]) -> None:
         """Drop counts of workers that are no longer configured."""
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -92,13 +92,16 @@
         if boot_id:
             self._boot[instance] = boot_id
 
-    def missed(self, instance: str, at_s: float) -> None:
-        """Note that the instance did not answer.
+    def missed(self, instance: str, at_s: float) -> bool:
+        """Note that the instance did not answer; True for the first miss.
 
         Silence counts from the first miss, not from the last heartbeat: where
         probes are rare or the observer stood still, nobody looks silent.
         """
-        self._missed_s.setdefault(instance, at_s)
+        if instance in self._missed_s:
+            return False
+        self._missed_s[instance] = at_s
+        return True
 
     def lease_lost(self, instance: str, at_s: float) -> None:
         """Note that a task's lease could not be renewed on the instance."""
--- a/libs/fleet/src/lycheeloom/fleet/movement.py
+++ b/libs/fleet/src/lycheeloom/fleet/movement.py
@@ -101,7 +101,7 @@
             statuses,
             view.running_by_instance.get(name),
             silent_s >= settings.dead_after_s,
-            limit is None,
+            limit is None and view.listed,
             abandon,
             refused_for,
             settings.retry_after_s,
