--- a/libs/fleet/src/lycheeloom/fleet/movement.py
+++ b/libs/fleet/src/lycheeloom/fleet/movement.py
@@ -191,6 +191,11 @@
 
 
 def _is_unplanned(step: Step, name: str, move: Move) -> bool:
-    """Tell whether the instance is out anyway, so that a move costs nothing."""
+    """Tell whether the instance is out anyway, so that a move costs nothing.
+
+    One whose zone operators took out is not: they may bring it back at any time.
+    """
+    if name in step.layout.out_of_service:
+        return False
     state = step.view.health_by_instance.get(name)
     return name in step.out or move.move_id.startswith("repair.") and state is not None
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -14,8 +14,9 @@
 from lycheeloom.fleet.buffers import least_in_service, plan_buffers
 from lycheeloom.fleet.events import NotChosen
 from lycheeloom.fleet.repair import RepairSettings
-from lycheeloom.model.config import parse_config
+from lycheeloom.model.config import canonical_json, parse_config
 from lycheeloom.model.records import (
+    ConfigChanged,
     Health,
     InstanceHealth,
     MoveStage,
@@ -156,6 +157,24 @@
     ]
 
 
+def test_zone_out_of_service_does_not_free_its_instances_for_drains():
+    """When the zone returns at once, the drain would go over the budget."""
+    world = World(user_fleet(16, 65536))
+    controller = Controller(world, "controller")
+    start_wave(world, pools=("north",))
+    plan = controller.plan()
+    world.carry_out("controller", plan)
+    chosen = world.open_moves()[0]
+    zone = world.state.config.instance_by_id[chosen].zone
+    world.fail([name for name in ("w00", "w01") if name != chosen][:1])
+    version = world.state.configuration.version
+    patch = canonical_json({"zones": {zone: {"state": "out"}}})
+    world.append("operator", [ConfigChanged(version, patch, "operator")])
+    run(controller, 5)
+    assert not world.workers[chosen].draining
+    assert world.over_budget == []
+
+
 def test_last_spare_is_kept(world):
     """Maintenance must not use the only spare that is left."""
     document = user_fleet(16, 65536, needed=6)
