--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -178,8 +178,9 @@
 def _advance_draining(step: _Step) -> MoveDecision:
     """Drain, wait until work ended, or return the instance.
 
-    The drain's id is always used up first: a copy of the request that is still
-    under way then finds its id known and cannot drain the instance later.
+    A move that is abandoned before its drain uses up the drain's id for an
+    undrain: a copy of the drain that is still under way then finds its id known
+    and cannot drain the instance after the move has ended.
     """
     facts = step.facts
     drain = step.status(MoveStage.DRAINING)
@@ -188,7 +189,9 @@
         reason = facts.abandon or "an earlier controller began to return it"
         return _return(step, MoveStage.ABANDONED, reason)
     if drain is ActionStatus.UNKNOWN:
-        if not facts.may_start and not facts.abandon:
+        if facts.abandon:
+            return step.act(ActionKind.UNDRAIN, MoveStage.DRAINING)
+        if not facts.may_start:
             return MoveDecision(wait=Wait.BUDGET)
         return step.act(ActionKind.DRAIN, MoveStage.DRAINING)
     if facts.abandon:
--- a/libs/fleet/tests/test_planner.py
+++ b/libs/fleet/tests/test_planner.py
@@ -9,7 +9,13 @@
 import pytest
 
 from bench.fleet_world import Controller, World, fleet_document, user_fleet
-from lycheeloom.fleet import Explanations, Planner, PlannerSettings
+from lycheeloom.fleet import (
+    ActionKind,
+    Explanations,
+    Planner,
+    PlannerSettings,
+    PlatformAction,
+)
 from lycheeloom.fleet.budgets import Limit, LimitKind
 from lycheeloom.fleet.buffers import least_in_service, plan_buffers
 from lycheeloom.fleet.events import NotChosen
@@ -175,6 +181,25 @@
     assert world.over_budget == []
 
 
+def test_abandoning_before_the_drain_does_not_drain():
+    """A move called off while its pool is short must not take more capacity."""
+    world = World(user_fleet(16, 65536))
+    controller = Controller(world, "controller")
+    start_wave(world, pools=("north",))
+    controller.tick()
+    world.append("controller", controller.plan().records)
+    name = world.open_moves()[0]
+    world.fail([other for other in ("w00", "w01") if other != name])
+    command(world, "w", WaveState.RUNNING, WaveState.ABORTED, ("north",))
+    move_id = world.state.maintenance.move_by_instance[name].move_id
+    late = PlatformAction(name, ActionKind.DRAIN, f"{move_id}.draining")
+    run(controller, 5)
+    assert world.open_moves() == []
+    world.act(late)
+    assert not world.workers[name].draining
+    assert world.over_budget == []
+
+
 def test_last_spare_is_kept(world):
     """Maintenance must not use the only spare that is left."""
     document = user_fleet(16, 65536, needed=6)
