--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -5,9 +5,9 @@
 import time
 from collections.abc import Callable
 
-from lycheeloom.fleet import FleetView, Plan, Planner
+from lycheeloom.fleet import FleetView, Plan, PlannedRecord, Planner
 from lycheeloom.log import LogTail, LogWriter, NoEffect, Pending, Priority
-from lycheeloom.model.records import MoveStage
+from lycheeloom.model.records import InstanceHealth, MoveStage, MoveStep
 from lycheeloom.platform import (
     InstanceClient,
     InstanceList,
@@ -53,7 +53,7 @@
         self._actions = ActionRunner(instances)
         self._probes = probes
         self._clock = clock
-        self._pending: dict[object, Pending] = {}
+        self._pending: dict[PlannedRecord, Pending] = {}
         self._listing: InstanceList | None = None
         self._listed_at = float("-inf")
         self._ever_listed: set[str] = set()
@@ -145,7 +145,7 @@
             if record in self._pending:
                 continue
             self._pending[record] = self._writer.append(record, Priority.CONTROL)
-            log_event("record_appended", record=record)
+            log_event("record_appended", **_fields(record))
 
     def _withdraw_except(self, wanted) -> None:
         """Withdraw what is no longer wanted and was not sent; drop the settled.
@@ -160,5 +160,25 @@
             if pending.outcome is None:
                 continue
             if isinstance(pending.outcome, NoEffect):
-                log_event("record_without_effect", "WARNING", record=record)
+                log_event("record_without_effect", "WARNING", **_fields(record))
             del self._pending[record]
+
+
+def _fields(record: PlannedRecord) -> dict[str, str]:
+    """Return what identifies a record in a log line."""
+    match record:
+        case MoveStep():
+            return {
+                "instance": record.instance,
+                "move": record.move_id,
+                "stage": record.stage,
+                "to_pool": record.to_pool,
+                "reason": record.reason,
+            }
+        case InstanceHealth():
+            return {
+                "instance": record.instance,
+                "health": record.health,
+                "reason": record.reason,
+            }
+    return {"wave": record.wave_id, "wanted": record.wanted}
