--- a/libs/controller/src/lycheeloom/controller/housekeeping.py
+++ b/libs/controller/src/lycheeloom/controller/housekeeping.py
@@ -38,7 +38,7 @@
             return
         result = self.writer.write()
         if result is not SnapshotResult.EMPTY:
-            log_event("snapshot", result=result, covers=self.writer.covers_offset)
+            log_event("snapshot", result=result.value, covers=self.writer.covers_offset)
 
 
 class AnswerExpiry:
