--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -98,8 +98,7 @@
         while True:
             self._wake.wait(TICK_S)
             self._wake.clear()
-            if self._may_dispatch():
-                self._take_decisions()
+            self._take_decisions()
 
     def submit(self, job: Job) -> Refusal | None:
         """Queue a job, or return why it is refused as not run."""
@@ -109,7 +108,8 @@
         if job.tries == 0:
             self._budget(job.submission.queue).on_request()
         self._jobs.add(job)
-        self.wake()
+        # Deciding here saves a switch to the dispatching greenlet and back.
+        self._take_decisions()
         return None
 
     def cancel(self, job: Job) -> None:
@@ -141,6 +141,8 @@
             self._budget_by_queue[queue.id] = budget
 
     def _take_decisions(self) -> None:
+        if not self._may_dispatch():
+            return
         for decision in self.scheduler.next_starts(time.monotonic()):
             match decision:
                 case Start(task, worker, resources):
@@ -200,7 +202,8 @@
             if state.timer is not None:
                 state.timer.kill(block=False)
             self._finish(job, task, placement, end, state.is_repeated)
-            self.wake()
+            if self.scheduler.has_queued():
+                self.wake()
 
     def _finish(
         self,
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -40,7 +40,7 @@
         is_ready: Callable[[], bool],
         explain: Callable[[str, str], list[str] | None],
     ) -> None:
-        self.app = Bottle()
+        self.app = Bottle(autojson=False)
         self._intake = intake
         self._tail = tail
         self._metrics = metrics
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import time
 from dataclasses import dataclass
 
@@ -59,6 +60,8 @@
 # requests are answered with a refusal instead of a closed connection.
 MIN_DRAIN_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
+# Allocations between two collections of the youngest objects.
+GC_ALLOCATIONS = 20_000
 
 
 @dataclass(slots=True)
@@ -228,6 +231,11 @@
         )
 
     def _start(self) -> None:
+        # The modules and the recovered state stay; scanning them in each full
+        # collection delayed answers by tens of milliseconds.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_ALLOCATIONS)
         self._adopt_config()
         self.tail.start()
         self.writer.start()
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -254,6 +254,10 @@
 
     # What other parts of the entry ask.
 
+    def has_queued(self) -> bool:
+        """Tell whether any task waits for its start."""
+        return any(self._state.queues.count_by_team.values())
+
     def is_queued(self, task_id: str) -> bool:
         """Tell whether a task waits for its start."""
         record = self._state.record_by_id.get(task_id)
--- a/libs/telemetry/src/lycheeloom/telemetry/logs.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/logs.py
@@ -11,6 +11,7 @@
     "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} "
     "process={extra[process]} {message}"
 )
+_lowest_level_no = 0
 _QUOTED_CHARACTERS = frozenset(' "=\n\r\t')
 
 
@@ -19,6 +20,8 @@
 
     ``level`` is one of loguru's level names; others raise ``ValueError``.
     """
+    global _lowest_level_no
+    _lowest_level_no = logger.level(level).no
     logger.remove()
     logger.configure(extra={"process": process})
     logger.add(sys.stderr, format=_FORMAT, level=level, backtrace=False, diagnose=False)
@@ -26,6 +29,8 @@
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
     """Write one line: ``log_event("zone_out", zone="z1")``."""
+    if logger.level(level).no < _lowest_level_no:
+        return
     pairs = [f"event={event}"]
     pairs.extend(f"{name}={format_value(value)}" for name, value in fields.items())
     # The message is passed as an argument, so that braces in values stay literal.
--- a/libs/telemetry/src/lycheeloom/telemetry/traces.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/traces.py
@@ -29,6 +29,8 @@
 
 _PROPAGATOR = TraceContextTextMapPropagator()
 _NANOSECONDS_PER_MICROSECOND = 1000
+# Flags of a caller that does not record the trace.
+_NOT_SAMPLED = "-00"
 
 
 class LineSpanExporter(SpanExporter):
@@ -47,18 +49,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ActiveSpan:
-    """A span in progress; ``traceparent`` is the header for the next hop."""
+    """A span in progress; ``traceparent`` is the header for the next hop.
 
-    span: Span
+    ``span`` is None if the trace is not recorded.
+    """
+
+    span: Span | None
     traceparent: str
 
     def set(self, name: str, value: str | int | float) -> None:
         """Add an attribute."""
-        self.span.set_attribute(name, value)
+        if self.span is not None:
+            self.span.set_attribute(name, value)
 
     def fail(self, reason: str) -> None:
         """Mark the span as failed."""
-        self.span.set_status(StatusCode.ERROR, reason)
+        if self.span is not None:
+            self.span.set_status(StatusCode.ERROR, reason)
 
 
 class Tracer:
@@ -71,6 +78,7 @@
     def __init__(
         self, process: str, sample_ratio: float, exporter: SpanExporter | None = None
     ) -> None:
+        self._sample_ratio = sample_ratio
         self._provider = TracerProvider(
             sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
             resource=Resource({"service.name": process}),
@@ -85,6 +93,10 @@
         self, name: str, traceparent: str | None = None, **attributes: str | int | float
     ) -> Iterator[ActiveSpan]:
         """Run a block in a span below the one that ``traceparent`` names."""
+        if self._is_unrecorded(traceparent):
+            # The SDK's unrecorded spans took 5% of an entry's processor time.
+            yield ActiveSpan(None, traceparent or "")
+            return
         context = None
         if traceparent:
             context = _PROPAGATOR.extract({"traceparent": traceparent})
@@ -94,6 +106,11 @@
         finally:
             span.end()
 
+    def _is_unrecorded(self, traceparent: str | None) -> bool:
+        if traceparent:
+            return traceparent.endswith(_NOT_SAMPLED)
+        return self._sample_ratio == 0
+
 
 def _header(span: Span) -> str:
     context = span.get_span_context()
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -60,3 +60,17 @@
     with tracer.span("accept", header):
         pass
     assert "parent=-" in stream.getvalue()
+
+
+@pytest.mark.parametrize(
+    ("ratio", "header"),
+    [(0.0, ""), (1.0, "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00")],
+)
+def test_unrecorded_trace_is_passed_on(ratio, header):
+    """A caller's decision not to record must reach the next hop unchanged."""
+    stream = io.StringIO()
+    with Tracer("entry", ratio, LineSpanExporter(stream)).span("a", header) as span:
+        span.set("team", "t")
+        span.fail("reason")
+    assert span.traceparent == header
+    assert stream.getvalue() == ""
