--- a/libs/log/src/lycheeloom/log/snapshot.py
+++ b/libs/log/src/lycheeloom/log/snapshot.py
@@ -14,11 +14,13 @@
 CHUNK_BYTES = 192 * 1024
 
 
-def pack_snapshot(snapshot_id: str, covers: int, dump: bytes) -> list[SnapshotChunk]:
+def pack_snapshot(
+    snapshot_id: str, covers: int, dump: bytes, chunk_bytes: int = CHUNK_BYTES
+) -> list[SnapshotChunk]:
     """Divide a dump; ``covers`` is the last replayed offset."""
     digest = _digest(dump)
     parts = [
-        dump[start : start + CHUNK_BYTES] for start in range(0, len(dump), CHUNK_BYTES)
+        dump[start : start + chunk_bytes] for start in range(0, len(dump), chunk_bytes)
     ]
     return [
         SnapshotChunk(snapshot_id, covers, index, len(parts), digest, part)
