--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -56,6 +56,7 @@
     state: FleetState = field(default_factory=FleetState)
     workers: dict[str, FakeWorker] = field(default_factory=dict)
     status_by_action: dict[str, ActionStatus] = field(default_factory=dict)
+    drain_by_instance: dict[str, float] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
     effects: Counter = field(default_factory=Counter)
     lost_work: int = 0
@@ -141,7 +142,8 @@
                 if worker.alive:
                     self._check_budget(action.instance)
                 worker.draining = True
-                worker.work_ends_s = self.now_s + self.drain_s
+                drain_s = self.drain_by_instance.get(action.instance, self.drain_s)
+                worker.work_ends_s = self.now_s + drain_s
             case ActionKind.UNDRAIN:
                 worker.draining = False
             case ActionKind.REBOOT:
@@ -247,11 +249,18 @@
 
     def plan(self) -> Plan:
         """Hear the workers and plan one step, without carrying it out."""
+        self.hear()
+        return self.planner.step(self.view(), self.world.now_s)
+
+    def hear(self) -> None:
+        """Give the planner the heartbeats of this moment."""
         world = self.world
         for name in world.heard():
             boot = str(world.workers[name].boots)
             self.planner.health.heartbeat(name, world.now_s, boot)
-        return self.planner.step(self.view(), world.now_s)
+        for name, worker in world.workers.items():
+            if not worker.alive:
+                self.planner.health.missed(name, world.now_s)
 
     def view(self) -> FleetView:
         """Return what this controller sees, with the statuses it asks for."""
