--- /dev/null
+++ b/bench/fault_oracle.py
@@ -0,0 +1,198 @@
+"""Checks the invariants against what callers, operators and workers saw.
+
+Nothing here reads the state of an entry: ``check`` takes the notes of callers
+and operators and the ledger of the workers, and returns sentences that say
+which invariant was broken and how.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from .fault_fleet import CallSeen, Notes, Publication
+
+# Stated targets of the design page, section 1.
+REVOKED_S = 3.0
+ZONE_OUT_S = 3.0
+ONCE_KINDS = frozenset({"booking", "keyed", "batch"})
+Ledger = list[dict[str, Any]]
+
+
+def check(notes: Notes, ledger: Ledger, limits: Mapping[str, int]) -> list[str]:
+    """Return a sentence for each break of an invariant."""
+    starts_by_work = _group(ledger, "call")
+    starts_by_request = _group(ledger, "request_id")
+    return [
+        *_check_upper_limits(ledger, limits),
+        *_check_zones(notes.publications, ledger),
+        *_check_keys(notes),
+        *_check_not_run(notes, starts_by_work, starts_by_request),
+        *_check_own_answers(notes, starts_by_work),
+        *_check_at_most_once(notes.calls, starts_by_work),
+        *_check_repeats(notes.calls),
+        *_check_batches(notes),
+        *_check_shutdowns(notes),
+        *_check_versions(notes.versions),
+    ]
+
+
+def _group(ledger: Ledger, field: str) -> dict[str, Ledger]:
+    groups: dict[str, Ledger] = defaultdict(list)
+    for start in ledger:
+        groups[start[field]].append(start)
+    return groups
+
+
+def _check_upper_limits(ledger: Ledger, limits: Mapping[str, int]) -> Iterable[str]:
+    """I4: the running tasks of a team at each moment a task starts."""
+    for team, peak in peak_by_team(ledger).items():
+        if peak > limits.get(team, 0):
+            yield f"I4: team {team} had {peak} tasks running, limit {limits.get(team)}"
+
+
+def peak_by_team(ledger: Ledger) -> dict[str, int]:
+    """Return the most tasks of each team that ran at one moment."""
+    changes = []
+    for start in ledger:
+        ended_at = start["ended_at"]
+        changes.append((start["started_at"], 1, start["team"]))
+        changes.append((math.inf if ended_at is None else ended_at, -1, start["team"]))
+    running: dict[str, int] = defaultdict(int)
+    peak: dict[str, int] = defaultdict(int)
+    for _, change, team in sorted(changes):
+        running[team] += change
+        peak[team] = max(peak[team], running[team])
+    return dict(peak)
+
+
+def _check_zones(publications: list[Publication], ledger: Ledger) -> Iterable[str]:
+    """I5: no start in a zone that has been out for more than a few seconds."""
+    for index, out in enumerate(publications):
+        if out.what != "zone out" or not out.accepted:
+            continue
+        back = [
+            later.sent_at
+            for later in publications[index + 1 :]
+            if later.what == "zone in" and later.name == out.name
+        ]
+        closed_from, closed_to = out.accepted_at + ZONE_OUT_S, min([math.inf, *back])
+        for start in ledger:
+            is_late = closed_from < start["started_at"] < closed_to
+            if start["zone"] == out.name and is_late:
+                late_s = start["started_at"] - out.accepted_at
+                yield f"I5: {start['task']} started in {out.name} {late_s:.2f} s late"
+
+
+def _check_keys(notes: Notes) -> Iterable[str]:
+    """I3: no call sent after a key's revocation was in force is accepted."""
+    closed_from_by_key = {
+        item.name: item.accepted_at + REVOKED_S
+        for item in notes.publications
+        if item.what == "revoke" and item.accepted
+    }
+    for call in notes.calls:
+        is_late = call.sent_at > closed_from_by_key.get(call.key, math.inf)
+        if is_late and call.status in (200, 202, 504):
+            late_s = call.sent_at - closed_from_by_key[call.key] + REVOKED_S
+            yield (
+                f"I3: {call.work} at {call.entry} was accepted with {call.key} "
+                f"{late_s:.2f} s after its revocation: {call.document}"
+            )
+
+
+def _check_not_run(
+    notes: Notes, by_work: Mapping[str, Ledger], by_request: Mapping[str, Ledger]
+) -> Iterable[str]:
+    """I7: what was refused as not run never started."""
+    answers = [*notes.calls, *notes.cancelled]
+    for collected in notes.collected.values():
+        answers += collected
+    for call in answers:
+        if call.verdict != "not_run":
+            continue
+        request_id = call.document.get("request_id")
+        starts = by_request.get(request_id, []) if request_id else []
+        # A repeat may be refused while the first call with its key runs.
+        if call.kind not in ("keyed", "cancel", "collect"):
+            starts = [*starts, *by_work.get(call.work, [])]
+        if starts:
+            yield f"I7: {call.work} ({call.kind}) started, but was told {call.document}"
+
+
+def _check_own_answers(notes: Notes, by_work: Mapping[str, Ledger]) -> Iterable[str]:
+    """I6: an answer is the one that a worker gave to this work, and whole."""
+    answers = list(notes.calls)
+    for collected in notes.collected.values():
+        answers += collected
+    for call in answers:
+        if call.verdict != "ran":
+            continue
+        try:
+            work = json.loads(call.document["answer"])["call"]
+        except (KeyError, ValueError, TypeError):
+            yield f"I6: the answer to {call.work} is not whole: {call.document}"
+            continue
+        if work != call.work:
+            yield f"I6: {call.work} got the answer to {work}"
+        done = [s for s in by_work.get(call.work, []) if s["status"] == "done"]
+        if not done:
+            yield f"I6: {call.work} was told it ran, but no worker finished it"
+
+
+def _check_at_most_once(
+    calls: list[CallSeen], by_work: Mapping[str, Ledger]
+) -> Iterable[str]:
+    """I8: work that is not idempotent started at most once."""
+    for work in sorted({c.work for c in calls if c.kind in ONCE_KINDS}):
+        starts = by_work.get(work, [])
+        if len(starts) > 1 and not any(c.idempotent for c in calls if c.work == work):
+            tasks = [(start["task"], start["worker"]) for start in starts]
+            yield f"I8: {work} started {len(starts)} times: {tasks}"
+
+
+def _check_repeats(calls: list[CallSeen]) -> Iterable[str]:
+    """I6: repeats with one idempotency key are one request with one answer."""
+    ran_by_work: dict[str, set[str]] = defaultdict(set)
+    for call in calls:
+        if call.kind == "keyed" and call.verdict in ("ran", "accepted"):
+            ran_by_work[call.work].add(call.document["request_id"])
+    for work, ids in ran_by_work.items():
+        if len(ids) > 1:
+            yield f"I6: repeats of {work} became {len(ids)} requests"
+
+
+def _check_batches(notes: Notes) -> Iterable[str]:
+    """I6: each accepted batch request has one verdict, equal on all entries."""
+    for batch in notes.calls:
+        if not batch.is_accepted_batch:
+            continue
+        request_id = batch.document["request_id"]
+        seen = notes.collected.get(request_id, [])
+        final = {
+            call.document.get("answer", call.verdict) for call in seen if call.is_final
+        }
+        if not final:
+            last = seen[-1].document if seen else "nothing"
+            yield f"I6: {batch.work} ({request_id}) was never answered, last: {last}"
+        if len(final) > 1:
+            yield f"I6: {batch.work} ({request_id}) had several answers: {final}"
+
+
+def _check_shutdowns(notes: Notes) -> Iterable[str]:
+    """I10: a call that was under way at an asked shutdown is answered."""
+    for call in notes.calls:
+        asked_at = notes.asked_to_stop.get(call.process, -math.inf)
+        if call.sent_at < asked_at < call.answered_at and call.status == 0:
+            yield f"I10: {call.work} ({call.kind}) was cut off: {call.document}"
+
+
+def _check_versions(versions: Mapping[int, list[int]]) -> Iterable[str]:
+    """I11: no process goes back to an older configuration."""
+    for process, shown in versions.items():
+        for before, after in zip(shown, shown[1:], strict=False):
+            if after < before:
+                yield f"I11: process {process} went from version {before} to {after}"
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,216 @@
+"""A long run of random faults against real processes, judged afterwards.
+
+``python -m bench.faults --seed 1 --minutes 5`` starts stand-ins and entries,
+lets callers work while faults are drawn from the seed, heals everything,
+collects all batch answers and checks the invariants. It prints each step, so
+that the choices of a seed can be followed, and exits with 1 if one was broken.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import random  # noqa: E402
+import shutil  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections import Counter  # noqa: E402
+from dataclasses import asdict  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import Any  # noqa: E402
+
+import gevent  # noqa: E402
+from demo.processes import running_fleet  # noqa: E402
+
+from .fault_fleet import LIMIT_BY_TEAM, CallSeen, FaultFleet, collect_all  # noqa: E402
+from .fault_oracle import check, peak_by_team  # noqa: E402
+from .fault_steps import Steps  # noqa: E402
+
+ENTRIES = 6
+CALLERS_PER_TEAM = 10
+STEP_INTERVAL_S = (0.3, 2.5)
+VERSION_INTERVAL_S = 0.5
+# Reclaiming a lost entry's grants takes 20 s and looking its claims up 60 s.
+COLLECT_TIMEOUT_S = 150.0
+KINDS = ("lookup", "booking", "keyed", "batch")
+
+
+class Callers:
+    """Callers of all teams; each waits for its answer before the next call."""
+
+    def __init__(self, world: FaultFleet, seed: int) -> None:
+        self._world = world
+        self._is_over = False
+        self._greenlets = [
+            gevent.spawn(self._run, team, random.Random(f"{seed} {team} {number}"))
+            for team in LIMIT_BY_TEAM
+            for number in range(CALLERS_PER_TEAM)
+        ]
+        self._watch = gevent.spawn(self._watch_versions)
+
+    def stop(self) -> None:
+        """End after the calls under way."""
+        self._is_over = True
+        gevent.joinall([*self._greenlets, self._watch], raise_error=True)
+
+    def _run(self, team: str, rng: random.Random) -> None:
+        while not self._is_over:
+            gevent.sleep(rng.expovariate(1 / 0.3))
+            entries = sorted(self._world.open_entries)
+            if entries:
+                self._call_once(team, rng, entries)
+
+    def _call_once(self, team: str, rng: random.Random, entries: list[str]) -> None:
+        world = self._world
+        # Some callers go on with a key after it was revoked.
+        own = [key for key, owner in world.team_by_key.items() if owner == team]
+        key = rng.choice(own[-4:])
+        entry = rng.choice(entries)
+        # Long tasks cross lease renewals and pauses.
+        work_ms = rng.choice([5, 20, 50, 100, 200, 400, 1500, 3000, 9000])
+        match rng.choices(KINDS, (4, 2, 3, 3))[0]:
+            case "keyed":
+                self._call_keyed(entry, key, rng, entries, work_ms)
+            case "batch":
+                world.submit("batch", entry, key, work_ms=work_ms)
+            case kind:
+                world.submit(kind, entry, key, work_ms=min(work_ms, 3000))
+
+    def _call_keyed(
+        self, entry: str, key: str, rng: random.Random, entries: list[str], work_ms: int
+    ) -> None:
+        """Send a booking and repeat it through another entry under its key."""
+        work = self._world.new_work()
+        options: dict[str, Any] = {
+            "work": work,
+            "work_ms": min(work_ms, 3000),
+            "idempotency_key": work,
+        }
+        first = gevent.spawn(self._world.submit, "keyed", entry, key, **options)
+        if rng.random() < 0.5:
+            gevent.sleep(rng.random() * 0.3)
+            self._world.submit("keyed", rng.choice(entries), key, **options)
+        if first.get().verdict != "ran":
+            gevent.sleep(rng.random())
+            self._world.submit("keyed", rng.choice(entries), key, **options)
+
+    def _watch_versions(self) -> None:
+        while not self._is_over:
+            self._world.note_versions()
+            gevent.sleep(VERSION_INTERVAL_S)
+
+
+def run(
+    seed: int, minutes: float, entries: int = ENTRIES, logs: Path | None = None
+) -> dict[str, Any]:
+    """Make one run and return its figures and every broken invariant."""
+    with running_fleet() as fleet:
+        world = FaultFleet(fleet, entries)
+        world.start()
+        steps = Steps(world, random.Random(seed))
+        callers = Callers(world, seed)
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < minutes * 60:
+            gevent.sleep(steps.rng.uniform(*STEP_INTERVAL_S))
+            passed_s = time.monotonic() - started_at
+            print(f"{passed_s:7.1f} s  {steps.run_one()}", file=sys.stderr, flush=True)
+        callers.stop()
+        steps.heal()
+        world.wait_ready()
+        collect_s = collect_all(world, steps.rng, COLLECT_TIMEOUT_S)
+        world.note_versions()
+        ledger = fleet.ledger()
+        problems = check(world.notes, ledger, LIMIT_BY_TEAM)
+        problems += find_errors(fleet.folder)
+        if logs is not None:
+            keep(logs, fleet.folder, world, ledger)
+        return summarize(seed, minutes, world, steps, ledger, collect_s, problems)
+
+
+def keep(logs: Path, folder: Path, world: FaultFleet, ledger: list) -> None:
+    """Keep the logs of the programs, the notes and the ledger of a run."""
+    logs.mkdir(parents=True, exist_ok=True)
+    for path in folder.glob("*.log"):
+        shutil.copy(path, logs)
+    notes = asdict(world.notes) | {"ledger": ledger}
+    (logs / "notes.json").write_text(json.dumps(notes, indent=1))
+
+
+def find_errors(folder: Path) -> list[str]:
+    """Return the last lines of each traceback that a program logged."""
+    problems = []
+    for path in sorted(folder.glob("*.log")):
+        lines = path.read_text(errors="replace").splitlines()
+        for index, line in enumerate(lines):
+            if line.startswith("Traceback"):
+                end = "\n".join(lines[index : index + 60])
+                problems.append(f"{path.name}: {end}")
+    return problems[:5]
+
+
+def summarize(
+    seed: int,
+    minutes: float,
+    world: FaultFleet,
+    steps: Steps,
+    ledger: list[dict[str, Any]],
+    collect_s: float,
+    problems: list[str],
+) -> dict[str, Any]:
+    """Return the figures of a run."""
+    calls = world.notes.calls
+    return {
+        "seed": seed,
+        "minutes": minutes,
+        "steps": len(steps.done),
+        "steps_by_kind": dict(Counter(step.split()[0] for step in steps.done)),
+        "calls": len(calls),
+        "verdicts": {kind: _verdicts(calls, kind) for kind in KINDS},
+        "reasons": dict(
+            Counter(str(call.document.get("reason")) for call in calls if _is_bad(call))
+        ),
+        "starts": len(ledger),
+        "publications": len(world.notes.publications),
+        "cancellations": len(world.notes.cancelled),
+        "peaks": peak_by_team(ledger),
+        "collected_after_s": round(collect_s, 1),
+        "problems": problems,
+    }
+
+
+def _is_bad(call: CallSeen) -> bool:
+    return call.verdict in ("not_run", "may_have_run")
+
+
+def _verdicts(calls: list[CallSeen], kind: str) -> dict[str, int]:
+    return dict(Counter(call.verdict for call in calls if call.kind == kind))
+
+
+def main() -> int:
+    """Run once with the options of the command line."""
+    parser = argparse.ArgumentParser(prog="bench.faults", description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--minutes", type=float, default=2.0)
+    parser.add_argument("--entries", type=int, default=ENTRIES, choices=range(6, 10))
+    parser.add_argument("--logs", type=Path, help="folder for logs and notes")
+    parser.add_argument("--json", action="store_true", help="print one JSON object")
+    options = parser.parse_args()
+    report = run(options.seed, options.minutes, options.entries, options.logs)
+    problems = report.pop("problems")
+    if options.json:
+        print(json.dumps(report | {"problems": problems}))
+        return 1 if problems else 0
+    for name, value in report.items():
+        print(f"{name}: {value}")
+    for problem in problems:
+        print(f"BROKEN {problem}")
+    print(f"{len(problems)} broken")
+    return 1 if problems else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
