--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -140,7 +140,8 @@
             return self._commit_interval_s
         flight = self._unanswered or self._seal()
         if flight is None:
-            self._work.clear()
+            if not len(self._queue):
+                self._work.clear()
             return 0.0
         self._unanswered = flight
         sent_at = self._clock()
@@ -166,15 +167,22 @@
 
     def _seal(self) -> _Flight | None:
         records = self._queue.take_batch()
+        try:
+            return self._encode(records)
+        except ValueError:
+            # Rare, so only then is each record tried alone.
+            return self._encode([item for item in records if _can_encode(item)])
+
+    def _encode(self, records: list[Pending]) -> _Flight | None:
         if not records:
             return None
-        self._last_sequence += 1
+        sequence = self._last_sequence + 1
+        batch = Batch(self.author, sequence, tuple(item.record for item in records))
+        encoded = encode_batch(batch)
+        self._last_sequence = sequence
         for pending in records:
             pending.is_sent = True
-        batch = Batch(
-            self.author, self._last_sequence, tuple(item.record for item in records)
-        )
-        return _Flight(self.author, batch.sequence, records, encode_batch(batch))
+        return _Flight(self.author, sequence, records, encoded)
 
     def _rest_of_interval_s(self, sent_at: float) -> float:
         return max(0.0, sent_at + self._commit_interval_s - self._clock())
@@ -227,3 +235,13 @@
     def _settle_all(self, flight: _Flight, outcome: NotWritten | Unknown) -> None:
         for pending in flight.records:
             pending.settle(outcome)
+
+
+def _can_encode(pending: Pending) -> bool:
+    """Tell whether a record can be encoded; settle it as not written if not."""
+    try:
+        encode_batch(Batch("", 1, (pending.record,)))
+    except ValueError as error:
+        pending.settle(NotWritten(str(error)))
+        return False
+    return True
--- a/libs/log/tests/test_many_readers.py
+++ b/libs/log/tests/test_many_readers.py
@@ -190,6 +190,7 @@
 
     @invariant()
     def outcomes_are_true(self):
+        self.oracle.advance()
         effects = self.oracle.effective_offsets_by_request
         assert all(len(offsets) == 1 for offsets in effects.values())
         for name, pending in self.pending_by_request.items():
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -21,6 +21,7 @@
 from lycheeloom.state import FleetState
 from lycheeloom.wire import encode_batch
 from lycheeloom.wire.batches import _SCHEMA
+from lycheeloom.wire.seal import seal
 
 
 @pytest.fixture
@@ -145,9 +146,8 @@
     """One bad batch must not stop replay, and all readers must skip it alike."""
     log.archive.append(b"\xff" * 40)
     log.archive.append(b"")
-    log.archive.append(
-        _SCHEMA.Batch.new_message(author="n", sequence=1, records=[{}]).to_bytes()
-    )
+    newer = _SCHEMA.Batch.new_message(author="n", sequence=1, records=[{}])
+    log.archive.append(seal(newer.to_bytes()))
     add_submitted(log, 1, 300_000)
     tail.step()
     assert (tail.next_offset, tail.undecodable_batches) == (4, 2)
--- a/libs/log/tests/test_writer.py
+++ b/libs/log/tests/test_writer.py
@@ -178,6 +178,16 @@
     assert isinstance(alone.wait(0), NotWritten)
 
 
+def test_record_that_cannot_be_encoded(process):
+    """One bad record must not stop the others of its batch or the writer."""
+    before = process.append(submitted("q1"))
+    bad = process.append(r.GrantRequested("t", -1))
+    after = process.append(submitted("q2"))
+    process.settle()
+    assert isinstance(bad.wait(0), NotWritten)
+    assert (before.wait(0), after.wait(0)) == (Effective(0), Effective(0))
+
+
 def test_full_queue_refuses(process):
     """An outage of 30 minutes must not grow the queue without bound."""
     limit = MAX_QUEUED_BY_PRIORITY[Priority.REQUEST]
