Show life through the log before peers vote; test the cluster library

It now writes a refutation when it misses heartbeats, and a replayed batch counts as a sign of life.

--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -16,6 +17,7 @@
     Outcome,
     Pending,
     Priority,
+    Replayed,
 )
 from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_S
 from lycheeloom.model.records import (
@@ -38,6 +40,10 @@
 # An instance that is missing in the lagging list but was heard this recently is
 # still running.
 GONE_SILENCE_S = 2.0
+# A member that misses heartbeats of a peer shows the others through the log that
+# it is alive, before they vote. Otherwise an entry that reaches the log and no
+# peer would be expelled every few seconds and lose its grants each time.
+ALIVE_AFTER_S = SILENCE_S / 2
 # Spreads the appends of members that replayed the same expulsion together.
 RECLAIM_SPREAD_S = 1.0
 
@@ -97,8 +103,11 @@
         self._voted_at: dict[str, float] = {}
         self._first_seen_at: dict[str, float] = {}
         self._expulsion_seen_at: dict[tuple[str, int], float] = {}
+        self._written_at: dict[str, float] = {}
+        self._asserted_at = -math.inf
         self._listed_before: set[str] = set()
         self._listed_now: set[str] | None = None
+        tail.add_listener(self._on_replayed)
 
     @property
     def incarnation(self) -> str:
@@ -150,6 +159,7 @@
         self._refute()
         self._settle_votes()
         self._note_members()
+        self._assert_alive()
         for member in self._peers():
             self._judge(member)
         self._reclaim()
@@ -207,6 +217,7 @@
         self._vote_by_target.clear()
         self._voted_at.clear()
         self._first_seen_at.clear()
+        self._written_at.clear()
         self._on_rejoin(incarnation)
         self._append(self._joining_record())
 
@@ -235,16 +246,38 @@
         for peer in self._first_seen_at.keys() - peers:
             del self._first_seen_at[peer]
             self._voted_at.pop(peer, None)
+            self._written_at.pop(peer, None)
 
-    def _silence_s(self, member: Member) -> float:
-        """Return how long nothing was heard while this process was running."""
-        heard_at = self._mesh.view(member.incarnation).heard_at
-        since = max(
-            heard_at,
+    def _on_replayed(self, replayed: Replayed) -> None:
+        author = replayed.batch.author
+        if author in self._first_seen_at:
+            self._written_at[author] = self._clock()
+
+    def _assert_alive(self) -> None:
+        now = self._clock()
+        if now - self._asserted_at < ALIVE_AFTER_S:
+            return
+        if self._mesh.log_age_s() > FRESHNESS_S:
+            return
+        is_missed = any(
+            now - self._heard_at(member) >= ALIVE_AFTER_S for member in self._peers()
+        )
+        if is_missed and not self._is_pending(MemberRefuted()):
+            self._asserted_at = now
+            self._append(MemberRefuted())
+
+    def _heard_at(self, member: Member) -> float:
+        """Return the last heartbeat, or since when this process could hear one."""
+        return max(
+            self._mesh.view(member.incarnation).heard_at,
             self._first_seen_at[member.incarnation],
             self._freshness.resumed_at,
         )
-        return self._clock() - since
+
+    def _silence_s(self, member: Member) -> float:
+        """Return how long neither a heartbeat nor a batch of a member came."""
+        written_at = self._written_at.get(member.incarnation, -math.inf)
+        return self._clock() - max(self._heard_at(member), written_at)
 
     def _judge(self, member: Member) -> None:
         target = member.incarnation
--- /dev/null
+++ b/libs/cluster/tests/test_mesh.py
@@ -0,0 +1,214 @@
+"""Guards against silent connections, oversized frames and stale usage."""
+
+import random
+import struct
+import zlib
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+from libs.cluster.tests.world import World
+from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
+
+from lycheeloom.cluster import Freshness, PeerConnectionError, PeerMesh, connect
+from lycheeloom.cluster.framing import MAX_FRAME_BYTES, pack_frame
+from lycheeloom.cluster.link import ANSWER_TIMEOUT_S, PeerLink
+from lycheeloom.cluster.usage import (
+    COMPLETE_INTERVAL_S,
+    MAX_CHANGED_TEAMS,
+    UsageSender,
+    UsageView,
+)
+from lycheeloom.log import LogTail
+from lycheeloom.model import records as r
+from lycheeloom.model.limits import FRESHNESS_S, HEARTBEAT_INTERVAL_S
+from lycheeloom.model.records import Batch
+from lycheeloom.state import FleetState
+from lycheeloom.wire import (
+    Heartbeat,
+    PeerMessage,
+    RangeRequest,
+    TeamUsage,
+    encode_batch,
+)
+
+HEARTBEAT = PeerMessage("a", Heartbeat(1, 0, 0, 0))
+
+
+def make_mesh(name, state=None, clock=None):
+    clock = clock or Clock()
+    tail = LogTail(FakeClient(FakeLog()), state or FleetState(), clock=clock)
+    freshness = Freshness(tail, lambda: name, clock=clock)
+    return PeerMesh(name, tail, freshness, clock=clock, rng=random.Random(1))
+
+
+@pytest.fixture
+def server():
+    """A mesh that listens, with ``a`` and ``b`` as members."""
+    mesh = make_mesh("b")
+    joins = tuple(r.MemberJoined(f"i{n}", n, "127.0.0.1:1", "z") for n in "ab")
+    mesh.tail.offer(0, encode_batch(Batch("a", 1, joins)))
+    mesh.port = mesh.start("127.0.0.1")
+    mesh._sync.kill()
+    yield mesh
+    mesh.stop()
+
+
+def exchange(port, data):
+    """Send raw bytes; return whether the connection was closed in answer."""
+    with socket.create_connection(("127.0.0.1", port), 1.0) as sock:
+        sock.sendall(data)
+        return sock.recv(1) == b""
+
+
+def test_heartbeat_over_tcp_echoes_the_send_time(server):
+    """Without the echo a delayed answer would extend freshness."""
+    connection = connect(f"127.0.0.1:{server.port}", 1.0)
+    answer = connection.call(PeerMessage("a", Heartbeat(77, 0, 0, 0)), 1.0)
+    assert (answer.sender, answer.body.echo_us) == ("b", 77)
+    assert server.view("a").heard_at == server.clock.now
+    stranger = connection.call(PeerMessage("x", Heartbeat(78, 0, 0, 0)), 1.0)
+    assert stranger.body.echo_us == 0
+    server.withheld.add("a")
+    withheld = connection.call(PeerMessage("a", Heartbeat(79, 0, 0, 0)), 1.0)
+    assert withheld.body.echo_us == 0
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        struct.pack(">I", MAX_FRAME_BYTES + 1),
+        struct.pack(">I", 64) + b"\xff" * 64,
+        struct.pack(">I", 1 << 31 | 8) + b"\xff" * 8,
+        struct.pack(">I", 0),
+    ],
+    ids=["too long", "garbage", "bad compression", "empty"],
+)
+def test_bad_frames_close_the_connection(server, data):
+    """Frames that cannot be read must neither crash nor fill the process."""
+    assert exchange(server.port, data)
+    connection = connect(f"127.0.0.1:{server.port}", 1.0)
+    assert connection.call(HEARTBEAT, 1.0).sender == "b"
+
+
+def test_compressed_frame_is_bounded_after_expansion(server):
+    """A small frame must not expand without bound."""
+    bomb = zlib.compress(bytes(50 * MAX_FRAME_BYTES))
+    assert exchange(server.port, struct.pack(">I", len(bomb) | 1 << 31) + bomb)
+
+
+def test_silent_peer_ends_a_call_in_time():
+    """A connection that stays open without answers must not hold its greenlet."""
+    silent = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(10))
+    silent.start()
+    connection = connect(f"127.0.0.1:{silent.server_port}", 1.0)
+    with pytest.raises(PeerConnectionError):
+        connection.call(HEARTBEAT, 0.05)
+    connection.close()
+    silent.stop(timeout=0)
+
+
+def test_large_relay_fits_a_frame(server):
+    """Relayed batches of the full size must pass between entries."""
+    for offset in range(1, 5):
+        payload = random.Random(offset).randbytes(200_000)
+        record = r.RequestSubmitted(f"q{offset}", "t", "m", payload)
+        server.tail.offer(offset, encode_batch(Batch("w", offset, (record,))))
+    connection = connect(f"127.0.0.1:{server.port}", 1.0)
+    answer = connection.call(PeerMessage("a", RangeRequest(1)), 5.0)
+    assert answer.body.offset == 1 and len(answer.body.batches) == 2
+    connection.close()
+
+
+def test_silent_connections_are_replaced_before_freshness_ends():
+    """Established connections may go silent for good while new ones work."""
+    assert HEARTBEAT_INTERVAL_S + ANSWER_TIMEOUT_S < FRESHNESS_S
+    world = World("abc")
+    world.without_log = set("abc")
+    world.run(5)
+    for node in world.node_by_name.values():
+        for connection in node.connections:
+            connection.is_silent = True
+    world.run(3.0, lambda: world.fresh() == set("abc") or pytest.fail("not fresh"))
+    assert all(len(node.connections) == 4 for node in world.node_by_name.values())
+
+
+def test_answer_of_another_incarnation_is_no_confirmation():
+    """A restarted process at the same address must not vouch as the old one."""
+    mesh = make_mesh("b")
+
+    class Restarted:
+        def call(self, message, timeout_s):
+            echo = Heartbeat(1, message.body.sent_us, 0, 0)
+            return PeerMessage("other", echo)
+
+        def close(self):
+            pass
+
+    link = PeerLink(mesh, "a", "x", lambda *_: Restarted(), random.Random(1))
+    assert not link.beat()
+    assert not mesh._freshness._confirmed_at
+
+
+def test_relay_counts_only_after_replay():
+    """Hearing of newer records is not knowing them."""
+    clock = Clock()
+    tail = LogTail(FakeClient(FakeLog()), FleetState(), clock=clock)
+    joins = (r.MemberJoined("i", "a", "x", "z"), r.MemberJoined("j", "b", "y", "z"))
+    tail.offer(0, encode_batch(Batch("a", 1, joins)))
+    freshness = Freshness(tail, lambda: "a", clock=clock)
+
+    def advance(seconds):
+        for _ in range(10):
+            clock.now += seconds / 10
+            freshness.tick()
+
+    advance(0.5)
+    freshness.note_position("b", clock.now - 0.25, 2)
+    assert not freshness.is_fresh()
+    tail.offer(1, encode_batch(Batch("b", 1, ())))
+    assert freshness.is_fresh()
+    advance(FRESHNESS_S - 0.26)
+    assert freshness.is_fresh()
+    advance(0.02)
+    assert not freshness.is_fresh()
+
+
+def test_frames_of_usage_are_compressed():
+    """Complete lists of many teams must fit the budget of 24 KB a second."""
+    usage = tuple(TeamUsage(f"team-{i}", i, i) for i in range(210))
+    frame = pack_frame(PeerMessage("a", Heartbeat(1, 0, 0, 0, False, usage, True)))
+    assert len(frame) < 4096
+
+
+def test_usage_is_sent_as_changes_and_completely_at_times():
+    """A receiver must end with the sender's usage although teams end."""
+    sender, view = UsageSender(), UsageView()
+    rng = random.Random(1)
+    sent_us = 0
+
+    def send(usage, now):
+        nonlocal sent_us
+        sent_us += 1
+        teams, complete = sender.choose(usage, now)
+        view.take(Heartbeat(sent_us, 0, 0, 0, False, teams, complete))
+        return teams, complete
+
+    usage = {f"t{i}": TeamUsage(f"t{i}", 5, 1) for i in range(50)}
+    assert send(usage, 0.0)[1] and view.usage_by_team == usage
+    assert send(usage, 0.5) == ((), False)
+    for step in range(1, 5):
+        team = f"t{rng.randrange(50)}"
+        usage = {**usage, team: TeamUsage(team, step, 0)}
+        usage.pop(f"t{rng.randrange(50)}", None)
+        teams, complete = send(usage, step)
+        assert not complete and 0 < len(teams) <= 2
+        assert view.usage_by_team == usage
+    all_changed = {team: TeamUsage(team, 9, 9) for team in usage}
+    assert len(send(all_changed, 6.0)[0]) == MAX_CHANGED_TEAMS
+    assert send(all_changed, COMPLETE_INTERVAL_S + 0.1)[1]
+    assert view.usage_by_team == all_changed
+    view.take(Heartbeat(1, 0, 0, 0, False, (TeamUsage("late", 1, 1),)))
+    assert "late" not in view.usage_by_team
--- /dev/null
+++ b/libs/cluster/tests/world.py
@@ -0,0 +1,155 @@
+"""Entries without sockets over one log in memory, driven in 100 ms steps."""
+
+from __future__ import annotations
+
+import random
+
+import gevent
+from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
+
+from lycheeloom.cluster import (
+    Freshness,
+    Identity,
+    MembershipKeeper,
+    PeerConnectionError,
+    PeerMesh,
+)
+from lycheeloom.cluster.link import PeerLink
+from lycheeloom.log import LogTail, LogWriter, recover
+from lycheeloom.state import FleetState
+
+TICK_S = 0.1
+
+
+class SteppedMesh(PeerMesh):
+    """A mesh whose links are driven by the test instead of greenlets."""
+
+    def _add_link(self, peer, address):
+        link = PeerLink(self, peer, address, self._connect, self._rng)
+        self._link_by_peer[peer] = link
+        self._greenlet_by_peer[peer] = gevent.Greenlet()
+
+    def beat(self):
+        self.sync_peers()
+        for link in list(self._link_by_peer.values()):
+            link.beat()
+
+
+class FakeConnection:
+    def __init__(self, world, source, address):
+        self.world, self.source, self.address = world, source, address
+        self.is_silent = False
+
+    def call(self, message, timeout_s):
+        if self.is_silent or not self.world.reaches(self.source, self.address):
+            raise PeerConnectionError("no answer in time")
+        return self.world.node_by_name[self.address].mesh.handle(message)
+
+    def close(self):
+        pass
+
+
+class Node:
+    def __init__(self, world, name):
+        clock, rng = world.clock, random.Random(name)
+        self.name, self.world = name, world
+        self.is_paused = False
+        self.client = FakeClient(world.log)
+        state = recover(self.client)
+        self.tail = LogTail(self.client, state, clock=clock, rng=rng)
+        incarnation = f"{name}-{len(world.log.archive)}"
+        self.writer = LogWriter(
+            self.client, incarnation, self.tail, clock=clock, rng=rng
+        )
+        self.freshness = Freshness(self.tail, lambda: self.writer.author, clock=clock)
+        self.mesh = SteppedMesh(
+            incarnation,
+            self.tail,
+            self.freshness,
+            clock=clock,
+            rng=rng,
+            connect=self._connect,
+        )
+        self.keeper = MembershipKeeper(
+            Identity(name, name, "z1"),
+            self.writer,
+            self.tail,
+            self.mesh,
+            self.freshness,
+            lambda: None,
+            clock=clock,
+            rng=rng,
+        )
+        self.connections = []
+
+    @property
+    def is_fresh(self):
+        return self.freshness.is_fresh()
+
+    def _connect(self, address, timeout_s):
+        if not self.world.reaches(self.name, address):
+            raise PeerConnectionError("not connected")
+        self.connections.append(FakeConnection(self.world, self.name, address))
+        return self.connections[-1]
+
+    def step(self, tick):
+        is_cut_off = self.name in self.world.without_log
+        self.client.read_faults.append("down" if is_cut_off else "")
+        self.client.append_faults.append("down" if is_cut_off else "")
+        self.freshness.tick()
+        self.tail.step()
+        self.writer.step()
+        self.client.read_faults.clear()
+        self.client.append_faults.clear()
+        if tick % 5 == 0:
+            self.mesh.beat()
+        if tick % 2 == 0:
+            self.keeper.step()
+
+
+class World:
+    """``without_log`` and ``groups`` (names that reach each other) are faults."""
+
+    def __init__(self, names):
+        self.clock, self.log = Clock(), FakeLog()
+        self.node_by_name = {}
+        self.without_log = set()
+        self.groups = None
+        self.tick = 0
+        self.oracle = FleetState()
+        for name in names:
+            self.add(name)
+        self.run(2.0)
+
+    def add(self, name):
+        self.node_by_name[name] = Node(self, name)
+        return self.node_by_name[name]
+
+    def reaches(self, source, target):
+        node = self.node_by_name.get(target)
+        if node is None or node.is_paused:
+            return False
+        return self.groups is None or any(
+            {source, target} <= set(group) for group in self.groups
+        )
+
+    def run(self, seconds, check=lambda: None):
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.now += TICK_S
+            self.tick += 1
+            for node in list(self.node_by_name.values()):
+                if not node.is_paused:
+                    node.step(self.tick)
+            check()
+
+    def fresh(self):
+        return {
+            name
+            for name, node in self.node_by_name.items()
+            if not node.is_paused and node.is_fresh
+        }
+
+    def members(self):
+        """Return the instances that are members according to the whole log."""
+        state = recover(FakeClient(self.log))
+        return {member.instance for member in state.members.active()}
