--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -104,6 +104,8 @@
     placement: Placement
     boot_id: str
     sent_at: float
+    # The incarnation whose grant the task counts against.
+    holder: str
     # The worker stops the task at the latest then, by this process's clock.
     runs_until: float
     renewed_at: float
@@ -116,6 +118,7 @@
     ``may_start(job, placement)`` is asked in the same step in which a start is
     sent and returns why not, or None. ``claim(job, attempt, worker, boot_id)``
     records an attempt of a recorded request and returns why it may not start.
+    ``may_renew(holder)`` tells whether a lease of that incarnation may be renewed.
     """
 
     def __init__(
@@ -124,7 +127,8 @@
         sessions: WorkerSessions,
         tracer: Tracer,
         may_start: Callable[[Job, Placement], str | None],
-        may_renew: Callable[[], bool],
+        holder: Callable[[], str],
+        may_renew: Callable[[str], bool],
         claim: Callable[[Job, int, str, str], str | None],
         on_report: Callable[[str, TaskReport], None],
         clock: Callable[[], float] = time.monotonic,
@@ -133,6 +137,7 @@
         self._sessions = sessions
         self._tracer = tracer
         self._may_start = may_start
+        self._holder = holder
         self._may_renew = may_renew
         self._claim = claim
         self._on_report = on_report
@@ -199,6 +204,7 @@
             wait=submission.run_s <= MAX_HELD_RUN_S,
         )
         now = self._clock()
+        holder = self._holder()
         with self._tracer.span(
             "start_task", submission.traceparent, worker=placement.worker
         ) as span:
@@ -215,6 +221,7 @@
             placement,
             session.boot_id,
             now,
+            holder,
             self._clock() + SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S,
             now,
         )
@@ -257,7 +264,7 @@
         is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
         # A worker that does not answer is not sent further renewals: each one
         # would put off the time at which its lease has certainly expired.
-        if not (is_due and sent.is_reachable and self._may_renew()):
+        if not (is_due and sent.is_reachable and self._may_renew(sent.holder)):
             return self._client.status(address, sent.task)
         report = self._client.renew(address, sent.task, TASK_LEASE_S)
         # Counted even if the answer is lost, as the renewal may have had effect.
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -190,7 +190,8 @@
             sessions,
             self._tracer,
             self._may_start,
-            self.freshness.is_fresh,
+            lambda: self.keeper.incarnation,
+            self._may_renew,
             self.journal.claim,
             self.dispatcher.observe_report,
         )
@@ -300,6 +301,14 @@
             return f"availability zone {instance.zone} is out"
         return None
 
+    def _may_renew(self, holder: str) -> bool:
+        """Tell whether a lease of one of this entry's incarnations may go on.
+
+        The slots of an incarnation that was expelled are given to others once
+        its leases have expired, so none of them is renewed after a rejoin.
+        """
+        return holder == self.keeper.incarnation and self.freshness.is_fresh()
+
     def _on_settled(self, job: Job) -> None:
         if job.is_recorded:
             gevent.spawn(self.journal.record_verdict, job)
--- /dev/null
+++ b/libs/entry/tests/test_attempt.py
@@ -0,0 +1,94 @@
+"""One attempt against a worker that answers from a script."""
+
+import pytest
+
+from lycheeloom.entry import attempt
+from lycheeloom.entry.attempt import AttemptRunner, Placement, Stopped
+from lycheeloom.entry.jobs import Job, Submission
+from lycheeloom.model.resources import Resources
+from lycheeloom.platform import Session, TaskReport, TaskStatus
+from lycheeloom.telemetry import Tracer
+
+SIZE = Resources(1.0, 256)
+
+
+class FakeWorker:
+    """Runs one task until its lease expires; each status call takes 2 s."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.lease_until = 0.0
+        self.renewals = 0
+        self.on_status = lambda: None
+
+    def clock(self):
+        return self.now
+
+    def start(self, address, start, *, timeout_s, traceparent):
+        self.lease_until = self.now + start.lease_s
+        return self._report(start.task)
+
+    def status(self, address, task):
+        self.now += 2.0
+        self.on_status()
+        return self._report(task)
+
+    def renew(self, address, task, lease_s):
+        self.renewals += 1
+        self.lease_until = self.now + lease_s
+        return self.status(address, task)
+
+    def _report(self, task):
+        is_over = self.now >= self.lease_until
+        status = TaskStatus.STOPPED if is_over else TaskStatus.RUNNING
+        return TaskReport(task, status, "boot", SIZE)
+
+
+class FakeSessions:
+    """Always has a session of the same boot."""
+
+    def get(self, worker, address):
+        return Session("session", "boot", False, SIZE)
+
+
+@pytest.fixture
+def worker():
+    return FakeWorker()
+
+
+def make_runner(worker, holder):
+    """Return a runner for an entry whose incarnation is ``holder[0]``."""
+    return AttemptRunner(
+        worker,
+        FakeSessions(),
+        Tracer("e1", 0.0),
+        lambda job, placement: None,
+        lambda: holder[0],
+        lambda task_holder: task_holder == holder[0],
+        lambda job, attempt, worker, boot_id: None,
+        lambda worker, report: None,
+        worker.clock,
+    )
+
+
+def test_lease_of_an_expelled_incarnation_is_not_renewed(worker, monkeypatch):
+    """Guards against a task that runs on beside those that got its slot.
+
+    A paused entry was expelled, came back under a new incarnation, and went on
+    renewing; 20 s later others started tasks with the reclaimed slots.
+    """
+    monkeypatch.setattr(attempt, "LONGEST_POLL_S", 0.0)
+    holder = ["e1-old"]
+    runner = make_runner(worker, holder)
+
+    def rejoin():
+        if worker.now > 12.0:
+            holder[0] = "e1-new"
+
+    worker.on_status = rejoin
+    submission = Submission("r1", "red", "bookings", b"", SIZE, 100.0, 0.0)
+    end = runner.run(Job(submission), Placement("w1", "a:1", SIZE), lambda: None)
+    assert end == Stopped()
+    # Renewed at 6 s only, so the lease ends at 21 s and is seen at the next poll.
+    assert worker.renewals == 1
+    assert worker.now == 22.0
