--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -212,6 +212,8 @@
     ) -> None:
         now = time.monotonic()
         self._metrics.starts.labels(type(end).__name__.lower()).inc()
+        if isinstance(end, Failed | Stopped | Lost):
+            job.may_have_started = True
         match end:
             case Answered(answer):
                 self.scheduler.finished(task.id, Outcome.DONE, now)
@@ -313,6 +315,8 @@
             return False
         if not self._budget(job.submission.queue).try_spend():
             return False
+        # The attempt that is repeated has failed, or its worker is silent.
+        job.may_have_started = True
         self._metrics.retries.labels(job.submission.queue).inc()
         job.excluded_workers.add(worker)
         self._release_claim(job)
@@ -335,6 +339,9 @@
             self._settle(job, verdict)
 
     def _settle(self, job: Job, verdict: Verdict) -> None:
+        if isinstance(verdict, NotRun) and job.may_have_started:
+            message = f"an earlier attempt had started; {verdict.refusal.message}"
+            verdict = MayHaveRun(message)
         if not job.settle(verdict):
             return
         submission = job.submission
--- a/libs/entry/src/lycheeloom/entry/jobs.py
+++ b/libs/entry/src/lycheeloom/entry/jobs.py
@@ -59,6 +59,8 @@
     excluded_workers: set[str] = field(default_factory=set)
     address_by_attempt: dict[int, str] = field(default_factory=dict)
     cancel_requested: bool = False
+    # An earlier attempt may have started, so no later refusal is "not run".
+    may_have_started: bool = False
     verdict: Verdict | None = None
     settled: Event = field(default_factory=Event)
     settled_at: float = 0.0
--- /dev/null
+++ b/libs/entry/tests/test_dispatch.py
@@ -0,0 +1,100 @@
+"""Verdicts of the dispatcher when attempts end in different ways."""
+
+import gevent
+import pytest
+
+from lycheeloom.entry.attempt import Failed, Refused
+from lycheeloom.entry.dispatch import Dispatcher
+from lycheeloom.entry.jobs import Job, JobTable, Submission
+from lycheeloom.entry.metrics import EntryMetrics
+from lycheeloom.model.config import parse_config
+from lycheeloom.model.resources import Resources
+from lycheeloom.model.verdict import MayHaveRun, NotRun
+from lycheeloom.platform import StartRefusal
+from lycheeloom.sched import Scheduler
+
+SIZE = Resources(1.0, 256)
+
+
+class FakeRunner:
+    """Ends each attempt with the next end of a list."""
+
+    def __init__(self, ends):
+        self.ends = list(ends)
+
+    def run(self, job, placement, on_doubt):
+        job.attempt += 1
+        return self.ends.pop(0)
+
+
+@pytest.fixture
+def dispatcher():
+    instance = {"pool": "main", "zone": "north", "rack": "r", "address": "a:1"}
+    instance |= {"cores": 8, "memory_mb": 8192}
+    queue = {"pool": "main", "teams": ["red"], "idempotent": True}
+    config = parse_config(
+        {
+            "zones": {"north": {}},
+            "pools": {"main": {}},
+            "instances": {name: dict(instance) for name in ("w1", "w2", "w3")},
+            "teams": {"red": {"share": 1, "upper_limit": 9}},
+            "queues": {"find": {**queue, "retry_budget_percent": 100}},
+        },
+        1,
+    )
+    scheduler = Scheduler(config, 1)
+    scheduler.set_grants({"red": 9})
+    for name in ("w1", "w2", "w3"):
+        scheduler.observe_worker(name, True, Resources(8, 8192), "boot", 0.0)
+    made = Dispatcher(
+        scheduler,
+        JobTable(),
+        EntryMetrics(),
+        None,
+        lambda worker: "a:1",
+        lambda: True,
+        lambda job, attempt: True,
+        lambda job: None,
+    )
+    made.adopt_queues(list(config.queue_by_id.values()))
+    return made
+
+
+def run_until_idle(dispatcher):
+    """Take decisions until no attempt is under way."""
+    for _ in range(10):
+        dispatcher._take_decisions()
+        gevent.sleep(0)
+
+
+def make_job():
+    return Job(Submission("r1", "red", "find", b"", SIZE, 0.1, 0.0, idempotent=True))
+
+
+@pytest.mark.parametrize(
+    ("ends", "verdict"),
+    [
+        ([Failed(), Refused(StartRefusal.BAD_REQUEST)], MayHaveRun),
+        ([Refused(StartRefusal.BAD_REQUEST)], NotRun),
+    ],
+    ids=["retried", "first"],
+)
+def test_refusal_after_a_failed_attempt(dispatcher, ends, verdict):
+    """Guards against "not run" for a job whose earlier attempt had started."""
+    dispatcher.runner = FakeRunner(ends)
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    run_until_idle(dispatcher)
+    assert isinstance(job.verdict, verdict)
+
+
+def test_cancellation_after_a_failed_attempt(dispatcher):
+    """Guards against "not run" for a cancelled retry."""
+    dispatcher.runner = FakeRunner([Failed()])
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    dispatcher._take_decisions()
+    # The attempt ends and the job is queued again; nothing is decided since.
+    gevent.sleep(0)
+    dispatcher.cancel(job)
+    assert isinstance(job.verdict, MayHaveRun)
