--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,136 @@
+"""Processor time of one decision on a full fleet, at growing sizes.
+
+A decision is one task that ends and the start that replaces it. Every queue is
+full, so each decision chooses between all teams of a queue. Baselines are
+first come first served and an entry that owns a third of the workers.
+"""
+
+from __future__ import annotations
+
+import gc
+import math
+import random
+import time
+
+from lycheeloom.model.resources import Resources
+from lycheeloom.sched import Outcome, Scheduler, Start, Task
+
+from .baselines import EqualSplit, FirstComeFirstServed
+from .entries import MANY_SLOTS, Policy
+from .fleets import scaled_fleet
+from .report import Row
+
+SMALL = (30, 6, 1_000)
+MIDDLE = (300, 60, 10_000)
+LARGE = (5_100, 210, 100_000)
+# One dimension grows while the others stay as planned.
+GROWTH = {
+    "workers": ((30, 210, 100_000), LARGE),
+    "teams": ((5_100, 6, 100_000), LARGE),
+    "queued": ((5_100, 210, 1_000), LARGE),
+}
+DECISIONS = 4_000
+GOAL_PER_S = 2_000
+# Time passes in the fake fleet as if it made this many decisions per second.
+VIRTUAL_RATE = 2_000
+
+
+def measure(policy_type: type, size: tuple[int, int, int], seed: int) -> float:
+    """Return the processor seconds of one decision."""
+    workers, teams, queued = size
+    config = scaled_fleet(workers, teams, max_queued=queued)
+    if policy_type is EqualSplit:
+        policy: Policy = EqualSplit(config, seed, 0, 3)
+    else:
+        policy = policy_type(config, seed)
+    rng = random.Random(seed)
+    policy.set_grants(dict.fromkeys(config.team_by_id, MANY_SLOTS))
+    for name, instance in config.instance_by_id.items():
+        policy.observe_worker(name, True, instance.size, "b", 0.0)
+    number = 0
+
+    def submit(queue: str, team: str) -> None:
+        nonlocal number
+        number += 1
+        cores = rng.choice((1, 2, 4))
+        task = Task(
+            f"task-{number}",
+            team,
+            queue,
+            Resources(cores, cores * 2048),
+            1.0,
+            idempotent=True,
+        )
+        policy.submit(task, 0.0)
+
+    lanes = [
+        (q, t) for q, settings in config.queue_by_id.items() for t in settings.teams
+    ]
+    lanes.sort()
+    running: list[str] = []
+    # Fills every worker, then every queue.
+    capacity = sum(i.size.cores for i in config.instance_by_id.values())
+    while len(running) + queued > number:
+        queue, team = lanes[number % len(lanes)]
+        submit(queue, team)
+        if number % 1000 == 0 or number >= queued:
+            started = [d for d in policy.next_starts(0.0) if isinstance(d, Start)]
+            running.extend(d.task.id for d in started)
+        if number > capacity + queued:
+            break
+    return _cost(policy, running, lanes, submit, rng)
+
+
+def _cost(policy, running, lanes, submit, rng) -> float:
+    now = 1.0
+    decided = 0
+    spent_s = 0.0
+    gc.collect()
+    gc.disable()
+    while decided < DECISIONS:
+        now += 1.0 / VIRTUAL_RATE
+        index = rng.randrange(len(running))
+        running[index], running[-1] = running[-1], running[index]
+        task_id = running.pop()
+        begin = time.process_time()
+        policy.finished(task_id, Outcome.DONE, now)
+        decisions = policy.next_starts(now)
+        spent_s += time.process_time() - begin
+        started = [d for d in decisions if isinstance(d, Start)]
+        running.extend(d.task.id for d in started)
+        decided += max(1, len(started))
+        for start in started:
+            submit(start.task.queue, start.task.team)
+    gc.enable()
+    return spent_s / decided
+
+
+def run(seed: int) -> list[Row]:
+    """Measure the three sizes and the growth in each dimension."""
+    rows = []
+    for size in (SMALL, MIDDLE, LARGE):
+        ours = 1 / measure(Scheduler, size, seed)
+        goal = f"over {GOAL_PER_S}/s" if size is LARGE else ""
+        rows.append(
+            Row(
+                "decisions per second, {} workers, {} teams, {} queued".format(*size),
+                goal,
+                ours,
+                ours > GOAL_PER_S if goal else None,
+                1 / measure(FirstComeFirstServed, size, seed),
+                1 / measure(EqualSplit, size, seed),
+                "/s",
+            )
+        )
+    for number, (name, (small, large)) in enumerate(GROWTH.items()):
+        growth = measure(Scheduler, large, seed) / measure(Scheduler, small, seed)
+        allowed = math.log(large[number]) / math.log(small[number])
+        rows.append(
+            Row(
+                f"growth of cost from {small[number]} to {large[number]} {name}",
+                f"at most {allowed:.2f} (logarithmic)",
+                growth,
+                growth <= allowed,
+            )
+        )
+    return rows
--- a/bench/load.py
+++ b/bench/load.py
@@ -46,6 +46,8 @@
         factor: Callable[[str, float], float],
         max_factor: float,
         declare: Callable[[str, str, Job], tuple[Resources, float]] | None = None,
+        checkpointable: float = 0.0,
+        crashing: float = 0.0,
     ) -> None:
         self._entries = entries
         self._load = load
@@ -55,6 +57,8 @@
         self._factor = factor
         self._max_factor = max_factor
         self._declare = declare
+        self._checkpointable = checkpointable
+        self._crashing = crashing
         mean_cores = sum(load.cores) / len(load.cores)
         base_rate = load.offered * fleet_cores / (mean_cores * mean_run_s)
         self._rate = base_rate * max_factor
@@ -80,7 +84,8 @@
         if not accepted:
             return
         size = Resources(cores, int(cores * self._load.memory_mb_per_core))
-        self._submit(entry, queue, Job(size, run_s), now)
+        crashes = rng.random() < self._crashing
+        self._submit(entry, queue, Job(size, run_s, crashes), now)
 
     def _submit(self, entry: int, queue: str, job: Job, now: float) -> None:
         self._number += 1
@@ -95,5 +100,6 @@
             run_s,
             now,
             idempotent=True,
+            checkpointable=self._random.random() < self._checkpointable,
         )
         self._entries.submit(entry, task, job)
