--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -25,12 +25,15 @@
         self._running: dict[str, tuple[Task, str]] = {}
         self._parked: dict[str, Task] = {}
         self._free = {n: i.size for n, i in config.instance_by_id.items()}
+        self._sizes = set(self._free.values())
         self._pools: dict[str, list[str]] = {}
         for name, instance in config.instance_by_id.items():
             self._pools.setdefault(instance.pool, []).append(name)
 
     def submit(self, task: Task, now: float) -> Accepted | Refusal:
-        """Queue a task unless its queue is full."""
+        """Queue a task unless its queue is full or no worker is large enough."""
+        if not any(task.resources.fits_in(size) for size in self._sizes):
+            return Refusal(RefusalReason.NEVER_FITS, "larger than any worker")
         queued = self._queued[task.queue]
         if len(queued) >= self._config.queue_by_id[task.queue].max_queued:
             return Refusal(RefusalReason.QUEUE_FULL, "queue is full")
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -7,6 +7,7 @@
 
 # Failures in a row, of different tasks, that put a worker on probation.
 FAILURES_IN_A_ROW = 3
+UNPROVEN_FAILURES = 6
 FIRST_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 120.0
 # Trials that must succeed in a row before a worker is used fully again.
@@ -22,7 +23,8 @@
 
 @dataclass(slots=True)
 class _Record:
-    failed_tasks: list[str] = field(default_factory=list)
+    # Group of each task that failed since the last success.
+    failed_tasks: dict[str, Group] = field(default_factory=dict)
     on_probation: bool = False
     backoff_s: float = FIRST_BACKOFF_S
     next_trial_at: float = 0.0
@@ -80,11 +82,8 @@
         if record.on_probation:
             self._trial_failed(record, task_id, now)
             return False
-        if self._group_at_fault(group, worker):
-            return False
-        if task_id not in record.failed_tasks:
-            record.failed_tasks.append(task_id)
-        if len(record.failed_tasks) < FAILURES_IN_A_ROW:
+        record.failed_tasks[task_id] = group
+        if not self._worker_at_fault(worker, record):
             return False
         record.on_probation = True
         record.next_trial_at = now + record.backoff_s
@@ -124,19 +123,35 @@
             return False
         for other in others:
             record = self._record_by_worker.get(other)
-            if record is not None and task_id in record.failed_tasks:
-                record.failed_tasks.remove(task_id)
+            if record is not None:
+                record.failed_tasks.pop(task_id, None)
         return True
 
-    def _group_at_fault(self, group: Group, worker: str) -> bool:
+    def _worker_at_fault(self, worker: str, record: _Record) -> bool:
+        """Tell whether the failures in a row speak against the worker.
+
+        Failures of groups that fail elsewhere too do not count. If nothing is
+        known of the groups on other workers, more failures are needed.
+        """
+        counted = 0
+        proven = False
+        for group in record.failed_tasks.values():
+            rate = self._failure_rate_elsewhere(group, worker)
+            if rate is not None and rate >= BAD_GROUP_RATE:
+                continue
+            counted += 1
+            proven = proven or rate is not None
+        return counted >= (FAILURES_IN_A_ROW if proven else UNPROVEN_FAILURES)
+
+    def _failure_rate_elsewhere(self, group: Group, worker: str) -> float | None:
         elsewhere = [
             good
             for name, good in self._outcomes(group)
             if name != worker and not self.on_probation(name)
         ]
-        if len(elsewhere) < FAILURES_IN_A_ROW:
-            return False
-        return elsewhere.count(False) >= BAD_GROUP_RATE * len(elsewhere)
+        if not elsewhere:
+            return None
+        return elsewhere.count(False) / len(elsewhere)
 
     def _outcomes(self, group: Group) -> deque[tuple[str, bool]]:
         return self._outcomes_by_group.setdefault(group, deque(maxlen=WINDOW_OUTCOMES))
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -251,6 +251,8 @@
             return
         why = f"refused by worker {excluded_worker}"
         state.enqueue_again(record, self._now, why, frozenset({excluded_worker}))
+        if record.task.deadline is not None:
+            heapq.heappush(self._deadlines, (record.task.deadline, task_id))
 
     # What other parts of the entry ask.
 
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -150,6 +150,8 @@
             if index.tree.may_fit(need)
         ]
         if len(indexes) > 1:
+            # Equal zones are taken in turn, not always the first.
+            self._random.shuffle(indexes)
             indexes.sort(key=lambda index: self._zone_load(queue, pool, index))
         for index in indexes:
             worker = self._place_in(index, need, queue, excluded)
--- /dev/null
+++ b/libs/sched/tests/test_machine.py
@@ -0,0 +1,229 @@
+"""A state machine against an oracle that sees what workers and callers see."""
+
+from dataclasses import replace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from lycheeloom.model.config import Queue, ZoneState
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+from lycheeloom.model.verdict import Refusal
+from lycheeloom.sched import (
+    Checkpoint,
+    Expire,
+    Outcome,
+    Scheduler,
+    Start,
+    Task,
+    TeamUsage,
+)
+
+from .fleet_fixtures import make_config, with_zone
+
+TEAMS = ("t0", "t1", "t2")
+QUEUES = ("q", "o", "b")
+# A permitted task of one core must not wait longer beside a free core.
+IDLE_BOUND_S = 4.0
+SIZES = (Resources(1, 1024), Resources(2, 1024), Resources(4, 8192))
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """Callers, operators and workers act at random; the oracle counts."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed):
+        self.config = make_config(workers=3, weights=(3, 2, 1), spare=2)
+        self.scheduler = Scheduler(self.config, seed)
+        self.now = 0.0
+        self.number = 0
+        self.grants = dict.fromkeys(TEAMS, 4)
+        self.scheduler.set_grants(self.grants)
+        self.queued = {}
+        self.running = {}
+        self.started_once = set()
+        self.asked = set()
+        self.parked = {}
+        self.free = {n: i.size for n, i in self.config.instance_by_id.items()}
+        self.idle_since = None
+        for name in self.free:
+            self.scheduler.observe_worker(name, True, self.free[name], "b", 0.0)
+
+    @rule(
+        team=st.sampled_from(TEAMS),
+        queue=st.sampled_from(QUEUES),
+        size=st.sampled_from(SIZES),
+        count=st.integers(1, 6),
+        flags=st.tuples(st.booleans(), st.booleans(), st.booleans()),
+        patience=st.sampled_from((None, 3.0)),
+    )
+    def submit(self, team, queue, size, count, flags, patience):
+        idempotent, urgent, checkpointable = flags
+        for _ in range(count):
+            self.number += 1
+            deadline = None if patience is None else self.now + patience
+            task = Task(
+                f"task{self.number}",
+                team,
+                queue,
+                size,
+                2.0,
+                self.now,
+                deadline,
+                idempotent,
+                urgent and self.number % 4 == 0,
+                checkpointable,
+            )
+            verdict = self.scheduler.submit(task, self.now)
+            if not isinstance(verdict, Refusal):
+                self.queued[task.id] = task
+
+    @rule(step=st.sampled_from((0.0, 0.1, 0.6, 2.5)))
+    def advance(self, step):
+        self.now += step
+        for decision in self.scheduler.next_starts(self.now):
+            match decision:
+                case Start(task, worker, resources):
+                    self.check_start(task, worker, resources)
+                case Checkpoint(task_id):
+                    if task_id in self.running:
+                        assert self.running[task_id][0].checkpointable
+                        self.asked.add(task_id)
+                case Expire(task):
+                    assert task.deadline <= self.now
+                    # A task that a worker refused may expire before its requeue.
+                    if self.queued.pop(task.id, None) is None:
+                        del self.parked[task.id]
+        self.check_work_conservation(step)
+
+    def check_start(self, task, worker, resources):
+        assert self.queued.pop(task.id) == task
+        zone = self.config.instance_by_id[worker].zone
+        assert self.config.zone_by_id[zone].state is ZoneState.IN
+        assert resources.fits_in(self.free[worker])
+        if not (task.idempotent or task.checkpointable):
+            assert task.id not in self.started_once
+        self.started_once.add(task.id)
+        self.running[task.id] = (task, worker, resources)
+        self.free[worker] = self.free[worker] - resources
+        running = sum(t.team == task.team for t, _, _ in self.running.values())
+        assert running <= self.grants[task.team]
+
+    def check_work_conservation(self, step):
+        """No free core stays idle beside a permitted small task for long."""
+        running = dict.fromkeys(TEAMS, 0)
+        for task, _, _ in self.running.values():
+            running[task.team] += 1
+        waits = any(
+            task.resources == SIZES[0] and running[task.team] < self.grants[task.team]
+            for task in self.queued.values()
+        )
+        idle = any(
+            self.free[name].cores >= 1
+            and self.config.zone_by_id[i.zone].state is ZoneState.IN
+            for name, i in self.config.instance_by_id.items()
+        )
+        if not (waits and idle) or self.asked:
+            self.idle_since = None
+        elif self.idle_since is None:
+            self.idle_since = self.now
+        # Only time that passes in small steps lets the scheduler act in it.
+        if self.idle_since is not None and step <= 0.6:
+            assert self.now - self.idle_since <= IDLE_BOUND_S
+
+    @rule(data=st.data(), outcome=st.sampled_from(Outcome))
+    def finish(self, data, outcome):
+        if not self.running:
+            return
+        task_id = data.draw(st.sampled_from(sorted(self.running)))
+        # A stop without a checkpoint is the end of a task.
+        if outcome is Outcome.STOPPED and task_id not in self.asked:
+            outcome = Outcome.DONE
+        # Workers do not fail in this test, so that none goes on probation.
+        if outcome is Outcome.FAILED:
+            outcome = Outcome.DONE
+        task, worker, resources = self.running.pop(task_id)
+        self.free[worker] = self.free[worker] + resources
+        self.asked.discard(task_id)
+        self.scheduler.finished(task_id, outcome, self.now)
+        if outcome is Outcome.STOPPED:
+            self.queued[task_id] = task
+        if outcome is Outcome.REFUSED_BY_WORKER:
+            # The worker proved that the task did not run.
+            self.started_once.discard(task_id)
+            self.parked[task_id] = (task, worker)
+        self.scheduler.observe_worker(worker, True, self.free[worker], "b", self.now)
+
+    @rule()
+    def requeue(self):
+        for task_id, (task, worker) in self.parked.items():
+            self.scheduler.requeue(task_id, worker)
+            self.queued[task_id] = task
+        self.parked = {}
+
+    @rule(data=st.data())
+    def cancel(self, data):
+        if not self.queued:
+            return
+        chosen = data.draw(st.sets(st.sampled_from(sorted(self.queued)), max_size=5))
+        done = self.scheduler.cancel([*chosen, "unknown"], self.now)
+        assert set(done) == chosen
+        for task_id in chosen:
+            del self.queued[task_id]
+
+    @rule(zone=st.sampled_from(("z0", "z1", "z2")), out=st.booleans())
+    def change_zone(self, zone, out):
+        state = ZoneState.OUT if out else ZoneState.IN
+        self.config = with_zone(self.config, zone, state)
+        self.scheduler.set_config(self.config, self.now)
+        self.idle_since = None
+
+    @rule(team=st.sampled_from(TEAMS), slots=st.integers(0, 12))
+    def change_grant(self, team, slots):
+        self.grants[team] = slots
+        self.scheduler.set_grants(self.grants)
+
+    @rule(team=st.sampled_from(TEAMS), queued=st.integers(0, 5))
+    def hear_peer(self, team, queued):
+        usage = TeamUsage(NO_RESOURCES, queued, {"q": queued} if queued else {})
+        self.scheduler.set_peer_usage({"peer": {team: usage}})
+
+    @rule(worker=st.integers(0, 2))
+    def move_worker(self, worker):
+        pools = {name: i.pool for name, i in self.config.instance_by_id.items()}
+        pools[f"other-{worker}"] = "main"
+        self.scheduler.set_pool_by_instance(pools)
+
+    @rule(bound=st.integers(5, 50))
+    def change_queue(self, bound):
+        queues = dict(self.config.queue_by_id)
+        queue: Queue = queues["q"]
+        queues["q"] = replace(queue, max_queued=bound)
+        self.config = replace(self.config, queue_by_id=queues)
+        self.scheduler.set_config(self.config, self.now)
+
+    @invariant()
+    def no_task_is_lost_or_counted_twice(self):
+        if not hasattr(self, "scheduler"):
+            return
+        expected = {}
+        for task in self.queued.values():
+            expected[task.team] = expected.get(task.team, 0) + 1
+        for task, _, _ in self.running.values():
+            expected[task.team] = expected.get(task.team, 0) + 1
+        assert self.scheduler.demand_by_team() == expected
+
+
+TestScheduler = SchedulerMachine.TestCase
+TestScheduler.settings = settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+)
