--- /dev/null
+++ b/bench/processes_outage.py
@@ -0,0 +1,111 @@
+"""Work kept while the log is down and one entry is killed."""
+
+from __future__ import annotations
+
+import math
+import time
+
+import gevent
+
+from lycheeloom.model.status import StatusDocument
+
+from .processes_load import Caller, lookup, run_at_rate
+from .processes_stats import machine_load, summary_ms
+from .processes_world import BATCH, INTERACTIVE, SHAPES, World, running_world
+
+ENTRIES = 9
+LOOKUPS_PER_S = 90
+RECORDED_PER_S = 5
+BEFORE_S = 10.0
+KILL_AFTER_S = 5.0
+RECLAIM_TIMEOUT_S = 120.0
+GOAL_KEPT_PERCENT = 90
+GOAL_RECLAIM_S = 60
+# A balancer stops sending to a dead entry after some failed checks.
+BALANCER_NOTICES_S = 2.0
+
+
+def measure(outage_s: float) -> dict:
+    """Compare the work before, in and after an outage of the log."""
+    with running_world(SHAPES[30], ENTRIES) as world:
+        rows = [_phase(world, "before", BEFORE_S)]
+        victim = world.entries[0]
+        dead = _incarnation(world, victim.address)
+        held = _granted(world, dead)
+        world.fleet.set_faults("log", outage=True)
+        killer = gevent.spawn_later(KILL_AFTER_S, victim.kill)
+        remover = gevent.spawn_later(
+            KILL_AFTER_S + BALANCER_NOTICES_S, world.entries.remove, victim
+        )
+        rows.append(_phase(world, "outage", outage_s))
+        gevent.joinall([killer, remover])
+        world.fleet.set_faults("log", outage=False)
+        back_at = time.monotonic()
+        reclaimed = gevent.spawn(_wait_reclaimed, world, dead, back_at)
+        rows.append(_phase(world, "after", BEFORE_S))
+        kept = 100 * rows[1]["ran_per_s"] / rows[0]["ran_per_s"]
+        return {
+            "rows": rows,
+            "outage_s": outage_s,
+            "kept_percent": round(kept, 1),
+            "goal_kept_percent": GOAL_KEPT_PERCENT,
+            "slots_of_dead_entry": held,
+            "reclaimed_after_s": round(reclaimed.get(), 1),
+            "goal_reclaimed_s": GOAL_RECLAIM_S,
+        }
+
+
+def _phase(world: World, name: str, seconds: float) -> dict:
+    lookups = Caller(world.addresses, INTERACTIVE, seed=1)
+    recorded = Caller(world.addresses, BATCH, seed=2)
+    tokens = list(world.token_by_team.values())
+    document = lookup(20, wait=False)
+    batch = gevent.spawn(
+        run_at_rate,
+        RECORDED_PER_S,
+        seconds,
+        lambda n: recorded.call(tokens[n % len(tokens)], document, f"{name}-{n}"),
+    )
+    sent = run_at_rate(
+        LOOKUPS_PER_S,
+        seconds,
+        lambda n: lookups.call(tokens[n % len(tokens)], lookup(50)),
+    )
+    batch.get()
+    return {
+        "phase": name,
+        "lookups": sent,
+        "ran_per_s": round(lookups.ended["ran"] / seconds, 1),
+        "lookups_not_served": dict(lookups.refused),
+        "recorded_accepted": recorded.ended["accepted"],
+        "recorded_not_accepted": dict(recorded.refused),
+        **summary_ms(lookups.latencies_s),
+        "load": machine_load(),
+    }
+
+
+def _incarnation(world: World, address: str) -> str:
+    status = world.operator().statuses()[address]
+    if not isinstance(status, StatusDocument):
+        raise RuntimeError(f"no status of {address}: {status}")
+    return status.incarnation
+
+
+def _granted(world: World, incarnation: str) -> int:
+    """Return the running slots of all teams that an entry holds by the log."""
+    operator = world.operator(hands_over=False)
+    if operator.refresh() is not None:
+        return -1
+    grants = operator.view.state.grants
+    return sum(
+        grants.of(team).count_by_holder.get(incarnation, 0)
+        for team in world.document["teams"]
+    )
+
+
+def _wait_reclaimed(world: World, incarnation: str, since: float) -> float:
+    while time.monotonic() - since < RECLAIM_TIMEOUT_S:
+        if _granted(world, incarnation) == 0:
+            return time.monotonic() - since
+        gevent.sleep(0.25)
+    return math.inf
--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -14,8 +14,8 @@
 import gevent
 import psutil
 import tomlkit
-
 from demo.processes import Fleet, Program, running_fleet
+
 from lycheeloom.model.keys import create_key
 from lycheeloom.operator import Entries, Operator, Published
 from lycheeloom.platform import LogClient, ReadBatches
