Keep the retry queued in the test of its cancellation

Cause: a submission now takes decisions at once, so the retry had already started when the test cancelled it. The test holds decisions back instead and checks that the retry is queued; the verdict it demands is unchanged.

--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -93,8 +93,9 @@
     dispatcher.runner = FakeRunner([Failed()])
     job = make_job()
     assert dispatcher.submit(job) is None
-    dispatcher._take_decisions()
-    # The attempt ends and the job is queued again; nothing is decided since.
+    # The attempt ends and the job is queued again; the entry is not fresh then.
+    dispatcher._may_dispatch = lambda: False
     gevent.sleep(0)
+    assert dispatcher.scheduler.has_queued()
     dispatcher.cancel(job)
     assert isinstance(job.verdict, MayHaveRun)
