Send second copies of slow lookups under a budget; serve the documented metrics

The dispatcher's settlement and budgets are modules of their own. A repeated attempt whose first copy is refused late is not queued a second time.

--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 from gevent.event import Event
@@ -23,7 +23,6 @@
     Checkpoint,
     Expire,
     Outcome,
-    RetryBudget,
     Scheduler,
     Start,
     Task,
@@ -44,6 +43,8 @@
 )
 from .jobs import Job, JobTable
 from .metrics import EntryMetrics
+from .queue_budgets import QueueBudgets
+from .settlement import Settlement
 
 # Deadlines, back-offs and zone ramps need a look at the queues without an event.
 TICK_S = 0.05
@@ -52,6 +53,9 @@
 # A caller is told that a request may have run after this long without contact.
 DOUBT_S = 5.0
 THROTTLE_FRACTION = 0.25
+# A lookup that takes this much longer than declared gets a second copy.
+HEDGE_FACTOR = 3.0
+HEDGE_DELAY_S = 0.1
 
 
 class Dispatcher:
@@ -75,12 +79,13 @@
         self.scheduler = scheduler
         self._jobs = jobs
         self._metrics = metrics
+        self._settlement = Settlement(jobs, metrics)
         self._client = client
         self._address_of = address_of
         self._may_dispatch = may_dispatch
         self._release = release
         self._on_settled = on_settled
-        self._budget_by_queue: dict[str, RetryBudget] = {}
+        self._budgets = QueueBudgets()
         self._wake = Event()
         self._running_by_team: dict[str, int] = {}
         self.running_tasks = 0
@@ -106,7 +111,7 @@
         if isinstance(verdict, Refusal):
             return verdict
         if job.tries == 0:
-            self._budget(job.submission.queue).on_request()
+            self._budgets.on_request(job.submission.queue)
         self._jobs.add(job)
         # Deciding here saves a switch to the dispatching greenlet and back.
         self._take_decisions()
@@ -130,15 +135,9 @@
         self._jobs.remove(job)
         return True
 
-    def adopt_queues(self, queues: list[Queue]) -> None:
-        """Create retry budgets for new queues and drop those of removed ones."""
-        known = self._budget_by_queue
-        self._budget_by_queue = {}
-        for queue in queues:
-            budget = known.get(queue.id)
-            if budget is None or budget.percent != queue.retry_budget_percent:
-                budget = RetryBudget(queue)
-            self._budget_by_queue[queue.id] = budget
+    def adopt_queues(self, queues: Iterable[Queue]) -> None:
+        """Take over the budgets of a new configuration."""
+        self._budgets.adopt(queues)
 
     def _take_decisions(self) -> None:
         if not self._may_dispatch():
@@ -181,30 +180,46 @@
         gevent.spawn(self._run, job, task, Placement(worker, address, resources))
 
     def _run(self, job: Job, task: Task, placement: Placement) -> None:
-        state = _Doubt()
-
-        def on_doubt() -> None:
-            if job.submission.idempotent and not job.is_recorded:
-                state.is_repeated = self._repeat(job, placement.worker)
-                return
-            message = f"worker {placement.worker} does not answer"
-            state.timer = gevent.spawn_later(
-                DOUBT_S, self._settle_unrecorded, job, MayHaveRun(message)
+        state = _AttemptState()
+        if job.submission.idempotent and not job.is_recorded:
+            hedge_after_s = HEDGE_DELAY_S + HEDGE_FACTOR * job.submission.run_s
+            state.hedge = gevent.spawn_later(
+                hedge_after_s, self._hedge, job, placement, state
             )
-
         end: AttemptEnd = Lost("the attempt was interrupted")
         try:
-            end = self.runner.run(job, placement, on_doubt)
+            end = self.runner.run(
+                job, placement, lambda: self._doubt(job, placement, state)
+            )
         finally:
             team = task.team
             self._running_by_team[team] = self.running(team) - 1
             self.running_tasks -= 1
-            if state.timer is not None:
-                state.timer.kill(block=False)
+            state.stop_timers()
             self._finish(job, task, placement, end, state.is_repeated)
             if self.scheduler.has_queued():
                 self.wake()
 
+    def _hedge(self, job: Job, placement: Placement, state: _AttemptState) -> None:
+        """Start a second copy of a slow idempotent request elsewhere."""
+        if state.is_repeated or job.verdict is not None or job.tries:
+            return
+        queue = job.submission.queue
+        if self._budgets.hedge(queue).try_spend():
+            self._metrics.hedges.labels(queue).inc()
+            state.is_repeated = self._repeat(job, placement.worker)
+
+    def _doubt(self, job: Job, placement: Placement, state: _AttemptState) -> None:
+        """Act on an attempt whose worker does not answer."""
+        if job.submission.idempotent and not job.is_recorded:
+            if not state.is_repeated:
+                state.is_repeated = self._retry(job, placement.worker)
+            return
+        message = f"worker {placement.worker} does not answer"
+        state.give_up = gevent.spawn_later(
+            DOUBT_S, self._settle_unrecorded, job, MayHaveRun(message)
+        )
+
     def _finish(
         self,
         job: Job,
@@ -227,10 +242,10 @@
                     job, placement, is_repeated, "the task failed after it had started"
                 )
             case Refused(reason, free):
-                self._requeue(job, task, placement, reason, free)
+                self._requeue(job, task, placement, reason, free, is_repeated)
             case NotSent(reason):
                 log_event("start_not_sent", "DEBUG", request=job.id, reason=reason)
-                self._requeue(job, task, placement, None, None)
+                self._requeue(job, task, placement, None, None, is_repeated)
             case Stopped(checkpoint):
                 self._resume(job, task, placement, checkpoint, is_repeated)
             case Lost(message):
@@ -244,6 +259,7 @@
         placement: Placement,
         reason: StartRefusal | None,
         free: Resources | None,
+        is_repeated: bool,
     ) -> None:
         """Queue a job again whose start certainly had no effect."""
         now = time.monotonic()
@@ -258,7 +274,7 @@
             self._jobs.remove(job)
             return
         self._release_claim(job)
-        if job.verdict is not None:
+        if job.verdict is not None or is_repeated:
             self.scheduler.cancel([task.id], now)
             return
         if reason is StartRefusal.BAD_REQUEST or job.cancel_requested:
@@ -294,7 +310,9 @@
         if checkpoint:
             job.checkpoint = checkpoint
             self._release_claim(job)
-            if not is_requeued:
+            if is_repeated:
+                self.scheduler.cancel([task.id], now)
+            elif not is_requeued:
                 self._submit_again(job)
             return
         if is_requeued:
@@ -308,19 +326,23 @@
     ) -> None:
         if is_repeated or job.verdict is not None:
             return
-        if job.submission.idempotent and self._repeat(job, placement.worker):
+        if job.submission.idempotent and self._retry(job, placement.worker):
             return
         self._settle(job, MayHaveRun(message))
 
-    def _repeat(self, job: Job, worker: str) -> bool:
+    def _retry(self, job: Job, worker: str) -> bool:
         """Run an idempotent job elsewhere if its queue's budget allows."""
         if job.verdict is not None or job.cancel_requested:
             return False
-        if not self._budget(job.submission.queue).try_spend():
+        queue = job.submission.queue
+        if not self._budgets.retry(queue).try_spend():
             return False
-        # The attempt that is repeated has failed, or its worker is silent.
+        self._metrics.retries.labels(queue).inc()
+        return self._repeat(job, worker)
+
+    def _repeat(self, job: Job, worker: str) -> bool:
+        # The attempt that is repeated has failed, or has not answered yet.
         job.may_have_started = True
-        self._metrics.retries.labels(job.submission.queue).inc()
         job.excluded_workers.add(worker)
         self._release_claim(job)
         return self._submit_again(job)
@@ -342,48 +364,31 @@
             self._settle(job, verdict)
 
     def _settle(self, job: Job, verdict: Verdict) -> None:
-        if isinstance(verdict, NotRun) and job.may_have_started:
-            message = f"an earlier attempt had started; {verdict.refusal.message}"
-            verdict = MayHaveRun(message)
-        if not job.settle(verdict):
+        if not self._settlement.settle(job, verdict):
             return
-        submission = job.submission
-        name = _verdict_name(verdict)
-        elapsed_s = max(0.0, job.settled_at - submission.submitted_at)
-        self._metrics.requests.labels(submission.queue, name).inc()
-        self._metrics.latency_s.labels(submission.queue).observe(elapsed_s)
-        if isinstance(verdict, NotRun):
-            self._metrics.refusals.labels(verdict.refusal.reason).inc()
-        log_event(
-            "request_settled",
-            "DEBUG",
-            request=job.id,
-            team=submission.team,
-            queue=submission.queue,
-            verdict=name,
-            seconds=elapsed_s,
-        )
-        self._jobs.note_settled(job)
+        # A copy of the job that still waits need not run.
+        self.scheduler.cancel([_task_id(job)], time.monotonic())
         self._on_settled(job)
 
-    def _budget(self, queue: str) -> RetryBudget:
-        budget = self._budget_by_queue.get(queue)
-        if budget is None:
-            budget = self._budget_by_queue[queue] = RetryBudget(Queue(queue, ""))
-        return budget
-
     def observe_report(self, worker: str, report: TaskReport) -> None:
         """Take over the free capacity that comes with an answer."""
         now = time.monotonic()
         self.scheduler.observe_worker(worker, True, report.free, report.boot_id, now)
 
 
-class _Doubt:
-    """What was done about an attempt whose worker does not answer."""
+class _AttemptState:
+    """What was done about an attempt that has not ended."""
 
     def __init__(self) -> None:
         self.is_repeated = False
-        self.timer: gevent.Greenlet | None = None
+        self.hedge: gevent.Greenlet | None = None
+        self.give_up: gevent.Greenlet | None = None
+
+    def stop_timers(self) -> None:
+        """Stop what is due later."""
+        for timer in (self.hedge, self.give_up):
+            if timer is not None:
+                timer.kill(block=False)
 
 
 def _task_id(job: Job) -> str:
@@ -409,13 +414,3 @@
         checkpointable=submission.checkpointable,
         excluded_workers=frozenset(job.excluded_workers),
     )
-
-
-def _verdict_name(verdict: Verdict) -> str:
-    match verdict:
-        case NotRun():
-            return "not_run"
-        case MayHaveRun():
-            return "may_have_run"
-        case Ran():
-            return "ran"
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from collections import Counter as CountByKey
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+)
+
+from lycheeloom.model.config import ZoneState
+from lycheeloom.model.status import StatusDocument
 
 _LATENCY_BUCKETS_S = (
     0.001,
@@ -27,6 +38,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self.requests = self._counter(
             "requests", "Requests that ended, by queue and verdict", "queue", "verdict"
         )
@@ -44,15 +56,36 @@
             "starts", "Starts sent to workers, by result", "result"
         )
         self.retries = self._counter("retries", "Attempts repeated elsewhere", "queue")
+        self.hedges = self._counter("hedges", "Second copies of slow requests", "queue")
+        self.unknown_records = self._gauge(
+            "unknown_records", "Records of newer program versions that were skipped"
+        )
+        self.members = self._gauge("members", "Members on record by state", "state")
+        self.queue_queued = self._gauge(
+            "queue_queued_requests", "Requests waiting here", "queue"
+        )
+        self.queue_bound = self._gauge(
+            "queue_bound", "How many requests may wait here", "queue"
+        )
         self.running = self._gauge("team_running_tasks", "Running tasks here", "team")
         self.queued = self._gauge("team_queued_tasks", "Queued tasks here", "team")
         self.granted = self._gauge(
             "team_granted_slots", "Running slots held by this entry", "team"
         )
+        self.upper_limit = self._gauge(
+            "team_upper_limit", "Running tasks allowed over the fleet", "team"
+        )
         self.share_ratio = self._gauge(
             "team_dominant_share_ratio", "Fleet-wide dominant share in use", "team"
         )
+        self.entitlement_ratio = self._gauge(
+            "team_entitlement_ratio", "Fleet-wide share due now", "team"
+        )
+        self.zone_in_service = self._gauge(
+            "zone_in_service", "0 while operators have taken the zone out", "zone"
+        )
         self.fresh = self._gauge("entry_fresh", "1 if this entry may start tasks")
+        self.draining = self._gauge("entry_draining", "1 while it takes no new work")
         self.log_age_s = self._gauge(
             "log_age_seconds", "Time since the last successful log read"
         )
@@ -60,7 +93,7 @@
             "config_version", "Version of the configuration in force"
         )
         self.loop_delay_s = self._gauge(
-            "event_loop_delay_seconds", "Latest delay of a 100 ms timer"
+            "event_loop_delay_seconds", "Latest delay of a timer"
         )
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
@@ -68,3 +101,39 @@
 
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
         return Gauge(f"lycheeloom_{name}", text, labels, registry=self.registry)
+
+    def set_status(self, status: StatusDocument) -> None:
+        """Report what the status document says; removed names disappear."""
+        self.fresh.set(int(status.fresh))
+        self.draining.set(int(status.draining))
+        self.config_version.set(status.config_version)
+        if status.log_age_ms is not None:
+            self.log_age_s.set(status.log_age_ms / 1000)
+        self._set_members(status)
+        self._set_teams(status)
+        self._set_queues(status)
+        self.zone_in_service.clear()
+        for zone_id, zone in status.zones.items():
+            is_in = zone.state is ZoneState.IN
+            self.zone_in_service.labels(zone_id).set(int(is_in))
+
+    def _set_members(self, status: StatusDocument) -> None:
+        self.members.clear()
+        counts = CountByKey(member.state for member in status.members)
+        for state, count in counts.items():
+            self.members.labels(state).set(count)
+
+    def _set_teams(self, status: StatusDocument) -> None:
+        for gauge in (self.upper_limit, self.share_ratio, self.entitlement_ratio):
+            gauge.clear()
+        for team_id, team in status.teams.items():
+            self.upper_limit.labels(team_id).set(team.upper_limit)
+            self.share_ratio.labels(team_id).set(team.dominant_share)
+            self.entitlement_ratio.labels(team_id).set(team.entitlement)
+
+    def _set_queues(self, status: StatusDocument) -> None:
+        self.queue_queued.clear()
+        self.queue_bound.clear()
+        for queue_id, queue in status.queues.items():
+            self.queue_queued.labels(queue_id).set(queue.queued)
+            self.queue_bound.labels(queue_id).set(queue.max_queued)
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/queue_budgets.py
@@ -0,0 +1,45 @@
+"""Budgets for repeated attempts, one pair for each queue."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lycheeloom.model.config import Queue
+from lycheeloom.sched import HedgeBudget, RetryBudget
+
+_UNKNOWN_QUEUE = Queue("", "", retry_budget_percent=0)
+
+
+class QueueBudgets:
+    """Retry and hedge budgets by queue; none for queues not configured."""
+
+    def __init__(self) -> None:
+        self._retry_by_queue: dict[str, RetryBudget] = {}
+        self._hedge_by_queue: dict[str, HedgeBudget] = {}
+
+    def adopt(self, queues: Iterable[Queue]) -> None:
+        """Take over the queues; unchanged ones keep what they saved."""
+        retries, hedges = self._retry_by_queue, self._hedge_by_queue
+        self._retry_by_queue, self._hedge_by_queue = {}, {}
+        for queue in queues:
+            retry = retries.get(queue.id)
+            if retry is None or retry.percent != queue.retry_budget_percent:
+                retry = RetryBudget(queue)
+            self._retry_by_queue[queue.id] = retry
+            hedge = hedges.get(queue.id)
+            if hedge is None or hedge.percent != queue.hedge_budget_percent:
+                hedge = HedgeBudget(queue)
+            self._hedge_by_queue[queue.id] = hedge
+
+    def on_request(self, queue: str) -> None:
+        """Count a first attempt, which pays for a part of a repetition."""
+        self.retry(queue).on_request()
+        self.hedge(queue).on_request()
+
+    def retry(self, queue: str) -> RetryBudget:
+        """Return the budget for attempts after a failure."""
+        return self._retry_by_queue.get(queue) or RetryBudget(_UNKNOWN_QUEUE)
+
+    def hedge(self, queue: str) -> HedgeBudget:
+        """Return the budget for second copies of slow requests."""
+        return self._hedge_by_queue.get(queue) or HedgeBudget(_UNKNOWN_QUEUE)
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -20,6 +20,7 @@
 from lycheeloom.model.config import ZoneState
 from lycheeloom.model.records import ConfigChanged, InstanceHealth, MoveStep
 from lycheeloom.model.resources import Resources
+from lycheeloom.model.status import StatusDocument
 from lycheeloom.platform import (
     InstanceClient,
     InstanceList,
@@ -53,7 +54,8 @@
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5
 EXCHANGE_INTERVAL_S = 0.25
-METRICS_INTERVAL_S = 1.0
+# The status is read from the whole state, so often enough for a scrape only.
+METRICS_INTERVAL_S = 5.0
 IDLE_SWEEP_S = 5.0
 DRAIN_POLL_S = 0.05
 # The balancer learns from /readyz that this entry is leaving; until then new
@@ -224,9 +226,7 @@
             self.intake,
             self.tail,
             self.metrics,
-            lambda: self.status.build(
-                self.settings.instance, self.settings.zone, PROGRAM_VERSION
-            ),
+            self._read_status,
             lambda: self.freshness.is_fresh() and not self.intake.is_draining,
             explanations.explain,
         )
@@ -282,7 +282,6 @@
         self.dispatcher.adopt_queues(list(config.queue_by_id.values()))
         self._adopt_pools()
         self.grants.refresh()
-        self.metrics.config_version.set(config.version)
         self._wake()
 
     def _adopt_pools(self) -> None:
@@ -361,18 +360,20 @@
             self._update_metrics()
 
     def _update_metrics(self) -> None:
-        self.metrics.fresh.set(int(self.freshness.is_fresh()))
-        self.metrics.log_age_s.set(self.mesh.log_age_s())
-        size = self.status.fleet_size()
-        usage_by_team = self.status.fleet_usage()
+        self.metrics.set_status(self._read_status())
+        self.metrics.unknown_records.set(self.tail.state.unknown_records)
+        for gauge in (self.metrics.running, self.metrics.queued, self.metrics.granted):
+            gauge.clear()
         for team in self.tail.state.config.team_by_id:
             own = self.mesh.usage_by_team.get(team) or TeamUsage(team, 0, 0)
-            total = usage_by_team.get(team) or TeamUsage(team, 0, 0)
-            used = Resources(total.cores, total.memory_mb, total.accelerators)
             self.metrics.running.labels(team).set(self.dispatcher.running(team))
             self.metrics.queued.labels(team).set(own.queued)
             self.metrics.granted.labels(team).set(self.grants.usable(team))
-            self.metrics.share_ratio.labels(team).set(used.dominant_share(size))
+
+    def _read_status(self) -> StatusDocument:
+        return self.status.build(
+            self.settings.instance, self.settings.zone, PROGRAM_VERSION
+        )
 
     def _run_idle_sweep(self) -> None:
         while True:
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/settlement.py
@@ -0,0 +1,59 @@
+"""The end of a request: its verdict, set once, counted and logged."""
+
+from __future__ import annotations
+
+from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Verdict
+from lycheeloom.telemetry import log_event
+
+from .jobs import Job, JobTable
+from .metrics import EntryMetrics
+
+
+class Settlement:
+    """Sets verdicts and reports them."""
+
+    def __init__(self, jobs: JobTable, metrics: EntryMetrics) -> None:
+        self._jobs = jobs
+        self._metrics = metrics
+
+    def settle(self, job: Job, verdict: Verdict) -> bool:
+        """Set the verdict unless there is one; tells whether it was set.
+
+        A request that may have started is never settled as not run.
+        """
+        if isinstance(verdict, NotRun) and job.may_have_started:
+            message = f"an earlier attempt had started; {verdict.refusal.message}"
+            verdict = MayHaveRun(message)
+        if not job.settle(verdict):
+            return False
+        self._report(job, verdict)
+        self._jobs.note_settled(job)
+        return True
+
+    def _report(self, job: Job, verdict: Verdict) -> None:
+        submission = job.submission
+        name = _verdict_name(verdict)
+        elapsed_s = max(0.0, job.settled_at - submission.submitted_at)
+        self._metrics.requests.labels(submission.queue, name).inc()
+        self._metrics.latency_s.labels(submission.queue).observe(elapsed_s)
+        if isinstance(verdict, NotRun):
+            self._metrics.refusals.labels(verdict.refusal.reason).inc()
+        log_event(
+            "request_settled",
+            "DEBUG",
+            request=job.id,
+            team=submission.team,
+            queue=submission.queue,
+            verdict=name,
+            seconds=elapsed_s,
+        )
+
+
+def _verdict_name(verdict: Verdict) -> str:
+    match verdict:
+        case NotRun():
+            return "not_run"
+        case MayHaveRun():
+            return "may_have_run"
+        case Ran():
+            return "ran"
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -1,15 +1,16 @@
 """Verdicts of the dispatcher when attempts end in different ways."""
 
 import gevent
+import gevent.event
 import pytest
 
-from lycheeloom.entry.attempt import Failed, Refused
+from lycheeloom.entry.attempt import Answered, Failed, Refused
 from lycheeloom.entry.dispatch import Dispatcher
 from lycheeloom.entry.jobs import Job, JobTable, Submission
 from lycheeloom.entry.metrics import EntryMetrics
-from lycheeloom.model.config import parse_config
+from lycheeloom.model.config import Queue, parse_config
 from lycheeloom.model.resources import Resources
-from lycheeloom.model.verdict import MayHaveRun, NotRun
+from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran
 from lycheeloom.platform import StartRefusal
 from lycheeloom.sched import Scheduler
 
@@ -99,3 +100,38 @@
     assert dispatcher.scheduler.has_queued()
     dispatcher.cancel(job)
     assert isinstance(job.verdict, MayHaveRun)
+
+
+class SlowRunner:
+    """Ends the first attempt only when told; later ones end at once."""
+
+    def __init__(self):
+        self.workers = []
+        self.release = gevent.event.Event()
+
+    def run(self, job, placement, on_doubt):
+        self.workers.append(placement.worker)
+        if len(self.workers) == 1:
+            self.release.wait()
+            return Refused(StartRefusal.NO_CAPACITY)
+        return Answered(b"second")
+
+
+@pytest.mark.parametrize(("percent", "copies"), [(100, 2), (0, 1)])
+def test_slow_lookup_gets_a_second_copy(dispatcher, monkeypatch, percent, copies):
+    """A worker that became slow must not delay a lookup beyond the budget."""
+    monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
+    monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
+    queue = Queue("find", "main", idempotent=True, hedge_budget_percent=percent)
+    dispatcher.adopt_queues([queue])
+    dispatcher.runner = SlowRunner()
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    for _ in range(20):
+        gevent.sleep(0.001)
+    assert len(dispatcher.runner.workers) == copies
+    dispatcher.runner.release.set()
+    run_until_idle(dispatcher)
+    assert job.verdict == Ran(b"second")
+    assert len(dispatcher.runner.workers) == 2
+    assert not dispatcher.scheduler.has_queued()
--- /dev/null
+++ b/libs/entry/tests/test_metrics.py
@@ -0,0 +1,56 @@
+"""Guards the metrics page and the alerts against names that are not served."""
+
+import re
+from pathlib import Path
+
+import pytest
+from prometheus_client import generate_latest
+
+from lycheeloom.entry.metrics import EntryMetrics
+from lycheeloom.model.config import ZoneState
+from lycheeloom.model.status import (
+    MemberStatus,
+    QueueStatus,
+    StatusDocument,
+    TeamStatus,
+    ZoneStatus,
+)
+
+PAGE = Path(__file__).parents[3] / "docs" / "metrics.md"
+TABLE = PAGE.read_text().split("## Entry")[1].split("## Controller")[0]
+DOCUMENTED = sorted(re.findall(r"^\| `(lycheeloom_\w+)`", TABLE, re.MULTILINE))
+
+
+@pytest.fixture
+def metrics():
+    metrics = EntryMetrics()
+    metrics.set_status(
+        StatusDocument(
+            fresh=True,
+            log_age_ms=5,
+            members=[MemberStatus(incarnation="a")],
+            teams={"t": TeamStatus(upper_limit=3)},
+            queues={"q": QueueStatus(max_queued=7)},
+            zones={"z": ZoneStatus(state=ZoneState.OUT)},
+        )
+    )
+    return metrics
+
+
+def test_documented_metrics_are_served(metrics):
+    """An alert on a metric that is not served would never fire."""
+    served = {
+        line.split()[2]
+        for line in generate_latest(metrics.registry).decode().splitlines()
+        if line.startswith("# TYPE lycheeloom_")
+    }
+    # The text format names a counter's family with its suffix.
+    assert {name for name in served if not name.endswith("_created")} == set(DOCUMENTED)
+
+
+def test_removed_names_disappear(metrics):
+    """A removed zone must not stay in the metrics as taken out."""
+    metrics.set_status(StatusDocument(zones={"new": ZoneStatus()}))
+    text = generate_latest(metrics.registry).decode()
+    assert 'lycheeloom_zone_in_service{zone="new"} 1.0' in text
+    assert 'zone="z"' not in text
