--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -56,6 +56,8 @@
     state: FleetState = field(default_factory=FleetState)
     workers: dict[str, FakeWorker] = field(default_factory=dict)
     status_by_action: dict[str, ActionStatus] = field(default_factory=dict)
+    drain_by_instance: dict[str, float] = field(default_factory=dict)
+    drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
     effects: Counter = field(default_factory=Counter)
     lost_work: int = 0
@@ -116,6 +118,11 @@
         """Return the instances that answer now."""
         return [name for name, worker in self.workers.items() if worker.alive]
 
+    def open_moves(self) -> list[str]:
+        """Return the instances whose move has not ended."""
+        moves = self.state.maintenance.move_by_instance
+        return [name for name, move in moves.items() if not move.is_ended()]
+
     def carry_out(self, author: str, plan: Plan) -> None:
         """Append a plan's records and take its actions."""
         if plan.records:
@@ -136,9 +143,13 @@
                 if worker.alive:
                     self._check_budget(action.instance)
                 worker.draining = True
-                worker.work_ends_s = self.now_s + self.drain_s
+                drain_s = self.drain_by_instance.get(action.instance, self.drain_s)
+                worker.work_ends_s = self.now_s + drain_s
+                self.drain_of[action.instance] = action.action_id
+                status = ActionStatus.RUNNING
             case ActionKind.UNDRAIN:
                 worker.draining = False
+                self._end_drain(action.instance)
             case ActionKind.REBOOT:
                 self.lost_work += worker.running if worker.alive else 0
                 worker.alive = False
@@ -172,6 +183,7 @@
             if worker.draining:
                 if self.now_s >= worker.work_ends_s:
                     worker.running = 0
+                    self._end_drain(name)
                 continue
             if not self._is_leaving(name):
                 worker.running = 1
@@ -188,6 +200,11 @@
         move = self.state.maintenance.move_by_instance.get(name)
         return move is not None and move.stage in LEAVING
 
+    def _end_drain(self, name: str) -> None:
+        action_id = self.drain_of.pop(name, None)
+        if action_id is not None:
+            self.status_by_action[action_id] = ActionStatus.DONE
+
     def _finish_reboot(self, name: str, worker: FakeWorker) -> None:
         if self.now_s < worker.rebooting_until_s:
             return
@@ -223,6 +240,9 @@
             problems.append(f"pool {pool_id} {len(in_pool)}")
         if len(in_rack) > pool.max_unavailable_per_rack:
             problems.append(f"rack {place.rack} {len(in_rack)}")
+        members = sum(1 for owner in pools.values() if owner == pool_id)
+        if pool.spare and len(in_pool) >= members:
+            problems.append(f"last spare of {pool_id}")
         if zone.max_unavailable is not None and len(in_zone) > zone.max_unavailable:
             problems.append(f"zone {place.zone} {len(in_zone)}")
         return problems
@@ -239,11 +259,18 @@
 
     def plan(self) -> Plan:
         """Hear the workers and plan one step, without carrying it out."""
+        self.hear()
+        return self.planner.step(self.view(), self.world.now_s)
+
+    def hear(self) -> None:
+        """Give the planner the heartbeats of this moment."""
         world = self.world
         for name in world.heard():
             boot = str(world.workers[name].boots)
             self.planner.health.heartbeat(name, world.now_s, boot)
-        return self.planner.step(self.view(), world.now_s)
+        for name, worker in world.workers.items():
+            if not worker.alive:
+                self.planner.health.missed(name, world.now_s)
 
     def view(self) -> FleetView:
         """Return what this controller sees, with the statuses it asks for."""
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -98,8 +98,7 @@
         while True:
             self._wake.wait(TICK_S)
             self._wake.clear()
-            if self._may_dispatch():
-                self._take_decisions()
+            self._take_decisions()
 
     def submit(self, job: Job) -> Refusal | None:
         """Queue a job, or return why it is refused as not run."""
@@ -109,7 +108,8 @@
         if job.tries == 0:
             self._budget(job.submission.queue).on_request()
         self._jobs.add(job)
-        self.wake()
+        # Deciding here saves a switch to the dispatching greenlet and back.
+        self._take_decisions()
         return None
 
     def cancel(self, job: Job) -> None:
@@ -141,6 +141,8 @@
             self._budget_by_queue[queue.id] = budget
 
     def _take_decisions(self) -> None:
+        if not self._may_dispatch():
+            return
         for decision in self.scheduler.next_starts(time.monotonic()):
             match decision:
                 case Start(task, worker, resources):
@@ -200,7 +202,8 @@
             if state.timer is not None:
                 state.timer.kill(block=False)
             self._finish(job, task, placement, end, state.is_repeated)
-            self.wake()
+            if self.scheduler.has_queued():
+                self.wake()
 
     def _finish(
         self,
@@ -212,6 +215,8 @@
     ) -> None:
         now = time.monotonic()
         self._metrics.starts.labels(type(end).__name__.lower()).inc()
+        if isinstance(end, Failed | Stopped | Lost):
+            job.may_have_started = True
         match end:
             case Answered(answer):
                 self.scheduler.finished(task.id, Outcome.DONE, now)
@@ -313,6 +318,8 @@
             return False
         if not self._budget(job.submission.queue).try_spend():
             return False
+        # The attempt that is repeated has failed, or its worker is silent.
+        job.may_have_started = True
         self._metrics.retries.labels(job.submission.queue).inc()
         job.excluded_workers.add(worker)
         self._release_claim(job)
@@ -335,6 +342,9 @@
             self._settle(job, verdict)
 
     def _settle(self, job: Job, verdict: Verdict) -> None:
+        if isinstance(verdict, NotRun) and job.may_have_started:
+            message = f"an earlier attempt had started; {verdict.refusal.message}"
+            verdict = MayHaveRun(message)
         if not job.settle(verdict):
             return
         submission = job.submission
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import time
 from dataclasses import dataclass
 
@@ -59,6 +60,8 @@
 # requests are answered with a refusal instead of a closed connection.
 MIN_DRAIN_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
+# Allocations between two collections of the youngest objects.
+GC_ALLOCATIONS = 20_000
 
 
 @dataclass(slots=True)
@@ -190,7 +193,8 @@
             sessions,
             self._tracer,
             self._may_start,
-            self.freshness.is_fresh,
+            lambda: self.keeper.incarnation,
+            self._may_renew,
             self.journal.claim,
             self.dispatcher.observe_report,
         )
@@ -228,6 +232,11 @@
         )
 
     def _start(self) -> None:
+        # The modules and the recovered state stay; scanning them in each full
+        # collection delayed answers by tens of milliseconds.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_ALLOCATIONS)
         self._adopt_config()
         self.tail.start()
         self.writer.start()
@@ -300,6 +309,14 @@
             return f"availability zone {instance.zone} is out"
         return None
 
+    def _may_renew(self, holder: str) -> bool:
+        """Tell whether a lease of one of this entry's incarnations may go on.
+
+        The slots of an incarnation that was expelled are given to others once
+        its leases have expired, so none of them is renewed after a rejoin.
+        """
+        return holder == self.keeper.incarnation and self.freshness.is_fresh()
+
     def _on_settled(self, job: Job) -> None:
         if job.is_recorded:
             gevent.spawn(self.journal.record_verdict, job)
