--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -129,6 +129,9 @@
             now,
             workers.has_room(pool),
             lambda: workers.peer_cores(pool),
+            # What borrowers leave on a worker adds up to room for the pool's
+            # own larger tasks only if borrowers never refill it freely.
+            may_pause=kind != "lend",
         )
 
     def _fill_pool(
