--- a/bench/entitlement.py
+++ b/bench/entitlement.py
@@ -20,12 +20,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Use:
-    """Work of a team on a queue that runs in a pool."""
+class Want:
+    """Work of a team on a queue; ``pool`` is set where it already runs."""
 
     team: str
     queue: str
-    pool: str
+    pool: str = ""
 
 
 class WaterFilling:
@@ -40,42 +40,37 @@
             held = self._capacity.get(instance.pool, NO_RESOURCES)
             self._capacity[instance.pool] = held + instance.size
 
-    def shares(
-        self, demand: Mapping[tuple[str, str], Resources]
-    ) -> dict[tuple[str, str], float]:
-        """Return the entitled dominant share per team and queue.
+    def shares(self, demand: Mapping[Want, Resources]) -> dict[str, float]:
+        """Return the entitled dominant share per team.
 
-        ``demand`` is what each team could use now on each queue.
+        Running tasks count in the pool where they run, because tasks are not
+        moved between pools; waiting ones may use any pool.
         """
         wanted = {
             key: amount.dominant_share(self.total) for key, amount in demand.items()
         }
         wanted = {key: share for key, share in wanted.items() if share > EPSILON}
-        teams = sorted({team for team, _ in wanted})
-        if not teams:
-            return {}
-        uses = [Use(t, q, p) for t, q in wanted for p in self._capacity]
-        lp = self._program(uses, wanted, demand, teams)
+        teams = sorted({key.team for key in wanted})
         frozen: dict[str, float] = {}
+        if not teams:
+            return frozen
+        lp = self._program(wanted, demand, teams)
         while len(frozen) < len(teams):
             level, blocked = lp.raise_level(frozen)
             for team in blocked:
                 frozen[team] = level * self._config.team_by_id[team].share
-        shares = dict.fromkeys(wanted, 0.0)
-        for use, share in zip(uses, lp.values(), strict=False):
-            shares[use.team, use.queue] += share
-        return shares
+        return frozen
 
     def _program(
         self,
-        uses: list[Use],
-        wanted: Mapping[tuple[str, str], float],
-        demand: Mapping[tuple[str, str], Resources],
+        wanted: Mapping[Want, float],
+        demand: Mapping[Want, Resources],
         teams: list[str],
     ) -> _Program:
+        uses = [(w, p) for w in wanted for p in self._capacity if w.pool in ("", p)]
         rows: list[tuple[dict[int, float], float]] = []
-        for key, share in wanted.items():
-            mine = {n: 1.0 for n, u in enumerate(uses) if (u.team, u.queue) == key}
+        for want, share in wanted.items():
+            mine = {n: 1.0 for n, (w, _) in enumerate(uses) if w is want}
             rows.append((mine, share))
         for pool, capacity in self._capacity.items():
             for name in DIMENSIONS:
@@ -83,13 +78,12 @@
                 own_demand = 0.0
                 every: dict[int, float] = {}
                 foreign: dict[int, float] = {}
-                for n, use in enumerate(uses):
-                    if use.pool != pool:
+                for n, (want, place) in enumerate(uses):
+                    if place != pool:
                         continue
-                    amount = demand[use.team, use.queue]
-                    share = getattr(amount, name) / getattr(self.total, name)
-                    every[n] = share / wanted[use.team, use.queue]
-                    if self._config.queue_by_id[use.queue].pool == pool:
+                    share = getattr(demand[want], name) / getattr(self.total, name)
+                    every[n] = share / wanted[want]
+                    if self._config.queue_by_id[want.queue].pool == pool:
                         own_demand += share
                     else:
                         foreign[n] = every[n]
@@ -98,7 +92,7 @@
                 if not self._config.pool_by_id[pool].spare:
                     rows.append((foreign, max(0.0, part - own_demand)))
         weights = [self._config.team_by_id[team].share for team in teams]
-        by_team = [[n for n, u in enumerate(uses) if u.team == t] for t in teams]
+        by_team = [[n for n, u in enumerate(uses) if u[0].team == t] for t in teams]
         return _Program(len(uses), rows, teams, weights, by_team)
 
 
@@ -132,10 +126,6 @@
             solver.addRow(0.0, infinity, len(indexes), indexes, values)
         self._solver = solver
 
-    def values(self) -> list[float]:
-        """Return the share of each use in the last solution."""
-        return list(self._solver.getSolution().col_value)
-
     def raise_level(self, frozen: Mapping[str, float]) -> tuple[float, list[str]]:
         """Return the highest level of the other teams and who blocks it."""
         solver = self._solver
