--- a/libs/cluster/src/lycheeloom/cluster/__init__.py
+++ b/libs/cluster/src/lycheeloom/cluster/__init__.py
@@ -4,8 +4,10 @@
 from .freshness import FreshBy, Freshness
 from .membership import Identity, MembershipKeeper, new_incarnation
 from .mesh import PeerMesh, PeerView
+from .node import ClusterNode
 
 __all__ = [
+    "ClusterNode",
     "Connection",
     "PeerConnectionError",
     "FreshBy",
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -59,7 +59,10 @@
 
 
 def new_incarnation(instance: str, rng: random.Random | None = None) -> str:
-    """Return a name that no other process of the instance has."""
+    """Return a name that no other process of the instance has.
+
+    ``rng`` must differ between processes; without one the system's is used.
+    """
     bits = (rng or random.SystemRandom()).getrandbits(48)
     return f"{instance}-{bits:012x}"
 
