--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -128,6 +128,7 @@
         if not self.scheduler.cancel([_task_id(job)], time.monotonic()):
             return False
         self._jobs.remove(job)
+        job.hand_over()
         return True
 
     def adopt_queues(self, queues: list[Queue]) -> None:
@@ -253,6 +254,7 @@
         if job.is_foreign:
             self.scheduler.cancel([task.id], now)
             self._jobs.remove(job)
+            job.hand_over()
             return
         self._release_claim(job)
         if job.verdict is not None:
@@ -403,11 +405,19 @@
         deadline=submission.deadline if job.tries == 0 else None,
         idempotent=submission.idempotent,
         urgent=submission.urgent,
-        checkpointable=submission.checkpointable,
+        checkpointable=submission.checkpointable and not _is_once_recorded(job),
         excluded_workers=frozenset(job.excluded_workers),
     )
 
 
+def _is_once_recorded(job: Job) -> bool:
+    """Tell whether a release after a checkpoint could start the job afresh.
+
+    Another entry that takes the pending request over knows no checkpoint.
+    """
+    return job.is_recorded and not job.submission.idempotent
+
+
 def _verdict_name(verdict: Verdict) -> str:
     match verdict:
         case NotRun():
--- a/libs/entry/src/lycheeloom/entry/intake.py
+++ b/libs/entry/src/lycheeloom/entry/intake.py
@@ -139,6 +139,7 @@
         That it did not run is said only once the log says so: until then another
         entry could still take it over.
         """
+        give_up_at = time.monotonic() + wait_s
         job = self._jobs.job_by_id.get(request_id)
         if (
             job is not None
@@ -146,7 +147,8 @@
             and isinstance(job.verdict, Ran)
         ):
             return ran_reply(request_id, job.verdict.answer)
-        request = self._journal.wait(request_id, wait_s)
+        left_s = max(0.0, give_up_at - time.monotonic())
+        request = self._journal.wait(request_id, left_s)
         if request is None:
             return _unknown_request(request_id)
         return self._recorded_reply(request)
@@ -156,6 +158,9 @@
         if request.status is not RequestStatus.FINISHED:
             return progress_reply(request_id, request.status.value)
         if request.outcome is Outcome.NOT_RUN:
+            if request.idempotent and request.attempt > 0:
+                # It was released without proof that its attempts did not run.
+                return doubt_reply(request_id, "cancelled after an attempt")
             job = self._jobs.job_by_id.get(request_id)
             if job is not None and isinstance(job.verdict, NotRun):
                 return refusal_reply(job.verdict.refusal, request_id)
--- a/libs/entry/src/lycheeloom/entry/jobs.py
+++ b/libs/entry/src/lycheeloom/entry/jobs.py
@@ -70,6 +70,10 @@
         """The request id."""
         return self.submission.request_id
 
+    def hand_over(self) -> None:
+        """Wake those that wait here, as another entry decides about the job."""
+        self.settled.set()
+
     def settle(self, verdict: Verdict) -> bool:
         """Set the verdict; the first one stays. Tells whether it was set."""
         if self.verdict is not None:
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -68,6 +68,7 @@
         # What the log does not carry (deadline, trace) of requests taken here.
         self._submission_by_id: dict[str, Submission] = {}
         self._members_seen: frozenset[str] = frozenset()
+        self._is_leaving = False
         tail.add_listener(self._on_replayed)
         tail.add_reset_listener(lambda state: self.reassign())
 
@@ -130,6 +131,9 @@
             case NoEffect():
                 job.is_foreign = True
                 return "the request is claimed, finished or cancelled"
+            case Unknown() if self._is_own_claim(job.id, attempt):
+                # Its replay was part of a snapshot.
+                return None
             case _:
                 # The attempt number is free again.
                 job.attempt -= 1
@@ -160,7 +164,12 @@
                 record = r.RequestCancelled(job.id)
             case _:
                 return
-        self._write(record)
+        outcome = self._write(record)
+        if isinstance(outcome, NoEffect) and isinstance(job.verdict, MayHaveRun):
+            # The claim was released for a retry that was then refused; without
+            # this the request would stay pending and no entry would run it.
+            self._jobs.remove(job)
+            self._take_over_again(job.id)
 
     def wait(self, request_id: str, timeout_s: float) -> RecordedRequest | None:
         """Wait until a recorded request is finished; returns what is known."""
@@ -168,9 +177,20 @@
         if request is None or request.status is RequestStatus.FINISHED:
             return request
         waiter = self._waiter_by_id.setdefault(request_id, Event())
-        waiter.wait(timeout_s)
+        waiter.wait(min(timeout_s, COMMIT_TIMEOUT_S) if self._is_leaving else timeout_s)
         return self._tail.state.requests.request_by_id.get(request_id)
 
+    def release_waiters(self) -> None:
+        """End waits for requests that run elsewhere, as this entry shuts down.
+
+        Their callers collect the answers at other entries. Without this the
+        shutdown would wait for requests that others take over only after it.
+        """
+        self._is_leaving = True
+        for waiter in self._waiter_by_id.values():
+            waiter.set()
+        self._waiter_by_id.clear()
+
     def read_answer(self, request: RecordedRequest) -> bytes | None:
         """Return the whole answer of a finished request, or None for now."""
         record = self._find_record(
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -375,6 +375,7 @@
         """Refuse new requests, end the accepted ones, and leave."""
         self.intake.is_draining = True
         self.mesh.draining = True
+        self.journal.release_waiters()
         self.journal.reassign()
         log_event("draining", open_requests=self.intake.open_requests)
         gevent.sleep(MIN_DRAIN_S)
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -4,7 +4,7 @@
 import pytest
 
 from lycheeloom.entry.attempt import Failed, Refused
-from lycheeloom.entry.dispatch import Dispatcher
+from lycheeloom.entry.dispatch import Dispatcher, _task_of
 from lycheeloom.entry.jobs import Job, JobTable, Submission
 from lycheeloom.entry.metrics import EntryMetrics
 from lycheeloom.model.config import parse_config
@@ -98,3 +98,31 @@
     gevent.sleep(0)
     dispatcher.cancel(job)
     assert isinstance(job.verdict, MayHaveRun)
+
+
+def test_withdrawn_job_wakes_its_callers(dispatcher):
+    """Guards against callers that wait here for a job that another entry runs."""
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    assert dispatcher.withdraw(job)
+    assert job.settled.is_set()
+    assert job.verdict is None
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_checkpoint_of_a_recorded_job(is_idempotent):
+    """Guards against a second start by an entry that knows no checkpoint."""
+    submission = Submission(
+        "r1",
+        "red",
+        "find",
+        b"",
+        SIZE,
+        9.0,
+        0.0,
+        idempotent=is_idempotent,
+        checkpointable=True,
+    )
+    assert _task_of(Job(submission)).checkpointable
+    recorded = _task_of(Job(submission, is_recorded=True))
+    assert recorded.checkpointable == is_idempotent
--- a/libs/entry/tests/test_journal.py
+++ b/libs/entry/tests/test_journal.py
@@ -1,8 +1,87 @@
-"""Recorded requests whose entry is gone."""
+"""Recorded requests of an entry, against a log in memory."""
 
-from lycheeloom.entry.journal import select_member
+import gevent
+import pytest
+
+from lycheeloom.entry.intake import Intake
+from lycheeloom.entry.jobs import JobTable, Submission
+from lycheeloom.entry.journal import Journal, select_member
+from lycheeloom.log import LogTail, LogWriter, recover
+from lycheeloom.model.records import MemberJoined, Outcome
+from lycheeloom.model.resources import Resources
+from lycheeloom.model.verdict import MayHaveRun
+from lycheeloom.platform import Appended, ReadBatches
+from lycheeloom.state import FleetState, RecordedRequest, RequestStatus
 
 MEMBERS = ["e0-a", "e1-b", "e2-c"]
+SIZE = Resources(1.0, 256)
+
+
+class FakeLog:
+    """A log that never fails."""
+
+    def __init__(self):
+        self.batches = []
+
+    def append(self, batch):
+        self.batches.append(batch)
+        return Appended(len(self.batches) - 1)
+
+    def read(self, first, limit, wait_s, **options):
+        first = min(first, len(self.batches))
+        found = tuple(self.batches[first : first + limit])
+        return ReadBatches(first, first + len(found), found)
+
+
+class FakeDispatcher:
+    """Takes jobs and runs none."""
+
+    def __init__(self, jobs):
+        self.submitted = []
+        self._jobs = jobs
+
+    def submit(self, job):
+        self.submitted.append(job)
+        self._jobs.add(job)
+
+
+class JournalWorld:
+    """A journal of the only member, whose log advances in ``pump``."""
+
+    def __init__(self):
+        self.log = FakeLog()
+        self.tail = LogTail(self.log, FleetState())
+        self.writer = LogWriter(self.log, "e0-a", self.tail, commit_interval_s=0.0)
+        self.jobs = JobTable()
+        self.journal = Journal(
+            self.tail, self.writer, self.log, self.jobs, lambda: "e0-a", lambda: True
+        )
+        self.dispatcher = self.journal.dispatcher = FakeDispatcher(self.jobs)
+        self.writer.append(MemberJoined("e0", "e0-a", "a:1", "north"))
+        self.pump()
+
+    def pump(self):
+        for _ in range(6):
+            gevent.sleep(0)
+            self.writer.step()
+            self.tail.step()
+
+    def call(self, function, *arguments):
+        greenlet = gevent.spawn(function, *arguments)
+        self.pump()
+        return greenlet.get(block=False)
+
+    def accept(self, **fields):
+        """Record a request and return its job."""
+        values = {"idempotent": True, "idempotency_key": "k", "wait": False, **fields}
+        submission = Submission("r1", "red", "find", b"x", SIZE, 1.0, 0.0, **values)
+        self.call(self.journal.submit, submission, b"digest")
+        return self.dispatcher.submitted[-1]
+
+
+@pytest.fixture
+def world():
+    return JournalWorld()
 
 
 def test_one_member_takes_a_request_over():
@@ -11,7 +90,57 @@
     assert set(chosen.values()) == set(MEMBERS)
     for request_id, member in chosen.items():
         assert select_member(request_id, MEMBERS[::-1]) == member
-        rest = [other for other in MEMBERS if other != "e0-a"]
         if member != "e0-a":
-            assert select_member(request_id, rest) == member
+            assert select_member(request_id, MEMBERS[1:]) == member
     assert select_member("r1", []) == ""
+
+
+def test_request_whose_retry_was_refused_runs_again(world):
+    """Guards against a released request that stays pending for good."""
+    job = world.accept()
+    job.attempt = 1
+    assert world.call(world.journal.claim, job, 1, "w1", "boot") is None
+    assert world.call(world.journal.release, job, 1)
+    job.settle(MayHaveRun("the task failed, and the queue refused the retry"))
+    world.call(world.journal.record_verdict, job)
+    again = world.dispatcher.submitted[-1]
+    assert again is not job
+    assert again.attempt == 1
+    assert again.verdict is None
+
+
+def test_claim_that_was_replayed_within_a_snapshot(world):
+    """Guards against a claim that this entry holds but does not run."""
+    job = world.accept()
+    claiming = gevent.spawn(world.journal.claim, job, 1, "w1", "boot")
+    gevent.sleep(0)
+    world.writer.step()
+    world.tail.state = recover(world.log)
+    for listener in world.tail._reset_listeners:
+        listener(world.tail.state)
+    assert claiming.get() is None
+
+
+def test_shutdown_ends_waits_for_other_entries(world):
+    """Guards against a shutdown that waits for what starts only after it."""
+    world.accept()
+    waiting = gevent.spawn(world.journal.wait, "r1", 3600.0)
+    gevent.sleep(0)
+    world.journal.release_waiters()
+    assert waiting.get().status is RequestStatus.PENDING
+
+
+@pytest.mark.parametrize(
+    ("is_idempotent", "attempt", "verdict"),
+    [(True, 1, "may_have_run"), (True, 0, "not_run"), (False, 1, "not_run")],
+)
+def test_answer_for_a_cancelled_request(is_idempotent, attempt, verdict):
+    """Guards against "not run" for a request released without proof."""
+    request = RecordedRequest(
+        "r1", "red", "find", is_idempotent, "", b"", SIZE, 1, False, 0, 0
+    )
+    request.status = RequestStatus.FINISHED
+    request.outcome = Outcome.NOT_RUN
+    request.attempt = attempt
+    intake = Intake(None, None, JobTable(), None, None, None, None)
+    assert intake._recorded_reply(request).document["verdict"] == verdict
