--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -19,6 +19,8 @@
 REVOKED_S = 3.0
 ZONE_OUT_S = 3.0
 ONCE_KINDS = frozenset({"booking", "keyed", "batch"})
+# What the transport says when the caller itself stopped waiting.
+OWN_TIMEOUT = "no answer in time"
 Ledger = list[dict[str, Any]]
 
 
@@ -186,6 +188,8 @@
     """I10: a call that was under way at an asked shutdown is answered."""
     for call in notes.calls:
         asked_at = notes.asked_to_stop.get(call.process, -math.inf)
+        if call.document.get("reason") == OWN_TIMEOUT:
+            continue
         if call.sent_at < asked_at < call.answered_at and call.status == 0:
             yield f"I10: {call.work} ({call.kind}) was cut off: {call.document}"
 
