--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -133,6 +133,7 @@
         if not self.scheduler.cancel([_task_id(job)], time.monotonic()):
             return False
         self._jobs.remove(job)
+        job.hand_over()
         return True
 
     def adopt_queues(self, queues: Iterable[Queue]) -> None:
@@ -272,6 +273,7 @@
         if job.is_foreign:
             self.scheduler.cancel([task.id], now)
             self._jobs.remove(job)
+            job.hand_over()
             return
         self._release_claim(job)
         if job.verdict is not None or is_repeated:
@@ -411,6 +413,14 @@
         deadline=submission.deadline if job.tries == 0 else None,
         idempotent=submission.idempotent,
         urgent=submission.urgent,
-        checkpointable=submission.checkpointable,
+        checkpointable=submission.checkpointable and not _is_once_recorded(job),
         excluded_workers=frozenset(job.excluded_workers),
     )
+
+
+def _is_once_recorded(job: Job) -> bool:
+    """Tell whether a release after a checkpoint could start the job afresh.
+
+    Another entry that takes the pending request over knows no checkpoint.
+    """
+    return job.is_recorded and not job.submission.idempotent
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheeloom.entry.attempt import Answered, Failed, Refused
-from lycheeloom.entry.dispatch import Dispatcher
+from lycheeloom.entry.dispatch import Dispatcher, _task_of
 from lycheeloom.entry.jobs import Job, JobTable, Submission
 from lycheeloom.entry.metrics import EntryMetrics
 from lycheeloom.model.config import Queue, parse_config
@@ -135,3 +135,33 @@
     assert job.verdict == Ran(b"second")
     assert len(dispatcher.runner.workers) == 2
     assert not dispatcher.scheduler.has_queued()
+
+
+def test_withdrawn_job_wakes_its_callers(dispatcher):
+    """Guards against callers that wait here for a job that another entry runs."""
+    # A submission is started at once unless the entry is not fresh.
+    dispatcher._may_dispatch = lambda: False
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    assert dispatcher.withdraw(job)
+    assert job.settled.is_set()
+    assert job.verdict is None
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_checkpoint_of_a_recorded_job(is_idempotent):
+    """Guards against a second start by an entry that knows no checkpoint."""
+    submission = Submission(
+        "r1",
+        "red",
+        "find",
+        b"",
+        SIZE,
+        9.0,
+        0.0,
+        idempotent=is_idempotent,
+        checkpointable=True,
+    )
+    assert _task_of(Job(submission)).checkpointable
+    recorded = _task_of(Job(submission, is_recorded=True))
+    assert recorded.checkpointable == is_idempotent
