--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -251,9 +251,15 @@
             return
         why = f"refused by worker {excluded_worker}"
         state.enqueue_again(record, self._now, why, frozenset({excluded_worker}))
+        if record.task.deadline is not None:
+            heapq.heappush(self._deadlines, (record.task.deadline, task_id))
 
     # What other parts of the entry ask.
 
+    def has_queued(self) -> bool:
+        """Tell whether any task waits for its start."""
+        return any(self._state.queues.count_by_team.values())
+
     def is_queued(self, task_id: str) -> bool:
         """Tell whether a task waits for its start."""
         record = self._state.record_by_id.get(task_id)
