--- /dev/null
+++ b/libs/entry/tests/test_dispatch.py
@@ -0,0 +1,167 @@
+"""Verdicts of the dispatcher when attempts end in different ways."""
+
+import gevent
+import gevent.event
+import pytest
+
+from lycheeloom.entry.attempt import Answered, Failed, Refused
+from lycheeloom.entry.dispatch import Dispatcher, _task_of
+from lycheeloom.entry.jobs import Job, JobTable, Submission
+from lycheeloom.entry.metrics import EntryMetrics
+from lycheeloom.model.config import Queue, parse_config
+from lycheeloom.model.resources import Resources
+from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran
+from lycheeloom.platform import StartRefusal
+from lycheeloom.sched import Scheduler
+
+SIZE = Resources(1.0, 256)
+
+
+class FakeRunner:
+    """Ends each attempt with the next end of a list."""
+
+    def __init__(self, ends):
+        self.ends = list(ends)
+
+    def run(self, job, placement, on_doubt):
+        job.attempt += 1
+        return self.ends.pop(0)
+
+
+@pytest.fixture
+def dispatcher():
+    instance = {"pool": "main", "zone": "north", "rack": "r", "address": "a:1"}
+    instance |= {"cores": 8, "memory_mb": 8192}
+    queue = {"pool": "main", "teams": ["red"], "idempotent": True}
+    config = parse_config(
+        {
+            "zones": {"north": {}},
+            "pools": {"main": {}},
+            "instances": {name: dict(instance) for name in ("w1", "w2", "w3")},
+            "teams": {"red": {"share": 1, "upper_limit": 9}},
+            "queues": {"find": {**queue, "retry_budget_percent": 100}},
+        },
+        1,
+    )
+    scheduler = Scheduler(config, 1)
+    scheduler.set_grants({"red": 9})
+    for name in ("w1", "w2", "w3"):
+        scheduler.observe_worker(name, True, Resources(8, 8192), "boot", 0.0)
+    made = Dispatcher(
+        scheduler,
+        JobTable(),
+        EntryMetrics(),
+        None,
+        lambda worker: "a:1",
+        lambda: True,
+        lambda job, attempt: True,
+        lambda job: None,
+    )
+    made.adopt_queues(list(config.queue_by_id.values()))
+    return made
+
+
+def run_until_idle(dispatcher):
+    """Take decisions until no attempt is under way."""
+    for _ in range(10):
+        dispatcher._take_decisions()
+        gevent.sleep(0)
+
+
+def make_job():
+    return Job(Submission("r1", "red", "find", b"", SIZE, 0.1, 0.0, idempotent=True))
+
+
+@pytest.mark.parametrize(
+    ("ends", "verdict"),
+    [
+        ([Failed(), Refused(StartRefusal.BAD_REQUEST)], MayHaveRun),
+        ([Refused(StartRefusal.BAD_REQUEST)], NotRun),
+    ],
+    ids=["retried", "first"],
+)
+def test_refusal_after_a_failed_attempt(dispatcher, ends, verdict):
+    """Guards against "not run" for a job whose earlier attempt had started."""
+    dispatcher.runner = FakeRunner(ends)
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    run_until_idle(dispatcher)
+    assert isinstance(job.verdict, verdict)
+
+
+def test_cancellation_after_a_failed_attempt(dispatcher):
+    """Guards against "not run" for a cancelled retry."""
+    dispatcher.runner = FakeRunner([Failed()])
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    # The attempt ends and the job is queued again; the entry is not fresh then.
+    dispatcher._may_dispatch = lambda: False
+    gevent.sleep(0)
+    assert dispatcher.scheduler.has_queued()
+    dispatcher.cancel(job)
+    assert isinstance(job.verdict, MayHaveRun)
+
+
+class SlowRunner:
+    """Ends the first attempt only when told; later ones end at once."""
+
+    def __init__(self):
+        self.workers = []
+        self.release = gevent.event.Event()
+
+    def run(self, job, placement, on_doubt):
+        self.workers.append(placement.worker)
+        if len(self.workers) == 1:
+            self.release.wait()
+            return Refused(StartRefusal.NO_CAPACITY)
+        return Answered(b"second")
+
+
+@pytest.mark.parametrize(("percent", "copies"), [(100, 2), (0, 1)])
+def test_slow_lookup_gets_a_second_copy(dispatcher, monkeypatch, percent, copies):
+    """A worker that became slow must not delay a lookup beyond the budget."""
+    monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
+    monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
+    queue = Queue("find", "main", idempotent=True, hedge_budget_percent=percent)
+    dispatcher.adopt_queues([queue])
+    dispatcher.runner = SlowRunner()
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    for _ in range(20):
+        gevent.sleep(0.001)
+    assert len(dispatcher.runner.workers) == copies
+    dispatcher.runner.release.set()
+    run_until_idle(dispatcher)
+    assert job.verdict == Ran(b"second")
+    assert len(dispatcher.runner.workers) == 2
+    assert not dispatcher.scheduler.has_queued()
+
+
+def test_withdrawn_job_wakes_its_callers(dispatcher):
+    """Guards against callers that wait here for a job that another entry runs."""
+    # A submission is started at once unless the entry is not fresh.
+    dispatcher._may_dispatch = lambda: False
+    job = make_job()
+    assert dispatcher.submit(job) is None
+    assert dispatcher.withdraw(job)
+    assert job.settled.is_set()
+    assert job.verdict is None
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_checkpoint_of_a_recorded_job(is_idempotent):
+    """Guards against a second start by an entry that knows no checkpoint."""
+    submission = Submission(
+        "r1",
+        "red",
+        "find",
+        b"",
+        SIZE,
+        9.0,
+        0.0,
+        idempotent=is_idempotent,
+        checkpointable=True,
+    )
+    assert _task_of(Job(submission)).checkpointable
+    recorded = _task_of(Job(submission, is_recorded=True))
+    assert recorded.checkpointable == is_idempotent
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -28,6 +28,7 @@
 
     NOTHING = "nothing"
     BUDGET = "budget"
+    LIST = "list"
     PLATFORM = "platform"
     WORK = "work"
     COUNT = "count"
@@ -101,6 +102,8 @@
 def advance(instance: str, move: Move, facts: MoveFacts) -> MoveDecision:
     """Decide the next step of an open move."""
     step = _Step(instance, move, facts)
+    if not step.is_informed():
+        return MoveDecision(wait=Wait.PLATFORM)
     match move.stage:
         case MoveStage.PLANNED:
             return _advance_planned(step)
@@ -113,12 +116,32 @@
     return MoveDecision()
 
 
+_ASKED_STAGES = {
+    MoveStage.PLANNED: (MoveStage.DRAINING,),
+    MoveStage.DRAINING: (MoveStage.DRAINING, MoveStage.ABANDONED),
+    MoveStage.DRAINED: (MoveStage.JOINED,),
+    MoveStage.REBOOTING: (MoveStage.REBOOTING, MoveStage.JOINED),
+    MoveStage.JOINED: (),
+    MoveStage.ABANDONED: (),
+}
+
+
 @dataclass(frozen=True, slots=True)
 class _Step:
     instance: str
     move: Move
     facts: MoveFacts
 
+    def is_informed(self) -> bool:
+        """Tell whether the platform could be asked about the first tries.
+
+        Without that, what an earlier holder did could be overlooked.
+        """
+        return all(
+            self.name(stage) in self.facts.status_by_action
+            for stage in _ASKED_STAGES[self.move.stage]
+        )
+
     def name(self, stage: MoveStage, attempt: int = 1) -> str:
         return action_id(self.move.move_id, stage, attempt)
 
@@ -142,10 +165,7 @@
     Its action ids would have no effect, so it must not be started again.
     """
     facts = step.facts
-    drain = facts.status_by_action.get(step.name(MoveStage.DRAINING))
-    if drain is None:
-        return MoveDecision(wait=Wait.PLATFORM)
-    if drain is not ActionStatus.UNKNOWN:
+    if step.status(MoveStage.DRAINING) is not ActionStatus.UNKNOWN:
         reason = "it is a late copy of a move that has ended"
         return MoveDecision(MoveStage.ABANDONED, reason=reason)
     if facts.abandon:
@@ -158,8 +178,9 @@
 def _advance_draining(step: _Step) -> MoveDecision:
     """Drain, wait until work ended, or return the instance.
 
-    The drain's id is always used up first: a copy of the request that is still
-    under way then finds its id known and cannot drain the instance later.
+    A move that is abandoned before its drain uses up the drain's id for an
+    undrain: a copy of the drain that is still under way then finds its id known
+    and cannot drain the instance after the move has ended.
     """
     facts = step.facts
     drain = step.status(MoveStage.DRAINING)
@@ -168,7 +189,9 @@
         reason = facts.abandon or "an earlier controller began to return it"
         return _return(step, MoveStage.ABANDONED, reason)
     if drain is ActionStatus.UNKNOWN:
-        if not facts.may_start and not facts.abandon:
+        if facts.abandon:
+            return step.act(ActionKind.UNDRAIN, MoveStage.DRAINING)
+        if not facts.may_start:
             return MoveDecision(wait=Wait.BUDGET)
         return step.act(ActionKind.DRAIN, MoveStage.DRAINING)
     if facts.abandon:
