--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 import argparse
 import sys
 
-from . import decision_cost, shares, wrong_sizes, zones
+from . import decision_cost, shares, urgent, wrong_sizes, zones
 from .report import show
 
 COMMANDS = {
@@ -13,6 +13,7 @@
     "zones": zones,
     "wrong-sizes": wrong_sizes,
     "decision-cost": decision_cost,
+    "urgent": urgent,
 }
 
 
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -105,6 +105,21 @@
     return spent_s / decided
 
 
+def cancel_cost(count: int, seed: int) -> float:
+    """Return the processor seconds per task of cancelling many at once."""
+    config = scaled_fleet(300, 6, max_queued=count)
+    scheduler = Scheduler(config, seed)
+    queue, settings = next(iter(config.queue_by_id.items()))
+    teams = sorted(settings.teams)
+    for number in range(count):
+        size = Resources(1 + number % 4, 1024)
+        task = Task(f"task-{number}", teams[number % len(teams)], queue, size)
+        scheduler.submit(task, 0.0)
+    begin = time.process_time()
+    cancelled = scheduler.cancel([f"task-{n}" for n in range(count)], 1.0)
+    return (time.process_time() - begin) / max(1, len(cancelled))
+
+
 def run(seed: int) -> list[Row]:
     """Measure the three sizes and the growth in each dimension."""
     rows = []
@@ -133,4 +148,14 @@
                 growth <= allowed,
             )
         )
+    few, many = 1_000, 100_000
+    growth = cancel_cost(many, seed) / cancel_cost(few, seed)
+    rows.append(
+        Row(
+            f"growth of the cost per task of cancelling {few} to {many}",
+            "at most 2 (linear time)",
+            growth,
+            growth <= 2,
+        )
+    )
     return rows
--- a/bench/entitlement.py
+++ b/bench/entitlement.py
@@ -44,7 +44,8 @@
         """Return the entitled dominant share per team.
 
         Running tasks count in the pool where they run, because tasks are not
-        moved between pools; waiting ones may use any pool.
+        moved between pools; waiting ones may use any pool that its own queues
+        do not need, or a spare one.
         """
         wanted = {
             key: amount.dominant_share(self.total) for key, amount in demand.items()
@@ -85,10 +86,10 @@
                     every[n] = share / wanted[want]
                     if self._config.queue_by_id[want.queue].pool == pool:
                         own_demand += share
-                    else:
+                    elif not want.pool:
                         foreign[n] = every[n]
                 rows.append((every, part))
-                # Only spare pools serve others before their own work is done.
+                # Only spare pools start others' work before their own.
                 if not self._config.pool_by_id[pool].spare:
                     rows.append((foreign, max(0.0, part - own_demand)))
         weights = [self._config.team_by_id[team].share for team in teams]
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -73,7 +73,7 @@
         return tuple(
             name
             for name, reservation in self._by_worker.items()
-            if now - reservation.since > PUBLISH_AFTER_S
+            if reservation.urgent_task or now - reservation.since > PUBLISH_AFTER_S
         )
 
     def reserve_urgent(
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -12,7 +12,7 @@
 from .workers import Worker
 
 # A worker that has not made room by then is given up for another one.
-PATIENCE_S = 0.9
+PATIENCE_S = 1.5
 
 
 class Urgent:
@@ -78,16 +78,24 @@
         return []
 
     def _make_room(self, record: TaskRecord, now: float) -> list[Decision]:
-        """Reserve the worker that makes room with the fewest checkpoints."""
+        """Reserve the worker that makes room soonest and checkpoint there.
+
+        A worker on which this entry can make enough room with few checkpoints
+        is best. Otherwise the one with most room to come is reserved: peers
+        hear of it and leave alone what their own tasks give back there.
+        """
         state = self._state
-        best: tuple[int, Worker, list[TaskRecord]] | None = None
+        best: tuple[tuple[float, ...], Worker, list[TaskRecord]] | None = None
         for pool in self._pools(record):
             need = state.need(record.task, pool)
             for worker in state.workers.in_pool(pool):
-                victims = self._victims(worker, record, need, now)
-                if victims and (best is None or len(victims) < best[0]):
-                    best = (len(victims), worker, victims)
-            if best is not None:
+                if not self._may_reserve(worker, record, need, now):
+                    continue
+                victims, lacking = self._victims(worker, need, now)
+                key = (lacking, float(len(victims)))
+                if best is None or key < best[0]:
+                    best = (key, worker, victims)
+            if best is not None and best[0][0] <= 0.0:
                 break
         if best is None:
             return []
@@ -96,27 +104,35 @@
         self._asked_at[record.task.id] = now
         return [self._ask(victim, now) for victim in victims]
 
-    def _victims(
+    def _may_reserve(
         self, worker: Worker, record: TaskRecord, need: Resources, now: float
-    ) -> list[TaskRecord]:
-        """Return the tasks to checkpoint on a worker, or none if not enough."""
+    ) -> bool:
         state = self._state
         if not state.workers.accepts(worker) or worker.on_probation:
-            return []
-        if worker.reserved or worker.id in state.excluded(record, now):
-            return []
-        if not need.fits_in(worker.size):
-            return []
+            return False
+        if worker.reserved or worker.reserved_by_peer:
+            return False
+        if worker.id in state.excluded(record, now):
+            return False
+        return need.fits_in(worker.size)
+
+    def _victims(
+        self, worker: Worker, need: Resources, now: float
+    ) -> tuple[list[TaskRecord], float]:
+        """Return tasks to checkpoint, and the part of the need still lacking."""
+        level = self._state.shares.level
         running = [r for r in worker.running.values() if _can_make_room(r)]
         # The teams furthest above their share give way first.
-        running.sort(key=lambda r: (state.shares.level(r.task.team), r.sequence))
+        running.sort(key=lambda r: (level(r.task.team), r.sequence))
         free = worker.free
         victims = []
         while running and not need.fits_in(free):
             victim = running.pop()
             free = free + victim.need
             victims.append(victim)
-        return victims if need.fits_in(free) else []
+        if need.fits_in(free):
+            return victims, 0.0
+        return victims, (need - free).dominant_share(need)
 
     def _ask(self, victim: TaskRecord, now: float) -> Decision:
         return self._state.ask_checkpoint(victim, CheckpointReason.URGENT, now)
