Serve a pool's own queues first only up to fair shares

What a pool's own teams use beyond their fair share is surplus of the fleet and goes to the lowest team of any queue. Entries no longer keep a whole pool for peers' work of that pool; levels decide.

--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -23,6 +23,8 @@
 HOLD_TASKS = 3
 # The part of the fleet assumed for a task of a team not run here yet.
 UNKNOWN_TASK_SHARE = 0.01
+# A pool's own queues come first only for teams up to their fair share.
+FAIR_LEVEL = 1.0 / LEVEL_STEP
 # Everything is tried again this often, so that nothing waits on a missed cause.
 SWEEP_S = 1.0
 
@@ -33,9 +35,9 @@
 class Filler:
     """Starts queued tasks.
 
-    A pool serves its own queues first. What they leave goes to other queues,
-    from spare pools first, then from other pools. Batch work comes after
-    interactive work.
+    A pool serves its own queues first, for teams within their fair share. What
+    is left goes to the lowest teams of any queue, from spare pools first, then
+    from other pools. Batch work comes after interactive work.
     """
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
@@ -106,22 +108,11 @@
                 continue
             if not state.workers.has_room(pool):
                 continue
-            if not self._is_spare(pool) and self._kept_for_peers(pool, now):
-                continue
-            lanes = fresh_lanes
+            lanes: LanesByTeam = fresh_lanes
             if pool in freed:
                 lanes = state.queues.all_lanes_by_team()
             self._fill_pool(pool, True, lanes, yielding, now, decisions)
 
-    def _kept_for_peers(self, pool: str, now: float) -> bool:
-        """Tell whether peers have work queued that the pool itself serves."""
-        state = self._state
-        for queue, queued in state.peer_queued_by_queue.items():
-            if queued and state.queues.home_pool(queue) == pool:
-                return self._held("lend", pool, now)
-        self._holds.satisfied(f"lend/{pool}")
-        return False
-
     def _held(self, kind: str, pool: str, now: float) -> bool:
         workers = self._state.workers
         return self._holds.active(
@@ -156,6 +147,9 @@
         failed: dict[tuple, TaskRecord] = {}
         while heap:
             level, team = heap[0]
+            if not lent and level[0] > FAIR_LEVEL:
+                # What is left goes to the lowest teams of any queue.
+                return
             if peer_teams and self._left_to_peers(pool, level[0], peer_teams, now):
                 return
             lanes = lanes_by_team.get(team)
