--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -61,7 +61,7 @@
         state.workers.freed_pools = set()
         state.queues.fresh_lanes = {}
         decisions: list[Decision] = []
-        for yielding in (False, True):
+        for yielding in (False, True) if state.queues.has_batch else (False,):
             self._fill_own(freed, fresh, yielding, now, decisions)
             self._lend(freed, fresh, yielding, now, decisions)
         # Starts refresh workers, which marks their pools as freed again.
--- a/libs/sched/src/lycheeloom/sched/lanes.py
+++ b/libs/sched/src/lycheeloom/sched/lanes.py
@@ -73,8 +73,18 @@
 
     def oldest(self) -> TaskRecord | None:
         """Return the record that has waited longest."""
-        heads = self.heads()
-        return heads[0][1] if heads else None
+        oldest: TaskRecord | None = None
+        for key, records in self._records_by_class.items():
+            if not records:
+                continue
+            record = records[0]
+            if record.state is not TaskState.QUEUED:
+                # Dropping dead records may remove the class from the mapping.
+                self.head(key)
+                return self.oldest()
+            if oldest is None or record.sequence < oldest.sequence:
+                oldest = record
+        return oldest
 
     def __iter__(self) -> Iterator[TaskRecord]:
         for records in self._records_by_class.values():
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -28,10 +28,13 @@
         self._active: dict[str, dict[str, dict[str, Lane]]] = {}
         self._active_by_team: dict[str, dict[str, Lane]] = {}
         self._config = FleetConfig()
+        self.has_batch = False
 
     def set_config(self, config: FleetConfig) -> None:
         """Take over queues; lanes move to the pool that now serves them."""
         self._config = config
+        kinds = (queue.kind for queue in config.queue_by_id.values())
+        self.has_batch = QueueKind.BATCH in kinds
         self._active = {}
         self._active_by_team = {}
         for lane in self._lane_by_key.values():
