--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -113,16 +113,13 @@
                 lanes = state.queues.all_lanes_by_team()
             self._fill_pool(pool, True, lanes, yielding, now, decisions)
 
-    def _held(self, kind: str, pool: str, now: float) -> bool:
+    def _held(self, pool: str, now: float) -> bool:
         workers = self._state.workers
         return self._holds.active(
-            f"{kind}/{pool}",
+            pool,
             now,
             workers.has_room(pool),
             lambda: workers.peer_cores(pool),
-            # What borrowers leave on a worker adds up to room for the pool's
-            # own larger tasks only if borrowers never refill it freely.
-            may_pause=kind != "lend",
         )
 
     def _fill_pool(
@@ -221,7 +218,7 @@
             if lent or any(state.queues.home_pool(q) == pool for q in queues):
                 teams.append(team)
         if not teams:
-            self._holds.satisfied(f"share/{pool}")
+            self._holds.satisfied(pool)
         return teams
 
     def _left_to_peers(
@@ -243,7 +240,7 @@
             lacking += min(wanted, max(0.0, below * fair - tolerated))
         if not lacking or state.workers.free_part(pool) > lacking:
             return False
-        return self._held("share", pool, now)
+        return self._held(pool, now)
 
     def _is_spare(self, pool: str) -> bool:
         settings = self._state.config.pool_by_id.get(pool)
--- a/libs/sched/src/lycheeloom/sched/holds.py
+++ b/libs/sched/src/lycheeloom/sched/holds.py
@@ -37,12 +37,10 @@
         now: float,
         has_room: bool,
         peer_cores: Callable[[], float],
-        may_pause: bool,
     ) -> bool:
         """Begin or continue a hold; tell whether capacity stays free now.
 
-        Without ``may_pause`` the next hold follows at once even if peers took
-        nothing. ``peer_cores()`` is what peers use of the pool at this time.
+        ``peer_cores()`` is what peers use of the pool at this time.
         """
         hold = self._hold_by_key.get(key)
         if hold is None:
@@ -52,7 +50,7 @@
             if now - hold.began < HOLD_S:
                 return True
             hold.ended = now
-            if not may_pause or peer_cores() > hold.peer_cores or not has_room:
+            if peer_cores() > hold.peer_cores or not has_room:
                 hold.pause_s = 0.0
             else:
                 hold.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, hold.pause_s * 2))
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -142,17 +142,14 @@
         state = self._state
         state.shares.set_peer_usage(usage_by_peer, self._now)
         state.workers.set_reserved_by_peers(reserved_workers, self._now)
-        queued: Counter[str] = Counter()
         queued_by_team: Counter[str] = Counter()
         queues_by_team: dict[str, set[str]] = {}
         for usage_by_team in usage_by_peer.values():
             for team, usage in usage_by_team.items():
                 for queue, count in usage.queued_by_queue.items():
                     if count:
-                        queued[queue] += count
                         queued_by_team[team] += count
                         queues_by_team.setdefault(team, set()).add(queue)
-        state.peer_queued_by_queue = queued
         state.peer_queued_by_team = queued_by_team
         state.peer_queues_by_team = queues_by_team
 
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -57,7 +57,6 @@
     record_by_id: dict[str, TaskRecord] = field(default_factory=dict)
     grant_by_team: Mapping[str, int] = field(default_factory=dict)
     # Tasks that peers may start but have not.
-    peer_queued_by_queue: Counter[str] = field(default_factory=Counter)
     peer_queued_by_team: Counter[str] = field(default_factory=Counter)
     peer_queues_by_team: dict[str, set[str]] = field(default_factory=dict)
     fleet_events: deque[FleetEvent] = field(
