Count a majority's confirmation only after replaying what it had

Cause: a process that resumed after a pause was confirmed by its peers before it had replayed the log, and accepted a key that had been revoked 3.5 s earlier (tests/test_whole_path.py, revoked key). Ruled out: log reads and relays, whose send times are checked against the pause. A draining entry now runs recorded requests whose callers still wait; before, they were answered with 202. Workers that do not answer are not shown as in service.

--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -52,12 +52,22 @@
         self.resumed_at = clock()
         self.pauses = 0
         self._confirmed_at: dict[str, float] = {}
+        self._confirmations_by_peer: dict[str, deque[tuple[int, float]]] = {}
         self._relayed_at = -math.inf
         self._positions_by_peer: dict[str, deque[tuple[int, float]]] = {}
 
-    def confirm(self, peer: str, sent_at: float) -> None:
-        """A peer that counts this process as a member answered a heartbeat."""
-        self._confirmed_at[peer] = max(sent_at, self._confirmed_at.get(peer, -math.inf))
+    def confirm(self, peer: str, sent_at: float, next_offset: int) -> None:
+        """A peer that counts this process as a member answered a heartbeat.
+
+        The confirmation counts once this process has replayed what the peer had:
+        a process that was paused is confirmed at once when it resumes, and would
+        otherwise act on the state from before its pause.
+        """
+        confirmations = self._confirmations_by_peer.setdefault(
+            peer, deque(maxlen=MAX_POSITIONS)
+        )
+        confirmations.append((next_offset, sent_at))
+        self._take_reached_confirmations()
 
     def note_position(self, peer: str, read_at: float, next_offset: int) -> None:
         """A peer had read the log up to ``next_offset`` at or after ``read_at``."""
@@ -70,6 +80,7 @@
     def forget(self, peer: str) -> None:
         """Drop evidence from a peer that is no longer a member."""
         self._confirmed_at.pop(peer, None)
+        self._confirmations_by_peer.pop(peer, None)
         self._positions_by_peer.pop(peer, None)
 
     def tick(self) -> None:
@@ -97,6 +108,7 @@
         if not self._tail.state.members.is_active(self._own_incarnation()):
             return FreshBy.NOT_A_MEMBER
         self._take_reached_positions()
+        self._take_reached_confirmations()
         oldest = max(self._clock() - FRESHNESS_S, self.resumed_at)
         if self._tail.last_read_sent_at >= oldest:
             return FreshBy.LOG
@@ -111,6 +123,13 @@
             while positions and positions[0][0] <= self._tail.next_offset:
                 self._relayed_at = max(self._relayed_at, positions.popleft()[1])
 
+    def _take_reached_confirmations(self) -> None:
+        for peer, confirmations in self._confirmations_by_peer.items():
+            while confirmations and confirmations[0][0] <= self._tail.next_offset:
+                sent_at = confirmations.popleft()[1]
+                known_at = self._confirmed_at.get(peer, -math.inf)
+                self._confirmed_at[peer] = max(sent_at, known_at)
+
     def _majority_at(self) -> float:
         """Return since when the latest majority has confirmed this process."""
         own = self._own_incarnation()
--- a/libs/entry/src/lycheeloom/entry/intake.py
+++ b/libs/entry/src/lycheeloom/entry/intake.py
@@ -123,15 +123,18 @@
             message = "the log is not available, and the request needs a record in it"
             return self._refuse(Refusal(RefusalReason.LOG_UNAVAILABLE, message, 2.0))
         digest = hashlib.sha256(submission.queue.encode() + b"\n" + body).digest()
-        result = self._journal.submit(submission, digest)
-        match result:
-            case Refusal():
-                return self._refuse(result)
-            case MayHaveRun(message):
-                return doubt_reply(submission.request_id, message)
-        if not submission.wait:
-            return progress_reply(result.request_id, result.status.value)
-        return self._await_recorded(result.request_id, MAX_WAIT_S)
+        try:
+            result = self._journal.submit(submission, digest)
+            match result:
+                case Refusal():
+                    return self._refuse(result)
+                case MayHaveRun(message):
+                    return doubt_reply(submission.request_id, message)
+            if not submission.wait:
+                return progress_reply(result.request_id, result.status.value)
+            return self._await_recorded(result.request_id, MAX_WAIT_S)
+        finally:
+            self._journal.forget_caller(submission.request_id)
 
     def _await_recorded(self, request_id: str, wait_s: float) -> Reply:
         """Wait for a recorded request here or, if it runs elsewhere, in the log.
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -67,6 +67,8 @@
         self._waiter_by_id: dict[str, Event] = {}
         # What the log does not carry (deadline, trace) of requests taken here.
         self._submission_by_id: dict[str, Submission] = {}
+        # Requests taken here whose callers wait on their connections.
+        self._awaited_ids: set[str] = set()
         self._members_seen: frozenset[str] = frozenset()
         self._is_leaving = False
         tail.add_listener(self._on_replayed)
@@ -92,6 +94,8 @@
             urgent=submission.urgent,
         )
         self._submission_by_id[submission.request_id] = submission
+        if submission.wait:
+            self._awaited_ids.add(submission.request_id)
         outcome = self._writer.append(record).wait(COMMIT_TIMEOUT_S)
         self._submission_by_id.pop(submission.request_id, None)
         match outcome:
@@ -112,6 +116,10 @@
                     "the same Idempotency-Key to learn its outcome"
                 )
 
+    def forget_caller(self, request_id: str) -> None:
+        """The caller of a request that was submitted here no longer waits."""
+        self._awaited_ids.discard(request_id)
+
     def cancel(self, request: RecordedRequest) -> WriteOutcome:
         """Cancel a pending request for all entries."""
         record = r.RequestCancelled(request.request_id)
@@ -212,11 +220,15 @@
                 self.dispatcher.withdraw(job)
 
     def is_runner(self, request: RecordedRequest) -> bool:
-        """Tell whether this entry should run a pending request."""
-        if not self._may_run():
-            return False
+        """Tell whether this entry should run a pending request.
+
+        A draining entry still runs those whose callers wait on its connections.
+        """
         members = [m.incarnation for m in self._tail.state.members.active()]
         own = self._incarnation()
+        is_awaited = request.request_id in self._awaited_ids
+        if not self._may_run() and not (is_awaited and own in members):
+            return False
         if request.submitted_by in members:
             return request.submitted_by == own
         return select_member(request.request_id, members) == own
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -173,7 +173,7 @@
         in_service: Counter[str] = Counter()
         for instance in config.instance_by_id.values():
             workers[instance.zone] += 1
-            in_service[instance.zone] += self._watch.may_serve(instance.id)
+            in_service[instance.zone] += self._watch.is_in_service(instance.id)
         return {
             zone_id: ZoneStatus(
                 region=zone.region,
@@ -190,7 +190,7 @@
         in_service: Counter[str] = Counter()
         for instance, pool in state.maintenance.pool_by_instance.items():
             workers[pool] += 1
-            in_service[pool] += self._watch.may_serve(instance)
+            in_service[pool] += self._watch.is_in_service(instance)
         return {
             pool_id: PoolStatus(
                 workers=workers[pool_id],
--- a/libs/entry/src/lycheeloom/entry/worker_watch.py
+++ b/libs/entry/src/lycheeloom/entry/worker_watch.py
@@ -68,6 +68,10 @@
         health = maintenance.health_by_instance.get(worker)
         return health is None or health.health not in _UNFIT
 
+    def is_in_service(self, worker: str) -> bool:
+        """Tell whether a worker may get new tasks and answered last time."""
+        return self.may_serve(worker) and self._reachable.get(worker, True)
+
     def observe_instances(self, listing: InstanceList) -> None:
         """Obey leaving marks of the platform's list."""
         leaving = frozenset(
