Take records from operators only with a shared token

Cause: anyone who could reach an entry could hand it a forged batch at the next offset and change what is in force there. Entries without a token in their settings refuse all handed over batches and read them from the log.

--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -14,7 +14,7 @@
 import gevent
 import psutil
 import tomlkit
-from demo.processes import Fleet, Program, running_fleet
+from demo.processes import HANDOVER_TOKEN, Fleet, Program, running_fleet
 
 from lycheeloom.model.keys import create_key
 from lycheeloom.operator import Entries, Operator, Published
@@ -80,7 +80,7 @@
     def operator(self, *, hands_over: bool = True) -> Operator:
         """Return an operator; accepted changes are handed to the entries."""
         addresses = self.addresses() if hands_over else []
-        return Operator(self.log(), Entries.at(addresses), "bench")
+        return Operator(self.log(), Entries.at(addresses, HANDOVER_TOKEN), "bench")
 
     def next_offset(self) -> int:
         """Return the log's end."""
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -32,7 +32,7 @@
 from lycheeloom.platform import LogClient  # noqa: E402
 
 from .callers import Callers, Work  # noqa: E402
-from .processes import Fleet, Program, running_fleet  # noqa: E402
+from .processes import HANDOVER_TOKEN, Fleet, Program, running_fleet  # noqa: E402
 from .verdicts import Line, ZoneOut, check  # noqa: E402
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -75,7 +75,7 @@
         return file.document
 
     def _operator(self) -> Operator:
-        entries = Entries.at([program.address for program in self.entries])
+        entries = Entries.at(self._addresses(), HANDOVER_TOKEN)
         return Operator(LogClient(self.fleet.platform.log), entries, "demo")
 
     def _addresses(self) -> list[str]:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -22,6 +22,7 @@
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+HANDOVER_TOKEN = "handover"
 
 
 @dataclass(slots=True)
@@ -91,6 +92,7 @@
             "peer_listen": peer_listen,
             "log": self.platform.log,
             "instances": self.platform.instances,
+            "handover_token": HANDOVER_TOKEN,
             **settings,
         }
         path = self._write_settings(f"{instance}-{len(self.programs)}", values)
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import hmac
 import json
 from collections.abc import Callable
 from typing import Any
@@ -39,14 +40,16 @@
         read_status: Callable[[], StatusDocument],
         is_ready: Callable[[], bool],
         explain: Callable[[str, str], list[str] | None],
+        handover_token: str = "",
     ) -> None:
-        self.app = Bottle(autojson=False)
+        self.app = Bottle()
         self._intake = intake
         self._tail = tail
         self._metrics = metrics
         self._read_status = read_status
         self._is_ready = is_ready
         self._explain = explain
+        self._handover_token = handover_token
         self._add_routes()
 
     def _add_routes(self) -> None:
@@ -91,7 +94,17 @@
         return _respond(self._intake.cancel(request_id, authorization))
 
     def take_records(self) -> HTTPResponse:
-        """``POST /v1/records``: an accepted batch, straight from an operator."""
+        """``POST /v1/records``: an accepted batch, straight from an operator.
+
+        A forged batch would change what is in force here, so the shared token of
+        the operators is needed.
+        """
+        authorization = request.environ.get("HTTP_AUTHORIZATION", "")
+        expected = f"Bearer {self._handover_token}"
+        is_known = hmac.compare_digest(authorization.encode(), expected.encode())
+        if not (self._handover_token and is_known):
+            message = "the handover token of this entry is needed"
+            return _respond(Reply(403, {"reason": "forbidden", "message": message}))
         raw = request.environ["wsgi.input"].read(MAX_PUSHED_BYTES + 1)
         try:
             document = json.loads(raw)
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -229,6 +229,7 @@
             self._read_status,
             lambda: self.freshness.is_fresh() and not self.intake.is_draining,
             explanations.explain,
+            self.settings.handover_token,
         )
 
     def _start(self) -> None:
--- a/libs/entry/src/lycheeloom/entry/settings.py
+++ b/libs/entry/src/lycheeloom/entry/settings.py
@@ -27,6 +27,9 @@
     trace_ratio: float = Field(default=0.0, ge=0, le=1)
     drain_timeout_s: float = Field(default=30.0, gt=0)
     seed: int = 0
+    # Operators that hand accepted records straight to this entry present it;
+    # without one in the settings nobody may.
+    handover_token: str = Field(default="", max_length=256)
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/operator/src/lycheeloom/operator/entries.py
+++ b/libs/operator/src/lycheeloom/operator/entries.py
@@ -16,6 +16,7 @@
 from lycheeloom.platform import Transport
 
 ENTRY_TIMEOUT_S = 2.0
+JSON_HEADERS = {"Content-Type": "application/json"}
 MAX_PARALLEL_CALLS = 32
 
 
@@ -41,9 +42,15 @@
 class EntryClient:
     """Calls one entry; its connections are used by one thread at a time."""
 
-    def __init__(self, address: str, timeout_s: float = ENTRY_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout_s: float = ENTRY_TIMEOUT_S,
+        handover_token: str = "",
+    ) -> None:
         self.address = address
         self._timeout_s = timeout_s
+        self._handover_token = handover_token
         self._transport = Transport()
 
     def status(self) -> StatusDocument | EntryUnavailable:
@@ -65,7 +72,10 @@
         """Give batches of the log to the entry; returns why if that failed."""
         encoded = [base64.b64encode(batch).decode() for batch in batches]
         body = json.dumps({"offset": offset, "batches": encoded}).encode()
-        answer = self._call("POST", "/v1/records", body)
+        headers = dict(JSON_HEADERS)
+        if self._handover_token:
+            headers["Authorization"] = f"Bearer {self._handover_token}"
+        answer = self._call("POST", "/v1/records", body, headers)
         if isinstance(answer, EntryUnavailable):
             return answer
         status, _ = answer
@@ -89,10 +99,19 @@
         return _read_explanation(body)
 
     def _call(
-        self, method: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: Mapping[str, str] = JSON_HEADERS,
     ) -> tuple[int, bytes] | EntryUnavailable:
         response = self._transport.call(
-            self.address, method, path, body=body, timeout_s=self._timeout_s
+            self.address,
+            method,
+            path,
+            body=body,
+            headers=headers,
+            timeout_s=self._timeout_s,
         )
         status = getattr(response, "status", None)
         if status is None:
@@ -107,9 +126,14 @@
         self._clients = tuple(clients)
 
     @classmethod
-    def at(cls, addresses: Sequence[str]) -> Entries:
+    def at(cls, addresses: Sequence[str], handover_token: str = "") -> Entries:
         """Return the entries at these addresses."""
-        return cls([EntryClient(address) for address in addresses])
+        return cls(
+            [
+                EntryClient(address, handover_token=handover_token)
+                for address in addresses
+            ]
+        )
 
     def statuses(self) -> dict[str, StatusDocument | EntryUnavailable]:
         """Return the status of each entry by address."""
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -65,7 +65,7 @@
     """Return an operator that talks to the log and the daemons of a fleet."""
     return Operator(
         LogClient(settings.log),
-        Entries.at(settings.entries),
+        Entries.at(settings.entries, settings.handover_token),
         settings.operator,
         controllers=Entries.at(settings.controllers),
     )
--- a/libs/operator/src/lycheeloom/operator/settings.py
+++ b/libs/operator/src/lycheeloom/operator/settings.py
@@ -18,7 +18,14 @@
 MAX_TIMEOUT_S = 3600
 ADDRESS = 'host and port, such as "10.1.0.4:7100"'
 ADDRESSES = f"a list of at least one {ADDRESS}, each once"
-KNOWN_KEYS = ("log", "entries", "controllers", "operator", "timeout_s")
+KNOWN_KEYS = (
+    "log",
+    "entries",
+    "controllers",
+    "operator",
+    "timeout_s",
+    "handover_token",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +40,7 @@
     operator: str
     controllers: tuple[str, ...] = ()
     timeout_s: float = DEFAULT_TIMEOUT_S
+    handover_token: str = ""
 
 
 def load_settings(path: str) -> Settings | list[Problem]:
@@ -49,6 +57,7 @@
         entries=tuple(values["entries"]),
         controllers=tuple(values.get("controllers", ())),
         operator=values.get("operator") or getpass.getuser(),
+        handover_token=values.get("handover_token", ""),
         timeout_s=float(values.get("timeout_s", DEFAULT_TIMEOUT_S)),
     )
 
@@ -69,6 +78,10 @@
     operator = values.get("operator", "")
     if not isinstance(operator, str):
         yield Problem(path, "operator", f"is {show(operator)}", "your name as a text")
+    token = values.get("handover_token", "")
+    if not isinstance(token, str):
+        allowed = "the handover_token of the entries, as a text"
+        yield Problem(path, "handover_token", "is not a text", allowed)
     timeout = values.get("timeout_s", DEFAULT_TIMEOUT_S)
     if not _is_duration(timeout):
         allowed = f"a number of seconds above 0, at most {MAX_TIMEOUT_S}"
