--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -348,7 +348,8 @@
             GOOD_SETTINGS + "timeout_s = 0\noperater = 'x'\n",
             [
                 'operater: is not a known key (did you mean "operator"?); '
-                "allowed: log, entries, controllers, operator, timeout_s, handover_token",
+                "allowed: log, entries, controllers, operator, timeout_s, "
+                "handover_token",
                 "timeout_s: is 0; allowed: a number of seconds above 0, at most 3600",
             ],
         ),
