Give peers time to show life after a log outage before voting

When a log outage and a partition ended at the same moment, members voted on the silence collected during the outage and expelled live peers.

--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -108,6 +108,7 @@
         self._expulsion_seen_at: dict[tuple[str, int], float] = {}
         self._written_at: dict[str, float] = {}
         self._asserted_at = -math.inf
+        self._without_log_at = -math.inf
         self._listed_before: set[str] = set()
         self._listed_now: set[str] | None = None
         tail.add_listener(self._on_replayed)
@@ -162,6 +163,8 @@
         self._refute()
         self._settle_votes()
         self._note_members()
+        if self._mesh.log_age_s() > FRESHNESS_S:
+            self._without_log_at = self._clock()
         self._assert_alive()
         for member in self._peers():
             self._judge(member)
@@ -286,8 +289,9 @@
         target = member.incarnation
         if target in self._vote_by_target or self.incarnation in member.votes:
             return
-        # A vote that waits out a log outage would only withhold confirmations.
-        if self._mesh.log_age_s() > FRESHNESS_S:
+        # A vote that waits out a log outage would only withhold confirmations, and
+        # after an outage each peer gets the time to show that it is alive.
+        if self._clock() - self._without_log_at < ALIVE_AFTER_S:
             return
         voted_at = self._voted_at.get(target)
         if voted_at is not None and self._clock() - voted_at < SILENCE_S:
--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -129,6 +129,16 @@
     assert world.clock.now - expelled_at >= RECLAIM_WAIT_S
 
 
+def test_nobody_is_expelled_when_all_faults_end_at_once(world):
+    """Peers that were silent during an outage must be heard before a vote."""
+    world.without_log, world.groups = set(FIVE), ["ab", "cd", "e"]
+    world.run(SILENCE_S + 5)
+    world.without_log, world.groups = set(), None
+    world.run(SILENCE_S)
+    assert len(records_of(world, r.MemberJoined)) == 5
+    assert world.fresh() == set(FIVE)
+
+
 def test_short_pause_needs_new_evidence(world):
     """Evidence from before a pause says nothing about what happened in it."""
     node = world.node_by_name["a"]
@@ -285,6 +295,7 @@
         for node in world.node_by_name.values():
             name = node.keeper.incarnation
             if oracle.members.is_active(name):
+                expelled_at.pop(name, None)
                 continue
             since = expelled_at.setdefault(name, world.clock.now)
             if world.clock.now - since > FRESHNESS_S:
