--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -1,8 +1,8 @@
 """A fleet on virtual time: log, platform and workers for planner runs.
 
 The log is the real replay; platform and workers are simple stand-ins. The world
-counts what operators and callers would see: work lost, work started on leaving
-instances, and changes that went over an availability budget.
+counts what operators and callers would see: work lost, and drains that went over
+an availability budget. Work starts wherever entries may start it.
 """
 
 from __future__ import annotations
@@ -26,10 +26,13 @@
     ConfigChanged,
     Duty,
     DutyClaimed,
+    Health,
     MoveStage,
 )
 from lycheeloom.state import FleetState
 
+# Entries start nothing on instances with these recorded healths.
+UNFIT = frozenset({Health.REBOOTING, Health.GIVEN_UP})
 LEAVING = frozenset({MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING})
 
 
@@ -56,10 +59,11 @@
     state: FleetState = field(default_factory=FleetState)
     workers: dict[str, FakeWorker] = field(default_factory=dict)
     status_by_action: dict[str, ActionStatus] = field(default_factory=dict)
+    drain_by_instance: dict[str, float] = field(default_factory=dict)
+    drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
     effects: Counter = field(default_factory=Counter)
     lost_work: int = 0
-    started_on_leaving: int = 0
     over_budget: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
 
@@ -116,6 +120,11 @@
         """Return the instances that answer now."""
         return [name for name, worker in self.workers.items() if worker.alive]
 
+    def open_moves(self) -> list[str]:
+        """Return the instances whose move has not ended."""
+        moves = self.state.maintenance.move_by_instance
+        return [name for name, move in moves.items() if not move.is_ended()]
+
     def carry_out(self, author: str, plan: Plan) -> None:
         """Append a plan's records and take its actions."""
         if plan.records:
@@ -133,12 +142,17 @@
         status = ActionStatus.DONE
         match action.kind:
             case ActionKind.DRAIN:
-                if worker.alive:
+                # One that entries no longer use was out before its drain.
+                if worker.alive and not self._is_unfit(action.instance):
                     self._check_budget(action.instance)
                 worker.draining = True
-                worker.work_ends_s = self.now_s + self.drain_s
+                drain_s = self.drain_by_instance.get(action.instance, self.drain_s)
+                worker.work_ends_s = self.now_s + drain_s
+                self.drain_of[action.instance] = action.action_id
+                status = ActionStatus.RUNNING
             case ActionKind.UNDRAIN:
                 worker.draining = False
+                self._end_drain(action.instance)
             case ActionKind.REBOOT:
                 self.lost_work += worker.running if worker.alive else 0
                 worker.alive = False
@@ -172,22 +186,24 @@
             if worker.draining:
                 if self.now_s >= worker.work_ends_s:
                     worker.running = 0
+                    self._end_drain(name)
                 continue
-            if not self._is_leaving(name):
+            if not self._is_leaving(name) and not self._is_unfit(name):
                 worker.running = 1
 
-    def start_work(self, name: str) -> bool:
-        """An entry tries to start a task, as a caller would cause it to."""
-        worker = self.workers[name]
-        if not worker.alive or worker.draining or self._is_leaving(name):
-            return False
-        worker.running = max(1, worker.running)
-        return True
-
     def _is_leaving(self, name: str) -> bool:
         move = self.state.maintenance.move_by_instance.get(name)
         return move is not None and move.stage in LEAVING
 
+    def _is_unfit(self, name: str) -> bool:
+        state = self.state.maintenance.health_by_instance.get(name)
+        return state is not None and state.health in UNFIT
+
+    def _end_drain(self, name: str) -> None:
+        action_id = self.drain_of.pop(name, None)
+        if action_id is not None:
+            self.status_by_action[action_id] = ActionStatus.DONE
+
     def _finish_reboot(self, name: str, worker: FakeWorker) -> None:
         if self.now_s < worker.rebooting_until_s:
             return
@@ -199,7 +215,9 @@
     def _check_budget(self, instance: str) -> None:
         """Count who is out, as an operator would, when a drain begins."""
         out = self.out_on_platform()
-        out |= {name for name in self.workers if self._is_leaving(name)}
+        for name in self.workers:
+            if self._is_leaving(name) or self._is_unfit(name):
+                out.add(name)
         for problem in self.budget_problems(instance, out):
             self.over_budget.append(f"{self.now_s:.0f} {instance} {problem}")
 
@@ -223,6 +241,9 @@
             problems.append(f"pool {pool_id} {len(in_pool)}")
         if len(in_rack) > pool.max_unavailable_per_rack:
             problems.append(f"rack {place.rack} {len(in_rack)}")
+        members = sum(1 for owner in pools.values() if owner == pool_id)
+        if pool.spare and len(in_pool) >= members:
+            problems.append(f"last spare of {pool_id}")
         if zone.max_unavailable is not None and len(in_zone) > zone.max_unavailable:
             problems.append(f"zone {place.zone} {len(in_zone)}")
         return problems
@@ -239,11 +260,18 @@
 
     def plan(self) -> Plan:
         """Hear the workers and plan one step, without carrying it out."""
+        self.hear()
+        return self.planner.step(self.view(), self.world.now_s)
+
+    def hear(self) -> None:
+        """Give the planner the heartbeats of this moment."""
         world = self.world
         for name in world.heard():
             boot = str(world.workers[name].boots)
             self.planner.health.heartbeat(name, world.now_s, boot)
-        return self.planner.step(self.view(), world.now_s)
+        for name, worker in world.workers.items():
+            if not worker.alive:
+                self.planner.health.missed(name, world.now_s)
 
     def view(self) -> FleetView:
         """Return what this controller sees, with the statuses it asks for."""
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -40,7 +40,7 @@
         is_ready: Callable[[], bool],
         explain: Callable[[str, str], list[str] | None],
     ) -> None:
-        self.app = Bottle()
+        self.app = Bottle(autojson=False)
         self._intake = intake
         self._tail = tail
         self._metrics = metrics
@@ -125,7 +125,8 @@
         if lines is None:
             message = f"nothing is known about {kind} {name!r}"
             return _respond(Reply(404, {"reason": "unknown", "message": message}))
-        return _respond(Reply(200, {"kind": kind, "id": name, "events": lines}))
+        events = [{"sentence": line} for line in lines]
+        return _respond(Reply(200, {"kind": kind, "id": name, "events": events}))
 
     def metrics(self) -> HTTPResponse:
         """``GET /metrics``."""
--- a/libs/fleet/src/lycheeloom/fleet/__init__.py
+++ b/libs/fleet/src/lycheeloom/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Maintenance and buffer planning."""
 
 from .explanations import Explanation, Explanations
+from .monitor import HealthMonitor, MonitorSettings
 from .planner import Planner
 from .view import (
     ActionKind,
@@ -9,6 +10,7 @@
     HealthState,
     Move,
     Plan,
+    PlannedRecord,
     PlannerSettings,
     PlatformAction,
     Wave,
@@ -20,9 +22,12 @@
     "Explanation",
     "Explanations",
     "FleetView",
+    "HealthMonitor",
     "HealthState",
+    "MonitorSettings",
     "Move",
     "Plan",
+    "PlannedRecord",
     "Planner",
     "PlannerSettings",
     "PlatformAction",
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from lycheeloom.model.records import (
     Health,
@@ -15,21 +14,21 @@
 )
 
 from . import events, waves
+from .answers import why_not
 from .budgets import Layout, Ledger, Limit
 from .explanations import Explanations
-from .monitor import Assessment, HealthMonitor, MonitorSettings
+from .monitor import HealthMonitor, MonitorSettings
 from .movement import MoveRunner
 from .moves import action_ids
 from .rebalance import Rebalancer
 from .repair import Repair, RepairPlanner, RepairSettings, repair_prefix
+from .step import Step
 from .view import (
     ENDED_STAGES,
     FleetView,
     Move,
     Plan,
-    PlannedRecord,
     PlannerSettings,
-    PlatformAction,
     Wave,
 )
 
@@ -37,20 +36,6 @@
 _MAX_EVENTS_PER_STEP = 50
 
 
-@dataclass(slots=True)
-class Step:
-    """What one step works on and collects."""
-
-    view: FleetView
-    now_s: float
-    layout: Layout
-    ledger: Ledger
-    seen: Assessment
-    out: frozenset[str]
-    records: list[PlannedRecord] = field(default_factory=list)
-    actions: list[PlatformAction] = field(default_factory=list)
-
-
 class Planner:
     """Plans maintenance of a fleet.
 
@@ -123,20 +108,22 @@
 
     def why_not(self, instance: str) -> str:
         """Say what keeps an instance from maintenance at the last step."""
+        return why_not(self._last, instance, self._hold_until_s)
+
+    def knows(self, instance: str) -> bool:
+        """Tell whether the last step saw an instance of this name."""
         last = self._last
-        if last is None or instance not in last.layout.place_by_instance:
-            return f"Instance {instance} is not known."
-        move = last.view.move_by_instance.get(instance)
-        if move is not None and move.stage not in ENDED_STAGES:
-            pool = last.layout.place_by_instance[instance][0]
-            return events.sentence(events.MoveAdvanced(instance, pool, move.stage))
-        if last.ledger.is_out(instance):
-            return f"Instance {instance} is out of service already."
-        limit = last.ledger.blocking(instance)
-        if limit is None:
-            return f"Nothing keeps instance {instance} from maintenance."
-        pool = last.layout.place_by_instance[instance][0]
-        return events.sentence(events.NotChosen(instance, pool, limit))
+        return last is not None and instance in last.layout.place_by_instance
+
+    def out_by_pool(self) -> dict[str, int]:
+        """Return how many instances of each pool the last step counted as out."""
+        if self._last is None:
+            return {}
+        layout, ledger = self._last.layout, self._last.ledger
+        return {
+            pool: size - ledger.available(pool)
+            for pool, size in layout.size_by_pool.items()
+        }
 
     def _begin(self, view: FleetView, now_s: float) -> Step:
         layout = self._layout_of(view)
@@ -189,7 +176,7 @@
             return record.to_pool not in view.config.pool_by_id
         return move.move_id == record.move_id or move.stage not in ENDED_STAGES
 
-    def _start_move(self, step: Step, cause: str, record: MoveStep) -> None:
+    def _start_move(self, step: Step, record: MoveStep) -> None:
         name = record.instance
         step.ledger.take(name)
         self._pending[name] = record
@@ -226,7 +213,6 @@
         pool = step.layout.place_by_instance[repair.instance][0]
         self._start_move(
             step,
-            "repair",
             _planned(step, repair.instance, move_id, pool, True, repair.reason),
         )
 
@@ -286,9 +272,7 @@
         kind = "urgent maintenance" if wave.urgent else "maintenance"
         reason = f"{kind} wave {wave.wave_id} has reached it"
         move_id = f"{_wave_prefix(wave, name)}{step.view.offset}"
-        self._start_move(
-            step, "wave", _planned(step, name, move_id, pool, wave.reboot, reason)
-        )
+        self._start_move(step, _planned(step, name, move_id, pool, wave.reboot, reason))
 
     def _note_blocked(self, step: Step, name: str, limit: Limit) -> None:
         pool = step.layout.place_by_instance[name][0]
@@ -313,7 +297,7 @@
             record = _planned(
                 step, move.instance, move_id, move.to_pool, reboot, reason
             )
-            self._start_move(step, "pool", record)
+            self._start_move(step, record)
         for short in self._rebalancer.plan.shortages[:_MAX_EVENTS_PER_STEP]:
             size = f"{short.size.cores:g} cores"
             event = events.BufferShort(short.place, short.lacking, size)
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -12,11 +12,12 @@
 from lycheeloom.model.records import Health
 
 from .budgets import Layout
-from .buffers import BufferMove, BufferPlan, FleetIndex, plan_buffers
+from .buffers import BufferMove, BufferPlan, BufferPlanner
 from .timers import SettledSet
 from .view import ENDED_STAGES, FleetView, PlannerSettings
 
 HOUR_S = 3600.0
+IDLE_PLAN_INTERVAL_S = 60.0
 # Each round plans the whole fleet again.
 MAX_HOME_ROUNDS = 6
 
@@ -29,8 +30,9 @@
         self._lost = SettledSet(settings.settle_s)
         self._started_s: deque[float] = deque()
         self._moved_s: dict[str, float] = {}
+        self._planned_s = float("-inf")
         self._cache_key: tuple | None = None
-        self._index: FleetIndex | None = None
+        self._planner: BufferPlanner | None = None
         self.plan = BufferPlan()
 
     def wanted(
@@ -42,13 +44,17 @@
         # An instance that is out because it moves is not lost.
         unusable = self._lost.update(out - pinned, now_s) | _given_up(view)
         key = (view.config, assigned, unusable)
-        if not self._is_cached(key):
-            if self._index is None or self._index.config is not view.config:
-                self._index = FleetIndex(view.config)
-            self.plan = plan_with_homes(self._index, assigned, unusable)
+        has_room = self.may_start()
+        # A plan for a fleet in disorder takes up to half a second; while none of
+        # its moves may start, it only tells of shortages.
+        is_due = has_room or now_s - self._planned_s >= IDLE_PLAN_INTERVAL_S
+        if is_due and not self._is_cached(key):
+            self._planned_s = now_s
+            if self._planner is None or self._planner.config is not view.config:
+                self._planner = BufferPlanner(view.config)
+            self.plan = plan_with_homes(self._planner, assigned, unusable)
             self._cache_key = key
-        room = self._settings.buffer_moves_per_hour - len(self._started_s)
-        if room <= 0:
+        if not has_room:
             return []
         return [
             move
@@ -78,15 +84,15 @@
 
 
 def plan_with_homes(
-    index: FleetIndex, assigned: Mapping[str, str], unusable: frozenset[str]
+    planner: BufferPlanner, assigned: Mapping[str, str], unusable: frozenset[str]
 ) -> BufferPlan:
     """Plan buffers, sending instances home where that costs no further move.
 
     A plan made as if all were at home shows who is missed elsewhere; those
     stay where they are, and the plan is made again.
     """
-    config = index.config
-    kept = plan_buffers(config, assigned, unusable, index)
+    config = planner.config
+    kept = planner.plan(assigned, unusable)
     homes = {
         name: config.instance_by_id[name].pool
         for name, pool in assigned.items()
@@ -95,7 +101,7 @@
     for _ in range(MAX_HOME_ROUNDS):
         if not homes:
             return kept
-        plan = plan_buffers(config, {**assigned, **homes}, unusable, index)
+        plan = planner.plan({**assigned, **homes}, unusable)
         stay = _missed_elsewhere(plan, kept, assigned, homes)
         if not stay:
             going = [BufferMove(name, assigned[name], homes[name]) for name in homes]
