Compute demand of peers and fleet size once per step in an entry

The grant keeper summed the usage of all peers anew for each of 210 teams ten times a second, and the metrics loop added up 5,100 instances and passed 840 unchanged gauge values to the client library every second.

--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_keeper.py
@@ -23,6 +23,16 @@
     pending: Pending
 
 
+@dataclass(frozen=True, slots=True)
+class _Demand:
+    """What is the same for all teams in one step."""
+
+    own: str
+    members: int
+    by_team: Mapping[str, int]
+    peers_by_team: Mapping[str, int]
+
+
 class GrantKeeper:
     """Keeps this entry's grants near its demand.
 
@@ -38,7 +48,7 @@
         scheduler: Scheduler,
         incarnation: Callable[[], str],
         running: Callable[[str], int],
-        peer_demand: Callable[[str], int],
+        peer_demand: Callable[[], Mapping[str, int]],
         is_draining: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
@@ -66,17 +76,19 @@
         Slots that are being returned no longer count, since the return may take
         effect at any time.
         """
-        state = self._tail.state
         own = self._incarnation()
-        if not state.members.is_active(own):
+        if not self._tail.state.members.is_active(own):
             return 0
-        returning = self._returning_by_team.get(team)
-        usable = state.grants.of(team).usable(own)
-        return max(0, usable - (returning.count if returning else 0))
+        return self._usable(own, team)
 
     def refresh(self) -> None:
         """Tell the scheduler the slots that are usable now."""
-        slots = {team: self.usable(team) for team in self._tail.state.config.team_by_id}
+        own = self._incarnation()
+        state = self._tail.state
+        if state.members.is_active(own):
+            slots = {team: self._usable(own, team) for team in state.config.team_by_id}
+        else:
+            slots = dict.fromkeys(state.config.team_by_id, 0)
         if slots == self._slots_by_team:
             return
         self._slots_by_team = slots
@@ -98,21 +110,29 @@
         own = self._incarnation()
         state = self._tail.state
         if state.members.is_active(own):
-            demand_by_team = self._scheduler.demand_by_team()
+            demand = _Demand(
+                own,
+                max(1, len(state.members.active())),
+                self._scheduler.demand_by_team(),
+                self._peer_demand(),
+            )
             for team in state.config.team_by_id:
-                self._balance(team, demand_by_team.get(team, 0))
+                self._balance(team, demand)
         self.refresh()
 
-    def _balance(self, team: str, demand: int) -> None:
+    def _usable(self, own: str, team: str) -> int:
+        returning = self._returning_by_team.get(team)
+        usable = self._tail.state.grants.of(team).usable(own)
+        return max(0, usable - (returning.count if returning else 0))
+
+    def _balance(self, team: str, demand: _Demand) -> None:
         if team in self._returning_by_team:
             return
         grants = self._tail.state.grants.of(team)
-        held = self._held(team)
-        wanted = self._wanted(team, demand)
-        others_wait = any(
-            holder != self._incarnation() for holder in grants.unmet_by_holder
-        )
+        held = grants.count_by_holder.get(demand.own, 0)
         is_over = grants.total() > grants.limit
+        wanted = self._wanted(team, grants.limit, is_over, demand)
+        others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
         if (others_wait or is_over) and held > wanted:
             idle = held - max(wanted, self._running(team))
             if idle > 0:
@@ -121,20 +141,17 @@
         if held < wanted and not is_over:
             self._ask(team, wanted - held)
 
-    def _wanted(self, team: str, demand: int) -> int:
+    def _wanted(self, team: str, limit: int, is_over: bool, demand: _Demand) -> int:
         """Return how many slots this entry should hold."""
-        grants = self._tail.state.grants.of(team)
-        if self._is_draining():
-            return self._running(team)
-        if grants.total() > grants.limit:
+        if is_over or self._is_draining():
             return self._running(team)
-        members = max(1, len(self._tail.state.members.active()))
-        reserve = max(1, grants.limit // members)
-        peers = self._peer_demand(team)
-        if peers + demand <= grants.limit:
-            return max(demand, min(reserve, grants.limit - peers))
-        part = -(-grants.limit * demand // max(1, peers + demand))
-        return min(demand, part) if demand else 0
+        reserve = max(1, limit // demand.members)
+        own = demand.by_team.get(team, 0)
+        peers = demand.peers_by_team.get(team, 0)
+        if peers + own <= limit:
+            return max(own, min(reserve, limit - peers))
+        part = -(-limit * own // max(1, peers + own))
+        return min(own, part) if own else 0
 
     def _held(self, team: str) -> int:
         own = self._incarnation()
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -22,6 +22,25 @@
 )
 
 
+class TeamGauge:
+    """A gauge by team that passes on only values that have changed.
+
+    Most of the values that are set every second stay the same, and each pass
+    through the client library takes a lock and a look-up by label.
+    """
+
+    def __init__(self, gauge: Gauge) -> None:
+        self._gauge = gauge
+        self._value_by_team: dict[str, float] = {}
+
+    def set(self, team: str, value: float) -> None:
+        """Set the value of a team."""
+        if self._value_by_team.get(team) == value:
+            return
+        self._value_by_team[team] = value
+        self._gauge.labels(team).set(value)
+
+
 class EntryMetrics:
     """All metrics of one entry in a registry of its own."""
 
@@ -44,13 +63,13 @@
             "starts", "Starts sent to workers, by result", "result"
         )
         self.retries = self._counter("retries", "Attempts repeated elsewhere", "queue")
-        self.running = self._gauge("team_running_tasks", "Running tasks here", "team")
-        self.queued = self._gauge("team_queued_tasks", "Queued tasks here", "team")
-        self.granted = self._gauge(
-            "team_granted_slots", "Running slots held by this entry", "team"
+        self.running = self._team_gauge("team_running_tasks", "Running tasks here")
+        self.queued = self._team_gauge("team_queued_tasks", "Queued tasks here")
+        self.granted = self._team_gauge(
+            "team_granted_slots", "Running slots held by this entry"
         )
-        self.share_ratio = self._gauge(
-            "team_dominant_share_ratio", "Fleet-wide dominant share in use", "team"
+        self.share_ratio = self._team_gauge(
+            "team_dominant_share_ratio", "Fleet-wide dominant share in use"
         )
         self.fresh = self._gauge("entry_fresh", "1 if this entry may start tasks")
         self.log_age_s = self._gauge(
@@ -68,3 +87,6 @@
 
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
         return Gauge(f"lycheeloom_{name}", text, labels, registry=self.registry)
+
+    def _team_gauge(self, name: str, text: str) -> TeamGauge:
+        return TeamGauge(self._gauge(name, text, "team"))
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -4,6 +4,7 @@
 
 import gc
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 import gevent
@@ -321,12 +322,11 @@
         if job.is_recorded:
             gevent.spawn(self.journal.record_verdict, job)
 
-    def _peer_demand(self, team: str) -> int:
-        demand = 0
+    def _peer_demand(self) -> Counter[str]:
+        demand: Counter[str] = Counter()
         for usage_by_team in self.mesh.usage_by_peer().values():
-            usage = usage_by_team.get(team)
-            if usage is not None:
-                demand += usage.running + usage.queued
+            for team, usage in usage_by_team.items():
+                demand[team] += usage.running + usage.queued
         return demand
 
     def _run_exchange(self) -> None:
@@ -369,10 +369,10 @@
             own = self.mesh.usage_by_team.get(team) or TeamUsage(team, 0, 0)
             total = usage_by_team.get(team) or TeamUsage(team, 0, 0)
             used = Resources(total.cores, total.memory_mb, total.accelerators)
-            self.metrics.running.labels(team).set(self.dispatcher.running(team))
-            self.metrics.queued.labels(team).set(own.queued)
-            self.metrics.granted.labels(team).set(self.grants.usable(team))
-            self.metrics.share_ratio.labels(team).set(used.dominant_share(size))
+            self.metrics.running.set(team, self.dispatcher.running(team))
+            self.metrics.queued.set(team, own.queued)
+            self.metrics.granted.set(team, self.grants.usable(team))
+            self.metrics.share_ratio.set(team, used.dominant_share(size))
 
     def _run_idle_sweep(self) -> None:
         while True:
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -8,6 +8,7 @@
 
 from lycheeloom.cluster import Freshness, PeerMesh
 from lycheeloom.log import LogTail
+from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.limits import SILENCE_S
 from lycheeloom.model.records import MoveStage, WaveState
 from lycheeloom.model.resources import NO_RESOURCES, Resources
@@ -47,6 +48,9 @@
         self._scheduler = scheduler
         self._jobs = jobs
         self._watch = watch
+        # The sum over all instances is needed every second.
+        self._sized_config: FleetConfig | None = None
+        self._fleet_size = NO_RESOURCES
 
     def build(self, instance: str, zone: str, version: str) -> StatusDocument:
         """Return the status as of now."""
@@ -116,8 +120,12 @@
 
     def fleet_size(self) -> Resources:
         """Return the resources of all configured instances."""
-        instances = self._tail.state.config.instance_by_id.values()
-        return sum((item.size for item in instances), NO_RESOURCES)
+        config = self._tail.state.config
+        if config is not self._sized_config:
+            self._sized_config = config
+            sizes = (item.size for item in config.instance_by_id.values())
+            self._fleet_size = sum(sizes, NO_RESOURCES)
+        return self._fleet_size
 
     def _teams(self) -> dict[str, TeamStatus]:
         state = self._tail.state
