--- a/bench/processes_cli.py
+++ b/bench/processes_cli.py
@@ -57,6 +57,7 @@
     parser = argparse.ArgumentParser(prog="python -m bench.processes_cli")
     commands = parser.add_subparsers(dest="command", required=True)
     names = ("cost", "config", "outage", "recovery", "appends", "latency", "urgent")
+    names += ("controller",)
     for name in names:
         command = commands.add_parser(name)
         command.add_argument("--json", action="store_true")
--- a/bench/processes_entry.py
+++ b/bench/processes_entry.py
@@ -1,4 +1,4 @@
-"""An entry that counts the payload bytes of each of its sockets.
+"""An entry or controller that counts the payload bytes of each of its sockets.
 
 The counters are inside the process and add about a microsecond to each socket
 call; headers of TCP and IP are not counted. On SIGUSR1 the program prints one
@@ -19,6 +19,7 @@
 import gevent  # noqa: E402
 from gevent import socket  # noqa: E402
 
+from lycheeloom.controller.main import main as run_controller  # noqa: E402
 from lycheeloom.entry.main import main  # noqa: E402
 from lycheeloom.entry.settings import load_settings, split_address  # noqa: E402
 
@@ -70,15 +71,28 @@
     return name_by_port.get(own_port) or f"{host}:{port}"
 
 
-if __name__ == "__main__":
-    settings = load_settings(Path(sys.argv[1]))
-    counted = count_sockets(
-        {
-            split_address(settings.listen)[1]: "callers",
-            split_address(settings.peer_listen)[1]: "peers",
-        }
-    )
+def _run_entry(path: str) -> int:
+    settings = load_settings(Path(path))
+    names = {
+        split_address(settings.listen)[1]: "callers",
+        split_address(settings.peer_listen)[1]: "peers",
+    }
+    _print_on_signal(count_sockets(names))
+    return main([path])
+
+
+def _run_controller(path: str) -> int:
+    _print_on_signal(count_sockets({}))
+    return run_controller([path])
+
+
+def _print_on_signal(counted: Counter) -> None:
     gevent.signal_handler(
         signal.SIGUSR1, lambda: print(json.dumps({MARK: counted}), flush=True)
     )
-    sys.exit(main(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    if sys.argv[1] == "controller":
+        sys.exit(_run_controller(sys.argv[2]))
+    sys.exit(_run_entry(sys.argv[1]))
--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -23,6 +23,7 @@
 INTERACTIVE = "lookups"
 BATCH = "overnight"
 SERVED_POOL = "pool-0"
+FIRST_POOL_WORKERS = 6
 # Probes reach each stand-in worker and grants settle within this time.
 SETTLE_S = 4.0
 PUBLISH_TIMEOUT_S = 60.0
@@ -134,8 +135,8 @@
 
 
 def _instance(index: int, shape: Shape, address_by_served: dict[str, str]) -> dict:
-    is_served = index < shape.served
-    pool = 0 if is_served else 1 + index % max(1, shape.pools - 1)
+    is_first = index < min(shape.served, FIRST_POOL_WORKERS)
+    pool = 0 if is_first else 1 + index % max(1, shape.pools - 1)
     return {
         "pool": f"pool-{min(pool, shape.pools - 1)}",
         "zone": f"zone-{index % shape.zones}",
