--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -4,6 +4,8 @@
 
 import gc
 import time
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 import gevent
@@ -321,12 +323,11 @@
         if job.is_recorded:
             gevent.spawn(self.journal.record_verdict, job)
 
-    def _peer_demand(self, team: str) -> int:
-        demand = 0
+    def _peer_demand(self) -> Mapping[str, int]:
+        demand: Counter[str] = Counter()
         for usage_by_team in self.mesh.usage_by_peer().values():
-            usage = usage_by_team.get(team)
-            if usage is not None:
-                demand += usage.running + usage.queued
+            for team, usage in usage_by_team.items():
+                demand[team] += usage.running + usage.queued
         return demand
 
     def _run_exchange(self) -> None:
