--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Callable, Mapping
 
+from lycheeloom.model.config import Pool
 from lycheeloom.model.resources import Resources
 
 from .holds import Holds
@@ -45,6 +46,8 @@
         self._reservations = reservations
         self._holds = Holds()
         self._next_sweep_at = 0.0
+        self._sorted_pools: Mapping[str, Pool] = {}
+        self._pool_order: list[str] = []
 
     def fill(self, now: float) -> list[Decision]:
         """Return the starts that use the capacity freed since the last call."""
@@ -102,8 +105,7 @@
                 fresh_lanes.setdefault(team, {})[queue] = lane
         if not fresh_lanes and not freed:
             return
-        order = sorted(state.config.pool_by_id, key=lambda p: not self._is_spare(p))
-        for pool in order:
+        for pool in self._spare_first():
             if pool not in freed and not fresh_lanes:
                 continue
             if not state.workers.has_room(pool):
@@ -142,6 +144,7 @@
         heapq.heapify(heap)
         peer_teams = self._peer_teams(pool, lent, lanes_by_team)
         failed: dict[tuple, TaskRecord] = {}
+        full_for: set[Resources] = set()
         while heap:
             level, team = heap[0]
             if not lent and level[0] > FAIR_LEVEL:
@@ -152,7 +155,7 @@
             lanes = lanes_by_team.get(team)
             decision = None
             if lanes:
-                decision = self._start_one(lanes, pool, yielding, now, failed)
+                decision = self._start_one(lanes, pool, yielding, now, failed, full_for)
             if decision is None:
                 heapq.heappop(heap)
                 continue
@@ -171,6 +174,7 @@
         yielding: bool,
         now: float,
         failed: dict[tuple, TaskRecord],
+        full_for: set[Resources],
     ) -> Decision | None:
         """Start the oldest task of a team that fits, if there is one."""
         state = self._state
@@ -182,7 +186,7 @@
                 if key in failed:
                     continue
                 need = state.need(record.task, pool)
-                worker = self._place(record, need, pool, now)
+                worker = self._place(record, need, pool, now, full_for)
                 if worker is None:
                     failed[key] = record
                     self._reservations.consider(
@@ -197,13 +201,22 @@
         return None
 
     def _place(
-        self, record: TaskRecord, need: Resources, pool: str, now: float
+        self,
+        record: TaskRecord,
+        need: Resources,
+        pool: str,
+        now: float,
+        full_for: set[Resources],
     ) -> Worker | None:
+        """Choose a worker; ``full_for`` keeps sizes that no longer fit."""
         task: Task = record.task
         excluded = self._state.excluded(record, now)
-        worker = self._state.workers.place(need, pool, task.queue, excluded)
-        if worker is not None:
-            return worker
+        if need not in full_for:
+            worker = self._state.workers.place(need, pool, task.queue, excluded)
+            if worker is not None:
+                return worker
+            if not excluded:
+                full_for.add(need)
         return self._reservations.backfill(task, need, pool, excluded, now)
 
     def _peer_teams(
@@ -242,6 +255,14 @@
             return False
         return self._held(pool, now)
 
+    def _spare_first(self) -> list[str]:
+        """Return all pools, sorted anew only when the configuration changed."""
+        pools = self._state.config.pool_by_id
+        if pools is not self._sorted_pools:
+            self._sorted_pools = pools
+            self._pool_order = sorted(pools, key=lambda p: not self._is_spare(p))
+        return self._pool_order
+
     def _is_spare(self, pool: str) -> bool:
         settings = self._state.config.pool_by_id.get(pool)
         return settings is not None and settings.spare
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -137,17 +137,20 @@
         settings = self._config.queue_by_id.get(queue)
         return settings.pool if settings is not None else ""
 
+    def is_batch(self, queue: str) -> bool:
+        """Tell whether a queue holds batch work."""
+        settings = self._config.queue_by_id.get(queue)
+        return settings is not None and settings.kind is QueueKind.BATCH
+
     def yields(self, record: TaskRecord, now: float) -> bool:
         """Tell whether a task is batch work that is not old yet."""
-        settings = self._config.queue_by_id.get(record.task.queue)
-        if settings is None or settings.kind is not QueueKind.BATCH:
+        if not self.is_batch(record.task.queue):
             return False
         return now - record.queued_at < BATCH_AGE_S
 
     def lane_yields(self, lane: Lane, now: float) -> bool:
         """Tell whether a lane only uses capacity that others leave."""
-        settings = self._config.queue_by_id.get(lane.queue)
-        if settings is None or settings.kind is not QueueKind.BATCH:
+        if not self.is_batch(lane.queue):
             return False
         oldest = lane.oldest()
         return oldest is not None and self.yields(oldest, now)
--- a/libs/sched/src/lycheeloom/sched/reclaim.py
+++ b/libs/sched/src/lycheeloom/sched/reclaim.py
@@ -8,7 +8,7 @@
 
 # Short tasks are left to end by themselves within this time.
 GRACE_S = 1.0
-SCAN_INTERVAL_S = 0.25
+SCAN_INTERVAL_S = 0.5
 
 
 class Reclaim:
@@ -37,6 +37,8 @@
         self._next_scan_at = now + SCAN_INTERVAL_S
         decisions: list[Decision] = []
         for pool in self._state.config.pool_by_id:
+            if not self._state.lent_by_pool[pool]:
+                continue
             waiting = self._waiting(pool, now)
             if waiting:
                 decisions.extend(self._take_back(pool, waiting, now))
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -64,6 +64,8 @@
     )
     ended_events: OrderedDict[str, list[TaskEvent]] = field(default_factory=OrderedDict)
     refusals_by_team: dict[str, deque[TaskRefused]] = field(default_factory=dict)
+    # Running borrowers and batch tasks of this entry, per pool.
+    lent_by_pool: Counter[str] = field(default_factory=Counter)
     sequence: int = 0
 
     def may_run(self, team: str) -> bool:
@@ -152,6 +154,8 @@
         self.sizes.remember(task)
         self.waits.started(task.team, task.queue, now)
         borrowed = worker.pool != self.queues.home_pool(task.queue)
+        record.lent = borrowed or self.queues.is_batch(task.queue)
+        self.lent_by_pool[worker.pool] += record.lent
         note(record, TaskStarted(now, worker.id, worker.pool, need, borrowed))
         return Start(task, worker.id, need)
 
@@ -160,6 +164,7 @@
         worker = self.workers.worker_by_id.get(record.worker)
         if worker is not None and record.task.id in worker.running:
             self.workers.detach(worker, record, now)
+        self.lent_by_pool[record.pool] -= record.lent
         team = record.task.team
         was_at_grant = not self.may_run(team)
         self.shares.ended(team, record.need, now)
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -154,4 +154,6 @@
     passed_over_at: float | None = None
     # The pool of ``worker`` when the task started.
     pool: str = ""
+    # Runs on a loan, or as batch work, and may be asked to make room.
+    lent: bool = False
     events: list = field(default_factory=list)
