--- a/libs/cluster/tests/world.py
+++ b/libs/cluster/tests/world.py
@@ -7,12 +7,7 @@
 import gevent
 from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
 
-from lycheeloom.cluster import (
-    ClusterNode,
-    Identity,
-    PeerConnectionError,
-    PeerMesh,
-)
+from lycheeloom.cluster import ClusterNode, Identity, PeerConnectionError, PeerMesh
 from lycheeloom.cluster.link import PeerLink
 from lycheeloom.log import recover
 from lycheeloom.state import FleetState
