Append bodies and answers again before the log drops them

The holder of the housekeeping duty appends such records again at half of the retention. Test: a log that keeps 8 records, 39 steps; body and answer stay readable.

--- a/libs/controller/src/lycheeloom/controller/housekeeping.py
+++ b/libs/controller/src/lycheeloom/controller/housekeeping.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections import deque
 from collections.abc import Callable
 
 from lycheeloom.log import (
@@ -19,6 +18,7 @@
 from lycheeloom.telemetry import log_event
 
 from .duty import DutyKeeper
+from .offset_ages import OffsetAges
 
 EXPIRY_INTERVAL_S = 10.0
 
@@ -59,34 +59,29 @@
         self._duty = duty
         self._tail = tail
         self._writer = writer
-        self._clock = clock
-        # Log ends by time, one in each interval: what lies below is at least so old.
-        self._marks: deque[tuple[float, int]] = deque()
+        self._ages = OffsetAges(EXPIRY_INTERVAL_S, clock)
         self._pending: Pending | None = None
         self._is_due = False
 
     def step(self) -> None:
         """Expire what is older than the retention of its queue."""
-        now = self._clock()
-        if not self._marks or now - self._marks[-1][0] >= EXPIRY_INTERVAL_S:
-            self._marks.append((now, self._tail.next_offset - 1))
+        if self._ages.note(self._tail.next_offset - 1):
             self._is_due = True
         queues = self._tail.state.config.queue_by_id
         longest = max((q.answer_retention_s for q in queues.values()), default=0)
-        while len(self._marks) > 1 and self._marks[1][0] <= now - longest:
-            self._marks.popleft()
+        self._ages.forget_before(longest)
         if self._pending is not None and self._pending.outcome is None:
             return
         if self._is_due and self._duty.is_held():
             self._is_due = False
-            self._expire_next(now)
+            self._expire_next()
 
-    def _expire_next(self, now: float) -> None:
+    def _expire_next(self) -> None:
         """Append one expiry; that of another queue follows an interval later."""
         oldest = self._oldest_by_queue()
         for queue in self._tail.state.config.queue_by_id.values():
             first = oldest.get(queue.id)
-            through = self._offset_at(now - queue.answer_retention_s)
+            through = self._ages.offset_before(queue.answer_retention_s)
             if first is None or through < first:
                 continue
             record = AnswersExpired(through, queue.id)
@@ -102,11 +97,3 @@
                 first = oldest.get(request.queue, ended_at)
                 oldest[request.queue] = min(first, ended_at)
         return oldest
-
-    def _offset_at(self, at: float) -> int:
-        offset = -1
-        for marked_at, end in self._marks:
-            if marked_at > at:
-                break
-            offset = end
-        return offset
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from lycheeloom.fleet import Planner, PlannerSettings
-from lycheeloom.log import LogTail, LogWriter, recover
+from lycheeloom.log import LogTail, LogWriter, RecordReader, recover
 from lycheeloom.model.records import Duty
 from lycheeloom.platform import InstanceClient, LogClient, Transport, WorkerClient
 from lycheeloom.state import FleetState
@@ -25,6 +25,7 @@
 from .maintenance import MaintenanceLoop
 from .metrics import ControllerMetrics
 from .probes import OutcomeWatch, WorkerProbes
+from .refresh import RecordRefresher
 from .settings import Settings, split_address
 
 PROGRAM_VERSION = "0.1.0"
@@ -125,6 +126,13 @@
         self.expiry = AnswerExpiry(
             self.duty_by_name[Duty.HOUSEKEEPING], self.tail, self.writer
         )
+        self.refresher = RecordRefresher(
+            self.duty_by_name[Duty.HOUSEKEEPING],
+            self.tail,
+            self.writer,
+            RecordReader(self.tail, self._log),
+            self.settings.log_retention_s,
+        )
         self.metrics = ControllerMetrics()
         maintenance = self.duty_by_name[Duty.MAINTENANCE]
         self._api = HttpApi(
@@ -142,6 +150,7 @@
         self._spawn_loop(self.maintenance.step, self.settings.step_s)
         self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_S)
+        self._spawn_loop(self.refresher.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self._update_metrics, METRICS_STEP_S)
         self._spawn_loop(self._workers.close_idle, IDLE_SWEEP_S)
         self._greenlets.append(gevent.spawn(self.probes.run))
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
-from typing import Any
+from collections.abc import Callable
 
 import gevent
 import xxhash
@@ -16,6 +15,7 @@
     LogWriter,
     NoEffect,
     NotWritten,
+    RecordReader,
     Replayed,
     Unknown,
 )
@@ -24,12 +24,11 @@
 )
 from lycheeloom.model import records as r
 from lycheeloom.model.limits import MAX_ANSWER_BYTES
-from lycheeloom.model.records import Batch, Outcome, Record
+from lycheeloom.model.records import Outcome, Record
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
-from lycheeloom.platform import LogClient, ReadBatches
+from lycheeloom.platform import LogClient
 from lycheeloom.state import RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
-from lycheeloom.wire import decode_batch
 
 from .dispatch import Dispatcher
 from .jobs import Job, JobTable, Submission
@@ -60,7 +59,7 @@
         self.dispatcher: Dispatcher | None = None
         self._tail = tail
         self._writer = writer
-        self._log_client = log_client
+        self._reader = RecordReader(tail, log_client)
         self._jobs = jobs
         self._incarnation = incarnation
         self._may_run = may_run
@@ -201,9 +200,7 @@
 
     def read_answer(self, request: RecordedRequest) -> bytes | None:
         """Return the whole answer of a finished request, or None for now."""
-        record = self._find_record(
-            request.answer_offset, r.RequestFinished, request.request_id
-        )
+        record = self._reader.finish(request.answer_offset, request.request_id)
         return record.answer if record is not None else None
 
     def reassign(self) -> None:
@@ -288,9 +285,7 @@
             self.dispatcher.cancel(job)
 
     def _take_over(self, request: RecordedRequest) -> None:
-        submitted = self._find_record(
-            request.body_offset, r.RequestSubmitted, request.request_id
-        )
+        submitted = self._reader.submission(request.body_offset, request.request_id)
         if submitted is None:
             log_event("body_unavailable", "WARNING", request=request.request_id)
             gevent.sleep(RETRY_INTERVAL_S)
@@ -347,22 +342,6 @@
                 return outcome
             gevent.sleep(RETRY_INTERVAL_S)
 
-    def _find_record(
-        self, offset: int | None, kind: type[Record], request_id: str
-    ) -> Any:
-        if offset is None:
-            return None
-        encoded = self._tail.ring.read(offset, 1)
-        if not encoded:
-            answer = self._log_client.read(offset, 1, 0.0)
-            if not isinstance(answer, ReadBatches) or answer.first != offset:
-                return None
-            encoded = answer.batches
-        for record in _records(encoded):
-            if isinstance(record, kind) and record.request_id == request_id:
-                return record
-        return None
-
 
 def _restore_submission(request: RecordedRequest, payload: bytes) -> Submission:
     return Submission(
@@ -389,13 +368,6 @@
     )
 
 
-def _records(encoded: tuple[bytes, ...]) -> Iterator[Record]:
-    for data in encoded[:1]:
-        batch = decode_batch(data)
-        if isinstance(batch, Batch):
-            yield from batch.records
-
-
 def _doubtful(request_id: str, attempt: int, message: str) -> r.RequestFinished:
     return r.RequestFinished(
         request_id, attempt, Outcome.MAY_HAVE_RUN, message.encode()
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -10,6 +10,7 @@
     Priority,
     Unknown,
 )
+from .record_reader import RecordReader
 from .recovery import RecoveryFailed, recover
 from .ring import BatchRing
 from .snapshot_reader import SnapshotReader
@@ -29,6 +30,7 @@
     "Outcome",
     "Pending",
     "Priority",
+    "RecordReader",
     "RecoveryFailed",
     "Replayed",
     "SnapshotPolicy",
