--- a/libs/controller/src/lycheeloom/controller/metrics.py
+++ b/libs/controller/src/lycheeloom/controller/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import CollectorRegistry, Gauge, ProcessCollector
 
 from lycheeloom.fleet import FleetView, Planner
+from lycheeloom.fleet.buffers import wanted_buffer
 from lycheeloom.fleet.waves import is_maintained
 from lycheeloom.model.records import Duty, Health, MoveStage, WaveState
 
@@ -77,10 +78,7 @@
     def _set_pools(self, view: FleetView, planner: Planner) -> None:
         out_by_pool = planner.out_by_pool()
         sizes = Counter(view.pool_by_instance.values())
-        wanted = sum(
-            max(0, (need.least or need.present) - need.needed)
-            for need in planner.buffer_plan.needs
-        )
+        wanted = wanted_buffer(planner.buffer_plan.needs)
         spare_pools = [p.id for p in view.config.pool_by_id.values() if p.spare]
         for name, pool in view.config.pool_by_id.items():
             out = out_by_pool.get(name, 0)
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -7,8 +7,9 @@
 from collections import Counter
 
 from lycheeloom.cluster import Freshness, PeerMesh
+from lycheeloom.fleet.buffers import plan_buffers, wanted_buffer
 from lycheeloom.log import LogTail
-from lycheeloom.model.config import FleetConfig
+from lycheeloom.model.config import FleetConfig, ZoneState
 from lycheeloom.model.limits import SILENCE_S
 from lycheeloom.model.records import MoveStage, WaveState
 from lycheeloom.model.resources import NO_RESOURCES, Resources
@@ -48,9 +49,10 @@
         self._scheduler = scheduler
         self._jobs = jobs
         self._watch = watch
-        # The sum over all instances is needed every second.
+        # Sums over all instances, taken once for each configuration.
         self._sized_config: FleetConfig | None = None
         self._fleet_size = NO_RESOURCES
+        self._wanted_buffer = 0
 
     def build(self, instance: str, zone: str, version: str) -> StatusDocument:
         """Return the status as of now."""
@@ -120,13 +122,19 @@
 
     def fleet_size(self) -> Resources:
         """Return the resources of all configured instances."""
-        config = self._tail.state.config
-        if config is not self._sized_config:
-            self._sized_config = config
-            sizes = (item.size for item in config.instance_by_id.values())
-            self._fleet_size = sum(sizes, NO_RESOURCES)
+        self._size_fleet()
         return self._fleet_size
 
+    def _size_fleet(self) -> None:
+        state = self._tail.state
+        if state.config is self._sized_config:
+            return
+        self._sized_config = state.config
+        instances = state.config.instance_by_id.values()
+        self._fleet_size = sum((item.size for item in instances), NO_RESOURCES)
+        plan = plan_buffers(state.config, state.maintenance.pool_by_instance)
+        self._wanted_buffer = wanted_buffer(plan.needs)
+
     def _teams(self) -> dict[str, TeamStatus]:
         state = self._tail.state
         usage_by_team = self.fleet_usage()
@@ -181,7 +189,7 @@
         in_service: Counter[str] = Counter()
         for instance in config.instance_by_id.values():
             workers[instance.zone] += 1
-            in_service[instance.zone] += self._watch.is_in_service(instance.id)
+            in_service[instance.zone] += self._may_start_on(instance.id)
         return {
             zone_id: ZoneStatus(
                 region=zone.region,
@@ -192,13 +200,22 @@
             for zone_id, zone in config.zone_by_id.items()
         }
 
+    def _may_start_on(self, instance_id: str) -> bool:
+        config = self._tail.state.config
+        instance = config.instance_by_id.get(instance_id)
+        if instance is None or not self._watch.is_in_service(instance_id):
+            return False
+        return config.zone_by_id[instance.zone].state is ZoneState.IN
+
     def _pools(self) -> dict[str, PoolStatus]:
         state = self._tail.state
         workers: Counter[str] = Counter()
         in_service: Counter[str] = Counter()
         for instance, pool in state.maintenance.pool_by_instance.items():
             workers[pool] += 1
-            in_service[pool] += self._watch.is_in_service(instance)
+            in_service[pool] += self._may_start_on(instance)
+        self._size_fleet()
+        spare_pools = sum(pool.spare for pool in state.config.pool_by_id.values())
         return {
             pool_id: PoolStatus(
                 workers=workers[pool_id],
@@ -206,6 +223,10 @@
                 needed=pool.needed,
                 buffer=max(0, in_service[pool_id] - pool.needed),
                 unavailable=workers[pool_id] - in_service[pool_id],
+                # Spare pools share what the fleet wants.
+                buffer_wanted=(
+                    -(-self._wanted_buffer // spare_pools) if pool.spare else 0
+                ),
                 max_unavailable=pool.max_unavailable,
                 spare=pool.spare,
             )
--- a/libs/entry/src/lycheeloom/entry/status_page.tpl
+++ b/libs/entry/src/lycheeloom/entry/status_page.tpl
@@ -6,12 +6,13 @@
 <meta http-equiv="refresh" content="5">
 <title>{{status.name}} on {{status.instance or status.incarnation}}</title>
 <style>
-body { font: 15px/1.4 system-ui, sans-serif; margin: 0 auto; max-width: 60em; padding: 8px; color: #222; background: #fff; overflow-wrap: anywhere; }
+body { font: 15px/1.4 system-ui, sans-serif; margin: 0 auto; max-width: 60em; padding: 8px; color: #222; background: #fff; overflow-wrap: break-word; }
 h1 { font-size: 1.3em; margin: 0.2em 0; }
 h2 { font-size: 1.1em; margin: 1.2em 0 0.3em; }
-table { border-collapse: collapse; width: 100%; font-size: 0.9em; }
-th, td { text-align: right; padding: 3px 4px; border-bottom: 1px solid #ddd; font-variant-numeric: tabular-nums; }
+table { border-collapse: collapse; width: 100%; font-size: 0.85em; }
+th, td { text-align: right; padding: 3px 3px; border-bottom: 1px solid #ddd; font-variant-numeric: tabular-nums; }
 th:first-child, td:first-child { text-align: left; }
+td + td { white-space: nowrap; }
 th { font-weight: 600; color: #555; overflow-wrap: normal; }
 ul.warnings { list-style: none; padding: 0; }
 ul.warnings li { background: #fff3d6; border-left: 4px solid #c77700; padding: 6px 8px; margin: 4px 0; }
--- a/libs/fleet/src/lycheeloom/fleet/buffers.py
+++ b/libs/fleet/src/lycheeloom/fleet/buffers.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from lycheeloom.model.config import FleetConfig
@@ -37,6 +37,7 @@
     "least_in_service",
     "least_layout",
     "plan_buffers",
+    "wanted_buffer",
 ]
 
 
@@ -58,6 +59,11 @@
     return BufferPlanner(config).plan(pool_by_instance, unusable)
 
 
+def wanted_buffer(needs: Iterable[SizeNeed]) -> int:
+    """Return how many instances beyond the need cover the loss of any one place."""
+    return sum(max(0, (need.least or need.present) - need.needed) for need in needs)
+
+
 class BufferPlanner:
     """Plans the fewest moves that cover every need, over the whole fleet.
 
