Try workers on probation with any task when none is left for normal work

Cause: only idempotent tasks were used as trials. After all workers had failed their tasks for a moment, work that runs at most once never started again unless an idempotent task came by. Ruled out: trials while other workers, lent ones included, still do the work; they stay limited to idempotent tasks. Before: 0 of 8 tasks ended in libs/sched/tests/test_placement.py, test_pool_on_probation_returns_without_idempotent_work; after: all 8.

--- a/libs/sched/src/lycheeloom/sched/trials.py
+++ b/libs/sched/src/lycheeloom/sched/trials.py
@@ -10,8 +10,9 @@
 class Trials:
     """Chooses a task for each worker on probation whose backoff has ended.
 
-    Only idempotent tasks are used, because a trial is likely to fail and a
-    task that is not idempotent could not be repeated.
+    Idempotent tasks are used, because a trial is likely to fail and a task that
+    is not idempotent could not be repeated. Others are used only while no
+    worker is left for normal work, as they would wait for good.
     """
 
     def __init__(self, state: SchedulerState) -> None:
@@ -46,12 +47,13 @@
 
     def _start_on(self, worker: Worker, now: float) -> Decision | None:
         state = self._state
+        is_only_choice = self._is_only_choice()
         for team, lanes in state.queues.lanes_by_team(worker.pool).items():
             if not state.may_run(team):
                 continue
             for lane in list(lanes.values()):
                 for size_class, record in lane.heads():
-                    if not record.task.idempotent:
+                    if not (record.task.idempotent or is_only_choice):
                         continue
                     if worker.id in state.excluded(record, now):
                         continue
@@ -62,3 +64,11 @@
                     state.queues.take(lane, size_class)
                     return state.start(record, worker, need, now)
         return None
+
+    def _is_only_choice(self) -> bool:
+        """Tell whether no worker is left for normal work."""
+        workers = self._state.workers
+        return not any(
+            workers.usable_for_reserved(worker)
+            for worker in workers.worker_by_id.values()
+        )
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -277,3 +277,45 @@
     assert "running slots" in str(scheduler.explain("t0-q-2")[-1])
     assert "Started on main-0" in str(scheduler.explain("t0-q-0")[-1])
     assert "runs 2 of 2" in str(scheduler.explain_team("t0")[0])
+
+
+def test_pool_on_probation_returns_without_idempotent_work():
+    """Guards against work that is not idempotent and waits for good.
+
+    The only worker failed every task for a moment; no idempotent task came since.
+    """
+    scheduler = make_scheduler(make_config(workers=1))
+    scheduler.observe_worker("other-0", False, None, "boot", 0.0)
+    fail_until_on_probation(scheduler)
+    submit(scheduler, 8, now=1.0, prefix="booking-")
+    done = 0
+    for now in range(1, 60):
+        for start in starts(scheduler, float(now)):
+            scheduler.finished(start.task.id, Outcome.DONE, float(now))
+            done += 1
+    assert done == 8
+
+
+def test_trials_are_idempotent_while_others_can_do_the_work():
+    """Guards against bookings spent on a worker that is likely to fail them."""
+    scheduler = make_scheduler(make_config(workers=1, spare=1))
+    fail_until_on_probation(scheduler)
+    submit(scheduler, 8, now=1.0, prefix="booking-")
+    workers = set()
+    for now in range(1, 60):
+        for start in starts(scheduler, float(now)):
+            workers.add(start.worker)
+            scheduler.finished(start.task.id, Outcome.DONE, float(now))
+    assert workers == {"spare-0", "other-0"}
+
+
+def fail_until_on_probation(scheduler):
+    """Fail every lookup on the worker of the main pool."""
+    submit(scheduler, 8, prefix="lookup-", idempotent=True)
+    for _ in range(8):
+        for start in reversed(starts(scheduler, 0.0)):
+            is_bad = start.worker.startswith("main")
+            outcome = Outcome.FAILED if is_bad else Outcome.DONE
+            scheduler.finished(start.task.id, outcome, 0.0)
+    events = [e for e in scheduler.fleet_events() if isinstance(e, WorkerOnProbation)]
+    assert [event.worker for event in events] == ["main-0"]
