--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -26,8 +26,11 @@
 
 @pytest.fixture
 def key(world):
-    """A key of team red that only this test uses."""
-    return world.grant_key("red")
+    """A key of team red that only this test uses, in force on every entry."""
+    key = world.grant_key("red")
+    version = world.notes.publications[-1].version
+    wait_until(lambda: in_force_everywhere(world, version))
+    return key
 
 
 @pytest.fixture
