Reserve earlier, and weigh task steps by size

A reservation now waits for a quarter of the expected drain instead of all of it, and the step added to a team's level is that of its size-weighted task.

--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -18,16 +18,18 @@
 from .tasks import Decision, Task, TaskRecord, TaskState
 from .workers import Worker
 
-# A task that smaller ones have passed gets a reservation once it has waited as
-# long as the reserved worker will take to make room, and at the latest after
-# this time. So small tasks, for which little is kept idle, get one early.
+# A task that smaller ones have passed gets a reservation once it has waited for
+# this part of the time that the worker will take to make room, and at the latest
+# after ``RESERVE_AFTER_S``. So small tasks, for which little is kept idle, get
+# one early.
+RESERVE_WAIT_PART = 0.25
 RESERVE_AFTER_S = 2.0
 # The reserved room is at most this part of a pool, and at least one worker.
 MAX_RESERVED_PART = 0.1
 # The time after which tasks of other entries on a worker are assumed to end.
 UNKNOWN_END_S = 10.0
 # The search looks at every worker of a pool; this bounds its cost.
-TRY_INTERVAL_S = 0.002
+TRY_INTERVAL_S = 0.0005
 PUBLISH_AFTER_S = 1.0
 # Reservations whose task is gone are dropped within this time.
 CHECK_INTERVAL_S = 0.5
@@ -160,7 +162,10 @@
             at = expected_room_at(worker, need, now)
             if best is None or (at, worker.id) < best:
                 best = (at, worker.id)
-        if best is None or now - passed_at < min(RESERVE_AFTER_S, best[0] - now):
+        if best is None:
+            return
+        wait_s = min(RESERVE_AFTER_S, RESERVE_WAIT_PART * (best[0] - now))
+        if now - passed_at < wait_s:
             return
         worker = self._state.workers.worker_by_id[best[1]]
         part = need.dominant_share(worker.size)
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -15,6 +15,8 @@
 # Levels are compared in steps of this fraction of a team's fair share; within
 # a step the decaying memory of past use decides.
 LEVEL_STEP = 0.002
+# Weight of the newest task in the moving mean of task sizes.
+TASK_MEAN_WEIGHT = 0.05
 # Weight of callers of an open queue that belong to no configured team.
 OPEN_WEIGHT = 1.0
 
@@ -30,7 +32,9 @@
     running: int = 0
     # Resources run by peers at the last exchange.
     peers: Resources = NO_RESOURCES
+    # Moving means of the dominant share of a task and of its square.
     task_share: float = 0.0
+    task_square: float = 0.0
     past_use: float = 0.0
     past_use_at: float = 0.0
     share: float = 0.0
@@ -98,8 +102,9 @@
         state = self._state(team)
         state.running += 1
         share = need.dominant_share(self._total)
-        weight = 0.1 if state.task_share else 1.0
+        weight = TASK_MEAN_WEIGHT if state.task_share else 1.0
         state.task_share += weight * (share - state.task_share)
+        state.task_square += weight * (share * share - state.task_square)
         self._add(state, need, 1, now)
 
     def ended(self, team: str, need: Resources, now: float) -> None:
@@ -147,9 +152,11 @@
         state.past_use_at = now
         state.share = self._used(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
-        # Half of a task is added so that teams with large tasks, which move in
-        # large steps, are not above their share on average.
-        level = (state.share + state.task_share / 2) / fair
+        # Running shares move in steps of a task, of which half is added so that
+        # teams with large tasks are not above their share on average. Large
+        # tasks make up more of the steps than their number tells.
+        step = state.task_square / state.task_share if state.task_share else 0.0
+        level = (state.share + step / 2) / fair
         state.level = (math.floor(level / LEVEL_STEP), state.past_use / fair)
 
     def _used(self, state: _TeamState) -> Resources:
