--- a/bench/processes_controller.py
+++ b/bench/processes_controller.py
@@ -1,4 +1,4 @@
-"""Cost of a controller while nothing happens and while a wave runs."""
+"""Cost of a controller, and of an entry whose workers all answer and are listed."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from lycheeloom.model.records import WaveState
 from lycheeloom.operator import WaveChanged
 
+from .processes_cost import measure_window as entry_window
 from .processes_entry import MARK
 from .processes_stats import fit_line, machine_load
 from .processes_world import SHAPES, World, cpu_s, running_world
@@ -23,7 +24,9 @@
 SIZES = (30, 300, 1000)
 SETTLE_S = 8.0
 WINDOW_S = 15.0
+ENTRY_FIGURES = ("cpu_percent", "workers_bytes_per_s", "instances_bytes_per_s")
 FITTED = ("idle_cpu_percent", "wave_cpu_percent", "memory_mb", "idle_bytes_per_s")
+FITTED += ("wave_bytes_per_s", "entry_cpu_percent", "entry_instances_bytes_per_s")
 
 
 def measure() -> dict:
@@ -47,10 +50,12 @@
 def _measure_size(workers: int) -> dict:
     shape = replace(SHAPES[30], workers=workers, served=workers)
     shape = replace(shape, pools=max(5, workers // 36))
-    with running_world(shape, 1) as world:
+    with running_world(shape, 1, counting=True) as world:
+        row = {"workers": workers, "load": machine_load()}
+        entry = entry_window(world, lambda: gevent.sleep(WINDOW_S))
+        row |= {f"entry_{name}": entry[name] for name in ENTRY_FIGURES}
         controller = _start(world)
         gevent.sleep(SETTLE_S)
-        row = {"workers": workers, "load": machine_load()}
         row |= _window(world, controller, "idle")
         result = world.operator().command_wave("bench", WaveState.RUNNING)
         if not isinstance(result, WaveChanged):
--- a/bench/processes_cost.py
+++ b/bench/processes_cost.py
@@ -7,6 +7,7 @@
 import statistics
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import gevent
 import psutil
@@ -38,15 +39,15 @@
 def _measure_fleet(workers: int, entries: int) -> dict:
     with running_world(SHAPES[workers], entries, counting=True) as world:
         row = {"workers": workers, "entries": entries, "load": machine_load()}
-        idle = _window(world, lambda: gevent.sleep(WINDOW_S))
+        idle = measure_window(world, lambda: gevent.sleep(WINDOW_S))
         row |= {f"idle_{name}": value for name, value in idle.items()}
-        loaded = _window(world, lambda: _load(world))
+        loaded = measure_window(world, lambda: _load(world))
         row |= {f"loaded_{name}": value for name, value in loaded.items()}
         row["operator_change_s"] = round(_operator_change_s(world), 2)
         operator = world.operator(hands_over=False)
         operator.refresh()
         publisher = Publisher(world.log(), operator.version)
-        changed = _window(world, lambda: _change(world, publisher))
+        changed = measure_window(world, lambda: _change(world, publisher))
         extra = (changed["cpu_percent"] - idle["cpu_percent"]) / 100
         row["change_cpu_ms"] = round(extra * changed["seconds"] * 1000 / CHANGES, 1)
         share = row["change_cpu_ms"] / 1000 * CHANGES_PER_DAY / 86_400 * 100
@@ -61,7 +62,8 @@
         return row
 
 
-def _window(world: World, work) -> dict:
+def measure_window(world: World, work: Callable[[], object]) -> dict:
+    """Return what the entries used on average while ``work`` went on."""
     bytes_before = _bytes_by_kind(world)
     cpu_before, began_at = world.cpu_s(), time.monotonic()
     work()
