--- a/bench/processes_config.py
+++ b/bench/processes_config.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import gevent
+from demo.processes import HANDOVER_TOKEN
 
 from lycheeloom.model.records import Batch, ConfigChanged
 from lycheeloom.platform import Appended, LogClient, Response, Transport
@@ -134,9 +135,12 @@
 def _has_replayed(transport: Transport, address: str, offset: int) -> bool:
     # The configuration is adopted in the same step as its record is replayed.
     body = json.dumps({"offset": NEVER_REACHED_OFFSET, "batches": []}).encode()
-    answer = transport.call(address, "POST", "/v1/records", body=body, timeout_s=10)
+    headers = {"Authorization": f"Bearer {HANDOVER_TOKEN}"}
+    answer = transport.call(
+        address, "POST", "/v1/records", body=body, headers=headers, timeout_s=10
+    )
     if not isinstance(answer, Response) or answer.status != 200:
-        return False
+        raise RuntimeError(f"entry {address}: {answer}")
     return json.loads(answer.body)["next_offset"] > offset
 
 
