Tell peers which requests wait for capacity and which workers are reserved

The scheduler leaves freed capacity and reserved workers to peers, but heartbeats carried neither, so between real entries this part was without effect.

--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -70,6 +70,7 @@
         self.draining = False
         self.traffic = Traffic()
         self.usage_by_team: dict[str, TeamUsage] = {}
+        self.reserved_workers: tuple[str, ...] = ()
         # Members that this process votes against; it does not confirm them.
         self.withheld: set[str] = set()
         self._freshness = freshness
@@ -112,6 +113,16 @@
             if members.is_active(peer)
         }
 
+    def workers_reserved_by_peers(self) -> frozenset[str]:
+        """Return the workers that peers need for large or urgent tasks."""
+        members = self.tail.state.members
+        return frozenset(
+            worker
+            for peer, view in self._view_by_peer.items()
+            if members.is_active(peer)
+            for worker in view.usage.reserved_workers
+        )
+
     def log_age_s(self) -> float:
         """Return the time since the last successful log read was sent."""
         return self.clock() - self.tail.last_read_sent_at
@@ -147,6 +158,7 @@
             self.draining,
             usage,
             complete,
+            self.reserved_workers,
         )
 
     def take_answer(
--- a/libs/cluster/src/lycheeloom/cluster/usage.py
+++ b/libs/cluster/src/lycheeloom/cluster/usage.py
@@ -57,6 +57,7 @@
 
     def __init__(self) -> None:
         self.usage_by_team: dict[str, TeamUsage] = {}
+        self.reserved_workers: tuple[str, ...] = ()
         self._newest_sent_us = 0
 
     def take(self, heartbeat: Heartbeat) -> None:
@@ -66,6 +67,7 @@
         if heartbeat.sent_us <= self._newest_sent_us:
             return
         self._newest_sent_us = heartbeat.sent_us
+        self.reserved_workers = heartbeat.reserved_workers
         if heartbeat.complete:
             self.usage_by_team = _in_use(heartbeat.usage)
             return
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -205,3 +205,13 @@
     assert view.usage_by_team == all_changed
     view.take(Heartbeat(1, 0, 0, 0, False, (TeamUsage("late", 1, 1),)))
     assert "late" not in view.usage_by_team
+
+
+def test_reserved_workers_follow_the_newest_heartbeat():
+    """Capacity that a peer no longer reserves must become usable again."""
+    view = UsageView()
+    view.take(Heartbeat(2, 0, 0, 0, reserved_workers=("w1",)))
+    view.take(Heartbeat(1, 0, 0, 0, reserved_workers=("w0",)))
+    assert view.reserved_workers == ("w1",)
+    view.take(Heartbeat(3, 0, 0, 0))
+    assert view.reserved_workers == ()
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -35,7 +35,7 @@
 from lycheeloom.sched import TeamUsage as PeerTeamUsage
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import Tracer, log_event
-from lycheeloom.wire import TeamUsage
+from lycheeloom.wire import QueueCount, TeamUsage
 
 from .attempt import AttemptRunner, Placement
 from .dispatch import Dispatcher
@@ -344,14 +344,21 @@
                 usage.running.cores,
                 usage.running.memory_mb,
                 usage.running.accelerators,
+                tuple(
+                    QueueCount(queue, count)
+                    for queue, count in usage.queued_by_queue.items()
+                    if count
+                ),
             )
             for team, usage in self.scheduler.usage_by_team().items()
         }
+        self.mesh.reserved_workers = self.scheduler.reserved_workers()
         self.scheduler.set_peer_usage(
             {
                 peer: {team: _from_wire(usage) for team, usage in by_team.items()}
                 for peer, by_team in self.mesh.usage_by_peer().items()
-            }
+            },
+            self.mesh.workers_reserved_by_peers(),
         )
 
     def _run_metrics(self) -> None:
@@ -411,4 +418,5 @@
 
 def _from_wire(usage: TeamUsage) -> PeerTeamUsage:
     running = Resources(usage.cores, usage.memory_mb, usage.accelerators)
-    return PeerTeamUsage(running, usage.queued)
+    startable = {item.queue: item.count for item in usage.startable}
+    return PeerTeamUsage(running, usage.queued, startable)
--- a/libs/wire/src/lycheeloom/wire/peers.capnp
+++ b/libs/wire/src/lycheeloom/wire/peers.capnp
@@ -23,6 +23,8 @@
   # Only changed entries; complete at least every 10 s.
   usage @5 :List(TeamUsage);
   complete @6 :Bool;
+  # Workers that the sender's large or urgent tasks wait for.
+  reservedWorkers @7 :List(Text);
 }
 
 struct TeamUsage {
@@ -32,6 +34,13 @@
   cores @3 :Float32;
   memoryMb @4 :UInt64;
   accelerators @5 :UInt32;
+  # Requests that the sender could start if it had the capacity.
+  startable @6 :List(QueueCount);
+}
+
+struct QueueCount {
+  queue @0 :Text;
+  count @1 :UInt32;
 }
 
 struct RecordRelay {
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -13,9 +13,20 @@
 _SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
 
 
+@dataclass(frozen=True, slots=True)
+class QueueCount:
+    """How many requests of a team wait in one queue."""
+
+    queue: str
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class TeamUsage:
-    """What one team runs and has queued on the sender."""
+    """What one team runs and has queued on the sender.
+
+    ``startable`` counts only requests that the sender's grant lets it start.
+    """
 
     team: str
     running: int
@@ -23,6 +34,7 @@
     cores: float = 0.0
     memory_mb: int = 0
     accelerators: int = 0
+    startable: tuple[QueueCount, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +48,7 @@
     draining: bool = False
     usage: tuple[TeamUsage, ...] = ()
     complete: bool = False
+    reserved_workers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -11,6 +11,7 @@
     BadPeerMessage,
     Heartbeat,
     PeerMessage,
+    QueueCount,
     RangeRequest,
     RecordRelay,
     TeamUsage,
@@ -56,7 +57,16 @@
 @pytest.mark.parametrize(
     "body",
     [
-        Heartbeat(1, 2, 3, 4, True, (TeamUsage("t", 1, 2, 0.5, 3, 1),), True),
+        Heartbeat(
+            1,
+            2,
+            3,
+            4,
+            True,
+            (TeamUsage("t", 1, 2, 0.5, 3, 1, (QueueCount("q", 2),)),),
+            True,
+            ("w1", "w2"),
+        ),
         RecordRelay(5, (b"a", b"")),
         RangeRequest(6),
     ],
