--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -241,6 +241,8 @@
         gc.freeze()
         gc.set_threshold(GC_ALLOCATIONS)
         self._adopt_config()
+        for worker in self.tail.state.maintenance.health_by_instance:
+            self.watch.apply_health(worker)
         self.tail.start()
         self.writer.start()
         self.mesh.start(*split_address(self.settings.peer_listen))
@@ -275,8 +277,11 @@
         kinds = {type(record) for record in replayed.batch.records}
         if ConfigChanged in kinds:
             self._adopt_config()
-        elif kinds & {MoveStep, InstanceHealth}:
+        elif MoveStep in kinds:
             self._adopt_pools()
+        for record in replayed.batch.records:
+            if isinstance(record, InstanceHealth):
+                self.watch.apply_health(record.instance)
         self.grants.refresh()
 
     def _adopt_config(self) -> None:
--- a/libs/entry/src/lycheeloom/entry/worker_watch.py
+++ b/libs/entry/src/lycheeloom/entry/worker_watch.py
@@ -104,6 +104,17 @@
             if not self.may_serve(worker):
                 self._mark_unavailable(worker)
 
+    def apply_health(self, worker: str) -> None:
+        """Follow the controller's decision about the health of a worker."""
+        state = self._tail.state.maintenance.health_by_instance.get(worker)
+        if state is None:
+            return
+        if state.health in (Health.PROBATION, Health.IN_SERVICE):
+            is_on_probation = state.health is Health.PROBATION
+            self._scheduler.set_probation(worker, is_on_probation, time.monotonic())
+        if not self.may_serve(worker):
+            self._mark_unavailable(worker)
+
     def run(self) -> None:
         """Probe all workers in turn until stopped."""
         pool = gevent.pool.Pool(MAX_PROBES)
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -89,6 +89,26 @@
         record.next_trial_at = now + record.backoff_s
         return True
 
+    def put(self, worker: str, now: float) -> bool:
+        """Put a worker on probation for another reason than failed tasks here.
+
+        Tells whether that is new; trials may begin at once.
+        """
+        record = self._record_by_worker.setdefault(worker, _Record())
+        if record.on_probation:
+            return False
+        record.on_probation = True
+        record.next_trial_at = now
+        return True
+
+    def end(self, worker: str) -> bool:
+        """End the probation of a worker; tells whether it was on probation."""
+        record = self._record_by_worker.get(worker)
+        if record is None or not record.on_probation:
+            return False
+        del self._record_by_worker[worker]
+        return True
+
     def abandoned(self, worker: str, task_id: str) -> None:
         """Forget a trial that ended without saying anything on the worker."""
         record = self._record_by_worker.get(worker)
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -124,6 +124,19 @@
                 state.fleet_events.append(event)
         state.workers.observe(worker, available, free, now)
 
+    def set_probation(self, worker_id: str, on_probation: bool, now: float) -> None:
+        """Follow a decision about a worker that was made for the whole fleet."""
+        worker = self._state.workers.worker_by_id.get(worker_id)
+        if worker is None:
+            return
+        probation = self._state.probation
+        if on_probation and probation.put(worker_id, now):
+            self._trials.enter(worker, now)
+            self._state.fleet_events.append(WorkerOnProbation(now, worker_id))
+        elif not on_probation and probation.end(worker_id):
+            self._trials.leave(worker, now)
+            self._state.fleet_events.append(WorkerReturned(now, worker_id))
+
     def set_grants(self, slots_by_team: Mapping[str, int]) -> None:
         """Set the running slots that this entry may use for each team."""
         state = self._state
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -319,3 +319,15 @@
             scheduler.finished(start.task.id, outcome, 0.0)
     events = [e for e in scheduler.fleet_events() if isinstance(e, WorkerOnProbation)]
     assert [event.worker for event in events] == ["main-0"]
+
+
+def test_worker_on_probation_by_decision_gets_single_trials():
+    """Guards against normal work on a worker that the controller distrusts."""
+    scheduler = make_scheduler(make_config(workers=1, spare=1))
+    scheduler.set_probation("main-0", True, 0.0)
+    submit(scheduler, 8, now=1.0, prefix="lookup-", idempotent=True)
+    workers = [start.worker for start in starts(scheduler, 1.0)]
+    assert workers.count("main-0") == 1
+    scheduler.set_probation("main-0", False, 2.0)
+    submit(scheduler, 8, now=2.0, prefix="more-", idempotent=True)
+    assert [s.worker for s in starts(scheduler, 2.0)].count("main-0") > 1
