Run both users' fleets in the demonstration, with a limit that binds

Ports are taken below the range of outgoing connections: a run failed when one of them took an entry's port first.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,8 +1,9 @@
-"""The main job: a whole fleet on one machine, with failures, in under a minute.
+"""The main job: two fleets on one machine, with failures, in under a minute.
 
-Starts stand-ins for the platform and 6 entries over 3 availability zones, sends
-requests of several teams, revokes a key, takes a zone out and back, kills an
-entry and replaces it. Exits with 1 if a count that must be zero is not.
+For each fleet it starts stand-ins for the platform and 6 entries over 3
+availability zones, sends requests of several teams, revokes a key, takes a zone
+out and back, kills an entry and replaces it. Exits with 1 if a count that must be
+zero is not.
 """
 
 from __future__ import annotations
@@ -33,12 +34,15 @@
 
 from .callers import Callers, Work  # noqa: E402
 from .processes import HANDOVER_TOKEN, Fleet, Program, running_fleet  # noqa: E402
-from .verdicts import Line, ZoneOut, check  # noqa: E402
+from .verdicts import Line, ZoneOut, check, peak_by_team  # noqa: E402
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
+CONFIGS = [EXAMPLES / "user-a.toml", EXAMPLES / "user-b.toml"]
 ENTRIES_PER_ZONE = 2
-CALLS_PER_S = 60
-OVERNIGHT_REQUESTS = 60
+CALLS_PER_S = 40
+OVERNIGHT_REQUESTS = 40
+# One team gets an upper limit below what it wants to run.
+LOW_LIMIT = 4
 LOAD_S = 26.0
 REVOKE_AT_S = 4.0
 ZONE_OUT_AT_S = 7.0
@@ -72,6 +76,8 @@
             raise SystemExit(str(file))
         for name, instance in file.document["instances"].items():
             instance["address"] = platform.workers[name]
+        limited = list(file.document["teams"])[1]
+        file.document["teams"][limited]["upper_limit"] = LOW_LIMIT
         return file.document
 
     def _operator(self) -> Operator:
@@ -81,6 +87,10 @@
     def _addresses(self) -> list[str]:
         return [program.address for program in self.entries]
 
+    def tell(self, text: str) -> None:
+        """Print one line of the story."""
+        print(f"{self.document['name']}: {text}", flush=True)
+
     def start(self) -> None:
         """Publish the configuration, start the entries and grant the keys."""
         result = self.operator.publish(self.document, 0, accept_warnings=True)
@@ -89,7 +99,7 @@
             zone = self.zones[index % len(self.zones)]
             self.entries.append(self.fleet.start_entry(f"entry-{index + 1}", zone))
         ready_s = self.fleet.wait_ready(self.entries)
-        tell(f"{len(self.entries)} entries are ready after {ready_s:.1f} s")
+        self.tell(f"{len(self.entries)} entries are ready after {ready_s:.1f} s")
         self.operator = self._operator()
         tokens = {}
 
@@ -110,7 +120,9 @@
         in_force = self.operator.wait_in_force(result.version, 10)
         took_s = time.monotonic() - accepted_at
         state = "everywhere" if isinstance(in_force, InForce) else "not everywhere"
-        tell(f"{text}: version {result.version}, in force {state} after {took_s:.2f} s")
+        self.tell(
+            f"{text}: version {result.version}, in force {state} after {took_s:.2f} s"
+        )
         return accepted_at
 
     def run_events(self) -> None:
@@ -134,12 +146,12 @@
         self._sleep_until(began_at + KILL_AT_S)
         victim = self.entries[0]
         victim.kill()
-        tell(f"killed {victim.name}")
+        self.tell(f"killed {victim.name}")
         self._sleep_until(began_at + REPLACE_AT_S)
         replacement = self.fleet.start_entry(victim.name, zone)
         ready_s = self.fleet.wait_ready([replacement])
         self.entries[0] = replacement
-        tell(f"replaced {victim.name}, ready after {ready_s:.1f} s")
+        self.tell(f"replaced {victim.name}, ready after {ready_s:.1f} s")
         self.operator = self._operator()
 
     def run_load(self) -> None:
@@ -162,13 +174,16 @@
         limits = {
             team: self.document["teams"][team]["upper_limit"] for team in self.teams
         }
-        return check(
+        lines = check(
             self.callers.calls,
             ledger,
             limits,
             self.zone_outs,
             self.revoked_at_by_team,
         )
+        peak = peak_by_team(ledger).get(self.teams[1], 0)
+        name = f"most running of the team with limit {LOW_LIMIT}"
+        return [*lines, Line(name, peak, LOW_LIMIT)]
 
     def _sleep_until(self, at: float) -> None:
         gevent.sleep(max(0.0, at - time.monotonic()))
@@ -180,19 +195,10 @@
         raise SystemExit(f"expected {kind.__name__}, got {result}")
 
 
-def tell(text: str) -> None:
-    """Print one line of the story."""
-    print(text, flush=True)
-
-
-def main() -> int:
-    """Run the demonstration and return the exit status."""
-    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
-    parser.add_argument("--config", type=Path, default=EXAMPLES / "user-a.toml")
-    parser.add_argument("--seed", type=int, default=1)
-    arguments = parser.parse_args()
+def run_fleet(config_path: Path, seed: int) -> list[Line]:
+    """Run the demonstration on one fleet and return its counts."""
     with running_fleet() as fleet:
-        demo = Demo(fleet, arguments.config, arguments.seed)
+        demo = Demo(fleet, config_path, seed)
         demo.start()
         load = gevent.spawn(demo.run_load)
         events = gevent.spawn(demo.run_events)
@@ -200,14 +206,38 @@
         lines = demo.finish()
         failed_stops = sum(entry.terminate() != 0 for entry in demo.entries)
     lines.append(Line("entries that did not shut down cleanly", failed_stops, 0))
+    return lines
+
+
+def print_result(lines_by_fleet: dict[str, list[Line]]) -> bool:
+    """Print the counts of all fleets and tell whether they are right."""
+    columns = list(lines_by_fleet.values())
     rows = [
-        (line.name, line.count, "" if line.wanted is None else line.wanted)
+        [lines[0].name, *(line.count for line in lines), lines[0].wanted]
+        for lines in zip(*columns, strict=True)
+    ]
+    print(tabulate(rows, headers=("what", *lines_by_fleet, "must be"), missingval=""))
+    wrong = [
+        f"{fleet}: {line.name}"
+        for fleet, lines in lines_by_fleet.items()
         for line in lines
+        if not line.is_right
     ]
-    print(tabulate(rows, headers=("what", "count", "must be")))
-    wrong = [line.name for line in lines if not line.is_right]
     print("all counts are right" if not wrong else f"wrong: {', '.join(wrong)}")
-    return 1 if wrong else 0
+    return not wrong
+
+
+def main() -> int:
+    """Run the demonstration and return the exit status."""
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--config", type=Path, nargs="+", default=CONFIGS)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    runs = [gevent.spawn(run_fleet, path, arguments.seed) for path in arguments.config]
+    gevent.joinall(runs, raise_error=True)
+    names = [path.stem for path in arguments.config]
+    lines_by_fleet = {name: run.get() for name, run in zip(names, runs, strict=True)}
+    return 0 if print_result(lines_by_fleet) else 1
 
 
 if __name__ == "__main__":
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,9 @@
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
 HANDOVER_TOKEN = "handover"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+_random = random.SystemRandom()
 
 
 @dataclass(slots=True)
@@ -179,8 +183,16 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        host, port = listener.getsockname()
-        return f"{host}:{port}"
+    """Return a loopback address with a port that is free now.
+
+    The port lies below those that the kernel gives to outgoing connections; one
+    of them could take it before the program listens.
+    """
+    while True:
+        port = _random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
--- a/libs/entry/src/lycheeloom/entry/main.py
+++ b/libs/entry/src/lycheeloom/entry/main.py
@@ -14,17 +14,21 @@
 
 import gevent  # noqa: E402
 
-from lycheeloom.telemetry import configure_logging  # noqa: E402
+from lycheeloom.telemetry import configure_logging, log_event  # noqa: E402
 
 from .service import PROGRAM_VERSION, EntryService  # noqa: E402
 from .settings import BadSettings, load_settings  # noqa: E402
 
 EXIT_OK = 0
+EXIT_CANNOT_LISTEN = 1
 EXIT_BAD_SETTINGS = 2
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Run an entry; returns 0 after a shutdown, 2 for bad settings."""
+    """Run an entry and return its exit code.
+
+    0 after a shutdown, 1 if it cannot listen, 2 for bad settings.
+    """
     options = _parse_arguments(arguments)
     settings = load_settings(options.settings)
     if isinstance(settings, BadSettings):
@@ -38,7 +42,12 @@
     service = EntryService(settings)
     gevent.signal_handler(signal.SIGTERM, service.stop)
     gevent.signal_handler(signal.SIGINT, service.stop)
-    service.run()
+    try:
+        service.run()
+    except OSError as error:
+        # Only listening can fail; every call has a result that says so.
+        log_event("cannot_listen", "ERROR", reason=str(error))
+        return EXIT_CANNOT_LISTEN
     return EXIT_OK
 
 
@@ -47,7 +56,7 @@
         prog="lycheeloom-entry",
         description="Accept requests of teams and run them on workers.",
         epilog="Example: lycheeloom-entry entry.toml. Exit codes: 0 after a "
-        "shutdown, 2 for bad settings.",
+        "shutdown, 1 if an address cannot be used, 2 for bad settings.",
     )
     parser.add_argument("settings", type=Path, help="TOML file with the settings")
     parser.add_argument(
