Carry a task's checkpoint with the release of its recorded request

Cause: a released request lost its checkpoint, so recorded requests that run at most once could not be checkpointed, and neither urgent work nor a zone taken out could make them give way. The release record and the state now carry it.

--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -345,6 +345,7 @@
     def _repeat(self, job: Job, worker: str) -> bool:
         # The attempt that is repeated has failed, or has not answered yet.
         job.may_have_started = True
+        job.copies += 1
         job.excluded_workers.add(worker)
         self._release_claim(job)
         return self._submit_again(job)
@@ -394,7 +395,7 @@
 
 
 def _task_id(job: Job) -> str:
-    return f"{job.id}#{len(job.excluded_workers)}"
+    return f"{job.id}#{job.copies}"
 
 
 def _request_id(task_id: str) -> str:
@@ -413,14 +414,6 @@
         deadline=submission.deadline if job.tries == 0 else None,
         idempotent=submission.idempotent,
         urgent=submission.urgent,
-        checkpointable=submission.checkpointable and not _is_once_recorded(job),
+        checkpointable=submission.checkpointable,
         excluded_workers=frozenset(job.excluded_workers),
     )
-
-
-def _is_once_recorded(job: Job) -> bool:
-    """Tell whether a release after a checkpoint could start the job afresh.
-
-    Another entry that takes the pending request over knows no checkpoint.
-    """
-    return job.is_recorded and not job.submission.idempotent
--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -36,7 +36,7 @@
         if recorded is not None:
             lines.extend(_describe_recorded(recorded))
         job = self._jobs.job_by_id.get(name)
-        retries = len(job.excluded_workers) if job is not None else 0
+        retries = job.copies if job is not None else 0
         for attempt in range(retries + 1):
             events = self._scheduler.explain(f"{name}#{attempt}")
             lines.extend(str(event) for event in events)
--- a/libs/entry/src/lycheeloom/entry/jobs.py
+++ b/libs/entry/src/lycheeloom/entry/jobs.py
@@ -56,6 +56,8 @@
     attempt: int = 0
     checkpoint: str = ""
     tries: int = 0
+    # Times that the job was submitted again beside an attempt or after it failed.
+    copies: int = 0
     excluded_workers: set[str] = field(default_factory=set)
     address_by_attempt: dict[int, str] = field(default_factory=dict)
     cancel_requested: bool = False
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -91,6 +91,7 @@
             resources=submission.resources,
             run_ms=round(submission.run_s * 1000),
             urgent=submission.urgent,
+            checkpointable=submission.checkpointable,
         )
         self._submission_by_id[submission.request_id] = submission
         if submission.wait:
@@ -150,7 +151,7 @@
         """Make a claimed request pending again before its next attempt."""
         if not self._is_own_claim(job.id, attempt):
             return True
-        outcome = self._write(r.RequestReleased(job.id, attempt))
+        outcome = self._write(r.RequestReleased(job.id, attempt, job.checkpoint))
         return isinstance(outcome, Effective)
 
     def record_verdict(self, job: Job) -> None:
@@ -308,7 +309,12 @@
         submission = self._submission_by_id.get(request.request_id)
         if submission is None:
             submission = _restore_submission(request, payload)
-        job = Job(submission, is_recorded=True, attempt=request.attempt)
+        job = Job(
+            submission,
+            is_recorded=True,
+            attempt=request.attempt,
+            checkpoint=request.checkpoint,
+        )
         refusal = self.dispatcher.submit(job)
         if refusal is None:
             return
@@ -355,6 +361,7 @@
         idempotent=request.idempotent,
         idempotency_key=request.idempotency_key,
         urgent=request.urgent,
+        checkpointable=request.checkpointable,
         wait=False,
     )
 
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -113,6 +113,8 @@
     match report.status:
         case TaskStatus.DONE:
             return r.RequestFinished(request_id, attempt, Outcome.RAN, report.answer)
+        case TaskStatus.CHECKPOINTED:
+            return r.RequestReleased(request_id, attempt, report.checkpoint)
         case TaskStatus.UNKNOWN if report.boot_id == request.worker_boot:
             # The worker never got the start, and would refuse it now.
             return release
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -141,6 +141,7 @@
     resources: Resources = NO_RESOURCES
     run_ms: int = 0
     urgent: bool = False
+    checkpointable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,10 +156,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReleased:
-    """The attempt did not run, or may be repeated; the request is pending."""
+    """The attempt did not run, or may be repeated; the request is pending.
+
+    With ``checkpoint`` the next attempt goes on where this one stopped.
+    """
 
     request_id: str
     attempt: int
+    checkpoint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -250,7 +250,7 @@
             case r.RequestReleased(request_id, attempt):
                 if not self._may_decide(author, request_id, attempt):
                     return False
-                return self.requests.release(request_id, attempt)
+                return self.requests.release(record)
             case r.RequestFinished(request_id, attempt):
                 if not self._may_decide(author, request_id, attempt):
                     return False
--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -14,6 +14,7 @@
     Outcome,
     RequestClaimed,
     RequestFinished,
+    RequestReleased,
     RequestSubmitted,
 )
 from lycheeloom.model.resources import Resources
@@ -43,6 +44,8 @@
     body_offset: int
     submitted_at: int
     submitted_by: str = ""
+    checkpointable: bool = False
+    checkpoint: str = ""
     status: RequestStatus = RequestStatus.PENDING
     attempt: int = 0
     holder: str = ""
@@ -93,6 +96,7 @@
             body_offset=offset,
             submitted_at=offset,
             submitted_by=author,
+            checkpointable=record.checkpointable,
         )
         self.pending[record.request_id] = None
         return True
@@ -113,11 +117,13 @@
         self.claimed[record.request_id] = None
         return True
 
-    def release(self, request_id: str, attempt: int) -> bool:
+    def release(self, record: RequestReleased) -> bool:
         """Make a claimed request pending again."""
-        request = self.find_claim(request_id, attempt)
+        request_id = record.request_id
+        request = self.find_claim(request_id, record.attempt)
         if request is None:
             return False
+        request.checkpoint = record.checkpoint or request.checkpoint
         request.status = RequestStatus.PENDING
         request.holder = ""
         del self.claimed[request_id]
--- a/libs/state/tests/test_fleet_state.py
+++ b/libs/state/tests/test_fleet_state.py
@@ -166,6 +166,16 @@
     assert log.state.requests.request_by_id["q1"].status is RequestStatus.FINISHED
 
 
+def test_checkpoint_is_kept_for_the_next_attempt(log):
+    """The entry that takes a released request over must go on, not start afresh."""
+    submit(log)
+    log.append("a", r.RequestClaimed("q1", 1, "w1", "boot"))
+    log.append("a", r.RequestReleased("q1", 1, "half"))
+    log.append("b", r.RequestClaimed("q1", 2, "w1", "boot"))
+    log.append("b", r.RequestReleased("q1", 2))
+    assert log.state.requests.request_by_id["q1"].checkpoint == "half"
+
+
 def test_another_member_decides_only_after_reclaim(log):
     """A paused holder's claim must not be released while it may still start."""
     submit(log)
--- a/libs/wire/src/lycheeloom/wire/records.capnp
+++ b/libs/wire/src/lycheeloom/wire/records.capnp
@@ -81,6 +81,7 @@
   resources @7 :Resources;
   runMs @8 :UInt64;
   urgent @9 :Bool;
+  checkpointable @10 :Bool;
 }
 
 struct RequestClaimed {
@@ -93,6 +94,7 @@
 struct RequestAttempt {
   requestId @0 :Text;
   attempt @1 :UInt32;
+  checkpoint @2 :Text;
 }
 
 struct RequestFinished {
