--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -41,6 +41,7 @@
     Refused,
     Stopped,
 )
+from .job_tasks import AttemptState, request_id_of, task_id_of, task_of
 from .jobs import Job, JobTable
 from .metrics import EntryMetrics
 from .queue_budgets import QueueBudgets
@@ -107,7 +108,7 @@
 
     def submit(self, job: Job) -> Refusal | None:
         """Queue a job, or return why it is refused as not run."""
-        verdict = self.scheduler.submit(_task_of(job), time.monotonic())
+        verdict = self.scheduler.submit(task_of(job), time.monotonic())
         if isinstance(verdict, Refusal):
             return verdict
         if job.tries == 0:
@@ -120,7 +121,7 @@
     def cancel(self, job: Job) -> None:
         """Cancel a job: at once while queued, at the worker while running."""
         job.cancel_requested = True
-        if self.scheduler.cancel([_task_id(job)], time.monotonic()):
+        if self.scheduler.cancel([task_id_of(job)], time.monotonic()):
             self._settle(
                 job, NotRun(Refusal(RefusalReason.CANCELLED, "cancelled by the caller"))
             )
@@ -130,7 +131,7 @@
 
     def withdraw(self, job: Job) -> bool:
         """Drop a queued job without a verdict, as another entry runs it."""
-        if not self.scheduler.cancel([_task_id(job)], time.monotonic()):
+        if not self.scheduler.cancel([task_id_of(job)], time.monotonic()):
             return False
         self._jobs.remove(job)
         job.hand_over()
@@ -153,7 +154,7 @@
                 case Throttle(task_id):
                     self._act_on_running(task_id, self._throttle)
                 case Expire(task, refusal):
-                    job = self._jobs.job_by_id.get(_request_id(task.id))
+                    job = self._jobs.job_by_id.get(request_id_of(task.id))
                     if job is not None:
                         self._settle(job, NotRun(refusal))
 
@@ -163,14 +164,14 @@
     def _act_on_running(
         self, task_id: str, action: Callable[[str, str], object]
     ) -> None:
-        job = self._jobs.job_by_id.get(_request_id(task_id))
+        job = self._jobs.job_by_id.get(request_id_of(task_id))
         if job is None:
             return
         for attempt, address in list(job.address_by_attempt.items()):
             gevent.spawn(action, address, f"{job.id}.{attempt}")
 
     def _begin(self, task: Task, worker: str, resources: Resources) -> None:
-        job = self._jobs.job_by_id.get(_request_id(task.id))
+        job = self._jobs.job_by_id.get(request_id_of(task.id))
         address = self._address_of(worker)
         if job is None or address is None:
             self.scheduler.finished(task.id, Outcome.STOPPED, time.monotonic())
@@ -181,7 +182,7 @@
         gevent.spawn(self._run, job, task, Placement(worker, address, resources))
 
     def _run(self, job: Job, task: Task, placement: Placement) -> None:
-        state = _AttemptState()
+        state = AttemptState()
         if job.submission.idempotent and not job.is_recorded:
             hedge_after_s = HEDGE_DELAY_S + HEDGE_FACTOR * job.submission.run_s
             state.hedge = gevent.spawn_later(
@@ -201,7 +202,7 @@
             if self.scheduler.has_queued():
                 self.wake()
 
-    def _hedge(self, job: Job, placement: Placement, state: _AttemptState) -> None:
+    def _hedge(self, job: Job, placement: Placement, state: AttemptState) -> None:
         """Start a second copy of a slow idempotent request elsewhere."""
         if state.is_repeated or job.verdict is not None or job.tries:
             return
@@ -210,7 +211,7 @@
             self._metrics.hedges.labels(queue).inc()
             state.is_repeated = self._repeat(job, placement.worker)
 
-    def _doubt(self, job: Job, placement: Placement, state: _AttemptState) -> None:
+    def _doubt(self, job: Job, placement: Placement, state: AttemptState) -> None:
         """Act on an attempt whose worker does not answer."""
         if job.submission.idempotent and not job.is_recorded:
             if not state.is_repeated:
@@ -370,50 +371,10 @@
         if not self._settlement.settle(job, verdict):
             return
         # A copy of the job that still waits need not run.
-        self.scheduler.cancel([_task_id(job)], time.monotonic())
+        self.scheduler.cancel([task_id_of(job)], time.monotonic())
         self._on_settled(job)
 
     def observe_report(self, worker: str, report: TaskReport) -> None:
         """Take over the free capacity that comes with an answer."""
         now = time.monotonic()
         self.scheduler.observe_worker(worker, True, report.free, report.boot_id, now)
-
-
-class _AttemptState:
-    """What was done about an attempt that has not ended."""
-
-    def __init__(self) -> None:
-        self.is_repeated = False
-        self.hedge: gevent.Greenlet | None = None
-        self.give_up: gevent.Greenlet | None = None
-
-    def stop_timers(self) -> None:
-        """Stop what is due later."""
-        for timer in (self.hedge, self.give_up):
-            if timer is not None:
-                timer.kill(block=False)
-
-
-def _task_id(job: Job) -> str:
-    return f"{job.id}#{job.copies}"
-
-
-def _request_id(task_id: str) -> str:
-    return task_id.partition("#")[0]
-
-
-def _task_of(job: Job) -> Task:
-    submission = job.submission
-    return Task(
-        id=_task_id(job),
-        team=submission.team,
-        queue=submission.queue,
-        resources=submission.resources,
-        run_s=submission.run_s,
-        submitted_at=submission.submitted_at,
-        deadline=submission.deadline if job.tries == 0 else None,
-        idempotent=submission.idempotent,
-        urgent=submission.urgent,
-        checkpointable=submission.checkpointable,
-        excluded_workers=frozenset(job.excluded_workers),
-    )
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -4,8 +4,6 @@
 
 import gc
 import time
-from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 import gevent
@@ -19,9 +17,7 @@
     new_incarnation,
 )
 from lycheeloom.log import LogTail, LogWriter, RecoveryFailed, Replayed, recover
-from lycheeloom.model.config import ZoneState
 from lycheeloom.model.records import ConfigChanged, InstanceHealth, MoveStep
-from lycheeloom.model.resources import Resources
 from lycheeloom.model.status import StatusDocument
 from lycheeloom.platform import (
     InstanceClient,
@@ -32,12 +28,11 @@
     WorkerClient,
 )
 from lycheeloom.sched import Scheduler
-from lycheeloom.sched import TeamUsage as PeerTeamUsage
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import Tracer, log_event
-from lycheeloom.wire import QueueCount, TeamUsage
+from lycheeloom.wire import TeamUsage
 
-from .attempt import AttemptRunner, Placement
+from .attempt import AttemptRunner
 from .dispatch import Dispatcher
 from .explanations import EntryExplanations
 from .grant_keeper import GrantKeeper
@@ -50,12 +45,13 @@
 from .recovery import ClaimRecovery
 from .sessions import WorkerSessions
 from .settings import Settings, split_address
+from .start_checks import StartChecks
 from .status import StatusBuilder
+from .usage_exchange import UsageExchange
 from .worker_watch import WorkerWatch
 
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5
-EXCHANGE_INTERVAL_S = 0.25
 # The status is read from the whole state, so often enough for a scrape only.
 METRICS_INTERVAL_S = 5.0
 IDLE_SWEEP_S = 5.0
@@ -182,23 +178,32 @@
             self._on_settled,
         )
         self.journal.dispatcher = self.dispatcher
+        self.exchange = UsageExchange(self.mesh, self.scheduler, self.dispatcher)
         self.grants = GrantKeeper(
             self.tail,
             self.writer,
             self.scheduler,
             lambda: self.keeper.incarnation,
             self.dispatcher.running,
-            self._peer_demand,
+            self.exchange.peer_demand,
             lambda: self.mesh.draining,
             self._wake,
         )
+        checks = StartChecks(
+            self.tail,
+            self.freshness,
+            self.keeper,
+            self.dispatcher,
+            self.grants,
+            self.watch,
+        )
         self.dispatcher.runner = AttemptRunner(
             self._clients.workers,
             sessions,
             self._tracer,
-            self._may_start,
+            checks.may_start,
             lambda: self.keeper.incarnation,
-            self._may_renew,
+            checks.may_renew,
             self.journal.claim,
             self.dispatcher.observe_report,
         )
@@ -254,7 +259,7 @@
             self.grants.run,
             self.watch.run,
             self.recovery.run,
-            self._run_exchange,
+            self.exchange.run,
             self._run_metrics,
             self._run_idle_sweep,
         ):
@@ -298,74 +303,10 @@
         self.watch.apply_maintenance()
         self._wake()
 
-    def _may_start(self, job: Job, placement: Placement) -> str | None:
-        """Return why a start must not be sent in this step, or None."""
-        if not self.freshness.is_fresh():
-            return "the state is not fresh"
-        if job.verdict is not None or job.cancel_requested:
-            return "the request is already settled"
-        team = job.submission.team
-        if self.dispatcher.running(team) > self.grants.usable(team):
-            return f"no running slot of team {team} is granted here"
-        config = self.tail.state.config
-        instance = config.instance_by_id.get(placement.worker)
-        if instance is None or not self.watch.may_serve(placement.worker):
-            return f"worker {placement.worker} is leaving"
-        zone = config.zone_by_id.get(instance.zone)
-        if zone is None or zone.state is ZoneState.OUT:
-            return f"availability zone {instance.zone} is out"
-        return None
-
-    def _may_renew(self, holder: str) -> bool:
-        """Tell whether a lease of one of this entry's incarnations may go on.
-
-        The slots of an incarnation that was expelled are given to others once
-        its leases have expired, so none of them is renewed after a rejoin.
-        """
-        return holder == self.keeper.incarnation and self.freshness.is_fresh()
-
     def _on_settled(self, job: Job) -> None:
         if job.is_recorded:
             gevent.spawn(self.journal.record_verdict, job)
 
-    def _peer_demand(self) -> Mapping[str, int]:
-        demand: Counter[str] = Counter()
-        for usage_by_team in self.mesh.usage_by_peer().values():
-            for team, usage in usage_by_team.items():
-                demand[team] += usage.running + usage.queued
-        return demand
-
-    def _run_exchange(self) -> None:
-        while True:
-            self._exchange_usage()
-            gevent.sleep(EXCHANGE_INTERVAL_S)
-
-    def _exchange_usage(self) -> None:
-        self.mesh.usage_by_team = {
-            team: TeamUsage(
-                team,
-                self.dispatcher.running(team),
-                usage.queued,
-                usage.running.cores,
-                usage.running.memory_mb,
-                usage.running.accelerators,
-                tuple(
-                    QueueCount(queue, count)
-                    for queue, count in usage.queued_by_queue.items()
-                    if count
-                ),
-            )
-            for team, usage in self.scheduler.usage_by_team().items()
-        }
-        self.mesh.reserved_workers = self.scheduler.reserved_workers()
-        self.scheduler.set_peer_usage(
-            {
-                peer: {team: _from_wire(usage) for team, usage in by_team.items()}
-                for peer, by_team in self.mesh.usage_by_peer().items()
-            },
-            self.mesh.workers_reserved_by_peers(),
-        )
-
     def _run_metrics(self) -> None:
         while True:
             due = time.monotonic() + METRICS_INTERVAL_S
@@ -419,9 +360,3 @@
         self.mesh.stop()
         self.writer.stop()
         self.tail.stop()
-
-
-def _from_wire(usage: TeamUsage) -> PeerTeamUsage:
-    running = Resources(usage.cores, usage.memory_mb, usage.accelerators)
-    startable = {item.queue: item.count for item in usage.startable}
-    return PeerTeamUsage(running, usage.queued, startable)
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -0,0 +1,59 @@
+"""The checks in the step in which a start or a renewal is sent."""
+
+from __future__ import annotations
+
+from lycheeloom.cluster import Freshness, MembershipKeeper
+from lycheeloom.log import LogTail
+from lycheeloom.model.config import ZoneState
+
+from .attempt import Placement
+from .dispatch import Dispatcher
+from .grant_keeper import GrantKeeper
+from .jobs import Job
+from .worker_watch import WorkerWatch
+
+
+class StartChecks:
+    """Whether a start that was decided before may still be sent now."""
+
+    def __init__(
+        self,
+        tail: LogTail,
+        freshness: Freshness,
+        keeper: MembershipKeeper,
+        dispatcher: Dispatcher,
+        grants: GrantKeeper,
+        watch: WorkerWatch,
+    ) -> None:
+        self._tail = tail
+        self._freshness = freshness
+        self._keeper = keeper
+        self._dispatcher = dispatcher
+        self._grants = grants
+        self._watch = watch
+
+    def may_start(self, job: Job, placement: Placement) -> str | None:
+        """Return why a start must not be sent in this step, or None."""
+        if not self._freshness.is_fresh():
+            return "the state is not fresh"
+        if job.verdict is not None or job.cancel_requested:
+            return "the request is already settled"
+        team = job.submission.team
+        if self._dispatcher.running(team) > self._grants.usable(team):
+            return f"no running slot of team {team} is granted here"
+        config = self._tail.state.config
+        instance = config.instance_by_id.get(placement.worker)
+        if instance is None or not self._watch.may_serve(placement.worker):
+            return f"worker {placement.worker} is leaving"
+        zone = config.zone_by_id.get(instance.zone)
+        if zone is None or zone.state is ZoneState.OUT:
+            return f"availability zone {instance.zone} is out"
+        return None
+
+    def may_renew(self, holder: str) -> bool:
+        """Tell whether a lease of one of this entry's incarnations may go on.
+
+        The slots of an incarnation that was expelled are given to others once
+        its leases have expired, so none of them is renewed after a rejoin.
+        """
+        return holder == self._keeper.incarnation and self._freshness.is_fresh()
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -0,0 +1,81 @@
+"""Exchange of usage between the scheduler and the peers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+
+import gevent
+
+from lycheeloom.cluster import PeerMesh
+from lycheeloom.model.resources import Resources
+from lycheeloom.sched import Scheduler
+from lycheeloom.sched import TeamUsage as ScheduledUsage
+from lycheeloom.wire import QueueCount, TeamUsage
+
+from .dispatch import Dispatcher
+
+INTERVAL_S = 0.25
+
+
+class UsageExchange:
+    """Keeps what peers are told, and what the scheduler knows of them, current."""
+
+    def __init__(
+        self, mesh: PeerMesh, scheduler: Scheduler, dispatcher: Dispatcher
+    ) -> None:
+        self._mesh = mesh
+        self._scheduler = scheduler
+        self._dispatcher = dispatcher
+
+    def run(self) -> None:
+        """Exchange every ``INTERVAL_S`` until stopped."""
+        while True:
+            self.step()
+            gevent.sleep(INTERVAL_S)
+
+    def step(self) -> None:
+        """Pass usage on in both directions."""
+        self._mesh.usage_by_team = {
+            team: self._to_wire(team, usage)
+            for team, usage in self._scheduler.usage_by_team().items()
+        }
+        self._mesh.reserved_workers = self._scheduler.reserved_workers()
+        self._scheduler.set_peer_usage(
+            {
+                peer: {team: _from_wire(usage) for team, usage in by_team.items()}
+                for peer, by_team in self._mesh.usage_by_peer().items()
+            },
+            self._mesh.workers_reserved_by_peers(),
+        )
+
+    def peer_demand(self) -> Mapping[str, int]:
+        """Return running and queued tasks of each team at all peers."""
+        demand: Counter[str] = Counter()
+        for usage_by_team in self._mesh.usage_by_peer().values():
+            for team, usage in usage_by_team.items():
+                demand[team] += usage.running + usage.queued
+        return demand
+
+    def _to_wire(self, team: str, usage: ScheduledUsage) -> TeamUsage:
+        running = usage.running
+        startable = tuple(
+            QueueCount(queue, count)
+            for queue, count in usage.queued_by_queue.items()
+            if count
+        )
+        return TeamUsage(
+            team,
+            self._dispatcher.running(team),
+            usage.queued,
+            running.cores,
+            running.memory_mb,
+            running.accelerators,
+            startable,
+        )
+
+
+def _from_wire(usage: TeamUsage) -> ScheduledUsage:
+    running = Resources(usage.cores, usage.memory_mb, usage.accelerators)
+    startable = {item.queue: item.count for item in usage.startable}
+    return ScheduledUsage(running, usage.queued, startable)
--- /dev/null
+++ b/libs/entry/tests/test_recovery.py
@@ -0,0 +1,68 @@
+"""Guards what is decided about requests whose entry was lost."""
+
+import pytest
+
+from lycheeloom.entry.recovery import decide
+from lycheeloom.model.records import Outcome, RequestFinished, RequestReleased
+from lycheeloom.model.resources import NO_RESOURCES
+from lycheeloom.platform import TaskReport, TaskStatus
+from lycheeloom.state import RecordedRequest
+
+RELEASED = RequestReleased("r", 2)
+DOUBT = Outcome.MAY_HAVE_RUN
+
+
+def request(idempotent):
+    return RecordedRequest(
+        request_id="r",
+        team="t",
+        queue="q",
+        idempotent=idempotent,
+        idempotency_key="",
+        body_digest=b"",
+        resources=NO_RESOURCES,
+        run_ms=0,
+        urgent=False,
+        body_offset=0,
+        submitted_at=0,
+        attempt=2,
+        worker="w",
+        worker_boot="boot",
+    )
+
+
+def report(status, boot="boot", answer=b"", checkpoint=""):
+    return TaskReport("r.2", status, boot, NO_RESOURCES, answer, checkpoint)
+
+
+@pytest.mark.parametrize(
+    ("found", "once", "idempotent"),
+    [
+        (report(TaskStatus.UNKNOWN), RELEASED, RELEASED),
+        (report(TaskStatus.UNKNOWN, boot="other"), DOUBT, RELEASED),
+        (report(TaskStatus.STOPPED), DOUBT, RELEASED),
+        (report(TaskStatus.FAILED), DOUBT, RELEASED),
+        (
+            report(TaskStatus.CHECKPOINTED, checkpoint="half"),
+            RequestReleased("r", 2, "half"),
+            RequestReleased("r", 2, "half"),
+        ),
+        (None, DOUBT, RELEASED),
+    ],
+)
+def test_decision_about_a_lost_attempt(found, once, idempotent):
+    """A request that runs at most once may start again only on proof."""
+    for expected, is_idempotent in ((once, False), (idempotent, True)):
+        record = decide(request(is_idempotent), 2, found)
+        if isinstance(expected, Outcome):
+            assert (type(record), record.outcome) == (RequestFinished, expected)
+            continue
+        assert record == expected
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_answer_that_the_worker_kept_is_collected(is_idempotent):
+    """A finished task must be answered, not run again."""
+    found = report(TaskStatus.DONE, answer=b"whole")
+    record = decide(request(is_idempotent), 2, found)
+    assert record == RequestFinished("r", 2, Outcome.RAN, b"whole")
