--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -52,12 +52,21 @@
         self.resumed_at = clock()
         self.pauses = 0
         self._confirmed_at: dict[str, float] = {}
+        self._confirmations_by_peer: dict[str, deque[tuple[int, float]]] = {}
         self._relayed_at = -math.inf
         self._positions_by_peer: dict[str, deque[tuple[int, float]]] = {}
 
-    def confirm(self, peer: str, sent_at: float) -> None:
-        """A peer that counts this process as a member answered a heartbeat."""
-        self._confirmed_at[peer] = max(sent_at, self._confirmed_at.get(peer, -math.inf))
+    def confirm(self, peer: str, sent_at: float, next_offset: int = 0) -> None:
+        """A peer that counts this process as a member answered a heartbeat.
+
+        It counts once this process has replayed up to the peer's offset: one that
+        was paused hears its peers before it reads what was published meanwhile.
+        """
+        confirmations = self._confirmations_by_peer.setdefault(
+            peer, deque(maxlen=MAX_POSITIONS)
+        )
+        confirmations.append((next_offset, sent_at))
+        self._take_reached_positions()
 
     def note_position(self, peer: str, read_at: float, next_offset: int) -> None:
         """A peer had read the log up to ``next_offset`` at or after ``read_at``."""
@@ -70,6 +79,7 @@
     def forget(self, peer: str) -> None:
         """Drop evidence from a peer that is no longer a member."""
         self._confirmed_at.pop(peer, None)
+        self._confirmations_by_peer.pop(peer, None)
         self._positions_by_peer.pop(peer, None)
 
     def tick(self) -> None:
@@ -107,6 +117,11 @@
         return FreshBy.STALE
 
     def _take_reached_positions(self) -> None:
+        for peer, confirmations in self._confirmations_by_peer.items():
+            while confirmations and confirmations[0][0] <= self._tail.next_offset:
+                sent_at = confirmations.popleft()[1]
+                known_at = self._confirmed_at.get(peer, -math.inf)
+                self._confirmed_at[peer] = max(sent_at, known_at)
         for positions in self._positions_by_peer.values():
             while positions and positions[0][0] <= self._tail.next_offset:
                 self._relayed_at = max(self._relayed_at, positions.popleft()[1])
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -159,7 +159,7 @@
         read_at = sent_at - answer.log_age_ms / 1000
         self._freshness.note_position(peer, read_at, answer.next_offset)
         if answer.echo_us == sent_us:
-            self._freshness.confirm(peer, sent_at)
+            self._freshness.confirm(peer, sent_at, answer.next_offset)
 
     def handle(self, message: PeerMessage) -> PeerMessage:
         """Return the answer to a peer's message."""
--- /dev/null
+++ b/libs/cluster/tests/test_freshness_after_pause.py
@@ -0,0 +1,64 @@
+"""Freshness of a process that was paused while something was published."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lycheeloom.cluster import Freshness
+from lycheeloom.model.records import MemberJoined
+from lycheeloom.state import FleetState
+from lycheeloom.state.members import Members
+
+
+@dataclass
+class FakeTail:
+    """A tail whose position is set by the test."""
+
+    next_offset: int = 3
+    last_read_sent_at: float = 0.0
+    state: FleetState = field(default_factory=FleetState)
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def make_freshness():
+    """Return a member of three, with its tail and clock."""
+    tail, clock = FakeTail(), Clock()
+    members: Members = tail.state.members
+    for name in ("a", "b", "c"):
+        members.join(0, MemberJoined(name, name, "x:1", "north"))
+    return Freshness(tail, lambda: "a", clock=clock), tail, clock
+
+
+def test_confirmation_counts_once_the_peer_s_offset_is_replayed():
+    """Guards against starts in a zone that went out during a pause.
+
+    After a pause of 3 s the first heartbeats were answered before the first read
+    of the log, and the majority made an entry fresh that had not replayed the
+    publication; a task started 3.01 s after it was accepted.
+    """
+    freshness, tail, clock = make_freshness()
+    clock.now = 3.0
+    freshness.tick()
+    freshness.confirm("b", 3.0, next_offset=4)
+    freshness.confirm("c", 3.0, next_offset=4)
+    assert not freshness.is_fresh()
+    tail.next_offset = 4
+    assert freshness.is_fresh()
+
+
+def test_confirmations_of_an_outage_need_no_new_offset():
+    """Guards against entries that refuse work in an outage of the log."""
+    freshness, _, clock = make_freshness()
+    for now in (2.0, 2.5, 3.0):
+        clock.now = now
+        freshness.tick()
+        freshness.confirm("b", now, next_offset=3)
+        assert freshness.is_fresh()
