Apply a configuration change without parsing the whole document

Cause: every change validated all of it, which at 5,100 instances blocked an entry for 56 ms (27 ms at lower load).

--- /dev/null
+++ b/libs/model/src/lycheeloom/model/config_parse.py
@@ -0,0 +1,141 @@
+"""Turns configuration documents into data classes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import ValidationError
+
+from .config_document import (
+    ConfigDocument,
+    InstanceDocument,
+    PoolDocument,
+    QueueDocument,
+    TeamDocument,
+    ZoneDocument,
+)
+from .fleet_config import FleetConfig, Instance, Key, Pool, Queue, Team, Zone
+from .resources import Resources
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigError:
+    """Why a document is not a valid configuration, one line per problem."""
+
+    problems: tuple[str, ...]
+
+
+def merge_patch(target: Any, patch: Any) -> Any:
+    """Apply an RFC 7396 JSON merge patch and return the new value.
+
+    ``merge_patch({"a": 1, "b": 2}, {"a": None})`` gives ``{"b": 2}``.
+    """
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for name, value in patch.items():
+        if value is None:
+            merged.pop(name, None)
+            continue
+        merged[name] = merge_patch(merged.get(name), value)
+    return merged
+
+
+def parse_config(
+    document: Mapping[str, Any], version: int
+) -> FleetConfig | ConfigError:
+    """Validate a document and index it, or return every problem found."""
+    try:
+        checked = ConfigDocument.model_validate(document)
+    except ValidationError as error:
+        return ConfigError(tuple(describe_error(item) for item in error.errors()))
+    return _index(checked, version)
+
+
+def describe_error(item: Mapping[str, Any]) -> str:
+    """Return one line for a validation error."""
+    place = ".".join(str(part) for part in item["loc"]) or "document"
+    return f"{place}: {item['msg']}"
+
+
+def _index(document: ConfigDocument, version: int) -> FleetConfig:
+    return FleetConfig(
+        version=version,
+        name=document.name,
+        zone_by_id={n: build_zone(n, item) for n, item in document.zones.items()},
+        pool_by_id={n: build_pool(n, item) for n, item in document.pools.items()},
+        instance_by_id={
+            n: build_instance(n, item) for n, item in document.instances.items()
+        },
+        team_by_id={n: build_team(n, item) for n, item in document.teams.items()},
+        queue_by_id={n: build_queue(n, item) for n, item in document.queues.items()},
+        key_by_id={
+            key.id: key
+            for name, team in document.teams.items()
+            for key in build_keys(name, team)
+        },
+    )
+
+
+def build_zone(name: str, zone: ZoneDocument) -> Zone:
+    """Return a zone as used inside programs."""
+    return Zone(name, zone.region, zone.state, zone.max_unavailable)
+
+
+def build_pool(name: str, pool: PoolDocument) -> Pool:
+    """Return a pool as used inside programs."""
+    return Pool(
+        name,
+        pool.max_unavailable,
+        pool.max_unavailable_per_rack,
+        pool.needed,
+        pool.spare,
+    )
+
+
+def build_instance(name: str, instance: InstanceDocument) -> Instance:
+    """Return an instance as used inside programs."""
+    return Instance(
+        name,
+        instance.pool,
+        instance.zone,
+        instance.rack,
+        instance.address,
+        Resources(instance.cores, instance.memory_mb, instance.accelerators),
+    )
+
+
+def build_team(name: str, team: TeamDocument) -> Team:
+    """Return a team as used inside programs, without its keys."""
+    return Team(name, team.share, team.upper_limit)
+
+
+def build_keys(team_id: str, team: TeamDocument) -> Iterator[Key]:
+    """Yield the keys of a team."""
+    for key_id, key in team.keys.items():
+        salt, digest = bytes.fromhex(key.salt), bytes.fromhex(key.digest)
+        yield Key(key_id, team_id, salt, digest)
+
+
+def build_queue(name: str, queue: QueueDocument) -> Queue:
+    """Return a queue as used inside programs."""
+    return Queue(
+        name,
+        queue.pool,
+        queue.kind,
+        queue.open_to_all,
+        frozenset(queue.teams),
+        queue.max_queued,
+        queue.idempotent,
+        queue.answer_retention_s,
+        queue.retry_budget_percent,
+        queue.hedge_budget_percent,
+    )
+
+
+def canonical_json(document: Mapping[str, Any]) -> str:
+    """Serialise a document so that equal documents give equal text."""
+    return json.dumps(document, sort_keys=True, separators=(",", ":"))
--- /dev/null
+++ b/libs/model/src/lycheeloom/model/fleet_config.py
@@ -0,0 +1,91 @@
+"""The configuration in force as data classes, for use inside programs."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from .config_document import QueueKind, ZoneState
+from .resources import Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A team key as published: only its salted hash."""
+
+    id: str
+    team: str
+    salt: bytes
+    digest: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team with its weight and its upper limit of running tasks."""
+
+    id: str
+    share: float
+    upper_limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone and whether tasks may start in it."""
+
+    id: str
+    region: str = "default"
+    state: ZoneState = ZoneState.IN
+    max_unavailable: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """A pool with its availability budget, in instances."""
+
+    id: str
+    max_unavailable: int = 1
+    max_unavailable_per_rack: int = 1
+    needed: int = 0
+    spare: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """A worker instance; ``pool`` is the wanted pool."""
+
+    id: str
+    pool: str
+    zone: str
+    rack: str
+    address: str
+    size: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue of work, served by one pool and by spare pools in surges."""
+
+    id: str
+    pool: str
+    kind: QueueKind = QueueKind.INTERACTIVE
+    open_to_all: bool = False
+    teams: frozenset[str] = frozenset()
+    max_queued: int = 1000
+    idempotent: bool = False
+    answer_retention_s: int = 3600
+    retry_budget_percent: float = 10
+    hedge_budget_percent: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """The configuration in force, indexed for use inside programs."""
+
+    version: int = 0
+    name: str = "fleet"
+    zone_by_id: Mapping[str, Zone] = field(default_factory=dict)
+    pool_by_id: Mapping[str, Pool] = field(default_factory=dict)
+    instance_by_id: Mapping[str, Instance] = field(default_factory=dict)
+    team_by_id: Mapping[str, Team] = field(default_factory=dict)
+    queue_by_id: Mapping[str, Queue] = field(default_factory=dict)
+    key_by_id: Mapping[str, Key] = field(default_factory=dict)
--- a/libs/state/src/lycheeloom/state/configuration.py
+++ b/libs/state/src/lycheeloom/state/configuration.py
@@ -9,8 +9,8 @@
 from lycheeloom.model.config import (
     ConfigError,
     FleetConfig,
+    change_config,
     merge_patch,
-    parse_config,
 )
 from lycheeloom.model.records import ConfigChanged
 
@@ -36,8 +36,13 @@
     document: dict[str, Any] = field(default_factory=dict)
     history: list[ConfigChange] = field(default_factory=list)
 
-    def propose(self, record: ConfigChanged) -> tuple[dict, FleetConfig] | None:
-        """Return the changed document and configuration, or None if invalid."""
+    def propose(
+        self, record: ConfigChanged, config: FleetConfig
+    ) -> tuple[dict, FleetConfig] | None:
+        """Return the changed document and configuration, or None if invalid.
+
+        ``config`` is the configuration in force.
+        """
         if record.expected_version != self.version:
             return None
         try:
@@ -45,10 +50,10 @@
         except ValueError:
             return None
         document = merge_patch(self.document, patch)
-        config = parse_config(document, self.version + 1)
-        if isinstance(config, ConfigError):
+        changed = change_config(config, document, patch, self.version + 1)
+        if isinstance(changed, ConfigError):
             return None
-        return document, config
+        return document, changed
 
     def adopt(self, offset: int, record: ConfigChanged, document: dict) -> None:
         """Put a proposed document in force."""
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -183,7 +183,7 @@
                 return self._change_request(offset, author, record)
 
     def _change_config(self, offset: int, record: r.ConfigChanged) -> bool:
-        proposed = self.configuration.propose(record)
+        proposed = self.configuration.propose(record, self.config)
         if proposed is None:
             return False
         document, config = proposed
