--- a/bench/processes_cost.py
+++ b/bench/processes_cost.py
@@ -7,10 +7,14 @@
 import statistics
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import gevent
 import psutil
 
+from lycheeloom.operator import Published
+
+from .processes_config import Publisher
 from .processes_entry import MARK
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import fit_line, machine_load
@@ -18,7 +22,7 @@
 
 WINDOW_S = 10.0
 LOAD_PER_ENTRY_PER_S = 20
-CHANGES = 10
+CHANGES = 40
 CHANGES_PER_DAY = 8100
 BUDGET = {"cpu_percent": 3.5, "memory_mb": 256, "bytes_per_s": 24_000}
 # Sizes at 9 entries, then numbers of entries at the smallest and largest size.
@@ -35,11 +39,15 @@
 def _measure_fleet(workers: int, entries: int) -> dict:
     with running_world(SHAPES[workers], entries, counting=True) as world:
         row = {"workers": workers, "entries": entries, "load": machine_load()}
-        idle = _window(world, lambda: gevent.sleep(WINDOW_S))
+        idle = measure_window(world, lambda: gevent.sleep(WINDOW_S))
         row |= {f"idle_{name}": value for name, value in idle.items()}
-        loaded = _window(world, lambda: _load(world))
+        loaded = measure_window(world, lambda: _load(world))
         row |= {f"loaded_{name}": value for name, value in loaded.items()}
-        changed = _window(world, lambda: _change(world))
+        row["operator_change_s"] = round(_operator_change_s(world), 2)
+        operator = world.operator(hands_over=False)
+        operator.refresh()
+        publisher = Publisher(world.log(), operator.version)
+        changed = measure_window(world, lambda: _change(world, publisher))
         extra = (changed["cpu_percent"] - idle["cpu_percent"]) / 100
         row["change_cpu_ms"] = round(extra * changed["seconds"] * 1000 / CHANGES, 1)
         share = row["change_cpu_ms"] / 1000 * CHANGES_PER_DAY / 86_400 * 100
@@ -54,7 +62,8 @@
         return row
 
 
-def _window(world: World, work) -> dict:
+def measure_window(world: World, work: Callable[[], object]) -> dict:
+    """Return what the entries used on average while ``work`` went on."""
     bytes_before = _bytes_by_kind(world)
     cpu_before, began_at = world.cpu_s(), time.monotonic()
     work()
@@ -89,15 +98,21 @@
         raise RuntimeError(f"load was not served: {caller.ended} {caller.refused}")
 
 
-def _change(world: World) -> None:
-    operator = world.operator()
+def _change(world: World, publisher: Publisher) -> None:
     for number in range(CHANGES):
-        limit = 91 + number
-        operator.change(
-            lambda draft, limit=limit: draft.set_limit("team-1", limit),
-            accept_warnings=True,
-        )
-        gevent.sleep(0.2)
+        publisher.publish({"teams": {"team-1": {"upper_limit": 91 + number % 7}}})
+        gevent.sleep(0.25)
+
+
+def _operator_change_s(world: World) -> float:
+    """Return the time of one change by a new operator command, hand-over included."""
+    began_at = time.monotonic()
+    result = world.operator().change(
+        lambda draft: draft.set_limit("team-1", 77), accept_warnings=True
+    )
+    if not isinstance(result, Published):
+        raise RuntimeError(f"not published: {result}")
+    return time.monotonic() - began_at
 
 
 def _bytes_by_kind(world: World) -> Counter:
@@ -130,6 +145,7 @@
     fits = []
     names = ["idle_cpu_percent", "idle_bytes_per_s", "memory_mb", "change_cpu_ms"]
     names += ["loaded_cpu_percent", "loaded_bytes_per_s", "publish_s"]
+    names += ["operator_change_s"]
     groups = [("workers", "entries", 9), ("entries", "workers", 30)]
     groups += [("entries", "workers", 5100)]
     for over, fixed, value in groups:
--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -14,7 +14,7 @@
 import gevent
 import psutil
 import tomlkit
-from demo.processes import Fleet, Program, running_fleet
+from demo.processes import HANDOVER_TOKEN, Fleet, Program, running_fleet
 
 from lycheeloom.model.keys import create_key
 from lycheeloom.operator import Entries, Operator, Published
@@ -23,6 +23,7 @@
 INTERACTIVE = "lookups"
 BATCH = "overnight"
 SERVED_POOL = "pool-0"
+FIRST_POOL_WORKERS = 6
 # Probes reach each stand-in worker and grants settle within this time.
 SETTLE_S = 4.0
 PUBLISH_TIMEOUT_S = 60.0
@@ -80,14 +81,14 @@
     def operator(self, *, hands_over: bool = True) -> Operator:
         """Return an operator; accepted changes are handed to the entries."""
         addresses = self.addresses() if hands_over else []
-        return Operator(self.log(), Entries.at(addresses), "bench")
+        return Operator(self.log(), Entries.at(addresses, HANDOVER_TOKEN), "bench")
 
     def next_offset(self) -> int:
         """Return the log's end."""
         answer = self.log().read(_BEYOND_END, 0, 0.0)
         if not isinstance(answer, ReadBatches):
             raise RuntimeError(f"log: {answer}")
-        return answer.next_offset
+        return answer.next
 
     def cpu_s(self) -> list[float]:
         """Return the processor time used so far by each entry."""
@@ -134,8 +135,8 @@
 
 
 def _instance(index: int, shape: Shape, address_by_served: dict[str, str]) -> dict:
-    is_served = index < shape.served
-    pool = 0 if is_served else 1 + index % max(1, shape.pools - 1)
+    is_first = index < min(shape.served, FIRST_POOL_WORKERS)
+    pool = 0 if is_first else 1 + index % max(1, shape.pools - 1)
     return {
         "pool": f"pool-{min(pool, shape.pools - 1)}",
         "zone": f"zone-{index % shape.zones}",
--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -56,17 +56,18 @@
         self._relayed_at = -math.inf
         self._positions_by_peer: dict[str, deque[tuple[int, float]]] = {}
 
-    def confirm(self, peer: str, sent_at: float, next_offset: int = 0) -> None:
+    def confirm(self, peer: str, sent_at: float, next_offset: int) -> None:
         """A peer that counts this process as a member answered a heartbeat.
 
-        It counts once this process has replayed up to the peer's offset: one that
-        was paused hears its peers before it reads what was published meanwhile.
+        The confirmation counts once this process has replayed what the peer had:
+        a process that was paused is confirmed at once when it resumes, and would
+        otherwise act on the state from before its pause.
         """
         confirmations = self._confirmations_by_peer.setdefault(
             peer, deque(maxlen=MAX_POSITIONS)
         )
         confirmations.append((next_offset, sent_at))
-        self._take_reached_positions()
+        self._take_reached_confirmations()
 
     def note_position(self, peer: str, read_at: float, next_offset: int) -> None:
         """A peer had read the log up to ``next_offset`` at or after ``read_at``."""
@@ -107,6 +108,7 @@
         if not self._tail.state.members.is_active(self._own_incarnation()):
             return FreshBy.NOT_A_MEMBER
         self._take_reached_positions()
+        self._take_reached_confirmations()
         oldest = max(self._clock() - FRESHNESS_S, self.resumed_at)
         if self._tail.last_read_sent_at >= oldest:
             return FreshBy.LOG
@@ -117,14 +119,16 @@
         return FreshBy.STALE
 
     def _take_reached_positions(self) -> None:
+        for positions in self._positions_by_peer.values():
+            while positions and positions[0][0] <= self._tail.next_offset:
+                self._relayed_at = max(self._relayed_at, positions.popleft()[1])
+
+    def _take_reached_confirmations(self) -> None:
         for peer, confirmations in self._confirmations_by_peer.items():
             while confirmations and confirmations[0][0] <= self._tail.next_offset:
                 sent_at = confirmations.popleft()[1]
                 known_at = self._confirmed_at.get(peer, -math.inf)
                 self._confirmed_at[peer] = max(sent_at, known_at)
-        for positions in self._positions_by_peer.values():
-            while positions and positions[0][0] <= self._tail.next_offset:
-                self._relayed_at = max(self._relayed_at, positions.popleft()[1])
 
     def _majority_at(self) -> float:
         """Return since when the latest majority has confirmed this process."""
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
-from typing import Any
+from collections.abc import Callable
 
 import gevent
 import xxhash
@@ -16,6 +15,7 @@
     LogWriter,
     NoEffect,
     NotWritten,
+    RecordReader,
     Replayed,
     Unknown,
 )
@@ -24,12 +24,11 @@
 )
 from lycheeloom.model import records as r
 from lycheeloom.model.limits import MAX_ANSWER_BYTES
-from lycheeloom.model.records import Batch, Outcome, Record
+from lycheeloom.model.records import Outcome, Record
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
-from lycheeloom.platform import LogClient, ReadBatches
+from lycheeloom.platform import LogClient
 from lycheeloom.state import RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
-from lycheeloom.wire import decode_batch
 
 from .dispatch import Dispatcher
 from .jobs import Job, JobTable, Submission
@@ -60,13 +59,15 @@
         self.dispatcher: Dispatcher | None = None
         self._tail = tail
         self._writer = writer
-        self._log_client = log_client
+        self._reader = RecordReader(tail, log_client)
         self._jobs = jobs
         self._incarnation = incarnation
         self._may_run = may_run
         self._waiter_by_id: dict[str, Event] = {}
         # What the log does not carry (deadline, trace) of requests taken here.
         self._submission_by_id: dict[str, Submission] = {}
+        # Requests taken here whose callers wait on their connections.
+        self._awaited_ids: set[str] = set()
         self._members_seen: frozenset[str] = frozenset()
         self._is_leaving = False
         tail.add_listener(self._on_replayed)
@@ -90,8 +91,11 @@
             resources=submission.resources,
             run_ms=round(submission.run_s * 1000),
             urgent=submission.urgent,
+            checkpointable=submission.checkpointable,
         )
         self._submission_by_id[submission.request_id] = submission
+        if submission.wait:
+            self._awaited_ids.add(submission.request_id)
         outcome = self._writer.append(record).wait(COMMIT_TIMEOUT_S)
         self._submission_by_id.pop(submission.request_id, None)
         match outcome:
@@ -112,6 +116,10 @@
                     "the same Idempotency-Key to learn its outcome"
                 )
 
+    def forget_caller(self, request_id: str) -> None:
+        """The caller of a request that was submitted here no longer waits."""
+        self._awaited_ids.discard(request_id)
+
     def cancel(self, request: RecordedRequest) -> WriteOutcome:
         """Cancel a pending request for all entries."""
         record = r.RequestCancelled(request.request_id)
@@ -143,7 +151,7 @@
         """Make a claimed request pending again before its next attempt."""
         if not self._is_own_claim(job.id, attempt):
             return True
-        outcome = self._write(r.RequestReleased(job.id, attempt))
+        outcome = self._write(r.RequestReleased(job.id, attempt, job.checkpoint))
         return isinstance(outcome, Effective)
 
     def record_verdict(self, job: Job) -> None:
@@ -193,9 +201,7 @@
 
     def read_answer(self, request: RecordedRequest) -> bytes | None:
         """Return the whole answer of a finished request, or None for now."""
-        record = self._find_record(
-            request.answer_offset, r.RequestFinished, request.request_id
-        )
+        record = self._reader.finish(request.answer_offset, request.request_id)
         return record.answer if record is not None else None
 
     def reassign(self) -> None:
@@ -212,11 +218,15 @@
                 self.dispatcher.withdraw(job)
 
     def is_runner(self, request: RecordedRequest) -> bool:
-        """Tell whether this entry should run a pending request."""
-        if not self._may_run():
-            return False
+        """Tell whether this entry should run a pending request.
+
+        A draining entry still runs those whose callers wait on its connections.
+        """
         members = [m.incarnation for m in self._tail.state.members.active()]
         own = self._incarnation()
+        is_awaited = request.request_id in self._awaited_ids
+        if not self._may_run() and not (is_awaited and own in members):
+            return False
         if request.submitted_by in members:
             return request.submitted_by == own
         return select_member(request.request_id, members) == own
@@ -276,9 +286,7 @@
             self.dispatcher.cancel(job)
 
     def _take_over(self, request: RecordedRequest) -> None:
-        submitted = self._find_record(
-            request.body_offset, r.RequestSubmitted, request.request_id
-        )
+        submitted = self._reader.submission(request.body_offset, request.request_id)
         if submitted is None:
             log_event("body_unavailable", "WARNING", request=request.request_id)
             gevent.sleep(RETRY_INTERVAL_S)
@@ -301,7 +309,12 @@
         submission = self._submission_by_id.get(request.request_id)
         if submission is None:
             submission = _restore_submission(request, payload)
-        job = Job(submission, is_recorded=True, attempt=request.attempt)
+        job = Job(
+            submission,
+            is_recorded=True,
+            attempt=request.attempt,
+            checkpoint=request.checkpoint,
+        )
         refusal = self.dispatcher.submit(job)
         if refusal is None:
             return
@@ -335,22 +348,6 @@
                 return outcome
             gevent.sleep(RETRY_INTERVAL_S)
 
-    def _find_record(
-        self, offset: int | None, kind: type[Record], request_id: str
-    ) -> Any:
-        if offset is None:
-            return None
-        encoded = self._tail.ring.read(offset, 1)
-        if not encoded:
-            answer = self._log_client.read(offset, 1, 0.0)
-            if not isinstance(answer, ReadBatches) or answer.first != offset:
-                return None
-            encoded = answer.batches
-        for record in _records(encoded):
-            if isinstance(record, kind) and record.request_id == request_id:
-                return record
-        return None
-
 
 def _restore_submission(request: RecordedRequest, payload: bytes) -> Submission:
     return Submission(
@@ -364,6 +361,7 @@
         idempotent=request.idempotent,
         idempotency_key=request.idempotency_key,
         urgent=request.urgent,
+        checkpointable=request.checkpointable,
         wait=False,
     )
 
@@ -377,13 +375,6 @@
     )
 
 
-def _records(encoded: tuple[bytes, ...]) -> Iterator[Record]:
-    for data in encoded[:1]:
-        batch = decode_batch(data)
-        if isinstance(batch, Batch):
-            yield from batch.records
-
-
 def _doubtful(request_id: str, attempt: int, message: str) -> r.RequestFinished:
     return r.RequestFinished(
         request_id, attempt, Outcome.MAY_HAVE_RUN, message.encode()
--- a/libs/entry/src/lycheeloom/entry/worker_watch.py
+++ b/libs/entry/src/lycheeloom/entry/worker_watch.py
@@ -68,6 +68,10 @@
         health = maintenance.health_by_instance.get(worker)
         return health is None or health.health not in _UNFIT
 
+    def is_in_service(self, worker: str) -> bool:
+        """Tell whether a worker may get new tasks and answered last time."""
+        return self.may_serve(worker) and self._reachable.get(worker, True)
+
     def observe_instances(self, listing: InstanceList) -> None:
         """Obey leaving marks of the platform's list."""
         leaving = frozenset(
@@ -100,6 +104,17 @@
             if not self.may_serve(worker):
                 self._mark_unavailable(worker)
 
+    def apply_health(self, worker: str) -> None:
+        """Follow the controller's decision about the health of a worker."""
+        state = self._tail.state.maintenance.health_by_instance.get(worker)
+        if state is None:
+            return
+        if state.health in (Health.PROBATION, Health.IN_SERVICE):
+            is_on_probation = state.health is Health.PROBATION
+            self._scheduler.set_probation(worker, is_on_probation, time.monotonic())
+        if not self.may_serve(worker):
+            self._mark_unavailable(worker)
+
     def run(self) -> None:
         """Probe all workers in turn until stopped."""
         pool = gevent.pool.Pool(MAX_PROBES)
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -11,6 +11,7 @@
     BadPeerMessage,
     Heartbeat,
     PeerMessage,
+    QueueCount,
     RangeRequest,
     RecordRelay,
     TeamUsage,
@@ -32,10 +33,10 @@
     r.GrantRequested("t", 4),
     r.GrantReturned("t", 2),
     r.RequestSubmitted(
-        "q1", "t", "q", b"x\x00", True, "k", b"d", Resources(1.5, 2, 3), 7, True
+        "q1", "t", "q", b"x\x00", True, "k", b"d", Resources(1.5, 2, 3), 7, True, True
     ),
     r.RequestClaimed("q1", 1, "w", "b"),
-    r.RequestReleased("q1", 1),
+    r.RequestReleased("q1", 1, "half"),
     r.RequestFinished("q1", 1, r.Outcome.RAN, b"\xff"),
     r.RequestCancelled("q1"),
     r.AnswersExpired(5),
@@ -56,7 +57,16 @@
 @pytest.mark.parametrize(
     "body",
     [
-        Heartbeat(1, 2, 3, 4, True, (TeamUsage("t", 1, 2, 0.5, 3, 1),), True),
+        Heartbeat(
+            1,
+            2,
+            3,
+            4,
+            True,
+            (TeamUsage("t", 1, 2, 0.5, 3, 1, (QueueCount("q", 2),)),),
+            True,
+            ("w1", "w2"),
+        ),
         RecordRelay(5, (b"a", b"")),
         RangeRequest(6),
     ],
