Keep no reserve of a team with fewer slots than there are entries

Cause: each idle entry kept one slot of such a team as its reserve, also while another entry waited for slots; the requests of that entry never started. Ruled out: claims and membership; the entry that had taken the requests ran to the end and was the one to run them.

--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_keeper.py
@@ -145,7 +145,9 @@
         """Return how many slots this entry should hold."""
         if is_over or self._is_draining():
             return self._running(team)
-        reserve = max(1, limit // demand.members)
+        # Nothing for a limit below the number of entries: idle entries that kept
+        # a slot each would leave none to an entry with demand.
+        reserve = limit // demand.members
         own = demand.by_team.get(team, 0)
         peers = demand.peers_by_team.get(team, 0)
         if peers + own <= limit:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -138,6 +138,12 @@
     world = lone_world
     limit = LIMIT_BY_TEAM["green"]
     key = next(key for key, team in world.team_by_key.items() if team == "green")
+
+    def hold():
+        world.submit("booking", "e0", key, work_ms=40_000, timeout_s=100.0)
+
+    held = [gevent.spawn(hold) for _ in range(limit)]
+    wait_until(lambda: peak_by_team(world.fleet.ledger()).get("green") == limit)
     keyed = {"work": world.new_work(), "work_ms": 1000, "idempotency_key": "booking"}
     red = next(key for key, team in world.team_by_key.items() if team == "red")
     booked = gevent.spawn(world.submit, "keyed", "e2", red, **keyed)
@@ -147,11 +153,7 @@
     world.start_entry("e2")
     world.wait_ready()
 
-    def hold():
-        world.submit("booking", "e0", key, work_ms=40_000, timeout_s=100.0)
-
-    held = [gevent.spawn(hold) for _ in range(limit)]
-    wait_until(lambda: peak_by_team(world.fleet.ledger()).get("green") == limit)
+    wait_until(lambda: hears(world, "e2", "e0"))
     entry = world.entry_by_name["e0"]
     world.open_entries.discard("e0")
     entry.signal(signal.SIGSTOP)
@@ -171,6 +173,12 @@
     assert peak_by_team(world.fleet.ledger())["green"] == limit
 
 
+def hears(world, listener, name):
+    """Tell whether an entry has had heartbeats of another instance."""
+    members = world.status(listener)["members"]
+    return any(m["instance"] == name and m["heard_ms"] is not None for m in members)
+
+
 def states(world, name):
     """Return the states that e1 shows for the members of an instance."""
     members = world.status("e1")["members"]
