Show a finished wave apart from later waves

The progress of a wave was read from the last moves of its instances, so a finished wave showed the failures of a later one (9 of 9 done, 2 failed). A finished wave now counts all its instances as done.

--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -25,6 +25,7 @@
 )
 from lycheeloom.sched import Scheduler
 from lycheeloom.state import Member
+from lycheeloom.state.maintenance import Maintenance
 from lycheeloom.wire import TeamUsage
 
 from .jobs import JobTable
@@ -74,7 +75,7 @@
             queues=self._queues(),
             zones=self._zones(),
             pools=self._pools(),
-            waves=self._waves(),
+            waves=wave_statuses(self._tail.state.maintenance),
         )
 
     def _members(self) -> list[MemberStatus]:
@@ -233,29 +234,33 @@
             for pool_id, pool in state.config.pool_by_id.items()
         }
 
-    def _waves(self) -> dict[str, WaveStatus]:
-        maintenance = self._tail.state.maintenance
-        waves = {}
-        for wave in maintenance.wave_by_id.values():
-            covered = [
-                instance
-                for instance, pool in maintenance.pool_by_instance.items()
-                if not wave.pools or pool in wave.pools
-            ]
-            stages: Counter[MoveStage] = Counter()
-            for instance in covered:
-                move = maintenance.move_by_instance.get(instance)
-                if move is not None and move.changed_at > wave.started_at:
-                    stages[move.stage] += 1
-            done = stages[MoveStage.JOINED]
-            failed = stages[MoveStage.ABANDONED]
-            waves[wave.wave_id] = WaveStatus(
-                state=wave.state,
-                pools=list(wave.pools),
-                urgent=wave.urgent,
-                total=len(covered),
-                done=len(covered) if wave.state is WaveState.DONE else done,
-                in_progress=sum(stages.values()) - done - failed,
-                failed=failed,
-            )
-        return waves
+
+def wave_statuses(maintenance: Maintenance) -> dict[str, WaveStatus]:
+    """Return the progress of each wave, by the last moves of its instances."""
+    waves = {}
+    for wave in maintenance.wave_by_id.values():
+        covered = [
+            instance
+            for instance, pool in maintenance.pool_by_instance.items()
+            if not wave.pools or pool in wave.pools
+        ]
+        stages: Counter[MoveStage] = Counter()
+        for instance in covered:
+            move = maintenance.move_by_instance.get(instance)
+            if move is not None and move.changed_at > wave.started_at:
+                stages[move.stage] += 1
+        if wave.state is WaveState.DONE:
+            # Later moves of its instances belong to other waves.
+            stages = Counter({MoveStage.JOINED: len(covered)})
+        done = stages[MoveStage.JOINED]
+        failed = stages[MoveStage.ABANDONED]
+        waves[wave.wave_id] = WaveStatus(
+            state=wave.state,
+            pools=list(wave.pools),
+            urgent=wave.urgent,
+            total=len(covered),
+            done=done,
+            in_progress=sum(stages.values()) - done - failed,
+            failed=failed,
+        )
+    return waves
