--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -110,14 +110,19 @@
         old, new = before.get(name, ABSENT), after.get(name, ABSENT)
         if isinstance(old, Mapping) and isinstance(new, Mapping):
             yield from _walk(here, old, new)
-        elif len(here) == 1 and old is ABSENT and isinstance(new, Mapping) and new:
+        elif _is_table(here) and old is ABSENT and isinstance(new, Mapping) and new:
             yield from _walk(here, {}, new)
-        elif len(here) == 1 and new is ABSENT and isinstance(old, Mapping) and old:
+        elif _is_table(here) and new is ABSENT and isinstance(old, Mapping) and old:
             yield from _walk(here, old, {})
         elif old is ABSENT or new is ABSENT or not _same(old, new):
             yield Change(here, old, new)
 
 
+def _is_table(path: tuple[str, ...]) -> bool:
+    """Tell whether the entries below a path are compared one by one."""
+    return len(path) == 1 or (path[0] == "teams" and path[2:] == ("keys",))
+
+
 def _same(first: Any, second: Any) -> bool:
     # Python holds 1, 1.0 and True to be equal; a document does not.
     return json.dumps(first, sort_keys=True) == json.dumps(second, sort_keys=True)
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -194,6 +194,14 @@
         assert f"lycheeloom {name}" in capsys.readouterr().out.split("examples:")[1]
 
 
+def test_a_granted_key_is_named(run, fleet, make_operator, entry):
+    """Guards against a history that does not tell which key was granted."""
+    del fleet["teams"]["red"]["keys"]
+    assert isinstance(make_operator("brendan", entry).publish(fleet, 0), Published)
+    text = run("key", "grant", "red", "--id", "red-laptop")[1]
+    assert "Team red: key red-laptop is added: a salted hash" in text
+
+
 @pytest.mark.parametrize(
     ("arguments", "code"),
     [
