Plan waves under the last-spare rule of the controller

The plan knew only the budgets. A fleet with one spare instance above the need was shown 6 rounds, and the wave stayed at 6 of 9 instances. The plan now uses the controller's own ledger and names such instances.

--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -111,7 +111,8 @@
         f"and {duration(args.reboot_s)} to reboot."
     )
     lines += [
-        f"Instance {name} is never maintained: a budget allows 0 unavailable."
+        f"Instance {name} is never maintained: a budget allows 0 unavailable, or "
+        "no spare instance would be left."
         for name in preview.never
     ]
     data = {
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import math
-from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from lycheeloom.fleet.budgets import Layout, Ledger
 from lycheeloom.model.config import FleetConfig, Instance
 
 
@@ -14,7 +13,8 @@
 class WavePreview:
     """Rounds of instances that the availability budgets let rest together.
 
-    ``never`` are instances that a budget of 0 keeps from being maintained.
+    ``never`` are instances that no round may take: a budget allows 0, or their
+    pool and the spare pool have no instance above the need.
     """
 
     rounds: tuple[tuple[str, ...], ...]
@@ -43,11 +43,12 @@
     ]
     # Neighbours in a rack follow each other, so that racks are done in turn.
     waiting = sorted(wanted, key=lambda item: (item.zone, item.rack, item.id))
-    never = tuple(item.id for item in waiting if not _Round(config).take(item))
+    layout = Layout(config, {})
+    never = tuple(item.id for item in waiting if not _Round(layout).take(item))
     waiting = [item for item in waiting if item.id not in set(never)]
     rounds = []
     while waiting:
-        current = _Round(config)
+        current = _Round(layout)
         left = [item for item in waiting if not current.take(item)]
         taken = {item.id for item in waiting} - {item.id for item in left}
         rounds.append(tuple(item.id for item in waiting if item.id in taken))
@@ -56,25 +57,14 @@
 
 
 class _Round:
-    def __init__(self, config: FleetConfig) -> None:
-        self._config = config
-        self._by_pool: Counter[str] = Counter()
-        self._by_rack: Counter[tuple[str, str]] = Counter()
-        self._by_zone: Counter[str] = Counter()
+    """Instances out together, under the rules that the controller keeps."""
+
+    def __init__(self, layout: Layout) -> None:
+        self._ledger = Ledger(layout, ())
 
     def take(self, instance: Instance) -> bool:
         """Add an instance to the round if all budgets allow it."""
-        pool = self._config.pool_by_id[instance.pool]
-        zone_budget = self._config.zone_by_id[instance.zone].max_unavailable
-        rack = (instance.pool, instance.rack)
-        if (
-            self._by_pool[instance.pool] >= pool.max_unavailable
-            or self._by_rack[rack] >= pool.max_unavailable_per_rack
-            or self._by_zone[instance.zone]
-            >= (math.inf if zone_budget is None else zone_budget)
-        ):
+        if self._ledger.blocking(instance.id) is not None:
             return False
-        self._by_pool[instance.pool] += 1
-        self._by_rack[rack] += 1
-        self._by_zone[instance.zone] += 1
+        self._ledger.take(instance.id)
         return True
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -194,6 +194,15 @@
         assert f"lycheeloom {name}" in capsys.readouterr().out.split("examples:")[1]
 
 
+def test_wave_plan_keeps_the_last_spare(run, fleet, make_operator, entry):
+    """Guards against a plan with rounds that the controller never begins."""
+    fleet["pools"]["general"]["needed"] = 2
+    assert isinstance(make_operator("brendan", entry).publish(fleet, 0), Published)
+    text = run("wave", "plan")[1]
+    for name in ("w4", "w5", "w6"):
+        assert f"Instance {name} is never maintained" in text
+
+
 def test_a_granted_key_is_named(run, fleet, make_operator, entry):
     """Guards against a history that does not tell which key was granted."""
     del fleet["teams"]["red"]["keys"]
