--- /dev/null
+++ b/libs/operator/tests/test_first_hour.py
@@ -0,0 +1,29 @@
+"""The settings of the first hour are accepted by the programs that read them."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+FOLDER = Path(__file__).parents[3] / "examples/first-hour"
+
+
+@pytest.mark.parametrize(
+    ("module", "arguments"),
+    [
+        ("standins.main", ["standins.toml", "--check-config"]),
+        ("entry.main", ["entry-1.toml", "--check-config"]),
+        ("entry.main", ["entry-2.toml", "--check-config"]),
+        ("entry.main", ["entry-3.toml", "--check-config"]),
+        ("controller.main", ["controller.toml", "--check-config"]),
+        ("operator.main", ["--settings", "lycheeloom.toml", "--check-config"]),
+        ("operator.main", ["config", "check", "fleet.toml"]),
+    ],
+)
+def test_settings_of_the_first_hour(module, arguments):
+    """Guards against a first hour that ends at a mistake in its own files."""
+    command = [sys.executable, "-m", f"lycheeloom.{module}", *arguments]
+    ended = subprocess.run(command, cwd=FOLDER, capture_output=True, text=True)
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert "warning" not in ended.stdout
