--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -234,7 +234,11 @@
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
     runs = [gevent.spawn(run_fleet, path, arguments.seed) for path in arguments.config]
-    gevent.joinall(runs, raise_error=True)
+    try:
+        gevent.joinall(runs, raise_error=True)
+    finally:
+        # The programs of the other fleet must end even if one fleet fails.
+        gevent.killall(runs)
     names = [path.stem for path in arguments.config]
     lines_by_fleet = {name: run.get() for name, run in zip(names, runs, strict=True)}
     return 0 if print_result(lines_by_fleet) else 1
