Tell peers of reserved workers at once

Cause: room that a checkpoint made for an urgent task was taken by batches of other entries, which learned of the reservation up to 0.75 s later.

--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 from loguru import logger
 
 from lycheeloom.log import Offer
@@ -20,6 +21,8 @@
     from .mesh import PeerMesh
 
 CONNECT_TIMEOUT_S = 0.4
+# Bounds the heartbeats that are sent early.
+SHORTEST_INTERVAL_S = 0.1
 # A connection that went silent is given up soon enough for a heartbeat over a
 # new one before FRESHNESS_S (1.5 s) has passed since the last answered one:
 # one heartbeat interval (0.5 s), this, and a round trip.
@@ -51,6 +54,8 @@
         self.peer = peer
         self.address = address
         self.replaced_connections = 0
+        # Set to send the next heartbeat before its interval has passed.
+        self.early = Event()
         self._mesh = mesh
         self._connect = connect
         self._rng = rng
@@ -65,11 +70,18 @@
             while True:
                 started_at = self._mesh.clock()
                 self._beat_safely()
-                rest_s = started_at + HEARTBEAT_INTERVAL_S - self._mesh.clock()
-                gevent.sleep(max(0.0, rest_s))
+                self._rest(started_at)
         finally:
             self.close()
 
+    def _rest(self, started_at: float) -> None:
+        """Wait for the next heartbeat, or for one that is asked for earlier."""
+        gap_s = started_at + SHORTEST_INTERVAL_S - self._mesh.clock()
+        gevent.sleep(max(0.0, gap_s))
+        rest_s = started_at + HEARTBEAT_INTERVAL_S - self._mesh.clock()
+        self.early.wait(max(0.0, rest_s))
+        self.early.clear()
+
     def _beat_safely(self) -> None:
         # A peer of another version must not end the link to it for good.
         try:
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -123,6 +123,20 @@
             for worker in view.usage.reserved_workers
         )
 
+    def reserve_workers(self, workers: tuple[str, ...]) -> None:
+        """Tell peers early which workers this process needs free.
+
+        With the next regular heartbeat, up to 0.5 s later, peers had filled the
+        room that was made for an urgent task.
+        """
+        if set(workers) <= set(self.reserved_workers):
+            # Workers that are free again can wait for the next heartbeat.
+            self.reserved_workers = workers
+            return
+        self.reserved_workers = workers
+        for link in self._link_by_peer.values():
+            link.early.set()
+
     def log_age_s(self) -> float:
         """Return the time since the last successful log read was sent."""
         return self.clock() - self.tail.last_read_sent_at
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -215,3 +215,18 @@
     assert view.reserved_workers == ("w1",)
     view.take(Heartbeat(3, 0, 0, 0))
     assert view.reserved_workers == ()
+
+
+def test_new_reservation_asks_for_an_early_heartbeat():
+    """Peers filled the room that was made for an urgent task."""
+    mesh = PeerMesh.__new__(PeerMesh)
+    mesh.reserved_workers = ()
+    link = PeerLink(mesh, "peer", "address", None, random.Random(1))
+    mesh._link_by_peer = {"peer": link}
+    mesh.reserve_workers(("w1",))
+    assert link.early.is_set()
+    link.early.clear()
+    mesh.reserve_workers(("w1",))
+    mesh.reserve_workers(())
+    assert not link.early.is_set()
+    assert mesh.reserved_workers == ()
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -77,6 +77,8 @@
         on_settled: Callable[[Job], None],
     ) -> None:
         self.runner: AttemptRunner | None = None
+        # Called after each round of decisions of the dispatching greenlet.
+        self.after_round: Callable[[], None] = lambda: None
         self.scheduler = scheduler
         self._jobs = jobs
         self._metrics = metrics
@@ -105,6 +107,7 @@
             self._wake.wait(TICK_S)
             self._wake.clear()
             self._take_decisions()
+            self.after_round()
 
     def submit(self, job: Job) -> Refusal | None:
         """Queue a job, or return why it is refused as not run."""
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -179,6 +179,7 @@
         )
         self.journal.dispatcher = self.dispatcher
         self.exchange = UsageExchange(self.mesh, self.scheduler, self.dispatcher)
+        self.dispatcher.after_round = self.exchange.follow_reservations
         self.grants = GrantKeeper(
             self.tail,
             self.writer,
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -27,6 +27,7 @@
         self._mesh = mesh
         self._scheduler = scheduler
         self._dispatcher = dispatcher
+        self._reserved_by_peers: frozenset[str] = frozenset()
 
     def run(self) -> None:
         """Exchange every ``INTERVAL_S`` until stopped."""
@@ -40,15 +41,22 @@
             team: self._to_wire(team, usage)
             for team, usage in self._scheduler.usage_by_team().items()
         }
-        self._mesh.reserved_workers = self._scheduler.reserved_workers()
+        self._mesh.reserve_workers(self._scheduler.reserved_workers())
+        self._reserved_by_peers = self._mesh.workers_reserved_by_peers()
         self._scheduler.set_peer_usage(
             {
                 peer: {team: _from_wire(usage) for team, usage in by_team.items()}
                 for peer, by_team in self._mesh.usage_by_peer().items()
             },
-            self._mesh.workers_reserved_by_peers(),
+            self._reserved_by_peers,
         )
 
+    def follow_reservations(self) -> None:
+        """Tell peers of new reservations, and take over theirs, without delay."""
+        self._mesh.reserve_workers(self._scheduler.reserved_workers())
+        if self._mesh.workers_reserved_by_peers() != self._reserved_by_peers:
+            self.step()
+
     def peer_demand(self) -> Mapping[str, int]:
         """Return running and queued tasks of each team at all peers."""
         demand: Counter[str] = Counter()
