--- a/bench/processes_entry.py
+++ b/bench/processes_entry.py
@@ -21,7 +21,8 @@
 
 from lycheeloom.controller.main import main as run_controller  # noqa: E402
 from lycheeloom.entry.main import main  # noqa: E402
-from lycheeloom.entry.settings import load_settings, split_address  # noqa: E402
+from lycheeloom.entry.settings import Settings  # noqa: E402
+from lycheeloom.settings import load_settings, split_address  # noqa: E402
 
 MARK = "bytes_by_end"
 
@@ -72,7 +73,7 @@
 
 
 def _run_entry(path: str) -> int:
-    settings = load_settings(Path(path))
+    settings = load_settings(Path(path), Settings)
     names = {
         split_address(settings.listen)[1]: "callers",
         split_address(settings.peer_listen)[1]: "peers",
--- a/libs/controller/src/lycheeloom/controller/main.py
+++ b/libs/controller/src/lycheeloom/controller/main.py
@@ -14,10 +14,11 @@
 
 import gevent  # noqa: E402
 
+from lycheeloom.settings import BadSettings, load_settings  # noqa: E402
 from lycheeloom.telemetry import configure_logging  # noqa: E402
 
 from .service import PROGRAM_VERSION, ControllerService  # noqa: E402
-from .settings import BadSettings, load_settings  # noqa: E402
+from .settings import Settings  # noqa: E402
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
@@ -26,7 +27,7 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a controller; returns 0 after a shutdown, 2 for bad settings."""
     options = _parse_arguments(arguments)
-    settings = load_settings(options.settings)
+    settings = load_settings(options.settings, Settings)
     if isinstance(settings, BadSettings):
         for problem in settings.problems:
             print(problem, file=sys.stderr)
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -16,6 +16,7 @@
 from lycheeloom.log import LogTail, LogWriter, RecordReader, recover
 from lycheeloom.model.records import Duty
 from lycheeloom.platform import InstanceClient, LogClient, Transport, WorkerClient
+from lycheeloom.settings import split_address
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import log_event
 
@@ -26,7 +27,7 @@
 from .metrics import ControllerMetrics
 from .probes import OutcomeWatch, WorkerProbes
 from .refresh import RecordRefresher
-from .settings import Settings, split_address
+from .settings import Settings
 
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5
--- a/libs/entry/src/lycheeloom/entry/main.py
+++ b/libs/entry/src/lycheeloom/entry/main.py
@@ -14,10 +14,11 @@
 
 import gevent  # noqa: E402
 
+from lycheeloom.settings import BadSettings, load_settings  # noqa: E402
 from lycheeloom.telemetry import configure_logging, log_event  # noqa: E402
 
 from .service import PROGRAM_VERSION, EntryService  # noqa: E402
-from .settings import BadSettings, load_settings  # noqa: E402
+from .settings import Settings  # noqa: E402
 
 EXIT_OK = 0
 EXIT_CANNOT_LISTEN = 1
@@ -30,7 +31,7 @@
     0 after a shutdown, 1 if it cannot listen, 2 for bad settings.
     """
     options = _parse_arguments(arguments)
-    settings = load_settings(options.settings)
+    settings = load_settings(options.settings, Settings)
     if isinstance(settings, BadSettings):
         for problem in settings.problems:
             print(problem, file=sys.stderr)
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -28,6 +28,7 @@
     WorkerClient,
 )
 from lycheeloom.sched import Scheduler
+from lycheeloom.settings import split_address
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import Tracer, log_event
 from lycheeloom.wire import TeamUsage
@@ -44,7 +45,7 @@
 from .metrics import EntryMetrics
 from .recovery import ClaimRecovery
 from .sessions import WorkerSessions
-from .settings import Settings, split_address
+from .settings import Settings
 from .start_checks import StartChecks
 from .status import StatusBuilder
 from .usage_exchange import UsageExchange
--- a/libs/entry/tests/test_main.py
+++ b/libs/entry/tests/test_main.py
@@ -3,7 +3,8 @@
 import pytest
 
 from lycheeloom.entry.main import main
-from lycheeloom.entry.settings import Settings, load_settings
+from lycheeloom.entry.settings import Settings
+from lycheeloom.settings import load_settings
 
 GOOD = """
 instance = "e1"
@@ -28,7 +29,7 @@
 def test_good_settings_are_accepted(write, capsys):
     """A correct file must pass the check."""
     path = write(GOOD)
-    assert isinstance(load_settings(path), Settings)
+    assert isinstance(load_settings(path, Settings), Settings)
     assert main([str(path), "--check-config"]) == 0
     assert "no problems found" in capsys.readouterr().out
 
