Keep the tracing library from running greenlets in a forked child

Cause: at a fork the tracing SDK detects resources anew in a thread pool. Under gevent this switches to the event loop, so the forked child of the test process ran the parent's callers, and sent requests on connections that it shared with the parent, until it executed the program it was forked for. It happened only in a whole run, as the tracers of earlier tests stay registered for the fork.

Entries and controllers do not fork, so the product was not affected.

--- a/libs/telemetry/src/lycheeloom/telemetry/traces.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/traces.py
@@ -68,6 +68,18 @@
             self.span.set_status(StatusCode.ERROR, reason)
 
 
+class _Provider(TracerProvider):
+    """A provider that does nothing in a forked child.
+
+    The SDK starts threads there. With gevent this switches to the event loop, and
+    the child goes on with the greenlets and connections of its parent until it
+    runs another program.
+    """
+
+    def _handle_fork(self) -> None:
+        return
+
+
 class Tracer:
     """Creates spans of one process.
 
@@ -79,7 +91,7 @@
         self, process: str, sample_ratio: float, exporter: SpanExporter | None = None
     ) -> None:
         self._sample_ratio = sample_ratio
-        self._provider = TracerProvider(
+        self._provider = _Provider(
             sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
             resource=Resource({"service.name": process}),
         )
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -1,7 +1,11 @@
 """Guards the format of log lines and the linking of spans."""
 
 import io
+import os
+import subprocess
+import sys
 
+import gevent
 import pytest
 
 from lycheeloom.telemetry import LineSpanExporter, Tracer, configure_logging, log_event
@@ -74,3 +78,29 @@
         span.fail("reason")
     assert span.traceparent == header
     assert stream.getvalue() == ""
+
+
+def test_forked_child_runs_no_greenlet_of_its_parent(tmp_path):
+    """Guards against a child that uses its parent's connections before it execs.
+
+    A child once sent a request on an idle connection of its parent, and the parent
+    took the answer for that of its own next request.
+    """
+    path = tmp_path / "runs"
+    path.touch()
+    parent = os.getpid()
+    tracers = [Tracer(f"entry-{number}", 0.0) for number in range(30)]
+    with path.open("a", buffering=1) as runs:
+
+        def note_runs():
+            while True:
+                gevent.sleep(0.0001)
+                if os.getpid() != parent:
+                    runs.write("child\n")
+
+        greenlets = [gevent.spawn(note_runs) for _ in range(20)]
+        for _ in range(5):
+            assert subprocess.Popen([sys.executable, "-c", ""]).wait() == 0
+        gevent.killall(greenlets)
+    assert len(tracers) == 30
+    assert path.read_text() == ""
