Collect the answers of recorded requests from the log alone

An entry answered a collector or a repeat from its own verdict before the log had it. If the entry was then lost and its worker could not tell about the task any more, another entry recorded that the request may have run, and the request had two answers. Only the caller on whose connection a request came is still answered without another commit.

--- a/libs/entry/src/lycheeloom/entry/intake.py
+++ b/libs/entry/src/lycheeloom/entry/intake.py
@@ -132,26 +132,37 @@
                     return doubt_reply(submission.request_id, message)
             if not submission.wait:
                 return progress_reply(result.request_id, result.status.value)
+            if result.request_id == submission.request_id:
+                return self._await_own(result.request_id)
             return self._await_recorded(result.request_id, MAX_WAIT_S)
         finally:
             self._journal.forget_caller(submission.request_id)
 
-    def _await_recorded(self, request_id: str, wait_s: float) -> Reply:
-        """Wait for a recorded request here or, if it runs elsewhere, in the log.
+    def _await_own(self, request_id: str) -> Reply:
+        """Wait for a recorded request whose caller waits on its connection.
 
-        That it did not run is said only once the log says so: until then another
-        entry could still take it over.
+        The caller has its answer without another commit. That the request did not
+        run is said only once the log says so: until then another entry could still
+        take it over.
         """
-        give_up_at = time.monotonic() + wait_s
+        give_up_at = time.monotonic() + MAX_WAIT_S
         job = self._jobs.job_by_id.get(request_id)
         if (
             job is not None
-            and job.settled.wait(wait_s)
+            and job.settled.wait(MAX_WAIT_S)
             and isinstance(job.verdict, Ran)
         ):
             return ran_reply(request_id, job.verdict.answer)
-        left_s = max(0.0, give_up_at - time.monotonic())
-        request = self._journal.wait(request_id, left_s)
+        return self._await_recorded(request_id, give_up_at - time.monotonic())
+
+    def _await_recorded(self, request_id: str, wait_s: float) -> Reply:
+        """Wait for what the log says about a recorded request.
+
+        Collected answers and repeats come from the log alone, so that all entries
+        give the same one: if this entry is lost before its verdict is recorded,
+        another entry records that the request may have run.
+        """
+        request = self._journal.wait(request_id, max(0.0, wait_s))
         if request is None:
             return _unknown_request(request_id)
         return self._recorded_reply(request)
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -27,7 +27,7 @@
 from lycheeloom.model.records import Outcome, Record
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
 from lycheeloom.platform import LogClient
-from lycheeloom.state import RecordedRequest, RequestStatus
+from lycheeloom.state import FleetState, RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
 
 from .dispatch import Dispatcher
@@ -71,7 +71,7 @@
         self._members_seen: frozenset[str] = frozenset()
         self._is_leaving = False
         tail.add_listener(self._on_replayed)
-        tail.add_reset_listener(lambda state: self.reassign())
+        tail.add_reset_listener(self._on_reset)
 
     def submit(
         self, submission: Submission, digest: bytes
@@ -256,14 +256,25 @@
             self._members_seen = members
             self.reassign()
 
+    def _on_reset(self, state: FleetState) -> None:
+        """Act on what the snapshot now in use says without single records."""
+        for request_id in list(self._waiter_by_id):
+            request = state.requests.request_by_id.get(request_id)
+            if request is None or request.status is RequestStatus.FINISHED:
+                self._wake_waiter(request_id)
+        self.reassign()
+
+    def _wake_waiter(self, request_id: str) -> None:
+        waiter = self._waiter_by_id.pop(request_id, None)
+        if waiter is not None:
+            waiter.set()
+
     def _on_record(self, record: Record) -> None:
         match record:
             case r.RequestSubmitted() | r.RequestReleased():
                 self._consider(record)
             case r.RequestFinished(request_id) | r.RequestCancelled(request_id):
-                waiter = self._waiter_by_id.pop(request_id, None)
-                if waiter is not None:
-                    waiter.set()
+                self._wake_waiter(request_id)
                 if isinstance(record, r.RequestCancelled):
                     self._drop_cancelled(request_id)
             case _:
--- a/libs/entry/tests/test_journal.py
+++ b/libs/entry/tests/test_journal.py
@@ -1,5 +1,7 @@
 """Recorded requests of an entry, against a log in memory."""
 
+from types import SimpleNamespace
+
 import gevent
 import pytest
 
@@ -7,9 +9,9 @@
 from lycheeloom.entry.jobs import JobTable, Submission
 from lycheeloom.entry.journal import Journal, select_member
 from lycheeloom.log import LogTail, LogWriter, recover
-from lycheeloom.model.records import MemberJoined, Outcome
+from lycheeloom.model.records import MemberJoined, Outcome, RequestFinished
 from lycheeloom.model.resources import Resources
-from lycheeloom.model.verdict import MayHaveRun
+from lycheeloom.model.verdict import MayHaveRun, Ran
 from lycheeloom.platform import Appended, ReadBatches
 from lycheeloom.state import FleetState, RecordedRequest, RequestStatus
 
@@ -121,6 +123,20 @@
     assert claiming.get() is None
 
 
+def test_wait_ends_with_a_snapshot_that_has_the_answer(world):
+    """Guards against a caller that waits on although the request is finished."""
+    job = world.accept()
+    world.call(world.journal.claim, job, 1, "w1", "boot")
+    waiting = gevent.spawn(world.journal.wait, "r1", 3600.0)
+    gevent.sleep(0)
+    world.writer.append(RequestFinished("r1", 1, Outcome.RAN, b"answer"))
+    world.writer.step()
+    world.tail.state = recover(world.log)
+    for listener in world.tail._reset_listeners:
+        listener(world.tail.state)
+    assert waiting.get(timeout=60.0).status is RequestStatus.FINISHED
+
+
 def test_shutdown_ends_waits_for_other_entries(world):
     """Guards against a shutdown that waits for what starts only after it."""
     world.accept()
@@ -144,3 +160,25 @@
     request.attempt = attempt
     intake = Intake(None, None, JobTable(), None, None, None, None)
     assert intake._recorded_reply(request).document["verdict"] == verdict
+
+
+def test_collected_answer_is_the_recorded_one(world):
+    """Guards against two entries that give different answers for one request.
+
+    An entry collected its own verdict before the log had it and was then lost;
+    another entry recorded that the request may have run.
+    """
+    queue = SimpleNamespace(open_to_all=True, teams=["red"])
+    world.tail.state.config = SimpleNamespace(queue_by_id={"find": queue})
+    fresh = SimpleNamespace(is_fresh=lambda: True)
+    intake = Intake(world.tail, fresh, world.jobs, None, world.journal, None, None)
+    job = world.accept(idempotent=False)
+    world.call(world.journal.claim, job, 1, "w1", "boot")
+    job.settle(Ran(b"answer"))
+    early = intake.show("r1", "", 0.0)
+    doubt = RequestFinished("r1", 1, Outcome.MAY_HAVE_RUN, b"the entry was lost")
+    world.writer.append(doubt)
+    world.pump()
+    assert early.status == 202
+    late = intake.show("r1", "", 0.0)
+    assert late.document["verdict"] == "may_have_run"
