Name a session in the renewal of a task's lease

Starts were bound by the session already; renewals are now refused once the session that they name has lapsed, and the entry repeats them with a new one.

--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -264,12 +264,29 @@
         is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
         # A worker that does not answer is not sent further renewals: each one
         # would put off the time at which its lease has certainly expired.
-        if not (is_due and sent.is_reachable and self._may_renew(sent.holder)):
-            return self._client.status(address, sent.task)
-        report = self._client.renew(address, sent.task, TASK_LEASE_S)
-        # Counted even if the answer is lost, as the renewal may have had effect.
+        if is_due and sent.is_reachable:
+            report = self._renew(sent)
+            if report is not None:
+                return report
+        return self._client.status(address, sent.task)
+
+    def _renew(self, sent: _Sent) -> TaskReport | Unavailable | None:
+        """Renew the lease, or return None if that had no effect."""
+        placement = sent.placement
+        session = self._sessions.get(placement.worker, placement.address)
+        if isinstance(session, Unavailable) or not self._may_renew(sent.holder):
+            return None
+        report = self._client.renew(
+            placement.address, sent.task, TASK_LEASE_S, session.id
+        )
+        if isinstance(report, ActionRefused):
+            self._sessions.drop(placement.worker)
+            return None
+        # Counted even if the answer is lost: the renewal may have had effect, or
+        # still arrive while its session is accepted.
         sent.renewed_at = self._clock()
-        sent.runs_until = sent.renewed_at + TASK_LEASE_S + CLOCK_MARGIN_S
+        lease_end_s = SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S
+        sent.runs_until = sent.renewed_at + lease_end_s
         return report
 
     def _judge(self, sent: _Sent, report: TaskReport) -> AttemptEnd | None:
--- a/libs/entry/tests/test_attempt.py
+++ b/libs/entry/tests/test_attempt.py
@@ -63,7 +63,7 @@
     def status(self, address, task):
         return self.statuses.pop(0) if len(self.statuses) > 1 else self.statuses[0]
 
-    def renew(self, address, task, lease_s):
+    def renew(self, address, task, lease_s, session):
         self.renewals += 1
         return self.status(address, task)
 
--- a/libs/entry/tests/test_attempt_renewal.py
+++ b/libs/entry/tests/test_attempt_renewal.py
@@ -6,7 +6,7 @@
 from lycheeloom.entry.attempt import AttemptRunner, Placement, Stopped
 from lycheeloom.entry.jobs import Job, Submission
 from lycheeloom.model.resources import Resources
-from lycheeloom.platform import Session, TaskReport, TaskStatus
+from lycheeloom.platform import ActionRefused, Session, TaskReport, TaskStatus
 from lycheeloom.telemetry import Tracer
 
 SIZE = Resources(1.0, 256)
@@ -19,6 +19,7 @@
         self.now = 0.0
         self.lease_until = 0.0
         self.renewals = 0
+        self.lapsed_sessions = set()
         self.on_status = lambda: None
 
     def clock(self):
@@ -33,8 +34,10 @@
         self.on_status()
         return self._report(task)
 
-    def renew(self, address, task, lease_s):
+    def renew(self, address, task, lease_s, session):
         self.renewals += 1
+        if session in self.lapsed_sessions:
+            return ActionRefused("lease_lapsed")
         self.lease_until = self.now + lease_s
         return self.status(address, task)
 
@@ -45,10 +48,16 @@
 
 
 class FakeSessions:
-    """Always has a session of the same boot."""
+    """Always has a session of the same boot; a dropped one is replaced."""
+
+    def __init__(self):
+        self.opened = 1
 
     def get(self, worker, address):
-        return Session("session", "boot", False, SIZE)
+        return Session(f"session-{self.opened}", "boot", False, SIZE)
+
+    def drop(self, worker):
+        self.opened += 1
 
 
 @pytest.fixture
@@ -92,3 +101,20 @@
     # Renewed at 6 s only, so the lease ends at 21 s and is seen at the next poll.
     assert worker.renewals == 1
     assert worker.now == 22.0
+
+
+def test_renewal_with_a_lapsed_session_is_repeated(worker, monkeypatch):
+    """Guards against a task that is stopped because one renewal came late."""
+    monkeypatch.setattr(attempt, "LONGEST_POLL_S", 0.0)
+    worker.lapsed_sessions.add("session-1")
+    submission = Submission("r1", "red", "bookings", b"", SIZE, 100.0, 0.0)
+    runner = make_runner(worker, ["e1"])
+
+    def end_soon():
+        if worker.now > 30.0:
+            worker.lease_until = 0.0
+
+    worker.on_status = end_soon
+    runner.run(Job(submission), Placement("w1", "a:1", SIZE), lambda: None)
+    # Without a second renewal the task would have ended at 15 s.
+    assert worker.now > 30.0
--- a/libs/platform/src/lycheeloom/platform/worker.py
+++ b/libs/platform/src/lycheeloom/platform/worker.py
@@ -90,11 +90,15 @@
         return _read_report(response, task)
 
     def renew(
-        self, address: str, task: str, lease_s: float
+        self, address: str, task: str, lease_s: float, session: str
     ) -> TaskReport | ActionRefused | Unavailable:
-        """Renew the lease of a running task."""
-        lease_ms = round(lease_s * 1000)
-        return self._act(address, task, "renew", {"lease_ms": lease_ms})
+        """Renew the lease of a running task.
+
+        The worker refuses it as ``lease_lapsed`` once the session has lapsed, so a
+        delayed renewal has no effect.
+        """
+        document = {"lease_ms": round(lease_s * 1000), "session": session}
+        return self._act(address, task, "renew", document)
 
     def cancel(
         self, address: str, task: str
--- a/libs/platform/tests/test_worker_client.py
+++ b/libs/platform/tests/test_worker_client.py
@@ -177,10 +177,27 @@
     start = make_start(payload=HOUR_OF_WORK)
     waiting = gevent.spawn(workers.start, worker.address, start, timeout_s=LONG_S)
     wait_until(lambda: worker.running)
-    workers.renew(worker.address, start.task, 0.01)
+    workers.renew(worker.address, start.task, 0.01, start.session)
     assert waiting.get().status is TaskStatus.STOPPED
 
 
+@pytest.mark.parametrize("named_session", ["", "lapsed"])
+def test_renewal_without_a_session_in_force_has_no_effect(
+    worker, workers, make_start, named_session
+):
+    """Guards against a delayed renewal that extends the lease of a lost entry.
+
+    Its slots would be given to others while its task runs on.
+    """
+    start = make_start(payload=HOUR_OF_WORK, wait=False)
+    workers.start(worker.address, start, timeout_s=LONG_S)
+    lease_until = worker.running[start.task].lease_until
+    refused = workers.renew(worker.address, start.task, 2 * LONG_S, named_session)
+    assert refused == ActionRefused("lease_lapsed")
+    assert worker.running[start.task].lease_until == lease_until
+    workers.stop(worker.address, start.task)
+
+
 def test_every_greenlet_gets_its_own_answer(make_start):
     """Guards against answers mixed up between shared connections."""
     fleet = [WorkerStandIn(f"w{n}", capacity=Amount(1e6, 10**9)) for n in range(3)]
@@ -214,7 +231,7 @@
     [
         lambda c, a: c.open_session(a, "e", 1.0),
         lambda c, a: c.status(a, "t"),
-        lambda c, a: c.renew(a, "t", 1.0),
+        lambda c, a: c.renew(a, "t", 1.0, "s"),
         lambda c, a: c.usage(a),
     ],
     ids=["open_session", "status", "renew", "usage"],
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -222,8 +222,11 @@
             lease_s = float(document["lease_ms"]) / 1000
         except (KeyError, TypeError, ValueError):
             return refuse(400, "lease_ms must be a number")
+        now = time.monotonic()
+        if self._session_lapsed(document.get("session", ""), now):
+            return self._refuse_start("lease_lapsed")
         if not self.faults.lapse_leases:
-            task.lease_until = time.monotonic() + lease_s
+            task.lease_until = now + lease_s
             task.wake()
         return None
 
