--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from pydantic import ConfigDict
+
 from lycheeloom.model.records import (
     Outcome,
     RequestClaimed,
@@ -32,6 +34,9 @@
 class RecordedRequest:
     """A request that survives the loss of every entry."""
 
+    # A digest is rarely valid UTF-8, which is how bytes become JSON by default.
+    __pydantic_config__ = ConfigDict(ser_json_bytes="base64", val_json_bytes="base64")
+
     request_id: str
     team: str
     queue: str
--- a/libs/state/tests/test_fleet_state.py
+++ b/libs/state/tests/test_fleet_state.py
@@ -54,9 +54,13 @@
     return log
 
 
+# Like most digests not valid UTF-8, which once kept snapshots from being written.
+DIGEST = b"\xff\x00d"
+
+
 def submit(log, request_id="q1", key=""):
     record = r.RequestSubmitted(
-        request_id, "t", "main", b"x", idempotency_key=key, body_digest=b"d"
+        request_id, "t", "main", b"x", idempotency_key=key, body_digest=DIGEST
     )
     return log.append("a", record)
 
@@ -254,6 +258,7 @@
     for state in (log.state, restored):
         state.apply(state.next_offset, batch)
     assert restored.dump_snapshot() == log.state.dump_snapshot()
+    assert restored.requests.request_by_id["q1"].body_digest == DIGEST
 
 
 def test_damaged_snapshot_is_rejected(log):
