--- a/demo/processes.py
+++ b/demo/processes.py
@@ -86,7 +86,13 @@
         self.platform = PlatformAddresses(**json.loads(line))
         return self.platform
 
-    def start_entry(self, instance: str, zone: str, **settings: object) -> Program:
+    def start_entry(
+        self,
+        instance: str,
+        zone: str,
+        program: str = "lycheeloom.entry.main",
+        **settings: object,
+    ) -> Program:
         """Start an entry; a new process gets new ports."""
         listen, peer_listen = free_address(), free_address()
         values = {
@@ -100,9 +106,26 @@
             **settings,
         }
         path = self._write_settings(f"{instance}-{len(self.programs)}", values)
-        program = self._spawn(instance, ["lycheeloom.entry.main", str(path)])
-        program.address = listen
-        return program
+        started = self._spawn(instance, [program, str(path)])
+        started.address = listen
+        return started
+
+    def start_controller(self, instance: str, zone: str, **settings: object) -> Program:
+        """Start a controller."""
+        listen = free_address()
+        values = {
+            "instance": instance,
+            "zone": zone,
+            "listen": listen,
+            "log": self.platform.log,
+            "instances": self.platform.instances,
+            **settings,
+        }
+        name = f"controller-{instance}"
+        path = self._write_settings(f"{name}-{len(self.programs)}", values)
+        started = self._spawn(name, ["lycheeloom.controller.main", str(path)])
+        started.address = listen
+        return started
 
     def wait_ready(self, programs: Sequence[Program]) -> float:
         """Wait until each program answers at ``/readyz``; returns the seconds."""
--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 
 from lycheeloom.log import LogTail, LogWriter, Pending, Priority, RecordReader
-from lycheeloom.model.records import Record
+from lycheeloom.model.records import RequestFinished, RequestSubmitted
 from lycheeloom.state import RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
 
@@ -78,11 +78,9 @@
                 yield request
 
     def _refresh(self, request: RecordedRequest) -> None:
-        record: Record | None
-        if request.status is RequestStatus.FINISHED:
-            record = self._reader.finish(request.answer_offset, request.request_id)
-        else:
-            record = self._reader.submission(request.body_offset, request.request_id)
+        is_finished = request.status is RequestStatus.FINISHED
+        kind = RequestFinished if is_finished else RequestSubmitted
+        record = self._reader.copy(_offset_of(request), request.request_id, kind)
         if record is None:
             log_event("record_unreadable", "WARNING", request=request.request_id)
             return
--- a/libs/log/src/lycheeloom/log/record_reader.py
+++ b/libs/log/src/lycheeloom/log/record_reader.py
@@ -6,12 +6,13 @@
 
 from lycheeloom.model.records import (
     Batch,
+    CopiedRecord,
     Record,
     RequestFinished,
     RequestSubmitted,
 )
 from lycheeloom.platform import ReadBatches
-from lycheeloom.wire import decode_batch
+from lycheeloom.wire import copy_record, decode_batch
 
 from .client import LogClient
 from .tail import LogTail
@@ -40,16 +41,36 @@
                 return record
         return None
 
+    def copy(
+        self,
+        offset: int | None,
+        request_id: str,
+        kind: type[RequestSubmitted | RequestFinished],
+    ) -> CopiedRecord | None:
+        """Return the record as it stands in the log, for appending it again."""
+        encoded = self._encoded(offset)
+        for index, record in enumerate(_decode(encoded)):
+            if isinstance(record, kind) and record.request_id == request_id:
+                return copy_record(encoded, index)
+        return None
+
     def _records(self, offset: int | None) -> Iterator[Record]:
+        yield from _decode(self._encoded(offset))
+
+    def _encoded(self, offset: int | None) -> bytes | None:
         if offset is None:
-            return
+            return None
         encoded = self._tail.ring.read(offset, 1)
         if not encoded:
             answer = self._client.read(offset, 1, 0.0)
             if not isinstance(answer, ReadBatches) or answer.first != offset:
-                return
+                return None
             encoded = answer.batches
-        for data in encoded[:1]:
-            batch = decode_batch(data)
-            if isinstance(batch, Batch):
-                yield from batch.records
+        return encoded[0] if encoded else None
+
+
+def _decode(encoded: bytes | None) -> tuple[Record, ...]:
+    if encoded is None:
+        return ()
+    batch = decode_batch(encoded)
+    return batch.records if isinstance(batch, Batch) else ()
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -255,6 +255,17 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class CopiedRecord:
+    """A record that is appended again as it was encoded, alone in a batch.
+
+    Encoding what was decoded would drop fields of newer program versions. It is
+    decoded as the record that was copied.
+    """
+
+    encoded: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class UnknownRecord:
     """A record kind of a newer program version; it is skipped and counted."""
@@ -280,6 +291,7 @@
     | InstanceHealth
     | WaveCommand
     | SnapshotChunk
+    | CopiedRecord
     | UnknownRecord
 )
 
--- a/libs/wire/src/lycheeloom/wire/__init__.py
+++ b/libs/wire/src/lycheeloom/wire/__init__.py
@@ -1,6 +1,6 @@
 """Cap'n Proto codecs for log batches and peer messages."""
 
-from .batches import BadBatch, decode_batch, encode_batch
+from .batches import BadBatch, copy_record, decode_batch, encode_batch
 from .peers import (
     BadPeerMessage,
     Heartbeat,
@@ -22,6 +22,7 @@
     "RangeRequest",
     "RecordRelay",
     "TeamUsage",
+    "copy_record",
     "decode_batch",
     "decode_peer_message",
     "encode_batch",
--- a/libs/wire/src/lycheeloom/wire/batches.py
+++ b/libs/wire/src/lycheeloom/wire/batches.py
@@ -9,7 +9,7 @@
 import capnp
 
 from lycheeloom.model import records
-from lycheeloom.model.records import Batch, Record, UnknownRecord
+from lycheeloom.model.records import Batch, CopiedRecord, Record, UnknownRecord
 
 from .seal import seal, unseal
 from .structs import from_struct, to_fields
@@ -53,16 +53,42 @@
 
     Raises ``ValueError`` for a value that its field cannot hold.
     """
-    fields_by_record = [to_fields(record) for record in batch.records]
+    fields_by_record = [
+        None if isinstance(record, CopiedRecord) else to_fields(record)
+        for record in batch.records
+    ]
     message = _SCHEMA.Batch.new_message(author=batch.author, sequence=batch.sequence)
     records = message.init("records", len(batch.records))
     for index, record in enumerate(batch.records):
+        if isinstance(record, CopiedRecord):
+            copied = unseal(record.encoded)
+            with _SCHEMA.Batch.from_bytes(copied) as source:
+                _copy_member(source.records[0], records[index])
+            continue
         # Setting a union member from a dict raises inside the library first.
         member = records[index].init(_TAG_BY_KIND[type(record)])
         member.from_dict(fields_by_record[index])
     return seal(message.to_bytes())
 
 
+def copy_record(encoded: bytes, index: int) -> CopiedRecord:
+    """Return one record of a batch for appending it again.
+
+    ``encoded`` has been decoded before, and the record is of a known kind.
+    """
+    copy = _SCHEMA.Batch.new_message()
+    unsealed = unseal(encoded)
+    with _SCHEMA.Batch.from_bytes(unsealed) as source:
+        _copy_member(source.records[index], copy.init("records", 1)[0])
+    return CopiedRecord(seal(copy.to_bytes()))
+
+
+def _copy_member(source: Any, target: Any) -> None:
+    # Copying the struct behind the pointer keeps fields that this schema lacks.
+    tag = str(source.which())
+    setattr(target, tag, getattr(source, tag))
+
+
 def decode_batch(data: bytes) -> Batch | BadBatch:
     """Read a batch; record kinds of newer programs become ``UnknownRecord``."""
     unsealed = unseal(data)
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -15,6 +15,7 @@
     RangeRequest,
     RecordRelay,
     TeamUsage,
+    copy_record,
     decode_batch,
     decode_peer_message,
     encode_batch,
@@ -83,6 +84,15 @@
     assert decode_batch(seal(message.to_bytes())) == Batch("a", 1, (UnknownRecord(),))
 
 
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
+def test_copied_record_is_the_same_record(record):
+    """A record that is appended again must not change on the way."""
+    first = encode_batch(Batch("first", 3, (r.MemberRefuted(), record)))
+    copy = copy_record(first, 1)
+    again = encode_batch(Batch("second", 8, (copy, r.MemberLeft())))
+    assert decode_batch(again) == Batch("second", 8, (record, r.MemberLeft()))
+
+
 def in_used_greenlet(function):
     """Run a function in a greenlet that has been switched before.
 
@@ -101,6 +111,9 @@
     """Encoding a record in a greenlet ended the process with a segmentation fault."""
     batch = Batch("author", 7, (record,))
     encoded = in_used_greenlet(lambda: encode_batch(batch))
+    copy = in_used_greenlet(lambda: copy_record(encoded, 0))
+    copied = Batch("author", 7, (copy,))
+    assert in_used_greenlet(lambda: encode_batch(copied)) == encoded
     assert in_used_greenlet(lambda: decode_batch(encoded)) == batch
     damaged = encoded[:-1] + bytes([encoded[-1] ^ 1])
     assert isinstance(in_used_greenlet(lambda: decode_batch(damaged)), BadBatch)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -102,6 +102,17 @@
     return world.notes.publications[-1]
 
 
+def hears(world, listener, name):
+    """Tell whether an entry has had heartbeats of another instance."""
+    members = world.status(listener)["members"]
+    return any(m["instance"] == name and m["heard_ms"] is not None for m in members)
+
+
+def accepted(call):
+    """Return a call that ran, else None."""
+    return call if call.verdict == "ran" else None
+
+
 def start_world() -> object:
     """Yield a fleet that serves."""
     with running_fleet() as fleet:
--- /dev/null
+++ b/tests/newer_entry.py
@@ -0,0 +1,115 @@
+"""An entry of a made-up newer version, run as ``python -m tests.newer_entry``.
+
+It is today's entry with schemas that are extended when they are loaded: it
+writes an optional field and a kind of record that today's version does not know.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+from dataclasses import dataclass  # noqa: E402
+from pathlib import Path  # noqa: E402
+from typing import Any  # noqa: E402
+
+import capnp  # noqa: E402
+import gevent  # noqa: E402
+
+from lycheeloom.entry import main as entry_main  # noqa: E402
+from lycheeloom.entry import service  # noqa: E402
+from lycheeloom.model.records import (  # noqa: E402
+    RequestFinished,
+    RequestSubmitted,
+)
+from lycheeloom.wire import Heartbeat, batches, peers  # noqa: E402
+
+VERSION = "99.0.0"
+COST_CENTRE = "north-7"
+NOTE_INTERVAL_S = 0.3
+
+# Additions behind the last line of a struct or union, as a later version of the
+# schemas would make them.
+_ADDED_TO_RECORDS = {
+    "    snapshotChunk @19 :SnapshotChunk;\n": "    entryNote @20 :EntryNote;\n",
+    "  checkpointable @10 :Bool;\n": "  costCentre @11 :Text;\n",
+    "  outcome @2 :Text;\n  answer @3 :Data;\n": "  costCentre @4 :Text;\n",
+    "struct Empty {}\n": "struct EntryNote {\n  text @0 :Text;\n}\n",
+}
+_ADDED_TO_PEERS = {
+    "  reservedWorkers @7 :List(Text);\n": "  buildLabel @8 :Text;\n",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class EntryNote:
+    """A record kind that only this version knows; it has no effect."""
+
+    text: str
+
+
+class NewerEntry(service.EntryService):
+    """Appends a note now and then."""
+
+    def _start(self) -> None:
+        super()._start()
+        self._greenlets.append(gevent.spawn(self._run_notes))
+
+    def _run_notes(self) -> None:
+        while True:
+            self.writer.append(EntryNote(f"from {self.settings.instance}"))
+            gevent.sleep(NOTE_INTERVAL_S)
+
+
+def load_newer_records() -> Any:
+    """Return the schema of records as the newer version has it."""
+    return _load("records.capnp", _ADDED_TO_RECORDS)
+
+
+def load_newer_peers() -> Any:
+    """Return the schema of peer messages as the newer version has it."""
+    return _load("peers.capnp", _ADDED_TO_PEERS)
+
+
+def _load(name: str, added: dict[str, str]) -> Any:
+    text = Path(batches.__file__).with_name(name).read_text()
+    for line, addition in added.items():
+        if text.count(line) != 1:
+            raise ValueError(f"{name} does not have {line!r} once")
+        text = text.replace(line, line + addition)
+    # Both versions are loaded in one process, so the file needs an id of its own.
+    first, _, rest = text.partition(";")
+    text = f"{first[:-1]}{int(first[-1], 16) ^ 1:x};{rest}"
+    with tempfile.TemporaryDirectory(prefix="lycheeloom-") as folder:
+        path = Path(folder) / name
+        path.write_text(text)
+        return capnp.load(str(path))
+
+
+def _adopt_newer_version() -> None:
+    batches._SCHEMA = load_newer_records()
+    batches._KIND_BY_TAG["entryNote"] = EntryNote
+    batches._TAG_BY_KIND[EntryNote] = "entryNote"
+    peers._SCHEMA = load_newer_peers()
+    to_fields = batches.to_fields
+
+    def to_newer_fields(value: Any) -> dict[str, Any]:
+        fields = to_fields(value)
+        match value:
+            case RequestSubmitted() | RequestFinished():
+                fields["costCentre"] = COST_CENTRE
+            case Heartbeat():
+                fields["buildLabel"] = VERSION
+        return fields
+
+    batches.to_fields = peers.to_fields = to_newer_fields
+    service.PROGRAM_VERSION = entry_main.PROGRAM_VERSION = VERSION
+    entry_main.EntryService = NewerEntry
+
+
+if __name__ == "__main__":
+    _adopt_newer_version()
+    sys.exit(entry_main.main())
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -17,7 +17,14 @@
 from bench.fault_oracle import REVOKED_S, ZONE_OUT_S, peak_by_team
 from lycheeloom.operator import Published
 
-from .conftest import Forwarder, Load, publish_surely, wait_until
+from .conftest import (
+    Forwarder,
+    Load,
+    accepted,
+    hears,
+    publish_surely,
+    wait_until,
+)
 
 LIST_LAG_S = 1.0
 # Stated target of the design page for workers that are leaving.
@@ -173,12 +180,6 @@
     assert peak_by_team(world.fleet.ledger())["green"] == limit
 
 
-def hears(world, listener, name):
-    """Tell whether an entry has had heartbeats of another instance."""
-    members = world.status(listener)["members"]
-    return any(m["instance"] == name and m["heard_ms"] is not None for m in members)
-
-
 def states(world, name):
     """Return the states that e1 shows for the members of an instance."""
     members = world.status("e1")["members"]
@@ -237,11 +238,6 @@
     assert len(starts_of(world, booking["work"])) == 1
 
 
-def accepted(call):
-    """Return a call that ran, else None."""
-    return call if call.verdict == "ran" else None
-
-
 def test_refusals_are_true(world, key, log_faults, worker_faults):
     """I7: guards against "not run" for work that a worker has started."""
     worker_faults(lose_answers=-1)
