Keep one unsettled request for slots per team

An entry appended a new GrantRequested each second and team while its demand stayed above its grant, whether or not the earlier one had been written. In an outage of the log these records filled the queue of control records and were all written when the log was back.

A request now waits for the outcome of the one before. An unsent one is withdrawn when the wanted count changes or no more slots are wanted.

--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -51,6 +52,8 @@
         peer_demand: Callable[[], Mapping[str, int]],
         is_draining: Callable[[], bool],
         on_change: Callable[[], None],
+        *,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._tail = tail
         self._writer = writer
@@ -60,8 +63,10 @@
         self._peer_demand = peer_demand
         self._is_draining = is_draining
         self._on_change = on_change
+        self._clock = clock
         self._returning_by_team: dict[str, _Returning] = {}
         self._requested_at: dict[str, float] = {}
+        self._request_by_team: dict[str, Pending] = {}
         self._slots_by_team: Mapping[str, int] = {}
 
     def run(self) -> None:
@@ -135,11 +140,14 @@
         others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
         if (others_wait or is_over) and held > wanted:
             idle = held - max(wanted, self._running(team))
+            self._withdraw_request(team)
             if idle > 0:
                 self._give_back(team, idle)
             return
         if held < wanted and not is_over:
             self._ask(team, wanted - held)
+            return
+        self._withdraw_request(team)
 
     def _wanted(self, team: str, limit: int, is_over: bool, demand: _Demand) -> int:
         """Return how many slots this entry should hold."""
@@ -160,11 +168,29 @@
         return self._tail.state.grants.of(team).count_by_holder.get(own, 0)
 
     def _ask(self, team: str, count: int) -> None:
-        now = time.monotonic()
-        if now - self._requested_at.get(team, -REQUEST_INTERVAL_S) < REQUEST_INTERVAL_S:
+        """Request slots, with at most one unsettled request for each team.
+
+        In a log outage of 30 minutes a request each second would leave 1,800
+        records of each team for the log to take afterwards.
+        """
+        now = self._clock()
+        if now - self._requested_at.get(team, -math.inf) < REQUEST_INTERVAL_S:
             return
+        request = self._request_by_team.get(team)
+        if request is not None and request.outcome is None:
+            is_same = request.record == GrantRequested(team, count)
+            if is_same or not request.withdraw("the wanted count changed"):
+                return
         self._requested_at[team] = now
-        self._writer.append(GrantRequested(team, count), Priority.CONTROL)
+        self._request_by_team[team] = self._writer.append(
+            GrantRequested(team, count), Priority.CONTROL
+        )
+
+    def _withdraw_request(self, team: str) -> None:
+        """Give up a request that was not sent, as no more slots are wanted."""
+        request = self._request_by_team.get(team)
+        if request is not None and request.outcome is None:
+            request.withdraw("no more slots are wanted")
 
     def _give_back(self, team: str, count: int) -> Pending:
         pending = self._writer.append(GrantReturned(team, count), Priority.CONTROL)
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_keeper.py
@@ -1,11 +1,16 @@
 """How entries share the running slots of a team."""
 
+import random
 from types import SimpleNamespace
 
-from lycheeloom.entry.grant_keeper import GrantKeeper
-from lycheeloom.log import Effective
+import pytest
+from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
+
+from lycheeloom.entry.grant_keeper import STEP_INTERVAL_S, GrantKeeper
+from lycheeloom.log import Effective, LogTail, LogWriter, Priority
 from lycheeloom.model.records import GrantRequested, MemberJoined
 from lycheeloom.state import FleetState
+from lycheeloom.wire import decode_batch
 
 ENTRIES = ("a", "b", "c", "d", "e")
 
@@ -74,3 +79,129 @@
     world = World(limit=10)
     world.step()
     assert {world.state.grants.of("red").usable(name) for name in ENTRIES} == {2}
+
+
+class LoggedWorld:
+    """One keeper with a writer and a tail over a log that can be down."""
+
+    def __init__(self, limit_by_team):
+        self.clock, self.log = Clock(), FakeLog()
+        self.client = FakeClient(self.log)
+        rng = random.Random(1)
+        self.tail = LogTail(self.client, FleetState(), clock=self.clock, rng=rng)
+        self.writer = LogWriter(self.client, "a", self.tail, clock=self.clock, rng=rng)
+        self.tail.state.grants.set_limits(limit_by_team)
+        self.tail.state.config.team_by_id.update(dict.fromkeys(limit_by_team))
+        self.demand_by_team = {}
+        self.running_by_team = {}
+        self.peer_demand_by_team = {}
+        self.is_draining = False
+        self.fault = ""
+        self.appended = []
+        self._next_write_at = 0.0
+        self.keeper = GrantKeeper(
+            self.tail,
+            SimpleNamespace(append=self._append),
+            SimpleNamespace(
+                demand_by_team=lambda: self.demand_by_team,
+                set_grants=lambda slots: None,
+            ),
+            lambda: "a",
+            lambda team: self.running_by_team.get(team, 0),
+            lambda: self.peer_demand_by_team,
+            lambda: self.is_draining,
+            lambda: None,
+            clock=self.clock,
+        )
+        self.peer_writer = LogWriter(FakeClient(self.log), "b", self.tail, rng=rng)
+        self.writer.append(MemberJoined("a", "a", "x:1", "north"))
+        self.append_as_peer(MemberJoined("b", "b", "x:2", "north"))
+        self.run(2.0)
+
+    def append_as_peer(self, record):
+        self.peer_writer.append(record, Priority.CONTROL)
+        self.peer_writer.step()
+
+    def _append(self, record, priority):
+        self.appended.append(self.writer.append(record, priority))
+        return self.appended[-1]
+
+    def run(self, seconds, check=lambda: None):
+        for _ in range(round(seconds / STEP_INTERVAL_S)):
+            self.clock.now += STEP_INTERVAL_S
+            self.client.append_faults.clear()
+            self.client.append_faults.append(self.fault)
+            if self.clock.now >= self._next_write_at:
+                self._next_write_at = self.clock.now + self.writer.step()
+            self.tail.step()
+            self.keeper.step()
+            check()
+
+    def usable(self, team):
+        return self.keeper.usable(team)
+
+    def unsettled(self, kind, team):
+        return [
+            pending
+            for pending in self.appended
+            if pending.outcome is None
+            and isinstance(pending.record, kind)
+            and pending.record.team == team
+        ]
+
+    def written(self, kind, first_offset):
+        return [
+            record
+            for batch in self.log.archive[first_offset:]
+            for record in decode_batch(batch).records
+            if isinstance(record, kind)
+        ]
+
+
+@pytest.mark.parametrize("fault", ["down", "lost_request"])
+@pytest.mark.parametrize("is_changing", [False, True])
+def test_requests_do_not_pile_up_in_an_outage(fault, is_changing):
+    """Guards against a record each second and team that all wait for the log.
+
+    They filled the queue of control records and were all written afterwards.
+    """
+    world = LoggedWorld({"red": 90, "blue": 90})
+    before = len(world.log.archive)
+    world.peer_demand_by_team = {"red": 1, "blue": 1}
+    world.fault = fault
+    most = 0
+
+    def check():
+        nonlocal most
+        unsettled = (world.unsettled(GrantRequested, team) for team in ("red", "blue"))
+        most = max(most, *map(len, unsettled))
+
+    for second in range(1800):
+        extra = second // 10 % 3 if is_changing else 0
+        world.demand_by_team = {"red": 89 - extra, "blue": 89}
+        world.run(1.0, check)
+    world.fault = ""
+    world.run(5.0)
+    written = world.written(GrantRequested, before)
+    assert most == 1
+    assert len(written) == 2
+    assert world.usable("blue") == 89
+    # A request that may have reached the log keeps the count that it was sent with.
+    sent = 89 if fault == "lost_request" else world.demand_by_team["red"]
+    assert world.usable("red") == sent
+
+
+def test_unsent_request_is_withdrawn_when_the_demand_is_gone():
+    """Guards against slots that are granted after an outage to an idle entry."""
+    world = LoggedWorld({"red": 90})
+    world.peer_demand_by_team = {"red": 1}
+    world.fault = "down"
+    world.demand_by_team = {"red": 80}
+    world.run(5.0)
+    assert len(world.unsettled(GrantRequested, "red")) == 1
+    world.demand_by_team = {}
+    world.run(5.0)
+    assert not world.unsettled(GrantRequested, "red")
+    world.fault = ""
+    world.run(5.0)
+    assert world.usable("red") == 45
