Append no second copy of a record while the first is unsettled

A wait that ended while its record was under way left the record in the queue if the log then refused it: it was written after the outage, beside each copy that the waiter had appended since. Such a record is now settled as not written as soon as the log refuses it.

Three users of the writer appended again meanwhile:

- Recovery of claims: each scan appended a decision again.
It now waits until the outcome is known.

Moves and health are withdrawn by the maintenance loop once the plan no longer has them (by reading the code).

--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -68,6 +68,8 @@
         self._submission_by_id: dict[str, Submission] = {}
         # Requests taken here whose callers wait on their connections.
         self._awaited_ids: set[str] = set()
+        # Requests that were refused here and whose cancellation is being written.
+        self._cancelling_ids: set[str] = set()
         self._members_seen: frozenset[str] = frozenset()
         self._is_leaving = False
         tail.add_listener(self._on_replayed)
@@ -127,13 +129,8 @@
 
     def claim(self, job: Job, attempt: int, worker: str, boot_id: str) -> str | None:
         """Record an attempt; returns why it must not start, or None."""
-        pending = self._writer.append(
-            r.RequestClaimed(job.id, attempt, worker, boot_id)
-        )
-        outcome = pending.wait(CLAIM_WAIT_S)
-        while isinstance(outcome, Unknown) and pending.outcome is None:
-            outcome = pending.wait(CLAIM_WAIT_S)
-        match outcome:
+        record = r.RequestClaimed(job.id, attempt, worker, boot_id)
+        match self._writer.append(record).wait_settled(CLAIM_WAIT_S):
             case Effective():
                 return None
             case NoEffect():
@@ -142,10 +139,10 @@
             case Unknown() if self._is_own_claim(job.id, attempt):
                 # Its replay was part of a snapshot.
                 return None
-            case _:
+            case NotWritten(reason) | Unknown(reason):
                 # The attempt number is free again.
                 job.attempt -= 1
-                return f"the claim was not recorded: {outcome.reason}"
+                return f"the claim was not recorded: {reason}"
 
     def release(self, job: Job, attempt: int) -> bool:
         """Make a claimed request pending again before its next attempt."""
@@ -330,7 +327,21 @@
             reason=refusal.reason,
             message=refusal.message,
         )
-        gevent.spawn(self._write, r.RequestCancelled(request.request_id))
+        gevent.spawn(self._cancel_refused, request.request_id)
+
+    def _cancel_refused(self, request_id: str) -> None:
+        """Cancel a request that cannot run, with one record under way at a time.
+
+        In a log outage it stays pending, so each change of the members finds it
+        again.
+        """
+        if request_id in self._cancelling_ids:
+            return
+        self._cancelling_ids.add(request_id)
+        try:
+            self._write(r.RequestCancelled(request_id))
+        finally:
+            self._cancelling_ids.discard(request_id)
 
     def _is_own_claim(self, request_id: str, attempt: int) -> bool:
         request = self._tail.state.requests.find_claim(request_id, attempt)
@@ -340,10 +351,7 @@
         """Append a record until its outcome is known."""
         author = self._incarnation()
         while True:
-            pending = self._writer.append(record)
-            outcome = pending.wait(COMMIT_TIMEOUT_S)
-            while isinstance(outcome, Unknown) and pending.outcome is None:
-                outcome = pending.wait(COMMIT_TIMEOUT_S)
+            outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
             if not isinstance(outcome, NotWritten) or author != self._incarnation():
                 return outcome
             gevent.sleep(RETRY_INTERVAL_S)
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -72,7 +72,9 @@
         try:
             report = self._look_up(request, attempt)
             record = decide(request, attempt, report)
-            outcome = self._writer.append(record).wait(COMMIT_TIMEOUT_S)
+            # The next scan must not append another record while this one can still
+            # be written.
+            outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
             self.recovered += 1
             log_event(
                 "claim_recovered",
--- a/libs/entry/tests/test_journal.py
+++ b/libs/entry/tests/test_journal.py
@@ -9,8 +9,8 @@
 from lycheeloom.log import LogTail, LogWriter, recover
 from lycheeloom.model.records import MemberJoined, Outcome
 from lycheeloom.model.resources import Resources
-from lycheeloom.model.verdict import MayHaveRun
-from lycheeloom.platform import Appended, ReadBatches
+from lycheeloom.model.verdict import MayHaveRun, Refusal, RefusalReason
+from lycheeloom.platform import Appended, AppendRefusal, AppendRefused, ReadBatches
 from lycheeloom.state import FleetState, RecordedRequest, RequestStatus
 
 MEMBERS = ["e0-a", "e1-b", "e2-c"]
@@ -18,12 +18,15 @@
 
 
 class FakeLog:
-    """A log that never fails."""
+    """A log that fails only while it is down for appends."""
 
     def __init__(self):
         self.batches = []
+        self.is_down = False
 
     def append(self, batch):
+        if self.is_down:
+            return AppendRefused(AppendRefusal.DOWN)
         self.batches.append(batch)
         return Appended(len(self.batches) - 1)
 
@@ -34,15 +37,19 @@
 
 
 class FakeDispatcher:
-    """Takes jobs and runs none."""
+    """Takes jobs, unless it refuses them, and runs none."""
 
     def __init__(self, jobs):
         self.submitted = []
+        self.refusal = None
         self._jobs = jobs
 
     def submit(self, job):
+        if self.refusal is not None:
+            return self.refusal
         self.submitted.append(job)
         self._jobs.add(job)
+        return None
 
 
 class JournalWorld:
@@ -109,6 +116,24 @@
     assert again.verdict is None
 
 
+def test_refused_request_is_cancelled_by_one_record(world):
+    """Guards against a record for each change of the members in a log outage."""
+    job = world.accept()
+    world.jobs.remove(job)
+    before = len(world.log.batches)
+    world.log.is_down = True
+    world.dispatcher.refusal = Refusal(RefusalReason.NEVER_FITS, "too large")
+    for _ in range(5):
+        world.journal.reassign()
+        world.pump()
+    assert world.writer.queued_records == 1
+    world.log.is_down = False
+    world.pump()
+    assert len(world.log.batches) == before + 1
+    request = world.tail.state.requests.request_by_id["r1"]
+    assert request.outcome is Outcome.NOT_RUN
+
+
 def test_claim_that_was_replayed_within_a_snapshot(world):
     """Guards against a claim that this entry holds but does not run."""
     job = world.accept()
--- a/libs/entry/tests/test_recovery.py
+++ b/libs/entry/tests/test_recovery.py
@@ -1,12 +1,23 @@
 """Guards what is decided about requests whose entry was lost."""
 
+from types import SimpleNamespace
+
+import gevent
 import pytest
 
-from lycheeloom.entry.recovery import decide
+from lycheeloom.entry import recovery
+from lycheeloom.entry.recovery import ClaimRecovery, decide
+from lycheeloom.log import LogTail, LogWriter
 from lycheeloom.model.records import Outcome, RequestFinished, RequestReleased
 from lycheeloom.model.resources import NO_RESOURCES
-from lycheeloom.platform import TaskReport, TaskStatus
-from lycheeloom.state import RecordedRequest
+from lycheeloom.platform import (
+    AppendRefusal,
+    AppendRefused,
+    AppendUnknown,
+    TaskReport,
+    TaskStatus,
+)
+from lycheeloom.state import FleetState, RecordedRequest
 
 RELEASED = RequestReleased("r", 2)
 DOUBT = Outcome.MAY_HAVE_RUN
@@ -66,3 +77,48 @@
     found = report(TaskStatus.DONE, answer=b"whole")
     record = decide(request(is_idempotent), 2, found)
     assert record == RequestFinished("r", 2, Outcome.RAN, b"whole")
+
+
+WAIT_S = 0.01
+
+
+class SlowLog:
+    """A log that takes longer over an answer than the recovery waits for it."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def append(self, batch):
+        gevent.sleep(3 * WAIT_S)
+        return self.answer
+
+
+@pytest.mark.parametrize(
+    "answer", [AppendRefused(AppendRefusal.DOWN), AppendUnknown("no answer in time")]
+)
+def test_claim_has_one_unsettled_record_in_an_outage(monkeypatch, answer):
+    """Guards against another record from each scan while the first is unsettled."""
+    monkeypatch.setattr(recovery, "COMMIT_TIMEOUT_S", WAIT_S)
+    lost = request(True)
+    lost.holder = "gone"
+    state = SimpleNamespace(
+        members=SimpleNamespace(
+            active=lambda: [SimpleNamespace(incarnation="a")],
+            member_by_incarnation={"a": None},
+        ),
+        requests=SimpleNamespace(claimed=["r"], request_by_id={"r": lost}),
+        config=SimpleNamespace(instance_by_id={}),
+    )
+    log = SlowLog(answer)
+    writer = LogWriter(log, "a", LogTail(log, FleetState()))
+    appended, append = [], writer.append
+    writer.append = lambda record: appended.append(append(record)) or appended[-1]
+    claims = ClaimRecovery(
+        SimpleNamespace(state=state), writer, None, lambda: "a", lambda: True
+    )
+    for _ in range(10):
+        claims.scan()
+        gevent.sleep(0)
+        writer.step()
+        assert sum(pending.outcome is None for pending in appended) <= 1
+    assert appended
--- a/libs/log/src/lycheeloom/log/outcomes.py
+++ b/libs/log/src/lycheeloom/log/outcomes.py
@@ -61,6 +61,9 @@
         self.outcome: Outcome | None = None
         # Set while an attempt that may reach the log is under way or was made.
         self.is_sent = False
+        # Set once a wait ended without an outcome: the record is then not sent
+        # again if the attempt under way is refused.
+        self.is_given_up = False
         self._settled = Event()
 
     def settle(self, outcome: Outcome) -> None:
@@ -82,9 +85,20 @@
 
         A record that was not sent within the time is withdrawn and reported as
         ``NotWritten``. ``Unknown`` after a sent record may still turn into an
-        outcome later; ``wait`` may be called again.
+        outcome later, ``NotWritten`` if the log refuses it; ``wait`` may be called
+        again.
         """
         if self._settled.wait(timeout_s) and self.outcome is not None:
             return self.outcome
+        self.is_given_up = True
         self.withdraw(f"not sent within {timeout_s} s")
         return self.outcome or Unknown(f"sent, not replayed within {timeout_s} s")
+
+    def wait_settled(self, withdraw_after_s: float) -> Outcome:
+        """Wait for the outcome, for as long as a sent record takes.
+
+        A record that was not sent within ``withdraw_after_s`` is withdrawn.
+        """
+        self.wait(withdraw_after_s)
+        self._settled.wait()
+        return self.outcome
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -67,9 +67,16 @@
         self._bytes += pending.size_bytes
 
     def put_back(self, batch: Sequence[Pending]) -> None:
-        """Return records of a batch that was certainly not appended."""
+        """Return records of a batch that was certainly not appended.
+
+        A record whose waiter gave up is settled instead. It would be written after
+        the outage, beside the copy that its waiter appended since.
+        """
         for pending in reversed(batch):
             pending.is_sent = False
+            if pending.is_given_up:
+                pending.settle(NotWritten("refused after its waiter gave up"))
+                continue
             self._waiting[pending.priority].appendleft(pending)
             self._bytes += pending.size_bytes
 
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -3,19 +3,21 @@
 import random
 from dataclasses import replace
 
+import gevent
 import pytest
 from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
 
 from lycheeloom.log import (
     BatchRing,
     LogTail,
+    LogWriter,
     Offer,
     RecoveryFailed,
     SnapshotPolicy,
     recover,
 )
 from lycheeloom.log.snapshot import pack_snapshot
-from lycheeloom.log.snapshot_writer import SnapshotWriter
+from lycheeloom.log.snapshot_writer import SnapshotResult, SnapshotWriter
 from lycheeloom.log.tail import LONG_POLL_S, READ_LIMIT, READ_MARGIN_S
 from lycheeloom.model import records as r
 from lycheeloom.model.records import Batch
@@ -299,3 +301,30 @@
             add_snapshot(log, chunk_bytes=100)
         tail.step()
         assert snapshots.is_due() == (version in (0, 1, 5))
+
+
+def test_chunks_of_torn_snapshots_do_not_pile_up(log, client, tail):
+    """Guards against a large record for each try while the log refuses appends.
+
+    A chunk whose wait ended during an attempt stayed in the queue, beside that of
+    the next snapshot.
+    """
+    timeout_s = 0.01
+    add_submitted(log, 5)
+    tail.step()
+    writer = LogWriter(client, "a", tail)
+    snapshots = SnapshotWriter(writer, tail, SnapshotPolicy(retention_s=1000))
+    append = client.append
+
+    def append_slowly(batch):
+        gevent.sleep(3 * timeout_s)
+        return append(batch)
+
+    client.append = append_slowly
+    client.append_faults.extend(["down"] * 5)
+    for _ in range(5):
+        writing = gevent.spawn(snapshots.write, timeout_s)
+        gevent.sleep(0)
+        writer.step()
+        assert writing.get() is SnapshotResult.TORN
+        assert writer.queued_records == 0
--- a/libs/log/tests/test_writer.py
+++ b/libs/log/tests/test_writer.py
@@ -165,6 +165,32 @@
     assert unclear.wait(0) == Effective(0)
 
 
+def test_record_given_up_while_it_is_sent_is_not_sent_again(log, process):
+    """A waiter that appends again must not leave the earlier copy in the queue.
+
+    In an outage each copy whose wait ended during an attempt stayed, and all were
+    written afterwards.
+    """
+    append = process.client.append
+    outcomes = []
+
+    def wait_meanwhile(batch):
+        outcomes.append(copies[-1].wait(0))
+        return append(batch)
+
+    process.client.append = wait_meanwhile
+    process.client.append_faults.extend(["down"] * 10)
+    copies = []
+    for i in range(10):
+        copies.append(process.append(submitted(f"q{i}")))
+        process.writer.step()
+    process.client.append = append
+    process.settle()
+    assert all(isinstance(outcome, Unknown) for outcome in outcomes)
+    assert all(isinstance(copy.outcome, NotWritten) for copy in copies)
+    assert records_in(log) == []
+
+
 def test_log_with_a_smaller_limit(log, process):
     """A log that takes smaller records must not block the queue forever."""
     process.client.append_faults.extend(["too_large"])
