Keep slots usable that an entry cannot return in an outage of the log

An entry that had replayed a peer's unmet request returned its idle slots for it. When the log went down, the unsent return kept them from being used here, and nobody else got them before the end of the outage. An unsent return is now withdrawn once the log has not been read for the time of freshness, and none is appended until it can be read again.

--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_keeper.py
@@ -10,6 +10,7 @@
 import gevent
 
 from lycheeloom.log import LogTail, LogWriter, Pending, Priority
+from lycheeloom.model.limits import FRESHNESS_S
 from lycheeloom.model.records import GrantRequested, GrantReturned
 from lycheeloom.sched import Scheduler
 
@@ -139,8 +140,11 @@
         wanted = self._wanted(team, grants.limit, is_over, demand)
         others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
         if (others_wait or is_over) and held > wanted:
-            idle = held - max(wanted, self._running(team))
             self._withdraw_request(team)
+            # Slots returned in a log outage would serve nobody until its end.
+            if not self._is_log_readable():
+                return
+            idle = held - max(wanted, self._running(team))
             if idle > 0:
                 self._give_back(team, idle)
             return
@@ -198,8 +202,14 @@
         self.refresh()
         return pending
 
+    def _is_log_readable(self) -> bool:
+        return self._clock() - self._tail.last_read_sent_at <= FRESHNESS_S
+
     def _settle_returns(self) -> None:
+        is_outage = not self._is_log_readable()
         for team, returning in list(self._returning_by_team.items()):
+            if is_outage and returning.pending.outcome is None:
+                returning.pending.withdraw("the log is down")
             # Without an outcome the return may still take effect at any time.
             if returning.pending.outcome is not None:
                 del self._returning_by_team[team]
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_keeper.py
@@ -1,5 +1,6 @@
 """How entries share the running slots of a team."""
 
+import math
 import random
 from types import SimpleNamespace
 
@@ -8,7 +9,7 @@
 
 from lycheeloom.entry.grant_keeper import STEP_INTERVAL_S, GrantKeeper
 from lycheeloom.log import Effective, LogTail, LogWriter, Priority
-from lycheeloom.model.records import GrantRequested, MemberJoined
+from lycheeloom.model.records import GrantRequested, GrantReturned, MemberJoined
 from lycheeloom.state import FleetState
 from lycheeloom.wire import decode_batch
 
@@ -40,7 +41,7 @@
             return total if team else {"red": total}
 
         return GrantKeeper(
-            SimpleNamespace(state=self.state),
+            SimpleNamespace(state=self.state, last_read_sent_at=math.inf),
             SimpleNamespace(append=append),
             SimpleNamespace(
                 demand_by_team=lambda: {"red": self.demand_by_entry[own]},
@@ -97,6 +98,7 @@
         self.peer_demand_by_team = {}
         self.is_draining = False
         self.fault = ""
+        self.is_unreadable = False
         self.appended = []
         self._next_write_at = 0.0
         self.keeper = GrantKeeper(
@@ -131,6 +133,8 @@
             self.clock.now += STEP_INTERVAL_S
             self.client.append_faults.clear()
             self.client.append_faults.append(self.fault)
+            self.client.read_faults.clear()
+            self.client.read_faults.append("down" if self.is_unreadable else "")
             if self.clock.now >= self._next_write_at:
                 self._next_write_at = self.clock.now + self.writer.step()
             self.tail.step()
@@ -205,3 +209,25 @@
     world.fault = ""
     world.run(5.0)
     assert world.usable("red") == 45
+
+
+def test_slots_stay_usable_in_an_outage():
+    """Guards against slots that no entry may use until the log is back.
+
+    An entry returned its idle slots for a request of a peer that it had replayed
+    before the outage, and could neither use nor pass them on.
+    """
+    world = LoggedWorld({"red": 90})
+    world.append_as_peer(GrantRequested("red", 90))
+    world.run(0.1)
+    assert world.usable("red") == 45
+    world.fault, world.is_unreadable = "down", True
+    world.peer_demand_by_team = {"red": 90}
+    world.run(5.0)
+    assert world.usable("red") == 45
+    assert not world.unsettled(GrantReturned, "red")
+    world.fault, world.is_unreadable = "", False
+    world.run(5.0)
+    assert world.usable("red") == 0
+    assert world.tail.state.grants.of("red").usable("b") == 90
+    assert len(world.written(GrantReturned, 0)) == 1
