Split the planner's tests by subject

Waves, repair, buffers and explanations have a file each; fixtures are in conftest.py and shared steps in planner_runs.py.

--- /dev/null
+++ b/libs/fleet/tests/conftest.py
@@ -0,0 +1,17 @@
+"""Fixtures that the planner's tests share."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.fleet_world import Controller, World, user_fleet
+
+
+@pytest.fixture
+def world():
+    return World(user_fleet(16, 65536))
+
+
+@pytest.fixture
+def controller(world):
+    return Controller(world, "controller")
--- /dev/null
+++ b/libs/fleet/tests/test_explanations.py
@@ -0,0 +1,22 @@
+"""Explanations that the planner keeps."""
+
+from __future__ import annotations
+
+from lycheeloom.fleet import Explanations
+from lycheeloom.fleet.budgets import Limit, LimitKind
+from lycheeloom.fleet.events import NotChosen
+
+
+def test_explanations_are_bounded_and_count_repeats():
+    kept = Explanations(max_events=50, max_keys=20)
+    limit = Limit(LimitKind.POOL, "north", 1, 1)
+    for number in range(1000):
+        kept.add(NotChosen(f"w{number}", "north", limit), number)
+        kept.add(NotChosen(f"w{number}", "north", limit), number)
+    assert len(kept.recent(1000)) == 50
+    assert kept.of_instance("w0") == ()
+    assert [item.times for item in kept.of_instance("w999")] == [2]
+    assert kept.of_pool("north")[-1].text == (
+        "Instance w999 of pool north stays in service for now, because 1 of at most"
+        " 1 instances of pool north are out."
+    )
--- /dev/null
+++ b/libs/fleet/tests/test_waves.py
@@ -0,0 +1,163 @@
+"""Maintenance waves of the planner, and the drains they cause."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from libs.fleet.tests.planner_runs import command, planned, run, start_wave
+
+from bench.fleet_world import Controller, World, user_fleet
+from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
+from lycheeloom.model.config import canonical_json
+from lycheeloom.model.records import ConfigChanged, WaveState
+
+
+def test_slow_log_does_not_let_later_steps_choose_more(world, controller):
+    """Plans held up by the log for half an hour must not add up over a budget."""
+    start_wave(world)
+    chosen = set()
+    for _ in range(180):
+        chosen |= {record.instance for record in planned(controller.plan())}
+        world.advance(10)
+    assert len(chosen) == 5
+
+
+def test_wave_reaches_every_instance_once(world, controller):
+    start_wave(world)
+    forecast = controller.planner.forecast(controller.view(), "w", 0.0)
+    assert forecast.total == 30
+    assert forecast.end_s == 6 * 600
+    run(controller, 200)
+    assert {worker.boots for worker in world.workers.values()} == {1}
+    assert world.state.maintenance.wave_by_id["w"].state is WaveState.DONE
+
+
+def test_regular_wave_starts_once_in_each_cycle(world):
+    """Every instance is due once in a cycle; an aborted wave must stay aborted."""
+    controller = Controller(
+        world, "controller", PlannerSettings(regular_cycle_s=20_000)
+    )
+    run(controller, 200)
+    waves = world.state.maintenance.wave_by_id
+    assert {name: wave.state for name, wave in waves.items()} == {
+        "regular-0": WaveState.DONE
+    }
+    world.now_s = 20_000
+    run(controller, 5)
+    command(world, "regular-1", WaveState.RUNNING, WaveState.ABORTED)
+    run(controller, 20)
+    assert waves["regular-1"].state is WaveState.ABORTED
+    assert {worker.boots for worker in world.workers.values()} == {1}
+
+
+def test_nothing_starts_while_the_list_cannot_be_read(world, controller):
+    start_wave(world)
+    controller.tick()
+    blind = replace(controller.view(), listed=False)
+    plan = controller.planner.step(blind, world.now_s)
+    assert plan.records == ()
+    texts = [x.text for x in controller.planner.explanations.recent(5)]
+    assert all("a new list of instances" in text for text in texts)
+
+
+def test_paused_wave_starts_nothing_and_resumes(world, controller):
+    start_wave(world)
+    run(controller, 5)
+    command(world, "w", WaveState.RUNNING, WaveState.PAUSED)
+    run(controller, 60)
+    done = sum(worker.boots for worker in world.workers.values())
+    assert done == 5
+    assert controller.planner.forecast(controller.view(), "w", 0.0).end_s is None
+    command(world, "w", WaveState.PAUSED, WaveState.RUNNING)
+    run(controller, 200)
+    assert sum(worker.boots for worker in world.workers.values()) == 30
+
+
+def test_aborted_wave_returns_draining_instances(world, controller):
+    start_wave(world)
+    run(controller, 4)
+    assert any(worker.draining for worker in world.workers.values())
+    command(world, "w", WaveState.RUNNING, WaveState.ABORTED)
+    run(controller, 20)
+    assert not any(worker.draining for worker in world.workers.values())
+    assert sum(worker.boots for worker in world.workers.values()) == 0
+    assert world.open_moves() == []
+
+
+def test_urgent_wave_goes_first(world, controller):
+    start_wave(world, "slow")
+    start_wave(world, "urgent", ("north",), urgent=True)
+    first = [record.move_id for record in planned(controller.plan())]
+    assert sum(name.startswith("wave.urgent") for name in first) == 1
+    assert [name for name in first if ".w0" in name][0].startswith("wave.urgent")
+
+
+def test_correlated_failure_holds_waves_as_one_event(world, controller):
+    """A dead rack must stop new maintenance and must not be rebooted piecemeal."""
+    start_wave(world)
+    run(controller, 2)
+    rack = [name for name in world.workers if name in ("w00", "w03", "w06", "w09")]
+    world.fail(rack)
+    run(controller, 5)
+    before = len(world.state.maintenance.move_by_instance)
+    run(controller, 20)
+    maintenance = world.state.maintenance
+    assert len(maintenance.move_by_instance) == before
+    assert not set(rack) & set(maintenance.health_by_instance)
+    fleet = controller.planner.explanations.of_fleet()
+    assert [x.text for x in fleet if "one event" in x.text] == [
+        "Rack z0/r0 failed: 4 instances stopped together, and this is treated as one"
+        " event."
+    ]
+
+
+def test_zone_out_of_service_does_not_free_its_instances_for_drains():
+    """When the zone returns at once, the drain would go over the budget."""
+    world = World(user_fleet(16, 65536))
+    controller = Controller(world, "controller")
+    start_wave(world, pools=("north",))
+    plan = controller.plan()
+    world.carry_out("controller", plan)
+    chosen = world.open_moves()[0]
+    zone = world.state.config.instance_by_id[chosen].zone
+    world.fail([name for name in ("w00", "w01") if name != chosen][:1])
+    version = world.state.configuration.version
+    patch = canonical_json({"zones": {zone: {"state": "out"}}})
+    world.append("operator", [ConfigChanged(version, patch, "operator")])
+    run(controller, 5)
+    assert not world.workers[chosen].draining
+    assert world.over_budget == []
+
+
+def test_abandoning_before_the_drain_does_not_drain():
+    """A move called off while its pool is short must not take more capacity."""
+    world = World(user_fleet(16, 65536))
+    controller = Controller(world, "controller")
+    start_wave(world, pools=("north",))
+    controller.tick()
+    world.append("controller", controller.plan().records)
+    name = world.open_moves()[0]
+    world.fail([other for other in ("w00", "w01") if other != name])
+    command(world, "w", WaveState.RUNNING, WaveState.ABORTED, ("north",))
+    move_id = world.state.maintenance.move_by_instance[name].move_id
+    late = PlatformAction(name, ActionKind.DRAIN, f"{move_id}.draining")
+    run(controller, 5)
+    assert world.open_moves() == []
+    world.act(late)
+    assert not world.workers[name].draining
+    assert world.over_budget == []
+
+
+def test_last_spare_is_kept(world):
+    """Maintenance must not use the only spare that is left."""
+    document = user_fleet(16, 65536, needed=6)
+    document["pools"]["general"]["max_unavailable"] = 6
+    world = World(document)
+    spares = [name for name, item in document["instances"].items()
+              if item["pool"] == "general"]  # fmt: skip
+    world.fail(spares[1:])
+    controller = Controller(world, "controller")
+    start_wave(world)
+    assert planned(controller.plan()) == []
+    text = controller.planner.why_not("w00")
+    assert "last spare" in text
