Share the set-up of the measurements of scheduling

urgent, zones and wrong_sizes each repeated the policies that they compare, the loads of the teams and an observer that ignores most events. bench.comparison runs the policies, bench.load has the steady load, and Observer ignores what a recorder does not override.

--- a/bench/entries.py
+++ b/bench/entries.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Protocol
 
 from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.resources import Resources
@@ -31,8 +30,11 @@
 Policy = Scheduler | FirstComeFirstServed
 
 
-class Observer(Protocol):
-    """Hears of every task in the real order of events."""
+class Observer:
+    """Hears of every task in the real order of events.
+
+    A recorder overrides what it needs; the rest is ignored.
+    """
 
     def offered(self, task: Task, job: Job, now: float) -> None:
         """A caller sent a task, which may be refused."""
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -52,6 +52,11 @@
     )
 
 
+def total_cores(config: FleetConfig) -> float:
+    """Return the processor cores of all instances."""
+    return sum(i.size.cores for i in config.instance_by_id.values())
+
+
 def scaled_fleet(workers: int, teams: int, max_queued: int) -> FleetConfig:
     """Return about 37 workers to a pool over ten zones, one pool in 20 spare.
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -5,12 +5,14 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from lycheeloom.model.resources import Resources
 from lycheeloom.sched import Task
 
 from .entries import Entries
 from .fakes import Job
+from .fleets import QUEUES, WEIGHTS
 
 MIN_RUN_S = 0.1
 MAX_RUN_S = 5.0
@@ -29,6 +31,11 @@
     offered: float
 
 
+def constant_rate(queue: str, now: float) -> float:
+    """Return a factor that leaves the rate of a queue as it is."""
+    return 1.0
+
+
 class Arrivals:
     """Submits the tasks of one team as a Poisson process.
 
@@ -43,8 +50,8 @@
         fleet_cores: float,
         mean_run_s: float,
         seed: str,
-        factor: Callable[[str, float], float],
-        max_factor: float,
+        factor: Callable[[str, float], float] = constant_rate,
+        max_factor: float = 1.0,
         declare: Callable[[str, str, Job], tuple[Resources, float]] | None = None,
         checkpointable: float = 0.0,
         crashing: float = 0.0,
@@ -103,3 +110,28 @@
             checkpointable=self._random.random() < self._checkpointable,
         )
         self._entries.submit(entry, task, job)
+
+
+def begin_steady_load(
+    entries: Entries,
+    seed: int,
+    fleet_cores: float,
+    offered: float,
+    task_cores: tuple[float, ...],
+    mean_run_s: float,
+    **options: Any,
+) -> None:
+    """Let teams ask by weight for a part of the fleet's processors all the time.
+
+    Each team uses all queues and all entries evenly, with 2 GB per core. The
+    options are those of ``Arrivals``.
+    """
+    queue_mix = (1.0,) * len(QUEUES)
+    entry_mix = (1.0,) * len(entries.policies)
+    for n, weight in enumerate(WEIGHTS):
+        part = offered * weight / sum(WEIGHTS)
+        load = TeamLoad(f"team{n}", task_cores, 2048, queue_mix, entry_mix, part)
+        arrivals = Arrivals(
+            entries, load, QUEUES, fleet_cores, mean_run_s, f"{seed}/{n}", **options
+        )
+        arrivals.begin()
--- a/bench/urgent.py
+++ b/bench/urgent.py
@@ -8,18 +8,18 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 from lycheeloom.model.resources import Resources
-from lycheeloom.sched import Scheduler, Task
+from lycheeloom.sched import Task
 
-from .baselines import EqualSplit, FirstComeFirstServed
-from .entries import Entries, Policy
+from .comparison import ENTRIES, compare
+from .entries import Entries, Observer, Policy
 from .fakes import Job
-from .fleets import QUEUES, USER_A_SIZE, WEIGHTS, user_fleet
-from .load import Arrivals, TeamLoad
+from .fleets import QUEUES, USER_A_SIZE, WEIGHTS, total_cores, user_fleet
+from .load import begin_steady_load
 from .report import Row
 
-ENTRIES = 3
 OFFERED = 1.6
 # Long tasks, so that waiting for one to end is not enough.
 MEAN_RUN_S = 2.0
@@ -29,16 +29,16 @@
 GOAL_S = 1.8
 
 
-class UrgentRecorder:
-    """Keeps the delays between submission and start of urgent tasks."""
+class UrgentRecorder(Observer):
+    """Keeps the delays between submission and start of urgent tasks.
+
+    No task has a deadline here, so none is dropped.
+    """
 
     def __init__(self) -> None:
         self.delays_s: list[float] = []
         self.waiting: dict[str, float] = {}
 
-    def offered(self, task: Task, job: Job, now: float) -> None:
-        """Offered work is not used here."""
-
     def submitted(self, task: Task, job: Job, now: float) -> None:
         """Note when an urgent task came."""
         if task.urgent:
@@ -49,40 +49,16 @@
         if task.urgent:
             self.delays_s.append(now - self.waiting.pop(task.id))
 
-    def ended(self, task: Task, job: Job, good: bool, now: float) -> None:
-        """Ends are not used here."""
-
-    def dropped(self, task: Task, job: Job, now: float) -> None:
-        """No task has a deadline here."""
 
-
-def measure(policies: list[Policy], seed: int, coordinated: bool) -> float:
+def measure(seed: int, policies: list[Policy], coordinated: bool) -> float:
     """Return the 99th percentile of the delay in seconds."""
     config = user_fleet(USER_A_SIZE)
     recorder = UrgentRecorder()
     entries = Entries(config, policies, recorder, coordinated)
-    cores = sum(i.size.cores for i in config.instance_by_id.values())
-    for n, weight in enumerate(WEIGHTS):
-        load = TeamLoad(
-            f"team{n}",
-            (1, 2, 4),
-            2048,
-            (1.0,) * len(QUEUES),
-            (1.0,) * ENTRIES,
-            OFFERED * weight / sum(WEIGHTS),
-        )
-        arrivals = Arrivals(
-            entries,
-            load,
-            QUEUES,
-            cores,
-            MEAN_RUN_S,
-            f"{seed}/{n}",
-            lambda queue, now: 1.0,
-            1.0,
-            checkpointable=0.2,
-        )
-        arrivals.begin()
+    cores = total_cores(config)
+    begin_steady_load(
+        entries, seed, cores, OFFERED, (1, 2, 4), MEAN_RUN_S, checkpointable=0.2
+    )
     _submit_urgent(entries, seed)
     entries.clock.run(END_S)
     # Tasks that still wait count with the delay that they already have.
@@ -120,10 +96,7 @@
 def run(seed: int) -> list[Row]:
     """Measure all policies."""
     config = user_fleet(USER_A_SIZE)
-    ours = measure([Scheduler(config, seed * 100 + n) for n in range(3)], seed, True)
-    first = measure([FirstComeFirstServed(config) for _ in range(3)], seed, False)
-    split = [EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)]
-    equal = measure(split, seed, False)
+    ours, first, equal = compare(config, seed, partial(measure, seed))
     return [
         Row(
             "delay of urgent tasks, 99th percentile",
--- a/bench/wrong_sizes.py
+++ b/bench/wrong_sizes.py
@@ -12,19 +12,19 @@
 
 import random
 from dataclasses import replace
+from functools import partial
 
 from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.resources import Resources
-from lycheeloom.sched import Scheduler, Task
+from lycheeloom.sched import Task
 
-from .baselines import EqualSplit, FirstComeFirstServed
-from .entries import Entries, Policy
+from .comparison import compare, schedulers
+from .entries import Entries, Observer, Policy
 from .fakes import Job
-from .fleets import QUEUES, USER_B_SIZE, WEIGHTS, user_fleet
-from .load import Arrivals, TeamLoad
+from .fleets import QUEUES, USER_B_SIZE, WEIGHTS, total_cores, user_fleet
+from .load import begin_steady_load
 from .report import Row
 
-ENTRIES = 3
 OFFERED = 1.3
 MEAN_RUN_S = 1.0
 WARM_UP_S = 30.0
@@ -38,29 +38,17 @@
 TOO_LARGE = Resources(1024, 1024 * 1024)
 
 
-class GoodputRecorder:
+class GoodputRecorder(Observer):
     """Sums the real processor time of tasks that ended well."""
 
     def __init__(self) -> None:
         self.good_core_s = 0.0
 
-    def offered(self, task: Task, job: Job, now: float) -> None:
-        """Offered work is not used here."""
-
-    def submitted(self, task: Task, job: Job, now: float) -> None:
-        """Queued tasks are not used here."""
-
-    def started(self, task: Task, job: Job, worker: str, now: float) -> None:
-        """Starts are not used here."""
-
     def ended(self, task: Task, job: Job, good: bool, now: float) -> None:
         """Count a task that ended well."""
         if good and now >= WARM_UP_S:
             self.good_core_s += job.size.cores * job.run_s
 
-    def dropped(self, task: Task, job: Job, now: float) -> None:
-        """Dropped tasks are not used here."""
-
 
 class Declarations:
     """What callers declare instead of what their jobs need."""
@@ -95,10 +83,10 @@
 
 def measure(
     config: FleetConfig,
-    policies: list[Policy],
     seed: int,
-    coordinated: bool,
     wrong: bool,
+    policies: list[Policy],
+    coordinated: bool,
 ) -> float:
     """Return the useful processor seconds of one run."""
     recorder = GoodputRecorder()
@@ -106,25 +94,18 @@
     if wrong:
         for name in BAD_WORKERS:
             entries.workers.fail_everything(name)
-    cores = sum(i.size.cores for i in user_fleet(USER_B_SIZE).instance_by_id.values())
+    cores = total_cores(user_fleet(USER_B_SIZE))
     declarations = Declarations(seed)
-    for n, weight in enumerate(WEIGHTS):
-        offered = OFFERED * weight / sum(WEIGHTS)
-        mix = (1.0,) * len(QUEUES)
-        load = TeamLoad(f"team{n}", (1, 2), 2048, mix, (1.0,) * ENTRIES, offered)
-        arrivals = Arrivals(
-            entries,
-            load,
-            QUEUES,
-            cores,
-            MEAN_RUN_S,
-            f"{seed}/{n}",
-            lambda queue, now: 1.0,
-            1.0,
-            declare=declarations.declare if wrong else None,
-            crashing=CRASHING_PART if wrong else 0.0,
-        )
-        arrivals.begin()
+    begin_steady_load(
+        entries,
+        seed,
+        cores,
+        OFFERED,
+        (1, 2),
+        MEAN_RUN_S,
+        declare=declarations.declare if wrong else None,
+        crashing=CRASHING_PART if wrong else 0.0,
+    )
     entries.clock.run(WARM_UP_S + MEASURED_S)
     return recorder.good_core_s
 
@@ -134,14 +115,9 @@
     config = user_fleet(USER_B_SIZE)
     known = {n: i for n, i in config.instance_by_id.items() if n not in BAD_WORKERS}
     known_config = replace(config, instance_by_id=known)
-    informed = [Scheduler(known_config, seed * 100 + n) for n in range(ENTRIES)]
-    perfect = measure(known_config, informed, seed, True, False)
-    own = [Scheduler(config, seed * 100 + n) for n in range(ENTRIES)]
-    ours = measure(config, own, seed, True, True)
-    simple = [FirstComeFirstServed(config) for _ in range(ENTRIES)]
-    first = measure(config, simple, seed, False, True)
-    split = [EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)]
-    equal = measure(config, split, seed, False, True)
+    informed = schedulers(known_config, seed)
+    perfect = measure(known_config, seed, False, informed, True)
+    ours, first, equal = compare(config, seed, partial(measure, config, seed, True))
     return [
         Row(
             "goodput, of a scheduler with perfect information",
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -10,18 +10,18 @@
 
 import random
 from dataclasses import replace
+from functools import partial
 
 from lycheeloom.model.config import FleetConfig, ZoneState
-from lycheeloom.sched import Scheduler, Task
+from lycheeloom.sched import Task
 
-from .baselines import EqualSplit, FirstComeFirstServed
-from .entries import Entries, Policy
+from .comparison import compare
+from .entries import Entries, Observer, Policy
 from .fakes import Job
-from .fleets import QUEUES, USER_A_SIZE, WEIGHTS, ZONES, user_fleet
-from .load import Arrivals, TeamLoad
+from .fleets import USER_A_SIZE, ZONES, total_cores, user_fleet
+from .load import begin_steady_load
 from .report import Row
 
-ENTRIES = 3
 OUT_ZONE = "z1"
 OFFERED = 0.95
 MEAN_RUN_S = 1.0
@@ -35,7 +35,7 @@
 BACK_GOAL = 99.0
 
 
-class ZoneRecorder:
+class ZoneRecorder(Observer):
     """Integrates the processors in use and notes starts in the zone."""
 
     def __init__(self, config: FleetConfig) -> None:
@@ -45,12 +45,6 @@
         self._busy = 0.0
         self._updated_at = 0.0
 
-    def offered(self, task: Task, job: Job, now: float) -> None:
-        """Offered work is not used here."""
-
-    def submitted(self, task: Task, job: Job, now: float) -> None:
-        """Queued tasks are not used here."""
-
     def started(self, task: Task, job: Job, worker: str, now: float) -> None:
         """Count the processors and check the zone."""
         self.advance(now)
@@ -64,38 +58,21 @@
         self.advance(now)
         self._busy -= job.size.cores
 
-    def dropped(self, task: Task, job: Job, now: float) -> None:
-        """Dropped tasks are not used here."""
-
     def advance(self, now: float) -> None:
         """Integrate up to a time."""
         self.busy_core_s += self._busy * (now - self._updated_at)
         self._updated_at = now
 
 
-def measure(policies: list[Policy], seed: int, coordinated: bool) -> dict[str, float]:
+def measure(seed: int, policies: list[Policy], coordinated: bool) -> dict[str, float]:
     """Return the work done in each phase and the late starts."""
     config = user_fleet(USER_A_SIZE)
     recorder = ZoneRecorder(config)
     entries = Entries(config, policies, recorder, coordinated)
-    cores = sum(i.size.cores for i in config.instance_by_id.values())
-    even = (1.0,) * ENTRIES
-    for n, weight in enumerate(WEIGHTS):
-        offered = OFFERED * weight / sum(WEIGHTS)
-        mix = (1.0,) * len(QUEUES)
-        load = TeamLoad(f"team{n}", (1, 2, 4), 2048, mix, even, offered)
-        arrivals = Arrivals(
-            entries,
-            load,
-            QUEUES,
-            cores,
-            MEAN_RUN_S,
-            f"{seed}/{n}",
-            lambda queue, now: 1.0,
-            1.0,
-            checkpointable=0.2,
-        )
-        arrivals.begin()
+    cores = total_cores(config)
+    begin_steady_load(
+        entries, seed, cores, OFFERED, (1, 2, 4), MEAN_RUN_S, checkpointable=0.2
+    )
     _publish(entries, config, seed)
     remaining = sum(
         i.size.cores for i in config.instance_by_id.values() if i.zone != OUT_ZONE
@@ -149,10 +126,7 @@
 def run(seed: int) -> list[Row]:
     """Measure all policies."""
     config = user_fleet(USER_A_SIZE)
-    ours = measure([Scheduler(config, seed * 100 + n) for n in range(3)], seed, True)
-    first = measure([FirstComeFirstServed(config) for _ in range(3)], seed, False)
-    split = [EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)]
-    equal = measure(split, seed, False)
+    ours, first, equal = compare(config, seed, partial(measure, seed))
     return [
         Row(
             f"work while {ZONES[1]} is out, of what remaining capacity allows",
