Keep the slots that requests queued at a draining entry need

A draining entry returned every slot without a running task while a peer waited, also those of requests that it had accepted and not started yet, and it asked for none. These requests could then wait until the drain timed out. It now keeps and asks for as many as its running and queued tasks need, without a reserve; as no new work comes, the rest becomes free while they end.

With 10 running and 20 queued tasks and a peer that waits: 10 slots usable before (trial of the new test on the old version), 30 after.

--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_keeper.py
@@ -40,7 +40,8 @@
 
     Without demand an entry holds its equal part of each limit, so that work
     goes on in a log outage. While another entry has unmet demand, an entry keeps
-    only its part of the limit by demand.
+    only its part of the limit by demand. A draining entry keeps no reserve, and what
+    its queued and running tasks need until they have ended.
     """
 
     def __init__(
@@ -155,12 +156,17 @@
 
     def _wanted(self, team: str, limit: int, is_over: bool, demand: _Demand) -> int:
         """Return how many slots this entry should hold."""
-        if is_over or self._is_draining():
-            return self._running(team)
+        running = self._running(team)
+        if is_over:
+            return running
+        own = demand.by_team.get(team, 0)
+        if self._is_draining():
+            # No new work comes, so the slots become free as what is queued ends.
+            # With less than its demand the entry might not end it in time.
+            return max(running, min(own, limit))
         # Nothing for a limit below the number of entries: idle entries that kept
         # a slot each would leave none to an entry with demand.
         reserve = limit // demand.members
-        own = demand.by_team.get(team, 0)
         peers = demand.peers_by_team.get(team, 0)
         if peers + own <= limit:
             return max(own, min(reserve, limit - peers))
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_keeper.py
@@ -231,3 +231,30 @@
     assert world.usable("red") == 0
     assert world.tail.state.grants.of("red").usable("b") == 90
     assert len(world.written(GrantReturned, 0)) == 1
+
+
+def test_draining_entry_keeps_what_its_queued_requests_need():
+    """Guards against accepted requests that find no slot while an entry drains.
+
+    It returned every slot without a running task, also those that requests in its
+    queue waited for.
+    """
+    world = LoggedWorld({"red": 90})
+    world.append_as_peer(GrantRequested("red", 90))
+    world.peer_demand_by_team = {"red": 90}
+    world.is_draining = True
+    for running, queued in ((10, 20), (30, 0), (4, 1), (1, 0), (0, 0)):
+        world.running_by_team = {"red": running}
+        world.demand_by_team = {"red": running + queued}
+        world.run(1.0)
+        assert world.usable("red") == running + queued
+        assert world.tail.state.grants.of("red").usable("b") == 90 - running - queued
+
+
+def test_draining_entry_asks_for_slots_of_its_queued_requests():
+    """Guards against a shutdown that waits for requests without any slot."""
+    world = LoggedWorld({"red": 90})
+    world.is_draining = True
+    world.demand_by_team = {"red": 60}
+    world.run(3.0)
+    assert world.usable("red") == 60
