Say what an operator can do while the log is unavailable

A changing command said only "Nothing was changed: down." It now names the log by its address, says that interactive work and lycheeloom status go on, and what to do. A change of unknown outcome names the view that shows it later; for a wave that is wave status, since config history lists no waves. A change that is too large for one batch is a mistake (code 1), not an outage. A change that stopped between two parts no longer says "Nothing was changed".

Each documented exit code is produced by the program in a process of its own; the codes 3 and 5 had not been tried that way.

--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -32,9 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotAccepted:
-    """The batch is certainly not in the log and never will be."""
+    """The batch is certainly not in the log and never will be.
+
+    ``may_repeat`` is False if the log would refuse the same batch again.
+    """
 
     reason: str
+    may_repeat: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,30 +84,38 @@
                 result = self._log.append(data)
                 is_appended = isinstance(result, Appended)
                 may_be_in_log |= isinstance(result, Appended | AppendUnknown)
-                reason = _reason(result)
+                reason = f"the log at {self._log.address} {_what_happened(result)}"
                 if result == AppendRefused(AppendRefusal.TOO_LARGE):
-                    return _give_up(may_be_in_log, reason)
+                    return _give_up(may_be_in_log, reason, may_repeat=False)
             if may_be_in_log:
                 problem = self._view.catch_up()
                 outcome = self._view.outcome(self._sequence)
                 if outcome is not None:
                     return Accepted(outcome, data)
                 if problem is not None:
-                    reason = f"the log cannot be read back: {problem.reason}"
+                    reason = self._view.unreadable(problem)
             if self._clock.now_s() + pause_s > give_up_at_s:
                 return _give_up(may_be_in_log, reason)
             self._clock.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
 
-def _reason(result: Appended | AppendUnknown | AppendRefused) -> str:
+def _what_happened(result: Appended | AppendUnknown | AppendRefused) -> str:
     match result:
         case AppendUnknown(reason):
-            return f"the answer of the log was lost: {reason}"
-        case AppendRefused(reason):
-            return f"the log refused the batch: {reason}"
-    return "the batch was accepted but not read back in time"
-
-
-def _give_up(may_be_in_log: bool, reason: str) -> NotAccepted | OutcomeUnknown:
-    return OutcomeUnknown(reason) if may_be_in_log else NotAccepted(reason)
+            return f"did not confirm the change ({reason})"
+        case AppendRefused(AppendRefusal.TOO_LARGE):
+            return "refused the change because it is too large"
+        case AppendRefused(AppendRefusal.BUSY):
+            return "is too busy to accept the change"
+        case AppendRefused():
+            return "is unavailable"
+    return "accepted the change but did not show it in time"
+
+
+def _give_up(
+    may_be_in_log: bool, reason: str, may_repeat: bool = True
+) -> NotAccepted | OutcomeUnknown:
+    if may_be_in_log:
+        return OutcomeUnknown(reason)
+    return NotAccepted(reason, may_repeat)
--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -106,7 +106,7 @@
         expected=expected,
         timeout_s=args.timeout_s,
     )
-    return report_result(result)
+    return report_result(result, see="lycheeloom wave status")
 
 
 def unknown_pools(operator: Operator, pools: list[str]) -> list[Problem]:
--- a/libs/operator/src/lycheeloom/operator/exit_codes.py
+++ b/libs/operator/src/lycheeloom/operator/exit_codes.py
@@ -28,7 +28,7 @@
     ExitCode.LOST_RACE: "another operator was first; nothing was changed",
     ExitCode.UNAVAILABLE: "the log or the entries gave no answer; nothing was changed",
     ExitCode.UNKNOWN: "the change may take effect, in part or as a whole; "
-    "see lycheeloom config history",
+    "see lycheeloom config history or wave status",
     ExitCode.NOT_IN_FORCE: "the change is accepted, but not yet in force on every "
     "entry",
     ExitCode.NOT_FOUND: "no entry knows what was asked for",
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -32,6 +32,8 @@
 class Log(Protocol):
     """What the operator library needs of ``lycheeloom.platform.LogClient``."""
 
+    address: str
+
     def append(self, batch: bytes) -> Appended | AppendUnknown | AppendRefused:
         """Append one batch."""
 
@@ -115,6 +117,10 @@
                         return Unavailable(f"no batch at offset {first}")
         return Unavailable("the log grows faster than it is read")
 
+    def unreadable(self, problem: Unavailable) -> str:
+        """Say which log could not be read and why."""
+        return f"the log at {self._log.address} cannot be read ({problem.reason})"
+
     def outcome(self, sequence: int) -> BatchOutcome | None:
         """Return what became of a batch of the author, if it was read."""
         return self._outcome_by_sequence.get(sequence)
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -98,7 +98,7 @@
         """Read the log to its end; returns why if that failed."""
         problem = self._view.catch_up()
         if isinstance(problem, Unavailable):
-            return LogUnavailable(problem.reason)
+            return LogUnavailable(self._view.unreadable(problem))
         return None
 
     def draft(self) -> Draft:
--- a/libs/operator/src/lycheeloom/operator/output.py
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -66,8 +66,13 @@
     return Report(tuple(lines), data, ExitCode.MISTAKES)
 
 
-def report_result(result: Any) -> Report:
-    """Report what became of a change."""
+# What an operator does when the log is unavailable; see "An outage of the log"
+# in the guide.
+MEANWHILE = "Meanwhile interactive work goes on, and lycheeloom status still answers."
+
+
+def report_result(result: Any, see: str = "lycheeloom config history") -> Report:
+    """Report what became of a change; ``see`` shows it later if that is unknown."""
     match result:
         case Published(version, changes, not_handed):
             lines = [item.sentence() for item in changes]
@@ -84,22 +89,24 @@
         case NoEffect(reason) | WaveRefused(reason):
             line = f"Not changed: {reason}."
             return _report(result, [line], ExitCode.MISTAKES)
+        case NotAccepted(reason, may_repeat=False):
+            line = f"Nothing was changed: {reason}. Make it in smaller steps."
+            return _report(result, [line], ExitCode.MISTAKES)
         case NotAccepted(reason) | LogUnavailable(reason):
-            line = f"Nothing was changed: {reason}."
-            return _report(result, [line], ExitCode.UNAVAILABLE)
+            lines = [
+                f"Nothing was changed: {reason}.",
+                f"{MEANWHILE} Repeat the command when the log answers again.",
+            ]
+            return _report(result, lines, ExitCode.UNAVAILABLE)
         case OutcomeUnknown(reason):
             lines = [
                 f"It is not known whether the change takes effect: {reason}.",
-                "Look at lycheeloom config history when the log answers again.",
+                f"{MEANWHILE} When the log answers again, look at {see}; repeat the "
+                "command only if the change is not there.",
             ]
             return _report(result, lines, ExitCode.UNKNOWN)
-        case PartlyPublished(version, parts, all_parts, stopped_by):
-            lines = [
-                f"Only {parts} of {all_parts} parts of the change are published; "
-                f"version {version} is in force. Compare and publish again."
-            ]
-            stopped = report_result(stopped_by)
-            return _report(result, [*lines, *stopped.lines], ExitCode.UNKNOWN)
+        case PartlyPublished():
+            return _report(result, _partly(result), ExitCode.UNKNOWN)
         case WaveChanged(not_handed):
             return _report(result, ["Done.", *_not_handed(not_handed)], ExitCode.OK)
         case InForce(version):
@@ -144,6 +151,24 @@
     return Report(tuple(lines), data, code)
 
 
+def _partly(result: PartlyPublished) -> list[str]:
+    lines = [
+        f"Only {result.parts} of {result.all_parts} parts of the change are "
+        f"published; version {result.version} is in force."
+    ]
+    match result.stopped_by:
+        case LostRace(winners=winners):
+            lines.append("Another operator was first with the next part.")
+            for winner in winners:
+                lines += _change_lines(winner)
+        case OutcomeUnknown(reason):
+            lines.append(f"It is not known whether the next part follows: {reason}.")
+        case NotAccepted(reason) | NoEffect(reason):
+            lines.append(f"The next part was not published: {reason}.")
+    lines.append("Compare with lycheeloom config diff, then publish again.")
+    return lines
+
+
 def _lost_race(result: LostRace) -> list[str]:
     lines = [
         f"Nothing was changed: version {result.expected_version} was expected, but "
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -36,6 +36,7 @@
     late: list[bytes] = field(default_factory=list)
     unreadable: int = 0
     oldest: int = 0
+    address: str = "10.0.0.9:7000"
     before_append: object = None
 
     def append(self, batch):
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -167,11 +167,51 @@
 
 
 def test_an_outage_of_the_log_changes_nothing(run, published, log):
-    """Guards against exit codes that a script would take for success."""
+    """Guards against a bare "down" that does not tell what to do."""
+    advice = (
+        "Meanwhile interactive work goes on, and lycheeloom status still answers. "
+        "Repeat the command when the log answers again.\n"
+    )
+    log.faults.extend(["down"] * 100)
+    assert run("zone", "out", "north", "--timeout-s", "1") == (
+        4,
+        f"Nothing was changed: the log at 10.0.0.9:7000 is unavailable.\n{advice}",
+    )
     log.unreadable = 1000
     assert run("zone", "out", "north") == (
         4,
-        "Nothing was changed: http status 503.\n",
+        "Nothing was changed: the log at 10.0.0.9:7000 cannot be read (http status "
+        f"503).\n{advice}",
+    )
+
+
+def test_a_change_too_large_for_the_log_is_no_outage(run, published, log):
+    """Guards against advice to repeat what the log always refuses."""
+    log.faults.append("large")
+    assert run("zone", "out", "north") == (
+        1,
+        "Nothing was changed: the log at 10.0.0.9:7000 refused the change because it "
+        "is too large. Make it in smaller steps.\n",
+    )
+
+
+@pytest.mark.parametrize(
+    ("command", "view"),
+    [
+        (["zone", "out", "north"], "lycheeloom config history"),
+        (["wave", "start", "spring"], "lycheeloom wave status"),
+    ],
+)
+def test_an_unknown_outcome_says_where_to_look(run, published, log, command, view):
+    """Guards against advice that cannot show whether a wave was started."""
+    log.faults.extend(["dropped"] * 100)
+    assert run(*command, "--timeout-s", "1") == (
+        5,
+        "It is not known whether the change takes effect: the log at 10.0.0.9:7000 "
+        "did not confirm the change (no answer in time).\n"
+        "Meanwhile interactive work goes on, and lycheeloom status still answers. "
+        f"When the log answers again, look at {view}; repeat the command only if the "
+        "change is not there.\n",
     )
 
 
--- /dev/null
+++ b/libs/operator/tests/test_exit_codes.py
@@ -0,0 +1,176 @@
+"""Each documented exit code, from the program in a process of its own."""
+
+import signal
+import subprocess
+import sys
+import threading
+from wsgiref.simple_server import WSGIRequestHandler, make_server
+
+import pytest
+import urllib3
+
+from lycheeloom.operator import print_config
+from lycheeloom.operator.exit_codes import MEANING_BY_EXIT_CODE, ExitCode
+
+from .conftest import small_fleet
+from .standin_log import running_log, set_faults
+
+# Nothing listens there, so no entry ever has a change in force.
+NO_ENTRY = "127.0.0.1:1"
+
+
+@pytest.fixture
+def log_address(tmp_path):
+    with running_log(tmp_path) as address:
+        yield address
+
+
+@pytest.fixture
+def start(tmp_path, log_address):
+    """Start the program; ``log`` replaces the address of the log."""
+
+    def start_program(*args, log=log_address):
+        settings = tmp_path / "lycheeloom.toml"
+        settings.write_text(
+            f'log = "{log}"\nentries = ["{NO_ENTRY}"]\noperator = "aoife"\n'
+        )
+        common = ["--settings", str(settings)]
+        return subprocess.Popen(
+            [sys.executable, "-m", "lycheeloom.operator.main", *common, *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+
+    return start_program
+
+
+@pytest.fixture
+def run(start):
+    """Run the program to its end; returns the exit code and what it printed."""
+
+    def run_program(*args, **options):
+        process = start(*args, **options)
+        printed, _ = process.communicate()
+        return process.returncode, printed
+
+    return run_program
+
+
+@pytest.fixture
+def fleet_file(tmp_path, run):
+    """Publish a configuration; returns the file as it was printed then."""
+    path = tmp_path / "fleet.toml"
+    path.write_text(print_config(small_fleet()))
+    assert run("config", "publish", str(path), "--no-wait")[0] == ExitCode.OK
+    path.write_text(run("config", "show")[1])
+    return path
+
+
+@pytest.fixture
+def losing_log(log_address):
+    """Forward to the log until an append; nothing is answered after that."""
+    pool = urllib3.PoolManager()
+
+    def application(environ, start_response):
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        method = environ["REQUEST_METHOD"]
+        url = f"http://{log_address}{environ['PATH_INFO']}?{environ['QUERY_STRING']}"
+        if method == "POST":
+            set_faults(log_address, lose_answers=-1)
+        try:
+            answer = pool.request(method, url, body=body, retries=False)
+        except urllib3.exceptions.HTTPError:
+            start_response("504 Gateway Timeout", [("Content-Length", "0")])
+            return [b""]
+        length = str(len(answer.data))
+        start_response(f"{answer.status} -", [("Content-Length", length)])
+        return [answer.data]
+
+    server = make_server("127.0.0.1", 0, application, handler_class=_QuietHandler)
+    threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True).start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.shutdown()
+    server.server_close()
+
+
+class _QuietHandler(WSGIRequestHandler):
+    def log_message(self, format, *args):
+        pass
+
+
+def test_each_documented_code_has_a_test():
+    """Guards against an exit code that is documented but never tried."""
+    tested = {code for code, _ in ENDINGS} | {
+        ExitCode.LOST_RACE,
+        ExitCode.UNAVAILABLE,
+        ExitCode.UNKNOWN,
+        ExitCode.DIFFERENT,
+        ExitCode.INTERRUPTED,
+    }
+    assert tested == set(MEANING_BY_EXIT_CODE)
+
+
+ENDINGS = (
+    (ExitCode.OK, ["config", "history"]),
+    (ExitCode.MISTAKES, ["zone", "out", "norht"]),
+    (ExitCode.USAGE, ["zone", "sideways", "north"]),
+    (ExitCode.NOT_IN_FORCE, ["zone", "out", "north", "--timeout-s", "0.5"]),
+    (ExitCode.NOT_FOUND, ["wave", "status", "kernel-6"]),
+    (ExitCode.UNAVAILABLE, ["status"]),
+)
+
+
+@pytest.mark.parametrize(("code", "arguments"), ENDINGS)
+def test_endings(run, fleet_file, code, arguments):
+    """Guards against an exit code that differs from the documented one."""
+    ended, printed = run(*arguments)
+    assert ended == code, printed
+
+
+def test_lost_race(run, fleet_file):
+    """Guards against a file that overwrites the change of another operator."""
+    assert run("zone", "out", "north", "--no-wait")[0] == ExitCode.OK
+    code, printed = run("config", "publish", str(fleet_file))
+    assert code == ExitCode.LOST_RACE
+    assert "Version 2 by aoife:\n  Zone north: state is added" in printed
+
+
+def test_differences(run, fleet_file):
+    """Guards against a script that takes a difference for none."""
+    assert run("config", "diff", str(fleet_file), "--exit-code")[0] == ExitCode.OK
+    fleet_file.write_text(
+        fleet_file.read_text().replace("upper_limit = 10", "upper_limit = 11")
+    )
+    code, printed = run("config", "diff", str(fleet_file), "--exit-code")
+    assert code == ExitCode.DIFFERENT, printed
+
+
+@pytest.mark.parametrize("fault", ["outage", "down"])
+def test_outage_of_the_log(run, log_address, fleet_file, fault):
+    """Guards against an outage that is not told with its address."""
+    set_faults(log_address, **{fault: True})
+    code, printed = run("zone", "out", "north", "--timeout-s", "1")
+    assert code == ExitCode.UNAVAILABLE
+    assert printed.startswith(f"Nothing was changed: the log at {log_address} ")
+
+
+def test_outcome_unknown(run, log_address, losing_log, fleet_file):
+    """Guards against calling a change unmade that took effect."""
+    code, printed = run("zone", "out", "north", "--timeout-s", "1", log=losing_log)
+    assert code == ExitCode.UNKNOWN, printed
+    assert printed.startswith("It is not known whether the change takes effect: ")
+    assert losing_log in printed
+    set_faults(log_address, lose_answers=0)
+    assert "Version 2 by aoife:" in run("config", "history")[1]
+
+
+def test_interrupted(start, fleet_file):
+    """Guards against a stack trace at the end of a watch."""
+    process = start("watch", "--interval-s", "3600")
+    assert process.stdout.readline() != ""
+    process.send_signal(signal.SIGINT)
+    printed, _ = process.communicate()
+    assert process.returncode == ExitCode.INTERRUPTED
+    assert "Traceback" not in printed
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -25,6 +25,7 @@
     WaveChanged,
     WaveRefused,
 )
+from lycheeloom.operator.output import report_result
 from lycheeloom.wire import encode_batch
 
 from .conftest import FakeClock, FakeEntry, FakeLog, small_fleet
@@ -110,7 +111,9 @@
     """Guards against publishing without knowing what is in force."""
     log.unreadable = 1
     result = make_operator("aoife").publish(fleet, 0)
-    assert result == LogUnavailable("http status 503")
+    assert result == LogUnavailable(
+        "the log at 10.0.0.9:7000 cannot be read (http status 503)"
+    )
 
 
 def test_the_loser_of_a_race_is_told_who_won(make_operator, log, fleet):
@@ -255,6 +258,16 @@
     assert isinstance(result, PartlyPublished)
     assert (result.version, result.parts) == (1, 1)
     assert isinstance(result.stopped_by, NotAccepted)
+    lines = report_result(result).lines
+    assert lines[0].startswith("Only 1 of ")
+    assert lines[0].endswith(
+        "parts of the change are published; version 1 is in force."
+    )
+    assert lines[1:] == (
+        "The next part was not published: the log at 10.0.0.9:7000 refused the change "
+        "because it is too large.",
+        "Compare with lycheeloom config diff, then publish again.",
+    )
     assert isinstance(operator.publish(large_fleet(), 1), Published)
 
 
--- a/libs/operator/tests/test_with_standins.py
+++ b/libs/operator/tests/test_with_standins.py
@@ -1,49 +1,25 @@
 """The command against the stand-in of the log, in its own process."""
 
-import subprocess
-import sys
-
 import pytest
-import urllib3
 
 from lycheeloom.operator import Entries, Operator, Published, print_config
 from lycheeloom.operator.main import main
 from lycheeloom.platform import LogClient
 
+from .standin_log import running_log, set_faults
+
 
 @pytest.fixture
 def log_address(tmp_path):
-    settings = tmp_path / "standins.toml"
-    settings.write_text("")
-    process = subprocess.Popen(
-        [sys.executable, "-m", "lycheeloom.standins.main", str(settings)],
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-    address = ""
-    for line in process.stdout:
-        fields = dict(part.split("=", 1) for part in line.split())
-        if fields.get("standin") == "log":
-            address = fields["address"]
-        if fields["event"] == "ready":
-            break
-    yield address
-    process.terminate()
-    process.wait()
-    process.stdout.close()
-
-
-def set_faults(address, **faults):
-    """Switch faults of a stand-in."""
-    answer = urllib3.request("POST", f"http://{address}/v1/faults", json=faults)
-    assert answer.status == 200
+    with running_log(tmp_path) as address:
+        yield address
 
 
 class LosingLog(LogClient):
     """A log whose next answer to an append is lost."""
 
     def append(self, batch, **options):
-        set_faults(self._address, lose_answers=1)
+        set_faults(self.address, lose_answers=1)
         return super().append(batch, **options)
 
 
--- a/libs/platform/src/lycheeloom/platform/log.py
+++ b/libs/platform/src/lycheeloom/platform/log.py
@@ -87,7 +87,7 @@
         append_timeout_s: float = APPEND_TIMEOUT_S,
         read_margin_s: float = READ_MARGIN_S,
     ) -> None:
-        self._address = address
+        self.address = address
         self._transport = transport or Transport()
         self._append_timeout_s = append_timeout_s
         self._read_margin_s = read_margin_s
@@ -104,7 +104,7 @@
         if traceparent:
             headers["traceparent"] = traceparent
         response = self._transport.call(
-            self._address,
+            self.address,
             "POST",
             "/v1/append",
             body=batch,
@@ -135,7 +135,7 @@
             margin_s = self._read_margin_s
         wait_ms = round(wait_s * 1000)
         response = self._transport.call(
-            self._address,
+            self.address,
             "GET",
             f"/v1/read?from={first_offset}&limit={limit}&wait_ms={wait_ms}",
             timeout_s=wait_s + margin_s,
