Name the argument of a command that is mistaken

A wrong name in pool move, zone and key commands was reported under "draft", a word that operators never see elsewhere. It is reported for the argument of the command line now, with the near match; pool move reports a wrong instance and a wrong pool at once. A mistake or warning about the resulting configuration begins with "after this change". A command that is repeated says what is the case already.

--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import argparse
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 from lycheeloom.model.keys import NewKey
@@ -13,10 +14,14 @@
 from .exit_codes import ExitCode
 from .operator import Operator
 from .output import Report, report_mistakes, report_result
-from .problems import Problem, near_match
-from .results import Published
+from .problems import Problem, join_key, near_match
+from .results import NothingToChange, Published
 from .toml_reader import VERSION_KEY, ConfigFile, read_config
 
+# Where a mistake is: in an argument, or in the configuration that would follow.
+COMMAND_LINE = "command line"
+AFTER_CHANGE = "after this change"
+
 _WANTED_STATE = {
     "wave start": (WaveState.RUNNING, (WaveState.ABSENT,)),
     "wave pause": (WaveState.PAUSED, (WaveState.RUNNING,)),
@@ -52,7 +57,10 @@
     """Make a key and show it."""
     made: list[NewKey | None] = []
     report = _change(
-        operator, args, lambda draft: made.append(draft.grant_key(args.team, args.id))
+        operator,
+        args,
+        lambda draft: made.append(draft.grant_key(args.team, args.id)),
+        {join_key("teams", args.team, "keys"): "--id", "teams": "TEAM"},
     )
     key = made[-1] if made else None
     shown = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.UNKNOWN)
@@ -67,23 +75,41 @@
 
 def withdraw_key(operator: Operator, args: argparse.Namespace) -> Report:
     """Withdraw a key."""
-    return _change(operator, args, lambda draft: draft.withdraw_key(args.key))
+    return _change(
+        operator, args, lambda draft: draft.withdraw_key(args.key), {"teams": "KEY"}
+    )
 
 
 def take_zone_out(operator: Operator, args: argparse.Namespace) -> Report:
     """Take a zone out of service."""
-    return _change(operator, args, lambda draft: draft.take_zone_out(args.zone))
+    return _change(
+        operator,
+        args,
+        lambda draft: draft.take_zone_out(args.zone),
+        {"zones": "ZONE"},
+        f'the zone "{args.zone}" is out of service already',
+    )
 
 
 def bring_zone_in(operator: Operator, args: argparse.Namespace) -> Report:
     """Bring a zone back into service."""
-    return _change(operator, args, lambda draft: draft.bring_zone_in(args.zone))
+    return _change(
+        operator,
+        args,
+        lambda draft: draft.bring_zone_in(args.zone),
+        {"zones": "ZONE"},
+        f'the zone "{args.zone}" is in service already',
+    )
 
 
 def move_instance(operator: Operator, args: argparse.Namespace) -> Report:
     """Set the wanted pool of an instance."""
     return _change(
-        operator, args, lambda draft: draft.move_instance(args.instance, args.pool)
+        operator,
+        args,
+        lambda draft: draft.move_instance(args.instance, args.pool),
+        {"instances": "INSTANCE", "pools": "POOL"},
+        f'the instance "{args.instance}" belongs to the pool "{args.pool}" already',
     )
 
 
@@ -114,7 +140,7 @@
     known = operator.document.get("pools", {})
     return [
         Problem(
-            "command line",
+            COMMAND_LINE,
             "--pool",
             f'there is no pool "{pool}"{near_match(pool, known)}',
             "the name of a pool under [pools]",
@@ -125,12 +151,39 @@
 
 
 def _change(
-    operator: Operator, args: argparse.Namespace, edit: Callable[[Draft], Any]
+    operator: Operator,
+    args: argparse.Namespace,
+    edit: Callable[[Draft], Any],
+    argument_by_key: Mapping[str, str],
+    same: str = "",
 ) -> Report:
+    """Make a small change; ``same`` says that it is made already.
+
+    ``argument_by_key`` names the argument that was mistaken where the draft
+    reports a key of the document.
+    """
+
+    def edit_and_name(draft: Draft) -> None:
+        draft.file = AFTER_CHANGE
+        edit(draft)
+        draft.problems[:] = [
+            _of_argument(problem, argument_by_key) for problem in draft.problems
+        ]
+
     result = operator.change(
-        edit, accept_warnings=args.accept_warnings, timeout_s=args.timeout_s
+        edit_and_name, accept_warnings=args.accept_warnings, timeout_s=args.timeout_s
     )
-    return _finish(operator, args, result)
+    report = _finish(operator, args, result)
+    if same and isinstance(result, NothingToChange):
+        return replace(report, lines=(f"Nothing to change: {same}.",))
+    return report
+
+
+def _of_argument(problem: Problem, argument_by_key: Mapping[str, str]) -> Problem:
+    for key, argument in argument_by_key.items():
+        if problem.key == key or problem.key.startswith(f"{key}."):
+            return replace(problem, file=COMMAND_LINE, key=argument)
+    return problem
 
 
 def _finish(operator: Operator, args: argparse.Namespace, result: Any) -> Report:
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -93,8 +93,10 @@
 
     def move_instance(self, instance: str, pool: str) -> None:
         """Set the wanted pool of an instance; the controller drains and moves it."""
-        if self._entry("pools", pool) is not None:
-            self.change("instances", instance, pool=pool)
+        is_known = self._entry("pools", pool) is not None
+        entry = self._entry("instances", instance)
+        if is_known and entry is not None:
+            entry["pool"] = pool
 
     def grant_key(self, team: str, key_id: str = "") -> NewKey | None:
         """Add a key to a team; its token exists nowhere else and is shown once."""
@@ -148,8 +150,9 @@
         if name in entries:
             return entries[name]
         noun = NOUN_BY_SECTION[section]
+        article = "an" if noun[0] in "aeiou" else "a"
         wrong = f'there is no {noun} "{name}"{near_match(name, entries)}'
-        self._report(section, wrong, f"the name of a {noun} under [{section}]")
+        self._report(section, wrong, f"the name of {article} {noun} under [{section}]")
         return None
 
     def _owner_of_key(self, key_id: str) -> str | None:
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -150,6 +150,80 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("command", "mistakes"),
+    [
+        (
+            ["pool", "move", "w44", "lokup"],
+            [
+                'POOL: there is no pool "lokup" (did you mean "lookup"?); allowed: '
+                "the name of a pool under [pools]",
+                'INSTANCE: there is no instance "w44" (did you mean "w4"?); allowed: '
+                "the name of an instance under [instances]",
+            ],
+        ),
+        (
+            ["zone", "out", "norht"],
+            [
+                'ZONE: there is no zone "norht" (did you mean "north"?); allowed: '
+                "the name of a zone under [zones]"
+            ],
+        ),
+        (
+            ["key", "grant", "rde"],
+            [
+                'TEAM: there is no team "rde" (did you mean "red"?); allowed: '
+                "the name of a team under [teams]"
+            ],
+        ),
+        (
+            ["key", "grant", "blue", "--id", "red-1"],
+            [
+                '--id: is a key of the team "red" already; allowed: a key name that '
+                "is not in use"
+            ],
+        ),
+        (
+            ["key", "withdraw", "rde-1"],
+            [
+                'KEY: there is no key "rde-1" (did you mean "red-1"?); allowed: '
+                "the name of a key of some team"
+            ],
+        ),
+    ],
+)
+def test_a_mistake_names_the_argument(run, published, command, mistakes):
+    """Guards against a mistake reported under the name of an internal file."""
+    assert run("key", "grant", "red", "--id", "red-1")[0] == 0
+    lines = [f"error: command line: {mistake}\n" for mistake in mistakes]
+    assert run(*command) == (1, "".join(lines))
+
+
+def test_a_warning_about_the_result_is_told_as_such(run, published):
+    """Guards against a warning that looks like a mistake of the command line."""
+    assert run("zone", "out", "north")[0] == 0
+    code, text = run("zone", "out", "south")
+    assert code == 1
+    assert text.startswith("warning: after this change: zones: are all out, ")
+
+
+@pytest.mark.parametrize(
+    ("command", "same"),
+    [
+        (
+            ["pool", "move", "w1", "lookup"],
+            'the instance "w1" belongs to the pool "lookup" already',
+        ),
+        (["zone", "in", "north"], 'the zone "north" is in service already'),
+        (["zone", "out", "north"], 'the zone "north" is out of service already'),
+    ],
+)
+def test_nothing_to_change(run, published, command, same):
+    """Guards against a repeated command that leaves in doubt what it did."""
+    run(*command)
+    assert run(*command) == (0, f"Nothing to change: {same}.\n")
+
+
 def test_status_watch_and_explain(run, published, entry):
     """Guards against views that fail while an entry is down."""
     code, text = run("status")
