--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION
+from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION, default_of
 from .problems import join_key, show
 
 
@@ -31,8 +31,15 @@
     def sentence(self) -> str:
         """Return the change as a line that can be read aloud."""
         place = _place(self.path)
+        default = _default(self.path)
+        if default is not None and self.before is ABSENT:
+            return _from_default(place, default, show(self.after))
+        if default is not None and self.after is ABSENT:
+            return _to_default(place, show(self.before), default)
         if self.before is ABSENT:
             return f"{place} is added: {_summary(self.path, self.after)}"
+        if self.after is ABSENT and _is_key(self.path):
+            return f"{place} is removed"
         if self.after is ABSENT:
             return f"{place} is removed; it was {_summary(self.path, self.before)}"
         return f"{place} changes from {show(self.before)} to {show(self.after)}"
@@ -140,8 +147,32 @@
     return f"{noun}: {join_key(*path[2:])}"
 
 
+def _from_default(place: str, default: str, after: str) -> str:
+    if default == after:
+        return f"{place} is written out as {after}, which was the default"
+    return f"{place} changes from {default} (the default) to {after}"
+
+
+def _to_default(place: str, before: str, default: str) -> str:
+    if default == before:
+        return f"{place} stays {default}, which is the default"
+    return f"{place} changes from {before} to {default} (the default)"
+
+
+def _default(path: tuple[str, ...]) -> str | None:
+    """Return what holds while a field is not set, or None if nothing does."""
+    if len(path) != 3 or path[2] not in MEANING_BY_FIELD.get(path[0], {}):
+        return None
+    default = default_of(path[0], path[2])
+    return None if default in (None, [], {}, "") else show(default)
+
+
+def _is_key(path: tuple[str, ...]) -> bool:
+    return path[-2:-1] == ("keys",)
+
+
 def _summary(path: tuple[str, ...], value: Any) -> str:
-    if path[-2:-1] == ("keys",):
+    if _is_key(path):
         return "a salted hash"
     if not isinstance(value, Mapping):
         return show(value)
--- a/libs/operator/src/lycheeloom/operator/status_text.py
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -5,11 +5,13 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
+from lycheeloom.model.records import WaveState
 from lycheeloom.model.status import StatusDocument, WaveStatus
 
 from .entries import EntryUnavailable
 from .output import table
 
+_ENDED = (WaveState.DONE, WaveState.ABORTED)
 Rows = tuple[Sequence[str], list[Sequence[Any]]]
 
 
@@ -21,6 +23,8 @@
     lines: list[str] = []
     if newest is None:
         lines.append("No entry answered.")
+    elif newest.config_version == 0:
+        lines.append("No configuration is published yet (version 0).")
     else:
         lines.append(
             f"Fleet {newest.name}, configuration version {newest.config_version}, "
@@ -41,7 +45,7 @@
             f"{wave.done} of {wave.total}",
             wave.in_progress,
             wave.failed,
-            duration(wave.ends_in_s),
+            "ended" if wave.state in _ENDED else duration(wave.ends_in_s),
             wave.reason,
         )
         for name, wave in waves.items()
--- /dev/null
+++ b/libs/operator/tests/test_differences.py
@@ -0,0 +1,51 @@
+"""Sentences about changes."""
+
+import pytest
+
+from lycheeloom.operator.difference import compare
+
+KEYED = {"keys": {"red-1": {"salt": "00", "digest": "00"}}}
+
+
+@pytest.mark.parametrize(
+    ("section", "before", "after", "sentence"),
+    [
+        (
+            "zones",
+            {},
+            {"state": "out"},
+            'Zone a: state changes from "in" (the default) to "out"',
+        ),
+        (
+            "zones",
+            {"state": "out"},
+            {},
+            'Zone a: state changes from "out" to "in" (the default)',
+        ),
+        (
+            "zones",
+            {"state": "out"},
+            {"state": "in"},
+            'Zone a: state changes from "out" to "in"',
+        ),
+        (
+            "zones",
+            {},
+            {"state": "in"},
+            'Zone a: state is written out as "in", which was the default',
+        ),
+        (
+            "zones",
+            {"state": "in"},
+            {},
+            'Zone a: state stays "in", which is the default',
+        ),
+        ("instances", {}, {"rack": "r1"}, 'Instance a: rack is added: "r1"'),
+        ("teams", {}, KEYED, "Team a: key red-1 is added: a salted hash"),
+        ("teams", KEYED, {"keys": {}}, "Team a: key red-1 is removed"),
+    ],
+)
+def test_sentence(section, before, after, sentence):
+    """Guards against a zone out that reads as if its state had not existed."""
+    changes = compare({section: {"a": before}}, {section: {"a": after}})
+    assert [change.sentence() for change in changes] == [sentence]
