--- a/libs/controller/src/lycheeloom/controller/metrics.py
+++ b/libs/controller/src/lycheeloom/controller/metrics.py
@@ -49,6 +49,12 @@
         self.records_since_snapshot = self._gauge(
             "records_since_snapshot", "Records after the newest snapshot"
         )
+        self.snapshot_age_s = self._gauge(
+            "snapshot_age_seconds", "Age of the newest complete snapshot"
+        )
+        self.log_retention_s = self._gauge(
+            "log_retention_seconds", "How long the log keeps records"
+        )
         self._stage_since: dict[str, tuple[tuple[str, MoveStage], float]] = {}
 
     def set_duty(self, duty: Duty, is_held: bool) -> None:
@@ -62,6 +68,9 @@
         self._instances.clear()
         if view is None:
             self._stage_since.clear()
+            # Without this a former holder would report its last move for ever.
+            self._moves.set(0)
+            self._oldest.set(0)
             return
         self._set_pools(view, planner)
         self._set_waves(view)
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -135,6 +135,7 @@
             self.settings.log_retention_s,
         )
         self.metrics = ControllerMetrics()
+        self.metrics.log_retention_s.set(self.settings.log_retention_s)
         maintenance = self.duty_by_name[Duty.MAINTENANCE]
         self._api = HttpApi(
             self.planner,
@@ -172,6 +173,7 @@
         self.metrics.log_age_s.set(age_s)
         covered = self.snapshots.writer.covers_offset
         self.metrics.records_since_snapshot.set(self.tail.next_offset - 1 - covered)
+        self.metrics.snapshot_age_s.set(self.snapshots.writer.age_s())
 
     def _stop_all(self) -> None:
         gevent.killall(self._greenlets)
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter as CountByKey
 
 from prometheus_client import (
@@ -107,8 +108,9 @@
         self.fresh.set(int(status.fresh))
         self.draining.set(int(status.draining))
         self.config_version.set(status.config_version)
-        if status.log_age_ms is not None:
-            self.log_age_s.set(status.log_age_ms / 1000)
+        # An entry that has never read the log must not look up to date.
+        never = status.log_age_ms is None
+        self.log_age_s.set(math.inf if never else status.log_age_ms / 1000)
         self._set_members(status)
         self._set_teams(status)
         self._set_queues(status)
--- a/libs/entry/tests/test_metrics.py
+++ b/libs/entry/tests/test_metrics.py
@@ -48,6 +48,13 @@
     assert {name for name in served if not name.endswith("_created")} == set(DOCUMENTED)
 
 
+def test_an_entry_that_never_read_the_log_is_not_up_to_date(metrics):
+    """An entry started in an outage would silence the alert on the log."""
+    metrics.set_status(StatusDocument(log_age_ms=None))
+    text = generate_latest(metrics.registry).decode()
+    assert "lycheeloom_log_age_seconds +Inf" in text
+
+
 def test_removed_names_disappear(metrics):
     """A removed zone must not stay in the metrics as taken out."""
     metrics.set_status(StatusDocument(zones={"new": ZoneStatus()}))
--- a/libs/log/src/lycheeloom/log/snapshot_writer.py
+++ b/libs/log/src/lycheeloom/log/snapshot_writer.py
@@ -77,10 +77,19 @@
         self.written = 0
         self.torn = 0
         self.covers_offset = -1
+        self._started_at = clock()
         self._covered_at: float | None = None
         self._config_offsets: deque[int] = deque()
         tail.add_listener(self._on_replayed)
 
+    def age_s(self) -> float:
+        """Return the age of the newest complete snapshot, in seconds.
+
+        The age of one that was not seen being written counts from the start.
+        """
+        since = self._started_at if self._covered_at is None else self._covered_at
+        return self._clock() - since
+
     def is_due(self) -> bool:
         """Tell whether a snapshot should be written now.
 
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -277,9 +277,12 @@
     assert not snapshots.is_due()
     clock.now += 499
     assert snapshots.is_due()
+    # The alert on a snapshot that is overdue rests on this age.
+    assert snapshots.age_s() == 499
     add_snapshot(log)
     tail.step()
     assert not snapshots.is_due()
+    assert snapshots.age_s() == 0
     add_submitted(log, 49)
     tail.step()
     assert snapshots.is_due()
