--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -150,6 +150,80 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("command", "mistakes"),
+    [
+        (
+            ["pool", "move", "w44", "lokup"],
+            [
+                'POOL: there is no pool "lokup" (did you mean "lookup"?); allowed: '
+                "the name of a pool under [pools]",
+                'INSTANCE: there is no instance "w44" (did you mean "w4"?); allowed: '
+                "the name of an instance under [instances]",
+            ],
+        ),
+        (
+            ["zone", "out", "norht"],
+            [
+                'ZONE: there is no zone "norht" (did you mean "north"?); allowed: '
+                "the name of a zone under [zones]"
+            ],
+        ),
+        (
+            ["key", "grant", "rde"],
+            [
+                'TEAM: there is no team "rde" (did you mean "red"?); allowed: '
+                "the name of a team under [teams]"
+            ],
+        ),
+        (
+            ["key", "grant", "blue", "--id", "red-1"],
+            [
+                '--id: is a key of the team "red" already; allowed: a key name that '
+                "is not in use"
+            ],
+        ),
+        (
+            ["key", "withdraw", "rde-1"],
+            [
+                'KEY: there is no key "rde-1" (did you mean "red-1"?); allowed: '
+                "the name of a key of some team"
+            ],
+        ),
+    ],
+)
+def test_a_mistake_names_the_argument(run, published, command, mistakes):
+    """Guards against a mistake reported under the name of an internal file."""
+    assert run("key", "grant", "red", "--id", "red-1")[0] == 0
+    lines = [f"error: command line: {mistake}\n" for mistake in mistakes]
+    assert run(*command) == (1, "".join(lines))
+
+
+def test_a_warning_about_the_result_is_told_as_such(run, published):
+    """Guards against a warning that looks like a mistake of the command line."""
+    assert run("zone", "out", "north")[0] == 0
+    code, text = run("zone", "out", "south")
+    assert code == 1
+    assert text.startswith("warning: after this change: zones: are all out, ")
+
+
+@pytest.mark.parametrize(
+    ("command", "same"),
+    [
+        (
+            ["pool", "move", "w1", "lookup"],
+            'the instance "w1" belongs to the pool "lookup" already',
+        ),
+        (["zone", "in", "north"], 'the zone "north" is in service already'),
+        (["zone", "out", "north"], 'the zone "north" is out of service already'),
+    ],
+)
+def test_nothing_to_change(run, published, command, same):
+    """Guards against a repeated command that leaves in doubt what it did."""
+    run(*command)
+    assert run(*command) == (0, f"Nothing to change: {same}.\n")
+
+
 def test_status_watch_and_explain(run, published, entry):
     """Guards against views that fail while an entry is down."""
     code, text = run("status")
@@ -167,11 +241,51 @@
 
 
 def test_an_outage_of_the_log_changes_nothing(run, published, log):
-    """Guards against exit codes that a script would take for success."""
+    """Guards against a bare "down" that does not tell what to do."""
+    advice = (
+        "Meanwhile interactive work goes on, and lycheeloom status still answers. "
+        "Repeat the command when the log answers again.\n"
+    )
+    log.faults.extend(["down"] * 100)
+    assert run("zone", "out", "north", "--timeout-s", "1") == (
+        4,
+        f"Nothing was changed: the log at 10.0.0.9:7000 is unavailable.\n{advice}",
+    )
     log.unreadable = 1000
     assert run("zone", "out", "north") == (
         4,
-        "Nothing was changed: http status 503.\n",
+        "Nothing was changed: the log at 10.0.0.9:7000 cannot be read (http status "
+        f"503).\n{advice}",
+    )
+
+
+def test_a_change_too_large_for_the_log_is_no_outage(run, published, log):
+    """Guards against advice to repeat what the log always refuses."""
+    log.faults.append("large")
+    assert run("zone", "out", "north") == (
+        1,
+        "Nothing was changed: the log at 10.0.0.9:7000 refused the change because it "
+        "is too large. Make it in smaller steps.\n",
+    )
+
+
+@pytest.mark.parametrize(
+    ("command", "view"),
+    [
+        (["zone", "out", "north"], "lycheeloom config history"),
+        (["wave", "start", "spring"], "lycheeloom wave status"),
+    ],
+)
+def test_an_unknown_outcome_says_where_to_look(run, published, log, command, view):
+    """Guards against advice that cannot show whether a wave was started."""
+    log.faults.extend(["dropped"] * 100)
+    assert run(*command, "--timeout-s", "1") == (
+        5,
+        "It is not known whether the change takes effect: the log at 10.0.0.9:7000 "
+        "did not confirm the change (no answer in time).\n"
+        "Meanwhile interactive work goes on, and lycheeloom status still answers. "
+        f"When the log answers again, look at {view}; repeat the command only if the "
+        "change is not there.\n",
     )
 
 
