Report when a wave ends and what it waits for

WaveStatus.ends_in_s and reason were never filled in. Entries now compute both from the replayed state: the end from the rounds of the tightest budget and the mean time of the moves that they saw begin and end, the reason from the limit that blocks the next instance. While a limit blocks a wave that has no open move, the end is not known.

--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -6,6 +6,7 @@
 import time
 from collections import defaultdict
 
+from lycheeloom.entry.wave_progress import MoveTimes, WaveProgress
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
 from lycheeloom.model.records import WaveCommand, WaveState
 
@@ -59,6 +60,8 @@
         "over budget": len(planned.world.over_budget),
         "work lost": planned.world.lost_work,
         "forecast s": round(planned.first_forecast_s),
+        "left at half s": round(duration_s - planned.half_at_s),
+        "forecast at half s": round(planned.half_forecast_s),
         "batches ratio": round(naive_s / planned.bound_s, 3),
         "batches over budget": len(naive.world.over_budget),
         "racks failed": planned.racks_failed,
@@ -78,6 +81,9 @@
             self.world.drain_by_instance[instance] = DRAIN_S * spread
         self.bound_s = self._bound_s()
         self.first_forecast_s = 0.0
+        # When an entry first sees half of the wave done, and how long the rest
+        # takes by its status document.
+        self.half_at_s = self.half_forecast_s = 0.0
         self.racks_failed = 0
         self._events = self._failures(name, rng) if failing else []
 
@@ -119,12 +125,32 @@
         world.append("operator", [wave])
         forecast = controller.planner.forecast(controller.view(), "wave", 0.0)
         self.first_forecast_s = forecast.end_s
+        progress = self._progress_at_an_entry()
         waves = world.state.maintenance.wave_by_id
         while waves["wave"].state is WaveState.RUNNING:
             self._fire_events()
             controller.tick(self.step_s)
+            if not self.half_at_s:
+                self._look_for_half(progress)
         return world.now_s
 
+    def _progress_at_an_entry(self) -> WaveProgress:
+        """Return the wave's progress as an entry tells it, on the world's time."""
+        world = self.world
+        times = MoveTimes(lambda: 0.0, lambda: world.now_s)
+        world.listeners.append(times.on_replayed)
+        return WaveProgress(
+            lambda: world.state,
+            lambda name: not world.workers[name].draining and world.workers[name].alive,
+            times.move_s,
+        )
+
+    def _look_for_half(self, progress: WaveProgress) -> None:
+        status = progress.statuses()["wave"]
+        if 2 * status.done >= status.total:
+            self.half_at_s = self.world.now_s
+            self.half_forecast_s = status.ends_in_s or 0.0
+
     def run_batches(self) -> float:
         """Naive baseline: each pool in batches by name, up to its budget.
 
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from lycheeloom.fleet import (
@@ -20,6 +20,7 @@
     Planner,
     PlatformAction,
 )
+from lycheeloom.log import Replayed
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
     Batch,
@@ -66,6 +67,7 @@
     lost_work: int = 0
     over_budget: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
+    listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         change = ConfigChanged(0, canonical_json(self.document), "operator")
@@ -76,7 +78,11 @@
         """Append one batch and replay it."""
         self.sequence[author] += 1
         batch = Batch(author, self.sequence[author], tuple(records))
-        return self.state.apply(self.state.next_offset, batch).effective
+        offset = self.state.next_offset
+        applied = self.state.apply(offset, batch)
+        for listener in self.listeners:
+            listener(Replayed(offset, batch, b"", applied))
+        return applied.effective
 
     def claim(self, author: str) -> int:
         """Take the maintenance duty and return its epoch."""
--- a/bench/test_fleet_goals.py
+++ b/bench/test_fleet_goals.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+import pytest
+
 from bench import fleet_buffers, fleet_rollout
 from bench.fleet_world import user_fleet
 
@@ -28,3 +30,12 @@
     program = [sys.executable, "-m", "bench.fleet_cli", "buffers", "--json"]
     done = subprocess.run(program, capture_output=True, text=True, check=True)
     assert json.loads(done.stdout)["command"] == "buffers"
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(("cores", "memory_mb"), [(64, 262144), (16, 65536)])
+def test_forecast_at_half_of_a_wave_is_within_a_quarter(seed, cores, memory_mb):
+    """Guards against a forecast in the status document that misleads operators."""
+    row = fleet_rollout._run("user A", user_fleet(cores, memory_mb), False, seed)
+    left_s, forecast_s = row["left at half s"], row["forecast at half s"]
+    assert abs(forecast_s - left_s) <= 0.25 * left_s
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -49,6 +49,7 @@
 from .start_checks import StartChecks
 from .status import StatusBuilder
 from .usage_exchange import UsageExchange
+from .wave_progress import MoveTimes, WaveProgress
 from .worker_watch import WorkerWatch
 
 PROGRAM_VERSION = "0.1.0"
@@ -227,8 +228,18 @@
             self.metrics,
             self._tracer,
         )
+        move_times = MoveTimes(self.mesh.log_age_s)
+        self.tail.add_listener(move_times.on_replayed)
         self.status = StatusBuilder(
-            self.tail, self.mesh, self.freshness, self.scheduler, self.jobs, self.watch
+            self.tail,
+            self.mesh,
+            self.freshness,
+            self.scheduler,
+            self.jobs,
+            self.watch,
+            WaveProgress(
+                lambda: self.tail.state, self.watch.is_in_service, move_times.move_s
+            ),
         )
         explanations = EntryExplanations(self.tail, self.scheduler, self.jobs)
         self._api = HttpApi(
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -11,7 +11,6 @@
 from lycheeloom.log import LogTail
 from lycheeloom.model.config import FleetConfig, ZoneState
 from lycheeloom.model.limits import SILENCE_S
-from lycheeloom.model.records import MoveStage, WaveState
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.model.status import (
     MemberState,
@@ -20,15 +19,14 @@
     QueueStatus,
     StatusDocument,
     TeamStatus,
-    WaveStatus,
     ZoneStatus,
 )
 from lycheeloom.sched import Scheduler
 from lycheeloom.state import Member
-from lycheeloom.state.maintenance import Maintenance
 from lycheeloom.wire import TeamUsage
 
 from .jobs import JobTable
+from .wave_progress import WaveProgress
 from .worker_watch import WorkerWatch
 
 
@@ -43,6 +41,7 @@
         scheduler: Scheduler,
         jobs: JobTable,
         watch: WorkerWatch,
+        waves: WaveProgress,
     ) -> None:
         self._tail = tail
         self._mesh = mesh
@@ -50,6 +49,7 @@
         self._scheduler = scheduler
         self._jobs = jobs
         self._watch = watch
+        self._waves = waves
         # Sums over all instances, taken once for each configuration.
         self._sized_config: FleetConfig | None = None
         self._fleet_size = NO_RESOURCES
@@ -75,7 +75,7 @@
             queues=self._queues(),
             zones=self._zones(),
             pools=self._pools(),
-            waves=wave_statuses(self._tail.state.maintenance),
+            waves=self._waves.statuses(),
         )
 
     def _members(self) -> list[MemberStatus]:
@@ -233,34 +233,3 @@
             )
             for pool_id, pool in state.config.pool_by_id.items()
         }
-
-
-def wave_statuses(maintenance: Maintenance) -> dict[str, WaveStatus]:
-    """Return the progress of each wave, by the last moves of its instances."""
-    waves = {}
-    for wave in maintenance.wave_by_id.values():
-        covered = [
-            instance
-            for instance, pool in maintenance.pool_by_instance.items()
-            if not wave.pools or pool in wave.pools
-        ]
-        stages: Counter[MoveStage] = Counter()
-        for instance in covered:
-            move = maintenance.move_by_instance.get(instance)
-            if move is not None and move.changed_at > wave.started_at:
-                stages[move.stage] += 1
-        if wave.state is WaveState.DONE:
-            # Later moves of its instances belong to other waves.
-            stages = Counter({MoveStage.JOINED: len(covered)})
-        done = stages[MoveStage.JOINED]
-        failed = stages[MoveStage.ABANDONED]
-        waves[wave.wave_id] = WaveStatus(
-            state=wave.state,
-            pools=list(wave.pools),
-            urgent=wave.urgent,
-            total=len(covered),
-            done=done,
-            in_progress=sum(stages.values()) - done - failed,
-            failed=failed,
-        )
-    return waves
--- a/libs/entry/src/lycheeloom/entry/status_page.py
+++ b/libs/entry/src/lycheeloom/entry/status_page.py
@@ -6,7 +6,7 @@
 
 from bottle import SimpleTemplate
 
-from lycheeloom.model.status import StatusDocument, TeamStatus
+from lycheeloom.model.status import StatusDocument, TeamStatus, WaveStatus
 
 # SimpleTemplate escapes every value, so names cannot inject markup.
 _TEMPLATE = SimpleTemplate(
@@ -26,6 +26,7 @@
         percent=_percent,
         duration=_duration,
         level=_team_level,
+        wave_end=_wave_end,
     )
 
 
@@ -61,6 +62,14 @@
     return "ok"
 
 
+def _wave_end(wave: WaveStatus) -> str:
+    if wave.state != "running":
+        return ""
+    if wave.ends_in_s is None:
+        return ", end not known"
+    return f", ends in about {_duration(wave.ends_in_s)}"
+
+
 def _percent(fraction: float) -> str:
     return f"{100 * fraction:.1f}%"
 
--- a/libs/entry/src/lycheeloom/entry/status_page.tpl
+++ b/libs/entry/src/lycheeloom/entry/status_page.tpl
@@ -65,7 +65,7 @@
 % if status.waves:
 <h2>Maintenance waves</h2>
 % for name, wave in status.waves.items():
-<p>{{name}}: {{wave.state}}, {{wave.done}} of {{wave.total}} instances maintained, {{wave.in_progress}} in progress, {{wave.failed}} failed, end in {{duration(wave.ends_in_s)}}.</p>
+<p>{{name}}: {{wave.state}}, {{wave.done}} of {{wave.total}} instances maintained, {{wave.in_progress}} in progress, {{wave.failed}} failed{{wave_end(wave)}}. {{wave.reason}}</p>
 <progress max="{{max(wave.total, 1)}}" value="{{wave.done}}"></progress>
 % end
 % end
--- a/libs/entry/tests/test_status_page.py
+++ b/libs/entry/tests/test_status_page.py
@@ -22,7 +22,11 @@
     teams={"<b>loud</b>": TeamStatus(running=4, upper_limit=4, share=2)},
     zones={"north": ZoneStatus(state="out", workers=10, in_service=0)},
     pools={"lookup": PoolStatus(workers=6, in_service=2, needed=4)},
-    waves={"spring": WaveStatus(state="paused", total=30, done=12, reason="rack lost")},
+    waves={
+        "spring": WaveStatus(state="paused", total=30, done=12, reason="rack lost"),
+        "autumn": WaveStatus(state="running", ends_in_s=600, reason="It waits."),
+        "urgent": WaveStatus(state="running"),
+    },
 )
 
 
@@ -39,6 +43,14 @@
         assert text in page
 
 
+def test_page_shows_the_end_of_waves_and_why_they_wait():
+    """Guards against an operator who cannot see how long a wave still takes."""
+    page = render_status_page(STATUS)
+    assert "0 failed, ends in about 10 min. It waits." in page
+    assert "0 failed, end not known." in page
+    assert "0 failed. rack lost" in page
+
+
 def test_names_are_escaped_and_nothing_is_loaded():
     """Guards against markup in names and against scripts from elsewhere."""
     page = render_status_page(STATUS)
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -12,6 +12,9 @@
 from enum import StrEnum
 
 from lycheeloom.model.config import FleetConfig, ZoneState
+from lycheeloom.model.records import Health
+
+from .view import ENDED_STAGES, HealthState, Move
 
 
 class LimitKind(StrEnum):
@@ -114,6 +117,19 @@
         elif self.available(pool) < config.needed:
             self._shortfall += 1
 
+    def take_recorded(
+        self,
+        health_by_instance: Mapping[str, HealthState],
+        move_by_instance: Mapping[str, Move],
+    ) -> None:
+        """Count as out who is unfit or in an open move by the log's records."""
+        for name, state in health_by_instance.items():
+            if state.health is not Health.IN_SERVICE:
+                self.take(name)
+        for name, move in move_by_instance.items():
+            if move.stage not in ENDED_STAGES:
+                self.take(name)
+
     def available(self, pool: str) -> int:
         """Return how many instances of the pool serve."""
         return self._layout.size_by_pool[pool] - self._out_by_pool[pool]
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 
 from lycheeloom.model.records import (
-    Health,
     InstanceHealth,
     MoveStage,
     MoveStep,
@@ -130,12 +129,7 @@
         seen = self.health.assess(layout, now_s)
         out = view.unavailable | seen.silent | layout.out_of_service
         step = Step(view, now_s, layout, Ledger(layout, out), seen, out)
-        for name, state in view.health_by_instance.items():
-            if state.health is not Health.IN_SERVICE:
-                step.ledger.take(name)
-        for name, move in view.move_by_instance.items():
-            if move.stage not in ENDED_STAGES:
-                step.ledger.take(name)
+        step.ledger.take_recorded(view.health_by_instance, view.move_by_instance)
         self._repeat_pending(step)
         self._last = step
         return step
@@ -341,11 +335,7 @@
     @staticmethod
     def _is_finished(step: Step, wave: Wave) -> bool:
         moves = step.view.move_by_instance
-        given_up = frozenset(
-            name
-            for name, state in step.view.health_by_instance.items()
-            if state.health is Health.GIVEN_UP
-        )
+        given_up = waves.given_up(step.view.health_by_instance)
         return not any(
             waves.remaining(wave, step.layout, moves, pool, given_up)
             for pool in waves.covered_pools(wave, step.layout)
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from math import ceil
+from math import ceil, inf
 
-from lycheeloom.model.records import MoveStage, WaveState
+from lycheeloom.model.records import Health, MoveStage, WaveState
 
 from .budgets import Layout, Ledger, Limit, LimitKind
-from .view import Move, Wave
+from .view import HealthState, Move, Wave
 
 # Limits that no other instance of the same pool can get around.
 _POOL_WIDE = frozenset({LimitKind.POOL, LimitKind.LAST_SPARE, LimitKind.NEED})
@@ -67,6 +67,15 @@
     ]
 
 
+def given_up(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
+    """Return the instances that no wave waits for."""
+    return frozenset(
+        name
+        for name, state in health_by_instance.items()
+        if state.health is Health.GIVEN_UP
+    )
+
+
 def choose(
     wave: Wave,
     layout: Layout,
@@ -79,17 +88,50 @@
     Pools with the most rounds left go first, and within a pool the racks with
     the most instances left, because they decide how long the wave takes.
     """
+    pools = [p for p in covered_pools(wave, layout) if ledger.free_in_pool(p) > 0]
+    for serving in _candidates(pools, wave, layout, ledger, moves, skipped):
+        yield from _choose_in_pool(layout, ledger, serving)
+
+
+def waiting(
+    wave: Wave,
+    layout: Layout,
+    ledger: Ledger,
+    moves: Mapping[str, Move],
+    skipped: frozenset[str] = frozenset(),
+) -> Choice | None:
+    """Return the next instance and the limit that it waits for.
+
+    None if an instance may be taken now, or if none is left to be taken.
+    """
+    first = None
+    pools = covered_pools(wave, layout)
+    for serving in _candidates(pools, wave, layout, ledger, moves, skipped):
+        for choice in _choose_in_pool(layout, ledger, serving):
+            if choice.limit is None:
+                return None
+            first = first or choice
+    return first
+
+
+def _candidates(
+    pools: Iterable[str],
+    wave: Wave,
+    layout: Layout,
+    ledger: Ledger,
+    moves: Mapping[str, Move],
+    skipped: frozenset[str],
+) -> list[list[str]]:
+    """Return, for each pool, who serves and is yet to be maintained."""
     candidates = []
-    for pool in covered_pools(wave, layout):
-        if ledger.free_in_pool(pool) <= 0:
-            continue
+    for pool in pools:
         left = remaining(wave, layout, moves, pool, skipped)
         serving = [name for name in left if not ledger.is_out(name)]
         if serving:
             budget = layout.config.pool_by_id[pool].max_unavailable
-            candidates.append((-len(left) / budget, pool, serving))
-    for _, _, serving in sorted(candidates):
-        yield from _choose_in_pool(layout, ledger, serving)
+            rounds = len(left) / budget if budget else inf
+            candidates.append((-rounds, pool, serving))
+    return [serving for _, _, serving in sorted(candidates)]
 
 
 def _choose_in_pool(
@@ -114,11 +156,18 @@
 
 
 def forecast(
-    wave: Wave, layout: Layout, moves: Mapping[str, Move], now_s: float, move_s: float
+    wave: Wave,
+    layout: Layout,
+    moves: Mapping[str, Move],
+    now_s: float,
+    move_s: float,
+    skipped: frozenset[str] = frozenset(),
 ) -> Forecast:
     """Foretell the end of a wave from the budget that takes the most rounds."""
     pools = covered_pools(wave, layout)
-    left_by_pool = {name: remaining(wave, layout, moves, name) for name in pools}
+    left_by_pool = {
+        name: remaining(wave, layout, moves, name, skipped) for name in pools
+    }
     total = sum(len(layout.members_by_pool.get(name, ())) for name in pools)
     left = sum(len(names) for names in left_by_pool.values())
     end_s = None
@@ -131,25 +180,25 @@
 def _rounds(layout: Layout, left_by_pool: Mapping[str, list[str]]) -> int | None:
     """Return the rounds of the tightest budget, None if one allows nothing."""
     config = layout.config
-    by_budget: dict[tuple[str, ...], int] = defaultdict(int)
-    allowed: dict[tuple[str, ...], int] = {}
+    count_by_zone: Counter[str] = Counter()
+    counts_and_budgets: list[tuple[int, int]] = []
     for pool_id, names in left_by_pool.items():
+        if not names:
+            continue
         pool = config.pool_by_id[pool_id]
-        for name in names:
-            _, rack, zone_id = layout.place_by_instance[name]
-            budgets = {
-                ("pool", pool_id): pool.max_unavailable,
-                ("rack", pool_id, rack): pool.max_unavailable_per_rack,
-            }
-            zone = config.zone_by_id.get(zone_id)
-            if zone and zone.max_unavailable is not None:
-                budgets["zone", zone_id] = zone.max_unavailable
-            for key, budget in budgets.items():
-                by_budget[key] += 1
-                allowed[key] = budget
-    rounds = 0
-    for key, count in by_budget.items():
-        if not allowed[key]:
-            return None
-        rounds = max(rounds, ceil(count / allowed[key]))
-    return rounds
+        places = [layout.place_by_instance[name] for name in names]
+        count_by_zone.update(zone for _, _, zone in places)
+        count_by_rack = Counter(rack for _, rack, _ in places)
+        counts_and_budgets += (
+            (len(names), pool.max_unavailable),
+            (max(count_by_rack.values()), pool.max_unavailable_per_rack),
+        )
+    for zone_id, count in count_by_zone.items():
+        zone = config.zone_by_id.get(zone_id)
+        if zone and zone.max_unavailable is not None:
+            counts_and_budgets.append((count, zone.max_unavailable))
+    if not all(budget for _, budget in counts_and_budgets):
+        return None
+    return max(
+        (ceil(count / budget) for count, budget in counts_and_budgets), default=0
+    )
--- a/libs/model/src/lycheeloom/model/status.py
+++ b/libs/model/src/lycheeloom/model/status.py
@@ -105,7 +105,7 @@
     in_progress: int = 0
     failed: int = 0
     ends_in_s: float | None = Field(default=None, description="forecast of the end")
-    reason: str = Field(default="", description="why it is paused or aborted")
+    reason: str = Field(default="", description="why it waits, in a sentence")
 
 
 class StatusDocument(_Status):
--- a/libs/operator/src/lycheeloom/operator/status_text.py
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
+from lycheeloom.model.records import WaveState
 from lycheeloom.model.status import StatusDocument, WaveStatus
 
 from .entries import EntryUnavailable
 from .output import table
 
+_UNFINISHED = frozenset({WaveState.RUNNING, WaveState.PAUSED})
+
 Rows = tuple[Sequence[str], list[Sequence[Any]]]
 
 
@@ -41,7 +44,7 @@
             f"{wave.done} of {wave.total}",
             wave.in_progress,
             wave.failed,
-            duration(wave.ends_in_s),
+            duration(wave.ends_in_s) if wave.state in _UNFINISHED else "",
             wave.reason,
         )
         for name, wave in waves.items()
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -81,12 +81,15 @@
             team: {"running": count} for team, count in (running or {}).items()
         }
         self.reachable = reachable
+        self.waves = {}
 
     def status(self):
         if not self.reachable:
             return EntryUnavailable("no answer in time")
         version = self.state.configuration.version
-        return StatusDocument(config_version=version, fresh=True, teams=self.teams)
+        return StatusDocument(
+            config_version=version, fresh=True, teams=self.teams, waves=self.waves
+        )
 
     def hand_over(self, offset, batches):
         if not self.reachable:
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lycheeloom.model.config import merge_patch
+from lycheeloom.model.status import WaveStatus
 from lycheeloom.operator import (
     Explanation,
     Published,
@@ -132,6 +133,18 @@
     assert entry.state.config.key_by_id == {}
 
 
+def test_wave_status_shows_the_end_and_why_it_waits(run, published, entry):
+    """Guards against a forecast that entries report and operators never see."""
+    reason = "Instance w2 of pool lookup stays in service for now."
+    entry.waves = {"spring": WaveStatus(ends_in_s=1500, reason=reason)}
+    assert run("wave", "start", "spring", "--pool", "lookup")[0] == 0
+    text = run("wave", "status", "spring")[1]
+    assert "25 min" in text
+    assert reason in text
+    assert run("wave", "abort", "spring")[0] == 0
+    assert "25 min" not in run("wave", "status", "spring")[1]
+
+
 def test_waves_and_moves(run, published):
     """Guards against commands that are not wired to the library."""
     code, text = run("wave", "plan", "--pool", "lookup", "--reboot-s", "240")
