Freeze the counts of a wave when it ends

Only the counts of DONE waves were frozen, and those were assumed to be complete. A later wave over the same pools changed the counts of an aborted one, as both were read from the last move of each instance. The replay now takes the counts when a wave ends and follows only the moves that were in progress then.

--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from statistics import fmean
 
@@ -145,29 +145,20 @@
 
 
 def _count(wave: Wave, maintenance: Maintenance) -> WaveStatus:
-    """Count the instances of a wave by their last moves."""
-    covered = [
-        instance
-        for instance, pool in maintenance.pool_by_instance.items()
-        if not wave.pools or pool in wave.pools
-    ]
-    stages: Counter[MoveStage] = Counter()
-    for instance in covered:
-        move = maintenance.move_by_instance.get(instance)
-        if move is not None and move.changed_at > wave.started_at:
-            stages[move.stage] += 1
-    if wave.state is WaveState.DONE:
-        # Later moves of its instances belong to other waves.
-        stages = Counter({MoveStage.JOINED: len(covered)})
-    done = stages[MoveStage.JOINED]
-    failed = stages[MoveStage.ABANDONED]
+    """Return the state of a wave and the counts of its instances."""
+    counts = maintenance.count_wave(wave)
+    done, failed, in_progress = counts.done, counts.failed, len(counts.open_moves)
+    if wave.state is WaveState.DONE and wave.counts_at_end is None:
+        # Read from a snapshot of an older version; later moves of its instances
+        # belong to other waves.
+        done, failed, in_progress = counts.total, 0, 0
     return WaveStatus(
         state=wave.state,
         pools=list(wave.pools),
         urgent=wave.urgent,
-        total=len(covered),
+        total=counts.total,
         done=done,
-        in_progress=sum(stages.values()) - done - failed,
+        in_progress=in_progress,
         failed=failed,
         reason=_COMMANDED.get(wave.state, ""),
     )
--- a/libs/entry/tests/test_wave_status.py
+++ b/libs/entry/tests/test_wave_status.py
@@ -207,3 +207,39 @@
     assert (first.done, first.in_progress, first.failed) == (1, 0, 0)
     assert second.done == 0
     assert second.in_progress + second.failed == 1
+
+
+def counts(status):
+    return status.done, status.in_progress, status.failed, status.total
+
+
+def test_an_aborted_wave_is_not_changed_by_a_later_one():
+    """Guards against a later wave that seems to continue one that was aborted."""
+    world = World(max_unavailable=3, max_unavailable_per_rack=3)
+    world.start("a")
+    world.move("w1", wave="a")
+    world.move("w2", JOINING[:3], wave="a")
+    world.move("w3", JOINING[:2], wave="a")
+    world.command(WaveState.ABORTED, wave="a")
+    assert counts(world.status("a")) == (1, 2, 0, 3)
+    # What was in progress at the abort is still followed to its end.
+    world.move("w2", JOINING[3:], wave="a")
+    world.move("w3", [MoveStage.ABANDONED], wave="a")
+    assert counts(world.status("a")) == (2, 0, 1, 3)
+    world.start("b")
+    world.move("w3", wave="b")
+    world.move("w1", JOINING[:2], wave="b")
+    assert counts(world.status("a")) == (2, 0, 1, 3)
+    assert counts(world.status("b")) == (1, 1, 0, 3)
+    world.state = FleetState.load_snapshot(world.state.dump_snapshot())
+    assert counts(world.status("a")) == (2, 0, 1, 3)
+
+
+def test_removed_instances_are_not_in_progress_for_good():
+    """Guards against an aborted wave with moves in progress that cannot end."""
+    world = World()
+    world.start()
+    world.move("w1", JOINING[:2])
+    world.command(WaveState.ABORTED)
+    world.append(ConfigChanged(1, b'{"instances": {"w1": null}}', "operator"))
+    assert counts(world.status()) == (0, 0, 0, 3)
--- a/libs/state/src/lycheeloom/state/maintenance.py
+++ b/libs/state/src/lycheeloom/state/maintenance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from lycheeloom.model.records import (
@@ -23,6 +23,7 @@
     MoveStage.JOINED: frozenset(),
     MoveStage.ABANDONED: frozenset(),
 }
+_ENDED_WAVES = frozenset({WaveState.DONE, WaveState.ABORTED})
 _ALLOWED_WAVE_CHANGES = frozenset(
     {
         (WaveState.ABSENT, WaveState.RUNNING),
@@ -60,9 +61,36 @@
     changed_at: int
 
 
+@dataclass(slots=True)
+class WaveCounts:
+    """Instances of a wave by what became of them.
+
+    ``open_moves`` has the id of each move in progress, by instance.
+    """
+
+    total: int = 0
+    done: int = 0
+    failed: int = 0
+    open_moves: dict[str, str] = field(default_factory=dict)
+
+    def settle(self, instance: str, move: Move) -> None:
+        """Count the end of a move that was in progress."""
+        if self.open_moves.get(instance) != move.move_id:
+            return
+        del self.open_moves[instance]
+        if move.stage is MoveStage.JOINED:
+            self.done += 1
+        else:
+            self.failed += 1
+
+
 @dataclass(slots=True)
 class Wave:
-    """A maintenance wave over pools; no pools means all."""
+    """A maintenance wave over pools; no pools means all.
+
+    ``counts_at_end`` is taken when the wave ends, as later moves of its
+    instances belong to other waves; snapshots of older versions lack it.
+    """
 
     wave_id: str
     state: WaveState
@@ -71,6 +99,7 @@
     reboot: bool
     started_at: int
     operator: str = ""
+    counts_at_end: WaveCounts | None = None
 
 
 @dataclass(slots=True)
@@ -90,6 +119,8 @@
             del self.pool_by_instance[instance]
             self.move_by_instance.pop(instance, None)
             self.health_by_instance.pop(instance, None)
+            for counts in self._counts_at_end():
+                counts.open_moves.pop(instance, None)
 
     def pools_in_use(self, instances: Iterable[str]) -> set[str]:
         """Return the pools that hold or are about to hold these instances."""
@@ -122,6 +153,9 @@
         move.changed_at = offset
         if record.stage is MoveStage.JOINED:
             self.pool_by_instance[record.instance] = move.to_pool
+        if move.is_ended():
+            for counts in self._counts_at_end():
+                counts.settle(record.instance, move)
         return True
 
     def set_health(self, offset: int, record: InstanceHealth) -> bool:
@@ -143,6 +177,8 @@
             return False
         if wave is not None:
             wave.state = record.wanted
+            if wave.state in _ENDED_WAVES:
+                wave.counts_at_end = self.count_wave(wave)
             return True
         self.wave_by_id[record.wave_id] = Wave(
             record.wave_id,
@@ -155,6 +191,32 @@
         )
         return True
 
+    def count_wave(self, wave: Wave) -> WaveCounts:
+        """Count the instances of a wave by their last moves since it started.
+
+        Of a wave that has ended, only the moves that were in progress then are
+        still followed.
+        """
+        if wave.counts_at_end is not None:
+            return wave.counts_at_end
+        counts = WaveCounts()
+        for instance, pool in self.pool_by_instance.items():
+            if wave.pools and pool not in wave.pools:
+                continue
+            counts.total += 1
+            move = self.move_by_instance.get(instance)
+            if move is None or move.changed_at <= wave.started_at:
+                continue
+            counts.open_moves[instance] = move.move_id
+            if move.is_ended():
+                counts.settle(instance, move)
+        return counts
+
+    def _counts_at_end(self) -> Iterator[WaveCounts]:
+        for wave in self.wave_by_id.values():
+            if wave.counts_at_end is not None:
+                yield wave.counts_at_end
+
     def _plan(
         self, offset: int, record: MoveStep, move: Move | None, pools: Iterable[str]
     ) -> bool:
