Let controllers hear outcomes of requests that are not on record

The failing symptom needs outcomes of tasks, and the controller read them from records of requests only. Lookups leave none, so a worker that failed every lookup was never put on probation. Failed attempts on record are not told either: they are released or finished as may have run.

Entries now count ended and failed tasks of unrecorded requests on workers in question, and controllers ask each entry for them every 5 s over its peer port.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -104,6 +104,21 @@
         program.address = listen
         return program
 
+    def start_controller(self, instance: str, zone: str) -> Program:
+        """Start a controller."""
+        values = {
+            "instance": instance,
+            "zone": zone,
+            "listen": free_address(),
+            "log": self.platform.log,
+            "instances": self.platform.instances,
+        }
+        path = self._write_settings(f"controller-{instance}", values)
+        name = f"controller-{instance}"
+        program = self._spawn(name, ["lycheeloom.controller.main", str(path)])
+        program.address = values["listen"]
+        return program
+
     def wait_ready(self, programs: Sequence[Program]) -> float:
         """Wait until each program answers at ``/readyz``; returns the seconds."""
         started_at = time.monotonic()
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -16,6 +16,9 @@
 from lycheeloom.log import LogTail, Offer
 from lycheeloom.wire import (
     Heartbeat,
+    OutcomeReport,
+    OutcomeRequest,
+    PeerBody,
     PeerMessage,
     RangeRequest,
     RecordRelay,
@@ -71,6 +74,10 @@
         self.traffic = Traffic()
         self.usage_by_team: dict[str, TeamUsage] = {}
         self.reserved_workers: tuple[str, ...] = ()
+        # Answers controllers, set by the entry.
+        self.report_outcomes: Callable[[int], OutcomeReport] = lambda after: (
+            OutcomeReport(after)
+        )
         # Members that this process votes against; it does not confirm them.
         self.withheld: set[str] = set()
         self._freshness = freshness
@@ -203,8 +210,13 @@
             case RangeRequest(first_offset):
                 batches = self.tail.ring.read(first_offset, RELAY_BYTES)
                 return self._answer(RecordRelay(first_offset, batches))
+            case OutcomeRequest(after_period):
+                return self._answer(self.report_outcomes(after_period))
+            case OutcomeReport():
+                # Only ever an answer; a process that sends one learns the offset.
+                return self._answer(self.own_heartbeat(0))
 
-    def _answer(self, body: Heartbeat | RecordRelay) -> PeerMessage:
+    def _answer(self, body: PeerBody) -> PeerMessage:
         return PeerMessage(self.incarnation, body)
 
     def _take_relay(self, offset: int, batches: tuple[bytes, ...]) -> None:
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -27,6 +27,9 @@
 from lycheeloom.state import FleetState
 from lycheeloom.wire import (
     Heartbeat,
+    OutcomeCount,
+    OutcomeReport,
+    OutcomeRequest,
     PeerMessage,
     RangeRequest,
     TeamUsage,
@@ -76,6 +79,17 @@
     connection.close()
 
 
+def test_outcomes_are_reported_to_a_process_that_is_no_member(server):
+    """Controllers are no members; without an answer they see no failing worker."""
+    report = OutcomeReport(9, (OutcomeCount("w1", "find", 2, 1),), ("find",))
+    server.report_outcomes = lambda after: report if after == 8 else None
+    connection = connect(f"127.0.0.1:{server.port}", 1.0)
+    answer = connection.call(PeerMessage("x", OutcomeRequest(8)), 1.0)
+    assert answer == PeerMessage("b", report)
+    assert isinstance(connection.call(answer, 1.0).body, Heartbeat)
+    connection.close()
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -25,6 +25,7 @@
 from .http_api import HttpApi
 from .maintenance import MaintenanceLoop
 from .metrics import ControllerMetrics
+from .outcome_reports import REPORT_INTERVAL_S, OutcomeReports
 from .probes import OutcomeWatch, WorkerProbes
 from .refresh import RecordRefresher
 from .settings import Settings
@@ -106,6 +107,9 @@
             self.tail, self._workers, self.planner.health, clock=clock
         )
         self._outcomes = OutcomeWatch(self.tail, self.planner.health, clock=clock)
+        self.outcome_reports = OutcomeReports(
+            self.tail, self.planner.health, author, clock=clock
+        )
         self.maintenance = MaintenanceLoop(
             self.planner,
             self.duty_by_name[Duty.MAINTENANCE],
@@ -152,6 +156,7 @@
         self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self.refresher.step, HOUSEKEEPING_STEP_S)
+        self._spawn_loop(self.outcome_reports.step, REPORT_INTERVAL_S)
         self._spawn_loop(self._update_metrics, METRICS_STEP_S)
         self._spawn_loop(self._workers.close_idle, IDLE_SWEEP_S)
         self._greenlets.append(gevent.spawn(self.probes.run))
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -79,6 +79,8 @@
         self.runner: AttemptRunner | None = None
         # Called after each round of decisions of the dispatching greenlet.
         self.after_round: Callable[[], None] = lambda: None
+        # Called with worker, queue and whether it failed, for each task that ended.
+        self.on_outcome: Callable[[str, str, bool], None] = lambda *outcome: None
         self.scheduler = scheduler
         self._jobs = jobs
         self._metrics = metrics
@@ -237,6 +239,9 @@
         self._metrics.starts.labels(type(end).__name__.lower()).inc()
         if isinstance(end, Failed | Stopped | Lost):
             job.may_have_started = True
+        if isinstance(end, Answered | Failed) and not job.is_recorded:
+            has_failed = isinstance(end, Failed)
+            self.on_outcome(placement.worker, job.submission.queue, has_failed)
         match end:
             case Answered(answer):
                 self.scheduler.finished(task.id, Outcome.DONE, now)
--- /dev/null
+++ b/libs/entry/src/lycheeloom/entry/outcome_counts.py
@@ -0,0 +1,99 @@
+"""Counts of ended and failed tasks by worker, reported to controllers."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from collections.abc import Callable
+
+from lycheeloom.wire import OutcomeCount, OutcomeReport
+
+PERIOD_S = 5.0
+# A controller may miss the reports of a minute, for instance on a connection
+# that went silent.
+KEPT_PERIODS = 12
+# A worker is in question for so long after a task has failed on it; the same
+# window as that of the controller's health monitor.
+QUESTIONED_PERIODS = 60
+# Bounds a report to about 6 KB; workers with most failures go first, and those
+# left out come again with their next failures.
+MAX_COUNTS = 100
+
+
+class OutcomeCounts:
+    """Counts how tasks of requests without a record ended.
+
+    Requests on record are left out, as controllers read their outcomes from the
+    log. Only workers in question are counted: those with a failure in the last
+    minutes, and those on probation, whose successes end it.
+    """
+
+    def __init__(
+        self,
+        is_on_probation: Callable[[str], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._is_on_probation = is_on_probation
+        self._clock = clock
+        self._last_failure: dict[str, int] = {}
+        self._last_success: dict[str, int] = {}
+        self._counts: dict[int, dict[tuple[str, str], list[int]]] = {}
+
+    def note(self, worker: str, queue: str, has_failed: bool) -> None:
+        """Count a task that ended on a worker with a known outcome."""
+        period = self._period()
+        if has_failed:
+            self._last_failure[worker] = period
+        else:
+            self._last_success[queue] = period
+        if not self._is_in_question(worker, period):
+            return
+        if period not in self._counts:
+            self._drop_old(period)
+        counts = self._counts.setdefault(period, {})
+        count = counts.setdefault((worker, queue), [0, 0])
+        count[0] += 1
+        count[1] += has_failed
+
+    def report(self, after: int) -> OutcomeReport:
+        """Return the sums of the periods after ``after`` that are over."""
+        through = self._period() - 1
+        self._drop_old(through)
+        total: dict[tuple[str, str], list[int]] = defaultdict(lambda: [0, 0])
+        for period, counts in self._counts.items():
+            if not after < period <= through:
+                continue
+            for key, (ended, failed) in counts.items():
+                total[key][0] += ended
+                total[key][1] += failed
+        # With many workers in question, those that fail most matter most.
+        ordered = sorted(total.items(), key=lambda item: (-item[1][1], item[0]))
+        found = tuple(
+            OutcomeCount(worker, queue, ended, failed)
+            for (worker, queue), (ended, failed) in ordered[:MAX_COUNTS]
+        )
+        oldest = through - QUESTIONED_PERIODS
+        succeeded = sorted(
+            queue
+            for queue in {count.queue for count in found}
+            if self._last_success.get(queue, 0) > oldest
+        )
+        return OutcomeReport(through, found, tuple(succeeded))
+
+    def _period(self) -> int:
+        # Counts from 1, as a request after period 0 asks for everything.
+        return int(self._clock() // PERIOD_S) + 1
+
+    def _is_in_question(self, worker: str, period: int) -> bool:
+        last = self._last_failure.get(worker)
+        if last is not None and last > period - QUESTIONED_PERIODS:
+            return True
+        return self._is_on_probation(worker)
+
+    def _drop_old(self, period: int) -> None:
+        for old in [p for p in self._counts if p <= period - KEPT_PERIODS]:
+            del self._counts[old]
+        oldest = period - QUESTIONED_PERIODS
+        self._last_failure = {
+            worker: last for worker, last in self._last_failure.items() if last > oldest
+        }
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -43,6 +43,7 @@
 from .jobs import Job, JobTable
 from .journal import Journal
 from .metrics import EntryMetrics
+from .outcome_counts import OutcomeCounts
 from .recovery import ClaimRecovery
 from .sessions import WorkerSessions
 from .settings import Settings
@@ -182,6 +183,9 @@
         self.journal.dispatcher = self.dispatcher
         self.exchange = UsageExchange(self.mesh, self.scheduler, self.dispatcher)
         self.dispatcher.after_round = self.exchange.follow_reservations
+        outcomes = OutcomeCounts(self.watch.is_on_probation)
+        self.dispatcher.on_outcome = outcomes.note
+        self.mesh.report_outcomes = outcomes.report
         self.grants = GrantKeeper(
             self.tail,
             self.writer,
--- a/libs/entry/src/lycheeloom/entry/worker_watch.py
+++ b/libs/entry/src/lycheeloom/entry/worker_watch.py
@@ -72,6 +72,11 @@
         """Tell whether a worker may get new tasks and answered last time."""
         return self.may_serve(worker) and self._reachable.get(worker, True)
 
+    def is_on_probation(self, worker: str) -> bool:
+        """Tell whether the controller has put a worker on probation."""
+        health = self._tail.state.maintenance.health_by_instance.get(worker)
+        return health is not None and health.health is Health.PROBATION
+
     def observe_instances(self, listing: InstanceList) -> None:
         """Obey leaving marks of the platform's list."""
         leaving = frozenset(
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -89,6 +89,24 @@
     assert isinstance(job.verdict, verdict)
 
 
+@pytest.mark.parametrize("is_recorded", [False, True])
+def test_outcomes_of_unrecorded_requests_are_counted(dispatcher, is_recorded):
+    """Guards against failing workers that no controller hears of, and against
+    outcomes that it counts from the log as well.
+    """
+    outcomes = []
+    dispatcher.on_outcome = lambda *outcome: outcomes.append(outcome)
+    dispatcher.runner = FakeRunner([Failed(), Answered(b"")])
+    job = make_job()
+    job.is_recorded = is_recorded
+    assert dispatcher.submit(job) is None
+    run_until_idle(dispatcher)
+    assert isinstance(job.verdict, Ran)
+    assert [(queue, failed) for _, queue, failed in outcomes] == (
+        [] if is_recorded else [("find", True), ("find", False)]
+    )
+
+
 def test_cancellation_after_a_failed_attempt(dispatcher):
     """Guards against "not run" for a cancelled retry."""
     dispatcher.runner = FakeRunner([Failed()])
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -81,6 +81,7 @@
         self._returns: dict[str, deque[float]] = {}
         self._outcomes: dict[str, deque[tuple[float, str, bool]]] = {}
         self._lost_leases: dict[str, deque[float]] = {}
+        self._work_succeeded_s: dict[str, float] = {}
 
     def heartbeat(self, instance: str, at_s: float, boot_id: str = "") -> None:
         """Note that the instance was heard; a new boot id is a return."""
@@ -111,6 +112,10 @@
         """Note a task's outcome; ``work`` names its queue or kind."""
         self._append(self._outcomes, instance, (at_s, work, ok))
 
+    def work_succeeded(self, work: str, at_s: float) -> None:
+        """Note that work succeeded on some instance, so it is not bad itself."""
+        self._work_succeeded_s[work] = at_s
+
     def forget(self, instance: str) -> None:
         """Drop the faults seen so far, for instance after a reboot."""
         for signals in (self._returns, self._outcomes, self._lost_leases):
@@ -191,7 +196,7 @@
         """Return the work that fails everywhere, which no worker is to blame for."""
         since = now_s - self.settings.window_s
         failed: dict[str, set[str]] = defaultdict(set)
-        succeeded: set[str] = set()
+        succeeded = {work for work, at in self._work_succeeded_s.items() if at >= since}
         for instance, outcomes in self._outcomes.items():
             for at, work, ok in outcomes:
                 if at < since:
--- a/libs/wire/src/lycheeloom/wire/peers.capnp
+++ b/libs/wire/src/lycheeloom/wire/peers.capnp
@@ -1,5 +1,5 @@
 @0xd9b0e1f4c65a7322;
-# Messages between entries, length-prefixed on TCP.
+# Messages between entries, and from controllers to entries, length-prefixed on TCP.
 
 struct PeerMessage {
   sender @0 :Text;
@@ -7,6 +7,8 @@
     heartbeat @1 :Heartbeat;
     recordRelay @2 :RecordRelay;
     rangeRequest @3 :RangeRequest;
+    outcomeRequest @4 :OutcomeRequest;
+    outcomeReport @5 :OutcomeReport;
   }
 }
 
@@ -51,3 +53,24 @@
 struct RangeRequest {
   firstOffset @0 :UInt64;
 }
+
+struct OutcomeRequest {
+  # The last period that the sender has a report of, or 0.
+  afterPeriod @0 :UInt64;
+}
+
+struct OutcomeReport {
+  # The last period in this report, on the sender's monotonic clock.
+  throughPeriod @0 :UInt64;
+  counts @1 :List(OutcomeCount);
+  # Of the queues in counts, those with a task that succeeded on any worker.
+  succeededQueues @2 :List(Text);
+}
+
+struct OutcomeCount {
+  worker @0 :Text;
+  queue @1 :Text;
+  ended @2 :UInt32;
+  # How many of those that ended have failed.
+  failed @3 :UInt32;
+}
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -66,12 +66,43 @@
     first_offset: int
 
 
-PeerBody = Heartbeat | RecordRelay | RangeRequest
+@dataclass(frozen=True, slots=True)
+class OutcomeRequest:
+    """Asks an entry for the outcomes of tasks after a period; 0 asks for all."""
+
+    after_period: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeCount:
+    """Tasks of one queue that ended on one worker; ``failed`` of them failed."""
+
+    worker: str
+    queue: str
+    ended: int
+    failed: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeReport:
+    """Outcomes through a period, of the workers that are in question.
+
+    ``succeeded_queues`` are those of ``counts`` that succeeded on any worker.
+    """
+
+    through_period: int
+    counts: tuple[OutcomeCount, ...] = ()
+    succeeded_queues: tuple[str, ...] = ()
+
+
+PeerBody = Heartbeat | RecordRelay | RangeRequest | OutcomeRequest | OutcomeReport
 
 _KIND_BY_TAG: dict[str, type] = {
     "heartbeat": Heartbeat,
     "recordRelay": RecordRelay,
     "rangeRequest": RangeRequest,
+    "outcomeRequest": OutcomeRequest,
+    "outcomeReport": OutcomeReport,
 }
 _TAG_BY_KIND = {kind: tag for tag, kind in _KIND_BY_TAG.items()}
 
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -10,6 +10,9 @@
     BadBatch,
     BadPeerMessage,
     Heartbeat,
+    OutcomeCount,
+    OutcomeReport,
+    OutcomeRequest,
     PeerMessage,
     QueueCount,
     RangeRequest,
@@ -69,6 +72,8 @@
         ),
         RecordRelay(5, (b"a", b"")),
         RangeRequest(6),
+        OutcomeRequest(7),
+        OutcomeReport(8, (OutcomeCount("w1", "q", 3, 2),), ("q",)),
     ],
     ids=lambda body: type(body).__name__,
 )
