--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -54,12 +54,14 @@
 from .jobs import Job, JobTable
 from .journal import Journal
 from .metrics import EntryMetrics
+from .outcome_counts import OutcomeCounts
 from .recovery import ClaimRecovery
 from .sessions import WorkerSessions
 from .settings import Settings
 from .start_checks import StartChecks
 from .status import StatusBuilder
 from .usage_exchange import UsageExchange
+from .wave_progress import MoveTimes, WaveProgress
 from .worker_watch import WorkerWatch
 
 PROGRAM_VERSION = "0.1.0"
@@ -202,6 +204,9 @@
         self.journal.dispatcher = self.dispatcher
         self.exchange = UsageExchange(self.mesh, self.scheduler, self.dispatcher)
         self.dispatcher.after_round = self.exchange.follow_reservations
+        outcomes = OutcomeCounts(self.watch.is_on_probation)
+        self.dispatcher.on_outcome = outcomes.note
+        self.mesh.report_outcomes = outcomes.report
         self.grants = GrantKeeper(
             self.tail,
             self.writer,
@@ -248,8 +253,18 @@
             self.metrics,
             self._tracer,
         )
+        move_times = MoveTimes(self.mesh.log_age_s)
+        self.tail.add_listener(move_times.on_replayed)
         self.status = StatusBuilder(
-            self.tail, self.mesh, self.freshness, self.scheduler, self.jobs, self.watch
+            self.tail,
+            self.mesh,
+            self.freshness,
+            self.scheduler,
+            self.jobs,
+            self.watch,
+            WaveProgress(
+                lambda: self.tail.state, self.watch.is_in_service, move_times.move_s
+            ),
         )
         explanations = EntryExplanations(self.tail, self.scheduler, self.jobs)
         self._api = HttpApi(
