Tell failed calls in words instead of names of classes

With the faults of the stand-ins switched on by hand, operators read "not connected: NewConnectionError", "broken: TimeoutError" and "broken: RemoteDisconnected". The transport describes these as "not connected: connection refused", "no answer in time" and "connection closed without an answer".

A command that only reads no longer says "Nothing was changed" when the log cannot be read.

--- a/libs/operator/src/lycheeloom/operator/output.py
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -117,6 +117,15 @@
     raise TypeError(f"no report for {type(result).__name__}")
 
 
+def report_unread(problem: LogUnavailable) -> Report:
+    """Report that a command that only reads could not read the log."""
+    lines = [
+        f"{problem.reason[:1].upper()}{problem.reason[1:]}.",
+        f"{MEANWHILE} Repeat the command when the log answers again.",
+    ]
+    return _report(problem, lines, ExitCode.UNAVAILABLE)
+
+
 def report_history(changes: Iterable[PublishedChange]) -> Report:
     """Report accepted changes, the newest last."""
     changes = tuple(changes)
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -14,7 +14,7 @@
 from .entries import EntryUnavailable, Explanation, UnknownThing, newest_status
 from .exit_codes import ExitCode
 from .operator import Operator
-from .output import Report, report_history, report_mistakes, report_result, table
+from .output import Report, report_history, report_mistakes, report_unread, table
 from .problems import Problem, errors_in
 from .status_text import duration, status_lines, wave_rows
 from .toml_reader import read_config
@@ -26,7 +26,7 @@
     """Print the configuration in force."""
     problem = operator.refresh()
     if problem is not None:
-        return report_result(problem)
+        return report_unread(problem)
     text = print_config(operator.document, operator.version)
     data = {"version": operator.version, "document": operator.document}
     return Report(tuple(text.splitlines()), data)
@@ -52,7 +52,7 @@
         return report_mistakes([file])
     problem = operator.refresh()
     if problem is not None:
-        return report_result(problem)
+        return report_unread(problem)
     problems = operator.new_problems(file.document, file.source)
     if errors_in(problems):
         return report_mistakes(problems)
@@ -68,7 +68,7 @@
     """Say who changed what."""
     problem = operator.refresh()
     if problem is not None:
-        return report_result(problem)
+        return report_unread(problem)
     changes = operator.history()
     return report_history(changes[len(changes) - min(args.limit, len(changes)) :])
 
@@ -94,7 +94,7 @@
     """Show the rounds of a wave that is not started yet."""
     problem = operator.refresh()
     if problem is not None:
-        return report_result(problem)
+        return report_unread(problem)
     mistakes = unknown_pools(operator, args.pool)
     if mistakes:
         return report_mistakes(mistakes)
@@ -127,7 +127,7 @@
     """Show the progress of waves."""
     problem = operator.refresh()
     if problem is not None:
-        return report_result(problem)
+        return report_unread(problem)
     waves = _waves(operator)
     if args.wave:
         if args.wave not in waves:
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -259,6 +259,20 @@
     )
 
 
+@pytest.mark.parametrize(
+    "command", [["config", "show"], ["config", "history"], ["wave", "status"]]
+)
+def test_reading_in_an_outage_of_the_log(run, published, log, command):
+    """Guards against "Nothing was changed" from a command that changes nothing."""
+    log.unreadable = 1000
+    assert run(*command) == (
+        4,
+        "The log at 10.0.0.9:7000 cannot be read (http status 503).\n"
+        "Meanwhile interactive work goes on, and lycheeloom status still answers. "
+        "Repeat the command when the log answers again.\n",
+    )
+
+
 def test_a_change_too_large_for_the_log_is_no_outage(run, published, log):
     """Guards against advice to repeat what the log always refuses."""
     log.faults.append("large")
--- a/libs/platform/src/lycheeloom/platform/transport.py
+++ b/libs/platform/src/lycheeloom/platform/transport.py
@@ -13,7 +13,12 @@
 
 import gevent
 from gevent import monkey
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
 from urllib3.util import SKIP_HEADER
 
 from .connections import Connection, IdleConnections
@@ -123,9 +128,9 @@
             response = connection.getresponse()
             content = response.read(MAX_RESPONSE_BYTES + 1)
         except (NewConnectionError, ConnectTimeoutError) as error:
-            return CallFailed(False, f"not connected: {type(error).__name__}")
+            return CallFailed(False, f"not connected: {_describe(error)}")
         except (HTTPError, http.client.HTTPException, OSError) as error:
-            return CallFailed(True, f"broken: {type(error).__name__}")
+            return CallFailed(True, _describe(error))
         if len(content) > MAX_RESPONSE_BYTES:
             return CallFailed(True, "answer too large")
         return Response(response.status, content)
@@ -140,3 +145,17 @@
     def close(self) -> None:
         """Close all idle connections."""
         self.close_idle(0.0)
+
+
+def _describe(error: Exception) -> str:
+    """Return a reason in words, since operators read it."""
+    match error:
+        case NewConnectionError(__cause__=OSError(strerror=str(text))):
+            return text.lower()
+        case ConnectTimeoutError() | ReadTimeoutError() | TimeoutError():
+            return "no answer in time"
+        case http.client.RemoteDisconnected():
+            return "connection closed without an answer"
+        case OSError(strerror=str(text)):
+            return f"connection broken: {text.lower()}"
+    return f"connection broken: {type(error).__name__}"
