Read the answers of the platform in one place

The clients of the instance list and of the workers repeated the steps from an answer to a parsed result: a failed call, another status, a malformed document. read_answer in lycheeloom.platform.results does them; each client passes the statuses it accepts, as before. The measuring programs ask the log client for the log's end instead of repeating its read.

--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -18,7 +18,7 @@
 
 from lycheeloom.model.keys import create_key
 from lycheeloom.operator import Entries, Operator, Published
-from lycheeloom.platform import LogClient, ReadBatches
+from lycheeloom.platform import LogClient, Unavailable
 
 INTERACTIVE = "lookups"
 BATCH = "overnight"
@@ -27,7 +27,6 @@
 # Probes reach each stand-in worker and grants settle within this time.
 SETTLE_S = 4.0
 PUBLISH_TIMEOUT_S = 60.0
-_BEYOND_END = 2**62
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +84,10 @@
 
     def next_offset(self) -> int:
         """Return the log's end."""
-        answer = self.log().read(_BEYOND_END, 0, 0.0)
-        if not isinstance(answer, ReadBatches):
-            raise RuntimeError(f"log: {answer}")
-        return answer.next
+        end = self.log().end()
+        if isinstance(end, Unavailable):
+            raise RuntimeError(f"log: {end}")
+        return end
 
     def cpu_s(self) -> list[float]:
         """Return the processor time used so far by each entry."""
--- a/libs/platform/src/lycheeloom/platform/instances.py
+++ b/libs/platform/src/lycheeloom/platform/instances.py
@@ -8,12 +8,11 @@
 from typing import Any
 from urllib.parse import quote
 
-from .results import Unavailable, read_object, read_reason, unavailable
+from .results import Unavailable, read_answer, read_reason
 from .tasks import ActionRefused
 from .transport import CallFailed, Response, Transport
 
 CALL_TIMEOUT_S = 3.0
-_MALFORMED = (KeyError, TypeError, ValueError)
 
 
 class InstanceState(StrEnum):
@@ -85,16 +84,7 @@
 
     def list(self) -> InstanceList | Unavailable:
         """Return the list of instances, which lags behind."""
-        response = self._call("GET", "/v1/instances")
-        if isinstance(response, CallFailed):
-            return unavailable(response)
-        if response.status != 200:
-            return Unavailable(read_reason(response))
-        try:
-            listing = read_object(response)["instances"]
-            return InstanceList(tuple(_parse_instance(line) for line in listing))
-        except _MALFORMED:
-            return Unavailable("malformed answer")
+        return read_answer(self._call("GET", "/v1/instances"), _parse_list)
 
     def drain(self, instance: str, action_id: str) -> ActionResult:
         """Refuse new tasks at a worker; done when none runs."""
@@ -130,6 +120,10 @@
         )
 
 
+def _parse_list(document: dict[str, Any]) -> InstanceList:
+    return InstanceList(tuple(map(_parse_instance, document["instances"])))
+
+
 def _parse_instance(document: dict[str, Any]) -> ListedInstance:
     return ListedInstance(
         document["instance"],
@@ -143,20 +137,16 @@
 
 
 def _read_action(response: Response | CallFailed) -> ActionResult:
-    if isinstance(response, CallFailed):
-        return unavailable(response)
-    if response.status in (400, 404, 409):
+    if isinstance(response, Response) and response.status in (400, 404, 409):
         return ActionRefused(read_reason(response))
-    if response.status != 200:
-        return Unavailable(read_reason(response))
-    document = read_object(response)
-    try:
-        return ActionStatus(
-            document["action"],
-            document["instance"],
-            document["kind"],
-            ActionState(document["state"]),
-            document.get("reason", ""),
-        )
-    except _MALFORMED:
-        return Unavailable("malformed answer")
+    return read_answer(response, _parse_action)
+
+
+def _parse_action(document: dict[str, Any]) -> ActionStatus:
+    return ActionStatus(
+        document["action"],
+        document["instance"],
+        document["kind"],
+        ActionState(document["state"]),
+        document.get("reason", ""),
+    )
--- a/libs/platform/src/lycheeloom/platform/log.py
+++ b/libs/platform/src/lycheeloom/platform/log.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from .results import Unavailable, read_object, read_reason, unavailable
+from .results import MALFORMED, Unavailable, read_object, read_reason, unavailable
 from .transport import PLAIN_HEADERS, CallFailed, Transport
 
 APPEND_TIMEOUT_S = 2.0
@@ -149,7 +149,7 @@
             if response.status == 200:
                 batches = tuple(b64decode(batch) for batch in document["batches"])
                 return ReadBatches(document["first"], document["next"], batches)
-        except (KeyError, TypeError, ValueError):
+        except MALFORMED:
             return Unavailable("malformed answer")
         return Unavailable(read_reason(response))
 
--- a/libs/platform/src/lycheeloom/platform/results.py
+++ b/libs/platform/src/lycheeloom/platform/results.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from .transport import CallFailed, Response
 
+# What parsing raises for a document with missing or wrong parts.
+MALFORMED = (KeyError, TypeError, ValueError)
+Parsed = TypeVar("Parsed")
+
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
@@ -38,3 +43,19 @@
 def unavailable(failed: CallFailed) -> Unavailable:
     """Turn a failed call into a result."""
     return Unavailable(failed.reason, failed.sent)
+
+
+def read_answer(
+    response: Response | CallFailed,
+    parse: Callable[[dict[str, Any]], Parsed],
+    good_statuses: tuple[int, ...] = (200,),
+) -> Parsed | Unavailable:
+    """Parse the JSON object of a good answer, or say why there is none."""
+    if isinstance(response, CallFailed):
+        return unavailable(response)
+    if response.status not in good_statuses:
+        return Unavailable(read_reason(response))
+    try:
+        return parse(read_object(response))
+    except MALFORMED:
+        return Unavailable("malformed answer")
--- a/libs/platform/src/lycheeloom/platform/worker.py
+++ b/libs/platform/src/lycheeloom/platform/worker.py
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from .results import Unavailable, read_object, read_reason, unavailable
+from .results import MALFORMED, Unavailable, read_answer, read_object, read_reason
 from .tasks import (
     ActionRefused,
     Session,
@@ -25,7 +25,7 @@
 from .transport import JSON_HEADERS, CallFailed, Response, Transport
 
 CALL_TIMEOUT_S = 1.5
-_MALFORMED = (KeyError, TypeError, ValueError)
+_GOOD_STATUSES = (200, 202)
 _REFUSALS = frozenset(
     (StartRefusal.LEASE_LAPSED, StartRefusal.NO_CAPACITY, StartRefusal.DRAINING)
 )
@@ -54,7 +54,7 @@
         if session:
             document["session"] = session
         response = self._post(address, "/v1/sessions", document)
-        return _read(response, parse_session)
+        return read_answer(response, parse_session, _GOOD_STATUSES)
 
     def start(
         self,
@@ -120,7 +120,8 @@
 
     def usage(self, address: str) -> UsageReport | Unavailable:
         """Return the lagging usage report of a worker."""
-        return _read(self._get(address, "/v1/usage"), parse_usage)
+        response = self._get(address, "/v1/usage")
+        return read_answer(response, parse_usage, _GOOD_STATUSES)
 
     def close_idle(self) -> None:
         """Close connections that have been idle too long; call now and then."""
@@ -186,7 +187,7 @@
         return StartRefused(StartRefusal.UNREACHABLE)
     match response.status:
         case 200 | 202:
-            report = _read(response, parse_report)
+            report = read_answer(response, parse_report, _GOOD_STATUSES)
             if isinstance(report, Unavailable):
                 return StartUnknown(report.reason)
             if report.task != task:
@@ -207,7 +208,7 @@
         return StartUnknown(str(reason))
     try:
         free = parse_resources(document["free"])
-    except _MALFORMED:
+    except MALFORMED:
         free = None
     return StartRefused(StartRefusal(reason), free)
 
@@ -217,18 +218,7 @@
 ) -> TaskReport | ActionRefused | Unavailable:
     if isinstance(response, Response) and response.status in (400, 409):
         return ActionRefused(read_reason(response))
-    report = _read(response, parse_report)
+    report = read_answer(response, parse_report, _GOOD_STATUSES)
     if isinstance(report, TaskReport) and report.task != task:
         return Unavailable("answer of another task")
     return report
-
-
-def _read(response: Response | CallFailed, parse: Any) -> Any:
-    if isinstance(response, CallFailed):
-        return unavailable(response)
-    if response.status not in (200, 202):
-        return Unavailable(read_reason(response))
-    try:
-        return parse(read_object(response))
-    except _MALFORMED:
-        return Unavailable("malformed answer")
