Make the base class of the stand-ins abstract without an empty hook

Its handler only raised NotImplementedError, because an abstract class with an optional hook broke rule B027 of the linter. The hook had one user, the worker, which now extends set_faults instead, so that the handler can be abstract. Tests added: a stand-in without a handler cannot be made, and an unknown fault changes nothing.

--- a/libs/standins/src/lycheeloom/standins/server.py
+++ b/libs/standins/src/lycheeloom/standins/server.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Self
@@ -129,7 +130,7 @@
     connections_opened = 0
 
 
-class StandIn:
+class StandIn(ABC):
     """Base of the stand-ins: start on a loopback port, faults, stop.
 
     Port 0 picks a free port at the first start; the port is kept over restarts.
@@ -194,14 +195,10 @@
             self._server.silenced += 1
         if "down" in changes:
             self._follow_down()
-        self.faults_changed()
-
-    def faults_changed(self) -> None:
-        """Apply faults that act on the state of the stand-in."""
 
+    @abstractmethod
     def handle(self, request: Request) -> Reply:
-        """Answer one request; overridden by each stand-in."""
-        raise NotImplementedError
+        """Answer one request."""
 
     def handle_faults(self, request: Request) -> Reply:
         """Answer a request to read or change the fault switches."""
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -259,7 +259,9 @@
         self._task_by_id.clear()
         self._lapse_at_by_session.clear()
 
-    def faults_changed(self) -> None:
+    def set_faults(self, **changes: Any) -> None:
+        """Change fault switches; lapsed leases end sessions and tasks at once."""
+        super().set_faults(**changes)
         if not self.faults.lapse_leases:
             return
         self._lapse_at_by_session.clear()
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -14,6 +14,7 @@
     InstancesStandIn,
     LogStandIn,
     PlatformStandIns,
+    StandIn,
     WorkerStandIn,
     peak_running,
 )
@@ -152,6 +153,22 @@
         assert call(platform.log, "GET", "/v1/faults")[1]["down"] is False
 
 
+@pytest.mark.parametrize("standin", [LogStandIn, InstancesStandIn, WorkerStandIn])
+def test_unknown_fault_changes_nothing(standin):
+    """A misspelt fault in a test must fail it, not leave the stand-in healthy."""
+    stand_in = standin()
+    healthy = stand_in.faults.as_dict()
+    with pytest.raises(ValueError, match="slow"):
+        stand_in.set_faults(slow=5, outage=True)
+    assert stand_in.faults.as_dict() == healthy
+
+
+def test_stand_in_without_a_handler_cannot_be_made():
+    """A stand-in that answers nothing must fail before a test talks to it."""
+    with pytest.raises(TypeError, match="handle"):
+        StandIn("odd")
+
+
 def test_unknown_paths_are_not_found():
     for standin in (LogStandIn(), InstancesStandIn(), WorkerStandIn()):
         assert standin.handle(Request("GET", "/v1/other")).status == 404
