Demand exactly one team for a queue that is open to all

Entries charge work that comes without a key to the first team of the queue, so with several teams one of them paid by the order of its name, and with none every request without a key was refused. Such a configuration is now an error with one message; queues in force keep working, since mistakes that are in force already do not stop other changes.

The warning about a queue without teams no longer advises open_to_all = true alone, which would now be the next mistake; its test expects the new text.

--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -167,7 +167,8 @@
         "open_to_all": Meaning(
             YES_NO,
             sentence_by_value={
-                True: "Every caller may use this queue.",
+                True: "Every caller may use this queue; work without a key is charged "
+                "to the one team named here.",
                 False: "Only the teams named here may use this queue, with their keys.",
             },
         ),
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -116,10 +116,13 @@
                 wrong = f'names the team "{team}" {count} times'
                 yield Problem(file, key, wrong, "each team once")
             yield from _check_name(file, key, "team", team, parts.teams)
-        if not teams and queue.get("open_to_all") is not True:
+        if queue.get("open_to_all") is True:
+            # What is no name at all is reported as a mistake of the field.
+            if len(names) == len(teams):
+                yield from _check_open_queue(file, key, len(set(names)))
+        elif not teams:
             wrong = "names no team, so nobody can use this queue"
-            allowed = "at least one team, or open_to_all = true"
-            yield Problem(file, key, wrong, allowed, Severity.WARNING)
+            yield Problem(file, key, wrong, "at least one team", Severity.WARNING)
         hedges = queue.get("hedge_budget_percent", 0)
         is_number = _is_count(hedges) or isinstance(hedges, float)
         if is_number and hedges > 0 and queue.get("idempotent") is not True:
@@ -129,6 +132,20 @@
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
 
 
+def _check_open_queue(file: str, key: str, teams: int) -> Iterator[Problem]:
+    """Demand one team for a queue that is open to all.
+
+    Entries charge work that comes without a key to that team.
+    """
+    if teams == 1:
+        return
+    wrong = (
+        f"names {teams} teams, but work without a key on a queue that is open to all "
+        "is charged to the one team named here"
+    )
+    yield Problem(file, key, wrong, "exactly one team, or open_to_all = false")
+
+
 def _check_name(
     file: str, key: str, noun: str, name: Any, known: Mapping[str, Any]
 ) -> Iterator[Problem]:
--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -22,6 +22,10 @@
 FROM_0 = "a whole number, 0 or more"
 FROM_1 = "a whole number, 1 or more"
 NAME = "1 to 63 letters, digits, dots, hyphens or underscores, first no sign"
+ONE_TEAM = (
+    "but work without a key on a queue that is open to all is charged to the one team "
+    "named here; allowed: exactly one team, or open_to_all = false"
+)
 
 # A merge patch on a configuration without mistakes, and the message it causes.
 BAD_CONFIGURATIONS = [
@@ -147,7 +151,20 @@
     (
         {"queues": {"find": {"teams": []}}},
         "queues.find.teams: names no team, so nobody can use this queue; "
-        "allowed: at least one team, or open_to_all = true",
+        "allowed: at least one team",
+    ),
+    (
+        {"queues": {"find": {"open_to_all": True}}},
+        f"queues.find.teams: names 2 teams, {ONE_TEAM}",
+    ),
+    (
+        {"queues": {"find": {"open_to_all": True, "teams": ["red", 3]}}},
+        'queues.find.teams: is ["red", 3]; allowed: a list of names of teams under '
+        "[teams], each once",
+    ),
+    (
+        {"queues": {"find": {"open_to_all": True, "teams": []}}},
+        f"queues.find.teams: names 0 teams, {ONE_TEAM}",
     ),
     (
         {"queues": {"find": {"kind": "interactiv"}}},
@@ -222,6 +239,13 @@
     assert check_document(small_fleet(), "fleet.toml", {}, USAGE) == []
 
 
+def test_a_queue_open_to_all_with_one_team_passes():
+    """Guards against a check that forbids every queue that is open to all."""
+    patch = {"queues": {"find": {"open_to_all": True, "teams": ["blue"]}}}
+    document = merge_patch(small_fleet(), patch)
+    assert check_document(document, "fleet.toml", small_fleet(), USAGE) == []
+
+
 def test_all_mistakes_come_in_one_go():
     """Guards against operators who mend one mistake to be told the next."""
     patch = {"teams": {"red": {"share": 0}}, "instances": {"w5": {"pool": "x"}}}
