--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from lycheeloom.log.snapshot import pack_snapshot
-from lycheeloom.model.config import merge_patch
-from lycheeloom.model.records import Batch, WaveState
+from lycheeloom.model.config import canonical_json, merge_patch
+from lycheeloom.model.records import Batch, ConfigChanged, WaveState
 from lycheeloom.operator import (
     Entries,
     InForce,
@@ -25,6 +25,7 @@
     WaveChanged,
     WaveRefused,
 )
+from lycheeloom.operator.problems import errors_in
 from lycheeloom.wire import encode_batch
 
 from .conftest import FakeClock, FakeEntry, FakeLog, small_fleet
@@ -270,6 +271,18 @@
     assert isinstance(result, Published)
 
 
+def test_an_error_in_force_does_not_block_other_changes(make_operator, log, fleet):
+    """Guards against a newer check that keeps a zone from being taken out."""
+    fleet["queues"]["find"]["open_to_all"] = True
+    older = ConfigChanged(0, canonical_json(fleet), "aoife")
+    log.batches.append(encode_batch(Batch("older-program", 1, (older,))))
+    operator = make_operator("aoife")
+    operator.refresh()
+    assert errors_in(operator.check(fleet, "fleet.toml")) != []
+    out = merge_patch(fleet, {"zones": {"north": {"state": "out"}}})
+    assert isinstance(operator.publish(out, 1), Published)
+
+
 def test_errors_cannot_be_accepted(make_operator, fleet):
     """Guards against publishing what every entry would ignore."""
     operator = make_operator("aoife")
