--- a/libs/platform/src/lycheeloom/platform/instances.py
+++ b/libs/platform/src/lycheeloom/platform/instances.py
@@ -9,12 +9,11 @@
 from typing import Any
 from urllib.parse import quote
 
-from .results import Unavailable, read_object, read_reason, unavailable
+from .results import Unavailable, read_answer, read_reason
 from .tasks import ActionRefused
 from .transport import PLAIN_HEADERS, CallFailed, Response, Transport
 
 CALL_TIMEOUT_S = 3.0
-_MALFORMED = (KeyError, TypeError, ValueError)
 
 
 class InstanceState(StrEnum):
@@ -96,18 +95,11 @@
         if self._etag:
             headers["If-None-Match"] = self._etag
         response = self._call("GET", "/v1/instances", headers=headers)
-        if isinstance(response, CallFailed):
-            return unavailable(response)
-        if response.status == 304 and self._listing is not None:
-            return self._listing
-        if response.status != 200:
-            return Unavailable(read_reason(response))
-        try:
-            lines = read_object(response)["instances"]
-            listing = InstanceList(tuple(_parse_instance(line) for line in lines))
-        except _MALFORMED:
-            return Unavailable("malformed answer")
-        self._listing, self._etag = listing, response.etag
+        if isinstance(response, Response) and response.status == 304:
+            return self._listing or Unavailable("nothing was listed before")
+        listing = read_answer(response, _parse_list)
+        if isinstance(listing, InstanceList):
+            self._listing, self._etag = listing, response.etag
         return listing
 
     def drain(self, instance: str, action_id: str) -> ActionResult:
@@ -153,6 +145,10 @@
         )
 
 
+def _parse_list(document: dict[str, Any]) -> InstanceList:
+    return InstanceList(tuple(map(_parse_instance, document["instances"])))
+
+
 def _parse_instance(document: dict[str, Any]) -> ListedInstance:
     return ListedInstance(
         document["instance"],
@@ -166,20 +162,16 @@
 
 
 def _read_action(response: Response | CallFailed) -> ActionResult:
-    if isinstance(response, CallFailed):
-        return unavailable(response)
-    if response.status in (400, 404, 409):
+    if isinstance(response, Response) and response.status in (400, 404, 409):
         return ActionRefused(read_reason(response))
-    if response.status != 200:
-        return Unavailable(read_reason(response))
-    document = read_object(response)
-    try:
-        return ActionStatus(
-            document["action"],
-            document["instance"],
-            document["kind"],
-            ActionState(document["state"]),
-            document.get("reason", ""),
-        )
-    except _MALFORMED:
-        return Unavailable("malformed answer")
+    return read_answer(response, _parse_action)
+
+
+def _parse_action(document: dict[str, Any]) -> ActionStatus:
+    return ActionStatus(
+        document["action"],
+        document["instance"],
+        document["kind"],
+        ActionState(document["state"]),
+        document.get("reason", ""),
+    )
