--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -148,8 +148,16 @@
 class FaultFleet:
     """Stand-ins, entries by instance name, keys, and the notes of one run."""
 
-    def __init__(self, fleet: Fleet, entries: int, workers: int = 6) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        entries: int,
+        workers: int = 6,
+        log_retention_s: float | None = None,
+    ) -> None:
         self.fleet = fleet
+        self.controller_by_name: dict[str, Program] = {}
+        self._log_retention_s = log_retention_s
         self.notes = Notes()
         self.zone_by_entry = {f"e{n}": ZONES[n % 3] for n in range(entries)}
         self.entry_by_name: dict[str, Program] = {}
@@ -167,7 +175,10 @@
         document = fleet_document(self._workers)
         path = Path(self.fleet.folder) / "fleet.toml"
         path.write_text(print_config(document))
-        addresses = self.fleet.start_platform(path).workers
+        options = []
+        if self._log_retention_s is not None:
+            options = ["--log-retention-s", str(self._log_retention_s)]
+        addresses = self.fleet.start_platform(path, *options).workers
         for name, instance in document["instances"].items():
             instance["address"] = addresses[name]
         result = self.operator("setup").publish(document, 0, accept_warnings=True)
@@ -179,6 +190,17 @@
             self.start_entry(name)
         self.fleet.wait_ready(list(self.entry_by_name.values()))
 
+    # Controllers.
+
+    def start_controller(self, name: str) -> Program:
+        """Start or replace a controller, which writes snapshots and repairs workers."""
+        settings = {}
+        if self._log_retention_s is not None:
+            settings["log_retention_s"] = self._log_retention_s
+        program = self.fleet.start_controller(name, ZONES[0], **settings)
+        self.controller_by_name[name] = program
+        return program
+
     # Entries.
 
     def start_entry(self, name: str, **settings: object) -> Program:
--- a/bench/fault_steps.py
+++ b/bench/fault_steps.py
@@ -64,6 +64,10 @@
             "race": (2, self._race_operators),
             "cancel": (3, self._cancel),
             "instances": (1, self._fail_instances),
+            "controller": (
+                2 if self.world.controller_by_name else 0,
+                self._fail_controller,
+            ),
         }
 
     # Entries.
@@ -129,6 +133,34 @@
         self.world.start_entry(name)
         self.busy_entries.discard(name)
 
+    # Controllers.
+
+    def _fail_controller(self) -> str | None:
+        """Kill or pause a controller; another one takes its duties over."""
+        names = [n for n in self.world.controller_by_name if n not in self.faulty]
+        if not names:
+            return None
+        name = self.rng.choice(names)
+        self.faulty.add(name)
+        program = self.world.controller_by_name[name]
+        if self.rng.random() < 0.5:
+            program.kill()
+            self._later(self.rng.choice([0.5, 8.0]), lambda: self._bring_back(name))
+            return f"kill controller {name} and replace it"
+        paused_s = self.rng.choice([2.0, 13.0])
+        program.signal(signal.SIGSTOP)
+
+        def resume() -> None:
+            program.signal(signal.SIGCONT)
+            self.faulty.discard(name)
+
+        self._later(paused_s, resume)
+        return f"pause controller {name} for {paused_s} s"
+
+    def _bring_back(self, name: str) -> None:
+        self.world.start_controller(name)
+        self.faulty.discard(name)
+
     # Log, instance list and workers.
 
     def _fail_log(self) -> str | None:
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -36,6 +36,7 @@
 VERSION_INTERVAL_S = 0.5
 # Reclaiming a lost entry's grants takes 20 s and looking its claims up 60 s.
 COLLECT_TIMEOUT_S = 150.0
+CONTROLLERS = ("c0", "c1")
 KINDS = ("lookup", "booking", "keyed", "batch")
 
 
@@ -105,12 +106,22 @@
 
 
 def run(
-    seed: int, minutes: float, entries: int = ENTRIES, logs: Path | None = None
+    seed: int,
+    minutes: float,
+    entries: int = ENTRIES,
+    logs: Path | None = None,
+    log_retention_s: float | None = None,
 ) -> dict[str, Any]:
-    """Make one run and return its figures and every broken invariant."""
+    """Make one run and return its figures and every broken invariant.
+
+    With a limited retention of the log, two controllers run beside the entries:
+    what lasts longer than the retention rests on their snapshots.
+    """
     with running_fleet() as fleet:
-        world = FaultFleet(fleet, entries)
+        world = FaultFleet(fleet, entries, log_retention_s=log_retention_s)
         world.start()
+        for name in CONTROLLERS if log_retention_s is not None else ():
+            world.start_controller(name)
         steps = Steps(world, random.Random(seed))
         callers = Callers(world, seed)
         started_at = time.monotonic()
@@ -196,10 +207,19 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--minutes", type=float, default=2.0)
     parser.add_argument("--entries", type=int, default=ENTRIES, choices=range(6, 10))
+    parser.add_argument(
+        "--log-retention-s", type=float, help="also run two controllers"
+    )
     parser.add_argument("--logs", type=Path, help="folder for logs and notes")
     parser.add_argument("--json", action="store_true", help="print one JSON object")
     options = parser.parse_args()
-    report = run(options.seed, options.minutes, options.entries, options.logs)
+    report = run(
+        options.seed,
+        options.minutes,
+        options.entries,
+        options.logs,
+        options.log_retention_s,
+    )
     problems = report.pop("problems")
     if options.json:
         print(json.dumps(report | {"problems": problems}))
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -35,11 +35,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("config")
     parser.add_argument("--reboot-s", type=float, default=1.0)
+    parser.add_argument("--log-retention-s", type=float, help="default: unlimited")
     arguments = parser.parse_args()
     file = read_config(arguments.config)
     if not isinstance(file, ConfigFile):
         raise SystemExit(str(file))
-    platform = build(file.document, arguments.reboot_s)
+    platform = build(file.document, arguments.reboot_s, arguments.log_retention_s)
     stopped = Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
     platform.start()
@@ -48,7 +49,9 @@
     platform.stop()
 
 
-def build(document: dict, reboot_s: float) -> PlatformStandIns:
+def build(
+    document: dict, reboot_s: float, log_retention_s: float | None = None
+) -> PlatformStandIns:
     """Create one stand-in for each instance of a configuration document."""
     workers = []
     for name, instance in document["instances"].items():
@@ -62,7 +65,8 @@
         workers.append(worker)
     instances = InstancesStandIn(reboot_s=reboot_s)
     instances.faults.lag_ms = LIST_LAG_MS
-    log = LogStandIn(limits=LogLimits(appends_per_s=APPENDS_PER_S))
+    limits = LogLimits(appends_per_s=APPENDS_PER_S, retained_s=log_retention_s)
+    log = LogStandIn(limits=limits)
     return PlatformStandIns(log=log, instances=instances, workers=workers)
 
 
