--- a/bench/shares.py
+++ b/bench/shares.py
@@ -12,20 +12,20 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from functools import partial
 
 from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.resources import Resources
-from lycheeloom.sched import Scheduler, Task
+from lycheeloom.sched import Task
 
-from .baselines import EqualSplit, FirstComeFirstServed
+from .comparison import ENTRIES, compare
 from .entitlement import WaterFilling
-from .entries import Entries, Policy
+from .entries import Entries, Observer, Policy
 from .fakes import Job
 from .fleets import QUEUES, USER_B_SIZE, WEIGHTS, user_fleet
 from .load import Arrivals, TeamLoad
 from .report import Row
 
-ENTRIES = 3
 MEAN_RUN_S = 1.0
 WARM_UP_S = 20
 FULL_S = 240
@@ -42,17 +42,17 @@
 SURGE_GOAL = 5.0
 
 
-class ShareRecorder:
-    """Keeps what each team runs and has queued."""
+class ShareRecorder(Observer):
+    """Keeps what each team runs and has queued.
+
+    Refused work is not wanted from the fleet.
+    """
 
     def __init__(self) -> None:
         self.running: dict[str, Resources] = defaultdict(Resources)
         self._placed: dict[tuple[str, str], Resources] = defaultdict(Resources)
         self._queued: dict[str, tuple[Task, Job, float]] = {}
 
-    def offered(self, task: Task, job: Job, now: float) -> None:
-        """Refused work is not wanted from the fleet."""
-
     def submitted(self, task: Task, job: Job, now: float) -> None:
         """Count a task as queued."""
         self._queued[task.id] = (task, job, now)
@@ -107,9 +107,9 @@
 
 def measure(
     config: FleetConfig,
-    policies: list[Policy],
-    full: bool,
     seed: int,
+    full: bool,
+    policies: list[Policy],
     coordinated: bool,
 ) -> dict[str, float]:
     """Return each team's worst deviation in percent over 60 s windows."""
@@ -166,12 +166,7 @@
     rows = []
     for full, goal in ((True, FULL_GOAL), (False, SURGE_GOAL)):
         phase = "full load" if full else "surges"
-        own = [Scheduler(config, seed * 100 + n) for n in range(ENTRIES)]
-        ours = measure(config, own, full, seed, True)
-        simple = [FirstComeFirstServed(config) for _ in range(ENTRIES)]
-        first = measure(config, simple, full, seed, False)
-        split = [EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)]
-        equal = measure(config, split, full, seed, False)
+        ours, first, equal = compare(config, seed, partial(measure, config, seed, full))
         for team, worst in ours.items():
             weight = config.team_by_id[team].share
             rows.append(
