Measure an outage of the log in which slots are few

The measurement had 10 slots of each team on each entry for less than one lookup at a time, so no entry asked for slots. The requests and returns of slots that the log takes within 2 s after the outage are counted.

--- a/bench/processes_cli.py
+++ b/bench/processes_cli.py
@@ -45,7 +45,7 @@
         case "config" | "recovery":
             return module.measure(options.workers or 5100, options.count)
         case "outage":
-            return module.measure(options.seconds)
+            return module.measure(options.seconds, is_tight=options.tight)
     return module.measure()
 
 
@@ -69,6 +69,9 @@
             command.add_argument("--count", type=int, default=100, help="changes")
         if name == "outage":
             command.add_argument("--seconds", type=float, default=30.0)
+            command.add_argument(
+                "--tight", action="store_true", help="few slots, long lookups"
+            )
     return parser.parse_args()
 
 
--- a/bench/processes_outage.py
+++ b/bench/processes_outage.py
@@ -4,10 +4,15 @@
 
 import math
 import time
+from collections import Counter
+from dataclasses import replace
 
 import gevent
 
+from lycheeloom.model.records import GrantRequested, GrantReturned
 from lycheeloom.model.status import StatusDocument
+from lycheeloom.platform import ReadBatches
+from lycheeloom.wire import decode_batch
 
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import machine_load, summary_ms
@@ -15,7 +20,14 @@
 
 ENTRIES = 9
 LOOKUPS_PER_S = 90
+LOOKUP_MS = 50
 RECORDED_PER_S = 5
+# With one slot of each team for each entry and lookups this long, entries want
+# more slots than they hold several times a second.
+TIGHT_LOOKUP_MS = 200
+TIGHT_LIMIT = ENTRIES
+# Records that waited in the entries are written within this time.
+BACKLOG_S = 2.0
 BEFORE_S = 10.0
 KILL_AFTER_S = 5.0
 RECLAIM_TIMEOUT_S = 120.0
@@ -25,37 +37,43 @@
 BALANCER_NOTICES_S = 2.0
 
 
-def measure(outage_s: float) -> dict:
+def measure(outage_s: float, *, is_tight: bool = False) -> dict:
     """Compare the work before, in and after an outage of the log."""
-    with running_world(SHAPES[30], ENTRIES) as world:
-        rows = [_phase(world, "before", BEFORE_S)]
+    shape, work_ms = SHAPES[30], LOOKUP_MS
+    if is_tight:
+        shape, work_ms = replace(shape, upper_limit=TIGHT_LIMIT), TIGHT_LOOKUP_MS
+    with running_world(shape, ENTRIES) as world:
+        rows = [_phase(world, "before", BEFORE_S, work_ms)]
         victim = world.entries[0]
         dead = _incarnation(world, victim.address)
         held = _granted(world, dead)
+        last_offset = world.next_offset()
         world.fleet.set_faults("log", outage=True)
         killer = gevent.spawn_later(KILL_AFTER_S, victim.kill)
         remover = gevent.spawn_later(
             KILL_AFTER_S + BALANCER_NOTICES_S, world.entries.remove, victim
         )
-        rows.append(_phase(world, "outage", outage_s))
+        rows.append(_phase(world, "outage", outage_s, work_ms))
         gevent.joinall([killer, remover])
         world.fleet.set_faults("log", outage=False)
         back_at = time.monotonic()
         reclaimed = gevent.spawn(_wait_reclaimed, world, dead, back_at)
-        rows.append(_phase(world, "after", BEFORE_S))
+        backlog = gevent.spawn_later(BACKLOG_S, _grant_records, world, last_offset)
+        rows.append(_phase(world, "after", BEFORE_S, work_ms))
         kept = 100 * rows[1]["ran_per_s"] / rows[0]["ran_per_s"]
         return {
             "rows": rows,
             "outage_s": outage_s,
             "kept_percent": round(kept, 1),
             "goal_kept_percent": GOAL_KEPT_PERCENT,
+            f"grant_records_within_{BACKLOG_S:.0f}_s": backlog.get(),
             "slots_of_dead_entry": held,
             "reclaimed_after_s": round(reclaimed.get(), 1),
             "goal_reclaimed_s": GOAL_RECLAIM_S,
         }
 
 
-def _phase(world: World, name: str, seconds: float) -> dict:
+def _phase(world: World, name: str, seconds: float, work_ms: int) -> dict:
     lookups = Caller(world.addresses, INTERACTIVE, seed=1)
     recorded = Caller(world.addresses, BATCH, seed=2)
     tokens = list(world.token_by_team.values())
@@ -69,7 +87,7 @@
     sent = run_at_rate(
         LOOKUPS_PER_S,
         seconds,
-        lambda n: lookups.call(tokens[n % len(tokens)], lookup(50)),
+        lambda n: lookups.call(tokens[n % len(tokens)], lookup(work_ms)),
     )
     batch.get()
     return {
@@ -103,6 +121,22 @@
     )
 
 
+def _grant_records(world: World, first_offset: int) -> dict[str, int]:
+    """Count the requests and returns of slots that the log has since an offset."""
+    answer = world.log().read(first_offset)
+    if not isinstance(answer, ReadBatches):
+        raise RuntimeError(f"log: {answer}")
+    kinds = (
+        type(record)
+        for batch in answer.batches
+        for record in decode_batch(batch).records
+    )
+    count_by_kind = Counter(kinds)
+    return {
+        kind.__name__: count_by_kind[kind] for kind in (GrantRequested, GrantReturned)
+    }
+
+
 def _wait_reclaimed(world: World, incarnation: str, since: float) -> float:
     while time.monotonic() - since < RECLAIM_TIMEOUT_S:
         if _granted(world, incarnation) == 0:
--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -40,6 +40,7 @@
     zones: int
     served: int = 6
     cores: int = 64
+    upper_limit: int = 90
 
 
 SHAPES = {
@@ -116,7 +117,7 @@
             for index, pool in enumerate(pools)
         },
         "teams": {
-            team: {"share": 1 + index % 6, "upper_limit": 90}
+            team: {"share": 1 + index % 6, "upper_limit": shape.upper_limit}
             for index, team in enumerate(teams)
         },
     }
