Test repair with real processes

A worker that refuses connections is put on probation, rebooted through the platform, tried with single recorded tasks and returned; one that stays silent is rebooted twice (max_reboots = 2), tried after each reboot and given up, and starts nothing more when it answers again. The sentences of explain instance are checked in order.

Trials count only for the controller if they are recorded requests, and only idempotent tasks are used for them while other workers serve.

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from lycheeloom.model.records import Health, WaveState
+from lycheeloom.model.records import Health, MoveStep, WaveState
 from lycheeloom.operator import (
     Entries,
     Explanation,
@@ -14,6 +14,7 @@
     WaveChanged,
 )
 from lycheeloom.platform import LogClient
+from lycheeloom.wire import decode_batch
 
 from .conftest import Load, assert_invariants, start_world, wait_until
 
@@ -132,3 +133,94 @@
         gevent.sleep(0.1)
     # Without the hold, repair would have begun.
     assert was_silent
+
+
+def test_silent_worker_is_rebooted_tried_and_given_up(world):
+    """Guards against a worker that is rebooted for ever, or never tried again.
+
+    A reboot makes the first worker answer again, and it passes its trial. The
+    second one stays silent.
+    """
+    maintenance = Maintenance(world, max_reboots=2, **SETTINGS)
+    key = next(key for key, team in world.team_by_key.items() if team == "blue")
+    mended, dead = "w4", "w8"
+    with Load(world, 6, lambda entry: run_batch(world, entry, key)):
+        world.fleet.set_faults(mended, down=True)
+        wait_until(lambda: maintenance.health(mended) is Health.REBOOTING)
+        wait_until(lambda: maintenance.health(mended) is Health.PROBATION)
+        wait_until(lambda: maintenance.health(mended) is Health.IN_SERVICE)
+    assert_told_in_order(
+        maintenance.told("instance", mended),
+        "is on probation and gets single trial tasks only, because nothing was heard",
+        "is taken out to be rebooted, because nothing was heard from it, reboot 1 of 2",
+        "is being rebooted",
+        "is on probation and gets single trial tasks only, because it is on trial",
+        "is in normal service, because",
+    )
+
+    world.fleet.set_faults(dead, slow_ms=60_000)
+    wait_until(lambda: maintenance.health(dead) is Health.REBOOTING)
+    wait_until(lambda: maintenance.health(dead) is Health.PROBATION)
+    wait_until(lambda: maintenance.health(dead) is Health.REBOOTING)
+    wait_until(lambda: maintenance.health(dead) is Health.GIVEN_UP)
+    given_up_at = len(starts_at(world, dead))
+    assert_told_in_order(
+        maintenance.told("instance", dead),
+        "is on probation and gets single trial tasks only, because nothing was heard",
+        "is taken out to be rebooted, because nothing was heard from it, reboot 1 of 2",
+        "is being rebooted",
+        "because it is on trial after reboot 1 of 2",
+        "is taken out to be rebooted, because nothing was heard from it, reboot 2 of 2",
+        "is being rebooted",
+        "because it is on trial after reboot 2 of 2",
+        "has been given up and needs a person to look at it, because nothing was heard",
+    )
+    assert reboots_by_platform(world, dead) == 2
+    # It answers again, but only a person may return it.
+    world.fleet.set_faults(dead, slow_ms=0)
+    key = next(key for key, team in world.team_by_key.items() if team == "red")
+    with Load(world, 6, lambda entry: world.submit("lookup", entry, key)) as load:
+        load.wait_for_more(100)
+    assert maintenance.health(dead) is Health.GIVEN_UP
+    assert len(starts_at(world, dead)) == given_up_at
+
+
+def run_batch(world, entry, key):
+    """Submit a batch request and collect its answer.
+
+    Only recorded requests tell the controller of trials, and only idempotent ones
+    are used for them while there are other workers.
+    """
+    batch = world.submit("batch", entry, key, idempotent=True)
+    assert batch.is_accepted_batch, batch
+    wait_until(lambda: world.collect(batch, entry, 1000).is_final)
+    return batch
+
+
+def reboots_by_platform(world, name):
+    """Return how many reboots of recorded moves the platform has carried out."""
+    answer = LogClient(world.fleet.platform.log).read(0, 10_000, 0.0)
+    moves = {
+        record.move_id
+        for encoded in answer.batches
+        for record in decode_batch(encoded).records
+        if isinstance(record, MoveStep) and record.instance == name
+    }
+    platform = world.fleet.platform.instances
+    answers = [
+        world.fleet.call(platform, "GET", f"/v1/actions/{move}.rebooting")
+        for move in moves
+    ]
+    return [document.get("state") for _, document in answers].count("done")
+
+
+def starts_at(world, worker):
+    """Return the starts at a worker."""
+    return [start for start in world.fleet.ledger() if start["worker"] == worker]
+
+
+def assert_told_in_order(told, *parts):
+    """Each part is in a sentence, and later ones in later sentences."""
+    rest = iter(told)
+    for part in parts:
+        assert any(part in sentence for sentence in rest), (part, told)
