Let operators ask why about the fleet as a whole

Decisions about no single instance or pool (lost racks, holds, missing buffers, a doubted observer) were answered by controllers under the kind fleet, which the command did not offer.

--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -11,7 +11,9 @@
 from .settings import DEFAULT_PATH, PATH_VARIABLE
 
 VERSION = "0.1.0"
-EXPLAINED_KINDS = ("request", "instance", "pool", "team")
+# The kind that needs no name.
+FLEET_KIND = "fleet"
+EXPLAINED_KINDS = ("request", "instance", "pool", "team", FLEET_KIND)
 DEFAULT_DRAIN_S = 60.0
 DEFAULT_REBOOT_S = 300.0
 DEFAULT_INTERVAL_S = 2.0
@@ -257,9 +259,12 @@
         "say why something was decided",
         "lycheeloom explain instance worker-7",
         "lycheeloom explain request 01J8ZK",
+        "lycheeloom explain fleet",
     )
     explain.add_argument("kind", choices=EXPLAINED_KINDS)
-    explain.add_argument("id", metavar="ID")
+    explain.add_argument(
+        "id", metavar="ID", nargs="?", help="name; not needed for the fleet"
+    )
     watch = _leaf(
         groups,
         "watch",
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -11,7 +11,7 @@
 
 from . import changing_commands as changing
 from . import reading_commands as reading
-from .cli_parser import build_parser
+from .cli_parser import FLEET_KIND, build_parser
 from .entries import Entries
 from .exit_codes import ExitCode
 from .operator import Operator
@@ -78,6 +78,8 @@
     if command is None and not args.check_config:
         parser.print_help(sys.stderr)
         return ExitCode.USAGE
+    if command == "explain" and not args.id and args.kind != FLEET_KIND:
+        parser.error(f"explain {args.kind} needs an ID")
     settings = load_settings(args.settings)
     if not isinstance(settings, Settings):
         return _print(report_mistakes(settings), args.json)
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -11,6 +11,7 @@
 
 from .changing_commands import unknown_pools
 from .checks import check_document
+from .cli_parser import FLEET_KIND
 from .entries import EntryUnavailable, Explanation, UnknownThing, newest_status
 from .exit_codes import ExitCode
 from .operator import Operator
@@ -140,7 +141,8 @@
 
 def explain(operator: Operator, args: argparse.Namespace) -> Report:
     """Print what the entries know about the decisions on one thing."""
-    answers = operator.explain(args.kind, args.id)
+    name = args.id or args.kind
+    answers = operator.explain(args.kind, name)
     found = {
         address: answer
         for address, answer in answers.items()
@@ -152,7 +154,9 @@
         )
         return Report(tuple(lines), {"explanations": found})
     if any(isinstance(answer, UnknownThing) for answer in answers.values()):
-        line = f"No entry knows the {args.kind} {args.id}."
+        line = f"No entry knows the {args.kind} {name}."
+        if args.kind == FLEET_KIND:
+            line = "No decision about the whole fleet is known."
         return Report((line,), {"explanations": {}}, ExitCode.NOT_FOUND)
     lines = [
         f"{address} gave no answer: {answer.reason}."
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -160,6 +160,10 @@
     assert run("explain", "pool", "lookup") == (0, "The pool lookup is full.\n")
     entry.explain = lambda kind, name: UnknownThing()
     assert run("explain", "pool", "x") == (7, "No entry knows the pool x.\n")
+    text = "No decision about the whole fleet is known.\n"
+    assert run("explain", "fleet") == (7, text)
+    with pytest.raises(SystemExit):
+        run("explain", "pool")
     entry.reachable = False
     code, text = run("status")
     assert code == 4
