Divide only the slots that live entries hold among them

While the slots of an expelled entry waited for their reclaim (20 s), idle entries kept reserves of the whole limit: with a limit of 5, one expelled entry with 2 slots and three idle entries with 1 each, an entry with demand got none. The new test fails before and passes after.

--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_keeper.py
@@ -34,7 +34,7 @@
     """What is the same for all teams in one step."""
 
     own: str
-    members: int
+    members: frozenset[str]
     by_team: Mapping[str, int]
     peers_by_team: Mapping[str, int]
 
@@ -134,7 +134,7 @@
         if state.members.is_active(own):
             demand = _Demand(
                 own,
-                max(1, len(state.members.active())),
+                frozenset(m.incarnation for m in state.members.active()),
                 self._scheduler.demand_by_team(),
                 self._peer_demand(),
             )
@@ -156,7 +156,14 @@
         grants = self._tail.state.grants.of(team)
         held = grants.count_by_holder.get(demand.own, 0)
         is_over = grants.total() > grants.limit
-        wanted = self._wanted(team, grants.limit, is_over, demand)
+        # Slots of expelled members serve nobody until they are reclaimed. If they
+        # counted, idle entries would keep parts that are no longer there.
+        unusable = sum(
+            count
+            for holder, count in grants.count_by_holder.items()
+            if holder not in demand.members
+        )
+        wanted = self._wanted(team, grants.limit - unusable, is_over, demand)
         others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
         if (others_wait or is_over) and held > wanted:
             self._withdraw_request(team)
@@ -184,7 +191,7 @@
             return max(running, min(own, limit))
         # Nothing for a limit below the number of entries: idle entries that kept
         # a slot each would leave none to an entry with demand.
-        reserve = limit // demand.members
+        reserve = limit // len(demand.members)
         peers = demand.peers_by_team.get(team, 0)
         if peers + own <= limit:
             return max(own, min(reserve, limit - peers))
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_keeper.py
@@ -75,6 +75,25 @@
     assert world.state.grants.of("red").usable("e") == 2
 
 
+def test_entry_with_demand_does_not_wait_for_the_reclaim_of_lost_slots():
+    """Guards against requests that wait 20 s for the slots of an expelled entry.
+
+    Each idle entry kept one slot as its reserve of a limit that included the
+    expelled entry's slots, so that too few were left for all.
+    """
+    world = World(limit=5)
+    world.state.grants.request("a", "red", 2)
+    for name in "bcd":
+        world.state.grants.request(name, "red", 1)
+    world.state.members.member_by_incarnation["a"].expelled_at = 1
+    del world.keepers[0]
+    world.demand_by_entry["e"] = 1
+    for _ in range(3):
+        world.step()
+    assert world.state.grants.of("red").usable("e") == 1
+    assert world.state.grants.of("red").usable("a") == 2
+
+
 def test_idle_entries_hold_equal_parts():
     """Guards against entries without slots when the log goes down."""
     world = World(limit=10)
