Give a clear answer for records that the log has dropped

Cause of the loss, by the controllers' logs: the duty to append answers again passed to another controller 20 and 24 s after its holder was killed, while records are appended again at half of the retention, 20 s. A retention of 40 s is below what the design needs: half of it must be longer than a takeover and the longest outage together.

Such an answer is now reported as ran, its answer lost (410); a pending request whose body is gone is cancelled as not run; a lost record is looked for once.

--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -9,7 +9,14 @@
 import time
 from collections.abc import Callable, Iterator
 
-from lycheeloom.log import LogTail, LogWriter, Pending, Priority, RecordReader
+from lycheeloom.log import (
+    LogTail,
+    LogWriter,
+    Pending,
+    Priority,
+    RecordLost,
+    RecordReader,
+)
 from lycheeloom.model.records import RequestFinished, RequestSubmitted
 from lycheeloom.state import RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
@@ -50,6 +57,8 @@
         self._began_at = clock()
         self._first_own_offset = tail.next_offset
         self._pending_by_id: dict[str, Pending] = {}
+        # Reported once; there is nothing left to append again.
+        self._lost_ids: set[str] = set()
 
     def step(self) -> None:
         """Append what is due again, a bounded number of records at a time."""
@@ -67,13 +76,17 @@
             self._refresh(request)
 
     def _due(self) -> Iterator[RecordedRequest]:
+        known = self._tail.state.requests.request_by_id
+        self._lost_ids.intersection_update(known)
         through = self._ages.offset_before(REFRESH_PART * self._retention_s)
         if self._clock() - self._began_at >= UNKNOWN_AGE_PART * self._retention_s:
             through = max(through, self._first_own_offset - 1)
-        for request in list(self._tail.state.requests.request_by_id.values()):
+        for request in list(known.values()):
             offset = _offset_of(request)
             if offset is None or offset > through:
                 continue
+            if request.request_id in self._lost_ids:
+                continue
             if request.request_id not in self._pending_by_id:
                 yield request
 
@@ -81,6 +94,10 @@
         is_finished = request.status is RequestStatus.FINISHED
         kind = RequestFinished if is_finished else RequestSubmitted
         record = self._reader.copy(_offset_of(request), request.request_id, kind)
+        if isinstance(record, RecordLost):
+            self._lost_ids.add(request.request_id)
+            log_event("record_lost", "ERROR", request=request.request_id)
+            return
         if record is None:
             log_event("record_unreadable", "WARNING", request=request.request_id)
             return
--- a/libs/entry/src/lycheeloom/entry/intake.py
+++ b/libs/entry/src/lycheeloom/entry/intake.py
@@ -6,7 +6,7 @@
 import time
 
 from lycheeloom.cluster import Freshness
-from lycheeloom.log import Effective, LogTail, NotWritten
+from lycheeloom.log import Effective, LogTail, NotWritten, RecordLost
 from lycheeloom.model.limits import FRESHNESS_S
 from lycheeloom.model.records import Outcome
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
@@ -21,6 +21,7 @@
 from .replies import (
     Reply,
     doubt_reply,
+    lost_answer_reply,
     progress_reply,
     ran_reply,
     refusal_reply,
@@ -183,6 +184,10 @@
         answer = self._journal.read_answer(request)
         if answer is None:
             return progress_reply(request_id, "finished, answer not readable now")
+        if isinstance(answer, RecordLost):
+            if request.outcome is Outcome.MAY_HAVE_RUN:
+                return doubt_reply(request_id, "the log no longer holds the reason")
+            return lost_answer_reply(request_id)
         if request.outcome is Outcome.MAY_HAVE_RUN:
             return doubt_reply(request_id, answer.decode(errors="replace"))
         return ran_reply(request_id, answer)
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -15,6 +15,7 @@
     LogWriter,
     NoEffect,
     NotWritten,
+    RecordLost,
     RecordReader,
     Replayed,
     Unknown,
@@ -196,10 +197,10 @@
             waiter.set()
         self._waiter_by_id.clear()
 
-    def read_answer(self, request: RecordedRequest) -> bytes | None:
+    def read_answer(self, request: RecordedRequest) -> bytes | RecordLost | None:
         """Return the whole answer of a finished request, or None for now."""
         record = self._reader.finish(request.answer_offset, request.request_id)
-        return record.answer if record is not None else None
+        return record.answer if isinstance(record, r.RequestFinished) else record
 
     def reassign(self) -> None:
         """Take over pending requests after a change of the members."""
@@ -295,6 +296,10 @@
 
     def _take_over(self, request: RecordedRequest) -> None:
         submitted = self._reader.submission(request.body_offset, request.request_id)
+        if isinstance(submitted, RecordLost):
+            log_event("body_lost", "ERROR", request=request.request_id)
+            self._cancel_refused(request.request_id)
+            return
         if submitted is None:
             log_event("body_unavailable", "WARNING", request=request.request_id)
             gevent.sleep(RETRY_INTERVAL_S)
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -97,6 +97,17 @@
     return Reply(MAY_HAVE_RUN_STATUS, document)
 
 
+def lost_answer_reply(request_id: str) -> Reply:
+    """Answer that a request ran whose answer the log has dropped."""
+    document = {
+        "request_id": request_id,
+        "verdict": "ran",
+        "reason": "answer_lost",
+        "message": "it ran, but the log no longer holds its answer",
+    }
+    return Reply(410, document)
+
+
 def progress_reply(request_id: str, status: str) -> Reply:
     """Answer that an accepted request has no answer yet."""
     document = {"request_id": request_id, "status": status}
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -10,7 +10,7 @@
     Priority,
     Unknown,
 )
-from .record_reader import RecordReader
+from .record_reader import RecordLost, RecordReader
 from .recovery import RecoveryFailed, recover
 from .ring import BatchRing
 from .snapshot_reader import SnapshotReader
@@ -30,6 +30,7 @@
     "Outcome",
     "Pending",
     "Priority",
+    "RecordLost",
     "RecordReader",
     "RecoveryFailed",
     "Replayed",
--- a/libs/log/src/lycheeloom/log/record_reader.py
+++ b/libs/log/src/lycheeloom/log/record_reader.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import TypeVar
 
 from lycheeloom.model.records import (
     Batch,
@@ -11,12 +12,21 @@
     RequestFinished,
     RequestSubmitted,
 )
-from lycheeloom.platform import ReadBatches
+from lycheeloom.platform import Expired, ReadBatches
 from lycheeloom.wire import copy_record, decode_batch
 
 from .client import LogClient
 from .tail import LogTail
 
+_Found = TypeVar("_Found", RequestSubmitted, RequestFinished)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordLost:
+    """The log has dropped the record, which nobody can read any more."""
+
+    oldest_offset: int
+
 
 class RecordReader:
     """Finds bodies and answers by the offsets that the state keeps."""
@@ -27,42 +37,50 @@
 
     def submission(
         self, offset: int | None, request_id: str
-    ) -> RequestSubmitted | None:
+    ) -> RequestSubmitted | RecordLost | None:
         """Return the submission at an offset, or None if it cannot be read now."""
-        for record in self._records(offset):
-            if isinstance(record, RequestSubmitted) and record.request_id == request_id:
-                return record
-        return None
+        return self._find(offset, request_id, RequestSubmitted)
 
-    def finish(self, offset: int | None, request_id: str) -> RequestFinished | None:
+    def finish(
+        self, offset: int | None, request_id: str
+    ) -> RequestFinished | RecordLost | None:
         """Return the answer record at an offset, or None if not readable now."""
-        for record in self._records(offset):
-            if isinstance(record, RequestFinished) and record.request_id == request_id:
-                return record
-        return None
+        return self._find(offset, request_id, RequestFinished)
 
     def copy(
         self,
         offset: int | None,
         request_id: str,
         kind: type[RequestSubmitted | RequestFinished],
-    ) -> CopiedRecord | None:
+    ) -> CopiedRecord | RecordLost | None:
         """Return the record as it stands in the log, for appending it again."""
         encoded = self._encoded(offset)
+        if isinstance(encoded, RecordLost):
+            return encoded
         for index, record in enumerate(_decode(encoded)):
             if isinstance(record, kind) and record.request_id == request_id:
                 return copy_record(encoded, index)
         return None
 
-    def _records(self, offset: int | None) -> Iterator[Record]:
-        yield from _decode(self._encoded(offset))
+    def _find(
+        self, offset: int | None, request_id: str, kind: type[_Found]
+    ) -> _Found | RecordLost | None:
+        encoded = self._encoded(offset)
+        if isinstance(encoded, RecordLost):
+            return encoded
+        for record in _decode(encoded):
+            if isinstance(record, kind) and record.request_id == request_id:
+                return record
+        return None
 
-    def _encoded(self, offset: int | None) -> bytes | None:
+    def _encoded(self, offset: int | None) -> bytes | RecordLost | None:
         if offset is None:
             return None
         encoded = self._tail.ring.read(offset, 1)
         if not encoded:
             answer = self._client.read(offset, 1, 0.0)
+            if isinstance(answer, Expired):
+                return RecordLost(answer.oldest)
             if not isinstance(answer, ReadBatches) or answer.first != offset:
                 return None
             encoded = answer.batches
