Let a controller read the instance list every second while it does not change

A controller read the list at 50 lines a second, every 102 s at 5,100 workers, to keep within its bytes. An unchanged list is not sent any more, so only a list that has just changed is paced.

--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -55,6 +55,7 @@
         self._clock = clock
         self._pending: dict[PlannedRecord, Pending] = {}
         self._listing: InstanceList | None = None
+        self._is_unchanged = False
         self._listed_at = float("-inf")
         self._ever_listed: set[str] = set()
 
@@ -77,7 +78,10 @@
             self._actions.take(plan.actions)
 
     def _list_interval_s(self) -> float:
-        lines = len(self._listing.instances) if self._listing else 0
+        """Return the time to the next read; an unchanged list is not sent again."""
+        if self._is_unchanged or self._listing is None:
+            return SHORTEST_LIST_INTERVAL_S
+        lines = len(self._listing.instances)
         return max(SHORTEST_LIST_INTERVAL_S, lines / LIST_LINES_PER_S)
 
     def _refresh_list(self) -> None:
@@ -87,6 +91,7 @@
         if not isinstance(listing, InstanceList):
             log_event("instance_list_unavailable", "WARNING", reason=listing.reason)
             return
+        self._is_unchanged = listing is self._listing
         self._listing, self._listed_at = listing, self._clock()
 
     def _observe(self) -> FleetView:
--- a/libs/controller/tests/test_controller.py
+++ b/libs/controller/tests/test_controller.py
@@ -8,12 +8,14 @@
 import subprocess
 import sys
 import time
+from types import SimpleNamespace
 
 import pytest
 import urllib3
 
 from lycheeloom.controller.actions import ActionRunner
 from lycheeloom.controller.duty import TAKEOVER_S, DutyKeeper
+from lycheeloom.controller.maintenance import MaintenanceLoop
 from lycheeloom.fleet import ActionKind, ActionStatus, PlatformAction
 from lycheeloom.log import recover
 from lycheeloom.model.config import canonical_json
@@ -25,7 +27,14 @@
     WaveCommand,
     WaveState,
 )
-from lycheeloom.platform import ActionRefused, LogClient, Unavailable
+from lycheeloom.platform import (
+    ActionRefused,
+    InstanceList,
+    InstanceState,
+    ListedInstance,
+    LogClient,
+    Unavailable,
+)
 from lycheeloom.state import FleetState
 from lycheeloom.wire import encode_batch
 
@@ -259,3 +268,25 @@
         "d": ActionStatus.REFUSED,
         "d.2": ActionStatus.UNKNOWN,
     }
+
+
+def test_unchanged_list_is_read_again_soon():
+    """Guards against leaving marks that are seen 102 s late at 5,100 workers.
+
+    Only a list that has changed takes bytes, so only that is paced.
+    """
+    now = [0.0]
+    line = ListedInstance("w", "worker", "a:1", "z", "r", InstanceState.LIVE, "b")
+    listings = [InstanceList((line,) * 5100), InstanceList((line,) * 5100)]
+    client = SimpleNamespace(list=lambda: listings[0])
+    loop = MaintenanceLoop(None, None, None, None, client, None, clock=lambda: now[0])
+    read_at = []
+    for now[0] in range(300):
+        if now[0] == 200:
+            listings.pop(0)
+        before = loop._listed_at
+        loop._refresh_list()
+        if loop._listed_at != before:
+            read_at.append(now[0])
+    assert read_at[:3] == [0, 102, 103]
+    assert read_at[-1] == 200
