--- a/bench/fault_steps.py
+++ b/bench/fault_steps.py
@@ -12,7 +12,8 @@
 
 from lycheeloom.operator import NothingToChange, Operator, Published
 
-from .fault_fleet import LIMIT_BY_TEAM, ZONES, FaultFleet
+from .fault_document import LIMIT_BY_TEAM, ZONES
+from .fault_fleet import FaultFleet
 
 MAX_KEYS_PER_TEAM = 3
 # More failed entries at once than this would leave no caller an entry.
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -26,7 +26,8 @@
 import gevent  # noqa: E402
 from demo.processes import running_fleet  # noqa: E402
 
-from .fault_fleet import LIMIT_BY_TEAM, CallSeen, FaultFleet, collect_all  # noqa: E402
+from .fault_document import LIMIT_BY_TEAM  # noqa: E402
+from .fault_fleet import CallSeen, FaultFleet, collect_all  # noqa: E402
 from .fault_oracle import check, peak_by_team  # noqa: E402
 from .fault_steps import Steps  # noqa: E402
 
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import gevent
-import xxhash
 from gevent.event import Event
 
 from lycheeloom.log import (
@@ -33,6 +32,7 @@
 
 from .dispatch import Dispatcher
 from .jobs import Job, JobTable, Submission
+from .member_choice import select_member
 
 COMMIT_TIMEOUT_S = 3.0
 # A claim whose outcome is unclear is awaited; the attempt holds its slot.
@@ -390,15 +390,6 @@
     )
 
 
-def select_member(request_id: str, members: list[str]) -> str:
-    """Return the member with the highest rendezvous hash, or ``""``."""
-    return max(
-        members,
-        key=lambda member: xxhash.xxh64_intdigest(f"{request_id}\n{member}".encode()),
-        default="",
-    )
-
-
 def _doubtful(request_id: str, attempt: int, message: str) -> r.RequestFinished:
     return r.RequestFinished(
         request_id, attempt, Outcome.MAY_HAVE_RUN, message.encode()
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -14,7 +14,7 @@
 from lycheeloom.state import RecordedRequest
 from lycheeloom.telemetry import log_event
 
-from .journal import select_member
+from .member_choice import select_member
 
 SCAN_INTERVAL_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
--- a/libs/entry/tests/test_journal.py
+++ b/libs/entry/tests/test_journal.py
@@ -7,7 +7,8 @@
 
 from lycheeloom.entry.intake import Intake
 from lycheeloom.entry.jobs import JobTable, Submission
-from lycheeloom.entry.journal import Journal, select_member
+from lycheeloom.entry.journal import Journal
+from lycheeloom.entry.member_choice import select_member
 from lycheeloom.log import BatchRing, LogTail, LogWriter, recover
 from lycheeloom.model.records import MemberJoined, Outcome, RequestFinished
 from lycheeloom.model.resources import Resources
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,8 @@
 from gevent.pool import Group
 from gevent.server import StreamServer
 
-from bench.fault_fleet import LIMIT_BY_TEAM, CallSeen, FaultFleet, Publication
+from bench.fault_document import LIMIT_BY_TEAM
+from bench.fault_fleet import CallSeen, FaultFleet, Publication
 from bench.fault_oracle import check
 from lycheeloom.operator import Draft, Published
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -13,7 +13,7 @@
 import gevent
 import pytest
 
-from bench.fault_fleet import LIMIT_BY_TEAM, ZONES
+from bench.fault_document import LIMIT_BY_TEAM, ZONES
 from bench.fault_oracle import REVOKED_S, ZONE_OUT_S, peak_by_team
 from lycheeloom.operator import Published
 
