--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -16,7 +16,7 @@
     """Starts the tasks of each queue in the order of their arrival.
 
     A queue uses its own pool, then spare pools, then any other. Declared sizes
-    are believed and teams are not told apart.
+    are believed and organisations are not told apart.
     """
 
     def __init__(self, config: FleetConfig, seed: int = 0) -> None:
@@ -76,7 +76,7 @@
         """Take over the states of zones."""
         self._config = config
 
-    def set_grants(self, slots_by_team: Mapping[str, int]) -> None:
+    def set_grants(self, slots_by_organisation: Mapping[str, int]) -> None:
         """Grants are not used."""
 
     def set_peer_usage(self, usage: Mapping, reserved: Iterable[str] = ()) -> None:
@@ -85,7 +85,7 @@
     def observe_usage(self, reports: Iterable, now: float) -> None:
         """Declared sizes are believed."""
 
-    def usage_by_team(self) -> dict:
+    def usage_by_organisation(self) -> dict:
         """Tell peers nothing."""
         return {}
 
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -1,7 +1,7 @@
 """Processor time of one decision on a full fleet, at growing sizes.
 
 A decision is one task that ends and the start that replaces it. Every queue is
-full, so each decision chooses between all teams of a queue. Baselines are
+full, so each decision chooses between all organisations of a queue. Baselines are
 first come first served and an entry that owns a third of the workers.
 """
 
@@ -26,7 +26,7 @@
 # One dimension grows while the others stay as planned.
 GROWTH = {
     "workers": ((30, 210, 100_000), LARGE),
-    "teams": ((5_100, 6, 100_000), LARGE),
+    "organisations": ((5_100, 6, 100_000), LARGE),
     "queued": ((5_100, 210, 1_000), LARGE),
 }
 TASK_CORES = (1, 2, 4)
@@ -41,25 +41,25 @@
 
 def measure(policy_type: type, size: tuple[int, int, int], seed: int) -> float:
     """Return the processor seconds of one decision."""
-    workers, teams, queued = size
-    config = scaled_fleet(workers, teams, max_queued=queued)
+    workers, organisations, queued = size
+    config = scaled_fleet(workers, organisations, max_queued=queued)
     if policy_type is EqualSplit:
         policy: Policy = EqualSplit(config, seed, 0, 3)
     else:
         policy = policy_type(config, seed)
     rng = random.Random(seed)
-    policy.set_grants(dict.fromkeys(config.team_by_id, MANY_SLOTS))
+    policy.set_grants(dict.fromkeys(config.organisation_by_id, MANY_SLOTS))
     for name, instance in config.instance_by_id.items():
         policy.observe_worker(name, True, instance.size, "b", 0.0)
     number = 0
 
-    def submit(queue: str, team: str) -> None:
+    def submit(queue: str, organisation: str) -> None:
         nonlocal number
         number += 1
         cores = rng.choice(TASK_CORES)
         task = Task(
             f"task-{number}",
-            team,
+            organisation,
             queue,
             Resources(cores, cores * 2048),
             1.0,
@@ -68,14 +68,16 @@
         policy.submit(task, 0.0)
 
     lanes = [
-        (q, t) for q, settings in config.queue_by_id.items() for t in settings.teams
+        (q, t)
+        for q, settings in config.queue_by_id.items()
+        for t in settings.organisations
     ]
     lanes.sort()
     # Fills every worker, then every queue.
     capacity = sum(i.size.cores for i in config.instance_by_id.values())
     for _ in range(int(capacity / MEAN_CORES) + queued):
-        queue, team = lanes[number % len(lanes)]
-        submit(queue, team)
+        queue, organisation = lanes[number % len(lanes)]
+        submit(queue, organisation)
     decisions = policy.next_starts(0.0)
     running = [d.task.id for d in decisions if isinstance(d, Start)]
     return _cost(policy, running, lanes, submit, rng)
@@ -100,7 +102,7 @@
         running.extend(d.task.id for d in started)
         decided += max(1, len(started))
         for start in started:
-            submit(start.task.queue, start.task.team)
+            submit(start.task.queue, start.task.organisation)
     gc.enable()
     return spent_s / decided
 
@@ -110,10 +112,12 @@
     config = scaled_fleet(300, 6, max_queued=count)
     scheduler = Scheduler(config, seed)
     queue, settings = next(iter(config.queue_by_id.items()))
-    teams = sorted(settings.teams)
+    organisations = sorted(settings.organisations)
     for number in range(count):
         size = Resources(1 + number % 4, 1024)
-        task = Task(f"task-{number}", teams[number % len(teams)], queue, size)
+        task = Task(
+            f"task-{number}", organisations[number % len(organisations)], queue, size
+        )
         scheduler.submit(task, 0.0)
     begin = time.process_time()
     cancelled = scheduler.cancel([f"task-{n}" for n in range(count)], 1.0)
@@ -128,7 +132,9 @@
         goal = f"over {GOAL_PER_S}/s" if size is LARGE else ""
         rows.append(
             Row(
-                "decisions per second, {} workers, {} teams, {} queued".format(*size),
+                "decisions per second, {} workers, {} organisations, {} queued".format(
+                    *size
+                ),
                 goal,
                 ours,
                 ours > GOAL_PER_S if goal else None,
--- a/bench/entitlement.py
+++ b/bench/entitlement.py
@@ -1,7 +1,8 @@
 """Max-min entitlements by water-filling, independent of the scheduler.
 
-The level of all teams is raised together by a linear program until some team
-cannot rise further; that team is frozen and the others go on.
+The level of all organisations is raised together by a linear program until some
+organisation
+cannot rise further; that organisation is frozen and the others go on.
 """
 
 from __future__ import annotations
@@ -28,31 +29,33 @@
             self.total = self.total + instance.size
 
     def shares(self, demand: Mapping[tuple[str, str], Resources]) -> dict[str, float]:
-        """Return the entitled dominant share per team.
+        """Return the entitled dominant share per organisation.
 
-        ``demand`` is what each team runs and has waiting on each queue. All
+        ``demand`` is what each organisation runs and has waiting on each queue. All
         pools lend to all queues, so the fleet counts as a whole.
         """
         wanted = {
             key: amount.dominant_share(self.total) for key, amount in demand.items()
         }
         wanted = {key: share for key, share in wanted.items() if share > EPSILON}
-        teams = sorted({team for team, _ in wanted})
+        organisations = sorted({organisation for organisation, _ in wanted})
         frozen: dict[str, float] = {}
-        if not teams:
+        if not organisations:
             return frozen
-        lp = self._program(wanted, demand, teams)
-        while len(frozen) < len(teams):
+        lp = self._program(wanted, demand, organisations)
+        while len(frozen) < len(organisations):
             level, blocked = lp.raise_level(frozen)
-            for team in blocked:
-                frozen[team] = level * self._config.team_by_id[team].share
+            for organisation in blocked:
+                frozen[organisation] = (
+                    level * self._config.organisation_by_id[organisation].share
+                )
         return frozen
 
     def _program(
         self,
         wanted: Mapping[tuple[str, str], float],
         demand: Mapping[tuple[str, str], Resources],
-        teams: list[str],
+        organisations: list[str],
     ) -> _Program:
         rows: list[tuple[dict[int, float], float]] = []
         for number, share in enumerate(wanted.values()):
@@ -64,28 +67,32 @@
                 for number, (key, share) in enumerate(wanted.items())
             }
             rows.append((terms, 1.0))
-        weights = [self._config.team_by_id[team].share for team in teams]
-        by_team = [
-            [n for n, (t, _) in enumerate(wanted) if t == team] for team in teams
+        weights = [
+            self._config.organisation_by_id[organisation].share
+            for organisation in organisations
         ]
-        return _Program(len(wanted), rows, teams, weights, by_team)
+        by_organisation = [
+            [n for n, (t, _) in enumerate(wanted) if t == organisation]
+            for organisation in organisations
+        ]
+        return _Program(len(wanted), rows, organisations, weights, by_organisation)
 
 
 class _Program:
-    """One linear program whose team rows change from round to round."""
+    """One linear program whose organisation rows change from round to round."""
 
     def __init__(
         self,
         uses: int,
         rows: list[tuple[dict[int, float], float]],
-        teams: list[str],
+        organisations: list[str],
         weights: list[float],
-        uses_by_team: list[list[int]],
+        uses_by_organisation: list[list[int]],
     ) -> None:
-        self._teams = teams
+        self._organisations = organisations
         self._weights = weights
         self._level = uses
-        self._first_team_row = len(rows)
+        self._first_organisation_row = len(rows)
         solver = highspy.Highs()
         solver.setOptionValue("output_flag", False)
         infinity = highspy.kHighsInf
@@ -95,27 +102,27 @@
             indexes = np.array(list(terms), dtype=np.int32)
             values = np.array(list(terms.values()))
             solver.addRow(-infinity, bound, len(terms), indexes, values)
-        for own, weight in zip(uses_by_team, weights, strict=True):
+        for own, weight in zip(uses_by_organisation, weights, strict=True):
             indexes = np.array([*own, uses], dtype=np.int32)
             values = np.array([1.0] * len(own) + [-weight])
             solver.addRow(0.0, infinity, len(indexes), indexes, values)
         self._solver = solver
 
     def raise_level(self, frozen: Mapping[str, float]) -> tuple[float, list[str]]:
-        """Return the highest level of the other teams and who blocks it."""
+        """Return the highest level of the other organisations and who blocks it."""
         solver = self._solver
-        for number, team in enumerate(self._teams):
-            if team in frozen:
-                row = self._first_team_row + number
+        for number, organisation in enumerate(self._organisations):
+            if organisation in frozen:
+                row = self._first_organisation_row + number
                 solver.changeCoeff(row, self._level, 0.0)
-                bound = frozen[team] * (1 - EPSILON)
+                bound = frozen[organisation] * (1 - EPSILON)
                 solver.changeRowBounds(row, bound, highspy.kHighsInf)
         solver.run()
         solution = solver.getSolution()
         level = solution.col_value[self._level]
         blocked = []
-        for number, team in enumerate(self._teams):
-            dual = solution.row_dual[self._first_team_row + number]
-            if team not in frozen and abs(dual) > EPSILON:
-                blocked.append(team)
-        return level, blocked or [t for t in self._teams if t not in frozen]
+        for number, organisation in enumerate(self._organisations):
+            dual = solution.row_dual[self._first_organisation_row + number]
+            if organisation not in frozen and abs(dual) > EPSILON:
+                blocked.append(organisation)
+        return level, blocked or [t for t in self._organisations if t not in frozen]
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -76,7 +76,7 @@
             for _ in policies
         ]
         for entry, policy in enumerate(policies):
-            policy.set_grants(dict.fromkeys(config.team_by_id, MANY_SLOTS))
+            policy.set_grants(dict.fromkeys(config.organisation_by_id, MANY_SLOTS))
             offset = EXCHANGE_S * entry / len(policies)
             self.clock.at(offset, self._heartbeat(entry))
 
@@ -182,7 +182,7 @@
                 policy.observe_worker(name, True, self.workers.free(name), "b", now)
             if self._coordinated:
                 peers = {
-                    str(n): other.usage_by_team()
+                    str(n): other.usage_by_organisation()
                     for n, other in enumerate(self.policies)
                     if n != entry
                 }
--- a/bench/fault_document.py
+++ b/bench/fault_document.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 ZONES = ("north", "mid", "south")
-LIMIT_BY_TEAM = {"red": 9, "blue": 6, "green": 4}
+LIMIT_BY_ORGANISATION = {"red": 9, "blue": 6, "green": 4}
 
 
 def fleet_document(workers: int = 6, workers_per_rack: int = 1) -> dict[str, Any]:
     """Return a configuration with one pool and a queue for each kind of work."""
-    teams = sorted(LIMIT_BY_TEAM)
+    organisations = sorted(LIMIT_BY_ORGANISATION)
     instances = {
         f"w{number}": {
             "pool": "main",
@@ -22,15 +22,15 @@
         }
         for number in range(workers)
     }
-    queue = {"pool": "main", "teams": teams, "max_queued": 2000}
+    queue = {"pool": "main", "organisations": organisations, "max_queued": 2000}
     return {
         "name": "faults",
         "zones": {zone: {"state": "in"} for zone in ZONES},
         "pools": {"main": {"spare": True}},
         "instances": instances,
-        "teams": {
-            team: {"share": 1, "upper_limit": limit, "keys": {}}
-            for team, limit in LIMIT_BY_TEAM.items()
+        "organisations": {
+            organisation: {"share": 1, "upper_limit": limit, "keys": {}}
+            for organisation, limit in LIMIT_BY_ORGANISATION.items()
         },
         "queues": {
             "lookups": {**queue, "idempotent": True},
--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -16,6 +16,7 @@
 
 from demo.processes import Fleet, Program
 
+from lycheeloom.clients import Appended, LogClient, Response
 from lycheeloom.operator import (
     Draft,
     Entries,
@@ -28,9 +29,8 @@
     print_config,
 )
 from lycheeloom.operator.operator import PublishResult
-from lycheeloom.platform import Appended, LogClient, Response
 
-from .fault_document import LIMIT_BY_TEAM, ZONES, fleet_document
+from .fault_document import LIMIT_BY_ORGANISATION, ZONES, fleet_document
 
 CALL_TIMEOUT_S = 45.0
 STATUS_TIMEOUT_S = 1.0
@@ -45,7 +45,7 @@
 
     work: str
     kind: str
-    team: str
+    organisation: str
     key: str
     entry: str
     process: int
@@ -135,7 +135,7 @@
         self.paused: set[str] = set()
         self.keys_in_force: list[str] = []
         self.token_by_key: dict[str, str] = {}
-        self.team_by_key: dict[str, str] = {}
+        self.organisation_by_key: dict[str, str] = {}
         self._document = fleet_document(workers, workers_per_rack)
         self._works = 0
 
@@ -153,8 +153,8 @@
         result = self.operator("setup").publish(document, 0, accept_warnings=True)
         if not isinstance(result, Published):
             raise RuntimeError(f"the configuration was not published: {result}")
-        for team in LIMIT_BY_TEAM:
-            self.grant_key(team)
+        for organisation in LIMIT_BY_ORGANISATION:
+            self.grant_key(organisation)
         for name in self.zone_by_entry:
             self.start_entry(name)
         self.fleet.wait_ready(list(self.entry_by_name.values()))
@@ -233,17 +233,19 @@
             self.notes.publications.append(seen)
         return result
 
-    def grant_key(self, team: str) -> str | None:
-        """Grant a new key to a team; returns its name if it is in force."""
+    def grant_key(self, organisation: str) -> str | None:
+        """Grant a new key to an organisation; returns its name if it is in force."""
         made = []
         result = self.publish(
-            "grant", team, lambda draft: made.append(draft.grant_key(team))
+            "grant",
+            organisation,
+            lambda draft: made.append(draft.grant_key(organisation)),
         )
         if not isinstance(result, Published):
             return None
         self.keys_in_force.append(made[-1].id)
         self.token_by_key[made[-1].id] = made[-1].token
-        self.team_by_key[made[-1].id] = team
+        self.organisation_by_key[made[-1].id] = organisation
         return made[-1].id
 
     def revoke_key(self, key: str) -> PublishResult:
@@ -329,7 +331,7 @@
     def _seen(self, work: str, kind: str, entry: str, key: str) -> CallSeen:
         pid = self.entry_by_name[entry].process.pid
         return CallSeen(
-            work, kind, self.team_by_key[key], key, entry, pid, time.monotonic()
+            work, kind, self.organisation_by_key[key], key, entry, pid, time.monotonic()
         )
 
     def _call(
@@ -371,13 +373,15 @@
     Returns how long it took; what has no answer by then stays without one.
     """
     started_at = time.monotonic()
-    # The key of a request may be revoked by now; any key of its team shows it.
-    key_by_team = {world.team_by_key[key]: key for key in world.keys_in_force}
+    # The key of a request may be revoked by now; any key of its organisation shows it.
+    key_by_organisation = {
+        world.organisation_by_key[key]: key for key in world.keys_in_force
+    }
     waiting = [call for call in world.notes.calls if call.is_accepted_batch]
     while waiting and time.monotonic() < started_at + timeout_s:
         unanswered = []
         for batch in waiting:
-            batch.key = key_by_team[batch.team]
+            batch.key = key_by_organisation[batch.organisation]
             entries = rng.sample(world.running_entries(), 2)
             answers = [world.collect(batch, entry) for entry in entries]
             if not all(answer.is_final for answer in answers):
--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -50,24 +50,29 @@
 
 
 def _check_upper_limits(ledger: Ledger, limits: Mapping[str, int]) -> Iterable[str]:
-    """I4: the running tasks of a team at each moment a task starts."""
-    for team, peak in peak_by_team(ledger).items():
-        if peak > limits.get(team, 0):
-            yield f"I4: team {team} had {peak} tasks running, limit {limits.get(team)}"
+    """I4: the running tasks of an organisation at each moment a task starts."""
+    for organisation, peak in peak_by_organisation(ledger).items():
+        if peak > limits.get(organisation, 0):
+            yield (
+                f"I4: organisation {organisation} had {peak} tasks running, limit "
+                f"{limits.get(organisation)}"
+            )
 
 
-def peak_by_team(ledger: Ledger) -> dict[str, int]:
-    """Return the most tasks of each team that ran at one moment."""
+def peak_by_organisation(ledger: Ledger) -> dict[str, int]:
+    """Return the most tasks of each organisation that ran at one moment."""
     changes = []
     for start in ledger:
         ended_at = start["ended_at"]
-        changes.append((start["started_at"], 1, start["team"]))
-        changes.append((math.inf if ended_at is None else ended_at, -1, start["team"]))
+        changes.append((start["started_at"], 1, start["organisation"]))
+        changes.append(
+            (math.inf if ended_at is None else ended_at, -1, start["organisation"])
+        )
     running: dict[str, int] = defaultdict(int)
     peak: dict[str, int] = defaultdict(int)
-    for _, change, team in sorted(changes):
-        running[team] += change
-        peak[team] = max(peak[team], running[team])
+    for _, change, organisation in sorted(changes):
+        running[organisation] += change
+        peak[organisation] = max(peak[organisation], running[organisation])
     return dict(peak)
 
 
--- a/bench/fault_steps.py
+++ b/bench/fault_steps.py
@@ -12,10 +12,10 @@
 
 from lycheeloom.operator import NothingToChange, Operator, Published
 
-from .fault_document import LIMIT_BY_TEAM, ZONES
+from .fault_document import LIMIT_BY_ORGANISATION, ZONES
 from .fault_fleet import FaultFleet
 
-MAX_KEYS_PER_TEAM = 3
+MAX_KEYS_PER_ORGANISATION = 3
 # More failed entries at once than this would leave no caller an entry.
 MAX_FAILED_PART = 0.5
 
@@ -267,14 +267,20 @@
             gevent.sleep(0.5)
 
     def _change_key(self) -> str | None:
-        team = self.rng.choice(sorted(LIMIT_BY_TEAM))
-        own = [k for k in self.world.keys_in_force if self.world.team_by_key[k] == team]
-        if len(own) < MAX_KEYS_PER_TEAM and (len(own) < 2 or self.rng.random() < 0.5):
-            self._later(0.0, lambda: self.world.grant_key(team))
-            return f"grant a key to {team}"
+        organisation = self.rng.choice(sorted(LIMIT_BY_ORGANISATION))
+        own = [
+            k
+            for k in self.world.keys_in_force
+            if self.world.organisation_by_key[k] == organisation
+        ]
+        if len(own) < MAX_KEYS_PER_ORGANISATION and (
+            len(own) < 2 or self.rng.random() < 0.5
+        ):
+            self._later(0.0, lambda: self.world.grant_key(organisation))
+            return f"grant a key to {organisation}"
         # Chosen by position, as the names of keys are random in each run.
         self._later(0.0, lambda: self.world.revoke_key(own[0]))
-        return f"revoke the oldest key of {team}"
+        return f"revoke the oldest key of {organisation}"
 
     def _race_operators(self) -> str:
         """Let two operators publish from the same version; one may win."""
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -26,13 +26,13 @@
 import gevent  # noqa: E402
 from demo.processes import running_fleet  # noqa: E402
 
-from .fault_document import LIMIT_BY_TEAM  # noqa: E402
+from .fault_document import LIMIT_BY_ORGANISATION  # noqa: E402
 from .fault_fleet import CallSeen, FaultFleet, collect_all  # noqa: E402
-from .fault_oracle import check, peak_by_team  # noqa: E402
+from .fault_oracle import check, peak_by_organisation  # noqa: E402
 from .fault_steps import Steps  # noqa: E402
 
 ENTRIES = 6
-CALLERS_PER_TEAM = 10
+CALLERS_PER_ORGANISATION = 10
 STEP_INTERVAL_S = (0.3, 2.5)
 VERSION_INTERVAL_S = 0.5
 # Reclaiming a lost entry's grants takes 20 s and looking its claims up 60 s.
@@ -42,15 +42,19 @@
 
 
 class Callers:
-    """Callers of all teams; each waits for its answer before the next call."""
+    """Callers of all organisations; each waits for its answer before the next call."""
 
     def __init__(self, world: FaultFleet, seed: int) -> None:
         self._world = world
         self._is_over = False
         self._greenlets = [
-            gevent.spawn(self._run, team, random.Random(f"{seed} {team} {number}"))
-            for team in LIMIT_BY_TEAM
-            for number in range(CALLERS_PER_TEAM)
+            gevent.spawn(
+                self._run,
+                organisation,
+                random.Random(f"{seed} {organisation} {number}"),
+            )
+            for organisation in LIMIT_BY_ORGANISATION
+            for number in range(CALLERS_PER_ORGANISATION)
         ]
         self._watch = gevent.spawn(self._watch_versions)
 
@@ -59,17 +63,23 @@
         self._is_over = True
         gevent.joinall([*self._greenlets, self._watch], raise_error=True)
 
-    def _run(self, team: str, rng: random.Random) -> None:
+    def _run(self, organisation: str, rng: random.Random) -> None:
         while not self._is_over:
             gevent.sleep(rng.expovariate(1 / 0.3))
             entries = sorted(self._world.open_entries)
             if entries:
-                self._call_once(team, rng, entries)
+                self._call_once(organisation, rng, entries)
 
-    def _call_once(self, team: str, rng: random.Random, entries: list[str]) -> None:
+    def _call_once(
+        self, organisation: str, rng: random.Random, entries: list[str]
+    ) -> None:
         world = self._world
         # Some callers go on with a key after it was revoked.
-        own = [key for key, owner in world.team_by_key.items() if owner == team]
+        own = [
+            key
+            for key, owner in world.organisation_by_key.items()
+            if owner == organisation
+        ]
         key = rng.choice(own[-4:])
         entry = rng.choice(entries)
         # Long tasks cross lease renewals and pauses.
@@ -136,7 +146,7 @@
         collect_s = collect_all(world, steps.rng, COLLECT_TIMEOUT_S)
         world.note_versions()
         ledger = fleet.ledger()
-        problems = check(world.notes, ledger, LIMIT_BY_TEAM)
+        problems = check(world.notes, ledger, LIMIT_BY_ORGANISATION)
         problems += find_errors(fleet.folder)
         if logs is not None:
             keep(logs, fleet.folder, world, ledger)
@@ -188,7 +198,7 @@
         "starts": len(ledger),
         "publications": len(world.notes.publications),
         "cancellations": len(world.notes.cancelled),
-        "peaks": peak_by_team(ledger),
+        "peaks": peak_by_organisation(ledger),
         "collected_after_s": round(collect_s, 1),
         "problems": problems,
     }
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -5,9 +5,9 @@
 from lycheeloom.model.config import (
     FleetConfig,
     Instance,
+    Organisation,
     Pool,
     Queue,
-    Team,
     Zone,
 )
 from lycheeloom.model.resources import Resources
@@ -19,7 +19,7 @@
 WORKERS_PER_RACK = 4
 USER_A_SIZE = Resources(64, 256 * 1024)
 USER_B_SIZE = Resources(16, 64 * 1024)
-# Six teams of unequal weight, a few of them large.
+# Six organisations of unequal weight, a few of them large.
 WEIGHTS = (8.0, 5.0, 3.0, 2.0, 1.0, 1.0)
 NO_LIMIT = 1_000_000
 
@@ -36,16 +36,23 @@
             racked[zone] += 1
             name = f"{pool}-{number}"
             instances[name] = Instance(name, pool, zone, rack, "", size)
-    teams = {f"team{n}": Team(f"team{n}", w, NO_LIMIT) for n, w in enumerate(WEIGHTS)}
+    organisations = {
+        f"organisation{n}": Organisation(f"organisation{n}", w, NO_LIMIT)
+        for n, w in enumerate(WEIGHTS)
+    }
     return FleetConfig(
         version=1,
         zone_by_id={z: Zone(z) for z in ZONES},
         pool_by_id=pools,
         instance_by_id=instances,
-        team_by_id=teams,
+        organisation_by_id=organisations,
         queue_by_id={
             q: Queue(
-                q, q, teams=frozenset(teams), max_queued=max_queued, idempotent=True
+                q,
+                q,
+                organisations=frozenset(organisations),
+                max_queued=max_queued,
+                idempotent=True,
             )
             for q in QUEUES
         },
@@ -57,10 +64,10 @@
     return sum(i.size.cores for i in config.instance_by_id.values())
 
 
-def scaled_fleet(workers: int, teams: int, max_queued: int) -> FleetConfig:
+def scaled_fleet(workers: int, organisations: int, max_queued: int) -> FleetConfig:
     """Return about 37 workers to a pool over ten zones, one pool in 20 spare.
 
-    Each team may use every queue of a fifth of the pools, and at least two.
+    Each organisation may use every queue of a fifth of the pools, and at least two.
     """
     pool_count = max(2, round(workers * 139 / 5100))
     pools = {f"p{n}": Pool(f"p{n}", spare=n % 20 == 1) for n in range(pool_count)}
@@ -72,20 +79,29 @@
         rack = f"{zone}-{pool}-r{number // (pool_count * 40)}"
         name = f"w{number}"
         instances[name] = Instance(name, pool, zone, rack, "", USER_B_SIZE)
-    team_by_id = {f"t{n}": Team(f"t{n}", 1.0 + n % 5, NO_LIMIT) for n in range(teams)}
+    organisation_by_id = {
+        f"t{n}": Organisation(f"t{n}", 1.0 + n % 5, NO_LIMIT)
+        for n in range(organisations)
+    }
     queues = {}
     for number, pool in enumerate(names):
         members = frozenset(
-            f"t{n}" for n in range(teams) if pool_count < 10 or (n + number) % 5 == 0
+            f"t{n}"
+            for n in range(organisations)
+            if pool_count < 10 or (n + number) % 5 == 0
         )
         queues[f"q{number}"] = Queue(
-            f"q{number}", pool, teams=members, max_queued=max_queued, idempotent=True
+            f"q{number}",
+            pool,
+            organisations=members,
+            max_queued=max_queued,
+            idempotent=True,
         )
     return FleetConfig(
         version=1,
         zone_by_id={f"z{n}": Zone(f"z{n}") for n in range(10)},
         pool_by_id=pools,
         instance_by_id=instances,
-        team_by_id=team_by_id,
+        organisation_by_id=organisation_by_id,
         queue_by_id=queues,
     )
--- a/bench/load.py
+++ b/bench/load.py
@@ -19,15 +19,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamLoad:
-    """What one team sends: sizes, queue and entry probabilities."""
+class OrganisationLoad:
+    """What one organisation sends: sizes, queue and entry probabilities."""
 
-    team: str
+    organisation: str
     cores: tuple[float, ...]
     memory_mb_per_core: int
     queue_mix: tuple[float, ...]
     entry_mix: tuple[float, ...]
-    # Part of the fleet's processors that the team asks for on average.
+    # Part of the fleet's processors that the organisation asks for on average.
     offered: float
 
 
@@ -37,7 +37,7 @@
 
 
 class Arrivals:
-    """Submits the tasks of one team as a Poisson process.
+    """Submits the tasks of one organisation as a Poisson process.
 
     ``factor(queue, now)`` scales the rate of a queue over time.
     """
@@ -45,7 +45,7 @@
     def __init__(
         self,
         entries: Entries,
-        load: TeamLoad,
+        load: OrganisationLoad,
         queues: tuple[str, ...],
         fleet_cores: float,
         mean_run_s: float,
@@ -98,10 +98,10 @@
         self._number += 1
         declared, run_s = job.size, job.run_s
         if self._declare is not None:
-            declared, run_s = self._declare(self._load.team, queue, job)
+            declared, run_s = self._declare(self._load.organisation, queue, job)
         task = Task(
-            f"{self._load.team}-{self._number}",
-            self._load.team,
+            f"{self._load.organisation}-{self._number}",
+            self._load.organisation,
             queue,
             declared,
             run_s,
@@ -121,16 +121,19 @@
     mean_run_s: float,
     **options: Any,
 ) -> None:
-    """Let teams ask by weight for a part of the fleet's processors all the time.
+    """Let organisations ask by weight for a part of the fleet's processors all the
+    time.
 
-    Each team uses all queues and all entries evenly, with 2 GB per core. The
+    Each organisation uses all queues and all entries evenly, with 2 GB per core. The
     options are those of ``Arrivals``.
     """
     queue_mix = (1.0,) * len(QUEUES)
     entry_mix = (1.0,) * len(entries.policies)
     for n, weight in enumerate(WEIGHTS):
         part = offered * weight / sum(WEIGHTS)
-        load = TeamLoad(f"team{n}", task_cores, 2048, queue_mix, entry_mix, part)
+        load = OrganisationLoad(
+            f"organisation{n}", task_cores, 2048, queue_mix, entry_mix, part
+        )
         arrivals = Arrivals(
             entries, load, QUEUES, fleet_cores, mean_run_s, f"{seed}/{n}", **options
         )
--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -4,7 +4,7 @@
 runs in the same process over HTTP on loopback, so processor times include it
 where noted. Goals: 9 entries append at most 180 batches a second, a new entry
 is ready within 5 s at the planned size, and heartbeats of one of 9 entries
-with 210 teams take at most 24 KB a second, sent and received together.
+with 210 organisations take at most 24 KB a second, sent and received together.
 """
 
 # The stand-in and the clients share one process, so the standard library is
@@ -25,6 +25,7 @@
 
 import gevent
 
+from lycheeloom.clients import LogClient
 from lycheeloom.cluster import Freshness, PeerMesh
 from lycheeloom.log import (
     Effective,
@@ -37,14 +38,13 @@
 )
 from lycheeloom.model import records as r
 from lycheeloom.model.records import Batch, Record
-from lycheeloom.platform import LogClient
 from lycheeloom.standins import LogLimits, LogStandIn
 from lycheeloom.state import FleetState
-from lycheeloom.wire import TeamUsage, decode_batch, encode_batch
+from lycheeloom.wire import OrganisationUsage, decode_batch, encode_batch
 
 from .report import Row, show
 
-WORKERS, POOLS, TEAMS, ZONES, ENTRIES = 5_100, 139, 210, 10, 9
+WORKERS, POOLS, ORGANISATIONS, ZONES, ENTRIES = 5_100, 139, 210, 10, 9
 REQUESTS, INSTANCES_PER_PATCH = 2_000, 1_000
 POLICY = SnapshotPolicy(retention_s=3600)
 TAIL_BATCHES, TAIL_CONFIG_CHANGES = (
@@ -59,7 +59,10 @@
 def submitted(number: int) -> r.RequestSubmitted:
     """Return a recorded request of 200 bytes."""
     return r.RequestSubmitted(
-        f"request-{number:08d}", f"team-{number % TEAMS}", "main", bytes(200)
+        f"request-{number:08d}",
+        f"organisation-{number % ORGANISATIONS}",
+        "main",
+        bytes(200),
     )
 
 
@@ -142,9 +145,14 @@
     yield {
         "zones": {f"zone-{i}": {"region": f"region-{i % 3}"} for i in range(ZONES)},
         "pools": {f"pool-{i}": {"needed": 30} for i in range(POOLS)},
-        "teams": {f"team-{i}": _team(i) for i in range(TEAMS)},
+        "organisations": {
+            f"organisation-{i}": _organisation(i) for i in range(ORGANISATIONS)
+        },
         "queues": {
-            f"queue-{i}": {"pool": f"pool-{i}", "teams": [f"team-{i % TEAMS}"]}
+            f"queue-{i}": {
+                "pool": f"pool-{i}",
+                "organisations": [f"organisation-{i % ORGANISATIONS}"],
+            }
             for i in range(POOLS)
         },
     }
@@ -153,7 +161,7 @@
         yield {"instances": {f"w{i:05d}": _instance(i) for i in range(first, last)}}
 
 
-def _team(number: int) -> dict:
+def _organisation(number: int) -> dict:
     # Random digits, as those of real keys do not compress.
     rng = random.Random(number)
     key = {"salt": rng.randbytes(16).hex(), "digest": rng.randbytes(32).hex()}
@@ -186,11 +194,13 @@
 
 
 def _fill(log: LogStandIn) -> None:
-    """Append the planned state, with the grants of every entry and team."""
+    """Append the planned state, with the grants of every entry and organisation."""
     for sequence, record in enumerate(planned_records(), 1):
         log.append(encode_batch(Batch("m", sequence, (record,))))
     for entry in range(ENTRIES):
-        grants = tuple(r.GrantRequested(f"team-{t}", 10) for t in range(TEAMS))
+        grants = tuple(
+            r.GrantRequested(f"organisation-{t}", 10) for t in range(ORGANISATIONS)
+        )
         log.append(encode_batch(Batch(f"e{entry}-0", 1, grants)))
 
 
@@ -226,7 +236,9 @@
     yield _time_recovery(log, "nothing")
     for change in range(TAIL_CONFIG_CHANGES):
         log.append(
-            encode_batch(Batch("op", change + 1, (_change_of_one_team(change),)))
+            encode_batch(
+                Batch("op", change + 1, (_change_of_one_organisation(change),))
+            )
         )
     yield _time_recovery(log, f"{TAIL_CONFIG_CHANGES} configuration changes")
     kept = TAIL_CONFIG_CHANGES + TAIL_BATCHES + 10
@@ -251,21 +263,21 @@
     return Row(name, "< 5", took_s, holds, unit="s")
 
 
-def _change_of_one_team(change: int) -> r.ConfigChanged:
-    patch = json.dumps({"teams": {"team-0": {"share": change + 2}}})
+def _change_of_one_organisation(change: int) -> r.ConfigChanged:
+    patch = json.dumps({"organisations": {"organisation-0": {"share": change + 2}}})
     return r.ConfigChanged(len(list(_documents())) + change, patch)
 
 
 def _measure_config_change(state: FleetState) -> Iterator[Row]:
     times = []
     for number in range(5):
-        batch = Batch("op", number + 1, (_change_of_one_team(number),))
+        batch = Batch("op", number + 1, (_change_of_one_organisation(number),))
         start = time.perf_counter()
         applied = state.apply(state.next_offset, batch)
         times.append(time.perf_counter() - start)
         assert applied.effective == (True,)
     yield Row(
-        "configuration change of one team, apply (blocks the process)",
+        "configuration change of one organisation, apply (blocks the process)",
         "",
         median(times) * 1000,
         None,
@@ -275,18 +287,22 @@
 
 def measure_heartbeats() -> Iterator[Row]:
     """Run 9 meshes on loopback without a log, so that only heartbeats flow."""
-    for changing in (0, 21, TEAMS):
+    for changing in (0, 21, ORGANISATIONS):
         rng = random.Random(1)
         meshes = _start_meshes()
         for mesh in meshes:
-            mesh.usage_by_team = {f"team-{t}": _usage(t, rng) for t in range(TEAMS)}
+            mesh.usage_by_organisation = {
+                f"organisation-{t}": _usage(t, rng) for t in range(ORGANISATIONS)
+            }
         gevent.sleep(1.0)
         before = [(m.traffic.sent_bytes, m.traffic.received_bytes) for m in meshes]
         used, end = time.process_time(), time.monotonic() + HEARTBEAT_S
         while time.monotonic() < end:
             for mesh in meshes:
-                for team in rng.sample(range(TEAMS), changing):
-                    mesh.usage_by_team[f"team-{team}"] = _usage(team, rng)
+                for organisation in rng.sample(range(ORGANISATIONS), changing):
+                    mesh.usage_by_organisation[f"organisation-{organisation}"] = _usage(
+                        organisation, rng
+                    )
             gevent.sleep(0.5)
         used = time.process_time() - used
         rates = [
@@ -295,16 +311,25 @@
         ]
         for mesh in meshes:
             mesh.stop()
-        name = f"heartbeats, {changing} of {TEAMS} teams change each 0.5 s: "
+        name = (
+            f"heartbeats, {changing} of {ORGANISATIONS} organisations change "
+            f"each 0.5 s: "
+        )
         holds = max(rates) <= HEARTBEAT_GOAL_BYTES
         yield Row(name + "both ways", "<= 24000", max(rates), holds, unit="B/s")
         share = 100 * used / HEARTBEAT_S / ENTRIES
         yield Row(name + "processor of an entry", "", share, None, unit="% core")
 
 
-def _usage(team: int, rng: random.Random) -> TeamUsage:
+def _usage(organisation: int, rng: random.Random) -> OrganisationUsage:
     running = rng.randrange(100)
-    return TeamUsage(f"team-{team}", running, rng.randrange(50), 4.0 * running, running)
+    return OrganisationUsage(
+        f"organisation-{organisation}",
+        running,
+        rng.randrange(50),
+        4.0 * running,
+        running,
+    )
 
 
 def _start_meshes() -> list[PeerMesh]:
--- a/bench/processes_appends.py
+++ b/bench/processes_appends.py
@@ -30,7 +30,7 @@
 
 def _offer(world: World, rate_per_s: int) -> dict:
     caller = Caller(world.addresses, BATCH, seed=rate_per_s)
-    tokens = list(world.token_by_team.values())
+    tokens = list(world.token_by_organisation.values())
     document = lookup(20, wait=False)
     first, began_at = world.next_offset(), time.monotonic()
     cpu_before = world.cpu_s()
--- a/bench/processes_config.py
+++ b/bench/processes_config.py
@@ -10,8 +10,8 @@
 import gevent
 from demo.processes import HANDOVER_TOKEN
 
+from lycheeloom.clients import Appended, LogClient, Response, Transport
 from lycheeloom.model.records import Batch, ConfigChanged
-from lycheeloom.platform import Appended, LogClient, Response, Transport
 from lycheeloom.wire import encode_batch
 
 from .processes_stats import machine_load, summary_ms
@@ -52,7 +52,7 @@
 
 def measure(workers: int, count: int) -> dict:
     """Measure ``count`` changes of limits and as many key revocations."""
-    with running_world(SHAPES[workers], ENTRIES, keys_of_team_0=count) as world:
+    with running_world(SHAPES[workers], ENTRIES, keys_of_organisation_0=count) as world:
         operator = world.operator(hands_over=False)
         operator.refresh()
         publisher = Publisher(world.log(), operator.version)
@@ -83,7 +83,7 @@
     durations = []
     for number in range(count):
         gevent.sleep(rng.random() * MAX_PAUSE_S)
-        patch = {"teams": {"team-1": {"upper_limit": 91 + number % 2}}}
+        patch = {"organisations": {"organisation-1": {"upper_limit": 91 + number % 2}}}
         offset, accepted_at = publisher.publish(patch)
         durations.append(
             _wait_all(world, accepted_at, lambda *to, o=offset: _has_replayed(*to, o))
@@ -96,11 +96,11 @@
     durations = []
     for number in range(count):
         key = f"spare-{number}"
-        token = world.token_by_team[key]
+        token = world.token_by_organisation[key]
         if _refuses_key(Transport(), world.addresses()[0], token):
             raise RuntimeError(f"key {key} was not in force")
         gevent.sleep(rng.random() * MAX_PAUSE_S)
-        patch = {"teams": {"team-0": {"keys": {key: None}}}}
+        patch = {"organisations": {"organisation-0": {"keys": {key: None}}}}
         _, accepted_at = publisher.publish(patch)
         durations.append(
             _wait_all(world, accepted_at, lambda *to, t=token: _refuses_key(*to, t))
--- a/bench/processes_cost.py
+++ b/bench/processes_cost.py
@@ -87,7 +87,7 @@
 
 def _load(world: World) -> None:
     caller = Caller(world.addresses, INTERACTIVE)
-    tokens = list(world.token_by_team.values())
+    tokens = list(world.token_by_organisation.values())
     rate = LOAD_PER_ENTRY_PER_S * len(world.entries)
     run_at_rate(
         rate,
@@ -100,7 +100,9 @@
 
 def _change(world: World, publisher: Publisher) -> None:
     for number in range(CHANGES):
-        publisher.publish({"teams": {"team-1": {"upper_limit": 91 + number % 7}}})
+        publisher.publish(
+            {"organisations": {"organisation-1": {"upper_limit": 91 + number % 7}}}
+        )
         gevent.sleep(0.25)
 
 
@@ -108,7 +110,7 @@
     """Return the time of one change by a new operator command, hand-over included."""
     began_at = time.monotonic()
     result = world.operator().change(
-        lambda draft: draft.set_limit("team-1", 77), accept_warnings=True
+        lambda draft: draft.set_limit("organisation-1", 77), accept_warnings=True
     )
     if not isinstance(result, Published):
         raise RuntimeError(f"not published: {result}")
--- a/bench/processes_latency.py
+++ b/bench/processes_latency.py
@@ -7,15 +7,15 @@
 import time
 import uuid
 
-from lycheeloom.model.limits import SESSION_TTL_S
-from lycheeloom.model.resources import Resources
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Session,
     TaskReport,
     TaskStart,
     Transport,
     WorkerClient,
 )
+from lycheeloom.model.limits import SESSION_TTL_S
+from lycheeloom.model.resources import Resources
 
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import machine_load, percentile
@@ -53,7 +53,7 @@
         start = TaskStart(
             f"{self._name}-{number}.1",
             session.id,
-            "team-0",
+            "organisation-0",
             INTERACTIVE,
             json.dumps(work["payload"]).encode(),
             Resources(1, work["memory_mb"], 0),
@@ -100,7 +100,7 @@
     if direct.failed:
         raise RuntimeError(f"direct lookups: {direct.failed[:3]}")
     caller = Caller(world.addresses, INTERACTIVE)
-    tokens = list(world.token_by_team.values())
+    tokens = list(world.token_by_organisation.values())
 
     def call(number: int) -> None:
         caller.call(tokens[number % len(tokens)], lookup(WORK_MS))
--- a/bench/processes_load.py
+++ b/bench/processes_load.py
@@ -12,7 +12,7 @@
 import gevent
 import gevent.pool
 
-from lycheeloom.platform import CallFailed, Transport
+from lycheeloom.clients import CallFailed, Transport
 
 CALL_TIMEOUT_S = 40.0
 RETRY_DELAY_S = 0.1
--- a/bench/processes_outage.py
+++ b/bench/processes_outage.py
@@ -9,9 +9,9 @@
 
 import gevent
 
+from lycheeloom.clients import ReadBatches
 from lycheeloom.model.records import GrantRequested, GrantReturned
 from lycheeloom.model.status import StatusDocument
-from lycheeloom.platform import ReadBatches
 from lycheeloom.wire import decode_batch
 
 from .processes_load import Caller, lookup, run_at_rate
@@ -22,7 +22,7 @@
 LOOKUPS_PER_S = 90
 LOOKUP_MS = 50
 RECORDED_PER_S = 5
-# With one slot of each team for each entry and lookups this long, entries want
+# With one slot of each organisation for each entry and lookups this long, entries want
 # more slots than they hold several times a second.
 TIGHT_LOOKUP_MS = 200
 TIGHT_LIMIT = ENTRIES
@@ -76,7 +76,7 @@
 def _phase(world: World, name: str, seconds: float, work_ms: int) -> dict:
     lookups = Caller(world.addresses, INTERACTIVE, seed=1)
     recorded = Caller(world.addresses, BATCH, seed=2)
-    tokens = list(world.token_by_team.values())
+    tokens = list(world.token_by_organisation.values())
     document = lookup(20, wait=False)
     batch = gevent.spawn(
         run_at_rate,
@@ -110,14 +110,14 @@
 
 
 def _granted(world: World, incarnation: str) -> int:
-    """Return the running slots of all teams that an entry holds by the log."""
+    """Return the running slots of all organisations that an entry holds by the log."""
     operator = world.operator(hands_over=False)
     if operator.refresh() is not None:
         return -1
     grants = operator.view.state.grants
     return sum(
-        grants.of(team).count_by_holder.get(incarnation, 0)
-        for team in world.document["teams"]
+        grants.of(organisation).count_by_holder.get(incarnation, 0)
+        for organisation in world.document["organisations"]
     )
 
 
--- a/bench/processes_recovery.py
+++ b/bench/processes_recovery.py
@@ -5,9 +5,9 @@
 import statistics
 import time
 
+from lycheeloom.clients import Appended
 from lycheeloom.log.snapshot import pack_snapshot
 from lycheeloom.model.records import Batch
-from lycheeloom.platform import Appended
 from lycheeloom.wire import encode_batch
 
 from .processes_config import Publisher
@@ -47,7 +47,7 @@
 def _change(publisher: Publisher, count: int) -> None:
     for number in range(count):
         limit = 91 + (publisher.version + number) % 7
-        publisher.publish({"teams": {"team-1": {"upper_limit": limit}}})
+        publisher.publish({"organisations": {"organisation-1": {"upper_limit": limit}}})
 
 
 def _start(world: World, source: str, changes: int) -> dict:
--- a/bench/processes_urgent.py
+++ b/bench/processes_urgent.py
@@ -34,7 +34,7 @@
         slots = shape.workers * shape.cores
         _fill(world, slots)
         caller = Caller(world.addresses, INTERACTIVE)
-        tokens = list(world.token_by_team.values())
+        tokens = list(world.token_by_organisation.values())
         sent_at: dict[str, float] = {}
 
         def send(number: int) -> None:
@@ -66,7 +66,7 @@
 def _fill(world: World, slots: int) -> None:
     caller = Caller(world.addresses, BATCH)
     document = lookup(BATCH_MS, wait=False, checkpointable=True, idempotent=True)
-    tokens = list(world.token_by_team.values())
+    tokens = list(world.token_by_organisation.values())
     count = int(slots * FULL_TASKS_PER_SLOT)
     run_at_rate(40, count / 40, lambda n: caller.call(tokens[n % 6], document, f"b{n}"))
     give_up_at = time.monotonic() + FILL_TIMEOUT_S
--- a/bench/processes_world.py
+++ b/bench/processes_world.py
@@ -16,9 +16,9 @@
 import tomlkit
 from demo.processes import HANDOVER_TOKEN, Fleet, Program, running_fleet
 
+from lycheeloom.clients import LogClient, Unavailable
 from lycheeloom.model.keys import create_key
 from lycheeloom.operator import Entries, Operator, Published
-from lycheeloom.platform import LogClient, Unavailable
 
 INTERACTIVE = "lookups"
 BATCH = "overnight"
@@ -35,7 +35,7 @@
 
     workers: int
     pools: int
-    teams: int
+    organisations: int
     zones: int
     served: int = 6
     cores: int = 64
@@ -57,7 +57,7 @@
     fleet: Fleet
     shape: Shape
     document: dict
-    token_by_team: dict[str, str]
+    token_by_organisation: dict[str, str]
     publish_s: float = 0.0
     entries: list[Program] = field(default_factory=list)
 
@@ -105,7 +105,7 @@
     """Return a configuration; the first workers serve the first pool."""
     zones = [f"zone-{index}" for index in range(shape.zones)]
     pools = [f"pool-{index}" for index in range(shape.pools)]
-    teams = [f"team-{index}" for index in range(shape.teams)]
+    organisations = [f"organisation-{index}" for index in range(shape.organisations)]
     document = {
         "name": f"bench-{shape.workers}",
         "zones": {
@@ -115,9 +115,9 @@
             pool: {"max_unavailable": 2, "spare": index == 1}
             for index, pool in enumerate(pools)
         },
-        "teams": {
-            team: {"share": 1 + index % 6, "upper_limit": shape.upper_limit}
-            for index, team in enumerate(teams)
+        "organisations": {
+            organisation: {"share": 1 + index % 6, "upper_limit": shape.upper_limit}
+            for index, organisation in enumerate(organisations)
         },
     }
     document["instances"] = {
@@ -125,11 +125,13 @@
         for index in range(shape.workers)
     }
     document["queues"] = {
-        INTERACTIVE: _queue(SERVED_POOL, "interactive", teams),
-        BATCH: _queue(SERVED_POOL, "batch", teams),
+        INTERACTIVE: _queue(SERVED_POOL, "interactive", organisations),
+        BATCH: _queue(SERVED_POOL, "batch", organisations),
     }
     for index, pool in enumerate(pools[1:]):
-        some = [teams[(6 * index + step) % len(teams)] for step in range(6)]
+        some = [
+            organisations[(6 * index + step) % len(organisations)] for step in range(6)
+        ]
         document["queues"][f"queue-{pool}"] = _queue(pool, "interactive", some)
     return document
 
@@ -154,11 +156,11 @@
     return f"127.1.{index // 250}.{index % 250 + 1}:1"
 
 
-def _queue(pool: str, kind: str, teams: list[str]) -> dict:
+def _queue(pool: str, kind: str, organisations: list[str]) -> dict:
     return {
         "pool": pool,
         "kind": kind,
-        "teams": teams,
+        "organisations": organisations,
         "idempotent": kind == "interactive",
         "max_queued": 5000,
     }
@@ -175,13 +177,17 @@
 
 @contextmanager
 def running_world(
-    shape: Shape, entries: int, *, counting: bool = False, keys_of_team_0: int = 0
+    shape: Shape,
+    entries: int,
+    *,
+    counting: bool = False,
+    keys_of_organisation_0: int = 0,
 ) -> Iterator[World]:
     """Start stand-ins, publish the configuration and start the entries."""
     with running_fleet() as plain:
         fleet = CountingFleet(plain.folder) if counting else plain
         try:
-            world = _publish(fleet, shape, keys_of_team_0)
+            world = _publish(fleet, shape, keys_of_organisation_0)
             world.start_entries(entries)
             gevent.sleep(SETTLE_S)
             yield world
@@ -189,7 +195,7 @@
             fleet.stop()
 
 
-def _publish(fleet: Fleet, shape: Shape, keys_of_team_0: int) -> World:
+def _publish(fleet: Fleet, shape: Shape, keys_of_organisation_0: int) -> World:
     served = build_document(
         Shape(shape.served, 1, 1, min(3, shape.zones), shape.served, shape.cores), {}
     )
@@ -197,17 +203,17 @@
     path.write_text(tomlkit.dumps(served))
     platform = fleet.start_platform(path)
     document = build_document(shape, platform.workers)
-    token_by_team = {}
-    for team, entry in document["teams"].items():
-        key = create_key(f"key-{team}")
-        token_by_team[team] = key.token
+    token_by_organisation = {}
+    for organisation, entry in document["organisations"].items():
+        key = create_key(f"key-{organisation}")
+        token_by_organisation[organisation] = key.token
         entry["keys"] = {key.id: key.document.model_dump()}
-    world = World(fleet, shape, document, token_by_team)
-    first = document["teams"]["team-0"]["keys"]
-    for index in range(keys_of_team_0):
+    world = World(fleet, shape, document, token_by_organisation)
+    first = document["organisations"]["organisation-0"]["keys"]
+    for index in range(keys_of_organisation_0):
         key = create_key(f"spare-{index}")
         first[key.id] = key.document.model_dump()
-        token_by_team[key.id] = key.token
+        token_by_organisation[key.id] = key.token
     started_at = time.monotonic()
     operator = world.operator(hands_over=False)
     result = operator.publish(
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -1,11 +1,11 @@
-"""How close each team comes to its max-min entitlement on a full fleet.
+"""How close each organisation comes to its max-min entitlement on a full fleet.
 
 User B's shape: five pools of six workers with 16 cores, three entries that
-exchange usage every 0.5 s, six teams of unequal weight. Teams send most
-of their requests to one entry. One team asks for less than its share, one
+exchange usage every 0.5 s, six organisations of unequal weight. Organisations send most
+of their requests to one entry. One organisation asks for less than its share, one
 needs mostly memory. ``full`` keeps every queue above capacity; ``surges`` lets
 each queue in turn surge to five times its mean and drops it to a twentieth in
-between. A team's demand at a time is what it runs and what has waited for more
+between. An organisation's demand at a time is what it runs and what has waited for more
 than the next free slot; its entitlement is the max-min share for that demand.
 """
 
@@ -23,7 +23,7 @@
 from .entries import Entries, Observer, Policy
 from .fakes import Job
 from .fleets import QUEUES, USER_B_SIZE, WEIGHTS, user_fleet
-from .load import Arrivals, TeamLoad
+from .load import Arrivals, OrganisationLoad
 from .report import Row
 
 MEAN_RUN_S = 1.0
@@ -43,7 +43,7 @@
 
 
 class ShareRecorder(Observer):
-    """Keeps what each team runs and has queued.
+    """Keeps what each organisation runs and has queued.
 
     Refused work is not wanted from the fleet.
     """
@@ -60,13 +60,13 @@
     def started(self, task: Task, job: Job, worker: str, now: float) -> None:
         """Count a task as running."""
         del self._queued[task.id]
-        self.running[task.team] += job.size
-        self._placed[task.team, task.queue] += job.size
+        self.running[task.organisation] += job.size
+        self._placed[task.organisation, task.queue] += job.size
 
     def ended(self, task: Task, job: Job, good: bool, now: float) -> None:
         """Count a task out."""
-        self.running[task.team] -= job.size
-        self._placed[task.team, task.queue] -= job.size
+        self.running[task.organisation] -= job.size
+        self._placed[task.organisation, task.queue] -= job.size
 
     def dropped(self, task: Task, job: Job, now: float) -> None:
         """Count a queued task out."""
@@ -77,16 +77,16 @@
         demand = defaultdict(Resources, self._placed)
         for task, job, since in self._queued.values():
             if now - since > SLOT_WAIT_S:
-                demand[task.team, task.queue] += job.size
+                demand[task.organisation, task.queue] += job.size
         return demand
 
 
-def team_loads(full: bool) -> list[TeamLoad]:
-    """Return the six teams' requests."""
+def organisation_loads(full: bool) -> list[OrganisationLoad]:
+    """Return the six organisations' requests."""
     loads = []
     for n, weight in enumerate(WEIGHTS):
         fair = weight / sum(WEIGHTS)
-        # Every team but team1 asks for much more than its fair share.
+        # Every organisation but organisation1 asks for much more than its fair share.
         offered = 0.4 * fair if n == 1 else fair + 0.3
         if not full and n != 1:
             offered = fair + 0.05
@@ -95,7 +95,9 @@
         entry_mix = tuple(0.7 if e == favourite else 0.15 for e in range(ENTRIES))
         memory = 8 * 1024 if n == 4 else 2 * 1024
         cores = (1.0,) if n == 4 else (1.0, 1.0, 2.0)
-        loads.append(TeamLoad(f"team{n}", cores, memory, mix, entry_mix, offered))
+        loads.append(
+            OrganisationLoad(f"organisation{n}", cores, memory, mix, entry_mix, offered)
+        )
     return loads
 
 
@@ -112,12 +114,12 @@
     policies: list[Policy],
     coordinated: bool,
 ) -> dict[str, float]:
-    """Return each team's worst deviation in percent over 60 s windows."""
+    """Return each organisation's worst deviation in percent over 60 s windows."""
     recorder = ShareRecorder()
     entries = Entries(config, policies, recorder, coordinated)
     water = WaterFilling(config)
     total = water.total
-    for load in team_loads(full):
+    for load in organisation_loads(full):
         factor = (lambda queue, now: 1.0) if full else surge_factor
         arrivals = Arrivals(
             entries,
@@ -125,7 +127,7 @@
             QUEUES,
             total.cores,
             MEAN_RUN_S,
-            f"{seed}/{load.team}",
+            f"{seed}/{load.organisation}",
             factor,
             1.0 if full else 5.0,
         )
@@ -138,12 +140,13 @@
         time += SAMPLE_S
         entries.clock.run(time)
         shares = water.shares(recorder.demand(time))
-        for team in config.team_by_id:
-            running = recorder.running[team]
-            actual[team].append(running.dominant_share(water.total))
-            entitled[team].append(shares.get(team, 0.0))
+        for organisation in config.organisation_by_id:
+            running = recorder.running[organisation]
+            actual[organisation].append(running.dominant_share(water.total))
+            entitled[organisation].append(shares.get(organisation, 0.0))
     return {
-        team: _worst_window(actual[team], entitled[team]) for team in config.team_by_id
+        organisation: _worst_window(actual[organisation], entitled[organisation])
+        for organisation in config.organisation_by_id
     }
 
 
@@ -167,16 +170,16 @@
     for full, goal in ((True, FULL_GOAL), (False, SURGE_GOAL)):
         phase = "full load" if full else "surges"
         ours, first, equal = compare(config, seed, partial(measure, config, seed, full))
-        for team, worst in ours.items():
-            weight = config.team_by_id[team].share
+        for organisation, worst in ours.items():
+            weight = config.organisation_by_id[organisation].share
             rows.append(
                 Row(
-                    f"{phase}: {team} (weight {weight:g}), worst 60 s window",
+                    f"{phase}: {organisation} (weight {weight:g}), worst 60 s window",
                     f"within {goal:g} %",
                     worst,
                     worst <= goal,
-                    first[team],
-                    equal[team],
+                    first[organisation],
+                    equal[organisation],
                     "%",
                 )
             )
--- a/bench/test_processes_stats.py
+++ b/bench/test_processes_stats.py
@@ -34,4 +34,4 @@
     assert isinstance(config, FleetConfig)
     assert len(config.instance_by_id) == workers
     assert len(config.pool_by_id) == SHAPES[workers].pools
-    assert len(config.team_by_id) == SHAPES[workers].teams
+    assert len(config.organisation_by_id) == SHAPES[workers].organisations
--- a/bench/urgent.py
+++ b/bench/urgent.py
@@ -77,7 +77,7 @@
         size = Resources(rng.choice((4, 8, 16)), 16 * 1024)
         task = Task(
             f"urgent-{number}",
-            f"team{rng.randrange(len(WEIGHTS))}",
+            f"organisation{rng.randrange(len(WEIGHTS))}",
             rng.choice(QUEUES),
             size,
             0.5,
--- a/bench/wrong_sizes.py
+++ b/bench/wrong_sizes.py
@@ -2,7 +2,7 @@
 
 User B's shape with three entries and callers who ask for 1.3 times the fleet.
 Declared processors, memory and run time are each wrong by a factor between 1/4
-and 4 that is fixed per team and queue, times up to 1.25 either way per job,
+and 4 that is fixed per organisation and queue, times up to 1.25 either way per job,
 within 1/4 to 4. Of all jobs 2.5 % declare more than any worker has and 2.5 %
 crash everywhere; two workers fail every task. Usage reports lag by 2 s. The
 baseline with perfect information knows real sizes, bad jobs and bad workers.
@@ -59,16 +59,18 @@
         for n in range(len(WEIGHTS)):
             for queue in QUEUES:
                 exponents = [self._random.uniform(-1, 1) for _ in range(3)]
-                self._factors[f"team{n}", queue] = tuple(
+                self._factors[f"organisation{n}", queue] = tuple(
                     MAX_FACTOR**exponent for exponent in exponents
                 )
 
-    def declare(self, team: str, queue: str, job: Job) -> tuple[Resources, float]:
+    def declare(
+        self, organisation: str, queue: str, job: Job
+    ) -> tuple[Resources, float]:
         """Return the declared size and run time of a job."""
         if self._random.random() < IMPOSSIBLE_PART:
             return TOO_LARGE, job.run_s
         cores, memory, run = (
-            self._noisy(factor) for factor in self._factors[team, queue]
+            self._noisy(factor) for factor in self._factors[organisation, queue]
         )
         size = Resources(
             min(USER_B_SIZE.cores, job.size.cores * cores),
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,7 +1,7 @@
 """The main job: two fleets on one machine, with failures, in under a minute.
 
 For each fleet it starts stand-ins for the platform and 6 entries over 3
-availability zones, sends requests of several teams, revokes a key, takes a zone
+availability zones, sends requests of several organisations, revokes a key, takes a zone
 out and back, kills an entry and replaces it. Exits with 1 if a count that must be
 zero is not.
 """
@@ -21,6 +21,7 @@
 import gevent  # noqa: E402
 from tabulate import tabulate  # noqa: E402
 
+from lycheeloom.clients import LogClient  # noqa: E402
 from lycheeloom.operator import (  # noqa: E402
     ConfigFile,
     Draft,
@@ -30,18 +31,17 @@
     Published,
     read_config,
 )
-from lycheeloom.platform import LogClient  # noqa: E402
 
 from .callers import Callers, Work  # noqa: E402
 from .processes import HANDOVER_TOKEN, Fleet, Program, running_fleet  # noqa: E402
-from .verdicts import Line, ZoneOut, check, peak_by_team  # noqa: E402
+from .verdicts import Line, ZoneOut, check, peak_by_organisation  # noqa: E402
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 CONFIGS = [EXAMPLES / "user-a.toml", EXAMPLES / "user-b.toml"]
 ENTRIES_PER_ZONE = 2
 CALLS_PER_S = 40
 OVERNIGHT_REQUESTS = 40
-# One team gets an upper limit below what it wants to run.
+# One organisation gets an upper limit below what it wants to run.
 LOW_LIMIT = 4
 LOAD_S = 26.0
 REVOKE_AT_S = 4.0
@@ -60,12 +60,12 @@
         self.rng = random.Random(seed)
         self.document = self._read_document(config_path)
         self.zones = list(self.document["zones"])
-        self.teams = list(self.document["teams"])
+        self.organisations = list(self.document["organisations"])
         self.queues = [q for q in self.document["queues"] if q != "overnight"]
         self.entries: list[Program] = []
         self.zone_outs: list[ZoneOut] = []
-        self.revoked_at_by_team: dict[str, float] = {}
-        self.key_by_team: dict[str, str] = {}
+        self.revoked_at_by_organisation: dict[str, float] = {}
+        self.key_by_organisation: dict[str, str] = {}
         self.operator = self._operator()
         self.callers = Callers(self._addresses, {}, seed)
 
@@ -76,8 +76,8 @@
             raise SystemExit(str(file))
         for name, instance in file.document["instances"].items():
             instance["address"] = platform.workers[name]
-        limited = list(file.document["teams"])[1]
-        file.document["teams"][limited]["upper_limit"] = LOW_LIMIT
+        limited = list(file.document["organisations"])[1]
+        file.document["organisations"][limited]["upper_limit"] = LOW_LIMIT
         return file.document
 
     def _operator(self) -> Operator:
@@ -104,13 +104,15 @@
         tokens = {}
 
         def grant(draft: Draft) -> None:
-            for team in self.teams:
-                key = draft.grant_key(team)
-                tokens[team] = key.token
-                self.key_by_team[team] = key.id
+            for organisation in self.organisations:
+                key = draft.grant_key(organisation)
+                tokens[organisation] = key.token
+                self.key_by_organisation[organisation] = key.id
 
-        self.change(grant, f"granted a key to each of {len(self.teams)} teams")
-        self.callers.token_by_team.update(tokens)
+        self.change(
+            grant, f"granted a key to each of {len(self.organisations)} organisations"
+        )
+        self.callers.token_by_organisation.update(tokens)
 
     def change(self, edit: object, text: str) -> float:
         """Publish a change and return when it was accepted."""
@@ -129,10 +131,11 @@
         """Make the changes and failures at their times."""
         began_at = time.monotonic()
         self._sleep_until(began_at + REVOKE_AT_S)
-        team = self.teams[-1]
-        key = self.key_by_team[team]
-        self.revoked_at_by_team[team] = self.change(
-            lambda draft: draft.withdraw_key(key), f"revoked the key of team {team}"
+        organisation = self.organisations[-1]
+        key = self.key_by_organisation[organisation]
+        self.revoked_at_by_organisation[organisation] = self.change(
+            lambda draft: draft.withdraw_key(key),
+            f"revoked the key of organisation {organisation}",
         )
         self._sleep_until(began_at + ZONE_OUT_AT_S)
         zone = self.zones[0]
@@ -155,34 +158,35 @@
         self.operator = self._operator()
 
     def run_load(self) -> None:
-        """Send lookups and bookings of all teams, and an overnight batch."""
+        """Send lookups and bookings of all organisations, and an overnight batch."""
         for index in range(OVERNIGHT_REQUESTS):
-            team = self.teams[index % (len(self.teams) - 1)]
-            self.callers.send(Work.OVERNIGHT, team, "overnight", 1500)
+            organisation = self.organisations[index % (len(self.organisations) - 1)]
+            self.callers.send(Work.OVERNIGHT, organisation, "overnight", 1500)
         began_at = time.monotonic()
         for index in range(int(LOAD_S * CALLS_PER_S)):
             self._sleep_until(began_at + index / CALLS_PER_S)
-            team = self.rng.choice(self.teams)
+            organisation = self.rng.choice(self.organisations)
             queue = self.rng.choice(self.queues)
             work = Work.BOOKING if self.rng.random() < 0.2 else Work.LOOKUP
-            self.callers.send(work, team, queue, self.rng.choice((20, 50, 200)))
+            self.callers.send(work, organisation, queue, self.rng.choice((20, 50, 200)))
 
     def finish(self) -> list[Line]:
         """Wait for the last answers and check the counts."""
         self.callers.wait_all(END_TIMEOUT_S)
         ledger = self.fleet.ledger()
         limits = {
-            team: self.document["teams"][team]["upper_limit"] for team in self.teams
+            organisation: self.document["organisations"][organisation]["upper_limit"]
+            for organisation in self.organisations
         }
         lines = check(
             self.callers.calls,
             ledger,
             limits,
             self.zone_outs,
-            self.revoked_at_by_team,
+            self.revoked_at_by_organisation,
         )
-        peak = peak_by_team(ledger).get(self.teams[1], 0)
-        name = f"most running of the team with limit {LOW_LIMIT}"
+        peak = peak_by_organisation(ledger).get(self.organisations[1], 0)
+        name = f"most running of the organisation with limit {LOW_LIMIT}"
         return [*lines, Line(name, peak, LOW_LIMIT)]
 
     def _sleep_until(self, at: float) -> None:
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-from lycheeloom.platform import CallFailed, Transport
+from lycheeloom.clients import CallFailed, Transport
 
 CALL_TIMEOUT_S = 40.0
 RETRY_DELAY_S = 0.1
@@ -41,7 +41,7 @@
 
     name: str
     work: Work
-    team: str
+    organisation: str
     queue: str
     began_at: float
     seen: Seen | None = None
@@ -54,14 +54,14 @@
 
 @dataclass
 class Callers:
-    """Sends calls of several teams to entries, as a balancer would spread them.
+    """Sends calls of several organisations to entries, as a balancer would spread them.
 
     A call is sent again only after a refusal that says it did not run, or, for
     a lookup or a booking with its idempotency key, after a broken connection.
     """
 
     entries: Callable[[], list[str]]
-    token_by_team: dict[str, str]
+    token_by_organisation: dict[str, str]
     seed: int
     calls: list[Call] = field(default_factory=list)
     transport: Transport = field(default_factory=Transport)
@@ -70,11 +70,16 @@
         self._rng = random.Random(self.seed)
 
     def send(
-        self, work: Work, team: str, queue: str, work_ms: int, tries: int = MAX_TRIES
+        self,
+        work: Work,
+        organisation: str,
+        queue: str,
+        work_ms: int,
+        tries: int = MAX_TRIES,
     ) -> Call:
         """Begin a call in its own greenlet."""
         name = f"{work}-{len(self.calls)}"
-        call = Call(name, work, team, queue, time.monotonic())
+        call = Call(name, work, organisation, queue, time.monotonic())
         self.calls.append(call)
         gevent.spawn(self._run, call, work_ms, tries)
         return call
@@ -169,7 +174,7 @@
         address = self._rng.choice(self.entries())
         headers = {
             "Content-Type": "application/json",
-            "Authorization": f"Bearer {self.token_by_team[call.team]}",
+            "Authorization": f"Bearer {self.token_by_organisation[call.organisation]}",
         }
         if call.work is not Work.LOOKUP:
             headers["Idempotency-Key"] = call.name
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -18,7 +18,7 @@
 
 import tomlkit
 
-from lycheeloom.platform import Response, Transport
+from lycheeloom.clients import Response, Transport
 
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
--- a/demo/verdicts.py
+++ b/demo/verdicts.py
@@ -39,9 +39,9 @@
 def check(
     calls: list[Call],
     ledger: list[dict],
-    limit_by_team: dict[str, int],
+    limit_by_organisation: dict[str, int],
     zone_outs: list[ZoneOut],
-    revoked_at_by_team: dict[str, float],
+    revoked_at_by_organisation: dict[str, float],
 ) -> list[Line]:
     """Return the counts of a run with the ones that must be zero."""
     seen = Counter(call.seen for call in calls)
@@ -57,10 +57,14 @@
         Line("answered without a start", _unstarted(calls, starts), 0),
         Line("refused as not run but started", _false_refusals(calls, starts), 0),
         Line("starts in a zone out for over 3 s", _zone_starts(ledger, zone_outs), 0),
-        Line("teams above their limit", _above_limit(ledger, limit_by_team), 0),
+        Line(
+            "organisations above their limit",
+            _above_limit(ledger, limit_by_organisation),
+            0,
+        ),
         Line(
             "accepted with a key revoked for over 3 s",
-            _late_keys(calls, revoked_at_by_team),
+            _late_keys(calls, revoked_at_by_organisation),
             0,
         ),
     ]
@@ -87,33 +91,35 @@
     )
 
 
-def _above_limit(ledger: list[dict], limit_by_team: dict[str, int]) -> int:
+def _above_limit(ledger: list[dict], limit_by_organisation: dict[str, int]) -> int:
     return sum(
-        peak > limit_by_team[team] for team, peak in peak_by_team(ledger).items()
+        peak > limit_by_organisation[organisation]
+        for organisation, peak in peak_by_organisation(ledger).items()
     )
 
 
-def peak_by_team(ledger: list[dict]) -> dict[str, int]:
-    """Return the most tasks that each team had running at one moment."""
+def peak_by_organisation(ledger: list[dict]) -> dict[str, int]:
+    """Return the most tasks that each organisation had running at one moment."""
     changes = defaultdict(list)
     for start in ledger:
-        changes[start["team"]].append((start["started_at"], 1))
+        changes[start["organisation"]].append((start["started_at"], 1))
         if start["ended_at"] is not None:
-            changes[start["team"]].append((start["ended_at"], -1))
+            changes[start["organisation"]].append((start["ended_at"], -1))
     peaks = {}
-    for team, events in changes.items():
+    for organisation, events in changes.items():
         running = peak = 0
         for _, change in sorted(events):
             running += change
             peak = max(peak, running)
-        peaks[team] = peak
+        peaks[organisation] = peak
     return peaks
 
 
-def _late_keys(calls: list[Call], revoked_at_by_team: dict[str, float]) -> int:
+def _late_keys(calls: list[Call], revoked_at_by_organisation: dict[str, float]) -> int:
     return sum(
         call.seen is not Seen.REFUSED
-        and call.began_at > revoked_at_by_team[call.team] + KEY_REVOKED_S
+        and call.began_at
+        > revoked_at_by_organisation[call.organisation] + KEY_REVOKED_S
         for call in calls
-        if call.team in revoked_at_by_team
+        if call.organisation in revoked_at_by_organisation
     )
--- a/libs/platform/src/lycheeloom/platform/tasks.py
+++ b/libs/clients/src/lycheeloom/clients/tasks.py
@@ -41,7 +41,7 @@
 
     task: str
     session: str
-    team: str
+    organisation: str
     queue: str
     payload: bytes
     resources: Resources
@@ -105,7 +105,7 @@
     """What one task used at the time of the report."""
 
     task: str
-    team: str
+    organisation: str
     queue: str
     used: Resources
     ran_s: float
@@ -159,7 +159,7 @@
 def _parse_task_usage(document: dict[str, Any]) -> TaskUsage:
     return TaskUsage(
         document["task"],
-        document["team"],
+        document["organisation"],
         document["queue"],
         parse_resources(document),
         document["ran_ms"] / 1000,
--- a/libs/platform/src/lycheeloom/platform/worker.py
+++ b/libs/clients/src/lycheeloom/clients/worker.py
@@ -163,7 +163,7 @@
     document = {
         "session": start.session,
         "lease_ms": round(start.lease_s * 1000),
-        "team": start.team,
+        "organisation": start.organisation,
         "queue": start.queue,
         "resources": {
             "cores": resources.cores,
--- a/libs/platform/tests/conftest.py
+++ b/libs/clients/tests/conftest.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from lycheeloom.model.resources import Resources
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     InstanceClient,
     LogClient,
     TaskStart,
     Transport,
     WorkerClient,
 )
+from lycheeloom.model.resources import Resources
 from lycheeloom.standins import (
     InstancesStandIn,
     LogLimits,
@@ -82,7 +82,7 @@
     def make(task="r1.1", **changes):
         fields = {
             "session": session,
-            "team": "red",
+            "organisation": "red",
             "queue": "lookups",
             "payload": b"payload",
             "resources": Resources(1, 100, 0),
--- a/libs/platform/tests/test_log_client.py
+++ b/libs/clients/tests/test_log_client.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefusal,
     AppendRefused,
--- a/libs/platform/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent.server import StreamServer
 
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     AppendUnknown,
     InstanceClient,
     LogClient,
@@ -16,10 +16,10 @@
     Unavailable,
     WorkerClient,
 )
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     transport as transport_module,
 )
-from lycheeloom.platform.transport import CallFailed, Response, Transport
+from lycheeloom.clients.transport import CallFailed, Response, Transport
 from lycheeloom.standins import StandIn
 from lycheeloom.standins.server import Reply
 
@@ -147,7 +147,7 @@
 
 UNPATCHED = """
 import sys
-from lycheeloom.platform.transport import Transport
+from lycheeloom.clients.transport import Transport
 print(Transport().call(sys.argv[1], "GET", "/", timeout_s=0.1))
 """
 
--- a/libs/platform/tests/test_worker_client.py
+++ b/libs/clients/tests/test_worker_client.py
@@ -3,8 +3,7 @@
 import gevent
 import pytest
 
-from lycheeloom.model.resources import Resources
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     ActionRefused,
     StartRefusal,
     StartRefused,
@@ -14,6 +13,7 @@
     Unavailable,
     UsageReport,
 )
+from lycheeloom.model.resources import Resources
 from lycheeloom.standins import Amount, PlatformStandIns, WorkerStandIn
 
 LONG_S = 60.0
@@ -56,7 +56,7 @@
         ({}, {"session": "unknown"}, StartRefusal.LEASE_LAPSED),
         ({}, {"resources": Resources(65)}, StartRefusal.NO_CAPACITY),
         ({}, {"resources": Resources(1, 0, 1)}, StartRefusal.NO_CAPACITY),
-        ({}, {"team": None}, StartRefusal.BAD_REQUEST),
+        ({}, {"organisation": None}, StartRefusal.BAD_REQUEST),
         ({}, {"lease_s": -1.0}, StartRefusal.BAD_REQUEST),
         ({}, {"resources": Resources(-1)}, StartRefusal.BAD_REQUEST),
         ({"down": True}, {}, StartRefusal.UNREACHABLE),
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -130,7 +130,7 @@
     def _exchange(self) -> None:
         mesh = self._mesh
         sent_at = mesh.clock()
-        usage, complete = self._usage.choose(mesh.usage_by_team, sent_at)
+        usage, complete = self._usage.choose(mesh.usage_by_organisation, sent_at)
         heartbeat = mesh.own_heartbeat(0, usage, complete)
         answer = self._call_for_heartbeat(heartbeat)
         mesh.take_answer(self.peer, heartbeat.sent_us, answer, sent_at)
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from lycheeloom.clients import InstanceList, InstanceState, Unavailable
 from lycheeloom.log import (
     LogTail,
     LogWriter,
@@ -30,7 +31,6 @@
     VoteReason,
 )
 from lycheeloom.model.ticks import rest_of_tick_s
-from lycheeloom.platform import InstanceList, InstanceState, Unavailable
 from lycheeloom.state import Member
 
 from .freshness import Freshness
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -16,13 +16,13 @@
 from lycheeloom.model.ticks import rest_of_tick_s
 from lycheeloom.wire import (
     Heartbeat,
+    OrganisationUsage,
     OutcomeReport,
     OutcomeRequest,
     PeerBody,
     PeerMessage,
     RangeRequest,
     RecordRelay,
-    TeamUsage,
 )
 
 from .framing import Connection, PeerConnectionError, Traffic, connect
@@ -53,7 +53,7 @@
     """Heartbeats, usage and relayed records between the entries.
 
     Call ``start`` after the tail has recovered. Peers come from the members on
-    record. ``usage_by_team`` is the local usage, set by the entry; the usage of
+    record. ``usage_by_organisation`` is the local usage, set by the entry; the usage of
     the others is ``usage_by_peer()``.
     """
 
@@ -71,7 +71,7 @@
         self.clock = clock
         self.draining = False
         self.traffic = Traffic()
-        self.usage_by_team: dict[str, TeamUsage] = {}
+        self.usage_by_organisation: dict[str, OrganisationUsage] = {}
         self.reserved_workers: tuple[str, ...] = ()
         # Answers controllers, set by the entry.
         self.report_outcomes: Callable[[int], OutcomeReport] = lambda after: (
@@ -109,11 +109,11 @@
         """Return what was heard from a peer; never heard if unknown."""
         return self._view_by_peer.get(peer) or PeerView()
 
-    def usage_by_peer(self) -> Mapping[str, Mapping[str, TeamUsage]]:
-        """Return the usage by team of each peer that is a member."""
+    def usage_by_peer(self) -> Mapping[str, Mapping[str, OrganisationUsage]]:
+        """Return the usage by organisation of each peer that is a member."""
         members = self.tail.state.members
         return {
-            peer: view.usage.usage_by_team
+            peer: view.usage.usage_by_organisation
             for peer, view in self._view_by_peer.items()
             if members.is_active(peer)
         }
@@ -164,7 +164,10 @@
                 del self._view_by_peer[peer]
 
     def own_heartbeat(
-        self, echo_us: int, usage: tuple[TeamUsage, ...] = (), complete: bool = False
+        self,
+        echo_us: int,
+        usage: tuple[OrganisationUsage, ...] = (),
+        complete: bool = False,
     ) -> Heartbeat:
         """Return a heartbeat of this process, sent now."""
         age_s = self.log_age_s()
--- a/libs/cluster/src/lycheeloom/cluster/node.py
+++ b/libs/cluster/src/lycheeloom/cluster/node.py
@@ -9,8 +9,8 @@
 
 import gevent
 
+from lycheeloom.clients import InstanceList, Unavailable
 from lycheeloom.log import LogClient, LogTail, LogWriter
-from lycheeloom.platform import InstanceList, Unavailable
 from lycheeloom.state import FleetState
 
 from .framing import Connection, connect
--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -8,11 +8,11 @@
 from libs.cluster.tests.world import World
 from libs.log.tests.fake_log import FakeClient
 
+from lycheeloom.clients import InstanceList, InstanceState, ListedInstance
 from lycheeloom.cluster import FreshBy
 from lycheeloom.log import Effective, Priority, recover
 from lycheeloom.model import records as r
 from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_S
-from lycheeloom.platform import InstanceList, InstanceState, ListedInstance
 from lycheeloom.wire import decode_batch
 
 FIVE = "abcde"
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -17,7 +17,7 @@
 from lycheeloom.cluster.usage import (
     BACKLOG_INTERVAL_S,
     COMPLETE_INTERVAL_S,
-    MAX_CHANGED_TEAMS,
+    MAX_CHANGED_ORGANISATIONS,
     UsageSender,
     UsageView,
 )
@@ -28,12 +28,12 @@
 from lycheeloom.state import FleetState
 from lycheeloom.wire import (
     Heartbeat,
+    OrganisationUsage,
     OutcomeCount,
     OutcomeReport,
     OutcomeRequest,
     PeerMessage,
     RangeRequest,
-    TeamUsage,
     encode_batch,
 )
 
@@ -192,7 +192,7 @@
 
 
 def test_usage_is_sent_as_changes_and_completely_at_times():
-    """A receiver must end with the sender's usage although teams end."""
+    """A receiver must end with the sender's usage although organisations end."""
     sender, view = UsageSender(), UsageView()
     rng = random.Random(1)
     sent_us = 0
@@ -200,28 +200,30 @@
     def send(usage, now):
         nonlocal sent_us
         sent_us += 1
-        teams, complete = sender.choose(usage, now)
-        view.take(Heartbeat(sent_us, 0, 0, 0, False, teams, complete))
-        return teams, complete
+        organisations, complete = sender.choose(usage, now)
+        view.take(Heartbeat(sent_us, 0, 0, 0, False, organisations, complete))
+        return organisations, complete
 
-    usage = {f"t{i}": TeamUsage(f"t{i}", 5, 1) for i in range(50)}
-    assert send(usage, 0.0)[1] and view.usage_by_team == usage
+    usage = {f"t{i}": OrganisationUsage(f"t{i}", 5, 1) for i in range(50)}
+    assert send(usage, 0.0)[1] and view.usage_by_organisation == usage
     assert send(usage, 0.5) == ((), False)
     for step in range(1, 5):
-        team = f"t{rng.randrange(50)}"
-        usage = {**usage, team: TeamUsage(team, step, 0)}
+        organisation = f"t{rng.randrange(50)}"
+        usage = {**usage, organisation: OrganisationUsage(organisation, step, 0)}
         usage.pop(f"t{rng.randrange(50)}", None)
-        teams, complete = send(usage, step)
-        assert not complete and 0 < len(teams) <= 2
-        assert view.usage_by_team == usage
-    all_changed = {team: TeamUsage(team, 9, 9) for team in usage}
-    assert len(send(all_changed, 6.0)[0]) == MAX_CHANGED_TEAMS
+        organisations, complete = send(usage, step)
+        assert not complete and 0 < len(organisations) <= 2
+        assert view.usage_by_organisation == usage
+    all_changed = {
+        organisation: OrganisationUsage(organisation, 9, 9) for organisation in usage
+    }
+    assert len(send(all_changed, 6.0)[0]) == MAX_CHANGED_ORGANISATIONS
     assert send(all_changed, BACKLOG_INTERVAL_S + 0.1)[1]
-    assert view.usage_by_team == all_changed
+    assert view.usage_by_organisation == all_changed
     assert send(all_changed, 2 * BACKLOG_INTERVAL_S + 0.2) == ((), False)
     assert send(all_changed, BACKLOG_INTERVAL_S + COMPLETE_INTERVAL_S + 0.2)[1]
-    view.take(Heartbeat(1, 0, 0, 0, False, (TeamUsage("late", 1, 1),)))
-    assert "late" not in view.usage_by_team
+    view.take(Heartbeat(1, 0, 0, 0, False, (OrganisationUsage("late", 1, 1),)))
+    assert "late" not in view.usage_by_organisation
 
 
 def test_reserved_workers_follow_the_newest_heartbeat():
--- a/libs/cluster/tests/test_over_tcp.py
+++ b/libs/cluster/tests/test_over_tcp.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from lycheeloom.clients import InstanceList, LogClient
 from lycheeloom.cluster import ClusterNode, FreshBy, Identity
 from lycheeloom.log import (
     Effective,
@@ -16,7 +17,6 @@
     recover,
 )
 from lycheeloom.model.records import ConfigChanged
-from lycheeloom.platform import InstanceList, LogClient
 from lycheeloom.standins import LogLimits, LogStandIn
 from lycheeloom.state import FleetState
 
--- a/libs/controller/src/lycheeloom/controller/actions.py
+++ b/libs/controller/src/lycheeloom/controller/actions.py
@@ -7,9 +7,9 @@
 
 from gevent.pool import Pool
 
+from lycheeloom.clients import ActionRefused, ActionState, InstanceClient, Unavailable
+from lycheeloom.clients import ActionStatus as Reported
 from lycheeloom.fleet import ActionKind, ActionStatus, PlatformAction
-from lycheeloom.platform import ActionRefused, ActionState, InstanceClient, Unavailable
-from lycheeloom.platform import ActionStatus as Reported
 from lycheeloom.telemetry import log_event
 
 # Calls under way at once; a silent platform takes the whole call timeout.
--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -5,15 +5,15 @@
 import time
 from collections.abc import Callable
 
-from lycheeloom.fleet import FleetView, Plan, PlannedRecord, Planner
-from lycheeloom.log import LogTail, LogWriter, NoEffect, Pending, Priority
-from lycheeloom.model.records import InstanceHealth, MoveStage, MoveStep
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     InstanceClient,
     InstanceList,
     InstanceState,
     ListedInstance,
 )
+from lycheeloom.fleet import FleetView, Plan, PlannedRecord, Planner
+from lycheeloom.log import LogTail, LogWriter, NoEffect, Pending, Priority
+from lycheeloom.model.records import InstanceHealth, MoveStage, MoveStep
 from lycheeloom.telemetry import log_event
 
 from .actions import ActionRunner
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -10,6 +10,7 @@
 import gevent
 from gevent.pool import Pool
 
+from lycheeloom.clients import Unavailable, UsageReport, WorkerClient
 from lycheeloom.fleet import HealthMonitor
 from lycheeloom.log import LogTail, Replayed
 from lycheeloom.model.records import (
@@ -18,7 +19,6 @@
     RequestFinished,
     RequestReleased,
 )
-from lycheeloom.platform import Unavailable, UsageReport, WorkerClient
 
 # 5,100 workers are then probed every 510 s, and 30 workers every 3 s; more would
 # take too much of the 3.5% of a core that a daemon may use.
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -12,10 +12,10 @@
 from gevent.pywsgi import WSGIServer
 from loguru import logger
 
+from lycheeloom.clients import InstanceClient, LogClient, Transport, WorkerClient
 from lycheeloom.fleet import MonitorSettings, Planner, PlannerSettings, RepairSettings
 from lycheeloom.log import LogTail, LogWriter, RecordReader, recover
 from lycheeloom.model.records import Duty
-from lycheeloom.platform import InstanceClient, LogClient, Transport, WorkerClient
 from lycheeloom.settings import split_address
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import log_event
--- a/libs/controller/tests/test_controller.py
+++ b/libs/controller/tests/test_controller.py
@@ -13,6 +13,14 @@
 import pytest
 import urllib3
 
+from lycheeloom.clients import (
+    ActionRefused,
+    InstanceList,
+    InstanceState,
+    ListedInstance,
+    LogClient,
+    Unavailable,
+)
 from lycheeloom.controller.actions import ActionRunner
 from lycheeloom.controller.duty import TAKEOVER_S, DutyKeeper
 from lycheeloom.controller.maintenance import MaintenanceLoop
@@ -27,14 +35,6 @@
     WaveCommand,
     WaveState,
 )
-from lycheeloom.platform import (
-    ActionRefused,
-    InstanceList,
-    InstanceState,
-    ListedInstance,
-    LogClient,
-    Unavailable,
-)
 from lycheeloom.state import FleetState
 from lycheeloom.wire import encode_batch
 
--- a/libs/controller/tests/test_housekeeping.py
+++ b/libs/controller/tests/test_housekeeping.py
@@ -5,20 +5,21 @@
 import gevent
 import pytest
 
+from lycheeloom.clients import LogClient
 from lycheeloom.controller.housekeeping import AnswerExpiry
 from lycheeloom.controller.refresh import RecordRefresher
 from lycheeloom.log import LogTail, LogWriter, RecordLost, RecordReader
 from lycheeloom.model import records as r
 from lycheeloom.model.records import Duty, Outcome
-from lycheeloom.platform import LogClient
 from lycheeloom.standins import LogStandIn
 from lycheeloom.standins.log import LogLimits
 from lycheeloom.state import FleetState
 
 RETENTION_S = 1000.0
 CONFIG = (
-    '{"pools": {"p": {}}, "teams": {"t": {"share": 1, "upper_limit": 1}},'
-    ' "queues": {"q": {"pool": "p", "teams": ["t"], "answer_retention_s": 100}}}'
+    '{"pools": {"p": {}}, "organisations": {"t": {"share": 1, "upper_limit": 1}},'
+    ' "queues": '
+    '{"q": {"pool": "p", "organisations": ["t"], "answer_retention_s": 100}}}'
 )
 
 
--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -56,9 +56,9 @@
     queue = config.queue_by_id.get(queue_id)
     if queue is None:
         return Refusal(RefusalReason.UNKNOWN_QUEUE, f"no queue {queue_id!r}")
-    team = find_team(config, queue, headers.authorization)
-    if isinstance(team, Refusal):
-        return team
+    organisation = find_organisation(config, queue, headers.authorization)
+    if isinstance(organisation, Refusal):
+        return organisation
     document = _parse_body(body)
     if isinstance(document, Refusal):
         return document
@@ -69,28 +69,30 @@
     if len(payload) > MAX_PAYLOAD_BYTES:
         message = f"the payload has {len(payload)} bytes, allowed {MAX_PAYLOAD_BYTES}"
         return Refusal(RefusalReason.TOO_LARGE, message)
-    return _build(queue, team, document, payload, headers)
+    return _build(queue, organisation, document, payload, headers)
 
 
-def find_team(config: FleetConfig, queue: Queue, authorization: str) -> str | Refusal:
-    """Return the team that a request is accepted for.
+def find_organisation(
+    config: FleetConfig, queue: Queue, authorization: str
+) -> str | Refusal:
+    """Return the organisation that a request is accepted for.
 
     Work on a queue open to all that comes without a key is charged to the one
-    team that the queue lists.
+    organisation that the queue lists.
     """
     if not authorization:
-        if queue.open_to_all and queue.teams:
-            return min(queue.teams)
-        message = "an Authorization header with a team key is needed"
+        if queue.open_to_all and queue.organisations:
+            return min(queue.organisations)
+        message = "an Authorization header with an organisation key is needed"
         return Refusal(RefusalReason.KEY_MISSING, message)
     scheme, _, token = authorization.partition(" ")
     key = find_key(config, token.strip()) if scheme.lower() == "bearer" else None
     if key is None:
         return Refusal(RefusalReason.KEY_REJECTED, "the key is not in force")
-    if key.team not in queue.teams and not queue.open_to_all:
-        message = f"team {key.team!r} may not use queue {queue.id!r}"
-        return Refusal(RefusalReason.TEAM_NOT_ALLOWED, message)
-    return key.team
+    if key.organisation not in queue.organisations and not queue.open_to_all:
+        message = f"organisation {key.organisation!r} may not use queue {queue.id!r}"
+        return Refusal(RefusalReason.ORGANISATION_NOT_ALLOWED, message)
+    return key.organisation
 
 
 def _parse_body(body: bytes) -> RequestDocument | Refusal:
@@ -112,7 +114,7 @@
 
 def _build(
     queue: Queue,
-    team: str,
+    organisation: str,
     document: RequestDocument,
     payload: bytes,
     headers: RequestHeaders,
@@ -126,7 +128,7 @@
     is_idempotent = document.idempotent
     return Submission(
         request_id=uuid.uuid4().hex,
-        team=team,
+        organisation=organisation,
         queue=queue.id,
         payload=payload,
         resources=Resources(document.cores, document.memory_mb, document.accelerators),
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -12,9 +12,7 @@
 
 import gevent
 
-from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
-from lycheeloom.model.resources import Resources
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     ActionRefused,
     Session,
     StartRefusal,
@@ -26,6 +24,8 @@
     Unavailable,
     WorkerClient,
 )
+from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
+from lycheeloom.model.resources import Resources
 from lycheeloom.telemetry import Tracer
 
 from .jobs import Job
@@ -193,7 +193,7 @@
         start = TaskStart(
             task=f"{job.id}.{attempt}",
             session=session.id,
-            team=submission.team,
+            organisation=submission.organisation,
             queue=submission.queue,
             payload=submission.payload,
             resources=placement.resources,
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 
+from lycheeloom.clients import StartRefusal, TaskReport, WorkerClient
 from lycheeloom.model.config import Queue
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.ticks import rest_of_tick_s
@@ -19,7 +20,6 @@
     RefusalReason,
     Verdict,
 )
-from lycheeloom.platform import StartRefusal, TaskReport, WorkerClient
 from lycheeloom.sched import (
     Checkpoint,
     Expire,
@@ -95,12 +95,12 @@
         self._on_settled = on_settled
         self._budgets = QueueBudgets()
         self._wake = Event()
-        self._running_by_team: dict[str, int] = {}
+        self._running_by_organisation: dict[str, int] = {}
         self.running_tasks = 0
 
-    def running(self, team: str) -> int:
-        """Return how many running slots of a team are taken here."""
-        return self._running_by_team.get(team, 0)
+    def running(self, organisation: str) -> int:
+        """Return how many running slots of an organisation are taken here."""
+        return self._running_by_organisation.get(organisation, 0)
 
     def wake(self) -> None:
         """Ask for decisions soon; many calls cost one round."""
@@ -185,8 +185,8 @@
         if job is None or address is None:
             self.scheduler.finished(task.id, Outcome.STOPPED, time.monotonic())
             return
-        team = task.team
-        self._running_by_team[team] = self.running(team) + 1
+        organisation = task.organisation
+        self._running_by_organisation[organisation] = self.running(organisation) + 1
         self.running_tasks += 1
         gevent.spawn(self._run, job, task, Placement(worker, address, resources))
 
@@ -203,8 +203,8 @@
                 job, placement, lambda: self._doubt(job, placement, state)
             )
         finally:
-            team = task.team
-            self._running_by_team[team] = self.running(team) - 1
+            organisation = task.organisation
+            self._running_by_organisation[organisation] = self.running(organisation) - 1
             self.running_tasks -= 1
             state.stop_timers()
             self._finish(job, task, placement, end, state.is_repeated)
--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -10,7 +10,7 @@
 
 
 class EntryExplanations:
-    """What this entry knows about a request, team, instance or pool."""
+    """What this entry knows about a request, organisation, instance or pool."""
 
     def __init__(self, tail: LogTail, scheduler: Scheduler, jobs: JobTable) -> None:
         self._tail = tail
@@ -22,8 +22,10 @@
         match kind:
             case "request":
                 return self._explain_request(name)
-            case "team" if name in self._tail.state.config.team_by_id:
-                return [str(event) for event in self._scheduler.explain_team(name)]
+            case "organisation" if name in self._tail.state.config.organisation_by_id:
+                return [
+                    str(event) for event in self._scheduler.explain_organisation(name)
+                ]
             case "instance" if name in self._tail.state.config.instance_by_id:
                 return self._explain_instance(name)
             case "pool" if name in self._tail.state.config.pool_by_id:
@@ -83,7 +85,7 @@
 
 def _describe_recorded(request: RecordedRequest) -> list[str]:
     lines = [
-        f"Request {request.request_id} of team {request.team} on queue "
+        f"Request {request.request_id} of organisation {request.organisation} on queue "
         f"{request.queue} was recorded at offset {request.submitted_at}."
     ]
     if request.holder:
--- a/libs/entry/src/lycheeloom/entry/intake.py
+++ b/libs/entry/src/lycheeloom/entry/intake.py
@@ -13,7 +13,7 @@
 from lycheeloom.state import RecordedRequest, RequestStatus
 from lycheeloom.telemetry import Tracer
 
-from .admission import RequestHeaders, check_request, find_team
+from .admission import RequestHeaders, check_request, find_organisation
 from .dispatch import Dispatcher
 from .jobs import Job, JobTable, Submission
 from .journal import Journal
@@ -219,11 +219,18 @@
         queue = self._tail.state.config.queue_by_id.get(owner.queue)
         if queue is None:
             return _unknown_request(request_id)
-        team = find_team(self._tail.state.config, queue, authorization)
-        if isinstance(team, Refusal):
-            document = {"reason": team.reason.value, "message": team.message}
+        organisation = find_organisation(self._tail.state.config, queue, authorization)
+        if isinstance(organisation, Refusal):
+            document = {
+                "reason": organisation.reason.value,
+                "message": organisation.message,
+            }
             return Reply(401, document)
-        return found if team == owner.team else _unknown_request(request_id)
+        return (
+            found
+            if organisation == owner.organisation
+            else _unknown_request(request_id)
+        )
 
     def _cancel_recorded(self, request: RecordedRequest, job: Job | None) -> Reply:
         if request.status is RequestStatus.PENDING:
--- a/libs/entry/src/lycheeloom/entry/job_tasks.py
+++ b/libs/entry/src/lycheeloom/entry/job_tasks.py
@@ -39,7 +39,7 @@
     submission = job.submission
     return Task(
         id=task_id_of(job),
-        team=submission.team,
+        organisation=submission.organisation,
         queue=submission.queue,
         resources=submission.resources,
         run_s=submission.run_s,
--- a/libs/entry/src/lycheeloom/entry/jobs.py
+++ b/libs/entry/src/lycheeloom/entry/jobs.py
@@ -20,7 +20,7 @@
     """A checked request of a caller; times are monotonic seconds."""
 
     request_id: str
-    team: str
+    organisation: str
     queue: str
     payload: bytes
     resources: Resources
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.event import Event
 
+from lycheeloom.clients import LogClient
 from lycheeloom.log import (
     Effective,
     LogTail,
@@ -26,7 +27,6 @@
 from lycheeloom.model.limits import MAX_ANSWER_BYTES
 from lycheeloom.model.records import Outcome, Record
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
-from lycheeloom.platform import LogClient
 from lycheeloom.state import FleetState, RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
 
@@ -85,7 +85,7 @@
             return known
         record = r.RequestSubmitted(
             request_id=submission.request_id,
-            team=submission.team,
+            organisation=submission.organisation,
             queue=submission.queue,
             payload=submission.payload,
             idempotent=submission.idempotent,
@@ -235,7 +235,7 @@
         if not submission.idempotency_key:
             return None
         known = self._tail.state.requests.find_by_key(
-            submission.team, submission.idempotency_key
+            submission.organisation, submission.idempotency_key
         )
         if known is None or known.body_digest == digest:
             return known
@@ -376,7 +376,7 @@
 def _restore_submission(request: RecordedRequest, payload: bytes) -> Submission:
     return Submission(
         request_id=request.request_id,
-        team=request.team,
+        organisation=request.organisation,
         queue=request.queue,
         payload=payload,
         resources=request.resources,
--- a/libs/entry/src/lycheeloom/entry/main.py
+++ b/libs/entry/src/lycheeloom/entry/main.py
@@ -23,7 +23,7 @@
 PROGRAM = Program(
     name="lycheeloom-entry",
     version=PROGRAM_VERSION,
-    description="Accept requests of teams and run them on workers.",
+    description="Accept requests of organisations and run them on workers.",
     epilog="Example: lycheeloom-entry entry.toml. Exit codes: 0 after a "
     "shutdown, 1 if an address cannot be used, 2 for bad settings.",
 )
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -68,19 +68,29 @@
         self.queue_bound = self._gauge(
             "queue_bound", "How many requests may wait here", "queue"
         )
-        self.running = self._gauge("team_running_tasks", "Running tasks here", "team")
-        self.queued = self._gauge("team_queued_tasks", "Queued tasks here", "team")
+        self.running = self._gauge(
+            "organisation_running_tasks", "Running tasks here", "organisation"
+        )
+        self.queued = self._gauge(
+            "organisation_queued_tasks", "Queued tasks here", "organisation"
+        )
         self.granted = self._gauge(
-            "team_granted_slots", "Running slots held by this entry", "team"
+            "organisation_granted_slots",
+            "Running slots held by this entry",
+            "organisation",
         )
         self.upper_limit = self._gauge(
-            "team_upper_limit", "Running tasks allowed over the fleet", "team"
+            "organisation_upper_limit",
+            "Running tasks allowed over the fleet",
+            "organisation",
         )
         self.share_ratio = self._gauge(
-            "team_dominant_share_ratio", "Fleet-wide dominant share in use", "team"
+            "organisation_dominant_share_ratio",
+            "Fleet-wide dominant share in use",
+            "organisation",
         )
         self.entitlement_ratio = self._gauge(
-            "team_entitlement_ratio", "Fleet-wide share due now", "team"
+            "organisation_entitlement_ratio", "Fleet-wide share due now", "organisation"
         )
         self.zone_in_service = self._gauge(
             "zone_in_service", "0 while operators have taken the zone out", "zone"
@@ -112,7 +122,7 @@
         never = status.log_age_ms is None
         self.log_age_s.set(math.inf if never else status.log_age_ms / 1000)
         self._set_members(status)
-        self._set_teams(status)
+        self._set_organisations(status)
         self._set_queues(status)
         self.zone_in_service.clear()
         for zone_id, zone in status.zones.items():
@@ -125,13 +135,13 @@
         for state, count in counts.items():
             self.members.labels(state).set(count)
 
-    def _set_teams(self, status: StatusDocument) -> None:
+    def _set_organisations(self, status: StatusDocument) -> None:
         for gauge in (self.upper_limit, self.share_ratio, self.entitlement_ratio):
             gauge.clear()
-        for team_id, team in status.teams.items():
-            self.upper_limit.labels(team_id).set(team.upper_limit)
-            self.share_ratio.labels(team_id).set(team.dominant_share)
-            self.entitlement_ratio.labels(team_id).set(team.entitlement)
+        for organisation_id, organisation in status.organisations.items():
+            self.upper_limit.labels(organisation_id).set(organisation.upper_limit)
+            self.share_ratio.labels(organisation_id).set(organisation.dominant_share)
+            self.entitlement_ratio.labels(organisation_id).set(organisation.entitlement)
 
     def _set_queues(self, status: StatusDocument) -> None:
         self.queue_queued.clear()
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -7,10 +7,10 @@
 
 import gevent
 
+from lycheeloom.clients import TaskReport, TaskStatus, WorkerClient
 from lycheeloom.log import LogTail, LogWriter
 from lycheeloom.model import records as r
 from lycheeloom.model.records import Outcome, Record
-from lycheeloom.platform import TaskReport, TaskStatus, WorkerClient
 from lycheeloom.state import RecordedRequest
 from lycheeloom.telemetry import log_event
 
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -23,7 +23,7 @@
     RefusalReason.UNKNOWN_QUEUE: 404,
     RefusalReason.KEY_MISSING: 401,
     RefusalReason.KEY_REJECTED: 401,
-    RefusalReason.TEAM_NOT_ALLOWED: 403,
+    RefusalReason.ORGANISATION_NOT_ALLOWED: 403,
     RefusalReason.IDEMPOTENCY_CONFLICT: 409,
     RefusalReason.NEVER_FITS: 422,
     RefusalReason.QUEUE_FULL: 429,
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -9,6 +9,14 @@
 import gevent
 import gevent.event
 
+from lycheeloom.clients import (
+    InstanceClient,
+    InstanceList,
+    LogClient,
+    Transport,
+    Unavailable,
+    WorkerClient,
+)
 from lycheeloom.cluster import (
     Freshness,
     Identity,
@@ -30,19 +38,11 @@
     MoveStep,
 )
 from lycheeloom.model.status import StatusDocument
-from lycheeloom.platform import (
-    InstanceClient,
-    InstanceList,
-    LogClient,
-    Transport,
-    Unavailable,
-    WorkerClient,
-)
 from lycheeloom.sched import Scheduler
 from lycheeloom.settings import split_address
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import Tracer, log_event
-from lycheeloom.wire import TeamUsage
+from lycheeloom.wire import OrganisationUsage
 
 from .attempt import AttemptRunner
 from .dispatch import Dispatcher
@@ -356,11 +356,17 @@
         self.metrics.unknown_records.set(self.tail.state.unknown_records)
         for gauge in (self.metrics.running, self.metrics.queued, self.metrics.granted):
             gauge.clear()
-        for team in self.tail.state.config.team_by_id:
-            own = self.mesh.usage_by_team.get(team) or TeamUsage(team, 0, 0)
-            self.metrics.running.labels(team).set(self.dispatcher.running(team))
-            self.metrics.queued.labels(team).set(own.queued)
-            self.metrics.granted.labels(team).set(self.grants.usable(team))
+        for organisation in self.tail.state.config.organisation_by_id:
+            own = self.mesh.usage_by_organisation.get(
+                organisation
+            ) or OrganisationUsage(organisation, 0, 0)
+            self.metrics.running.labels(organisation).set(
+                self.dispatcher.running(organisation)
+            )
+            self.metrics.queued.labels(organisation).set(own.queued)
+            self.metrics.granted.labels(organisation).set(
+                self.grants.usable(organisation)
+            )
 
     def _read_status(self) -> StatusDocument:
         return self.status.build(
--- a/libs/entry/src/lycheeloom/entry/sessions.py
+++ b/libs/entry/src/lycheeloom/entry/sessions.py
@@ -14,8 +14,8 @@
 import gevent
 from gevent.event import AsyncResult
 
+from lycheeloom.clients import Session, Unavailable, WorkerClient
 from lycheeloom.model.limits import SESSION_TTL_S
-from lycheeloom.platform import Session, Unavailable, WorkerClient
 
 # A session older than this is replaced before it is named in a start.
 USABLE_S = 1.2
--- a/libs/entry/src/lycheeloom/entry/settlement.py
+++ b/libs/entry/src/lycheeloom/entry/settlement.py
@@ -42,7 +42,7 @@
             "request_settled",
             "DEBUG",
             request=job.id,
-            team=submission.team,
+            organisation=submission.organisation,
             queue=submission.queue,
             verdict=name,
             seconds=elapsed_s,
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -38,9 +38,9 @@
             return "the state is not fresh"
         if job.verdict is not None or job.cancel_requested:
             return "the request is already settled"
-        team = job.submission.team
-        if self._dispatcher.running(team) > self._grants.usable(team):
-            return f"no running slot of team {team} is granted here"
+        organisation = job.submission.organisation
+        if self._dispatcher.running(organisation) > self._grants.usable(organisation):
+            return f"no running slot of organisation {organisation} is granted here"
         config = self._tail.state.config
         instance = config.instance_by_id.get(placement.worker)
         if instance is None or not self._watch.may_serve(placement.worker):
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -15,15 +15,15 @@
 from lycheeloom.model.status import (
     MemberState,
     MemberStatus,
+    OrganisationStatus,
     PoolStatus,
     QueueStatus,
     StatusDocument,
-    TeamStatus,
     ZoneStatus,
 )
 from lycheeloom.sched import Scheduler
 from lycheeloom.state import Member
-from lycheeloom.wire import TeamUsage
+from lycheeloom.wire import OrganisationUsage
 
 from .jobs import JobTable
 from .wave_progress import WaveProgress
@@ -71,7 +71,7 @@
             log_age_ms=None if math.isinf(log_age_s) else round(log_age_s * 1000),
             next_offset=self._tail.next_offset,
             members=self._members(),
-            teams=self._teams(),
+            organisations=self._organisations(),
             queues=self._queues(),
             zones=self._zones(),
             pools=self._pools(),
@@ -107,15 +107,15 @@
             program_version=member.program_version,
         )
 
-    def fleet_usage(self) -> dict[str, TeamUsage]:
-        """Return the usage of each team, summed over all entries."""
-        total: dict[str, TeamUsage] = {}
-        parts = [self._mesh.usage_by_team, *self._mesh.usage_by_peer().values()]
-        for usage_by_team in parts:
-            for team, usage in usage_by_team.items():
-                known = total.get(team) or TeamUsage(team, 0, 0)
-                total[team] = TeamUsage(
-                    team,
+    def fleet_usage(self) -> dict[str, OrganisationUsage]:
+        """Return the usage of each organisation, summed over all entries."""
+        total: dict[str, OrganisationUsage] = {}
+        parts = [self._mesh.usage_by_organisation, *self._mesh.usage_by_peer().values()]
+        for usage_by_organisation in parts:
+            for organisation, usage in usage_by_organisation.items():
+                known = total.get(organisation) or OrganisationUsage(organisation, 0, 0)
+                total[organisation] = OrganisationUsage(
+                    organisation,
                     known.running + usage.running,
                     known.queued + usage.queued,
                     known.cores + usage.cores,
@@ -139,24 +139,26 @@
         plan = plan_buffers(state.config, state.maintenance.pool_by_instance)
         self._wanted_buffer = wanted_buffer(plan.needs)
 
-    def _teams(self) -> dict[str, TeamStatus]:
+    def _organisations(self) -> dict[str, OrganisationStatus]:
         state = self._tail.state
-        usage_by_team = self.fleet_usage()
+        usage_by_organisation = self.fleet_usage()
         size = self.fleet_size()
         own = self._mesh.incarnation
         document = {}
-        for team_id, team in state.config.team_by_id.items():
-            usage = usage_by_team.get(team_id) or TeamUsage(team_id, 0, 0)
+        for organisation_id, organisation in state.config.organisation_by_id.items():
+            usage = usage_by_organisation.get(organisation_id) or OrganisationUsage(
+                organisation_id, 0, 0
+            )
             used = Resources(usage.cores, usage.memory_mb, usage.accelerators)
-            grants = state.grants.of(team_id)
-            standing = self._scheduler.explain_team(team_id)[0]
-            document[team_id] = TeamStatus(
+            grants = state.grants.of(organisation_id)
+            standing = self._scheduler.explain_organisation(organisation_id)[0]
+            document[organisation_id] = OrganisationStatus(
                 running=usage.running,
                 queued=usage.queued,
-                share=team.share,
+                share=organisation.share,
                 entitlement=standing.fair_share,
                 dominant_share=used.dominant_share(size),
-                upper_limit=team.upper_limit,
+                upper_limit=organisation.upper_limit,
                 grant=grants.count_by_holder.get(own, 0),
                 granted=grants.total(),
             )
--- a/libs/entry/src/lycheeloom/entry/status_page.py
+++ b/libs/entry/src/lycheeloom/entry/status_page.py
@@ -6,7 +6,7 @@
 
 from bottle import SimpleTemplate
 
-from lycheeloom.model.status import StatusDocument, TeamStatus, WaveStatus
+from lycheeloom.model.status import OrganisationStatus, StatusDocument, WaveStatus
 
 # SimpleTemplate escapes every value, so names cannot inject markup.
 _TEMPLATE = SimpleTemplate(
@@ -25,7 +25,7 @@
         warnings=_warnings(status),
         percent=_percent,
         duration=_duration,
-        level=_team_level,
+        level=_organisation_level,
         wave_end=_wave_end,
     )
 
@@ -54,10 +54,13 @@
     return warnings
 
 
-def _team_level(team: TeamStatus) -> str:
-    if team.upper_limit and team.running >= team.upper_limit:
+def _organisation_level(organisation: OrganisationStatus) -> str:
+    if organisation.upper_limit and organisation.running >= organisation.upper_limit:
         return "at its limit"
-    if team.queued and team.dominant_share < 0.95 * team.entitlement:
+    if (
+        organisation.queued
+        and organisation.dominant_share < 0.95 * organisation.entitlement
+    ):
         return "below its share"
     return "ok"
 
--- a/libs/entry/src/lycheeloom/entry/status_page.tpl
+++ b/libs/entry/src/lycheeloom/entry/status_page.tpl
@@ -34,11 +34,11 @@
 % end
 </ul>
 % end
-<h2>Teams</h2>
+<h2>Organisations</h2>
 <table>
-<tr><th>Team</th><th>Running</th><th>Limit</th><th>Queued</th><th>Uses</th><th>Due</th><th>State</th></tr>
-% for name, team in status.teams.items():
-<tr><td>{{name}}</td><td>{{team.running}}</td><td>{{team.upper_limit}}</td><td>{{team.queued}}</td><td>{{percent(team.dominant_share)}}</td><td>{{percent(team.entitlement)}}</td><td>{{level(team)}}</td></tr>
+<tr><th>Organisation</th><th>Running</th><th>Limit</th><th>Queued</th><th>Uses</th><th>Due</th><th>State</th></tr>
+% for name, organisation in status.organisations.items():
+<tr><td>{{name}}</td><td>{{organisation.running}}</td><td>{{organisation.upper_limit}}</td><td>{{organisation.queued}}</td><td>{{percent(organisation.dominant_share)}}</td><td>{{percent(organisation.entitlement)}}</td><td>{{level(organisation)}}</td></tr>
 % end
 </table>
 <h2>Queues</h2>
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -10,9 +10,9 @@
 from lycheeloom.cluster import PeerMesh
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.ticks import rest_of_tick_s
+from lycheeloom.sched import OrganisationUsage as ScheduledUsage
 from lycheeloom.sched import Scheduler
-from lycheeloom.sched import TeamUsage as ScheduledUsage
-from lycheeloom.wire import QueueCount, TeamUsage
+from lycheeloom.wire import OrganisationUsage, QueueCount
 
 from .dispatch import Dispatcher
 
@@ -41,9 +41,9 @@
 
     def step(self) -> None:
         """Pass usage on in both directions."""
-        self._mesh.usage_by_team = {
-            team: self._to_wire(team, usage)
-            for team, usage in self._scheduler.usage_by_team().items()
+        self._mesh.usage_by_organisation = {
+            organisation: self._to_wire(organisation, usage)
+            for organisation, usage in self._scheduler.usage_by_organisation().items()
         }
         self._mesh.reserve_workers(self._scheduler.reserved_workers())
         self._reserved_by_peers = self._mesh.workers_reserved_by_peers()
@@ -54,8 +54,11 @@
             return
         self._scheduler.set_peer_usage(
             {
-                peer: {team: _from_wire(usage) for team, usage in by_team.items()}
-                for peer, by_team in usage_by_peer.items()
+                peer: {
+                    organisation: _from_wire(usage)
+                    for organisation, usage in by_organisation.items()
+                }
+                for peer, by_organisation in usage_by_peer.items()
             },
             self._reserved_by_peers,
         )
@@ -67,23 +70,23 @@
             self.step()
 
     def peer_demand(self) -> Mapping[str, int]:
-        """Return running and queued tasks of each team at all peers."""
+        """Return running and queued tasks of each organisation at all peers."""
         demand: Counter[str] = Counter()
-        for usage_by_team in self._mesh.usage_by_peer().values():
-            for team, usage in usage_by_team.items():
-                demand[team] += usage.running + usage.queued
+        for usage_by_organisation in self._mesh.usage_by_peer().values():
+            for organisation, usage in usage_by_organisation.items():
+                demand[organisation] += usage.running + usage.queued
         return demand
 
-    def _to_wire(self, team: str, usage: ScheduledUsage) -> TeamUsage:
+    def _to_wire(self, organisation: str, usage: ScheduledUsage) -> OrganisationUsage:
         running = usage.running
         startable = tuple(
             QueueCount(queue, count)
             for queue, count in usage.queued_by_queue.items()
             if count
         )
-        return TeamUsage(
-            team,
-            self._dispatcher.running(team),
+        return OrganisationUsage(
+            organisation,
+            self._dispatcher.running(organisation),
             usage.queued,
             running.cores,
             running.memory_mb,
@@ -92,7 +95,7 @@
         )
 
 
-def _from_wire(usage: TeamUsage) -> ScheduledUsage:
+def _from_wire(usage: OrganisationUsage) -> ScheduledUsage:
     running = Resources(usage.cores, usage.memory_mb, usage.accelerators)
     startable = {item.queue: item.count for item in usage.startable}
     return ScheduledUsage(running, usage.queued, startable)
--- a/libs/entry/src/lycheeloom/entry/worker_watch.py
+++ b/libs/entry/src/lycheeloom/entry/worker_watch.py
@@ -9,16 +9,16 @@
 import gevent
 import gevent.pool
 
-from lycheeloom.log import LogTail
-from lycheeloom.model.records import Health, MoveStage
-from lycheeloom.model.ticks import rest_of_tick_s
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     InstanceList,
     InstanceState,
     Session,
     Unavailable,
     WorkerClient,
 )
+from lycheeloom.log import LogTail
+from lycheeloom.model.records import Health, MoveStage
+from lycheeloom.model.ticks import rest_of_tick_s
 from lycheeloom.sched import Scheduler, UsageReport
 
 from .sessions import WorkerSessions
--- a/libs/entry/tests/test_admission.py
+++ b/libs/entry/tests/test_admission.py
@@ -14,7 +14,7 @@
     refusal_reply,
     verdict_reply,
 )
-from lycheeloom.model.config import FleetConfig, Queue, Team, parse_config
+from lycheeloom.model.config import FleetConfig, Organisation, Queue, parse_config
 from lycheeloom.model.keys import create_key
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
 
@@ -23,22 +23,24 @@
 
 @pytest.fixture(scope="module")
 def keys():
-    return {team: create_key(f"key-{team}") for team in ("a", "b")}
+    return {
+        organisation: create_key(f"key-{organisation}") for organisation in ("a", "b")
+    }
 
 
 @pytest.fixture(scope="module")
 def config(keys):
-    def team(name):
+    def organisation(name):
         documents = {keys[name].id: keys[name].document.model_dump()}
         return {"share": 1, "upper_limit": 5, "keys": documents}
 
     config = parse_config(
         {
             "pools": {"p": {}},
-            "teams": {"a": team("a"), "b": team("b")},
+            "organisations": {"a": organisation("a"), "b": organisation("b")},
             "queues": {
-                "closed": {"pool": "p", "teams": ["a"], "idempotent": True},
-                "open": {"pool": "p", "teams": ["a"], "open_to_all": True},
+                "closed": {"pool": "p", "organisations": ["a"], "idempotent": True},
+                "open": {"pool": "p", "organisations": ["a"], "open_to_all": True},
             },
         },
         1,
@@ -59,7 +61,7 @@
         ("closed", "", b"{}", RefusalReason.KEY_MISSING),
         ("closed", "wrong", b"{}", RefusalReason.KEY_REJECTED),
         ("open", "wrong", b"{}", RefusalReason.KEY_REJECTED),
-        ("closed", "b", b"{}", RefusalReason.TEAM_NOT_ALLOWED),
+        ("closed", "b", b"{}", RefusalReason.ORGANISATION_NOT_ALLOWED),
         ("closed", "a", b"{", RefusalReason.BAD_REQUEST),
         ("closed", "a", b'{"cores": 0}', RefusalReason.BAD_REQUEST),
         ("closed", "a", b'{"unknown": 1}', RefusalReason.BAD_REQUEST),
@@ -80,18 +82,18 @@
     assert result.reason is reason
 
 
-def test_work_is_accepted_for_the_team_of_the_key(config, keys):
-    """A key must not give access in another team's name."""
-    assert check(config, "closed", keys["a"].token).team == "a"
-    assert check(config, "open", keys["b"].token).team == "b"
-    assert check(config, "open").team == "a"
+def test_work_is_accepted_for_the_organisation_of_the_key(config, keys):
+    """A key must not give access in another organisation's name."""
+    assert check(config, "closed", keys["a"].token).organisation == "a"
+    assert check(config, "open", keys["b"].token).organisation == "b"
+    assert check(config, "open").organisation == "a"
 
 
 def test_revoked_key_is_rejected(config, keys):
     """A key that is no longer published must stop working."""
     without = FleetConfig(
-        team_by_id={"a": Team("a", 1, 5)},
-        queue_by_id={"closed": Queue("closed", "p", teams=frozenset({"a"}))},
+        organisation_by_id={"a": Organisation("a", 1, 5)},
+        queue_by_id={"closed": Queue("closed", "p", organisations=frozenset({"a"}))},
     )
     result = check(without, "closed", keys["a"].token)
     assert result.reason is RefusalReason.KEY_REJECTED
--- a/libs/entry/tests/test_attempt.py
+++ b/libs/entry/tests/test_attempt.py
@@ -4,6 +4,15 @@
 
 import pytest
 
+from lycheeloom.clients import (
+    Session,
+    StartRefusal,
+    StartRefused,
+    StartUnknown,
+    TaskReport,
+    TaskStatus,
+    Unavailable,
+)
 from lycheeloom.entry import attempt as module
 from lycheeloom.entry.attempt import (
     Answered,
@@ -19,15 +28,6 @@
 from lycheeloom.entry.sessions import WorkerSessions
 from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
 from lycheeloom.model.resources import NO_RESOURCES
-from lycheeloom.platform import (
-    Session,
-    StartRefusal,
-    StartRefused,
-    StartUnknown,
-    TaskReport,
-    TaskStatus,
-    Unavailable,
-)
 from lycheeloom.telemetry import Tracer
 
 PLACEMENT = Placement("w1", "127.0.0.1:1", NO_RESOURCES)
--- a/libs/entry/tests/test_attempt_renewal.py
+++ b/libs/entry/tests/test_attempt_renewal.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from lycheeloom.clients import ActionRefused, Session, TaskReport, TaskStatus
 from lycheeloom.entry import attempt
 from lycheeloom.entry.attempt import AttemptRunner, Placement, Stopped
 from lycheeloom.entry.jobs import Job, Submission
 from lycheeloom.model.resources import Resources
-from lycheeloom.platform import ActionRefused, Session, TaskReport, TaskStatus
 from lycheeloom.telemetry import Tracer
 
 SIZE = Resources(1.0, 256)
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 import gevent.event
 import pytest
 
+from lycheeloom.clients import StartRefusal
 from lycheeloom.entry.attempt import Answered, Failed, Refused, Stopped
 from lycheeloom.entry.dispatch import Dispatcher
 from lycheeloom.entry.jobs import Job, JobTable, Submission
@@ -11,7 +12,6 @@
 from lycheeloom.model.config import Queue, parse_config
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran
-from lycheeloom.platform import StartRefusal
 from lycheeloom.sched import Scheduler
 
 SIZE = Resources(1.0, 256)
@@ -32,13 +32,13 @@
 def dispatcher():
     instance = {"pool": "main", "zone": "north", "rack": "r", "address": "a:1"}
     instance |= {"cores": 8, "memory_mb": 8192}
-    queue = {"pool": "main", "teams": ["red"], "idempotent": True}
+    queue = {"pool": "main", "organisations": ["red"], "idempotent": True}
     config = parse_config(
         {
             "zones": {"north": {}},
             "pools": {"main": {}},
             "instances": {name: dict(instance) for name in ("w1", "w2", "w3")},
-            "teams": {"red": {"share": 1, "upper_limit": 9}},
+            "organisations": {"red": {"share": 1, "upper_limit": 9}},
             "queues": {"find": {**queue, "retry_budget_percent": 100}},
         },
         1,
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_keeper.py
@@ -1,4 +1,4 @@
-"""How entries share the running slots of a team."""
+"""How entries share the running slots of an organisation."""
 
 import math
 import random
@@ -24,31 +24,31 @@
         for name in ENTRIES:
             self.state.members.join(0, MemberJoined(name, name, "x:1", "north"))
         self.state.grants.set_limits({"red": limit})
-        self.state.config.team_by_id["red"] = None
+        self.state.config.organisation_by_id["red"] = None
         self.demand_by_entry = dict.fromkeys(ENTRIES, 0)
         self.keepers = [self._make(name) for name in ENTRIES]
 
     def _make(self, own):
         def append(record, priority):
             if isinstance(record, GrantRequested):
-                self.state.grants.request(own, record.team, record.count)
+                self.state.grants.request(own, record.organisation, record.count)
             else:
-                self.state.grants.give_back(own, record.team, record.count)
+                self.state.grants.give_back(own, record.organisation, record.count)
             return SimpleNamespace(outcome=Effective(0))
 
-        def peer_demand(*team):
+        def peer_demand(*organisation):
             total = sum(self.demand_by_entry.values()) - self.demand_by_entry[own]
-            return total if team else {"red": total}
+            return total if organisation else {"red": total}
 
         return GrantKeeper(
             SimpleNamespace(state=self.state, last_read_sent_at=math.inf),
             SimpleNamespace(append=append),
             SimpleNamespace(
-                demand_by_team=lambda: {"red": self.demand_by_entry[own]},
+                demand_by_organisation=lambda: {"red": self.demand_by_entry[own]},
                 set_grants=lambda slots: None,
             ),
             lambda: own,
-            lambda team: 0,
+            lambda organisation: 0,
             peer_demand,
             lambda: False,
             lambda: None,
@@ -63,7 +63,8 @@
 def test_entry_with_demand_gets_slots_that_idle_entries_hold():
     """Guards against requests that wait for good at one entry.
 
-    A team had fewer slots than there are entries, and each idle entry that held
+    An organisation had fewer slots than there are entries, and each idle entry that
+    held
     one kept it as its reserve.
     """
     world = World(limit=3)
@@ -104,17 +105,19 @@
 class LoggedWorld:
     """One keeper with a writer and a tail over a log that can be down."""
 
-    def __init__(self, limit_by_team):
+    def __init__(self, limit_by_organisation):
         self.clock, self.log = Clock(), FakeLog()
         self.client = FakeClient(self.log)
         rng = random.Random(1)
         self.tail = LogTail(self.client, FleetState(), clock=self.clock, rng=rng)
         self.writer = LogWriter(self.client, "a", self.tail, clock=self.clock, rng=rng)
-        self.tail.state.grants.set_limits(limit_by_team)
-        self.tail.state.config.team_by_id.update(dict.fromkeys(limit_by_team))
-        self.demand_by_team = {}
-        self.running_by_team = {}
-        self.peer_demand_by_team = {}
+        self.tail.state.grants.set_limits(limit_by_organisation)
+        self.tail.state.config.organisation_by_id.update(
+            dict.fromkeys(limit_by_organisation)
+        )
+        self.demand_by_organisation = {}
+        self.running_by_organisation = {}
+        self.peer_demand_by_organisation = {}
         self.is_draining = False
         self.fault = ""
         self.is_unreadable = False
@@ -124,12 +127,12 @@
             self.tail,
             SimpleNamespace(append=self._append),
             SimpleNamespace(
-                demand_by_team=lambda: self.demand_by_team,
+                demand_by_organisation=lambda: self.demand_by_organisation,
                 set_grants=lambda slots: None,
             ),
             lambda: "a",
-            lambda team: self.running_by_team.get(team, 0),
-            lambda: self.peer_demand_by_team,
+            lambda organisation: self.running_by_organisation.get(organisation, 0),
+            lambda: self.peer_demand_by_organisation,
             lambda: self.is_draining,
             lambda: None,
             clock=self.clock,
@@ -160,16 +163,16 @@
             self.keeper.step()
             check()
 
-    def usable(self, team):
-        return self.keeper.usable(team)
+    def usable(self, organisation):
+        return self.keeper.usable(organisation)
 
-    def unsettled(self, kind, team):
+    def unsettled(self, kind, organisation):
         return [
             pending
             for pending in self.appended
             if pending.outcome is None
             and isinstance(pending.record, kind)
-            and pending.record.team == team
+            and pending.record.organisation == organisation
         ]
 
     def written(self, kind, first_offset):
@@ -184,24 +187,27 @@
 @pytest.mark.parametrize("fault", ["down", "lost_request"])
 @pytest.mark.parametrize("is_changing", [False, True])
 def test_requests_do_not_pile_up_in_an_outage(fault, is_changing):
-    """Guards against a record each second and team that all wait for the log.
+    """Guards against a record each second and organisation that all wait for the log.
 
     They filled the queue of control records and were all written afterwards.
     """
     world = LoggedWorld({"red": 90, "blue": 90})
     before = len(world.log.archive)
-    world.peer_demand_by_team = {"red": 1, "blue": 1}
+    world.peer_demand_by_organisation = {"red": 1, "blue": 1}
     world.fault = fault
     most = 0
 
     def check():
         nonlocal most
-        unsettled = (world.unsettled(GrantRequested, team) for team in ("red", "blue"))
+        unsettled = (
+            world.unsettled(GrantRequested, organisation)
+            for organisation in ("red", "blue")
+        )
         most = max(most, *map(len, unsettled))
 
     for second in range(1800):
         extra = second // 10 % 3 if is_changing else 0
-        world.demand_by_team = {"red": 89 - extra, "blue": 89}
+        world.demand_by_organisation = {"red": 89 - extra, "blue": 89}
         world.run(1.0, check)
     world.fault = ""
     world.run(5.0)
@@ -210,19 +216,19 @@
     assert len(written) == 2
     assert world.usable("blue") == 89
     # A request that may have reached the log keeps the count that it was sent with.
-    sent = 89 if fault == "lost_request" else world.demand_by_team["red"]
+    sent = 89 if fault == "lost_request" else world.demand_by_organisation["red"]
     assert world.usable("red") == sent
 
 
 def test_unsent_request_is_withdrawn_when_the_demand_is_gone():
     """Guards against slots that are granted after an outage to an idle entry."""
     world = LoggedWorld({"red": 90})
-    world.peer_demand_by_team = {"red": 1}
+    world.peer_demand_by_organisation = {"red": 1}
     world.fault = "down"
-    world.demand_by_team = {"red": 80}
+    world.demand_by_organisation = {"red": 80}
     world.run(5.0)
     assert len(world.unsettled(GrantRequested, "red")) == 1
-    world.demand_by_team = {}
+    world.demand_by_organisation = {}
     world.run(5.0)
     assert not world.unsettled(GrantRequested, "red")
     world.fault = ""
@@ -241,7 +247,7 @@
     world.run(0.1)
     assert world.usable("red") == 45
     world.fault, world.is_unreadable = "down", True
-    world.peer_demand_by_team = {"red": 90}
+    world.peer_demand_by_organisation = {"red": 90}
     world.run(5.0)
     assert world.usable("red") == 45
     assert not world.unsettled(GrantReturned, "red")
@@ -260,11 +266,11 @@
     """
     world = LoggedWorld({"red": 90})
     world.append_as_peer(GrantRequested("red", 90))
-    world.peer_demand_by_team = {"red": 90}
+    world.peer_demand_by_organisation = {"red": 90}
     world.is_draining = True
     for running, queued in ((10, 20), (30, 0), (4, 1), (1, 0), (0, 0)):
-        world.running_by_team = {"red": running}
-        world.demand_by_team = {"red": running + queued}
+        world.running_by_organisation = {"red": running}
+        world.demand_by_organisation = {"red": running + queued}
         world.run(1.0)
         assert world.usable("red") == running + queued
         assert world.tail.state.grants.of("red").usable("b") == 90 - running - queued
@@ -274,6 +280,6 @@
     """Guards against a shutdown that waits for requests without any slot."""
     world = LoggedWorld({"red": 90})
     world.is_draining = True
-    world.demand_by_team = {"red": 60}
+    world.demand_by_organisation = {"red": 60}
     world.run(3.0)
     assert world.usable("red") == 60
--- a/libs/entry/tests/test_journal.py
+++ b/libs/entry/tests/test_journal.py
@@ -5,6 +5,13 @@
 import gevent
 import pytest
 
+from lycheeloom.clients import (
+    Appended,
+    AppendRefusal,
+    AppendRefused,
+    Expired,
+    ReadBatches,
+)
 from lycheeloom.entry.intake import Intake
 from lycheeloom.entry.jobs import JobTable, Submission
 from lycheeloom.entry.journal import Journal
@@ -13,13 +20,6 @@
 from lycheeloom.model.records import MemberJoined, Outcome, RequestFinished
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.verdict import MayHaveRun, Ran, Refusal, RefusalReason
-from lycheeloom.platform import (
-    Appended,
-    AppendRefusal,
-    AppendRefused,
-    Expired,
-    ReadBatches,
-)
 from lycheeloom.state import FleetState, RecordedRequest, RequestStatus
 
 MEMBERS = ["e0-a", "e1-b", "e2-c"]
@@ -200,7 +200,7 @@
 @pytest.fixture
 def intake(world):
     """An intake whose one queue is open to all."""
-    queue = SimpleNamespace(open_to_all=True, teams=["red"])
+    queue = SimpleNamespace(open_to_all=True, organisations=["red"])
     world.tail.state.config = SimpleNamespace(queue_by_id={"find": queue})
     fresh = SimpleNamespace(is_fresh=lambda: True)
     return Intake(world.tail, fresh, world.jobs, None, world.journal, None, None)
--- a/libs/entry/tests/test_metrics.py
+++ b/libs/entry/tests/test_metrics.py
@@ -10,9 +10,9 @@
 from lycheeloom.model.config import ZoneState
 from lycheeloom.model.status import (
     MemberStatus,
+    OrganisationStatus,
     QueueStatus,
     StatusDocument,
-    TeamStatus,
     ZoneStatus,
 )
 
@@ -29,7 +29,7 @@
             fresh=True,
             log_age_ms=5,
             members=[MemberStatus(incarnation="a")],
-            teams={"t": TeamStatus(upper_limit=3)},
+            organisations={"t": OrganisationStatus(upper_limit=3)},
             queues={"q": QueueStatus(max_queued=7)},
             zones={"z": ZoneStatus(state=ZoneState.OUT)},
         )
--- a/libs/entry/tests/test_recovery.py
+++ b/libs/entry/tests/test_recovery.py
@@ -5,18 +5,18 @@
 import gevent
 import pytest
 
-from lycheeloom.entry import recovery
-from lycheeloom.entry.recovery import ClaimRecovery, decide
-from lycheeloom.log import LogTail, LogWriter
-from lycheeloom.model.records import Outcome, RequestFinished, RequestReleased
-from lycheeloom.model.resources import NO_RESOURCES
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     AppendRefusal,
     AppendRefused,
     AppendUnknown,
     TaskReport,
     TaskStatus,
 )
+from lycheeloom.entry import recovery
+from lycheeloom.entry.recovery import ClaimRecovery, decide
+from lycheeloom.log import LogTail, LogWriter
+from lycheeloom.model.records import Outcome, RequestFinished, RequestReleased
+from lycheeloom.model.resources import NO_RESOURCES
 from lycheeloom.state import FleetState, RecordedRequest
 
 RELEASED = RequestReleased("r", 2)
@@ -26,7 +26,7 @@
 def request(idempotent):
     return RecordedRequest(
         request_id="r",
-        team="t",
+        organisation="t",
         queue="q",
         idempotent=idempotent,
         idempotency_key="",
--- a/libs/entry/tests/test_status_page.py
+++ b/libs/entry/tests/test_status_page.py
@@ -3,9 +3,9 @@
 from lycheeloom.entry.status_page import render_status_page
 from lycheeloom.model.status import (
     MemberStatus,
+    OrganisationStatus,
     PoolStatus,
     StatusDocument,
-    TeamStatus,
     WaveStatus,
     ZoneStatus,
 )
@@ -19,7 +19,9 @@
     fresh=True,
     log_age_ms=120,
     members=[MemberStatus(incarnation="entry-1:ab", instance="entry-1", zone="north")],
-    teams={"<b>loud</b>": TeamStatus(running=4, upper_limit=4, share=2)},
+    organisations={
+        "<b>loud</b>": OrganisationStatus(running=4, upper_limit=4, share=2)
+    },
     zones={"north": ZoneStatus(state="out", workers=10, in_service=0)},
     pools={"lookup": PoolStatus(workers=6, in_service=2, needed=4)},
     waves={
--- a/libs/log/src/lycheeloom/log/client.py
+++ b/libs/log/src/lycheeloom/log/client.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefused,
     AppendUnknown,
--- a/libs/log/src/lycheeloom/log/record_reader.py
+++ b/libs/log/src/lycheeloom/log/record_reader.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
+from lycheeloom.clients import Expired, ReadBatches
 from lycheeloom.model.records import (
     Batch,
     CopiedRecord,
@@ -12,7 +13,6 @@
     RequestFinished,
     RequestSubmitted,
 )
-from lycheeloom.platform import Expired, ReadBatches
 from lycheeloom.wire import copy_record, decode_batch
 
 from .client import LogClient
--- a/libs/log/src/lycheeloom/log/recovery.py
+++ b/libs/log/src/lycheeloom/log/recovery.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from lycheeloom.platform import Expired, ReadBatches, Unavailable
+from lycheeloom.clients import Expired, ReadBatches, Unavailable
 from lycheeloom.state import FleetState
 from lycheeloom.wire import BadBatch, decode_batch
 
--- a/libs/log/src/lycheeloom/log/snapshot_reader.py
+++ b/libs/log/src/lycheeloom/log/snapshot_reader.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from lycheeloom.clients import Expired, ReadBatches, Unavailable
 from lycheeloom.model.records import SnapshotChunk
-from lycheeloom.platform import Expired, ReadBatches, Unavailable
 from lycheeloom.state import FleetState
 from lycheeloom.wire import BadBatch, decode_batch
 
--- a/libs/log/src/lycheeloom/log/tail.py
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -12,8 +12,8 @@
 import gevent
 from loguru import logger
 
+from lycheeloom.clients import Expired, ReadBatches, Unavailable
 from lycheeloom.model.records import Batch
-from lycheeloom.platform import Expired, ReadBatches, Unavailable
 from lycheeloom.state import AppliedBatch, FleetState
 from lycheeloom.wire import BadBatch, decode_batch
 
--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -10,14 +10,14 @@
 import gevent
 from gevent.event import Event
 
-from lycheeloom.model.limits import COMMIT_INTERVAL_S, MAX_BATCH_BYTES
-from lycheeloom.model.records import Batch, Record
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefusal,
     AppendRefused,
     AppendUnknown,
 )
+from lycheeloom.model.limits import COMMIT_INTERVAL_S, MAX_BATCH_BYTES
+from lycheeloom.model.records import Batch, Record
 from lycheeloom.state import FleetState
 from lycheeloom.wire import encode_batch
 
--- a/libs/log/tests/fake_log.py
+++ b/libs/log/tests/fake_log.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefusal,
     AppendRefused,
--- a/libs/model/src/lycheeloom/model/config.py
+++ b/libs/model/src/lycheeloom/model/config.py
@@ -9,15 +9,15 @@
     ConfigDocument,
     InstanceDocument,
     KeyDocument,
+    OrganisationDocument,
     PoolDocument,
     QueueDocument,
     QueueKind,
-    TeamDocument,
     ZoneDocument,
     ZoneState,
 )
 from .config_parse import ConfigError, canonical_json, merge_patch, parse_config
-from .fleet_config import FleetConfig, Instance, Key, Pool, Queue, Team, Zone
+from .fleet_config import FleetConfig, Instance, Key, Organisation, Pool, Queue, Zone
 
 __all__ = [
     "ConfigDocument",
@@ -32,8 +32,8 @@
     "Queue",
     "QueueDocument",
     "QueueKind",
-    "Team",
-    "TeamDocument",
+    "Organisation",
+    "OrganisationDocument",
     "Zone",
     "ZoneDocument",
     "ZoneState",
--- a/libs/model/src/lycheeloom/model/config_change.py
+++ b/libs/model/src/lycheeloom/model/config_change.py
@@ -14,18 +14,18 @@
 
 from .config_document import (
     InstanceDocument,
+    OrganisationDocument,
     PoolDocument,
     QueueDocument,
-    TeamDocument,
     ZoneDocument,
 )
 from .config_parse import (
     ConfigError,
     build_instance,
     build_keys,
+    build_organisation,
     build_pool,
     build_queue,
-    build_team,
     build_zone,
     parse_config,
 )
@@ -48,7 +48,9 @@
     "zones": _Section("zone_by_id", ZoneDocument, build_zone),
     "pools": _Section("pool_by_id", PoolDocument, build_pool),
     "instances": _Section("instance_by_id", InstanceDocument, build_instance),
-    "teams": _Section("team_by_id", TeamDocument, build_team),
+    "organisations": _Section(
+        "organisation_by_id", OrganisationDocument, build_organisation
+    ),
     "queues": _Section("queue_by_id", QueueDocument, build_queue),
 }
 
@@ -67,7 +69,7 @@
     """
     if not _has_only_items(document, patch):
         return parse_config(document, version)
-    if not _keys_hold(previous, patch.get("teams", {})):
+    if not _keys_hold(previous, patch.get("organisations", {})):
         return parse_config(document, version)
     try:
         changed = _change_items(previous, document, patch, version)
@@ -106,22 +108,24 @@
             model = section.model.model_validate(document[name][item])
             index[item] = section.build(item, model)
         values[section.field] = index
-    if "teams" in patch:
-        values["key_by_id"] = _change_keys(previous, document, patch["teams"])
+    if "organisations" in patch:
+        values["key_by_id"] = _change_keys(previous, document, patch["organisations"])
     return replace(previous, version=version, **values)
 
 
 def _change_keys(
-    previous: FleetConfig, document: Mapping[str, Any], teams: Mapping[str, Any]
+    previous: FleetConfig, document: Mapping[str, Any], organisations: Mapping[str, Any]
 ) -> dict[str, Any]:
     keys = {
         key_id: key
         for key_id, key in previous.key_by_id.items()
-        if key.team not in teams
+        if key.organisation not in organisations
     }
-    for team in teams:
-        model = TeamDocument.model_validate(document["teams"][team])
-        for key in build_keys(team, model):
+    for organisation in organisations:
+        model = OrganisationDocument.model_validate(
+            document["organisations"][organisation]
+        )
+        for key in build_keys(organisation, model):
             keys[key.id] = key
     return keys
 
@@ -143,14 +147,15 @@
 
 def _queue_holds(config: FleetConfig, queue: Queue) -> bool:
     return queue.pool in config.pool_by_id and all(
-        team in config.team_by_id for team in queue.teams
+        organisation in config.organisation_by_id
+        for organisation in queue.organisations
     )
 
 
-def _keys_hold(previous: FleetConfig, teams: Mapping[str, Any]) -> bool:
-    """Tell whether no key in a patch is malformed or also another team's."""
+def _keys_hold(previous: FleetConfig, organisations: Mapping[str, Any]) -> bool:
+    """Tell whether no key in a patch is malformed or also another organisation's."""
     seen: set[str] = set()
-    for team, item in teams.items():
+    for organisation, item in organisations.items():
         keys = item.get("keys") if isinstance(item, dict) else None
         if keys is None:
             continue
@@ -158,7 +163,7 @@
             return False
         for key_id in keys:
             owner = previous.key_by_id.get(key_id)
-            is_foreign = owner is not None and owner.team != team
+            is_foreign = owner is not None and owner.organisation != organisation
             if "." in key_id or not key_id or key_id in seen or is_foreign:
                 return False
             seen.add(key_id)
--- a/libs/model/src/lycheeloom/model/config_document.py
+++ b/libs/model/src/lycheeloom/model/config_document.py
@@ -29,14 +29,14 @@
 
 
 class KeyDocument(_Document):
-    """A salted hash of one team key, both in hexadecimal."""
+    """A salted hash of one organisation key, both in hexadecimal."""
 
     salt: str = Field(pattern=r"^[0-9a-f]{16,32}$")
     digest: str = Field(pattern=r"^[0-9a-f]{64}$")
 
 
-class TeamDocument(_Document):
-    """A team with its weight on a full fleet and its upper limit."""
+class OrganisationDocument(_Document):
+    """An organisation with its weight on a full fleet and its upper limit."""
 
     share: float = Field(gt=0)
     upper_limit: int = Field(ge=1, description="running tasks across the fleet")
@@ -78,7 +78,7 @@
     pool: str
     kind: QueueKind = QueueKind.INTERACTIVE
     open_to_all: bool = False
-    teams: list[str] = []
+    organisations: list[str] = []
     max_queued: int = Field(default=1000, ge=1)
     idempotent: bool = False
     answer_retention_s: int = Field(default=3600, ge=1)
@@ -93,7 +93,7 @@
     zones: dict[str, ZoneDocument] = {}
     pools: dict[str, PoolDocument] = {}
     instances: dict[str, InstanceDocument] = {}
-    teams: dict[str, TeamDocument] = {}
+    organisations: dict[str, OrganisationDocument] = {}
     queues: dict[str, QueueDocument] = {}
 
     @model_validator(mode="after")
@@ -108,9 +108,11 @@
         for name, queue in self.queues.items():
             if queue.pool not in self.pools:
                 problems.append(f"queues.{name}.pool: no pool {queue.pool!r}")
-            for team in queue.teams:
-                if team not in self.teams:
-                    problems.append(f"queues.{name}.teams: no team {team!r}")
+            for organisation in queue.organisations:
+                if organisation not in self.organisations:
+                    problems.append(
+                        f"queues.{name}.organisations: no organisation {organisation!r}"
+                    )
         problems += self._key_problems()
         if problems:
             raise ValueError("; ".join(problems))
@@ -120,12 +122,14 @@
         # Callers are told apart by the key id alone, up to its first dot.
         problems = []
         owner_by_key: dict[str, str] = {}
-        for team, document in self.teams.items():
+        for organisation, document in self.organisations.items():
             for key_id in document.keys:
-                place = f"teams.{team}.keys.{key_id}"
+                place = f"organisations.{organisation}.keys.{key_id}"
                 if "." in key_id or not key_id:
                     problems.append(f"{place}: a key id is not empty and has no dot")
-                owner = owner_by_key.setdefault(key_id, team)
-                if owner != team:
-                    problems.append(f"{place}: team {owner!r} has this key id too")
+                owner = owner_by_key.setdefault(key_id, organisation)
+                if owner != organisation:
+                    problems.append(
+                        f"{place}: organisation {owner!r} has this key id too"
+                    )
         return problems
--- a/libs/model/src/lycheeloom/model/config_parse.py
+++ b/libs/model/src/lycheeloom/model/config_parse.py
@@ -12,12 +12,12 @@
 from .config_document import (
     ConfigDocument,
     InstanceDocument,
+    OrganisationDocument,
     PoolDocument,
     QueueDocument,
-    TeamDocument,
     ZoneDocument,
 )
-from .fleet_config import FleetConfig, Instance, Key, Pool, Queue, Team, Zone
+from .fleet_config import FleetConfig, Instance, Key, Organisation, Pool, Queue, Zone
 from .resources import Resources
 
 
@@ -70,12 +70,14 @@
         instance_by_id={
             n: build_instance(n, item) for n, item in document.instances.items()
         },
-        team_by_id={n: build_team(n, item) for n, item in document.teams.items()},
+        organisation_by_id={
+            n: build_organisation(n, item) for n, item in document.organisations.items()
+        },
         queue_by_id={n: build_queue(n, item) for n, item in document.queues.items()},
         key_by_id={
             key.id: key
-            for name, team in document.teams.items()
-            for key in build_keys(name, team)
+            for name, organisation in document.organisations.items()
+            for key in build_keys(name, organisation)
         },
     )
 
@@ -108,16 +110,18 @@
     )
 
 
-def build_team(name: str, team: TeamDocument) -> Team:
-    """Return a team as used inside programs, without its keys."""
-    return Team(name, team.share, team.upper_limit)
+def build_organisation(name: str, organisation: OrganisationDocument) -> Organisation:
+    """Return an organisation as used inside programs, without its keys."""
+    return Organisation(name, organisation.share, organisation.upper_limit)
 
 
-def build_keys(team_id: str, team: TeamDocument) -> Iterator[Key]:
-    """Yield the keys of a team."""
-    for key_id, key in team.keys.items():
+def build_keys(
+    organisation_id: str, organisation: OrganisationDocument
+) -> Iterator[Key]:
+    """Yield the keys of an organisation."""
+    for key_id, key in organisation.keys.items():
         salt, digest = bytes.fromhex(key.salt), bytes.fromhex(key.digest)
-        yield Key(key_id, team_id, salt, digest)
+        yield Key(key_id, organisation_id, salt, digest)
 
 
 def build_queue(name: str, queue: QueueDocument) -> Queue:
@@ -127,7 +131,7 @@
         queue.pool,
         queue.kind,
         queue.open_to_all,
-        frozenset(queue.teams),
+        frozenset(queue.organisations),
         queue.max_queued,
         queue.idempotent,
         queue.answer_retention_s,
--- a/libs/model/src/lycheeloom/model/fleet_config.py
+++ b/libs/model/src/lycheeloom/model/fleet_config.py
@@ -11,17 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """A team key as published: only its salted hash."""
+    """An organisation key as published: only its salted hash."""
 
     id: str
-    team: str
+    organisation: str
     salt: bytes
     digest: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class Team:
-    """A team with its weight and its upper limit of running tasks."""
+class Organisation:
+    """An organisation with its weight and its upper limit of running tasks."""
 
     id: str
     share: float
@@ -69,7 +69,7 @@
     pool: str
     kind: QueueKind = QueueKind.INTERACTIVE
     open_to_all: bool = False
-    teams: frozenset[str] = frozenset()
+    organisations: frozenset[str] = frozenset()
     max_queued: int = 1000
     idempotent: bool = False
     answer_retention_s: int = 3600
@@ -86,6 +86,6 @@
     zone_by_id: Mapping[str, Zone] = field(default_factory=dict)
     pool_by_id: Mapping[str, Pool] = field(default_factory=dict)
     instance_by_id: Mapping[str, Instance] = field(default_factory=dict)
-    team_by_id: Mapping[str, Team] = field(default_factory=dict)
+    organisation_by_id: Mapping[str, Organisation] = field(default_factory=dict)
     queue_by_id: Mapping[str, Queue] = field(default_factory=dict)
     key_by_id: Mapping[str, Key] = field(default_factory=dict)
--- a/libs/model/src/lycheeloom/model/keys.py
+++ b/libs/model/src/lycheeloom/model/keys.py
@@ -1,4 +1,4 @@
-"""Team keys: creation, salted hashing and checking.
+"""Organisation keys: creation, salted hashing and checking.
 
 A key is ``<key id>.<secret>``. The secret has 256 random bits, so one round of
 a keyed hash is enough; slow password hashing would cost each entry more
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -113,17 +113,17 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantRequested:
-    """The author asks for up to ``count`` more running slots of a team."""
+    """The author asks for up to ``count`` more running slots of an organisation."""
 
-    team: str
+    organisation: str
     count: int
 
 
 @dataclass(frozen=True, slots=True)
 class GrantReturned:
-    """The author gives back ``count`` running slots of a team."""
+    """The author gives back ``count`` running slots of an organisation."""
 
-    team: str
+    organisation: str
     count: int
 
 
@@ -132,7 +132,7 @@
     """A request that must survive the loss of every entry."""
 
     request_id: str
-    team: str
+    organisation: str
     queue: str
     payload: bytes
     idempotent: bool = False
--- a/libs/model/src/lycheeloom/model/status.py
+++ b/libs/model/src/lycheeloom/model/status.py
@@ -45,8 +45,8 @@
     program_version: str = ""
 
 
-class TeamStatus(_Status):
-    """Usage of one team against its share and its upper limit."""
+class OrganisationStatus(_Status):
+    """Usage of one organisation against its share and its upper limit."""
 
     running: int = Field(default=0, description="running tasks across the fleet")
     queued: int = Field(default=0, description="waiting requests across the fleet")
@@ -129,7 +129,7 @@
     )
     next_offset: int = Field(default=0, description="next offset to be replayed")
     members: list[MemberStatus] = []
-    teams: dict[str, TeamStatus] = {}
+    organisations: dict[str, OrganisationStatus] = {}
     queues: dict[str, QueueStatus] = {}
     zones: dict[str, ZoneStatus] = {}
     pools: dict[str, PoolStatus] = {}
--- a/libs/model/src/lycheeloom/model/verdict.py
+++ b/libs/model/src/lycheeloom/model/verdict.py
@@ -14,7 +14,7 @@
     UNKNOWN_QUEUE = "unknown_queue"
     KEY_MISSING = "key_missing"
     KEY_REJECTED = "key_rejected"
-    TEAM_NOT_ALLOWED = "team_not_allowed"
+    ORGANISATION_NOT_ALLOWED = "organisation_not_allowed"
     IDEMPOTENCY_CONFLICT = "idempotency_conflict"
     NEVER_FITS = "never_fits"
     QUEUE_FULL = "queue_full"
--- a/libs/model/tests/test_config_change.py
+++ b/libs/model/tests/test_config_change.py
@@ -26,11 +26,11 @@
             "memory_mb": 1,
         }
     },
-    "teams": {
+    "organisations": {
         "t1": {"share": 1, "upper_limit": 1, "keys": {"k1": KEY}},
         "t2": {"share": 2, "upper_limit": 2},
     },
-    "queues": {"q1": {"pool": "p1", "teams": ["t1"]}},
+    "queues": {"q1": {"pool": "p1", "organisations": ["t1"]}},
 }
 names = st.sampled_from(["z1", "p1", "p2", "t1", "t2", "w1", "w2", "q1", "new"])
 key_ids = st.sampled_from(["k1", "k2", "a.b", ""])
@@ -45,14 +45,23 @@
     ),
     st.dictionaries(
         st.sampled_from(
-            ["pool", "zone", "share", "upper_limit", "teams", "state", "needed", "keys"]
+            [
+                "pool",
+                "zone",
+                "share",
+                "upper_limit",
+                "organisations",
+                "state",
+                "needed",
+                "keys",
+            ]
         ),
         values,
         max_size=2,
     ),
 )
 patches = st.dictionaries(
-    st.sampled_from(["zones", "pools", "instances", "teams", "queues", "name"]),
+    st.sampled_from(["zones", "pools", "instances", "organisations", "queues", "name"]),
     st.one_of(st.dictionaries(names, items, max_size=3), values),
     max_size=3,
 )
@@ -70,15 +79,15 @@
 @pytest.mark.parametrize(
     "patch",
     [
-        {"teams": {"t2": {"keys": {"k1": KEY}}}},
-        {"teams": {"t1": {"keys": {"k9": KEY}}, "t2": {"keys": {"k9": KEY}}}},
+        {"organisations": {"t2": {"keys": {"k1": KEY}}}},
+        {"organisations": {"t1": {"keys": {"k9": KEY}}, "t2": {"keys": {"k9": KEY}}}},
         {"queues": {"q1": {"pool": "absent"}}},
         {"instances": {"w1": {"zone": "absent"}}},
         {"pools": {"p1": None}},
     ],
 )
 def test_mistakes_are_found_by_the_short_way_too(patch):
-    """A key of two teams or an unknown name must not slip into force."""
+    """A key of two organisations or an unknown name must not slip into force."""
     previous = parse_config(BASE, 1)
     result = change_config(previous, merge_patch(BASE, patch), patch, 2)
     assert isinstance(result, ConfigError)
@@ -87,7 +96,7 @@
 def test_change_shares_what_it_did_not_touch():
     """A change of one key must not index all instances again."""
     previous = parse_config(BASE, 1)
-    patch = {"teams": {"t1": {"keys": {"k1": None}}}}
+    patch = {"organisations": {"t1": {"keys": {"k1": None}}}}
     changed = change_config(previous, merge_patch(BASE, patch), patch, 2)
     assert isinstance(changed, FleetConfig)
     assert changed.instance_by_id is previous.instance_by_id
--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lycheeloom.model.records import Batch, Record
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefusal,
     AppendRefused,
     AppendUnknown,
 )
+from lycheeloom.model.records import Batch, Record
 from lycheeloom.wire import encode_batch
 
 from .log_view import BatchOutcome, Log, LogView
--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -59,15 +59,18 @@
     report = _change(
         operator,
         args,
-        lambda draft: made.append(draft.grant_key(args.team, args.id)),
-        {join_key("teams", args.team, "keys"): "--id", "teams": "TEAM"},
+        lambda draft: made.append(draft.grant_key(args.organisation, args.id)),
+        {
+            join_key("organisations", args.organisation, "keys"): "--id",
+            "organisations": "ORGANISATION",
+        },
     )
     key = made[-1] if made else None
     shown = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.UNKNOWN)
     if key is None or report.code not in shown:
         return report
     lines = (
-        f"Key {key.id} of the team {args.team}, shown only now:",
+        f"Key {key.id} of the organisation {args.organisation}, shown only now:",
         f"  {key.token}",
     )
     return Report(lines, {"key": key.id, "token": key.token}) + report
@@ -76,7 +79,10 @@
 def withdraw_key(operator: Operator, args: argparse.Namespace) -> Report:
     """Withdraw a key."""
     return _change(
-        operator, args, lambda draft: draft.withdraw_key(args.key), {"teams": "KEY"}
+        operator,
+        args,
+        lambda draft: draft.withdraw_key(args.key),
+        {"organisations": "KEY"},
     )
 
 
--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -13,7 +13,7 @@
 VERSION = "0.1.0"
 # The kind that needs no name.
 FLEET_KIND = "fleet"
-EXPLAINED_KINDS = ("request", "instance", "pool", "team", FLEET_KIND)
+EXPLAINED_KINDS = ("request", "instance", "pool", "organisation", FLEET_KIND)
 DEFAULT_DRAIN_S = 60.0
 DEFAULT_REBOOT_S = 300.0
 DEFAULT_INTERVAL_S = 2.0
@@ -145,15 +145,15 @@
 
 
 def _add_key(groups: _Subparsers) -> None:
-    parsers = _group(groups, "key", "keys of teams")
+    parsers = _group(groups, "key", "keys of organisations")
     grant = _leaf(
         parsers,
         "key grant",
-        "make a key for a team and show it once",
+        "make a key for an organisation and show it once",
         "lycheeloom key grant red",
         "lycheeloom key grant red --id red-laptop",
     )
-    grant.add_argument("team", metavar="TEAM")
+    grant.add_argument("organisation", metavar="ORGANISATION")
     grant.add_argument("--id", default="", metavar="KEY", help="name of the key")
     withdraw = _leaf(
         parsers,
@@ -249,7 +249,8 @@
     _leaf(
         groups,
         "status",
-        "show teams against shares and limits, queues, zones, pools and entries",
+        "show organisations against shares and limits, queues, zones, pools and "
+        "entries",
         "lycheeloom status",
         "lycheeloom status --json",
     )
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -127,7 +127,7 @@
 
 def _is_table(path: tuple[str, ...]) -> bool:
     """Tell whether the entries below a path are compared one by one."""
-    return len(path) == 1 or (path[0] == "teams" and path[2:] == ("keys",))
+    return len(path) == 1 or (path[0] == "organisations" and path[2:] == ("keys",))
 
 
 def _same(first: Any, second: Any) -> bool:
@@ -142,7 +142,7 @@
     noun = f"{NOUN_BY_SECTION[section].capitalize()} {path[1]}"
     if len(path) == 2:
         return noun
-    if section == "teams" and path[2] == "keys" and len(path) == 4:
+    if section == "organisations" and path[2] == "keys" and len(path) == 4:
         return f"{noun}: key {path[3]}"
     return f"{noun}: {join_key(*path[2:])}"
 
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -56,9 +56,9 @@
         """Add a worker instance; settings as in ``InstanceDocument``."""
         self._add("instances", name, settings)
 
-    def add_team(self, name: str, **settings: Any) -> None:
-        """Add a team; settings as in ``TeamDocument``."""
-        self._add("teams", name, settings)
+    def add_organisation(self, name: str, **settings: Any) -> None:
+        """Add an organisation; settings as in ``OrganisationDocument``."""
+        self._add("organisations", name, settings)
 
     def add_queue(self, name: str, **settings: Any) -> None:
         """Add a queue; settings as in ``QueueDocument``."""
@@ -75,13 +75,13 @@
         if self._entry(section, name) is not None:
             del self.document[section][name]
 
-    def set_share(self, team: str, share: float) -> None:
-        """Set how many parts of a full fleet a team gets."""
-        self.change("teams", team, share=share)
+    def set_share(self, organisation: str, share: float) -> None:
+        """Set how many parts of a full fleet an organisation gets."""
+        self.change("organisations", organisation, share=share)
 
-    def set_limit(self, team: str, upper_limit: int) -> None:
-        """Set how many tasks of a team run at once across the fleet."""
-        self.change("teams", team, upper_limit=upper_limit)
+    def set_limit(self, organisation: str, upper_limit: int) -> None:
+        """Set how many tasks of an organisation run at once across the fleet."""
+        self.change("organisations", organisation, upper_limit=upper_limit)
 
     def take_zone_out(self, zone: str) -> None:
         """Let no task start in an availability zone."""
@@ -98,16 +98,16 @@
         if is_known and entry is not None:
             entry["pool"] = pool
 
-    def grant_key(self, team: str, key_id: str = "") -> NewKey | None:
-        """Add a key to a team; its token exists nowhere else and is shown once."""
-        entry = self._entry("teams", team)
+    def grant_key(self, organisation: str, key_id: str = "") -> NewKey | None:
+        """Add a key to an organisation; its token is shown this once."""
+        entry = self._entry("organisations", organisation)
         if entry is None:
             return None
-        key = create_key(key_id or f"{team}-{secrets.token_hex(KEY_ID_BYTES)}")
-        place = join_key("teams", team, "keys", key.id)
+        key = create_key(key_id or f"{organisation}-{secrets.token_hex(KEY_ID_BYTES)}")
+        place = join_key("organisations", organisation, "keys", key.id)
         owner = self._owner_of_key(key.id)
         if owner is not None:
-            wrong = f'is a key of the team "{owner}" already'
+            wrong = f'is a key of the organisation "{owner}" already'
             self._report(place, wrong, "a key name that is not in use")
             return None
         entry.setdefault("keys", {})[key.id] = key.document.model_dump()
@@ -119,13 +119,15 @@
         if owner is None:
             known = [
                 name
-                for team in self.document.get("teams", {}).values()
-                for name in team.get("keys", {})
+                for organisation in self.document.get("organisations", {}).values()
+                for name in organisation.get("keys", {})
             ]
             wrong = f'there is no key "{key_id}"{near_match(key_id, known)}'
-            self._report("teams", wrong, "the name of a key of some team")
+            self._report(
+                "organisations", wrong, "the name of a key of some organisation"
+            )
             return
-        del self.document["teams"][owner]["keys"][key_id]
+        del self.document["organisations"][owner]["keys"][key_id]
 
     def check(self, usage: Usage = NO_USAGE) -> list[Problem]:
         """Return all mistakes of the draft in one go."""
@@ -156,9 +158,9 @@
         return None
 
     def _owner_of_key(self, key_id: str) -> str | None:
-        for team, entry in self.document.get("teams", {}).items():
+        for organisation, entry in self.document.get("organisations", {}).items():
             if key_id in entry.get("keys", {}):
-                return team
+                return organisation
         return None
 
     def _report(self, key: str, wrong: str, allowed: str) -> None:
--- a/libs/operator/src/lycheeloom/operator/entries.py
+++ b/libs/operator/src/lycheeloom/operator/entries.py
@@ -12,8 +12,8 @@
 
 from pydantic import ValidationError
 
+from lycheeloom.clients import Transport
 from lycheeloom.model.status import StatusDocument
-from lycheeloom.platform import Transport
 
 ENTRY_TIMEOUT_S = 2.0
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -86,7 +86,7 @@
     def explain(
         self, kind: str, name: str
     ) -> Explanation | UnknownThing | EntryUnavailable:
-        """Return the sentences that explain a request, instance, pool or team."""
+        """Return sentences that explain a request, instance, pool or organisation."""
         path = f"/v1/explain/{quote(kind, safe='')}/{quote(name, safe='')}"
         answer = self._call("GET", path)
         if isinstance(answer, EntryUnavailable):
--- a/libs/operator/src/lycheeloom/operator/field_checks.py
+++ b/libs/operator/src/lycheeloom/operator/field_checks.py
@@ -11,7 +11,7 @@
 from pydantic import ValidationError
 
 from .meanings import MEANING_BY_FIELD, MODEL_BY_SECTION, NOUN_BY_SECTION
-from .problems import Problem, join_key, near_match, show
+from .problems import Problem, join_key, near_match, show, with_article
 from .toml_writer import SECTIONS
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -72,7 +72,7 @@
     yield from _check_values(section, path, entry, file)
     if section == "instances" and isinstance(entry.get("address"), str):
         yield from _check_address(path, entry["address"], file)
-    keys = entry.get("keys") if section == "teams" else None
+    keys = entry.get("keys") if section == "organisations" else None
     if isinstance(keys, Mapping):
         old = _mapping(in_force.get("keys"))
         for key_id, key in keys.items():
@@ -85,7 +85,7 @@
     pattern, rule = (_KEY_ID, KEY_ID_RULE) if section == "keys" else (_NAME, NAME_RULE)
     if not pattern.fullmatch(name):
         noun = NOUN_BY_SECTION[section]
-        wrong = f"{show(name)} cannot be the name of a {noun}"
+        wrong = f"{show(name)} cannot be the name of {with_article(noun)}"
         yield Problem(file, join_key(*path), wrong, rule)
 
 
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -7,9 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from lycheeloom.log import SnapshotReader
-from lycheeloom.model.records import Batch
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefused,
     AppendUnknown,
@@ -17,6 +15,8 @@
     ReadBatches,
     Unavailable,
 )
+from lycheeloom.log import SnapshotReader
+from lycheeloom.model.records import Batch
 from lycheeloom.state import FleetState
 from lycheeloom.wire import decode_batch
 
@@ -30,7 +30,7 @@
 
 
 class Log(Protocol):
-    """What the operator library needs of ``lycheeloom.platform.LogClient``."""
+    """What the operator library needs of ``lycheeloom.clients.LogClient``."""
 
     address: str
 
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable, Sequence
 
-from lycheeloom.platform import LogClient
+from lycheeloom.clients import LogClient
 
 from . import changing_commands as changing
 from . import reading_commands as reading
--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -15,9 +15,9 @@
 from lycheeloom.model.config import (
     InstanceDocument,
     KeyDocument,
+    OrganisationDocument,
     PoolDocument,
     QueueDocument,
-    TeamDocument,
     ZoneDocument,
 )
 
@@ -51,7 +51,7 @@
     "zones": ZoneDocument,
     "pools": PoolDocument,
     "instances": InstanceDocument,
-    "teams": TeamDocument,
+    "organisations": OrganisationDocument,
     "keys": KeyDocument,
     "queues": QueueDocument,
 }
@@ -59,7 +59,7 @@
     "zones": "zone",
     "pools": "pool",
     "instances": "instance",
-    "teams": "team",
+    "organisations": "organisation",
     "keys": "key",
     "queues": "queue",
 }
@@ -127,15 +127,16 @@
             WHOLE_FROM_0, "Accelerators of this instance: {value}."
         ),
     },
-    "teams": {
+    "organisations": {
         "share": Meaning(
             ABOVE_0,
-            "When the fleet is full, this team gets {value} parts of it, compared "
-            "with the parts of the other teams that have work.",
+            "When the fleet is full, this organisation gets {value} parts of it, "
+            "compared "
+            "with the parts of the other organisations that have work.",
         ),
         "upper_limit": Meaning(
             WHOLE_FROM_1,
-            "At most {value} of the tasks of this team run at the same time, "
+            "At most {value} of the tasks of this organisation run at the same time, "
             "counted across the whole fleet.",
         ),
         "keys": Meaning(
@@ -168,13 +169,16 @@
             YES_NO,
             sentence_by_value={
                 True: "Every caller may use this queue; work without a key is charged "
-                "to the one team named here.",
-                False: "Only the teams named here may use this queue, with their keys.",
+                "to the one organisation named here.",
+                False: (
+                    "Only the organisations named here may use this queue, with "
+                    "their keys."
+                ),
             },
         ),
-        "teams": Meaning(
-            "a list of names of teams under [teams], each once",
-            "These teams may use this queue.",
+        "organisations": Meaning(
+            "a list of names of organisations under [organisations], each once",
+            "These organisations may use this queue.",
         ),
         "max_queued": Meaning(
             WHOLE_FROM_1,
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
+from lycheeloom.clients import Unavailable
 from lycheeloom.model.records import ConfigChanged, WaveCommand, WaveState
 from lycheeloom.model.status import StatusDocument
-from lycheeloom.platform import Unavailable
 
 from .appending import Accepted, Appender, Clock
 from .checks import check_document
@@ -111,8 +111,8 @@
         for status in self._entries.statuses().values():
             if not isinstance(status, StatusDocument):
                 continue
-            for team, item in status.teams.items():
-                running[team] = max(running.get(team, 0), item.running)
+            for organisation, item in status.organisations.items():
+                running[organisation] = max(running.get(organisation, 0), item.running)
         maintenance = self._view.state.maintenance
         targets = {
             instance: move.to_pool
--- a/libs/operator/src/lycheeloom/operator/problems.py
+++ b/libs/operator/src/lycheeloom/operator/problems.py
@@ -21,8 +21,8 @@
 class Problem:
     """What is wrong with one key of one file, and what is allowed there.
 
-    ``str(Problem("a.toml", "teams.red.share", "is 0", "a number above 0"))``
-    gives ``a.toml: teams.red.share: is 0; allowed: a number above 0``.
+    ``str(Problem("a.toml", "organisations.red.share", "is 0", "a number above 0"))``
+    gives ``a.toml: organisations.red.share: is 0; allowed: a number above 0``.
     """
 
     file: str
@@ -65,3 +65,8 @@
         part if part.replace("-", "").replace("_", "").isalnum() else json.dumps(part)
         for part in parts
     )
+
+
+def with_article(noun: str) -> str:
+    """Return a noun with its article: ``with_article("entry")`` is "an entry"."""
+    return f"{'an' if noun[0] in 'aeiou' else 'a'} {noun}"
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -7,14 +7,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .problems import Problem, Severity, join_key, near_match, show
+from .problems import Problem, Severity, join_key, near_match, show, with_article
 
 
 @dataclass(frozen=True, slots=True)
 class Usage:
     """What the fleet does now, as far as checks need it."""
 
-    running_by_team: Mapping[str, int] = field(default_factory=dict)
+    running_by_organisation: Mapping[str, int] = field(default_factory=dict)
     pool_by_instance: Mapping[str, str] = field(default_factory=dict)
     target_pool_by_instance: Mapping[str, str] = field(default_factory=dict)
 
@@ -26,7 +26,7 @@
     zones: Mapping[str, Mapping[str, Any]]
     pools: Mapping[str, Mapping[str, Any]]
     instances: Mapping[str, Mapping[str, Any]]
-    teams: Mapping[str, Mapping[str, Any]]
+    organisations: Mapping[str, Mapping[str, Any]]
     queues: Mapping[str, Mapping[str, Any]]
 
     @classmethod
@@ -35,7 +35,13 @@
         return cls(
             *(
                 _tables(document.get(section))
-                for section in ("zones", "pools", "instances", "teams", "queues")
+                for section in (
+                    "zones",
+                    "pools",
+                    "instances",
+                    "organisations",
+                    "queues",
+                )
             )
         )
 
@@ -106,23 +112,31 @@
     for name, queue in parts.queues.items():
         key = join_key("queues", name, "pool")
         yield from _check_name(file, key, "pool", queue.get("pool"), parts.pools)
-        teams = queue.get("teams", [])
-        if not isinstance(teams, list):
+        organisations = queue.get("organisations", [])
+        if not isinstance(organisations, list):
             continue
-        key = join_key("queues", name, "teams")
-        names = [team for team in teams if isinstance(team, str)]
-        for team, count in Counter(names).items():
+        key = join_key("queues", name, "organisations")
+        names = [
+            organisation
+            for organisation in organisations
+            if isinstance(organisation, str)
+        ]
+        for organisation, count in Counter(names).items():
             if count > 1:
-                wrong = f'names the team "{team}" {count} times'
-                yield Problem(file, key, wrong, "each team once")
-            yield from _check_name(file, key, "team", team, parts.teams)
+                wrong = f'names the organisation "{organisation}" {count} times'
+                yield Problem(file, key, wrong, "each organisation once")
+            yield from _check_name(
+                file, key, "organisation", organisation, parts.organisations
+            )
         if queue.get("open_to_all") is True:
             # What is no name at all is reported as a mistake of the field.
-            if len(names) == len(teams):
+            if len(names) == len(organisations):
                 yield from _check_open_queue(file, key, len(set(names)))
-        elif not teams:
-            wrong = "names no team, so nobody can use this queue"
-            yield Problem(file, key, wrong, "at least one team", Severity.WARNING)
+        elif not organisations:
+            wrong = "names no organisation, so nobody can use this queue"
+            yield Problem(
+                file, key, wrong, "at least one organisation", Severity.WARNING
+            )
         hedges = queue.get("hedge_budget_percent", 0)
         is_number = _is_count(hedges) or isinstance(hedges, float)
         if is_number and hedges > 0 and queue.get("idempotent") is not True:
@@ -132,18 +146,19 @@
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
 
 
-def _check_open_queue(file: str, key: str, teams: int) -> Iterator[Problem]:
-    """Demand one team for a queue that is open to all.
+def _check_open_queue(file: str, key: str, organisations: int) -> Iterator[Problem]:
+    """Demand one organisation for a queue that is open to all.
 
-    Entries charge work that comes without a key to that team.
+    Entries charge work that comes without a key to that organisation.
     """
-    if teams == 1:
+    if organisations == 1:
         return
     wrong = (
-        f"names {teams} teams, but work without a key on a queue that is open to all "
-        "is charged to the one team named here"
+        f"names {organisations} organisations, but work without a key on a queue "
+        f"that is open to all "
+        "is charged to the one organisation named here"
     )
-    yield Problem(file, key, wrong, "exactly one team, or open_to_all = false")
+    yield Problem(file, key, wrong, "exactly one organisation, or open_to_all = false")
 
 
 def _check_name(
@@ -152,19 +167,21 @@
     if not isinstance(name, str) or name in known:
         return
     wrong = f'names the {noun} "{name}", which is not defined{near_match(name, known)}'
-    yield Problem(file, key, wrong, f"the name of a {noun} under [{noun}s]")
+    yield Problem(file, key, wrong, f"the name of {with_article(noun)} under [{noun}s]")
 
 
 def _check_keys(parts: Parts, file: str) -> Iterator[Problem]:
     owner_by_key: dict[str, str] = {}
-    for team, entry in parts.teams.items():
+    for organisation, entry in parts.organisations.items():
         keys = entry.get("keys")
         for key_id in keys if isinstance(keys, Mapping) else ():
-            owner = owner_by_key.setdefault(key_id, team)
-            if owner != team:
-                wrong = f'is a key of the team "{owner}" too'
-                key = join_key("teams", team, "keys", key_id)
-                yield Problem(file, key, wrong, "key names used by one team only")
+            owner = owner_by_key.setdefault(key_id, organisation)
+            if owner != organisation:
+                wrong = f'is a key of the organisation "{owner}" too'
+                key = join_key("organisations", organisation, "keys", key_id)
+                yield Problem(
+                    file, key, wrong, "key names used by one organisation only"
+                )
 
 
 def _check_pools(parts: Parts, file: str) -> Iterator[Problem]:
@@ -195,19 +212,19 @@
 
 
 def _check_usage(parts: Parts, usage: Usage, file: str) -> Iterator[Problem]:
-    for team, running in usage.running_by_team.items():
-        limit = parts.teams.get(team, {}).get("upper_limit")
+    for organisation, running in usage.running_by_organisation.items():
+        limit = parts.organisations.get(organisation, {}).get("upper_limit")
         if _is_count(limit) and 0 < limit < running:
-            wrong = f"is {limit}, but {running} tasks of this team are running"
+            wrong = f"is {limit}, but {running} tasks of this organisation are running"
             allowed = (
                 f"{running} or more; a lower limit starts no task until enough end"
             )
-            key = join_key("teams", team, "upper_limit")
+            key = join_key("organisations", organisation, "upper_limit")
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
-        if running and team not in parts.teams:
-            wrong = f"is removed, but {running} tasks of this team are running"
-            key = join_key("teams", team)
-            allowed = "to remove a team when none of its tasks run"
+        if running and organisation not in parts.organisations:
+            wrong = f"is removed, but {running} tasks of this organisation are running"
+            key = join_key("organisations", organisation)
+            allowed = "to remove an organisation when none of its tasks run"
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
     for instance in parts.instances:
         for pool in (
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -11,7 +11,7 @@
 # Leaves room for the author and the encoding of the batch.
 MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
 # Whatever is referred to is added first and removed last.
-_ADDED_IN_ORDER = ("zones", "pools", "teams", "instances", "queues")
+_ADDED_IN_ORDER = ("zones", "pools", "organisations", "instances", "queues")
 
 
 def patch_text(patch: Mapping[str, Any]) -> str:
--- a/libs/operator/src/lycheeloom/operator/status_text.py
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -64,7 +64,7 @@
 
 
 def _fleet_tables(status: StatusDocument) -> Iterator[tuple[str, Rows]]:
-    yield "Teams", _team_rows(status)
+    yield "Organisations", _organisation_rows(status)
     yield "Queues", _queue_rows(status)
     yield "Zones", _zone_rows(status)
     yield "Pools", _pool_rows(status)
@@ -72,20 +72,29 @@
         yield "Maintenance waves", wave_rows(status.waves)
 
 
-def _team_rows(status: StatusDocument) -> Rows:
-    headers = ("team", "running", "limit", "granted", "queued", "share", "uses", "due")
+def _organisation_rows(status: StatusDocument) -> Rows:
+    headers = (
+        "organisation",
+        "running",
+        "limit",
+        "granted",
+        "queued",
+        "share",
+        "uses",
+        "due",
+    )
     return headers, [
         (
             name,
-            team.running,
-            team.upper_limit,
-            team.granted,
-            team.queued,
-            team.share,
-            f"{team.dominant_share:.1%}",
-            f"{team.entitlement:.1%}",
+            organisation.running,
+            organisation.upper_limit,
+            organisation.granted,
+            organisation.queued,
+            organisation.share,
+            f"{organisation.dominant_share:.1%}",
+            f"{organisation.entitlement:.1%}",
         )
-        for name, team in status.teams.items()
+        for name, organisation in status.organisations.items()
     ]
 
 
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -11,7 +11,7 @@
 from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION, default_of
 from .toml_reader import VERSION_KEY
 
-SECTIONS = ("zones", "pools", "teams", "queues", "instances")
+SECTIONS = ("zones", "pools", "organisations", "queues", "instances")
 PRINTED_FROM = "It can be published while this version is in force."
 UNKNOWN_FIELD = "Unknown to this program version; kept as it is."
 
@@ -86,7 +86,7 @@
         if name not in meanings:
             yield f"{_key(name)} = {_value(value)}  # {UNKNOWN_FIELD}"
     yield from _defaults(section, entry)
-    if section == "teams" and "keys" in entry:
+    if section == "organisations" and "keys" in entry:
         yield from _keys(path, entry["keys"])
 
 
@@ -104,7 +104,7 @@
 
 def _keys(path: tuple[str, ...], keys: Mapping[str, Any]) -> Iterator[str]:
     yield f"[{'.'.join(_key(part) for part in (*path, 'keys'))}]"
-    yield f"# {MEANING_BY_FIELD['teams']['keys'].explain(None)}"
+    yield f"# {MEANING_BY_FIELD['organisations']['keys'].explain(None)}"
     for key_id, entry in keys.items():
         yield f"{_key(key_id)} = {_value(entry)}"
 
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -7,9 +7,7 @@
 
 import pytest
 
-from lycheeloom.model.status import StatusDocument
-from lycheeloom.operator import Clock, Entries, EntryUnavailable, Operator
-from lycheeloom.platform import (
+from lycheeloom.clients import (
     Appended,
     AppendRefusal,
     AppendRefused,
@@ -18,6 +16,8 @@
     ReadBatches,
     Unavailable,
 )
+from lycheeloom.model.status import StatusDocument
+from lycheeloom.operator import Clock, Entries, EntryUnavailable, Operator
 from lycheeloom.state import FleetState
 from lycheeloom.wire import decode_batch
 
@@ -78,8 +78,9 @@
     def __init__(self, address, running=None, reachable=True):
         self.address = address
         self.state = FleetState()
-        self.teams = {
-            team: {"running": count} for team, count in (running or {}).items()
+        self.organisations = {
+            organisation: {"running": count}
+            for organisation, count in (running or {}).items()
         }
         self.reachable = reachable
         self.waves = {}
@@ -89,7 +90,10 @@
             return EntryUnavailable("no answer in time")
         version = self.state.configuration.version
         return StatusDocument(
-            config_version=version, fresh=True, teams=self.teams, waves=self.waves
+            config_version=version,
+            fresh=True,
+            organisations=self.organisations,
+            waves=self.waves,
         )
 
     def hand_over(self, offset, batches):
@@ -132,11 +136,11 @@
         "zones": {"north": {}, "south": {}},
         "pools": {"lookup": {"needed": 2}, "general": {"spare": True}},
         "instances": instances,
-        "teams": {
+        "organisations": {
             "red": {"share": 2, "upper_limit": 10, "keys": {}},
             "blue": {"share": 1, "upper_limit": 5},
         },
-        "queues": {"find": {"pool": "lookup", "teams": ["red", "blue"]}},
+        "queues": {"find": {"pool": "lookup", "organisations": ["red", "blue"]}},
     }
 
 
--- a/libs/operator/tests/test_alerts.py
+++ b/libs/operator/tests/test_alerts.py
@@ -123,7 +123,7 @@
         "lycheeloom_entry_fres == 0",
         "max(lycheeloom_config_version) - lycheeloom_config_version > 0",
         'lycheeloom_members{stat="silent"} > 0',
-        "max by (team) (lycheeloom_members) > 0",
+        "max by (organisation) (lycheeloom_members) > 0",
         "max(lycheeloom_members > 0",
     ],
 )
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -58,11 +58,11 @@
     path.write_text(text.replace("upper_limit = 10", "upper_limit = 12"))
     assert run("config", "diff", str(path), "--exit-code") == (
         8,
-        "Team red: upper_limit changes from 10 to 12\n",
+        "Organisation red: upper_limit changes from 10 to 12\n",
     )
     assert run("config", "publish", str(path)) == (
         0,
-        "Team red: upper_limit changes from 10 to 12\n"
+        "Organisation red: upper_limit changes from 10 to 12\n"
         "Published as version 2.\n"
         "Version 2 is in force on every entry.\n",
     )
@@ -71,7 +71,7 @@
     assert text.startswith(
         "Nothing was changed: version 1 was expected, but version 2 is in force.\n"
         "Version 2 by aoife:\n"
-        "  Team red: upper_limit changes from 10 to 12\n"
+        "  Organisation red: upper_limit changes from 10 to 12\n"
     )
 
 
@@ -185,14 +185,16 @@
         (
             ["key", "grant", "rde"],
             [
-                'TEAM: there is no team "rde" (did you mean "red"?); allowed: '
-                "the name of a team under [teams]"
+                'ORGANISATION: there is no organisation "rde" (did you mean '
+                '"red"?); allowed: '
+                "the name of an organisation under [organisations]"
             ],
         ),
         (
             ["key", "grant", "blue", "--id", "red-1"],
             [
-                '--id: is a key of the team "red" already; allowed: a key name that '
+                '--id: is a key of the organisation "red" already; allowed: a key '
+                "name that "
                 "is not in use"
             ],
         ),
@@ -200,7 +202,7 @@
             ["key", "withdraw", "rde-1"],
             [
                 'KEY: there is no key "rde-1" (did you mean "red-1"?); allowed: '
-                "the name of a key of some team"
+                "the name of a key of some organisation"
             ],
         ),
     ],
@@ -242,7 +244,10 @@
     code, text = run("status")
     assert code == 0
     assert "Fleet fleet, configuration version 1" in text
-    assert run("watch", "--count", "2", "--interval-s", "0.01")[1].count("Teams") == 2
+    assert (
+        run("watch", "--count", "2", "--interval-s", "0.01")[1].count("Organisations")
+        == 2
+    )
     entry.explain = lambda kind, name: Explanation((f"The {kind} {name} is full.",))
     assert run("explain", "pool", "lookup") == (0, "The pool lookup is full.\n")
     entry.explain = lambda kind, name: UnknownThing()
@@ -350,10 +355,10 @@
 
 def test_a_granted_key_is_named(run, fleet, make_operator, entry):
     """Guards against a history that does not tell which key was granted."""
-    del fleet["teams"]["red"]["keys"]
+    del fleet["organisations"]["red"]["keys"]
     assert isinstance(make_operator("brendan", entry).publish(fleet, 0), Published)
     text = run("key", "grant", "red", "--id", "red-laptop")[1]
-    assert "Team red: key red-laptop is added: a salted hash" in text
+    assert "Organisation red: key red-laptop is added: a salted hash" in text
 
 
 @pytest.mark.parametrize(
--- a/libs/operator/tests/test_differences.py
+++ b/libs/operator/tests/test_differences.py
@@ -41,8 +41,13 @@
             'Zone a: state stays "in", which is the default',
         ),
         ("instances", {}, {"rack": "r1"}, 'Instance a: rack is added: "r1"'),
-        ("teams", {}, KEYED, "Team a: key red-1 is added: a salted hash"),
-        ("teams", KEYED, {"keys": {}}, "Team a: key red-1 is removed"),
+        (
+            "organisations",
+            {},
+            KEYED,
+            "Organisation a: key red-1 is added: a salted hash",
+        ),
+        ("organisations", KEYED, {"keys": {}}, "Organisation a: key red-1 is removed"),
     ],
 )
 def test_sentence(section, before, after, sentence):
--- a/libs/operator/tests/test_docs.py
+++ b/libs/operator/tests/test_docs.py
@@ -100,7 +100,7 @@
         "zones": 3,
         "pools": 5,
         "instances": 30,
-        "teams": 6,
+        "organisations": 6,
         "queues": 6,
     }
     pools = [item["pool"] for item in document["instances"].values()]
