--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -21,71 +21,93 @@
 FROM_0 = "a whole number, 0 or more"
 FROM_1 = "a whole number, 1 or more"
 NAME = "1 to 63 letters, digits, dots, hyphens or underscores, first no sign"
-ONE_TEAM = (
-    "but work without a key on a queue that is open to all is charged to the one team "
-    "named here; allowed: exactly one team, or open_to_all = false"
+ONE_ORGANISATION = (
+    "but work without a key on a queue that is open to all is charged to the one "
+    "organisation "
+    "named here; allowed: exactly one organisation, or open_to_all = false"
 )
 
 # A merge patch on a configuration without mistakes, and the message it causes.
 BAD_CONFIGURATIONS = [
-    ({"teams": {"red": {"share": 0}}}, f"teams.red.share: is 0; allowed: {ABOVE_0}"),
-    ({"teams": {"red": {"share": -1}}}, f"teams.red.share: is -1; allowed: {ABOVE_0}"),
     (
-        {"teams": {"red": {"share": float("inf")}}},
-        f"teams.red.share: is inf; allowed: {ABOVE_0}",
+        {"organisations": {"red": {"share": 0}}},
+        f"organisations.red.share: is 0; allowed: {ABOVE_0}",
     ),
     (
-        {"teams": {"red": {"share": "2"}}},
-        f'teams.red.share: is "2"; allowed: {ABOVE_0}',
+        {"organisations": {"red": {"share": -1}}},
+        f"organisations.red.share: is -1; allowed: {ABOVE_0}",
     ),
     (
-        {"teams": {"red": {"share": None}}},
-        f"teams.red.share: is missing; allowed: {ABOVE_0}",
+        {"organisations": {"red": {"share": float("inf")}}},
+        f"organisations.red.share: is inf; allowed: {ABOVE_0}",
     ),
     (
-        {"teams": {"red": {"upper_limit": 0}}},
-        f"teams.red.upper_limit: is 0; allowed: {FROM_1}",
+        {"organisations": {"red": {"share": "2"}}},
+        f'organisations.red.share: is "2"; allowed: {ABOVE_0}',
     ),
     (
-        {"teams": {"red": {"upper_limit": 2.5}}},
-        f"teams.red.upper_limit: is 2.5; allowed: {FROM_1}",
+        {"organisations": {"red": {"share": None}}},
+        f"organisations.red.share: is missing; allowed: {ABOVE_0}",
     ),
     (
-        {"teams": {"red": {"upper_limit": 7}}},
-        "teams.red.upper_limit: is 7, but 8 tasks of this team are running; "
+        {"organisations": {"red": {"upper_limit": 0}}},
+        f"organisations.red.upper_limit: is 0; allowed: {FROM_1}",
+    ),
+    (
+        {"organisations": {"red": {"upper_limit": 2.5}}},
+        f"organisations.red.upper_limit: is 2.5; allowed: {FROM_1}",
+    ),
+    (
+        {"organisations": {"red": {"upper_limit": 7}}},
+        "organisations.red.upper_limit: is 7, but 8 tasks of this organisation are "
+        "running; "
         "allowed: 8 or more; a lower limit starts no task until enough end",
     ),
     (
-        {"teams": {"red": {"uper_limit": 7}}},
-        'teams.red.uper_limit: is not a known key (did you mean "upper_limit"?); '
+        {"organisations": {"red": {"uper_limit": 7}}},
+        "organisations.red.uper_limit: is not a known key (did you mean "
+        '"upper_limit"?); '
         "allowed: share, upper_limit, keys",
     ),
     (
-        {"teams": {"red": {"keys": {"k1": {"salt": "ab" * 16, "digest": "secret"}}}}},
-        "teams.red.keys.k1.digest: is not the salted hash of a key; "
+        {
+            "organisations": {
+                "red": {"keys": {"k1": {"salt": "ab" * 16, "digest": "secret"}}}
+            }
+        },
+        "organisations.red.keys.k1.digest: is not the salted hash of a key; "
         "allowed: 64 hexadecimal digits, made with the command key grant",
     ),
     (
-        {"teams": {"red": {"keys": {"k1": {"salt": "xyz", "digest": DIGEST}}}}},
-        'teams.red.keys.k1.salt: is "xyz"; allowed: 16 to 32 hexadecimal digits',
+        {"organisations": {"red": {"keys": {"k1": {"salt": "xyz", "digest": DIGEST}}}}},
+        'organisations.red.keys.k1.salt: is "xyz"; allowed: 16 to 32 hexadecimal '
+        "digits",
     ),
     (
-        {"teams": {"red": {"keys": {"k.1": KEY}}}},
-        'teams.red.keys."k.1": "k.1" cannot be the name of a key; allowed: 1 to 63 '
+        {"organisations": {"red": {"keys": {"k.1": KEY}}}},
+        'organisations.red.keys."k.1": "k.1" cannot be the name of a key; allowed: '
+        "1 to 63 "
         "letters, digits, hyphens or underscores, first no sign",
     ),
     (
-        {"teams": {"red": {"keys": {"k1": KEY}}, "blue": {"keys": {"k1": KEY}}}},
-        'teams.blue.keys.k1: is a key of the team "red" too; '
-        "allowed: key names used by one team only",
+        {
+            "organisations": {
+                "red": {"keys": {"k1": KEY}},
+                "blue": {"keys": {"k1": KEY}},
+            }
+        },
+        'organisations.blue.keys.k1: is a key of the organisation "red" too; '
+        "allowed: key names used by one organisation only",
     ),
     (
-        {"teams": {"-red": {"share": 1, "upper_limit": 1}}},
-        f'teams.-red: "-red" cannot be the name of a team; allowed: {NAME}',
+        {"organisations": {"-red": {"share": 1, "upper_limit": 1}}},
+        f'organisations.-red: "-red" cannot be the name of an organisation; '
+        f"allowed: {NAME}",
     ),
     (
-        {"teams": {"green": 4}},
-        "teams.green: is 4; allowed: a table of the settings of one team",
+        {"organisations": {"green": 4}},
+        "organisations.green: is 4; allowed: a table of the settings of one "
+        "organisation",
     ),
     (
         {"instances": {"w1": {"pool": ["lookup", "general"]}}},
@@ -139,31 +161,35 @@
         'mean "lookup"?); allowed: the name of a pool under [pools]',
     ),
     (
-        {"queues": {"find": {"teams": ["red", "bleu"]}}},
-        'queues.find.teams: names the team "bleu", which is not defined (did you '
-        'mean "blue"?); allowed: the name of a team under [teams]',
+        {"queues": {"find": {"organisations": ["red", "bleu"]}}},
+        'queues.find.organisations: names the organisation "bleu", which is not '
+        "defined (did you "
+        'mean "blue"?); allowed: the name of an organisation under [organisations]',
     ),
     (
-        {"queues": {"find": {"teams": ["red", "red"]}}},
-        'queues.find.teams: names the team "red" 2 times; allowed: each team once',
+        {"queues": {"find": {"organisations": ["red", "red"]}}},
+        'queues.find.organisations: names the organisation "red" 2 times; allowed: '
+        "each organisation once",
     ),
     (
-        {"queues": {"find": {"teams": []}}},
-        "queues.find.teams: names no team, so nobody can use this queue; "
-        "allowed: at least one team",
+        {"queues": {"find": {"organisations": []}}},
+        "queues.find.organisations: names no organisation, so nobody can use this "
+        "queue; "
+        "allowed: at least one organisation",
     ),
     (
         {"queues": {"find": {"open_to_all": True}}},
-        f"queues.find.teams: names 2 teams, {ONE_TEAM}",
+        f"queues.find.organisations: names 2 organisations, {ONE_ORGANISATION}",
     ),
     (
-        {"queues": {"find": {"open_to_all": True, "teams": ["red", 3]}}},
-        'queues.find.teams: is ["red", 3]; allowed: a list of names of teams under '
-        "[teams], each once",
+        {"queues": {"find": {"open_to_all": True, "organisations": ["red", 3]}}},
+        'queues.find.organisations: is ["red", 3]; allowed: a list of names of '
+        "organisations under "
+        "[organisations], each once",
     ),
     (
-        {"queues": {"find": {"open_to_all": True, "teams": []}}},
-        f"queues.find.teams: names 0 teams, {ONE_TEAM}",
+        {"queues": {"find": {"open_to_all": True, "organisations": []}}},
+        f"queues.find.organisations: names 0 organisations, {ONE_ORGANISATION}",
     ),
     (
         {"queues": {"find": {"kind": "interactiv"}}},
@@ -214,7 +240,7 @@
     (
         {"zone": {}},
         'zone: is not a known key (did you mean "zones"?); '
-        "allowed: name, zones, pools, teams, queues, instances",
+        "allowed: name, zones, pools, organisations, queues, instances",
     ),
     (
         {"queues": []},
@@ -222,7 +248,7 @@
     ),
     ({"name": 3}, "name: is 3; allowed: a text in quotation marks"),
 ]
-USAGE = Usage(running_by_team={"red": 8})
+USAGE = Usage(running_by_organisation={"red": 8})
 
 
 @pytest.mark.parametrize(("patch", "message"), BAD_CONFIGURATIONS)
@@ -238,20 +264,24 @@
     assert check_document(small_fleet(), "fleet.toml", {}, USAGE) == []
 
 
-def test_a_queue_open_to_all_with_one_team_passes():
+def test_a_queue_open_to_all_with_one_organisation_passes():
     """Guards against a check that forbids every queue that is open to all."""
-    patch = {"queues": {"find": {"open_to_all": True, "teams": ["blue"]}}}
+    patch = {"queues": {"find": {"open_to_all": True, "organisations": ["blue"]}}}
     document = merge_patch(small_fleet(), patch)
     assert check_document(document, "fleet.toml", small_fleet(), USAGE) == []
 
 
 def test_all_mistakes_come_in_one_go():
     """Guards against operators who mend one mistake to be told the next."""
-    patch = {"teams": {"red": {"share": 0}}, "instances": {"w5": {"pool": "x"}}}
+    patch = {"organisations": {"red": {"share": 0}}, "instances": {"w5": {"pool": "x"}}}
     document = merge_patch(small_fleet(), patch)
-    document["queues"]["find"]["teams"] = ["rad"]
+    document["queues"]["find"]["organisations"] = ["rad"]
     keys = {problem.key for problem in check_document(document, "fleet.toml")}
-    assert keys == {"teams.red.share", "instances.w5.pool", "queues.find.teams"}
+    assert keys == {
+        "organisations.red.share",
+        "instances.w5.pool",
+        "queues.find.organisations",
+    }
 
 
 def test_removing_a_pool_that_still_holds_an_instance():
@@ -267,7 +297,7 @@
 
 def test_fields_of_a_newer_program_are_kept():
     """Guards against an older command that takes newer fields for mistakes."""
-    document = merge_patch(small_fleet(), {"teams": {"red": {"burst": 3}}})
+    document = merge_patch(small_fleet(), {"organisations": {"red": {"burst": 3}}})
     assert check_document(document, "fleet.toml", in_force=document) == []
     assert len(check_document(document, "fleet.toml", in_force=small_fleet())) == 1
 
@@ -286,12 +316,12 @@
             "allowed: each instance once, in exactly one pool",
         ),
         (
-            "[teams.red]\nshare = 1\nshare = 2\n",
-            "teams.red.share: is defined a second time in line 3; "
+            "[organisations.red]\nshare = 1\nshare = 2\n",
+            "organisations.red.share: is defined a second time in line 3; "
             "allowed: each key once",
         ),
         (
-            "[teams\n",
+            "[organisations\n",
             "line 1: expected ']' at the end of a table declaration; "
             "allowed: valid TOML",
         ),
@@ -310,10 +340,10 @@
 def test_dates_are_no_settings():
     """Guards against values that a published document cannot carry."""
     file = read_config_text(print_config(small_fleet()) + "\n", "fleet.toml")
-    file.document["teams"]["red"]["since"] = datetime.date(2026, 1, 2)
+    file.document["organisations"]["red"]["since"] = datetime.date(2026, 1, 2)
     problems = check_document(file.document, "fleet.toml", file.document)
     assert [str(problem) for problem in problems] == [
-        "fleet.toml: teams.red.since: is the date or time 2026-01-02; "
+        "fleet.toml: organisations.red.since: is the date or time 2026-01-02; "
         "allowed: texts, finite numbers, true, false, lists and tables"
     ]
 
@@ -330,7 +360,8 @@
         '"general"; allowed: each instance once, in exactly one pool',
         'draft: pools: there is no pool "genral" (did you mean "general"?); '
         "allowed: the name of a pool under [pools]",
-        'draft: teams: there is no team "rad" (did you mean "red"?); '
-        "allowed: the name of a team under [teams]",
-        'draft: teams: there is no key "k9"; allowed: the name of a key of some team',
+        'draft: organisations: there is no organisation "rad" (did you mean "red"?); '
+        "allowed: the name of an organisation under [organisations]",
+        'draft: organisations: there is no key "k9"; allowed: the name of a key of '
+        "some organisation",
     ]
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -121,15 +121,15 @@
     """Guards against undoing the change of another operator."""
     first, second = make_operator("aoife"), make_operator("brendan")
     assert isinstance(first.publish(fleet, 0), Published)
-    raised = merge_patch(fleet, {"teams": {"red": {"upper_limit": 20}}})
-    lowered = merge_patch(fleet, {"teams": {"red": {"upper_limit": 6}}})
+    raised = merge_patch(fleet, {"organisations": {"red": {"upper_limit": 20}}})
+    lowered = merge_patch(fleet, {"organisations": {"red": {"upper_limit": 6}}})
     log.before_append = lambda: second.publish(lowered, 1)
     result = first.publish(raised, 1)
     assert isinstance(result, LostRace)
     assert (result.expected_version, result.version) == (1, 2)
     (winner,) = result.winners
     assert winner.operator == "brendan"
-    assert winner.sentences == ("Team red: upper_limit changes from 10 to 6",)
+    assert winner.sentences == ("Organisation red: upper_limit changes from 10 to 6",)
     assert first.document == lowered
     # The same is told when the race was lost before the append.
     assert first.publish(raised, 1) == result
@@ -157,7 +157,7 @@
     results = {}
 
     def publish(operator, value):
-        patch = {"teams": {"red": {"upper_limit": value}}}
+        patch = {"organisations": {"red": {"upper_limit": value}}}
         document = merge_patch(operator.document, patch)
         version = operator.version
         results[value] = operator.publish(document, version, timeout_s=1)
@@ -178,7 +178,8 @@
     reader = Operator(log, Entries([]), "reader")
     reader.refresh()
     in_history = [
-        change.patch["teams"]["red"]["upper_limit"] for change in reader.history()[1:]
+        change.patch["organisations"]["red"]["upper_limit"]
+        for change in reader.history()[1:]
     ]
     assert len(in_history) == len(set(in_history))
     for value, result in results.items():
@@ -197,7 +198,7 @@
     result = first.change(lambda draft: draft.take_zone_out("north"))
     assert isinstance(result, Published)
     assert result.version == 3
-    assert first.document["teams"]["red"]["upper_limit"] == 9
+    assert first.document["organisations"]["red"]["upper_limit"] == 9
     assert first.document["zones"]["north"]["state"] == "out"
 
 
@@ -208,7 +209,7 @@
     log.before_append = lambda: second.change(lambda draft: draft.set_limit("red", 9))
     result = first.change(lambda draft: draft.set_limit("red", 11))
     assert isinstance(result, LostRace)
-    assert first.document["teams"]["red"]["upper_limit"] == 9
+    assert first.document["organisations"]["red"]["upper_limit"] == 9
 
 
 def test_an_expired_log_is_read_from_a_snapshot(make_operator, log, fleet):
@@ -225,7 +226,7 @@
     )
     assert second.version == 3
     assert [change.sentences for change in second.history()][1:] == [
-        ("Team red: upper_limit is set to 9",),
+        ("Organisation red: upper_limit is set to 9",),
         ('Zone north: state changes from "in" (the default) to "out"',),
     ]
 
@@ -276,7 +277,7 @@
     """Guards against a limit below what is running, set by mistake."""
     operator = make_operator("aoife", FakeEntry("a", running={"red": 8}))
     operator.publish(fleet, 0)
-    lower = merge_patch(fleet, {"teams": {"red": {"upper_limit": 3}}})
+    lower = merge_patch(fleet, {"organisations": {"red": {"upper_limit": 3}}})
     assert isinstance(operator.publish(lower, 1), Rejected)
     assert isinstance(operator.publish(lower, 1, accept_warnings=True), Published)
     # The warning is about what is in force now, and does not block other changes.
@@ -299,7 +300,7 @@
 def test_errors_cannot_be_accepted(make_operator, fleet):
     """Guards against publishing what every entry would ignore."""
     operator = make_operator("aoife")
-    fleet["teams"]["red"]["share"] = 0
+    fleet["organisations"]["red"]["share"] = 0
     assert isinstance(operator.publish(fleet, 0, accept_warnings=True), Rejected)
 
 
@@ -326,6 +327,6 @@
     operator.change(lambda draft: made.append(draft.grant_key("red", "laptop")))
     secret = made[-1].token.partition(".")[2]
     assert not any(secret.encode() in batch for batch in log.batches)
-    assert operator.view.state.config.key_by_id["laptop"].team == "red"
+    assert operator.view.state.config.key_by_id["laptop"].organisation == "red"
     operator.change(lambda draft: draft.withdraw_key("laptop"))
     assert operator.view.state.config.key_by_id == {}
--- a/libs/operator/tests/test_round_trip.py
+++ b/libs/operator/tests/test_round_trip.py
@@ -40,16 +40,18 @@
     )
     for section, fields in MEANING_BY_FIELD.items()
 }
-TEAMS = st.builds(
+ORGANISATIONS = st.builds(
     lambda entry, keys: entry | keys,
-    ENTRIES["teams"],
+    ENTRIES["organisations"],
     st.just({})
     | st.fixed_dictionaries(
         {"keys": st.dictionaries(TEXT, ENTRIES["keys"], max_size=2)}
     ),
 )
 SECTIONS = {
-    section: st.dictionaries(TEXT, TEAMS if section == "teams" else entry, max_size=3)
+    section: st.dictionaries(
+        TEXT, ORGANISATIONS if section == "organisations" else entry, max_size=3
+    )
     for section, entry in ENTRIES.items()
     if section != "keys"
 }
@@ -102,7 +104,8 @@
     for line in (
         "printed_from_version = 3  # It can be published while this version is in "
         "force.",
-        "upper_limit = 10  # At most 10 of the tasks of this team run at the same "
+        "upper_limit = 10  # At most 10 of the tasks of this organisation run at "
+        "the same "
         "time, counted across the whole fleet.",
         "needed = 2  # At least 2 of the instances of this pool must be serving.",
         "# max_unavailable is 1 unless this pool sets it. At most 1 of the instances "
--- a/libs/operator/tests/test_with_standins.py
+++ b/libs/operator/tests/test_with_standins.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from lycheeloom.clients import LogClient
 from lycheeloom.operator import Entries, Operator, Published, print_config
 from lycheeloom.operator.main import main
-from lycheeloom.platform import LogClient
 
 from .standin_log import running_log, set_faults
 
--- a/libs/sched/src/lycheeloom/sched/__init__.py
+++ b/libs/sched/src/lycheeloom/sched/__init__.py
@@ -9,10 +9,10 @@
     Decision,
     Expire,
     Held,
+    OrganisationUsage,
     Outcome,
     Start,
     Task,
-    TeamUsage,
     Throttle,
     UsageReport,
 )
@@ -30,7 +30,7 @@
     "Scheduler",
     "Start",
     "Task",
-    "TeamUsage",
+    "OrganisationUsage",
     "Throttle",
     "UsageReport",
 ]
--- a/libs/sched/src/lycheeloom/sched/admission.py
+++ b/libs/sched/src/lycheeloom/sched/admission.py
@@ -29,26 +29,31 @@
         late = self._check_deadline(task, now)
         if late is not None:
             return late
-        if not self._state.queues.has_space(task.team, task.queue):
-            message = f"queue {task.queue!r} has no space for team {task.team!r}"
+        if not self._state.queues.has_space(task.organisation, task.queue):
+            message = (
+                f"queue {task.queue!r} has no space for organisation "
+                f"{task.organisation!r}"
+            )
             return Refusal(RefusalReason.QUEUE_FULL, message, RETRY_AFTER_S)
         return fit
 
     def check_allowed(self, task: Task) -> Refusal | None:
-        """Return why the team may not use the queue, if it may not."""
+        """Return why the organisation may not use the queue, if it may not."""
         queue = self._state.config.queue_by_id.get(task.queue)
         if queue is None:
             message = f"no queue {task.queue!r}"
             return Refusal(RefusalReason.UNKNOWN_QUEUE, message)
-        if not queue.open_to_all and task.team not in queue.teams:
-            message = f"team {task.team!r} may not use queue {task.queue!r}"
-            return Refusal(RefusalReason.TEAM_NOT_ALLOWED, message)
+        if not queue.open_to_all and task.organisation not in queue.organisations:
+            message = (
+                f"organisation {task.organisation!r} may not use queue {task.queue!r}"
+            )
+            return Refusal(RefusalReason.ORGANISATION_NOT_ALLOWED, message)
         return None
 
     def _check_fit(self, task: Task, pool: str) -> Accepted | Held | Refusal:
         """Compare the task with the workers it may use and with the fleet.
 
-        A declared size that is too large is not refused if tasks of the team
+        A declared size that is too large is not refused if tasks of the organisation
         on the queue have been observed to be small enough.
         """
         state = self._state
@@ -100,8 +105,8 @@
         if task.urgent:
             return None
         state = self._state
-        queued = state.queues.queued(task.team, task.queue)
-        wait_s = state.waits.wait_s(task.team, task.queue, queued, now)
+        queued = state.queues.queued(task.organisation, task.queue)
+        wait_s = state.waits.wait_s(task.organisation, task.queue, queued, now)
         if wait_s is None or now + wait_s <= task.deadline:
             return None
         message = (
--- a/libs/sched/src/lycheeloom/sched/events.py
+++ b/libs/sched/src/lycheeloom/sched/events.py
@@ -93,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskRefused:
-    """A task of a team was refused without running."""
+    """A task of an organisation was refused without running."""
 
     at: float
     task_id: str
@@ -105,11 +105,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamStatus:
-    """Where a team stands against its share and its running slots."""
+class OrganisationStatus:
+    """Where an organisation stands against its share and its running slots."""
 
     at: float
-    team: str
+    organisation: str
     running: int
     queued: int
     granted: int
@@ -118,7 +118,8 @@
 
     def __str__(self) -> str:
         return (
-            f"Team {self.team} runs {self.running} of {self.granted} granted tasks "
+            f"Organisation {self.organisation} runs {self.running} of "
+            f"{self.granted} granted tasks "
             f"here and has {self.queued} queued; over the fleet it uses "
             f"{self.share:.1%} where its fair share is {self.fair_share:.1%}."
         )
@@ -182,4 +183,4 @@
     | TaskRefused
 )
 FleetEvent = WorkerOnProbation | WorkerReturned | RackLost | ZoneChanged
-TeamEvent = TeamStatus | TaskRefused
+OrganisationEvent = OrganisationStatus | TaskRefused
--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -1,8 +1,14 @@
-"""Explains tasks and teams with typed events."""
+"""Explains tasks and organisations with typed events."""
 
 from __future__ import annotations
 
-from .events import TaskEvent, TaskWaiting, TeamEvent, TeamStatus, describe
+from .events import (
+    OrganisationEvent,
+    OrganisationStatus,
+    TaskEvent,
+    TaskWaiting,
+    describe,
+)
 from .state import SchedulerState
 from .tasks import TaskRecord, TaskState
 
@@ -19,36 +25,40 @@
     return (*record.events, TaskWaiting(now, _why_waiting(state, record)))
 
 
-def explain_team(state: SchedulerState, team: str, now: float) -> tuple[TeamEvent, ...]:
-    """Return the standing of a team and its latest refusals."""
-    status = TeamStatus(
+def explain_organisation(
+    state: SchedulerState, organisation: str, now: float
+) -> tuple[OrganisationEvent, ...]:
+    """Return the standing of an organisation and its latest refusals."""
+    status = OrganisationStatus(
         now,
-        team,
-        state.shares.running(team),
-        state.queues.count_by_team[team],
-        state.grant_by_team.get(team, 0),
-        state.shares.share(team),
-        state.shares.fair_share(team),
+        organisation,
+        state.shares.running(organisation),
+        state.queues.count_by_organisation[organisation],
+        state.grant_by_organisation.get(organisation, 0),
+        state.shares.share(organisation),
+        state.shares.fair_share(organisation),
     )
-    return (status, *state.refusals_by_team.get(team, ()))
+    return (status, *state.refusals_by_organisation.get(organisation, ()))
 
 
 def _why_waiting(state: SchedulerState, record: TaskRecord) -> str:
     task = record.task
     if record.state is TaskState.PARKED:
         return "a worker refused the task and it is about to be queued again"
-    if not state.may_run(task.team):
-        granted = state.grant_by_team.get(task.team, 0)
-        return f"team {task.team} uses all {granted} running slots granted here"
+    if not state.may_run(task.organisation):
+        granted = state.grant_by_organisation.get(task.organisation, 0)
+        return f"organisation {task.organisation} uses all {granted} running slots "
+        "granted here"
     pool = state.queues.home_pool(task.queue)
     need = state.need(task, pool)
     if not any(need.fits_in(size) for size in state.workers.sizes(pool)):
         return f"no worker of pool {pool} is large enough for {describe(need)}"
-    queued = state.queues.queued(task.team, task.queue)
-    share = state.shares.share(task.team)
-    fair = state.shares.fair_share(task.team)
+    queued = state.queues.queued(task.organisation, task.queue)
+    share = state.shares.share(task.organisation)
+    fair = state.shares.fair_share(task.organisation)
     return (
-        f"pool {pool} has no room for {describe(need)}; team {task.team} has "
+        f"pool {pool} has no room for {describe(need)}; organisation "
+        f"{task.organisation} has "
         f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet "
         f"where its fair share is {fair:.1%}"
     )
--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/filler.py
@@ -1,4 +1,4 @@
-"""Fills free capacity with queued tasks in the order of the teams' levels."""
+"""Fills free capacity with queued tasks in the order of the organisations' levels."""
 
 from __future__ import annotations
 
@@ -16,28 +16,29 @@
 from .tasks import Decision, Task, TaskRecord
 from .workers import Worker
 
-# Capacity is left to a peer's team only if that team is lower by this part of
+# Capacity is left to a peer's organisation only if that organisation is lower by
+# this part of
 # a fair share; entries know each other's usage only up to a heartbeat ago.
 HOLD_MARGIN = 0.02
-# The running tasks of a small team vary by a few tasks all the time, which its
+# The running tasks of a small organisation vary by a few tasks all the time, which its
 # own entries make good without capacity from others.
 HOLD_TASKS = 3
-# The part of the fleet assumed for a task of a team not run here yet.
+# The part of the fleet assumed for a task of an organisation not run here yet.
 UNKNOWN_TASK_SHARE = 0.01
-# A pool's own queues come first only for teams up to their fair share.
+# A pool's own queues come first only for organisations up to their fair share.
 FAIR_LEVEL = 1.0 / LEVEL_STEP
 # Everything is tried again this often, so that nothing waits on a missed cause.
 SWEEP_S = 1.0
 
-LanesByTeam = Mapping[str, Mapping[str, Lane]]
+LanesByOrganisation = Mapping[str, Mapping[str, Lane]]
 Placer = Callable[[TaskRecord, Resources], Worker | None]
 
 
 class Filler:
     """Starts queued tasks.
 
-    A pool serves its own queues first, for teams within their fair share. What
-    is left goes to the lowest teams of any queue, from spare pools first, then
+    A pool serves its own queues first, for organisations within their fair share. What
+    is left goes to the lowest organisations of any queue, from spare pools first, then
     from other pools. Batch work comes after interactive work.
     """
 
@@ -58,7 +59,7 @@
             self._next_sweep_at = now + SWEEP_S
             freed = freed | set(state.config.pool_by_id)
             for lane in state.queues.active_lanes():
-                fresh[lane.team, lane.queue] = lane
+                fresh[lane.organisation, lane.queue] = lane
         if not freed and not fresh:
             return []
         state.workers.freed_pools = set()
@@ -86,7 +87,7 @@
         for pool in sorted(pools):
             if self._is_spare(pool) or not state.workers.has_room(pool):
                 continue
-            lanes = state.queues.lanes_by_team(pool)
+            lanes = state.queues.lanes_by_organisation(pool)
             self._fill_pool(pool, False, lanes, yielding, now, decisions)
 
     def _lend(
@@ -100,9 +101,9 @@
         """Give spare pools, then what pools leave, to lanes of any queue."""
         state = self._state
         fresh_lanes: dict[str, dict[str, Lane]] = {}
-        for (team, queue), lane in fresh.items():
+        for (organisation, queue), lane in fresh.items():
             if lane.count:
-                fresh_lanes.setdefault(team, {})[queue] = lane
+                fresh_lanes.setdefault(organisation, {})[queue] = lane
         if not fresh_lanes and not freed:
             return
         for pool in self._spare_first():
@@ -110,9 +111,9 @@
                 continue
             if not state.workers.has_room(pool):
                 continue
-            lanes: LanesByTeam = fresh_lanes
+            lanes: LanesByOrganisation = fresh_lanes
             if pool in freed:
-                lanes = state.queues.all_lanes_by_team()
+                lanes = state.queues.all_lanes_by_organisation()
             self._fill_pool(pool, True, lanes, yielding, now, decisions)
 
     def _held(self, pool: str, now: float) -> bool:
@@ -128,31 +129,33 @@
         self,
         pool: str,
         lent: bool,
-        lanes_by_team: LanesByTeam,
+        lanes_by_organisation: LanesByOrganisation,
         yielding: bool,
         now: float,
         decisions: list[Decision],
     ) -> None:
         state = self._state
         heap = [
-            (state.shares.level(team), team)
-            for team in lanes_by_team
-            if state.may_run(team)
+            (state.shares.level(organisation), organisation)
+            for organisation in lanes_by_organisation
+            if state.may_run(organisation)
         ]
         if not heap:
             return
         heapq.heapify(heap)
-        peer_teams = self._peer_teams(pool, lent, lanes_by_team)
+        peer_organisations = self._peer_organisations(pool, lent, lanes_by_organisation)
         failed: dict[tuple, TaskRecord] = {}
         full_for: set[Resources] = set()
         while heap:
-            level, team = heap[0]
+            level, organisation = heap[0]
             if not lent and level[0] > FAIR_LEVEL:
-                # What is left goes to the lowest teams of any queue.
+                # What is left goes to the lowest organisations of any queue.
                 return
-            if peer_teams and self._left_to_peers(pool, level[0], peer_teams, now):
+            if peer_organisations and self._left_to_peers(
+                pool, level[0], peer_organisations, now
+            ):
                 return
-            lanes = lanes_by_team.get(team)
+            lanes = lanes_by_organisation.get(organisation)
             decision = None
             if lanes:
                 decision = self._start_one(lanes, pool, yielding, now, failed, full_for)
@@ -162,8 +165,10 @@
             decisions.append(decision)
             if not state.workers.has_room(pool):
                 return
-            if state.may_run(team):
-                heapq.heapreplace(heap, (state.shares.level(team), team))
+            if state.may_run(organisation):
+                heapq.heapreplace(
+                    heap, (state.shares.level(organisation), organisation)
+                )
             else:
                 heapq.heappop(heap)
 
@@ -176,13 +181,13 @@
         failed: dict[tuple, TaskRecord],
         full_for: set[Resources],
     ) -> Decision | None:
-        """Start the oldest task of a team that fits, if there is one."""
+        """Start the oldest task of an organisation that fits, if there is one."""
         state = self._state
         for lane in _by_age(lanes):
             if state.queues.lane_yields(lane, now) != yielding:
                 continue
             for size_class, record in lane.heads():
-                key = (lane.team, lane.queue, size_class)
+                key = (lane.organisation, lane.queue, size_class)
                 if key in failed:
                     continue
                 need = state.need(record.task, pool)
@@ -219,37 +224,39 @@
                 full_for.add(need)
         return self._reservations.backfill(task, need, pool, excluded, now)
 
-    def _peer_teams(
-        self, pool: str, lent: bool, lanes_by_team: LanesByTeam
+    def _peer_organisations(
+        self, pool: str, lent: bool, lanes_by_organisation: LanesByOrganisation
     ) -> list[str]:
-        """Return the teams that wait for this pool at peers but not here."""
+        """Return the organisations that wait for this pool at peers but not here."""
         state = self._state
-        teams = []
-        for team, queues in state.peer_queues_by_team.items():
-            if team in lanes_by_team:
+        organisations = []
+        for organisation, queues in state.peer_queues_by_organisation.items():
+            if organisation in lanes_by_organisation:
                 continue
             if lent or any(state.queues.home_pool(q) == pool for q in queues):
-                teams.append(team)
-        if not teams:
+                organisations.append(organisation)
+        if not organisations:
             self._holds.satisfied(pool)
-        return teams
+        return organisations
 
     def _left_to_peers(
-        self, pool: str, level: float, peer_teams: list[str], now: float
+        self, pool: str, level: float, peer_organisations: list[str], now: float
     ) -> bool:
-        """Tell whether free capacity is left to lower teams at peers.
+        """Tell whether free capacity is left to lower organisations at peers.
 
         Only as much is left free as would bring them up to this level.
         """
         state = self._state
         shares = state.shares
         lacking = 0.0
-        for team in peer_teams:
-            below = (level - shares.level(team)[0]) * LEVEL_STEP
-            fair = shares.fair_share(team)
-            tolerated = max(HOLD_MARGIN * fair, HOLD_TASKS * shares.task_share(team))
-            task_share = shares.task_share(team) or UNKNOWN_TASK_SHARE
-            wanted = state.peer_queued_by_team[team] * task_share
+        for organisation in peer_organisations:
+            below = (level - shares.level(organisation)[0]) * LEVEL_STEP
+            fair = shares.fair_share(organisation)
+            tolerated = max(
+                HOLD_MARGIN * fair, HOLD_TASKS * shares.task_share(organisation)
+            )
+            task_share = shares.task_share(organisation) or UNKNOWN_TASK_SHARE
+            wanted = state.peer_queued_by_organisation[organisation] * task_share
             lacking += min(wanted, max(0.0, below * fair - tolerated))
         if not lacking or state.workers.free_part(pool) > lacking:
             return False
@@ -269,7 +276,7 @@
 
 
 def _by_age(lanes: Mapping[str, Lane]) -> list[Lane]:
-    """Order a team's lanes by their oldest task."""
+    """Order an organisation's lanes by their oldest task."""
     if len(lanes) == 1:
         return list(lanes.values())
     aged = []
--- a/libs/sched/src/lycheeloom/sched/lanes.py
+++ b/libs/sched/src/lycheeloom/sched/lanes.py
@@ -1,4 +1,4 @@
-"""Queued tasks, kept per team and queue and per size class."""
+"""Queued tasks, kept per organisation and queue and per size class."""
 
 from __future__ import annotations
 
@@ -23,14 +23,14 @@
 
 
 class Lane:
-    """The queued tasks of one team on one queue.
+    """The queued tasks of one organisation on one queue.
 
     Tasks of one size class start in the order of submission. A smaller class
     may pass a larger one that does not fit anywhere.
     """
 
-    def __init__(self, team: str, queue: str) -> None:
-        self.team = team
+    def __init__(self, organisation: str, queue: str) -> None:
+        self.organisation = organisation
         self.queue = queue
         self.count = 0
         self._records_by_class: dict[SizeClass, deque[TaskRecord]] = {}
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -12,9 +12,9 @@
 MAX_BACKOFF_S = 120.0
 # Trials that must succeed in a row before a worker is used fully again.
 TRIALS_TO_RETURN = 2
-# Recent outcomes kept per team and queue.
+# Recent outcomes kept per organisation and queue.
 WINDOW_OUTCOMES = 50
-# A team's queue that fails this often on other workers is itself at fault.
+# An organisation's queue that fails this often on other workers is itself at fault.
 BAD_GROUP_RATE = 0.5
 REMEMBERED_TASKS = 5_000
 
@@ -33,7 +33,7 @@
 
 
 class Probation:
-    """Keeps outcomes per worker and per team and queue."""
+    """Keeps outcomes per worker and per organisation and queue."""
 
     def __init__(self) -> None:
         self._record_by_worker: dict[str, _Record] = {}
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -21,12 +21,12 @@
         self.urgent: dict[str, TaskRecord] = {}
         # Lanes in which a task may start that could not be tried before.
         self.fresh_lanes: dict[tuple[str, str], Lane] = {}
-        self.count_by_team: Counter[str] = Counter()
+        self.count_by_organisation: Counter[str] = Counter()
         self._count_by_queue: Counter[str] = Counter()
         self._lane_by_key: dict[tuple[str, str], Lane] = {}
-        # Only lanes with queued tasks: pool, then team, then queue.
+        # Only lanes with queued tasks: pool, then organisation, then queue.
         self._active: dict[str, dict[str, dict[str, Lane]]] = {}
-        self._active_by_team: dict[str, dict[str, Lane]] = {}
+        self._active_by_organisation: dict[str, dict[str, Lane]] = {}
         self._config = FleetConfig()
         self.has_batch = False
 
@@ -36,29 +36,31 @@
         kinds = (queue.kind for queue in config.queue_by_id.values())
         self.has_batch = QueueKind.BATCH in kinds
         self._active = {}
-        self._active_by_team = {}
+        self._active_by_organisation = {}
         for lane in self._lane_by_key.values():
             if lane.count:
                 self._activate(lane)
 
-    def has_space(self, team: str, queue: str) -> bool:
-        """Tell whether the queue takes one more task of the team.
+    def has_space(self, organisation: str, queue: str) -> bool:
+        """Tell whether the queue takes one more task of the organisation.
 
         No queue exceeds its bound. Half of it is divided equally between the
-        teams, so that one team cannot make the queue refuse all others.
+        organisations, so that one organisation cannot make the queue refuse all others.
         """
         settings = self._config.queue_by_id[queue]
         total = self._count_by_queue[queue]
         if total >= settings.max_queued:
             return False
-        teams = settings.teams
-        if total < settings.max_queued // 2 or team not in teams:
+        organisations = settings.organisations
+        if total < settings.max_queued // 2 or organisation not in organisations:
             return True
-        kept = settings.max_queued // (2 * len(teams))
-        if self.queued(team, queue) < kept:
+        kept = settings.max_queued // (2 * len(organisations))
+        if self.queued(organisation, queue) < kept:
             return True
         owed = sum(
-            max(0, kept - self.queued(other, queue)) for other in teams if other != team
+            max(0, kept - self.queued(other, queue))
+            for other in organisations
+            if other != organisation
         )
         return total + owed < settings.max_queued
 
@@ -66,12 +68,12 @@
         """Queue a task, or put it back in front."""
         task = record.task
         record.state = TaskState.QUEUED
-        self.count_by_team[task.team] += 1
+        self.count_by_organisation[task.organisation] += 1
         self._count_by_queue[task.queue] += 1
         if task.urgent:
             self.urgent[task.id] = record
             return
-        key = (task.team, task.queue)
+        key = (task.organisation, task.queue)
         lane = self._lane_by_key.get(key)
         if lane is None:
             lane = self._lane_by_key[key] = Lane(*key)
@@ -89,7 +91,7 @@
         if self.urgent.pop(record.task.id, None) is not None:
             record.state = TaskState.ENDED
             return
-        lane = self._lane_by_key[record.task.team, record.task.queue]
+        lane = self._lane_by_key[record.task.organisation, record.task.queue]
         lane.remove(record)
         if not lane.count:
             self._deactivate(lane)
@@ -114,23 +116,23 @@
             return
         self.discard(record)
 
-    def mark_team_fresh(self, team: str) -> None:
-        """Try all lanes of a team again, as it may run more than before."""
-        for lane in self._active_by_team.get(team, {}).values():
-            self.fresh_lanes[team, lane.queue] = lane
+    def mark_organisation_fresh(self, organisation: str) -> None:
+        """Try all lanes of an organisation again, as it may run more than before."""
+        for lane in self._active_by_organisation.get(organisation, {}).values():
+            self.fresh_lanes[organisation, lane.queue] = lane
 
     def active_lanes(self) -> Iterator[Lane]:
         """Return all lanes with queued tasks."""
-        for lanes in self._active_by_team.values():
+        for lanes in self._active_by_organisation.values():
             yield from lanes.values()
 
-    def lanes_by_team(self, pool: str) -> dict[str, dict[str, Lane]]:
+    def lanes_by_organisation(self, pool: str) -> dict[str, dict[str, Lane]]:
         """Return the non-empty lanes whose queue is served by the pool."""
         return self._active.get(pool, {})
 
-    def all_lanes_by_team(self) -> dict[str, dict[str, Lane]]:
+    def all_lanes_by_organisation(self) -> dict[str, dict[str, Lane]]:
         """Return all non-empty lanes."""
-        return self._active_by_team
+        return self._active_by_organisation
 
     def home_pool(self, queue: str) -> str:
         """Return the pool that serves a queue, or nothing if it is gone."""
@@ -155,29 +157,31 @@
         oldest = lane.oldest()
         return oldest is not None and self.yields(oldest, now)
 
-    def queued(self, team: str, queue: str) -> int:
-        """Return the number of queued tasks of a team on a queue."""
-        lane = self._lane_by_key.get((team, queue))
+    def queued(self, organisation: str, queue: str) -> int:
+        """Return the number of queued tasks of an organisation on a queue."""
+        lane = self._lane_by_key.get((organisation, queue))
         return lane.count if lane is not None else 0
 
     def _uncount(self, record: TaskRecord) -> None:
-        self.count_by_team[record.task.team] -= 1
+        self.count_by_organisation[record.task.organisation] -= 1
         self._count_by_queue[record.task.queue] -= 1
 
     def _activate(self, lane: Lane) -> None:
-        teams = self._active.setdefault(self.home_pool(lane.queue), {})
-        teams.setdefault(lane.team, {})[lane.queue] = lane
-        self._active_by_team.setdefault(lane.team, {})[lane.queue] = lane
+        organisations = self._active.setdefault(self.home_pool(lane.queue), {})
+        organisations.setdefault(lane.organisation, {})[lane.queue] = lane
+        self._active_by_organisation.setdefault(lane.organisation, {})[lane.queue] = (
+            lane
+        )
 
     def _deactivate(self, lane: Lane) -> None:
-        self.fresh_lanes.pop((lane.team, lane.queue), None)
+        self.fresh_lanes.pop((lane.organisation, lane.queue), None)
         pool = self.home_pool(lane.queue)
         _remove(self._active.get(pool, {}), lane)
-        _remove(self._active_by_team, lane)
+        _remove(self._active_by_organisation, lane)
 
 
-def _remove(lanes_by_team: dict[str, dict[str, Lane]], lane: Lane) -> None:
-    lanes = lanes_by_team.get(lane.team, {})
+def _remove(lanes_by_organisation: dict[str, dict[str, Lane]], lane: Lane) -> None:
+    lanes = lanes_by_organisation.get(lane.organisation, {})
     lanes.pop(lane.queue, None)
     if not lanes:
-        lanes_by_team.pop(lane.team, None)
+        lanes_by_organisation.pop(lane.organisation, None)
--- a/libs/sched/src/lycheeloom/sched/reclaim.py
+++ b/libs/sched/src/lycheeloom/sched/reclaim.py
@@ -49,8 +49,8 @@
         state = self._state
         queues: Queues = state.queues
         waiting = []
-        for team, lanes in queues.lanes_by_team(pool).items():
-            if not state.may_run(team):
+        for organisation, lanes in queues.lanes_by_organisation(pool).items():
+            if not state.may_run(organisation):
                 continue
             for lane in lanes.values():
                 if queues.lane_yields(lane, now):
@@ -68,15 +68,19 @@
         if not candidates:
             return decisions
         level = self._state.shares.level
-        waiting.sort(key=lambda record: level(record.task.team))
-        # The teams furthest above their share give way first.
-        candidates.sort(key=lambda item: (level(item[0].task.team), item[0].sequence))
+        waiting.sort(key=lambda record: level(record.task.organisation))
+        # The organisations furthest above their share give way first.
+        candidates.sort(
+            key=lambda item: (level(item[0].task.organisation), item[0].sequence)
+        )
         for record in waiting:
             if not candidates:
                 break
             victim, reason = candidates[-1]
             same_kind = reason is CheckpointReason.LOAN_RETURN
-            if same_kind and level(record.task.team) >= level(victim.task.team):
+            if same_kind and level(record.task.organisation) >= level(
+                victim.task.organisation
+            ):
                 break
             candidates.pop()
             decisions.append(self._ask(victim, reason, now))
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -192,7 +192,7 @@
         if not need.fits_in(worker.free):
             return None
         self._release(reservation, now)
-        if not state.may_run(record.task.team):
+        if not state.may_run(record.task.organisation):
             return None
         if reservation.lane is None:
             state.queues.take_urgent(record)
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -13,13 +13,13 @@
 from .admission import Admission
 from .events import (
     FleetEvent,
+    OrganisationEvent,
     TaskEvent,
-    TeamEvent,
     WorkerOnProbation,
     WorkerReturned,
     ZoneChanged,
 )
-from .explain import explain_task, explain_team
+from .explain import explain_organisation, explain_task
 from .filler import Filler
 from .lanes import Lane
 from .outages import Outages
@@ -31,11 +31,11 @@
     Decision,
     Expire,
     Held,
+    OrganisationUsage,
     Outcome,
     Task,
     TaskRecord,
     TaskState,
-    TeamUsage,
     UsageReport,
 )
 from .trials import Trials
@@ -94,7 +94,7 @@
         if gone:
             self._pending.extend(self._reclaim.evacuate(gone, now))
         for lane in state.queues.active_lanes():
-            state.queues.fresh_lanes[lane.team, lane.queue] = lane
+            state.queues.fresh_lanes[lane.organisation, lane.queue] = lane
 
     def set_pool_by_instance(self, mapping: Mapping[str, str]) -> None:
         """Take over the actual pool of each worker, known from replay."""
@@ -137,34 +137,36 @@
             self._trials.leave(worker, now)
             self._state.fleet_events.append(WorkerReturned(now, worker_id))
 
-    def set_grants(self, slots_by_team: Mapping[str, int]) -> None:
-        """Set the running slots that this entry may use for each team."""
+    def set_grants(self, slots_by_organisation: Mapping[str, int]) -> None:
+        """Set the running slots that this entry may use for each organisation."""
         state = self._state
-        before = state.grant_by_team
-        state.grant_by_team = dict(slots_by_team)
-        for team, slots in slots_by_team.items():
-            if slots > before.get(team, 0):
-                state.queues.mark_team_fresh(team)
+        before = state.grant_by_organisation
+        state.grant_by_organisation = dict(slots_by_organisation)
+        for organisation, slots in slots_by_organisation.items():
+            if slots > before.get(organisation, 0):
+                state.queues.mark_organisation_fresh(organisation)
 
     def set_peer_usage(
         self,
-        usage_by_peer: Mapping[str, Mapping[str, TeamUsage]],
+        usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]],
         reserved_workers: Iterable[str] = (),
     ) -> None:
         """Take over the usage of all peers and the workers they reserve."""
         state = self._state
         state.shares.set_peer_usage(usage_by_peer, self._now)
         state.workers.set_reserved_by_peers(reserved_workers, self._now)
-        queued_by_team: Counter[str] = Counter()
-        queues_by_team: dict[str, set[str]] = {}
-        for usage_by_team in usage_by_peer.values():
-            for team, usage in usage_by_team.items():
+        queued_by_organisation: Counter[str] = Counter()
+        queues_by_organisation: dict[str, set[str]] = {}
+        for usage_by_organisation in usage_by_peer.values():
+            for organisation, usage in usage_by_organisation.items():
                 for queue, count in usage.queued_by_queue.items():
                     if count:
-                        queued_by_team[team] += count
-                        queues_by_team.setdefault(team, set()).add(queue)
-        state.peer_queued_by_team = queued_by_team
-        state.peer_queues_by_team = queues_by_team
+                        queued_by_organisation[organisation] += count
+                        queues_by_organisation.setdefault(organisation, set()).add(
+                            queue
+                        )
+        state.peer_queued_by_organisation = queued_by_organisation
+        state.peer_queues_by_organisation = queues_by_organisation
 
     def observe_usage(self, reports: Iterable[UsageReport], now: float) -> None:
         """Learn from lagged usage reports, and make room for larger tasks."""
@@ -268,39 +270,39 @@
 
     def has_queued(self) -> bool:
         """Tell whether any task waits for its start."""
-        return any(self._state.queues.count_by_team.values())
+        return any(self._state.queues.count_by_organisation.values())
 
     def is_queued(self, task_id: str) -> bool:
         """Tell whether a task waits for its start."""
         record = self._state.record_by_id.get(task_id)
         return record is not None and record.state is TaskState.QUEUED
 
-    def demand_by_team(self) -> dict[str, int]:
-        """Return running plus queued tasks per team, for asking for grants."""
+    def demand_by_organisation(self) -> dict[str, int]:
+        """Return running plus queued tasks per organisation, for asking for grants."""
         state = self._state
-        demand = {t: n for t, n in state.queues.count_by_team.items() if n}
-        for team in state.shares.teams():
-            running = state.shares.running(team)
+        demand = {t: n for t, n in state.queues.count_by_organisation.items() if n}
+        for organisation in state.shares.organisations():
+            running = state.shares.running(organisation)
             if running:
-                demand[team] = demand.get(team, 0) + running
+                demand[organisation] = demand.get(organisation, 0) + running
         return demand
 
-    def usage_by_team(self) -> dict[str, TeamUsage]:
+    def usage_by_organisation(self) -> dict[str, OrganisationUsage]:
         """Return what this entry tells its peers."""
         state = self._state
         usage = {}
-        for team in self.demand_by_team():
+        for organisation in self.demand_by_organisation():
             queued_by_queue = {}
-            if state.may_run(team):
-                lanes = state.queues.all_lanes_by_team().get(team, {})
+            if state.may_run(organisation):
+                lanes = state.queues.all_lanes_by_organisation().get(organisation, {})
                 queued_by_queue = {
                     queue: lane.count
                     for queue, lane in lanes.items()
                     if self._has_waited(lane)
                 }
-            usage[team] = TeamUsage(
-                state.shares.running_resources(team),
-                state.queues.count_by_team[team],
+            usage[organisation] = OrganisationUsage(
+                state.shares.running_resources(organisation),
+                state.queues.count_by_organisation[organisation],
                 queued_by_queue,
             )
         return usage
@@ -313,9 +315,9 @@
         """Return what happened to a task and why it waits, oldest first."""
         return explain_task(self._state, task_id, self._now)
 
-    def explain_team(self, team: str) -> tuple[TeamEvent, ...]:
-        """Return where a team stands and its latest refusals."""
-        return explain_team(self._state, team, self._now)
+    def explain_organisation(self, organisation: str) -> tuple[OrganisationEvent, ...]:
+        """Return where an organisation stands and its latest refusals."""
+        return explain_organisation(self._state, organisation, self._now)
 
     def fleet_events(self) -> tuple[FleetEvent, ...]:
         """Return the latest events of workers, racks and zones."""
@@ -342,7 +344,7 @@
         return decisions
 
     def _refuse_disallowed(self, now: float) -> None:
-        """Refuse queued tasks whose queue is gone or closed to their team."""
+        """Refuse queued tasks whose queue is gone or closed to their organisation."""
         state = self._state
         for record in list(state.record_by_id.values()):
             if record.state is TaskState.RUNNING:
@@ -372,7 +374,7 @@
         if worker is not None and record.task.id in worker.running:
             self._state.workers.resize(worker, extra, now)
         record.need = need + extra
-        self._state.shares.resized(record.task.team, extra, now)
+        self._state.shares.resized(record.task.organisation, extra, now)
 
     def _judge_worker(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
         state = self._state
@@ -380,7 +382,7 @@
         if worker is None:
             return
         task = record.task
-        group = (task.team, task.queue)
+        group = (task.organisation, task.queue)
         match outcome:
             case Outcome.DONE:
                 if state.probation.done(worker.id, task.id, group):
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -1,4 +1,4 @@
-"""How far each team is above or below its weighted share of the fleet."""
+"""How far each organisation is above or below its weighted share of the fleet."""
 
 from __future__ import annotations
 
@@ -9,22 +9,22 @@
 from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
-from .tasks import TeamUsage
+from .tasks import OrganisationUsage
 
 MEMORY_HALF_LIFE_S = 60.0
-# Levels are compared in steps of this fraction of a team's fair share; within
+# Levels are compared in steps of this fraction of an organisation's fair share; within
 # a step the decaying memory of past use decides.
 LEVEL_STEP = 0.002
 # Weight of the newest task in the moving mean of task sizes.
 TASK_MEAN_WEIGHT = 0.05
-# Weight of callers of an open queue that belong to no configured team.
+# Weight of callers of an open queue that belong to no configured organisation.
 OPEN_WEIGHT = 1.0
 
 Level = tuple[float, float]
 
 
 @dataclass(slots=True)
-class _TeamState:
+class _OrganisationState:
     weight: float
     cores: float = 0.0
     memory_mb: float = 0.0
@@ -41,17 +41,17 @@
     level: Level = (0.0, 0.0)
 
 
-class TeamShares:
-    """Orders teams by running dominant share over weight, over the fleet.
+class OrganisationShares:
+    """Orders organisations by running dominant share over weight, over the fleet.
 
     Peers report their usage only now and then; between reports it counts as
     unchanged. Assuming that peers change as this entry does avoids correcting a
-    deficit several times over, but makes the levels of small teams so uncertain
+    deficit several times over, but makes the levels of small organisations so uncertain
     that they are served too often.
     """
 
     def __init__(self) -> None:
-        self._state_by_team: dict[str, _TeamState] = {}
+        self._state_by_organisation: dict[str, _OrganisationState] = {}
         self._total = NO_RESOURCES
         self._weight_sum = 1.0
 
@@ -61,45 +61,49 @@
         for instance in config.instance_by_id.values():
             total = total + instance.size
         self._total = total
-        self._weight_sum = sum(t.share for t in config.team_by_id.values()) or 1.0
-        for team_id, team in config.team_by_id.items():
-            state = self._state_by_team.setdefault(team_id, _TeamState(team.share))
-            state.weight = team.share
-        for state in self._state_by_team.values():
+        self._weight_sum = (
+            sum(t.share for t in config.organisation_by_id.values()) or 1.0
+        )
+        for organisation_id, organisation in config.organisation_by_id.items():
+            state = self._state_by_organisation.setdefault(
+                organisation_id, _OrganisationState(organisation.share)
+            )
+            state.weight = organisation.share
+        for state in self._state_by_organisation.values():
             self._update(state, now)
 
-    def level(self, team: str) -> Level:
-        """Return the sort key of a team; the lowest is served next."""
-        return self._state(team).level
+    def level(self, organisation: str) -> Level:
+        """Return the sort key of an organisation; the lowest is served next."""
+        return self._state(organisation).level
 
-    def share(self, team: str) -> float:
-        """Return the team's estimated dominant share of the whole fleet."""
-        return self._state(team).share
+    def share(self, organisation: str) -> float:
+        """Return the organisation's estimated dominant share of the whole fleet."""
+        return self._state(organisation).share
 
-    def fair_share(self, team: str) -> float:
-        """Return the share the team gets when every team has enough work."""
-        return self._state(team).weight / self._weight_sum
+    def fair_share(self, organisation: str) -> float:
+        """Return the share due to the organisation when all have enough work."""
+        return self._state(organisation).weight / self._weight_sum
 
-    def task_share(self, team: str) -> float:
-        """Return the usual dominant share of one task of the team."""
-        return self._state(team).task_share
+    def task_share(self, organisation: str) -> float:
+        """Return the usual dominant share of one task of the organisation."""
+        return self._state(organisation).task_share
 
-    def teams(self) -> list[str]:
-        """Return every team seen so far."""
-        return list(self._state_by_team)
+    def organisations(self) -> list[str]:
+        """Return every organisation seen so far."""
+        return list(self._state_by_organisation)
 
-    def running(self, team: str) -> int:
+    def running(self, organisation: str) -> int:
         """Return the number of running tasks of this entry."""
-        return self._state(team).running
+        return self._state(organisation).running
 
-    def running_resources(self, team: str) -> Resources:
-        """Return the resources that this entry runs for a team."""
-        state = self._state(team)
+    def running_resources(self, organisation: str) -> Resources:
+        """Return the resources that this entry runs for an organisation."""
+        state = self._state(organisation)
         return Resources(state.cores, round(state.memory_mb), round(state.accelerators))
 
-    def started(self, team: str, need: Resources, now: float) -> None:
-        """Charge a started task to its team."""
-        state = self._state(team)
+    def started(self, organisation: str, need: Resources, now: float) -> None:
+        """Charge a started task to its organisation."""
+        state = self._state(organisation)
         state.running += 1
         share = need.dominant_share(self._total)
         weight = TASK_MEAN_WEIGHT if state.task_share else 1.0
@@ -107,36 +111,40 @@
         state.task_square += weight * (share * share - state.task_square)
         self._add(state, need, 1, now)
 
-    def ended(self, team: str, need: Resources, now: float) -> None:
+    def ended(self, organisation: str, need: Resources, now: float) -> None:
         """Release the charge of a task that ended."""
-        state = self._state(team)
+        state = self._state(organisation)
         state.running -= 1
         self._add(state, need, -1, now)
 
-    def resized(self, team: str, extra: Resources, now: float) -> None:
+    def resized(self, organisation: str, extra: Resources, now: float) -> None:
         """Charge more for a task that uses more than was assumed."""
-        self._add(self._state(team), extra, 1, now)
+        self._add(self._state(organisation), extra, 1, now)
 
     def set_peer_usage(
-        self, usage_by_peer: Mapping[str, Mapping[str, TeamUsage]], now: float
+        self, usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]], now: float
     ) -> None:
         """Replace what is known of all peers."""
-        for state in self._state_by_team.values():
+        for state in self._state_by_organisation.values():
             state.peers = NO_RESOURCES
-        for usage_by_team in usage_by_peer.values():
-            for team, usage in usage_by_team.items():
-                state = self._state(team)
+        for usage_by_organisation in usage_by_peer.values():
+            for organisation, usage in usage_by_organisation.items():
+                state = self._state(organisation)
                 state.peers = state.peers + usage.running
-        for state in self._state_by_team.values():
+        for state in self._state_by_organisation.values():
             self._update(state, now)
 
-    def _state(self, team: str) -> _TeamState:
-        state = self._state_by_team.get(team)
+    def _state(self, organisation: str) -> _OrganisationState:
+        state = self._state_by_organisation.get(organisation)
         if state is None:
-            state = self._state_by_team[team] = _TeamState(OPEN_WEIGHT)
+            state = self._state_by_organisation[organisation] = _OrganisationState(
+                OPEN_WEIGHT
+            )
         return state
 
-    def _add(self, state: _TeamState, need: Resources, sign: int, now: float) -> None:
+    def _add(
+        self, state: _OrganisationState, need: Resources, sign: int, now: float
+    ) -> None:
         state.cores += sign * need.cores
         state.memory_mb += sign * need.memory_mb
         state.accelerators += sign * need.accelerators
@@ -145,7 +153,7 @@
             state.cores = state.memory_mb = state.accelerators = 0.0
         self._update(state, now)
 
-    def _update(self, state: _TeamState, now: float) -> None:
+    def _update(self, state: _OrganisationState, now: float) -> None:
         elapsed_s = max(0.0, now - state.past_use_at)
         kept = 0.5 ** (elapsed_s / MEMORY_HALF_LIFE_S)
         state.past_use = state.past_use * kept + state.share * (1.0 - kept)
@@ -153,13 +161,13 @@
         state.share = self._used(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
         # Running shares move in steps of a task, of which half is added so that
-        # teams with large tasks are not above their share on average. Large
+        # organisations with large tasks are not above their share on average. Large
         # tasks make up more of the steps than their number tells.
         step = state.task_square / state.task_share if state.task_share else 0.0
         level = (state.share + step / 2) / fair
         state.level = (math.floor(level / LEVEL_STEP), state.past_use / fair)
 
-    def _used(self, state: _TeamState) -> Resources:
+    def _used(self, state: _OrganisationState) -> Resources:
         peers = state.peers
         return Resources(
             peers.cores + state.cores,
--- a/libs/sched/src/lycheeloom/sched/sizes.py
+++ b/libs/sched/src/lycheeloom/sched/sizes.py
@@ -9,7 +9,7 @@
 
 from .tasks import Task, UsageReport
 
-# Fewer reports than this say too little about a queue and team.
+# Fewer reports than this say too little about a queue and organisation.
 MIN_SAMPLES = 5
 WINDOW_SAMPLES = 64
 # Memory that is exceeded kills tasks, processors that are exceeded slow them
@@ -32,7 +32,7 @@
 
 
 class SizeEstimator:
-    """Corrects declared sizes per queue and team."""
+    """Corrects declared sizes per queue and organisation."""
 
     def __init__(self) -> None:
         self._ratios_by_lane: dict[tuple[str, str], _Ratios] = {}
@@ -51,7 +51,9 @@
         task = self._task_by_id.pop(report.task_id, None)
         if task is None:
             return
-        ratios = self._ratios_by_lane.setdefault((task.team, task.queue), _Ratios())
+        ratios = self._ratios_by_lane.setdefault(
+            (task.organisation, task.queue), _Ratios()
+        )
         if task.resources.cores > 0:
             ratios.cores.append(_bounded(report.peak.cores / task.resources.cores))
         if task.resources.memory_mb > 0:
@@ -65,7 +67,7 @@
 
     def size(self, task: Task) -> Resources:
         """Return the corrected size of a task that has not run yet."""
-        ratios = self._ratios_by_lane.get((task.team, task.queue))
+        ratios = self._ratios_by_lane.get((task.organisation, task.queue))
         if ratios is None:
             return task.resources
         declared = task.resources
@@ -77,7 +79,7 @@
 
     def run_s(self, task: Task) -> float:
         """Return the corrected run time in seconds."""
-        ratios = self._ratios_by_lane.get((task.team, task.queue))
+        ratios = self._ratios_by_lane.get((task.organisation, task.queue))
         if ratios is None:
             return task.run_s
         return task.run_s * ratios.run_factor
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -20,7 +20,7 @@
 )
 from .probation import Probation
 from .queues import Queues
-from .shares import TeamShares
+from .shares import OrganisationShares
 from .sizes import SizeEstimator
 from .tasks import (
     Checkpoint,
@@ -35,7 +35,7 @@
 from .workers import Worker, WorkerTable
 
 MAX_EVENTS_PER_TASK = 20
-MAX_EVENTS_PER_TEAM = 50
+MAX_EVENTS_PER_ORGANISATION = 50
 MAX_FLEET_EVENTS = 500
 # Ended tasks that can still be explained.
 REMEMBERED_ENDED = 2_000
@@ -49,34 +49,38 @@
 
     workers: WorkerTable
     config: FleetConfig = field(default_factory=FleetConfig)
-    shares: TeamShares = field(default_factory=TeamShares)
+    shares: OrganisationShares = field(default_factory=OrganisationShares)
     queues: Queues = field(default_factory=Queues)
     sizes: SizeEstimator = field(default_factory=SizeEstimator)
     probation: Probation = field(default_factory=Probation)
     waits: WaitEstimator = field(default_factory=WaitEstimator)
     record_by_id: dict[str, TaskRecord] = field(default_factory=dict)
-    grant_by_team: Mapping[str, int] = field(default_factory=dict)
+    grant_by_organisation: Mapping[str, int] = field(default_factory=dict)
     # Tasks that peers may start but have not.
-    peer_queued_by_team: Counter[str] = field(default_factory=Counter)
-    peer_queues_by_team: dict[str, set[str]] = field(default_factory=dict)
+    peer_queued_by_organisation: Counter[str] = field(default_factory=Counter)
+    peer_queues_by_organisation: dict[str, set[str]] = field(default_factory=dict)
     fleet_events: deque[FleetEvent] = field(
         default_factory=lambda: deque(maxlen=MAX_FLEET_EVENTS)
     )
     ended_events: OrderedDict[str, list[TaskEvent]] = field(default_factory=OrderedDict)
-    refusals_by_team: dict[str, deque[TaskRefused]] = field(default_factory=dict)
+    refusals_by_organisation: dict[str, deque[TaskRefused]] = field(
+        default_factory=dict
+    )
     # Running borrowers and batch tasks of this entry, per pool.
     lent_by_pool: Counter[str] = field(default_factory=Counter)
     sequence: int = 0
 
-    def may_run(self, team: str) -> bool:
-        """Tell whether a grant leaves the team a running slot.
+    def may_run(self, organisation: str) -> bool:
+        """Tell whether a grant leaves the organisation a running slot.
 
-        Callers of open queues that belong to no configured team have no upper
+        Callers of open queues that belong to no configured organisation have no upper
         limit and therefore no grants.
         """
-        if team not in self.config.team_by_id:
+        if organisation not in self.config.organisation_by_id:
             return True
-        return self.shares.running(team) < self.grant_by_team.get(team, 0)
+        return self.shares.running(organisation) < self.grant_by_organisation.get(
+            organisation, 0
+        )
 
     def need(self, task: Task, pool: str) -> Resources:
         """Return the room to reserve for a task on a worker of the pool.
@@ -150,9 +154,9 @@
         record.started_at = now
         record.expected_end = now + self.sizes.run_s(task)
         self.workers.attach(worker, record, now)
-        self.shares.started(task.team, need, now)
+        self.shares.started(task.organisation, need, now)
         self.sizes.remember(task)
-        self.waits.started(task.team, task.queue, now)
+        self.waits.started(task.organisation, task.queue, now)
         borrowed = worker.pool != self.queues.home_pool(task.queue)
         record.lent = borrowed or self.queues.is_batch(task.queue)
         self.lent_by_pool[worker.pool] += record.lent
@@ -165,11 +169,11 @@
         if worker is not None and record.task.id in worker.running:
             self.workers.detach(worker, record, now)
         self.lent_by_pool[record.pool] -= record.lent
-        team = record.task.team
-        was_at_grant = not self.may_run(team)
-        self.shares.ended(team, record.need, now)
+        organisation = record.task.organisation
+        was_at_grant = not self.may_run(organisation)
+        self.shares.ended(organisation, record.need, now)
         if was_at_grant:
-            self.queues.mark_team_fresh(team)
+            self.queues.mark_organisation_fresh(organisation)
 
     def forget(self, record: TaskRecord, outcome: str, now: float) -> None:
         """Drop an ended task but keep its events for a while."""
@@ -197,11 +201,11 @@
         return Throttle(record.task.id)
 
     def refused(self, task: Task, reason: str, message: str, now: float) -> None:
-        """Keep why a task of a team was refused."""
-        refusals = self.refusals_by_team.get(task.team)
+        """Keep why a task of an organisation was refused."""
+        refusals = self.refusals_by_organisation.get(task.organisation)
         if refusals is None:
-            refusals = deque(maxlen=MAX_EVENTS_PER_TEAM)
-            self.refusals_by_team[task.team] = refusals
+            refusals = deque(maxlen=MAX_EVENTS_PER_ORGANISATION)
+            self.refusals_by_organisation[task.organisation] = refusals
         refusals.append(TaskRefused(now, task.id, reason, message))
 
 
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -20,7 +20,7 @@
     """
 
     id: str
-    team: str
+    organisation: str
     queue: str
     resources: Resources = NO_RESOURCES
     run_s: float = 1.0
@@ -112,8 +112,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamUsage:
-    """What one entry runs and has queued for a team.
+class OrganisationUsage:
+    """What one entry runs and has queued for an organisation.
 
     ``queued_by_queue`` counts only tasks that the entry's grant lets it start;
     peers leave capacity for these. It may be empty if it was not sent.
--- a/libs/sched/src/lycheeloom/sched/trials.py
+++ b/libs/sched/src/lycheeloom/sched/trials.py
@@ -48,8 +48,10 @@
     def _start_on(self, worker: Worker, now: float) -> Decision | None:
         state = self._state
         is_only_choice = self._is_only_choice()
-        for team, lanes in state.queues.lanes_by_team(worker.pool).items():
-            if not state.may_run(team):
+        for organisation, lanes in state.queues.lanes_by_organisation(
+            worker.pool
+        ).items():
+            if not state.may_run(organisation):
                 continue
             for lane in list(lanes.values()):
                 for size_class, record in lane.heads():
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -16,7 +16,7 @@
 
 
 class Urgent:
-    """Places urgent tasks before all others; their team is charged for them."""
+    """Places urgent tasks before all others; their organisation is charged for them."""
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
         self._state = state
@@ -46,8 +46,8 @@
     def _place_one(self, record: TaskRecord, now: float) -> list[Decision]:
         state = self._state
         task = record.task
-        if not state.may_run(task.team):
-            return self._free_slot_of_team(record, now)
+        if not state.may_run(task.organisation):
+            return self._free_slot_of_organisation(record, now)
         for pool in self._pools(record):
             need = state.need(task, pool)
             excluded = state.excluded(record, now)
@@ -67,12 +67,16 @@
                 if pool.spare is spare and pool.id != home:
                     yield pool.id
 
-    def _free_slot_of_team(self, record: TaskRecord, now: float) -> list[Decision]:
-        """Checkpoint one task of the same team, which is at its limit."""
+    def _free_slot_of_organisation(
+        self, record: TaskRecord, now: float
+    ) -> list[Decision]:
+        """Checkpoint one task of the same organisation, which is at its limit."""
         if record.task.id in self._asked_at:
             return []
         for other in self._state.record_by_id.values():
-            if other.task.team == record.task.team and _can_make_room(other):
+            if other.task.organisation == record.task.organisation and _can_make_room(
+                other
+            ):
                 self._asked_at[record.task.id] = now
                 return [self._ask(other, now)]
         return []
@@ -122,8 +126,8 @@
         """Return tasks to checkpoint, and the part of the need still lacking."""
         level = self._state.shares.level
         running = [r for r in worker.running.values() if _can_make_room(r)]
-        # The teams furthest above their share give way first.
-        running.sort(key=lambda r: (level(r.task.team), r.sequence))
+        # The organisations furthest above their share give way first.
+        running.sort(key=lambda r: (level(r.task.organisation), r.sequence))
         free = worker.free
         victims = []
         while running and not need.fits_in(free):
--- a/libs/sched/src/lycheeloom/sched/waits.py
+++ b/libs/sched/src/lycheeloom/sched/waits.py
@@ -12,27 +12,29 @@
 
 
 class WaitEstimator:
-    """Estimates how long a new task of a team waits on a queue."""
+    """Estimates how long a new task of an organisation waits on a queue."""
 
     def __init__(self) -> None:
         self._starts_by_lane: dict[tuple[str, str], deque[float]] = {}
 
-    def started(self, team: str, queue: str, now: float) -> None:
+    def started(self, organisation: str, queue: str, now: float) -> None:
         """Count a start."""
-        starts = self._starts_by_lane.get((team, queue))
+        starts = self._starts_by_lane.get((organisation, queue))
         if starts is None:
             starts = deque(maxlen=MAX_STARTS)
-            self._starts_by_lane[team, queue] = starts
+            self._starts_by_lane[organisation, queue] = starts
         starts.append(now)
 
-    def wait_s(self, team: str, queue: str, queued: int, now: float) -> float | None:
+    def wait_s(
+        self, organisation: str, queue: str, queued: int, now: float
+    ) -> float | None:
         """Return the expected wait in seconds behind ``queued`` tasks.
 
         None means that too few tasks started lately to tell.
         """
         if not queued:
             return 0.0
-        starts = self._starts_by_lane.get((team, queue))
+        starts = self._starts_by_lane.get((organisation, queue))
         if starts is None:
             return None
         while starts and now - starts[0] > WINDOW_S:
--- a/libs/sched/tests/fleet_fixtures.py
+++ b/libs/sched/tests/fleet_fixtures.py
@@ -7,10 +7,10 @@
 from lycheeloom.model.config import (
     FleetConfig,
     Instance,
+    Organisation,
     Pool,
     Queue,
     QueueKind,
-    Team,
     Zone,
     ZoneState,
 )
@@ -30,18 +30,20 @@
             name = f"{pool}-{n}"
             rack = f"{zone}-r{n // (2 * zones)}"
             instances[name] = Instance(name, pool, zone, rack, "", WORKER_SIZE)
-    teams = {f"t{n}": Team(f"t{n}", w, limit) for n, w in enumerate(weights)}
-    names = frozenset(teams)
+    organisations = {
+        f"t{n}": Organisation(f"t{n}", w, limit) for n, w in enumerate(weights)
+    }
+    names = frozenset(organisations)
     return FleetConfig(
         version=1,
         zone_by_id={f"z{n}": Zone(f"z{n}") for n in range(zones)},
         pool_by_id={p: Pool(p, spare=p == "spare") for p in ("main", "other", "spare")},
         instance_by_id=instances,
-        team_by_id=teams,
+        organisation_by_id=organisations,
         queue_by_id={
-            "q": Queue("q", "main", teams=names, **queue),
-            "o": Queue("o", "other", teams=names),
-            "b": Queue("b", "main", QueueKind.BATCH, teams=names),
+            "q": Queue("q", "main", organisations=names, **queue),
+            "o": Queue("o", "other", organisations=names),
+            "b": Queue("b", "main", QueueKind.BATCH, organisations=names),
         },
     )
 
@@ -54,19 +56,23 @@
 
 def make_scheduler(config, grants=1000):
     scheduler = Scheduler(config, seed=1)
-    scheduler.set_grants(dict.fromkeys(config.team_by_id, grants))
+    scheduler.set_grants(dict.fromkeys(config.organisation_by_id, grants))
     for name in config.instance_by_id:
         scheduler.observe_worker(name, True, None, "boot", 0.0)
     return scheduler
 
 
-def submit(scheduler, count, team="t0", queue="q", now=0.0, prefix="", **fields):
+def submit(
+    scheduler, count, organisation="t0", queue="q", now=0.0, prefix="", **fields
+):
     """Submit like tasks and return their ids."""
     ids = []
     for n in range(count):
-        task_id = f"{prefix}{team}-{queue}-{n}"
+        task_id = f"{prefix}{organisation}-{queue}-{n}"
         fields.setdefault("resources", ONE_CORE)
-        scheduler.submit(Task(task_id, team, queue, submitted_at=now, **fields), now)
+        scheduler.submit(
+            Task(task_id, organisation, queue, submitted_at=now, **fields), now
+        )
         ids.append(task_id)
     return ids
 
--- a/libs/sched/tests/test_machine.py
+++ b/libs/sched/tests/test_machine.py
@@ -17,16 +17,16 @@
 from lycheeloom.sched import (
     Checkpoint,
     Expire,
+    OrganisationUsage,
     Outcome,
     Scheduler,
     Start,
     Task,
-    TeamUsage,
 )
 
 from .fleet_fixtures import make_config, with_zone
 
-TEAMS = ("t0", "t1", "t2")
+ORGANISATIONS = ("t0", "t1", "t2")
 QUEUES = ("q", "o", "b")
 # A permitted task of one core must not wait longer beside a free core.
 IDLE_BOUND_S = 4.0
@@ -42,7 +42,7 @@
         self.scheduler = Scheduler(self.config, seed)
         self.now = 0.0
         self.number = 0
-        self.grants = dict.fromkeys(TEAMS, 4)
+        self.grants = dict.fromkeys(ORGANISATIONS, 4)
         self.scheduler.set_grants(self.grants)
         self.queued = {}
         self.running = {}
@@ -55,21 +55,21 @@
             self.scheduler.observe_worker(name, True, self.free[name], "b", 0.0)
 
     @rule(
-        team=st.sampled_from(TEAMS),
+        organisation=st.sampled_from(ORGANISATIONS),
         queue=st.sampled_from(QUEUES),
         size=st.sampled_from(SIZES),
         count=st.integers(1, 6),
         flags=st.tuples(st.booleans(), st.booleans(), st.booleans()),
         patience=st.sampled_from((None, 3.0)),
     )
-    def submit(self, team, queue, size, count, flags, patience):
+    def submit(self, organisation, queue, size, count, flags, patience):
         idempotent, urgent, checkpointable = flags
         for _ in range(count):
             self.number += 1
             deadline = None if patience is None else self.now + patience
             task = Task(
                 f"task{self.number}",
-                team,
+                organisation,
                 queue,
                 size,
                 2.0,
@@ -111,16 +111,19 @@
         self.started_once.add(task.id)
         self.running[task.id] = (task, worker, resources)
         self.free[worker] = self.free[worker] - resources
-        running = sum(t.team == task.team for t, _, _ in self.running.values())
-        assert running <= self.grants[task.team]
+        running = sum(
+            t.organisation == task.organisation for t, _, _ in self.running.values()
+        )
+        assert running <= self.grants[task.organisation]
 
     def check_work_conservation(self, step):
         """No free core stays idle beside a permitted small task for long."""
-        running = dict.fromkeys(TEAMS, 0)
+        running = dict.fromkeys(ORGANISATIONS, 0)
         for task, _, _ in self.running.values():
-            running[task.team] += 1
+            running[task.organisation] += 1
         waits = any(
-            task.resources == SIZES[0] and running[task.team] < self.grants[task.team]
+            task.resources == SIZES[0]
+            and running[task.organisation] < self.grants[task.organisation]
             for task in self.queued.values()
         )
         idle = any(
@@ -183,15 +186,15 @@
         self.scheduler.set_config(self.config, self.now)
         self.idle_since = None
 
-    @rule(team=st.sampled_from(TEAMS), slots=st.integers(0, 12))
-    def change_grant(self, team, slots):
-        self.grants[team] = slots
+    @rule(organisation=st.sampled_from(ORGANISATIONS), slots=st.integers(0, 12))
+    def change_grant(self, organisation, slots):
+        self.grants[organisation] = slots
         self.scheduler.set_grants(self.grants)
 
-    @rule(team=st.sampled_from(TEAMS), queued=st.integers(0, 5))
-    def hear_peer(self, team, queued):
-        usage = TeamUsage(NO_RESOURCES, queued, {"q": queued} if queued else {})
-        self.scheduler.set_peer_usage({"peer": {team: usage}})
+    @rule(organisation=st.sampled_from(ORGANISATIONS), queued=st.integers(0, 5))
+    def hear_peer(self, organisation, queued):
+        usage = OrganisationUsage(NO_RESOURCES, queued, {"q": queued} if queued else {})
+        self.scheduler.set_peer_usage({"peer": {organisation: usage}})
 
     @rule(worker=st.integers(0, 2))
     def move_worker(self, worker):
@@ -213,10 +216,10 @@
             return
         expected = {}
         for task in self.queued.values():
-            expected[task.team] = expected.get(task.team, 0) + 1
+            expected[task.organisation] = expected.get(task.organisation, 0) + 1
         for task, _, _ in self.running.values():
-            expected[task.team] = expected.get(task.team, 0) + 1
-        assert self.scheduler.demand_by_team() == expected
+            expected[task.organisation] = expected.get(task.organisation, 0) + 1
+        assert self.scheduler.demand_by_organisation() == expected
 
 
 TestScheduler = SchedulerMachine.TestCase
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -187,7 +187,7 @@
         submit(scheduler, 1, "t1", now=float(n), prefix=f"good{n}", idempotent=True)
         submit(scheduler, 1, "t0", "o", now=float(n), prefix=f"bad{n}", idempotent=True)
         for start in starts(scheduler, float(n)):
-            good = start.task.team == "t1"
+            good = start.task.organisation == "t1"
             outcome = Outcome.DONE if good else Outcome.FAILED
             scheduler.finished(start.task.id, outcome, n + 0.5)
     probations = [
@@ -221,8 +221,8 @@
         scheduler.finished(decision.task_id, Outcome.STOPPED, 1.3)
     (start,) = starts(scheduler, 1.3)
     assert start.task.urgent
-    assert scheduler.usage_by_team()["t1"].running == Resources(2, 2048)
-    assert scheduler.demand_by_team() == {"t0": 16, "t1": 1}
+    assert scheduler.usage_by_organisation()["t1"].running == Resources(2, 2048)
+    assert scheduler.demand_by_organisation() == {"t0": 16, "t1": 1}
 
 
 def test_loan_is_given_back_by_checkpointing():
@@ -235,7 +235,7 @@
     assert {d.reason for d in asked} == {CheckpointReason.LOAN_RETURN}
     for decision in asked:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 12.5)
-    assert [d.task.team for d in starts(scheduler, 12.5)][:1] == ["t1"]
+    assert [d.task.organisation for d in starts(scheduler, 12.5)][:1] == ["t1"]
 
 
 def test_deadlines_are_refused_early_and_expire():
@@ -276,7 +276,7 @@
     starts(scheduler, 0.0)
     assert "running slots" in str(scheduler.explain("t0-q-2")[-1])
     assert "Started on main-0" in str(scheduler.explain("t0-q-0")[-1])
-    assert "runs 2 of 2" in str(scheduler.explain_team("t0")[0])
+    assert "runs 2 of 2" in str(scheduler.explain_organisation("t0")[0])
 
 
 def test_pool_on_probation_returns_without_idempotent_work():
--- a/libs/sched/tests/test_shares.py
+++ b/libs/sched/tests/test_shares.py
@@ -2,31 +2,31 @@
 
 from collections import Counter
 
-from lycheeloom.sched import Outcome, TeamUsage
+from lycheeloom.sched import OrganisationUsage, Outcome
 
 from .fleet_fixtures import make_config, make_scheduler, starts, submit
 
 
-def teams_of(decisions):
-    return Counter(d.task.team for d in decisions)
+def organisations_of(decisions):
+    return Counter(d.task.organisation for d in decisions)
 
 
 def test_full_pool_is_divided_by_weight():
-    """Guards against serving teams in the order of arrival."""
+    """Guards against serving organisations in the order of arrival."""
     scheduler = make_scheduler(make_config(weights=(3, 1)))
     submit(scheduler, 100, "t0")
     submit(scheduler, 100, "t1")
     submit(scheduler, 100, "t1", "o")
     submit(scheduler, 100, "t0", "o")
-    assert teams_of(starts(scheduler, 1.0)) == {"t0": 36, "t1": 12}
+    assert organisations_of(starts(scheduler, 1.0)) == {"t0": 36, "t1": 12}
 
 
-def test_share_of_idle_team_goes_to_others():
-    """Guards against capacity left idle for teams without work."""
+def test_share_of_idle_organisation_goes_to_others():
+    """Guards against capacity left idle for organisations without work."""
     scheduler = make_scheduler(make_config(weights=(3, 1)))
     submit(scheduler, 100, "t1")
     submit(scheduler, 100, "t1", "o")
-    assert teams_of(starts(scheduler, 1.0)) == {"t1": 48}
+    assert organisations_of(starts(scheduler, 1.0)) == {"t1": 48}
 
 
 def test_grant_is_never_exceeded():
@@ -57,44 +57,45 @@
     """Guards against shares that hold within an entry only."""
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     running = make_config().instance_by_id["main-0"].size
-    scheduler.set_peer_usage({"peer": {"t0": TeamUsage(running)}})
+    scheduler.set_peer_usage({"peer": {"t0": OrganisationUsage(running)}})
     submit(scheduler, 100, "t0")
     submit(scheduler, 100, "t1")
-    started = [d.task.team for d in starts(scheduler, 1.0)]
+    started = [d.task.organisation for d in starts(scheduler, 1.0)]
     assert set(started[:3]) == {"t1"}
 
 
-def test_capacity_is_left_to_peer_with_lower_team_but_not_for_long():
+def test_capacity_is_left_to_peer_with_lower_organisation_but_not_for_long():
     """Guards against one entry keeping a pool, and against waiting for ever."""
     scheduler = make_scheduler(make_config(weights=(1, 1)))
-    waiting = TeamUsage(queued=50, queued_by_queue={"q": 50, "o": 50})
+    waiting = OrganisationUsage(queued=50, queued_by_queue={"q": 50, "o": 50})
     scheduler.set_peer_usage({"peer": {"t1": waiting}})
     submit(scheduler, 100, "t0")
-    # Both pools together have 48 cores; half of them are due to the peer's team.
+    # Both pools together have 48 cores; half of them are due to the peer's
+    # organisation.
     held = len(starts(scheduler, 1.0))
     assert held <= 26
     assert held + len(starts(scheduler, 2.0)) == 48
 
 
 def test_past_use_only_breaks_ties():
-    """Guards against a team paying for long for capacity nobody else wanted."""
+    """Guards against organisations paying long for capacity nobody else wanted."""
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     for start in submit(scheduler, 24, "t0") and starts(scheduler, 0.0):
         scheduler.finished(start.task.id, Outcome.DONE, 50.0)
     submit(scheduler, 100, "t0", now=50.0, prefix="x")
     submit(scheduler, 100, "t1", now=50.0, prefix="x")
     decisions = starts(scheduler, 50.0)
-    assert decisions[0].task.team == "t1"
-    assert teams_of(decisions[:24]) == {"t0": 12, "t1": 12}
+    assert decisions[0].task.organisation == "t1"
+    assert organisations_of(decisions[:24]) == {"t0": 12, "t1": 12}
 
 
-def test_queue_is_bounded_and_keeps_space_for_every_team():
-    """Guards against one team filling a queue so that others are refused."""
+def test_queue_is_bounded_and_keeps_space_for_every_organisation():
+    """Guards against one organisation filling a queue so that others are refused."""
     scheduler = make_scheduler(make_config(max_queued=40))
     submit(scheduler, 100, "t0")
-    assert scheduler.demand_by_team() == {"t0": 30}
+    assert scheduler.demand_by_organisation() == {"t0": 30}
     submit(scheduler, 100, "t1")
-    assert scheduler.demand_by_team() == {"t0": 30, "t1": 10}
+    assert scheduler.demand_by_organisation() == {"t0": 30, "t1": 10}
 
 
 def test_batch_uses_what_is_left_until_it_is_old():
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -79,7 +79,7 @@
 
     id: str
     request_id: str
-    team: str
+    organisation: str
     queue: str
     amount: Amount
     work: Work
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -143,9 +143,9 @@
         payload = b64decode(document.get("payload", ""))
         amount = Amount(**document.get("resources", {}))
         lease_s = float(document["lease_ms"]) / 1000
-        team = document["team"]
-        if not isinstance(team, str) or lease_s <= 0:
-            raise ValueError("team must be a string and lease_ms positive")
+        organisation = document["organisation"]
+        if not isinstance(organisation, str) or lease_s <= 0:
+            raise ValueError("organisation must be a string and lease_ms positive")
         if min(amount.cores, amount.memory_mb, amount.accelerators) < 0:
             raise ValueError("resources must not be negative")
         request_id = document.get("request_id") or task_id.rpartition(".")[0]
@@ -153,7 +153,7 @@
         task = Task(
             task_id,
             request_id,
-            team,
+            organisation,
             document.get("queue", ""),
             amount,
             work,
@@ -291,7 +291,7 @@
             "zone": self.zone,
             "task": task.id,
             "request_id": task.request_id,
-            "team": task.team,
+            "organisation": task.organisation,
             "queue": task.queue,
             "traceparent": task.traceparent,
             "call": task.work.call,
@@ -353,7 +353,7 @@
     cores, memory_mb = task.amount.cores, task.amount.memory_mb
     return {
         "task": task.id,
-        "team": task.team,
+        "organisation": task.organisation,
         "queue": task.queue,
         "cores": cores if work.used_cores is None else work.used_cores,
         "memory_mb": memory_mb if work.used_memory_mb is None else work.used_memory_mb,
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -67,7 +67,11 @@
     with PlatformStandIns(workers=workers) as platform:
         for worker in workers:
             session = call(worker, "POST", "/v1/sessions", {"ttl_ms": 60_000})[1]
-            start = {"session": session["session"], "lease_ms": 1000, "team": "t"}
+            start = {
+                "session": session["session"],
+                "lease_ms": 1000,
+                "organisation": "t",
+            }
             call(worker, "POST", f"/v1/tasks/{worker.name}.1", start)
         platform.instances.remove("w1")
         starts = call(platform.instances, "GET", "/v1/ledger")[1]["starts"]
@@ -88,8 +92,8 @@
     ],
 )
 def test_peak_running(times, peak):
-    """Team limits are judged by this count, at the borders of tasks too."""
-    starts = [{"team": "t", "started_at": a, "ended_at": b} for a, b in times]
+    """Organisation limits are judged by this count, at the borders of tasks too."""
+    starts = [{"organisation": "t", "started_at": a, "ended_at": b} for a, b in times]
     assert peak_running(starts) == {"t": peak}
 
 
@@ -101,7 +105,7 @@
         start = {
             "session": session["session"],
             "lease_ms": 60_000,
-            "team": "t",
+            "organisation": "t",
             "payload": "eyJ3b3JrX21zIjozNjAwMDAwfQ==",
             "wait": False,
         }
--- a/libs/standins/tests/test_worker.py
+++ b/libs/standins/tests/test_worker.py
@@ -24,7 +24,7 @@
     document = {
         "session": post(worker, "/v1/sessions", ttl_ms=60_000).document["session"],
         "lease_ms": 60_000,
-        "team": "red",
+        "organisation": "red",
         "queue": "lookups",
         "resources": {"cores": 1, "memory_mb": 10, "accelerators": 0},
         "payload": b64encode(payload).decode(),
@@ -99,7 +99,11 @@
     (entry,) = worker.ledger_entries()
     assert entry["status"] is TaskStatus.STOPPED
     assert entry["started_at"] <= entry["ended_at"]
-    assert (entry["team"], entry["zone"], entry["task"]) == ("red", "z2", "r1.1")
+    assert (entry["organisation"], entry["zone"], entry["task"]) == (
+        "red",
+        "z2",
+        "r1.1",
+    )
 
 
 def test_throttled_task_takes_longer(worker):
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -85,7 +85,7 @@
 
     @property
     def grants(self) -> Grants:
-        """Running slots by team and incarnation."""
+        """Running slots by organisation and incarnation."""
         return self._image.grants
 
     @property
@@ -164,12 +164,12 @@
                 return self._change_members(offset, author, record)
             case r.MemberLeft() | r.GrantsReclaimed():
                 return self._remove_member(author, record)
-            case r.GrantRequested(team, count):
+            case r.GrantRequested(organisation, count):
                 return self.members.is_active(author) and self.grants.request(
-                    author, team, count
+                    author, organisation, count
                 )
-            case r.GrantReturned(team, count):
-                return self.grants.give_back(author, team, count)
+            case r.GrantReturned(organisation, count):
+                return self.grants.give_back(author, organisation, count)
             case r.DutyClaimed():
                 return self.duties.claim(offset, author, record)
             case r.MoveStep() | r.InstanceHealth() | r.WaveCommand():
@@ -196,7 +196,10 @@
             {name: item.pool for name, item in config.instance_by_id.items()}
         )
         self.grants.set_limits(
-            {name: team.upper_limit for name, team in config.team_by_id.items()}
+            {
+                name: organisation.upper_limit
+                for name, organisation in config.organisation_by_id.items()
+            }
         )
         return True
 
--- a/libs/state/src/lycheeloom/state/grants.py
+++ b/libs/state/src/lycheeloom/state/grants.py
@@ -1,7 +1,7 @@
-"""Running slots of each team, divided among entry incarnations.
+"""Running slots of each organisation, divided among entry incarnations.
 
-The sum of a team's grants never grows beyond its upper limit. It may exceed a
-limit that was lowered; then nothing is granted and no task of the team starts
+The sum of an organisation's grants never grows beyond its upper limit. It may exceed a
+limit that was lowered; then nothing is granted and no task of the organisation starts
 until enough grants were returned.
 """
 
@@ -11,8 +11,8 @@
 
 
 @dataclass(slots=True)
-class TeamGrants:
-    """Grants and unmet requests of one team, by incarnation."""
+class OrganisationGrants:
+    """Grants and unmet requests of one organisation, by incarnation."""
 
     limit: int = 0
     count_by_holder: dict[str, int] = field(default_factory=dict)
@@ -80,44 +80,46 @@
 
 @dataclass(slots=True)
 class Grants:
-    """Grants of all teams."""
+    """Grants of all organisations."""
 
-    grants_by_team: dict[str, TeamGrants] = field(default_factory=dict)
+    grants_by_organisation: dict[str, OrganisationGrants] = field(default_factory=dict)
 
-    def of(self, team: str) -> TeamGrants:
-        """Return the grants of a team; a team not configured has limit 0."""
-        return self.grants_by_team.get(team) or TeamGrants()
+    def of(self, organisation: str) -> OrganisationGrants:
+        """Return the grants of an organisation; 0 if it is not configured."""
+        return self.grants_by_organisation.get(organisation) or OrganisationGrants()
 
-    def set_limits(self, limit_by_team: dict[str, int]) -> None:
+    def set_limits(self, limit_by_organisation: dict[str, int]) -> None:
         """Adopt the limits of a new configuration."""
-        for team, grants in list(self.grants_by_team.items()):
-            grants.limit = limit_by_team.get(team, 0)
-            if team not in limit_by_team and not grants.count_by_holder:
-                del self.grants_by_team[team]
-        for team, limit in limit_by_team.items():
-            grants = self.grants_by_team.setdefault(team, TeamGrants())
+        for organisation, grants in list(self.grants_by_organisation.items()):
+            grants.limit = limit_by_organisation.get(organisation, 0)
+            if organisation not in limit_by_organisation and not grants.count_by_holder:
+                del self.grants_by_organisation[organisation]
+        for organisation, limit in limit_by_organisation.items():
+            grants = self.grants_by_organisation.setdefault(
+                organisation, OrganisationGrants()
+            )
             grants.limit = limit
             grants.distribute()
 
-    def request(self, holder: str, team: str, count: int) -> bool:
-        """Ask for slots; has no effect for an unknown team."""
-        grants = self.grants_by_team.get(team)
+    def request(self, holder: str, organisation: str, count: int) -> bool:
+        """Ask for slots; has no effect for an unknown organisation."""
+        grants = self.grants_by_organisation.get(organisation)
         if grants is None:
             return False
         grants.request(holder, count)
         return True
 
-    def give_back(self, holder: str, team: str, count: int) -> bool:
+    def give_back(self, holder: str, organisation: str, count: int) -> bool:
         """Return slots; has no effect if the holder has fewer."""
-        grants = self.grants_by_team.get(team)
+        grants = self.grants_by_organisation.get(organisation)
         return grants is not None and grants.give_back(holder, count)
 
     def release_all(self, holder: str) -> None:
         """Free every slot of a holder that is gone."""
-        for grants in self.grants_by_team.values():
+        for grants in self.grants_by_organisation.values():
             grants.release_all(holder)
 
     def forget_demand(self, holder: str) -> None:
         """Drop the unmet requests of a holder that was expelled."""
-        for grants in self.grants_by_team.values():
+        for grants in self.grants_by_organisation.values():
             grants.forget_demand(holder)
--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -38,7 +38,7 @@
     __pydantic_config__ = ConfigDict(ser_json_bytes="base64", val_json_bytes="base64")
 
     request_id: str
-    team: str
+    organisation: str
     queue: str
     idempotent: bool
     idempotency_key: str
@@ -70,9 +70,9 @@
     pending: dict[str, None] = field(default_factory=dict)
     claimed: dict[str, None] = field(default_factory=dict)
 
-    def find_by_key(self, team: str, key: str) -> RecordedRequest | None:
-        """Return the request a team submitted under an idempotency key."""
-        request_id = self.id_by_key.get(_key(team, key))
+    def find_by_key(self, organisation: str, key: str) -> RecordedRequest | None:
+        """Return the request an organisation submitted under an idempotency key."""
+        request_id = self.id_by_key.get(_key(organisation, key))
         return self.request_by_id.get(request_id) if request_id else None
 
     def submit(self, offset: int, author: str, record: RequestSubmitted) -> bool:
@@ -84,13 +84,13 @@
             known.body_offset = offset
             return True
         if record.idempotency_key:
-            key = _key(record.team, record.idempotency_key)
+            key = _key(record.organisation, record.idempotency_key)
             if key in self.id_by_key:
                 return False
             self.id_by_key[key] = record.request_id
         self.request_by_id[record.request_id] = RecordedRequest(
             request_id=record.request_id,
-            team=record.team,
+            organisation=record.organisation,
             queue=record.queue,
             idempotent=record.idempotent,
             idempotency_key=record.idempotency_key,
@@ -170,7 +170,7 @@
                 continue
             del self.request_by_id[request.request_id]
             if request.idempotency_key:
-                del self.id_by_key[_key(request.team, request.idempotency_key)]
+                del self.id_by_key[_key(request.organisation, request.idempotency_key)]
 
     def find_claim(self, request_id: str, attempt: int) -> RecordedRequest | None:
         """Return a request that is claimed under this attempt."""
@@ -185,5 +185,5 @@
         request.finished_at = offset
 
 
-def _key(team: str, key: str) -> str:
-    return f"{team}\n{key}"
+def _key(organisation: str, key: str) -> str:
+    return f"{organisation}\n{key}"
--- a/libs/state/tests/test_fleet_state.py
+++ b/libs/state/tests/test_fleet_state.py
@@ -21,8 +21,8 @@
             "memory_mb": 1024,
         }
     },
-    "teams": {"t": {"share": 1, "upper_limit": 10}},
-    "queues": {"main": {"pool": "p", "teams": ["t"]}},
+    "organisations": {"t": {"share": 1, "upper_limit": 10}},
+    "queues": {"main": {"pool": "p", "organisations": ["t"]}},
 }
 
 
@@ -75,7 +75,7 @@
 
 
 @pytest.mark.parametrize(
-    "patch", ["{", json.dumps({"pools": {"p": None}}), json.dumps({"teams": 3})]
+    "patch", ["{", json.dumps({"pools": {"p": None}}), json.dumps({"organisations": 3})]
 )
 def test_invalid_config_has_no_effect(log, patch):
     """A broken patch, or one that removes a pool in use, must change nothing."""
@@ -113,7 +113,7 @@
 def test_lowered_limit_stops_starts_until_grants_fit(log):
     """After a limit is lowered no holder may start above it."""
     log.append("a", r.GrantRequested("t", 6))
-    patch = json.dumps({"teams": {"t": {"upper_limit": 4}}})
+    patch = json.dumps({"organisations": {"t": {"upper_limit": 4}}})
     log.append("op", r.ConfigChanged(1, patch))
     grants = log.state.grants.of("t")
     assert grants.usable("a") == 0
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -46,7 +46,7 @@
     first, second = (Tracer(name, 1.0, exporter) for name in ("caller", "entry"))
     with (
         first.span("call") as parent,
-        second.span("accept", parent.traceparent, team="t") as child,
+        second.span("accept", parent.traceparent, organisation="t") as child,
     ):
         child.fail("no worker")
     lines = stream.getvalue().splitlines()
@@ -74,7 +74,7 @@
     """A caller's decision not to record must reach the next hop unchanged."""
     stream = io.StringIO()
     with Tracer("entry", ratio, LineSpanExporter(stream)).span("a", header) as span:
-        span.set("team", "t")
+        span.set("organisation", "t")
         span.fail("reason")
     assert span.traceparent == header
     assert stream.getvalue() == ""
--- a/libs/wire/src/lycheeloom/wire/__init__.py
+++ b/libs/wire/src/lycheeloom/wire/__init__.py
@@ -4,6 +4,7 @@
 from .peers import (
     BadPeerMessage,
     Heartbeat,
+    OrganisationUsage,
     OutcomeCount,
     OutcomeReport,
     OutcomeRequest,
@@ -12,7 +13,6 @@
     QueueCount,
     RangeRequest,
     RecordRelay,
-    TeamUsage,
     decode_peer_message,
     encode_peer_message,
 )
@@ -29,7 +29,7 @@
     "QueueCount",
     "RangeRequest",
     "RecordRelay",
-    "TeamUsage",
+    "OrganisationUsage",
     "copy_record",
     "decode_batch",
     "decode_peer_message",
--- a/libs/wire/src/lycheeloom/wire/peers.capnp
+++ b/libs/wire/src/lycheeloom/wire/peers.capnp
@@ -23,14 +23,14 @@
   logAgeMs @3 :UInt32;
   draining @4 :Bool;
   # Only changed entries; complete at least every 10 s.
-  usage @5 :List(TeamUsage);
+  usage @5 :List(OrganisationUsage);
   complete @6 :Bool;
   # Workers that the sender's large or urgent tasks wait for.
   reservedWorkers @7 :List(Text);
 }
 
-struct TeamUsage {
-  team @0 :Text;
+struct OrganisationUsage {
+  organisation @0 :Text;
   running @1 :UInt32;
   queued @2 :UInt32;
   cores @3 :Float32;
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -15,20 +15,20 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueCount:
-    """How many requests of a team wait in one queue."""
+    """How many requests of an organisation wait in one queue."""
 
     queue: str
     count: int
 
 
 @dataclass(frozen=True, slots=True)
-class TeamUsage:
-    """What one team runs and has queued on the sender.
+class OrganisationUsage:
+    """What one organisation runs and has queued on the sender.
 
     ``startable`` counts only requests that the sender's grant lets it start.
     """
 
-    team: str
+    organisation: str
     running: int
     queued: int
     cores: float = 0.0
@@ -46,7 +46,7 @@
     next_offset: int
     log_age_ms: int
     draining: bool = False
-    usage: tuple[TeamUsage, ...] = ()
+    usage: tuple[OrganisationUsage, ...] = ()
     complete: bool = False
     reserved_workers: tuple[str, ...] = ()
 
--- a/libs/wire/src/lycheeloom/wire/records.capnp
+++ b/libs/wire/src/lycheeloom/wire/records.capnp
@@ -23,8 +23,8 @@
     memberRefuted @4 :Empty;
     memberLeft @5 :Empty;
     grantsReclaimed @6 :GrantsReclaimed;
-    grantRequested @7 :TeamCount;
-    grantReturned @8 :TeamCount;
+    grantRequested @7 :OrganisationCount;
+    grantReturned @8 :OrganisationCount;
     requestSubmitted @9 :RequestSubmitted;
     requestClaimed @10 :RequestClaimed;
     requestReleased @11 :RequestAttempt;
@@ -65,14 +65,14 @@
   expelledAt @1 :UInt64;
 }
 
-struct TeamCount {
-  team @0 :Text;
+struct OrganisationCount {
+  organisation @0 :Text;
   count @1 :UInt32;
 }
 
 struct RequestSubmitted {
   requestId @0 :Text;
-  team @1 :Text;
+  organisation @1 :Text;
   queue @2 :Text;
   payload @3 :Data;
   idempotent @4 :Bool;
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,7 @@
 from gevent.pool import Group
 from gevent.server import StreamServer
 
-from bench.fault_document import LIMIT_BY_TEAM
+from bench.fault_document import LIMIT_BY_ORGANISATION
 from bench.fault_fleet import CallSeen, FaultFleet, Publication
 from bench.fault_oracle import check
 from lycheeloom.operator import Draft, Published
@@ -127,10 +127,10 @@
 
 
 def granted(world: FaultFleet, name: str) -> bool:
-    """Tell whether an entry holds running slots of every team."""
+    """Tell whether an entry holds running slots of every organisation."""
     status = world.status(name)
     return status is not None and all(
-        team["grant"] > 0 for team in status["teams"].values()
+        organisation["grant"] > 0 for organisation in status["organisations"].values()
     )
 
 
@@ -161,4 +161,4 @@
 
 def assert_invariants(world: FaultFleet) -> None:
     """Judge by the notes and the ledger of the workers."""
-    assert check(world.notes, world.fleet.ledger(), LIMIT_BY_TEAM) == []
+    assert check(world.notes, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
--- a/tests/test_failing_worker.py
+++ b/tests/test_failing_worker.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from bench.fault_fleet import FaultFleet
+from lycheeloom.clients import LogClient
 from lycheeloom.fleet.monitor import SYMPTOM_TEXT, Symptom
 from lycheeloom.log import recover
 from lycheeloom.model.records import Health
-from lycheeloom.platform import LogClient
 from lycheeloom.state import FleetState
 
 from .conftest import Load, wait_until
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from lycheeloom.clients import LogClient
 from lycheeloom.model.records import Health, MoveStep, WaveState
 from lycheeloom.operator import (
     Entries,
@@ -13,7 +14,6 @@
     Published,
     WaveChanged,
 )
-from lycheeloom.platform import LogClient
 from lycheeloom.wire import decode_batch
 
 from .conftest import Load, assert_invariants, start_world, wait_until
@@ -86,7 +86,11 @@
     they are found silent at different times.
     """
     maintenance = Maintenance(world, correlated_pause_s=HOLD_S, **SETTINGS)
-    key = next(key for key, team in world.team_by_key.items() if team == "red")
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "red"
+    )
     with Load(world, 3, lambda entry: world.submit("lookup", entry, key)):
         world.fleet.set_faults(RACK[0], down=True)
         world.fleet.set_faults(RACK[1], slow_ms=60_000)
@@ -143,7 +147,11 @@
     second one stays silent.
     """
     maintenance = Maintenance(world, max_reboots=2, **SETTINGS)
-    key = next(key for key, team in world.team_by_key.items() if team == "blue")
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "blue"
+    )
     mended, dead = "w4", "w8"
     with Load(world, 6, lambda entry: run_batch(world, entry, key)):
         world.fleet.set_faults(mended, down=True)
@@ -179,7 +187,11 @@
     assert reboots_by_platform(world, dead) == 2
     # It answers again, but only a person may return it.
     world.fleet.set_faults(dead, slow_ms=0)
-    key = next(key for key, team in world.team_by_key.items() if team == "red")
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "red"
+    )
     with Load(world, 6, lambda entry: world.submit("lookup", entry, key)) as load:
         load.wait_for_more(100)
     assert maintenance.health(dead) is Health.GIVEN_UP
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,7 +6,7 @@
 import pytest
 from tests.conftest import wait_until
 
-from lycheeloom.platform import Transport
+from lycheeloom.clients import Transport
 
 TRACE_ID = "0af7651916cd43dd8448eb211c80319c"
 CALLER_SPAN = "b7ad6b7169203331"
@@ -14,7 +14,11 @@
 
 @pytest.fixture
 def key(world):
-    return next(key for key, team in world.team_by_key.items() if team == "red")
+    return next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "red"
+    )
 
 
 def spans_of(world):
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -12,11 +12,11 @@
 import pytest
 
 from bench.fault_fleet import collect_all
+from lycheeloom.clients import LogClient, ReadBatches, Response
 from lycheeloom.cluster import connect
 from lycheeloom.log import SnapshotReader
 from lycheeloom.model.records import UnknownRecord
 from lycheeloom.operator import Operator, Published
-from lycheeloom.platform import LogClient, ReadBatches, Response
 from lycheeloom.wire import PeerMessage, RangeRequest, decode_batch
 from lycheeloom.wire.seal import unseal
 
@@ -166,7 +166,11 @@
     A controller of today's version writes snapshots and appends old records again.
     """
     world = lone_world
-    key = next(key for key, team in world.team_by_key.items() if team == "red")
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "red"
+    )
     controller = world.fleet.start_controller(
         "c0", "north", log_retention_s=RETENTION_S
     )
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -13,8 +13,8 @@
 import gevent
 import pytest
 
-from bench.fault_document import LIMIT_BY_TEAM, ZONES
-from bench.fault_oracle import REVOKED_S, ZONE_OUT_S, peak_by_team
+from bench.fault_document import LIMIT_BY_ORGANISATION, ZONES
+from bench.fault_oracle import REVOKED_S, ZONE_OUT_S, peak_by_organisation
 from lycheeloom.operator import Published
 
 from .conftest import (
@@ -33,7 +33,7 @@
 
 @pytest.fixture
 def key(world):
-    """A key of team red that only this test uses, in force on every entry."""
+    """A key of organisation red that only this test uses, in force on every entry."""
     key = world.grant_key("red")
     version = world.notes.publications[-1].version
     wait_until(lambda: in_force_everywhere(world, version))
@@ -99,8 +99,8 @@
         assert sum(pool["workers"] for pool in pools.values()) == 6
 
 
-def test_work_is_accepted_only_with_a_key_of_the_team(world, key):
-    """I3: guards against work without a key, or with another team's queue."""
+def test_work_is_accepted_only_with_a_key_of_the_organisation(world, key):
+    """I3: guards against work without a key, or with another organisation's queue."""
     assert world.submit("lookup", "e0", key).status == 200
     world.token_by_key[key] += "0"
     assert world.submit("lookup", "e1", key).document["reason"] == "key_rejected"
@@ -143,16 +143,24 @@
     in one test, as reclaiming the slots and claims of a lost entry takes 20 s.
     """
     world = lone_world
-    limit = LIMIT_BY_TEAM["green"]
-    key = next(key for key, team in world.team_by_key.items() if team == "green")
+    limit = LIMIT_BY_ORGANISATION["green"]
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "green"
+    )
 
     def hold():
         world.submit("booking", "e0", key, work_ms=40_000, timeout_s=100.0)
 
     held = [gevent.spawn(hold) for _ in range(limit)]
-    wait_until(lambda: peak_by_team(world.fleet.ledger()).get("green") == limit)
+    wait_until(lambda: peak_by_organisation(world.fleet.ledger()).get("green") == limit)
     keyed = {"work": world.new_work(), "work_ms": 1000, "idempotency_key": "booking"}
-    red = next(key for key, team in world.team_by_key.items() if team == "red")
+    red = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "red"
+    )
     booked = gevent.spawn(world.submit, "keyed", "e2", red, **keyed)
     wait_until(lambda: starts_of(world, keyed["work"]))
     world.entry_by_name["e2"].kill()
@@ -177,7 +185,7 @@
         entry.kill()
     gevent.joinall(held)
     assert len(starts_of(world, keyed["work"])) == 1
-    assert peak_by_team(world.fleet.ledger())["green"] == limit
+    assert peak_by_organisation(world.fleet.ledger())["green"] == limit
 
 
 def states(world, name):
@@ -330,7 +338,11 @@
 def test_entries_restart_one_by_one_without_cutting_requests(lone_world):
     """I10: guards against requests that are lost in a rolling restart."""
     world = lone_world
-    key = next(key for key, team in world.team_by_key.items() if team == "red")
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "red"
+    )
 
     def call(entry):
         work = world.new_work()
@@ -371,14 +383,18 @@
 def test_batches_survive_the_loss_of_all_entries(lone_world):
     """Guards against recorded batch requests that are lost or run twice."""
     world = lone_world
-    key = next(key for key, team in world.team_by_key.items() if team == "blue")
-    limit = LIMIT_BY_TEAM["blue"]
+    key = next(
+        key
+        for key, organisation in world.organisation_by_key.items()
+        if organisation == "blue"
+    )
+    limit = LIMIT_BY_ORGANISATION["blue"]
     batches = [
         world.submit("batch", f"e{number % 3}", key, work_ms=1500)
         for number in range(4 * limit)
     ]
     assert {batch.status for batch in batches} == {202}
-    wait_until(lambda: peak_by_team(world.fleet.ledger()).get("blue", 0) > 1)
+    wait_until(lambda: peak_by_organisation(world.fleet.ledger()).get("blue", 0) > 1)
     for program in world.entry_by_name.values():
         program.kill()
     for name in sorted(world.zone_by_entry):
