Run jobs of steps and tasks on the users' platform

libs/jobs holds the model, the state and the decisions, libs/coordinator the leadership through the platform's store, dispatch and recovery, platform/ the adapter. One leader decides for all pools; every instance accepts jobs by appending them to a keyed topic and answers from a replay of it.

--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -0,0 +1,113 @@
+"""Elects one instance as the leader through the store."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import gevent
+
+from lycheeloom.telemetry import log_event
+
+from .clock import steady_s
+from .ports import Appended, Moved, StorePort
+from .replica import Replica
+from .writer import LEADER_LEASE_S, LeaderWriter
+
+# A leader that has written nothing for this long no longer acts: its lease has
+# ended even if its clock is 2% slow, with time for the read that shows it.
+TAKEOVER_S = LEADER_LEASE_S * 1.02 + 0.2
+CHECK_PAUSE_S = 0.1
+# Instances that see the same silence campaign at different times.
+MAX_STAGGER_S = 0.25
+FENCE_TIMEOUT_S = 2.0
+
+
+class Leadership:
+    """Campaigns when no leader is heard of; ``lead`` runs while this one leads."""
+
+    def __init__(
+        self,
+        store: StorePort,
+        replica: Replica,
+        instance: str,
+        lead: Callable[[LeaderWriter], None],
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._replica = replica
+        self._instance = instance
+        self._lead = lead
+        self._rng = rng
+        # End of the election log if it is known to be past the leader's token.
+        self._claimed_end: int | None = None
+        self._claim_seen_s = 0.0
+        self.writer: LeaderWriter | None = None
+        self.is_stopping = False
+
+    def run(self) -> None:
+        """Watch the leader and campaign for ever."""
+        while not self.is_stopping:
+            gevent.sleep(CHECK_PAUSE_S)
+            if not self._is_vacant():
+                continue
+            gevent.sleep(self._rng.uniform(0, MAX_STAGGER_S))
+            if self._is_vacant() and not self.is_stopping:
+                self._campaign()
+
+    def resign(self, timeout_s: float) -> None:
+        """Stop leading and campaigning."""
+        self.is_stopping = True
+        if self.writer is not None:
+            self.writer.resign(timeout_s)
+
+    def _is_vacant(self) -> bool:
+        replica = self._replica
+        if not replica.is_fresh or replica.leader_seen_s is None:
+            return False
+        leader = replica.table.leader
+        if self._claimed_end is not None and leader is not None:
+            if leader.token >= self._claimed_end:
+                self._claimed_end = None
+        if self._claimed_end is not None:
+            return steady_s() - self._claim_seen_s > TAKEOVER_S
+        if leader is None or leader.resigned:
+            return True
+        if leader.instance == self._instance:
+            # An earlier process of this instance; it has ended.
+            return True
+        return steady_s() - replica.leader_seen_s > TAKEOVER_S
+
+    def _campaign(self) -> None:
+        leader = self._replica.table.leader
+        at = self._claimed_end
+        if at is None:
+            at = leader.token if leader else 0
+        result = self._store.claim_lead(at, self._instance)
+        match result:
+            case Appended(end=token):
+                self._serve(token)
+            case Moved(end=end):
+                if self._claimed_end != end:
+                    self._claimed_end, self._claim_seen_s = end, steady_s()
+                log_event("lead_claimed_elsewhere", at=at, end=end)
+            case _:
+                log_event("lead_claim_failed", level="WARNING", result=result)
+
+    def _serve(self, token: int) -> None:
+        self._claimed_end = None
+        writer = LeaderWriter(self._store, token, self._instance, lambda: None)
+        self.writer = writer
+        end = writer.open(FENCE_TIMEOUT_S)
+        if end is None or not self._replica.wait_for(end, FENCE_TIMEOUT_S):
+            log_event("lead_not_taken", level="WARNING", token=token, end=end)
+            self.writer = None
+            return
+        log_event("lead_taken", token=token, instance=self._instance, offset=end)
+        self._replica.is_leading = True
+        try:
+            self._lead(writer)
+        finally:
+            self._replica.is_leading = False
+            self.writer = None
+            log_event("lead_given_up", token=token, instance=self._instance)
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -0,0 +1,152 @@
+"""One task for each worker: extends its lease and reads its lists."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import gevent
+
+from lycheeloom.jobs.model import Worker
+from lycheeloom.telemetry import log_event
+
+from .clock import steady_s
+from .ports import CallOutcome, CallReply, TaskLists, WorkerPort
+from .writer import Commit
+
+# Lease of everything on a worker: longer than a change of leader takes.
+WORKER_LEASE_S = 4.5
+# A worker's clock may run this much slower than ours.
+CLOCK_RATE_MARGIN = 1.02
+# Time for a request on its way to the worker.
+LAPSE_MARGIN_S = 0.3
+# How long a worker may wait for an end before it answers.
+LOOK_WAIT_MS = 900
+# The same while something on the worker has to be watched closely.
+CLOSE_LOOK_WAIT_MS = 300
+FAILURE_PAUSE_S = 0.25
+DURABLE_WAIT_S = 0.5
+IDLE_PAUSE_S = 0.1
+
+
+class WorkerLink:
+    """Keeps in touch with one life of a worker.
+
+    ``on_lists`` takes over the lists and returns what has to be durable before
+    the worker may forget the ends, or None if nothing has to be.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        port: WorkerPort,
+        token: int,
+        may_act: Callable[[], bool],
+        on_lists: Callable[[WorkerLink, TaskLists, float], Commit | None],
+        on_reply: Callable[[WorkerLink, CallOutcome], None],
+        watch_closely: Callable[[WorkerLink], bool],
+    ) -> None:
+        self.worker = worker
+        # The newest end taken over, and the newest one that is durable.
+        self.taken = 0
+        self.is_first_listing = True
+        self.reached_s = -math.inf
+        # No lease granted to the worker lasts longer than this.
+        self.granted_until_s = -math.inf
+        self._port = port
+        self._token = token
+        self._may_act = may_act
+        self._on_lists = on_lists
+        self._on_reply = on_reply
+        self._watch_closely = watch_closely
+        self._durable = 0
+        self._clock: tuple[float, float] | None = None
+        self._failing_since_s: float | None = None
+        self.is_stopped = False
+
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether the last call was answered."""
+        return self._failing_since_s is None and not self.is_first_listing
+
+    @property
+    def failing_for_s(self) -> float:
+        """Return how long the worker has not answered; 0 if it does."""
+        if self._failing_since_s is None:
+            return 0.0
+        return steady_s() - self._failing_since_s
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Tell whether the leases granted have certainly ended."""
+        return steady_s() > self.granted_until_s
+
+    def grant(self) -> int | None:
+        """Return the end of a new lease by the worker's clock; None if unknown."""
+        if self._clock is None:
+            return None
+        now_s = steady_s()
+        at_s, clock_ms = self._clock
+        lease_s = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
+        self.granted_until_s = max(self.granted_until_s, now_s + lease_s)
+        return int(clock_ms + (now_s - at_s) * 1000 + WORKER_LEASE_S * 1000)
+
+    def note_clock(self, clock_ms: int | None) -> None:
+        """Note what the worker's clock showed in an answer."""
+        if clock_ms is not None:
+            self._clock = (steady_s(), clock_ms)
+
+    def run(self) -> None:
+        """Look at the worker until the link is stopped."""
+        while not self.is_stopped:
+            if not self._may_act():
+                gevent.sleep(IDLE_PAUSE_S)
+                continue
+            self._look()
+
+    def _look(self) -> None:
+        close = self.is_first_listing or self._watch_closely(self)
+        wait_ms = CLOSE_LOOK_WAIT_MS if close else LOOK_WAIT_MS
+        if self.is_first_listing or self._durable < self.taken:
+            wait_ms = 0
+        began_s = steady_s()
+        result = self._port.hold(
+            self.worker, self._token, self._durable, self.grant(), wait_ms
+        )
+        if self.is_stopped:
+            return
+        if isinstance(result, CallReply):
+            self._note_failure(result)
+            return
+        self._note_success(result)
+        commit = self._on_lists(self, result, began_s)
+        self.is_first_listing = False
+        if self.is_stopped:
+            return
+        if commit is None or commit.wait(DURABLE_WAIT_S):
+            self._durable = self.taken
+
+    def _note_success(self, lists: TaskLists) -> None:
+        self.reached_s = steady_s()
+        self.note_clock(lists.clock_ms)
+        if self._failing_since_s is not None:
+            log_event(
+                "worker_regained",
+                worker=self.worker.worker_id,
+                after_s=self.failing_for_s,
+            )
+            self._failing_since_s = None
+
+    def _note_failure(self, reply: CallReply) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = steady_s()
+            log_event(
+                "worker_lost",
+                level="WARNING",
+                worker=self.worker.worker_id,
+                outcome=reply.outcome.value,
+                reason=reply.reason,
+            )
+        self.note_clock(reply.clock_ms)
+        self._on_reply(self, reply.outcome)
+        gevent.sleep(FAILURE_PAUSE_S)
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -0,0 +1,130 @@
+"""The leader's appends: grouped, repeated until answered, fenced by its token."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from lycheeloom.jobs.records import Kind, LeaderRecord, Record, encode, key_of
+from lycheeloom.telemetry import log_event
+
+from .clock import steady_s
+from .ports import Appended, Fenced, Producer, StorePort
+
+# A leader acts for this long after the start of its last answered append. Other
+# instances wait longer than this before they take over.
+LEADER_LEASE_S = 2.0
+# A leader without anything to write renews its lease this often.
+RENEWAL_S = 0.5
+RETRY_PAUSE_S = 0.1
+# Records of one append; the store limits the bytes of a call.
+MAX_RECORDS = 400
+
+
+class Commit:
+    """Records handed to the writer; ``is_durable`` once the store has them."""
+
+    def __init__(self) -> None:
+        self._done = Event()
+
+    @property
+    def is_durable(self) -> bool:
+        """Tell whether the records are in the store."""
+        return self._done.is_set()
+
+    def mark_durable(self) -> None:
+        """Wake those who wait."""
+        self._done.set()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait for the records to be durable; False if they are not yet."""
+        return self._done.wait(timeout_s)
+
+
+class LeaderWriter:
+    """Writes records of the leader in order of arrival.
+
+    Records of one key that wait together are merged into the newest.
+    """
+
+    def __init__(
+        self, store: StorePort, token: int, instance: str, on_fenced: Callable[[], None]
+    ) -> None:
+        self.token = token
+        self.lease_until_s = 0.0
+        self._store = store
+        self._instance = instance
+        self._on_fenced = on_fenced
+        self._sequence = 0
+        self._value_by_key: dict[str, bytes] = {}
+        self._commit = Commit()
+        self._work = Event()
+        self.is_fenced = False
+
+    @property
+    def may_act(self) -> bool:
+        """Tell whether this instance certainly still leads."""
+        return not self.is_fenced and steady_s() < self.lease_until_s
+
+    def open(self, timeout_s: float) -> int | None:
+        """Fence earlier leaders; returns the end of the log, None if that failed."""
+        deadline_s = steady_s() + timeout_s
+        record = self._leader_record(resigned=False)
+        while steady_s() < deadline_s:
+            end = self._append([record])
+            if end is not None or self.is_fenced:
+                return end
+            gevent.sleep(RETRY_PAUSE_S)
+        return None
+
+    def write(self, records: list[Record]) -> Commit:
+        """Hand over records to be written."""
+        for record in records:
+            self._value_by_key[record.key] = record.value
+        self._work.set()
+        return self._commit
+
+    def run(self) -> None:
+        """Write and renew until the leader is fenced."""
+        while not self.is_fenced:
+            self._work.wait(RENEWAL_S)
+            self._work.clear()
+            keys = list(self._value_by_key)[:MAX_RECORDS]
+            batch = [Record(key, self._value_by_key.pop(key)) for key in keys]
+            if self._value_by_key:
+                self._work.set()
+                commit = Commit()
+            else:
+                commit, self._commit = self._commit, Commit()
+            if not batch:
+                batch = [self._leader_record(resigned=False)]
+            while self._append(batch) is None:
+                if self.is_fenced:
+                    return
+                gevent.sleep(RETRY_PAUSE_S)
+            commit.mark_durable()
+
+    def resign(self, timeout_s: float) -> None:
+        """Tell the other instances to take over at once."""
+        self.write([self._leader_record(resigned=True)]).wait(timeout_s)
+        self.is_fenced = True
+
+    def _append(self, batch: list[Record]) -> int | None:
+        began_s = steady_s()
+        result = self._store.append(batch, Producer(self.token, self._sequence))
+        match result:
+            case Appended(end=end):
+                self._sequence += 1
+                self.lease_until_s = began_s + LEADER_LEASE_S
+                return end
+            case Fenced():
+                self.is_fenced = True
+                log_event("leader_fenced", level="WARNING", token=self.token)
+                self._on_fenced()
+        return None
+
+    def _leader_record(self, *, resigned: bool) -> Record:
+        record = LeaderRecord(self.token, self._instance, resigned)
+        return Record(key_of(Kind.LEADER), encode(record))
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -0,0 +1,152 @@
+"""Workers and the runs on them as the leader believes them to be."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+from .model import Step, TaskKey, Worker
+
+# A worker whose last runs failed is avoided for this long, doubled with each
+# further failure; a healthy worker loses little by it.
+FAILURE_HOLD_S = 1.0
+MAX_FAILURE_HOLD_S = 8.0
+
+
+class RunState(Enum):
+    """What is known about a run."""
+
+    # The start has been sent and not been answered.
+    STARTING = "starting"
+    RUNNING = "running"
+    # A stop has been sent, or the outcome of the start is not known.
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task on a worker."""
+
+    task: TaskKey
+    run: int
+    worker_id: str
+    step: Step
+    organisation: str
+    queue: str
+    state: RunState
+    since_s: float
+    checkpoint: str = ""
+    percent: int = 0
+    # When the percentage last changed.
+    moved_s: float = 0.0
+    figure: float = 0.0
+    pace_percent: int = 100
+    # Why the run was stopped by the leader; empty if it was not.
+    stop_reason: str = ""
+    # A list asked for after this time that lacks the run shows that it is gone.
+    settle_after_s: float = math.inf
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """A worker, the runs on it and how reliable it has been."""
+
+    worker: Worker
+    run_by_task: dict[TaskKey, Run] = field(default_factory=dict)
+    used: Resources = NO_RESOURCES
+    # No task starts here before this time.
+    held_until_s: float = 0.0
+    consecutive_failures: int = 0
+    # The newest lists of the worker are known to the present leader.
+    is_listed: bool = False
+    # Excluded from new work: maintenance or a move is coming.
+    is_cordoned: bool = False
+
+    @property
+    def free(self) -> Resources:
+        """Return what new tasks may reserve."""
+        return self.worker.capacity - self.used
+
+
+class Fleet:
+    """All workers and runs, with what each organisation uses."""
+
+    def __init__(self) -> None:
+        self.state_by_id: dict[str, WorkerState] = {}
+        self.used_by_organisation: dict[str, Resources] = defaultdict(Resources)
+        self.runs_by_task: dict[TaskKey, list[Run]] = defaultdict(list)
+
+    def add_worker(self, worker: Worker) -> WorkerState:
+        """Add a worker or take over its newest description."""
+        state = self.state_by_id.get(worker.worker_id)
+        if state is None:
+            state = self.state_by_id[worker.worker_id] = WorkerState(worker)
+        state.worker = worker
+        return state
+
+    def remove_worker(self, worker_id: str) -> list[Run]:
+        """Forget a worker that has ended; returns the runs it had."""
+        state = self.state_by_id.get(worker_id)
+        if state is None:
+            return []
+        runs = list(state.run_by_task.values())
+        for run in runs:
+            self.remove_run(run)
+        del self.state_by_id[worker_id]
+        return runs
+
+    def add_run(self, run: Run) -> None:
+        """Count a run against its worker and its organisation."""
+        state = self.state_by_id[run.worker_id]
+        state.run_by_task[run.task] = run
+        state.used = state.used + run.step.need
+        used = self.used_by_organisation[run.organisation]
+        self.used_by_organisation[run.organisation] = used + run.step.use
+        self.runs_by_task[run.task].append(run)
+
+    def remove_run(self, run: Run) -> None:
+        """Give back what a run has used."""
+        state = self.state_by_id.get(run.worker_id)
+        if state is None or state.run_by_task.get(run.task) is not run:
+            return
+        del state.run_by_task[run.task]
+        state.used = state.used - run.step.need if state.run_by_task else NO_RESOURCES
+        used = self.used_by_organisation[run.organisation]
+        self.used_by_organisation[run.organisation] = used - run.step.use
+        runs = self.runs_by_task[run.task]
+        runs.remove(run)
+        if not runs:
+            del self.runs_by_task[run.task]
+
+    def find_run(self, worker_id: str, task: TaskKey, number: int) -> Run | None:
+        """Return a run on a worker if it is the one with this number."""
+        state = self.state_by_id.get(worker_id)
+        run = state.run_by_task.get(task) if state else None
+        return run if run is not None and run.run == number else None
+
+    def runs_of_job(self, job_id: str) -> list[Run]:
+        """Return all runs of a job."""
+        return [
+            run
+            for task, runs in self.runs_by_task.items()
+            if task.job_id == job_id
+            for run in runs
+        ]
+
+    def note_outcome(self, worker_id: str, succeeded: bool, now_s: float) -> None:
+        """Avoid a worker for a time after failures, longer with each in a row."""
+        state = self.state_by_id.get(worker_id)
+        if state is None:
+            return
+        if succeeded:
+            state.consecutive_failures = 0
+            return
+        state.consecutive_failures += 1
+        hold_s = FAILURE_HOLD_S * 2 ** (state.consecutive_failures - 1)
+        state.held_until_s = max(
+            state.held_until_s, now_s + min(hold_s, MAX_FAILURE_HOLD_S)
+        )
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -0,0 +1,141 @@
+"""Choice of the worker that runs a task."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+
+from lycheeloom.model.resources import Resources
+
+from .fleet import Fleet, WorkerState
+from .model import Step
+
+# Resources are sums of fractions of cores.
+TOLERANCE_CORES = 1e-6
+
+
+def fits(need: Resources, free: Resources) -> bool:
+    """Tell whether a task fits, allowing for rounding of sums."""
+    return (
+        need.cores <= free.cores + TOLERANCE_CORES
+        and need.memory_mb <= free.memory_mb
+        and need.accelerators <= free.accelerators
+    )
+
+
+def candidates(
+    fleet: Fleet, pool: str, step: Step, zones_out: Collection[str], now_s: float
+) -> list[WorkerState]:
+    """Return the workers of a pool that may be given tasks of a step now."""
+    return [
+        state
+        for state in fleet.state_by_id.values()
+        if state.worker.pool == pool
+        and state.is_listed
+        and not state.is_cordoned
+        and not state.worker.draining
+        and state.worker.zone not in zones_out
+        and state.held_until_s <= now_s
+        and (not step.label or step.label in state.worker.labels)
+    ]
+
+
+def can_ever_run(
+    step: Step, states: Iterable[WorkerState], labels_seen: Collection[str]
+) -> bool:
+    """Tell whether some worker of those given is large enough for a task."""
+    if step.label and step.label not in labels_seen:
+        return False
+    return any(fits(step.need, state.worker.capacity) for state in states)
+
+
+def tasks_by_worker(
+    fleet: Fleet, job_id: str, occurrence: int, step_number: int
+) -> Counter[str]:
+    """Count the runs of one occurrence of a step on each worker."""
+    counts: Counter[str] = Counter()
+    for state in fleet.state_by_id.values():
+        for task in state.run_by_task:
+            if task.job_id != job_id or task.occurrence != occurrence:
+                continue
+            if task.step == step_number:
+                counts[state.worker.worker_id] += 1
+    return counts
+
+
+def choose_worker(
+    states: Iterable[WorkerState],
+    step: Step,
+    counts: Counter[str],
+    avoid: Collection[str] = (),
+) -> WorkerState | None:
+    """Return the best worker with room, or None.
+
+    The rack near the data comes first, then workers that have not failed the
+    task, then those with the most free processors, which spreads the load.
+    """
+    need = step.need
+    best, best_rank = None, None
+    for state in states:
+        worker_id = state.worker.worker_id
+        if step.max_per_worker and counts[worker_id] >= step.max_per_worker:
+            continue
+        free = state.free
+        if not fits(need, free):
+            continue
+        capacity = state.worker.capacity
+        rank = (
+            bool(step.rack) and step.rack != state.worker.rack,
+            worker_id in avoid,
+            state.consecutive_failures,
+            -(free.cores / capacity.cores if capacity.cores else 0.0),
+        )
+        if best_rank is None or rank < best_rank:
+            best, best_rank = state, rank
+    return best
+
+
+def choose_gang(
+    states: list[WorkerState], step: Step, indexes: list[int]
+) -> dict[int, WorkerState] | None:
+    """Return a worker for each member of a gang, or None if not all fit.
+
+    With ``same_rack`` a single rack is preferred; more than one is taken only
+    if no rack has room for all.
+    """
+    if step.same_rack:
+        racks = {state.worker.rack for state in states}
+        for rack in sorted(racks, key=lambda r: (r != step.rack, r)):
+            inside = [state for state in states if state.worker.rack == rack]
+            choice = _fit_all(inside, step, indexes)
+            if choice is not None:
+                return choice
+    return _fit_all(states, step, indexes)
+
+
+def _fit_all(
+    states: list[WorkerState], step: Step, indexes: list[int]
+) -> dict[int, WorkerState] | None:
+    need = step.need
+    free_by_id = {state.worker.worker_id: state.free for state in states}
+    counts: Counter[str] = Counter()
+    choice: dict[int, WorkerState] = {}
+    for index in indexes:
+        best = None
+        for state in states:
+            worker_id = state.worker.worker_id
+            if step.max_per_worker and counts[worker_id] >= step.max_per_worker:
+                continue
+            if not fits(need, free_by_id[worker_id]):
+                continue
+            rank = (bool(step.rack) and step.rack != state.worker.rack,)
+            rank += (-free_by_id[worker_id].cores,)
+            if best is None or rank < best[0]:
+                best = (rank, state)
+        if best is None:
+            return None
+        worker_id = best[1].worker.worker_id
+        choice[index] = best[1]
+        counts[worker_id] += 1
+        free_by_id[worker_id] = free_by_id[worker_id] - need
+    return choice
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -0,0 +1,123 @@
+"""What every instance knows about jobs: a replay of the records in the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .model import FINAL_STATES, Job, JobState
+from .records import (
+    JobProgress,
+    Kind,
+    LeaderRecord,
+    Record,
+    WaveProgress,
+    decode,
+)
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """One job with its newest progress."""
+
+    job: Job | None = None
+    cancelled: bool = False
+    progress: JobProgress | None = None
+
+    @property
+    def state(self) -> JobState:
+        """Return what callers are told."""
+        progress = self.progress
+        if progress is not None and progress.state in FINAL_STATES:
+            return progress.state
+        if self.cancelled:
+            return JobState.CANCELLED
+        return progress.state if progress else JobState.QUEUED
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """What a record changed; ``name`` is the job, wave or leader it concerns."""
+
+    kind: Kind
+    name: str
+
+
+class JobTable:
+    """Jobs by id, with the newest record of each key applied.
+
+    Records may be applied more than once and out of order between a page of
+    newest records and the log behind it; ``offset`` decides which one is newer.
+    """
+
+    def __init__(self) -> None:
+        self.entry_by_id: dict[str, JobEntry] = {}
+        self.begun_by_wave: dict[str, frozenset[str]] = {}
+        self.leader: LeaderRecord | None = None
+        self.unreadable = 0
+        self._offset_by_key: dict[str, int] = {}
+
+    def apply(self, offset: int, record: Record) -> Applied | None:
+        """Apply a record; None if an older one or one that cannot be read."""
+        if offset <= self._offset_by_key.get(record.key, -1):
+            return None
+        kind = _kind_of(record.key)
+        if kind is None:
+            self.unreadable += 1
+            return None
+        name = record.key[1:]
+        self._offset_by_key[record.key] = offset
+        if not record.value:
+            self._remove(kind, name)
+            return Applied(kind, name)
+        return self._store(kind, name, record.value)
+
+    def waiting_jobs(self, queue: str) -> int:
+        """Return how many jobs of a queue wait for their first task."""
+        return sum(
+            entry.job is not None
+            and entry.job.queue == queue
+            and entry.state is JobState.QUEUED
+            for entry in self.entry_by_id.values()
+        )
+
+    def _store(self, kind: Kind, name: str, value: bytes) -> Applied | None:
+        match kind:
+            case Kind.JOB:
+                decoded = decode(Job, value)
+                if decoded is not None:
+                    self._entry(name).job = decoded
+            case Kind.CANCELLATION:
+                self._entry(name).cancelled = True
+                return Applied(kind, name)
+            case Kind.PROGRESS:
+                decoded = decode(JobProgress, value)
+                if decoded is not None:
+                    self._entry(name).progress = decoded
+            case Kind.LEADER:
+                decoded = decode(LeaderRecord, value)
+                if decoded is not None:
+                    self.leader = decoded
+            case Kind.WAVE:
+                decoded = decode(WaveProgress, value)
+                if decoded is not None:
+                    self.begun_by_wave[name] = frozenset(decoded.begun)
+        if decoded is None:
+            self.unreadable += 1
+            return None
+        return Applied(kind, name)
+
+    def _remove(self, kind: Kind, name: str) -> None:
+        if kind is Kind.WAVE:
+            self.begun_by_wave.pop(name, None)
+        if kind is Kind.JOB:
+            self.entry_by_id.pop(name, None)
+
+    def _entry(self, name: str) -> JobEntry:
+        return self.entry_by_id.setdefault(name, JobEntry())
+
+
+def _kind_of(key: str) -> Kind | None:
+    try:
+        return Kind(key[:1])
+    except ValueError:
+        return None
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/work.py
@@ -0,0 +1,208 @@
+"""The tasks of one job as the leader schedules them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .model import FINAL_STATES, EndKind, Job, JobState, Step, TaskKey
+from .records import JobProgress, StepProgress, TaskCheckpoint, TaskFailures
+
+StepKey = tuple[int, int]
+
+
+@dataclass(slots=True)
+class StepWork:
+    """One occurrence of a step."""
+
+    step: Step
+    done: set[int] = field(default_factory=set)
+    # Tasks without a run, in the order in which they start.
+    waiting: list[int] = field(default_factory=list)
+    failures_by_index: dict[int, int] = field(default_factory=dict)
+    checkpoint_by_index: dict[int, str] = field(default_factory=dict)
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether all tasks are done."""
+        return len(self.done) >= self.step.count
+
+
+class JobWork:
+    """Tasks of a job: which wait, which are done, how often each has failed."""
+
+    def __init__(self, job: Job, max_attempts: int, progress: JobProgress | None):
+        self.job = job
+        self.max_attempts = max_attempts
+        self.state = JobState.QUEUED
+        self.highest_run = 0
+        self.finished_ms = 0
+        self.has_begun = False
+        self.work_by_step: dict[StepKey, StepWork] = {
+            (occurrence, number): StepWork(step, waiting=list(range(step.count)))
+            for occurrence in range(job.occurrences)
+            for number, step in enumerate(job.steps)
+        }
+        if progress is not None:
+            self._restore(progress)
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether no task of the job may start any more."""
+        return self.state in FINAL_STATES
+
+    def startable_steps(self, now_ms: float) -> Iterator[tuple[StepKey, StepWork]]:
+        """Return the steps whose turn has come and that have waiting tasks."""
+        if self.is_final:
+            return
+        for key, work in self.work_by_step.items():
+            if not work.waiting:
+                continue
+            occurrence = key[0]
+            if self.job.due_ms(occurrence) > now_ms:
+                continue
+            if self._predecessors_done(occurrence, work.step):
+                yield key, work
+
+    def remaining_chain_ms(self, key: StepKey) -> float:
+        """Return the estimated time from a step's start to the end of its job."""
+        return self._chain_ms(key[1], {})
+
+    def chain_ms(self) -> float:
+        """Return the estimated length of the longest chain of steps."""
+        known: dict[int, float] = {}
+        return max(
+            (self._chain_ms(number, known) for number in range(len(self.job.steps))),
+            default=0.0,
+        )
+
+    def take(self, task: TaskKey) -> int:
+        """Take a task out of those that wait; returns its run number."""
+        work = self.work_by_step[task.occurrence, task.step]
+        work.waiting.remove(task.index)
+        return self.next_run()
+
+    def next_run(self) -> int:
+        """Return a run number that no task of the job has had."""
+        self.highest_run += 1
+        return self.highest_run
+
+    def note_run(self, run: int) -> None:
+        """Let later runs have higher numbers than one seen on a worker."""
+        self.highest_run = max(self.highest_run, run)
+
+    def note_begun(self) -> bool:
+        """Note that a task has started; tells whether it is the first one."""
+        if self.has_begun:
+            return False
+        self.has_begun = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        return True
+
+    def put_back(self, task: TaskKey, checkpoint: str = "") -> None:
+        """Let a task wait again after a run that did not finish it."""
+        work = self.work_by_step.get((task.occurrence, task.step))
+        if work is None or task.index in work.done or task.index in work.waiting:
+            return
+        if checkpoint:
+            work.checkpoint_by_index[task.index] = checkpoint
+        work.waiting.insert(0, task.index)
+
+    def note_end(self, task: TaskKey, kind: EndKind, checkpoint: str) -> bool:
+        """Note how a run ended; tells whether the job's progress has changed."""
+        work = self.work_by_step.get((task.occurrence, task.step))
+        if work is None or task.index in work.done:
+            return False
+        if checkpoint and kind is not EndKind.DONE:
+            work.checkpoint_by_index[task.index] = checkpoint
+        if kind is EndKind.DONE and not work.step.long_running:
+            self._note_done(task, work)
+            return True
+        if kind is EndKind.FAILED and not work.step.long_running:
+            failures = work.failures_by_index.get(task.index, 0) + 1
+            work.failures_by_index[task.index] = failures
+            if failures >= self.max_attempts and not self.is_final:
+                self.state = JobState.FAILED
+            return True
+        return bool(checkpoint)
+
+    def cancel(self) -> None:
+        """Let no task start any more."""
+        if not self.is_final:
+            self.state = JobState.CANCELLED
+
+    def progress(self) -> JobProgress:
+        """Return the record that a later leader continues from."""
+        return JobProgress(
+            self.state,
+            self.highest_run,
+            tuple(
+                _step_progress(key, work)
+                for key, work in self.work_by_step.items()
+                if work.done or work.failures_by_index or work.checkpoint_by_index
+            ),
+            self.finished_ms,
+        )
+
+    def _note_done(self, task: TaskKey, work: StepWork) -> None:
+        members = range(work.step.count) if work.step.gang else (task.index,)
+        for index in members:
+            work.done.add(index)
+            work.checkpoint_by_index.pop(index, None)
+            if index in work.waiting:
+                work.waiting.remove(index)
+        if not self.is_final and all(w.is_done for w in self.work_by_step.values()):
+            self.state = JobState.COMPLETED
+
+    def _predecessors_done(self, occurrence: int, step: Step) -> bool:
+        return all(self.work_by_step[occurrence, n].is_done for n in step.after)
+
+    def _chain_ms(self, number: int, known: dict[int, float]) -> float:
+        if number in known:
+            return known[number]
+        rest = [
+            self._chain_ms(later, known)
+            for later, step in enumerate(self.job.steps)
+            if number in step.after and later > number
+        ]
+        known[number] = self.job.steps[number].estimated_ms + max(rest, default=0.0)
+        return known[number]
+
+    def _restore(self, progress: JobProgress) -> None:
+        self.state = progress.state
+        self.highest_run = progress.highest_run
+        self.finished_ms = progress.finished_ms
+        self.has_begun = progress.state is not JobState.QUEUED
+        for saved in progress.steps:
+            work = self.work_by_step.get((saved.occurrence, saved.step))
+            if work is None:
+                continue
+            work.done = _indexes(saved.done)
+            work.waiting = [i for i in work.waiting if i not in work.done]
+            work.failures_by_index = {f.index: f.count for f in saved.failures}
+            work.checkpoint_by_index = {
+                c.index: c.checkpoint for c in saved.checkpoints
+            }
+
+
+def _step_progress(key: StepKey, work: StepWork) -> StepProgress:
+    bits = bytearray((work.step.count + 7) // 8)
+    for index in work.done:
+        bits[index // 8] |= 1 << index % 8
+    return StepProgress(
+        key[0],
+        key[1],
+        bytes(bits),
+        tuple(TaskFailures(i, n) for i, n in work.failures_by_index.items()),
+        tuple(TaskCheckpoint(i, c) for i, c in work.checkpoint_by_index.items()),
+    )
+
+
+def _indexes(bits: bytes) -> set[int]:
+    return {
+        byte_index * 8 + bit
+        for byte_index, byte in enumerate(bits)
+        for bit in range(8)
+        if byte >> bit & 1
+    }
