--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 import gevent
@@ -94,12 +94,14 @@
         self._greenlets: list[gevent.Greenlet] = []
         self._calls = GreenletPool(MAX_CALLS)
 
-    def run(self) -> None:
-        """Lead until fenced."""
+    def run(self, beside: Iterable[Callable[[], None]] = ()) -> None:
+        """Lead until fenced, with the tasks given running beside."""
         for job_id in self._replica.table.entry_by_id:
             self._open_job(job_id, inherited=True)
         self._replica.listen(self._on_applied)
         self._spawn(self.writer.run)
+        for task in beside:
+            self._spawn(task)
         try:
             while not self.writer.is_fenced:
                 self.follow_view()
@@ -272,9 +274,8 @@
     def _on_reply(self, link: WorkerLink, outcome: CallOutcome) -> None:
         if outcome is CallOutcome.FENCED:
             self._note_fenced(link.worker.worker_id)
-        elif outcome is CallOutcome.GONE:
-            if link.worker.worker_id in self.link_by_id:
-                self._drop_worker(link.worker.worker_id, "another life answers")
+        elif outcome is CallOutcome.GONE and link.worker.worker_id in self.link_by_id:
+            self._drop_worker(link.worker.worker_id, "another life answers")
 
     def _note_fenced(self, worker_id: str) -> None:
         log_event("leader_fenced", level="WARNING", worker=worker_id)
@@ -341,11 +342,11 @@
         work.note_run(end.run)
         if work.note_end(end.task, end.kind, end.checkpoint):
             self._changed_jobs.add(work.job.job_id)
-        if run is not None and end.kind in (EndKind.DONE, EndKind.FAILED):
-            # Services that are restarted whenever they end say nothing of a worker.
-            if not run.step.long_running:
-                succeeded = end.kind is EndKind.DONE
-                self.fleet.note_outcome(worker_id, succeeded, steady_s())
+        # Services that are restarted whenever they end say nothing of a worker.
+        is_trial = run is not None and not run.step.long_running
+        if is_trial and end.kind in (EndKind.DONE, EndKind.FAILED):
+            succeeded = end.kind is EndKind.DONE
+            self.fleet.note_outcome(worker_id, succeeded, steady_s())
         if end.kind is EndKind.FAILED:
             self.planner.failed_on_by_task[end.task].add(worker_id)
         if work.is_final:
--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -24,14 +24,18 @@
 
 
 class Leadership:
-    """Campaigns when no leader is heard of; ``lead`` runs while this one leads."""
+    """Campaigns when no leader is heard of.
+
+    ``lead`` runs while this instance leads; it is told whether another leader
+    came before.
+    """
 
     def __init__(
         self,
         store: StorePort,
         replica: Replica,
         instance: str,
-        lead: Callable[[LeaderWriter], None],
+        lead: Callable[[LeaderWriter, bool], None],
         rng: random.Random,
     ) -> None:
         self._store = store
@@ -66,9 +70,9 @@
         if not replica.is_fresh or replica.leader_seen_s is None:
             return False
         leader = replica.table.leader
-        if self._claimed_end is not None and leader is not None:
-            if leader.token >= self._claimed_end:
-                self._claimed_end = None
+        seen_token = leader.token if leader else 0
+        if self._claimed_end is not None and seen_token >= self._claimed_end:
+            self._claimed_end = None
         if self._claimed_end is not None:
             return steady_s() - self._claim_seen_s > TAKEOVER_S
         if leader is None or leader.resigned:
@@ -96,6 +100,7 @@
 
     def _serve(self, token: int) -> None:
         self._claimed_end = None
+        had_leader = self._replica.table.leader is not None
         writer = LeaderWriter(self._store, token, self._instance, lambda: None)
         self.writer = writer
         end = writer.open(FENCE_TIMEOUT_S)
@@ -106,7 +111,7 @@
         log_event("lead_taken", token=token, instance=self._instance, offset=end)
         self._replica.is_leading = True
         try:
-            self._lead(writer)
+            self._lead(writer, had_leader)
         finally:
             self._replica.is_leading = False
             self.writer = None
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -0,0 +1,257 @@
+"""Carries out maintenance waves: empties instances and orders their maintenance."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+import gevent
+
+from lycheeloom.jobs.availability import may_end
+from lycheeloom.jobs.fleet import WorkerState
+from lycheeloom.jobs.records import Kind, Record, WaveProgress, encode, key_of
+from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
+from lycheeloom.telemetry import log_event
+
+from .clock import steady_s
+from .dispatcher import Dispatcher
+from .inventory import Inventory
+from .ports import (
+    Appended,
+    CallOutcome,
+    Instance,
+    InstancePort,
+    InstanceState,
+    StorePort,
+)
+
+STEP_PAUSE_S = 0.1
+# Tasks that run to an end are given this long before they are stopped.
+DRAIN_PATIENCE_S = 2.5
+# An order that was not carried out is repeated after this pause.
+ORDER_RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class WaveOrder:
+    """A wave as the operator has asked for it."""
+
+    wave: str
+    instances: tuple[str, ...]
+    within_s: float
+    at_once: int
+    # When this process learned of the wave.
+    seen_s: float
+
+
+class _Stage(Enum):
+    DRAINING = "draining"
+    AWAY = "away"
+
+
+@dataclass(slots=True)
+class _Handling:
+    wave: str
+    pool: str
+    worker_id: str
+    stage: _Stage
+    since_s: float
+    retry_at_s: float = 0.0
+
+
+class Maintenance:
+    """Runs beside a dispatcher while this instance leads."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        inventory: Inventory,
+        port: InstancePort,
+        store: StorePort,
+        orders: Mapping[str, WaveOrder],
+        begun_by_wave: Mapping[str, frozenset[str]],
+        maintenance_s: float,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._inventory = inventory
+        self._port = port
+        self._store = store
+        self._orders = orders
+        self._begun_by_wave = {
+            wave: set(begun) for wave, begun in begun_by_wave.items()
+        }
+        self._maintenance_s = maintenance_s
+        self._handling_by_id: dict[str, _Handling] = {}
+        self._reported: dict[str, str] = {}
+
+    def run(self) -> None:
+        """Work on all waves until the leader is fenced."""
+        while not self._dispatcher.writer.is_fenced:
+            gevent.sleep(STEP_PAUSE_S)
+            open_orders = [o for o in self._orders.values() if not self._is_over(o)]
+            if not self._dispatcher.writer.may_act or not self._inventory.may_order:
+                continue
+            for order in open_orders:
+                self._step(order)
+
+    def handles(self, instance_id: str) -> bool:
+        """Tell whether an instance is being emptied or maintained."""
+        return instance_id in self._handling_by_id
+
+    def _is_over(self, order: WaveOrder) -> bool:
+        return self._reported.get(order.wave) == "completed"
+
+    def _step(self, order: WaveOrder) -> None:
+        instance_by_id = self._inventory.instance_by_id
+        if not instance_by_id:
+            return
+        begun = self._begun_by_wave.setdefault(order.wave, set())
+        left = [
+            instance_by_id[i]
+            for i in order.instances
+            if i in instance_by_id and i not in begun
+        ]
+        self._release_returned(order)
+        if not left:
+            self._report(order, "completed")
+            return
+        self._report(order, "running")
+        self._choose(order, left)
+        for instance in left:
+            handling = self._handling_by_id.get(instance.instance_id)
+            if handling is not None and handling.stage is _Stage.DRAINING:
+                self._drain(order, instance, handling)
+
+    def _choose(self, order: WaveOrder, left: list[Instance]) -> None:
+        away = Counter(h.pool for h in self._handling_by_id.values())
+        candidates = [
+            self._describe(instance)
+            for instance in left
+            if instance.instance_id not in self._handling_by_id
+            and instance.state is InstanceState.UP
+        ]
+        time = WaveTime(
+            steady_s() - order.seen_s,
+            order.within_s,
+            self._maintenance_s + DRAIN_PATIENCE_S,
+        )
+        for instance_id in choose_next(candidates, away, order.at_once, time):
+            instance = self._inventory.instance_by_id[instance_id]
+            self._handling_by_id[instance_id] = _Handling(
+                order.wave,
+                instance.pool,
+                instance.worker_id,
+                _Stage.DRAINING,
+                steady_s(),
+            )
+            state = self._state_of(instance.worker_id)
+            if state is not None:
+                state.is_cordoned = True
+            log_event(
+                "maintenance_chosen",
+                wave=order.wave,
+                instance=instance_id,
+                pool=instance.pool,
+                worker=instance.worker_id,
+                left=len(left),
+                elapsed_s=time.elapsed_s,
+            )
+
+    def _describe(self, instance: Instance) -> WaveInstance:
+        fleet = self._dispatcher.fleet
+        pool = self._dispatcher.view.policy.pool_by_name.get(instance.pool)
+        capacity = used = 0.0
+        for state in fleet.state_by_id.values():
+            if state.worker.pool == instance.pool:
+                capacity += state.worker.capacity.cores
+                used += state.used.cores
+        state = self._state_of(instance.worker_id)
+        return WaveInstance(
+            instance.instance_id,
+            instance.pool,
+            len(state.run_by_task) if state else 0,
+            used / capacity if capacity else 0.0,
+            bool(pool and pool.standby),
+        )
+
+    def _drain(self, order: WaveOrder, instance: Instance, handling: _Handling) -> None:
+        now_s = steady_s()
+        state = self._state_of(handling.worker_id)
+        if state is not None and state.run_by_task:
+            state.is_cordoned = True
+            self._empty(state, now_s - handling.since_s > DRAIN_PATIENCE_S)
+            return
+        if now_s < handling.retry_at_s:
+            return
+        handling.retry_at_s = now_s + ORDER_RETRY_S
+        self._order(order, instance, handling)
+
+    def _empty(self, state: WorkerState, is_urgent: bool) -> None:
+        for run in list(state.run_by_task.values()):
+            work = self._dispatcher.work_by_id.get(run.task.job_id)
+            if work is None:
+                continue
+            if not run.step.long_running and not is_urgent:
+                continue
+            if may_end(self._dispatcher.fleet, work, run):
+                self._dispatcher.stop_run(run, "maintenance")
+
+    def _order(self, order: WaveOrder, instance: Instance, handling: _Handling) -> None:
+        reply = self._port.maintain(
+            instance.instance_id, order.wave, self._dispatcher.writer.token
+        )
+        log_event(
+            "maintenance_order",
+            wave=order.wave,
+            instance=instance.instance_id,
+            token=self._dispatcher.writer.token,
+            outcome=reply.outcome.value,
+            reason=reply.reason,
+        )
+        match reply.outcome:
+            case CallOutcome.DONE:
+                handling.stage = _Stage.AWAY
+                handling.since_s = steady_s()
+                self._note_begun(order, instance.instance_id)
+            case CallOutcome.FENCED:
+                self._dispatcher.writer.is_fenced = True
+            case CallOutcome.INVALID:
+                self._release(instance.instance_id)
+                self._note_begun(order, instance.instance_id)
+
+    def _note_begun(self, order: WaveOrder, instance_id: str) -> None:
+        begun = self._begun_by_wave[order.wave]
+        begun.add(instance_id)
+        value = encode(WaveProgress(tuple(sorted(begun))))
+        self._dispatcher.writer.write([Record(key_of(Kind.WAVE, order.wave), value)])
+
+    def _release_returned(self, order: WaveOrder) -> None:
+        for instance_id, handling in list(self._handling_by_id.items()):
+            if handling.wave != order.wave or handling.stage is not _Stage.AWAY:
+                continue
+            instance = self._inventory.instance_by_id.get(instance_id)
+            away_s = steady_s() - handling.since_s
+            is_back = instance is None or (
+                away_s > self._maintenance_s and instance.state is InstanceState.UP
+            )
+            if is_back:
+                del self._handling_by_id[instance_id]
+
+    def _release(self, instance_id: str) -> None:
+        handling = self._handling_by_id.pop(instance_id, None)
+        state = self._state_of(handling.worker_id) if handling else None
+        if state is not None:
+            state.is_cordoned = False
+
+    def _report(self, order: WaveOrder, state: str) -> None:
+        if self._reported.get(order.wave) == state:
+            return
+        result = self._store.write_wave_state(order.wave, state)
+        log_event("wave_state", wave=order.wave, state=state, result=result)
+        if isinstance(result, Appended):
+            self._reported[order.wave] = state
+
+    def _state_of(self, worker_id: str) -> WorkerState | None:
+        return self._dispatcher.fleet.state_by_id.get(worker_id)
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -0,0 +1,161 @@
+"""Moves instances between pools as demand changes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Collection
+
+import gevent
+
+from lycheeloom.jobs.pool_sizes import (
+    Move,
+    PoolInstance,
+    PoolLoad,
+    choose_moves,
+    least_by_pool,
+    waiting_by_pool,
+)
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+from lycheeloom.telemetry import log_event
+
+from .clock import steady_s, wall_ms
+from .dispatcher import Dispatcher
+from .inventory import Inventory
+from .ports import CallOutcome, InstancePort, InstanceState
+
+STEP_PAUSE_S = 0.25
+# A move whose order was not carried out is not tried again for this long.
+RETRY_S = 1.0
+
+
+class PoolMoves:
+    """Runs beside a dispatcher while this instance leads."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        inventory: Inventory,
+        port: InstancePort,
+        is_reserved: Callable[[str], bool],
+        move_s: float,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._inventory = inventory
+        self._port = port
+        # Whether maintenance handles an instance.
+        self._is_reserved = is_reserved
+        self._move_s = move_s
+        self._idle_since_by_worker: dict[str, float] = {}
+        self._used_pools: set[str] = set()
+        # Pool and the time until which an instance counts as on its way.
+        self._moving_by_id: dict[str, tuple[str, float]] = {}
+
+    def run(self) -> None:
+        """Move instances until the leader is fenced."""
+        while not self._dispatcher.writer.is_fenced:
+            gevent.sleep(STEP_PAUSE_S)
+            may_act = self._dispatcher.writer.may_act and self._inventory.may_order
+            if may_act and self._inventory.instance_by_id:
+                self._step()
+
+    def _step(self) -> None:
+        now_s = steady_s()
+        policy = self._dispatcher.view.policy
+        standby = {p.name for p in policy.pool_by_name.values() if p.standby}
+        self._note_idle(now_s)
+        for instance_id, (_, until_s) in list(self._moving_by_id.items()):
+            if now_s > until_s:
+                del self._moving_by_id[instance_id]
+                self._release(instance_id)
+        instances = [
+            PoolInstance(i.instance_id, i.pool, self._idle_s(i.worker_id, now_s))
+            for i in self._inventory.instance_by_id.values()
+            if i.state is InstanceState.UP
+            and i.instance_id not in self._moving_by_id
+            and not self._is_reserved(i.instance_id)
+        ]
+        for move in choose_moves(instances, self._loads(), standby):
+            self._move(move, standby)
+
+    def _release(self, instance_id: str) -> None:
+        """Use an instance again if its move has not happened."""
+        instance = self._inventory.instance_by_id.get(instance_id)
+        if instance is None or self._is_reserved(instance_id):
+            return
+        state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
+        if state is not None and instance.state is InstanceState.UP:
+            state.is_cordoned = False
+
+    def _note_idle(self, now_s: float) -> None:
+        for worker_id, state in self._dispatcher.fleet.state_by_id.items():
+            if state.run_by_task or not state.is_listed:
+                self._idle_since_by_worker.pop(worker_id, None)
+            else:
+                self._idle_since_by_worker.setdefault(worker_id, now_s)
+
+    def _idle_s(self, worker_id: str, now_s: float) -> float:
+        state = self._dispatcher.fleet.state_by_id.get(worker_id)
+        if state is None or state.run_by_task or state.worker.draining:
+            return 0.0
+        return now_s - self._idle_since_by_worker.get(worker_id, now_s)
+
+    def _loads(self) -> dict[str, PoolLoad]:
+        dispatcher = self._dispatcher
+        capacity_by_pool: dict[str, Resources] = {}
+        used_by_pool: dict[str, Resources] = {}
+        for state in dispatcher.fleet.state_by_id.values():
+            pool = state.worker.pool
+            capacity_by_pool.setdefault(pool, state.worker.capacity)
+            used = used_by_pool.get(pool, NO_RESOURCES)
+            used_by_pool[pool] = used + state.used
+        waiting = waiting_by_pool(
+            dispatcher.work_by_id.values(),
+            dispatcher.view.policy,
+            capacity_by_pool,
+            wall_ms(),
+        )
+        least = least_by_pool(dispatcher.work_by_id.values(), dispatcher.view.policy)
+        self._used_pools |= {
+            pool for pool, used in used_by_pool.items() if used != NO_RESOURCES
+        }
+        arriving = Counter(pool for pool, _ in self._moving_by_id.values())
+        return {
+            pool: PoolLoad(
+                used_by_pool[pool].dominant_share(capacity),
+                waiting.get(pool, 0.0),
+                arriving[pool],
+                least.get(pool, 1),
+                pool in self._used_pools,
+            )
+            for pool, capacity in capacity_by_pool.items()
+        }
+
+    def _move(self, move: Move, standby: Collection[str]) -> None:
+        instance = self._inventory.instance_by_id[move.instance_id]
+        state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
+        if state is not None:
+            if state.run_by_task:
+                return
+            state.is_cordoned = True
+        token = self._dispatcher.writer.token
+        reply = self._port.move(move.instance_id, move.pool, token)
+        log_event(
+            "instance_move",
+            instance=move.instance_id,
+            source=instance.pool,
+            target=move.pool,
+            reason=move.reason,
+            token=token,
+            outcome=reply.outcome.value,
+            detail=reply.reason,
+        )
+        hold_s = RETRY_S
+        match reply.outcome:
+            case CallOutcome.DONE | CallOutcome.UNKNOWN:
+                hold_s = self._move_s + RETRY_S
+            case CallOutcome.FENCED:
+                self._dispatcher.writer.is_fenced = True
+            case _ if state is not None:
+                state.is_cordoned = False
+        target = move.pool if reply.outcome is CallOutcome.DONE else ""
+        self._moving_by_id[move.instance_id] = (target, steady_s() + hold_s)
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -0,0 +1,40 @@
+"""Which long-running tasks an order may end without breaking their step's budget."""
+
+from __future__ import annotations
+
+from .fleet import Fleet, Run, RunState
+from .model import TaskKey
+from .work import JobWork
+
+FULL_PERCENT = 100
+
+
+def away_tasks(fleet: Fleet, work: JobWork, occurrence: int, step: int) -> set[int]:
+    """Return the tasks of a long-running step that are not at work."""
+    step_work = work.work_by_step[occurrence, step]
+    return {
+        index
+        for index in range(step_work.step.count)
+        if not _is_at_work(fleet, TaskKey(work.job.job_id, occurrence, step, index))
+    }
+
+
+def may_end(fleet: Fleet, work: JobWork, run: Run) -> bool:
+    """Tell whether the budget of the run's step allows an order to end it.
+
+    A task that is not at work may always be ended: others are no worse off.
+    """
+    step = run.step
+    if not step.long_running or not step.may_miss:
+        return True
+    away = away_tasks(fleet, work, run.task.occurrence, run.task.step)
+    if run.task.index in away:
+        return run.state is not RunState.STARTING
+    return len(away) < step.may_miss
+
+
+def _is_at_work(fleet: Fleet, task: TaskKey) -> bool:
+    return any(
+        run.state is RunState.RUNNING and run.percent >= FULL_PERCENT
+        for run in fleet.runs_by_task.get(task, ())
+    )
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -84,11 +84,16 @@
         if not fits(need, free):
             continue
         capacity = state.worker.capacity
+        free_part = free.cores / capacity.cores if capacity.cores else 0.0
+        # Long-running tasks share workers, so that the others can be given back.
+        load_rank = (False, -free_part)
+        if step.long_running:
+            load_rank = (not state.run_by_task, -free_part)
         rank = (
             bool(step.rack) and step.rack != state.worker.rack,
             worker_id in avoid,
             state.consecutive_failures,
-            -(free.cores / capacity.cores if capacity.cores else 0.0),
+            *load_rank,
         )
         if best_rank is None or rank < best_rank:
             best, best_rank = state, rank
