Count ends as recorded only after their own commit, and leases of earlier leaders

A worker was told to forget ends whose record the store had not acknowledged: the look after a failed wait found no new ends and took the missing commit for success. And a new leader that had not read a worker's clock took its lease for lapsed. Both started tasks twice after a change of leader.

--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/advisor.py
@@ -0,0 +1,108 @@
+"""Asks the advice service which workers may run the steps that wait."""
+
+from __future__ import annotations
+
+import gevent
+
+from lycheeloom.jobs.model import AdviceTerms
+from lycheeloom.jobs.work import StepKey
+from lycheeloom.telemetry import log_event
+
+from .clock import steady_s, wall_ms
+from .dispatcher import Dispatcher
+from .ports import Advice, AdvicePort, CallReply
+
+STEP_PAUSE_S = 0.02
+# Workers named in one call; the service takes time for each of them.
+MAX_WORKERS = 30
+TIMEOUT_MARGIN_S = 1.0
+# A ticket is used no later than this before its validity ends.
+VALIDITY_MARGIN_S = 0.3
+RETRY_S = 0.5
+
+
+class Advisor:
+    """Runs beside a dispatcher; one call at a time, as the service takes them."""
+
+    def __init__(self, dispatcher: Dispatcher, port: AdvicePort) -> None:
+        self._dispatcher = dispatcher
+        self._port = port
+        # When a step may be asked about again.
+        self._next_ask_s: dict[tuple[str, StepKey], float] = {}
+
+    def run(self) -> None:
+        """Ask until the leader is fenced."""
+        while not self._dispatcher.writer.is_fenced:
+            if not self._dispatcher.writer.may_act or not self._ask_first():
+                gevent.sleep(STEP_PAUSE_S)
+
+    def _ask_first(self) -> bool:
+        """Ask about the oldest step without tickets; tells whether it asked."""
+        dispatcher = self._dispatcher
+        self._drop_expired()
+        policy = dispatcher.view.policy
+        for work in list(dispatcher.work_by_id.values()):
+            queue = policy.queue_by_name.get(work.job.queue)
+            if queue is None or queue.advice is None:
+                continue
+            for key, _ in work.startable_steps(wall_ms()):
+                asked = (work.job.job_id, key)
+                if steady_s() < self._next_ask_s.get(asked, 0.0):
+                    continue
+                if self._ask(work.job.job_id, key, queue.pool, queue.advice):
+                    return True
+        return False
+
+    def _ask(self, job_id: str, key: StepKey, pool: str, terms: AdviceTerms) -> bool:
+        advised = self._dispatcher.advised
+        worker_ids = [
+            worker_id
+            for worker_id, state in self._dispatcher.fleet.state_by_id.items()
+            if state.worker.pool == pool
+            and state.is_listed
+            and not state.worker.draining
+            and (job_id, key, worker_id) not in advised.ticket_by_key
+        ][:MAX_WORKERS]
+        if not worker_ids:
+            return False
+        step = f"{job_id}.{key[0]}.{key[1]}"
+        each_s = (terms.decision_ms + terms.each_worker_ms * len(worker_ids)) / 1000
+        result = self._port.advise(step, worker_ids, each_s + TIMEOUT_MARGIN_S)
+        now_s = steady_s()
+        if isinstance(result, CallReply):
+            log_event(
+                "advice_failed",
+                level="WARNING",
+                step=step,
+                outcome=result.outcome.value,
+                reason=result.reason,
+            )
+            self._next_ask_s[job_id, key] = now_s + RETRY_S
+            return True
+        self._take(result, job_id, key, now_s)
+        log_event(
+            "advice",
+            step=step,
+            asked=len(worker_ids),
+            eligible=len(result.ticket_by_worker),
+            validity_s=result.validity_s,
+        )
+        return True
+
+    def _take(self, advice: Advice, job_id: str, key: StepKey, now_s: float) -> None:
+        until_s = now_s + advice.validity_s - VALIDITY_MARGIN_S
+        for worker_id, ticket in advice.ticket_by_worker.items():
+            entry = (job_id, key, worker_id)
+            self._dispatcher.advised.ticket_by_key[entry] = (ticket, until_s)
+        # Workers that were not named stay ineligible, since a step keeps them.
+        self._next_ask_s[job_id, key] = max(until_s, now_s + RETRY_S)
+        self._dispatcher.wake()
+
+    def _drop_expired(self) -> None:
+        now_s = steady_s()
+        tickets = self._dispatcher.advised.ticket_by_key
+        for entry in [e for e, (_, until_s) in tickets.items() if now_s >= until_s]:
+            del tickets[entry]
+        works = self._dispatcher.work_by_id
+        for asked in [a for a in self._next_ask_s if a[0] not in works]:
+            del self._next_ask_s[asked]
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/pacer.py
@@ -0,0 +1,66 @@
+"""Slows filling tasks while they disturb tasks that serve."""
+
+from __future__ import annotations
+
+import gevent
+
+from lycheeloom.jobs.fleet import Run, RunState, WorkerState
+from lycheeloom.jobs.pacing import next_pace
+from lycheeloom.telemetry import log_event
+
+from .dispatcher import Dispatcher
+from .ports import CallOutcome, WorkerPort
+
+# Workers give figures of the last half second.
+LOOK_INTERVAL_S = 0.5
+
+
+class Pacer:
+    """Runs beside a dispatcher while this instance leads."""
+
+    def __init__(self, dispatcher: Dispatcher, port: WorkerPort) -> None:
+        self._dispatcher = dispatcher
+        self._port = port
+
+    def run(self) -> None:
+        """Adjust the pace on all workers until the leader is fenced."""
+        while not self._dispatcher.writer.is_fenced:
+            gevent.sleep(LOOK_INTERVAL_S)
+            if not self._dispatcher.writer.may_act:
+                continue
+            for state in list(self._dispatcher.fleet.state_by_id.values()):
+                self._adjust(state)
+
+    def _adjust(self, state: WorkerState) -> None:
+        runs = [
+            run for run in state.run_by_task.values() if run.state is RunState.RUNNING
+        ]
+        filling = [run for run in runs if run.step.fills]
+        if not filling:
+            return
+        worst_part = max(
+            (r.figure / r.step.target_ms for r in runs if r.step.target_ms),
+            default=0.0,
+        )
+        for run in filling:
+            percent = next_pace(run.pace_percent, worst_part)
+            if percent != run.pace_percent:
+                gevent.spawn(self._pace, state, run, percent, worst_part)
+
+    def _pace(
+        self, state: WorkerState, run: Run, percent: int, worst_part: float
+    ) -> None:
+        reply = self._port.pace(
+            state.worker, str(run.task), run.run, percent, self._dispatcher.writer.token
+        )
+        log_event(
+            "task_pace",
+            task=run.task,
+            worker=run.worker_id,
+            percent=percent,
+            before=run.pace_percent,
+            worst_part=worst_part,
+            outcome=reply.outcome.value,
+        )
+        if reply.outcome is CallOutcome.DONE:
+            run.pace_percent = percent
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -51,8 +51,9 @@
         self.taken = 0
         self.is_first_listing = True
         self.reached_s = -math.inf
-        # No lease granted to the worker lasts longer than this.
-        self.granted_until_s = -math.inf
+        # No lease granted to the worker lasts longer than this, nor does one that
+        # the leader before may have granted.
+        self.granted_until_s = steady_s() + _lease_at_most_s()
         self._port = port
         self._token = token
         self._may_act = may_act
@@ -60,6 +61,8 @@
         self._on_reply = on_reply
         self._watch_closely = watch_closely
         self._durable = 0
+        # Makes everything taken over so far durable.
+        self._commit: Commit | None = None
         self._clock: tuple[float, float] | None = None
         self._failing_since_s: float | None = None
         self.is_stopped = False
@@ -87,8 +90,8 @@
             return None
         now_s = steady_s()
         at_s, clock_ms = self._clock
-        lease_s = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
-        self.granted_until_s = max(self.granted_until_s, now_s + lease_s)
+        until_s = now_s + _lease_at_most_s()
+        self.granted_until_s = max(self.granted_until_s, until_s)
         return int(clock_ms + (now_s - at_s) * 1000 + WORKER_LEASE_S * 1000)
 
     def note_clock(self, clock_ms: int | None) -> None:
@@ -123,7 +126,12 @@
         self.is_first_listing = False
         if self.is_stopped:
             return
-        if commit is None or commit.wait(DURABLE_WAIT_S):
+        if commit is not None:
+            self._commit = commit
+        if self._durable == self.taken:
+            return
+        # Ends taken over earlier may still wait for the commit of an earlier look.
+        if self._commit is None or self._commit.wait(DURABLE_WAIT_S):
             self._durable = self.taken
 
     def _note_success(self, lists: TaskLists) -> None:
@@ -150,3 +158,8 @@
         self.note_clock(reply.clock_ms)
         self._on_reply(self, reply.outcome)
         gevent.sleep(FAILURE_PAUSE_S)
+
+
+def _lease_at_most_s() -> float:
+    """Return how long after its request a lease lasts at most by our clock."""
+    return WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
