--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 LIBS := $(sort $(wildcard libs/*))
-export PYTHONPATH := $(subst $(eval ) ,:,$(addsuffix /src,$(addprefix $(CURDIR)/,$(LIBS)))):$(CURDIR)
+export PYTHONPATH := $(subst $(eval ) ,:,$(addsuffix /src,$(addprefix $(CURDIR)/,$(LIBS) platform))):$(CURDIR)
 
 .PHONY: setup test lint format check demo bench
 
--- /dev/null
+++ b/libs/coordinator/tests/fakes.py
@@ -0,0 +1,316 @@
+"""A store and workers in memory, behind the coordinator's ports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import gevent
+
+from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.dispatcher import Dispatcher, View
+from lycheeloom.coordinator.ports import (
+    Appended,
+    AppendResult,
+    AppendUnknown,
+    CallOutcome,
+    CallReply,
+    Fenced,
+    Moved,
+    Producer,
+    ReadFailed,
+    ReadResult,
+    RecordsRead,
+    TaskLists,
+)
+from lycheeloom.coordinator.replica import Replica
+from lycheeloom.coordinator.writer import LeaderWriter
+from lycheeloom.jobs.model import (
+    EndedTask,
+    EndKind,
+    Job,
+    Organisation,
+    Policy,
+    Pool,
+    Queue,
+    RunningTask,
+    Step,
+    TaskKey,
+    Worker,
+)
+from lycheeloom.jobs.planner import Start
+from lycheeloom.jobs.records import Kind, Record, encode, key_of
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+# Time that a look takes on its way: other greenlets act meanwhile.
+LOOK_S = 0.03
+# Time that a leader's append takes.
+APPEND_S = 0.03
+
+
+class FakeStore:
+    """A keyed log with producer epochs; ``is_down`` leaves calls unanswered."""
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.is_down = False
+        # The next appends take effect and are not answered.
+        self.lose_answers = 0
+        self.wave_states: list[tuple[str, str]] = []
+        self._claims = 0
+        self._token = 0
+        self._results: dict[tuple[int, int], Appended] = {}
+
+    def append(
+        self, records: Sequence[Record], producer: Producer | None = None
+    ) -> AppendResult:
+        if self.is_down:
+            return AppendUnknown("no answer in time")
+        if producer is not None:
+            gevent.sleep(APPEND_S)
+            if producer.token < self._token:
+                return Fenced()
+            self._token = producer.token
+            repeated = self._results.get((producer.token, producer.sequence))
+            if repeated is not None:
+                return repeated
+        self.records.extend(records)
+        result = Appended(len(self.records))
+        if producer is not None:
+            self._results[producer.token, producer.sequence] = result
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return AppendUnknown("answer lost")
+        return result
+
+    def read(self, offset: int, wait_s: float) -> ReadResult:
+        deadline_s = steady_s() + wait_s
+        while not self.is_down:
+            end = len(self.records)
+            if end > offset or steady_s() >= deadline_s:
+                found = tuple(enumerate(self.records[offset:], offset))
+                return RecordsRead(found, end, end)
+            gevent.sleep(0.005)
+        return ReadFailed("no answer in time")
+
+    def newest(self) -> RecordsRead | ReadFailed:
+        if self.is_down:
+            return ReadFailed("no answer in time")
+        newest = {r.key: (i, r) for i, r in enumerate(self.records)}
+        end = len(self.records)
+        return RecordsRead(tuple(sorted(newest.values())), end, end)
+
+    def claim_lead(self, at: int, instance: str) -> AppendResult:
+        if self.is_down:
+            return AppendUnknown("no answer in time")
+        if at != self._claims:
+            return Moved(self._claims)
+        self._claims += 1
+        return Appended(self._claims)
+
+    def write_wave_state(self, wave: str, state: str) -> AppendResult:
+        self.wave_states.append((wave, state))
+        return Appended(len(self.wave_states))
+
+    def add_job(self, job: Job) -> None:
+        """Record a job as an entry does."""
+        self.append([Record(key_of(Kind.JOB, job.job_id), encode(job))])
+
+    def cancel(self, job_id: str) -> None:
+        """Record a cancellation as an entry does."""
+        self.append([Record(key_of(Kind.CANCELLATION, job_id), b"1")])
+
+
+@dataclass
+class FakeWorker:
+    """Runs and ends of one worker, as it lists them."""
+
+    running: dict[TaskKey, int] = field(default_factory=dict)
+    ended: list[EndedTask] = field(default_factory=list)
+    barred: dict[TaskKey, int] = field(default_factory=dict)
+    percent: int = 50
+    seen: int = 0
+    count: int = 0
+    token: int = 0
+    is_silent: bool = False
+    # Starts are carried out and not answered.
+    lose_starts: bool = False
+    # Starts are carried out only when released, and not answered.
+    delay_starts: bool = False
+    delayed: list[Start] = field(default_factory=list)
+
+
+class FakeWorkers:
+    """All workers, with a log of each run that has begun."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, FakeWorker] = {}
+        self.begun: list[tuple[str, TaskKey, int]] = []
+
+    def at(self, worker_id: str) -> FakeWorker:
+        return self.by_id.setdefault(worker_id, FakeWorker())
+
+    def start(
+        self, worker: Worker, start: Start, token: int, deadline_ms: int, ticket: str
+    ) -> CallReply:
+        fake = self.at(worker.worker_id)
+        if fake.is_silent:
+            return CallReply(CallOutcome.UNKNOWN, "no answer in time")
+        if token < fake.token:
+            return CallReply(CallOutcome.FENCED)
+        if fake.delay_starts:
+            fake.delayed.append(start)
+            return CallReply(CallOutcome.UNKNOWN, "no answer in time")
+        outcome = self.carry_out(worker.worker_id, start)
+        if fake.lose_starts:
+            return CallReply(CallOutcome.UNKNOWN, "answer lost")
+        return CallReply(outcome)
+
+    def carry_out(self, worker_id: str, start: Start) -> CallOutcome:
+        """Begin a run unless a stop or an end has barred it."""
+        fake = self.at(worker_id)
+        if start.run <= fake.barred.get(start.task, 0):
+            return CallOutcome.OLD_RUN
+        if start.task not in fake.running:
+            fake.running[start.task] = start.run
+            self.begun.append((worker_id, start.task, start.run))
+        return CallOutcome.DONE
+
+    def stop(self, worker: Worker, task: str, run: int, token: int) -> CallReply:
+        fake = self.at(worker.worker_id)
+        if fake.is_silent:
+            return CallReply(CallOutcome.UNKNOWN, "no answer in time")
+        if token < fake.token:
+            return CallReply(CallOutcome.FENCED)
+        key = TaskKey.parse(task)
+        fake.barred[key] = max(run, fake.barred.get(key, 0))
+        if fake.running.get(key) == run:
+            self.end(worker.worker_id, key, EndKind.STOPPED)
+        return CallReply(CallOutcome.DONE)
+
+    def pace(
+        self, worker: Worker, task: str, run: int, percent: int, token: int
+    ) -> CallReply:
+        return CallReply(CallOutcome.DONE)
+
+    def hold(
+        self,
+        worker: Worker,
+        token: int,
+        seen: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> TaskLists | CallReply:
+        fake = self.at(worker.worker_id)
+        gevent.sleep(LOOK_S)
+        if fake.is_silent:
+            return CallReply(CallOutcome.UNKNOWN, "no answer in time")
+        if token < fake.token:
+            return CallReply(CallOutcome.FENCED)
+        fake.token = token
+        fake.seen = max(fake.seen, seen)
+        deadline_s = steady_s() + wait_ms / 1000
+        while not self._unseen(fake) and steady_s() < deadline_s:
+            gevent.sleep(0.005)
+        return TaskLists(
+            int(steady_s() * 1000),
+            worker.born_ms,
+            tuple(
+                RunningTask(task, run, "", fake.percent, 0.0)
+                for task, run in fake.running.items()
+            ),
+            tuple(self._unseen(fake)),
+        )
+
+    def end(
+        self, worker_id: str, task: TaskKey, kind: EndKind, checkpoint: str = ""
+    ) -> None:
+        """Let a run end."""
+        fake = self.at(worker_id)
+        run = fake.running.pop(task)
+        fake.barred[task] = max(run, fake.barred.get(task, 0))
+        fake.count += 1
+        fake.ended.append(EndedTask(fake.count, task, run, kind, checkpoint))
+
+    def end_all(self, kind: EndKind = EndKind.DONE) -> int:
+        """Let every run end; returns how many did."""
+        ended = 0
+        for worker_id, fake in self.by_id.items():
+            for task in list(fake.running):
+                self.end(worker_id, task, kind)
+                ended += 1
+        return ended
+
+    @staticmethod
+    def _unseen(fake: FakeWorker) -> list[EndedTask]:
+        return [end for end in fake.ended if end.number > fake.seen]
+
+
+def make_worker(number: int, pool: str = "pool", cores: float = 8.0) -> Worker:
+    """Return a worker with 8 cores in the zone and rack of its number's parity."""
+    side = "ab"[number % 2]
+    return Worker(
+        f"w{number}",
+        1,
+        pool,
+        f"127.0.0.1:{number}",
+        f"zone-{side}",
+        Resources(cores, 32_000, 0),
+        frozenset({"kind", f"rack-{side}"}),
+        f"rack-{side}",
+    )
+
+
+def make_policy(limit: Resources = NO_RESOURCES, max_attempts: int = 2) -> Policy:
+    """Return a policy with one queue, one pool and one organisation."""
+    queue = Queue(
+        "queue", "host", "/q/", "pool", max_attempts=max_attempts, stretch=2.0
+    )
+    organisation = Organisation("red", frozenset({"key"}), 10.0, limit)
+    return Policy(
+        1, {"queue": queue}, {"pool": Pool("pool")}, {"red": organisation}, {}
+    )
+
+
+def make_job(job_id: str = "0" * 16, *steps: Step) -> Job:
+    """Return a job; without steps given it has one step of one task."""
+    return Job(job_id, "queue", "red", "spec", steps or (Step(1, 1000),), 1)
+
+
+class World:
+    """A store, workers and the leaders that act on them."""
+
+    def __init__(self, workers: int = 2) -> None:
+        self.store = FakeStore()
+        self.workers = FakeWorkers()
+        self.view = View(
+            make_policy(), {f"w{n}": make_worker(n) for n in range(workers)}
+        )
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def lead(self, token: int = 1) -> Dispatcher:
+        """Start a leader that has been elected with a token."""
+        replica = Replica(self.store)
+        replica.is_leading = True
+        assert replica.load()
+        writer = LeaderWriter(self.store, token, f"instance-{token}", lambda: None)
+        end = writer.open(1.0)
+        assert end is not None
+        self._greenlets.append(gevent.spawn(replica.run))
+        assert replica.wait_for(end, 1.0)
+        dispatcher = Dispatcher(self.workers, replica, writer, self.view)
+        self._greenlets.append(gevent.spawn(dispatcher.run))
+        return dispatcher
+
+    def close(self) -> None:
+        """Stop all leaders."""
+        gevent.killall(self._greenlets)
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float = 20.0) -> None:
+    """Wait for a condition; the time only bounds a test that would hang."""
+    deadline_s = steady_s() + timeout_s
+    while not condition():
+        if steady_s() > deadline_s:
+            raise TimeoutError("the condition never held")
+        gevent.sleep(0.005)
--- /dev/null
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -0,0 +1,171 @@
+"""Starting, following and ending tasks."""
+
+from __future__ import annotations
+
+import gevent
+from libs.coordinator.tests.fakes import World, make_job, make_policy, wait_until
+
+from lycheeloom.jobs.model import EndKind, JobState, Step, TaskKey
+from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
+from lycheeloom.model.resources import Resources
+
+ID = "0" * 16
+
+
+def recorded_state(world: World, job_id: str = ID) -> JobState | None:
+    """Return the state of a job in its newest record."""
+    key = key_of(Kind.PROGRESS, job_id)
+    values = [r.value for r in world.store.records if r.key == key]
+    return decode(JobProgress, values[-1]).state if values else None
+
+
+def test_steps_run_in_order(world):
+    """Guards against a step that starts before the steps it comes after are done."""
+    world.store.add_job(make_job(ID, Step(2, 1000), Step(1, 1000, after=(0,))))
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 2)
+    gevent.sleep(0.05)
+    assert {task.step for _, task, _ in world.workers.begun} == {0}
+    world.workers.end_all()
+    wait_until(lambda: len(world.workers.begun) == 3)
+    world.workers.end_all()
+    wait_until(lambda: recorded_state(world) is JobState.COMPLETED)
+
+
+def test_failed_task_is_tried_again_up_to_its_limit(world):
+    """Guards against more runs than a queue allows after failures."""
+    world.store.add_job(make_job())
+    world.lead()
+    for attempt in (1, 2):
+        wait_until(lambda n=attempt: len(world.workers.begun) == n)
+        world.workers.end_all(EndKind.FAILED)
+    wait_until(lambda: recorded_state(world) is JobState.FAILED)
+    gevent.sleep(0.3)
+    assert len(world.workers.begun) == 2
+
+
+def test_end_is_forgotten_only_when_it_is_recorded(world):
+    """Guards against a task that runs again since its end was lost with the leader.
+
+    The look after one that could not be recorded shows no new ends.
+    """
+    world.store.add_job(make_job())
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 1)
+    world.store.is_down = True
+    world.workers.end_all()
+    gevent.sleep(1.5)
+    assert [worker.seen for worker in world.workers.by_id.values()] == [0, 0]
+    world.store.is_down = False
+    wait_until(lambda: any(w.seen for w in world.workers.by_id.values()))
+    assert recorded_state(world) is JobState.COMPLETED
+
+
+def test_new_leader_keeps_what_runs(world):
+    """Guards against leases that count as lapsed before a worker's clock is known.
+
+    The first look of the new leader finds ends, so it waits for their record
+    before it looks again.
+    """
+    world.store.add_job(make_job(ID, Step(4, 1000)))
+    first = world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 4)
+    first.writer.is_fenced = True
+    gevent.sleep(0.3)
+    for worker_id in ("w0", "w1"):
+        task = next(iter(world.workers.at(worker_id).running))
+        world.workers.end(worker_id, task, EndKind.DONE)
+    second = world.lead(2)
+    wait_until(lambda: len(second.fleet.runs_by_task) == 2)
+    gevent.sleep(0.5)
+    assert len(world.workers.begun) == 4
+
+
+def test_inherited_tasks_wait_for_a_silent_worker(world):
+    """Guards against a second run while a worker that is silent may have the first."""
+    world.store.add_job(make_job())
+    world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    holder = world.workers.begun[0][0]
+    world.workers.at(holder).is_silent = True
+    second = world.lead(2)
+    wait_until(lambda: any(s.is_listed for s in second.fleet.state_by_id.values()))
+    gevent.sleep(0.5)
+    assert len(world.workers.begun) == 1
+
+
+def test_start_of_unknown_outcome_is_stopped_before_the_next(world):
+    """Guards against two runs of a task after the answer to a start was lost."""
+    for number in (0, 1):
+        world.workers.at(f"w{number}").lose_starts = True
+    world.store.add_job(make_job())
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) >= 2)
+    running = sum(len(w.running) for w in world.workers.by_id.values())
+    assert running <= 1
+
+
+def test_start_that_arrives_late_is_barred(world):
+    """Guards against an order carried out after its task was started elsewhere."""
+    late = world.workers.at("w0")
+    late.delay_starts = True
+    world.view.worker_by_id.pop("w1")
+    world.store.add_job(make_job())
+    dispatcher = world.lead()
+    wait_until(lambda: bool(late.barred))
+    wait_until(lambda: not dispatcher.fleet.runs_by_task or len(late.delayed) > 1)
+    world.workers.carry_out("w0", late.delayed[0])
+    assert world.workers.begun == []
+
+
+def test_cancelled_job_is_stopped(world):
+    """Guards against tasks that run on after their job was cancelled."""
+    world.store.add_job(make_job(ID, Step(3, 1000, long_running=True)))
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 3)
+    world.store.cancel(ID)
+    wait_until(lambda: not any(w.running for w in world.workers.by_id.values()))
+    wait_until(lambda: recorded_state(world) is JobState.CANCELLED)
+
+
+def test_upper_limit_holds(world):
+    """Guards against an organisation that runs more than its limit."""
+    world.view.policy = make_policy(Resources(2.0, 0, 0))
+    world.store.add_job(make_job(ID, Step(5, 1000)))
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 2)
+    gevent.sleep(0.3)
+    assert len(world.workers.begun) == 2
+
+
+def test_zone_taken_out_gets_no_starts(world):
+    """Guards against starts in a zone that operators have taken out."""
+    world.view.zones_out = frozenset({"zone-a"})
+    world.store.add_job(make_job(ID, Step(6, 1000)))
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 6)
+    assert {worker for worker, _, _ in world.workers.begun} == {"w1"}
+
+
+def test_lost_answer_of_the_store_does_not_end_a_job_twice(world):
+    """Guards against records written twice when the store's answer is lost."""
+    world.store.add_job(make_job())
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 1)
+    world.store.lose_answers = 3
+    world.workers.end_all()
+    wait_until(lambda: any(w.seen for w in world.workers.by_id.values()))
+    assert recorded_state(world) is JobState.COMPLETED
+    assert world.workers.begun == [(*world.workers.begun[0][:2], 1)]
+
+
+def test_run_numbers_rise_over_leaders(world):
+    """Guards against starts that a worker rejects as old after a takeover."""
+    world.store.add_job(make_job(ID, Step(1, 1000, long_running=True)))
+    world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    second = world.lead(2)
+    wait_until(lambda: bool(second.fleet.runs_by_task))
+    world.workers.end_all(EndKind.FAILED)
+    wait_until(lambda: len(world.workers.begun) == 2)
+    assert world.workers.begun[1][1:] == (TaskKey(ID, 0, 0, 0), 2)
--- a/libs/jobs/src/lycheeloom/jobs/availability.py
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -35,6 +35,9 @@
 
 def _is_at_work(fleet: Fleet, task: TaskKey) -> bool:
     return any(
-        run.state is RunState.RUNNING and run.percent >= FULL_PERCENT
+        run.state is RunState.RUNNING
+        and run.percent >= FULL_PERCENT
+        # A worker that does not answer may have ended with all that ran there.
+        and fleet.state_by_id[run.worker_id].is_listed
         for run in fleet.runs_by_task.get(task, ())
     )
