--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -168,9 +168,7 @@
         entry = self._replica.table.entry_by_id.get(job_id)
         if entry is None or entry.job is None or job_id in self.work_by_id:
             return
-        queue = self.view.policy.queue_by_name.get(entry.job.queue)
-        attempts = queue.max_attempts if queue else 1
-        work = JobWork(entry.job, attempts, entry.progress)
+        work = JobWork(entry.job, entry.progress)
         if work.is_final:
             return
         self.work_by_id[job_id] = work
@@ -340,6 +338,9 @@
         if work is None or (run is None and not link.is_first_listing):
             return
         work.note_run(end.run)
+        queue = self.view.policy.queue_by_name.get(work.job.queue)
+        if queue is not None:
+            work.max_attempts = queue.max_attempts
         if work.note_end(end.task, end.kind, end.checkpoint):
             self._changed_jobs.add(work.job.job_id)
         # Services that are restarted whenever they end say nothing of a worker.
--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -27,7 +27,7 @@
     """Campaigns when no leader is heard of.
 
     ``lead`` runs while this instance leads; it is told whether another leader
-    came before.
+    came before. ``may_lead`` tells whether this instance knows enough to lead.
     """
 
     def __init__(
@@ -36,12 +36,14 @@
         replica: Replica,
         instance: str,
         lead: Callable[[LeaderWriter, bool], None],
+        may_lead: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._store = store
         self._replica = replica
         self._instance = instance
         self._lead = lead
+        self._may_lead = may_lead
         self._rng = rng
         # End of the election log if it is known to be past the leader's token.
         self._claimed_end: int | None = None
@@ -53,7 +55,7 @@
         """Watch the leader and campaign for ever."""
         while not self.is_stopping:
             gevent.sleep(CHECK_PAUSE_S)
-            if not self._is_vacant():
+            if not self._may_lead() or not self._is_vacant():
                 continue
             gevent.sleep(self._rng.uniform(0, MAX_STAGGER_S))
             if self._is_vacant() and not self.is_stopping:
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -112,9 +112,14 @@
         wait_ms = CLOSE_LOOK_WAIT_MS if close else LOOK_WAIT_MS
         if self.is_first_listing or self._durable < self.taken:
             wait_ms = 0
+        if self._failing_since_s is not None:
+            wait_ms = 0
         began_s = steady_s()
+        # A worker that does not answer gets no new lease: the one that it has must
+        # end before its tasks may start elsewhere.
+        deadline_ms = self.grant() if self._failing_since_s is None else None
         result = self._port.hold(
-            self.worker, self._token, self._durable, self.grant(), wait_ms
+            self.worker, self._token, self._durable, deadline_ms, wait_ms
         )
         if self.is_stopped:
             return
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -5,7 +5,9 @@
 import gevent
 from libs.coordinator.tests.fakes import World, make_job, make_policy, wait_until
 
-from lycheeloom.jobs.model import EndKind, JobState, Step, TaskKey
+from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.worker_link import LOOK_WAIT_MS, WORKER_LEASE_S
+from lycheeloom.jobs.model import EndKind, JobState, Policy, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
 from lycheeloom.model.resources import Resources
 
@@ -169,3 +171,35 @@
     world.workers.end_all(EndKind.FAILED)
     wait_until(lambda: len(world.workers.begun) == 2)
     assert world.workers.begun[1][1:] == (TaskKey(ID, 0, 0, 0), 2)
+
+
+def test_limit_of_attempts_is_read_from_the_policy_in_force(world):
+    """Guards against a job that fails early since its queue was not known yet.
+
+    A new process may lead before it has read the configuration.
+    """
+    policy = world.view.policy
+    world.store.add_job(make_job())
+    world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    world.view.policy = Policy()
+    second = world.lead(2)
+    wait_until(lambda: bool(second.fleet.runs_by_task))
+    world.workers.end_all(EndKind.FAILED)
+    wait_until(lambda: any(w.seen for w in world.workers.by_id.values()))
+    world.view.policy = policy
+    wait_until(lambda: len(world.workers.begun) == 2)
+    assert recorded_state(world) is not JobState.FAILED
+
+
+def test_tasks_of_a_silent_worker_start_elsewhere_after_its_lease(world):
+    """Guards against looks at a silent worker that count as new leases."""
+    world.store.add_job(make_job())
+    world.lead()
+    wait_until(lambda: len(world.workers.begun) == 1)
+    holder = world.workers.begun[0][0]
+    went_silent_s = steady_s()
+    world.workers.at(holder).is_silent = True
+    wait_until(lambda: len(world.workers.begun) == 2)
+    assert world.workers.begun[1][0] != holder
+    assert steady_s() - went_silent_s >= WORKER_LEASE_S - LOOK_WAIT_MS / 1000
--- a/libs/jobs/src/lycheeloom/jobs/work.py
+++ b/libs/jobs/src/lycheeloom/jobs/work.py
@@ -31,9 +31,10 @@
 class JobWork:
     """Tasks of a job: which wait, which are done, how often each has failed."""
 
-    def __init__(self, job: Job, max_attempts: int, progress: JobProgress | None):
+    def __init__(self, job: Job, progress: JobProgress | None = None) -> None:
         self.job = job
-        self.max_attempts = max_attempts
+        # Failed runs that a task may have; None until a policy names the queue.
+        self.max_attempts: int | None = None
         self.state = JobState.QUEUED
         self.highest_run = 0
         self.finished_ms = 0
@@ -122,7 +123,8 @@
         if kind is EndKind.FAILED and not work.step.long_running:
             failures = work.failures_by_index.get(task.index, 0) + 1
             work.failures_by_index[task.index] = failures
-            if failures >= self.max_attempts and not self.is_final:
+            limit = self.max_attempts
+            if limit is not None and failures >= limit and not self.is_final:
                 self.state = JobState.FAILED
             return True
         return bool(checkpoint)
--- a/libs/telemetry/src/lycheeloom/telemetry/logs.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/logs.py
@@ -1,9 +1,9 @@
-"""Log lines of key=value pairs on standard error, one for each event."""
+"""Log lines of key=value pairs, one for each event."""
 
 from __future__ import annotations
 
 import sys
-from typing import Any
+from typing import Any, Protocol
 
 from loguru import logger
 
@@ -15,8 +15,16 @@
 _QUOTED_CHARACTERS = frozenset(' "=\n\r\t')
 
 
-def configure_logging(process: str, level: str = "INFO") -> None:
-    """Send log lines of this process to standard error.
+class LineOutput(Protocol):
+    """Takes whole lines."""
+
+    def write(self, line: str) -> None: ...
+
+
+def configure_logging(
+    process: str, level: str = "INFO", output: LineOutput | None = None
+) -> None:
+    """Send log lines of this process to an output, standard error by default.
 
     ``level`` is one of loguru's level names; others raise ``ValueError``.
     """
@@ -24,7 +32,8 @@
     _lowest_level_no = logger.level(level).no
     logger.remove()
     logger.configure(extra={"process": process})
-    logger.add(sys.stderr, format=_FORMAT, level=level, backtrace=False, diagnose=False)
+    sink = sys.stderr if output is None else output.write
+    logger.add(sink, format=_FORMAT, level=level, backtrace=False, diagnose=False)
 
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
--- /dev/null
+++ b/libs/telemetry/tests/test_bounded_output.py
@@ -0,0 +1,38 @@
+"""Log output that never blocks and stays within its volume."""
+
+from __future__ import annotations
+
+import os
+
+import gevent
+
+from lycheeloom.telemetry import BoundedOutput
+
+
+def test_reader_that_stops_reading_delays_nobody():
+    """Guards against requests that wait for a full pipe of log lines."""
+    reader, writer = os.pipe()
+    output = BoundedOutput(writer, max_waiting=50)
+    line = "x" * 9_999 + "\n"
+    for _ in range(500):
+        output.write(line)
+        gevent.sleep(0)
+    assert output.dropped > 300
+    received = b""
+    while b"log_lines_dropped" not in received:
+        received += os.read(reader, 65_536)
+        output.write("event=later\n")
+        gevent.sleep(0)
+    assert received.startswith(line.encode())
+
+
+def test_volume_is_bounded_and_drops_are_counted():
+    """Guards against a flood of lines under load that nobody can read."""
+    reader, writer = os.pipe()
+    output = BoundedOutput(writer, lines_per_s=0.0, burst=10)
+    for number in range(25):
+        output.write(f"event=e number={number}\n")
+    output.flush()
+    lines = os.read(reader, 65_536).decode().splitlines()
+    assert len(lines) == 10
+    assert output.dropped == 15
