--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -12,8 +12,9 @@
 from .model import Step, TaskKey, Worker
 
 # A worker whose last runs failed is avoided for this long, doubled with each
-# further failure; a healthy worker loses little by it.
+# further failure. A single failure is as likely the task's own fault.
 FAILURE_HOLD_S = 1.0
+MIN_FAILURES = 2
 MAX_FAILURE_HOLD_S = 8.0
 
 
@@ -146,7 +147,9 @@
             state.consecutive_failures = 0
             return
         state.consecutive_failures += 1
-        hold_s = FAILURE_HOLD_S * 2 ** (state.consecutive_failures - 1)
+        if state.consecutive_failures < MIN_FAILURES:
+            return
+        hold_s = FAILURE_HOLD_S * 2 ** (state.consecutive_failures - MIN_FAILURES)
         state.held_until_s = max(
             state.held_until_s, now_s + min(hold_s, MAX_FAILURE_HOLD_S)
         )
--- /dev/null
+++ b/libs/jobs/tests/test_planner.py
@@ -0,0 +1,171 @@
+"""Which tasks start where, in which order."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheeloom.jobs.fleet import Fleet, Run, RunState
+from lycheeloom.jobs.model import Job, Organisation, Policy, Pool, Queue, Step, Worker
+from lycheeloom.jobs.planner import Planner
+from lycheeloom.jobs.work import JobWork
+from lycheeloom.model.resources import NO_RESOURCES, Resources
+
+NOW_MS = 10_000
+
+
+def make_worker(number: int, cores: float = 8.0) -> Worker:
+    """Return a worker; two share a rack."""
+    rack = f"rack-{number // 2}"
+    return Worker(
+        f"w{number}",
+        1,
+        "pool",
+        "address",
+        "zone",
+        Resources(cores, 64_000, 0),
+        frozenset({"kind", rack}),
+        rack,
+    )
+
+
+@pytest.fixture
+def fleet():
+    """Four workers of 8 cores in two racks."""
+    fleet = Fleet()
+    for number in range(4):
+        fleet.add_worker(make_worker(number)).is_listed = True
+    return fleet
+
+
+def make_policy(limit: Resources = NO_RESOURCES, **fields) -> Policy:
+    """Return a policy with a queue; ``fields`` are those of the queue."""
+    queue = Queue("queue", "host", "/q/", "pool", stretch=2.0, **fields)
+    return Policy(
+        1,
+        {"queue": queue},
+        {"pool": Pool("pool")},
+        {"red": Organisation("red", frozenset(), 100.0, limit)},
+    )
+
+
+def make_work(*steps: Step, job_id: str = "a", accepted_ms: int = NOW_MS) -> JobWork:
+    """Return the work of a job that nobody has started."""
+    return JobWork(Job(job_id, "queue", "red", "spec", steps, accepted_ms))
+
+
+def plan(fleet: Fleet, works: list[JobWork], policy: Policy | None = None, now_s=1.0):
+    """Plan, and count the starts as running."""
+    starts = Planner(fleet).plan(works, policy or make_policy(), (), now_s, NOW_MS)
+    for start in starts:
+        fleet.add_run(
+            Run(
+                start.task,
+                start.run,
+                start.worker_id,
+                start.step,
+                start.organisation,
+                start.queue,
+                RunState.RUNNING,
+                now_s,
+            )
+        )
+    return starts
+
+
+def test_capacity_is_never_exceeded(fleet):
+    """Guards against more tasks on a worker than it has room for."""
+    starts = plan(fleet, [make_work(Step(50, 3000))])
+    assert len(starts) == 8
+    assert all(state.free.cores >= 0 for state in fleet.state_by_id.values())
+    assert plan(fleet, [make_work(Step(1, 3000), job_id="b")]) == []
+
+
+def test_load_is_spread(fleet):
+    """Guards against one worker that takes all tasks."""
+    starts = plan(fleet, [make_work(Step(4, 1000))])
+    assert len({start.worker_id for start in starts}) == 4
+
+
+def test_spread_step_keeps_its_limit_on_each_worker(fleet):
+    """Guards against tasks that must avoid each other on one worker."""
+    work = make_work(Step(6, 1000, max_per_worker=1))
+    assert len(plan(fleet, [work])) == 4
+    assert plan(fleet, [work]) == []
+
+
+def test_gang_starts_whole_or_not_at_all(fleet):
+    """Guards against members of a gang that wait for the others on workers."""
+    assert plan(fleet, [make_work(Step(9, 4000, gang=True))]) == []
+    starts = plan(fleet, [make_work(Step(8, 4000, gang=True))])
+    assert len(starts) == 8
+    assert len({start.run for start in starts}) == 1
+
+
+def test_gang_in_one_rack_if_it_fits(fleet):
+    """Guards against a gang spread over racks, which makes it slower."""
+    starts = plan(fleet, [make_work(Step(4, 4000, gang=True, same_rack=True))])
+    racks = {fleet.state_by_id[start.worker_id].worker.rack for start in starts}
+    assert len(racks) == 1
+
+
+def test_rack_near_the_data_comes_first(fleet):
+    """Guards against tasks far from their data while there is room near it."""
+    starts = plan(fleet, [make_work(Step(4, 4000, rack="rack-1"))])
+    assert {start.worker_id for start in starts} == {"w2", "w3"}
+
+
+def test_label_is_required(fleet):
+    """Guards against a start on a worker without the label."""
+    assert plan(fleet, [make_work(Step(1, 1000, label="other"))]) == []
+    assert len(plan(fleet, [make_work(Step(1, 1000, label="kind"))])) == 1
+
+
+def test_limit_counts_what_runs_and_what_is_planned(fleet):
+    """Guards against an organisation over its limit within one round."""
+    policy = make_policy(Resources(5.0, 0, 0))
+    work = make_work(Step(10, 2000))
+    assert len(plan(fleet, [work], policy)) == 2
+    assert plan(fleet, [work], policy) == []
+
+
+def test_filling_tasks_reserve_no_processors(fleet):
+    """Guards against filling tasks that keep others out."""
+    assert len(plan(fleet, [make_work(Step(40, 8000, fills=True))])) == 40
+    assert len(plan(fleet, [make_work(Step(8, 4000), job_id="b")])) == 8
+
+
+def test_jobs_that_can_be_in_time_come_before_those_that_cannot(fleet):
+    """Guards against a surge in which every job is late by a little.
+
+    Pattern: demand beyond the pool for some seconds; the oldest jobs have missed
+    their objective, and serving them first makes the next ones miss theirs.
+    """
+    late = make_work(Step(8, 4000, estimated_ms=1000), job_id="late", accepted_ms=7_000)
+    timely = make_work(Step(8, 4000, estimated_ms=1000), job_id="timely")
+    starts = plan(fleet, [late, timely])
+    assert {start.task.job_id for start in starts} == {"timely"}
+
+
+def test_late_jobs_do_not_wait_for_ever(fleet):
+    """Guards against late jobs that starve under a lasting surge."""
+    old = make_work(Step(8, 4000, estimated_ms=1000), job_id="old", accepted_ms=1)
+    timely = make_work(Step(8, 4000, estimated_ms=1000), job_id="timely")
+    starts = plan(fleet, [timely, old])
+    assert {start.task.job_id for start in starts} == {"old"}
+
+
+def test_due_times_are_kept(fleet):
+    """Guards against an occurrence that starts before its time."""
+    job = Job("a", "queue", "red", "", (Step(1, 1000),), NOW_MS, 3, NOW_MS - 500, 1_000)
+    starts = plan(fleet, [JobWork(job)])
+    assert [start.task.occurrence for start in starts] == [0]
+
+
+def test_worker_that_fails_everything_is_avoided(fleet):
+    """Guards against a worker that fails fast and so attracts all work."""
+    for _ in range(2):
+        fleet.note_outcome("w0", False, 1.0)
+    starts = plan(fleet, [make_work(Step(6, 1000))])
+    assert "w0" not in {start.worker_id for start in starts}
+    later = plan(fleet, [make_work(Step(12, 2000), job_id="b")], now_s=100.0)
+    assert "w0" in {start.worker_id for start in later}
--- /dev/null
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -0,0 +1,127 @@
+"""Maintenance waves, pool sizes, budgets of steps and pace of filling tasks."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheeloom.jobs.availability import may_end
+from lycheeloom.jobs.fleet import Fleet, Run, RunState
+from lycheeloom.jobs.model import Job, Step, TaskKey, Worker
+from lycheeloom.jobs.pacing import next_pace
+from lycheeloom.jobs.pool_sizes import PoolInstance, PoolLoad, choose_moves
+from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
+from lycheeloom.jobs.work import JobWork
+from lycheeloom.model.resources import Resources
+
+ON_TIME = WaveTime(0.0, 30.0, 4.0)
+LATE = WaveTime(25.0, 30.0, 4.0)
+
+
+def instances(pool: str, count: int, standby: bool = False) -> list[WaveInstance]:
+    """Return instances of a pool with some tasks on each."""
+    return [
+        WaveInstance(f"{pool}-{n}", pool, 0 if standby else n, 0.5, standby)
+        for n in range(count)
+    ]
+
+
+def test_wave_never_has_more_away_than_allowed():
+    """Guards against maintenance beyond the limit of the wave."""
+    left = instances("a", 5) + instances("off", 5, standby=True)
+    assert len(choose_next(left, {"a": 1, "b": 1}, 3, LATE)) == 1
+    assert choose_next(left, {"a": 3}, 3, LATE) == []
+
+
+def test_wave_begins_with_instances_that_are_off():
+    """Guards against disturbing tasks while idle instances wait for maintenance."""
+    chosen = choose_next(
+        instances("a", 2) + instances("off", 2, standby=True), {}, 2, ON_TIME
+    )
+    assert chosen == ["off-0", "off-1"]
+
+
+def test_wave_on_time_empties_one_instance_of_a_pool():
+    """Guards against tasks that avoid each other and find no place left."""
+    assert len(choose_next(instances("a", 4), {}, 4, ON_TIME)) == 1
+    assert choose_next(instances("a", 3), {"a": 1}, 4, ON_TIME) == []
+
+
+def test_late_wave_empties_as_many_as_it_may():
+    """Guards against a wave that is late since it stays gentle."""
+    assert len(choose_next(instances("a", 4), {}, 3, LATE)) == 3
+
+
+def test_waiting_work_brings_instances_that_are_off():
+    """Guards against a queue that waits beside instances that are switched off.
+
+    Pattern: each queue in turn surges beyond its pool for some seconds.
+    """
+    machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
+    moves = choose_moves(machines, {"a": PoolLoad(1.0, 2.0)}, {"off"})
+    assert [(m.instance_id, m.pool) for m in moves] == [("m1", "a")]
+
+
+def test_instances_on_their_way_are_counted():
+    """Guards against more moves for the same waiting work in each round."""
+    machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
+    assert choose_moves(machines, {"a": PoolLoad(1.0, 2.0, arriving=2)}, {"off"}) == []
+
+
+@pytest.mark.parametrize(
+    ("load", "count"),
+    [
+        (PoolLoad(0.0, 0.0), 2),
+        (PoolLoad(0.0, 0.0, least=3), 0),
+        (PoolLoad(2.0, 0.0), 0),
+        (PoolLoad(0.0, 0.0, is_used=False), 0),
+    ],
+)
+def test_idle_instances_are_switched_off_if_the_pool_can_spare_them(load, count):
+    """Guards against paying for idle instances and against pools too small."""
+    machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(2)]
+    machines.append(PoolInstance("m9", "a", 0.0))
+    assert len(choose_moves(machines, {"a": load}, {"off"})) == count
+
+
+def make_service(away: int) -> tuple[Fleet, JobWork, list[Run]]:
+    """Return a long-running step of 4 tasks, ``away`` of them not at work."""
+    step = Step(4, 1000, long_running=True, may_miss=1)
+    work = JobWork(Job("a", "queue", "red", "", (step,)))
+    fleet, runs = Fleet(), []
+    for index in range(4):
+        worker = Worker(f"w{index}", 1, "pool", "a", "z", Resources(8, 8_000))
+        fleet.add_worker(worker).is_listed = True
+        percent = 50 if index < away else 100
+        task = TaskKey("a", 0, 0, index)
+        run = Run(task, 1, f"w{index}", step, "red", "queue", RunState.RUNNING, 0.0)
+        run.percent = percent
+        fleet.add_run(run)
+        runs.append(run)
+    return fleet, work, runs
+
+
+def test_budget_of_a_step_allows_one_stop():
+    """Guards against stops that leave too few tasks of a step at work."""
+    fleet, work, runs = make_service(away=0)
+    assert may_end(fleet, work, runs[3])
+    fleet, work, runs = make_service(away=1)
+    assert not may_end(fleet, work, runs[3])
+    assert may_end(fleet, work, runs[0])
+
+
+def test_task_on_a_silent_worker_counts_as_away():
+    """Guards against a stop while a crashed worker's tasks still seem to run."""
+    fleet, work, runs = make_service(away=0)
+    fleet.state_by_id["w0"].is_listed = False
+    assert not may_end(fleet, work, runs[3])
+
+
+def test_filling_tasks_rest_before_harm_lasts():
+    """Guards against filling tasks that disturb others for seconds."""
+    percent, looks = 100, 0
+    while percent:
+        percent = next_pace(percent, 1.5)
+        looks += 1
+    assert looks <= 4
+    assert next_pace(0, 0.2) == 10
+    assert next_pace(50, 0.8) == 50
--- /dev/null
+++ b/libs/jobs/tests/test_work.py
@@ -0,0 +1,105 @@
+"""Progress of jobs and its records."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lycheeloom.jobs.model import EndKind, Job, JobState, Step, TaskKey
+from lycheeloom.jobs.records import JobProgress, Kind, Record, decode, encode, key_of
+from lycheeloom.jobs.table import JobTable
+from lycheeloom.jobs.work import JobWork
+
+STEPS = (
+    Step(3, 1000, estimated_ms=100),
+    Step(2, 500, after=(0,), gang=True, checkpointing=True, label="kind"),
+    Step(1, 500, after=(0, 1), image="i", target_ms=5, may_miss=1),
+)
+JOB = Job("a" * 16, "queue", "red", "text", STEPS, 5, 2, 1_000, 500)
+
+
+def test_records_survive_encoding():
+    """Guards against fields that are lost between an entry and the leader."""
+    assert decode(Job, encode(JOB)) == JOB
+    work = JobWork(JOB)
+    work.note_end(TaskKey(JOB.job_id, 1, 0, 2), EndKind.DONE, "")
+    work.note_end(TaskKey(JOB.job_id, 0, 0, 1), EndKind.FAILED, "c")
+    assert decode(JobProgress, encode(work.progress())) == work.progress()
+
+
+def test_damaged_records_are_counted_and_change_nothing():
+    """Guards against bytes of another writer that end a process."""
+    table = JobTable()
+    data = encode(JOB)
+    assert table.apply(0, Record(key_of(Kind.JOB, "x"), data[:-3])) is None
+    assert table.apply(1, Record("?", b"x")) is None
+    assert table.apply(2, Record("", b"x")) is None
+    assert table.unreadable == 3
+    assert table.entry_by_id == {}
+
+
+def test_older_record_does_not_replace_a_newer_one():
+    """Guards against state that goes back while pages and the log are joined."""
+    table = JobTable()
+    key = key_of(Kind.PROGRESS, "x")
+    table.apply(8, Record(key, encode(JobProgress(JobState.COMPLETED))))
+    table.apply(3, Record(key, encode(JobProgress(JobState.RUNNING))))
+    assert table.entry_by_id["x"].state is JobState.COMPLETED
+
+
+@given(st.binary(max_size=200))
+@settings(derandomize=True, max_examples=100)
+def test_any_bytes_are_taken_as_no_record(data):
+    """Guards against bytes that the codec cannot bear."""
+    assert decode(Job, data) is None
+
+
+class WorkMachine(RuleBasedStateMachine):
+    """Ends in any order, with a change of leader at any time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.work = JobWork(JOB)
+        self.work.max_attempts = 4
+        self.done: set[TaskKey] = set()
+
+    @rule(
+        occurrence=st.integers(0, 1),
+        step=st.integers(0, 2),
+        index=st.integers(0, 2),
+        kind=st.sampled_from(EndKind),
+    )
+    def run_and_end(self, occurrence, step, index, kind):
+        work = self.work.work_by_step[occurrence, step]
+        if index not in work.waiting or self.work.is_final:
+            return
+        task = TaskKey(JOB.job_id, occurrence, step, index)
+        self.work.take(task)
+        self.work.note_end(task, kind, "")
+        if kind is EndKind.DONE:
+            self.done.add(task)
+        else:
+            self.work.put_back(task)
+
+    @rule()
+    def change_leader(self):
+        progress = decode(JobProgress, encode(self.work.progress()))
+        self.work = JobWork(JOB, progress)
+        self.work.max_attempts = 4
+
+    @invariant()
+    def done_tasks_stay_done(self):
+        for task in self.done:
+            work = self.work.work_by_step[task.occurrence, task.step]
+            assert task.index in work.done
+            assert task.index not in work.waiting
+
+    @invariant()
+    def completed_means_all_done(self):
+        all_done = all(w.is_done for w in self.work.work_by_step.values())
+        assert (self.work.state is JobState.COMPLETED) == all_done
+
+
+TestWork = WorkMachine.TestCase
+TestWork.settings = settings(derandomize=True, max_examples=60, deadline=None)
