Run the tests in parts side by side

One test after the other took 10 to 11 minutes; pytest-xdist ends with LoopExit in its own queue, as gevent patches the process that collects the results.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,9 @@
 	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation $(addprefix -e ./,$(LIBS))
 	touch $@
 
+# Without ARGS all tests run, in parts side by side.
 test: setup
-	$(PYTHON) -m pytest $(ARGS)
+	$(if $(ARGS),$(PYTHON) -m pytest $(ARGS),$(PYTHON) tests/run_parts.py)
 
 lint: setup
 	$(VENV)/bin/ruff format --check .
