--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -25,6 +25,7 @@
 from lycheeloom.jobs.work import JobWork
 from lycheeloom.telemetry import log_event
 
+from . import metrics
 from .clock import steady_s, wall_ms
 from .ports import CallOutcome, CallReply, TaskLists, WorkerPort
 from .replica import Replica
@@ -327,6 +328,7 @@
         if run is not None:
             self.fleet.remove_run(run)
         work = self.work_by_id.get(end.task.job_id)
+        metrics.TASKS_ENDED.labels(end.kind.value).inc()
         log_event(
             "task_ended",
             task=end.task,
@@ -520,6 +522,7 @@
             reason=reply.reason,
             took_ms=(now_s - began_s) * 1000,
         )
+        metrics.START_SECONDS.labels(reply.outcome.value).observe(now_s - began_s)
         match reply.outcome:
             case CallOutcome.DONE:
                 self._note_started(start, run, now_s)
@@ -550,6 +553,8 @@
         if work is None:
             self.stop_run(run, "job has ended")
         elif work.note_begun():
+            waited_s = (wall_ms() - work.job.accepted_ms) / 1000
+            metrics.FIRST_START_SECONDS.observe(max(0.0, waited_s))
             self._changed_jobs.add(work.job.job_id)
             self._flush()
 
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/gauges.py
@@ -0,0 +1,80 @@
+"""Refreshes the metrics that show a state."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import gevent
+
+from lycheeloom.jobs.model import JobState
+
+from . import metrics
+from .clock import steady_s
+from .dispatcher import Dispatcher, View
+from .replica import Replica
+
+REFRESH_S = 2.0
+
+
+class Gauges:
+    """Sets gauges from what the process believes now and then."""
+
+    def __init__(
+        self,
+        view: View,
+        replica: Replica,
+        find_dispatcher: Callable[[], Dispatcher | None],
+        policy_at_s: Callable[[], float | None],
+        lines_dropped: Callable[[], int],
+    ) -> None:
+        self._view = view
+        self._replica = replica
+        self._find_dispatcher = find_dispatcher
+        self._policy_at_s = policy_at_s
+        self._lines_dropped = lines_dropped
+
+    def run(self) -> None:
+        """Refresh for ever."""
+        while True:
+            self.refresh()
+            gevent.sleep(REFRESH_S)
+
+    def refresh(self) -> None:
+        """Set all gauges once."""
+        now_s = steady_s()
+        table = self._replica.table
+        dispatcher = self._find_dispatcher()
+        metrics.LEADING.set(dispatcher is not None)
+        metrics.TOKEN.set(table.leader.token if table.leader else 0)
+        metrics.POLICY_VERSION.set(self._view.policy.version)
+        at_s = self._policy_at_s()
+        if at_s is not None:
+            metrics.POLICY_AGE.set(now_s - at_s)
+        if self._replica.is_loaded:
+            metrics.TABLE_AGE.set(now_s - self._replica.read_at_s)
+        metrics.LINES_DROPPED.set(self._lines_dropped())
+        states = Counter(e.state for e in table.entry_by_id.values() if e.job)
+        for state in JobState:
+            metrics.JOBS.labels(state.value).set(states[state])
+        # Only the leader knows what runs; others must not show old figures.
+        metrics.POOL_CAPACITY.clear()
+        metrics.POOL_USED.clear()
+        metrics.ORGANISATION_USED.clear()
+        if dispatcher is not None:
+            self._show_fleet(dispatcher)
+        for name, organisation in self._view.policy.organisation_by_name.items():
+            limit = organisation.upper_limit.cores
+            metrics.ORGANISATION_LIMIT.labels(name).set(limit)
+
+    def _show_fleet(self, dispatcher: Dispatcher) -> None:
+        capacity: Counter[str] = Counter()
+        used: Counter[str] = Counter()
+        for state in dispatcher.fleet.state_by_id.values():
+            capacity[state.worker.pool] += state.worker.capacity.cores
+            used[state.worker.pool] += state.used.cores
+        for pool, cores in capacity.items():
+            metrics.POOL_CAPACITY.labels(pool).set(cores)
+            metrics.POOL_USED.labels(pool).set(used[pool])
+        for name, amount in dispatcher.fleet.used_by_organisation.items():
+            metrics.ORGANISATION_USED.labels(name or "open").set(amount.cores)
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -12,6 +12,7 @@
 from lycheeloom.jobs.records import Kind, Record, encode, key_of
 from lycheeloom.telemetry import log_event
 
+from . import metrics
 from .clock import steady_s
 from .ports import Appended, AppendResult, AppendUnknown, NotAppended, StorePort
 from .replica import Replica
@@ -110,10 +111,13 @@
         return Decision(Verdict.NOT_ACCEPTED, "store not reached")
 
     def _record(self, record: Record) -> Decision:
+        began_s = steady_s()
         pending = _Pending(record)
         self._pending.append(pending)
         self._work.set()
         pending.done.wait()
+        if isinstance(pending.result, Appended):
+            metrics.DURABLE_SECONDS.observe(steady_s() - began_s)
         match pending.result:
             case Appended():
                 return Decision(Verdict.ACCEPTED)
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -15,6 +15,7 @@
 from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
 from lycheeloom.telemetry import log_event
 
+from . import metrics
 from .clock import steady_s
 from .dispatcher import Dispatcher
 from .inventory import Inventory
@@ -210,6 +211,7 @@
             outcome=reply.outcome.value,
             reason=reply.reason,
         )
+        metrics.INSTANCE_ORDERS.labels("maintenance", reply.outcome.value).inc()
         match reply.outcome:
             case CallOutcome.DONE:
                 handling.stage = _Stage.AWAY
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -0,0 +1,65 @@
+"""Metrics of a process that runs jobs."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+def _histogram(name: str, text: str, *labels: str) -> Histogram:
+    return Histogram(name, text, labels, buckets=_LATENCY_BUCKETS)
+
+
+SUBMISSIONS = Counter(
+    "lycheeloom_job_submissions", "Jobs handed in, by verdict", ["verdict"]
+)
+REFUSALS = Counter(
+    "lycheeloom_job_refusals", "Calls refused, by kind of reason", ["reason"]
+)
+DURABLE_SECONDS = _histogram(
+    "lycheeloom_job_durable_seconds", "Time until a submission or cancellation is kept"
+)
+FIRST_START_SECONDS = _histogram(
+    "lycheeloom_job_first_start_seconds", "Time from acceptance to the first start"
+)
+START_SECONDS = _histogram(
+    "lycheeloom_task_start_seconds", "Calls that start a task, by outcome", "outcome"
+)
+LOOK_SECONDS = _histogram(
+    "lycheeloom_worker_look_seconds", "Looks at workers without their wait", "outcome"
+)
+TASKS_ENDED = Counter("lycheeloom_tasks_ended", "Runs that ended, by how", ["how"])
+STORE_SECONDS = _histogram(
+    "lycheeloom_store_call_seconds", "Calls to the store", "kind", "result"
+)
+INSTANCE_ORDERS = Counter(
+    "lycheeloom_instance_orders",
+    "Moves and maintenance ordered, by outcome",
+    ["kind", "outcome"],
+)
+LEADING = Gauge("lycheeloom_leading", "1 while this process leads")
+TOKEN = Gauge("lycheeloom_fencing_token", "Token of the newest leader known here")
+POLICY_VERSION = Gauge("lycheeloom_policy_version", "Configuration in force here")
+POLICY_AGE = Gauge(
+    "lycheeloom_policy_age_seconds", "Time since that configuration was taken over"
+)
+TABLE_AGE = Gauge(
+    "lycheeloom_table_age_seconds", "Time since the last successful read of the store"
+)
+JOBS = Gauge("lycheeloom_jobs", "Jobs known here, by state", ["state"])
+POOL_CAPACITY = Gauge(
+    "lycheeloom_pool_capacity_cores", "Cores of a pool's workers", ["pool"]
+)
+POOL_USED = Gauge("lycheeloom_pool_used_cores", "Cores reserved in a pool", ["pool"])
+ORGANISATION_USED = Gauge(
+    "lycheeloom_organisation_used_cores",
+    "Cores used by an organisation",
+    ["organisation"],
+)
+ORGANISATION_LIMIT = Gauge(
+    "lycheeloom_organisation_limit_cores",
+    "Upper limit of an organisation in cores; 0 is no limit",
+    ["organisation"],
+)
+LINES_DROPPED = Gauge("lycheeloom_log_lines_dropped", "Log lines dropped so far")
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -18,6 +18,7 @@
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.telemetry import log_event
 
+from . import metrics
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .inventory import Inventory
@@ -149,6 +150,7 @@
             outcome=reply.outcome.value,
             detail=reply.reason,
         )
+        metrics.INSTANCE_ORDERS.labels("move", reply.outcome.value).inc()
         hold_s = RETRY_S
         match reply.outcome:
             case CallOutcome.DONE | CallOutcome.UNKNOWN:
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -10,6 +10,7 @@
 from lycheeloom.jobs.model import Worker
 from lycheeloom.telemetry import log_event
 
+from . import metrics
 from .clock import steady_s
 from .ports import CallOutcome, CallReply, TaskLists, WorkerPort
 from .writer import Commit
@@ -123,6 +124,11 @@
         )
         if self.is_stopped:
             return
+        outcome = "done"
+        if isinstance(result, CallReply):
+            outcome = result.outcome.value
+        took_s = max(0.0, steady_s() - began_s - wait_ms / 1000)
+        metrics.LOOK_SECONDS.labels(outcome).observe(took_s)
         if isinstance(result, CallReply):
             self._note_failure(result)
             return
--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -14,6 +14,10 @@
 # The kind that needs no name.
 FLEET_KIND = "fleet"
 EXPLAINED_KINDS = ("request", "instance", "pool", "organisation", FLEET_KIND)
+# Kinds that are explained from log lines.
+LEADER_KIND = "leader"
+LOGGED_KINDS = ("job", "instance", "worker", "wave", LEADER_KIND)
+ALL_KINDS = tuple(dict.fromkeys(EXPLAINED_KINDS + LOGGED_KINDS))
 DEFAULT_DRAIN_S = 60.0
 DEFAULT_REBOOT_S = 300.0
 DEFAULT_INTERVAL_S = 2.0
@@ -261,10 +265,18 @@
         "lycheeloom explain instance worker-7",
         "lycheeloom explain request 01J8ZK",
         "lycheeloom explain fleet",
+        "lycheeloom explain job 5c0e7a21d94b36f8 --logs node-1.log node-2.log",
+        "lycheeloom explain leader --logs -",
     )
-    explain.add_argument("kind", choices=EXPLAINED_KINDS)
+    explain.add_argument("kind", choices=ALL_KINDS)
     explain.add_argument(
-        "id", metavar="ID", nargs="?", help="name; not needed for the fleet"
+        "id", metavar="ID", nargs="?", help="name; not needed for fleet and leader"
+    )
+    explain.add_argument(
+        "--logs",
+        nargs="+",
+        metavar="FILE",
+        help="tell the story from log lines in these files; - is standard input",
     )
     watch = _leaf(
         groups,
--- /dev/null
+++ b/libs/operator/src/lycheeloom/operator/log_story.py
@@ -0,0 +1,121 @@
+"""Tells the story of one job, instance or of the leaders from log lines."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+# Events that tell who leads, and what makes a leader stop.
+LEADER_EVENTS = frozenset(
+    {
+        "lead_taken",
+        "lead_given_up",
+        "lead_claim_failed",
+        "lead_claimed_elsewhere",
+        "lead_not_taken",
+        "leader_fenced",
+        "process_started",
+        "process_stopping",
+        "process_stopped",
+        "store_lost",
+        "store_regained",
+    }
+)
+# Fields that name a thing; a task's name begins with its job.
+_NAME_FIELDS = ("job", "instance", "worker", "wave")
+_HEAD_FIELDS = frozenset({"time", "level", "process", "event"})
+# Without any line for this long a story has a gap.
+GAP_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event of a process."""
+
+    time: str
+    process: str
+    event: str
+    fields: dict[str, str]
+
+    @property
+    def seconds(self) -> float:
+        """Return the time of day in seconds."""
+        match = re.search(r"T(\d+):(\d+):([\d.]+)", self.time)
+        if match is None:
+            return 0.0
+        return int(match[1]) * 3600 + int(match[2]) * 60 + float(match[3])
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Read a line of key=value pairs; None if it is not one of ours.
+
+    What stands before the first pair, such as a collector's own prefix, is left out.
+    """
+    fields = {
+        name: value[1:-1].replace('\\"', '"') if value.startswith('"') else value
+        for name, value in _PAIR.findall(text)
+    }
+    if not {"time", "process", "event"} <= fields.keys():
+        return None
+    rest = {name: v for name, v in fields.items() if name not in _HEAD_FIELDS}
+    return LogLine(fields["time"], fields["process"], fields["event"], rest)
+
+
+def tell_story(texts: Iterable[str], name: str) -> list[str]:
+    """Return the lines about a job, instance, worker or wave, in order.
+
+    Changes of the leader between them are told too, since they explain repeated
+    starts.
+    """
+    lines = [line for text in texts if (line := parse_line(text)) is not None]
+    own = [line for line in lines if _concerns(line, name)]
+    if not own:
+        return []
+    first, last = min(x.time for x in own), max(x.time for x in own)
+    leaders = [
+        line
+        for line in lines
+        if line.event in ("lead_taken", "lead_given_up") and first <= line.time <= last
+    ]
+    return [*_render(own + leaders), *_missing(own)]
+
+
+def tell_leaders(texts: Iterable[str]) -> list[str]:
+    """Return who has led when, and what each change came from."""
+    lines = [line for text in texts if (line := parse_line(text)) is not None]
+    return _render([line for line in lines if line.event in LEADER_EVENTS])
+
+
+def _concerns(line: LogLine, name: str) -> bool:
+    if any(line.fields.get(key) == name for key in _NAME_FIELDS):
+        return True
+    task = line.fields.get("task", line.fields.get("step", ""))
+    return task == name or task.startswith(name + ".")
+
+
+def _render(lines: Sequence[LogLine]) -> list[str]:
+    rendered = []
+    before: LogLine | None = None
+    for line in sorted(lines, key=lambda x: x.time):
+        if before is not None and line.seconds - before.seconds > GAP_S:
+            gap_s = line.seconds - before.seconds
+            rendered.append(f"    no line for {gap_s:.1f} s")
+        before = line
+        pairs = " ".join(f"{k}={v}" for k, v in line.fields.items())
+        rendered.append(f"{line.time} {line.process} {line.event} {pairs}".rstrip())
+    return rendered
+
+
+def _missing(lines: Sequence[LogLine]) -> list[str]:
+    """Say which parts of a job's story no process has told."""
+    events = {line.event for line in lines}
+    if not events & {"job_submitted", "job_opened", "job_ended"}:
+        return []
+    expected = {
+        "job_submitted": "no line of an instance that accepted it",
+        "job_opened": "no line of a leader that took it over",
+        "job_ended": "no line of its end: it runs, or a leader's log is missing",
+    }
+    return [f"    {text}" for event, text in expected.items() if event not in events]
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -11,7 +11,13 @@
 
 from . import changing_commands as changing
 from . import reading_commands as reading
-from .cli_parser import FLEET_KIND, build_parser
+from .cli_parser import (
+    EXPLAINED_KINDS,
+    FLEET_KIND,
+    LEADER_KIND,
+    LOGGED_KINDS,
+    build_parser,
+)
 from .entries import Entries
 from .exit_codes import ExitCode
 from .operator import Operator
@@ -78,8 +84,10 @@
     if command is None and not args.check_config:
         parser.print_help(sys.stderr)
         return ExitCode.USAGE
-    if command == "explain" and not args.id and args.kind != FLEET_KIND:
-        parser.error(f"explain {args.kind} needs an ID")
+    if command == "explain":
+        _check_explain(parser, args)
+        if args.logs:
+            return _print(reading.explain_logs(args), args.json)
     settings = load_settings(args.settings)
     if not isinstance(settings, Settings):
         return _print(report_mistakes(settings), args.json)
@@ -93,6 +101,15 @@
     return _print(COMMANDS[command](operator, args), args.json)
 
 
+def _check_explain(parser: argparse.ArgumentParser, args: argparse.Namespace) -> None:
+    if not args.id and args.kind not in (FLEET_KIND, LEADER_KIND):
+        parser.error(f"explain {args.kind} needs an ID")
+    if args.logs and args.kind not in LOGGED_KINDS:
+        parser.error(f"explain {args.kind} does not read logs")
+    if not args.logs and args.kind not in EXPLAINED_KINDS:
+        parser.error(f"explain {args.kind} needs --logs FILE")
+
+
 def _watch(operator: Operator, args: argparse.Namespace) -> int:
     printed = 0
     while True:
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import argparse
+import sys
 from collections.abc import Mapping
+from pathlib import Path
 
 from lycheeloom.model.config import FleetConfig
 from lycheeloom.model.records import WaveState
@@ -11,9 +13,10 @@
 
 from .changing_commands import unknown_pools
 from .checks import check_document
-from .cli_parser import FLEET_KIND
+from .cli_parser import FLEET_KIND, LEADER_KIND
 from .entries import EntryUnavailable, Explanation, UnknownThing, newest_status
 from .exit_codes import ExitCode
+from .log_story import tell_leaders, tell_story
 from .operator import Operator
 from .output import Report, report_history, report_mistakes, report_unread, table
 from .problems import Problem, errors_in
@@ -166,6 +169,33 @@
     return Report(tuple(lines), {"explanations": {}}, ExitCode.UNAVAILABLE)
 
 
+def explain_logs(args: argparse.Namespace) -> Report:
+    """Print the story of one thing as log lines tell it."""
+    texts: list[str] = []
+    for name in args.logs:
+        try:
+            texts += _read_lines(name)
+        except OSError as error:
+            line = f"{name}: cannot be read: {error.strerror}"
+            return Report((line,), {"story": []}, ExitCode.MISTAKES)
+    if args.kind == LEADER_KIND:
+        story = tell_leaders(texts)
+    else:
+        story = tell_story(texts, args.id)
+    if not story:
+        name = args.id or args.kind
+        line = f"No line of these logs tells of {name}."
+        return Report((line,), {"story": []}, ExitCode.NOT_FOUND)
+    return Report(tuple(story), {"story": story})
+
+
+def _read_lines(name: str) -> list[str]:
+    """Return the lines of a file; ``-`` is standard input."""
+    if name == "-":
+        return sys.stdin.readlines()
+    return Path(name).read_text(errors="replace").splitlines()
+
+
 def _waves(operator: Operator) -> Mapping[str, WaveStatus]:
     """Return the waves on record, with the progress that entries report."""
     newest = newest_status(operator.statuses())
--- /dev/null
+++ b/libs/operator/tests/test_log_story.py
@@ -0,0 +1,76 @@
+"""The story of a job and of the leaders, told from log lines."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheeloom.operator.exit_codes import ExitCode
+from lycheeloom.operator.log_story import parse_line, tell_leaders, tell_story
+from lycheeloom.operator.main import main
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def line(second: int, process: str, event: str, **fields: str) -> str:
+    """Return a line as a process writes it."""
+    pairs = " ".join(f"{k}={v}" for k, v in fields.items())
+    time = f"2026-12-04T10:00:{second:02d}.000+00:00"
+    return f"time={time} level=INFO process={process} event={event} {pairs}\n"
+
+
+@pytest.fixture
+def log():
+    """A job whose leader was replaced while a task ran, and another job."""
+    return [
+        line(9, "n2", "task_adopted", task=f"{JOB}.0.0.0", run="1", worker="w"),
+        "a line of something else\n",
+        line(1, "n1", "job_submitted", job=JOB, verdict="accepted"),
+        line(1, "n3", "job_opened", job=JOB, queue="q"),
+        line(2, "n3", "task_start", task=f"{JOB}.0.0.0", run="1", outcome="done"),
+        line(2, "n3", "task_start", task="0000000000000000.0.0.0", run="1"),
+        line(8, "n2", "lead_taken", token="2"),
+        line(10, "n2", "job_ended", job=JOB, state="completed"),
+    ]
+
+
+def test_story_is_in_order_over_processes_with_gaps(log):
+    """Guards against stories that hide the time in which nothing was logged."""
+    story = tell_story(log, JOB)
+    events = [row.split()[2] for row in story if not row.startswith(" ")]
+    assert events == [
+        "job_submitted",
+        "job_opened",
+        "task_start",
+        "lead_taken",
+        "task_adopted",
+        "job_ended",
+    ]
+    assert "    no line for 6.0 s" in story
+
+
+def test_missing_parts_are_named(log):
+    """Guards against taking a missing log for a job that was never handled."""
+    story = tell_story(log[1:3], JOB)
+    assert "    no line of a leader that took it over" in story
+
+
+def test_story_of_the_leaders(log):
+    """Guards against changes of leader that cannot be followed."""
+    assert tell_leaders(log) == ["2026-12-04T10:00:08.000+00:00 n2 lead_taken token=2"]
+
+
+def test_prefixes_and_quoted_values_are_read():
+    """Guards against lines of a collector that puts its own words in front."""
+    text = '  1.25 n1 time=T level=INFO process=n1 event=e reason="no \\"x\\" here"'
+    assert parse_line(text).fields == {"reason": 'no "x" here'}
+
+
+def test_command_reads_files(log, tmp_path, capsys):
+    """Guards against a command that asks for settings to read logs."""
+    path = tmp_path / "n.log"
+    path.write_text("".join(log))
+    assert main(["explain", "job", JOB, "--logs", str(path)]) == ExitCode.OK
+    assert "task_adopted" in capsys.readouterr().out
+    assert main(["explain", "job", "f" * 16, "--logs", str(path)]) == ExitCode.NOT_FOUND
+    missing = str(tmp_path / "none")
+    assert main(["explain", "leader", "--logs", missing]) == ExitCode.MISTAKES
