Give the leader a log of its own

Partition 0 is now the leader's, partition 1 takes what callers hand in, one append of an instance at a time.

--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -70,7 +70,9 @@
             if not self._pending:
                 self._work.clear()
             if group:
-                gevent.spawn(self._append, group)
+                # One append at a time: when the store is slow, what arrives
+                # meanwhile shares the next one.
+                self._append(group)
 
     def submit(self, job: Job) -> Decision:
         """Accept a job; a job of that id that is known stays as it is."""
@@ -84,7 +86,7 @@
         """Cancel a job."""
         state = self.state(job_id)
         if state is None:
-            self._replica.refresh()
+            self._replica.refresh_jobs()
             state = self.state(job_id)
         if state is None:
             if not self._replica.is_fresh:
@@ -102,7 +104,7 @@
     def look_up(self, job_id: str) -> JobState | Decision:
         """Return a job's state, asking the store about a job not known here."""
         state = self.state(job_id)
-        if state is None and self._replica.refresh():
+        if state is None and self._replica.refresh_jobs():
             state = self.state(job_id)
         if state is not None:
             return state
--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -106,7 +106,13 @@
         writer = LeaderWriter(self._store, token, self._instance, lambda: None)
         self.writer = writer
         end = writer.open(FENCE_TIMEOUT_S)
-        if end is None or not self._replica.wait_for(end, FENCE_TIMEOUT_S):
+        # Every job that the leader before may have started must be known.
+        is_ready = (
+            end is not None
+            and self._replica.wait_for_leader_record(end, FENCE_TIMEOUT_S)
+            and self._replica.refresh_jobs()
+        )
+        if not is_ready:
             log_event("lead_not_taken", level="WARNING", token=token, end=end)
             self.writer = None
             return
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -82,16 +82,30 @@
 ReadResult = RecordsRead | RecordsDropped | ReadFailed
 
 
+class Log(Enum):
+    """The two logs of jobs.
+
+    The leader has one for itself: when the store is slow, its renewals do not
+    queue behind what callers hand in.
+    """
+
+    CALLERS = "callers"
+    LEADER = "leader"
+
+
 class StorePort(Protocol):
-    """The durable log of jobs, and the log that elects the leader."""
+    """The durable logs of jobs, and the log that elects the leader.
+
+    Appends with a producer go to the leader's log, others to that of the callers.
+    """
 
     def append(
         self, records: Sequence[Record], producer: Producer | None = None
     ) -> AppendResult: ...
 
-    def read(self, offset: int, wait_s: float) -> ReadResult: ...
+    def read(self, log: Log, offset: int, wait_s: float) -> ReadResult: ...
 
-    def newest(self) -> RecordsRead | ReadFailed: ...
+    def newest(self, log: Log) -> RecordsRead | ReadFailed: ...
 
     def claim_lead(self, at: int, instance: str) -> AppendResult: ...
 
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -16,6 +16,7 @@
     CallOutcome,
     CallReply,
     Fenced,
+    Log,
     Moved,
     Producer,
     ReadFailed,
@@ -53,6 +54,7 @@
 
     def __init__(self) -> None:
         self.records: list[Record] = []
+        self._records_by_log = {Log.CALLERS: [], Log.LEADER: self.records}
         self.is_down = False
         # The next appends take effect and are not answered.
         self.lose_answers = 0
@@ -74,8 +76,10 @@
             repeated = self._results.get((producer.token, producer.sequence))
             if repeated is not None:
                 return repeated
-        self.records.extend(records)
-        result = Appended(len(self.records))
+        log = Log.CALLERS if producer is None else Log.LEADER
+        kept = self._records_by_log[log]
+        kept.extend(records)
+        result = Appended(len(kept))
         if producer is not None:
             self._results[producer.token, producer.sequence] = result
         if self.lose_answers:
@@ -83,21 +87,23 @@
             return AppendUnknown("answer lost")
         return result
 
-    def read(self, offset: int, wait_s: float) -> ReadResult:
+    def read(self, log: Log, offset: int, wait_s: float) -> ReadResult:
+        kept = self._records_by_log[log]
         deadline_s = steady_s() + wait_s
         while not self.is_down:
-            end = len(self.records)
+            end = len(kept)
             if end > offset or steady_s() >= deadline_s:
-                found = tuple(enumerate(self.records[offset:], offset))
+                found = tuple(enumerate(kept[offset:], offset))
                 return RecordsRead(found, end, end)
             gevent.sleep(0.005)
         return ReadFailed("no answer in time")
 
-    def newest(self) -> RecordsRead | ReadFailed:
+    def newest(self, log: Log) -> RecordsRead | ReadFailed:
         if self.is_down:
             return ReadFailed("no answer in time")
-        newest = {r.key: (i, r) for i, r in enumerate(self.records)}
-        end = len(self.records)
+        kept = self._records_by_log[log]
+        newest = {r.key: (i, r) for i, r in enumerate(kept)}
+        end = len(kept)
         return RecordsRead(tuple(sorted(newest.values())), end, end)
 
     def claim_lead(self, at: int, instance: str) -> AppendResult:
@@ -297,7 +303,7 @@
         end = writer.open(1.0)
         assert end is not None
         self._greenlets.append(gevent.spawn(replica.run))
-        assert replica.wait_for(end, 1.0)
+        assert replica.wait_for_leader_record(end, 1.0)
         dispatcher = Dispatcher(self.workers, replica, writer, self.view)
         self._greenlets.append(gevent.spawn(dispatcher.run))
         return dispatcher
--- a/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import os
+import sys
 import time
 from collections import deque
 
@@ -104,4 +104,4 @@
 
 def standard_output() -> BoundedOutput:
     """Return an output to this process's standard output."""
-    return BoundedOutput(os.dup(1))
+    return BoundedOutput(sys.stdout.fileno())
