Refuse callers at once where the store is out of reach, and shorten the leases

A refusal by the store is passed on at once, a call waits 1.5 s at most, and what was never sent is told so. Unknown jobs are answered 410 only after a read of the store. The leader acts for 1.5 s after an append (2.0), so others take over after 1.73 s (2.24); workers' leases last 4.0 s (4.5).

--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -20,8 +20,11 @@
 # Records that arrive within this time share an append.
 GROUP_PAUSE_S = 0.004
 MAX_GROUP = 64
-# A caller's record is offered to the store this long.
-APPEND_PATIENCE_S = 2.0
+# A caller waits at most this long for the store; another instance may reach it.
+PATIENCE_S = 1.5
+# An append whose outcome is not known is repeated for this long, since a later
+# answer settles it. One that was refused is not: the caller may go elsewhere.
+REPEAT_S = 1.0
 RETRY_PAUSE_S = 0.1
 
 
@@ -56,7 +59,7 @@
 
     def __init__(self, store: StorePort, replica: Replica) -> None:
         self._store = store
-        self._replica = replica
+        self.replica = replica
         self._pending: list[_Pending] = []
         self._work = Event()
 
@@ -76,48 +79,48 @@
 
     def submit(self, job: Job) -> Decision:
         """Accept a job; a job of that id that is known stays as it is."""
-        entry = self._replica.table.entry_by_id.get(job.job_id)
+        entry = self.replica.table.entry_by_id.get(job.job_id)
         if entry is not None and entry.job is not None:
             return Decision(Verdict.ACCEPTED, "known")
-        record = Record(key_of(Kind.JOB, job.job_id), encode(job))
-        return self._record(record)
+        return self._record(Record(key_of(Kind.JOB, job.job_id), encode(job)))
 
     def cancel(self, job_id: str) -> Decision:
         """Cancel a job."""
-        state = self.state(job_id)
-        if state is None:
-            self._replica.refresh_jobs()
-            state = self.state(job_id)
-        if state is None:
-            if not self._replica.is_fresh:
-                return Decision(Verdict.NOT_ACCEPTED, "store not reached")
-            return Decision(Verdict.NO_SUCH_JOB)
+        state = self.look_up(job_id)
+        if isinstance(state, Decision):
+            return state
         if state in FINAL_STATES:
             return Decision(Verdict.ACCEPTED, state.value)
         return self._record(Record(key_of(Kind.CANCELLATION, job_id), b"1"))
 
     def state(self, job_id: str) -> JobState | None:
         """Return what is known of a job; None if it is not known here."""
-        entry = self._replica.table.entry_by_id.get(job_id)
+        entry = self.replica.table.entry_by_id.get(job_id)
         return entry.state if entry is not None and entry.job is not None else None
 
     def look_up(self, job_id: str) -> JobState | Decision:
         """Return a job's state, asking the store about a job not known here."""
         state = self.state(job_id)
-        if state is None and self._replica.refresh_jobs():
-            state = self.state(job_id)
         if state is not None:
             return state
-        if self._replica.is_fresh:
-            return Decision(Verdict.NO_SUCH_JOB)
-        return Decision(Verdict.NOT_ACCEPTED, "store not reached")
+        # It may have been handed in elsewhere a moment ago.
+        if not self.replica.refresh_jobs():
+            return Decision(Verdict.NOT_ACCEPTED, "store not reached")
+        return self.state(job_id) or Decision(Verdict.NO_SUCH_JOB)
 
     def _record(self, record: Record) -> Decision:
+        if not self.replica.reaches_store:
+            return Decision(Verdict.NOT_ACCEPTED, "store not reached")
         began_s = steady_s()
         pending = _Pending(record)
         self._pending.append(pending)
         self._work.set()
-        pending.done.wait()
+        if not pending.done.wait(PATIENCE_S):
+            if pending in self._pending:
+                # It has not been sent and never will be.
+                self._pending.remove(pending)
+                return Decision(Verdict.NOT_ACCEPTED, "store too slow")
+            return Decision(Verdict.UNKNOWN, "store has not answered")
         if isinstance(pending.result, Appended):
             metrics.DURABLE_SECONDS.observe(steady_s() - began_s)
         match pending.result:
@@ -131,16 +134,18 @@
 
     def _append(self, group: list[_Pending]) -> None:
         """Append records; repeating one whose outcome is unknown does no harm."""
-        deadline_s = steady_s() + APPEND_PATIENCE_S
+        deadline_s = steady_s() + REPEAT_S
         records = [pending.record for pending in group]
         was_unknown = False
         while True:
             result = self._store.append(records)
             if isinstance(result, Appended):
                 break
-            was_unknown = was_unknown or not isinstance(result, NotAppended)
-            if steady_s() + RETRY_PAUSE_S > deadline_s:
-                if was_unknown and isinstance(result, NotAppended):
+            is_refused = isinstance(result, NotAppended)
+            was_unknown = was_unknown or not is_refused
+            is_over = steady_s() + RETRY_PAUSE_S > deadline_s
+            if is_over or (is_refused and not was_unknown):
+                if was_unknown and is_refused:
                     result = AppendUnknown(result.reason)
                 log_event(
                     "record_not_durable",
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -24,6 +24,8 @@
 RETRY_PAUSE_S = 0.2
 # Age of the last successful read up to which the table counts as current.
 FRESH_S = 2.0
+# A store that has failed for this long is not expected to take records.
+FAILING_S = 0.5
 
 
 class Replica:
@@ -55,6 +57,13 @@
         """Tell whether the store has answered reads lately."""
         return self.is_loaded and steady_s() - self.read_at_s < FRESH_S
 
+    @property
+    def reaches_store(self) -> bool:
+        """Tell whether the store can be expected to take records now."""
+        return self.is_fresh and not any(
+            tail.failing_for_s > FAILING_S for tail in self._tails.values()
+        )
+
     @property
     def read_at_s(self) -> float:
         """Return when the older of the last successful reads began."""
@@ -102,6 +111,12 @@
         self._failing_since_s: float | None = None
         self._advanced = Event()
 
+    @property
+    def failing_for_s(self) -> float:
+        if self._failing_since_s is None:
+            return 0.0
+        return steady_s() - self._failing_since_s
+
     def run(self) -> None:
         while True:
             if not self.is_loaded:
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -16,7 +16,7 @@
 from .writer import Commit
 
 # Lease of everything on a worker: longer than a change of leader takes.
-WORKER_LEASE_S = 4.5
+WORKER_LEASE_S = 4.0
 # A worker's clock may run this much slower than ours.
 CLOCK_RATE_MARGIN = 1.02
 # Time for a request on its way to the worker.
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -15,9 +15,9 @@
 
 # A leader acts for this long after the start of its last answered append. Other
 # instances wait longer than this before they take over.
-LEADER_LEASE_S = 2.0
+LEADER_LEASE_S = 1.5
 # A leader without anything to write renews its lease this often.
-RENEWAL_S = 0.5
+RENEWAL_S = 0.4
 RETRY_PAUSE_S = 0.1
 # Records of one append; the store limits the bytes of a call.
 MAX_RECORDS = 400
--- /dev/null
+++ b/libs/coordinator/tests/test_intake.py
@@ -0,0 +1,112 @@
+"""What callers are told when the store is slow, busy or silent."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from libs.coordinator.tests.fakes import ID, FakeStore, make_job, wait_until
+
+from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.intake import PATIENCE_S, Intake, Verdict
+from lycheeloom.coordinator.ports import AppendUnknown, Log, NotAppended
+from lycheeloom.coordinator.replica import Replica
+
+# Callers of the platform give up after three seconds.
+DEADLINE_S = 3.0
+
+
+class SlowStore(FakeStore):
+    """A store whose appends of callers take a time, and end as told."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.append_s = 0.0
+        self.failure = None
+
+    def append(self, records, producer=None):
+        gevent.sleep(self.append_s)
+        if self.failure is not None:
+            return self.failure
+        return super().append(records, producer)
+
+
+@pytest.fixture
+def store():
+    """A store without faults."""
+    return SlowStore()
+
+
+@pytest.fixture
+def intake(store):
+    """An instance that takes calls and follows the store."""
+    replica = Replica(store)
+    intake = Intake(store, replica)
+    tasks = [gevent.spawn(replica.run), gevent.spawn(intake.run)]
+    wait_until(lambda: replica.reaches_store)
+    yield intake
+    gevent.killall(tasks)
+
+
+def job_id(number: int) -> str:
+    """Return the id of a job by number."""
+    return f"{number:016x}"
+
+
+def test_accepted_job_is_in_the_store(store, intake):
+    """Guards against an acceptance that does not outlive the instance."""
+    assert intake.submit(make_job()).verdict is Verdict.ACCEPTED
+    assert store.read(Log.CALLERS, 0, 0.0).end == 1
+
+
+def test_refusal_by_the_store_is_passed_on_at_once(store, intake):
+    """Guards against callers that wait here while another instance could serve them.
+
+    Pattern: the store turns some instances away and serves the others.
+    """
+    store.failure = NotAppended("status 503")
+    began_s = steady_s()
+    assert intake.submit(make_job()).verdict is Verdict.NOT_ACCEPTED
+    assert steady_s() - began_s < PATIENCE_S
+    assert store.read(Log.CALLERS, 0, 0.0).end == 0
+
+
+def test_silent_store_is_an_unknown_outcome(store, intake):
+    """Guards against "not run" for a record that may still arrive."""
+    store.failure = AppendUnknown("no answer in time")
+    assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
+
+
+def test_everybody_is_answered_before_giving_up(store, intake):
+    """Guards against callers held to their deadline behind a slow append.
+
+    Pattern: the store is silent and calls keep coming; each append holds the ones
+    behind it. Those that were never sent are told that they have not run.
+    """
+    store.append_s = 1.2
+    verdicts, times = [], []
+
+    def submit(number: int) -> None:
+        began_s = steady_s()
+        verdicts.append(intake.submit(make_job(job_id(number))).verdict)
+        times.append(steady_s() - began_s)
+
+    calls = []
+    for number in range(30):
+        calls.append(gevent.spawn(submit, number))
+        gevent.sleep(0.1)
+    gevent.joinall(calls)
+    assert max(times) < DEADLINE_S
+    gevent.sleep(store.append_s * 2)
+    kept = store.read(Log.CALLERS, 0, 0.0).end
+    assert kept >= verdicts.count(Verdict.ACCEPTED)
+    assert kept <= len(verdicts) - verdicts.count(Verdict.NOT_ACCEPTED)
+
+
+def test_instance_without_the_store_refuses_at_once(store, intake):
+    """Guards against jobs that wait at an instance which is cut from the store."""
+    store.is_down = True
+    wait_until(lambda: not intake.replica.reaches_store)
+    began_s = steady_s()
+    assert intake.submit(make_job()).verdict is Verdict.NOT_ACCEPTED
+    assert steady_s() - began_s < 0.1
+    assert intake.look_up(ID).verdict is Verdict.NOT_ACCEPTED
