--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -118,6 +118,8 @@
         # Durable no sooner than every record handed over so far.
         self._last_commit: Commit | None = None
         self._inherited: set[str] = set()
+        # Jobs that have ended under this leader and are still in the table.
+        self._closed_jobs: set[str] = set()
         self._missing_since: dict[str, float] = {}
         self._greenlets: list[gevent.Greenlet] = []
         self._calls = GreenletPool(MAX_CALLS)
@@ -188,6 +190,9 @@
                 self._open_job(applied.name, inherited=False)
             case Kind.CANCELLATION:
                 self._cancel_job(applied.name)
+            case Kind.PROGRESS if applied.name not in self.replica.table.entry_by_id:
+                self._closed_jobs.discard(applied.name)
+                return
             case _:
                 return
         self.wake()
@@ -196,6 +201,9 @@
         entry = self.replica.table.entry_by_id.get(job_id)
         if entry is None or entry.job is None or job_id in self.work_by_id:
             return
+        if job_id in self._closed_jobs:
+            # A repeated record; the table may not show the job's end yet.
+            return
         work = JobWork(entry.job, entry.progress)
         if work.is_final:
             return
@@ -231,6 +239,7 @@
         self._changed_jobs.add(job_id)
         self._flush()
         del self.work_by_id[job_id]
+        self._closed_jobs.add(job_id)
         self.planner.forget_job(job_id)
         self.advised.forget_job(job_id)
 
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -237,3 +237,19 @@
     assert view.find_impossible([small]) == ""
     assert "steps.1" in view.find_impossible([small, large])
     assert "label" in view.find_impossible([Step(1, 1, label="other")])
+
+
+def test_job_recorded_again_after_its_end_does_not_run_again(world):
+    """Guards against a repeated record that comes before the end has been read back.
+
+    An instance repeats a record whose answer was lost; the leader has finished the
+    job meanwhile, and its own record of that is still on the way.
+    """
+    world.store.add_job(make_job())
+    dispatcher = world.lead()
+    wait_until(lambda: len(world.workers.begun) == 1)
+    world.workers.end_all()
+    wait_until(lambda: not dispatcher.work_by_id)
+    world.store.add_job(make_job())
+    gevent.sleep(0.5)
+    assert len(world.workers.begun) == 1
