--- a/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import sys
 import time
 from collections import deque
@@ -16,7 +17,8 @@
 LINES_PER_S = 400.0
 BURST_LINES = 4_000
 FLUSH_S = 0.05
-MAX_WRITE_BYTES = 65_536
+# Writes up to this size are whole on a pipe, so that lines are not mixed or cut.
+MAX_WRITE_BYTES = select.PIPE_BUF
 
 
 class BoundedOutput:
