--- /dev/null
+++ b/libs/coordinator/tests/test_metrics_page.py
@@ -0,0 +1,66 @@
+"""The pages on metrics, alerts and logs agree with the code."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from prometheus_client import generate_latest
+
+from lycheeloom.coordinator import metrics
+
+ROOT = Path(__file__).parents[3]
+PAGE = (ROOT / "docs/metrics.md").read_text()
+OPERATIONS = (ROOT / "docs/OPERATIONS.md").read_text()
+RULES = (ROOT / "ops/alerts-jobs.yml").read_text()
+SECTION = PAGE[PAGE.index("## Jobs on the users' platform") :]
+SOURCES = "".join(
+    path.read_text()
+    for folder in ("libs/coordinator/src", "platform/src", "libs/jobs/src")
+    for path in (ROOT / folder).rglob("*.py")
+)
+ALERTS = re.findall(r"- alert: (\w+)", RULES)
+# Lines that the stories of OPERATIONS.md rest on.
+EVENTS = sorted(
+    set(
+        re.findall(
+            r"`((?:job|task|worker|lead|leader|store|wave|maintenance)_\w+)", OPERATIONS
+        )
+    )
+)
+
+
+def served_metrics() -> set[str]:
+    """Return the names under which the metrics of this module are served."""
+    own = {
+        metric._name
+        for metric in vars(metrics).values()
+        if hasattr(metric, "_name") and hasattr(metric, "collect")
+    }
+    names = set(re.findall(r"^# HELP (\w+)", generate_latest().decode(), re.M))
+    return {n for n in names if n in own or n.removesuffix("_total") in own}
+
+
+def test_page_lists_what_is_served():
+    """Guards against metrics nobody can look up, and pages on metrics long gone."""
+    assert set(re.findall(r"^\| `(\w+)`", SECTION, re.M)) == served_metrics()
+
+
+@pytest.mark.parametrize("alert", ALERTS)
+def test_alert_uses_served_metrics_and_is_explained(alert):
+    """Guards against alerts that can never fire, and pages without advice on them."""
+    rule = RULES[RULES.index(f"alert: {alert}\n") :].split("- alert:")[0]
+    used = set(re.findall(r"lycheeloom_\w+", rule))
+    known = served_metrics()
+    for name in used:
+        plain = re.sub(r"_(bucket|count|sum)$", "", name)
+        assert name in known or plain in known
+    assert used
+    assert f"`{alert}`" in OPERATIONS
+
+
+@pytest.mark.parametrize("event", EVENTS)
+def test_line_that_a_story_rests_on_is_written(event):
+    """Guards against a page that leads to lines no process writes."""
+    assert f'"{event}"' in SOURCES
