--- /dev/null
+++ b/libs/coordinator/tests/test_beside.py
@@ -0,0 +1,146 @@
+"""Advice, pace and moves between pools, beside a dispatcher."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import gevent
+from libs.coordinator.tests.fakes import ID, make_job, make_worker, wait_until
+
+from lycheeloom.coordinator.advisor import Advisor
+from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.inventory import Inventory
+from lycheeloom.coordinator.pacer import Pacer
+from lycheeloom.coordinator.pool_moves import PoolMoves
+from lycheeloom.coordinator.ports import (
+    Advice,
+    CallOutcome,
+    CallReply,
+    Instance,
+    InstanceState,
+)
+from lycheeloom.jobs.model import AdviceTerms, Pool, RunningTask, Step
+
+
+class FakeAdvice:
+    """Names one worker; the first calls fail."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.asked: list[tuple[str, int]] = []
+
+    def advise(self, step, worker_ids, timeout_s):
+        self.asked.append((step, len(worker_ids)))
+        if self.failures:
+            self.failures -= 1
+            return CallReply(CallOutcome.REFUSED, "status 429")
+        return Advice({"w1": "ticket"}, 3.0)
+
+
+def with_advice(world):
+    """Let the world's queue need advice."""
+    policy = world.view.policy
+    queue = dataclasses.replace(
+        policy.queue_by_name["queue"], advice=AdviceTerms(1.0, 1.0, 3_000.0)
+    )
+    world.view.policy = dataclasses.replace(policy, queue_by_name={"queue": queue})
+
+
+def test_step_starts_where_the_advice_allows(world):
+    """Guards against a step that never starts after advice was refused once."""
+    with_advice(world)
+    world.store.add_job(make_job(ID, Step(2, 1000)))
+    dispatcher = world.lead()
+    advice = FakeAdvice(failures=1)
+    world.spawn(Advisor(dispatcher, advice).run)
+    wait_until(lambda: len(world.workers.begun) == 2)
+    assert {worker for worker, _, _ in world.workers.begun} == {"w1"}
+    assert {step for step, _ in advice.asked} == {f"{ID}.0.0"}
+
+
+def test_filling_task_rests_beside_a_service_over_its_target(world, monkeypatch):
+    """Guards against harm that lasts since nobody slows the filling tasks."""
+    steps = (
+        Step(1, 1000, long_running=True, target_ms=20, image="serve"),
+        Step(1, 1000, long_running=True, fills=True, image="fill"),
+    )
+    world.view.worker_by_id.pop("w1")
+    paces: list[int] = []
+    monkeypatch.setattr(
+        world.workers,
+        "pace",
+        lambda worker, task, run, percent, token: (
+            paces.append(percent) or CallReply(CallOutcome.DONE)
+        ),
+    )
+    hold = world.workers.hold
+
+    def slow_hold(*args):
+        lists = hold(*args)
+        rows = tuple(
+            RunningTask(r.task, r.run, "", 100, 50.0 if r.task.step == 0 else 1.0)
+            for r in lists.running
+        )
+        return dataclasses.replace(lists, running=rows)
+
+    monkeypatch.setattr(world.workers, "hold", slow_hold)
+    world.store.add_job(make_job(ID, *steps))
+    dispatcher = world.lead()
+    world.spawn(Pacer(dispatcher, world.workers).run)
+    wait_until(lambda: 0 in paces)
+    assert paces == sorted(paces, reverse=True)
+
+
+class FakeMoves:
+    """Instances that change their pool at once."""
+
+    def __init__(self, world) -> None:
+        self._world = world
+        self.moves: list[tuple[str, str]] = []
+
+    def list_instances(self):
+        standby = (Instance("m-off", "off", InstanceState.UP, "zone-a", ""),)
+        workers = self._world.view.worker_by_id.values()
+        return standby + tuple(
+            Instance(f"m-{w.worker_id}", w.pool, InstanceState.UP, w.zone, w.worker_id)
+            for w in workers
+        )
+
+    def move(self, instance_id, pool, token):
+        self.moves.append((instance_id, pool))
+        if instance_id == "m-off":
+            self._world.view.worker_by_id["w9"] = make_worker(9, pool)
+        return CallReply(CallOutcome.DONE)
+
+
+def test_instance_that_is_off_comes_where_work_waits(world):
+    """Guards against a surge that waits beside instances that are switched off.
+
+    Pattern: one queue asks for several times what its pool holds.
+    """
+    policy = world.view.policy
+    pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
+    world.view.policy = dataclasses.replace(policy, pool_by_name=pools)
+    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    dispatcher = world.lead()
+    port = FakeMoves(world)
+    inventory = Inventory(port, dispatcher.writer, steady_s())
+    moves = PoolMoves(dispatcher, inventory, port, lambda instance_id: False, 0.2)
+    world.spawn(inventory.run)
+    world.spawn(moves.run)
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+    wait_until(lambda: len(world.workers.begun) == 24)
+    assert port.moves.count(("m-off", "pool")) == 1
+
+
+def test_new_leader_waits_before_it_orders(world):
+    """Guards against orders of two leaders for one instance within its lease."""
+    dispatcher = world.lead()
+    port = FakeMoves(world)
+    inventory = Inventory(port, dispatcher.writer, steady_s() + 1.0)
+    moves = PoolMoves(dispatcher, inventory, port, lambda instance_id: False, 0.2)
+    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    world.spawn(inventory.run)
+    world.spawn(moves.run)
+    gevent.sleep(0.7)
+    assert port.moves == []
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
-from lycheeloom.jobs.model import Job, Organisation, Policy, Pool, Queue, Step, Worker
-from lycheeloom.jobs.planner import Planner
+from lycheeloom.jobs.model import (
+    AdviceTerms,
+    Job,
+    Organisation,
+    Policy,
+    Pool,
+    Queue,
+    Step,
+    Worker,
+)
+from lycheeloom.jobs.planner import AdvisedWorkers, Planner
 from lycheeloom.jobs.work import JobWork
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
@@ -169,3 +180,23 @@
     assert "w0" not in {start.worker_id for start in starts}
     later = plan(fleet, [make_work(Step(12, 2000), job_id="b")], now_s=100.0)
     assert "w0" in {start.worker_id for start in later}
+
+
+def test_draining_worker_gets_no_starts(fleet):
+    """Guards against starts on a worker that has announced that it leaves."""
+    fleet.add_worker(replace(make_worker(0), draining=True))
+    starts = plan(fleet, [make_work(Step(20, 1000))])
+    assert len(starts) == 20
+    assert "w0" not in {start.worker_id for start in starts}
+
+
+def test_step_that_needs_advice_waits_for_tickets(fleet):
+    """Guards against starts on workers that the queue's policy rules out."""
+    policy = make_policy(advice=AdviceTerms(1.0, 1.0, 3_000.0))
+    work = make_work(Step(2, 1000))
+    advised = AdvisedWorkers()
+    planner = Planner(fleet)
+    assert planner.plan([work], policy, (), 1.0, NOW_MS, advised) == []
+    advised.ticket_by_key["a", (0, 0), "w3"] = ("ticket", 9.0)
+    starts = planner.plan([work], policy, (), 1.0, NOW_MS, advised)
+    assert [start.worker_id for start in starts] == ["w3", "w3"]
