--- a/libs/coordinator/src/lycheeloom/coordinator/gauges.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/gauges.py
@@ -11,8 +11,9 @@
 
 from . import metrics
 from .clock import steady_s
-from .dispatcher import Dispatcher, View
+from .dispatcher import Dispatcher
 from .replica import Replica
+from .view import View
 
 REFRESH_S = 2.0
 
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_keeper.py
@@ -0,0 +1,168 @@
+"""Takes over what workers list: runs that go on and runs that have ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lycheeloom.jobs.fleet import Fleet, Run, RunState
+from lycheeloom.jobs.model import EndedTask, EndKind, RunningTask, TaskKey
+from lycheeloom.telemetry import log_event
+
+from . import metrics
+from .clock import steady_s
+from .job_book import JobBook
+from .ports import CallOutcome, TaskLists
+from .task_orders import TaskOrders
+from .worker_link import WorkerLink
+from .writer import Commit
+
+# A run whose progress stands still for this long is stopped and started anew.
+STALL_S = 2.0
+STALL_HOLD_S = 6.0
+
+
+class ListKeeper:
+    """Compares the lists of workers with the fleet as the leader believes it."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        book: JobBook,
+        orders: TaskOrders,
+        on_reply: Callable[[WorkerLink, CallOutcome], None],
+        wake: Callable[[], None],
+    ) -> None:
+        self._fleet = fleet
+        self._book = book
+        self._orders = orders
+        self._on_reply = on_reply
+        self._wake = wake
+
+    def take(self, link: WorkerLink, lists: TaskLists, sent_s: float) -> Commit | None:
+        """Take over lists asked for at ``sent_s``.
+
+        Returns what must be durable before the worker may forget the ends.
+        """
+        worker_id = link.worker.worker_id
+        if lists.born_ms and lists.born_ms != link.worker.born_ms:
+            self._on_reply(link, CallOutcome.GONE)
+            return None
+        state = self._fleet.state_by_id[worker_id]
+        ended = [end for end in lists.ended if end.number > link.taken]
+        for end in ended:
+            self._take_end(link, end)
+            link.taken = max(link.taken, end.number)
+        listed: set[TaskKey] = set()
+        for row in lists.running:
+            listed.add(row.task)
+            self._take_running(link, row)
+        for run in list(state.run_by_task.values()):
+            if run.task not in listed and sent_s > run.settle_after_s:
+                self._fleet.remove_run(run)
+                self._book.put_back(run, run.stop_reason or "not listed")
+        if not state.is_listed:
+            state.is_listed = True
+            log_event("worker_listed", worker=worker_id, running=len(lists.running))
+            self._wake()
+        if not ended:
+            return None
+        self._wake()
+        self._book.flush()
+        return self._book.last_commit
+
+    def _take_end(self, link: WorkerLink, end: EndedTask) -> None:
+        worker_id = link.worker.worker_id
+        run = self._fleet.find_run(worker_id, end.task, end.run)
+        if run is not None:
+            self._fleet.remove_run(run)
+        work = self._book.work_by_id.get(end.task.job_id)
+        metrics.TASKS_ENDED.labels(end.kind.value).inc()
+        log_event(
+            "task_ended",
+            task=end.task,
+            run=end.run,
+            worker=worker_id,
+            how=end.kind.value,
+            known=run is not None,
+        )
+        if work is None or (run is None and not link.is_first_listing):
+            return
+        work.note_run(end.run)
+        self._book.refresh_limit(work)
+        if work.note_end(end.task, end.kind, end.checkpoint):
+            self._book.note_changed(work)
+        # Services that are restarted whenever they end say nothing of a worker.
+        is_trial = run is not None and not run.step.long_running
+        if is_trial and end.kind in (EndKind.DONE, EndKind.FAILED):
+            succeeded = end.kind is EndKind.DONE
+            self._fleet.note_outcome(worker_id, succeeded, steady_s())
+        if end.kind is EndKind.FAILED:
+            self._book.planner.failed_on_by_task[end.task].add(worker_id)
+        if work.is_final:
+            self._book.close_job(work)
+        elif end.kind is EndKind.DONE:
+            self._stop_copies(end.task)
+        elif end.task not in self._fleet.runs_by_task:
+            work.put_back(end.task, end.checkpoint)
+
+    def _stop_copies(self, task: TaskKey) -> None:
+        for copy in list(self._fleet.runs_by_task.get(task, ())):
+            self._orders.stop_run(copy, "another copy is done")
+
+    def _take_running(self, link: WorkerLink, row: RunningTask) -> None:
+        worker_id = link.worker.worker_id
+        now_s = steady_s()
+        run = self._fleet.find_run(worker_id, row.task, row.run)
+        if run is None:
+            run = self._adopt(link, row)
+            if run is None:
+                return
+        if row.percent != run.percent or run.percent >= 100:
+            run.percent, run.moved_s = row.percent, now_s
+        if row.checkpoint:
+            run.checkpoint = row.checkpoint
+        run.figure = row.figure
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.moved_s = now_s
+        stalled = now_s - run.moved_s > STALL_S
+        if stalled and run.state is RunState.RUNNING and not run.step.long_running:
+            state = self._fleet.state_by_id[worker_id]
+            state.held_until_s = now_s + STALL_HOLD_S
+            self._orders.stop_run(run, "no progress")
+
+    def _adopt(self, link: WorkerLink, row: RunningTask) -> Run | None:
+        """Take over a run of an earlier leader, or stop one nobody needs."""
+        worker_id = link.worker.worker_id
+        work = self._book.work_by_id.get(row.task.job_id)
+        step_key = (row.task.occurrence, row.task.step)
+        step_work = work.work_by_step.get(step_key) if work else None
+        wanted = (
+            step_work is not None
+            and row.task.index not in step_work.done
+            and row.task not in self._fleet.runs_by_task
+        )
+        if not wanted:
+            self._orders.stop_listed(link.worker, row)
+            return None
+        work.note_run(row.run)
+        if row.task.index in step_work.waiting:
+            step_work.waiting.remove(row.task.index)
+        now_s = steady_s()
+        run = Run(
+            row.task,
+            row.run,
+            worker_id,
+            step_work.step,
+            work.job.organisation,
+            work.job.queue,
+            RunState.RUNNING,
+            now_s,
+            row.checkpoint,
+            moved_s=now_s,
+            settle_after_s=now_s,
+        )
+        self._fleet.add_run(run)
+        self._book.note_begun(work)
+        log_event("task_adopted", task=row.task, run=row.run, worker=worker_id)
+        return run
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -0,0 +1,218 @@
+"""Starts and stops of tasks, and what is done when their outcome is unknown."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+
+import gevent
+from gevent.pool import Pool as GreenletPool
+
+from lycheeloom.jobs.fleet import Fleet, Run, RunState, WorkerState
+from lycheeloom.jobs.model import RunningTask, Worker
+from lycheeloom.jobs.planner import Start
+from lycheeloom.telemetry import log_event
+
+from . import metrics
+from .clock import steady_s, wall_ms
+from .job_book import JobBook
+from .ports import CallOutcome, CallReply, WorkerPort
+from .worker_link import WorkerLink
+from .writer import LeaderWriter
+
+# A stopped run is gone from the worker's lists within this time.
+STOP_SETTLE_S = 0.25
+STOP_RETRY_S = 0.2
+# A worker without room by its own word gets no start for this long.
+NO_ROOM_HOLD_S = 0.1
+REFUSED_HOLD_S = 0.5
+# Stops that are sent at the same time.
+MAX_STOPS = 64
+
+
+class TaskOrders:
+    """Sends orders to workers while this instance leads.
+
+    ``on_reply`` is told of workers that are gone or know a later leader.
+    """
+
+    def __init__(
+        self,
+        workers: WorkerPort,
+        fleet: Fleet,
+        book: JobBook,
+        writer: LeaderWriter,
+        link_by_id: Mapping[str, WorkerLink],
+        on_reply: Callable[[WorkerLink, CallOutcome], None],
+    ) -> None:
+        self._workers = workers
+        self._fleet = fleet
+        self._book = book
+        self._writer = writer
+        self._link_by_id = link_by_id
+        self._on_reply = on_reply
+        self._stops = GreenletPool(MAX_STOPS)
+
+    def close(self) -> None:
+        """Give up what has not been answered."""
+        self._stops.kill(block=False)
+
+    def begin(self, start: Start, now_s: float) -> None:
+        """Start a planned task; it counts as running from now on."""
+        run = Run(
+            start.task,
+            start.run,
+            start.worker_id,
+            start.step,
+            start.organisation,
+            start.queue,
+            RunState.STARTING,
+            now_s,
+            start.checkpoint,
+            moved_s=now_s,
+        )
+        self._fleet.add_run(run)
+        gevent.spawn(self._start, start, run)
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Stop a run and wait until the worker no longer has it."""
+        if run.state is RunState.STOPPING:
+            return
+        run.state = RunState.STOPPING
+        run.stop_reason = reason
+        run.settle_after_s = math.inf
+        log_event(
+            "task_stop",
+            task=run.task,
+            run=run.run,
+            worker=run.worker_id,
+            reason=reason,
+        )
+        self._stops.spawn(self._stop_until_answered, run)
+
+    def stop_listed(self, worker: Worker, row: RunningTask) -> None:
+        """Stop a run that a worker lists and nobody wants."""
+        self._stops.spawn(self._stop_listed, worker, row)
+
+    def _start(self, start: Start, run: Run) -> None:
+        link = self._link_by_id.get(start.worker_id)
+        deadline_ms = link.grant() if link else None
+        if link is None or deadline_ms is None or not self._writer.may_act:
+            self._give_back(run, "no link")
+            return
+        key = (start.task.job_id, (start.task.occurrence, start.task.step))
+        ticket, _ = self._book.advised.ticket_by_key.get(
+            (*key, start.worker_id), ("", 0.0)
+        )
+        began_s = steady_s()
+        reply = self._workers.start(
+            link.worker, start, self._writer.token, deadline_ms, ticket
+        )
+        if self._writer.is_fenced:
+            return
+        link.note_clock(reply.clock_ms)
+        self._settle_start(start, run, link, reply, began_s)
+
+    def _settle_start(
+        self,
+        start: Start,
+        run: Run,
+        link: WorkerLink,
+        reply: CallReply,
+        began_s: float,
+    ) -> None:
+        state = self._fleet.state_by_id.get(start.worker_id)
+        now_s = steady_s()
+        log_event(
+            "task_start",
+            task=start.task,
+            run=start.run,
+            worker=start.worker_id,
+            token=self._writer.token,
+            outcome=reply.outcome.value,
+            reason=reply.reason,
+            took_ms=(now_s - began_s) * 1000,
+        )
+        metrics.START_SECONDS.labels(reply.outcome.value).observe(now_s - began_s)
+        match reply.outcome:
+            case CallOutcome.DONE:
+                self._note_started(start, run, now_s)
+            case CallOutcome.UNKNOWN:
+                if run.state is RunState.STARTING:
+                    self.stop_run(run, "start not answered")
+            case CallOutcome.FENCED | CallOutcome.GONE:
+                self._on_reply(link, reply.outcome)
+            case CallOutcome.BAD_TICKET:
+                key = (start.task.occurrence, start.task.step)
+                self._book.advised.ticket_by_key.pop(
+                    (start.task.job_id, key, start.worker_id), None
+                )
+                self._give_back(run, "ticket")
+            case outcome:
+                if state is not None:
+                    self._hold_worker(state, outcome, now_s)
+                self._give_back(run, outcome.value)
+
+    def _note_started(self, start: Start, run: Run, now_s: float) -> None:
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.moved_s = now_s
+            run.settle_after_s = now_s
+        work = self._book.work_by_id.get(start.task.job_id)
+        if work is None:
+            self.stop_run(run, "job has ended")
+        elif self._book.note_begun(work):
+            waited_s = (wall_ms() - work.job.accepted_ms) / 1000
+            metrics.FIRST_START_SECONDS.observe(max(0.0, waited_s))
+            self._book.flush()
+
+    def _hold_worker(
+        self, state: WorkerState, outcome: CallOutcome, now_s: float
+    ) -> None:
+        match outcome:
+            case CallOutcome.NO_ROOM:
+                hold_s = NO_ROOM_HOLD_S
+            case CallOutcome.OLD_RUN:
+                return
+            case _:
+                hold_s = REFUSED_HOLD_S
+        state.held_until_s = max(state.held_until_s, now_s + hold_s)
+
+    def _give_back(self, run: Run, reason: str) -> None:
+        """Undo a start that has certainly not happened."""
+        state = self._fleet.state_by_id.get(run.worker_id)
+        if state is None or state.run_by_task.get(run.task) is not run:
+            return
+        self._fleet.remove_run(run)
+        self._book.put_back(run, reason)
+
+    def _stop_until_answered(self, run: Run) -> None:
+        while not self._writer.is_fenced:
+            link = self._link_by_id.get(run.worker_id)
+            state = self._fleet.state_by_id.get(run.worker_id)
+            if link is None or state is None:
+                return
+            if state.run_by_task.get(run.task) is not run:
+                return
+            if self._writer.may_act:
+                reply = self._workers.stop(
+                    link.worker, str(run.task), run.run, self._writer.token
+                )
+                if reply.outcome is CallOutcome.DONE:
+                    run.settle_after_s = steady_s() + STOP_SETTLE_S
+                    return
+                if reply.outcome in (CallOutcome.FENCED, CallOutcome.GONE):
+                    self._on_reply(link, reply.outcome)
+                    return
+            gevent.sleep(STOP_RETRY_S)
+
+    def _stop_listed(self, worker: Worker, row: RunningTask) -> None:
+        reply = self._workers.stop(worker, str(row.task), row.run, self._writer.token)
+        log_event(
+            "task_stop",
+            task=row.task,
+            run=row.run,
+            worker=worker.worker_id,
+            reason="not wanted",
+            outcome=reply.outcome.value,
+        )
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -8,7 +8,7 @@
 import gevent
 
 from lycheeloom.coordinator.clock import steady_s
-from lycheeloom.coordinator.dispatcher import Dispatcher, View
+from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.ports import (
     Appended,
     AppendResult,
@@ -25,6 +25,7 @@
     TaskLists,
 )
 from lycheeloom.coordinator.replica import Replica
+from lycheeloom.coordinator.view import View
 from lycheeloom.coordinator.writer import LeaderWriter
 from lycheeloom.jobs.model import (
     EndedTask,
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -7,8 +7,8 @@
 
 from lycheeloom.coordinator.cleaner import Cleaner
 from lycheeloom.coordinator.clock import steady_s
-from lycheeloom.coordinator.dispatcher import View
 from lycheeloom.coordinator.replica import Replica
+from lycheeloom.coordinator.view import View
 from lycheeloom.coordinator.worker_link import LOOK_WAIT_MS, WORKER_LEASE_S
 from lycheeloom.jobs.model import EndKind, JobState, Policy, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
