--- a/tests/run_parts.py
+++ b/tests/run_parts.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+import signal
 import subprocess
 import sys
 import time
@@ -73,6 +74,9 @@
 
 def main() -> int:
     """Run all parts; returns 0 if every test passed."""
+    # A shell that starts this in the background lets it ignore SIGINT, and with it
+    # the programs under test, some of which have to end on it.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     counts: Counter[str] = Counter()
     failed = False
     with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
