--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -14,8 +14,8 @@
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
-from .job_book import JobBook
-from .list_keeper import ListKeeper
+from .job_registry import JobRegistry
+from .list_reconciler import ListReconciler
 from .ports import CallOutcome, WorkerPort
 from .replica import Replica
 from .task_orders import TaskOrders
@@ -54,14 +54,14 @@
         self.writer = writer
         self.replica = replica
         self._workers = workers
-        self._book = JobBook(replica, writer, view, self.fleet, self.wake)
+        self._registry = JobRegistry(replica, writer, view, self.fleet, self.wake)
         self._orders = TaskOrders(
-            workers, self.fleet, self._book, writer, self.link_by_id, self._on_reply
+            workers, self.fleet, self._registry, writer, self.link_by_id, self._on_reply
         )
-        self._lists = ListKeeper(
-            self.fleet, self._book, self._orders, self._on_reply, self.wake
+        self._lists = ListReconciler(
+            self.fleet, self._registry, self._orders, self._on_reply, self.wake
         )
-        self._book.stop_run = self._orders.stop_run
+        self._registry.stop_run = self._orders.stop_run
         self._began_s = steady_s()
         self._wake = Event()
         self._missing_since: dict[str, float] = {}
@@ -70,12 +70,12 @@
     @property
     def work_by_id(self) -> dict[str, JobWork]:
         """Return the jobs that have not ended."""
-        return self._book.work_by_id
+        return self._registry.work_by_id
 
     @property
     def advised(self) -> AdvisedWorkers:
         """Return the tickets of the advice service."""
-        return self._book.advised
+        return self._registry.advised
 
     def stop_run(self, run: Run, reason: str) -> None:
         """Stop a run and wait until the worker no longer has it."""
@@ -83,8 +83,8 @@
 
     def run(self, beside: Iterable[Callable[[], None]] = ()) -> None:
         """Lead until fenced, with the tasks given running beside."""
-        self._book.inherit()
-        self.replica.listen(self._book.take_record)
+        self._registry.inherit()
+        self.replica.listen(self._registry.take_record)
         self._spawn(self.writer.run)
         for task in beside:
             self._spawn(task)
@@ -98,7 +98,7 @@
                 self._wake.clear()
                 gevent.sleep(PLAN_PAUSE_S)
         finally:
-            self.replica.remove_listener(self._book.take_record)
+            self.replica.remove_listener(self._registry.take_record)
             for link in self.link_by_id.values():
                 link.is_stopped = True
             gevent.killall(self._greenlets, block=False)
@@ -155,7 +155,7 @@
         self._missing_since.pop(worker_id, None)
         log_event("worker_dropped", worker=worker_id, reason=reason, runs=len(runs))
         for run in runs:
-            self._book.put_back(run, reason)
+            self._registry.put_back(run, reason)
         self.wake()
 
     def _check_links(self) -> None:
@@ -167,7 +167,7 @@
                 log_event("worker_lapsed", worker=link.worker.worker_id)
                 for run in list(state.run_by_task.values()):
                     self.fleet.remove_run(run)
-                    self._book.put_back(run, "lease lapsed")
+                    self._registry.put_back(run, "lease lapsed")
 
     def _on_reply(self, link: WorkerLink, outcome: CallOutcome) -> None:
         if outcome is CallOutcome.FENCED:
@@ -196,10 +196,10 @@
         works = [
             work
             for work in self.work_by_id.values()
-            if work.job.job_id not in self._book.inherited
+            if work.job.job_id not in self._registry.inherited
             or self._pool_of(work, policy) not in unsettled
         ]
-        starts = self._book.planner.plan(
+        starts = self._registry.planner.plan(
             works, policy, self.view.zones_out, now_s, wall_ms(), self.advised
         )
         for start in starts:
@@ -207,10 +207,10 @@
 
     def _unsettled_pools(self, now_s: float) -> Collection[str]:
         """Return pools in which runs of the leader before may be unknown."""
-        if not self._book.inherited:
+        if not self._registry.inherited:
             return ()
         if now_s - self._began_s > TAKEOVER_LAPSE_S:
-            self._book.inherited.clear()
+            self._registry.inherited.clear()
             return ()
         pools = {
             state.worker.pool
@@ -218,7 +218,7 @@
             if not state.is_listed
         }
         if not pools and self.fleet.state_by_id:
-            self._book.inherited.clear()
+            self._registry.inherited.clear()
         return pools if self.fleet.state_by_id else set(self.view.policy.pool_by_name)
 
     @staticmethod
--- a/libs/coordinator/src/lycheeloom/coordinator/job_book.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -17,7 +17,7 @@
 from .writer import Commit, LeaderWriter
 
 
-class JobBook:
+class JobRegistry:
     """Opens and closes jobs as records come and tasks end.
 
     ``stop_run`` is called for each run of a job that has ended.
--- a/libs/coordinator/src/lycheeloom/coordinator/list_keeper.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -10,7 +10,7 @@
 
 from . import metrics
 from .clock import steady_s
-from .job_book import JobBook
+from .job_registry import JobRegistry
 from .ports import CallOutcome, TaskLists
 from .task_orders import TaskOrders
 from .worker_link import WorkerLink
@@ -21,19 +21,19 @@
 STALL_HOLD_S = 6.0
 
 
-class ListKeeper:
+class ListReconciler:
     """Compares the lists of workers with the fleet as the leader believes it."""
 
     def __init__(
         self,
         fleet: Fleet,
-        book: JobBook,
+        registry: JobRegistry,
         orders: TaskOrders,
         on_reply: Callable[[WorkerLink, CallOutcome], None],
         wake: Callable[[], None],
     ) -> None:
         self._fleet = fleet
-        self._book = book
+        self._registry = registry
         self._orders = orders
         self._on_reply = on_reply
         self._wake = wake
@@ -59,7 +59,7 @@
         for run in list(state.run_by_task.values()):
             if run.task not in listed and sent_s > run.settle_after_s:
                 self._fleet.remove_run(run)
-                self._book.put_back(run, run.stop_reason or "not listed")
+                self._registry.put_back(run, run.stop_reason or "not listed")
         if not state.is_listed:
             state.is_listed = True
             log_event("worker_listed", worker=worker_id, running=len(lists.running))
@@ -67,15 +67,15 @@
         if not ended:
             return None
         self._wake()
-        self._book.flush()
-        return self._book.last_commit
+        self._registry.flush()
+        return self._registry.last_commit
 
     def _take_end(self, link: WorkerLink, end: EndedTask) -> None:
         worker_id = link.worker.worker_id
         run = self._fleet.find_run(worker_id, end.task, end.run)
         if run is not None:
             self._fleet.remove_run(run)
-        work = self._book.work_by_id.get(end.task.job_id)
+        work = self._registry.work_by_id.get(end.task.job_id)
         metrics.TASKS_ENDED.labels(end.kind.value).inc()
         log_event(
             "task_ended",
@@ -88,18 +88,18 @@
         if work is None or (run is None and not link.is_first_listing):
             return
         work.note_run(end.run)
-        self._book.refresh_limit(work)
+        self._registry.refresh_limit(work)
         if work.note_end(end.task, end.kind, end.checkpoint):
-            self._book.note_changed(work)
+            self._registry.note_changed(work)
         # Services that are restarted whenever they end say nothing of a worker.
         is_trial = run is not None and not run.step.long_running
         if is_trial and end.kind in (EndKind.DONE, EndKind.FAILED):
             succeeded = end.kind is EndKind.DONE
             self._fleet.note_outcome(worker_id, succeeded, steady_s())
         if end.kind is EndKind.FAILED:
-            self._book.planner.failed_on_by_task[end.task].add(worker_id)
+            self._registry.planner.failed_on_by_task[end.task].add(worker_id)
         if work.is_final:
-            self._book.close_job(work)
+            self._registry.close_job(work)
         elif end.kind is EndKind.DONE:
             self._stop_copies(end.task)
         elif end.task not in self._fleet.runs_by_task:
@@ -134,7 +134,7 @@
     def _adopt(self, link: WorkerLink, row: RunningTask) -> Run | None:
         """Take over a run of an earlier leader, or stop one nobody needs."""
         worker_id = link.worker.worker_id
-        work = self._book.work_by_id.get(row.task.job_id)
+        work = self._registry.work_by_id.get(row.task.job_id)
         step_key = (row.task.occurrence, row.task.step)
         step_work = work.work_by_step.get(step_key) if work else None
         wanted = (
@@ -163,6 +163,6 @@
             settle_after_s=now_s,
         )
         self._fleet.add_run(run)
-        self._book.note_begun(work)
+        self._registry.note_begun(work)
         log_event("task_adopted", task=row.task, run=row.run, worker=worker_id)
         return run
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -15,7 +15,7 @@
 
 from . import metrics
 from .clock import steady_s, wall_ms
-from .job_book import JobBook
+from .job_registry import JobRegistry
 from .ports import CallOutcome, CallReply, WorkerPort
 from .worker_link import WorkerLink
 from .writer import LeaderWriter
@@ -40,14 +40,14 @@
         self,
         workers: WorkerPort,
         fleet: Fleet,
-        book: JobBook,
+        registry: JobRegistry,
         writer: LeaderWriter,
         link_by_id: Mapping[str, WorkerLink],
         on_reply: Callable[[WorkerLink, CallOutcome], None],
     ) -> None:
         self._workers = workers
         self._fleet = fleet
-        self._book = book
+        self._registry = registry
         self._writer = writer
         self._link_by_id = link_by_id
         self._on_reply = on_reply
@@ -101,7 +101,7 @@
             self._give_back(run, "no link")
             return
         key = (start.task.job_id, (start.task.occurrence, start.task.step))
-        ticket, _ = self._book.advised.ticket_by_key.get(
+        ticket, _ = self._registry.advised.ticket_by_key.get(
             (*key, start.worker_id), ("", 0.0)
         )
         began_s = steady_s()
@@ -144,7 +144,7 @@
                 self._on_reply(link, reply.outcome)
             case CallOutcome.BAD_TICKET:
                 key = (start.task.occurrence, start.task.step)
-                self._book.advised.ticket_by_key.pop(
+                self._registry.advised.ticket_by_key.pop(
                     (start.task.job_id, key, start.worker_id), None
                 )
                 self._give_back(run, "ticket")
@@ -158,13 +158,13 @@
             run.state = RunState.RUNNING
             run.moved_s = now_s
             run.settle_after_s = now_s
-        work = self._book.work_by_id.get(start.task.job_id)
+        work = self._registry.work_by_id.get(start.task.job_id)
         if work is None:
             self.stop_run(run, "job has ended")
-        elif self._book.note_begun(work):
+        elif self._registry.note_begun(work):
             waited_s = (wall_ms() - work.job.accepted_ms) / 1000
             metrics.FIRST_START_SECONDS.observe(max(0.0, waited_s))
-            self._book.flush()
+            self._registry.flush()
 
     def _hold_worker(
         self, state: WorkerState, outcome: CallOutcome, now_s: float
@@ -184,7 +184,7 @@
         if state is None or state.run_by_task.get(run.task) is not run:
             return
         self._fleet.remove_run(run)
-        self._book.put_back(run, reason)
+        self._registry.put_back(run, reason)
 
     def _stop_until_answered(self, run: Run) -> None:
         while not self._writer.is_fenced:
