--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -131,7 +131,9 @@
     ) -> list[Start]:
         step, pool = turn.step_work.step, turn.queue.pool
         least = full.get(pool)
-        plain = not (step.label or step.max_per_worker or step.gang)
+        is_narrow = step.label or step.max_per_worker or step.gang
+        # Only a step that may run on every worker shows that the pool is full.
+        plain = not is_narrow and turn.queue.advice is None
         if least is not None and plain and _covers(step.need, least):
             return []
         states = candidates(self._fleet, pool, step, zones_out, now_s)
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -200,3 +200,16 @@
     advised.ticket_by_key["a", (0, 0), "w3"] = ("ticket", 9.0)
     starts = planner.plan([work], policy, (), 1.0, NOW_MS, advised)
     assert [start.worker_id for start in starts] == ["w3", "w3"]
+
+
+def test_advice_for_one_step_does_not_keep_others_out(fleet):
+    """Guards against a pool that counts as full since one step's workers are."""
+    policy = make_policy(advice=AdviceTerms(1.0, 1.0, 3_000.0))
+    first, second = make_work(Step(9, 1000)), make_work(Step(1, 1000), job_id="b")
+    advised = AdvisedWorkers()
+    advised.ticket_by_key["a", (0, 0), "w0"] = ("ticket", 9.0)
+    advised.ticket_by_key["b", (0, 0), "w1"] = ("ticket", 9.0)
+    planner = Planner(fleet)
+    starts = planner.plan([first, second], policy, (), 1.0, NOW_MS, advised)
+    workers = [start.worker_id for start in starts]
+    assert workers == ["w0"] * 8 + ["w1"]
