Count a failed run once over a change of leader

Cause: a worker lists an end until a leader has confirmed it. A leader that ended between recording a failure and confirming it left the end listed, and its successor counted it again: the job failed one attempt early and its other runs were stopped.

The record of a task's failures now names the runs that are counted.

--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -89,7 +89,7 @@
             return
         work.note_run(end.run)
         self._registry.refresh_limit(work)
-        if work.note_end(end.task, end.kind, end.checkpoint):
+        if work.note_end(end.task, end.run, end.kind, end.checkpoint):
             self._registry.note_changed(work)
         # Services that are restarted whenever they end say nothing of a worker.
         is_trial = run is not None and not run.step.long_running
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 import gevent
-from libs.coordinator.tests.fakes import ID, World, make_job, make_policy, wait_until
+from libs.coordinator.tests.fakes import (
+    ID,
+    LOOK_S,
+    World,
+    make_job,
+    make_policy,
+    wait_until,
+)
 
 from lycheeloom.coordinator.cleaner import Cleaner
 from lycheeloom.coordinator.clock import steady_s
@@ -15,11 +22,24 @@
 from lycheeloom.model.resources import Resources
 
 
-def recorded_state(world: World, job_id: str = ID) -> JobState | None:
-    """Return the state of a job in its newest record."""
+def recorded_progress(world: World, job_id: str = ID) -> JobProgress | None:
+    """Return the newest record of a job's progress."""
     key = key_of(Kind.PROGRESS, job_id)
     values = [r.value for r in world.store.records if r.key == key]
-    return decode(JobProgress, values[-1]).state if values else None
+    return decode(JobProgress, values[-1]) if values else None
+
+
+def recorded_state(world: World, job_id: str = ID) -> JobState | None:
+    """Return the state of a job in its newest record."""
+    progress = recorded_progress(world, job_id)
+    return progress.state if progress else None
+
+
+def recorded_failures(world: World, job_id: str = ID) -> int:
+    """Return how many failed runs the newest record of a job counts."""
+    progress = recorded_progress(world, job_id)
+    steps = progress.steps if progress else ()
+    return sum(failures.count for step in steps for failures in step.failures)
 
 
 def test_steps_run_in_order(world):
@@ -84,6 +104,32 @@
     assert len(world.workers.begun) == 4
 
 
+def test_failure_recorded_by_the_leader_before_counts_once(world):
+    """Guards against a job that fails one attempt early after a takeover.
+
+    A worker lists an end until a leader has confirmed it; the leader before has
+    recorded the failure and ended before it could confirm it.
+    """
+    world.store.add_job(make_job())
+    first = world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    holder = world.workers.at(world.workers.begun[0][0])
+    world.workers.end_all(EndKind.FAILED)
+    wait_until(lambda: recorded_failures(world) == 1)
+    holder.is_silent = True
+    first.writer.is_fenced = True
+    gevent.sleep(2 * LOOK_S)
+    assert holder.seen == 0
+    holder.is_silent = False
+    second = world.lead(2)
+    wait_until(lambda: holder.seen > 0)
+    assert recorded_state(world) is JobState.RUNNING
+    assert recorded_failures(world) == 1
+    wait_until(lambda: bool(second.fleet.runs_by_task))
+    world.workers.end_all()
+    wait_until(lambda: recorded_state(world) is JobState.COMPLETED)
+
+
 def test_inherited_tasks_wait_for_a_silent_worker(world):
     """Guards against a second run while a worker that is silent may have the first."""
     world.store.add_job(make_job())
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -46,6 +46,8 @@
 struct TaskFailures {
   index @0 :UInt32;
   count @1 :UInt32;
+  # Numbers of the runs that are counted.
+  runs @2 :List(UInt32);
 }
 
 struct TaskCheckpoint {
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -28,10 +28,20 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskFailures:
-    """How many runs of a task have ended as failed."""
+    """How many runs of a task have ended as failed.
+
+    ``runs`` names them: a worker lists an end until a leader has confirmed it, so
+    a later leader may see an end that is counted already. Records of earlier
+    versions have a count alone.
+    """
 
     index: int
-    count: int
+    count: int = 0
+    runs: tuple[int, ...] = ()
+
+    def with_run(self, run: int) -> TaskFailures:
+        """Return the failures with one more run."""
+        return TaskFailures(self.index, self.count + 1, (*self.runs, run))
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/jobs/src/lycheeloom/jobs/work.py
+++ b/libs/jobs/src/lycheeloom/jobs/work.py
@@ -19,7 +19,7 @@
     done: set[int] = field(default_factory=set)
     # Tasks without a run, in the order in which they start.
     waiting: list[int] = field(default_factory=list)
-    failures_by_index: dict[int, int] = field(default_factory=dict)
+    failures_by_index: dict[int, TaskFailures] = field(default_factory=dict)
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
 
     @property
@@ -110,7 +110,7 @@
             work.checkpoint_by_index[task.index] = checkpoint
         work.waiting.insert(0, task.index)
 
-    def note_end(self, task: TaskKey, kind: EndKind, checkpoint: str) -> bool:
+    def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
         """Note how a run ended; tells whether the job's progress has changed."""
         work = self.work_by_step.get((task.occurrence, task.step))
         if work is None or task.index in work.done:
@@ -121,12 +121,7 @@
             self._note_done(task, work)
             return True
         if kind is EndKind.FAILED and not work.step.long_running:
-            failures = work.failures_by_index.get(task.index, 0) + 1
-            work.failures_by_index[task.index] = failures
-            limit = self.max_attempts
-            if limit is not None and failures >= limit and not self.is_final:
-                self.state = JobState.FAILED
-            return True
+            return self._note_failed(task, run, work)
         return bool(checkpoint)
 
     def cancel(self) -> None:
@@ -157,6 +152,17 @@
         if not self.is_final and all(w.is_done for w in self.work_by_step.values()):
             self.state = JobState.COMPLETED
 
+    def _note_failed(self, task: TaskKey, run: int, work: StepWork) -> bool:
+        failures = work.failures_by_index.get(task.index, TaskFailures(task.index))
+        if run in failures.runs:
+            return False
+        failures = failures.with_run(run)
+        work.failures_by_index[task.index] = failures
+        limit = self.max_attempts
+        if limit is not None and failures.count >= limit and not self.is_final:
+            self.state = JobState.FAILED
+        return True
+
     def _predecessors_done(self, occurrence: int, step: Step) -> bool:
         return all(self.work_by_step[occurrence, n].is_done for n in step.after)
 
@@ -182,7 +188,7 @@
                 continue
             work.done = _indexes(saved.done)
             work.waiting = [i for i in work.waiting if i not in work.done]
-            work.failures_by_index = {f.index: f.count for f in saved.failures}
+            work.failures_by_index = {f.index: f for f in saved.failures}
             work.checkpoint_by_index = {
                 c.index: c.checkpoint for c in saved.checkpoints
             }
@@ -196,7 +202,7 @@
         key[0],
         key[1],
         bytes(bits),
-        tuple(TaskFailures(i, n) for i, n in work.failures_by_index.items()),
+        tuple(work.failures_by_index.values()),
         tuple(TaskCheckpoint(i, c) for i, c in work.checkpoint_by_index.items()),
     )
 
--- a/libs/jobs/tests/test_work.py
+++ b/libs/jobs/tests/test_work.py
@@ -23,8 +23,8 @@
     """Guards against fields that are lost between an entry and the leader."""
     assert decode(Job, encode(JOB)) == JOB
     work = JobWork(JOB)
-    work.note_end(TaskKey(JOB.job_id, 1, 0, 2), EndKind.DONE, "")
-    work.note_end(TaskKey(JOB.job_id, 0, 0, 1), EndKind.FAILED, "c")
+    work.note_end(TaskKey(JOB.job_id, 1, 0, 2), 1, EndKind.DONE, "")
+    work.note_end(TaskKey(JOB.job_id, 0, 0, 1), 2, EndKind.FAILED, "c")
     assert decode(JobProgress, encode(work.progress())) == work.progress()
 
 
@@ -63,6 +63,7 @@
         self.work = JobWork(JOB)
         self.work.max_attempts = 4
         self.done: set[TaskKey] = set()
+        self.ends: list[tuple[TaskKey, int, EndKind]] = []
 
     @rule(
         occurrence=st.integers(0, 1),
@@ -75,13 +76,33 @@
         if index not in work.waiting or self.work.is_final:
             return
         task = TaskKey(JOB.job_id, occurrence, step, index)
-        self.work.take(task)
-        self.work.note_end(task, kind, "")
+        run = self.work.take(task)
+        self.work.note_end(task, run, kind, "")
+        self.ends.append((task, run, kind))
         if kind is EndKind.DONE:
             self.done.add(task)
         else:
             self.work.put_back(task)
 
+    @rule(place=st.integers(0, 50))
+    def list_an_end_again(self, place):
+        if place >= len(self.ends):
+            return
+        state = self.work.state
+        task, run, kind = self.ends[place]
+        self.work.note_end(task, run, kind, "")
+        assert self.work.state is state
+
+    @invariant()
+    def each_failure_counts_once(self):
+        for key, work in self.work.work_by_step.items():
+            for index, failures in work.failures_by_index.items():
+                task = TaskKey(JOB.job_id, *key, index)
+                ends = [e for e in self.ends if e[0] == task]
+                assert failures.count == sum(
+                    kind is EndKind.FAILED for _, _, kind in ends
+                )
+
     @rule()
     def change_leader(self):
         progress = decode(JobProgress, encode(self.work.progress()))
