Place long-running tasks on one worker within a planning round

Cause: the preference for a worker that is busy anyway looked at its runs, and the tasks planned in the same round are not among them yet. All tasks of a service went to different instances, which then could not be given back: at rest 10 instances of the first site for 15 tasks that fit on 6.

--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterable
 
-from lycheeloom.model.resources import Resources
+from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 from .fleet import Fleet, WorkerState
 from .model import Step
@@ -74,23 +74,35 @@
         free = state.free
         if not fits(need, free):
             continue
-        capacity = state.worker.capacity
-        free_part = free.cores / capacity.cores if capacity.cores else 0.0
-        # Long-running tasks share workers, so that the others can be given back.
-        load_rank = (False, -free_part)
-        if step.long_running:
-            load_rank = (not state.run_by_task, -free_part)
         rank = (
             bool(step.rack) and step.rack != state.worker.rack,
             worker_id in avoid,
             state.consecutive_failures,
-            *load_rank,
+            *_load_rank(state, step, bool(counts[worker_id])),
         )
         if best_rank is None or rank < best_rank:
             best, best_rank = state, rank
     return best
 
 
+def _load_rank(
+    state: WorkerState, step: Step, has_task_of_step: bool
+) -> tuple[bool, bool, float]:
+    """Rank a worker by its load.
+
+    Long-running tasks share workers, so that the others can be given back. The
+    tasks planned in the same round are in ``used`` but not among the runs.
+    """
+    capacity = state.worker.capacity
+    free_part = state.free.cores / capacity.cores if capacity.cores else 0.0
+    if not step.long_running:
+        return (False, False, -free_part)
+    has_long_running = has_task_of_step or any(
+        run.step.long_running for run in state.run_by_task.values()
+    )
+    return (not has_long_running, state.used == NO_RESOURCES, -free_part)
+
+
 def choose_gang(
     states: list[WorkerState], step: Step, indexes: list[int]
 ) -> dict[int, WorkerState] | None:
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -97,6 +97,21 @@
     assert len({start.worker_id for start in starts}) == 4
 
 
+def test_long_running_tasks_share_a_worker(fleet):
+    """Guards against instances that stay on for one long-running task each.
+
+    Pattern: a pool has a service of a few small tasks and, by turns, a surge; with
+    the tasks on one worker the other instances can be switched off in between.
+    """
+    service = Step(4, 1000, long_running=True)
+    starts = plan(fleet, [make_work(service)])
+    assert len(starts) == 4
+    assert len({start.worker_id for start in starts}) == 1
+    plan(fleet, [make_work(Step(3, 1000), job_id="b")])
+    joined = plan(fleet, [make_work(service, job_id="c")])
+    assert {s.worker_id for s in joined} == {s.worker_id for s in starts}
+
+
 def test_spread_step_keeps_its_limit_on_each_worker(fleet):
     """Guards against tasks that must avoid each other on one worker."""
     work = make_work(Step(6, 1000, max_per_worker=1))
