Size pools by the work that comes in each second

Cause: pools grew by the work that already waits. The work accepted within the last second tells at once how many instances keep up.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Policy, Worker
 from lycheeloom.jobs.planner import AdvisedWorkers
@@ -77,6 +78,11 @@
         """Return the tickets of the advice service."""
         return self._registry.advised
 
+    @property
+    def demand(self) -> PoolDemand:
+        """Return how much work comes to each pool."""
+        return self._registry.demand
+
     def stop_run(self, run: Run, reason: str) -> None:
         """Stop a run and wait until the worker no longer has it."""
         self._orders.stop_run(run, reason)
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run
 from lycheeloom.jobs.planner import AdvisedWorkers, Planner
 from lycheeloom.jobs.records import Kind, Record, encode, key_of
@@ -11,7 +12,7 @@
 from lycheeloom.jobs.work import JobWork
 from lycheeloom.telemetry import log_event
 
-from .clock import wall_ms
+from .clock import steady_s, wall_ms
 from .replica import Replica
 from .view import View
 from .writer import Commit, LeaderWriter
@@ -33,6 +34,7 @@
     ) -> None:
         self.work_by_id: dict[str, JobWork] = {}
         self.planner = Planner(fleet)
+        self.demand = PoolDemand()
         self.advised = AdvisedWorkers()
         self.stop_run: Callable[[Run, str], None] = lambda run, reason: None
         # Jobs of the leader before, until all lists of their pool are known.
@@ -133,8 +135,11 @@
             return
         self.work_by_id[job_id] = work
         self.planner.note_job(work, self._view.policy)
+        queue = self._view.policy.queue_by_name.get(entry.job.queue)
         if inherited:
             self.inherited.add(job_id)
+        elif queue is not None:
+            self.demand.note(queue.pool, entry.job, steady_s())
         if entry.cancelled:
             self._cancel_job(job_id)
             return
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -104,11 +104,14 @@
         dispatcher = self._dispatcher
         capacity_by_pool: dict[str, Resources] = {}
         used_by_pool: dict[str, Resources] = {}
+        lasting_by_pool: dict[str, Resources] = {}
         for state in dispatcher.fleet.state_by_id.values():
             pool = state.worker.pool
             capacity_by_pool.setdefault(pool, state.worker.capacity)
             used = used_by_pool.get(pool, NO_RESOURCES)
             used_by_pool[pool] = used + state.used
+            lasting = lasting_by_pool.get(pool, NO_RESOURCES)
+            lasting_by_pool[pool] = lasting + state.lasting
         waiting = waiting_by_pool(
             dispatcher.work_by_id.values(),
             dispatcher.view.policy,
@@ -119,6 +122,7 @@
         self._used_pools |= {
             pool for pool, used in used_by_pool.items() if used != NO_RESOURCES
         }
+        now_s = steady_s()
         arriving = Counter(pool for pool, _ in self._moving_by_id.values())
         return {
             pool: PoolLoad(
@@ -127,6 +131,8 @@
                 arriving[pool],
                 least.get(pool, 1),
                 pool in self._used_pools,
+                lasting_by_pool[pool].dominant_share(capacity),
+                dispatcher.demand.instances(pool, capacity, now_s),
             )
             for pool, capacity in capacity_by_pool.items()
         }
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -72,6 +72,14 @@
         """Return what new tasks may reserve."""
         return self.worker.capacity - self.used
 
+    @property
+    def lasting(self) -> Resources:
+        """Return what long-running tasks have reserved."""
+        return sum(
+            (r.step.need for r in self.run_by_task.values() if r.step.long_running),
+            NO_RESOURCES,
+        )
+
 
 class Fleet:
     """All workers and runs, with what each organisation uses."""
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -19,6 +19,8 @@
 # An instance without work for this long is switched off. Being on for one second
 # costs about as much as a move.
 PARK_IDLE_S = 1.5
+# Part of an instance that tasks of different sizes fill.
+FILLED_PART = 0.85
 # Part of a pool that has to stay free after an instance is switched off.
 FREE_MARGIN = 0.25
 
@@ -44,6 +46,15 @@
     least: int = 1
     # Whether the pool has had work; an unused pool is not known to be idle.
     is_used: bool = True
+    # Use by long-running tasks alone.
+    lasting: float = 0.0
+    # Work that comes in each second.
+    offered: float = 0.0
+
+    @property
+    def kept_up(self) -> float:
+        """Return the instances that keep up with the work that comes in."""
+        return self.lasting + self.offered / FILLED_PART
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +130,8 @@
     for pool, load in by_need:
         if pool in standby_pools:
             continue
-        wanted = load.least - size_by_pool[pool]
+        least = max(load.least, math.ceil(load.kept_up))
+        wanted = least - size_by_pool[pool]
         if load.waiting >= MIN_BACKLOG:
             wanted = max(wanted, math.ceil(load.waiting / BACKLOG_S))
         for _ in range(max(0, wanted - load.arriving)):
@@ -161,5 +173,6 @@
 ) -> bool:
     load = load_by_pool.get(pool, PoolLoad(0, 0))
     left = size_by_pool[pool] - 1
-    is_enough = left >= load.least and load.used <= left * (1 - FREE_MARGIN)
+    used = max(load.used, load.kept_up)
+    is_enough = left >= load.least and used <= left * (1 - FREE_MARGIN)
     return load.is_used and is_enough
