Fill busy workers first, so that what a surge no longer needs can go

Cause: short tasks went to the worker with the most free processors, so at the end of a surge each instance kept one task and none was idle for the next queue or for switching off.

--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -63,7 +63,8 @@
     """Return the best worker with room, or None.
 
     The rack near the data comes first, then workers that have not failed the
-    task, then those with the most free processors, which spreads the load.
+    task, then those that are in use, the fullest first: what the task leaves idle
+    can be given back or go to another pool.
     """
     need = step.need
     best, best_rank = None, None
@@ -88,15 +89,15 @@
 def _load_rank(
     state: WorkerState, step: Step, has_task_of_step: bool
 ) -> tuple[bool, bool, float]:
-    """Rank a worker by its load.
+    """Rank a worker by its load: busy ones first, so that others can be given back.
 
-    Long-running tasks share workers, so that the others can be given back. The
-    tasks planned in the same round are in ``used`` but not among the runs.
+    Long-running tasks go where others of their kind are. Tasks planned in the same
+    round are in ``used`` but not among the runs.
     """
     capacity = state.worker.capacity
     free_part = state.free.cores / capacity.cores if capacity.cores else 0.0
     if not step.long_running:
-        return (False, False, -free_part)
+        return (False, state.used == NO_RESOURCES, free_part)
     has_long_running = has_task_of_step or any(
         run.step.long_running for run in state.run_by_task.values()
     )
--- /dev/null
+++ b/libs/jobs/tests/test_demand.py
@@ -0,0 +1,73 @@
+"""How many instances keep up with the work that comes to a pool."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheeloom.jobs.demand import RATE_WINDOW_S, PoolDemand
+from lycheeloom.jobs.model import Job, Step
+from lycheeloom.jobs.pool_sizes import PoolInstance, PoolLoad, choose_moves
+from lycheeloom.model.resources import Resources
+
+CAPACITY = Resources(64, 256_000)
+# Fills half of an instance for two seconds.
+STEP = Step(8, 4_000, 8_000, estimated_ms=2_000)
+
+
+def make_job(*steps: Step, repetitions: int = 0) -> Job:
+    """Return a job of the steps given."""
+    return Job("a", "queue", "red", "", steps, 0, repetitions, 0, 1_000)
+
+
+def test_demand_counts_the_work_of_the_last_second():
+    """Guards against a surge that is seen only by what waits already.
+
+    Pattern: each queue in its turn asks five times its mean for some seconds.
+    """
+    demand = PoolDemand()
+    for _ in range(6):
+        demand.note("pool", make_job(STEP), 10.0)
+    rate = 6 / RATE_WINDOW_S
+    assert demand.instances("pool", CAPACITY, 10.5) == pytest.approx(rate)
+    assert demand.instances("pool", CAPACITY, 10.0 + 2 * RATE_WINDOW_S) == 0
+    assert demand.instances("other", CAPACITY, 10.5) == 0
+
+
+def test_scarcest_resource_decides():
+    """Guards against pools without memory for tasks that need few processors."""
+    demand = PoolDemand()
+    demand.note("pool", make_job(Step(8, 1_000, 32_000, estimated_ms=1_000)), 1.0)
+    assert demand.instances("pool", CAPACITY, 1.0) == pytest.approx(1 / RATE_WINDOW_S)
+
+
+def test_lasting_and_repeated_work_is_no_rate():
+    """Guards against instances for work that comes once, or later."""
+    demand = PoolDemand()
+    demand.note("pool", make_job(Step(8, 4_000, long_running=True)), 1.0)
+    demand.note("pool", make_job(STEP, repetitions=5), 1.0)
+    assert demand.instances("pool", CAPACITY, 1.0) == 0
+
+
+def off(count: int) -> list[PoolInstance]:
+    """Return instances that are switched off."""
+    return [PoolInstance(f"off-{n}", "off", 0.0) for n in range(count)]
+
+
+def test_pool_grows_with_what_comes_before_anything_waits():
+    """Guards against instances that arrive one by one, each after work has waited."""
+    machines = [PoolInstance("m1", "a", 0.0), *off(9)]
+    load = PoolLoad(1.0, 0.0, lasting=0.5, offered=5.1)
+    moves = choose_moves(machines, {"a": load}, {"off"})
+    # 0.5 of an instance is taken for good, and 5.1 fill 6 at 85%.
+    assert len(moves) == 6
+    arriving = PoolLoad(1.0, 0.0, arriving=6, lasting=0.5, offered=5.1)
+    assert choose_moves(machines, {"a": arriving}, {"off"}) == []
+
+
+def test_pool_keeps_what_it_needs_for_the_work_that_comes():
+    """Guards against instances switched off between two jobs of a surge."""
+    machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(4)]
+    busy = {"a": PoolLoad(0.1, 0.0, offered=2.5)}
+    assert choose_moves(machines, busy, {"off"}) == []
+    quiet = {"a": PoolLoad(0.1, 0.0)}
+    assert len(choose_moves(machines, quiet, {"off"})) == 3
