Drop workers that do not answer and that no instance has any more

Cause: the platform lists a worker for seconds after its instance has been moved, maintained or has crashed.

A worker's report without the time of its start names no worker to use.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -35,6 +35,8 @@
 PLAN_INTERVAL_S = 0.2
 # Longer than any worker runs on under leases of the leader before.
 TAKEOVER_LAPSE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
+# A list of instances asked for this long after a worker was seen shows its instance.
+INSTANCE_KNOWN_S = 0.5
 # An entry that vanished from the list of workers may still come back.
 MISSING_S = 2.5
 
@@ -66,6 +68,8 @@
         self._began_s = steady_s()
         self._wake = Event()
         self._missing_since: dict[str, float] = {}
+        # Lives that have certainly ended and that the platform still lists.
+        self._ended_lives: set[tuple[str, int]] = set()
         self._greenlets: list[gevent.Greenlet] = []
 
     @property
@@ -117,9 +121,12 @@
     def follow_view(self) -> None:
         """Take over which workers the platform lists."""
         now_s = steady_s()
-        for worker in self.view.worker_by_id.values():
+        listed = self.view.worker_by_id.values()
+        self._ended_lives &= {(w.worker_id, w.born_ms) for w in listed}
+        for worker in listed:
             self._missing_since.pop(worker.worker_id, None)
-            self._follow_worker(worker)
+            if (worker.worker_id, worker.born_ms) not in self._ended_lives:
+                self._follow_worker(worker)
         for worker_id in list(self.link_by_id):
             if worker_id in self.view.worker_by_id:
                 continue
@@ -128,6 +135,20 @@
             if now_s - since_s > MISSING_S and link.failing_for_s and link.has_lapsed:
                 self._drop_worker(worker_id, "not listed")
 
+    def note_instances(self, worker_ids: Collection[str], asked_s: float) -> None:
+        """Drop workers that do not answer and that no instance has any more.
+
+        An instance that is moved, maintained or crashed ends its worker at once;
+        the platform lists the worker for seconds after that.
+        """
+        for worker_id, link in list(self.link_by_id.items()):
+            if worker_id in worker_ids or not link.failing_for_s:
+                continue
+            if asked_s < link.created_s + INSTANCE_KNOWN_S:
+                continue
+            self._ended_lives.add((worker_id, link.worker.born_ms))
+            self._drop_worker(worker_id, "no instance has it")
+
     def _follow_worker(self, worker: Worker) -> None:
         link = self.link_by_id.get(worker.worker_id)
         if link is not None and link.worker.born_ms != worker.born_ms:
--- a/libs/coordinator/src/lycheeloom/coordinator/inventory.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inventory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
+
 import gevent
 
 from lycheeloom.telemetry import log_event
@@ -15,16 +17,25 @@
 
 
 class Inventory:
-    """Instances by id, read again and again."""
+    """Instances by id, read again and again.
+
+    ``on_list`` is told which workers the instances have and when the list was
+    asked for.
+    """
 
     def __init__(
-        self, port: InstancePort, writer: LeaderWriter, order_from_s: float
+        self,
+        port: InstancePort,
+        writer: LeaderWriter,
+        order_from_s: float,
+        on_list: Callable[[Collection[str], float], None] = lambda workers, s: None,
     ) -> None:
         self.instance_by_id: dict[str, Instance] = {}
         self._port = port
         self._writer = writer
         # Orders of the leader before may be seen as late as this.
         self._order_from_s = order_from_s
+        self._on_list = on_list
         self._is_failing = False
 
     @property
@@ -42,6 +53,7 @@
             gevent.sleep(LIST_INTERVAL_S)
 
     def _read(self) -> None:
+        asked_s = steady_s()
         result = self._port.list_instances()
         if isinstance(result, CallReply):
             if not self._is_failing:
@@ -57,3 +69,4 @@
             log_event("instances_regained")
             self._is_failing = False
         self.instance_by_id = {i.instance_id: i for i in result}
+        self._on_list({i.worker_id for i in result if i.worker_id}, asked_s)
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -48,6 +48,7 @@
         watch_closely: Callable[[WorkerLink], bool],
     ) -> None:
         self.worker = worker
+        self.created_s = steady_s()
         # The newest end taken over, and the newest one that is durable.
         self.taken = 0
         self.is_first_listing = True
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from unittest.mock import Mock
+
 import gevent
 from libs.coordinator.tests.fakes import (
     ID,
@@ -14,6 +17,13 @@
 
 from lycheeloom.coordinator.cleaner import Cleaner
 from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.dispatcher import (
+    INSTANCE_KNOWN_S,
+    TAKEOVER_LAPSE_S,
+    Dispatcher,
+)
+from lycheeloom.coordinator.inventory import LIST_INTERVAL_S, Inventory
+from lycheeloom.coordinator.ports import Instance, InstancePort, InstanceState
 from lycheeloom.coordinator.replica import Replica
 from lycheeloom.coordinator.view import View
 from lycheeloom.coordinator.worker_link import LOOK_WAIT_MS, WORKER_LEASE_S
@@ -253,6 +263,86 @@
     assert steady_s() - went_silent_s >= WORKER_LEASE_S - LOOK_WAIT_MS / 1000
 
 
+def lists(*worker_ids: str) -> Callable[[], tuple[Instance, ...]]:
+    """Return a list of instances that have the workers given and no others."""
+    return lambda: tuple(
+        Instance(f"m-{worker_id}", "pool", InstanceState.UP, "zone-a", worker_id)
+        for worker_id in worker_ids
+    )
+
+
+def watch_instances(
+    world: World, dispatcher: Dispatcher, port: InstancePort
+) -> Inventory:
+    """Let a leader read the list of instances."""
+    inventory = Inventory(
+        port, dispatcher.writer, steady_s(), dispatcher.note_instances
+    )
+    world.spawn(inventory.run)
+    return inventory
+
+
+def test_tasks_of_a_worker_without_an_instance_start_elsewhere_at_once(world):
+    """Guards against a wait for the lease of a worker that has certainly ended.
+
+    Pattern: an instance crashes, and the platform lists its worker on for seconds.
+    """
+    instances = Mock(list_instances=lists("w0", "w1"))
+    world.store.add_job(make_job())
+    watch_instances(world, world.lead(), instances)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    holder = world.workers.begun[0][0]
+    gevent.sleep(INSTANCE_KNOWN_S)
+    went_silent_s = steady_s()
+    world.workers.at(holder).is_silent = True
+    instances.list_instances = lists("w1" if holder == "w0" else "w0")
+    wait_until(lambda: len(world.workers.begun) == 2)
+    assert world.workers.begun[1][0] != holder
+    assert steady_s() - went_silent_s < WORKER_LEASE_S / 2
+
+
+def test_takeover_does_not_wait_for_workers_without_an_instance(world):
+    """Guards against seconds without starts after a change of leader.
+
+    Pattern: the leader is lost while instances move between pools; the platform
+    lists the workers that they had on for seconds.
+    """
+    world.store.add_job(make_job(ID, Step(1, 1000), Step(1, 1000, after=(0,))))
+    first = world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    holder = world.workers.begun[0][0]
+    other = "w1" if holder == "w0" else "w0"
+    first.writer.is_fenced = True
+    gevent.sleep(2 * LOOK_S)
+    world.workers.at(other).is_silent = True
+    world.workers.end_all()
+    began_s = steady_s()
+    second = world.lead(2)
+    watch_instances(world, second, Mock(list_instances=lists(holder)))
+    wait_until(lambda: len(world.workers.begun) == 2)
+    assert steady_s() - began_s < TAKEOVER_LAPSE_S / 2
+
+
+def test_worker_that_answers_is_kept_whatever_the_list_shows(world):
+    """Guards against tasks started twice since a list was out of date."""
+    world.store.add_job(make_job(ID, Step(2, 5000)))
+    watch_instances(world, world.lead(), Mock(list_instances=lists()))
+    wait_until(lambda: len(world.workers.begun) == 2)
+    gevent.sleep(2 * INSTANCE_KNOWN_S + LIST_INTERVAL_S)
+    assert len(world.workers.begun) == 2
+
+
+def test_silent_worker_with_an_instance_keeps_its_tasks_until_its_lease_ends(world):
+    """Guards against a second run while the first goes on behind a cut."""
+    world.store.add_job(make_job())
+    watch_instances(world, world.lead(), Mock(list_instances=lists("w0", "w1")))
+    wait_until(lambda: len(world.workers.begun) == 1)
+    gevent.sleep(INSTANCE_KNOWN_S)
+    world.workers.at(world.workers.begun[0][0]).is_silent = True
+    gevent.sleep(WORKER_LEASE_S - 2 * LOOK_WAIT_MS / 1000)
+    assert len(world.workers.begun) == 1
+
+
 def test_records_of_old_jobs_are_removed(world):
     """Guards against a table that grows for ever, and jobs that come back."""
     world.store.add_job(make_job())
