Count a task that has just started as at work before maintenance ends it

A task now counts as at work unless it has been stuck for longer than any list is old. Before: test_task_that_has_just_started_counts_as_at_work fails.

--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -206,7 +206,7 @@
                 continue
             if not run.step.long_running and not is_urgent:
                 continue
-            if may_end(self._dispatcher.fleet, work, run):
+            if may_end(self._dispatcher.fleet, work, run, steady_s()):
                 self._dispatcher.stop_run(run, "maintenance")
 
     def _order(self, order: WaveOrder, instance: Instance, handling: _Handling) -> None:
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheeloom.jobs.availability import may_end
+from lycheeloom.jobs.availability import STUCK_S, may_end
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Job, Step, TaskKey, Worker
 from lycheeloom.jobs.pacing import next_pace
@@ -103,17 +103,39 @@
 def test_budget_of_a_step_allows_one_stop():
     """Guards against stops that leave too few tasks of a step at work."""
     fleet, work, runs = make_service(away=0)
-    assert may_end(fleet, work, runs[3])
+    assert may_end(fleet, work, runs[3], 1.0)
     fleet, work, runs = make_service(away=1)
-    assert not may_end(fleet, work, runs[3])
-    assert may_end(fleet, work, runs[0])
+    assert not may_end(fleet, work, runs[3], 1.0)
+    assert may_end(fleet, work, runs[0], 1.0)
+
+
+def test_task_that_has_just_started_counts_as_at_work():
+    """Guards against ending a whole service that has just been started again.
+
+    Pattern: an instance crashes, its tasks start together on another one, and that
+    one is the next of a wave before a list shows that they are at work.
+    """
+    fleet, work, runs = make_service(4)
+    assert not any(may_end(fleet, work, run, 1.0) for run in runs)
+    for run in runs[1:]:
+        run.percent = 100
+    assert may_end(fleet, work, runs[0], 1.0)
+    assert not may_end(fleet, work, runs[1], 1.0)
+
+
+def test_stuck_task_may_always_be_ended():
+    """Guards against a wave that waits for tasks which never come to work."""
+    fleet, work, runs = make_service(4)
+    assert all(may_end(fleet, work, run, 2 * STUCK_S) for run in runs)
+    fleet.state_by_id["w0"].is_listed = False
+    assert not may_end(fleet, work, runs[0], 2 * STUCK_S)
 
 
 def test_task_on_a_silent_worker_counts_as_away():
     """Guards against a stop while a crashed worker's tasks still seem to run."""
     fleet, work, runs = make_service(away=0)
     fleet.state_by_id["w0"].is_listed = False
-    assert not may_end(fleet, work, runs[3])
+    assert not may_end(fleet, work, runs[3], 1.0)
 
 
 def test_filling_tasks_rest_before_harm_lasts():
