Wait for a list after a start of unknown outcome if the task is long-running

A start that is not answered has mostly been carried out. The stop that was sent at once could end a task of a service at work while others of it were away. Now the next list decides: a run that it shows is kept, one that it lacks is barred by a stop as before. Short tasks are stopped at once as before, as each second counts.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -212,7 +212,7 @@
         if state is None:
             return False
         return any(
-            run.state is RunState.STOPPING or run.step.target_ms
+            run.state in (RunState.STOPPING, RunState.UNSURE) or run.step.target_ms
             for run in state.run_by_task.values()
         )
 
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -12,7 +12,7 @@
 from .clock import steady_s
 from .job_registry import JobRegistry
 from .ports import CallOutcome, TaskLists
-from .task_orders import TaskOrders
+from .task_orders import START_NOT_ANSWERED, TaskOrders
 from .worker_link import WorkerLink
 from .writer import Commit
 
@@ -57,7 +57,12 @@
             listed.add(row.task)
             self._take_running(link, row)
         for run in list(state.run_by_task.values()):
-            if run.task not in listed and sent_s > run.settle_after_s:
+            if run.task in listed or sent_s <= run.settle_after_s:
+                continue
+            if run.state is RunState.UNSURE:
+                # The start may still be carried out; the stop prevents that.
+                self._orders.stop_run(run, START_NOT_ANSWERED)
+            else:
                 self._fleet.remove_run(run)
                 self._registry.put_back(run, run.stop_reason or "not listed")
         if not state.is_listed:
@@ -122,7 +127,7 @@
         if row.checkpoint:
             run.checkpoint = row.checkpoint
         run.figure = row.figure
-        if run.state is RunState.STARTING:
+        if run.state in (RunState.STARTING, RunState.UNSURE):
             run.state = RunState.RUNNING
             run.moved_s = now_s
         stalled = now_s - run.moved_s > STALL_S
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -26,6 +26,8 @@
 # A worker without room by its own word gets no start for this long.
 NO_ROOM_HOLD_S = 0.1
 REFUSED_HOLD_S = 0.5
+# Why a run is stopped whose start has an unknown outcome.
+START_NOT_ANSWERED = "start not answered"
 # Stops that are sent at the same time.
 MAX_STOPS = 64
 
@@ -138,8 +140,7 @@
             case CallOutcome.DONE:
                 self._note_started(start, run, now_s)
             case CallOutcome.UNKNOWN:
-                if run.state is RunState.STARTING:
-                    self.stop_run(run, "start not answered")
+                self._settle_unknown_start(run, now_s)
             case CallOutcome.FENCED | CallOutcome.GONE:
                 self._on_reply(link, reply.outcome)
             case CallOutcome.BAD_TICKET:
@@ -153,6 +154,20 @@
                     self._hold_worker(state, outcome, now_s)
                 self._give_back(run, outcome.value)
 
+    def _settle_unknown_start(self, run: Run, now_s: float) -> None:
+        """Stop a run that may have started, or wait for a list that shows it.
+
+        A stop could end a task of a service that is at work by now, while others
+        of the service are still away.
+        """
+        if run.state is not RunState.STARTING:
+            return
+        if run.step.long_running:
+            run.state = RunState.UNSURE
+            run.settle_after_s = now_s
+        else:
+            self.stop_run(run, START_NOT_ANSWERED)
+
     def _note_started(self, start: Start, run: Run, now_s: float) -> None:
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -27,6 +27,7 @@
 from lycheeloom.coordinator.replica import Replica
 from lycheeloom.coordinator.view import View
 from lycheeloom.coordinator.worker_link import LOOK_WAIT_MS, WORKER_LEASE_S
+from lycheeloom.jobs.fleet import RunState
 from lycheeloom.jobs.model import EndKind, JobState, Policy, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
 from lycheeloom.model.resources import Resources
@@ -165,6 +166,38 @@
     assert running <= 1
 
 
+def test_long_running_task_is_kept_if_a_list_shows_its_start(world):
+    """Guards against ending a service that is at work since an answer was lost.
+
+    Pattern: an instance crashes while workers leave orders unanswered; all tasks of
+    a service start again at once.
+    """
+    for number in (0, 1):
+        world.workers.at(f"w{number}").lose_starts = True
+    world.store.add_job(make_job(ID, Step(3, 1000, long_running=True, may_miss=1)))
+    dispatcher = world.lead()
+    wait_until(lambda: len(world.workers.begun) == 3)
+    runs_by_task = dispatcher.fleet.runs_by_task
+    wait_until(
+        lambda: all(
+            run.state is RunState.RUNNING for run in sum(runs_by_task.values(), [])
+        )
+    )
+    assert not any(worker.barred for worker in world.workers.by_id.values())
+
+
+def test_long_running_task_is_barred_if_no_list_shows_its_start(world):
+    """Guards against two runs of a task whose first start is carried out late."""
+    late = world.workers.at("w0")
+    late.delay_starts = True
+    world.view.worker_by_id.pop("w1")
+    world.store.add_job(make_job(ID, Step(1, 1000, long_running=True, may_miss=1)))
+    world.lead()
+    wait_until(lambda: bool(late.barred))
+    world.workers.carry_out("w0", late.delayed[0])
+    assert world.workers.begun == []
+
+
 def test_start_that_arrives_late_is_barred(world):
     """Guards against an order carried out after its task was started elsewhere."""
     late = world.workers.at("w0")
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -24,6 +24,8 @@
     # The start has been sent and not been answered.
     STARTING = "starting"
     RUNNING = "running"
+    # The start was not answered; the next list tells whether it has happened.
+    UNSURE = "unsure"
     # A stop has been sent, or the outcome of the start is not known.
     STOPPING = "stopping"
 
