Switch off idle instances of pools that have had no work yet

A pool without work so far was kept at full size, as a new leader might not know its work yet. Tasks that wait and lists that are missing keep an instance already, so the rule only kept the fleet on until the first job.

--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -47,7 +47,6 @@
         self._is_reserved = is_reserved
         self._move_s = move_s
         self._idle_since_by_worker: dict[str, float] = {}
-        self._used_pools: set[str] = set()
         # Pool and the time until which an instance counts as on its way.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
 
@@ -119,9 +118,6 @@
             wall_ms(),
         )
         least = least_by_pool(dispatcher.work_by_id.values(), dispatcher.view.policy)
-        self._used_pools |= {
-            pool for pool, used in used_by_pool.items() if used != NO_RESOURCES
-        }
         now_s = steady_s()
         arriving = Counter(pool for pool, _ in self._moving_by_id.values())
         return {
@@ -130,7 +126,6 @@
                 waiting.get(pool, 0.0),
                 arriving[pool],
                 least.get(pool, 1),
-                pool in self._used_pools,
                 lasting_by_pool[pool].dominant_share(capacity),
                 dispatcher.demand.instances(pool, capacity, now_s),
             )
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -44,8 +44,6 @@
     arriving: int = 0
     # Instances that tasks which avoid each other need.
     least: int = 1
-    # Whether the pool has had work; an unused pool is not known to be idle.
-    is_used: bool = True
     # Use by long-running tasks alone.
     lasting: float = 0.0
     # Work that comes in each second.
@@ -174,5 +172,4 @@
     load = load_by_pool.get(pool, PoolLoad(0, 0))
     left = size_by_pool[pool] - 1
     used = max(load.used, load.kept_up)
-    is_enough = left >= load.least and used <= left * (1 - FREE_MARGIN)
-    return load.is_used and is_enough
+    return left >= load.least and used <= left * (1 - FREE_MARGIN)
