Order instances at once that the leader before has not ordered lately

Cause: a new leader waited the whole lease of 3 s before its first order, for any instance. Each order is now in the log before it is sent, so a new leader knows which instances the one before may have ordered within the lease; only these wait. Orders of one step are recorded together and sent at the same time, 16 at most, instead of one after the other.

Instances that the list shows in maintenance, and those whose order may still be on its way, count now (two tests, both fail without it).

--- a/libs/coordinator/src/lycheeloom/coordinator/inventory.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inventory.py
@@ -27,22 +27,14 @@
         self,
         port: InstancePort,
         writer: LeaderWriter,
-        order_from_s: float,
         on_list: Callable[[Collection[str], float], None] = lambda workers, s: None,
     ) -> None:
         self.instance_by_id: dict[str, Instance] = {}
         self._port = port
         self._writer = writer
-        # Orders of the leader before may be seen as late as this.
-        self._order_from_s = order_from_s
         self._on_list = on_list
         self._is_failing = False
 
-    @property
-    def may_order(self) -> bool:
-        """Tell whether orders of another leader are certainly long past."""
-        return steady_s() >= self._order_from_s
-
     def run(self) -> None:
         """Read the list until the leader is fenced."""
         while not self._writer.is_fenced:
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -19,6 +19,7 @@
 from .clock import steady_s
 from .dispatcher import Dispatcher
 from .inventory import Inventory
+from .order_turns import OrderTurns
 from .ports import (
     Appended,
     CallOutcome,
@@ -69,6 +70,7 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
+        turns: OrderTurns,
         port: InstancePort,
         store: StorePort,
         orders: Mapping[str, WaveOrder],
@@ -77,6 +79,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
+        self._turns = turns
         self._port = port
         self._store = store
         self._orders = orders
@@ -92,7 +95,7 @@
         while not self._dispatcher.writer.is_fenced:
             gevent.sleep(STEP_PAUSE_S)
             open_orders = [o for o in self._orders.values() if not self._is_over(o)]
-            if not self._dispatcher.writer.may_act or not self._inventory.may_order:
+            if not self._dispatcher.writer.may_act:
                 continue
             for order in open_orders:
                 self._step(order)
@@ -126,12 +129,13 @@
                 self._drain(order, instance, handling)
 
     def _choose(self, order: WaveOrder, left: list[Instance]) -> None:
-        away = Counter(h.pool for h in self._handling_by_id.values())
+        away = self._count_away(order)
         candidates = [
             self._describe(instance)
             for instance in left
             if instance.instance_id not in self._handling_by_id
             and instance.state is InstanceState.UP
+            and self._turns.may_order(instance.instance_id)
         ]
         time = WaveTime(
             steady_s() - order.seen_s,
@@ -160,6 +164,21 @@
                 elapsed_s=time.elapsed_s,
             )
 
+    def _count_away(self, order: WaveOrder) -> Counter[str]:
+        """Count by pool the instances that are being emptied or are away.
+
+        Orders of the leader before count too, also one that may still be on its way.
+        """
+        away = Counter(h.pool for h in self._handling_by_id.values())
+        for instance_id in order.instances:
+            instance = self._inventory.instance_by_id.get(instance_id)
+            if instance is None or instance_id in self._handling_by_id:
+                continue
+            is_away = instance.state is InstanceState.MAINTENANCE
+            if is_away or not self._turns.may_order(instance_id):
+                away[instance.pool] += 1
+        return away
+
     def _describe(self, instance: Instance) -> WaveInstance:
         fleet = self._dispatcher.fleet
         pool = self._dispatcher.view.policy.pool_by_name.get(instance.pool)
@@ -210,6 +229,9 @@
                 self._dispatcher.stop_run(run, "maintenance")
 
     def _order(self, order: WaveOrder, instance: Instance, handling: _Handling) -> None:
+        if not self._turns.record([instance.instance_id]):
+            log_event("maintenance_order", wave=order.wave, outcome="not recorded")
+            return
         reply = self._port.maintain(
             instance.instance_id, order.wave, self._dispatcher.writer.token
         )
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable, Collection
 
 import gevent
+from gevent.pool import Pool as GreenletPool
 
+from lycheeloom.jobs.fleet import WorkerState
 from lycheeloom.jobs.pool_sizes import (
     Move,
     PoolInstance,
@@ -22,11 +24,14 @@
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .ports import CallOutcome, InstancePort, InstanceState
+from .order_turns import OrderTurns
+from .ports import CallOutcome, CallReply, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
 # A move whose order was not carried out is not tried again for this long.
 RETRY_S = 1.0
+# Orders that are sent at the same time.
+MAX_ORDERS = 16
 
 
 class PoolMoves:
@@ -36,16 +41,19 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
+        turns: OrderTurns,
         port: InstancePort,
         is_reserved: Callable[[str], bool],
         move_s: float,
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
+        self._turns = turns
         self._port = port
         # Whether maintenance handles an instance.
         self._is_reserved = is_reserved
         self._move_s = move_s
+        self._orders = GreenletPool(MAX_ORDERS)
         self._idle_since_by_worker: dict[str, float] = {}
         # Pool and the time until which an instance counts as on its way.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
@@ -54,8 +62,7 @@
         """Move instances until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
             gevent.sleep(STEP_PAUSE_S)
-            may_act = self._dispatcher.writer.may_act and self._inventory.may_order
-            if may_act and self._inventory.instance_by_id:
+            if self._dispatcher.writer.may_act and self._inventory.instance_by_id:
                 self._step()
 
     def _step(self) -> None:
@@ -73,9 +80,10 @@
             if i.state is InstanceState.UP
             and i.instance_id not in self._moving_by_id
             and not self._is_reserved(i.instance_id)
+            and self._turns.may_order(i.instance_id)
         ]
-        for move in choose_moves(instances, self._loads(), standby):
-            self._move(move, standby)
+        moves = choose_moves(instances, self._loads(), standby)
+        self._order([move for move in moves if self._prepare(move)])
 
     def _release(self, instance_id: str) -> None:
         """Use an instance again if its move has not happened."""
@@ -132,19 +140,34 @@
             for pool, capacity in capacity_by_pool.items()
         }
 
-    def _move(self, move: Move, standby: Collection[str]) -> None:
-        instance = self._inventory.instance_by_id[move.instance_id]
-        state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
-        if state is not None:
-            if state.run_by_task:
-                return
-            state.is_cordoned = True
+    def _prepare(self, move: Move) -> bool:
+        """Keep new tasks off an instance; False if it has some."""
+        state = self._state_of(move)
+        if state is None:
+            return True
+        if state.run_by_task:
+            return False
+        state.is_cordoned = True
+        return True
+
+    def _order(self, moves: Collection[Move]) -> None:
+        if not moves:
+            return
+        if not self._turns.record([move.instance_id for move in moves]):
+            log_event("moves_given_up", level="WARNING", moves=len(moves))
+            for move in moves:
+                self._note_reply(move, CallReply(CallOutcome.NOT_SENT, "not recorded"))
+            return
+        self._orders.map(self._send, moves)
+
+    def _send(self, move: Move) -> None:
         token = self._dispatcher.writer.token
         reply = self._port.move(move.instance_id, move.pool, token)
+        instance = self._inventory.instance_by_id.get(move.instance_id)
         log_event(
             "instance_move",
             instance=move.instance_id,
-            source=instance.pool,
+            source=instance.pool if instance else "",
             target=move.pool,
             reason=move.reason,
             token=token,
@@ -152,7 +175,11 @@
             detail=reply.reason,
         )
         metrics.INSTANCE_ORDERS.labels("move", reply.outcome.value).inc()
+        self._note_reply(move, reply)
+
+    def _note_reply(self, move: Move, reply: CallReply) -> None:
         hold_s = RETRY_S
+        state = self._state_of(move)
         match reply.outcome:
             case CallOutcome.DONE | CallOutcome.UNKNOWN:
                 hold_s = self._move_s + RETRY_S
@@ -162,3 +189,9 @@
                 state.is_cordoned = False
         target = move.pool if reply.outcome is CallOutcome.DONE else ""
         self._moving_by_id[move.instance_id] = (target, steady_s() + hold_s)
+
+    def _state_of(self, move: Move) -> WorkerState | None:
+        instance = self._inventory.instance_by_id.get(move.instance_id)
+        if instance is None:
+            return None
+        return self._dispatcher.fleet.state_by_id.get(instance.worker_id)
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -11,7 +11,7 @@
 from lycheeloom.jobs.table import Applied, JobTable
 from lycheeloom.telemetry import log_event
 
-from .clock import steady_s
+from .clock import steady_s, wall_ms
 from .ports import Log, ReadFailed, RecordsDropped, RecordsRead, StorePort
 
 # Wait of the store for new records in one read.
@@ -36,6 +36,9 @@
         self.is_leading = False
         # When a record of the leader was last read; None before the first load.
         self.leader_seen_s: float | None = None
+        # When the last order for an instance was recorded. The time of day is used
+        # only for records that are older than this process.
+        self.last_order_s_by_instance: dict[str, float] = {}
         self._listeners: list[Callable[[Applied], None]] = []
         self._tails = {log: _Tail(self, store, log) for log in Log}
 
@@ -85,17 +88,31 @@
         """Read what callers have handed in by now; tells whether that succeeded."""
         return self._tails[Log.CALLERS].catch_up()
 
-    def apply(self, result: RecordsRead) -> None:
-        """Apply records and tell the listeners."""
+    def apply(self, result: RecordsRead, is_live: bool) -> None:
+        """Apply records and tell the listeners.
+
+        ``is_live`` tells records that have just been written from those that were
+        found when the log was loaded.
+        """
         for offset, record in result.records:
             applied = self.table.apply(offset, record)
             if applied is None:
                 continue
-            if applied.kind in (Kind.LEADER, Kind.PROGRESS, Kind.WAVE):
+            if applied.kind not in (Kind.JOB, Kind.CANCELLATION):
                 self.leader_seen_s = steady_s()
+            if applied.kind is Kind.ORDER:
+                self._note_order(applied.name, is_live)
             for listener in list(self._listeners):
                 listener(applied)
 
+    def _note_order(self, instance_id: str, is_live: bool) -> None:
+        at_ms = self.table.ordered_ms_by_instance.get(instance_id)
+        if at_ms is None:
+            self.last_order_s_by_instance.pop(instance_id, None)
+            return
+        age_s = 0.0 if is_live else max(0.0, (wall_ms() - at_ms) / 1000)
+        self.last_order_s_by_instance[instance_id] = steady_s() - age_s
+
 
 class _Tail:
     """Reads one log."""
@@ -186,7 +203,7 @@
         return False
 
     def _apply(self, result: RecordsRead) -> None:
-        self._replica.apply(result)
+        self._replica.apply(result, self.is_loaded)
         self._offset = max(self._offset, result.next_offset)
         self._advanced.set()
 
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -41,7 +42,7 @@
     Worker,
 )
 from lycheeloom.jobs.planner import Start
-from lycheeloom.jobs.records import Kind, Record, encode, key_of
+from lycheeloom.jobs.records import InstanceOrder, Kind, Record, encode, key_of
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 ID = "0" * 16
@@ -124,6 +125,11 @@
         """Record a job as an entry does."""
         self.append([Record(key_of(Kind.JOB, job.job_id), encode(job))])
 
+    def append_order(self, instance_id: str, age_s: float = 0.0) -> None:
+        """Record an order for an instance as a leader does."""
+        order = InstanceOrder(int(time.time() * 1000 - age_s * 1000))
+        self.records.append(Record(key_of(Kind.ORDER, instance_id), encode(order)))
+
     def cancel(self, job_id: str) -> None:
         """Record a cancellation as an entry does."""
         self.append([Record(key_of(Kind.CANCELLATION, job_id), b"1")])
--- a/libs/coordinator/tests/test_beside.py
+++ b/libs/coordinator/tests/test_beside.py
@@ -10,6 +10,7 @@
 from lycheeloom.coordinator.advisor import Advisor
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.inventory import Inventory
+from lycheeloom.coordinator.order_turns import OrderTurns
 from lycheeloom.coordinator.pacer import Pacer
 from lycheeloom.coordinator.pool_moves import PoolMoves
 from lycheeloom.coordinator.ports import (
@@ -20,6 +21,9 @@
     InstanceState,
 )
 from lycheeloom.jobs.model import AdviceTerms, Pool, RunningTask, Step
+from lycheeloom.jobs.records import Kind, key_of
+
+ORDER_LEASE_S = 1.5
 
 
 class FakeAdvice:
@@ -113,21 +117,33 @@
         return CallReply(CallOutcome.DONE)
 
 
+def set_pools(world) -> None:
+    """Give the policy a pool of instances that are off."""
+    pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
+    world.view.policy = dataclasses.replace(world.view.policy, pool_by_name=pools)
+
+
+def move_instances(world, dispatcher, port, had_leader=False) -> None:
+    """Let a leader move instances between pools."""
+    inventory = Inventory(port, dispatcher.writer)
+    turns = OrderTurns(dispatcher.replica, dispatcher.writer, ORDER_LEASE_S, had_leader)
+    moves = PoolMoves(
+        dispatcher, inventory, turns, port, lambda instance_id: False, 0.2
+    )
+    world.spawn(inventory.run)
+    world.spawn(moves.run)
+
+
 def test_instance_that_is_off_comes_where_work_waits(world):
     """Guards against a surge that waits beside instances that are switched off.
 
     Pattern: one queue asks for several times what its pool holds.
     """
-    policy = world.view.policy
-    pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
-    world.view.policy = dataclasses.replace(policy, pool_by_name=pools)
+    set_pools(world)
     world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
     dispatcher = world.lead()
     port = FakeMoves(world)
-    inventory = Inventory(port, dispatcher.writer, steady_s())
-    moves = PoolMoves(dispatcher, inventory, port, lambda instance_id: False, 0.2)
-    world.spawn(inventory.run)
-    world.spawn(moves.run)
+    move_instances(world, dispatcher, port)
     wait_until(lambda: ("m-off", "pool") in port.moves)
     wait_until(lambda: len(world.workers.begun) == 24)
     assert port.moves.count(("m-off", "pool")) == 1
@@ -135,12 +151,44 @@
 
 def test_new_leader_waits_before_it_orders(world):
     """Guards against orders of two leaders for one instance within its lease."""
-    dispatcher = world.lead()
+    set_pools(world)
+    world.store.append_order("m-off")
+    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeMoves(world)
+    move_instances(world, world.lead(), port, had_leader=True)
+    gevent.sleep(0.7)
+    assert port.moves == []
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+
+
+def test_new_leader_orders_what_has_not_been_ordered_lately(world):
+    """Guards against a surge that waits for a lease which concerns other instances.
+
+    Pattern: the leader is lost while a queue surges; most instances that are off
+    have not been ordered for seconds.
+    """
+    set_pools(world)
+    world.store.append_order("m-w0")
+    world.store.append_order("m-off", age_s=60.0)
+    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
     port = FakeMoves(world)
-    inventory = Inventory(port, dispatcher.writer, steady_s() + 1.0)
-    moves = PoolMoves(dispatcher, inventory, port, lambda instance_id: False, 0.2)
+    began_s = steady_s()
+    move_instances(world, world.lead(), port, had_leader=True)
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+    assert steady_s() - began_s < ORDER_LEASE_S
+
+
+def test_order_is_recorded_before_it_is_sent(world):
+    """Guards against an order that a later leader does not know of."""
+    set_pools(world)
     world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    world.spawn(inventory.run)
-    world.spawn(moves.run)
+    port = FakeMoves(world)
+    dispatcher = world.lead()
+    world.store.is_down = True
+    move_instances(world, dispatcher, port)
     gevent.sleep(0.7)
     assert port.moves == []
+    world.store.is_down = False
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+    key = key_of(Kind.ORDER, "m-off")
+    assert key in {record.key for record in world.store.records}
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -308,9 +308,7 @@
     world: World, dispatcher: Dispatcher, port: InstancePort
 ) -> Inventory:
     """Let a leader read the list of instances."""
-    inventory = Inventory(
-        port, dispatcher.writer, steady_s(), dispatcher.note_instances
-    )
+    inventory = Inventory(port, dispatcher.writer, dispatcher.note_instances)
     world.spawn(inventory.run)
     return inventory
 
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -10,6 +10,7 @@
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.maintenance import Maintenance, WaveOrder
+from lycheeloom.coordinator.order_turns import OrderTurns
 from lycheeloom.coordinator.ports import (
     CallOutcome,
     CallReply,
@@ -52,6 +53,11 @@
         self._back_at_s[worker_id] = steady_s() + MAINTENANCE_S
         return CallReply(CallOutcome.DONE)
 
+    def away_for(self, instance_id: str, duration_s: float) -> None:
+        """Let an instance be in maintenance that another leader has ordered."""
+        worker_id = instance_id.removeprefix("m-")
+        self._back_at_s[worker_id] = steady_s() + duration_s
+
     def move(self, instance_id: str, pool: str, token: int) -> CallReply:
         return CallReply(CallOutcome.REFUSED)
 
@@ -67,14 +73,22 @@
 
 
 def run_wave(
-    world: World, dispatcher: Dispatcher, instances: FakeInstances, token: int = 1
+    world: World,
+    dispatcher: Dispatcher,
+    instances: FakeInstances,
+    token: int = 1,
+    lease_s: float = 0.0,
 ) -> Maintenance:
-    """Let a leader work on a wave of all instances."""
-    inventory = Inventory(instances, dispatcher.writer, steady_s())
+    """Let a leader work on a wave of all instances, one at once."""
+    inventory = Inventory(instances, dispatcher.writer)
+    turns = OrderTurns(
+        dispatcher.replica, dispatcher.writer, lease_s, had_leader=lease_s > 0
+    )
     order = WaveOrder("1", ("m-w0", "m-w1"), 20.0, 1, steady_s())
     maintenance = Maintenance(
         dispatcher,
         inventory,
+        turns,
         instances,
         world.store,
         {"1": order},
@@ -120,6 +134,28 @@
     assert len(world.workers.begun) >= 2
 
 
+def test_instance_sent_away_by_the_leader_before_counts(world, instances):
+    """Guards against more instances away at once than a wave allows.
+
+    Pattern: the leader is lost while instances of a wave are in maintenance, and
+    the next one orders at once.
+    """
+    instances.away_for("m-w0", 1.0)
+    began_s = steady_s()
+    run_wave(world, world.lead(), instances)
+    wait_until(lambda: "m-w1" in instances.maintained)
+    assert steady_s() - began_s >= 1.0
+
+
+def test_order_that_may_be_on_its_way_counts(world, instances):
+    """Guards against an instance that goes away just after the list was read."""
+    world.store.append_order("m-w0")
+    began_s = steady_s()
+    run_wave(world, world.lead(), instances, lease_s=1.0)
+    wait_until(lambda: "m-w1" in instances.maintained)
+    assert steady_s() - began_s >= 1.0
+
+
 def test_new_leader_reads_the_lists_before_it_orders(world, instances):
     """Guards against maintenance that ends tasks which a new leader does not know."""
     # Each task needs more than half of a worker.
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -71,6 +71,11 @@
   resigned @2 :Bool;
 }
 
+struct InstanceOrder {
+  # Time of day at which an order was about to be sent.
+  atMs @0 :UInt64;
+}
+
 struct WaveProgress {
   # Instances whose maintenance has begun.
   begun @0 :List(Text);
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -24,6 +24,7 @@
     PROGRESS = "p"
     LEADER = "L"
     WAVE = "w"
+    ORDER = "o"
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +90,13 @@
     begun: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceOrder:
+    """When a leader last ordered an instance to move or to be maintained."""
+
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """A record of a keyed topic; an empty value removes the key."""
@@ -101,6 +109,7 @@
     Job: _SCHEMA.Job,
     JobProgress: _SCHEMA.JobProgress,
     LeaderRecord: _SCHEMA.LeaderRecord,
+    InstanceOrder: _SCHEMA.InstanceOrder,
     WaveProgress: _SCHEMA.WaveProgress,
 }
 
@@ -110,7 +119,9 @@
     return kind.value + name
 
 
-def encode(value: Job | JobProgress | LeaderRecord | WaveProgress) -> bytes:
+def encode(
+    value: Job | JobProgress | LeaderRecord | InstanceOrder | WaveProgress,
+) -> bytes:
     """Serialise a value with a checksum in front."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
     return seal(message.to_bytes())
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -6,6 +6,7 @@
 
 from .model import FINAL_STATES, Job, JobState
 from .records import (
+    InstanceOrder,
     JobProgress,
     Kind,
     LeaderRecord,
@@ -36,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Applied:
-    """What a record changed; ``name`` is the job, wave or leader it concerns."""
+    """What a record changed; ``name`` is the job, wave or instance it concerns."""
 
     kind: Kind
     name: str
@@ -52,6 +53,7 @@
     def __init__(self) -> None:
         self.entry_by_id: dict[str, JobEntry] = {}
         self.begun_by_wave: dict[str, frozenset[str]] = {}
+        self.ordered_ms_by_instance: dict[str, int] = {}
         self.leader: LeaderRecord | None = None
         self.unreadable = 0
         self._offset_by_key: dict[str, int] = {}
@@ -97,6 +99,10 @@
                 decoded = decode(LeaderRecord, value)
                 if decoded is not None:
                     self.leader = decoded
+            case Kind.ORDER:
+                decoded = decode(InstanceOrder, value)
+                if decoded is not None:
+                    self.ordered_ms_by_instance[name] = decoded.at_ms
             case Kind.WAVE:
                 decoded = decode(WaveProgress, value)
                 if decoded is not None:
@@ -109,6 +115,8 @@
     def _remove(self, kind: Kind, name: str) -> None:
         if kind is Kind.WAVE:
             self.begun_by_wave.pop(name, None)
+        if kind is Kind.ORDER:
+            self.ordered_ms_by_instance.pop(name, None)
         if kind in (Kind.JOB, Kind.PROGRESS):
             self.entry_by_id.pop(name, None)
 
