--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -57,11 +57,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """An instance that goes to another pool, and why."""
+    """An instance that goes to another pool, and why.
+
+    ``load`` and ``size`` are those of the pool that the reason concerns: the one
+    with waiting work, or the one with an idle instance.
+    """
 
     instance_id: str
     pool: str
     reason: str
+    load: PoolLoad
+    size: int
 
 
 def waiting_by_pool(
@@ -136,16 +142,24 @@
             source = _take_first(spare) or _take_idle(idle, load_by_pool, size_by_pool)
             if source is None:
                 break
-            moves.append(Move(source.instance_id, pool, "work waits"))
+            move = Move(
+                source.instance_id, pool, "work waits", load, size_by_pool[pool]
+            )
+            moves.append(move)
     if not standby_pools:
         return moves
     off_pool = sorted(standby_pools)[0]
     for instance in idle:
         if instance.idle_s < PARK_IDLE_S:
             continue
-        if _can_spare(instance.pool, load_by_pool, size_by_pool):
-            size_by_pool[instance.pool] -= 1
-            moves.append(Move(instance.instance_id, off_pool, "idle"))
+        pool = instance.pool
+        if not _can_spare(pool, load_by_pool, size_by_pool):
+            continue
+        load = load_by_pool.get(pool, PoolLoad(0, 0))
+        moves.append(
+            Move(instance.instance_id, off_pool, "idle", load, size_by_pool[pool])
+        )
+        size_by_pool[pool] -= 1
     return moves
 
 
