--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -25,7 +25,7 @@
 from .dispatcher import Dispatcher
 from .inventory import Inventory
 from .order_turns import OrderTurns
-from .ports import CallOutcome, CallReply, InstancePort, InstanceState
+from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
 # A move whose order was not carried out is not tried again for this long.
@@ -75,7 +75,12 @@
                 del self._moving_by_id[instance_id]
                 self._release(instance_id)
         instances = [
-            PoolInstance(i.instance_id, i.pool, self._idle_s(i.worker_id, now_s))
+            PoolInstance(
+                i.instance_id,
+                i.pool,
+                self._idle_s(i.worker_id, now_s),
+                self._is_usable(i),
+            )
             for i in self._inventory.instance_by_id.values()
             if i.state is InstanceState.UP
             and i.instance_id not in self._moving_by_id
@@ -107,6 +112,11 @@
             return 0.0
         return now_s - self._idle_since_by_worker.get(worker_id, now_s)
 
+    def _is_usable(self, instance: Instance) -> bool:
+        state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
+        is_leaving = state is not None and state.worker.draining
+        return not is_leaving and instance.zone not in self._dispatcher.view.zones_out
+
     def _loads(self) -> dict[str, PoolLoad]:
         dispatcher = self._dispatcher
         capacity_by_pool: dict[str, Resources] = {}
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -27,11 +27,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolInstance:
-    """An instance that is up; ``idle_s`` is 0 while tasks run on it."""
+    """An instance that is up; ``idle_s`` is 0 while tasks run on it.
+
+    An instance that may be given no tasks, since its zone is taken out or its
+    worker leaves, is not usable.
+    """
 
     instance_id: str
     pool: str
     idle_s: float
+    is_usable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,70 +125,97 @@
     Instances that are switched off go first; idle ones of pools without waiting
     work follow.
     """
+    stock = _Stock(instances, load_by_pool, standby_pools)
+    moves = _moves_to_work(stock)
+    if standby_pools:
+        moves += _moves_off(stock, instances, sorted(standby_pools)[0])
+    return moves
+
+
+class _Stock:
+    """Instances that can be taken, and the sizes of pools as they are taken."""
+
+    def __init__(
+        self,
+        instances: Collection[PoolInstance],
+        load_by_pool: Mapping[str, PoolLoad],
+        standby_pools: Collection[str],
+    ) -> None:
+        usable = [i for i in instances if i.is_usable]
+        self.load_by_pool = load_by_pool
+        self.standby_pools = standby_pools
+        self.size_by_pool = Counter(i.pool for i in usable)
+        self._spare = [i for i in usable if i.pool in standby_pools]
+        # Longest idle first.
+        self.idle = [
+            i
+            for i in sorted(usable, key=lambda i: -i.idle_s)
+            if i.pool not in standby_pools
+            and i.idle_s > 0
+            and not self.load_of(i.pool).waiting
+        ]
+
+    def load_of(self, pool: str) -> PoolLoad:
+        return self.load_by_pool.get(pool, PoolLoad(0, 0))
+
+    def take(self) -> PoolInstance | None:
+        """Take an instance that is switched off, or else an idle one."""
+        if self._spare:
+            return self._spare.pop(0)
+        for instance in self.idle:
+            if self.give_up(instance):
+                self.idle.remove(instance)
+                return instance
+        return None
+
+    def give_up(self, instance: PoolInstance) -> bool:
+        """Count an instance out of its pool if the pool can spare it."""
+        pool = instance.pool
+        load = self.load_of(pool)
+        left = self.size_by_pool[pool] - 1
+        used = max(load.used, load.kept_up)
+        if left < load.least or used > left * (1 - FREE_MARGIN):
+            return False
+        self.size_by_pool[pool] = left
+        return True
+
+
+def _moves_to_work(stock: _Stock) -> list[Move]:
     moves: list[Move] = []
-    spare = [i for i in instances if i.pool in standby_pools]
-    size_by_pool = Counter(i.pool for i in instances)
-    idle = [
-        i
-        for i in sorted(instances, key=lambda i: -i.idle_s)
-        if i.pool not in standby_pools
-        and i.idle_s > 0
-        and not load_by_pool.get(i.pool, PoolLoad(0, 0)).waiting
-    ]
-    by_need = sorted(load_by_pool.items(), key=lambda item: -item[1].waiting)
+    by_need = sorted(stock.load_by_pool.items(), key=lambda item: -item[1].waiting)
     for pool, load in by_need:
-        if pool in standby_pools:
+        if pool in stock.standby_pools:
             continue
-        least = max(load.least, math.ceil(load.kept_up))
-        wanted = least - size_by_pool[pool]
-        if load.waiting >= MIN_BACKLOG:
-            wanted = max(wanted, math.ceil(load.waiting / BACKLOG_S))
-        for _ in range(max(0, wanted - load.arriving)):
-            source = _take_first(spare) or _take_idle(idle, load_by_pool, size_by_pool)
+        size = stock.size_by_pool[pool]
+        for _ in range(max(0, _missing(load, size) - load.arriving)):
+            source = stock.take()
             if source is None:
-                break
-            move = Move(
-                source.instance_id, pool, "work waits", load, size_by_pool[pool]
-            )
-            moves.append(move)
-    if not standby_pools:
-        return moves
-    off_pool = sorted(standby_pools)[0]
-    for instance in idle:
-        if instance.idle_s < PARK_IDLE_S:
-            continue
-        pool = instance.pool
-        if not _can_spare(pool, load_by_pool, size_by_pool):
-            continue
-        load = load_by_pool.get(pool, PoolLoad(0, 0))
-        moves.append(
-            Move(instance.instance_id, off_pool, "idle", load, size_by_pool[pool])
-        )
-        size_by_pool[pool] -= 1
+                return moves
+            moves.append(Move(source.instance_id, pool, "work waits", load, size))
     return moves
 
 
-def _take_first(spare: list[PoolInstance]) -> PoolInstance | None:
-    return spare.pop(0) if spare else None
+def _missing(load: PoolLoad, size: int) -> int:
+    """Return how many more instances a pool needs for its work."""
+    missing = max(load.least, math.ceil(load.kept_up)) - size
+    if load.waiting >= MIN_BACKLOG:
+        missing = max(missing, math.ceil(load.waiting / BACKLOG_S))
+    return missing
 
 
-def _take_idle(
-    idle: list[PoolInstance],
-    load_by_pool: Mapping[str, PoolLoad],
-    size_by_pool: Counter[str],
-) -> PoolInstance | None:
-    for instance in idle:
-        if _can_spare(instance.pool, load_by_pool, size_by_pool):
-            idle.remove(instance)
-            size_by_pool[instance.pool] -= 1
-            return instance
-    return None
-
-
-def _can_spare(
-    pool: str, load_by_pool: Mapping[str, PoolLoad], size_by_pool: Counter[str]
-) -> bool:
-    load = load_by_pool.get(pool, PoolLoad(0, 0))
-    left = size_by_pool[pool] - 1
-    used = max(load.used, load.kept_up)
-    return left >= load.least and used <= left * (1 - FREE_MARGIN)
+def _moves_off(
+    stock: _Stock, instances: Collection[PoolInstance], off_pool: str
+) -> list[Move]:
+    useless = [
+        i for i in instances if not i.is_usable and i.pool not in stock.standby_pools
+    ]
+    moves: list[Move] = []
+    for instance in (*stock.idle, *useless):
+        if instance.idle_s < PARK_IDLE_S:
+            continue
+        pool = instance.pool
+        size = stock.size_by_pool[pool]
+        if not instance.is_usable or stock.give_up(instance):
+            load = stock.load_of(pool)
+            moves.append(Move(instance.instance_id, off_pool, "idle", load, size))
+    return moves
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -61,6 +61,32 @@
     assert [(m.instance_id, m.pool) for m in moves] == [("m1", "a")]
 
 
+def test_instances_that_may_be_given_no_tasks_do_not_count():
+    """Guards against a service that waits beside instances of a zone taken out.
+
+    Pattern: a zone is emptied while the tasks of a service avoid each other.
+    """
+    machines = [
+        PoolInstance("m1", "a", 0.0),
+        PoolInstance("m2", "a", 0.0, is_usable=False),
+        PoolInstance("m3", "off", 0.0, is_usable=False),
+        PoolInstance("m4", "off", 0.0),
+    ]
+    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.1, least=2)}, {"off"})
+    assert [(m.instance_id, m.pool) for m in moves] == [("m4", "a")]
+
+
+def test_idle_instances_that_may_be_given_no_tasks_are_switched_off():
+    """Guards against paying for the instances of a zone that is taken out."""
+    machines = [
+        PoolInstance("m1", "a", 5.0),
+        PoolInstance("m2", "a", 5.0, is_usable=False),
+        PoolInstance("m3", "a", 0.0, is_usable=False),
+    ]
+    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.0)}, {"off"})
+    assert [(m.instance_id, m.pool) for m in moves] == [("m2", "off")]
+
+
 def test_instances_on_their_way_are_counted():
     """Guards against more moves for the same waiting work in each round."""
     machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
