Count instances that a new leader may not order yet for their pool

Found while reading: the instances that the leader before had ordered lately were left out of the sizes of pools, so a new leader in a surge would have asked for them a second time. test_instances_that_may_not_move_yet_count_for_their_pool fails before.

--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -53,7 +53,7 @@
         # Whether maintenance handles an instance.
         self._is_reserved = is_reserved
         self._move_s = move_s
-        self._orders = GreenletPool(MAX_ORDERS)
+        self._senders = GreenletPool(MAX_ORDERS)
         self._idle_since_by_worker: dict[str, float] = {}
         # Pool and the time until which an instance counts as on its way.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
@@ -80,12 +80,12 @@
                 i.pool,
                 self._idle_s(i.worker_id, now_s),
                 self._is_usable(i),
+                self._turns.may_order(i.instance_id),
             )
             for i in self._inventory.instance_by_id.values()
             if i.state is InstanceState.UP
             and i.instance_id not in self._moving_by_id
             and not self._is_reserved(i.instance_id)
-            and self._turns.may_order(i.instance_id)
         ]
         moves = choose_moves(instances, self._loads(), standby)
         self._order([move for move in moves if self._prepare(move)])
@@ -168,7 +168,7 @@
             for move in moves:
                 self._note_reply(move, CallReply(CallOutcome.NOT_SENT, "not recorded"))
             return
-        self._orders.map(self._send, moves)
+        self._senders.map(self._send, moves)
 
     def _send(self, move: Move) -> None:
         token = self._dispatcher.writer.token
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -30,13 +30,15 @@
     """An instance that is up; ``idle_s`` is 0 while tasks run on it.
 
     An instance that may be given no tasks, since its zone is taken out or its
-    worker leaves, is not usable.
+    worker leaves, is not usable. One that another leader may have ordered lately
+    may not move, but counts for its pool.
     """
 
     instance_id: str
     pool: str
     idle_s: float
     is_usable: bool = True
+    may_move: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,12 +147,13 @@
         self.load_by_pool = load_by_pool
         self.standby_pools = standby_pools
         self.size_by_pool = Counter(i.pool for i in usable)
-        self._spare = [i for i in usable if i.pool in standby_pools]
+        self._spare = [i for i in usable if i.may_move and i.pool in standby_pools]
         # Longest idle first.
         self.idle = [
             i
             for i in sorted(usable, key=lambda i: -i.idle_s)
             if i.pool not in standby_pools
+            and i.may_move
             and i.idle_s > 0
             and not self.load_of(i.pool).waiting
         ]
@@ -207,7 +210,9 @@
     stock: _Stock, instances: Collection[PoolInstance], off_pool: str
 ) -> list[Move]:
     useless = [
-        i for i in instances if not i.is_usable and i.pool not in stock.standby_pools
+        i
+        for i in instances
+        if not i.is_usable and i.may_move and i.pool not in stock.standby_pools
     ]
     moves: list[Move] = []
     for instance in (*stock.idle, *useless):
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -76,6 +76,19 @@
     assert [(m.instance_id, m.pool) for m in moves] == [("m4", "a")]
 
 
+def test_instances_that_may_not_move_yet_count_for_their_pool():
+    """Guards against a pool doubled by a new leader in the midst of a surge."""
+    machines = [
+        PoolInstance("m1", "a", 0.0, may_move=False),
+        PoolInstance("m2", "a", 5.0, may_move=False),
+        PoolInstance("m3", "off", 0.0, may_move=False),
+        PoolInstance("m4", "off", 0.0),
+    ]
+    assert choose_moves(machines, {"a": PoolLoad(0.5, 0.0, least=2)}, {"off"}) == []
+    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.0, least=4)}, {"off"})
+    assert [m.instance_id for m in moves] == ["m4"]
+
+
 def test_idle_instances_that_may_be_given_no_tasks_are_switched_off():
     """Guards against paying for the instances of a zone that is taken out."""
     machines = [
