Wait at a takeover for workers that only the list of instances shows

Inherited jobs of its pool now wait, as for a worker that does not answer, and all of them for the first list of instances, a second at most. test_takeover_waits_for_workers_that_only_the_instances_show fails before.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import gevent
 from gevent.event import Event
@@ -37,6 +37,8 @@
 TAKEOVER_LAPSE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
 # A list of instances asked for this long after a worker was seen shows its instance.
 INSTANCE_KNOWN_S = 0.5
+# Inherited jobs wait at most this long for the first list of instances.
+FIRST_LIST_WAIT_S = 1.0
 # An entry that vanished from the list of workers may still come back.
 MISSING_S = 2.5
 
@@ -68,6 +70,9 @@
         self._began_s = steady_s()
         self._wake = Event()
         self._missing_since: dict[str, float] = {}
+        # Pools of the workers that live by the list of instances; None before the
+        # first list.
+        self._pool_by_living: Mapping[str, str] | None = None
         # Lives that have certainly ended and that the platform still lists.
         self._ended_lives: set[tuple[str, int]] = set()
         self._greenlets: list[gevent.Greenlet] = []
@@ -135,14 +140,15 @@
             if now_s - since_s > MISSING_S and link.failing_for_s and link.has_lapsed:
                 self._drop_worker(worker_id, "not listed")
 
-    def note_instances(self, worker_ids: Collection[str], asked_s: float) -> None:
+    def note_instances(self, pool_by_living: Mapping[str, str], asked_s: float) -> None:
         """Drop workers that do not answer and that no instance has any more.
 
         An instance that is moved, maintained or crashed ends its worker at once;
         the platform lists the worker for seconds after that.
         """
+        self._pool_by_living = pool_by_living
         for worker_id, link in list(self.link_by_id.items()):
-            if worker_id in worker_ids or not link.failing_for_s:
+            if worker_id in pool_by_living or not link.failing_for_s:
                 continue
             if asked_s < link.created_s + INSTANCE_KNOWN_S:
                 continue
@@ -233,17 +239,29 @@
             self._orders.begin(start, now_s)
 
     def _unsettled_pools(self, now_s: float) -> Collection[str]:
-        """Return pools in which runs of the leader before may be unknown."""
+        """Return pools in which runs of the leader before may be unknown.
+
+        The platform's list of workers lacks some that live for seconds after an
+        outage of the store; the list of instances names them.
+        """
         if not self._registry.inherited:
             return ()
-        if now_s - self._began_s > TAKEOVER_LAPSE_S:
+        led_s = now_s - self._began_s
+        if led_s > TAKEOVER_LAPSE_S:
             self._registry.inherited.clear()
             return ()
+        if self._pool_by_living is None and led_s < FIRST_LIST_WAIT_S:
+            return set(self.view.policy.pool_by_name)
         pools = {
             state.worker.pool
             for state in self.fleet.state_by_id.values()
             if not state.is_listed
         }
+        pools |= {
+            pool
+            for worker_id, pool in (self._pool_by_living or {}).items()
+            if worker_id not in self.fleet.state_by_id
+        }
         if not pools and self.fleet.state_by_id:
             self._registry.inherited.clear()
         return pools if self.fleet.state_by_id else set(self.view.policy.pool_by_name)
--- a/libs/coordinator/src/lycheeloom/coordinator/inventory.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inventory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Mapping
 
 import gevent
 
@@ -19,15 +19,15 @@
 class Inventory:
     """Instances by id, read again and again.
 
-    ``on_list`` is told which workers the instances have and when the list was
-    asked for.
+    ``on_list`` is told the pools of the workers that live, by their ids, and when
+    the list was asked for.
     """
 
     def __init__(
         self,
         port: InstancePort,
         writer: LeaderWriter,
-        on_list: Callable[[Collection[str], float], None] = lambda workers, s: None,
+        on_list: Callable[[Mapping[str, str], float], None] = lambda pools, s: None,
     ) -> None:
         self.instance_by_id: dict[str, Instance] = {}
         self._port = port
@@ -61,4 +61,4 @@
             log_event("instances_regained")
             self._is_failing = False
         self.instance_by_id = {i.instance_id: i for i in result}
-        self._on_list({i.worker_id for i in result if i.worker_id}, asked_s)
+        self._on_list({i.worker_id: i.pool for i in result if i.worker_id}, asked_s)
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -19,6 +19,7 @@
 from lycheeloom.coordinator.cleaner import Cleaner
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import (
+    FIRST_LIST_WAIT_S,
     INSTANCE_KNOWN_S,
     TAKEOVER_LAPSE_S,
     Dispatcher,
@@ -355,6 +356,28 @@
     assert steady_s() - began_s < TAKEOVER_LAPSE_S / 2
 
 
+def test_takeover_waits_for_workers_that_only_the_instances_show(world):
+    """Guards against a second run of a task whose worker is not listed for a time.
+
+    Pattern: the store has been away and the entries of workers that live have
+    lapsed; they come back seconds after the new leader has read the rest.
+    """
+    world.store.add_job(make_job())
+    first = world.lead(1)
+    wait_until(lambda: len(world.workers.begun) == 1)
+    holder = world.workers.begun[0][0]
+    first.writer.is_fenced = True
+    gevent.sleep(2 * LOOK_S)
+    worker = world.view.worker_by_id.pop(holder)
+    second = world.lead(2)
+    watch_instances(world, second, Mock(list_instances=lists("w0", "w1")))
+    gevent.sleep(2 * FIRST_LIST_WAIT_S)
+    assert len(world.workers.begun) == 1
+    world.view.worker_by_id[holder] = worker
+    wait_until(lambda: bool(second.fleet.runs_by_task))
+    assert len(world.workers.begun) == 1
+
+
 def test_worker_that_answers_is_kept_whatever_the_list_shows(world):
     """Guards against tasks started twice since a list was out of date."""
     world.store.add_job(make_job(ID, Step(2, 5000)))
