Make two tests fail without the mechanism they name

Two tests passed all the same: the one on workers that answer but are not listed, as a dropped worker was never taken up again, and none covered a refusal after an append of unknown outcome.

--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -381,10 +381,12 @@
 def test_worker_that_answers_is_kept_whatever_the_list_shows(world):
     """Guards against tasks started twice since a list was out of date."""
     world.store.add_job(make_job(ID, Step(2, 5000)))
-    watch_instances(world, world.lead(), Mock(list_instances=lists()))
+    dispatcher = world.lead()
+    watch_instances(world, dispatcher, Mock(list_instances=lists()))
     wait_until(lambda: len(world.workers.begun) == 2)
     gevent.sleep(2 * INSTANCE_KNOWN_S + LIST_INTERVAL_S)
     assert len(world.workers.begun) == 2
+    assert len(dispatcher.fleet.runs_by_task) == 2
 
 
 def test_silent_worker_with_an_instance_keeps_its_tasks_until_its_lease_ends(world):
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -27,14 +27,15 @@
     def __init__(self) -> None:
         super().__init__()
         self.append_s = 0.0
-        self.failure = None
+        # Results of the next appends; the last one goes on.
+        self.failures = []
         self.appends = 0
 
     def append(self, records, producer=None, timeout_s=APPEND_TIMEOUT_S):
         self.appends += 1
         gevent.sleep(min(self.append_s, timeout_s))
-        if self.failure is not None:
-            return self.failure
+        if self.failures:
+            return self.failures.pop(0) if len(self.failures) > 1 else self.failures[0]
         result = super().append(records, producer, timeout_s)
         # What is given up is carried out all the same.
         is_late = self.append_s > timeout_s
@@ -74,7 +75,7 @@
 
     Pattern: the store turns some instances away and serves the others.
     """
-    store.failure = NotAppended("status 503")
+    store.failures = [NotAppended("status 503")]
     began_s = steady_s()
     assert intake.submit(make_job()).verdict is Verdict.NOT_ACCEPTED
     assert steady_s() - began_s < PATIENCE_S
@@ -83,7 +84,13 @@
 
 def test_silent_store_is_an_unknown_outcome(store, intake):
     """Guards against "not run" for a record that may still arrive."""
-    store.failure = AppendUnknown("no answer in time")
+    store.failures = [AppendUnknown("no answer in time")]
+    assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
+
+
+def test_refusal_after_an_unknown_outcome_stays_unknown(store, intake):
+    """Guards against "not run" for a record whose first append may still arrive."""
+    store.failures = [AppendUnknown("no answer in time"), NotAppended("status 503")]
     assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
 
 
