--- a/demo/processes.py
+++ b/demo/processes.py
@@ -20,7 +20,8 @@
 
 from lycheeloom.clients import Response, Transport
 
-START_TIMEOUT_S = 15.0
+# Only ends a wait for a program that never starts.
+START_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
 HANDOVER_TOKEN = "handover"
