Let no test of a takeover or a lost worker bound its time

Three tests compared the time taken with half of a lease, which a busy machine decides. They now set that lease to ten minutes, so that they fail by never getting there if the mechanism is missing (checked), whatever the machine does.

--- a/libs/coordinator/tests/test_beside.py
+++ b/libs/coordinator/tests/test_beside.py
@@ -8,7 +8,6 @@
 from libs.coordinator.tests.fakes import ID, make_job, make_worker, wait_until
 
 from lycheeloom.coordinator.advisor import Advisor
-from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.order_turns import OrderTurns
 from lycheeloom.coordinator.pacer import Pacer
@@ -23,7 +22,8 @@
 from lycheeloom.jobs.model import AdviceTerms, Pool, RunningTask, Step
 from lycheeloom.jobs.records import Kind, key_of
 
-ORDER_LEASE_S = 1.5
+# No test waits this long.
+LONG_S = 600.0
 
 
 class FakeAdvice:
@@ -123,10 +123,10 @@
     world.view.policy = dataclasses.replace(world.view.policy, pool_by_name=pools)
 
 
-def move_instances(world, dispatcher, port, had_leader=False) -> None:
-    """Let a leader move instances between pools."""
+def move_instances(world, dispatcher, port, lease_s=0.0) -> None:
+    """Let a leader move instances; a lease tells that there was one before."""
     inventory = Inventory(port, dispatcher.writer)
-    turns = OrderTurns(dispatcher.replica, dispatcher.writer, ORDER_LEASE_S, had_leader)
+    turns = OrderTurns(dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0)
     moves = PoolMoves(
         dispatcher, inventory, turns, port, lambda instance_id: False, 0.2
     )
@@ -155,7 +155,7 @@
     world.store.append_order("m-off")
     world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
     port = FakeMoves(world)
-    move_instances(world, world.lead(), port, had_leader=True)
+    move_instances(world, world.lead(), port, lease_s=1.5)
     gevent.sleep(0.7)
     assert port.moves == []
     wait_until(lambda: ("m-off", "pool") in port.moves)
@@ -169,13 +169,11 @@
     """
     set_pools(world)
     world.store.append_order("m-w0")
-    world.store.append_order("m-off", age_s=60.0)
+    world.store.append_order("m-off", age_s=2 * LONG_S)
     world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
     port = FakeMoves(world)
-    began_s = steady_s()
-    move_instances(world, world.lead(), port, had_leader=True)
+    move_instances(world, world.lead(), port, lease_s=LONG_S)
     wait_until(lambda: ("m-off", "pool") in port.moves)
-    assert steady_s() - began_s < ORDER_LEASE_S
 
 
 def test_order_is_recorded_before_it_is_sent(world):
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -16,12 +16,13 @@
     wait_until,
 )
 
+from lycheeloom.coordinator import dispatcher as dispatcher_module
+from lycheeloom.coordinator import worker_link
 from lycheeloom.coordinator.cleaner import Cleaner
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import (
     FIRST_LIST_WAIT_S,
     INSTANCE_KNOWN_S,
-    TAKEOVER_LAPSE_S,
     Dispatcher,
 )
 from lycheeloom.coordinator.inventory import LIST_INTERVAL_S, Inventory
@@ -34,6 +35,9 @@
 from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
 from lycheeloom.model.resources import Resources
 
+# No test waits this long.
+LONG_S = 600.0
+
 
 def recorded_progress(world: World, job_id: str = ID) -> JobProgress | None:
     """Return the newest record of a job's progress."""
@@ -315,26 +319,27 @@
     return inventory
 
 
-def test_tasks_of_a_worker_without_an_instance_start_elsewhere_at_once(world):
+def test_tasks_of_a_worker_without_an_instance_start_elsewhere_at_once(
+    world, monkeypatch
+):
     """Guards against a wait for the lease of a worker that has certainly ended.
 
     Pattern: an instance crashes, and the platform lists its worker on for seconds.
     """
+    monkeypatch.setattr(worker_link, "WORKER_LEASE_S", LONG_S)
     instances = Mock(list_instances=lists("w0", "w1"))
     world.store.add_job(make_job())
     watch_instances(world, world.lead(), instances)
     wait_until(lambda: len(world.workers.begun) == 1)
     holder = world.workers.begun[0][0]
     gevent.sleep(INSTANCE_KNOWN_S)
-    went_silent_s = steady_s()
     world.workers.at(holder).is_silent = True
     instances.list_instances = lists("w1" if holder == "w0" else "w0")
     wait_until(lambda: len(world.workers.begun) == 2)
     assert world.workers.begun[1][0] != holder
-    assert steady_s() - went_silent_s < WORKER_LEASE_S / 2
 
 
-def test_takeover_does_not_wait_for_workers_without_an_instance(world):
+def test_takeover_does_not_wait_for_workers_without_an_instance(world, monkeypatch):
     """Guards against seconds without starts after a change of leader.
 
     Pattern: the leader is lost while instances move between pools; the platform
@@ -349,11 +354,10 @@
     gevent.sleep(2 * LOOK_S)
     world.workers.at(other).is_silent = True
     world.workers.end_all()
-    began_s = steady_s()
+    monkeypatch.setattr(dispatcher_module, "TAKEOVER_LAPSE_S", LONG_S)
     second = world.lead(2)
     watch_instances(world, second, Mock(list_instances=lists(holder)))
     wait_until(lambda: len(world.workers.begun) == 2)
-    assert steady_s() - began_s < TAKEOVER_LAPSE_S / 2
 
 
 def test_takeover_waits_for_workers_that_only_the_instances_show(world):
