--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -16,7 +16,7 @@
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.verdict import Refusal, RefusalReason
 
-from .jobs import Submission
+from .local_requests import Submission
 
 # An interactive request without a deadline is refused after waiting this long.
 DEFAULT_WAIT_S = 30.0
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -28,16 +28,16 @@
 from lycheeloom.model.resources import Resources
 from lycheeloom.telemetry import Tracer
 
-from .jobs import Job
+from .local_requests import LocalRequest
 from .sessions import WorkerSessions
 
 # A start that has not been answered by then is followed by status calls on new
 # connections, as the first one may have gone silent.
-START_WAIT_S = 2.0
+START_TIMEOUT_S = 2.0
 # Tasks with a longer declared run time do not hold a connection while they run.
-MAX_HELD_RUN_S = 1.0
-FIRST_POLL_S = 0.05
-LONGEST_POLL_S = 1.0
+MAX_WAITING_RUN_S = 1.0
+MIN_POLL_INTERVAL_S = 0.05
+MAX_POLL_INTERVAL_S = 1.0
 RENEW_INTERVAL_S = 5.0
 # Covers differences of clock rates between this process and the worker.
 CLOCK_MARGIN_S = 2.0
@@ -97,7 +97,7 @@
 
 
 @dataclass(slots=True)
-class _Sent:
+class _SentStart:
     """A start that may have reached the worker."""
 
     task: str
@@ -107,7 +107,7 @@
     # The incarnation whose grant the task counts against.
     holder: str
     # The worker stops the task at the latest then, by this process's clock.
-    runs_until: float
+    lease_expires_by: float
     renewed_at: float
     is_reachable: bool = True
 
@@ -126,10 +126,10 @@
         client: WorkerClient,
         sessions: WorkerSessions,
         tracer: Tracer,
-        may_start: Callable[[Job, Placement], str | None],
+        may_start: Callable[[LocalRequest, Placement], str | None],
         holder: Callable[[], str],
         may_renew: Callable[[str], bool],
-        claim: Callable[[Job, int, str, str], str | None],
+        claim: Callable[[LocalRequest, int, str, str], str | None],
         on_report: Callable[[str, TaskReport], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -144,54 +144,59 @@
         self._clock = clock
 
     def run(
-        self, job: Job, placement: Placement, on_doubt: Callable[[], None]
+        self,
+        request: LocalRequest,
+        placement: Placement,
+        on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        """Run one attempt; ``on_doubt`` is called once if the worker is silent."""
+        """Run one attempt; ``on_silence`` is called once if the worker is silent."""
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable):
             return Refused(StartRefusal.UNREACHABLE)
         if session.draining:
             return Refused(StartRefusal.DRAINING, session.free)
-        job.attempt += 1
-        attempt = job.attempt
-        job.address_by_attempt[attempt] = placement.address
+        request.attempt += 1
+        attempt = request.attempt
+        request.address_by_attempt[attempt] = placement.address
         try:
-            if job.is_recorded:
-                reason = self._claim(job, attempt, placement.worker, session.boot_id)
+            if request.is_recorded:
+                reason = self._claim(
+                    request, attempt, placement.worker, session.boot_id
+                )
                 if reason is not None:
                     return NotSent(reason)
-            return self._start(job, attempt, placement, session.boot_id, on_doubt)
+            return self._start(request, attempt, placement, session.boot_id, on_silence)
         finally:
-            del job.address_by_attempt[attempt]
+            del request.address_by_attempt[attempt]
 
     def _start(
         self,
-        job: Job,
+        request: LocalRequest,
         attempt: int,
         placement: Placement,
         boot_id: str,
-        on_doubt: Callable[[], None],
+        on_silence: Callable[[], None],
     ) -> AttemptEnd:
         # A claim takes a commit of the log, after which the session may be old.
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or session.boot_id != boot_id:
             return Refused(StartRefusal.UNREACHABLE)
-        reason = self._may_start(job, placement)
+        reason = self._may_start(request, placement)
         if reason is not None:
             return NotSent(reason)
-        return self._send(job, attempt, placement, session, on_doubt)
+        return self._send(request, attempt, placement, session, on_silence)
 
     def _send(
         self,
-        job: Job,
+        request: LocalRequest,
         attempt: int,
         placement: Placement,
         session: Session,
-        on_doubt: Callable[[], None],
+        on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        submission = job.submission
+        submission = request.submission
         start = TaskStart(
-            task=f"{job.id}.{attempt}",
+            task=f"{request.id}.{attempt}",
             session=session.id,
             organisation=submission.organisation,
             queue=submission.queue,
@@ -199,9 +204,9 @@
             resources=placement.resources,
             lease_s=TASK_LEASE_S,
             run_s=submission.run_s,
-            request_id=job.id,
-            checkpoint=job.checkpoint,
-            wait=submission.run_s <= MAX_HELD_RUN_S,
+            request_id=request.id,
+            checkpoint=request.checkpoint,
+            wait=submission.run_s <= MAX_WAITING_RUN_S,
         )
         now = self._clock()
         holder = self._holder()
@@ -211,12 +216,12 @@
             result = self._client.start(
                 placement.address,
                 start,
-                timeout_s=START_WAIT_S,
+                timeout_s=START_TIMEOUT_S,
                 traceparent=span.traceparent,
             )
             if not isinstance(result, TaskReport):
                 span.fail(str(result.reason))
-        sent = _Sent(
+        sent = _SentStart(
             start.task,
             placement,
             session.boot_id,
@@ -231,35 +236,39 @@
                     self._sessions.drop(placement.worker)
                 return Refused(reason, free)
             case StartUnknown():
-                return self._follow(sent, on_doubt)
+                return self._poll_until_end(sent, on_silence)
             case TaskReport():
-                end = self._judge(sent, result)
-                return end or self._follow(sent, on_doubt)
+                end = self._end_proven_by(sent, result)
+                return end or self._poll_until_end(sent, on_silence)
 
-    def _follow(self, sent: _Sent, on_doubt: Callable[[], None]) -> AttemptEnd:
+    def _poll_until_end(
+        self, sent: _SentStart, on_silence: Callable[[], None]
+    ) -> AttemptEnd:
         """Ask for the task's status until it ended or its lease expired."""
         poll_s = 0.0
-        is_doubted = False
+        is_silence_reported = False
         while True:
             report = self._poll(sent)
             match report:
                 case TaskReport():
                     sent.is_reachable = True
-                    end = self._judge(sent, report)
+                    end = self._end_proven_by(sent, report)
                     if end is not None:
                         return end
-                    poll_s = min(LONGEST_POLL_S, max(FIRST_POLL_S, poll_s * 1.5))
+                    poll_s = min(
+                        MAX_POLL_INTERVAL_S, max(MIN_POLL_INTERVAL_S, poll_s * 1.5)
+                    )
                 case Unavailable(reason) | ActionRefused(reason):
                     sent.is_reachable = False
-                    if self._clock() >= sent.runs_until:
+                    if self._clock() >= sent.lease_expires_by:
                         return Lost(f"worker {sent.placement.worker}: {reason}")
-                    if not is_doubted:
-                        is_doubted = True
-                        on_doubt()
-                    poll_s = LONGEST_POLL_S
+                    if not is_silence_reported:
+                        is_silence_reported = True
+                        on_silence()
+                    poll_s = MAX_POLL_INTERVAL_S
             gevent.sleep(poll_s)
 
-    def _poll(self, sent: _Sent) -> TaskReport | Unavailable | ActionRefused:
+    def _poll(self, sent: _SentStart) -> TaskReport | Unavailable | ActionRefused:
         address = sent.placement.address
         is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
         # A worker that does not answer is not sent further renewals: each one
@@ -270,7 +279,7 @@
                 return report
         return self._client.status(address, sent.task)
 
-    def _renew(self, sent: _Sent) -> TaskReport | Unavailable | None:
+    def _renew(self, sent: _SentStart) -> TaskReport | Unavailable | None:
         """Renew the lease, or return None if that had no effect."""
         placement = sent.placement
         session = self._sessions.get(placement.worker, placement.address)
@@ -286,10 +295,10 @@
         # still arrive while its session is accepted.
         sent.renewed_at = self._clock()
         lease_end_s = SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S
-        sent.runs_until = sent.renewed_at + lease_end_s
+        sent.lease_expires_by = sent.renewed_at + lease_end_s
         return report
 
-    def _judge(self, sent: _Sent, report: TaskReport) -> AttemptEnd | None:
+    def _end_proven_by(self, sent: _SentStart, report: TaskReport) -> AttemptEnd | None:
         """Return the end that a report proves, or None while the task runs."""
         self._on_report(sent.placement.worker, report)
         match report.status:
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -42,20 +42,20 @@
     Refused,
     Stopped,
 )
-from .job_tasks import AttemptState, request_id_of, task_id_of, task_of
-from .jobs import Job, JobTable
+from .local_requests import LocalRequest, LocalRequestTable
 from .metrics import EntryMetrics
 from .queue_budgets import QueueBudgets
-from .settlement import Settlement
+from .scheduler_tasks import AttemptState, request_id_of, task_id_of, task_of
+from .verdict_reporter import VerdictReporter
 
 # Deadlines, back-offs and zone ramps need a look at the queues without an event.
-TICK_S = 0.05
+ROUND_INTERVAL_S = 0.05
 # Without queued work only reservations of peers are followed.
-IDLE_TICK_S = 0.2
+IDLE_INTERVAL_S = 0.2
 # A worker may refuse or a commit may fail this often before a job is given up.
-MAX_TRIES = 50
+MAX_START_TRIES = 50
 # A caller is told that a request may have run after this long without contact.
-DOUBT_S = 5.0
+SILENCE_TIMEOUT_S = 5.0
 THROTTLE_FRACTION = 0.25
 # A lookup that takes this much longer than declared gets a second copy.
 HEDGE_FACTOR = 3.0
@@ -71,13 +71,13 @@
     def __init__(
         self,
         scheduler: Scheduler,
-        jobs: JobTable,
+        local_requests: LocalRequestTable,
         metrics: EntryMetrics,
         client: WorkerClient,
         address_of: Callable[[str], str | None],
         may_dispatch: Callable[[], bool],
-        release: Callable[[Job, int], bool],
-        on_settled: Callable[[Job], None],
+        release: Callable[[LocalRequest, int], bool],
+        on_settled: Callable[[LocalRequest], None],
     ) -> None:
         self.runner: AttemptRunner | None = None
         # Called after each round of decisions of the dispatching greenlet.
@@ -85,9 +85,9 @@
         # Called with worker, queue and whether it failed, for each task that ended.
         self.on_outcome: Callable[[str, str, bool], None] = lambda *outcome: None
         self.scheduler = scheduler
-        self._jobs = jobs
+        self._requests = local_requests
         self._metrics = metrics
-        self._settlement = Settlement(jobs, metrics)
+        self._verdict_reporter = VerdictReporter(local_requests, metrics)
         self._client = client
         self._address_of = address_of
         self._may_dispatch = may_dispatch
@@ -109,171 +109,176 @@
     def run(self) -> None:
         """Take decisions until stopped."""
         while True:
-            tick_s = TICK_S if self.scheduler.has_queued() else IDLE_TICK_S
-            self._wake.wait(rest_of_tick_s(tick_s))
+            interval_s = (
+                ROUND_INTERVAL_S if self.scheduler.has_queued() else IDLE_INTERVAL_S
+            )
+            self._wake.wait(rest_of_tick_s(interval_s))
             self._wake.clear()
-            self._take_decisions()
+            self._apply_decisions()
             self.after_round()
 
-    def submit(self, job: Job) -> Refusal | None:
+    def submit(self, request: LocalRequest) -> Refusal | None:
         """Queue a job, or return why it is refused as not run."""
-        verdict = self.scheduler.submit(task_of(job), time.monotonic())
+        verdict = self.scheduler.submit(task_of(request), time.monotonic())
         if isinstance(verdict, Refusal):
             return verdict
-        if job.tries == 0:
-            self._budgets.on_request(job.submission.queue)
-        self._jobs.add(job)
+        if request.tries == 0:
+            self._budgets.on_request(request.submission.queue)
+        self._requests.add(request)
         # Deciding here saves a switch to the dispatching greenlet and back.
-        self._take_decisions()
+        self._apply_decisions()
         return None
 
-    def cancel(self, job: Job) -> None:
+    def cancel(self, request: LocalRequest) -> None:
         """Cancel a job: at once while queued, at the worker while running."""
-        job.cancel_requested = True
-        if self.scheduler.cancel([task_id_of(job)], time.monotonic()):
+        request.cancel_requested = True
+        if self.scheduler.cancel([task_id_of(request)], time.monotonic()):
             self._settle(
-                job, NotRun(Refusal(RefusalReason.CANCELLED, "cancelled by the caller"))
+                request,
+                NotRun(Refusal(RefusalReason.CANCELLED, "cancelled by the caller")),
             )
             return
-        for attempt, address in list(job.address_by_attempt.items()):
-            gevent.spawn(self._client.cancel, address, f"{job.id}.{attempt}")
+        for attempt, address in list(request.address_by_attempt.items()):
+            gevent.spawn(self._client.cancel, address, f"{request.id}.{attempt}")
 
-    def withdraw(self, job: Job) -> bool:
+    def withdraw(self, request: LocalRequest) -> bool:
         """Drop a queued job without a verdict, as another entry runs it."""
-        if not self.scheduler.cancel([task_id_of(job)], time.monotonic()):
+        if not self.scheduler.cancel([task_id_of(request)], time.monotonic()):
             return False
-        self._jobs.remove(job)
-        job.hand_over()
+        self._requests.remove(request)
+        request.wake_waiters()
         return True
 
-    def adopt_queues(self, queues: Iterable[Queue]) -> None:
+    def set_queues(self, queues: Iterable[Queue]) -> None:
         """Take over the budgets of a new configuration."""
-        self._budgets.adopt(queues)
+        self._budgets.set_queues(queues)
 
-    def _take_decisions(self) -> None:
+    def _apply_decisions(self) -> None:
         if not self._may_dispatch():
             return
         for decision in self.scheduler.next_starts(time.monotonic()):
             match decision:
                 case Start(task, worker, resources):
-                    self._begin(task, worker, resources)
+                    self._start_attempt(task, worker, resources)
                 case Checkpoint(task_id, reason):
                     log_event("checkpoint", "DEBUG", task=task_id, reason=reason)
-                    self._act_on_running(task_id, self._client.checkpoint)
+                    self._call_workers(task_id, self._client.checkpoint)
                 case Throttle(task_id):
-                    self._act_on_running(task_id, self._throttle)
+                    self._call_workers(task_id, self._throttle)
                 case Expire(task, refusal):
-                    job = self._jobs.job_by_id.get(request_id_of(task.id))
-                    if job is not None:
-                        self._settle(job, NotRun(refusal))
+                    request = self._requests.by_id.get(request_id_of(task.id))
+                    if request is not None:
+                        self._settle(request, NotRun(refusal))
 
     def _throttle(self, address: str, task: str) -> object:
         return self._client.throttle(address, task, THROTTLE_FRACTION)
 
-    def _act_on_running(
-        self, task_id: str, action: Callable[[str, str], object]
-    ) -> None:
-        job = self._jobs.job_by_id.get(request_id_of(task_id))
-        if job is None:
+    def _call_workers(self, task_id: str, action: Callable[[str, str], object]) -> None:
+        request = self._requests.by_id.get(request_id_of(task_id))
+        if request is None:
             return
-        for attempt, address in list(job.address_by_attempt.items()):
-            gevent.spawn(action, address, f"{job.id}.{attempt}")
+        for attempt, address in list(request.address_by_attempt.items()):
+            gevent.spawn(action, address, f"{request.id}.{attempt}")
 
-    def _begin(self, task: Task, worker: str, resources: Resources) -> None:
-        job = self._jobs.job_by_id.get(request_id_of(task.id))
+    def _start_attempt(self, task: Task, worker: str, resources: Resources) -> None:
+        request = self._requests.by_id.get(request_id_of(task.id))
         address = self._address_of(worker)
-        if job is None or address is None:
+        if request is None or address is None:
             self.scheduler.finished(task.id, Outcome.STOPPED, time.monotonic())
             return
         organisation = task.organisation
         self._running_by_organisation[organisation] = self.running(organisation) + 1
         self.running_tasks += 1
-        gevent.spawn(self._run, job, task, Placement(worker, address, resources))
+        gevent.spawn(self._run, request, task, Placement(worker, address, resources))
 
-    def _run(self, job: Job, task: Task, placement: Placement) -> None:
+    def _run(self, request: LocalRequest, task: Task, placement: Placement) -> None:
         state = AttemptState()
-        if job.submission.idempotent and not job.is_recorded:
-            hedge_after_s = HEDGE_DELAY_S + HEDGE_FACTOR * job.submission.run_s
-            state.hedge = gevent.spawn_later(
-                hedge_after_s, self._hedge, job, placement, state
+        if request.submission.idempotent and not request.is_recorded:
+            hedge_after_s = HEDGE_DELAY_S + HEDGE_FACTOR * request.submission.run_s
+            state.hedge_timer = gevent.spawn_later(
+                hedge_after_s, self._start_hedge, request, placement, state
             )
         end: AttemptEnd = Lost("the attempt was interrupted")
         try:
             end = self.runner.run(
-                job, placement, lambda: self._doubt(job, placement, state)
+                request, placement, lambda: self._on_silence(request, placement, state)
             )
         finally:
             organisation = task.organisation
             self._running_by_organisation[organisation] = self.running(organisation) - 1
             self.running_tasks -= 1
             state.stop_timers()
-            self._finish(job, task, placement, end, state.is_repeated)
+            self._handle_end(request, task, placement, end, state.has_copy)
             if self.scheduler.has_queued():
                 self.wake()
 
-    def _hedge(self, job: Job, placement: Placement, state: AttemptState) -> None:
+    def _start_hedge(
+        self, request: LocalRequest, placement: Placement, state: AttemptState
+    ) -> None:
         """Start a second copy of a slow idempotent request elsewhere."""
-        if state.is_repeated or job.verdict is not None or job.tries:
+        if state.has_copy or request.verdict is not None or request.tries:
             return
-        queue = job.submission.queue
+        queue = request.submission.queue
         if self._budgets.hedge(queue).try_spend():
             self._metrics.hedges.labels(queue).inc()
-            state.is_repeated = self._repeat(job, placement.worker)
+            state.has_copy = self._repeat(request, placement.worker)
 
-    def _doubt(self, job: Job, placement: Placement, state: AttemptState) -> None:
+    def _on_silence(
+        self, request: LocalRequest, placement: Placement, state: AttemptState
+    ) -> None:
         """Act on an attempt whose worker does not answer."""
-        if job.submission.idempotent and not job.is_recorded:
-            if not state.is_repeated:
-                state.is_repeated = self._retry(job, placement.worker)
+        if request.submission.idempotent and not request.is_recorded:
+            if not state.has_copy:
+                state.has_copy = self._retry(request, placement.worker)
             return
         message = f"worker {placement.worker} does not answer"
-        state.give_up = gevent.spawn_later(
-            DOUBT_S, self._settle_unrecorded, job, MayHaveRun(message)
+        state.may_have_run_timer = gevent.spawn_later(
+            SILENCE_TIMEOUT_S, self._settle_unrecorded, request, MayHaveRun(message)
         )
 
-    def _finish(
+    def _handle_end(
         self,
-        job: Job,
+        request: LocalRequest,
         task: Task,
         placement: Placement,
         end: AttemptEnd,
-        is_repeated: bool,
+        has_copy: bool,
     ) -> None:
         now = time.monotonic()
         self._metrics.starts.labels(type(end).__name__.lower()).inc()
         if isinstance(end, Failed | Stopped | Lost):
-            job.may_have_started = True
-        if isinstance(end, Answered | Failed) and not job.is_recorded:
+            request.may_have_started = True
+        if isinstance(end, Answered | Failed) and not request.is_recorded:
             has_failed = isinstance(end, Failed)
-            self.on_outcome(placement.worker, job.submission.queue, has_failed)
+            self.on_outcome(placement.worker, request.submission.queue, has_failed)
         match end:
             case Answered(answer):
                 self.scheduler.finished(task.id, Outcome.DONE, now)
-                self._settle(job, Ran(answer))
+                self._settle(request, Ran(answer))
             case Failed():
                 self.scheduler.finished(task.id, Outcome.FAILED, now)
                 self._retry_or_give_up(
-                    job, placement, is_repeated, "the task failed after it had started"
+                    request, placement, has_copy, "the task failed after it had started"
                 )
             case Refused(reason, free):
-                self._requeue(job, task, placement, reason, free, is_repeated)
+                self._requeue(request, task, placement, reason, free, has_copy)
             case NotSent(reason):
-                log_event("start_not_sent", "DEBUG", request=job.id, reason=reason)
-                self._requeue(job, task, placement, None, None, is_repeated)
+                log_event("start_not_sent", "DEBUG", request=request.id, reason=reason)
+                self._requeue(request, task, placement, None, None, has_copy)
             case Stopped(checkpoint):
-                self._resume(job, task, placement, checkpoint, is_repeated)
+                self._resume(request, task, placement, checkpoint, has_copy)
             case Lost(message):
                 self.scheduler.finished(task.id, Outcome.FAILED, now)
-                self._retry_or_give_up(job, placement, is_repeated, message)
+                self._retry_or_give_up(request, placement, has_copy, message)
 
     def _requeue(
         self,
-        job: Job,
+        request: LocalRequest,
         task: Task,
         placement: Placement,
         reason: StartRefusal | None,
         free: Resources | None,
-        is_repeated: bool,
+        has_copy: bool,
     ) -> None:
         """Queue a job again whose start certainly had no effect."""
         now = time.monotonic()
@@ -282,109 +287,109 @@
             self.scheduler.observe_worker(placement.worker, False, free, "", now)
         elif free is not None:
             self.scheduler.observe_worker(placement.worker, True, free, "", now)
-        job.tries += 1
-        if job.is_foreign:
+        request.tries += 1
+        if request.is_claimed_elsewhere:
             self.scheduler.cancel([task.id], now)
-            self._jobs.remove(job)
-            job.hand_over()
+            self._requests.remove(request)
+            request.wake_waiters()
             return
-        self._release_claim(job)
-        if job.verdict is not None or is_repeated:
+        self._release_claim(request)
+        if request.verdict is not None or has_copy:
             self.scheduler.cancel([task.id], now)
             return
-        if reason is StartRefusal.BAD_REQUEST or job.cancel_requested:
+        if reason is StartRefusal.BAD_REQUEST or request.cancel_requested:
             self.scheduler.cancel([task.id], now)
-            message = "the worker rejected the request"
-            if job.cancel_requested:
-                message = "cancelled by the caller"
-            self._settle(job, NotRun(Refusal(RefusalReason.CANCELLED, message)))
+            text = "the worker rejected the request"
+            if request.cancel_requested:
+                text = "cancelled by the caller"
+            self._settle(request, NotRun(Refusal(RefusalReason.CANCELLED, text)))
             return
-        if job.tries > MAX_TRIES and not job.is_recorded:
+        if request.tries > MAX_START_TRIES and not request.is_recorded:
             self.scheduler.cancel([task.id], now)
-            message = f"no worker accepted the task in {MAX_TRIES} tries"
-            self._settle(job, NotRun(Refusal(RefusalReason.NO_WORKER, message, 1.0)))
+            text = f"no worker accepted the task in {MAX_START_TRIES} tries"
+            self._settle(request, NotRun(Refusal(RefusalReason.NO_WORKER, text, 1.0)))
             return
         self.scheduler.requeue(task.id, placement.worker)
 
     def _resume(
         self,
-        job: Job,
+        request: LocalRequest,
         task: Task,
         placement: Placement,
         checkpoint: str,
-        is_repeated: bool,
+        has_copy: bool,
     ) -> None:
         """Go on from a checkpoint, or decide about a task that was stopped."""
         now = time.monotonic()
         self.scheduler.finished(task.id, Outcome.STOPPED, now)
         is_requeued = bool(self.scheduler.is_queued(task.id))
-        if job.cancel_requested:
+        if request.cancel_requested:
             self.scheduler.cancel([task.id], now)
-            self._settle(job, MayHaveRun("cancelled while it was running"))
+            self._settle(request, MayHaveRun("cancelled while it was running"))
             return
         if checkpoint:
-            job.checkpoint = checkpoint
-            self._release_claim(job)
-            if is_repeated:
+            request.checkpoint = checkpoint
+            self._release_claim(request)
+            if has_copy:
                 self.scheduler.cancel([task.id], now)
             elif not is_requeued:
-                self._submit_again(job)
+                self._submit_again(request)
             return
         if is_requeued:
             self.scheduler.cancel([task.id], now)
         self._retry_or_give_up(
-            job, placement, is_repeated, "the worker stopped the task while it ran"
+            request, placement, has_copy, "the worker stopped the task while it ran"
         )
 
     def _retry_or_give_up(
-        self, job: Job, placement: Placement, is_repeated: bool, message: str
+        self, request: LocalRequest, placement: Placement, has_copy: bool, message: str
     ) -> None:
-        if is_repeated or job.verdict is not None:
+        if has_copy or request.verdict is not None:
             return
-        if job.submission.idempotent and self._retry(job, placement.worker):
+        if request.submission.idempotent and self._retry(request, placement.worker):
             return
-        self._settle(job, MayHaveRun(message))
+        self._settle(request, MayHaveRun(message))
 
-    def _retry(self, job: Job, worker: str) -> bool:
+    def _retry(self, request: LocalRequest, worker: str) -> bool:
         """Run an idempotent job elsewhere if its queue's budget allows."""
-        if job.verdict is not None or job.cancel_requested:
+        if request.verdict is not None or request.cancel_requested:
             return False
-        queue = job.submission.queue
+        queue = request.submission.queue
         if not self._budgets.retry(queue).try_spend():
             return False
         self._metrics.retries.labels(queue).inc()
-        return self._repeat(job, worker)
+        return self._repeat(request, worker)
 
-    def _repeat(self, job: Job, worker: str) -> bool:
+    def _repeat(self, request: LocalRequest, worker: str) -> bool:
         # The attempt that is repeated has failed, or has not answered yet.
-        job.may_have_started = True
-        job.copies += 1
-        job.excluded_workers.add(worker)
-        self._release_claim(job)
-        return self._submit_again(job)
-
-    def _submit_again(self, job: Job) -> bool:
-        job.tries += 1
-        refusal = self.submit(job)
+        request.may_have_started = True
+        request.copies += 1
+        request.excluded_workers.add(worker)
+        self._release_claim(request)
+        return self._submit_again(request)
+
+    def _submit_again(self, request: LocalRequest) -> bool:
+        request.tries += 1
+        refusal = self.submit(request)
         if refusal is None:
             return True
-        log_event("retry_refused", request=job.id, reason=refusal.reason)
+        log_event("retry_refused", request=request.id, reason=refusal.reason)
         return False
 
-    def _release_claim(self, job: Job) -> None:
-        if job.is_recorded:
-            self._release(job, job.attempt)
+    def _release_claim(self, request: LocalRequest) -> None:
+        if request.is_recorded:
+            self._release(request, request.attempt)
 
-    def _settle_unrecorded(self, job: Job, verdict: Verdict) -> None:
-        if not job.is_recorded:
-            self._settle(job, verdict)
+    def _settle_unrecorded(self, request: LocalRequest, verdict: Verdict) -> None:
+        if not request.is_recorded:
+            self._settle(request, verdict)
 
-    def _settle(self, job: Job, verdict: Verdict) -> None:
-        if not self._settlement.settle(job, verdict):
+    def _settle(self, request: LocalRequest, verdict: Verdict) -> None:
+        if not self._verdict_reporter.settle(request, verdict):
             return
         # A copy of the job that still waits need not run.
-        self.scheduler.cancel([task_id_of(job)], time.monotonic())
-        self._on_settled(job)
+        self.scheduler.cancel([task_id_of(request)], time.monotonic())
+        self._on_settled(request)
 
     def observe_report(self, worker: str, report: TaskReport) -> None:
         """Take over the free capacity that comes with an answer."""
--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -6,16 +6,18 @@
 from lycheeloom.sched import Scheduler
 from lycheeloom.state import RecordedRequest
 
-from .jobs import JobTable
+from .local_requests import LocalRequestTable
 
 
 class EntryExplanations:
     """What this entry knows about a request, organisation, instance or pool."""
 
-    def __init__(self, tail: LogTail, scheduler: Scheduler, jobs: JobTable) -> None:
+    def __init__(
+        self, tail: LogTail, scheduler: Scheduler, local_requests: LocalRequestTable
+    ) -> None:
         self._tail = tail
         self._scheduler = scheduler
-        self._jobs = jobs
+        self._local_requests = local_requests
 
     def explain(self, kind: str, name: str) -> list[str] | None:
         """Return sentences, oldest first, or None if nothing is known."""
@@ -37,8 +39,8 @@
         recorded = self._tail.state.requests.request_by_id.get(name)
         if recorded is not None:
             lines.extend(_describe_recorded(recorded))
-        job = self._jobs.job_by_id.get(name)
-        retries = job.copies if job is not None else 0
+        local = self._local_requests.by_id.get(name)
+        retries = local.copies if local is not None else 0
         for attempt in range(retries + 1):
             events = self._scheduler.explain(f"{name}#{attempt}")
             lines.extend(str(event) for event in events)
--- a/libs/entry/src/lycheeloom/entry/grant_keeper.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -21,11 +21,11 @@
 # Organisations without demand or a change are looked at this often. Looking at 210
 # organisations in
 # each step took 0.6% of a core.
-SWEEP_INTERVAL_S = 1.0
+FULL_STEP_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
-class _Returning:
+class _PendingReturn:
     count: int
     pending: Pending
 
@@ -44,7 +44,7 @@
         return self.by_organisation.keys() | self.peers_by_organisation.keys()
 
 
-class GrantKeeper:
+class GrantManager:
     """Keeps this entry's grants near its demand.
 
     Without demand an entry holds its equal part of each limit, so that work
@@ -75,11 +75,11 @@
         self._is_draining = is_draining
         self._on_change = on_change
         self._clock = clock
-        self._returning_by_organisation: dict[str, _Returning] = {}
+        self._return_by_organisation: dict[str, _PendingReturn] = {}
         self._requested_at: dict[str, float] = {}
         self._request_by_organisation: dict[str, Pending] = {}
         self._slots_by_organisation: Mapping[str, int] = {}
-        self._sweep_at = -math.inf
+        self._next_full_step_at = -math.inf
 
     def run(self) -> None:
         """Act every ``STEP_INTERVAL_S`` until stopped."""
@@ -98,12 +98,12 @@
             return 0
         return self._usable(own, organisation)
 
-    def note_change(self) -> None:
+    def schedule_full_step(self) -> None:
         """Look at every organisation in the next step, as grants or members changed."""
-        self._sweep_at = -math.inf
-        self.refresh()
+        self._next_full_step_at = -math.inf
+        self.update_scheduler()
 
-    def refresh(self) -> None:
+    def update_scheduler(self) -> None:
         """Tell the scheduler the slots that are usable now."""
         own = self._incarnation()
         state = self._tail.state
@@ -120,13 +120,13 @@
         self._scheduler.set_grants(slots)
         self._on_change()
 
-    def return_idle(self) -> list[Pending]:
+    def return_idle_slots(self) -> list[Pending]:
         """Return every slot without a running task; used when leaving."""
         pendings = []
         for organisation in self._tail.state.config.organisation_by_id:
-            idle = self._held(organisation) - self._running(organisation)
-            if idle > 0 and organisation not in self._returning_by_organisation:
-                pendings.append(self._give_back(organisation, idle))
+            idle = self._held_slots(organisation) - self._running(organisation)
+            if idle > 0 and organisation not in self._return_by_organisation:
+                pendings.append(self._return_slots(organisation, idle))
         return pendings
 
     def step(self) -> None:
@@ -134,7 +134,7 @@
         self._settle_returns()
         own = self._incarnation()
         state = self._tail.state
-        is_sweep = self._clock() >= self._sweep_at
+        is_full_step = self._clock() >= self._next_full_step_at
         if state.members.is_active(own):
             demand = _Demand(
                 own,
@@ -144,26 +144,26 @@
             )
             for organisation in (
                 list(state.config.organisation_by_id)
-                if is_sweep
+                if is_full_step
                 else demand.organisations()
             ):
                 if organisation in state.config.organisation_by_id:
                     self._balance(organisation, demand)
-        if is_sweep:
-            self._sweep_at = self._clock() + SWEEP_INTERVAL_S
-            self.refresh()
+        if is_full_step:
+            self._next_full_step_at = self._clock() + FULL_STEP_INTERVAL_S
+            self.update_scheduler()
 
     def _usable(self, own: str, organisation: str) -> int:
-        returning = self._returning_by_organisation.get(organisation)
+        returning = self._return_by_organisation.get(organisation)
         usable = self._tail.state.grants.of(organisation).usable(own)
         return max(0, usable - (returning.count if returning else 0))
 
     def _balance(self, organisation: str, demand: _Demand) -> None:
-        if organisation in self._returning_by_organisation:
+        if organisation in self._return_by_organisation:
             return
         grants = self._tail.state.grants.of(organisation)
         held = grants.count_by_holder.get(demand.own, 0)
-        is_over = grants.total() > grants.limit
+        is_over_limit = grants.total() > grants.limit
         # Slots of expelled members serve nobody until they are reclaimed. If they
         # counted, idle entries would keep parts that are no longer there.
         unusable = sum(
@@ -171,28 +171,30 @@
             for holder, count in grants.count_by_holder.items()
             if holder not in demand.members
         )
-        wanted = self._wanted(organisation, grants.limit - unusable, is_over, demand)
+        wanted = self._wanted_slots(
+            organisation, grants.limit - unusable, is_over_limit, demand
+        )
         others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
-        if (others_wait or is_over) and held > wanted:
+        if (others_wait or is_over_limit) and held > wanted:
             self._withdraw_request(organisation)
             # Slots returned in a log outage would serve nobody until its end.
             if not self._is_log_readable():
                 return
             idle = held - max(wanted, self._running(organisation))
             if idle > 0:
-                self._give_back(organisation, idle)
+                self._return_slots(organisation, idle)
             return
-        if held < wanted and not is_over:
-            self._ask(organisation, wanted - held)
+        if held < wanted and not is_over_limit:
+            self._request_slots(organisation, wanted - held)
             return
         self._withdraw_request(organisation)
 
-    def _wanted(
-        self, organisation: str, limit: int, is_over: bool, demand: _Demand
+    def _wanted_slots(
+        self, organisation: str, limit: int, is_over_limit: bool, demand: _Demand
     ) -> int:
         """Return how many slots this entry should hold."""
         running = self._running(organisation)
-        if is_over:
+        if is_over_limit:
             return running
         own = demand.by_organisation.get(organisation, 0)
         if self._is_draining():
@@ -208,11 +210,11 @@
         part = -(-limit * own // max(1, peers + own))
         return min(own, part) if own else 0
 
-    def _held(self, organisation: str) -> int:
+    def _held_slots(self, organisation: str) -> int:
         own = self._incarnation()
         return self._tail.state.grants.of(organisation).count_by_holder.get(own, 0)
 
-    def _ask(self, organisation: str, count: int) -> None:
+    def _request_slots(self, organisation: str, count: int) -> None:
         """Request slots, with at most one unsettled request for each organisation.
 
         In a log outage of 30 minutes a request each second would leave 1,800
@@ -237,12 +239,12 @@
         if request is not None and request.outcome is None:
             request.withdraw("no more slots are wanted")
 
-    def _give_back(self, organisation: str, count: int) -> Pending:
+    def _return_slots(self, organisation: str, count: int) -> Pending:
         pending = self._writer.append(
             GrantReturned(organisation, count), Priority.CONTROL
         )
-        self._returning_by_organisation[organisation] = _Returning(count, pending)
-        self.refresh()
+        self._return_by_organisation[organisation] = _PendingReturn(count, pending)
+        self.update_scheduler()
         return pending
 
     def _is_log_readable(self) -> bool:
@@ -250,10 +252,10 @@
 
     def _settle_returns(self) -> None:
         is_outage = not self._is_log_readable()
-        for organisation, returning in list(self._returning_by_organisation.items()):
+        for organisation, returning in list(self._return_by_organisation.items()):
             if is_outage and returning.pending.outcome is None:
                 returning.pending.withdraw("the log is down")
             # Without an outcome the return may still take effect at any time.
             if returning.pending.outcome is not None:
-                del self._returning_by_organisation[organisation]
-                self._sweep_at = -math.inf
+                del self._return_by_organisation[organisation]
+                self._next_full_step_at = -math.inf
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -18,14 +18,14 @@
 from lycheeloom.model.verdict import Refusal, RefusalReason
 
 from .admission import RequestHeaders
-from .intake import Intake
 from .metrics import EntryMetrics
 from .replies import Reply, refusal_reply
+from .request_handler import RequestHandler
 from .status_page import render_status_page
 
 # JSON escapes may lengthen a payload up to six times.
 MAX_BODY_BYTES = 6 * MAX_PAYLOAD_BYTES + 4096
-MAX_PUSHED_BYTES = 2 * MAX_BATCH_BYTES
+MAX_RECORDS_BODY_BYTES = 2 * MAX_BATCH_BYTES
 _JSON = "application/json"
 
 
@@ -34,7 +34,7 @@
 
     def __init__(
         self,
-        intake: Intake,
+        request_handler: RequestHandler,
         tail: LogTail,
         metrics: EntryMetrics,
         read_status: Callable[[], StatusDocument],
@@ -44,7 +44,7 @@
         update_metrics: Callable[[], None] = lambda: None,
     ) -> None:
         self.app = Bottle()
-        self._intake = intake
+        self._request_handler = request_handler
         self._tail = tail
         self._metrics = metrics
         self._read_status = read_status
@@ -59,7 +59,7 @@
         route("/v1/queues/<queue>/requests", "POST", self.submit)
         route("/v1/requests/<request_id>", "GET", self.show)
         route("/v1/requests/<request_id>", "DELETE", self.cancel)
-        route("/v1/records", "POST", self.take_records)
+        route("/v1/records", "POST", self.post_records)
         route("/v1/status", "GET", self.status)
         route("/v1/explain/<kind>/<name>", "GET", self.explain)
         route("/status", "GET", self.status_page)
@@ -78,7 +78,7 @@
             request.environ.get("HTTP_IDEMPOTENCY_KEY", ""),
             request.environ.get("HTTP_TRACEPARENT", ""),
         )
-        return _respond(self._intake.submit(queue, headers, body))
+        return _respond(self._request_handler.submit(queue, headers, body))
 
     def show(self, request_id: str) -> HTTPResponse:
         """``GET /v1/requests/<id>?wait_ms=``."""
@@ -88,14 +88,14 @@
             message = "wait_ms must be a whole number of milliseconds"
             return _respond(Reply(400, {"reason": "bad_request", "message": message}))
         authorization = request.environ.get("HTTP_AUTHORIZATION", "")
-        return _respond(self._intake.show(request_id, authorization, wait_s))
+        return _respond(self._request_handler.show(request_id, authorization, wait_s))
 
     def cancel(self, request_id: str) -> HTTPResponse:
         """``DELETE /v1/requests/<id>``."""
         authorization = request.environ.get("HTTP_AUTHORIZATION", "")
-        return _respond(self._intake.cancel(request_id, authorization))
+        return _respond(self._request_handler.cancel(request_id, authorization))
 
-    def take_records(self) -> HTTPResponse:
+    def post_records(self) -> HTTPResponse:
         """``POST /v1/records``: an accepted batch, straight from an operator.
 
         A forged batch would change what is in force here, so the shared token of
@@ -107,7 +107,7 @@
         if not (self._handover_token and is_known):
             message = "the handover token of this entry is needed"
             return _respond(Reply(403, {"reason": "forbidden", "message": message}))
-        raw = request.environ["wsgi.input"].read(MAX_PUSHED_BYTES + 1)
+        raw = request.environ["wsgi.input"].read(MAX_RECORDS_BODY_BYTES + 1)
         try:
             document = json.loads(raw)
             offset = int(document["offset"])
--- a/libs/entry/src/lycheeloom/entry/jobs.py
+++ b/libs/entry/src/lycheeloom/entry/local_requests.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Job:
+class LocalRequest:
     """One request while this entry runs it.
 
     Each run at a worker has its own attempt number, so that an answer of an
@@ -52,7 +52,7 @@
     submission: Submission
     is_recorded: bool = False
     # Another entry holds the claim; this one must not run the job.
-    is_foreign: bool = False
+    is_claimed_elsewhere: bool = False
     attempt: int = 0
     checkpoint: str = ""
     tries: int = 0
@@ -72,7 +72,7 @@
         """The request id."""
         return self.submission.request_id
 
-    def hand_over(self) -> None:
+    def wake_waiters(self) -> None:
         """Wake those that wait here, as another entry decides about the job."""
         self.settled.set()
 
@@ -86,29 +86,29 @@
         return True
 
 
-class JobTable:
+class LocalRequestTable:
     """All jobs of this entry by request id."""
 
     def __init__(self) -> None:
-        self.job_by_id: dict[str, Job] = {}
-        self._settled: deque[Job] = deque()
+        self.by_id: dict[str, LocalRequest] = {}
+        self._settled: deque[LocalRequest] = deque()
 
-    def add(self, job: Job) -> None:
+    def add(self, request: LocalRequest) -> None:
         """Add a job."""
-        self.job_by_id[job.id] = job
+        self.by_id[request.id] = request
 
-    def note_settled(self, job: Job) -> None:
+    def expire_later(self, request: LocalRequest) -> None:
         """Keep a settled job readable for ``VERDICT_KEPT_S``."""
-        self._settled.append(job)
+        self._settled.append(request)
         oldest = time.monotonic() - VERDICT_KEPT_S
         while self._settled and self._settled[0].settled_at < oldest:
             self.remove(self._settled.popleft())
 
-    def remove(self, job: Job) -> None:
+    def remove(self, request: LocalRequest) -> None:
         """Forget a job unless its id was taken by a newer one."""
-        if self.job_by_id.get(job.id) is job:
-            del self.job_by_id[job.id]
+        if self.by_id.get(request.id) is request:
+            del self.by_id[request.id]
 
-    def unsettled(self) -> list[Job]:
+    def unsettled(self) -> list[LocalRequest]:
         """Return the jobs without a verdict."""
-        return [job for job in self.job_by_id.values() if job.verdict is None]
+        return [request for request in self.by_id.values() if request.verdict is None]
--- a/libs/entry/src/lycheeloom/entry/outcome_counts.py
+++ b/libs/entry/src/lycheeloom/entry/outcome_counts.py
@@ -14,7 +14,7 @@
 KEPT_PERIODS = 12
 # A worker is in question for so long after a task has failed on it; the same
 # window as that of the controller's health monitor.
-QUESTIONED_PERIODS = 60
+SUSPECT_PERIODS = 60
 # Bounds a report to about 6 KB; workers with most failures go first, and those
 # left out come again with their next failures.
 MAX_COUNTS = 100
@@ -39,14 +39,14 @@
         self._last_success: dict[str, int] = {}
         self._counts: dict[int, dict[tuple[str, str], list[int]]] = {}
 
-    def note(self, worker: str, queue: str, has_failed: bool) -> None:
+    def record(self, worker: str, queue: str, has_failed: bool) -> None:
         """Count a task that ended on a worker with a known outcome."""
         period = self._period()
         if has_failed:
             self._last_failure[worker] = period
         else:
             self._last_success[queue] = period
-        if not self._is_in_question(worker, period):
+        if not self._is_suspect(worker, period):
             return
         if period not in self._counts:
             self._drop_old(period)
@@ -72,7 +72,7 @@
             OutcomeCount(worker, queue, ended, failed)
             for (worker, queue), (ended, failed) in ordered[:MAX_COUNTS]
         )
-        oldest = through - QUESTIONED_PERIODS
+        oldest = through - SUSPECT_PERIODS
         succeeded = sorted(
             queue
             for queue in {count.queue for count in found}
@@ -84,16 +84,16 @@
         # Counts from 1, as a request after period 0 asks for everything.
         return int(self._clock() // PERIOD_S) + 1
 
-    def _is_in_question(self, worker: str, period: int) -> bool:
+    def _is_suspect(self, worker: str, period: int) -> bool:
         last = self._last_failure.get(worker)
-        if last is not None and last > period - QUESTIONED_PERIODS:
+        if last is not None and last > period - SUSPECT_PERIODS:
             return True
         return self._is_on_probation(worker)
 
     def _drop_old(self, period: int) -> None:
         for old in [p for p in self._counts if p <= period - KEPT_PERIODS]:
             del self._counts[old]
-        oldest = period - QUESTIONED_PERIODS
+        oldest = period - SUSPECT_PERIODS
         self._last_failure = {
             worker: last for worker, last in self._last_failure.items() if last > oldest
         }
--- a/libs/entry/src/lycheeloom/entry/queue_budgets.py
+++ b/libs/entry/src/lycheeloom/entry/queue_budgets.py
@@ -17,7 +17,7 @@
         self._retry_by_queue: dict[str, RetryBudget] = {}
         self._hedge_by_queue: dict[str, HedgeBudget] = {}
 
-    def adopt(self, queues: Iterable[Queue]) -> None:
+    def set_queues(self, queues: Iterable[Queue]) -> None:
         """Take over the queues; unchanged ones keep what they saved."""
         retries, hedges = self._retry_by_queue, self._hedge_by_queue
         self._retry_by_queue, self._hedge_by_queue = {}, {}
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -31,8 +31,8 @@
 from lycheeloom.telemetry import log_event
 
 from .dispatch import Dispatcher
-from .jobs import Job, JobTable, Submission
-from .member_choice import select_member
+from .local_requests import LocalRequest, LocalRequestTable, Submission
+from .rendezvous import select_member
 
 COMMIT_TIMEOUT_S = 3.0
 # A claim whose outcome is unclear is awaited; the attempt holds its slot.
@@ -40,7 +40,7 @@
 RETRY_INTERVAL_S = 0.5
 
 
-class Journal:
+class RecordedRequestManager:
     """The recorded requests as this entry sees and runs them.
 
     The entry that took a request runs it while that entry is a member; any
@@ -53,7 +53,7 @@
         tail: LogTail,
         writer: LogWriter,
         log_client: LogClient,
-        jobs: JobTable,
+        local_requests: LocalRequestTable,
         incarnation: Callable[[], str],
         may_run: Callable[[], bool],
     ) -> None:
@@ -61,7 +61,7 @@
         self._tail = tail
         self._writer = writer
         self._reader = RecordReader(tail, log_client)
-        self._jobs = jobs
+        self._local_requests = local_requests
         self._incarnation = incarnation
         self._may_run = may_run
         self._waiter_by_id: dict[str, Event] = {}
@@ -71,8 +71,8 @@
         self._awaited_ids: set[str] = set()
         # Requests that were refused here and whose cancellation is being written.
         self._cancelling_ids: set[str] = set()
-        self._members_seen: frozenset[str] = frozenset()
-        self._is_leaving = False
+        self._last_members: frozenset[str] = frozenset()
+        self._draining = False
         tail.add_listener(self._on_replayed)
         tail.add_reset_listener(self._on_reset)
 
@@ -80,7 +80,7 @@
         self, submission: Submission, digest: bytes
     ) -> RecordedRequest | Refusal | MayHaveRun:
         """Record a request, or find the one with the same idempotency key."""
-        known = self._find_repeated(submission, digest)
+        known = self._find_by_idempotency_key(submission, digest)
         if known is not None:
             return known
         record = r.RequestSubmitted(
@@ -108,7 +108,7 @@
                 message = f"the request could not be recorded: {reason}"
                 return Refusal(RefusalReason.LOG_UNAVAILABLE, message, 2.0)
             case NoEffect():
-                known = self._find_repeated(submission, digest)
+                known = self._find_by_idempotency_key(submission, digest)
                 if known is not None:
                     return known
                 message = "another request has the same id"
@@ -119,7 +119,7 @@
                     "the same Idempotency-Key to learn its outcome"
                 )
 
-    def forget_caller(self, request_id: str) -> None:
+    def stop_awaiting(self, request_id: str) -> None:
         """The caller of a request that was submitted here no longer waits."""
         self._awaited_ids.discard(request_id)
 
@@ -128,54 +128,56 @@
         record = r.RequestCancelled(request.request_id)
         return self._writer.append(record).wait(COMMIT_TIMEOUT_S)
 
-    def claim(self, job: Job, attempt: int, worker: str, boot_id: str) -> str | None:
+    def claim(
+        self, local: LocalRequest, attempt: int, worker: str, boot_id: str
+    ) -> str | None:
         """Record an attempt; returns why it must not start, or None."""
-        record = r.RequestClaimed(job.id, attempt, worker, boot_id)
+        record = r.RequestClaimed(local.id, attempt, worker, boot_id)
         match self._writer.append(record).wait_settled(CLAIM_WAIT_S):
             case Effective():
                 return None
             case NoEffect():
-                job.is_foreign = True
+                local.is_claimed_elsewhere = True
                 return "the request is claimed, finished or cancelled"
-            case Unknown() if self._is_own_claim(job.id, attempt):
+            case Unknown() if self._is_own_claim(local.id, attempt):
                 # Its replay was part of a snapshot.
                 return None
             case NotWritten(reason) | Unknown(reason):
                 # The attempt number is free again.
-                job.attempt -= 1
+                local.attempt -= 1
                 return f"the claim was not recorded: {reason}"
 
-    def release(self, job: Job, attempt: int) -> bool:
+    def release(self, local: LocalRequest, attempt: int) -> bool:
         """Make a claimed request pending again before its next attempt."""
-        if not self._is_own_claim(job.id, attempt):
+        if not self._is_own_claim(local.id, attempt):
             return True
-        outcome = self._write(r.RequestReleased(job.id, attempt, job.checkpoint))
+        outcome = self._write(r.RequestReleased(local.id, attempt, local.checkpoint))
         return isinstance(outcome, Effective)
 
-    def record_verdict(self, job: Job) -> None:
+    def record_verdict(self, local: LocalRequest) -> None:
         """Record the verdict of a settled job; called in its own greenlet."""
-        match job.verdict:
+        match local.verdict:
             case Ran(answer) if len(answer) <= MAX_ANSWER_BYTES:
                 record: Record = r.RequestFinished(
-                    job.id, job.attempt, Outcome.RAN, answer
+                    local.id, local.attempt, Outcome.RAN, answer
                 )
             case Ran(answer):
                 message = f"it ran; its answer has {len(answer)} bytes, "
                 message += f"of which {MAX_ANSWER_BYTES} can be kept"
-                record = _doubtful(job.id, job.attempt, message)
+                record = _may_have_run(local.id, local.attempt, message)
             case MayHaveRun(message):
-                record = _doubtful(job.id, job.attempt, message)
+                record = _may_have_run(local.id, local.attempt, message)
             case NotRun():
-                self.release(job, job.attempt)
-                record = r.RequestCancelled(job.id)
+                self.release(local, local.attempt)
+                record = r.RequestCancelled(local.id)
             case _:
                 return
         outcome = self._write(record)
-        if isinstance(outcome, NoEffect) and isinstance(job.verdict, MayHaveRun):
+        if isinstance(outcome, NoEffect) and isinstance(local.verdict, MayHaveRun):
             # The claim was released for a retry that was then refused; without
             # this the request would stay pending and no entry would run it.
-            self._jobs.remove(job)
-            self._take_over_again(job.id)
+            self._local_requests.remove(local)
+            self._take_over_again(local.id)
 
     def wait(self, request_id: str, timeout_s: float) -> RecordedRequest | None:
         """Wait until a recorded request is finished; returns what is known."""
@@ -183,7 +185,7 @@
         if request is None or request.status is RequestStatus.FINISHED:
             return request
         waiter = self._waiter_by_id.setdefault(request_id, Event())
-        waiter.wait(min(timeout_s, COMMIT_TIMEOUT_S) if self._is_leaving else timeout_s)
+        waiter.wait(min(timeout_s, COMMIT_TIMEOUT_S) if self._draining else timeout_s)
         return self._tail.state.requests.request_by_id.get(request_id)
 
     def release_waiters(self) -> None:
@@ -192,7 +194,7 @@
         Their callers collect the answers at other entries. Without this the
         shutdown would wait for requests that others take over only after it.
         """
-        self._is_leaving = True
+        self._draining = True
         for waiter in self._waiter_by_id.values():
             waiter.set()
         self._waiter_by_id.clear()
@@ -202,20 +204,20 @@
         record = self._reader.finish(request.answer_offset, request.request_id)
         return record.answer if isinstance(record, r.RequestFinished) else record
 
-    def reassign(self) -> None:
+    def reassign_pending(self) -> None:
         """Take over pending requests after a change of the members."""
         requests = self._tail.state.requests
         for request_id in list(requests.pending):
             request = requests.request_by_id[request_id]
-            job = self._jobs.job_by_id.get(request_id)
-            if self.is_runner(request):
-                if job is None:
+            local = self._local_requests.by_id.get(request_id)
+            if self.should_run(request):
+                if local is None:
                     gevent.spawn(self._take_over, request)
                 continue
-            if job is not None and job.verdict is None:
-                self.dispatcher.withdraw(job)
+            if local is not None and local.verdict is None:
+                self.dispatcher.withdraw(local)
 
-    def is_runner(self, request: RecordedRequest) -> bool:
+    def should_run(self, request: RecordedRequest) -> bool:
         """Tell whether this entry should run a pending request.
 
         A draining entry still runs those whose callers wait on its connections.
@@ -229,7 +231,7 @@
             return request.submitted_by == own
         return select_member(request.request_id, members) == own
 
-    def _find_repeated(
+    def _find_by_idempotency_key(
         self, submission: Submission, digest: bytes
     ) -> RecordedRequest | Refusal | None:
         if not submission.idempotency_key:
@@ -250,9 +252,9 @@
             if is_effective:
                 self._on_record(record)
         members = frozenset(m.incarnation for m in self._tail.state.members.active())
-        if members != self._members_seen:
-            self._members_seen = members
-            self.reassign()
+        if members != self._last_members:
+            self._last_members = members
+            self.reassign_pending()
 
     def _on_reset(self, state: FleetState) -> None:
         """Act on what the snapshot now in use says without single records."""
@@ -260,7 +262,7 @@
             request = state.requests.request_by_id.get(request_id)
             if request is None or request.status is RequestStatus.FINISHED:
                 self._wake_waiter(request_id)
-        self.reassign()
+        self.reassign_pending()
 
     def _wake_waiter(self, request_id: str) -> None:
         waiter = self._waiter_by_id.pop(request_id, None)
@@ -270,7 +272,7 @@
     def _on_record(self, record: Record) -> None:
         match record:
             case r.RequestSubmitted() | r.RequestReleased():
-                self._consider(record)
+                self._enqueue_if_own(record)
             case r.RequestFinished(request_id) | r.RequestCancelled(request_id):
                 self._wake_waiter(request_id)
                 if isinstance(record, r.RequestCancelled):
@@ -278,11 +280,11 @@
             case _:
                 pass
 
-    def _consider(self, record: r.RequestSubmitted | r.RequestReleased) -> None:
+    def _enqueue_if_own(self, record: r.RequestSubmitted | r.RequestReleased) -> None:
         request = self._tail.state.requests.request_by_id.get(record.request_id)
-        if request is None or request.request_id in self._jobs.job_by_id:
+        if request is None or request.request_id in self._local_requests.by_id:
             return
-        if request.status is not RequestStatus.PENDING or not self.is_runner(request):
+        if request.status is not RequestStatus.PENDING or not self.should_run(request):
             return
         if isinstance(record, r.RequestSubmitted):
             self._enqueue(request, record.payload)
@@ -290,9 +292,9 @@
         gevent.spawn(self._take_over, request)
 
     def _drop_cancelled(self, request_id: str) -> None:
-        job = self._jobs.job_by_id.get(request_id)
-        if job is not None and job.verdict is None:
-            self.dispatcher.cancel(job)
+        local = self._local_requests.by_id.get(request_id)
+        if local is not None and local.verdict is None:
+            self.dispatcher.cancel(local)
 
     def _take_over(self, request: RecordedRequest) -> None:
         submitted = self._reader.submission(request.body_offset, request.request_id)
@@ -311,24 +313,24 @@
         request = self._tail.state.requests.request_by_id.get(request_id)
         if request is None or request.status is not RequestStatus.PENDING:
             return
-        if self.is_runner(request):
+        if self.should_run(request):
             self._take_over(request)
 
     def _enqueue(self, request: RecordedRequest, payload: bytes) -> None:
-        if request.request_id in self._jobs.job_by_id:
+        if request.request_id in self._local_requests.by_id:
             return
         if request.status is not RequestStatus.PENDING:
             return
         submission = self._submission_by_id.get(request.request_id)
         if submission is None:
-            submission = _restore_submission(request, payload)
-        job = Job(
+            submission = _submission_from_record(request, payload)
+        local = LocalRequest(
             submission,
             is_recorded=True,
             attempt=request.attempt,
             checkpoint=request.checkpoint,
         )
-        refusal = self.dispatcher.submit(job)
+        refusal = self.dispatcher.submit(local)
         if refusal is None:
             return
         if refusal.retry_after_s is not None:
@@ -373,7 +375,7 @@
             gevent.sleep(RETRY_INTERVAL_S)
 
 
-def _restore_submission(request: RecordedRequest, payload: bytes) -> Submission:
+def _submission_from_record(request: RecordedRequest, payload: bytes) -> Submission:
     return Submission(
         request_id=request.request_id,
         organisation=request.organisation,
@@ -390,7 +392,7 @@
     )
 
 
-def _doubtful(request_id: str, attempt: int, message: str) -> r.RequestFinished:
+def _may_have_run(request_id: str, attempt: int, message: str) -> r.RequestFinished:
     return r.RequestFinished(
         request_id, attempt, Outcome.MAY_HAVE_RUN, message.encode()
     )
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -14,7 +14,7 @@
 from lycheeloom.state import RecordedRequest
 from lycheeloom.telemetry import log_event
 
-from .member_choice import select_member
+from .rendezvous import select_member
 
 SCAN_INTERVAL_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
@@ -104,14 +104,14 @@
     """Return the record that a worker's report about a lost attempt justifies."""
     request_id = request.request_id
     release = r.RequestReleased(request_id, attempt)
-    doubt = r.RequestFinished(
+    may_have_run = r.RequestFinished(
         request_id,
         attempt,
         Outcome.MAY_HAVE_RUN,
         b"the entry that ran the request was lost",
     )
     if report is None:
-        return release if request.idempotent else doubt
+        return release if request.idempotent else may_have_run
     match report.status:
         case TaskStatus.DONE:
             return r.RequestFinished(request_id, attempt, Outcome.RAN, report.answer)
@@ -120,4 +120,4 @@
         case TaskStatus.UNKNOWN if report.boot_id == request.worker_boot:
             # The worker never got the start, and would refuse it now.
             return release
-    return release if request.idempotent else doubt
+    return release if request.idempotent else may_have_run
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -71,7 +71,7 @@
         case Ran(answer):
             return ran_reply(request_id, answer)
         case MayHaveRun(message):
-            return doubt_reply(request_id, message)
+            return may_have_run_reply(request_id, message)
         case NotRun(refusal):
             return refusal_reply(refusal, request_id)
 
@@ -86,7 +86,7 @@
     return Reply(200, document)
 
 
-def doubt_reply(request_id: str, message: str) -> Reply:
+def may_have_run_reply(request_id: str, message: str) -> Reply:
     """Answer a request that may have run."""
     document = {
         "request_id": request_id,
@@ -97,7 +97,7 @@
     return Reply(MAY_HAVE_RUN_STATUS, document)
 
 
-def lost_answer_reply(request_id: str) -> Reply:
+def answer_lost_reply(request_id: str) -> Reply:
     """Answer that a request ran whose answer the log has dropped."""
     document = {
         "request_id": request_id,
--- a/libs/entry/src/lycheeloom/entry/intake.py
+++ b/libs/entry/src/lycheeloom/entry/request_handler.py
@@ -15,13 +15,13 @@
 
 from .admission import RequestHeaders, check_request, find_organisation
 from .dispatch import Dispatcher
-from .jobs import Job, JobTable, Submission
-from .journal import Journal
+from .local_requests import LocalRequest, LocalRequestTable, Submission
 from .metrics import EntryMetrics
+from .recorded_requests import RecordedRequestManager
 from .replies import (
     Reply,
-    doubt_reply,
-    lost_answer_reply,
+    answer_lost_reply,
+    may_have_run_reply,
     progress_reply,
     ran_reply,
     refusal_reply,
@@ -32,16 +32,16 @@
 MAX_WAIT_S = 120.0
 
 
-class Intake:
+class RequestHandler:
     """Accepts, answers, shows and cancels requests for the HTTP interface."""
 
     def __init__(
         self,
         tail: LogTail,
         freshness: Freshness,
-        jobs: JobTable,
+        local_requests: LocalRequestTable,
         dispatcher: Dispatcher,
-        journal: Journal,
+        recorded_requests: RecordedRequestManager,
         metrics: EntryMetrics,
         tracer: Tracer,
     ) -> None:
@@ -49,9 +49,9 @@
         self.open_requests = 0
         self._tail = tail
         self._freshness = freshness
-        self._jobs = jobs
+        self._local_requests = local_requests
         self._dispatcher = dispatcher
-        self._journal = journal
+        self._recorded_requests = recorded_requests
         self._metrics = metrics
         self._tracer = tracer
 
@@ -82,15 +82,15 @@
         found = self._find(request_id, authorization)
         if isinstance(found, Reply):
             return found
-        job = self._jobs.job_by_id.get(request_id)
+        local = self._local_requests.by_id.get(request_id)
         if isinstance(found, RecordedRequest):
-            return self._cancel_recorded(found, job)
+            return self._cancel_recorded(found, local)
         self._dispatcher.cancel(found)
         found.settled.wait(FRESHNESS_S)
         return self._show(request_id, authorization, 0.0)
 
     def _submit(self, queue: str, headers: RequestHeaders, body: bytes) -> Reply:
-        refusal = self._check_open()
+        refusal = self._check_accepting()
         if refusal is not None:
             return self._refuse(refusal)
         submission = check_request(self._tail.state.config, queue, headers, body)
@@ -98,15 +98,15 @@
             return self._refuse(submission)
         if submission.is_recorded:
             return self._submit_recorded(submission, body)
-        job = Job(submission)
-        refusal = self._dispatcher.submit(job)
+        local = LocalRequest(submission)
+        refusal = self._dispatcher.submit(local)
         if refusal is not None:
-            return self._refuse(refusal, job.id)
-        if not job.settled.wait(MAX_WAIT_S):
-            return progress_reply(job.id, "running")
-        return verdict_reply(job.id, job.verdict)
+            return self._refuse(refusal, local.id)
+        if not local.settled.wait(MAX_WAIT_S):
+            return progress_reply(local.id, "running")
+        return verdict_reply(local.id, local.verdict)
 
-    def _check_open(self) -> Refusal | None:
+    def _check_accepting(self) -> Refusal | None:
         if self.is_draining:
             return Refusal(RefusalReason.DRAINING, "this entry is shutting down", 1.0)
         if not self._freshness.is_fresh():
@@ -125,21 +125,21 @@
             return self._refuse(Refusal(RefusalReason.LOG_UNAVAILABLE, message, 2.0))
         digest = hashlib.sha256(submission.queue.encode() + b"\n" + body).digest()
         try:
-            result = self._journal.submit(submission, digest)
+            result = self._recorded_requests.submit(submission, digest)
             match result:
                 case Refusal():
                     return self._refuse(result)
                 case MayHaveRun(message):
-                    return doubt_reply(submission.request_id, message)
+                    return may_have_run_reply(submission.request_id, message)
             if not submission.wait:
                 return progress_reply(result.request_id, result.status.value)
             if result.request_id == submission.request_id:
-                return self._await_own(result.request_id)
-            return self._await_recorded(result.request_id, MAX_WAIT_S)
+                return self._await_local_verdict(result.request_id)
+            return self._await_recorded_outcome(result.request_id, MAX_WAIT_S)
         finally:
-            self._journal.forget_caller(submission.request_id)
+            self._recorded_requests.stop_awaiting(submission.request_id)
 
-    def _await_own(self, request_id: str) -> Reply:
+    def _await_local_verdict(self, request_id: str) -> Reply:
         """Wait for a recorded request whose caller waits on its connection.
 
         The caller has its answer without another commit. That the request did not
@@ -147,23 +147,23 @@
         take it over.
         """
         give_up_at = time.monotonic() + MAX_WAIT_S
-        job = self._jobs.job_by_id.get(request_id)
+        local = self._local_requests.by_id.get(request_id)
         if (
-            job is not None
-            and job.settled.wait(MAX_WAIT_S)
-            and isinstance(job.verdict, Ran)
+            local is not None
+            and local.settled.wait(MAX_WAIT_S)
+            and isinstance(local.verdict, Ran)
         ):
-            return ran_reply(request_id, job.verdict.answer)
-        return self._await_recorded(request_id, give_up_at - time.monotonic())
+            return ran_reply(request_id, local.verdict.answer)
+        return self._await_recorded_outcome(request_id, give_up_at - time.monotonic())
 
-    def _await_recorded(self, request_id: str, wait_s: float) -> Reply:
+    def _await_recorded_outcome(self, request_id: str, wait_s: float) -> Reply:
         """Wait for what the log says about a recorded request.
 
         Collected answers and repeats come from the log alone, so that all entries
         give the same one: if this entry is lost before its verdict is recorded,
         another entry records that the request may have run.
         """
-        request = self._journal.wait(request_id, max(0.0, wait_s))
+        request = self._recorded_requests.wait(request_id, max(0.0, wait_s))
         if request is None:
             return _unknown_request(request_id)
         return self._recorded_reply(request)
@@ -175,21 +175,23 @@
         if request.outcome is Outcome.NOT_RUN:
             if request.idempotent and request.attempt > 0:
                 # It was released without proof that its attempts did not run.
-                return doubt_reply(request_id, "cancelled after an attempt")
-            job = self._jobs.job_by_id.get(request_id)
-            if job is not None and isinstance(job.verdict, NotRun):
-                return refusal_reply(job.verdict.refusal, request_id)
+                return may_have_run_reply(request_id, "cancelled after an attempt")
+            local = self._local_requests.by_id.get(request_id)
+            if local is not None and isinstance(local.verdict, NotRun):
+                return refusal_reply(local.verdict.refusal, request_id)
             refusal = Refusal(RefusalReason.CANCELLED, "cancelled before it ran")
             return refusal_reply(refusal, request_id)
-        answer = self._journal.read_answer(request)
+        answer = self._recorded_requests.read_answer(request)
         if answer is None:
             return progress_reply(request_id, "finished, answer not readable now")
         if isinstance(answer, RecordLost):
             if request.outcome is Outcome.MAY_HAVE_RUN:
-                return doubt_reply(request_id, "the log no longer holds the reason")
-            return lost_answer_reply(request_id)
+                return may_have_run_reply(
+                    request_id, "the log no longer holds the reason"
+                )
+            return answer_lost_reply(request_id)
         if request.outcome is Outcome.MAY_HAVE_RUN:
-            return doubt_reply(request_id, answer.decode(errors="replace"))
+            return may_have_run_reply(request_id, answer.decode(errors="replace"))
         return ran_reply(request_id, answer)
 
     def _show(self, request_id: str, authorization: str, wait_s: float) -> Reply:
@@ -197,25 +199,25 @@
         if isinstance(found, Reply):
             return found
         if isinstance(found, RecordedRequest):
-            return self._await_recorded(request_id, wait_s)
+            return self._await_recorded_outcome(request_id, wait_s)
         if found.settled.wait(wait_s):
             return verdict_reply(request_id, found.verdict)
         return progress_reply(request_id, "running")
 
     def _find(
         self, request_id: str, authorization: str
-    ) -> RecordedRequest | Job | Reply:
+    ) -> RecordedRequest | LocalRequest | Reply:
         """Return a request that the key in ``authorization`` may see."""
         if not self._freshness.is_fresh():
             message = "this entry has no recent contact with the log or its peers"
             refusal = Refusal(RefusalReason.STALE_ENTRY, message, 1.0)
             return Reply(503, {"reason": refusal.reason, "message": message})
         recorded = self._tail.state.requests.request_by_id.get(request_id)
-        job = self._jobs.job_by_id.get(request_id)
-        found = recorded or job
+        local = self._local_requests.by_id.get(request_id)
+        found = recorded or local
         if found is None:
             return _unknown_request(request_id)
-        owner = recorded or job.submission
+        owner = recorded or local.submission
         queue = self._tail.state.config.queue_by_id.get(owner.queue)
         if queue is None:
             return _unknown_request(request_id)
@@ -232,16 +234,18 @@
             else _unknown_request(request_id)
         )
 
-    def _cancel_recorded(self, request: RecordedRequest, job: Job | None) -> Reply:
+    def _cancel_recorded(
+        self, request: RecordedRequest, local: LocalRequest | None
+    ) -> Reply:
         if request.status is RequestStatus.PENDING:
-            outcome = self._journal.cancel(request)
+            outcome = self._recorded_requests.cancel(request)
             if isinstance(outcome, Effective):
                 return self._recorded_reply(request)
             if isinstance(outcome, NotWritten):
                 return progress_reply(request.request_id, "not cancelled")
-        if job is not None and job.verdict is None:
-            self._dispatcher.cancel(job)
-            self._journal.wait(request.request_id, FRESHNESS_S)
+        if local is not None and local.verdict is None:
+            self._dispatcher.cancel(local)
+            self._recorded_requests.wait(request.request_id, FRESHNESS_S)
         return self._recorded_reply(request)
 
 
--- a/libs/entry/src/lycheeloom/entry/job_tasks.py
+++ b/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
@@ -6,27 +6,27 @@
 
 from lycheeloom.sched import Task
 
-from .jobs import Job
+from .local_requests import LocalRequest
 
 
 class AttemptState:
     """What was done about an attempt that has not ended."""
 
     def __init__(self) -> None:
-        self.is_repeated = False
-        self.hedge: gevent.Greenlet | None = None
-        self.give_up: gevent.Greenlet | None = None
+        self.has_copy = False
+        self.hedge_timer: gevent.Greenlet | None = None
+        self.may_have_run_timer: gevent.Greenlet | None = None
 
     def stop_timers(self) -> None:
         """Stop what is due later."""
-        for timer in (self.hedge, self.give_up):
+        for timer in (self.hedge_timer, self.may_have_run_timer):
             if timer is not None:
                 timer.kill(block=False)
 
 
-def task_id_of(job: Job) -> str:
+def task_id_of(request: LocalRequest) -> str:
     """Return the id of the newest copy of a job in the scheduler."""
-    return f"{job.id}#{job.copies}"
+    return f"{request.id}#{request.copies}"
 
 
 def request_id_of(task_id: str) -> str:
@@ -34,19 +34,19 @@
     return task_id.partition("#")[0]
 
 
-def task_of(job: Job) -> Task:
+def task_of(request: LocalRequest) -> Task:
     """Return the newest copy of a job as the scheduler sees it."""
-    submission = job.submission
+    submission = request.submission
     return Task(
-        id=task_id_of(job),
+        id=task_id_of(request),
         organisation=submission.organisation,
         queue=submission.queue,
         resources=submission.resources,
         run_s=submission.run_s,
         submitted_at=submission.submitted_at,
-        deadline=submission.deadline if job.tries == 0 else None,
+        deadline=submission.deadline if request.tries == 0 else None,
         idempotent=submission.idempotent,
         urgent=submission.urgent,
         checkpointable=submission.checkpointable,
-        excluded_workers=frozenset(job.excluded_workers),
+        excluded_workers=frozenset(request.excluded_workers),
     )
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -47,37 +47,37 @@
 from .attempt import AttemptRunner
 from .dispatch import Dispatcher
 from .explanations import EntryExplanations
-from .grant_keeper import GrantKeeper
+from .grant_manager import GrantManager
 from .http_api import HttpApi
 from .http_server import HttpServer
-from .intake import Intake
-from .jobs import Job, JobTable
-from .journal import Journal
+from .local_requests import LocalRequest, LocalRequestTable
 from .metrics import EntryMetrics
 from .outcome_counts import OutcomeCounts
+from .recorded_requests import RecordedRequestManager
 from .recovery import ClaimRecovery
+from .request_handler import RequestHandler
 from .sessions import WorkerSessions
 from .settings import Settings
 from .start_checks import StartChecks
 from .status import StatusBuilder
 from .usage_exchange import UsageExchange
 from .wave_progress import MoveTimes, WaveProgress
-from .worker_watch import WorkerWatch
+from .worker_monitor import WorkerMonitor
 
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5
 # The status is read from the whole state, so often enough for a scrape only.
 METRICS_INTERVAL_S = 5.0
-IDLE_SWEEP_S = 5.0
+CLOSE_IDLE_INTERVAL_S = 5.0
 DRAIN_POLL_S = 0.05
 # The balancer learns from /readyz that this entry is leaving; until then new
 # requests are answered with a refusal instead of a closed connection.
-MIN_DRAIN_S = 1.0
+MIN_DRAIN_DURATION_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
 # Allocations between two collections of the youngest objects.
-GC_ALLOCATIONS = 20_000
+GC_THRESHOLD_ALLOCATIONS = 20_000
 # Records that can change the grants of this entry or the number of members.
-_GRANT_KINDS = {
+_GRANT_RECORD_TYPES = {
     GrantRequested,
     GrantReturned,
     GrantsReclaimed,
@@ -107,7 +107,7 @@
             InstanceClient(settings.instances, transport),
         )
         self.metrics = EntryMetrics()
-        self.jobs = JobTable()
+        self.local_requests = LocalRequestTable()
         self._tracer = Tracer(settings.instance, settings.trace_ratio)
         self._greenlets: list[gevent.Greenlet] = []
         self._server: HttpServer | None = None
@@ -168,46 +168,46 @@
             self.freshness,
             self._list_instances,
         )
-        self._build_work()
+        self._build_request_processing()
         self._build_http()
         self.tail.add_listener(self._on_replayed)
-        self.tail.add_reset_listener(lambda state: self._adopt_config())
+        self.tail.add_reset_listener(lambda state: self._apply_config())
 
-    def _build_work(self) -> None:
-        self.watch = WorkerWatch(
+    def _build_request_processing(self) -> None:
+        self.monitor = WorkerMonitor(
             self.tail, self.scheduler, self._clients.workers, lambda: self._wake()
         )
         sessions = WorkerSessions(
             self._clients.workers,
             lambda: self.keeper.incarnation,
-            self.watch.observe_session,
+            self.monitor.observe_session,
         )
-        self.watch.sessions = sessions
-        self.journal = Journal(
+        self.monitor.sessions = sessions
+        self.recorded_requests = RecordedRequestManager(
             self.tail,
             self.writer,
             self._clients.log,
-            self.jobs,
+            self.local_requests,
             lambda: self.keeper.incarnation,
             lambda: self.keeper.is_member and not self.mesh.draining,
         )
         self.dispatcher = Dispatcher(
             self.scheduler,
-            self.jobs,
+            self.local_requests,
             self.metrics,
             self._clients.workers,
-            self.watch.address_of,
+            self.monitor.address_of,
             self.freshness.is_fresh,
-            self.journal.release,
+            self.recorded_requests.release,
             self._on_settled,
         )
-        self.journal.dispatcher = self.dispatcher
+        self.recorded_requests.dispatcher = self.dispatcher
         self.exchange = UsageExchange(self.mesh, self.scheduler, self.dispatcher)
-        self.dispatcher.after_round = self.exchange.follow_reservations
-        outcomes = OutcomeCounts(self.watch.is_on_probation)
-        self.dispatcher.on_outcome = outcomes.note
+        self.dispatcher.after_round = self.exchange.sync_reservations
+        outcomes = OutcomeCounts(self.monitor.is_on_probation)
+        self.dispatcher.on_outcome = outcomes.record
         self.mesh.report_outcomes = outcomes.report
-        self.grants = GrantKeeper(
+        self.grants = GrantManager(
             self.tail,
             self.writer,
             self.scheduler,
@@ -223,7 +223,7 @@
             self.keeper,
             self.dispatcher,
             self.grants,
-            self.watch,
+            self.monitor,
         )
         self.dispatcher.runner = AttemptRunner(
             self._clients.workers,
@@ -232,7 +232,7 @@
             checks.may_start,
             lambda: self.keeper.incarnation,
             checks.may_renew,
-            self.journal.claim,
+            self.recorded_requests.claim,
             self.dispatcher.observe_report,
         )
         self.recovery = ClaimRecovery(
@@ -244,33 +244,33 @@
         )
 
     def _build_http(self) -> None:
-        self.intake = Intake(
+        self.handler = RequestHandler(
             self.tail,
             self.freshness,
-            self.jobs,
+            self.local_requests,
             self.dispatcher,
-            self.journal,
+            self.recorded_requests,
             self.metrics,
             self._tracer,
         )
-        move_times = MoveTimes(self.mesh.log_age_s)
-        self.tail.add_listener(move_times.on_replayed)
+        times = MoveTimes(self.mesh.log_age_s)
+        self.tail.add_listener(times.on_replayed)
         self.status = StatusBuilder(
             self.tail,
             self.mesh,
             self.freshness,
             self.scheduler,
-            self.jobs,
-            self.watch,
-            WaveProgress(lambda: self.tail.state, self.watch.is_in_service, move_times),
+            self.local_requests,
+            self.monitor,
+            WaveProgress(lambda: self.tail.state, self.monitor.is_in_service, times),
         )
-        explanations = EntryExplanations(self.tail, self.scheduler, self.jobs)
+        explanations = EntryExplanations(self.tail, self.scheduler, self.local_requests)
         self._api = HttpApi(
-            self.intake,
+            self.handler,
             self.tail,
             self.metrics,
             self._read_status,
-            lambda: self.freshness.is_fresh() and not self.intake.is_draining,
+            lambda: self.freshness.is_fresh() and not self.handler.is_draining,
             explanations.explain,
             self.settings.handover_token,
             self._update_metrics,
@@ -281,10 +281,10 @@
         # collection delayed answers by tens of milliseconds.
         gc.collect()
         gc.freeze()
-        gc.set_threshold(GC_ALLOCATIONS)
-        self._adopt_config()
+        gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
+        self._apply_config()
         for worker in self.tail.state.maintenance.health_by_instance:
-            self.watch.apply_health(worker)
+            self.monitor.apply_health(worker)
         self.tail.start()
         self.writer.start()
         self.mesh.start(*split_address(self.settings.peer_listen))
@@ -294,11 +294,11 @@
             self.keeper.run_list,
             self.dispatcher.run,
             self.grants.run,
-            self.watch.run,
+            self.monitor.run,
             self.recovery.run,
             self.exchange.run,
             self._run_metrics,
-            self._run_idle_sweep,
+            self._run_closing_idle,
         ):
             self._greenlets.append(gevent.spawn(loop))
         self._server = HttpServer(
@@ -312,38 +312,38 @@
     def _list_instances(self) -> InstanceList | Unavailable:
         listing = self._clients.instances.list()
         if isinstance(listing, InstanceList):
-            self.watch.observe_instances(listing)
+            self.monitor.observe_instances(listing)
         return listing
 
     def _on_replayed(self, replayed: Replayed) -> None:
         kinds = {type(record) for record in replayed.batch.records}
         if ConfigChanged in kinds:
-            self._adopt_config()
+            self._apply_config()
         elif MoveStep in kinds:
-            self._adopt_pools()
+            self._apply_pools()
         for record in replayed.batch.records:
             if isinstance(record, InstanceHealth):
-                self.watch.apply_health(record.instance)
-        if kinds & _GRANT_KINDS:
-            self.grants.note_change()
+                self.monitor.apply_health(record.instance)
+        if kinds & _GRANT_RECORD_TYPES:
+            self.grants.schedule_full_step()
 
-    def _adopt_config(self) -> None:
+    def _apply_config(self) -> None:
         config = self.tail.state.config
         self.scheduler.set_config(config, time.monotonic())
-        self.dispatcher.adopt_queues(list(config.queue_by_id.values()))
-        self._adopt_pools()
-        self.grants.note_change()
+        self.dispatcher.set_queues(list(config.queue_by_id.values()))
+        self._apply_pools()
+        self.grants.schedule_full_step()
         self._wake()
 
-    def _adopt_pools(self) -> None:
+    def _apply_pools(self) -> None:
         pools = self.tail.state.maintenance.pool_by_instance
         self.scheduler.set_pool_by_instance(dict(pools))
-        self.watch.apply_maintenance()
+        self.monitor.apply_maintenance()
         self._wake()
 
-    def _on_settled(self, job: Job) -> None:
-        if job.is_recorded:
-            gevent.spawn(self.journal.record_verdict, job)
+    def _on_settled(self, request: LocalRequest) -> None:
+        if request.is_recorded:
+            gevent.spawn(self.recorded_requests.record_verdict, request)
 
     def _run_metrics(self) -> None:
         while True:
@@ -373,22 +373,22 @@
             self.settings.instance, self.settings.zone, PROGRAM_VERSION
         )
 
-    def _run_idle_sweep(self) -> None:
+    def _run_closing_idle(self) -> None:
         while True:
-            gevent.sleep(IDLE_SWEEP_S)
+            gevent.sleep(CLOSE_IDLE_INTERVAL_S)
             self._clients.workers.close_idle()
 
     def _drain(self) -> None:
         """Refuse new requests, end the accepted ones, and leave."""
-        self.intake.is_draining = True
+        self.handler.is_draining = True
         self.mesh.draining = True
-        self.journal.release_waiters()
-        self.journal.reassign()
-        log_event("draining", open_requests=self.intake.open_requests)
-        gevent.sleep(MIN_DRAIN_S)
+        self.recorded_requests.release_waiters()
+        self.recorded_requests.reassign_pending()
+        log_event("draining", open_requests=self.handler.open_requests)
+        gevent.sleep(MIN_DRAIN_DURATION_S)
         give_up_at = time.monotonic() + self.settings.drain_timeout_s
         while time.monotonic() < give_up_at:
-            is_busy = self.intake.open_requests or self.dispatcher.running_tasks
+            is_busy = self.handler.open_requests or self.dispatcher.running_tasks
             if not is_busy and self.writer.is_idle:
                 break
             gevent.sleep(DRAIN_POLL_S)
--- a/libs/entry/src/lycheeloom/entry/sessions.py
+++ b/libs/entry/src/lycheeloom/entry/sessions.py
@@ -18,9 +18,9 @@
 from lycheeloom.model.limits import SESSION_TTL_S
 
 # A session older than this is replaced before it is named in a start.
-USABLE_S = 1.2
+MAX_SESSION_AGE_S = 1.2
 # A session older than this is replaced in the background while in use.
-REFRESH_S = 0.7
+REFRESH_AGE_S = 0.7
 
 
 @dataclass(slots=True)
@@ -49,10 +49,10 @@
     def get(self, worker: str, address: str) -> Session | Unavailable:
         """Return a session that can be named now; may wait for the worker."""
         opened = self._opened_by_worker.get(worker)
-        age_s = self._clock() - opened.requested_at if opened else USABLE_S
-        if age_s >= USABLE_S:
+        age_s = self._clock() - opened.requested_at if opened else MAX_SESSION_AGE_S
+        if age_s >= MAX_SESSION_AGE_S:
             return self.open(worker, address)
-        if age_s >= REFRESH_S and worker not in self._opening_by_worker:
+        if age_s >= REFRESH_AGE_S and worker not in self._opening_by_worker:
             gevent.spawn(self.open, worker, address)
         return opened.session
 
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -8,9 +8,9 @@
 
 from .attempt import Placement
 from .dispatch import Dispatcher
-from .grant_keeper import GrantKeeper
-from .jobs import Job
-from .worker_watch import WorkerWatch
+from .grant_manager import GrantManager
+from .local_requests import LocalRequest
+from .worker_monitor import WorkerMonitor
 
 
 class StartChecks:
@@ -22,28 +22,30 @@
         freshness: Freshness,
         keeper: MembershipKeeper,
         dispatcher: Dispatcher,
-        grants: GrantKeeper,
-        watch: WorkerWatch,
+        grants: GrantManager,
+        worker_monitor: WorkerMonitor,
     ) -> None:
         self._tail = tail
         self._freshness = freshness
         self._keeper = keeper
         self._dispatcher = dispatcher
         self._grants = grants
-        self._watch = watch
+        self._worker_monitor = worker_monitor
 
-    def may_start(self, job: Job, placement: Placement) -> str | None:
+    def may_start(self, request: LocalRequest, placement: Placement) -> str | None:
         """Return why a start must not be sent in this step, or None."""
         if not self._freshness.is_fresh():
             return "the state is not fresh"
-        if job.verdict is not None or job.cancel_requested:
+        if request.verdict is not None or request.cancel_requested:
             return "the request is already settled"
-        organisation = job.submission.organisation
+        organisation = request.submission.organisation
         if self._dispatcher.running(organisation) > self._grants.usable(organisation):
             return f"no running slot of organisation {organisation} is granted here"
         config = self._tail.state.config
         instance = config.instance_by_id.get(placement.worker)
-        if instance is None or not self._watch.may_serve(placement.worker):
+        if instance is None or not self._worker_monitor.may_take_tasks(
+            placement.worker
+        ):
             return f"worker {placement.worker} is leaving"
         zone = config.zone_by_id.get(instance.zone)
         if zone is None or zone.state is ZoneState.OUT:
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -25,9 +25,9 @@
 from lycheeloom.state import Member
 from lycheeloom.wire import OrganisationUsage
 
-from .jobs import JobTable
+from .local_requests import LocalRequestTable
 from .wave_progress import WaveProgress
-from .worker_watch import WorkerWatch
+from .worker_monitor import WorkerMonitor
 
 
 class StatusBuilder:
@@ -39,20 +39,20 @@
         mesh: PeerMesh,
         freshness: Freshness,
         scheduler: Scheduler,
-        jobs: JobTable,
-        watch: WorkerWatch,
+        local_requests: LocalRequestTable,
+        worker_monitor: WorkerMonitor,
         waves: WaveProgress,
     ) -> None:
         self._tail = tail
         self._mesh = mesh
         self._freshness = freshness
         self._scheduler = scheduler
-        self._jobs = jobs
-        self._watch = watch
+        self._local_requests = local_requests
+        self._worker_monitor = worker_monitor
         self._waves = waves
         # Sums over all instances, taken once for each configuration.
-        self._sized_config: FleetConfig | None = None
-        self._fleet_size = NO_RESOURCES
+        self._totals_config: FleetConfig | None = None
+        self._fleet_resources = NO_RESOURCES
         self._wanted_buffer = 0
 
     def build(self, instance: str, zone: str, version: str) -> StatusDocument:
@@ -124,25 +124,25 @@
                 )
         return total
 
-    def fleet_size(self) -> Resources:
+    def fleet_resources(self) -> Resources:
         """Return the resources of all configured instances."""
-        self._size_fleet()
-        return self._fleet_size
+        self._update_totals()
+        return self._fleet_resources
 
-    def _size_fleet(self) -> None:
+    def _update_totals(self) -> None:
         state = self._tail.state
-        if state.config is self._sized_config:
+        if state.config is self._totals_config:
             return
-        self._sized_config = state.config
+        self._totals_config = state.config
         instances = state.config.instance_by_id.values()
-        self._fleet_size = sum((item.size for item in instances), NO_RESOURCES)
+        self._fleet_resources = sum((item.size for item in instances), NO_RESOURCES)
         plan = plan_buffers(state.config, state.maintenance.pool_by_instance)
         self._wanted_buffer = wanted_buffer(plan.needs)
 
     def _organisations(self) -> dict[str, OrganisationStatus]:
         state = self._tail.state
         usage_by_organisation = self.fleet_usage()
-        size = self.fleet_size()
+        size = self.fleet_resources()
         own = self._mesh.incarnation
         document = {}
         for organisation_id, organisation in state.config.organisation_by_id.items():
@@ -151,12 +151,12 @@
             )
             used = Resources(usage.cores, usage.memory_mb, usage.accelerators)
             grants = state.grants.of(organisation_id)
-            standing = self._scheduler.explain_organisation(organisation_id)[0]
+            fair_share_event = self._scheduler.explain_organisation(organisation_id)[0]
             document[organisation_id] = OrganisationStatus(
                 running=usage.running,
                 queued=usage.queued,
                 share=organisation.share,
-                entitlement=standing.fair_share,
+                entitlement=fair_share_event.fair_share,
                 dominant_share=used.dominant_share(size),
                 upper_limit=organisation.upper_limit,
                 grant=grants.count_by_holder.get(own, 0),
@@ -168,13 +168,13 @@
         running: Counter[str] = Counter()
         queued: Counter[str] = Counter()
         oldest: dict[str, float] = {}
-        for job in self._jobs.unsettled():
-            queue = job.submission.queue
-            if job.address_by_attempt:
+        for local in self._local_requests.unsettled():
+            queue = local.submission.queue
+            if local.address_by_attempt:
                 running[queue] += 1
                 continue
             queued[queue] += 1
-            submitted_at = job.submission.submitted_at
+            submitted_at = local.submission.submitted_at
             oldest[queue] = min(oldest.get(queue, submitted_at), submitted_at)
         now = time.monotonic()
         return {
@@ -209,7 +209,7 @@
     def _may_start_on(self, instance_id: str) -> bool:
         config = self._tail.state.config
         instance = config.instance_by_id.get(instance_id)
-        if instance is None or not self._watch.is_in_service(instance_id):
+        if instance is None or not self._worker_monitor.is_in_service(instance_id):
             return False
         return config.zone_by_id[instance.zone].state is ZoneState.IN
 
@@ -220,7 +220,7 @@
         for instance, pool in state.maintenance.pool_by_instance.items():
             workers[pool] += 1
             in_service[pool] += self._may_start_on(instance)
-        self._size_fleet()
+        self._update_totals()
         spare_pools = sum(pool.spare for pool in state.config.pool_by_id.values())
         return {
             pool_id: PoolStatus(
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -18,7 +18,7 @@
 
 INTERVAL_S = 0.2
 # While no peer has work, only the decay of past use is left to follow.
-QUIET_STEPS = 10
+IDLE_STEPS = 10
 
 
 class UsageExchange:
@@ -31,7 +31,7 @@
         self._scheduler = scheduler
         self._dispatcher = dispatcher
         self._reserved_by_peers: frozenset[str] = frozenset()
-        self._quiet_steps = 0
+        self._idle_steps = 0
 
     def run(self) -> None:
         """Exchange every ``INTERVAL_S`` until stopped."""
@@ -48,9 +48,9 @@
         self._mesh.reserve_workers(self._scheduler.reserved_workers())
         self._reserved_by_peers = self._mesh.workers_reserved_by_peers()
         usage_by_peer = self._mesh.usage_by_peer()
-        is_quiet = not self._reserved_by_peers and not any(usage_by_peer.values())
-        self._quiet_steps = self._quiet_steps + 1 if is_quiet else 0
-        if self._quiet_steps % QUIET_STEPS > 1:
+        is_idle = not self._reserved_by_peers and not any(usage_by_peer.values())
+        self._idle_steps = self._idle_steps + 1 if is_idle else 0
+        if self._idle_steps % IDLE_STEPS > 1:
             return
         self._scheduler.set_peer_usage(
             {
@@ -63,7 +63,7 @@
             self._reserved_by_peers,
         )
 
-    def follow_reservations(self) -> None:
+    def sync_reservations(self) -> None:
         """Tell peers of new reservations, and take over theirs, without delay."""
         self._mesh.reserve_workers(self._scheduler.reserved_workers())
         if self._mesh.workers_reserved_by_peers() != self._reserved_by_peers:
--- a/libs/entry/src/lycheeloom/entry/settlement.py
+++ b/libs/entry/src/lycheeloom/entry/verdict_reporter.py
@@ -5,35 +5,37 @@
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Verdict
 from lycheeloom.telemetry import log_event
 
-from .jobs import Job, JobTable
+from .local_requests import LocalRequest, LocalRequestTable
 from .metrics import EntryMetrics
 
 
-class Settlement:
+class VerdictReporter:
     """Sets verdicts and reports them."""
 
-    def __init__(self, jobs: JobTable, metrics: EntryMetrics) -> None:
-        self._jobs = jobs
+    def __init__(
+        self, local_requests: LocalRequestTable, metrics: EntryMetrics
+    ) -> None:
+        self._local_requests = local_requests
         self._metrics = metrics
 
-    def settle(self, job: Job, verdict: Verdict) -> bool:
+    def settle(self, request: LocalRequest, verdict: Verdict) -> bool:
         """Set the verdict unless there is one; tells whether it was set.
 
         A request that may have started is never settled as not run.
         """
-        if isinstance(verdict, NotRun) and job.may_have_started:
+        if isinstance(verdict, NotRun) and request.may_have_started:
             message = f"an earlier attempt had started; {verdict.refusal.message}"
             verdict = MayHaveRun(message)
-        if not job.settle(verdict):
+        if not request.settle(verdict):
             return False
-        self._report(job, verdict)
-        self._jobs.note_settled(job)
+        self._report(request, verdict)
+        self._local_requests.expire_later(request)
         return True
 
-    def _report(self, job: Job, verdict: Verdict) -> None:
-        submission = job.submission
+    def _report(self, request: LocalRequest, verdict: Verdict) -> None:
+        submission = request.submission
         name = _verdict_name(verdict)
-        elapsed_s = max(0.0, job.settled_at - submission.submitted_at)
+        elapsed_s = max(0.0, request.settled_at - submission.submitted_at)
         self._metrics.requests.labels(submission.queue, name).inc()
         self._metrics.latency_s.labels(submission.queue).observe(elapsed_s)
         if isinstance(verdict, NotRun):
@@ -41,7 +43,7 @@
         log_event(
             "request_settled",
             "DEBUG",
-            request=job.id,
+            request=request.id,
             organisation=submission.organisation,
             queue=submission.queue,
             verdict=name,
--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -18,16 +18,16 @@
 from lycheeloom.state.maintenance import Maintenance
 
 # Moves that the mean duration is taken over.
-MEASURED_MOVES = 50
+MAX_MEASURED_MOVES = 50
 # Records replayed later than this after their append do not tell durations: a
 # reader that catches up sees the begin and the end of a move at once.
 MAX_LOG_AGE_S = 5.0
 # At 5,100 workers a forecast takes longer than all else in the status document,
 # which is built for each read.
-FORECAST_KEPT_S = 5.0
+FORECAST_TTL_S = 5.0
 # A move that lasts longer than usual may end at any time, but has not ended.
-LONGEST_ELAPSED = 0.9
-_COMMANDED = {
+MAX_ELAPSED_FRACTION = 0.9
+_REASON_BY_STATE = {
     WaveState.PAUSED: "An operator paused it.",
     WaveState.ABORTED: "An operator aborted it.",
 }
@@ -47,9 +47,9 @@
     ) -> None:
         self._log_age_s = log_age_s
         self._clock = clock
-        self._begun_by_move: dict[str, float] = {}
+        self._begun_at_by_move: dict[str, float] = {}
         self._durations: dict[bool, deque[float]] = {
-            reboot: deque(maxlen=MEASURED_MOVES) for reboot in (False, True)
+            reboot: deque(maxlen=MAX_MEASURED_MOVES) for reboot in (False, True)
         }
 
     def on_replayed(self, replayed: Replayed) -> None:
@@ -58,35 +58,35 @@
         effects = replayed.applied.effective
         for record, effective in zip(replayed.batch.records, effects, strict=True):
             if effective and isinstance(record, MoveStep):
-                self._note(record, is_timely)
+                self._observe_step(record, is_timely)
 
-    def move_s(self, reboot: bool) -> float:
+    def mean_move_s(self, reboot: bool) -> float:
         """Return the mean duration of recent moves, assumed while none ended."""
         durations = self._durations[reboot]
         return fmean(durations) if durations else PlannerSettings().expected_move_s
 
-    def open_left(
+    def remaining_fractions(
         self, move_by_instance: Mapping[str, str], reboot: bool
     ) -> dict[str, float]:
         """Return the fraction that open moves still take, by instance.
 
         A whole move is assumed for one whose begin was not seen.
         """
-        now, move_s = self._clock(), self.move_s(reboot)
+        now, mean_move_s = self._clock(), self.mean_move_s(reboot)
         left = {}
         for instance, move_id in move_by_instance.items():
-            elapsed_s = now - self._begun_by_move.get(move_id, now)
+            elapsed_s = now - self._begun_at_by_move.get(move_id, now)
             # Moves may take no time where nothing runs and nothing is rebooted.
-            fraction = elapsed_s / move_s if move_s else 0.0
-            left[instance] = 1 - min(fraction, LONGEST_ELAPSED)
+            fraction = elapsed_s / mean_move_s if mean_move_s else 0.0
+            left[instance] = 1 - min(fraction, MAX_ELAPSED_FRACTION)
         return left
 
-    def _note(self, record: MoveStep, is_timely: bool) -> None:
+    def _observe_step(self, record: MoveStep, is_timely: bool) -> None:
         match record.stage:
             case MoveStage.PLANNED if is_timely:
-                self._begun_by_move[record.move_id] = self._clock()
+                self._begun_at_by_move[record.move_id] = self._clock()
             case MoveStage.JOINED | MoveStage.ABANDONED:
-                begun_at = self._begun_by_move.pop(record.move_id, None)
+                begun_at = self._begun_at_by_move.pop(record.move_id, None)
                 has_joined = record.stage is MoveStage.JOINED
                 if has_joined and is_timely and begun_at is not None:
                     duration_s = self._clock() - begun_at
@@ -97,7 +97,7 @@
     """Tells how far each wave is, from the replayed state.
 
     ``is_in_service`` tells whether a worker may start tasks. Counts are those of
-    the moment; forecasts and reasons may be ``FORECAST_KEPT_S`` old.
+    the moment; forecasts and reasons may be ``FORECAST_TTL_S`` old.
     """
 
     def __init__(
@@ -113,8 +113,8 @@
         self._clock = clock
         self._layout: Layout | None = None
         # The fields of each running wave that are not counted, and their time.
-        self._foretold: dict[str, dict[str, object]] = {}
-        self._foretold_at = float("-inf")
+        self._forecast_by_wave: dict[str, dict[str, object]] = {}
+        self._forecast_at = float("-inf")
 
     def statuses(self) -> dict[str, WaveStatus]:
         """Return the progress of each wave."""
@@ -122,29 +122,33 @@
         waves = maintenance.wave_by_id.values()
         statuses = {wave.wave_id: _count(wave, maintenance) for wave in waves}
         running = [wave for wave in waves if wave.state is WaveState.RUNNING]
-        self._refresh(running, statuses)
+        self._refresh_forecasts(running, statuses)
         for wave in running:
             counted = statuses[wave.wave_id]
-            update = self._foretold[wave.wave_id]
+            update = self._forecast_by_wave[wave.wave_id]
             statuses[wave.wave_id] = counted.model_copy(update=update)
         return statuses
 
-    def _refresh(self, running: list[Wave], counted: dict[str, WaveStatus]) -> None:
+    def _refresh_forecasts(
+        self, running: list[Wave], counted: dict[str, WaveStatus]
+    ) -> None:
         """Foretell the running waves anew if one is new or the last time is old."""
         names = {wave.wave_id for wave in running}
         now = self._clock()
-        is_recent = now < self._foretold_at + FORECAST_KEPT_S
-        if not names or (is_recent and names == self._foretold.keys()):
+        is_recent = now < self._forecast_at + FORECAST_TTL_S
+        if not names or (is_recent and names == self._forecast_by_wave.keys()):
             return
         layout = self._current_layout()
         ledger = self._ledger(layout)
-        self._foretold_at = now
-        self._foretold = {
-            wave.wave_id: self._foretell(wave, counted[wave.wave_id], layout, ledger)
+        self._forecast_at = now
+        self._forecast_by_wave = {
+            wave.wave_id: self._forecast_wave(
+                wave, counted[wave.wave_id], layout, ledger
+            )
             for wave in running
         }
 
-    def _foretell(
+    def _forecast_wave(
         self, wave: Wave, counted: WaveStatus, layout: Layout, ledger: Ledger
     ) -> dict[str, object]:
         """Return the end of a running wave and the limit that it waits for."""
@@ -172,9 +176,9 @@
             layout,
             maintenance.move_by_instance,
             0.0,
-            self._times.move_s(wave.reboot),
+            self._times.mean_move_s(wave.reboot),
             skipped,
-            self._times.open_left(open_moves, wave.reboot),
+            self._times.remaining_fractions(open_moves, wave.reboot),
         ).end_s
 
     def _ledger(self, layout: Layout) -> Ledger:
@@ -213,5 +217,5 @@
         done=done,
         in_progress=in_progress,
         failed=failed,
-        reason=_COMMANDED.get(wave.state, ""),
+        reason=_REASON_BY_STATE.get(wave.state, ""),
     )
--- a/libs/entry/src/lycheeloom/entry/worker_watch.py
+++ b/libs/entry/src/lycheeloom/entry/worker_monitor.py
@@ -25,19 +25,19 @@
 
 # Bounds the probes of one entry to 15 a second; 30 workers are then probed every
 # 2 s each.
-PROBE_TICK_S = 0.2
-PROBES_PER_TICK = 3
+PROBE_INTERVAL_S = 0.2
+PROBES_PER_INTERVAL = 3
 # Probes outstanding at once; silent workers take the whole call timeout.
 MAX_PROBES = 16
 # Every this many probes of a worker its usage report is fetched instead.
-USAGE_EVERY = 3
+USAGE_PROBE_PERIOD = 3
 _LEAVING_STAGES = frozenset(
     {MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING}
 )
-_UNFIT = frozenset({Health.REBOOTING, Health.GIVEN_UP})
+_UNUSABLE_HEALTH = frozenset({Health.REBOOTING, Health.GIVEN_UP})
 
 
-class WorkerWatch:
+class WorkerMonitor:
     """Tells the scheduler which workers are available and how much is free."""
 
     def __init__(
@@ -54,14 +54,14 @@
         self._on_change = on_change
         self._listing: InstanceList | None = None
         self._leaving: frozenset[str] = frozenset()
-        self._reachable: dict[str, bool] = {}
+        self._reachable_by_worker: dict[str, bool] = {}
 
     def address_of(self, worker: str) -> str | None:
         """Return a worker's address, or None if it is not configured."""
         instance = self._tail.state.config.instance_by_id.get(worker)
         return instance.address if instance else None
 
-    def may_serve(self, worker: str) -> bool:
+    def may_take_tasks(self, worker: str) -> bool:
         """Tell whether a worker may get new tasks by all that was replayed."""
         if worker in self._leaving:
             return False
@@ -70,11 +70,13 @@
         if move is not None and move.stage in _LEAVING_STAGES:
             return False
         health = maintenance.health_by_instance.get(worker)
-        return health is None or health.health not in _UNFIT
+        return health is None or health.health not in _UNUSABLE_HEALTH
 
     def is_in_service(self, worker: str) -> bool:
         """Tell whether a worker may get new tasks and answered last time."""
-        return self.may_serve(worker) and self._reachable.get(worker, True)
+        return self.may_take_tasks(worker) and self._reachable_by_worker.get(
+            worker, True
+        )
 
     def is_on_probation(self, worker: str) -> bool:
         """Tell whether the controller has put a worker on probation."""
@@ -100,20 +102,20 @@
         now = time.monotonic()
         match result:
             case Session():
-                is_available = self.may_serve(worker) and not result.draining
-                self._reachable[worker] = True
+                is_available = self.may_take_tasks(worker) and not result.draining
+                self._reachable_by_worker[worker] = True
                 self._scheduler.observe_worker(
                     worker, is_available, result.free, result.boot_id, now
                 )
             case Unavailable():
-                self._reachable[worker] = False
+                self._reachable_by_worker[worker] = False
                 self._mark_unavailable(worker)
         self._on_change()
 
     def apply_maintenance(self) -> None:
         """Take workers out of use as soon as a record says so."""
         for worker in self._tail.state.maintenance.move_by_instance:
-            if not self.may_serve(worker):
+            if not self.may_take_tasks(worker):
                 self._mark_unavailable(worker)
 
     def apply_health(self, worker: str) -> None:
@@ -124,7 +126,7 @@
         if state.health in (Health.PROBATION, Health.IN_SERVICE):
             is_on_probation = state.health is Health.PROBATION
             self._scheduler.set_probation(worker, is_on_probation, time.monotonic())
-        if not self.may_serve(worker):
+        if not self.may_take_tasks(worker):
             self._mark_unavailable(worker)
 
     def run(self) -> None:
@@ -132,16 +134,16 @@
         pool = gevent.pool.Pool(MAX_PROBES)
         for round_number in count():
             workers = list(self._tail.state.config.instance_by_id)
-            for first in range(0, max(1, len(workers)), PROBES_PER_TICK):
-                gevent.sleep(rest_of_tick_s(PROBE_TICK_S))
-                for worker in workers[first : first + PROBES_PER_TICK]:
+            for first in range(0, max(1, len(workers)), PROBES_PER_INTERVAL):
+                gevent.sleep(rest_of_tick_s(PROBE_INTERVAL_S))
+                for worker in workers[first : first + PROBES_PER_INTERVAL]:
                     pool.spawn(self._probe, worker, round_number)
 
     def _probe(self, worker: str, round_number: int) -> None:
         address = self.address_of(worker)
         if address is None:
             return
-        if round_number % USAGE_EVERY == USAGE_EVERY - 1:
+        if round_number % USAGE_PROBE_PERIOD == USAGE_PROBE_PERIOD - 1:
             self._fetch_usage(address)
             return
         self.sessions.open(worker, address)
--- a/libs/entry/tests/test_admission.py
+++ b/libs/entry/tests/test_admission.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lycheeloom.entry.admission import RequestHeaders, check_request
-from lycheeloom.entry.jobs import Submission
+from lycheeloom.entry.local_requests import Submission
 from lycheeloom.entry.replies import (
     MAY_HAVE_RUN_STATUS,
     STATUS_BY_REASON,
@@ -133,8 +133,8 @@
     reply = refusal_reply(refusal, "r")
     assert reply.headers == {"Retry-After": "1"}
     assert verdict_reply("r", NotRun(refusal)).document["verdict"] == "not_run"
-    doubt = verdict_reply("r", MayHaveRun("why"))
-    assert (doubt.status, doubt.document["verdict"]) == (
+    may_have_run = verdict_reply("r", MayHaveRun("why"))
+    assert (may_have_run.status, may_have_run.document["verdict"]) == (
         MAY_HAVE_RUN_STATUS,
         "may_have_run",
     )
--- a/libs/entry/tests/test_attempt.py
+++ b/libs/entry/tests/test_attempt.py
@@ -24,7 +24,7 @@
     Refused,
     Stopped,
 )
-from lycheeloom.entry.jobs import Job, Submission
+from lycheeloom.entry.local_requests import LocalRequest, Submission
 from lycheeloom.entry.sessions import WorkerSessions
 from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
 from lycheeloom.model.resources import NO_RESOURCES
@@ -90,7 +90,7 @@
 def run(clock):
     def run(worker, *, may_start=None, claim=None, recorded=False, run_s=0.1):
         submission = Submission("r", "t", "q", b"x", NO_RESOURCES, run_s, clock())
-        job = Job(submission, is_recorded=recorded)
+        request = LocalRequest(submission, is_recorded=recorded)
         sessions = WorkerSessions(worker, lambda: "e", lambda *_: None, clock)
         runner = AttemptRunner(
             worker,
@@ -103,10 +103,10 @@
             lambda *_: None,
             clock,
         )
-        doubts = []
-        end = runner.run(job, PLACEMENT, lambda: doubts.append(clock()))
-        assert job.address_by_attempt == {}
-        return end, doubts
+        silent_at = []
+        end = runner.run(request, PLACEMENT, lambda: silent_at.append(clock()))
+        assert request.address_by_attempt == {}
+        return end, silent_at
 
     return run
 
@@ -158,9 +158,9 @@
 def test_slot_is_held_until_the_lease_has_expired(run, clock):
     """A silent worker may run the task until its lease expires."""
     began_at = clock()
-    _, doubts = run(FakeWorker(UNKNOWN, [SILENT]))
+    _, silent_at = run(FakeWorker(UNKNOWN, [SILENT]))
     assert clock() - began_at >= SESSION_TTL_S + TASK_LEASE_S
-    assert len(doubts) == 1
+    assert len(silent_at) == 1
 
 
 def test_silent_worker_is_not_sent_renewals(run):
--- a/libs/entry/tests/test_attempt_renewal.py
+++ b/libs/entry/tests/test_attempt_renewal.py
@@ -5,7 +5,7 @@
 from lycheeloom.clients import ActionRefused, Session, TaskReport, TaskStatus
 from lycheeloom.entry import attempt
 from lycheeloom.entry.attempt import AttemptRunner, Placement, Stopped
-from lycheeloom.entry.jobs import Job, Submission
+from lycheeloom.entry.local_requests import LocalRequest, Submission
 from lycheeloom.model.resources import Resources
 from lycheeloom.telemetry import Tracer
 
@@ -71,10 +71,10 @@
         worker,
         FakeSessions(),
         Tracer("e1", 0.0),
-        lambda job, placement: None,
+        lambda request, placement: None,
         lambda: holder[0],
         lambda task_holder: task_holder == holder[0],
-        lambda job, attempt, worker, boot_id: None,
+        lambda request, attempt, worker, boot_id: None,
         lambda worker, report: None,
         worker.clock,
     )
@@ -86,7 +86,7 @@
     A paused entry was expelled, came back under a new incarnation, and went on
     renewing; 20 s later others started tasks with the reclaimed slots.
     """
-    monkeypatch.setattr(attempt, "LONGEST_POLL_S", 0.0)
+    monkeypatch.setattr(attempt, "MAX_POLL_INTERVAL_S", 0.0)
     holder = ["e1-old"]
     runner = make_runner(worker, holder)
 
@@ -96,7 +96,9 @@
 
     worker.on_status = rejoin
     submission = Submission("r1", "red", "bookings", b"", SIZE, 100.0, 0.0)
-    end = runner.run(Job(submission), Placement("w1", "a:1", SIZE), lambda: None)
+    end = runner.run(
+        LocalRequest(submission), Placement("w1", "a:1", SIZE), lambda: None
+    )
     assert end == Stopped()
     # Renewed at 6 s only, so the lease ends at 21 s and is seen at the next poll.
     assert worker.renewals == 1
@@ -105,7 +107,7 @@
 
 def test_renewal_with_a_lapsed_session_is_repeated(worker, monkeypatch):
     """Guards against a task that is stopped because one renewal came late."""
-    monkeypatch.setattr(attempt, "LONGEST_POLL_S", 0.0)
+    monkeypatch.setattr(attempt, "MAX_POLL_INTERVAL_S", 0.0)
     worker.lapsed_sessions.add("session-1")
     submission = Submission("r1", "red", "bookings", b"", SIZE, 100.0, 0.0)
     runner = make_runner(worker, ["e1"])
@@ -115,6 +117,6 @@
             worker.lease_until = 0.0
 
     worker.on_status = end_soon
-    runner.run(Job(submission), Placement("w1", "a:1", SIZE), lambda: None)
+    runner.run(LocalRequest(submission), Placement("w1", "a:1", SIZE), lambda: None)
     # Without a second renewal the task would have ended at 15 s.
     assert worker.now > 30.0
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -7,7 +7,7 @@
 from lycheeloom.clients import StartRefusal
 from lycheeloom.entry.attempt import Answered, Failed, Refused, Stopped
 from lycheeloom.entry.dispatch import Dispatcher
-from lycheeloom.entry.jobs import Job, JobTable, Submission
+from lycheeloom.entry.local_requests import LocalRequest, LocalRequestTable, Submission
 from lycheeloom.entry.metrics import EntryMetrics
 from lycheeloom.model.config import Queue, parse_config
 from lycheeloom.model.resources import Resources
@@ -23,8 +23,8 @@
     def __init__(self, ends):
         self.ends = list(ends)
 
-    def run(self, job, placement, on_doubt):
-        job.attempt += 1
+    def run(self, request, placement, on_silence):
+        request.attempt += 1
         return self.ends.pop(0)
 
 
@@ -49,27 +49,29 @@
         scheduler.observe_worker(name, True, Resources(8, 8192), "boot", 0.0)
     made = Dispatcher(
         scheduler,
-        JobTable(),
+        LocalRequestTable(),
         EntryMetrics(),
         None,
         lambda worker: "a:1",
         lambda: True,
-        lambda job, attempt: True,
-        lambda job: None,
+        lambda request, attempt: True,
+        lambda request: None,
     )
-    made.adopt_queues(list(config.queue_by_id.values()))
+    made.set_queues(list(config.queue_by_id.values()))
     return made
 
 
 def run_until_idle(dispatcher):
     """Take decisions until no attempt is under way."""
     for _ in range(10):
-        dispatcher._take_decisions()
+        dispatcher._apply_decisions()
         gevent.sleep(0)
 
 
-def make_job():
-    return Job(Submission("r1", "red", "find", b"", SIZE, 0.1, 0.0, idempotent=True))
+def make_request():
+    return LocalRequest(
+        Submission("r1", "red", "find", b"", SIZE, 0.1, 0.0, idempotent=True)
+    )
 
 
 @pytest.mark.parametrize(
@@ -83,10 +85,10 @@
 def test_refusal_after_a_failed_attempt(dispatcher, ends, verdict):
     """Guards against "not run" for a job whose earlier attempt had started."""
     dispatcher.runner = FakeRunner(ends)
-    job = make_job()
-    assert dispatcher.submit(job) is None
+    request = make_request()
+    assert dispatcher.submit(request) is None
     run_until_idle(dispatcher)
-    assert isinstance(job.verdict, verdict)
+    assert isinstance(request.verdict, verdict)
 
 
 @pytest.mark.parametrize("is_recorded", [False, True])
@@ -97,11 +99,11 @@
     outcomes = []
     dispatcher.on_outcome = lambda *outcome: outcomes.append(outcome)
     dispatcher.runner = FakeRunner([Failed(), Answered(b"")])
-    job = make_job()
-    job.is_recorded = is_recorded
-    assert dispatcher.submit(job) is None
+    request = make_request()
+    request.is_recorded = is_recorded
+    assert dispatcher.submit(request) is None
     run_until_idle(dispatcher)
-    assert isinstance(job.verdict, Ran)
+    assert isinstance(request.verdict, Ran)
     assert [(queue, failed) for _, queue, failed in outcomes] == (
         [] if is_recorded else [("find", True), ("find", False)]
     )
@@ -110,14 +112,14 @@
 def test_cancellation_after_a_failed_attempt(dispatcher):
     """Guards against "not run" for a cancelled retry."""
     dispatcher.runner = FakeRunner([Failed()])
-    job = make_job()
-    assert dispatcher.submit(job) is None
+    request = make_request()
+    assert dispatcher.submit(request) is None
     # The attempt ends and the job is queued again; the entry is not fresh then.
     dispatcher._may_dispatch = lambda: False
     gevent.sleep(0)
     assert dispatcher.scheduler.has_queued()
-    dispatcher.cancel(job)
-    assert isinstance(job.verdict, MayHaveRun)
+    dispatcher.cancel(request)
+    assert isinstance(request.verdict, MayHaveRun)
 
 
 class SlowRunner:
@@ -127,7 +129,7 @@
         self.workers = []
         self.release = gevent.event.Event()
 
-    def run(self, job, placement, on_doubt):
+    def run(self, request, placement, on_silence):
         self.workers.append(placement.worker)
         if len(self.workers) == 1:
             self.release.wait()
@@ -141,16 +143,16 @@
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
     queue = Queue("find", "main", idempotent=True, hedge_budget_percent=percent)
-    dispatcher.adopt_queues([queue])
+    dispatcher.set_queues([queue])
     dispatcher.runner = SlowRunner()
-    job = make_job()
-    assert dispatcher.submit(job) is None
+    request = make_request()
+    assert dispatcher.submit(request) is None
     for _ in range(20):
         gevent.sleep(0.001)
     assert len(dispatcher.runner.workers) == copies
     dispatcher.runner.release.set()
     run_until_idle(dispatcher)
-    assert job.verdict == Ran(b"second")
+    assert request.verdict == Ran(b"second")
     assert len(dispatcher.runner.workers) == 2
     assert not dispatcher.scheduler.has_queued()
 
@@ -159,23 +161,23 @@
     """Guards against callers that wait here for a job that another entry runs."""
     # A submission is started at once unless the entry is not fresh.
     dispatcher._may_dispatch = lambda: False
-    job = make_job()
-    assert dispatcher.submit(job) is None
-    assert dispatcher.withdraw(job)
-    assert job.settled.is_set()
-    assert job.verdict is None
+    request = make_request()
+    assert dispatcher.submit(request) is None
+    assert dispatcher.withdraw(request)
+    assert request.settled.is_set()
+    assert request.verdict is None
 
 
 def test_released_job_carries_its_checkpoint(dispatcher):
     """Guards against an entry that starts a checkpointed job afresh."""
     released = []
-    dispatcher._release = lambda job, attempt: released.append(job.checkpoint)
+    dispatcher._release = lambda request, attempt: released.append(request.checkpoint)
     dispatcher.runner = FakeRunner([Stopped("half"), Answered(b"whole")])
     submission = Submission(
         "r1", "red", "find", b"", SIZE, 9.0, 0.0, checkpointable=True
     )
-    job = Job(submission, is_recorded=True)
-    assert dispatcher.submit(job) is None
+    request = LocalRequest(submission, is_recorded=True)
+    assert dispatcher.submit(request) is None
     run_until_idle(dispatcher)
     assert released == ["half"]
-    assert job.verdict == Ran(b"whole")
+    assert request.verdict == Ran(b"whole")
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_manager.py
@@ -7,7 +7,7 @@
 import pytest
 from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
 
-from lycheeloom.entry.grant_keeper import STEP_INTERVAL_S, GrantKeeper
+from lycheeloom.entry.grant_manager import STEP_INTERVAL_S, GrantManager
 from lycheeloom.log import Effective, LogTail, LogWriter, Priority
 from lycheeloom.model.records import GrantRequested, GrantReturned, MemberJoined
 from lycheeloom.state import FleetState
@@ -16,7 +16,7 @@
 ENTRIES = ("a", "b", "c", "d", "e")
 
 
-class World:
+class EntryGroup:
     """Keepers of several entries that replay each record at once."""
 
     def __init__(self, limit):
@@ -26,7 +26,7 @@
         self.state.grants.set_limits({"red": limit})
         self.state.config.organisation_by_id["red"] = None
         self.demand_by_entry = dict.fromkeys(ENTRIES, 0)
-        self.keepers = [self._make(name) for name in ENTRIES]
+        self.managers = [self._make(name) for name in ENTRIES]
 
     def _make(self, own):
         def append(record, priority):
@@ -40,7 +40,7 @@
             total = sum(self.demand_by_entry.values()) - self.demand_by_entry[own]
             return total if organisation else {"red": total}
 
-        return GrantKeeper(
+        return GrantManager(
             SimpleNamespace(state=self.state, last_read_sent_at=math.inf),
             SimpleNamespace(append=append),
             SimpleNamespace(
@@ -55,9 +55,9 @@
         )
 
     def step(self):
-        for keeper in self.keepers:
-            keeper._requested_at.clear()
-            keeper.step()
+        for manager in self.managers:
+            manager._requested_at.clear()
+            manager.step()
 
 
 def test_entry_with_demand_gets_slots_that_idle_entries_hold():
@@ -67,13 +67,13 @@
     held
     one kept it as its reserve.
     """
-    world = World(limit=3)
+    group = EntryGroup(limit=3)
     for name in ENTRIES[:3]:
-        world.state.grants.request(name, "red", 1)
-    world.demand_by_entry["e"] = 2
+        group.state.grants.request(name, "red", 1)
+    group.demand_by_entry["e"] = 2
     for _ in range(3):
-        world.step()
-    assert world.state.grants.of("red").usable("e") == 2
+        group.step()
+    assert group.state.grants.of("red").usable("e") == 2
 
 
 def test_entry_with_demand_does_not_wait_for_the_reclaim_of_lost_slots():
@@ -82,27 +82,27 @@
     Each idle entry kept one slot as its reserve of a limit that included the
     expelled entry's slots, so that too few were left for all.
     """
-    world = World(limit=5)
-    world.state.grants.request("a", "red", 2)
+    group = EntryGroup(limit=5)
+    group.state.grants.request("a", "red", 2)
     for name in "bcd":
-        world.state.grants.request(name, "red", 1)
-    world.state.members.member_by_incarnation["a"].expelled_at = 1
-    del world.keepers[0]
-    world.demand_by_entry["e"] = 1
+        group.state.grants.request(name, "red", 1)
+    group.state.members.member_by_incarnation["a"].expelled_at = 1
+    del group.managers[0]
+    group.demand_by_entry["e"] = 1
     for _ in range(3):
-        world.step()
-    assert world.state.grants.of("red").usable("e") == 1
-    assert world.state.grants.of("red").usable("a") == 2
+        group.step()
+    assert group.state.grants.of("red").usable("e") == 1
+    assert group.state.grants.of("red").usable("a") == 2
 
 
 def test_idle_entries_hold_equal_parts():
     """Guards against entries without slots when the log goes down."""
-    world = World(limit=10)
-    world.step()
-    assert {world.state.grants.of("red").usable(name) for name in ENTRIES} == {2}
+    group = EntryGroup(limit=10)
+    group.step()
+    assert {group.state.grants.of("red").usable(name) for name in ENTRIES} == {2}
 
 
-class LoggedWorld:
+class LoggedEntry:
     """One keeper with a writer and a tail over a log that can be down."""
 
     def __init__(self, limit_by_organisation):
@@ -123,7 +123,7 @@
         self.is_unreadable = False
         self.appended = []
         self._next_write_at = 0.0
-        self.keeper = GrantKeeper(
+        self.manager = GrantManager(
             self.tail,
             SimpleNamespace(append=self._append),
             SimpleNamespace(
@@ -160,11 +160,11 @@
             if self.clock.now >= self._next_write_at:
                 self._next_write_at = self.clock.now + self.writer.step()
             self.tail.step()
-            self.keeper.step()
+            self.manager.step()
             check()
 
     def usable(self, organisation):
-        return self.keeper.usable(organisation)
+        return self.manager.usable(organisation)
 
     def unsettled(self, kind, organisation):
         return [
@@ -191,49 +191,49 @@
 
     They filled the queue of control records and were all written afterwards.
     """
-    world = LoggedWorld({"red": 90, "blue": 90})
-    before = len(world.log.archive)
-    world.peer_demand_by_organisation = {"red": 1, "blue": 1}
-    world.fault = fault
+    entry = LoggedEntry({"red": 90, "blue": 90})
+    before = len(entry.log.archive)
+    entry.peer_demand_by_organisation = {"red": 1, "blue": 1}
+    entry.fault = fault
     most = 0
 
     def check():
         nonlocal most
         unsettled = (
-            world.unsettled(GrantRequested, organisation)
+            entry.unsettled(GrantRequested, organisation)
             for organisation in ("red", "blue")
         )
         most = max(most, *map(len, unsettled))
 
     for second in range(1800):
         extra = second // 10 % 3 if is_changing else 0
-        world.demand_by_organisation = {"red": 89 - extra, "blue": 89}
-        world.run(1.0, check)
-    world.fault = ""
-    world.run(5.0)
-    written = world.written(GrantRequested, before)
+        entry.demand_by_organisation = {"red": 89 - extra, "blue": 89}
+        entry.run(1.0, check)
+    entry.fault = ""
+    entry.run(5.0)
+    written = entry.written(GrantRequested, before)
     assert most == 1
     assert len(written) == 2
-    assert world.usable("blue") == 89
+    assert entry.usable("blue") == 89
     # A request that may have reached the log keeps the count that it was sent with.
-    sent = 89 if fault == "lost_request" else world.demand_by_organisation["red"]
-    assert world.usable("red") == sent
+    sent = 89 if fault == "lost_request" else entry.demand_by_organisation["red"]
+    assert entry.usable("red") == sent
 
 
 def test_unsent_request_is_withdrawn_when_the_demand_is_gone():
     """Guards against slots that are granted after an outage to an idle entry."""
-    world = LoggedWorld({"red": 90})
-    world.peer_demand_by_organisation = {"red": 1}
-    world.fault = "down"
-    world.demand_by_organisation = {"red": 80}
-    world.run(5.0)
-    assert len(world.unsettled(GrantRequested, "red")) == 1
-    world.demand_by_organisation = {}
-    world.run(5.0)
-    assert not world.unsettled(GrantRequested, "red")
-    world.fault = ""
-    world.run(5.0)
-    assert world.usable("red") == 45
+    entry = LoggedEntry({"red": 90})
+    entry.peer_demand_by_organisation = {"red": 1}
+    entry.fault = "down"
+    entry.demand_by_organisation = {"red": 80}
+    entry.run(5.0)
+    assert len(entry.unsettled(GrantRequested, "red")) == 1
+    entry.demand_by_organisation = {}
+    entry.run(5.0)
+    assert not entry.unsettled(GrantRequested, "red")
+    entry.fault = ""
+    entry.run(5.0)
+    assert entry.usable("red") == 45
 
 
 def test_slots_stay_usable_in_an_outage():
@@ -242,20 +242,20 @@
     An entry returned its idle slots for a request of a peer that it had replayed
     before the outage, and could neither use nor pass them on.
     """
-    world = LoggedWorld({"red": 90})
-    world.append_as_peer(GrantRequested("red", 90))
-    world.run(0.1)
-    assert world.usable("red") == 45
-    world.fault, world.is_unreadable = "down", True
-    world.peer_demand_by_organisation = {"red": 90}
-    world.run(5.0)
-    assert world.usable("red") == 45
-    assert not world.unsettled(GrantReturned, "red")
-    world.fault, world.is_unreadable = "", False
-    world.run(5.0)
-    assert world.usable("red") == 0
-    assert world.tail.state.grants.of("red").usable("b") == 90
-    assert len(world.written(GrantReturned, 0)) == 1
+    entry = LoggedEntry({"red": 90})
+    entry.append_as_peer(GrantRequested("red", 90))
+    entry.run(0.1)
+    assert entry.usable("red") == 45
+    entry.fault, entry.is_unreadable = "down", True
+    entry.peer_demand_by_organisation = {"red": 90}
+    entry.run(5.0)
+    assert entry.usable("red") == 45
+    assert not entry.unsettled(GrantReturned, "red")
+    entry.fault, entry.is_unreadable = "", False
+    entry.run(5.0)
+    assert entry.usable("red") == 0
+    assert entry.tail.state.grants.of("red").usable("b") == 90
+    assert len(entry.written(GrantReturned, 0)) == 1
 
 
 def test_draining_entry_keeps_what_its_queued_requests_need():
@@ -264,22 +264,22 @@
     It returned every slot without a running task, also those that requests in its
     queue waited for.
     """
-    world = LoggedWorld({"red": 90})
-    world.append_as_peer(GrantRequested("red", 90))
-    world.peer_demand_by_organisation = {"red": 90}
-    world.is_draining = True
+    entry = LoggedEntry({"red": 90})
+    entry.append_as_peer(GrantRequested("red", 90))
+    entry.peer_demand_by_organisation = {"red": 90}
+    entry.is_draining = True
     for running, queued in ((10, 20), (30, 0), (4, 1), (1, 0), (0, 0)):
-        world.running_by_organisation = {"red": running}
-        world.demand_by_organisation = {"red": running + queued}
-        world.run(1.0)
-        assert world.usable("red") == running + queued
-        assert world.tail.state.grants.of("red").usable("b") == 90 - running - queued
+        entry.running_by_organisation = {"red": running}
+        entry.demand_by_organisation = {"red": running + queued}
+        entry.run(1.0)
+        assert entry.usable("red") == running + queued
+        assert entry.tail.state.grants.of("red").usable("b") == 90 - running - queued
 
 
 def test_draining_entry_asks_for_slots_of_its_queued_requests():
     """Guards against a shutdown that waits for requests without any slot."""
-    world = LoggedWorld({"red": 90})
-    world.is_draining = True
-    world.demand_by_organisation = {"red": 60}
-    world.run(3.0)
-    assert world.usable("red") == 60
+    entry = LoggedEntry({"red": 90})
+    entry.is_draining = True
+    entry.demand_by_organisation = {"red": 60}
+    entry.run(3.0)
+    assert entry.usable("red") == 60
--- a/libs/entry/tests/test_outcome_counts.py
+++ b/libs/entry/tests/test_outcome_counts.py
@@ -6,7 +6,7 @@
     KEPT_PERIODS,
     MAX_COUNTS,
     PERIOD_S,
-    QUESTIONED_PERIODS,
+    SUSPECT_PERIODS,
     OutcomeCounts,
 )
 from lycheeloom.wire import OutcomeCount, OutcomeReport
@@ -41,9 +41,9 @@
 def test_only_workers_in_question_are_reported(counts, clock, probation):
     """Guards against reports that grow with the fleet."""
     probation.add("w2")
-    counts.note("w1", "find", True)
+    counts.record("w1", "find", True)
     for worker in ("w1", "w2", "w3"):
-        counts.note(worker, "find", False)
+        counts.record(worker, "find", False)
     clock.pass_periods()
     assert counts.report(0).counts == (
         OutcomeCount("w1", "find", 2, 1),
@@ -53,14 +53,14 @@
 
 def test_each_outcome_is_reported_once(counts, clock):
     """Guards against failures that a controller counts again in each report."""
-    counts.note("w1", "find", True)
+    counts.record("w1", "find", True)
     assert counts.report(0).counts == ()
     clock.pass_periods()
     first = counts.report(0)
     assert first.counts == (OutcomeCount("w1", "find", 1, 1),)
     # Asked again after a lost answer, then after an answer that arrived.
     assert counts.report(0) == first
-    counts.note("w1", "book", True)
+    counts.record("w1", "book", True)
     clock.pass_periods()
     second = counts.report(first.through_period)
     assert second.counts == (OutcomeCount("w1", "book", 1, 1),)
@@ -68,22 +68,22 @@
 
 def test_queues_that_succeed_elsewhere_are_named(counts, clock):
     """Guards against failing workers that are excused as failing work."""
-    counts.note("w9", "find", False)
-    counts.note("w9", "unrelated", False)
+    counts.record("w9", "find", False)
+    counts.record("w9", "unrelated", False)
     for worker in ("w1", "w2", "w3"):
-        counts.note(worker, "find", True)
-        counts.note(worker, "broken", True)
+        counts.record(worker, "find", True)
+        counts.record(worker, "broken", True)
     clock.pass_periods()
     assert counts.report(0).succeeded_queues == ("find",)
 
 
 def test_old_counts_are_dropped(counts, clock):
     """Guards against memory that grows with every worker that ever failed."""
-    counts.note("w1", "find", True)
+    counts.record("w1", "find", True)
     clock.pass_periods(KEPT_PERIODS + 1)
     assert counts.report(0) == OutcomeReport(1000 + KEPT_PERIODS + 1)
-    clock.pass_periods(QUESTIONED_PERIODS)
-    counts.note("w1", "find", False)
+    clock.pass_periods(SUSPECT_PERIODS)
+    counts.record("w1", "find", False)
     clock.pass_periods()
     assert counts.report(0).counts == ()
 
@@ -91,9 +91,9 @@
 def test_report_is_bounded(counts, clock):
     """Guards against a report of thousands of workers after a bad release."""
     for number in range(3 * MAX_COUNTS):
-        counts.note(f"w{number}", "find", True)
+        counts.record(f"w{number}", "find", True)
     for _ in range(2):
-        counts.note("w250", "find", True)
+        counts.record("w250", "find", True)
     clock.pass_periods()
     found = counts.report(0).counts
     assert len(found) == MAX_COUNTS
--- a/libs/entry/tests/test_journal.py
+++ b/libs/entry/tests/test_recorded_requests.py
@@ -12,10 +12,10 @@
     Expired,
     ReadBatches,
 )
-from lycheeloom.entry.intake import Intake
-from lycheeloom.entry.jobs import JobTable, Submission
-from lycheeloom.entry.journal import Journal
-from lycheeloom.entry.member_choice import select_member
+from lycheeloom.entry.local_requests import LocalRequestTable, Submission
+from lycheeloom.entry.recorded_requests import RecordedRequestManager
+from lycheeloom.entry.rendezvous import select_member
+from lycheeloom.entry.request_handler import RequestHandler
 from lycheeloom.log import BatchRing, LogTail, LogWriter, recover
 from lycheeloom.model.records import MemberJoined, Outcome, RequestFinished
 from lycheeloom.model.resources import Resources
@@ -51,31 +51,38 @@
 class FakeDispatcher:
     """Takes jobs, unless it refuses them, and runs none."""
 
-    def __init__(self, jobs):
+    def __init__(self, local_requests):
         self.submitted = []
         self.refusal = None
-        self._jobs = jobs
+        self._local_requests = local_requests
 
-    def submit(self, job):
+    def submit(self, local):
         if self.refusal is not None:
             return self.refusal
-        self.submitted.append(job)
-        self._jobs.add(job)
+        self.submitted.append(local)
+        self._local_requests.add(local)
         return None
 
 
-class JournalWorld:
+class SingleEntry:
     """A journal of the only member, whose log advances in ``pump``."""
 
     def __init__(self):
         self.log = FakeLog()
         self.tail = LogTail(self.log, FleetState())
         self.writer = LogWriter(self.log, "e0-a", self.tail, commit_interval_s=0.0)
-        self.jobs = JobTable()
-        self.journal = Journal(
-            self.tail, self.writer, self.log, self.jobs, lambda: "e0-a", lambda: True
+        self.local_requests = LocalRequestTable()
+        self.recorded_requests = RecordedRequestManager(
+            self.tail,
+            self.writer,
+            self.log,
+            self.local_requests,
+            lambda: "e0-a",
+            lambda: True,
+        )
+        self.dispatcher = self.recorded_requests.dispatcher = FakeDispatcher(
+            self.local_requests
         )
-        self.dispatcher = self.journal.dispatcher = FakeDispatcher(self.jobs)
         self.writer.append(MemberJoined("e0", "e0-a", "a:1", "north"))
         self.pump()
 
@@ -94,13 +101,13 @@
         """Record a request and return its job."""
         values = {"idempotent": True, "idempotency_key": "k", "wait": False, **fields}
         submission = Submission("r1", "red", "find", b"x", SIZE, 1.0, 0.0, **values)
-        self.call(self.journal.submit, submission, b"digest")
+        self.call(self.recorded_requests.submit, submission, b"digest")
         return self.dispatcher.submitted[-1]
 
 
 @pytest.fixture
-def world():
-    return JournalWorld()
+def entry():
+    return SingleEntry()
 
 
 def test_one_member_takes_a_request_over():
@@ -114,70 +121,70 @@
     assert select_member("r1", []) == ""
 
 
-def test_request_whose_retry_was_refused_runs_again(world):
+def test_request_whose_retry_was_refused_runs_again(entry):
     """Guards against a released request that stays pending for good."""
-    job = world.accept()
-    job.attempt = 1
-    assert world.call(world.journal.claim, job, 1, "w1", "boot") is None
-    assert world.call(world.journal.release, job, 1)
-    job.settle(MayHaveRun("the task failed, and the queue refused the retry"))
-    world.call(world.journal.record_verdict, job)
-    again = world.dispatcher.submitted[-1]
-    assert again is not job
+    local = entry.accept()
+    local.attempt = 1
+    assert entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot") is None
+    assert entry.call(entry.recorded_requests.release, local, 1)
+    local.settle(MayHaveRun("the task failed, and the queue refused the retry"))
+    entry.call(entry.recorded_requests.record_verdict, local)
+    again = entry.dispatcher.submitted[-1]
+    assert again is not local
     assert again.attempt == 1
     assert again.verdict is None
 
 
-def test_refused_request_is_cancelled_by_one_record(world):
+def test_refused_request_is_cancelled_by_one_record(entry):
     """Guards against a record for each change of the members in a log outage."""
-    job = world.accept()
-    world.jobs.remove(job)
-    before = len(world.log.batches)
-    world.log.is_down = True
-    world.dispatcher.refusal = Refusal(RefusalReason.NEVER_FITS, "too large")
+    local = entry.accept()
+    entry.local_requests.remove(local)
+    before = len(entry.log.batches)
+    entry.log.is_down = True
+    entry.dispatcher.refusal = Refusal(RefusalReason.NEVER_FITS, "too large")
     for _ in range(5):
-        world.journal.reassign()
-        world.pump()
-    assert world.writer.queued_records == 1
-    world.log.is_down = False
-    world.pump()
-    assert len(world.log.batches) == before + 1
-    request = world.tail.state.requests.request_by_id["r1"]
+        entry.recorded_requests.reassign_pending()
+        entry.pump()
+    assert entry.writer.queued_records == 1
+    entry.log.is_down = False
+    entry.pump()
+    assert len(entry.log.batches) == before + 1
+    request = entry.tail.state.requests.request_by_id["r1"]
     assert request.outcome is Outcome.NOT_RUN
 
 
-def test_claim_that_was_replayed_within_a_snapshot(world):
+def test_claim_that_was_replayed_within_a_snapshot(entry):
     """Guards against a claim that this entry holds but does not run."""
-    job = world.accept()
-    claiming = gevent.spawn(world.journal.claim, job, 1, "w1", "boot")
+    local = entry.accept()
+    claiming = gevent.spawn(entry.recorded_requests.claim, local, 1, "w1", "boot")
     gevent.sleep(0)
-    world.writer.step()
-    world.tail.state = recover(world.log)
-    for listener in world.tail._reset_listeners:
-        listener(world.tail.state)
+    entry.writer.step()
+    entry.tail.state = recover(entry.log)
+    for listener in entry.tail._reset_listeners:
+        listener(entry.tail.state)
     assert claiming.get() is None
 
 
-def test_wait_ends_with_a_snapshot_that_has_the_answer(world):
+def test_wait_ends_with_a_snapshot_that_has_the_answer(entry):
     """Guards against a caller that waits on although the request is finished."""
-    job = world.accept()
-    world.call(world.journal.claim, job, 1, "w1", "boot")
-    waiting = gevent.spawn(world.journal.wait, "r1", 3600.0)
+    local = entry.accept()
+    entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
+    waiting = gevent.spawn(entry.recorded_requests.wait, "r1", 3600.0)
     gevent.sleep(0)
-    world.writer.append(RequestFinished("r1", 1, Outcome.RAN, b"answer"))
-    world.writer.step()
-    world.tail.state = recover(world.log)
-    for listener in world.tail._reset_listeners:
-        listener(world.tail.state)
+    entry.writer.append(RequestFinished("r1", 1, Outcome.RAN, b"answer"))
+    entry.writer.step()
+    entry.tail.state = recover(entry.log)
+    for listener in entry.tail._reset_listeners:
+        listener(entry.tail.state)
     assert waiting.get(timeout=60.0).status is RequestStatus.FINISHED
 
 
-def test_shutdown_ends_waits_for_other_entries(world):
+def test_shutdown_ends_waits_for_other_entries(entry):
     """Guards against a shutdown that waits for what starts only after it."""
-    world.accept()
-    waiting = gevent.spawn(world.journal.wait, "r1", 3600.0)
+    entry.accept()
+    waiting = gevent.spawn(entry.recorded_requests.wait, "r1", 3600.0)
     gevent.sleep(0)
-    world.journal.release_waiters()
+    entry.recorded_requests.release_waiters()
     assert waiting.get().status is RequestStatus.PENDING
 
 
@@ -193,62 +200,70 @@
     request.status = RequestStatus.FINISHED
     request.outcome = Outcome.NOT_RUN
     request.attempt = attempt
-    intake = Intake(None, None, JobTable(), None, None, None, None)
-    assert intake._recorded_reply(request).document["verdict"] == verdict
+    handler = RequestHandler(None, None, LocalRequestTable(), None, None, None, None)
+    assert handler._recorded_reply(request).document["verdict"] == verdict
 
 
 @pytest.fixture
-def intake(world):
+def handler(entry):
     """An intake whose one queue is open to all."""
     queue = SimpleNamespace(open_to_all=True, organisations=["red"])
-    world.tail.state.config = SimpleNamespace(queue_by_id={"find": queue})
+    entry.tail.state.config = SimpleNamespace(queue_by_id={"find": queue})
     fresh = SimpleNamespace(is_fresh=lambda: True)
-    return Intake(world.tail, fresh, world.jobs, None, world.journal, None, None)
+    return RequestHandler(
+        entry.tail,
+        fresh,
+        entry.local_requests,
+        None,
+        entry.recorded_requests,
+        None,
+        None,
+    )
 
 
-def drop_all(world):
+def drop_all(entry):
     """Let the log and the recent batches of the entry drop every record."""
-    world.log.oldest = len(world.log.batches)
-    world.tail.ring = BatchRing()
+    entry.log.oldest = len(entry.log.batches)
+    entry.tail.ring = BatchRing()
 
 
-def test_answer_that_the_log_has_dropped(world, intake):
+def test_answer_that_the_log_has_dropped(entry, handler):
     """Guards against a caller that is told for good to ask again later."""
-    job = world.accept()
-    world.call(world.journal.claim, job, 1, "w1", "boot")
-    world.writer.append(RequestFinished("r1", 1, Outcome.RAN, b"answer"))
-    world.pump()
-    assert intake.show("r1", "", 0.0).document["answer"] == "answer"
-    drop_all(world)
-    lost = intake.show("r1", "", 0.0)
+    local = entry.accept()
+    entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
+    entry.writer.append(RequestFinished("r1", 1, Outcome.RAN, b"answer"))
+    entry.pump()
+    assert handler.show("r1", "", 0.0).document["answer"] == "answer"
+    drop_all(entry)
+    lost = handler.show("r1", "", 0.0)
     assert (lost.status, lost.document["verdict"]) == (410, "ran")
     assert lost.document["reason"] == "answer_lost"
 
 
-def test_request_whose_body_the_log_has_dropped(world):
+def test_request_whose_body_the_log_has_dropped(entry):
     """Guards against a request that stays pending for good."""
-    job = world.accept()
-    world.jobs.remove(job)
-    drop_all(world)
-    world.journal.reassign()
-    world.pump()
-    request = world.tail.state.requests.request_by_id["r1"]
+    local = entry.accept()
+    entry.local_requests.remove(local)
+    drop_all(entry)
+    entry.recorded_requests.reassign_pending()
+    entry.pump()
+    request = entry.tail.state.requests.request_by_id["r1"]
     assert request.outcome is Outcome.NOT_RUN
 
 
-def test_collected_answer_is_the_recorded_one(world, intake):
+def test_collected_answer_is_the_recorded_one(entry, handler):
     """Guards against two entries that give different answers for one request.
 
     An entry collected its own verdict before the log had it and was then lost;
     another entry recorded that the request may have run.
     """
-    job = world.accept(idempotent=False)
-    world.call(world.journal.claim, job, 1, "w1", "boot")
-    job.settle(Ran(b"answer"))
-    early = intake.show("r1", "", 0.0)
-    doubt = RequestFinished("r1", 1, Outcome.MAY_HAVE_RUN, b"the entry was lost")
-    world.writer.append(doubt)
-    world.pump()
+    local = entry.accept(idempotent=False)
+    entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
+    local.settle(Ran(b"answer"))
+    early = handler.show("r1", "", 0.0)
+    may_have_run = RequestFinished("r1", 1, Outcome.MAY_HAVE_RUN, b"the entry was lost")
+    entry.writer.append(may_have_run)
+    entry.pump()
     assert early.status == 202
-    late = intake.show("r1", "", 0.0)
+    late = handler.show("r1", "", 0.0)
     assert late.document["verdict"] == "may_have_run"
--- a/libs/entry/tests/test_recovery.py
+++ b/libs/entry/tests/test_recovery.py
@@ -20,7 +20,7 @@
 from lycheeloom.state import FleetState, RecordedRequest
 
 RELEASED = RequestReleased("r", 2)
-DOUBT = Outcome.MAY_HAVE_RUN
+MAY_HAVE_RUN = Outcome.MAY_HAVE_RUN
 
 
 def request(idempotent):
@@ -50,15 +50,15 @@
     ("found", "once", "idempotent"),
     [
         (report(TaskStatus.UNKNOWN), RELEASED, RELEASED),
-        (report(TaskStatus.UNKNOWN, boot="other"), DOUBT, RELEASED),
-        (report(TaskStatus.STOPPED), DOUBT, RELEASED),
-        (report(TaskStatus.FAILED), DOUBT, RELEASED),
+        (report(TaskStatus.UNKNOWN, boot="other"), MAY_HAVE_RUN, RELEASED),
+        (report(TaskStatus.STOPPED), MAY_HAVE_RUN, RELEASED),
+        (report(TaskStatus.FAILED), MAY_HAVE_RUN, RELEASED),
         (
             report(TaskStatus.CHECKPOINTED, checkpoint="half"),
             RequestReleased("r", 2, "half"),
             RequestReleased("r", 2, "half"),
         ),
-        (None, DOUBT, RELEASED),
+        (None, MAY_HAVE_RUN, RELEASED),
     ],
 )
 def test_decision_about_a_lost_attempt(found, once, idempotent):
--- a/libs/entry/tests/test_wave_status.py
+++ b/libs/entry/tests/test_wave_status.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheeloom.entry.wave_progress import FORECAST_KEPT_S, MoveTimes, WaveProgress
+from lycheeloom.entry.wave_progress import FORECAST_TTL_S, MoveTimes, WaveProgress
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.log import Replayed
 from lycheeloom.model.config import canonical_json
@@ -33,7 +33,7 @@
 )
 
 
-class World:
+class ReplayedFleet:
     """A replayed state with four workers, and the progress that it shows."""
 
     def __init__(self, spare=False, **pool):
@@ -43,7 +43,7 @@
         self.out = set()
         self.times = MoveTimes(lambda: self.log_age, lambda: self.now)
         # Between two reads forecasts grow old.
-        self.read_at = count(step=2 * FORECAST_KEPT_S).__next__
+        self.read_at = count(step=2 * FORECAST_TTL_S).__next__
         self.progress = WaveProgress(
             lambda: self.state,
             lambda name: name not in self.out,
@@ -98,33 +98,33 @@
 
 def test_end_is_foretold_from_measured_moves():
     """Guards against an assumed duration although moves have ended."""
-    world = World()
-    world.start()
-    assert world.status().ends_in_s == 3 * PlannerSettings().expected_move_s
-    world.move("w1", step_s=10.0)
-    assert world.status().ends_in_s == 2 * 40.0
-    assert world.status().reason == ""
+    fleet = ReplayedFleet()
+    fleet.start()
+    assert fleet.status().ends_in_s == 3 * PlannerSettings().expected_move_s
+    fleet.move("w1", step_s=10.0)
+    assert fleet.status().ends_in_s == 2 * 40.0
+    assert fleet.status().reason == ""
 
 
 def test_time_of_open_moves_is_taken_off():
     """Guards against an end that stays the same for the whole of a round."""
-    world = World()
-    world.start()
-    world.move("w1", step_s=10.0)
-    world.move("w2", JOINING[:2], step_s=10.0)
-    assert world.status().ends_in_s == 2 * 40.0 - 20.0
-    world.now += 1000.0
-    assert world.status().ends_in_s == pytest.approx(2 * 40.0 - 36.0)
+    fleet = ReplayedFleet()
+    fleet.start()
+    fleet.move("w1", step_s=10.0)
+    fleet.move("w2", JOINING[:2], step_s=10.0)
+    assert fleet.status().ends_in_s == 2 * 40.0 - 20.0
+    fleet.now += 1000.0
+    assert fleet.status().ends_in_s == pytest.approx(2 * 40.0 - 36.0)
 
 
 def test_moves_replayed_late_are_not_measured():
     """Guards against moves that seem to take no time to a reader catching up."""
-    world = World()
-    world.start()
-    world.log_age = 60.0
-    world.move("w1")
-    world.log_age = 0.0
-    assert world.status().ends_in_s == 2 * PlannerSettings().expected_move_s
+    fleet = ReplayedFleet()
+    fleet.start()
+    fleet.log_age = 60.0
+    fleet.move("w1")
+    fleet.log_age = 0.0
+    assert fleet.status().ends_in_s == 2 * PlannerSettings().expected_move_s
 
 
 @pytest.mark.parametrize(
@@ -150,13 +150,13 @@
 )
 def test_reason_names_the_limit(pool, spare, why):
     """Guards against a wave that waits without an operator being told why."""
-    world = World(spare, **pool)
-    world.start()
-    world.move("w1", JOINING[:2])
-    world.out.add("w1")
+    fleet = ReplayedFleet(spare, **pool)
+    fleet.start()
+    fleet.move("w1", JOINING[:2])
+    fleet.out.add("w1")
     if "of its pool in rack" in why:
-        world.move("w3")
-    status = world.status()
+        fleet.move("w3")
+    status = fleet.status()
     assert status.reason.endswith(f"stays in service for now, because {why}.")
     assert status.in_progress == 1
     assert status.ends_in_s is not None
@@ -164,32 +164,32 @@
 
 def test_reason_names_the_zone():
     """Guards against a zone's budget that is not told as the reason."""
-    world = World(max_unavailable=3, max_unavailable_per_rack=3)
+    fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     change = b'{"zones": {"z1": {"max_unavailable": 1}}}'
-    world.append(ConfigChanged(1, change, "operator"))
-    world.start()
-    world.move("w3")
-    world.move("w1", JOINING[:2])
-    assert "1 of at most 1 instances in zone z1 are out" in world.status().reason
+    fleet.append(ConfigChanged(1, change, "operator"))
+    fleet.start()
+    fleet.move("w3")
+    fleet.move("w1", JOINING[:2])
+    assert "1 of at most 1 instances in zone z1 are out" in fleet.status().reason
 
 
 def test_end_is_unknown_while_the_wave_can_make_no_room():
     """Guards against an end foretold for a wave that faults keep from starting."""
-    world = World()
-    world.start()
-    world.out.add("w1")
-    status = world.status()
+    fleet = ReplayedFleet()
+    fleet.start()
+    fleet.out.add("w1")
+    status = fleet.status()
     assert "1 of at most 1 instances of pool main are out" in status.reason
     assert status.ends_in_s is None
 
 
 def test_given_up_instances_are_not_waited_for():
     """Guards against an end that includes instances that no wave waits for."""
-    world = World()
-    world.start()
-    world.append(InstanceHealth("w1", Health.GIVEN_UP, 1, "broken"))
-    world.move("w2", JOINING[:1])
-    assert world.status().ends_in_s == 2 * PlannerSettings().expected_move_s
+    fleet = ReplayedFleet()
+    fleet.start()
+    fleet.append(InstanceHealth("w1", Health.GIVEN_UP, 1, "broken"))
+    fleet.move("w2", JOINING[:1])
+    assert fleet.status().ends_in_s == 2 * PlannerSettings().expected_move_s
 
 
 @pytest.mark.parametrize(
@@ -201,11 +201,11 @@
 )
 def test_commanded_waves_say_so(wanted, reason):
     """Guards against a wave that stands still without a reason."""
-    world = World()
-    world.start()
-    world.command(wanted)
-    assert world.status().reason == reason
-    assert world.status().ends_in_s is None
+    fleet = ReplayedFleet()
+    fleet.start()
+    fleet.command(wanted)
+    assert fleet.status().reason == reason
+    assert fleet.status().ends_in_s is None
 
 
 @pytest.mark.parametrize("stage", [MoveStage.ABANDONED, MoveStage.DRAINING])
@@ -234,57 +234,57 @@
 
 def test_an_aborted_wave_is_not_changed_by_a_later_one():
     """Guards against a later wave that seems to continue one that was aborted."""
-    world = World(max_unavailable=3, max_unavailable_per_rack=3)
-    world.start("a")
-    world.move("w1", wave="a")
-    world.move("w2", JOINING[:3], wave="a")
-    world.move("w3", JOINING[:2], wave="a")
-    world.command(WaveState.ABORTED, wave="a")
-    assert counts(world.status("a")) == (1, 2, 0, 3)
+    fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
+    fleet.start("a")
+    fleet.move("w1", wave="a")
+    fleet.move("w2", JOINING[:3], wave="a")
+    fleet.move("w3", JOINING[:2], wave="a")
+    fleet.command(WaveState.ABORTED, wave="a")
+    assert counts(fleet.status("a")) == (1, 2, 0, 3)
     # What was in progress at the abort is still followed to its end.
-    world.move("w2", JOINING[3:], wave="a")
-    world.move("w3", [MoveStage.ABANDONED], wave="a")
-    assert counts(world.status("a")) == (2, 0, 1, 3)
-    world.start("b")
-    world.move("w3", wave="b")
-    world.move("w1", JOINING[:2], wave="b")
-    assert counts(world.status("a")) == (2, 0, 1, 3)
-    assert counts(world.status("b")) == (1, 1, 0, 3)
-    world.state = FleetState.load_snapshot(world.state.dump_snapshot())
-    assert counts(world.status("a")) == (2, 0, 1, 3)
+    fleet.move("w2", JOINING[3:], wave="a")
+    fleet.move("w3", [MoveStage.ABANDONED], wave="a")
+    assert counts(fleet.status("a")) == (2, 0, 1, 3)
+    fleet.start("b")
+    fleet.move("w3", wave="b")
+    fleet.move("w1", JOINING[:2], wave="b")
+    assert counts(fleet.status("a")) == (2, 0, 1, 3)
+    assert counts(fleet.status("b")) == (1, 1, 0, 3)
+    fleet.state = FleetState.load_snapshot(fleet.state.dump_snapshot())
+    assert counts(fleet.status("a")) == (2, 0, 1, 3)
 
 
 def test_removed_instances_are_not_in_progress_for_good():
     """Guards against an aborted wave with moves in progress that cannot end."""
-    world = World()
-    world.start()
-    world.move("w1", JOINING[:2])
-    world.command(WaveState.ABORTED)
-    world.append(ConfigChanged(1, b'{"instances": {"w1": null}}', "operator"))
-    assert counts(world.status()) == (0, 0, 0, 3)
+    fleet = ReplayedFleet()
+    fleet.start()
+    fleet.move("w1", JOINING[:2])
+    fleet.command(WaveState.ABORTED)
+    fleet.append(ConfigChanged(1, b'{"instances": {"w1": null}}', "operator"))
+    assert counts(fleet.status()) == (0, 0, 0, 3)
 
 
 def test_forecasts_are_kept_for_some_seconds():
     """Guards against a whole count of the fleet for each read of the status."""
-    world = World(max_unavailable=3, max_unavailable_per_rack=3)
-    world.start("a")
+    fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
+    fleet.start("a")
     now, looks = [100.0], []
-    world.progress = WaveProgress(
-        lambda: world.state,
+    fleet.progress = WaveProgress(
+        lambda: fleet.state,
         lambda name: looks.append(name) or True,
-        world.times,
+        fleet.times,
         lambda: now[0],
     )
-    first = world.status("a").ends_in_s
-    world.move("w1", wave="a", step_s=1.0)
-    assert world.status("a").done == 1
-    assert world.status("a").ends_in_s == first
+    first = fleet.status("a").ends_in_s
+    fleet.move("w1", wave="a", step_s=1.0)
+    assert fleet.status("a").done == 1
+    assert fleet.status("a").ends_in_s == first
     assert len(looks) == 3
     # A wave that is new is not shown with the forecast of another.
-    world.start("b")
-    assert world.status("b").ends_in_s is not None
+    fleet.start("b")
+    assert fleet.status("b").ends_in_s is not None
     assert len(looks) == 6
-    now[0] += FORECAST_KEPT_S
-    assert world.status("a").ends_in_s < first
-    world.command(WaveState.PAUSED, wave="a")
-    assert world.status("a").ends_in_s is None
+    now[0] += FORECAST_TTL_S
+    assert fleet.status("a").ends_in_s < first
+    fleet.command(WaveState.PAUSED, wave="a")
+    assert fleet.status("a").ends_in_s is None
