--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -10,7 +10,7 @@
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s
-from .ports import Appended, Moved, StorePort
+from .ports import Appended, ConditionFailed, StorePort
 from .replica import Replica
 from .writer import LEADER_LEASE_S, LeaderWriter
 
@@ -93,7 +93,7 @@
         match result:
             case Appended(end=token):
                 self._serve(token)
-            case Moved(end=end):
+            case ConditionFailed(end=end):
                 if self._claimed_end != end:
                     self._claimed_end, self._claim_seen_s = end, steady_s()
                 log_event("lead_claimed_elsewhere", at=at, end=end)
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Moved:
+class ConditionFailed:
     """The condition did not hold: the log ends at ``end``."""
 
     end: int
@@ -48,7 +48,7 @@
     reason: str
 
 
-AppendResult = Appended | Fenced | Moved | NotAppended | AppendUnknown
+AppendResult = Appended | Fenced | ConditionFailed | NotAppended | AppendUnknown
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -17,9 +17,9 @@
     AppendUnknown,
     CallOutcome,
     CallReply,
+    ConditionFailed,
     Fenced,
     Log,
-    Moved,
     Producer,
     ReadFailed,
     ReadResult,
@@ -117,7 +117,7 @@
         if self.is_down:
             return AppendUnknown("no answer in time")
         if at != self._claims:
-            return Moved(self._claims)
+            return ConditionFailed(self._claims)
         self._claims += 1
         return Appended(self._claims)
 
