--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -127,10 +127,10 @@
         """Take over which workers the platform lists."""
         now_s = steady_s()
         listed = self.view.worker_by_id.values()
-        self._ended_lives &= {(w.worker_id, w.born_ms) for w in listed}
+        self._ended_lives &= {(w.worker_id, w.started_ms) for w in listed}
         for worker in listed:
             self._missing_since.pop(worker.worker_id, None)
-            if (worker.worker_id, worker.born_ms) not in self._ended_lives:
+            if (worker.worker_id, worker.started_ms) not in self._ended_lives:
                 self._follow_worker(worker)
         for worker_id in list(self.link_by_id):
             if worker_id in self.view.worker_by_id:
@@ -152,13 +152,13 @@
                 continue
             if asked_s < link.created_s + INSTANCE_KNOWN_S:
                 continue
-            self._ended_lives.add((worker_id, link.worker.born_ms))
+            self._ended_lives.add((worker_id, link.worker.started_ms))
             self._drop_worker(worker_id, "no instance has it")
 
     def _follow_worker(self, worker: Worker) -> None:
         link = self.link_by_id.get(worker.worker_id)
-        if link is not None and link.worker.born_ms != worker.born_ms:
-            if worker.born_ms < link.worker.born_ms:
+        if link is not None and link.worker.started_ms != worker.started_ms:
+            if worker.started_ms < link.worker.started_ms:
                 return
             self._drop_worker(worker.worker_id, "started again")
             link = None
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -44,7 +44,7 @@
         Returns what must be durable before the worker may forget the ends.
         """
         worker_id = link.worker.worker_id
-        if _is_other_life(lists.born_ms, link.worker.born_ms):
+        if _is_other_life(lists.started_ms, link.worker.started_ms):
             self._on_reply(link, CallOutcome.GONE)
             return None
         state = self._fleet.state_by_id[worker_id]
@@ -173,6 +173,6 @@
         return run
 
 
-def _is_other_life(born_ms: int, expected_ms: int) -> bool:
+def _is_other_life(started_ms: int, expected_ms: int) -> bool:
     """Tell whether a worker has started again; 0 stands for an unknown start."""
-    return bool(born_ms and expected_ms) and born_ms != expected_ms
+    return bool(started_ms and expected_ms) and started_ms != expected_ms
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -152,10 +152,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskLists:
-    """What a worker says of its runs; ``born_ms`` names the life that answers."""
+    """What a worker says of its runs; ``started_ms`` names the life that answers."""
 
     clock_ms: int
-    born_ms: int
+    started_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
 
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -165,7 +165,7 @@
         self.by_id: dict[str, FakeWorker] = {}
         self.begun: list[tuple[str, TaskKey, int]] = []
         # Start that all workers state; 0 for the one of their reports.
-        self.born_ms = 0
+        self.started_ms = 0
 
     def at(self, worker_id: str) -> FakeWorker:
         return self.by_id.setdefault(worker_id, FakeWorker())
@@ -234,7 +234,7 @@
             gevent.sleep(0.005)
         return TaskLists(
             int(steady_s() * 1000),
-            self.born_ms or worker.born_ms,
+            self.started_ms or worker.started_ms,
             tuple(
                 RunningTask(task, run, "", fake.percent, 0.0)
                 for task, run in fake.running.items()
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -407,9 +407,9 @@
 def test_worker_whose_report_lacks_its_start_is_used(world):
     """Guards against a worker that is dropped and taken up again without end."""
     for worker_id, worker in world.view.worker_by_id.items():
-        unknown = dataclasses.replace(worker, born_ms=0)
+        unknown = dataclasses.replace(worker, started_ms=0)
         world.view.worker_by_id[worker_id] = unknown
-    world.workers.born_ms = 5
+    world.workers.started_ms = 5
     world.store.add_job(make_job())
     world.lead()
     wait_until(lambda: len(world.workers.begun) == 1)
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -207,7 +207,7 @@
 
     worker_id: str
     # Start of this life; a worker may start again under its id.
-    born_ms: int
+    started_ms: int
     pool: str
     address: str
     zone: str
