--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -233,7 +233,12 @@
             or self._pool_of(work, policy) not in unsettled
         ]
         starts = self._registry.planner.plan(
-            works, policy, self.view.zones_out, now_s, wall_ms(), self.advised
+            works,
+            policy,
+            self.view.zones_out_of_service,
+            now_s,
+            wall_ms(),
+            self.advised,
         )
         for start in starts:
             self._orders.begin(start, now_s)
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -115,7 +115,10 @@
     def _is_usable(self, instance: Instance) -> bool:
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
         is_leaving = state is not None and state.worker.draining
-        return not is_leaving and instance.zone not in self._dispatcher.view.zones_out
+        return (
+            not is_leaving
+            and instance.zone not in self._dispatcher.view.zones_out_of_service
+        )
 
     def _loads(self) -> dict[str, PoolLoad]:
         dispatcher = self._dispatcher
--- a/libs/coordinator/src/lycheeloom/coordinator/view.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/view.py
@@ -16,7 +16,7 @@
 
     policy: Policy = field(default_factory=Policy)
     worker_by_id: dict[str, Worker] = field(default_factory=dict)
-    zones_out: frozenset[str] = frozenset()
+    zones_out_of_service: frozenset[str] = frozenset()
     # Sizes and labels of all workers seen so far: what none of them can run is
     # impossible, and not only short of room.
     capacities_seen: set[Resources] = field(default_factory=set)
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -239,7 +239,7 @@
 
 def test_zone_taken_out_gets_no_starts(world):
     """Guards against starts in a zone that operators have taken out."""
-    world.view.zones_out = frozenset({"zone-a"})
+    world.view.zones_out_of_service = frozenset({"zone-a"})
     world.store.add_job(make_job(ID, Step(6, 1000)))
     world.lead()
     wait_until(lambda: len(world.workers.begun) == 6)
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -24,7 +24,11 @@
 
 
 def candidates(
-    fleet: Fleet, pool: str, step: Step, zones_out: Collection[str], now_s: float
+    fleet: Fleet,
+    pool: str,
+    step: Step,
+    zones_out_of_service: Collection[str],
+    now_s: float,
 ) -> list[WorkerState]:
     """Return the workers of a pool that may be given tasks of a step now."""
     return [
@@ -34,7 +38,7 @@
         and state.is_listed
         and not state.is_cordoned
         and not state.worker.draining
-        and state.worker.zone not in zones_out
+        and state.worker.zone not in zones_out_of_service
         and state.held_until_s <= now_s
         and (not step.label or step.label in state.worker.labels)
     ]
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -76,7 +76,7 @@
         self,
         works: Iterable[JobWork],
         policy: Policy,
-        zones_out: Collection[str],
+        zones_out_of_service: Collection[str],
         now_s: float,
         now_ms: float,
         advised: AdvisedWorkers | None = None,
@@ -98,7 +98,9 @@
         full: dict[str, Resources] = {}
         for turn in turns:
             starts.extend(
-                self._plan_step(turn, policy, zones_out, now_s, reserved, full, advised)
+                self._plan_step(
+                    turn, policy, zones_out_of_service, now_s, reserved, full, advised
+                )
             )
         reserved.release()
         return starts
@@ -123,7 +125,7 @@
         self,
         turn: _Turn,
         policy: Policy,
-        zones_out: Collection[str],
+        zones_out_of_service: Collection[str],
         now_s: float,
         reserved: _Reservations,
         full: dict[str, Resources],
@@ -136,7 +138,7 @@
         plain = not is_narrow and turn.queue.advice is None
         if least is not None and plain and _covers(step.need, least):
             return []
-        states = candidates(self._fleet, pool, step, zones_out, now_s)
+        states = candidates(self._fleet, pool, step, zones_out_of_service, now_s)
         if turn.queue.advice is not None and advised is not None:
             states = advised.filter(turn.work.job.job_id, turn.key, states)
         if not states:
