--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -19,7 +19,7 @@
 from .clock import steady_s
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .order_turns import OrderTurns
+from .order_turns import OrderGuard
 from .ports import (
     Appended,
     CallOutcome,
@@ -70,7 +70,7 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
-        turns: OrderTurns,
+        turns: OrderGuard,
         port: InstancePort,
         store: StorePort,
         orders: Mapping[str, WaveOrder],
--- a/libs/coordinator/src/lycheeloom/coordinator/order_turns.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_turns.py
@@ -17,7 +17,7 @@
 RECORD_TIMEOUT_S = 1.0
 
 
-class OrderTurns:
+class OrderGuard:
     """Tells which instances this leader may order, and records what it orders.
 
     Each order is in the log before it is sent, so a new leader knows the instances
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -24,7 +24,7 @@
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .order_turns import OrderTurns
+from .order_turns import OrderGuard
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
@@ -41,7 +41,7 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
-        turns: OrderTurns,
+        turns: OrderGuard,
         port: InstancePort,
         is_reserved: Callable[[str], bool],
         move_s: float,
--- a/libs/coordinator/tests/test_beside.py
+++ b/libs/coordinator/tests/test_beside.py
@@ -9,7 +9,7 @@
 
 from lycheeloom.coordinator.advisor import Advisor
 from lycheeloom.coordinator.inventory import Inventory
-from lycheeloom.coordinator.order_turns import OrderTurns
+from lycheeloom.coordinator.order_turns import OrderGuard
 from lycheeloom.coordinator.pacer import Pacer
 from lycheeloom.coordinator.pool_moves import PoolMoves
 from lycheeloom.coordinator.ports import (
@@ -126,7 +126,7 @@
 def move_instances(world, dispatcher, port, lease_s=0.0) -> None:
     """Let a leader move instances; a lease tells that there was one before."""
     inventory = Inventory(port, dispatcher.writer)
-    turns = OrderTurns(dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0)
+    turns = OrderGuard(dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0)
     moves = PoolMoves(
         dispatcher, inventory, turns, port, lambda instance_id: False, 0.2
     )
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -10,7 +10,7 @@
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.maintenance import Maintenance, WaveOrder
-from lycheeloom.coordinator.order_turns import OrderTurns
+from lycheeloom.coordinator.order_turns import OrderGuard
 from lycheeloom.coordinator.ports import (
     CallOutcome,
     CallReply,
@@ -81,7 +81,7 @@
 ) -> Maintenance:
     """Let a leader work on a wave of all instances, one at once."""
     inventory = Inventory(instances, dispatcher.writer)
-    turns = OrderTurns(
+    turns = OrderGuard(
         dispatcher.replica, dispatcher.writer, lease_s, had_leader=lease_s > 0
     )
     order = WaveOrder("1", ("m-w0", "m-w1"), 20.0, 1, steady_s())
