--- a/bench/processes_recovery.py
+++ b/bench/processes_recovery.py
@@ -6,7 +6,7 @@
 import time
 
 from lycheeloom.clients import Appended
-from lycheeloom.log.snapshot import pack_snapshot
+from lycheeloom.log.snapshot import split_snapshot
 from lycheeloom.model.records import Batch
 from lycheeloom.wire import encode_batch
 
@@ -74,7 +74,7 @@
     operator.refresh()
     state = operator.view.state
     dump = state.dump_snapshot()
-    chunks = pack_snapshot("bench", state.next_offset - 1, dump)
+    chunks = split_snapshot("bench", state.next_offset - 1, dump)
     for number, chunk in enumerate(chunks, 1):
         answer = world.log().append(encode_batch(Batch("snapshot", number, (chunk,))))
         if not isinstance(answer, Appended):
--- a/libs/log/src/lycheeloom/log/snapshot.py
+++ b/libs/log/src/lycheeloom/log/snapshot.py
@@ -14,7 +14,7 @@
 CHUNK_BYTES = 192 * 1024
 
 
-def pack_snapshot(
+def split_snapshot(
     snapshot_id: str, covers: int, dump: bytes, chunk_bytes: int = CHUNK_BYTES
 ) -> list[SnapshotChunk]:
     """Divide a dump; ``covers`` is the last replayed offset."""
--- a/libs/log/src/lycheeloom/log/snapshot_writer.py
+++ b/libs/log/src/lycheeloom/log/snapshot_writer.py
@@ -11,7 +11,7 @@
 from lycheeloom.model.records import ConfigChanged, SnapshotChunk
 
 from .outcomes import Effective, Priority
-from .snapshot import SnapshotCollector, pack_snapshot
+from .snapshot import SnapshotCollector, split_snapshot
 from .tail import LogTail, Replayed
 from .writer import LogWriter
 
@@ -113,7 +113,7 @@
         if covers < 0:
             return SnapshotResult.EMPTY
         snapshot_id = f"{self._writer.author}-{covers}"
-        for chunk in pack_snapshot(snapshot_id, covers, state.dump_snapshot()):
+        for chunk in split_snapshot(snapshot_id, covers, state.dump_snapshot()):
             pending = self._writer.append(chunk, Priority.REQUEST)
             if not isinstance(pending.wait(timeout_s), Effective):
                 self.torn += 1
--- a/libs/log/tests/test_many_readers.py
+++ b/libs/log/tests/test_many_readers.py
@@ -23,7 +23,7 @@
     Unknown,
     recover,
 )
-from lycheeloom.log.snapshot import SnapshotCollector, pack_snapshot
+from lycheeloom.log.snapshot import SnapshotCollector, split_snapshot
 from lycheeloom.model import records as r
 from lycheeloom.state import FleetState
 from lycheeloom.wire import BadBatch, decode_batch
@@ -155,7 +155,7 @@
         if state.next_offset == 0:
             return
         covers, dump = state.next_offset - 1, state.dump_snapshot()
-        chunks = pack_snapshot(f"{writer.author}-{covers}", covers, dump, 250)
+        chunks = split_snapshot(f"{writer.author}-{covers}", covers, dump, 250)
         for chunk in chunks[torn:]:
             writer.append(chunk)
 
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -16,7 +16,7 @@
     SnapshotPolicy,
     recover,
 )
-from lycheeloom.log.snapshot import pack_snapshot
+from lycheeloom.log.snapshot import split_snapshot
 from lycheeloom.log.snapshot_writer import SnapshotResult, SnapshotWriter
 from lycheeloom.log.tail import LONG_POLL_S, READ_LIMIT, READ_MARGIN_S
 from lycheeloom.model import records as r
@@ -66,7 +66,7 @@
 
 def add_snapshot(log, chunk_bytes=200, skip=(), damaged=False):
     state = replay(log)
-    chunks = pack_snapshot(
+    chunks = split_snapshot(
         f"s{len(log.archive)}",
         state.next_offset - 1,
         state.dump_snapshot(),
@@ -219,7 +219,7 @@
     for author in "ab":
         state = replay(log)
         covers, dump = state.next_offset - 1, state.dump_snapshot()
-        snapshots.append(pack_snapshot(author, covers, dump, 200))
+        snapshots.append(split_snapshot(author, covers, dump, 200))
         add_submitted(log, 1)
     for first, second in zip(*snapshots, strict=False):
         add(log, first, author="a")
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lycheeloom.log.snapshot import pack_snapshot
+from lycheeloom.log.snapshot import split_snapshot
 from lycheeloom.model.config import canonical_json, merge_patch
 from lycheeloom.model.records import Batch, ConfigChanged, WaveState
 from lycheeloom.operator import (
@@ -35,7 +35,7 @@
 def snapshot_batch(state):
     """Return a batch with a whole snapshot."""
     covers = state.next_offset - 1
-    chunks = pack_snapshot("s1", covers, state.dump_snapshot())
+    chunks = split_snapshot("s1", covers, state.dump_snapshot())
     return encode_batch(Batch("writer", 1, tuple(chunks)))
 
 
