--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -40,7 +40,7 @@
         queued.append(task)
         return Accepted()
 
-    def next_starts(self, now: float) -> list[Start]:
+    def next_decisions(self, now: float) -> list[Start]:
         """Start the first task of each queue as long as it fits."""
         decisions = []
         for queue, queued in self._queued.items():
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -78,7 +78,7 @@
     for _ in range(int(capacity / MEAN_CORES) + queued):
         queue, organisation = lanes[number % len(lanes)]
         submit(queue, organisation)
-    decisions = policy.next_starts(0.0)
+    decisions = policy.next_decisions(0.0)
     running = [d.task.id for d in decisions if isinstance(d, Start)]
     return _cost(policy, running, lanes, submit, rng)
 
@@ -96,7 +96,7 @@
         task_id = running.pop()
         begin = time.process_time()
         policy.finished(task_id, Outcome.DONE, now)
-        decisions = policy.next_starts(now)
+        decisions = policy.next_decisions(now)
         spent_s += time.process_time() - begin
         started = [d for d in decisions if isinstance(d, Start)]
         running.extend(d.task.id for d in started)
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -89,7 +89,7 @@
     def step(self, entry: int) -> None:
         """Carry out what the entry decides now."""
         now = self.clock.now
-        for decision in self.policies[entry].next_starts(now):
+        for decision in self.policies[entry].next_decisions(now):
             match decision:
                 case Start(task, worker, resources):
                     self._start(entry, task, worker, resources)
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -153,7 +153,7 @@
     def _take_decisions(self) -> None:
         if not self._may_dispatch():
             return
-        for decision in self.scheduler.next_starts(time.monotonic()):
+        for decision in self.scheduler.next_decisions(time.monotonic()):
             match decision:
                 case Start(task, worker, resources):
                     self._begin(task, worker, resources)
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -56,7 +56,7 @@
         scheduler.set_grants({"search": 10})
         scheduler.observe_worker("w1", True, None, "boot-1", now=0.0)
         scheduler.submit(Task("t1", "search", "lookups"), now=0.0)
-        for decision in scheduler.next_starts(now=0.0):
+        for decision in scheduler.next_decisions(now=0.0):
             match decision:
                 case Start(task, worker): ...
 
@@ -215,7 +215,7 @@
             cancelled.append(task_id)
         return tuple(cancelled)
 
-    def next_starts(self, now: float) -> Sequence[Decision]:
+    def next_decisions(self, now: float) -> Sequence[Decision]:
         """Return all decisions that can be made at this time."""
         self._now = now
         state = self._state
--- a/libs/sched/tests/fleet_fixtures.py
+++ b/libs/sched/tests/fleet_fixtures.py
@@ -78,4 +78,4 @@
 
 
 def starts(scheduler, now):
-    return [d for d in scheduler.next_starts(now) if isinstance(d, Start)]
+    return [d for d in scheduler.next_decisions(now) if isinstance(d, Start)]
--- a/libs/sched/tests/test_machine.py
+++ b/libs/sched/tests/test_machine.py
@@ -86,7 +86,7 @@
     @rule(step=st.sampled_from((0.0, 0.1, 0.6, 2.5)))
     def advance(self, step):
         self.now += step
-        for decision in self.scheduler.next_starts(self.now):
+        for decision in self.scheduler.next_decisions(self.now):
             match decision:
                 case Start(task, worker, resources):
                     self.check_start(task, worker, resources)
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -82,11 +82,11 @@
     in_zone = {d.task.id for d in first if zone_of(config, d) == "z1"}
     scheduler.set_config(with_zone(config, "z1"), 1.0)
     submit(scheduler, 40, "t1", now=1.0)
-    decisions = scheduler.next_starts(1.0)
+    decisions = scheduler.next_decisions(1.0)
     assert {d.task_id for d in decisions if isinstance(d, Checkpoint)} == in_zone
     for task_id in in_zone:
         scheduler.finished(task_id, Outcome.STOPPED, 1.1)
-    for decision in [*decisions, *scheduler.next_starts(1.2)]:
+    for decision in [*decisions, *scheduler.next_decisions(1.2)]:
         if isinstance(decision, Start):
             assert zone_of(config, decision) != "z1"
 
@@ -215,7 +215,7 @@
     submit(scheduler, 8, "t0", "o", checkpointable=True, run_s=1000.0)
     assert len(starts(scheduler, 0.0)) == 16
     submit(scheduler, 1, "t1", urgent=True, resources=Resources(2, 2048), now=1.0)
-    asked = scheduler.next_starts(1.0)
+    asked = scheduler.next_decisions(1.0)
     assert [d.reason for d in asked] == [CheckpointReason.URGENT] * 2
     for decision in asked:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 1.3)
@@ -231,7 +231,7 @@
     submit(scheduler, 16, "t0", "o", checkpointable=True, run_s=1000.0)
     assert len(starts(scheduler, 0.0)) == 16
     submit(scheduler, 4, "t1", "q", now=10.0)
-    asked = list(scheduler.next_starts(10.0)) + list(scheduler.next_starts(12.0))
+    asked = list(scheduler.next_decisions(10.0)) + list(scheduler.next_decisions(12.0))
     assert {d.reason for d in asked} == {CheckpointReason.LOAN_RETURN}
     for decision in asked:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 12.5)
@@ -252,7 +252,7 @@
     scheduler.set_grants({})
     tight = Task("tight", "t1", "q", ONE_CORE, deadline=10.0)
     assert isinstance(scheduler.submit(tight, 9.0), Accepted)
-    decisions = scheduler.next_starts(10.0)
+    decisions = scheduler.next_decisions(10.0)
     assert [d.task.id for d in decisions if isinstance(d, Expire)] == ["tight"]
 
 
