--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -126,7 +126,7 @@
             run.percent, run.moved_s = row.percent, now_s
         if row.checkpoint:
             run.checkpoint = row.checkpoint
-        run.figure = row.figure
+        run.latency_or_cores = row.latency_or_cores
         if run.state in (RunState.STARTING, RunState.UNSURE):
             run.state = RunState.RUNNING
             run.moved_s = now_s
--- a/libs/coordinator/src/lycheeloom/coordinator/pacer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pacer.py
@@ -39,7 +39,7 @@
         if not filling:
             return
         worst_part = max(
-            (r.figure / r.step.target_ms for r in runs if r.step.target_ms),
+            (r.latency_or_cores / r.step.target_ms for r in runs if r.step.target_ms),
             default=0.0,
         )
         for run in filling:
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -46,7 +46,7 @@
     percent: int = 0
     # When the percentage last changed.
     moved_s: float = 0.0
-    figure: float = 0.0
+    latency_or_cores: float = 0.0
     pace_percent: int = 100
     # Why the run was stopped by the leader; empty if it was not.
     stop_reason: str = ""
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -226,7 +226,7 @@
     checkpoint: str
     percent: int
     # Tail latency in ms for a task with a target, cores in use for others.
-    figure: float
+    latency_or_cores: float
 
 
 class EndKind(Enum):
