--- a/libs/entry/tests/test_wave_status.py
+++ b/libs/entry/tests/test_wave_status.py
@@ -21,7 +21,7 @@
     WaveState,
 )
 from lycheeloom.state import FleetState
-from lycheeloom.state.fleet_state import FleetImage
+from lycheeloom.state.fleet_state import SnapshotContent
 from lycheeloom.state.maintenance import Maintenance, Move, Wave
 
 JOINING = (
@@ -219,7 +219,7 @@
             "b": Wave("b", WaveState.RUNNING, (), False, True, 8),
         },
     )
-    state = FleetState(FleetImage(maintenance=maintenance))
+    state = FleetState(SnapshotContent(maintenance=maintenance))
     times = MoveTimes(lambda: 0.0)
     progress = WaveProgress(lambda: state, lambda name: True, times)
     first, second = progress.statuses().values()
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class FleetImage:
+class SnapshotContent:
     """Everything that a snapshot holds."""
 
     next_offset: int = 0
@@ -53,7 +53,7 @@
     unknown_records: int = 0
 
 
-_IMAGE_ADAPTER = TypeAdapter(FleetImage)
+_IMAGE_ADAPTER = TypeAdapter(SnapshotContent)
 
 
 class FleetState:
@@ -64,8 +64,8 @@
     log's retention.
     """
 
-    def __init__(self, image: FleetImage | None = None) -> None:
-        self._image = image or FleetImage()
+    def __init__(self, image: SnapshotContent | None = None) -> None:
+        self._image = image or SnapshotContent()
         self.config = self._parse_document()
 
     @property
