--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -173,7 +173,7 @@
         self, worker: Worker, task: str, run: int, percent: int, token: int
     ) -> CallReply: ...
 
-    def hold(
+    def renew_and_list(
         self,
         worker: Worker,
         token: int,
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -120,7 +120,7 @@
         # A worker that does not answer gets no new lease: the one that it has must
         # end before its tasks may start elsewhere.
         deadline_ms = self.grant() if self._failing_since_s is None else None
-        result = self._port.hold(
+        result = self._port.renew_and_list(
             self.worker, self._token, self._durable, deadline_ms, wait_ms
         )
         if self.is_stopped:
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -213,7 +213,7 @@
     ) -> CallReply:
         return CallReply(CallOutcome.DONE)
 
-    def hold(
+    def renew_and_list(
         self,
         worker: Worker,
         token: int,
--- a/libs/coordinator/tests/test_beside.py
+++ b/libs/coordinator/tests/test_beside.py
@@ -77,10 +77,10 @@
             paces.append(percent) or CallReply(CallOutcome.DONE)
         ),
     )
-    hold = world.workers.hold
+    renew_and_list = world.workers.renew_and_list
 
     def slow_hold(*args):
-        lists = hold(*args)
+        lists = renew_and_list(*args)
         rows = tuple(
             RunningTask(r.task, r.run, "", 100, 50.0 if r.task.step == 0 else 1.0)
             for r in lists.running
