--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -8,7 +8,7 @@
 from statistics import fmean
 
 from lycheeloom.fleet import PlannerSettings
-from lycheeloom.fleet.budgets import Layout, Ledger
+from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.fleet.events import NotChosen, sentence
 from lycheeloom.fleet.waves import forecast, given_up, waiting
 from lycheeloom.log import Replayed
@@ -145,7 +145,7 @@
         }
 
     def _foretell(
-        self, wave: Wave, counted: WaveStatus, layout: Layout, ledger: Ledger
+        self, wave: Wave, counted: WaveStatus, layout: Layout, ledger: BudgetUsage
     ) -> dict[str, object]:
         """Return the end of a running wave and the limit that it waits for."""
         maintenance = self._state().maintenance
@@ -177,13 +177,13 @@
             self._times.open_left(open_moves, wave.reboot),
         ).end_s
 
-    def _ledger(self, layout: Layout) -> Ledger:
+    def _ledger(self, layout: Layout) -> BudgetUsage:
         """Count who is out of service, as the controller does."""
         maintenance = self._state().maintenance
         out = {
             name for name in layout.place_by_instance if not self._is_in_service(name)
         }
-        ledger = Ledger(layout, out | layout.out_of_service)
+        ledger = BudgetUsage(layout, out | layout.out_of_service)
         ledger.take_recorded(
             maintenance.health_by_instance, maintenance.move_by_instance
         )
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -72,7 +72,7 @@
         return self.config is config and self.pool_by_instance == pool_by_instance
 
 
-class Ledger:
+class BudgetUsage:
     """Who is out of service now, counted against every budget.
 
     ``blocking`` says which limit keeps an instance in service; ``take`` counts
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -14,7 +14,7 @@
 
 from . import events, waves
 from .answers import why_not
-from .budgets import Layout, Ledger, Limit
+from .budgets import BudgetUsage, Layout, Limit
 from .explanations import Explanations
 from .monitor import HealthMonitor, LostPlace, MonitorSettings
 from .movement import MoveRunner
@@ -128,7 +128,7 @@
         layout = self._layout_of(view)
         seen = self.health.assess(layout, now_s)
         out = view.unavailable | seen.silent | layout.out_of_service
-        step = Step(view, now_s, layout, Ledger(layout, out), seen, out)
+        step = Step(view, now_s, layout, BudgetUsage(layout, out), seen, out)
         step.ledger.take_recorded(view.health_by_instance, view.move_by_instance)
         self._repeat_pending(step)
         self._last = step
--- a/libs/fleet/src/lycheeloom/fleet/step.py
+++ b/libs/fleet/src/lycheeloom/fleet/step.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from .budgets import Layout, Ledger
+from .budgets import BudgetUsage, Layout
 from .monitor import Assessment
 from .view import FleetView, PlannedRecord, PlatformAction
 
@@ -16,7 +16,7 @@
     view: FleetView
     now_s: float
     layout: Layout
-    ledger: Ledger
+    ledger: BudgetUsage
     seen: Assessment
     out: frozenset[str]
     records: list[PlannedRecord] = field(default_factory=list)
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -10,7 +10,7 @@
 
 from lycheeloom.model.records import Health, MoveStage, WaveState
 
-from .budgets import Layout, Ledger, Limit, LimitKind
+from .budgets import BudgetUsage, Layout, Limit, LimitKind
 from .view import HealthState, Move, Wave
 
 # Limits that no other instance of the same pool can get around.
@@ -80,7 +80,7 @@
 def choose(
     wave: Wave,
     layout: Layout,
-    ledger: Ledger,
+    ledger: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str] = frozenset(),
 ) -> Iterator[Choice]:
@@ -97,7 +97,7 @@
 def waiting(
     wave: Wave,
     layout: Layout,
-    ledger: Ledger,
+    ledger: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str] = frozenset(),
 ) -> Choice | None:
@@ -119,7 +119,7 @@
     pools: Iterable[str],
     wave: Wave,
     layout: Layout,
-    ledger: Ledger,
+    ledger: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str],
 ) -> list[list[str]]:
@@ -136,7 +136,7 @@
 
 
 def _choose_in_pool(
-    layout: Layout, ledger: Ledger, names: Iterable[str]
+    layout: Layout, ledger: BudgetUsage, names: Iterable[str]
 ) -> Iterator[Choice]:
     by_rack: dict[str, list[str]] = defaultdict(list)
     for name in names:
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from lycheeloom.fleet.budgets import Layout, Ledger
+from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.model.config import FleetConfig, Instance
 
 
@@ -60,7 +60,7 @@
     """Instances out together, under the rules that the controller keeps."""
 
     def __init__(self, layout: Layout) -> None:
-        self._ledger = Ledger(layout, ())
+        self._ledger = BudgetUsage(layout, ())
 
     def take(self, instance: Instance) -> bool:
         """Add an instance to the round if all budgets allow it."""
