--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -184,7 +184,7 @@
             name for name in layout.place_by_instance if not self._is_in_service(name)
         }
         ledger = BudgetUsage(layout, out | layout.out_of_service)
-        ledger.take_recorded(
+        ledger.take_recorded_out(
             maintenance.health_by_instance, maintenance.move_by_instance
         )
         return ledger
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -117,7 +117,7 @@
         elif self.available(pool) < config.needed:
             self._shortfall += 1
 
-    def take_recorded(
+    def take_recorded_out(
         self,
         health_by_instance: Mapping[str, HealthState],
         move_by_instance: Mapping[str, Move],
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -129,7 +129,7 @@
         seen = self.health.assess(layout, now_s)
         out = view.unavailable | seen.silent | layout.out_of_service
         step = Step(view, now_s, layout, BudgetUsage(layout, out), seen, out)
-        step.ledger.take_recorded(view.health_by_instance, view.move_by_instance)
+        step.ledger.take_recorded_out(view.health_by_instance, view.move_by_instance)
         self._repeat_pending(step)
         self._last = step
         return step
