--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -131,7 +131,7 @@
             self.step()
             gevent.sleep(rest_of_tick_s(STEP_INTERVAL_S))
 
-    def run_list(self) -> None:
+    def poll_instance_list(self) -> None:
         """Fetch the instance list every ``LIST_INTERVAL_S`` until stopped."""
         while True:
             listing = self._list_instances()
--- a/libs/cluster/src/lycheeloom/cluster/node.py
+++ b/libs/cluster/src/lycheeloom/cluster/node.py
@@ -78,7 +78,7 @@
             self.keeper.identity = replace(self.keeper.identity, address=address)
         self.tail.start()
         self.writer.start()
-        loops = (self.freshness.run, self.keeper.run, self.keeper.run_list)
+        loops = (self.freshness.run, self.keeper.run, self.keeper.poll_instance_list)
         self._greenlets = [gevent.spawn(loop) for loop in loops]
 
     def stop(self) -> None:
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -291,7 +291,7 @@
         for loop in (
             self.freshness.run,
             self.keeper.run,
-            self.keeper.run_list,
+            self.keeper.poll_instance_list,
             self.dispatcher.run,
             self.grants.run,
             self.watch.run,
