--- a/libs/fleet/src/lycheeloom/fleet/answers.py
+++ b/libs/fleet/src/lycheeloom/fleet/answers.py
@@ -26,7 +26,7 @@
             f"Instance {instance} stays in service for now, because instances failed"
             f" together; maintenance waits {left_s} more seconds."
         )
-    limit = step.ledger.blocking(instance)
+    limit = step.ledger.blocking_limit(instance)
     if limit is not None:
         return events.sentence(events.NotChosen(instance, pool, limit))
     return f"Nothing keeps instance {instance} from maintenance."
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -75,7 +75,7 @@
 class BudgetUsage:
     """Who is out of service now, counted against every budget.
 
-    ``blocking`` says which limit keeps an instance in service; ``take`` counts
+    ``blocking_limit`` says which limit keeps an instance in service; ``take`` counts
     it as out.
     """
 
@@ -139,7 +139,7 @@
         budget = self._layout.config.pool_by_id[pool].max_unavailable
         return budget - self._out_by_pool[pool]
 
-    def blocking(self, instance: str, covers: str = "") -> Limit | None:
+    def blocking_limit(self, instance: str, covers: str = "") -> Limit | None:
         """Return the limit that keeps a serving instance in service.
 
         ``covers`` is the pool that the instance is to serve instead.
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -297,7 +297,7 @@
                 break
             if move.instance in unmovable or step.ledger.is_out(move.instance):
                 continue
-            limit = step.ledger.blocking(move.instance, covers=move.to_pool)
+            limit = step.ledger.blocking_limit(move.instance, covers=move.to_pool)
             if limit is not None:
                 self._note_blocked(step, move.instance, limit)
                 continue
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -144,7 +144,7 @@
     while by_rack:
         rack = max(by_rack, key=lambda key: (len(by_rack[key]), key))
         name = by_rack[rack][-1]
-        limit = ledger.blocking(name)
+        limit = ledger.blocking_limit(name)
         yield Choice(name, limit)
         if limit is None:
             by_rack[rack].pop()
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -64,7 +64,7 @@
 
     def take(self, instance: Instance) -> bool:
         """Add an instance to the round if all budgets allow it."""
-        if self._ledger.blocking(instance.id) is not None:
+        if self._ledger.blocking_limit(instance.id) is not None:
             return False
         self._ledger.take(instance.id)
         return True
