--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -154,7 +154,7 @@
         choice = waiting(wave, layout, ledger, moves, skipped)
         reason = ""
         if choice is not None:
-            pool = layout.place_by_instance[choice.instance][0]
+            pool = layout.location_by_instance[choice.instance][0]
             reason = sentence(NotChosen(choice.instance, pool, choice.limit))
         ends_in_s = None
         # A wave that waits while none of its moves is open makes no room itself.
@@ -181,7 +181,9 @@
         """Count who is out of service, as the controller does."""
         maintenance = self._state().maintenance
         out = {
-            name for name in layout.place_by_instance if not self._is_in_service(name)
+            name
+            for name in layout.location_by_instance
+            if not self._is_in_service(name)
         }
         ledger = BudgetUsage(layout, out | layout.out_of_service)
         ledger.take_recorded_out(
--- a/libs/fleet/src/lycheeloom/fleet/answers.py
+++ b/libs/fleet/src/lycheeloom/fleet/answers.py
@@ -9,16 +9,16 @@
 
 def why_not(step: Step | None, instance: str, hold_until_s: float) -> str:
     """Say what keeps an instance from maintenance now, in a sentence."""
-    if step is None or instance not in step.layout.place_by_instance:
+    if step is None or instance not in step.layout.location_by_instance:
         return f"Instance {instance} is not known."
-    pool = step.layout.place_by_instance[instance][0]
+    pool = step.layout.location_by_instance[instance][0]
     move = step.view.move_by_instance.get(instance)
     if move is not None and move.stage not in ENDED_STAGES:
         return events.sentence(events.MoveAdvanced(instance, pool, move.stage))
     if step.ledger.is_out(instance):
         return f"Instance {instance} is out of service already."
     if step.seen.doubted:
-        silent, total = len(step.seen.silent), len(step.layout.place_by_instance)
+        silent, total = len(step.seen.silent), len(step.layout.location_by_instance)
         return events.sentence(events.ObserverDoubted(silent, total))
     if step.now_s < hold_until_s:
         left_s = round(hold_until_s - step.now_s)
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -43,7 +43,7 @@
     def __init__(self, config: FleetConfig, pool_by_instance: Mapping[str, str]):
         self.config = config
         self.pool_by_instance = dict(pool_by_instance)
-        self.place_by_instance: dict[str, tuple[str, str, str]] = {}
+        self.location_by_instance: dict[str, tuple[str, str, str]] = {}
         self.members_by_pool: dict[str, list[str]] = defaultdict(list)
         self.members_by_rack: dict[str, list[str]] = defaultdict(list)
         self.members_by_zone: dict[str, list[str]] = defaultdict(list)
@@ -51,7 +51,7 @@
             pool = self.pool_by_instance.get(name, instance.pool)
             # Rack names need not differ between zones.
             rack = f"{instance.zone}/{instance.rack}"
-            self.place_by_instance[name] = (pool, rack, instance.zone)
+            self.location_by_instance[name] = (pool, rack, instance.zone)
             self.members_by_pool[pool].append(name)
             self.members_by_rack[rack].append(name)
             self.members_by_zone[instance.zone].append(name)
@@ -101,7 +101,7 @@
 
     def take(self, instance: str) -> None:
         """Count an instance as out of service, once."""
-        place = self._layout.place_by_instance.get(instance)
+        place = self._layout.location_by_instance.get(instance)
         if place is None or instance in self._out:
             return
         pool, rack, zone = place
@@ -152,7 +152,7 @@
 
     def _over(self, instance: str, more: int, covers: str) -> Limit | None:
         config = self._layout.config
-        pool_id, rack, zone_id = self._layout.place_by_instance[instance]
+        pool_id, rack, zone_id = self._layout.location_by_instance[instance]
         pool = config.pool_by_id.get(pool_id)
         if pool is None:
             return None
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -146,7 +146,7 @@
     def assess(self, layout: Layout, now_s: float) -> Assessment:
         """Return the symptoms and correlated failures at ``now_s``."""
         oldest = now_s - self.settings.silent_s
-        known = layout.place_by_instance
+        known = layout.location_by_instance
         silent = frozenset(
             name for name, missed in self._missed_s.items() if missed < oldest
         ).intersection(known)
@@ -224,7 +224,7 @@
         self, layout: Layout, silent: frozenset[str]
     ) -> tuple[LostPlace, ...]:
         """Group the silent instances by zone, then the others by rack."""
-        place = layout.place_by_instance
+        place = layout.location_by_instance
         lost = self._lost_groups(
             "zone", layout.members_by_zone, silent, lambda name: place[name][2]
         )
--- a/libs/fleet/src/lycheeloom/fleet/movement.py
+++ b/libs/fleet/src/lycheeloom/fleet/movement.py
@@ -41,7 +41,10 @@
     ) -> None:
         """Add the next record or action of each open move to the step."""
         for name, move in step.view.move_by_instance.items():
-            if move.stage in ENDED_STAGES or name not in step.layout.place_by_instance:
+            if (
+                move.stage in ENDED_STAGES
+                or name not in step.layout.location_by_instance
+            ):
                 continue
             limit = self._limit(step, name, move)
             facts = self._facts(step, name, move, limit, abandon_reason)
@@ -71,7 +74,7 @@
             return None
         covers = (
             ""
-            if move.to_pool == step.layout.place_by_instance[name][0]
+            if move.to_pool == step.layout.location_by_instance[name][0]
             else (move.to_pool)
         )
         return step.ledger.exceeded(name, covers=covers)
@@ -137,7 +140,7 @@
         decision: MoveDecision,
         limit: Limit | None,
     ) -> None:
-        pool = step.layout.place_by_instance[name][0]
+        pool = step.layout.location_by_instance[name][0]
         if move.move_id != self._begun_s.get(name, ("", 0.0))[0]:
             self._begun_s[name] = (move.move_id, step.now_s)
         if decision.action is not None:
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -112,7 +112,7 @@
     def knows(self, instance: str) -> bool:
         """Tell whether the last step saw an instance of this name."""
         last = self._last
-        return last is not None and instance in last.layout.place_by_instance
+        return last is not None and instance in last.layout.location_by_instance
 
     def out_by_pool(self) -> dict[str, int]:
         """Return how many instances of each pool the last step counted as out."""
@@ -143,7 +143,7 @@
             view.config, view.pool_by_instance
         ):
             self._layout = Layout(view.config, view.pool_by_instance)
-            self.health.retain(self._layout.place_by_instance)
+            self.health.retain(self._layout.location_by_instance)
         return self._layout
 
     def _repeat_pending(self, step: Step) -> None:
@@ -175,7 +175,7 @@
         step.ledger.take(name)
         self._pending[name] = record
         step.records.append(record)
-        pool = step.layout.place_by_instance[name][0]
+        pool = step.layout.location_by_instance[name][0]
         self.explanations.add(
             events.MoveStarted(
                 name, pool, record.to_pool, record.reboot, record.reason
@@ -210,7 +210,7 @@
         if repair.instance in self._pending:
             return
         move_id = f"{repair_prefix(repair.instance)}{step.view.offset}"
-        pool = step.layout.place_by_instance[repair.instance][0]
+        pool = step.layout.location_by_instance[repair.instance][0]
         self._start_move(
             step,
             _planned(step, repair.instance, move_id, pool, True, repair.reason),
@@ -222,7 +222,7 @@
         step.records.append(
             InstanceHealth(name, repair.health, step.view.duty_epoch, repair.reason)
         )
-        pool = step.layout.place_by_instance[name][0]
+        pool = step.layout.location_by_instance[name][0]
         self.explanations.add(
             events.HealthDecided(name, pool, repair.health, repair.reason), step.now_s
         )
@@ -230,7 +230,7 @@
     def _note_lost_places(self, step: Step) -> None:
         """Hold waves and repair for a while whenever a correlated failure grows."""
         if step.seen.doubted:
-            silent, total = len(step.seen.silent), len(step.layout.place_by_instance)
+            silent, total = len(step.seen.silent), len(step.layout.location_by_instance)
             self.explanations.add(events.ObserverDoubted(silent, total), step.now_s)
         members: set[str] = set()
         for place in step.seen.lost_places:
@@ -246,7 +246,7 @@
     ) -> None:
         lost = len(place.members)
         names = tuple(sorted(grown))
-        place_of = step.layout.place_by_instance
+        place_of = step.layout.location_by_instance
         pools = tuple(sorted({place_of[name][0] for name in names}))
         for event in (
             events.PlaceLost(place.place, lost, names, pools),
@@ -279,14 +279,14 @@
                     self._note_blocked(step, choice.instance, choice.limit)
 
     def _start_wave_move(self, step: Step, wave: Wave, name: str) -> None:
-        pool = step.layout.place_by_instance[name][0]
+        pool = step.layout.location_by_instance[name][0]
         kind = "urgent maintenance" if wave.urgent else "maintenance"
         reason = f"{kind} wave {wave.wave_id} has reached it"
         move_id = f"{_wave_prefix(wave, name)}{step.view.offset}"
         self._start_move(step, _planned(step, name, move_id, pool, wave.reboot, reason))
 
     def _note_blocked(self, step: Step, name: str, limit: Limit) -> None:
-        pool = step.layout.place_by_instance[name][0]
+        pool = step.layout.location_by_instance[name][0]
         self.explanations.add(events.NotChosen(name, pool, limit), step.now_s)
 
     def _plan_pool_changes(self, step: Step) -> None:
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -144,7 +144,7 @@
     view: FleetView, layout: Layout
 ) -> tuple[dict[str, str], frozenset[str]]:
     """Return the pools as they will be after the open moves, and who moves."""
-    assigned = {name: place[0] for name, place in layout.place_by_instance.items()}
+    assigned = {name: place[0] for name, place in layout.location_by_instance.items()}
     moving = set()
     for name, move in view.move_by_instance.items():
         if move.stage not in ENDED_STAGES and name in assigned:
--- a/libs/fleet/src/lycheeloom/fleet/repair.py
+++ b/libs/fleet/src/lycheeloom/fleet/repair.py
@@ -80,7 +80,7 @@
             name
             for name, state in view.health_by_instance.items()
             if state.health is not Health.IN_SERVICE
-            and name in layout.place_by_instance
+            and name in layout.location_by_instance
         }
         room = self._room(layout, unhealthy, now_s)
         repairs = []
@@ -115,7 +115,7 @@
             for name, at in self._proposed_s.items()
             if name not in unhealthy and at > oldest
         }
-        total = len(layout.place_by_instance)
+        total = len(layout.location_by_instance)
         most = max(1, int(self.settings.at_once_fraction * total))
         return most - len(unhealthy) - len(self._proposed_s)
 
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -140,7 +140,7 @@
 ) -> Iterator[Choice]:
     by_rack: dict[str, list[str]] = defaultdict(list)
     for name in names:
-        by_rack[layout.place_by_instance[name][1]].append(name)
+        by_rack[layout.location_by_instance[name][1]].append(name)
     while by_rack:
         rack = max(by_rack, key=lambda key: (len(by_rack[key]), key))
         name = by_rack[rack][-1]
@@ -196,7 +196,7 @@
         pool = config.pool_by_id[pool_id]
         by_rack: dict[str, list[str]] = defaultdict(list)
         for name in names:
-            _, rack, zone = layout.place_by_instance[name]
+            _, rack, zone = layout.location_by_instance[name]
             by_rack[rack].append(name)
             by_zone[zone].append(name)
         groups.append((names, pool.max_unavailable))
