--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -10,7 +10,7 @@
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.fleet.events import NotChosen, sentence
-from lycheeloom.fleet.waves import forecast, given_up, waiting
+from lycheeloom.fleet.waves import forecast, given_up_instances, waiting
 from lycheeloom.log import Replayed
 from lycheeloom.model.records import MoveStage, MoveStep, WaveState
 from lycheeloom.model.status import WaveStatus
@@ -150,7 +150,7 @@
         """Return the end of a running wave and the limit that it waits for."""
         maintenance = self._state().maintenance
         moves = maintenance.move_by_instance
-        skipped = given_up(maintenance.health_by_instance)
+        skipped = given_up_instances(maintenance.health_by_instance)
         choice = waiting(wave, layout, ledger, moves, skipped)
         reason = ""
         if choice is not None:
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -352,9 +352,9 @@
     @staticmethod
     def _is_finished(step: Step, wave: Wave) -> bool:
         moves = step.view.move_by_instance
-        given_up = waves.given_up(step.view.health_by_instance)
+        given_up_instances = waves.given_up_instances(step.view.health_by_instance)
         return not any(
-            waves.remaining(wave, step.layout, moves, pool, given_up)
+            waves.remaining(wave, step.layout, moves, pool, given_up_instances)
             for pool in waves.covered_pools(wave, step.layout)
         )
 
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -68,7 +68,7 @@
     ]
 
 
-def given_up(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
+def given_up_instances(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
     """Return the instances that no wave waits for."""
     return frozenset(
         name
