--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -10,7 +10,7 @@
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.fleet.events import NotChosen, sentence
-from lycheeloom.fleet.waves import forecast, given_up_instances, waiting
+from lycheeloom.fleet.waves import first_blocked, forecast, given_up_instances
 from lycheeloom.log import Replayed
 from lycheeloom.model.records import MoveStage, MoveStep, WaveState
 from lycheeloom.model.status import WaveStatus
@@ -151,7 +151,7 @@
         maintenance = self._state().maintenance
         moves = maintenance.move_by_instance
         skipped = given_up_instances(maintenance.health_by_instance)
-        choice = waiting(wave, layout, ledger, moves, skipped)
+        choice = first_blocked(wave, layout, ledger, moves, skipped)
         reason = ""
         if choice is not None:
             pool = layout.location_by_instance[choice.instance][0]
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -94,7 +94,7 @@
         yield from _choose_in_pool(layout, ledger, serving)
 
 
-def waiting(
+def first_blocked(
     wave: Wave,
     layout: Layout,
     ledger: BudgetUsage,
