--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -9,7 +9,7 @@
 
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.fleet.budgets import BudgetUsage, Layout
-from lycheeloom.fleet.events import NotChosen, sentence
+from lycheeloom.fleet.events import NotChosen, describe
 from lycheeloom.fleet.waves import first_blocked, forecast, given_up_instances
 from lycheeloom.log import Replayed
 from lycheeloom.model.records import MoveStage, MoveStep, WaveState
@@ -155,7 +155,7 @@
         reason = ""
         if choice is not None:
             pool = layout.location_by_instance[choice.instance][0]
-            reason = sentence(NotChosen(choice.instance, pool, choice.limit))
+            reason = describe(NotChosen(choice.instance, pool, choice.limit))
         ends_in_s = None
         # A wave that waits while none of its moves is open makes no room itself.
         if not reason or counted.in_progress:
--- a/libs/fleet/src/lycheeloom/fleet/answers.py
+++ b/libs/fleet/src/lycheeloom/fleet/answers.py
@@ -14,12 +14,12 @@
     pool = step.layout.location_by_instance[instance][0]
     move = step.view.move_by_instance.get(instance)
     if move is not None and move.stage not in ENDED_STAGES:
-        return events.sentence(events.MoveAdvanced(instance, pool, move.stage))
+        return events.describe(events.MoveAdvanced(instance, pool, move.stage))
     if step.ledger.is_out(instance):
         return f"Instance {instance} is out of service already."
     if step.seen.doubted:
         silent, total = len(step.seen.silent), len(step.layout.location_by_instance)
-        return events.sentence(events.ObserverDoubted(silent, total))
+        return events.describe(events.ObserverDoubted(silent, total))
     if step.now_s < hold_until_s:
         left_s = round(hold_until_s - step.now_s)
         return (
@@ -28,5 +28,5 @@
         )
     limit = step.ledger.blocking_limit(instance)
     if limit is not None:
-        return events.sentence(events.NotChosen(instance, pool, limit))
+        return events.describe(events.NotChosen(instance, pool, limit))
     return f"Nothing keeps instance {instance} from maintenance."
--- a/libs/fleet/src/lycheeloom/fleet/events.py
+++ b/libs/fleet/src/lycheeloom/fleet/events.py
@@ -148,7 +148,7 @@
 }
 
 
-def sentence(event: Event) -> str:
+def describe(event: Event) -> str:
     """Describe a decision in one sentence for people who do not program."""
     match event:
         case MoveStarted():
--- a/libs/fleet/src/lycheeloom/fleet/explanations.py
+++ b/libs/fleet/src/lycheeloom/fleet/explanations.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
-from .events import Event, sentence
+from .events import Event, describe
 
 MAX_EVENTS = 10_000
 MAX_EVENTS_PER_KEY = 20
@@ -24,7 +24,7 @@
     @property
     def text(self) -> str:
         """Return the decision as a sentence."""
-        return sentence(self.event)
+        return describe(self.event)
 
 
 class Explanations:
