--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -274,7 +274,7 @@
         world = self.world
         for name in world.heard():
             boot = str(world.workers[name].boots)
-            self.planner.health.heartbeat(name, world.now_s, boot)
+            self.planner.health.record_heartbeat(name, world.now_s, boot)
         for name, worker in world.workers.items():
             if not worker.alive:
                 self.planner.health.missed(name, world.now_s)
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -86,7 +86,7 @@
             case UsageReport() as report:
                 now = self._clock()
                 self._running[name] = (now, len(report.tasks))
-                self._monitor.heartbeat(name, now, report.boot_id)
+                self._monitor.record_heartbeat(name, now, report.boot_id)
             case Unavailable():
                 now = self._clock()
                 self._running.pop(name, None)
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -88,7 +88,7 @@
         self._lost_leases: dict[str, deque[float]] = {}
         self._work_succeeded_s: dict[str, float] = {}
 
-    def heartbeat(self, instance: str, at_s: float, boot_id: str = "") -> None:
+    def record_heartbeat(self, instance: str, at_s: float, boot_id: str = "") -> None:
         """Note that the instance was heard; a new boot id is a return."""
         missed = self._missed_s.pop(instance, None)
         was_silent = missed is not None and at_s - missed > self.settings.silent_s
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -72,7 +72,7 @@
         if signal == "lease_lost":
             health.lease_lost("w07", world.now_s)
         if signal == "flapping":
-            health.heartbeat("w07", world.now_s, f"boot-{number}")
+            health.record_heartbeat("w07", world.now_s, f"boot-{number}")
         if signal == "silent":
             world.fail(["w07"])
         controller.tick()
