--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -277,7 +277,7 @@
             self.planner.health.record_heartbeat(name, world.now_s, boot)
         for name, worker in world.workers.items():
             if not worker.alive:
-                self.planner.health.missed(name, world.now_s)
+                self.planner.health.record_miss(name, world.now_s)
 
     def view(self) -> FleetView:
         """Return what this controller sees, with the statuses it asks for."""
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -90,7 +90,7 @@
             case Unavailable():
                 now = self._clock()
                 self._running.pop(name, None)
-                if self._monitor.missed(name, now):
+                if self._monitor.record_miss(name, now):
                     self._probe_rack_soon(name, now)
                 self._due_at[name] = now + MISS_RETRY_S
 
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -90,15 +90,17 @@
 
     def record_heartbeat(self, instance: str, at_s: float, boot_id: str = "") -> None:
         """Note that the instance was heard; a new boot id is a return."""
-        missed = self._missed_s.pop(instance, None)
-        was_silent = missed is not None and at_s - missed > self.settings.silent_s
+        record_miss = self._missed_s.pop(instance, None)
+        was_silent = (
+            record_miss is not None and at_s - record_miss > self.settings.silent_s
+        )
         last_boot = self._boot.get(instance, "")
         if was_silent or (last_boot and boot_id and boot_id != last_boot):
             self._append(self._returns, instance, at_s)
         if boot_id:
             self._boot[instance] = boot_id
 
-    def missed(self, instance: str, at_s: float) -> bool:
+    def record_miss(self, instance: str, at_s: float) -> bool:
         """Note that the instance did not answer; True for the first miss.
 
         Silence counts from the first miss, not from the last heartbeat: where
@@ -148,10 +150,10 @@
         oldest = now_s - self.settings.silent_s
         known = layout.location_by_instance
         silent = frozenset(
-            name for name, missed in self._missed_s.items() if missed < oldest
+            name for name, record_miss in self._missed_s.items() if record_miss < oldest
         ).intersection(known)
-        missed = frozenset(self._missed_s).intersection(known)
-        lost_if_silent = self._lost_places(layout, missed) if silent else ()
+        record_miss = frozenset(self._missed_s).intersection(known)
+        lost_if_silent = self._lost_places(layout, record_miss) if silent else ()
         symptoms = self._symptoms(silent, now_s)
         return Assessment(
             silent,
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -43,7 +43,7 @@
     """Probes that time out end apart, so one instance is silent before the others."""
     health = controller.planner.health
     for number, name in enumerate(RACK):
-        health.missed(name, world.now_s + 5.0 * number)
+        health.record_miss(name, world.now_s + 5.0 * number)
     for _ in range(60):
         world.advance(1.0)
         plan = controller.planner.step(controller.view(), world.now_s)
