--- a/bench/fleet_plan_cost.py
+++ b/bench/fleet_plan_cost.py
@@ -12,7 +12,7 @@
 from statistics import quantiles
 
 from lycheeloom.fleet.buffers import BufferPlanner, plan_buffers
-from lycheeloom.fleet.rebalance import plan_with_homes
+from lycheeloom.fleet.rebalance import plan_with_returns
 from lycheeloom.model.records import WaveCommand, WaveState
 
 from .fleet_world import Controller, World, large_fleet
@@ -72,7 +72,7 @@
     for name in rng.sample(sorted(pools), len(pools) // 3):
         pools[name] = rng.choice(sorted(config.pool_by_id))
     begun = time.process_time()
-    plan_with_homes(BufferPlanner(config), pools, frozenset())
+    plan_with_returns(BufferPlanner(config), pools, frozenset())
     return time.process_time() - begun
 
 
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -52,7 +52,7 @@
             self._planned_s = now_s
             if self._planner is None or self._planner.config is not view.config:
                 self._planner = BufferPlanner(view.config)
-            self.plan = plan_with_homes(self._planner, assigned, unusable)
+            self.plan = plan_with_returns(self._planner, assigned, unusable)
             self._cache_key = key
         if not has_room:
             return []
@@ -83,7 +83,7 @@
         return last is not None and last[0] is key[0] and last[1:] == key[1:]
 
 
-def plan_with_homes(
+def plan_with_returns(
     planner: BufferPlanner, assigned: Mapping[str, str], unusable: frozenset[str]
 ) -> BufferPlan:
     """Plan buffers, sending instances home where that costs no further move.
