--- a/libs/controller/tests/test_housekeeping.py
+++ b/libs/controller/tests/test_housekeeping.py
@@ -102,7 +102,7 @@
             # Other records push the older ones out of the log.
             append(r.MemberRefuted())
         assert reader.submission(waiting.body_offset, "waiting").payload == b"body"
-        assert reader.finish(done.answer_offset, "done").answer == b"answer"
+        assert reader.answer(done.answer_offset, "done").answer == b"answer"
     assert refresher.refreshed <= 2 * 4
     dropped = reader.submission(waiting.submitted_at, "waiting")
     assert isinstance(dropped, RecordLost)
--- a/libs/entry/src/lycheeloom/entry/journal.py
+++ b/libs/entry/src/lycheeloom/entry/journal.py
@@ -199,7 +199,7 @@
 
     def read_answer(self, request: RecordedRequest) -> bytes | RecordLost | None:
         """Return the whole answer of a finished request, or None for now."""
-        record = self._reader.finish(request.answer_offset, request.request_id)
+        record = self._reader.answer(request.answer_offset, request.request_id)
         return record.answer if isinstance(record, r.RequestFinished) else record
 
     def reassign(self) -> None:
--- a/libs/log/src/lycheeloom/log/record_reader.py
+++ b/libs/log/src/lycheeloom/log/record_reader.py
@@ -41,7 +41,7 @@
         """Return the submission at an offset, or None if it cannot be read now."""
         return self._find(offset, request_id, RequestSubmitted)
 
-    def finish(
+    def answer(
         self, offset: int | None, request_id: str
     ) -> RequestFinished | RecordLost | None:
         """Return the answer record at an offset, or None if not readable now."""
