--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -24,7 +24,7 @@
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .order_turns import OrderTurns
+from .order_turns import OrderGuard
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
@@ -41,7 +41,7 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
-        turns: OrderTurns,
+        turns: OrderGuard,
         port: InstancePort,
         is_reserved: Callable[[str], bool],
         move_s: float,
@@ -115,7 +115,10 @@
     def _is_usable(self, instance: Instance) -> bool:
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
         is_leaving = state is not None and state.worker.draining
-        return not is_leaving and instance.zone not in self._dispatcher.view.zones_out
+        return (
+            not is_leaving
+            and instance.zone not in self._dispatcher.view.zones_out_of_service
+        )
 
     def _loads(self) -> dict[str, PoolLoad]:
         dispatcher = self._dispatcher
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -17,9 +17,9 @@
     AppendUnknown,
     CallOutcome,
     CallReply,
+    ConditionFailed,
     Fenced,
     Log,
-    Moved,
     Producer,
     ReadFailed,
     ReadResult,
@@ -117,7 +117,7 @@
         if self.is_down:
             return AppendUnknown("no answer in time")
         if at != self._claims:
-            return Moved(self._claims)
+            return ConditionFailed(self._claims)
         self._claims += 1
         return Appended(self._claims)
 
@@ -165,7 +165,7 @@
         self.by_id: dict[str, FakeWorker] = {}
         self.begun: list[tuple[str, TaskKey, int]] = []
         # Start that all workers state; 0 for the one of their reports.
-        self.born_ms = 0
+        self.started_ms = 0
 
     def at(self, worker_id: str) -> FakeWorker:
         return self.by_id.setdefault(worker_id, FakeWorker())
@@ -213,7 +213,7 @@
     ) -> CallReply:
         return CallReply(CallOutcome.DONE)
 
-    def hold(
+    def renew_and_list(
         self,
         worker: Worker,
         token: int,
@@ -234,7 +234,7 @@
             gevent.sleep(0.005)
         return TaskLists(
             int(steady_s() * 1000),
-            self.born_ms or worker.born_ms,
+            self.started_ms or worker.started_ms,
             tuple(
                 RunningTask(task, run, "", fake.percent, 0.0)
                 for task, run in fake.running.items()
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -156,7 +156,7 @@
     def _apply_decisions(self) -> None:
         if not self._may_dispatch():
             return
-        for decision in self.scheduler.next_starts(time.monotonic()):
+        for decision in self.scheduler.next_decisions(time.monotonic()):
             match decision:
                 case Start(task, worker, resources):
                     self._start_attempt(task, worker, resources)
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -10,7 +10,7 @@
 
 from lycheeloom.model.records import Health, MoveStage, WaveState
 
-from .budgets import Layout, Ledger, Limit, LimitKind
+from .budgets import BudgetUsage, Layout, Limit, LimitKind
 from .view import HealthState, Move, Wave
 
 # Limits that no other instance of the same pool can get around.
@@ -68,7 +68,7 @@
     ]
 
 
-def given_up(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
+def given_up_instances(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
     """Return the instances that no wave waits for."""
     return frozenset(
         name
@@ -80,7 +80,7 @@
 def choose(
     wave: Wave,
     layout: Layout,
-    ledger: Ledger,
+    ledger: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str] = frozenset(),
 ) -> Iterator[Choice]:
@@ -94,10 +94,10 @@
         yield from _choose_in_pool(layout, ledger, serving)
 
 
-def waiting(
+def first_blocked(
     wave: Wave,
     layout: Layout,
-    ledger: Ledger,
+    ledger: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str] = frozenset(),
 ) -> Choice | None:
@@ -119,7 +119,7 @@
     pools: Iterable[str],
     wave: Wave,
     layout: Layout,
-    ledger: Ledger,
+    ledger: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str],
 ) -> list[list[str]]:
@@ -136,15 +136,15 @@
 
 
 def _choose_in_pool(
-    layout: Layout, ledger: Ledger, names: Iterable[str]
+    layout: Layout, ledger: BudgetUsage, names: Iterable[str]
 ) -> Iterator[Choice]:
     by_rack: dict[str, list[str]] = defaultdict(list)
     for name in names:
-        by_rack[layout.place_by_instance[name][1]].append(name)
+        by_rack[layout.location_by_instance[name][1]].append(name)
     while by_rack:
         rack = max(by_rack, key=lambda key: (len(by_rack[key]), key))
         name = by_rack[rack][-1]
-        limit = ledger.blocking(name)
+        limit = ledger.blocking_limit(name)
         yield Choice(name, limit)
         if limit is None:
             by_rack[rack].pop()
@@ -196,7 +196,7 @@
         pool = config.pool_by_id[pool_id]
         by_rack: dict[str, list[str]] = defaultdict(list)
         for name in names:
-            _, rack, zone = layout.place_by_instance[name]
+            _, rack, zone = layout.location_by_instance[name]
             by_rack[rack].append(name)
             by_zone[zone].append(name)
         groups.append((names, pool.max_unavailable))
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from lycheeloom.fleet.budgets import Layout, Ledger
+from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.model.config import FleetConfig, Instance
 
 
@@ -60,11 +60,11 @@
     """Instances out together, under the rules that the controller keeps."""
 
     def __init__(self, layout: Layout) -> None:
-        self._ledger = Ledger(layout, ())
+        self._ledger = BudgetUsage(layout, ())
 
     def take(self, instance: Instance) -> bool:
         """Add an instance to the round if all budgets allow it."""
-        if self._ledger.blocking(instance.id) is not None:
+        if self._ledger.blocking_limit(instance.id) is not None:
             return False
         self._ledger.take(instance.id)
         return True
