--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -8,9 +8,9 @@
 from statistics import fmean
 
 from lycheeloom.fleet import PlannerSettings
-from lycheeloom.fleet.budgets import Layout, BudgetUsage
+from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.fleet.events import NotChosen, describe
-from lycheeloom.fleet.waves import forecast, given_up_instances, first_blocked
+from lycheeloom.fleet.waves import first_blocked, forecast, given_up_instances
 from lycheeloom.log import Replayed
 from lycheeloom.model.records import MoveStage, MoveStep, WaveState
 from lycheeloom.model.status import WaveStatus
