--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -1,4 +1,4 @@
-"""Checks of a caller's request before anything is done with it."""
+"""Validation and authorisation of callers' requests."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHeaders:
-    """The headers of a submission that matter here."""
+    """The headers of a submission that an entry reads."""
 
     authorization: str = ""
     idempotency_key: str = ""
@@ -52,7 +52,7 @@
 def check_request(
     config: FleetConfig, queue_id: str, headers: RequestHeaders, body: bytes
 ) -> Submission | Refusal:
-    """Return a checked submission, or the reason why it is not run."""
+    """Return a validated submission, or why the request is refused."""
     queue = config.queue_by_id.get(queue_id)
     if queue is None:
         return Refusal(RefusalReason.UNKNOWN_QUEUE, f"no queue {queue_id!r}")
@@ -75,9 +75,9 @@
 def find_organisation(
     config: FleetConfig, queue: Queue, authorization: str
 ) -> str | Refusal:
-    """Return the organisation that a request is accepted for.
+    """Return the organisation that a request is charged to, or a refusal.
 
-    Work on a queue open to all that comes without a key is charged to the one
+    A request without a key to a queue that is open to all is charged to the
     organisation that the queue lists.
     """
     if not authorization:
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -1,7 +1,7 @@
-"""One attempt to run a request at a worker, from session to proven end.
+"""One attempt to run a request at a worker.
 
-The attempt's running slot is free once ``run`` returns: every end means that the
-task ended, never started, or can no longer run because its lease expired.
+The attempt's running slot is free once ``AttemptRunner.run`` returns: every end means
+that the task ended, never started, or can no longer run because its lease expired.
 """
 
 from __future__ import annotations
@@ -31,21 +31,22 @@
 from .local_requests import LocalRequest
 from .sessions import WorkerSessions
 
-# A start that has not been answered by then is followed by status calls on new
-# connections, as the first one may have gone silent.
+# After this long without an answer to a start, the task is polled on new connections,
+# as the first connection may have gone silent.
 START_TIMEOUT_S = 2.0
-# Tasks with a longer declared run time do not hold a connection while they run.
+# The start call of a task with a longer declared run time returns before the task
+# ends, so that it does not hold a connection.
 MAX_WAITING_RUN_S = 1.0
 MIN_POLL_INTERVAL_S = 0.05
 MAX_POLL_INTERVAL_S = 1.0
 RENEW_INTERVAL_S = 5.0
-# Covers differences of clock rates between this process and the worker.
+# Covers different clock rates of this process and the worker.
 CLOCK_MARGIN_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The task is done; ``answer`` is whole."""
+    """The task is done; ``answer`` is complete."""
 
     answer: bytes
 
@@ -57,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The worker proved that the task did not start."""
+    """The task certainly did not start; ``free`` is the worker's free capacity."""
 
     reason: StartRefusal
     free: Resources | None = None
@@ -65,21 +66,21 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """This entry decided not to send the start."""
+    """This entry did not send the start."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class Stopped:
-    """The task was stopped; it goes on from ``checkpoint`` if there is one."""
+    """The task was stopped; it can resume from ``checkpoint`` if that is not empty."""
 
     checkpoint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """Whether the task ran is not known; it does not run any more."""
+    """The task may have run; it is certainly not running any more."""
 
     message: str
 
@@ -89,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Where an attempt runs and the size to reserve there."""
+    """The worker of an attempt, and the resources to reserve there."""
 
     worker: str
     address: str
@@ -98,7 +99,7 @@
 
 @dataclass(slots=True)
 class _SentStart:
-    """A start that may have reached the worker."""
+    """A start that may have reached the worker; times are from this process's clock."""
 
     task: str
     placement: Placement
@@ -106,7 +107,7 @@
     sent_at: float
     # The incarnation whose grant the task counts against.
     holder: str
-    # The worker stops the task at the latest then, by this process's clock.
+    # The worker has stopped the task by then at the latest.
     lease_expires_by: float
     renewed_at: float
     is_reachable: bool = True
@@ -115,10 +116,12 @@
 class AttemptRunner:
     """Runs attempts; each call of ``run`` belongs to one greenlet.
 
-    ``may_start(job, placement)`` is asked in the same step in which a start is
-    sent and returns why not, or None. ``claim(job, attempt, worker, boot_id)``
-    records an attempt of a recorded request and returns why it may not start.
-    ``may_renew(holder)`` tells whether a lease of that incarnation may be renewed.
+    ``may_start(request, placement)`` is called immediately before a start is sent
+    and returns why it must not be sent, or None.
+    ``claim(request, attempt, worker, boot_id)`` records an attempt of a recorded
+    request and returns why it must not start, or None. ``holder()`` is the current
+    incarnation of this entry, and ``may_renew(holder)`` tells whether leases of that
+    incarnation may be renewed.
     """
 
     def __init__(
@@ -149,7 +152,7 @@
         placement: Placement,
         on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        """Run one attempt; ``on_silence`` is called once if the worker is silent."""
+        """Run one attempt; call ``on_silence`` once if the worker does not answer."""
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable):
             return Refused(StartRefusal.UNREACHABLE)
@@ -177,7 +180,7 @@
         boot_id: str,
         on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        # A claim takes a commit of the log, after which the session may be old.
+        # The claim waited for a commit of the log, so the session may have expired.
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or session.boot_id != boot_id:
             return Refused(StartRefusal.UNREACHABLE)
@@ -244,7 +247,7 @@
     def _poll_until_end(
         self, sent: _SentStart, on_silence: Callable[[], None]
     ) -> AttemptEnd:
-        """Ask for the task's status until it ended or its lease expired."""
+        """Poll the task's status until it has ended or its lease has expired."""
         poll_s = 0.0
         is_silence_reported = False
         while True:
@@ -271,8 +274,8 @@
     def _poll(self, sent: _SentStart) -> TaskReport | Unavailable | ActionRefused:
         address = sent.placement.address
         is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
-        # A worker that does not answer is not sent further renewals: each one
-        # would put off the time at which its lease has certainly expired.
+        # A worker that does not answer gets no further renewals: each one would
+        # delay the time at which its lease has certainly expired.
         if is_due and sent.is_reachable:
             report = self._renew(sent)
             if report is not None:
@@ -280,7 +283,7 @@
         return self._client.status(address, sent.task)
 
     def _renew(self, sent: _SentStart) -> TaskReport | Unavailable | None:
-        """Renew the lease, or return None if that had no effect."""
+        """Renew the lease; return None if nothing was sent or it was refused."""
         placement = sent.placement
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or not self._may_renew(sent.holder):
@@ -291,7 +294,7 @@
         if isinstance(report, ActionRefused):
             self._sessions.drop(placement.worker)
             return None
-        # Counted even if the answer is lost: the renewal may have had effect, or
+        # Set even if the answer is lost: the renewal may have had effect, or may
         # still arrive while its session is accepted.
         sent.renewed_at = self._clock()
         lease_end_s = SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S
@@ -299,7 +302,7 @@
         return report
 
     def _end_proven_by(self, sent: _SentStart, report: TaskReport) -> AttemptEnd | None:
-        """Return the end that a report proves, or None while the task runs."""
+        """Return the end that a report proves, or None if the task may still run."""
         self._on_report(sent.placement.worker, report)
         match report.status:
             case TaskStatus.DONE:
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -1,4 +1,4 @@
-"""Carries out the scheduler's decisions and settles requests."""
+"""Starts, retries, hedges, cancels and settles requests as the scheduler decides."""
 
 from __future__ import annotations
 
@@ -48,24 +48,24 @@
 from .scheduler_tasks import AttemptState, request_id_of, task_id_of, task_of
 from .verdict_reporter import VerdictReporter
 
-# Deadlines, back-offs and zone ramps need a look at the queues without an event.
+# Deadlines, back-offs and zone ramps fall due without an event that starts a round.
 ROUND_INTERVAL_S = 0.05
-# Without queued work only reservations of peers are followed.
+# With an empty queue a round only exchanges worker reservations with peers.
 IDLE_INTERVAL_S = 0.2
-# A worker may refuse or a commit may fail this often before a job is given up.
+# Refused or unsent starts after which an unrecorded request is refused.
 MAX_START_TRIES = 50
-# A caller is told that a request may have run after this long without contact.
+# After this long without contact to the worker the verdict is "may have run".
 SILENCE_TIMEOUT_S = 5.0
 THROTTLE_FRACTION = 0.25
-# A lookup that takes this much longer than declared gets a second copy.
+# A hedge starts after HEDGE_DELAY_S + HEDGE_FACTOR * the declared run time.
 HEDGE_FACTOR = 3.0
 HEDGE_DELAY_S = 0.1
 
 
 class Dispatcher:
-    """Owns the queue of this entry: submits, starts, retries and cancels.
+    """Queues this entry's requests with the scheduler and runs their attempts.
 
-    ``on_settled`` is called once for each job, after its verdict is set.
+    ``on_settled`` is called once for each request, after its verdict is set.
     """
 
     def __init__(
@@ -80,9 +80,9 @@
         on_settled: Callable[[LocalRequest], None],
     ) -> None:
         self.runner: AttemptRunner | None = None
-        # Called after each round of decisions of the dispatching greenlet.
+        # Called after each scheduling round of ``run``.
         self.after_round: Callable[[], None] = lambda: None
-        # Called with worker, queue and whether it failed, for each task that ended.
+        # Called as (worker, queue, has_failed) for each task that ended.
         self.on_outcome: Callable[[str, str, bool], None] = lambda *outcome: None
         self.scheduler = scheduler
         self._requests = local_requests
@@ -99,15 +99,15 @@
         self.running_tasks = 0
 
     def running(self, organisation: str) -> int:
-        """Return how many running slots of an organisation are taken here."""
+        """Return how many running slots of an organisation this entry uses."""
         return self._running_by_organisation.get(organisation, 0)
 
     def wake(self) -> None:
-        """Ask for decisions soon; many calls cost one round."""
+        """Request a scheduling round; calls before it starts are merged into one."""
         self._wake.set()
 
     def run(self) -> None:
-        """Take decisions until stopped."""
+        """Run scheduling rounds until stopped."""
         while True:
             interval_s = (
                 ROUND_INTERVAL_S if self.scheduler.has_queued() else IDLE_INTERVAL_S
@@ -118,19 +118,19 @@
             self.after_round()
 
     def submit(self, request: LocalRequest) -> Refusal | None:
-        """Queue a job, or return why it is refused as not run."""
+        """Queue a request, or return why it is refused as not run."""
         verdict = self.scheduler.submit(task_of(request), time.monotonic())
         if isinstance(verdict, Refusal):
             return verdict
         if request.tries == 0:
             self._budgets.on_request(request.submission.queue)
         self._requests.add(request)
-        # Deciding here saves a switch to the dispatching greenlet and back.
+        # A round here saves a switch to the greenlet of ``run`` and back.
         self._apply_decisions()
         return None
 
     def cancel(self, request: LocalRequest) -> None:
-        """Cancel a job: at once while queued, at the worker while running."""
+        """Cancel a request: at once while queued, at the worker while running."""
         request.cancel_requested = True
         if self.scheduler.cancel([task_id_of(request)], time.monotonic()):
             self._settle(
@@ -142,7 +142,7 @@
             gevent.spawn(self._client.cancel, address, f"{request.id}.{attempt}")
 
     def withdraw(self, request: LocalRequest) -> bool:
-        """Drop a queued job without a verdict, as another entry runs it."""
+        """Drop a queued request without a verdict, as another entry runs it."""
         if not self.scheduler.cancel([task_id_of(request)], time.monotonic()):
             return False
         self._requests.remove(request)
@@ -150,7 +150,7 @@
         return True
 
     def set_queues(self, queues: Iterable[Queue]) -> None:
-        """Take over the budgets of a new configuration."""
+        """Apply the retry and hedge budgets of a new configuration."""
         self._budgets.set_queues(queues)
 
     def _apply_decisions(self) -> None:
@@ -215,7 +215,7 @@
     def _start_hedge(
         self, request: LocalRequest, placement: Placement, state: AttemptState
     ) -> None:
-        """Start a second copy of a slow idempotent request elsewhere."""
+        """Submit a second copy of a slow idempotent request to another worker."""
         if state.has_copy or request.verdict is not None or request.tries:
             return
         queue = request.submission.queue
@@ -226,7 +226,7 @@
     def _on_silence(
         self, request: LocalRequest, placement: Placement, state: AttemptState
     ) -> None:
-        """Act on an attempt whose worker does not answer."""
+        """Retry elsewhere if idempotent, else schedule a "may have run" verdict."""
         if request.submission.idempotent and not request.is_recorded:
             if not state.has_copy:
                 state.has_copy = self._retry(request, placement.worker)
@@ -280,7 +280,7 @@
         free: Resources | None,
         has_copy: bool,
     ) -> None:
-        """Queue a job again whose start certainly had no effect."""
+        """Requeue a request whose start certainly had no effect."""
         now = time.monotonic()
         self.scheduler.finished(task.id, Outcome.REFUSED_BY_WORKER, now)
         if reason is StartRefusal.DRAINING or reason is StartRefusal.UNREACHABLE:
@@ -319,7 +319,7 @@
         checkpoint: str,
         has_copy: bool,
     ) -> None:
-        """Go on from a checkpoint, or decide about a task that was stopped."""
+        """Requeue a stopped task from its checkpoint; without one, retry or settle."""
         now = time.monotonic()
         self.scheduler.finished(task.id, Outcome.STOPPED, now)
         is_requeued = bool(self.scheduler.is_queued(task.id))
@@ -351,7 +351,7 @@
         self._settle(request, MayHaveRun(message))
 
     def _retry(self, request: LocalRequest, worker: str) -> bool:
-        """Run an idempotent job elsewhere if its queue's budget allows."""
+        """Retry a request on another worker if its queue's budget allows."""
         if request.verdict is not None or request.cancel_requested:
             return False
         queue = request.submission.queue
@@ -361,7 +361,7 @@
         return self._repeat(request, worker)
 
     def _repeat(self, request: LocalRequest, worker: str) -> bool:
-        # The attempt that is repeated has failed, or has not answered yet.
+        # The earlier attempt failed, or its worker has not answered yet.
         request.may_have_started = True
         request.copies += 1
         request.excluded_workers.add(worker)
@@ -387,11 +387,11 @@
     def _settle(self, request: LocalRequest, verdict: Verdict) -> None:
         if not self._verdict_reporter.settle(request, verdict):
             return
-        # A copy of the job that still waits need not run.
+        # A copy of the request that is still queued need not run.
         self.scheduler.cancel([task_id_of(request)], time.monotonic())
         self._on_settled(request)
 
     def observe_report(self, worker: str, report: TaskReport) -> None:
-        """Take over the free capacity that comes with an answer."""
+        """Tell the scheduler the free capacity that a worker reported."""
         now = time.monotonic()
         self.scheduler.observe_worker(worker, True, report.free, report.boot_id, now)
--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -1,4 +1,4 @@
-"""Answers of an entry to ``explain``, in sentences."""
+"""Explanations that ``GET /v1/explain`` returns, in sentences."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class EntryExplanations:
-    """What this entry knows about a request, organisation, instance or pool."""
+    """Explains requests, organisations, instances and pools from this entry's state."""
 
     def __init__(
         self, tail: LogTail, scheduler: Scheduler, local_requests: LocalRequestTable
@@ -55,7 +55,7 @@
             f"rack {instance.rack}."
         ]
         if instance.pool != pool:
-            lines.append(f"The configuration wants it in pool {instance.pool}.")
+            lines.append(f"The configuration assigns it to pool {instance.pool}.")
         move = state.maintenance.move_by_instance.get(name)
         if move is not None:
             lines.append(
--- a/libs/entry/src/lycheeloom/entry/grant_manager.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -1,4 +1,4 @@
-"""Asks for running slots by demand and returns those that others need."""
+"""Requests running slots by demand and returns those that other entries need."""
 
 from __future__ import annotations
 
@@ -18,9 +18,8 @@
 STEP_INTERVAL_S = 0.1
 # A request for slots is repeated this often while demand stays above the grant.
 REQUEST_INTERVAL_S = 1.0
-# Organisations without demand or a change are looked at this often. Looking at 210
-# organisations in
-# each step took 0.6% of a core.
+# A step covers the organisations with demand; this often it covers all of them.
+# Covering 210 organisations in each step took 0.6% of a core.
 FULL_STEP_INTERVAL_S = 1.0
 
 
@@ -32,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Demand:
-    """What is the same for all organisations in one step."""
+    """This entry, the active members and the demand, read once for each step."""
 
     own: str
     members: frozenset[str]
@@ -40,17 +39,17 @@
     peers_by_organisation: Mapping[str, int]
 
     def organisations(self) -> set[str]:
-        """Return the organisations with demand anywhere."""
+        """Return the organisations with demand at this entry or a peer."""
         return self.by_organisation.keys() | self.peers_by_organisation.keys()
 
 
 class GrantManager:
     """Keeps this entry's grants near its demand.
 
-    Without demand an entry holds its equal part of each limit, so that work
-    goes on in a log outage. While another entry has unmet demand, an entry keeps
-    only its part of the limit by demand. A draining entry keeps no reserve, and what
-    its queued and running tasks need until they have ended.
+    Without demand an entry holds an equal part of each limit, so that it can start
+    tasks in a log outage. While another entry has unmet demand, an entry keeps only
+    the part of the limit that is proportional to its demand. A draining entry keeps
+    no reserve, only what its queued and running tasks need until they have ended.
     """
 
     def __init__(
@@ -82,7 +81,7 @@
         self._next_full_step_at = -math.inf
 
     def run(self) -> None:
-        """Act every ``STEP_INTERVAL_S`` until stopped."""
+        """Run a step every ``STEP_INTERVAL_S`` until stopped."""
         while True:
             self.step()
             gevent.sleep(rest_of_tick_s(STEP_INTERVAL_S))
@@ -99,12 +98,12 @@
         return self._usable(own, organisation)
 
     def schedule_full_step(self) -> None:
-        """Look at every organisation in the next step, as grants or members changed."""
+        """Cover all organisations in the next step, as grants or members changed."""
         self._next_full_step_at = -math.inf
         self.update_scheduler()
 
     def update_scheduler(self) -> None:
-        """Tell the scheduler the slots that are usable now."""
+        """Pass the number of usable slots to the scheduler if it changed."""
         own = self._incarnation()
         state = self._tail.state
         if state.members.is_active(own):
@@ -130,7 +129,7 @@
         return pendings
 
     def step(self) -> None:
-        """Settle returns, then ask for or return slots of each organisation."""
+        """Drop finished returns, then request or return slots of each organisation."""
         self._settle_returns()
         own = self._incarnation()
         state = self._tail.state
@@ -164,8 +163,8 @@
         grants = self._tail.state.grants.of(organisation)
         held = grants.count_by_holder.get(demand.own, 0)
         is_over_limit = grants.total() > grants.limit
-        # Slots of expelled members serve nobody until they are reclaimed. If they
-        # counted, idle entries would keep parts that are no longer there.
+        # No entry can use the slots of expelled members until they are reclaimed. With
+        # these counted, the reserves of idle entries would exceed what is left.
         unusable = sum(
             count
             for holder, count in grants.count_by_holder.items()
@@ -177,7 +176,7 @@
         others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
         if (others_wait or is_over_limit) and held > wanted:
             self._withdraw_request(organisation)
-            # Slots returned in a log outage would serve nobody until its end.
+            # No entry could use slots returned in a log outage until its end.
             if not self._is_log_readable():
                 return
             idle = held - max(wanted, self._running(organisation))
@@ -198,11 +197,11 @@
             return running
         own = demand.by_organisation.get(organisation, 0)
         if self._is_draining():
-            # No new work comes, so the slots become free as what is queued ends.
-            # With less than its demand the entry might not end it in time.
+            # Demand only falls now, and slots become free with it. With fewer slots
+            # the entry might not finish its requests within the drain timeout.
             return max(running, min(own, limit))
-        # Nothing for a limit below the number of entries: idle entries that kept
-        # a slot each would leave none to an entry with demand.
+        # Zero for a limit below the number of entries: idle entries that kept a slot
+        # each would leave none to an entry with demand.
         reserve = limit // len(demand.members)
         peers = demand.peers_by_organisation.get(organisation, 0)
         if peers + own <= limit:
@@ -215,10 +214,10 @@
         return self._tail.state.grants.of(organisation).count_by_holder.get(own, 0)
 
     def _request_slots(self, organisation: str, count: int) -> None:
-        """Request slots, with at most one unsettled request for each organisation.
+        """Request slots, with at most one request in flight for each organisation.
 
-        In a log outage of 30 minutes a request each second would leave 1,800
-        records of each organisation for the log to take afterwards.
+        Otherwise a log outage of 30 minutes with a request each second would leave
+        1,800 records of each organisation to be written after it.
         """
         now = self._clock()
         if now - self._requested_at.get(organisation, -math.inf) < REQUEST_INTERVAL_S:
@@ -234,7 +233,7 @@
         )
 
     def _withdraw_request(self, organisation: str) -> None:
-        """Give up a request that was not sent, as no more slots are wanted."""
+        """Withdraw an unsent request, as no more slots are wanted."""
         request = self._request_by_organisation.get(organisation)
         if request is not None and request.outcome is None:
             request.withdraw("no more slots are wanted")
@@ -255,7 +254,7 @@
         for organisation, returning in list(self._return_by_organisation.items()):
             if is_outage and returning.pending.outcome is None:
                 returning.pending.withdraw("the log is down")
-            # Without an outcome the return may still take effect at any time.
+            # A return without an outcome may still take effect at any time.
             if returning.pending.outcome is not None:
                 del self._return_by_organisation[organisation]
                 self._next_full_step_at = -math.inf
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -23,7 +23,7 @@
 from .request_handler import RequestHandler
 from .status_page import render_status_page
 
-# JSON escapes may lengthen a payload up to six times.
+# JSON escapes make a payload at most six times as long.
 MAX_BODY_BYTES = 6 * MAX_PAYLOAD_BYTES + 4096
 MAX_RECORDS_BODY_BYTES = 2 * MAX_BATCH_BYTES
 _JSON = "application/json"
@@ -96,10 +96,10 @@
         return _respond(self._request_handler.cancel(request_id, authorization))
 
     def post_records(self) -> HTTPResponse:
-        """``POST /v1/records``: an accepted batch, straight from an operator.
+        """``POST /v1/records``: batches that the log accepted, from an operator's tool.
 
-        A forged batch would change what is in force here, so the shared token of
-        the operators is needed.
+        A forged batch would change the configuration of this entry, so the handover
+        token in the settings is required.
         """
         authorization = request.environ.get("HTTP_AUTHORIZATION", "")
         expected = f"Bearer {self._handover_token}"
@@ -144,7 +144,7 @@
         return _respond(Reply(200, {"kind": kind, "id": name, "events": events}))
 
     def metrics(self) -> HTTPResponse:
-        """``GET /metrics``; gauges are set here, as most seconds bring no reader."""
+        """``GET /metrics``; gauges are updated here, on each scrape."""
         self._update_metrics()
         headers = {"Content-Type": CONTENT_TYPE_LATEST}
         return HTTPResponse(generate_latest(self._metrics.registry), 200, headers)
--- a/libs/entry/src/lycheeloom/entry/http_server.py
+++ b/libs/entry/src/lycheeloom/entry/http_server.py
@@ -9,10 +9,11 @@
 
 
 class HttpServer(WSGIServer):
-    """A WSGI server that sends each answer without delay.
+    """A WSGI server with TCP_NODELAY set on its connections.
 
-    An answer's headers and body leave in two segments; without TCP_NODELAY the
-    second one waits for the peer's delayed acknowledgement, about 40 ms.
+    The headers and the body of a response are sent in two segments; without
+    TCP_NODELAY the second one waits about 40 ms for the peer's delayed
+    acknowledgement.
     """
 
     def handle(self, sock: socket.socket, address: Any) -> None:
--- a/libs/entry/src/lycheeloom/entry/local_requests.py
+++ b/libs/entry/src/lycheeloom/entry/local_requests.py
@@ -11,13 +11,17 @@
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.verdict import Verdict
 
-# How long the verdict of a request without a record stays readable here.
+# Callers can read the verdict of an unrecorded request here for this long.
 VERDICT_KEPT_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """A checked request of a caller; times are monotonic seconds."""
+    """A validated request of a caller.
+
+    ``submitted_at`` and ``deadline`` are monotonic times in seconds, ``run_s`` is the
+    declared run time, and ``wait`` tells whether the caller waits on its connection.
+    """
 
     request_id: str
     organisation: str
@@ -43,25 +47,26 @@
 
 @dataclass(slots=True, eq=False)
 class LocalRequest:
-    """One request while this entry runs it.
+    """A request that this entry queues or runs.
 
-    Each run at a worker has its own attempt number, so that an answer of an
+    Each start at a worker has its own attempt number, so that the answer of an
     earlier attempt is never taken for that of a later one.
     """
 
     submission: Submission
     is_recorded: bool = False
-    # Another entry holds the claim; this one must not run the job.
+    # Another entry holds the claim; this one must not run the request.
     is_claimed_elsewhere: bool = False
     attempt: int = 0
     checkpoint: str = ""
+    # Starts that had no effect, and submissions after the first one.
     tries: int = 0
-    # Times that the job was submitted again beside an attempt or after it failed.
+    # Retries and hedges; each is a task of its own in the scheduler.
     copies: int = 0
     excluded_workers: set[str] = field(default_factory=set)
     address_by_attempt: dict[int, str] = field(default_factory=dict)
     cancel_requested: bool = False
-    # An earlier attempt may have started, so no later refusal is "not run".
+    # An attempt may have started, so no later refusal may be told as "not run".
     may_have_started: bool = False
     verdict: Verdict | None = None
     settled: Event = field(default_factory=Event)
@@ -73,11 +78,11 @@
         return self.submission.request_id
 
     def wake_waiters(self) -> None:
-        """Wake those that wait here, as another entry decides about the job."""
+        """End the waits for a verdict here, as another entry runs the request."""
         self.settled.set()
 
     def settle(self, verdict: Verdict) -> bool:
-        """Set the verdict; the first one stays. Tells whether it was set."""
+        """Set the verdict unless there is one; return whether it was set."""
         if self.verdict is not None:
             return False
         self.verdict = verdict
@@ -87,28 +92,28 @@
 
 
 class LocalRequestTable:
-    """All jobs of this entry by request id."""
+    """The requests of this entry, by request id."""
 
     def __init__(self) -> None:
         self.by_id: dict[str, LocalRequest] = {}
         self._settled: deque[LocalRequest] = deque()
 
     def add(self, request: LocalRequest) -> None:
-        """Add a job."""
+        """Add a request, in place of an older one with the same id."""
         self.by_id[request.id] = request
 
     def expire_later(self, request: LocalRequest) -> None:
-        """Keep a settled job readable for ``VERDICT_KEPT_S``."""
+        """Remove a settled request after ``VERDICT_KEPT_S``, on a later call."""
         self._settled.append(request)
         oldest = time.monotonic() - VERDICT_KEPT_S
         while self._settled and self._settled[0].settled_at < oldest:
             self.remove(self._settled.popleft())
 
     def remove(self, request: LocalRequest) -> None:
-        """Forget a job unless its id was taken by a newer one."""
+        """Remove a request unless a newer one has taken its id."""
         if self.by_id.get(request.id) is request:
             del self.by_id[request.id]
 
     def unsettled(self) -> list[LocalRequest]:
-        """Return the jobs without a verdict."""
+        """Return the requests without a verdict."""
         return [request for request in self.by_id.values() if request.verdict is None]
--- a/libs/entry/src/lycheeloom/entry/main.py
+++ b/libs/entry/src/lycheeloom/entry/main.py
@@ -43,7 +43,7 @@
     try:
         service.run()
     except OSError as error:
-        # Only listening can fail; every call has a result that says so.
+        # Only listening raises OSError; clients return their failures as results.
         log_event("cannot_listen", "ERROR", reason=str(error))
         return ExitCode.CANNOT_LISTEN
     return ExitCode.OK
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -1,4 +1,7 @@
-"""Metrics of an entry. Label values come from the configuration only."""
+"""Prometheus metrics of an entry.
+
+Label values come from the configuration and from enumerations, never from callers.
+"""
 
 from __future__ import annotations
 
@@ -35,7 +38,7 @@
 
 
 class EntryMetrics:
-    """All metrics of one entry in a registry of its own."""
+    """All metrics of one entry, in a registry of its own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -66,7 +69,7 @@
             "queue_queued_requests", "Requests waiting here", "queue"
         )
         self.queue_bound = self._gauge(
-            "queue_bound", "How many requests may wait here", "queue"
+            "queue_bound", "Upper limit of requests waiting here", "queue"
         )
         self.running = self._gauge(
             "organisation_running_tasks", "Running tasks here", "organisation"
@@ -90,13 +93,19 @@
             "organisation",
         )
         self.entitlement_ratio = self._gauge(
-            "organisation_entitlement_ratio", "Fleet-wide share due now", "organisation"
+            "organisation_entitlement_ratio",
+            "Fleet-wide share that is due now",
+            "organisation",
         )
         self.zone_in_service = self._gauge(
-            "zone_in_service", "0 while operators have taken the zone out", "zone"
+            "zone_in_service",
+            "0 while operators have taken the zone out of service",
+            "zone",
         )
         self.fresh = self._gauge("entry_fresh", "1 if this entry may start tasks")
-        self.draining = self._gauge("entry_draining", "1 while it takes no new work")
+        self.draining = self._gauge(
+            "entry_draining", "1 while this entry drains and accepts no requests"
+        )
         self.log_age_s = self._gauge(
             "log_age_seconds", "Time since the last successful log read"
         )
@@ -104,7 +113,7 @@
             "config_version", "Version of the configuration in force"
         )
         self.loop_delay_s = self._gauge(
-            "event_loop_delay_seconds", "Latest delay of a timer"
+            "event_loop_delay_seconds", "Latest delay of a timer past its due time"
         )
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
@@ -114,11 +123,11 @@
         return Gauge(f"lycheeloom_{name}", text, labels, registry=self.registry)
 
     def set_status(self, status: StatusDocument) -> None:
-        """Report what the status document says; removed names disappear."""
+        """Set the gauges from the status document; removed label values disappear."""
         self.fresh.set(int(status.fresh))
         self.draining.set(int(status.draining))
         self.config_version.set(status.config_version)
-        # An entry that has never read the log must not look up to date.
+        # An entry that has never read the log must not look up to date to alerts.
         never = status.log_age_ms is None
         self.log_age_s.set(math.inf if never else status.log_age_ms / 1000)
         self._set_members(status)
--- a/libs/entry/src/lycheeloom/entry/outcome_counts.py
+++ b/libs/entry/src/lycheeloom/entry/outcome_counts.py
@@ -1,4 +1,4 @@
-"""Counts of ended and failed tasks by worker, reported to controllers."""
+"""Counts of ended and failed tasks by worker and queue, reported to controllers."""
 
 from __future__ import annotations
 
@@ -9,23 +9,23 @@
 from lycheeloom.wire import OutcomeCount, OutcomeReport
 
 PERIOD_S = 5.0
-# A controller may miss the reports of a minute, for instance on a connection
-# that went silent.
+# A controller may miss the reports of one minute, for instance on a connection that
+# went silent, and get their counts with the next one.
 KEPT_PERIODS = 12
-# A worker is in question for so long after a task has failed on it; the same
-# window as that of the controller's health monitor.
+# A worker is suspect for this long after a task has failed on it; the same window as
+# that of the controller's health monitor.
 SUSPECT_PERIODS = 60
-# Bounds a report to about 6 KB; workers with most failures go first, and those
-# left out come again with their next failures.
+# Limits a report to about 6 KB. Workers with most failures come first; those left out
+# are reported with their next failures.
 MAX_COUNTS = 100
 
 
 class OutcomeCounts:
-    """Counts how tasks of requests without a record ended.
+    """Counts how the tasks of unrecorded requests ended.
 
-    Requests on record are left out, as controllers read their outcomes from the
-    log. Only workers in question are counted: those with a failure in the last
-    minutes, and those on probation, whose successes end it.
+    Recorded requests are left out, as controllers read their outcomes from the
+    log. Only suspect workers are counted: those with a failure in the last
+    ``SUSPECT_PERIODS``, and those on probation, which ends with enough successes.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         count[1] += has_failed
 
     def report(self, after: int) -> OutcomeReport:
-        """Return the sums of the periods after ``after`` that are over."""
+        """Return the sums over the completed periods after period ``after``."""
         through = self._period() - 1
         self._drop_old(through)
         total: dict[tuple[str, str], list[int]] = defaultdict(lambda: [0, 0])
@@ -66,7 +66,7 @@
             for key, (ended, failed) in counts.items():
                 total[key][0] += ended
                 total[key][1] += failed
-        # With many workers in question, those that fail most matter most.
+        # If not all fit, the workers with most failures are reported.
         ordered = sorted(total.items(), key=lambda item: (-item[1][1], item[0]))
         found = tuple(
             OutcomeCount(worker, queue, ended, failed)
@@ -81,7 +81,7 @@
         return OutcomeReport(through, found, tuple(succeeded))
 
     def _period(self) -> int:
-        # Counts from 1, as a request after period 0 asks for everything.
+        # Starts at 1, as ``report(0)`` returns all periods.
         return int(self._clock() // PERIOD_S) + 1
 
     def _is_suspect(self, worker: str, period: int) -> bool:
--- a/libs/entry/src/lycheeloom/entry/queue_budgets.py
+++ b/libs/entry/src/lycheeloom/entry/queue_budgets.py
@@ -1,4 +1,4 @@
-"""Budgets for repeated attempts, one pair for each queue."""
+"""Retry and hedge budgets of the queues."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 
 
 class QueueBudgets:
-    """Retry and hedge budgets by queue; none for queues not configured."""
+    """Retry and hedge budgets by queue; a queue that is not configured has none."""
 
     def __init__(self) -> None:
         self._retry_by_queue: dict[str, RetryBudget] = {}
         self._hedge_by_queue: dict[str, HedgeBudget] = {}
 
     def set_queues(self, queues: Iterable[Queue]) -> None:
-        """Take over the queues; unchanged ones keep what they saved."""
+        """Replace the queues; a budget with the same percentage keeps its balance."""
         retries, hedges = self._retry_by_queue, self._hedge_by_queue
         self._retry_by_queue, self._hedge_by_queue = {}, {}
         for queue in queues:
@@ -32,12 +32,12 @@
             self._hedge_by_queue[queue.id] = hedge
 
     def on_request(self, queue: str) -> None:
-        """Count a first attempt, which pays for a part of a repetition."""
+        """Credit both budgets of a queue for a first attempt."""
         self.retry(queue).on_request()
         self.hedge(queue).on_request()
 
     def retry(self, queue: str) -> RetryBudget:
-        """Return the budget for attempts after a failure."""
+        """Return the budget for retries after a failure."""
         return self._retry_by_queue.get(queue) or RetryBudget(_UNKNOWN_QUEUE)
 
     def hedge(self, queue: str) -> HedgeBudget:
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -35,17 +35,17 @@
 from .rendezvous import select_member
 
 COMMIT_TIMEOUT_S = 3.0
-# A claim whose outcome is unclear is awaited; the attempt holds its slot.
+# A claim may take this long to commit; meanwhile the attempt holds its slot.
 CLAIM_WAIT_S = 5.0
 RETRY_INTERVAL_S = 0.5
 
 
 class RecordedRequestManager:
-    """The recorded requests as this entry sees and runs them.
+    """Submits recorded requests to the log and runs those that fall to this entry.
 
-    The entry that took a request runs it while that entry is a member; any
-    other pending request is run by the member that rendezvous hashing selects.
-    Claims in the log decide when two entries differ about the members.
+    The entry that accepted a request runs it while that entry is a member; any
+    other pending request is run by the member that rendezvous hashing selects. If
+    two entries disagree about the members, the first claim in the log wins.
     """
 
     def __init__(
@@ -65,11 +65,11 @@
         self._incarnation = incarnation
         self._may_run = may_run
         self._waiter_by_id: dict[str, Event] = {}
-        # What the log does not carry (deadline, trace) of requests taken here.
+        # Submissions whose record is being written; the log omits deadline and trace.
         self._submission_by_id: dict[str, Submission] = {}
-        # Requests taken here whose callers wait on their connections.
+        # Requests submitted here whose callers wait on their connections.
         self._awaited_ids: set[str] = set()
-        # Requests that were refused here and whose cancellation is being written.
+        # Requests that cannot run and whose cancellation is being written.
         self._cancelling_ids: set[str] = set()
         self._last_members: frozenset[str] = frozenset()
         self._draining = False
@@ -120,18 +120,18 @@
                 )
 
     def stop_awaiting(self, request_id: str) -> None:
-        """The caller of a request that was submitted here no longer waits."""
+        """Note that the caller of a request submitted here has stopped waiting."""
         self._awaited_ids.discard(request_id)
 
     def cancel(self, request: RecordedRequest) -> WriteOutcome:
-        """Cancel a pending request for all entries."""
+        """Record the cancellation of a pending request."""
         record = r.RequestCancelled(request.request_id)
         return self._writer.append(record).wait(COMMIT_TIMEOUT_S)
 
     def claim(
         self, local: LocalRequest, attempt: int, worker: str, boot_id: str
     ) -> str | None:
-        """Record an attempt; returns why it must not start, or None."""
+        """Record an attempt; return why it must not start, or None."""
         record = r.RequestClaimed(local.id, attempt, worker, boot_id)
         match self._writer.append(record).wait_settled(CLAIM_WAIT_S):
             case Effective():
@@ -140,22 +140,22 @@
                 local.is_claimed_elsewhere = True
                 return "the request is claimed, finished or cancelled"
             case Unknown() if self._is_own_claim(local.id, attempt):
-                # Its replay was part of a snapshot.
+                # The claim was replayed as part of a snapshot.
                 return None
             case NotWritten(reason) | Unknown(reason):
-                # The attempt number is free again.
+                # No record has the attempt number, so it can be used again.
                 local.attempt -= 1
                 return f"the claim was not recorded: {reason}"
 
     def release(self, local: LocalRequest, attempt: int) -> bool:
-        """Make a claimed request pending again before its next attempt."""
+        """Release this entry's claim, if any, so that the request is pending again."""
         if not self._is_own_claim(local.id, attempt):
             return True
         outcome = self._write(r.RequestReleased(local.id, attempt, local.checkpoint))
         return isinstance(outcome, Effective)
 
     def record_verdict(self, local: LocalRequest) -> None:
-        """Record the verdict of a settled job; called in its own greenlet."""
+        """Record the verdict of a settled request; called in its own greenlet."""
         match local.verdict:
             case Ran(answer) if len(answer) <= MAX_ANSWER_BYTES:
                 record: Record = r.RequestFinished(
@@ -180,7 +180,7 @@
             self._take_over_again(local.id)
 
     def wait(self, request_id: str, timeout_s: float) -> RecordedRequest | None:
-        """Wait until a recorded request is finished; returns what is known."""
+        """Wait for a request to finish; return its state then, or None if unknown."""
         request = self._tail.state.requests.request_by_id.get(request_id)
         if request is None or request.status is RequestStatus.FINISHED:
             return request
@@ -189,10 +189,10 @@
         return self._tail.state.requests.request_by_id.get(request_id)
 
     def release_waiters(self) -> None:
-        """End waits for requests that run elsewhere, as this entry shuts down.
+        """End all waits for recorded requests, as this entry shuts down.
 
-        Their callers collect the answers at other entries. Without this the
-        shutdown would wait for requests that others take over only after it.
+        The callers can get the answers from other entries. Otherwise the shutdown
+        would wait for requests that other entries take over only after it.
         """
         self._draining = True
         for waiter in self._waiter_by_id.values():
@@ -200,12 +200,12 @@
         self._waiter_by_id.clear()
 
     def read_answer(self, request: RecordedRequest) -> bytes | RecordLost | None:
-        """Return the whole answer of a finished request, or None for now."""
+        """Return the answer of a finished request, or None if not readable now."""
         record = self._reader.answer(request.answer_offset, request.request_id)
         return record.answer if isinstance(record, r.RequestFinished) else record
 
     def reassign_pending(self) -> None:
-        """Take over pending requests after a change of the members."""
+        """Take over or drop pending requests after the members changed."""
         requests = self._tail.state.requests
         for request_id in list(requests.pending):
             request = requests.request_by_id[request_id]
@@ -220,7 +220,7 @@
     def should_run(self, request: RecordedRequest) -> bool:
         """Tell whether this entry should run a pending request.
 
-        A draining entry still runs those whose callers wait on its connections.
+        A draining entry still runs requests whose callers wait on its connections.
         """
         members = [m.incarnation for m in self._tail.state.members.active()]
         own = self._incarnation()
@@ -257,7 +257,7 @@
             self.reassign_pending()
 
     def _on_reset(self, state: FleetState) -> None:
-        """Act on what the snapshot now in use says without single records."""
+        """Catch up with a loaded snapshot, which stands for records not seen here."""
         for request_id in list(self._waiter_by_id):
             request = state.requests.request_by_id.get(request_id)
             if request is None or request.status is RequestStatus.FINISHED:
@@ -299,11 +299,11 @@
     def _take_over(self, request: RecordedRequest) -> None:
         submitted = self._reader.submission(request.body_offset, request.request_id)
         if isinstance(submitted, RecordLost):
-            log_event("body_lost", "ERROR", request=request.request_id)
+            log_event("request_body_lost", "ERROR", request=request.request_id)
             self._cancel_refused(request.request_id)
             return
         if submitted is None:
-            log_event("body_unavailable", "WARNING", request=request.request_id)
+            log_event("request_body_unavailable", "WARNING", request=request.request_id)
             gevent.sleep(RETRY_INTERVAL_S)
             gevent.spawn(self._take_over_again, request.request_id)
             return
@@ -348,10 +348,10 @@
         gevent.spawn(self._cancel_refused, request.request_id)
 
     def _cancel_refused(self, request_id: str) -> None:
-        """Cancel a request that cannot run, with one record under way at a time.
+        """Cancel a request that cannot run, with at most one record in flight.
 
-        In a log outage it stays pending, so each change of the members finds it
-        again.
+        In a log outage the request stays pending, so each change of the members
+        calls this again.
         """
         if request_id in self._cancelling_ids:
             return
@@ -366,7 +366,7 @@
         return request is not None and request.holder == self._incarnation()
 
     def _write(self, record: Record) -> WriteOutcome:
-        """Append a record until its outcome is known."""
+        """Append a record; repeat while it is not written and the author unchanged."""
         author = self._incarnation()
         while True:
             outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -1,4 +1,4 @@
-"""Recorded requests whose holder is gone: what became of them at the worker."""
+"""Recovery of recorded requests whose claim belongs to a lost or removed member."""
 
 from __future__ import annotations
 
@@ -18,16 +18,16 @@
 
 SCAN_INTERVAL_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
-# A worker that does not answer is asked again for this long.
+# A worker that does not answer is polled again for this long.
 LOOKUP_TIME_S = 60.0
 LOOKUP_INTERVAL_S = 1.0
 
 
 class ClaimRecovery:
-    """Decides about claims of members that left or whose grants were reclaimed.
+    """Finishes or releases claims of members that left or whose grants were reclaimed.
 
     Every lease of such a member has expired, so its tasks no longer run and its
-    starts are refused. What the worker knows about a task is then final.
+    starts are refused. The status of a task at its worker is therefore final.
     """
 
     def __init__(
@@ -47,14 +47,14 @@
         self._in_progress: set[str] = set()
 
     def run(self) -> None:
-        """Look for such claims until stopped."""
+        """Scan for such claims until stopped."""
         while True:
             if self._may_act():
                 self.scan()
             gevent.sleep(SCAN_INTERVAL_S)
 
     def scan(self) -> None:
-        """Begin to recover each claim that this entry is selected for."""
+        """Start the recovery of each claim that this entry is selected for."""
         state = self._tail.state
         members = [member.incarnation for member in state.members.active()]
         for request_id in state.requests.claimed:
@@ -72,8 +72,8 @@
         try:
             report = self._look_up(request, attempt)
             record = decide(request, attempt, report)
-            # The next scan must not append another record while this one can still
-            # be written.
+            # Later scans must not append another record while this one can still be
+            # written.
             outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
             self.recovered += 1
             log_event(
@@ -101,7 +101,10 @@
 
 
 def decide(request: RecordedRequest, attempt: int, report: TaskReport | None) -> Record:
-    """Return the record that a worker's report about a lost attempt justifies."""
+    """Return the record that finishes or releases a lost attempt.
+
+    ``report`` is the worker's final report about the attempt, or None if there is none.
+    """
     request_id = request.request_id
     release = r.RequestReleased(request_id, attempt)
     may_have_run = r.RequestFinished(
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -1,4 +1,4 @@
-"""HTTP answers for verdicts and refusals."""
+"""HTTP replies for verdicts and refusals."""
 
 from __future__ import annotations
 
@@ -39,19 +39,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Status, JSON document and extra headers of an answer."""
+    """Status, JSON document and extra headers of an HTTP reply."""
 
     status: int
     document: dict[str, Any]
     headers: dict[str, str] = field(default_factory=dict)
 
     def body(self) -> bytes:
-        """Return the JSON text."""
+        """Return the document as JSON."""
         return json.dumps(self.document, separators=(",", ":")).encode()
 
 
 def refusal_reply(refusal: Refusal, request_id: str = "") -> Reply:
-    """Answer a request that certainly did not run."""
+    """Return the reply for a request that certainly did not run."""
     headers = {}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
@@ -66,7 +66,7 @@
 
 
 def verdict_reply(request_id: str, verdict: Verdict) -> Reply:
-    """Answer a request that has a verdict."""
+    """Return the reply for a request that has a verdict."""
     match verdict:
         case Ran(answer):
             return ran_reply(request_id, answer)
@@ -77,7 +77,7 @@
 
 
 def ran_reply(request_id: str, answer: bytes) -> Reply:
-    """Answer with the whole answer of a task, as text if it is UTF-8."""
+    """Return the reply with a task's answer, as text if it is UTF-8, else in base64."""
     document: dict[str, Any] = {"request_id": request_id, "verdict": "ran"}
     try:
         document["answer"] = answer.decode()
@@ -87,7 +87,7 @@
 
 
 def may_have_run_reply(request_id: str, message: str) -> Reply:
-    """Answer a request that may have run."""
+    """Return the reply for a request that may have run."""
     document = {
         "request_id": request_id,
         "verdict": "may_have_run",
@@ -98,7 +98,7 @@
 
 
 def answer_lost_reply(request_id: str) -> Reply:
-    """Answer that a request ran whose answer the log has dropped."""
+    """Return the reply for a request that ran and whose answer the log dropped."""
     document = {
         "request_id": request_id,
         "verdict": "ran",
@@ -109,6 +109,6 @@
 
 
 def progress_reply(request_id: str, status: str) -> Reply:
-    """Answer that an accepted request has no answer yet."""
+    """Return the reply for an accepted request without a verdict yet."""
     document = {"request_id": request_id, "status": status}
     return Reply(202, document)
--- a/libs/entry/src/lycheeloom/entry/request_handler.py
+++ b/libs/entry/src/lycheeloom/entry/request_handler.py
@@ -1,4 +1,4 @@
-"""The path of a caller's request through an entry, from checks to answer."""
+"""Handling of callers' requests, from validation to the answer."""
 
 from __future__ import annotations
 
@@ -28,12 +28,12 @@
     verdict_reply,
 )
 
-# A caller that waits longer is given its request id to collect the answer with.
+# A caller whose wait ends without an answer gets its request id to ask again with.
 MAX_WAIT_S = 120.0
 
 
 class RequestHandler:
-    """Accepts, answers, shows and cancels requests for the HTTP interface."""
+    """Submits, shows and cancels requests for the HTTP interface."""
 
     def __init__(
         self,
@@ -56,7 +56,7 @@
         self._tracer = tracer
 
     def submit(self, queue: str, headers: RequestHeaders, body: bytes) -> Reply:
-        """Run a request, or accept it for later, and answer the caller."""
+        """Submit a request; answer with its verdict or that it is accepted."""
         self.open_requests += 1
         try:
             with self._tracer.span("request", headers.traceparent, queue=queue) as span:
@@ -70,7 +70,7 @@
             self.open_requests -= 1
 
     def show(self, request_id: str, authorization: str, wait_s: float) -> Reply:
-        """Answer with a request's verdict, or its progress after ``wait_s``."""
+        """Answer with a request's verdict, or with its progress after ``wait_s``."""
         self.open_requests += 1
         try:
             return self._show(request_id, authorization, min(wait_s, MAX_WAIT_S))
@@ -78,7 +78,7 @@
             self.open_requests -= 1
 
     def cancel(self, request_id: str, authorization: str) -> Reply:
-        """Cancel a request and answer with its verdict as far as it is known."""
+        """Cancel a request and answer with its verdict, or with its progress."""
         found = self._find(request_id, authorization)
         if isinstance(found, Reply):
             return found
@@ -140,11 +140,11 @@
             self._recorded_requests.stop_awaiting(submission.request_id)
 
     def _await_local_verdict(self, request_id: str) -> Reply:
-        """Wait for a recorded request whose caller waits on its connection.
+        """Wait for the verdict of a recorded request that was submitted here.
 
-        The caller has its answer without another commit. That the request did not
-        run is said only once the log says so: until then another entry could still
-        take it over.
+        An answer is returned without waiting for its commit. "Not run" is returned
+        only once it is in the log: until then another entry could still take the
+        request over.
         """
         give_up_at = time.monotonic() + MAX_WAIT_S
         local = self._local_requests.by_id.get(request_id)
@@ -157,11 +157,11 @@
         return self._await_recorded_outcome(request_id, give_up_at - time.monotonic())
 
     def _await_recorded_outcome(self, request_id: str, wait_s: float) -> Reply:
-        """Wait for what the log says about a recorded request.
+        """Wait until a recorded request is finished in the log.
 
-        Collected answers and repeats come from the log alone, so that all entries
-        give the same one: if this entry is lost before its verdict is recorded,
-        another entry records that the request may have run.
+        Answers to later calls and to repeated submissions come from the log only, so
+        that all entries give the same one: if this entry is lost before its verdict is
+        recorded, another entry records that the request may have run.
         """
         request = self._recorded_requests.wait(request_id, max(0.0, wait_s))
         if request is None:
@@ -174,7 +174,7 @@
             return progress_reply(request_id, request.status.value)
         if request.outcome is Outcome.NOT_RUN:
             if request.idempotent and request.attempt > 0:
-                # It was released without proof that its attempts did not run.
+                # Its claim was released without proof that its attempts did not run.
                 return may_have_run_reply(request_id, "cancelled after an attempt")
             local = self._local_requests.by_id.get(request_id)
             if local is not None and isinstance(local.verdict, NotRun):
@@ -207,7 +207,7 @@
     def _find(
         self, request_id: str, authorization: str
     ) -> RecordedRequest | LocalRequest | Reply:
-        """Return a request that the key in ``authorization`` may see."""
+        """Return a request that the key in ``authorization`` may read, or a refusal."""
         if not self._freshness.is_fresh():
             message = "this entry has no recent contact with the log or its peers"
             refusal = Refusal(RefusalReason.STALE_ENTRY, message, 1.0)
--- a/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
+++ b/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
@@ -1,4 +1,4 @@
-"""Jobs as tasks of the scheduler, and the state of their attempts."""
+"""Conversion of requests to scheduler tasks, and the state of running attempts."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class AttemptState:
-    """What was done about an attempt that has not ended."""
+    """Whether a running attempt has a second copy, and the timers that it set."""
 
     def __init__(self) -> None:
         self.has_copy = False
@@ -18,24 +18,27 @@
         self.may_have_run_timer: gevent.Greenlet | None = None
 
     def stop_timers(self) -> None:
-        """Stop what is due later."""
+        """Cancel the timers that have not fired."""
         for timer in (self.hedge_timer, self.may_have_run_timer):
             if timer is not None:
                 timer.kill(block=False)
 
 
 def task_id_of(request: LocalRequest) -> str:
-    """Return the id of the newest copy of a job in the scheduler."""
+    """Return the scheduler's task id of the newest copy of a request."""
     return f"{request.id}#{request.copies}"
 
 
 def request_id_of(task_id: str) -> str:
-    """Return the request that a scheduler's task belongs to."""
+    """Return the id of the request that a scheduler task belongs to."""
     return task_id.partition("#")[0]
 
 
 def task_of(request: LocalRequest) -> Task:
-    """Return the newest copy of a job as the scheduler sees it."""
+    """Return the scheduler task for the newest copy of a request.
+
+    Only the task of the first submission has a deadline.
+    """
     submission = request.submission
     return Task(
         id=task_id_of(request),
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -1,4 +1,4 @@
-"""The parts of an entry, put together, started and shut down."""
+"""Construction, start and shutdown of an entry."""
 
 from __future__ import annotations
 
@@ -66,15 +66,15 @@
 
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5
-# The status is read from the whole state, so often enough for a scrape only.
-METRICS_INTERVAL_S = 5.0
+# Interval between two measurements of the event loop's delay.
+LOOP_DELAY_INTERVAL_S = 5.0
 CLOSE_IDLE_INTERVAL_S = 5.0
 DRAIN_POLL_S = 0.05
-# The balancer learns from /readyz that this entry is leaving; until then new
-# requests are answered with a refusal instead of a closed connection.
+# The load balancer learns from /readyz that this entry is draining; until then new
+# requests get a refusal instead of a closed connection.
 MIN_DRAIN_DURATION_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
-# Allocations between two collections of the youngest objects.
+# Allocations between two collections of the youngest generation.
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # Records that can change the grants of this entry or the number of members.
 _GRANT_RECORD_TYPES = {
@@ -114,7 +114,7 @@
         self._stopping = gevent.event.Event()
 
     def run(self) -> None:
-        """Serve until ``stop`` is called, then shut down without cutting requests."""
+        """Serve until ``stop`` is called, then end accepted requests and shut down."""
         self._build(self._recover())
         self._start()
         log_event(
@@ -277,8 +277,8 @@
         )
 
     def _start(self) -> None:
-        # The modules and the recovered state stay; scanning them in each full
-        # collection delayed answers by tens of milliseconds.
+        # Modules and the recovered state are long-lived. Without the freeze, each full
+        # garbage collection scanned them and delayed answers by tens of milliseconds.
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
@@ -297,8 +297,8 @@
             self.monitor.run,
             self.recovery.run,
             self.exchange.run,
-            self._run_metrics,
-            self._run_closing_idle,
+            self._measure_loop_delay,
+            self._close_idle_connections,
         ):
             self._greenlets.append(gevent.spawn(loop))
         self._server = HttpServer(
@@ -345,10 +345,10 @@
         if request.is_recorded:
             gevent.spawn(self.recorded_requests.record_verdict, request)
 
-    def _run_metrics(self) -> None:
+    def _measure_loop_delay(self) -> None:
         while True:
-            due = time.monotonic() + METRICS_INTERVAL_S
-            gevent.sleep(METRICS_INTERVAL_S)
+            due = time.monotonic() + LOOP_DELAY_INTERVAL_S
+            gevent.sleep(LOOP_DELAY_INTERVAL_S)
             self.metrics.loop_delay_s.set(max(0.0, time.monotonic() - due))
 
     def _update_metrics(self) -> None:
@@ -373,13 +373,13 @@
             self.settings.instance, self.settings.zone, PROGRAM_VERSION
         )
 
-    def _run_closing_idle(self) -> None:
+    def _close_idle_connections(self) -> None:
         while True:
             gevent.sleep(CLOSE_IDLE_INTERVAL_S)
             self._clients.workers.close_idle()
 
     def _drain(self) -> None:
-        """Refuse new requests, end the accepted ones, and leave."""
+        """Refuse new requests, finish the accepted ones, and leave the members."""
         self.handler.is_draining = True
         self.mesh.draining = True
         self.recorded_requests.release_waiters()
--- a/libs/entry/src/lycheeloom/entry/sessions.py
+++ b/libs/entry/src/lycheeloom/entry/sessions.py
@@ -1,8 +1,8 @@
-"""Sessions at workers, opened ahead of the starts that name them.
+"""Sessions at workers, opened before the starts that refer to them.
 
-A worker accepts a start only within ``SESSION_TTL_S`` of having created the
-session. Sessions are never renewed: each has a new id, so that a delayed call
-cannot extend the time in which an earlier start is accepted.
+A worker accepts a start only within ``SESSION_TTL_S`` after it created the session.
+Sessions are never renewed: each new one has a new id, so that a delayed call cannot
+extend the time in which an earlier start is accepted.
 """
 
 from __future__ import annotations
@@ -17,9 +17,9 @@
 from lycheeloom.clients import Session, Unavailable, WorkerClient
 from lycheeloom.model.limits import SESSION_TTL_S
 
-# A session older than this is replaced before it is named in a start.
+# A session older than this is replaced before it is used in a start.
 MAX_SESSION_AGE_S = 1.2
-# A session older than this is replaced in the background while in use.
+# A session older than this is used, and replaced in the background.
 REFRESH_AGE_S = 0.7
 
 
@@ -30,7 +30,7 @@
 
 
 class WorkerSessions:
-    """The newest session of each worker; one call opens it at a time."""
+    """The newest session of each worker; concurrent calls share one opening."""
 
     def __init__(
         self,
@@ -47,7 +47,7 @@
         self._opening_by_worker: dict[str, AsyncResult] = {}
 
     def get(self, worker: str, address: str) -> Session | Unavailable:
-        """Return a session that can be named now; may wait for the worker."""
+        """Return a session that a start can use now; may wait for the worker."""
         opened = self._opened_by_worker.get(worker)
         age_s = self._clock() - opened.requested_at if opened else MAX_SESSION_AGE_S
         if age_s >= MAX_SESSION_AGE_S:
@@ -57,7 +57,7 @@
         return opened.session
 
     def open(self, worker: str, address: str) -> Session | Unavailable:
-        """Open a new session, or wait for the one that is being opened."""
+        """Open a new session, or wait for the one that another greenlet opens."""
         opening = self._opening_by_worker.get(worker)
         if opening is not None:
             return opening.get()
@@ -71,7 +71,7 @@
         return result
 
     def drop(self, worker: str) -> None:
-        """Forget a session that the worker no longer accepts."""
+        """Discard a session that the worker no longer accepts."""
         self._opened_by_worker.pop(worker, None)
 
     def _open(self, worker: str, address: str) -> Session | Unavailable:
--- a/libs/entry/src/lycheeloom/entry/settings.py
+++ b/libs/entry/src/lycheeloom/entry/settings.py
@@ -1,4 +1,4 @@
-"""TOML settings of the entry daemon."""
+"""Settings of the entry daemon, read from a TOML file."""
 
 from __future__ import annotations
 
@@ -24,6 +24,6 @@
     trace_ratio: float = Field(default=0.0, ge=0, le=1)
     drain_timeout_s: float = Field(default=30.0, gt=0)
     seed: int = 0
-    # Operators that hand accepted records straight to this entry present it;
-    # without one in the settings nobody may.
+    # Required from operators' tools that send accepted records straight to this entry;
+    # while it is empty, no such records are accepted.
     handover_token: str = Field(default="", max_length=256)
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -1,4 +1,4 @@
-"""The checks in the step in which a start or a renewal is sent."""
+"""The last checks before a start or a lease renewal is sent."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class StartChecks:
-    """Whether a start that was decided before may still be sent now."""
+    """Checks whether a start or a lease renewal may still be sent."""
 
     def __init__(
         self,
@@ -33,7 +33,7 @@
         self._worker_monitor = worker_monitor
 
     def may_start(self, request: LocalRequest, placement: Placement) -> str | None:
-        """Return why a start must not be sent in this step, or None."""
+        """Return why a start must not be sent now, or None."""
         if not self._freshness.is_fresh():
             return "the state is not fresh"
         if request.verdict is not None or request.cancel_requested:
@@ -53,9 +53,9 @@
         return None
 
     def may_renew(self, holder: str) -> bool:
-        """Tell whether a lease of one of this entry's incarnations may go on.
+        """Tell whether leases of one of this entry's incarnations may be renewed.
 
-        The slots of an incarnation that was expelled are given to others once
-        its leases have expired, so none of them is renewed after a rejoin.
+        The slots of an expelled incarnation are given to other entries once its
+        leases have expired, so they are not renewed after this entry has rejoined.
         """
         return holder == self._keeper.incarnation and self._freshness.is_fresh()
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -31,7 +31,7 @@
 
 
 class StatusBuilder:
-    """Reads the parts of an entry into one ``StatusDocument``."""
+    """Builds the ``StatusDocument`` from the state of the entry's components."""
 
     def __init__(
         self,
@@ -50,13 +50,13 @@
         self._local_requests = local_requests
         self._worker_monitor = worker_monitor
         self._waves = waves
-        # Sums over all instances, taken once for each configuration.
+        # The configuration that the totals below were computed for.
         self._totals_config: FleetConfig | None = None
         self._fleet_resources = NO_RESOURCES
         self._wanted_buffer = 0
 
     def build(self, instance: str, zone: str, version: str) -> StatusDocument:
-        """Return the status as of now."""
+        """Return the current status."""
         config = self._tail.state.config
         log_age_s = self._mesh.log_age_s()
         return StatusDocument(
@@ -229,7 +229,7 @@
                 needed=pool.needed,
                 buffer=max(0, in_service[pool_id] - pool.needed),
                 unavailable=workers[pool_id] - in_service[pool_id],
-                # Spare pools share what the fleet wants.
+                # The wanted buffer of the fleet is divided among the spare pools.
                 buffer_wanted=(
                     -(-self._wanted_buffer // spare_pools) if pool.spare else 0
                 ),
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -1,4 +1,4 @@
-"""Exchange of usage between the scheduler and the peers."""
+"""Exchange of usage and worker reservations between the scheduler and the peers."""
 
 from __future__ import annotations
 
@@ -17,12 +17,13 @@
 from .dispatch import Dispatcher
 
 INTERVAL_S = 0.2
-# While no peer has work, only the decay of past use is left to follow.
+# While no peer has work, the scheduler gets the peers' usage this rarely, for the
+# decay of past usage.
 IDLE_STEPS = 10
 
 
 class UsageExchange:
-    """Keeps what peers are told, and what the scheduler knows of them, current."""
+    """Passes local usage to the peers, and the peers' usage to the scheduler."""
 
     def __init__(
         self, mesh: PeerMesh, scheduler: Scheduler, dispatcher: Dispatcher
@@ -34,13 +35,13 @@
         self._idle_steps = 0
 
     def run(self) -> None:
-        """Exchange every ``INTERVAL_S`` until stopped."""
+        """Run a step every ``INTERVAL_S`` until stopped."""
         while True:
             self.step()
             gevent.sleep(rest_of_tick_s(INTERVAL_S))
 
     def step(self) -> None:
-        """Pass usage on in both directions."""
+        """Pass usage and reservations in both directions."""
         self._mesh.usage_by_organisation = {
             organisation: self._to_wire(organisation, usage)
             for organisation, usage in self._scheduler.usage_by_organisation().items()
@@ -64,13 +65,13 @@
         )
 
     def sync_reservations(self) -> None:
-        """Tell peers of new reservations, and take over theirs, without delay."""
+        """Pass changed reservations in both directions without waiting for a step."""
         self._mesh.reserve_workers(self._scheduler.reserved_workers())
         if self._mesh.workers_reserved_by_peers() != self._reserved_by_peers:
             self.step()
 
     def peer_demand(self) -> Mapping[str, int]:
-        """Return running and queued tasks of each organisation at all peers."""
+        """Return the running and queued tasks of each organisation at all peers."""
         demand: Counter[str] = Counter()
         for usage_by_organisation in self._mesh.usage_by_peer().values():
             for organisation, usage in usage_by_organisation.items():
--- a/libs/entry/src/lycheeloom/entry/verdict_reporter.py
+++ b/libs/entry/src/lycheeloom/entry/verdict_reporter.py
@@ -1,4 +1,4 @@
-"""The end of a request: its verdict, set once, counted and logged."""
+"""Setting, counting and logging the verdicts of requests."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class VerdictReporter:
-    """Sets verdicts and reports them."""
+    """Sets the verdict of a request once and reports it to metrics and log."""
 
     def __init__(
         self, local_requests: LocalRequestTable, metrics: EntryMetrics
@@ -19,9 +19,9 @@
         self._metrics = metrics
 
     def settle(self, request: LocalRequest, verdict: Verdict) -> bool:
-        """Set the verdict unless there is one; tells whether it was set.
+        """Set the verdict unless there is one; return whether it was set.
 
-        A request that may have started is never settled as not run.
+        For a request that may have started, "not run" becomes "may have run".
         """
         if isinstance(verdict, NotRun) and request.may_have_started:
             message = f"an earlier attempt had started; {verdict.refusal.message}"
--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -1,4 +1,4 @@
-"""Progress of maintenance waves: counts, forecast of the end, reason to wait."""
+"""Progress of maintenance waves: counts, forecast end and what a wave waits for."""
 
 from __future__ import annotations
 
@@ -17,15 +17,15 @@
 from lycheeloom.state import FleetState, Wave
 from lycheeloom.state.maintenance import Maintenance
 
-# Moves that the mean duration is taken over.
+# Latest moves that the mean duration is computed from.
 MAX_MEASURED_MOVES = 50
-# Records replayed later than this after their append do not tell durations: a
-# reader that catches up sees the begin and the end of a move at once.
+# Records replayed later than this after their append are not used for durations: a
+# reader that catches up sees the start and the end of a move at once.
 MAX_LOG_AGE_S = 5.0
-# At 5,100 workers a forecast takes longer than all else in the status document,
-# which is built for each read.
+# Forecasts are cached: at 5,100 workers one takes longer than the rest of the status
+# document, which is built for each read.
 FORECAST_TTL_S = 5.0
-# A move that lasts longer than usual may end at any time, but has not ended.
+# An open move counts as completed by at most this fraction, however long it takes.
 MAX_ELAPSED_FRACTION = 0.9
 _REASON_BY_STATE = {
     WaveState.PAUSED: "An operator paused it.",
@@ -36,8 +36,8 @@
 class MoveTimes:
     """Measures how long moves take, from the records of their stages.
 
-    The log carries no times, so only moves count that began and ended while this
-    process followed the log closely.
+    The log carries no times, so only moves are measured that started and ended
+    while this process was at most ``MAX_LOG_AGE_S`` behind the log.
     """
 
     def __init__(
@@ -53,7 +53,7 @@
         }
 
     def on_replayed(self, replayed: Replayed) -> None:
-        """Take over the steps of moves in a replayed batch."""
+        """Read the stages of moves in a replayed batch."""
         is_timely = self._log_age_s() <= MAX_LOG_AGE_S
         effects = replayed.applied.effective
         for record, effective in zip(replayed.batch.records, effects, strict=True):
@@ -61,22 +61,22 @@
                 self._observe_step(record, is_timely)
 
     def mean_move_s(self, reboot: bool) -> float:
-        """Return the mean duration of recent moves, assumed while none ended."""
+        """Return the mean duration of recent moves, the expected one without any."""
         durations = self._durations[reboot]
         return fmean(durations) if durations else PlannerSettings().expected_move_s
 
     def remaining_fractions(
         self, move_by_instance: Mapping[str, str], reboot: bool
     ) -> dict[str, float]:
-        """Return the fraction that open moves still take, by instance.
+        """Return the fraction of each open move that remains, by instance.
 
-        A whole move is assumed for one whose begin was not seen.
+        It is 1 for a move whose start was not seen.
         """
         now, mean_move_s = self._clock(), self.mean_move_s(reboot)
         left = {}
         for instance, move_id in move_by_instance.items():
             elapsed_s = now - self._begun_at_by_move.get(move_id, now)
-            # Moves may take no time where nothing runs and nothing is rebooted.
+            # Moves can take no time if nothing runs and nothing is rebooted.
             fraction = elapsed_s / mean_move_s if mean_move_s else 0.0
             left[instance] = 1 - min(fraction, MAX_ELAPSED_FRACTION)
         return left
@@ -94,10 +94,10 @@
 
 
 class WaveProgress:
-    """Tells how far each wave is, from the replayed state.
+    """Computes the progress of each wave from the replayed state.
 
-    ``is_in_service`` tells whether a worker may start tasks. Counts are those of
-    the moment; forecasts and reasons may be ``FORECAST_TTL_S`` old.
+    ``is_in_service`` tells whether a worker may start tasks. Counts are current;
+    forecasts and reasons may be up to ``FORECAST_TTL_S`` old.
     """
 
     def __init__(
@@ -112,7 +112,7 @@
         self._times = times
         self._clock = clock
         self._layout: Layout | None = None
-        # The fields of each running wave that are not counted, and their time.
+        # Cached end and reason of each running wave, and when they were computed.
         self._forecast_by_wave: dict[str, dict[str, object]] = {}
         self._forecast_at = float("-inf")
 
@@ -124,45 +124,45 @@
         running = [wave for wave in waves if wave.state is WaveState.RUNNING]
         self._refresh_forecasts(running, statuses)
         for wave in running:
-            counted = statuses[wave.wave_id]
+            status = statuses[wave.wave_id]
             update = self._forecast_by_wave[wave.wave_id]
-            statuses[wave.wave_id] = counted.model_copy(update=update)
+            statuses[wave.wave_id] = status.model_copy(update=update)
         return statuses
 
     def _refresh_forecasts(
-        self, running: list[Wave], counted: dict[str, WaveStatus]
+        self, running: list[Wave], status: dict[str, WaveStatus]
     ) -> None:
-        """Foretell the running waves anew if one is new or the last time is old."""
+        """Compute the forecasts again if they are old or the running waves changed."""
         names = {wave.wave_id for wave in running}
         now = self._clock()
         is_recent = now < self._forecast_at + FORECAST_TTL_S
         if not names or (is_recent and names == self._forecast_by_wave.keys()):
             return
         layout = self._current_layout()
-        ledger = self._ledger(layout)
+        usage = self._budget_usage(layout)
         self._forecast_at = now
         self._forecast_by_wave = {
             wave.wave_id: self._forecast_wave(
-                wave, counted[wave.wave_id], layout, ledger
+                wave, statuses[wave.wave_id], layout, usage
             )
             for wave in running
         }
 
     def _forecast_wave(
-        self, wave: Wave, counted: WaveStatus, layout: Layout, ledger: BudgetUsage
+        self, wave: Wave, status: WaveStatus, layout: Layout, usage: BudgetUsage
     ) -> dict[str, object]:
-        """Return the end of a running wave and the limit that it waits for."""
+        """Return the forecast end of a running wave and the limit that it waits for."""
         maintenance = self._state().maintenance
         moves = maintenance.move_by_instance
         skipped = given_up_instances(maintenance.health_by_instance)
-        choice = first_blocked(wave, layout, ledger, moves, skipped)
+        choice = first_blocked(wave, layout, usage, moves, skipped)
         reason = ""
         if choice is not None:
             pool = layout.location_by_instance[choice.instance][0]
             reason = describe(NotChosen(choice.instance, pool, choice.limit))
         ends_in_s = None
-        # A wave that waits while none of its moves is open makes no room itself.
-        if not reason or counted.in_progress:
+        # A blocked wave without open moves cannot end the block itself.
+        if not reason or status.in_progress:
             ends_in_s = self._ends_in_s(wave, layout, skipped)
         return {"reason": reason, "ends_in_s": ends_in_s}
 
@@ -181,19 +181,19 @@
             self._times.remaining_fractions(open_moves, wave.reboot),
         ).end_s
 
-    def _ledger(self, layout: Layout) -> BudgetUsage:
-        """Count who is out of service, as the controller does."""
+    def _budget_usage(self, layout: Layout) -> BudgetUsage:
+        """Count the instances out of service, as the controller does."""
         maintenance = self._state().maintenance
         out = {
             name
             for name in layout.location_by_instance
             if not self._is_in_service(name)
         }
-        ledger = BudgetUsage(layout, out | layout.out_of_service)
-        ledger.take_recorded_out(
+        usage = BudgetUsage(layout, out | layout.out_of_service)
+        usage.take_recorded_out(
             maintenance.health_by_instance, maintenance.move_by_instance
         )
-        return ledger
+        return usage
 
     def _current_layout(self) -> Layout:
         state = self._state()
@@ -208,8 +208,8 @@
     counts = maintenance.count_wave(wave)
     done, failed, in_progress = counts.done, counts.failed, len(counts.open_moves)
     if wave.state is WaveState.DONE and wave.counts_at_end is None:
-        # Read from a snapshot of an older version; later moves of its instances
-        # belong to other waves.
+        # Loaded from a snapshot of an older version without counts; the latest moves
+        # of its instances may belong to later waves.
         done, failed, in_progress = counts.total, 0, 0
     return WaveStatus(
         state=wave.state,
--- a/libs/entry/src/lycheeloom/entry/worker_monitor.py
+++ b/libs/entry/src/lycheeloom/entry/worker_monitor.py
@@ -1,4 +1,4 @@
-"""Which workers can take tasks: probes, usage reports and the instance list."""
+"""Availability of workers, from probes, the instance list and the log."""
 
 from __future__ import annotations
 
@@ -23,13 +23,12 @@
 
 from .sessions import WorkerSessions
 
-# Bounds the probes of one entry to 15 a second; 30 workers are then probed every
-# 2 s each.
+# Limits an entry to 15 probes a second; with 30 workers each is probed every 2 s.
 PROBE_INTERVAL_S = 0.2
 PROBES_PER_INTERVAL = 3
-# Probes outstanding at once; silent workers take the whole call timeout.
+# Concurrent probes; the probe of a silent worker takes the whole call timeout.
 MAX_PROBES = 16
-# Every this many probes of a worker its usage report is fetched instead.
+# Every nth probe of a worker fetches its usage report instead of a session.
 USAGE_PROBE_PERIOD = 3
 _LEAVING_STAGES = frozenset(
     {MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING}
@@ -62,7 +61,7 @@
         return instance.address if instance else None
 
     def may_take_tasks(self, worker: str) -> bool:
-        """Tell whether a worker may get new tasks by all that was replayed."""
+        """Tell whether the log and the instance list allow a worker new tasks."""
         if worker in self._leaving:
             return False
         maintenance = self._tail.state.maintenance
@@ -73,7 +72,7 @@
         return health is None or health.health not in _UNUSABLE_HEALTH
 
     def is_in_service(self, worker: str) -> bool:
-        """Tell whether a worker may get new tasks and answered last time."""
+        """Tell whether a worker may get new tasks and answered its last probe."""
         return self.may_take_tasks(worker) and self._reachable_by_worker.get(
             worker, True
         )
@@ -84,7 +83,7 @@
         return health is not None and health.health is Health.PROBATION
 
     def observe_instances(self, listing: InstanceList) -> None:
-        """Obey leaving marks of the platform's list."""
+        """Take workers out of use that the platform's list marks as leaving."""
         if listing is self._listing:
             return
         self._listing = listing
@@ -98,7 +97,7 @@
         self._leaving = leaving
 
     def observe_session(self, worker: str, result: Session | Unavailable) -> None:
-        """Take over what opening a session showed."""
+        """Update a worker's availability from the result of opening a session."""
         now = time.monotonic()
         match result:
             case Session():
@@ -113,13 +112,13 @@
         self._on_change()
 
     def apply_maintenance(self) -> None:
-        """Take workers out of use as soon as a record says so."""
+        """Take workers out of use whose moves in the log require it."""
         for worker in self._tail.state.maintenance.move_by_instance:
             if not self.may_take_tasks(worker):
                 self._mark_unavailable(worker)
 
     def apply_health(self, worker: str) -> None:
-        """Follow the controller's decision about the health of a worker."""
+        """Apply the controller's latest health decision about a worker."""
         state = self._tail.state.maintenance.health_by_instance.get(worker)
         if state is None:
             return
