--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -130,7 +130,7 @@
         return statuses
 
     def _refresh_forecasts(
-        self, running: list[Wave], status: dict[str, WaveStatus]
+        self, running: list[Wave], statuses: dict[str, WaveStatus]
     ) -> None:
         """Compute the forecasts again if they are old or the running waves changed."""
         names = {wave.wave_id for wave in running}
@@ -161,7 +161,7 @@
             pool = layout.location_by_instance[choice.instance][0]
             reason = describe(NotChosen(choice.instance, pool, choice.limit))
         ends_in_s = None
-        # A blocked wave without open moves cannot end the block itself.
+        # Nothing tells when a blocked wave without open moves can go on.
         if not reason or status.in_progress:
             ends_in_s = self._ends_in_s(wave, layout, skipped)
         return {"reason": reason, "ends_in_s": ends_in_s}
--- a/libs/entry/tests/test_admission.py
+++ b/libs/entry/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Guards the checks of callers' requests and the answers to them."""
+"""Validation of callers' requests and the replies to them."""
 
 import json
 import re
@@ -110,7 +110,7 @@
     ],
 )
 def test_which_requests_are_recorded(config, keys, body, key, is_recorded):
-    """A request that must survive, or run once, needs a record before it starts."""
+    """A request that must survive its entry, or run at most once, is recorded."""
     submission = check(config, "closed", keys["a"].token, body, idempotency_key=key)
     assert isinstance(submission, Submission)
     assert submission.is_recorded is is_recorded
--- a/libs/entry/tests/test_attempt.py
+++ b/libs/entry/tests/test_attempt.py
@@ -1,4 +1,4 @@
-"""Guards the verdicts of attempts under faults of the worker."""
+"""Ends of attempts whose workers fail, restart or do not answer."""
 
 from dataclasses import dataclass, field
 
@@ -13,7 +13,7 @@
     TaskStatus,
     Unavailable,
 )
-from lycheeloom.entry import attempt as module
+from lycheeloom.entry import attempt as attempt_module
 from lycheeloom.entry.attempt import (
     Answered,
     AttemptRunner,
@@ -82,7 +82,7 @@
 @pytest.fixture
 def clock(monkeypatch):
     clock = Clock()
-    monkeypatch.setattr(module.gevent, "sleep", clock.sleep)
+    monkeypatch.setattr(attempt_module.gevent, "sleep", clock.sleep)
     return clock
 
 
@@ -148,7 +148,7 @@
     assert end == expected
 
 
-def test_unknown_task_is_proof_only_after_the_session_ended(run, clock):
+def test_unknown_task_counts_as_not_started_only_after_its_session(run, clock):
     """A delayed start could still arrive while its session is accepted."""
     began_at = clock()
     run(FakeWorker(UNKNOWN, [report(TaskStatus.UNKNOWN)]))
@@ -156,7 +156,7 @@
 
 
 def test_slot_is_held_until_the_lease_has_expired(run, clock):
-    """A silent worker may run the task until its lease expires."""
+    """A silent worker may still run the task until its lease expires."""
     began_at = clock()
     _, silent_at = run(FakeWorker(UNKNOWN, [SILENT]))
     assert clock() - began_at >= SESSION_TTL_S + TASK_LEASE_S
@@ -182,8 +182,8 @@
     assert not worker.starts[0].wait
 
 
-def test_start_is_not_sent_when_it_may_not(run):
-    """The last check before a start must be able to stop it."""
+def test_start_that_fails_its_last_check_is_not_sent(run):
+    """The last check before a start must be able to prevent it."""
     worker = FakeWorker(UNKNOWN)
     end, _ = run(worker, may_start="not fresh")
     assert end == NotSent("not fresh")
@@ -214,7 +214,7 @@
 
 
 def test_sessions_are_replaced_and_never_renewed(clock):
-    """Renewing one session would accept starts checked long before."""
+    """With a renewed session, a worker would accept starts checked long before."""
     worker = FakeWorker(UNKNOWN)
     sessions = WorkerSessions(worker, lambda: "e", lambda *_: None, clock)
     first = sessions.get("w1", "a")
--- a/libs/entry/tests/test_attempt_renewal.py
+++ b/libs/entry/tests/test_attempt_renewal.py
@@ -1,4 +1,4 @@
-"""One attempt against a worker that answers from a script."""
+"""Lease renewals of one attempt against a simulated worker."""
 
 import pytest
 
@@ -48,7 +48,7 @@
 
 
 class FakeSessions:
-    """Always has a session of the same boot; a dropped one is replaced."""
+    """Returns a session of the same boot always, and a new one after a drop."""
 
     def __init__(self):
         self.opened = 1
@@ -81,10 +81,10 @@
 
 
 def test_lease_of_an_expelled_incarnation_is_not_renewed(worker, monkeypatch):
-    """Guards against a task that runs on beside those that got its slot.
+    """Guards against a task that still runs after its slot was given to another.
 
-    A paused entry was expelled, came back under a new incarnation, and went on
-    renewing; 20 s later others started tasks with the reclaimed slots.
+    A paused entry was expelled, rejoined under a new incarnation and went on
+    renewing the lease; 20 s later other entries started tasks in the reclaimed slots.
     """
     monkeypatch.setattr(attempt, "MAX_POLL_INTERVAL_S", 0.0)
     holder = ["e1-old"]
@@ -100,13 +100,13 @@
         LocalRequest(submission), Placement("w1", "a:1", SIZE), lambda: None
     )
     assert end == Stopped()
-    # Renewed at 6 s only, so the lease ends at 21 s and is seen at the next poll.
+    # The only renewal is at 6 s, so the lease ends at 21 s, seen by the poll at 22 s.
     assert worker.renewals == 1
     assert worker.now == 22.0
 
 
 def test_renewal_with_a_lapsed_session_is_repeated(worker, monkeypatch):
-    """Guards against a task that is stopped because one renewal came late."""
+    """Guards against a task that is stopped because one renewal was refused."""
     monkeypatch.setattr(attempt, "MAX_POLL_INTERVAL_S", 0.0)
     worker.lapsed_sessions.add("session-1")
     submission = Submission("r1", "red", "bookings", b"", SIZE, 100.0, 0.0)
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -1,4 +1,4 @@
-"""Verdicts of the dispatcher when attempts end in different ways."""
+"""What the dispatcher does when attempts end in different ways."""
 
 import gevent
 import gevent.event
@@ -18,7 +18,7 @@
 
 
 class FakeRunner:
-    """Ends each attempt with the next end of a list."""
+    """Runs no task: each attempt ends with the next item of ``ends``."""
 
     def __init__(self, ends):
         self.ends = list(ends)
@@ -62,7 +62,7 @@
 
 
 def run_until_idle(dispatcher):
-    """Take decisions until no attempt is under way."""
+    """Run scheduling rounds until no attempt is running."""
     for _ in range(10):
         dispatcher._apply_decisions()
         gevent.sleep(0)
@@ -83,7 +83,7 @@
     ids=["retried", "first"],
 )
 def test_refusal_after_a_failed_attempt(dispatcher, ends, verdict):
-    """Guards against "not run" for a job whose earlier attempt had started."""
+    """Guards against "not run" for a request whose earlier attempt had started."""
     dispatcher.runner = FakeRunner(ends)
     request = make_request()
     assert dispatcher.submit(request) is None
@@ -93,8 +93,8 @@
 
 @pytest.mark.parametrize("is_recorded", [False, True])
 def test_outcomes_of_unrecorded_requests_are_counted(dispatcher, is_recorded):
-    """Guards against failing workers that no controller hears of, and against
-    outcomes that it counts from the log as well.
+    """Guards against failures that are not reported to controllers, and against
+    outcomes of recorded requests that they count twice, as they read the log too.
     """
     outcomes = []
     dispatcher.on_outcome = lambda *outcome: outcomes.append(outcome)
@@ -114,7 +114,7 @@
     dispatcher.runner = FakeRunner([Failed()])
     request = make_request()
     assert dispatcher.submit(request) is None
-    # The attempt ends and the job is queued again; the entry is not fresh then.
+    # The attempt fails and the request is queued again while the entry is not fresh.
     dispatcher._may_dispatch = lambda: False
     gevent.sleep(0)
     assert dispatcher.scheduler.has_queued()
@@ -138,8 +138,8 @@
 
 
 @pytest.mark.parametrize(("percent", "copies"), [(100, 2), (0, 1)])
-def test_slow_lookup_gets_a_second_copy(dispatcher, monkeypatch, percent, copies):
-    """A worker that became slow must not delay a lookup beyond the budget."""
+def test_slow_request_is_hedged(dispatcher, monkeypatch, percent, copies):
+    """A slow worker must not delay an idempotent request while the budget lasts."""
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
     queue = Queue("find", "main", idempotent=True, hedge_budget_percent=percent)
@@ -157,8 +157,8 @@
     assert not dispatcher.scheduler.has_queued()
 
 
-def test_withdrawn_job_wakes_its_callers(dispatcher):
-    """Guards against callers that wait here for a job that another entry runs."""
+def test_withdrawn_request_wakes_its_callers(dispatcher):
+    """Guards against callers that wait here for a request that another entry runs."""
     # A submission is started at once unless the entry is not fresh.
     dispatcher._may_dispatch = lambda: False
     request = make_request()
@@ -168,8 +168,8 @@
     assert request.verdict is None
 
 
-def test_released_job_carries_its_checkpoint(dispatcher):
-    """Guards against an entry that starts a checkpointed job afresh."""
+def test_released_request_keeps_its_checkpoint(dispatcher):
+    """Guards against a checkpointed request that starts from the beginning again."""
     released = []
     dispatcher._release = lambda request, attempt: released.append(request.checkpoint)
     dispatcher.runner = FakeRunner([Stopped("half"), Answered(b"whole")])
--- a/libs/entry/tests/test_grant_manager.py
+++ b/libs/entry/tests/test_grant_manager.py
@@ -1,4 +1,4 @@
-"""How entries share the running slots of an organisation."""
+"""How entries divide the running slots of an organisation."""
 
 import math
 import random
@@ -17,7 +17,7 @@
 
 
 class EntryGroup:
-    """Keepers of several entries that replay each record at once."""
+    """Grant managers of several entries that apply each record immediately."""
 
     def __init__(self, limit):
         self.state = FleetState()
@@ -61,11 +61,10 @@
 
 
 def test_entry_with_demand_gets_slots_that_idle_entries_hold():
-    """Guards against requests that wait for good at one entry.
+    """Guards against requests that wait forever at one entry.
 
-    An organisation had fewer slots than there are entries, and each idle entry that
-    held
-    one kept it as its reserve.
+    An organisation had fewer slots than there are entries, and each idle entry with a
+    slot kept it as its reserve.
     """
     group = EntryGroup(limit=3)
     for name in ENTRIES[:3]:
@@ -79,8 +78,8 @@
 def test_entry_with_demand_does_not_wait_for_the_reclaim_of_lost_slots():
     """Guards against requests that wait 20 s for the slots of an expelled entry.
 
-    Each idle entry kept one slot as its reserve of a limit that included the
-    expelled entry's slots, so that too few were left for all.
+    Each idle entry kept a slot as its part of a limit that still included the slots
+    of the expelled entry, so that none was left for the entry with demand.
     """
     group = EntryGroup(limit=5)
     group.state.grants.request("a", "red", 2)
@@ -96,14 +95,14 @@
 
 
 def test_idle_entries_hold_equal_parts():
-    """Guards against entries without slots when the log goes down."""
+    """Guards against idle entries without slots when a log outage begins."""
     group = EntryGroup(limit=10)
     group.step()
     assert {group.state.grants.of("red").usable(name) for name in ENTRIES} == {2}
 
 
 class LoggedEntry:
-    """One keeper with a writer and a tail over a log that can be down."""
+    """One entry with a grant manager, over a log whose calls can fail."""
 
     def __init__(self, limit_by_organisation):
         self.clock, self.log = Clock(), FakeLog()
@@ -187,9 +186,10 @@
 @pytest.mark.parametrize("fault", ["down", "lost_request"])
 @pytest.mark.parametrize("is_changing", [False, True])
 def test_requests_do_not_pile_up_in_an_outage(fault, is_changing):
-    """Guards against a record each second and organisation that all wait for the log.
+    """Guards against a request for slots each second while the log is down.
 
-    They filled the queue of control records and were all written afterwards.
+    For each organisation they filled the queue of control records and were all written
+    after the outage.
     """
     entry = LoggedEntry({"red": 90, "blue": 90})
     before = len(entry.log.archive)
@@ -215,13 +215,13 @@
     assert most == 1
     assert len(written) == 2
     assert entry.usable("blue") == 89
-    # A request that may have reached the log keeps the count that it was sent with.
+    # A request that may have reached the log is not replaced by a newer count.
     sent = 89 if fault == "lost_request" else entry.demand_by_organisation["red"]
     assert entry.usable("red") == sent
 
 
 def test_unsent_request_is_withdrawn_when_the_demand_is_gone():
-    """Guards against slots that are granted after an outage to an idle entry."""
+    """Guards against slots granted to an entry that is idle after an outage."""
     entry = LoggedEntry({"red": 90})
     entry.peer_demand_by_organisation = {"red": 1}
     entry.fault = "down"
@@ -239,8 +239,8 @@
 def test_slots_stay_usable_in_an_outage():
     """Guards against slots that no entry may use until the log is back.
 
-    An entry returned its idle slots for a request of a peer that it had replayed
-    before the outage, and could neither use nor pass them on.
+    An entry returned idle slots because of a peer's request that it had replayed
+    before the outage; the return was not written, so neither could use the slots.
     """
     entry = LoggedEntry({"red": 90})
     entry.append_as_peer(GrantRequested("red", 90))
@@ -259,10 +259,10 @@
 
 
 def test_draining_entry_keeps_what_its_queued_requests_need():
-    """Guards against accepted requests that find no slot while an entry drains.
+    """Guards against accepted requests that get no slot while an entry drains.
 
-    It returned every slot without a running task, also those that requests in its
-    queue waited for.
+    The entry returned every slot without a running task, including those that its
+    queued requests needed.
     """
     entry = LoggedEntry({"red": 90})
     entry.append_as_peer(GrantRequested("red", 90))
@@ -276,7 +276,7 @@
         assert entry.tail.state.grants.of("red").usable("b") == 90 - running - queued
 
 
-def test_draining_entry_asks_for_slots_of_its_queued_requests():
+def test_draining_entry_requests_slots_for_its_queued_requests():
     """Guards against a shutdown that waits for requests without any slot."""
     entry = LoggedEntry({"red": 90})
     entry.is_draining = True
--- a/libs/entry/tests/test_http_api.py
+++ b/libs/entry/tests/test_http_api.py
@@ -1,4 +1,4 @@
-"""Guards the HTTP routes that change the state of an entry."""
+"""The HTTP route that hands accepted records to an entry."""
 
 import base64
 import io
--- a/libs/entry/tests/test_main.py
+++ b/libs/entry/tests/test_main.py
@@ -1,4 +1,4 @@
-"""Guards the command line and the settings of the entry program."""
+"""Command line and settings of the entry program."""
 
 import pytest
 
@@ -27,7 +27,7 @@
 
 
 def test_good_settings_are_accepted(write, capsys):
-    """A correct file must pass the check."""
+    """A correct settings file must pass the check."""
     path = write(GOOD)
     assert isinstance(load_settings(path, Settings), Settings)
     assert main([str(path), "--check-config"]) == 0
@@ -60,7 +60,7 @@
     ],
 )
 def test_bad_settings_are_named(write, capsys, text, message):
-    """A wrong setting must be named with what is allowed, before anything runs."""
+    """A wrong setting must be reported with the allowed values before the start."""
     path = write(text)
     assert main([str(path)]) == 2
     error = capsys.readouterr().err
--- a/libs/entry/tests/test_metrics.py
+++ b/libs/entry/tests/test_metrics.py
@@ -1,4 +1,4 @@
-"""Guards the metrics page and the alerts against names that are not served."""
+"""Metrics of an entry, compared with their documentation."""
 
 import re
 from pathlib import Path
@@ -49,14 +49,14 @@
 
 
 def test_an_entry_that_never_read_the_log_is_not_up_to_date(metrics):
-    """An entry started in an outage would silence the alert on the log."""
+    """Guards against an entry started in a log outage that raises no alert."""
     metrics.set_status(StatusDocument(log_age_ms=None))
     text = generate_latest(metrics.registry).decode()
     assert "lycheeloom_log_age_seconds +Inf" in text
 
 
 def test_removed_names_disappear(metrics):
-    """A removed zone must not stay in the metrics as taken out."""
+    """Guards against a removed zone that is still reported as out of service."""
     metrics.set_status(StatusDocument(zones={"new": ZoneStatus()}))
     text = generate_latest(metrics.registry).decode()
     assert 'lycheeloom_zone_in_service{zone="new"} 1.0' in text
--- a/libs/entry/tests/test_outcome_counts.py
+++ b/libs/entry/tests/test_outcome_counts.py
@@ -1,4 +1,4 @@
-"""What entries tell controllers about the outcomes of tasks."""
+"""Reports of task outcomes to controllers."""
 
 import pytest
 
@@ -38,7 +38,7 @@
     return OutcomeCounts(probation.__contains__, clock)
 
 
-def test_only_workers_in_question_are_reported(counts, clock, probation):
+def test_only_suspect_workers_are_reported(counts, clock, probation):
     """Guards against reports that grow with the fleet."""
     probation.add("w2")
     counts.record("w1", "find", True)
@@ -58,7 +58,7 @@
     clock.pass_periods()
     first = counts.report(0)
     assert first.counts == (OutcomeCount("w1", "find", 1, 1),)
-    # Asked again after a lost answer, then after an answer that arrived.
+    # Requested again after a lost report, then after one that arrived.
     assert counts.report(0) == first
     counts.record("w1", "book", True)
     clock.pass_periods()
@@ -67,7 +67,7 @@
 
 
 def test_queues_that_succeed_elsewhere_are_named(counts, clock):
-    """Guards against failing workers that are excused as failing work."""
+    """Guards against failures of a worker that are blamed on its queue."""
     counts.record("w9", "find", False)
     counts.record("w9", "unrelated", False)
     for worker in ("w1", "w2", "w3"):
--- a/libs/entry/tests/test_recorded_requests.py
+++ b/libs/entry/tests/test_recorded_requests.py
@@ -1,4 +1,4 @@
-"""Recorded requests of an entry, against a log in memory."""
+"""Recorded requests of an entry, over a log in memory."""
 
 from types import SimpleNamespace
 
@@ -27,7 +27,7 @@
 
 
 class FakeLog:
-    """A log that fails only while it is down for appends."""
+    """A log in memory that refuses appends while ``is_down`` is set."""
 
     def __init__(self):
         self.batches = []
@@ -49,7 +49,7 @@
 
 
 class FakeDispatcher:
-    """Takes jobs, unless it refuses them, and runs none."""
+    """Accepts requests unless ``refusal`` is set, and runs none."""
 
     def __init__(self, local_requests):
         self.submitted = []
@@ -65,7 +65,7 @@
 
 
 class SingleEntry:
-    """A journal of the only member, whose log advances in ``pump``."""
+    """An entry that is the only member; ``pump`` writes and replays its log."""
 
     def __init__(self):
         self.log = FakeLog()
@@ -98,7 +98,7 @@
         return greenlet.get(block=False)
 
     def accept(self, **fields):
-        """Record a request and return its job."""
+        """Record a request and return it as queued at this entry."""
         values = {"idempotent": True, "idempotency_key": "k", "wait": False, **fields}
         submission = Submission("r1", "red", "find", b"x", SIZE, 1.0, 0.0, **values)
         self.call(self.recorded_requests.submit, submission, b"digest")
@@ -111,7 +111,7 @@
 
 
 def test_one_member_takes_a_request_over():
-    """Guards against requests that nobody takes over when their entry is lost."""
+    """Guards against requests that no member, or more than one, takes over."""
     chosen = {f"r{n}": select_member(f"r{n}", MEMBERS) for n in range(60)}
     assert set(chosen.values()) == set(MEMBERS)
     for request_id, member in chosen.items():
@@ -122,7 +122,7 @@
 
 
 def test_request_whose_retry_was_refused_runs_again(entry):
-    """Guards against a released request that stays pending for good."""
+    """Guards against a released request that stays pending forever."""
     local = entry.accept()
     local.attempt = 1
     assert entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot") is None
@@ -136,10 +136,10 @@
 
 
 def test_refused_request_is_cancelled_by_one_record(entry):
-    """Guards against a record for each change of the members in a log outage."""
+    """Guards against one more record for each membership change in a log outage."""
     local = entry.accept()
     entry.local_requests.remove(local)
-    before = len(entry.log.batches)
+    batches_before = len(entry.log.batches)
     entry.log.is_down = True
     entry.dispatcher.refusal = Refusal(RefusalReason.NEVER_FITS, "too large")
     for _ in range(5):
@@ -148,12 +148,12 @@
     assert entry.writer.queued_records == 1
     entry.log.is_down = False
     entry.pump()
-    assert len(entry.log.batches) == before + 1
+    assert len(entry.log.batches) == batches_before + 1
     request = entry.tail.state.requests.request_by_id["r1"]
     assert request.outcome is Outcome.NOT_RUN
 
 
-def test_claim_that_was_replayed_within_a_snapshot(entry):
+def test_claim_that_was_replayed_as_part_of_a_snapshot(entry):
     """Guards against a claim that this entry holds but does not run."""
     local = entry.accept()
     claiming = gevent.spawn(entry.recorded_requests.claim, local, 1, "w1", "boot")
@@ -180,7 +180,7 @@
 
 
 def test_shutdown_ends_waits_for_other_entries(entry):
-    """Guards against a shutdown that waits for what starts only after it."""
+    """Guards against a shutdown that waits for requests taken over only after it."""
     entry.accept()
     waiting = gevent.spawn(entry.recorded_requests.wait, "r1", 3600.0)
     gevent.sleep(0)
@@ -193,7 +193,7 @@
     [(True, 1, "may_have_run"), (True, 0, "not_run"), (False, 1, "not_run")],
 )
 def test_answer_for_a_cancelled_request(is_idempotent, attempt, verdict):
-    """Guards against "not run" for a request released without proof."""
+    """Guards against "not run" for a request released without proof of that."""
     request = RecordedRequest(
         "r1", "red", "find", is_idempotent, "", b"", SIZE, 1, False, 0, 0
     )
@@ -206,7 +206,7 @@
 
 @pytest.fixture
 def handler(entry):
-    """An intake whose one queue is open to all."""
+    """A request handler whose only queue is open to all."""
     queue = SimpleNamespace(open_to_all=True, organisations=["red"])
     entry.tail.state.config = SimpleNamespace(queue_by_id={"find": queue})
     fresh = SimpleNamespace(is_fresh=lambda: True)
@@ -222,13 +222,13 @@
 
 
 def drop_all(entry):
-    """Let the log and the recent batches of the entry drop every record."""
+    """Drop every record from the log and from the entry's recent batches."""
     entry.log.oldest = len(entry.log.batches)
     entry.tail.ring = BatchRing()
 
 
 def test_answer_that_the_log_has_dropped(entry, handler):
-    """Guards against a caller that is told for good to ask again later."""
+    """Guards against a caller that is told forever to ask again later."""
     local = entry.accept()
     entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
     entry.writer.append(RequestFinished("r1", 1, Outcome.RAN, b"answer"))
@@ -241,7 +241,7 @@
 
 
 def test_request_whose_body_the_log_has_dropped(entry):
-    """Guards against a request that stays pending for good."""
+    """Guards against a request that stays pending forever."""
     local = entry.accept()
     entry.local_requests.remove(local)
     drop_all(entry)
@@ -254,8 +254,8 @@
 def test_collected_answer_is_the_recorded_one(entry, handler):
     """Guards against two entries that give different answers for one request.
 
-    An entry collected its own verdict before the log had it and was then lost;
-    another entry recorded that the request may have run.
+    An entry answered with its own verdict before that was in the log, and was then
+    lost; another entry recorded that the request may have run.
     """
     local = entry.accept(idempotent=False)
     entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
--- a/libs/entry/tests/test_recovery.py
+++ b/libs/entry/tests/test_recovery.py
@@ -1,4 +1,4 @@
-"""Guards what is decided about requests whose entry was lost."""
+"""Recovery of requests whose entry was lost."""
 
 from types import SimpleNamespace
 
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize(
-    ("found", "once", "idempotent"),
+    ("found", "non_idempotent", "idempotent"),
     [
         (report(TaskStatus.UNKNOWN), RELEASED, RELEASED),
         (report(TaskStatus.UNKNOWN, boot="other"), MAY_HAVE_RUN, RELEASED),
@@ -61,9 +61,9 @@
         (None, MAY_HAVE_RUN, RELEASED),
     ],
 )
-def test_decision_about_a_lost_attempt(found, once, idempotent):
-    """A request that runs at most once may start again only on proof."""
-    for expected, is_idempotent in ((once, False), (idempotent, True)):
+def test_decision_about_a_lost_attempt(found, non_idempotent, idempotent):
+    """A non-idempotent request may start again only if it certainly did not run."""
+    for expected, is_idempotent in ((non_idempotent, False), (idempotent, True)):
         record = decide(request(is_idempotent), 2, found)
         if isinstance(expected, Outcome):
             assert (type(record), record.outcome) == (RequestFinished, expected)
@@ -83,7 +83,7 @@
 
 
 class SlowLog:
-    """A log that takes longer over an answer than the recovery waits for it."""
+    """A log that answers later than the recovery waits for an outcome."""
 
     def __init__(self, answer):
         self.answer = answer
@@ -96,8 +96,8 @@
 @pytest.mark.parametrize(
     "answer", [AppendRefused(AppendRefusal.DOWN), AppendUnknown("no answer in time")]
 )
-def test_claim_has_one_unsettled_record_in_an_outage(monkeypatch, answer):
-    """Guards against another record from each scan while the first is unsettled."""
+def test_claim_has_one_record_in_flight_in_an_outage(monkeypatch, answer):
+    """Guards against one more record from each scan while the first has no outcome."""
     monkeypatch.setattr(recovery, "COMMIT_TIMEOUT_S", WAIT_S)
     lost = request(True)
     lost.holder = "gone"
--- a/libs/entry/tests/test_status_page.py
+++ b/libs/entry/tests/test_status_page.py
@@ -1,4 +1,4 @@
-"""The status page shows problems and stays one self-contained document."""
+"""The status page shows problems and is one self-contained document."""
 
 from lycheeloom.entry.status_page import render_status_page
 from lycheeloom.model.status import (
@@ -69,5 +69,5 @@
 
 
 def test_empty_document_renders():
-    """Guards against an entry that has read nothing yet failing its own page."""
+    """Guards against an error on the page of an entry that has not read the log."""
     assert "not fresh" in render_status_page(StatusDocument())
--- a/libs/entry/tests/test_wave_status.py
+++ b/libs/entry/tests/test_wave_status.py
@@ -34,7 +34,7 @@
 
 
 class ReplayedFleet:
-    """A replayed state with four workers, and the progress that it shows."""
+    """A replayed state of three workers or four, and the wave progress in it."""
 
     def __init__(self, spare=False, **pool):
         self.state = FleetState()
@@ -42,7 +42,7 @@
         self.sequence = 0
         self.out = set()
         self.times = MoveTimes(lambda: self.log_age, lambda: self.now)
-        # Between two reads forecasts grow old.
+        # Each read is late enough for the forecasts to be computed again.
         self.read_at = count(step=2 * FORECAST_TTL_S).__next__
         self.progress = WaveProgress(
             lambda: self.state,
@@ -96,8 +96,8 @@
         return self.progress.statuses()[wave]
 
 
-def test_end_is_foretold_from_measured_moves():
-    """Guards against an assumed duration although moves have ended."""
+def test_end_is_forecast_from_measured_moves():
+    """Guards against the expected duration being used although moves have ended."""
     fleet = ReplayedFleet()
     fleet.start()
     assert fleet.status().ends_in_s == 3 * PlannerSettings().expected_move_s
@@ -106,8 +106,8 @@
     assert fleet.status().reason == ""
 
 
-def test_time_of_open_moves_is_taken_off():
-    """Guards against an end that stays the same for the whole of a round."""
+def test_elapsed_time_of_open_moves_is_subtracted():
+    """Guards against a forecast that does not change while moves are open."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.move("w1", step_s=10.0)
@@ -118,7 +118,7 @@
 
 
 def test_moves_replayed_late_are_not_measured():
-    """Guards against moves that seem to take no time to a reader catching up."""
+    """Guards against durations near 0 s, measured while the reader catches up."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.log_age = 60.0
@@ -149,7 +149,7 @@
     ],
 )
 def test_reason_names_the_limit(pool, spare, why):
-    """Guards against a wave that waits without an operator being told why."""
+    """Guards against a wave that waits without showing operators the reason."""
     fleet = ReplayedFleet(spare, **pool)
     fleet.start()
     fleet.move("w1", JOINING[:2])
@@ -163,7 +163,7 @@
 
 
 def test_reason_names_the_zone():
-    """Guards against a zone's budget that is not told as the reason."""
+    """Guards against a zone's limit that is not given as the reason."""
     fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     change = b'{"zones": {"z1": {"max_unavailable": 1}}}'
     fleet.append(ConfigChanged(1, change, "operator"))
@@ -173,8 +173,8 @@
     assert "1 of at most 1 instances in zone z1 are out" in fleet.status().reason
 
 
-def test_end_is_unknown_while_the_wave_can_make_no_room():
-    """Guards against an end foretold for a wave that faults keep from starting."""
+def test_end_is_unknown_while_faults_block_the_wave():
+    """Guards against a forecast end for a wave that faults keep from starting."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.out.add("w1")
@@ -184,7 +184,7 @@
 
 
 def test_given_up_instances_are_not_waited_for():
-    """Guards against an end that includes instances that no wave waits for."""
+    """Guards against a forecast that includes instances that no wave waits for."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.append(InstanceHealth("w1", Health.GIVEN_UP, 1, "broken"))
@@ -199,8 +199,8 @@
         (WaveState.ABORTED, "An operator aborted it."),
     ],
 )
-def test_commanded_waves_say_so(wanted, reason):
-    """Guards against a wave that stands still without a reason."""
+def test_paused_and_aborted_waves_give_the_reason(wanted, reason):
+    """Guards against a wave that is shown as stopped without a reason."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.command(wanted)
@@ -210,7 +210,7 @@
 
 @pytest.mark.parametrize("stage", [MoveStage.ABANDONED, MoveStage.DRAINING])
 def test_a_finished_wave_is_not_changed_by_a_later_one(stage):
-    """Guards against failures of a later wave that are shown on an earlier one."""
+    """Guards against failures of a later wave that are shown for an earlier one."""
     maintenance = Maintenance(
         pool_by_instance={"w1": "lookup"},
         move_by_instance={"w1": Move("wave.b.w1.9", stage, "lookup", True, "", 10)},
@@ -233,7 +233,7 @@
 
 
 def test_an_aborted_wave_is_not_changed_by_a_later_one():
-    """Guards against a later wave that seems to continue one that was aborted."""
+    """Guards against moves of a later wave that count for an aborted one."""
     fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     fleet.start("a")
     fleet.move("w1", wave="a")
@@ -241,7 +241,7 @@
     fleet.move("w3", JOINING[:2], wave="a")
     fleet.command(WaveState.ABORTED, wave="a")
     assert counts(fleet.status("a")) == (1, 2, 0, 3)
-    # What was in progress at the abort is still followed to its end.
+    # Moves that were in progress at the abort are followed to their end.
     fleet.move("w2", JOINING[3:], wave="a")
     fleet.move("w3", [MoveStage.ABANDONED], wave="a")
     assert counts(fleet.status("a")) == (2, 0, 1, 3)
@@ -254,7 +254,7 @@
     assert counts(fleet.status("a")) == (2, 0, 1, 3)
 
 
-def test_removed_instances_are_not_in_progress_for_good():
+def test_removed_instances_are_not_in_progress_forever():
     """Guards against an aborted wave with moves in progress that cannot end."""
     fleet = ReplayedFleet()
     fleet.start()
@@ -264,14 +264,14 @@
     assert counts(fleet.status()) == (0, 0, 0, 3)
 
 
-def test_forecasts_are_kept_for_some_seconds():
-    """Guards against a whole count of the fleet for each read of the status."""
+def test_forecasts_are_cached_for_some_seconds():
+    """Guards against counting the whole fleet for each read of the status."""
     fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     fleet.start("a")
-    now, looks = [100.0], []
+    now, checked = [100.0], []
     fleet.progress = WaveProgress(
         lambda: fleet.state,
-        lambda name: looks.append(name) or True,
+        lambda name: checked.append(name) or True,
         fleet.times,
         lambda: now[0],
     )
@@ -279,11 +279,11 @@
     fleet.move("w1", wave="a", step_s=1.0)
     assert fleet.status("a").done == 1
     assert fleet.status("a").ends_in_s == first
-    assert len(looks) == 3
-    # A wave that is new is not shown with the forecast of another.
+    assert len(checked) == 3
+    # A new wave causes all forecasts to be computed again.
     fleet.start("b")
     assert fleet.status("b").ends_in_s is not None
-    assert len(looks) == 6
+    assert len(checked) == 6
     now[0] += FORECAST_TTL_S
     assert fleet.status("a").ends_in_s < first
     fleet.command(WaveState.PAUSED, wave="a")
