--- a/libs/entry/src/lycheeloom/entry/__init__.py
+++ b/libs/entry/src/lycheeloom/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Entry daemon."""
+"""Entry daemon: accepts callers' requests and runs them at workers."""
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -180,7 +180,7 @@
         boot_id: str,
         on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        # The claim waited for a commit of the log, so the session may have expired.
+        # A claim waits for a commit of the log, so the session may have expired.
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or session.boot_id != boot_id:
             return Refused(StartRefusal.UNREACHABLE)
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -56,6 +56,7 @@
 MAX_START_TRIES = 50
 # After this long without contact to the worker the verdict is "may have run".
 SILENCE_TIMEOUT_S = 5.0
+# Speed of a throttled task, as a fraction of its full speed.
 THROTTLE_FRACTION = 0.25
 # A hedge starts after HEDGE_DELAY_S + HEDGE_FACTOR * the declared run time.
 HEDGE_FACTOR = 3.0
--- a/libs/entry/src/lycheeloom/entry/grant_manager.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -197,8 +197,8 @@
             return running
         own = demand.by_organisation.get(organisation, 0)
         if self._is_draining():
-            # Demand only falls now, and slots become free with it. With fewer slots
-            # the entry might not finish its requests within the drain timeout.
+            # Without new requests, slots become free as the queued ones end. With fewer
+            # slots than its demand the entry might not end them in time.
             return max(running, min(own, limit))
         # Zero for a limit below the number of entries: idle entries that kept a slot
         # each would leave none to an entry with demand.
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -148,7 +148,7 @@
                 return f"the claim was not recorded: {reason}"
 
     def release(self, local: LocalRequest, attempt: int) -> bool:
-        """Release this entry's claim, if any, so that the request is pending again."""
+        """Release this entry's claim, if any; return whether it holds none now."""
         if not self._is_own_claim(local.id, attempt):
             return True
         outcome = self._write(r.RequestReleased(local.id, attempt, local.checkpoint))
--- a/libs/entry/src/lycheeloom/entry/request_handler.py
+++ b/libs/entry/src/lycheeloom/entry/request_handler.py
@@ -56,7 +56,7 @@
         self._tracer = tracer
 
     def submit(self, queue: str, headers: RequestHeaders, body: bytes) -> Reply:
-        """Submit a request; answer with its verdict or that it is accepted."""
+        """Submit a request; answer with its verdict, or with its progress."""
         self.open_requests += 1
         try:
             with self._tracer.span("request", headers.traceparent, queue=queue) as span:
--- a/libs/entry/src/lycheeloom/entry/worker_monitor.py
+++ b/libs/entry/src/lycheeloom/entry/worker_monitor.py
@@ -53,7 +53,7 @@
         self._on_change = on_change
         self._listing: InstanceList | None = None
         self._leaving: frozenset[str] = frozenset()
-        self._reachable_by_worker: dict[str, bool] = {}
+        self._reachable: dict[str, bool] = {}
 
     def address_of(self, worker: str) -> str | None:
         """Return a worker's address, or None if it is not configured."""
@@ -73,9 +73,7 @@
 
     def is_in_service(self, worker: str) -> bool:
         """Tell whether a worker may get new tasks and answered its last probe."""
-        return self.may_take_tasks(worker) and self._reachable_by_worker.get(
-            worker, True
-        )
+        return self.may_take_tasks(worker) and self._reachable.get(worker, True)
 
     def is_on_probation(self, worker: str) -> bool:
         """Tell whether the controller has put a worker on probation."""
@@ -102,12 +100,12 @@
         match result:
             case Session():
                 is_available = self.may_take_tasks(worker) and not result.draining
-                self._reachable_by_worker[worker] = True
+                self._reachable[worker] = True
                 self._scheduler.observe_worker(
                     worker, is_available, result.free, result.boot_id, now
                 )
             case Unavailable():
-                self._reachable_by_worker[worker] = False
+                self._reachable[worker] = False
                 self._mark_unavailable(worker)
         self._on_change()
 
