--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -55,7 +55,7 @@
             f"rack {instance.rack}."
         ]
         if instance.pool != pool:
-            lines.append(f"The configuration assigns it to pool {instance.pool}.")
+            lines.append(f"The configuration wants it in pool {instance.pool}.")
         move = state.maintenance.move_by_instance.get(name)
         if move is not None:
             lines.append(
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -69,7 +69,7 @@
             "queue_queued_requests", "Requests waiting here", "queue"
         )
         self.queue_bound = self._gauge(
-            "queue_bound", "Upper limit of requests waiting here", "queue"
+            "queue_bound", "How many requests may wait here", "queue"
         )
         self.running = self._gauge(
             "organisation_running_tasks", "Running tasks here", "organisation"
@@ -94,18 +94,16 @@
         )
         self.entitlement_ratio = self._gauge(
             "organisation_entitlement_ratio",
-            "Fleet-wide share that is due now",
+            "Fleet-wide share due now",
             "organisation",
         )
         self.zone_in_service = self._gauge(
             "zone_in_service",
-            "0 while operators have taken the zone out of service",
+            "0 while operators have taken the zone out",
             "zone",
         )
         self.fresh = self._gauge("entry_fresh", "1 if this entry may start tasks")
-        self.draining = self._gauge(
-            "entry_draining", "1 while this entry drains and accepts no requests"
-        )
+        self.draining = self._gauge("entry_draining", "1 while it takes no new work")
         self.log_age_s = self._gauge(
             "log_age_seconds", "Time since the last successful log read"
         )
@@ -113,7 +111,7 @@
             "config_version", "Version of the configuration in force"
         )
         self.loop_delay_s = self._gauge(
-            "event_loop_delay_seconds", "Latest delay of a timer past its due time"
+            "event_loop_delay_seconds", "Latest delay of a timer"
         )
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
