--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Moved:
+class ConditionFailed:
     """The condition did not hold: the log ends at ``end``."""
 
     end: int
@@ -48,7 +48,7 @@
     reason: str
 
 
-AppendResult = Appended | Fenced | Moved | NotAppended | AppendUnknown
+AppendResult = Appended | Fenced | ConditionFailed | NotAppended | AppendUnknown
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,10 +152,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskLists:
-    """What a worker says of its runs; ``born_ms`` names the life that answers."""
+    """What a worker says of its runs; ``started_ms`` names the life that answers."""
 
     clock_ms: int
-    born_ms: int
+    started_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
 
@@ -173,7 +173,7 @@
         self, worker: Worker, task: str, run: int, percent: int, token: int
     ) -> CallReply: ...
 
-    def hold(
+    def renew_and_list(
         self,
         worker: Worker,
         token: int,
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -1,4 +1,4 @@
-"""Recorded requests whose holder is gone: what became of them at the worker."""
+"""Recovery of recorded requests whose claim belongs to a lost or removed member."""
 
 from __future__ import annotations
 
@@ -14,20 +14,20 @@
 from lycheeloom.state import RecordedRequest
 from lycheeloom.telemetry import log_event
 
-from .member_choice import select_member
+from .rendezvous import select_member
 
 SCAN_INTERVAL_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
-# A worker that does not answer is asked again for this long.
+# A worker that does not answer is polled again for this long.
 LOOKUP_TIME_S = 60.0
 LOOKUP_INTERVAL_S = 1.0
 
 
 class ClaimRecovery:
-    """Decides about claims of members that left or whose grants were reclaimed.
+    """Finishes or releases claims of members that left or whose grants were reclaimed.
 
     Every lease of such a member has expired, so its tasks no longer run and its
-    starts are refused. What the worker knows about a task is then final.
+    starts are refused. The status of a task at its worker is therefore final.
     """
 
     def __init__(
@@ -47,14 +47,14 @@
         self._in_progress: set[str] = set()
 
     def run(self) -> None:
-        """Look for such claims until stopped."""
+        """Scan for such claims until stopped."""
         while True:
             if self._may_act():
                 self.scan()
             gevent.sleep(SCAN_INTERVAL_S)
 
     def scan(self) -> None:
-        """Begin to recover each claim that this entry is selected for."""
+        """Start the recovery of each claim that this entry is selected for."""
         state = self._tail.state
         members = [member.incarnation for member in state.members.active()]
         for request_id in state.requests.claimed:
@@ -72,8 +72,8 @@
         try:
             report = self._look_up(request, attempt)
             record = decide(request, attempt, report)
-            # The next scan must not append another record while this one can still
-            # be written.
+            # Later scans must not append another record while this one can still be
+            # written.
             outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
             self.recovered += 1
             log_event(
@@ -101,17 +101,20 @@
 
 
 def decide(request: RecordedRequest, attempt: int, report: TaskReport | None) -> Record:
-    """Return the record that a worker's report about a lost attempt justifies."""
+    """Return the record that finishes or releases a lost attempt.
+
+    ``report`` is the worker's final report about the attempt, or None if there is none.
+    """
     request_id = request.request_id
     release = r.RequestReleased(request_id, attempt)
-    doubt = r.RequestFinished(
+    may_have_run = r.RequestFinished(
         request_id,
         attempt,
         Outcome.MAY_HAVE_RUN,
         b"the entry that ran the request was lost",
     )
     if report is None:
-        return release if request.idempotent else doubt
+        return release if request.idempotent else may_have_run
     match report.status:
         case TaskStatus.DONE:
             return r.RequestFinished(request_id, attempt, Outcome.RAN, report.answer)
@@ -120,4 +123,4 @@
         case TaskStatus.UNKNOWN if report.boot_id == request.worker_boot:
             # The worker never got the start, and would refuse it now.
             return release
-    return release if request.idempotent else doubt
+    return release if request.idempotent else may_have_run
--- a/libs/entry/tests/test_grant_keeper.py
+++ b/libs/entry/tests/test_grant_manager.py
@@ -1,4 +1,4 @@
-"""How entries share the running slots of an organisation."""
+"""How entries divide the running slots of an organisation."""
 
 import math
 import random
@@ -7,7 +7,7 @@
 import pytest
 from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
 
-from lycheeloom.entry.grant_keeper import STEP_INTERVAL_S, GrantKeeper
+from lycheeloom.entry.grant_manager import STEP_INTERVAL_S, GrantManager
 from lycheeloom.log import Effective, LogTail, LogWriter, Priority
 from lycheeloom.model.records import GrantRequested, GrantReturned, MemberJoined
 from lycheeloom.state import FleetState
@@ -16,8 +16,8 @@
 ENTRIES = ("a", "b", "c", "d", "e")
 
 
-class World:
-    """Keepers of several entries that replay each record at once."""
+class EntryGroup:
+    """Grant managers of several entries that apply each record immediately."""
 
     def __init__(self, limit):
         self.state = FleetState()
@@ -26,7 +26,7 @@
         self.state.grants.set_limits({"red": limit})
         self.state.config.organisation_by_id["red"] = None
         self.demand_by_entry = dict.fromkeys(ENTRIES, 0)
-        self.keepers = [self._make(name) for name in ENTRIES]
+        self.managers = [self._make(name) for name in ENTRIES]
 
     def _make(self, own):
         def append(record, priority):
@@ -40,7 +40,7 @@
             total = sum(self.demand_by_entry.values()) - self.demand_by_entry[own]
             return total if organisation else {"red": total}
 
-        return GrantKeeper(
+        return GrantManager(
             SimpleNamespace(state=self.state, last_read_sent_at=math.inf),
             SimpleNamespace(append=append),
             SimpleNamespace(
@@ -55,55 +55,54 @@
         )
 
     def step(self):
-        for keeper in self.keepers:
-            keeper._requested_at.clear()
-            keeper.step()
+        for manager in self.managers:
+            manager._requested_at.clear()
+            manager.step()
 
 
 def test_entry_with_demand_gets_slots_that_idle_entries_hold():
-    """Guards against requests that wait for good at one entry.
+    """Guards against requests that wait forever at one entry.
 
-    An organisation had fewer slots than there are entries, and each idle entry that
-    held
-    one kept it as its reserve.
+    An organisation had fewer slots than there are entries, and each idle entry with a
+    slot kept it as its reserve.
     """
-    world = World(limit=3)
+    group = EntryGroup(limit=3)
     for name in ENTRIES[:3]:
-        world.state.grants.request(name, "red", 1)
-    world.demand_by_entry["e"] = 2
+        group.state.grants.request(name, "red", 1)
+    group.demand_by_entry["e"] = 2
     for _ in range(3):
-        world.step()
-    assert world.state.grants.of("red").usable("e") == 2
+        group.step()
+    assert group.state.grants.of("red").usable("e") == 2
 
 
 def test_entry_with_demand_does_not_wait_for_the_reclaim_of_lost_slots():
     """Guards against requests that wait 20 s for the slots of an expelled entry.
 
-    Each idle entry kept one slot as its reserve of a limit that included the
-    expelled entry's slots, so that too few were left for all.
+    Each idle entry kept a slot as its part of a limit that still included the slots
+    of the expelled entry, so that none was left for the entry with demand.
     """
-    world = World(limit=5)
-    world.state.grants.request("a", "red", 2)
+    group = EntryGroup(limit=5)
+    group.state.grants.request("a", "red", 2)
     for name in "bcd":
-        world.state.grants.request(name, "red", 1)
-    world.state.members.member_by_incarnation["a"].expelled_at = 1
-    del world.keepers[0]
-    world.demand_by_entry["e"] = 1
+        group.state.grants.request(name, "red", 1)
+    group.state.members.member_by_incarnation["a"].expelled_at = 1
+    del group.managers[0]
+    group.demand_by_entry["e"] = 1
     for _ in range(3):
-        world.step()
-    assert world.state.grants.of("red").usable("e") == 1
-    assert world.state.grants.of("red").usable("a") == 2
+        group.step()
+    assert group.state.grants.of("red").usable("e") == 1
+    assert group.state.grants.of("red").usable("a") == 2
 
 
 def test_idle_entries_hold_equal_parts():
-    """Guards against entries without slots when the log goes down."""
-    world = World(limit=10)
-    world.step()
-    assert {world.state.grants.of("red").usable(name) for name in ENTRIES} == {2}
+    """Guards against idle entries without slots when a log outage begins."""
+    group = EntryGroup(limit=10)
+    group.step()
+    assert {group.state.grants.of("red").usable(name) for name in ENTRIES} == {2}
 
 
-class LoggedWorld:
-    """One keeper with a writer and a tail over a log that can be down."""
+class LoggedEntry:
+    """One entry with a grant manager, over a log whose calls can fail."""
 
     def __init__(self, limit_by_organisation):
         self.clock, self.log = Clock(), FakeLog()
@@ -123,7 +122,7 @@
         self.is_unreadable = False
         self.appended = []
         self._next_write_at = 0.0
-        self.keeper = GrantKeeper(
+        self.manager = GrantManager(
             self.tail,
             SimpleNamespace(append=self._append),
             SimpleNamespace(
@@ -160,11 +159,11 @@
             if self.clock.now >= self._next_write_at:
                 self._next_write_at = self.clock.now + self.writer.step()
             self.tail.step()
-            self.keeper.step()
+            self.manager.step()
             check()
 
     def usable(self, organisation):
-        return self.keeper.usable(organisation)
+        return self.manager.usable(organisation)
 
     def unsettled(self, kind, organisation):
         return [
@@ -187,99 +186,100 @@
 @pytest.mark.parametrize("fault", ["down", "lost_request"])
 @pytest.mark.parametrize("is_changing", [False, True])
 def test_requests_do_not_pile_up_in_an_outage(fault, is_changing):
-    """Guards against a record each second and organisation that all wait for the log.
+    """Guards against a request for slots each second while the log is down.
 
-    They filled the queue of control records and were all written afterwards.
+    For each organisation they filled the queue of control records and were all written
+    after the outage.
     """
-    world = LoggedWorld({"red": 90, "blue": 90})
-    before = len(world.log.archive)
-    world.peer_demand_by_organisation = {"red": 1, "blue": 1}
-    world.fault = fault
+    entry = LoggedEntry({"red": 90, "blue": 90})
+    before = len(entry.log.archive)
+    entry.peer_demand_by_organisation = {"red": 1, "blue": 1}
+    entry.fault = fault
     most = 0
 
     def check():
         nonlocal most
         unsettled = (
-            world.unsettled(GrantRequested, organisation)
+            entry.unsettled(GrantRequested, organisation)
             for organisation in ("red", "blue")
         )
         most = max(most, *map(len, unsettled))
 
     for second in range(1800):
         extra = second // 10 % 3 if is_changing else 0
-        world.demand_by_organisation = {"red": 89 - extra, "blue": 89}
-        world.run(1.0, check)
-    world.fault = ""
-    world.run(5.0)
-    written = world.written(GrantRequested, before)
+        entry.demand_by_organisation = {"red": 89 - extra, "blue": 89}
+        entry.run(1.0, check)
+    entry.fault = ""
+    entry.run(5.0)
+    written = entry.written(GrantRequested, before)
     assert most == 1
     assert len(written) == 2
-    assert world.usable("blue") == 89
-    # A request that may have reached the log keeps the count that it was sent with.
-    sent = 89 if fault == "lost_request" else world.demand_by_organisation["red"]
-    assert world.usable("red") == sent
+    assert entry.usable("blue") == 89
+    # A request that may have reached the log is not replaced by a newer count.
+    sent = 89 if fault == "lost_request" else entry.demand_by_organisation["red"]
+    assert entry.usable("red") == sent
 
 
 def test_unsent_request_is_withdrawn_when_the_demand_is_gone():
-    """Guards against slots that are granted after an outage to an idle entry."""
-    world = LoggedWorld({"red": 90})
-    world.peer_demand_by_organisation = {"red": 1}
-    world.fault = "down"
-    world.demand_by_organisation = {"red": 80}
-    world.run(5.0)
-    assert len(world.unsettled(GrantRequested, "red")) == 1
-    world.demand_by_organisation = {}
-    world.run(5.0)
-    assert not world.unsettled(GrantRequested, "red")
-    world.fault = ""
-    world.run(5.0)
-    assert world.usable("red") == 45
+    """Guards against slots granted to an entry that is idle after an outage."""
+    entry = LoggedEntry({"red": 90})
+    entry.peer_demand_by_organisation = {"red": 1}
+    entry.fault = "down"
+    entry.demand_by_organisation = {"red": 80}
+    entry.run(5.0)
+    assert len(entry.unsettled(GrantRequested, "red")) == 1
+    entry.demand_by_organisation = {}
+    entry.run(5.0)
+    assert not entry.unsettled(GrantRequested, "red")
+    entry.fault = ""
+    entry.run(5.0)
+    assert entry.usable("red") == 45
 
 
 def test_slots_stay_usable_in_an_outage():
     """Guards against slots that no entry may use until the log is back.
 
-    An entry returned its idle slots for a request of a peer that it had replayed
-    before the outage, and could neither use nor pass them on.
+    An entry returned idle slots because of a peer's request that it had replayed
+    before the outage; the return was not written, so neither could use the slots.
     """
-    world = LoggedWorld({"red": 90})
-    world.append_as_peer(GrantRequested("red", 90))
-    world.run(0.1)
-    assert world.usable("red") == 45
-    world.fault, world.is_unreadable = "down", True
-    world.peer_demand_by_organisation = {"red": 90}
-    world.run(5.0)
-    assert world.usable("red") == 45
-    assert not world.unsettled(GrantReturned, "red")
-    world.fault, world.is_unreadable = "", False
-    world.run(5.0)
-    assert world.usable("red") == 0
-    assert world.tail.state.grants.of("red").usable("b") == 90
-    assert len(world.written(GrantReturned, 0)) == 1
+    entry = LoggedEntry({"red": 90})
+    entry.append_as_peer(GrantRequested("red", 90))
+    entry.run(0.1)
+    assert entry.usable("red") == 45
+    entry.fault, entry.is_unreadable = "down", True
+    entry.peer_demand_by_organisation = {"red": 90}
+    entry.run(5.0)
+    assert entry.usable("red") == 45
+    assert not entry.unsettled(GrantReturned, "red")
+    entry.fault, entry.is_unreadable = "", False
+    entry.run(5.0)
+    assert entry.usable("red") == 0
+    assert entry.tail.state.grants.of("red").usable("b") == 90
+    assert len(entry.written(GrantReturned, 0)) == 1
 
 
 def test_draining_entry_keeps_what_its_queued_requests_need():
-    """Guards against accepted requests that find no slot while an entry drains.
+    """Guards against accepted requests that get no slot while an entry drains.
 
-    It returned every slot without a running task, also those that requests in its
-    queue waited for.
+    The entry returned every slot without a running task, including those that its
+    queued requests needed.
     """
-    world = LoggedWorld({"red": 90})
-    world.append_as_peer(GrantRequested("red", 90))
-    world.peer_demand_by_organisation = {"red": 90}
-    world.is_draining = True
+    entry = LoggedEntry({"red": 90})
+    entry.append_as_peer(GrantRequested("red", 90))
+    entry.peer_demand_by_organisation = {"red": 90}
+    entry.is_draining = True
     for running, queued in ((10, 20), (30, 0), (4, 1), (1, 0), (0, 0)):
-        world.running_by_organisation = {"red": running}
-        world.demand_by_organisation = {"red": running + queued}
-        world.run(1.0)
-        assert world.usable("red") == running + queued
-        assert world.tail.state.grants.of("red").usable("b") == 90 - running - queued
+        entry.running_by_organisation = {"red": running}
+        entry.demand_by_organisation = {"red": running + queued}
+        entry.run(1.0)
+        assert entry.usable("red") == running + queued
+        assert entry.tail.state.grants.of("red").usable("b") == 90 - running - queued
 
 
-def test_draining_entry_asks_for_slots_of_its_queued_requests():
+def test_draining_entry_requests_slots_for_its_queued_requests():
     """Guards against a shutdown that waits for requests without any slot."""
-    world = LoggedWorld({"red": 90})
-    world.is_draining = True
-    world.demand_by_organisation = {"red": 60}
-    world.run(3.0)
-    assert world.usable("red") == 60
+    entry = LoggedEntry({"red": 90})
+    entry.is_draining = True
+    entry.demand_by_organisation = {"red": 60}
+    entry.run(3.0)
+    assert entry.usable("red") == 60
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -207,7 +207,7 @@
 
     worker_id: str
     # Start of this life; a worker may start again under its id.
-    born_ms: int
+    started_ms: int
     pool: str
     address: str
     zone: str
@@ -226,7 +226,7 @@
     checkpoint: str
     percent: int
     # Tail latency in ms for a task with a target, cores in use for others.
-    figure: float
+    latency_or_cores: float
 
 
 class EndKind(Enum):
