--- a/libs/sched/src/lycheeloom/sched/__init__.py
+++ b/libs/sched/src/lycheeloom/sched/__init__.py
@@ -5,12 +5,12 @@
 from .tasks import (
     Accepted,
     Checkpoint,
-    CheckpointReason,
     Decision,
     Expire,
     Held,
     OrganisationUsage,
     Outcome,
+    PreemptionReason,
     Start,
     Task,
     Throttle,
@@ -20,7 +20,7 @@
 __all__ = [
     "Accepted",
     "Checkpoint",
-    "CheckpointReason",
+    "PreemptionReason",
     "Decision",
     "Expire",
     "HedgeBudget",
--- a/libs/sched/src/lycheeloom/sched/admission.py
+++ b/libs/sched/src/lycheeloom/sched/admission.py
@@ -23,7 +23,7 @@
         disallowed = self.check_allowed(task)
         if disallowed is not None:
             return disallowed
-        fit = self._check_fit(task, self._state.queues.home_pool(task.queue))
+        fit = self._check_size(task, self._state.queues.home_pool(task.queue))
         if isinstance(fit, Refusal):
             return fit
         late = self._check_deadline(task, now)
@@ -50,7 +50,7 @@
             return Refusal(RefusalReason.ORGANISATION_NOT_ALLOWED, message)
         return None
 
-    def _check_fit(self, task: Task, pool: str) -> Accepted | Held | Refusal:
+    def _check_size(self, task: Task, pool: str) -> Accepted | Held | Refusal:
         """Compare the task with the workers it may use and with the fleet.
 
         A declared size that is too large is not refused if tasks of the organisation
@@ -59,14 +59,16 @@
         state = self._state
         pools = [pool]
         pools += [p.id for p in state.config.pool_by_id.values() if p.spare]
-        corrected = state.sizes.size(task)
+        corrected = state.sizes.corrected_size(task)
         for wanted in (task.resources, corrected):
             for name in pools:
-                if any(wanted.fits_in(size) for size in state.workers.sizes(name)):
+                if any(
+                    wanted.fits_in(size) for size in state.workers.worker_sizes(name)
+                ):
                     return Accepted()
         smallest = min(task.resources, corrected, key=lambda r: (r.cores, r.memory_mb))
         for name in state.config.pool_by_id:
-            if any(smallest.fits_in(size) for size in state.workers.sizes(name)):
+            if any(smallest.fits_in(size) for size in state.workers.worker_sizes(name)):
                 return Held(
                     f"no worker of pool {pool} or a spare pool has room for "
                     f"{describe(smallest)}; pool {name} has workers that could be "
@@ -106,7 +108,7 @@
             return None
         state = self._state
         queued = state.queues.queued(task.organisation, task.queue)
-        wait_s = state.waits.wait_s(task.organisation, task.queue, queued, now)
+        wait_s = state.waits.expected_wait_s(task.organisation, task.queue, queued, now)
         if wait_s is None or now + wait_s <= task.deadline:
             return None
         message = (
--- a/libs/sched/src/lycheeloom/sched/filler.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -8,33 +8,33 @@
 from lycheeloom.model.config import Pool
 from lycheeloom.model.resources import Resources
 
-from .holds import Holds
-from .lanes import Lane
+from .deferrals import PeerDeferrals
 from .reservations import Reservations
-from .shares import LEVEL_STEP
+from .shares import USAGE_LEVEL_STEP
 from .state import SchedulerState
+from .subqueues import Subqueue
 from .tasks import Decision, Task, TaskRecord
 from .workers import Worker
 
 # Capacity is left to a peer's organisation only if that organisation is lower by
 # this part of
 # a fair share; entries know each other's usage only up to a heartbeat ago.
-HOLD_MARGIN = 0.02
+DEFERRAL_MARGIN = 0.02
 # The running tasks of a small organisation vary by a few tasks all the time, which its
 # own entries make good without capacity from others.
-HOLD_TASKS = 3
+DEFERRAL_MIN_TASKS = 3
 # The part of the fleet assumed for a task of an organisation not run here yet.
-UNKNOWN_TASK_SHARE = 0.01
+DEFAULT_TASK_SHARE = 0.01
 # A pool's own queues come first only for organisations up to their fair share.
-FAIR_LEVEL = 1.0 / LEVEL_STEP
+FAIR_USAGE_LEVEL = 1.0 / USAGE_LEVEL_STEP
 # Everything is tried again this often, so that nothing waits on a missed cause.
 SWEEP_S = 1.0
 
-LanesByOrganisation = Mapping[str, Mapping[str, Lane]]
+SubqueuesByOrganisation = Mapping[str, Mapping[str, Subqueue]]
 Placer = Callable[[TaskRecord, Resources], Worker | None]
 
 
-class Filler:
+class FairShareAllocator:
     """Starts queued tasks.
 
     A pool serves its own queues first, for organisations within their fair share. What
@@ -45,120 +45,124 @@
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
         self._state = state
         self._reservations = reservations
-        self._holds = Holds()
+        self._deferrals = PeerDeferrals()
         self._next_sweep_at = 0.0
         self._sorted_pools: Mapping[str, Pool] = {}
         self._pool_order: list[str] = []
 
-    def fill(self, now: float) -> list[Decision]:
+    def allocate(self, now: float) -> list[Decision]:
         """Return the starts that use the capacity freed since the last call."""
         state = self._state
         freed = state.workers.freed_pools
-        fresh = state.queues.fresh_lanes
+        changed = state.queues.changed_subqueues
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_S
             freed = freed | set(state.config.pool_by_id)
-            for lane in state.queues.active_lanes():
-                fresh[lane.organisation, lane.queue] = lane
-        if not freed and not fresh:
+            for subqueue in state.queues.active_subqueues():
+                changed[subqueue.organisation, subqueue.queue] = subqueue
+        if not freed and not changed:
             return []
         state.workers.freed_pools = set()
-        state.queues.fresh_lanes = {}
+        state.queues.changed_subqueues = {}
         decisions: list[Decision] = []
-        for yielding in (False, True) if state.queues.has_batch else (False,):
-            self._fill_own(freed, fresh, yielding, now, decisions)
-            self._lend(freed, fresh, yielding, now, decisions)
+        for batch_priority in (False, True) if state.queues.has_batch else (False,):
+            self._allocate_home_pools(freed, changed, batch_priority, now, decisions)
+            self._lend_leftover_capacity(freed, changed, batch_priority, now, decisions)
         # Starts refresh workers, which marks their pools as freed again.
         state.workers.freed_pools = set()
         return decisions
 
-    def _fill_own(
+    def _allocate_home_pools(
         self,
         freed: set[str],
-        fresh: Mapping[tuple[str, str], Lane],
-        yielding: bool,
+        changed: Mapping[tuple[str, str], Subqueue],
+        batch_priority: bool,
         now: float,
         decisions: list[Decision],
     ) -> None:
         state = self._state
         pools = set(freed)
-        for _, queue in fresh:
+        for _, queue in changed:
             pools.add(state.queues.home_pool(queue))
         for pool in sorted(pools):
             if self._is_spare(pool) or not state.workers.has_room(pool):
                 continue
-            lanes = state.queues.lanes_by_organisation(pool)
-            self._fill_pool(pool, False, lanes, yielding, now, decisions)
+            subqueues = state.queues.subqueues_by_organisation(pool)
+            self._allocate_pool(pool, False, subqueues, batch_priority, now, decisions)
 
-    def _lend(
+    def _lend_leftover_capacity(
         self,
         freed: set[str],
-        fresh: dict[tuple[str, str], Lane],
-        yielding: bool,
+        changed: dict[tuple[str, str], Subqueue],
+        batch_priority: bool,
         now: float,
         decisions: list[Decision],
     ) -> None:
         """Give spare pools, then what pools leave, to lanes of any queue."""
         state = self._state
-        fresh_lanes: dict[str, dict[str, Lane]] = {}
-        for (organisation, queue), lane in fresh.items():
-            if lane.count:
-                fresh_lanes.setdefault(organisation, {})[queue] = lane
-        if not fresh_lanes and not freed:
+        changed_subqueues: dict[str, dict[str, Subqueue]] = {}
+        for (organisation, queue), subqueue in changed.items():
+            if subqueue.count:
+                changed_subqueues.setdefault(organisation, {})[queue] = subqueue
+        if not changed_subqueues and not freed:
             return
-        for pool in self._spare_first():
-            if pool not in freed and not fresh_lanes:
+        for pool in self._pools_spare_first():
+            if pool not in freed and not changed_subqueues:
                 continue
             if not state.workers.has_room(pool):
                 continue
-            lanes: LanesByOrganisation = fresh_lanes
+            subqueues: SubqueuesByOrganisation = changed_subqueues
             if pool in freed:
-                lanes = state.queues.all_lanes_by_organisation()
-            self._fill_pool(pool, True, lanes, yielding, now, decisions)
+                subqueues = state.queues.all_subqueues_by_organisation()
+            self._allocate_pool(pool, True, subqueues, batch_priority, now, decisions)
 
-    def _held(self, pool: str, now: float) -> bool:
+    def _defers_to_peers(self, pool: str, now: float) -> bool:
         workers = self._state.workers
-        return self._holds.active(
+        return self._deferrals.defers(
             pool,
             now,
             workers.has_room(pool),
             lambda: workers.peer_cores(pool),
         )
 
-    def _fill_pool(
+    def _allocate_pool(
         self,
         pool: str,
-        lent: bool,
-        lanes_by_organisation: LanesByOrganisation,
-        yielding: bool,
+        lending: bool,
+        subqueues_by_organisation: SubqueuesByOrganisation,
+        batch_priority: bool,
         now: float,
         decisions: list[Decision],
     ) -> None:
         state = self._state
         heap = [
-            (state.shares.level(organisation), organisation)
-            for organisation in lanes_by_organisation
+            (state.shares.usage_level(organisation), organisation)
+            for organisation in subqueues_by_organisation
             if state.may_run(organisation)
         ]
         if not heap:
             return
         heapq.heapify(heap)
-        peer_organisations = self._peer_organisations(pool, lent, lanes_by_organisation)
+        peer_organisations = self._peer_organisations(
+            pool, lending, subqueues_by_organisation
+        )
         failed: dict[tuple, TaskRecord] = {}
-        full_for: set[Resources] = set()
+        unplaceable_sizes: set[Resources] = set()
         while heap:
-            level, organisation = heap[0]
-            if not lent and level[0] > FAIR_LEVEL:
+            usage_level, organisation = heap[0]
+            if not lending and usage_level[0] > FAIR_USAGE_LEVEL:
                 # What is left goes to the lowest organisations of any queue.
                 return
-            if peer_organisations and self._left_to_peers(
-                pool, level[0], peer_organisations, now
+            if peer_organisations and self._should_leave_to_peers(
+                pool, usage_level[0], peer_organisations, now
             ):
                 return
-            lanes = lanes_by_organisation.get(organisation)
+            subqueues = subqueues_by_organisation.get(organisation)
             decision = None
-            if lanes:
-                decision = self._start_one(lanes, pool, yielding, now, failed, full_for)
+            if subqueues:
+                decision = self._start_one(
+                    subqueues, pool, batch_priority, now, failed, unplaceable_sizes
+                )
             if decision is None:
                 heapq.heappop(heap)
                 continue
@@ -167,41 +171,44 @@
                 return
             if state.may_run(organisation):
                 heapq.heapreplace(
-                    heap, (state.shares.level(organisation), organisation)
+                    heap, (state.shares.usage_level(organisation), organisation)
                 )
             else:
                 heapq.heappop(heap)
 
     def _start_one(
         self,
-        lanes: Mapping[str, Lane],
+        subqueues: Mapping[str, Subqueue],
         pool: str,
-        yielding: bool,
+        batch_priority: bool,
         now: float,
         failed: dict[tuple, TaskRecord],
-        full_for: set[Resources],
+        unplaceable_sizes: set[Resources],
     ) -> Decision | None:
         """Start the oldest task of an organisation that fits, if there is one."""
         state = self._state
-        for lane in _by_age(lanes):
-            if state.queues.lane_yields(lane, now) != yielding:
+        for subqueue in _by_oldest_task(subqueues):
+            if (
+                state.queues.subqueue_has_batch_priority(subqueue, now)
+                != batch_priority
+            ):
                 continue
-            for size_class, record in lane.heads():
-                key = (lane.organisation, lane.queue, size_class)
+            for size_class, record in subqueue.heads():
+                key = (subqueue.organisation, subqueue.queue, size_class)
                 if key in failed:
                     continue
                 need = state.need(record.task, pool)
-                worker = self._place(record, need, pool, now, full_for)
+                worker = self._place(record, need, pool, now, unplaceable_sizes)
                 if worker is None:
                     failed[key] = record
-                    self._reservations.consider(
-                        lane, size_class, record, need, pool, now
+                    self._reservations.reserve_if_starved(
+                        subqueue, size_class, record, need, pool, now
                     )
                     continue
                 for passed in failed.values():
                     if passed.passed_over_at is None:
                         passed.passed_over_at = now
-                state.queues.take(lane, size_class)
+                state.queues.take(subqueue, size_class)
                 return state.start(record, worker, need, now)
         return None
 
@@ -211,36 +218,39 @@
         need: Resources,
         pool: str,
         now: float,
-        full_for: set[Resources],
+        unplaceable_sizes: set[Resources],
     ) -> Worker | None:
-        """Choose a worker; ``full_for`` keeps sizes that no longer fit."""
+        """Choose a worker; ``unplaceable_sizes`` keeps sizes that no longer fit."""
         task: Task = record.task
         excluded = self._state.excluded(record, now)
-        if need not in full_for:
+        if need not in unplaceable_sizes:
             worker = self._state.workers.place(need, pool, task.queue, excluded)
             if worker is not None:
                 return worker
             if not excluded:
-                full_for.add(need)
+                unplaceable_sizes.add(need)
         return self._reservations.backfill(task, need, pool, excluded, now)
 
     def _peer_organisations(
-        self, pool: str, lent: bool, lanes_by_organisation: LanesByOrganisation
+        self,
+        pool: str,
+        lending: bool,
+        subqueues_by_organisation: SubqueuesByOrganisation,
     ) -> list[str]:
         """Return the organisations that wait for this pool at peers but not here."""
         state = self._state
         organisations = []
         for organisation, queues in state.peer_queues_by_organisation.items():
-            if organisation in lanes_by_organisation:
+            if organisation in subqueues_by_organisation:
                 continue
-            if lent or any(state.queues.home_pool(q) == pool for q in queues):
+            if lending or any(state.queues.home_pool(q) == pool for q in queues):
                 organisations.append(organisation)
         if not organisations:
-            self._holds.satisfied(pool)
+            self._deferrals.cancel(pool)
         return organisations
 
-    def _left_to_peers(
-        self, pool: str, level: float, peer_organisations: list[str], now: float
+    def _should_leave_to_peers(
+        self, pool: str, usage_level: float, peer_organisations: list[str], now: float
     ) -> bool:
         """Tell whether free capacity is left to lower organisations at peers.
 
@@ -250,19 +260,22 @@
         shares = state.shares
         lacking = 0.0
         for organisation in peer_organisations:
-            below = (level - shares.level(organisation)[0]) * LEVEL_STEP
+            below = (
+                usage_level - shares.usage_level(organisation)[0]
+            ) * USAGE_LEVEL_STEP
             fair = shares.fair_share(organisation)
             tolerated = max(
-                HOLD_MARGIN * fair, HOLD_TASKS * shares.task_share(organisation)
+                DEFERRAL_MARGIN * fair,
+                DEFERRAL_MIN_TASKS * shares.mean_task_share(organisation),
             )
-            task_share = shares.task_share(organisation) or UNKNOWN_TASK_SHARE
-            wanted = state.peer_queued_by_organisation[organisation] * task_share
+            mean_task_share = shares.mean_task_share(organisation) or DEFAULT_TASK_SHARE
+            wanted = state.peer_queued_by_organisation[organisation] * mean_task_share
             lacking += min(wanted, max(0.0, below * fair - tolerated))
-        if not lacking or state.workers.free_part(pool) > lacking:
+        if not lacking or state.workers.free_fraction(pool) > lacking:
             return False
-        return self._held(pool, now)
+        return self._defers_to_peers(pool, now)
 
-    def _spare_first(self) -> list[str]:
+    def _pools_spare_first(self) -> list[str]:
         """Return all pools, sorted anew only when the configuration changed."""
         pools = self._state.config.pool_by_id
         if pools is not self._sorted_pools:
@@ -275,14 +288,14 @@
         return settings is not None and settings.spare
 
 
-def _by_age(lanes: Mapping[str, Lane]) -> list[Lane]:
+def _by_oldest_task(subqueues: Mapping[str, Subqueue]) -> list[Subqueue]:
     """Order an organisation's lanes by their oldest task."""
-    if len(lanes) == 1:
-        return list(lanes.values())
+    if len(subqueues) == 1:
+        return list(subqueues.values())
     aged = []
-    for lane in lanes.values():
-        oldest = lane.oldest()
+    for subqueue in subqueues.values():
+        oldest = subqueue.oldest()
         if oldest is not None:
-            aged.append((oldest.sequence, lane))
+            aged.append((oldest.sequence, subqueue))
     aged.sort(key=lambda item: item[0])
-    return [lane for _, lane in aged]
+    return [subqueue for _, subqueue in aged]
--- a/libs/sched/src/lycheeloom/sched/capacity.py
+++ b/libs/sched/src/lycheeloom/sched/capacity.py
@@ -23,9 +23,9 @@
             self.size *= 2
         self.nodes = [CLOSED] * (2 * self.size)
 
-    def set(self, slot: int, free: Resources | None) -> None:
+    def set(self, index: int, free: Resources | None) -> None:
         """Set the free capacity of a slot; None closes it."""
-        node = slot + self.size
+        node = index + self.size
         value = CLOSED if free is None else _as_tuple(free)
         nodes = self.nodes
         if nodes[node] == value:
--- a/libs/sched/src/lycheeloom/sched/events.py
+++ b/libs/sched/src/lycheeloom/sched/events.py
@@ -21,10 +21,10 @@
 
     at: float
     queue: str
-    why: str
+    reason: str
 
     def __str__(self) -> str:
-        return f"Queued on {self.queue}: {self.why}."
+        return f"Queued on {self.queue}: {self.reason}."
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TaskAsked:
+class PreemptionRequested:
     """A running task was asked to checkpoint or to slow down."""
 
     at: float
@@ -85,10 +85,10 @@
     """Why a queued task has not started yet."""
 
     at: float
-    why: str
+    reason: str
 
     def __str__(self) -> str:
-        return f"Waiting: {self.why}."
+        return f"Waiting: {self.reason}."
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +176,7 @@
 TaskEvent = (
     TaskQueued
     | TaskStarted
-    | TaskAsked
+    | PreemptionRequested
     | TaskEnded
     | WorkerReserved
     | TaskWaiting
--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -43,7 +43,7 @@
 
 def _why_waiting(state: SchedulerState, record: TaskRecord) -> str:
     task = record.task
-    if record.state is TaskState.PARKED:
+    if record.state is TaskState.AWAITING_REQUEUE:
         return "a worker refused the task and it is about to be queued again"
     if not state.may_run(task.organisation):
         granted = state.grant_by_organisation.get(task.organisation, 0)
@@ -51,7 +51,7 @@
         "granted here"
     pool = state.queues.home_pool(task.queue)
     need = state.need(task, pool)
-    if not any(need.fits_in(size) for size in state.workers.sizes(pool)):
+    if not any(need.fits_in(size) for size in state.workers.worker_sizes(pool)):
         return f"no worker of pool {pool} is large enough for {describe(need)}"
     queued = state.queues.queued(task.organisation, task.queue)
     share = state.shares.share(task.organisation)
--- a/libs/sched/src/lycheeloom/sched/outages.py
+++ b/libs/sched/src/lycheeloom/sched/outages.py
@@ -7,10 +7,10 @@
 from .workers import Worker
 
 # Workers of a rack that go within this time have gone together.
-TOGETHER_S = 10.0
+RACK_LOSS_WINDOW_S = 10.0
 
 
-class Outages:
+class RackOutages:
     """Follows which workers are unavailable, by rack."""
 
     def __init__(self, state: SchedulerState) -> None:
@@ -35,7 +35,7 @@
         ]
         if len(members) < 2 or any(member not in down for member in members):
             return None
-        if now - min(down[member] for member in members) > TOGETHER_S:
+        if now - min(down[member] for member in members) > RACK_LOSS_WINDOW_S:
             return None
         self._lost_racks.add(worker.rack)
         return RackLost(now, worker.rack, tuple(sorted(members)))
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -6,38 +6,38 @@
 from dataclasses import dataclass, field
 
 # Failures in a row, of different tasks, that put a worker on probation.
-FAILURES_IN_A_ROW = 3
-UNPROVEN_FAILURES = 6
+FAILURES_WITH_EVIDENCE = 3
+FAILURES_WITHOUT_EVIDENCE = 6
 FIRST_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 120.0
 # Trials that must succeed in a row before a worker is used fully again.
-TRIALS_TO_RETURN = 2
+TRIALS_TO_PASS = 2
 # Recent outcomes kept per organisation and queue.
 WINDOW_OUTCOMES = 50
 # An organisation's queue that fails this often on other workers is itself at fault.
-BAD_GROUP_RATE = 0.5
-REMEMBERED_TASKS = 5_000
+FAULTY_GROUP_FAILURE_RATE = 0.5
+MAX_REMEMBERED_TASKS = 5_000
 
-Group = tuple[str, str]
+TaskGroup = tuple[str, str]
 
 
 @dataclass(slots=True)
-class _Record:
+class _WorkerRecord:
     # Group of each task that failed since the last success.
-    failed_tasks: dict[str, Group] = field(default_factory=dict)
+    failed_tasks: dict[str, TaskGroup] = field(default_factory=dict)
     on_probation: bool = False
     backoff_s: float = FIRST_BACKOFF_S
     next_trial_at: float = 0.0
     trial_task: str = ""
-    good_trials: int = 0
+    trials_passed: int = 0
 
 
 class Probation:
     """Keeps outcomes per worker and per organisation and queue."""
 
     def __init__(self) -> None:
-        self._record_by_worker: dict[str, _Record] = {}
-        self._outcomes_by_group: dict[Group, deque[tuple[str, bool]]] = {}
+        self._record_by_worker: dict[str, _WorkerRecord] = {}
+        self._outcomes_by_group: dict[TaskGroup, deque[tuple[str, bool]]] = {}
         self._workers_by_failed_task: OrderedDict[str, set[str]] = OrderedDict()
 
     def on_probation(self, worker: str) -> bool:
@@ -45,16 +45,16 @@
         record = self._record_by_worker.get(worker)
         return record is not None and record.on_probation
 
-    def may_try(self, worker: str, now: float) -> bool:
+    def may_start_trial(self, worker: str, now: float) -> bool:
         """Tell whether a worker on probation may get a trial task now."""
         record = self._record_by_worker[worker]
         return not record.trial_task and now >= record.next_trial_at
 
-    def trial_started(self, worker: str, task_id: str) -> None:
+    def record_trial_start(self, worker: str, task_id: str) -> None:
         """Note the only task that runs on a worker on probation."""
         self._record_by_worker[worker].trial_task = task_id
 
-    def done(self, worker: str, task_id: str, group: Group) -> bool:
+    def record_success(self, worker: str, task_id: str, group: TaskGroup) -> bool:
         """Count a success; tell whether the worker leaves probation."""
         self._outcomes(group).append((worker, True))
         record = self._record_by_worker.get(worker)
@@ -66,18 +66,20 @@
         if record.trial_task != task_id:
             return False
         record.trial_task = ""
-        record.good_trials += 1
-        if record.good_trials < TRIALS_TO_RETURN:
+        record.trials_passed += 1
+        if record.trials_passed < TRIALS_TO_PASS:
             return False
         del self._record_by_worker[worker]
         return True
 
-    def failed(self, worker: str, task_id: str, group: Group, now: float) -> bool:
+    def record_failure(
+        self, worker: str, task_id: str, group: TaskGroup, now: float
+    ) -> bool:
         """Count a failure; tell whether the worker enters probation now."""
         self._outcomes(group).append((worker, False))
-        record = self._record_by_worker.setdefault(worker, _Record())
+        record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if self._task_at_fault(task_id, worker):
-            self.abandoned(worker, task_id)
+            self.discard_trial(worker, task_id)
             return False
         if record.on_probation:
             self._trial_failed(record, task_id, now)
@@ -89,12 +91,12 @@
         record.next_trial_at = now + record.backoff_s
         return True
 
-    def put(self, worker: str, now: float) -> bool:
+    def put_on_probation(self, worker: str, now: float) -> bool:
         """Put a worker on probation for another reason than failed tasks here.
 
         Tells whether that is new; trials may begin at once.
         """
-        record = self._record_by_worker.setdefault(worker, _Record())
+        record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if record.on_probation:
             return False
         record.on_probation = True
@@ -109,7 +111,7 @@
         del self._record_by_worker[worker]
         return True
 
-    def abandoned(self, worker: str, task_id: str) -> None:
+    def discard_trial(self, worker: str, task_id: str) -> None:
         """Forget a trial that ended without saying anything on the worker."""
         record = self._record_by_worker.get(worker)
         if record is not None and record.trial_task == task_id:
@@ -125,8 +127,8 @@
         record.backoff_s = FIRST_BACKOFF_S
         record.next_trial_at = 0.0
 
-    def _trial_failed(self, record: _Record, task_id: str, now: float) -> None:
-        record.good_trials = 0
+    def _trial_failed(self, record: _WorkerRecord, task_id: str, now: float) -> None:
+        record.trials_passed = 0
         if record.trial_task == task_id:
             record.trial_task = ""
             record.backoff_s = min(MAX_BACKOFF_S, record.backoff_s * 2)
@@ -136,7 +138,7 @@
         """Tell whether the task failed elsewhere too; then clear the others."""
         workers = self._workers_by_failed_task.setdefault(task_id, set())
         workers.add(worker)
-        if len(self._workers_by_failed_task) > REMEMBERED_TASKS:
+        if len(self._workers_by_failed_task) > MAX_REMEMBERED_TASKS:
             self._workers_by_failed_task.popitem(last=False)
         others = [w for w in workers if w != worker and not self.on_probation(w)]
         if not others:
@@ -147,23 +149,25 @@
                 record.failed_tasks.pop(task_id, None)
         return True
 
-    def _worker_at_fault(self, worker: str, record: _Record) -> bool:
+    def _worker_at_fault(self, worker: str, record: _WorkerRecord) -> bool:
         """Tell whether the failures in a row speak against the worker.
 
         Failures of groups that fail elsewhere too do not count. If nothing is
         known of the groups on other workers, more failures are needed.
         """
         counted = 0
-        proven = False
+        has_evidence = False
         for group in record.failed_tasks.values():
             rate = self._failure_rate_elsewhere(group, worker)
-            if rate is not None and rate >= BAD_GROUP_RATE:
+            if rate is not None and rate >= FAULTY_GROUP_FAILURE_RATE:
                 continue
             counted += 1
-            proven = proven or rate is not None
-        return counted >= (FAILURES_IN_A_ROW if proven else UNPROVEN_FAILURES)
+            has_evidence = has_evidence or rate is not None
+        return counted >= (
+            FAILURES_WITH_EVIDENCE if has_evidence else FAILURES_WITHOUT_EVIDENCE
+        )
 
-    def _failure_rate_elsewhere(self, group: Group, worker: str) -> float | None:
+    def _failure_rate_elsewhere(self, group: TaskGroup, worker: str) -> float | None:
         elsewhere = [
             good
             for name, good in self._outcomes(group)
@@ -173,5 +177,5 @@
             return None
         return elsewhere.count(False) / len(elsewhere)
 
-    def _outcomes(self, group: Group) -> deque[tuple[str, bool]]:
+    def _outcomes(self, group: TaskGroup) -> deque[tuple[str, bool]]:
         return self._outcomes_by_group.setdefault(group, deque(maxlen=WINDOW_OUTCOMES))
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -7,11 +7,11 @@
 
 from lycheeloom.model.config import FleetConfig, QueueKind
 
-from .lanes import Lane
+from .subqueues import Subqueue
 from .tasks import TaskRecord, TaskState
 
 # A queued batch task older than this is served like an interactive one.
-BATCH_AGE_S = 600.0
+BATCH_PROMOTION_S = 600.0
 
 
 class Queues:
@@ -20,13 +20,13 @@
     def __init__(self) -> None:
         self.urgent: dict[str, TaskRecord] = {}
         # Lanes in which a task may start that could not be tried before.
-        self.fresh_lanes: dict[tuple[str, str], Lane] = {}
+        self.changed_subqueues: dict[tuple[str, str], Subqueue] = {}
         self.count_by_organisation: Counter[str] = Counter()
         self._count_by_queue: Counter[str] = Counter()
-        self._lane_by_key: dict[tuple[str, str], Lane] = {}
+        self._subqueue_by_key: dict[tuple[str, str], Subqueue] = {}
         # Only lanes with queued tasks: pool, then organisation, then queue.
-        self._active: dict[str, dict[str, dict[str, Lane]]] = {}
-        self._active_by_organisation: dict[str, dict[str, Lane]] = {}
+        self._active_by_pool: dict[str, dict[str, dict[str, Subqueue]]] = {}
+        self._active_by_organisation: dict[str, dict[str, Subqueue]] = {}
         self._config = FleetConfig()
         self.has_batch = False
 
@@ -35,11 +35,11 @@
         self._config = config
         kinds = (queue.kind for queue in config.queue_by_id.values())
         self.has_batch = QueueKind.BATCH in kinds
-        self._active = {}
+        self._active_by_pool = {}
         self._active_by_organisation = {}
-        for lane in self._lane_by_key.values():
-            if lane.count:
-                self._activate(lane)
+        for subqueue in self._subqueue_by_key.values():
+            if subqueue.count:
+                self._activate(subqueue)
 
     def has_space(self, organisation: str, queue: str) -> bool:
         """Tell whether the queue takes one more task of the organisation.
@@ -74,16 +74,16 @@
             self.urgent[task.id] = record
             return
         key = (task.organisation, task.queue)
-        lane = self._lane_by_key.get(key)
-        if lane is None:
-            lane = self._lane_by_key[key] = Lane(*key)
+        subqueue = self._subqueue_by_key.get(key)
+        if subqueue is None:
+            subqueue = self._subqueue_by_key[key] = Subqueue(*key)
         if first:
-            lane.append_first(record)
-            self.fresh_lanes[key] = lane
-        elif lane.append(record):
-            self.fresh_lanes[key] = lane
-        if lane.count == 1:
-            self._activate(lane)
+            subqueue.prepend(record)
+            self.changed_subqueues[key] = subqueue
+        elif subqueue.append(record):
+            self.changed_subqueues[key] = subqueue
+        if subqueue.count == 1:
+            self._activate(subqueue)
 
     def discard(self, record: TaskRecord) -> None:
         """Take out a queued task in constant time."""
@@ -91,22 +91,22 @@
         if self.urgent.pop(record.task.id, None) is not None:
             record.state = TaskState.ENDED
             return
-        lane = self._lane_by_key[record.task.organisation, record.task.queue]
-        lane.remove(record)
-        if not lane.count:
-            self._deactivate(lane)
+        subqueue = self._subqueue_by_key[record.task.organisation, record.task.queue]
+        subqueue.remove(record)
+        if not subqueue.count:
+            self._deactivate(subqueue)
 
     def take_urgent(self, record: TaskRecord) -> None:
         """Take out an urgent task that starts."""
         self._uncount(record)
         del self.urgent[record.task.id]
 
-    def take(self, lane: Lane, key: tuple[int, int, int]) -> TaskRecord:
+    def take(self, subqueue: Subqueue, key: tuple[int, int, int]) -> TaskRecord:
         """Take out the oldest task of a size class, which starts."""
-        record = lane.take(key)
+        record = subqueue.take(key)
         self._uncount(record)
-        if not lane.count:
-            self._deactivate(lane)
+        if not subqueue.count:
+            self._deactivate(subqueue)
         return record
 
     def take_record(self, record: TaskRecord) -> None:
@@ -116,21 +116,21 @@
             return
         self.discard(record)
 
-    def mark_organisation_fresh(self, organisation: str) -> None:
+    def mark_organisation_changed(self, organisation: str) -> None:
         """Try all lanes of an organisation again, as it may run more than before."""
-        for lane in self._active_by_organisation.get(organisation, {}).values():
-            self.fresh_lanes[organisation, lane.queue] = lane
+        for subqueue in self._active_by_organisation.get(organisation, {}).values():
+            self.changed_subqueues[organisation, subqueue.queue] = subqueue
 
-    def active_lanes(self) -> Iterator[Lane]:
+    def active_subqueues(self) -> Iterator[Subqueue]:
         """Return all lanes with queued tasks."""
-        for lanes in self._active_by_organisation.values():
-            yield from lanes.values()
+        for subqueues in self._active_by_organisation.values():
+            yield from subqueues.values()
 
-    def lanes_by_organisation(self, pool: str) -> dict[str, dict[str, Lane]]:
+    def subqueues_by_organisation(self, pool: str) -> dict[str, dict[str, Subqueue]]:
         """Return the non-empty lanes whose queue is served by the pool."""
-        return self._active.get(pool, {})
+        return self._active_by_pool.get(pool, {})
 
-    def all_lanes_by_organisation(self) -> dict[str, dict[str, Lane]]:
+    def all_subqueues_by_organisation(self) -> dict[str, dict[str, Subqueue]]:
         """Return all non-empty lanes."""
         return self._active_by_organisation
 
@@ -144,44 +144,48 @@
         settings = self._config.queue_by_id.get(queue)
         return settings is not None and settings.kind is QueueKind.BATCH
 
-    def yields(self, record: TaskRecord, now: float) -> bool:
+    def has_batch_priority(self, record: TaskRecord, now: float) -> bool:
         """Tell whether a task is batch work that is not old yet."""
         if not self.is_batch(record.task.queue):
             return False
-        return now - record.queued_at < BATCH_AGE_S
+        return now - record.queued_at < BATCH_PROMOTION_S
 
-    def lane_yields(self, lane: Lane, now: float) -> bool:
+    def subqueue_has_batch_priority(self, subqueue: Subqueue, now: float) -> bool:
         """Tell whether a lane only uses capacity that others leave."""
-        if not self.is_batch(lane.queue):
+        if not self.is_batch(subqueue.queue):
             return False
-        oldest = lane.oldest()
-        return oldest is not None and self.yields(oldest, now)
+        oldest = subqueue.oldest()
+        return oldest is not None and self.has_batch_priority(oldest, now)
 
     def queued(self, organisation: str, queue: str) -> int:
         """Return the number of queued tasks of an organisation on a queue."""
-        lane = self._lane_by_key.get((organisation, queue))
-        return lane.count if lane is not None else 0
+        subqueue = self._subqueue_by_key.get((organisation, queue))
+        return subqueue.count if subqueue is not None else 0
 
     def _uncount(self, record: TaskRecord) -> None:
         self.count_by_organisation[record.task.organisation] -= 1
         self._count_by_queue[record.task.queue] -= 1
 
-    def _activate(self, lane: Lane) -> None:
-        organisations = self._active.setdefault(self.home_pool(lane.queue), {})
-        organisations.setdefault(lane.organisation, {})[lane.queue] = lane
-        self._active_by_organisation.setdefault(lane.organisation, {})[lane.queue] = (
-            lane
+    def _activate(self, subqueue: Subqueue) -> None:
+        organisations = self._active_by_pool.setdefault(
+            self.home_pool(subqueue.queue), {}
         )
-
-    def _deactivate(self, lane: Lane) -> None:
-        self.fresh_lanes.pop((lane.organisation, lane.queue), None)
-        pool = self.home_pool(lane.queue)
-        _remove(self._active.get(pool, {}), lane)
-        _remove(self._active_by_organisation, lane)
-
-
-def _remove(lanes_by_organisation: dict[str, dict[str, Lane]], lane: Lane) -> None:
-    lanes = lanes_by_organisation.get(lane.organisation, {})
-    lanes.pop(lane.queue, None)
-    if not lanes:
-        lanes_by_organisation.pop(lane.organisation, None)
+        organisations.setdefault(subqueue.organisation, {})[subqueue.queue] = subqueue
+        self._active_by_organisation.setdefault(subqueue.organisation, {})[
+            subqueue.queue
+        ] = subqueue
+
+    def _deactivate(self, subqueue: Subqueue) -> None:
+        self.changed_subqueues.pop((subqueue.organisation, subqueue.queue), None)
+        pool = self.home_pool(subqueue.queue)
+        _remove(self._active_by_pool.get(pool, {}), subqueue)
+        _remove(self._active_by_organisation, subqueue)
+
+
+def _remove(
+    subqueues_by_organisation: dict[str, dict[str, Subqueue]], subqueue: Subqueue
+) -> None:
+    subqueues = subqueues_by_organisation.get(subqueue.organisation, {})
+    subqueues.pop(subqueue.queue, None)
+    if not subqueues:
+        subqueues_by_organisation.pop(subqueue.organisation, None)
--- a/libs/sched/src/lycheeloom/sched/reclaim.py
+++ b/libs/sched/src/lycheeloom/sched/reclaim.py
@@ -4,19 +4,19 @@
 
 from .queues import Queues
 from .state import SchedulerState
-from .tasks import CheckpointReason, Decision, TaskRecord, TaskState
+from .tasks import Decision, PreemptionReason, TaskRecord, TaskState
 
 # Short tasks are left to end by themselves within this time.
 GRACE_S = 1.0
-SCAN_INTERVAL_S = 0.5
+RECLAIM_INTERVAL_S = 0.5
 
 
-class Reclaim:
+class Reclaimer:
     """Asks running tasks to make room for those that have a better claim."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
-        self._next_scan_at = 0.0
+        self._next_reclaim_at = 0.0
 
     def evacuate(self, zones: set[str], now: float) -> list[Decision]:
         """Checkpoint what can be checkpointed in zones taken out of service."""
@@ -26,22 +26,24 @@
                 continue
             for record in worker.running.values():
                 if record.task.checkpointable and not record.checkpointing:
-                    reason = CheckpointReason.ZONE_OUT
-                    decisions.append(self._state.ask_checkpoint(record, reason, now))
+                    reason = PreemptionReason.ZONE_OUT
+                    decisions.append(
+                        self._state.request_checkpoint(record, reason, now)
+                    )
         return decisions
 
-    def scan(self, now: float) -> list[Decision]:
+    def reclaim(self, now: float) -> list[Decision]:
         """Ask for as much room as interactive tasks have waited for."""
-        if now < self._next_scan_at:
+        if now < self._next_reclaim_at:
             return []
-        self._next_scan_at = now + SCAN_INTERVAL_S
+        self._next_reclaim_at = now + RECLAIM_INTERVAL_S
         decisions: list[Decision] = []
         for pool in self._state.config.pool_by_id:
-            if not self._state.lent_by_pool[pool]:
+            if not self._state.reclaimable_count_by_pool[pool]:
                 continue
             waiting = self._waiting(pool, now)
             if waiting:
-                decisions.extend(self._take_back(pool, waiting, now))
+                decisions.extend(self._reclaim_for(pool, waiting, now))
         return decisions
 
     def _waiting(self, pool: str, now: float) -> list[TaskRecord]:
@@ -49,52 +51,52 @@
         state = self._state
         queues: Queues = state.queues
         waiting = []
-        for organisation, lanes in queues.lanes_by_organisation(pool).items():
+        for organisation, subqueues in queues.subqueues_by_organisation(pool).items():
             if not state.may_run(organisation):
                 continue
-            for lane in lanes.values():
-                if queues.lane_yields(lane, now):
+            for subqueue in subqueues.values():
+                if queues.subqueue_has_batch_priority(subqueue, now):
                     continue
-                record = lane.oldest()
+                record = subqueue.oldest()
                 if record is not None and now - record.queued_at > GRACE_S:
                     waiting.append(record)
         return waiting
 
-    def _take_back(
+    def _reclaim_for(
         self, pool: str, waiting: list[TaskRecord], now: float
     ) -> list[Decision]:
         candidates = self._candidates(pool, now)
         decisions: list[Decision] = []
         if not candidates:
             return decisions
-        level = self._state.shares.level
-        waiting.sort(key=lambda record: level(record.task.organisation))
+        usage_level = self._state.shares.usage_level
+        waiting.sort(key=lambda record: usage_level(record.task.organisation))
         # The organisations furthest above their share give way first.
         candidates.sort(
-            key=lambda item: (level(item[0].task.organisation), item[0].sequence)
+            key=lambda item: (usage_level(item[0].task.organisation), item[0].sequence)
         )
         for record in waiting:
             if not candidates:
                 break
             victim, reason = candidates[-1]
-            same_kind = reason is CheckpointReason.LOAN_RETURN
-            if same_kind and level(record.task.organisation) >= level(
+            same_kind = reason is PreemptionReason.LOAN_RETURN
+            if same_kind and usage_level(record.task.organisation) >= usage_level(
                 victim.task.organisation
             ):
                 break
             candidates.pop()
-            decisions.append(self._ask(victim, reason, now))
+            decisions.append(self._preempt(victim, reason, now))
         return decisions
 
     def _candidates(
         self, pool: str, now: float
-    ) -> list[tuple[TaskRecord, CheckpointReason]]:
+    ) -> list[tuple[TaskRecord, PreemptionReason]]:
         """Return borrowers and batch tasks on the pool that will run longer."""
         state = self._state
         settings = state.config.pool_by_id[pool]
         found = []
         pending = 0
-        for worker in state.workers.in_pool(pool):
+        for worker in state.workers.workers_in_pool(pool):
             for record in worker.running.values():
                 if record.checkpointing:
                     pending += 1
@@ -105,10 +107,10 @@
                     record, now
                 ):
                     continue
-                if state.queues.yields(record, now):
-                    found.append((record, CheckpointReason.BATCH_YIELD))
+                if state.queues.has_batch_priority(record, now):
+                    found.append((record, PreemptionReason.BATCH_YIELD))
                 elif not settings.spare and self._is_borrower(record, pool):
-                    found.append((record, CheckpointReason.LOAN_RETURN))
+                    found.append((record, PreemptionReason.LOAN_RETURN))
         usable = [f for f in found if f[0].task.checkpointable or not f[0].throttled]
         return usable if not pending else []
 
@@ -119,9 +121,9 @@
         """Tell whether a task has run far longer than was expected."""
         return now > record.expected_end + GRACE_S
 
-    def _ask(
-        self, victim: TaskRecord, reason: CheckpointReason, now: float
+    def _preempt(
+        self, victim: TaskRecord, reason: PreemptionReason, now: float
     ) -> Decision:
         if victim.task.checkpointable:
-            return self._state.ask_checkpoint(victim, reason, now)
-        return self._state.ask_throttle(victim, reason, now)
+            return self._state.request_checkpoint(victim, reason, now)
+        return self._state.request_throttle(victim, reason, now)
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -13,8 +13,8 @@
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 from .events import WorkerReserved
-from .lanes import Lane, SizeClass
-from .state import SchedulerState, note
+from .state import SchedulerState, append_event
+from .subqueues import SizeClass, Subqueue
 from .tasks import Decision, Task, TaskRecord, TaskState
 from .workers import Worker
 
@@ -22,14 +22,14 @@
 # this part of the time that the worker will take to make room, and at the latest
 # after ``RESERVE_AFTER_S``. So small tasks, for which little is kept idle, get
 # one early.
-RESERVE_WAIT_PART = 0.25
+RESERVE_WAIT_FRACTION = 0.25
 RESERVE_AFTER_S = 2.0
 # The reserved room is at most this part of a pool, and at least one worker.
-MAX_RESERVED_PART = 0.1
+MAX_RESERVED_FRACTION = 0.1
 # The time after which tasks of other entries on a worker are assumed to end.
-UNKNOWN_END_S = 10.0
+ASSUMED_PEER_TASK_S = 10.0
 # The search looks at every worker of a pool; this bounds its cost.
-TRY_INTERVAL_S = 0.0005
+SEARCH_INTERVAL_PER_WORKER_S = 0.0005
 PUBLISH_AFTER_S = 1.0
 # Reservations whose task is gone are dropped within this time.
 CHECK_INTERVAL_S = 0.5
@@ -37,15 +37,15 @@
 
 @dataclass(slots=True, eq=False)
 class Reservation:
-    """A worker kept until about ``at`` for an urgent task or a lane's class."""
+    """A worker kept until about ``expected_at`` for an urgent task or a lane's class."""
 
     worker: Worker
     pool: str
-    part: float
-    since: float
-    at: float
+    fraction: float
+    created_at: float
+    expected_at: float
     urgent_task: str = ""
-    lane: Lane | None = None
+    subqueue: Subqueue | None = None
     size_class: SizeClass = (0, 0, 0)
 
 
@@ -59,9 +59,9 @@
         self._worker_by_urgent_task: dict[str, str] = {}
         self._now = 0.0
         self._next_check_at = 0.0
-        self._next_try_by_pool: dict[str, float] = {}
+        self._next_search_at_by_pool: dict[str, float] = {}
 
-    def has(self, urgent_task: str) -> bool:
+    def has_urgent(self, urgent_task: str) -> bool:
         """Tell whether a worker is kept for an urgent task."""
         return urgent_task in self._worker_by_urgent_task
 
@@ -75,20 +75,20 @@
         return tuple(
             name
             for name, reservation in self._by_worker.items()
-            if reservation.urgent_task or now - reservation.since > PUBLISH_AFTER_S
+            if reservation.urgent_task or now - reservation.created_at > PUBLISH_AFTER_S
         )
 
     def reserve_urgent(
-        self, record: TaskRecord, worker: Worker, at: float, now: float
+        self, record: TaskRecord, worker: Worker, expected_at: float, now: float
     ) -> None:
         """Keep a worker for an urgent task."""
         task_id = record.task.id
         self._worker_by_urgent_task[task_id] = worker.id
         reservation = Reservation(
-            worker, worker.pool, 0.0, now, at, urgent_task=task_id
+            worker, worker.pool, 0.0, now, expected_at, urgent_task=task_id
         )
         self._add(reservation, now)
-        note(record, WorkerReserved(now, worker.id, at))
+        append_event(record, WorkerReserved(now, worker.id, expected_at))
 
     def release_urgent(self, task_id: str, now: float) -> None:
         """Stop keeping a worker for an urgent task."""
@@ -99,14 +99,14 @@
     def start_ready(self, now: float) -> list[Decision]:
         """Start tasks whose reserved worker has room; drop what is not needed."""
         self._now = now
-        touched = self._state.workers.touched_reserved
+        changed = self._state.workers.changed_reserved
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_S
-            touched.update(self._by_worker)
-        if not touched and not self._worker_by_urgent_task:
+            changed.update(self._by_worker)
+        if not changed and not self._worker_by_urgent_task:
             return []
-        self._state.workers.touched_reserved = set()
-        worker_ids = touched | set(self._worker_by_urgent_task.values())
+        self._state.workers.changed_reserved = set()
+        worker_ids = changed | set(self._worker_by_urgent_task.values())
         decisions: list[Decision] = []
         for worker_id in sorted(worker_ids):
             reservation = self._by_worker.get(worker_id)
@@ -129,20 +129,20 @@
         reservations = self._by_pool.get(pool)
         if not reservations:
             return None
-        end = now + self._state.sizes.run_s(task)
+        end = now + self._state.sizes.corrected_run_s(task)
         for reservation in reservations.values():
             worker = reservation.worker
-            if end > reservation.at or reservation.urgent_task:
+            if end > reservation.expected_at or reservation.urgent_task:
                 continue
-            if worker.id in excluded or not self._state.workers.accepts(worker):
+            if worker.id in excluded or not self._state.workers.accepts_starts(worker):
                 continue
             if not worker.on_probation and need.fits_in(worker.free):
                 return worker
         return None
 
-    def consider(
+    def reserve_if_starved(
         self,
-        lane: Lane,
+        subqueue: Subqueue,
         size_class: SizeClass,
         record: TaskRecord,
         need: Resources,
@@ -150,39 +150,47 @@
         now: float,
     ) -> None:
         """Reserve a worker for a lane whose oldest task was passed too long."""
-        passed_at = record.passed_over_at
-        if passed_at is None or now <= passed_at:
+        passed_over_at = record.passed_over_at
+        if passed_over_at is None or now <= passed_over_at:
             return
-        if now < self._next_try_by_pool.get(pool, now):
+        if now < self._next_search_at_by_pool.get(pool, now):
             return
-        workers = list(self._state.workers.in_pool(pool))
-        self._next_try_by_pool[pool] = now + TRY_INTERVAL_S * len(workers)
+        workers = list(self._state.workers.workers_in_pool(pool))
+        self._next_search_at_by_pool[pool] = now + SEARCH_INTERVAL_PER_WORKER_S * len(
+            workers
+        )
         best: tuple[float, str] | None = None
         for worker in self._candidates(workers, need):
-            at = expected_room_at(worker, need, now)
-            if best is None or (at, worker.id) < best:
-                best = (at, worker.id)
+            expected_at = expected_room_at(worker, need, now)
+            if best is None or (expected_at, worker.id) < best:
+                best = (expected_at, worker.id)
         if best is None:
             return
-        wait_s = min(RESERVE_AFTER_S, RESERVE_WAIT_PART * (best[0] - now))
-        if now - passed_at < wait_s:
+        wait_s = min(RESERVE_AFTER_S, RESERVE_WAIT_FRACTION * (best[0] - now))
+        if now - passed_over_at < wait_s:
             return
         worker = self._state.workers.worker_by_id[best[1]]
-        part = need.dominant_share(worker.size)
-        reserved = sum(r.part for r in self._by_pool.get(pool, {}).values())
-        if reserved + part > max(1.0, len(workers) * MAX_RESERVED_PART):
+        fraction = need.dominant_share(worker.size)
+        reserved = sum(r.fraction for r in self._by_pool.get(pool, {}).values())
+        if reserved + fraction > max(1.0, len(workers) * MAX_RESERVED_FRACTION):
             return
         reservation = Reservation(
-            worker, pool, part, now, best[0], lane=lane, size_class=size_class
+            worker,
+            pool,
+            fraction,
+            now,
+            best[0],
+            subqueue=subqueue,
+            size_class=size_class,
         )
         self._add(reservation, now)
-        note(record, WorkerReserved(now, worker.id, best[0]))
+        append_event(record, WorkerReserved(now, worker.id, best[0]))
 
     def _start_on(self, reservation: Reservation, now: float) -> Decision | None:
         state = self._state
         worker = reservation.worker
-        record = self._wanted(reservation)
-        if record is None or not state.workers.usable_for_reserved(worker):
+        record = self._next_task(reservation)
+        if record is None or not state.workers.accepts_normal_work(worker):
             self._release(reservation, now)
             return None
         need = state.need(record.task, worker.pool)
@@ -194,16 +202,16 @@
         self._release(reservation, now)
         if not state.may_run(record.task.organisation):
             return None
-        if reservation.lane is None:
+        if reservation.subqueue is None:
             state.queues.take_urgent(record)
         else:
-            state.queues.take(reservation.lane, reservation.size_class)
+            state.queues.take(reservation.subqueue, reservation.size_class)
         return state.start(record, worker, need, now)
 
-    def _wanted(self, reservation: Reservation) -> TaskRecord | None:
+    def _next_task(self, reservation: Reservation) -> TaskRecord | None:
         """Return the task that the reserved worker would start now."""
-        if reservation.lane is not None:
-            return reservation.lane.head(reservation.size_class)
+        if reservation.subqueue is not None:
+            return reservation.subqueue.head(reservation.size_class)
         record = self._state.record_by_id.get(reservation.urgent_task)
         if record is None or record.state is not TaskState.QUEUED:
             return None
@@ -225,11 +233,11 @@
         self._state.workers.refresh(worker, now)
 
     def _candidates(self, workers: Iterable[Worker], need: Resources) -> list[Worker]:
-        accepts = self._state.workers.accepts
+        accepts_starts = self._state.workers.accepts_starts
         return [
             worker
             for worker in workers
-            if accepts(worker)
+            if accepts_starts(worker)
             and not worker.on_probation
             and not worker.reserved
             and not worker.reserved_by_peer
@@ -251,4 +259,4 @@
         freed = freed + size
         if need.fits_in(free + freed):
             return end
-    return now + UNKNOWN_END_S
+    return now + ASSUMED_PEER_TASK_S
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -11,6 +11,7 @@
 from lycheeloom.model.verdict import Refusal, RefusalReason
 
 from .admission import Admission
+from .allocator import FairShareAllocator
 from .events import (
     FleetEvent,
     OrganisationEvent,
@@ -20,12 +21,11 @@
     ZoneChanged,
 )
 from .explain import explain_organisation, explain_task
-from .filler import Filler
-from .lanes import Lane
-from .outages import Outages
-from .reclaim import Reclaim
+from .outages import RackOutages
+from .reclaim import Reclaimer
 from .reservations import Reservations
 from .state import SchedulerState
+from .subqueues import Subqueue
 from .tasks import (
     Accepted,
     Decision,
@@ -39,12 +39,12 @@
     UsageReport,
 )
 from .trials import Trials
-from .urgent import Urgent
+from .urgent import UrgentPlacement
 from .workers import WorkerTable
 
 # Even the first in line waits for a slot to come free. Peers hear only of lanes
 # that have waited longer, so that they do not keep capacity idle for others.
-SLOT_WAIT_S = 0.25
+REPORT_TO_PEERS_AFTER_S = 0.25
 
 
 class Scheduler:
@@ -68,13 +68,13 @@
         self._state = state
         self._admission = Admission(state)
         self._reservations = Reservations(state)
-        self._filler = Filler(state, self._reservations)
-        self._urgent = Urgent(state, self._reservations)
-        self._reclaim = Reclaim(state)
+        self._allocator = FairShareAllocator(state, self._reservations)
+        self._urgent = UrgentPlacement(state, self._reservations)
+        self._reclaimer = Reclaimer(state)
         self._trials = Trials(state)
-        self._outages = Outages(state)
+        self._outages = RackOutages(state)
         self._deadlines: list[tuple[float, str]] = []
-        self._pending: list[Decision] = []
+        self._pending_decisions: list[Decision] = []
         self._now = 0.0
         self.set_config(config, 0.0)
 
@@ -92,9 +92,11 @@
         for zone in sorted(gone | back):
             state.fleet_events.append(ZoneChanged(now, zone, zone in gone))
         if gone:
-            self._pending.extend(self._reclaim.evacuate(gone, now))
-        for lane in state.queues.active_lanes():
-            state.queues.fresh_lanes[lane.organisation, lane.queue] = lane
+            self._pending_decisions.extend(self._reclaimer.evacuate(gone, now))
+        for subqueue in state.queues.active_subqueues():
+            state.queues.changed_subqueues[subqueue.organisation, subqueue.queue] = (
+                subqueue
+            )
 
     def set_pool_by_instance(self, mapping: Mapping[str, str]) -> None:
         """Take over the actual pool of each worker, known from replay."""
@@ -130,11 +132,11 @@
         if worker is None:
             return
         probation = self._state.probation
-        if on_probation and probation.put(worker_id, now):
-            self._trials.enter(worker, now)
+        if on_probation and probation.put_on_probation(worker_id, now):
+            self._trials.begin_probation(worker, now)
             self._state.fleet_events.append(WorkerOnProbation(now, worker_id))
         elif not on_probation and probation.end(worker_id):
-            self._trials.leave(worker, now)
+            self._trials.end_probation(worker, now)
             self._state.fleet_events.append(WorkerReturned(now, worker_id))
 
     def set_grants(self, slots_by_organisation: Mapping[str, int]) -> None:
@@ -144,7 +146,7 @@
         state.grant_by_organisation = dict(slots_by_organisation)
         for organisation, slots in slots_by_organisation.items():
             if slots > before.get(organisation, 0):
-                state.queues.mark_organisation_fresh(organisation)
+                state.queues.mark_organisation_changed(organisation)
 
     def set_peer_usage(
         self,
@@ -174,7 +176,7 @@
         for report in reports:
             record = self._state.record_by_id.get(report.task_id)
             if record is not None and record.state is TaskState.RUNNING:
-                self._grow(record, report.peak, now)
+                self._grow_reservation(record, report.peak, now)
             self._state.sizes.observe(report)
 
     # Tasks.
@@ -187,7 +189,7 @@
         verdict = self._admission.check(task, now)
         match verdict:
             case Refusal(reason, message):
-                self._state.refused(task, reason.value, message, now)
+                self._state.record_refusal(task, reason.value, message, now)
                 return verdict
             case Held(message):
                 self._state.enqueue(task, now, f"held, {message}")
@@ -219,15 +221,15 @@
         """Return all decisions that can be made at this time."""
         self._now = now
         state = self._state
-        state.workers.tick(now)
-        decisions: list[Decision] = self._pending
-        self._pending = []
+        state.workers.advance_ramps(now)
+        decisions: list[Decision] = self._pending_decisions
+        self._pending_decisions = []
         decisions.extend(self._expire(now))
         decisions.extend(self._reservations.start_ready(now))
         decisions.extend(self._urgent.place(now))
         decisions.extend(self._trials.start(now))
-        decisions.extend(self._filler.fill(now))
-        decisions.extend(self._reclaim.scan(now))
+        decisions.extend(self._allocator.allocate(now))
+        decisions.extend(self._reclaimer.reclaim(now))
         return decisions
 
     def finished(self, task_id: str, outcome: Outcome, now: float) -> None:
@@ -242,12 +244,12 @@
         if record is None or record.state is not TaskState.RUNNING:
             return
         state.release(record, now)
-        self._judge_worker(record, outcome, now)
+        self._update_probation(record, outcome, now)
         if outcome is Outcome.REFUSED_BY_WORKER:
-            record.state = TaskState.PARKED
+            record.state = TaskState.AWAITING_REQUEUE
             return
         if outcome is Outcome.STOPPED and record.checkpointing:
-            state.enqueue_again(record, now, "checkpointed", frozenset())
+            state.requeue(record, now, "checkpointed", frozenset())
             return
         state.forget(record, outcome.value, now)
 
@@ -259,10 +261,10 @@
             return
         if record.state is TaskState.RUNNING:
             self.finished(task_id, Outcome.REFUSED_BY_WORKER, self._now)
-        if record.state is not TaskState.PARKED:
+        if record.state is not TaskState.AWAITING_REQUEUE:
             return
-        why = f"refused by worker {excluded_worker}"
-        state.enqueue_again(record, self._now, why, frozenset({excluded_worker}))
+        reason = f"refused by worker {excluded_worker}"
+        state.requeue(record, self._now, reason, frozenset({excluded_worker}))
         if record.task.deadline is not None:
             heapq.heappush(self._deadlines, (record.task.deadline, task_id))
 
@@ -294,11 +296,13 @@
         for organisation in self.demand_by_organisation():
             queued_by_queue = {}
             if state.may_run(organisation):
-                lanes = state.queues.all_lanes_by_organisation().get(organisation, {})
+                subqueues = state.queues.all_subqueues_by_organisation().get(
+                    organisation, {}
+                )
                 queued_by_queue = {
-                    queue: lane.count
-                    for queue, lane in lanes.items()
-                    if self._has_waited(lane)
+                    queue: subqueue.count
+                    for queue, subqueue in subqueues.items()
+                    if self._has_waited(subqueue)
                 }
             usage[organisation] = OrganisationUsage(
                 state.shares.running_resources(organisation),
@@ -309,7 +313,7 @@
 
     def reserved_workers(self) -> tuple[str, ...]:
         """Return the workers that peers should leave free for this entry."""
-        return self._reservations.worker_ids()
+        return self._reservations.published_worker_ids()
 
     def explain(self, task_id: str) -> tuple[TaskEvent, ...]:
         """Return what happened to a task and why it waits, oldest first."""
@@ -338,7 +342,7 @@
                 self._state.queues.discard(record)
             message = "the task could not start before its deadline"
             refusal = Refusal(RefusalReason.DEADLINE, message)
-            self._state.refused(record.task, refusal.reason.value, message, now)
+            self._state.record_refusal(record.task, refusal.reason.value, message, now)
             self._state.forget(record, "deadline passed before it ran", now)
             decisions.append(Expire(record.task, refusal))
         return decisions
@@ -355,13 +359,18 @@
             if record.state is TaskState.QUEUED:
                 state.queues.discard(record)
             state.forget(record, "no longer allowed", now)
-            self._pending.append(Expire(record.task, refusal))
+            self._pending_decisions.append(Expire(record.task, refusal))
 
-    def _has_waited(self, lane: Lane) -> bool:
-        oldest = lane.oldest()
-        return oldest is not None and self._now - oldest.queued_at > SLOT_WAIT_S
+    def _has_waited(self, subqueue: Subqueue) -> bool:
+        oldest = subqueue.oldest()
+        return (
+            oldest is not None
+            and self._now - oldest.queued_at > REPORT_TO_PEERS_AFTER_S
+        )
 
-    def _grow(self, record: TaskRecord, peak: Resources, now: float) -> None:
+    def _grow_reservation(
+        self, record: TaskRecord, peak: Resources, now: float
+    ) -> None:
         need = record.need
         extra = Resources(
             max(0.0, peak.cores - need.cores),
@@ -376,7 +385,9 @@
         record.need = need + extra
         self._state.shares.resized(record.task.organisation, extra, now)
 
-    def _judge_worker(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
+    def _update_probation(
+        self, record: TaskRecord, outcome: Outcome, now: float
+    ) -> None:
         state = self._state
         worker = state.workers.worker_by_id.get(record.worker)
         if worker is None:
@@ -385,18 +396,18 @@
         group = (task.organisation, task.queue)
         match outcome:
             case Outcome.DONE:
-                if state.probation.done(worker.id, task.id, group):
-                    self._trials.leave(worker, now)
+                if state.probation.record_success(worker.id, task.id, group):
+                    self._trials.end_probation(worker, now)
                     state.fleet_events.append(WorkerReturned(now, worker.id))
             case Outcome.FAILED:
                 if self._outages.rack_is_lost(worker.rack):
                     return
-                if state.probation.failed(worker.id, task.id, group, now):
-                    self._trials.enter(worker, now)
+                if state.probation.record_failure(worker.id, task.id, group, now):
+                    self._trials.begin_probation(worker, now)
                     state.fleet_events.append(WorkerOnProbation(now, worker.id))
             case Outcome.STOPPED:
-                state.probation.abandoned(worker.id, task.id)
+                state.probation.discard_trial(worker.id, task.id)
             case Outcome.REFUSED_BY_WORKER:
-                state.probation.abandoned(worker.id, task.id)
+                state.probation.discard_trial(worker.id, task.id)
                 # Nothing more is sent there until the worker reports its room.
                 state.workers.observe(worker, worker.available, Resources(), now)
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -11,16 +11,16 @@
 
 from .tasks import OrganisationUsage
 
-MEMORY_HALF_LIFE_S = 60.0
+PAST_SHARE_HALF_LIFE_S = 60.0
 # Levels are compared in steps of this fraction of an organisation's fair share; within
 # a step the decaying memory of past use decides.
-LEVEL_STEP = 0.002
+USAGE_LEVEL_STEP = 0.002
 # Weight of the newest task in the moving mean of task sizes.
-TASK_MEAN_WEIGHT = 0.05
+NEWEST_TASK_WEIGHT = 0.05
 # Weight of callers of an open queue that belong to no configured organisation.
-OPEN_WEIGHT = 1.0
+UNCONFIGURED_WEIGHT = 1.0
 
-Level = tuple[float, float]
+UsageLevel = tuple[float, float]
 
 
 @dataclass(slots=True)
@@ -31,14 +31,14 @@
     accelerators: float = 0.0
     running: int = 0
     # Resources run by peers at the last exchange.
-    peers: Resources = NO_RESOURCES
+    peer_running: Resources = NO_RESOURCES
     # Moving means of the dominant share of a task and of its square.
-    task_share: float = 0.0
-    task_square: float = 0.0
-    past_use: float = 0.0
-    past_use_at: float = 0.0
+    mean_task_share: float = 0.0
+    mean_square_task_share: float = 0.0
+    past_share: float = 0.0
+    past_share_at: float = 0.0
     share: float = 0.0
-    level: Level = (0.0, 0.0)
+    usage_level: UsageLevel = (0.0, 0.0)
 
 
 class OrganisationShares:
@@ -72,9 +72,9 @@
         for state in self._state_by_organisation.values():
             self._update(state, now)
 
-    def level(self, organisation: str) -> Level:
+    def usage_level(self, organisation: str) -> UsageLevel:
         """Return the sort key of an organisation; the lowest is served next."""
-        return self._state(organisation).level
+        return self._state(organisation).usage_level
 
     def share(self, organisation: str) -> float:
         """Return the organisation's estimated dominant share of the whole fleet."""
@@ -84,9 +84,9 @@
         """Return the share due to the organisation when all have enough work."""
         return self._state(organisation).weight / self._weight_sum
 
-    def task_share(self, organisation: str) -> float:
+    def mean_task_share(self, organisation: str) -> float:
         """Return the usual dominant share of one task of the organisation."""
-        return self._state(organisation).task_share
+        return self._state(organisation).mean_task_share
 
     def organisations(self) -> list[str]:
         """Return every organisation seen so far."""
@@ -106,9 +106,11 @@
         state = self._state(organisation)
         state.running += 1
         share = need.dominant_share(self._total)
-        weight = TASK_MEAN_WEIGHT if state.task_share else 1.0
-        state.task_share += weight * (share - state.task_share)
-        state.task_square += weight * (share * share - state.task_square)
+        weight = NEWEST_TASK_WEIGHT if state.mean_task_share else 1.0
+        state.mean_task_share += weight * (share - state.mean_task_share)
+        state.mean_square_task_share += weight * (
+            share * share - state.mean_square_task_share
+        )
         self._add(state, need, 1, now)
 
     def ended(self, organisation: str, need: Resources, now: float) -> None:
@@ -126,11 +128,11 @@
     ) -> None:
         """Replace what is known of all peers."""
         for state in self._state_by_organisation.values():
-            state.peers = NO_RESOURCES
+            state.peer_running = NO_RESOURCES
         for usage_by_organisation in usage_by_peer.values():
             for organisation, usage in usage_by_organisation.items():
                 state = self._state(organisation)
-                state.peers = state.peers + usage.running
+                state.peer_running = state.peer_running + usage.running
         for state in self._state_by_organisation.values():
             self._update(state, now)
 
@@ -138,7 +140,7 @@
         state = self._state_by_organisation.get(organisation)
         if state is None:
             state = self._state_by_organisation[organisation] = _OrganisationState(
-                OPEN_WEIGHT
+                UNCONFIGURED_WEIGHT
             )
         return state
 
@@ -154,23 +156,30 @@
         self._update(state, now)
 
     def _update(self, state: _OrganisationState, now: float) -> None:
-        elapsed_s = max(0.0, now - state.past_use_at)
-        kept = 0.5 ** (elapsed_s / MEMORY_HALF_LIFE_S)
-        state.past_use = state.past_use * kept + state.share * (1.0 - kept)
-        state.past_use_at = now
-        state.share = self._used(state).dominant_share(self._total)
+        elapsed_s = max(0.0, now - state.past_share_at)
+        kept = 0.5 ** (elapsed_s / PAST_SHARE_HALF_LIFE_S)
+        state.past_share = state.past_share * kept + state.share * (1.0 - kept)
+        state.past_share_at = now
+        state.share = self._fleet_usage(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
         # Running shares move in steps of a task, of which half is added so that
         # organisations with large tasks are not above their share on average. Large
         # tasks make up more of the steps than their number tells.
-        step = state.task_square / state.task_share if state.task_share else 0.0
-        level = (state.share + step / 2) / fair
-        state.level = (math.floor(level / LEVEL_STEP), state.past_use / fair)
+        step = (
+            state.mean_square_task_share / state.mean_task_share
+            if state.mean_task_share
+            else 0.0
+        )
+        usage_level = (state.share + step / 2) / fair
+        state.usage_level = (
+            math.floor(usage_level / USAGE_LEVEL_STEP),
+            state.past_share / fair,
+        )
 
-    def _used(self, state: _OrganisationState) -> Resources:
-        peers = state.peers
+    def _fleet_usage(self, state: _OrganisationState) -> Resources:
+        peer_running = state.peer_running
         return Resources(
-            peers.cores + state.cores,
-            peers.memory_mb + round(state.memory_mb),
-            peers.accelerators + round(state.accelerators),
+            peer_running.cores + state.cores,
+            peer_running.memory_mb + round(state.memory_mb),
+            peer_running.accelerators + round(state.accelerators),
         )
--- a/libs/sched/src/lycheeloom/sched/sizes.py
+++ b/libs/sched/src/lycheeloom/sched/sizes.py
@@ -18,11 +18,11 @@
 # Declared sizes are wrong by up to 4 times either way.
 MAX_CORRECTION = 4.0
 # Reports arrive after the task ended; this many ended tasks are remembered.
-REMEMBERED_TASKS = 20_000
+MAX_REMEMBERED_TASKS = 20_000
 
 
 @dataclass(slots=True)
-class _Ratios:
+class _UsageRatios:
     cores: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
     memory: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
     run: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
@@ -35,13 +35,13 @@
     """Corrects declared sizes per queue and organisation."""
 
     def __init__(self) -> None:
-        self._ratios_by_lane: dict[tuple[str, str], _Ratios] = {}
+        self._ratios_by_subqueue: dict[tuple[str, str], _UsageRatios] = {}
         self._task_by_id: OrderedDict[str, Task] = OrderedDict()
 
     def remember(self, task: Task) -> None:
         """Keep a started task so that its report can be used later."""
         self._task_by_id[task.id] = task
-        if len(self._task_by_id) > REMEMBERED_TASKS:
+        if len(self._task_by_id) > MAX_REMEMBERED_TASKS:
             self._task_by_id.popitem(last=False)
 
     def observe(self, report: UsageReport) -> None:
@@ -51,23 +51,23 @@
         task = self._task_by_id.pop(report.task_id, None)
         if task is None:
             return
-        ratios = self._ratios_by_lane.setdefault(
-            (task.organisation, task.queue), _Ratios()
+        ratios = self._ratios_by_subqueue.setdefault(
+            (task.organisation, task.queue), _UsageRatios()
         )
         if task.resources.cores > 0:
-            ratios.cores.append(_bounded(report.peak.cores / task.resources.cores))
+            ratios.cores.append(_clamp_ratio(report.peak.cores / task.resources.cores))
         if task.resources.memory_mb > 0:
             ratio = report.peak.memory_mb / task.resources.memory_mb
-            ratios.memory.append(_bounded(ratio))
+            ratios.memory.append(_clamp_ratio(ratio))
         if task.run_s > 0:
-            ratios.run.append(_bounded(report.run_s / task.run_s))
+            ratios.run.append(_clamp_ratio(report.run_s / task.run_s))
         ratios.cores_factor = _mean(ratios.cores)
         ratios.memory_factor = _quantile(ratios.memory, MEMORY_QUANTILE)
         ratios.run_factor = _mean(ratios.run)
 
-    def size(self, task: Task) -> Resources:
+    def corrected_size(self, task: Task) -> Resources:
         """Return the corrected size of a task that has not run yet."""
-        ratios = self._ratios_by_lane.get((task.organisation, task.queue))
+        ratios = self._ratios_by_subqueue.get((task.organisation, task.queue))
         if ratios is None:
             return task.resources
         declared = task.resources
@@ -77,15 +77,15 @@
             declared.accelerators,
         )
 
-    def run_s(self, task: Task) -> float:
+    def corrected_run_s(self, task: Task) -> float:
         """Return the corrected run time in seconds."""
-        ratios = self._ratios_by_lane.get((task.organisation, task.queue))
+        ratios = self._ratios_by_subqueue.get((task.organisation, task.queue))
         if ratios is None:
             return task.run_s
         return task.run_s * ratios.run_factor
 
 
-def _bounded(ratio: float) -> float:
+def _clamp_ratio(ratio: float) -> float:
     return min(max(ratio, 1.0 / MAX_CORRECTION), MAX_CORRECTION)
 
 
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -11,7 +11,7 @@
 
 from .events import (
     FleetEvent,
-    TaskAsked,
+    PreemptionRequested,
     TaskEnded,
     TaskEvent,
     TaskQueued,
@@ -24,7 +24,7 @@
 from .sizes import SizeEstimator
 from .tasks import (
     Checkpoint,
-    CheckpointReason,
+    PreemptionReason,
     Start,
     Task,
     TaskRecord,
@@ -38,7 +38,7 @@
 MAX_EVENTS_PER_ORGANISATION = 50
 MAX_FLEET_EVENTS = 500
 # Ended tasks that can still be explained.
-REMEMBERED_ENDED = 2_000
+EXPLAINABLE_ENDED_TASKS = 2_000
 # A worker that refused a task is not offered it again for this long.
 EXCLUSION_S = 2.0
 
@@ -67,7 +67,7 @@
         default_factory=dict
     )
     # Running borrowers and batch tasks of this entry, per pool.
-    lent_by_pool: Counter[str] = field(default_factory=Counter)
+    reclaimable_count_by_pool: Counter[str] = field(default_factory=Counter)
     sequence: int = 0
 
     def may_run(self, organisation: str) -> bool:
@@ -88,10 +88,10 @@
         A correction never makes a task too large for a pool that has room for
         its declared size.
         """
-        corrected = self.sizes.size(task)
+        corrected = self.sizes.corrected_size(task)
         if corrected is task.resources:
             return corrected
-        sizes = self.workers.sizes(pool)
+        sizes = self.workers.worker_sizes(pool)
         if any(corrected.fits_in(size) for size in sizes):
             return corrected
         for size in sizes:
@@ -109,17 +109,17 @@
             return record.excluded | record.task.excluded_workers
         return record.task.excluded_workers
 
-    def enqueue(self, task: Task, now: float, why: str) -> TaskRecord:
+    def enqueue(self, task: Task, now: float, reason: str) -> TaskRecord:
         """Queue a new task."""
         self.sequence += 1
         record = TaskRecord(task, self.sequence, now)
         self.record_by_id[task.id] = record
         self.queues.add(record)
-        note(record, TaskQueued(now, task.queue, why))
+        append_event(record, TaskQueued(now, task.queue, reason))
         return record
 
-    def enqueue_again(
-        self, record: TaskRecord, now: float, why: str, excluded: frozenset[str]
+    def requeue(
+        self, record: TaskRecord, now: float, reason: str, excluded: frozenset[str]
     ) -> TaskRecord:
         """Queue a task in front that had started or was refused by a worker.
 
@@ -139,7 +139,7 @@
         )
         self.record_by_id[record.task.id] = again
         self.queues.add(again, first=True)
-        note(again, TaskQueued(now, record.task.queue, why))
+        append_event(again, TaskQueued(now, record.task.queue, reason))
         return again
 
     def start(
@@ -152,15 +152,15 @@
         record.pool = worker.pool
         record.need = need
         record.started_at = now
-        record.expected_end = now + self.sizes.run_s(task)
+        record.expected_end = now + self.sizes.corrected_run_s(task)
         self.workers.attach(worker, record, now)
         self.shares.started(task.organisation, need, now)
         self.sizes.remember(task)
-        self.waits.started(task.organisation, task.queue, now)
+        self.waits.record_start(task.organisation, task.queue, now)
         borrowed = worker.pool != self.queues.home_pool(task.queue)
-        record.lent = borrowed or self.queues.is_batch(task.queue)
-        self.lent_by_pool[worker.pool] += record.lent
-        note(record, TaskStarted(now, worker.id, worker.pool, need, borrowed))
+        record.reclaimable = borrowed or self.queues.is_batch(task.queue)
+        self.reclaimable_count_by_pool[worker.pool] += record.reclaimable
+        append_event(record, TaskStarted(now, worker.id, worker.pool, need, borrowed))
         return Start(task, worker.id, need)
 
     def release(self, record: TaskRecord, now: float) -> None:
@@ -168,39 +168,39 @@
         worker = self.workers.worker_by_id.get(record.worker)
         if worker is not None and record.task.id in worker.running:
             self.workers.detach(worker, record, now)
-        self.lent_by_pool[record.pool] -= record.lent
+        self.reclaimable_count_by_pool[record.pool] -= record.reclaimable
         organisation = record.task.organisation
         was_at_grant = not self.may_run(organisation)
         self.shares.ended(organisation, record.need, now)
         if was_at_grant:
-            self.queues.mark_organisation_fresh(organisation)
+            self.queues.mark_organisation_changed(organisation)
 
     def forget(self, record: TaskRecord, outcome: str, now: float) -> None:
         """Drop an ended task but keep its events for a while."""
         record.state = TaskState.ENDED
         del self.record_by_id[record.task.id]
-        note(record, TaskEnded(now, record.worker or "no worker", outcome))
+        append_event(record, TaskEnded(now, record.worker or "no worker", outcome))
         self.ended_events[record.task.id] = record.events
-        if len(self.ended_events) > REMEMBERED_ENDED:
+        if len(self.ended_events) > EXPLAINABLE_ENDED_TASKS:
             self.ended_events.popitem(last=False)
 
-    def ask_checkpoint(
-        self, record: TaskRecord, reason: CheckpointReason, now: float
+    def request_checkpoint(
+        self, record: TaskRecord, reason: PreemptionReason, now: float
     ) -> Checkpoint:
         """Decide that a running task makes room and is queued again."""
         record.checkpointing = True
-        note(record, TaskAsked(now, "checkpoint", reason.value))
+        append_event(record, PreemptionRequested(now, "checkpoint", reason.value))
         return Checkpoint(record.task.id, reason)
 
-    def ask_throttle(
-        self, record: TaskRecord, reason: CheckpointReason, now: float
+    def request_throttle(
+        self, record: TaskRecord, reason: PreemptionReason, now: float
     ) -> Throttle:
         """Decide that a running task is slowed down."""
         record.throttled = True
-        note(record, TaskAsked(now, "throttle", reason.value))
+        append_event(record, PreemptionRequested(now, "throttle", reason.value))
         return Throttle(record.task.id)
 
-    def refused(self, task: Task, reason: str, message: str, now: float) -> None:
+    def record_refusal(self, task: Task, reason: str, message: str, now: float) -> None:
         """Keep why a task of an organisation was refused."""
         refusals = self.refusals_by_organisation.get(task.organisation)
         if refusals is None:
@@ -209,7 +209,7 @@
         refusals.append(TaskRefused(now, task.id, reason, message))
 
 
-def note(record: TaskRecord, event: TaskEvent) -> None:
+def append_event(record: TaskRecord, event: TaskEvent) -> None:
     """Keep an event of a task, dropping the oldest beyond a bound."""
     if len(record.events) >= MAX_EVENTS_PER_TASK:
         del record.events[1]
--- a/libs/sched/src/lycheeloom/sched/lanes.py
+++ b/libs/sched/src/lycheeloom/sched/subqueues.py
@@ -22,7 +22,7 @@
     )
 
 
-class Lane:
+class Subqueue:
     """The queued tasks of one organisation on one queue.
 
     Tasks of one size class start in the order of submission. A smaller class
@@ -37,16 +37,16 @@
 
     def append(self, record: TaskRecord) -> bool:
         """Add a record; tell whether its class was empty before."""
-        records = self._class_of(record)
+        records = self._records_of_class(record)
         while records and records[0].state is not TaskState.QUEUED:
             records.popleft()
         records.append(record)
         self.count += 1
         return len(records) == 1
 
-    def append_first(self, record: TaskRecord) -> None:
+    def prepend(self, record: TaskRecord) -> None:
         """Put back a record that had left the queue already."""
-        self._class_of(record).appendleft(record)
+        self._records_of_class(record).appendleft(record)
         self.count += 1
 
     def remove(self, record: TaskRecord) -> None:
@@ -62,7 +62,7 @@
             if record is not None:
                 heads.append((key, record))
         if len(heads) > 1:
-            heads.sort(key=_age)
+            heads.sort(key=_sequence_of_head)
         return heads
 
     def take(self, key: SizeClass) -> TaskRecord:
@@ -92,7 +92,7 @@
                 if record.state is TaskState.QUEUED:
                     yield record
 
-    def _class_of(self, record: TaskRecord) -> deque[TaskRecord]:
+    def _records_of_class(self, record: TaskRecord) -> deque[TaskRecord]:
         key = size_class(record.task.resources)
         return self._records_by_class.setdefault(key, deque())
 
@@ -109,5 +109,5 @@
         return None
 
 
-def _age(item: tuple[SizeClass, TaskRecord]) -> int:
+def _sequence_of_head(item: tuple[SizeClass, TaskRecord]) -> int:
     return item[1].sequence
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -41,7 +41,7 @@
     STOPPED = "stopped"
 
 
-class CheckpointReason(StrEnum):
+class PreemptionReason(StrEnum):
     """Why a running task is asked to checkpoint and make room."""
 
     ZONE_OUT = "zone_out"
@@ -80,7 +80,7 @@
     """Checkpoint a running task; it is queued again once it has stopped."""
 
     task_id: str
-    reason: CheckpointReason
+    reason: PreemptionReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +130,7 @@
     QUEUED = "queued"
     RUNNING = "running"
     # Refused by a worker; waits for ``Scheduler.requeue``.
-    PARKED = "parked"
+    AWAITING_REQUEUE = "parked"
     ENDED = "ended"
 
 
@@ -155,5 +155,5 @@
     # The pool of ``worker`` when the task started.
     pool: str = ""
     # Runs on a loan, or as batch work, and may be asked to make room.
-    lent: bool = False
+    reclaimable: bool = False
     events: list = field(default_factory=list)
--- a/libs/sched/src/lycheeloom/sched/trials.py
+++ b/libs/sched/src/lycheeloom/sched/trials.py
@@ -19,13 +19,13 @@
         self._state = state
         self._on_probation: dict[str, Worker] = {}
 
-    def enter(self, worker: Worker, now: float) -> None:
+    def begin_probation(self, worker: Worker, now: float) -> None:
         """Close a worker that has entered probation for normal work."""
         worker.on_probation = True
         self._on_probation[worker.id] = worker
         self._state.workers.refresh(worker, now)
 
-    def leave(self, worker: Worker, now: float) -> None:
+    def end_probation(self, worker: Worker, now: float) -> None:
         """Open a worker that has passed its trials."""
         worker.on_probation = False
         self._on_probation.pop(worker.id, None)
@@ -36,9 +36,9 @@
         decisions: list[Decision] = []
         state = self._state
         for worker in self._on_probation.values():
-            if not state.workers.accepts(worker) or worker.running:
+            if not state.workers.accepts_starts(worker) or worker.running:
                 continue
-            if not state.probation.may_try(worker.id, now):
+            if not state.probation.may_start_trial(worker.id, now):
                 continue
             decision = self._start_on(worker, now)
             if decision is not None:
@@ -47,30 +47,30 @@
 
     def _start_on(self, worker: Worker, now: float) -> Decision | None:
         state = self._state
-        is_only_choice = self._is_only_choice()
-        for organisation, lanes in state.queues.lanes_by_organisation(
+        no_other_worker = self._no_worker_for_normal_work()
+        for organisation, subqueues in state.queues.subqueues_by_organisation(
             worker.pool
         ).items():
             if not state.may_run(organisation):
                 continue
-            for lane in list(lanes.values()):
-                for size_class, record in lane.heads():
-                    if not (record.task.idempotent or is_only_choice):
+            for subqueue in list(subqueues.values()):
+                for size_class, record in subqueue.heads():
+                    if not (record.task.idempotent or no_other_worker):
                         continue
                     if worker.id in state.excluded(record, now):
                         continue
                     need = state.need(record.task, worker.pool)
                     if not need.fits_in(worker.free):
                         continue
-                    state.probation.trial_started(worker.id, record.task.id)
-                    state.queues.take(lane, size_class)
+                    state.probation.record_trial_start(worker.id, record.task.id)
+                    state.queues.take(subqueue, size_class)
                     return state.start(record, worker, need, now)
         return None
 
-    def _is_only_choice(self) -> bool:
+    def _no_worker_for_normal_work(self) -> bool:
         """Tell whether no worker is left for normal work."""
         workers = self._state.workers
         return not any(
-            workers.usable_for_reserved(worker)
+            workers.accepts_normal_work(worker)
             for worker in workers.worker_by_id.values()
         )
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -8,27 +8,27 @@
 
 from .reservations import Reservations
 from .state import SchedulerState
-from .tasks import CheckpointReason, Decision, TaskRecord, TaskState
+from .tasks import Decision, PreemptionReason, TaskRecord, TaskState
 from .workers import Worker
 
 # A worker that has not made room by then is given up for another one.
-PATIENCE_S = 1.5
+MAKE_ROOM_TIMEOUT_S = 1.5
 
 
-class Urgent:
+class UrgentPlacement:
     """Places urgent tasks before all others; their organisation is charged for them."""
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
         self._state = state
         self._reservations = reservations
-        self._asked_at: dict[str, float] = {}
+        self._preempted_at_by_task: dict[str, float] = {}
 
     def place(self, now: float) -> list[Decision]:
         """Start urgent tasks, or ask for the room that they need."""
         decisions: list[Decision] = []
         urgent = self._state.queues.urgent
-        for task_id in [t for t in self._asked_at if t not in urgent]:
-            del self._asked_at[task_id]
+        for task_id in [t for t in self._preempted_at_by_task if t not in urgent]:
+            del self._preempted_at_by_task[task_id]
         for record in list(urgent.values()):
             if self._waits_for_room(record, now):
                 continue
@@ -37,17 +37,17 @@
 
     def _waits_for_room(self, record: TaskRecord, now: float) -> bool:
         task_id = record.task.id
-        asked_at = self._asked_at.get(task_id)
-        if asked_at is None or now - asked_at >= PATIENCE_S:
+        asked_at = self._preempted_at_by_task.get(task_id)
+        if asked_at is None or now - asked_at >= MAKE_ROOM_TIMEOUT_S:
             self._reservations.release_urgent(task_id, now)
             return False
-        return self._reservations.has(task_id)
+        return self._reservations.has_urgent(task_id)
 
     def _place_one(self, record: TaskRecord, now: float) -> list[Decision]:
         state = self._state
         task = record.task
         if not state.may_run(task.organisation):
-            return self._free_slot_of_organisation(record, now)
+            return self._preempt_same_organisation(record, now)
         for pool in self._pools(record):
             need = state.need(task, pool)
             excluded = state.excluded(record, now)
@@ -55,7 +55,7 @@
             if worker is not None:
                 state.queues.take_urgent(record)
                 return [state.start(record, worker, need, now)]
-        return self._make_room(record, now)
+        return self._reserve_and_preempt(record, now)
 
     def _pools(self, record: TaskRecord) -> Iterator[str]:
         """Return the queue's own pool, spare pools, then all others."""
@@ -67,21 +67,21 @@
                 if pool.spare is spare and pool.id != home:
                     yield pool.id
 
-    def _free_slot_of_organisation(
+    def _preempt_same_organisation(
         self, record: TaskRecord, now: float
     ) -> list[Decision]:
         """Checkpoint one task of the same organisation, which is at its limit."""
-        if record.task.id in self._asked_at:
+        if record.task.id in self._preempted_at_by_task:
             return []
         for other in self._state.record_by_id.values():
-            if other.task.organisation == record.task.organisation and _can_make_room(
+            if other.task.organisation == record.task.organisation and _is_preemptible(
                 other
             ):
-                self._asked_at[record.task.id] = now
-                return [self._ask(other, now)]
+                self._preempted_at_by_task[record.task.id] = now
+                return [self._preempt(other, now)]
         return []
 
-    def _make_room(self, record: TaskRecord, now: float) -> list[Decision]:
+    def _reserve_and_preempt(self, record: TaskRecord, now: float) -> list[Decision]:
         """Reserve the worker that makes room soonest and checkpoint there.
 
         A worker on which this entry can make enough room with few checkpoints
@@ -92,7 +92,7 @@
         best: tuple[tuple[float, ...], Worker, list[TaskRecord]] | None = None
         for pool in self._pools(record):
             need = state.need(record.task, pool)
-            for worker in state.workers.in_pool(pool):
+            for worker in state.workers.workers_in_pool(pool):
                 if not self._may_reserve(worker, record, need, now):
                     continue
                 victims, lacking = self._victims(worker, need, now)
@@ -104,15 +104,17 @@
         if best is None:
             return []
         _, worker, victims = best
-        self._reservations.reserve_urgent(record, worker, now + PATIENCE_S, now)
-        self._asked_at[record.task.id] = now
-        return [self._ask(victim, now) for victim in victims]
+        self._reservations.reserve_urgent(
+            record, worker, now + MAKE_ROOM_TIMEOUT_S, now
+        )
+        self._preempted_at_by_task[record.task.id] = now
+        return [self._preempt(victim, now) for victim in victims]
 
     def _may_reserve(
         self, worker: Worker, record: TaskRecord, need: Resources, now: float
     ) -> bool:
         state = self._state
-        if not state.workers.accepts(worker) or worker.on_probation:
+        if not state.workers.accepts_starts(worker) or worker.on_probation:
             return False
         if worker.reserved or worker.reserved_by_peer:
             return False
@@ -124,10 +126,10 @@
         self, worker: Worker, need: Resources, now: float
     ) -> tuple[list[TaskRecord], float]:
         """Return tasks to checkpoint, and the part of the need still lacking."""
-        level = self._state.shares.level
-        running = [r for r in worker.running.values() if _can_make_room(r)]
+        usage_level = self._state.shares.usage_level
+        running = [r for r in worker.running.values() if _is_preemptible(r)]
         # The organisations furthest above their share give way first.
-        running.sort(key=lambda r: (level(r.task.organisation), r.sequence))
+        running.sort(key=lambda r: (usage_level(r.task.organisation), r.sequence))
         free = worker.free
         victims = []
         while running and not need.fits_in(free):
@@ -138,11 +140,11 @@
             return victims, 0.0
         return victims, (need - free).dominant_share(need)
 
-    def _ask(self, victim: TaskRecord, now: float) -> Decision:
-        return self._state.ask_checkpoint(victim, CheckpointReason.URGENT, now)
+    def _preempt(self, victim: TaskRecord, now: float) -> Decision:
+        return self._state.request_checkpoint(victim, PreemptionReason.URGENT, now)
 
 
-def _can_make_room(record: TaskRecord) -> bool:
+def _is_preemptible(record: TaskRecord) -> bool:
     return (
         record.state is TaskState.RUNNING
         and record.task.checkpointable
--- a/libs/sched/src/lycheeloom/sched/waits.py
+++ b/libs/sched/src/lycheeloom/sched/waits.py
@@ -15,17 +15,17 @@
     """Estimates how long a new task of an organisation waits on a queue."""
 
     def __init__(self) -> None:
-        self._starts_by_lane: dict[tuple[str, str], deque[float]] = {}
+        self._starts_by_subqueue: dict[tuple[str, str], deque[float]] = {}
 
-    def started(self, organisation: str, queue: str, now: float) -> None:
+    def record_start(self, organisation: str, queue: str, now: float) -> None:
         """Count a start."""
-        starts = self._starts_by_lane.get((organisation, queue))
+        starts = self._starts_by_subqueue.get((organisation, queue))
         if starts is None:
             starts = deque(maxlen=MAX_STARTS)
-            self._starts_by_lane[organisation, queue] = starts
+            self._starts_by_subqueue[organisation, queue] = starts
         starts.append(now)
 
-    def wait_s(
+    def expected_wait_s(
         self, organisation: str, queue: str, queued: int, now: float
     ) -> float | None:
         """Return the expected wait in seconds behind ``queued`` tasks.
@@ -34,7 +34,7 @@
         """
         if not queued:
             return 0.0
-        starts = self._starts_by_lane.get((organisation, queue))
+        starts = self._starts_by_subqueue.get((organisation, queue))
         if starts is None:
             return None
         while starts and now - starts[0] > WINDOW_S:
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -17,7 +17,7 @@
 CANDIDATES = 3
 # A returned zone starts at this part of its capacity and is full after RAMP_S,
 # so that workers with cold caches are not all filled in the same instant.
-RAMP_FIRST_PART = 0.25
+RAMP_START_FRACTION = 0.25
 RAMP_S = 3.0
 RAMP_STEP_S = 0.25
 
@@ -31,7 +31,7 @@
     zone: str
     rack: str
     size: Resources
-    slot: int = 0
+    tree_index: int = 0
     available: bool = False
     free: Resources = NO_RESOURCES
     own_used: Resources = NO_RESOURCES
@@ -60,7 +60,7 @@
         self.total_cores = 0.0
         self.freed_pools: set[str] = set()
         # Reserved workers that changed since the last look.
-        self.touched_reserved: set[str] = set()
+        self.changed_reserved: set[str] = set()
         self._random = random.Random(seed)
         self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
         self._sizes_by_pool: dict[str, set[Resources]] = {}
@@ -70,7 +70,7 @@
         self._pool_by_instance: Mapping[str, str] = {}
         self._instance_by_id: Mapping[str, Instance] = {}
         # Running tasks of this entry per queue and place, for spreading.
-        self._count_by_place: Counter[tuple[str, str]] = Counter()
+        self._running_by_location: Counter[tuple[str, str]] = Counter()
 
     def set_config(self, config: FleetConfig, now: float) -> tuple[set[str], set[str]]:
         """Take over instances and zones; return zones gone out and come back."""
@@ -100,11 +100,11 @@
         """Tell whether operators have taken the zone out of service."""
         return zone in self._out_zones
 
-    def sizes(self, pool: str) -> set[Resources]:
+    def worker_sizes(self, pool: str) -> set[Resources]:
         """Return the distinct worker sizes of a pool."""
         return self._sizes_by_pool.get(pool, set())
 
-    def in_pool(self, pool: str) -> Iterable[Worker]:
+    def workers_in_pool(self, pool: str) -> Iterable[Worker]:
         """Return the workers of a pool."""
         for index in self._zones_by_pool.get(pool, ()):
             yield from index.workers
@@ -113,13 +113,15 @@
         """Return the processors of a pool that peers use, as last reported."""
         return sum(
             worker.size.cores - worker.free.cores - worker.own_used.cores
-            for worker in self.in_pool(pool)
+            for worker in self.workers_in_pool(pool)
             if worker.available
         )
 
-    def free_part(self, pool: str) -> float:
+    def free_fraction(self, pool: str) -> float:
         """Return the free processors of a pool as a part of the fleet's."""
-        free = sum(w.free.cores for w in self.in_pool(pool) if self.accepts(w))
+        free = sum(
+            w.free.cores for w in self.workers_in_pool(pool) if self.accepts_starts(w)
+        )
         return free / self.total_cores if self.total_cores else 0.0
 
     def has_room(self, pool: str) -> bool:
@@ -129,7 +131,7 @@
                 return True
         return False
 
-    def tick(self, now: float) -> None:
+    def advance_ramps(self, now: float) -> None:
         """Advance the ramps of returned zones."""
         if not self._returned_at_by_zone or now < self._next_ramp_at:
             return
@@ -165,8 +167,8 @@
         worker.free = worker.free - record.need
         worker.own_used = worker.own_used + record.need
         queue = record.task.queue
-        self._count_by_place[queue, f"{worker.pool}/{worker.zone}"] += 1
-        self._count_by_place[queue, worker.rack] += 1
+        self._running_by_location[queue, f"{worker.pool}/{worker.zone}"] += 1
+        self._running_by_location[queue, worker.rack] += 1
         self.refresh(worker, now)
 
     def detach(self, worker: Worker, record: TaskRecord, now: float) -> None:
@@ -175,8 +177,8 @@
         worker.free = worker.free + record.need
         worker.own_used = worker.own_used - record.need
         queue = record.task.queue
-        self._count_by_place[queue, f"{record.pool}/{worker.zone}"] -= 1
-        self._count_by_place[queue, worker.rack] -= 1
+        self._running_by_location[queue, f"{record.pool}/{worker.zone}"] -= 1
+        self._running_by_location[queue, worker.rack] -= 1
         self.refresh(worker, now)
 
     def resize(self, worker: Worker, extra: Resources, now: float) -> None:
@@ -215,16 +217,16 @@
     def refresh(self, worker: Worker, now: float) -> None:
         """Bring the index up to date with a worker that changed."""
         if worker.reserved:
-            self.touched_reserved.add(worker.id)
+            self.changed_reserved.add(worker.id)
         for index in self._zones_by_pool.get(worker.pool, ()):
             if index.zone == worker.zone:
-                usable = self._usable(worker, now)
-                index.tree.set(worker.slot, usable)
+                usable = self._usable_capacity(worker, now)
+                index.tree.set(worker.tree_index, usable)
                 if usable is not None:
                     self.freed_pools.add(worker.pool)
                 return
 
-    def accepts(self, worker: Worker) -> bool:
+    def accepts_starts(self, worker: Worker) -> bool:
         """Tell whether operators and the worker itself allow any start."""
         return (
             worker.available
@@ -232,23 +234,26 @@
             and worker.id in self.worker_by_id
         )
 
-    def usable_for_reserved(self, worker: Worker) -> bool:
+    def accepts_normal_work(self, worker: Worker) -> bool:
         """Tell whether a reserved worker may start the task it is kept for."""
-        return self.accepts(worker) and not worker.on_probation
+        return self.accepts_starts(worker) and not worker.on_probation
 
-    def _usable(self, worker: Worker, now: float) -> Resources | None:
-        if not self.accepts(worker) or worker.on_probation:
+    def _usable_capacity(self, worker: Worker, now: float) -> Resources | None:
+        if not self.accepts_starts(worker) or worker.on_probation:
             return None
         if worker.reserved or worker.reserved_by_peer:
             return None
         returned_at = self._returned_at_by_zone.get(worker.zone)
         if returned_at is None or now - returned_at >= RAMP_S:
             return worker.free
-        part = RAMP_FIRST_PART + (1 - RAMP_FIRST_PART) * (now - returned_at) / RAMP_S
+        fraction = (
+            RAMP_START_FRACTION
+            + (1 - RAMP_START_FRACTION) * (now - returned_at) / RAMP_S
+        )
         kept = Resources(
-            worker.size.cores * (1 - part),
-            int(worker.size.memory_mb * (1 - part)),
-            int(worker.size.accelerators * (1 - part)),
+            worker.size.cores * (1 - fraction),
+            int(worker.size.memory_mb * (1 - fraction)),
+            int(worker.size.accelerators * (1 - fraction)),
         )
         return worker.free - kept
 
@@ -256,30 +261,30 @@
         self, index: _ZoneIndex, need: Resources, queue: str, excluded: frozenset[str]
     ) -> Worker | None:
         count = len(index.workers)
-        slot = self._random.randrange(count)
+        tree_index = self._random.randrange(count)
         chosen: Worker | None = None
         best = (0, 0.0)
         found = 0
         wrapped = False
         while found < CANDIDATES:
-            slot = index.tree.find(need, slot)
-            if slot < 0:
+            tree_index = index.tree.find(need, tree_index)
+            if tree_index < 0:
                 if wrapped:
                     break
-                wrapped, slot = True, 0
+                wrapped, tree_index = True, 0
                 continue
-            worker = index.workers[slot]
-            slot += 1
+            worker = index.workers[tree_index]
+            tree_index += 1
             if worker.id in excluded:
                 continue
             found += 1
-            key = (self._count_by_place[queue, worker.rack], worker.free.cores)
+            key = (self._running_by_location[queue, worker.rack], worker.free.cores)
             if chosen is None or key < best:
                 chosen, best = worker, key
         return chosen
 
     def _zone_load(self, queue: str, pool: str, index: _ZoneIndex) -> float:
-        running = self._count_by_place[queue, f"{pool}/{index.zone}"]
+        running = self._running_by_location[queue, f"{pool}/{index.zone}"]
         return running / len(index.workers)
 
     def _refresh_zones(self, zones: set[str], now: float) -> None:
@@ -307,8 +312,8 @@
         for (pool, zone), workers in grouped.items():
             workers.sort(key=lambda worker: (worker.rack, worker.id))
             index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
-            for slot, worker in enumerate(workers):
-                worker.slot = slot
+            for tree_index, worker in enumerate(workers):
+                worker.tree_index = tree_index
             self._zones_by_pool.setdefault(pool, []).append(index)
         for worker in self.worker_by_id.values():
             self.refresh(worker, now)
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -10,10 +10,10 @@
 from lycheeloom.sched import (
     Accepted,
     Checkpoint,
-    CheckpointReason,
     Expire,
     Held,
     Outcome,
+    PreemptionReason,
     Start,
     Task,
     UsageReport,
@@ -216,7 +216,7 @@
     assert len(starts(scheduler, 0.0)) == 16
     submit(scheduler, 1, "t1", urgent=True, resources=Resources(2, 2048), now=1.0)
     asked = scheduler.next_decisions(1.0)
-    assert [d.reason for d in asked] == [CheckpointReason.URGENT] * 2
+    assert [d.reason for d in asked] == [PreemptionReason.URGENT] * 2
     for decision in asked:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 1.3)
     (start,) = starts(scheduler, 1.3)
@@ -232,7 +232,7 @@
     assert len(starts(scheduler, 0.0)) == 16
     submit(scheduler, 4, "t1", "q", now=10.0)
     asked = list(scheduler.next_decisions(10.0)) + list(scheduler.next_decisions(12.0))
-    assert {d.reason for d in asked} == {CheckpointReason.LOAN_RETURN}
+    assert {d.reason for d in asked} == {PreemptionReason.LOAN_RETURN}
     for decision in asked:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 12.5)
     assert [d.task.organisation for d in starts(scheduler, 12.5)][:1] == ["t1"]
