--- a/libs/sched/src/lycheeloom/sched/__init__.py
+++ b/libs/sched/src/lycheeloom/sched/__init__.py
@@ -1,4 +1,4 @@
-"""Scheduling decisions."""
+"""Decides which queued task an entry starts next, and on which worker."""
 
 from .budgets import HedgeBudget, RetryBudget
 from .scheduler import Scheduler
--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -1,4 +1,4 @@
-"""Fills free capacity with queued tasks in the order of the organisations' levels."""
+"""Starts queued tasks on free capacity, in the order of weighted fair shares."""
 
 from __future__ import annotations
 
@@ -16,30 +16,31 @@
 from .tasks import Decision, Task, TaskRecord
 from .workers import Worker
 
-# Capacity is left to a peer's organisation only if that organisation is lower by
-# this part of
-# a fair share; entries know each other's usage only up to a heartbeat ago.
+# Capacity is left to an organisation at peers only if it is below the next one here by
+# this fraction of its fair share, as entries know each other's usage only as of the
+# last heartbeat.
 DEFERRAL_MARGIN = 0.02
-# The running tasks of a small organisation vary by a few tasks all the time, which its
-# own entries make good without capacity from others.
+# The same as a number of tasks. The usage of a small organisation always varies by a few
+# tasks, which its own entries correct without capacity from others.
 DEFERRAL_MIN_TASKS = 3
-# The part of the fleet assumed for a task of an organisation not run here yet.
+# Dominant share assumed for a task of an organisation that has not run here yet.
 DEFAULT_TASK_SHARE = 0.01
-# A pool's own queues come first only for organisations up to their fair share.
+# Organisations above this usage level have no precedence in their queues' own pools.
 FAIR_USAGE_LEVEL = 1.0 / USAGE_LEVEL_STEP
-# Everything is tried again this often, so that nothing waits on a missed cause.
-SWEEP_S = 1.0
+# All pools and subqueues are tried again this often, in case a change was missed.
+SWEEP_INTERVAL_S = 1.0
 
 SubqueuesByOrganisation = Mapping[str, Mapping[str, Subqueue]]
 Placer = Callable[[TaskRecord, Resources], Worker | None]
 
 
 class FairShareAllocator:
-    """Starts queued tasks.
+    """Starts queued tasks on free capacity.
 
     A pool serves its own queues first, for organisations within their fair share. What
-    is left goes to the lowest organisations of any queue, from spare pools first, then
-    from other pools. Batch work comes after interactive work.
+    is left is lent to tasks of any queue, to the organisation with the lowest usage
+    level first; spare pools are used before other pools. Batch work comes after
+    interactive work.
     """
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
@@ -51,12 +52,12 @@
         self._pool_order: list[str] = []
 
     def allocate(self, now: float) -> list[Decision]:
-        """Return the starts that use the capacity freed since the last call."""
+        """Start the tasks that changes since the last call allow to start."""
         state = self._state
         freed = state.workers.freed_pools
         changed = state.queues.changed_subqueues
         if now >= self._next_sweep_at:
-            self._next_sweep_at = now + SWEEP_S
+            self._next_sweep_at = now + SWEEP_INTERVAL_S
             freed = freed | set(state.config.pool_by_id)
             for subqueue in state.queues.active_subqueues():
                 changed[subqueue.organisation, subqueue.queue] = subqueue
@@ -98,7 +99,7 @@
         now: float,
         decisions: list[Decision],
     ) -> None:
-        """Give spare pools, then what pools leave, to lanes of any queue."""
+        """Lend spare pools, then what other pools have left, to tasks of any queue."""
         state = self._state
         changed_subqueues: dict[str, dict[str, Subqueue]] = {}
         for (organisation, queue), subqueue in changed.items():
@@ -151,7 +152,7 @@
         while heap:
             usage_level, organisation = heap[0]
             if not lending and usage_level[0] > FAIR_USAGE_LEVEL:
-                # What is left goes to the lowest organisations of any queue.
+                # The rest is lent by ``_lend_leftover_capacity``.
                 return
             if peer_organisations and self._should_leave_to_peers(
                 pool, usage_level[0], peer_organisations, now
@@ -220,7 +221,7 @@
         now: float,
         unplaceable_sizes: set[Resources],
     ) -> Worker | None:
-        """Choose a worker; ``unplaceable_sizes`` keeps sizes that no longer fit."""
+        """Choose a worker; collect sizes that fit nowhere in ``unplaceable_sizes``."""
         task: Task = record.task
         excluded = self._state.excluded(record, now)
         if need not in unplaceable_sizes:
@@ -237,7 +238,7 @@
         lending: bool,
         subqueues_by_organisation: SubqueuesByOrganisation,
     ) -> list[str]:
-        """Return the organisations that wait for this pool at peers but not here."""
+        """Return the organisations that wait for the pool at peers but not here."""
         state = self._state
         organisations = []
         for organisation, queues in state.peer_queues_by_organisation.items():
@@ -252,15 +253,15 @@
     def _should_leave_to_peers(
         self, pool: str, usage_level: float, peer_organisations: list[str], now: float
     ) -> bool:
-        """Tell whether free capacity is left to lower organisations at peers.
+        """Return whether to leave free capacity to organisations at peers.
 
-        Only as much is left free as would bring them up to this level.
+        At most as much is left free as would bring them up to ``usage_level``.
         """
         state = self._state
         shares = state.shares
-        lacking = 0.0
+        deficit = 0.0
         for organisation in peer_organisations:
-            below = (
+            levels_below = (
                 usage_level - shares.usage_level(organisation)[0]
             ) * USAGE_LEVEL_STEP
             fair = shares.fair_share(organisation)
@@ -270,13 +271,13 @@
             )
             mean_task_share = shares.mean_task_share(organisation) or DEFAULT_TASK_SHARE
             wanted = state.peer_queued_by_organisation[organisation] * mean_task_share
-            lacking += min(wanted, max(0.0, below * fair - tolerated))
-        if not lacking or state.workers.free_fraction(pool) > lacking:
+            deficit += min(wanted, max(0.0, levels_below * fair - tolerated))
+        if not deficit or state.workers.free_fraction(pool) > deficit:
             return False
         return self._defers_to_peers(pool, now)
 
     def _pools_spare_first(self) -> list[str]:
-        """Return all pools, sorted anew only when the configuration changed."""
+        """Return all pools, spare ones first; sorted only when the pools changed."""
         pools = self._state.config.pool_by_id
         if pools is not self._sorted_pools:
             self._sorted_pools = pools
@@ -289,13 +290,13 @@
 
 
 def _by_oldest_task(subqueues: Mapping[str, Subqueue]) -> list[Subqueue]:
-    """Order an organisation's lanes by their oldest task."""
+    """Order an organisation's subqueues by their oldest task."""
     if len(subqueues) == 1:
         return list(subqueues.values())
-    aged = []
+    by_sequence = []
     for subqueue in subqueues.values():
         oldest = subqueue.oldest()
         if oldest is not None:
-            aged.append((oldest.sequence, subqueue))
-    aged.sort(key=lambda item: item[0])
-    return [subqueue for _, subqueue in aged]
+            by_sequence.append((oldest.sequence, subqueue))
+    by_sequence.sort(key=lambda item: item[0])
+    return [subqueue for _, subqueue in by_sequence]
--- a/libs/sched/src/lycheeloom/sched/capacity.py
+++ b/libs/sched/src/lycheeloom/sched/capacity.py
@@ -1,20 +1,21 @@
-"""Index of free capacity that finds a fitting worker in logarithmic time."""
+"""An index of free capacity that finds a fitting worker in logarithmic time."""
 
 from __future__ import annotations
 
 from lycheeloom.model.resources import Resources
 
-# Leaves that must not be used; no task needs less than nothing.
+# Value of a leaf that is closed: no task fits, as no task needs a negative amount.
 CLOSED = (-1.0, -1, -1)
 
 
 class CapacityTree:
-    """A segment tree over slots; each node keeps the maximum of each resource.
+    """A segment tree over workers; each node keeps the maximum of each resource.
 
-    ``find(need, start)`` returns the first slot at or after ``start`` that has
-    room for ``need``, or -1. The maxima of a node may come from different
-    slots, so the search may backtrack; it stays close to logarithmic because
-    a full fleet is mostly cut off near the root.
+    Workers are addressed by their index. ``find(need, start)`` returns the first
+    index at or after ``start`` whose worker has room for ``need``, or -1. The
+    maxima of a node may come from different workers, so the search may backtrack.
+    It stays close to logarithmic, because on a full fleet most subtrees are
+    rejected near the root.
     """
 
     def __init__(self, count: int) -> None:
@@ -24,7 +25,7 @@
         self.nodes = [CLOSED] * (2 * self.size)
 
     def set(self, index: int, free: Resources | None) -> None:
-        """Set the free capacity of a slot; None closes it."""
+        """Set the free capacity at an index; None closes it, so that nothing fits."""
         node = index + self.size
         value = CLOSED if free is None else _as_tuple(free)
         nodes = self.nodes
@@ -46,7 +47,7 @@
             node //= 2
 
     def find(self, need: Resources, start: int = 0) -> int:
-        """Return the first fitting slot at or after ``start``, or -1."""
+        """Return the first fitting index at or after ``start``, or -1."""
         nodes = self.nodes
         cores, memory_mb, accelerators = need.cores, need.memory_mb, need.accelerators
         stack = [(1, 0, self.size)]
@@ -65,7 +66,11 @@
         return -1
 
     def may_fit(self, need: Resources) -> bool:
-        """Tell whether some slot may have room; cheap and never wrong on no."""
+        """Return whether ``need`` may fit anywhere, from the root node alone.
+
+        False is certain; True may be wrong, as the maxima may come from different
+        workers.
+        """
         free = self.nodes[1]
         return (
             need.cores <= free[0]
--- a/libs/sched/src/lycheeloom/sched/deferrals.py
+++ b/libs/sched/src/lycheeloom/sched/deferrals.py
@@ -1,14 +1,14 @@
-"""Leaves free capacity to peers for a bounded time."""
+"""Leaves free capacity of a pool to other entries for a bounded time."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
-# Peers hear of free capacity within a heartbeat and a session renewal.
+# Peers learn of free capacity within a heartbeat and a session renewal.
 DEFERRAL_S = 0.75
 MIN_PAUSE_S = 0.75
-# Peers that never use what is left to them are waited for ever less.
+# The pause between deferrals doubles up to this while peers leave the capacity unused.
 MAX_PAUSE_S = 30.0
 
 
@@ -21,11 +21,11 @@
 
 
 class PeerDeferrals:
-    """Per pool, whether capacity is being left to peers now.
+    """Per pool, whether this entry leaves free capacity to its peers now.
 
-    A hold lasts ``DEFERRAL_S``. Then this entry takes what is still free, and the
-    next freed capacity is held again. If peers took nothing, the next hold
-    comes only after a pause that doubles each time.
+    A deferral lasts ``DEFERRAL_S``. Then this entry uses what is still free, and
+    defers again when capacity is freed later. If peers used nothing, the next
+    deferral begins only after a pause that doubles each time.
     """
 
     def __init__(self) -> None:
@@ -38,9 +38,9 @@
         has_room: bool,
         peer_cores: Callable[[], float],
     ) -> bool:
-        """Begin or continue a hold; tell whether capacity stays free now.
+        """Begin or continue a deferral; return whether capacity stays free now.
 
-        ``peer_cores()`` is what peers use of the pool at this time.
+        ``peer_cores()`` returns the cores of the pool that peers use now.
         """
         deferral = self._deferral_by_pool.get(pool)
         if deferral is None:
@@ -65,5 +65,5 @@
         return True
 
     def cancel(self, pool: str) -> None:
-        """End a hold whose reason is gone."""
+        """Forget the deferral of a pool that no organisation waits for at peers only."""
         self._deferral_by_pool.pop(pool, None)
--- a/libs/sched/src/lycheeloom/sched/outages.py
+++ b/libs/sched/src/lycheeloom/sched/outages.py
@@ -1,4 +1,4 @@
-"""Recognises the loss of a rack as one event instead of many."""
+"""Detects that all workers of a rack were lost together, as one event."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 from .state import SchedulerState
 from .workers import Worker
 
-# Workers of a rack that go within this time have gone together.
+# A rack is lost if all its workers become unavailable within this time.
 RACK_LOSS_WINDOW_S = 10.0
 
 
 class RackOutages:
-    """Follows which workers are unavailable, by rack."""
+    """Tracks unavailable workers by rack."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
@@ -19,7 +19,7 @@
         self._lost_racks: set[str] = set()
 
     def observe(self, worker: Worker, available: bool, now: float) -> RackLost | None:
-        """Follow one worker; return an event when its whole rack is lost."""
+        """Update one worker; return an event when its whole rack is lost."""
         down = self._down_at_by_rack.setdefault(worker.rack, {})
         if available:
             down.pop(worker.id, None)
@@ -41,5 +41,5 @@
         return RackLost(now, worker.rack, tuple(sorted(members)))
 
     def rack_is_lost(self, rack: str) -> bool:
-        """Tell whether all workers of the rack are unavailable together."""
+        """Return whether the rack was lost and none of its workers is back."""
         return rack in self._lost_racks
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -41,12 +41,12 @@
         self._workers_by_failed_task: OrderedDict[str, set[str]] = OrderedDict()
 
     def on_probation(self, worker: str) -> bool:
-        """Tell whether the worker only gets trials."""
+        """Return whether the worker only gets trials."""
         record = self._record_by_worker.get(worker)
         return record is not None and record.on_probation
 
     def may_start_trial(self, worker: str, now: float) -> bool:
-        """Tell whether a worker on probation may get a trial task now."""
+        """Return whether a worker on probation may get a trial task now."""
         record = self._record_by_worker[worker]
         return not record.trial_task and now >= record.next_trial_at
 
@@ -55,7 +55,7 @@
         self._record_by_worker[worker].trial_task = task_id
 
     def record_success(self, worker: str, task_id: str, group: TaskGroup) -> bool:
-        """Count a success; tell whether the worker leaves probation."""
+        """Count a success; return whether the worker leaves probation."""
         self._outcomes(group).append((worker, True))
         record = self._record_by_worker.get(worker)
         if record is None:
@@ -75,7 +75,7 @@
     def record_failure(
         self, worker: str, task_id: str, group: TaskGroup, now: float
     ) -> bool:
-        """Count a failure; tell whether the worker enters probation now."""
+        """Count a failure; return whether the worker enters probation now."""
         self._outcomes(group).append((worker, False))
         record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if self._task_at_fault(task_id, worker):
@@ -135,7 +135,7 @@
             record.next_trial_at = now + record.backoff_s
 
     def _task_at_fault(self, task_id: str, worker: str) -> bool:
-        """Tell whether the task failed elsewhere too; then clear the others."""
+        """Return whether the task failed elsewhere too; then clear the others."""
         workers = self._workers_by_failed_task.setdefault(task_id, set())
         workers.add(worker)
         if len(self._workers_by_failed_task) > MAX_REMEMBERED_TASKS:
@@ -150,7 +150,7 @@
         return True
 
     def _worker_at_fault(self, worker: str, record: _WorkerRecord) -> bool:
-        """Tell whether the failures in a row speak against the worker.
+        """Return whether the failures in a row speak against the worker.
 
         Failures of groups that fail elsewhere too do not count. If nothing is
         known of the groups on other workers, more failures are needed.
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -1,4 +1,4 @@
-"""All lanes, indexed by the pool that serves them, with strict bounds."""
+"""The queued tasks of an entry, indexed by pool, with a strict bound per queue."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from .subqueues import Subqueue
 from .tasks import TaskRecord, TaskState
 
-# A queued batch task older than this is served like an interactive one.
+# A batch task queued for longer than this gets the priority of an interactive one.
 BATCH_PROMOTION_S = 600.0
 
 
@@ -19,19 +19,19 @@
 
     def __init__(self) -> None:
         self.urgent: dict[str, TaskRecord] = {}
-        # Lanes in which a task may start that could not be tried before.
+        # Subqueues to try again, as a task of them may be able to start now.
         self.changed_subqueues: dict[tuple[str, str], Subqueue] = {}
         self.count_by_organisation: Counter[str] = Counter()
         self._count_by_queue: Counter[str] = Counter()
         self._subqueue_by_key: dict[tuple[str, str], Subqueue] = {}
-        # Only lanes with queued tasks: pool, then organisation, then queue.
+        # Only subqueues with queued tasks, by pool, organisation and queue.
         self._active_by_pool: dict[str, dict[str, dict[str, Subqueue]]] = {}
         self._active_by_organisation: dict[str, dict[str, Subqueue]] = {}
         self._config = FleetConfig()
         self.has_batch = False
 
     def set_config(self, config: FleetConfig) -> None:
-        """Take over queues; lanes move to the pool that now serves them."""
+        """Apply the queues; subqueues move to the pool that now serves them."""
         self._config = config
         kinds = (queue.kind for queue in config.queue_by_id.values())
         self.has_batch = QueueKind.BATCH in kinds
@@ -42,10 +42,10 @@
                 self._activate(subqueue)
 
     def has_space(self, organisation: str, queue: str) -> bool:
-        """Tell whether the queue takes one more task of the organisation.
+        """Return whether the queue accepts one more task of the organisation.
 
-        No queue exceeds its bound. Half of it is divided equally between the
-        organisations, so that one organisation cannot make the queue refuse all others.
+        No queue exceeds its bound. Half of the bound is reserved for the organisations
+        in equal parts, so that no organisation can fill the queue against the others.
         """
         settings = self._config.queue_by_id[queue]
         total = self._count_by_queue[queue]
@@ -54,18 +54,18 @@
         organisations = settings.organisations
         if total < settings.max_queued // 2 or organisation not in organisations:
             return True
-        kept = settings.max_queued // (2 * len(organisations))
-        if self.queued(organisation, queue) < kept:
+        reserved = settings.max_queued // (2 * len(organisations))
+        if self.queued(organisation, queue) < reserved:
             return True
-        owed = sum(
-            max(0, kept - self.queued(other, queue))
+        unused_reserved = sum(
+            max(0, reserved - self.queued(other, queue))
             for other in organisations
             if other != organisation
         )
-        return total + owed < settings.max_queued
+        return total + unused_reserved < settings.max_queued
 
     def add(self, record: TaskRecord, first: bool = False) -> None:
-        """Queue a task, or put it back in front."""
+        """Queue a task at the end or, with ``first``, in front."""
         task = record.task
         record.state = TaskState.QUEUED
         self.count_by_organisation[task.organisation] += 1
@@ -86,7 +86,7 @@
             self._activate(subqueue)
 
     def discard(self, record: TaskRecord) -> None:
-        """Take out a queued task in constant time."""
+        """Remove a queued task in constant time."""
         self._uncount(record)
         if self.urgent.pop(record.task.id, None) is not None:
             record.state = TaskState.ENDED
@@ -97,12 +97,12 @@
             self._deactivate(subqueue)
 
     def take_urgent(self, record: TaskRecord) -> None:
-        """Take out an urgent task that starts."""
+        """Remove an urgent task that starts."""
         self._uncount(record)
         del self.urgent[record.task.id]
 
     def take(self, subqueue: Subqueue, key: tuple[int, int, int]) -> TaskRecord:
-        """Take out the oldest task of a size class, which starts."""
+        """Remove and return the oldest task of a size class, which starts."""
         record = subqueue.take(key)
         self._uncount(record)
         if not subqueue.count:
@@ -110,48 +110,48 @@
         return record
 
     def take_record(self, record: TaskRecord) -> None:
-        """Take out any queued task, which starts."""
+        """Remove any queued task, which starts."""
         if record.task.urgent:
             self.take_urgent(record)
             return
         self.discard(record)
 
     def mark_organisation_changed(self, organisation: str) -> None:
-        """Try all lanes of an organisation again, as it may run more than before."""
+        """Have all subqueues of an organisation tried again, as it may run more now."""
         for subqueue in self._active_by_organisation.get(organisation, {}).values():
             self.changed_subqueues[organisation, subqueue.queue] = subqueue
 
     def active_subqueues(self) -> Iterator[Subqueue]:
-        """Return all lanes with queued tasks."""
+        """Yield all subqueues with queued tasks."""
         for subqueues in self._active_by_organisation.values():
             yield from subqueues.values()
 
     def subqueues_by_organisation(self, pool: str) -> dict[str, dict[str, Subqueue]]:
-        """Return the non-empty lanes whose queue is served by the pool."""
+        """Return the non-empty subqueues of queues that the pool serves."""
         return self._active_by_pool.get(pool, {})
 
     def all_subqueues_by_organisation(self) -> dict[str, dict[str, Subqueue]]:
-        """Return all non-empty lanes."""
+        """Return all non-empty subqueues."""
         return self._active_by_organisation
 
     def home_pool(self, queue: str) -> str:
-        """Return the pool that serves a queue, or nothing if it is gone."""
+        """Return the pool that serves a queue, an empty string if the queue is gone."""
         settings = self._config.queue_by_id.get(queue)
         return settings.pool if settings is not None else ""
 
     def is_batch(self, queue: str) -> bool:
-        """Tell whether a queue holds batch work."""
+        """Return whether a queue is for batch work."""
         settings = self._config.queue_by_id.get(queue)
         return settings is not None and settings.kind is QueueKind.BATCH
 
     def has_batch_priority(self, record: TaskRecord, now: float) -> bool:
-        """Tell whether a task is batch work that is not old yet."""
+        """Return whether a task is batch work queued for less than BATCH_PROMOTION_S."""
         if not self.is_batch(record.task.queue):
             return False
         return now - record.queued_at < BATCH_PROMOTION_S
 
     def subqueue_has_batch_priority(self, subqueue: Subqueue, now: float) -> bool:
-        """Tell whether a lane only uses capacity that others leave."""
+        """Return whether a subqueue only uses capacity that interactive work leaves."""
         if not self.is_batch(subqueue.queue):
             return False
         oldest = subqueue.oldest()
--- a/libs/sched/src/lycheeloom/sched/reclaim.py
+++ b/libs/sched/src/lycheeloom/sched/reclaim.py
@@ -118,7 +118,7 @@
         return self._state.queues.home_pool(record.task.queue) != pool
 
     def _overdue(self, record: TaskRecord, now: float) -> bool:
-        """Tell whether a task has run far longer than was expected."""
+        """Return whether a task has run far longer than was expected."""
         return now > record.expected_end + GRACE_S
 
     def _preempt(
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -62,7 +62,7 @@
         self._next_search_at_by_pool: dict[str, float] = {}
 
     def has_urgent(self, urgent_task: str) -> bool:
-        """Tell whether a worker is kept for an urgent task."""
+        """Return whether a worker is kept for an urgent task."""
         return urgent_task in self._worker_by_urgent_task
 
     def worker_ids(self) -> tuple[str, ...]:
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -271,11 +271,11 @@
     # What other parts of the entry ask.
 
     def has_queued(self) -> bool:
-        """Tell whether any task waits for its start."""
+        """Return whether any task waits for its start."""
         return any(self._state.queues.count_by_organisation.values())
 
     def is_queued(self, task_id: str) -> bool:
-        """Tell whether a task waits for its start."""
+        """Return whether a task waits for its start."""
         record = self._state.record_by_id.get(task_id)
         return record is not None and record.state is TaskState.QUEUED
 
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -1,4 +1,4 @@
-"""How far each organisation is above or below its weighted share of the fleet."""
+"""Tracks how much of the fleet each organisation uses, against its fair share."""
 
 from __future__ import annotations
 
@@ -12,14 +12,15 @@
 from .tasks import OrganisationUsage
 
 PAST_SHARE_HALF_LIFE_S = 60.0
-# Levels are compared in steps of this fraction of an organisation's fair share; within
-# a step the decaying memory of past use decides.
+# Usage levels are compared in steps of this fraction of an organisation's fair share;
+# within a step the decaying mean of the past share decides.
 USAGE_LEVEL_STEP = 0.002
-# Weight of the newest task in the moving mean of task sizes.
+# Weight of the newest task in the moving means of the tasks' shares.
 NEWEST_TASK_WEIGHT = 0.05
-# Weight of callers of an open queue that belong to no configured organisation.
+# Weight of each caller of an open queue that is not a configured organisation.
 UNCONFIGURED_WEIGHT = 1.0
 
+# Usage over fair share in steps of USAGE_LEVEL_STEP, then past share over fair share.
 UsageLevel = tuple[float, float]
 
 
@@ -30,9 +31,9 @@
     memory_mb: float = 0.0
     accelerators: float = 0.0
     running: int = 0
-    # Resources run by peers at the last exchange.
+    # Resources of the tasks that peers run, as last reported.
     peer_running: Resources = NO_RESOURCES
-    # Moving means of the dominant share of a task and of its square.
+    # Moving means of the dominant share of a task and of that share squared.
     mean_task_share: float = 0.0
     mean_square_task_share: float = 0.0
     past_share: float = 0.0
@@ -42,11 +43,13 @@
 
 
 class OrganisationShares:
-    """Orders organisations by running dominant share over weight, over the fleet.
+    """Orders organisations by weighted dominant share of the whole fleet.
 
-    Peers report their usage only now and then; between reports it counts as
-    unchanged. Assuming that peers change as this entry does avoids correcting a
-    deficit several times over, but makes the levels of small organisations so uncertain
+    An organisation's dominant share is the largest fraction of a resource of the
+    fleet that its running tasks take, at all entries. Peers report their usage at
+    intervals; between reports it counts as unchanged. The alternative is to assume
+    that peers change as this entry does. That avoids that every entry corrects the
+    same deficit, but makes the usage levels of small organisations so uncertain
     that they are served too often.
     """
 
@@ -56,7 +59,7 @@
         self._weight_sum = 1.0
 
     def set_config(self, config: FleetConfig, now: float) -> None:
-        """Take over weights and the size of the fleet."""
+        """Apply the weights of the organisations and the size of the fleet."""
         total = NO_RESOURCES
         for instance in config.instance_by_id.values():
             total = total + instance.size
@@ -81,11 +84,11 @@
         return self._state(organisation).share
 
     def fair_share(self, organisation: str) -> float:
-        """Return the share due to the organisation when all have enough work."""
+        """Return the share due to the organisation when all others have enough work."""
         return self._state(organisation).weight / self._weight_sum
 
     def mean_task_share(self, organisation: str) -> float:
-        """Return the usual dominant share of one task of the organisation."""
+        """Return the mean dominant share of one task, 0.0 if none was started yet."""
         return self._state(organisation).mean_task_share
 
     def organisations(self) -> list[str]:
@@ -93,7 +96,7 @@
         return list(self._state_by_organisation)
 
     def running(self, organisation: str) -> int:
-        """Return the number of running tasks of this entry."""
+        """Return how many tasks of the organisation this entry runs."""
         return self._state(organisation).running
 
     def running_resources(self, organisation: str) -> Resources:
@@ -120,13 +123,13 @@
         self._add(state, need, -1, now)
 
     def resized(self, organisation: str, extra: Resources, now: float) -> None:
-        """Charge more for a task that uses more than was assumed."""
+        """Charge a running task for using more than was reserved for it."""
         self._add(self._state(organisation), extra, 1, now)
 
     def set_peer_usage(
         self, usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]], now: float
     ) -> None:
-        """Replace what is known of all peers."""
+        """Replace the usage of all peers."""
         for state in self._state_by_organisation.values():
             state.peer_running = NO_RESOURCES
         for usage_by_organisation in usage_by_peer.values():
@@ -151,7 +154,7 @@
         state.memory_mb += sign * need.memory_mb
         state.accelerators += sign * need.accelerators
         if state.running == 0:
-            # Removes the rounding error of many additions.
+            # Removes the accumulated rounding error.
             state.cores = state.memory_mb = state.accelerators = 0.0
         self._update(state, now)
 
@@ -162,9 +165,9 @@
         state.past_share_at = now
         state.share = self._fleet_usage(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
-        # Running shares move in steps of a task, of which half is added so that
-        # organisations with large tasks are not above their share on average. Large
-        # tasks make up more of the steps than their number tells.
+        # A share changes by whole tasks. Half of such a step is added, so that
+        # organisations with large tasks do not exceed their share on average. The
+        # step is the mean weighted by size, as large tasks dominate the changes.
         step = (
             state.mean_square_task_share / state.mean_task_share
             if state.mean_task_share
--- a/libs/sched/src/lycheeloom/sched/sizes.py
+++ b/libs/sched/src/lycheeloom/sched/sizes.py
@@ -1,4 +1,4 @@
-"""Corrected sizes and run times, learned from lagged usage reports."""
+"""Corrects declared sizes and run times by what delayed usage reports show."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 from .tasks import Task, UsageReport
 
-# Fewer reports than this say too little about a queue and organisation.
+# With fewer reports of an organisation on a queue, nothing is corrected.
 MIN_SAMPLES = 5
 WINDOW_SAMPLES = 64
-# Memory that is exceeded kills tasks, processors that are exceeded slow them
-# down; so memory is corrected to a high quantile and processors to the mean.
+# Exceeding the reserved memory kills a task, exceeding the reserved cores only slows
+# it down. So memory is corrected to a high quantile and cores to the mean.
 MEMORY_QUANTILE = 0.95
-# Declared sizes are wrong by up to 4 times either way.
+# Declared sizes are up to 4 times too large or too small.
 MAX_CORRECTION = 4.0
-# Reports arrive after the task ended; this many ended tasks are remembered.
+# Reports arrive after the task ended, so this many started tasks are kept for them.
 MAX_REMEMBERED_TASKS = 20_000
 
 
@@ -32,20 +32,20 @@
 
 
 class SizeEstimator:
-    """Corrects declared sizes per queue and organisation."""
+    """Corrects declared sizes and run times per organisation and queue."""
 
     def __init__(self) -> None:
         self._ratios_by_subqueue: dict[tuple[str, str], _UsageRatios] = {}
         self._task_by_id: OrderedDict[str, Task] = OrderedDict()
 
     def remember(self, task: Task) -> None:
-        """Keep a started task so that its report can be used later."""
+        """Keep a started task until its usage report arrives."""
         self._task_by_id[task.id] = task
         if len(self._task_by_id) > MAX_REMEMBERED_TASKS:
             self._task_by_id.popitem(last=False)
 
     def observe(self, report: UsageReport) -> None:
-        """Learn from the report of an ended task."""
+        """Update the corrections from the report of an ended task."""
         if not report.ended:
             return
         task = self._task_by_id.pop(report.task_id, None)
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -71,7 +71,7 @@
     sequence: int = 0
 
     def may_run(self, organisation: str) -> bool:
-        """Tell whether a grant leaves the organisation a running slot.
+        """Return whether a grant leaves the organisation a running slot.
 
         Callers of open queues that belong to no configured organisation have no upper
         limit and therefore no grants.
--- a/libs/sched/src/lycheeloom/sched/subqueues.py
+++ b/libs/sched/src/lycheeloom/sched/subqueues.py
@@ -1,4 +1,4 @@
-"""Queued tasks, kept per organisation and queue and per size class."""
+"""The queued tasks of one organisation on one queue, by size class."""
 
 from __future__ import annotations
 
@@ -10,11 +10,12 @@
 
 from .tasks import TaskRecord, TaskState
 
+# Cores, memory and accelerators, each as an exponent of two.
 SizeClass = tuple[int, int, int]
 
 
 def size_class(resources: Resources) -> SizeClass:
-    """Group sizes by powers of two, so that a lane has few classes."""
+    """Round sizes up to powers of two, so that a subqueue has few classes."""
     return (
         math.ceil(math.log2(resources.cores)) if resources.cores > 0 else -99,
         max(resources.memory_mb - 1, 0).bit_length(),
@@ -25,8 +26,8 @@
 class Subqueue:
     """The queued tasks of one organisation on one queue.
 
-    Tasks of one size class start in the order of submission. A smaller class
-    may pass a larger one that does not fit anywhere.
+    Tasks of one size class start in the order of submission. A task of a smaller
+    class may start before an older, larger one that does not fit on any worker.
     """
 
     def __init__(self, organisation: str, queue: str) -> None:
@@ -36,7 +37,7 @@
         self._records_by_class: dict[SizeClass, deque[TaskRecord]] = {}
 
     def append(self, record: TaskRecord) -> bool:
-        """Add a record; tell whether its class was empty before."""
+        """Append a record; return whether its size class was empty before."""
         records = self._records_of_class(record)
         while records and records[0].state is not TaskState.QUEUED:
             records.popleft()
@@ -45,17 +46,20 @@
         return len(records) == 1
 
     def prepend(self, record: TaskRecord) -> None:
-        """Put back a record that had left the queue already."""
+        """Put a record that had left the subqueue back in front."""
         self._records_of_class(record).appendleft(record)
         self.count += 1
 
     def remove(self, record: TaskRecord) -> None:
-        """Take out a record in constant time; its place is dropped later."""
+        """Remove a record in constant time.
+
+        It is only marked as ended; its deque drops it once it comes to the front.
+        """
         record.state = TaskState.ENDED
         self.count -= 1
 
     def heads(self) -> list[tuple[SizeClass, TaskRecord]]:
-        """Return the oldest record of each class, the oldest first."""
+        """Return the oldest record of each size class, the oldest of them first."""
         heads = []
         for key in list(self._records_by_class):
             record = self.head(key)
@@ -66,20 +70,21 @@
         return heads
 
     def take(self, key: SizeClass) -> TaskRecord:
-        """Remove and return the oldest record of a class."""
+        """Remove and return the oldest record of a size class."""
         record = self._records_by_class[key].popleft()
         self.count -= 1
         return record
 
     def oldest(self) -> TaskRecord | None:
-        """Return the record that has waited longest."""
+        """Return the record with the lowest sequence number, None if there is none."""
         oldest: TaskRecord | None = None
         for key, records in self._records_by_class.items():
             if not records:
                 continue
             record = records[0]
             if record.state is not TaskState.QUEUED:
-                # Dropping dead records may remove the class from the mapping.
+                # head() drops records that were removed. It may delete the class from
+                # the mapping, so the iteration has to start again.
                 self.head(key)
                 return self.oldest()
             if oldest is None or record.sequence < oldest.sequence:
@@ -97,7 +102,7 @@
         return self._records_by_class.setdefault(key, deque())
 
     def head(self, key: SizeClass) -> TaskRecord | None:
-        """Return the oldest record of a class, if there is one."""
+        """Return the oldest record of a size class, None if there is none."""
         records = self._records_by_class.get(key)
         if records is None:
             return None
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -1,4 +1,4 @@
-"""Tasks, usage reports and the decisions about them."""
+"""Tasks, the decisions about them, and the usage reported for them."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
     ``resources`` and ``run_s`` are as declared by the caller. ``submitted_at``
     and ``deadline`` are seconds of the entry's monotonic clock; the task must
-    start before ``deadline``.
+    start before ``deadline``. ``excluded_workers`` are never offered the task.
     """
 
     id: str
@@ -42,7 +42,7 @@
 
 
 class PreemptionReason(StrEnum):
-    """Why a running task is asked to checkpoint and make room."""
+    """Why a running task is asked to checkpoint or is throttled."""
 
     ZONE_OUT = "zone_out"
     URGENT = "urgent"
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """The task is queued, but no worker it may use now is large enough."""
+    """The task is queued, but no worker that it may use now is large enough."""
 
     message: str
 
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Checkpoint:
-    """Checkpoint a running task; it is queued again once it has stopped."""
+    """Checkpoint and stop a running task, which is then queued again."""
 
     task_id: str
     reason: PreemptionReason
@@ -92,7 +92,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Expire:
-    """A queued task is refused; it has not run."""
+    """A queued task is refused without running.
+
+    Its deadline has passed, or its queue is gone or closed to its organisation.
+    """
 
     task: Task
     refusal: Refusal
@@ -103,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageReport:
-    """Lagged usage of one task: peak resources and run time so far."""
+    """Usage of one task, reported with a delay: peak resources and run time."""
 
     task_id: str
     peak: Resources
@@ -115,8 +118,8 @@
 class OrganisationUsage:
     """What one entry runs and has queued for an organisation.
 
-    ``queued_by_queue`` counts only tasks that the entry's grant lets it start;
-    peers leave capacity for these. It may be empty if it was not sent.
+    ``queued_by_queue`` counts only tasks that the entry's grant allows it to start;
+    peers leave capacity for these. It is empty if the entry did not send it.
     """
 
     running: Resources = NO_RESOURCES
@@ -125,18 +128,18 @@
 
 
 class TaskState(StrEnum):
-    """Where a task is in its life inside the scheduler."""
+    """The stages of a task in the scheduler."""
 
     QUEUED = "queued"
     RUNNING = "running"
     # Refused by a worker; waits for ``Scheduler.requeue``.
-    AWAITING_REQUEUE = "parked"
+    AWAITING_REQUEUE = "awaiting_requeue"
     ENDED = "ended"
 
 
 @dataclass(slots=True, eq=False)
 class TaskRecord:
-    """The scheduler's mutable notes on one task."""
+    """The scheduler's mutable state of one task."""
 
     task: Task
     sequence: int
@@ -147,13 +150,13 @@
     started_at: float = 0.0
     expected_end: float = 0.0
     excluded: frozenset[str] = frozenset()
-    # Set while a Checkpoint decision has not ended the task yet.
+    # A checkpoint was requested and the task has not ended yet.
     checkpointing: bool = False
     throttled: bool = False
-    # When a task behind it was first started instead because it did not fit.
+    # When another task was first started instead, because this one did not fit.
     passed_over_at: float | None = None
-    # The pool of ``worker`` when the task started.
+    # The pool that ``worker`` was in when the task started.
     pool: str = ""
-    # Runs on a loan, or as batch work, and may be asked to make room.
+    # Runs outside its queue's own pool or is batch work, so it may be preempted.
     reclaimable: bool = False
     events: list = field(default_factory=list)
--- a/libs/sched/src/lycheeloom/sched/trials.py
+++ b/libs/sched/src/lycheeloom/sched/trials.py
@@ -1,4 +1,4 @@
-"""Gives workers on probation single trial tasks."""
+"""Starts trial tasks on workers on probation, one at a time."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 class Trials:
     """Chooses a task for each worker on probation whose backoff has ended.
 
-    Idempotent tasks are used, because a trial is likely to fail and a task that
-    is not idempotent could not be repeated. Others are used only while no
-    worker is left for normal work, as they would wait for good.
+    Trials are idempotent tasks, because a trial is likely to fail and a task that
+    is not idempotent could not be repeated. Other tasks are tried only while no
+    worker takes normal work, as they would otherwise wait for ever.
     """
 
     def __init__(self, state: SchedulerState) -> None:
@@ -20,19 +20,19 @@
         self._on_probation: dict[str, Worker] = {}
 
     def begin_probation(self, worker: Worker, now: float) -> None:
-        """Close a worker that has entered probation for normal work."""
+        """Close a worker to normal work; it only gets trial tasks."""
         worker.on_probation = True
         self._on_probation[worker.id] = worker
         self._state.workers.refresh(worker, now)
 
     def end_probation(self, worker: Worker, now: float) -> None:
-        """Open a worker that has passed its trials."""
+        """Open a worker to normal work again."""
         worker.on_probation = False
         self._on_probation.pop(worker.id, None)
         self._state.workers.refresh(worker, now)
 
     def start(self, now: float) -> list[Decision]:
-        """Start at most one trial on each worker on probation."""
+        """Start at most one trial on each worker on probation that is idle."""
         decisions: list[Decision] = []
         state = self._state
         for worker in self._on_probation.values():
@@ -68,7 +68,7 @@
         return None
 
     def _no_worker_for_normal_work(self) -> bool:
-        """Tell whether no worker is left for normal work."""
+        """Return whether no worker of the fleet takes normal work."""
         workers = self._state.workers
         return not any(
             workers.accepts_normal_work(worker)
--- a/libs/sched/src/lycheeloom/sched/waits.py
+++ b/libs/sched/src/lycheeloom/sched/waits.py
@@ -1,13 +1,13 @@
-"""Expected waiting times, from recent start rates."""
+"""Estimates waiting times from recent start rates."""
 
 from __future__ import annotations
 
 from collections import deque
 
-# Starts older than this say nothing about the present rate.
+# Older starts do not count towards the present rate.
 WINDOW_S = 10.0
 MAX_STARTS = 200
-# A rate from fewer starts is too uncertain to refuse work by.
+# A rate from fewer starts is too uncertain to refuse tasks because of it.
 MIN_STARTS = 5
 
 
@@ -18,7 +18,7 @@
         self._starts_by_subqueue: dict[tuple[str, str], deque[float]] = {}
 
     def record_start(self, organisation: str, queue: str, now: float) -> None:
-        """Count a start."""
+        """Count the start of a task."""
         starts = self._starts_by_subqueue.get((organisation, queue))
         if starts is None:
             starts = deque(maxlen=MAX_STARTS)
@@ -30,7 +30,7 @@
     ) -> float | None:
         """Return the expected wait in seconds behind ``queued`` tasks.
 
-        None means that too few tasks started lately to tell.
+        None means that too few tasks started recently for an estimate.
         """
         if not queued:
             return 0.0
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -1,4 +1,4 @@
-"""Workers with their free capacity, and the choice of a worker for a task."""
+"""The workers with their free capacity, and the choice of a worker for a task."""
 
 from __future__ import annotations
 
@@ -13,10 +13,11 @@
 from .capacity import CapacityTree
 from .tasks import TaskRecord
 
-# Fitting workers compared for one start; more cost time and spread no better.
+# Fitting workers compared for one start. More of them cost time and spread tasks no
+# better.
 CANDIDATES = 3
-# A returned zone starts at this part of its capacity and is full after RAMP_S,
-# so that workers with cold caches are not all filled in the same instant.
+# A zone that is back in service may use this fraction of its capacity at first and all
+# of it after RAMP_S, so that workers with cold caches are not all filled at once.
 RAMP_START_FRACTION = 0.25
 RAMP_S = 3.0
 RAMP_STEP_S = 0.25
@@ -24,7 +25,7 @@
 
 @dataclass(slots=True, eq=False)
 class Worker:
-    """One worker as seen by this entry."""
+    """One worker as this entry knows it."""
 
     id: str
     pool: str
@@ -37,7 +38,7 @@
     own_used: Resources = NO_RESOURCES
     boot_id: str = ""
     on_probation: bool = False
-    # This entry keeps the worker free for a task that waits.
+    # This entry keeps the worker free for a waiting task.
     reserved: bool = False
     reserved_by_peer: bool = False
     running: dict[str, TaskRecord] = field(default_factory=dict)
@@ -59,7 +60,7 @@
         self.worker_by_id: dict[str, Worker] = {}
         self.total_cores = 0.0
         self.freed_pools: set[str] = set()
-        # Reserved workers that changed since the last look.
+        # Reserved workers that changed since the reservations were last checked.
         self.changed_reserved: set[str] = set()
         self._random = random.Random(seed)
         self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
@@ -69,11 +70,12 @@
         self._next_ramp_at = 0.0
         self._pool_by_instance: Mapping[str, str] = {}
         self._instance_by_id: Mapping[str, Instance] = {}
-        # Running tasks of this entry per queue and place, for spreading.
+        # Running tasks of this entry per queue and zone of a pool, and per queue and
+        # rack, for spreading.
         self._running_by_location: Counter[tuple[str, str]] = Counter()
 
     def set_config(self, config: FleetConfig, now: float) -> tuple[set[str], set[str]]:
-        """Take over instances and zones; return zones gone out and come back."""
+        """Apply instances and zones; return the zones taken out of service and back."""
         out = {z.id for z in config.zone_by_id.values() if z.state is ZoneState.OUT}
         gone, back = out - self._out_zones, self._out_zones - out
         self._out_zones = out
@@ -90,14 +92,14 @@
         return gone, back
 
     def set_pool_by_instance(self, mapping: Mapping[str, str], now: float) -> None:
-        """Take over the actual pool of each worker."""
+        """Set the pool that each worker is in now."""
         if mapping == self._pool_by_instance:
             return
         self._pool_by_instance = dict(mapping)
         self._rebuild(now)
 
     def zone_is_out(self, zone: str) -> bool:
-        """Tell whether operators have taken the zone out of service."""
+        """Return whether operators have taken the zone out of service."""
         return zone in self._out_zones
 
     def worker_sizes(self, pool: str) -> set[Resources]:
@@ -110,7 +112,7 @@
             yield from index.workers
 
     def peer_cores(self, pool: str) -> float:
-        """Return the processors of a pool that peers use, as last reported."""
+        """Return the cores of a pool that peers use, as last reported."""
         return sum(
             worker.size.cores - worker.free.cores - worker.own_used.cores
             for worker in self.workers_in_pool(pool)
@@ -118,21 +120,21 @@
         )
 
     def free_fraction(self, pool: str) -> float:
-        """Return the free processors of a pool as a part of the fleet's."""
+        """Return the free cores of a pool as a fraction of all cores of the fleet."""
         free = sum(
             w.free.cores for w in self.workers_in_pool(pool) if self.accepts_starts(w)
         )
         return free / self.total_cores if self.total_cores else 0.0
 
     def has_room(self, pool: str) -> bool:
-        """Tell whether any usable worker of the pool has a free core."""
+        """Return whether any usable worker of the pool has free cores."""
         for index in self._zones_by_pool.get(pool, ()):
             if index.tree.nodes[1][0] > 0:
                 return True
         return False
 
     def advance_ramps(self, now: float) -> None:
-        """Advance the ramps of returned zones."""
+        """Raise the capacity of zones that are back in service."""
         if not self._returned_at_by_zone or now < self._next_ramp_at:
             return
         self._next_ramp_at = now + RAMP_STEP_S
@@ -152,7 +154,7 @@
             if index.tree.may_fit(need)
         ]
         if len(indexes) > 1:
-            # Equal zones are taken in turn, not always the first.
+            # Equally loaded zones are chosen at random, not always the first.
             self._random.shuffle(indexes)
             indexes.sort(key=lambda index: self._zone_load(queue, pool, index))
         for index in indexes:
@@ -162,7 +164,7 @@
         return None
 
     def attach(self, worker: Worker, record: TaskRecord, now: float) -> None:
-        """Take room on a worker for a started task."""
+        """Reserve capacity on a worker for a started task."""
         worker.running[record.task.id] = record
         worker.free = worker.free - record.need
         worker.own_used = worker.own_used + record.need
@@ -172,7 +174,7 @@
         self.refresh(worker, now)
 
     def detach(self, worker: Worker, record: TaskRecord, now: float) -> None:
-        """Give back the room of a task that ended."""
+        """Free the capacity of a task that ended."""
         del worker.running[record.task.id]
         worker.free = worker.free + record.need
         worker.own_used = worker.own_used - record.need
@@ -182,7 +184,7 @@
         self.refresh(worker, now)
 
     def resize(self, worker: Worker, extra: Resources, now: float) -> None:
-        """Take more room for a running task."""
+        """Reserve more capacity for a running task."""
         worker.free = worker.free - extra
         worker.own_used = worker.own_used + extra
         self.refresh(worker, now)
@@ -190,10 +192,10 @@
     def observe(
         self, worker: Worker, available: bool, free: Resources | None, now: float
     ) -> None:
-        """Take over what the worker said of itself.
+        """Apply what a worker reported about itself.
 
-        Tasks that this entry has just started may be missing from ``free``, so
-        it is bounded by what they leave.
+        Its report may not include the tasks that this entry has just started, so
+        ``free`` is limited to what this entry's own tasks leave.
         """
         worker.available = available
         if free is not None:
@@ -206,7 +208,7 @@
         self.refresh(worker, now)
 
     def set_reserved_by_peers(self, worker_ids: Iterable[str], now: float) -> None:
-        """Leave the workers that peers keep for large tasks alone."""
+        """Set the workers that peers have reserved; nothing else starts on them."""
         wanted = set(worker_ids)
         for worker in self.worker_by_id.values():
             reserved = worker.id in wanted
@@ -215,7 +217,7 @@
                 self.refresh(worker, now)
 
     def refresh(self, worker: Worker, now: float) -> None:
-        """Bring the index up to date with a worker that changed."""
+        """Update the index after a worker changed."""
         if worker.reserved:
             self.changed_reserved.add(worker.id)
         for index in self._zones_by_pool.get(worker.pool, ()):
@@ -227,7 +229,7 @@
                 return
 
     def accepts_starts(self, worker: Worker) -> bool:
-        """Tell whether operators and the worker itself allow any start."""
+        """Return whether the worker is available, in service and in the fleet."""
         return (
             worker.available
             and worker.zone not in self._out_zones
@@ -235,7 +237,10 @@
         )
 
     def accepts_normal_work(self, worker: Worker) -> bool:
-        """Tell whether a reserved worker may start the task it is kept for."""
+        """Return whether the worker may start other tasks than trials.
+
+        Reservations are not considered.
+        """
         return self.accepts_starts(worker) and not worker.on_probation
 
     def _usable_capacity(self, worker: Worker, now: float) -> Resources | None:
@@ -293,7 +298,7 @@
                 self.refresh(worker, now)
 
     def _rebuild(self, now: float) -> None:
-        """Index all workers anew after instances or pools changed."""
+        """Rebuild the index after instances or pools changed."""
         previous = self.worker_by_id
         self.worker_by_id = {}
         grouped: dict[tuple[str, str], list[Worker]] = {}
