--- a/libs/sched/src/lycheeloom/sched/admission.py
+++ b/libs/sched/src/lycheeloom/sched/admission.py
@@ -13,13 +13,13 @@
 
 
 class Admission:
-    """Refuses early, with a reason, what cannot be served."""
+    """Refuses tasks that may not or cannot run, with a reason."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
 
     def check(self, task: Task, now: float) -> Accepted | Held | Refusal:
-        """Return the verdict on a new task."""
+        """Return whether a new task is accepted, held or refused."""
         disallowed = self.check_allowed(task)
         if disallowed is not None:
             return disallowed
@@ -38,7 +38,7 @@
         return fit
 
     def check_allowed(self, task: Task) -> Refusal | None:
-        """Return why the organisation may not use the queue, if it may not."""
+        """Return a refusal if the organisation may not use the queue."""
         queue = self._state.config.queue_by_id.get(task.queue)
         if queue is None:
             message = f"no queue {task.queue!r}"
@@ -51,10 +51,10 @@
         return None
 
     def _check_size(self, task: Task, pool: str) -> Accepted | Held | Refusal:
-        """Compare the task with the workers it may use and with the fleet.
+        """Compare the size of a task with the workers it may use and with the fleet.
 
-        A declared size that is too large is not refused if tasks of the organisation
-        on the queue have been observed to be small enough.
+        A task whose declared size is too large is not refused if its corrected size
+        fits.
         """
         state = self._state
         pools = [pool]
--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -20,8 +20,8 @@
 # this fraction of its fair share, as entries know each other's usage only as of the
 # last heartbeat.
 DEFERRAL_MARGIN = 0.02
-# The same as a number of tasks. The usage of a small organisation always varies by a few
-# tasks, which its own entries correct without capacity from others.
+# The same as a number of tasks. The usage of a small organisation always varies by a
+# few tasks, which its own entries correct without capacity from others.
 DEFERRAL_MIN_TASKS = 3
 # Dominant share assumed for a task of an organisation that has not run here yet.
 DEFAULT_TASK_SHARE = 0.01
@@ -261,9 +261,7 @@
         shares = state.shares
         deficit = 0.0
         for organisation in peer_organisations:
-            levels_below = (
-                usage_level - shares.usage_level(organisation)[0]
-            ) * USAGE_LEVEL_STEP
+            gap = (usage_level - shares.usage_level(organisation)[0]) * USAGE_LEVEL_STEP
             fair = shares.fair_share(organisation)
             tolerated = max(
                 DEFERRAL_MARGIN * fair,
@@ -271,7 +269,7 @@
             )
             mean_task_share = shares.mean_task_share(organisation) or DEFAULT_TASK_SHARE
             wanted = state.peer_queued_by_organisation[organisation] * mean_task_share
-            deficit += min(wanted, max(0.0, levels_below * fair - tolerated))
+            deficit += min(wanted, max(0.0, gap * fair - tolerated))
         if not deficit or state.workers.free_fraction(pool) > deficit:
             return False
         return self._defers_to_peers(pool, now)
--- a/libs/sched/src/lycheeloom/sched/deferrals.py
+++ b/libs/sched/src/lycheeloom/sched/deferrals.py
@@ -65,5 +65,5 @@
         return True
 
     def cancel(self, pool: str) -> None:
-        """Forget the deferral of a pool that no organisation waits for at peers only."""
+        """Forget the deferral of a pool; no organisation waits for it at peers only."""
         self._deferral_by_pool.pop(pool, None)
--- a/libs/sched/src/lycheeloom/sched/events.py
+++ b/libs/sched/src/lycheeloom/sched/events.py
@@ -1,4 +1,4 @@
-"""Typed events that explain decisions in sentences to read aloud."""
+"""Typed events that explain decisions; ``str()`` gives a sentence for operators."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def describe(resources: Resources) -> str:
-    """Return ``2 cores, 4096 MB and 1 accelerators`` for such resources."""
+    """Format resources, for example as ``2 cores, 4096 MB and 1 accelerators``."""
     text = f"{resources.cores:g} cores, {resources.memory_mb} MB"
     if resources.accelerators:
         text += f" and {resources.accelerators} accelerators"
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskQueued:
-    """A task entered its queue, or came back to it."""
+    """A task was queued, for the first time or again."""
 
     at: float
     queue: str
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskStarted:
-    """A task was placed; ``borrowed`` if not in its queue's own pool."""
+    """A task was started; ``borrowed`` if not in its queue's own pool."""
 
     at: float
     worker: str
@@ -45,14 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PreemptionRequested:
-    """A running task was asked to checkpoint or to slow down."""
+    """A checkpoint or a throttle of a running task was requested."""
 
     at: float
     action: str
     reason: str
 
     def __str__(self) -> str:
-        return f"Asked to {self.action} because of {self.reason}."
+        return f"Requested {self.action} because of {self.reason}."
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReserved:
-    """A worker is kept for a task that needs much room."""
+    """A worker is reserved for a task that does not fit anywhere now."""
 
     at: float
     worker: str
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationStatus:
-    """Where an organisation stands against its share and its running slots."""
+    """How much an organisation uses of its fair share and of its running slots."""
 
     at: float
     organisation: str
@@ -120,31 +120,31 @@
         return (
             f"Organisation {self.organisation} runs {self.running} of "
             f"{self.granted} granted tasks "
-            f"here and has {self.queued} queued; over the fleet it uses "
-            f"{self.share:.1%} where its fair share is {self.fair_share:.1%}."
+            f"here and has {self.queued} queued; of the whole fleet it uses "
+            f"{self.share:.1%}, and its fair share is {self.fair_share:.1%}."
         )
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerOnProbation:
-    """A worker failed several different tasks in a row."""
+    """A worker entered probation, by its failures here or by a fleet-wide decision."""
 
     at: float
     worker: str
 
     def __str__(self) -> str:
-        return f"Worker {self.worker} failed every task and only gets trials."
+        return f"Worker {self.worker} is on probation and only gets trial tasks."
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerReturned:
-    """A worker passed its trials."""
+    """A worker left probation."""
 
     at: float
     worker: str
 
     def __str__(self) -> str:
-        return f"Worker {self.worker} passed its trials and is used again."
+        return f"Worker {self.worker} has left probation and gets normal work again."
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +156,7 @@
     workers: tuple[str, ...]
 
     def __str__(self) -> str:
-        return f"Rack {self.rack} is lost with {len(self.workers)} workers."
+        return f"Rack {self.rack} is lost: all {len(self.workers)} workers are down."
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,7 +170,7 @@
     def __str__(self) -> str:
         if self.out:
             return f"Zone {self.zone} is out of service; nothing starts there."
-        return f"Zone {self.zone} is back; its load is ramped up."
+        return f"Zone {self.zone} is back in service; its load is ramped up."
 
 
 TaskEvent = (
--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -1,4 +1,4 @@
-"""Explains tasks and organisations with typed events."""
+"""Explains the state of tasks and organisations by typed events."""
 
 from __future__ import annotations
 
@@ -16,19 +16,19 @@
 def explain_task(
     state: SchedulerState, task_id: str, now: float
 ) -> tuple[TaskEvent, ...]:
-    """Return the events of a task and, if it waits, why."""
+    """Return the events of a task and, if it waits, the reason."""
     record = state.record_by_id.get(task_id)
     if record is None:
-        return tuple(state.ended_events.get(task_id, ()))
+        return tuple(state.events_by_ended_task.get(task_id, ()))
     if record.state is TaskState.RUNNING:
         return tuple(record.events)
-    return (*record.events, TaskWaiting(now, _why_waiting(state, record)))
+    return (*record.events, TaskWaiting(now, _waiting_reason(state, record)))
 
 
 def explain_organisation(
     state: SchedulerState, organisation: str, now: float
 ) -> tuple[OrganisationEvent, ...]:
-    """Return the standing of an organisation and its latest refusals."""
+    """Return the status of an organisation and its latest refusals."""
     status = OrganisationStatus(
         now,
         organisation,
@@ -41,10 +41,10 @@
     return (status, *state.refusals_by_organisation.get(organisation, ()))
 
 
-def _why_waiting(state: SchedulerState, record: TaskRecord) -> str:
+def _waiting_reason(state: SchedulerState, record: TaskRecord) -> str:
     task = record.task
     if record.state is TaskState.AWAITING_REQUEUE:
-        return "a worker refused the task and it is about to be queued again"
+        return "a worker refused the task; it is about to be queued again"
     if not state.may_run(task.organisation):
         granted = state.grant_by_organisation.get(task.organisation, 0)
         return f"organisation {task.organisation} uses all {granted} running slots "
@@ -59,6 +59,6 @@
     return (
         f"pool {pool} has no room for {describe(need)}; organisation "
         f"{task.organisation} has "
-        f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet "
-        f"where its fair share is {fair:.1%}"
+        f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet, "
+        f"and its fair share is {fair:.1%}"
     )
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -1,29 +1,31 @@
-"""Finds workers that fail every task, without blaming them for bad tasks."""
+"""Finds workers that fail every task, without counting failures of faulty tasks."""
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-# Failures in a row, of different tasks, that put a worker on probation.
+# Failures in a row, of different tasks, that put a worker on probation: fewer if it is
+# known from other workers that tasks of these groups usually succeed.
 FAILURES_WITH_EVIDENCE = 3
 FAILURES_WITHOUT_EVIDENCE = 6
 FIRST_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 120.0
-# Trials that must succeed in a row before a worker is used fully again.
+# Trials that must succeed in a row before a worker leaves probation.
 TRIALS_TO_PASS = 2
-# Recent outcomes kept per organisation and queue.
+# Recent outcomes kept per group of tasks.
 WINDOW_OUTCOMES = 50
-# An organisation's queue that fails this often on other workers is itself at fault.
+# A group that fails at this rate or more on other workers is itself at fault.
 FAULTY_GROUP_FAILURE_RATE = 0.5
 MAX_REMEMBERED_TASKS = 5_000
 
+# Organisation and queue of a task.
 TaskGroup = tuple[str, str]
 
 
 @dataclass(slots=True)
 class _WorkerRecord:
-    # Group of each task that failed since the last success.
+    # Group by id of each task that failed since the last success.
     failed_tasks: dict[str, TaskGroup] = field(default_factory=dict)
     on_probation: bool = False
     backoff_s: float = FIRST_BACKOFF_S
@@ -33,7 +35,7 @@
 
 
 class Probation:
-    """Keeps outcomes per worker and per organisation and queue."""
+    """Decides from the outcomes of tasks which workers are on probation."""
 
     def __init__(self) -> None:
         self._record_by_worker: dict[str, _WorkerRecord] = {}
@@ -41,7 +43,7 @@
         self._workers_by_failed_task: OrderedDict[str, set[str]] = OrderedDict()
 
     def on_probation(self, worker: str) -> bool:
-        """Return whether the worker only gets trials."""
+        """Return whether the worker is on probation and only gets trial tasks."""
         record = self._record_by_worker.get(worker)
         return record is not None and record.on_probation
 
@@ -51,11 +53,11 @@
         return not record.trial_task and now >= record.next_trial_at
 
     def record_trial_start(self, worker: str, task_id: str) -> None:
-        """Note the only task that runs on a worker on probation."""
+        """Record the trial task of a worker on probation, which runs no other task."""
         self._record_by_worker[worker].trial_task = task_id
 
     def record_success(self, worker: str, task_id: str, group: TaskGroup) -> bool:
-        """Count a success; return whether the worker leaves probation."""
+        """Record a success; return whether the worker leaves probation now."""
         self._outcomes(group).append((worker, True))
         record = self._record_by_worker.get(worker)
         if record is None:
@@ -75,7 +77,7 @@
     def record_failure(
         self, worker: str, task_id: str, group: TaskGroup, now: float
     ) -> bool:
-        """Count a failure; return whether the worker enters probation now."""
+        """Record a failure; return whether the worker enters probation now."""
         self._outcomes(group).append((worker, False))
         record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if self._task_at_fault(task_id, worker):
@@ -92,9 +94,9 @@
         return True
 
     def put_on_probation(self, worker: str, now: float) -> bool:
-        """Put a worker on probation for another reason than failed tasks here.
+        """Put a worker on probation for another reason than its failures at this entry.
 
-        Tells whether that is new; trials may begin at once.
+        Trials may begin at once. Return whether it was not on probation before.
         """
         record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if record.on_probation:
@@ -104,7 +106,7 @@
         return True
 
     def end(self, worker: str) -> bool:
-        """End the probation of a worker; tells whether it was on probation."""
+        """End the probation of a worker; return whether it was on probation."""
         record = self._record_by_worker.get(worker)
         if record is None or not record.on_probation:
             return False
@@ -112,7 +114,7 @@
         return True
 
     def discard_trial(self, worker: str, task_id: str) -> None:
-        """Forget a trial that ended without saying anything on the worker."""
+        """Forget a trial whose outcome shows nothing about the worker."""
         record = self._record_by_worker.get(worker)
         if record is not None and record.trial_task == task_id:
             record.trial_task = ""
@@ -135,7 +137,10 @@
             record.next_trial_at = now + record.backoff_s
 
     def _task_at_fault(self, task_id: str, worker: str) -> bool:
-        """Return whether the task failed elsewhere too; then clear the others."""
+        """Return whether the task failed on other workers too.
+
+        If so, its failures on those workers no longer count either.
+        """
         workers = self._workers_by_failed_task.setdefault(task_id, set())
         workers.add(worker)
         if len(self._workers_by_failed_task) > MAX_REMEMBERED_TASKS:
@@ -150,10 +155,10 @@
         return True
 
     def _worker_at_fault(self, worker: str, record: _WorkerRecord) -> bool:
-        """Return whether the failures in a row speak against the worker.
+        """Return whether the failures in a row are the worker's fault.
 
-        Failures of groups that fail elsewhere too do not count. If nothing is
-        known of the groups on other workers, more failures are needed.
+        Failures of groups that fail on other workers too do not count. If no outcomes
+        of these groups on other workers are known, more failures are needed.
         """
         counted = 0
         has_evidence = False
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -145,7 +145,7 @@
         return settings is not None and settings.kind is QueueKind.BATCH
 
     def has_batch_priority(self, record: TaskRecord, now: float) -> bool:
-        """Return whether a task is batch work queued for less than BATCH_PROMOTION_S."""
+        """Return whether a task is batch work that has not been promoted by age."""
         if not self.is_batch(record.task.queue):
             return False
         return now - record.queued_at < BATCH_PROMOTION_S
--- a/libs/sched/src/lycheeloom/sched/reclaim.py
+++ b/libs/sched/src/lycheeloom/sched/reclaim.py
@@ -1,4 +1,7 @@
-"""Takes capacity back without losing work: loans, batch work, zones out."""
+"""Takes back capacity from borrowers, batch work and zones out of service.
+
+Tasks are checkpointed, or throttled if that is impossible, so that no work is lost.
+"""
 
 from __future__ import annotations
 
@@ -6,20 +9,21 @@
 from .state import SchedulerState
 from .tasks import Decision, PreemptionReason, TaskRecord, TaskState
 
-# Short tasks are left to end by themselves within this time.
+# A waiting task gets this long to start without preemption. Tasks that should end
+# within this time are not preempted.
 GRACE_S = 1.0
 RECLAIM_INTERVAL_S = 0.5
 
 
 class Reclaimer:
-    """Asks running tasks to make room for those that have a better claim."""
+    """Preempts running tasks in favour of tasks that take precedence in the pool."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
         self._next_reclaim_at = 0.0
 
     def evacuate(self, zones: set[str], now: float) -> list[Decision]:
-        """Checkpoint what can be checkpointed in zones taken out of service."""
+        """Checkpoint the checkpointable tasks in zones taken out of service."""
         decisions: list[Decision] = []
         for worker in self._state.workers.worker_by_id.values():
             if worker.zone not in zones:
@@ -33,7 +37,7 @@
         return decisions
 
     def reclaim(self, now: float) -> list[Decision]:
-        """Ask for as much room as interactive tasks have waited for."""
+        """Preempt one task per subqueue whose oldest task has waited too long."""
         if now < self._next_reclaim_at:
             return []
         self._next_reclaim_at = now + RECLAIM_INTERVAL_S
@@ -41,13 +45,13 @@
         for pool in self._state.config.pool_by_id:
             if not self._state.reclaimable_count_by_pool[pool]:
                 continue
-            waiting = self._waiting(pool, now)
+            waiting = self._waiting_tasks(pool, now)
             if waiting:
                 decisions.extend(self._reclaim_for(pool, waiting, now))
         return decisions
 
-    def _waiting(self, pool: str, now: float) -> list[TaskRecord]:
-        """Return the tasks of the pool's own queues that waited too long."""
+    def _waiting_tasks(self, pool: str, now: float) -> list[TaskRecord]:
+        """Return the oldest tasks of the pool's own queues that waited too long."""
         state = self._state
         queues: Queues = state.queues
         waiting = []
@@ -71,7 +75,7 @@
             return decisions
         usage_level = self._state.shares.usage_level
         waiting.sort(key=lambda record: usage_level(record.task.organisation))
-        # The organisations furthest above their share give way first.
+        # Tasks of organisations furthest above their fair share are preempted first.
         candidates.sort(
             key=lambda item: (usage_level(item[0].task.organisation), item[0].sequence)
         )
@@ -79,8 +83,8 @@
             if not candidates:
                 break
             victim, reason = candidates[-1]
-            same_kind = reason is PreemptionReason.LOAN_RETURN
-            if same_kind and usage_level(record.task.organisation) >= usage_level(
+            is_borrower = reason is PreemptionReason.LOAN_RETURN
+            if is_borrower and usage_level(record.task.organisation) >= usage_level(
                 victim.task.organisation
             ):
                 break
@@ -91,15 +95,18 @@
     def _candidates(
         self, pool: str, now: float
     ) -> list[tuple[TaskRecord, PreemptionReason]]:
-        """Return borrowers and batch tasks on the pool that will run longer."""
+        """Return the borrowers and batch tasks of the pool that will not end soon.
+
+        While a requested checkpoint is in progress in the pool, there are none.
+        """
         state = self._state
         settings = state.config.pool_by_id[pool]
         found = []
-        pending = 0
+        checkpoints_in_progress = 0
         for worker in state.workers.workers_in_pool(pool):
             for record in worker.running.values():
                 if record.checkpointing:
-                    pending += 1
+                    checkpoints_in_progress += 1
                     continue
                 if record.task.urgent or record.state is not TaskState.RUNNING:
                     continue
@@ -111,14 +118,16 @@
                     found.append((record, PreemptionReason.BATCH_YIELD))
                 elif not settings.spare and self._is_borrower(record, pool):
                     found.append((record, PreemptionReason.LOAN_RETURN))
-        usable = [f for f in found if f[0].task.checkpointable or not f[0].throttled]
-        return usable if not pending else []
+        preemptible = [
+            f for f in found if f[0].task.checkpointable or not f[0].throttled
+        ]
+        return preemptible if not checkpoints_in_progress else []
 
     def _is_borrower(self, record: TaskRecord, pool: str) -> bool:
         return self._state.queues.home_pool(record.task.queue) != pool
 
     def _overdue(self, record: TaskRecord, now: float) -> bool:
-        """Return whether a task has run far longer than was expected."""
+        """Return whether a task has run longer than expected by more than GRACE_S."""
         return now > record.expected_end + GRACE_S
 
     def _preempt(
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -1,8 +1,9 @@
-"""Workers kept free for tasks that need more room than ends at once.
+"""Workers reserved for tasks that need more room than becomes free at once.
 
-A large task that waits would never start on a full fleet, because smaller tasks
-take whatever becomes free. A reserved worker takes only tasks that end before
-the room is expected. Urgent tasks reserve the worker they make room on.
+A large task would never start on a full fleet, because smaller tasks take whatever
+becomes free. So a worker is reserved for it. Until the expected start, the worker is
+backfilled only with tasks that end before then. An urgent task reserves the worker
+on which tasks are preempted for it.
 """
 
 from __future__ import annotations
@@ -18,26 +19,31 @@
 from .tasks import Decision, Task, TaskRecord, TaskState
 from .workers import Worker
 
-# A task that smaller ones have passed gets a reservation once it has waited for
-# this part of the time that the worker will take to make room, and at the latest
-# after ``RESERVE_AFTER_S``. So small tasks, for which little is kept idle, get
-# one early.
+# A task that others have passed over gets a reservation once it has waited for this
+# fraction of the time that the worker will take to have room, and at the latest after
+# RESERVE_AFTER_S. So small tasks, for which a worker soon has room and little is kept
+# idle, get one early.
 RESERVE_WAIT_FRACTION = 0.25
 RESERVE_AFTER_S = 2.0
-# The reserved room is at most this part of a pool, and at least one worker.
+# Reservations hold at most this fraction of a pool's workers, or one worker if more.
 MAX_RESERVED_FRACTION = 0.1
-# The time after which tasks of other entries on a worker are assumed to end.
+# Tasks of other entries on a worker are assumed to end after this time.
 ASSUMED_PEER_TASK_S = 10.0
-# The search looks at every worker of a pool; this bounds its cost.
+# The search for a worker looks at every worker of a pool; this bounds its cost.
 SEARCH_INTERVAL_PER_WORKER_S = 0.0005
+# Peers are told only of reservations older than this; see ``published_worker_ids``.
 PUBLISH_AFTER_S = 1.0
-# Reservations whose task is gone are dropped within this time.
+# All reservations are checked this often; those whose task is gone are released.
 CHECK_INTERVAL_S = 0.5
 
 
 @dataclass(slots=True, eq=False)
 class Reservation:
-    """A worker kept until about ``expected_at`` for an urgent task or a lane's class."""
+    """A worker reserved for an urgent task or for a size class of a subqueue.
+
+    ``fraction`` is the part of the worker that the task needs, ``expected_at`` the
+    time at which the worker is expected to have room.
+    """
 
     worker: Worker
     pool: str
@@ -62,14 +68,15 @@
         self._next_search_at_by_pool: dict[str, float] = {}
 
     def has_urgent(self, urgent_task: str) -> bool:
-        """Return whether a worker is kept for an urgent task."""
+        """Return whether a worker is reserved for an urgent task."""
         return urgent_task in self._worker_by_urgent_task
 
-    def worker_ids(self) -> tuple[str, ...]:
-        """Return the workers kept by this entry, for its peers to avoid.
+    def published_worker_ids(self) -> tuple[str, ...]:
+        """Return the reserved workers that peers should not start tasks on.
 
-        Short reservations end before peers hear of them, and what peers then
-        leave free on the worker would stay idle until this entry sees it.
+        Young reservations of tasks that are not urgent are left out. They often end
+        before peers learn of them, and what peers then leave free on the worker would
+        stay idle until this entry notices.
         """
         now = self._now
         return tuple(
@@ -81,7 +88,7 @@
     def reserve_urgent(
         self, record: TaskRecord, worker: Worker, expected_at: float, now: float
     ) -> None:
-        """Keep a worker for an urgent task."""
+        """Reserve a worker for an urgent task."""
         task_id = record.task.id
         self._worker_by_urgent_task[task_id] = worker.id
         reservation = Reservation(
@@ -91,13 +98,13 @@
         append_event(record, WorkerReserved(now, worker.id, expected_at))
 
     def release_urgent(self, task_id: str, now: float) -> None:
-        """Stop keeping a worker for an urgent task."""
+        """Release the worker reserved for an urgent task."""
         worker_id = self._worker_by_urgent_task.get(task_id)
         if worker_id is not None:
             self._release(self._by_worker[worker_id], now)
 
     def start_ready(self, now: float) -> list[Decision]:
-        """Start tasks whose reserved worker has room; drop what is not needed."""
+        """Start tasks whose reserved worker has room; release what is not needed."""
         self._now = now
         changed = self._state.workers.changed_reserved
         if now >= self._next_check_at:
@@ -125,7 +132,7 @@
         excluded: frozenset[str],
         now: float,
     ) -> Worker | None:
-        """Return a reserved worker that the task leaves again in time."""
+        """Return a reserved worker on which the task ends before the expected start."""
         reservations = self._by_pool.get(pool)
         if not reservations:
             return None
@@ -149,7 +156,7 @@
         pool: str,
         now: float,
     ) -> None:
-        """Reserve a worker for a lane whose oldest task was passed too long."""
+        """Reserve a worker for a record that has been passed over for too long."""
         passed_over_at = record.passed_over_at
         if passed_over_at is None or now <= passed_over_at:
             return
@@ -209,7 +216,7 @@
         return state.start(record, worker, need, now)
 
     def _next_task(self, reservation: Reservation) -> TaskRecord | None:
-        """Return the task that the reserved worker would start now."""
+        """Return the task that the reservation is for, None if it is gone."""
         if reservation.subqueue is not None:
             return reservation.subqueue.head(reservation.size_class)
         record = self._state.record_by_id.get(reservation.urgent_task)
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -1,4 +1,4 @@
-"""The scheduler of one entry: pure decisions, with the time passed in."""
+"""The scheduler of one entry. It does no I/O, and callers pass in the time."""
 
 from __future__ import annotations
 
@@ -42,15 +42,15 @@
 from .urgent import UrgentPlacement
 from .workers import WorkerTable
 
-# Even the first in line waits for a slot to come free. Peers hear only of lanes
-# that have waited longer, so that they do not keep capacity idle for others.
-REPORT_TO_PEERS_AFTER_S = 0.25
+# Even the oldest task waits until capacity becomes free. Peers are told only of
+# subqueues that have waited longer, so that they keep no capacity idle in vain.
+REPORT_AFTER_S = 0.25
 
 
 class Scheduler:
     """Decides which queued task starts next and where.
 
-    The entry daemon tells it what happens and carries out the decisions:
+    The entry daemon reports what happens and carries out the decisions:
 
         scheduler = Scheduler(config, seed=1)
         scheduler.set_grants({"search": 10})
@@ -78,28 +78,26 @@
         self._now = 0.0
         self.set_config(config, 0.0)
 
-    # What the fleet looks like.
-
     def set_config(self, config: FleetConfig, now: float) -> None:
-        """Take over a configuration; zones that are out get no start at once."""
+        """Apply a configuration; nothing more starts in zones out of service."""
         state = self._state
         self._now = now
         state.config = config
         state.shares.set_config(config, now)
-        gone, back = state.workers.set_config(config, now)
+        taken_out, returned = state.workers.set_config(config, now)
         state.queues.set_config(config)
         self._refuse_disallowed(now)
-        for zone in sorted(gone | back):
-            state.fleet_events.append(ZoneChanged(now, zone, zone in gone))
-        if gone:
-            self._pending_decisions.extend(self._reclaimer.evacuate(gone, now))
+        for zone in sorted(taken_out | returned):
+            state.fleet_events.append(ZoneChanged(now, zone, zone in taken_out))
+        if taken_out:
+            self._pending_decisions.extend(self._reclaimer.evacuate(taken_out, now))
         for subqueue in state.queues.active_subqueues():
             state.queues.changed_subqueues[subqueue.organisation, subqueue.queue] = (
                 subqueue
             )
 
     def set_pool_by_instance(self, mapping: Mapping[str, str]) -> None:
-        """Take over the actual pool of each worker, known from replay."""
+        """Set the pool that each worker is in now, known from replay of the log."""
         self._state.workers.set_pool_by_instance(mapping, self._now)
 
     def observe_worker(
@@ -110,7 +108,7 @@
         boot_id: str,
         now: float,
     ) -> None:
-        """Take over what a worker reported; ``free`` is None if not known."""
+        """Apply what a worker reported; ``free`` is None if not known."""
         self._now = now
         state = self._state
         worker = state.workers.worker_by_id.get(worker_id)
@@ -127,7 +125,7 @@
         state.workers.observe(worker, available, free, now)
 
     def set_probation(self, worker_id: str, on_probation: bool, now: float) -> None:
-        """Follow a decision about a worker that was made for the whole fleet."""
+        """Apply a fleet-wide decision on the probation of a worker."""
         worker = self._state.workers.worker_by_id.get(worker_id)
         if worker is None:
             return
@@ -140,7 +138,7 @@
             self._state.fleet_events.append(WorkerReturned(now, worker_id))
 
     def set_grants(self, slots_by_organisation: Mapping[str, int]) -> None:
-        """Set the running slots that this entry may use for each organisation."""
+        """Set how many tasks of each organisation this entry may run at once."""
         state = self._state
         before = state.grant_by_organisation
         state.grant_by_organisation = dict(slots_by_organisation)
@@ -153,7 +151,7 @@
         usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]],
         reserved_workers: Iterable[str] = (),
     ) -> None:
-        """Take over the usage of all peers and the workers they reserve."""
+        """Set the usage of all peers and the workers they have reserved."""
         state = self._state
         state.shares.set_peer_usage(usage_by_peer, self._now)
         state.workers.set_reserved_by_peers(reserved_workers, self._now)
@@ -171,18 +169,16 @@
         state.peer_queues_by_organisation = queues_by_organisation
 
     def observe_usage(self, reports: Iterable[UsageReport], now: float) -> None:
-        """Learn from lagged usage reports, and make room for larger tasks."""
+        """Correct sizes by usage reports; charge running tasks that exceed theirs."""
         self._now = now
         for report in reports:
             record = self._state.record_by_id.get(report.task_id)
             if record is not None and record.state is TaskState.RUNNING:
-                self._grow_reservation(record, report.peak, now)
+                self._raise_need(record, report.peak, now)
             self._state.sizes.observe(report)
 
-    # Tasks.
-
     def submit(self, task: Task, now: float) -> Accepted | Held | Refusal:
-        """Queue a task or refuse it; a repeated id is accepted once."""
+        """Queue a task or refuse it; a repeated id is accepted without effect."""
         self._now = now
         if task.id in self._state.record_by_id:
             return Accepted()
@@ -192,7 +188,7 @@
                 self._state.record_refusal(task, reason.value, message, now)
                 return verdict
             case Held(message):
-                self._state.enqueue(task, now, f"held, {message}")
+                self._state.enqueue(task, now, f"accepted, but {message}")
             case Accepted():
                 self._state.enqueue(task, now, "accepted")
         if task.deadline is not None:
@@ -200,7 +196,7 @@
         return verdict
 
     def cancel(self, task_ids: Iterable[str], now: float) -> tuple[str, ...]:
-        """Drop queued tasks; return those that certainly will not run.
+        """Remove tasks that do not run; return those that certainly will not run.
 
         Running tasks are not touched: the caller cancels them at the worker.
         """
@@ -218,7 +214,7 @@
         return tuple(cancelled)
 
     def next_decisions(self, now: float) -> Sequence[Decision]:
-        """Return all decisions that can be made at this time."""
+        """Make and return all decisions that are possible now."""
         self._now = now
         state = self._state
         state.workers.advance_ramps(now)
@@ -235,8 +231,8 @@
     def finished(self, task_id: str, outcome: Outcome, now: float) -> None:
         """Release a started task.
 
-        A task refused by its worker waits for ``requeue``; one stopped by a
-        checkpoint is queued again; any other leaves the scheduler.
+        A task refused by its worker waits for ``requeue``, one stopped by a
+        checkpoint is queued again, and any other is removed.
         """
         self._now = now
         state = self._state
@@ -244,7 +240,7 @@
         if record is None or record.state is not TaskState.RUNNING:
             return
         state.release(record, now)
-        self._update_probation(record, outcome, now)
+        self._apply_outcome(record, outcome, now)
         if outcome is Outcome.REFUSED_BY_WORKER:
             record.state = TaskState.AWAITING_REQUEUE
             return
@@ -268,8 +264,6 @@
         if record.task.deadline is not None:
             heapq.heappush(self._deadlines, (record.task.deadline, task_id))
 
-    # What other parts of the entry ask.
-
     def has_queued(self) -> bool:
         """Return whether any task waits for its start."""
         return any(self._state.queues.count_by_organisation.values())
@@ -280,7 +274,7 @@
         return record is not None and record.state is TaskState.QUEUED
 
     def demand_by_organisation(self) -> dict[str, int]:
-        """Return running plus queued tasks per organisation, for asking for grants."""
+        """Return running plus queued tasks per organisation, to request grants."""
         state = self._state
         demand = {t: n for t, n in state.queues.count_by_organisation.items() if n}
         for organisation in state.shares.organisations():
@@ -290,7 +284,7 @@
         return demand
 
     def usage_by_organisation(self) -> dict[str, OrganisationUsage]:
-        """Return what this entry tells its peers."""
+        """Return the usage of this entry, for its peers."""
         state = self._state
         usage = {}
         for organisation in self.demand_by_organisation():
@@ -316,19 +310,17 @@
         return self._reservations.published_worker_ids()
 
     def explain(self, task_id: str) -> tuple[TaskEvent, ...]:
-        """Return what happened to a task and why it waits, oldest first."""
+        """Return the events of a task, oldest first, then why it waits."""
         return explain_task(self._state, task_id, self._now)
 
     def explain_organisation(self, organisation: str) -> tuple[OrganisationEvent, ...]:
-        """Return where an organisation stands and its latest refusals."""
+        """Return the status of an organisation and its latest refusals."""
         return explain_organisation(self._state, organisation, self._now)
 
     def fleet_events(self) -> tuple[FleetEvent, ...]:
         """Return the latest events of workers, racks and zones."""
         return tuple(self._state.fleet_events)
 
-    # Steps of the above.
-
     def _expire(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -358,19 +350,14 @@
                 continue
             if record.state is TaskState.QUEUED:
                 state.queues.discard(record)
-            state.forget(record, "no longer allowed", now)
+            state.forget(record, "its queue is gone or closed to the organisation", now)
             self._pending_decisions.append(Expire(record.task, refusal))
 
     def _has_waited(self, subqueue: Subqueue) -> bool:
         oldest = subqueue.oldest()
-        return (
-            oldest is not None
-            and self._now - oldest.queued_at > REPORT_TO_PEERS_AFTER_S
-        )
+        return oldest is not None and self._now - oldest.queued_at > REPORT_AFTER_S
 
-    def _grow_reservation(
-        self, record: TaskRecord, peak: Resources, now: float
-    ) -> None:
+    def _raise_need(self, record: TaskRecord, peak: Resources, now: float) -> None:
         need = record.need
         extra = Resources(
             max(0.0, peak.cores - need.cores),
@@ -385,9 +372,7 @@
         record.need = need + extra
         self._state.shares.resized(record.task.organisation, extra, now)
 
-    def _update_probation(
-        self, record: TaskRecord, outcome: Outcome, now: float
-    ) -> None:
+    def _apply_outcome(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
         state = self._state
         worker = state.workers.worker_by_id.get(record.worker)
         if worker is None:
@@ -409,5 +394,5 @@
                 state.probation.discard_trial(worker.id, task.id)
             case Outcome.REFUSED_BY_WORKER:
                 state.probation.discard_trial(worker.id, task.id)
-                # Nothing more is sent there until the worker reports its room.
+                # Starts nothing there until the worker reports its free capacity.
                 state.workers.observe(worker, worker.available, Resources(), now)
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -1,4 +1,4 @@
-"""The state that all parts of the scheduler share, and its basic steps."""
+"""The state that all parts of the scheduler share, and its basic operations."""
 
 from __future__ import annotations
 
@@ -37,15 +37,15 @@
 MAX_EVENTS_PER_TASK = 20
 MAX_EVENTS_PER_ORGANISATION = 50
 MAX_FLEET_EVENTS = 500
-# Ended tasks that can still be explained.
+# Ended tasks whose events are kept for explanations.
 EXPLAINABLE_ENDED_TASKS = 2_000
-# A worker that refused a task is not offered it again for this long.
+# A worker that refused a task is not offered the task again for this long.
 EXCLUSION_S = 2.0
 
 
 @dataclass(slots=True, eq=False)
 class SchedulerState:
-    """What the parts of the scheduler read and change together."""
+    """State that all parts of the scheduler read and change."""
 
     workers: WorkerTable
     config: FleetConfig = field(default_factory=FleetConfig)
@@ -56,24 +56,26 @@
     waits: WaitEstimator = field(default_factory=WaitEstimator)
     record_by_id: dict[str, TaskRecord] = field(default_factory=dict)
     grant_by_organisation: Mapping[str, int] = field(default_factory=dict)
-    # Tasks that peers may start but have not.
+    # Queued tasks that the peers' grants allow them to start.
     peer_queued_by_organisation: Counter[str] = field(default_factory=Counter)
     peer_queues_by_organisation: dict[str, set[str]] = field(default_factory=dict)
     fleet_events: deque[FleetEvent] = field(
         default_factory=lambda: deque(maxlen=MAX_FLEET_EVENTS)
     )
-    ended_events: OrderedDict[str, list[TaskEvent]] = field(default_factory=OrderedDict)
+    events_by_ended_task: OrderedDict[str, list[TaskEvent]] = field(
+        default_factory=OrderedDict
+    )
     refusals_by_organisation: dict[str, deque[TaskRefused]] = field(
         default_factory=dict
     )
-    # Running borrowers and batch tasks of this entry, per pool.
+    # Running tasks of this entry that borrow capacity or are batch work.
     reclaimable_count_by_pool: Counter[str] = field(default_factory=Counter)
     sequence: int = 0
 
     def may_run(self, organisation: str) -> bool:
-        """Return whether a grant leaves the organisation a running slot.
+        """Return whether the grant allows the organisation one more running task.
 
-        Callers of open queues that belong to no configured organisation have no upper
+        Callers of open queues that are not a configured organisation have no upper
         limit and therefore no grants.
         """
         if organisation not in self.config.organisation_by_id:
@@ -83,10 +85,10 @@
         )
 
     def need(self, task: Task, pool: str) -> Resources:
-        """Return the room to reserve for a task on a worker of the pool.
+        """Return the resources to reserve for a task on a worker of the pool.
 
-        A correction never makes a task too large for a pool that has room for
-        its declared size.
+        A correction never makes a task too large for a pool whose workers are large
+        enough for its declared size.
         """
         corrected = self.sizes.corrected_size(task)
         if corrected is task.resources:
@@ -121,9 +123,9 @@
     def requeue(
         self, record: TaskRecord, now: float, reason: str, excluded: frozenset[str]
     ) -> TaskRecord:
-        """Queue a task in front that had started or was refused by a worker.
+        """Queue a task in front again that was checkpointed or refused by a worker.
 
-        A new record is used because lanes drop old ones only later.
+        The record is replaced, because subqueues drop removed records only later.
         """
         again = replace(
             record,
@@ -145,7 +147,7 @@
     def start(
         self, record: TaskRecord, worker: Worker, need: Resources, now: float
     ) -> Start:
-        """Charge a task that has left its queue, and decide its start."""
+        """Start a task that has left its queue, and charge its organisation."""
         task = record.task
         record.state = TaskState.RUNNING
         record.worker = worker.id
@@ -164,7 +166,7 @@
         return Start(task, worker.id, need)
 
     def release(self, record: TaskRecord, now: float) -> None:
-        """Give back the slot and the room of a task that ended."""
+        """Free the running slot and the capacity of a task that ended."""
         worker = self.workers.worker_by_id.get(record.worker)
         if worker is not None and record.task.id in worker.running:
             self.workers.detach(worker, record, now)
@@ -176,18 +178,18 @@
             self.queues.mark_organisation_changed(organisation)
 
     def forget(self, record: TaskRecord, outcome: str, now: float) -> None:
-        """Drop an ended task but keep its events for a while."""
+        """Remove an ended task; its events stay for explanations."""
         record.state = TaskState.ENDED
         del self.record_by_id[record.task.id]
         append_event(record, TaskEnded(now, record.worker or "no worker", outcome))
-        self.ended_events[record.task.id] = record.events
-        if len(self.ended_events) > EXPLAINABLE_ENDED_TASKS:
-            self.ended_events.popitem(last=False)
+        self.events_by_ended_task[record.task.id] = record.events
+        if len(self.events_by_ended_task) > EXPLAINABLE_ENDED_TASKS:
+            self.events_by_ended_task.popitem(last=False)
 
     def request_checkpoint(
         self, record: TaskRecord, reason: PreemptionReason, now: float
     ) -> Checkpoint:
-        """Decide that a running task makes room and is queued again."""
+        """Preempt a running task by a checkpoint; it is queued again afterwards."""
         record.checkpointing = True
         append_event(record, PreemptionRequested(now, "checkpoint", reason.value))
         return Checkpoint(record.task.id, reason)
@@ -195,13 +197,13 @@
     def request_throttle(
         self, record: TaskRecord, reason: PreemptionReason, now: float
     ) -> Throttle:
-        """Decide that a running task is slowed down."""
+        """Request that a running task is slowed down."""
         record.throttled = True
         append_event(record, PreemptionRequested(now, "throttle", reason.value))
         return Throttle(record.task.id)
 
     def record_refusal(self, task: Task, reason: str, message: str, now: float) -> None:
-        """Keep why a task of an organisation was refused."""
+        """Keep the refusal of a task for the explanation of its organisation."""
         refusals = self.refusals_by_organisation.get(task.organisation)
         if refusals is None:
             refusals = deque(maxlen=MAX_EVENTS_PER_ORGANISATION)
@@ -210,7 +212,7 @@
 
 
 def append_event(record: TaskRecord, event: TaskEvent) -> None:
-    """Keep an event of a task, dropping the oldest beyond a bound."""
+    """Append an event of a task; when full, the oldest but the first is dropped."""
     if len(record.events) >= MAX_EVENTS_PER_TASK:
         del record.events[1]
     record.events.append(event)
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -1,4 +1,4 @@
-"""Starts urgent tasks at once, by checkpointing others if need be."""
+"""Starts urgent tasks at once, preempting running tasks if necessary."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from .tasks import Decision, PreemptionReason, TaskRecord, TaskState
 from .workers import Worker
 
-# A worker that has not made room by then is given up for another one.
+# A reserved worker without room after this time is released to choose another.
 MAKE_ROOM_TIMEOUT_S = 1.5
 
 
 class UrgentPlacement:
-    """Places urgent tasks before all others; their organisation is charged for them."""
+    """Places urgent tasks before all others, charged to their organisation as usual."""
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
         self._state = state
@@ -24,7 +24,7 @@
         self._preempted_at_by_task: dict[str, float] = {}
 
     def place(self, now: float) -> list[Decision]:
-        """Start urgent tasks, or ask for the room that they need."""
+        """Start urgent tasks, or preempt running tasks for them."""
         decisions: list[Decision] = []
         urgent = self._state.queues.urgent
         for task_id in [t for t in self._preempted_at_by_task if t not in urgent]:
@@ -37,8 +37,8 @@
 
     def _waits_for_room(self, record: TaskRecord, now: float) -> bool:
         task_id = record.task.id
-        asked_at = self._preempted_at_by_task.get(task_id)
-        if asked_at is None or now - asked_at >= MAKE_ROOM_TIMEOUT_S:
+        preempted_at = self._preempted_at_by_task.get(task_id)
+        if preempted_at is None or now - preempted_at >= MAKE_ROOM_TIMEOUT_S:
             self._reservations.release_urgent(task_id, now)
             return False
         return self._reservations.has_urgent(task_id)
@@ -58,7 +58,7 @@
         return self._reserve_and_preempt(record, now)
 
     def _pools(self, record: TaskRecord) -> Iterator[str]:
-        """Return the queue's own pool, spare pools, then all others."""
+        """Yield the queue's own pool, then spare pools, then all others."""
         home = self._state.queues.home_pool(record.task.queue)
         yield home
         pools = self._state.config.pool_by_id.values()
@@ -70,7 +70,7 @@
     def _preempt_same_organisation(
         self, record: TaskRecord, now: float
     ) -> list[Decision]:
-        """Checkpoint one task of the same organisation, which is at its limit."""
+        """Preempt one task of the organisation, which has used up its grant."""
         if record.task.id in self._preempted_at_by_task:
             return []
         for other in self._state.record_by_id.values():
@@ -82,11 +82,11 @@
         return []
 
     def _reserve_and_preempt(self, record: TaskRecord, now: float) -> list[Decision]:
-        """Reserve the worker that makes room soonest and checkpoint there.
+        """Reserve the best worker and preempt tasks of this entry there.
 
-        A worker on which this entry can make enough room with few checkpoints
-        is best. Otherwise the one with most room to come is reserved: peers
-        hear of it and leave alone what their own tasks give back there.
+        The best worker is one on which few preemptions make enough room. If there is
+        none, it is the one that then lacks least. Peers learn of the reservation and
+        do not use what their own tasks free there.
         """
         state = self._state
         best: tuple[tuple[float, ...], Worker, list[TaskRecord]] | None = None
@@ -125,10 +125,10 @@
     def _victims(
         self, worker: Worker, need: Resources, now: float
     ) -> tuple[list[TaskRecord], float]:
-        """Return tasks to checkpoint, and the part of the need still lacking."""
+        """Return the tasks to preempt, and the fraction of the need still lacking."""
         usage_level = self._state.shares.usage_level
         running = [r for r in worker.running.values() if _is_preemptible(r)]
-        # The organisations furthest above their share give way first.
+        # Tasks of organisations furthest above their fair share are preempted first.
         running.sort(key=lambda r: (usage_level(r.task.organisation), r.sequence))
         free = worker.free
         victims = []
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -65,7 +65,7 @@
         self._random = random.Random(seed)
         self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
         self._sizes_by_pool: dict[str, set[Resources]] = {}
-        self._out_zones: set[str] = set()
+        self._zones_out_of_service: set[str] = set()
         self._returned_at_by_zone: dict[str, float] = {}
         self._next_ramp_at = 0.0
         self._pool_by_instance: Mapping[str, str] = {}
@@ -75,21 +75,24 @@
         self._running_by_location: Counter[tuple[str, str]] = Counter()
 
     def set_config(self, config: FleetConfig, now: float) -> tuple[set[str], set[str]]:
-        """Apply instances and zones; return the zones taken out of service and back."""
+        """Apply instances and zones; return the zones taken out and returned."""
         out = {z.id for z in config.zone_by_id.values() if z.state is ZoneState.OUT}
-        gone, back = out - self._out_zones, self._out_zones - out
-        self._out_zones = out
-        for zone in back:
+        taken_out, returned = (
+            out - self._zones_out_of_service,
+            self._zones_out_of_service - out,
+        )
+        self._zones_out_of_service = out
+        for zone in returned:
             self._returned_at_by_zone[zone] = now
             self._next_ramp_at = now
-        for zone in gone:
+        for zone in taken_out:
             self._returned_at_by_zone.pop(zone, None)
         if config.instance_by_id != self._instance_by_id:
             self._instance_by_id = config.instance_by_id
             self._rebuild(now)
-        elif gone or back:
-            self._refresh_zones(gone | back, now)
-        return gone, back
+        elif taken_out or returned:
+            self._refresh_zones(taken_out | returned, now)
+        return taken_out, returned
 
     def set_pool_by_instance(self, mapping: Mapping[str, str], now: float) -> None:
         """Set the pool that each worker is in now."""
@@ -100,7 +103,7 @@
 
     def zone_is_out(self, zone: str) -> bool:
         """Return whether operators have taken the zone out of service."""
-        return zone in self._out_zones
+        return zone in self._zones_out_of_service
 
     def worker_sizes(self, pool: str) -> set[Resources]:
         """Return the distinct worker sizes of a pool."""
@@ -208,7 +211,7 @@
         self.refresh(worker, now)
 
     def set_reserved_by_peers(self, worker_ids: Iterable[str], now: float) -> None:
-        """Set the workers that peers have reserved; nothing else starts on them."""
+        """Set the workers that peers have reserved; this entry starts nothing there."""
         wanted = set(worker_ids)
         for worker in self.worker_by_id.values():
             reserved = worker.id in wanted
@@ -232,7 +235,7 @@
         """Return whether the worker is available, in service and in the fleet."""
         return (
             worker.available
-            and worker.zone not in self._out_zones
+            and worker.zone not in self._zones_out_of_service
             and worker.id in self.worker_by_id
         )
 
--- a/libs/sched/tests/fleet_fixtures.py
+++ b/libs/sched/tests/fleet_fixtures.py
@@ -1,4 +1,4 @@
-"""Small fleets for the tests of the scheduler."""
+"""Builds small fleets and schedulers for the tests."""
 
 from __future__ import annotations
 
@@ -22,7 +22,11 @@
 
 
 def make_config(workers=6, weights=(1, 1), spare=0, zones=3, limit=1000, **queue):
-    """Return pool ``main`` (queue ``q``), ``other`` (``o``) and a spare pool."""
+    """Return a fleet of three pools and three queues.
+
+    Pool ``main`` serves queue ``q`` and the batch queue ``b``, pool ``other`` serves
+    queue ``o``, and pool ``spare`` is a spare pool. ``queue`` holds settings of ``q``.
+    """
     instances = {}
     for pool, count in (("main", workers), ("other", workers), ("spare", spare)):
         for n in range(count):
@@ -65,7 +69,7 @@
 def submit(
     scheduler, count, organisation="t0", queue="q", now=0.0, prefix="", **fields
 ):
-    """Submit like tasks and return their ids."""
+    """Submit ``count`` equal tasks and return their ids."""
     ids = []
     for n in range(count):
         task_id = f"{prefix}{organisation}-{queue}-{n}"
--- a/libs/sched/tests/test_machine.py
+++ b/libs/sched/tests/test_machine.py
@@ -1,4 +1,8 @@
-"""A state machine against an oracle that sees what workers and callers see."""
+"""Property test: a random state machine checks the scheduler against a simple model.
+
+The model tracks only what workers and callers see: queued and running tasks, free
+capacity and grants.
+"""
 
 from dataclasses import replace
 
@@ -28,27 +32,27 @@
 
 ORGANISATIONS = ("t0", "t1", "t2")
 QUEUES = ("q", "o", "b")
-# A permitted task of one core must not wait longer beside a free core.
-IDLE_BOUND_S = 4.0
+# Longest time that a core may stay idle while a task that fits and may run waits.
+MAX_IDLE_S = 4.0
 SIZES = (Resources(1, 1024), Resources(2, 1024), Resources(4, 8192))
 
 
 class SchedulerMachine(RuleBasedStateMachine):
-    """Callers, operators and workers act at random; the oracle counts."""
+    """Callers, operators and workers act at random; the model checks the decisions."""
 
     @initialize(seed=st.integers(0, 1000))
-    def begin(self, seed):
+    def start_scheduler(self, seed):
         self.config = make_config(workers=3, weights=(3, 2, 1), spare=2)
         self.scheduler = Scheduler(self.config, seed)
         self.now = 0.0
-        self.number = 0
+        self.task_count = 0
         self.grants = dict.fromkeys(ORGANISATIONS, 4)
         self.scheduler.set_grants(self.grants)
         self.queued = {}
         self.running = {}
         self.started_once = set()
-        self.asked = set()
-        self.parked = {}
+        self.checkpoint_requested = set()
+        self.awaiting_requeue = {}
         self.free = {n: i.size for n, i in self.config.instance_by_id.items()}
         self.idle_since = None
         for name in self.free:
@@ -60,15 +64,15 @@
         size=st.sampled_from(SIZES),
         count=st.integers(1, 6),
         flags=st.tuples(st.booleans(), st.booleans(), st.booleans()),
-        patience=st.sampled_from((None, 3.0)),
+        deadline_after_s=st.sampled_from((None, 3.0)),
     )
-    def submit(self, organisation, queue, size, count, flags, patience):
+    def submit(self, organisation, queue, size, count, flags, deadline_after_s):
         idempotent, urgent, checkpointable = flags
         for _ in range(count):
-            self.number += 1
-            deadline = None if patience is None else self.now + patience
+            self.task_count += 1
+            deadline = None if deadline_after_s is None else self.now + deadline_after_s
             task = Task(
-                f"task{self.number}",
+                f"task{self.task_count}",
                 organisation,
                 queue,
                 size,
@@ -76,7 +80,7 @@
                 self.now,
                 deadline,
                 idempotent,
-                urgent and self.number % 4 == 0,
+                urgent and self.task_count % 4 == 0,
                 checkpointable,
             )
             verdict = self.scheduler.submit(task, self.now)
@@ -93,12 +97,12 @@
                 case Checkpoint(task_id):
                     if task_id in self.running:
                         assert self.running[task_id][0].checkpointable
-                        self.asked.add(task_id)
+                        self.checkpoint_requested.add(task_id)
                 case Expire(task):
                     assert task.deadline <= self.now
                     # A task that a worker refused may expire before its requeue.
                     if self.queued.pop(task.id, None) is None:
-                        del self.parked[task.id]
+                        del self.awaiting_requeue[task.id]
         self.check_work_conservation(step)
 
     def check_start(self, task, worker, resources):
@@ -117,7 +121,7 @@
         assert running <= self.grants[task.organisation]
 
     def check_work_conservation(self, step):
-        """No free core stays idle beside a permitted small task for long."""
+        """Check that no core stays idle for long while a small task may run."""
         running = dict.fromkeys(ORGANISATIONS, 0)
         for task, _, _ in self.running.values():
             running[task.organisation] += 1
@@ -131,43 +135,43 @@
             and self.config.zone_by_id[i.zone].state is ZoneState.IN
             for name, i in self.config.instance_by_id.items()
         )
-        if not (waits and idle) or self.asked:
+        if not (waits and idle) or self.checkpoint_requested:
             self.idle_since = None
         elif self.idle_since is None:
             self.idle_since = self.now
-        # Only time that passes in small steps lets the scheduler act in it.
+        # After a large step of time the scheduler had no chance to act within it.
         if self.idle_since is not None and step <= 0.6:
-            assert self.now - self.idle_since <= IDLE_BOUND_S
+            assert self.now - self.idle_since <= MAX_IDLE_S
 
     @rule(data=st.data(), outcome=st.sampled_from(Outcome))
     def finish(self, data, outcome):
         if not self.running:
             return
         task_id = data.draw(st.sampled_from(sorted(self.running)))
-        # A stop without a checkpoint is the end of a task.
-        if outcome is Outcome.STOPPED and task_id not in self.asked:
+        # Only a task that was asked to checkpoint can stop.
+        if outcome is Outcome.STOPPED and task_id not in self.checkpoint_requested:
             outcome = Outcome.DONE
-        # Workers do not fail in this test, so that none goes on probation.
+        # No task fails in this test, so that no worker is put on probation.
         if outcome is Outcome.FAILED:
             outcome = Outcome.DONE
         task, worker, resources = self.running.pop(task_id)
         self.free[worker] = self.free[worker] + resources
-        self.asked.discard(task_id)
+        self.checkpoint_requested.discard(task_id)
         self.scheduler.finished(task_id, outcome, self.now)
         if outcome is Outcome.STOPPED:
             self.queued[task_id] = task
         if outcome is Outcome.REFUSED_BY_WORKER:
-            # The worker proved that the task did not run.
+            # A worker refuses a task only without having run it.
             self.started_once.discard(task_id)
-            self.parked[task_id] = (task, worker)
+            self.awaiting_requeue[task_id] = (task, worker)
         self.scheduler.observe_worker(worker, True, self.free[worker], "b", self.now)
 
     @rule()
     def requeue(self):
-        for task_id, (task, worker) in self.parked.items():
+        for task_id, (task, worker) in self.awaiting_requeue.items():
             self.scheduler.requeue(task_id, worker)
             self.queued[task_id] = task
-        self.parked = {}
+        self.awaiting_requeue = {}
 
     @rule(data=st.data())
     def cancel(self, data):
@@ -192,7 +196,7 @@
         self.scheduler.set_grants(self.grants)
 
     @rule(organisation=st.sampled_from(ORGANISATIONS), queued=st.integers(0, 5))
-    def hear_peer(self, organisation, queued):
+    def receive_peer_usage(self, organisation, queued):
         usage = OrganisationUsage(NO_RESOURCES, queued, {"q": queued} if queued else {})
         self.scheduler.set_peer_usage({"peer": {organisation: usage}})
 
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Placement, refusals, reservations, zones, racks and probation."""
+"""Tests of placement, refusals, reservations, preemption, zones and probation."""
 
 from collections import Counter
 
@@ -36,7 +36,7 @@
 
 
 def test_queue_is_spread_over_zones():
-    """Guards against one zone holding all tasks of a queue."""
+    """Guards against all tasks of a queue running in one zone."""
     config = make_config()
     scheduler = make_scheduler(config)
     submit(scheduler, 6)
@@ -53,7 +53,7 @@
     ],
 )
 def test_task_that_never_fits_is_refused_with_resource_and_largest(resources, words):
-    """Guards against jobs that wait for ever for a worker that does not exist."""
+    """Guards against a task that waits for ever for a worker that does not exist."""
     scheduler = make_scheduler(make_config())
     verdict = scheduler.submit(Task("t", "t0", "q", resources), 0.0)
     assert isinstance(verdict, Refusal)
@@ -62,7 +62,7 @@
 
 
 def test_task_is_held_if_a_larger_worker_could_be_moved():
-    """Guards against refusing work that the fleet could grow to run."""
+    """Guards against refusing a task that fits once a worker is moved to its pool."""
     config = make_config()
     scheduler = make_scheduler(config)
     pools = {name: i.pool for name, i in config.instance_by_id.items()}
@@ -74,7 +74,7 @@
 
 
 def test_zone_out_stops_starts_at_once_and_checkpoints():
-    """Guards against starts in a zone that operators have taken out (I5)."""
+    """Guards against starts in a zone that operators took out of service (I5)."""
     config = make_config()
     scheduler = make_scheduler(config)
     submit(scheduler, 12, checkpointable=True)
@@ -92,15 +92,15 @@
 
 
 def test_returned_zone_is_filled_gradually():
-    """Guards against filling all workers of a returned zone in one instant."""
+    """Guards against filling a zone at once when it is back in service."""
     config = make_config()
     scheduler = make_scheduler(with_zone(config, "z1"))
     submit(scheduler, 100)
     starts(scheduler, 0.0)
     scheduler.set_config(with_zone(config, "z1", ZoneState.IN), 10.0)
     counts = []
-    for tenth in range(0, 40, 5):
-        found = starts(scheduler, 10.0 + tenth / 10)
+    for tenths in range(0, 40, 5):
+        found = starts(scheduler, 10.0 + tenths / 10)
         assert all(zone_of(config, d) == "z1" for d in found)
         counts.append(len(found))
     assert 0 < counts[0] <= 4
@@ -108,7 +108,7 @@
 
 
 def test_large_task_gets_a_reserved_worker():
-    """Guards against a large task that small ones pass for ever."""
+    """Guards against a large task that starves because small ones start before it."""
     config = make_config(workers=1, zones=1)
     scheduler = make_scheduler(config)
     submit(scheduler, 4, "t0", run_s=2.0)
@@ -132,7 +132,7 @@
 
 
 def test_corrected_size_is_used_and_never_below_observed():
-    """Guards against trusting declared sizes that reports have disproved."""
+    """Guards against placing tasks by declared sizes that usage reports contradict."""
     scheduler = make_scheduler(make_config())
     submit(scheduler, 8)
     for start in starts(scheduler, 0.0):
@@ -150,7 +150,7 @@
 
 
 def test_worker_that_fails_everything_gets_only_trials():
-    """Guards against a broken worker that consumes the whole queue."""
+    """Guards against a broken worker that takes and fails the whole queue."""
     scheduler = make_scheduler(make_config(workers=2))
     submit(scheduler, 200, idempotent=True, now=0.0)
     now, on_bad = 0.0, 0
@@ -166,8 +166,8 @@
     assert [e.worker for e in events if isinstance(e, WorkerOnProbation)] == ["main-0"]
 
 
-def test_worker_returns_after_good_trials():
-    """Guards against losing a repaired worker for good."""
+def test_worker_returns_after_successful_trials():
+    """Guards against never using a repaired worker again."""
     scheduler = make_scheduler(make_config(workers=1))
     submit(scheduler, 30, idempotent=True)
     for start in reversed(starts(scheduler, 0.0)):
@@ -181,7 +181,7 @@
 
 
 def test_task_that_fails_everywhere_puts_no_worker_on_probation():
-    """Guards against bad jobs taking healthy workers out of use."""
+    """Guards against faulty tasks that put healthy workers on probation."""
     scheduler = make_scheduler(make_config())
     for n in range(60):
         submit(scheduler, 1, "t1", now=float(n), prefix=f"good{n}", idempotent=True)
@@ -196,8 +196,8 @@
     assert not probations
 
 
-def test_dead_rack_is_one_event():
-    """Guards against a rack's workers being handled as separate failures."""
+def test_lost_rack_is_one_event():
+    """Guards against reporting the workers of a lost rack one by one."""
     config = make_config()
     scheduler = make_scheduler(config)
     rack = config.instance_by_id["main-0"].rack
@@ -209,7 +209,7 @@
 
 
 def test_urgent_task_checkpoints_on_a_full_fleet_and_is_charged():
-    """Guards against urgent work waiting for a full fleet, or running free."""
+    """Guards against urgent tasks that wait on a full fleet or are not charged."""
     scheduler = make_scheduler(make_config(workers=2))
     submit(scheduler, 8, "t0", checkpointable=True, run_s=1000.0)
     submit(scheduler, 8, "t0", "o", checkpointable=True, run_s=1000.0)
@@ -225,8 +225,8 @@
     assert scheduler.demand_by_organisation() == {"t0": 16, "t1": 1}
 
 
-def test_loan_is_given_back_by_checkpointing():
-    """Guards against a pool's own work waiting behind long borrowed tasks."""
+def test_borrowed_capacity_is_reclaimed_by_checkpointing():
+    """Guards against tasks of the pool's own queue waiting behind long borrowers."""
     scheduler = make_scheduler(make_config(workers=2))
     submit(scheduler, 16, "t0", "o", checkpointable=True, run_s=1000.0)
     assert len(starts(scheduler, 0.0)) == 16
@@ -238,8 +238,8 @@
     assert [d.task.organisation for d in starts(scheduler, 12.5)][:1] == ["t1"]
 
 
-def test_deadlines_are_refused_early_and_expire():
-    """Guards against work that waits although it cannot start in time."""
+def test_task_that_cannot_meet_its_deadline_is_refused_or_expires():
+    """Guards against tasks that wait although they cannot start in time."""
     scheduler = make_scheduler(make_config(workers=1), grants=1)
     submit(scheduler, 30, now=0.0)
     for second in range(1, 9):
@@ -257,7 +257,7 @@
 
 
 def test_refused_start_is_queued_again_elsewhere():
-    """Guards against losing a task, or offering it to the same worker again."""
+    """Guards against losing a refused task or offering it to the same worker."""
     scheduler = make_scheduler(make_config())
     submit(scheduler, 1)
     (start,) = starts(scheduler, 0.0)
@@ -270,7 +270,7 @@
 
 
 def test_explanations_are_sentences():
-    """Guards against decisions that nobody can explain."""
+    """Guards against decisions for which an operator finds no reason."""
     scheduler = make_scheduler(make_config(workers=1), grants=2)
     submit(scheduler, 3)
     starts(scheduler, 0.0)
@@ -280,9 +280,10 @@
 
 
 def test_pool_on_probation_returns_without_idempotent_work():
-    """Guards against work that is not idempotent and waits for good.
+    """Guards against tasks that are not idempotent and wait for ever.
 
-    The only worker failed every task for a moment; no idempotent task came since.
+    The only available worker is on probation, and there is no idempotent task to try
+    it with.
     """
     scheduler = make_scheduler(make_config(workers=1))
     scheduler.observe_worker("other-0", False, None, "boot", 0.0)
@@ -297,7 +298,7 @@
 
 
 def test_trials_are_idempotent_while_others_can_do_the_work():
-    """Guards against bookings spent on a worker that is likely to fail them."""
+    """Guards against trying a suspect worker with tasks that cannot be repeated."""
     scheduler = make_scheduler(make_config(workers=1, spare=1))
     fail_until_on_probation(scheduler)
     submit(scheduler, 8, now=1.0, prefix="booking-")
@@ -310,7 +311,7 @@
 
 
 def fail_until_on_probation(scheduler):
-    """Fail every lookup on the worker of the main pool."""
+    """Fail every task on the worker of pool ``main`` until it is on probation."""
     submit(scheduler, 8, prefix="lookup-", idempotent=True)
     for _ in range(8):
         for start in reversed(starts(scheduler, 0.0)):
@@ -321,8 +322,8 @@
     assert [event.worker for event in events] == ["main-0"]
 
 
-def test_worker_on_probation_by_decision_gets_single_trials():
-    """Guards against normal work on a worker that the controller distrusts."""
+def test_worker_put_on_probation_by_the_fleet_gets_single_trials():
+    """Guards against normal work on a worker that the fleet has put on probation."""
     scheduler = make_scheduler(make_config(workers=1, spare=1))
     scheduler.set_probation("main-0", True, 0.0)
     submit(scheduler, 8, now=1.0, prefix="lookup-", idempotent=True)
--- a/libs/sched/tests/test_shares.py
+++ b/libs/sched/tests/test_shares.py
@@ -1,4 +1,4 @@
-"""Shares, limits and the order of starts."""
+"""Tests of fair shares, grants, queue bounds and the order of starts."""
 
 from collections import Counter
 
@@ -54,7 +54,7 @@
 
 
 def test_usage_of_peers_counts():
-    """Guards against shares that hold within an entry only."""
+    """Guards against shares that count only the usage of the entry itself."""
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     running = make_config().instance_by_id["main-0"].size
     scheduler.set_peer_usage({"peer": {"t0": OrganisationUsage(running)}})
@@ -64,21 +64,23 @@
     assert set(started[:3]) == {"t1"}
 
 
-def test_capacity_is_left_to_peer_with_lower_organisation_but_not_for_long():
-    """Guards against one entry keeping a pool, and against waiting for ever."""
+def test_capacity_is_left_for_a_short_time_to_a_peer_whose_organisation_has_less():
+    """Guards against one entry taking a whole pool, and against idle capacity.
+
+    Only the peer has tasks of the organisation with the lower usage.
+    """
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     waiting = OrganisationUsage(queued=50, queued_by_queue={"q": 50, "o": 50})
     scheduler.set_peer_usage({"peer": {"t1": waiting}})
     submit(scheduler, 100, "t0")
-    # Both pools together have 48 cores; half of them are due to the peer's
-    # organisation.
-    held = len(starts(scheduler, 1.0))
-    assert held <= 26
-    assert held + len(starts(scheduler, 2.0)) == 48
+    # The pools have 48 cores together, half of which the peer's organisation is due.
+    started = len(starts(scheduler, 1.0))
+    assert started <= 26
+    assert started + len(starts(scheduler, 2.0)) == 48
 
 
-def test_past_use_only_breaks_ties():
-    """Guards against organisations paying long for capacity nobody else wanted."""
+def test_past_usage_only_breaks_ties():
+    """Guards against a lasting penalty for using capacity that nobody else needed."""
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     for start in submit(scheduler, 24, "t0") and starts(scheduler, 0.0):
         scheduler.finished(start.task.id, Outcome.DONE, 50.0)
@@ -98,8 +100,8 @@
     assert scheduler.demand_by_organisation() == {"t0": 30, "t1": 10}
 
 
-def test_batch_uses_what_is_left_until_it_is_old():
-    """Guards against batches delaying lookups, and against starved batches."""
+def test_batch_uses_leftover_capacity_until_it_is_promoted():
+    """Guards against batch tasks that delay interactive ones, or that starve."""
     scheduler = make_scheduler(make_config(workers=1))
     submit(scheduler, 10, "t0", "b")
     submit(scheduler, 3, "t1", "q")
