--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -8,9 +8,9 @@
 from statistics import fmean
 
 from lycheeloom.fleet import PlannerSettings
-from lycheeloom.fleet.budgets import Layout, Ledger
-from lycheeloom.fleet.events import NotChosen, sentence
-from lycheeloom.fleet.waves import forecast, given_up, waiting
+from lycheeloom.fleet.budgets import BudgetUsage, Layout
+from lycheeloom.fleet.events import NotChosen, describe
+from lycheeloom.fleet.waves import first_blocked, forecast, given_up_instances
 from lycheeloom.log import Replayed
 from lycheeloom.model.records import MoveStage, MoveStep, WaveState
 from lycheeloom.model.status import WaveStatus
@@ -145,17 +145,17 @@
         }
 
     def _foretell(
-        self, wave: Wave, counted: WaveStatus, layout: Layout, ledger: Ledger
+        self, wave: Wave, counted: WaveStatus, layout: Layout, ledger: BudgetUsage
     ) -> dict[str, object]:
         """Return the end of a running wave and the limit that it waits for."""
         maintenance = self._state().maintenance
         moves = maintenance.move_by_instance
-        skipped = given_up(maintenance.health_by_instance)
-        choice = waiting(wave, layout, ledger, moves, skipped)
+        skipped = given_up_instances(maintenance.health_by_instance)
+        choice = first_blocked(wave, layout, ledger, moves, skipped)
         reason = ""
         if choice is not None:
-            pool = layout.place_by_instance[choice.instance][0]
-            reason = sentence(NotChosen(choice.instance, pool, choice.limit))
+            pool = layout.location_by_instance[choice.instance][0]
+            reason = describe(NotChosen(choice.instance, pool, choice.limit))
         ends_in_s = None
         # A wave that waits while none of its moves is open makes no room itself.
         if not reason or counted.in_progress:
@@ -177,14 +177,16 @@
             self._times.open_left(open_moves, wave.reboot),
         ).end_s
 
-    def _ledger(self, layout: Layout) -> Ledger:
+    def _ledger(self, layout: Layout) -> BudgetUsage:
         """Count who is out of service, as the controller does."""
         maintenance = self._state().maintenance
         out = {
-            name for name in layout.place_by_instance if not self._is_in_service(name)
+            name
+            for name in layout.location_by_instance
+            if not self._is_in_service(name)
         }
-        ledger = Ledger(layout, out | layout.out_of_service)
-        ledger.take_recorded(
+        ledger = BudgetUsage(layout, out | layout.out_of_service)
+        ledger.take_recorded_out(
             maintenance.health_by_instance, maintenance.move_by_instance
         )
         return ledger
