--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -147,7 +147,7 @@
         peer_organisations = self._peer_organisations(
             pool, lending, subqueues_by_organisation
         )
-        failed: dict[tuple, TaskRecord] = {}
+        unplaced: dict[tuple, TaskRecord] = {}
         unplaceable_sizes: set[Resources] = set()
         while heap:
             usage_level, organisation = heap[0]
@@ -162,7 +162,7 @@
             decision = None
             if subqueues:
                 decision = self._start_one(
-                    subqueues, pool, batch_priority, now, failed, unplaceable_sizes
+                    subqueues, pool, batch_priority, now, unplaced, unplaceable_sizes
                 )
             if decision is None:
                 heapq.heappop(heap)
@@ -183,7 +183,7 @@
         pool: str,
         batch_priority: bool,
         now: float,
-        failed: dict[tuple, TaskRecord],
+        unplaced: dict[tuple, TaskRecord],
         unplaceable_sizes: set[Resources],
     ) -> Decision | None:
         """Start the oldest task of an organisation that fits, if there is one."""
@@ -196,17 +196,17 @@
                 continue
             for size_class, record in subqueue.heads():
                 key = (subqueue.organisation, subqueue.queue, size_class)
-                if key in failed:
+                if key in unplaced:
                     continue
                 need = state.need(record.task, pool)
                 worker = self._place(record, need, pool, now, unplaceable_sizes)
                 if worker is None:
-                    failed[key] = record
+                    unplaced[key] = record
                     self._reservations.reserve_if_starved(
                         subqueue, size_class, record, need, pool, now
                     )
                     continue
-                for passed in failed.values():
+                for passed in unplaced.values():
                     if passed.passed_over_at is None:
                         passed.passed_over_at = now
                 state.queues.take(subqueue, size_class)
