--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -173,9 +173,9 @@
             if state.mean_task_share
             else 0.0
         )
-        usage_level = (state.share + step / 2) / fair
+        relative_share = (state.share + step / 2) / fair
         state.usage_level = (
-            math.floor(usage_level / USAGE_LEVEL_STEP),
+            math.floor(relative_share / USAGE_LEVEL_STEP),
             state.past_share / fair,
         )
 
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -111,8 +111,8 @@
 
     def workers_in_pool(self, pool: str) -> Iterable[Worker]:
         """Return the workers of a pool."""
-        for index in self._zones_by_pool.get(pool, ()):
-            yield from index.workers
+        for zone_index in self._zones_by_pool.get(pool, ()):
+            yield from zone_index.workers
 
     def peer_cores(self, pool: str) -> float:
         """Return the cores of a pool that peers use, as last reported."""
@@ -131,8 +131,8 @@
 
     def has_room(self, pool: str) -> bool:
         """Return whether any usable worker of the pool has free cores."""
-        for index in self._zones_by_pool.get(pool, ()):
-            if index.tree.nodes[1][0] > 0:
+        for zone_index in self._zones_by_pool.get(pool, ()):
+            if zone_index.tree.nodes[1][0] > 0:
                 return True
         return False
 
@@ -152,16 +152,18 @@
     ) -> Worker | None:
         """Choose a worker with room, spreading a queue over zones and racks."""
         indexes = [
-            index
-            for index in self._zones_by_pool.get(pool, ())
-            if index.tree.may_fit(need)
+            zone_index
+            for zone_index in self._zones_by_pool.get(pool, ())
+            if zone_index.tree.may_fit(need)
         ]
         if len(indexes) > 1:
             # Equally loaded zones are chosen at random, not always the first.
             self._random.shuffle(indexes)
-            indexes.sort(key=lambda index: self._zone_load(queue, pool, index))
-        for index in indexes:
-            worker = self._place_in(index, need, queue, excluded)
+            indexes.sort(
+                key=lambda zone_index: self._zone_load(queue, pool, zone_index)
+            )
+        for zone_index in indexes:
+            worker = self._place_in(zone_index, need, queue, excluded)
             if worker is not None:
                 return worker
         return None
@@ -223,10 +225,10 @@
         """Update the index after a worker changed."""
         if worker.reserved:
             self.changed_reserved.add(worker.id)
-        for index in self._zones_by_pool.get(worker.pool, ()):
-            if index.zone == worker.zone:
+        for zone_index in self._zones_by_pool.get(worker.pool, ()):
+            if zone_index.zone == worker.zone:
                 usable = self._usable_capacity(worker, now)
-                index.tree.set(worker.tree_index, usable)
+                zone_index.tree.set(worker.tree_index, usable)
                 if usable is not None:
                     self.freed_pools.add(worker.pool)
                 return
@@ -266,22 +268,26 @@
         return worker.free - kept
 
     def _place_in(
-        self, index: _ZoneIndex, need: Resources, queue: str, excluded: frozenset[str]
+        self,
+        zone_index: _ZoneIndex,
+        need: Resources,
+        queue: str,
+        excluded: frozenset[str],
     ) -> Worker | None:
-        count = len(index.workers)
+        count = len(zone_index.workers)
         tree_index = self._random.randrange(count)
         chosen: Worker | None = None
         best = (0, 0.0)
         found = 0
         wrapped = False
         while found < CANDIDATES:
-            tree_index = index.tree.find(need, tree_index)
+            tree_index = zone_index.tree.find(need, tree_index)
             if tree_index < 0:
                 if wrapped:
                     break
                 wrapped, tree_index = True, 0
                 continue
-            worker = index.workers[tree_index]
+            worker = zone_index.workers[tree_index]
             tree_index += 1
             if worker.id in excluded:
                 continue
@@ -291,9 +297,9 @@
                 chosen, best = worker, key
         return chosen
 
-    def _zone_load(self, queue: str, pool: str, index: _ZoneIndex) -> float:
-        running = self._running_by_location[queue, f"{pool}/{index.zone}"]
-        return running / len(index.workers)
+    def _zone_load(self, queue: str, pool: str, zone_index: _ZoneIndex) -> float:
+        running = self._running_by_location[queue, f"{pool}/{zone_index.zone}"]
+        return running / len(zone_index.workers)
 
     def _refresh_zones(self, zones: set[str], now: float) -> None:
         for worker in self.worker_by_id.values():
@@ -319,10 +325,10 @@
         self._zones_by_pool = {}
         for (pool, zone), workers in grouped.items():
             workers.sort(key=lambda worker: (worker.rack, worker.id))
-            index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
+            zone_index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
             for tree_index, worker in enumerate(workers):
                 worker.tree_index = tree_index
-            self._zones_by_pool.setdefault(pool, []).append(index)
+            self._zones_by_pool.setdefault(pool, []).append(zone_index)
         for worker in self.worker_by_id.values():
             self.refresh(worker, now)
 
--- a/libs/sched/tests/test_state_machine.py
+++ b/libs/sched/tests/test_state_machine.py
@@ -32,7 +32,7 @@
 
 ORGANISATIONS = ("t0", "t1", "t2")
 QUEUES = ("q", "o", "b")
-# Longest time that a core may stay idle while a task that fits and may run waits.
+# Longest time that a core may stay idle while a task of one core waits and may run.
 MAX_IDLE_S = 4.0
 SIZES = (Resources(1, 1024), Resources(2, 1024), Resources(4, 8192))
 
