--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -133,7 +133,7 @@
     QUEUED = "queued"
     RUNNING = "running"
     # Refused by a worker; waits for ``Scheduler.requeue``.
-    AWAITING_REQUEUE = "awaiting_requeue"
+    AWAITING_REQUEUE = "parked"
     ENDED = "ended"
 
 
