--- a/libs/sched/src/lycheeloom/sched/events.py
+++ b/libs/sched/src/lycheeloom/sched/events.py
@@ -52,7 +52,7 @@
     reason: str
 
     def __str__(self) -> str:
-        return f"Requested {self.action} because of {self.reason}."
+        return f"Asked to {self.action} because of {self.reason}."
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,8 +120,8 @@
         return (
             f"Organisation {self.organisation} runs {self.running} of "
             f"{self.granted} granted tasks "
-            f"here and has {self.queued} queued; of the whole fleet it uses "
-            f"{self.share:.1%}, and its fair share is {self.fair_share:.1%}."
+            f"here and has {self.queued} queued; over the fleet it uses "
+            f"{self.share:.1%} where its fair share is {self.fair_share:.1%}."
         )
 
 
@@ -133,7 +133,7 @@
     worker: str
 
     def __str__(self) -> str:
-        return f"Worker {self.worker} is on probation and only gets trial tasks."
+        return f"Worker {self.worker} failed every task and only gets trials."
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +144,7 @@
     worker: str
 
     def __str__(self) -> str:
-        return f"Worker {self.worker} has left probation and gets normal work again."
+        return f"Worker {self.worker} passed its trials and is used again."
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +156,7 @@
     workers: tuple[str, ...]
 
     def __str__(self) -> str:
-        return f"Rack {self.rack} is lost: all {len(self.workers)} workers are down."
+        return f"Rack {self.rack} is lost with {len(self.workers)} workers."
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,7 +170,7 @@
     def __str__(self) -> str:
         if self.out:
             return f"Zone {self.zone} is out of service; nothing starts there."
-        return f"Zone {self.zone} is back in service; its load is ramped up."
+        return f"Zone {self.zone} is back; its load is ramped up."
 
 
 TaskEvent = (
