--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -44,7 +44,7 @@
 def _waiting_reason(state: SchedulerState, record: TaskRecord) -> str:
     task = record.task
     if record.state is TaskState.AWAITING_REQUEUE:
-        return "a worker refused the task; it is about to be queued again"
+        return "a worker refused the task and it is about to be queued again"
     if not state.may_run(task.organisation):
         granted = state.grant_by_organisation.get(task.organisation, 0)
         return f"organisation {task.organisation} uses all {granted} running slots "
@@ -59,6 +59,6 @@
     return (
         f"pool {pool} has no room for {describe(need)}; organisation "
         f"{task.organisation} has "
-        f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet, "
-        f"and its fair share is {fair:.1%}"
+        f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet where its "
+        f"fair share is {fair:.1%}"
     )
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -188,7 +188,7 @@
                 self._state.record_refusal(task, reason.value, message, now)
                 return verdict
             case Held(message):
-                self._state.enqueue(task, now, f"accepted, but {message}")
+                self._state.enqueue(task, now, f"held, {message}")
             case Accepted():
                 self._state.enqueue(task, now, "accepted")
         if task.deadline is not None:
@@ -350,7 +350,7 @@
                 continue
             if record.state is TaskState.QUEUED:
                 state.queues.discard(record)
-            state.forget(record, "its queue is gone or closed to the organisation", now)
+            state.forget(record, "no longer allowed", now)
             self._pending_decisions.append(Expire(record.task, refusal))
 
     def _has_waited(self, subqueue: Subqueue) -> bool:
