--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -58,7 +58,6 @@
     fair = state.shares.fair_share(task.organisation)
     return (
         f"pool {pool} has no room for {describe(need)}; organisation "
-        f"{task.organisation} has "
-        f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet where its "
-        f"fair share is {fair:.1%}"
+        f"{task.organisation} has {queued} tasks queued on {task.queue} and uses "
+        f"{share:.1%} of the fleet where its fair share is {fair:.1%}"
     )
