--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -1,4 +1,4 @@
-"""How far each organisation is above or below its weighted share of the fleet."""
+"""Tracks how much of the fleet each organisation uses, against its fair share."""
 
 from __future__ import annotations
 
@@ -11,16 +11,17 @@
 
 from .tasks import OrganisationUsage
 
-MEMORY_HALF_LIFE_S = 60.0
-# Levels are compared in steps of this fraction of an organisation's fair share; within
-# a step the decaying memory of past use decides.
-LEVEL_STEP = 0.002
-# Weight of the newest task in the moving mean of task sizes.
-TASK_MEAN_WEIGHT = 0.05
-# Weight of callers of an open queue that belong to no configured organisation.
-OPEN_WEIGHT = 1.0
+PAST_SHARE_HALF_LIFE_S = 60.0
+# Usage levels are compared in steps of this fraction of an organisation's fair share;
+# within a step the decaying mean of the past share decides.
+USAGE_LEVEL_STEP = 0.002
+# Weight of the newest task in the moving means of the tasks' shares.
+NEWEST_TASK_WEIGHT = 0.05
+# Weight of each caller of an open queue that is not a configured organisation.
+UNCONFIGURED_WEIGHT = 1.0
 
-Level = tuple[float, float]
+# Usage over fair share in steps of USAGE_LEVEL_STEP, then past share over fair share.
+UsageLevel = tuple[float, float]
 
 
 @dataclass(slots=True)
@@ -30,23 +31,25 @@
     memory_mb: float = 0.0
     accelerators: float = 0.0
     running: int = 0
-    # Resources run by peers at the last exchange.
-    peers: Resources = NO_RESOURCES
-    # Moving means of the dominant share of a task and of its square.
-    task_share: float = 0.0
-    task_square: float = 0.0
-    past_use: float = 0.0
-    past_use_at: float = 0.0
+    # Resources of the tasks that peers run, as last reported.
+    peer_running: Resources = NO_RESOURCES
+    # Moving means of the dominant share of a task and of that share squared.
+    mean_task_share: float = 0.0
+    mean_square_task_share: float = 0.0
+    past_share: float = 0.0
+    past_share_at: float = 0.0
     share: float = 0.0
-    level: Level = (0.0, 0.0)
+    usage_level: UsageLevel = (0.0, 0.0)
 
 
 class OrganisationShares:
-    """Orders organisations by running dominant share over weight, over the fleet.
+    """Orders organisations by weighted dominant share of the whole fleet.
 
-    Peers report their usage only now and then; between reports it counts as
-    unchanged. Assuming that peers change as this entry does avoids correcting a
-    deficit several times over, but makes the levels of small organisations so uncertain
+    An organisation's dominant share is the largest fraction of a resource of the
+    fleet that its running tasks take, at all entries. Peers report their usage at
+    intervals; between reports it counts as unchanged. The alternative is to assume
+    that peers change as this entry does. That avoids that every entry corrects the
+    same deficit, but makes the usage levels of small organisations so uncertain
     that they are served too often.
     """
 
@@ -56,7 +59,7 @@
         self._weight_sum = 1.0
 
     def set_config(self, config: FleetConfig, now: float) -> None:
-        """Take over weights and the size of the fleet."""
+        """Apply the weights of the organisations and the size of the fleet."""
         total = NO_RESOURCES
         for instance in config.instance_by_id.values():
             total = total + instance.size
@@ -72,28 +75,28 @@
         for state in self._state_by_organisation.values():
             self._update(state, now)
 
-    def level(self, organisation: str) -> Level:
+    def usage_level(self, organisation: str) -> UsageLevel:
         """Return the sort key of an organisation; the lowest is served next."""
-        return self._state(organisation).level
+        return self._state(organisation).usage_level
 
     def share(self, organisation: str) -> float:
         """Return the organisation's estimated dominant share of the whole fleet."""
         return self._state(organisation).share
 
     def fair_share(self, organisation: str) -> float:
-        """Return the share due to the organisation when all have enough work."""
+        """Return the share due to the organisation when all others have enough work."""
         return self._state(organisation).weight / self._weight_sum
 
-    def task_share(self, organisation: str) -> float:
-        """Return the usual dominant share of one task of the organisation."""
-        return self._state(organisation).task_share
+    def mean_task_share(self, organisation: str) -> float:
+        """Return the mean dominant share of one task, 0.0 if none was started yet."""
+        return self._state(organisation).mean_task_share
 
     def organisations(self) -> list[str]:
         """Return every organisation seen so far."""
         return list(self._state_by_organisation)
 
     def running(self, organisation: str) -> int:
-        """Return the number of running tasks of this entry."""
+        """Return how many tasks of the organisation this entry runs."""
         return self._state(organisation).running
 
     def running_resources(self, organisation: str) -> Resources:
@@ -106,9 +109,11 @@
         state = self._state(organisation)
         state.running += 1
         share = need.dominant_share(self._total)
-        weight = TASK_MEAN_WEIGHT if state.task_share else 1.0
-        state.task_share += weight * (share - state.task_share)
-        state.task_square += weight * (share * share - state.task_square)
+        weight = NEWEST_TASK_WEIGHT if state.mean_task_share else 1.0
+        state.mean_task_share += weight * (share - state.mean_task_share)
+        state.mean_square_task_share += weight * (
+            share * share - state.mean_square_task_share
+        )
         self._add(state, need, 1, now)
 
     def ended(self, organisation: str, need: Resources, now: float) -> None:
@@ -118,19 +123,19 @@
         self._add(state, need, -1, now)
 
     def resized(self, organisation: str, extra: Resources, now: float) -> None:
-        """Charge more for a task that uses more than was assumed."""
+        """Charge a running task for using more than was reserved for it."""
         self._add(self._state(organisation), extra, 1, now)
 
     def set_peer_usage(
         self, usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]], now: float
     ) -> None:
-        """Replace what is known of all peers."""
+        """Replace the usage of all peers."""
         for state in self._state_by_organisation.values():
-            state.peers = NO_RESOURCES
+            state.peer_running = NO_RESOURCES
         for usage_by_organisation in usage_by_peer.values():
             for organisation, usage in usage_by_organisation.items():
                 state = self._state(organisation)
-                state.peers = state.peers + usage.running
+                state.peer_running = state.peer_running + usage.running
         for state in self._state_by_organisation.values():
             self._update(state, now)
 
@@ -138,7 +143,7 @@
         state = self._state_by_organisation.get(organisation)
         if state is None:
             state = self._state_by_organisation[organisation] = _OrganisationState(
-                OPEN_WEIGHT
+                UNCONFIGURED_WEIGHT
             )
         return state
 
@@ -149,28 +154,35 @@
         state.memory_mb += sign * need.memory_mb
         state.accelerators += sign * need.accelerators
         if state.running == 0:
-            # Removes the rounding error of many additions.
+            # Removes the accumulated rounding error.
             state.cores = state.memory_mb = state.accelerators = 0.0
         self._update(state, now)
 
     def _update(self, state: _OrganisationState, now: float) -> None:
-        elapsed_s = max(0.0, now - state.past_use_at)
-        kept = 0.5 ** (elapsed_s / MEMORY_HALF_LIFE_S)
-        state.past_use = state.past_use * kept + state.share * (1.0 - kept)
-        state.past_use_at = now
-        state.share = self._used(state).dominant_share(self._total)
+        elapsed_s = max(0.0, now - state.past_share_at)
+        kept = 0.5 ** (elapsed_s / PAST_SHARE_HALF_LIFE_S)
+        state.past_share = state.past_share * kept + state.share * (1.0 - kept)
+        state.past_share_at = now
+        state.share = self._fleet_usage(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
-        # Running shares move in steps of a task, of which half is added so that
-        # organisations with large tasks are not above their share on average. Large
-        # tasks make up more of the steps than their number tells.
-        step = state.task_square / state.task_share if state.task_share else 0.0
-        level = (state.share + step / 2) / fair
-        state.level = (math.floor(level / LEVEL_STEP), state.past_use / fair)
-
-    def _used(self, state: _OrganisationState) -> Resources:
-        peers = state.peers
+        # A share changes by whole tasks. Half of such a step is added, so that
+        # organisations with large tasks do not exceed their share on average. The
+        # step is the mean weighted by size, as large tasks dominate the changes.
+        step = (
+            state.mean_square_task_share / state.mean_task_share
+            if state.mean_task_share
+            else 0.0
+        )
+        relative_share = (state.share + step / 2) / fair
+        state.usage_level = (
+            math.floor(relative_share / USAGE_LEVEL_STEP),
+            state.past_share / fair,
+        )
+
+    def _fleet_usage(self, state: _OrganisationState) -> Resources:
+        peer_running = state.peer_running
         return Resources(
-            peers.cores + state.cores,
-            peers.memory_mb + round(state.memory_mb),
-            peers.accelerators + round(state.accelerators),
+            peer_running.cores + state.cores,
+            peer_running.memory_mb + round(state.memory_mb),
+            peer_running.accelerators + round(state.accelerators),
         )
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -1,4 +1,4 @@
-"""Workers with their free capacity, and the choice of a worker for a task."""
+"""The workers with their free capacity, and the choice of a worker for a task."""
 
 from __future__ import annotations
 
@@ -13,31 +13,32 @@
 from .capacity import CapacityTree
 from .tasks import TaskRecord
 
-# Fitting workers compared for one start; more cost time and spread no better.
+# Fitting workers compared for one start. More of them cost time and spread tasks no
+# better.
 CANDIDATES = 3
-# A returned zone starts at this part of its capacity and is full after RAMP_S,
-# so that workers with cold caches are not all filled in the same instant.
-RAMP_FIRST_PART = 0.25
+# A zone that is back in service may use this fraction of its capacity at first and all
+# of it after RAMP_S, so that workers with cold caches are not all filled at once.
+RAMP_START_FRACTION = 0.25
 RAMP_S = 3.0
 RAMP_STEP_S = 0.25
 
 
 @dataclass(slots=True, eq=False)
 class Worker:
-    """One worker as seen by this entry."""
+    """One worker as this entry knows it."""
 
     id: str
     pool: str
     zone: str
     rack: str
     size: Resources
-    slot: int = 0
+    tree_index: int = 0
     available: bool = False
     free: Resources = NO_RESOURCES
     own_used: Resources = NO_RESOURCES
     boot_id: str = ""
     on_probation: bool = False
-    # This entry keeps the worker free for a task that waits.
+    # This entry keeps the worker free for a waiting task.
     reserved: bool = False
     reserved_by_peer: bool = False
     running: dict[str, TaskRecord] = field(default_factory=dict)
@@ -59,78 +60,84 @@
         self.worker_by_id: dict[str, Worker] = {}
         self.total_cores = 0.0
         self.freed_pools: set[str] = set()
-        # Reserved workers that changed since the last look.
-        self.touched_reserved: set[str] = set()
+        # Reserved workers that changed since the reservations were last checked.
+        self.changed_reserved: set[str] = set()
         self._random = random.Random(seed)
         self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
         self._sizes_by_pool: dict[str, set[Resources]] = {}
-        self._out_zones: set[str] = set()
+        self._zones_out_of_service: set[str] = set()
         self._returned_at_by_zone: dict[str, float] = {}
         self._next_ramp_at = 0.0
         self._pool_by_instance: Mapping[str, str] = {}
         self._instance_by_id: Mapping[str, Instance] = {}
-        # Running tasks of this entry per queue and place, for spreading.
-        self._count_by_place: Counter[tuple[str, str]] = Counter()
+        # Running tasks of this entry per queue and zone of a pool, and per queue and
+        # rack, for spreading.
+        self._running_by_location: Counter[tuple[str, str]] = Counter()
 
     def set_config(self, config: FleetConfig, now: float) -> tuple[set[str], set[str]]:
-        """Take over instances and zones; return zones gone out and come back."""
+        """Apply instances and zones; return the zones taken out and returned."""
         out = {z.id for z in config.zone_by_id.values() if z.state is ZoneState.OUT}
-        gone, back = out - self._out_zones, self._out_zones - out
-        self._out_zones = out
-        for zone in back:
+        taken_out, returned = (
+            out - self._zones_out_of_service,
+            self._zones_out_of_service - out,
+        )
+        self._zones_out_of_service = out
+        for zone in returned:
             self._returned_at_by_zone[zone] = now
             self._next_ramp_at = now
-        for zone in gone:
+        for zone in taken_out:
             self._returned_at_by_zone.pop(zone, None)
         if config.instance_by_id != self._instance_by_id:
             self._instance_by_id = config.instance_by_id
             self._rebuild(now)
-        elif gone or back:
-            self._refresh_zones(gone | back, now)
-        return gone, back
+        elif taken_out or returned:
+            self._refresh_zones(taken_out | returned, now)
+        return taken_out, returned
 
     def set_pool_by_instance(self, mapping: Mapping[str, str], now: float) -> None:
-        """Take over the actual pool of each worker."""
+        """Set the pool that each worker is in now."""
         if mapping == self._pool_by_instance:
             return
         self._pool_by_instance = dict(mapping)
         self._rebuild(now)
 
     def zone_is_out(self, zone: str) -> bool:
-        """Tell whether operators have taken the zone out of service."""
-        return zone in self._out_zones
+        """Return whether operators have taken the zone out of service."""
+        return zone in self._zones_out_of_service
 
-    def sizes(self, pool: str) -> set[Resources]:
+    def worker_sizes(self, pool: str) -> set[Resources]:
         """Return the distinct worker sizes of a pool."""
         return self._sizes_by_pool.get(pool, set())
 
-    def in_pool(self, pool: str) -> Iterable[Worker]:
+    def workers_in_pool(self, pool: str) -> Iterable[Worker]:
         """Return the workers of a pool."""
-        for index in self._zones_by_pool.get(pool, ()):
-            yield from index.workers
+        for zone_index in self._zones_by_pool.get(pool, ()):
+            yield from zone_index.workers
 
     def peer_cores(self, pool: str) -> float:
-        """Return the processors of a pool that peers use, as last reported."""
+        """Return the cores of a pool that peers use, as last reported."""
         return sum(
             worker.size.cores - worker.free.cores - worker.own_used.cores
-            for worker in self.in_pool(pool)
+            for worker in self.workers_in_pool(pool)
             if worker.available
         )
 
-    def free_part(self, pool: str) -> float:
-        """Return the free processors of a pool as a part of the fleet's."""
-        free = sum(w.free.cores for w in self.in_pool(pool) if self.accepts(w))
+    def free_fraction(self, pool: str) -> float:
+        """Return the free cores of a pool as a fraction of all cores of the fleet."""
+        free = sum(
+            w.free.cores for w in self.workers_in_pool(pool) if self.accepts_starts(w)
+        )
         return free / self.total_cores if self.total_cores else 0.0
 
     def has_room(self, pool: str) -> bool:
-        """Tell whether any usable worker of the pool has a free core."""
-        for index in self._zones_by_pool.get(pool, ()):
-            if index.tree.nodes[1][0] > 0:
+        """Return whether any usable worker of the pool has free cores."""
+        for zone_index in self._zones_by_pool.get(pool, ()):
+            if zone_index.tree.nodes[1][0] > 0:
                 return True
         return False
 
-    def tick(self, now: float) -> None:
-        """Advance the ramps of returned zones."""
+    def advance_ramps(self, now: float) -> None:
+        """Raise the capacity of zones that are back in service."""
         if not self._returned_at_by_zone or now < self._next_ramp_at:
             return
         self._next_ramp_at = now + RAMP_STEP_S
@@ -145,42 +152,44 @@
     ) -> Worker | None:
         """Choose a worker with room, spreading a queue over zones and racks."""
         indexes = [
-            index
-            for index in self._zones_by_pool.get(pool, ())
-            if index.tree.may_fit(need)
+            zone_index
+            for zone_index in self._zones_by_pool.get(pool, ())
+            if zone_index.tree.may_fit(need)
         ]
         if len(indexes) > 1:
-            # Equal zones are taken in turn, not always the first.
+            # Equally loaded zones are chosen at random, not always the first.
             self._random.shuffle(indexes)
-            indexes.sort(key=lambda index: self._zone_load(queue, pool, index))
-        for index in indexes:
-            worker = self._place_in(index, need, queue, excluded)
+            indexes.sort(
+                key=lambda zone_index: self._zone_load(queue, pool, zone_index)
+            )
+        for zone_index in indexes:
+            worker = self._place_in(zone_index, need, queue, excluded)
             if worker is not None:
                 return worker
         return None
 
     def attach(self, worker: Worker, record: TaskRecord, now: float) -> None:
-        """Take room on a worker for a started task."""
+        """Reserve capacity on a worker for a started task."""
         worker.running[record.task.id] = record
         worker.free = worker.free - record.need
         worker.own_used = worker.own_used + record.need
         queue = record.task.queue
-        self._count_by_place[queue, f"{worker.pool}/{worker.zone}"] += 1
-        self._count_by_place[queue, worker.rack] += 1
+        self._running_by_location[queue, f"{worker.pool}/{worker.zone}"] += 1
+        self._running_by_location[queue, worker.rack] += 1
         self.refresh(worker, now)
 
     def detach(self, worker: Worker, record: TaskRecord, now: float) -> None:
-        """Give back the room of a task that ended."""
+        """Free the capacity of a task that ended."""
         del worker.running[record.task.id]
         worker.free = worker.free + record.need
         worker.own_used = worker.own_used - record.need
         queue = record.task.queue
-        self._count_by_place[queue, f"{record.pool}/{worker.zone}"] -= 1
-        self._count_by_place[queue, worker.rack] -= 1
+        self._running_by_location[queue, f"{record.pool}/{worker.zone}"] -= 1
+        self._running_by_location[queue, worker.rack] -= 1
         self.refresh(worker, now)
 
     def resize(self, worker: Worker, extra: Resources, now: float) -> None:
-        """Take more room for a running task."""
+        """Reserve more capacity for a running task."""
         worker.free = worker.free - extra
         worker.own_used = worker.own_used + extra
         self.refresh(worker, now)
@@ -188,10 +197,10 @@
     def observe(
         self, worker: Worker, available: bool, free: Resources | None, now: float
     ) -> None:
-        """Take over what the worker said of itself.
+        """Apply what a worker reported about itself.
 
-        Tasks that this entry has just started may be missing from ``free``, so
-        it is bounded by what they leave.
+        Its report may not include the tasks that this entry has just started, so
+        ``free`` is limited to what this entry's own tasks leave.
         """
         worker.available = available
         if free is not None:
@@ -204,7 +213,7 @@
         self.refresh(worker, now)
 
     def set_reserved_by_peers(self, worker_ids: Iterable[str], now: float) -> None:
-        """Leave the workers that peers keep for large tasks alone."""
+        """Set the workers that peers have reserved; this entry starts nothing there."""
         wanted = set(worker_ids)
         for worker in self.worker_by_id.values():
             reserved = worker.id in wanted
@@ -213,74 +222,84 @@
                 self.refresh(worker, now)
 
     def refresh(self, worker: Worker, now: float) -> None:
-        """Bring the index up to date with a worker that changed."""
+        """Update the index after a worker changed."""
         if worker.reserved:
-            self.touched_reserved.add(worker.id)
-        for index in self._zones_by_pool.get(worker.pool, ()):
-            if index.zone == worker.zone:
-                usable = self._usable(worker, now)
-                index.tree.set(worker.slot, usable)
+            self.changed_reserved.add(worker.id)
+        for zone_index in self._zones_by_pool.get(worker.pool, ()):
+            if zone_index.zone == worker.zone:
+                usable = self._usable_capacity(worker, now)
+                zone_index.tree.set(worker.tree_index, usable)
                 if usable is not None:
                     self.freed_pools.add(worker.pool)
                 return
 
-    def accepts(self, worker: Worker) -> bool:
-        """Tell whether operators and the worker itself allow any start."""
+    def accepts_starts(self, worker: Worker) -> bool:
+        """Return whether the worker is available, in service and in the fleet."""
         return (
             worker.available
-            and worker.zone not in self._out_zones
+            and worker.zone not in self._zones_out_of_service
             and worker.id in self.worker_by_id
         )
 
-    def usable_for_reserved(self, worker: Worker) -> bool:
-        """Tell whether a reserved worker may start the task it is kept for."""
-        return self.accepts(worker) and not worker.on_probation
+    def accepts_normal_work(self, worker: Worker) -> bool:
+        """Return whether the worker may start other tasks than trials.
 
-    def _usable(self, worker: Worker, now: float) -> Resources | None:
-        if not self.accepts(worker) or worker.on_probation:
+        Reservations are not considered.
+        """
+        return self.accepts_starts(worker) and not worker.on_probation
+
+    def _usable_capacity(self, worker: Worker, now: float) -> Resources | None:
+        if not self.accepts_starts(worker) or worker.on_probation:
             return None
         if worker.reserved or worker.reserved_by_peer:
             return None
         returned_at = self._returned_at_by_zone.get(worker.zone)
         if returned_at is None or now - returned_at >= RAMP_S:
             return worker.free
-        part = RAMP_FIRST_PART + (1 - RAMP_FIRST_PART) * (now - returned_at) / RAMP_S
+        fraction = (
+            RAMP_START_FRACTION
+            + (1 - RAMP_START_FRACTION) * (now - returned_at) / RAMP_S
+        )
         kept = Resources(
-            worker.size.cores * (1 - part),
-            int(worker.size.memory_mb * (1 - part)),
-            int(worker.size.accelerators * (1 - part)),
+            worker.size.cores * (1 - fraction),
+            int(worker.size.memory_mb * (1 - fraction)),
+            int(worker.size.accelerators * (1 - fraction)),
         )
         return worker.free - kept
 
     def _place_in(
-        self, index: _ZoneIndex, need: Resources, queue: str, excluded: frozenset[str]
+        self,
+        zone_index: _ZoneIndex,
+        need: Resources,
+        queue: str,
+        excluded: frozenset[str],
     ) -> Worker | None:
-        count = len(index.workers)
-        slot = self._random.randrange(count)
+        count = len(zone_index.workers)
+        tree_index = self._random.randrange(count)
         chosen: Worker | None = None
         best = (0, 0.0)
         found = 0
         wrapped = False
         while found < CANDIDATES:
-            slot = index.tree.find(need, slot)
-            if slot < 0:
+            tree_index = zone_index.tree.find(need, tree_index)
+            if tree_index < 0:
                 if wrapped:
                     break
-                wrapped, slot = True, 0
+                wrapped, tree_index = True, 0
                 continue
-            worker = index.workers[slot]
-            slot += 1
+            worker = zone_index.workers[tree_index]
+            tree_index += 1
             if worker.id in excluded:
                 continue
             found += 1
-            key = (self._count_by_place[queue, worker.rack], worker.free.cores)
+            key = (self._running_by_location[queue, worker.rack], worker.free.cores)
             if chosen is None or key < best:
                 chosen, best = worker, key
         return chosen
 
-    def _zone_load(self, queue: str, pool: str, index: _ZoneIndex) -> float:
-        running = self._count_by_place[queue, f"{pool}/{index.zone}"]
-        return running / len(index.workers)
+    def _zone_load(self, queue: str, pool: str, zone_index: _ZoneIndex) -> float:
+        running = self._running_by_location[queue, f"{pool}/{zone_index.zone}"]
+        return running / len(zone_index.workers)
 
     def _refresh_zones(self, zones: set[str], now: float) -> None:
         for worker in self.worker_by_id.values():
@@ -288,7 +307,7 @@
                 self.refresh(worker, now)
 
     def _rebuild(self, now: float) -> None:
-        """Index all workers anew after instances or pools changed."""
+        """Rebuild the index after instances or pools changed."""
         previous = self.worker_by_id
         self.worker_by_id = {}
         grouped: dict[tuple[str, str], list[Worker]] = {}
@@ -306,10 +325,10 @@
         self._zones_by_pool = {}
         for (pool, zone), workers in grouped.items():
             workers.sort(key=lambda worker: (worker.rack, worker.id))
-            index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
-            for slot, worker in enumerate(workers):
-                worker.slot = slot
-            self._zones_by_pool.setdefault(pool, []).append(index)
+            zone_index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
+            for tree_index, worker in enumerate(workers):
+                worker.tree_index = tree_index
+            self._zones_by_pool.setdefault(pool, []).append(zone_index)
         for worker in self.worker_by_id.values():
             self.refresh(worker, now)
 
