--- a/libs/cluster/src/lycheeloom/cluster/__init__.py
+++ b/libs/cluster/src/lycheeloom/cluster/__init__.py
@@ -1,7 +1,7 @@
-"""Peer links, membership and freshness."""
+"""Entries as a cluster: links between peers, membership and freshness."""
 
 from .framing import Connection, PeerConnectionError, connect
-from .freshness import FreshBy, Freshness
+from .freshness import Freshness, FreshnessReason
 from .membership import Identity, MembershipKeeper, new_incarnation
 from .mesh import PeerMesh, PeerView
 from .node import ClusterNode
@@ -10,7 +10,7 @@
     "ClusterNode",
     "Connection",
     "PeerConnectionError",
-    "FreshBy",
+    "FreshnessReason",
     "Freshness",
     "Identity",
     "MembershipKeeper",
--- a/libs/cluster/src/lycheeloom/cluster/framing.py
+++ b/libs/cluster/src/lycheeloom/cluster/framing.py
@@ -1,4 +1,4 @@
-"""Length-prefixed peer messages on a TCP connection."""
+"""Length-prefixed frames of peer messages on a TCP connection."""
 
 from __future__ import annotations
 
@@ -16,33 +16,34 @@
     encode_peer_message,
 )
 
-# A relay carries up to 512 KiB of batches, or one batch of at most 256 KiB.
+# A relay message carries up to 512 KiB of batches; one batch has at most 256 KiB.
 MAX_FRAME_BYTES = 1024 * 1024
-# Usage lists shrink to about a sixth and plain heartbeats to two thirds.
-COMPRESS_FROM_BYTES = 64
+# Compression shrinks usage lists to about a sixth and heartbeats without them to two
+# thirds.
+COMPRESSION_THRESHOLD_BYTES = 64
 COMPRESSION_LEVEL = 1
 _HEADER = struct.Struct(">I")
-_COMPRESSED = 1 << 31
+_COMPRESSED_FLAG = 1 << 31
 
 
 class PeerConnectionError(Exception):
-    """The connection ended, stayed silent or carried something unreadable."""
+    """The connection failed, timed out or carried an invalid message."""
 
 
-def pack_frame(message: PeerMessage) -> bytes:
-    """Return a message as one frame, compressed if that pays."""
+def encode_frame(message: PeerMessage) -> bytes:
+    """Return a message as one frame, compressed if that makes it smaller."""
     body = encode_peer_message(message)
     flag = 0
-    if len(body) >= COMPRESS_FROM_BYTES:
-        packed = zlib.compress(body, COMPRESSION_LEVEL)
-        if len(packed) < len(body):
-            body, flag = packed, _COMPRESSED
+    if len(body) >= COMPRESSION_THRESHOLD_BYTES:
+        compressed = zlib.compress(body, COMPRESSION_LEVEL)
+        if len(compressed) < len(body):
+            body, flag = compressed, _COMPRESSED_FLAG
     return _HEADER.pack(len(body) | flag) + body
 
 
-def unpack_body(header: int, body: bytes) -> PeerMessage:
-    """Decode the body of a frame; raises ``PeerConnectionError``."""
-    if header & _COMPRESSED:
+def decode_body(header: int, body: bytes) -> PeerMessage:
+    """Decode the body of a frame; raises ``PeerConnectionError`` if invalid."""
+    if header & _COMPRESSED_FLAG:
         body = _decompress(body)
     message = decode_peer_message(body)
     if isinstance(message, BadPeerMessage):
@@ -57,39 +58,42 @@
     except zlib.error as error:
         raise PeerConnectionError(str(error)) from error
     if decompressor.unconsumed_tail or not decompressor.eof:
-        raise PeerConnectionError("compressed frame is too long or cut off")
+        raise PeerConnectionError("compressed frame is too long or truncated")
     return plain
 
 
 @dataclass(slots=True)
 class Traffic:
-    """Bytes of frames, added up over connections."""
+    """Total bytes sent and received in frames, over several connections."""
 
     sent_bytes: int = 0
     received_bytes: int = 0
 
 
 class Connection:
-    """One TCP connection that carries frames; each wait is bounded."""
+    """A TCP connection that carries frames; every call has a time limit.
+
+    Calls raise ``PeerConnectionError`` if the connection fails or the time is over.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.traffic = Traffic()
 
     def call(self, message: PeerMessage, timeout_s: float) -> PeerMessage:
-        """Send a message and return its answer; raises ``PeerConnectionError``."""
+        """Send a message and return its answer."""
         with gevent.Timeout(timeout_s, PeerConnectionError("no answer in time")):
             self._send(message)
             return self._receive()
 
     def send(self, message: PeerMessage, timeout_s: float) -> None:
-        """Send a message; raises ``PeerConnectionError``."""
+        """Send a message."""
         with gevent.Timeout(timeout_s, PeerConnectionError("not sent in time")):
             self._send(message)
 
     def receive(self, timeout_s: float) -> PeerMessage:
-        """Return the next message; raises ``PeerConnectionError``."""
-        with gevent.Timeout(timeout_s, PeerConnectionError("silent")):
+        """Return the next message."""
+        with gevent.Timeout(timeout_s, PeerConnectionError("no message in time")):
             return self._receive()
 
     def close(self) -> None:
@@ -97,7 +101,7 @@
         self._sock.close()
 
     def _send(self, message: PeerMessage) -> None:
-        frame = pack_frame(message)
+        frame = encode_frame(message)
         try:
             self._sock.sendall(frame)
         except OSError as error:
@@ -106,10 +110,10 @@
 
     def _receive(self) -> PeerMessage:
         (header,) = _HEADER.unpack(self._read(_HEADER.size))
-        size = header & ~_COMPRESSED
+        size = header & ~_COMPRESSED_FLAG
         if size > MAX_FRAME_BYTES:
-            raise PeerConnectionError(f"frame of {size} bytes")
-        return unpack_body(header, self._read(size))
+            raise PeerConnectionError(f"frame of {size} bytes is too large")
+        return decode_body(header, self._read(size))
 
     def _read(self, size: int) -> bytes:
         data = bytearray()
@@ -119,14 +123,14 @@
             except OSError as error:
                 raise PeerConnectionError(str(error)) from error
             if not part:
-                raise PeerConnectionError("closed by the peer")
+                raise PeerConnectionError("connection closed by the peer")
             data += part
         self.traffic.received_bytes += size
         return bytes(data)
 
 
 def connect(address: str, timeout_s: float) -> Connection:
-    """Open a connection to ``host:port``; raises ``PeerConnectionError``."""
+    """Connect to ``host:port``; raises ``PeerConnectionError``."""
     host, _, port = address.rpartition(":")
     try:
         sock = socket.create_connection((host, int(port)), timeout_s)
--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -1,4 +1,4 @@
-"""Whether this process may rely on its state and start tasks."""
+"""Freshness: whether this process may rely on its state and start tasks."""
 
 from __future__ import annotations
 
@@ -15,14 +15,15 @@
 from lycheeloom.model.ticks import rest_of_tick_s
 
 TICK_S = 0.1
-# A longer gap between two ticks means that the process did not run.
+# A longer gap between two ticks means that the process was paused.
 MAX_TICK_GAP_S = 1.0
-# Positions of a peer that this process has not replayed up to yet.
-MAX_POSITIONS = 16
+# Limit of positions, and of confirmations, kept for one peer until this process has
+# replayed the log up to them.
+MAX_PENDING_PER_PEER = 16
 
 
-class FreshBy(StrEnum):
-    """What made the process fresh, or why it is not."""
+class FreshnessReason(StrEnum):
+    """Why the process is fresh, or why it is not (the last two)."""
 
     LOG = "log"
     RELAY = "relay"
@@ -32,11 +33,11 @@
 
 
 class Freshness:
-    """Evidence that the replayed state is recent, on this process's clock.
+    """Collects evidence that the replayed state is recent.
 
-    Each piece of evidence has the time at which a request was sent whose answer
-    proves it; it holds for ``FRESHNESS_S`` from then. Evidence from before a
-    pause of the process does not count.
+    Evidence is the answer to a log read or to a heartbeat. It holds for
+    ``FRESHNESS_S`` from the time the read or heartbeat was sent, on this process's
+    clock. Evidence from before a pause of the process does not count.
     """
 
     def __init__(
@@ -49,7 +50,7 @@
         self._tail = tail
         self._own_incarnation = own_incarnation
         self._clock = clock
-        self._ticked_at = clock()
+        self._last_tick_at = clock()
         self.resumed_at = clock()
         self.pauses = 0
         self._confirmed_at: dict[str, float] = {}
@@ -57,87 +58,91 @@
         self._relayed_at = -math.inf
         self._positions_by_peer: dict[str, deque[tuple[int, float]]] = {}
 
-    def confirm(self, peer: str, sent_at: float, next_offset: int) -> None:
-        """A peer that counts this process as a member answered a heartbeat.
+    def add_confirmation(self, peer: str, sent_at: float, next_offset: int) -> None:
+        """Add a peer's confirmation that this process is a member.
 
-        The confirmation counts once this process has replayed what the peer had:
-        a process that was paused is confirmed at once when it resumes, and would
-        otherwise act on the state from before its pause.
+        The peer had replayed the log up to ``next_offset`` when it answered a
+        heartbeat sent at ``sent_at``. The confirmation counts once this process has
+        replayed as much: peers confirm a process at once when it resumes from a pause,
+        and it would otherwise act on the state from before its pause.
         """
         confirmations = self._confirmations_by_peer.setdefault(
-            peer, deque(maxlen=MAX_POSITIONS)
+            peer, deque(maxlen=MAX_PENDING_PER_PEER)
         )
         confirmations.append((next_offset, sent_at))
-        self._take_reached_confirmations()
+        self._apply_reached_confirmations()
 
-    def note_position(self, peer: str, read_at: float, next_offset: int) -> None:
-        """A peer had read the log up to ``next_offset`` at or after ``read_at``."""
+    def add_position(self, peer: str, read_at: float, next_offset: int) -> None:
+        """Add that at ``read_at`` or later a peer read the log up to ``next_offset``."""
         positions = self._positions_by_peer.setdefault(
-            peer, deque(maxlen=MAX_POSITIONS)
+            peer, deque(maxlen=MAX_PENDING_PER_PEER)
         )
         positions.append((next_offset, read_at))
-        self._take_reached_positions()
+        self._apply_reached_positions()
 
-    def forget(self, peer: str) -> None:
-        """Drop evidence from a peer that is no longer a member."""
+    def drop_peer(self, peer: str) -> None:
+        """Drop the evidence from a peer that is no longer a member."""
         self._confirmed_at.pop(peer, None)
         self._confirmations_by_peer.pop(peer, None)
         self._positions_by_peer.pop(peer, None)
 
     def tick(self) -> None:
-        """Detect a pause of the process; called every ``TICK_S``."""
+        """Detect a pause of the process; to be called every ``TICK_S``."""
         now = self._clock()
-        if now - self._ticked_at > MAX_TICK_GAP_S:
+        if now - self._last_tick_at > MAX_TICK_GAP_S:
             self.resumed_at = now
             self.pauses += 1
-        self._ticked_at = now
+        self._last_tick_at = now
 
     def run(self) -> None:
-        """Tick until stopped."""
+        """Call ``tick`` every ``TICK_S`` until stopped."""
         while True:
             self.tick()
             gevent.sleep(rest_of_tick_s(TICK_S))
 
     def is_fresh(self) -> bool:
         """Tell whether tasks may be started and requests accepted now."""
-        return self.explain() not in (FreshBy.STALE, FreshBy.NOT_A_MEMBER)
+        return self.explain() not in (
+            FreshnessReason.STALE,
+            FreshnessReason.NOT_A_MEMBER,
+        )
 
-    def explain(self) -> FreshBy:
-        """Return what makes the process fresh now, or why it is not."""
-        # The check may run before the tick that would notice a pause.
+    def explain(self) -> FreshnessReason:
+        """Return why the process is fresh now, or why it is not."""
+        # After a pause this may run before the next regular tick.
         self.tick()
         if not self._tail.state.members.is_active(self._own_incarnation()):
-            return FreshBy.NOT_A_MEMBER
-        self._take_reached_positions()
-        self._take_reached_confirmations()
-        oldest = max(self._clock() - FRESHNESS_S, self.resumed_at)
-        if self._tail.last_read_sent_at >= oldest:
-            return FreshBy.LOG
-        if self._relayed_at >= oldest:
-            return FreshBy.RELAY
-        if self._majority_at() >= oldest:
-            return FreshBy.MAJORITY
-        return FreshBy.STALE
-
-    def _take_reached_positions(self) -> None:
+            return FreshnessReason.NOT_A_MEMBER
+        self._apply_reached_positions()
+        self._apply_reached_confirmations()
+        cutoff = max(self._clock() - FRESHNESS_S, self.resumed_at)
+        if self._tail.last_read_sent_at >= cutoff:
+            return FreshnessReason.LOG
+        if self._relayed_at >= cutoff:
+            return FreshnessReason.RELAY
+        if self._majority_confirmed_at() >= cutoff:
+            return FreshnessReason.MAJORITY
+        return FreshnessReason.STALE
+
+    def _apply_reached_positions(self) -> None:
         for positions in self._positions_by_peer.values():
             while positions and positions[0][0] <= self._tail.next_offset:
                 self._relayed_at = max(self._relayed_at, positions.popleft()[1])
 
-    def _take_reached_confirmations(self) -> None:
+    def _apply_reached_confirmations(self) -> None:
         for peer, confirmations in self._confirmations_by_peer.items():
             while confirmations and confirmations[0][0] <= self._tail.next_offset:
                 sent_at = confirmations.popleft()[1]
                 known_at = self._confirmed_at.get(peer, -math.inf)
                 self._confirmed_at[peer] = max(sent_at, known_at)
 
-    def _majority_at(self) -> float:
-        """Return since when the latest majority has confirmed this process."""
+    def _majority_confirmed_at(self) -> float:
+        """Return the latest time since which a majority confirmed heartbeats."""
         own = self._own_incarnation()
         members = [member.incarnation for member in self._tail.state.members.active()]
         needed = len(members) // 2
         if needed == 0:
-            # The only member is a majority by itself.
+            # A single member is a majority by itself.
             return self._clock()
         times = sorted(
             (
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -1,4 +1,4 @@
-"""The outbound connection to one peer."""
+"""The outgoing link to one peer."""
 
 from __future__ import annotations
 
@@ -21,17 +21,18 @@
     from .mesh import PeerMesh
 
 CONNECT_TIMEOUT_S = 0.4
-# Bounds the heartbeats that are sent early.
-SHORTEST_INTERVAL_S = 0.1
-# A connection that went silent is given up soon enough for a heartbeat over a
-# new one before FRESHNESS_S (1.5 s) has passed since the last answered one:
-# one heartbeat interval (0.5 s), this, and a round trip.
+# Minimum time between heartbeats, also if one is sent early.
+MIN_HEARTBEAT_GAP_S = 0.1
+# A dead connection is closed early enough to send a heartbeat over a new one before
+# FRESHNESS_S (1.5 s) has passed since the last answered heartbeat: the sum of one
+# heartbeat interval (0.5 s), this timeout and a round trip is smaller.
 ANSWER_TIMEOUT_S = 0.7
-# A peer that reads the log is up to LONG_POLL_S and a round trip old; one that
-# does not gets relayed records before it stops being fresh.
+# Records are relayed to a process whose last successful log read is at least this old.
+# A process that reads the log has a read no older than LONG_POLL_S and a round trip;
+# one that does not gets records before it stops being fresh.
 RELAY_AFTER_S = 0.8
-# Bounds the time between heartbeats while a peer catches up; it goes on in the
-# next exchange.
+# Bounds the time between heartbeats while a peer catches up; the relay continues with
+# the next heartbeat.
 MAX_RELAY_ROUNDS = 8
 RELAY_BYTES = 512 * 1024
 
@@ -39,8 +40,8 @@
 class PeerLink:
     """Sends heartbeats to one peer and exchanges missing records with it.
 
-    Each message is answered on the same connection, so one bounded wait finds a
-    silent connection in either direction.
+    Each message is answered on the same connection, so one timeout detects a dead
+    connection in either direction.
     """
 
     def __init__(
@@ -54,7 +55,7 @@
         self.address = address
         self.replaced_connections = 0
         # Set to send the next heartbeat before its interval has passed.
-        self.early = Event()
+        self.send_early = Event()
         self._mesh = mesh
         self._connect = connect
         self._usage = UsageSender()
@@ -62,40 +63,40 @@
 
     def run(self) -> None:
         """Send heartbeats until stopped."""
-        # A new peer is given the time to replay that this process joined: until it
-        # says so, this process may not vote against it.
+        # Gives a new peer time to replay that this process joined: until its heartbeats
+        # show that it has, this process may not vote to expel it.
         gevent.sleep(rest_of_tick_s(HEARTBEAT_INTERVAL_S))
         try:
             while True:
                 started_at = self._mesh.clock()
-                self._beat_safely()
-                self._rest(started_at)
+                self._exchange_heartbeat_safely()
+                self._wait_for_next_heartbeat(started_at)
         finally:
             self.close()
 
-    def _rest(self, started_at: float) -> None:
-        """Wait for the next heartbeat, or for one that is asked for earlier.
+    def _wait_for_next_heartbeat(self, started_at: float) -> None:
+        """Wait until the next heartbeat is due or is requested early.
 
-        The heartbeats to all peers leave together, in one pass of the event loop.
+        The heartbeats to all peers are due together, in one pass of the event loop.
         """
-        if self.early.wait(rest_of_tick_s(HEARTBEAT_INTERVAL_S)):
-            gap_s = started_at + SHORTEST_INTERVAL_S - self._mesh.clock()
+        if self.send_early.wait(rest_of_tick_s(HEARTBEAT_INTERVAL_S)):
+            gap_s = started_at + MIN_HEARTBEAT_GAP_S - self._mesh.clock()
             gevent.sleep(max(0.0, gap_s))
-            self.early.clear()
+            self.send_early.clear()
 
-    def _beat_safely(self) -> None:
-        # A peer of another version must not end the link to it for good.
+    def _exchange_heartbeat_safely(self) -> None:
+        # An unexpected answer, as of another program version, must not end the link.
         try:
-            self.beat()
+            self.exchange_heartbeat()
         except Exception:
             logger.exception("event=heartbeat_failed peer={}", self.peer)
             self.close()
 
-    def beat(self) -> bool:
-        """Exchange one heartbeat and missing records; tells whether it worked.
+    def exchange_heartbeat(self) -> bool:
+        """Exchange a heartbeat and missing records; return whether that succeeded.
 
-        A failure on a connection that was open before is followed at once by an
-        attempt on a new one.
+        If an existing connection fails, the exchange is tried again at once on a new
+        one.
         """
         if self._connection is not None and self._try_exchange():
             return True
@@ -115,7 +116,7 @@
         except PeerConnectionError:
             return False
         self._connection.traffic = self._mesh.traffic
-        self._usage.forget()
+        self._usage.reset()
         return True
 
     def _try_exchange(self) -> bool:
@@ -130,37 +131,37 @@
     def _exchange(self) -> None:
         mesh = self._mesh
         sent_at = mesh.clock()
-        usage, complete = self._usage.choose(mesh.usage_by_organisation, sent_at)
+        usage, complete = self._usage.select(mesh.usage_by_organisation, sent_at)
         heartbeat = mesh.own_heartbeat(0, usage, complete)
         answer = self._call_for_heartbeat(heartbeat)
-        mesh.take_answer(self.peer, heartbeat.sent_us, answer, sent_at)
+        mesh.handle_answer(self.peer, heartbeat.sent_us, answer, sent_at)
         for _ in range(MAX_RELAY_ROUNDS):
             if answer.next_offset > mesh.tail.next_offset:
-                if mesh.log_age_s() < RELAY_AFTER_S or not self._fetch():
+                if mesh.log_age_s() < RELAY_AFTER_S or not self._fetch_batches():
                     return
             elif answer.next_offset < mesh.tail.next_offset:
                 if answer.log_age_ms < RELAY_AFTER_S * 1000:
                     return
-                progress = self._push(answer.next_offset)
+                progress = self._push_batches(answer.next_offset)
                 if progress is None or progress.next_offset <= answer.next_offset:
                     return
                 answer = progress
             else:
                 return
 
-    def _fetch(self) -> bool:
-        """Request the records after the last replayed one; tells if any came."""
+    def _fetch_batches(self) -> bool:
+        """Request the batches from the next offset on; return whether any came."""
         tail = self._mesh.tail
         first = tail.next_offset
         answer = self._call(RangeRequest(first))
         if not isinstance(answer, RecordRelay):
-            raise PeerConnectionError("a range request was not answered by a relay")
+            raise PeerConnectionError("range request was not answered with records")
         for offset, encoded in enumerate(answer.batches, answer.offset):
             if tail.offer(offset, encoded) is Offer.GAP:
                 return False
         return tail.next_offset > first
 
-    def _push(self, first: int) -> Heartbeat | None:
+    def _push_batches(self, first: int) -> Heartbeat | None:
         batches = self._mesh.tail.ring.read(first, RELAY_BYTES)
         if not batches:
             return None
@@ -169,7 +170,7 @@
     def _call_for_heartbeat(self, body: Heartbeat | RecordRelay) -> Heartbeat:
         answer = self._call(body)
         if not isinstance(answer, Heartbeat):
-            raise PeerConnectionError("the answer is not a heartbeat")
+            raise PeerConnectionError("message was not answered with a heartbeat")
         return answer
 
     def _call(
@@ -177,11 +178,13 @@
     ) -> Heartbeat | RecordRelay | RangeRequest:
         connection = self._connection
         if connection is None:
-            raise PeerConnectionError("closed")
+            raise PeerConnectionError("connection is closed")
         message = PeerMessage(self._mesh.incarnation, body)
         answer = connection.call(message, ANSWER_TIMEOUT_S)
         if answer.sender != self.peer:
-            # Another incarnation now serves this address; its answers prove
-            # nothing about the member that this link stands for.
-            raise PeerConnectionError(f"answered by {answer.sender}")
+            # Another incarnation now listens at this address; its answers are no
+            # evidence about the member that this link is for.
+            raise PeerConnectionError(
+                f"expected an answer of {self.peer}, not of {answer.sender}"
+            )
         return answer.body
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -1,4 +1,8 @@
-"""The member side of joining, voting, refuting and reclaiming grants."""
+"""Membership of this process, and its part in expelling other members.
+
+It joins, votes to expel silent members, refutes votes against itself and reclaims the
+grants of expelled members, all by records in the log.
+"""
 
 from __future__ import annotations
 
@@ -38,14 +42,14 @@
 
 STEP_INTERVAL_S = 0.2
 LIST_INTERVAL_S = 2.0
-# An instance that is missing in the lagging list but was heard this recently is
-# still running.
-GONE_SILENCE_S = 2.0
-# A member that misses heartbeats of a peer shows the others through the log that
-# it is alive, before they vote. Otherwise an entry that reaches the log and no
-# peer would be expelled every few seconds and lose its grants each time.
-ALIVE_AFTER_S = SILENCE_S / 2
-# Spreads the appends of members that replayed the same expulsion together.
+# The instance list lags behind: an instance that is missing in it but was heard more
+# recently than this is still running.
+MIN_GONE_SILENCE_S = 2.0
+# A member that has not heard a peer for this long appends a record that shows it is
+# alive, before its peers vote. Otherwise an entry that reaches the log but no peer
+# would be expelled every few seconds and lose its grants each time.
+ASSERT_ALIVE_AFTER_S = SILENCE_S / 2
+# Spreads the appends of members that replay the same expulsion at the same time.
 RECLAIM_SPREAD_S = 1.0
 
 
@@ -60,9 +64,10 @@
 
 
 def new_incarnation(instance: str, rng: random.Random | None = None) -> str:
-    """Return a name that no other process of the instance has.
+    """Return a name that no other process on the instance has had.
 
-    ``rng`` must differ between processes; without one the system's is used.
+    ``rng`` must be seeded differently in each process; by default the system's
+    random source is used.
     """
     bits = (rng or random.SystemRandom()).getrandbits(48)
     return f"{instance}-{bits:012x}"
@@ -72,7 +77,7 @@
     """Keeps this process a member and helps to expel members that are gone.
 
     The writer's author is the incarnation. ``is_replaced`` becomes true when
-    another process joined for the same instance; this one should exit.
+    another process has joined on the same instance; this process should then exit.
     """
 
     def __init__(
@@ -90,7 +95,7 @@
     ) -> None:
         self.identity = identity
         self.is_replaced = False
-        # The platform is about to take this process's instance away.
+        # Set when the platform is about to remove this process's instance.
         self.is_leaving = False
         self._writer = writer
         self._tail = tail
@@ -106,27 +111,27 @@
         self._vote_by_target: dict[str, MemberVote] = {}
         self._voted_at: dict[str, float] = {}
         self._first_seen_at: dict[str, float] = {}
-        self._expulsion_seen_at: dict[tuple[str, int], float] = {}
-        self._written_at: dict[str, float] = {}
-        self._asserted_at = -math.inf
-        self._without_log_at = -math.inf
-        self._listing: InstanceList | None = None
-        self._listed_before: set[str] = set()
-        self._listed_now: set[str] | None = None
+        self._reclaim_wait_from: dict[tuple[str, int], float] = {}
+        self._last_batch_at: dict[str, float] = {}
+        self._last_assertion_at = -math.inf
+        self._log_stale_at = -math.inf
+        self._last_listing: InstanceList | None = None
+        self._ever_listed: set[str] = set()
+        self._currently_listed: set[str] | None = None
         tail.add_listener(self._on_replayed)
 
     @property
     def incarnation(self) -> str:
-        """The incarnation that this process currently joins or has joined as."""
+        """The incarnation as which this process has joined or tries to join."""
         return self._writer.author
 
     @property
     def is_member(self) -> bool:
-        """Whether the replayed state has this incarnation as a member."""
+        """Whether this incarnation is an active member in the replayed state."""
         return self._tail.state.members.is_active(self.incarnation)
 
     def run(self) -> None:
-        """Act every ``STEP_INTERVAL_S`` until stopped."""
+        """Call ``step`` every ``STEP_INTERVAL_S`` until stopped."""
         while True:
             self.step()
             gevent.sleep(rest_of_tick_s(STEP_INTERVAL_S))
@@ -140,12 +145,12 @@
             gevent.sleep(rest_of_tick_s(LIST_INTERVAL_S))
 
     def observe_instances(self, listing: InstanceList) -> None:
-        """Take the platform's lagging list."""
-        if listing is self._listing:
+        """Process the platform's instance list, which lags behind."""
+        if listing is self._last_listing:
             return
-        self._listing = listing
-        self._listed_now = {item.instance for item in listing.instances}
-        self._listed_before |= self._listed_now
+        self._last_listing = listing
+        self._currently_listed = {item.instance for item in listing.instances}
+        self._ever_listed |= self._currently_listed
         self.is_leaving = any(
             item.instance == self.identity.instance
             and item.state is InstanceState.LEAVING
@@ -153,26 +158,26 @@
         )
 
     def leave(self, timeout_s: float) -> Outcome:
-        """Leave after the last task has ended; grants become free."""
+        """Leave the cluster, which frees all grants; call it after the last task."""
         self._has_left = True
         return self._writer.append(MemberLeft(), Priority.CONTROL).wait(timeout_s)
 
     def step(self) -> None:
-        """Compare the replayed state with what was heard, and act once."""
+        """Check this process and its peers, and append the records that are needed."""
         if self._has_left or self.is_replaced:
             return
         if not self.is_member:
             self._join()
             return
         self._was_member = True
-        self._refute()
-        self._settle_votes()
-        self._note_members()
+        self._refute_votes()
+        self._drop_ended_votes()
+        self._track_peers()
         if self._mesh.log_age_s() > FRESHNESS_S:
-            self._without_log_at = self._clock()
+            self._log_stale_at = self._clock()
         self._assert_alive()
         for member in self._peers():
-            self._judge(member)
+            self._consider_vote(member)
         self._reclaim()
 
     def _peers(self) -> list[Member]:
@@ -183,10 +188,10 @@
         ]
 
     def _join(self) -> None:
-        if self._is_taken_over():
+        if self._has_successor():
             self.is_replaced = True
             return
-        record = self._joining_record()
+        record = self._join_record()
         pending = self._pending_by_record.get(record)
         known = self._tail.state.members.member_by_incarnation
         if self._was_member or self.incarnation in known:
@@ -194,11 +199,11 @@
         elif pending is None or isinstance(pending.outcome, NotWritten):
             self._append(record)
         elif pending.outcome is not None:
-            # It may have been a member and expelled since; an incarnation is
-            # never used twice.
+            # The record may have taken effect and the member been expelled since; an
+            # incarnation must not join twice.
             self._rejoin()
 
-    def _joining_record(self) -> MemberJoined:
+    def _join_record(self) -> MemberJoined:
         identity = self.identity
         return MemberJoined(
             identity.instance,
@@ -208,10 +213,10 @@
             identity.program_version,
         )
 
-    def _is_taken_over(self) -> bool:
-        """Tell whether a newer process runs for the same instance.
+    def _has_successor(self) -> bool:
+        """Tell whether a newer process has joined on the same instance.
 
-        Rejoining would expel it, and the two would expel each other forever.
+        If this process joined again, the two would expel each other forever.
         """
         return self._was_member and any(
             member.instance == self.identity.instance
@@ -222,15 +227,15 @@
         incarnation = new_incarnation(self.identity.instance, self._rng)
         self._writer.change_author(incarnation)
         self._mesh.incarnation = incarnation
-        self._mesh.withheld.clear()
+        self._mesh.unconfirmed_peers.clear()
         self._was_member = False
         self._pending_by_record.clear()
         self._vote_by_target.clear()
         self._voted_at.clear()
         self._first_seen_at.clear()
-        self._written_at.clear()
+        self._last_batch_at.clear()
         self._on_rejoin(incarnation)
-        self._append(self._joining_record())
+        self._append(self._join_record())
 
     def _append(self, record: Record) -> None:
         self._pending_by_record[record] = self._writer.append(record, Priority.CONTROL)
@@ -244,12 +249,12 @@
         del self._pending_by_record[record]
         return False
 
-    def _refute(self) -> None:
+    def _refute_votes(self) -> None:
         own = self._tail.state.members.member_by_incarnation[self.incarnation]
         if own.votes and not self._is_pending(MemberRefuted()):
             self._append(MemberRefuted())
 
-    def _note_members(self) -> None:
+    def _track_peers(self) -> None:
         now = self._clock()
         peers = {member.incarnation for member in self._peers()}
         for peer in peers:
@@ -257,28 +262,29 @@
         for peer in self._first_seen_at.keys() - peers:
             del self._first_seen_at[peer]
             self._voted_at.pop(peer, None)
-            self._written_at.pop(peer, None)
+            self._last_batch_at.pop(peer, None)
 
     def _on_replayed(self, replayed: Replayed) -> None:
         author = replayed.batch.author
         if author in self._first_seen_at:
-            self._written_at[author] = self._clock()
+            self._last_batch_at[author] = self._clock()
 
     def _assert_alive(self) -> None:
         now = self._clock()
-        if now - self._asserted_at < ALIVE_AFTER_S:
+        if now - self._last_assertion_at < ASSERT_ALIVE_AFTER_S:
             return
         if self._mesh.log_age_s() > FRESHNESS_S:
             return
-        is_missed = any(
-            now - self._heard_at(member) >= ALIVE_AFTER_S for member in self._peers()
+        has_silent_peer = any(
+            now - self._last_heard_at(member) >= ASSERT_ALIVE_AFTER_S
+            for member in self._peers()
         )
-        if is_missed and not self._is_pending(MemberRefuted()):
-            self._asserted_at = now
+        if has_silent_peer and not self._is_pending(MemberRefuted()):
+            self._last_assertion_at = now
             self._append(MemberRefuted())
 
-    def _heard_at(self, member: Member) -> float:
-        """Return the last heartbeat, or since when this process could hear one."""
+    def _last_heard_at(self, member: Member) -> float:
+        """Return the time of the last heartbeat, or since when one could be heard."""
         return max(
             self._mesh.view(member.incarnation).heard_at,
             self._first_seen_at[member.incarnation],
@@ -286,62 +292,62 @@
         )
 
     def _silence_s(self, member: Member) -> float:
-        """Return how long neither a heartbeat nor a batch of a member came."""
-        written_at = self._written_at.get(member.incarnation, -math.inf)
-        return self._clock() - max(self._heard_at(member), written_at)
+        """Return the time since the last heartbeat or batch of a member."""
+        last_batch_at = self._last_batch_at.get(member.incarnation, -math.inf)
+        return self._clock() - max(self._last_heard_at(member), last_batch_at)
 
-    def _judge(self, member: Member) -> None:
+    def _consider_vote(self, member: Member) -> None:
         target = member.incarnation
         if target in self._vote_by_target or self.incarnation in member.votes:
             return
-        # A vote that waits out a log outage would only withhold confirmations, and
-        # after an outage each peer gets the time to show that it is alive.
-        if self._clock() - self._without_log_at < ALIVE_AFTER_S:
+        # A vote cannot take effect during an outage of the log and would only withhold
+        # confirmations. After an outage each peer gets time to show that it is alive.
+        if self._clock() - self._log_stale_at < ASSERT_ALIVE_AFTER_S:
             return
         voted_at = self._voted_at.get(target)
         if voted_at is not None and self._clock() - voted_at < SILENCE_S:
             return
         silence_s = self._silence_s(member)
-        if self._is_gone(member) and silence_s >= GONE_SILENCE_S:
+        if self._is_gone(member) and silence_s >= MIN_GONE_SILENCE_S:
             self._vote(target, VoteReason.GONE)
-        elif silence_s >= SILENCE_S and self._is_known_to(member):
+        elif silence_s >= SILENCE_S and self._has_replayed_own_join(member):
             self._vote(target, VoteReason.SILENT)
 
     def _is_gone(self, member: Member) -> bool:
-        listed_now = self._listed_now
+        currently_listed = self._currently_listed
         return (
-            listed_now is not None
-            and member.instance in self._listed_before
-            and member.instance not in listed_now
+            currently_listed is not None
+            and member.instance in self._ever_listed
+            and member.instance not in currently_listed
         )
 
-    def _is_known_to(self, member: Member) -> bool:
-        """Tell whether the member had replayed this process's joining.
+    def _has_replayed_own_join(self, member: Member) -> bool:
+        """Tell whether the member has replayed that this process joined.
 
-        A member cut off from the log counts its majority among the members that
-        it knows. If newer members could vote it out, they might be a majority
-        while it still has confirmations from a majority of the older ones.
+        A member cut off from the log counts majorities among the members that it
+        knows. If members that joined later could vote, they might expel it while a
+        majority of the older members still confirms it.
         """
         own = self._tail.state.members.member_by_incarnation[self.incarnation]
         return self._mesh.view(member.incarnation).next_offset > own.joined_at
 
     def _vote(self, target: str, reason: VoteReason) -> None:
-        # Confirmations stop before the vote can take effect.
-        self._mesh.withheld.add(target)
+        # Stop confirming the target before the vote can take effect.
+        self._mesh.unconfirmed_peers.add(target)
         record = MemberVote(target, reason)
         self._vote_by_target[target] = record
         self._voted_at[target] = self._clock()
         self._append(record)
 
-    def _settle_votes(self) -> None:
+    def _drop_ended_votes(self) -> None:
         for target, record in list(self._vote_by_target.items()):
-            if self._is_vote_over(target, record):
+            if self._has_vote_ended(target, record):
                 del self._vote_by_target[target]
                 self._pending_by_record.pop(record, None)
-                self._mesh.withheld.discard(target)
+                self._mesh.unconfirmed_peers.discard(target)
 
-    def _is_vote_over(self, target: str, record: MemberVote) -> bool:
-        """Tell whether the vote can no longer expel its target."""
+    def _has_vote_ended(self, target: str, record: MemberVote) -> bool:
+        """Tell whether the vote has expelled its target or no longer can."""
         members = self._tail.state.members
         if not members.is_active(target):
             return True
@@ -361,12 +367,12 @@
             for member in self._tail.state.members.member_by_incarnation.values()
             if member.expelled_at is not None
         }
-        for expulsion in self._expulsion_seen_at.keys() - expulsions:
-            del self._expulsion_seen_at[expulsion]
+        for expulsion in self._reclaim_wait_from.keys() - expulsions:
+            del self._reclaim_wait_from[expulsion]
         for expulsion in expulsions:
-            # A later start of the wait is safe, so the spread is added here.
+            # It is safe to wait longer, so a random delay is added.
             spread_s = self._rng.random() * RECLAIM_SPREAD_S
-            seen_at = self._expulsion_seen_at.setdefault(expulsion, now + spread_s)
+            wait_from = self._reclaim_wait_from.setdefault(expulsion, now + spread_s)
             record = GrantsReclaimed(*expulsion)
-            if now - seen_at >= RECLAIM_WAIT_S and not self._is_pending(record):
+            if now - wait_from >= RECLAIM_WAIT_S and not self._is_pending(record):
                 self._append(record)
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -1,4 +1,4 @@
-"""Links to all peers and answers to their messages."""
+"""Links to all peers and the server that answers their messages."""
 
 from __future__ import annotations
 
@@ -30,18 +30,18 @@
 from .link import ANSWER_TIMEOUT_S, RELAY_BYTES, PeerLink
 from .usage import UsageView
 
-# Peers send twice a second; a connection without messages for this long has a
-# sender that is gone or has replaced it.
+# Peers send heartbeats twice a second; a connection without messages for this long is
+# no longer used by its sender.
 IDLE_TIMEOUT_S = 10.0
-# Bounds the greenlets of connections that went silent without being closed.
+# Bounds the greenlets of dead connections that were not closed.
 MAX_INBOUND_CONNECTIONS = 512
 SYNC_INTERVAL_S = 0.2
-_MAX_AGE_MS = 2**32 - 1
+_MAX_LOG_AGE_MS = 2**32 - 1
 
 
 @dataclass(slots=True)
 class PeerView:
-    """What this process last heard from a peer."""
+    """What the latest heartbeats of a peer have told this process."""
 
     heard_at: float = -math.inf
     next_offset: int = 0
@@ -50,11 +50,11 @@
 
 
 class PeerMesh:
-    """Heartbeats, usage and relayed records between the entries.
+    """Exchanges heartbeats, usage and relayed records with the other entries.
 
-    Call ``start`` after the tail has recovered. Peers come from the members on
-    record. ``usage_by_organisation`` is the local usage, set by the entry; the usage of
-    the others is ``usage_by_peer()``.
+    The peers are the other active members of the replayed state, so call ``start``
+    after the tail has recovered. The entry sets ``usage_by_organisation`` to its local
+    usage; ``usage_by_peer()`` returns the usage of the other entries.
     """
 
     def __init__(
@@ -73,19 +73,20 @@
         self.traffic = Traffic()
         self.usage_by_organisation: dict[str, OrganisationUsage] = {}
         self.reserved_workers: tuple[str, ...] = ()
-        # Answers controllers, set by the entry.
+        # Answers outcome requests of controllers; set by the entry.
         self.report_outcomes: Callable[[int], OutcomeReport] = lambda after: (
             OutcomeReport(after)
         )
-        # Members that this process votes against; it does not confirm them.
-        self.withheld: set[str] = set()
+        # Members that this process votes to expel; it does not confirm their
+        # heartbeats.
+        self.unconfirmed_peers: set[str] = set()
         self._freshness = freshness
         self._connect = connect
         self._view_by_peer: dict[str, PeerView] = {}
         self._link_by_peer: dict[str, PeerLink] = {}
         self._greenlet_by_peer: dict[str, gevent.Greenlet] = {}
         self._server: StreamServer | None = None
-        self._sync: gevent.Greenlet | None = None
+        self._sync_greenlet: gevent.Greenlet | None = None
 
     def start(self, host: str, port: int = 0) -> int:
         """Listen and connect to peers; returns the port."""
@@ -93,20 +94,20 @@
             (host, port), self._serve, spawn=Pool(MAX_INBOUND_CONNECTIONS)
         )
         self._server.start()
-        self._sync = gevent.spawn(self._run_sync)
+        self._sync_greenlet = gevent.spawn(self._run_sync)
         return self._server.server_port
 
     def stop(self) -> None:
         """Close all connections."""
-        if self._sync is not None:
-            self._sync.kill()
+        if self._sync_greenlet is not None:
+            self._sync_greenlet.kill()
         for peer in list(self._link_by_peer):
             self._drop_link(peer)
         if self._server is not None:
             self._server.stop(timeout=0.1)
 
     def view(self, peer: str) -> PeerView:
-        """Return what was heard from a peer; never heard if unknown."""
+        """Return the view of a peer; for an unknown peer, that of a silent one."""
         return self._view_by_peer.get(peer) or PeerView()
 
     def usage_by_peer(self) -> Mapping[str, Mapping[str, OrganisationUsage]]:
@@ -129,25 +130,25 @@
         )
 
     def reserve_workers(self, workers: tuple[str, ...]) -> None:
-        """Tell peers early which workers this process needs free.
+        """Set the workers that this process needs and tell peers of new ones early.
 
-        With the next regular heartbeat, up to 0.5 s later, peers had filled the
-        room that was made for an urgent task.
+        The next regular heartbeat, up to 0.5 s later, is too late: by then peers have
+        used the capacity that was freed for an urgent task.
         """
         if set(workers) <= set(self.reserved_workers):
-            # Workers that are free again can wait for the next heartbeat.
+            # No worker is new, so the next regular heartbeat is early enough.
             self.reserved_workers = workers
             return
         self.reserved_workers = workers
         for link in self._link_by_peer.values():
-            link.early.set()
+            link.send_early.set()
 
     def log_age_s(self) -> float:
-        """Return the time since the last successful log read was sent."""
+        """Return the time since the last log read that reached its end was sent."""
         return self.clock() - self.tail.last_read_sent_at
 
     def sync_peers(self) -> None:
-        """Open links to new members and drop those to members that are gone."""
+        """Open links to new members and drop those to former members."""
         address_by_peer = {
             member.incarnation: member.address
             for member in self.tail.state.members.active()
@@ -169,9 +170,13 @@
         usage: tuple[OrganisationUsage, ...] = (),
         complete: bool = False,
     ) -> Heartbeat:
-        """Return a heartbeat of this process, sent now."""
+        """Return a heartbeat of this process to send now."""
         age_s = self.log_age_s()
-        age_ms = _MAX_AGE_MS if age_s * 1000 > _MAX_AGE_MS else math.ceil(age_s * 1000)
+        age_ms = (
+            _MAX_LOG_AGE_MS
+            if age_s * 1000 > _MAX_LOG_AGE_MS
+            else math.ceil(age_s * 1000)
+        )
         return Heartbeat(
             max(1, int(self.clock() * 1_000_000)),
             echo_us,
@@ -183,30 +188,30 @@
             self.reserved_workers,
         )
 
-    def take_answer(
+    def handle_answer(
         self, peer: str, sent_us: int, answer: Heartbeat, sent_at: float
     ) -> None:
-        """Use a peer's answer to a heartbeat that was sent at ``sent_at``."""
-        self._hear(peer, answer)
-        # The answer was made after the heartbeat was sent, so the peer's log read
-        # is no older than this.
+        """Handle a peer's answer to a heartbeat that was sent at ``sent_at``."""
+        self._update_view(peer, answer)
+        # The peer measured the age of its log read after the heartbeat was sent, so
+        # that read was sent at ``read_at`` or later.
         read_at = sent_at - answer.log_age_ms / 1000
-        self._freshness.note_position(peer, read_at, answer.next_offset)
+        self._freshness.add_position(peer, read_at, answer.next_offset)
         if answer.echo_us == sent_us:
-            self._freshness.confirm(peer, sent_at, answer.next_offset)
+            self._freshness.add_confirmation(peer, sent_at, answer.next_offset)
 
     def handle(self, message: PeerMessage) -> PeerMessage:
         """Return the answer to a peer's message."""
         match message.body:
             case Heartbeat() as heartbeat:
-                is_confirmed = self._confirms(message.sender)
+                is_confirmed = self._may_confirm(message.sender)
                 if self.tail.state.members.is_active(message.sender):
-                    self._hear(message.sender, heartbeat)
-                    self._view_by_peer[message.sender].usage.take(heartbeat)
+                    self._update_view(message.sender, heartbeat)
+                    self._view_by_peer[message.sender].usage.update(heartbeat)
                 echo_us = heartbeat.sent_us if is_confirmed else 0
                 return self._answer(self.own_heartbeat(echo_us))
             case RecordRelay(offset, batches):
-                self._take_relay(offset, batches)
+                self._apply_relay(offset, batches)
                 return self._answer(self.own_heartbeat(0))
             case RangeRequest(first_offset):
                 batches = self.tail.ring.read(first_offset, RELAY_BYTES)
@@ -214,22 +219,24 @@
             case OutcomeRequest(after_period):
                 return self._answer(self.report_outcomes(after_period))
             case OutcomeReport():
-                # Only ever an answer; a process that sends one learns the offset.
+                # Only sent as an answer; a sender by mistake gets a heartbeat.
                 return self._answer(self.own_heartbeat(0))
 
     def _answer(self, body: PeerBody) -> PeerMessage:
         return PeerMessage(self.incarnation, body)
 
-    def _take_relay(self, offset: int, batches: tuple[bytes, ...]) -> None:
-        # After a gap the answer's offset tells the sender where to go on.
+    def _apply_relay(self, offset: int, batches: tuple[bytes, ...]) -> None:
+        # At a gap, the next offset in the answer tells the sender where to continue.
         for position, encoded in enumerate(batches, offset):
             if self.tail.offer(position, encoded) is Offer.GAP:
                 return
 
-    def _confirms(self, peer: str) -> bool:
-        return peer not in self.withheld and self.tail.state.members.is_active(peer)
+    def _may_confirm(self, peer: str) -> bool:
+        return peer not in self.unconfirmed_peers and self.tail.state.members.is_active(
+            peer
+        )
 
-    def _hear(self, peer: str, heartbeat: Heartbeat) -> None:
+    def _update_view(self, peer: str, heartbeat: Heartbeat) -> None:
         view = self._view_by_peer.setdefault(peer, PeerView())
         view.heard_at = self.clock()
         view.next_offset = max(view.next_offset, heartbeat.next_offset)
@@ -261,4 +268,4 @@
     def _drop_link(self, peer: str) -> None:
         self._greenlet_by_peer.pop(peer).kill(block=False)
         self._link_by_peer.pop(peer)
-        self._freshness.forget(peer)
+        self._freshness.drop_peer(peer)
--- a/libs/cluster/src/lycheeloom/cluster/node.py
+++ b/libs/cluster/src/lycheeloom/cluster/node.py
@@ -1,4 +1,4 @@
-"""The log and peer side of one entry, wired together."""
+"""The log and cluster components of one entry, connected to each other."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class ClusterNode:
-    """Tail, writer, freshness, mesh and keeper of one process.
+    """The tail, writer, freshness, mesh and membership keeper of one process.
 
     ``state`` comes from ``lycheeloom.log.recover``. Example::
 
@@ -69,8 +69,8 @@
     def start(self, host: str, port: int) -> None:
         """Listen and start all greenlets.
 
-        With port 0 the system chooses a port, which is then announced to the
-        peers instead of the one in the identity's address.
+        With port 0 the system chooses a port, and the identity's address is replaced
+        by ``host`` and that port.
         """
         bound_port = self.mesh.start(host, port)
         if port == 0:
--- a/libs/cluster/src/lycheeloom/cluster/usage.py
+++ b/libs/cluster/src/lycheeloom/cluster/usage.py
@@ -1,4 +1,4 @@
-"""Usage of organisations as exchanged between entries."""
+"""Exchange of the usage of organisations between entries."""
 
 from __future__ import annotations
 
@@ -6,11 +6,12 @@
 
 from lycheeloom.wire import Heartbeat, OrganisationUsage
 
-# Encoding and decoding the usage of 210 organisations takes 15 ms, so that a
-# complete list
-# to and from each of 8 peers every 10 s would take 2.4% of a core.
+# Interval of complete lists. Encoding and decoding the usage of 210 organisations takes
+# 15 ms, so a complete list to and from each of 8 peers every 10 s would take 2.4% of a
+# core.
 COMPLETE_INTERVAL_S = 60.0
-# Bounds how long a small change waits behind larger ones.
+# Interval of complete lists while changes wait to be sent; bounds how long a small
+# change waits behind larger ones.
 BACKLOG_INTERVAL_S = 10.0
 # Bounds the bytes of a heartbeat when the usage of every organisation changes; the
 # largest changes go first and the rest follow in the next heartbeats.
@@ -18,25 +19,25 @@
 
 
 class UsageSender:
-    """Chooses what a heartbeat to one peer tells about the local usage."""
+    """Selects the local usage to send with each heartbeat to one peer."""
 
     def __init__(self) -> None:
-        self._sent: dict[str, OrganisationUsage] = {}
-        self._complete_at: float | None = None
+        self._last_sent: dict[str, OrganisationUsage] = {}
+        self._last_complete_at: float | None = None
         self._has_backlog = False
 
-    def forget(self) -> None:
-        """Send a complete list next, as the peer may have missed something."""
-        self._complete_at = None
+    def reset(self) -> None:
+        """Send a complete list next, as the peer may have missed changes."""
+        self._last_complete_at = None
 
-    def choose(
+    def select(
         self, usage: dict[str, OrganisationUsage], now: float
     ) -> tuple[tuple[OrganisationUsage, ...], bool]:
-        """Return the organisations to send and whether they are all in use."""
+        """Return the usage to send and whether the list is complete."""
         interval_s = BACKLOG_INTERVAL_S if self._has_backlog else COMPLETE_INTERVAL_S
-        if self._complete_at is None or now >= self._complete_at + interval_s:
-            self._sent = dict(usage)
-            self._complete_at = now
+        if self._last_complete_at is None or now >= self._last_complete_at + interval_s:
+            self._last_sent = dict(usage)
+            self._last_complete_at = now
             self._has_backlog = False
             return tuple(usage.values()), True
         changed = self._changes(usage)
@@ -44,14 +45,14 @@
             self._has_backlog = True
             changed = changed[:MAX_CHANGED_ORGANISATIONS]
         for item in changed:
-            self._sent[item.organisation] = item
+            self._last_sent[item.organisation] = item
         return tuple(changed), False
 
     def _changes(self, usage: dict[str, OrganisationUsage]) -> list[OrganisationUsage]:
         changed: list[tuple[int, OrganisationUsage]] = []
-        for organisation in usage.keys() | self._sent.keys():
+        for organisation in usage.keys() | self._last_sent.keys():
             now = usage.get(organisation) or OrganisationUsage(organisation, 0, 0)
-            before = self._sent.get(organisation) or OrganisationUsage(
+            before = self._last_sent.get(organisation) or OrganisationUsage(
                 organisation, 0, 0
             )
             if now == before:
@@ -63,16 +64,17 @@
 
 
 class UsageView:
-    """What one peer said about its usage."""
+    """The usage and reserved workers that one peer has reported."""
 
     def __init__(self) -> None:
         self.usage_by_organisation: dict[str, OrganisationUsage] = {}
         self.reserved_workers: tuple[str, ...] = ()
         self._newest_sent_us = 0
 
-    def take(self, heartbeat: Heartbeat) -> None:
-        """Adopt a heartbeat; one that arrives late over an old connection is
-        dropped.
+    def update(self, heartbeat: Heartbeat) -> None:
+        """Apply a heartbeat, unless a newer one has been applied.
+
+        An older one may arrive late over a previous connection.
         """
         if heartbeat.sent_us <= self._newest_sent_us:
             return
--- a/libs/cluster/tests/world.py
+++ b/libs/cluster/tests/simulated_cluster.py
@@ -1,4 +1,7 @@
-"""Entries without sockets over one log in memory, driven in 100 ms steps."""
+"""A simulated cluster of entries on an in-memory log, without sockets.
+
+The test drives all entries in steps of 100 ms on one clock.
+"""
 
 from __future__ import annotations
 
@@ -16,46 +19,46 @@
 
 
 class SteppedMesh(PeerMesh):
-    """A mesh whose links are driven by the test instead of greenlets."""
+    """A mesh whose links are driven by the test instead of by greenlets."""
 
     def _add_link(self, peer, address):
         link = PeerLink(self, peer, address, self._connect)
         self._link_by_peer[peer] = link
         self._greenlet_by_peer[peer] = gevent.Greenlet()
 
-    def beat(self):
+    def exchange_heartbeats(self):
         self.sync_peers()
         for link in list(self._link_by_peer.values()):
-            link.beat()
+            link.exchange_heartbeat()
 
 
 class FakeConnection:
-    def __init__(self, world, source, address):
-        self.world, self.source, self.address = world, source, address
+    def __init__(self, cluster, source, address):
+        self.cluster, self.source, self.address = cluster, source, address
         self.is_silent = False
 
     def call(self, message, timeout_s):
-        if self.is_silent or not self.world.reaches(self.source, self.address):
+        if self.is_silent or not self.cluster.reaches(self.source, self.address):
             raise PeerConnectionError("no answer in time")
-        return self.world.node_by_name[self.address].mesh.handle(message)
+        return self.cluster.node_by_name[self.address].mesh.handle(message)
 
     def close(self):
         pass
 
 
 class Node(ClusterNode):
-    def __init__(self, world, name):
-        self.name, self.world = name, world
+    def __init__(self, cluster, name):
+        self.name, self.cluster = name, cluster
         self.is_paused = False
         self.connections = []
-        self.client = FakeClient(world.log)
+        self.client = FakeClient(cluster.log)
         super().__init__(
             Identity(name, name, "z1"),
             self.client,
             recover(self.client),
             lambda: None,
-            clock=world.clock,
-            rng=random.Random(name + str(len(world.log.archive))),
+            clock=cluster.clock,
+            rng=random.Random(name + str(len(cluster.log.archive))),
             connect=self._connect,
             mesh_type=SteppedMesh,
         )
@@ -65,13 +68,13 @@
         return self.freshness.is_fresh()
 
     def _connect(self, address, timeout_s):
-        if not self.world.reaches(self.name, address):
+        if not self.cluster.reaches(self.name, address):
             raise PeerConnectionError("not connected")
-        self.connections.append(FakeConnection(self.world, self.name, address))
+        self.connections.append(FakeConnection(self.cluster, self.name, address))
         return self.connections[-1]
 
     def step(self, tick):
-        is_cut_off = self.name in self.world.without_log
+        is_cut_off = self.name in self.cluster.without_log
         self.client.read_faults.append("down" if is_cut_off else "")
         self.client.append_faults.append("down" if is_cut_off else "")
         self.freshness.tick()
@@ -80,13 +83,17 @@
         self.client.read_faults.clear()
         self.client.append_faults.clear()
         if tick % 5 == 0:
-            self.mesh.beat()
+            self.mesh.exchange_heartbeats()
         if tick % 2 == 0:
             self.keeper.step()
 
 
-class World:
-    """``without_log`` and ``groups`` (names that reach each other) are faults."""
+class SimulatedCluster:
+    """Entries by name, with a common log and clock, and the faults between them.
+
+    Entries in ``without_log`` cannot reach the log. ``groups``, if set, are the sets
+    of entries that reach each other. A node with ``is_paused`` set does not run.
+    """
 
     def __init__(self, names):
         self.clock, self.log = Clock(), FakeLog()
@@ -128,6 +135,6 @@
         }
 
     def members(self):
-        """Return the instances that are members according to the whole log."""
+        """Return the instances that are members after replaying the whole log."""
         state = recover(FakeClient(self.log))
         return {member.instance for member in state.members.active()}
--- a/libs/cluster/tests/test_freshness.py
+++ b/libs/cluster/tests/test_freshness.py
@@ -1,4 +1,4 @@
-"""Guards against acting on a state that is older than its evidence."""
+"""Guards against acting on an old state after a pause of the process."""
 
 import math
 from types import SimpleNamespace
@@ -33,8 +33,8 @@
 
 
 def test_evidence_from_before_a_pause_does_not_count(freshness, tail, clock):
-    """A process that was paused must hear from the log or peers again first."""
-    freshness.confirm("a", clock.now, next_offset=7)
+    """After a pause a process must first hear from the log or from peers."""
+    freshness.add_confirmation("a", clock.now, next_offset=7)
     tail.last_read_sent_at = clock.now
     assert freshness.is_fresh()
     clock.now += 1.2
--- a/libs/cluster/tests/test_freshness_after_pause.py
+++ b/libs/cluster/tests/test_freshness_after_pause.py
@@ -1,4 +1,4 @@
-"""Freshness of a process that was paused while something was published."""
+"""Guards against a process that is fresh after a pause although its state is old."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass
 class FakeTail:
-    """A tail whose position is set by the test."""
+    """A tail whose position the test sets."""
 
     next_offset: int = 3
     last_read_sent_at: float = 0.0
@@ -29,7 +29,7 @@
 
 
 def make_freshness():
-    """Return a member of three, with its tail and clock."""
+    """Return the freshness of one of three members, its tail and its clock."""
     tail, clock = FakeTail(), Clock()
     members: Members = tail.state.members
     for name in ("a", "b", "c"):
@@ -38,27 +38,27 @@
 
 
 def test_confirmation_counts_once_the_peer_s_offset_is_replayed():
-    """Guards against starts in a zone that went out during a pause.
+    """Guards against starts in a zone that was taken out of service during a pause.
 
-    After a pause of 3 s the first heartbeats were answered before the first read
-    of the log, and the majority made an entry fresh that had not replayed the
-    publication; a task started 3.01 s after it was accepted.
+    After a pause of 3 s, heartbeats were answered before the first log read. With
+    these confirmations an entry was fresh before it had replayed the change, and a
+    task started in the zone 3.01 s after the change was accepted.
     """
     freshness, tail, clock = make_freshness()
     clock.now = 3.0
     freshness.tick()
-    freshness.confirm("b", 3.0, next_offset=4)
-    freshness.confirm("c", 3.0, next_offset=4)
+    freshness.add_confirmation("b", 3.0, next_offset=4)
+    freshness.add_confirmation("c", 3.0, next_offset=4)
     assert not freshness.is_fresh()
     tail.next_offset = 4
     assert freshness.is_fresh()
 
 
 def test_confirmations_of_an_outage_need_no_new_offset():
-    """Guards against entries that refuse work in an outage of the log."""
+    """Guards against entries that refuse requests during an outage of the log."""
     freshness, _, clock = make_freshness()
     for now in (2.0, 2.5, 3.0):
         clock.now = now
         freshness.tick()
-        freshness.confirm("b", now, next_offset=3)
+        freshness.add_confirmation("b", now, next_offset=3)
         assert freshness.is_fresh()
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -1,4 +1,4 @@
-"""Guards against silent connections, oversized frames and stale usage."""
+"""Guards against dead connections, invalid frames and outdated usage."""
 
 import random
 import struct
@@ -8,7 +8,7 @@
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
-from libs.cluster.tests.world import World
+from libs.cluster.tests.simulated_cluster import SimulatedCluster
 from libs.log.tests.fake_log import Clock, FakeClient, FakeLog
 
 from lycheeloom.cluster import Freshness, PeerConnectionError, PeerMesh, connect
@@ -49,25 +49,25 @@
 
 @pytest.fixture
 def server():
-    """A mesh that listens, with ``a`` and ``b`` as members."""
+    """A listening mesh of member ``b``, which knows member ``a``."""
     mesh = make_mesh("b")
     joins = tuple(r.MemberJoined(f"i{n}", n, "127.0.0.1:1", "z") for n in "ab")
     mesh.tail.offer(0, encode_batch(Batch("a", 1, joins)))
     mesh.port = mesh.start("127.0.0.1")
-    mesh._sync.kill()
+    mesh._sync_greenlet.kill()
     yield mesh
     mesh.stop()
 
 
 def exchange(port, data):
-    """Send raw bytes; return whether the connection was closed in answer."""
+    """Send raw bytes; return whether the server then closed the connection."""
     with socket.create_connection(("127.0.0.1", port), 1.0) as sock:
         sock.sendall(data)
         return sock.recv(1) == b""
 
 
 def test_heartbeat_over_tcp_echoes_the_send_time(server):
-    """Without the echo a delayed answer would extend freshness."""
+    """Without the echo, a delayed answer would count for a later heartbeat."""
     connection = connect(f"127.0.0.1:{server.port}", 1.0)
     answer = connection.call(PeerMessage("a", Heartbeat(77, 0, 0, 0)), 1.0)
     assert (answer.sender, answer.body.echo_us) == ("b", 77)
@@ -81,7 +81,7 @@
 
 
 def test_outcomes_are_reported_to_a_process_that_is_no_member(server):
-    """Controllers are no members; without an answer they see no failing worker."""
+    """Controllers are not members, but need the reports to find failing workers."""
     report = OutcomeReport(9, (OutcomeCount("w1", "find", 2, 1),), ("find",))
     server.report_outcomes = lambda after: report if after == 8 else None
     connection = connect(f"127.0.0.1:{server.port}", 1.0)
@@ -102,20 +102,20 @@
     ids=["too long", "garbage", "bad compression", "empty"],
 )
 def test_bad_frames_close_the_connection(server, data):
-    """Frames that cannot be read must neither crash nor fill the process."""
+    """Invalid frames must neither crash the process nor exhaust its memory."""
     assert exchange(server.port, data)
     connection = connect(f"127.0.0.1:{server.port}", 1.0)
     assert connection.call(HEARTBEAT, 1.0).sender == "b"
 
 
 def test_compressed_frame_is_bounded_after_expansion(server):
-    """A small frame must not expand without bound."""
+    """A small compressed frame must not exhaust the memory when decompressed."""
     bomb = zlib.compress(bytes(50 * MAX_FRAME_BYTES))
     assert exchange(server.port, struct.pack(">I", len(bomb) | 1 << 31) + bomb)
 
 
 def test_silent_peer_ends_a_call_in_time():
-    """A connection that stays open without answers must not hold its greenlet."""
+    """A call on a connection without answers must end after its timeout."""
     silent = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(10))
     silent.start()
     connection = connect(f"127.0.0.1:{silent.server_port}", 1.0)
@@ -126,7 +126,7 @@
 
 
 def test_large_relay_fits_a_frame(server):
-    """Relayed batches of the full size must pass between entries."""
+    """Batches of the maximum size must fit into a relay message."""
     for offset in range(1, 5):
         payload = random.Random(offset).randbytes(200_000)
         record = r.RequestSubmitted(f"q{offset}", "t", "m", payload)
@@ -138,20 +138,20 @@
 
 
 def test_silent_connections_are_replaced_before_freshness_ends():
-    """Established connections may go silent for good while new ones work."""
+    """If open connections die while new ones work, entries must stay fresh."""
     assert HEARTBEAT_INTERVAL_S + ANSWER_TIMEOUT_S < FRESHNESS_S
-    world = World("abc")
-    world.without_log = set("abc")
-    world.run(5)
-    for node in world.node_by_name.values():
+    cluster = SimulatedCluster("abc")
+    cluster.without_log = set("abc")
+    cluster.run(5)
+    for node in cluster.node_by_name.values():
         for connection in node.connections:
             connection.is_silent = True
-    world.run(3.0, lambda: world.fresh() == set("abc") or pytest.fail("not fresh"))
-    assert all(len(node.connections) == 4 for node in world.node_by_name.values())
+    cluster.run(3.0, lambda: cluster.fresh() == set("abc") or pytest.fail("not fresh"))
+    assert all(len(node.connections) == 4 for node in cluster.node_by_name.values())
 
 
 def test_answer_of_another_incarnation_is_no_confirmation():
-    """A restarted process at the same address must not vouch as the old one."""
+    """A new incarnation at an old address must not confirm for the old one."""
     mesh = make_mesh("b")
 
     class Restarted:
@@ -163,12 +163,12 @@
             pass
 
     link = PeerLink(mesh, "a", "x", lambda *_: Restarted())
-    assert not link.beat()
+    assert not link.exchange_heartbeat()
     assert not mesh._freshness._confirmed_at
 
 
 def test_relay_counts_only_after_replay():
-    """Hearing of newer records is not knowing them."""
+    """A peer's position must count only once this process has replayed up to it."""
     clock = Clock()
     tail = LogTail(FakeClient(FakeLog()), FleetState(), clock=clock)
     joins = (r.MemberJoined("i", "a", "x", "z"), r.MemberJoined("j", "b", "y", "z"))
@@ -181,7 +181,7 @@
             freshness.tick()
 
     advance(0.5)
-    freshness.note_position("b", clock.now - 0.25, 2)
+    freshness.add_position("b", clock.now - 0.25, 2)
     assert not freshness.is_fresh()
     tail.offer(1, encode_batch(Batch("b", 1, ())))
     assert freshness.is_fresh()
@@ -192,7 +192,7 @@
 
 
 def test_usage_is_sent_as_changes_and_completely_at_times():
-    """A receiver must end with the sender's usage although organisations end."""
+    """A receiver's view must equal the sender's usage, also after usage ends."""
     sender, view = UsageSender(), UsageView()
     rng = random.Random(1)
     sent_us = 0
@@ -200,8 +200,8 @@
     def send(usage, now):
         nonlocal sent_us
         sent_us += 1
-        organisations, complete = sender.choose(usage, now)
-        view.take(Heartbeat(sent_us, 0, 0, 0, False, organisations, complete))
+        organisations, complete = sender.select(usage, now)
+        view.update(Heartbeat(sent_us, 0, 0, 0, False, organisations, complete))
         return organisations, complete
 
     usage = {f"t{i}": OrganisationUsage(f"t{i}", 5, 1) for i in range(50)}
@@ -222,30 +222,33 @@
     assert view.usage_by_organisation == all_changed
     assert send(all_changed, 2 * BACKLOG_INTERVAL_S + 0.2) == ((), False)
     assert send(all_changed, BACKLOG_INTERVAL_S + COMPLETE_INTERVAL_S + 0.2)[1]
-    view.take(Heartbeat(1, 0, 0, 0, False, (OrganisationUsage("late", 1, 1),)))
+    view.update(Heartbeat(1, 0, 0, 0, False, (OrganisationUsage("late", 1, 1),)))
     assert "late" not in view.usage_by_organisation
 
 
 def test_reserved_workers_follow_the_newest_heartbeat():
-    """Capacity that a peer no longer reserves must become usable again."""
+    """Workers that a peer no longer reserves must become usable again."""
     view = UsageView()
-    view.take(Heartbeat(2, 0, 0, 0, reserved_workers=("w1",)))
-    view.take(Heartbeat(1, 0, 0, 0, reserved_workers=("w0",)))
+    view.update(Heartbeat(2, 0, 0, 0, reserved_workers=("w1",)))
+    view.update(Heartbeat(1, 0, 0, 0, reserved_workers=("w0",)))
     assert view.reserved_workers == ("w1",)
-    view.take(Heartbeat(3, 0, 0, 0))
+    view.update(Heartbeat(3, 0, 0, 0))
     assert view.reserved_workers == ()
 
 
 def test_new_reservation_asks_for_an_early_heartbeat():
-    """Peers filled the room that was made for an urgent task."""
+    """Guards against peers that use capacity freed for an urgent task.
+
+    They did so before the next regular heartbeat told them of the reservation.
+    """
     mesh = PeerMesh.__new__(PeerMesh)
     mesh.reserved_workers = ()
     link = PeerLink(mesh, "peer", "address", None)
     mesh._link_by_peer = {"peer": link}
     mesh.reserve_workers(("w1",))
-    assert link.early.is_set()
-    link.early.clear()
+    assert link.send_early.is_set()
+    link.send_early.clear()
     mesh.reserve_workers(("w1",))
     mesh.reserve_workers(())
-    assert not link.early.is_set()
+    assert not link.send_early.is_set()
     assert mesh.reserved_workers == ()
--- a/libs/cluster/tests/test_over_tcp.py
+++ b/libs/cluster/tests/test_over_tcp.py
@@ -1,4 +1,4 @@
-"""Guards against greenlets that do not run together over real connections."""
+"""Guards against faults that show only with greenlets, sockets and timeouts."""
 
 import json
 import time
@@ -7,7 +7,7 @@
 import pytest
 
 from lycheeloom.clients import InstanceList, LogClient
-from lycheeloom.cluster import ClusterNode, FreshBy, Identity
+from lycheeloom.cluster import ClusterNode, FreshnessReason, Identity
 from lycheeloom.log import (
     Effective,
     Priority,
@@ -20,7 +20,7 @@
 from lycheeloom.standins import LogLimits, LogStandIn
 from lycheeloom.state import FleetState
 
-# Bounds a failing run only; a passing one waits for the event itself.
+# Limits how long a failing test runs; a passing test waits only for its event.
 PATIENCE_S = 30.0
 
 
@@ -57,23 +57,25 @@
 
 
 def test_entries_join_and_outlive_a_log_outage(log, entries):
-    """Loops, timeouts and sockets must work together as the steps do alone."""
+    """Entries must join, and stay fresh through their peers in a log outage."""
     wait_until(lambda: all(entry.freshness.is_fresh() for entry in entries))
     patch = ConfigChanged(0, json.dumps({"name": "new"}))
     pending = entries[0].writer.append(patch, Priority.CONTROL)
     assert isinstance(pending.wait(PATIENCE_S), Effective)
     wait_until(lambda: all(e.tail.state.config.name == "new" for e in entries))
     log.set_faults(outage=True)
-    wait_until(lambda: all(e.freshness.explain() is FreshBy.MAJORITY for e in entries))
+    wait_until(
+        lambda: all(e.freshness.explain() is FreshnessReason.MAJORITY for e in entries)
+    )
     entries[0].mesh.stop()
     entries[1].mesh.stop()
-    wait_until(lambda: entries[2].freshness.explain() is FreshBy.STALE)
+    wait_until(lambda: entries[2].freshness.explain() is FreshnessReason.STALE)
     log.set_faults(outage=False)
-    wait_until(lambda: entries[2].freshness.explain() is FreshBy.LOG)
+    wait_until(lambda: entries[2].freshness.explain() is FreshnessReason.LOG)
 
 
 def test_snapshot_lets_a_new_entry_start(log, entries):
-    """A new entry must start after the log has dropped the first records."""
+    """A new entry must start from a snapshot if the log has dropped older records."""
     wait_until(lambda: all(entry.keeper.is_member for entry in entries))
     policy = SnapshotPolicy(retention_s=600)
     snapshots = SnapshotWriter(entries[0].writer, entries[0].tail, policy)
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -1,4 +1,4 @@
-"""Log writer, log tail and snapshots."""
+"""Client side of the replicated log: writer, tail, recovery and snapshots."""
 
 from .client import LogClient
 from .outcomes import (
--- a/libs/log/src/lycheeloom/log/client.py
+++ b/libs/log/src/lycheeloom/log/client.py
@@ -1,4 +1,4 @@
-"""The log client that this library is written against."""
+"""The interface of the log client that this package needs."""
 
 from __future__ import annotations
 
@@ -18,15 +18,15 @@
 
 
 class LogClient(Protocol):
-    """Bounded calls to the log service; none of them raises."""
+    """Calls to the log service; each is bounded in time and none raises."""
 
     def append(self, batch: bytes) -> AppendAnswer:
-        """Append one encoded batch."""
+        """Append an encoded batch."""
 
     def read(
         self, first_offset: int, limit: int, wait_s: float, *, margin_s: float = 2.0
     ) -> ReadAnswer:
-        """Read batches; wait up to ``wait_s`` if there are none yet.
+        """Read up to ``limit`` batches; wait up to ``wait_s`` if there are none yet.
 
-        The call ends within ``wait_s`` and ``margin_s``.
+        The call ends within ``wait_s + margin_s``.
         """
--- a/libs/log/src/lycheeloom/log/outcomes.py
+++ b/libs/log/src/lycheeloom/log/outcomes.py
@@ -1,4 +1,4 @@
-"""What became of an appended record."""
+"""Outcomes of appended records."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Priority(IntEnum):
-    """Order in which waiting records enter the next batch."""
+    """Priority of queued records; lower values enter the next batch first."""
 
     CONTROL = 0
     REQUEST = 1
@@ -26,21 +26,21 @@
 
 @dataclass(frozen=True, slots=True)
 class NoEffect:
-    """The record was replayed at ``offset``; its precondition did not hold."""
+    """The record was replayed at ``offset``, but its precondition did not hold."""
 
     offset: int
 
 
 @dataclass(frozen=True, slots=True)
 class NotWritten:
-    """The record is certainly not in the log and never will be."""
+    """The record is not in the log and will never be."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """Nothing shows yet whether the record took effect."""
+    """It is not known whether the record took effect."""
 
     reason: str
 
@@ -49,7 +49,7 @@
 
 
 class Pending:
-    """A record on its way through the log.
+    """A record that was given to the writer, and its outcome once known.
 
     Example: ``match writer.append(record).wait(2.0): case Effective(): ...``
     """
@@ -59,22 +59,23 @@
         self.priority = priority
         self.size_bytes = size_bytes
         self.outcome: Outcome | None = None
-        # Set while an attempt that may reach the log is under way or was made.
+        # Set once the record is part of a batch that may reach the log; cleared if
+        # the log refuses that batch.
         self.is_sent = False
-        # Set once a wait ended without an outcome: the record is then not sent
-        # again if the attempt under way is refused.
-        self.is_given_up = False
+        # Set once a wait ended without an outcome. The record is then not sent
+        # again if the append in progress is refused.
+        self.wait_timed_out = False
         self._settled = Event()
 
     def settle(self, outcome: Outcome) -> None:
-        """Record the outcome; the first one stays."""
+        """Set the outcome; later calls have no effect."""
         if self.outcome is not None:
             return
         self.outcome = outcome
         self._settled.set()
 
     def withdraw(self, reason: str = "withdrawn before it was sent") -> bool:
-        """Give up a record that was never sent; tells whether that is so."""
+        """Drop the record if it was not sent; return whether it is not written."""
         if self.is_sent or self.outcome is not None:
             return isinstance(self.outcome, NotWritten)
         self.settle(NotWritten(reason))
@@ -83,21 +84,21 @@
     def wait(self, timeout_s: float | None = None) -> Outcome:
         """Wait for the outcome.
 
-        A record that was not sent within the time is withdrawn and reported as
-        ``NotWritten``. ``Unknown`` after a sent record may still turn into an
-        outcome later, ``NotWritten`` if the log refuses it; ``wait`` may be called
-        again.
+        A record that is not sent within the time is withdrawn: its outcome is
+        ``NotWritten``. For a record that was sent, ``Unknown`` is not final and
+        ``wait`` may be called again; the outcome becomes ``NotWritten`` if the log
+        refuses the record.
         """
         if self._settled.wait(timeout_s) and self.outcome is not None:
             return self.outcome
-        self.is_given_up = True
+        self.wait_timed_out = True
         self.withdraw(f"not sent within {timeout_s} s")
         return self.outcome or Unknown(f"sent, not replayed within {timeout_s} s")
 
     def wait_settled(self, withdraw_after_s: float) -> Outcome:
-        """Wait for the outcome, for as long as a sent record takes.
+        """Wait for the final outcome, without a time limit once the record is sent.
 
-        A record that was not sent within ``withdraw_after_s`` is withdrawn.
+        A record that is not sent within ``withdraw_after_s`` is withdrawn.
         """
         self.wait(withdraw_after_s)
         self._settled.wait()
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -1,4 +1,4 @@
-"""Records that wait for the next batch."""
+"""The queue of records that wait for the next batch."""
 
 from __future__ import annotations
 
@@ -12,20 +12,21 @@
 
 from .outcomes import NotWritten, Pending, Priority
 
-# Room in a batch for the author, list headers and the message's segment table.
+# Encoded size of the author, the list headers and the segment table of a batch.
 BATCH_OVERHEAD_BYTES = 1024
-# Fixed part and pointers of the largest record, with its list element.
+# Size of the fixed part and the pointers of the largest record kind, with its list
+# element.
 RECORD_OVERHEAD_BYTES = 192
-# Control records leave this part of a batch to waiting request records, so that
-# a long run of control records does not stop requests.
-REQUEST_PART = 0.25
+# Control records leave this fraction of a batch to queued request records, so that
+# many control records do not hold up requests.
+MIN_REQUEST_FRACTION = 0.25
 
 MAX_QUEUED_BY_PRIORITY = {Priority.CONTROL: 2_000, Priority.REQUEST: 10_000}
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 
 
 def record_size_bound(record: Record) -> int:
-    """Return an upper bound of a record's size in an encoded batch, in bytes."""
+    """Return an upper bound on a record's size in an encoded batch, in bytes."""
     values = (getattr(record, field.name) for field in dataclasses.fields(record))
     return RECORD_OVERHEAD_BYTES + sum(_variable_size(value) for value in values)
 
@@ -41,13 +42,13 @@
 
 
 class RecordQueue:
-    """Bounded queues, one for each priority."""
+    """Bounded queues of records, one for each priority."""
 
     def __init__(self) -> None:
         self._waiting: dict[Priority, deque[Pending]] = {
             priority: deque() for priority in Priority
         }
-        self._bytes = 0
+        self._queued_bytes = 0
         self.max_batch_bytes = MAX_BATCH_BYTES
 
     def __len__(self) -> int:
@@ -56,60 +57,74 @@
     def add(self, pending: Pending) -> None:
         """Queue a record, or settle it as not written if it cannot be queued."""
         if pending.size_bytes > self.max_batch_bytes - BATCH_OVERHEAD_BYTES:
-            pending.settle(NotWritten(f"record of {pending.size_bytes} bytes"))
+            pending.settle(
+                NotWritten(f"record of {pending.size_bytes} bytes is too large")
+            )
             return
         if self._is_full(pending.priority):
             self._drop_settled()
         if self._is_full(pending.priority):
-            pending.settle(NotWritten("queue of unsent records is full"))
+            pending.settle(NotWritten("the queue of unsent records is full"))
             return
         self._waiting[pending.priority].append(pending)
-        self._bytes += pending.size_bytes
+        self._queued_bytes += pending.size_bytes
 
     def put_back(self, batch: Sequence[Pending]) -> None:
-        """Return records of a batch that was certainly not appended.
+        """Put back the records of a batch that was not appended.
 
-        A record whose waiter gave up is settled instead. It would be written after
-        the outage, beside the copy that its waiter appended since.
+        A record whose caller has stopped waiting is settled instead. Otherwise it
+        would be written after the outage, in addition to the copy that its caller
+        may have appended since.
         """
         for pending in reversed(batch):
             pending.is_sent = False
-            if pending.is_given_up:
-                pending.settle(NotWritten("refused after its waiter gave up"))
+            if pending.wait_timed_out:
+                pending.settle(
+                    NotWritten("refused by the log after its caller stopped waiting")
+                )
                 continue
             self._waiting[pending.priority].appendleft(pending)
-            self._bytes += pending.size_bytes
+            self._queued_bytes += pending.size_bytes
 
     def take_batch(self) -> list[Pending]:
         """Remove the records of the next batch, control records first."""
-        whole = self.max_batch_bytes - BATCH_OVERHEAD_BYTES
+        capacity = self.max_batch_bytes - BATCH_OVERHEAD_BYTES
         has_requests = bool(self._waiting[Priority.REQUEST])
-        control_part = whole * (1 - REQUEST_PART) if has_requests else whole
-        batch = self._take(Priority.CONTROL, control_part, whole)
+        control_limit = (
+            capacity * (1 - MIN_REQUEST_FRACTION) if has_requests else capacity
+        )
+        batch = self._take_records(Priority.CONTROL, control_limit, capacity)
         used = sum(pending.size_bytes for pending in batch)
-        batch += self._take(Priority.REQUEST, whole - used, whole - used)
+        batch += self._take_records(Priority.REQUEST, capacity - used, capacity - used)
         return batch
 
     def fail_all(self, reason: str) -> None:
-        """Settle everything that waits as not written."""
+        """Settle all queued records as not written."""
         for waiting in self._waiting.values():
             for pending in waiting:
                 pending.settle(NotWritten(reason))
             waiting.clear()
-        self._bytes = 0
+        self._queued_bytes = 0
 
-    def _take(self, priority: Priority, soft: float, hard: float) -> list[Pending]:
-        """Take records up to ``soft`` bytes; one larger record up to ``hard``."""
+    def _take_records(
+        self, priority: Priority, soft_limit: float, hard_limit: float
+    ) -> list[Pending]:
+        """Remove records of up to ``soft_limit`` bytes in total.
+
+        The first record may be larger, up to ``hard_limit`` bytes.
+        """
         waiting = self._waiting[priority]
         taken: list[Pending] = []
         used = 0
         while waiting:
             pending = waiting[0]
             size = pending.size_bytes
-            if pending.outcome is None and used + size > (soft if taken else hard):
+            if pending.outcome is None and used + size > (
+                soft_limit if taken else hard_limit
+            ):
                 break
             waiting.popleft()
-            self._bytes -= size
+            self._queued_bytes -= size
             if pending.outcome is not None:
                 continue
             taken.append(pending)
@@ -119,14 +134,14 @@
     def _is_full(self, priority: Priority) -> bool:
         if len(self._waiting[priority]) >= MAX_QUEUED_BY_PRIORITY[priority]:
             return True
-        return priority is Priority.REQUEST and self._bytes >= MAX_QUEUED_BYTES
+        return priority is Priority.REQUEST and self._queued_bytes >= MAX_QUEUED_BYTES
 
     def _drop_settled(self) -> None:
         for priority, waiting in self._waiting.items():
             self._waiting[priority] = deque(
                 pending for pending in waiting if pending.outcome is None
             )
-        self._bytes = sum(
+        self._queued_bytes = sum(
             pending.size_bytes
             for waiting in self._waiting.values()
             for pending in waiting
--- a/libs/log/src/lycheeloom/log/record_reader.py
+++ b/libs/log/src/lycheeloom/log/record_reader.py
@@ -1,4 +1,4 @@
-"""Reads single request records back from the log."""
+"""Reading single request records from the log."""
 
 from __future__ import annotations
 
@@ -18,18 +18,21 @@
 from .client import LogClient
 from .tail import LogTail
 
-_Found = TypeVar("_Found", RequestSubmitted, RequestFinished)
+_RecordT = TypeVar("_RecordT", RequestSubmitted, RequestFinished)
 
 
 @dataclass(frozen=True, slots=True)
 class RecordLost:
-    """The log has dropped the record, which nobody can read any more."""
+    """The log has dropped the record, so it can no longer be read."""
 
     oldest_offset: int
 
 
 class RecordReader:
-    """Finds bodies and answers by the offsets that the state keeps."""
+    """Reads submissions and answers at the offsets that the state keeps.
+
+    Recent batches come from the tail's ring, others from the log.
+    """
 
     def __init__(self, tail: LogTail, client: LogClient) -> None:
         self._tail = tail
@@ -38,7 +41,7 @@
     def submission(
         self, offset: int | None, request_id: str
     ) -> RequestSubmitted | RecordLost | None:
-        """Return the submission at an offset, or None if it cannot be read now."""
+        """Return the submission at an offset, or None if not readable now."""
         return self._find(offset, request_id, RequestSubmitted)
 
     def answer(
@@ -53,8 +56,8 @@
         request_id: str,
         kind: type[RequestSubmitted | RequestFinished],
     ) -> CopiedRecord | RecordLost | None:
-        """Return the record as it stands in the log, for appending it again."""
-        encoded = self._encoded(offset)
+        """Return the record as encoded in the log, for appending it again."""
+        encoded = self._read_encoded(offset)
         if isinstance(encoded, RecordLost):
             return encoded
         for index, record in enumerate(_decode(encoded)):
@@ -63,9 +66,9 @@
         return None
 
     def _find(
-        self, offset: int | None, request_id: str, kind: type[_Found]
-    ) -> _Found | RecordLost | None:
-        encoded = self._encoded(offset)
+        self, offset: int | None, request_id: str, kind: type[_RecordT]
+    ) -> _RecordT | RecordLost | None:
+        encoded = self._read_encoded(offset)
         if isinstance(encoded, RecordLost):
             return encoded
         for record in _decode(encoded):
@@ -73,7 +76,7 @@
                 return record
         return None
 
-    def _encoded(self, offset: int | None) -> bytes | RecordLost | None:
+    def _read_encoded(self, offset: int | None) -> bytes | RecordLost | None:
         if offset is None:
             return None
         encoded = self._tail.ring.read(offset, 1)
--- a/libs/log/src/lycheeloom/log/recovery.py
+++ b/libs/log/src/lycheeloom/log/recovery.py
@@ -1,4 +1,4 @@
-"""Building the fleet state from the log alone."""
+"""Recovery of the fleet state from the log."""
 
 from __future__ import annotations
 
@@ -12,22 +12,25 @@
 from .snapshot_reader import LogRange, SnapshotReader
 
 READ_LIMIT = 1000
-# Retention may pass the chosen snapshot while it is read; a newer one is then
+# The log may drop the chosen snapshot while it is read; by then a newer one is
 # complete or being written.
-ATTEMPTS = 3
+MAX_ATTEMPTS = 3
 
 
 @dataclass(frozen=True, slots=True)
 class RecoveryFailed:
-    """Why no state could be built; trying again later is safe."""
+    """Why the state could not be recovered; retrying later is safe."""
 
     reason: str
 
 
 def recover(client: LogClient) -> FleetState | RecoveryFailed:
-    """Return the state at the log's end, from the newest snapshot or offset 0."""
-    outcome: FleetState | RecoveryFailed = RecoveryFailed("not tried")
-    for _ in range(ATTEMPTS):
+    """Return the state at the log's end, replayed from the newest snapshot.
+
+    Without a snapshot the log is replayed from offset 0.
+    """
+    outcome: FleetState | RecoveryFailed = RecoveryFailed("not attempted")
+    for _ in range(MAX_ATTEMPTS):
         outcome = _recover_once(client)
         if isinstance(outcome, FleetState):
             return outcome
@@ -59,11 +62,13 @@
         match answer:
             case ReadBatches(first, _, batches):
                 if not batches or first != state.next_offset:
-                    return RecoveryFailed(f"the log has no {state.next_offset}")
+                    return RecoveryFailed(f"the log has no offset {state.next_offset}")
                 for offset, encoded in enumerate(batches, first):
                     _apply(state, offset, encoded)
             case Expired(oldest):
-                return RecoveryFailed(f"{state.next_offset} expired, oldest {oldest}")
+                return RecoveryFailed(
+                    f"offset {state.next_offset} expired, oldest is {oldest}"
+                )
             case Unavailable(reason):
                 return RecoveryFailed(reason)
     return state
--- a/libs/log/src/lycheeloom/log/ring.py
+++ b/libs/log/src/lycheeloom/log/ring.py
@@ -1,4 +1,4 @@
-"""Recent encoded batches, kept for peers that cannot read the log."""
+"""A buffer of recent encoded batches, for peers that cannot read the log."""
 
 from __future__ import annotations
 
@@ -8,7 +8,10 @@
 
 
 class BatchRing:
-    """The last encoded batches without gaps, up to a number of bytes."""
+    """The latest encoded batches at consecutive offsets, up to ``max_bytes``.
+
+    The newest batch is kept even if it is larger.
+    """
 
     def __init__(self, max_bytes: int = RING_BYTES) -> None:
         self._max_bytes = max_bytes
@@ -27,7 +30,7 @@
         return self._first_offset + len(self._batches)
 
     def add(self, offset: int, encoded: bytes) -> None:
-        """Keep a batch; a batch that does not follow the last one starts anew."""
+        """Add a batch; after a gap in the offsets, drop all earlier batches."""
         if offset != self.next_offset:
             self._batches.clear()
             self._bytes = 0
@@ -41,7 +44,7 @@
     def read(self, first_offset: int, max_bytes: int) -> tuple[bytes, ...]:
         """Return batches from ``first_offset`` on, or none if it is not kept.
 
-        At least one batch is returned if there is one, however large.
+        The first batch is returned even if it is larger than ``max_bytes``.
         """
         if not self._first_offset <= first_offset < self.next_offset:
             return ()
--- a/libs/log/src/lycheeloom/log/snapshot.py
+++ b/libs/log/src/lycheeloom/log/snapshot.py
@@ -1,6 +1,6 @@
-"""Division of a snapshot into log records and back.
+"""Splitting a snapshot into log records and assembling it again.
 
-The state's dump is already compressed with zlib.
+The dump of the state is already compressed with zlib.
 """
 
 from __future__ import annotations
@@ -10,20 +10,20 @@
 
 from lycheeloom.model.records import SnapshotChunk
 
-# Leaves room for the batch around a chunk under the log's limit of 256 KiB.
+# A batch with a chunk of this size stays under the log's limit of 256 KiB.
 CHUNK_BYTES = 192 * 1024
 
 
 def split_snapshot(
-    snapshot_id: str, covers: int, dump: bytes, chunk_bytes: int = CHUNK_BYTES
+    snapshot_id: str, covers_offset: int, dump: bytes, chunk_bytes: int = CHUNK_BYTES
 ) -> list[SnapshotChunk]:
-    """Divide a dump; ``covers`` is the last replayed offset."""
+    """Split a dump into records; ``covers_offset`` is its last replayed offset."""
     digest = _digest(dump)
     parts = [
         dump[start : start + chunk_bytes] for start in range(0, len(dump), chunk_bytes)
     ]
     return [
-        SnapshotChunk(snapshot_id, covers, index, len(parts), digest, part)
+        SnapshotChunk(snapshot_id, covers_offset, index, len(parts), digest, part)
         for index, part in enumerate(parts)
     ]
 
@@ -42,11 +42,11 @@
     part_by_index: dict[int, bytes] = field(default_factory=dict)
 
     def add(self, chunk: SnapshotChunk) -> None:
-        """Take a chunk; repeated ones change nothing."""
+        """Add a chunk; repeated chunks have no effect."""
         if chunk.index < self.count:
             self.part_by_index[chunk.index] = chunk.payload
 
-    def unpack(self) -> bytes | None:
+    def assemble(self) -> bytes | None:
         """Return the whole dump, or None while it is incomplete or damaged."""
         if len(self.part_by_index) < self.count:
             return None
@@ -61,7 +61,7 @@
         self._partial_by_key: dict[tuple[str, int, int, bytes], PartialSnapshot] = {}
 
     def add(self, chunk: SnapshotChunk) -> PartialSnapshot:
-        """Take a chunk and return its snapshot, complete or not."""
+        """Add a chunk and return its snapshot, complete or not."""
         key = (chunk.snapshot_id, chunk.covers_offset, chunk.count, chunk.digest)
         partial = self._partial_by_key.get(key)
         if partial is None:
--- a/libs/log/src/lycheeloom/log/snapshot_reader.py
+++ b/libs/log/src/lycheeloom/log/snapshot_reader.py
@@ -1,4 +1,4 @@
-"""Search for the newest complete snapshot, from the log's end backwards."""
+"""Search for the newest complete snapshot, backwards from the log's end."""
 
 from __future__ import annotations
 
@@ -13,23 +13,26 @@
 from .client import LogClient
 from .snapshot import SnapshotCollector
 
-# Offsets per read; with the log's limit of 4 MiB per answer and 256 KiB per
-# batch a read may return fewer, and the rest is read again.
-PAGE = 256
-# A read from beyond the end is answered with the end's offset.
+# Number of offsets that are read and searched together. As the log limits answers to
+# 4 MiB and batches to 256 KiB, this may take several reads.
+PAGE_OFFSETS = 256
+# The log answers a read beyond its end with the offset of its end.
 BEYOND_END = 2**62
 
 
 @dataclass(frozen=True, slots=True)
 class LogRange:
-    """Offsets kept by the log, from ``oldest`` up to but without ``end``."""
+    """Offsets kept by the log, from ``oldest`` up to but excluding ``end``."""
 
     oldest: int
     end: int
 
 
 class SnapshotReader:
-    """Reads snapshots with bounded reads; methods return a reason on failure."""
+    """Finds snapshots in the log.
+
+    If the log cannot be read, methods return the reason as a string.
+    """
 
     def __init__(self, client: LogClient) -> None:
         self._client = client
@@ -51,20 +54,21 @@
         return LogRange(0, end)
 
     def find_newest(self, log_range: LogRange) -> FleetState | None | str:
-        """Return the newest usable snapshot's state, None, or a reason."""
+        """Return the state of the newest usable snapshot, or None without one."""
         collector = SnapshotCollector()
         end = log_range.end
         while end > log_range.oldest:
-            start = max(log_range.oldest, end - PAGE)
+            start = max(log_range.oldest, end - PAGE_OFFSETS)
             page = self._read_page(start, end)
             if isinstance(page, str):
                 return page
             for chunk in _chunks_backwards(page):
                 partial = collector.add(chunk)
-                # A tail that cannot be replayed up to now makes it useless.
+                # The log has dropped batches that follow this snapshot, so it cannot
+                # be replayed to the end.
                 if partial.covers_offset + 1 < log_range.oldest:
                     continue
-                state = _load(partial.unpack(), partial.covers_offset)
+                state = _load_state(partial.assemble(), partial.covers_offset)
                 if state is not None:
                     return state
             end = start
@@ -80,7 +84,7 @@
                 case ReadBatches():
                     return f"the log has no offset {start}"
                 case Expired(oldest):
-                    # Only newer offsets can be used from now on.
+                    # Older pages have expired as well, so the search ends here.
                     return f"offset {start} expired, oldest is {oldest}"
                 case Unavailable(reason):
                     return reason
@@ -97,13 +101,13 @@
                 yield record
 
 
-def _load(dump: bytes | None, covers_offset: int) -> FleetState | None:
-    """Return the state of a dump, or None if it is not usable."""
+def _load_state(dump: bytes | None, covers_offset: int) -> FleetState | None:
+    """Return the state of a dump, or None if the dump is not usable."""
     if dump is None:
         return None
     try:
         state = FleetState.load_snapshot(dump)
     except ValueError:
-        # Damaged, or written by a program version with another layout.
+        # Damaged, or written by a program version with another data model.
         return None
     return state if state.next_offset == covers_offset + 1 else None
--- a/libs/log/src/lycheeloom/log/snapshot_writer.py
+++ b/libs/log/src/lycheeloom/log/snapshot_writer.py
@@ -22,11 +22,11 @@
 class SnapshotPolicy:
     """When a new snapshot is due, counted from the last complete one.
 
-    ``retention_s`` and ``retention_batches`` are the log's; a snapshot is
-    written at 0.4 of them, so that it is complete before records reach half.
-    ``max_tail_batches`` and ``max_tail_config_changes`` bound the replay of a new
-    entry: at the planned size a batch takes under 0.1 ms and a change of the
-    configuration 27 to 56 ms, as the whole document is validated again.
+    ``retention_s`` and ``retention_batches`` are the log's retention. A snapshot is
+    due at 0.4 of it, so that it is complete before half of the retention is used up.
+    ``max_tail_batches`` and ``max_tail_config_changes`` bound how much a starting
+    entry replays: at the planned fleet size a batch takes under 0.1 ms and a change
+    of the configuration 27 to 56 ms, as the whole document is validated again.
     """
 
     retention_s: float
@@ -35,7 +35,7 @@
     max_tail_config_changes: int = 40
 
     def is_due(self, age_s: float, batches: int, config_changes: int) -> bool:
-        """Tell whether the last snapshot is too old or too far back."""
+        """Tell whether the last snapshot is too old or too many records follow it."""
         if batches <= 0:
             return False
         if age_s >= 0.4 * self.retention_s or batches >= self.max_tail_batches:
@@ -47,7 +47,11 @@
 
 
 class SnapshotResult(Enum):
-    """What a call of ``SnapshotWriter.write`` did."""
+    """Result of ``SnapshotWriter.write``.
+
+    ``TORN`` means that some chunks were not written, so the snapshot is incomplete;
+    ``EMPTY`` that there was nothing to write.
+    """
 
     WRITTEN = "written"
     EMPTY = "empty"
@@ -57,8 +61,8 @@
 class SnapshotWriter:
     """Writes snapshots in the process that holds the snapshot duty.
 
-    It also watches complete snapshots of other processes go by, so that a new
-    holder of the duty knows the age of the last one.
+    It also tracks complete snapshots of other processes, so that a new holder of the
+    duty knows the age of the last one.
     """
 
     def __init__(
@@ -78,35 +82,36 @@
         self.torn = 0
         self.covers_offset = -1
         self._started_at = clock()
-        self._covered_at: float | None = None
+        self._completed_at: float | None = None
         self._config_offsets: deque[int] = deque()
         tail.add_listener(self._on_replayed)
 
     def age_s(self) -> float:
         """Return the age of the newest complete snapshot, in seconds.
 
-        The age of one that was not seen being written counts from the start.
+        Until a snapshot has been completed since this process started, the age counts
+        from its start.
         """
-        since = self._started_at if self._covered_at is None else self._covered_at
+        since = self._started_at if self._completed_at is None else self._completed_at
         return self._clock() - since
 
     def is_due(self) -> bool:
         """Tell whether a snapshot should be written now.
 
-        The age of a snapshot that was not seen being written is unknown, and it
-        counts as too old.
+        Until a snapshot has been completed since this process started, the age of the
+        last one is unknown, and a snapshot is due if there is anything to write.
         """
         batches = self._tail.next_offset - 1 - self.covers_offset
-        if self._covered_at is None:
+        if self._completed_at is None:
             return batches > 0
-        age_s = self._clock() - self._covered_at
+        age_s = self._clock() - self._completed_at
         return self._policy.is_due(age_s, batches, len(self._config_offsets))
 
     def write(self, timeout_s: float = CHUNK_TIMEOUT_S) -> SnapshotResult:
         """Write one snapshot and wait for the replay of each chunk.
 
-        Chunks are written one at a time, so that the records of others are not
-        kept waiting behind a snapshot.
+        Chunks are written one at a time, so that other records do not wait behind a
+        whole snapshot.
         """
         state = self._tail.state
         covers = state.next_offset - 1
@@ -124,17 +129,17 @@
     def _on_replayed(self, replayed: Replayed) -> None:
         for record in replayed.batch.records:
             if isinstance(record, SnapshotChunk):
-                self._watch(record)
+                self._observe_chunk(record)
             elif isinstance(record, ConfigChanged):
                 self._config_offsets.append(replayed.offset)
 
-    def _watch(self, chunk: SnapshotChunk) -> None:
+    def _observe_chunk(self, chunk: SnapshotChunk) -> None:
         if chunk.covers_offset <= self.covers_offset:
             return
-        if self._collector.add(chunk).unpack() is None:
+        if self._collector.add(chunk).assemble() is None:
             return
         self.covers_offset = chunk.covers_offset
-        self._covered_at = self._clock()
+        self._completed_at = self._clock()
         self._collector = SnapshotCollector()
         while self._config_offsets and self._config_offsets[0] <= self.covers_offset:
             self._config_offsets.popleft()
--- a/libs/log/src/lycheeloom/log/tail.py
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -1,4 +1,4 @@
-"""Replay of the log into the fleet state."""
+"""The log tail, which keeps the fleet state up to date."""
 
 from __future__ import annotations
 
@@ -25,24 +25,24 @@
 # A long poll ends well within FRESHNESS_S (1.5 s), as freshness counts from the
 # time the read was sent.
 LONG_POLL_S = 0.25
-# With several hundred appends per second every long poll would return at once;
-# pacing keeps a reader at 25 reads per second.
+# Minimum time between reads. With several hundred appends per second every long poll
+# would return at once; this limits a reader to 25 reads per second.
 READ_INTERVAL_S = 0.04
 READ_LIMIT = 1000
-# The log ends an answer at 4 MiB; one below half of that reached the log's end.
-WHOLE_ANSWER_BYTES = 2 * 1024 * 1024
-# A read on a silent connection ends early enough for a second one on a new
-# connection within FRESHNESS_S. While the log is slow the margin grows, as late
-# records are better than none.
+# The log cuts answers off at 4 MiB; an answer below half of that reached its end.
+FULL_ANSWER_BYTES = 2 * 1024 * 1024
+# A read on a dead connection ends early enough for another read on a new connection
+# within FRESHNESS_S. While the log is slow the margin grows, as reading records late is
+# better than not reading them.
 READ_MARGIN_S = 0.5
-LONGEST_READ_MARGIN_S = 8.0
-FIRST_RETRY_S = 0.05
-LONGEST_RETRY_S = 0.5
+MAX_READ_MARGIN_S = 8.0
+INITIAL_RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Replayed:
-    """A batch that was applied at ``offset``, as given to listeners."""
+    """A batch that was applied at ``offset``, as passed to listeners."""
 
     offset: int
     batch: Batch
@@ -51,7 +51,11 @@
 
 
 class Offer(Enum):
-    """What became of a batch that a peer relayed."""
+    """Result of ``LogTail.offer``.
+
+    ``KNOWN`` means that the batch had been replayed before, ``GAP`` that batches
+    before it are missing.
+    """
 
     APPLIED = "applied"
     KNOWN = "known"
@@ -61,8 +65,8 @@
 class LogTail:
     """Keeps a ``FleetState`` up to date from the log and from peers.
 
-    ``state`` is replaced when the log has dropped offsets that were not read;
-    hold the tail, not the state.
+    ``state`` is replaced when the log has dropped offsets that were not read yet, so
+    keep a reference to the tail, not to the state.
     """
 
     def __init__(
@@ -76,14 +80,16 @@
     ) -> None:
         self.state = state
         self.ring = ring or BatchRing()
-        # Send time of the last read that reached the end of the log.
+        # When the last read that reached the end of the log was sent.
         self.last_read_sent_at = -math.inf
         self.undecodable_batches = 0
         self.failed_reads = 0
         self.resets = 0
         self._client = client
         self._clock = clock
-        self._backoff = Backoff(FIRST_RETRY_S, LONGEST_RETRY_S, rng or random.Random())
+        self._backoff = Backoff(
+            INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S, rng or random.Random()
+        )
         self._listeners: list[Callable[[Replayed], None]] = []
         self._reset_listeners: list[Callable[[FleetState], None]] = []
         self._margin_s = READ_MARGIN_S
@@ -99,11 +105,11 @@
         self._listeners.append(listener)
 
     def add_reset_listener(self, listener: Callable[[FleetState], None]) -> None:
-        """Call ``listener`` after the state was replaced from a snapshot."""
+        """Call ``listener`` after the state is replaced from a snapshot."""
         self._reset_listeners.append(listener)
 
     def start(self) -> None:
-        """Start the greenlet."""
+        """Start reading in a greenlet."""
         self._greenlet = gevent.spawn(self.run)
 
     def stop(self) -> None:
@@ -117,7 +123,7 @@
             gevent.sleep(self.step())
 
     def step(self) -> float:
-        """Make one read and return the delay before the next, in seconds."""
+        """Read once, replay and return the delay before the next read, in seconds."""
         sent_at = self._clock()
         first = self.next_offset
         answer = self._client.read(
@@ -128,17 +134,17 @@
             case ReadBatches():
                 self._backoff.reset()
                 self._margin_s = max(READ_MARGIN_S, 2 * (took_s - LONG_POLL_S))
-                return self._take_answer(answer, first, sent_at)
+                return self._apply_answer(answer, first, sent_at)
             case Expired():
-                return self._start_again()
+                return self._reload_from_snapshot()
             case Unavailable():
                 self.failed_reads += 1
                 if took_s >= self._margin_s:
-                    self._margin_s = min(LONGEST_READ_MARGIN_S, 2 * self._margin_s)
+                    self._margin_s = min(MAX_READ_MARGIN_S, 2 * self._margin_s)
         return self._backoff.next_delay_s()
 
     def offer(self, offset: int, encoded: bytes) -> Offer:
-        """Take a batch from a peer; it is applied only at the next offset."""
+        """Apply a batch from the log or a peer if it is at the next offset."""
         if offset < self.next_offset:
             return Offer.KNOWN
         if offset > self.next_offset:
@@ -146,13 +152,13 @@
         self._apply(offset, encoded)
         return Offer.APPLIED
 
-    def _take_answer(self, answer: ReadBatches, first: int, sent_at: float) -> float:
+    def _apply_answer(self, answer: ReadBatches, first: int, sent_at: float) -> float:
         for offset, encoded in enumerate(answer.batches, answer.first):
             # A peer may have relayed some of these batches in the meantime.
             self.offer(offset, encoded)
         size = sum(len(encoded) for encoded in answer.batches)
-        is_whole = len(answer.batches) < READ_LIMIT and size < WHOLE_ANSWER_BYTES
-        if not is_whole:
+        reached_end = len(answer.batches) < READ_LIMIT and size < FULL_ANSWER_BYTES
+        if not reached_end:
             return 0.0
         if answer.first == first:
             self.last_read_sent_at = sent_at
@@ -173,15 +179,15 @@
             self._notify(listener, replayed)
 
     def _notify(self, listener: Callable, argument: object) -> None:
-        # A listener with a fault must not stop replay, on which freshness and
-        # every other listener depend.
+        # An exception in one listener must not stop replay, on which freshness and all
+        # other listeners depend.
         try:
             listener(argument)
         except Exception:
             logger.exception("event=listener_failed offset={}", self.next_offset)
 
-    def _start_again(self) -> float:
-        """Replace the state from a snapshot, as the log dropped unread offsets."""
+    def _reload_from_snapshot(self) -> float:
+        """Replace the state from a snapshot after the log dropped unread offsets."""
         recovered = recover(self._client)
         if isinstance(recovered, RecoveryFailed):
             self.failed_reads += 1
--- a/libs/log/tests/fake_log.py
+++ b/libs/log/tests/fake_log.py
@@ -1,4 +1,4 @@
-"""A log in memory with one faulty client for each process."""
+"""An in-memory log and clients that inject faults."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class Clock:
-    """A clock that moves only when told to."""
+    """A clock that the test sets."""
 
     def __init__(self) -> None:
         self.now = 1000.0
@@ -26,7 +26,10 @@
 
 
 class FakeLog:
-    """Keeps every batch in ``archive``; readers see those from ``oldest`` on."""
+    """Keeps every batch in ``archive``; readers see those from ``oldest`` on.
+
+    ``delayed`` holds batches that reach the log only with ``deliver_delayed``.
+    """
 
     def __init__(self) -> None:
         self.archive: list[bytes] = []
@@ -39,7 +42,11 @@
 
 
 class FakeClient:
-    """Takes one fault from the front of each list per call; "" is none."""
+    """A client of ``FakeLog``; each call takes the next fault of its queue.
+
+    An empty string means no fault. Append faults are "lost_answer", "lost_request",
+    "delayed" or an ``AppendRefusal`` value; any other string fails a read.
+    """
 
     def __init__(self, log: FakeLog) -> None:
         self.log = log
--- a/libs/log/tests/test_many_readers.py
+++ b/libs/log/tests/test_many_readers.py
@@ -1,7 +1,7 @@
-"""Several writers and readers over one faulty log, against the whole log.
+"""Stateful test of several writers and readers on one faulty log.
 
-Guards against readers whose states differ, records that take effect twice,
-outcomes that are not true and configuration that goes back.
+Guards against readers whose states differ, records that take effect twice, wrong
+outcomes and configuration versions that decrease.
 """
 
 import json
@@ -29,23 +29,23 @@
 from lycheeloom.wire import BadBatch, decode_batch
 
 PROCESSES = 3
-WHICH = st.integers(0, PROCESSES - 1)
+PROCESS = st.integers(0, PROCESSES - 1)
 APPEND_FAULTS = st.sampled_from(
     ["", "", "lost_answer", "lost_request", "delayed", "down", "busy"]
 )
 
 
 class Oracle:
-    """The states and effects that the whole log gives, one for each offset."""
+    """The expected state at each offset and the expected effect of each record."""
 
     def __init__(self, log):
         self._log = log
         self._state = FleetState()
         self._snapshots = SnapshotCollector()
-        self.image_by_offset = {0: FleetState()._image}
+        self.image_by_offset = {0: FleetState()._content}
         self.effective_offsets_by_request = {}
         self.request_ids = set()
-        self.covered = 0
+        self.snapshot_end = 0
 
     def advance(self):
         while self._state.next_offset < len(self._log.archive):
@@ -58,19 +58,21 @@
             batch = None
         else:
             applied = self._state.apply(offset, batch)
-            for record, took in zip(batch.records, applied.effective, strict=True):
-                self._note(offset, record, took)
+            for record, took_effect in zip(
+                batch.records, applied.effective, strict=True
+            ):
+                self._record_effect(offset, record, took_effect)
         dump = self._state.dump_snapshot()
-        self.image_by_offset[offset + 1] = FleetState.load_snapshot(dump)._image
+        self.image_by_offset[offset + 1] = FleetState.load_snapshot(dump)._content
 
-    def _note(self, offset, record, took):
+    def _record_effect(self, offset, record, took_effect):
         if isinstance(record, r.SnapshotChunk):
-            if self._snapshots.add(record).unpack() is not None:
-                self.covered = max(self.covered, record.covers_offset + 1)
+            if self._snapshots.add(record).assemble() is not None:
+                self.snapshot_end = max(self.snapshot_end, record.covers_offset + 1)
         elif isinstance(record, r.RequestSubmitted):
             self.request_ids.add(record.request_id)
             offsets = self.effective_offsets_by_request
-            if took:
+            if took_effect:
                 offsets.setdefault(record.request_id, []).append(offset)
 
 
@@ -86,72 +88,72 @@
         self.highest_version = [0] * PROCESSES
         self.tails = [None] * PROCESSES
         self.writers = [None] * PROCESSES
-        for which in range(PROCESSES):
-            self._begin(which, FleetState())
+        for process in range(PROCESSES):
+            self._start_process(process, FleetState())
 
-    def _begin(self, which, state):
+    def _start_process(self, process, state):
         self.authors += 1
         rng, clock = random.Random(self.authors), Clock()
-        tail = LogTail(self.clients[which], state, clock=clock, rng=rng)
-        self.tails[which] = tail
-        self.writers[which] = LogWriter(
-            self.clients[which], f"a{self.authors}", tail, clock=clock, rng=rng
+        tail = LogTail(self.clients[process], state, clock=clock, rng=rng)
+        self.tails[process] = tail
+        self.writers[process] = LogWriter(
+            self.clients[process], f"a{self.authors}", tail, clock=clock, rng=rng
         )
 
-    @rule(which=WHICH)
-    def submit(self, which):
+    @rule(process=PROCESS)
+    def submit(self, process):
         name = f"q{len(self.pending_by_request)}"
         record = r.RequestSubmitted(name, "t", "main", b"x")
-        self.pending_by_request[name] = self.writers[which].append(record)
+        self.pending_by_request[name] = self.writers[process].append(record)
 
     @rule(back=st.integers(1, 3))
     def withdraw(self, back):
         for pending in list(self.pending_by_request.values())[-back:]:
             pending.withdraw()
 
-    @rule(which=WHICH, name=st.integers(0, 99))
-    def publish(self, which, name):
-        version = self.tails[which].state.config.version
+    @rule(process=PROCESS, name=st.integers(0, 99))
+    def publish(self, process, name):
+        version = self.tails[process].state.config.version
         record = r.ConfigChanged(version, json.dumps({"name": str(name)}))
-        pending = self.writers[which].append(record, Priority.CONTROL)
+        pending = self.writers[process].append(record, Priority.CONTROL)
         self.config_pending.append((version, pending))
 
-    @rule(which=WHICH, faults=st.lists(APPEND_FAULTS, min_size=1, max_size=3))
-    def write(self, which, faults):
-        self.clients[which].append_faults.extend(faults)
+    @rule(process=PROCESS, faults=st.lists(APPEND_FAULTS, min_size=1, max_size=3))
+    def write(self, process, faults):
+        self.clients[process].append_faults.extend(faults)
         for _ in faults:
-            self.writers[which].step()
-        self.clients[which].append_faults.clear()
+            self.writers[process].step()
+        self.clients[process].append_faults.clear()
 
-    @rule(which=WHICH, fault=st.sampled_from(["", "", "", "down"]))
-    def read(self, which, fault):
-        self.clients[which].read_faults.append(fault)
-        self.tails[which].step()
-        self.clients[which].read_faults.clear()
+    @rule(process=PROCESS, fault=st.sampled_from(["", "", "", "down"]))
+    def read(self, process, fault):
+        self.clients[process].read_faults.append(fault)
+        self.tails[process].step()
+        self.clients[process].read_faults.clear()
 
-    @rule(source=WHICH, reader=WHICH, skip=st.integers(0, 1))
+    @rule(source=PROCESS, reader=PROCESS, skip=st.integers(0, 1))
     def relay(self, source, reader, skip):
         first = self.tails[reader].next_offset + skip
         batches = self.tails[source].ring.read(first, 10_000)
         for offset, encoded in enumerate(batches, first):
             self.tails[reader].offer(offset, encoded)
 
-    @rule(which=WHICH, faults=st.lists(APPEND_FAULTS, max_size=2))
-    def delay(self, which, faults):
-        self.write(which, ["delayed", *faults])
+    @rule(process=PROCESS, faults=st.lists(APPEND_FAULTS, max_size=2))
+    def delay(self, process, faults):
+        self.write(process, ["delayed", *faults])
 
-    @rule(which=WHICH)
-    def deliver_delayed(self, which):
+    @rule(process=PROCESS)
+    def deliver_delayed(self, process):
         self.log.deliver_delayed()
-        self.tails[which].step()
+        self.tails[process].step()
 
     @rule()
     def append_garbage(self):
         self.log.archive.append(b"\xff" * 12)
 
-    @rule(which=WHICH, torn=st.booleans())
-    def snapshot(self, which, torn):
-        state, writer = self.tails[which].state, self.writers[which]
+    @rule(process=PROCESS, torn=st.booleans())
+    def snapshot(self, process, torn):
+        state, writer = self.tails[process].state, self.writers[process]
         if state.next_offset == 0:
             return
         covers, dump = state.next_offset - 1, state.dump_snapshot()
@@ -161,32 +163,32 @@
 
     @rule(part=st.floats(0, 1))
     def expire(self, part):
-        # The duty's holder keeps a complete snapshot and its tail retained.
+        # The log keeps at least one complete snapshot and all batches after it.
         self.oracle.advance()
-        self.log.oldest = max(self.log.oldest, int(part * self.oracle.covered))
+        self.log.oldest = max(self.log.oldest, int(part * self.oracle.snapshot_end))
 
-    @rule(which=WHICH)
-    def replace(self, which):
-        state = recover(self.clients[which])
+    @rule(process=PROCESS)
+    def replace(self, process):
+        state = recover(self.clients[process])
         if isinstance(state, RecoveryFailed):
             return
-        self.writers[which].stop()
-        self.highest_version[which] = 0
-        self._begin(which, state)
+        self.writers[process].stop()
+        self.highest_version[process] = 0
+        self._start_process(process, state)
 
-    @rule(which=WHICH)
-    def rejoin(self, which):
+    @rule(process=PROCESS)
+    def rejoin(self, process):
         self.authors += 1
-        self.writers[which].change_author(f"a{self.authors}")
+        self.writers[process].change_author(f"a{self.authors}")
 
     @invariant()
     def readers_equal_the_log(self):
         self.oracle.advance()
-        for which, tail in enumerate(self.tails):
+        for process, tail in enumerate(self.tails):
             state = tail.state
-            assert state._image == self.oracle.image_by_offset[state.next_offset]
-            assert state.config.version >= self.highest_version[which]
-            self.highest_version[which] = state.config.version
+            assert state._content == self.oracle.image_by_offset[state.next_offset]
+            assert state.config.version >= self.highest_version[process]
+            self.highest_version[process] = state.config.version
 
     @invariant()
     def outcomes_are_true(self):
@@ -207,12 +209,12 @@
         assert len(versions) == len(set(versions))
 
     def teardown(self):
-        """After the faults end, everything settles and all readers agree."""
+        """Check that without faults all records settle and all readers agree."""
         self.log.deliver_delayed()
         for _ in range(40):
-            for which in range(PROCESSES):
-                self.writers[which].step()
-                self.tails[which].step()
+            for process in range(PROCESSES):
+                self.writers[process].step()
+                self.tails[process].step()
         for tail in self.tails:
             tail.step()
         self.readers_equal_the_log()
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -1,4 +1,4 @@
-"""Guards against readers that diverge, stall or use half a snapshot."""
+"""Guards against readers that diverge, stall or use an incomplete snapshot."""
 
 import random
 from dataclasses import replace
@@ -58,7 +58,7 @@
 
 
 def replay(log, end=None):
-    """Return the state that the whole log gives, the oracle of these tests."""
+    """Return the expected state, recovered from every batch ever appended."""
     whole = FakeLog()
     whole.archive = log.archive[:end]
     return recover(FakeClient(whole))
@@ -84,7 +84,7 @@
 
 @pytest.mark.parametrize("count", [0, 1, READ_LIMIT - 1, READ_LIMIT, READ_LIMIT + 1])
 def test_freshness_needs_a_read_that_reached_the_end(log, tail, clock, count):
-    """A reader that is far behind must not count its reads as fresh."""
+    """A reader far behind must not become fresh before it reaches the end."""
     add_submitted(log, count)
     tail.step()
     assert (tail.last_read_sent_at == clock.now) == (count < READ_LIMIT)
@@ -94,7 +94,7 @@
 
 
 def test_freshness_counts_from_the_send_time(log, client, clock):
-    """A slow answer must not make old knowledge look recent."""
+    """A slow answer must not make the state look newer than it is."""
     sent_at = clock.now
 
     class Slow(FakeClient):
@@ -108,7 +108,7 @@
 
 
 def test_bounded_wait_grows_while_the_log_is_slow(log, clock):
-    """A log slower than the usual bound must still be read, only later."""
+    """A log that answers later than the initial time limit must still be read."""
     margins = []
 
     class Slow(FakeClient):
@@ -129,7 +129,7 @@
 
 
 def test_outage_is_retried_with_backoff(log, client, tail):
-    """An outage must not turn the readers into a load on the log."""
+    """Readers must not overload the log with retries during an outage."""
     client.read_faults.extend(["down"] * 5)
     delays = [tail.step() for _ in range(5)]
     assert all(0 < delay <= 0.5 for delay in delays) and delays[4] >= 0.25
@@ -139,7 +139,7 @@
 
 
 def test_undecodable_and_unknown_batches_are_skipped(log, tail):
-    """One bad batch must not stop replay, and all readers must skip it alike."""
+    """An unreadable batch must not stop replay, and every reader must skip it."""
     log.archive.append(b"\xff" * 40)
     log.archive.append(b"")
     newer = _SCHEMA.Batch.new_message(author="n", sequence=1, records=[{}])
@@ -147,12 +147,12 @@
     add_submitted(log, 1, 300_000)
     tail.step()
     assert (tail.next_offset, tail.undecodable_batches) == (4, 2)
-    assert tail.state._image == replay(log)._image
+    assert tail.state._content == replay(log)._content
     assert tail.state.unknown_records == 3
 
 
 def test_relayed_batches_apply_only_in_order(log, tail):
-    """A relayed batch after a gap must wait, and a known one must not repeat."""
+    """A batch after a gap must not be applied, nor a known one applied again."""
     add_submitted(log, 3)
     heard = []
     tail.add_listener(lambda replayed: heard.append(replayed.offset))
@@ -164,7 +164,7 @@
 
 
 def test_faulty_listener_does_not_stop_replay(log, tail):
-    """Replay carries freshness; a listener's error must not end it."""
+    """An exception in a listener must not end replay, which keeps entries fresh."""
     heard = []
 
     def fail(replayed):
@@ -178,7 +178,7 @@
 
 
 def test_ring_is_bounded_and_without_gaps():
-    """Relay must not hand out a range with a hole or grow without bound."""
+    """The ring must not return a range with a gap, nor grow without bound."""
     ring = BatchRing(max_bytes=100)
     for offset in range(10):
         ring.add(offset, bytes([offset]) * 30)
@@ -200,20 +200,20 @@
     ids=["whole", "first chunk missing", "later chunk missing", "damaged"],
 )
 def test_torn_snapshots_are_never_used(log, client, build, is_found):
-    """An entry that starts from half a snapshot would lose requests."""
+    """An entry that starts from an incomplete snapshot would lose requests."""
     add_submitted(log, 30)
     covered = add_snapshot(log)
     add_submitted(log, 5)
     newer = build(log)
     add_submitted(log, 3)
     log.oldest = newer if is_found else covered
-    assert recover(client)._image == replay(log)._image
+    assert recover(client)._content == replay(log)._content
     log.oldest = newer
     assert isinstance(recover(client), RecoveryFailed) != is_found
 
 
 def test_interleaved_snapshots(log, client):
-    """Two holders of the duty may write at once; chunks must not be mixed."""
+    """Chunks of two snapshots written at the same time must not be mixed."""
     add_submitted(log, 30)
     snapshots = []
     for author in "ab":
@@ -226,11 +226,11 @@
         add(log, second, author="b")
         add_submitted(log, 1)
     log.oldest = 30
-    assert recover(client)._image == replay(log)._image
+    assert recover(client)._content == replay(log)._content
 
 
 def test_reader_behind_retention_starts_again(log, client, tail):
-    """A reader paused for longer than the retention must not stay behind."""
+    """A reader paused for longer than the retention must catch up."""
     add_submitted(log, 10)
     tail.step()
     add_submitted(log, 30)
@@ -240,27 +240,27 @@
     client.read_faults.extend(["", "down", "down", "down"])
     assert tail.step() > 0 and tail.resets == 0
     tail.step()
-    assert states == [tail.state] and tail.state._image == replay(log)._image
+    assert states == [tail.state] and tail.state._content == replay(log)._content
 
 
 @pytest.mark.parametrize("failing_read", [1, 2, 3, 4])
 def test_recovery_reports_an_unavailable_log(log, client, failing_read):
-    """A failed read must give a reason, not half a state."""
+    """A failed read must give a reason, not an incomplete state."""
     add_submitted(log, 30)
     log.oldest = add_snapshot(log)
     client.read_faults.extend(([""] * (failing_read - 1) + ["down"]) * 3)
     outcome = recover(client)
     if not isinstance(outcome, RecoveryFailed):
-        assert outcome._image == replay(log)._image
+        assert outcome._content == replay(log)._content
 
 
 def test_recovery_of_an_empty_log(client):
-    """The very first entry must start without a snapshot."""
+    """The first entry must start without a snapshot."""
     assert recover(client).next_offset == 0
 
 
 def test_snapshot_is_due_before_half_of_the_retention(log, tail, clock):
-    """A snapshot after half of the retention could come too late for a reader."""
+    """A snapshot started after half of the retention could be too late."""
 
     class NoWriter:
         author = "a"
@@ -279,7 +279,7 @@
     assert not snapshots.is_due()
     clock.now += 499
     assert snapshots.is_due()
-    # The alert on a snapshot that is overdue rests on this age.
+    # The alert on overdue snapshots uses this age.
     assert snapshots.age_s() == 499
     add_snapshot(log)
     tail.step()
@@ -291,7 +291,7 @@
 
 
 def test_snapshot_is_due_after_many_configuration_changes(log, tail, clock):
-    """Replay of many changes of a large configuration would delay a new entry."""
+    """Replay of many changes of a large configuration delays a starting entry."""
 
     class NoWriter:
         author = "a"
@@ -307,10 +307,10 @@
 
 
 def test_chunks_of_torn_snapshots_do_not_pile_up(log, client, tail):
-    """Guards against a large record for each try while the log refuses appends.
+    """Guards against queued chunks adding up while the log refuses appends.
 
-    A chunk whose wait ended during an attempt stayed in the queue, beside that of
-    the next snapshot.
+    A chunk whose wait timed out during an append stayed in the queue, and each new
+    snapshot added another.
     """
     timeout_s = 0.01
     add_submitted(log, 5)
--- a/libs/log/tests/test_writer.py
+++ b/libs/log/tests/test_writer.py
@@ -1,4 +1,4 @@
-"""Guards against lost, repeated and misreported records of the log writer."""
+"""Guards against records that the writer loses, repeats or misreports."""
 
 import random
 
@@ -81,7 +81,7 @@
     ids=str,
 )
 def test_record_takes_effect_once(log, process, faults, copies):
-    """A lost or delayed append must be neither forgotten nor applied twice."""
+    """A lost or delayed append must take effect exactly once."""
     process.client.append_faults.extend(faults)
     pending = process.append(submitted("q1"))
     process.settle()
@@ -94,7 +94,7 @@
 
 
 def test_lost_answer_is_repeated_until_replayed(log, process):
-    """A writer whose tail is cut off must repeat the same batch, not a new one."""
+    """While the tail cannot read, the writer must repeat the same batch."""
     process.client.append_faults.extend(["lost_answer", "lost_answer"])
     process.client.read_faults.append("down")
     first = process.append(submitted("q1"))
@@ -107,7 +107,7 @@
 
 
 def test_precondition_that_fails_is_reported(process):
-    """A record without effect must not look effective to its author."""
+    """A record without effect must not be reported as effective."""
     first, second = process.append(submitted("q1")), process.append(r.MemberLeft())
     process.settle()
     assert (first.wait(0), second.wait(0)) == (Effective(0), NoEffect(0))
@@ -128,7 +128,7 @@
 
 
 def test_requests_keep_a_part_of_each_batch(process):
-    """A long run of control records must not stop request records."""
+    """Many control records must not hold up request records."""
     for i in range(20):
         process.append(submitted(f"c{i}", 60_000), Priority.CONTROL)
     request = process.append(submitted("q1", 30_000))
@@ -138,7 +138,7 @@
 
 
 def test_commit_interval_bounds_the_batches(log, process):
-    """Each entry may append 20 batches a second; more would exceed the log."""
+    """An entry may append 20 batches a second; more would overload the log."""
     assert COMMIT_INTERVAL_S == 0.05
     end = process.clock.now + 1.0 - COMMIT_INTERVAL_S / 2
     while process.clock.now < end:
@@ -149,7 +149,7 @@
 
 
 def test_not_written_has_proof(log, process):
-    """``NotWritten`` must never be said of a record that is in the log."""
+    """``NotWritten`` must never be reported for a record that is in the log."""
     process.client.append_faults.extend(["down"] * 2 + ["lost_answer"] * 100)
     refused = process.append(submitted("q1"))
     process.writer.step()
@@ -166,10 +166,10 @@
 
 
 def test_record_given_up_while_it_is_sent_is_not_sent_again(log, process):
-    """A waiter that appends again must not leave the earlier copy in the queue.
+    """A caller that appends again must not leave the earlier copy in the queue.
 
-    In an outage each copy whose wait ended during an attempt stayed, and all were
-    written afterwards.
+    During an outage each copy whose wait timed out during an append stayed queued,
+    and all were written afterwards.
     """
     append = process.client.append
     outcomes = []
@@ -192,7 +192,7 @@
 
 
 def test_log_with_a_smaller_limit(log, process):
-    """A log that takes smaller records must not block the queue forever."""
+    """A log with a smaller batch limit must not block the queue forever."""
     process.client.append_faults.extend(["too_large"])
     small = [process.append(submitted(f"q{i}", 50_000)) for i in range(4)]
     process.settle()
@@ -205,7 +205,7 @@
 
 
 def test_record_that_cannot_be_encoded(process):
-    """One bad record must not stop the others of its batch or the writer."""
+    """One invalid record must not stop the writer or the rest of its batch."""
     before = process.append(submitted("q1"))
     bad = process.append(r.GrantRequested("t", -1))
     after = process.append(submitted("q2"))
@@ -225,7 +225,7 @@
 
 
 def test_snapshot_that_skips_a_batch_ends_its_repetition(log, process):
-    """A batch replayed before the snapshot in use must not be repeated forever."""
+    """A batch covered by the snapshot in use must not be repeated forever."""
     process.client.append_faults.append("lost_answer")
     pending = process.append(submitted("q1"))
     process.writer.step()
@@ -259,7 +259,7 @@
     st.lists(st.text(max_size=20), max_size=20),
 )
 def test_size_bound_covers_encoding(text, data, pools):
-    """A batch over the log's limit would be refused as a whole."""
+    """The estimated size must not be too small: the log refuses larger batches."""
     wave = r.WaveCommand(text, r.WaveState.ABSENT, r.WaveState.RUNNING, tuple(pools))
     records = (
         r.RequestSubmitted(text, text, text, data, True, text, data),
--- a/libs/state/src/lycheeloom/state/__init__.py
+++ b/libs/state/src/lycheeloom/state/__init__.py
@@ -1,4 +1,4 @@
-"""Deterministic replay of the log into fleet state."""
+"""The replicated fleet state, built by replaying the log deterministically."""
 
 from .fleet_state import AppliedBatch, FleetState
 from .maintenance import HealthState, Move, Wave
--- a/libs/state/src/lycheeloom/state/configuration.py
+++ b/libs/state/src/lycheeloom/state/configuration.py
@@ -14,7 +14,7 @@
 )
 from lycheeloom.model.records import ConfigChanged
 
-# Changes kept for telling an operator who published what.
+# The latest changes are kept so that operators can see who published what.
 HISTORY_LENGTH = 100
 
 
@@ -30,17 +30,22 @@
 
 @dataclass(slots=True)
 class Configuration:
-    """The document in force; kept as published, with fields of newer programs."""
+    """The document in force and its latest changes.
+
+    The document is kept as published, including fields that only newer program
+    versions know.
+    """
 
     version: int = 0
     document: dict[str, Any] = field(default_factory=dict)
     history: list[ConfigChange] = field(default_factory=list)
 
-    def propose(
+    def prepare_change(
         self, record: ConfigChanged, config: FleetConfig
     ) -> tuple[dict, FleetConfig] | None:
-        """Return the changed document and configuration, or None if invalid.
+        """Return the document and configuration after a change.
 
+        Returns None if the change was made from another version or is invalid.
         ``config`` is the configuration in force.
         """
         if record.expected_version != self.version:
@@ -55,8 +60,8 @@
             return None
         return document, changed
 
-    def adopt(self, offset: int, record: ConfigChanged, document: dict) -> None:
-        """Put a proposed document in force."""
+    def commit_change(self, offset: int, record: ConfigChanged, document: dict) -> None:
+        """Put the document of a prepared change in force as the next version."""
         self.version += 1
         self.document = document
         self.history.append(
--- a/libs/state/src/lycheeloom/state/duties.py
+++ b/libs/state/src/lycheeloom/state/duties.py
@@ -1,4 +1,8 @@
-"""Duties that one process does for all, claimed with an epoch."""
+"""Duties: background work that exactly one process does at a time.
+
+A process holds a duty as a lease in the log. Each takeover raises the epoch, which
+fences records of earlier holders.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +13,10 @@
 
 @dataclass(slots=True)
 class DutyState:
-    """The holder of a duty and the offset of its last claim or renewal."""
+    """The holder of a duty.
+
+    ``renewed_at`` is the offset of its last claim or renewal.
+    """
 
     holder: str = ""
     epoch: int = 0
@@ -23,14 +30,15 @@
     state_by_duty: dict[Duty, DutyState] = field(default_factory=dict)
 
     def of(self, duty: Duty) -> DutyState:
-        """Return the state of a duty; epoch 0 means never claimed."""
+        """Return the state of a duty; its epoch is 0 if it was never claimed."""
         return self.state_by_duty.get(duty) or DutyState()
 
     def claim(self, offset: int, author: str, record: DutyClaimed) -> bool:
-        """Renew the author's claim, or take over one that was not renewed.
+        """Renew the author's claim, or let the author take the duty over.
 
-        A takeover names the last renewal it has seen, so that a holder that
-        renewed in the meantime keeps the duty.
+        A takeover names the last renewal that its author has seen, so that a
+        holder that has renewed since then keeps the duty. Returns whether the
+        claim took effect.
         """
         state = self.state_by_duty.setdefault(record.duty, DutyState())
         if record.expected_epoch != state.epoch:
@@ -45,7 +53,7 @@
         state.renewed_at = offset
         return True
 
-    def is_current(self, duty: Duty, author: str, epoch: int) -> bool:
+    def is_current_holder(self, duty: Duty, author: str, epoch: int) -> bool:
         """Tell whether the author holds a duty under this epoch."""
         state = self.of(duty)
         return state.holder == author and state.epoch == epoch
--- a/libs/state/src/lycheeloom/state/grants.py
+++ b/libs/state/src/lycheeloom/state/grants.py
@@ -1,8 +1,8 @@
-"""Running slots of each organisation, divided among entry incarnations.
+"""Grants: running slots of each organisation, divided among entry incarnations.
 
-The sum of an organisation's grants never grows beyond its upper limit. It may exceed a
-limit that was lowered; then nothing is granted and no task of the organisation starts
-until enough grants were returned.
+The sum of an organisation's grants never grows beyond its upper limit. After the limit
+is lowered the sum may exceed it; then nothing is granted and no task of the
+organisation starts until enough slots are returned.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 @dataclass(slots=True)
 class OrganisationGrants:
-    """Grants and unmet requests of one organisation, by incarnation."""
+    """Granted slots and unmet requests of one organisation, by incarnation."""
 
     limit: int = 0
     count_by_holder: dict[str, int] = field(default_factory=dict)
@@ -29,20 +29,20 @@
         return self.count_by_holder.get(holder, 0)
 
     def request(self, holder: str, count: int) -> None:
-        """Record a holder's demand and grant what is free."""
+        """Replace a holder's unmet request and grant free slots."""
         self.unmet_by_holder.pop(holder, None)
         if count > 0:
             self.unmet_by_holder[holder] = count
         self.distribute()
 
     def give_back(self, holder: str, count: int) -> bool:
-        """Return ``count`` slots of a holder that has as many."""
+        """Return ``count`` slots of a holder; has no effect if it has fewer."""
         held = self.count_by_holder.get(holder, 0)
         if count <= 0 or held < count:
             return False
-        self._set(holder, held - count)
-        # A holder that returns slots has no unmet demand; without this rule the
-        # slots could go straight back to it.
+        self._set_count(holder, held - count)
+        # A holder that returns slots needs no more; with its request kept, the
+        # slots could be granted to it again at once.
         self.unmet_by_holder.pop(holder, None)
         self.distribute()
         return True
@@ -53,25 +53,25 @@
         self.unmet_by_holder.pop(holder, None)
         self.distribute()
 
-    def forget_demand(self, holder: str) -> None:
-        """Drop the unmet request of a holder that was expelled."""
+    def drop_unmet_requests(self, holder: str) -> None:
+        """Drop the unmet request of an expelled holder."""
         self.unmet_by_holder.pop(holder, None)
 
     def distribute(self) -> None:
-        """Give free slots to unmet requests, oldest request first."""
+        """Grant free slots to unmet requests, oldest first."""
         free = self.limit - self.total()
         for holder, wanted in list(self.unmet_by_holder.items()):
             if free <= 0:
                 return
             given = min(free, wanted)
-            self._set(holder, self.count_by_holder.get(holder, 0) + given)
+            self._set_count(holder, self.count_by_holder.get(holder, 0) + given)
             free -= given
             if given == wanted:
                 del self.unmet_by_holder[holder]
                 continue
             self.unmet_by_holder[holder] = wanted - given
 
-    def _set(self, holder: str, count: int) -> None:
+    def _set_count(self, holder: str, count: int) -> None:
         if count:
             self.count_by_holder[holder] = count
             return
@@ -85,7 +85,7 @@
     grants_by_organisation: dict[str, OrganisationGrants] = field(default_factory=dict)
 
     def of(self, organisation: str) -> OrganisationGrants:
-        """Return the grants of an organisation; 0 if it is not configured."""
+        """Return the grants of an organisation; none if it is not configured."""
         return self.grants_by_organisation.get(organisation) or OrganisationGrants()
 
     def set_limits(self, limit_by_organisation: dict[str, int]) -> None:
@@ -102,7 +102,7 @@
             grants.distribute()
 
     def request(self, holder: str, organisation: str, count: int) -> bool:
-        """Ask for slots; has no effect for an unknown organisation."""
+        """Request slots; has no effect for an unknown organisation."""
         grants = self.grants_by_organisation.get(organisation)
         if grants is None:
             return False
@@ -119,7 +119,7 @@
         for grants in self.grants_by_organisation.values():
             grants.release_all(holder)
 
-    def forget_demand(self, holder: str) -> None:
-        """Drop the unmet requests of a holder that was expelled."""
+    def drop_unmet_requests(self, holder: str) -> None:
+        """Drop the unmet requests of an expelled holder."""
         for grants in self.grants_by_organisation.values():
-            grants.forget_demand(holder)
+            grants.drop_unmet_requests(holder)
--- a/libs/state/src/lycheeloom/state/maintenance.py
+++ b/libs/state/src/lycheeloom/state/maintenance.py
@@ -14,7 +14,7 @@
     WaveState,
 )
 
-_ENDED = frozenset({MoveStage.JOINED, MoveStage.ABANDONED})
+_ENDED_STAGES = frozenset({MoveStage.JOINED, MoveStage.ABANDONED})
 _NEXT_STAGES: Mapping[MoveStage, frozenset[MoveStage]] = {
     MoveStage.PLANNED: frozenset({MoveStage.DRAINING, MoveStage.ABANDONED}),
     MoveStage.DRAINING: frozenset({MoveStage.DRAINED, MoveStage.ABANDONED}),
@@ -23,7 +23,7 @@
     MoveStage.JOINED: frozenset(),
     MoveStage.ABANDONED: frozenset(),
 }
-_ENDED_WAVES = frozenset({WaveState.DONE, WaveState.ABORTED})
+_ENDED_WAVE_STATES = frozenset({WaveState.DONE, WaveState.ABORTED})
 _ALLOWED_WAVE_CHANGES = frozenset(
     {
         (WaveState.ABSENT, WaveState.RUNNING),
@@ -38,7 +38,10 @@
 
 @dataclass(slots=True)
 class Move:
-    """The last move of one instance, ended or in progress."""
+    """The latest move of one instance to a pool, ended or in progress.
+
+    ``changed_at`` is the offset of the last change of stage.
+    """
 
     move_id: str
     stage: MoveStage
@@ -48,13 +51,13 @@
     changed_at: int
 
     def is_ended(self) -> bool:
-        """Tell whether another move of the instance may begin."""
-        return self.stage in _ENDED
+        """Tell whether the move has ended, so that another may begin."""
+        return self.stage in _ENDED_STAGES
 
 
 @dataclass(slots=True)
 class HealthState:
-    """The last health decision about an instance."""
+    """The latest health decision about an instance, made at offset ``changed_at``."""
 
     health: Health
     reason: str
@@ -63,9 +66,9 @@
 
 @dataclass(slots=True)
 class WaveCounts:
-    """Instances of a wave by what became of them.
+    """How many instances of a wave there are, are done and have failed.
 
-    ``open_moves`` has the id of each move in progress, by instance.
+    ``open_moves`` has the ids of the moves in progress, by instance.
     """
 
     total: int = 0
@@ -73,8 +76,8 @@
     failed: int = 0
     open_moves: dict[str, str] = field(default_factory=dict)
 
-    def settle(self, instance: str, move: Move) -> None:
-        """Count the end of a move that was in progress."""
+    def count_ended_move(self, instance: str, move: Move) -> None:
+        """Count a move that has ended; ignores moves not in ``open_moves``."""
         if self.open_moves.get(instance) != move.move_id:
             return
         del self.open_moves[instance]
@@ -88,8 +91,9 @@
 class Wave:
     """A maintenance wave over pools; no pools means all.
 
-    ``counts_at_end`` is taken when the wave ends, as later moves of its
-    instances belong to other waves; snapshots of older versions lack it.
+    ``started_at`` is an offset. ``counts_at_end`` is taken when the wave ends, as
+    later moves of its instances belong to other waves; snapshots of older program
+    versions lack it.
     """
 
     wave_id: str
@@ -104,18 +108,18 @@
 
 @dataclass(slots=True)
 class Maintenance:
-    """Where each instance is and what is being done with it."""
+    """The pool, latest move and health of each instance, and all waves."""
 
     pool_by_instance: dict[str, str] = field(default_factory=dict)
     move_by_instance: dict[str, Move] = field(default_factory=dict)
     health_by_instance: dict[str, HealthState] = field(default_factory=dict)
     wave_by_id: dict[str, Wave] = field(default_factory=dict)
 
-    def adopt_instances(self, wanted_pool_by_instance: Mapping[str, str]) -> None:
-        """Put new instances into their wanted pools and forget removed ones."""
-        for instance, pool in wanted_pool_by_instance.items():
+    def sync_instances(self, configured_pool_by_instance: Mapping[str, str]) -> None:
+        """Add new instances to their configured pools and drop removed ones."""
+        for instance, pool in configured_pool_by_instance.items():
             self.pool_by_instance.setdefault(instance, pool)
-        for instance in set(self.pool_by_instance) - set(wanted_pool_by_instance):
+        for instance in set(self.pool_by_instance) - set(configured_pool_by_instance):
             del self.pool_by_instance[instance]
             self.move_by_instance.pop(instance, None)
             self.health_by_instance.pop(instance, None)
@@ -123,7 +127,7 @@
                 counts.open_moves.pop(instance, None)
 
     def pools_in_use(self, instances: Iterable[str]) -> set[str]:
-        """Return the pools that hold or are about to hold these instances."""
+        """Return the pools that these instances are in or are moving to."""
         pools = set()
         for instance in instances:
             if instance in self.pool_by_instance:
@@ -133,13 +137,13 @@
                 pools.add(move.to_pool)
         return pools
 
-    def step(self, offset: int, record: MoveStep, pools: Iterable[str]) -> bool:
-        """Advance a move by one stage; the last one changes the pool."""
+    def advance_move(self, offset: int, record: MoveStep, pools: Iterable[str]) -> bool:
+        """Advance a move by one stage; stage ``JOINED`` changes the pool."""
         if record.instance not in self.pool_by_instance:
             return False
         move = self.move_by_instance.get(record.instance)
         if record.stage is MoveStage.PLANNED:
-            return self._plan(offset, record, move, pools)
+            return self._plan_move(offset, record, move, pools)
         if move is None or move.move_id != record.move_id:
             return False
         if record.stage not in _NEXT_STAGES[move.stage]:
@@ -155,11 +159,11 @@
             self.pool_by_instance[record.instance] = move.to_pool
         if move.is_ended():
             for counts in self._counts_at_end():
-                counts.settle(record.instance, move)
+                counts.count_ended_move(record.instance, move)
         return True
 
     def set_health(self, offset: int, record: InstanceHealth) -> bool:
-        """Keep a health decision about a known instance."""
+        """Store a health decision; has no effect for an unknown instance."""
         if record.instance not in self.pool_by_instance:
             return False
         self.health_by_instance[record.instance] = HealthState(
@@ -168,7 +172,7 @@
         return True
 
     def command_wave(self, offset: int, record: WaveCommand) -> bool:
-        """Change a wave whose state is the one the operator has seen."""
+        """Start or change a wave if its state is the one the operator expects."""
         wave = self.wave_by_id.get(record.wave_id)
         current = wave.state if wave is not None else WaveState.ABSENT
         if record.expected is not current:
@@ -177,7 +181,7 @@
             return False
         if wave is not None:
             wave.state = record.wanted
-            if wave.state in _ENDED_WAVES:
+            if wave.state in _ENDED_WAVE_STATES:
                 wave.counts_at_end = self.count_wave(wave)
             return True
         self.wave_by_id[record.wave_id] = Wave(
@@ -192,10 +196,10 @@
         return True
 
     def count_wave(self, wave: Wave) -> WaveCounts:
-        """Count the instances of a wave by their last moves since it started.
+        """Count the instances of a wave by their latest moves since it started.
 
-        Of a wave that has ended, only the moves that were in progress then are
-        still followed.
+        After a wave has ended, only the moves that were in progress at its end are
+        still counted.
         """
         if wave.counts_at_end is not None:
             return wave.counts_at_end
@@ -209,7 +213,7 @@
                 continue
             counts.open_moves[instance] = move.move_id
             if move.is_ended():
-                counts.settle(instance, move)
+                counts.count_ended_move(instance, move)
         return counts
 
     def _counts_at_end(self) -> Iterator[WaveCounts]:
@@ -217,7 +221,7 @@
             if wave.counts_at_end is not None:
                 yield wave.counts_at_end
 
-    def _plan(
+    def _plan_move(
         self, offset: int, record: MoveStep, move: Move | None, pools: Iterable[str]
     ) -> bool:
         if move is not None and not move.is_ended():
--- a/libs/state/src/lycheeloom/state/members.py
+++ b/libs/state/src/lycheeloom/state/members.py
@@ -1,4 +1,4 @@
-"""Entry incarnations on record, votes against them and their expulsion."""
+"""Membership of entry incarnations: joining, votes to expel and expulsion."""
 
 from __future__ import annotations
 
@@ -9,7 +9,11 @@
 
 @dataclass(slots=True)
 class Member:
-    """One incarnation of an entry; ``expelled_at`` is an offset."""
+    """One incarnation of an entry.
+
+    ``joined_at`` and ``expelled_at`` are offsets; ``votes`` has the incarnations
+    that vote to expel it.
+    """
 
     incarnation: str
     instance: str
@@ -23,7 +27,7 @@
 
 @dataclass(slots=True)
 class Members:
-    """All incarnations whose grants are not yet free."""
+    """All members, and expelled ones until their grants are reclaimed."""
 
     member_by_incarnation: dict[str, Member] = field(default_factory=dict)
 
@@ -41,14 +45,14 @@
         return member is not None and member.expelled_at is None
 
     def join(self, offset: int, record: MemberJoined) -> bool:
-        """Add a member; older incarnations on the instance are expelled."""
+        """Add a member and expel older incarnations on the same instance."""
         if record.incarnation in self.member_by_incarnation:
             return False
         for member in self.active():
             if member.instance != record.instance:
                 continue
             member.expelled_at = offset
-            self._forget_voter(member.incarnation)
+            self._discard_votes_by(member.incarnation)
         self.member_by_incarnation[record.incarnation] = Member(
             record.incarnation,
             record.instance,
@@ -60,7 +64,10 @@
         return True
 
     def vote(self, offset: int, author: str, record: MemberVote) -> bool:
-        """Count a vote; a majority or proof that the instance is gone expels."""
+        """Count a vote to expel.
+
+        A majority expels the target, and so does one vote with reason ``GONE``.
+        """
         if not (self.is_active(author) and self.is_active(record.target)):
             return False
         if author == record.target:
@@ -70,25 +77,25 @@
         is_majority = 2 * len(target.votes) > len(self.active())
         if record.reason is VoteReason.GONE or is_majority:
             target.expelled_at = offset
-            self._forget_voter(target.incarnation)
+            self._discard_votes_by(target.incarnation)
         return True
 
     def refute(self, author: str) -> bool:
-        """Clear the votes against a member that is not expelled."""
+        """Clear the votes against the author, unless it is expelled."""
         if not self.is_active(author):
             return False
         self.member_by_incarnation[author].votes.clear()
         return True
 
     def leave(self, author: str) -> bool:
-        """Remove a member that ended its last task."""
+        """Remove a member that has no running task left."""
         if not self.is_active(author):
             return False
         self._remove(author)
         return True
 
     def reclaim(self, target: str, expelled_at: int) -> bool:
-        """Remove a member expelled at exactly that offset."""
+        """Remove a member that was expelled at offset ``expelled_at``."""
         member = self.member_by_incarnation.get(target)
         if member is None or member.expelled_at is None:
             return False
@@ -99,8 +106,8 @@
 
     def _remove(self, incarnation: str) -> None:
         del self.member_by_incarnation[incarnation]
-        self._forget_voter(incarnation)
+        self._discard_votes_by(incarnation)
 
-    def _forget_voter(self, incarnation: str) -> None:
+    def _discard_votes_by(self, incarnation: str) -> None:
         for member in self.member_by_incarnation.values():
             member.votes.discard(incarnation)
--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -1,8 +1,8 @@
-"""Recorded requests: where their bodies and answers lie, and who runs them.
+"""Recorded requests: their status, holder and the offsets of body and answer.
 
-Bodies and answers stay in the log; the state keeps offsets. Appending the same
-submission or the same answer again moves its offset, which is how records are
-kept beyond the log's retention.
+Bodies and answers stay in the log; the state keeps their offsets. Appending the
+same submission or answer again updates its offset, which keeps the record beyond the
+log's retention.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 
 class RequestStatus(StrEnum):
-    """Stage of a recorded request."""
+    """Status of a recorded request."""
 
     PENDING = "pending"
     CLAIMED = "claimed"
@@ -32,9 +32,14 @@
 
 @dataclass(slots=True)
 class RecordedRequest:
-    """A request that survives the loss of every entry."""
+    """A request recorded in the log, so that it survives the loss of every entry.
 
-    # A digest is rarely valid UTF-8, which is how bytes become JSON by default.
+    ``body_offset``, ``submitted_at``, ``answer_offset`` and ``finished_at`` are
+    offsets; ``submitted_by`` and ``holder`` are incarnations.
+    """
+
+    # Pydantic writes bytes to JSON as UTF-8 by default, and a digest is rarely valid
+    # UTF-8.
     __pydantic_config__ = ConfigDict(ser_json_bytes="base64", val_json_bytes="base64")
 
     request_id: str
@@ -63,7 +68,7 @@
 
 @dataclass(slots=True)
 class Requests:
-    """All recorded requests whose answers are still kept."""
+    """Recorded requests that are unfinished or whose answer has not expired."""
 
     request_by_id: dict[str, RecordedRequest] = field(default_factory=dict)
     id_by_key: dict[str, str] = field(default_factory=dict)
@@ -71,12 +76,12 @@
     claimed: dict[str, None] = field(default_factory=dict)
 
     def find_by_key(self, organisation: str, key: str) -> RecordedRequest | None:
-        """Return the request an organisation submitted under an idempotency key."""
-        request_id = self.id_by_key.get(_key(organisation, key))
+        """Return the request that an organisation submitted with an idempotency key."""
+        request_id = self.id_by_key.get(_scoped_key(organisation, key))
         return self.request_by_id.get(request_id) if request_id else None
 
     def submit(self, offset: int, author: str, record: RequestSubmitted) -> bool:
-        """Add a request, or move the body offset of a known one."""
+        """Add a request, or update the body offset of a known one."""
         known = self.request_by_id.get(record.request_id)
         if known is not None:
             if known.body_digest != record.body_digest:
@@ -84,7 +89,7 @@
             known.body_offset = offset
             return True
         if record.idempotency_key:
-            key = _key(record.organisation, record.idempotency_key)
+            key = _scoped_key(record.organisation, record.idempotency_key)
             if key in self.id_by_key:
                 return False
             self.id_by_key[key] = record.request_id
@@ -136,7 +141,7 @@
         return True
 
     def finish(self, offset: int, record: RequestFinished) -> bool:
-        """Keep an answer, or move the offset of the one that is kept."""
+        """Finish a claimed request, or update the offset of its kept answer."""
         request = self.request_by_id.get(record.request_id)
         if request is None or request.attempt != record.attempt:
             return False
@@ -148,21 +153,21 @@
         if request.status is not RequestStatus.CLAIMED:
             return False
         del self.claimed[record.request_id]
-        self._end(request, offset, record.outcome)
+        self._mark_finished(request, offset, record.outcome)
         request.answer_offset = offset
         return True
 
     def cancel(self, offset: int, request_id: str) -> bool:
-        """End a pending request as not run."""
+        """Finish a pending request as not run."""
         request = self.request_by_id.get(request_id)
         if request is None or request.status is not RequestStatus.PENDING:
             return False
         del self.pending[request_id]
-        self._end(request, offset, Outcome.NOT_RUN)
+        self._mark_finished(request, offset, Outcome.NOT_RUN)
         return True
 
     def expire(self, through_offset: int, queue: str) -> None:
-        """Drop answers finished at or below an offset, of one queue or all."""
+        """Drop requests finished at or before an offset, of one queue or of all."""
         for request in list(self.request_by_id.values()):
             if request.finished_at is None or request.finished_at > through_offset:
                 continue
@@ -170,20 +175,24 @@
                 continue
             del self.request_by_id[request.request_id]
             if request.idempotency_key:
-                del self.id_by_key[_key(request.organisation, request.idempotency_key)]
+                del self.id_by_key[
+                    _scoped_key(request.organisation, request.idempotency_key)
+                ]
 
     def find_claim(self, request_id: str, attempt: int) -> RecordedRequest | None:
-        """Return a request that is claimed under this attempt."""
+        """Return the request if it is claimed with this attempt number."""
         request = self.request_by_id.get(request_id)
         if request is None or request.status is not RequestStatus.CLAIMED:
             return None
         return request if request.attempt == attempt else None
 
-    def _end(self, request: RecordedRequest, offset: int, outcome: Outcome) -> None:
+    def _mark_finished(
+        self, request: RecordedRequest, offset: int, outcome: Outcome
+    ) -> None:
         request.status = RequestStatus.FINISHED
         request.outcome = outcome
         request.finished_at = offset
 
 
-def _key(organisation: str, key: str) -> str:
+def _scoped_key(organisation: str, key: str) -> str:
     return f"{organisation}\n{key}"
--- a/libs/state/tests/test_fleet_state.py
+++ b/libs/state/tests/test_fleet_state.py
@@ -1,4 +1,4 @@
-"""Guards the preconditions of records and the invariants of replay."""
+"""Guards against records with unmet preconditions and against uneven replay."""
 
 import json
 
@@ -27,7 +27,7 @@
 
 
 class Log:
-    """Applies single-record batches with correct offsets and sequences."""
+    """Applies single-record batches with consecutive offsets and sequences."""
 
     def __init__(self):
         self.state = FleetState()
@@ -37,9 +37,9 @@
     def append(self, author, record):
         sequence = self.sequences.get(author, 0) + 1
         self.sequences[author] = sequence
-        return self.repeat(Batch(author, sequence, (record,)))
+        return self.apply_batch(Batch(author, sequence, (record,)))
 
-    def repeat(self, batch):
+    def apply_batch(self, batch):
         self.batches.append(batch)
         applied = self.state.apply(self.state.next_offset, batch)
         return applied.effective[0]
@@ -54,7 +54,8 @@
     return log
 
 
-# Like most digests not valid UTF-8, which once kept snapshots from being written.
+# Not valid UTF-8, like most digests; snapshots with such digests failed to be
+# written.
 DIGEST = b"\xff\x00d"
 
 
@@ -66,7 +67,7 @@
 
 
 def test_config_needs_expected_version(log):
-    """Of two operators racing from one version only the first wins."""
+    """If two operators change the same version, only the first must take effect."""
     patch = json.dumps({"name": "x"})
     assert log.append("op1", r.ConfigChanged(1, patch, "one"))
     assert not log.append("op2", r.ConfigChanged(1, patch, "two"))
@@ -78,13 +79,13 @@
     "patch", ["{", json.dumps({"pools": {"p": None}}), json.dumps({"organisations": 3})]
 )
 def test_invalid_config_has_no_effect(log, patch):
-    """A broken patch, or one that removes a pool in use, must change nothing."""
+    """An invalid patch, or one that removes a pool in use, must change nothing."""
     assert not log.append("op", r.ConfigChanged(1, patch))
     assert log.state.config.version == 1
 
 
 def test_unknown_config_fields_are_kept(log):
-    """An older program must not drop a newer program's optional field."""
+    """An older program version must keep the optional fields of a newer one."""
     log.append("op", r.ConfigChanged(1, json.dumps({"zones": {"z1": {"new": 7}}})))
     restored = FleetState.load_snapshot(log.state.dump_snapshot())
     assert restored.configuration.document["zones"]["z1"]["new"] == 7
@@ -93,13 +94,13 @@
 def test_repeated_batch_has_one_effect(log):
     """An append repeated after a lost answer must not grant twice."""
     batch = Batch("a", 50, (r.GrantRequested("t", 3),))
-    assert log.repeat(batch)
-    assert not log.repeat(batch)
+    assert log.apply_batch(batch)
+    assert not log.apply_batch(batch)
     assert log.state.grants.of("t").usable("a") == 3
 
 
 def test_grants_never_exceed_the_limit(log):
-    """Demand above the limit waits until another holder returns slots."""
+    """A request above the limit must wait until another holder returns slots."""
     log.append("a", r.GrantRequested("t", 7))
     log.append("b", r.GrantRequested("t", 7))
     grants = log.state.grants.of("t")
@@ -111,7 +112,7 @@
 
 
 def test_lowered_limit_stops_starts_until_grants_fit(log):
-    """After a limit is lowered no holder may start above it."""
+    """After the limit is lowered, no task may start until the grants fit it."""
     log.append("a", r.GrantRequested("t", 6))
     patch = json.dumps({"organisations": {"t": {"upper_limit": 4}}})
     log.append("op", r.ConfigChanged(1, patch))
@@ -122,7 +123,7 @@
 
 
 def test_majority_expels_and_reclaim_needs_the_offset(log):
-    """A dead holder's grants return only after expulsion and reclaim."""
+    """A dead holder's grants must become free only after expulsion and reclaim."""
     log.append("c", r.GrantRequested("t", 10))
     log.append("a", r.MemberVote("c", VoteReason.SILENT))
     assert log.state.members.is_active("c")
@@ -136,7 +137,7 @@
 
 
 def test_refuted_votes_are_cleared(log):
-    """Votes from before a member was heard again must not add up later."""
+    """Votes from before a member was heard again must not count later."""
     log.append("a", r.MemberVote("c", VoteReason.SILENT))
     log.append("c", r.MemberRefuted())
     log.append("b", r.MemberVote("c", VoteReason.SILENT))
@@ -144,21 +145,21 @@
 
 
 def test_new_incarnation_expels_the_old_one(log):
-    """A restarted process must not leave its old incarnation a member."""
+    """After a restart the old incarnation must no longer be a member."""
     log.append("c2", r.MemberJoined("i-c", "c2", "127.0.0.1:1", "z1"))
     assert not log.state.members.is_active("c")
     assert not log.append("c", r.GrantRequested("t", 1))
 
 
 def test_idempotency_key_is_taken_once(log):
-    """The same key through another entry must not submit twice."""
+    """The same key sent to another entry must not submit a second request."""
     assert submit(log, "q1", "k")
     assert not submit(log, "q2", "k")
     assert log.state.requests.find_by_key("t", "k").request_id == "q1"
 
 
 def test_one_claim_for_each_attempt(log):
-    """Two entries claiming one request must not both start it."""
+    """Two entries that claim one request must not both start it."""
     submit(log)
     assert log.append("a", r.RequestClaimed("q1", 1, "w1", "boot"))
     assert not log.append("b", r.RequestClaimed("q1", 1, "w1", "boot"))
@@ -171,7 +172,7 @@
 
 
 def test_checkpoint_is_kept_for_the_next_attempt(log):
-    """The entry that takes a released request over must go on, not start afresh."""
+    """The next attempt must resume from the checkpoint, not start afresh."""
     submit(log)
     log.append("a", r.RequestClaimed("q1", 1, "w1", "boot"))
     log.append("a", r.RequestReleased("q1", 1, "half"))
@@ -181,7 +182,7 @@
 
 
 def test_another_member_decides_only_after_reclaim(log):
-    """A paused holder's claim must not be released while it may still start."""
+    """A paused holder's claim must not be released while it may start the task."""
     submit(log)
     log.append("c", r.RequestClaimed("q1", 1, "w1", "boot"))
     log.append("a", r.MemberVote("c", VoteReason.GONE))
@@ -192,7 +193,7 @@
 
 
 def test_duty_takeover_needs_the_last_renewal(log):
-    """A holder that renewed in time must not lose its duty."""
+    """A holder that has renewed in time must not lose its duty."""
     duty = r.Duty.MAINTENANCE
     assert log.append("x", r.DutyClaimed(duty, 0, 0))
     seen = log.state.duties.of(duty).renewed_at
@@ -205,7 +206,7 @@
 
 
 def test_move_changes_the_pool_once_at_the_end(log):
-    """An instance is in its old pool until the last stage of its move."""
+    """An instance must stay in its old pool until the last stage of its move."""
     log.append("x", r.DutyClaimed(r.Duty.MAINTENANCE, 0))
     pools = log.state.maintenance.pool_by_instance
 
@@ -225,7 +226,7 @@
 
 
 def test_wave_command_needs_the_expected_state(log):
-    """An operator who missed a pause must not resume or abort unknowingly."""
+    """An operator who has not seen a pause must not resume or abort the wave."""
     start = r.WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING)
     assert log.append("op", start)
     assert not log.append("op", start)
@@ -235,7 +236,7 @@
 
 
 def test_expired_answers_free_their_key(log):
-    """Kept answers are bounded by the declared time of each queue."""
+    """Expiry must drop answers of the given queue only and free their keys."""
     submit(log, "q1", "k")
     log.append("a", r.RequestCancelled("q1"))
     through = log.state.next_offset
@@ -249,7 +250,7 @@
 
 
 def test_snapshot_equals_replay(log):
-    """A reader that starts from a snapshot must agree with one that replayed."""
+    """A state restored from a snapshot must equal one replayed from the log."""
     submit(log, "q1", "k")
     log.append("b", r.GrantRequested("t", 3))
     snapshot = log.state.dump_snapshot()
@@ -262,12 +263,12 @@
 
 
 def test_damaged_snapshot_is_rejected(log):
-    """Damaged bytes must not become a state."""
+    """A damaged snapshot must not be loaded."""
     with pytest.raises(ValueError):
         FleetState.load_snapshot(log.state.dump_snapshot()[:-9])
 
 
 def test_offsets_must_follow(log):
-    """A gap in replay would make two readers differ."""
+    """A skipped offset would make two readers differ."""
     with pytest.raises(ValueError, match="is not"):
         log.state.apply(log.state.next_offset + 1, Batch("a", 99, ()))
