--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -73,7 +73,7 @@
         self._apply_reached_confirmations()
 
     def add_position(self, peer: str, read_at: float, next_offset: int) -> None:
-        """Add that at ``read_at`` or later a peer read the log up to ``next_offset``."""
+        """Add that at ``read_at`` or later a peer had read up to ``next_offset``."""
         positions = self._positions_by_peer.setdefault(
             peer, deque(maxlen=MAX_PENDING_PER_PEER)
         )
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -184,7 +184,5 @@
         if answer.sender != self.peer:
             # Another incarnation now listens at this address; its answers are no
             # evidence about the member that this link is for.
-            raise PeerConnectionError(
-                f"expected an answer of {self.peer}, not of {answer.sender}"
-            )
+            raise PeerConnectionError(f"answered by incarnation {answer.sender}")
         return answer.body
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -74,9 +74,9 @@
     assert server.view("a").heard_at == server.clock.now
     stranger = connection.call(PeerMessage("x", Heartbeat(78, 0, 0, 0)), 1.0)
     assert stranger.body.echo_us == 0
-    server.withheld.add("a")
-    withheld = connection.call(PeerMessage("a", Heartbeat(79, 0, 0, 0)), 1.0)
-    assert withheld.body.echo_us == 0
+    server.unconfirmed_peers.add("a")
+    unconfirmed = connection.call(PeerMessage("a", Heartbeat(79, 0, 0, 0)), 1.0)
+    assert unconfirmed.body.echo_us == 0
     connection.close()
 
 
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -64,7 +64,7 @@
         if self._is_full(pending.priority):
             self._drop_settled()
         if self._is_full(pending.priority):
-            pending.settle(NotWritten("the queue of unsent records is full"))
+            pending.settle(NotWritten("queue of unsent records is full"))
             return
         self._waiting[pending.priority].append(pending)
         self._queued_bytes += pending.size_bytes
--- a/libs/state/src/lycheeloom/state/grants.py
+++ b/libs/state/src/lycheeloom/state/grants.py
@@ -85,7 +85,7 @@
     grants_by_organisation: dict[str, OrganisationGrants] = field(default_factory=dict)
 
     def of(self, organisation: str) -> OrganisationGrants:
-        """Return the grants of an organisation; none if it is not configured."""
+        """Return the grants of an organisation; empty, with limit 0, if unknown."""
         return self.grants_by_organisation.get(organisation) or OrganisationGrants()
 
     def set_limits(self, limit_by_organisation: dict[str, int]) -> None:
