--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -23,7 +23,7 @@
 
 
 class FreshnessReason(StrEnum):
-    """Why the process is fresh, or why it is not (the last two)."""
+    """Why the process is fresh; ``STALE`` and ``NOT_A_MEMBER`` say why it is not."""
 
     LOG = "log"
     RELAY = "relay"
@@ -54,8 +54,10 @@
         self.resumed_at = clock()
         self.pauses = 0
         self._confirmed_at: dict[str, float] = {}
+        # Pairs of a next offset to be replayed and the send time of a heartbeat.
         self._confirmations_by_peer: dict[str, deque[tuple[int, float]]] = {}
         self._relayed_at = -math.inf
+        # Pairs of a next offset to be replayed and the time of a peer's log read.
         self._positions_by_peer: dict[str, deque[tuple[int, float]]] = {}
 
     def add_confirmation(self, peer: str, sent_at: float, next_offset: int) -> None:
@@ -137,7 +139,7 @@
                 self._confirmed_at[peer] = max(sent_at, known_at)
 
     def _majority_confirmed_at(self) -> float:
-        """Return the latest time since which a majority confirmed heartbeats."""
+        """Return the latest time since which a majority has confirmed heartbeats."""
         own = self._own_incarnation()
         members = [member.incarnation for member in self._tail.state.members.active()]
         needed = len(members) // 2
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -34,7 +34,7 @@
 # Bounds the time between heartbeats while a peer catches up; the relay continues with
 # the next heartbeat.
 MAX_RELAY_ROUNDS = 8
-RELAY_BYTES = 512 * 1024
+MAX_RELAY_BYTES = 512 * 1024
 
 
 class PeerLink:
@@ -162,7 +162,7 @@
         return tail.next_offset > first
 
     def _push_batches(self, first: int) -> Heartbeat | None:
-        batches = self._mesh.tail.ring.read(first, RELAY_BYTES)
+        batches = self._mesh.tail.ring.read(first, MAX_RELAY_BYTES)
         if not batches:
             return None
         return self._call_for_heartbeat(RecordRelay(first, batches))
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -308,12 +308,12 @@
         if voted_at is not None and self._clock() - voted_at < SILENCE_S:
             return
         silence_s = self._silence_s(member)
-        if self._is_gone(member) and silence_s >= MIN_GONE_SILENCE_S:
+        if self._is_gone_from_list(member) and silence_s >= MIN_GONE_SILENCE_S:
             self._vote(target, VoteReason.GONE)
         elif silence_s >= SILENCE_S and self._has_replayed_own_join(member):
             self._vote(target, VoteReason.SILENT)
 
-    def _is_gone(self, member: Member) -> bool:
+    def _is_gone_from_list(self, member: Member) -> bool:
         currently_listed = self._currently_listed
         return (
             currently_listed is not None
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -27,7 +27,7 @@
 
 from .framing import Connection, PeerConnectionError, Traffic, connect
 from .freshness import Freshness
-from .link import ANSWER_TIMEOUT_S, RELAY_BYTES, PeerLink
+from .link import ANSWER_TIMEOUT_S, MAX_RELAY_BYTES, PeerLink
 from .usage import UsageView
 
 # Peers send heartbeats twice a second; a connection without messages for this long is
@@ -36,6 +36,7 @@
 # Bounds the greenlets of dead connections that were not closed.
 MAX_INBOUND_CONNECTIONS = 512
 SYNC_INTERVAL_S = 0.2
+# Largest value of the heartbeat's field, an unsigned 32-bit integer.
 _MAX_LOG_AGE_MS = 2**32 - 1
 
 
@@ -214,7 +215,7 @@
                 self._apply_relay(offset, batches)
                 return self._answer(self.own_heartbeat(0))
             case RangeRequest(first_offset):
-                batches = self.tail.ring.read(first_offset, RELAY_BYTES)
+                batches = self.tail.ring.read(first_offset, MAX_RELAY_BYTES)
                 return self._answer(RecordRelay(first_offset, batches))
             case OutcomeRequest(after_period):
                 return self._answer(self.report_outcomes(after_period))
--- a/libs/cluster/src/lycheeloom/cluster/node.py
+++ b/libs/cluster/src/lycheeloom/cluster/node.py
@@ -72,9 +72,9 @@
         With port 0 the system chooses a port, and the identity's address is replaced
         by ``host`` and that port.
         """
-        bound_port = self.mesh.start(host, port)
+        listening_port = self.mesh.start(host, port)
         if port == 0:
-            address = f"{host}:{bound_port}"
+            address = f"{host}:{listening_port}"
             self.keeper.identity = replace(self.keeper.identity, address=address)
         self.tail.start()
         self.writer.start()
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -59,7 +59,7 @@
     mesh.stop()
 
 
-def exchange(port, data):
+def is_closed_after(port, data):
     """Send raw bytes; return whether the server then closed the connection."""
     with socket.create_connection(("127.0.0.1", port), 1.0) as sock:
         sock.sendall(data)
@@ -103,7 +103,7 @@
 )
 def test_bad_frames_close_the_connection(server, data):
     """Invalid frames must neither crash the process nor exhaust its memory."""
-    assert exchange(server.port, data)
+    assert is_closed_after(server.port, data)
     connection = connect(f"127.0.0.1:{server.port}", 1.0)
     assert connection.call(HEARTBEAT, 1.0).sender == "b"
 
@@ -111,7 +111,7 @@
 def test_compressed_frame_is_bounded_after_expansion(server):
     """A small compressed frame must not exhaust the memory when decompressed."""
     bomb = zlib.compress(bytes(50 * MAX_FRAME_BYTES))
-    assert exchange(server.port, struct.pack(">I", len(bomb) | 1 << 31) + bomb)
+    assert is_closed_after(server.port, struct.pack(">I", len(bomb) | 1 << 31) + bomb)
 
 
 def test_silent_peer_ends_a_call_in_time():
--- a/libs/cluster/tests/test_over_tcp.py
+++ b/libs/cluster/tests/test_over_tcp.py
@@ -21,7 +21,7 @@
 from lycheeloom.state import FleetState
 
 # Limits how long a failing test runs; a passing test waits only for its event.
-PATIENCE_S = 30.0
+TIMEOUT_S = 30.0
 
 
 def no_instances():
@@ -29,7 +29,7 @@
 
 
 def wait_until(condition):
-    deadline = time.monotonic() + PATIENCE_S
+    deadline = time.monotonic() + TIMEOUT_S
     while not condition():
         assert time.monotonic() < deadline
         gevent.sleep(0.02)
@@ -61,7 +61,7 @@
     wait_until(lambda: all(entry.freshness.is_fresh() for entry in entries))
     patch = ConfigChanged(0, json.dumps({"name": "new"}))
     pending = entries[0].writer.append(patch, Priority.CONTROL)
-    assert isinstance(pending.wait(PATIENCE_S), Effective)
+    assert isinstance(pending.wait(TIMEOUT_S), Effective)
     wait_until(lambda: all(e.tail.state.config.name == "new" for e in entries))
     log.set_faults(outage=True)
     wait_until(
--- a/libs/log/src/lycheeloom/log/ring.py
+++ b/libs/log/src/lycheeloom/log/ring.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-RING_BYTES = 4 * 1024 * 1024
+MAX_RING_BYTES = 4 * 1024 * 1024
 
 
 class BatchRing:
@@ -13,7 +13,7 @@
     The newest batch is kept even if it is larger.
     """
 
-    def __init__(self, max_bytes: int = RING_BYTES) -> None:
+    def __init__(self, max_bytes: int = MAX_RING_BYTES) -> None:
         self._max_bytes = max_bytes
         self._batches: deque[bytes] = deque()
         self._first_offset = 0
--- a/libs/log/tests/test_many_readers.py
+++ b/libs/log/tests/test_many_readers.py
@@ -42,7 +42,7 @@
         self._log = log
         self._state = FleetState()
         self._snapshots = SnapshotCollector()
-        self.image_by_offset = {0: FleetState()._content}
+        self.content_by_offset = {0: FleetState()._content}
         self.effective_offsets_by_request = {}
         self.request_ids = set()
         self.snapshot_end = 0
@@ -63,7 +63,7 @@
             ):
                 self._record_effect(offset, record, took_effect)
         dump = self._state.dump_snapshot()
-        self.image_by_offset[offset + 1] = FleetState.load_snapshot(dump)._content
+        self.content_by_offset[offset + 1] = FleetState.load_snapshot(dump)._content
 
     def _record_effect(self, offset, record, took_effect):
         if isinstance(record, r.SnapshotChunk):
@@ -186,7 +186,7 @@
         self.oracle.advance()
         for process, tail in enumerate(self.tails):
             state = tail.state
-            assert state._content == self.oracle.image_by_offset[state.next_offset]
+            assert state._content == self.oracle.content_by_offset[state.next_offset]
             assert state.config.version >= self.highest_version[process]
             self.highest_version[process] = state.config.version
 
