--- a/libs/cluster/tests/test_freshness_after_pause.py
+++ b/libs/cluster/tests/test_freshness_after_pause.py
@@ -37,7 +37,7 @@
     return Freshness(tail, lambda: "a", clock=clock), tail, clock
 
 
-def test_confirmation_counts_once_the_peer_s_offset_is_replayed():
+def test_confirmation_counts_once_the_offset_of_the_peer_is_replayed():
     """Guards against starts in a zone that was taken out of service during a pause.
 
     After a pause of 3 s, heartbeats were answered before the first log read. With
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -191,7 +191,7 @@
     assert not freshness.is_fresh()
 
 
-def test_usage_is_sent_as_changes_and_completely_at_times():
+def test_usage_is_sent_as_changes_and_as_complete_lists():
     """A receiver's view must equal the sender's usage, also after usage ends."""
     sender, view = UsageSender(), UsageView()
     rng = random.Random(1)
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -306,7 +306,7 @@
         assert snapshots.is_due() == (version in (0, 1, 5))
 
 
-def test_chunks_of_torn_snapshots_do_not_pile_up(log, client, tail):
+def test_chunks_of_torn_snapshots_do_not_accumulate(log, client, tail):
     """Guards against queued chunks adding up while the log refuses appends.
 
     A chunk whose wait timed out during an append stayed in the queue, and each new
--- a/libs/log/tests/test_writer.py
+++ b/libs/log/tests/test_writer.py
@@ -148,7 +148,7 @@
     assert len(log.archive) == 20
 
 
-def test_not_written_has_proof(log, process):
+def test_not_written_is_never_reported_for_a_written_record(log, process):
     """``NotWritten`` must never be reported for a record that is in the log."""
     process.client.append_faults.extend(["down"] * 2 + ["lost_answer"] * 100)
     refused = process.append(submitted("q1"))
@@ -237,7 +237,7 @@
     assert process.writer.is_idle
 
 
-def test_new_author_leaves_old_records_behind(log, process):
+def test_new_author_does_not_write_unsent_records_of_the_old_one(log, process):
     """Records of an expelled incarnation must not be written by the next one."""
     process.client.append_faults.extend(["lost_request"])
     sent = process.append(submitted("q1"))
