--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -57,9 +57,7 @@
     def add(self, pending: Pending) -> None:
         """Queue a record, or settle it as not written if it cannot be queued."""
         if pending.size_bytes > self.max_batch_bytes - BATCH_OVERHEAD_BYTES:
-            pending.settle(
-                NotWritten(f"record of {pending.size_bytes} bytes is too large")
-            )
+            pending.settle(NotWritten(f"record of {pending.size_bytes} bytes"))
             return
         if self._is_full(pending.priority):
             self._drop_settled()
@@ -79,9 +77,7 @@
         for pending in reversed(batch):
             pending.is_sent = False
             if pending.wait_timed_out:
-                pending.settle(
-                    NotWritten("refused by the log after its caller stopped waiting")
-                )
+                pending.settle(NotWritten("refused after its waiter gave up"))
                 continue
             self._waiting[pending.priority].appendleft(pending)
             self._queued_bytes += pending.size_bytes
--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -234,9 +234,7 @@
             if sealed is None or state.last_sequence(sealed.author) < sealed.sequence:
                 continue
             self._pop_sealed(sealed.key)
-            self._settle_all(
-                sealed, Unknown("covered by a snapshot, so its effect was not seen")
-            )
+            self._settle_all(sealed, Unknown("replayed within a snapshot"))
 
     def _settle_all(self, sealed: _SealedBatch, outcome: NotWritten | Unknown) -> None:
         for pending in sealed.records:
