--- a/bench/fleet_plan_cost.py
+++ b/bench/fleet_plan_cost.py
@@ -15,7 +15,7 @@
 from lycheeloom.fleet.rebalance import plan_with_returns
 from lycheeloom.model.records import WaveCommand, WaveState
 
-from .fleet_world import Controller, World, large_fleet
+from .fleet_world import Controller, SimulatedFleet, large_fleet
 
 FULL_GOAL_S = 2.0
 STEP_GOAL_MS = 20.0
@@ -67,7 +67,7 @@
 def _disordered_plan_s(document: dict, seed: int) -> float:
     """Time a plan for a fleet of which a third is in random pools."""
     rng = random.Random(seed)
-    config = World(document).state.config
+    config = SimulatedFleet(document).state.config
     pools = {name: item.pool for name, item in config.instance_by_id.items()}
     for name in rng.sample(sorted(pools), len(pools) // 3):
         pools[name] = rng.choice(sorted(config.pool_by_id))
@@ -76,8 +76,8 @@
     return time.process_time() - begun
 
 
-def _running_wave(document: dict) -> tuple[World, Controller]:
-    world = World(document)
+def _running_wave(document: dict) -> tuple[SimulatedFleet, Controller]:
+    world = SimulatedFleet(document)
     for number, name in enumerate(world.workers):
         # Unequal drains, so that moves do not go on in step.
         world.drain_by_instance[name] = 30.0 + number % 61
@@ -87,7 +87,7 @@
     return world, controller
 
 
-def _step_times_ms(world: World, controller: Controller) -> list[float]:
+def _step_times_ms(world: SimulatedFleet, controller: Controller) -> list[float]:
     """Time the steps after the first of a wave in which instances also fail."""
     controller.tick(STEP_S)
     # As the daemon does after recovery.
@@ -109,7 +109,7 @@
     return times_ms
 
 
-def _naive_step_s(world: World) -> float:
+def _naive_step_s(world: SimulatedFleet) -> float:
     """Naive baseline: a new planner that plans everything at each step."""
     config = world.state.config
     begun = time.process_time()
--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -10,7 +10,7 @@
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
 from lycheeloom.model.records import WaveCommand, WaveState
 
-from .fleet_world import Controller, World, large_fleet, user_fleet
+from .fleet_world import Controller, SimulatedFleet, large_fleet, user_fleet
 
 DRAIN_S = 60.0
 REBOOT_S = 300.0
@@ -73,7 +73,7 @@
 
     def __init__(self, name: str, document: dict, failing: bool, seed: int):
         rng = random.Random(seed)
-        self.world = World(document, DRAIN_S, REBOOT_S)
+        self.world = SimulatedFleet(document, DRAIN_S, REBOOT_S)
         self.step_s = STEP_S[name]
         for instance in self.world.workers:
             spread = rng.uniform(1 - DRAIN_SPREAD, 1 + DRAIN_SPREAD)
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(slots=True)
-class World:
+class SimulatedFleet:
     """A fleet with a log and a platform."""
 
     document: dict
@@ -258,7 +258,7 @@
 class Controller:
     """A controller process: a planner that holds the duty under one epoch."""
 
-    def __init__(self, world: World, author: str, settings=None):
+    def __init__(self, world: SimulatedFleet, author: str, settings=None):
         self.world = world
         self.author = author
         self.planner = Planner(settings)
--- a/libs/fleet/tests/conftest.py
+++ b/libs/fleet/tests/conftest.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 
 
 @pytest.fixture
 def world():
-    return World(user_fleet(16, 65536))
+    return SimulatedFleet(user_fleet(16, 65536))
 
 
 @pytest.fixture
--- a/libs/fleet/tests/test_buffers.py
+++ b/libs/fleet/tests/test_buffers.py
@@ -8,7 +8,7 @@
 import pytest
 from libs.fleet.tests.planner_runs import run
 
-from bench.fleet_world import Controller, World, fleet_document, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, fleet_document, user_fleet
 from lycheeloom.fleet import Planner, PlannerSettings
 from lycheeloom.fleet.buffers import least_in_service, plan_buffers
 from lycheeloom.fleet.repair import RepairSettings
@@ -17,7 +17,7 @@
 
 def test_flapping_instance_causes_no_pool_changes():
     """Instances that come and go within the settling time must not cause moves."""
-    world = World(user_fleet(16, 65536, needed=6))
+    world = SimulatedFleet(user_fleet(16, 65536, needed=6))
     controller = Controller(world, "controller")
     for _ in range(30):
         world.fail(["w00", "w01"])
@@ -29,7 +29,7 @@
 
 
 def test_lasting_loss_is_covered_and_undone_once():
-    world = World(user_fleet(16, 65536, needed=6))
+    world = SimulatedFleet(user_fleet(16, 65536, needed=6))
     controller = Controller(world, "controller")
     # Without reboots the instance stays silent until it is mended.
     controller.planner = Planner(
@@ -57,7 +57,7 @@
     for name in ("south", "east", "west"):
         document["pools"][name]["needed"] = 0
     document["pools"]["north"]["needed"] = 12
-    world = World(document)
+    world = SimulatedFleet(document)
     controller = Controller(
         world, "controller", PlannerSettings(buffer_moves_per_hour=2)
     )
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.model.records import InstanceHealth
 
 RACK = ("w00", "w03", "w06", "w09")
@@ -12,7 +12,7 @@
 
 @pytest.fixture
 def world():
-    return World(user_fleet(16, 65536))
+    return SimulatedFleet(user_fleet(16, 65536))
 
 
 @pytest.fixture
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import ActionStatus, PlatformAction
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
@@ -50,7 +50,7 @@
     """Runs one move and injects one fault at one step of it."""
 
     def __init__(self, kind: str, step: str, fault: str):
-        self.world = World(user_fleet(16, 65536))
+        self.world = SimulatedFleet(user_fleet(16, 65536))
         self.controller = Controller(self.world, "first")
         self.old: Controller | None = None
         self.step, self.fault = step, fault
@@ -174,7 +174,7 @@
 
 def test_reboot_waits_for_work_that_never_ends():
     """Work that neither ends nor is checkpointed must end the move, not be lost."""
-    world = World(user_fleet(16, 65536), drain_s=float("inf"))
+    world = SimulatedFleet(user_fleet(16, 65536), drain_s=float("inf"))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
     world.append("operator", [wave])
@@ -189,7 +189,7 @@
 
 def test_reboot_refused_for_good_ends_the_move():
     """A platform that refuses every reboot must not leave an instance drained."""
-    world = World(user_fleet(16, 65536))
+    world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
     world.append("operator", [wave])
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import ConfigChanged, WaveCommand, WaveState
@@ -33,7 +33,7 @@
         document["pools"]["general"]["max_unavailable"] = 6
         document["pools"]["general"]["max_unavailable_per_rack"] = 2
         document["zones"]["z1"]["max_unavailable"] = 2
-        self.world = World(document, drain_s=200)
+        self.world = SimulatedFleet(document, drain_s=200)
         self.controllers = 0
         self.waves = 0
         self.held_records: list[tuple[str, tuple]] = []
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -6,7 +6,7 @@
 
 from libs.fleet.tests.planner_runs import command, planned, run, start_wave
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import ConfigChanged, WaveState
@@ -113,7 +113,7 @@
 
 def test_zone_out_of_service_does_not_free_its_instances_for_drains():
     """When the zone returns at once, the drain would go over the budget."""
-    world = World(user_fleet(16, 65536))
+    world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
     plan = controller.plan()
@@ -131,7 +131,7 @@
 
 def test_abandoning_before_the_drain_does_not_drain():
     """A move called off while its pool is short must not take more capacity."""
-    world = World(user_fleet(16, 65536))
+    world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
     controller.tick()
@@ -152,7 +152,7 @@
     """Maintenance must not use the only spare that is left."""
     document = user_fleet(16, 65536, needed=6)
     document["pools"]["general"]["max_unavailable"] = 6
-    world = World(document)
+    world = SimulatedFleet(document)
     spares = [name for name, item in document["instances"].items()
               if item["pool"] == "general"]  # fmt: skip
     world.fail(spares[1:])
