--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -192,10 +192,10 @@
         if f"{name}.reboot" in world.status_by_action:
             if not worker.alive:
                 return False
-            world.act(PlatformAction(name, ActionKind.UNDRAIN, f"{name}.undrain"))
+            world.execute(PlatformAction(name, ActionKind.UNDRAIN, f"{name}.undrain"))
             return True
         if not worker.draining:
-            world.act(PlatformAction(name, ActionKind.DRAIN, f"{name}.drain"))
+            world.execute(PlatformAction(name, ActionKind.DRAIN, f"{name}.drain"))
         elif worker.running == 0:
-            world.act(PlatformAction(name, ActionKind.REBOOT, f"{name}.reboot"))
+            world.execute(PlatformAction(name, ActionKind.REBOOT, f"{name}.reboot"))
         return False
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -136,9 +136,9 @@
         if plan.records:
             self.append(author, plan.records)
         for action in plan.actions:
-            self.act(action)
+            self.execute(action)
 
-    def act(self, action: PlatformAction) -> ActionStatus:
+    def execute(self, action: PlatformAction) -> ActionStatus:
         """Take a platform action; a repeated id has no further effect."""
         known = self.status_by_action.get(action.action_id)
         if known is not None:
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -87,7 +87,7 @@
         for item in due:
             if isinstance(item, PlatformAction):
                 self.world.status_by_action.pop(item.action_id, None)
-                self.world.act(item)
+                self.world.execute(item)
             else:
                 self.world.append(*item)
 
@@ -123,29 +123,29 @@
 
     def _act(self, controller: Controller, action: PlatformAction) -> None:
         if not self._is_hit(str(action.kind), action.instance):
-            self.world.act(action)
+            self.world.execute(action)
             return
         match self.fault:
             case "answer_lost":
-                self.world.act(action)
+                self.world.execute(action)
             case "refused":
                 self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
             case "slow":
                 self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
                 self.held.append((self.tick_number + SLOW_TICKS, action))
             case "repeated":
-                self.world.act(action)
-                self.world.act(action)
+                self.world.execute(action)
+                self.world.execute(action)
             case "crash_before":
                 self._replace()
             case "crash_after":
-                self.world.act(action)
+                self.world.execute(action)
                 self._replace()
             case "second_controller":
                 self.old = controller
                 self._replace()
-                self.world.act(action)
-                self.world.act(action)
+                self.world.execute(action)
+                self.world.execute(action)
 
     def _replace(self) -> None:
         self.controller = Controller(self.world, "second")
@@ -200,7 +200,7 @@
             if action.kind == "reboot":
                 world.status_by_action[action.action_id] = ActionStatus.REFUSED
             else:
-                world.act(action)
+                world.execute(action)
         world.advance(10)
     moves = world.state.maintenance.move_by_instance
     assert any(move.stage is MoveStage.JOINED for move in moves.values())
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -58,7 +58,7 @@
             self.world.append(self.controller.author, plan.records)
         if part == "actions":
             for action in plan.actions:
-                self.world.act(action)
+                self.world.execute(action)
         self.world.advance(10)
 
     @rule()
@@ -81,7 +81,7 @@
         self.held_records.clear()
         known = len(self.world.over_budget)
         for action in self.held_actions:
-            self.world.act(action)
+            self.world.execute(action)
         # A request that is on its way to the platform cannot be recalled.
         del self.world.over_budget[known:]
         self.held_actions.clear()
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -143,7 +143,7 @@
     late = PlatformAction(name, ActionKind.DRAIN, f"{move_id}.draining")
     run(controller, 5)
     assert world.open_moves() == []
-    world.act(late)
+    world.execute(late)
     assert not world.workers[name].draining
     assert world.over_budget == []
 
