--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -11,7 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from lycheeloom.model.config import FleetConfig, Queue, QueueKind
-from lycheeloom.model.keys import find_key
+from lycheeloom.model.keys import verify_key
 from lycheeloom.model.limits import MAX_PAYLOAD_BYTES
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.verdict import Refusal, RefusalReason
@@ -86,7 +86,7 @@
         message = "an Authorization header with an organisation key is needed"
         return Refusal(RefusalReason.KEY_MISSING, message)
     scheme, _, token = authorization.partition(" ")
-    key = find_key(config, token.strip()) if scheme.lower() == "bearer" else None
+    key = verify_key(config, token.strip()) if scheme.lower() == "bearer" else None
     if key is None:
         return Refusal(RefusalReason.KEY_REJECTED, "the key is not in force")
     if key.organisation not in queue.organisations and not queue.open_to_all:
--- a/libs/model/src/lycheeloom/model/keys.py
+++ b/libs/model/src/lycheeloom/model/keys.py
@@ -35,7 +35,7 @@
     return NewKey(key_id, f"{key_id}.{secret}", document)
 
 
-def find_key(config: FleetConfig, token: str) -> Key | None:
+def verify_key(config: FleetConfig, token: str) -> Key | None:
     """Return the key in force that ``token`` proves, or None."""
     key_id, _, secret = token.partition(".")
     key = config.key_by_id.get(key_id)
