--- a/bench/fleet_plan_cost.py
+++ b/bench/fleet_plan_cost.py
@@ -103,7 +103,7 @@
         begun = time.process_time()
         plan = controller.planner.step(view, world.now_s)
         times_ms.append((time.process_time() - begun) * 1000)
-        world.carry_out(controller.author, plan)
+        world.apply_plan(controller.author, plan)
         world.advance(STEP_S)
     gc.unfreeze()
     return times_ms
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -131,7 +131,7 @@
         moves = self.state.maintenance.move_by_instance
         return [name for name, move in moves.items() if not move.is_ended()]
 
-    def carry_out(self, author: str, plan: Plan) -> None:
+    def apply_plan(self, author: str, plan: Plan) -> None:
         """Append a plan's records and take its actions."""
         if plan.records:
             self.append(author, plan.records)
@@ -287,7 +287,7 @@
     def tick(self, seconds: float = 10.0) -> Plan:
         """Plan one step, carry it out and let time pass."""
         plan = self.plan()
-        self.world.carry_out(self.author, plan)
+        self.world.apply_plan(self.author, plan)
         self.world.advance(seconds)
         return plan
 
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -64,8 +64,8 @@
     @rule()
     def repeat(self):
         plan = self.controller.plan()
-        self.world.carry_out(self.controller.author, plan)
-        self.world.carry_out(self.controller.author, plan)
+        self.world.apply_plan(self.controller.author, plan)
+        self.world.apply_plan(self.controller.author, plan)
         self.world.advance(10)
 
     @rule()
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -117,7 +117,7 @@
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
     plan = controller.plan()
-    world.carry_out("controller", plan)
+    world.apply_plan("controller", plan)
     chosen = world.open_moves()[0]
     zone = world.state.config.instance_by_id[chosen].zone
     world.fail([name for name in ("w00", "w01") if name != chosen][:1])
