--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -20,7 +20,7 @@
     Priority,
     Replayed,
 )
-from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_S
+from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_TIMEOUT_S
 from lycheeloom.model.records import (
     GrantsReclaimed,
     MemberJoined,
@@ -44,7 +44,7 @@
 # A member that misses heartbeats of a peer shows the others through the log that
 # it is alive, before they vote. Otherwise an entry that reaches the log and no
 # peer would be expelled every few seconds and lose its grants each time.
-ALIVE_AFTER_S = SILENCE_S / 2
+ALIVE_AFTER_S = SILENCE_TIMEOUT_S / 2
 # Spreads the appends of members that replayed the same expulsion together.
 RECLAIM_SPREAD_S = 1.0
 
@@ -299,12 +299,12 @@
         if self._clock() - self._without_log_at < ALIVE_AFTER_S:
             return
         voted_at = self._voted_at.get(target)
-        if voted_at is not None and self._clock() - voted_at < SILENCE_S:
+        if voted_at is not None and self._clock() - voted_at < SILENCE_TIMEOUT_S:
             return
         silence_s = self._silence_s(member)
         if self._is_gone(member) and silence_s >= GONE_SILENCE_S:
             self._vote(target, VoteReason.GONE)
-        elif silence_s >= SILENCE_S and self._is_known_to(member):
+        elif silence_s >= SILENCE_TIMEOUT_S and self._is_known_to(member):
             self._vote(target, VoteReason.SILENT)
 
     def _is_gone(self, member: Member) -> bool:
--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -12,7 +12,7 @@
 from lycheeloom.cluster import FreshBy
 from lycheeloom.log import Effective, Priority, recover
 from lycheeloom.model import records as r
-from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_S
+from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_TIMEOUT_S
 from lycheeloom.wire import decode_batch
 
 FIVE = "abcde"
@@ -57,7 +57,7 @@
     assert world.node_by_name["b"].freshness.explain() is FreshBy.MAJORITY
     assert not records_of(world, r.MemberVote)
     world.without_log = set()
-    world.run(SILENCE_S + 2)
+    world.run(SILENCE_TIMEOUT_S + 2)
     assert world.members() == set("bcde") == world.fresh()
 
 
@@ -114,7 +114,7 @@
     paused = world.node_by_name["a"]
     old = paused.keeper.incarnation
     paused.is_paused = True
-    world.run(SILENCE_S + 2)
+    world.run(SILENCE_TIMEOUT_S + 2)
     assert world.members() == set("bcde")
     expelled_at = world.clock.now
     paused.is_paused = False
@@ -132,9 +132,9 @@
 def test_nobody_is_expelled_when_all_faults_end_at_once(world):
     """Peers that were silent during an outage must be heard before a vote."""
     world.without_log, world.groups = set(FIVE), ["ab", "cd", "e"]
-    world.run(SILENCE_S + 5)
+    world.run(SILENCE_TIMEOUT_S + 5)
     world.without_log, world.groups = set(), None
-    world.run(SILENCE_S)
+    world.run(SILENCE_TIMEOUT_S)
     assert len(records_of(world, r.MemberJoined)) == 5
     assert world.fresh() == set(FIVE)
 
@@ -156,7 +156,7 @@
     world.run(30)
     assert world.members() == set(FIVE) == world.fresh()
     assert len(records_of(world, r.MemberJoined)) == 5
-    assert len(records_of(world, r.MemberRefuted)) <= 5 * 30 / (SILENCE_S / 2)
+    assert len(records_of(world, r.MemberRefuted)) <= 5 * 30 / (SILENCE_TIMEOUT_S / 2)
 
 
 def test_vote_against_a_live_entry_is_refuted(world):
@@ -184,7 +184,7 @@
 
     node.writer.append = watch
     world.node_by_name["a"].is_paused = True
-    world.run(SILENCE_S + 2)
+    world.run(SILENCE_TIMEOUT_S + 2)
     assert withheld_at_append == [{target}]
     world.node_by_name["a"].is_paused = False
     world.run(3.0)
@@ -268,7 +268,7 @@
     world.groups, world.without_log = None, set()
     world.run(2.0)
     world.without_log, world.groups = {"a"}, ["a", "bcde"]
-    world.run(SILENCE_S + 2)
+    world.run(SILENCE_TIMEOUT_S + 2)
     assert world.members() == set("bcde") == world.fresh()
 
 
@@ -317,5 +317,5 @@
     world.groups, world.without_log = None, set()
     for node in world.node_by_name.values():
         node.is_paused = False
-    world.run(SILENCE_S + 10, check)
+    world.run(SILENCE_TIMEOUT_S + 10, check)
     assert world.fresh() == set(world.node_by_name)
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -10,7 +10,7 @@
 from lycheeloom.fleet.buffers import plan_buffers, wanted_buffer
 from lycheeloom.log import LogTail
 from lycheeloom.model.config import FleetConfig, ZoneState
-from lycheeloom.model.limits import SILENCE_S
+from lycheeloom.model.limits import SILENCE_TIMEOUT_S
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.model.status import (
     MemberState,
@@ -92,7 +92,7 @@
             state = MemberState.EXPELLED
         elif view.draining:
             state = MemberState.DRAINING
-        elif not is_self and age_s > SILENCE_S:
+        elif not is_self and age_s > SILENCE_TIMEOUT_S:
             state = MemberState.SILENT
         else:
             state = MemberState.LIVE
--- a/libs/model/src/lycheeloom/model/limits.py
+++ b/libs/model/src/lycheeloom/model/limits.py
@@ -7,7 +7,7 @@
 # A worker stops a task this long after its lease was last renewed.
 TASK_LEASE_S = 15.0
 # Members vote to expel a peer after this silence.
-SILENCE_S = 5.0
+SILENCE_TIMEOUT_S = 5.0
 # FRESHNESS_S + SESSION_TTL_S + TASK_LEASE_S, and a margin for clock rates.
 RECLAIM_WAIT_S = 20.0
 HEARTBEAT_INTERVAL_S = 0.5
