--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -63,7 +63,7 @@
     drain_by_instance: dict[str, float] = field(default_factory=dict)
     drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
-    effects: Counter = field(default_factory=Counter)
+    execution_counts: Counter = field(default_factory=Counter)
     lost_work: int = 0
     over_budget: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
@@ -143,7 +143,7 @@
         known = self.status_by_action.get(action.action_id)
         if known is not None:
             return known
-        self.effects[action.action_id] += 1
+        self.execution_counts[action.action_id] += 1
         worker = self.workers[action.instance]
         status = ActionStatus.DONE
         match action.kind:
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -167,7 +167,7 @@
     assert worker.alive
     assert not worker.draining
     assert worker.boots >= (kind != "move")
-    assert max(world.effects.values()) == 1
+    assert max(world.execution_counts.values()) == 1
     assert world.lost_work == 0
     assert world.over_budget == []
 
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -147,7 +147,7 @@
 
     @invariant()
     def actions_take_effect_once(self):
-        assert max(self.world.effects.values(), default=0) <= 1
+        assert max(self.world.execution_counts.values(), default=0) <= 1
 
     def teardown(self):
         """Every started move ends once the platform and the log answer."""
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -88,4 +88,4 @@
     assert not any(
         isinstance(record, InstanceHealth) for record in controller.plan().records
     )
-    assert world.effects == {}
+    assert world.execution_counts == {}
