--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -58,7 +58,7 @@
         "ratio": round(duration_s / planned.bound_s, 3),
         "goal": goal,
         "over budget": len(planned.world.over_budget),
-        "work lost": planned.world.lost_work,
+        "work lost": planned.world.lost_tasks,
         "forecast s": round(planned.first_forecast_s),
         **planned.forecasts_at_half(duration_s),
         "batches ratio": round(naive_s / planned.bound_s, 3),
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -64,7 +64,7 @@
     drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
     execution_counts: Counter = field(default_factory=Counter)
-    lost_work: int = 0
+    lost_tasks: int = 0
     over_budget: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
     listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
@@ -160,7 +160,7 @@
                 worker.draining = False
                 self._end_drain(action.instance)
             case ActionKind.REBOOT:
-                self.lost_work += worker.running if worker.alive else 0
+                self.lost_tasks += worker.running if worker.alive else 0
                 worker.alive = False
                 worker.running = 0
                 worker.rebooting_until_s = self.now_s + self.reboot_s
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -168,7 +168,7 @@
     assert not worker.draining
     assert worker.boots >= (kind != "move")
     assert max(world.execution_counts.values()) == 1
-    assert world.lost_work == 0
+    assert world.lost_tasks == 0
     assert world.over_budget == []
 
 
@@ -182,7 +182,7 @@
     for _ in range(1500):
         controller.tick()
         stages |= {m.stage for m in world.state.maintenance.move_by_instance.values()}
-    assert world.lost_work == 0
+    assert world.lost_tasks == 0
     assert MoveStage.ABANDONED in stages
     assert MoveStage.DRAINED not in stages
 
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -143,7 +143,7 @@
 
     @invariant()
     def no_work_is_lost(self):
-        assert self.world.lost_work == 0
+        assert self.world.lost_tasks == 0
 
     @invariant()
     def actions_take_effect_once(self):
