--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -65,7 +65,7 @@
     reboot_of: dict[str, str] = field(default_factory=dict)
     execution_counts: Counter = field(default_factory=Counter)
     lost_tasks: int = 0
-    over_budget: list[str] = field(default_factory=list)
+    budget_violations: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
     listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
 
@@ -225,7 +225,7 @@
             if self._is_leaving(name) or self._is_unfit(name):
                 out.add(name)
         for problem in self.budget_problems(instance, out):
-            self.over_budget.append(f"{self.now_s:.0f} {instance} {problem}")
+            self.budget_violations.append(f"{self.now_s:.0f} {instance} {problem}")
 
     def budget_problems(self, instance: str, out: set[str]) -> list[str]:
         """Return the budgets of an instance that ``out`` goes over."""
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -169,7 +169,7 @@
     assert worker.boots >= (kind != "move")
     assert max(world.execution_counts.values()) == 1
     assert world.lost_tasks == 0
-    assert world.over_budget == []
+    assert world.budget_violations == []
 
 
 def test_reboot_waits_for_work_that_never_ends():
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -79,11 +79,11 @@
         for author, records in self.held_records:
             self.world.append(author, records)
         self.held_records.clear()
-        known = len(self.world.over_budget)
+        known = len(self.world.budget_violations)
         for action in self.held_actions:
             self.world.execute(action)
         # A request that is on its way to the platform cannot be recalled.
-        del self.world.over_budget[known:]
+        del self.world.budget_violations[known:]
         self.held_actions.clear()
 
     @rule(names=st.sets(st.sampled_from(INSTANCES), max_size=3))
@@ -139,7 +139,7 @@
 
     @invariant()
     def budgets_hold(self):
-        assert self.world.over_budget == []
+        assert self.world.budget_violations == []
 
     @invariant()
     def no_work_is_lost(self):
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -126,7 +126,7 @@
     world.append("operator", [ConfigChanged(version, patch, "operator")])
     run(controller, 5)
     assert not world.workers[chosen].draining
-    assert world.over_budget == []
+    assert world.budget_violations == []
 
 
 def test_abandoning_before_the_drain_does_not_drain():
@@ -145,7 +145,7 @@
     assert world.open_moves() == []
     world.execute(late)
     assert not world.workers[name].draining
-    assert world.over_budget == []
+    assert world.budget_violations == []
 
 
 def test_last_spare_is_kept(world):
