--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class CallSeen:
+class CallRecord:
     """One call of a caller and its answer; ``status`` 0 means no answer.
 
     Repeats with one idempotency key share ``work``, the name in the ledger.
@@ -89,10 +89,10 @@
 class Notes:
     """Everything that callers and operators saw."""
 
-    calls: list[CallSeen] = field(default_factory=list)
+    calls: list[CallRecord] = field(default_factory=list)
     # Answers to collecting a batch request, by request id.
-    collected: dict[str, list[CallSeen]] = field(default_factory=dict)
-    cancelled: list[CallSeen] = field(default_factory=list)
+    collected: dict[str, list[CallRecord]] = field(default_factory=dict)
+    cancelled: list[CallRecord] = field(default_factory=list)
     publications: list[Publication] = field(default_factory=list)
     # Configuration versions that a process showed, oldest first, by process id.
     versions: dict[int, list[int]] = field(default_factory=dict)
@@ -298,7 +298,7 @@
         idempotency_key: str = "",
         timeout_s: float = CALL_TIMEOUT_S,
         **fields: Any,
-    ) -> CallSeen:
+    ) -> CallRecord:
         """Send a request of a kind (lookup, booking, batch) and note the answer."""
         work = work or self.new_work()
         body = {"payload": {"call": work, "work_ms": work_ms}, "run_ms": work_ms}
@@ -311,7 +311,7 @@
         path = f"/v1/queues/{queue}/requests"
         return self._call(seen, "POST", path, body, timeout_s, extra)
 
-    def collect(self, batch: CallSeen, entry: str, wait_ms: int = 0) -> CallSeen:
+    def collect(self, batch: CallRecord, entry: str, wait_ms: int = 0) -> CallRecord:
         """Ask an entry for the answer of a batch request and note it."""
         request_id = batch.document["request_id"]
         seen = self._seen(batch.work, "collect", entry, batch.key)
@@ -320,7 +320,7 @@
         self.notes.collected.setdefault(request_id, []).append(seen)
         return seen
 
-    def cancel(self, batch: CallSeen, entry: str) -> CallSeen:
+    def cancel(self, batch: CallRecord, entry: str) -> CallRecord:
         """Cancel a batch request and note the answer."""
         seen = self._seen(batch.work, "cancel", entry, batch.key)
         path = f"/v1/requests/{batch.document['request_id']}"
@@ -328,21 +328,21 @@
         self.notes.cancelled.append(seen)
         return seen
 
-    def _seen(self, work: str, kind: str, entry: str, key: str) -> CallSeen:
+    def _seen(self, work: str, kind: str, entry: str, key: str) -> CallRecord:
         pid = self.entry_by_name[entry].process.pid
-        return CallSeen(
+        return CallRecord(
             work, kind, self.organisation_by_key[key], key, entry, pid, time.monotonic()
         )
 
     def _call(
         self,
-        seen: CallSeen,
+        seen: CallRecord,
         method: str,
         path: str,
         body: dict[str, Any] | None,
         timeout_s: float,
         extra: dict[str, str] | None = None,
-    ) -> CallSeen:
+    ) -> CallRecord:
         headers = {
             "Content-Type": "application/json",
             "Authorization": f"Bearer {self.token_by_key[seen.key]}",
--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from .fault_fleet import CallSeen, Notes, Publication
+from .fault_fleet import CallRecord, Notes, Publication
 
 # Stated targets of the design page, section 1.
 REVOKED_S = 3.0
@@ -151,7 +151,7 @@
 
 
 def _check_at_most_once(
-    calls: list[CallSeen], by_work: Mapping[str, Ledger]
+    calls: list[CallRecord], by_work: Mapping[str, Ledger]
 ) -> Iterable[str]:
     """I8: work that is not idempotent started at most once."""
     for work in sorted({c.work for c in calls if c.kind in ONCE_KINDS}):
@@ -161,7 +161,7 @@
             yield f"I8: {work} started {len(starts)} times: {tasks}"
 
 
-def _check_repeats(calls: list[CallSeen]) -> Iterable[str]:
+def _check_repeats(calls: list[CallRecord]) -> Iterable[str]:
     """I6: repeats with one idempotency key are one request with one answer."""
     ran_by_work: dict[str, set[str]] = defaultdict(set)
     for call in calls:
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -27,7 +27,7 @@
 from demo.processes import running_fleet  # noqa: E402
 
 from .fault_document import LIMIT_BY_ORGANISATION  # noqa: E402
-from .fault_fleet import CallSeen, FaultFleet, collect_all  # noqa: E402
+from .fault_fleet import CallRecord, FaultFleet, collect_all  # noqa: E402
 from .fault_oracle import check, peak_by_organisation  # noqa: E402
 from .fault_steps import Steps  # noqa: E402
 
@@ -204,11 +204,11 @@
     }
 
 
-def _is_bad(call: CallSeen) -> bool:
+def _is_bad(call: CallRecord) -> bool:
     return call.verdict in ("not_run", "may_have_run")
 
 
-def _verdicts(calls: list[CallSeen], kind: str) -> dict[str, int]:
+def _verdicts(calls: list[CallRecord], kind: str) -> dict[str, int]:
     return dict(Counter(call.verdict for call in calls if call.kind == kind))
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,7 +14,7 @@
 from gevent.server import StreamServer
 
 from bench.fault_document import LIMIT_BY_ORGANISATION
-from bench.fault_fleet import CallSeen, FaultFleet, Publication
+from bench.fault_fleet import CallRecord, FaultFleet, Publication
 from bench.fault_oracle import check
 from lycheeloom.operator import Draft, Published
 
@@ -66,9 +66,9 @@
     """Callers, spread over the open entries, that repeat a call in a block."""
 
     def __init__(
-        self, world: FaultFleet, callers: int, call: Callable[[str], CallSeen]
+        self, world: FaultFleet, callers: int, call: Callable[[str], CallRecord]
     ) -> None:
-        self.calls: list[CallSeen] = []
+        self.calls: list[CallRecord] = []
         self._world = world
         self._callers = callers
         self._call = call
