--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -255,7 +255,7 @@
             self.keys_in_force.remove(key)
         return result
 
-    def note_versions(self) -> dict[str, int]:
+    def record_versions(self) -> dict[str, int]:
         """Note the configuration version that each entry shows."""
         shown = {}
         for name, program in list(self.entry_by_name.items()):
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -112,7 +112,7 @@
 
     def _watch_versions(self) -> None:
         while not self._is_over:
-            self._world.note_versions()
+            self._world.record_versions()
             gevent.sleep(VERSION_INTERVAL_S)
 
 
@@ -144,7 +144,7 @@
         steps.heal()
         world.wait_ready()
         collect_s = collect_all(world, steps.rng, COLLECT_TIMEOUT_S)
-        world.note_versions()
+        world.record_versions()
         ledger = fleet.ledger()
         problems = check(world.notes, ledger, LIMIT_BY_ORGANISATION)
         problems += find_errors(fleet.folder)
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -191,7 +191,7 @@
             load.wait_for_more(12)
             replace(world, name, NEWER)
             world.grant_key("blue")
-            world.note_versions()
+            world.record_versions()
         load.wait_for_more(12)
         for name in names:
             replace(world, name, TODAY)
@@ -200,7 +200,7 @@
             load.wait_for_more(12)
             # A draft of today's operator keeps what it does not know.
             world.grant_key("green")
-            world.note_versions()
+            world.record_versions()
     for call_seen in load.calls:
         if call_seen.kind == "keyed" and call_seen.verdict == "accepted":
             wait_until(lambda seen=call_seen: accepted(world.collect(seen, "e1", 1000)))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -62,7 +62,7 @@
 
 def in_force_everywhere(world, version):
     """Tell whether every entry shows at least this configuration version."""
-    versions = world.note_versions()
+    versions = world.record_versions()
     return len(versions) == 3 and min(versions.values()) >= version
 
 
@@ -374,7 +374,7 @@
         last = publish_surely(
             world, "name", "fleet", lambda draft, n=number: draft.set_name(f"name {n}")
         )
-        world.note_versions()
+        world.record_versions()
     world.entry_by_name["e2"].signal(signal.SIGCONT)
     world.paused.discard("e2")
     wait_until(lambda: in_force_everywhere(world, last.version))
