--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -282,7 +282,7 @@
 
     # Callers.
 
-    def new_work(self) -> str:
+    def new_work_id(self) -> str:
         """Return a name that no other work of this run has."""
         self._works += 1
         return f"work-{self._works}"
@@ -300,7 +300,7 @@
         **fields: Any,
     ) -> CallRecord:
         """Send a request of a kind (lookup, booking, batch) and note the answer."""
-        work = work or self.new_work()
+        work = work or self.new_work_id()
         body = {"payload": {"call": work, "work_ms": work_ms}, "run_ms": work_ms}
         body |= {"wait": kind != "batch", **fields}
         queue = {"lookup": "lookups", "batch": "overnight"}.get(kind, "bookings")
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -96,7 +96,7 @@
         self, entry: str, key: str, rng: random.Random, entries: list[str], work_ms: int
     ) -> None:
         """Send a booking and repeat it through another entry under its key."""
-        work = self._world.new_work()
+        work = self._world.new_work_id()
         options: dict[str, Any] = {
             "work": work,
             "work_ms": min(work_ms, 3000),
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -34,7 +34,7 @@
 
 def test_trace_is_followed_from_caller_to_worker(world, key):
     """Guards against a hop that drops the caller's trace."""
-    work = world.new_work()
+    work = world.new_work_id()
     headers = {
         "Content-Type": "application/json",
         "Authorization": f"Bearer {world.token_by_key[key]}",
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -176,7 +176,7 @@
     )
 
     def call(entry):
-        work = world.new_work()
+        work = world.new_work_id()
         kind = ("lookup", "keyed", "batch")[int(work.split("-")[1]) % 3]
         options = {"idempotency_key": work} if kind == "keyed" else {}
         return world.submit(kind, entry, key, work=work, work_ms=200, **options)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -155,7 +155,7 @@
 
     held = [gevent.spawn(hold) for _ in range(limit)]
     wait_until(lambda: peak_by_organisation(world.fleet.ledger()).get("green") == limit)
-    keyed = {"work": world.new_work(), "work_ms": 1000, "idempotency_key": "booking"}
+    keyed = {"work": world.new_work_id(), "work_ms": 1000, "idempotency_key": "booking"}
     red = next(
         key
         for key, organisation in world.organisation_by_key.items()
@@ -241,7 +241,7 @@
     with Load(world, 6, lambda entry: world.submit("lookup", entry, key)) as load:
         world.fleet.set_faults("log", silent=True)
         load.wait_for_more(30)
-        booking = {"work": world.new_work(), "idempotency_key": "silent"}
+        booking = {"work": world.new_work_id(), "idempotency_key": "silent"}
         wait_until(lambda: accepted(world.submit("keyed", "e0", key, **booking)))
     assert len(starts_of(world, booking["work"])) == 1
 
@@ -296,7 +296,7 @@
 def test_keyed_booking_runs_once_under_lost_answers(world, key, log_faults):
     """I8: guards against a second run when log answers are lost on the way."""
     log_faults(lose_answers=6)
-    work = world.new_work()
+    work = world.new_work_id()
     repeats = [
         gevent.spawn(world.submit, "keyed", entry, key, work=work, idempotency_key=work)
         for entry in ("e0", "e1", "e2", "e0")
@@ -345,7 +345,7 @@
     )
 
     def call(entry):
-        work = world.new_work()
+        work = world.new_work_id()
         kind = ("lookup", "booking", "keyed")[int(work.split("-")[1]) % 3]
         options = {"idempotency_key": work} if kind == "keyed" else {}
         return world.submit(kind, entry, key, work=work, work_ms=700, **options)
