--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -131,7 +131,7 @@
         self.zone_by_entry = {f"e{n}": ZONES[n % 3] for n in range(entries)}
         self.entry_by_name: dict[str, Program] = {}
         # Calls go to these; an entry that shuts down leaves them first.
-        self.open_entries: set[str] = set()
+        self.serving_entries: set[str] = set()
         self.paused: set[str] = set()
         self.keys_in_force: list[str] = []
         self.token_by_key: dict[str, str] = {}
@@ -176,7 +176,7 @@
         """Start or replace an entry."""
         program = self.fleet.start_entry(name, self.zone_by_entry[name], **settings)
         self.entry_by_name[name] = program
-        self.open_entries.add(name)
+        self.serving_entries.add(name)
         return program
 
     def wait_ready(self, names: Sequence[str] = ()) -> None:
@@ -186,7 +186,7 @@
 
     def stop_entry(self, name: str) -> int:
         """Shut an entry down without cutting requests; returns its exit code."""
-        self.open_entries.discard(name)
+        self.serving_entries.discard(name)
         program = self.entry_by_name[name]
         self.notes.asked_to_stop[program.process.pid] = time.monotonic()
         return program.terminate(timeout_s=60.0)
--- a/bench/fault_steps.py
+++ b/bench/fault_steps.py
@@ -103,7 +103,7 @@
         if name is None:
             return None
         absent_s = self.rng.choice([0.0, 0.5, 3.0, 8.0])
-        self.world.open_entries.discard(name)
+        self.world.serving_entries.discard(name)
         self.world.entry_by_name[name].kill()
         self._later(absent_s, lambda: self._replace(name))
         return f"kill {name}, replace it after {absent_s} s"
@@ -290,7 +290,7 @@
 
     def _cancel(self) -> str | None:
         batches = [c for c in self.world.notes.calls[-60:] if c.is_accepted_batch]
-        entries = sorted(self.world.open_entries)
+        entries = sorted(self.world.serving_entries)
         choice = self.rng.random()
         if not batches or not entries:
             return None
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -66,7 +66,7 @@
     def _run(self, organisation: str, rng: random.Random) -> None:
         while not self._is_over:
             gevent.sleep(rng.expovariate(1 / 0.3))
-            entries = sorted(self._world.open_entries)
+            entries = sorted(self._world.serving_entries)
             if entries:
                 self._call_once(organisation, rng, entries)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -90,7 +90,7 @@
 
     def _run(self, number: int) -> None:
         while not self._is_over:
-            entries = sorted(self._world.open_entries)
+            entries = sorted(self._world.serving_entries)
             self.calls.append(self._call(entries[number % len(entries)]))
             gevent.sleep(0.02)
 
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -113,9 +113,9 @@
     """Shut an entry down and start another version in its place."""
     assert world.stop_entry(name) == 0
     world.start_entry(name, program=program)
-    world.open_entries.discard(name)
+    world.serving_entries.discard(name)
     world.wait_ready([name])
-    world.open_entries.add(name)
+    world.serving_entries.add(name)
     for other in world.zone_by_entry:
         if other != name:
             wait_until(lambda other=other: hears(world, other, name))
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -121,7 +121,7 @@
     forwarder.cut()
     paused = world.entry_by_name["e1"]
     paused.signal(signal.SIGSTOP)
-    world.open_entries.discard("e1")
+    world.serving_entries.discard("e1")
     result = world.revoke_key(keys[0])
     assert isinstance(result, Published)
     accepted_at = world.notes.publications[-1].accepted_at
@@ -170,7 +170,7 @@
 
     wait_until(lambda: hears(world, "e2", "e0"))
     entry = world.entry_by_name["e0"]
-    world.open_entries.discard("e0")
+    world.serving_entries.discard("e0")
     entry.signal(signal.SIGSTOP)
     with Load(
         world,
@@ -251,7 +251,7 @@
     worker_faults(lose_answers=-1)
     doubtful = [
         gevent.spawn(world.submit, "booking", entry, key, work_ms=20)
-        for entry in sorted(world.open_entries)
+        for entry in sorted(world.serving_entries)
     ]
     gevent.joinall(doubtful, raise_error=True)
     worker_faults(lose_answers=0, down=True)
@@ -259,7 +259,7 @@
         wait_until(lambda address=address: refuses_connections(address))
     down = [
         gevent.spawn(world.submit, "booking", entry, key, deadline_ms=1500)
-        for entry in sorted(world.open_entries)
+        for entry in sorted(world.serving_entries)
     ]
     gevent.joinall(down, raise_error=True)
     assert {call.get().verdict for call in down} == {"not_run"}
@@ -355,9 +355,9 @@
             load.wait_for_more(9)
             assert world.stop_entry(name) == 0
             world.start_entry(name)
-            world.open_entries.discard(name)
+            world.serving_entries.discard(name)
             world.wait_ready([name])
-            world.open_entries.add(name)
+            world.serving_entries.add(name)
     assert {call.verdict for call in load.calls} <= {"ran", "not_run", "accepted"}
     # A recorded request that had not started is run by another entry.
     for call in load.calls:
