--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -17,7 +17,7 @@
 
 # Stated targets of the design page, section 1.
 KEY_REVOCATION_LIMIT_S = 3.0
-ZONE_OUT_S = 3.0
+ZONE_OUT_LIMIT_S = 3.0
 ONCE_KINDS = frozenset({"booking", "keyed", "batch"})
 # What the transport says when the caller itself stopped waiting.
 OWN_TIMEOUT = "no answer in time"
@@ -86,7 +86,10 @@
             for later in publications[index + 1 :]
             if later.what == "zone in" and later.name == out.name
         ]
-        closed_from, closed_to = out.accepted_at + ZONE_OUT_S, min([math.inf, *back])
+        closed_from, closed_to = (
+            out.accepted_at + ZONE_OUT_LIMIT_S,
+            min([math.inf, *back]),
+        )
         for start in ledger:
             is_late = closed_from < start["started_at"] < closed_to
             if start["zone"] == out.name and is_late:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -14,7 +14,11 @@
 import pytest
 
 from bench.fault_document import LIMIT_BY_ORGANISATION, ZONES
-from bench.fault_oracle import KEY_REVOCATION_LIMIT_S, ZONE_OUT_S, peak_by_organisation
+from bench.fault_oracle import (
+    KEY_REVOCATION_LIMIT_S,
+    ZONE_OUT_LIMIT_S,
+    peak_by_organisation,
+)
 from lycheeloom.operator import Published
 
 from .conftest import (
@@ -206,7 +210,7 @@
         world.paused.add("e1")
         log_faults(lose_answers=3)
         out = publish_surely(world, "zone out", zone, lambda d: d.take_zone_out(zone))
-        gevent.sleep(max(0.0, out.accepted_at + ZONE_OUT_S - time.monotonic()))
+        gevent.sleep(max(0.0, out.accepted_at + ZONE_OUT_LIMIT_S - time.monotonic()))
         paused.signal(signal.SIGCONT)
         load.wait_for_more(60)
         back = publish_surely(world, "zone in", zone, lambda d: d.bring_zone_in(zone))
