--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -127,7 +127,7 @@
         self.fleet = fleet
         self.controller_by_name: dict[str, Program] = {}
         self._log_retention_s = log_retention_s
-        self.notes = Notes()
+        self.history = Notes()
         self.zone_by_entry = {f"e{n}": ZONES[n % 3] for n in range(entries)}
         self.entry_by_name: dict[str, Program] = {}
         # Calls go to these; an entry that shuts down leaves them first.
@@ -188,7 +188,7 @@
         """Shut an entry down without cutting requests; returns its exit code."""
         self.serving_entries.discard(name)
         program = self.entry_by_name[name]
-        self.notes.asked_to_stop[program.process.pid] = time.monotonic()
+        self.history.asked_to_stop[program.process.pid] = time.monotonic()
         return program.terminate(timeout_s=60.0)
 
     def running_entries(self) -> list[str]:
@@ -230,7 +230,7 @@
         if is_accepted or isinstance(result, OutcomeUnknown):
             version = result.version if is_accepted else 0
             seen = Publication(what, name, sent_at, accepted_at, is_accepted, version)
-            self.notes.publications.append(seen)
+            self.history.publications.append(seen)
         return result
 
     def grant_key(self, organisation: str) -> str | None:
@@ -263,7 +263,7 @@
                 continue
             document = self.status(name)
             if document is not None:
-                versions = self.notes.versions.setdefault(program.process.pid, [])
+                versions = self.history.versions.setdefault(program.process.pid, [])
                 shown[name] = document["config_version"]
                 versions.append(shown[name])
         return shown
@@ -306,7 +306,7 @@
         queue = {"lookup": "lookups", "batch": "overnight"}.get(kind, "bookings")
         seen = self._seen(work, kind, entry, key)
         seen.idempotent = fields.get("idempotent", kind == "lookup")
-        self.notes.calls.append(seen)
+        self.history.calls.append(seen)
         extra = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
         path = f"/v1/queues/{queue}/requests"
         return self._call(seen, "POST", path, body, timeout_s, extra)
@@ -317,7 +317,7 @@
         seen = self._seen(batch.work, "collect", entry, batch.key)
         path = f"/v1/requests/{request_id}?wait_ms={wait_ms}"
         self._call(seen, "GET", path, None, wait_ms / 1000 + 10)
-        self.notes.collected.setdefault(request_id, []).append(seen)
+        self.history.collected.setdefault(request_id, []).append(seen)
         return seen
 
     def cancel(self, batch: CallRecord, entry: str) -> CallRecord:
@@ -325,7 +325,7 @@
         seen = self._seen(batch.work, "cancel", entry, batch.key)
         path = f"/v1/requests/{batch.document['request_id']}"
         self._call(seen, "DELETE", path, None, 10)
-        self.notes.cancelled.append(seen)
+        self.history.cancelled.append(seen)
         return seen
 
     def _seen(self, work: str, kind: str, entry: str, key: str) -> CallRecord:
@@ -377,7 +377,7 @@
     key_by_organisation = {
         world.organisation_by_key[key]: key for key in world.keys_in_force
     }
-    waiting = [call for call in world.notes.calls if call.is_accepted_batch]
+    waiting = [call for call in world.history.calls if call.is_accepted_batch]
     while waiting and time.monotonic() < started_at + timeout_s:
         unanswered = []
         for batch in waiting:
--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -24,21 +24,21 @@
 Ledger = list[dict[str, Any]]
 
 
-def check(notes: Notes, ledger: Ledger, limits: Mapping[str, int]) -> list[str]:
+def check(history: Notes, ledger: Ledger, limits: Mapping[str, int]) -> list[str]:
     """Return a sentence for each break of an invariant."""
     starts_by_work = _group(ledger, "call")
     starts_by_request = _group(ledger, "request_id")
     return [
         *_check_upper_limits(ledger, limits),
-        *_check_zones(notes.publications, ledger),
-        *_check_keys(notes),
-        *_check_not_run(notes, starts_by_work, starts_by_request),
-        *_check_own_answers(notes, starts_by_work),
-        *_check_at_most_once(notes.calls, starts_by_work),
-        *_check_repeats(notes.calls),
-        *_check_batches(notes),
-        *_check_shutdowns(notes),
-        *_check_versions(notes.versions),
+        *_check_zones(history.publications, ledger),
+        *_check_keys(history),
+        *_check_not_run(history, starts_by_work, starts_by_request),
+        *_check_own_answers(history, starts_by_work),
+        *_check_at_most_once(history.calls, starts_by_work),
+        *_check_repeats(history.calls),
+        *_check_batches(history),
+        *_check_shutdowns(history),
+        *_check_versions(history.versions),
     ]
 
 
@@ -97,14 +97,14 @@
                 yield f"I5: {start['task']} started in {out.name} {late_s:.2f} s late"
 
 
-def _check_keys(notes: Notes) -> Iterable[str]:
+def _check_keys(history: Notes) -> Iterable[str]:
     """I3: no call sent after a key's revocation was in force is accepted."""
     closed_from_by_key = {
         item.name: item.accepted_at + KEY_REVOCATION_LIMIT_S
-        for item in notes.publications
+        for item in history.publications
         if item.what == "revoke" and item.accepted
     }
-    for call in notes.calls:
+    for call in history.calls:
         is_late = call.sent_at > closed_from_by_key.get(call.key, math.inf)
         if is_late and call.status in (200, 202, 504):
             late_s = (
@@ -117,11 +117,11 @@
 
 
 def _check_not_run(
-    notes: Notes, by_work: Mapping[str, Ledger], by_request: Mapping[str, Ledger]
+    history: Notes, by_work: Mapping[str, Ledger], by_request: Mapping[str, Ledger]
 ) -> Iterable[str]:
     """I7: what was refused as not run never started."""
-    answers = [*notes.calls, *notes.cancelled]
-    for collected in notes.collected.values():
+    answers = [*history.calls, *history.cancelled]
+    for collected in history.collected.values():
         answers += collected
     for call in answers:
         if call.verdict != "not_run":
@@ -135,10 +135,10 @@
             yield f"I7: {call.work} ({call.kind}) started, but was told {call.document}"
 
 
-def _check_own_answers(notes: Notes, by_work: Mapping[str, Ledger]) -> Iterable[str]:
+def _check_own_answers(history: Notes, by_work: Mapping[str, Ledger]) -> Iterable[str]:
     """I6: an answer is the one that a worker gave to this work, and whole."""
-    answers = list(notes.calls)
-    for collected in notes.collected.values():
+    answers = list(history.calls)
+    for collected in history.collected.values():
         answers += collected
     for call in answers:
         if call.verdict != "ran":
@@ -177,13 +177,13 @@
             yield f"I6: repeats of {work} became {len(ids)} requests"
 
 
-def _check_batches(notes: Notes) -> Iterable[str]:
+def _check_batches(history: Notes) -> Iterable[str]:
     """I6: each accepted batch request has one verdict, equal on all entries."""
-    for batch in notes.calls:
+    for batch in history.calls:
         if not batch.is_accepted_batch:
             continue
         request_id = batch.document["request_id"]
-        seen = notes.collected.get(request_id, [])
+        seen = history.collected.get(request_id, [])
         final = {
             call.document.get("answer", call.verdict) for call in seen if call.is_final
         }
@@ -194,10 +194,10 @@
             yield f"I6: {batch.work} ({request_id}) had several answers: {final}"
 
 
-def _check_shutdowns(notes: Notes) -> Iterable[str]:
+def _check_shutdowns(history: Notes) -> Iterable[str]:
     """I10: a call that was under way at an asked shutdown is answered."""
-    for call in notes.calls:
-        asked_at = notes.asked_to_stop.get(call.process, -math.inf)
+    for call in history.calls:
+        asked_at = history.asked_to_stop.get(call.process, -math.inf)
         if call.document.get("reason") == OWN_TIMEOUT:
             continue
         if call.sent_at < asked_at < call.answered_at and call.status == 0:
--- a/bench/fault_steps.py
+++ b/bench/fault_steps.py
@@ -289,7 +289,7 @@
         return "two operators publish from one version"
 
     def _cancel(self) -> str | None:
-        batches = [c for c in self.world.notes.calls[-60:] if c.is_accepted_batch]
+        batches = [c for c in self.world.history.calls[-60:] if c.is_accepted_batch]
         entries = sorted(self.world.serving_entries)
         choice = self.rng.random()
         if not batches or not entries:
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -146,7 +146,7 @@
         collect_s = collect_all(world, steps.rng, COLLECT_TIMEOUT_S)
         world.record_versions()
         ledger = fleet.ledger()
-        problems = check(world.notes, ledger, LIMIT_BY_ORGANISATION)
+        problems = check(world.history, ledger, LIMIT_BY_ORGANISATION)
         problems += find_errors(fleet.folder)
         if logs is not None:
             keep(logs, fleet.folder, world, ledger)
@@ -158,8 +158,8 @@
     logs.mkdir(parents=True, exist_ok=True)
     for path in folder.glob("*.log"):
         shutil.copy(path, logs)
-    notes = asdict(world.notes) | {"ledger": ledger}
-    (logs / "notes.json").write_text(json.dumps(notes, indent=1))
+    history = asdict(world.history) | {"ledger": ledger}
+    (logs / "notes.json").write_text(json.dumps(history, indent=1))
 
 
 def find_errors(folder: Path) -> list[str]:
@@ -184,7 +184,7 @@
     problems: list[str],
 ) -> dict[str, Any]:
     """Return the figures of a run."""
-    calls = world.notes.calls
+    calls = world.history.calls
     return {
         "seed": seed,
         "minutes": minutes,
@@ -196,8 +196,8 @@
             Counter(str(call.document.get("reason")) for call in calls if _is_bad(call))
         ),
         "starts": len(ledger),
-        "publications": len(world.notes.publications),
-        "cancellations": len(world.notes.cancelled),
+        "publications": len(world.history.publications),
+        "cancellations": len(world.history.cancelled),
         "peaks": peak_by_organisation(ledger),
         "collected_after_s": round(collect_s, 1),
         "problems": problems,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -100,7 +100,7 @@
 ) -> Publication:
     """Publish a change although answers of the log are lost."""
     wait_until(lambda: isinstance(world.publish(what, name, edit), Published))
-    return world.notes.publications[-1]
+    return world.history.publications[-1]
 
 
 def hears(world, listener, name):
@@ -161,4 +161,4 @@
 
 def assert_invariants(world: FaultFleet) -> None:
     """Judge by the notes and the ledger of the workers."""
-    assert check(world.notes, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
+    assert check(world.history, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -39,7 +39,7 @@
 def key(world):
     """A key of organisation red that only this test uses, in force on every entry."""
     key = world.grant_key("red")
-    version = world.notes.publications[-1].version
+    version = world.history.publications[-1].version
     wait_until(lambda: in_force_everywhere(world, version))
     return key
 
@@ -128,7 +128,7 @@
     world.serving_entries.discard("e1")
     result = world.revoke_key(keys[0])
     assert isinstance(result, Published)
-    accepted_at = world.notes.publications[-1].accepted_at
+    accepted_at = world.history.publications[-1].accepted_at
     with Load(world, 4, lambda entry: world.submit("lookup", entry, keys[0])):
         gevent.sleep(
             max(0.0, accepted_at + KEY_REVOCATION_LIMIT_S - time.monotonic()) + 0.5
