--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -1,6 +1,6 @@
 """Checks the invariants against what callers, operators and workers saw.
 
-Nothing here reads the state of an entry: ``check`` takes the notes of callers
+Nothing here reads the state of an entry: ``check_history`` takes the notes of callers
 and operators and the ledger of the workers, and returns sentences that say
 which invariant was broken and how.
 """
@@ -24,7 +24,9 @@
 Ledger = list[dict[str, Any]]
 
 
-def check(history: Notes, ledger: Ledger, limits: Mapping[str, int]) -> list[str]:
+def check_history(
+    history: Notes, ledger: Ledger, limits: Mapping[str, int]
+) -> list[str]:
     """Return a sentence for each break of an invariant."""
     starts_by_work = _group(ledger, "call")
     starts_by_request = _group(ledger, "request_id")
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -28,7 +28,7 @@
 
 from .fault_document import LIMIT_BY_ORGANISATION  # noqa: E402
 from .fault_fleet import CallRecord, FaultFleet, collect_all  # noqa: E402
-from .fault_oracle import check, peak_by_organisation  # noqa: E402
+from .fault_oracle import check_history, peak_by_organisation  # noqa: E402
 from .fault_steps import Steps  # noqa: E402
 
 ENTRIES = 6
@@ -146,7 +146,7 @@
         collect_s = collect_all(world, steps.rng, COLLECT_TIMEOUT_S)
         world.record_versions()
         ledger = fleet.ledger()
-        problems = check(world.history, ledger, LIMIT_BY_ORGANISATION)
+        problems = check_history(world.history, ledger, LIMIT_BY_ORGANISATION)
         problems += find_errors(fleet.folder)
         if logs is not None:
             keep(logs, fleet.folder, world, ledger)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,7 @@
 
 from bench.fault_document import LIMIT_BY_ORGANISATION
 from bench.fault_fleet import CallRecord, FaultFleet, Publication
-from bench.fault_oracle import check
+from bench.fault_oracle import check_history
 from lycheeloom.operator import Draft, Published
 
 # Only ends a test whose condition never comes true; no verdict depends on it.
@@ -161,4 +161,6 @@
 
 def assert_invariants(world: FaultFleet) -> None:
     """Judge by the notes and the ledger of the workers."""
-    assert check(world.history, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
+    assert (
+        check_history(world.history, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
+    )
