--- a/demo/platform.py
+++ b/demo/platform.py
@@ -23,7 +23,7 @@
     WorkerStandIn,
 )
 from lycheeloom.standins.log import LogLimits  # noqa: E402
-from lycheeloom.standins.tasks import ResourceAmounts  # noqa: E402
+from lycheeloom.standins.tasks import Amount  # noqa: E402
 
 APPENDS_PER_S = 400
 LIST_LAG_MS = 1000
@@ -55,7 +55,7 @@
     """Create one stand-in for each instance of a configuration document."""
     workers = []
     for name, instance in document["instances"].items():
-        capacity = ResourceAmounts(
+        capacity = Amount(
             instance["cores"], instance["memory_mb"], instance.get("accelerators", 0)
         )
         worker = WorkerStandIn(
--- a/libs/clients/tests/test_worker_client.py
+++ b/libs/clients/tests/test_worker_client.py
@@ -14,7 +14,7 @@
     UsageReport,
 )
 from lycheeloom.model.resources import Resources
-from lycheeloom.standins import PlatformStandIns, ResourceAmounts, WorkerStandIn
+from lycheeloom.standins import Amount, PlatformStandIns, WorkerStandIn
 
 LONG_S = 60.0
 SHORT_S = 0.1
@@ -200,9 +200,7 @@
 
 def test_every_greenlet_gets_its_own_answer(make_start):
     """Guards against answers mixed up between shared connections."""
-    fleet = [
-        WorkerStandIn(f"w{n}", capacity=ResourceAmounts(1e6, 10**9)) for n in range(3)
-    ]
+    fleet = [WorkerStandIn(f"w{n}", capacity=Amount(1e6, 10**9)) for n in range(3)]
     with PlatformStandIns(workers=fleet):
         answers = gevent.pool.Pool(100).map(
             lambda n: run_on(fleet[n % 3], make_start, n), range(600)
--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -6,11 +6,11 @@
 from .log import LogLimits, LogStandIn
 from .platform import PlatformStandIns
 from .server import StandIn
-from .tasks import ResourceAmounts, TaskStatus
+from .tasks import Amount, TaskStatus
 from .worker import WorkerStandIn
 
 __all__ = [
-    "ResourceAmounts",
+    "Amount",
     "Faults",
     "Instance",
     "InstancesStandIn",
--- a/libs/standins/src/lycheeloom/standins/settings.py
+++ b/libs/standins/src/lycheeloom/standins/settings.py
@@ -12,7 +12,7 @@
 from .instances import InstancesStandIn
 from .log import MAX_RECORD_BYTES, LogLimits, LogStandIn
 from .platform import PlatformStandIns
-from .tasks import ResourceAmounts
+from .tasks import Amount
 from .worker import WorkerStandIn
 
 
@@ -142,7 +142,7 @@
             group.first_port + index if group.first_port else 0,
             zone=group.zone,
             rack=f"{group.zone}-r{index // group.workers_per_rack + 1}",
-            capacity=ResourceAmounts(group.cores, group.memory_mb, group.accelerators),
+            capacity=Amount(group.cores, group.memory_mb, group.accelerators),
             default_work_s=group.default_work_ms / 1000,
         )
         worker.faults.lag_ms = group.usage_lag_ms
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class ResourceAmounts:
+class Amount:
     """An amount of processors, memory and accelerators."""
 
     cores: float = 0.0
@@ -81,7 +81,7 @@
     request_id: str
     organisation: str
     queue: str
-    amount: ResourceAmounts
+    amount: Amount
     work: Work
     answer: bytes
     started_at: float
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -11,7 +11,7 @@
 from urllib.parse import unquote
 
 from .server import Reply, Request, StandIn, refuse
-from .tasks import ResourceAmounts, Task, TaskStatus, parse_work, spawn_task
+from .tasks import Amount, Task, TaskStatus, parse_work, spawn_task
 
 # Ended tasks stay visible to lagging usage reports this long.
 USAGE_HISTORY_S = 60.0
@@ -34,19 +34,19 @@
         *,
         zone: str = "z1",
         rack: str = "r1",
-        capacity: ResourceAmounts | None = None,
+        capacity: Amount | None = None,
         default_work_s: float = 0.0,
     ) -> None:
         super().__init__(name, host, port)
         self.zone = zone
         self.rack = rack
-        self.capacity = capacity or ResourceAmounts(64, 256 * 1024, 0)
+        self.capacity = capacity or Amount(64, 256 * 1024, 0)
         self.default_work_s = default_work_s
         self.draining = False
         self.boot_id = secrets.token_hex(8)
         self.ledger: list[Task] = []
         self.running: dict[str, Task] = {}
-        self._used = ResourceAmounts()
+        self._used = Amount()
         self._task_by_id: dict[str, Task] = {}
         self._lapse_at_by_session: dict[str, float] = {}
         self._ended: deque[Task] = deque()
@@ -141,7 +141,7 @@
 
     def _read_task(self, task_id: str, document: dict[str, Any], now: float) -> Task:
         payload = b64decode(document.get("payload", ""))
-        amount = ResourceAmounts(**document.get("resources", {}))
+        amount = Amount(**document.get("resources", {}))
         lease_s = float(document["lease_ms"]) / 1000
         organisation = document["organisation"]
         if not isinstance(organisation, str) or lease_s <= 0:
@@ -166,7 +166,7 @@
             task.worked_s = float(json.loads(document["checkpoint"])["worked_s"])
         return task
 
-    def _fits(self, amount: ResourceAmounts) -> bool:
+    def _fits(self, amount: Amount) -> bool:
         used, total = self._used, self.capacity
         return (
             used.cores + amount.cores <= total.cores
@@ -236,7 +236,7 @@
         if not isinstance(fraction, int | float) or not 0 < fraction <= 1:
             return refuse(400, "fraction must be above 0 and at most 1")
         cores = task.amount.cores / task.rate * fraction
-        if not self._fits(ResourceAmounts(cores - task.amount.cores)):
+        if not self._fits(Amount(cores - task.amount.cores)):
             return self._refuse_start("no_capacity")
         task.count_work(time.monotonic())
         self._used.cores += cores - task.amount.cores
@@ -300,7 +300,7 @@
             "ended_at": task.ended_at,
         }
 
-    def _take(self, amount: ResourceAmounts, sign: int) -> None:
+    def _take(self, amount: Amount, sign: int) -> None:
         used = self._used
         used.cores += sign * amount.cores
         used.memory_mb += sign * amount.memory_mb
--- a/libs/standins/tests/test_worker.py
+++ b/libs/standins/tests/test_worker.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lycheeloom.standins import ResourceAmounts, TaskStatus, WorkerStandIn
+from lycheeloom.standins import Amount, TaskStatus, WorkerStandIn
 from lycheeloom.standins.server import Request
 
 HOUR_OF_WORK = b'{"work_ms": 3600000}'
@@ -17,7 +17,7 @@
 
 @pytest.fixture
 def worker():
-    return WorkerStandIn("w1", zone="z2", capacity=ResourceAmounts(4, 1000, 1))
+    return WorkerStandIn("w1", zone="z2", capacity=Amount(4, 1000, 1))
 
 
 def start(worker, task, payload=b"", **changes):
