--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -50,7 +50,7 @@
 
 
 @dataclass(slots=True)
-class World:
+class SimulatedFleet:
     """A fleet with a log and a platform."""
 
     document: dict
@@ -63,9 +63,9 @@
     drain_by_instance: dict[str, float] = field(default_factory=dict)
     drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
-    effects: Counter = field(default_factory=Counter)
-    lost_work: int = 0
-    over_budget: list[str] = field(default_factory=list)
+    execution_counts: Counter = field(default_factory=Counter)
+    lost_tasks: int = 0
+    budget_violations: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
     listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
 
@@ -131,19 +131,19 @@
         moves = self.state.maintenance.move_by_instance
         return [name for name, move in moves.items() if not move.is_ended()]
 
-    def carry_out(self, author: str, plan: Plan) -> None:
+    def apply_plan(self, author: str, plan: Plan) -> None:
         """Append a plan's records and take its actions."""
         if plan.records:
             self.append(author, plan.records)
         for action in plan.actions:
-            self.act(action)
+            self.execute(action)
 
-    def act(self, action: PlatformAction) -> ActionStatus:
+    def execute(self, action: PlatformAction) -> ActionStatus:
         """Take a platform action; a repeated id has no further effect."""
         known = self.status_by_action.get(action.action_id)
         if known is not None:
             return known
-        self.effects[action.action_id] += 1
+        self.execution_counts[action.action_id] += 1
         worker = self.workers[action.instance]
         status = ActionStatus.DONE
         match action.kind:
@@ -160,7 +160,7 @@
                 worker.draining = False
                 self._end_drain(action.instance)
             case ActionKind.REBOOT:
-                self.lost_work += worker.running if worker.alive else 0
+                self.lost_tasks += worker.running if worker.alive else 0
                 worker.alive = False
                 worker.running = 0
                 worker.rebooting_until_s = self.now_s + self.reboot_s
@@ -225,7 +225,7 @@
             if self._is_leaving(name) or self._is_unfit(name):
                 out.add(name)
         for problem in self.budget_problems(instance, out):
-            self.over_budget.append(f"{self.now_s:.0f} {instance} {problem}")
+            self.budget_violations.append(f"{self.now_s:.0f} {instance} {problem}")
 
     def budget_problems(self, instance: str, out: set[str]) -> list[str]:
         """Return the budgets of an instance that ``out`` goes over."""
@@ -258,7 +258,7 @@
 class Controller:
     """A controller process: a planner that holds the duty under one epoch."""
 
-    def __init__(self, world: World, author: str, settings=None):
+    def __init__(self, world: SimulatedFleet, author: str, settings=None):
         self.world = world
         self.author = author
         self.planner = Planner(settings)
@@ -287,7 +287,7 @@
     def tick(self, seconds: float = 10.0) -> Plan:
         """Plan one step, carry it out and let time pass."""
         plan = self.plan()
-        self.world.carry_out(self.author, plan)
+        self.world.apply_plan(self.author, plan)
         self.world.advance(seconds)
         return plan
 
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -11,7 +11,7 @@
 
 from lycheeloom.log import Offer
 from lycheeloom.model.limits import HEARTBEAT_INTERVAL_S
-from lycheeloom.model.ticks import rest_of_tick_s
+from lycheeloom.model.ticks import seconds_until_tick
 from lycheeloom.wire import Heartbeat, PeerMessage, RangeRequest, RecordRelay
 
 from .framing import Connection, PeerConnectionError
@@ -65,7 +65,7 @@
         """Send heartbeats until stopped."""
         # Gives a new peer time to replay that this process joined: until its heartbeats
         # show that it has, this process may not vote to expel it.
-        gevent.sleep(rest_of_tick_s(HEARTBEAT_INTERVAL_S))
+        gevent.sleep(seconds_until_tick(HEARTBEAT_INTERVAL_S))
         try:
             while True:
                 started_at = self._mesh.clock()
@@ -79,7 +79,7 @@
 
         The heartbeats to all peers are due together, in one pass of the event loop.
         """
-        if self.send_early.wait(rest_of_tick_s(HEARTBEAT_INTERVAL_S)):
+        if self.send_early.wait(seconds_until_tick(HEARTBEAT_INTERVAL_S)):
             gap_s = started_at + MIN_HEARTBEAT_GAP_S - self._mesh.clock()
             gevent.sleep(max(0.0, gap_s))
             self.send_early.clear()
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -24,7 +24,7 @@
     Priority,
     Replayed,
 )
-from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_S
+from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_TIMEOUT_S
 from lycheeloom.model.records import (
     GrantsReclaimed,
     MemberJoined,
@@ -34,7 +34,7 @@
     Record,
     VoteReason,
 )
-from lycheeloom.model.ticks import rest_of_tick_s
+from lycheeloom.model.ticks import seconds_until_tick
 from lycheeloom.state import Member
 
 from .freshness import Freshness
@@ -48,7 +48,7 @@
 # A member that has not heard a peer for this long appends a record that shows it is
 # alive, before its peers vote. Otherwise an entry that reaches the log but no peer
 # would be expelled every few seconds and lose its grants each time.
-ASSERT_ALIVE_AFTER_S = SILENCE_S / 2
+ASSERT_ALIVE_AFTER_S = SILENCE_TIMEOUT_S / 2
 # Spreads the appends of members that replay the same expulsion at the same time.
 RECLAIM_SPREAD_S = 1.0
 
@@ -134,7 +134,7 @@
         """Call ``step`` every ``STEP_INTERVAL_S`` until stopped."""
         while True:
             self.step()
-            gevent.sleep(rest_of_tick_s(STEP_INTERVAL_S))
+            gevent.sleep(seconds_until_tick(STEP_INTERVAL_S))
 
     def poll_instance_list(self) -> None:
         """Fetch the instance list every ``LIST_INTERVAL_S`` until stopped."""
@@ -142,7 +142,7 @@
             listing = self._list_instances()
             if isinstance(listing, InstanceList):
                 self.observe_instances(listing)
-            gevent.sleep(rest_of_tick_s(LIST_INTERVAL_S))
+            gevent.sleep(seconds_until_tick(LIST_INTERVAL_S))
 
     def observe_instances(self, listing: InstanceList) -> None:
         """Process the platform's instance list, which lags behind."""
@@ -305,12 +305,12 @@
         if self._clock() - self._log_stale_at < ASSERT_ALIVE_AFTER_S:
             return
         voted_at = self._voted_at.get(target)
-        if voted_at is not None and self._clock() - voted_at < SILENCE_S:
+        if voted_at is not None and self._clock() - voted_at < SILENCE_TIMEOUT_S:
             return
         silence_s = self._silence_s(member)
         if self._is_gone_from_list(member) and silence_s >= MIN_GONE_SILENCE_S:
             self._vote(target, VoteReason.GONE)
-        elif silence_s >= SILENCE_S and self._has_replayed_own_join(member):
+        elif silence_s >= SILENCE_TIMEOUT_S and self._has_replayed_own_join(member):
             self._vote(target, VoteReason.SILENT)
 
     def _is_gone_from_list(self, member: Member) -> bool:
--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -12,7 +12,7 @@
 from lycheeloom.cluster import FreshnessReason
 from lycheeloom.log import Effective, Priority, recover
 from lycheeloom.model import records as r
-from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_S
+from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_TIMEOUT_S
 from lycheeloom.wire import decode_batch
 
 ENTRIES = "abcde"
@@ -59,7 +59,7 @@
     assert cluster.node_by_name["b"].freshness.explain() is FreshnessReason.MAJORITY
     assert not records_of(cluster, r.MemberVote)
     cluster.without_log = set()
-    cluster.run(SILENCE_S + 2)
+    cluster.run(SILENCE_TIMEOUT_S + 2)
     assert cluster.members() == set("bcde") == cluster.fresh()
 
 
@@ -116,7 +116,7 @@
     paused = cluster.node_by_name["a"]
     old = paused.keeper.incarnation
     paused.is_paused = True
-    cluster.run(SILENCE_S + 2)
+    cluster.run(SILENCE_TIMEOUT_S + 2)
     assert cluster.members() == set("bcde")
     expelled_at = cluster.clock.now
     paused.is_paused = False
@@ -134,9 +134,9 @@
 def test_nobody_is_expelled_when_all_faults_end_at_once(cluster):
     """After an outage, silent peers must get time to be heard before a vote."""
     cluster.without_log, cluster.groups = set(ENTRIES), ["ab", "cd", "e"]
-    cluster.run(SILENCE_S + 5)
+    cluster.run(SILENCE_TIMEOUT_S + 5)
     cluster.without_log, cluster.groups = set(), None
-    cluster.run(SILENCE_S)
+    cluster.run(SILENCE_TIMEOUT_S)
     assert len(records_of(cluster, r.MemberJoined)) == 5
     assert cluster.fresh() == set(ENTRIES)
 
@@ -158,7 +158,7 @@
     cluster.run(30)
     assert cluster.members() == set(ENTRIES) == cluster.fresh()
     assert len(records_of(cluster, r.MemberJoined)) == 5
-    assert len(records_of(cluster, r.MemberRefuted)) <= 5 * 30 / (SILENCE_S / 2)
+    assert len(records_of(cluster, r.MemberRefuted)) <= 5 * 30 / (SILENCE_TIMEOUT_S / 2)
 
 
 def test_vote_against_a_live_entry_is_refuted(cluster):
@@ -188,7 +188,7 @@
 
     node.writer.append = watch
     cluster.node_by_name["a"].is_paused = True
-    cluster.run(SILENCE_S + 2)
+    cluster.run(SILENCE_TIMEOUT_S + 2)
     assert unconfirmed_at_append == [{target}]
     cluster.node_by_name["a"].is_paused = False
     cluster.run(3.0)
@@ -274,7 +274,7 @@
     cluster.groups, cluster.without_log = None, set()
     cluster.run(2.0)
     cluster.without_log, cluster.groups = {"a"}, ["a", "bcde"]
-    cluster.run(SILENCE_S + 2)
+    cluster.run(SILENCE_TIMEOUT_S + 2)
     assert cluster.members() == set("bcde") == cluster.fresh()
 
 
@@ -326,5 +326,5 @@
     cluster.groups, cluster.without_log = None, set()
     for node in cluster.node_by_name.values():
         node.is_paused = False
-    cluster.run(SILENCE_S + 10, check)
+    cluster.run(SILENCE_TIMEOUT_S + 10, check)
     assert cluster.fresh() == set(cluster.node_by_name)
