--- a/libs/controller/src/lycheeloom/controller/actions.py
+++ b/libs/controller/src/lycheeloom/controller/actions.py
@@ -1,4 +1,4 @@
-"""Asking the platform about actions and for them."""
+"""Requests actions from the platform and queries their status."""
 
 from __future__ import annotations
 
@@ -8,15 +8,15 @@
 from gevent.pool import Pool
 
 from lycheeloom.clients import ActionRefused, ActionState, InstanceClient, Unavailable
-from lycheeloom.clients import ActionStatus as Reported
+from lycheeloom.clients import ActionStatus as ActionReport
 from lycheeloom.fleet import ActionKind, ActionStatus, PlatformAction
 from lycheeloom.telemetry import log_event
 
-# Calls under way at once; a silent platform takes the whole call timeout.
-MAX_CALLS = 16
-MAX_KEPT = 10_000
+# If the platform does not answer, each call lasts for its whole timeout.
+MAX_CONCURRENT_CALLS = 16
+MAX_FINAL_STATUSES = 10_000
 
-_FINAL = frozenset({ActionStatus.DONE, ActionStatus.REFUSED})
+_FINAL_STATUSES = frozenset({ActionStatus.DONE, ActionStatus.REFUSED})
 _STATUS_BY_STATE = {
     ActionState.RUNNING: ActionStatus.RUNNING,
     ActionState.DONE: ActionStatus.DONE,
@@ -25,46 +25,50 @@
 
 
 class ActionRunner:
-    """Takes platform actions and knows their status.
+    """Requests platform actions and queries their status.
 
-    Final statuses are kept, so that an action is asked about only until it has
-    ended. A refusal is kept as well: the platform does not know refused ids.
+    Final statuses are cached, so that an action is queried only until it has ended.
+    Refusals are cached as well, because the platform does not record refused ids.
     """
 
     def __init__(self, client: InstanceClient) -> None:
         self._client = client
-        self._final: OrderedDict[str, ActionStatus] = OrderedDict()
-        self._calls = Pool(MAX_CALLS)
+        self._final_status_by_action: OrderedDict[str, ActionStatus] = OrderedDict()
+        self._calls = Pool(MAX_CONCURRENT_CALLS)
 
-    def statuses(self, names: Iterable[str]) -> dict[str, ActionStatus]:
-        """Return the statuses that could be learned.
+    def statuses(self, action_ids: Iterable[str]) -> dict[str, ActionStatus]:
+        """Return the statuses that the platform returned.
 
-        A further try of an action is asked about only where the one before it
-        was refused; it cannot exist otherwise.
+        A further attempt of an action is queried only if the previous attempt was
+        refused, since it cannot exist otherwise.
         """
         found: dict[str, ActionStatus] = {}
-        waiting = list(names)
+        waiting = list(action_ids)
         while waiting:
-            askable = [name for name in waiting if _may_exist(name, found)]
-            if not askable:
+            queryable = [
+                action_id for action_id in waiting if _may_exist(action_id, found)
+            ]
+            if not queryable:
                 return found
-            asked = self._calls.map(self._status, askable)
-            for name, status in zip(askable, asked, strict=True):
+            answers = self._calls.map(self._status, queryable)
+            for action_id, status in zip(queryable, answers, strict=True):
                 if status is not None:
-                    found[name] = status
-            waiting = [name for name in waiting if name not in set(askable)]
+                    found[action_id] = status
+            waiting = [
+                action_id for action_id in waiting if action_id not in set(queryable)
+            ]
         return found
 
-    def take(self, actions: Sequence[PlatformAction]) -> None:
-        """Ask the platform for actions; the next step learns their status."""
-        self._calls.map(self._take, actions)
+    def perform(self, actions: Sequence[PlatformAction]) -> None:
+        """Request actions from the platform; the next step queries their status."""
+        self._calls.map(self._perform, actions)
 
-    def _status(self, name: str) -> ActionStatus | None:
-        if name in self._final:
-            return self._final[name]
-        return self._keep(name, self._client.action_status(name))
+    def _status(self, action_id: str) -> ActionStatus | None:
+        if action_id in self._final_status_by_action:
+            return self._final_status_by_action[action_id]
+        return self._record_answer(action_id, self._client.action_status(action_id))
 
-    def _take(self, action: PlatformAction) -> None:
+    def _perform(self, action: PlatformAction) -> None:
         match action.kind:
             case ActionKind.DRAIN:
                 answer = self._client.drain(action.instance, action.action_id)
@@ -78,36 +82,36 @@
             "id": action.action_id,
         }
         match answer:
-            case Reported():
+            case ActionReport():
                 log_event("action_taken", state=answer.state, **fields)
-                self._keep(action.action_id, answer)
+                self._record_answer(action.action_id, answer)
             case ActionRefused(reason):
                 log_event("action_refused", "WARNING", reason=reason, **fields)
                 self._set_final(action.action_id, ActionStatus.REFUSED)
             case Unavailable(reason):
                 log_event("action_unanswered", "WARNING", reason=reason, **fields)
 
-    def _keep(self, name: str, answer: object) -> ActionStatus | None:
+    def _record_answer(self, action_id: str, answer: object) -> ActionStatus | None:
         match answer:
-            case Reported(state=state):
+            case ActionReport(state=state):
                 status = _STATUS_BY_STATE[state]
-                if status in _FINAL:
-                    self._set_final(name, status)
+                if status in _FINAL_STATUSES:
+                    self._set_final(action_id, status)
                 return status
             case ActionRefused(reason="unknown"):
                 return ActionStatus.UNKNOWN
         return None
 
-    def _set_final(self, name: str, status: ActionStatus) -> None:
-        self._final[name] = status
-        if len(self._final) > MAX_KEPT:
-            self._final.popitem(last=False)
+    def _set_final(self, action_id: str, status: ActionStatus) -> None:
+        self._final_status_by_action[action_id] = status
+        if len(self._final_status_by_action) > MAX_FINAL_STATUSES:
+            self._final_status_by_action.popitem(last=False)
 
 
-def _may_exist(name: str, found: dict[str, ActionStatus]) -> bool:
-    base, _, number = name.rpartition(".")
+def _may_exist(action_id: str, found: dict[str, ActionStatus]) -> bool:
+    base, _, number = action_id.rpartition(".")
     if not number.isdecimal():
         return True
     attempt = int(number)
-    before = base if attempt == 2 else f"{base}.{attempt - 1}"
-    return found.get(before) is ActionStatus.REFUSED
+    previous = base if attempt == 2 else f"{base}.{attempt - 1}"
+    return found.get(previous) is ActionStatus.REFUSED
--- a/libs/controller/src/lycheeloom/controller/duty.py
+++ b/libs/controller/src/lycheeloom/controller/duty.py
@@ -1,4 +1,4 @@
-"""Holding a duty: claimed through the log, renewed, taken over on silence."""
+"""Election of the holder of a duty, by claims in the log."""
 
 from __future__ import annotations
 
@@ -10,15 +10,16 @@
 from lycheeloom.model.records import Duty, DutyClaimed
 
 RENEW_S = 3.0
-# A holder that renewed nothing for so long, while the log was readable, is gone.
+# A holder that did not renew for this long while the log was readable is replaced.
 TAKEOVER_S = 12.0
 
 
-class DutyKeeper:
-    """Keeps one duty for this process if no other process does.
+class DutyElection:
+    """Claims one duty for this process if no other process holds it.
 
-    Silence of the holder is counted only while the log can be read: in an
-    outage nobody can renew, and afterwards the holder gets the whole time again.
+    The time since the holder's last claim counts only while the log can be read: in
+    an outage of the log nobody can renew, and after it the holder has the whole
+    ``TAKEOVER_S`` again.
     """
 
     def __init__(
@@ -34,9 +35,9 @@
         self._writer = writer
         self._clock = clock
         self._pending: Pending | None = None
-        self._seen: tuple[str, int, int] | None = None
-        self._seen_at = clock()
-        self._renewed_at = -RENEW_S
+        self._last_claim: tuple[str, int, int] | None = None
+        self._last_claim_at = clock()
+        self._last_sent_at = -RENEW_S
 
     @property
     def epoch(self) -> int:
@@ -44,7 +45,7 @@
         return self._tail.state.duties.of(self.duty).epoch
 
     def is_fresh(self) -> bool:
-        """Tell whether the log was read to its end a short time ago."""
+        """Tell whether the log was read to its end within the last ``FRESHNESS_S``."""
         return self._clock() - self._tail.last_read_sent_at <= FRESHNESS_S
 
     def is_held(self) -> bool:
@@ -53,23 +54,23 @@
         return holder == self._writer.author and self.is_fresh()
 
     def step(self) -> None:
-        """Renew the duty or take it over where that is due; call every second."""
+        """Renew the duty or take it over if that is due; call every second."""
         now = self._clock()
-        held = self._tail.state.duties.of(self.duty)
-        seen = held.holder, held.epoch, held.renewed_at
-        if seen != self._seen or not self.is_fresh():
-            self._seen, self._seen_at = seen, now
+        current = self._tail.state.duties.of(self.duty)
+        claim = current.holder, current.epoch, current.renewed_at
+        if claim != self._last_claim or not self.is_fresh():
+            self._last_claim, self._last_claim_at = claim, now
         if self._pending is not None and self._pending.outcome is None:
             return
         if not self.is_fresh():
             return
-        if held.holder == self._writer.author:
-            if now - self._renewed_at >= RENEW_S:
-                self._claim(held.epoch, held.renewed_at, now)
-        elif not held.holder or now - self._seen_at >= TAKEOVER_S:
-            self._claim(held.epoch, held.renewed_at, now)
+        if current.holder == self._writer.author:
+            if now - self._last_sent_at >= RENEW_S:
+                self._claim(current.epoch, current.renewed_at, now)
+        elif not current.holder or now - self._last_claim_at >= TAKEOVER_S:
+            self._claim(current.epoch, current.renewed_at, now)
 
     def _claim(self, epoch: int, renewed_at: int, now: float) -> None:
-        self._renewed_at = now
+        self._last_sent_at = now
         record = DutyClaimed(self.duty, epoch, renewed_at)
         self._pending = self._writer.append(record, Priority.CONTROL)
--- a/libs/controller/src/lycheeloom/controller/http_api.py
+++ b/libs/controller/src/lycheeloom/controller/http_api.py
@@ -47,7 +47,7 @@
     def explain(self, kind: str, name: str) -> HTTPResponse:
         """``GET /v1/explain/<kind>/<id>`` for an instance, pool or the fleet.
 
-        Only the holder of the maintenance duty decides, so others know nothing.
+        Only the holder of the maintenance duty has explanations; others answer 404.
         """
         sentences = self._sentences(kind, name) if self._is_holder() else []
         if not sentences:
@@ -59,16 +59,16 @@
         return HTTPResponse(json.dumps(body), 200, _JSON)
 
     def _sentences(self, kind: str, name: str) -> list[str]:
-        kept = self._planner.explanations
+        explanations = self._planner.explanations
         match kind:
             case "instance":
-                if not self._planner.knows(name):
+                if not self._planner.knows_instance(name):
                     return []
-                past = [item.text for item in kept.of_instance(name)]
-                now = self._planner.why_not(name)
+                past = [item.text for item in explanations.for_instance(name)]
+                now = self._planner.describe_blocker(name)
                 return past if past and past[-1] == now else [*past, now]
             case "pool":
-                return [item.text for item in kept.of_pool(name)]
+                return [item.text for item in explanations.for_pool(name)]
             case "fleet":
-                return [item.text for item in kept.of_fleet()]
+                return [item.text for item in explanations.for_fleet()]
         return []
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -1,4 +1,4 @@
-"""Signals about workers: probes, and outcomes of recorded requests."""
+"""Sources of health signals: probes of workers and replayed request outcomes."""
 
 from __future__ import annotations
 
@@ -20,20 +20,20 @@
     RequestReleased,
 )
 
-# 5,100 workers are then probed every 510 s, and 30 workers every 3 s; more would
-# take too much of the 3.5% of a core that a daemon may use.
+# Probes each of 5,100 workers every 510 s, or of 30 workers every 3 s. A higher
+# rate would take too much of the 3.5% of a core that a daemon may use.
 PROBES_PER_S = 10
-MAX_PROBES = 16
-# A worker that did not answer is probed again so soon, and the others of its
-# rack at once, so that a lost rack is seen as a whole.
-MISS_RETRY_S = 5.0
-# A count of running tasks is not used when it is older.
-COUNT_KEPT_S = 10.0
-MAX_CLAIMS = 20_000
+MAX_CONCURRENT_PROBES = 16
+# A worker that did not answer is probed again after this time, the others of its
+# rack at once, so that the failure of a whole rack is recognised.
+FAILED_PROBE_RETRY_S = 5.0
+# Older counts of running tasks are not used.
+TASK_COUNT_MAX_AGE_S = 10.0
+MAX_TRACKED_CLAIMS = 20_000
 
 
-class WorkerProbes:
-    """Probes workers in turn and tells the monitor who answers."""
+class WorkerProber:
+    """Probes workers in turn and reports to the monitor which of them answer."""
 
     def __init__(
         self,
@@ -47,35 +47,39 @@
         self._client = client
         self._monitor = monitor
         self._clock = clock
-        self._running: dict[str, tuple[float, int]] = {}
-        # When to probe out of turn.
-        self._due_at: dict[str, float] = {}
-        self._pool = Pool(MAX_PROBES)
+        self._running_sample_by_instance: dict[str, tuple[float, int]] = {}
+        # Times of probes out of turn, after a failed probe in the rack.
+        self._early_probe_at: dict[str, float] = {}
+        self._pool = Pool(MAX_CONCURRENT_PROBES)
 
     def run(self) -> None:
         """Probe all workers in turn until stopped."""
         for _ in count():
             names = list(self._tail.state.config.instance_by_id)
             for name in names:
-                self._probe_due()
+                self._start_due_early_probes()
                 self._pool.spawn(self._probe, name)
                 gevent.sleep(1 / PROBES_PER_S)
             if not names:
                 gevent.sleep(1 / PROBES_PER_S)
 
     def probe_now(self, names: Iterable[str]) -> None:
-        """Probe workers whose running tasks are waited for."""
+        """Probe workers at once, as a move waits for their running tasks."""
         self._pool.map(self._probe, names)
 
     def running_by_instance(self) -> dict[str, int]:
-        """Return the recent counts of running tasks."""
-        oldest = self._clock() - COUNT_KEPT_S
-        return {name: n for name, (at, n) in self._running.items() if at >= oldest}
-
-    def _probe_due(self) -> None:
+        """Return the recent numbers of running tasks."""
+        oldest = self._clock() - TASK_COUNT_MAX_AGE_S
+        return {
+            name: n
+            for name, (at, n) in self._running_sample_by_instance.items()
+            if at >= oldest
+        }
+
+    def _start_due_early_probes(self) -> None:
         now = self._clock()
-        for name in [name for name, at in self._due_at.items() if at <= now]:
-            del self._due_at[name]
+        for name in [name for name, at in self._early_probe_at.items() if at <= now]:
+            del self._early_probe_at[name]
             self._pool.spawn(self._probe, name)
 
     def _probe(self, name: str) -> None:
@@ -85,30 +89,30 @@
         match self._client.usage(instance.address):
             case UsageReport() as report:
                 now = self._clock()
-                self._running[name] = (now, len(report.tasks))
+                self._running_sample_by_instance[name] = (now, len(report.tasks))
                 self._monitor.record_heartbeat(name, now, report.boot_id)
             case Unavailable():
                 now = self._clock()
-                self._running.pop(name, None)
+                self._running_sample_by_instance.pop(name, None)
                 if self._monitor.record_miss(name, now):
-                    self._probe_rack_soon(name, now)
-                self._due_at[name] = now + MISS_RETRY_S
+                    self._schedule_rack_probes(name, now)
+                self._early_probe_at[name] = now + FAILED_PROBE_RETRY_S
 
-    def _probe_rack_soon(self, name: str, now: float) -> None:
+    def _schedule_rack_probes(self, name: str, now: float) -> None:
         instances = self._tail.state.config.instance_by_id
         place = instances[name].zone, instances[name].rack
         for other in instances.values():
             if (other.zone, other.rack) == place:
-                self._due_at.setdefault(other.id, now)
+                self._early_probe_at.setdefault(other.id, now)
 
-    def forget(self, known: Collection[str]) -> None:
-        """Drop counts of workers that are no longer configured."""
-        for name in self._running.keys() - known:
-            del self._running[name]
+    def forget_unconfigured(self, known: Collection[str]) -> None:
+        """Drop the counts of workers that are no longer configured."""
+        for name in self._running_sample_by_instance.keys() - known:
+            del self._running_sample_by_instance[name]
 
 
-class OutcomeWatch:
-    """Learns outcomes from the records of requests as they are replayed."""
+class ReplayedOutcomes:
+    """Reports the outcomes of requests to the monitor as records are replayed."""
 
     def __init__(
         self,
@@ -133,7 +137,7 @@
         match record:
             case RequestClaimed(request_id=request, worker=worker):
                 self._worker_by_request[request] = worker
-                if len(self._worker_by_request) > MAX_CLAIMS:
+                if len(self._worker_by_request) > MAX_TRACKED_CLAIMS:
                     self._worker_by_request.popitem(last=False)
             case RequestReleased(request_id=request):
                 self._worker_by_request.pop(request, None)
@@ -146,10 +150,10 @@
             return
         now = self._clock()
         if outcome is Outcome.RAN:
-            self._monitor.task_ended(worker, self._queue_of(request), True, now)
+            self._monitor.record_outcome(worker, self._queue_of(request), True, now)
         elif outcome is Outcome.MAY_HAVE_RUN:
-            # The worker took the task and never gave an answer.
-            self._monitor.lease_lost(worker, now)
+            # The worker accepted the task and never answered.
+            self._monitor.record_lost_lease(worker, now)
 
     def _queue_of(self, request: str) -> str:
         recorded = self._tail.state.requests.request_by_id.get(request)
--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -1,7 +1,7 @@
-"""Appends bodies and answers again before the log drops them.
+"""Appends request bodies and answers again before the log drops them.
 
-The state and its snapshots hold only offsets, so a request that waits longer
-than the log's retention would lose its body, and a kept answer its text.
+The state and its snapshots hold only the offsets of bodies and answers, so both
+would be lost once they are older than the log's retention.
 """
 
 from __future__ import annotations
@@ -21,24 +21,25 @@
 from lycheeloom.state import RecordedRequest, RequestStatus
 from lycheeloom.telemetry import log_event
 
-from .duty import DutyKeeper
+from .duty import DutyElection
 from .offset_ages import OffsetAges
 
-# Records older than this part of the retention are appended again.
-REFRESH_PART = 0.5
-# The age of records from before this process began is unknown. The last holder
-# of the duty left none older than REFRESH_PART.
-UNKNOWN_AGE_PART = 0.1
-# Bounds the appends of one step, which is taken every few seconds.
+# Records older than this fraction of the retention are appended again.
+REFRESH_AGE_FRACTION = 0.5
+# The age of records from before this process started is not known. They count as
+# due after this fraction of the retention, as the previous holder of the duty left
+# none older than REFRESH_AGE_FRACTION.
+UNKNOWN_AGE_WAIT_FRACTION = 0.1
+# Bounds the pending appends; a step runs every few seconds.
 MAX_RECORDS_PER_STEP = 100
 
 
 class RecordRefresher:
-    """Keeps the records of unfinished requests and kept answers readable."""
+    """Keeps the bodies of unfinished requests and the kept answers readable."""
 
     def __init__(
         self,
-        duty: DutyKeeper,
+        duty: DutyElection,
         tail: LogTail,
         writer: LogWriter,
         reader: RecordReader,
@@ -46,7 +47,7 @@
         *,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.refreshed = 0
+        self.refreshed_count = 0
         self._duty = duty
         self._tail = tail
         self._writer = writer
@@ -54,15 +55,15 @@
         self._retention_s = retention_s
         self._clock = clock
         self._ages = OffsetAges(retention_s / 20, clock)
-        self._began_at = clock()
-        self._first_own_offset = tail.next_offset
+        self._started_at = clock()
+        self._offset_at_start = tail.next_offset
         self._pending_by_id: dict[str, Pending] = {}
-        # Reported once; there is nothing left to append again.
+        # Each lost record is reported once; it cannot be appended again.
         self._lost_ids: set[str] = set()
 
     def step(self) -> None:
-        """Append what is due again, a bounded number of records at a time."""
-        self._ages.note(self._tail.next_offset - 1)
+        """Append the records that are due again, a bounded number at a time."""
+        self._ages.sample(self._tail.next_offset - 1)
         self._pending_by_id = {
             request_id: pending
             for request_id, pending in self._pending_by_id.items()
@@ -70,18 +71,23 @@
         }
         if not self._duty.is_held():
             return
-        for request in self._due():
+        for request in self._due_requests():
             if len(self._pending_by_id) >= MAX_RECORDS_PER_STEP:
                 return
             self._refresh(request)
 
-    def _due(self) -> Iterator[RecordedRequest]:
-        known = self._tail.state.requests.request_by_id
-        self._lost_ids.intersection_update(known)
-        through = self._ages.offset_before(REFRESH_PART * self._retention_s)
-        if self._clock() - self._began_at >= UNKNOWN_AGE_PART * self._retention_s:
-            through = max(through, self._first_own_offset - 1)
-        for request in list(known.values()):
+    def _due_requests(self) -> Iterator[RecordedRequest]:
+        request_by_id = self._tail.state.requests.request_by_id
+        self._lost_ids.intersection_update(request_by_id)
+        through = self._ages.newest_offset_older_than(
+            REFRESH_AGE_FRACTION * self._retention_s
+        )
+        if (
+            self._clock() - self._started_at
+            >= UNKNOWN_AGE_WAIT_FRACTION * self._retention_s
+        ):
+            through = max(through, self._offset_at_start - 1)
+        for request in list(request_by_id.values()):
             offset = _offset_of(request)
             if offset is None or offset > through:
                 continue
@@ -103,7 +109,7 @@
             return
         pending = self._writer.append(record, Priority.REQUEST)
         self._pending_by_id[request.request_id] = pending
-        self.refreshed += 1
+        self.refreshed_count += 1
 
 
 def _offset_of(request: RecordedRequest) -> int | None:
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -1,4 +1,4 @@
-"""The parts of a controller, put together, started and shut down."""
+"""Creates, starts and shuts down the components of a controller."""
 
 from __future__ import annotations
 
@@ -20,13 +20,13 @@
 from lycheeloom.state import FleetState
 from lycheeloom.telemetry import log_event
 
-from .duty import DutyKeeper
-from .housekeeping import AnswerExpiry, SnapshotKeeper
+from .duty import DutyElection
+from .housekeeping import AnswerExpiry, SnapshotLoop
 from .http_api import HttpApi
 from .maintenance import MaintenanceLoop
 from .metrics import ControllerMetrics
-from .outcome_reports import REPORT_INTERVAL_S, OutcomeReports
-from .probes import OutcomeWatch, WorkerProbes
+from .outcome_reports import OUTCOME_POLL_INTERVAL_S, OutcomeReportPoller
+from .probes import ReplayedOutcomes, WorkerProber
 from .refresh import RecordRefresher
 from .settings import Settings
 
@@ -35,12 +35,12 @@
 DUTY_STEP_S = 1.0
 HOUSEKEEPING_STEP_S = 5.0
 METRICS_STEP_S = 5.0
-IDLE_SWEEP_S = 5.0
+IDLE_CONNECTION_CHECK_S = 5.0
 WEEK_S = 7 * 24 * 3600.0
 
 
 class ControllerService:
-    """One controller; of all controllers, one holds each duty."""
+    """A controller process; each duty is held by one of all controllers."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
@@ -54,15 +54,16 @@
     def run(self) -> None:
         """Serve until ``stop`` is called.
 
-        Nothing is handed over at the end: moves continue under the next holder
-        from their last recorded stage.
+        Nothing is handed over at the end: the next holder continues each move from
+        its last recorded stage.
         """
         state = self._recover()
         if state is None:
             return
-        self._build(state)
-        # At 5,100 workers a full collection made single planner steps take over
-        # 40 ms. What was recovered lives as long as the process.
+        self._create_components(state)
+        # With 5,100 workers a full garbage collection makes single planner steps take
+        # over 40 ms. The recovered state lives as long as the process, so it is
+        # excluded from collections.
         gc.collect()
         gc.freeze()
         self._start()
@@ -84,7 +85,7 @@
             self._stopping.wait(RECOVERY_RETRY_S)
         return None
 
-    def _build(self, state: FleetState) -> None:
+    def _create_components(self, state: FleetState) -> None:
         settings = self.settings
         author = f"controller-{settings.instance}-{secrets.token_hex(4)}"
         self.tail = LogTail(self._log, state)
@@ -102,43 +103,43 @@
                 probation_s=settings.probation_s, max_reboots=settings.max_reboots
             ),
         )
-        self.duty_by_name = {
-            duty: DutyKeeper(duty, self.tail, self.writer) for duty in Duty
+        self.election_by_duty = {
+            duty: DutyElection(duty, self.tail, self.writer) for duty in Duty
         }
-        # One clock for the planner: it must not jump, yet number the cycles of
-        # regular waves equally in every process.
+        # The planner's clock must not jump, but must agree between processes on the
+        # number of the current cycle of regular waves.
         started_at, wall = time.monotonic(), time.time()
         clock = lambda: wall + time.monotonic() - started_at  # noqa: E731
-        self.probes = WorkerProbes(
+        self.probes = WorkerProber(
             self.tail, self._workers, self.planner.health, clock=clock
         )
-        self._outcomes = OutcomeWatch(self.tail, self.planner.health, clock=clock)
-        self.outcome_reports = OutcomeReports(
+        self._outcomes = ReplayedOutcomes(self.tail, self.planner.health, clock=clock)
+        self.outcome_reports = OutcomeReportPoller(
             self.tail, self.planner.health, author, clock=clock
         )
         self.maintenance = MaintenanceLoop(
             self.planner,
-            self.duty_by_name[Duty.MAINTENANCE],
+            self.election_by_duty[Duty.MAINTENANCE],
             self.tail,
             self.writer,
             self._instances,
             self.probes,
             clock=clock,
         )
-        self._build_housekeeping()
+        self._create_housekeeping()
 
-    def _build_housekeeping(self) -> None:
-        self.snapshots = SnapshotKeeper(
-            self.duty_by_name[Duty.SNAPSHOT],
+    def _create_housekeeping(self) -> None:
+        self.snapshots = SnapshotLoop(
+            self.election_by_duty[Duty.SNAPSHOT],
             self.tail,
             self.writer,
             self.settings.log_retention_s,
         )
         self.expiry = AnswerExpiry(
-            self.duty_by_name[Duty.HOUSEKEEPING], self.tail, self.writer
+            self.election_by_duty[Duty.HOUSEKEEPING], self.tail, self.writer
         )
         self.refresher = RecordRefresher(
-            self.duty_by_name[Duty.HOUSEKEEPING],
+            self.election_by_duty[Duty.HOUSEKEEPING],
             self.tail,
             self.writer,
             RecordReader(self.tail, self._log),
@@ -146,7 +147,7 @@
         )
         self.metrics = ControllerMetrics()
         self.metrics.log_retention_s.set(self.settings.log_retention_s)
-        maintenance = self.duty_by_name[Duty.MAINTENANCE]
+        maintenance = self.election_by_duty[Duty.MAINTENANCE]
         self._api = HttpApi(
             self.planner,
             self.metrics.registry,
@@ -157,15 +158,15 @@
     def _start(self) -> None:
         self.tail.start()
         self.writer.start()
-        duties = list(self.duty_by_name.values())
+        duties = list(self.election_by_duty.values())
         self._spawn_loop(lambda: [duty.step() for duty in duties], DUTY_STEP_S)
         self._spawn_loop(self.maintenance.step, self.settings.step_s)
         self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self.refresher.step, HOUSEKEEPING_STEP_S)
-        self._spawn_loop(self.outcome_reports.step, REPORT_INTERVAL_S)
+        self._spawn_loop(self.outcome_reports.step, OUTCOME_POLL_INTERVAL_S)
         self._spawn_loop(self._update_metrics, METRICS_STEP_S)
-        self._spawn_loop(self._workers.close_idle, IDLE_SWEEP_S)
+        self._spawn_loop(self._workers.close_idle, IDLE_CONNECTION_CHECK_S)
         self._greenlets.append(gevent.spawn(self.probes.run))
         self._server = WSGIServer(
             split_address(self.settings.listen), self._api.app, log=None, error_log=None
@@ -176,7 +177,7 @@
         self._greenlets.append(gevent.spawn(_run_loop, step, interval_s))
 
     def _update_metrics(self) -> None:
-        for name, duty in self.duty_by_name.items():
+        for name, duty in self.election_by_duty.items():
             self.metrics.set_duty(name, duty.is_held())
         self.metrics.set_fleet(self.maintenance.view, self.planner)
         self.metrics.step_s.set(self.maintenance.last_step_s)
@@ -194,7 +195,7 @@
 
 
 def _run_loop(step: Callable[[], object], interval_s: float) -> None:
-    """Run a step again and again; a fault in one must not end the others."""
+    """Run a step at intervals; an exception in one step must not end the loop."""
     while True:
         try:
             step()
--- a/libs/controller/src/lycheeloom/controller/settings.py
+++ b/libs/controller/src/lycheeloom/controller/settings.py
@@ -9,19 +9,19 @@
 from lycheeloom.model.limits import RECLAIM_WAIT_S
 from lycheeloom.settings import ADDRESS_PATTERN
 
-from .probes import MISS_RETRY_S
+from .probes import FAILED_PROBE_RETRY_S
 
 
 class Settings(BaseModel):
-    """Addresses of this controller and of the platform; times are in seconds.
-
-    ``regular_wave_weeks`` starts a maintenance wave over all pools in each such
-    period; 0 leaves waves to operators. ``log_retention_s`` is how long the log
-    keeps records; snapshots are written well before. ``silent_s`` is how long a
-    worker does not answer before it counts as silent, ``correlated_pause_s`` how
-    long waves and repair are held after instances of a rack or zone failed
-    together. ``dead_after_s`` of further silence prove that the work of a worker
-    is over; no task lease may be running by then.
+    """Addresses and settings of a controller; times are in seconds.
+
+    ``regular_wave_weeks`` is the period in which a maintenance wave over all pools
+    starts; 0 leaves waves to operators. ``log_retention_s`` is how long the log
+    keeps records; snapshots are written well before that. A worker counts as silent
+    after ``silent_s`` without an answer. Waves and repair are held for
+    ``correlated_pause_s`` after instances of a rack or zone failed together.
+    ``dead_after_s`` of further silence prove that no task of a worker is running;
+    no task lease may last longer.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -37,7 +37,7 @@
     drain_limit_s: float = Field(default=4 * 3600, gt=0)
     buffer_moves_per_hour: int = Field(default=60, ge=0)
     log_retention_s: float = Field(default=24 * 3600, gt=0)
-    silent_s: float = Field(default=30, ge=2 * MISS_RETRY_S)
+    silent_s: float = Field(default=30, ge=2 * FAILED_PROBE_RETRY_S)
     correlated_pause_s: float = Field(default=300, ge=0)
     probation_s: float = Field(default=120, ge=0)
     max_reboots: int = Field(default=3, ge=0)
--- a/libs/controller/tests/test_controller.py
+++ b/libs/controller/tests/test_controller.py
@@ -22,7 +22,7 @@
     Unavailable,
 )
 from lycheeloom.controller.actions import ActionRunner
-from lycheeloom.controller.duty import TAKEOVER_S, DutyKeeper
+from lycheeloom.controller.duty import TAKEOVER_S, DutyElection
 from lycheeloom.controller.maintenance import MaintenanceLoop
 from lycheeloom.fleet import ActionKind, ActionStatus, PlatformAction
 from lycheeloom.log import recover
@@ -227,7 +227,7 @@
     """After an outage the holder must get its time to renew again."""
     tail, now = FakeTail(), [0.0]
     tail.state.apply(0, Batch("other", 1, (DutyClaimed(Duty.MAINTENANCE, 0),)))
-    duty = DutyKeeper(Duty.MAINTENANCE, tail, FakeWriter(tail), clock=lambda: now[0])
+    duty = DutyElection(Duty.MAINTENANCE, tail, FakeWriter(tail), clock=lambda: now[0])
     for second in range(1800):
         now[0] = float(second)
         duty.step()
--- a/libs/controller/tests/test_housekeeping.py
+++ b/libs/controller/tests/test_housekeeping.py
@@ -91,7 +91,7 @@
     append(r.RequestClaimed("done", 1, "w", "boot"))
     append(r.RequestFinished("done", 1, Outcome.RAN, b"answer"))
     refresher.step()
-    assert refresher.refreshed == 0
+    assert refresher.refreshed_count == 0
     requests = tail.state.requests.request_by_id
     waiting, done = requests["waiting"], requests["done"]
     for step in range(1, 40):
@@ -103,7 +103,7 @@
             append(r.MemberRefuted())
         assert reader.submission(waiting.body_offset, "waiting").payload == b"body"
         assert reader.finish(done.answer_offset, "done").answer == b"answer"
-    assert refresher.refreshed <= 2 * 4
+    assert refresher.refreshed_count <= 2 * 4
     dropped = reader.submission(waiting.submitted_at, "waiting")
     assert isinstance(dropped, RecordLost)
 
@@ -147,7 +147,7 @@
     submit(append, "waiting")
     clock.now += RETENTION_S
     refresher.step()
-    assert refresher.refreshed == 0
+    assert refresher.refreshed_count == 0
 
 
 def test_answers_expire_after_the_declared_time(append, tail, writer, clock):
--- a/libs/controller/tests/test_metrics.py
+++ b/libs/controller/tests/test_metrics.py
@@ -20,7 +20,9 @@
     view = FleetView(
         config=parse_config({"name": "x"}, 1), move_by_instance={"w": move}
     )
-    planner = SimpleNamespace(out_by_pool=dict, buffer_plan=SimpleNamespace(needs=()))
+    planner = SimpleNamespace(
+        unavailable_by_pool=dict, buffer_plan=SimpleNamespace(needs=())
+    )
     metrics = ControllerMetrics()
 
     def served():
--- a/libs/controller/tests/test_outcome_reports.py
+++ b/libs/controller/tests/test_outcome_reports.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheeloom.cluster import PeerConnectionError
-from lycheeloom.controller.outcome_reports import OutcomeReports
+from lycheeloom.controller.outcome_reports import OutcomeReportPoller
 from lycheeloom.fleet import HealthMonitor
 from lycheeloom.fleet.budgets import Layout
 from lycheeloom.fleet.monitor import Symptom
@@ -73,7 +73,7 @@
 class Setup:
     def __init__(self):
         self.tail, self.entries, self.monitor = Tail(), Entries(), HealthMonitor()
-        self.reports = OutcomeReports(
+        self.reports = OutcomeReportPoller(
             self.tail,
             self.monitor,
             "controller",
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -1,7 +1,7 @@
-"""Availability budgets: how many instances may be out at the same time.
+"""Availability budgets: how many instances may be out of service at once.
 
-Planned and unplanned unavailability count together, per pool, per rack of a
-pool and per availability zone.
+Planned and unplanned unavailability count together. Each pool, each rack of a
+pool and each availability zone has a budget.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 class LimitKind(StrEnum):
-    """Which rule keeps an instance in service."""
+    """The kind of limit that keeps an instance in service."""
 
     POOL = "pool"
     RACK = "rack"
@@ -29,16 +29,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """A rule that allows no further instance to leave service."""
+    """A limit that allows no further instance to leave service.
+
+    ``scope`` names the pool, rack or zone. ``current`` counts instances out of
+    service, except for ``NEED`` (instances in service, against the ``allowed``
+    minimum) and ``LAST_SPARE`` (spare instances, against the pools' shortfall).
+    """
 
     kind: LimitKind
     scope: str
-    out: int
+    current: int
     allowed: int
 
 
 class Layout:
-    """Instance counts that change only with configuration or pool changes."""
+    """The location of each instance and the members of each pool, rack and zone.
+
+    A layout holds until the configuration or the pool of an instance changes.
+    Each location is a (pool, rack, zone) tuple.
+    """
 
     def __init__(self, config: FleetConfig, pool_by_instance: Mapping[str, str]):
         self.config = config
@@ -49,13 +58,13 @@
         self.members_by_zone: dict[str, list[str]] = defaultdict(list)
         for name, instance in config.instance_by_id.items():
             pool = self.pool_by_instance.get(name, instance.pool)
-            # Rack names need not differ between zones.
+            # Rack names may repeat in different zones.
             rack = f"{instance.zone}/{instance.rack}"
             self.location_by_instance[name] = (pool, rack, instance.zone)
             self.members_by_pool[pool].append(name)
             self.members_by_rack[rack].append(name)
             self.members_by_zone[instance.zone].append(name)
-        # Nothing starts in a zone that operators took out of service.
+        # No task starts in a zone that operators took out of service.
         self.out_of_service = frozenset(
             name
             for zone_id, zone in config.zone_by_id.items()
@@ -68,15 +77,15 @@
         self.has_spare_pool = any(pool.spare for pool in config.pool_by_id.values())
 
     def matches(self, config: FleetConfig, pool_by_instance: Mapping[str, str]) -> bool:
-        """Tell whether the counts still hold for these inputs."""
+        """Tell whether the layout still holds for these inputs."""
         return self.config is config and self.pool_by_instance == pool_by_instance
 
 
 class BudgetUsage:
-    """Who is out of service now, counted against every budget.
+    """The instances out of service now, counted against every budget.
 
-    ``blocking_limit`` says which limit keeps an instance in service; ``take`` counts
-    it as out.
+    ``blocking_limit`` returns the limit that keeps an instance in service;
+    ``take`` counts an instance as out of service.
     """
 
     def __init__(self, layout: Layout, out: Iterable[str]):
@@ -100,11 +109,11 @@
         return instance in self._out
 
     def take(self, instance: str) -> None:
-        """Count an instance as out of service, once."""
-        place = self._layout.location_by_instance.get(instance)
-        if place is None or instance in self._out:
+        """Count an instance as out of service, unless it is counted already."""
+        location = self._layout.location_by_instance.get(instance)
+        if location is None or instance in self._out:
             return
-        pool, rack, zone = place
+        pool, rack, zone = location
         self._out.add(instance)
         self._out_by_pool[pool] += 1
         self._out_by_rack[pool, rack] += 1
@@ -122,7 +131,7 @@
         health_by_instance: Mapping[str, HealthState],
         move_by_instance: Mapping[str, Move],
     ) -> None:
-        """Count as out who is unfit or in an open move by the log's records."""
+        """Count the instances that the log records as unhealthy or in an open move."""
         for name, state in health_by_instance.items():
             if state.health is not Health.IN_SERVICE:
                 self.take(name)
@@ -131,26 +140,28 @@
                 self.take(name)
 
     def available(self, pool: str) -> int:
-        """Return how many instances of the pool serve."""
+        """Return the number of instances of the pool in service."""
         return self._layout.size_by_pool[pool] - self._out_by_pool[pool]
 
     def free_in_pool(self, pool: str) -> int:
-        """Return how many more instances of a pool its own budget lets out."""
+        """Return how many more instances of a pool its own budget allows out."""
         budget = self._layout.config.pool_by_id[pool].max_unavailable
         return budget - self._out_by_pool[pool]
 
-    def blocking_limit(self, instance: str, covers: str = "") -> Limit | None:
-        """Return the limit that keeps a serving instance in service.
+    def blocking_limit(self, instance: str, to_pool: str = "") -> Limit | None:
+        """Return the limit that keeps an instance in service, None if there is none.
 
-        ``covers`` is the pool that the instance is to serve instead.
+        ``to_pool`` is the pool that the instance is to join, if it changes pools.
         """
-        return self._over(instance, 1, covers)
+        return self._limit_exceeded_by(instance, 1, to_pool)
 
-    def exceeded(self, instance: str, covers: str = "") -> Limit | None:
-        """Return a limit that is already exceeded with the instance out."""
-        return self._over(instance, 0, covers)
+    def exceeded(self, instance: str, to_pool: str = "") -> Limit | None:
+        """Return a limit that is exceeded already with the instance out of service."""
+        return self._limit_exceeded_by(instance, 0, to_pool)
 
-    def _over(self, instance: str, more: int, covers: str) -> Limit | None:
+    def _limit_exceeded_by(
+        self, instance: str, more: int, to_pool: str
+    ) -> Limit | None:
         config = self._layout.config
         pool_id, rack, zone_id = self._layout.location_by_instance[instance]
         pool = config.pool_by_id.get(pool_id)
@@ -167,12 +178,14 @@
         allowed = zone.max_unavailable if zone else None
         if allowed is not None and out + more > allowed:
             return Limit(LimitKind.ZONE, zone_id, out, allowed)
-        return self._over_spare(pool_id, more, covers)
+        return self._spare_limit_exceeded_by(pool_id, more, to_pool)
 
-    def _over_spare(self, pool_id: str, more: int, covers: str) -> Limit | None:
-        """Keep every need covered and one spare instance untouched.
+    def _spare_limit_exceeded_by(
+        self, pool_id: str, more: int, to_pool: str
+    ) -> Limit | None:
+        """Return the limit on spares: every need covered and one spare left over.
 
-        A spare that goes to a pool in need does not make the need larger.
+        The shortfall does not keep a spare from joining a pool that is short.
         """
         pool = self._layout.config.pool_by_id[pool_id]
         if not self._layout.has_spare_pool:
@@ -183,7 +196,7 @@
         spares, shortfall = self._spares, self._shortfall
         if pool.spare:
             spares -= more
-            if covers and self._is_short(covers):
+            if to_pool and self._is_short(to_pool):
                 shortfall = 0
         elif self.available(pool_id) - more < pool.needed:
             shortfall += more
--- a/libs/fleet/src/lycheeloom/fleet/events.py
+++ b/libs/fleet/src/lycheeloom/fleet/events.py
@@ -1,4 +1,4 @@
-"""Typed decisions of the planner and the sentences that describe them."""
+"""Typed decisions of the planner and their descriptions for operators."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveAdvanced:
-    """A move has reached a further stage."""
+    """A move entered its next stage."""
 
     instance: str
     pool: str
@@ -31,8 +31,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MoveWaits:
-    """A move cannot go on yet."""
+class MoveWaiting:
+    """A move cannot proceed yet."""
 
     instance: str
     pool: str
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveEnded:
-    """A move has joined its pool or was abandoned."""
+    """The instance joined its pool, or the move was abandoned."""
 
     instance: str
     pool: str
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotChosen:
-    """An instance was left in service for now."""
+    """A limit keeps an instance in service for now."""
 
     instance: str
     pool: str
@@ -60,10 +60,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MaintenanceHeld:
-    """No wave and no repair starts anything because of a correlated failure."""
+class MaintenanceOnHold:
+    """Waves and repair start nothing because of a correlated failure.
 
-    place: str
+    ``lost`` counts the failed instances of ``domain``; ``until_s`` ends the hold.
+    """
+
+    domain: str
     lost: int
     until_s: float
     instances: tuple[str, ...] = ()
@@ -71,21 +74,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceLost:
-    """A rack or zone failed as one event.
+class FailureDomainLost:
+    """The instances of a rack or zone failed together.
 
-    ``instances`` are those that were not known to be lost before.
+    ``lost`` counts all failed instances of ``domain``, ``instances`` names those
+    that have failed since the last step.
     """
 
-    place: str
+    domain: str
     lost: int
     instances: tuple[str, ...] = ()
     pools: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class ObserverDoubted:
-    """Too much of the fleet looks silent for the reports to be believed."""
+class TooManySilent:
+    """So many instances look silent that the silence is not credible."""
 
     silent: int
     total: int
@@ -102,10 +106,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BufferShort:
-    """The fleet lacks instances; moves cannot mend it."""
+class BufferShortage:
+    """The fleet lacks instances, which no move between pools can provide.
+
+    ``domain`` is the rack or zone whose loss would leave it short; it is empty if
+    instances are lacking already.
+    """
 
-    place: str
+    domain: str
     lacking: int
     size: str
 
@@ -113,14 +121,14 @@
 Event = (
     MoveStarted
     | MoveAdvanced
-    | MoveWaits
+    | MoveWaiting
     | MoveEnded
     | NotChosen
-    | MaintenanceHeld
-    | PlaceLost
-    | ObserverDoubted
+    | MaintenanceOnHold
+    | FailureDomainLost
+    | TooManySilent
     | HealthDecided
-    | BufferShort
+    | BufferShortage
 )
 
 _STAGE_TEXT = {
@@ -134,11 +142,11 @@
 _WAIT_TEXT = {
     Wait.NOTHING: "the next step",
     Wait.BUDGET: "room in the availability budget",
-    Wait.LIST: "a new list of instances from the platform",
+    Wait.INSTANCE_LIST: "a new list of instances from the platform",
     Wait.PLATFORM: "the platform to finish the last step",
-    Wait.WORK: "its running work to end or to be checkpointed",
-    Wait.COUNT: "a report of how much work it is running",
-    Wait.RETRY: "the next try, because the platform refused the last one",
+    Wait.RUNNING_TASKS: "its running work to end or to be checkpointed",
+    Wait.TASK_COUNT: "a report of how much work it is running",
+    Wait.RETRY: "the next attempt, because the platform refused the last one",
 }
 _HEALTH_TEXT = {
     Health.IN_SERVICE: "is in normal service",
@@ -149,21 +157,23 @@
 
 
 def describe(event: Event) -> str:
-    """Describe a decision in one sentence for people who do not program."""
+    """Return a decision as one plain sentence for operators."""
     match event:
         case MoveStarted():
-            return _started(event)
+            return _describe_start(event)
         case MoveAdvanced():
             return f"Instance {event.instance} {_STAGE_TEXT[event.stage]}."
-        case MoveWaits():
+        case MoveWaiting():
             text = f"Instance {event.instance} waits for {_WAIT_TEXT[event.wait]}"
             return f"{text}{_because(event.limit)}."
         case MoveEnded(stage=MoveStage.JOINED):
-            but = f", but {event.reason}" if event.reason else ""
-            return f"Instance {event.instance} is in service in pool {event.pool}{but}."
+            caveat = f", but {event.reason}" if event.reason else ""
+            return (
+                f"Instance {event.instance} is in service in pool {event.pool}{caveat}."
+            )
         case MoveEnded():
             return (
-                f"The change of instance {event.instance} was called off and it stays"
+                f"The move of instance {event.instance} was cancelled and it stays"
                 f" in pool {event.pool}{_with_reason(event.reason)}."
             )
         case NotChosen():
@@ -171,43 +181,45 @@
                 f"Instance {event.instance} of pool {event.pool} stays in service"
                 f" for now{_because(event.limit)}."
             )
-        case MaintenanceHeld():
+        case MaintenanceOnHold():
             return (
                 f"Maintenance and repair are on hold because {event.lost} instances"
-                f" in {event.place} failed together."
+                f" in {event.domain} failed together."
             )
-        case PlaceLost():
+        case FailureDomainLost():
             return (
-                f"{event.place.capitalize()} failed: {event.lost} instances stopped"
+                f"{event.domain.capitalize()} failed: {event.lost} instances stopped"
                 " together, and this is treated as one event."
             )
-        case ObserverDoubted():
+        case TooManySilent():
             return (
-                f"{event.silent} of {event.total} instances look silent; that is too"
-                " many to be believed, so nothing is rebooted."
+                f"{event.silent} of {event.total} instances look silent, which is too"
+                " many to be credible, so nothing is rebooted."
             )
         case HealthDecided():
             return (
                 f"Instance {event.instance} of pool {event.pool}"
                 f" {_HEALTH_TEXT[event.health]}{_with_reason(event.reason)}."
             )
-        case BufferShort():
-            return _short(event)
+        case BufferShortage():
+            return _describe_shortage(event)
 
 
-def _started(event: MoveStarted) -> str:
-    what = "to be rebooted" if event.reboot else "to change pools"
+def _describe_start(event: MoveStarted) -> str:
+    purpose = "to be rebooted" if event.reboot else "to change pools"
     if event.to_pool != event.pool:
-        what = f"to go from pool {event.pool} to pool {event.to_pool}"
-        what += " with a reboot" if event.reboot else ""
-    return f"Instance {event.instance} was chosen {what}{_with_reason(event.reason)}."
+        purpose = f"to go from pool {event.pool} to pool {event.to_pool}"
+        purpose += " with a reboot" if event.reboot else ""
+    return (
+        f"Instance {event.instance} was chosen {purpose}{_with_reason(event.reason)}."
+    )
 
 
-def _short(event: BufferShort) -> str:
-    when = f"if {event.place} were lost" if event.place else "now"
+def _describe_shortage(event: BufferShortage) -> str:
+    condition = f"if {event.domain} were lost" if event.domain else "now"
     return (
-        f"The fleet is short of {event.lacking} instances with {event.size} {when};"
-        " moving instances between pools cannot mend this."
+        f"The fleet is short of {event.lacking} instances with {event.size}"
+        f" {condition}; moving instances between pools cannot provide them."
     )
 
 
@@ -218,16 +230,16 @@
 def _because(limit: Limit | None) -> str:
     if limit is None:
         return ""
-    out, allowed, scope = limit.out, limit.allowed, limit.scope
+    current, allowed, scope = limit.current, limit.allowed, limit.scope
     match limit.kind:
         case LimitKind.POOL:
-            rule = f"{out} of at most {allowed} instances of pool {scope} are out"
+            rule = f"{current} of at most {allowed} instances of pool {scope} are out"
         case LimitKind.RACK:
-            rule = f"{out} of at most {allowed} of its pool in rack {scope} are out"
+            rule = f"{current} of at most {allowed} of its pool in rack {scope} are out"
         case LimitKind.ZONE:
-            rule = f"{out} of at most {allowed} instances in zone {scope} are out"
+            rule = f"{current} of at most {allowed} instances in zone {scope} are out"
         case LimitKind.NEED:
-            rule = f"pool {scope} has {out} in service and needs {allowed}"
+            rule = f"pool {scope} has {current} in service and needs {allowed}"
         case LimitKind.LAST_SPARE:
             rule = "that would use the last spare instance"
     return f", because {rule}"
--- a/libs/fleet/src/lycheeloom/fleet/explanations.py
+++ b/libs/fleet/src/lycheeloom/fleet/explanations.py
@@ -1,4 +1,4 @@
-"""Recent decisions, bounded in memory and found by instance or pool."""
+"""A bounded history of decisions, indexed by instance and pool."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True)
 class Explanation:
-    """A decision, when it was first and last made, and how often."""
+    """A decision with the times it was first and last made and its count."""
 
     event: Event
     first_s: float
@@ -30,8 +30,8 @@
 class Explanations:
     """Keeps the newest decisions.
 
-    A decision that repeats the last one about the same instance or pool only
-    counts up, so that waiting for an hour takes one entry.
+    A decision equal to the last one about the same instance or pool only
+    increments that entry's count, so a long wait takes a single entry.
     """
 
     def __init__(self, max_events: int = MAX_EVENTS, max_keys: int = MAX_KEYS):
@@ -50,25 +50,25 @@
         entry = Explanation(event, now_s, now_s)
         self._recent.append(entry)
         for key in keys:
-            self._file(key, entry)
+            self._add_under_key(key, entry)
 
-    def of_instance(self, instance: str) -> tuple[Explanation, ...]:
+    def for_instance(self, instance: str) -> tuple[Explanation, ...]:
         """Return the kept decisions about an instance, oldest first."""
         return tuple(self._by_key.get(("instance", instance), ()))
 
-    def of_pool(self, pool: str) -> tuple[Explanation, ...]:
+    def for_pool(self, pool: str) -> tuple[Explanation, ...]:
         """Return the kept decisions about a pool, oldest first."""
         return tuple(self._by_key.get(("pool", pool), ()))
 
-    def of_fleet(self) -> tuple[Explanation, ...]:
-        """Return the kept decisions about no single instance."""
+    def for_fleet(self) -> tuple[Explanation, ...]:
+        """Return the kept decisions that concern the whole fleet, oldest first."""
         return tuple(self._by_key.get(("fleet", ""), ()))
 
     def recent(self, count: int = 100) -> tuple[Explanation, ...]:
         """Return the newest decisions, oldest first."""
         return tuple(self._recent)[-count:]
 
-    def _file(self, key: tuple[str, str], entry: Explanation) -> None:
+    def _add_under_key(self, key: tuple[str, str], entry: Explanation) -> None:
         entries = self._by_key.get(key)
         if entries is None:
             entries = self._by_key[key] = deque(maxlen=MAX_EVENTS_PER_KEY)
@@ -86,7 +86,8 @@
     ]
     if keys:
         return keys
-    # A failed rack must be found under its instances and pools as well.
+    # Operators ask about an instance or pool, so the failure of a rack is also
+    # indexed under its instances and pools.
     named = [("instance", name) for name in getattr(event, "instances", ())]
     named += [("pool", name) for name in getattr(event, "pools", ())]
     return [("fleet", ""), *named]
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -1,11 +1,11 @@
-"""The stages of one move and what each of them waits for.
-
-A stage is recorded before the platform is asked to act on it, and the platform
-has acted on it before the next stage is recorded. So a controller that is
-killed anywhere leaves a move that any other controller can continue, and an
-ended move leaves nothing to be done. The platform is asked to return a drained
-instance before ``joined`` or ``abandoned`` is recorded; until then entries see
-an open move and start nothing there.
+"""The state machine of one move.
+
+A stage is recorded before the platform is asked to carry it out, and the next
+stage is recorded only once the platform has done so. If a controller is killed at
+any point, another one can therefore continue the move, and a move that has ended
+needs no further action. The platform is asked to return a drained instance to
+service before ``joined`` or ``abandoned`` is recorded; until then entries see an
+open move and start nothing on the instance.
 """
 
 from __future__ import annotations
@@ -19,8 +19,9 @@
 
 from .view import ActionKind, ActionStatus, Move, PlatformAction
 
-# After this many refusals to return an instance the move ends and is reported.
-MAX_RETURN_TRIES = 5
+# A move ends and is reported once the platform has refused this often to return
+# its instance to service.
+MAX_RETURN_ATTEMPTS = 5
 
 
 class Wait(StrEnum):
@@ -28,42 +29,42 @@
 
     NOTHING = "nothing"
     BUDGET = "budget"
-    LIST = "list"
+    INSTANCE_LIST = "list"
     PLATFORM = "platform"
-    WORK = "work"
-    COUNT = "count"
+    RUNNING_TASKS = "work"
+    TASK_COUNT = "count"
     RETRY = "retry"
 
 
 @dataclass(frozen=True, slots=True)
 class MoveFacts:
-    """What is known about an instance in a move.
+    """The observations that decide the next step of a move.
 
-    ``running`` is None where the number of running tasks is not known.
-    ``dead`` means silent for longer than any task lease lasts. ``may_start``
-    means that the budgets have room. ``abandon`` is why the move should end
-    early, empty if it should not. ``refused_for_s`` gives for a refused action
-    how long ago that was first seen.
+    ``running`` is the number of running tasks, None if it is not known.
+    ``is_dead`` means silent for longer than any task lease lasts. ``may_start``
+    means that the budgets allow the move. ``abandon_reason`` says why the move
+    should end early and is empty if it should not. ``refused_for_s`` gives the
+    seconds since the refusal of an action was first seen, by action id.
     """
 
     status_by_action: Mapping[str, ActionStatus]
     running: int | None = None
-    dead: bool = False
+    is_dead: bool = False
     may_start: bool = True
-    abandon: str = ""
+    abandon_reason: str = ""
     refused_for_s: Mapping[str, float] = field(default_factory=dict)
     retry_after_s: float = 30.0
-    max_tries: int = 3
+    max_attempts: int = 3
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no work can be running any more."""
-        return self.dead or self.running == 0
+        """Tell whether no task can still be running."""
+        return self.is_dead or self.running == 0
 
 
 @dataclass(frozen=True, slots=True)
 class MoveDecision:
-    """The next stage to record or the next action, or what is waited for."""
+    """The next stage to record, the next action to request, or what to wait for."""
 
     stage: MoveStage | None = None
     action: PlatformAction | None = None
@@ -72,51 +73,57 @@
 
 
 def action_id(move_id: str, stage: MoveStage, attempt: int = 1) -> str:
-    """Derive the action id of a stage; a refused action is retried anew."""
+    """Return the action id of a stage; each retry after a refusal has its own id."""
     base = f"{move_id}.{stage}"
     return base if attempt == 1 else f"{base}.{attempt}"
 
 
-def action_ids(move: Move, max_tries: int) -> tuple[str, ...]:
-    """Return the action ids whose status matters for an open move."""
-    return _action_ids(move.move_id, move.stage, max_tries)
+def action_ids(move: Move, max_attempts: int) -> tuple[str, ...]:
+    """Return the action ids whose status decides the next step of an open move."""
+    return _action_ids(move.move_id, move.stage, max_attempts)
 
 
-# More than the moves that the budgets of a fleet of 5,100 let be open at once.
+# More entries than the moves that the budgets of 5,100 instances allow at once.
 @lru_cache(maxsize=4096)
-def _action_ids(move_id: str, stage: MoveStage, max_tries: int) -> tuple[str, ...]:
+def _action_ids(move_id: str, stage: MoveStage, max_attempts: int) -> tuple[str, ...]:
     match stage:
         case MoveStage.PLANNED:
             return (action_id(move_id, MoveStage.DRAINING),)
         case MoveStage.DRAINING:
             drain = action_id(move_id, MoveStage.DRAINING)
-            return (drain, *_tries(move_id, MoveStage.ABANDONED, MAX_RETURN_TRIES))
+            return (
+                drain,
+                *_attempt_ids(move_id, MoveStage.ABANDONED, MAX_RETURN_ATTEMPTS),
+            )
         case MoveStage.DRAINED:
-            return _tries(move_id, MoveStage.JOINED, MAX_RETURN_TRIES)
+            return _attempt_ids(move_id, MoveStage.JOINED, MAX_RETURN_ATTEMPTS)
         case MoveStage.REBOOTING:
-            reboots = _tries(move_id, MoveStage.REBOOTING, max_tries)
-            return (*reboots, *_tries(move_id, MoveStage.JOINED, MAX_RETURN_TRIES))
+            reboots = _attempt_ids(move_id, MoveStage.REBOOTING, max_attempts)
+            return (
+                *reboots,
+                *_attempt_ids(move_id, MoveStage.JOINED, MAX_RETURN_ATTEMPTS),
+            )
     return ()
 
 
 def advance(instance: str, move: Move, facts: MoveFacts) -> MoveDecision:
     """Decide the next step of an open move."""
-    step = _Step(instance, move, facts)
-    if not step.is_informed():
+    open_move = _OpenMove(instance, move, facts)
+    if not open_move.has_action_statuses():
         return MoveDecision(wait=Wait.PLATFORM)
     match move.stage:
         case MoveStage.PLANNED:
-            return _advance_planned(step)
+            return _advance_planned(open_move)
         case MoveStage.DRAINING:
-            return _advance_draining(step)
+            return _advance_draining(open_move)
         case MoveStage.DRAINED:
-            return _advance_drained(step)
+            return _advance_drained(open_move)
         case MoveStage.REBOOTING:
-            return _advance_rebooting(step)
+            return _advance_rebooting(open_move)
     return MoveDecision()
 
 
-_ASKED_STAGES = {
+_REQUIRED_STATUSES = {
     MoveStage.PLANNED: (MoveStage.DRAINING,),
     MoveStage.DRAINING: (MoveStage.DRAINING, MoveStage.ABANDONED),
     MoveStage.DRAINED: (MoveStage.JOINED,),
@@ -127,136 +134,150 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Step:
+class _OpenMove:
     instance: str
     move: Move
     facts: MoveFacts
 
-    def is_informed(self) -> bool:
-        """Tell whether the platform could be asked about the first tries.
+    def has_action_statuses(self) -> bool:
+        """Tell whether the status of each first attempt is known.
 
-        Without that, what an earlier holder did could be overlooked.
+        Without it, actions of an earlier controller could be overlooked.
         """
         return all(
-            self.name(stage) in self.facts.status_by_action
-            for stage in _ASKED_STAGES[self.move.stage]
+            self.action_id_for(stage) in self.facts.status_by_action
+            for stage in _REQUIRED_STATUSES[self.move.stage]
         )
 
-    def name(self, stage: MoveStage, attempt: int = 1) -> str:
+    def action_id_for(self, stage: MoveStage, attempt: int = 1) -> str:
         return action_id(self.move.move_id, stage, attempt)
 
     def status(self, stage: MoveStage, attempt: int = 1) -> ActionStatus:
-        name = self.name(stage, attempt)
-        return self.facts.status_by_action.get(name, ActionStatus.UNKNOWN)
+        key = self.action_id_for(stage, attempt)
+        return self.facts.status_by_action.get(key, ActionStatus.UNKNOWN)
 
-    def act(self, kind: ActionKind, stage: MoveStage, attempt: int = 1) -> MoveDecision:
-        name = self.name(stage, attempt)
-        return MoveDecision(action=PlatformAction(self.instance, kind, name))
+    def request_action(
+        self, kind: ActionKind, stage: MoveStage, attempt: int = 1
+    ) -> MoveDecision:
+        key = self.action_id_for(stage, attempt)
+        return MoveDecision(action=PlatformAction(self.instance, kind, key))
 
     def refused_recently(self, stage: MoveStage, attempt: int) -> bool:
-        since = self.facts.refused_for_s.get(self.name(stage, attempt), 0.0)
-        return since < self.facts.retry_after_s
+        elapsed_s = self.facts.refused_for_s.get(
+            self.action_id_for(stage, attempt), 0.0
+        )
+        return elapsed_s < self.facts.retry_after_s
 
 
-def _advance_planned(step: _Step) -> MoveDecision:
-    """Start a move, unless its ids were used before.
+def _advance_planned(open_move: _OpenMove) -> MoveDecision:
+    """Start a move, unless its action ids were used before.
 
-    A slow log can deliver a second copy of a plan after the move has ended.
-    Its action ids would have no effect, so it must not be started again.
+    A slow log can deliver a second copy of a plan after the move has ended. The
+    platform would ignore its action ids, so the move must not start again.
     """
-    facts = step.facts
-    if step.status(MoveStage.DRAINING) is not ActionStatus.UNKNOWN:
+    facts = open_move.facts
+    if open_move.status(MoveStage.DRAINING) is not ActionStatus.UNKNOWN:
         reason = "it is a late copy of a move that has ended"
         return MoveDecision(MoveStage.ABANDONED, reason=reason)
-    if facts.abandon:
-        return MoveDecision(MoveStage.ABANDONED, reason=facts.abandon)
+    if facts.abandon_reason:
+        return MoveDecision(MoveStage.ABANDONED, reason=facts.abandon_reason)
     if not facts.may_start:
         return MoveDecision(wait=Wait.BUDGET)
     return MoveDecision(MoveStage.DRAINING)
 
 
-def _advance_draining(step: _Step) -> MoveDecision:
-    """Drain, wait until work ended, or return the instance.
+def _advance_draining(open_move: _OpenMove) -> MoveDecision:
+    """Drain the instance, wait for its tasks to end, or return it to service.
 
-    A move that is abandoned before its drain uses up the drain's id for an
-    undrain: a copy of the drain that is still under way then finds its id known
-    and cannot drain the instance after the move has ended.
+    A move that is abandoned before its drain requests an undrain under the id of
+    the drain. A delayed copy of the drain request then has a known id and cannot
+    drain the instance after the move has ended.
     """
-    facts = step.facts
-    drain = step.status(MoveStage.DRAINING)
-    if step.status(MoveStage.ABANDONED) is not ActionStatus.UNKNOWN:
-        # Another holder has begun to return the instance; only that can go on.
-        reason = facts.abandon or "an earlier controller began to return it"
-        return _return(step, MoveStage.ABANDONED, reason)
+    facts = open_move.facts
+    drain = open_move.status(MoveStage.DRAINING)
+    if open_move.status(MoveStage.ABANDONED) is not ActionStatus.UNKNOWN:
+        # An earlier controller has requested the return, which must be completed.
+        reason = facts.abandon_reason or "an earlier controller began to return it"
+        return _return_to_service(open_move, MoveStage.ABANDONED, reason)
     if drain is ActionStatus.UNKNOWN:
-        if facts.abandon:
-            return step.act(ActionKind.UNDRAIN, MoveStage.DRAINING)
+        if facts.abandon_reason:
+            return open_move.request_action(ActionKind.UNDRAIN, MoveStage.DRAINING)
         if not facts.may_start:
             return MoveDecision(wait=Wait.BUDGET)
-        return step.act(ActionKind.DRAIN, MoveStage.DRAINING)
-    if facts.abandon:
-        return _return(step, MoveStage.ABANDONED, facts.abandon)
-    if facts.dead:
+        return open_move.request_action(ActionKind.DRAIN, MoveStage.DRAINING)
+    if facts.abandon_reason:
+        return _return_to_service(open_move, MoveStage.ABANDONED, facts.abandon_reason)
+    if facts.is_dead:
         return MoveDecision(MoveStage.DRAINED)
     if drain is ActionStatus.REFUSED:
         reason = "the platform refused to drain it"
-        return _return(step, MoveStage.ABANDONED, reason)
+        return _return_to_service(open_move, MoveStage.ABANDONED, reason)
     if drain is ActionStatus.RUNNING:
         return MoveDecision(wait=Wait.PLATFORM)
     if not facts.is_idle:
-        return MoveDecision(wait=Wait.COUNT if facts.running is None else Wait.WORK)
+        return MoveDecision(
+            wait=Wait.TASK_COUNT if facts.running is None else Wait.RUNNING_TASKS
+        )
     return MoveDecision(MoveStage.DRAINED)
 
 
-def _advance_drained(step: _Step) -> MoveDecision:
-    if not step.move.reboot:
-        return _return(step, MoveStage.JOINED)
-    if not step.facts.is_idle:
-        return MoveDecision(wait=Wait.WORK)
+def _advance_drained(open_move: _OpenMove) -> MoveDecision:
+    if not open_move.move.reboot:
+        return _return_to_service(open_move, MoveStage.JOINED)
+    if not open_move.facts.is_idle:
+        return MoveDecision(wait=Wait.RUNNING_TASKS)
     return MoveDecision(MoveStage.REBOOTING)
 
 
-def _advance_rebooting(step: _Step) -> MoveDecision:
-    if step.status(MoveStage.JOINED) is not ActionStatus.UNKNOWN:
-        return _return(step, MoveStage.JOINED, _unrebooted(step))
-    for attempt in range(1, step.facts.max_tries + 1):
-        match step.status(MoveStage.REBOOTING, attempt):
+def _advance_rebooting(open_move: _OpenMove) -> MoveDecision:
+    if open_move.status(MoveStage.JOINED) is not ActionStatus.UNKNOWN:
+        return _return_to_service(
+            open_move, MoveStage.JOINED, _skipped_reboot_reason(open_move)
+        )
+    for attempt in range(1, open_move.facts.max_attempts + 1):
+        match open_move.status(MoveStage.REBOOTING, attempt):
             case ActionStatus.DONE:
-                return _return(step, MoveStage.JOINED)
+                return _return_to_service(open_move, MoveStage.JOINED)
             case ActionStatus.RUNNING:
                 return MoveDecision(wait=Wait.PLATFORM)
-            case ActionStatus.UNKNOWN if not step.facts.is_idle:
-                # Work that slipped in must not be lost to the reboot.
-                return MoveDecision(wait=Wait.WORK)
+            case ActionStatus.UNKNOWN if not open_move.facts.is_idle:
+                # A task that started after the drain must not be lost.
+                return MoveDecision(wait=Wait.RUNNING_TASKS)
             case ActionStatus.UNKNOWN:
-                return step.act(ActionKind.REBOOT, MoveStage.REBOOTING, attempt)
-        if step.refused_recently(MoveStage.REBOOTING, attempt):
+                return open_move.request_action(
+                    ActionKind.REBOOT, MoveStage.REBOOTING, attempt
+                )
+        if open_move.refused_recently(MoveStage.REBOOTING, attempt):
             return MoveDecision(wait=Wait.RETRY)
-    return _return(step, MoveStage.JOINED, _unrebooted(step))
+    return _return_to_service(
+        open_move, MoveStage.JOINED, _skipped_reboot_reason(open_move)
+    )
 
 
-def _unrebooted(step: _Step) -> str:
-    tries = range(1, step.facts.max_tries + 1)
-    statuses = {step.status(MoveStage.REBOOTING, attempt) for attempt in tries}
+def _skipped_reboot_reason(open_move: _OpenMove) -> str:
+    attempts = range(1, open_move.facts.max_attempts + 1)
+    statuses = {open_move.status(MoveStage.REBOOTING, attempt) for attempt in attempts}
     if statuses == {ActionStatus.REFUSED}:
         return "the platform refused to reboot it"
     return ""
 
 
-def _return(step: _Step, end: MoveStage, reason: str = "") -> MoveDecision:
-    """Ask the platform to return the instance, then record the end."""
-    for attempt in range(1, MAX_RETURN_TRIES + 1):
-        match step.status(end, attempt):
+def _return_to_service(
+    open_move: _OpenMove, end: MoveStage, reason: str = ""
+) -> MoveDecision:
+    """Have the platform return the instance to service, then record the end."""
+    for attempt in range(1, MAX_RETURN_ATTEMPTS + 1):
+        match open_move.status(end, attempt):
             case ActionStatus.DONE:
                 return MoveDecision(end, reason=reason)
             case ActionStatus.RUNNING:
                 return MoveDecision(wait=Wait.PLATFORM)
             case ActionStatus.UNKNOWN:
-                return step.act(ActionKind.UNDRAIN, end, attempt)
-        if step.refused_recently(end, attempt):
+                return open_move.request_action(ActionKind.UNDRAIN, end, attempt)
+        if open_move.refused_recently(end, attempt):
             return MoveDecision(wait=Wait.RETRY)
     return MoveDecision(end, reason="the platform refused to return it to service")
 
 
-def _tries(move_id: str, stage: MoveStage, count: int) -> tuple[str, ...]:
+def _attempt_ids(move_id: str, stage: MoveStage, count: int) -> tuple[str, ...]:
     return tuple(action_id(move_id, stage, number + 1) for number in range(count))
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -1,7 +1,8 @@
-"""Which instances change pools now: configured changes and buffers.
+"""Plans pool changes, for configuration changes and for buffers.
 
-The configured pool of an instance is where it belongs. It leaves that pool
-only to cover a need, and goes back once the buffers hold without it there.
+The home pool of an instance is the pool that the configuration names. An instance
+leaves it only to cover a need elsewhere, and returns once the buffers hold
+without it there.
 """
 
 from __future__ import annotations
@@ -13,13 +14,13 @@
 
 from .budgets import Layout
 from .buffers import BufferMove, BufferPlan, BufferPlanner
-from .timers import SettledSet
+from .timers import DebouncedSet
 from .view import ENDED_STAGES, FleetView, PlannerSettings
 
 HOUR_S = 3600.0
 IDLE_PLAN_INTERVAL_S = 60.0
 # Each round plans the whole fleet again.
-MAX_HOME_ROUNDS = 6
+MAX_RETURN_ROUNDS = 6
 
 
 class Rebalancer:
@@ -27,99 +28,100 @@
 
     def __init__(self, settings: PlannerSettings):
         self._settings = settings
-        self._lost = SettledSet(settings.settle_s)
-        self._started_s: deque[float] = deque()
-        self._moved_s: dict[str, float] = {}
+        self._lost = DebouncedSet(settings.settle_s)
+        self._start_times_s: deque[float] = deque()
+        self._moved_at_s: dict[str, float] = {}
         self._planned_s = float("-inf")
-        self._cache_key: tuple | None = None
+        self._plan_inputs: tuple | None = None
         self._planner: BufferPlanner | None = None
         self.plan = BufferPlan()
 
-    def wanted(
-        self, view: FleetView, layout: Layout, out: frozenset[str], now_s: float
+    def due_moves(
+        self, view: FleetView, layout: Layout, not_serving: frozenset[str], now_s: float
     ) -> list[BufferMove]:
-        """Return the pool changes that may start now, the most urgent first."""
+        """Return the pool changes that may start now, most urgent first."""
         self._forget_old(now_s)
-        assigned, pinned = _assignment(view, layout)
-        # An instance that is out because it moves is not lost.
-        unusable = self._lost.update(out - pinned, now_s) | _given_up(view)
+        assigned, moving = _assignment(view, layout)
+        # An instance that is out of service for its move is not lost.
+        unusable = self._lost.update(not_serving - moving, now_s) | _given_up(view)
         key = (view.config, assigned, unusable)
         has_room = self.may_start()
-        # A plan for a fleet in disorder takes up to half a second; while none of
-        # its moves may start, it only tells of shortages.
+        # Planning takes up to half a second if many instances are away from their
+        # home pools. While no move may start, a plan only reports shortages.
         is_due = has_room or now_s - self._planned_s >= IDLE_PLAN_INTERVAL_S
-        if is_due and not self._is_cached(key):
+        if is_due and not self._is_plan_current(key):
             self._planned_s = now_s
             if self._planner is None or self._planner.config is not view.config:
                 self._planner = BufferPlanner(view.config)
             self.plan = plan_with_returns(self._planner, assigned, unusable)
-            self._cache_key = key
+            self._plan_inputs = key
         if not has_room:
             return []
         return [
             move
             for move in self.plan.moves
-            if move.instance not in pinned and move.instance not in self._moved_s
+            if move.instance not in moving and move.instance not in self._moved_at_s
         ]
 
     def may_start(self) -> bool:
-        """Tell whether the hourly rate has room for a further change."""
-        return len(self._started_s) < self._settings.buffer_moves_per_hour
+        """Tell whether the hourly limit allows a further pool change."""
+        return len(self._start_times_s) < self._settings.buffer_moves_per_hour
 
-    def started(self, move: BufferMove, now_s: float) -> None:
-        """Count a change that was started; the instance then stays for a while."""
-        self._started_s.append(now_s)
-        self._moved_s[move.instance] = now_s
+    def record_start(self, move: BufferMove, now_s: float) -> None:
+        """Count a started change against the limit and begin its cooldown."""
+        self._start_times_s.append(now_s)
+        self._moved_at_s[move.instance] = now_s
 
     def _forget_old(self, now_s: float) -> None:
-        while self._started_s and self._started_s[0] <= now_s - HOUR_S:
-            self._started_s.popleft()
-        oldest = now_s - self._settings.dwell_s
-        for name in [name for name, at in self._moved_s.items() if at <= oldest]:
-            del self._moved_s[name]
-
-    def _is_cached(self, key: tuple) -> bool:
-        last = self._cache_key
+        while self._start_times_s and self._start_times_s[0] <= now_s - HOUR_S:
+            self._start_times_s.popleft()
+        oldest = now_s - self._settings.pool_change_cooldown_s
+        for name in [name for name, at in self._moved_at_s.items() if at <= oldest]:
+            del self._moved_at_s[name]
+
+    def _is_plan_current(self, key: tuple) -> bool:
+        last = self._plan_inputs
         return last is not None and last[0] is key[0] and last[1:] == key[1:]
 
 
 def plan_with_returns(
     planner: BufferPlanner, assigned: Mapping[str, str], unusable: frozenset[str]
 ) -> BufferPlan:
-    """Plan buffers, sending instances home where that costs no further move.
+    """Plan buffers and return instances to their home pools where possible.
 
-    A plan made as if all were at home shows who is missed elsewhere; those
-    stay where they are, and the plan is made again.
+    A plan made as if all instances were at home shows which of them are needed
+    elsewhere. Those stay, and the plan is made again. An instance returns only if
+    that takes no further move.
     """
     config = planner.config
-    kept = planner.plan(assigned, unusable)
+    unreturned = planner.plan(assigned, unusable)
     homes = {
         name: config.instance_by_id[name].pool
         for name, pool in assigned.items()
         if config.instance_by_id[name].pool != pool
     }
-    for _ in range(MAX_HOME_ROUNDS):
+    for _ in range(MAX_RETURN_ROUNDS):
         if not homes:
-            return kept
+            return unreturned
         plan = planner.plan({**assigned, **homes}, unusable)
-        stay = _missed_elsewhere(plan, kept, assigned, homes)
+        stay = _needed_elsewhere(plan, unreturned, assigned, homes)
         if not stay:
-            going = [BufferMove(name, assigned[name], homes[name]) for name in homes]
-            return BufferPlan((*going, *plan.moves), plan.shortages, plan.needs)
+            returns = [BufferMove(name, assigned[name], homes[name]) for name in homes]
+            return BufferPlan((*returns, *plan.moves), plan.shortages, plan.needs)
         for name in stay:
             del homes[name]
-    return kept
+    return unreturned
 
 
-def _missed_elsewhere(
+def _needed_elsewhere(
     plan: BufferPlan,
-    kept: BufferPlan,
+    unreturned: BufferPlan,
     assigned: Mapping[str, str],
     homes: Mapping[str, str],
 ) -> set[str]:
-    """Return the instances that should not go home under this plan."""
+    """Return the instances that should not return home under this plan."""
     stay = {move.instance for move in plan.moves if move.instance in homes}
-    if stay or len(plan.moves) <= len(kept.moves):
+    if stay or len(plan.moves) <= len(unreturned.moves):
         return stay
     for move in plan.moves:
         candidates = sorted(
@@ -143,8 +145,10 @@
 def _assignment(
     view: FleetView, layout: Layout
 ) -> tuple[dict[str, str], frozenset[str]]:
-    """Return the pools as they will be after the open moves, and who moves."""
-    assigned = {name: place[0] for name, place in layout.location_by_instance.items()}
+    """Return the pool of each instance after the open moves, and who is moving."""
+    assigned = {
+        name: location[0] for name, location in layout.location_by_instance.items()
+    }
     moving = set()
     for name, move in view.move_by_instance.items():
         if move.stage not in ENDED_STAGES and name in assigned:
--- a/libs/fleet/src/lycheeloom/fleet/repair.py
+++ b/libs/fleet/src/lycheeloom/fleet/repair.py
@@ -1,7 +1,7 @@
-"""Repair of faulty workers: probation, reboot, trial, given up.
+"""Repair of faulty workers: probation, reboot, trial and giving up.
 
-The count of reboots is part of the recorded reason, so that a new holder of
-the duty continues the count.
+The number of reboots is part of the recorded reason, so that a controller that
+takes over continues the count.
 """
 
 from __future__ import annotations
@@ -17,8 +17,8 @@
 from .view import ENDED_STAGES, FleetView, HealthState, Move
 
 _REBOOT_COUNT = re.compile(r"reboot (\d+) of \d+")
-# Longer than the half hour for which the log may be slow.
-PROPOSAL_KEPT_S = 3600.0
+# Exceeds the half hour for which the log may be slow.
+PROPOSAL_TIMEOUT_S = 3600.0
 _HEALTHY = HealthState(Health.IN_SERVICE)
 
 
@@ -26,21 +26,21 @@
 class RepairSettings:
     """Limits of repair; times are in seconds.
 
-    ``at_once_fraction`` bounds the instances taken out as faulty at the same
-    time, so that a wrong detection cannot empty the fleet.
-    ``idle_probation_s`` ends a probation during which no work came to try.
+    ``max_unhealthy_fraction`` bounds the instances treated as faulty at the same
+    time, so that false detections cannot empty the fleet. ``trials_needed``
+    successful tasks end a probation, as does ``idle_probation_s`` without a fault.
     """
 
     probation_s: float = 120
     idle_probation_s: float = 600
     trials_needed: int = 3
     max_reboots: int = 3
-    at_once_fraction: float = 0.05
+    max_unhealthy_fraction: float = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class Repair:
-    """A new health of an instance, or a reboot to start for it."""
+    """A health to record for an instance, or a reboot to start."""
 
     instance: str
     health: Health | None
@@ -49,77 +49,88 @@
 
 
 def repair_prefix(instance: str) -> str:
-    """Return what the ids of an instance's repair moves begin with."""
+    """Return the prefix of the ids of an instance's repair moves."""
     return f"repair.{instance}."
 
 
 class RepairPlanner:
-    """Turns symptoms into probation, reboots and verdicts."""
+    """Decides from symptoms on probation, reboots, return to service or giving up."""
 
     def __init__(self, monitor: HealthMonitor, settings: RepairSettings | None = None):
         self.settings = settings or RepairSettings()
         self._monitor = monitor
         self._timers = Timers()
-        self._proposed_s: dict[str, float] = {}
+        self._proposed_at_s: dict[str, float] = {}
 
     def decide(
         self,
         view: FleetView,
         layout: Layout,
-        seen: Assessment,
+        assessment: Assessment,
         now_s: float,
         *,
         held: bool = False,
     ) -> list[Repair]:
-        """Return what to change now. Members of a lost place are left alone:
-        the place is one event, and rebooting its instances cannot mend it.
-        While repair is ``held``, nothing further is taken out or given up."""
-        symptoms = seen.symptom_by_instance or {}
-        lost = seen.maybe_lost.union(*(place.members for place in seen.lost_places))
+        """Return the repairs to make now.
+
+        Instances of a failed rack or zone are skipped, because rebooting them
+        cannot repair it. While repair is ``held``, no further instance is taken
+        out of service or given up.
+        """
+        symptoms = assessment.symptom_by_instance or {}
+        in_failed_domain = assessment.possibly_failed.union(
+            *(domain.members for domain in assessment.failed_domains)
+        )
         unhealthy = {
             name
             for name, state in view.health_by_instance.items()
             if state.health is not Health.IN_SERVICE
             and name in layout.location_by_instance
         }
-        room = self._room(layout, unhealthy, now_s)
+        quota = self._remaining_quota(layout, unhealthy, now_s)
         repairs = []
-        for name in sorted(unhealthy.union(symptoms) - lost):
-            if seen.doubted and name not in unhealthy:
+        for name in sorted(unhealthy.union(symptoms) - in_failed_domain):
+            if assessment.too_many_silent and name not in unhealthy:
                 continue
             state = view.health_by_instance.get(name, _HEALTHY)
             move = view.move_by_instance.get(name)
-            found = self._decide_one(name, state, move, symptoms.get(name), now_s)
-            if found is None or (found.reboot and seen.doubted):
+            found = self._decide_instance(name, state, move, symptoms.get(name), now_s)
+            if found is None or (found.reboot and assessment.too_many_silent):
                 continue
-            if held and _takes_out(state, found):
+            if held and _reduces_service(state, found):
                 continue
-            is_new = state.health is Health.IN_SERVICE and name not in self._proposed_s
-            if is_new and room <= 0:
+            is_new = (
+                state.health is Health.IN_SERVICE and name not in self._proposed_at_s
+            )
+            if is_new and quota <= 0:
                 continue
             if is_new:
-                room -= 1
-                self._proposed_s[name] = now_s
+                quota -= 1
+                self._proposed_at_s[name] = now_s
             if found.health in (Health.IN_SERVICE, Health.REBOOTING):
-                self._monitor.forget(name)
+                self._monitor.forget_faults(name)
             repairs.append(found)
         self._timers.sweep()
         return repairs
 
-    def _room(self, layout: Layout, unhealthy: set[str], now_s: float) -> int:
-        """Return how many more may be taken out; proposals of which the log has
-        not told yet count as well."""
-        oldest = now_s - PROPOSAL_KEPT_S
-        self._proposed_s = {
+    def _remaining_quota(
+        self, layout: Layout, unhealthy: set[str], now_s: float
+    ) -> int:
+        """Return how many more instances may be treated as faulty.
+
+        Proposed repairs that have not been replayed from the log yet count too.
+        """
+        oldest = now_s - PROPOSAL_TIMEOUT_S
+        self._proposed_at_s = {
             name: at
-            for name, at in self._proposed_s.items()
+            for name, at in self._proposed_at_s.items()
             if name not in unhealthy and at > oldest
         }
         total = len(layout.location_by_instance)
-        most = max(1, int(self.settings.at_once_fraction * total))
-        return most - len(unhealthy) - len(self._proposed_s)
+        limit = max(1, int(self.settings.max_unhealthy_fraction * total))
+        return limit - len(unhealthy) - len(self._proposed_at_s)
 
-    def _decide_one(
+    def _decide_instance(
         self,
         name: str,
         state: HealthState,
@@ -131,12 +142,12 @@
             case Health.IN_SERVICE if symptom and not _is_in_move(move):
                 return Repair(name, Health.PROBATION, SYMPTOM_TEXT[symptom])
             case Health.PROBATION:
-                return self._judge_probation(name, state, symptom, now_s)
+                return self._decide_probation(name, state, symptom, now_s)
             case Health.REBOOTING:
                 return _follow_reboot(name, state, move)
         return None
 
-    def _judge_probation(
+    def _decide_probation(
         self, name: str, state: HealthState, symptom: Symptom | None, now_s: float
     ) -> Repair | None:
         settings = self.settings
@@ -162,15 +173,18 @@
         return Repair(name, Health.REBOOTING, reason)
 
 
-def _takes_out(state: HealthState, found: Repair) -> bool:
-    """Tell whether a repair begins something, and does not end what has begun."""
+def _reduces_service(state: HealthState, found: Repair) -> bool:
+    """Tell whether a repair makes an instance less available.
+
+    A probation after a reboot does not.
+    """
     if found.health is Health.PROBATION:
         return state.health is Health.IN_SERVICE
     return found.health is not Health.IN_SERVICE
 
 
 def _follow_reboot(name: str, state: HealthState, move: Move | None) -> Repair | None:
-    """Start the reboot of an instance, and its trial once that has ended."""
+    """Return the reboot to start, or the probation that follows it."""
     if _is_in_move(move):
         return None
     was_rebooted = (
--- a/libs/fleet/src/lycheeloom/fleet/spare_need.py
+++ b/libs/fleet/src/lycheeloom/fleet/spare_need.py
@@ -1,4 +1,4 @@
-"""How many instances of one size must be in service, and what is lacking."""
+"""The number of instances of one size that must be in service, and shortages."""
 
 from __future__ import annotations
 
@@ -19,20 +19,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Shortage:
-    """Instances of a size that are lacking if ``place`` is lost.
+    """The instances of a size that are lacking if ``domain`` is lost.
 
-    An empty ``place`` means that they are lacking with nothing lost.
+    ``domain`` is a rack or zone; if empty, they are lacking already.
     """
 
     size: Resources
-    place: str
+    domain: str
     lacking: int
 
 
 @dataclass(frozen=True, slots=True)
 class SizeNeed:
-    """The need of one instance size: ``least`` is the smallest number of
-    instances in service that covers it, None if the racks cannot hold it."""
+    """The need of one instance size.
+
+    ``least`` is the smallest number of instances in service that covers ``needed``
+    after the loss of any one rack or zone, None if the racks cannot hold it.
+    """
 
     size: Resources
     needed: int
@@ -43,10 +46,10 @@
 def least_in_service(
     needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
 ) -> int | None:
-    """Return the fewest instances that leave ``needed`` after any loss.
+    """Return the fewest instances that leave ``needed`` after any one loss.
 
     With a buffer of ``b`` instances no rack and no zone may hold more than
-    ``b``. The sum of what the zones may hold, less ``b``, is concave in ``b``.
+    ``b``. The number that the zones may then hold, less ``b``, is concave in ``b``.
     """
 
     def covered(buffer: int) -> int:
@@ -56,16 +59,16 @@
         return held - buffer
 
     total = sum(sum(counts) for counts in rack_counts_by_zone.values())
-    peak = _first(total, lambda buffer: covered(buffer + 1) <= covered(buffer))
+    peak = _first_true(total, lambda buffer: covered(buffer + 1) <= covered(buffer))
     if covered(peak) < needed:
         return None
-    return needed + _first(peak, lambda buffer: covered(buffer) >= needed)
+    return needed + _first_true(peak, lambda buffer: covered(buffer) >= needed)
 
 
 def least_layout(
     needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
 ) -> dict[str, list[int]] | None:
-    """Return how many instances of each rack the least service uses.
+    """Return how many instances of each rack serve in the smallest service.
 
     ``least_layout(2, {"a": [2], "b": [2]})`` gives ``{"a": [2], "b": [2]}``.
     """
@@ -85,8 +88,8 @@
     return layout
 
 
-def _first(limit: int, holds: Callable[[int], bool]) -> int:
-    """Return the first number up to ``limit`` from which ``holds`` is true."""
+def _first_true(limit: int, holds: Callable[[int], bool]) -> int:
+    """Return the first number from which ``holds`` is true, at most ``limit``."""
     low, high = 0, limit
     while low < high:
         middle = (low + high) // 2
--- a/libs/fleet/src/lycheeloom/fleet/step.py
+++ b/libs/fleet/src/lycheeloom/fleet/step.py
@@ -1,4 +1,4 @@
-"""What one step of the planner works on."""
+"""The context of one planner step."""
 
 from __future__ import annotations
 
@@ -10,14 +10,18 @@
 
 
 @dataclass(slots=True)
-class Step:
-    """What one step works on and collects."""
+class StepContext:
+    """The inputs of one planner step and the records and actions it collects.
+
+    ``not_serving`` holds the instances that are observed to be unavailable or
+    silent, or whose zone operators took out of service.
+    """
 
     view: FleetView
     now_s: float
     layout: Layout
-    ledger: BudgetUsage
-    seen: Assessment
-    out: frozenset[str]
+    budgets: BudgetUsage
+    assessment: Assessment
+    not_serving: frozenset[str]
     records: list[PlannedRecord] = field(default_factory=list)
     actions: list[PlatformAction] = field(default_factory=list)
--- a/libs/fleet/src/lycheeloom/fleet/timers.py
+++ b/libs/fleet/src/lycheeloom/fleet/timers.py
@@ -1,4 +1,4 @@
-"""Elapsed times and settled sets, from the times that callers pass in."""
+"""Elapsed times and a debounced set, driven by times that callers pass in."""
 
 from __future__ import annotations
 
@@ -6,33 +6,33 @@
 
 
 class Timers:
-    """Remembers when each key was first asked about.
+    """Measures the time since each key was first queried.
 
-    Keys that were not asked about during a whole step are forgotten, so the
-    memory follows the open moves. A new holder of the duty starts from zero,
-    which only makes it wait longer.
+    ``sweep`` drops the keys that a step did not query, so memory is bounded by
+    the open moves. A controller that takes over starts from zero, which only
+    lengthens its waits.
     """
 
     def __init__(self) -> None:
-        self._since: dict[Hashable, float] = {}
-        self._asked: set[Hashable] = set()
+        self._started_s: dict[Hashable, float] = {}
+        self._queried: set[Hashable] = set()
 
     def elapsed(self, key: Hashable, now_s: float) -> float:
-        """Return the seconds since the key was first asked about."""
-        self._asked.add(key)
-        return now_s - self._since.setdefault(key, now_s)
+        """Return the seconds since the key was first queried."""
+        self._queried.add(key)
+        return now_s - self._started_s.setdefault(key, now_s)
 
     def sweep(self) -> None:
-        """Forget the keys that were not asked about since the last call."""
-        for key in self._since.keys() - self._asked:
-            del self._since[key]
-        self._asked.clear()
+        """Drop the keys that were not queried since the last call."""
+        for key in self._started_s.keys() - self._queried:
+            del self._started_s[key]
+        self._queried.clear()
 
 
-class SettledSet:
-    """A set that follows its input only after a change has lasted.
+class DebouncedSet:
+    """A set whose members change only after a change has lasted ``settle_s``.
 
-    This keeps an instance that comes and goes from causing moves.
+    An instance that repeatedly fails and returns thus causes no moves.
     """
 
     def __init__(self, settle_s: float) -> None:
@@ -41,7 +41,7 @@
         self.members: frozenset[str] = frozenset()
 
     def update(self, observed: frozenset[str], now_s: float) -> frozenset[str]:
-        """Take in the observed set and return the settled one."""
+        """Apply the observed set and return the debounced one."""
         different = observed ^ self.members
         for name in self._changed_s.keys() - different:
             del self._changed_s[name]
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -1,4 +1,4 @@
-"""What the planner is given at each step and what it returns."""
+"""The input and output of a planner step, and the settings of the planner."""
 
 from __future__ import annotations
 
@@ -28,7 +28,10 @@
 
 
 class ActionStatus(StrEnum):
-    """What the platform says about an action id; ``UNKNOWN`` is never seen."""
+    """The platform's status of an action id.
+
+    ``UNKNOWN`` means that the platform has never received the id.
+    """
 
     UNKNOWN = "unknown"
     RUNNING = "running"
@@ -40,8 +43,8 @@
 class Move:
     """The last move of an instance; ``changed_at`` is a log offset.
 
-    Has the fields of the replayed state's move, which the planner takes as it
-    is, so that a step does not copy thousands of moves.
+    The replayed state's move has the same fields and is passed in its place, so
+    that a step does not copy thousands of moves.
     """
 
     move_id: str
@@ -63,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Wave:
-    """A maintenance wave over pools; no pools means all."""
+    """A maintenance wave over pools; an empty ``pools`` means all pools."""
 
     wave_id: str
     state: WaveState
@@ -77,12 +80,12 @@
 class FleetView:
     """The replayed and observed state of a fleet at one moment.
 
-    ``offset`` is the log position that the replayed part reflects; it makes
-    move ids unique. ``unavailable`` names instances observed not to serve.
-    ``running_by_instance`` has no entry where the number is not known, and
-    ``status_by_action`` none where the platform could not be asked.
-    ``listed`` says whether the platform's list could be read; nothing is
-    started while it could not.
+    ``offset`` is the log position up to which the state was replayed; it makes
+    move ids unique. ``unavailable`` holds the instances observed to be out of
+    service. ``running_by_instance`` gives the numbers of running tasks that are
+    known, ``status_by_action`` the statuses that the platform returned. While
+    ``is_list_current`` is false, because the platform's instance list could not
+    be read, no new move is started.
     """
 
     config: FleetConfig
@@ -95,12 +98,12 @@
     unavailable: frozenset[str] = frozenset()
     running_by_instance: Mapping[str, int] = field(default_factory=dict)
     status_by_action: Mapping[str, ActionStatus] = field(default_factory=dict)
-    listed: bool = True
+    is_list_current: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class PlatformAction:
-    """A request to the platform; the same id never takes effect twice."""
+    """A request to the platform, which executes each action id at most once."""
 
     instance: str
     kind: ActionKind
@@ -112,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Records to append and actions to take after one step."""
+    """The records to append and the actions to request after one step."""
 
     records: tuple[PlannedRecord, ...] = ()
     actions: tuple[PlatformAction, ...] = ()
@@ -122,24 +125,27 @@
 class PlannerSettings:
     """Limits of the planner; times are in seconds.
 
-    ``drain_limit_s`` ends a move whose work neither ends nor checkpoints.
-    ``dead_after_s`` exceeds the 18 s after which no lease of a silent worker
-    can still be running. ``settle_s`` keeps a short loss or return from
-    changing the buffer plan; ``dwell_s`` keeps an instance in its new pool.
+    ``drain_limit_s`` abandons a move whose tasks neither end nor checkpoint.
+    ``dead_after_s`` of silence prove that no task of a worker is running; it
+    exceeds the 18 s for which a task lease of a silent worker can still be valid.
+    The buffer plan follows the loss or return of an instance after ``settle_s``.
+    ``pool_change_cooldown_s`` is the shortest stay in a new pool.
     ``max_starts_per_step`` bounds the time of a step and the size of its batch.
-    ``correlated_pause_s`` holds waves and repair after a correlated failure grew.
-    ``regular_cycle_s`` starts a wave in each such period; 0 starts none.
+    ``abandoned_cooldown_s`` keeps an instance whose move was abandoned from waves,
+    ``correlated_pause_s`` holds waves and repair whenever further instances are
+    lost to a correlated failure. ``regular_cycle_s`` is the period of regular
+    waves; 0 starts none.
     """
 
     drain_limit_s: float = 4 * 3600
     dead_after_s: float = 60
     retry_after_s: float = 30
-    max_tries: int = 3
+    max_attempts: int = 3
     settle_s: float = 600
-    dwell_s: float = 1800
+    pool_change_cooldown_s: float = 1800
     buffer_moves_per_hour: int = 60
     max_starts_per_step: int = 50
     regular_cycle_s: float = 0
     expected_move_s: float = 600
-    abandoned_pause_s: float = 600
+    abandoned_cooldown_s: float = 600
     correlated_pause_s: float = 300
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -1,4 +1,4 @@
-"""Which instance a maintenance wave takes next, and when it will end."""
+"""Selects the next instances of a maintenance wave and forecasts its end."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 from .budgets import BudgetUsage, Layout, Limit, LimitKind
 from .view import HealthState, Move, Wave
 
-# Limits that no other instance of the same pool can get around.
+# Limits that block every instance of the pool.
 _POOL_WIDE = frozenset({LimitKind.POOL, LimitKind.LAST_SPARE, LimitKind.NEED})
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """An instance that a wave takes, or leaves because of ``limit``."""
+    """An instance that a wave takes, or that ``limit`` keeps in service."""
 
     instance: str
     limit: Limit | None = None
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
-    """How far a wave is; ``end_s`` is None while it cannot be foretold."""
+    """The progress of a wave; ``end_s`` is None while no forecast is possible."""
 
     wave_id: str
     state: WaveState
@@ -37,16 +37,16 @@
 
 
 def covered_pools(wave: Wave, layout: Layout) -> list[str]:
-    """Return the pools that a wave maintains; no pools means all."""
+    """Return the pools that a wave covers; an empty ``pools`` means all."""
     names = wave.pools or layout.config.pool_by_id
     return [name for name in names if name in layout.config.pool_by_id]
 
 
 def is_maintained(wave: Wave, move: Move | None) -> bool:
-    """Tell whether an instance's last move did what the wave asks for.
+    """Tell whether the wave has maintained an instance, by its last move.
 
-    An instance that changes pools during a wave is rebooted on the way, so its
-    last move alone tells.
+    An instance that changes pools during a wave is rebooted in the same move, so
+    the last move alone is decisive.
     """
     if move is None or move.stage is not MoveStage.JOINED:
         return False
@@ -60,7 +60,7 @@
     pool: str,
     skipped: frozenset[str] = frozenset(),
 ) -> list[str]:
-    """Return the instances of a pool that a wave has yet to maintain."""
+    """Return the instances of a pool that the wave has not maintained yet."""
     return [
         name
         for name in layout.members_by_pool.get(pool, ())
@@ -69,7 +69,7 @@
 
 
 def given_up_instances(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
-    """Return the instances that no wave waits for."""
+    """Return the instances that repair gave up, which waves do not wait for."""
     return frozenset(
         name
         for name, state in health_by_instance.items()
@@ -77,38 +77,39 @@
     )
 
 
-def choose(
+def choose_instances(
     wave: Wave,
     layout: Layout,
-    ledger: BudgetUsage,
+    budgets: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str] = frozenset(),
 ) -> Iterator[Choice]:
-    """Yield what a wave takes now; the caller counts each as out at once.
+    """Yield the instances that a wave takes now and those that a limit blocks.
 
-    Pools with the most rounds left go first, and within a pool the racks with
-    the most instances left, because they decide how long the wave takes.
+    The caller must count each taken instance as out of service before it asks for
+    the next one. Pools with the most rounds left come first, and within a pool the
+    racks with the most instances left, as they determine the length of the wave.
     """
-    pools = [p for p in covered_pools(wave, layout) if ledger.free_in_pool(p) > 0]
-    for serving in _candidates(pools, wave, layout, ledger, moves, skipped):
-        yield from _choose_in_pool(layout, ledger, serving)
+    pools = [p for p in covered_pools(wave, layout) if budgets.free_in_pool(p) > 0]
+    for serving in _candidates(pools, wave, layout, budgets, moves, skipped):
+        yield from _choose_in_pool(layout, budgets, serving)
 
 
 def first_blocked(
     wave: Wave,
     layout: Layout,
-    ledger: BudgetUsage,
+    budgets: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str] = frozenset(),
 ) -> Choice | None:
-    """Return the next instance and the limit that it waits for.
+    """Return the first instance that a limit blocks.
 
-    None if an instance may be taken now, or if none is left to be taken.
+    None if the wave may take an instance now or has none left to take.
     """
     first = None
     pools = covered_pools(wave, layout)
-    for serving in _candidates(pools, wave, layout, ledger, moves, skipped):
-        for choice in _choose_in_pool(layout, ledger, serving):
+    for serving in _candidates(pools, wave, layout, budgets, moves, skipped):
+        for choice in _choose_in_pool(layout, budgets, serving):
             if choice.limit is None:
                 return None
             first = first or choice
@@ -119,15 +120,15 @@
     pools: Iterable[str],
     wave: Wave,
     layout: Layout,
-    ledger: BudgetUsage,
+    budgets: BudgetUsage,
     moves: Mapping[str, Move],
     skipped: frozenset[str],
 ) -> list[list[str]]:
-    """Return, for each pool, who serves and is yet to be maintained."""
+    """Return, for each pool, the instances in service yet to be maintained."""
     candidates = []
     for pool in pools:
         left = remaining(wave, layout, moves, pool, skipped)
-        serving = [name for name in left if not ledger.is_out(name)]
+        serving = [name for name in left if not budgets.is_out(name)]
         if serving:
             budget = layout.config.pool_by_id[pool].max_unavailable
             rounds = len(left) / budget if budget else inf
@@ -136,7 +137,7 @@
 
 
 def _choose_in_pool(
-    layout: Layout, ledger: BudgetUsage, names: Iterable[str]
+    layout: Layout, budgets: BudgetUsage, names: Iterable[str]
 ) -> Iterator[Choice]:
     by_rack: dict[str, list[str]] = defaultdict(list)
     for name in names:
@@ -144,7 +145,7 @@
     while by_rack:
         rack = max(by_rack, key=lambda key: (len(by_rack[key]), key))
         name = by_rack[rack][-1]
-        limit = ledger.blocking_limit(name)
+        limit = budgets.blocking_limit(name)
         yield Choice(name, limit)
         if limit is None:
             by_rack[rack].pop()
@@ -163,12 +164,12 @@
     now_s: float,
     move_s: float,
     skipped: frozenset[str] = frozenset(),
-    open_left: Mapping[str, float] = MappingProxyType({}),
+    remaining_fraction_by_instance: Mapping[str, float] = MappingProxyType({}),
 ) -> Forecast:
-    """Foretell the end of a wave from the budget that takes the most rounds.
+    """Forecast the end of a wave from the budget that needs the most rounds.
 
-    ``open_left`` is the fraction that moves in progress still take, by instance;
-    those that are not in it are counted whole.
+    ``remaining_fraction_by_instance`` gives the fraction of a move's duration that
+    the open move of an instance still takes; all others count as whole moves.
     """
     pools = covered_pools(wave, layout)
     left_by_pool = {
@@ -178,7 +179,7 @@
     left = sum(len(names) for names in left_by_pool.values())
     end_s = None
     if wave.state is WaveState.RUNNING:
-        rounds = _rounds(layout, left_by_pool, open_left)
+        rounds = _rounds(layout, left_by_pool, remaining_fraction_by_instance)
         end_s = None if rounds is None else now_s + rounds * move_s
     return Forecast(wave.wave_id, wave.state, total - left, total, end_s)
 
@@ -186,9 +187,9 @@
 def _rounds(
     layout: Layout,
     left_by_pool: Mapping[str, list[str]],
-    open_left: Mapping[str, float],
+    remaining_fraction_by_instance: Mapping[str, float],
 ) -> float | None:
-    """Return the rounds of the tightest budget, None if one allows nothing."""
+    """Return the rounds that the tightest budget needs, None if one allows 0."""
     config = layout.config
     by_zone: dict[str, list[str]] = defaultdict(list)
     groups: list[tuple[list[str], int]] = []
@@ -209,12 +210,22 @@
     if not all(budget for _, budget in groups):
         return None
     return max(
-        (_rounds_of(names, budget, open_left) for names, budget in groups), default=0
+        (
+            _rounds_of(names, budget, remaining_fraction_by_instance)
+            for names, budget in groups
+        ),
+        default=0,
     )
 
 
-def _rounds_of(names: list[str], budget: int, open_left: Mapping[str, float]) -> float:
-    """Return the rounds of one budget; the one in progress counts in part."""
+def _rounds_of(
+    names: list[str], budget: int, remaining_fraction_by_instance: Mapping[str, float]
+) -> float:
+    """Return the rounds that one budget needs; a round in progress counts in part."""
     rounds = ceil(len(names) / budget)
-    current = [open_left[name] for name in names if name in open_left]
+    current = [
+        remaining_fraction_by_instance[name]
+        for name in names
+        if name in remaining_fraction_by_instance
+    ]
     return rounds - 1 + sum(current) / len(current) if current else rounds
--- a/libs/fleet/tests/test_buffers.py
+++ b/libs/fleet/tests/test_buffers.py
@@ -33,7 +33,8 @@
     controller = Controller(world, "controller")
     # Without reboots the instance stays silent until it is mended.
     controller.planner = Planner(
-        PlannerSettings(dwell_s=60), repair=RepairSettings(probation_s=1e9)
+        PlannerSettings(pool_change_cooldown_s=60),
+        repair=RepairSettings(probation_s=1e9),
     )
     world.fail(["w00"])
     run(controller, 100)
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -31,8 +31,8 @@
     run(controller, 5)
     kept = controller.planner.explanations
     pools = {world.state.maintenance.pool_by_instance[name] for name in RACK}
-    told = [kept.of_instance(name) for name in RACK]
-    told += [kept.of_pool(pool) for pool in sorted(pools)]
+    told = [kept.for_instance(name) for name in RACK]
+    told += [kept.for_pool(pool) for pool in sorted(pools)]
     for events in told:
         texts = [item.text for item in events]
         assert any("treated as one event" in text for text in texts), texts
@@ -48,7 +48,7 @@
         world.advance(1.0)
         plan = controller.planner.step(controller.view(), world.now_s)
         assert not any(isinstance(item, InstanceHealth) for item in plan.records)
-    assert controller.planner.explanations.of_fleet()
+    assert controller.planner.explanations.for_fleet()
 
 
 def test_correlated_failure_holds_repair_elsewhere(world, controller):
--- a/libs/fleet/tests/test_explanations.py
+++ b/libs/fleet/tests/test_explanations.py
@@ -14,9 +14,9 @@
         kept.add(NotChosen(f"w{number}", "north", limit), number)
         kept.add(NotChosen(f"w{number}", "north", limit), number)
     assert len(kept.recent(1000)) == 50
-    assert kept.of_instance("w0") == ()
-    assert [item.times for item in kept.of_instance("w999")] == [2]
-    assert kept.of_pool("north")[-1].text == (
+    assert kept.for_instance("w0") == ()
+    assert [item.times for item in kept.for_instance("w999")] == [2]
+    assert kept.for_pool("north")[-1].text == (
         "Instance w999 of pool north stays in service for now, because 1 of at most"
         " 1 instances of pool north are out."
     )
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -204,6 +204,6 @@
         world.advance(10)
     moves = world.state.maintenance.move_by_instance
     assert any(move.stage is MoveStage.JOINED for move in moves.values())
-    texts = [item.text for item in controller.planner.explanations.of_pool("north")]
+    texts = [item.text for item in controller.planner.explanations.for_pool("north")]
     assert any("refused to reboot" in text for text in texts)
     assert sum(worker.draining for worker in world.workers.values()) <= 1
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -20,9 +20,9 @@
 SETTINGS = PlannerSettings(
     drain_limit_s=1200,
     settle_s=60,
-    dwell_s=120,
+    pool_change_cooldown_s=120,
     correlated_pause_s=60,
-    abandoned_pause_s=60,
+    abandoned_cooldown_s=60,
 )
 
 
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -12,7 +12,9 @@
 def fail_tasks(controller, instance, count=5):
     for number in range(count):
         health = controller.planner.health
-        health.task_ended(instance, "lookups", False, controller.world.now_s + number)
+        health.record_outcome(
+            instance, "lookups", False, controller.world.now_s + number
+        )
 
 
 def test_failing_worker_is_tried_rebooted_and_given_up(world, controller):
@@ -20,14 +22,14 @@
     seen = set()
     for _ in range(400):
         fail_tasks(controller, "w07")
-        health.task_ended("w08", "lookups", True, world.now_s)
+        health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
         state = world.state.maintenance.health_by_instance.get("w07")
         seen.add(state and state.health)
     assert seen >= {Health.PROBATION, Health.REBOOTING, Health.GIVEN_UP}
     assert world.workers["w07"].boots == 3
     assert set(world.state.maintenance.health_by_instance) == {"w07"}
-    texts = [x.text for x in controller.planner.explanations.of_instance("w07")]
+    texts = [x.text for x in controller.planner.explanations.for_instance("w07")]
     assert any("needs a person to look at it" in text for text in texts)
 
 
@@ -37,8 +39,8 @@
         if not world.workers["w07"].boots:
             fail_tasks(controller, "w07")
         elif world.workers["w07"].alive:
-            health.task_ended("w07", "lookups", True, world.now_s)
-        health.task_ended("w08", "lookups", True, world.now_s)
+            health.record_outcome("w07", "lookups", True, world.now_s)
+        health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
     state = world.state.maintenance.health_by_instance["w07"]
     assert state.health is Health.IN_SERVICE
@@ -51,7 +53,7 @@
         if tick % 40 == 39:
             controller = Controller(world, f"controller-{tick}")
         fail_tasks(controller, "w07")
-        controller.planner.health.task_ended("w08", "lookups", True, world.now_s)
+        controller.planner.health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
     assert world.workers["w07"].boots <= 3
 
@@ -70,7 +72,7 @@
     run(controller, 1)
     for number in range(6):
         if signal == "lease_lost":
-            health.lease_lost("w07", world.now_s)
+            health.record_lost_lease("w07", world.now_s)
         if signal == "flapping":
             health.record_heartbeat("w07", world.now_s, f"boot-{number}")
         if signal == "silent":
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -53,7 +53,7 @@
 def test_nothing_starts_while_the_list_cannot_be_read(world, controller):
     start_wave(world)
     controller.tick()
-    blind = replace(controller.view(), listed=False)
+    blind = replace(controller.view(), is_list_current=False)
     plan = controller.planner.step(blind, world.now_s)
     assert plan.records == ()
     texts = [x.text for x in controller.planner.explanations.recent(5)]
@@ -104,7 +104,7 @@
     maintenance = world.state.maintenance
     assert len(maintenance.move_by_instance) == before
     assert not set(rack) & set(maintenance.health_by_instance)
-    fleet = controller.planner.explanations.of_fleet()
+    fleet = controller.planner.explanations.for_fleet()
     assert [x.text for x in fleet if "one event" in x.text] == [
         "Rack z0/r0 failed: 4 instances stopped together, and this is treated as one"
         " event."
@@ -159,5 +159,5 @@
     controller = Controller(world, "controller")
     start_wave(world)
     assert planned(controller.plan()) == []
-    text = controller.planner.why_not("w00")
+    text = controller.planner.describe_blocker("w00")
     assert "last spare" in text
