--- a/libs/controller/src/lycheeloom/controller/actions.py
+++ b/libs/controller/src/lycheeloom/controller/actions.py
@@ -12,7 +12,7 @@
 from lycheeloom.fleet import ActionKind, ActionStatus, PlatformAction
 from lycheeloom.telemetry import log_event
 
-# If the platform does not answer, each call lasts for its whole timeout.
+# Calls run concurrently, as each takes its whole timeout if the platform is silent.
 MAX_CONCURRENT_CALLS = 16
 MAX_FINAL_STATUSES = 10_000
 
@@ -43,10 +43,10 @@
         refused, since it cannot exist otherwise.
         """
         found: dict[str, ActionStatus] = {}
-        waiting = list(action_ids)
-        while waiting:
+        remaining = list(action_ids)
+        while remaining:
             queryable = [
-                action_id for action_id in waiting if _may_exist(action_id, found)
+                action_id for action_id in remaining if _may_exist(action_id, found)
             ]
             if not queryable:
                 return found
@@ -54,8 +54,8 @@
             for action_id, status in zip(queryable, answers, strict=True):
                 if status is not None:
                     found[action_id] = status
-            waiting = [
-                action_id for action_id in waiting if action_id not in set(queryable)
+            remaining = [
+                action_id for action_id in remaining if action_id not in set(queryable)
             ]
         return found
 
--- a/libs/controller/src/lycheeloom/controller/outcome_reports.py
+++ b/libs/controller/src/lycheeloom/controller/outcome_reports.py
@@ -14,7 +14,7 @@
 from lycheeloom.state import Member
 from lycheeloom.wire import OutcomeCount, OutcomeReport, OutcomeRequest, PeerMessage
 
-# Entries close connections that are idle for 10 s.
+# Below the 10 s after which entries close idle connections.
 OUTCOME_POLL_INTERVAL_S = 5.0
 CONNECT_TIMEOUT_S = 0.5
 ANSWER_TIMEOUT_S = 1.0
@@ -62,9 +62,9 @@
         known = {member.incarnation for member in members}
         for gone in self._poll_by_entry.keys() - known:
             self._close(self._poll_by_entry.pop(gone))
-        self._calls.map(self._ask, members)
+        self._calls.map(self._poll_entry, members)
 
-    def _ask(self, member: Member) -> None:
+    def _poll_entry(self, member: Member) -> None:
         poll = self._poll_by_entry.setdefault(member.incarnation, _EntryPoll())
         request = PeerMessage(self._sender, OutcomeRequest(poll.through_period))
         try:
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -50,7 +50,7 @@
         self._running_sample_by_instance: dict[str, tuple[float, int]] = {}
         # Times of probes out of turn, after a failed probe in the rack.
         self._early_probe_at: dict[str, float] = {}
-        self._pool = Pool(MAX_CONCURRENT_PROBES)
+        self._calls = Pool(MAX_CONCURRENT_PROBES)
 
     def run(self) -> None:
         """Probe all workers in turn until stopped."""
@@ -58,14 +58,14 @@
             names = list(self._tail.state.config.instance_by_id)
             for name in names:
                 self._start_due_early_probes()
-                self._pool.spawn(self._probe, name)
+                self._calls.spawn(self._probe, name)
                 gevent.sleep(1 / PROBES_PER_S)
             if not names:
                 gevent.sleep(1 / PROBES_PER_S)
 
     def probe_now(self, names: Iterable[str]) -> None:
         """Probe workers at once, as a move waits for their running tasks."""
-        self._pool.map(self._probe, names)
+        self._calls.map(self._probe, names)
 
     def running_by_instance(self) -> dict[str, int]:
         """Return the recent numbers of running tasks."""
@@ -80,7 +80,7 @@
         now = self._clock()
         for name in [name for name, at in self._early_probe_at.items() if at <= now]:
             del self._early_probe_at[name]
-            self._pool.spawn(self._probe, name)
+            self._calls.spawn(self._probe, name)
 
     def _probe(self, name: str) -> None:
         instance = self._tail.state.config.instance_by_id.get(name)
@@ -100,9 +100,9 @@
 
     def _schedule_rack_probes(self, name: str, now: float) -> None:
         instances = self._tail.state.config.instance_by_id
-        place = instances[name].zone, instances[name].rack
+        rack = instances[name].zone, instances[name].rack
         for other in instances.values():
-            if (other.zone, other.rack) == place:
+            if (other.zone, other.rack) == rack:
                 self._early_probe_at.setdefault(other.id, now)
 
     def forget_unconfigured(self, known: Collection[str]) -> None:
@@ -131,9 +131,9 @@
         effects = replayed.applied.effective
         for record, effective in zip(replayed.batch.records, effects, strict=True):
             if effective:
-                self._observe(record)
+                self._apply(record)
 
-    def _observe(self, record: object) -> None:
+    def _apply(self, record: object) -> None:
         match record:
             case RequestClaimed(request_id=request, worker=worker):
                 self._worker_by_request[request] = worker
@@ -142,9 +142,9 @@
             case RequestReleased(request_id=request):
                 self._worker_by_request.pop(request, None)
             case RequestFinished(request_id=request, outcome=outcome):
-                self._finish(request, outcome)
+                self._record_finish(request, outcome)
 
-    def _finish(self, request: str, outcome: Outcome) -> None:
+    def _record_finish(self, request: str, outcome: Outcome) -> None:
         worker = self._worker_by_request.pop(request, None)
         if worker is None:
             return
--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -26,12 +26,12 @@
 
 # Records older than this fraction of the retention are appended again.
 REFRESH_AGE_FRACTION = 0.5
-# The age of records from before this process started is not known. They count as
-# due after this fraction of the retention, as the previous holder of the duty left
-# none older than REFRESH_AGE_FRACTION.
+# The age of records from before this process started is not known. They become due
+# once the process has run for this fraction of the retention, as the previous holder
+# of the duty left none older than REFRESH_AGE_FRACTION.
 UNKNOWN_AGE_WAIT_FRACTION = 0.1
 # Bounds the pending appends; a step runs every few seconds.
-MAX_RECORDS_PER_STEP = 100
+MAX_PENDING_RECORDS = 100
 
 
 class RecordRefresher:
@@ -72,7 +72,7 @@
         if not self._duty.is_held():
             return
         for request in self._due_requests():
-            if len(self._pending_by_id) >= MAX_RECORDS_PER_STEP:
+            if len(self._pending_by_id) >= MAX_PENDING_RECORDS:
                 return
             self._refresh(request)
 
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -113,7 +113,9 @@
         self.probes = WorkerProber(
             self.tail, self._workers, self.planner.health, clock=clock
         )
-        self._outcomes = ReplayedOutcomes(self.tail, self.planner.health, clock=clock)
+        self._replayed_outcomes = ReplayedOutcomes(
+            self.tail, self.planner.health, clock=clock
+        )
         self.outcome_reports = OutcomeReportPoller(
             self.tail, self.planner.health, author, clock=clock
         )
@@ -158,8 +160,8 @@
     def _start(self) -> None:
         self.tail.start()
         self.writer.start()
-        duties = list(self.election_by_duty.values())
-        self._spawn_loop(lambda: [duty.step() for duty in duties], DUTY_STEP_S)
+        elections = list(self.election_by_duty.values())
+        self._spawn_loop(lambda: [item.step() for item in elections], DUTY_STEP_S)
         self._spawn_loop(self.maintenance.step, self.settings.step_s)
         self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_S)
         self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_S)
@@ -177,8 +179,8 @@
         self._greenlets.append(gevent.spawn(_run_loop, step, interval_s))
 
     def _update_metrics(self) -> None:
-        for name, duty in self.election_by_duty.items():
-            self.metrics.set_duty(name, duty.is_held())
+        for duty, election in self.election_by_duty.items():
+            self.metrics.set_duty(duty, election.is_held())
         self.metrics.set_fleet(self.maintenance.view, self.planner)
         self.metrics.step_s.set(self.maintenance.last_step_s)
         age_s = time.monotonic() - self.tail.last_read_sent_at
--- a/libs/controller/tests/test_controller.py
+++ b/libs/controller/tests/test_controller.py
@@ -1,4 +1,4 @@
-"""The controller as processes against the platform's stand-ins."""
+"""Tests of controller processes and components against platform stand-ins."""
 
 from __future__ import annotations
 
@@ -53,7 +53,7 @@
 
 
 class Processes:
-    """Programs of one test; those still running are ended with it."""
+    """The processes that a test starts; the fixture kills those still running."""
 
     def __init__(self, directory):
         self.directory = directory
@@ -129,7 +129,7 @@
 
 
 def wait_for(processes, condition, timeout_s=90.0):
-    """Wait until the replayed state meets a condition; returns the state."""
+    """Wait until the replayed state meets a condition; return the state."""
     client = LogClient(processes.address_by_name["log"])
     give_up_at = time.monotonic() + timeout_s
     while time.monotonic() < give_up_at:
@@ -155,8 +155,8 @@
     return response.status, response.data.decode()
 
 
-def test_wave_ends_although_its_controller_is_killed(processes):
-    """Another controller must continue the moves of one that was killed."""
+def test_wave_completes_although_its_controller_is_killed(processes):
+    """Guards against moves that stop with the controller that started them."""
     publish(processes)
     first, first_address = processes.start_controller("one")
     wait_for(processes, lambda s: s.duties.of(Duty.MAINTENANCE).epoch == 1)
@@ -194,7 +194,7 @@
         ("step_s = 0", "step_s: Input should be greater than 0, got 0"),
     ],
 )
-def test_bad_settings_are_named(tmp_path, line, expected):
+def test_invalid_settings_are_reported(tmp_path, line, expected):
     path = tmp_path / "controller.toml"
     path.write_text(line)
     program = [sys.executable, "-m", "lycheeloom.controller.main"]
@@ -223,8 +223,8 @@
         state.apply(state.next_offset, Batch("me", state.next_offset + 9, (record,)))
 
 
-def test_duty_is_not_taken_from_a_holder_silenced_by_a_log_outage():
-    """After an outage the holder must get its time to renew again."""
+def test_duty_is_not_taken_over_because_of_a_log_outage():
+    """Guards against a takeover before the holder could renew after the outage."""
     tail, now = FakeTail(), [0.0]
     tail.state.apply(0, Batch("other", 1, (DutyClaimed(Duty.MAINTENANCE, 0),)))
     duty = DutyElection(Duty.MAINTENANCE, tail, FakeWriter(tail), clock=lambda: now[0])
@@ -247,23 +247,23 @@
 class FakeInstances:
     def __init__(self, answers):
         self.answers = answers
-        self.asked = []
+        self.queried = []
 
     def action_status(self, name):
-        self.asked.append(name)
+        self.queried.append(name)
         return self.answers.get(name, ActionRefused("unknown"))
 
     def drain(self, instance, name):
         return self.answers[name]
 
 
-def test_statuses_tell_unknown_from_not_learned():
-    """An unreachable platform must not look like an action that never was."""
+def test_statuses_distinguish_unknown_from_unavailable():
+    """Guards against taking an unreachable platform for an unknown action."""
     client = FakeInstances({"b": Unavailable("timeout"), "d": ActionRefused("no")})
     runner = ActionRunner(client)
     assert runner.statuses(["a", "b", "a.2"]) == {"a": ActionStatus.UNKNOWN}
-    assert client.asked == ["a", "b"]
-    runner.take([PlatformAction("w", ActionKind.DRAIN, "d")])
+    assert client.queried == ["a", "b"]
+    runner.perform([PlatformAction("w", ActionKind.DRAIN, "d")])
     assert runner.statuses(["d", "d.2"]) == {
         "d": ActionStatus.REFUSED,
         "d.2": ActionStatus.UNKNOWN,
@@ -271,9 +271,9 @@
 
 
 def test_unchanged_list_is_read_again_soon():
-    """Guards against leaving marks that are seen 102 s late at 5,100 workers.
+    """Guards against seeing leaving instances 102 s late with 5,100 workers.
 
-    Only a list that has changed takes bytes, so only that is paced.
+    Only a changed list is transferred, so only its reads are rate limited.
     """
     now = [0.0]
     line = ListedInstance("w", "worker", "a:1", "z", "r", InstanceState.LIVE, "b")
--- a/libs/controller/tests/test_housekeeping.py
+++ b/libs/controller/tests/test_housekeeping.py
@@ -1,4 +1,4 @@
-"""Guards requests and answers that outlive the log's retention."""
+"""Tests of request bodies and answers that outlive the log's retention."""
 
 from types import SimpleNamespace
 
@@ -44,7 +44,7 @@
 @pytest.fixture
 def tail(client):
     tail = LogTail(client, FleetState())
-    # Without the ring, every record is read back from the log.
+    # Without the in-memory ring, every record is read from the log.
     tail.ring.read = lambda first, size: ()
     yield tail
     tail.stop()
@@ -80,7 +80,7 @@
 
 
 def test_body_and_answer_outlive_the_retention(append, tail, writer, client, clock):
-    """A request older than the log's records must keep its body and its answer."""
+    """Guards against bodies and answers that are lost with the log's old records."""
     duty = SimpleNamespace(is_held=lambda: True)
     reader = RecordReader(tail, client)
     refresher = RecordRefresher(
@@ -99,7 +99,7 @@
         refresher.step()
         settle(tail, writer)
         if step % 3 == 0:
-            # Other records push the older ones out of the log.
+            # Further records make the log drop the oldest ones.
             append(r.MemberRefuted())
         assert reader.submission(waiting.body_offset, "waiting").payload == b"body"
         assert reader.finish(done.answer_offset, "done").answer == b"answer"
@@ -108,13 +108,13 @@
     assert isinstance(dropped, RecordLost)
 
 
-def test_lost_record_is_looked_for_once(append, tail, writer, client, clock):
-    """Guards against a read and a log line each second for each lost answer."""
+def test_lost_record_is_read_once(append, tail, writer, client, clock):
+    """Guards against a read and a log line at every step for each lost record."""
     reader = RecordReader(tail, client)
-    lookups = []
+    reads = []
 
     def copy(offset, request_id, kind):
-        lookups.append(request_id)
+        reads.append(request_id)
         return RecordLost(offset + 1)
 
     reader.copy = copy
@@ -130,11 +130,11 @@
     for _ in range(10):
         clock.now += RETENTION_S / 4
         refresher.step()
-    assert lookups == ["waiting"]
+    assert reads == ["waiting"]
 
 
 def test_only_the_holder_of_the_duty_refreshes(append, tail, writer, client, clock):
-    """Every controller refreshing would multiply the appends."""
+    """Guards against appends by every controller."""
     duty = SimpleNamespace(is_held=lambda: False)
     refresher = RecordRefresher(
         duty,
@@ -151,7 +151,7 @@
 
 
 def test_answers_expire_after_the_declared_time(append, tail, writer, clock):
-    """Kept answers must not grow without bound, nor be dropped early."""
+    """Guards against kept answers that never expire or expire too early."""
     expiry = AnswerExpiry(
         SimpleNamespace(is_held=lambda: True), tail, writer, clock=lambda: clock.now
     )
--- a/libs/controller/tests/test_metrics.py
+++ b/libs/controller/tests/test_metrics.py
@@ -1,4 +1,4 @@
-"""Guards metrics that alerts of the controller rest on."""
+"""Tests of controller metrics that alerts depend on."""
 
 from types import SimpleNamespace
 
@@ -12,7 +12,7 @@
 
 
 def test_former_holder_reports_no_move(monkeypatch):
-    """The alert on a stuck move would name one that another holder has ended."""
+    """Guards against a stuck-move alert from a controller that lost the duty."""
     now = [0.0]
     clock = SimpleNamespace(monotonic=lambda: now[0])
     monkeypatch.setattr(module, "time", clock)
--- a/libs/controller/tests/test_outcome_reports.py
+++ b/libs/controller/tests/test_outcome_reports.py
@@ -1,4 +1,4 @@
-"""The controller's reading of outcomes from entries, without sockets."""
+"""Tests of polling entries for task outcomes, without sockets."""
 
 import json
 
@@ -40,7 +40,7 @@
 
 
 class Entries:
-    """Entries that answer with what a test sets; they note each request."""
+    """Fake entries that return preset bodies and record each request."""
 
     def __init__(self):
         self.body_by_entry = {}
@@ -96,7 +96,7 @@
 
 
 def test_failures_of_all_entries_add_up(setup):
-    """Guards against a worker that fails everywhere, but seldom at each entry."""
+    """Guards against missing a worker whose failures spread over all entries."""
     for name in ("e1", "e2"):
         counts = failing("w1", ended=3, failed=3)
         setup.entries.body_by_entry[name] = OutcomeReport(7, counts, ("find",))
@@ -104,24 +104,27 @@
     assert setup.symptoms() == {"w1": Symptom.FAILING}
 
 
-def test_many_failing_workers_are_blamed_if_the_work_succeeds_elsewhere(setup):
-    """Guards against failing workers that are excused as failing work, as only
-    workers with failures are reported."""
+def test_failing_workers_are_detected_if_the_workload_succeeds_elsewhere(setup):
+    """Guards against taking failing workers for a failing workload.
+
+    Entries report counts only for workers with failures, so the success of the
+    queue elsewhere is reported apart.
+    """
     report = OutcomeReport(7, failing("w1", "w2", "w3"), ("find",))
     setup.entries.body_by_entry["e1"] = report
     setup.reports.step()
     assert set(setup.symptoms()) == {"w1", "w2", "w3"}
 
 
-def test_work_that_fails_everywhere_is_not_held_against_workers(setup):
+def test_workload_that_fails_everywhere_is_not_held_against_workers(setup):
     """Guards against repairs of a whole fleet after a bad release."""
     setup.entries.body_by_entry["e1"] = OutcomeReport(7, failing("w1", "w2", "w3"))
     setup.reports.step()
     assert setup.symptoms() == {}
 
 
-def test_busy_workers_keep_their_rate_of_failures(setup):
-    """Guards against a busy worker that is blamed for single failures."""
+def test_busy_workers_keep_their_failure_rate(setup):
+    """Guards against detecting a busy worker as failing for a minority of failures."""
     counts = failing("w1", ended=1000, failed=300)
     setup.entries.body_by_entry["e1"] = OutcomeReport(7, counts, ("find",))
     for _ in range(6):
@@ -130,7 +133,7 @@
 
 
 def test_unanswered_request_is_repeated_on_a_new_connection(setup):
-    """Guards against outcomes lost with a connection that went silent."""
+    """Guards against outcomes that are lost when a connection stops answering."""
     setup.reports.step()
     setup.entries.silent.add("e1")
     setup.reports.step()
@@ -147,8 +150,8 @@
     [("other", OutcomeReport(7, failing("w1"))), ("e1", Heartbeat(1, 0, 0, 0))],
     ids=["other incarnation", "other message"],
 )
-def test_other_answers_are_dropped(setup, name, body):
-    """Guards against counts of another process that serves the address now."""
+def test_answers_of_another_process_or_type_are_dropped(setup, name, body):
+    """Guards against counts from another process that now serves the address."""
     setup.entries.name_by_address["e1"] = name
     setup.entries.body_by_entry["e1"] = body
     setup.reports.step()
@@ -158,7 +161,7 @@
 
 
 def test_unknown_workers_are_ignored(setup):
-    """Guards against memory for workers that are no longer configured."""
+    """Guards against keeping outcomes of workers that are no longer configured."""
     setup.entries.body_by_entry["e1"] = OutcomeReport(7, failing("gone"), ("find",))
     setup.reports.step()
     assert setup.monitor.successes_since("gone", 0.0) == 0
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -38,9 +38,9 @@
     instances, and at least ``domain_silent_min``, are silent.
     ``max_silent_fraction`` exceeds the third of a fleet that one of three zones
     holds. If more instances look silent, and more than ``max_silent_floor``, the
-    monitor's own connection is the more likely cause. A workload that fails on
-    ``failing_workload_instances`` instances and succeeds on none is itself taken
-    to be faulty.
+    controller itself is the more likely cause. A workload that fails on
+    ``failing_workload_instances`` instances and succeeds on none is taken to be
+    faulty itself, and its outcomes are not held against workers.
     """
 
     silent_s: float = 30
@@ -87,7 +87,7 @@
     def __init__(self, settings: MonitorSettings | None = None):
         self.settings = settings or MonitorSettings()
         self._first_miss_s: dict[str, float] = {}
-        self._boot_id: dict[str, str] = {}
+        self._boot_id_by_instance: dict[str, str] = {}
         self._returns: dict[str, deque[float]] = {}
         self._outcomes: dict[str, deque[tuple[float, str, bool]]] = {}
         self._lost_leases: dict[str, deque[float]] = {}
@@ -102,11 +102,11 @@
         was_silent = (
             first_miss_s is not None and at_s - first_miss_s > self.settings.silent_s
         )
-        last_boot = self._boot_id.get(instance, "")
-        if was_silent or (last_boot and boot_id and boot_id != last_boot):
+        last_boot_id = self._boot_id_by_instance.get(instance, "")
+        if was_silent or (last_boot_id and boot_id and boot_id != last_boot_id):
             self._append(self._returns, instance, at_s)
         if boot_id:
-            self._boot_id[instance] = boot_id
+            self._boot_id_by_instance[instance] = boot_id
 
     def record_miss(self, instance: str, at_s: float) -> bool:
         """Record that the instance did not answer; True for the first miss.
@@ -142,7 +142,7 @@
         """Drop the signals of all instances that are not in ``known``."""
         for signals in (
             self._first_miss_s,
-            self._boot_id,
+            self._boot_id_by_instance,
             self._returns,
             self._outcomes,
             self._lost_leases,
@@ -243,11 +243,11 @@
     ) -> tuple[FailedDomain, ...]:
         """Return the failed zones, then the failed racks of the other zones."""
         locations = layout.location_by_instance
-        lost = self._failed_groups(
+        lost = self._failed_domains_of_kind(
             "zone", layout.members_by_zone, silent, lambda name: locations[name][2]
         )
         covered = _members(lost)
-        lost += self._failed_groups(
+        lost += self._failed_domains_of_kind(
             "rack",
             layout.members_by_rack,
             silent - covered,
@@ -255,7 +255,7 @@
         )
         return tuple(lost)
 
-    def _failed_groups(
+    def _failed_domains_of_kind(
         self, kind, members_by_domain, silent, domain_of
     ) -> list[FailedDomain]:
         counts = Counter(domain_of(name) for name in silent)
--- a/libs/fleet/src/lycheeloom/fleet/move_runner.py
+++ b/libs/fleet/src/lycheeloom/fleet/move_runner.py
@@ -46,11 +46,11 @@
                 or name not in step.layout.location_by_instance
             ):
                 continue
-            limit = self._limit(step, name, move)
+            limit = self._exceeded_limit(step, name, move)
             facts = self._facts(step, name, move, limit, abandon_reason)
             decision = advance(name, move, facts)
             self._apply(step, name, move, decision, limit)
-        self._note_ended(step)
+        self._process_ended_moves(step)
 
     def recently_abandoned(self, now_s: float) -> frozenset[str]:
         """Return the instances whose last move was abandoned recently."""
@@ -60,10 +60,10 @@
         return frozenset(self._abandoned_at_s)
 
     def sweep(self) -> None:
-        """Forget the times of moves that are no longer open."""
+        """Drop the timers of moves that are no longer open."""
         self._timers.sweep()
 
-    def _limit(self, step: StepContext, name: str, move: Move) -> Limit | None:
+    def _exceeded_limit(self, step: StepContext, name: str, move: Move) -> Limit | None:
         """Return a limit that is exceeded with the instance itself counted as out.
 
         The limit is checked again before the drain, because the budgets may have
@@ -71,12 +71,12 @@
         """
         if move.stage not in (MoveStage.PLANNED, MoveStage.DRAINING):
             return None
-        if _is_unplanned(step, name, move):
+        if _is_out_anyway(step, name, move):
             return None
         to_pool = (
             ""
             if move.to_pool == step.layout.location_by_instance[name][0]
-            else (move.to_pool)
+            else move.to_pool
         )
         return step.budgets.exceeded(name, to_pool=to_pool)
 
@@ -151,8 +151,8 @@
         elif decision.wait is not Wait.NOTHING:
             is_list_outdated = decision.wait is Wait.BUDGET and limit is None
             wait = Wait.INSTANCE_LIST if is_list_outdated else decision.wait
-            waits = events.MoveWaiting(name, pool, wait, limit)
-            self._explanations.add(waits, step.now_s)
+            waiting = events.MoveWaiting(name, pool, wait, limit)
+            self._explanations.add(waiting, step.now_s)
 
     def _record(
         self,
@@ -182,9 +182,9 @@
         ended = events.MoveEnded(name, pool, decision.stage, decision.reason)
         self._explanations.add(ended, step.now_s)
 
-    def _note_ended(self, step: StepContext) -> None:
+    def _process_ended_moves(self, step: StepContext) -> None:
         """Process the moves that have ended since the last step."""
-        for name, (move_id, begun_s) in list(self._started_by_instance.items()):
+        for name, (move_id, started_s) in list(self._started_by_instance.items()):
             move = step.view.move_by_instance.get(name)
             if move is not None and move.move_id == move_id:
                 if move.stage not in ENDED_STAGES:
@@ -192,14 +192,14 @@
                 if move.stage is MoveStage.ABANDONED:
                     self._abandoned_at_s[name] = step.now_s
                 else:
-                    lasted_s = step.now_s - begun_s
+                    lasted_s = step.now_s - started_s
                     self.mean_move_s += _MEAN_WEIGHT * (lasted_s - self.mean_move_s)
                 # The return after the reboot must not count as flapping.
                 self._monitor.forget_faults(name)
             del self._started_by_instance[name]
 
 
-def _is_unplanned(step: StepContext, name: str, move: Move) -> bool:
+def _is_out_anyway(step: StepContext, name: str, move: Move) -> bool:
     """Tell whether the instance is out of service regardless of its move.
 
     An instance in a zone that operators took out of service does not count as
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -40,22 +40,22 @@
         self, view: FleetView, layout: Layout, not_serving: frozenset[str], now_s: float
     ) -> list[BufferMove]:
         """Return the pool changes that may start now, most urgent first."""
-        self._forget_old(now_s)
+        self._drop_expired(now_s)
         assigned, moving = _assignment(view, layout)
         # An instance that is out of service for its move is not lost.
         unusable = self._lost.update(not_serving - moving, now_s) | _given_up(view)
         key = (view.config, assigned, unusable)
-        has_room = self.may_start()
+        may_start = self.may_start()
         # Planning takes up to half a second if many instances are away from their
         # home pools. While no move may start, a plan only reports shortages.
-        is_due = has_room or now_s - self._planned_s >= IDLE_PLAN_INTERVAL_S
+        is_due = may_start or now_s - self._planned_s >= IDLE_PLAN_INTERVAL_S
         if is_due and not self._is_plan_current(key):
             self._planned_s = now_s
             if self._planner is None or self._planner.config is not view.config:
                 self._planner = BufferPlanner(view.config)
             self.plan = plan_with_returns(self._planner, assigned, unusable)
             self._plan_inputs = key
-        if not has_room:
+        if not may_start:
             return []
         return [
             move
@@ -72,7 +72,7 @@
         self._start_times_s.append(now_s)
         self._moved_at_s[move.instance] = now_s
 
-    def _forget_old(self, now_s: float) -> None:
+    def _drop_expired(self, now_s: float) -> None:
         while self._start_times_s and self._start_times_s[0] <= now_s - HOUR_S:
             self._start_times_s.popleft()
         oldest = now_s - self._settings.pool_change_cooldown_s
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -179,12 +179,12 @@
     left = sum(len(names) for names in left_by_pool.values())
     end_s = None
     if wave.state is WaveState.RUNNING:
-        rounds = _rounds(layout, left_by_pool, remaining_fraction_by_instance)
+        rounds = _rounds_needed(layout, left_by_pool, remaining_fraction_by_instance)
         end_s = None if rounds is None else now_s + rounds * move_s
     return Forecast(wave.wave_id, wave.state, total - left, total, end_s)
 
 
-def _rounds(
+def _rounds_needed(
     layout: Layout,
     left_by_pool: Mapping[str, list[str]],
     remaining_fraction_by_instance: Mapping[str, float],
@@ -211,14 +211,14 @@
         return None
     return max(
         (
-            _rounds_of(names, budget, remaining_fraction_by_instance)
+            _rounds_within_budget(names, budget, remaining_fraction_by_instance)
             for names, budget in groups
         ),
         default=0,
     )
 
 
-def _rounds_of(
+def _rounds_within_budget(
     names: list[str], budget: int, remaining_fraction_by_instance: Mapping[str, float]
 ) -> float:
     """Return the rounds that one budget needs; a round in progress counts in part."""
--- a/libs/fleet/tests/conftest.py
+++ b/libs/fleet/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures that the planner's tests share."""
+"""Shared fixtures of the planner tests."""
 
 from __future__ import annotations
 
--- a/libs/fleet/tests/planner_runs.py
+++ b/libs/fleet/tests/planner_runs.py
@@ -1,4 +1,4 @@
-"""Steps that the planner's tests share."""
+"""Shared helpers of the planner tests."""
 
 from __future__ import annotations
 
--- a/libs/fleet/tests/test_buffers.py
+++ b/libs/fleet/tests/test_buffers.py
@@ -1,4 +1,4 @@
-"""Buffers of the pools and the moves that restore them."""
+"""Tests of the buffer plan and of the moves that restore buffers."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def test_flapping_instance_causes_no_pool_changes():
-    """Instances that come and go within the settling time must not cause moves."""
+    """Guards against moves caused by instances that fail and return quickly."""
     world = World(user_fleet(16, 65536, needed=6))
     controller = Controller(world, "controller")
     for _ in range(30):
@@ -28,10 +28,10 @@
     assert not any(move.move_id.startswith("pool.") for move in moves)
 
 
-def test_lasting_loss_is_covered_and_undone_once():
+def test_lasting_loss_is_covered_by_one_move_and_undone():
     world = World(user_fleet(16, 65536, needed=6))
     controller = Controller(world, "controller")
-    # Without reboots the instance stays silent until it is mended.
+    # Without reboots the instance stays silent until the test repairs it.
     controller.planner = Planner(
         PlannerSettings(pool_change_cooldown_s=60),
         repair=RepairSettings(probation_s=1e9),
@@ -68,8 +68,8 @@
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_buffer_condition_matches_losing_each_place(seed):
-    """The closed form must agree with losing every zone and rack in turn."""
+def test_buffer_condition_matches_loss_of_each_domain(seed):
+    """Checks the buffer condition against the loss of every zone and rack in turn."""
     rng = random.Random(seed)
     names = ["a", "b", "spare"]
     pools = {name: {"needed": rng.randrange(4)} for name in names[:2]}
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -1,4 +1,4 @@
-"""A rack that fails is one event, and what is held and told because of it."""
+"""Tests of a failed rack: holds on maintenance and repair, and explanations."""
 
 from __future__ import annotations
 
@@ -26,7 +26,10 @@
 
 
 def test_lost_rack_is_explained_under_its_instances_and_pools(world, controller):
-    """Operators ask about an instance or a pool, and were told nothing."""
+    """Guards against explanations that are found only under the fleet.
+
+    Operators ask about an instance or a pool.
+    """
     world.fail(RACK)
     run(controller, 5)
     kept = controller.planner.explanations
@@ -40,7 +43,10 @@
 
 
 def test_lost_rack_is_not_repaired_before_all_of_it_is_silent(world, controller):
-    """Probes that time out end apart, so one instance is silent before the others."""
+    """Guards against repair of the first silent instance of a failed rack.
+
+    Probes of its instances time out at different times.
+    """
     health = controller.planner.health
     for number, name in enumerate(RACK):
         health.record_miss(name, world.now_s + 5.0 * number)
@@ -52,7 +58,7 @@
 
 
 def test_correlated_failure_holds_repair_elsewhere(world, controller):
-    """A second fault during a large one must not start reboots at once."""
+    """Guards against reboots elsewhere right after a correlated failure."""
     world.fail(RACK)
     run(controller, 5)
     world.fail(["w01"])
--- a/libs/fleet/tests/test_explanations.py
+++ b/libs/fleet/tests/test_explanations.py
@@ -1,4 +1,4 @@
-"""Explanations that the planner keeps."""
+"""Tests of the history of decisions."""
 
 from __future__ import annotations
 
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -1,7 +1,7 @@
-"""Fault cases of each step of a drain, a move and a reboot.
+"""Tests that inject a fault at each step of a drain, a move and a reboot.
 
-Each case guards against a move that hangs, runs an action twice, loses work or
-leaves an instance drained or in the wrong pool.
+They guard against a move that hangs, runs an action twice, loses work or leaves
+an instance drained or in the wrong pool.
 """
 
 from __future__ import annotations
@@ -47,7 +47,7 @@
 
 
 class FaultyRun:
-    """Runs one move and injects one fault at one step of it."""
+    """Runs one move and injects one fault at one of its steps."""
 
     def __init__(self, kind: str, step: str, fault: str):
         self.world = World(user_fleet(16, 65536))
@@ -91,7 +91,7 @@
             else:
                 self.world.append(*item)
 
-    def _is_hit(self, step: str, instance: str) -> bool:
+    def _inject(self, step: str, instance: str) -> bool:
         if step != self.step or instance != TARGET or self.injected:
             return False
         self.injected += 1
@@ -100,7 +100,7 @@
     def _append(self, controller: Controller, record) -> None:
         author = controller.author
         is_step = isinstance(record, MoveStep)
-        if not is_step or not self._is_hit(str(record.stage), record.instance):
+        if not is_step or not self._inject(str(record.stage), record.instance):
             self.world.append(author, [record])
             return
         match self.fault:
@@ -122,7 +122,7 @@
                 self.world.append(author, [record])
 
     def _act(self, controller: Controller, action: PlatformAction) -> None:
-        if not self._is_hit(str(action.kind), action.instance):
+        if not self._inject(str(action.kind), action.instance):
             self.world.act(action)
             return
         match self.fault:
@@ -172,8 +172,8 @@
     assert world.over_budget == []
 
 
-def test_reboot_waits_for_work_that_never_ends():
-    """Work that neither ends nor is checkpointed must end the move, not be lost."""
+def test_move_is_abandoned_if_work_never_ends():
+    """Guards against a reboot that loses work which neither ends nor checkpoints."""
     world = World(user_fleet(16, 65536), drain_s=float("inf"))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
@@ -187,8 +187,8 @@
     assert MoveStage.DRAINED not in stages
 
 
-def test_reboot_refused_for_good_ends_the_move():
-    """A platform that refuses every reboot must not leave an instance drained."""
+def test_move_ends_if_platform_refuses_every_reboot():
+    """Guards against an instance that stays drained after refused reboots."""
     world = World(user_fleet(16, 65536))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -1,7 +1,7 @@
-"""Random faults against an oracle that sees what operators and callers see.
+"""Stateful test of the planner under random faults.
 
-Guards against budgets that are exceeded, instances in no pool or two, work lost
-to a reboot, actions taken twice and moves that never end.
+Guards against exceeded budgets, instances in no pool or in two, work lost to a
+reboot, actions that take effect twice and moves that never end.
 """
 
 from __future__ import annotations
@@ -82,7 +82,7 @@
         known = len(self.world.over_budget)
         for action in self.held_actions:
             self.world.act(action)
-        # A request that is on its way to the platform cannot be recalled.
+        # A delayed request cannot be recalled, so it may exceed a budget.
         del self.world.over_budget[known:]
         self.held_actions.clear()
 
@@ -150,7 +150,7 @@
         assert max(self.world.effects.values(), default=0) <= 1
 
     def teardown(self):
-        """Every started move ends once the platform and the log answer."""
+        """Check that each started move ends once the platform and log are available."""
         self.deliver()
         for _ in range(600):
             self.world.repair(INSTANCES)
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -1,4 +1,4 @@
-"""Maintenance waves of the planner, and the drains they cause."""
+"""Tests of maintenance waves and the drains that they cause."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from lycheeloom.model.records import ConfigChanged, WaveState
 
 
-def test_slow_log_does_not_let_later_steps_choose_more(world, controller):
-    """Plans held up by the log for half an hour must not add up over a budget."""
+def test_slow_log_does_not_let_later_steps_exceed_the_budget(world, controller):
+    """Guards against plans that add up beyond a budget while the log is slow."""
     start_wave(world)
     chosen = set()
     for _ in range(180):
@@ -33,7 +33,9 @@
 
 
 def test_regular_wave_starts_once_in_each_cycle(world):
-    """Every instance is due once in a cycle; an aborted wave must stay aborted."""
+    """Guards against a second regular wave in a cycle and against one that restarts
+    after it was aborted.
+    """
     controller = Controller(
         world, "controller", PlannerSettings(regular_cycle_s=20_000)
     )
@@ -53,8 +55,8 @@
 def test_nothing_starts_while_the_list_cannot_be_read(world, controller):
     start_wave(world)
     controller.tick()
-    blind = replace(controller.view(), is_list_current=False)
-    plan = controller.planner.step(blind, world.now_s)
+    view = replace(controller.view(), is_list_current=False)
+    plan = controller.planner.step(view, world.now_s)
     assert plan.records == ()
     texts = [x.text for x in controller.planner.explanations.recent(5)]
     assert all("a new list of instances" in text for text in texts)
@@ -92,8 +94,8 @@
     assert [name for name in first if ".w0" in name][0].startswith("wave.urgent")
 
 
-def test_correlated_failure_holds_waves_as_one_event(world, controller):
-    """A dead rack must stop new maintenance and must not be rebooted piecemeal."""
+def test_correlated_failure_is_one_event_that_holds_waves(world, controller):
+    """Guards against maintenance and single reboots after a rack has failed."""
     start_wave(world)
     run(controller, 2)
     rack = [name for name in world.workers if name in ("w00", "w03", "w06", "w09")]
@@ -112,7 +114,7 @@
 
 
 def test_zone_out_of_service_does_not_free_its_instances_for_drains():
-    """When the zone returns at once, the drain would go over the budget."""
+    """Guards against a drain that exceeds the budget if the zone returns."""
     world = World(user_fleet(16, 65536))
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
@@ -130,7 +132,7 @@
 
 
 def test_abandoning_before_the_drain_does_not_drain():
-    """A move called off while its pool is short must not take more capacity."""
+    """Guards against a late drain that takes effect after the move was abandoned."""
     world = World(user_fleet(16, 65536))
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
@@ -149,7 +151,7 @@
 
 
 def test_last_spare_is_kept(world):
-    """Maintenance must not use the only spare that is left."""
+    """Guards against maintenance that uses the last spare instance."""
     document = user_fleet(16, 65536, needed=6)
     document["pools"]["general"]["max_unavailable"] = 6
     world = World(document)
