--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -143,7 +143,7 @@
         """Return the number of instances of the pool in service."""
         return self._layout.size_by_pool[pool] - self._out_by_pool[pool]
 
-    def free_in_pool(self, pool: str) -> int:
+    def remaining_pool_budget(self, pool: str) -> int:
         """Return how many more instances of a pool its own budget allows out."""
         budget = self._layout.config.pool_by_id[pool].max_unavailable
         return budget - self._out_by_pool[pool]
@@ -155,7 +155,7 @@
         """
         return self._limit_exceeded_by(instance, 1, to_pool)
 
-    def exceeded(self, instance: str, to_pool: str = "") -> Limit | None:
+    def exceeded_limit(self, instance: str, to_pool: str = "") -> Limit | None:
         """Return a limit that is exceeded already with the instance out of service."""
         return self._limit_exceeded_by(instance, 0, to_pool)
 
--- a/libs/fleet/src/lycheeloom/fleet/move_runner.py
+++ b/libs/fleet/src/lycheeloom/fleet/move_runner.py
@@ -78,7 +78,7 @@
             if move.to_pool == step.layout.location_by_instance[name][0]
             else move.to_pool
         )
-        return step.budgets.exceeded(name, to_pool=to_pool)
+        return step.budgets.exceeded_limit(name, to_pool=to_pool)
 
     def _facts(
         self,
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -342,7 +342,7 @@
         )
 
     def _update_waves(self, step: StepContext) -> None:
-        """Record the end of finished waves and start the regular wave when due."""
+        """Record the end of finished waves and start the regular wave if due."""
         for wave in step.view.wave_by_id.values():
             if wave.state is WaveState.RUNNING and self._is_finished(step, wave):
                 step.records.append(
--- a/libs/fleet/src/lycheeloom/fleet/spare_need.py
+++ b/libs/fleet/src/lycheeloom/fleet/spare_need.py
@@ -68,7 +68,7 @@
 def least_layout(
     needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
 ) -> dict[str, list[int]] | None:
-    """Return how many instances of each rack serve in the smallest service.
+    """Return the instances to use in each rack, by zone, for ``least_in_service``.
 
     ``least_layout(2, {"a": [2], "b": [2]})`` gives ``{"a": [2], "b": [2]}``.
     """
@@ -78,12 +78,12 @@
     buffer, left = least - needed, least
     layout: dict[str, list[int]] = {}
     for zone, counts in rack_counts_by_zone.items():
-        room = min(buffer, left)
+        zone_left = min(buffer, left)
         layout[zone] = []
         for count in counts:
-            used = min(buffer, count, room)
+            used = min(buffer, count, zone_left)
             layout[zone].append(used)
-            room -= used
+            zone_left -= used
             left -= used
     return layout
 
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -131,7 +131,7 @@
     The buffer plan follows the loss or return of an instance after ``settle_s``.
     ``pool_change_cooldown_s`` is the shortest stay in a new pool.
     ``max_starts_per_step`` bounds the time of a step and the size of its batch.
-    ``abandoned_cooldown_s`` keeps an instance whose move was abandoned from waves,
+    ``abandoned_cooldown_s`` keeps an instance whose move was abandoned out of waves;
     ``correlated_pause_s`` holds waves and repair whenever further instances are
     lost to a correlated failure. ``regular_cycle_s`` is the period of regular
     waves; 0 starts none.
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -90,7 +90,9 @@
     the next one. Pools with the most rounds left come first, and within a pool the
     racks with the most instances left, as they determine the length of the wave.
     """
-    pools = [p for p in covered_pools(wave, layout) if budgets.free_in_pool(p) > 0]
+    pools = [
+        p for p in covered_pools(wave, layout) if budgets.remaining_pool_budget(p) > 0
+    ]
     for serving in _candidates(pools, wave, layout, budgets, moves, skipped):
         yield from _choose_in_pool(layout, budgets, serving)
 
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -32,11 +32,11 @@
     """
     world.fail(RACK)
     run(controller, 5)
-    kept = controller.planner.explanations
+    explanations = controller.planner.explanations
     pools = {world.state.maintenance.pool_by_instance[name] for name in RACK}
-    told = [kept.for_instance(name) for name in RACK]
-    told += [kept.for_pool(pool) for pool in sorted(pools)]
-    for events in told:
+    found = [explanations.for_instance(name) for name in RACK]
+    found += [explanations.for_pool(pool) for pool in sorted(pools)]
+    for events in found:
         texts = [item.text for item in events]
         assert any("treated as one event" in text for text in texts), texts
         assert any("are on hold" in text for text in texts), texts
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -52,14 +52,14 @@
     def __init__(self, kind: str, step: str, fault: str):
         self.world = World(user_fleet(16, 65536))
         self.controller = Controller(self.world, "first")
-        self.old: Controller | None = None
+        self.replaced: Controller | None = None
         self.step, self.fault = step, fault
         self.injected = 0
-        self.held: list[tuple[int, object]] = []
+        self.delayed: list[tuple[int, object]] = []
         self.tick_number = 0
-        self._request(kind)
+        self._request_move(kind)
 
-    def _request(self, kind: str) -> None:
+    def _request_move(self, kind: str) -> None:
         if kind != "move":
             wave = WaveCommand(
                 "w", WaveState.ABSENT, WaveState.RUNNING, ("north",), reboot=True
@@ -72,8 +72,8 @@
 
     def run(self, ticks: int = 1000) -> None:
         for self.tick_number in range(ticks):
-            self._release()
-            for controller in filter(None, (self.old, self.controller)):
+            self._deliver_delayed()
+            for controller in filter(None, (self.replaced, self.controller)):
                 plan = controller.plan()
                 for record in plan.records:
                     self._append(controller, record)
@@ -81,9 +81,11 @@
                     self._act(controller, action)
             self.world.advance(10)
 
-    def _release(self) -> None:
-        due = [item for at, item in self.held if at <= self.tick_number]
-        self.held = [(at, item) for at, item in self.held if at > self.tick_number]
+    def _deliver_delayed(self) -> None:
+        due = [item for at, item in self.delayed if at <= self.tick_number]
+        self.delayed = [
+            (at, item) for at, item in self.delayed if at > self.tick_number
+        ]
         for item in due:
             if isinstance(item, PlatformAction):
                 self.world.status_by_action.pop(item.action_id, None)
@@ -91,7 +93,7 @@
             else:
                 self.world.append(*item)
 
-    def _inject(self, step: str, instance: str) -> bool:
+    def _should_inject(self, step: str, instance: str) -> bool:
         if step != self.step or instance != TARGET or self.injected:
             return False
         self.injected += 1
@@ -100,7 +102,7 @@
     def _append(self, controller: Controller, record) -> None:
         author = controller.author
         is_step = isinstance(record, MoveStep)
-        if not is_step or not self._inject(str(record.stage), record.instance):
+        if not is_step or not self._should_inject(str(record.stage), record.instance):
             self.world.append(author, [record])
             return
         match self.fault:
@@ -110,19 +112,19 @@
             case "refused":
                 return
             case "slow":
-                self.held.append((self.tick_number + SLOW_TICKS, (author, [record])))
+                self.delayed.append((self.tick_number + SLOW_TICKS, (author, [record])))
             case "crash_before":
                 self._replace()
             case "crash_after":
                 self.world.append(author, [record])
                 self._replace()
             case "second_controller":
-                self.old = controller
+                self.replaced = controller
                 self._replace()
                 self.world.append(author, [record])
 
     def _act(self, controller: Controller, action: PlatformAction) -> None:
-        if not self._inject(str(action.kind), action.instance):
+        if not self._should_inject(str(action.kind), action.instance):
             self.world.act(action)
             return
         match self.fault:
@@ -132,7 +134,7 @@
                 self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
             case "slow":
                 self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
-                self.held.append((self.tick_number + SLOW_TICKS, action))
+                self.delayed.append((self.tick_number + SLOW_TICKS, action))
             case "repeated":
                 self.world.act(action)
                 self.world.act(action)
@@ -142,7 +144,7 @@
                 self.world.act(action)
                 self._replace()
             case "second_controller":
-                self.old = controller
+                self.replaced = controller
                 self._replace()
                 self.world.act(action)
                 self.world.act(action)
