--- a/libs/fleet/src/lycheeloom/fleet/events.py
+++ b/libs/fleet/src/lycheeloom/fleet/events.py
@@ -146,7 +146,7 @@
     Wait.PLATFORM: "the platform to finish the last step",
     Wait.RUNNING_TASKS: "its running work to end or to be checkpointed",
     Wait.TASK_COUNT: "a report of how much work it is running",
-    Wait.RETRY: "the next attempt, because the platform refused the last one",
+    Wait.RETRY: "the next try, because the platform refused the last one",
 }
 _HEALTH_TEXT = {
     Health.IN_SERVICE: "is in normal service",
@@ -173,7 +173,7 @@
             )
         case MoveEnded():
             return (
-                f"The move of instance {event.instance} was cancelled and it stays"
+                f"The change of instance {event.instance} was called off and it stays"
                 f" in pool {event.pool}{_with_reason(event.reason)}."
             )
         case NotChosen():
@@ -193,8 +193,8 @@
             )
         case TooManySilent():
             return (
-                f"{event.silent} of {event.total} instances look silent, which is too"
-                " many to be credible, so nothing is rebooted."
+                f"{event.silent} of {event.total} instances look silent; that is too"
+                " many to be believed, so nothing is rebooted."
             )
         case HealthDecided():
             return (
@@ -219,7 +219,7 @@
     condition = f"if {event.domain} were lost" if event.domain else "now"
     return (
         f"The fleet is short of {event.lacking} instances with {event.size}"
-        f" {condition}; moving instances between pools cannot provide them."
+        f" {condition}; moving instances between pools cannot mend this."
     )
 
 
