--- a/bench/faults.py
+++ b/bench/faults.py
@@ -27,8 +27,8 @@
 from demo.processes import running_fleet  # noqa: E402
 
 from .fault_document import LIMIT_BY_ORGANISATION  # noqa: E402
-from .fault_fleet import CallSeen, FaultFleet, collect_all  # noqa: E402
-from .fault_oracle import check, peak_by_organisation  # noqa: E402
+from .fault_fleet import CallRecord, FaultFleet, collect_all  # noqa: E402
+from .fault_oracle import check_history, peak_by_organisation  # noqa: E402
 from .fault_steps import Steps  # noqa: E402
 
 ENTRIES = 6
@@ -66,7 +66,7 @@
     def _run(self, organisation: str, rng: random.Random) -> None:
         while not self._is_over:
             gevent.sleep(rng.expovariate(1 / 0.3))
-            entries = sorted(self._world.open_entries)
+            entries = sorted(self._world.serving_entries)
             if entries:
                 self._call_once(organisation, rng, entries)
 
@@ -96,7 +96,7 @@
         self, entry: str, key: str, rng: random.Random, entries: list[str], work_ms: int
     ) -> None:
         """Send a booking and repeat it through another entry under its key."""
-        work = self._world.new_work()
+        work = self._world.new_work_id()
         options: dict[str, Any] = {
             "work": work,
             "work_ms": min(work_ms, 3000),
@@ -112,7 +112,7 @@
 
     def _watch_versions(self) -> None:
         while not self._is_over:
-            self._world.note_versions()
+            self._world.record_versions()
             gevent.sleep(VERSION_INTERVAL_S)
 
 
@@ -144,9 +144,9 @@
         steps.heal()
         world.wait_ready()
         collect_s = collect_all(world, steps.rng, COLLECT_TIMEOUT_S)
-        world.note_versions()
+        world.record_versions()
         ledger = fleet.ledger()
-        problems = check(world.notes, ledger, LIMIT_BY_ORGANISATION)
+        problems = check_history(world.history, ledger, LIMIT_BY_ORGANISATION)
         problems += find_errors(fleet.folder)
         if logs is not None:
             keep(logs, fleet.folder, world, ledger)
@@ -158,8 +158,8 @@
     logs.mkdir(parents=True, exist_ok=True)
     for path in folder.glob("*.log"):
         shutil.copy(path, logs)
-    notes = asdict(world.notes) | {"ledger": ledger}
-    (logs / "notes.json").write_text(json.dumps(notes, indent=1))
+    history = asdict(world.history) | {"ledger": ledger}
+    (logs / "notes.json").write_text(json.dumps(history, indent=1))
 
 
 def find_errors(folder: Path) -> list[str]:
@@ -184,7 +184,7 @@
     problems: list[str],
 ) -> dict[str, Any]:
     """Return the figures of a run."""
-    calls = world.notes.calls
+    calls = world.history.calls
     return {
         "seed": seed,
         "minutes": minutes,
@@ -196,19 +196,19 @@
             Counter(str(call.document.get("reason")) for call in calls if _is_bad(call))
         ),
         "starts": len(ledger),
-        "publications": len(world.notes.publications),
-        "cancellations": len(world.notes.cancelled),
+        "publications": len(world.history.publications),
+        "cancellations": len(world.history.cancelled),
         "peaks": peak_by_organisation(ledger),
         "collected_after_s": round(collect_s, 1),
         "problems": problems,
     }
 
 
-def _is_bad(call: CallSeen) -> bool:
+def _is_bad(call: CallRecord) -> bool:
     return call.verdict in ("not_run", "may_have_run")
 
 
-def _verdicts(calls: list[CallSeen], kind: str) -> dict[str, int]:
+def _verdicts(calls: list[CallRecord], kind: str) -> dict[str, int]:
     return dict(Counter(call.verdict for call in calls if call.kind == kind))
 
 
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import ActionStatus, PlatformAction
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
@@ -50,7 +50,7 @@
     """Runs one move and injects one fault at one of its steps."""
 
     def __init__(self, kind: str, step: str, fault: str):
-        self.world = World(user_fleet(16, 65536))
+        self.world = SimulatedFleet(user_fleet(16, 65536))
         self.controller = Controller(self.world, "first")
         self.replaced: Controller | None = None
         self.step, self.fault = step, fault
@@ -89,7 +89,7 @@
         for item in due:
             if isinstance(item, PlatformAction):
                 self.world.status_by_action.pop(item.action_id, None)
-                self.world.act(item)
+                self.world.execute(item)
             else:
                 self.world.append(*item)
 
@@ -125,29 +125,29 @@
 
     def _act(self, controller: Controller, action: PlatformAction) -> None:
         if not self._should_inject(str(action.kind), action.instance):
-            self.world.act(action)
+            self.world.execute(action)
             return
         match self.fault:
             case "answer_lost":
-                self.world.act(action)
+                self.world.execute(action)
             case "refused":
                 self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
             case "slow":
                 self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
                 self.delayed.append((self.tick_number + SLOW_TICKS, action))
             case "repeated":
-                self.world.act(action)
-                self.world.act(action)
+                self.world.execute(action)
+                self.world.execute(action)
             case "crash_before":
                 self._replace()
             case "crash_after":
-                self.world.act(action)
+                self.world.execute(action)
                 self._replace()
             case "second_controller":
                 self.replaced = controller
                 self._replace()
-                self.world.act(action)
-                self.world.act(action)
+                self.world.execute(action)
+                self.world.execute(action)
 
     def _replace(self) -> None:
         self.controller = Controller(self.world, "second")
@@ -169,14 +169,14 @@
     assert worker.alive
     assert not worker.draining
     assert worker.boots >= (kind != "move")
-    assert max(world.effects.values()) == 1
-    assert world.lost_work == 0
-    assert world.over_budget == []
+    assert max(world.execution_counts.values()) == 1
+    assert world.lost_tasks == 0
+    assert world.budget_violations == []
 
 
 def test_move_is_abandoned_if_work_never_ends():
     """Guards against a reboot that loses work which neither ends nor checkpoints."""
-    world = World(user_fleet(16, 65536), drain_s=float("inf"))
+    world = SimulatedFleet(user_fleet(16, 65536), drain_s=float("inf"))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
     world.append("operator", [wave])
@@ -184,14 +184,14 @@
     for _ in range(1500):
         controller.tick()
         stages |= {m.stage for m in world.state.maintenance.move_by_instance.values()}
-    assert world.lost_work == 0
+    assert world.lost_tasks == 0
     assert MoveStage.ABANDONED in stages
     assert MoveStage.DRAINED not in stages
 
 
 def test_move_ends_if_platform_refuses_every_reboot():
     """Guards against an instance that stays drained after refused reboots."""
-    world = World(user_fleet(16, 65536))
+    world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
     world.append("operator", [wave])
@@ -202,7 +202,7 @@
             if action.kind == "reboot":
                 world.status_by_action[action.action_id] = ActionStatus.REFUSED
             else:
-                world.act(action)
+                world.execute(action)
         world.advance(10)
     moves = world.state.maintenance.move_by_instance
     assert any(move.stage is MoveStage.JOINED for move in moves.values())
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.fleet_world import Controller, World, user_fleet
+from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import ConfigChanged, WaveCommand, WaveState
@@ -33,7 +33,7 @@
         document["pools"]["general"]["max_unavailable"] = 6
         document["pools"]["general"]["max_unavailable_per_rack"] = 2
         document["zones"]["z1"]["max_unavailable"] = 2
-        self.world = World(document, drain_s=200)
+        self.world = SimulatedFleet(document, drain_s=200)
         self.controllers = 0
         self.waves = 0
         self.held_records: list[tuple[str, tuple]] = []
@@ -58,14 +58,14 @@
             self.world.append(self.controller.author, plan.records)
         if part == "actions":
             for action in plan.actions:
-                self.world.act(action)
+                self.world.execute(action)
         self.world.advance(10)
 
     @rule()
     def repeat(self):
         plan = self.controller.plan()
-        self.world.carry_out(self.controller.author, plan)
-        self.world.carry_out(self.controller.author, plan)
+        self.world.apply_plan(self.controller.author, plan)
+        self.world.apply_plan(self.controller.author, plan)
         self.world.advance(10)
 
     @rule()
@@ -79,11 +79,11 @@
         for author, records in self.held_records:
             self.world.append(author, records)
         self.held_records.clear()
-        known = len(self.world.over_budget)
+        known = len(self.world.budget_violations)
         for action in self.held_actions:
-            self.world.act(action)
+            self.world.execute(action)
         # A delayed request cannot be recalled, so it may exceed a budget.
-        del self.world.over_budget[known:]
+        del self.world.budget_violations[known:]
         self.held_actions.clear()
 
     @rule(names=st.sets(st.sampled_from(INSTANCES), max_size=3))
@@ -139,15 +139,15 @@
 
     @invariant()
     def budgets_hold(self):
-        assert self.world.over_budget == []
+        assert self.world.budget_violations == []
 
     @invariant()
     def no_work_is_lost(self):
-        assert self.world.lost_work == 0
+        assert self.world.lost_tasks == 0
 
     @invariant()
     def actions_take_effect_once(self):
-        assert max(self.world.effects.values(), default=0) <= 1
+        assert max(self.world.execution_counts.values(), default=0) <= 1
 
     def teardown(self):
         """Check that each started move ends once the platform and log are available."""
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -92,4 +92,4 @@
     assert not any(
         isinstance(record, InstanceHealth) for record in controller.plan().records
     )
-    assert world.effects == {}
+    assert world.execution_counts == {}
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -14,7 +14,11 @@
 import pytest
 
 from bench.fault_document import LIMIT_BY_ORGANISATION, ZONES
-from bench.fault_oracle import REVOKED_S, ZONE_OUT_S, peak_by_organisation
+from bench.fault_oracle import (
+    KEY_REVOCATION_LIMIT_S,
+    ZONE_OUT_LIMIT_S,
+    peak_by_organisation,
+)
 from lycheeloom.operator import Published
 
 from .conftest import (
@@ -35,7 +39,7 @@
 def key(world):
     """A key of organisation red that only this test uses, in force on every entry."""
     key = world.grant_key("red")
-    version = world.notes.publications[-1].version
+    version = world.history.publications[-1].version
     wait_until(lambda: in_force_everywhere(world, version))
     return key
 
@@ -62,7 +66,7 @@
 
 def in_force_everywhere(world, version):
     """Tell whether every entry shows at least this configuration version."""
-    versions = world.note_versions()
+    versions = world.record_versions()
     return len(versions) == 3 and min(versions.values()) >= version
 
 
@@ -121,12 +125,14 @@
     forwarder.cut()
     paused = world.entry_by_name["e1"]
     paused.signal(signal.SIGSTOP)
-    world.open_entries.discard("e1")
+    world.serving_entries.discard("e1")
     result = world.revoke_key(keys[0])
     assert isinstance(result, Published)
-    accepted_at = world.notes.publications[-1].accepted_at
+    accepted_at = world.history.publications[-1].accepted_at
     with Load(world, 4, lambda entry: world.submit("lookup", entry, keys[0])):
-        gevent.sleep(max(0.0, accepted_at + REVOKED_S - time.monotonic()) + 0.5)
+        gevent.sleep(
+            max(0.0, accepted_at + KEY_REVOCATION_LIMIT_S - time.monotonic()) + 0.5
+        )
         late = [world.submit("lookup", entry, keys[0]) for entry in ("e0", "e2")]
         paused.signal(signal.SIGCONT)
         late.append(world.submit("lookup", "e1", keys[0]))
@@ -155,7 +161,7 @@
 
     held = [gevent.spawn(hold) for _ in range(limit)]
     wait_until(lambda: peak_by_organisation(world.fleet.ledger()).get("green") == limit)
-    keyed = {"work": world.new_work(), "work_ms": 1000, "idempotency_key": "booking"}
+    keyed = {"work": world.new_work_id(), "work_ms": 1000, "idempotency_key": "booking"}
     red = next(
         key
         for key, organisation in world.organisation_by_key.items()
@@ -170,7 +176,7 @@
 
     wait_until(lambda: hears(world, "e2", "e0"))
     entry = world.entry_by_name["e0"]
-    world.open_entries.discard("e0")
+    world.serving_entries.discard("e0")
     entry.signal(signal.SIGSTOP)
     with Load(
         world,
@@ -204,7 +210,7 @@
         world.paused.add("e1")
         log_faults(lose_answers=3)
         out = publish_surely(world, "zone out", zone, lambda d: d.take_zone_out(zone))
-        gevent.sleep(max(0.0, out.accepted_at + ZONE_OUT_S - time.monotonic()))
+        gevent.sleep(max(0.0, out.accepted_at + ZONE_OUT_LIMIT_S - time.monotonic()))
         paused.signal(signal.SIGCONT)
         load.wait_for_more(60)
         back = publish_surely(world, "zone in", zone, lambda d: d.bring_zone_in(zone))
@@ -241,7 +247,7 @@
     with Load(world, 6, lambda entry: world.submit("lookup", entry, key)) as load:
         world.fleet.set_faults("log", silent=True)
         load.wait_for_more(30)
-        booking = {"work": world.new_work(), "idempotency_key": "silent"}
+        booking = {"work": world.new_work_id(), "idempotency_key": "silent"}
         wait_until(lambda: accepted(world.submit("keyed", "e0", key, **booking)))
     assert len(starts_of(world, booking["work"])) == 1
 
@@ -251,7 +257,7 @@
     worker_faults(lose_answers=-1)
     doubtful = [
         gevent.spawn(world.submit, "booking", entry, key, work_ms=20)
-        for entry in sorted(world.open_entries)
+        for entry in sorted(world.serving_entries)
     ]
     gevent.joinall(doubtful, raise_error=True)
     worker_faults(lose_answers=0, down=True)
@@ -259,7 +265,7 @@
         wait_until(lambda address=address: refuses_connections(address))
     down = [
         gevent.spawn(world.submit, "booking", entry, key, deadline_ms=1500)
-        for entry in sorted(world.open_entries)
+        for entry in sorted(world.serving_entries)
     ]
     gevent.joinall(down, raise_error=True)
     assert {call.get().verdict for call in down} == {"not_run"}
@@ -296,7 +302,7 @@
 def test_keyed_booking_runs_once_under_lost_answers(world, key, log_faults):
     """I8: guards against a second run when log answers are lost on the way."""
     log_faults(lose_answers=6)
-    work = world.new_work()
+    work = world.new_work_id()
     repeats = [
         gevent.spawn(world.submit, "keyed", entry, key, work=work, idempotency_key=work)
         for entry in ("e0", "e1", "e2", "e0")
@@ -345,7 +351,7 @@
     )
 
     def call(entry):
-        work = world.new_work()
+        work = world.new_work_id()
         kind = ("lookup", "booking", "keyed")[int(work.split("-")[1]) % 3]
         options = {"idempotency_key": work} if kind == "keyed" else {}
         return world.submit(kind, entry, key, work=work, work_ms=700, **options)
@@ -355,9 +361,9 @@
             load.wait_for_more(9)
             assert world.stop_entry(name) == 0
             world.start_entry(name)
-            world.open_entries.discard(name)
+            world.serving_entries.discard(name)
             world.wait_ready([name])
-            world.open_entries.add(name)
+            world.serving_entries.add(name)
     assert {call.verdict for call in load.calls} <= {"ran", "not_run", "accepted"}
     # A recorded request that had not started is run by another entry.
     for call in load.calls:
@@ -374,7 +380,7 @@
         last = publish_surely(
             world, "name", "fleet", lambda draft, n=number: draft.set_name(f"name {n}")
         )
-        world.note_versions()
+        world.record_versions()
     world.entry_by_name["e2"].signal(signal.SIGCONT)
     world.paused.discard("e2")
     wait_until(lambda: in_force_everywhere(world, last.version))
