--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -7,11 +7,11 @@
 import gevent
 from gevent.event import Event
 
+from lycheeloom.jobs.active_job import JobWork
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Policy, Worker
 from lycheeloom.jobs.planner import AdvisedWorkers
-from lycheeloom.jobs.work import JobWork
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
+from lycheeloom.jobs.active_job import JobWork
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run
 from lycheeloom.jobs.planner import AdvisedWorkers, Planner
 from lycheeloom.jobs.records import Kind, Record, encode, key_of
 from lycheeloom.jobs.table import Applied
-from lycheeloom.jobs.work import JobWork
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -19,7 +19,7 @@
 from .clock import steady_s
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .order_turns import OrderGuard
+from .order_guard import OrderGuard
 from .ports import (
     Appended,
     CallOutcome,
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -24,7 +24,7 @@
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .order_turns import OrderGuard
+from .order_guard import OrderGuard
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
--- a/libs/coordinator/tests/test_beside.py
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -9,7 +9,7 @@
 
 from lycheeloom.coordinator.advisor import Advisor
 from lycheeloom.coordinator.inventory import Inventory
-from lycheeloom.coordinator.order_turns import OrderGuard
+from lycheeloom.coordinator.order_guard import OrderGuard
 from lycheeloom.coordinator.pacer import Pacer
 from lycheeloom.coordinator.pool_moves import PoolMoves
 from lycheeloom.coordinator.ports import (
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -10,7 +10,7 @@
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.maintenance import Maintenance, WaveOrder
-from lycheeloom.coordinator.order_turns import OrderGuard
+from lycheeloom.coordinator.order_guard import OrderGuard
 from lycheeloom.coordinator.ports import (
     CallOutcome,
     CallReply,
--- a/libs/jobs/src/lycheeloom/jobs/availability.py
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from .active_job import JobWork
 from .fleet import Fleet, Run, RunState
 from .model import TaskKey
-from .work import JobWork
 
 FULL_PERCENT = 100
 # A task that has made no progress for this long does not come to work soon. Lists
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -8,10 +8,10 @@
 
 from lycheeloom.model.resources import Resources
 
+from .active_job import JobWork, StepKey, StepWork
 from .fleet import Fleet, WorkerState
 from .model import Policy, Queue, Step, TaskKey
 from .placement import candidates, choose_gang, choose_worker, tasks_by_worker
-from .work import JobWork, StepKey, StepWork
 
 # Jobs that cannot meet their objective any more go behind the others, until
 # they have waited this long; then age alone decides, so that none starves.
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -9,8 +9,8 @@
 
 from lycheeloom.model.resources import Resources
 
+from .active_job import JobWork
 from .model import Policy
-from .work import JobWork
 
 # Work that waits is to be done within this time; a move takes about as long.
 BACKLOG_S = 1.5
--- a/libs/jobs/tests/test_work.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from lycheeloom.jobs.active_job import JobWork
 from lycheeloom.jobs.model import EndKind, Job, JobState, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, Record, decode, encode, key_of
 from lycheeloom.jobs.table import JobTable
-from lycheeloom.jobs.work import JobWork
 
 STEPS = (
     Step(3, 1000, estimated_ms=100),
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lycheeloom.jobs.active_job import JobWork
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import (
     AdviceTerms,
@@ -18,7 +19,6 @@
     Worker,
 )
 from lycheeloom.jobs.planner import AdvisedWorkers, Planner
-from lycheeloom.jobs.work import JobWork
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 NOW_MS = 10_000
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from lycheeloom.jobs.active_job import JobWork
 from lycheeloom.jobs.availability import STUCK_S, may_end
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Job, Step, TaskKey, Worker
 from lycheeloom.jobs.pacing import next_pace
 from lycheeloom.jobs.pool_sizes import PoolInstance, PoolLoad, choose_moves
 from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
-from lycheeloom.jobs.work import JobWork
 from lycheeloom.model.resources import Resources
 
 ON_TIME = WaveTime(0.0, 30.0, 4.0)
