--- a/libs/coordinator/src/lycheeloom/coordinator/advisor.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/advisor.py
@@ -41,15 +41,15 @@
         dispatcher = self._dispatcher
         self._drop_expired()
         policy = dispatcher.view.policy
-        for work in list(dispatcher.work_by_id.values()):
-            queue = policy.queue_by_name.get(work.job.queue)
+        for active_job in list(dispatcher.active_job_by_id.values()):
+            queue = policy.queue_by_name.get(active_job.job.queue)
             if queue is None or queue.advice is None:
                 continue
-            for key, _ in work.startable_steps(wall_ms()):
-                asked = (work.job.job_id, key)
-                if steady_s() < self._next_ask_s.get(asked, 0.0):
+            for key, _ in active_job.startable_steps(wall_ms()):
+                step_id = (active_job.job.job_id, key)
+                if steady_s() < self._next_ask_s.get(step_id, 0.0):
                     continue
-                if self._ask(work.job.job_id, key, queue.pool, queue.advice):
+                if self._ask(active_job.job.job_id, key, queue.pool, queue.advice):
                     return True
         return False
 
@@ -59,15 +59,15 @@
             worker_id
             for worker_id, state in self._dispatcher.fleet.state_by_id.items()
             if state.worker.pool == pool
-            and state.is_listed
+            and state.has_current_lists
             and not state.worker.draining
             and (job_id, key, worker_id) not in advised.ticket_by_key
         ][:MAX_WORKERS]
         if not worker_ids:
             return False
         step = f"{job_id}.{key[0]}.{key[1]}"
-        each_s = (terms.decision_ms + terms.each_worker_ms * len(worker_ids)) / 1000
-        result = self._port.advise(step, worker_ids, each_s + TIMEOUT_MARGIN_S)
+        expected_s = (terms.decision_ms + terms.each_worker_ms * len(worker_ids)) / 1000
+        result = self._port.advise(step, worker_ids, expected_s + TIMEOUT_MARGIN_S)
         now_s = steady_s()
         if isinstance(result, CallReply):
             log_event(
@@ -103,6 +103,6 @@
         tickets = self._dispatcher.advised.ticket_by_key
         for entry in [e for e, (_, until_s) in tickets.items() if now_s >= until_s]:
             del tickets[entry]
-        works = self._dispatcher.work_by_id
-        for asked in [a for a in self._next_ask_s if a[0] not in works]:
-            del self._next_ask_s[asked]
+        active_jobs = self._dispatcher.active_job_by_id
+        for step_id in [a for a in self._next_ask_s if a[0] not in active_jobs]:
+            del self._next_ask_s[step_id]
--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -16,7 +16,7 @@
 INTERVAL_S = 10.0
 # Callers are owed the state for a time; clocks of instances differ by less than
 # the rest of this factor.
-KEEP_FACTOR = 1.5
+RETENTION_FACTOR = 1.5
 MAX_JOBS = 200
 
 
@@ -33,7 +33,7 @@
         self._dispatcher = dispatcher
         self._replica = replica
         self._store = store
-        self._keep_ms = kept_state_s * KEEP_FACTOR * 1000
+        self._retention_ms = kept_state_s * RETENTION_FACTOR * 1000
 
     def run(self) -> None:
         """Remove expired records until the leader is fenced."""
@@ -47,12 +47,12 @@
         expired = self._expired()[:MAX_JOBS]
         if not expired:
             return
-        calls = [
+        records = [
             Record(key_of(kind, job_id), b"")
             for job_id in expired
             for kind in (Kind.CANCELLATION, Kind.JOB)
         ]
-        result = self._store.append(calls)
+        result = self._store.append(records)
         log_event("jobs_expired", jobs=len(expired), first=expired[0], result=result)
         if isinstance(result, Appended):
             # Progress goes last: without it a job would seem to be new.
@@ -61,7 +61,7 @@
             )
 
     def _expired(self) -> list[str]:
-        before_ms = wall_ms() - self._keep_ms
+        before_ms = wall_ms() - self._retention_ms
         return [
             job_id
             for job_id, entry in self._replica.table.entry_by_id.items()
--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from lycheeloom.jobs.active_job import JobWork
+from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Policy, Worker
@@ -36,11 +36,11 @@
 # Longer than any worker runs on under leases of the leader before.
 TAKEOVER_LAPSE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
 # A list of instances asked for this long after a worker was seen shows its instance.
-INSTANCE_KNOWN_S = 0.5
+INSTANCE_LIST_LAG_S = 0.5
 # Inherited jobs wait at most this long for the first list of instances.
 FIRST_LIST_WAIT_S = 1.0
 # An entry that vanished from the list of workers may still come back.
-MISSING_S = 2.5
+UNLISTED_GRACE_S = 2.5
 
 
 class Dispatcher:
@@ -63,24 +63,24 @@
         self._orders = TaskOrders(
             workers, self.fleet, self._registry, writer, self.link_by_id, self._on_reply
         )
-        self._lists = ListReconciler(
+        self._list_reconciler = ListReconciler(
             self.fleet, self._registry, self._orders, self._on_reply, self.wake
         )
         self._registry.stop_run = self._orders.stop_run
         self._began_s = steady_s()
         self._wake = Event()
-        self._missing_since: dict[str, float] = {}
+        self._unlisted_since: dict[str, float] = {}
         # Pools of the workers that live by the list of instances; None before the
         # first list.
-        self._pool_by_living: Mapping[str, str] | None = None
+        self._pool_by_live_worker: Mapping[str, str] | None = None
         # Lives that have certainly ended and that the platform still lists.
-        self._ended_lives: set[tuple[str, int]] = set()
+        self._ended_incarnations: set[tuple[str, int]] = set()
         self._greenlets: list[gevent.Greenlet] = []
 
     @property
-    def work_by_id(self) -> dict[str, JobWork]:
+    def active_job_by_id(self) -> dict[str, ActiveJob]:
         """Return the jobs that have not ended."""
-        return self._registry.work_by_id
+        return self._registry.active_job_by_id
 
     @property
     def advised(self) -> AdvisedWorkers:
@@ -96,16 +96,16 @@
         """Stop a run and wait until the worker no longer has it."""
         self._orders.stop_run(run, reason)
 
-    def run(self, beside: Iterable[Callable[[], None]] = ()) -> None:
+    def run(self, background_tasks: Iterable[Callable[[], None]] = ()) -> None:
         """Lead until fenced, with the tasks given running beside."""
         self._registry.inherit()
-        self.replica.listen(self._registry.take_record)
+        self.replica.add_listener(self._registry.on_record)
         self._spawn(self.writer.run)
-        for task in beside:
+        for task in background_tasks:
             self._spawn(task)
         try:
             while not self.writer.is_fenced:
-                self.follow_view()
+                self.sync_workers()
                 self._check_links()
                 if self.writer.may_act:
                     self._plan()
@@ -113,7 +113,7 @@
                 self._wake.clear()
                 gevent.sleep(PLAN_PAUSE_S)
         finally:
-            self.replica.remove_listener(self._registry.take_record)
+            self.replica.remove_listener(self._registry.on_record)
             for link in self.link_by_id.values():
                 link.is_stopped = True
             gevent.killall(self._greenlets, block=False)
@@ -123,39 +123,45 @@
         """Plan soon."""
         self._wake.set()
 
-    def follow_view(self) -> None:
+    def sync_workers(self) -> None:
         """Take over which workers the platform lists."""
         now_s = steady_s()
         listed = self.view.worker_by_id.values()
-        self._ended_lives &= {(w.worker_id, w.started_ms) for w in listed}
+        self._ended_incarnations &= {(w.worker_id, w.started_ms) for w in listed}
         for worker in listed:
-            self._missing_since.pop(worker.worker_id, None)
-            if (worker.worker_id, worker.started_ms) not in self._ended_lives:
-                self._follow_worker(worker)
+            self._unlisted_since.pop(worker.worker_id, None)
+            if (worker.worker_id, worker.started_ms) not in self._ended_incarnations:
+                self._sync_worker(worker)
         for worker_id in list(self.link_by_id):
             if worker_id in self.view.worker_by_id:
                 continue
-            since_s = self._missing_since.setdefault(worker_id, now_s)
+            since_s = self._unlisted_since.setdefault(worker_id, now_s)
             link = self.link_by_id[worker_id]
-            if now_s - since_s > MISSING_S and link.failing_for_s and link.has_lapsed:
+            if (
+                now_s - since_s > UNLISTED_GRACE_S
+                and link.failing_for_s
+                and link.has_lapsed
+            ):
                 self._drop_worker(worker_id, "not listed")
 
-    def note_instances(self, pool_by_living: Mapping[str, str], asked_s: float) -> None:
+    def note_instances(
+        self, pool_by_live_worker: Mapping[str, str], asked_s: float
+    ) -> None:
         """Drop workers that do not answer and that no instance has any more.
 
         An instance that is moved, maintained or crashed ends its worker at once;
         the platform lists the worker for seconds after that.
         """
-        self._pool_by_living = pool_by_living
+        self._pool_by_live_worker = pool_by_live_worker
         for worker_id, link in list(self.link_by_id.items()):
-            if worker_id in pool_by_living or not link.failing_for_s:
+            if worker_id in pool_by_live_worker or not link.failing_for_s:
                 continue
-            if asked_s < link.created_s + INSTANCE_KNOWN_S:
+            if asked_s < link.created_s + INSTANCE_LIST_LAG_S:
                 continue
-            self._ended_lives.add((worker_id, link.worker.started_ms))
+            self._ended_incarnations.add((worker_id, link.worker.started_ms))
             self._drop_worker(worker_id, "no instance has it")
 
-    def _follow_worker(self, worker: Worker) -> None:
+    def _sync_worker(self, worker: Worker) -> None:
         link = self.link_by_id.get(worker.worker_id)
         if link is not None and link.worker.started_ms != worker.started_ms:
             if worker.started_ms < link.worker.started_ms:
@@ -169,9 +175,9 @@
                 self._workers,
                 self.writer.token,
                 lambda: self.writer.may_act,
-                self._lists.take,
+                self._list_reconciler.reconcile,
                 self._on_reply,
-                self._watch_closely,
+                self._needs_frequent_polls,
             )
             self.link_by_id[worker.worker_id] = link
             self._spawn(link.run)
@@ -185,7 +191,7 @@
         link = self.link_by_id.pop(worker_id)
         link.is_stopped = True
         runs = self.fleet.remove_worker(worker_id)
-        self._missing_since.pop(worker_id, None)
+        self._unlisted_since.pop(worker_id, None)
         log_event("worker_dropped", worker=worker_id, reason=reason, runs=len(runs))
         for run in runs:
             self._registry.put_back(run, reason)
@@ -195,8 +201,8 @@
         for link in self.link_by_id.values():
             state = self.fleet.state_by_id[link.worker.worker_id]
             if link.failing_for_s > 0:
-                state.is_listed = False
-            if state.run_by_task and link.has_lapsed and not link.is_first_listing:
+                state.has_current_lists = False
+            if state.run_by_task and link.has_lapsed and not link.is_first_poll:
                 log_event("worker_lapsed", worker=link.worker.worker_id)
                 for run in list(state.run_by_task.values()):
                     self.fleet.remove_run(run)
@@ -213,7 +219,7 @@
         self.writer.is_fenced = True
         self.wake()
 
-    def _watch_closely(self, link: WorkerLink) -> bool:
+    def _needs_frequent_polls(self, link: WorkerLink) -> bool:
         state = self.fleet.state_by_id.get(link.worker.worker_id)
         if state is None:
             return False
@@ -224,16 +230,16 @@
 
     def _plan(self) -> None:
         now_s = steady_s()
-        unsettled = self._unsettled_pools(now_s)
+        unknown_pools = self._pools_with_unknown_runs(now_s)
         policy = self.view.policy
-        works = [
-            work
-            for work in self.work_by_id.values()
-            if work.job.job_id not in self._registry.inherited
-            or self._pool_of(work, policy) not in unsettled
+        active_jobs = [
+            active_job
+            for active_job in self.active_job_by_id.values()
+            if active_job.job.job_id not in self._registry.inherited
+            or self._pool_of(active_job, policy) not in unknown_pools
         ]
         starts = self._registry.planner.plan(
-            works,
+            active_jobs,
             policy,
             self.view.zones_out_of_service,
             now_s,
@@ -243,7 +249,7 @@
         for start in starts:
             self._orders.begin(start, now_s)
 
-    def _unsettled_pools(self, now_s: float) -> Collection[str]:
+    def _pools_with_unknown_runs(self, now_s: float) -> Collection[str]:
         """Return pools in which runs of the leader before may be unknown.
 
         The platform's list of workers lacks some that live for seconds after an
@@ -255,16 +261,16 @@
         if led_s > TAKEOVER_LAPSE_S:
             self._registry.inherited.clear()
             return ()
-        if self._pool_by_living is None and led_s < FIRST_LIST_WAIT_S:
+        if self._pool_by_live_worker is None and led_s < FIRST_LIST_WAIT_S:
             return set(self.view.policy.pool_by_name)
         pools = {
             state.worker.pool
             for state in self.fleet.state_by_id.values()
-            if not state.is_listed
+            if not state.has_current_lists
         }
         pools |= {
             pool
-            for worker_id, pool in (self._pool_by_living or {}).items()
+            for worker_id, pool in (self._pool_by_live_worker or {}).items()
             if worker_id not in self.fleet.state_by_id
         }
         if not pools and self.fleet.state_by_id:
@@ -272,8 +278,8 @@
         return pools if self.fleet.state_by_id else set(self.view.policy.pool_by_name)
 
     @staticmethod
-    def _pool_of(work: JobWork, policy: Policy) -> str:
-        queue = policy.queue_by_name.get(work.job.queue)
+    def _pool_of(active_job: ActiveJob, policy: Policy) -> str:
+        queue = policy.queue_by_name.get(active_job.job.queue)
         return queue.pool if queue else ""
 
     def _spawn(self, target, *args) -> None:
--- a/libs/coordinator/src/lycheeloom/coordinator/gauges.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/gauges.py
@@ -63,12 +63,12 @@
         metrics.POOL_USED.clear()
         metrics.ORGANISATION_USED.clear()
         if dispatcher is not None:
-            self._show_fleet(dispatcher)
+            self._set_fleet_gauges(dispatcher)
         for name, organisation in self._view.policy.organisation_by_name.items():
             limit = organisation.upper_limit.cores
             metrics.ORGANISATION_LIMIT.labels(name).set(limit)
 
-    def _show_fleet(self, dispatcher: Dispatcher) -> None:
+    def _set_fleet_gauges(self, dispatcher: Dispatcher) -> None:
         capacity: Counter[str] = Counter()
         used: Counter[str] = Counter()
         for state in dispatcher.fleet.state_by_id.values():
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -28,10 +28,10 @@
 GROUP_PAUSE_S = 0.004
 MAX_GROUP = 64
 # A caller waits at most this long for the store; another instance may reach it.
-PATIENCE_S = 2.0
+ANSWER_TIMEOUT_S = 2.0
 # An append whose outcome is not known is repeated for this long, since a later
 # answer settles it. One that was refused is not: the caller may go elsewhere.
-REPEAT_S = 1.0
+REPEAT_UNKNOWN_S = 1.0
 # Two attempts, of 0.8 s and of this long, end before the deadline of most callers
 # (3 s).
 MAX_APPEND_TIMEOUT_S = 1.6
@@ -57,7 +57,7 @@
     reason: str = ""
 
 
-class _Pending:
+class _PendingRecord:
     def __init__(self, record: Record) -> None:
         self.record = record
         self.result: AppendResult | None = None
@@ -70,19 +70,19 @@
     def __init__(self, store: StorePort, replica: Replica) -> None:
         self._store = store
         self.replica = replica
-        self._pending: list[_Pending] = []
-        self._work = Event()
+        self._pending: list[_PendingRecord] = []
+        self._has_pending = Event()
         self._timeout_s = APPEND_TIMEOUT_S
 
     def run(self) -> None:
         """Append waiting records in groups, for ever."""
         while True:
-            self._work.wait()
+            self._has_pending.wait()
             gevent.sleep(GROUP_PAUSE_S)
             group = self._pending[:MAX_GROUP]
             del self._pending[:MAX_GROUP]
             if not self._pending:
-                self._work.clear()
+                self._has_pending.clear()
             if group:
                 # One append at a time: when the store is slow, what arrives
                 # meanwhile shares the next one.
@@ -123,10 +123,10 @@
         if not self.replica.reaches_store:
             return Decision(Verdict.NOT_ACCEPTED, "store not reached")
         began_s = steady_s()
-        pending = _Pending(record)
+        pending = _PendingRecord(record)
         self._pending.append(pending)
-        self._work.set()
-        if not pending.done.wait(PATIENCE_S):
+        self._has_pending.set()
+        if not pending.done.wait(ANSWER_TIMEOUT_S):
             if pending in self._pending:
                 # It has not been sent and never will be.
                 self._pending.remove(pending)
@@ -143,9 +143,9 @@
                 return Decision(Verdict.UNKNOWN, reason)
         return Decision(Verdict.UNKNOWN, "unexpected answer of the store")
 
-    def _append(self, group: list[_Pending]) -> None:
+    def _append(self, group: list[_PendingRecord]) -> None:
         """Append records; repeating one whose outcome is unknown does no harm."""
-        deadline_s = steady_s() + REPEAT_S
+        deadline_s = steady_s() + REPEAT_UNKNOWN_S
         records = [pending.record for pending in group]
         was_unknown = False
         while True:
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from lycheeloom.jobs.active_job import JobWork
+from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run
 from lycheeloom.jobs.planner import AdvisedWorkers, Planner
 from lycheeloom.jobs.records import Kind, Record, encode, key_of
-from lycheeloom.jobs.table import Applied
+from lycheeloom.jobs.table import AppliedRecord
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
@@ -32,7 +32,7 @@
         fleet: Fleet,
         wake: Callable[[], None],
     ) -> None:
-        self.work_by_id: dict[str, JobWork] = {}
+        self.active_job_by_id: dict[str, ActiveJob] = {}
         self.planner = Planner(fleet)
         self.demand = PoolDemand()
         self.advised = AdvisedWorkers()
@@ -55,7 +55,7 @@
         for job_id in self._replica.table.entry_by_id:
             self._open_job(job_id, inherited=True)
 
-    def take_record(self, applied: Applied) -> None:
+    def on_record(self, applied: AppliedRecord) -> None:
         """Follow a change of the table."""
         match applied.kind:
             case Kind.JOB:
@@ -69,33 +69,33 @@
                 return
         self._wake()
 
-    def note_begun(self, work: JobWork) -> bool:
+    def note_begun(self, active_job: ActiveJob) -> bool:
         """Note that a task of a job runs; tells whether it is the first one."""
-        if not work.note_begun():
+        if not active_job.note_begun():
             return False
-        self._changed_jobs.add(work.job.job_id)
+        self._changed_jobs.add(active_job.job.job_id)
         return True
 
-    def note_changed(self, work: JobWork) -> None:
+    def note_changed(self, active_job: ActiveJob) -> None:
         """Note that a job's progress is to be recorded."""
-        self._changed_jobs.add(work.job.job_id)
+        self._changed_jobs.add(active_job.job.job_id)
 
-    def refresh_limit(self, work: JobWork) -> None:
+    def refresh_limit(self, active_job: ActiveJob) -> None:
         """Read a job's limit of attempts from the policy in force."""
-        queue = self._view.policy.queue_by_name.get(work.job.queue)
+        queue = self._view.policy.queue_by_name.get(active_job.job.queue)
         if queue is not None:
-            work.max_attempts = queue.max_attempts
+            active_job.max_attempts = queue.max_attempts
 
-    def close_job(self, work: JobWork) -> None:
+    def close_job(self, active_job: ActiveJob) -> None:
         """Record the end of a job and stop what still runs of it."""
-        job_id = work.job.job_id
-        work.finished_ms = wall_ms()
-        log_event("job_ended", job=job_id, state=work.state.value)
+        job_id = active_job.job.job_id
+        active_job.finished_ms = wall_ms()
+        log_event("job_ended", job=job_id, state=active_job.state.value)
         for run in self._fleet.runs_of_job(job_id):
-            self.stop_run(run, f"job {work.state.value}")
+            self.stop_run(run, f"job {active_job.state.value}")
         self._changed_jobs.add(job_id)
         self.flush()
-        del self.work_by_id[job_id]
+        del self.active_job_by_id[job_id]
         self._closed_jobs.add(job_id)
         self.planner.forget_job(job_id)
         self.advised.forget_job(job_id)
@@ -104,11 +104,11 @@
         """Hand the progress of changed jobs to the writer."""
         records = []
         for job_id in self._changed_jobs:
-            work = self.work_by_id.get(job_id)
-            if work is None:
+            active_job = self.active_job_by_id.get(job_id)
+            if active_job is None:
                 continue
             records.append(
-                Record(key_of(Kind.PROGRESS, job_id), encode(work.progress()))
+                Record(key_of(Kind.PROGRESS, job_id), encode(active_job.progress()))
             )
         self._changed_jobs.clear()
         if records:
@@ -116,25 +116,25 @@
 
     def put_back(self, run: Run, reason: str) -> None:
         """Let the task of a run that has ended wait again."""
-        work = self.work_by_id.get(run.task.job_id)
-        if work is None or run.task in self._fleet.runs_by_task:
+        active_job = self.active_job_by_id.get(run.task.job_id)
+        if active_job is None or run.task in self._fleet.runs_by_task:
             return
         log_event("task_waits_again", task=run.task, run=run.run, reason=reason)
-        work.put_back(run.task, run.checkpoint)
+        active_job.put_back(run.task, run.checkpoint)
         self._wake()
 
     def _open_job(self, job_id: str, *, inherited: bool) -> None:
         entry = self._replica.table.entry_by_id.get(job_id)
-        if entry is None or entry.job is None or job_id in self.work_by_id:
+        if entry is None or entry.job is None or job_id in self.active_job_by_id:
             return
         if job_id in self._closed_jobs:
             # A repeated record; the table may not show the job's end yet.
             return
-        work = JobWork(entry.job, entry.progress)
-        if work.is_final:
+        active_job = ActiveJob(entry.job, entry.progress)
+        if active_job.is_final:
             return
-        self.work_by_id[job_id] = work
-        self.planner.note_job(work, self._view.policy)
+        self.active_job_by_id[job_id] = active_job
+        self.planner.note_job(active_job, self._view.policy)
         queue = self._view.policy.queue_by_name.get(entry.job.queue)
         if inherited:
             self.inherited.add(job_id)
@@ -153,8 +153,8 @@
         )
 
     def _cancel_job(self, job_id: str) -> None:
-        work = self.work_by_id.get(job_id)
-        if work is None or work.is_final:
+        active_job = self.active_job_by_id.get(job_id)
+        if active_job is None or active_job.is_final:
             return
-        work.cancel()
-        self.close_job(work)
+        active_job.cancel()
+        self.close_job(active_job)
--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -16,7 +16,7 @@
 
 # A leader that has written nothing for this long no longer acts: its lease has
 # ended even if its clock is 2% slow, with time for the read that shows it.
-TAKEOVER_S = LEADER_LEASE_S * 1.02 + 0.2
+TAKEOVER_AFTER_S = LEADER_LEASE_S * 1.02 + 0.2
 CHECK_PAUSE_S = 0.1
 # Instances that see the same silence campaign at different times.
 MAX_STAGGER_S = 0.25
@@ -76,13 +76,13 @@
         if self._claimed_end is not None and seen_token >= self._claimed_end:
             self._claimed_end = None
         if self._claimed_end is not None:
-            return steady_s() - self._claim_seen_s > TAKEOVER_S
+            return steady_s() - self._claim_seen_s > TAKEOVER_AFTER_S
         if leader is None or leader.resigned:
             return True
         if leader.instance == self._instance:
             # An earlier process of this instance; it has ended.
             return True
-        return steady_s() - replica.leader_seen_s > TAKEOVER_S
+        return steady_s() - replica.leader_seen_s > TAKEOVER_AFTER_S
 
     def _campaign(self) -> None:
         leader = self._replica.table.leader
@@ -92,7 +92,7 @@
         result = self._store.claim_lead(at, self._instance)
         match result:
             case Appended(end=token):
-                self._serve(token)
+                self._take_lead(token)
             case ConditionFailed(end=end):
                 if self._claimed_end != end:
                     self._claimed_end, self._claim_seen_s = end, steady_s()
@@ -100,7 +100,7 @@
             case _:
                 log_event("lead_claim_failed", level="WARNING", result=result)
 
-    def _serve(self, token: int) -> None:
+    def _take_lead(self, token: int) -> None:
         self._claimed_end = None
         had_leader = self._replica.table.leader is not None
         writer = LeaderWriter(self._store, token, self._instance, lambda: None)
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -18,7 +18,7 @@
 
 # A run whose progress stands still for this long is stopped and started anew.
 STALL_S = 2.0
-STALL_HOLD_S = 6.0
+STALL_BACKOFF_S = 6.0
 
 
 class ListReconciler:
@@ -38,26 +38,28 @@
         self._on_reply = on_reply
         self._wake = wake
 
-    def take(self, link: WorkerLink, lists: TaskLists, sent_s: float) -> Commit | None:
+    def reconcile(
+        self, link: WorkerLink, lists: TaskLists, sent_s: float
+    ) -> Commit | None:
         """Take over lists asked for at ``sent_s``.
 
         Returns what must be durable before the worker may forget the ends.
         """
         worker_id = link.worker.worker_id
-        if _is_other_life(lists.started_ms, link.worker.started_ms):
+        if _is_other_incarnation(lists.started_ms, link.worker.started_ms):
             self._on_reply(link, CallOutcome.GONE)
             return None
         state = self._fleet.state_by_id[worker_id]
-        ended = [end for end in lists.ended if end.number > link.taken]
+        ended = [end for end in lists.ended if end.number > link.newest_end]
         for end in ended:
             self._take_end(link, end)
-            link.taken = max(link.taken, end.number)
+            link.newest_end = max(link.newest_end, end.number)
         listed: set[TaskKey] = set()
         for row in lists.running:
             listed.add(row.task)
             self._take_running(link, row)
         for run in list(state.run_by_task.values()):
-            if run.task in listed or sent_s <= run.settle_after_s:
+            if run.task in listed or sent_s <= run.gone_if_unlisted_after_s:
                 continue
             if run.state is RunState.UNSURE:
                 # The start may still be carried out; the stop prevents that.
@@ -65,8 +67,8 @@
             else:
                 self._fleet.remove_run(run)
                 self._registry.put_back(run, run.stop_reason or "not listed")
-        if not state.is_listed:
-            state.is_listed = True
+        if not state.has_current_lists:
+            state.has_current_lists = True
             log_event("worker_listed", worker=worker_id, running=len(lists.running))
             self._wake()
         if not ended:
@@ -80,7 +82,7 @@
         run = self._fleet.find_run(worker_id, end.task, end.run)
         if run is not None:
             self._fleet.remove_run(run)
-        work = self._registry.work_by_id.get(end.task.job_id)
+        active_job = self._registry.active_job_by_id.get(end.task.job_id)
         metrics.TASKS_ENDED.labels(end.kind.value).inc()
         log_event(
             "task_ended",
@@ -90,25 +92,25 @@
             how=end.kind.value,
             known=run is not None,
         )
-        if work is None or (run is None and not link.is_first_listing):
+        if active_job is None or (run is None and not link.is_first_poll):
             return
-        work.note_run(end.run)
-        self._registry.refresh_limit(work)
-        if work.note_end(end.task, end.run, end.kind, end.checkpoint):
-            self._registry.note_changed(work)
+        active_job.note_run(end.run)
+        self._registry.refresh_limit(active_job)
+        if active_job.note_end(end.task, end.run, end.kind, end.checkpoint):
+            self._registry.note_changed(active_job)
         # Services that are restarted whenever they end say nothing of a worker.
-        is_trial = run is not None and not run.step.long_running
-        if is_trial and end.kind in (EndKind.DONE, EndKind.FAILED):
+        counts_for_worker = run is not None and not run.step.long_running
+        if counts_for_worker and end.kind in (EndKind.DONE, EndKind.FAILED):
             succeeded = end.kind is EndKind.DONE
             self._fleet.note_outcome(worker_id, succeeded, steady_s())
         if end.kind is EndKind.FAILED:
-            self._registry.planner.failed_on_by_task[end.task].add(worker_id)
-        if work.is_final:
-            self._registry.close_job(work)
+            self._registry.planner.failed_workers_by_task[end.task].add(worker_id)
+        if active_job.is_final:
+            self._registry.close_job(active_job)
         elif end.kind is EndKind.DONE:
             self._stop_copies(end.task)
         elif end.task not in self._fleet.runs_by_task:
-            work.put_back(end.task, end.checkpoint)
+            active_job.put_back(end.task, end.checkpoint)
 
     def _stop_copies(self, task: TaskKey) -> None:
         for copy in list(self._fleet.runs_by_task.get(task, ())):
@@ -123,56 +125,56 @@
             if run is None:
                 return
         if row.percent != run.percent or run.percent >= 100:
-            run.percent, run.moved_s = row.percent, now_s
+            run.percent, run.progress_changed_s = row.percent, now_s
         if row.checkpoint:
             run.checkpoint = row.checkpoint
         run.latency_or_cores = row.latency_or_cores
         if run.state in (RunState.STARTING, RunState.UNSURE):
             run.state = RunState.RUNNING
-            run.moved_s = now_s
-        stalled = now_s - run.moved_s > STALL_S
+            run.progress_changed_s = now_s
+        stalled = now_s - run.progress_changed_s > STALL_S
         if stalled and run.state is RunState.RUNNING and not run.step.long_running:
             state = self._fleet.state_by_id[worker_id]
-            state.held_until_s = now_s + STALL_HOLD_S
+            state.backoff_until_s = now_s + STALL_BACKOFF_S
             self._orders.stop_run(run, "no progress")
 
     def _adopt(self, link: WorkerLink, row: RunningTask) -> Run | None:
         """Take over a run of an earlier leader, or stop one nobody needs."""
         worker_id = link.worker.worker_id
-        work = self._registry.work_by_id.get(row.task.job_id)
+        active_job = self._registry.active_job_by_id.get(row.task.job_id)
         step_key = (row.task.occurrence, row.task.step)
-        step_work = work.work_by_step.get(step_key) if work else None
+        step_tasks = active_job.tasks_by_step.get(step_key) if active_job else None
         wanted = (
-            step_work is not None
-            and row.task.index not in step_work.done
+            step_tasks is not None
+            and row.task.index not in step_tasks.done
             and row.task not in self._fleet.runs_by_task
         )
         if not wanted:
             self._orders.stop_listed(link.worker, row)
             return None
-        work.note_run(row.run)
-        if row.task.index in step_work.waiting:
-            step_work.waiting.remove(row.task.index)
+        active_job.note_run(row.run)
+        if row.task.index in step_tasks.waiting:
+            step_tasks.waiting.remove(row.task.index)
         now_s = steady_s()
         run = Run(
             row.task,
             row.run,
             worker_id,
-            step_work.step,
-            work.job.organisation,
-            work.job.queue,
+            step_tasks.step,
+            active_job.job.organisation,
+            active_job.job.queue,
             RunState.RUNNING,
             now_s,
             row.checkpoint,
-            moved_s=now_s,
-            settle_after_s=now_s,
+            progress_changed_s=now_s,
+            gone_if_unlisted_after_s=now_s,
         )
         self._fleet.add_run(run)
-        self._registry.note_begun(work)
+        self._registry.note_begun(active_job)
         log_event("task_adopted", task=row.task, run=row.run, worker=worker_id)
         return run
 
 
-def _is_other_life(started_ms: int, expected_ms: int) -> bool:
+def _is_other_incarnation(started_ms: int, expected_ms: int) -> bool:
     """Tell whether a worker has started again; 0 stands for an unknown start."""
     return bool(started_ms and expected_ms) and started_ms != expected_ms
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from lycheeloom.jobs.availability import may_end
+from lycheeloom.jobs.availability import may_stop
 from lycheeloom.jobs.fleet import WorkerState
 from lycheeloom.jobs.records import Kind, Record, WaveProgress, encode, key_of
 from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
@@ -31,7 +31,7 @@
 
 STEP_PAUSE_S = 0.1
 # Tasks that run to an end are given this long before they are stopped.
-DRAIN_PATIENCE_S = 2.5
+DRAIN_TIMEOUT_S = 2.5
 # An order that was not carried out is repeated after this pause.
 ORDER_RETRY_S = 0.3
 
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class _Handling:
+class _HandledInstance:
     wave: str
     pool: str
     worker_id: str
@@ -70,7 +70,7 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
-        turns: OrderGuard,
+        order_guard: OrderGuard,
         port: InstancePort,
         store: StorePort,
         orders: Mapping[str, WaveOrder],
@@ -79,7 +79,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
-        self._turns = turns
+        self._order_guard = order_guard
         self._port = port
         self._store = store
         self._orders = orders
@@ -87,7 +87,7 @@
             wave: set(begun) for wave, begun in begun_by_wave.items()
         }
         self._maintenance_s = maintenance_s
-        self._handling_by_id: dict[str, _Handling] = {}
+        self._handled_by_id: dict[str, _HandledInstance] = {}
         self._reported: dict[str, str] = {}
 
     def run(self) -> None:
@@ -102,7 +102,7 @@
 
     def handles(self, instance_id: str) -> bool:
         """Tell whether an instance is being emptied or maintained."""
-        return instance_id in self._handling_by_id
+        return instance_id in self._handled_by_id
 
     def _is_over(self, order: WaveOrder) -> bool:
         return self._reported.get(order.wave) == "completed"
@@ -124,27 +124,27 @@
         self._report(order, "running")
         self._choose(order, left)
         for instance in left:
-            handling = self._handling_by_id.get(instance.instance_id)
-            if handling is not None and handling.stage is _Stage.DRAINING:
-                self._drain(order, instance, handling)
+            handled = self._handled_by_id.get(instance.instance_id)
+            if handled is not None and handled.stage is _Stage.DRAINING:
+                self._drain(order, instance, handled)
 
     def _choose(self, order: WaveOrder, left: list[Instance]) -> None:
         away = self._count_away(order)
         candidates = [
-            self._describe(instance)
+            self._to_wave_instance(instance)
             for instance in left
-            if instance.instance_id not in self._handling_by_id
+            if instance.instance_id not in self._handled_by_id
             and instance.state is InstanceState.UP
-            and self._turns.may_order(instance.instance_id)
+            and self._order_guard.may_order(instance.instance_id)
         ]
         time = WaveTime(
             steady_s() - order.seen_s,
             order.within_s,
-            self._maintenance_s + DRAIN_PATIENCE_S,
+            self._maintenance_s + DRAIN_TIMEOUT_S,
         )
         for instance_id in choose_next(candidates, away, order.at_once, time):
             instance = self._inventory.instance_by_id[instance_id]
-            self._handling_by_id[instance_id] = _Handling(
+            self._handled_by_id[instance_id] = _HandledInstance(
                 order.wave,
                 instance.pool,
                 instance.worker_id,
@@ -169,17 +169,17 @@
 
         Orders of the leader before count too, also one that may still be on its way.
         """
-        away = Counter(h.pool for h in self._handling_by_id.values())
+        away = Counter(h.pool for h in self._handled_by_id.values())
         for instance_id in order.instances:
             instance = self._inventory.instance_by_id.get(instance_id)
-            if instance is None or instance_id in self._handling_by_id:
+            if instance is None or instance_id in self._handled_by_id:
                 continue
             is_away = instance.state is InstanceState.MAINTENANCE
-            if is_away or not self._turns.may_order(instance_id):
+            if is_away or not self._order_guard.may_order(instance_id):
                 away[instance.pool] += 1
         return away
 
-    def _describe(self, instance: Instance) -> WaveInstance:
+    def _to_wave_instance(self, instance: Instance) -> WaveInstance:
         fleet = self._dispatcher.fleet
         pool = self._dispatcher.view.policy.pool_by_name.get(instance.pool)
         capacity = used = 0.0
@@ -196,40 +196,44 @@
             bool(pool and pool.standby),
         )
 
-    def _drain(self, order: WaveOrder, instance: Instance, handling: _Handling) -> None:
+    def _drain(
+        self, order: WaveOrder, instance: Instance, handled: _HandledInstance
+    ) -> None:
         now_s = steady_s()
-        if instance.worker_id != handling.worker_id:
+        if instance.worker_id != handled.worker_id:
             # The instance has crashed and started again meanwhile.
-            handling.worker_id, handling.since_s = instance.worker_id, now_s
-        state = self._state_of(handling.worker_id)
-        if state is not None and not self._is_known(state):
+            handled.worker_id, handled.since_s = instance.worker_id, now_s
+        state = self._state_of(handled.worker_id)
+        if state is not None and not self._runs_are_known(state):
             return
         if state is not None and state.run_by_task:
             state.is_cordoned = True
-            self._empty(state, now_s - handling.since_s > DRAIN_PATIENCE_S)
+            self._stop_runs(state, now_s - handled.since_s > DRAIN_TIMEOUT_S)
             return
-        if now_s < handling.retry_at_s:
+        if now_s < handled.retry_at_s:
             return
-        handling.retry_at_s = now_s + ORDER_RETRY_S
-        self._order(order, instance, handling)
+        handled.retry_at_s = now_s + ORDER_RETRY_S
+        self._order(order, instance, handled)
 
-    def _is_known(self, state: WorkerState) -> bool:
+    def _runs_are_known(self, state: WorkerState) -> bool:
         """Tell whether all runs on a worker are known, or have ended."""
         link = self._dispatcher.link_by_id.get(state.worker.worker_id)
-        return state.is_listed or (link is not None and link.has_lapsed)
+        return state.has_current_lists or (link is not None and link.has_lapsed)
 
-    def _empty(self, state: WorkerState, is_urgent: bool) -> None:
+    def _stop_runs(self, state: WorkerState, is_urgent: bool) -> None:
         for run in list(state.run_by_task.values()):
-            work = self._dispatcher.work_by_id.get(run.task.job_id)
-            if work is None:
+            active_job = self._dispatcher.active_job_by_id.get(run.task.job_id)
+            if active_job is None:
                 continue
             if not run.step.long_running and not is_urgent:
                 continue
-            if may_end(self._dispatcher.fleet, work, run, steady_s()):
+            if may_stop(self._dispatcher.fleet, active_job, run, steady_s()):
                 self._dispatcher.stop_run(run, "maintenance")
 
-    def _order(self, order: WaveOrder, instance: Instance, handling: _Handling) -> None:
-        if not self._turns.record([instance.instance_id]):
+    def _order(
+        self, order: WaveOrder, instance: Instance, handled: _HandledInstance
+    ) -> None:
+        if not self._order_guard.record([instance.instance_id]):
             log_event("maintenance_order", wave=order.wave, outcome="not recorded")
             return
         reply = self._port.maintain(
@@ -246,8 +250,8 @@
         metrics.INSTANCE_ORDERS.labels("maintenance", reply.outcome.value).inc()
         match reply.outcome:
             case CallOutcome.DONE:
-                handling.stage = _Stage.AWAY
-                handling.since_s = steady_s()
+                handled.stage = _Stage.AWAY
+                handled.since_s = steady_s()
                 self._note_begun(order, instance.instance_id)
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
@@ -262,15 +266,15 @@
         self._dispatcher.writer.write([Record(key_of(Kind.WAVE, order.wave), value)])
 
     def _release_returned(self, order: WaveOrder) -> None:
-        for instance_id, handling in list(self._handling_by_id.items()):
-            if handling.wave != order.wave:
+        for instance_id, handled in list(self._handled_by_id.items()):
+            if handled.wave != order.wave:
                 continue
             instance = self._inventory.instance_by_id.get(instance_id)
-            if handling.stage is _Stage.DRAINING:
+            if handled.stage is _Stage.DRAINING:
                 if instance is None or instance.state is not InstanceState.UP:
                     self._release(instance_id)
                 continue
-            away_s = steady_s() - handling.since_s
+            away_s = steady_s() - handled.since_s
             is_back = instance is None or (
                 away_s > self._maintenance_s and instance.state is InstanceState.UP
             )
@@ -278,8 +282,8 @@
                 self._release(instance_id)
 
     def _release(self, instance_id: str) -> None:
-        handling = self._handling_by_id.pop(instance_id, None)
-        state = self._state_of(handling.worker_id) if handling else None
+        handled = self._handled_by_id.pop(instance_id, None)
+        state = self._state_of(handled.worker_id) if handled else None
         if state is not None:
             state.is_cordoned = False
 
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -26,7 +26,7 @@
 START_SECONDS = _histogram(
     "lycheeloom_task_start_seconds", "Calls that start a task, by outcome", "outcome"
 )
-LOOK_SECONDS = _histogram(
+POLL_SECONDS = _histogram(
     "lycheeloom_worker_look_seconds", "Looks at workers without their wait", "outcome"
 )
 TASKS_ENDED = Counter("lycheeloom_tasks_ended", "Runs that ended, by how", ["how"])
--- a/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
@@ -12,7 +12,7 @@
 
 # An order that is recorded now may be sent until the lease of its leader ends, and
 # takes this long to arrive.
-SENT_WITHIN_S = LEADER_LEASE_S * 1.02 + 0.7
+MAX_SEND_DELAY_S = LEADER_LEASE_S * 1.02 + 0.7
 # Orders are not sent if they are not recorded within this time.
 RECORD_TIMEOUT_S = 1.0
 
@@ -32,19 +32,19 @@
         self._writer = writer
         self._lease_s = lease_s
         # The first leader of all has nobody to wait for.
-        self._all_from_s = steady_s() + (lease_s if had_leader else 0.0)
+        self._unrestricted_from_s = steady_s() + (lease_s if had_leader else 0.0)
         # Orders of this leader's own do not count.
-        self._before_by_id = dict(replica.last_order_s_by_instance)
+        self._predecessor_order_s_by_id = dict(replica.last_order_s_by_instance)
 
     def may_order(self, instance_id: str) -> bool:
         """Tell whether an order of another leader is certainly long past."""
         now_s = steady_s()
-        if now_s >= self._all_from_s:
+        if now_s >= self._unrestricted_from_s:
             return True
-        before_s = self._before_by_id.get(instance_id)
-        if before_s is None:
+        predecessor_s = self._predecessor_order_s_by_id.get(instance_id)
+        if predecessor_s is None:
             return True
-        return now_s - before_s > self._lease_s + SENT_WITHIN_S
+        return now_s - predecessor_s > self._lease_s + MAX_SEND_DELAY_S
 
     def record(self, instance_ids: Collection[str]) -> bool:
         """Record orders that are about to be sent; False if that failed."""
--- a/libs/coordinator/src/lycheeloom/coordinator/pacer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pacer.py
@@ -12,7 +12,7 @@
 from .ports import CallOutcome, WorkerPort
 
 # Workers give figures of the last half second.
-LOOK_INTERVAL_S = 0.5
+ADJUST_INTERVAL_S = 0.5
 
 
 class Pacer:
@@ -25,7 +25,7 @@
     def run(self) -> None:
         """Adjust the pace on all workers until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
-            gevent.sleep(LOOK_INTERVAL_S)
+            gevent.sleep(ADJUST_INTERVAL_S)
             if not self._dispatcher.writer.may_act:
                 continue
             for state in list(self._dispatcher.fleet.state_by_id.values()):
@@ -38,17 +38,17 @@
         filling = [run for run in runs if run.step.fills]
         if not filling:
             return
-        worst_part = max(
+        worst_latency_ratio = max(
             (r.latency_or_cores / r.step.target_ms for r in runs if r.step.target_ms),
             default=0.0,
         )
         for run in filling:
-            percent = next_pace(run.pace_percent, worst_part)
+            percent = next_pace(run.pace_percent, worst_latency_ratio)
             if percent != run.pace_percent:
-                gevent.spawn(self._pace, state, run, percent, worst_part)
+                gevent.spawn(self._pace, state, run, percent, worst_latency_ratio)
 
     def _pace(
-        self, state: WorkerState, run: Run, percent: int, worst_part: float
+        self, state: WorkerState, run: Run, percent: int, worst_latency_ratio: float
     ) -> None:
         reply = self._port.pace(
             state.worker, str(run.task), run.run, percent, self._dispatcher.writer.token
@@ -59,7 +59,7 @@
             worker=run.worker_id,
             percent=percent,
             before=run.pace_percent,
-            worst_part=worst_part,
+            worst_latency_ratio=worst_latency_ratio,
             outcome=reply.outcome.value,
         )
         if reply.outcome is CallOutcome.DONE:
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -13,9 +13,9 @@
     Move,
     PoolInstance,
     PoolLoad,
+    backlog_by_pool,
     choose_moves,
-    least_by_pool,
-    waiting_by_pool,
+    min_instances_by_pool,
 )
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.telemetry import log_event
@@ -41,14 +41,14 @@
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
-        turns: OrderGuard,
+        order_guard: OrderGuard,
         port: InstancePort,
         is_reserved: Callable[[str], bool],
         move_s: float,
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
-        self._turns = turns
+        self._order_guard = order_guard
         self._port = port
         # Whether maintenance handles an instance.
         self._is_reserved = is_reserved
@@ -80,7 +80,7 @@
                 i.pool,
                 self._idle_s(i.worker_id, now_s),
                 self._is_usable(i),
-                self._turns.may_order(i.instance_id),
+                self._order_guard.may_order(i.instance_id),
             )
             for i in self._inventory.instance_by_id.values()
             if i.state is InstanceState.UP
@@ -101,7 +101,7 @@
 
     def _note_idle(self, now_s: float) -> None:
         for worker_id, state in self._dispatcher.fleet.state_by_id.items():
-            if state.run_by_task or not state.is_listed:
+            if state.run_by_task or not state.has_current_lists:
                 self._idle_since_by_worker.pop(worker_id, None)
             else:
                 self._idle_since_by_worker.setdefault(worker_id, now_s)
@@ -124,21 +124,25 @@
         dispatcher = self._dispatcher
         capacity_by_pool: dict[str, Resources] = {}
         used_by_pool: dict[str, Resources] = {}
-        lasting_by_pool: dict[str, Resources] = {}
+        long_running_need_by_pool: dict[str, Resources] = {}
         for state in dispatcher.fleet.state_by_id.values():
             pool = state.worker.pool
             capacity_by_pool.setdefault(pool, state.worker.capacity)
             used = used_by_pool.get(pool, NO_RESOURCES)
             used_by_pool[pool] = used + state.used
-            lasting = lasting_by_pool.get(pool, NO_RESOURCES)
-            lasting_by_pool[pool] = lasting + state.lasting
-        waiting = waiting_by_pool(
-            dispatcher.work_by_id.values(),
+            long_running_need = long_running_need_by_pool.get(pool, NO_RESOURCES)
+            long_running_need_by_pool[pool] = (
+                long_running_need + state.long_running_need
+            )
+        waiting = backlog_by_pool(
+            dispatcher.active_job_by_id.values(),
             dispatcher.view.policy,
             capacity_by_pool,
             wall_ms(),
         )
-        least = least_by_pool(dispatcher.work_by_id.values(), dispatcher.view.policy)
+        min_instances = min_instances_by_pool(
+            dispatcher.active_job_by_id.values(), dispatcher.view.policy
+        )
         now_s = steady_s()
         arriving = Counter(pool for pool, _ in self._moving_by_id.values())
         return {
@@ -146,9 +150,9 @@
                 used_by_pool[pool].dominant_share(capacity),
                 waiting.get(pool, 0.0),
                 arriving[pool],
-                least.get(pool, 1),
-                lasting_by_pool[pool].dominant_share(capacity),
-                dispatcher.demand.instances(pool, capacity, now_s),
+                min_instances.get(pool, 1),
+                long_running_need_by_pool[pool].dominant_share(capacity),
+                dispatcher.demand.needed_instances(pool, capacity, now_s),
             )
             for pool, capacity in capacity_by_pool.items()
         }
@@ -166,7 +170,7 @@
     def _order(self, moves: Collection[Move]) -> None:
         if not moves:
             return
-        if not self._turns.record([move.instance_id for move in moves]):
+        if not self._order_guard.record([move.instance_id for move in moves]):
             log_event("moves_given_up", level="WARNING", moves=len(moves))
             for move in moves:
                 self._note_reply(move, CallReply(CallOutcome.NOT_SENT, "not recorded"))
@@ -185,8 +189,8 @@
             reason=move.reason,
             size=move.size,
             used=move.load.used,
-            waiting=move.load.waiting,
-            offered=move.load.offered,
+            waiting=move.load.backlog,
+            offered=move.load.offered_load,
             arriving=move.load.arriving,
             token=token,
             outcome=reply.outcome.value,
@@ -196,17 +200,17 @@
         self._note_reply(move, reply)
 
     def _note_reply(self, move: Move, reply: CallReply) -> None:
-        hold_s = RETRY_S
+        moving_s = RETRY_S
         state = self._state_of(move)
         match reply.outcome:
             case CallOutcome.DONE | CallOutcome.UNKNOWN:
-                hold_s = self._move_s + RETRY_S
+                moving_s = self._move_s + RETRY_S
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
             case _ if state is not None:
                 state.is_cordoned = False
         target = move.pool if reply.outcome is CallOutcome.DONE else ""
-        self._moving_by_id[move.instance_id] = (target, steady_s() + hold_s)
+        self._moving_by_id[move.instance_id] = (target, steady_s() + moving_s)
 
     def _state_of(self, move: Move) -> WorkerState | None:
         instance = self._inventory.instance_by_id.get(move.instance_id)
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from lycheeloom.jobs.records import Kind
-from lycheeloom.jobs.table import Applied, JobTable
+from lycheeloom.jobs.table import AppliedRecord, JobTable
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
@@ -25,7 +25,7 @@
 # Age of the last successful read up to which the table counts as current.
 FRESH_S = 2.0
 # A store that has failed for this long is not expected to take records.
-FAILING_S = 0.5
+MAX_FAILING_S = 0.5
 
 
 class Replica:
@@ -39,21 +39,21 @@
         # When the last order for an instance was recorded. The time of day is used
         # only for records that are older than this process.
         self.last_order_s_by_instance: dict[str, float] = {}
-        self._listeners: list[Callable[[Applied], None]] = []
-        self._tails = {log: _Tail(self, store, log) for log in Log}
+        self._listeners: list[Callable[[AppliedRecord], None]] = []
+        self._followers = {log: _LogFollower(self, store, log) for log in Log}
 
-    def listen(self, listener: Callable[[Applied], None]) -> None:
+    def add_listener(self, listener: Callable[[AppliedRecord], None]) -> None:
         """Call ``listener`` after each change of the table."""
         self._listeners.append(listener)
 
-    def remove_listener(self, listener: Callable[[Applied], None]) -> None:
+    def remove_listener(self, listener: Callable[[AppliedRecord], None]) -> None:
         """Stop calling ``listener``."""
         self._listeners.remove(listener)
 
     @property
     def is_loaded(self) -> bool:
         """Tell whether the newest records have been fetched."""
-        return all(tail.is_loaded for tail in self._tails.values())
+        return all(follower.is_loaded for follower in self._followers.values())
 
     @property
     def is_fresh(self) -> bool:
@@ -64,29 +64,32 @@
     def reaches_store(self) -> bool:
         """Tell whether the store can be expected to take records now."""
         return self.is_fresh and not any(
-            tail.failing_for_s > FAILING_S for tail in self._tails.values()
+            follower.failing_for_s > MAX_FAILING_S
+            for follower in self._followers.values()
         )
 
     @property
     def read_at_s(self) -> float:
         """Return when the older of the last successful reads began."""
-        return min(tail.read_at_s for tail in self._tails.values())
+        return min(follower.read_at_s for follower in self._followers.values())
 
     def run(self) -> None:
         """Follow the logs for ever."""
-        gevent.joinall([gevent.spawn(tail.run) for tail in self._tails.values()])
+        gevent.joinall(
+            [gevent.spawn(follower.run) for follower in self._followers.values()]
+        )
 
     def load(self) -> bool:
         """Fetch the newest record of each key; tells whether that succeeded."""
-        return all(tail.load() for tail in self._tails.values())
+        return all(follower.load() for follower in self._followers.values())
 
     def wait_for_leader_record(self, offset: int, timeout_s: float) -> bool:
         """Wait until the leader's records before ``offset`` are applied."""
-        return self._tails[Log.LEADER].wait_for(offset, timeout_s)
+        return self._followers[Log.LEADER].wait_for(offset, timeout_s)
 
     def refresh_jobs(self) -> bool:
         """Read what callers have handed in by now; tells whether that succeeded."""
-        return self._tails[Log.CALLERS].catch_up()
+        return self._followers[Log.CALLERS].catch_up()
 
     def apply(self, result: RecordsRead, is_live: bool) -> None:
         """Apply records and tell the listeners.
@@ -114,7 +117,7 @@
         self.last_order_s_by_instance[instance_id] = steady_s() - age_s
 
 
-class _Tail:
+class _LogFollower:
     """Reads one log."""
 
     def __init__(self, replica: Replica, store: StorePort, log: Log) -> None:
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -24,8 +24,8 @@
 STOP_SETTLE_S = 0.25
 STOP_RETRY_S = 0.2
 # A worker without room by its own word gets no start for this long.
-NO_ROOM_HOLD_S = 0.1
-REFUSED_HOLD_S = 0.5
+NO_ROOM_BACKOFF_S = 0.1
+REFUSED_BACKOFF_S = 0.5
 # Why a run is stopped whose start has an unknown outcome.
 START_NOT_ANSWERED = "start not answered"
 # Stops that are sent at the same time.
@@ -71,7 +71,7 @@
             RunState.STARTING,
             now_s,
             start.checkpoint,
-            moved_s=now_s,
+            progress_changed_s=now_s,
         )
         self._fleet.add_run(run)
         gevent.spawn(self._start, start, run)
@@ -82,7 +82,7 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
-        run.settle_after_s = math.inf
+        run.gone_if_unlisted_after_s = math.inf
         log_event(
             "task_stop",
             task=run.task,
@@ -98,9 +98,9 @@
 
     def _start(self, start: Start, run: Run) -> None:
         link = self._link_by_id.get(start.worker_id)
-        deadline_ms = link.grant() if link else None
+        deadline_ms = link.grant_lease() if link else None
         if link is None or deadline_ms is None or not self._writer.may_act:
-            self._give_back(run, "no link")
+            self._undo_start(run, "no link")
             return
         key = (start.task.job_id, (start.task.occurrence, start.task.step))
         ticket, _ = self._registry.advised.ticket_by_key.get(
@@ -148,11 +148,11 @@
                 self._registry.advised.ticket_by_key.pop(
                     (start.task.job_id, key, start.worker_id), None
                 )
-                self._give_back(run, "ticket")
+                self._undo_start(run, "ticket")
             case outcome:
                 if state is not None:
-                    self._hold_worker(state, outcome, now_s)
-                self._give_back(run, outcome.value)
+                    self._back_off_worker(state, outcome, now_s)
+                self._undo_start(run, outcome.value)
 
     def _settle_unknown_start(self, run: Run, now_s: float) -> None:
         """Stop a run that may have started, or wait for a list that shows it.
@@ -164,36 +164,36 @@
             return
         if run.step.long_running:
             run.state = RunState.UNSURE
-            run.settle_after_s = now_s
+            run.gone_if_unlisted_after_s = now_s
         else:
             self.stop_run(run, START_NOT_ANSWERED)
 
     def _note_started(self, start: Start, run: Run, now_s: float) -> None:
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
-            run.moved_s = now_s
-            run.settle_after_s = now_s
-        work = self._registry.work_by_id.get(start.task.job_id)
-        if work is None:
+            run.progress_changed_s = now_s
+            run.gone_if_unlisted_after_s = now_s
+        active_job = self._registry.active_job_by_id.get(start.task.job_id)
+        if active_job is None:
             self.stop_run(run, "job has ended")
-        elif self._registry.note_begun(work):
-            waited_s = (wall_ms() - work.job.accepted_ms) / 1000
+        elif self._registry.note_begun(active_job):
+            waited_s = (wall_ms() - active_job.job.accepted_ms) / 1000
             metrics.FIRST_START_SECONDS.observe(max(0.0, waited_s))
             self._registry.flush()
 
-    def _hold_worker(
+    def _back_off_worker(
         self, state: WorkerState, outcome: CallOutcome, now_s: float
     ) -> None:
         match outcome:
             case CallOutcome.NO_ROOM:
-                hold_s = NO_ROOM_HOLD_S
+                backoff_s = NO_ROOM_BACKOFF_S
             case CallOutcome.OLD_RUN:
                 return
             case _:
-                hold_s = REFUSED_HOLD_S
-        state.held_until_s = max(state.held_until_s, now_s + hold_s)
+                backoff_s = REFUSED_BACKOFF_S
+        state.backoff_until_s = max(state.backoff_until_s, now_s + backoff_s)
 
-    def _give_back(self, run: Run, reason: str) -> None:
+    def _undo_start(self, run: Run, reason: str) -> None:
         """Undo a start that has certainly not happened."""
         state = self._fleet.state_by_id.get(run.worker_id)
         if state is None or state.run_by_task.get(run.task) is not run:
@@ -214,7 +214,7 @@
                     link.worker, str(run.task), run.run, self._writer.token
                 )
                 if reply.outcome is CallOutcome.DONE:
-                    run.settle_after_s = steady_s() + STOP_SETTLE_S
+                    run.gone_if_unlisted_after_s = steady_s() + STOP_SETTLE_S
                     return
                 if reply.outcome in (CallOutcome.FENCED, CallOutcome.GONE):
                     self._on_reply(link, reply.outcome)
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -22,9 +22,9 @@
 # Time for a request on its way to the worker.
 LAPSE_MARGIN_S = 0.3
 # How long a worker may wait for an end before it answers.
-LOOK_WAIT_MS = 900
+POLL_WAIT_MS = 900
 # The same while something on the worker has to be watched closely.
-CLOSE_LOOK_WAIT_MS = 300
+SHORT_POLL_WAIT_MS = 300
 FAILURE_PAUSE_S = 0.25
 DURABLE_WAIT_S = 0.5
 IDLE_PAUSE_S = 0.1
@@ -45,24 +45,24 @@
         may_act: Callable[[], bool],
         on_lists: Callable[[WorkerLink, TaskLists, float], Commit | None],
         on_reply: Callable[[WorkerLink, CallOutcome], None],
-        watch_closely: Callable[[WorkerLink], bool],
+        needs_frequent_polls: Callable[[WorkerLink], bool],
     ) -> None:
         self.worker = worker
         self.created_s = steady_s()
         # The newest end taken over, and the newest one that is durable.
-        self.taken = 0
-        self.is_first_listing = True
+        self.newest_end = 0
+        self.is_first_poll = True
         self.reached_s = -math.inf
         # No lease granted to the worker lasts longer than this, nor does one that
         # the leader before may have granted.
-        self.granted_until_s = steady_s() + _lease_at_most_s()
+        self.granted_until_s = steady_s() + _max_lease_s()
         self._port = port
         self._token = token
         self._may_act = may_act
         self._on_lists = on_lists
         self._on_reply = on_reply
-        self._watch_closely = watch_closely
-        self._durable = 0
+        self._needs_frequent_polls = needs_frequent_polls
+        self._newest_durable_end = 0
         # Makes everything taken over so far durable.
         self._commit: Commit | None = None
         self._clock: tuple[float, float] | None = None
@@ -72,7 +72,7 @@
     @property
     def is_reachable(self) -> bool:
         """Tell whether the last call was answered."""
-        return self._failing_since_s is None and not self.is_first_listing
+        return self._failing_since_s is None and not self.is_first_poll
 
     @property
     def failing_for_s(self) -> float:
@@ -86,13 +86,13 @@
         """Tell whether the leases granted have certainly ended."""
         return steady_s() > self.granted_until_s
 
-    def grant(self) -> int | None:
+    def grant_lease(self) -> int | None:
         """Return the end of a new lease by the worker's clock; None if unknown."""
         if self._clock is None:
             return None
         now_s = steady_s()
         at_s, clock_ms = self._clock
-        until_s = now_s + _lease_at_most_s()
+        until_s = now_s + _max_lease_s()
         self.granted_until_s = max(self.granted_until_s, until_s)
         return int(clock_ms + (now_s - at_s) * 1000 + WORKER_LEASE_S * 1000)
 
@@ -107,21 +107,21 @@
             if not self._may_act():
                 gevent.sleep(IDLE_PAUSE_S)
                 continue
-            self._look()
+            self._poll()
 
-    def _look(self) -> None:
-        close = self.is_first_listing or self._watch_closely(self)
-        wait_ms = CLOSE_LOOK_WAIT_MS if close else LOOK_WAIT_MS
-        if self.is_first_listing or self._durable < self.taken:
+    def _poll(self) -> None:
+        close = self.is_first_poll or self._needs_frequent_polls(self)
+        wait_ms = SHORT_POLL_WAIT_MS if close else POLL_WAIT_MS
+        if self.is_first_poll or self._newest_durable_end < self.newest_end:
             wait_ms = 0
         if self._failing_since_s is not None:
             wait_ms = 0
         began_s = steady_s()
         # A worker that does not answer gets no new lease: the one that it has must
         # end before its tasks may start elsewhere.
-        deadline_ms = self.grant() if self._failing_since_s is None else None
+        deadline_ms = self.grant_lease() if self._failing_since_s is None else None
         result = self._port.renew_and_list(
-            self.worker, self._token, self._durable, deadline_ms, wait_ms
+            self.worker, self._token, self._newest_durable_end, deadline_ms, wait_ms
         )
         if self.is_stopped:
             return
@@ -129,22 +129,22 @@
         if isinstance(result, CallReply):
             outcome = result.outcome.value
         took_s = max(0.0, steady_s() - began_s - wait_ms / 1000)
-        metrics.LOOK_SECONDS.labels(outcome).observe(took_s)
+        metrics.POLL_SECONDS.labels(outcome).observe(took_s)
         if isinstance(result, CallReply):
             self._note_failure(result)
             return
         self._note_success(result)
         commit = self._on_lists(self, result, began_s)
-        self.is_first_listing = False
+        self.is_first_poll = False
         if self.is_stopped:
             return
         if commit is not None:
             self._commit = commit
-        if self._durable == self.taken:
+        if self._newest_durable_end == self.newest_end:
             return
         # Ends taken over earlier may still wait for the commit of an earlier look.
         if self._commit is None or self._commit.wait(DURABLE_WAIT_S):
-            self._durable = self.taken
+            self._newest_durable_end = self.newest_end
 
     def _note_success(self, lists: TaskLists) -> None:
         self.reached_s = steady_s()
@@ -172,6 +172,6 @@
         gevent.sleep(FAILURE_PAUSE_S)
 
 
-def _lease_at_most_s() -> float:
+def _max_lease_s() -> float:
     """Return how long after its request a lease lasts at most by our clock."""
     return WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -60,7 +60,7 @@
         self._sequence = 0
         self._value_by_key: dict[str, bytes] = {}
         self._commit = Commit()
-        self._work = Event()
+        self._has_records = Event()
         self.is_fenced = False
 
     @property
@@ -83,18 +83,18 @@
         """Hand over records to be written."""
         for record in records:
             self._value_by_key[record.key] = record.value
-        self._work.set()
+        self._has_records.set()
         return self._commit
 
     def run(self) -> None:
         """Write and renew until the leader is fenced."""
         while not self.is_fenced:
-            self._work.wait(RENEWAL_S)
-            self._work.clear()
+            self._has_records.wait(RENEWAL_S)
+            self._has_records.clear()
             keys = list(self._value_by_key)[:MAX_RECORDS]
             batch = [Record(key, self._value_by_key.pop(key)) for key in keys]
             if self._value_by_key:
-                self._work.set()
+                self._has_records.set()
                 commit = Commit()
             else:
                 commit, self._commit = self._commit, Commit()
--- a/libs/coordinator/tests/conftest.py
+++ b/libs/coordinator/tests/conftest.py
@@ -1,12 +1,12 @@
 """Shared fixtures of the coordinator's tests."""
 
 import pytest
-from libs.coordinator.tests.fakes import World
+from libs.coordinator.tests.fakes import FakeCluster
 
 
 @pytest.fixture
-def world():
+def cluster():
     """A world of two workers without faults."""
-    world = World()
-    yield world
-    world.close()
+    cluster = FakeCluster()
+    yield cluster
+    cluster.close()
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -48,7 +48,7 @@
 
 ID = "0" * 16
 # Time that a look takes on its way: other greenlets act meanwhile.
-LOOK_S = 0.03
+POLL_S = 0.03
 # Time that a leader's append takes.
 APPEND_S = 0.03
 
@@ -113,10 +113,10 @@
         end = len(kept)
         return RecordsRead(tuple(sorted(newest.values())), end, end)
 
-    def claim_lead(self, at: int, instance: str) -> AppendResult:
+    def claim_lead(self, worker: int, instance: str) -> AppendResult:
         if self.is_down:
             return AppendUnknown("no answer in time")
-        if at != self._claims:
+        if worker != self._claims:
             return ConditionFailed(self._claims)
         self._claims += 1
         return Appended(self._claims)
@@ -145,7 +145,7 @@
 
     running: dict[TaskKey, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
-    barred: dict[TaskKey, int] = field(default_factory=dict)
+    last_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
     percent: int = 50
     seen: int = 0
     count: int = 0
@@ -163,17 +163,17 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, FakeWorker] = {}
-        self.begun: list[tuple[str, TaskKey, int]] = []
+        self.started: list[tuple[str, TaskKey, int]] = []
         # Start that all workers state; 0 for the one of their reports.
         self.started_ms = 0
 
-    def at(self, worker_id: str) -> FakeWorker:
+    def worker(self, worker_id: str) -> FakeWorker:
         return self.by_id.setdefault(worker_id, FakeWorker())
 
     def start(
         self, worker: Worker, start: Start, token: int, deadline_ms: int, ticket: str
     ) -> CallReply:
-        fake = self.at(worker.worker_id)
+        fake = self.worker(worker.worker_id)
         if fake.is_silent:
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
@@ -188,22 +188,22 @@
 
     def carry_out(self, worker_id: str, start: Start) -> CallOutcome:
         """Begin a run unless a stop or an end has barred it."""
-        fake = self.at(worker_id)
-        if start.run <= fake.barred.get(start.task, 0):
+        fake = self.worker(worker_id)
+        if start.run <= fake.last_run_by_task.get(start.task, 0):
             return CallOutcome.OLD_RUN
         if start.task not in fake.running:
             fake.running[start.task] = start.run
-            self.begun.append((worker_id, start.task, start.run))
+            self.started.append((worker_id, start.task, start.run))
         return CallOutcome.DONE
 
     def stop(self, worker: Worker, task: str, run: int, token: int) -> CallReply:
-        fake = self.at(worker.worker_id)
+        fake = self.worker(worker.worker_id)
         if fake.is_silent:
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
         key = TaskKey.parse(task)
-        fake.barred[key] = max(run, fake.barred.get(key, 0))
+        fake.last_run_by_task[key] = max(run, fake.last_run_by_task.get(key, 0))
         if fake.running.get(key) == run:
             self.end(worker.worker_id, key, EndKind.STOPPED)
         return CallReply(CallOutcome.DONE)
@@ -221,8 +221,8 @@
         deadline_ms: int | None,
         wait_ms: int,
     ) -> TaskLists | CallReply:
-        fake = self.at(worker.worker_id)
-        gevent.sleep(LOOK_S)
+        fake = self.worker(worker.worker_id)
+        gevent.sleep(POLL_S)
         if fake.is_silent:
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
@@ -246,9 +246,9 @@
         self, worker_id: str, task: TaskKey, kind: EndKind, checkpoint: str = ""
     ) -> None:
         """Let a run end."""
-        fake = self.at(worker_id)
+        fake = self.worker(worker_id)
         run = fake.running.pop(task)
-        fake.barred[task] = max(run, fake.barred.get(task, 0))
+        fake.last_run_by_task[task] = max(run, fake.last_run_by_task.get(task, 0))
         fake.count += 1
         fake.ended.append(EndedTask(fake.count, task, run, kind, checkpoint))
 
@@ -297,7 +297,7 @@
     return Job(job_id, "queue", "red", "spec", steps or (Step(1, 1000),), 1)
 
 
-class World:
+class FakeCluster:
     """A store, workers and the leaders that act on them."""
 
     def __init__(self, workers: int = 2) -> None:
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -7,7 +7,7 @@
 from libs.coordinator.tests.fakes import ID, FakeStore, make_job, wait_until
 
 from lycheeloom.coordinator.clock import steady_s
-from lycheeloom.coordinator.intake import PATIENCE_S, Intake, Verdict
+from lycheeloom.coordinator.intake import ANSWER_TIMEOUT_S, Intake, Verdict
 from lycheeloom.coordinator.ports import (
     APPEND_TIMEOUT_S,
     AppendUnknown,
@@ -80,7 +80,7 @@
     store.failures = [NotAppended("status 503")]
     began_s = steady_s()
     assert intake.submit(make_job()).verdict is Verdict.NOT_ACCEPTED
-    assert steady_s() - began_s < PATIENCE_S
+    assert steady_s() - began_s < ANSWER_TIMEOUT_S
     assert store.read(Log.CALLERS, 0, 0.0).end == 0
 
 
--- a/libs/coordinator/tests/test_leader_tasks.py
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -41,45 +41,45 @@
         return Advice({"w1": "ticket"}, 3.0)
 
 
-def with_advice(world):
+def with_advice(cluster):
     """Let the world's queue need advice."""
-    policy = world.view.policy
+    policy = cluster.view.policy
     queue = dataclasses.replace(
         policy.queue_by_name["queue"], advice=AdviceTerms(1.0, 1.0, 3_000.0)
     )
-    world.view.policy = dataclasses.replace(policy, queue_by_name={"queue": queue})
+    cluster.view.policy = dataclasses.replace(policy, queue_by_name={"queue": queue})
 
 
-def test_step_starts_where_the_advice_allows(world):
+def test_step_starts_where_the_advice_allows(cluster):
     """Guards against a step that never starts after advice was refused once."""
-    with_advice(world)
-    world.store.add_job(make_job(ID, Step(2, 1000)))
-    dispatcher = world.lead()
+    with_advice(cluster)
+    cluster.store.add_job(make_job(ID, Step(2, 1000)))
+    dispatcher = cluster.lead()
     advice = FakeAdvice(failures=1)
-    world.spawn(Advisor(dispatcher, advice).run)
-    wait_until(lambda: len(world.workers.begun) == 2)
-    assert {worker for worker, _, _ in world.workers.begun} == {"w1"}
+    cluster.spawn(Advisor(dispatcher, advice).run)
+    wait_until(lambda: len(cluster.workers.started) == 2)
+    assert {worker for worker, _, _ in cluster.workers.started} == {"w1"}
     assert {step for step, _ in advice.asked} == {f"{ID}.0.0"}
 
 
-def test_filling_task_rests_beside_a_service_over_its_target(world, monkeypatch):
+def test_filling_task_rests_beside_a_service_over_its_target(cluster, monkeypatch):
     """Guards against harm that lasts since nobody slows the filling tasks."""
     steps = (
         Step(1, 1000, long_running=True, target_ms=20, image="serve"),
         Step(1, 1000, long_running=True, fills=True, image="fill"),
     )
-    world.view.worker_by_id.pop("w1")
+    cluster.view.worker_by_id.pop("w1")
     paces: list[int] = []
     monkeypatch.setattr(
-        world.workers,
+        cluster.workers,
         "pace",
         lambda worker, task, run, percent, token: (
             paces.append(percent) or CallReply(CallOutcome.DONE)
         ),
     )
-    renew_and_list = world.workers.renew_and_list
+    renew_and_list = cluster.workers.renew_and_list
 
-    def slow_hold(*args):
+    def list_over_target(*args):
         lists = renew_and_list(*args)
         rows = tuple(
             RunningTask(r.task, r.run, "", 100, 50.0 if r.task.step == 0 else 1.0)
@@ -87,10 +87,10 @@
         )
         return dataclasses.replace(lists, running=rows)
 
-    monkeypatch.setattr(world.workers, "hold", slow_hold)
-    world.store.add_job(make_job(ID, *steps))
-    dispatcher = world.lead()
-    world.spawn(Pacer(dispatcher, world.workers).run)
+    monkeypatch.setattr(cluster.workers, "renew_and_list", list_over_target)
+    cluster.store.add_job(make_job(ID, *steps))
+    dispatcher = cluster.lead()
+    cluster.spawn(Pacer(dispatcher, cluster.workers).run)
     wait_until(lambda: 0 in paces)
     assert paces == sorted(paces, reverse=True)
 
@@ -98,13 +98,13 @@
 class FakeMoves:
     """Instances that change their pool at once."""
 
-    def __init__(self, world) -> None:
-        self._world = world
+    def __init__(self, cluster) -> None:
+        self._cluster = cluster
         self.moves: list[tuple[str, str]] = []
 
     def list_instances(self):
         standby = (Instance("m-off", "off", InstanceState.UP, "zone-a", ""),)
-        workers = self._world.view.worker_by_id.values()
+        workers = self._cluster.view.worker_by_id.values()
         return standby + tuple(
             Instance(f"m-{w.worker_id}", w.pool, InstanceState.UP, w.zone, w.worker_id)
             for w in workers
@@ -113,80 +113,82 @@
     def move(self, instance_id, pool, token):
         self.moves.append((instance_id, pool))
         if instance_id == "m-off":
-            self._world.view.worker_by_id["w9"] = make_worker(9, pool)
+            self._cluster.view.worker_by_id["w9"] = make_worker(9, pool)
         return CallReply(CallOutcome.DONE)
 
 
-def set_pools(world) -> None:
+def set_pools(cluster) -> None:
     """Give the policy a pool of instances that are off."""
     pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
-    world.view.policy = dataclasses.replace(world.view.policy, pool_by_name=pools)
+    cluster.view.policy = dataclasses.replace(cluster.view.policy, pool_by_name=pools)
 
 
-def move_instances(world, dispatcher, port, lease_s=0.0) -> None:
+def move_instances(cluster, dispatcher, port, lease_s=0.0) -> None:
     """Let a leader move instances; a lease tells that there was one before."""
     inventory = Inventory(port, dispatcher.writer)
-    turns = OrderGuard(dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0)
+    order_guard = OrderGuard(
+        dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0
+    )
     moves = PoolMoves(
-        dispatcher, inventory, turns, port, lambda instance_id: False, 0.2
+        dispatcher, inventory, order_guard, port, lambda instance_id: False, 0.2
     )
-    world.spawn(inventory.run)
-    world.spawn(moves.run)
+    cluster.spawn(inventory.run)
+    cluster.spawn(moves.run)
 
 
-def test_instance_that_is_off_comes_where_work_waits(world):
+def test_instance_that_is_off_comes_where_work_waits(cluster):
     """Guards against a surge that waits beside instances that are switched off.
 
     Pattern: one queue asks for several times what its pool holds.
     """
-    set_pools(world)
-    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    dispatcher = world.lead()
-    port = FakeMoves(world)
-    move_instances(world, dispatcher, port)
+    set_pools(cluster)
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    dispatcher = cluster.lead()
+    port = FakeMoves(cluster)
+    move_instances(cluster, dispatcher, port)
     wait_until(lambda: ("m-off", "pool") in port.moves)
-    wait_until(lambda: len(world.workers.begun) == 24)
+    wait_until(lambda: len(cluster.workers.started) == 24)
     assert port.moves.count(("m-off", "pool")) == 1
 
 
-def test_new_leader_waits_before_it_orders(world):
+def test_new_leader_waits_before_it_orders(cluster):
     """Guards against orders of two leaders for one instance within its lease."""
-    set_pools(world)
-    world.store.append_order("m-off")
-    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    port = FakeMoves(world)
-    move_instances(world, world.lead(), port, lease_s=1.5)
+    set_pools(cluster)
+    cluster.store.append_order("m-off")
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeMoves(cluster)
+    move_instances(cluster, cluster.lead(), port, lease_s=1.5)
     gevent.sleep(0.7)
     assert port.moves == []
     wait_until(lambda: ("m-off", "pool") in port.moves)
 
 
-def test_new_leader_orders_what_has_not_been_ordered_lately(world):
+def test_new_leader_orders_what_has_not_been_ordered_lately(cluster):
     """Guards against a surge that waits for a lease which concerns other instances.
 
     Pattern: the leader is lost while a queue surges; most instances that are off
     have not been ordered for seconds.
     """
-    set_pools(world)
-    world.store.append_order("m-w0")
-    world.store.append_order("m-off", age_s=2 * LONG_S)
-    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    port = FakeMoves(world)
-    move_instances(world, world.lead(), port, lease_s=LONG_S)
+    set_pools(cluster)
+    cluster.store.append_order("m-w0")
+    cluster.store.append_order("m-off", age_s=2 * LONG_S)
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeMoves(cluster)
+    move_instances(cluster, cluster.lead(), port, lease_s=LONG_S)
     wait_until(lambda: ("m-off", "pool") in port.moves)
 
 
-def test_order_is_recorded_before_it_is_sent(world):
+def test_order_is_recorded_before_it_is_sent(cluster):
     """Guards against an order that a later leader does not know of."""
-    set_pools(world)
-    world.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    port = FakeMoves(world)
-    dispatcher = world.lead()
-    world.store.is_down = True
-    move_instances(world, dispatcher, port)
+    set_pools(cluster)
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeMoves(cluster)
+    dispatcher = cluster.lead()
+    cluster.store.is_down = True
+    move_instances(cluster, dispatcher, port)
     gevent.sleep(0.7)
     assert port.moves == []
-    world.store.is_down = False
+    cluster.store.is_down = False
     wait_until(lambda: ("m-off", "pool") in port.moves)
     key = key_of(Kind.ORDER, "m-off")
-    assert key in {record.key for record in world.store.records}
+    assert key in {record.key for record in cluster.store.records}
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(slots=True)
-class StepWork:
+class StepTasks:
     """One occurrence of a step."""
 
     step: Step
@@ -28,7 +28,7 @@
         return len(self.done) >= self.step.count
 
 
-class JobWork:
+class ActiveJob:
     """Tasks of a job: which wait, which are done, how often each has failed."""
 
     def __init__(self, job: Job, progress: JobProgress | None = None) -> None:
@@ -39,8 +39,8 @@
         self.highest_run = 0
         self.finished_ms = 0
         self.has_begun = False
-        self.work_by_step: dict[StepKey, StepWork] = {
-            (occurrence, number): StepWork(step, waiting=list(range(step.count)))
+        self.tasks_by_step: dict[StepKey, StepTasks] = {
+            (occurrence, number): StepTasks(step, waiting=list(range(step.count)))
             for occurrence in range(job.occurrences)
             for number, step in enumerate(job.steps)
         }
@@ -52,18 +52,18 @@
         """Tell whether no task of the job may start any more."""
         return self.state in FINAL_STATES
 
-    def startable_steps(self, now_ms: float) -> Iterator[tuple[StepKey, StepWork]]:
+    def startable_steps(self, now_ms: float) -> Iterator[tuple[StepKey, StepTasks]]:
         """Return the steps whose turn has come and that have waiting tasks."""
         if self.is_final:
             return
-        for key, work in self.work_by_step.items():
-            if not work.waiting:
+        for key, step_tasks in self.tasks_by_step.items():
+            if not step_tasks.waiting:
                 continue
             occurrence = key[0]
             if self.job.due_ms(occurrence) > now_ms:
                 continue
-            if self._predecessors_done(occurrence, work.step):
-                yield key, work
+            if self._predecessors_done(occurrence, step_tasks.step):
+                yield key, step_tasks
 
     def remaining_chain_ms(self, key: StepKey) -> float:
         """Return the estimated time from a step's start to the end of its job."""
@@ -79,8 +79,8 @@
 
     def take(self, task: TaskKey) -> int:
         """Take a task out of those that wait; returns its run number."""
-        work = self.work_by_step[task.occurrence, task.step]
-        work.waiting.remove(task.index)
+        step_tasks = self.tasks_by_step[task.occurrence, task.step]
+        step_tasks.waiting.remove(task.index)
         return self.next_run()
 
     def next_run(self) -> int:
@@ -103,25 +103,29 @@
 
     def put_back(self, task: TaskKey, checkpoint: str = "") -> None:
         """Let a task wait again after a run that did not finish it."""
-        work = self.work_by_step.get((task.occurrence, task.step))
-        if work is None or task.index in work.done or task.index in work.waiting:
+        step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
+        if (
+            step_tasks is None
+            or task.index in step_tasks.done
+            or task.index in step_tasks.waiting
+        ):
             return
         if checkpoint:
-            work.checkpoint_by_index[task.index] = checkpoint
-        work.waiting.insert(0, task.index)
+            step_tasks.checkpoint_by_index[task.index] = checkpoint
+        step_tasks.waiting.insert(0, task.index)
 
     def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
         """Note how a run ended; tells whether the job's progress has changed."""
-        work = self.work_by_step.get((task.occurrence, task.step))
-        if work is None or task.index in work.done:
+        step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
+        if step_tasks is None or task.index in step_tasks.done:
             return False
         if checkpoint and kind is not EndKind.DONE:
-            work.checkpoint_by_index[task.index] = checkpoint
-        if kind is EndKind.DONE and not work.step.long_running:
-            self._note_done(task, work)
+            step_tasks.checkpoint_by_index[task.index] = checkpoint
+        if kind is EndKind.DONE and not step_tasks.step.long_running:
+            self._note_done(task, step_tasks)
             return True
-        if kind is EndKind.FAILED and not work.step.long_running:
-            return self._note_failed(task, run, work)
+        if kind is EndKind.FAILED and not step_tasks.step.long_running:
+            return self._note_failed(task, run, step_tasks)
         return bool(checkpoint)
 
     def cancel(self) -> None:
@@ -135,36 +139,42 @@
             self.state,
             self.highest_run,
             tuple(
-                _step_progress(key, work)
-                for key, work in self.work_by_step.items()
-                if work.done or work.failures_by_index or work.checkpoint_by_index
+                _step_progress(key, step_tasks)
+                for key, step_tasks in self.tasks_by_step.items()
+                if step_tasks.done
+                or step_tasks.failures_by_index
+                or step_tasks.checkpoint_by_index
             ),
             self.finished_ms,
         )
 
-    def _note_done(self, task: TaskKey, work: StepWork) -> None:
-        members = range(work.step.count) if work.step.gang else (task.index,)
+    def _note_done(self, task: TaskKey, step_tasks: StepTasks) -> None:
+        members = (
+            range(step_tasks.step.count) if step_tasks.step.gang else (task.index,)
+        )
         for index in members:
-            work.done.add(index)
-            work.checkpoint_by_index.pop(index, None)
-            if index in work.waiting:
-                work.waiting.remove(index)
-        if not self.is_final and all(w.is_done for w in self.work_by_step.values()):
+            step_tasks.done.add(index)
+            step_tasks.checkpoint_by_index.pop(index, None)
+            if index in step_tasks.waiting:
+                step_tasks.waiting.remove(index)
+        if not self.is_final and all(w.is_done for w in self.tasks_by_step.values()):
             self.state = JobState.COMPLETED
 
-    def _note_failed(self, task: TaskKey, run: int, work: StepWork) -> bool:
-        failures = work.failures_by_index.get(task.index, TaskFailures(task.index))
+    def _note_failed(self, task: TaskKey, run: int, step_tasks: StepTasks) -> bool:
+        failures = step_tasks.failures_by_index.get(
+            task.index, TaskFailures(task.index)
+        )
         if run in failures.runs:
             return False
         failures = failures.with_run(run)
-        work.failures_by_index[task.index] = failures
+        step_tasks.failures_by_index[task.index] = failures
         limit = self.max_attempts
         if limit is not None and failures.count >= limit and not self.is_final:
             self.state = JobState.FAILED
         return True
 
     def _predecessors_done(self, occurrence: int, step: Step) -> bool:
-        return all(self.work_by_step[occurrence, n].is_done for n in step.after)
+        return all(self.tasks_by_step[occurrence, n].is_done for n in step.after)
 
     def _chain_ms(self, number: int, known: dict[int, float]) -> float:
         if number in known:
@@ -183,27 +193,29 @@
         self.finished_ms = progress.finished_ms
         self.has_begun = progress.state is not JobState.QUEUED
         for saved in progress.steps:
-            work = self.work_by_step.get((saved.occurrence, saved.step))
-            if work is None:
+            step_tasks = self.tasks_by_step.get((saved.occurrence, saved.step))
+            if step_tasks is None:
                 continue
-            work.done = _indexes(saved.done)
-            work.waiting = [i for i in work.waiting if i not in work.done]
-            work.failures_by_index = {f.index: f for f in saved.failures}
-            work.checkpoint_by_index = {
+            step_tasks.done = _indexes(saved.done)
+            step_tasks.waiting = [
+                i for i in step_tasks.waiting if i not in step_tasks.done
+            ]
+            step_tasks.failures_by_index = {f.index: f for f in saved.failures}
+            step_tasks.checkpoint_by_index = {
                 c.index: c.checkpoint for c in saved.checkpoints
             }
 
 
-def _step_progress(key: StepKey, work: StepWork) -> StepProgress:
-    bits = bytearray((work.step.count + 7) // 8)
-    for index in work.done:
+def _step_progress(key: StepKey, step_tasks: StepTasks) -> StepProgress:
+    bits = bytearray((step_tasks.step.count + 7) // 8)
+    for index in step_tasks.done:
         bits[index // 8] |= 1 << index % 8
     return StepProgress(
         key[0],
         key[1],
         bytes(bits),
-        tuple(work.failures_by_index.values()),
-        tuple(TaskCheckpoint(i, c) for i, c in work.checkpoint_by_index.items()),
+        tuple(step_tasks.failures_by_index.values()),
+        tuple(TaskCheckpoint(i, c) for i, c in step_tasks.checkpoint_by_index.items()),
     )
 
 
--- a/libs/jobs/src/lycheeloom/jobs/demand.py
+++ b/libs/jobs/src/lycheeloom/jobs/demand.py
@@ -15,8 +15,8 @@
 class PoolDemand:
     """Work that has come to each pool within the last ``RATE_WINDOW_S``.
 
-    ``instances("pool", capacity, now_s)`` returns how many instances of a capacity
-    the pool needs to keep up if work goes on coming as it does.
+    ``needed_instances("pool", capacity, now_s)`` returns how many instances of a given
+    capacity the pool needs to keep up if work continues to arrive at this rate.
     """
 
     def __init__(self) -> None:
@@ -26,15 +26,15 @@
         """Note a job that has just been accepted."""
         self._recent_by_pool[pool].append((now_s, job))
 
-    def instances(self, pool: str, capacity: Resources, now_s: float) -> float:
+    def needed_instances(self, pool: str, capacity: Resources, now_s: float) -> float:
         """Return the instances' worth of work that comes in each second."""
         recent = self._recent_by_pool[pool]
         while recent and recent[0][0] < now_s - RATE_WINDOW_S:
             recent.popleft()
-        return sum(_work_s(job, capacity) for _, job in recent) / RATE_WINDOW_S
+        return sum(_instance_s(job, capacity) for _, job in recent) / RATE_WINDOW_S
 
 
-def _work_s(job: Job, capacity: Resources) -> float:
+def _instance_s(job: Job, capacity: Resources) -> float:
     """Return the seconds for which a job's tasks fill an instance.
 
     Long-running tasks do not come again and again, and repeated jobs come when
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -13,9 +13,9 @@
 
 # A worker whose last runs failed is avoided for this long, doubled with each
 # further failure. A single failure is as likely the task's own fault.
-FAILURE_HOLD_S = 1.0
-MIN_FAILURES = 2
-MAX_FAILURE_HOLD_S = 8.0
+FAILURE_BACKOFF_S = 1.0
+MIN_CONSECUTIVE_FAILURES = 2
+MAX_FAILURE_BACKOFF_S = 8.0
 
 
 class RunState(Enum):
@@ -41,17 +41,17 @@
     organisation: str
     queue: str
     state: RunState
-    since_s: float
+    started_s: float
     checkpoint: str = ""
     percent: int = 0
     # When the percentage last changed.
-    moved_s: float = 0.0
+    progress_changed_s: float = 0.0
     latency_or_cores: float = 0.0
     pace_percent: int = 100
     # Why the run was stopped by the leader; empty if it was not.
     stop_reason: str = ""
     # A list asked for after this time that lacks the run shows that it is gone.
-    settle_after_s: float = math.inf
+    gone_if_unlisted_after_s: float = math.inf
 
 
 @dataclass(slots=True)
@@ -62,10 +62,10 @@
     run_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     # No task starts here before this time.
-    held_until_s: float = 0.0
+    backoff_until_s: float = 0.0
     consecutive_failures: int = 0
     # The newest lists of the worker are known to the present leader.
-    is_listed: bool = False
+    has_current_lists: bool = False
     # Excluded from new work: maintenance or a move is coming.
     is_cordoned: bool = False
 
@@ -75,7 +75,7 @@
         return self.worker.capacity - self.used
 
     @property
-    def lasting(self) -> Resources:
+    def long_running_need(self) -> Resources:
         """Return what long-running tasks have reserved."""
         return sum(
             (r.step.need for r in self.run_by_task.values() if r.step.long_running),
@@ -157,9 +157,11 @@
             state.consecutive_failures = 0
             return
         state.consecutive_failures += 1
-        if state.consecutive_failures < MIN_FAILURES:
+        if state.consecutive_failures < MIN_CONSECUTIVE_FAILURES:
             return
-        hold_s = FAILURE_HOLD_S * 2 ** (state.consecutive_failures - MIN_FAILURES)
-        state.held_until_s = max(
-            state.held_until_s, now_s + min(hold_s, MAX_FAILURE_HOLD_S)
+        backoff_s = FAILURE_BACKOFF_S * 2 ** (
+            state.consecutive_failures - MIN_CONSECUTIVE_FAILURES
+        )
+        state.backoff_until_s = max(
+            state.backoff_until_s, now_s + min(backoff_s, MAX_FAILURE_BACKOFF_S)
         )
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -23,7 +23,7 @@
     )
 
 
-def candidates(
+def eligible_workers(
     fleet: Fleet,
     pool: str,
     step: Step,
@@ -35,11 +35,11 @@
         state
         for state in fleet.state_by_id.values()
         if state.worker.pool == pool
-        and state.is_listed
+        and state.has_current_lists
         and not state.is_cordoned
         and not state.worker.draining
         and state.worker.zone not in zones_out_of_service
-        and state.held_until_s <= now_s
+        and state.backoff_until_s <= now_s
         and (not step.label or step.label in state.worker.labels)
     ]
 
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -8,14 +8,14 @@
 
 from lycheeloom.model.resources import Resources
 
-from .active_job import JobWork, StepKey, StepWork
+from .active_job import ActiveJob, StepKey, StepTasks
 from .fleet import Fleet, WorkerState
 from .model import Policy, Queue, Step, TaskKey
-from .placement import candidates, choose_gang, choose_worker, tasks_by_worker
+from .placement import choose_gang, choose_worker, eligible_workers, tasks_by_worker
 
 # Jobs that cannot meet their objective any more go behind the others, until
 # they have waited this long; then age alone decides, so that none starves.
-MAX_YIELD_S = 6.0
+MAX_LATE_DEFERRAL_S = 6.0
 # Jobs of an organisation beyond its weight a second go behind those within it.
 RATE_WINDOW_S = 4.0
 
@@ -35,11 +35,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Turn:
+class _RankedStep:
     rank: tuple[float, ...]
-    work: JobWork
+    active_job: ActiveJob
     key: StepKey
-    step_work: StepWork
+    step_tasks: StepTasks
     queue: Queue
 
 
@@ -49,32 +49,32 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         # Workers on which a task has failed.
-        self.failed_on_by_task: dict[TaskKey, set[str]] = defaultdict(set)
-        self._excess_by_job: dict[str, bool] = {}
+        self.failed_workers_by_task: dict[TaskKey, set[str]] = defaultdict(set)
+        self._exceeds_rate_by_job: dict[str, bool] = {}
         self._recent_by_organisation: dict[str, list[float]] = defaultdict(list)
 
-    def note_job(self, work: JobWork, policy: Policy) -> None:
+    def note_job(self, active_job: ActiveJob, policy: Policy) -> None:
         """Note a new job, for the rate at which its organisation submits."""
-        organisation = policy.organisation_by_name.get(work.job.organisation)
+        organisation = policy.organisation_by_name.get(active_job.job.organisation)
         if organisation is None:
             return
-        at_s = work.job.accepted_ms / 1000
+        at_s = active_job.job.accepted_ms / 1000
         recent = self._recent_by_organisation[organisation.name]
         recent.append(at_s)
         while recent and recent[0] < at_s - RATE_WINDOW_S:
             recent.pop(0)
         allowed = max(1.0, organisation.weight * RATE_WINDOW_S)
-        self._excess_by_job[work.job.job_id] = len(recent) > allowed
+        self._exceeds_rate_by_job[active_job.job.job_id] = len(recent) > allowed
 
     def forget_job(self, job_id: str) -> None:
         """Drop what is kept about a job that has ended."""
-        self._excess_by_job.pop(job_id, None)
-        for task in [t for t in self.failed_on_by_task if t.job_id == job_id]:
-            del self.failed_on_by_task[task]
+        self._exceeds_rate_by_job.pop(job_id, None)
+        for task in [t for t in self.failed_workers_by_task if t.job_id == job_id]:
+            del self.failed_workers_by_task[task]
 
     def plan(
         self,
-        works: Iterable[JobWork],
+        active_jobs: Iterable[ActiveJob],
         policy: Policy,
         zones_out_of_service: Collection[str],
         now_s: float,
@@ -85,120 +85,144 @@
 
         ``now_s`` is the leader's steady clock, ``now_ms`` the time since 1970.
         """
-        turns = [
-            _Turn(self._rank(work, queue, key, now_ms), work, key, step_work, queue)
-            for work in works
-            if (queue := policy.queue_by_name.get(work.job.queue)) is not None
-            for key, step_work in work.startable_steps(now_ms)
+        ranked_steps = [
+            _RankedStep(
+                self._rank(active_job, queue, key, now_ms),
+                active_job,
+                key,
+                step_tasks,
+                queue,
+            )
+            for active_job in active_jobs
+            if (queue := policy.queue_by_name.get(active_job.job.queue)) is not None
+            for key, step_tasks in active_job.startable_steps(now_ms)
         ]
-        turns.sort(key=lambda turn: turn.rank)
+        ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
-        reserved = _Reservations(self._fleet)
+        reservations = _Reservations(self._fleet)
         # Pools without room for a need of this size are not searched again.
-        full: dict[str, Resources] = {}
-        for turn in turns:
+        unplaceable_need_by_pool: dict[str, Resources] = {}
+        for ranked in ranked_steps:
             starts.extend(
                 self._plan_step(
-                    turn, policy, zones_out_of_service, now_s, reserved, full, advised
+                    ranked,
+                    policy,
+                    zones_out_of_service,
+                    now_s,
+                    reservations,
+                    unplaceable_need_by_pool,
+                    advised,
                 )
             )
-        reserved.release()
+        reservations.release()
         return starts
 
     def _rank(
-        self, work: JobWork, queue: Queue, key: StepKey, now_ms: float
+        self, active_job: ActiveJob, queue: Queue, key: StepKey, now_ms: float
     ) -> tuple[float, ...]:
-        job = work.job
+        job = active_job.job
         begins_ms = max(job.accepted_ms, job.due_ms(key[0]))
-        objective_ms = queue.stretch * work.chain_ms() + queue.target_latency_ms
+        objective_ms = queue.stretch * active_job.chain_ms() + queue.target_latency_ms
         deadline_ms = begins_ms + objective_ms
-        slack_ms = deadline_ms - now_ms - work.remaining_chain_ms(key)
+        slack_ms = deadline_ms - now_ms - active_job.remaining_chain_ms(key)
         waited_s = (now_ms - begins_ms) / 1000
-        is_late = slack_ms < 0 and waited_s < MAX_YIELD_S
+        is_late = slack_ms < 0 and waited_s < MAX_LATE_DEFERRAL_S
         step = job.steps[key[1]]
         if step.long_running:
             return (queue.priority, 0, 0, begins_ms)
-        is_excess = self._excess_by_job.get(job.job_id, False)
-        return (queue.priority, is_excess, is_late, deadline_ms)
+        exceeds_rate = self._exceeds_rate_by_job.get(job.job_id, False)
+        return (queue.priority, exceeds_rate, is_late, deadline_ms)
 
     def _plan_step(
         self,
-        turn: _Turn,
+        ranked: _RankedStep,
         policy: Policy,
         zones_out_of_service: Collection[str],
         now_s: float,
-        reserved: _Reservations,
-        full: dict[str, Resources],
+        reservations: _Reservations,
+        unplaceable_need_by_pool: dict[str, Resources],
         advised: AdvisedWorkers | None,
     ) -> list[Start]:
-        step, pool = turn.step_work.step, turn.queue.pool
-        least = full.get(pool)
-        is_narrow = step.label or step.max_per_worker or step.gang
+        step, pool = ranked.step_tasks.step, ranked.queue.pool
+        unplaceable_need = unplaceable_need_by_pool.get(pool)
+        is_restricted = step.label or step.max_per_worker or step.gang
         # Only a step that may run on every worker shows that the pool is full.
-        plain = not is_narrow and turn.queue.advice is None
-        if least is not None and plain and _covers(step.need, least):
+        runs_anywhere = not is_restricted and ranked.queue.advice is None
+        if (
+            unplaceable_need is not None
+            and runs_anywhere
+            and _is_at_least(step.need, unplaceable_need)
+        ):
             return []
-        states = candidates(self._fleet, pool, step, zones_out_of_service, now_s)
-        if turn.queue.advice is not None and advised is not None:
-            states = advised.filter(turn.work.job.job_id, turn.key, states)
+        states = eligible_workers(self._fleet, pool, step, zones_out_of_service, now_s)
+        if ranked.queue.advice is not None and advised is not None:
+            states = advised.filter(ranked.active_job.job.job_id, ranked.key, states)
         if not states:
             return []
         if step.gang:
-            return self._plan_gang(turn, policy, states, reserved)
+            return self._plan_gang(ranked, policy, states, reservations)
         starts = []
         counts: Counter[str] = Counter()
         if step.max_per_worker:
-            counts = tasks_by_worker(self._fleet, turn.work.job.job_id, *turn.key)
-        for index in list(turn.step_work.waiting):
-            if not reserved.allows(policy, turn.work.job.organisation, step):
+            counts = tasks_by_worker(
+                self._fleet, ranked.active_job.job.job_id, *ranked.key
+            )
+        for index in list(ranked.step_tasks.waiting):
+            if not reservations.allows(
+                policy, ranked.active_job.job.organisation, step
+            ):
                 break
-            task = TaskKey(turn.work.job.job_id, *turn.key, index)
-            avoid = self.failed_on_by_task.get(task, ())
+            task = TaskKey(ranked.active_job.job.job_id, *ranked.key, index)
+            avoid = self.failed_workers_by_task.get(task, ())
             state = choose_worker(states, step, counts, avoid)
             if state is None:
-                if plain:
-                    full[pool] = step.need
+                if runs_anywhere:
+                    unplaceable_need_by_pool[pool] = step.need
                 break
             counts[state.worker.worker_id] += 1
-            starts.append(self._start(turn, task, state, turn.work.take(task)))
-            reserved.add(turn.work.job.organisation, step, state)
+            starts.append(
+                self._start(ranked, task, state, ranked.active_job.take(task))
+            )
+            reservations.add(ranked.active_job.job.organisation, step, state)
         return starts
 
     def _plan_gang(
         self,
-        turn: _Turn,
+        ranked: _RankedStep,
         policy: Policy,
         states: list[WorkerState],
-        reserved: _Reservations,
+        reservations: _Reservations,
     ) -> list[Start]:
-        step, work = turn.step_work.step, turn.work
-        if len(turn.step_work.waiting) < step.count:
+        step, active_job = ranked.step_tasks.step, ranked.active_job
+        if len(ranked.step_tasks.waiting) < step.count:
             return []
-        organisation = work.job.organisation
-        if not reserved.allows(policy, organisation, step, step.count):
+        organisation = active_job.job.organisation
+        if not reservations.allows(policy, organisation, step, step.count):
             return []
-        choice = choose_gang(states, step, sorted(turn.step_work.waiting))
+        choice = choose_gang(states, step, sorted(ranked.step_tasks.waiting))
         if choice is None:
             return []
-        run = work.next_run()
+        run = active_job.next_run()
         starts = []
         for index, state in choice.items():
-            task = TaskKey(work.job.job_id, *turn.key, index)
-            turn.step_work.waiting.remove(index)
-            starts.append(self._start(turn, task, state, run))
-            reserved.add(organisation, step, state)
+            task = TaskKey(active_job.job.job_id, *ranked.key, index)
+            ranked.step_tasks.waiting.remove(index)
+            starts.append(self._start(ranked, task, state, run))
+            reservations.add(organisation, step, state)
         return starts
 
-    def _start(self, turn: _Turn, task: TaskKey, state: WorkerState, run: int) -> Start:
-        job, saved = turn.work.job, turn.step_work.checkpoint_by_index
+    def _start(
+        self, ranked: _RankedStep, task: TaskKey, state: WorkerState, run: int
+    ) -> Start:
+        job, saved = ranked.active_job.job, ranked.step_tasks.checkpoint_by_index
         checkpoint = saved.get(task.index, "")
-        if turn.step_work.step.gang:
+        if ranked.step_tasks.step.gang:
             checkpoint = next(iter(saved.values()), "")
         return Start(
             task,
             run,
             state.worker.worker_id,
-            turn.step_work.step,
+            ranked.step_tasks.step,
             job.organisation,
             job.queue,
             job.specification,
@@ -264,9 +288,9 @@
         return self._fleet.used_by_organisation[name] if used is None else used
 
 
-def _covers(need: Resources, least: Resources) -> bool:
+def _is_at_least(need: Resources, unplaceable_need: Resources) -> bool:
     return (
-        need.cores >= least.cores
-        and need.memory_mb >= least.memory_mb
-        and need.accelerators >= least.accelerators
+        need.cores >= unplaceable_need.cores
+        and need.memory_mb >= unplaceable_need.memory_mb
+        and need.accelerators >= unplaceable_need.accelerators
     )
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -9,20 +9,20 @@
 
 from lycheeloom.model.resources import Resources
 
-from .active_job import JobWork
+from .active_job import ActiveJob
 from .model import Policy
 
 # Work that waits is to be done within this time; a move takes about as long.
-BACKLOG_S = 1.5
+BACKLOG_TARGET_S = 1.5
 # Less waiting work than this, in instance-seconds, moves nothing.
-MIN_BACKLOG = 0.4
+MIN_BACKLOG_INSTANCE_S = 0.4
 # An instance without work for this long is switched off. Being on for one second
 # costs about as much as a move.
-PARK_IDLE_S = 1.5
+SWITCH_OFF_IDLE_S = 1.5
 # Part of an instance that tasks of different sizes fill.
-FILLED_PART = 0.85
+PACKING_FRACTION = 0.85
 # Part of a pool that has to stay free after an instance is switched off.
-FREE_MARGIN = 0.25
+MIN_FREE_FRACTION = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,20 +46,20 @@
     """Use of a pool in instances' worth of its scarcest resource."""
 
     used: float
-    waiting: float
+    backlog: float
     # Instances on their way to the pool.
     arriving: int = 0
     # Instances that tasks which avoid each other need.
-    least: int = 1
+    min_instances: int = 1
     # Use by long-running tasks alone.
-    lasting: float = 0.0
+    long_running_use: float = 0.0
     # Work that comes in each second.
-    offered: float = 0.0
+    offered_load: float = 0.0
 
     @property
-    def kept_up(self) -> float:
+    def instances_to_keep_up(self) -> float:
         """Return the instances that keep up with the work that comes in."""
-        return self.lasting + self.offered / FILLED_PART
+        return self.long_running_use + self.offered_load / PACKING_FRACTION
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,44 +77,46 @@
     size: int
 
 
-def waiting_by_pool(
-    works: Iterable[JobWork],
+def backlog_by_pool(
+    active_jobs: Iterable[ActiveJob],
     policy: Policy,
     capacity_by_pool: Mapping[str, Resources],
     now_ms: float,
 ) -> dict[str, float]:
     """Return the instance-seconds of work that waits in each pool.
 
-    Long-running tasks count as if they ran for ``BACKLOG_S``, so that one
+    Long-running tasks count as if they ran for ``BACKLOG_TARGET_S``, so that one
     instance is asked for when they fill one.
     """
     waiting: Counter[str] = Counter()
-    for work in works:
-        queue = policy.queue_by_name.get(work.job.queue)
+    for active_job in active_jobs:
+        queue = policy.queue_by_name.get(active_job.job.queue)
         capacity = capacity_by_pool.get(queue.pool) if queue else None
         if queue is None or capacity is None:
             continue
-        for _, step_work in work.startable_steps(now_ms):
-            step = step_work.step
-            run_s = BACKLOG_S if step.long_running else step.estimated_ms / 1000
+        for _, step_tasks in active_job.startable_steps(now_ms):
+            step = step_tasks.step
+            run_s = BACKLOG_TARGET_S if step.long_running else step.estimated_ms / 1000
             share = step.need.dominant_share(capacity)
-            waiting[queue.pool] += share * run_s * len(step_work.waiting)
+            waiting[queue.pool] += share * run_s * len(step_tasks.waiting)
     return dict(waiting)
 
 
-def least_by_pool(works: Iterable[JobWork], policy: Policy) -> dict[str, int]:
+def min_instances_by_pool(
+    active_jobs: Iterable[ActiveJob], policy: Policy
+) -> dict[str, int]:
     """Return how many workers the steps that spread their tasks need."""
-    least: dict[str, int] = {}
-    for work in works:
-        queue = policy.queue_by_name.get(work.job.queue)
+    min_instances: dict[str, int] = {}
+    for active_job in active_jobs:
+        queue = policy.queue_by_name.get(active_job.job.queue)
         if queue is None:
             continue
-        for step in work.job.steps:
+        for step in active_job.job.steps:
             if not step.max_per_worker:
                 continue
             needed = math.ceil(step.count / step.max_per_worker)
-            least[queue.pool] = max(least.get(queue.pool, 1), needed)
-    return least
+            min_instances[queue.pool] = max(min_instances.get(queue.pool, 1), needed)
+    return min_instances
 
 
 def choose_moves(
@@ -127,14 +129,14 @@
     Instances that are switched off go first; idle ones of pools without waiting
     work follow.
     """
-    stock = _Stock(instances, load_by_pool, standby_pools)
-    moves = _moves_to_work(stock)
+    movable = _MovableInstances(instances, load_by_pool, standby_pools)
+    moves = _moves_into_pools(movable)
     if standby_pools:
-        moves += _moves_off(stock, instances, sorted(standby_pools)[0])
+        moves += _moves_to_standby(movable, instances, sorted(standby_pools)[0])
     return moves
 
 
-class _Stock:
+class _MovableInstances:
     """Instances that can be taken, and the sizes of pools as they are taken."""
 
     def __init__(
@@ -155,72 +157,72 @@
             if i.pool not in standby_pools
             and i.may_move
             and i.idle_s > 0
-            and not self.load_of(i.pool).waiting
+            and not self.load_of(i.pool).backlog
         ]
 
     def load_of(self, pool: str) -> PoolLoad:
         return self.load_by_pool.get(pool, PoolLoad(0, 0))
 
-    def take(self) -> PoolInstance | None:
+    def take_instance(self) -> PoolInstance | None:
         """Take an instance that is switched off, or else an idle one."""
         if self._spare:
             return self._spare.pop(0)
         for instance in self.idle:
-            if self.give_up(instance):
+            if self.release(instance):
                 self.idle.remove(instance)
                 return instance
         return None
 
-    def give_up(self, instance: PoolInstance) -> bool:
+    def release(self, instance: PoolInstance) -> bool:
         """Count an instance out of its pool if the pool can spare it."""
         pool = instance.pool
         load = self.load_of(pool)
         left = self.size_by_pool[pool] - 1
-        used = max(load.used, load.kept_up)
-        if left < load.least or used > left * (1 - FREE_MARGIN):
+        used = max(load.used, load.instances_to_keep_up)
+        if left < load.min_instances or used > left * (1 - MIN_FREE_FRACTION):
             return False
         self.size_by_pool[pool] = left
         return True
 
 
-def _moves_to_work(stock: _Stock) -> list[Move]:
+def _moves_into_pools(movable: _MovableInstances) -> list[Move]:
     moves: list[Move] = []
-    by_need = sorted(stock.load_by_pool.items(), key=lambda item: -item[1].waiting)
+    by_need = sorted(movable.load_by_pool.items(), key=lambda item: -item[1].backlog)
     for pool, load in by_need:
-        if pool in stock.standby_pools:
+        if pool in movable.standby_pools:
             continue
-        size = stock.size_by_pool[pool]
-        for _ in range(max(0, _missing(load, size) - load.arriving)):
-            source = stock.take()
+        size = movable.size_by_pool[pool]
+        for _ in range(max(0, _missing_instances(load, size) - load.arriving)):
+            source = movable.take_instance()
             if source is None:
                 return moves
             moves.append(Move(source.instance_id, pool, "work waits", load, size))
     return moves
 
 
-def _missing(load: PoolLoad, size: int) -> int:
+def _missing_instances(load: PoolLoad, size: int) -> int:
     """Return how many more instances a pool needs for its work."""
-    missing = max(load.least, math.ceil(load.kept_up)) - size
-    if load.waiting >= MIN_BACKLOG:
-        missing = max(missing, math.ceil(load.waiting / BACKLOG_S))
+    missing = max(load.min_instances, math.ceil(load.instances_to_keep_up)) - size
+    if load.backlog >= MIN_BACKLOG_INSTANCE_S:
+        missing = max(missing, math.ceil(load.backlog / BACKLOG_TARGET_S))
     return missing
 
 
-def _moves_off(
-    stock: _Stock, instances: Collection[PoolInstance], off_pool: str
+def _moves_to_standby(
+    movable: _MovableInstances, instances: Collection[PoolInstance], standby_pool: str
 ) -> list[Move]:
-    useless = [
+    unusable = [
         i
         for i in instances
-        if not i.is_usable and i.may_move and i.pool not in stock.standby_pools
+        if not i.is_usable and i.may_move and i.pool not in movable.standby_pools
     ]
     moves: list[Move] = []
-    for instance in (*stock.idle, *useless):
-        if instance.idle_s < PARK_IDLE_S:
+    for instance in (*movable.idle, *unusable):
+        if instance.idle_s < SWITCH_OFF_IDLE_S:
             continue
         pool = instance.pool
-        size = stock.size_by_pool[pool]
-        if not instance.is_usable or stock.give_up(instance):
-            load = stock.load_of(pool)
-            moves.append(Move(instance.instance_id, off_pool, "idle", load, size))
+        size = movable.size_by_pool[pool]
+        if not instance.is_usable or movable.release(instance):
+            load = movable.load_of(pool)
+            moves.append(Move(instance.instance_id, standby_pool, "idle", load, size))
     return moves
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Applied:
+class AppliedRecord:
     """What a record changed; ``name`` is the job, wave or instance it concerns."""
 
     kind: Kind
@@ -55,22 +55,22 @@
         self.begun_by_wave: dict[str, frozenset[str]] = {}
         self.ordered_ms_by_instance: dict[str, int] = {}
         self.leader: LeaderRecord | None = None
-        self.unreadable = 0
+        self.unreadable_records = 0
         self._offset_by_key: dict[str, int] = {}
 
-    def apply(self, offset: int, record: Record) -> Applied | None:
+    def apply(self, offset: int, record: Record) -> AppliedRecord | None:
         """Apply a record; None if an older one or one that cannot be read."""
         if offset <= self._offset_by_key.get(record.key, -1):
             return None
         kind = _kind_of(record.key)
         if kind is None:
-            self.unreadable += 1
+            self.unreadable_records += 1
             return None
         name = record.key[1:]
         self._offset_by_key[record.key] = offset
         if not record.value:
             self._remove(kind, name)
-            return Applied(kind, name)
+            return AppliedRecord(kind, name)
         return self._store(kind, name, record.value)
 
     def waiting_jobs(self, queue: str) -> int:
@@ -82,7 +82,7 @@
             for entry in self.entry_by_id.values()
         )
 
-    def _store(self, kind: Kind, name: str, value: bytes) -> Applied | None:
+    def _store(self, kind: Kind, name: str, value: bytes) -> AppliedRecord | None:
         match kind:
             case Kind.JOB:
                 decoded = decode(Job, value)
@@ -90,7 +90,7 @@
                     self._entry(name).job = decoded
             case Kind.CANCELLATION:
                 self._entry(name).cancelled = True
-                return Applied(kind, name)
+                return AppliedRecord(kind, name)
             case Kind.PROGRESS:
                 decoded = decode(JobProgress, value)
                 if decoded is not None:
@@ -108,9 +108,9 @@
                 if decoded is not None:
                     self.begun_by_wave[name] = frozenset(decoded.begun)
         if decoded is None:
-            self.unreadable += 1
+            self.unreadable_records += 1
             return None
-        return Applied(kind, name)
+        return AppliedRecord(kind, name)
 
     def _remove(self, kind: Kind, name: str) -> None:
         if kind is Kind.WAVE:
--- a/libs/jobs/src/lycheeloom/jobs/waves.py
+++ b/libs/jobs/src/lycheeloom/jobs/waves.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 
 # Part of a wave's time after which all of its instances should have begun.
-DUE_PART = 0.75
+BEGIN_FRACTION = 0.75
 # Instances of one pool that are away at once while the wave is on time: tasks
 # that avoid each other need a place on the others.
-POOL_AT_ONCE = 1
+MAX_AWAY_PER_POOL = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,9 +21,9 @@
     instance_id: str
     pool: str
     # Tasks that would have to end or move.
-    runs: int
+    run_count: int
     # Part of the pool's processors that is in use.
-    pool_use: float
+    pool_cpu_use: float
     # Switched off: its maintenance disturbs nobody.
     is_standby: bool
 
@@ -50,31 +50,31 @@
     is on time, a pool gives up one instance at a time; a late wave takes as many
     as it may.
     """
-    room = at_once - sum(away_by_pool.values())
-    if room <= 0 or not left:
+    remaining = at_once - sum(away_by_pool.values())
+    if remaining <= 0 or not left:
         return []
-    time_left_s = time.within_s * DUE_PART - time.elapsed_s
+    time_left_s = time.within_s * BEGIN_FRACTION - time.elapsed_s
     rounds_left = max(1, math.floor(time_left_s / time.round_s))
     left_by_pool = Counter(i.pool for i in left if not i.is_standby)
     chosen: list[str] = []
     away = Counter(away_by_pool)
-    for instance in sorted(left, key=_disturbance):
-        if len(chosen) >= room:
+    for instance in sorted(left, key=_disruption):
+        if len(chosen) >= remaining:
             break
-        pool_at_once = max(
-            POOL_AT_ONCE, math.ceil(left_by_pool[instance.pool] / rounds_left)
+        max_away = max(
+            MAX_AWAY_PER_POOL, math.ceil(left_by_pool[instance.pool] / rounds_left)
         )
-        if not instance.is_standby and away[instance.pool] >= pool_at_once:
+        if not instance.is_standby and away[instance.pool] >= max_away:
             continue
         chosen.append(instance.instance_id)
         away[instance.pool] += 1
     return chosen
 
 
-def _disturbance(instance: WaveInstance) -> tuple[bool, float, int, str]:
+def _disruption(instance: WaveInstance) -> tuple[bool, float, int, str]:
     return (
         not instance.is_standby,
-        instance.pool_use,
-        instance.runs,
+        instance.pool_cpu_use,
+        instance.run_count,
         instance.instance_id,
     )
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lycheeloom.jobs.active_job import JobWork
+from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.model import EndKind, Job, JobState, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, Record, decode, encode, key_of
 from lycheeloom.jobs.table import JobTable
@@ -22,10 +22,10 @@
 def test_records_survive_encoding():
     """Guards against fields that are lost between an entry and the leader."""
     assert decode(Job, encode(JOB)) == JOB
-    work = JobWork(JOB)
-    work.note_end(TaskKey(JOB.job_id, 1, 0, 2), 1, EndKind.DONE, "")
-    work.note_end(TaskKey(JOB.job_id, 0, 0, 1), 2, EndKind.FAILED, "c")
-    assert decode(JobProgress, encode(work.progress())) == work.progress()
+    step_tasks = ActiveJob(JOB)
+    step_tasks.note_end(TaskKey(JOB.job_id, 1, 0, 2), 1, EndKind.DONE, "")
+    step_tasks.note_end(TaskKey(JOB.job_id, 0, 0, 1), 2, EndKind.FAILED, "c")
+    assert decode(JobProgress, encode(step_tasks.progress())) == step_tasks.progress()
 
 
 def test_damaged_records_are_counted_and_change_nothing():
@@ -35,7 +35,7 @@
     assert table.apply(0, Record(key_of(Kind.JOB, "x"), data[:-3])) is None
     assert table.apply(1, Record("?", b"x")) is None
     assert table.apply(2, Record("", b"x")) is None
-    assert table.unreadable == 3
+    assert table.unreadable_records == 3
     assert table.entry_by_id == {}
 
 
@@ -55,13 +55,13 @@
     assert decode(Job, data) is None
 
 
-class WorkMachine(RuleBasedStateMachine):
+class ActiveJobMachine(RuleBasedStateMachine):
     """Ends in any order, with a change of leader at any time."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.work = JobWork(JOB)
-        self.work.max_attempts = 4
+        self.active_job = ActiveJob(JOB)
+        self.active_job.max_attempts = 4
         self.done: set[TaskKey] = set()
         self.ends: list[tuple[TaskKey, int, EndKind]] = []
 
@@ -72,31 +72,31 @@
         kind=st.sampled_from(EndKind),
     )
     def run_and_end(self, occurrence, step, index, kind):
-        work = self.work.work_by_step[occurrence, step]
-        if index not in work.waiting or self.work.is_final:
+        step_tasks = self.active_job.tasks_by_step[occurrence, step]
+        if index not in step_tasks.waiting or self.active_job.is_final:
             return
         task = TaskKey(JOB.job_id, occurrence, step, index)
-        run = self.work.take(task)
-        self.work.note_end(task, run, kind, "")
+        run = self.active_job.take(task)
+        self.active_job.note_end(task, run, kind, "")
         self.ends.append((task, run, kind))
         if kind is EndKind.DONE:
             self.done.add(task)
         else:
-            self.work.put_back(task)
+            self.active_job.put_back(task)
 
     @rule(place=st.integers(0, 50))
     def list_an_end_again(self, place):
         if place >= len(self.ends):
             return
-        state = self.work.state
+        state = self.active_job.state
         task, run, kind = self.ends[place]
-        self.work.note_end(task, run, kind, "")
-        assert self.work.state is state
+        self.active_job.note_end(task, run, kind, "")
+        assert self.active_job.state is state
 
     @invariant()
     def each_failure_counts_once(self):
-        for key, work in self.work.work_by_step.items():
-            for index, failures in work.failures_by_index.items():
+        for key, step_tasks in self.active_job.tasks_by_step.items():
+            for index, failures in step_tasks.failures_by_index.items():
                 task = TaskKey(JOB.job_id, *key, index)
                 ends = [e for e in self.ends if e[0] == task]
                 assert failures.count == sum(
@@ -105,22 +105,22 @@
 
     @rule()
     def change_leader(self):
-        progress = decode(JobProgress, encode(self.work.progress()))
-        self.work = JobWork(JOB, progress)
-        self.work.max_attempts = 4
+        progress = decode(JobProgress, encode(self.active_job.progress()))
+        self.active_job = ActiveJob(JOB, progress)
+        self.active_job.max_attempts = 4
 
     @invariant()
     def done_tasks_stay_done(self):
         for task in self.done:
-            work = self.work.work_by_step[task.occurrence, task.step]
-            assert task.index in work.done
-            assert task.index not in work.waiting
+            step_tasks = self.active_job.tasks_by_step[task.occurrence, task.step]
+            assert task.index in step_tasks.done
+            assert task.index not in step_tasks.waiting
 
     @invariant()
     def completed_means_all_done(self):
-        all_done = all(w.is_done for w in self.work.work_by_step.values())
-        assert (self.work.state is JobState.COMPLETED) == all_done
+        all_done = all(w.is_done for w in self.active_job.tasks_by_step.values())
+        assert (self.active_job.state is JobState.COMPLETED) == all_done
 
 
-TestWork = WorkMachine.TestCase
-TestWork.settings = settings(derandomize=True, max_examples=60, deadline=None)
+TestActiveJob = ActiveJobMachine.TestCase
+TestActiveJob.settings = settings(derandomize=True, max_examples=60, deadline=None)
--- a/libs/jobs/tests/test_demand.py
+++ b/libs/jobs/tests/test_demand.py
@@ -28,16 +28,18 @@
     for _ in range(6):
         demand.note("pool", make_job(STEP), 10.0)
     rate = 6 / RATE_WINDOW_S
-    assert demand.instances("pool", CAPACITY, 10.5) == pytest.approx(rate)
-    assert demand.instances("pool", CAPACITY, 10.0 + 2 * RATE_WINDOW_S) == 0
-    assert demand.instances("other", CAPACITY, 10.5) == 0
+    assert demand.needed_instances("pool", CAPACITY, 10.5) == pytest.approx(rate)
+    assert demand.needed_instances("pool", CAPACITY, 10.0 + 2 * RATE_WINDOW_S) == 0
+    assert demand.needed_instances("other", CAPACITY, 10.5) == 0
 
 
 def test_scarcest_resource_decides():
     """Guards against pools without memory for tasks that need few processors."""
     demand = PoolDemand()
     demand.note("pool", make_job(Step(8, 1_000, 32_000, estimated_ms=1_000)), 1.0)
-    assert demand.instances("pool", CAPACITY, 1.0) == pytest.approx(1 / RATE_WINDOW_S)
+    assert demand.needed_instances("pool", CAPACITY, 1.0) == pytest.approx(
+        1 / RATE_WINDOW_S
+    )
 
 
 def test_lasting_and_repeated_work_is_no_rate():
@@ -45,7 +47,7 @@
     demand = PoolDemand()
     demand.note("pool", make_job(Step(8, 4_000, long_running=True)), 1.0)
     demand.note("pool", make_job(STEP, repetitions=5), 1.0)
-    assert demand.instances("pool", CAPACITY, 1.0) == 0
+    assert demand.needed_instances("pool", CAPACITY, 1.0) == 0
 
 
 def off(count: int) -> list[PoolInstance]:
@@ -56,18 +58,18 @@
 def test_pool_grows_with_what_comes_before_anything_waits():
     """Guards against instances that arrive one by one, each after work has waited."""
     machines = [PoolInstance("m1", "a", 0.0), *off(9)]
-    load = PoolLoad(1.0, 0.0, lasting=0.5, offered=5.1)
+    load = PoolLoad(1.0, 0.0, long_running_use=0.5, offered_load=5.1)
     moves = choose_moves(machines, {"a": load}, {"off"})
     # 0.5 of an instance is taken for good, and 5.1 fill 6 at 85%.
     assert len(moves) == 6
-    arriving = PoolLoad(1.0, 0.0, arriving=6, lasting=0.5, offered=5.1)
+    arriving = PoolLoad(1.0, 0.0, arriving=6, long_running_use=0.5, offered_load=5.1)
     assert choose_moves(machines, {"a": arriving}, {"off"}) == []
 
 
 def test_pool_keeps_what_it_needs_for_the_work_that_comes():
     """Guards against instances switched off between two jobs of a surge."""
     machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(4)]
-    busy = {"a": PoolLoad(0.1, 0.0, offered=2.5)}
+    busy = {"a": PoolLoad(0.1, 0.0, offered_load=2.5)}
     assert choose_moves(machines, busy, {"off"}) == []
     quiet = {"a": PoolLoad(0.1, 0.0)}
     assert len(choose_moves(machines, quiet, {"off"})) == 3
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from lycheeloom.jobs.active_job import JobWork
-from lycheeloom.jobs.availability import STUCK_S, may_end
+from lycheeloom.jobs.active_job import ActiveJob
+from lycheeloom.jobs.availability import STUCK_S, may_stop
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Job, Step, TaskKey, Worker
 from lycheeloom.jobs.pacing import next_pace
@@ -72,7 +72,7 @@
         PoolInstance("m3", "off", 0.0, is_usable=False),
         PoolInstance("m4", "off", 0.0),
     ]
-    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.1, least=2)}, {"off"})
+    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.1, min_instances=2)}, {"off"})
     assert [(m.instance_id, m.pool) for m in moves] == [("m4", "a")]
 
 
@@ -84,8 +84,11 @@
         PoolInstance("m3", "off", 0.0, may_move=False),
         PoolInstance("m4", "off", 0.0),
     ]
-    assert choose_moves(machines, {"a": PoolLoad(0.5, 0.0, least=2)}, {"off"}) == []
-    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.0, least=4)}, {"off"})
+    assert (
+        choose_moves(machines, {"a": PoolLoad(0.5, 0.0, min_instances=2)}, {"off"})
+        == []
+    )
+    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.0, min_instances=4)}, {"off"})
     assert [m.instance_id for m in moves] == ["m4"]
 
 
@@ -110,7 +113,7 @@
     ("load", "count"),
     [
         (PoolLoad(0.0, 0.0), 2),
-        (PoolLoad(0.0, 0.0, least=3), 0),
+        (PoolLoad(0.0, 0.0, min_instances=3), 0),
         (PoolLoad(2.0, 0.0), 0),
     ],
 )
@@ -121,30 +124,30 @@
     assert len(choose_moves(machines, {"a": load}, {"off"})) == count
 
 
-def make_service(away: int) -> tuple[Fleet, JobWork, list[Run]]:
+def make_service(away: int) -> tuple[Fleet, ActiveJob, list[Run]]:
     """Return a long-running step of 4 tasks, ``away`` of them not at work."""
     step = Step(4, 1000, long_running=True, may_miss=1)
-    work = JobWork(Job("a", "queue", "red", "", (step,)))
+    active_job = ActiveJob(Job("a", "queue", "red", "", (step,)))
     fleet, runs = Fleet(), []
     for index in range(4):
         worker = Worker(f"w{index}", 1, "pool", "a", "z", Resources(8, 8_000))
-        fleet.add_worker(worker).is_listed = True
+        fleet.add_worker(worker).has_current_lists = True
         percent = 50 if index < away else 100
         task = TaskKey("a", 0, 0, index)
         run = Run(task, 1, f"w{index}", step, "red", "queue", RunState.RUNNING, 0.0)
         run.percent = percent
         fleet.add_run(run)
         runs.append(run)
-    return fleet, work, runs
+    return fleet, active_job, runs
 
 
 def test_budget_of_a_step_allows_one_stop():
     """Guards against stops that leave too few tasks of a step at work."""
-    fleet, work, runs = make_service(away=0)
-    assert may_end(fleet, work, runs[3], 1.0)
-    fleet, work, runs = make_service(away=1)
-    assert not may_end(fleet, work, runs[3], 1.0)
-    assert may_end(fleet, work, runs[0], 1.0)
+    fleet, active_job, runs = make_service(away=0)
+    assert may_stop(fleet, active_job, runs[3], 1.0)
+    fleet, active_job, runs = make_service(away=1)
+    assert not may_stop(fleet, active_job, runs[3], 1.0)
+    assert may_stop(fleet, active_job, runs[0], 1.0)
 
 
 def test_task_that_has_just_started_counts_as_at_work():
@@ -153,27 +156,27 @@
     Pattern: an instance crashes, its tasks start together on another one, and that
     one is the next of a wave before a list shows that they are at work.
     """
-    fleet, work, runs = make_service(4)
-    assert not any(may_end(fleet, work, run, 1.0) for run in runs)
+    fleet, active_job, runs = make_service(4)
+    assert not any(may_stop(fleet, active_job, run, 1.0) for run in runs)
     for run in runs[1:]:
         run.percent = 100
-    assert may_end(fleet, work, runs[0], 1.0)
-    assert not may_end(fleet, work, runs[1], 1.0)
+    assert may_stop(fleet, active_job, runs[0], 1.0)
+    assert not may_stop(fleet, active_job, runs[1], 1.0)
 
 
 def test_stuck_task_may_always_be_ended():
     """Guards against a wave that waits for tasks which never come to work."""
-    fleet, work, runs = make_service(4)
-    assert all(may_end(fleet, work, run, 2 * STUCK_S) for run in runs)
-    fleet.state_by_id["w0"].is_listed = False
-    assert not may_end(fleet, work, runs[0], 2 * STUCK_S)
+    fleet, active_job, runs = make_service(4)
+    assert all(may_stop(fleet, active_job, run, 2 * STUCK_S) for run in runs)
+    fleet.state_by_id["w0"].has_current_lists = False
+    assert not may_stop(fleet, active_job, runs[0], 2 * STUCK_S)
 
 
 def test_task_on_a_silent_worker_counts_as_away():
     """Guards against a stop while a crashed worker's tasks still seem to run."""
-    fleet, work, runs = make_service(away=0)
-    fleet.state_by_id["w0"].is_listed = False
-    assert not may_end(fleet, work, runs[3], 1.0)
+    fleet, active_job, runs = make_service(away=0)
+    fleet.state_by_id["w0"].has_current_lists = False
+    assert not may_stop(fleet, active_job, runs[3], 1.0)
 
 
 def test_filling_tasks_rest_before_harm_lasts():
