--- a/libs/jobs/src/lycheeloom/jobs/__init__.py
+++ b/libs/jobs/src/lycheeloom/jobs/__init__.py
@@ -1,1 +1,1 @@
-"""Jobs of steps and tasks: their model, their state and the decisions on them."""
+"""Data model, state tracking and scheduling decisions for jobs."""
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -1,4 +1,4 @@
-"""The tasks of one job as the leader schedules them."""
+"""Scheduling state of a job that has not ended."""
 
 from __future__ import annotations
 
@@ -13,27 +13,32 @@
 
 @dataclass(slots=True)
 class StepTasks:
-    """One occurrence of a step."""
+    """Scheduling state of the tasks of one occurrence of a step."""
 
     step: Step
     done: set[int] = field(default_factory=set)
-    # Tasks without a run, in the order in which they start.
+    # Indexes of the tasks without a run, in starting order.
     waiting: list[int] = field(default_factory=list)
     failures_by_index: dict[int, TaskFailures] = field(default_factory=dict)
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
-        """Tell whether all tasks are done."""
+        """Return whether all tasks are done."""
         return len(self.done) >= self.step.count
 
 
 class ActiveJob:
-    """Tasks of a job: which wait, which are done, how often each has failed."""
+    """Tracks the tasks of a job: waiting, done, failures and checkpoints.
+
+    The leader keeps one for each job that has not ended, built from the job's
+    progress record if there is one.
+    """
 
     def __init__(self, job: Job, progress: JobProgress | None = None) -> None:
         self.job = job
-        # Failed runs that a task may have; None until a policy names the queue.
+        # Failed runs of a task after which the job fails; None while the queue of the
+        # job is not in the policy.
         self.max_attempts: int | None = None
         self.state = JobState.QUEUED
         self.highest_run = 0
@@ -49,11 +54,14 @@
 
     @property
     def is_final(self) -> bool:
-        """Tell whether no task of the job may start any more."""
+        """Return whether the job has reached a final state."""
         return self.state in FINAL_STATES
 
     def startable_steps(self, now_ms: float) -> Iterator[tuple[StepKey, StepTasks]]:
-        """Return the steps whose turn has come and that have waiting tasks."""
+        """Yield the steps with waiting tasks that are due and unblocked.
+
+        ``now_ms`` is Unix time.
+        """
         if self.is_final:
             return
         for key, step_tasks in self.tasks_by_step.items():
@@ -66,11 +74,11 @@
                 yield key, step_tasks
 
     def remaining_chain_ms(self, key: StepKey) -> float:
-        """Return the estimated time from a step's start to the end of its job."""
+        """Return the estimated time from the start of a step to the end of the job."""
         return self._chain_ms(key[1], {})
 
     def chain_ms(self) -> float:
-        """Return the estimated length of the longest chain of steps."""
+        """Return the estimated duration of the longest chain of dependent steps."""
         known: dict[int, float] = {}
         return max(
             (self._chain_ms(number, known) for number in range(len(self.job.steps))),
@@ -78,22 +86,22 @@
         )
 
     def take(self, task: TaskKey) -> int:
-        """Take a task out of those that wait; returns its run number."""
+        """Remove a task from the waiting ones and return its new run number."""
         step_tasks = self.tasks_by_step[task.occurrence, task.step]
         step_tasks.waiting.remove(task.index)
         return self.next_run()
 
     def next_run(self) -> int:
-        """Return a run number that no task of the job has had."""
+        """Return a run number that no task of the job has used."""
         self.highest_run += 1
         return self.highest_run
 
     def note_run(self, run: int) -> None:
-        """Let later runs have higher numbers than one seen on a worker."""
+        """Ensure that new run numbers are higher than one reported by a worker."""
         self.highest_run = max(self.highest_run, run)
 
     def note_begun(self) -> bool:
-        """Note that a task has started; tells whether it is the first one."""
+        """Record that a task has started; return whether it is the job's first."""
         if self.has_begun:
             return False
         self.has_begun = True
@@ -102,7 +110,7 @@
         return True
 
     def put_back(self, task: TaskKey, checkpoint: str = "") -> None:
-        """Let a task wait again after a run that did not finish it."""
+        """Return a task to the front of the waiting ones after an unfinished run."""
         step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
         if (
             step_tasks is None
@@ -115,7 +123,7 @@
         step_tasks.waiting.insert(0, task.index)
 
     def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
-        """Note how a run ended; tells whether the job's progress has changed."""
+        """Record the end of a run; return whether the job's progress has changed."""
         step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
         if step_tasks is None or task.index in step_tasks.done:
             return False
@@ -129,12 +137,12 @@
         return bool(checkpoint)
 
     def cancel(self) -> None:
-        """Let no task start any more."""
+        """Cancel the job unless it has ended."""
         if not self.is_final:
             self.state = JobState.CANCELLED
 
     def progress(self) -> JobProgress:
-        """Return the record that a later leader continues from."""
+        """Return the progress record from which another leader can continue."""
         return JobProgress(
             self.state,
             self.highest_run,
--- a/libs/jobs/src/lycheeloom/jobs/availability.py
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -1,4 +1,4 @@
-"""Which long-running tasks an order may end without breaking their step's budget."""
+"""Checks that stopping a run keeps enough tasks of its step available."""
 
 from __future__ import annotations
 
@@ -7,15 +7,15 @@
 from .model import TaskKey
 
 READY_PERCENT = 100
-# A task that has made no progress for this long does not come to work soon. Lists
-# of runs are up to a second old.
+# A task without progress for this long is not expected to become available soon. It
+# is longer than the age of the run lists, which is up to a second.
 STUCK_S = 3.0
 
 
 def unavailable_tasks(
     fleet: Fleet, active_job: ActiveJob, occurrence: int, step: int
 ) -> set[int]:
-    """Return the tasks of a long-running step that are not at work."""
+    """Return the indexes of the tasks of a long-running step that do not serve."""
     step_tasks = active_job.tasks_by_step[occurrence, step]
     return {
         index
@@ -27,10 +27,10 @@
 
 
 def may_stop(fleet: Fleet, active_job: ActiveJob, run: Run, now_s: float) -> bool:
-    """Tell whether the budget of the run's step allows an order to end it.
+    """Return whether the unavailability budget of the step allows stopping a run.
 
-    A task that was not at work in the newest list may be by now, so it counts as
-    if it were, unless it has long been stuck.
+    A task that the latest list shows as unavailable may have become available since,
+    so stopping it uses the budget too, unless it is stuck.
     """
     step = run.step
     if not step.long_running or not step.may_miss:
@@ -55,7 +55,7 @@
     return any(
         run.state is RunState.RUNNING
         and run.percent >= READY_PERCENT
-        # A worker that does not answer may have ended with all that ran there.
+        # A worker that does not respond may have ended together with its runs.
         and fleet.state_by_id[run.worker_id].has_current_lists
         for run in fleet.runs_by_task.get(task, ())
     )
--- a/libs/jobs/src/lycheeloom/jobs/demand.py
+++ b/libs/jobs/src/lycheeloom/jobs/demand.py
@@ -1,4 +1,4 @@
-"""Measures how much work is submitted to each pool."""
+"""Measures the rate at which work is submitted to each pool."""
 
 from __future__ import annotations
 
@@ -8,12 +8,13 @@
 
 from .model import Job
 
-# Long enough for a few jobs of a pool in a surge, shorter than a move.
+# Long enough to cover a few jobs of a pool during a load spike, but shorter than the
+# time an instance takes to change its pool.
 RATE_WINDOW_S = 1.0
 
 
 class PoolDemand:
-    """Work that has come to each pool within the last ``RATE_WINDOW_S``.
+    """Tracks the work submitted to each pool within the last ``RATE_WINDOW_S``.
 
     ``needed_instances("pool", capacity, now_s)`` returns how many instances of a given
     capacity the pool needs to keep up if work continues to arrive at this rate.
@@ -23,11 +24,11 @@
         self._recent_by_pool: dict[str, deque[tuple[float, Job]]] = defaultdict(deque)
 
     def note(self, pool: str, job: Job, now_s: float) -> None:
-        """Note a job that has just been accepted."""
+        """Record a job that has just been accepted."""
         self._recent_by_pool[pool].append((now_s, job))
 
     def needed_instances(self, pool: str, capacity: Resources, now_s: float) -> float:
-        """Return the instances' worth of work that comes in each second."""
+        """Return the submitted work in instance-seconds per second."""
         recent = self._recent_by_pool[pool]
         while recent and recent[0][0] < now_s - RATE_WINDOW_S:
             recent.popleft()
@@ -35,10 +36,10 @@
 
 
 def _instance_s(job: Job, capacity: Resources) -> float:
-    """Return the seconds for which a job's tasks fill an instance.
+    """Return the time for which a job's tasks would fill one instance.
 
-    Long-running tasks do not come again and again, and repeated jobs come when
-    they are due.
+    Long-running tasks are left out since they do not recur, and so are repeated
+    jobs, which run when they are due and not when they are submitted.
     """
     if job.repetitions:
         return 0.0
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -1,4 +1,4 @@
-"""Workers and the runs on them as the leader believes them to be."""
+"""The leader's view of the workers and the runs on them."""
 
 from __future__ import annotations
 
@@ -11,22 +11,23 @@
 
 from .model import Step, TaskKey, Worker
 
-# A worker whose last runs failed is avoided for this long, doubled with each
-# further failure. A single failure is as likely the task's own fault.
+# No tasks start on a worker for this long after its last runs failed; the time
+# doubles with each further failure. A single failure is ignored, as it is as likely
+# to be caused by the task itself.
 FAILURE_BACKOFF_S = 1.0
 MIN_CONSECUTIVE_FAILURES = 2
 MAX_FAILURE_BACKOFF_S = 8.0
 
 
 class RunState(Enum):
-    """What is known about a run."""
+    """The leader's knowledge of a run."""
 
-    # The start has been sent and not been answered.
+    # The start request has been sent and not yet answered.
     STARTING = "starting"
     RUNNING = "running"
-    # The start was not answered; the next list tells whether it has happened.
+    # The start request timed out; the next list shows whether the run exists.
     UNSURE = "unsure"
-    # A stop has been sent, or the outcome of the start is not known.
+    # A stop is being sent, also to a run whose start may have failed.
     STOPPING = "stopping"
 
 
@@ -44,39 +45,39 @@
     started_s: float
     checkpoint: str = ""
     percent: int = 0
-    # When the percentage last changed.
+    # When ``percent`` last changed.
     progress_changed_s: float = 0.0
     latency_or_cores: float = 0.0
     pace_percent: int = 100
-    # Why the run was stopped by the leader; empty if it was not.
+    # Why the leader stopped the run; empty if it did not.
     stop_reason: str = ""
-    # A list asked for after this time that lacks the run shows that it is gone.
+    # The run no longer exists if a list requested after this time lacks it.
     gone_if_unlisted_after_s: float = math.inf
 
 
 @dataclass(slots=True)
 class WorkerState:
-    """A worker, the runs on it and how reliable it has been."""
+    """A worker with its runs, reserved resources and recent failures."""
 
     worker: Worker
     run_by_task: dict[TaskKey, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
-    # No task starts here before this time.
+    # No task starts on the worker before this time.
     backoff_until_s: float = 0.0
     consecutive_failures: int = 0
-    # The newest lists of the worker are known to the present leader.
+    # This leader has received the run lists of the worker and the worker responds.
     has_current_lists: bool = False
-    # Excluded from new work: maintenance or a move is coming.
+    # Gets no new tasks because maintenance or a move is planned.
     is_cordoned: bool = False
 
     @property
     def free(self) -> Resources:
-        """Return what new tasks may reserve."""
+        """Return the resources available to new tasks."""
         return self.worker.capacity - self.used
 
     @property
     def long_running_need(self) -> Resources:
-        """Return what long-running tasks have reserved."""
+        """Return the resources reserved by long-running tasks."""
         return sum(
             (r.step.need for r in self.run_by_task.values() if r.step.long_running),
             NO_RESOURCES,
@@ -84,7 +85,7 @@
 
 
 class Fleet:
-    """All workers and runs, with what each organisation uses."""
+    """All workers and runs, and the resources used by each organisation."""
 
     def __init__(self) -> None:
         self.state_by_id: dict[str, WorkerState] = {}
@@ -92,7 +93,7 @@
         self.runs_by_task: dict[TaskKey, list[Run]] = defaultdict(list)
 
     def add_worker(self, worker: Worker) -> WorkerState:
-        """Add a worker or take over its newest description."""
+        """Add a worker, or update the description of a known one."""
         state = self.state_by_id.get(worker.worker_id)
         if state is None:
             state = self.state_by_id[worker.worker_id] = WorkerState(worker)
@@ -100,7 +101,7 @@
         return state
 
     def remove_worker(self, worker_id: str) -> list[Run]:
-        """Forget a worker that has ended; returns the runs it had."""
+        """Remove a worker that has ended; return the runs it had."""
         state = self.state_by_id.get(worker_id)
         if state is None:
             return []
@@ -111,7 +112,7 @@
         return runs
 
     def add_run(self, run: Run) -> None:
-        """Count a run against its worker and its organisation."""
+        """Add a run and count its resources for its worker and organisation."""
         state = self.state_by_id[run.worker_id]
         state.run_by_task[run.task] = run
         state.used = state.used + run.step.need
@@ -120,7 +121,7 @@
         self.runs_by_task[run.task].append(run)
 
     def remove_run(self, run: Run) -> None:
-        """Give back what a run has used."""
+        """Remove a run and release its resources."""
         state = self.state_by_id.get(run.worker_id)
         if state is None or state.run_by_task.get(run.task) is not run:
             return
@@ -134,7 +135,7 @@
             del self.runs_by_task[run.task]
 
     def find_run(self, worker_id: str, task: TaskKey, number: int) -> Run | None:
-        """Return a run on a worker if it is the one with this number."""
+        """Return the run of a task on a worker if it has this run number."""
         state = self.state_by_id.get(worker_id)
         run = state.run_by_task.get(task) if state else None
         return run if run is not None and run.run == number else None
@@ -149,7 +150,10 @@
         ]
 
     def note_outcome(self, worker_id: str, succeeded: bool, now_s: float) -> None:
-        """Avoid a worker for a time after failures, longer with each in a row."""
+        """Update a worker's failure count and exclude it for a time if needed.
+
+        The backoff grows with each failure in a row.
+        """
         state = self.state_by_id.get(worker_id)
         if state is None:
             return
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -1,5 +1,5 @@
 @0xb3f2c1a7d4e69805;
-# Records of jobs in the platform's store.
+# Job records in the platform's store.
 
 struct Job {
   jobId @0 :Text;
@@ -37,7 +37,7 @@
 struct StepProgress {
   occurrence @0 :UInt32;
   step @1 :UInt32;
-  # One bit for each task that is done.
+  # Bit set of the tasks that are done, lowest bit of the first byte first.
   done @2 :Data;
   failures @3 :List(TaskFailures);
   checkpoints @4 :List(TaskCheckpoint);
@@ -46,7 +46,7 @@
 struct TaskFailures {
   index @0 :UInt32;
   count @1 :UInt32;
-  # Numbers of the runs that are counted.
+  # Run numbers of the counted failures; absent in older records.
   runs @2 :List(UInt32);
 }
 
@@ -57,26 +57,26 @@
 
 struct JobProgress {
   state @0 :Text;
-  # Highest run number used for any task.
+  # Highest run number assigned to any task of the job.
   highestRun @1 :UInt32;
   steps @2 :List(StepProgress);
-  # When the job reached a final state, since 1970; 0 before.
+  # Unix time at which the job reached a final state; 0 before that.
   finishedMs @3 :UInt64;
 }
 
 struct LeaderRecord {
   token @0 :UInt64;
   instance @1 :Text;
-  # Written at a graceful stop: another instance takes over at once.
+  # Set at a graceful shutdown, so that another instance takes over immediately.
   resigned @2 :Bool;
 }
 
 struct InstanceOrder {
-  # Time of day at which an order was about to be sent.
+  # Unix time just before the order was sent.
   atMs @0 :UInt64;
 }
 
 struct WaveProgress {
-  # Instances whose maintenance has begun.
+  # Ids of the instances whose maintenance has begun.
   begun @0 :List(Text);
 }
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -1,4 +1,4 @@
-"""Data classes of jobs, workers and the policy in force."""
+"""Data classes for jobs, workers and the current policy."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class JobState(Enum):
-    """What callers are told about a job."""
+    """State of a job as reported to callers."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -24,71 +24,77 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """A number of equal tasks of a job and the conditions under which they run."""
+    """A group of identical tasks of a job and their placement constraints."""
 
     count: int
     cpu_milli: int = 0
     memory_mb: int = 0
     accelerators: int = 0
     estimated_ms: int = 0
-    # Indexes of steps whose tasks must all be done first.
+    # Indexes of the steps that must be complete before this one starts.
     after: tuple[int, ...] = ()
     checkpointing: bool = False
-    # All tasks run together, under one run number, or not at all.
+    # All tasks start together, with the same run number, or none does.
     gang: bool = False
     same_rack: bool = False
-    # A label that the worker must have; empty for none.
+    # Label that the worker must have; empty for no requirement.
     label: str = ""
-    # The rack near the data; empty for none.
+    # Preferred rack, the one that holds the data; empty for no preference.
     rack: str = ""
-    # Most tasks of one occurrence of the step on one worker; 0 for no limit.
+    # Maximum tasks of one occurrence of the step on one worker; 0 for no limit.
     max_per_worker: int = 0
     speculative: bool = False
-    # Tasks run until the job is cancelled.
+    # Tasks run until the job is cancelled; those that end are restarted.
     long_running: bool = False
     image: str = ""
-    # Tail latency that a long-running task must keep; 0 for none.
+    # Tail latency target of a long-running task; 0 for none.
     target_ms: int = 0
-    # Tasks use the processor time that others leave and reserve none.
+    # Tasks reserve no CPU and use only the CPU time left idle by other tasks.
     fills: bool = False
-    # Tasks that may be unavailable at once through actions of the system.
+    # Maximum tasks that the scheduler may make unavailable at the same time.
     may_miss: int = 0
 
     @property
     def need(self) -> Resources:
-        """Return what one task reserves on its worker."""
+        """Return the resources that one task reserves on its worker."""
         cores = 0.0 if self.fills else self.cpu_milli / 1000
         return Resources(cores, self.memory_mb, self.accelerators)
 
     @property
     def use(self) -> Resources:
-        """Return what one task counts against its organisation's limit."""
+        """Return the resources that one task uses of its organisation's limit.
+
+        Filling tasks reserve no CPU, but their CPU counts here.
+        """
         return Resources(self.cpu_milli / 1000, self.memory_mb, self.accelerators)
 
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """A job as it was accepted."""
+    """A job as accepted; it never changes afterwards."""
 
     job_id: str
     queue: str
     organisation: str
     specification: str
     steps: tuple[Step, ...]
-    # Time of acceptance by the accepting instance's clock, since 1970.
+    # Unix time of acceptance by the clock of the accepting instance.
     accepted_ms: int = 0
-    # Number of occurrences with due times; 0 for a job that runs once, at once.
+    # Number of scheduled occurrences; 0 for a job that runs once, immediately.
     repetitions: int = 0
     first_run_ms: int = 0
     interval_ms: int = 0
 
     @property
     def occurrences(self) -> int:
-        """Return how many times the steps run."""
+        """Return how many times the job's steps are to run."""
         return max(1, self.repetitions)
 
     def due_ms(self, occurrence: int) -> int:
-        """Return when an occurrence may begin, in milliseconds since 1970."""
+        """Return the earliest start of an occurrence as Unix time in ms.
+
+        Returns 0 for a job that is not repeated.
+        """
         if not self.repetitions:
             return 0
         return self.first_run_ms + occurrence * self.interval_ms
@@ -96,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class TaskKey:
-    """The name of one task."""
+    """Identifies one task: job, occurrence, step and index within the step."""
 
     job_id: str
     occurrence: int
@@ -108,7 +114,7 @@
 
     @classmethod
     def parse(cls, name: str) -> TaskKey | None:
-        """Read a name such as ``"5c0e7a21d94b36f8.0.1.17"``; None if it is none."""
+        """Parse a key such as ``"5c0e7a21d94b36f8.0.1.17"``; None if malformed."""
         parts = name.split(".")
         if len(parts) != 4:
             return None
@@ -120,7 +126,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceTerms:
-    """What a call to the advice service costs on a queue that needs it."""
+    """Duration of a call to the advice service and lifetime of its tickets."""
 
     decision_ms: float
     each_worker_ms: float
@@ -129,17 +135,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Queue:
-    """A queue of the configuration in force."""
+    """A queue in the current configuration."""
 
     name: str
     host: str
     path_prefix: str
-    # The pool whose workers run the queue's tasks.
+    # Pool whose workers run the tasks of the queue.
     pool: str
-    # 0 comes first.
+    # 0 is the highest priority.
     priority: int = 0
     max_attempts: int = 1
-    # The objective is this many times the longest chain of work, and a latency.
+    # A job is to finish within ``stretch`` times the estimated duration of its
+    # longest chain of steps, plus ``target_latency_ms``.
     stretch: float = 1.0
     target_latency_ms: float = 0.0
     open_to_all: bool = False
@@ -151,25 +158,26 @@
     """A pool of instances."""
 
     name: str
-    # Instances in it are switched off and cost nothing.
+    # The instances of the pool are switched off and cost nothing.
     standby: bool = False
-    # Workers reject what does not fit.
+    # Workers reject tasks that do not fit.
     rejects_overload: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
-    """Who may submit jobs, and what its tasks may use at once."""
+    """A tenant that submits jobs, with its API keys and resource limit."""
 
     name: str
     keys: frozenset[str]
-    # Share of a full fleet, and jobs a second that are served as usual.
+    # Share of a fully used fleet, and the number of jobs per second that the
+    # planner does not put behind those of other organisations.
     weight: float = 1.0
-    # A component of 0 is unlimited.
+    # Limit on the resources in use; a component of 0 means unlimited.
     upper_limit: Resources = NO_RESOURCES
 
     def allows(self, used: Resources, need: Resources) -> bool:
-        """Tell whether ``need`` may be added to what the organisation runs."""
+        """Return whether ``used`` plus ``need`` stays within the upper limit."""
         total = used + need
         limit = self.upper_limit
         return (
@@ -181,7 +189,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """The configuration in force, by name."""
+    """The current configuration, indexed by name."""
 
     version: int = 0
     queue_by_name: Mapping[str, Queue] = field(default_factory=dict)
@@ -191,7 +199,7 @@
     max_body_bytes: int = 262_144
 
     def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue with the longest prefix that ``path`` begins with."""
+        """Return the queue of ``host`` with the longest prefix of ``path``, if any."""
         best = None
         for queue in self.queue_by_name.values():
             if queue.host != host or not path.startswith(queue.path_prefix):
@@ -203,10 +211,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Worker:
-    """One life of an instance that runs tasks."""
+    """One incarnation of a process that runs tasks on an instance."""
 
     worker_id: str
-    # Start of this life; a worker may start again under its id.
+    # Start of this incarnation; a restarted worker keeps its id.
     started_ms: int
     pool: str
     address: str
@@ -219,32 +227,33 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningTask:
-    """A task that a worker lists as running."""
+    """A run that a worker reports as running."""
 
     task: TaskKey
     run: int
     checkpoint: str
     percent: int
-    # Tail latency in ms for a task with a target, cores in use for others.
+    # Tail latency in ms for a task with a latency target, otherwise cores in use.
     latency_or_cores: float
 
 
 class EndKind(Enum):
-    """How a run ended."""
+    """Reason for the end of a run."""
 
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
+    # The lease of the run expired.
     LAPSED = "lapsed"
-    # Another member of its gang ended.
+    # Another task of the gang ended.
     BROKEN = "broken"
-    # The other members of its gang did not come.
+    # The other tasks of the gang did not start in time.
     ALONE = "alone"
 
 
 @dataclass(frozen=True, slots=True)
 class EndedTask:
-    """A run that a worker lists as ended; ``number`` rises with each end."""
+    """A run that a worker reports as ended; ``number`` increases with each end."""
 
     number: int
     task: TaskKey
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -1,4 +1,4 @@
-"""Choice of the worker that runs a task."""
+"""Selects workers for tasks."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 from .fleet import Fleet, WorkerState
 from .model import Step
 
-# Resources are sums of fractions of cores.
+# Allows for the rounding errors of summed fractions of cores.
 TOLERANCE_CORES = 1e-6
 
 
 def fits(need: Resources, free: Resources) -> bool:
-    """Tell whether a task fits, allowing for rounding of sums."""
+    """Return whether a task fits, tolerating rounding errors in the core count."""
     return (
         need.cores <= free.cores + TOLERANCE_CORES
         and need.memory_mb <= free.memory_mb
@@ -30,7 +30,7 @@
     zones_out_of_service: Collection[str],
     now_s: float,
 ) -> list[WorkerState]:
-    """Return the workers of a pool that may be given tasks of a step now."""
+    """Return the workers of a pool on which tasks of a step may start now."""
     return [
         state
         for state in fleet.state_by_id.values()
@@ -64,11 +64,12 @@
     counts: Counter[str],
     avoid: Collection[str] = (),
 ) -> WorkerState | None:
-    """Return the best worker with room, or None.
+    """Return the best worker with enough free resources, or None.
 
-    The rack near the data comes first, then workers that have not failed the
-    task, then those that are in use, the fullest first: what the task leaves idle
-    can be given back or go to another pool.
+    Prefers the step's rack, then workers outside ``avoid``, then those with the
+    fewest failures in a row, then the fullest worker in use: instances that stay idle
+    can be switched off or moved to another pool. ``counts`` holds the tasks of the
+    step on each worker.
     """
     need = step.need
     best, best_rank = None, None
@@ -93,10 +94,10 @@
 def _load_rank(
     state: WorkerState, step: Step, has_task_of_step: bool
 ) -> tuple[bool, bool, float]:
-    """Rank a worker by its load: busy ones first, so that others can be given back.
+    """Rank a worker by load, so that few workers are in use.
 
-    Long-running tasks go where others of their kind are. Tasks planned in the same
-    round are in ``used`` but not among the runs.
+    Long-running tasks are placed with other long-running tasks. Tasks planned in the
+    same round are included in ``used`` but have no run yet.
     """
     capacity = state.worker.capacity
     free_part = state.free.cores / capacity.cores if capacity.cores else 0.0
@@ -111,10 +112,10 @@
 def choose_gang(
     states: list[WorkerState], step: Step, indexes: list[int]
 ) -> dict[int, WorkerState] | None:
-    """Return a worker for each member of a gang, or None if not all fit.
+    """Return a worker for each task index of a gang, or None if not all tasks fit.
 
-    With ``same_rack`` a single rack is preferred; more than one is taken only
-    if no rack has room for all.
+    With ``same_rack``, several racks are used only if no single rack has room for all
+    tasks.
     """
     if step.same_rack:
         racks = {state.worker.rack for state in states}
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -1,4 +1,4 @@
-"""Decides which tasks start where, in which order."""
+"""Decides which tasks to start, in which order and on which workers."""
 
 from __future__ import annotations
 
@@ -13,16 +13,17 @@
 from .model import Policy, Queue, Step, TaskKey
 from .placement import choose_gang, choose_worker, eligible_workers, tasks_by_worker
 
-# Jobs that cannot meet their objective any more go behind the others, until
-# they have waited this long; then age alone decides, so that none starves.
+# Jobs that can no longer meet their deadline are ranked behind the others until they
+# have waited this long; then the deadline alone decides, so that none starves.
 MAX_LATE_DEFERRAL_S = 6.0
-# Jobs of an organisation beyond its weight a second go behind those within it.
+# Window for the submission rate of an organisation; jobs above the rate given by its
+# weight (jobs per second) are ranked behind the others.
 RATE_WINDOW_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """An order to start a task on a worker."""
+    """A decision to start a task on a worker."""
 
     task: TaskKey
     run: int
@@ -44,17 +45,17 @@
 
 
 class Planner:
-    """Orders the steps whose turn has come and finds workers for their tasks."""
+    """Ranks the steps that may start and assigns workers to their tasks."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        # Workers on which a task has failed.
+        # Ids of the workers on which a task has failed.
         self.failed_workers_by_task: dict[TaskKey, set[str]] = defaultdict(set)
         self._exceeds_rate_by_job: dict[str, bool] = {}
         self._recent_by_organisation: dict[str, list[float]] = defaultdict(list)
 
     def note_job(self, active_job: ActiveJob, policy: Policy) -> None:
-        """Note a new job, for the rate at which its organisation submits."""
+        """Count a new job towards the submission rate of its organisation."""
         organisation = policy.organisation_by_name.get(active_job.job.organisation)
         if organisation is None:
             return
@@ -67,7 +68,7 @@
         self._exceeds_rate_by_job[active_job.job.job_id] = len(recent) > allowed
 
     def forget_job(self, job_id: str) -> None:
-        """Drop what is kept about a job that has ended."""
+        """Discard the state kept for a job that has ended."""
         self._exceeds_rate_by_job.pop(job_id, None)
         for task in [t for t in self.failed_workers_by_task if t.job_id == job_id]:
             del self.failed_workers_by_task[task]
@@ -83,7 +84,7 @@
     ) -> list[Start]:
         """Return the tasks to start now; the caller adds their runs to the fleet.
 
-        ``now_s`` is the leader's steady clock, ``now_ms`` the time since 1970.
+        ``now_s`` is the leader's monotonic clock, ``now_ms`` is Unix time.
         """
         ranked_steps = [
             _RankedStep(
@@ -100,7 +101,8 @@
         ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
         reservations = _Reservations(self._fleet)
-        # Pools without room for a need of this size are not searched again.
+        # A need that did not fit into the pool; tasks that need at least as much
+        # are not tried again in this round.
         unplaceable_need_by_pool: dict[str, Resources] = {}
         for ranked in ranked_steps:
             starts.extend(
@@ -146,7 +148,7 @@
         step, pool = ranked.step_tasks.step, ranked.queue.pool
         unplaceable_need = unplaceable_need_by_pool.get(pool)
         is_restricted = step.label or step.max_per_worker or step.gang
-        # Only a step that may run on every worker shows that the pool is full.
+        # Only a step that may run on any worker can show that the pool is full.
         runs_anywhere = not is_restricted and ranked.queue.advice is None
         if (
             unplaceable_need is not None
@@ -231,16 +233,16 @@
 
 
 class AdvisedWorkers:
-    """Workers that the advice service has named for a step, with their tickets."""
+    """Workers that the advice service allows for a step, with their tickets."""
 
     def __init__(self) -> None:
-        # Ticket and the time until which it is used, by job, step and worker.
+        # Ticket and the time until which it may be used, by job, step and worker.
         self.ticket_by_key: dict[tuple[str, StepKey, str], tuple[str, float]] = {}
 
     def filter(
         self, job_id: str, key: StepKey, states: list[WorkerState]
     ) -> list[WorkerState]:
-        """Keep the workers for which a ticket is known."""
+        """Return the workers for which a ticket is known."""
         return [
             state
             for state in states
@@ -248,13 +250,13 @@
         ]
 
     def forget_job(self, job_id: str) -> None:
-        """Drop the tickets of a job that has ended."""
+        """Discard the tickets of a job that has ended."""
         for entry in [e for e in self.ticket_by_key if e[0] == job_id]:
             del self.ticket_by_key[entry]
 
 
 class _Reservations:
-    """Room and limits taken by the starts of one planning round."""
+    """Resources taken by the starts planned so far in one round."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
@@ -279,7 +281,7 @@
         state.used = state.used + step.need
 
     def release(self) -> None:
-        """Undo the reservations; the runs are added to the fleet by the caller."""
+        """Undo the reservations; the caller counts the runs by adding them."""
         for state, need in self._need_by_worker.values():
             state.used = state.used - need
 
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -1,4 +1,4 @@
-"""Decides which instances move between pools as demand rises and falls."""
+"""Decides which instances move between pools as demand changes."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 from .active_job import ActiveJob
 from .model import Policy
 
-# Work that waits is to be done within this time; a move takes about as long.
+# Waiting work is to be finished within this time, about the duration of a move.
 BACKLOG_TARGET_S = 1.5
-# Less waiting work than this, in instance-seconds, moves nothing.
+# A smaller backlog, in instance-seconds, does not cause moves.
 MIN_BACKLOG_INSTANCE_S = 0.4
-# An instance without work for this long is switched off. Being on for one second
-# costs about as much as a move.
+# An instance without tasks for this long is switched off. Keeping it on for one
+# second costs about as much as a move.
 SWITCH_OFF_IDLE_S = 1.5
-# Part of an instance that tasks of different sizes fill.
+# Fraction of an instance that can be filled with tasks of different sizes.
 PACKING_FRACTION = 0.85
-# Part of a pool that has to stay free after an instance is switched off.
+# Fraction of a pool that must stay free after an instance is taken away.
 MIN_FREE_FRACTION = 0.25
 
 
@@ -29,9 +29,9 @@
 class PoolInstance:
     """An instance that is up; ``idle_s`` is 0 while tasks run on it.
 
-    An instance that may be given no tasks, since its zone is taken out or its
-    worker leaves, is not usable. One that another leader may have ordered lately
-    may not move, but counts for its pool.
+    An instance is not usable if no tasks may start on it because its zone is out of
+    service or its worker is draining. An instance that another leader may recently
+    have ordered to move may not be moved, but counts towards the size of its pool.
     """
 
     instance_id: str
@@ -43,31 +43,35 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """Use of a pool in instances' worth of its scarcest resource."""
+    """Load of a pool, measured in instances by its scarcest resource.
+
+    ``backlog`` is in instance-seconds, ``offered_load`` in instance-seconds per
+    second.
+    """
 
     used: float
     backlog: float
-    # Instances on their way to the pool.
+    # Instances that are moving to the pool.
     arriving: int = 0
-    # Instances that tasks which avoid each other need.
+    # Instances needed to spread the tasks of steps that limit tasks per worker.
     min_instances: int = 1
-    # Use by long-running tasks alone.
+    # The part of ``used`` that long-running tasks use.
     long_running_use: float = 0.0
-    # Work that comes in each second.
+    # Work submitted per second.
     offered_load: float = 0.0
 
     @property
     def instances_to_keep_up(self) -> float:
-        """Return the instances that keep up with the work that comes in."""
+        """Return how many instances keep up with the submission rate."""
         return self.long_running_use + self.offered_load / PACKING_FRACTION
 
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """An instance that goes to another pool, and why.
+    """The move of an instance to another pool, with its reason.
 
-    ``load`` and ``size`` are those of the pool that the reason concerns: the one
-    with waiting work, or the one with an idle instance.
+    ``load`` and ``size`` (in instances) describe the pool that caused the move: the
+    one with waiting work, or the one with an idle instance.
     """
 
     instance_id: str
@@ -83,12 +87,12 @@
     capacity_by_pool: Mapping[str, Resources],
     now_ms: float,
 ) -> dict[str, float]:
-    """Return the instance-seconds of work that waits in each pool.
+    """Return the waiting work of each pool in instance-seconds.
 
-    Long-running tasks count as if they ran for ``BACKLOG_TARGET_S``, so that one
-    instance is asked for when they fill one.
+    Long-running tasks count as if they ran for ``BACKLOG_TARGET_S``, so that tasks
+    that fill one instance request one instance.
     """
-    waiting: Counter[str] = Counter()
+    backlog: Counter[str] = Counter()
     for active_job in active_jobs:
         queue = policy.queue_by_name.get(active_job.job.queue)
         capacity = capacity_by_pool.get(queue.pool) if queue else None
@@ -98,14 +102,14 @@
             step = step_tasks.step
             run_s = BACKLOG_TARGET_S if step.long_running else step.estimated_ms / 1000
             share = step.need.dominant_share(capacity)
-            waiting[queue.pool] += share * run_s * len(step_tasks.waiting)
-    return dict(waiting)
+            backlog[queue.pool] += share * run_s * len(step_tasks.waiting)
+    return dict(backlog)
 
 
 def min_instances_by_pool(
     active_jobs: Iterable[ActiveJob], policy: Policy
 ) -> dict[str, int]:
-    """Return how many workers the steps that spread their tasks need."""
+    """Return the workers needed per pool by steps that limit tasks per worker."""
     min_instances: dict[str, int] = {}
     for active_job in active_jobs:
         queue = policy.queue_by_name.get(active_job.job.queue)
@@ -124,10 +128,10 @@
     load_by_pool: Mapping[str, PoolLoad],
     standby_pools: Collection[str],
 ) -> list[Move]:
-    """Return moves into pools with waiting work, and of idle instances out.
+    """Return moves into pools that need instances and moves of idle ones to standby.
 
-    Instances that are switched off go first; idle ones of pools without waiting
-    work follow.
+    Pools are filled with instances that are switched off first, then with idle
+    instances of pools without waiting work.
     """
     movable = _MovableInstances(instances, load_by_pool, standby_pools)
     moves = _moves_into_pools(movable)
@@ -137,7 +141,7 @@
 
 
 class _MovableInstances:
-    """Instances that can be taken, and the sizes of pools as they are taken."""
+    """Instances that may be moved, and the pool sizes after the moves chosen so far."""
 
     def __init__(
         self,
@@ -164,7 +168,7 @@
         return self.load_by_pool.get(pool, PoolLoad(0, 0))
 
     def take_instance(self) -> PoolInstance | None:
-        """Take an instance that is switched off, or else an idle one."""
+        """Take an instance that is switched off or, if there is none, an idle one."""
         if self._spare:
             return self._spare.pop(0)
         for instance in self.idle:
@@ -174,7 +178,7 @@
         return None
 
     def release(self, instance: PoolInstance) -> bool:
-        """Count an instance out of its pool if the pool can spare it."""
+        """Remove an instance from the size of its pool; False if the pool needs it."""
         pool = instance.pool
         load = self.load_of(pool)
         left = self.size_by_pool[pool] - 1
@@ -196,12 +200,12 @@
             source = movable.take_instance()
             if source is None:
                 return moves
-            moves.append(Move(source.instance_id, pool, "work waits", load, size))
+            moves.append(Move(source.instance_id, pool, "waiting work", load, size))
     return moves
 
 
 def _missing_instances(load: PoolLoad, size: int) -> int:
-    """Return how many more instances a pool needs for its work."""
+    """Return how many more instances a pool needs, including arriving ones."""
     missing = max(load.min_instances, math.ceil(load.instances_to_keep_up)) - size
     if load.backlog >= MIN_BACKLOG_INSTANCE_S:
         missing = max(missing, math.ceil(load.backlog / BACKLOG_TARGET_S))
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -1,4 +1,4 @@
-"""Records of jobs in the store and their keys."""
+"""Encoding and keys of the job records in the store."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class Kind(Enum):
-    """The first character of a record's key tells what it holds."""
+    """Type of a record; the value is the first character of the record's key."""
 
     JOB = "j"
     CANCELLATION = "x"
@@ -29,11 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskFailures:
-    """How many runs of a task have ended as failed.
+    """Failed runs of a task.
 
-    ``runs`` names them: a worker lists an end until a leader has confirmed it, so
-    a later leader may see an end that is counted already. Records of earlier
-    versions have a count alone.
+    ``runs`` holds their run numbers, so that no failure is counted twice: a worker
+    reports an end until a leader has acknowledged it, so a new leader may receive
+    one that its predecessor has already counted. Records written by earlier
+    versions contain only the count.
     """
 
     index: int
@@ -41,13 +42,13 @@
     runs: tuple[int, ...] = ()
 
     def with_run(self, run: int) -> TaskFailures:
-        """Return the failures with one more run."""
+        """Return a copy with one more failed run."""
         return TaskFailures(self.index, self.count + 1, (*self.runs, run))
 
 
 @dataclass(frozen=True, slots=True)
 class TaskCheckpoint:
-    """The newest checkpoint of a task that is not running."""
+    """The latest checkpoint of a task."""
 
     index: int
     checkpoint: str
@@ -55,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StepProgress:
-    """Which tasks of one occurrence of a step are done."""
+    """Progress of one occurrence of a step; ``done`` has one bit per task."""
 
     occurrence: int
     step: int
@@ -66,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JobProgress:
-    """How far a job is; the record that survives a change of leader."""
+    """Progress of a job, stored so that a new leader can continue the job."""
 
     state: JobState
     highest_run: int = 0
@@ -76,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderRecord:
-    """Who leads and with which fencing token."""
+    """The instance that leads and its fencing token."""
 
     token: int
     instance: str
@@ -85,21 +86,21 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveProgress:
-    """Instances of a wave whose maintenance has begun."""
+    """Ids of the instances of a wave whose maintenance has begun."""
 
     begun: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceOrder:
-    """When a leader last ordered an instance to move or to be maintained."""
+    """Unix time in ms of the last move or maintenance order for an instance."""
 
     at_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """A record of a keyed topic; an empty value removes the key."""
+    """A record of a compacted log; an empty value deletes the key."""
 
     key: str
     value: bytes
@@ -122,13 +123,13 @@
 def encode(
     value: Job | JobProgress | LeaderRecord | InstanceOrder | WaveProgress,
 ) -> bytes:
-    """Serialise a value with a checksum in front."""
+    """Serialise a value, prefixed with a checksum."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
     return seal(message.to_bytes())
 
 
 def decode(kind: type, data: bytes):
-    """Read a value of type ``kind``; None if the bytes hold none."""
+    """Deserialise a value of type ``kind``; None if the data is invalid."""
     unsealed = unseal(data)
     if unsealed is None:
         return None
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -1,4 +1,4 @@
-"""What every instance knows about jobs: a replay of the records in the store."""
+"""In-memory state of all jobs, built from the records in the store."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """One job with its newest progress."""
+    """A job with its latest progress and whether its cancellation was requested."""
 
     job: Job | None = None
     cancelled: bool = False
@@ -26,7 +26,7 @@
 
     @property
     def state(self) -> JobState:
-        """Return what callers are told."""
+        """Return the state to report to callers."""
         progress = self.progress
         if progress is not None and progress.state in FINAL_STATES:
             return progress.state
@@ -37,17 +37,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedRecord:
-    """What a record changed; ``name`` is the job, wave or instance it concerns."""
+    """An applied record; ``name`` is the id of its job, wave or instance."""
 
     kind: Kind
     name: str
 
 
 class JobTable:
-    """Jobs by id, with the newest record of each key applied.
+    """Jobs by id, with the latest record of each key applied.
 
-    Records may be applied more than once and out of order between a page of
-    newest records and the log behind it; ``offset`` decides which one is newer.
+    Records may arrive twice and out of order where a snapshot of the latest records
+    and the log that follows it overlap; the one with the higher offset wins.
     """
 
     def __init__(self) -> None:
@@ -59,7 +59,7 @@
         self._offset_by_key: dict[str, int] = {}
 
     def apply(self, offset: int, record: Record) -> AppliedRecord | None:
-        """Apply a record; None if an older one or one that cannot be read."""
+        """Apply a record; return None if it is outdated or invalid."""
         if offset <= self._offset_by_key.get(record.key, -1):
             return None
         kind = _kind_of(record.key)
@@ -74,7 +74,7 @@
         return self._store(kind, name, record.value)
 
     def waiting_jobs(self, queue: str) -> int:
-        """Return how many jobs of a queue wait for their first task."""
+        """Return how many jobs of a queue have not started any task."""
         return sum(
             entry.job is not None
             and entry.job.queue == queue
--- a/libs/jobs/src/lycheeloom/jobs/waves.py
+++ b/libs/jobs/src/lycheeloom/jobs/waves.py
@@ -1,4 +1,4 @@
-"""Decides which instances of a maintenance wave are emptied next."""
+"""Chooses the next instances of a maintenance wave to drain."""
 
 from __future__ import annotations
 
@@ -7,34 +7,35 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-# Part of a wave's time after which all of its instances should have begun.
+# Maintenance of all instances should have begun after this fraction of the wave's
+# time.
 BEGIN_FRACTION = 0.75
-# Instances of one pool that are away at once while the wave is on time: tasks
-# that avoid each other need a place on the others.
+# Instances of one pool that are unavailable at the same time while the wave is on
+# schedule: tasks that may not share a worker need room on the other instances.
 MAX_AWAY_PER_POOL = 1
 
 
 @dataclass(frozen=True, slots=True)
 class WaveInstance:
-    """An instance of a wave that has not begun its maintenance."""
+    """An instance of a wave whose maintenance has not begun."""
 
     instance_id: str
     pool: str
-    # Tasks that would have to end or move.
+    # Runs on the instance, which would have to end or move.
     run_count: int
-    # Part of the pool's processors that is in use.
+    # Fraction of the pool's CPU cores that is reserved.
     pool_cpu_use: float
-    # Switched off: its maintenance disturbs nobody.
+    # The instance is switched off, so its maintenance disrupts no task.
     is_standby: bool
 
 
 @dataclass(frozen=True, slots=True)
 class WaveTime:
-    """How far a wave's time has passed, in seconds."""
+    """Elapsed and allowed time of a wave, in seconds."""
 
     elapsed_s: float
     within_s: float
-    # From the choice of an instance to its return.
+    # Time from choosing an instance until it is back in service.
     round_s: float
 
 
@@ -44,11 +45,11 @@
     at_once: int,
     time: WaveTime,
 ) -> list[str]:
-    """Return the instances to empty now, those that disturb least first.
+    """Return the ids of the instances to drain now, the least disruptive first.
 
-    ``away_by_pool`` counts instances being emptied or maintained. While the wave
-    is on time, a pool gives up one instance at a time; a late wave takes as many
-    as it may.
+    ``away_by_pool`` counts the instances that are being drained or maintained, and
+    ``at_once`` limits them. While the wave is on schedule, only one instance of a
+    pool is unavailable at a time; a late wave takes as many as the limit allows.
     """
     remaining = at_once - sum(away_by_pool.values())
     if remaining <= 0 or not left:
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -1,4 +1,4 @@
-"""Progress of jobs and its records."""
+"""Tests of the progress of jobs and its records."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def test_records_survive_encoding():
-    """Guards against fields that are lost between an entry and the leader."""
+    """No field may be lost between the accepting instance and the leader."""
     assert decode(Job, encode(JOB)) == JOB
     step_tasks = ActiveJob(JOB)
     step_tasks.note_end(TaskKey(JOB.job_id, 1, 0, 2), 1, EndKind.DONE, "")
@@ -28,8 +28,8 @@
     assert decode(JobProgress, encode(step_tasks.progress())) == step_tasks.progress()
 
 
-def test_damaged_records_are_counted_and_change_nothing():
-    """Guards against bytes of another writer that end a process."""
+def test_corrupted_records_are_counted_and_ignored():
+    """Invalid data of another writer must not crash the process."""
     table = JobTable()
     data = encode(JOB)
     assert table.apply(0, Record(key_of(Kind.JOB, "x"), data[:-3])) is None
@@ -40,7 +40,7 @@
 
 
 def test_older_record_does_not_replace_a_newer_one():
-    """Guards against state that goes back while pages and the log are joined."""
+    """State must not go back where the loaded snapshot and the log overlap."""
     table = JobTable()
     key = key_of(Kind.PROGRESS, "x")
     table.apply(8, Record(key, encode(JobProgress(JobState.COMPLETED))))
@@ -50,13 +50,13 @@
 
 @given(st.binary(max_size=200))
 @settings(derandomize=True, max_examples=100)
-def test_any_bytes_are_taken_as_no_record(data):
-    """Guards against bytes that the codec cannot bear."""
+def test_arbitrary_bytes_decode_to_none(data):
+    """Arbitrary data must not make the decoder raise an exception."""
     assert decode(Job, data) is None
 
 
 class ActiveJobMachine(RuleBasedStateMachine):
-    """Ends in any order, with a change of leader at any time."""
+    """Runs that end in any order, with a change of leader at any time."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -85,7 +85,7 @@
             self.active_job.put_back(task)
 
     @rule(place=st.integers(0, 50))
-    def list_an_end_again(self, place):
+    def report_an_end_again(self, place):
         if place >= len(self.ends):
             return
         state = self.active_job.state
@@ -94,7 +94,7 @@
         assert self.active_job.state is state
 
     @invariant()
-    def each_failure_counts_once(self):
+    def each_failure_is_counted_once(self):
         for key, step_tasks in self.active_job.tasks_by_step.items():
             for index, failures in step_tasks.failures_by_index.items():
                 task = TaskKey(JOB.job_id, *key, index)
--- a/libs/jobs/tests/test_demand.py
+++ b/libs/jobs/tests/test_demand.py
@@ -1,4 +1,4 @@
-"""How many instances keep up with the work that comes to a pool."""
+"""Tests of the submission rate and of the pool sizes derived from it."""
 
 from __future__ import annotations
 
@@ -10,19 +10,19 @@
 from lycheeloom.model.resources import Resources
 
 CAPACITY = Resources(64, 256_000)
-# Fills half of an instance for two seconds.
+# The step needs half an instance for two seconds.
 STEP = Step(8, 4_000, 8_000, estimated_ms=2_000)
 
 
 def make_job(*steps: Step, repetitions: int = 0) -> Job:
-    """Return a job of the steps given."""
+    """Return a job with the given steps."""
     return Job("a", "queue", "red", "", steps, 0, repetitions, 0, 1_000)
 
 
-def test_demand_counts_the_work_of_the_last_second():
-    """Guards against a surge that is seen only by what waits already.
+def test_demand_is_the_work_submitted_within_the_window():
+    """A load spike must be visible before its tasks have to wait.
 
-    Pattern: each queue in its turn asks five times its mean for some seconds.
+    Load pattern: each queue in turn submits five times its mean for some seconds.
     """
     demand = PoolDemand()
     for _ in range(6):
@@ -34,7 +34,7 @@
 
 
 def test_scarcest_resource_decides():
-    """Guards against pools without memory for tasks that need few processors."""
+    """A pool must get enough memory for tasks that need few cores."""
     demand = PoolDemand()
     demand.note("pool", make_job(Step(8, 1_000, 32_000, estimated_ms=1_000)), 1.0)
     assert demand.needed_instances("pool", CAPACITY, 1.0) == pytest.approx(
@@ -42,8 +42,8 @@
     )
 
 
-def test_lasting_and_repeated_work_is_no_rate():
-    """Guards against instances for work that comes once, or later."""
+def test_long_running_and_repeated_jobs_do_not_count():
+    """No instances may be requested for work that does not recur or is due later."""
     demand = PoolDemand()
     demand.note("pool", make_job(Step(8, 4_000, long_running=True)), 1.0)
     demand.note("pool", make_job(STEP, repetitions=5), 1.0)
@@ -55,19 +55,19 @@
     return [PoolInstance(f"off-{n}", "off", 0.0) for n in range(count)]
 
 
-def test_pool_grows_with_what_comes_before_anything_waits():
-    """Guards against instances that arrive one by one, each after work has waited."""
+def test_pool_grows_with_the_submission_rate_before_tasks_wait():
+    """Instances must not be added one at a time, each only after tasks have waited."""
     machines = [PoolInstance("m1", "a", 0.0), *off(9)]
     load = PoolLoad(1.0, 0.0, long_running_use=0.5, offered_load=5.1)
     moves = choose_moves(machines, {"a": load}, {"off"})
-    # 0.5 of an instance is taken for good, and 5.1 fill 6 at 85%.
+    # 0.5 of an instance is used by long-running tasks; 5.1 need 6 instances at 85%.
     assert len(moves) == 6
     arriving = PoolLoad(1.0, 0.0, arriving=6, long_running_use=0.5, offered_load=5.1)
     assert choose_moves(machines, {"a": arriving}, {"off"}) == []
 
 
-def test_pool_keeps_what_it_needs_for_the_work_that_comes():
-    """Guards against instances switched off between two jobs of a surge."""
+def test_pool_keeps_instances_needed_for_the_submission_rate():
+    """Instances must not be switched off between two jobs of a load spike."""
     machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(4)]
     busy = {"a": PoolLoad(0.1, 0.0, offered_load=2.5)}
     assert choose_moves(machines, busy, {"off"}) == []
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -1,4 +1,4 @@
-"""Which tasks start where, in which order."""
+"""Tests of the order and placement of task starts."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 def make_worker(number: int, cores: float = 8.0) -> Worker:
-    """Return a worker; two share a rack."""
+    """Return a worker; each rack has two."""
     rack = f"rack-{number // 2}"
     return Worker(
         f"w{number}",
@@ -41,7 +41,7 @@
 
 @pytest.fixture
 def fleet():
-    """Four workers of 8 cores in two racks."""
+    """A fleet of four workers with 8 cores each, in two racks."""
     fleet = Fleet()
     for number in range(4):
         fleet.add_worker(make_worker(number)).has_current_lists = True
@@ -49,7 +49,7 @@
 
 
 def make_policy(limit: Resources = NO_RESOURCES, **fields) -> Policy:
-    """Return a policy with a queue; ``fields`` are those of the queue."""
+    """Return a policy with one queue; ``fields`` are fields of the queue."""
     queue = Queue("queue", "host", "/q/", "pool", stretch=2.0, **fields)
     return Policy(
         1,
@@ -62,14 +62,14 @@
 def make_active_job(
     *steps: Step, job_id: str = "a", accepted_ms: int = NOW_MS
 ) -> ActiveJob:
-    """Return the work of a job that nobody has started."""
+    """Return a job of which no task has started."""
     return ActiveJob(Job(job_id, "queue", "red", "spec", steps, accepted_ms))
 
 
 def plan(
     fleet: Fleet, active_jobs: list[ActiveJob], policy: Policy | None = None, now_s=1.0
 ):
-    """Plan, and count the starts as running."""
+    """Plan one round and add the started runs to the fleet."""
     starts = Planner(fleet).plan(
         active_jobs, policy or make_policy(), (), now_s, NOW_MS
     )
@@ -90,7 +90,7 @@
 
 
 def test_capacity_is_never_exceeded(fleet):
-    """Guards against more tasks on a worker than it has room for."""
+    """A worker must never get more tasks than fit."""
     starts = plan(fleet, [make_active_job(Step(50, 3000))])
     assert len(starts) == 8
     assert all(state.free.cores >= 0 for state in fleet.state_by_id.values())
@@ -98,9 +98,10 @@
 
 
 def test_busy_workers_are_filled_first(fleet):
-    """Guards against instances that stay on for a few tasks each after a surge.
+    """Instances must not stay on for a few tasks each after a load spike.
 
-    Pattern: queues surge by turns; what a queue no longer needs goes to the next.
+    Load pattern: queues have load spikes in turn, and each needs the instances that
+    the previous one no longer uses.
     """
     first = plan(fleet, [make_active_job(Step(1, 1000))])
     busy_id = first[0].worker_id
@@ -111,10 +112,10 @@
 
 
 def test_long_running_tasks_share_a_worker(fleet):
-    """Guards against instances that stay on for one long-running task each.
+    """Instances must not stay on for one long-running task each.
 
-    Pattern: a pool has a service of a few small tasks and, by turns, a surge; with
-    the tasks on one worker the other instances can be switched off in between.
+    Load pattern: a pool runs a service of a few small tasks and has load spikes; with
+    the service on one worker, the other instances can be switched off in between.
     """
     service = Step(3, 1000, long_running=True)
     starts = plan(fleet, [make_active_job(service)])
@@ -125,59 +126,59 @@
     assert {s.worker_id for s in joined} == {s.worker_id for s in starts}
 
 
-def test_spread_step_keeps_its_limit_on_each_worker(fleet):
-    """Guards against tasks that must avoid each other on one worker."""
+def test_limit_of_tasks_per_worker_holds(fleet):
+    """Tasks that must not share a worker must not be placed on the same one."""
     active_job = make_active_job(Step(6, 1000, max_per_worker=1))
     assert len(plan(fleet, [active_job])) == 4
     assert plan(fleet, [active_job]) == []
 
 
-def test_gang_starts_whole_or_not_at_all(fleet):
-    """Guards against members of a gang that wait for the others on workers."""
+def test_gang_starts_completely_or_not_at_all(fleet):
+    """Tasks of a gang must not occupy workers while waiting for the others."""
     assert plan(fleet, [make_active_job(Step(9, 4000, gang=True))]) == []
     starts = plan(fleet, [make_active_job(Step(8, 4000, gang=True))])
     assert len(starts) == 8
     assert len({start.run for start in starts}) == 1
 
 
-def test_gang_in_one_rack_if_it_fits(fleet):
-    """Guards against a gang spread over racks, which makes it slower."""
+def test_gang_is_placed_in_one_rack_if_it_fits(fleet):
+    """A gang must not be spread over racks, which slows it down."""
     starts = plan(fleet, [make_active_job(Step(4, 4000, gang=True, same_rack=True))])
     racks = {fleet.state_by_id[start.worker_id].worker.rack for start in starts}
     assert len(racks) == 1
 
 
-def test_rack_near_the_data_comes_first(fleet):
-    """Guards against tasks far from their data while there is room near it."""
+def test_rack_with_the_data_is_preferred(fleet):
+    """Tasks must not run far from their data while its rack has room."""
     starts = plan(fleet, [make_active_job(Step(4, 4000, rack="rack-1"))])
     assert {start.worker_id for start in starts} == {"w2", "w3"}
 
 
 def test_label_is_required(fleet):
-    """Guards against a start on a worker without the label."""
+    """A task must not start on a worker that lacks the required label."""
     assert plan(fleet, [make_active_job(Step(1, 1000, label="other"))]) == []
     assert len(plan(fleet, [make_active_job(Step(1, 1000, label="kind"))])) == 1
 
 
-def test_limit_counts_what_runs_and_what_is_planned(fleet):
-    """Guards against an organisation over its limit within one round."""
+def test_upper_limit_counts_running_and_planned_tasks(fleet):
+    """An organisation must not exceed its limit within one planning round."""
     policy = make_policy(Resources(5.0, 0, 0))
     active_job = make_active_job(Step(10, 2000))
     assert len(plan(fleet, [active_job], policy)) == 2
     assert plan(fleet, [active_job], policy) == []
 
 
-def test_filling_tasks_reserve_no_processors(fleet):
-    """Guards against filling tasks that keep others out."""
+def test_filling_tasks_reserve_no_cpu(fleet):
+    """Filling tasks must not keep other tasks from starting."""
     assert len(plan(fleet, [make_active_job(Step(40, 8000, fills=True))])) == 40
     assert len(plan(fleet, [make_active_job(Step(8, 4000), job_id="b")])) == 8
 
 
-def test_jobs_that_can_be_in_time_come_before_those_that_cannot(fleet):
-    """Guards against a surge in which every job is late by a little.
+def test_jobs_that_can_meet_their_deadline_go_before_late_ones(fleet):
+    """A short overload must not make every job slightly late.
 
-    Pattern: demand beyond the pool for some seconds; the oldest jobs have missed
-    their objective, and serving them first makes the next ones miss theirs.
+    The demand exceeds the pool for some seconds. The oldest jobs have missed their
+    deadlines, and starting them first would make the following ones miss theirs.
     """
     late = make_active_job(
         Step(8, 4000, estimated_ms=1000), job_id="late", accepted_ms=7_000
@@ -187,23 +188,23 @@
     assert {start.task.job_id for start in starts} == {"timely"}
 
 
-def test_late_jobs_do_not_wait_for_ever(fleet):
-    """Guards against late jobs that starve under a lasting surge."""
+def test_late_jobs_do_not_starve(fleet):
+    """Late jobs must start in the end, even during a lasting overload."""
     old = make_active_job(Step(8, 4000, estimated_ms=1000), job_id="old", accepted_ms=1)
     timely = make_active_job(Step(8, 4000, estimated_ms=1000), job_id="timely")
     starts = plan(fleet, [timely, old])
     assert {start.task.job_id for start in starts} == {"old"}
 
 
-def test_due_times_are_kept(fleet):
-    """Guards against an occurrence that starts before its time."""
+def test_occurrence_waits_for_its_due_time(fleet):
+    """An occurrence must not start before it is due."""
     job = Job("a", "queue", "red", "", (Step(1, 1000),), NOW_MS, 3, NOW_MS - 500, 1_000)
     starts = plan(fleet, [ActiveJob(job)])
     assert [start.task.occurrence for start in starts] == [0]
 
 
-def test_worker_that_fails_everything_is_avoided(fleet):
-    """Guards against a worker that fails fast and so attracts all work."""
+def test_worker_with_repeated_failures_is_avoided(fleet):
+    """A worker that fails tasks quickly must not attract all tasks."""
     for _ in range(2):
         fleet.note_outcome("w0", False, 1.0)
     starts = plan(fleet, [make_active_job(Step(6, 1000))])
@@ -213,7 +214,7 @@
 
 
 def test_draining_worker_gets_no_starts(fleet):
-    """Guards against starts on a worker that has announced that it leaves."""
+    """No task may start on a draining worker."""
     fleet.add_worker(replace(make_worker(0), draining=True))
     starts = plan(fleet, [make_active_job(Step(20, 1000))])
     assert len(starts) == 20
@@ -221,7 +222,7 @@
 
 
 def test_step_that_needs_advice_waits_for_tickets(fleet):
-    """Guards against starts on workers that the queue's policy rules out."""
+    """No task may start on a worker that the advice service has not allowed."""
     policy = make_policy(advice=AdviceTerms(1.0, 1.0, 3_000.0))
     active_job = make_active_job(Step(2, 1000))
     advised = AdvisedWorkers()
@@ -232,8 +233,8 @@
     assert [start.worker_id for start in starts] == ["w3", "w3"]
 
 
-def test_advice_for_one_step_does_not_keep_others_out(fleet):
-    """Guards against a pool that counts as full since one step's workers are."""
+def test_full_advised_workers_do_not_block_other_steps(fleet):
+    """A pool must not count as full because the workers allowed for one step are."""
     policy = make_policy(advice=AdviceTerms(1.0, 1.0, 3_000.0))
     first, second = (
         make_active_job(Step(9, 1000)),
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -1,4 +1,4 @@
-"""Maintenance waves, pool sizes, budgets of steps and pace of filling tasks."""
+"""Tests of waves, pool sizes, unavailability budgets and filling tasks' pace."""
 
 from __future__ import annotations
 
@@ -18,53 +18,54 @@
 
 
 def instances(pool: str, count: int, standby: bool = False) -> list[WaveInstance]:
-    """Return instances of a pool with some tasks on each."""
+    """Return instances of a pool; unless on standby, number n has n tasks."""
     return [
         WaveInstance(f"{pool}-{n}", pool, 0 if standby else n, 0.5, standby)
         for n in range(count)
     ]
 
 
-def test_wave_never_has_more_away_than_allowed():
-    """Guards against maintenance beyond the limit of the wave."""
+def test_wave_keeps_its_limit_of_unavailable_instances():
+    """A wave must not make more instances unavailable than its limit allows."""
     left = instances("a", 5) + instances("off", 5, standby=True)
     assert len(choose_next(left, {"a": 1, "b": 1}, 3, LATE)) == 1
     assert choose_next(left, {"a": 3}, 3, LATE) == []
 
 
-def test_wave_begins_with_instances_that_are_off():
-    """Guards against disturbing tasks while idle instances wait for maintenance."""
+def test_wave_begins_with_standby_instances():
+    """Tasks must not be disrupted while standby instances await maintenance."""
     chosen = choose_next(
         instances("a", 2) + instances("off", 2, standby=True), {}, 2, ON_TIME
     )
     assert chosen == ["off-0", "off-1"]
 
 
-def test_wave_on_time_empties_one_instance_of_a_pool():
-    """Guards against tasks that avoid each other and find no place left."""
+def test_wave_on_schedule_drains_one_instance_of_a_pool():
+    """Tasks that must not share a worker must find room on other instances."""
     assert len(choose_next(instances("a", 4), {}, 4, ON_TIME)) == 1
     assert choose_next(instances("a", 3), {"a": 1}, 4, ON_TIME) == []
 
 
-def test_late_wave_empties_as_many_as_it_may():
-    """Guards against a wave that is late since it stays gentle."""
+def test_late_wave_drains_as_many_as_its_limit_allows():
+    """A wave must not miss its deadline by draining one instance at a time."""
     assert len(choose_next(instances("a", 4), {}, 3, LATE)) == 3
 
 
-def test_waiting_work_brings_instances_that_are_off():
-    """Guards against a queue that waits beside instances that are switched off.
+def test_waiting_work_gets_standby_instances():
+    """A queue must not wait while instances are switched off.
 
-    Pattern: each queue in turn surges beyond its pool for some seconds.
+    Load pattern: each queue in turn exceeds the capacity of its pool for some seconds.
     """
     machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
     moves = choose_moves(machines, {"a": PoolLoad(1.0, 2.0)}, {"off"})
     assert [(m.instance_id, m.pool) for m in moves] == [("m1", "a")]
 
 
-def test_instances_that_may_be_given_no_tasks_do_not_count():
-    """Guards against a service that waits beside instances of a zone taken out.
+def test_unusable_instances_do_not_count_for_their_pool():
+    """A service must not wait because unusable instances count for its pool.
 
-    Pattern: a zone is emptied while the tasks of a service avoid each other.
+    Occurs when a zone is taken out of service while the tasks of a service must not
+    share a worker.
     """
     machines = [
         PoolInstance("m1", "a", 0.0),
@@ -76,8 +77,8 @@
     assert [(m.instance_id, m.pool) for m in moves] == [("m4", "a")]
 
 
-def test_instances_that_may_not_move_yet_count_for_their_pool():
-    """Guards against a pool doubled by a new leader in the midst of a surge."""
+def test_instances_that_may_not_move_count_for_their_pool():
+    """A new leader must not double the size of a pool during a load spike."""
     machines = [
         PoolInstance("m1", "a", 0.0, may_move=False),
         PoolInstance("m2", "a", 5.0, may_move=False),
@@ -92,8 +93,8 @@
     assert [m.instance_id for m in moves] == ["m4"]
 
 
-def test_idle_instances_that_may_be_given_no_tasks_are_switched_off():
-    """Guards against paying for the instances of a zone that is taken out."""
+def test_idle_unusable_instances_are_switched_off():
+    """Idle instances of a zone out of service must not cost anything."""
     machines = [
         PoolInstance("m1", "a", 5.0),
         PoolInstance("m2", "a", 5.0, is_usable=False),
@@ -103,8 +104,8 @@
     assert [(m.instance_id, m.pool) for m in moves] == [("m2", "off")]
 
 
-def test_instances_on_their_way_are_counted():
-    """Guards against more moves for the same waiting work in each round."""
+def test_arriving_instances_count():
+    """The same waiting work must not cause new moves in each round."""
     machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
     assert choose_moves(machines, {"a": PoolLoad(1.0, 2.0, arriving=2)}, {"off"}) == []
 
@@ -118,14 +119,14 @@
     ],
 )
 def test_idle_instances_are_switched_off_if_the_pool_can_spare_them(load, count):
-    """Guards against paying for idle instances and against pools too small."""
+    """Idle instances are switched off unless that makes the pool too small."""
     machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(2)]
     machines.append(PoolInstance("m9", "a", 0.0))
     assert len(choose_moves(machines, {"a": load}, {"off"})) == count
 
 
 def make_service(away: int) -> tuple[Fleet, ActiveJob, list[Run]]:
-    """Return a long-running step of 4 tasks, ``away`` of them not at work."""
+    """Return a running service of 4 tasks, the first ``away`` of them unavailable."""
     step = Step(4, 1000, long_running=True, may_miss=1)
     active_job = ActiveJob(Job("a", "queue", "red", "", (step,)))
     fleet, runs = Fleet(), []
@@ -141,8 +142,8 @@
     return fleet, active_job, runs
 
 
-def test_budget_of_a_step_allows_one_stop():
-    """Guards against stops that leave too few tasks of a step at work."""
+def test_unavailability_budget_of_a_step_holds():
+    """Stops must not leave too few tasks of a step available."""
     fleet, active_job, runs = make_service(away=0)
     assert may_stop(fleet, active_job, runs[3], 1.0)
     fleet, active_job, runs = make_service(away=1)
@@ -150,11 +151,11 @@
     assert may_stop(fleet, active_job, runs[0], 1.0)
 
 
-def test_task_that_has_just_started_counts_as_at_work():
-    """Guards against ending a whole service that has just been started again.
+def test_task_that_has_just_started_counts_as_available():
+    """A service that has just been restarted must not be stopped as a whole.
 
-    Pattern: an instance crashes, its tasks start together on another one, and that
-    one is the next of a wave before a list shows that they are at work.
+    An instance crashes and its tasks start together on another one. That instance is
+    chosen next by a wave, before a list shows that the tasks are available.
     """
     fleet, active_job, runs = make_service(4)
     assert not any(may_stop(fleet, active_job, run, 1.0) for run in runs)
@@ -164,23 +165,23 @@
     assert not may_stop(fleet, active_job, runs[1], 1.0)
 
 
-def test_stuck_task_may_always_be_ended():
-    """Guards against a wave that waits for tasks which never come to work."""
+def test_stuck_task_may_always_be_stopped():
+    """A wave must not wait for tasks that never become available."""
     fleet, active_job, runs = make_service(4)
     assert all(may_stop(fleet, active_job, run, 2 * STUCK_S) for run in runs)
     fleet.state_by_id["w0"].has_current_lists = False
     assert not may_stop(fleet, active_job, runs[0], 2 * STUCK_S)
 
 
-def test_task_on_a_silent_worker_counts_as_away():
-    """Guards against a stop while a crashed worker's tasks still seem to run."""
+def test_task_on_an_unresponsive_worker_counts_as_unavailable():
+    """Runs of a crashed worker that still appear to run must use up the budget."""
     fleet, active_job, runs = make_service(away=0)
     fleet.state_by_id["w0"].has_current_lists = False
     assert not may_stop(fleet, active_job, runs[3], 1.0)
 
 
-def test_filling_tasks_rest_before_harm_lasts():
-    """Guards against filling tasks that disturb others for seconds."""
+def test_filling_tasks_pause_quickly_above_the_latency_target():
+    """Filling tasks must not slow down other tasks for seconds."""
     percent, looks = 100, 0
     while percent:
         percent = next_pace(percent, 1.5)
