--- a/libs/coordinator/src/lycheeloom/coordinator/__init__.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/__init__.py
@@ -1,1 +1,4 @@
-"""Leadership, dispatch and recovery of jobs over a platform given as ports."""
+"""Leader election, dispatch and recovery of jobs, independent of the platform.
+
+The platform is accessed through the protocols in ``ports``.
+"""
--- a/libs/coordinator/src/lycheeloom/coordinator/advisor.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/advisor.py
@@ -1,4 +1,4 @@
-"""Asks the advice service which workers may run the steps that wait."""
+"""Asks the advice service which workers may run the waiting steps."""
 
 from __future__ import annotations
 
@@ -13,31 +13,34 @@
 from .ports import Advice, AdvicePort, CallReply
 
 STEP_PAUSE_S = 0.02
-# Workers named in one call; the service takes time for each of them.
+# Maximum workers per call; the duration of a call grows with their number.
 MAX_WORKERS = 30
 TIMEOUT_MARGIN_S = 1.0
-# A ticket is used no later than this before its validity ends.
+# A ticket is not used during this last part of its validity.
 VALIDITY_MARGIN_S = 0.3
 RETRY_S = 0.5
 
 
 class Advisor:
-    """Runs beside a dispatcher; one call at a time, as the service takes them."""
+    """Fetches tickets while this instance leads.
+
+    Makes one call at a time, since the service processes one at a time.
+    """
 
     def __init__(self, dispatcher: Dispatcher, port: AdvicePort) -> None:
         self._dispatcher = dispatcher
         self._port = port
-        # When a step may be asked about again.
+        # Earliest time of the next call for a step.
         self._next_ask_s: dict[tuple[str, StepKey], float] = {}
 
     def run(self) -> None:
-        """Ask until the leader is fenced."""
+        """Fetch tickets until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
             if not self._dispatcher.writer.may_act or not self._ask_first():
                 gevent.sleep(STEP_PAUSE_S)
 
     def _ask_first(self) -> bool:
-        """Ask about the oldest step without tickets; tells whether it asked."""
+        """Ask about the first step that needs tickets; return whether it did so."""
         dispatcher = self._dispatcher
         self._drop_expired()
         policy = dispatcher.view.policy
@@ -94,7 +97,7 @@
         for worker_id, ticket in advice.ticket_by_worker.items():
             entry = (job_id, key, worker_id)
             self._dispatcher.advised.ticket_by_key[entry] = (ticket, until_s)
-        # Workers that were not named stay ineligible, since a step keeps them.
+        # Workers without a ticket stay ineligible: a step keeps its eligible workers.
         self._next_ask_s[job_id, key] = max(until_s, now_s + RETRY_S)
         self._dispatcher.wake()
 
--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -1,4 +1,4 @@
-"""Removes the records of jobs that ended long ago."""
+"""Removes the records of jobs whose retention time is over."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from .replica import Replica
 
 INTERVAL_S = 10.0
-# Callers are owed the state for a time; clocks of instances differ by less than
-# the rest of this factor.
+# Callers must be able to read the state for the retention time; the factor adds a
+# margin for differences between the clocks of instances.
 RETENTION_FACTOR = 1.5
 MAX_JOBS = 200
 
 
 class Cleaner:
-    """Runs beside a dispatcher while this instance leads."""
+    """Removes expired job records while this instance leads."""
 
     def __init__(
         self,
@@ -43,7 +43,7 @@
                 self.clean()
 
     def clean(self) -> None:
-        """Remove the records of jobs whose time is over, a number at a time."""
+        """Remove the records of up to ``MAX_JOBS`` expired jobs."""
         expired = self._expired()[:MAX_JOBS]
         if not expired:
             return
@@ -55,7 +55,7 @@
         result = self._store.append(records)
         log_event("jobs_expired", jobs=len(expired), first=expired[0], result=result)
         if isinstance(result, Appended):
-            # Progress goes last: without it a job would seem to be new.
+            # Progress records are removed last: a job without one appears to be new.
             self._dispatcher.writer.write(
                 [Record(key_of(Kind.PROGRESS, job_id), b"") for job_id in expired]
             )
--- a/libs/coordinator/src/lycheeloom/coordinator/clock.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/clock.py
@@ -6,13 +6,13 @@
 
 
 def steady_s() -> float:
-    """Return seconds of a clock that also counts time spent suspended.
+    """Return monotonic time in seconds, including time spent in system suspend.
 
-    A leader that was suspended must see that its lease has ended.
+    A leader that was suspended must notice that its lease has expired.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall_ms() -> int:
-    """Return milliseconds since 1970."""
+    """Return Unix time in milliseconds."""
     return time.time_ns() // 1_000_000
--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -1,4 +1,4 @@
-"""The leader's work: keeps in touch with workers and plans what starts."""
+"""The leader's main loop: tracks workers and starts tasks on them."""
 
 from __future__ import annotations
 
@@ -29,22 +29,23 @@
 )
 from .writer import LeaderWriter
 
-# Starts are planned together if their reasons come this close to each other.
+# Pause before each planning round, so that events in quick succession share one.
 PLAN_PAUSE_S = 0.005
-# Planning also happens without a reason, for due times and holds that end.
+# Planning also happens at this interval, for due times and expired backoffs.
 PLAN_INTERVAL_S = 0.2
-# Longer than any worker runs on under leases of the leader before.
+# Longer than any lease granted by the previous leader.
 TAKEOVER_LAPSE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
-# A list of instances asked for this long after a worker was seen shows its instance.
+# A list of instances requested this long after a worker was first seen contains its
+# instance.
 INSTANCE_LIST_LAG_S = 0.5
-# Inherited jobs wait at most this long for the first list of instances.
+# Tasks of inherited jobs wait at most this long for the first list of instances.
 FIRST_LIST_WAIT_S = 1.0
-# An entry that vanished from the list of workers may still come back.
+# A worker missing from the platform's list for less than this may still come back.
 UNLISTED_GRACE_S = 2.5
 
 
 class Dispatcher:
-    """Runs while this instance leads."""
+    """Schedules tasks on workers while this instance leads."""
 
     def __init__(
         self,
@@ -70,34 +71,34 @@
         self._began_s = steady_s()
         self._wake = Event()
         self._unlisted_since: dict[str, float] = {}
-        # Pools of the workers that live by the list of instances; None before the
-        # first list.
+        # Pools of the workers that the list of instances shows as running, by worker
+        # id; None before the first list.
         self._pool_by_live_worker: Mapping[str, str] | None = None
-        # Lives that have certainly ended and that the platform still lists.
+        # Incarnations that have definitely ended but are still listed by the platform.
         self._ended_incarnations: set[tuple[str, int]] = set()
         self._greenlets: list[gevent.Greenlet] = []
 
     @property
     def active_job_by_id(self) -> dict[str, ActiveJob]:
-        """Return the jobs that have not ended."""
+        """Return the jobs that have not ended, by id."""
         return self._registry.active_job_by_id
 
     @property
     def advised(self) -> AdvisedWorkers:
-        """Return the tickets of the advice service."""
+        """Return the tickets issued by the advice service."""
         return self._registry.advised
 
     @property
     def demand(self) -> PoolDemand:
-        """Return how much work comes to each pool."""
+        """Return the rate at which work is submitted to each pool."""
         return self._registry.demand
 
     def stop_run(self, run: Run, reason: str) -> None:
-        """Stop a run and wait until the worker no longer has it."""
+        """Stop a run; it counts as running until the worker no longer has it."""
         self._orders.stop_run(run, reason)
 
     def run(self, background_tasks: Iterable[Callable[[], None]] = ()) -> None:
-        """Lead until fenced, with the tasks given running beside."""
+        """Lead until fenced, running ``background_tasks`` in greenlets meanwhile."""
         self._registry.inherit()
         self.replica.add_listener(self._registry.on_record)
         self._spawn(self.writer.run)
@@ -120,11 +121,11 @@
             self._orders.close()
 
     def wake(self) -> None:
-        """Plan soon."""
+        """Trigger a planning round."""
         self._wake.set()
 
     def sync_workers(self) -> None:
-        """Take over which workers the platform lists."""
+        """Add, update and drop workers according to the platform's list."""
         now_s = steady_s()
         listed = self.view.worker_by_id.values()
         self._ended_incarnations &= {(w.worker_id, w.started_ms) for w in listed}
@@ -145,28 +146,29 @@
                 self._drop_worker(worker_id, "not listed")
 
     def note_instances(
-        self, pool_by_live_worker: Mapping[str, str], asked_s: float
+        self, pool_by_live_worker: Mapping[str, str], requested_s: float
     ) -> None:
-        """Drop workers that do not answer and that no instance has any more.
+        """Drop workers that do not respond and no longer belong to any instance.
 
-        An instance that is moved, maintained or crashed ends its worker at once;
-        the platform lists the worker for seconds after that.
+        The worker of an instance that moves, is maintained or crashes ends
+        immediately, but the platform lists it for some seconds longer.
+        ``requested_s`` is when the list of instances was requested.
         """
         self._pool_by_live_worker = pool_by_live_worker
         for worker_id, link in list(self.link_by_id.items()):
             if worker_id in pool_by_live_worker or not link.failing_for_s:
                 continue
-            if asked_s < link.created_s + INSTANCE_LIST_LAG_S:
+            if requested_s < link.created_s + INSTANCE_LIST_LAG_S:
                 continue
             self._ended_incarnations.add((worker_id, link.worker.started_ms))
-            self._drop_worker(worker_id, "no instance has it")
+            self._drop_worker(worker_id, "no instance runs it")
 
     def _sync_worker(self, worker: Worker) -> None:
         link = self.link_by_id.get(worker.worker_id)
         if link is not None and link.worker.started_ms != worker.started_ms:
             if worker.started_ms < link.worker.started_ms:
                 return
-            self._drop_worker(worker.worker_id, "started again")
+            self._drop_worker(worker.worker_id, "worker restarted")
             link = None
         if link is None:
             self.fleet.add_worker(worker)
@@ -206,13 +208,13 @@
                 log_event("worker_lapsed", worker=link.worker.worker_id)
                 for run in list(state.run_by_task.values()):
                     self.fleet.remove_run(run)
-                    self._registry.put_back(run, "lease lapsed")
+                    self._registry.put_back(run, "lease expired")
 
     def _on_reply(self, link: WorkerLink, outcome: CallOutcome) -> None:
         if outcome is CallOutcome.FENCED:
             self._note_fenced(link.worker.worker_id)
         elif outcome is CallOutcome.GONE and link.worker.worker_id in self.link_by_id:
-            self._drop_worker(link.worker.worker_id, "another life answers")
+            self._drop_worker(link.worker.worker_id, "another incarnation answered")
 
     def _note_fenced(self, worker_id: str) -> None:
         log_event("leader_fenced", level="WARNING", worker=worker_id)
@@ -250,10 +252,10 @@
             self._orders.begin(start, now_s)
 
     def _pools_with_unknown_runs(self, now_s: float) -> Collection[str]:
-        """Return pools in which runs of the leader before may be unknown.
+        """Return the pools that may have unknown runs of the previous leader.
 
-        The platform's list of workers lacks some that live for seconds after an
-        outage of the store; the list of instances names them.
+        For some seconds after an outage of the store, the platform's list of workers
+        lacks some that are running; the list of instances names them.
         """
         if not self._registry.inherited:
             return ()
--- a/libs/coordinator/src/lycheeloom/coordinator/gauges.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/gauges.py
@@ -1,4 +1,4 @@
-"""Refreshes the metrics that show a state."""
+"""Refreshes the gauges of the Prometheus metrics."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Gauges:
-    """Sets gauges from what the process believes now and then."""
+    """Periodically sets the gauges from the state of the process."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         self._lines_dropped = lines_dropped
 
     def run(self) -> None:
-        """Refresh for ever."""
+        """Refresh forever."""
         while True:
             self.refresh()
             gevent.sleep(REFRESH_S)
@@ -58,7 +58,7 @@
         states = Counter(e.state for e in table.entry_by_id.values() if e.job)
         for state in JobState:
             metrics.JOBS.labels(state.value).set(states[state])
-        # Only the leader knows what runs; others must not show old figures.
+        # Only the leader knows the runs; other instances must not show outdated values.
         metrics.POOL_CAPACITY.clear()
         metrics.POOL_USED.clear()
         metrics.ORGANISATION_USED.clear()
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -1,4 +1,4 @@
-"""Accepts, cancels and looks up jobs; any instance does so for any job."""
+"""Accepts, cancels and looks up jobs, on any instance and for any job."""
 
 from __future__ import annotations
 
@@ -24,34 +24,35 @@
 )
 from .replica import Replica
 
-# Records that arrive within this time share an append.
+# Records that arrive within this time are appended together.
 GROUP_PAUSE_S = 0.004
 MAX_GROUP = 64
-# A caller waits at most this long for the store; another instance may reach it.
+# A caller waits at most this long for the store; another instance may be able to reach
+# it.
 ANSWER_TIMEOUT_S = 2.0
-# An append whose outcome is not known is repeated for this long, since a later
-# answer settles it. One that was refused is not: the caller may go elsewhere.
+# An append with an unknown outcome is repeated for this long, since a later answer
+# settles it. A refused append is not: the caller may try another instance.
 REPEAT_UNKNOWN_S = 1.0
-# Two attempts, of 0.8 s and of this long, end before the deadline of most callers
-# (3 s).
+# Two attempts, with timeouts of 0.8 s and of this value, end before the deadline of
+# most callers (3 s).
 MAX_APPEND_TIMEOUT_S = 1.6
 RETRY_PAUSE_S = 0.1
 
 
 class Verdict(Enum):
-    """What became of a call."""
+    """Result of a call."""
 
     ACCEPTED = "accepted"
-    # Certainly not accepted; the job never runs.
+    # Definitely not recorded; the job will not run.
     NOT_ACCEPTED = "not_accepted"
-    # The store has not answered; the job may run.
+    # The store did not answer; the job may run.
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no_such_job"
 
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """A verdict with its reason for the caller and the log."""
+    """A verdict and its reason, for the caller and the log."""
 
     verdict: Verdict
     reason: str = ""
@@ -65,7 +66,7 @@
 
 
 class Intake:
-    """Records what callers ask for, and answers only when it is durable."""
+    """Records submissions and cancellations, and answers once they are durable."""
 
     def __init__(self, store: StorePort, replica: Replica) -> None:
         self._store = store
@@ -75,7 +76,7 @@
         self._timeout_s = APPEND_TIMEOUT_S
 
     def run(self) -> None:
-        """Append waiting records in groups, for ever."""
+        """Append pending records in groups, forever."""
         while True:
             self._has_pending.wait()
             gevent.sleep(GROUP_PAUSE_S)
@@ -84,19 +85,19 @@
             if not self._pending:
                 self._has_pending.clear()
             if group:
-                # One append at a time: when the store is slow, what arrives
-                # meanwhile shares the next one.
+                # One append at a time: when the store is slow, records that arrive
+                # meanwhile share the next append.
                 self._append(group)
 
     def submit(self, job: Job) -> Decision:
-        """Accept a job; a job of that id that is known stays as it is."""
+        """Record a job; a known job with the same id is left unchanged."""
         entry = self.replica.table.entry_by_id.get(job.job_id)
         if entry is not None and entry.job is not None:
             return Decision(Verdict.ACCEPTED, "known")
         return self._record(Record(key_of(Kind.JOB, job.job_id), encode(job)))
 
     def cancel(self, job_id: str) -> Decision:
-        """Cancel a job."""
+        """Record the cancellation of a job, unless the job has ended."""
         state = self.look_up(job_id)
         if isinstance(state, Decision):
             return state
@@ -105,16 +106,16 @@
         return self._record(Record(key_of(Kind.CANCELLATION, job_id), b"1"))
 
     def state(self, job_id: str) -> JobState | None:
-        """Return what is known of a job; None if it is not known here."""
+        """Return the state of a job; None if this instance does not know the job."""
         entry = self.replica.table.entry_by_id.get(job_id)
         return entry.state if entry is not None and entry.job is not None else None
 
     def look_up(self, job_id: str) -> JobState | Decision:
-        """Return a job's state, asking the store about a job not known here."""
+        """Return the state of a job, reading the store if the job is not known."""
         state = self.state(job_id)
         if state is not None:
             return state
-        # It may have been handed in elsewhere a moment ago.
+        # The job may have just been submitted to another instance.
         if not self.replica.refresh_jobs():
             return Decision(Verdict.NOT_ACCEPTED, "store not reached")
         return self.state(job_id) or Decision(Verdict.NO_SUCH_JOB)
@@ -128,7 +129,7 @@
         self._has_pending.set()
         if not pending.done.wait(ANSWER_TIMEOUT_S):
             if pending in self._pending:
-                # It has not been sent and never will be.
+                # The record has not been sent and never will be.
                 self._pending.remove(pending)
                 return Decision(Verdict.NOT_ACCEPTED, "store too slow")
             return Decision(Verdict.UNKNOWN, "store has not answered")
@@ -144,7 +145,10 @@
         return Decision(Verdict.UNKNOWN, "unexpected answer of the store")
 
     def _append(self, group: list[_PendingRecord]) -> None:
-        """Append records; repeating one whose outcome is unknown does no harm."""
+        """Append records, repeating the append while its outcome is unknown.
+
+        Repeating is safe since applying a record twice has no further effect.
+        """
         deadline_s = steady_s() + REPEAT_UNKNOWN_S
         records = [pending.record for pending in group]
         was_unknown = False
@@ -172,10 +176,10 @@
             pending.done.set()
 
     def _append_once(self, records: list[Record]) -> AppendResult:
-        """Append with a timeout that grows while the store is slow.
+        """Append with a timeout that increases while the store is slow.
 
-        An append that is given up is carried out all the same, and its repetition
-        makes the store slower still.
+        The store still carries out an append that timed out here, so repeating it too
+        soon would slow the store further.
         """
         began_s = steady_s()
         result = self._store.append(records, timeout_s=self._timeout_s)
--- a/libs/coordinator/src/lycheeloom/coordinator/inventory.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inventory.py
@@ -1,4 +1,4 @@
-"""The leader's newest list of the platform's instances."""
+"""The leader's latest list of the platform's instances."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 
 
 class Inventory:
-    """Instances by id, read again and again.
+    """Instances by id, polled from the platform.
 
-    ``on_list`` is told the pools of the workers that live, by their ids, and when
-    the list was asked for.
+    ``on_list`` is called with the pools of the running workers by worker id, and with
+    the time at which the list was requested.
     """
 
     def __init__(
@@ -36,7 +36,7 @@
         self._is_failing = False
 
     def run(self) -> None:
-        """Read the list until the leader is fenced."""
+        """Poll the list until the leader is fenced."""
         while not self._writer.is_fenced:
             if not self._writer.may_act:
                 gevent.sleep(IDLE_PAUSE_S)
@@ -45,7 +45,7 @@
             gevent.sleep(LIST_INTERVAL_S)
 
     def _read(self) -> None:
-        asked_s = steady_s()
+        requested_s = steady_s()
         result = self._port.list_instances()
         if isinstance(result, CallReply):
             if not self._is_failing:
@@ -61,4 +61,4 @@
             log_event("instances_regained")
             self._is_failing = False
         self.instance_by_id = {i.instance_id: i for i in result}
-        self._on_list({i.worker_id: i.pool for i in result if i.worker_id}, asked_s)
+        self._on_list({i.worker_id: i.pool for i in result if i.worker_id}, requested_s)
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -1,4 +1,4 @@
-"""The jobs that a leader works on, and the records of their progress."""
+"""The jobs that the leader schedules, and the recording of their progress."""
 
 from __future__ import annotations
 
@@ -19,9 +19,9 @@
 
 
 class JobRegistry:
-    """Opens and closes jobs as records come and tasks end.
+    """Tracks the jobs that have not ended, from log records and ended runs.
 
-    ``stop_run`` is called for each run of a job that has ended.
+    ``stop_run`` is called for each remaining run of a job that has ended.
     """
 
     def __init__(
@@ -37,9 +37,9 @@
         self.demand = PoolDemand()
         self.advised = AdvisedWorkers()
         self.stop_run: Callable[[Run, str], None] = lambda run, reason: None
-        # Jobs of the leader before, until all lists of their pool are known.
+        # Jobs of the previous leader whose pool may still have unknown runs.
         self.inherited: set[str] = set()
-        # Durable no sooner than every record handed over so far.
+        # Becomes durable only after all records written so far.
         self.last_commit: Commit | None = None
         self._replica = replica
         self._writer = writer
@@ -47,16 +47,16 @@
         self._fleet = fleet
         self._wake = wake
         self._changed_jobs: set[str] = set()
-        # Jobs that have ended under this leader and are still in the table.
+        # Jobs that this leader has closed and that are still in the table.
         self._closed_jobs: set[str] = set()
 
     def inherit(self) -> None:
-        """Open the jobs that are in the table already."""
+        """Open the jobs that are already in the table."""
         for job_id in self._replica.table.entry_by_id:
             self._open_job(job_id, inherited=True)
 
     def on_record(self, applied: AppliedRecord) -> None:
-        """Follow a change of the table."""
+        """Process a record that was applied to the table."""
         match applied.kind:
             case Kind.JOB:
                 self._open_job(applied.name, inherited=False)
@@ -70,24 +70,24 @@
         self._wake()
 
     def note_begun(self, active_job: ActiveJob) -> bool:
-        """Note that a task of a job runs; tells whether it is the first one."""
+        """Record that a task of a job runs; return whether it is the first one."""
         if not active_job.note_begun():
             return False
         self._changed_jobs.add(active_job.job.job_id)
         return True
 
     def note_changed(self, active_job: ActiveJob) -> None:
-        """Note that a job's progress is to be recorded."""
+        """Mark a job's progress to be written by the next ``flush``."""
         self._changed_jobs.add(active_job.job.job_id)
 
     def refresh_limit(self, active_job: ActiveJob) -> None:
-        """Read a job's limit of attempts from the policy in force."""
+        """Set a job's limit of attempts from the current policy."""
         queue = self._view.policy.queue_by_name.get(active_job.job.queue)
         if queue is not None:
             active_job.max_attempts = queue.max_attempts
 
     def close_job(self, active_job: ActiveJob) -> None:
-        """Record the end of a job and stop what still runs of it."""
+        """Record the end of a job and stop its remaining runs."""
         job_id = active_job.job.job_id
         active_job.finished_ms = wall_ms()
         log_event("job_ended", job=job_id, state=active_job.state.value)
@@ -101,7 +101,7 @@
         self.advised.forget_job(job_id)
 
     def flush(self) -> None:
-        """Hand the progress of changed jobs to the writer."""
+        """Write the progress of changed jobs."""
         records = []
         for job_id in self._changed_jobs:
             active_job = self.active_job_by_id.get(job_id)
@@ -115,7 +115,10 @@
             self.last_commit = self._writer.write(records)
 
     def put_back(self, run: Run, reason: str) -> None:
-        """Let the task of a run that has ended wait again."""
+        """Return the task of an unfinished run to the waiting ones.
+
+        Does nothing if the task still has another run.
+        """
         active_job = self.active_job_by_id.get(run.task.job_id)
         if active_job is None or run.task in self._fleet.runs_by_task:
             return
@@ -128,7 +131,7 @@
         if entry is None or entry.job is None or job_id in self.active_job_by_id:
             return
         if job_id in self._closed_jobs:
-            # A repeated record; the table may not show the job's end yet.
+            # A duplicate record; the table may not contain the job's end yet.
             return
         active_job = ActiveJob(entry.job, entry.progress)
         if active_job.is_final:
--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -1,4 +1,4 @@
-"""Elects one instance as the leader through the store."""
+"""Leader election through the store."""
 
 from __future__ import annotations
 
@@ -15,19 +15,20 @@
 from .writer import LEADER_LEASE_S, LeaderWriter
 
 # A leader that has written nothing for this long no longer acts: its lease has
-# ended even if its clock is 2% slow, with time for the read that shows it.
+# expired even if its clock is 2% slow. Includes time for the read that shows this.
 TAKEOVER_AFTER_S = LEADER_LEASE_S * 1.02 + 0.2
 CHECK_PAUSE_S = 0.1
-# Instances that see the same silence campaign at different times.
+# Random delay, so that instances do not all campaign at the same time.
 MAX_STAGGER_S = 0.25
 FENCE_TIMEOUT_S = 2.0
 
 
 class Leadership:
-    """Campaigns when no leader is heard of.
+    """Campaigns for leadership when there is no active leader.
 
-    ``lead`` runs while this instance leads; it is told whether another leader
-    came before. ``may_lead`` tells whether this instance knows enough to lead.
+    ``lead`` runs while this instance leads; its second argument is whether there was
+    an earlier leader. ``may_lead`` returns whether this instance has the state that
+    it needs to lead.
     """
 
     def __init__(
@@ -45,14 +46,15 @@
         self._lead = lead
         self._may_lead = may_lead
         self._rng = rng
-        # End of the election log if it is known to be past the leader's token.
+        # End of the election log if it is known to be past the token of the latest
+        # known leader: another instance has claimed the lead.
         self._claimed_end: int | None = None
         self._claim_seen_s = 0.0
         self.writer: LeaderWriter | None = None
         self.is_stopping = False
 
     def run(self) -> None:
-        """Watch the leader and campaign for ever."""
+        """Watch the leader and campaign until stopped."""
         while not self.is_stopping:
             gevent.sleep(CHECK_PAUSE_S)
             if not self._may_lead() or not self._is_vacant():
@@ -80,7 +82,7 @@
         if leader is None or leader.resigned:
             return True
         if leader.instance == self._instance:
-            # An earlier process of this instance; it has ended.
+            # The leader was an earlier process of this instance, which has ended.
             return True
         return steady_s() - replica.leader_seen_s > TAKEOVER_AFTER_S
 
@@ -106,7 +108,7 @@
         writer = LeaderWriter(self._store, token, self._instance, lambda: None)
         self.writer = writer
         end = writer.open(FENCE_TIMEOUT_S)
-        # Every job that the leader before may have started must be known.
+        # Every job that the previous leader may have started must be known.
         is_ready = (
             end is not None
             and self._replica.wait_for_leader_record(end, FENCE_TIMEOUT_S)
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -1,4 +1,4 @@
-"""Takes over what workers list: runs that go on and runs that have ended."""
+"""Reconciles the leader's state with the runs that workers report."""
 
 from __future__ import annotations
 
@@ -16,13 +16,14 @@
 from .worker_link import WorkerLink
 from .writer import Commit
 
-# A run whose progress stands still for this long is stopped and started anew.
+# A run without progress for this long is stopped and its task restarted.
 STALL_S = 2.0
+# The worker of a stalled run gets no tasks for this long.
 STALL_BACKOFF_S = 6.0
 
 
 class ListReconciler:
-    """Compares the lists of workers with the fleet as the leader believes it."""
+    """Updates the fleet and the jobs from the run lists of workers."""
 
     def __init__(
         self,
@@ -41,9 +42,10 @@
     def reconcile(
         self, link: WorkerLink, lists: TaskLists, sent_s: float
     ) -> Commit | None:
-        """Take over lists asked for at ``sent_s``.
+        """Process lists that were requested at ``sent_s``.
 
-        Returns what must be durable before the worker may forget the ends.
+        Returns the commit that must be durable before the worker may forget the ended
+        runs, or None if there is nothing to wait for.
         """
         worker_id = link.worker.worker_id
         if _is_other_incarnation(lists.started_ms, link.worker.started_ms):
@@ -52,17 +54,17 @@
         state = self._fleet.state_by_id[worker_id]
         ended = [end for end in lists.ended if end.number > link.newest_end]
         for end in ended:
-            self._take_end(link, end)
+            self._process_end(link, end)
             link.newest_end = max(link.newest_end, end.number)
         listed: set[TaskKey] = set()
         for row in lists.running:
             listed.add(row.task)
-            self._take_running(link, row)
+            self._process_running(link, row)
         for run in list(state.run_by_task.values()):
             if run.task in listed or sent_s <= run.gone_if_unlisted_after_s:
                 continue
             if run.state is RunState.UNSURE:
-                # The start may still be carried out; the stop prevents that.
+                # The start may still be in flight; the stop makes the worker reject it.
                 self._orders.stop_run(run, START_NOT_ANSWERED)
             else:
                 self._fleet.remove_run(run)
@@ -77,7 +79,7 @@
         self._registry.flush()
         return self._registry.last_commit
 
-    def _take_end(self, link: WorkerLink, end: EndedTask) -> None:
+    def _process_end(self, link: WorkerLink, end: EndedTask) -> None:
         worker_id = link.worker.worker_id
         run = self._fleet.find_run(worker_id, end.task, end.run)
         if run is not None:
@@ -98,7 +100,8 @@
         self._registry.refresh_limit(active_job)
         if active_job.note_end(end.task, end.run, end.kind, end.checkpoint):
             self._registry.note_changed(active_job)
-        # Services that are restarted whenever they end say nothing of a worker.
+        # Long-running tasks are restarted whenever they end, so their ends say nothing
+        # about the worker.
         counts_for_worker = run is not None and not run.step.long_running
         if counts_for_worker and end.kind in (EndKind.DONE, EndKind.FAILED):
             succeeded = end.kind is EndKind.DONE
@@ -114,9 +117,9 @@
 
     def _stop_copies(self, task: TaskKey) -> None:
         for copy in list(self._fleet.runs_by_task.get(task, ())):
-            self._orders.stop_run(copy, "another copy is done")
+            self._orders.stop_run(copy, "another run is done")
 
-    def _take_running(self, link: WorkerLink, row: RunningTask) -> None:
+    def _process_running(self, link: WorkerLink, row: RunningTask) -> None:
         worker_id = link.worker.worker_id
         now_s = steady_s()
         run = self._fleet.find_run(worker_id, row.task, row.run)
@@ -139,7 +142,7 @@
             self._orders.stop_run(run, "no progress")
 
     def _adopt(self, link: WorkerLink, row: RunningTask) -> Run | None:
-        """Take over a run of an earlier leader, or stop one nobody needs."""
+        """Add a run started by an earlier leader, or stop it if it is not needed."""
         worker_id = link.worker.worker_id
         active_job = self._registry.active_job_by_id.get(row.task.job_id)
         step_key = (row.task.occurrence, row.task.step)
@@ -176,5 +179,5 @@
 
 
 def _is_other_incarnation(started_ms: int, expected_ms: int) -> bool:
-    """Tell whether a worker has started again; 0 stands for an unknown start."""
+    """Return whether two start times differ; 0 means unknown and matches any."""
     return bool(started_ms and expected_ms) and started_ms != expected_ms
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -1,4 +1,4 @@
-"""Carries out maintenance waves: empties instances and orders their maintenance."""
+"""Carries out maintenance waves: drains instances and orders their maintenance."""
 
 from __future__ import annotations
 
@@ -30,21 +30,21 @@
 )
 
 STEP_PAUSE_S = 0.1
-# Tasks that run to an end are given this long before they are stopped.
+# Tasks other than long-running ones may run on for this long before being stopped.
 DRAIN_TIMEOUT_S = 2.5
-# An order that was not carried out is repeated after this pause.
+# Delay before a failed order is repeated.
 ORDER_RETRY_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
 class WaveOrder:
-    """A wave as the operator has asked for it."""
+    """A wave as requested by the operator."""
 
     wave: str
     instances: tuple[str, ...]
     within_s: float
     at_once: int
-    # When this process learned of the wave.
+    # When this process received the wave, by its monotonic clock.
     seen_s: float
 
 
@@ -64,7 +64,7 @@
 
 
 class Maintenance:
-    """Runs beside a dispatcher while this instance leads."""
+    """Carries out the operator's maintenance waves while this instance leads."""
 
     def __init__(
         self,
@@ -91,7 +91,7 @@
         self._reported: dict[str, str] = {}
 
     def run(self) -> None:
-        """Work on all waves until the leader is fenced."""
+        """Carry out all waves until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
             gevent.sleep(STEP_PAUSE_S)
             open_orders = [o for o in self._orders.values() if not self._is_over(o)]
@@ -101,7 +101,7 @@
                 self._step(order)
 
     def handles(self, instance_id: str) -> bool:
-        """Tell whether an instance is being emptied or maintained."""
+        """Return whether an instance is being drained or maintained."""
         return instance_id in self._handled_by_id
 
     def _is_over(self, order: WaveOrder) -> bool:
@@ -165,9 +165,10 @@
             )
 
     def _count_away(self, order: WaveOrder) -> Counter[str]:
-        """Count by pool the instances that are being emptied or are away.
+        """Count the instances that are being drained or maintained, by pool.
 
-        Orders of the leader before count too, also one that may still be on its way.
+        Includes instances that the previous leader has ordered into maintenance, also
+        if its order may still be in flight.
         """
         away = Counter(h.pool for h in self._handled_by_id.values())
         for instance_id in order.instances:
@@ -201,7 +202,7 @@
     ) -> None:
         now_s = steady_s()
         if instance.worker_id != handled.worker_id:
-            # The instance has crashed and started again meanwhile.
+            # The instance has crashed and restarted meanwhile.
             handled.worker_id, handled.since_s = instance.worker_id, now_s
         state = self._state_of(handled.worker_id)
         if state is not None and not self._runs_are_known(state):
@@ -216,7 +217,7 @@
         self._order(order, instance, handled)
 
     def _runs_are_known(self, state: WorkerState) -> bool:
-        """Tell whether all runs on a worker are known, or have ended."""
+        """Return whether all runs on a worker are known or their lease has expired."""
         link = self._dispatcher.link_by_id.get(state.worker.worker_id)
         return state.has_current_lists or (link is not None and link.has_lapsed)
 
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a process that runs jobs."""
+"""Prometheus metrics of a process that accepts and schedules jobs."""
 
 from __future__ import annotations
 
--- a/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
@@ -1,4 +1,4 @@
-"""Keeps leaders from ordering an instance in turns within its lease."""
+"""Prevents two leaders from sending orders for an instance within its lease."""
 
 from __future__ import annotations
 
@@ -10,19 +10,19 @@
 from .replica import Replica
 from .writer import LEADER_LEASE_S, LeaderWriter
 
-# An order that is recorded now may be sent until the lease of its leader ends, and
-# takes this long to arrive.
+# Maximum time from recording an order until it arrives: the order is sent before the
+# leader's lease ends, and then takes some time to arrive.
 MAX_SEND_DELAY_S = LEADER_LEASE_S * 1.02 + 0.7
-# Orders are not sent if they are not recorded within this time.
+# Orders that are not recorded within this time are not sent.
 RECORD_TIMEOUT_S = 1.0
 
 
 class OrderGuard:
-    """Tells which instances this leader may order, and records what it orders.
+    """Decides for which instances this leader may send orders, and records orders.
 
-    Each order is in the log before it is sent, so a new leader knows the instances
-    that the leader before cannot have ordered lately. The others wait until the
-    lease that began with the change of leader has ended.
+    Each order is recorded before it is sent, so a new leader knows for which instances
+    its predecessor cannot have sent an order recently. For the others it waits until
+    the lease that began with the change of leader has expired.
     """
 
     def __init__(
@@ -31,13 +31,15 @@
         self._replica = replica
         self._writer = writer
         self._lease_s = lease_s
-        # The first leader of all has nobody to wait for.
+        # From this time on all instances may be ordered; the very first leader does not
+        # have to wait.
         self._unrestricted_from_s = steady_s() + (lease_s if had_leader else 0.0)
-        # Orders of this leader's own do not count.
+        # Times of the predecessors' last orders; a copy, so that this leader's own
+        # orders are not included.
         self._predecessor_order_s_by_id = dict(replica.last_order_s_by_instance)
 
     def may_order(self, instance_id: str) -> bool:
-        """Tell whether an order of another leader is certainly long past."""
+        """Return whether no order of another leader can still affect the instance."""
         now_s = steady_s()
         if now_s >= self._unrestricted_from_s:
             return True
@@ -47,7 +49,7 @@
         return now_s - predecessor_s > self._lease_s + MAX_SEND_DELAY_S
 
     def record(self, instance_ids: Collection[str]) -> bool:
-        """Record orders that are about to be sent; False if that failed."""
+        """Record orders before they are sent; if False, they must not be sent."""
         value = encode(InstanceOrder(int(wall_ms())))
         records = [Record(key_of(Kind.ORDER, i), value) for i in instance_ids]
         is_durable = self._writer.write(records).wait(RECORD_TIMEOUT_S)
--- a/libs/coordinator/src/lycheeloom/coordinator/pacer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pacer.py
@@ -1,4 +1,4 @@
-"""Slows filling tasks while they disturb tasks that serve."""
+"""Slows filling tasks that raise the latency of tasks on the same worker."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 from .dispatcher import Dispatcher
 from .ports import CallOutcome, WorkerPort
 
-# Workers give figures of the last half second.
+# Workers report latencies measured over the last half second.
 ADJUST_INTERVAL_S = 0.5
 
 
 class Pacer:
-    """Runs beside a dispatcher while this instance leads."""
+    """Adjusts the pace of filling tasks while this instance leads."""
 
     def __init__(self, dispatcher: Dispatcher, port: WorkerPort) -> None:
         self._dispatcher = dispatcher
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -28,14 +28,14 @@
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
-# A move whose order was not carried out is not tried again for this long.
+# Delay before a failed move is retried.
 RETRY_S = 1.0
-# Orders that are sent at the same time.
+# Maximum move orders in flight.
 MAX_ORDERS = 16
 
 
 class PoolMoves:
-    """Runs beside a dispatcher while this instance leads."""
+    """Sizes the pools while this instance leads, by moving instances."""
 
     def __init__(
         self,
@@ -50,12 +50,13 @@
         self._inventory = inventory
         self._order_guard = order_guard
         self._port = port
-        # Whether maintenance handles an instance.
+        # Returns whether an instance is being drained or maintained.
         self._is_reserved = is_reserved
         self._move_s = move_s
         self._senders = GreenletPool(MAX_ORDERS)
         self._idle_since_by_worker: dict[str, float] = {}
-        # Pool and the time until which an instance counts as on its way.
+        # Target pool and the time until which an instance counts as moving; the pool is
+        # empty unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
 
     def run(self) -> None:
@@ -91,7 +92,7 @@
         self._order([move for move in moves if self._prepare(move)])
 
     def _release(self, instance_id: str) -> None:
-        """Use an instance again if its move has not happened."""
+        """Allow new tasks on an instance again if it has not moved."""
         instance = self._inventory.instance_by_id.get(instance_id)
         if instance is None or self._is_reserved(instance_id):
             return
@@ -158,7 +159,7 @@
         }
 
     def _prepare(self, move: Move) -> bool:
-        """Keep new tasks off an instance; False if it has some."""
+        """Exclude an instance from new tasks; False if tasks run on it."""
         state = self._state_of(move)
         if state is None:
             return True
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -1,4 +1,4 @@
-"""What the coordinator needs of the platform it runs on."""
+"""Protocols and data classes through which the coordinator uses the platform."""
 
 from __future__ import annotations
 
@@ -11,39 +11,39 @@
 from lycheeloom.jobs.planner import Start
 from lycheeloom.jobs.records import Record
 
-# An append that takes longer counts as not answered.
+# An append without an answer within this time has an unknown outcome.
 APPEND_TIMEOUT_S = 0.8
 
 
 @dataclass(frozen=True, slots=True)
 class Appended:
-    """Records are durable; ``end`` is the offset behind them."""
+    """The records are durable; ``end`` is the offset after the last of them."""
 
     end: int
 
 
 @dataclass(frozen=True, slots=True)
 class Fenced:
-    """A writer with a higher token has written; nothing was appended."""
+    """A writer with a higher fencing token has written; nothing was appended."""
 
 
 @dataclass(frozen=True, slots=True)
 class ConditionFailed:
-    """The condition did not hold: the log ends at ``end``."""
+    """The expected end of the log was wrong: the log ends at ``end``."""
 
     end: int
 
 
 @dataclass(frozen=True, slots=True)
 class NotAppended:
-    """Certainly nothing was appended."""
+    """The append definitely had no effect."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class AppendUnknown:
-    """The records may have been appended, now or later."""
+    """The records may have been appended, or may still be."""
 
     reason: str
 
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Producer:
-    """Identifies an append, so that a repetition has no second effect."""
+    """Identifies an append, so that repeating it has no further effect."""
 
     token: int
     sequence: int
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsRead:
-    """Records with their offsets, and the offset to read from next."""
+    """Records with their offsets, the next offset to read and the end of the log."""
 
     records: tuple[tuple[int, Record], ...]
     next_offset: int
@@ -70,14 +70,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordsDropped:
-    """The log no longer has the records asked for."""
+    """The requested records have been removed; the log starts at ``first_kept``."""
 
     first_kept: int
 
 
 @dataclass(frozen=True, slots=True)
 class ReadFailed:
-    """No answer that can be used."""
+    """The read failed or its answer was invalid."""
 
     reason: str
 
@@ -86,10 +86,10 @@
 
 
 class Log(Enum):
-    """The two logs of jobs.
+    """The two logs of job records.
 
-    The leader has one for itself: when the store is slow, its renewals do not
-    queue behind what callers hand in.
+    The leader has its own log, so that its lease renewals do not queue behind
+    submissions of callers when the store is slow.
     """
 
     CALLERS = "callers"
@@ -97,9 +97,9 @@
 
 
 class StorePort(Protocol):
-    """The durable logs of jobs, and the log that elects the leader.
+    """The durable logs of job records, and the log used for leader election.
 
-    Appends with a producer go to the leader's log, others to that of the callers.
+    Appends with a producer go to the leader's log, others to the callers' log.
     """
 
     def append(
@@ -119,31 +119,31 @@
 
 
 class CallOutcome(Enum):
-    """How an order to a worker or about an instance ended."""
+    """Outcome of an order for a worker or an instance."""
 
     DONE = "done"
-    # A higher fencing token is known there.
+    # The receiver knows a higher fencing token.
     FENCED = "fenced"
-    # The run number is not higher than one that was stopped or has ended.
+    # The run number is not higher than that of a run that was stopped or has ended.
     OLD_RUN = "old_run"
-    # The lease had ended by the worker's clock.
+    # The lease had already expired by the worker's clock.
     LATE = "late"
     NO_ROOM = "no_room"
     BAD_TICKET = "bad_ticket"
-    # Another life answers at the address.
+    # Another incarnation of the worker answered.
     GONE = "gone"
-    # The other side has done nothing and may do so later.
+    # The receiver did nothing but may accept the order later.
     REFUSED = "refused"
-    # The order itself was not accepted.
+    # The order is invalid.
     INVALID = "invalid"
     NOT_SENT = "not_sent"
-    # The order may have been carried out, or may be later.
+    # The order may have been carried out, or may still be.
     UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
 class CallReply:
-    """The outcome of an order, with the worker's clock if it answered."""
+    """The outcome of an order, with the worker's clock in ms if it answered."""
 
     outcome: CallOutcome
     reason: str = ""
@@ -152,7 +152,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskLists:
-    """What a worker says of its runs; ``started_ms`` names the life that answers."""
+    """Running and ended runs as reported by a worker.
+
+    ``started_ms`` identifies the incarnation that answered; 0 if unknown.
+    """
 
     clock_ms: int
     started_ms: int
@@ -185,14 +188,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Advice:
-    """Tickets by worker, and how long they are valid."""
+    """Tickets by worker id, with their validity."""
 
     ticket_by_worker: dict[str, str]
     validity_s: float
 
 
 class AdvicePort(Protocol):
-    """The service that knows which workers may run a step."""
+    """The service that decides which workers may run a step."""
 
     def advise(
         self, step: str, worker_ids: Sequence[str], timeout_s: float
@@ -200,7 +203,7 @@
 
 
 class InstanceState(Enum):
-    """What an instance does."""
+    """Operational state of an instance."""
 
     UP = "up"
     MOVING = "moving"
@@ -210,7 +213,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """An instance of the platform and the worker it runs."""
+    """An instance of the platform and its worker; no ``worker_id`` if it has none."""
 
     instance_id: str
     pool: str
@@ -220,7 +223,7 @@
 
 
 class InstancePort(Protocol):
-    """Moves and maintenance of instances."""
+    """Lists instances, moves them between pools and orders their maintenance."""
 
     def list_instances(self) -> tuple[Instance, ...] | CallReply: ...
 
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -1,4 +1,4 @@
-"""Follows the logs of jobs and keeps the table of this instance up to date."""
+"""Follows the job logs and keeps the job table of this instance up to date."""
 
 from __future__ import annotations
 
@@ -14,30 +14,30 @@
 from .clock import steady_s, wall_ms
 from .ports import Log, ReadFailed, RecordsDropped, RecordsRead, StorePort
 
-# Wait of the store for new records in one read.
+# Long-poll timeout of a read that finds no new records.
 READ_WAIT_S = 1.0
-# A read that finds new records is followed by a pause, so that many small
-# appends are fetched together. Jobs that are not known yet are read on demand.
+# Pause after a read, so that many small appends are fetched together. Jobs that are
+# not known yet are read on demand.
 PAUSE_S_BY_LOG = {Log.CALLERS: 0.4, Log.LEADER: 0.15}
-# The leader reads sooner: starts wait for it.
+# The leader reads more often, as task starts wait for its reads.
 LEADER_PAUSE_S = 0.015
 RETRY_PAUSE_S = 0.2
-# Age of the last successful read up to which the table counts as current.
+# Maximum age of the last successful read while the table counts as current.
 FRESH_S = 2.0
-# A store that has failed for this long is not expected to take records.
+# A store whose reads have failed for longer is not expected to accept records.
 MAX_FAILING_S = 0.5
 
 
 class Replica:
-    """The table of jobs and how current it is."""
+    """The job table of this instance, kept up to date from the logs."""
 
     def __init__(self, store: StorePort) -> None:
         self.table = JobTable()
         self.is_leading = False
-        # When a record of the leader was last read; None before the first load.
+        # When a record of a leader was last read; None before the first load.
         self.leader_seen_s: float | None = None
-        # When the last order for an instance was recorded. The time of day is used
-        # only for records that are older than this process.
+        # When the last order for an instance was recorded, by the monotonic clock. The
+        # wall-clock time of a record is used only if it was read while loading.
         self.last_order_s_by_instance: dict[str, float] = {}
         self._listeners: list[Callable[[AppliedRecord], None]] = []
         self._followers = {log: _LogFollower(self, store, log) for log in Log}
@@ -52,17 +52,17 @@
 
     @property
     def is_loaded(self) -> bool:
-        """Tell whether the newest records have been fetched."""
+        """Return whether all logs have been loaded."""
         return all(follower.is_loaded for follower in self._followers.values())
 
     @property
     def is_fresh(self) -> bool:
-        """Tell whether the store has answered reads lately."""
+        """Return whether the store has recently answered reads."""
         return self.is_loaded and steady_s() - self.read_at_s < FRESH_S
 
     @property
     def reaches_store(self) -> bool:
-        """Tell whether the store can be expected to take records now."""
+        """Return whether the store can be expected to accept records."""
         return self.is_fresh and not any(
             follower.failing_for_s > MAX_FAILING_S
             for follower in self._followers.values()
@@ -70,17 +70,17 @@
 
     @property
     def read_at_s(self) -> float:
-        """Return when the older of the last successful reads began."""
+        """Return when the log that was read least recently was read successfully."""
         return min(follower.read_at_s for follower in self._followers.values())
 
     def run(self) -> None:
-        """Follow the logs for ever."""
+        """Follow the logs forever."""
         gevent.joinall(
             [gevent.spawn(follower.run) for follower in self._followers.values()]
         )
 
     def load(self) -> bool:
-        """Fetch the newest record of each key; tells whether that succeeded."""
+        """Load the latest record of each key; return whether that succeeded."""
         return all(follower.load() for follower in self._followers.values())
 
     def wait_for_leader_record(self, offset: int, timeout_s: float) -> bool:
@@ -88,14 +88,14 @@
         return self._followers[Log.LEADER].wait_for(offset, timeout_s)
 
     def refresh_jobs(self) -> bool:
-        """Read what callers have handed in by now; tells whether that succeeded."""
+        """Read all records in the callers' log; return whether that succeeded."""
         return self._followers[Log.CALLERS].catch_up()
 
     def apply(self, result: RecordsRead, is_live: bool) -> None:
-        """Apply records and tell the listeners.
+        """Apply records to the table and notify the listeners.
 
-        ``is_live`` tells records that have just been written from those that were
-        found when the log was loaded.
+        ``is_live`` is true for records that have just been written, and false for
+        those found while loading the log.
         """
         for offset, record in result.records:
             applied = self.table.apply(offset, record)
@@ -118,11 +118,11 @@
 
 
 class _LogFollower:
-    """Reads one log."""
+    """Loads one log and follows it."""
 
     def __init__(self, replica: Replica, store: StorePort, log: Log) -> None:
         self.is_loaded = False
-        # Start of the last read that succeeded.
+        # Start of the last successful read.
         self.read_at_s = 0.0
         self._offset = 0
         self._replica = replica
@@ -178,7 +178,7 @@
         return True
 
     def catch_up(self) -> bool:
-        """Read up to the present end; tells whether that succeeded."""
+        """Read up to the current end of the log; return whether that succeeded."""
         return self.is_loaded and self._read(0.0)
 
     def _read(self, wait_s: float) -> bool:
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -1,4 +1,4 @@
-"""Starts and stops of tasks, and what is done when their outcome is unknown."""
+"""Sends start and stop orders and handles those with an unknown outcome."""
 
 from __future__ import annotations
 
@@ -20,22 +20,23 @@
 from .worker_link import WorkerLink
 from .writer import LeaderWriter
 
-# A stopped run is gone from the worker's lists within this time.
+# A stopped run disappears from the worker's lists within this time.
 STOP_SETTLE_S = 0.25
 STOP_RETRY_S = 0.2
-# A worker without room by its own word gets no start for this long.
+# A worker that reported insufficient resources gets no starts for this long.
 NO_ROOM_BACKOFF_S = 0.1
+# A worker that rejected a start for another reason gets none for this long.
 REFUSED_BACKOFF_S = 0.5
-# Why a run is stopped whose start has an unknown outcome.
+# Reason for stopping a run whose start has an unknown outcome.
 START_NOT_ANSWERED = "start not answered"
-# Stops that are sent at the same time.
+# Maximum stop orders in flight.
 MAX_STOPS = 64
 
 
 class TaskOrders:
-    """Sends orders to workers while this instance leads.
+    """Sends start and stop orders to workers while this instance leads.
 
-    ``on_reply`` is told of workers that are gone or know a later leader.
+    ``on_reply`` is called for workers that have restarted or know a later leader.
     """
 
     def __init__(
@@ -56,11 +57,11 @@
         self._stops = GreenletPool(MAX_STOPS)
 
     def close(self) -> None:
-        """Give up what has not been answered."""
+        """Abort the stop orders in flight."""
         self._stops.kill(block=False)
 
     def begin(self, start: Start, now_s: float) -> None:
-        """Start a planned task; it counts as running from now on."""
+        """Start a planned task; its run occupies the worker from now on."""
         run = Run(
             start.task,
             start.run,
@@ -77,7 +78,7 @@
         gevent.spawn(self._start, start, run)
 
     def stop_run(self, run: Run, reason: str) -> None:
-        """Stop a run and wait until the worker no longer has it."""
+        """Stop a run; it occupies the worker until the worker no longer lists it."""
         if run.state is RunState.STOPPING:
             return
         run.state = RunState.STOPPING
@@ -93,14 +94,14 @@
         self._stops.spawn(self._stop_until_answered, run)
 
     def stop_listed(self, worker: Worker, row: RunningTask) -> None:
-        """Stop a run that a worker lists and nobody wants."""
+        """Stop a run that a worker lists and that is not needed."""
         self._stops.spawn(self._stop_listed, worker, row)
 
     def _start(self, start: Start, run: Run) -> None:
         link = self._link_by_id.get(start.worker_id)
         deadline_ms = link.grant_lease() if link else None
         if link is None or deadline_ms is None or not self._writer.may_act:
-            self._undo_start(run, "no link")
+            self._undo_start(run, "no valid lease")
             return
         key = (start.task.job_id, (start.task.occurrence, start.task.step))
         ticket, _ = self._registry.advised.ticket_by_key.get(
@@ -148,17 +149,17 @@
                 self._registry.advised.ticket_by_key.pop(
                     (start.task.job_id, key, start.worker_id), None
                 )
-                self._undo_start(run, "ticket")
+                self._undo_start(run, "ticket rejected")
             case outcome:
                 if state is not None:
                     self._back_off_worker(state, outcome, now_s)
                 self._undo_start(run, outcome.value)
 
     def _settle_unknown_start(self, run: Run, now_s: float) -> None:
-        """Stop a run that may have started, or wait for a list that shows it.
+        """Stop a run that may have started; if long-running, wait for a list instead.
 
-        A stop could end a task of a service that is at work by now, while others
-        of the service are still away.
+        Stopping a long-running task could end one that is available by now while other
+        tasks of its step are still unavailable.
         """
         if run.state is not RunState.STARTING:
             return
@@ -194,7 +195,7 @@
         state.backoff_until_s = max(state.backoff_until_s, now_s + backoff_s)
 
     def _undo_start(self, run: Run, reason: str) -> None:
-        """Undo a start that has certainly not happened."""
+        """Undo a start that definitely did not happen."""
         state = self._fleet.state_by_id.get(run.worker_id)
         if state is None or state.run_by_task.get(run.task) is not run:
             return
@@ -228,6 +229,6 @@
             task=row.task,
             run=row.run,
             worker=worker.worker_id,
-            reason="not wanted",
+            reason="not needed",
             outcome=reply.outcome.value,
         )
--- a/libs/coordinator/src/lycheeloom/coordinator/view.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/view.py
@@ -1,4 +1,4 @@
-"""What the platform says: policy, workers and zones taken out."""
+"""State published by the platform: policy, workers and zones out of service."""
 
 from __future__ import annotations
 
@@ -12,26 +12,26 @@
 
 @dataclass(slots=True)
 class View:
-    """What the platform says: policy, workers and zones taken out."""
+    """Latest state published by the platform."""
 
     policy: Policy = field(default_factory=Policy)
     worker_by_id: dict[str, Worker] = field(default_factory=dict)
     zones_out_of_service: frozenset[str] = frozenset()
-    # Sizes and labels of all workers seen so far: what none of them can run is
-    # impossible, and not only short of room.
+    # Capacities and labels of all workers seen so far, to tell steps that no worker
+    # can run from those that only have to wait for free resources.
     capacities_seen: set[Resources] = field(default_factory=set)
     labels_seen: set[str] = field(default_factory=set)
 
     def note_worker(self, worker: Worker) -> None:
-        """Take over a worker's newest description."""
+        """Add a worker, or update the description of a known one."""
         self.worker_by_id[worker.worker_id] = worker
         self.capacities_seen.add(worker.capacity)
         self.labels_seen |= worker.labels
 
     def find_impossible(self, steps: Sequence[Step]) -> str:
-        """Return why a step can never run, or an empty string.
+        """Return why one of the steps can never run, or an empty string.
 
-        Without any worker seen nothing is known to be impossible.
+        Returns an empty string while no worker has been seen.
         """
         if not self.capacities_seen:
             return ""
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -1,4 +1,4 @@
-"""One task for each worker: extends its lease and reads its lists."""
+"""Polls a worker: renews its lease and reads its lists of runs."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 from .ports import CallOutcome, CallReply, TaskLists, WorkerPort
 from .writer import Commit
 
-# Lease of everything on a worker: longer than a change of leader takes.
+# Lease covering all runs on a worker; longer than a change of leader takes.
 WORKER_LEASE_S = 4.0
-# A worker's clock may run this much slower than ours.
+# Factor by which a worker's clock may run slower than the leader's.
 CLOCK_RATE_MARGIN = 1.02
-# Time for a request on its way to the worker.
+# Allowance for the time a request takes to reach the worker.
 LAPSE_MARGIN_S = 0.3
-# How long a worker may wait for an end before it answers.
+# Long-poll timeout: how long a worker waits for a run to end before it answers.
 POLL_WAIT_MS = 900
-# The same while something on the worker has to be watched closely.
+# Long-poll timeout while a run on the worker needs frequent polls.
 SHORT_POLL_WAIT_MS = 300
 FAILURE_PAUSE_S = 0.25
 DURABLE_WAIT_S = 0.5
@@ -31,10 +31,11 @@
 
 
 class WorkerLink:
-    """Keeps in touch with one life of a worker.
+    """Maintains the lease of one incarnation of a worker and polls its runs.
 
-    ``on_lists`` takes over the lists and returns what has to be durable before
-    the worker may forget the ends, or None if nothing has to be.
+    ``on_lists`` processes the lists. It returns the commit that must be durable
+    before the worker may forget the ended runs, or None if there is nothing to wait
+    for.
     """
 
     def __init__(
@@ -49,12 +50,12 @@
     ) -> None:
         self.worker = worker
         self.created_s = steady_s()
-        # The newest end taken over, and the newest one that is durable.
+        # Number of the latest end that was processed.
         self.newest_end = 0
         self.is_first_poll = True
         self.reached_s = -math.inf
-        # No lease granted to the worker lasts longer than this, nor does one that
-        # the leader before may have granted.
+        # No lease granted to the worker by this leader or its predecessor lasts longer
+        # than this.
         self.granted_until_s = steady_s() + _max_lease_s()
         self._port = port
         self._token = token
@@ -63,7 +64,7 @@
         self._on_reply = on_reply
         self._needs_frequent_polls = needs_frequent_polls
         self._newest_durable_end = 0
-        # Makes everything taken over so far durable.
+        # Becomes durable when everything processed so far is.
         self._commit: Commit | None = None
         self._clock: tuple[float, float] | None = None
         self._failing_since_s: float | None = None
@@ -71,23 +72,26 @@
 
     @property
     def is_reachable(self) -> bool:
-        """Tell whether the last call was answered."""
+        """Return whether the worker answered the last poll."""
         return self._failing_since_s is None and not self.is_first_poll
 
     @property
     def failing_for_s(self) -> float:
-        """Return how long the worker has not answered; 0 if it does."""
+        """Return how long the worker has not responded, in seconds; 0 if it does."""
         if self._failing_since_s is None:
             return 0.0
         return steady_s() - self._failing_since_s
 
     @property
     def has_lapsed(self) -> bool:
-        """Tell whether the leases granted have certainly ended."""
+        """Return whether all granted leases have definitely expired."""
         return steady_s() > self.granted_until_s
 
     def grant_lease(self) -> int | None:
-        """Return the end of a new lease by the worker's clock; None if unknown."""
+        """Grant a new lease; return its end in ms by the worker's clock.
+
+        Returns None if the worker's clock is not known yet.
+        """
         if self._clock is None:
             return None
         now_s = steady_s()
@@ -97,12 +101,12 @@
         return int(clock_ms + (now_s - at_s) * 1000 + WORKER_LEASE_S * 1000)
 
     def note_clock(self, clock_ms: int | None) -> None:
-        """Note what the worker's clock showed in an answer."""
+        """Store the time of the worker's clock, in ms, taken from an answer."""
         if clock_ms is not None:
             self._clock = (steady_s(), clock_ms)
 
     def run(self) -> None:
-        """Look at the worker until the link is stopped."""
+        """Poll the worker until the link is stopped."""
         while not self.is_stopped:
             if not self._may_act():
                 gevent.sleep(IDLE_PAUSE_S)
@@ -110,15 +114,15 @@
             self._poll()
 
     def _poll(self) -> None:
-        close = self.is_first_poll or self._needs_frequent_polls(self)
-        wait_ms = SHORT_POLL_WAIT_MS if close else POLL_WAIT_MS
+        is_frequent = self.is_first_poll or self._needs_frequent_polls(self)
+        wait_ms = SHORT_POLL_WAIT_MS if is_frequent else POLL_WAIT_MS
         if self.is_first_poll or self._newest_durable_end < self.newest_end:
             wait_ms = 0
         if self._failing_since_s is not None:
             wait_ms = 0
         began_s = steady_s()
-        # A worker that does not answer gets no new lease: the one that it has must
-        # end before its tasks may start elsewhere.
+        # A worker that does not respond gets no new lease: its current one must expire
+        # before its tasks may start elsewhere.
         deadline_ms = self.grant_lease() if self._failing_since_s is None else None
         result = self._port.renew_and_list(
             self.worker, self._token, self._newest_durable_end, deadline_ms, wait_ms
@@ -142,7 +146,7 @@
             self._commit = commit
         if self._newest_durable_end == self.newest_end:
             return
-        # Ends taken over earlier may still wait for the commit of an earlier look.
+        # Ends processed earlier may still wait for the commit of an earlier poll.
         if self._commit is None or self._commit.wait(DURABLE_WAIT_S):
             self._newest_durable_end = self.newest_end
 
@@ -173,5 +177,5 @@
 
 
 def _max_lease_s() -> float:
-    """Return how long after its request a lease lasts at most by our clock."""
+    """Return the maximum duration of a lease, by the leader's clock."""
     return WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -1,4 +1,4 @@
-"""The leader's appends: grouped, repeated until answered, fenced by its token."""
+"""The leader's appends: batched, repeated until answered and fenced by its token."""
 
 from __future__ import annotations
 
@@ -13,40 +13,40 @@
 from .clock import steady_s
 from .ports import Appended, Fenced, Producer, StorePort
 
-# A leader acts for this long after the start of its last answered append. Other
-# instances wait longer than this before they take over.
+# Lease of the leader, from the start of its last successful append. Other instances
+# wait longer than this before they take over.
 LEADER_LEASE_S = 1.5
-# A leader without anything to write renews its lease this often.
+# Interval at which a leader without records to write renews its lease.
 RENEWAL_S = 0.4
 RETRY_PAUSE_S = 0.1
-# Records of one append; the store limits the bytes of a call.
+# Maximum records per append; the store limits the size of a call.
 MAX_RECORDS = 400
 
 
 class Commit:
-    """Records handed to the writer; ``is_durable`` once the store has them."""
+    """Lets callers of ``LeaderWriter.write`` wait until their records are durable."""
 
     def __init__(self) -> None:
         self._done = Event()
 
     @property
     def is_durable(self) -> bool:
-        """Tell whether the records are in the store."""
+        """Return whether the records are in the store."""
         return self._done.is_set()
 
     def mark_durable(self) -> None:
-        """Wake those who wait."""
+        """Mark the records as durable and wake the waiting greenlets."""
         self._done.set()
 
     def wait(self, timeout_s: float) -> bool:
-        """Wait for the records to be durable; False if they are not yet."""
+        """Wait for the records to become durable; False on timeout."""
         return self._done.wait(timeout_s)
 
 
 class LeaderWriter:
-    """Writes records of the leader in order of arrival.
+    """Writes the leader's records and thereby renews its lease.
 
-    Records of one key that wait together are merged into the newest.
+    Of pending records with the same key, only the latest is written.
     """
 
     def __init__(
@@ -65,11 +65,11 @@
 
     @property
     def may_act(self) -> bool:
-        """Tell whether this instance certainly still leads."""
+        """Return whether this instance definitely still leads."""
         return not self.is_fenced and steady_s() < self.lease_until_s
 
     def open(self, timeout_s: float) -> int | None:
-        """Fence earlier leaders; returns the end of the log, None if that failed."""
+        """Fence earlier leaders; return the end of the log, or None on failure."""
         deadline_s = steady_s() + timeout_s
         record = self._leader_record(resigned=False)
         while steady_s() < deadline_s:
@@ -80,14 +80,14 @@
         return None
 
     def write(self, records: list[Record]) -> Commit:
-        """Hand over records to be written."""
+        """Queue records; the returned commit becomes durable when they are written."""
         for record in records:
             self._value_by_key[record.key] = record.value
         self._has_records.set()
         return self._commit
 
     def run(self) -> None:
-        """Write and renew until the leader is fenced."""
+        """Write records and renew the lease until the leader is fenced."""
         while not self.is_fenced:
             self._has_records.wait(RENEWAL_S)
             self._has_records.clear()
@@ -107,7 +107,7 @@
             commit.mark_durable()
 
     def resign(self, timeout_s: float) -> None:
-        """Tell the other instances to take over at once."""
+        """Give up the lease, so that another instance can take over immediately."""
         self.write([self._leader_record(resigned=True)]).wait(timeout_s)
         self.is_fenced = True
 
--- a/libs/coordinator/tests/conftest.py
+++ b/libs/coordinator/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shared fixtures of the coordinator's tests."""
+"""Shared fixtures of the coordinator tests."""
 
 import pytest
 from libs.coordinator.tests.fakes import FakeCluster
@@ -6,7 +6,7 @@
 
 @pytest.fixture
 def cluster():
-    """A world of two workers without faults."""
+    """A fake cluster of two workers without faults."""
     cluster = FakeCluster()
     yield cluster
     cluster.close()
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -1,4 +1,4 @@
-"""A store and workers in memory, behind the coordinator's ports."""
+"""In-memory implementations of the coordinator's ports."""
 
 from __future__ import annotations
 
@@ -47,20 +47,20 @@
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 ID = "0" * 16
-# Time that a look takes on its way: other greenlets act meanwhile.
+# Network delay of a poll, during which other greenlets run.
 POLL_S = 0.03
-# Time that a leader's append takes.
+# Duration of an append by the leader.
 APPEND_S = 0.03
 
 
 class FakeStore:
-    """A keyed log with producer epochs; ``is_down`` leaves calls unanswered."""
+    """Store with producer fencing; calls time out while ``is_down`` is set."""
 
     def __init__(self) -> None:
         self.records: list[Record] = []
         self._records_by_log = {Log.CALLERS: [], Log.LEADER: self.records}
         self.is_down = False
-        # The next appends take effect and are not answered.
+        # Number of next appends that take effect but whose answers are lost.
         self.lose_answers = 0
         self.wave_states: list[tuple[str, str]] = []
         self._claims = 0
@@ -126,45 +126,46 @@
         return Appended(len(self.wave_states))
 
     def add_job(self, job: Job) -> None:
-        """Record a job as an entry does."""
+        """Append a job record, as an instance does that accepts the job."""
         self.append([Record(key_of(Kind.JOB, job.job_id), encode(job))])
 
     def append_order(self, instance_id: str, age_s: float = 0.0) -> None:
-        """Record an order for an instance as a leader does."""
+        """Append a record of an instance order, as a leader does."""
         order = InstanceOrder(int(time.time() * 1000 - age_s * 1000))
         self.records.append(Record(key_of(Kind.ORDER, instance_id), encode(order)))
 
     def cancel(self, job_id: str) -> None:
-        """Record a cancellation as an entry does."""
+        """Append a cancellation record, as an instance does that accepts it."""
         self.append([Record(key_of(Kind.CANCELLATION, job_id), b"1")])
 
 
 @dataclass
 class FakeWorker:
-    """Runs and ends of one worker, as it lists them."""
+    """State of one worker: its running tasks, ended runs and faults."""
 
     running: dict[TaskKey, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
+    # Highest run number that was stopped or has ended; starts up to it are rejected.
     last_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
     percent: int = 50
     seen: int = 0
     count: int = 0
     token: int = 0
-    is_silent: bool = False
-    # Starts are carried out and not answered.
+    is_unresponsive: bool = False
+    # Starts are carried out but their answers are lost.
     lose_starts: bool = False
-    # Starts are carried out only when released, and not answered.
+    # Starts time out and are only carried out by ``carry_out``.
     delay_starts: bool = False
     delayed: list[Start] = field(default_factory=list)
 
 
 class FakeWorkers:
-    """All workers, with a log of each run that has begun."""
+    """All workers, with a list of the runs that were started."""
 
     def __init__(self) -> None:
         self.by_id: dict[str, FakeWorker] = {}
         self.started: list[tuple[str, TaskKey, int]] = []
-        # Start that all workers state; 0 for the one of their reports.
+        # Start time in the lists of all workers; 0 for the one in ``Worker``.
         self.started_ms = 0
 
     def worker(self, worker_id: str) -> FakeWorker:
@@ -174,7 +175,7 @@
         self, worker: Worker, start: Start, token: int, deadline_ms: int, ticket: str
     ) -> CallReply:
         fake = self.worker(worker.worker_id)
-        if fake.is_silent:
+        if fake.is_unresponsive:
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
@@ -187,7 +188,7 @@
         return CallReply(outcome)
 
     def carry_out(self, worker_id: str, start: Start) -> CallOutcome:
-        """Begin a run unless a stop or an end has barred it."""
+        """Start a run unless it or a later one was stopped or has ended."""
         fake = self.worker(worker_id)
         if start.run <= fake.last_run_by_task.get(start.task, 0):
             return CallOutcome.OLD_RUN
@@ -198,7 +199,7 @@
 
     def stop(self, worker: Worker, task: str, run: int, token: int) -> CallReply:
         fake = self.worker(worker.worker_id)
-        if fake.is_silent:
+        if fake.is_unresponsive:
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
@@ -223,7 +224,7 @@
     ) -> TaskLists | CallReply:
         fake = self.worker(worker.worker_id)
         gevent.sleep(POLL_S)
-        if fake.is_silent:
+        if fake.is_unresponsive:
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
@@ -245,7 +246,7 @@
     def end(
         self, worker_id: str, task: TaskKey, kind: EndKind, checkpoint: str = ""
     ) -> None:
-        """Let a run end."""
+        """End a run."""
         fake = self.worker(worker_id)
         run = fake.running.pop(task)
         fake.last_run_by_task[task] = max(run, fake.last_run_by_task.get(task, 0))
@@ -253,7 +254,7 @@
         fake.ended.append(EndedTask(fake.count, task, run, kind, checkpoint))
 
     def end_all(self, kind: EndKind = EndKind.DONE) -> int:
-        """Let every run end; returns how many did."""
+        """End all runs; return their number."""
         ended = 0
         for worker_id, fake in self.by_id.items():
             for task in list(fake.running):
@@ -267,7 +268,7 @@
 
 
 def make_worker(number: int, pool: str = "pool", cores: float = 8.0) -> Worker:
-    """Return a worker with 8 cores in the zone and rack of its number's parity."""
+    """Return a worker; workers alternate between two zones with a rack each."""
     side = "ab"[number % 2]
     return Worker(
         f"w{number}",
@@ -293,12 +294,12 @@
 
 
 def make_job(job_id: str = "0" * 16, *steps: Step) -> Job:
-    """Return a job; without steps given it has one step of one task."""
+    """Return a job, by default with one step of one task."""
     return Job(job_id, "queue", "red", "spec", steps or (Step(1, 1000),), 1)
 
 
 class FakeCluster:
-    """A store, workers and the leaders that act on them."""
+    """A fake store and workers, and the leaders that use them."""
 
     def __init__(self, workers: int = 2) -> None:
         self.store = FakeStore()
@@ -309,7 +310,7 @@
         self._greenlets: list[gevent.Greenlet] = []
 
     def lead(self, token: int = 1) -> Dispatcher:
-        """Start a leader that has been elected with a token."""
+        """Start a leader with a fencing token; return its dispatcher."""
         replica = Replica(self.store)
         replica.is_leading = True
         assert replica.load()
@@ -323,18 +324,18 @@
         return dispatcher
 
     def spawn(self, task: Callable[[], None]) -> None:
-        """Run a task until the world is closed."""
+        """Run a function in a greenlet until the cluster is closed."""
         self._greenlets.append(gevent.spawn(task))
 
     def close(self) -> None:
-        """Stop all leaders."""
+        """Stop all greenlets."""
         gevent.killall(self._greenlets)
 
 
 def wait_until(condition: Callable[[], bool], timeout_s: float = 20.0) -> None:
-    """Wait for a condition; the time only bounds a test that would hang."""
+    """Wait for a condition; the timeout only ends a test that would hang."""
     deadline_s = steady_s() + timeout_s
     while not condition():
         if steady_s() > deadline_s:
-            raise TimeoutError("the condition never held")
+            raise TimeoutError("condition not met in time")
         gevent.sleep(0.005)
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -1,4 +1,4 @@
-"""Starting, following and ending tasks."""
+"""Tests of starting, tracking and stopping tasks."""
 
 from __future__ import annotations
 
@@ -35,32 +35,32 @@
 from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
 from lycheeloom.model.resources import Resources
 
-# No test waits this long.
+# Longer than any test takes.
 LONG_S = 600.0
 
 
 def recorded_progress(cluster: FakeCluster, job_id: str = ID) -> JobProgress | None:
-    """Return the newest record of a job's progress."""
+    """Return the latest progress record of a job."""
     key = key_of(Kind.PROGRESS, job_id)
     values = [r.value for r in cluster.store.records if r.key == key]
     return decode(JobProgress, values[-1]) if values else None
 
 
 def recorded_state(cluster: FakeCluster, job_id: str = ID) -> JobState | None:
-    """Return the state of a job in its newest record."""
+    """Return the state of a job in its latest progress record."""
     progress = recorded_progress(cluster, job_id)
     return progress.state if progress else None
 
 
 def recorded_failures(cluster: FakeCluster, job_id: str = ID) -> int:
-    """Return how many failed runs the newest record of a job counts."""
+    """Return the number of failed runs in a job's latest progress record."""
     progress = recorded_progress(cluster, job_id)
     steps = progress.steps if progress else ()
     return sum(failures.count for step in steps for failures in step.failures)
 
 
 def test_steps_run_in_order(cluster):
-    """Guards against a step that starts before the steps it comes after are done."""
+    """A step must not start before its predecessors are done."""
     cluster.store.add_job(make_job(ID, Step(2, 1000), Step(1, 1000, after=(0,))))
     cluster.lead()
     wait_until(lambda: len(cluster.workers.started) == 2)
@@ -72,8 +72,8 @@
     wait_until(lambda: recorded_state(cluster) is JobState.COMPLETED)
 
 
-def test_failed_task_is_tried_again_up_to_its_limit(cluster):
-    """Guards against more runs than a queue allows after failures."""
+def test_failed_task_is_retried_up_to_its_limit(cluster):
+    """A task must not have more failed runs than its queue allows."""
     cluster.store.add_job(make_job())
     cluster.lead()
     for attempt in (1, 2):
@@ -84,10 +84,11 @@
     assert len(cluster.workers.started) == 2
 
 
-def test_end_is_forgotten_only_when_it_is_recorded(cluster):
-    """Guards against a task that runs again since its end was lost with the leader.
+def test_end_is_acknowledged_only_when_recorded(cluster):
+    """A task must not run again because its end was lost with the leader.
 
-    The look after one that could not be recorded shows no new ends.
+    The poll after the one whose ends could not be recorded returns no new ends, and
+    must not acknowledge the earlier ones.
     """
     cluster.store.add_job(make_job())
     cluster.lead()
@@ -101,13 +102,13 @@
     assert recorded_state(cluster) is JobState.COMPLETED
 
 
-def test_new_leader_keeps_what_runs(cluster):
-    """Guards against leases that count as lapsed before a worker's clock is known.
+def test_new_leader_keeps_running_tasks(cluster):
+    """Leases must not count as expired before a worker's clock is known.
 
-    The first look of the new leader finds ends, so it waits for their record
-    before it looks again.
+    The first poll of the new leader returns ended runs, so the leader waits for their
+    record before it polls again.
     """
-    # A worker has room for two tasks.
+    # Two tasks fit on a worker.
     cluster.store.add_job(make_job(ID, Step(4, 4000)))
     first = cluster.lead(1)
     wait_until(lambda: len(cluster.workers.started) == 4)
@@ -122,11 +123,11 @@
     assert len(cluster.workers.started) == 4
 
 
-def test_failure_recorded_by_the_leader_before_counts_once(cluster):
-    """Guards against a job that fails one attempt early after a takeover.
+def test_failure_recorded_by_previous_leader_counts_once(cluster):
+    """A job must not fail one attempt too early after a takeover.
 
-    A worker lists an end until a leader has confirmed it; the leader before has
-    recorded the failure and ended before it could confirm it.
+    A worker reports an end until a leader has acknowledged it. The previous leader
+    recorded the failure, but ended before it could acknowledge it.
     """
     cluster.store.add_job(make_job())
     first = cluster.lead(1)
@@ -134,11 +135,11 @@
     holder = cluster.workers.worker(cluster.workers.started[0][0])
     cluster.workers.end_all(EndKind.FAILED)
     wait_until(lambda: recorded_failures(cluster) == 1)
-    holder.is_silent = True
+    holder.is_unresponsive = True
     first.writer.is_fenced = True
     gevent.sleep(2 * POLL_S)
     assert holder.seen == 0
-    holder.is_silent = False
+    holder.is_unresponsive = False
     second = cluster.lead(2)
     wait_until(lambda: holder.seen > 0)
     assert recorded_state(cluster) is JobState.RUNNING
@@ -148,13 +149,13 @@
     wait_until(lambda: recorded_state(cluster) is JobState.COMPLETED)
 
 
-def test_inherited_tasks_wait_for_a_silent_worker(cluster):
-    """Guards against a second run while a worker that is silent may have the first."""
+def test_inherited_tasks_wait_for_unresponsive_worker(cluster):
+    """No second run may start while an unresponsive worker may have the first."""
     cluster.store.add_job(make_job())
     cluster.lead(1)
     wait_until(lambda: len(cluster.workers.started) == 1)
     holder = cluster.workers.started[0][0]
-    cluster.workers.worker(holder).is_silent = True
+    cluster.workers.worker(holder).is_unresponsive = True
     second = cluster.lead(2)
     wait_until(
         lambda: any(s.has_current_lists for s in second.fleet.state_by_id.values())
@@ -163,8 +164,8 @@
     assert len(cluster.workers.started) == 1
 
 
-def test_start_of_unknown_outcome_is_stopped_before_the_next(cluster):
-    """Guards against two runs of a task after the answer to a start was lost."""
+def test_start_with_unknown_outcome_is_stopped_before_the_next(cluster):
+    """A task must not have two runs after the answer to a start was lost."""
     for number in (0, 1):
         cluster.workers.worker(f"w{number}").lose_starts = True
     cluster.store.add_job(make_job())
@@ -175,10 +176,10 @@
 
 
 def test_long_running_task_is_kept_if_a_list_shows_its_start(cluster):
-    """Guards against ending a service that is at work since an answer was lost.
+    """A running service must not be stopped because the answer to a start was lost.
 
-    Pattern: an instance crashes while workers leave orders unanswered; all tasks of
-    a service start again at once.
+    An instance crashes while workers do not answer orders, so all tasks of a service
+    restart at the same time.
     """
     for number in (0, 1):
         cluster.workers.worker(f"w{number}").lose_starts = True
@@ -194,8 +195,8 @@
     assert not any(worker.last_run_by_task for worker in cluster.workers.by_id.values())
 
 
-def test_long_running_task_is_barred_if_no_list_shows_its_start(cluster):
-    """Guards against two runs of a task whose first start is carried out late."""
+def test_long_running_task_is_stopped_if_no_list_shows_its_start(cluster):
+    """A task must not have two runs when its first start is carried out late."""
     late = cluster.workers.worker("w0")
     late.delay_starts = True
     cluster.view.worker_by_id.pop("w1")
@@ -206,8 +207,8 @@
     assert cluster.workers.started == []
 
 
-def test_start_that_arrives_late_is_barred(cluster):
-    """Guards against an order carried out after its task was started elsewhere."""
+def test_start_that_arrives_late_is_rejected(cluster):
+    """A start must not be carried out after its task was started elsewhere."""
     late = cluster.workers.worker("w0")
     late.delay_starts = True
     cluster.view.worker_by_id.pop("w1")
@@ -220,7 +221,7 @@
 
 
 def test_cancelled_job_is_stopped(cluster):
-    """Guards against tasks that run on after their job was cancelled."""
+    """No task may continue after its job was cancelled."""
     cluster.store.add_job(make_job(ID, Step(3, 1000, long_running=True)))
     cluster.lead()
     wait_until(lambda: len(cluster.workers.started) == 3)
@@ -230,7 +231,7 @@
 
 
 def test_upper_limit_holds(cluster):
-    """Guards against an organisation that runs more than its limit."""
+    """An organisation must not exceed its upper limit."""
     cluster.view.policy = make_policy(Resources(2.0, 0, 0))
     cluster.store.add_job(make_job(ID, Step(5, 1000)))
     cluster.lead()
@@ -239,8 +240,8 @@
     assert len(cluster.workers.started) == 2
 
 
-def test_zone_taken_out_gets_no_starts(cluster):
-    """Guards against starts in a zone that operators have taken out."""
+def test_zone_out_of_service_gets_no_starts(cluster):
+    """No task may start in a zone that operators have taken out of service."""
     cluster.view.zones_out_of_service = frozenset({"zone-a"})
     cluster.store.add_job(make_job(ID, Step(6, 1000)))
     cluster.lead()
@@ -248,8 +249,8 @@
     assert {worker for worker, _, _ in cluster.workers.started} == {"w1"}
 
 
-def test_lost_answer_of_the_store_does_not_end_a_job_twice(cluster):
-    """Guards against records written twice when the store's answer is lost."""
+def test_lost_answer_of_the_store_does_not_repeat_a_run(cluster):
+    """An append whose answer was lost must be repeated without further effect."""
     cluster.store.add_job(make_job())
     cluster.lead()
     wait_until(lambda: len(cluster.workers.started) == 1)
@@ -260,8 +261,8 @@
     assert cluster.workers.started == [(*cluster.workers.started[0][:2], 1)]
 
 
-def test_run_numbers_rise_over_leaders(cluster):
-    """Guards against starts that a worker rejects as old after a takeover."""
+def test_run_numbers_increase_across_leaders(cluster):
+    """Workers must not reject starts as outdated after a takeover."""
     cluster.store.add_job(make_job(ID, Step(1, 1000, long_running=True)))
     cluster.lead(1)
     wait_until(lambda: len(cluster.workers.started) == 1)
@@ -272,10 +273,10 @@
     assert cluster.workers.started[1][1:] == (TaskKey(ID, 0, 0, 0), 2)
 
 
-def test_limit_of_attempts_is_read_from_the_policy_in_force(cluster):
-    """Guards against a job that fails early since its queue was not known yet.
+def test_limit_of_attempts_is_read_from_the_current_policy(cluster):
+    """A job must not fail early because its queue is not known yet.
 
-    A new process may lead before it has read the configuration.
+    A new process may become leader before it has read the configuration.
     """
     policy = cluster.view.policy
     cluster.store.add_job(make_job())
@@ -291,21 +292,21 @@
     assert recorded_state(cluster) is not JobState.FAILED
 
 
-def test_tasks_of_a_silent_worker_start_elsewhere_after_its_lease(cluster):
-    """Guards against looks at a silent worker that count as new leases."""
+def test_tasks_of_unresponsive_worker_start_elsewhere_after_its_lease(cluster):
+    """Polls of an unresponsive worker must not count as new leases."""
     cluster.store.add_job(make_job())
     cluster.lead()
     wait_until(lambda: len(cluster.workers.started) == 1)
     holder = cluster.workers.started[0][0]
-    went_silent_s = steady_s()
-    cluster.workers.worker(holder).is_silent = True
+    unresponsive_since_s = steady_s()
+    cluster.workers.worker(holder).is_unresponsive = True
     wait_until(lambda: len(cluster.workers.started) == 2)
     assert cluster.workers.started[1][0] != holder
-    assert steady_s() - went_silent_s >= WORKER_LEASE_S - POLL_WAIT_MS / 1000
+    assert steady_s() - unresponsive_since_s >= WORKER_LEASE_S - POLL_WAIT_MS / 1000
 
 
 def lists(*worker_ids: str) -> Callable[[], tuple[Instance, ...]]:
-    """Return a list of instances that have the workers given and no others."""
+    """Return a ``list_instances`` function with one instance per given worker."""
     return lambda: tuple(
         Instance(f"m-{worker_id}", "pool", InstanceState.UP, "zone-a", worker_id)
         for worker_id in worker_ids
@@ -315,7 +316,7 @@
 def watch_instances(
     cluster: FakeCluster, dispatcher: Dispatcher, port: InstancePort
 ) -> Inventory:
-    """Let a leader read the list of instances."""
+    """Let a leader poll the list of instances."""
     inventory = Inventory(port, dispatcher.writer, dispatcher.note_instances)
     cluster.spawn(inventory.run)
     return inventory
@@ -324,9 +325,9 @@
 def test_tasks_of_a_worker_without_an_instance_start_elsewhere_at_once(
     cluster, monkeypatch
 ):
-    """Guards against a wait for the lease of a worker that has certainly ended.
+    """The leader must not wait for the lease of a worker that has definitely ended.
 
-    Pattern: an instance crashes, and the platform lists its worker on for seconds.
+    An instance crashes, and the platform lists its worker for some seconds longer.
     """
     monkeypatch.setattr(worker_link, "WORKER_LEASE_S", LONG_S)
     instances = Mock(list_instances=lists("w0", "w1"))
@@ -335,17 +336,17 @@
     wait_until(lambda: len(cluster.workers.started) == 1)
     holder = cluster.workers.started[0][0]
     gevent.sleep(INSTANCE_LIST_LAG_S)
-    cluster.workers.worker(holder).is_silent = True
+    cluster.workers.worker(holder).is_unresponsive = True
     instances.list_instances = lists("w1" if holder == "w0" else "w0")
     wait_until(lambda: len(cluster.workers.started) == 2)
     assert cluster.workers.started[1][0] != holder
 
 
 def test_takeover_does_not_wait_for_workers_without_an_instance(cluster, monkeypatch):
-    """Guards against seconds without starts after a change of leader.
+    """A change of leader must not cause seconds without starts.
 
-    Pattern: the leader is lost while instances move between pools; the platform
-    lists the workers that they had on for seconds.
+    The leader is lost while instances move between pools, and the platform lists their
+    former workers for some seconds longer.
     """
     cluster.store.add_job(make_job(ID, Step(1, 1000), Step(1, 1000, after=(0,))))
     first = cluster.lead(1)
@@ -354,7 +355,7 @@
     other = "w1" if holder == "w0" else "w0"
     first.writer.is_fenced = True
     gevent.sleep(2 * POLL_S)
-    cluster.workers.worker(other).is_silent = True
+    cluster.workers.worker(other).is_unresponsive = True
     cluster.workers.end_all()
     monkeypatch.setattr(dispatcher_module, "TAKEOVER_LAPSE_S", LONG_S)
     second = cluster.lead(2)
@@ -363,10 +364,10 @@
 
 
 def test_takeover_waits_for_workers_that_only_the_instances_show(cluster):
-    """Guards against a second run of a task whose worker is not listed for a time.
+    """A task must not run twice because its worker is temporarily not listed.
 
-    Pattern: the store has been away and the entries of workers that live have
-    lapsed; they come back seconds after the new leader has read the rest.
+    During an outage of the store, the registrations of running workers expired; they
+    reappear seconds after the new leader has read the others.
     """
     cluster.store.add_job(make_job())
     first = cluster.lead(1)
@@ -384,8 +385,8 @@
     assert len(cluster.workers.started) == 1
 
 
-def test_worker_that_answers_is_kept_whatever_the_list_shows(cluster):
-    """Guards against tasks started twice since a list was out of date."""
+def test_responsive_worker_is_kept_even_if_no_instance_has_it(cluster):
+    """Tasks must not be started twice because a list was outdated."""
     cluster.store.add_job(make_job(ID, Step(2, 5000)))
     dispatcher = cluster.lead()
     watch_instances(cluster, dispatcher, Mock(list_instances=lists()))
@@ -395,19 +396,19 @@
     assert len(dispatcher.fleet.runs_by_task) == 2
 
 
-def test_silent_worker_with_an_instance_keeps_its_tasks_until_its_lease_ends(cluster):
-    """Guards against a second run while the first goes on behind a cut."""
+def test_unresponsive_worker_with_instance_keeps_tasks_until_lease_ends(cluster):
+    """No second run may start while the first continues behind a partition."""
     cluster.store.add_job(make_job())
     watch_instances(cluster, cluster.lead(), Mock(list_instances=lists("w0", "w1")))
     wait_until(lambda: len(cluster.workers.started) == 1)
     gevent.sleep(INSTANCE_LIST_LAG_S)
-    cluster.workers.worker(cluster.workers.started[0][0]).is_silent = True
+    cluster.workers.worker(cluster.workers.started[0][0]).is_unresponsive = True
     gevent.sleep(WORKER_LEASE_S - 2 * POLL_WAIT_MS / 1000)
     assert len(cluster.workers.started) == 1
 
 
-def test_worker_whose_report_lacks_its_start_is_used(cluster):
-    """Guards against a worker that is dropped and taken up again without end."""
+def test_worker_without_a_reported_start_time_is_used(cluster):
+    """A worker must not be dropped and added again in an endless loop."""
     for worker_id, worker in cluster.view.worker_by_id.items():
         unknown = dataclasses.replace(worker, started_ms=0)
         cluster.view.worker_by_id[worker_id] = unknown
@@ -418,7 +419,7 @@
 
 
 def test_records_of_old_jobs_are_removed(cluster):
-    """Guards against a table that grows for ever, and jobs that come back."""
+    """The table must not grow forever, and removed jobs must not reappear."""
     cluster.store.add_job(make_job())
     dispatcher = cluster.lead()
     wait_until(lambda: len(cluster.workers.started) == 1)
@@ -437,8 +438,8 @@
     assert len(cluster.workers.started) == 1
 
 
-def test_jobs_that_no_worker_can_run_are_known(cluster):
-    """Guards against a wait to the deadline for what is known to be impossible."""
+def test_steps_that_no_worker_can_run_are_detected(cluster):
+    """Jobs that can never run must not wait until their deadline."""
     view = View()
     large, small = Step(1, 99_000), Step(1, 1_000)
     assert view.find_impossible([large]) == ""
@@ -451,10 +452,10 @@
 
 
 def test_job_recorded_again_after_its_end_does_not_run_again(cluster):
-    """Guards against a repeated record that comes before the end has been read back.
+    """A duplicate job record must not restart a job that has just ended.
 
-    An instance repeats a record whose answer was lost; the leader has finished the
-    job meanwhile, and its own record of that is still on the way.
+    An instance repeats a record because the answer to its append was lost. The leader
+    has closed the job meanwhile, but has not read back its own record of that.
     """
     cluster.store.add_job(make_job())
     dispatcher = cluster.lead()
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -1,4 +1,4 @@
-"""What callers are told when the store is slow, busy or silent."""
+"""Tests of the answers to callers while the store is slow or unavailable."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
 from lycheeloom.coordinator.replica import Replica
 from lycheeloom.jobs.records import Kind, key_of
 
-# Callers of the platform give up after three seconds.
+# Callers of the platform time out after three seconds.
 DEADLINE_S = 3.0
 
 
 class SlowStore(FakeStore):
-    """A store whose appends of callers take a time, and end as told."""
+    """A store with a configurable delay and configurable results of appends."""
 
     def __init__(self) -> None:
         super().__init__()
         self.append_s = 0.0
-        # Results of the next appends; the last one goes on.
+        # Results of the next appends; the last one is used for all further appends.
         self.failures = []
         self.appends = 0
         self.ended = 0
@@ -39,7 +39,7 @@
         if self.failures:
             return self.failures.pop(0) if len(self.failures) > 1 else self.failures[0]
         result = super().append(records, producer, timeout_s)
-        # What is given up is carried out all the same.
+        # An append that times out is carried out nevertheless.
         is_late = self.append_s > timeout_s
         return AppendUnknown("no answer in time") if is_late else result
 
@@ -52,7 +52,7 @@
 
 @pytest.fixture
 def intake(store):
-    """An instance that takes calls and follows the store."""
+    """An ``Intake`` whose replica follows the store."""
     replica = Replica(store)
     intake = Intake(store, replica)
     tasks = [gevent.spawn(replica.run), gevent.spawn(intake.run)]
@@ -62,20 +62,20 @@
 
 
 def job_id(number: int) -> str:
-    """Return the id of a job by number."""
+    """Return a job id made from a number."""
     return f"{number:016x}"
 
 
 def test_accepted_job_is_in_the_store(store, intake):
-    """Guards against an acceptance that does not outlive the instance."""
+    """An accepted job must survive the loss of the instance."""
     assert intake.submit(make_job()).verdict is Verdict.ACCEPTED
     assert store.read(Log.CALLERS, 0, 0.0).end == 1
 
 
-def test_refusal_by_the_store_is_passed_on_at_once(store, intake):
-    """Guards against callers that wait here while another instance could serve them.
+def test_refusal_by_the_store_is_returned_immediately(store, intake):
+    """Callers must not wait here while another instance could serve them.
 
-    Pattern: the store turns some instances away and serves the others.
+    Occurs when the store refuses the calls of some instances and serves the others.
     """
     store.failures = [NotAppended("status 503")]
     began_s = steady_s()
@@ -84,23 +84,23 @@
     assert store.read(Log.CALLERS, 0, 0.0).end == 0
 
 
-def test_silent_store_is_an_unknown_outcome(store, intake):
-    """Guards against "not run" for a record that may still arrive."""
+def test_store_timeout_is_an_unknown_outcome(store, intake):
+    """A job whose record may still arrive must not be reported as not accepted."""
     store.failures = [AppendUnknown("no answer in time")]
     assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
 
 
 def test_refusal_after_an_unknown_outcome_stays_unknown(store, intake):
-    """Guards against "not run" for a record whose first append may still arrive."""
+    """A job must not be reported as not accepted if its first append may arrive."""
     store.failures = [AppendUnknown("no answer in time"), NotAppended("status 503")]
     assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
 
 
-def test_everybody_is_answered_before_giving_up(store, intake):
-    """Guards against callers held to their deadline behind a slow append.
+def test_all_callers_are_answered_before_their_deadline(store, intake):
+    """Callers must not be kept waiting past their deadline by a slow append.
 
-    Pattern: the store is silent and calls keep coming; each append holds the ones
-    behind it. Those that were never sent are told that they have not run.
+    Calls keep arriving while the appends to the store time out, and each append delays
+    the calls behind it. Jobs whose record was never sent are reported as not accepted.
     """
     store.append_s = 1.2
     verdict_by_key, times = {}, []
@@ -124,8 +124,8 @@
         assert verdict is not Verdict.NOT_ACCEPTED or key not in kept
 
 
-def test_instance_without_the_store_refuses_at_once(store, intake):
-    """Guards against jobs that wait at an instance which is cut from the store."""
+def test_instance_without_the_store_refuses_immediately(store, intake):
+    """Jobs must not wait on an instance that cannot reach the store."""
     store.is_down = True
     wait_until(lambda: not intake.replica.reaches_store)
     began_s = steady_s()
@@ -134,15 +134,15 @@
     assert intake.look_up(ID).verdict is Verdict.NOT_ACCEPTED
 
 
-def test_slow_store_is_not_asked_again_and_again(store, intake):
-    """Guards against repetitions that make a slow store slower still.
+def test_timeout_grows_while_the_store_is_slow(store, intake):
+    """Repeated appends must not slow a slow store further.
 
-    Pattern: the store takes a second for each append while submissions come from
-    all instances; each append that is given up is carried out all the same.
+    The store takes a second per append while all instances accept jobs, and it also
+    carries out the appends that timed out.
     """
     store.append_s = 1.2 * APPEND_TIMEOUT_S
     intake.submit(make_job(job_id(1)))
-    # The first append is given up and repeated.
+    # The first append times out and is repeated.
     wait_until(lambda: store.ended == 2)
     wait_until(lambda: intake.replica.reaches_store)
     intake.submit(make_job(job_id(2)))
--- a/libs/coordinator/tests/test_leader_tasks.py
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -1,4 +1,4 @@
-"""Advice, pace and moves between pools, beside a dispatcher."""
+"""Tests of the leader's background tasks: advice, pacing and pool moves."""
 
 from __future__ import annotations
 
@@ -22,12 +22,12 @@
 from lycheeloom.jobs.model import AdviceTerms, Pool, RunningTask, Step
 from lycheeloom.jobs.records import Kind, key_of
 
-# No test waits this long.
+# Longer than any test takes.
 LONG_S = 600.0
 
 
 class FakeAdvice:
-    """Names one worker; the first calls fail."""
+    """Allows one worker; the first ``failures`` calls are refused."""
 
     def __init__(self, failures: int) -> None:
         self.failures = failures
@@ -42,7 +42,7 @@
 
 
 def with_advice(cluster):
-    """Let the world's queue need advice."""
+    """Make the queue of the cluster require advice."""
     policy = cluster.view.policy
     queue = dataclasses.replace(
         policy.queue_by_name["queue"], advice=AdviceTerms(1.0, 1.0, 3_000.0)
@@ -50,8 +50,8 @@
     cluster.view.policy = dataclasses.replace(policy, queue_by_name={"queue": queue})
 
 
-def test_step_starts_where_the_advice_allows(cluster):
-    """Guards against a step that never starts after advice was refused once."""
+def test_step_starts_on_the_advised_worker(cluster):
+    """A step must start even if the advice service refused a call before."""
     with_advice(cluster)
     cluster.store.add_job(make_job(ID, Step(2, 1000)))
     dispatcher = cluster.lead()
@@ -62,8 +62,10 @@
     assert {step for step, _ in advice.asked} == {f"{ID}.0.0"}
 
 
-def test_filling_task_rests_beside_a_service_over_its_target(cluster, monkeypatch):
-    """Guards against harm that lasts since nobody slows the filling tasks."""
+def test_filling_task_is_paused_next_to_a_service_above_its_target(
+    cluster, monkeypatch
+):
+    """Filling tasks must be slowed while a service misses its latency target."""
     steps = (
         Step(1, 1000, long_running=True, target_ms=20, image="serve"),
         Step(1, 1000, long_running=True, fills=True, image="fill"),
@@ -96,7 +98,7 @@
 
 
 class FakeMoves:
-    """Instances that change their pool at once."""
+    """An instance port with one standby instance; moves take effect immediately."""
 
     def __init__(self, cluster) -> None:
         self._cluster = cluster
@@ -118,13 +120,13 @@
 
 
 def set_pools(cluster) -> None:
-    """Give the policy a pool of instances that are off."""
+    """Add a standby pool to the policy."""
     pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
     cluster.view.policy = dataclasses.replace(cluster.view.policy, pool_by_name=pools)
 
 
 def move_instances(cluster, dispatcher, port, lease_s=0.0) -> None:
-    """Let a leader move instances; a lease tells that there was one before."""
+    """Let a leader move instances; ``lease_s`` > 0 means it has a predecessor."""
     inventory = Inventory(port, dispatcher.writer)
     order_guard = OrderGuard(
         dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0
@@ -136,10 +138,10 @@
     cluster.spawn(moves.run)
 
 
-def test_instance_that_is_off_comes_where_work_waits(cluster):
-    """Guards against a surge that waits beside instances that are switched off.
+def test_standby_instance_moves_to_pool_with_waiting_work(cluster):
+    """Work must not wait while instances are switched off.
 
-    Pattern: one queue asks for several times what its pool holds.
+    Load pattern: a queue needs several times the capacity of its pool.
     """
     set_pools(cluster)
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
@@ -151,8 +153,8 @@
     assert port.moves.count(("m-off", "pool")) == 1
 
 
-def test_new_leader_waits_before_it_orders(cluster):
-    """Guards against orders of two leaders for one instance within its lease."""
+def test_new_leader_waits_before_it_sends_orders(cluster):
+    """Two leaders must not order the same instance within its lease."""
     set_pools(cluster)
     cluster.store.append_order("m-off")
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
@@ -163,11 +165,11 @@
     wait_until(lambda: ("m-off", "pool") in port.moves)
 
 
-def test_new_leader_orders_what_has_not_been_ordered_lately(cluster):
-    """Guards against a surge that waits for a lease which concerns other instances.
+def test_new_leader_orders_instances_without_recent_orders(cluster):
+    """Waiting work must not wait for the lease of other instances.
 
-    Pattern: the leader is lost while a queue surges; most instances that are off
-    have not been ordered for seconds.
+    The leader is lost during a load spike, and most standby instances have had no
+    order for seconds.
     """
     set_pools(cluster)
     cluster.store.append_order("m-w0")
@@ -179,7 +181,7 @@
 
 
 def test_order_is_recorded_before_it_is_sent(cluster):
-    """Guards against an order that a later leader does not know of."""
+    """An order must never be sent without a record for later leaders."""
     set_pools(cluster)
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
     port = FakeMoves(cluster)
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -1,4 +1,4 @@
-"""Maintenance waves against instances in memory."""
+"""Tests of maintenance waves with fake instances."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 
 
 class FakeInstances:
-    """One instance for each worker; records what is ordered."""
+    """An instance port with one instance per worker; records the orders."""
 
     def __init__(self, cluster: FakeCluster) -> None:
         self._cluster = cluster
         self.maintained: list[str] = []
-        # Answers of the next orders, before they are carried out.
+        # Outcomes of the next orders, which are not carried out.
         self.outcomes: list[CallOutcome] = []
         self._back_at_s: dict[str, float] = {}
 
@@ -54,7 +54,7 @@
         return CallReply(CallOutcome.DONE)
 
     def away_for(self, instance_id: str, duration_s: float) -> None:
-        """Let an instance be in maintenance that another leader has ordered."""
+        """Put an instance into maintenance, as if ordered by another leader."""
         worker_id = instance_id.removeprefix("m-")
         self._back_at_s[worker_id] = steady_s() + duration_s
 
@@ -68,7 +68,7 @@
 
 @pytest.fixture
 def instances(cluster):
-    """Instances of the world's workers."""
+    """Fake instances of the cluster's workers."""
     return FakeInstances(cluster)
 
 
@@ -79,7 +79,7 @@
     token: int = 1,
     lease_s: float = 0.0,
 ) -> Maintenance:
-    """Let a leader work on a wave of all instances, one at once."""
+    """Let a leader carry out a wave of both instances, one at a time."""
     inventory = Inventory(instances, dispatcher.writer)
     order_guard = OrderGuard(
         dispatcher.replica, dispatcher.writer, lease_s, had_leader=lease_s > 0
@@ -101,16 +101,16 @@
 
 
 def test_wave_maintains_each_instance_once(cluster, instances):
-    """Guards against a wave said to be complete before all have begun."""
+    """A wave must not be reported as completed before all instances have begun."""
     run_wave(cluster, cluster.lead(), instances)
     wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
     assert sorted(instances.maintained) == ["m-w0", "m-w1"]
     assert cluster.store.wave_states == [("1", "running"), ("1", "completed")]
 
 
-def test_tasks_end_before_their_instance_goes(cluster, instances):
-    """Guards against maintenance that ends tasks which could have finished."""
-    # Each task needs more than half of a worker.
+def test_tasks_may_finish_before_maintenance(cluster, instances):
+    """Maintenance must not stop tasks that can finish in time."""
+    # Each task needs more than half a worker.
     cluster.store.add_job(make_job(ID, Step(2, 5000)))
     dispatcher = cluster.lead()
     wait_until(lambda: len(cluster.workers.started) == 2)
@@ -121,8 +121,8 @@
     wait_until(lambda: len(instances.maintained) == 2)
 
 
-def test_long_running_task_moves_first(cluster, instances):
-    """Guards against a service that never leaves an instance due for maintenance."""
+def test_long_running_task_is_moved_before_maintenance(cluster, instances):
+    """A long-running task must not block the maintenance of its instance."""
     step = Step(1, 1000, long_running=True, may_miss=1)
     cluster.store.add_job(make_job(ID, step))
     dispatcher = cluster.lead()
@@ -134,11 +134,11 @@
     assert len(cluster.workers.started) >= 2
 
 
-def test_instance_sent_away_by_the_leader_before_counts(cluster, instances):
-    """Guards against more instances away at once than a wave allows.
+def test_instance_in_maintenance_by_previous_leader_counts(cluster, instances):
+    """A wave must not exceed its limit of unavailable instances.
 
-    Pattern: the leader is lost while instances of a wave are in maintenance, and
-    the next one orders at once.
+    The leader is lost while instances of a wave are in maintenance, and the next
+    leader sends orders immediately.
     """
     instances.away_for("m-w0", 1.0)
     began_s = steady_s()
@@ -147,8 +147,8 @@
     assert steady_s() - began_s >= 1.0
 
 
-def test_order_that_may_be_on_its_way_counts(cluster, instances):
-    """Guards against an instance that goes away just after the list was read."""
+def test_order_that_may_be_in_flight_counts(cluster, instances):
+    """An instance may become unavailable just after the list was read."""
     cluster.store.append_order("m-w0")
     began_s = steady_s()
     run_wave(cluster, cluster.lead(), instances, lease_s=1.0)
@@ -156,27 +156,27 @@
     assert steady_s() - began_s >= 1.0
 
 
-def test_new_leader_reads_the_lists_before_it_orders(cluster, instances):
-    """Guards against maintenance that ends tasks which a new leader does not know."""
-    # Each task needs more than half of a worker.
+def test_new_leader_reads_the_run_lists_before_it_orders(cluster, instances):
+    """Maintenance must not stop tasks that a new leader does not know yet."""
+    # Each task needs more than half a worker.
     cluster.store.add_job(make_job(ID, Step(2, 5000)))
     cluster.lead(1)
     wait_until(lambda: len(cluster.workers.started) == 2)
     for fake in cluster.workers.by_id.values():
-        fake.is_silent = True
+        fake.is_unresponsive = True
     run_wave(cluster, cluster.lead(2), instances, token=2)
     gevent.sleep(1.0)
     assert instances.maintained == []
     for fake in cluster.workers.by_id.values():
-        fake.is_silent = False
+        fake.is_unresponsive = False
     gevent.sleep(0.5)
     assert instances.maintained == []
     cluster.workers.end_all(EndKind.DONE)
     wait_until(lambda: len(instances.maintained) == 2)
 
 
-def test_new_leader_goes_on_with_a_wave(cluster, instances):
-    """Guards against a second maintenance of instances that had theirs."""
+def test_new_leader_continues_a_wave(cluster, instances):
+    """Instances that have had their maintenance must not get another."""
     dispatcher = cluster.lead(1)
     run_wave(cluster, dispatcher, instances)
     wait_until(lambda: len(instances.maintained) == 1)
@@ -187,8 +187,8 @@
     assert sorted(instances.maintained) == ["m-w0", "m-w1"]
 
 
-def test_busy_instance_is_ordered_again(cluster, instances):
-    """Guards against a wave that gives up after an order was refused."""
+def test_refused_order_is_repeated(cluster, instances):
+    """A wave must not give up after a refused order."""
     instances.outcomes = [CallOutcome.REFUSED, CallOutcome.UNKNOWN]
     run_wave(cluster, cluster.lead(), instances)
     wait_until(lambda: len(instances.maintained) == 2)
--- a/libs/coordinator/tests/test_metrics_page.py
+++ b/libs/coordinator/tests/test_metrics_page.py
@@ -1,4 +1,4 @@
-"""The pages on metrics, alerts and logs agree with the code."""
+"""Checks that the pages on metrics, alerts and logs match the code."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
     for path in (ROOT / folder).rglob("*.py")
 )
 ALERTS = re.findall(r"- alert: (\w+)", RULES)
-# Lines that the stories of OPERATIONS.md rest on.
+# Names of log events that OPERATIONS.md refers to.
 EVENTS = sorted(
     set(
         re.findall(
@@ -32,7 +32,7 @@
 
 
 def served_metrics() -> set[str]:
-    """Return the names under which the metrics of this module are served."""
+    """Return the names under which the coordinator's metrics are exposed."""
     own = {
         metric._name
         for metric in vars(metrics).values()
@@ -43,13 +43,13 @@
 
 
 def test_page_lists_what_is_served():
-    """Guards against metrics nobody can look up, and pages on metrics long gone."""
+    """The page must list every metric, and none that no longer exists."""
     assert set(re.findall(r"^\| `(\w+)`", SECTION, re.M)) == served_metrics()
 
 
 @pytest.mark.parametrize("alert", ALERTS)
 def test_alert_uses_served_metrics_and_is_explained(alert):
-    """Guards against alerts that can never fire, and pages without advice on them."""
+    """An alert must be able to fire and be explained in OPERATIONS.md."""
     rule = RULES[RULES.index(f"alert: {alert}\n") :].split("- alert:")[0]
     used = set(re.findall(r"lycheeloom_\w+", rule))
     known = served_metrics()
@@ -61,6 +61,6 @@
 
 
 @pytest.mark.parametrize("event", EVENTS)
-def test_line_that_a_story_rests_on_is_written(event):
-    """Guards against a page that leads to lines no process writes."""
+def test_documented_log_event_is_written(event):
+    """OPERATIONS.md must not refer to log events that no process writes."""
     assert f'"{event}"' in SOURCES
