--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -86,11 +86,11 @@
             case UsageReport() as report:
                 now = self._clock()
                 self._running[name] = (now, len(report.tasks))
-                self._monitor.heartbeat(name, now, report.boot_id)
+                self._monitor.record_heartbeat(name, now, report.boot_id)
             case Unavailable():
                 now = self._clock()
                 self._running.pop(name, None)
-                if self._monitor.missed(name, now):
+                if self._monitor.record_miss(name, now):
                     self._probe_rack_soon(name, now)
                 self._due_at[name] = now + MISS_RETRY_S
 
