--- a/libs/coordinator/src/lycheeloom/coordinator/advisor.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/advisor.py
@@ -82,7 +82,7 @@
             )
             self._next_ask_s[job_id, key] = now_s + RETRY_S
             return True
-        self._take(result, job_id, key, now_s)
+        self._store_tickets(result, job_id, key, now_s)
         log_event(
             "advice",
             step=step,
@@ -92,7 +92,9 @@
         )
         return True
 
-    def _take(self, advice: Advice, job_id: str, key: StepKey, now_s: float) -> None:
+    def _store_tickets(
+        self, advice: Advice, job_id: str, key: StepKey, now_s: float
+    ) -> None:
         until_s = now_s + advice.validity_s - VALIDITY_MARGIN_S
         for worker_id, ticket in advice.ticket_by_worker.items():
             entry = (job_id, key, worker_id)
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -59,6 +59,8 @@
 
 
 class _PendingRecord:
+    """A record to append; ``done`` is set once ``result`` is known."""
+
     def __init__(self, record: Record) -> None:
         self.record = record
         self.result: AppendResult | None = None
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -111,13 +111,13 @@
         if active_job.is_final:
             self._registry.close_job(active_job)
         elif end.kind is EndKind.DONE:
-            self._stop_copies(end.task)
+            self._stop_other_runs(end.task)
         elif end.task not in self._fleet.runs_by_task:
             active_job.put_back(end.task, end.checkpoint)
 
-    def _stop_copies(self, task: TaskKey) -> None:
-        for copy in list(self._fleet.runs_by_task.get(task, ())):
-            self._orders.stop_run(copy, "another run is done")
+    def _stop_other_runs(self, task: TaskKey) -> None:
+        for other_run in list(self._fleet.runs_by_task.get(task, ())):
+            self._orders.stop_run(other_run, "another run is done")
 
     def _process_running(self, link: WorkerLink, row: RunningTask) -> None:
         worker_id = link.worker.worker_id
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -55,6 +55,8 @@
 
 @dataclass(slots=True)
 class _HandledInstance:
+    """An instance being drained or maintained; its stage began at ``since_s``."""
+
     wave: str
     pool: str
     worker_id: str
@@ -112,27 +114,27 @@
         if not instance_by_id:
             return
         begun = self._begun_by_wave.setdefault(order.wave, set())
-        left = [
+        pending = [
             instance_by_id[i]
             for i in order.instances
             if i in instance_by_id and i not in begun
         ]
         self._release_returned(order)
-        if not left:
+        if not pending:
             self._report(order, "completed")
             return
         self._report(order, "running")
-        self._choose(order, left)
-        for instance in left:
+        self._choose(order, pending)
+        for instance in pending:
             handled = self._handled_by_id.get(instance.instance_id)
             if handled is not None and handled.stage is _Stage.DRAINING:
                 self._drain(order, instance, handled)
 
-    def _choose(self, order: WaveOrder, left: list[Instance]) -> None:
+    def _choose(self, order: WaveOrder, pending: list[Instance]) -> None:
         away = self._count_away(order)
         candidates = [
             self._to_wave_instance(instance)
-            for instance in left
+            for instance in pending
             if instance.instance_id not in self._handled_by_id
             and instance.state is InstanceState.UP
             and self._order_guard.may_order(instance.instance_id)
@@ -160,7 +162,7 @@
                 instance=instance_id,
                 pool=instance.pool,
                 worker=instance.worker_id,
-                left=len(left),
+                left=len(pending),
                 elapsed_s=time.elapsed_s,
             )
 
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -88,7 +88,7 @@
             and i.instance_id not in self._moving_by_id
             and not self._is_reserved(i.instance_id)
         ]
-        moves = choose_moves(instances, self._loads(), standby)
+        moves = choose_moves(instances, self._load_by_pool(), standby)
         self._order([move for move in moves if self._prepare(move)])
 
     def _release(self, instance_id: str) -> None:
@@ -115,13 +115,13 @@
 
     def _is_usable(self, instance: Instance) -> bool:
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
-        is_leaving = state is not None and state.worker.draining
+        is_draining = state is not None and state.worker.draining
         return (
-            not is_leaving
+            not is_draining
             and instance.zone not in self._dispatcher.view.zones_out_of_service
         )
 
-    def _loads(self) -> dict[str, PoolLoad]:
+    def _load_by_pool(self) -> dict[str, PoolLoad]:
         dispatcher = self._dispatcher
         capacity_by_pool: dict[str, Resources] = {}
         used_by_pool: dict[str, Resources] = {}
@@ -135,7 +135,7 @@
             long_running_need_by_pool[pool] = (
                 long_running_need + state.long_running_need
             )
-        waiting = backlog_by_pool(
+        backlog = backlog_by_pool(
             dispatcher.active_job_by_id.values(),
             dispatcher.view.policy,
             capacity_by_pool,
@@ -149,7 +149,7 @@
         return {
             pool: PoolLoad(
                 used_by_pool[pool].dominant_share(capacity),
-                waiting.get(pool, 0.0),
+                backlog.get(pool, 0.0),
                 arriving[pool],
                 min_instances.get(pool, 1),
                 long_running_need_by_pool[pool].dominant_share(capacity),
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -109,13 +109,24 @@
         timeout_s: float = APPEND_TIMEOUT_S,
     ) -> AppendResult: ...
 
-    def read(self, log: Log, offset: int, wait_s: float) -> ReadResult: ...
+    def read(self, log: Log, offset: int, wait_s: float) -> ReadResult:
+        """Read records from ``offset``, waiting up to ``wait_s`` if there are none."""
+        ...
 
-    def newest(self, log: Log) -> RecordsRead | ReadFailed: ...
+    def newest(self, log: Log) -> RecordsRead | ReadFailed:
+        """Read the latest record of each key."""
+        ...
 
-    def claim_lead(self, at: int, instance: str) -> AppendResult: ...
+    def claim_lead(self, at: int, instance: str) -> AppendResult:
+        """Append to the election log if it ends at ``at``.
 
-    def write_wave_state(self, wave: str, state: str) -> AppendResult: ...
+        The new end is the fencing token. ``ConditionFailed`` holds the actual end.
+        """
+        ...
+
+    def write_wave_state(self, wave: str, state: str) -> AppendResult:
+        """Record the state of a wave for the operator."""
+        ...
 
 
 class CallOutcome(Enum):
@@ -183,7 +194,13 @@
         seen: int,
         deadline_ms: int | None,
         wait_ms: int,
-    ) -> TaskLists | CallReply: ...
+    ) -> TaskLists | CallReply:
+        """Renew the worker's lease until ``deadline_ms`` and list its runs.
+
+        Acknowledges the ends up to number ``seen``. The worker waits up to ``wait_ms``
+        for another one. Without a deadline the lease is not renewed.
+        """
+        ...
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -305,7 +305,7 @@
     assert steady_s() - unresponsive_since_s >= WORKER_LEASE_S - POLL_WAIT_MS / 1000
 
 
-def lists(*worker_ids: str) -> Callable[[], tuple[Instance, ...]]:
+def list_instances_of(*worker_ids: str) -> Callable[[], tuple[Instance, ...]]:
     """Return a ``list_instances`` function with one instance per given worker."""
     return lambda: tuple(
         Instance(f"m-{worker_id}", "pool", InstanceState.UP, "zone-a", worker_id)
@@ -330,14 +330,14 @@
     An instance crashes, and the platform lists its worker for some seconds longer.
     """
     monkeypatch.setattr(worker_link, "WORKER_LEASE_S", LONG_S)
-    instances = Mock(list_instances=lists("w0", "w1"))
+    instances = Mock(list_instances=list_instances_of("w0", "w1"))
     cluster.store.add_job(make_job())
     watch_instances(cluster, cluster.lead(), instances)
     wait_until(lambda: len(cluster.workers.started) == 1)
     holder = cluster.workers.started[0][0]
     gevent.sleep(INSTANCE_LIST_LAG_S)
     cluster.workers.worker(holder).is_unresponsive = True
-    instances.list_instances = lists("w1" if holder == "w0" else "w0")
+    instances.list_instances = list_instances_of("w1" if holder == "w0" else "w0")
     wait_until(lambda: len(cluster.workers.started) == 2)
     assert cluster.workers.started[1][0] != holder
 
@@ -359,7 +359,7 @@
     cluster.workers.end_all()
     monkeypatch.setattr(dispatcher_module, "TAKEOVER_LAPSE_S", LONG_S)
     second = cluster.lead(2)
-    watch_instances(cluster, second, Mock(list_instances=lists(holder)))
+    watch_instances(cluster, second, Mock(list_instances=list_instances_of(holder)))
     wait_until(lambda: len(cluster.workers.started) == 2)
 
 
@@ -377,7 +377,7 @@
     gevent.sleep(2 * POLL_S)
     worker = cluster.view.worker_by_id.pop(holder)
     second = cluster.lead(2)
-    watch_instances(cluster, second, Mock(list_instances=lists("w0", "w1")))
+    watch_instances(cluster, second, Mock(list_instances=list_instances_of("w0", "w1")))
     gevent.sleep(2 * FIRST_LIST_WAIT_S)
     assert len(cluster.workers.started) == 1
     cluster.view.worker_by_id[holder] = worker
@@ -389,7 +389,7 @@
     """Tasks must not be started twice because a list was outdated."""
     cluster.store.add_job(make_job(ID, Step(2, 5000)))
     dispatcher = cluster.lead()
-    watch_instances(cluster, dispatcher, Mock(list_instances=lists()))
+    watch_instances(cluster, dispatcher, Mock(list_instances=list_instances_of()))
     wait_until(lambda: len(cluster.workers.started) == 2)
     gevent.sleep(2 * INSTANCE_LIST_LAG_S + LIST_INTERVAL_S)
     assert len(cluster.workers.started) == 2
@@ -399,7 +399,9 @@
 def test_unresponsive_worker_with_instance_keeps_tasks_until_lease_ends(cluster):
     """No second run may start while the first continues behind a partition."""
     cluster.store.add_job(make_job())
-    watch_instances(cluster, cluster.lead(), Mock(list_instances=lists("w0", "w1")))
+    watch_instances(
+        cluster, cluster.lead(), Mock(list_instances=list_instances_of("w0", "w1"))
+    )
     wait_until(lambda: len(cluster.workers.started) == 1)
     gevent.sleep(INSTANCE_LIST_LAG_S)
     cluster.workers.worker(cluster.workers.started[0][0]).is_unresponsive = True
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -18,7 +18,7 @@
 from lycheeloom.jobs.records import Kind, key_of
 
 # Callers of the platform time out after three seconds.
-DEADLINE_S = 3.0
+CALLER_DEADLINE_S = 3.0
 
 
 class SlowStore(FakeStore):
@@ -116,7 +116,7 @@
         calls.append(gevent.spawn(submit, number))
         gevent.sleep(0.1)
     gevent.joinall(calls)
-    assert max(times) < DEADLINE_S
+    assert max(times) < CALLER_DEADLINE_S
     gevent.sleep(store.append_s * 2)
     kept = {record.key for _, record in store.read(Log.CALLERS, 0, 0.0).records}
     for key, verdict in verdict_by_key.items():
--- a/libs/coordinator/tests/test_leader_tasks.py
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -41,7 +41,7 @@
         return Advice({"w1": "ticket"}, 3.0)
 
 
-def with_advice(cluster):
+def require_advice(cluster):
     """Make the queue of the cluster require advice."""
     policy = cluster.view.policy
     queue = dataclasses.replace(
@@ -52,7 +52,7 @@
 
 def test_step_starts_on_the_advised_worker(cluster):
     """A step must start even if the advice service refused a call before."""
-    with_advice(cluster)
+    require_advice(cluster)
     cluster.store.add_job(make_job(ID, Step(2, 1000)))
     dispatcher = cluster.lead()
     advice = FakeAdvice(failures=1)
@@ -97,7 +97,7 @@
     assert paces == sorted(paces, reverse=True)
 
 
-class FakeMoves:
+class FakeInstancePort:
     """An instance port with one standby instance; moves take effect immediately."""
 
     def __init__(self, cluster) -> None:
@@ -119,7 +119,7 @@
         return CallReply(CallOutcome.DONE)
 
 
-def set_pools(cluster) -> None:
+def add_standby_pool(cluster) -> None:
     """Add a standby pool to the policy."""
     pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
     cluster.view.policy = dataclasses.replace(cluster.view.policy, pool_by_name=pools)
@@ -143,10 +143,10 @@
 
     Load pattern: a queue needs several times the capacity of its pool.
     """
-    set_pools(cluster)
+    add_standby_pool(cluster)
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
     dispatcher = cluster.lead()
-    port = FakeMoves(cluster)
+    port = FakeInstancePort(cluster)
     move_instances(cluster, dispatcher, port)
     wait_until(lambda: ("m-off", "pool") in port.moves)
     wait_until(lambda: len(cluster.workers.started) == 24)
@@ -155,10 +155,10 @@
 
 def test_new_leader_waits_before_it_sends_orders(cluster):
     """Two leaders must not order the same instance within its lease."""
-    set_pools(cluster)
+    add_standby_pool(cluster)
     cluster.store.append_order("m-off")
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    port = FakeMoves(cluster)
+    port = FakeInstancePort(cluster)
     move_instances(cluster, cluster.lead(), port, lease_s=1.5)
     gevent.sleep(0.7)
     assert port.moves == []
@@ -171,20 +171,20 @@
     The leader is lost during a load spike, and most standby instances have had no
     order for seconds.
     """
-    set_pools(cluster)
+    add_standby_pool(cluster)
     cluster.store.append_order("m-w0")
     cluster.store.append_order("m-off", age_s=2 * LONG_S)
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    port = FakeMoves(cluster)
+    port = FakeInstancePort(cluster)
     move_instances(cluster, cluster.lead(), port, lease_s=LONG_S)
     wait_until(lambda: ("m-off", "pool") in port.moves)
 
 
 def test_order_is_recorded_before_it_is_sent(cluster):
     """An order must never be sent without a record for later leaders."""
-    set_pools(cluster)
+    add_standby_pool(cluster)
     cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
-    port = FakeMoves(cluster)
+    port = FakeInstancePort(cluster)
     dispatcher = cluster.lead()
     cluster.store.is_down = True
     move_instances(cluster, dispatcher, port)
--- a/libs/jobs/src/lycheeloom/jobs/availability.py
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -7,15 +7,15 @@
 from .model import TaskKey
 
 READY_PERCENT = 100
-# A task without progress for this long is not expected to become available soon. It
-# is longer than the age of the run lists, which is up to a second.
+# A task without progress for this long is not expected to become available soon.
+# Longer than the age of the run lists, which is up to a second.
 STUCK_S = 3.0
 
 
 def unavailable_tasks(
     fleet: Fleet, active_job: ActiveJob, occurrence: int, step: int
 ) -> set[int]:
-    """Return the indexes of the tasks of a long-running step that do not serve."""
+    """Return the indexes of the tasks of a long-running step that are unavailable."""
     step_tasks = active_job.tasks_by_step[occurrence, step]
     return {
         index
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -36,6 +36,7 @@
     """One run of a task on a worker."""
 
     task: TaskKey
+    # Run number; later runs of a task have higher numbers.
     run: int
     worker_id: str
     step: Step
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -37,6 +37,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _RankedStep:
+    """A step that may start; the lowest rank goes first."""
+
     rank: tuple[float, ...]
     active_job: ActiveJob
     key: StepKey
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -181,11 +181,13 @@
         """Remove an instance from the size of its pool; False if the pool needs it."""
         pool = instance.pool
         load = self.load_of(pool)
-        left = self.size_by_pool[pool] - 1
+        remaining_size = self.size_by_pool[pool] - 1
         used = max(load.used, load.instances_to_keep_up)
-        if left < load.min_instances or used > left * (1 - MIN_FREE_FRACTION):
+        if remaining_size < load.min_instances or used > remaining_size * (
+            1 - MIN_FREE_FRACTION
+        ):
             return False
-        self.size_by_pool[pool] = left
+        self.size_by_pool[pool] = remaining_size
         return True
 
 
--- a/libs/jobs/src/lycheeloom/jobs/waves.py
+++ b/libs/jobs/src/lycheeloom/jobs/waves.py
@@ -40,7 +40,7 @@
 
 
 def choose_next(
-    left: Collection[WaveInstance],
+    pending: Collection[WaveInstance],
     away_by_pool: Mapping[str, int],
     at_once: int,
     time: WaveTime,
@@ -52,18 +52,18 @@
     pool is unavailable at a time; a late wave takes as many as the limit allows.
     """
     remaining = at_once - sum(away_by_pool.values())
-    if remaining <= 0 or not left:
+    if remaining <= 0 or not pending:
         return []
     time_left_s = time.within_s * BEGIN_FRACTION - time.elapsed_s
     rounds_left = max(1, math.floor(time_left_s / time.round_s))
-    left_by_pool = Counter(i.pool for i in left if not i.is_standby)
+    pending_by_pool = Counter(i.pool for i in pending if not i.is_standby)
     chosen: list[str] = []
     away = Counter(away_by_pool)
-    for instance in sorted(left, key=_disruption):
+    for instance in sorted(pending, key=_disruption):
         if len(chosen) >= remaining:
             break
         max_away = max(
-            MAX_AWAY_PER_POOL, math.ceil(left_by_pool[instance.pool] / rounds_left)
+            MAX_AWAY_PER_POOL, math.ceil(pending_by_pool[instance.pool] / rounds_left)
         )
         if not instance.is_standby and away[instance.pool] >= max_away:
             continue
--- a/libs/jobs/tests/test_demand.py
+++ b/libs/jobs/tests/test_demand.py
@@ -50,26 +50,26 @@
     assert demand.needed_instances("pool", CAPACITY, 1.0) == 0
 
 
-def off(count: int) -> list[PoolInstance]:
+def standby_instances(count: int) -> list[PoolInstance]:
     """Return instances that are switched off."""
     return [PoolInstance(f"off-{n}", "off", 0.0) for n in range(count)]
 
 
 def test_pool_grows_with_the_submission_rate_before_tasks_wait():
     """Instances must not be added one at a time, each only after tasks have waited."""
-    machines = [PoolInstance("m1", "a", 0.0), *off(9)]
+    instances = [PoolInstance("m1", "a", 0.0), *standby_instances(9)]
     load = PoolLoad(1.0, 0.0, long_running_use=0.5, offered_load=5.1)
-    moves = choose_moves(machines, {"a": load}, {"off"})
+    moves = choose_moves(instances, {"a": load}, {"off"})
     # 0.5 of an instance is used by long-running tasks; 5.1 need 6 instances at 85%.
     assert len(moves) == 6
     arriving = PoolLoad(1.0, 0.0, arriving=6, long_running_use=0.5, offered_load=5.1)
-    assert choose_moves(machines, {"a": arriving}, {"off"}) == []
+    assert choose_moves(instances, {"a": arriving}, {"off"}) == []
 
 
 def test_pool_keeps_instances_needed_for_the_submission_rate():
     """Instances must not be switched off between two jobs of a load spike."""
-    machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(4)]
+    instances = [PoolInstance(f"m{n}", "a", 5.0) for n in range(4)]
     busy = {"a": PoolLoad(0.1, 0.0, offered_load=2.5)}
-    assert choose_moves(machines, busy, {"off"}) == []
+    assert choose_moves(instances, busy, {"off"}) == []
     quiet = {"a": PoolLoad(0.1, 0.0)}
-    assert len(choose_moves(machines, quiet, {"off"})) == 3
+    assert len(choose_moves(instances, quiet, {"off"})) == 3
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -13,11 +13,13 @@
 from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
 from lycheeloom.model.resources import Resources
 
-ON_TIME = WaveTime(0.0, 30.0, 4.0)
+ON_SCHEDULE = WaveTime(0.0, 30.0, 4.0)
 LATE = WaveTime(25.0, 30.0, 4.0)
 
 
-def instances(pool: str, count: int, standby: bool = False) -> list[WaveInstance]:
+def make_wave_instances(
+    pool: str, count: int, standby: bool = False
+) -> list[WaveInstance]:
     """Return instances of a pool; unless on standby, number n has n tasks."""
     return [
         WaveInstance(f"{pool}-{n}", pool, 0 if standby else n, 0.5, standby)
@@ -27,7 +29,7 @@
 
 def test_wave_keeps_its_limit_of_unavailable_instances():
     """A wave must not make more instances unavailable than its limit allows."""
-    left = instances("a", 5) + instances("off", 5, standby=True)
+    left = make_wave_instances("a", 5) + make_wave_instances("off", 5, standby=True)
     assert len(choose_next(left, {"a": 1, "b": 1}, 3, LATE)) == 1
     assert choose_next(left, {"a": 3}, 3, LATE) == []
 
@@ -35,20 +37,23 @@
 def test_wave_begins_with_standby_instances():
     """Tasks must not be disrupted while standby instances await maintenance."""
     chosen = choose_next(
-        instances("a", 2) + instances("off", 2, standby=True), {}, 2, ON_TIME
+        make_wave_instances("a", 2) + make_wave_instances("off", 2, standby=True),
+        {},
+        2,
+        ON_SCHEDULE,
     )
     assert chosen == ["off-0", "off-1"]
 
 
 def test_wave_on_schedule_drains_one_instance_of_a_pool():
     """Tasks that must not share a worker must find room on other instances."""
-    assert len(choose_next(instances("a", 4), {}, 4, ON_TIME)) == 1
-    assert choose_next(instances("a", 3), {"a": 1}, 4, ON_TIME) == []
+    assert len(choose_next(make_wave_instances("a", 4), {}, 4, ON_SCHEDULE)) == 1
+    assert choose_next(make_wave_instances("a", 3), {"a": 1}, 4, ON_SCHEDULE) == []
 
 
 def test_late_wave_drains_as_many_as_its_limit_allows():
     """A wave must not miss its deadline by draining one instance at a time."""
-    assert len(choose_next(instances("a", 4), {}, 3, LATE)) == 3
+    assert len(choose_next(make_wave_instances("a", 4), {}, 3, LATE)) == 3
 
 
 def test_waiting_work_gets_standby_instances():
@@ -56,8 +61,8 @@
 
     Load pattern: each queue in turn exceeds the capacity of its pool for some seconds.
     """
-    machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
-    moves = choose_moves(machines, {"a": PoolLoad(1.0, 2.0)}, {"off"})
+    instances = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
+    moves = choose_moves(instances, {"a": PoolLoad(1.0, 2.0)}, {"off"})
     assert [(m.instance_id, m.pool) for m in moves] == [("m1", "a")]
 
 
@@ -67,47 +72,47 @@
     Occurs when a zone is taken out of service while the tasks of a service must not
     share a worker.
     """
-    machines = [
+    instances = [
         PoolInstance("m1", "a", 0.0),
         PoolInstance("m2", "a", 0.0, is_usable=False),
         PoolInstance("m3", "off", 0.0, is_usable=False),
         PoolInstance("m4", "off", 0.0),
     ]
-    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.1, min_instances=2)}, {"off"})
+    moves = choose_moves(instances, {"a": PoolLoad(0.5, 0.1, min_instances=2)}, {"off"})
     assert [(m.instance_id, m.pool) for m in moves] == [("m4", "a")]
 
 
 def test_instances_that_may_not_move_count_for_their_pool():
     """A new leader must not double the size of a pool during a load spike."""
-    machines = [
+    instances = [
         PoolInstance("m1", "a", 0.0, may_move=False),
         PoolInstance("m2", "a", 5.0, may_move=False),
         PoolInstance("m3", "off", 0.0, may_move=False),
         PoolInstance("m4", "off", 0.0),
     ]
     assert (
-        choose_moves(machines, {"a": PoolLoad(0.5, 0.0, min_instances=2)}, {"off"})
+        choose_moves(instances, {"a": PoolLoad(0.5, 0.0, min_instances=2)}, {"off"})
         == []
     )
-    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.0, min_instances=4)}, {"off"})
+    moves = choose_moves(instances, {"a": PoolLoad(0.5, 0.0, min_instances=4)}, {"off"})
     assert [m.instance_id for m in moves] == ["m4"]
 
 
 def test_idle_unusable_instances_are_switched_off():
     """Idle instances of a zone out of service must not cost anything."""
-    machines = [
+    instances = [
         PoolInstance("m1", "a", 5.0),
         PoolInstance("m2", "a", 5.0, is_usable=False),
         PoolInstance("m3", "a", 0.0, is_usable=False),
     ]
-    moves = choose_moves(machines, {"a": PoolLoad(0.5, 0.0)}, {"off"})
+    moves = choose_moves(instances, {"a": PoolLoad(0.5, 0.0)}, {"off"})
     assert [(m.instance_id, m.pool) for m in moves] == [("m2", "off")]
 
 
 def test_arriving_instances_count():
     """The same waiting work must not cause new moves in each round."""
-    machines = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
-    assert choose_moves(machines, {"a": PoolLoad(1.0, 2.0, arriving=2)}, {"off"}) == []
+    instances = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
+    assert choose_moves(instances, {"a": PoolLoad(1.0, 2.0, arriving=2)}, {"off"}) == []
 
 
 @pytest.mark.parametrize(
@@ -120,9 +125,9 @@
 )
 def test_idle_instances_are_switched_off_if_the_pool_can_spare_them(load, count):
     """Idle instances are switched off unless that makes the pool too small."""
-    machines = [PoolInstance(f"m{n}", "a", 5.0) for n in range(2)]
-    machines.append(PoolInstance("m9", "a", 0.0))
-    assert len(choose_moves(machines, {"a": load}, {"off"})) == count
+    instances = [PoolInstance(f"m{n}", "a", 5.0) for n in range(2)]
+    instances.append(PoolInstance("m9", "a", 0.0))
+    assert len(choose_moves(instances, {"a": load}, {"off"})) == count
 
 
 def make_service(away: int) -> tuple[Fleet, ActiveJob, list[Run]]:
