--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -70,7 +70,7 @@
 
     @property
     def read_at_s(self) -> float:
-        """Return when the log that was read least recently was read successfully."""
+        """Return the earliest of the logs' last successful read times."""
         return min(follower.read_at_s for follower in self._followers.values())
 
     def run(self) -> None:
@@ -88,7 +88,7 @@
         return self._followers[Log.LEADER].wait_for(offset, timeout_s)
 
     def refresh_jobs(self) -> bool:
-        """Read all records in the callers' log; return whether that succeeded."""
+        """Read the callers' log up to its end; return whether that succeeded."""
         return self._followers[Log.CALLERS].catch_up()
 
     def apply(self, result: RecordsRead, is_live: bool) -> None:
--- a/libs/coordinator/src/lycheeloom/coordinator/view.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/view.py
@@ -38,6 +38,6 @@
         for number, step in enumerate(steps):
             if step.label and step.label not in self.labels_seen:
                 return f"steps.{number}: no worker has the label {step.label!r}"
-            if not any(fits(step.need, size) for size in self.capacities_seen):
+            if not any(fits(step.reservation, size) for size in self.capacities_seen):
                 return f"steps.{number}: no worker is large enough for one task"
         return ""
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -146,7 +146,7 @@
     running: dict[TaskKey, int] = field(default_factory=dict)
     ended: list[EndedTask] = field(default_factory=list)
     # Highest run number that was stopped or has ended; starts up to it are rejected.
-    last_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    highest_closed_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
     percent: int = 50
     seen: int = 0
     count: int = 0
@@ -190,7 +190,7 @@
     def carry_out(self, worker_id: str, start: Start) -> CallOutcome:
         """Start a run unless it or a later one was stopped or has ended."""
         fake = self.worker(worker_id)
-        if start.run <= fake.last_run_by_task.get(start.task, 0):
+        if start.run <= fake.highest_closed_run_by_task.get(start.task, 0):
             return CallOutcome.OLD_RUN
         if start.task not in fake.running:
             fake.running[start.task] = start.run
@@ -204,7 +204,9 @@
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
         key = TaskKey.parse(task)
-        fake.last_run_by_task[key] = max(run, fake.last_run_by_task.get(key, 0))
+        fake.highest_closed_run_by_task[key] = max(
+            run, fake.highest_closed_run_by_task.get(key, 0)
+        )
         if fake.running.get(key) == run:
             self.end(worker.worker_id, key, EndKind.STOPPED)
         return CallReply(CallOutcome.DONE)
@@ -249,7 +251,9 @@
         """End a run."""
         fake = self.worker(worker_id)
         run = fake.running.pop(task)
-        fake.last_run_by_task[task] = max(run, fake.last_run_by_task.get(task, 0))
+        fake.highest_closed_run_by_task[task] = max(
+            run, fake.highest_closed_run_by_task.get(task, 0)
+        )
         fake.count += 1
         fake.ended.append(EndedTask(fake.count, task, run, kind, checkpoint))
 
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -192,7 +192,9 @@
             run.state is RunState.RUNNING for run in sum(runs_by_task.values(), [])
         )
     )
-    assert not any(worker.last_run_by_task for worker in cluster.workers.by_id.values())
+    assert not any(
+        worker.highest_closed_run_by_task for worker in cluster.workers.by_id.values()
+    )
 
 
 def test_long_running_task_is_stopped_if_no_list_shows_its_start(cluster):
@@ -202,7 +204,7 @@
     cluster.view.worker_by_id.pop("w1")
     cluster.store.add_job(make_job(ID, Step(1, 1000, long_running=True, may_miss=1)))
     cluster.lead()
-    wait_until(lambda: bool(late.last_run_by_task))
+    wait_until(lambda: bool(late.highest_closed_run_by_task))
     cluster.workers.carry_out("w0", late.delayed[0])
     assert cluster.workers.started == []
 
@@ -214,7 +216,7 @@
     cluster.view.worker_by_id.pop("w1")
     cluster.store.add_job(make_job())
     dispatcher = cluster.lead()
-    wait_until(lambda: bool(late.last_run_by_task))
+    wait_until(lambda: bool(late.highest_closed_run_by_task))
     wait_until(lambda: not dispatcher.fleet.runs_by_task or len(late.delayed) > 1)
     cluster.workers.carry_out("w0", late.delayed[0])
     assert cluster.workers.started == []
--- a/libs/jobs/src/lycheeloom/jobs/demand.py
+++ b/libs/jobs/src/lycheeloom/jobs/demand.py
@@ -44,7 +44,10 @@
     if job.repetitions:
         return 0.0
     return sum(
-        step.count * step.need.dominant_share(capacity) * step.estimated_ms / 1000
+        step.count
+        * step.reservation.dominant_share(capacity)
+        * step.estimated_ms
+        / 1000
         for step in job.steps
         if not step.long_running
     )
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -80,7 +80,11 @@
     def long_running_need(self) -> Resources:
         """Return the resources reserved by long-running tasks."""
         return sum(
-            (r.step.need for r in self.run_by_task.values() if r.step.long_running),
+            (
+                r.step.reservation
+                for r in self.run_by_task.values()
+                if r.step.long_running
+            ),
             NO_RESOURCES,
         )
 
@@ -116,9 +120,9 @@
         """Add a run and count its resources for its worker and organisation."""
         state = self.state_by_id[run.worker_id]
         state.run_by_task[run.task] = run
-        state.used = state.used + run.step.need
+        state.used = state.used + run.step.reservation
         used = self.used_by_organisation[run.organisation]
-        self.used_by_organisation[run.organisation] = used + run.step.use
+        self.used_by_organisation[run.organisation] = used + run.step.limit_use
         self.runs_by_task[run.task].append(run)
 
     def remove_run(self, run: Run) -> None:
@@ -127,9 +131,11 @@
         if state is None or state.run_by_task.get(run.task) is not run:
             return
         del state.run_by_task[run.task]
-        state.used = state.used - run.step.need if state.run_by_task else NO_RESOURCES
+        state.used = (
+            state.used - run.step.reservation if state.run_by_task else NO_RESOURCES
+        )
         used = self.used_by_organisation[run.organisation]
-        self.used_by_organisation[run.organisation] = used - run.step.use
+        self.used_by_organisation[run.organisation] = used - run.step.limit_use
         runs = self.runs_by_task[run.task]
         runs.remove(run)
         if not runs:
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -55,13 +55,13 @@
     may_miss: int = 0
 
     @property
-    def need(self) -> Resources:
+    def reservation(self) -> Resources:
         """Return the resources that one task reserves on its worker."""
         cores = 0.0 if self.fills else self.cpu_milli / 1000
         return Resources(cores, self.memory_mb, self.accelerators)
 
     @property
-    def use(self) -> Resources:
+    def limit_use(self) -> Resources:
         """Return the resources that one task uses of its organisation's limit.
 
         Filling tasks reserve no CPU, but their CPU counts here.
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -71,7 +71,7 @@
     can be switched off or moved to another pool. ``counts`` holds the tasks of the
     step on each worker.
     """
-    need = step.need
+    need = step.reservation
     best, best_rank = None, None
     for state in states:
         worker_id = state.worker.worker_id
@@ -130,7 +130,7 @@
 def _fit_all(
     states: list[WorkerState], step: Step, indexes: list[int]
 ) -> dict[int, WorkerState] | None:
-    need = step.need
+    need = step.reservation
     free_by_id = {state.worker.worker_id: state.free for state in states}
     counts: Counter[str] = Counter()
     choice: dict[int, WorkerState] = {}
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -155,7 +155,7 @@
         if (
             unplaceable_need is not None
             and runs_anywhere
-            and _is_at_least(step.need, unplaceable_need)
+            and _is_at_least(step.reservation, unplaceable_need)
         ):
             return []
         states = eligible_workers(self._fleet, pool, step, zones_out_of_service, now_s)
@@ -181,7 +181,7 @@
             state = choose_worker(states, step, counts, avoid)
             if state is None:
                 if runs_anywhere:
-                    unplaceable_need_by_pool[pool] = step.need
+                    unplaceable_need_by_pool[pool] = step.reservation
                 break
             counts[state.worker.worker_id] += 1
             starts.append(
@@ -269,18 +269,18 @@
         organisation = policy.organisation_by_name.get(name)
         if organisation is None:
             return True
-        use = step.use
+        use = step.limit_use
         total = Resources(
             use.cores * count, use.memory_mb * count, use.accelerators * count
         )
         return organisation.allows(self._used(name), total)
 
     def add(self, name: str, step: Step, state: WorkerState) -> None:
-        self._used_by_organisation[name] = self._used(name) + step.use
+        self._used_by_organisation[name] = self._used(name) + step.limit_use
         worker_id = state.worker.worker_id
         _, need = self._need_by_worker.get(worker_id, (state, Resources()))
-        self._need_by_worker[worker_id] = (state, need + step.need)
-        state.used = state.used + step.need
+        self._need_by_worker[worker_id] = (state, need + step.reservation)
+        state.used = state.used + step.reservation
 
     def release(self) -> None:
         """Undo the reservations; the caller counts the runs by adding them."""
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -101,7 +101,7 @@
         for _, step_tasks in active_job.startable_steps(now_ms):
             step = step_tasks.step
             run_s = BACKLOG_TARGET_S if step.long_running else step.estimated_ms / 1000
-            share = step.need.dominant_share(capacity)
+            share = step.reservation.dominant_share(capacity)
             backlog[queue.pool] += share * run_s * len(step_tasks.waiting)
     return dict(backlog)
 
