--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -113,10 +113,10 @@
         end = len(kept)
         return RecordsRead(tuple(sorted(newest.values())), end, end)
 
-    def claim_lead(self, worker: int, instance: str) -> AppendResult:
+    def claim_lead(self, at: int, instance: str) -> AppendResult:
         if self.is_down:
             return AppendUnknown("no answer in time")
-        if worker != self._claims:
+        if at != self._claims:
             return ConditionFailed(self._claims)
         self._claims += 1
         return Appended(self._claims)
@@ -149,7 +149,7 @@
     highest_closed_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
     percent: int = 50
     seen: int = 0
-    count: int = 0
+    end_count: int = 0
     token: int = 0
     is_unresponsive: bool = False
     # Starts are carried out but their answers are lost.
@@ -254,8 +254,8 @@
         fake.highest_closed_run_by_task[task] = max(
             run, fake.highest_closed_run_by_task.get(task, 0)
         )
-        fake.count += 1
-        fake.ended.append(EndedTask(fake.count, task, run, kind, checkpoint))
+        fake.end_count += 1
+        fake.ended.append(EndedTask(fake.end_count, task, run, kind, checkpoint))
 
     def end_all(self, kind: EndKind = EndKind.DONE) -> int:
         """End all runs; return their number."""
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -51,7 +51,8 @@
     target_ms: int = 0
     # Tasks reserve no CPU and use only the CPU time left idle by other tasks.
     fills: bool = False
-    # Maximum tasks that the scheduler may make unavailable at the same time.
+    # Maximum tasks that the scheduler may make unavailable at the same time; 0 for
+    # no limit.
     may_miss: int = 0
 
     @property
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -29,9 +29,9 @@
 
 def test_wave_keeps_its_limit_of_unavailable_instances():
     """A wave must not make more instances unavailable than its limit allows."""
-    left = make_wave_instances("a", 5) + make_wave_instances("off", 5, standby=True)
-    assert len(choose_next(left, {"a": 1, "b": 1}, 3, LATE)) == 1
-    assert choose_next(left, {"a": 3}, 3, LATE) == []
+    pending = make_wave_instances("a", 5) + make_wave_instances("off", 5, standby=True)
+    assert len(choose_next(pending, {"a": 1, "b": 1}, 3, LATE)) == 1
+    assert choose_next(pending, {"a": 3}, 3, LATE) == []
 
 
 def test_wave_begins_with_standby_instances():
