--- a/libs/coordinator/tests/conftest.py
+++ b/libs/coordinator/tests/conftest.py
@@ -1,12 +1,12 @@
-"""Shared fixtures of the coordinator's tests."""
+"""Shared fixtures of the coordinator tests."""
 
 import pytest
-from libs.coordinator.tests.fakes import World
+from libs.coordinator.tests.fakes import FakeCluster
 
 
 @pytest.fixture
-def world():
-    """A world of two workers without faults."""
-    world = World()
-    yield world
-    world.close()
+def cluster():
+    """A fake cluster of two workers without faults."""
+    cluster = FakeCluster()
+    yield cluster
+    cluster.close()
--- a/libs/jobs/src/lycheeloom/jobs/waves.py
+++ b/libs/jobs/src/lycheeloom/jobs/waves.py
@@ -1,4 +1,4 @@
-"""Decides which instances of a maintenance wave are emptied next."""
+"""Chooses the next instances of a maintenance wave to drain."""
 
 from __future__ import annotations
 
@@ -7,74 +7,75 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-# Part of a wave's time after which all of its instances should have begun.
-DUE_PART = 0.75
-# Instances of one pool that are away at once while the wave is on time: tasks
-# that avoid each other need a place on the others.
-POOL_AT_ONCE = 1
+# Maintenance of all instances should have begun after this fraction of the wave's
+# time.
+BEGIN_FRACTION = 0.75
+# Instances of one pool that are unavailable at the same time while the wave is on
+# schedule: tasks that may not share a worker need room on the other instances.
+MAX_AWAY_PER_POOL = 1
 
 
 @dataclass(frozen=True, slots=True)
 class WaveInstance:
-    """An instance of a wave that has not begun its maintenance."""
+    """An instance of a wave whose maintenance has not begun."""
 
     instance_id: str
     pool: str
-    # Tasks that would have to end or move.
-    runs: int
-    # Part of the pool's processors that is in use.
-    pool_use: float
-    # Switched off: its maintenance disturbs nobody.
+    # Runs on the instance, which would have to end or move.
+    run_count: int
+    # Fraction of the pool's CPU cores that is reserved.
+    pool_cpu_use: float
+    # The instance is switched off, so its maintenance disrupts no task.
     is_standby: bool
 
 
 @dataclass(frozen=True, slots=True)
 class WaveTime:
-    """How far a wave's time has passed, in seconds."""
+    """Elapsed and allowed time of a wave, in seconds."""
 
     elapsed_s: float
     within_s: float
-    # From the choice of an instance to its return.
+    # Time from choosing an instance until it is back in service.
     round_s: float
 
 
 def choose_next(
-    left: Collection[WaveInstance],
+    pending: Collection[WaveInstance],
     away_by_pool: Mapping[str, int],
     at_once: int,
     time: WaveTime,
 ) -> list[str]:
-    """Return the instances to empty now, those that disturb least first.
+    """Return the ids of the instances to drain now, the least disruptive first.
 
-    ``away_by_pool`` counts instances being emptied or maintained. While the wave
-    is on time, a pool gives up one instance at a time; a late wave takes as many
-    as it may.
+    ``away_by_pool`` counts the instances that are being drained or maintained, and
+    ``at_once`` limits them. While the wave is on schedule, only one instance of a
+    pool is unavailable at a time; a late wave takes as many as the limit allows.
     """
-    room = at_once - sum(away_by_pool.values())
-    if room <= 0 or not left:
+    remaining = at_once - sum(away_by_pool.values())
+    if remaining <= 0 or not pending:
         return []
-    time_left_s = time.within_s * DUE_PART - time.elapsed_s
+    time_left_s = time.within_s * BEGIN_FRACTION - time.elapsed_s
     rounds_left = max(1, math.floor(time_left_s / time.round_s))
-    left_by_pool = Counter(i.pool for i in left if not i.is_standby)
+    pending_by_pool = Counter(i.pool for i in pending if not i.is_standby)
     chosen: list[str] = []
     away = Counter(away_by_pool)
-    for instance in sorted(left, key=_disturbance):
-        if len(chosen) >= room:
+    for instance in sorted(pending, key=_disruption):
+        if len(chosen) >= remaining:
             break
-        pool_at_once = max(
-            POOL_AT_ONCE, math.ceil(left_by_pool[instance.pool] / rounds_left)
+        max_away = max(
+            MAX_AWAY_PER_POOL, math.ceil(pending_by_pool[instance.pool] / rounds_left)
         )
-        if not instance.is_standby and away[instance.pool] >= pool_at_once:
+        if not instance.is_standby and away[instance.pool] >= max_away:
             continue
         chosen.append(instance.instance_id)
         away[instance.pool] += 1
     return chosen
 
 
-def _disturbance(instance: WaveInstance) -> tuple[bool, float, int, str]:
+def _disruption(instance: WaveInstance) -> tuple[bool, float, int, str]:
     return (
         not instance.is_standby,
-        instance.pool_use,
-        instance.runs,
+        instance.pool_cpu_use,
+        instance.run_count,
         instance.instance_id,
     )
