--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,8 +14,8 @@
 from gevent.server import StreamServer
 
 from bench.fault_document import LIMIT_BY_ORGANISATION
-from bench.fault_fleet import CallSeen, FaultFleet, Publication
-from bench.fault_oracle import check
+from bench.fault_fleet import CallRecord, FaultFleet, Publication
+from bench.fault_oracle import check_history
 from lycheeloom.operator import Draft, Published
 
 # Only ends a test whose condition never comes true; no verdict depends on it.
@@ -66,9 +66,9 @@
     """Callers, spread over the open entries, that repeat a call in a block."""
 
     def __init__(
-        self, world: FaultFleet, callers: int, call: Callable[[str], CallSeen]
+        self, world: FaultFleet, callers: int, call: Callable[[str], CallRecord]
     ) -> None:
-        self.calls: list[CallSeen] = []
+        self.calls: list[CallRecord] = []
         self._world = world
         self._callers = callers
         self._call = call
@@ -90,7 +90,7 @@
 
     def _run(self, number: int) -> None:
         while not self._is_over:
-            entries = sorted(self._world.open_entries)
+            entries = sorted(self._world.serving_entries)
             self.calls.append(self._call(entries[number % len(entries)]))
             gevent.sleep(0.02)
 
@@ -100,7 +100,7 @@
 ) -> Publication:
     """Publish a change although answers of the log are lost."""
     wait_until(lambda: isinstance(world.publish(what, name, edit), Published))
-    return world.notes.publications[-1]
+    return world.history.publications[-1]
 
 
 def hears(world, listener, name):
@@ -161,4 +161,6 @@
 
 def assert_invariants(world: FaultFleet) -> None:
     """Judge by the notes and the ledger of the workers."""
-    assert check(world.notes, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
+    assert (
+        check_history(world.history, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
+    )
