--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -8,7 +8,7 @@
 
 import capnp
 
-from lycheeloom.wire.seal import seal, unseal
+from lycheeloom.wire.checksum import add_checksum, strip_checksum
 from lycheeloom.wire.structs import from_struct, to_fields
 
 from .model import Job, JobState
@@ -124,12 +124,12 @@
 ) -> bytes:
     """Serialise a value with a checksum in front."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
-    return seal(message.to_bytes())
+    return add_checksum(message.to_bytes())
 
 
 def decode(kind: type, data: bytes):
     """Read a value of type ``kind``; None if the bytes hold none."""
-    unsealed = unseal(data)
+    unsealed = strip_checksum(data)
     if unsealed is None:
         return None
     try:
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -24,7 +24,7 @@
 from lycheeloom.state import FleetState
 from lycheeloom.wire import encode_batch
 from lycheeloom.wire.batches import _SCHEMA
-from lycheeloom.wire.seal import seal
+from lycheeloom.wire.checksum import add_checksum
 
 
 @pytest.fixture
@@ -143,7 +143,7 @@
     log.archive.append(b"\xff" * 40)
     log.archive.append(b"")
     newer = _SCHEMA.Batch.new_message(author="n", sequence=1, records=[{}])
-    log.archive.append(seal(newer.to_bytes()))
+    log.archive.append(add_checksum(newer.to_bytes()))
     add_submitted(log, 1, 300_000)
     tail.step()
     assert (tail.next_offset, tail.undecodable_batches) == (4, 2)
--- a/libs/wire/src/lycheeloom/wire/batches.py
+++ b/libs/wire/src/lycheeloom/wire/batches.py
@@ -11,7 +11,7 @@
 from lycheeloom.model import records
 from lycheeloom.model.records import Batch, CopiedRecord, Record, UnknownRecord
 
-from .seal import seal, unseal
+from .checksum import add_checksum, strip_checksum
 from .structs import from_struct, to_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("records.capnp")))
@@ -61,14 +61,14 @@
     records = message.init("records", len(batch.records))
     for index, record in enumerate(batch.records):
         if isinstance(record, CopiedRecord):
-            copied = unseal(record.encoded)
+            copied = strip_checksum(record.encoded)
             with _SCHEMA.Batch.from_bytes(copied) as source:
                 _copy_member(source.records[0], records[index])
             continue
         # Setting a union member from a dict raises inside the library first.
         member = records[index].init(_TAG_BY_KIND[type(record)])
         member.from_dict(fields_by_record[index])
-    return seal(message.to_bytes())
+    return add_checksum(message.to_bytes())
 
 
 def copy_record(encoded: bytes, index: int) -> CopiedRecord:
@@ -77,10 +77,10 @@
     ``encoded`` has been decoded before, and the record is of a known kind.
     """
     copy = _SCHEMA.Batch.new_message()
-    unsealed = unseal(encoded)
-    with _SCHEMA.Batch.from_bytes(unsealed) as source:
+    message_bytes = strip_checksum(encoded)
+    with _SCHEMA.Batch.from_bytes(message_bytes) as source:
         _copy_member(source.records[index], copy.init("records", 1)[0])
-    return CopiedRecord(seal(copy.to_bytes()))
+    return CopiedRecord(add_checksum(copy.to_bytes()))
 
 
 def _copy_member(source: Any, target: Any) -> None:
@@ -91,11 +91,11 @@
 
 def decode_batch(data: bytes) -> Batch | BadBatch:
     """Read a batch; record kinds of newer programs become ``UnknownRecord``."""
-    unsealed = unseal(data)
-    if unsealed is None:
+    message_bytes = strip_checksum(data)
+    if message_bytes is None:
         return BadBatch("the checksum does not match")
     try:
-        with _SCHEMA.Batch.from_bytes(unsealed) as message:
+        with _SCHEMA.Batch.from_bytes(message_bytes) as message:
             return Batch(
                 message.author,
                 message.sequence,
--- a/libs/wire/src/lycheeloom/wire/seal.py
+++ b/libs/wire/src/lycheeloom/wire/checksum.py
@@ -12,12 +12,12 @@
 DIGEST_BYTES = 8
 
 
-def seal(message: bytes) -> bytes:
+def add_checksum(message: bytes) -> bytes:
     """Put a checksum in front of a message."""
     return xxhash.xxh64_digest(message) + message
 
 
-def unseal(data: bytes) -> bytes | None:
+def strip_checksum(data: bytes) -> bytes | None:
     """Return the message, or None if the checksum does not match."""
     message = data[DIGEST_BYTES:]
     if not message or xxhash.xxh64_digest(message) != data[:DIGEST_BYTES]:
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -7,7 +7,7 @@
 
 import capnp
 
-from .seal import seal, unseal
+from .checksum import add_checksum, strip_checksum
 from .structs import from_struct, to_fields
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")))
@@ -127,16 +127,16 @@
     fields = to_fields(message.body)
     encoded = _SCHEMA.PeerMessage.new_message(sender=message.sender)
     encoded.init(_TAG_BY_KIND[type(message.body)]).from_dict(fields)
-    return seal(encoded.to_bytes())
+    return add_checksum(encoded.to_bytes())
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | BadPeerMessage:
     """Read a peer message."""
-    unsealed = unseal(data)
-    if unsealed is None:
+    message_bytes = strip_checksum(data)
+    if message_bytes is None:
         return BadPeerMessage("the checksum does not match")
     try:
-        with _SCHEMA.PeerMessage.from_bytes(unsealed) as message:
+        with _SCHEMA.PeerMessage.from_bytes(message_bytes) as message:
             tag = str(message.which())
             kind = _KIND_BY_TAG.get(tag)
             if kind is None:
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -25,7 +25,7 @@
     encode_peer_message,
 )
 from lycheeloom.wire.batches import _SCHEMA
-from lycheeloom.wire.seal import seal
+from lycheeloom.wire.checksum import add_checksum
 
 RECORDS = [
     r.ConfigChanged(3, '{"a":null}', "ada"),
@@ -86,7 +86,9 @@
 def test_record_without_known_kind_is_unknown():
     """A newer program's record must not stop replay in an older one."""
     message = _SCHEMA.Batch.new_message(author="a", sequence=1, records=[{}])
-    assert decode_batch(seal(message.to_bytes())) == Batch("a", 1, (UnknownRecord(),))
+    assert decode_batch(add_checksum(message.to_bytes())) == Batch(
+        "a", 1, (UnknownRecord(),)
+    )
 
 
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
