--- a/libs/model/src/lycheeloom/model/config.py
+++ b/libs/model/src/lycheeloom/model/config.py
@@ -1,7 +1,8 @@
-"""Configuration: validated documents at the border, data classes inside.
+"""Fleet configuration: the published document and its parsed form.
 
-Operators publish the document; programs use ``FleetConfig``. ``parse_config``
-turns one into the other, ``change_config`` applies a patch to it.
+Operators publish a JSON document; programs work with a ``FleetConfig``.
+``parse_config`` converts the whole document, ``change_config`` updates a
+``FleetConfig`` for a patched document.
 """
 
 from .config_change import change_config
--- a/libs/model/src/lycheeloom/model/config_change.py
+++ b/libs/model/src/lycheeloom/model/config_change.py
@@ -1,7 +1,8 @@
-"""Applies a change to a parsed configuration without parsing all of it again.
+"""Updates a parsed configuration without parsing the whole document again.
 
-At the planned size the whole document takes tens of milliseconds to validate, in
-which an entry answers nobody; a change of one key or zone touches one item.
+At the planned fleet size, validating the whole document blocks the event loop of
+an entry for tens of milliseconds. Most patches change a single key or zone, so
+only the changed items are validated.
 """
 
 from __future__ import annotations
@@ -31,16 +32,19 @@
 )
 from .fleet_config import FleetConfig, Instance, Queue
 
-# Patches with more items are parsed as a whole, which then costs no more.
-MAX_ITEMS = 200
+# Above this number of changed items, parsing the whole document costs no more.
+MAX_CHANGED_ITEMS = 200
 
 
 @dataclass(frozen=True, slots=True)
 class _Section:
-    """How the items of one section are validated and indexed."""
+    """How the items of one section of the document are validated and indexed.
 
-    field: str
-    model: type[BaseModel]
+    ``index_field`` is the field of ``FleetConfig`` that holds the built items.
+    """
+
+    index_field: str
+    document_type: type[BaseModel]
     build: Callable[[str, Any], Any]
 
 
@@ -61,27 +65,28 @@
     patch: Any,
     version: int,
 ) -> FleetConfig | ConfigError:
-    """Return the configuration of ``document``, which is ``previous`` patched.
+    """Return the configuration for ``document``, the result of applying ``patch``.
 
-    Gives the same result as ``parse_config(document, version)``. Patches that
-    remove or replace more than single items, and those with a mistake, are
-    parsed as a whole, so that every problem is reported in the same words.
+    ``previous`` is the configuration before the patch. The result equals that of
+    ``parse_config(document, version)``. The whole document is parsed if the patch
+    removes items or replaces whole sections, and if it has an error, so that
+    error messages are the same on both paths.
     """
-    if not _has_only_items(document, patch):
+    if not _only_sets_items(document, patch):
         return parse_config(document, version)
-    if not _keys_hold(previous, patch.get("organisations", {})):
+    if not _are_keys_valid(previous, patch.get("organisations", {})):
         return parse_config(document, version)
     try:
         changed = _change_items(previous, document, patch, version)
     except ValidationError:
         return parse_config(document, version)
-    if not _references_hold(changed, patch):
+    if not _do_references_exist(changed, patch):
         return parse_config(document, version)
     return changed
 
 
-def _has_only_items(document: Mapping[str, Any], patch: Any) -> bool:
-    """Tell whether a patch only adds or changes items of known sections."""
+def _only_sets_items(document: Mapping[str, Any], patch: Any) -> bool:
+    """Tell whether a patch only adds or changes a few items of known sections."""
     if not isinstance(patch, dict):
         return False
     count = 0
@@ -89,9 +94,10 @@
         if name not in _SECTION_BY_NAME or not isinstance(items, dict):
             return False
         count += len(items)
+        # An item that the patch sets to null is missing in the document.
         if any(item not in document[name] for item in items):
             return False
-    return count <= MAX_ITEMS
+    return count <= MAX_CHANGED_ITEMS
 
 
 def _change_items(
@@ -103,17 +109,17 @@
     values: dict[str, Any] = {}
     for name, items in patch.items():
         section = _SECTION_BY_NAME[name]
-        index = dict(getattr(previous, section.field))
+        index = dict(getattr(previous, section.index_field))
         for item in items:
-            model = section.model.model_validate(document[name][item])
-            index[item] = section.build(item, model)
-        values[section.field] = index
+            validated = section.document_type.model_validate(document[name][item])
+            index[item] = section.build(item, validated)
+        values[section.index_field] = index
     if "organisations" in patch:
-        values["key_by_id"] = _change_keys(previous, document, patch["organisations"])
+        values["key_by_id"] = _update_keys(previous, document, patch["organisations"])
     return replace(previous, version=version, **values)
 
 
-def _change_keys(
+def _update_keys(
     previous: FleetConfig, document: Mapping[str, Any], organisations: Mapping[str, Any]
 ) -> dict[str, Any]:
     keys = {
@@ -122,38 +128,44 @@
         if key.organisation not in organisations
     }
     for organisation in organisations:
-        model = OrganisationDocument.model_validate(
+        validated = OrganisationDocument.model_validate(
             document["organisations"][organisation]
         )
-        for key in build_keys(organisation, model):
+        for key in build_keys(organisation, validated):
             keys[key.id] = key
     return keys
 
 
-def _references_hold(config: FleetConfig, patch: Mapping[str, Any]) -> bool:
-    """Tell whether every changed item refers to things that exist."""
+def _do_references_exist(config: FleetConfig, patch: Mapping[str, Any]) -> bool:
+    """Tell whether all pools, zones and organisations that items name exist.
+
+    Only the items in ``patch`` are checked.
+    """
     return all(
-        _instance_holds(config, config.instance_by_id[name])
+        _are_instance_references_valid(config, config.instance_by_id[name])
         for name in patch.get("instances", ())
     ) and all(
-        _queue_holds(config, config.queue_by_id[name])
+        _are_queue_references_valid(config, config.queue_by_id[name])
         for name in patch.get("queues", ())
     )
 
 
-def _instance_holds(config: FleetConfig, instance: Instance) -> bool:
+def _are_instance_references_valid(config: FleetConfig, instance: Instance) -> bool:
     return instance.pool in config.pool_by_id and instance.zone in config.zone_by_id
 
 
-def _queue_holds(config: FleetConfig, queue: Queue) -> bool:
+def _are_queue_references_valid(config: FleetConfig, queue: Queue) -> bool:
     return queue.pool in config.pool_by_id and all(
         organisation in config.organisation_by_id
         for organisation in queue.organisations
     )
 
 
-def _keys_hold(previous: FleetConfig, organisations: Mapping[str, Any]) -> bool:
-    """Tell whether no key in a patch is malformed or also another organisation's."""
+def _are_keys_valid(previous: FleetConfig, organisations: Mapping[str, Any]) -> bool:
+    """Tell whether the key ids in a patch are well formed and unique.
+
+    A key id may be used by one organisation only.
+    """
     seen: set[str] = set()
     for organisation, item in organisations.items():
         keys = item.get("keys") if isinstance(item, dict) else None
@@ -163,8 +175,8 @@
             return False
         for key_id in keys:
             owner = previous.key_by_id.get(key_id)
-            is_foreign = owner is not None and owner.organisation != organisation
-            if "." in key_id or not key_id or key_id in seen or is_foreign:
+            is_taken = owner is not None and owner.organisation != organisation
+            if "." in key_id or not key_id or key_id in seen or is_taken:
                 return False
             seen.add(key_id)
     return True
--- a/libs/model/src/lycheeloom/model/config_document.py
+++ b/libs/model/src/lycheeloom/model/config_document.py
@@ -8,23 +8,24 @@
 
 
 class ZoneState(StrEnum):
-    """Whether operators let tasks start in an availability zone."""
+    """Whether an availability zone is in service: tasks start only in ``IN``."""
 
     IN = "in"
     OUT = "out"
 
 
 class QueueKind(StrEnum):
-    """Interactive queues have a waiting caller; batch queues may wait."""
+    """Whether callers wait for the requests of a queue or they may be delayed."""
 
     INTERACTIVE = "interactive"
     BATCH = "batch"
 
 
 class _Document(BaseModel):
-    # Fields of newer program versions are kept, not rejected, so that an older
-    # program can read a newer document.
-    # JSON has no infinity, and shares are divided by each other.
+    # extra: Unknown fields are kept, so that a program can read documents of newer
+    # versions.
+    # allow_inf_nan: Strict JSON has no infinity or NaN, and shares are divided by
+    # each other.
     model_config = ConfigDict(extra="allow", frozen=True, allow_inf_nan=False)
 
 
@@ -36,7 +37,10 @@
 
 
 class OrganisationDocument(_Document):
-    """An organisation with its weight on a full fleet and its upper limit."""
+    """An organisation with its keys, its share and its upper limit.
+
+    ``share`` is a relative weight that applies when the fleet is full.
+    """
 
     share: float = Field(gt=0)
     upper_limit: int = Field(ge=1, description="running tasks across the fleet")
@@ -44,7 +48,7 @@
 
 
 class ZoneDocument(_Document):
-    """An availability zone."""
+    """An availability zone and its limit of unavailable instances."""
 
     region: str = "default"
     state: ZoneState = ZoneState.IN
@@ -52,16 +56,22 @@
 
 
 class PoolDocument(_Document):
-    """A pool of instances with its availability budget."""
+    """A pool of instances with its availability budget.
+
+    A pool with ``spare`` set serves requests of any queue when there are too many
+    for the queue's own pool.
+    """
 
     max_unavailable: int = Field(default=1, ge=0)
     max_unavailable_per_rack: int = Field(default=1, ge=0)
-    needed: int = Field(default=0, ge=0, description="instances that must serve")
+    needed: int = Field(
+        default=0, ge=0, description="minimum number of instances in service"
+    )
     spare: bool = False
 
 
 class InstanceDocument(_Document):
-    """A worker instance, its place and its size."""
+    """A worker instance: its pool, location, address and resources."""
 
     pool: str
     zone: str
@@ -73,7 +83,7 @@
 
 
 class QueueDocument(_Document):
-    """A queue of work served by one pool."""
+    """A queue of requests, served by one pool."""
 
     pool: str
     kind: QueueKind = QueueKind.INTERACTIVE
@@ -98,7 +108,7 @@
 
     @model_validator(mode="after")
     def check_references(self) -> ConfigDocument:
-        """Reject names that nothing defines, all in one message."""
+        """Report all references to undefined names in one error."""
         problems = []
         for name, instance in self.instances.items():
             if instance.pool not in self.pools:
@@ -119,17 +129,18 @@
         return self
 
     def _key_problems(self) -> list[str]:
-        # Callers are told apart by the key id alone, up to its first dot.
+        # A key is "<key id>.<secret>" and is looked up by its key id, so an id must
+        # not contain a dot and must belong to a single organisation.
         problems = []
         owner_by_key: dict[str, str] = {}
         for organisation, document in self.organisations.items():
             for key_id in document.keys:
-                place = f"organisations.{organisation}.keys.{key_id}"
+                path = f"organisations.{organisation}.keys.{key_id}"
                 if "." in key_id or not key_id:
-                    problems.append(f"{place}: a key id is not empty and has no dot")
+                    problems.append(f"{path}: a key id is not empty and has no dot")
                 owner = owner_by_key.setdefault(key_id, organisation)
                 if owner != organisation:
                     problems.append(
-                        f"{place}: organisation {owner!r} has this key id too"
+                        f"{path}: organisation {owner!r} has this key id too"
                     )
         return problems
--- a/libs/model/src/lycheeloom/model/config_parse.py
+++ b/libs/model/src/lycheeloom/model/config_parse.py
@@ -1,4 +1,4 @@
-"""Turns configuration documents into data classes."""
+"""Conversion of configuration documents into data classes."""
 
 from __future__ import annotations
 
@@ -23,13 +23,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigError:
-    """Why a document is not a valid configuration, one line per problem."""
+    """A document is not a valid configuration; one line for each problem."""
 
     problems: tuple[str, ...]
 
 
 def merge_patch(target: Any, patch: Any) -> Any:
-    """Apply an RFC 7396 JSON merge patch and return the new value.
+    """Return ``target`` with an RFC 7396 JSON merge patch applied.
 
     ``merge_patch({"a": 1, "b": 2}, {"a": None})`` gives ``{"b": 2}``.
     """
@@ -47,18 +47,18 @@
 def parse_config(
     document: Mapping[str, Any], version: int
 ) -> FleetConfig | ConfigError:
-    """Validate a document and index it, or return every problem found."""
+    """Validate a document and index it, or return all problems found."""
     try:
-        checked = ConfigDocument.model_validate(document)
+        validated = ConfigDocument.model_validate(document)
     except ValidationError as error:
         return ConfigError(tuple(describe_error(item) for item in error.errors()))
-    return _index(checked, version)
+    return _index(validated, version)
 
 
 def describe_error(item: Mapping[str, Any]) -> str:
-    """Return one line for a validation error."""
-    place = ".".join(str(part) for part in item["loc"]) or "document"
-    return f"{place}: {item['msg']}"
+    """Return one line with the path and the message of a pydantic error."""
+    path = ".".join(str(part) for part in item["loc"]) or "document"
+    return f"{path}: {item['msg']}"
 
 
 def _index(document: ConfigDocument, version: int) -> FleetConfig:
@@ -83,12 +83,12 @@
 
 
 def build_zone(name: str, zone: ZoneDocument) -> Zone:
-    """Return a zone as used inside programs."""
+    """Convert a zone of the document."""
     return Zone(name, zone.region, zone.state, zone.max_unavailable)
 
 
 def build_pool(name: str, pool: PoolDocument) -> Pool:
-    """Return a pool as used inside programs."""
+    """Convert a pool of the document."""
     return Pool(
         name,
         pool.max_unavailable,
@@ -99,7 +99,7 @@
 
 
 def build_instance(name: str, instance: InstanceDocument) -> Instance:
-    """Return an instance as used inside programs."""
+    """Convert an instance of the document."""
     return Instance(
         name,
         instance.pool,
@@ -111,21 +111,21 @@
 
 
 def build_organisation(name: str, organisation: OrganisationDocument) -> Organisation:
-    """Return an organisation as used inside programs, without its keys."""
+    """Convert an organisation of the document, without its keys."""
     return Organisation(name, organisation.share, organisation.upper_limit)
 
 
 def build_keys(
     organisation_id: str, organisation: OrganisationDocument
 ) -> Iterator[Key]:
-    """Yield the keys of an organisation."""
+    """Convert the keys of an organisation of the document."""
     for key_id, key in organisation.keys.items():
         salt, digest = bytes.fromhex(key.salt), bytes.fromhex(key.digest)
         yield Key(key_id, organisation_id, salt, digest)
 
 
 def build_queue(name: str, queue: QueueDocument) -> Queue:
-    """Return a queue as used inside programs."""
+    """Convert a queue of the document."""
     return Queue(
         name,
         queue.pool,
--- a/libs/model/src/lycheeloom/model/fleet_config.py
+++ b/libs/model/src/lycheeloom/model/fleet_config.py
@@ -1,4 +1,4 @@
-"""The configuration in force as data classes, for use inside programs."""
+"""The parsed configuration as data classes, for use inside programs."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Key:
-    """An organisation key as published: only its salted hash."""
+    """An organisation key, stored only as the salted hash of its secret."""
 
     id: str
     organisation: str
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
-    """An organisation with its weight and its upper limit of running tasks."""
+    """An organisation with its share and its upper limit of running tasks.
+
+    ``share`` is a relative weight that applies when the fleet is full.
+    """
 
     id: str
     share: float
@@ -40,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """A pool with its availability budget, in instances."""
+    """A pool with its availability budget, counted in instances."""
 
     id: str
     max_unavailable: int = 1
@@ -51,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """A worker instance; ``pool`` is the wanted pool."""
+    """A worker instance; ``pool`` is the pool in which it is meant to be."""
 
     id: str
     pool: str
@@ -63,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Queue:
-    """A queue of work, served by one pool and by spare pools in surges."""
+    """A queue of requests, served by its pool and, under overload, by spare pools."""
 
     id: str
     pool: str
@@ -79,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetConfig:
-    """The configuration in force, indexed for use inside programs."""
+    """One version of the configuration, indexed by id."""
 
     version: int = 0
     name: str = "fleet"
--- a/libs/model/src/lycheeloom/model/keys.py
+++ b/libs/model/src/lycheeloom/model/keys.py
@@ -1,7 +1,7 @@
-"""Organisation keys: creation, salted hashing and checking.
+"""Creation and verification of organisation keys.
 
-A key is ``<key id>.<secret>``. The secret has 256 random bits, so one round of
-a keyed hash is enough; slow password hashing would cost each entry more
+A key token is ``<key id>.<secret>``. The secret has 256 random bits, so a single
+round of a salted hash is enough; a slow password hash would cost each entry more
 processor time than the request itself.
 """
 
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NewKey:
-    """A created key: ``token`` is shown once, ``document`` is published."""
+    """A created key: ``token`` is shown once, ``document`` goes into the config."""
 
     id: str
     token: str
@@ -28,7 +28,7 @@
 
 
 def create_key(key_id: str) -> NewKey:
-    """Create a key; only its salted hash is meant to be stored."""
+    """Create a key with a random secret; store its document, never its token."""
     secret = secrets.token_hex(SECRET_BYTES)
     salt = secrets.token_bytes(SALT_BYTES)
     document = KeyDocument(salt=salt.hex(), digest=_digest(secret, salt).hex())
@@ -36,7 +36,7 @@
 
 
 def verify_key(config: FleetConfig, token: str) -> Key | None:
-    """Return the key in force that ``token`` proves, or None."""
+    """Return the configured key that ``token`` matches, or None."""
     key_id, _, secret = token.partition(".")
     key = config.key_by_id.get(key_id)
     if key is None:
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -1,7 +1,7 @@
-"""Records of the platform's log, the only thing that processes agree through.
+"""Records of the replicated log, the only means by which processes agree.
 
-Each record states the precondition under which it takes effect at its offset;
-``lycheeloom.state`` applies the rules.
+Each record states the precondition under which it takes effect at its offset.
+``lycheeloom.state`` replays the records and checks their preconditions.
 """
 
 from __future__ import annotations
@@ -13,14 +13,18 @@
 
 
 class VoteReason(StrEnum):
-    """Why a member votes to expel another one."""
+    """Why a member votes to expel another one.
+
+    ``SILENT``: it sends neither heartbeats nor batches. ``GONE``: its instance has
+    also disappeared from the platform's instance list; one vote is enough then.
+    """
 
     SILENT = "silent"
     GONE = "gone"
 
 
 class Duty(StrEnum):
-    """Work that one process does for all."""
+    """Work that a single process at a time does for the whole fleet."""
 
     MAINTENANCE = "maintenance"
     SNAPSHOT = "snapshot"
@@ -28,7 +32,11 @@
 
 
 class MoveStage(StrEnum):
-    """Stages of moving or maintaining one instance, in order."""
+    """Stages of moving or maintaining one instance, in order.
+
+    ``JOINED`` and ``ABANDONED`` are final; only a planned or draining move can be
+    abandoned.
+    """
 
     PLANNED = "planned"
     DRAINING = "draining"
@@ -39,7 +47,7 @@
 
 
 class Health(StrEnum):
-    """What the maintenance controller has decided about an instance."""
+    """Health of an instance as decided by the maintenance controller."""
 
     IN_SERVICE = "in_service"
     PROBATION = "probation"
@@ -67,7 +75,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigChanged:
-    """A JSON merge patch, in force if ``expected_version`` is current."""
+    """A JSON merge patch of the configuration.
+
+    It takes effect only if ``expected_version`` is the current version.
+    """
 
     expected_version: int
     patch: str
@@ -76,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberJoined:
-    """An entry incarnation joins; an older one on the instance is expelled."""
+    """A new incarnation of an entry joins; older ones on its instance are expelled."""
 
     instance: str
     incarnation: str
@@ -95,17 +106,17 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRefuted:
-    """The author is alive; votes against it are cleared."""
+    """The author is alive, so the votes to expel it are cleared."""
 
 
 @dataclass(frozen=True, slots=True)
 class MemberLeft:
-    """The author has no running task left and leaves."""
+    """The author has no running tasks left and leaves the members."""
 
 
 @dataclass(frozen=True, slots=True)
 class GrantsReclaimed:
-    """The grants of a member expelled at ``expelled_at`` are free again."""
+    """The grants of a member expelled at offset ``expelled_at`` are free again."""
 
     target: str
     expelled_at: int
@@ -121,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantReturned:
-    """The author gives back ``count`` running slots of an organisation."""
+    """The author returns ``count`` running slots of an organisation."""
 
     organisation: str
     count: int
@@ -129,7 +140,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSubmitted:
-    """A request that must survive the loss of every entry."""
+    """A request that is recorded so that it survives the loss of every entry."""
 
     request_id: str
     organisation: str
@@ -146,7 +157,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClaimed:
-    """The author will start ``attempt`` on ``worker``."""
+    """The author is about to start ``attempt`` on ``worker``."""
 
     request_id: str
     attempt: int
@@ -156,9 +167,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReleased:
-    """The attempt did not run, or may be repeated; the request is pending.
+    """The attempt did not run or may be repeated, so the request is pending again.
 
-    With ``checkpoint`` the next attempt goes on where this one stopped.
+    If ``checkpoint`` is set, the next attempt resumes from it.
     """
 
     request_id: str
@@ -168,7 +179,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestFinished:
-    """The attempt ended and ``answer`` is the whole answer."""
+    """The attempt ended; ``answer`` is its complete answer."""
 
     request_id: str
     attempt: int
@@ -178,16 +189,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestCancelled:
-    """A pending request is finished as not run."""
+    """A pending request ends with the outcome ``NOT_RUN``."""
 
     request_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class AnswersExpired:
-    """Answers finished at or below ``through_offset`` are dropped.
+    """Answers recorded at or below ``through_offset`` are deleted.
 
-    ``queue`` limits this to one queue; empty means all.
+    ``queue`` limits this to one queue; empty means all queues.
     """
 
     through_offset: int
@@ -196,10 +207,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyClaimed:
-    """The author renews a duty, or takes it over from a silent holder.
+    """The author renews its claim to a duty, or takes over from a silent holder.
 
     ``expected_renewal`` is the offset of the last claim or renewal that the
-    author has seen; a takeover has no effect if the holder renewed since.
+    author has seen; a takeover has no effect if the holder has renewed since.
     """
 
     duty: Duty
@@ -209,7 +220,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveStep:
-    """The next stage of moving or maintaining ``instance``."""
+    """The move or maintenance of ``instance`` enters its next stage."""
 
     instance: str
     move_id: str
@@ -222,7 +233,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceHealth:
-    """A health decision of the maintenance duty."""
+    """The holder of the maintenance duty changes the health of an instance."""
 
     instance: str
     health: Health
@@ -232,7 +243,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveCommand:
-    """An operator's change of a maintenance wave."""
+    """An operator changes the state of a maintenance wave.
+
+    It takes effect only if the current state is ``expected``.
+    """
 
     wave_id: str
     expected: WaveState
@@ -257,10 +271,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CopiedRecord:
-    """A record that is appended again as it was encoded, alone in a batch.
+    """A record that is appended again in its original encoding.
 
-    Encoding what was decoded would drop fields of newer program versions. It is
-    decoded as the record that was copied.
+    ``encoded`` is a batch that contains only this record. Decoding the record and
+    encoding it again would drop fields that newer program versions have added. A
+    reader of the log gets the original record, never a ``CopiedRecord``.
     """
 
     encoded: bytes
@@ -268,7 +283,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownRecord:
-    """A record kind of a newer program version; it is skipped and counted."""
+    """A record of a kind that only newer program versions know.
+
+    It is skipped and counted.
+    """
 
 
 Record = (
@@ -298,7 +316,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Records appended together; ``sequence`` grows by one for each author."""
+    """Records that are appended together.
+
+    ``sequence`` numbers the batches of one author, with an increment of one.
+    """
 
     author: str
     sequence: int
--- a/libs/model/src/lycheeloom/model/resources.py
+++ b/libs/model/src/lycheeloom/model/resources.py
@@ -7,10 +7,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Resources:
-    """An amount of processors, memory and accelerators.
+    """An amount of processor cores, memory and accelerators.
 
     ``Resources(cores=2, memory_mb=4096)`` describes a task that needs two
-    processors and 4 GiB of memory.
+    cores and 4 GiB of memory.
     """
 
     cores: float = 0.0
@@ -32,7 +32,7 @@
         )
 
     def fits_in(self, free: Resources) -> bool:
-        """Tell whether this amount is available in ``free``."""
+        """Tell whether ``free`` has at least this amount of every resource."""
         return (
             self.cores <= free.cores
             and self.memory_mb <= free.memory_mb
@@ -40,7 +40,7 @@
         )
 
     def dominant_share(self, total: Resources) -> float:
-        """Return the largest fraction of ``total`` taken by any one resource."""
+        """Return the largest fraction of ``total`` that any resource takes, 0 to 1."""
         shares = [0.0]
         if total.cores:
             shares.append(self.cores / total.cores)
--- a/libs/model/src/lycheeloom/model/verdict.py
+++ b/libs/model/src/lycheeloom/model/verdict.py
@@ -1,4 +1,4 @@
-"""Verdicts: whether a request may have run, and why it was refused."""
+"""Verdict on a request: it did not run, it may have run, or it ran."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Why a request was not run, for programs and for people."""
+    """Why a request was not run: a reason for programs and a message for people."""
 
     reason: RefusalReason
     message: str
@@ -44,14 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MayHaveRun:
-    """Nothing proves whether the request ran; it must not be repeated."""
+    """It is unknown whether the request ran, so it must not be repeated."""
 
     message: str
 
 
 @dataclass(frozen=True, slots=True)
 class Ran:
-    """The request ran and this is its whole answer."""
+    """The request ran; ``answer`` is its complete answer."""
 
     answer: bytes
 
--- a/libs/model/tests/test_config_change.py
+++ b/libs/model/tests/test_config_change.py
@@ -1,4 +1,4 @@
-"""Guards the short way to a changed configuration against a different result."""
+"""Incremental updates of the configuration give the result of a full parse."""
 
 import pytest
 from hypothesis import given, settings
@@ -70,7 +70,10 @@
 @settings(max_examples=1500, derandomize=True, deadline=None)
 @given(patches)
 def test_change_equals_parsing_the_whole_document(patch):
-    """Two readers of one record must not get different configurations."""
+    """Processes replaying one record must all get the same configuration.
+
+    Some of them parse the whole document and some only update it.
+    """
     previous = parse_config(BASE, 1)
     document = merge_patch(BASE, patch)
     assert change_config(previous, document, patch, 2) == parse_config(document, 2)
@@ -86,15 +89,15 @@
         {"pools": {"p1": None}},
     ],
 )
-def test_mistakes_are_found_by_the_short_way_too(patch):
-    """A key of two organisations or an unknown name must not slip into force."""
+def test_incremental_change_detects_errors(patch):
+    """Guards against accepting a key id of two organisations or an unknown name."""
     previous = parse_config(BASE, 1)
     result = change_config(previous, merge_patch(BASE, patch), patch, 2)
     assert isinstance(result, ConfigError)
 
 
-def test_change_shares_what_it_did_not_touch():
-    """A change of one key must not index all instances again."""
+def test_change_reuses_unchanged_indexes():
+    """A change of one key must not rebuild the index of all instances."""
     previous = parse_config(BASE, 1)
     patch = {"organisations": {"t1": {"keys": {"k1": None}}}}
     changed = change_config(previous, merge_patch(BASE, patch), patch, 2)
--- a/libs/model/tests/test_config_checks.py
+++ b/libs/model/tests/test_config_checks.py
@@ -1,4 +1,4 @@
-"""Documents that no entry may put in force."""
+"""Validation of configuration documents."""
 
 import json
 
@@ -34,14 +34,17 @@
     ],
 )
 def test_ambiguous_keys_and_infinite_shares_are_rejected(organisations, message):
-    """Guards against a key that proves another organisation and for bad shares."""
+    """Guards against a key that authenticates the wrong organisation.
+
+    Shares are divided by each other, so an infinite one is rejected too.
+    """
     parsed = parse_config({"organisations": organisations}, 1)
     assert isinstance(parsed, ConfigError)
     assert message in parsed.problems[0]
 
 
 def test_one_key_for_each_organisation_is_accepted():
-    """Guards against checks that reject what key grant makes."""
+    """Guards against rejecting the keys that the command ``key grant`` creates."""
     organisations = {
         "red": organisation(keys={"k1": KEY}),
         "blue": organisation(keys={"k-2": KEY}),
