--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -196,7 +196,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswersExpired:
-    """Answers recorded at or below ``through_offset`` are deleted.
+    """Answers of requests that finished at or below ``through_offset`` are deleted.
 
     ``queue`` limits this to one queue; empty means all queues.
     """
--- a/libs/settings/src/lycheeloom/settings/__init__.py
+++ b/libs/settings/src/lycheeloom/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Loading of TOML settings with exact messages, and the start of a daemon."""
+"""Loading of TOML settings, command line and signal handling of daemons."""
 
 from .daemon import ExitCode, Program, read_settings, stop_on_signals
 from .loading import ADDRESS_PATTERN, BadSettings, load_settings, split_address
--- a/libs/settings/src/lycheeloom/settings/daemon.py
+++ b/libs/settings/src/lycheeloom/settings/daemon.py
@@ -1,4 +1,4 @@
-"""What the daemons do alike before they serve: arguments, settings and signals."""
+"""Start-up code shared by all daemons: arguments, settings and signals."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class ExitCode(IntEnum):
-    """How a daemon ends."""
+    """Exit codes of the daemons."""
 
     OK = 0
     CANNOT_LISTEN = 1
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Program:
-    """How a daemon presents itself on the command line."""
+    """Texts for the command line help of a daemon."""
 
     name: str
     version: str
@@ -36,10 +36,11 @@
 def read_settings(
     program: Program, model: type[Model], arguments: Sequence[str] | None = None
 ) -> Model | ExitCode:
-    """Return the settings to run with, or the exit code if there is nothing to run.
+    """Parse the command line and return the settings.
 
-    Problems are printed to standard error. ``--help``, ``--version`` and wrong
-    arguments end the process, as argparse does it.
+    Returns an exit code instead if the settings are not valid or are only to be
+    checked. Problems are printed to standard error. ``--help``, ``--version`` and
+    invalid arguments exit the process, as usual with argparse.
     """
     options = _parse_arguments(program, arguments)
     settings = load_settings(options.settings, model)
@@ -54,7 +55,7 @@
 
 
 def stop_on_signals(stop: Callable[[], None]) -> None:
-    """Call ``stop`` in a greenlet on SIGTERM and on SIGINT."""
+    """Call ``stop`` in a new greenlet on SIGTERM and on SIGINT."""
     gevent.signal_handler(signal.SIGTERM, stop)
     gevent.signal_handler(signal.SIGINT, stop)
 
--- a/libs/settings/src/lycheeloom/settings/loading.py
+++ b/libs/settings/src/lycheeloom/settings/loading.py
@@ -1,4 +1,4 @@
-"""Reads a settings file into a validated model."""
+"""Loading of a TOML settings file into a validated pydantic model."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class BadSettings:
-    """Why a settings file cannot be used, one line for each problem."""
+    """A settings file cannot be used; one line for each problem."""
 
     problems: tuple[str, ...]
 
 
 def load_settings(path: Path, model: type[Model]) -> Model | BadSettings:
-    """Read and check a settings file; every problem is returned at once."""
+    """Read and validate a settings file; return all problems if there are any."""
     try:
         document = tomllib.loads(path.read_text())
     except OSError as error:
@@ -39,7 +39,10 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port: ``"127.0.0.1:80"`` gives ``("127.0.0.1", 80)``."""
+    """Return host and port: ``"127.0.0.1:80"`` gives ``("127.0.0.1", 80)``.
+
+    Raises ``ValueError`` if the port is not a number.
+    """
     host, _, port = address.rpartition(":")
     return host, int(port)
 
--- a/libs/settings/tests/test_daemon.py
+++ b/libs/settings/tests/test_daemon.py
@@ -1,4 +1,4 @@
-"""Guards the start that the daemons share: arguments, settings and signals."""
+"""Start-up code shared by all daemons: arguments, settings and signals."""
 
 import signal
 import subprocess
@@ -10,14 +10,15 @@
 from lycheeloom.settings import ExitCode, Program, read_settings
 
 PROGRAM = Program("lycheeloom-test", "1.2.3", "Does nothing.", "Example: none.")
-# The loop of gevent keeps its signal handlers, hence a process for each signal.
+# gevent's event loop keeps its signal handlers, so each signal is tested in a process
+# of its own.
 WAITING_DAEMON = """
 from gevent.event import Event
 from lycheeloom.settings import stop_on_signals
 stopping = Event()
 stop_on_signals(stopping.set)
 print("ready", flush=True)
-# Ends by itself if the test does.
+# The timeout ends the process if the test does not.
 if stopping.wait(60):
     print("stopped")
 """
@@ -41,12 +42,12 @@
 
 
 def test_good_settings_are_returned(write):
-    """A daemon must run with what its file says."""
+    """A daemon must get the values of its settings file and the defaults."""
     settings = read_settings(PROGRAM, Settings, [write('name = "a"')])
     assert settings == Settings(name="a")
 
 
-def test_check_ends_without_running(write, capsys):
+def test_check_config_does_not_return_settings(write, capsys):
     """--check-config must never start the daemon."""
     path = write('name = "a"')
     assert read_settings(PROGRAM, Settings, [path, "--check-config"]) is ExitCode.OK
@@ -55,7 +56,7 @@
 
 @pytest.mark.parametrize("options", [[], ["--check-config"]])
 def test_every_problem_is_printed(write, capsys, options):
-    """A second mistake must not show only after the first one is mended."""
+    """All problems must be printed at once, not one after the other is fixed."""
     path = write("colour = 1")
     code = read_settings(PROGRAM, Settings, [path, *options])
     assert code is ExitCode.BAD_SETTINGS
@@ -66,7 +67,7 @@
 
 
 def test_version_is_that_of_the_program(capsys):
-    """Operators compare versions of running programs with --version."""
+    """Operators compare the output of --version with the running daemons."""
     with pytest.raises(SystemExit) as ended:
         read_settings(PROGRAM, Settings, ["--version"])
     assert ended.value.code == 0
@@ -74,8 +75,8 @@
 
 
 @pytest.mark.parametrize("signum", [signal.SIGTERM, signal.SIGINT])
-def test_signals_ask_to_stop(signum):
-    """Either signal must shut the daemon down instead of killing it."""
+def test_signals_call_stop(signum):
+    """SIGTERM and SIGINT must shut the daemon down instead of killing it."""
     program = subprocess.Popen(
         [sys.executable, "-c", WAITING_DAEMON], stdout=subprocess.PIPE, text=True
     )
--- a/libs/wire/src/lycheeloom/wire/__init__.py
+++ b/libs/wire/src/lycheeloom/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Cap'n Proto codecs for log batches and peer messages."""
+"""Cap'n Proto encoding of log batches and of messages between processes."""
 
 from .batches import BadBatch, copy_record, decode_batch, encode_batch
 from .peers import (
--- a/libs/wire/src/lycheeloom/wire/batches.py
+++ b/libs/wire/src/lycheeloom/wire/batches.py
@@ -1,4 +1,4 @@
-"""Encoding of log batches."""
+"""Encoding and decoding of log batches."""
 
 from __future__ import annotations
 
@@ -14,8 +14,9 @@
 from .checksum import add_checksum, strip_checksum
 from .structs import from_struct, to_fields
 
+# Reading uses the default traversal limit of 64 MiB, as a batch has at most
+# MAX_BATCH_BYTES.
 _SCHEMA = capnp.load(str(Path(__file__).with_name("records.capnp")))
-# A batch is at most MAX_BATCH_BYTES; the default traversal limit is 64 MiB.
 
 _KIND_BY_TAG: dict[str, type] = {
     "configChanged": records.ConfigChanged,
@@ -43,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BadBatch:
-    """The bytes are not a batch; ``reason`` says why."""
+    """The bytes cannot be decoded as a batch; ``reason`` says why."""
 
     reason: str
 
@@ -51,7 +52,8 @@
 def encode_batch(batch: Batch) -> bytes:
     """Serialise a batch for the log.
 
-    Raises ``ValueError`` for a value that its field cannot hold.
+    Raises ``ValueError`` if a number is negative or needs more than 64 bits, and if
+    a value is None.
     """
     fields_by_record = [
         None if isinstance(record, CopiedRecord) else to_fields(record)
@@ -61,36 +63,37 @@
     records = message.init("records", len(batch.records))
     for index, record in enumerate(batch.records):
         if isinstance(record, CopiedRecord):
-            copied = strip_checksum(record.encoded)
-            with _SCHEMA.Batch.from_bytes(copied) as source:
-                _copy_member(source.records[0], records[index])
+            message_bytes = strip_checksum(record.encoded)
+            with _SCHEMA.Batch.from_bytes(message_bytes) as source:
+                _copy_union_member(source.records[0], records[index])
             continue
-        # Setting a union member from a dict raises inside the library first.
+        # Assigning a dict to the union member would raise an error inside the
+        # library before it succeeds, which crashes a greenlet (see checksum.py).
         member = records[index].init(_TAG_BY_KIND[type(record)])
         member.from_dict(fields_by_record[index])
     return add_checksum(message.to_bytes())
 
 
 def copy_record(encoded: bytes, index: int) -> CopiedRecord:
-    """Return one record of a batch for appending it again.
+    """Return the record at ``index`` of an encoded batch for appending it again.
 
-    ``encoded`` has been decoded before, and the record is of a known kind.
+    The batch must be valid and the record of a known kind, so decode it first.
     """
     copy = _SCHEMA.Batch.new_message()
     message_bytes = strip_checksum(encoded)
     with _SCHEMA.Batch.from_bytes(message_bytes) as source:
-        _copy_member(source.records[index], copy.init("records", 1)[0])
+        _copy_union_member(source.records[index], copy.init("records", 1)[0])
     return CopiedRecord(add_checksum(copy.to_bytes()))
 
 
-def _copy_member(source: Any, target: Any) -> None:
-    # Copying the struct behind the pointer keeps fields that this schema lacks.
+def _copy_union_member(source: Any, target: Any) -> None:
+    # Copying the whole struct keeps fields that are missing in this schema.
     tag = str(source.which())
     setattr(target, tag, getattr(source, tag))
 
 
 def decode_batch(data: bytes) -> Batch | BadBatch:
-    """Read a batch; record kinds of newer programs become ``UnknownRecord``."""
+    """Decode a batch; records of newer program versions become ``UnknownRecord``."""
     message_bytes = strip_checksum(data)
     if message_bytes is None:
         return BadBatch("the checksum does not match")
@@ -116,5 +119,5 @@
     try:
         return from_struct(kind, getattr(record, tag))
     except ValueError:
-        # An enum value of a newer program version.
+        # The record has an enum value of a newer program version.
         return UnknownRecord()
--- a/libs/wire/src/lycheeloom/wire/peers.capnp
+++ b/libs/wire/src/lycheeloom/wire/peers.capnp
@@ -1,5 +1,6 @@
 @0xd9b0e1f4c65a7322;
-# Messages between entries, and from controllers to entries, length-prefixed on TCP.
+# Messages between entries, and from controllers to entries. On TCP connections, each
+# message has its length in front.
 
 struct PeerMessage {
   sender @0 :Text;
@@ -15,17 +16,17 @@
 struct Heartbeat {
   # Send time on the sender's monotonic clock, in microseconds.
   sentUs @0 :UInt64;
-  # The receiver's newest sentUs, returned to it.
+  # The sentUs of the heartbeat that this one answers and confirms, or 0.
   echoUs @1 :UInt64;
   # The offset after the last replayed batch.
   nextOffset @2 :UInt64;
-  # Time since the sender's last successful log read.
+  # Time since the sender's last successful read of the log.
   logAgeMs @3 :UInt32;
   draining @4 :Bool;
-  # Only changed entries; complete at least every 10 s.
+  # The organisations whose usage has changed, or all of them if complete is set.
   usage @5 :List(OrganisationUsage);
   complete @6 :Bool;
-  # Workers that the sender's large or urgent tasks wait for.
+  # Workers that the sender reserves for large or urgent tasks that wait.
   reservedWorkers @7 :List(Text);
 }
 
@@ -36,7 +37,7 @@
   cores @3 :Float32;
   memoryMb @4 :UInt64;
   accelerators @5 :UInt32;
-  # Requests that the sender could start if it had the capacity.
+  # Requests that the sender may start under its grant once there is capacity.
   startable @6 :List(QueueCount);
 }
 
@@ -55,15 +56,16 @@
 }
 
 struct OutcomeRequest {
-  # The last period that the sender has a report of, or 0.
+  # The last period of which the sender has received a report, or 0.
   afterPeriod @0 :UInt64;
 }
 
 struct OutcomeReport {
-  # The last period in this report, on the sender's monotonic clock.
+  # The last period in this report. Periods count from the start of the sender's
+  # monotonic clock.
   throughPeriod @0 :UInt64;
   counts @1 :List(OutcomeCount);
-  # Of the queues in counts, those with a task that succeeded on any worker.
+  # The queues in counts of which a task has succeeded on any worker.
   succeededQueues @2 :List(Text);
 }
 
@@ -71,6 +73,6 @@
   worker @0 :Text;
   queue @1 :Text;
   ended @2 :UInt32;
-  # How many of those that ended have failed.
+  # How many of the ended tasks have failed.
   failed @3 :UInt32;
 }
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -1,4 +1,4 @@
-"""Encoding of messages between entries."""
+"""Encoding and decoding of messages between entries, and from controllers to them."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueCount:
-    """How many requests of an organisation wait in one queue."""
+    """Number of requests of an organisation that wait in one queue."""
 
     queue: str
     count: int
@@ -23,9 +23,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationUsage:
-    """What one organisation runs and has queued on the sender.
+    """Resources that one organisation uses and requests it has queued at the sender.
 
-    ``startable`` counts only requests that the sender's grant lets it start.
+    ``startable`` counts only requests that the sender may start under its grant.
     """
 
     organisation: str
@@ -39,7 +39,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Liveness, replay position and usage of the sender."""
+    """Liveness, replay position and usage of the sender.
+
+    ``echo_us`` is the ``sent_us`` of the heartbeat that this one answers and
+    confirms, or 0. ``next_offset`` is the offset after the last replayed batch. ``usage`` holds the
+    organisations whose usage has changed, or all of them if ``complete`` is set.
+    """
 
     sent_us: int
     echo_us: int
@@ -53,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordRelay:
-    """Encoded batches starting at ``offset``."""
+    """Consecutive encoded batches of the log; the first one is at ``offset``."""
 
     offset: int
     batches: tuple[bytes, ...]
@@ -61,21 +66,24 @@
 
 @dataclass(frozen=True, slots=True)
 class RangeRequest:
-    """Asks a peer for its batches from ``first_offset`` on."""
+    """Asks a peer for the batches that it has from ``first_offset`` on."""
 
     first_offset: int
 
 
 @dataclass(frozen=True, slots=True)
 class OutcomeRequest:
-    """Asks an entry for the outcomes of tasks after a period; 0 asks for all."""
+    """Asks an entry for the task outcomes of the periods after ``after_period``.
+
+    Periods have a fixed length and are numbered by the entry; 0 asks for all.
+    """
 
     after_period: int
 
 
 @dataclass(frozen=True, slots=True)
 class OutcomeCount:
-    """Tasks of one queue that ended on one worker; ``failed`` of them failed."""
+    """Number of tasks of one queue that ended on one worker, and that failed there."""
 
     worker: str
     queue: str
@@ -85,9 +93,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeReport:
-    """Outcomes through a period, of the workers that are in question.
+    """Task outcomes through a period on workers with recent failures or on probation.
 
-    ``succeeded_queues`` are those of ``counts`` that succeeded on any worker.
+    ``succeeded_queues`` are the queues in ``counts`` of which a task has succeeded
+    on any worker.
     """
 
     through_period: int
@@ -117,13 +126,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BadPeerMessage:
-    """The bytes are no peer message that this version knows."""
+    """The bytes cannot be decoded as a peer message; ``reason`` says why."""
 
     reason: str
 
 
 def encode_peer_message(message: PeerMessage) -> bytes:
-    """Serialise a peer message."""
+    """Serialise a peer message.
+
+    Raises ``ValueError`` if a number is negative or needs more than 64 bits, and if
+    a value is None.
+    """
     fields = to_fields(message.body)
     encoded = _SCHEMA.PeerMessage.new_message(sender=message.sender)
     encoded.init(_TAG_BY_KIND[type(message.body)]).from_dict(fields)
@@ -131,7 +144,7 @@
 
 
 def decode_peer_message(data: bytes) -> PeerMessage | BadPeerMessage:
-    """Read a peer message."""
+    """Decode a peer message."""
     message_bytes = strip_checksum(data)
     if message_bytes is None:
         return BadPeerMessage("the checksum does not match")
@@ -140,7 +153,7 @@
             tag = str(message.which())
             kind = _KIND_BY_TAG.get(tag)
             if kind is None:
-                return BadPeerMessage(f"unknown kind {tag}")
+                return BadPeerMessage(f"unknown kind of message: {tag}")
             return PeerMessage(message.sender, from_struct(kind, getattr(message, tag)))
     except (capnp.KjException, ValueError) as error:
         return BadPeerMessage(str(error).splitlines()[0])
--- a/libs/wire/src/lycheeloom/wire/records.capnp
+++ b/libs/wire/src/lycheeloom/wire/records.capnp
@@ -1,6 +1,6 @@
 @0xc3f1a5d27b9e4410;
-# Batches of log records. New optional fields and new union members may be
-# added at the end; numbers are never reused.
+# Batches of log records. Newer program versions may add optional fields and union
+# members at the end; field numbers are never reused.
 
 struct Batch {
   author @0 :Text;
--- a/libs/wire/src/lycheeloom/wire/structs.py
+++ b/libs/wire/src/lycheeloom/wire/structs.py
@@ -14,13 +14,17 @@
 
 @cache
 def camel_case(name: str) -> str:
-    """Return the schema's spelling of a field name: ``run_ms`` is ``runMs``."""
+    """Return the field name used in schemas: ``run_ms`` becomes ``runMs``."""
     head, *rest = name.split("_")
     return head + "".join(part.capitalize() for part in rest)
 
 
 def to_fields(value: Any) -> dict[str, Any]:
-    """Return a data class as a mapping that a struct builder accepts."""
+    """Convert a data class to the mapping that a struct's ``from_dict`` accepts.
+
+    Raises ``ValueError`` if a number is negative or needs more than 64 bits, and if
+    a value is None.
+    """
     return {
         schema_name: _to_plain(getattr(value, name))
         for name, schema_name, _ in _fields(type(value))
@@ -28,7 +32,10 @@
 
 
 def from_struct(kind: type, struct: Any) -> Any:
-    """Build a data class of type ``kind`` from a struct reader."""
+    """Convert a struct to a data class of type ``kind``.
+
+    Raises ``ValueError`` for an unknown enum value.
+    """
     values = {
         name: _from_plain(hint, getattr(struct, schema_name))
         for name, schema_name, hint in _fields(kind)
@@ -53,7 +60,7 @@
     if isinstance(value, tuple):
         return [_to_plain(item) for item in value]
     if value is None or (isinstance(value, int) and not 0 <= value <= _MAX_UINT64):
-        raise ValueError(f"{value} does not fit into a field")
+        raise ValueError(f"{value} does not fit into an unsigned 64-bit field")
     return value
 
 
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -1,4 +1,4 @@
-"""Guards against records and peer messages that do not survive their codec."""
+"""Encoding and decoding of log records and peer messages."""
 
 import gevent
 import pytest
@@ -84,7 +84,7 @@
 
 
 def test_record_without_known_kind_is_unknown():
-    """A newer program's record must not stop replay in an older one."""
+    """A record of a newer program version must not stop replay in an older one."""
     message = _SCHEMA.Batch.new_message(author="a", sequence=1, records=[{}])
     assert decode_batch(add_checksum(message.to_bytes())) == Batch(
         "a", 1, (UnknownRecord(),)
@@ -93,7 +93,7 @@
 
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
 def test_copied_record_is_the_same_record(record):
-    """A record that is appended again must not change on the way."""
+    """A record that is copied and appended again must be unchanged."""
     first = encode_batch(Batch("first", 3, (r.MemberRefuted(), record)))
     copy = copy_record(first, 1)
     again = encode_batch(Batch("second", 8, (copy, r.MemberLeft())))
@@ -101,9 +101,9 @@
 
 
 def in_used_greenlet(function):
-    """Run a function in a greenlet that has been switched before.
+    """Run a function in a greenlet that has already been suspended and resumed.
 
-    An error inside the Cap'n Proto library ends the process there.
+    An error inside the Cap'n Proto library crashes the process there.
     """
 
     def run():
@@ -115,7 +115,7 @@
 
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
 def test_codec_works_in_a_greenlet(record):
-    """Encoding a record in a greenlet ended the process with a segmentation fault."""
+    """Guards against a segmentation fault when a record is encoded in a greenlet."""
     batch = Batch("author", 7, (record,))
     encoded = in_used_greenlet(lambda: encode_batch(batch))
     copy = in_used_greenlet(lambda: copy_record(encoded, 0))
@@ -128,13 +128,13 @@
 
 @pytest.mark.parametrize("count", [-1, 2**64, None])
 def test_value_out_of_range_is_rejected(count):
-    """A wrong value must be an error here, not inside the library."""
+    """A value out of range must raise a ValueError, not fail inside the library."""
     with pytest.raises(ValueError, match="does not fit"):
         encode_batch(Batch("a", 1, (r.GrantRequested("t", count),)))
 
 
 @pytest.mark.parametrize("data", [b"", b"\x00" * 3, b"\xff" * 64])
-def test_broken_bytes_are_reported(data):
-    """Truncated bytes must give a reason, not an exception in the reader."""
+def test_damaged_bytes_are_reported(data):
+    """Damaged bytes must be returned as an error, not raise an exception."""
     assert isinstance(decode_batch(data), BadBatch)
     assert isinstance(decode_peer_message(data), BadPeerMessage)
