--- a/libs/telemetry/src/lycheeloom/telemetry/__init__.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/__init__.py
@@ -1,4 +1,4 @@
-"""Logs and traces; metrics come from ``prometheus_client`` directly."""
+"""Logging and tracing; for metrics, programs use ``prometheus_client`` directly."""
 
 from .bounded_output import BoundedOutput, standard_output
 from .logs import configure_logging, format_value, log_event
--- a/libs/telemetry/src/lycheeloom/telemetry/logs.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/logs.py
@@ -1,4 +1,4 @@
-"""Log lines of key=value pairs, one for each event."""
+"""Structured logging: one line of key=value pairs for each event."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
     "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} "
     "process={extra[process]} {message}"
 )
-_lowest_level_no = 0
-_QUOTED_CHARACTERS = frozenset(' "=\n\r\t')
+_min_level_no = 0
+_CHARACTERS_TO_QUOTE = frozenset(' "=\n\r\t')
 
 
 class LineOutput(Protocol):
-    """Takes whole lines."""
+    """Accepts whole lines, each ending with a newline."""
 
     def write(self, line: str) -> None: ...
 
@@ -24,12 +24,13 @@
 def configure_logging(
     process: str, level: str = "INFO", output: LineOutput | None = None
 ) -> None:
-    """Send log lines of this process to an output, standard error by default.
+    """Send the log lines of this process to ``output``, by default standard error.
 
-    ``level`` is one of loguru's level names; others raise ``ValueError``.
+    ``process`` is the name of the process in each line. ``level`` is the lowest
+    level that is logged; raises ``ValueError`` if it is none of loguru's levels.
     """
-    global _lowest_level_no
-    _lowest_level_no = logger.level(level).no
+    global _min_level_no
+    _min_level_no = logger.level(level).no
     logger.remove()
     logger.configure(extra={"process": process})
     sink = sys.stderr if output is None else output.write
@@ -37,19 +38,19 @@
 
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
-    """Write one line: ``log_event("zone_out", zone="z1")``."""
-    if logger.level(level).no < _lowest_level_no:
+    """Write one line for an event: ``log_event("zone_out", zone="z1")``."""
+    if logger.level(level).no < _min_level_no:
         return
     pairs = [f"event={event}"]
     pairs.extend(f"{name}={format_value(value)}" for name, value in fields.items())
-    # The message is passed as an argument, so that braces in values stay literal.
+    # Passed as an argument, as loguru would format braces in a message.
     logger.opt(depth=1).log(level, "{}", " ".join(pairs))
 
 
 def format_value(value: Any) -> str:
-    """Return a value as it stands behind ``=``, quoted where needed."""
+    """Return a value as text for a key=value pair, in quotes if necessary."""
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
-    if text and not _QUOTED_CHARACTERS.intersection(text):
+    if text and not _CHARACTERS_TO_QUOTE.intersection(text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
     escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
--- a/libs/telemetry/src/lycheeloom/telemetry/traces.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/traces.py
@@ -1,4 +1,4 @@
-"""Trace spans with W3C ``traceparent`` carried between processes.
+"""Tracing, with W3C ``traceparent`` headers between processes.
 
 Instances have no disks, so finished spans are written to standard error as
 lines of key=value pairs.
@@ -29,8 +29,8 @@
 
 _PROPAGATOR = TraceContextTextMapPropagator()
 _NANOSECONDS_PER_MICROSECOND = 1000
-# Flags of a caller that does not record the trace.
-_NOT_SAMPLED = "-00"
+# Ends the traceparent of a trace that the caller does not record.
+_NOT_SAMPLED_SUFFIX = "-00"
 
 
 class LineSpanExporter(SpanExporter):
@@ -40,7 +40,7 @@
         self._stream = stream or sys.stderr
 
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Write the spans and report success."""
+        """Write each span as a line and return success."""
         for span in spans:
             self._stream.write(_format_span(span))
         self._stream.flush()
@@ -49,31 +49,32 @@
 
 @dataclass(frozen=True, slots=True)
 class ActiveSpan:
-    """A span in progress; ``traceparent`` is the header for the next hop.
+    """A span in progress, or a placeholder if the trace is not recorded.
 
-    ``span`` is None if the trace is not recorded.
+    ``traceparent`` is the header for calls to other processes; ``span`` is None if
+    the trace is not recorded.
     """
 
     span: Span | None
     traceparent: str
 
     def set(self, name: str, value: str | int | float) -> None:
-        """Add an attribute."""
+        """Set an attribute of the span."""
         if self.span is not None:
             self.span.set_attribute(name, value)
 
     def fail(self, reason: str) -> None:
-        """Mark the span as failed."""
+        """Set the status of the span to error."""
         if self.span is not None:
             self.span.set_status(StatusCode.ERROR, reason)
 
 
-class _Provider(TracerProvider):
-    """A provider that does nothing in a forked child.
+class _ForkSafeTracerProvider(TracerProvider):
+    """A tracer provider that does nothing in a forked child process.
 
-    The SDK starts threads there. With gevent this switches to the event loop, and
-    the child goes on with the greenlets and connections of its parent until it
-    runs another program.
+    The SDK would start threads in the child. Under gevent, this switches to the
+    event loop, and the child runs the greenlets of its parent on the parent's
+    connections until it executes another program.
     """
 
     def _handle_fork(self) -> None:
@@ -81,17 +82,17 @@
 
 
 class Tracer:
-    """Creates spans of one process.
+    """Creates the spans of one process.
 
-    ``sample_ratio`` of the traces that begin here are recorded; a caller's
-    sampling decision is followed.
+    ``sample_ratio`` is the fraction, 0 to 1, of the traces starting in this process
+    that are recorded. For other traces, the caller's sampling decision applies.
     """
 
     def __init__(
         self, process: str, sample_ratio: float, exporter: SpanExporter | None = None
     ) -> None:
         self._sample_ratio = sample_ratio
-        self._provider = _Provider(
+        self._provider = _ForkSafeTracerProvider(
             sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
             resource=Resource({"service.name": process}),
         )
@@ -104,9 +105,10 @@
     def span(
         self, name: str, traceparent: str | None = None, **attributes: str | int | float
     ) -> Iterator[ActiveSpan]:
-        """Run a block in a span below the one that ``traceparent`` names."""
+        """Run the ``with`` block in a span, as a child of ``traceparent`` if given."""
         if self._is_unrecorded(traceparent):
-            # The SDK's unrecorded spans took 5% of an entry's processor time.
+            # Creating unrecorded spans with the SDK took 5% of an entry's processor
+            # time.
             yield ActiveSpan(None, traceparent or "")
             return
         context = None
@@ -114,17 +116,17 @@
             context = _PROPAGATOR.extract({"traceparent": traceparent})
         span = self._tracer.start_span(name, context, attributes=attributes)
         try:
-            yield ActiveSpan(span, _header(span))
+            yield ActiveSpan(span, _format_traceparent(span))
         finally:
             span.end()
 
     def _is_unrecorded(self, traceparent: str | None) -> bool:
         if traceparent:
-            return traceparent.endswith(_NOT_SAMPLED)
+            return traceparent.endswith(_NOT_SAMPLED_SUFFIX)
         return self._sample_ratio == 0
 
 
-def _header(span: Span) -> str:
+def _format_traceparent(span: Span) -> str:
     context = span.get_span_context()
     trace_id = format_trace_id(context.trace_id)
     span_id = format_span_id(context.span_id)
--- a/libs/telemetry/tests/test_bounded_output.py
+++ b/libs/telemetry/tests/test_bounded_output.py
@@ -1,4 +1,4 @@
-"""Log output that never blocks and stays within its volume."""
+"""Log output never blocks and is limited in volume."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from lycheeloom.telemetry import BoundedOutput
 
 
-def test_reader_that_stops_reading_delays_nobody():
-    """Guards against requests that wait for a full pipe of log lines."""
+def test_stopped_reader_does_not_block_writers():
+    """Guards against requests that block on a full pipe when they log a line."""
     reader, writer = os.pipe()
     output = BoundedOutput(writer, max_waiting=50)
     line = "x" * 9_999 + "\n"
@@ -30,7 +30,7 @@
 
 
 def test_volume_is_bounded_and_drops_are_counted():
-    """Guards against a flood of lines under load that nobody can read."""
+    """Guards against a flood of log lines under load."""
     reader, writer = os.pipe()
     output = BoundedOutput(writer, lines_per_s=0.0, burst=10)
     for number in range(25):
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -1,4 +1,4 @@
-"""Guards the format of log lines and the linking of spans."""
+"""Format of log lines and spans, and propagation of traces."""
 
 import io
 import os
@@ -25,12 +25,12 @@
     ],
 )
 def test_values_stay_on_one_line(value, expected):
-    """A value with spaces or line breaks must not break the line format."""
+    """Values with spaces, quotes or line breaks must not break the line format."""
     assert format_value(value) == expected
 
 
 def test_log_event_is_one_line(capsys):
-    """Braces in values must not be taken for format fields."""
+    """Braces in values must not be interpreted as format fields."""
     configure_logging("entry-1")
     log_event("request_refused", message="bad {payload}\nsecond")
     line = capsys.readouterr().err
@@ -40,7 +40,7 @@
 
 
 def test_child_span_names_its_parent():
-    """A trace must be followed from one process to the next."""
+    """Spans of one trace must be linked across processes."""
     stream = io.StringIO()
     exporter = LineSpanExporter(stream)
     first, second = (Tracer(name, 1.0, exporter) for name in ("caller", "entry"))
@@ -70,8 +70,8 @@
     ("ratio", "header"),
     [(0.0, ""), (1.0, "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00")],
 )
-def test_unrecorded_trace_is_passed_on(ratio, header):
-    """A caller's decision not to record must reach the next hop unchanged."""
+def test_unrecorded_trace_is_propagated(ratio, header):
+    """A caller's decision not to record a trace must reach the next process."""
     stream = io.StringIO()
     with Tracer("entry", ratio, LineSpanExporter(stream)).span("a", header) as span:
         span.set("organisation", "t")
@@ -81,10 +81,10 @@
 
 
 def test_forked_child_runs_no_greenlet_of_its_parent(tmp_path):
-    """Guards against a child that uses its parent's connections before it execs.
+    """Guards against a forked child that uses its parent's connections before exec.
 
-    A child once sent a request on an idle connection of its parent, and the parent
-    took the answer for that of its own next request.
+    A child sent a request on an idle connection of its parent, and the parent took
+    the response for that to its own next request.
     """
     path = tmp_path / "runs"
     path.touch()
@@ -92,13 +92,13 @@
     tracers = [Tracer(f"entry-{number}", 0.0) for number in range(30)]
     with path.open("a", buffering=1) as runs:
 
-        def note_runs():
+        def record_runs_in_child():
             while True:
                 gevent.sleep(0.0001)
                 if os.getpid() != parent:
                     runs.write("child\n")
 
-        greenlets = [gevent.spawn(note_runs) for _ in range(20)]
+        greenlets = [gevent.spawn(record_runs_in_child) for _ in range(20)]
         for _ in range(5):
             assert subprocess.Popen([sys.executable, "-c", ""]).wait() == 0
         gevent.killall(greenlets)
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -42,8 +42,9 @@
     """Liveness, replay position and usage of the sender.
 
     ``echo_us`` is the ``sent_us`` of the heartbeat that this one answers and
-    confirms, or 0. ``next_offset`` is the offset after the last replayed batch. ``usage`` holds the
-    organisations whose usage has changed, or all of them if ``complete`` is set.
+    confirms, or 0. ``next_offset`` is the offset after the last replayed batch.
+    ``usage`` holds the organisations whose usage has changed, or all of them if
+    ``complete`` is set.
     """
 
     sent_us: int
