--- a/libs/clients/src/lycheeloom/clients/__init__.py
+++ b/libs/clients/src/lycheeloom/clients/__init__.py
@@ -1,4 +1,4 @@
-"""Clients for the log service, workers and the instance list."""
+"""Clients of the log service, the workers and the platform's instance service."""
 
 from .instances import (
     ActionState,
--- a/libs/clients/src/lycheeloom/clients/connections.py
+++ b/libs/clients/src/lycheeloom/clients/connections.py
@@ -1,4 +1,4 @@
-"""HTTP connections of one address and the stack of those that are idle."""
+"""HTTP connections, and the idle ones kept for each address."""
 
 from __future__ import annotations
 
@@ -14,59 +14,62 @@
 
 
 class Connection(HTTPConnection):
-    """A urllib3 connection that sends a request with one system call."""
+    """A urllib3 connection that sends a whole request in one system call."""
 
     idle_since_s = 0.0
-    _parts: list[bytes] | None = None
+    _unsent_parts: list[bytes] | None = None
 
     def _new_conn(self) -> socket.socket:
-        """Connect without name resolution, since addresses are IP addresses.
+        """Connect without name resolution, as all addresses are IP addresses.
 
-        gevent resolves names in threads, which takes 0.4 ms and several switches
-        also for an IP address.
+        gevent resolves names in threads. Even for an IP address, that takes 0.4 ms
+        and several greenlet switches.
         """
         family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError as error:
-            raise NewConnectionError(self, f"no socket: {error}") from error
+            raise NewConnectionError(
+                self, f"cannot create a socket: {error}"
+            ) from error
         try:
             sock.settimeout(self.timeout)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect((self.host, self.port))
         except TimeoutError as error:
             sock.close()
-            raise ConnectTimeoutError(self, "connecting took too long") from error
+            raise ConnectTimeoutError(self, "connection attempt timed out") from error
         except OSError as error:
             sock.close()
-            raise NewConnectionError(self, f"not connected: {error}") from error
+            raise NewConnectionError(self, f"cannot connect: {error}") from error
         except BaseException:
-            # The deadline of the call.
+            # Such as gevent.Timeout at the deadline of the call.
             sock.close()
             raise
         return sock
 
     def request(self, *args: Any, **kwargs: Any) -> None:
-        """Send headers and body together; the original sends them one by one."""
-        self._parts = []
+        """Send headers and body together; urllib3 sends them one by one."""
+        self._unsent_parts = []
         try:
             super().request(*args, **kwargs)
         finally:
-            parts, self._parts = self._parts, None
+            parts, self._unsent_parts = self._unsent_parts, None
         super().send(b"".join(parts))
 
     def send(self, data: bytes) -> None:
-        if self._parts is None:
+        if self._unsent_parts is None:
             super().send(data)
         else:
-            self._parts.append(data)
+            self._unsent_parts.append(data)
 
     @property
     def is_connected(self) -> bool:
         """Tell whether the socket is open and has nothing to read.
 
-        Uses the unpatched ``poll``, which does not switch greenlets: the patched
-        one costs more than the rest of the check.
+        If there is something to read, the server has closed the connection or has
+        sent data that belongs to no request. Uses the unpatched ``poll``, which does
+        not switch greenlets; the patched one costs more than the rest of the check.
         """
         if self.sock is None:
             return False
@@ -76,7 +79,7 @@
 
 
 class IdleConnections:
-    """Idle connections to one address; the last one used is taken first."""
+    """Idle connections to one address; the most recently used is taken first."""
 
     __slots__ = ("_host", "_port", "_stack")
 
@@ -90,7 +93,7 @@
         return len(self._stack)
 
     def take(self, max_idle_s: float) -> Connection:
-        """Return a usable idle connection, or one that is not connected yet."""
+        """Return an idle connection that is usable, or a new unconnected one."""
         oldest_allowed = time.monotonic() - max_idle_s
         while self._stack:
             connection = self._stack.pop()
@@ -100,7 +103,10 @@
         return Connection(self._host, self._port)
 
     def put(self, connection: Connection, max_count: int) -> None:
-        """Keep a connection whose last answer was read to its end."""
+        """Keep a connection for reuse; its last response must be read to the end.
+
+        It is closed instead if ``max_count`` connections are already kept.
+        """
         if connection.sock is None:
             return
         if len(self._stack) >= max_count:
@@ -110,7 +116,7 @@
         self._stack.append(connection)
 
     def close_older_than(self, idle_s: float) -> None:
-        """Close the connections that have been idle for longer."""
+        """Close the connections that have been idle for more than ``idle_s``."""
         oldest_allowed = time.monotonic() - idle_s
         expired = [c for c in self._stack if c.idle_since_s < oldest_allowed]
         self._stack = [c for c in self._stack if c.idle_since_s >= oldest_allowed]
--- a/libs/clients/src/lycheeloom/clients/instances.py
+++ b/libs/clients/src/lycheeloom/clients/instances.py
@@ -1,4 +1,4 @@
-"""Client of the platform's lagging instance list and its actions."""
+"""Client of the platform's instance service, which lists and reboots instances."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 from typing import Any
 from urllib.parse import quote
 
-from .results import Unavailable, read_answer, read_reason
+from .results import Unavailable, parse_response, read_reason
 from .tasks import ActionRefused
-from .transport import PLAIN_HEADERS, CallFailed, Response, Transport
+from .transport import BASE_HEADERS, CallFailed, Response, Transport
 
 CALL_TIMEOUT_S = 3.0
 
 
 class InstanceState(StrEnum):
-    """Whether the platform is about to take an instance away."""
+    """Whether an instance stays or is about to be removed by the platform."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -33,7 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedInstance:
-    """One line of the lagging list; never a reason to start anything."""
+    """One instance of the list, which lags behind the actual state.
+
+    Being listed is therefore no sufficient reason to start a task on an instance.
+    """
 
     instance: str
     role: str
@@ -46,14 +49,14 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """The lagging list of live and leaving instances."""
+    """The live and leaving instances; lags behind the actual state."""
 
     instances: tuple[ListedInstance, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ActionStatus:
-    """State of the action with id ``action``."""
+    """Progress of a drain, undrain or reboot; ``action`` is the id of the action."""
 
     action: str
     instance: str
@@ -68,8 +71,8 @@
 class InstanceClient:
     """Lists instances and drains, undrains and reboots them.
 
-    An action repeated with the same id has one effect, so after ``Unavailable``
-    the caller repeats it with that id.
+    Actions are idempotent by id: after ``Unavailable``, repeat the action with the
+    same id.
     """
 
     def __init__(
@@ -82,58 +85,61 @@
         self._address = address
         self._transport = transport or Transport()
         self._call_timeout_s = call_timeout_s
-        self._listing: InstanceList | None = None
+        self._last_list: InstanceList | None = None
         self._etag = ""
 
     def list(self) -> InstanceList | Unavailable:
-        """Return the list of instances, which lags behind.
+        """Return the list of instances, which lags behind the actual state.
 
-        The same object is returned while the platform says that nothing changed:
-        with 5,100 workers a whole list has 800 KB.
+        The same object is returned until the list changes. The list is not sent
+        again while its ETag matches, as it takes 800 KB for 5,100 workers.
         """
-        headers = dict(PLAIN_HEADERS)
+        headers = dict(BASE_HEADERS)
         if self._etag:
             headers["If-None-Match"] = self._etag
         response = self._call("GET", "/v1/instances", headers=headers)
         if isinstance(response, Response) and response.status == 304:
-            return self._listing or Unavailable("nothing was listed before")
-        listing = read_answer(response, _parse_list)
-        if isinstance(listing, InstanceList):
-            self._listing, self._etag = listing, response.etag
-        return listing
+            return self._last_list or Unavailable("not modified, but no list was read")
+        result = parse_response(response, _parse_instance_list)
+        if isinstance(result, InstanceList):
+            self._last_list, self._etag = result, response.etag
+        return result
 
     def drain(self, instance: str, action_id: str) -> ActionResult:
-        """Refuse new tasks at a worker; done when none runs."""
-        return self._act(instance, "drain", action_id)
+        """Make a worker refuse new tasks; done when it runs none."""
+        return self._post_action(instance, "drain", action_id)
 
     def undrain(self, instance: str, action_id: str) -> ActionResult:
-        """Let a drained worker accept tasks again."""
-        return self._act(instance, "undrain", action_id)
+        """Make a drained worker accept tasks again."""
+        return self._post_action(instance, "undrain", action_id)
 
     def reboot(self, instance: str, action_id: str) -> ActionResult:
         """Reboot an instance; done when it is back under a new boot id."""
-        return self._act(instance, "reboot", action_id)
+        return self._post_action(instance, "reboot", action_id)
 
     def action_status(self, action_id: str) -> ActionResult:
-        """Return the state of an action; refused as ``unknown`` if never seen."""
+        """Return the state of an action.
+
+        Returns ``ActionRefused("unknown")`` if the platform does not know the id.
+        """
         path = f"/v1/actions/{quote(action_id, safe='')}"
-        return _read_action(self._call("GET", path))
+        return _parse_action_response(self._call("GET", path))
 
     def close(self) -> None:
         """Close all idle connections."""
         self._transport.close()
 
-    def _act(self, instance: str, kind: str, action_id: str) -> ActionResult:
+    def _post_action(self, instance: str, kind: str, action_id: str) -> ActionResult:
         body = json.dumps({"action": action_id}).encode()
         path = f"/v1/instances/{quote(instance, safe='')}/{kind}"
-        return _read_action(self._call("POST", path, body))
+        return _parse_action_response(self._call("POST", path, body))
 
     def _call(
         self,
         method: str,
         path: str,
         body: bytes | None = None,
-        headers: Mapping[str, str] = PLAIN_HEADERS,
+        headers: Mapping[str, str] = BASE_HEADERS,
     ) -> Response | CallFailed:
         return self._transport.call(
             self._address,
@@ -145,7 +151,7 @@
         )
 
 
-def _parse_list(document: dict[str, Any]) -> InstanceList:
+def _parse_instance_list(document: dict[str, Any]) -> InstanceList:
     return InstanceList(tuple(map(_parse_instance, document["instances"])))
 
 
@@ -161,13 +167,13 @@
     )
 
 
-def _read_action(response: Response | CallFailed) -> ActionResult:
+def _parse_action_response(response: Response | CallFailed) -> ActionResult:
     if isinstance(response, Response) and response.status in (400, 404, 409):
         return ActionRefused(read_reason(response))
-    return read_answer(response, _parse_action)
+    return parse_response(response, _parse_action_status)
 
 
-def _parse_action(document: dict[str, Any]) -> ActionStatus:
+def _parse_action_status(document: dict[str, Any]) -> ActionStatus:
     return ActionStatus(
         document["action"],
         document["instance"],
--- a/libs/clients/src/lycheeloom/clients/log.py
+++ b/libs/clients/src/lycheeloom/clients/log.py
@@ -1,4 +1,4 @@
-"""Client of the append-only log service."""
+"""Client of the service that keeps the append-only log."""
 
 from __future__ import annotations
 
@@ -6,19 +6,25 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from .results import MALFORMED, Unavailable, read_object, read_reason, unavailable
-from .transport import PLAIN_HEADERS, CallFailed, Transport
+from .results import (
+    PARSE_ERRORS,
+    Unavailable,
+    parse_object,
+    read_reason,
+    to_unavailable,
+)
+from .transport import BASE_HEADERS, CallFailed, Transport
 
 APPEND_TIMEOUT_S = 2.0
-# Added to the wait of a read for the answer to arrive.
+# Added to the wait time of a long poll to get the timeout of the call.
 READ_MARGIN_S = 2.0
 READ_LIMIT = 1000
-# Beyond the end of any log: a read from here tells where the end is.
-_BEYOND_END = 2**62
+# An offset beyond the end of any log. A read from there returns the end.
+_OFFSET_BEYOND_END = 2**62
 
 
 class AppendRefusal(StrEnum):
-    """Why the log certainly did not append."""
+    """Why the log certainly did not append a batch."""
 
     TOO_LARGE = "too_large"
     BUSY = "busy"
@@ -34,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendUnknown:
-    """The batch may be in the log; append it again with its sequence number."""
+    """The batch may be in the log.
+
+    Append it again with the same sequence number, so that it takes effect once.
+    """
 
     reason: str
 
@@ -48,9 +57,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadBatches:
-    """Batches from offset ``first``; ``next`` is the offset to read from next.
+    """Batches from offset ``first`` on; ``next`` is the offset to read from next.
 
-    A read from beyond the end of the log returns no batch and the end in ``next``.
+    A read beyond the end of the log returns no batches, and the end as ``next``.
     """
 
     first: int
@@ -60,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Expired:
-    """The offset is no longer retained; ``oldest`` still is."""
+    """The offset is no longer retained; ``oldest`` is the first that still is."""
 
     oldest: int
 
@@ -75,8 +84,8 @@
 class LogClient:
     """Appends to and reads from the log at ``address`` (``"127.0.0.1:7000"``).
 
-    An append ends within ``append_timeout_s``, a read within its wait and
-    ``read_margin_s``; both can be given for a single call.
+    An append takes at most ``append_timeout_s``, a read at most its wait time plus
+    ``read_margin_s``. Both can be overridden for a single call.
     """
 
     def __init__(
@@ -99,8 +108,8 @@
         timeout_s: float | None = None,
         traceparent: str = "",
     ) -> Appended | AppendUnknown | AppendRefused:
-        """Append one batch, once; the caller repeats it where that is right."""
-        headers = {**PLAIN_HEADERS, "Content-Type": "application/octet-stream"}
+        """Append one batch without retrying; the caller decides whether to repeat."""
+        headers = {**BASE_HEADERS, "Content-Type": "application/octet-stream"}
         if traceparent:
             headers["traceparent"] = traceparent
         response = self._transport.call(
@@ -117,7 +126,7 @@
             return AppendRefused(AppendRefusal.DOWN)
         if response.status in _REFUSAL_BY_STATUS:
             return AppendRefused(_REFUSAL_BY_STATUS[response.status])
-        offset = read_object(response).get("offset")
+        offset = parse_object(response).get("offset")
         if response.status != 200 or not isinstance(offset, int):
             return AppendUnknown(read_reason(response))
         return Appended(offset)
@@ -130,7 +139,7 @@
         *,
         margin_s: float | None = None,
     ) -> ReadBatches | Expired | Unavailable:
-        """Read up to ``limit`` batches, waiting ``wait_s`` if there is none yet."""
+        """Read up to ``limit`` batches; wait up to ``wait_s`` if there is none yet."""
         if margin_s is None:
             margin_s = self._read_margin_s
         wait_ms = round(wait_s * 1000)
@@ -141,21 +150,21 @@
             timeout_s=wait_s + margin_s,
         )
         if isinstance(response, CallFailed):
-            return unavailable(response)
-        document = read_object(response)
+            return to_unavailable(response)
+        document = parse_object(response)
         try:
             if response.status == 410:
                 return Expired(int(document["oldest"]))
             if response.status == 200:
                 batches = tuple(b64decode(batch) for batch in document["batches"])
                 return ReadBatches(document["first"], document["next"], batches)
-        except MALFORMED:
+        except PARSE_ERRORS:
             return Unavailable("malformed answer")
         return Unavailable(read_reason(response))
 
     def end(self) -> int | Unavailable:
-        """Return the offset that the next append will get."""
-        result = self.read(_BEYOND_END, 0)
+        """Return the end of the log, which is the offset of the next append."""
+        result = self.read(_OFFSET_BEYOND_END, 0)
         match result:
             case ReadBatches():
                 return result.next
@@ -164,5 +173,5 @@
         return result
 
     def close(self) -> None:
-        """Close the connections."""
+        """Close all idle connections."""
         self._transport.close()
--- a/libs/clients/src/lycheeloom/clients/results.py
+++ b/libs/clients/src/lycheeloom/clients/results.py
@@ -1,4 +1,4 @@
-"""Results that several clients share."""
+"""Parsing of responses, shared by the clients."""
 
 from __future__ import annotations
 
@@ -9,24 +9,24 @@
 
 from .transport import CallFailed, Response
 
-# What parsing raises for a document with missing or wrong parts.
-MALFORMED = (KeyError, TypeError, ValueError)
+# Errors that parsing raises for missing keys and wrong types or values.
+PARSE_ERRORS = (KeyError, TypeError, ValueError)
 Parsed = TypeVar("Parsed")
 
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """No usable answer; ``reason`` says what happened.
+    """There was no usable response; ``reason`` says why.
 
-    The call may have had its effect; ``sent`` is False if it certainly had none.
+    The call may have taken effect, unless ``sent`` is False.
     """
 
     reason: str
     sent: bool = True
 
 
-def read_object(response: Response) -> dict[str, Any]:
-    """Return the JSON object in an answer, ``{}`` if there is none."""
+def parse_object(response: Response) -> dict[str, Any]:
+    """Return the JSON object in a response, or ``{}`` if there is none."""
     try:
         document = json.loads(response.body)
     except ValueError:
@@ -35,27 +35,30 @@
 
 
 def read_reason(response: Response) -> str:
-    """Return the reason that an answer carries, or its HTTP status."""
-    reason = read_object(response).get("reason")
+    """Return the ``reason`` that a response gives, or else its HTTP status."""
+    reason = parse_object(response).get("reason")
     return reason if isinstance(reason, str) else f"http status {response.status}"
 
 
-def unavailable(failed: CallFailed) -> Unavailable:
-    """Turn a failed call into a result."""
+def to_unavailable(failed: CallFailed) -> Unavailable:
+    """Convert a failed call to a result."""
     return Unavailable(failed.reason, failed.sent)
 
 
-def read_answer(
+def parse_response(
     response: Response | CallFailed,
     parse: Callable[[dict[str, Any]], Parsed],
-    good_statuses: tuple[int, ...] = (200,),
+    success_statuses: tuple[int, ...] = (200,),
 ) -> Parsed | Unavailable:
-    """Parse the JSON object of a good answer, or say why there is none."""
+    """Parse the JSON object in a response with one of ``success_statuses``.
+
+    ``parse`` may raise any of ``PARSE_ERRORS``, which makes the response malformed.
+    """
     if isinstance(response, CallFailed):
-        return unavailable(response)
-    if response.status not in good_statuses:
+        return to_unavailable(response)
+    if response.status not in success_statuses:
         return Unavailable(read_reason(response))
     try:
-        return parse(read_object(response))
-    except MALFORMED:
+        return parse(parse_object(response))
+    except PARSE_ERRORS:
         return Unavailable("malformed answer")
--- a/libs/clients/src/lycheeloom/clients/tasks.py
+++ b/libs/clients/src/lycheeloom/clients/tasks.py
@@ -1,4 +1,4 @@
-"""What a worker says about tasks, sessions and usage."""
+"""Requests to workers, and their reports on tasks, sessions and usage."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class TaskStatus(StrEnum):
-    """State of a task at a worker."""
+    """State of a task as its worker reports it."""
 
     UNKNOWN = "unknown"
     RUNNING = "running"
@@ -33,10 +33,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskStart:
-    """A start of one task; ``task`` is the request id and the attempt.
+    """A request to start one task; ``task`` is the request id and the attempt.
 
-    ``lease_s`` and ``run_s`` are in seconds. With ``wait`` the worker answers when
-    the task has ended, else at once. ``checkpoint`` resumes an earlier attempt.
+    ``lease_s`` and ``run_s`` are in seconds. With ``wait``, the worker responds
+    when the task has ended, otherwise at once. If ``checkpoint`` is set, the task
+    resumes from this checkpoint of an earlier attempt.
     """
 
     task: str
@@ -54,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Session:
-    """A worker session: starts that name it are accepted until it lapses."""
+    """A session at a worker, which accepts starts in its name until it lapses."""
 
     id: str
     boot_id: str
@@ -64,10 +65,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskReport:
-    """What the worker says about a task; the task ran unless it is unknown.
+    """State of a task; unless it is ``UNKNOWN``, the task has run or is running.
 
-    ``answer`` is the whole answer of an ended task, ``checkpoint`` the point to
-    resume from.
+    ``answer`` is the complete answer of a task that has ended. ``checkpoint`` is
+    where another attempt can resume a checkpointed task.
     """
 
     task: str
@@ -80,7 +81,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRefused:
-    """Proof that the start had no effect. ``free`` is None if not reported."""
+    """The start certainly had no effect.
+
+    ``free`` is what the worker has free, or None if it did not report that.
+    """
 
     reason: StartRefusal
     free: Resources | None = None
@@ -88,21 +92,24 @@
 
 @dataclass(frozen=True, slots=True)
 class StartUnknown:
-    """The task may have run, be running or still start; ask for its status."""
+    """The task may have run, may be running or may yet start.
+
+    Call ``WorkerClient.status`` to find out.
+    """
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class ActionRefused:
-    """The worker or instance list refused an action on a task or instance."""
+    """A worker or the instance service refused an action on a task or instance."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class TaskUsage:
-    """What one task used at the time of the report."""
+    """Resources that one task used at the time of the report."""
 
     task: str
     organisation: str
@@ -113,7 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageReport:
-    """Usage of the running tasks as it was ``age_s`` ago."""
+    """Usage of the running tasks of a worker as it was ``age_s`` seconds ago."""
 
     boot_id: str
     age_s: float
@@ -121,12 +128,12 @@
 
 
 def parse_resources(document: dict[str, Any]) -> Resources:
-    """Read resources; raises KeyError or TypeError if malformed."""
+    """Parse resources; raises KeyError or TypeError if malformed."""
     return Resources(document["cores"], document["memory_mb"], document["accelerators"])
 
 
 def parse_session(document: dict[str, Any]) -> Session:
-    """Read a session; raises KeyError or TypeError if malformed."""
+    """Parse a session; raises KeyError or TypeError if malformed."""
     return Session(
         document["session"],
         document["boot_id"],
@@ -136,7 +143,7 @@
 
 
 def parse_report(document: dict[str, Any]) -> TaskReport:
-    """Read a task report; raises KeyError, TypeError or ValueError."""
+    """Parse a task report; raises KeyError, TypeError or ValueError if malformed."""
     return TaskReport(
         document["task"],
         TaskStatus(document["status"]),
@@ -148,7 +155,7 @@
 
 
 def parse_usage(document: dict[str, Any]) -> UsageReport:
-    """Read a usage report; raises KeyError or TypeError if malformed."""
+    """Parse a usage report; raises KeyError or TypeError if malformed."""
     return UsageReport(
         document["boot_id"],
         document["age_ms"] / 1000,
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -1,8 +1,8 @@
-"""HTTP calls over urllib3 connections: every wait bounded, nothing retried.
+"""HTTP calls over urllib3 connections, with time limits and without retries.
 
 One ``Transport`` serves any number of addresses. It uses urllib3's connections
-and not its pools, whose request path costs a third of the processor time of a
-call and whose retries and redirects are not wanted here.
+without its pools, whose code takes a third of the processor time of a call and
+whose retries and redirects are not wanted here.
 """
 
 from __future__ import annotations
@@ -23,40 +23,40 @@
 
 from .connections import Connection, IdleConnections
 
-# Idle connections older than this are replaced, since a connection can go
-# silent for good without being closed.
+# Connections that have been idle for longer are replaced, as a connection can stop
+# responding without being closed.
 MAX_IDLE_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
-# Answers longer than this are not read.
+# Longer responses are not read to the end and count as failed calls.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Idle connections kept for each address; further ones are closed.
+# Maximum number of idle connections kept for each address.
 MAX_IDLE_CONNECTIONS = 64
-# Headers that urllib3 adds by default and nobody reads; each costs about 5
-# microseconds at both ends.
-PLAIN_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
-JSON_HEADERS = {**PLAIN_HEADERS, "Content-Type": "application/json"}
+# Suppresses headers that urllib3 adds by default and no server uses. Each one costs
+# about 5 microseconds at both ends.
+BASE_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+JSON_HEADERS = {**BASE_HEADERS, "Content-Type": "application/json"}
 
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A complete HTTP answer."""
+    """A complete HTTP response."""
 
     status: int
     body: bytes
-    # Version of the document, for asking whether it has changed.
+    # Identifies the version of the document in a later If-None-Match.
     etag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """No complete answer; ``sent`` is False only if no byte was sent."""
+    """There was no complete response; ``sent`` is False only if no byte was sent."""
 
     sent: bool
     reason: str
 
 
 class Transport:
-    """Calls by address; safe for many greenlets at once."""
+    """Makes HTTP calls to any address; can be shared by greenlets."""
 
     def __init__(
         self,
@@ -67,8 +67,8 @@
         self._connect_timeout_s = connect_timeout_s
         self._max_idle_connections = max_idle_connections
         self._idle_by_address: dict[str, IdleConnections] = {}
-        # With gevent's sockets the deadline of the call bounds every wait, and a
-        # timer for each wait would only cost time.
+        # With gevent's sockets, the gevent.Timeout of the call interrupts every
+        # wait, so a timeout for each read would only cost time.
         self._needs_read_timeout = not monkey.is_module_patched("socket")
 
     def call(
@@ -78,12 +78,12 @@
         path: str,
         *,
         body: bytes | None = None,
-        headers: Mapping[str, str] = PLAIN_HEADERS,
+        headers: Mapping[str, str] = BASE_HEADERS,
         timeout_s: float,
     ) -> Response | CallFailed:
-        """Make one call that ends within ``timeout_s``.
+        """Make one call, which takes at most ``timeout_s``.
 
-        A connection whose answer is not read to the end is closed.
+        The connection is closed unless its response was read to the end.
         """
         idle = self._idle_by_address.get(address)
         if idle is None:
@@ -114,8 +114,8 @@
         headers: Mapping[str, str],
         timeout_s: float,
     ) -> Response | CallFailed:
-        # Connecting ends before the deadline of the call, so that an address that
-        # does not answer is known to have received nothing.
+        # The attempt to connect times out before the deadline of the call. A call
+        # that fails to connect is thus known to have sent nothing.
         connection.timeout = min(self._connect_timeout_s, timeout_s / 2)
         try:
             connection.request(
@@ -139,7 +139,7 @@
         return Response(response.status, content, etag)
 
     def close_idle(self, idle_s: float = MAX_IDLE_S) -> None:
-        """Close connections idle for ``idle_s`` and forget unused addresses."""
+        """Close connections idle for ``idle_s`` and forget addresses without any."""
         for address, idle in list(self._idle_by_address.items()):
             idle.close_older_than(idle_s)
             if not len(idle):
@@ -151,7 +151,7 @@
 
 
 def _describe(error: Exception) -> str:
-    """Return a reason in words, since operators read it."""
+    """Return a reason that operators understand."""
     match error:
         case NewConnectionError(__cause__=OSError(strerror=str(text))):
             return text.lower()
--- a/libs/clients/src/lycheeloom/clients/worker.py
+++ b/libs/clients/src/lycheeloom/clients/worker.py
@@ -1,4 +1,4 @@
-"""Client of workers: one object for all of them, called by address."""
+"""Client of the workers; one client serves all of them."""
 
 from __future__ import annotations
 
@@ -7,7 +7,13 @@
 from typing import Any
 from urllib.parse import quote
 
-from .results import MALFORMED, Unavailable, read_answer, read_object, read_reason
+from .results import (
+    PARSE_ERRORS,
+    Unavailable,
+    parse_object,
+    parse_response,
+    read_reason,
+)
 from .tasks import (
     ActionRefused,
     Session,
@@ -25,8 +31,8 @@
 from .transport import JSON_HEADERS, CallFailed, Response, Transport
 
 CALL_TIMEOUT_S = 1.5
-_GOOD_STATUSES = (200, 202)
-_REFUSALS = frozenset(
+_SUCCESS_STATUSES = (200, 202)
+_REPORTED_REFUSALS = frozenset(
     (StartRefusal.LEASE_LAPSED, StartRefusal.NO_CAPACITY, StartRefusal.DRAINING)
 )
 
@@ -34,7 +40,8 @@
 class WorkerClient:
     """Calls any worker by its address (``"10.0.0.7:8000"``).
 
-    ``call_timeout_s`` bounds every call but a start, which has its own bound.
+    ``call_timeout_s`` applies to every call except ``start``, which has its own
+    timeout.
     """
 
     def __init__(
@@ -49,12 +56,12 @@
     def open_session(
         self, address: str, holder: str, ttl_s: float, session: str = ""
     ) -> Session | Unavailable:
-        """Create a session, or renew ``session`` if it has not lapsed."""
+        """Renew ``session``, or create a new one if it is empty or has lapsed."""
         document = {"holder": holder, "ttl_ms": round(ttl_s * 1000)}
         if session:
             document["session"] = session
         response = self._post(address, "/v1/sessions", document)
-        return read_answer(response, parse_session, _GOOD_STATUSES)
+        return parse_response(response, parse_session, _SUCCESS_STATUSES)
 
     def start(
         self,
@@ -64,10 +71,11 @@
         timeout_s: float,
         traceparent: str = "",
     ) -> TaskReport | StartRefused | StartUnknown:
-        """Start a task and, if it waits, return its answer.
+        """Start a task; with ``start.wait``, return the report of its end.
 
-        ``timeout_s`` bounds the whole call including the run of the task. Nothing
-        is retried; only ``StartRefused`` proves that the task did not run.
+        ``timeout_s`` limits the whole call, including the run of a task that is
+        waited for. Nothing is retried; only ``StartRefused`` proves that the task
+        did not run.
         """
         headers = JSON_HEADERS
         if traceparent:
@@ -80,66 +88,66 @@
             headers=headers,
             timeout_s=timeout_s,
         )
-        return _read_start(response, start.task)
+        return _parse_start_response(response, start.task)
 
     def status(
         self, address: str, task: str
     ) -> TaskReport | ActionRefused | Unavailable:
-        """Ask what the worker knows of a task."""
+        """Return the worker's report on a task."""
         response = self._get(address, f"/v1/tasks/{quote(task, safe='')}")
-        return _read_report(response, task)
+        return _parse_report_response(response, task)
 
     def renew(
         self, address: str, task: str, lease_s: float, session: str
     ) -> TaskReport | ActionRefused | Unavailable:
         """Renew the lease of a running task.
 
-        The worker refuses it as ``lease_lapsed`` once the session has lapsed, so a
-        delayed renewal has no effect.
+        The worker refuses it with ``lease_lapsed`` once ``session`` has lapsed, so
+        that a delayed renewal has no effect.
         """
         document = {"lease_ms": round(lease_s * 1000), "session": session}
-        return self._act(address, task, "renew", document)
+        return self._post_action(address, task, "renew", document)
 
     def cancel(
         self, address: str, task: str
     ) -> TaskReport | ActionRefused | Unavailable:
         """Stop a task that its caller has cancelled."""
-        return self._act(address, task, "cancel", {})
+        return self._post_action(address, task, "cancel", {})
 
     def stop(self, address: str, task: str) -> TaskReport | ActionRefused | Unavailable:
         """Stop a task; its work is lost."""
-        return self._act(address, task, "stop", {})
+        return self._post_action(address, task, "stop", {})
 
     def checkpoint(
         self, address: str, task: str
     ) -> TaskReport | ActionRefused | Unavailable:
-        """End a task with a checkpoint from which another attempt resumes."""
-        return self._act(address, task, "checkpoint", {})
+        """End a task with a checkpoint from which another attempt can resume."""
+        return self._post_action(address, task, "checkpoint", {})
 
     def throttle(
         self, address: str, task: str, fraction: float
     ) -> TaskReport | ActionRefused | Unavailable:
-        """Run a task at a fraction of its speed and processors."""
-        return self._act(address, task, "throttle", {"fraction": fraction})
+        """Limit a task to a fraction of its speed and of its processor cores."""
+        return self._post_action(address, task, "throttle", {"fraction": fraction})
 
     def usage(self, address: str) -> UsageReport | Unavailable:
-        """Return the lagging usage report of a worker."""
+        """Return a worker's usage report, which lags behind its actual usage."""
         response = self._get(address, "/v1/usage")
-        return read_answer(response, parse_usage, _GOOD_STATUSES)
+        return parse_response(response, parse_usage, _SUCCESS_STATUSES)
 
     def close_idle(self) -> None:
-        """Close connections that have been idle too long; call now and then."""
+        """Close connections that have been idle too long; call it periodically."""
         self._transport.close_idle()
 
     def close(self) -> None:
         """Close all idle connections."""
         self._transport.close()
 
-    def _act(
+    def _post_action(
         self, address: str, task: str, action: str, document: dict[str, Any]
     ) -> TaskReport | ActionRefused | Unavailable:
         path = f"/v1/tasks/{quote(task, safe='')}/{action}"
-        return _read_report(self._post(address, path, document), task)
+        return _parse_report_response(self._post(address, path, document), task)
 
     def _get(self, address: str, path: str) -> Response | CallFailed:
         return self._transport.call(
@@ -182,7 +190,7 @@
     return json.dumps(document).encode()
 
 
-def _read_start(
+def _parse_start_response(
     response: Response | CallFailed, task: str
 ) -> TaskReport | StartRefused | StartUnknown:
     if isinstance(response, CallFailed):
@@ -191,7 +199,7 @@
         return StartRefused(StartRefusal.UNREACHABLE)
     match response.status:
         case 200 | 202:
-            report = read_answer(response, parse_report, _GOOD_STATUSES)
+            report = parse_response(response, parse_report, _SUCCESS_STATUSES)
             if isinstance(report, Unavailable):
                 return StartUnknown(report.reason)
             if report.task != task:
@@ -200,29 +208,29 @@
         case 400:
             return StartRefused(StartRefusal.BAD_REQUEST)
         case 409:
-            return _read_refusal(response)
+            return _parse_refusal(response)
     return StartUnknown(read_reason(response))
 
 
-def _read_refusal(response: Response) -> StartRefused | StartUnknown:
-    document = read_object(response)
+def _parse_refusal(response: Response) -> StartRefused | StartUnknown:
+    document = parse_object(response)
     reason = document.get("reason")
-    if reason not in _REFUSALS:
-        # "duplicate" says that an earlier start of this task had an effect.
+    if reason not in _REPORTED_REFUSALS:
+        # The reason "duplicate" means that an earlier start of this task took effect.
         return StartUnknown(str(reason))
     try:
         free = parse_resources(document["free"])
-    except MALFORMED:
+    except PARSE_ERRORS:
         free = None
     return StartRefused(StartRefusal(reason), free)
 
 
-def _read_report(
+def _parse_report_response(
     response: Response | CallFailed, task: str
 ) -> TaskReport | ActionRefused | Unavailable:
     if isinstance(response, Response) and response.status in (400, 409):
         return ActionRefused(read_reason(response))
-    report = read_answer(response, parse_report, _GOOD_STATUSES)
+    report = parse_response(response, parse_report, _SUCCESS_STATUSES)
     if isinstance(report, TaskReport) and report.task != task:
         return Unavailable("answer of another task")
     return report
--- a/libs/clients/tests/conftest.py
+++ b/libs/clients/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Stand-ins and clients for the contract tests."""
+"""Fixtures: clients, and stand-ins for the platform's services."""
 
 import pytest
 
@@ -18,7 +18,7 @@
     WorkerStandIn,
 )
 
-# Bound of a call that is expected to get one, however busy the machine is.
+# Timeout of calls that must get a response, however busy the machine is.
 LONG_S = 60.0
 
 
--- a/libs/clients/tests/test_instance_client.py
+++ b/libs/clients/tests/test_instance_client.py
@@ -1,4 +1,4 @@
-"""Contract of the instance list client and of idempotent actions."""
+"""Client of the instance service: instance list and idempotent actions."""
 
 import gevent
 import pytest
@@ -16,14 +16,14 @@
 SHORT_S = 0.1
 
 
-def wait_done(client, action):
+def wait_until_done(client, action):
     while client.action_status(action).state is not ActionState.DONE:
         gevent.sleep(0.001)
 
 
 def test_list(instance_client, worker):
-    (line,) = instance_client.list().instances
-    assert (line.instance, line.address, line.zone, line.boot_id) == (
+    (listed,) = instance_client.list().instances
+    assert (listed.instance, listed.address, listed.zone, listed.boot_id) == (
         "w1",
         worker.address,
         "z1",
@@ -32,7 +32,11 @@
 
 
 def test_unchanged_list_is_not_sent_again(instance_client, instances):
-    """A list of 5,100 workers every 2 s took 17 times the budget of control traffic."""
+    """An unchanged list must be answered with 304.
+
+    Sending a list of 5,100 workers every 2 s took 17 times the bandwidth budget of
+    control traffic.
+    """
     first = instance_client.list()
     assert instance_client.list() is first
     instances.remove("w1")
@@ -40,7 +44,10 @@
 
 
 def test_list_of_a_restarted_platform_is_read_again(instance_client, instances):
-    """An equal version number of another process must not hide a change."""
+    """A restarted platform counts list versions anew.
+
+    Guards against an equal version number that hides a change of the list.
+    """
     first = instance_client.list()
     other = InstancesStandIn("other", port=int(instances.address.split(":")[1]))
     instances.stop()
@@ -53,29 +60,29 @@
 
 
 def test_drain_reboot_undrain(instance_client, worker):
-    """A drained instance leaves, a rebooted one has a new boot id."""
+    """A drained instance is leaving; a rebooted one has a new boot id."""
     boot_id = worker.boot_id
     instance_client.drain("w1", "m1-drain")
-    wait_done(instance_client, "m1-drain")
+    wait_until_done(instance_client, "m1-drain")
     assert worker.draining
-    (line,) = instance_client.list().instances
-    assert line.state is InstanceState.LEAVING
+    (listed,) = instance_client.list().instances
+    assert listed.state is InstanceState.LEAVING
     instance_client.reboot("w1", "m1-reboot")
-    wait_done(instance_client, "m1-reboot")
+    wait_until_done(instance_client, "m1-reboot")
     instance_client.undrain("w1", "m1-undrain")
     assert not worker.draining
-    (line,) = instance_client.list().instances
-    assert line.state is InstanceState.LIVE
-    assert line.boot_id == worker.boot_id != boot_id
+    (listed,) = instance_client.list().instances
+    assert listed.state is InstanceState.LIVE
+    assert listed.boot_id == worker.boot_id != boot_id
 
 
-def test_action_takes_effect_once_though_its_answer_was_lost(
+def test_action_repeated_after_a_lost_response_takes_effect_once(
     instance_client, instances, worker
 ):
-    """A repeated reboot with the same id must not reboot again."""
+    """A reboot that is repeated with the same id must not reboot again."""
     instances.set_faults(lose_answers=1)
     assert isinstance(instance_client.reboot("w1", "a1"), Unavailable)
-    wait_done(instance_client, "a1")
+    wait_until_done(instance_client, "a1")
     boot_id = worker.boot_id
     assert instance_client.reboot("w1", "a1").state is ActionState.DONE
     assert worker.boot_id == boot_id
@@ -106,7 +113,7 @@
     ids=["list", "drain", "action_status"],
 )
 def test_unavailable(instance_client, instances, faults, call):
-    """No answer is no reason to believe anything about an instance."""
+    """Without a response, nothing may be concluded about an instance."""
     assert isinstance(instance_client.list(), InstanceList)
     instances.set_faults(**faults)
     instance_client._call_timeout_s = SHORT_S
--- a/libs/clients/tests/test_log_client.py
+++ b/libs/clients/tests/test_log_client.py
@@ -1,4 +1,4 @@
-"""Contract of the log client, with the faults of section 3 of the design."""
+"""Client of the log service, with the faults that the service may show."""
 
 import gevent
 import pytest
@@ -20,7 +20,7 @@
 
 
 def test_batches_are_read_as_appended(log_client):
-    """Guards against bytes changed by the encoding of the answer."""
+    """Guards against bytes that are changed by the encoding of the response."""
     batches = (b"", b"\x00\xff\n", b"x" * 64)
     offsets = [log_client.append(batch) for batch in batches]
     assert offsets == [Appended(0), Appended(1), Appended(2)]
@@ -43,7 +43,7 @@
     ids=lambda value: str(value) if isinstance(value, dict) else "",
 )
 def test_append_fault(log, log_client, faults, batch, expected, appended):
-    """An append that may have taken effect must never be called refused."""
+    """An append that may have taken effect must not be reported as refused."""
     assert isinstance(log_client.read(0), ReadBatches)  # opens a connection
     log.set_faults(**faults)
     ends_by_timeout = "silent" in faults or "slow_ms" in faults
@@ -53,7 +53,10 @@
 
 
 def test_append_rate_limit_is_a_refusal(transport):
-    """Guards against treating 429 as an unknown outcome, which costs a replay."""
+    """Guards against treating status 429 as an unknown outcome.
+
+    An unknown outcome must be resolved by replaying the log.
+    """
     log = LogStandIn(limits=LogLimits(appends_per_s=1), clock=lambda: 0.0).start()
     client = LogClient(log.address, transport, append_timeout_s=LONG_S)
     assert client.append(b"a") == Appended(0)
@@ -74,14 +77,14 @@
     ids=str,
 )
 def test_read_fault(log, log_client, faults):
-    """A failed read must end in bounded time and say so."""
+    """A failed read must return ``Unavailable`` in bounded time."""
     assert isinstance(log_client.read(0), ReadBatches)
     log.set_faults(**faults)
     assert isinstance(log_client.read(0, margin_s=SHORT_S), Unavailable)
 
 
 def test_read_waits_for_an_append(log, log_client):
-    """Guards against a long poll that returns empty or misses the append."""
+    """Guards against a long poll that returns no batches or misses the append."""
     reader = gevent.spawn(log_client.read, 0, 10, LONG_S)
     while not log.connections_opened:
         gevent.sleep(0.001)
@@ -89,12 +92,12 @@
     assert reader.get() == ReadBatches(0, 1, (b"late",))
 
 
-def test_read_without_news_returns_empty(log_client):
+def test_read_without_new_batches_returns_empty(log_client):
     assert log_client.read(0, wait_s=0.01) == ReadBatches(0, 0, ())
 
 
 def test_read_before_retention(transport):
-    """A reader that fell behind must learn the oldest offset."""
+    """A reader that has fallen behind must get the oldest retained offset."""
     log = LogStandIn(limits=LogLimits(retained_records=2)).start()
     for batch in (b"a", b"b", b"c"):
         log.append(batch)
--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -1,4 +1,4 @@
-"""Connections: bounded waits, replacement of stale and idle ones, odd answers."""
+"""HTTP calls: timeouts, reuse of connections and malformed responses."""
 
 import subprocess
 import sys
@@ -31,14 +31,14 @@
     return client.call(standin.address, "GET", "/v1/faults", timeout_s=timeout_s)
 
 
-def test_connection_is_reused_while_in_use(transport, worker):
+def test_recently_used_connection_is_reused(transport, worker):
     for _ in range(3):
         assert isinstance(call(transport, worker), Response)
     assert worker.connections_opened == 1
 
 
 def test_idle_connection_is_replaced(transport, worker, monkeypatch):
-    """A connection idle for 10 s may have gone silent for good."""
+    """A connection that has been idle for 10 s may have stopped responding."""
     call(transport, worker)
     monkeypatch.setattr(transport_module, "MAX_IDLE_S", -1.0)
     call(transport, worker)
@@ -46,7 +46,7 @@
 
 
 def test_silent_connection_is_not_reused(transport, worker):
-    """Guards against a second call waiting on a connection known to be silent."""
+    """Guards against a second call on a connection that has timed out."""
     call(transport, worker)
     worker.set_faults(silent=True)
     assert call(transport, worker, SHORT_S) == CallFailed(True, "no answer in time")
@@ -55,7 +55,7 @@
 
 
 def test_connection_closed_by_the_server_is_replaced(worker, workers, make_start):
-    """A restarted worker must not turn the next start into may-have-run."""
+    """Guards against a start with an unknown outcome after a worker has restarted."""
     assert isinstance(
         workers.start(worker.address, make_start(), timeout_s=LONG_S), TaskReport
     )
@@ -75,15 +75,15 @@
     )
 
 
-def test_lost_answer_is_told_in_words(transport, worker):
-    """Operators read the reason; the name of a class tells them nothing."""
+def test_reason_of_a_lost_response_is_readable(transport, worker):
+    """Operators read the reason, so it must not be the name of an exception class."""
     worker.set_faults(lose_answers=1)
     answer = transport.call(worker.address, "GET", "/v1/usage", timeout_s=LONG_S)
     assert answer == CallFailed(True, "connection closed without an answer")
 
 
 def test_unanswered_connection_attempt_sent_nothing():
-    """A full accept queue drops connection attempts; the call must still end."""
+    """A call must end even if a full accept queue drops its connection attempts."""
     listener = gevent.socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen(0)
@@ -110,7 +110,7 @@
 
 
 def trickle(sock, _address):
-    """Send an answer that never ends, one byte at a time."""
+    """Send a response that never ends, one byte at a time."""
     sock.sendall(b"HTTP/1.1 200 OK\r\nX: ")
     try:
         while True:
@@ -133,8 +133,11 @@
 
 
 @pytest.mark.parametrize("handler", [trickle, cut_short, not_http])
-def test_broken_answer_ends_the_call(handler, transport):
-    """A bound for each read only would never end a trickling answer."""
+def test_broken_response_ends_the_call(handler, transport):
+    """Guards against a timeout that starts anew with each read.
+
+    It would never expire while a response arrives byte by byte.
+    """
     server = StreamServer(("127.0.0.1", 0), handler)
     server.start()
     address = f"127.0.0.1:{server.server_port}"
@@ -153,7 +156,7 @@
 
 
 def test_call_ends_without_monkey_patching():
-    """The operator's command runs unpatched, where gevent's timer never fires."""
+    """The operator's command runs unpatched, so gevent.Timeout never fires there."""
     listener = gevent.socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen(1)
@@ -164,15 +167,15 @@
     listener.close()
 
 
-def test_oversized_answer_is_not_read(transport, worker, monkeypatch):
+def test_oversized_response_is_not_read(transport, worker, monkeypatch):
     monkeypatch.setattr(transport_module, "MAX_RESPONSE_BYTES", 10)
     assert call(transport, worker) == CallFailed(True, "answer too large")
     monkeypatch.undo()
     assert isinstance(call(transport, worker), Response)
 
 
-class OddStandIn(StandIn):
-    """Answers every request with the same document."""
+class FixedResponseStandIn(StandIn):
+    """Responds to every request with the same document."""
 
     document: object = None
 
@@ -199,23 +202,23 @@
     ],
     ids=str,
 )
-def test_malformed_answer_is_no_result(document, transport, make_start):
-    """Guards against exceptions, and against the answer of another task (I6)."""
-    odd = OddStandIn("odd").start()
-    odd.document = document
-    log = LogClient(odd.address, transport, append_timeout_s=LONG_S)
+def test_malformed_response_is_no_result(document, transport, make_start):
+    """Guards against exceptions and against taking the answer of another task."""
+    standin = FixedResponseStandIn("odd").start()
+    standin.document = document
+    log = LogClient(standin.address, transport, append_timeout_s=LONG_S)
     workers = WorkerClient(transport)
-    instances = InstanceClient(odd.address, transport)
-    start = workers.start(odd.address, make_start(), timeout_s=LONG_S)
+    instances = InstanceClient(standin.address, transport)
+    start = workers.start(standin.address, make_start(), timeout_s=LONG_S)
     assert isinstance(start, StartUnknown)
     assert isinstance(log.append(b"x"), AppendUnknown)
     unavailable = [
         log.read(0),
-        workers.status(odd.address, "r1.1"),
-        workers.open_session(odd.address, "e", 1.0),
-        workers.usage(odd.address),
+        workers.status(standin.address, "r1.1"),
+        workers.open_session(standin.address, "e", 1.0),
+        workers.usage(standin.address),
         instances.list(),
         instances.drain("w1", "a"),
     ]
     assert {type(result) for result in unavailable} == {Unavailable}
-    odd.stop()
+    standin.stop()
--- a/libs/clients/tests/test_worker_client.py
+++ b/libs/clients/tests/test_worker_client.py
@@ -1,4 +1,4 @@
-"""Contract of the worker client: what is proof of not run, what is not."""
+"""Client of the workers: which responses prove that a task did not run."""
 
 import gevent
 import pytest
@@ -27,7 +27,7 @@
 
 
 def test_start_returns_the_answer(worker, workers, make_start):
-    """Guards against changed payloads and missing trace context."""
+    """Guards against changed payloads and a missing traceparent."""
     payload = bytes(range(256))
     start = make_start(payload=payload)
     report = workers.start(
@@ -42,7 +42,7 @@
 
 
 def test_task_id_is_quoted(worker, workers, make_start):
-    """A request id with reserved characters must not change the path."""
+    """A task id with reserved characters must not change the URL path."""
     start = make_start("a/b?c d%é.1")
     report = workers.start(worker.address, start, timeout_s=LONG_S)
     assert report.task == start.task
@@ -64,7 +64,7 @@
     ids=str,
 )
 def test_start_refused(worker, workers, make_start, faults, changes, reason):
-    """A refusal must be true: the ledger shows no start."""
+    """A refused start must not have had any effect at the worker."""
     worker.set_faults(**faults)
     start = make_start(**changes)
     result = workers.start(worker.address, start, timeout_s=LONG_S)
@@ -90,7 +90,7 @@
     ids=str,
 )
 def test_start_unknown(worker, workers, make_start, faults, started):
-    """Without an answer nothing proves that the task did not run."""
+    """Without a response, nothing proves that the task did not run."""
     start = make_start()
     worker.set_faults(**faults)
     ends_by_timeout = "silent" in faults or "slow_ms" in faults
@@ -103,16 +103,16 @@
     assert report.status is (TaskStatus.DONE if started else TaskStatus.UNKNOWN)
 
 
-def test_repeated_start_is_not_proof(worker, workers, make_start):
-    """A worker that knows the task has run it, so it may have run."""
+def test_duplicate_start_is_not_a_refusal(worker, workers, make_start):
+    """The worker refuses a task that it knows, but that task may have run."""
     start = make_start()
     workers.start(worker.address, start, timeout_s=LONG_S)
     result = workers.start(worker.address, start, timeout_s=LONG_S)
     assert result == StartUnknown("duplicate")
 
 
-def test_task_outlives_the_callers_patience(worker, workers, make_start):
-    """The verdict at the bound is unknown, and the status tells that it runs."""
+def test_task_outlives_the_timeout_of_its_start(worker, workers, make_start):
+    """After the timeout, the outcome is unknown and the status says running."""
     start = make_start(payload=HOUR_OF_WORK)
     result = workers.start(worker.address, start, timeout_s=SHORT_S)
     assert isinstance(result, StartUnknown)
@@ -128,7 +128,7 @@
 
 
 def test_lapsed_session_gets_a_new_one(worker, workers):
-    """A renewal after the lapse must not revive the old session."""
+    """A renewal after a session has lapsed must not revive it."""
     first = workers.open_session(worker.address, "e", 0.001)
     gevent.sleep(0.01)
     second = workers.open_session(worker.address, "e", LONG_S, first.id)
@@ -138,7 +138,7 @@
 
 
 def test_checkpoint_resumes_in_another_attempt(worker, workers, make_start):
-    """Guards against a checkpoint that loses the work done so far."""
+    """Guards against losing the work done before a checkpoint."""
     first = make_start(payload=b'{"work_ms": 3600000}', wait=False)
     assert workers.start(worker.address, first, timeout_s=LONG_S).status == "running"
     worker.running["r1.1"].worked_s = 3599.999
@@ -151,7 +151,7 @@
 
 @pytest.mark.parametrize("action", ["cancel", "stop"])
 def test_stopping_frees_capacity(worker, workers, make_start, action):
-    """The waiting start gets the end of the task, and its slot is free."""
+    """The waiting start gets the final report, and the resources are free again."""
     start = make_start(payload=HOUR_OF_WORK, resources=Resources(64, 1, 0))
     waiting = gevent.spawn(workers.start, worker.address, start, timeout_s=LONG_S)
     wait_until(lambda: worker.running)
@@ -172,8 +172,8 @@
     workers.stop(worker.address, start.task)
 
 
-def test_renew_moves_the_lease(worker, workers, make_start):
-    """A task whose renewed lease has lapsed must be stopped by the worker."""
+def test_renew_sets_the_end_of_the_lease(worker, workers, make_start):
+    """The worker must stop a task when its renewed lease has lapsed."""
     start = make_start(payload=HOUR_OF_WORK)
     waiting = gevent.spawn(workers.start, worker.address, start, timeout_s=LONG_S)
     wait_until(lambda: worker.running)
@@ -182,12 +182,12 @@
 
 
 @pytest.mark.parametrize("named_session", ["", "lapsed"])
-def test_renewal_without_a_session_in_force_has_no_effect(
+def test_renewal_without_a_valid_session_has_no_effect(
     worker, workers, make_start, named_session
 ):
-    """Guards against a delayed renewal that extends the lease of a lost entry.
+    """Guards against a delayed renewal that extends the lease of a lost entry's task.
 
-    Its slots would be given to others while its task runs on.
+    The slots of the entry would be given to others while the task still runs.
     """
     start = make_start(payload=HOUR_OF_WORK, wait=False)
     workers.start(worker.address, start, timeout_s=LONG_S)
@@ -199,7 +199,7 @@
 
 
 def test_every_greenlet_gets_its_own_answer(make_start):
-    """Guards against answers mixed up between shared connections."""
+    """Guards against answers mixed up between greenlets that share connections."""
     fleet = [WorkerStandIn(f"w{n}", capacity=Amount(1e6, 10**9)) for n in range(3)]
     with PlatformStandIns(workers=fleet):
         answers = gevent.pool.Pool(100).map(
