--- a/libs/model/src/lycheeloom/model/config_change.py
+++ b/libs/model/src/lycheeloom/model/config_change.py
@@ -74,13 +74,13 @@
     """
     if not _only_sets_items(document, patch):
         return parse_config(document, version)
-    if not _are_keys_valid(previous, patch.get("organisations", {})):
+    if not _keys_are_valid(previous, patch.get("organisations", {})):
         return parse_config(document, version)
     try:
         changed = _change_items(previous, document, patch, version)
     except ValidationError:
         return parse_config(document, version)
-    if not _do_references_exist(changed, patch):
+    if not _references_exist(changed, patch):
         return parse_config(document, version)
     return changed
 
@@ -136,32 +136,32 @@
     return keys
 
 
-def _do_references_exist(config: FleetConfig, patch: Mapping[str, Any]) -> bool:
+def _references_exist(config: FleetConfig, patch: Mapping[str, Any]) -> bool:
     """Tell whether all pools, zones and organisations that items name exist.
 
     Only the items in ``patch`` are checked.
     """
     return all(
-        _are_instance_references_valid(config, config.instance_by_id[name])
+        _instance_references_exist(config, config.instance_by_id[name])
         for name in patch.get("instances", ())
     ) and all(
-        _are_queue_references_valid(config, config.queue_by_id[name])
+        _queue_references_exist(config, config.queue_by_id[name])
         for name in patch.get("queues", ())
     )
 
 
-def _are_instance_references_valid(config: FleetConfig, instance: Instance) -> bool:
+def _instance_references_exist(config: FleetConfig, instance: Instance) -> bool:
     return instance.pool in config.pool_by_id and instance.zone in config.zone_by_id
 
 
-def _are_queue_references_valid(config: FleetConfig, queue: Queue) -> bool:
+def _queue_references_exist(config: FleetConfig, queue: Queue) -> bool:
     return queue.pool in config.pool_by_id and all(
         organisation in config.organisation_by_id
         for organisation in queue.organisations
     )
 
 
-def _are_keys_valid(previous: FleetConfig, organisations: Mapping[str, Any]) -> bool:
+def _keys_are_valid(previous: FleetConfig, organisations: Mapping[str, Any]) -> bool:
     """Tell whether the key ids in a patch are well formed and unique.
 
     A key id may be used by one organisation only.
--- a/libs/wire/src/lycheeloom/wire/structs.py
+++ b/libs/wire/src/lycheeloom/wire/structs.py
@@ -60,7 +60,7 @@
     if isinstance(value, tuple):
         return [_to_plain(item) for item in value]
     if value is None or (isinstance(value, int) and not 0 <= value <= _MAX_UINT64):
-        raise ValueError(f"{value} does not fit into an unsigned 64-bit field")
+        raise ValueError(f"{value} does not fit into a field")
     return value
 
 
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -100,7 +100,7 @@
     assert decode_batch(again) == Batch("second", 8, (record, r.MemberLeft()))
 
 
-def in_used_greenlet(function):
+def in_resumed_greenlet(function):
     """Run a function in a greenlet that has already been suspended and resumed.
 
     An error inside the Cap'n Proto library crashes the process there.
@@ -117,13 +117,13 @@
 def test_codec_works_in_a_greenlet(record):
     """Guards against a segmentation fault when a record is encoded in a greenlet."""
     batch = Batch("author", 7, (record,))
-    encoded = in_used_greenlet(lambda: encode_batch(batch))
-    copy = in_used_greenlet(lambda: copy_record(encoded, 0))
+    encoded = in_resumed_greenlet(lambda: encode_batch(batch))
+    copy = in_resumed_greenlet(lambda: copy_record(encoded, 0))
     copied = Batch("author", 7, (copy,))
-    assert in_used_greenlet(lambda: encode_batch(copied)) == encoded
-    assert in_used_greenlet(lambda: decode_batch(encoded)) == batch
+    assert in_resumed_greenlet(lambda: encode_batch(copied)) == encoded
+    assert in_resumed_greenlet(lambda: decode_batch(encoded)) == batch
     damaged = encoded[:-1] + bytes([encoded[-1] ^ 1])
-    assert isinstance(in_used_greenlet(lambda: decode_batch(damaged)), BadBatch)
+    assert isinstance(in_resumed_greenlet(lambda: decode_batch(damaged)), BadBatch)
 
 
 @pytest.mark.parametrize("count", [-1, 2**64, None])
