--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class CallSeen:
+class CallRecord:
     """One call of a caller and its answer; ``status`` 0 means no answer.
 
     Repeats with one idempotency key share ``work``, the name in the ledger.
@@ -89,10 +89,10 @@
 class Notes:
     """Everything that callers and operators saw."""
 
-    calls: list[CallSeen] = field(default_factory=list)
+    calls: list[CallRecord] = field(default_factory=list)
     # Answers to collecting a batch request, by request id.
-    collected: dict[str, list[CallSeen]] = field(default_factory=dict)
-    cancelled: list[CallSeen] = field(default_factory=list)
+    collected: dict[str, list[CallRecord]] = field(default_factory=dict)
+    cancelled: list[CallRecord] = field(default_factory=list)
     publications: list[Publication] = field(default_factory=list)
     # Configuration versions that a process showed, oldest first, by process id.
     versions: dict[int, list[int]] = field(default_factory=dict)
@@ -127,11 +127,11 @@
         self.fleet = fleet
         self.controller_by_name: dict[str, Program] = {}
         self._log_retention_s = log_retention_s
-        self.notes = Notes()
+        self.history = Notes()
         self.zone_by_entry = {f"e{n}": ZONES[n % 3] for n in range(entries)}
         self.entry_by_name: dict[str, Program] = {}
         # Calls go to these; an entry that shuts down leaves them first.
-        self.open_entries: set[str] = set()
+        self.serving_entries: set[str] = set()
         self.paused: set[str] = set()
         self.keys_in_force: list[str] = []
         self.token_by_key: dict[str, str] = {}
@@ -176,7 +176,7 @@
         """Start or replace an entry."""
         program = self.fleet.start_entry(name, self.zone_by_entry[name], **settings)
         self.entry_by_name[name] = program
-        self.open_entries.add(name)
+        self.serving_entries.add(name)
         return program
 
     def wait_ready(self, names: Sequence[str] = ()) -> None:
@@ -186,9 +186,9 @@
 
     def stop_entry(self, name: str) -> int:
         """Shut an entry down without cutting requests; returns its exit code."""
-        self.open_entries.discard(name)
+        self.serving_entries.discard(name)
         program = self.entry_by_name[name]
-        self.notes.asked_to_stop[program.process.pid] = time.monotonic()
+        self.history.asked_to_stop[program.process.pid] = time.monotonic()
         return program.terminate(timeout_s=60.0)
 
     def running_entries(self) -> list[str]:
@@ -230,7 +230,7 @@
         if is_accepted or isinstance(result, OutcomeUnknown):
             version = result.version if is_accepted else 0
             seen = Publication(what, name, sent_at, accepted_at, is_accepted, version)
-            self.notes.publications.append(seen)
+            self.history.publications.append(seen)
         return result
 
     def grant_key(self, organisation: str) -> str | None:
@@ -255,7 +255,7 @@
             self.keys_in_force.remove(key)
         return result
 
-    def note_versions(self) -> dict[str, int]:
+    def record_versions(self) -> dict[str, int]:
         """Note the configuration version that each entry shows."""
         shown = {}
         for name, program in list(self.entry_by_name.items()):
@@ -263,7 +263,7 @@
                 continue
             document = self.status(name)
             if document is not None:
-                versions = self.notes.versions.setdefault(program.process.pid, [])
+                versions = self.history.versions.setdefault(program.process.pid, [])
                 shown[name] = document["config_version"]
                 versions.append(shown[name])
         return shown
@@ -282,7 +282,7 @@
 
     # Callers.
 
-    def new_work(self) -> str:
+    def new_work_id(self) -> str:
         """Return a name that no other work of this run has."""
         self._works += 1
         return f"work-{self._works}"
@@ -298,51 +298,51 @@
         idempotency_key: str = "",
         timeout_s: float = CALL_TIMEOUT_S,
         **fields: Any,
-    ) -> CallSeen:
+    ) -> CallRecord:
         """Send a request of a kind (lookup, booking, batch) and note the answer."""
-        work = work or self.new_work()
+        work = work or self.new_work_id()
         body = {"payload": {"call": work, "work_ms": work_ms}, "run_ms": work_ms}
         body |= {"wait": kind != "batch", **fields}
         queue = {"lookup": "lookups", "batch": "overnight"}.get(kind, "bookings")
         seen = self._seen(work, kind, entry, key)
         seen.idempotent = fields.get("idempotent", kind == "lookup")
-        self.notes.calls.append(seen)
+        self.history.calls.append(seen)
         extra = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
         path = f"/v1/queues/{queue}/requests"
         return self._call(seen, "POST", path, body, timeout_s, extra)
 
-    def collect(self, batch: CallSeen, entry: str, wait_ms: int = 0) -> CallSeen:
+    def collect(self, batch: CallRecord, entry: str, wait_ms: int = 0) -> CallRecord:
         """Ask an entry for the answer of a batch request and note it."""
         request_id = batch.document["request_id"]
         seen = self._seen(batch.work, "collect", entry, batch.key)
         path = f"/v1/requests/{request_id}?wait_ms={wait_ms}"
         self._call(seen, "GET", path, None, wait_ms / 1000 + 10)
-        self.notes.collected.setdefault(request_id, []).append(seen)
+        self.history.collected.setdefault(request_id, []).append(seen)
         return seen
 
-    def cancel(self, batch: CallSeen, entry: str) -> CallSeen:
+    def cancel(self, batch: CallRecord, entry: str) -> CallRecord:
         """Cancel a batch request and note the answer."""
         seen = self._seen(batch.work, "cancel", entry, batch.key)
         path = f"/v1/requests/{batch.document['request_id']}"
         self._call(seen, "DELETE", path, None, 10)
-        self.notes.cancelled.append(seen)
+        self.history.cancelled.append(seen)
         return seen
 
-    def _seen(self, work: str, kind: str, entry: str, key: str) -> CallSeen:
+    def _seen(self, work: str, kind: str, entry: str, key: str) -> CallRecord:
         pid = self.entry_by_name[entry].process.pid
-        return CallSeen(
+        return CallRecord(
             work, kind, self.organisation_by_key[key], key, entry, pid, time.monotonic()
         )
 
     def _call(
         self,
-        seen: CallSeen,
+        seen: CallRecord,
         method: str,
         path: str,
         body: dict[str, Any] | None,
         timeout_s: float,
         extra: dict[str, str] | None = None,
-    ) -> CallSeen:
+    ) -> CallRecord:
         headers = {
             "Content-Type": "application/json",
             "Authorization": f"Bearer {self.token_by_key[seen.key]}",
@@ -377,7 +377,7 @@
     key_by_organisation = {
         world.organisation_by_key[key]: key for key in world.keys_in_force
     }
-    waiting = [call for call in world.notes.calls if call.is_accepted_batch]
+    waiting = [call for call in world.history.calls if call.is_accepted_batch]
     while waiting and time.monotonic() < started_at + timeout_s:
         unanswered = []
         for batch in waiting:
--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -63,9 +63,9 @@
     drain_by_instance: dict[str, float] = field(default_factory=dict)
     drain_of: dict[str, str] = field(default_factory=dict)
     reboot_of: dict[str, str] = field(default_factory=dict)
-    effects: Counter = field(default_factory=Counter)
-    lost_work: int = 0
-    over_budget: list[str] = field(default_factory=list)
+    execution_counts: Counter = field(default_factory=Counter)
+    lost_tasks: int = 0
+    budget_violations: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
     listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
 
@@ -143,7 +143,7 @@
         known = self.status_by_action.get(action.action_id)
         if known is not None:
             return known
-        self.effects[action.action_id] += 1
+        self.execution_counts[action.action_id] += 1
         worker = self.workers[action.instance]
         status = ActionStatus.DONE
         match action.kind:
@@ -160,7 +160,7 @@
                 worker.draining = False
                 self._end_drain(action.instance)
             case ActionKind.REBOOT:
-                self.lost_work += worker.running if worker.alive else 0
+                self.lost_tasks += worker.running if worker.alive else 0
                 worker.alive = False
                 worker.running = 0
                 worker.rebooting_until_s = self.now_s + self.reboot_s
@@ -225,7 +225,7 @@
             if self._is_leaving(name) or self._is_unfit(name):
                 out.add(name)
         for problem in self.budget_problems(instance, out):
-            self.over_budget.append(f"{self.now_s:.0f} {instance} {problem}")
+            self.budget_violations.append(f"{self.now_s:.0f} {instance} {problem}")
 
     def budget_problems(self, instance: str, out: set[str]) -> list[str]:
         """Return the budgets of an instance that ``out`` goes over."""
