--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -8,7 +8,7 @@
 
 import capnp
 
-from lycheeloom.wire.seal import seal, unseal
+from lycheeloom.wire.checksum import add_checksum, strip_checksum
 from lycheeloom.wire.structs import from_struct, to_fields
 
 from .model import Job, JobState
@@ -125,16 +125,16 @@
 ) -> bytes:
     """Serialise a value, prefixed with a checksum."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
-    return seal(message.to_bytes())
+    return add_checksum(message.to_bytes())
 
 
 def decode(kind: type, data: bytes):
     """Deserialise a value of type ``kind``; None if the data is invalid."""
-    unsealed = unseal(data)
-    if unsealed is None:
+    content = strip_checksum(data)
+    if content is None:
         return None
     try:
-        with _STRUCT_BY_TYPE[kind].from_bytes(unsealed) as message:
+        with _STRUCT_BY_TYPE[kind].from_bytes(content) as message:
             return from_struct(kind, message)
     except (capnp.KjException, ValueError):
         return None
