--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -130,11 +130,11 @@
 
 def decode(kind: type, data: bytes):
     """Deserialise a value of type ``kind``; None if the data is invalid."""
-    content = strip_checksum(data)
-    if content is None:
+    message_bytes = strip_checksum(data)
+    if message_bytes is None:
         return None
     try:
-        with _STRUCT_BY_TYPE[kind].from_bytes(content) as message:
+        with _STRUCT_BY_TYPE[kind].from_bytes(message_bytes) as message:
             return from_struct(kind, message)
     except (capnp.KjException, ValueError):
         return None
