--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -18,8 +18,8 @@
 
 from .log_view import BatchOutcome, Log, LogView
 
-FIRST_PAUSE_S = 0.05
-MAX_PAUSE_S = 1.0
+INITIAL_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,31 +76,33 @@
         """Append records as one batch and read back what they did."""
         self._sequence += 1
         data = encode_batch(Batch(self._author, self._sequence, records))
-        give_up_at_s = self._clock.now_s() + timeout_s
-        pause_s = FIRST_PAUSE_S
+        deadline_s = self._clock.now_s() + timeout_s
+        backoff_s = INITIAL_BACKOFF_S
         is_appended = may_be_in_log = False
         while True:
             if not is_appended:
                 result = self._log.append(data)
                 is_appended = isinstance(result, Appended)
                 may_be_in_log |= isinstance(result, Appended | AppendUnknown)
-                reason = f"the log at {self._log.address} {_what_happened(result)}"
+                reason = (
+                    f"the log at {self._log.address} {_describe_append_result(result)}"
+                )
                 if result == AppendRefused(AppendRefusal.TOO_LARGE):
-                    return _give_up(may_be_in_log, reason, may_repeat=False)
+                    return _unresolved(may_be_in_log, reason, may_repeat=False)
             if may_be_in_log:
                 problem = self._view.catch_up()
                 outcome = self._view.outcome(self._sequence)
                 if outcome is not None:
                     return Accepted(outcome, data)
                 if problem is not None:
-                    reason = self._view.unreadable(problem)
-            if self._clock.now_s() + pause_s > give_up_at_s:
-                return _give_up(may_be_in_log, reason)
-            self._clock.sleep(pause_s * random.uniform(0.5, 1.0))
-            pause_s = min(2 * pause_s, MAX_PAUSE_S)
+                    reason = self._view.read_failure(problem)
+            if self._clock.now_s() + backoff_s > deadline_s:
+                return _unresolved(may_be_in_log, reason)
+            self._clock.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
 
-def _what_happened(result: Appended | AppendUnknown | AppendRefused) -> str:
+def _describe_append_result(result: Appended | AppendUnknown | AppendRefused) -> str:
     match result:
         case AppendUnknown(reason):
             return f"did not confirm the change ({reason})"
@@ -113,7 +115,7 @@
     return "accepted the change but did not show it in time"
 
 
-def _give_up(
+def _unresolved(
     may_be_in_log: bool, reason: str, may_repeat: bool = True
 ) -> NotAccepted | OutcomeUnknown:
     if may_be_in_log:
--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -13,8 +13,8 @@
 from .draft import Draft
 from .exit_codes import ExitCode
 from .operator import Operator
-from .output import Report, report_mistakes, report_result
-from .problems import Problem, join_key, near_match
+from .output import Report, report_problems, report_result
+from .problems import Problem, did_you_mean, join_key
 from .results import NothingToChange, Published
 from .toml_reader import VERSION_KEY, ConfigFile, read_config
 
@@ -22,7 +22,7 @@
 COMMAND_LINE = "command line"
 AFTER_CHANGE = "after this change"
 
-_WANTED_STATE = {
+_STATES_BY_COMMAND = {
     "wave start": (WaveState.RUNNING, (WaveState.ABSENT,)),
     "wave pause": (WaveState.PAUSED, (WaveState.RUNNING,)),
     "wave resume": (WaveState.RUNNING, (WaveState.PAUSED,)),
@@ -34,14 +34,14 @@
     """Publish a configuration file under the version it was printed from."""
     file = read_config(args.file)
     if isinstance(file, Problem):
-        return report_mistakes([file])
+        return report_problems([file])
     expected = args.expect if args.expect is not None else file.version
     if expected is None:
         problem = operator.refresh()
         if problem is not None:
             return report_result(problem)
         if operator.version != 0:
-            return report_mistakes([_version_missing(file, operator.version)])
+            return report_problems([_version_missing(file, operator.version)])
         expected = 0
     result = operator.publish(
         file.document,
@@ -50,7 +50,7 @@
         accept_warnings=args.accept_warnings,
         timeout_s=args.timeout_s,
     )
-    return _finish(operator, args, result)
+    return _report_and_wait(operator, args, result)
 
 
 def grant_key(operator: Operator, args: argparse.Namespace) -> Report:
@@ -66,7 +66,7 @@
         },
     )
     key = made[-1] if made else None
-    shown = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.UNKNOWN)
+    shown = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.OUTCOME_UNKNOWN)
     if key is None or report.code not in shown:
         return report
     lines = (
@@ -121,14 +121,14 @@
 
 def command_wave(operator: Operator, args: argparse.Namespace) -> Report:
     """Start, pause, resume or abort a wave."""
-    wanted, expected = _WANTED_STATE[args.command]
+    wanted, expected = _STATES_BY_COMMAND[args.command]
     pools = getattr(args, "pool", [])
     problem = operator.refresh()
     if problem is not None:
         return report_result(problem)
     mistakes = unknown_pools(operator, pools)
     if mistakes:
-        return report_mistakes(mistakes)
+        return report_problems(mistakes)
     result = operator.command_wave(
         args.wave,
         wanted,
@@ -138,7 +138,7 @@
         expected=expected,
         timeout_s=args.timeout_s,
     )
-    return report_result(result, see="lycheeloom wave status")
+    return report_result(result, view_command="lycheeloom wave status")
 
 
 def unknown_pools(operator: Operator, pools: list[str]) -> list[Problem]:
@@ -148,7 +148,7 @@
         Problem(
             COMMAND_LINE,
             "--pool",
-            f'there is no pool "{pool}"{near_match(pool, known)}',
+            f'there is no pool "{pool}"{did_you_mean(pool, known)}',
             "the name of a pool under [pools]",
         )
         for pool in pools
@@ -161,38 +161,42 @@
     args: argparse.Namespace,
     edit: Callable[[Draft], Any],
     argument_by_key: Mapping[str, str],
-    same: str = "",
+    unchanged_message: str = "",
 ) -> Report:
-    """Make a small change; ``same`` says that it is made already.
+    """Make a small change; ``unchanged_message`` says that it is made already.
 
     ``argument_by_key`` names the argument that was mistaken where the draft
     reports a key of the document.
     """
 
-    def edit_and_name(draft: Draft) -> None:
+    def edit_and_name_arguments(draft: Draft) -> None:
         draft.file = AFTER_CHANGE
         edit(draft)
         draft.problems[:] = [
-            _of_argument(problem, argument_by_key) for problem in draft.problems
+            _name_argument(problem, argument_by_key) for problem in draft.problems
         ]
 
     result = operator.change(
-        edit_and_name, accept_warnings=args.accept_warnings, timeout_s=args.timeout_s
+        edit_and_name_arguments,
+        accept_warnings=args.accept_warnings,
+        timeout_s=args.timeout_s,
     )
-    report = _finish(operator, args, result)
-    if same and isinstance(result, NothingToChange):
-        return replace(report, lines=(f"Nothing to change: {same}.",))
+    report = _report_and_wait(operator, args, result)
+    if unchanged_message and isinstance(result, NothingToChange):
+        return replace(report, lines=(f"Nothing to change: {unchanged_message}.",))
     return report
 
 
-def _of_argument(problem: Problem, argument_by_key: Mapping[str, str]) -> Problem:
+def _name_argument(problem: Problem, argument_by_key: Mapping[str, str]) -> Problem:
     for key, argument in argument_by_key.items():
         if problem.key == key or problem.key.startswith(f"{key}."):
             return replace(problem, file=COMMAND_LINE, key=argument)
     return problem
 
 
-def _finish(operator: Operator, args: argparse.Namespace, result: Any) -> Report:
+def _report_and_wait(
+    operator: Operator, args: argparse.Namespace, result: Any
+) -> Report:
     report = report_result(result)
     if not isinstance(result, Published) or args.no_wait:
         return report
--- a/libs/operator/src/lycheeloom/operator/checks.py
+++ b/libs/operator/src/lycheeloom/operator/checks.py
@@ -34,7 +34,7 @@
         *check_references(document, usage, file),
     ]
     keys = {problem.key for problem in problems}
-    plain = _check_plain((), document, file)
+    plain = _check_json_types((), document, file)
     problems += [problem for problem in plain if problem.key not in keys]
     if not errors_in(problems):
         parsed = parse_config(json.loads(json.dumps(document)), 0)
@@ -46,22 +46,24 @@
     return list(dict.fromkeys(problems))
 
 
-def _check_plain(path: tuple[str, ...], value: Any, file: str) -> Iterator[Problem]:
+def _check_json_types(
+    path: tuple[str, ...], value: Any, file: str
+) -> Iterator[Problem]:
     """Find TOML values that JSON, in which documents are published, lacks."""
     if isinstance(value, Mapping):
         for name, item in value.items():
-            yield from _check_plain((*path, name), item, file)
+            yield from _check_json_types((*path, name), item, file)
     elif isinstance(value, list):
         for item in value:
-            yield from _check_plain(path, item, file)
+            yield from _check_json_types(path, item, file)
     else:
-        wrong = _wrong_plain(value)
+        wrong = _describe_non_json(value)
         if wrong:
             allowed = "texts, finite numbers, true, false, lists and tables"
             yield Problem(file, join_key(*path), wrong, allowed)
 
 
-def _wrong_plain(value: Any) -> str:
+def _describe_non_json(value: Any) -> str:
     if value is None:
         return "is null"
     if isinstance(value, datetime.date | datetime.time):
--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -76,12 +76,12 @@
     )
 
 
-def _group(groups: _Subparsers, name: str, text: str) -> _Subparsers:
+def _add_group(groups: _Subparsers, name: str, text: str) -> _Subparsers:
     parser = groups.add_parser(name, help=text, description=text.capitalize() + ".")
     return parser.add_subparsers(metavar="COMMAND", required=True)
 
 
-def _leaf(
+def _add_command(
     parsers: _Subparsers, command: str, text: str, *examples: str
 ) -> argparse.ArgumentParser:
     parser = parsers.add_parser(
@@ -98,20 +98,20 @@
 
 
 def _add_config(groups: _Subparsers) -> None:
-    parsers = _group(groups, "config", "the configuration of the fleet")
-    _leaf(
+    parsers = _add_group(groups, "config", "the configuration of the fleet")
+    _add_command(
         parsers,
         "config show",
         "print the configuration in force as TOML with explanations",
         "lycheeloom config show > fleet.toml",
     )
-    check = _leaf(
+    check = _add_command(
         parsers,
         "config check",
         "report every mistake in a file, without asking the log or the entries",
         "lycheeloom config check fleet.toml",
     )
-    diff = _leaf(
+    diff = _add_command(
         parsers,
         "config diff",
         "say what publishing a file would change",
@@ -121,7 +121,7 @@
     diff.add_argument(
         "--exit-code", action="store_true", help="end with 8 if there are differences"
     )
-    publish = _leaf(
+    publish = _add_command(
         parsers,
         "config publish",
         "publish a file and wait until it is in force",
@@ -132,25 +132,29 @@
         _file_argument(parser)
     publish.add_argument(
         "--expect",
-        type=_count,
+        type=_whole_number,
         metavar="VERSION",
         help="the version that must be in force (default: the one in the file)",
     )
     _add_change_options(publish)
-    history = _leaf(
+    history = _add_command(
         parsers,
         "config history",
         "say who changed what",
         "lycheeloom config history --limit 5",
     )
     history.add_argument(
-        "--limit", type=_count, default=20, metavar="COUNT", help="newest changes shown"
+        "--limit",
+        type=_whole_number,
+        default=20,
+        metavar="COUNT",
+        help="newest changes shown",
     )
 
 
 def _add_key(groups: _Subparsers) -> None:
-    parsers = _group(groups, "key", "keys of organisations")
-    grant = _leaf(
+    parsers = _add_group(groups, "key", "keys of organisations")
+    grant = _add_command(
         parsers,
         "key grant",
         "make a key for an organisation and show it once",
@@ -159,7 +163,7 @@
     )
     grant.add_argument("organisation", metavar="ORGANISATION")
     grant.add_argument("--id", default="", metavar="KEY", help="name of the key")
-    withdraw = _leaf(
+    withdraw = _add_command(
         parsers,
         "key withdraw",
         "withdraw a key; every entry refuses it within 3 seconds",
@@ -171,19 +175,21 @@
 
 
 def _add_zone(groups: _Subparsers) -> None:
-    parsers = _group(groups, "zone", "availability zones")
+    parsers = _add_group(groups, "zone", "availability zones")
     for word, text in (
         ("out", "take a zone out of service; no task starts there after 3 seconds"),
         ("in", "bring a zone back into service"),
     ):
-        parser = _leaf(parsers, f"zone {word}", text, f"lycheeloom zone {word} north")
+        parser = _add_command(
+            parsers, f"zone {word}", text, f"lycheeloom zone {word} north"
+        )
         parser.add_argument("zone", metavar="ZONE")
         _add_change_options(parser)
 
 
 def _add_wave(groups: _Subparsers) -> None:
-    parsers = _group(groups, "wave", "maintenance waves")
-    plan = _leaf(
+    parsers = _add_group(groups, "wave", "maintenance waves")
+    plan = _add_command(
         parsers,
         "wave plan",
         "show in which rounds a wave would maintain instances, and how long it takes",
@@ -200,7 +206,7 @@
             metavar="SECONDS",
             help=f"{text} (default: {default:g})",
         )
-    start = _leaf(
+    start = _add_command(
         parsers,
         "wave start",
         "start a wave over all pools or some",
@@ -223,11 +229,11 @@
         ("resume", "continue a paused wave"),
         ("abort", "end a wave; instances in progress are finished"),
     ):
-        parser = _leaf(
+        parser = _add_command(
             parsers, f"wave {word}", text, f"lycheeloom wave {word} kernel-6"
         )
         parser.add_argument("wave", metavar="WAVE")
-    status = _leaf(
+    status = _add_command(
         parsers,
         "wave status",
         "show the progress of all waves or one",
@@ -237,8 +243,8 @@
 
 
 def _add_pool(groups: _Subparsers) -> None:
-    parsers = _group(groups, "pool", "pools of instances")
-    move = _leaf(
+    parsers = _add_group(groups, "pool", "pools of instances")
+    move = _add_command(
         parsers,
         "pool move",
         "move an instance to another pool; it is drained first",
@@ -250,7 +256,7 @@
 
 
 def _add_views(groups: _Subparsers) -> None:
-    _leaf(
+    _add_command(
         groups,
         "status",
         "show organisations against shares and limits, queues, zones, pools and "
@@ -258,7 +264,7 @@
         "lycheeloom status",
         "lycheeloom status --json",
     )
-    explain = _leaf(
+    explain = _add_command(
         groups,
         "explain",
         "say why something was decided",
@@ -278,7 +284,7 @@
         metavar="FILE",
         help="tell the story from log lines in these files; - is standard input",
     )
-    watch = _leaf(
+    watch = _add_command(
         groups,
         "watch",
         "print the status again and again, until Ctrl-C",
@@ -294,7 +300,7 @@
     )
     watch.add_argument(
         "--count",
-        type=_count,
+        type=_whole_number,
         default=0,
         metavar="COUNT",
         help="end after this many prints (default: 0, never)",
@@ -326,7 +332,7 @@
     return value
 
 
-def _count(text: str) -> int:
+def _whole_number(text: str) -> int:
     value = int(text)
     if value < 0:
         raise argparse.ArgumentTypeError("allowed: a whole number, 0 or more")
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from .meanings import MEANING_BY_FIELD, NOUN_BY_SECTION, default_of
-from .problems import join_key, show
+from .problems import format_value, join_key
 
 
 class _Absent:
@@ -28,26 +28,28 @@
     before: Any
     after: Any
 
-    def sentence(self) -> str:
+    def describe(self) -> str:
         """Return the change as a line that can be read aloud."""
-        place = _place(self.path)
-        default = _default(self.path)
+        path_text = _describe_path(self.path)
+        default = _default_text(self.path)
         if default is not None and self.before is ABSENT:
-            return _from_default(place, default, show(self.after))
+            return _from_default(path_text, default, format_value(self.after))
         if default is not None and self.after is ABSENT:
-            return _to_default(place, show(self.before), default)
+            return _to_default(path_text, format_value(self.before), default)
         if self.before is ABSENT:
-            return f"{place} is added: {_summary(self.path, self.after)}"
-        if self.after is ABSENT and _is_key(self.path):
-            return f"{place} is removed"
+            return f"{path_text} is added: {_summarise(self.path, self.after)}"
+        if self.after is ABSENT and _is_key_path(self.path):
+            return f"{path_text} is removed"
         if self.after is ABSENT:
-            return f"{place} is removed; it was {_summary(self.path, self.before)}"
-        return f"{place} changes from {show(self.before)} to {show(self.after)}"
+            return (
+                f"{path_text} is removed; it was {_summarise(self.path, self.before)}"
+            )
+        return f"{path_text} changes from {format_value(self.before)} to {format_value(self.after)}"
 
 
 def compare(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[Change]:
     """Return every difference, in the order of the keys."""
-    return list(_walk((), before, after))
+    return list(_find_changes((), before, after))
 
 
 def make_patch(before: Mapping[str, Any], after: Mapping[str, Any]) -> dict[str, Any]:
@@ -63,7 +65,7 @@
             nested = make_patch(before[name], value)
             if nested:
                 patch[name] = nested
-        elif not _same(before[name], value):
+        elif not _is_same_json(before[name], value):
             patch[name] = value
     return patch
 
@@ -71,19 +73,19 @@
 def describe_patch(patch: Mapping[str, Any]) -> list[str]:
     """Return what a patch sets, where the document before it is not known."""
     return [
-        f"{_place(path)} is removed"
+        f"{_describe_path(path)} is removed"
         if value is None
-        else f"{_place(path)} is set to {_summary(path, value)}"
-        for path, value in _leaves((), patch)
+        else f"{_describe_path(path)} is set to {_summarise(path, value)}"
+        for path, value in _patch_leaves((), patch)
     ]
 
 
-def patch_changes(before: Mapping[str, Any], patch: Mapping[str, Any]) -> set[tuple]:
+def changed_paths(before: Mapping[str, Any], patch: Mapping[str, Any]) -> set[tuple]:
     """Return the paths of a patch, to find two changes of the same key."""
     return set(_patch_paths((), patch, before))
 
 
-def overlap(first: set[tuple], second: set[tuple]) -> bool:
+def paths_overlap(first: set[tuple], second: set[tuple]) -> bool:
     """Tell whether a path of one set equals or contains one of the other."""
     return any(
         one[: len(two)] == two or two[: len(one)] == one
@@ -101,41 +103,51 @@
         yield (*path, name)
 
 
-def _leaves(path: tuple[str, ...], patch: Any) -> Iterator[tuple[tuple, Any]]:
+def _patch_leaves(path: tuple[str, ...], patch: Any) -> Iterator[tuple[tuple, Any]]:
     for name, value in patch.items():
         if isinstance(value, Mapping) and value:
-            yield from _leaves((*path, name), value)
+            yield from _patch_leaves((*path, name), value)
             continue
         yield (*path, name), value
 
 
-def _walk(
+def _find_changes(
     path: tuple[str, ...], before: Mapping[str, Any], after: Mapping[str, Any]
 ) -> Iterator[Change]:
     for name in [*before, *(name for name in after if name not in before)]:
-        here = (*path, name)
+        item_path = (*path, name)
         old, new = before.get(name, ABSENT), after.get(name, ABSENT)
         if isinstance(old, Mapping) and isinstance(new, Mapping):
-            yield from _walk(here, old, new)
-        elif _is_table(here) and old is ABSENT and isinstance(new, Mapping) and new:
-            yield from _walk(here, {}, new)
-        elif _is_table(here) and new is ABSENT and isinstance(old, Mapping) and old:
-            yield from _walk(here, old, {})
-        elif old is ABSENT or new is ABSENT or not _same(old, new):
-            yield Change(here, old, new)
-
-
-def _is_table(path: tuple[str, ...]) -> bool:
+            yield from _find_changes(item_path, old, new)
+        elif (
+            _is_compared_by_item(item_path)
+            and old is ABSENT
+            and isinstance(new, Mapping)
+            and new
+        ):
+            yield from _find_changes(item_path, {}, new)
+        elif (
+            _is_compared_by_item(item_path)
+            and new is ABSENT
+            and isinstance(old, Mapping)
+            and old
+        ):
+            yield from _find_changes(item_path, old, {})
+        elif old is ABSENT or new is ABSENT or not _is_same_json(old, new):
+            yield Change(item_path, old, new)
+
+
+def _is_compared_by_item(path: tuple[str, ...]) -> bool:
     """Tell whether the entries below a path are compared one by one."""
     return len(path) == 1 or (path[0] == "organisations" and path[2:] == ("keys",))
 
 
-def _same(first: Any, second: Any) -> bool:
+def _is_same_json(first: Any, second: Any) -> bool:
     # Python holds 1, 1.0 and True to be equal; a document does not.
     return json.dumps(first, sort_keys=True) == json.dumps(second, sort_keys=True)
 
 
-def _place(path: tuple[str, ...]) -> str:
+def _describe_path(path: tuple[str, ...]) -> str:
     section = path[0]
     if section not in NOUN_BY_SECTION or len(path) < 2:
         return join_key(*path)
@@ -147,38 +159,38 @@
     return f"{noun}: {join_key(*path[2:])}"
 
 
-def _from_default(place: str, default: str, after: str) -> str:
+def _from_default(path_text: str, default: str, after: str) -> str:
     if default == after:
-        return f"{place} is written out as {after}, which was the default"
-    return f"{place} changes from {default} (the default) to {after}"
+        return f"{path_text} is written out as {after}, which was the default"
+    return f"{path_text} changes from {default} (the default) to {after}"
 
 
-def _to_default(place: str, before: str, default: str) -> str:
+def _to_default(path_text: str, before: str, default: str) -> str:
     if default == before:
-        return f"{place} stays {default}, which is the default"
-    return f"{place} changes from {before} to {default} (the default)"
+        return f"{path_text} stays {default}, which is the default"
+    return f"{path_text} changes from {before} to {default} (the default)"
 
 
-def _default(path: tuple[str, ...]) -> str | None:
+def _default_text(path: tuple[str, ...]) -> str | None:
     """Return what holds while a field is not set, or None if nothing does."""
     if len(path) != 3 or path[2] not in MEANING_BY_FIELD.get(path[0], {}):
         return None
     default = default_of(path[0], path[2])
-    return None if default in (None, [], {}, "") else show(default)
+    return None if default in (None, [], {}, "") else format_value(default)
 
 
-def _is_key(path: tuple[str, ...]) -> bool:
+def _is_key_path(path: tuple[str, ...]) -> bool:
     return path[-2:-1] == ("keys",)
 
 
-def _summary(path: tuple[str, ...], value: Any) -> str:
-    if _is_key(path):
+def _summarise(path: tuple[str, ...], value: Any) -> str:
+    if _is_key_path(path):
         return "a salted hash"
     if not isinstance(value, Mapping):
-        return show(value)
+        return format_value(value)
     known = MEANING_BY_FIELD.get(path[0], {})
     parts = [
-        f"{name} {len(item)}" if name == "keys" else f"{name} {show(item)}"
+        f"{name} {len(item)}" if name == "keys" else f"{name} {format_value(item)}"
         for name, item in value.items()
         if name in known or not known
     ]
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -12,10 +12,10 @@
 
 from .checks import NO_USAGE, check_document
 from .meanings import NOUN_BY_SECTION
-from .problems import Problem, join_key, near_match
+from .problems import Problem, did_you_mean, join_key
 from .reference_checks import Usage
 
-DRAFT = "draft"
+DEFAULT_FILE = "draft"
 KEY_ID_BYTES = 4
 
 
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, in_force: Mapping[str, Any] | None = None, file: str = DRAFT
+        self, in_force: Mapping[str, Any] | None = None, file: str = DEFAULT_FILE
     ) -> None:
         self._in_force = copy.deepcopy(dict(in_force or {}))
         self.document = copy.deepcopy(self._in_force)
@@ -46,33 +46,33 @@
 
     def add_zone(self, name: str, **settings: Any) -> None:
         """Add an availability zone; settings as in ``ZoneDocument``."""
-        self._add("zones", name, settings)
+        self._add_item("zones", name, settings)
 
     def add_pool(self, name: str, **settings: Any) -> None:
         """Add a pool; settings as in ``PoolDocument``."""
-        self._add("pools", name, settings)
+        self._add_item("pools", name, settings)
 
     def add_instance(self, name: str, **settings: Any) -> None:
         """Add a worker instance; settings as in ``InstanceDocument``."""
-        self._add("instances", name, settings)
+        self._add_item("instances", name, settings)
 
     def add_organisation(self, name: str, **settings: Any) -> None:
         """Add an organisation; settings as in ``OrganisationDocument``."""
-        self._add("organisations", name, settings)
+        self._add_item("organisations", name, settings)
 
     def add_queue(self, name: str, **settings: Any) -> None:
         """Add a queue; settings as in ``QueueDocument``."""
-        self._add("queues", name, settings)
+        self._add_item("queues", name, settings)
 
     def change(self, section: str, name: str, **settings: Any) -> None:
         """Change settings of an entry that exists."""
-        entry = self._entry(section, name)
-        if entry is not None:
-            entry.update(settings)
+        item = self._find_item(section, name)
+        if item is not None:
+            item.update(settings)
 
     def remove(self, section: str, name: str) -> None:
         """Remove an entry that exists."""
-        if self._entry(section, name) is not None:
+        if self._find_item(section, name) is not None:
             del self.document[section][name]
 
     def set_share(self, organisation: str, share: float) -> None:
@@ -93,37 +93,37 @@
 
     def move_instance(self, instance: str, pool: str) -> None:
         """Set the wanted pool of an instance; the controller drains and moves it."""
-        is_known = self._entry("pools", pool) is not None
-        entry = self._entry("instances", instance)
-        if is_known and entry is not None:
-            entry["pool"] = pool
+        is_known = self._find_item("pools", pool) is not None
+        item = self._find_item("instances", instance)
+        if is_known and item is not None:
+            item["pool"] = pool
 
     def grant_key(self, organisation: str, key_id: str = "") -> NewKey | None:
         """Add a key to an organisation; its token is shown this once."""
-        entry = self._entry("organisations", organisation)
-        if entry is None:
+        item = self._find_item("organisations", organisation)
+        if item is None:
             return None
         key = create_key(key_id or f"{organisation}-{secrets.token_hex(KEY_ID_BYTES)}")
         place = join_key("organisations", organisation, "keys", key.id)
-        owner = self._owner_of_key(key.id)
+        owner = self._organisation_of_key(key.id)
         if owner is not None:
             wrong = f'is a key of the organisation "{owner}" already'
-            self._report(place, wrong, "a key name that is not in use")
+            self._add_problem(place, wrong, "a key name that is not in use")
             return None
-        entry.setdefault("keys", {})[key.id] = key.document.model_dump()
+        item.setdefault("keys", {})[key.id] = key.document.model_dump()
         return key
 
     def withdraw_key(self, key_id: str) -> None:
         """Remove a key; every entry refuses it within 3 s."""
-        owner = self._owner_of_key(key_id)
+        owner = self._organisation_of_key(key_id)
         if owner is None:
             known = [
                 name
                 for organisation in self.document.get("organisations", {}).values()
                 for name in organisation.get("keys", {})
             ]
-            wrong = f'there is no key "{key_id}"{near_match(key_id, known)}'
-            self._report(
+            wrong = f'there is no key "{key_id}"{did_you_mean(key_id, known)}'
+            self._add_problem(
                 "organisations", wrong, "the name of a key of some organisation"
             )
             return
@@ -134,34 +134,36 @@
         found = check_document(self.document, self.file, self._in_force, usage)
         return [*self.problems, *found]
 
-    def _add(self, section: str, name: str, settings: Mapping[str, Any]) -> None:
-        entries = self.document.setdefault(section, {})
-        if name in entries:
+    def _add_item(self, section: str, name: str, settings: Mapping[str, Any]) -> None:
+        items = self.document.setdefault(section, {})
+        if name in items:
             noun = NOUN_BY_SECTION[section]
             wrong, allowed = "is added a second time", f"each {noun} once"
             if section == "instances":
-                pools = f'"{entries[name].get("pool")}" and "{settings.get("pool")}"'
+                pools = f'"{items[name].get("pool")}" and "{settings.get("pool")}"'
                 wrong += f", to the pools {pools}"
                 allowed += ", in exactly one pool"
-            self._report(join_key(section, name), wrong, allowed)
+            self._add_problem(join_key(section, name), wrong, allowed)
             return
-        entries[name] = dict(settings)
+        items[name] = dict(settings)
 
-    def _entry(self, section: str, name: str) -> dict[str, Any] | None:
-        entries = self.document.get(section, {})
-        if name in entries:
-            return entries[name]
+    def _find_item(self, section: str, name: str) -> dict[str, Any] | None:
+        items = self.document.get(section, {})
+        if name in items:
+            return items[name]
         noun = NOUN_BY_SECTION[section]
         article = "an" if noun[0] in "aeiou" else "a"
-        wrong = f'there is no {noun} "{name}"{near_match(name, entries)}'
-        self._report(section, wrong, f"the name of {article} {noun} under [{section}]")
+        wrong = f'there is no {noun} "{name}"{did_you_mean(name, items)}'
+        self._add_problem(
+            section, wrong, f"the name of {article} {noun} under [{section}]"
+        )
         return None
 
-    def _owner_of_key(self, key_id: str) -> str | None:
-        for organisation, entry in self.document.get("organisations", {}).items():
-            if key_id in entry.get("keys", {}):
+    def _organisation_of_key(self, key_id: str) -> str | None:
+        for organisation, item in self.document.get("organisations", {}).items():
+            if key_id in item.get("keys", {}):
                 return organisation
         return None
 
-    def _report(self, key: str, wrong: str, allowed: str) -> None:
+    def _add_problem(self, key: str, wrong: str, allowed: str) -> None:
         self.problems.append(Problem(self.file, key, wrong, allowed))
--- a/libs/operator/src/lycheeloom/operator/entries.py
+++ b/libs/operator/src/lycheeloom/operator/entries.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UnknownThing:
+class ExplanationNotFound:
     """The entry has no record of it."""
 
 
@@ -85,7 +85,7 @@
 
     def explain(
         self, kind: str, name: str
-    ) -> Explanation | UnknownThing | EntryUnavailable:
+    ) -> Explanation | ExplanationNotFound | EntryUnavailable:
         """Return sentences that explain a request, instance, pool or organisation."""
         path = f"/v1/explain/{quote(kind, safe='')}/{quote(name, safe='')}"
         answer = self._call("GET", path)
@@ -93,10 +93,10 @@
             return answer
         status, body = answer
         if status == 404:
-            return UnknownThing()
+            return ExplanationNotFound()
         if status != 200:
             return EntryUnavailable(f"http status {status}")
-        return _read_explanation(body)
+        return _parse_explanation(body)
 
     def _call(
         self,
@@ -137,11 +137,11 @@
 
     def statuses(self) -> dict[str, StatusDocument | EntryUnavailable]:
         """Return the status of each entry by address."""
-        return self._for_each(lambda client: client.status())
+        return self._call_each(lambda client: client.status())
 
     def hand_over(self, offset: int, batches: Sequence[bytes]) -> dict[str, str]:
         """Hand batches to each entry; returns the reason of each failure."""
-        results = self._for_each(lambda client: client.hand_over(offset, batches))
+        results = self._call_each(lambda client: client.hand_over(offset, batches))
         return {
             address: result.reason
             for address, result in results.items()
@@ -150,11 +150,11 @@
 
     def explain(
         self, kind: str, name: str
-    ) -> dict[str, Explanation | UnknownThing | EntryUnavailable]:
+    ) -> dict[str, Explanation | ExplanationNotFound | EntryUnavailable]:
         """Ask each entry; a request may be known to one entry only."""
-        return self._for_each(lambda client: client.explain(kind, name))
+        return self._call_each(lambda client: client.explain(kind, name))
 
-    def _for_each(self, call: Callable[[EntryClient], Any]) -> dict[str, Any]:
+    def _call_each(self, call: Callable[[EntryClient], Any]) -> dict[str, Any]:
         if not self._clients:
             return {}
         workers = min(len(self._clients), MAX_PARALLEL_CALLS)
@@ -176,7 +176,7 @@
     return max(found, key=lambda item: (item.next_offset, item.fresh))
 
 
-def _read_explanation(body: bytes) -> Explanation | EntryUnavailable:
+def _parse_explanation(body: bytes) -> Explanation | EntryUnavailable:
     try:
         document = json.loads(body)
         sentences = tuple(str(item["sentence"]) for item in document["events"])
--- a/libs/operator/src/lycheeloom/operator/exit_codes.py
+++ b/libs/operator/src/lycheeloom/operator/exit_codes.py
@@ -9,30 +9,30 @@
     """What a script may conclude from the end of a command."""
 
     OK = 0
-    MISTAKES = 1
+    INVALID_INPUT = 1
     USAGE = 2
     LOST_RACE = 3
     UNAVAILABLE = 4
-    UNKNOWN = 5
+    OUTCOME_UNKNOWN = 5
     NOT_IN_FORCE = 6
     NOT_FOUND = 7
-    DIFFERENT = 8
+    DIFFERENCES_FOUND = 8
     INTERRUPTED = 130
 
 
 MEANING_BY_EXIT_CODE = {
     ExitCode.OK: "done",
-    ExitCode.MISTAKES: "mistakes in the settings, a configuration or a name; "
+    ExitCode.INVALID_INPUT: "mistakes in the settings, a configuration or a name; "
     "nothing was changed",
     ExitCode.USAGE: "the command line is not understood",
     ExitCode.LOST_RACE: "another operator was first; nothing was changed",
     ExitCode.UNAVAILABLE: "the log or the entries gave no answer; nothing was changed",
-    ExitCode.UNKNOWN: "the change may take effect, in part or as a whole; "
+    ExitCode.OUTCOME_UNKNOWN: "the change may take effect, in part or as a whole; "
     "see lycheeloom config history or wave status",
     ExitCode.NOT_IN_FORCE: "the change is accepted, but not yet in force on every "
     "entry",
     ExitCode.NOT_FOUND: "no entry knows what was asked for",
-    ExitCode.DIFFERENT: "config diff --exit-code found differences",
+    ExitCode.DIFFERENCES_FOUND: "config diff --exit-code found differences",
     ExitCode.INTERRUPTED: "interrupted with Ctrl-C",
 }
 
--- a/libs/operator/src/lycheeloom/operator/field_checks.py
+++ b/libs/operator/src/lycheeloom/operator/field_checks.py
@@ -11,7 +11,7 @@
 from pydantic import ValidationError
 
 from .meanings import MEANING_BY_FIELD, MODEL_BY_SECTION, NOUN_BY_SECTION
-from .problems import Problem, join_key, near_match, show, with_article
+from .problems import Problem, did_you_mean, format_value, join_key, with_article
 from .toml_writer import SECTIONS
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -32,52 +32,54 @@
     """
     name = document.get("name", "fleet")
     if not isinstance(name, str) or not name:
-        yield Problem(file, "name", f"is {show(name)}", "a text in quotation marks")
+        yield Problem(
+            file, "name", f"is {format_value(name)}", "a text in quotation marks"
+        )
     for key in document:
         if key not in TOP_LEVEL and key not in in_force:
-            wrong = f"is not a known key{near_match(key, TOP_LEVEL)}"
+            wrong = f"is not a known key{did_you_mean(key, TOP_LEVEL)}"
             yield Problem(file, join_key(key), wrong, ", ".join(TOP_LEVEL))
     for section in SECTIONS:
-        entries = document.get(section, {})
-        if not isinstance(entries, Mapping):
+        items = document.get(section, {})
+        if not isinstance(items, Mapping):
             noun = NOUN_BY_SECTION[section]
             allowed = f"a table with one part for each {noun}"
-            yield Problem(file, section, f"is {show(entries)}", allowed)
+            yield Problem(file, section, f"is {format_value(items)}", allowed)
             continue
-        old = _mapping(in_force.get(section))
-        for entry_name, entry in entries.items():
-            path = (section, entry_name)
-            known = _mapping(old.get(entry_name))
-            yield from _check_entry(section, path, entry, known, file)
+        old = _as_mapping(in_force.get(section))
+        for item_name, item in items.items():
+            path = (section, item_name)
+            known = _as_mapping(old.get(item_name))
+            yield from _check_item(section, path, item, known, file)
 
 
-def _check_entry(
+def _check_item(
     section: str,
     path: tuple[str, ...],
-    entry: Any,
+    item: Any,
     in_force: Mapping[str, Any],
     file: str,
 ) -> Iterator[Problem]:
     yield from _check_name(section, path, file)
-    if not isinstance(entry, Mapping):
+    if not isinstance(item, Mapping):
         noun = NOUN_BY_SECTION[section]
         allowed = f"a table of the settings of one {noun}"
-        yield Problem(file, join_key(*path), f"is {show(entry)}", allowed)
+        yield Problem(file, join_key(*path), f"is {format_value(item)}", allowed)
         return
     fields = MEANING_BY_FIELD[section]
-    for name in entry:
+    for name in item:
         if name not in fields and name not in in_force:
-            wrong = f"is not a known key{near_match(name, fields)}"
+            wrong = f"is not a known key{did_you_mean(name, fields)}"
             yield Problem(file, join_key(*path, name), wrong, ", ".join(fields))
-    yield from _check_values(section, path, entry, file)
-    if section == "instances" and isinstance(entry.get("address"), str):
-        yield from _check_address(path, entry["address"], file)
-    keys = entry.get("keys") if section == "organisations" else None
+    yield from _check_values(section, path, item, file)
+    if section == "instances" and isinstance(item.get("address"), str):
+        yield from _check_address(path, item["address"], file)
+    keys = item.get("keys") if section == "organisations" else None
     if isinstance(keys, Mapping):
-        old = _mapping(in_force.get("keys"))
+        old = _as_mapping(in_force.get("keys"))
         for key_id, key in keys.items():
-            known = _mapping(old.get(key_id))
-            yield from _check_entry("keys", (*path, "keys", key_id), key, known, file)
+            known = _as_mapping(old.get(key_id))
+            yield from _check_item("keys", (*path, "keys", key_id), key, known, file)
 
 
 def _check_name(section: str, path: tuple[str, ...], file: str) -> Iterator[Problem]:
@@ -85,16 +87,16 @@
     pattern, rule = (_KEY_ID, KEY_ID_RULE) if section == "keys" else (_NAME, NAME_RULE)
     if not pattern.fullmatch(name):
         noun = NOUN_BY_SECTION[section]
-        wrong = f"{show(name)} cannot be the name of {with_article(noun)}"
+        wrong = f"{format_value(name)} cannot be the name of {with_article(noun)}"
         yield Problem(file, join_key(*path), wrong, rule)
 
 
 def _check_values(
-    section: str, path: tuple[str, ...], entry: Mapping[str, Any], file: str
+    section: str, path: tuple[str, ...], item: Mapping[str, Any], file: str
 ) -> Iterator[Problem]:
     model = MODEL_BY_SECTION[section]
     fields = MEANING_BY_FIELD[section]
-    values = {name: value for name, value in entry.items() if name in fields}
+    values = {name: value for name, value in item.items() if name in fields}
     if isinstance(values.get("keys"), Mapping):
         # Keys are checked one by one, so that each gets its own message.
         values.pop("keys")
@@ -109,7 +111,7 @@
         if error["type"] == "missing":
             yield Problem(file, key, "is missing", allowed)
             continue
-        yield Problem(file, key, _wrong_value(section, name, entry[name]), allowed)
+        yield Problem(file, key, _wrong_value(section, name, item[name]), allowed)
 
 
 def _validation_errors(model: Any, values: Mapping[str, Any]) -> list[Any]:
@@ -123,20 +125,22 @@
 
 def _wrong_value(section: str, name: str, value: Any) -> str:
     if (section, name) == ("instances", "pool") and isinstance(value, list):
-        return f"puts the instance in {len(value)} pools, {show(value)}"
+        return f"puts the instance in {len(value)} pools, {format_value(value)}"
     if section == "keys" and name == "digest":
         # What stands here may be a secret key put in by mistake.
         return "is not the salted hash of a key"
     if isinstance(value, float) and not math.isfinite(value):
         return f"is {value}"
-    return f"is {show(value)}"
+    return f"is {format_value(value)}"
 
 
 def _check_address(path: tuple[str, ...], address: str, file: str) -> Iterator[Problem]:
     if is_address(address):
         return
     allowed = MEANING_BY_FIELD["instances"]["address"].allowed
-    yield Problem(file, join_key(*path, "address"), f"is {show(address)}", allowed)
+    yield Problem(
+        file, join_key(*path, "address"), f"is {format_value(address)}", allowed
+    )
 
 
 def is_address(text: str) -> bool:
@@ -145,5 +149,5 @@
     return match is not None and 1 <= int(match.group(1)) <= 65535
 
 
-def _mapping(value: Any) -> Mapping[str, Any]:
+def _as_mapping(value: Any) -> Mapping[str, Any]:
     return value if isinstance(value, Mapping) else {}
--- a/libs/operator/src/lycheeloom/operator/log_story.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -25,9 +25,9 @@
 )
 # Fields that name a thing; a task's name begins with its job.
 _NAME_FIELDS = ("job", "instance", "worker", "wave")
-_HEAD_FIELDS = frozenset({"time", "level", "process", "event"})
+_COMMON_FIELDS = frozenset({"time", "level", "process", "event"})
 # Without any line for this long a story has a gap.
-GAP_S = 5.0
+MIN_GAP_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,36 +59,36 @@
     }
     if not {"time", "process", "event"} <= fields.keys():
         return None
-    rest = {name: v for name, v in fields.items() if name not in _HEAD_FIELDS}
+    rest = {name: v for name, v in fields.items() if name not in _COMMON_FIELDS}
     return LogLine(fields["time"], fields["process"], fields["event"], rest)
 
 
-def tell_story(texts: Iterable[str], name: str) -> list[str]:
+def build_timeline(texts: Iterable[str], name: str) -> list[str]:
     """Return the lines about a job, instance, worker or wave, in order.
 
     Changes of the leader between them are told too, since they explain repeated
     starts.
     """
     lines = [line for text in texts if (line := parse_line(text)) is not None]
-    own = [line for line in lines if _concerns(line, name)]
-    if not own:
+    matching = [line for line in lines if _is_about(line, name)]
+    if not matching:
         return []
-    first, last = min(x.time for x in own), max(x.time for x in own)
+    first, last = min(x.time for x in matching), max(x.time for x in matching)
     leaders = [
         line
         for line in lines
         if line.event in ("lead_taken", "lead_given_up") and first <= line.time <= last
     ]
-    return [*_render(own + leaders), *_missing(own)]
+    return [*_render(matching + leaders), *_missing_events(matching)]
 
 
-def tell_leaders(texts: Iterable[str]) -> list[str]:
+def build_leader_timeline(texts: Iterable[str]) -> list[str]:
     """Return who has led when, and what each change came from."""
     lines = [line for text in texts if (line := parse_line(text)) is not None]
     return _render([line for line in lines if line.event in LEADER_EVENTS])
 
 
-def _concerns(line: LogLine, name: str) -> bool:
+def _is_about(line: LogLine, name: str) -> bool:
     if any(line.fields.get(key) == name for key in _NAME_FIELDS):
         return True
     task = line.fields.get("task", line.fields.get("step", ""))
@@ -99,7 +99,7 @@
     rendered = []
     before: LogLine | None = None
     for line in sorted(lines, key=lambda x: x.time):
-        if before is not None and line.seconds - before.seconds > GAP_S:
+        if before is not None and line.seconds - before.seconds > MIN_GAP_S:
             gap_s = line.seconds - before.seconds
             rendered.append(f"    no line for {gap_s:.1f} s")
         before = line
@@ -108,7 +108,7 @@
     return rendered
 
 
-def _missing(lines: Sequence[LogLine]) -> list[str]:
+def _missing_events(lines: Sequence[LogLine]) -> list[str]:
     """Say which parts of a job's story no process has told."""
     events = {line.event for line in lines}
     if not events & {"job_submitted", "job_opened", "job_ended"}:
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -22,11 +22,11 @@
 
 from .difference import compare, describe_patch
 
-READ_LIMIT = 1000
+MAX_BATCHES_PER_READ = 1000
 # Bounds one replay, also where retention overtakes it again and again.
 MAX_READS = 100_000
 # Documents kept for telling what an earlier change did.
-KEPT_DOCUMENTS = 100
+MAX_KEPT_DOCUMENTS = 100
 
 
 class Log(Protocol):
@@ -78,7 +78,7 @@
     def __init__(self, log: Log, author: str) -> None:
         self._log = log
         self._author = author
-        self._is_recovered = False
+        self._is_initialised = False
         self.state = FleetState()
         self._outcome_by_sequence: dict[int, BatchOutcome] = {}
         self._document_by_version: dict[int, dict[str, Any]] = {0: {}}
@@ -95,18 +95,18 @@
 
     def catch_up(self) -> Unavailable | None:
         """Replay the log to its end; returns why if that failed."""
-        if not self._is_recovered:
-            problem = self._recover()
+        if not self._is_initialised:
+            problem = self._load_snapshot()
             if problem is not None:
                 return problem
         for _ in range(MAX_READS):
             first = self.state.next_offset
-            result = self._log.read(first, READ_LIMIT, 0.0)
+            result = self._log.read(first, MAX_BATCHES_PER_READ, 0.0)
             match result:
                 case Unavailable():
                     return result
                 case Expired():
-                    problem = self._recover()
+                    problem = self._load_snapshot()
                     if problem is not None:
                         return problem
                 case ReadBatches(batches=batches):
@@ -117,7 +117,7 @@
                         return Unavailable(f"no batch at offset {first}")
         return Unavailable("the log grows faster than it is read")
 
-    def unreadable(self, problem: Unavailable) -> str:
+    def read_failure(self, problem: Unavailable) -> str:
         """Say which log could not be read and why."""
         return f"the log at {self._log.address} cannot be read ({problem.reason})"
 
@@ -129,7 +129,9 @@
         """Return the accepted changes after a version, the oldest first."""
         history = self.state.configuration.history
         return [
-            self._describe(change) for change in history if change.version > version
+            self._to_published_change(change)
+            for change in history
+            if change.version > version
         ]
 
     def _apply(self, read: ReadBatches) -> None:
@@ -150,31 +152,33 @@
         documents = self._document_by_version
         if self.version not in documents:
             documents[self.version] = self.document
-            documents.pop(self.version - KEPT_DOCUMENTS, None)
+            documents.pop(self.version - MAX_KEPT_DOCUMENTS, None)
 
-    def _recover(self) -> Unavailable | None:
+    def _load_snapshot(self) -> Unavailable | None:
         """Begin with the newest snapshot, or with offset 0 if there is none."""
         reader = SnapshotReader(self._log)
-        kept = reader.find_range()
-        if isinstance(kept, str):
-            return Unavailable(kept)
-        state = reader.find_newest(kept)
+        retained = reader.find_range()
+        if isinstance(retained, str):
+            return Unavailable(retained)
+        state = reader.find_newest(retained)
         if isinstance(state, str):
             return Unavailable(state)
-        if state is None and kept.oldest > 0:
-            return Unavailable(f"the log has no snapshot since offset {kept.oldest}")
+        if state is None and retained.oldest > 0:
+            return Unavailable(
+                f"the log has no snapshot since offset {retained.oldest}"
+            )
         self.state = state or FleetState()
-        self._is_recovered = True
+        self._is_initialised = True
         self._remember_document()
         return None
 
-    def _describe(self, change: Any) -> PublishedChange:
+    def _to_published_change(self, change: Any) -> PublishedChange:
         before = self._document_by_version.get(change.version - 1)
         after = self._document_by_version.get(change.version)
         if before is None or after is None:
             sentences = tuple(describe_patch(_load_patch(change.patch)))
         else:
-            sentences = tuple(item.sentence() for item in compare(before, after))
+            sentences = tuple(item.describe() for item in compare(before, after))
         return PublishedChange(
             change.version,
             change.operator,
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -21,13 +21,13 @@
 from .entries import Entries
 from .exit_codes import ExitCode
 from .operator import Operator
-from .output import Report, report_mistakes
+from .output import Report, report_problems
 from .settings import Settings, load_settings
 
 # A new key must reach the caller even if it is not in force everywhere yet.
-_FAILED = frozenset(
+_CODES_ON_STDERR = frozenset(
     {
-        ExitCode.MISTAKES,
+        ExitCode.INVALID_INPUT,
         ExitCode.LOST_RACE,
         ExitCode.UNAVAILABLE,
         ExitCode.NOT_FOUND,
@@ -90,7 +90,7 @@
             return _print(reading.explain_logs(args), args.json)
     settings = load_settings(args.settings)
     if not isinstance(settings, Settings):
-        return _print(report_mistakes(settings), args.json)
+        return _print(report_problems(settings), args.json)
     if command is None or args.check_config:
         return _print(Report(("No errors.",), {"result": "ok"}), args.json)
     if args.timeout_s is None:
@@ -122,7 +122,7 @@
 
 
 def _print(report: Report, as_json: bool) -> int:
-    failed = report.code in _FAILED
+    failed = report.code in _CODES_ON_STDERR
     stream = sys.stderr if failed and not as_json else sys.stdout
     print(report.render(as_json), file=stream)
     return report.code
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -12,11 +12,11 @@
 
 from .appending import Accepted, Appender, Clock
 from .checks import check_document
-from .difference import Change, compare, make_patch, overlap, patch_changes
+from .difference import Change, changed_paths, compare, make_patch, paths_overlap
 from .draft import Draft
-from .entries import Entries, EntryUnavailable, Explanation, UnknownThing
+from .entries import Entries, EntryUnavailable, Explanation, ExplanationNotFound
 from .log_view import Log, LogView, PublishedChange
-from .problems import Problem, errors_in, near_match
+from .problems import Problem, did_you_mean, errors_in
 from .reference_checks import Usage
 from .results import (
     InForce,
@@ -40,7 +40,7 @@
 # A small change is made again on top of the changes of other operators.
 MAX_ATTEMPTS = 5
 
-_STATES_BEFORE: Mapping[WaveState, tuple[WaveState, ...]] = {
+_ALLOWED_STATES: Mapping[WaveState, tuple[WaveState, ...]] = {
     WaveState.RUNNING: (WaveState.ABSENT, WaveState.PAUSED),
     WaveState.PAUSED: (WaveState.RUNNING,),
     WaveState.ABORTED: (WaveState.RUNNING, WaveState.PAUSED),
@@ -98,7 +98,7 @@
         """Read the log to its end; returns why if that failed."""
         problem = self._view.catch_up()
         if isinstance(problem, Unavailable):
-            return LogUnavailable(self._view.unreadable(problem))
+            return LogUnavailable(self._view.read_failure(problem))
         return None
 
     def draft(self) -> Draft:
@@ -127,7 +127,7 @@
 
     def explain(
         self, kind: str, name: str
-    ) -> dict[str, Explanation | UnknownThing | EntryUnavailable]:
+    ) -> dict[str, Explanation | ExplanationNotFound | EntryUnavailable]:
         """Ask each entry and controller why something was decided."""
         answers = self._entries.explain(kind, name)
         return answers | self._controllers.explain(kind, name)
@@ -172,7 +172,7 @@
         if problem is not None:
             return problem
         if self.version != expected_version:
-            return self._lost(expected_version)
+            return self._lost_race(expected_version)
         problems = self.new_problems(document, file)
         if errors_in(problems) or (problems and not accept_warnings):
             return Rejected(tuple(problems))
@@ -207,8 +207,8 @@
             result = self._publish(draft.document, timeout_s)
             if not isinstance(result, LostRace):
                 return result
-            paths = patch_changes(before, make_patch(before, draft.document))
-            if _touches(result.winners, before, paths):
+            paths = changed_paths(before, make_patch(before, draft.document))
+            if _conflicts_with_any(result.winners, before, paths):
                 return result
         return result
 
@@ -227,11 +227,11 @@
         problem = self.refresh()
         if problem is not None:
             return problem
-        allowed = tuple(expected or _STATES_BEFORE.get(wanted, ()))
+        allowed = tuple(expected or _ALLOWED_STATES.get(wanted, ()))
         state = self._wave_state(wave_id)
         if state not in allowed:
             known = self._view.state.maintenance.wave_by_id
-            return WaveRefused(_wrong_state(wave_id, state, allowed, known))
+            return WaveRefused(_describe_wrong_state(wave_id, state, allowed, known))
         record = WaveCommand(
             wave_id, state, wanted, tuple(pools), urgent, reboot, self.name
         )
@@ -250,16 +250,16 @@
         self, version: int, timeout_s: float = DEFAULT_TIMEOUT_S
     ) -> InForce | NotYetInForce:
         """Wait until every entry has the version, or say which do not."""
-        give_up_at_s = self._clock.now_s() + timeout_s
+        deadline_s = self._clock.now_s() + timeout_s
         while True:
             missing = {
-                address: _lag(status)
+                address: _describe_lag(status)
                 for address, status in self._entries.statuses().items()
                 if not _has_version(status, version)
             }
             if not missing:
                 return InForce(version)
-            if self._clock.now_s() + POLL_INTERVAL_S > give_up_at_s:
+            if self._clock.now_s() + POLL_INTERVAL_S > deadline_s:
                 return NotYetInForce(version, missing)
             self._clock.sleep(POLL_INTERVAL_S)
 
@@ -279,20 +279,22 @@
                 not_handed.update(self._hand_over(result))
                 if result.outcome.effective[0]:
                     continue
-                result = self._without_effect(expected, result)
+                result = self._explain_no_effect(expected, result)
             if index:
                 return PartlyPublished(self.version, index, len(parts), result)
             return result
         changes = tuple(compare(before, document))
         return Published(expected + 1, changes, not_handed)
 
-    def _without_effect(self, expected: int, result: Accepted) -> LostRace | NoEffect:
+    def _explain_no_effect(
+        self, expected: int, result: Accepted
+    ) -> LostRace | NoEffect:
         winners = self._view.changes_since(expected)
         if any(change.offset < result.outcome.offset for change in winners):
-            return self._lost(expected)
+            return self._lost_race(expected)
         return NoEffect("the fleet changed meanwhile; check the document again")
 
-    def _lost(self, expected: int) -> LostRace:
+    def _lost_race(self, expected: int) -> LostRace:
         winners = tuple(self._view.changes_since(expected))
         return LostRace(expected, self.version, winners)
 
@@ -304,22 +306,22 @@
         return wave.state if wave is not None else WaveState.ABSENT
 
 
-def _touches(
+def _conflicts_with_any(
     winners: Iterable[PublishedChange], before: Mapping[str, Any], paths: set[tuple]
 ) -> bool:
     return any(
-        overlap(paths, patch_changes(before, winner.patch)) for winner in winners
+        paths_overlap(paths, changed_paths(before, winner.patch)) for winner in winners
     )
 
 
-def _wrong_state(
+def _describe_wrong_state(
     wave_id: str,
     state: WaveState,
     allowed: Iterable[WaveState],
     known: Iterable[str] = (),
 ) -> str:
     if state is WaveState.ABSENT:
-        return f'there is no wave "{wave_id}"{near_match(wave_id, known)}'
+        return f'there is no wave "{wave_id}"{did_you_mean(wave_id, known)}'
     if tuple(allowed) == (WaveState.ABSENT,):
         return f'the wave "{wave_id}" exists already and is "{state}"'
     states = " or ".join(f'"{item}"' for item in allowed)
@@ -330,7 +332,7 @@
     return isinstance(status, StatusDocument) and status.config_version >= version
 
 
-def _lag(status: StatusDocument | EntryUnavailable) -> str:
+def _describe_lag(status: StatusDocument | EntryUnavailable) -> str:
     if isinstance(status, EntryUnavailable):
         return f"no answer: {status.reason}"
     freshness = "" if status.fresh else " and is not fresh"
--- a/libs/operator/src/lycheeloom/operator/output.py
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -50,11 +50,11 @@
     def render(self, as_json: bool) -> str:
         """Return what is printed."""
         if as_json:
-            return json.dumps(to_plain(self.data), indent=2, ensure_ascii=False)
+            return json.dumps(to_json_value(self.data), indent=2, ensure_ascii=False)
         return "\n".join(self.lines)
 
 
-def report_mistakes(problems: Sequence[Problem]) -> Report:
+def report_problems(problems: Sequence[Problem]) -> Report:
     """Report every mistake, one line each."""
     lines = [
         f"{'warning' if item.severity is Severity.WARNING else 'error'}: {item}"
@@ -63,67 +63,73 @@
     if not errors_in(problems):
         lines.append("Nothing was published. Repeat with --accept-warnings to do it.")
     data = {"result": "rejected", "problems": list(problems)}
-    return Report(tuple(lines), data, ExitCode.MISTAKES)
+    return Report(tuple(lines), data, ExitCode.INVALID_INPUT)
 
 
 # What an operator does when the log is unavailable; see "An outage of the log"
 # in the guide.
-MEANWHILE = "Meanwhile interactive work goes on, and lycheeloom status still answers."
+OUTAGE_NOTE = "Meanwhile interactive work goes on, and lycheeloom status still answers."
 
 
-def report_result(result: Any, see: str = "lycheeloom config history") -> Report:
-    """Report what became of a change; ``see`` shows it later if that is unknown."""
+def report_result(
+    result: Any, view_command: str = "lycheeloom config history"
+) -> Report:
+    """Report what became of a change; ``view_command`` shows it later if that is unknown."""
     match result:
         case Published(version, changes, not_handed):
-            lines = [item.sentence() for item in changes]
+            lines = [item.describe() for item in changes]
             lines.append(f"Published as version {version}.")
-            lines += _not_handed(not_handed)
-            return _report(result, lines, ExitCode.OK)
+            lines += _not_handed_lines(not_handed)
+            return _result_report(result, lines, ExitCode.OK)
         case NothingToChange(version):
             line = f"Nothing to change: version {version} says the same already."
-            return _report(result, [line], ExitCode.OK)
+            return _result_report(result, [line], ExitCode.OK)
         case Rejected(problems):
-            return report_mistakes(problems)
+            return report_problems(problems)
         case LostRace():
-            return _report(result, _lost_race(result), ExitCode.LOST_RACE)
+            return _result_report(result, _lost_race_lines(result), ExitCode.LOST_RACE)
         case NoEffect(reason) | WaveRefused(reason):
             line = f"Not changed: {reason}."
-            return _report(result, [line], ExitCode.MISTAKES)
+            return _result_report(result, [line], ExitCode.INVALID_INPUT)
         case NotAccepted(reason, may_repeat=False):
             line = f"Nothing was changed: {reason}. Make it in smaller steps."
-            return _report(result, [line], ExitCode.MISTAKES)
+            return _result_report(result, [line], ExitCode.INVALID_INPUT)
         case NotAccepted(reason) | LogUnavailable(reason):
             lines = [
                 f"Nothing was changed: {reason}.",
-                f"{MEANWHILE} Repeat the command when the log answers again.",
+                f"{OUTAGE_NOTE} Repeat the command when the log answers again.",
             ]
-            return _report(result, lines, ExitCode.UNAVAILABLE)
+            return _result_report(result, lines, ExitCode.UNAVAILABLE)
         case OutcomeUnknown(reason):
             lines = [
                 f"It is not known whether the change takes effect: {reason}.",
-                f"{MEANWHILE} When the log answers again, look at {see}; repeat the "
+                f"{OUTAGE_NOTE} When the log answers again, look at {view_command}; repeat the "
                 "command only if the change is not there.",
             ]
-            return _report(result, lines, ExitCode.UNKNOWN)
+            return _result_report(result, lines, ExitCode.OUTCOME_UNKNOWN)
         case PartlyPublished():
-            return _report(result, _partly(result), ExitCode.UNKNOWN)
+            return _result_report(
+                result, _partly_published_lines(result), ExitCode.OUTCOME_UNKNOWN
+            )
         case WaveChanged(not_handed):
-            return _report(result, ["Done.", *_not_handed(not_handed)], ExitCode.OK)
+            return _result_report(
+                result, ["Done.", *_not_handed_lines(not_handed)], ExitCode.OK
+            )
         case InForce(version):
             line = f"Version {version} is in force on every entry."
             return Report((line,), {"in_force": True})
         case NotYetInForce():
-            return _not_in_force(result)
+            return _not_in_force_report(result)
     raise TypeError(f"no report for {type(result).__name__}")
 
 
-def report_unread(problem: LogUnavailable) -> Report:
+def report_log_unavailable(problem: LogUnavailable) -> Report:
     """Report that a command that only reads could not read the log."""
     lines = [
         f"{problem.reason[:1].upper()}{problem.reason[1:]}.",
-        f"{MEANWHILE} Repeat the command when the log answers again.",
+        f"{OUTAGE_NOTE} Repeat the command when the log answers again.",
     ]
-    return _report(problem, lines, ExitCode.UNAVAILABLE)
+    return _result_report(problem, lines, ExitCode.UNAVAILABLE)
 
 
 def report_history(changes: Iterable[PublishedChange]) -> Report:
@@ -139,7 +145,7 @@
     return text.splitlines()
 
 
-def to_plain(value: Any) -> Any:
+def to_json_value(value: Any) -> Any:
     """Return a value that JSON can carry."""
     if value is ABSENT:
         return None
@@ -147,20 +153,20 @@
         return value.model_dump(mode="json")
     if dataclasses.is_dataclass(value):
         names = [item.name for item in dataclasses.fields(value)]
-        return {name: to_plain(getattr(value, name)) for name in names}
+        return {name: to_json_value(getattr(value, name)) for name in names}
     if isinstance(value, Mapping):
-        return {str(name): to_plain(item) for name, item in value.items()}
+        return {str(name): to_json_value(item) for name, item in value.items()}
     if isinstance(value, list | tuple | set | frozenset):
-        return [to_plain(item) for item in value]
+        return [to_json_value(item) for item in value]
     return value
 
 
-def _report(result: Any, lines: Iterable[str], code: ExitCode) -> Report:
-    data = {"result": _snake_case(type(result).__name__), **to_plain(result)}
+def _result_report(result: Any, lines: Iterable[str], code: ExitCode) -> Report:
+    data = {"result": _snake_case(type(result).__name__), **to_json_value(result)}
     return Report(tuple(lines), data, code)
 
 
-def _partly(result: PartlyPublished) -> list[str]:
+def _partly_published_lines(result: PartlyPublished) -> list[str]:
     lines = [
         f"Only {result.parts} of {result.all_parts} parts of the change are "
         f"published; version {result.version} is in force."
@@ -178,7 +184,7 @@
     return lines
 
 
-def _lost_race(result: LostRace) -> list[str]:
+def _lost_race_lines(result: LostRace) -> list[str]:
     lines = [
         f"Nothing was changed: version {result.expected_version} was expected, but "
         f"version {result.version} is in force."
@@ -197,14 +203,14 @@
     return [head, *(f"  {sentence}" for sentence in change.sentences)]
 
 
-def _not_handed(reason_by_entry: Mapping[str, str]) -> list[str]:
+def _not_handed_lines(reason_by_entry: Mapping[str, str]) -> list[str]:
     return [
         f"Entry {address} was not told directly ({reason}); it reads the log."
         for address, reason in reason_by_entry.items()
     ]
 
 
-def _not_in_force(result: NotYetInForce) -> Report:
+def _not_in_force_report(result: NotYetInForce) -> Report:
     lines = [
         f"Not yet in force on entry {address}: {reason}."
         for address, reason in result.missing.items()
--- a/libs/operator/src/lycheeloom/operator/problems.py
+++ b/libs/operator/src/lycheeloom/operator/problems.py
@@ -45,7 +45,7 @@
     return [item for item in problems if item.severity is Severity.WARNING]
 
 
-def near_match(name: str, known: Iterable[str]) -> str:
+def did_you_mean(name: str, known: Iterable[str]) -> str:
     """Return ``(did you mean "lookup"?)`` for a close known name, or nothing."""
     matches = difflib.get_close_matches(name, list(known), n=1)
     if not matches:
@@ -53,7 +53,7 @@
     return f' (did you mean "{matches[0]}"?)'
 
 
-def show(value: Any) -> str:
+def format_value(value: Any) -> str:
     """Return a value as it would be written in a file, shortened."""
     text = json.dumps(value, ensure_ascii=False, default=str)
     return text if len(text) <= 60 else text[:57] + "..."
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -14,13 +14,19 @@
 from .changing_commands import unknown_pools
 from .checks import check_document
 from .cli_parser import FLEET_KIND, LEADER_KIND
-from .entries import EntryUnavailable, Explanation, UnknownThing, newest_status
+from .entries import EntryUnavailable, Explanation, ExplanationNotFound, newest_status
 from .exit_codes import ExitCode
-from .log_story import tell_leaders, tell_story
+from .log_timeline import build_leader_timeline, build_timeline
 from .operator import Operator
-from .output import Report, report_history, report_mistakes, report_unread, table
+from .output import (
+    Report,
+    report_history,
+    report_log_unavailable,
+    report_problems,
+    table,
+)
 from .problems import Problem, errors_in
-from .status_text import duration, status_lines, wave_rows
+from .status_text import format_duration, status_lines, wave_table
 from .toml_reader import read_config
 from .toml_writer import print_config
 from .waves import preview_wave
@@ -30,7 +36,7 @@
     """Print the configuration in force."""
     problem = operator.refresh()
     if problem is not None:
-        return report_unread(problem)
+        return report_log_unavailable(problem)
     text = print_config(operator.document, operator.version)
     data = {"version": operator.version, "document": operator.document}
     return Report(tuple(text.splitlines()), data)
@@ -40,9 +46,9 @@
     """Check a file by itself."""
     file = read_config(args.file)
     if isinstance(file, Problem):
-        return report_mistakes([file])
+        return report_problems([file])
     problems = check_document(file.document, file.source)
-    report = report_mistakes(problems)
+    report = report_problems(problems)
     if errors_in(problems):
         return report
     lines = [f"warning: {problem}" for problem in problems]
@@ -53,18 +59,18 @@
     """Compare a file with the configuration in force."""
     file = read_config(args.file)
     if isinstance(file, Problem):
-        return report_mistakes([file])
+        return report_problems([file])
     problem = operator.refresh()
     if problem is not None:
-        return report_unread(problem)
+        return report_log_unavailable(problem)
     problems = operator.new_problems(file.document, file.source)
     if errors_in(problems):
-        return report_mistakes(problems)
+        return report_problems(problems)
     changes = operator.compare(file.document)
     lines = [f"warning: {problem}" for problem in problems]
-    lines += [change.sentence() for change in changes] or ["No differences."]
+    lines += [change.describe() for change in changes] or ["No differences."]
     data = {"changes": changes, "warnings": problems, "version": operator.version}
-    code = ExitCode.DIFFERENT if changes and args.exit_code else ExitCode.OK
+    code = ExitCode.DIFFERENCES_FOUND if changes and args.exit_code else ExitCode.OK
     return Report(tuple(lines), data, code)
 
 
@@ -72,7 +78,7 @@
     """Say who changed what."""
     problem = operator.refresh()
     if problem is not None:
-        return report_unread(problem)
+        return report_log_unavailable(problem)
     changes = operator.history()
     return report_history(changes[len(changes) - min(args.limit, len(changes)) :])
 
@@ -98,10 +104,10 @@
     """Show the rounds of a wave that is not started yet."""
     problem = operator.refresh()
     if problem is not None:
-        return report_unread(problem)
+        return report_log_unavailable(problem)
     mistakes = unknown_pools(operator, args.pool)
     if mistakes:
-        return report_mistakes(mistakes)
+        return report_problems(mistakes)
     config: FleetConfig = operator.view.state.config
     preview = preview_wave(config, args.pool)
     seconds = preview.duration_s(args.drain_s, args.reboot_s)
@@ -111,17 +117,17 @@
     ]
     lines.append(
         f"Instances: {preview.instance_count}, rounds: {len(preview.rounds)}, about "
-        f"{duration(seconds)} if every round takes {duration(args.drain_s)} to drain "
-        f"and {duration(args.reboot_s)} to reboot."
+        f"{format_duration(seconds)} if every round takes {format_duration(args.drain_s)} to drain "
+        f"and {format_duration(args.reboot_s)} to reboot."
     )
     lines += [
         f"Instance {name} is never maintained: a budget allows 0 unavailable, or "
         "no spare instance would be left."
-        for name in preview.never
+        for name in preview.never_maintained
     ]
     data = {
         "rounds": preview.rounds,
-        "never": preview.never,
+        "never": preview.never_maintained,
         "duration_s": seconds,
     }
     return Report(tuple(lines), data)
@@ -131,14 +137,14 @@
     """Show the progress of waves."""
     problem = operator.refresh()
     if problem is not None:
-        return report_unread(problem)
+        return report_log_unavailable(problem)
     waves = _waves(operator)
     if args.wave:
         if args.wave not in waves:
             line = f'There is no wave "{args.wave}".'
             return Report((line,), {"waves": {}}, ExitCode.NOT_FOUND)
         waves = {args.wave: waves[args.wave]}
-    lines = table(*wave_rows(waves)) if waves else ["No wave is on record."]
+    lines = table(*wave_table(waves)) if waves else ["No wave is on record."]
     return Report(tuple(lines), {"waves": waves})
 
 
@@ -156,7 +162,7 @@
             sentence for answer in found.values() for sentence in answer.sentences
         )
         return Report(tuple(lines), {"explanations": found})
-    if any(isinstance(answer, UnknownThing) for answer in answers.values()):
+    if any(isinstance(answer, ExplanationNotFound) for answer in answers.values()):
         line = f"No entry knows the {args.kind} {name}."
         if args.kind == FLEET_KIND:
             line = "No decision about the whole fleet is known."
@@ -177,11 +183,11 @@
             texts += _read_lines(name)
         except OSError as error:
             line = f"{name}: cannot be read: {error.strerror}"
-            return Report((line,), {"story": []}, ExitCode.MISTAKES)
+            return Report((line,), {"story": []}, ExitCode.INVALID_INPUT)
     if args.kind == LEADER_KIND:
-        story = tell_leaders(texts)
+        story = build_leader_timeline(texts)
     else:
-        story = tell_story(texts, args.id)
+        story = build_timeline(texts, args.id)
     if not story:
         name = args.id or args.kind
         line = f"No line of these logs tells of {name}."
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .problems import Problem, Severity, join_key, near_match, show, with_article
+from .problems import (
+    Problem,
+    Severity,
+    did_you_mean,
+    format_value,
+    join_key,
+    with_article,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Parts:
+class DocumentTables:
     """The tables of a document; whatever is not a table is left out."""
 
     zones: Mapping[str, Mapping[str, Any]]
@@ -30,11 +37,11 @@
     queues: Mapping[str, Mapping[str, Any]]
 
     @classmethod
-    def of(cls, document: Mapping[str, Any]) -> Parts:
+    def of(cls, document: Mapping[str, Any]) -> DocumentTables:
         """Pick the tables of a document that may be wrong elsewhere."""
         return cls(
             *(
-                _tables(document.get(section))
+                _named_tables(document.get(section))
                 for section in (
                     "zones",
                     "pools",
@@ -62,56 +69,59 @@
     document: Mapping[str, Any], usage: Usage, file: str
 ) -> Iterator[Problem]:
     """Yield a problem for each contradiction between parts."""
-    parts = Parts.of(document)
-    yield from _check_instances(parts, file)
-    yield from _check_racks(parts, file)
-    yield from _check_queues(parts, file)
-    yield from _check_keys(parts, file)
-    yield from _check_pools(parts, file)
-    yield from _check_usage(parts, usage, file)
-    yield from _check_service(parts, file)
-
-
-def _check_instances(parts: Parts, file: str) -> Iterator[Problem]:
-    owner_by_address: dict[str, str] = {}
-    for name, instance in parts.instances.items():
+    tables = DocumentTables.of(document)
+    yield from _check_instances(tables, file)
+    yield from _check_racks(tables, file)
+    yield from _check_queues(tables, file)
+    yield from _check_keys(tables, file)
+    yield from _check_pools(tables, file)
+    yield from _check_usage(tables, usage, file)
+    yield from _check_startable(tables, file)
+
+
+def _check_instances(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    instance_by_address: dict[str, str] = {}
+    for name, instance in tables.instances.items():
         for field_name, noun, known in (
-            ("pool", "pool", parts.pools),
-            ("zone", "zone", parts.zones),
+            ("pool", "pool", tables.pools),
+            ("zone", "zone", tables.zones),
         ):
             key = join_key("instances", name, field_name)
-            yield from _check_name(file, key, noun, instance.get(field_name), known)
+            yield from _check_defined(file, key, noun, instance.get(field_name), known)
         address = instance.get("address")
         if not isinstance(address, str):
             continue
-        owner = owner_by_address.setdefault(address, name)
+        owner = instance_by_address.setdefault(address, name)
         if owner != name:
-            pools = show(parts.instances[owner].get("pool")), show(instance.get("pool"))
+            pools = (
+                format_value(tables.instances[owner].get("pool")),
+                format_value(instance.get("pool")),
+            )
             wrong = f'is the address of "{owner}" too (pools {pools[0]} and {pools[1]})'
             allowed = "one name for each instance, in exactly one pool"
             key = join_key("instances", name, "address")
             yield Problem(file, key, wrong, allowed)
 
 
-def _check_racks(parts: Parts, file: str) -> Iterator[Problem]:
+def _check_racks(tables: DocumentTables, file: str) -> Iterator[Problem]:
     zone_by_rack: dict[str, str] = {}
-    for name, instance in parts.instances.items():
+    for name, instance in tables.instances.items():
         rack, zone = instance.get("rack"), instance.get("zone")
         if not isinstance(rack, str) or not isinstance(zone, str):
             continue
-        if zone not in parts.zones:
+        if zone not in tables.zones:
             continue
-        first = zone_by_rack.setdefault(rack, zone)
-        if first != zone:
-            wrong = f'is {show(rack)} in zone "{zone}" and elsewhere in zone "{first}"'
+        first_zone = zone_by_rack.setdefault(rack, zone)
+        if first_zone != zone:
+            wrong = f'is {format_value(rack)} in zone "{zone}" and elsewhere in zone "{first_zone}"'
             key = join_key("instances", name, "rack")
             yield Problem(file, key, wrong, "racks that stand in one zone each")
 
 
-def _check_queues(parts: Parts, file: str) -> Iterator[Problem]:
-    for name, queue in parts.queues.items():
+def _check_queues(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    for name, queue in tables.queues.items():
         key = join_key("queues", name, "pool")
-        yield from _check_name(file, key, "pool", queue.get("pool"), parts.pools)
+        yield from _check_defined(file, key, "pool", queue.get("pool"), tables.pools)
         organisations = queue.get("organisations", [])
         if not isinstance(organisations, list):
             continue
@@ -125,8 +135,8 @@
             if count > 1:
                 wrong = f'names the organisation "{organisation}" {count} times'
                 yield Problem(file, key, wrong, "each organisation once")
-            yield from _check_name(
-                file, key, "organisation", organisation, parts.organisations
+            yield from _check_defined(
+                file, key, "organisation", organisation, tables.organisations
             )
         if queue.get("open_to_all") is True:
             # What is no name at all is reported as a mistake of the field.
@@ -137,10 +147,10 @@
             yield Problem(
                 file, key, wrong, "at least one organisation", Severity.WARNING
             )
-        hedges = queue.get("hedge_budget_percent", 0)
-        is_number = _is_count(hedges) or isinstance(hedges, float)
-        if is_number and hedges > 0 and queue.get("idempotent") is not True:
-            wrong = f"is {hedges}, but no request of this queue may run twice"
+        hedge_budget = queue.get("hedge_budget_percent", 0)
+        is_number = _is_count(hedge_budget) or isinstance(hedge_budget, float)
+        if is_number and hedge_budget > 0 and queue.get("idempotent") is not True:
+            wrong = f"is {hedge_budget}, but no request of this queue may run twice"
             key = join_key("queues", name, "hedge_budget_percent")
             allowed = "0, or idempotent = true"
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
@@ -161,21 +171,23 @@
     yield Problem(file, key, wrong, "exactly one organisation, or open_to_all = false")
 
 
-def _check_name(
+def _check_defined(
     file: str, key: str, noun: str, name: Any, known: Mapping[str, Any]
 ) -> Iterator[Problem]:
     if not isinstance(name, str) or name in known:
         return
-    wrong = f'names the {noun} "{name}", which is not defined{near_match(name, known)}'
+    wrong = (
+        f'names the {noun} "{name}", which is not defined{did_you_mean(name, known)}'
+    )
     yield Problem(file, key, wrong, f"the name of {with_article(noun)} under [{noun}s]")
 
 
-def _check_keys(parts: Parts, file: str) -> Iterator[Problem]:
-    owner_by_key: dict[str, str] = {}
-    for organisation, entry in parts.organisations.items():
-        keys = entry.get("keys")
+def _check_keys(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    organisation_by_key: dict[str, str] = {}
+    for organisation, item in tables.organisations.items():
+        keys = item.get("keys")
         for key_id in keys if isinstance(keys, Mapping) else ():
-            owner = owner_by_key.setdefault(key_id, organisation)
+            owner = organisation_by_key.setdefault(key_id, organisation)
             if owner != organisation:
                 wrong = f'is a key of the organisation "{owner}" too'
                 key = join_key("organisations", organisation, "keys", key_id)
@@ -184,36 +196,36 @@
                 )
 
 
-def _check_pools(parts: Parts, file: str) -> Iterator[Problem]:
-    counts = parts.instance_counts()
-    for name, pool in parts.pools.items():
+def _check_pools(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    counts = tables.instance_counts()
+    for name, pool in tables.pools.items():
         count = counts[name]
         needed = pool.get("needed", 0)
-        budget = pool.get("max_unavailable", 1)
-        if not _is_count(needed) or not _is_count(budget):
+        max_unavailable = pool.get("max_unavailable", 1)
+        if not _is_count(needed) or not _is_count(max_unavailable):
             continue
         if needed > count:
             wrong = f"is {needed}, but the pool has {count} instances"
             key = join_key("pools", name, "needed")
             yield Problem(file, key, wrong, f"a whole number from 0 to {count}")
-        elif needed and count - budget < needed:
+        elif needed and count - max_unavailable < needed:
             wrong = (
-                f"is {budget}, which leaves {count - budget} of {count} instances "
+                f"is {max_unavailable}, which leaves {count - max_unavailable} of {count} instances "
                 f"though {needed} are needed"
             )
             key = join_key("pools", name, "max_unavailable")
             allowed = f"a whole number from 0 to {count - needed}"
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
-        if budget == 0 and count:
+        if max_unavailable == 0 and count:
             key = join_key("pools", name, "max_unavailable")
             wrong = "is 0, so no instance of this pool can ever be maintained"
             allowed = "1 or more for maintenance"
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
 
 
-def _check_usage(parts: Parts, usage: Usage, file: str) -> Iterator[Problem]:
+def _check_usage(tables: DocumentTables, usage: Usage, file: str) -> Iterator[Problem]:
     for organisation, running in usage.running_by_organisation.items():
-        limit = parts.organisations.get(organisation, {}).get("upper_limit")
+        limit = tables.organisations.get(organisation, {}).get("upper_limit")
         if _is_count(limit) and 0 < limit < running:
             wrong = f"is {limit}, but {running} tasks of this organisation are running"
             allowed = (
@@ -221,17 +233,17 @@
             )
             key = join_key("organisations", organisation, "upper_limit")
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
-        if running and organisation not in parts.organisations:
+        if running and organisation not in tables.organisations:
             wrong = f"is removed, but {running} tasks of this organisation are running"
             key = join_key("organisations", organisation)
             allowed = "to remove an organisation when none of its tasks run"
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
-    for instance in parts.instances:
+    for instance in tables.instances:
         for pool in (
             usage.pool_by_instance.get(instance),
             usage.target_pool_by_instance.get(instance),
         ):
-            if pool is None or pool in parts.pools:
+            if pool is None or pool in tables.pools:
                 continue
             wrong = (
                 f'is removed, but the instance "{instance}" is in it or moving to it'
@@ -240,15 +252,17 @@
             yield Problem(file, join_key("pools", pool), wrong, allowed)
 
 
-def _check_service(parts: Parts, file: str) -> Iterator[Problem]:
-    if parts.zones and all(zone.get("state") == "out" for zone in parts.zones.values()):
+def _check_startable(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    if tables.zones and all(
+        zone.get("state") == "out" for zone in tables.zones.values()
+    ):
         wrong = "are all out, so no task starts anywhere"
         allowed = 'at least one zone with state = "in"'
         yield Problem(file, "zones", wrong, allowed, Severity.WARNING)
-    counts = parts.instance_counts()
-    for name, queue in parts.queues.items():
+    counts = tables.instance_counts()
+    for name, queue in tables.queues.items():
         pool = queue.get("pool")
-        if isinstance(pool, str) and pool in parts.pools and not counts[pool]:
+        if isinstance(pool, str) and pool in tables.pools and not counts[pool]:
             wrong = f'names the pool "{pool}", which has no instances'
             allowed = "a pool with at least one instance"
             key = join_key("queues", name, "pool")
@@ -259,7 +273,7 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-def _tables(value: Any) -> dict[str, Mapping[str, Any]]:
+def _named_tables(value: Any) -> dict[str, Mapping[str, Any]]:
     if not isinstance(value, Mapping):
         return {}
     return {name: item for name, item in value.items() if isinstance(item, Mapping)}
--- a/libs/operator/src/lycheeloom/operator/settings.py
+++ b/libs/operator/src/lycheeloom/operator/settings.py
@@ -9,15 +9,15 @@
 from typing import Any
 
 from .field_checks import is_address
-from .problems import Problem, near_match, show
+from .problems import Problem, did_you_mean, format_value
 from .toml_reader import read_toml
 
 DEFAULT_PATH = "lycheeloom.toml"
 PATH_VARIABLE = "LYCHEELOOM_SETTINGS"
 DEFAULT_TIMEOUT_S = 10.0
 MAX_TIMEOUT_S = 3600
-ADDRESS = 'host and port, such as "10.1.0.4:7100"'
-ADDRESSES = f"a list of at least one {ADDRESS}, each once"
+ADDRESS_FORMAT = 'host and port, such as "10.1.0.4:7100"'
+ADDRESS_LIST_FORMAT = f"a list of at least one {ADDRESS_FORMAT}, each once"
 KNOWN_KEYS = (
     "log",
     "entries",
@@ -66,49 +66,58 @@
     """Yield a problem for each wrong setting."""
     for key in values:
         if key not in KNOWN_KEYS:
-            wrong = f"is not a known key{near_match(key, KNOWN_KEYS)}"
+            wrong = f"is not a known key{did_you_mean(key, KNOWN_KEYS)}"
             yield Problem(path, key, wrong, ", ".join(KNOWN_KEYS))
     yield from _check_log(values, path)
     if "entries" in values:
         yield from _check_addresses("entries", values["entries"], path)
     else:
-        yield Problem(path, "entries", "is missing", ADDRESSES)
+        yield Problem(path, "entries", "is missing", ADDRESS_LIST_FORMAT)
     if "controllers" in values:
         yield from _check_addresses("controllers", values["controllers"], path)
     operator = values.get("operator", "")
     if not isinstance(operator, str):
-        yield Problem(path, "operator", f"is {show(operator)}", "your name as a text")
+        yield Problem(
+            path, "operator", f"is {format_value(operator)}", "your name as a text"
+        )
     token = values.get("handover_token", "")
     if not isinstance(token, str):
         allowed = "the handover_token of the entries, as a text"
         yield Problem(path, "handover_token", "is not a text", allowed)
     timeout = values.get("timeout_s", DEFAULT_TIMEOUT_S)
-    if not _is_duration(timeout):
+    if not _is_timeout(timeout):
         allowed = f"a number of seconds above 0, at most {MAX_TIMEOUT_S}"
-        yield Problem(path, "timeout_s", f"is {show(timeout)}", allowed)
+        yield Problem(path, "timeout_s", f"is {format_value(timeout)}", allowed)
 
 
 def _check_log(values: Mapping[str, Any], path: str) -> Iterator[Problem]:
     if "log" not in values:
-        yield Problem(path, "log", "is missing", ADDRESS)
+        yield Problem(path, "log", "is missing", ADDRESS_FORMAT)
         return
     log = values["log"]
     if not isinstance(log, str) or not is_address(log):
-        yield Problem(path, "log", f"is {show(log)}", ADDRESS)
+        yield Problem(path, "log", f"is {format_value(log)}", ADDRESS_FORMAT)
 
 
 def _check_addresses(key: str, addresses: Any, path: str) -> Iterator[Problem]:
     if not isinstance(addresses, list) or not addresses:
-        yield Problem(path, key, f"is {show(addresses)}", ADDRESSES)
+        yield Problem(path, key, f"is {format_value(addresses)}", ADDRESS_LIST_FORMAT)
         return
     for index, address in enumerate(addresses):
         if not isinstance(address, str) or not is_address(address):
-            yield Problem(path, key, f"contains {show(address)}", ADDRESSES)
+            yield Problem(
+                path, key, f"contains {format_value(address)}", ADDRESS_LIST_FORMAT
+            )
         elif address in addresses[:index]:
-            yield Problem(path, key, f"contains {show(address)} twice", ADDRESSES)
+            yield Problem(
+                path,
+                key,
+                f"contains {format_value(address)} twice",
+                ADDRESS_LIST_FORMAT,
+            )
 
 
-def _is_duration(value: Any) -> bool:
+def _is_timeout(value: Any) -> bool:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
     return math.isfinite(value) and 0 < value <= MAX_TIMEOUT_S
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -11,7 +11,7 @@
 # Leaves room for the author and the encoding of the batch.
 MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
 # Whatever is referred to is added first and removed last.
-_ADDED_IN_ORDER = ("zones", "pools", "organisations", "instances", "queues")
+_ADDITION_ORDER = ("zones", "pools", "organisations", "instances", "queues")
 
 
 def patch_text(patch: Mapping[str, Any]) -> str:
@@ -32,12 +32,12 @@
         return [dict(patch)]
     parts: list[dict[str, Any]] = []
     size = 0
-    for section, name, value in _pieces(patch):
-        piece_size = len(patch_text({section: {name: value}}))
-        if not parts or size + piece_size > max_bytes:
+    for section, name, value in _items_in_order(patch):
+        item_size = len(patch_text({section: {name: value}}))
+        if not parts or size + item_size > max_bytes:
             parts.append({})
             size = 0
-        size += piece_size
+        size += item_size
         if name is None:
             parts[-1][section] = value
         else:
@@ -45,28 +45,28 @@
     return parts
 
 
-def _pieces(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
+def _items_in_order(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
     for section, value in patch.items():
         is_table = isinstance(value, Mapping) and value
-        if value is not None and not (is_table and section in _ADDED_IN_ORDER):
+        if value is not None and not (is_table and section in _ADDITION_ORDER):
             yield section, None, value
-    for section in _ADDED_IN_ORDER:
-        for name, value in _items(patch, section):
+    for section in _ADDITION_ORDER:
+        for name, value in _table_items(patch, section):
             if value is not None:
                 yield section, name, value
-    for section in reversed(_ADDED_IN_ORDER):
-        for name, value in _items(patch, section):
+    for section in reversed(_ADDITION_ORDER):
+        for name, value in _table_items(patch, section):
             if value is None:
                 yield section, name, value
-    for section in reversed([*_others(patch), *_ADDED_IN_ORDER]):
+    for section in reversed([*_other_sections(patch), *_ADDITION_ORDER]):
         if section in patch and patch[section] is None:
             yield section, None, None
 
 
-def _others(patch: Mapping[str, Any]) -> list[str]:
-    return [section for section in patch if section not in _ADDED_IN_ORDER]
+def _other_sections(patch: Mapping[str, Any]) -> list[str]:
+    return [section for section in patch if section not in _ADDITION_ORDER]
 
 
-def _items(patch: Mapping[str, Any], section: str) -> list[tuple[str, Any]]:
+def _table_items(patch: Mapping[str, Any], section: str) -> list[tuple[str, Any]]:
     value = patch.get(section)
     return list(value.items()) if isinstance(value, Mapping) else []
--- a/libs/operator/src/lycheeloom/operator/status_text.py
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -12,7 +12,7 @@
 from .output import table
 
 _ENDED = (WaveState.DONE, WaveState.ABORTED)
-Rows = tuple[Sequence[str], list[Sequence[Any]]]
+TableData = tuple[Sequence[str], list[Sequence[Any]]]
 
 
 def status_lines(
@@ -32,10 +32,10 @@
         )
         for title, rows in _fleet_tables(newest):
             lines += ["", title, *table(*rows)]
-    return [*lines, "", "Entries", *table(*_entry_rows(statuses))]
+    return [*lines, "", "Entries", *table(*_entry_table(statuses))]
 
 
-def wave_rows(waves: Mapping[str, WaveStatus]) -> Rows:
+def wave_table(waves: Mapping[str, WaveStatus]) -> TableData:
     """Return a row for each wave."""
     headers = ("wave", "state", "done", "in progress", "failed", "ends in", "reason")
     return headers, [
@@ -45,14 +45,14 @@
             f"{wave.done} of {wave.total}",
             wave.in_progress,
             wave.failed,
-            "ended" if wave.state in _ENDED else duration(wave.ends_in_s),
+            "ended" if wave.state in _ENDED else format_duration(wave.ends_in_s),
             wave.reason,
         )
         for name, wave in waves.items()
     ]
 
 
-def duration(seconds: float | None) -> str:
+def format_duration(seconds: float | None) -> str:
     """Return a duration in the unit that people would use."""
     if seconds is None:
         return "unknown"
@@ -63,16 +63,16 @@
     return f"{seconds / 3600:.3g} h"
 
 
-def _fleet_tables(status: StatusDocument) -> Iterator[tuple[str, Rows]]:
-    yield "Organisations", _organisation_rows(status)
-    yield "Queues", _queue_rows(status)
-    yield "Zones", _zone_rows(status)
-    yield "Pools", _pool_rows(status)
+def _fleet_tables(status: StatusDocument) -> Iterator[tuple[str, TableData]]:
+    yield "Organisations", _organisation_table(status)
+    yield "Queues", _queue_table(status)
+    yield "Zones", _zone_table(status)
+    yield "Pools", _pool_table(status)
     if status.waves:
-        yield "Maintenance waves", wave_rows(status.waves)
+        yield "Maintenance waves", wave_table(status.waves)
 
 
-def _organisation_rows(status: StatusDocument) -> Rows:
+def _organisation_table(status: StatusDocument) -> TableData:
     headers = (
         "organisation",
         "running",
@@ -98,7 +98,7 @@
     ]
 
 
-def _queue_rows(status: StatusDocument) -> Rows:
+def _queue_table(status: StatusDocument) -> TableData:
     headers = ("queue", "pool", "kind", "running", "queued", "at most", "oldest")
     return headers, [
         (
@@ -108,13 +108,13 @@
             queue.running,
             queue.queued,
             queue.max_queued,
-            duration(queue.oldest_wait_ms / 1000),
+            format_duration(queue.oldest_wait_ms / 1000),
         )
         for name, queue in status.queues.items()
     ]
 
 
-def _zone_rows(status: StatusDocument) -> Rows:
+def _zone_table(status: StatusDocument) -> TableData:
     headers = ("zone", "state", "in service", "workers", "running")
     return headers, [
         (name, str(zone.state), zone.in_service, zone.workers, zone.running)
@@ -122,7 +122,7 @@
     ]
 
 
-def _pool_rows(status: StatusDocument) -> Rows:
+def _pool_table(status: StatusDocument) -> TableData:
     headers = ("pool", "in service", "workers", "needed", "buffer", "wanted", "away")
     return headers, [
         (
@@ -138,7 +138,9 @@
     ]
 
 
-def _entry_rows(statuses: Mapping[str, StatusDocument | EntryUnavailable]) -> Rows:
+def _entry_table(
+    statuses: Mapping[str, StatusDocument | EntryUnavailable],
+) -> TableData:
     headers = ("entry", "instance", "zone", "state", "version", "log read", "offset")
     rows: list[Sequence[Any]] = []
     for address, status in statuses.items():
@@ -153,7 +155,7 @@
                 status.zone,
                 _entry_state(status),
                 status.config_version,
-                "never" if age is None else f"{duration(age)} ago",
+                "never" if age is None else f"{format_duration(age)} ago",
                 status.next_offset,
             )
         )
--- a/libs/operator/src/lycheeloom/operator/toml_reader.py
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -9,10 +9,12 @@
 from pathlib import Path
 from typing import Any
 
-from .problems import Problem, join_key, show
+from .problems import Problem, format_value, join_key
 
-_DECLARED_TWICE = re.compile(r"Cannot (?:declare|mutate immutable namespace) (\(.*\))")
-_PLACE = re.compile(r"\s*\(at (?:line (\d+), column \d+|end of document)\)$")
+_DUPLICATE_DECLARATION = re.compile(
+    r"Cannot (?:declare|mutate immutable namespace) (\(.*\))"
+)
+_POSITION = re.compile(r"\s*\(at (?:line (\d+), column \d+|end of document)\)$")
 
 
 # Written by ``print_config`` beside the document; not part of it.
@@ -55,7 +57,7 @@
         return ConfigFile(file.source, document)
     if not isinstance(version, int) or isinstance(version, bool) or version < 0:
         allowed = "the version that config show printed, 0 or more"
-        return Problem(file.source, VERSION_KEY, f"is {show(version)}", allowed)
+        return Problem(file.source, VERSION_KEY, f"is {format_value(version)}", allowed)
     return ConfigFile(file.source, document, version)
 
 
@@ -75,20 +77,24 @@
     try:
         return TomlFile(source, tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
-        return _describe(str(error), text, source)
+        return _syntax_problem(str(error), text, source)
 
 
-def _describe(message: str, text: str, source: str) -> Problem:
-    place = _PLACE.search(message)
-    line = int(place.group(1)) if place and place.group(1) else text.count("\n") + 1
-    reason = _PLACE.sub("", message)
-    declared = _DECLARED_TWICE.search(reason)
-    if declared:
-        parts = [str(part) for part in ast.literal_eval(declared.group(1))]
-        return _defined_twice(source, join_key(*parts), parts[0], line)
+def _syntax_problem(message: str, text: str, source: str) -> Problem:
+    position = _POSITION.search(message)
+    line = (
+        int(position.group(1))
+        if position and position.group(1)
+        else text.count("\n") + 1
+    )
+    reason = _POSITION.sub("", message)
+    duplicate = _DUPLICATE_DECLARATION.search(reason)
+    if duplicate:
+        parts = [str(part) for part in ast.literal_eval(duplicate.group(1))]
+        return _duplicate_problem(source, join_key(*parts), parts[0], line)
     if reason == "Cannot overwrite a value":
         key, section = _key_at(text, line)
-        return _defined_twice(source, key, section, line)
+        return _duplicate_problem(source, key, section, line)
     return Problem(
         source, f"line {line}", reason[:1].lower() + reason[1:], "valid TOML"
     )
@@ -105,7 +111,7 @@
     return name, ""
 
 
-def _defined_twice(source: str, key: str, section: str, line: int) -> Problem:
+def _duplicate_problem(source: str, key: str, section: str, line: int) -> Problem:
     if section == "instances":
         return Problem(
             source,
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -12,8 +12,8 @@
 from .toml_reader import VERSION_KEY
 
 SECTIONS = ("zones", "pools", "organisations", "queues", "instances")
-PRINTED_FROM = "It can be published while this version is in force."
-UNKNOWN_FIELD = "Unknown to this program version; kept as it is."
+VERSION_COMMENT = "It can be published while this version is in force."
+UNKNOWN_FIELD_COMMENT = "Unknown to this program version; kept as it is."
 
 
 def print_config(document: Mapping[str, Any], version: int | None = None) -> str:
@@ -24,14 +24,14 @@
     document leaves out are printed as comments. The document holds no null,
     which TOML cannot express and a merge patch cannot leave in a table.
     """
-    lines = list(_head(document, version))
+    lines = list(_header(document, version))
     for section in SECTIONS:
         if section in document:
             lines += _section(section, document[section])
     return "\n".join(lines) + "\n"
 
 
-def _head(document: Mapping[str, Any], version: int | None) -> Iterator[str]:
+def _header(document: Mapping[str, Any], version: int | None) -> Iterator[str]:
     counts = ", ".join(
         f"{section} {len(document[section])}"
         for section in SECTIONS
@@ -40,95 +40,95 @@
     yield f"# Number of entries in each part: {counts or 'none'}."
     yield "# Lines that start with # only explain; programs do not read them."
     if version is not None:
-        yield f"{VERSION_KEY} = {version}  # {PRINTED_FROM}"
+        yield f"{VERSION_KEY} = {version}  # {VERSION_COMMENT}"
     if "name" in document:
-        yield f"name = {_value(document['name'])}  # The name of this fleet."
+        yield f"name = {_toml_value(document['name'])}  # The name of this fleet."
     for name, value in document.items():
         if name != "name" and name not in SECTIONS:
-            yield f"{_key(name)} = {_value(value)}  # {UNKNOWN_FIELD}"
+            yield f"{_toml_key(name)} = {_toml_value(value)}  # {UNKNOWN_FIELD_COMMENT}"
 
 
-def _section(section: str, entries: Any) -> Iterator[str]:
-    if section == "instances" or not entries:
+def _section(section: str, items: Any) -> Iterator[str]:
+    if section == "instances" or not items:
         yield ""
         yield f"[{section}]"
     if section == "instances":
         yield "# One line for each worker instance. cores counts processor cores,"
         yield "# memory_mb is memory in MB, accelerators counts accelerators."
-    for name, entry in entries.items():
+    for name, item in items.items():
         if section == "instances":
-            yield from _instance(name, entry)
+            yield from _instance(name, item)
             continue
         yield ""
-        yield from _table(section, (section, name), entry)
+        yield from _table(section, (section, name), item)
 
 
-def _instance(name: str, entry: Mapping[str, Any]) -> Iterator[str]:
-    if {"pool", "zone", "rack", "cores", "memory_mb"} <= entry.keys():
-        yield "# " + _comment(
-            f"Worker {name} of pool {entry['pool']} is in zone {entry['zone']}, rack "
-            f"{entry['rack']}; cores: {entry['cores']}, memory: {entry['memory_mb']} "
-            f"MB, accelerators: {entry.get('accelerators', 0)}."
+def _instance(name: str, item: Mapping[str, Any]) -> Iterator[str]:
+    if {"pool", "zone", "rack", "cores", "memory_mb"} <= item.keys():
+        yield "# " + _single_line(
+            f"Worker {name} of pool {item['pool']} is in zone {item['zone']}, rack "
+            f"{item['rack']}; cores: {item['cores']}, memory: {item['memory_mb']} "
+            f"MB, accelerators: {item.get('accelerators', 0)}."
         )
-    yield f"{_key(name)} = {_value(entry)}"
+    yield f"{_toml_key(name)} = {_toml_value(item)}"
 
 
 def _table(
-    section: str, path: tuple[str, ...], entry: Mapping[str, Any]
+    section: str, path: tuple[str, ...], item: Mapping[str, Any]
 ) -> Iterator[str]:
-    yield f"[{'.'.join(_key(part) for part in path)}]"
+    yield f"[{'.'.join(_toml_key(part) for part in path)}]"
     meanings = MEANING_BY_FIELD[section]
     for name, meaning in meanings.items():
-        if name in entry and name != "keys":
-            text = _comment(meaning.explain(entry[name]))
-            yield f"{name} = {_value(entry[name])}  # {text}"
-    for name, value in entry.items():
+        if name in item and name != "keys":
+            text = _single_line(meaning.explain(item[name]))
+            yield f"{name} = {_toml_value(item[name])}  # {text}"
+    for name, value in item.items():
         if name not in meanings:
-            yield f"{_key(name)} = {_value(value)}  # {UNKNOWN_FIELD}"
-    yield from _defaults(section, entry)
-    if section == "organisations" and "keys" in entry:
-        yield from _keys(path, entry["keys"])
+            yield f"{_toml_key(name)} = {_toml_value(value)}  # {UNKNOWN_FIELD_COMMENT}"
+    yield from _defaults(section, item)
+    if section == "organisations" and "keys" in item:
+        yield from _organisation_keys(path, item["keys"])
 
 
-def _defaults(section: str, entry: Mapping[str, Any]) -> Iterator[str]:
+def _defaults(section: str, item: Mapping[str, Any]) -> Iterator[str]:
     for name, meaning in MEANING_BY_FIELD[section].items():
         default = default_of(section, name)
-        if name in entry or default is None or default == [] or default == {}:
+        if name in item or default is None or default == [] or default == {}:
             continue
         noun = NOUN_BY_SECTION[section]
         yield (
-            f"# {name} is {_value(default)} unless this {noun} sets it. "
+            f"# {name} is {_toml_value(default)} unless this {noun} sets it. "
             f"{meaning.explain(default)}"
         )
 
 
-def _keys(path: tuple[str, ...], keys: Mapping[str, Any]) -> Iterator[str]:
-    yield f"[{'.'.join(_key(part) for part in (*path, 'keys'))}]"
+def _organisation_keys(path: tuple[str, ...], keys: Mapping[str, Any]) -> Iterator[str]:
+    yield f"[{'.'.join(_toml_key(part) for part in (*path, 'keys'))}]"
     yield f"# {MEANING_BY_FIELD['organisations']['keys'].explain(None)}"
-    for key_id, entry in keys.items():
-        yield f"{_key(key_id)} = {_value(entry)}"
+    for key_id, item in keys.items():
+        yield f"{_toml_key(key_id)} = {_toml_value(item)}"
 
 
-def _key(name: str) -> str:
+def _toml_key(name: str) -> str:
     if name and all(
         char.isascii() and (char.isalnum() or char in "-_") for char in name
     ):
         return name
-    return _value(name)
+    return _toml_value(name)
 
 
-def _value(value: Any) -> str:
+def _toml_value(value: Any) -> str:
     if isinstance(value, Mapping):
         parts = ", ".join(
-            f"{_key(name)} = {_value(item)}" for name, item in value.items()
+            f"{_toml_key(name)} = {_toml_value(item)}" for name, item in value.items()
         )
         return f"{{ {parts} }}" if parts else "{}"
     if isinstance(value, list):
-        return f"[{', '.join(_value(item) for item in value)}]"
+        return f"[{', '.join(_toml_value(item) for item in value)}]"
     return tomlkit.item(value).as_string()
 
 
-def _comment(text: str) -> str:
+def _single_line(text: str) -> str:
     """Return text without characters that would end the comment."""
     if text.isprintable():
         return text
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -13,12 +13,12 @@
 class WavePreview:
     """Rounds of instances that the availability budgets let rest together.
 
-    ``never`` are instances that no round may take: a budget allows 0, or their
+    ``never_maintained`` are instances that no round may take: a budget allows 0, or their
     pool and the spare pool have no instance above the need.
     """
 
     rounds: tuple[tuple[str, ...], ...]
-    never: tuple[str, ...]
+    never_maintained: tuple[str, ...]
 
     @property
     def instance_count(self) -> int:
@@ -36,35 +36,37 @@
     The controller decides by what is really available; this preview assumes
     that no instance fails and that every round takes equally long.
     """
-    wanted = [
+    selected = [
         instance
         for instance in config.instance_by_id.values()
         if not pools or instance.pool in pools
     ]
     # Neighbours in a rack follow each other, so that racks are done in turn.
-    waiting = sorted(wanted, key=lambda item: (item.zone, item.rack, item.id))
+    remaining = sorted(selected, key=lambda item: (item.zone, item.rack, item.id))
     layout = Layout(config, {})
-    never = tuple(item.id for item in waiting if not _Round(layout).take(item))
-    waiting = [item for item in waiting if item.id not in set(never)]
+    never_maintained = tuple(
+        item.id for item in remaining if not _Round(layout).try_add(item)
+    )
+    remaining = [item for item in remaining if item.id not in set(never_maintained)]
     rounds = []
-    while waiting:
+    while remaining:
         current = _Round(layout)
-        left = [item for item in waiting if not current.take(item)]
-        taken = {item.id for item in waiting} - {item.id for item in left}
-        rounds.append(tuple(item.id for item in waiting if item.id in taken))
-        waiting = left
-    return WavePreview(tuple(rounds), never)
+        deferred = [item for item in remaining if not current.try_add(item)]
+        added = {item.id for item in remaining} - {item.id for item in deferred}
+        rounds.append(tuple(item.id for item in remaining if item.id in added))
+        remaining = deferred
+    return WavePreview(tuple(rounds), never_maintained)
 
 
 class _Round:
     """Instances out together, under the rules that the controller keeps."""
 
     def __init__(self, layout: Layout) -> None:
-        self._ledger = BudgetUsage(layout, ())
+        self._usage = BudgetUsage(layout, ())
 
-    def take(self, instance: Instance) -> bool:
+    def try_add(self, instance: Instance) -> bool:
         """Add an instance to the round if all budgets allow it."""
-        if self._ledger.blocking_limit(instance.id) is not None:
+        if self._usage.blocking_limit(instance.id) is not None:
             return False
-        self._ledger.take(instance.id)
+        self._usage.take(instance.id)
         return True
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -34,7 +34,7 @@
     faults: deque = field(default_factory=deque)
     delayed: list[bytes] = field(default_factory=list)
     late: list[bytes] = field(default_factory=list)
-    unreadable: int = 0
+    failing_reads: int = 0
     oldest: int = 0
     address: str = "10.0.0.9:7000"
     before_append: object = None
@@ -62,8 +62,8 @@
         return Appended(offset)
 
     def read(self, first_offset, limit, wait_s, *, margin_s=2.0):
-        if self.unreadable:
-            self.unreadable -= 1
+        if self.failing_reads:
+            self.failing_reads -= 1
             return Unavailable("http status 503")
         if first_offset < self.oldest:
             return Expired(self.oldest)
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -15,7 +15,7 @@
     main as command,
 )
 from lycheeloom.operator.cli_parser import build_parser
-from lycheeloom.operator.entries import UnknownThing
+from lycheeloom.operator.entries import ExplanationNotFound
 from lycheeloom.operator.main import COMMANDS, main
 
 from .conftest import FakeEntry
@@ -250,7 +250,7 @@
     )
     entry.explain = lambda kind, name: Explanation((f"The {kind} {name} is full.",))
     assert run("explain", "pool", "lookup") == (0, "The pool lookup is full.\n")
-    entry.explain = lambda kind, name: UnknownThing()
+    entry.explain = lambda kind, name: ExplanationNotFound()
     assert run("explain", "pool", "x") == (7, "No entry knows the pool x.\n")
     text = "No decision about the whole fleet is known.\n"
     assert run("explain", "fleet") == (7, text)
@@ -273,7 +273,7 @@
         4,
         f"Nothing was changed: the log at 10.0.0.9:7000 is unavailable.\n{advice}",
     )
-    log.unreadable = 1000
+    log.failing_reads = 1000
     assert run("zone", "out", "north") == (
         4,
         "Nothing was changed: the log at 10.0.0.9:7000 cannot be read (http status "
@@ -286,7 +286,7 @@
 )
 def test_reading_in_an_outage_of_the_log(run, published, log, command):
     """Guards against "Nothing was changed" from a command that changes nothing."""
-    log.unreadable = 1000
+    log.failing_reads = 1000
     assert run(*command) == (
         4,
         "The log at 10.0.0.9:7000 cannot be read (http status 503).\n"
--- a/libs/operator/tests/test_differences.py
+++ b/libs/operator/tests/test_differences.py
@@ -53,4 +53,4 @@
 def test_sentence(section, before, after, sentence):
     """Guards against a zone out that reads as if its state had not existed."""
     changes = compare({section: {"a": before}}, {section: {"a": after}})
-    assert [change.sentence() for change in changes] == [sentence]
+    assert [change.describe() for change in changes] == [sentence]
--- a/libs/operator/tests/test_entries.py
+++ b/libs/operator/tests/test_entries.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lycheeloom.operator import Entries, EntryClient, EntryUnavailable, Explanation
-from lycheeloom.operator.entries import UnknownThing
+from lycheeloom.operator.entries import ExplanationNotFound
 
 
 class _QuietHandler(WSGIRequestHandler):
@@ -79,7 +79,7 @@
     [
         ("200 OK", b'{"events": [{"sentence": "Moved."}]}', Explanation(("Moved.",))),
         ("200 OK", b"{}", EntryUnavailable("the answer is not an explanation")),
-        ("404 Not Found", b"", UnknownThing()),
+        ("404 Not Found", b"", ExplanationNotFound()),
         ("500 Error", b"", EntryUnavailable("http status 500")),
     ],
 )
--- a/libs/operator/tests/test_exit_codes.py
+++ b/libs/operator/tests/test_exit_codes.py
@@ -105,8 +105,8 @@
     tested = {code for code, _ in ENDINGS} | {
         ExitCode.LOST_RACE,
         ExitCode.UNAVAILABLE,
-        ExitCode.UNKNOWN,
-        ExitCode.DIFFERENT,
+        ExitCode.OUTCOME_UNKNOWN,
+        ExitCode.DIFFERENCES_FOUND,
         ExitCode.INTERRUPTED,
     }
     assert tested == set(MEANING_BY_EXIT_CODE)
@@ -114,7 +114,7 @@
 
 ENDINGS = (
     (ExitCode.OK, ["config", "history"]),
-    (ExitCode.MISTAKES, ["zone", "out", "norht"]),
+    (ExitCode.INVALID_INPUT, ["zone", "out", "norht"]),
     (ExitCode.USAGE, ["zone", "sideways", "north"]),
     (ExitCode.NOT_IN_FORCE, ["zone", "out", "north", "--timeout-s", "0.5"]),
     (ExitCode.NOT_FOUND, ["wave", "status", "kernel-6"]),
@@ -144,7 +144,7 @@
         fleet_file.read_text().replace("upper_limit = 10", "upper_limit = 11")
     )
     code, printed = run("config", "diff", str(fleet_file), "--exit-code")
-    assert code == ExitCode.DIFFERENT, printed
+    assert code == ExitCode.DIFFERENCES_FOUND, printed
 
 
 @pytest.mark.parametrize("fault", ["outage", "down"])
@@ -159,7 +159,7 @@
 def test_outcome_unknown(run, log_address, losing_log, fleet_file):
     """Guards against calling a change unmade that took effect."""
     code, printed = run("zone", "out", "north", "--timeout-s", "1", log=losing_log)
-    assert code == ExitCode.UNKNOWN, printed
+    assert code == ExitCode.OUTCOME_UNKNOWN, printed
     assert printed.startswith("It is not known whether the change takes effect: ")
     assert losing_log in printed
     set_faults(log_address, lose_answers=0)
--- a/libs/operator/tests/test_log_story.py
+++ b/libs/operator/tests/test_log_timeline.py
@@ -5,7 +5,11 @@
 import pytest
 
 from lycheeloom.operator.exit_codes import ExitCode
-from lycheeloom.operator.log_story import parse_line, tell_leaders, tell_story
+from lycheeloom.operator.log_timeline import (
+    build_leader_timeline,
+    build_timeline,
+    parse_line,
+)
 from lycheeloom.operator.main import main
 
 JOB = "5c0e7a21d94b36f8"
@@ -35,7 +39,7 @@
 
 def test_story_is_in_order_over_processes_with_gaps(log):
     """Guards against stories that hide the time in which nothing was logged."""
-    story = tell_story(log, JOB)
+    story = build_timeline(log, JOB)
     events = [row.split()[2] for row in story if not row.startswith(" ")]
     assert events == [
         "job_submitted",
@@ -50,13 +54,15 @@
 
 def test_missing_parts_are_named(log):
     """Guards against taking a missing log for a job that was never handled."""
-    story = tell_story(log[1:3], JOB)
+    story = build_timeline(log[1:3], JOB)
     assert "    no line of a leader that took it over" in story
 
 
 def test_story_of_the_leaders(log):
     """Guards against changes of leader that cannot be followed."""
-    assert tell_leaders(log) == ["2026-12-04T10:00:08.000+00:00 n2 lead_taken token=2"]
+    assert build_leader_timeline(log) == [
+        "2026-12-04T10:00:08.000+00:00 n2 lead_taken token=2"
+    ]
 
 
 def test_prefixes_and_quoted_values_are_read():
@@ -73,4 +79,4 @@
     assert "task_adopted" in capsys.readouterr().out
     assert main(["explain", "job", "f" * 16, "--logs", str(path)]) == ExitCode.NOT_FOUND
     missing = str(tmp_path / "none")
-    assert main(["explain", "leader", "--logs", missing]) == ExitCode.MISTAKES
+    assert main(["explain", "leader", "--logs", missing]) == ExitCode.INVALID_INPUT
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -110,7 +110,7 @@
 
 def test_an_unreadable_log_publishes_nothing(make_operator, log, fleet):
     """Guards against publishing without knowing what is in force."""
-    log.unreadable = 1
+    log.failing_reads = 1
     result = make_operator("aoife").publish(fleet, 0)
     assert result == LogUnavailable(
         "the log at 10.0.0.9:7000 cannot be read (http status 503)"
