--- a/libs/operator/src/lycheeloom/operator/__init__.py
+++ b/libs/operator/src/lycheeloom/operator/__init__.py
@@ -1,4 +1,4 @@
-"""Operator library and command."""
+"""Library and ``lycheeloom`` command for the operators of a fleet."""
 
 from .appending import Clock, NotAccepted, OutcomeUnknown
 from .checks import check_document
--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -1,4 +1,4 @@
-"""Appends batches and finds out what became of them."""
+"""Appends batches to the log and determines whether they took effect."""
 
 from __future__ import annotations
 
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The batch is in the log; ``outcome`` says what took effect."""
+    """The batch is in the log.
+
+    ``outcome`` tells which of its records took effect; ``data`` is the encoded batch.
+    """
 
     outcome: BatchOutcome
     data: bytes
@@ -32,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotAccepted:
-    """The batch is certainly not in the log and never will be.
+    """The batch is not in the log and will not appear there later.
 
     ``may_repeat`` is False if the log would refuse the same batch again.
     """
@@ -43,24 +46,24 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
-    """The batch may be in the log, now or later."""
+    """The batch may be in the log already or appear there later."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class Clock:
-    """Time as the library sees it, replaced in tests."""
+    """Source of time, which tests replace: ``now_s`` is monotonic, in seconds."""
 
     now_s: Callable[[], float] = time.monotonic
     sleep: Callable[[float], None] = time.sleep
 
 
 class Appender:
-    """Appends the batches of one author, each under the next sequence number.
+    """Appends the batches of one author, each with the next sequence number.
 
-    A lost answer is resolved by reading the log back. The batch is repeated
-    with the same sequence number, so it takes effect at most once.
+    If the answer to an append is lost, the log is read to see whether it holds the
+    batch. Retries keep the sequence number, so a batch takes effect at most once.
     """
 
     def __init__(self, log: Log, view: LogView, author: str, clock: Clock) -> None:
@@ -73,7 +76,7 @@
     def append(
         self, records: tuple[Record, ...], timeout_s: float
     ) -> Accepted | NotAccepted | OutcomeUnknown:
-        """Append records as one batch and read back what they did."""
+        """Append records as one batch and read back which of them took effect."""
         self._sequence += 1
         data = encode_batch(Batch(self._author, self._sequence, records))
         deadline_s = self._clock.now_s() + timeout_s
--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -1,4 +1,4 @@
-"""Commands that change the fleet."""
+"""Handlers of the commands that change the fleet."""
 
 from __future__ import annotations
 
@@ -18,10 +18,12 @@
 from .results import NothingToChange, Published
 from .toml_reader import VERSION_KEY, ConfigFile, read_config
 
-# Where a mistake is: in an argument, or in the configuration that would follow.
+# Shown instead of a file name: the problem is in an argument of the command, or in the
+# configuration that the change would produce.
 COMMAND_LINE = "command line"
 AFTER_CHANGE = "after this change"
 
+# The state that a command brings a wave into, and the states from which it may.
 _STATES_BY_COMMAND = {
     "wave start": (WaveState.RUNNING, (WaveState.ABSENT,)),
     "wave pause": (WaveState.PAUSED, (WaveState.RUNNING,)),
@@ -31,7 +33,7 @@
 
 
 def publish_file(operator: Operator, args: argparse.Namespace) -> Report:
-    """Publish a configuration file under the version it was printed from."""
+    """Publish a configuration file if the version it was printed from is in force."""
     file = read_config(args.file)
     if isinstance(file, Problem):
         return report_problems([file])
@@ -54,7 +56,7 @@
 
 
 def grant_key(operator: Operator, args: argparse.Namespace) -> Report:
-    """Make a key and show it."""
+    """Create a key for an organisation and show its token."""
     made: list[NewKey | None] = []
     report = _change(
         operator,
@@ -77,7 +79,7 @@
 
 
 def withdraw_key(operator: Operator, args: argparse.Namespace) -> Report:
-    """Withdraw a key."""
+    """Withdraw a key of an organisation."""
     return _change(
         operator,
         args,
@@ -109,7 +111,7 @@
 
 
 def move_instance(operator: Operator, args: argparse.Namespace) -> Report:
-    """Set the wanted pool of an instance."""
+    """Set the pool that an instance is to belong to."""
     return _change(
         operator,
         args,
@@ -163,10 +165,11 @@
     argument_by_key: Mapping[str, str],
     unchanged_message: str = "",
 ) -> Report:
-    """Make a small change; ``unchanged_message`` says that it is made already.
+    """Edit the configuration in force and publish the result.
 
-    ``argument_by_key`` names the argument that was mistaken where the draft
-    reports a key of the document.
+    ``unchanged_message`` is shown if the edit changes nothing. A problem that the
+    draft reports for a key of ``argument_by_key`` is shown as one of that argument
+    of the command.
     """
 
     def edit_and_name_arguments(draft: Draft) -> None:
--- a/libs/operator/src/lycheeloom/operator/checks.py
+++ b/libs/operator/src/lycheeloom/operator/checks.py
@@ -1,4 +1,4 @@
-"""Checks a configuration and returns every mistake in one go."""
+"""Runs all checks of a configuration and collects their problems."""
 
 from __future__ import annotations
 
@@ -25,9 +25,9 @@
 ) -> list[Problem]:
     """Return all problems of a document, without duplicates.
 
-    ``in_force`` is the document that this one replaces and ``usage`` what the
-    fleet does now. A document without errors is one that ``parse_config``
-    accepts, so every entry will accept it too.
+    ``in_force`` is the document that this one replaces; ``usage`` is what the fleet
+    runs now. ``parse_config`` accepts a document without errors, so every entry
+    accepts it too.
     """
     problems = [
         *check_fields(document, in_force or {}, file),
@@ -49,7 +49,7 @@
 def _check_json_types(
     path: tuple[str, ...], value: Any, file: str
 ) -> Iterator[Problem]:
-    """Find TOML values that JSON, in which documents are published, lacks."""
+    """Find values that JSON, the format of published documents, cannot express."""
     if isinstance(value, Mapping):
         for name, item in value.items():
             yield from _check_json_types((*path, name), item, file)
--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -11,10 +11,10 @@
 from .settings import DEFAULT_PATH, PATH_VARIABLE
 
 VERSION = "0.1.0"
-# The kind that needs no name.
+# Kinds of objects that entries and controllers explain; "fleet" needs no name.
 FLEET_KIND = "fleet"
 EXPLAINED_KINDS = ("request", "instance", "pool", "organisation", FLEET_KIND)
-# Kinds that are explained from log lines.
+# Kinds of objects that ``--logs`` explains from log lines; "leader" needs no name.
 LEADER_KIND = "leader"
 LOGGED_KINDS = ("job", "instance", "worker", "wave", LEADER_KIND)
 ALL_KINDS = tuple(dict.fromkeys(EXPLAINED_KINDS + LOGGED_KINDS))
@@ -26,7 +26,7 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Return the parser; ``args.command`` is such as ``"zone out"``."""
+    """Return the parser; it sets ``args.command`` to, for example, ``"zone out"``."""
     parser = argparse.ArgumentParser(
         prog="lycheeloom",
         description="Manages the configuration and maintenance of a fleet.",
@@ -91,7 +91,7 @@
         epilog=_examples(*examples),
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    # Without defaults, so that options before the command are kept.
+    # No defaults here: they would override options given before the command.
     _add_common(parser, argparse.SUPPRESS, argparse.SUPPRESS, argparse.SUPPRESS)
     parser.set_defaults(command=command)
     return parser
@@ -225,7 +225,7 @@
         "--no-reboot", action="store_true", help="drain and return without a reboot"
     )
     for word, text in (
-        ("pause", "begin no further instance"),
+        ("pause", "begin maintenance of no further instance"),
         ("resume", "continue a paused wave"),
         ("abort", "end a wave; instances in progress are finished"),
     ):
@@ -282,12 +282,12 @@
         "--logs",
         nargs="+",
         metavar="FILE",
-        help="tell the story from log lines in these files; - is standard input",
+        help="build a timeline from log lines in these files; - is standard input",
     )
     watch = _add_command(
         groups,
         "watch",
-        "print the status again and again, until Ctrl-C",
+        "print the status repeatedly, until Ctrl-C",
         "lycheeloom watch --interval-s 5",
         "lycheeloom watch --count 3",
     )
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -16,20 +16,20 @@
         return "ABSENT"
 
 
-# Marks a side of a change on which the key does not exist.
+# Value of a key that does not exist before or after a change.
 ABSENT: Any = _Absent()
 
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One key that differs; a side without it holds ``ABSENT``."""
+    """One key whose value differs; ``ABSENT`` stands for a key that does not exist."""
 
     path: tuple[str, ...]
     before: Any
     after: Any
 
     def describe(self) -> str:
-        """Return the change as a line that can be read aloud."""
+        """Return the change as a sentence."""
         path_text = _describe_path(self.path)
         default = _default_text(self.path)
         if default is not None and self.before is ABSENT:
@@ -44,7 +44,10 @@
             return (
                 f"{path_text} is removed; it was {_summarise(self.path, self.before)}"
             )
-        return f"{path_text} changes from {format_value(self.before)} to {format_value(self.after)}"
+        return (
+            f"{path_text} changes from {format_value(self.before)} to "
+            f"{format_value(self.after)}"
+        )
 
 
 def compare(before: Mapping[str, Any], after: Mapping[str, Any]) -> list[Change]:
@@ -71,7 +74,7 @@
 
 
 def describe_patch(patch: Mapping[str, Any]) -> list[str]:
-    """Return what a patch sets, where the document before it is not known."""
+    """Describe what a patch sets, for when the document before it is not known."""
     return [
         f"{_describe_path(path)} is removed"
         if value is None
@@ -81,7 +84,7 @@
 
 
 def changed_paths(before: Mapping[str, Any], patch: Mapping[str, Any]) -> set[tuple]:
-    """Return the paths of a patch, to find two changes of the same key."""
+    """Return the paths of the keys that a patch sets or removes in a document."""
     return set(_patch_paths((), patch, before))
 
 
@@ -138,12 +141,15 @@
 
 
 def _is_compared_by_item(path: tuple[str, ...]) -> bool:
-    """Tell whether the entries below a path are compared one by one."""
+    """Tell whether the table at a path is compared item by item.
+
+    An added or removed section, or table of keys, gives one change for each item.
+    """
     return len(path) == 1 or (path[0] == "organisations" and path[2:] == ("keys",))
 
 
 def _is_same_json(first: Any, second: Any) -> bool:
-    # Python holds 1, 1.0 and True to be equal; a document does not.
+    # In Python 1 == 1.0 == True, but in a document these values differ.
     return json.dumps(first, sort_keys=True) == json.dumps(second, sort_keys=True)
 
 
@@ -172,7 +178,7 @@
 
 
 def _default_text(path: tuple[str, ...]) -> str | None:
-    """Return what holds while a field is not set, or None if nothing does."""
+    """Return the default of the field at a path, None if it has none or it is empty."""
     if len(path) != 3 or path[2] not in MEANING_BY_FIELD.get(path[0], {}):
         return None
     default = default_of(path[0], path[2])
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -1,4 +1,4 @@
-"""Builds a configuration step by step."""
+"""An editable copy of a configuration."""
 
 from __future__ import annotations
 
@@ -20,11 +20,10 @@
 
 
 class Draft:
-    """A configuration being edited; mistakes are collected, not raised.
+    """A configuration being edited; problems are collected, not raised.
 
-    Each method makes one change. A change that cannot be made (an unknown
-    name, a name used twice) adds a problem, which ``check`` returns with all
-    others:
+    Each method makes one change. A change that cannot be made, such as one with an
+    unknown or duplicate name, adds a problem to those that ``check`` returns:
 
         draft = Draft(in_force)
         draft.set_limit("red", 40)
@@ -41,7 +40,7 @@
         self.problems: list[Problem] = []
 
     def set_name(self, name: str) -> None:
-        """Name the fleet."""
+        """Set the name of the fleet."""
         self.document["name"] = name
 
     def add_zone(self, name: str, **settings: Any) -> None:
@@ -65,26 +64,26 @@
         self._add_item("queues", name, settings)
 
     def change(self, section: str, name: str, **settings: Any) -> None:
-        """Change settings of an entry that exists."""
+        """Change settings of an existing item of a section, such as ``zones``."""
         item = self._find_item(section, name)
         if item is not None:
             item.update(settings)
 
     def remove(self, section: str, name: str) -> None:
-        """Remove an entry that exists."""
+        """Remove an existing item of a section."""
         if self._find_item(section, name) is not None:
             del self.document[section][name]
 
     def set_share(self, organisation: str, share: float) -> None:
-        """Set how many parts of a full fleet an organisation gets."""
+        """Set the weight by which organisations divide a full fleet."""
         self.change("organisations", organisation, share=share)
 
     def set_limit(self, organisation: str, upper_limit: int) -> None:
-        """Set how many tasks of an organisation run at once across the fleet."""
+        """Set how many tasks of an organisation may run at once across the fleet."""
         self.change("organisations", organisation, upper_limit=upper_limit)
 
     def take_zone_out(self, zone: str) -> None:
-        """Let no task start in an availability zone."""
+        """Stop tasks from starting in an availability zone."""
         self.change("zones", zone, state=ZoneState.OUT.value)
 
     def bring_zone_in(self, zone: str) -> None:
@@ -99,7 +98,7 @@
             item["pool"] = pool
 
     def grant_key(self, organisation: str, key_id: str = "") -> NewKey | None:
-        """Add a key to an organisation; its token is shown this once."""
+        """Add a key to an organisation; its token cannot be read again later."""
         item = self._find_item("organisations", organisation)
         if item is None:
             return None
@@ -130,7 +129,7 @@
         del self.document["organisations"][owner]["keys"][key_id]
 
     def check(self, usage: Usage = NO_USAGE) -> list[Problem]:
-        """Return all mistakes of the draft in one go."""
+        """Return all problems of the draft."""
         found = check_document(self.document, self.file, self._in_force, usage)
         return [*self.problems, *found]
 
--- a/libs/operator/src/lycheeloom/operator/entries.py
+++ b/libs/operator/src/lycheeloom/operator/entries.py
@@ -1,4 +1,4 @@
-"""Asks entries for their status and hands accepted batches to them."""
+"""HTTP calls to entries and controllers: status, explanations, accepted batches."""
 
 from __future__ import annotations
 
@@ -29,18 +29,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Explanation:
-    """What an entry knows about the decisions on one thing."""
+    """Sentences that explain the decisions on one object, such as an instance."""
 
     sentences: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ExplanationNotFound:
-    """The entry has no record of it."""
+    """The entry has no record of the object asked about."""
 
 
 class EntryClient:
-    """Calls one entry; its connections are used by one thread at a time."""
+    """Calls one entry or controller; not for use by several threads at once."""
 
     def __init__(
         self,
@@ -69,7 +69,10 @@
     def hand_over(
         self, offset: int, batches: Sequence[bytes]
     ) -> EntryUnavailable | None:
-        """Give batches of the log to the entry; returns why if that failed."""
+        """Send batches of the log to the entry and return the failure, if any.
+
+        ``offset`` is the log offset of the first batch.
+        """
         encoded = [base64.b64encode(batch).decode() for batch in batches]
         body = json.dumps({"offset": offset, "batches": encoded}).encode()
         headers = dict(JSON_HEADERS)
@@ -86,7 +89,7 @@
     def explain(
         self, kind: str, name: str
     ) -> Explanation | ExplanationNotFound | EntryUnavailable:
-        """Return sentences that explain a request, instance, pool or organisation."""
+        """Ask for the decisions on a request, instance, pool, organisation or fleet."""
         path = f"/v1/explain/{quote(kind, safe='')}/{quote(name, safe='')}"
         answer = self._call("GET", path)
         if isinstance(answer, EntryUnavailable):
@@ -120,14 +123,14 @@
 
 
 class Entries:
-    """All entries of the fleet, called in parallel."""
+    """The entries of a fleet, or its controllers, called in parallel."""
 
     def __init__(self, clients: Sequence[EntryClient]) -> None:
         self._clients = tuple(clients)
 
     @classmethod
     def at(cls, addresses: Sequence[str], handover_token: str = "") -> Entries:
-        """Return the entries at these addresses."""
+        """Return clients for these addresses."""
         return cls(
             [
                 EntryClient(address, handover_token=handover_token)
@@ -140,7 +143,7 @@
         return self._call_each(lambda client: client.status())
 
     def hand_over(self, offset: int, batches: Sequence[bytes]) -> dict[str, str]:
-        """Hand batches to each entry; returns the reason of each failure."""
+        """Send batches to each entry and return the reason of each failure."""
         results = self._call_each(lambda client: client.hand_over(offset, batches))
         return {
             address: result.reason
@@ -151,7 +154,7 @@
     def explain(
         self, kind: str, name: str
     ) -> dict[str, Explanation | ExplanationNotFound | EntryUnavailable]:
-        """Ask each entry; a request may be known to one entry only."""
+        """Ask each entry, since a request may be known to one entry only."""
         return self._call_each(lambda client: client.explain(kind, name))
 
     def _call_each(self, call: Callable[[EntryClient], Any]) -> dict[str, Any]:
--- a/libs/operator/src/lycheeloom/operator/exit_codes.py
+++ b/libs/operator/src/lycheeloom/operator/exit_codes.py
@@ -6,7 +6,7 @@
 
 
 class ExitCode(IntEnum):
-    """What a script may conclude from the end of a command."""
+    """Exit code of a command; ``MEANING_BY_EXIT_CODE`` describes each one."""
 
     OK = 0
     INVALID_INPUT = 1
--- a/libs/operator/src/lycheeloom/operator/field_checks.py
+++ b/libs/operator/src/lycheeloom/operator/field_checks.py
@@ -17,18 +17,23 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _KEY_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 _ADDRESS = re.compile(r"(?:[A-Za-z0-9.-]+|\[[0-9A-Fa-f:]+\]):([0-9]{1,5})")
-NAME_RULE = "1 to 63 letters, digits, dots, hyphens or underscores, first no sign"
-KEY_ID_RULE = "1 to 63 letters, digits, hyphens or underscores, first no sign"
+NAME_RULE = (
+    "1 to 63 letters, digits, dots, hyphens or underscores, starting with a letter or "
+    "digit"
+)
+KEY_ID_RULE = (
+    "1 to 63 letters, digits, hyphens or underscores, starting with a letter or digit"
+)
 TOP_LEVEL = ("name", *SECTIONS)
 
 
 def check_fields(
     document: Mapping[str, Any], in_force: Mapping[str, Any], file: str
 ) -> Iterator[Problem]:
-    """Yield a problem for each field that is wrong by itself.
+    """Yield a problem for each field that is invalid regardless of other fields.
 
-    A field unknown to this program is accepted only if it is in force already,
-    published by a newer program; otherwise it is taken for a mistake.
+    A field unknown to this program version is accepted only if the configuration in
+    force has it already, since then a newer version published it.
     """
     name = document.get("name", "fleet")
     if not isinstance(name, str) or not name:
@@ -98,7 +103,7 @@
     fields = MEANING_BY_FIELD[section]
     values = {name: value for name, value in item.items() if name in fields}
     if isinstance(values.get("keys"), Mapping):
-        # Keys are checked one by one, so that each gets its own message.
+        # ``_check_item`` checks the keys one by one, each with its own message.
         values.pop("keys")
     seen = set()
     for error in _validation_errors(model, values):
@@ -115,7 +120,8 @@
 
 
 def _validation_errors(model: Any, values: Mapping[str, Any]) -> list[Any]:
-    # JSON mode is strict about types but accepts the texts of enums.
+    # Strict validation of JSON accepts the string value of an enum; of Python objects
+    # it would not.
     try:
         model.model_validate_json(json.dumps(values, default=str), strict=True)
     except ValidationError as error:
@@ -127,7 +133,7 @@
     if (section, name) == ("instances", "pool") and isinstance(value, list):
         return f"puts the instance in {len(value)} pools, {format_value(value)}"
     if section == "keys" and name == "digest":
-        # What stands here may be a secret key put in by mistake.
+        # The value is not shown, since it may be a secret key entered by mistake.
         return "is not the salted hash of a key"
     if isinstance(value, float) and not math.isfinite(value):
         return f"is {value}"
@@ -144,7 +150,7 @@
 
 
 def is_address(text: str) -> bool:
-    """Tell whether a text is a host and a port from 1 to 65535."""
+    """Tell whether a text is a host and a port from 1 to 65535, as ``host:port``."""
     match = _ADDRESS.fullmatch(text)
     return match is not None and 1 <= int(match.group(1)) <= 65535
 
--- a/libs/operator/src/lycheeloom/operator/log_timeline.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -1,4 +1,4 @@
-"""Tells the story of one job, instance or of the leaders from log lines."""
+"""Builds the timeline of a job, instance, worker, wave or of the leaders from logs."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-# Events that tell who leads, and what makes a leader stop.
+# Events that show which process leads and why a leader stops.
 LEADER_EVENTS = frozenset(
     {
         "lead_taken",
@@ -23,16 +23,17 @@
         "store_regained",
     }
 )
-# Fields that name a thing; a task's name begins with its job.
+# Fields that hold the name of an object. Tasks and steps are matched by ``_is_about``,
+# since their names begin with that of the job.
 _NAME_FIELDS = ("job", "instance", "worker", "wave")
 _COMMON_FIELDS = frozenset({"time", "level", "process", "event"})
-# Without any line for this long a story has a gap.
+# Two consecutive lines further apart than this are reported as a gap.
 MIN_GAP_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One event of a process."""
+    """One event that a process logged; ``fields`` leaves out the common ones."""
 
     time: str
     process: str
@@ -41,7 +42,7 @@
 
     @property
     def seconds(self) -> float:
-        """Return the time of day in seconds."""
+        """The time of day in seconds, 0 if the line has no valid time."""
         match = re.search(r"T(\d+):(\d+):([\d.]+)", self.time)
         if match is None:
             return 0.0
@@ -49,9 +50,9 @@
 
 
 def parse_line(text: str) -> LogLine | None:
-    """Read a line of key=value pairs; None if it is not one of ours.
+    """Parse a line of key=value pairs; None if it lacks time, process or event.
 
-    What stands before the first pair, such as a collector's own prefix, is left out.
+    Text before the first pair, such as the prefix of a log collector, is ignored.
     """
     fields = {
         name: value[1:-1].replace('\\"', '"') if value.startswith('"') else value
@@ -64,10 +65,10 @@
 
 
 def build_timeline(texts: Iterable[str], name: str) -> list[str]:
-    """Return the lines about a job, instance, worker or wave, in order.
+    """Return the lines about a job, instance, worker or wave, ordered by time.
 
-    Changes of the leader between them are told too, since they explain repeated
-    starts.
+    Changes of leader in the same period are included, since they explain why tasks
+    are started again.
     """
     lines = [line for text in texts if (line := parse_line(text)) is not None]
     matching = [line for line in lines if _is_about(line, name)]
@@ -83,7 +84,7 @@
 
 
 def build_leader_timeline(texts: Iterable[str]) -> list[str]:
-    """Return who has led when, and what each change came from."""
+    """Return the events that show which process led when and why that changed."""
     lines = [line for text in texts if (line := parse_line(text)) is not None]
     return _render([line for line in lines if line.event in LEADER_EVENTS])
 
@@ -109,13 +110,14 @@
 
 
 def _missing_events(lines: Sequence[LogLine]) -> list[str]:
-    """Say which parts of a job's story no process has told."""
+    """Report the main events of a job that no line mentions; nothing for others."""
     events = {line.event for line in lines}
     if not events & {"job_submitted", "job_opened", "job_ended"}:
         return []
     expected = {
-        "job_submitted": "no line of an instance that accepted it",
-        "job_opened": "no line of a leader that took it over",
-        "job_ended": "no line of its end: it runs, or a leader's log is missing",
+        "job_submitted": "no line about an instance accepting the job",
+        "job_opened": "no line about a leader taking the job over",
+        "job_ended": "no line about the end of the job: it still runs, or the log of "
+        "a leader is missing",
     }
     return [f"    {text}" for event, text in expected.items() if event not in events]
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -1,4 +1,4 @@
-"""The operator's own replay of the log."""
+"""Replays the log for an operator."""
 
 from __future__ import annotations
 
@@ -23,19 +23,20 @@
 from .difference import compare, describe_patch
 
 MAX_BATCHES_PER_READ = 1000
-# Bounds one replay, also where retention overtakes it again and again.
+# Ends a replay that never reaches the end of the log, for instance because the log
+# expires batches faster than they are read.
 MAX_READS = 100_000
-# Documents kept for telling what an earlier change did.
+# Versions of the document kept for describing earlier changes.
 MAX_KEPT_DOCUMENTS = 100
 
 
 class Log(Protocol):
-    """What the operator library needs of ``lycheeloom.clients.LogClient``."""
+    """The part of ``lycheeloom.clients.LogClient`` that the operator library uses."""
 
     address: str
 
     def append(self, batch: bytes) -> Appended | AppendUnknown | AppendRefused:
-        """Append one batch."""
+        """Append one encoded batch."""
 
     def read(
         self,
@@ -45,12 +46,12 @@
         *,
         margin_s: float = 2.0,
     ) -> ReadBatches | Expired | Unavailable:
-        """Read batches from an offset on."""
+        """Read at most ``limit`` batches, starting at ``first_offset``."""
 
 
 @dataclass(frozen=True, slots=True)
 class PublishedChange:
-    """One accepted change of the configuration, in sentences."""
+    """One accepted change of the configuration; ``sentences`` describe it."""
 
     version: int
     operator: str
@@ -61,18 +62,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchOutcome:
-    """Where a batch first stood in the log and what took effect."""
+    """The offset of the first copy of a batch, and for each record its effect."""
 
     offset: int
     effective: tuple[bool, ...]
 
 
 class LogView:
-    """Reads the log and keeps what the operator needs of it.
+    """The fleet state replayed from the log, as one author sees it.
 
-    It begins with the newest snapshot, since a log of hours takes minutes to
-    replay. The view of one author remembers the outcome of that author's
-    batches.
+    Replay starts from the newest snapshot, since replaying hours of log takes
+    minutes. The outcomes of the author's own batches are kept.
     """
 
     def __init__(self, log: Log, author: str) -> None:
@@ -94,7 +94,7 @@
         return self.state.configuration.document
 
     def catch_up(self) -> Unavailable | None:
-        """Replay the log to its end; returns why if that failed."""
+        """Replay the log to its end and return the failure, if any."""
         if not self._is_initialised:
             problem = self._load_snapshot()
             if problem is not None:
@@ -118,15 +118,15 @@
         return Unavailable("the log grows faster than it is read")
 
     def read_failure(self, problem: Unavailable) -> str:
-        """Say which log could not be read and why."""
+        """Describe which log could not be read and why."""
         return f"the log at {self._log.address} cannot be read ({problem.reason})"
 
     def outcome(self, sequence: int) -> BatchOutcome | None:
-        """Return what became of a batch of the author, if it was read."""
+        """Return the outcome of a batch of the author, or None if it was not read."""
         return self._outcome_by_sequence.get(sequence)
 
     def changes_since(self, version: int) -> list[PublishedChange]:
-        """Return the accepted changes after a version, the oldest first."""
+        """Return the accepted changes after a version, oldest first."""
         history = self.state.configuration.history
         return [
             self._to_published_change(change)
@@ -155,7 +155,7 @@
             documents.pop(self.version - MAX_KEPT_DOCUMENTS, None)
 
     def _load_snapshot(self) -> Unavailable | None:
-        """Begin with the newest snapshot, or with offset 0 if there is none."""
+        """Reset the state to the newest snapshot, or to offset 0 if there is none."""
         reader = SnapshotReader(self._log)
         retained = reader.find_range()
         if isinstance(retained, str):
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -24,7 +24,8 @@
 from .output import Report, report_problems
 from .settings import Settings, load_settings
 
-# A new key must reach the caller even if it is not in force everywhere yet.
+# Reports with these codes go to standard error. OUTCOME_UNKNOWN and NOT_IN_FORCE are
+# not among them: such a report may show a new key, which belongs on standard output.
 _CODES_ON_STDERR = frozenset(
     {
         ExitCode.INVALID_INPUT,
@@ -68,7 +69,7 @@
 
 
 def make_operator(settings: Settings) -> Operator:
-    """Return an operator that talks to the log and the daemons of a fleet."""
+    """Return an operator connected to the log, the entries and the controllers."""
     return Operator(
         LogClient(settings.log),
         Entries.at(settings.entries, settings.handover_token),
--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -1,7 +1,7 @@
 """The meaning, unit and allowed values of each configuration field.
 
-The same table serves the comments of printed configurations, the messages
-about mistakes, and the test of ``docs/configuration.md``.
+The comments of printed configurations, the messages about problems and the test of
+``docs/configuration.md`` use these texts.
 """
 
 from __future__ import annotations
@@ -31,9 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Meaning:
-    """One field: ``sentence`` has ``{value}`` for the figure.
+    """What one field means and allows.
 
-    ``sentence_by_value`` is used instead where each value means something else.
+    ``sentence`` explains a value, for which it has the placeholder ``{value}``.
+    ``sentence_by_value`` is used instead for fields with a few fixed values.
     """
 
     allowed: str
@@ -41,7 +42,7 @@
     sentence_by_value: Mapping[Any, str] = field(default_factory=dict)
 
     def explain(self, value: Any) -> str:
-        """Return the plain sentence for a value."""
+        """Return the sentence that explains a value."""
         if isinstance(value, (str, bool)) and value in self.sentence_by_value:
             return self.sentence_by_value[value]
         return self.sentence.format(value=value)
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -1,4 +1,4 @@
-"""The operator library: one object for all changes of a fleet."""
+"""The operator library: reads and changes the configuration and waves of a fleet."""
 
 from __future__ import annotations
 
@@ -37,9 +37,10 @@
 
 DEFAULT_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.1
-# A small change is made again on top of the changes of other operators.
+# How often ``change`` applies its edit when other operators keep publishing first.
 MAX_ATTEMPTS = 5
 
+# The states in which a wave may be commanded into the state that is the key.
 _ALLOWED_STATES: Mapping[WaveState, tuple[WaveState, ...]] = {
     WaveState.RUNNING: (WaveState.ABSENT, WaveState.PAUSED),
     WaveState.PAUSED: (WaveState.RUNNING,),
@@ -57,8 +58,9 @@
         if isinstance(result, Published):
             print(operator.wait_in_force(result.version))
 
-    Results are data classes that say what happened; nothing is raised for a
-    mistake, a lost race or an outage. All timeouts are in seconds.
+    The outcome of a change is returned as a data class of ``results``. Invalid
+    documents, lost races and outages raise no exception. All timeouts are in
+    seconds.
     """
 
     def __init__(
@@ -70,7 +72,8 @@
         controllers: Entries | None = None,
         clock: Clock | None = None,
     ) -> None:
-        # Each author numbers its batches from 1, so the id is never used again.
+        # Each Operator object numbers its batches from 1, so each needs an author id
+        # that was never used before.
         self.author = f"operator:{name}:{secrets.token_hex(8)}"
         self.name = name
         self._entries = entries
@@ -81,21 +84,21 @@
 
     @property
     def version(self) -> int:
-        """The version that was in force when the log was last read."""
+        """The configuration version in force when the log was last read."""
         return self._view.version
 
     @property
     def document(self) -> dict[str, Any]:
-        """The document that was in force when the log was last read."""
+        """The configuration document in force when the log was last read."""
         return self._view.document
 
     @property
     def view(self) -> LogView:
-        """The replayed log, for reading only."""
+        """The replayed log; callers must not change it."""
         return self._view
 
     def refresh(self) -> LogUnavailable | None:
-        """Read the log to its end; returns why if that failed."""
+        """Read the log to its end and return the reason if that failed."""
         problem = self._view.catch_up()
         if isinstance(problem, Unavailable):
             return LogUnavailable(self._view.read_failure(problem))
@@ -106,7 +109,10 @@
         return Draft(self.document)
 
     def usage(self) -> Usage:
-        """Return what the fleet does now, as far as entries and log tell."""
+        """Return running tasks as entries report them and pools as the log has them.
+
+        Each entry reports counts of the whole fleet; the highest one is used.
+        """
         running: dict[str, int] = {}
         for status in self._entries.statuses().values():
             if not isinstance(status, StatusDocument):
@@ -128,19 +134,19 @@
     def explain(
         self, kind: str, name: str
     ) -> dict[str, Explanation | ExplanationNotFound | EntryUnavailable]:
-        """Ask each entry and controller why something was decided."""
+        """Ask each entry and controller for the decisions on one object, by address."""
         answers = self._entries.explain(kind, name)
         return answers | self._controllers.explain(kind, name)
 
     def check(self, document: Mapping[str, Any], file: str) -> list[Problem]:
-        """Return all mistakes of a document that would replace the one in force."""
+        """Return all problems of a document that would replace the one in force."""
         return check_document(document, file, self.document, self.usage())
 
     def new_problems(self, document: Mapping[str, Any], file: str) -> list[Problem]:
-        """Return the mistakes that the document in force does not have already.
+        """Return the problems that the document in force does not have already.
 
-        A warning about what is in force must not keep an operator from taking a
-        zone out in an emergency.
+        A problem of the document in force must not prevent an unrelated change,
+        such as taking a zone out in an emergency.
         """
         usage = self.usage()
         known = set(check_document(self.document, file, self.document, usage))
@@ -152,7 +158,7 @@
         return compare(self.document, document)
 
     def history(self) -> list[PublishedChange]:
-        """Return the accepted changes that are still on record."""
+        """Return the accepted changes that the replayed state still holds."""
         return self._view.changes_since(0)
 
     def publish(
@@ -187,7 +193,7 @@
     ) -> PublishResult:
         """Edit the configuration in force and publish the result.
 
-        If another operator published in between, the edit is made again on the
+        If another operator publishes in between, the edit is applied again to the
         new configuration, unless both changed the same settings.
         """
         result: PublishResult = LogUnavailable("not read yet")
@@ -223,7 +229,11 @@
         expected: Iterable[WaveState] | None = None,
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> WaveResult:
-        """Start, pause, resume or abort a maintenance wave."""
+        """Start, pause, resume or abort a maintenance wave.
+
+        ``wanted`` is the state to bring the wave into. ``expected`` are the states
+        from which this is allowed; by default those that suit ``wanted``.
+        """
         problem = self.refresh()
         if problem is not None:
             return problem
@@ -249,7 +259,7 @@
     def wait_in_force(
         self, version: int, timeout_s: float = DEFAULT_TIMEOUT_S
     ) -> InForce | NotYetInForce:
-        """Wait until every entry has the version, or say which do not."""
+        """Wait until every entry has the version; on timeout say which lack it."""
         deadline_s = self._clock.now_s() + timeout_s
         while True:
             missing = {
@@ -309,6 +319,7 @@
 def _conflicts_with_any(
     winners: Iterable[PublishedChange], before: Mapping[str, Any], paths: set[tuple]
 ) -> bool:
+    """Tell whether one of the changes touched one of the paths."""
     return any(
         paths_overlap(paths, changed_paths(before, winner.patch)) for winner in winners
     )
--- a/libs/operator/src/lycheeloom/operator/output.py
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -1,4 +1,4 @@
-"""What a command prints, as text or as JSON, and how it ends."""
+"""Reports of commands: text or JSON to print, and the exit code."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
     code: ExitCode = ExitCode.OK
 
     def __add__(self, other: Report) -> Report:
-        """Join two reports; the first that is not OK decides the exit code."""
+        """Join two reports; the first exit code that is not OK is kept."""
         return Report(
             self.lines + other.lines,
             {**self.data, **other.data},
@@ -48,14 +48,14 @@
         )
 
     def render(self, as_json: bool) -> str:
-        """Return what is printed."""
+        """Return the text to print."""
         if as_json:
             return json.dumps(to_json_value(self.data), indent=2, ensure_ascii=False)
         return "\n".join(self.lines)
 
 
 def report_problems(problems: Sequence[Problem]) -> Report:
-    """Report every mistake, one line each."""
+    """Report every problem on a line of its own."""
     lines = [
         f"{'warning' if item.severity is Severity.WARNING else 'error'}: {item}"
         for item in problems
@@ -66,15 +66,19 @@
     return Report(tuple(lines), data, ExitCode.INVALID_INPUT)
 
 
-# What an operator does when the log is unavailable; see "An outage of the log"
-# in the guide.
+# What still works while the log is unavailable; see "An outage of the log" in the
+# operators' guide.
 OUTAGE_NOTE = "Meanwhile interactive work goes on, and lycheeloom status still answers."
 
 
 def report_result(
     result: Any, view_command: str = "lycheeloom config history"
 ) -> Report:
-    """Report what became of a change; ``view_command`` shows it later if that is unknown."""
+    """Report the outcome of a change.
+
+    ``view_command`` is the command that shows later whether a change of unknown
+    outcome took effect.
+    """
     match result:
         case Published(version, changes, not_handed):
             lines = [item.describe() for item in changes]
@@ -103,8 +107,8 @@
         case OutcomeUnknown(reason):
             lines = [
                 f"It is not known whether the change takes effect: {reason}.",
-                f"{OUTAGE_NOTE} When the log answers again, look at {view_command}; repeat the "
-                "command only if the change is not there.",
+                f"{OUTAGE_NOTE} When the log answers again, look at {view_command}; "
+                "repeat the command only if the change is not there.",
             ]
             return _result_report(result, lines, ExitCode.OUTCOME_UNKNOWN)
         case PartlyPublished():
@@ -124,7 +128,7 @@
 
 
 def report_log_unavailable(problem: LogUnavailable) -> Report:
-    """Report that a command that only reads could not read the log."""
+    """Report that a command that changes nothing could not read the log."""
     lines = [
         f"{problem.reason[:1].upper()}{problem.reason[1:]}.",
         f"{OUTAGE_NOTE} Repeat the command when the log answers again.",
@@ -133,7 +137,7 @@
 
 
 def report_history(changes: Iterable[PublishedChange]) -> Report:
-    """Report accepted changes, the newest last."""
+    """Report accepted changes, newest last."""
     changes = tuple(changes)
     lines = [line for change in changes for line in _change_lines(change)]
     return Report(tuple(lines or ["No change is on record."]), {"changes": changes})
@@ -146,7 +150,7 @@
 
 
 def to_json_value(value: Any) -> Any:
-    """Return a value that JSON can carry."""
+    """Convert data classes, models and collections to values for ``json.dumps``."""
     if value is ABSENT:
         return None
     if isinstance(value, BaseModel):
--- a/libs/operator/src/lycheeloom/operator/problems.py
+++ b/libs/operator/src/lycheeloom/operator/problems.py
@@ -1,4 +1,4 @@
-"""Mistakes in a configuration or in settings, one clear message each."""
+"""Problems found in a configuration or in settings, one message each."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Severity(StrEnum):
-    """Errors prevent publication; warnings must be accepted explicitly."""
+    """An error prevents publication; a warning can be accepted explicitly."""
 
     ERROR = "error"
     WARNING = "warning"
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """What is wrong with one key of one file, and what is allowed there.
+    """What is wrong with one key of one file and which values are allowed.
 
     ``str(Problem("a.toml", "organisations.red.share", "is 0", "a number above 0"))``
     gives ``a.toml: organisations.red.share: is 0; allowed: a number above 0``.
@@ -41,12 +41,12 @@
 
 
 def warnings_in(problems: Iterable[Problem]) -> list[Problem]:
-    """Return the problems that an operator may accept."""
+    """Return the problems that do not prevent publication once accepted."""
     return [item for item in problems if item.severity is Severity.WARNING]
 
 
 def did_you_mean(name: str, known: Iterable[str]) -> str:
-    """Return ``(did you mean "lookup"?)`` for a close known name, or nothing."""
+    """Return `` (did you mean "lookup"?)`` for a similar known name, or ``""``."""
     matches = difflib.get_close_matches(name, list(known), n=1)
     if not matches:
         return ""
@@ -54,13 +54,13 @@
 
 
 def format_value(value: Any) -> str:
-    """Return a value as it would be written in a file, shortened."""
+    """Return a value as JSON, shortened to 60 characters."""
     text = json.dumps(value, ensure_ascii=False, default=str)
     return text if len(text) <= 60 else text[:57] + "..."
 
 
 def join_key(*parts: str) -> str:
-    """Return a dotted key; parts with other characters are quoted."""
+    """Return a dotted key; a part is quoted unless it is letters, digits, - and _."""
     return ".".join(
         part if part.replace("-", "").replace("_", "").isalnum() else json.dumps(part)
         for part in parts
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -1,4 +1,4 @@
-"""Commands that only read."""
+"""Handlers of the commands that change nothing."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 def check_file(args: argparse.Namespace) -> Report:
-    """Check a file by itself."""
+    """Check a file without comparing it with the configuration in force."""
     file = read_config(args.file)
     if isinstance(file, Problem):
         return report_problems([file])
@@ -75,7 +75,7 @@
 
 
 def show_history(operator: Operator, args: argparse.Namespace) -> Report:
-    """Say who changed what."""
+    """List the newest published changes and who made them."""
     problem = operator.refresh()
     if problem is not None:
         return report_log_unavailable(problem)
@@ -84,7 +84,7 @@
 
 
 def show_status(operator: Operator, args: argparse.Namespace) -> Report:
-    """Show the fleet and each entry."""
+    """Show the status of the fleet and of each entry."""
     statuses = operator.statuses()
     newest = newest_status(statuses)
     data = {
@@ -117,8 +117,9 @@
     ]
     lines.append(
         f"Instances: {preview.instance_count}, rounds: {len(preview.rounds)}, about "
-        f"{format_duration(seconds)} if every round takes {format_duration(args.drain_s)} to drain "
-        f"and {format_duration(args.reboot_s)} to reboot."
+        f"{format_duration(seconds)} if every round takes "
+        f"{format_duration(args.drain_s)} to drain and "
+        f"{format_duration(args.reboot_s)} to reboot."
     )
     lines += [
         f"Instance {name} is never maintained: a budget allows 0 unavailable, or "
@@ -149,7 +150,7 @@
 
 
 def explain(operator: Operator, args: argparse.Namespace) -> Report:
-    """Print what the entries know about the decisions on one thing."""
+    """Print how entries and controllers explain the decisions on one object."""
     name = args.id or args.kind
     answers = operator.explain(args.kind, name)
     found = {
@@ -176,7 +177,7 @@
 
 
 def explain_logs(args: argparse.Namespace) -> Report:
-    """Print the story of one thing as log lines tell it."""
+    """Print the timeline of one object, or of the leaders, from log files."""
     texts: list[str] = []
     for name in args.logs:
         try:
@@ -190,7 +191,7 @@
         story = build_timeline(texts, args.id)
     if not story:
         name = args.id or args.kind
-        line = f"No line of these logs tells of {name}."
+        line = f"No line of these logs mentions {name}."
         return Report((line,), {"story": []}, ExitCode.NOT_FOUND)
     return Report(tuple(story), {"story": story})
 
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -1,4 +1,4 @@
-"""Checks that span several parts of a configuration."""
+"""Checks that relate configuration fields to each other or to the running fleet."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """What the fleet does now, as far as checks need it."""
+    """Running tasks of organisations, and the pools instances are in or moving to."""
 
     running_by_organisation: Mapping[str, int] = field(default_factory=dict)
     pool_by_instance: Mapping[str, str] = field(default_factory=dict)
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentTables:
-    """The tables of a document; whatever is not a table is left out."""
+    """The sections of a document; an item that is not a table is left out."""
 
     zones: Mapping[str, Mapping[str, Any]]
     pools: Mapping[str, Mapping[str, Any]]
@@ -38,7 +38,7 @@
 
     @classmethod
     def of(cls, document: Mapping[str, Any]) -> DocumentTables:
-        """Pick the tables of a document that may be wrong elsewhere."""
+        """Pick the tables of a document, which may be invalid in other places."""
         return cls(
             *(
                 _named_tables(document.get(section))
@@ -55,8 +55,9 @@
     def instance_counts(self) -> Counter[str]:
         """Return how many instances each pool has.
 
-        An instance that names no pool counts for each, since it may have been
-        meant for any: its mistake shall not cause messages about pools.
+        An instance that names no known pool counts for every pool. Its own problem
+        is reported already and must not cause further ones about pools that lack
+        an instance.
         """
         named = Counter(
             pool if isinstance(pool, str) and pool in self.pools else ""
@@ -68,7 +69,7 @@
 def check_references(
     document: Mapping[str, Any], usage: Usage, file: str
 ) -> Iterator[Problem]:
-    """Yield a problem for each contradiction between parts."""
+    """Yield a problem for each contradiction between fields or with the usage."""
     tables = DocumentTables.of(document)
     yield from _check_instances(tables, file)
     yield from _check_racks(tables, file)
@@ -113,9 +114,12 @@
             continue
         first_zone = zone_by_rack.setdefault(rack, zone)
         if first_zone != zone:
-            wrong = f'is {format_value(rack)} in zone "{zone}" and elsewhere in zone "{first_zone}"'
+            wrong = (
+                f'is {format_value(rack)} in zone "{zone}" and elsewhere in zone '
+                f'"{first_zone}"'
+            )
             key = join_key("instances", name, "rack")
-            yield Problem(file, key, wrong, "racks that stand in one zone each")
+            yield Problem(file, key, wrong, "a rack whose instances are in one zone")
 
 
 def _check_queues(tables: DocumentTables, file: str) -> Iterator[Problem]:
@@ -139,7 +143,7 @@
                 file, key, "organisation", organisation, tables.organisations
             )
         if queue.get("open_to_all") is True:
-            # What is no name at all is reported as a mistake of the field.
+            # An element that is not a string is reported by ``check_fields``.
             if len(names) == len(organisations):
                 yield from _check_open_queue(file, key, len(set(names)))
         elif not organisations:
@@ -157,7 +161,7 @@
 
 
 def _check_open_queue(file: str, key: str, organisations: int) -> Iterator[Problem]:
-    """Demand one organisation for a queue that is open to all.
+    """Require exactly one organisation for a queue that is open to all.
 
     Entries charge work that comes without a key to that organisation.
     """
@@ -210,8 +214,8 @@
             yield Problem(file, key, wrong, f"a whole number from 0 to {count}")
         elif needed and count - max_unavailable < needed:
             wrong = (
-                f"is {max_unavailable}, which leaves {count - max_unavailable} of {count} instances "
-                f"though {needed} are needed"
+                f"is {max_unavailable}, which leaves {count - max_unavailable} of "
+                f"{count} instances though {needed} are needed"
             )
             key = join_key("pools", name, "max_unavailable")
             allowed = f"a whole number from 0 to {count - needed}"
--- a/libs/operator/src/lycheeloom/operator/results.py
+++ b/libs/operator/src/lycheeloom/operator/results.py
@@ -1,4 +1,7 @@
-"""What became of a change that an operator made."""
+"""Outcomes of the changes that an operator makes.
+
+``--json`` prints the names of these classes in snake case and their fields.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +18,7 @@
 class Published:
     """The change is accepted as ``version``.
 
-    ``not_handed`` has the reason for each entry that did not take the batch
+    ``not_handed`` gives the reason for each entry that could not be sent the batch
     directly; such an entry reads it from the log.
     """
 
@@ -26,14 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NothingToChange:
-    """The document is in force already."""
+    """The document equals the one in force, so nothing was published."""
 
     version: int
 
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """The document has mistakes; nothing was published."""
+    """The document has errors or unaccepted warnings; nothing was published."""
 
     problems: tuple[Problem, ...]
 
@@ -52,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NoEffect:
-    """The log took the batch, but replay gave it no effect."""
+    """The batch is in the log, but its record had no effect when replayed."""
 
     reason: str
 
@@ -66,9 +69,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PartlyPublished:
-    """A change larger than one batch took effect up to some part.
+    """Of a change that needs several batches, only the first ones took effect.
 
-    ``stopped_by`` says what became of the next part.
+    ``parts`` of ``all_parts`` batches took effect. ``stopped_by`` is the outcome of
+    the next one.
     """
 
     version: int
@@ -92,14 +96,14 @@
 
 @dataclass(frozen=True, slots=True)
 class InForce:
-    """Each entry has the version, or a newer one."""
+    """Every entry has this version or a newer one."""
 
     version: int
 
 
 @dataclass(frozen=True, slots=True)
 class NotYetInForce:
-    """Some entries do not have the version yet, each with what is known."""
+    """Some entries do not have the version yet; ``missing`` says why, by address."""
 
     version: int
     missing: Mapping[str, str]
@@ -107,7 +111,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveChanged:
-    """The command to a wave took effect."""
+    """The command to a wave took effect.
+
+    ``not_handed`` is as in ``Published``.
+    """
 
     not_handed: Mapping[str, str] = field(default_factory=dict)
 
--- a/libs/operator/src/lycheeloom/operator/settings.py
+++ b/libs/operator/src/lycheeloom/operator/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the operator command."""
+"""Settings file of the ``lycheeloom`` command."""
 
 from __future__ import annotations
 
@@ -30,9 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Where the log and the daemons are, and who is the operator.
+    """Addresses of the log, entries and controllers, and the name of the operator.
 
-    Controllers are asked only for explanations.
+    Controllers are asked only for explanations. ``handover_token`` authorises
+    sending accepted batches directly to the entries.
     """
 
     log: str
@@ -44,7 +45,7 @@
 
 
 def load_settings(path: str) -> Settings | list[Problem]:
-    """Read and check a settings file, or return every mistake in it."""
+    """Read and check a settings file, or return every problem in it."""
     file = read_toml(path)
     if isinstance(file, Problem):
         return [file]
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -1,4 +1,4 @@
-"""Splits a patch that is too large for one batch of the log."""
+"""Splits a configuration patch that is too large for one batch of the log."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 
 from lycheeloom.model.limits import MAX_BATCH_BYTES
 
-# Leaves room for the author and the encoding of the batch.
+# The difference is room for the author and the encoding of the batch.
 MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
-# Whatever is referred to is added first and removed last.
+# A section comes after those that its items refer to. Additions follow this order and
+# removals the reverse, so that no part refers to an item that does not exist.
 _ADDITION_ORDER = ("zones", "pools", "organisations", "instances", "queues")
 
 
@@ -22,11 +23,11 @@
 def split_patch(
     patch: Mapping[str, Any], max_bytes: int = MAX_PATCH_BYTES
 ) -> list[dict[str, Any]]:
-    """Return patches that lead to the same document one after the other.
+    """Return patches that, applied in order, have the effect of the given one.
 
-    One patch is returned wherever it fits, so that a change takes effect at
-    once. A larger one is divided between the entries of its tables, additions
-    and changes first, removals last.
+    A patch that fits into ``max_bytes`` is not split, so that it takes effect at
+    once. A larger one is split between the items of its sections, with additions
+    and changes before removals.
     """
     if len(patch_text(patch)) <= max_bytes:
         return [dict(patch)]
--- a/libs/operator/src/lycheeloom/operator/status_text.py
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -1,4 +1,4 @@
-"""The status of the fleet as text."""
+"""Formats the status of the fleet as text tables."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from .output import table
 
 _ENDED = (WaveState.DONE, WaveState.ABORTED)
+# The headers and rows of a table.
 TableData = tuple[Sequence[str], list[Sequence[Any]]]
 
 
@@ -19,7 +20,7 @@
     newest: StatusDocument | None,
     statuses: Mapping[str, StatusDocument | EntryUnavailable],
 ) -> list[str]:
-    """Return all tables; ``newest`` tells about the fleet."""
+    """Return all tables; those about the fleet are taken from ``newest``."""
     lines: list[str] = []
     if newest is None:
         lines.append("No entry answered.")
@@ -36,7 +37,7 @@
 
 
 def wave_table(waves: Mapping[str, WaveStatus]) -> TableData:
-    """Return a row for each wave."""
+    """Return the headers and a row for each wave."""
     headers = ("wave", "state", "done", "in progress", "failed", "ends in", "reason")
     return headers, [
         (
@@ -53,7 +54,7 @@
 
 
 def format_duration(seconds: float | None) -> str:
-    """Return a duration in the unit that people would use."""
+    """Return a duration in seconds, minutes or hours, with 3 significant digits."""
     if seconds is None:
         return "unknown"
     if seconds < 120:
@@ -123,7 +124,15 @@
 
 
 def _pool_table(status: StatusDocument) -> TableData:
-    headers = ("pool", "in service", "workers", "needed", "buffer", "wanted", "away")
+    headers = (
+        "pool",
+        "in service",
+        "workers",
+        "needed",
+        "buffer",
+        "wanted",
+        "unavailable",
+    )
     return headers, [
         (
             f"{name} (spare)" if pool.spare else name,
--- a/libs/operator/src/lycheeloom/operator/toml_reader.py
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -1,4 +1,4 @@
-"""Reads a configuration file and reports mistakes in its TOML."""
+"""Reads configuration and other TOML files, and names the line or key of an error."""
 
 from __future__ import annotations
 
@@ -17,13 +17,13 @@
 _POSITION = re.compile(r"\s*\(at (?:line (\d+), column \d+|end of document)\)$")
 
 
-# Written by ``print_config`` beside the document; not part of it.
+# ``print_config`` writes this key into the file; it is not part of the document.
 VERSION_KEY = "printed_from_version"
 
 
 @dataclass(frozen=True, slots=True)
 class TomlFile:
-    """The tables of a file."""
+    """The content of a TOML file; ``source`` names the file in messages."""
 
     source: str
     document: dict[str, Any]
@@ -31,7 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigFile:
-    """A document as it stands in a file, and the version it was printed from."""
+    """A configuration document read from a file.
+
+    ``version`` is the configuration version that the file was printed from.
+    """
 
     source: str
     document: dict[str, Any]
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -1,4 +1,4 @@
-"""Prints a configuration as TOML that can be read aloud."""
+"""Prints a configuration as TOML with a comment that explains each field."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 
 
 def print_config(document: Mapping[str, Any], version: int | None = None) -> str:
-    """Return the document as TOML with a sentence for each figure.
+    """Return the document as TOML with a sentence that explains each value.
 
-    ``version`` is the one in force, which a publication of the text expects.
-    ``read_config_text`` reads back exactly the same document. Defaults that the
-    document leaves out are printed as comments. The document holds no null,
-    which TOML cannot express and a merge patch cannot leave in a table.
+    ``version`` is the one in force; publishing the text requires that it still is.
+    ``read_config_text`` reads back exactly the same document. Defaults of fields
+    that are not set are printed as comments. The document must hold no null: TOML
+    cannot express it, and a merge patch never leaves one in a table.
     """
     lines = list(_header(document, version))
     for section in SECTIONS:
@@ -129,7 +129,7 @@
 
 
 def _single_line(text: str) -> str:
-    """Return text without characters that would end the comment."""
+    """Escape text with line breaks or other characters that a comment cannot hold."""
     if text.isprintable():
         return text
     return json.dumps(text)[1:-1]
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -11,10 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WavePreview:
-    """Rounds of instances that the availability budgets let rest together.
+    """Rounds of instances that may be under maintenance at the same time.
 
-    ``never_maintained`` are instances that no round may take: a budget allows 0, or their
-    pool and the spare pool have no instance above the need.
+    ``never_maintained`` are the instances that fit into no round: a budget allows 0
+    unavailable instances, or their pool and the spare pool have no instance more
+    than they need.
     """
 
     rounds: tuple[tuple[str, ...], ...]
@@ -22,26 +23,26 @@
 
     @property
     def instance_count(self) -> int:
-        """How many instances the wave maintains."""
+        """The number of instances that the wave maintains."""
         return sum(len(names) for names in self.rounds)
 
     def duration_s(self, drain_s: float, reboot_s: float) -> float:
-        """Return how long the wave takes if each round takes this long."""
+        """Return the duration in seconds if each round drains and reboots this long."""
         return len(self.rounds) * (drain_s + reboot_s)
 
 
 def preview_wave(config: FleetConfig, pools: Sequence[str] = ()) -> WavePreview:
-    """Plan a wave over pools, or over all pools if none are named.
+    """Plan a wave over the given pools, or over all pools if none are given.
 
-    The controller decides by what is really available; this preview assumes
-    that no instance fails and that every round takes equally long.
+    The controller decides by actual availability. This preview assumes that no
+    instance fails and that every round takes equally long.
     """
     selected = [
         instance
         for instance in config.instance_by_id.values()
         if not pools or instance.pool in pools
     ]
-    # Neighbours in a rack follow each other, so that racks are done in turn.
+    # Sorted by zone and rack, so that the wave works through one rack after another.
     remaining = sorted(selected, key=lambda item: (item.zone, item.rack, item.id))
     layout = Layout(config, {})
     never_maintained = tuple(
@@ -59,7 +60,7 @@
 
 
 class _Round:
-    """Instances out together, under the rules that the controller keeps."""
+    """Instances under maintenance together, within the budgets of the controller."""
 
     def __init__(self, layout: Layout) -> None:
         self._usage = BudgetUsage(layout, ())
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A small log and entries in memory."""
+"""A log and entries in memory, a clock and a small configuration."""
 
 from __future__ import annotations
 
@@ -24,10 +24,13 @@
 
 @dataclass
 class FakeLog:
-    """Each append takes the next fault, or none.
+    """A log in memory; each append takes the next of ``faults``, if any.
 
-    "lost": appended without an answer. "dropped": neither. "delayed" and "late":
-    appended just before and after the next batch. "down", "large": refused.
+    "lost": the batch is appended, but the answer is lost. "dropped": batch and answer
+    are lost. "delayed" and "late": the answer is lost, and the batch is appended just
+    before or just after the next one. "down" and "large": the append is refused.
+    ``failing_reads`` is how many reads fail from now on, ``oldest`` the first offset
+    that has not expired, and ``before_append`` is called once before an append.
     """
 
     batches: list[bytes] = field(default_factory=list)
@@ -73,7 +76,7 @@
 
 
 class FakeEntry:
-    """An entry that replays what is handed to it."""
+    """An entry that replays only the batches that are sent to it."""
 
     def __init__(self, address, running=None, reachable=True):
         self.address = address
@@ -106,7 +109,7 @@
 
 
 class FakeClock:
-    """Time that passes only in sleeps."""
+    """A clock that advances only by sleeping."""
 
     def __init__(self):
         self.now = 0.0
@@ -119,7 +122,7 @@
 
 
 def small_fleet():
-    """Return a configuration without mistakes or warnings."""
+    """Return a configuration without errors or warnings."""
     instances = {
         f"w{number}": {
             "pool": "lookup" if number < 4 else "general",
--- a/libs/operator/tests/standin_log.py
+++ b/libs/operator/tests/standin_log.py
@@ -1,4 +1,4 @@
-"""The stand-in of the log in a process of its own, for tests."""
+"""Runs the stand-in of the log in a process of its own, for tests."""
 
 import subprocess
 import sys
@@ -11,7 +11,7 @@
 
 @contextmanager
 def running_log(folder: Path) -> Iterator[str]:
-    """Start the stand-ins; gives the address of the log."""
+    """Run the stand-ins and yield the address of the log."""
     settings = folder / "standins.toml"
     settings.write_text("")
     process = subprocess.Popen(
@@ -35,6 +35,6 @@
 
 
 def set_faults(address: str, **faults: object) -> None:
-    """Switch faults of a stand-in."""
+    """Set faults of the stand-in at an address."""
     answer = urllib3.request("POST", f"http://{address}/v1/faults", json=faults)
     assert answer.status == 200
--- a/libs/operator/tests/test_alerts.py
+++ b/libs/operator/tests/test_alerts.py
@@ -1,4 +1,4 @@
-"""Metrics page and alert rules agree with what the daemons serve."""
+"""The metrics page and the alert rules agree with the metrics of the daemons."""
 
 import re
 from pathlib import Path
@@ -12,28 +12,29 @@
 PAGE = (ROOT / "docs/metrics.md").read_text(encoding="utf-8")
 RULES = (ROOT / "ops/alerts.yml").read_text(encoding="utf-8")
 
-# Each line that the rules file may have. Plain texts have no ": " or " #", and
-# begin with a letter, so that YAML reads them as texts.
-PLAIN = r"[A-Za-z](?:(?!: | #).)*(?<![ :])"
-SHAPES = (
+# Patterns of the lines that the rules file may have. A plain text holds no ": " or
+# " #" and begins with a letter, so that YAML reads it as a string.
+PLAIN_TEXT = r"[A-Za-z](?:(?!: | #).)*(?<![ :])"
+LINE_PATTERNS = (
     r"#.*",
     r"groups:",
-    rf"  - name: {PLAIN}",
+    rf"  - name: {PLAIN_TEXT}",
     r"    rules:",
     r"      - alert: [A-Z]\w+",
-    rf"        expr: (?:>-|{PLAIN})",
-    rf"          (?:{PLAIN}|[<>]=? .*[^ ])",
+    rf"        expr: (?:>-|{PLAIN_TEXT})",
+    rf"          (?:{PLAIN_TEXT}|[<>]=? .*[^ ])",
     r"        for: \d+[smh]",
     r"        labels: \{severity: (?:page|warn|info)\}",
     r"        annotations:",
-    rf"          summary: {PLAIN}\.",
+    rf"          summary: {PLAIN_TEXT}\.",
 )
-# Vectors match if their labels do; scrapes add the label "instance".
-OPERATOR = re.compile(r" (?:[-+*/]|[<>]=?|==|and) ")
+# PromQL matches the two sides of an operator by their labels, so these must agree.
+# Scraping adds the label "instance".
+BINARY_OPERATOR = re.compile(r" (?:[-+*/]|[<>]=?|==|and) ")
 
 
 def labels_by_metric(registry):
-    """Return the label names of each metric under the name it is served with."""
+    """Return the label names of each metric by the name under which it is served."""
     found = {}
     for collector in registry._collector_to_names:
         for family in collector.collect():
@@ -44,11 +45,11 @@
     return found
 
 
-SERVED = {
+LABELS_BY_DAEMON = {
     "Entry": labels_by_metric(EntryMetrics().registry),
     "Controller": labels_by_metric(ControllerMetrics().registry),
 }
-LABELS = SERVED["Entry"] | SERVED["Controller"]
+LABELS_BY_METRIC = LABELS_BY_DAEMON["Entry"] | LABELS_BY_DAEMON["Controller"]
 
 
 def expressions():
@@ -58,19 +59,22 @@
     return re.findall(r"- alert: (\w+)\n +expr: (.+)", text)
 
 
-@pytest.mark.parametrize("part", SERVED)
-def test_page_lists_what_is_served(part):
-    """Guards against a dashboard or an alert on a metric that nobody serves."""
-    text = re.split(r"\n## ", PAGE.split(f"\n## {part}\n")[1])[0]
+@pytest.mark.parametrize("daemon", LABELS_BY_DAEMON)
+def test_page_lists_what_is_served(daemon):
+    """Guards against alerts and dashboards on a metric that the daemon lacks.
+
+    The page lists exactly the metrics and labels that the daemon serves.
+    """
+    text = re.split(r"\n## ", PAGE.split(f"\n## {daemon}\n")[1])[0]
     rows = re.findall(r"^\| `(lycheeloom_\w+)` \| \w+ \| ([^|]+) \|", text, re.M)
     listed = {name: set(re.findall(r"`(\w+)`", labels)) for name, labels in rows}
-    assert listed == SERVED[part]
+    assert listed == LABELS_BY_DAEMON[daemon]
 
 
 def test_rules_are_well_formed():
-    """Guards against a file that the monitoring refuses as a whole."""
+    """Guards against a syntax error that makes the monitoring reject the whole file."""
     for line in RULES.splitlines():
-        assert any(re.fullmatch(shape, line) for shape in SHAPES), line
+        assert any(re.fullmatch(pattern, line) for pattern in LINE_PATTERNS), line
     keys = re.findall(
         r"^ +(?:- )?(alert|expr|labels|annotations|summary):", RULES, re.M
     )
@@ -81,16 +85,16 @@
 
 @pytest.mark.parametrize(("alert", "expression"), expressions())
 def test_expression(alert, expression):
-    """Guards against an alert that can never fire, or on a misspelt metric."""
+    """Guards against an alert that can never fire, such as one on a misspelt metric."""
     for opening, closing in ("()", "{}", "[]"):
         assert expression.count(opening) == expression.count(closing)
     names = re.findall(r"[a-z]*lycheeloom_\w+", expression)
     assert names
-    assert set(names) <= set(LABELS)
+    assert set(names) <= set(LABELS_BY_METRIC)
     for name, selectors in re.findall(r"(lycheeloom_\w+)\{([^}]*)\}", expression):
         for selector in selectors.split(","):
             label, value = selector.split("=", 1)
-            assert label in LABELS[name]
+            assert label in LABELS_BY_METRIC[name]
             assert re.fullmatch(r'"\w+"', value)
     sides = [labels_of(side) for side in split_operands(expression)]
     vectors = [labels for labels in sides if labels is not None]
@@ -98,22 +102,22 @@
 
 
 def split_operands(expression):
-    """Return the operands; those in parentheses stay with their function."""
+    """Return the operands of the binary operators, without an outer ``absent()``."""
     if expression.startswith("absent("):
         expression = expression[len("absent(") : -1]
-    return OPERATOR.split(expression)
+    return BINARY_OPERATOR.split(expression)
 
 
 def labels_of(operand):
-    """Return the labels of a vector, None for a number."""
+    """Return the labels of an operand that is a vector, None for a number."""
     if re.fullmatch(r"[\d.]+", operand) or operand.startswith("scalar("):
         return None
     name = re.search(r"lycheeloom_\w+", operand)[0]
     aggregate = re.match(r"(?:sum|min|max)(?: by \((\w+)\) )?\(", operand)
     if aggregate is None:
-        return LABELS[name] | {"instance"}
+        return LABELS_BY_METRIC[name] | {"instance"}
     kept = {aggregate[1]} - {None}
-    assert kept <= LABELS[name] | {"instance"}
+    assert kept <= LABELS_BY_METRIC[name] | {"instance"}
     return kept
 
 
@@ -128,6 +132,6 @@
     ],
 )
 def test_wrong_expressions_are_found(expression):
-    """Guards against a check of expressions that accepts anything."""
+    """Guards against a check of expressions that accepts invalid ones."""
     with pytest.raises(AssertionError):
         test_expression("", expression)
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -28,7 +28,7 @@
 
 @pytest.fixture
 def run(monkeypatch, tmp_path, capsys, make_operator, entry):
-    """Run one command against the log and the entry in memory."""
+    """Return a function that runs a command on the log and entry in memory."""
     settings = tmp_path / "lycheeloom.toml"
     settings.write_text('log = "127.0.0.1:1"\nentries = ["10.0.0.1:7200"]\n')
     monkeypatch.setattr(
@@ -51,7 +51,7 @@
 
 
 def test_a_printed_file_is_published_once(run, published, fleet, tmp_path):
-    """Guards against publishing a file over the change of another operator."""
+    """Guards against publishing a file printed from a version no longer in force."""
     code, text = run("config", "show")
     assert (code, text) == (0, print_config(fleet, 1))
     path = tmp_path / "fleet.toml"
@@ -76,7 +76,7 @@
 
 
 def test_a_file_without_its_version_is_refused(run, published, fleet, tmp_path):
-    """Guards against guessing the version that a file was made for."""
+    """Guards against guessing the version that a file is based on."""
     path = tmp_path / "fleet.toml"
     path.write_text(print_config(fleet))
     code, text = run("config", "publish", str(path))
@@ -90,7 +90,7 @@
 
 
 def test_checking_a_file_needs_no_fleet(run, fleet, tmp_path):
-    """Guards against mistakes that show only when publishing."""
+    """Guards against errors that are found only when publishing."""
     path = tmp_path / "fleet.toml"
     path.write_text(print_config(fleet))
     assert run("config", "check", str(path)) == (0, "No errors.\n")
@@ -101,7 +101,7 @@
 
 
 def test_zone_out_is_in_force_at_the_end(run, published, entry):
-    """Guards against reporting success before the entries know."""
+    """Guards against reporting success before the entries have the change."""
     code, text = run("zone", "out", "north")
     assert code == 0
     assert text.endswith("Version 2 is in force on every entry.\n")
@@ -112,7 +112,7 @@
 
 
 def test_an_entry_without_the_change_is_named(run, published, entry):
-    """Guards against a zone out that one entry does not know."""
+    """Guards against not reporting an entry that does not have a zone out yet."""
     entry.reachable = False
     code, text = run("zone", "out", "north", "--timeout-s", "1")
     assert code == 6
@@ -134,7 +134,7 @@
 
 
 def test_wave_status_shows_the_end_and_why_it_waits(run, published, entry):
-    """Guards against a forecast that entries report and operators never see."""
+    """Guards against omitting the forecast and the reason that entries report."""
     reason = "Instance w2 of pool lookup stays in service for now."
     entry.waves = {"spring": WaveStatus(ends_in_s=1500, reason=reason)}
     assert run("wave", "start", "spring", "--pool", "lookup")[0] == 0
@@ -146,7 +146,7 @@
 
 
 def test_waves_and_moves(run, published):
-    """Guards against commands that are not wired to the library."""
+    """Guards against wave and move commands that do not call the library."""
     code, text = run("wave", "plan", "--pool", "lookup", "--reboot-s", "240")
     assert code == 0
     assert "Instances: 3, rounds: 3, about 15 min" in text
@@ -208,14 +208,14 @@
     ],
 )
 def test_a_mistake_names_the_argument(run, published, command, mistakes):
-    """Guards against a mistake reported under the name of an internal file."""
+    """Guards against an invalid argument reported as a problem of a draft."""
     assert run("key", "grant", "red", "--id", "red-1")[0] == 0
     lines = [f"error: command line: {mistake}\n" for mistake in mistakes]
     assert run(*command) == (1, "".join(lines))
 
 
-def test_a_warning_about_the_result_is_told_as_such(run, published):
-    """Guards against a warning that looks like a mistake of the command line."""
+def test_a_warning_about_the_result_names_no_argument(run, published):
+    """Guards against a warning that looks like an invalid command-line argument."""
     assert run("zone", "out", "north")[0] == 0
     code, text = run("zone", "out", "south")
     assert code == 1
@@ -223,7 +223,7 @@
 
 
 @pytest.mark.parametrize(
-    ("command", "same"),
+    ("command", "message"),
     [
         (
             ["pool", "move", "w1", "lookup"],
@@ -233,14 +233,14 @@
         (["zone", "out", "north"], 'the zone "north" is out of service already'),
     ],
 )
-def test_nothing_to_change(run, published, command, same):
-    """Guards against a repeated command that leaves in doubt what it did."""
+def test_nothing_to_change(run, published, command, message):
+    """Guards against a repeated command that does not say that it changed nothing."""
     run(*command)
-    assert run(*command) == (0, f"Nothing to change: {same}.\n")
+    assert run(*command) == (0, f"Nothing to change: {message}.\n")
 
 
 def test_status_watch_and_explain(run, published, entry):
-    """Guards against views that fail while an entry is down."""
+    """Guards against ``status`` and ``explain`` failing when an entry is unreachable."""
     code, text = run("status")
     assert code == 0
     assert "Fleet fleet, configuration version 1" in text
@@ -263,7 +263,7 @@
 
 
 def test_an_outage_of_the_log_changes_nothing(run, published, log):
-    """Guards against a bare "down" that does not tell what to do."""
+    """Guards against reporting an outage without saying what to do."""
     advice = (
         "Meanwhile interactive work goes on, and lycheeloom status still answers. "
         "Repeat the command when the log answers again.\n"
@@ -285,7 +285,7 @@
     "command", [["config", "show"], ["config", "history"], ["wave", "status"]]
 )
 def test_reading_in_an_outage_of_the_log(run, published, log, command):
-    """Guards against "Nothing was changed" from a command that changes nothing."""
+    """Guards against "Nothing was changed" from a command that only reads."""
     log.failing_reads = 1000
     assert run(*command) == (
         4,
@@ -296,7 +296,7 @@
 
 
 def test_a_change_too_large_for_the_log_is_no_outage(run, published, log):
-    """Guards against advice to repeat what the log always refuses."""
+    """Guards against advice to repeat a command that the log always refuses."""
     log.faults.append("large")
     assert run("zone", "out", "north") == (
         1,
@@ -306,27 +306,29 @@
 
 
 @pytest.mark.parametrize(
-    ("command", "view"),
+    ("command", "view_command"),
     [
         (["zone", "out", "north"], "lycheeloom config history"),
         (["wave", "start", "spring"], "lycheeloom wave status"),
     ],
 )
-def test_an_unknown_outcome_says_where_to_look(run, published, log, command, view):
-    """Guards against advice that cannot show whether a wave was started."""
+def test_an_unknown_outcome_says_where_to_look(
+    run, published, log, command, view_command
+):
+    """Guards against naming a command that does not show the change in question."""
     log.faults.extend(["dropped"] * 100)
     assert run(*command, "--timeout-s", "1") == (
         5,
         "It is not known whether the change takes effect: the log at 10.0.0.9:7000 "
         "did not confirm the change (no answer in time).\n"
         "Meanwhile interactive work goes on, and lycheeloom status still answers. "
-        f"When the log answers again, look at {view}; repeat the command only if the "
-        "change is not there.\n",
+        f"When the log answers again, look at {view_command}; repeat the command only "
+        "if the change is not there.\n",
     )
 
 
 def test_settings_are_checked(tmp_path, capsys):
-    """Guards against a command that starts with wrong settings."""
+    """Guards against running a command with invalid settings."""
     path = tmp_path / "s.toml"
     path.write_text('log = "127.0.0.1:1"\nentries = ["10.0.0.1:7200"]\n')
     assert main(["--settings", str(path), "--check-config"]) == 0
@@ -345,7 +347,7 @@
 
 
 def test_wave_plan_keeps_the_last_spare(run, fleet, make_operator, entry):
-    """Guards against a plan with rounds that the controller never begins."""
+    """Guards against planning rounds that the controller would never start."""
     fleet["pools"]["general"]["needed"] = 2
     assert isinstance(make_operator("brendan", entry).publish(fleet, 0), Published)
     text = run("wave", "plan")[1]
@@ -354,7 +356,7 @@
 
 
 def test_a_granted_key_is_named(run, fleet, make_operator, entry):
-    """Guards against a history that does not tell which key was granted."""
+    """Guards against a change report that does not name the granted key."""
     del fleet["organisations"]["red"]["keys"]
     assert isinstance(make_operator("brendan", entry).publish(fleet, 0), Published)
     text = run("key", "grant", "red", "--id", "red-laptop")[1]
@@ -379,7 +381,7 @@
 
 
 def test_no_command_prints_the_exit_codes(capsys):
-    """Guards against exit codes that are documented nowhere."""
+    """Guards against exit codes that the help does not list."""
     assert main([]) == 2
     text = capsys.readouterr().err
     for code in (0, 1, 2, 3, 4, 5, 6, 7, 8, 130):
--- a/libs/operator/tests/test_differences.py
+++ b/libs/operator/tests/test_differences.py
@@ -1,4 +1,4 @@
-"""Sentences about changes."""
+"""Sentences that describe changes of a configuration."""
 
 import pytest
 
@@ -51,6 +51,6 @@
     ],
 )
 def test_sentence(section, before, after, sentence):
-    """Guards against a zone out that reads as if its state had not existed."""
+    """Guards against calling a field added or removed that had its default value."""
     changes = compare({section: {"a": before}}, {section: {"a": after}})
     assert [change.describe() for change in changes] == [sentence]
--- a/libs/operator/tests/test_docs.py
+++ b/libs/operator/tests/test_docs.py
@@ -1,4 +1,4 @@
-"""Pages and examples agree with the code."""
+"""The documentation and the examples agree with the code."""
 
 import json
 import re
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize("section", MEANING_BY_FIELD)
 def test_configuration_page_describes_each_field(section):
-    """Guards against a field or default that the page lacks or has wrong."""
+    """Guards against a field or default that is missing or wrong on the page."""
     page = read_page("docs/configuration.md")
     part = re.split(r"\n##", page.split(f"\n### `{section}`\n")[1])[0]
     described = [tuple(row[:3]) for row in rows_of(part)[1:]]
@@ -55,7 +55,7 @@
 
 
 def test_http_page_lists_each_refusal():
-    """Guards against a reason that callers cannot look up."""
+    """Guards against a refusal reason that the page lacks."""
     part = read_page("docs/http.md").split("\n## Refusals\n")[1]
     reasons = {row[0].strip("`"): row[1:3] for row in rows_of(part)[1:]}
     assert set(reasons) == {str(reason) for reason in RefusalReason}
@@ -65,7 +65,7 @@
 
 
 def test_each_alert_is_explained_and_its_metrics_are_listed():
-    """Guards against a page at night that nobody can act on."""
+    """Guards against alerts that operators cannot look up in the guide."""
     rules = read_page("ops/alerts.yml")
     alerts = re.findall(r"- alert: (\w+)", rules)
     assert len(alerts) == len(set(alerts)) > 10
@@ -89,7 +89,7 @@
     ("name", "fleet"), [("user-a", "fachverband"), ("user-b", "suantrai")]
 )
 def test_examples_are_complete_and_without_mistakes(name, fleet):
-    """Guards against an example that cannot be published as it stands."""
+    """Guards against an example that cannot be published without changes."""
     file = read_config(str(ROOT / f"examples/{name}.toml"))
     document = file.document
     assert check_document(document, file.source) == []
@@ -117,6 +117,6 @@
 
 
 def test_example_settings_are_valid():
-    """Guards against settings in the first hour that do not load."""
+    """Guards against example settings that cannot be loaded."""
     path = str(ROOT / "examples/lycheeloom.toml")
     assert isinstance(load_settings(path), Settings)
--- a/libs/operator/tests/test_entries.py
+++ b/libs/operator/tests/test_entries.py
@@ -1,4 +1,4 @@
-"""Calls to entries over HTTP: each kind of answer and of silence."""
+"""Calls to entries over HTTP, with valid, invalid and missing answers."""
 
 import base64
 import json
@@ -18,7 +18,7 @@
 
 @pytest.fixture
 def serve():
-    """Serve one fixed answer; returns the address and the calls received."""
+    """Start a server with one fixed answer; return its address and received calls."""
     servers = []
 
     def start(status, body):
@@ -43,7 +43,7 @@
 
 
 def test_records_are_handed_over(serve):
-    """Guards against a body that entries do not understand."""
+    """Guards against a request body in a format that entries do not accept."""
     address, calls = serve("204 No Content", b"")
     assert Entries.at([address]).hand_over(7, [b"\x00one"]) == {}
     ((method, path, body),) = calls
@@ -61,13 +61,13 @@
     ],
 )
 def test_unusable_status(serve, status, body, reason):
-    """Guards against an exception where an entry misbehaves."""
+    """Guards against an exception when an entry gives an invalid answer."""
     address, _ = serve(status, body)
     assert EntryClient(address).status() == EntryUnavailable(reason)
 
 
 def test_status_of_each_entry(serve):
-    """Guards against one dead entry hiding the others."""
+    """Guards against an unreachable entry hiding the status of the others."""
     alive, _ = serve("200 OK", b'{"config_version": 4, "newer_field": 1}')
     statuses = Entries.at([alive, "127.0.0.1:1"]).statuses()
     assert statuses[alive].config_version == 4
@@ -84,7 +84,7 @@
     ],
 )
 def test_explanations(serve, status, body, answer):
-    """Guards against calling something unknown that an entry failed to explain."""
+    """Guards against reporting an object as unknown when the entry failed."""
     address, calls = serve(status, body)
     assert EntryClient(address).explain("request", "a/b") == answer
     assert calls[0][1] == "/v1/explain/request/a/b"
--- a/libs/operator/tests/test_exit_codes.py
+++ b/libs/operator/tests/test_exit_codes.py
@@ -1,4 +1,4 @@
-"""Each documented exit code, from the program in a process of its own."""
+"""Each documented exit code, with the program in a process of its own."""
 
 import signal
 import subprocess
@@ -15,8 +15,8 @@
 from .conftest import small_fleet
 from .standin_log import running_log, set_faults
 
-# Nothing listens there, so no entry ever has a change in force.
-NO_ENTRY = "127.0.0.1:1"
+# No entry listens at this address, so no change ever comes into force.
+UNREACHABLE_ENTRY = "127.0.0.1:1"
 
 
 @pytest.fixture
@@ -27,12 +27,12 @@
 
 @pytest.fixture
 def start(tmp_path, log_address):
-    """Start the program; ``log`` replaces the address of the log."""
+    """Return a function that starts the program with settings for a log address."""
 
     def start_program(*args, log=log_address):
         settings = tmp_path / "lycheeloom.toml"
         settings.write_text(
-            f'log = "{log}"\nentries = ["{NO_ENTRY}"]\noperator = "aoife"\n'
+            f'log = "{log}"\nentries = ["{UNREACHABLE_ENTRY}"]\noperator = "aoife"\n'
         )
         common = ["--settings", str(settings)]
         return subprocess.Popen(
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 def run(start):
-    """Run the program to its end; returns the exit code and what it printed."""
+    """Return a function that runs the program; it returns exit code and output."""
 
     def run_program(*args, **options):
         process = start(*args, **options)
@@ -59,7 +59,7 @@
 
 @pytest.fixture
 def fleet_file(tmp_path, run):
-    """Publish a configuration; returns the file as it was printed then."""
+    """Publish a configuration and return a file with the output of ``config show``."""
     path = tmp_path / "fleet.toml"
     path.write_text(print_config(small_fleet()))
     assert run("config", "publish", str(path), "--no-wait")[0] == ExitCode.OK
@@ -69,7 +69,7 @@
 
 @pytest.fixture
 def losing_log(log_address):
-    """Forward to the log until an append; nothing is answered after that."""
+    """A proxy of the log; from the first append on, the log loses all answers."""
     pool = urllib3.PoolManager()
 
     def application(environ, start_response):
@@ -101,8 +101,8 @@
 
 
 def test_each_documented_code_has_a_test():
-    """Guards against an exit code that is documented but never tried."""
-    tested = {code for code, _ in ENDINGS} | {
+    """Guards against a documented exit code without a test."""
+    tested = {code for code, _ in COMMANDS_BY_CODE} | {
         ExitCode.LOST_RACE,
         ExitCode.UNAVAILABLE,
         ExitCode.OUTCOME_UNKNOWN,
@@ -112,7 +112,7 @@
     assert tested == set(MEANING_BY_EXIT_CODE)
 
 
-ENDINGS = (
+COMMANDS_BY_CODE = (
     (ExitCode.OK, ["config", "history"]),
     (ExitCode.INVALID_INPUT, ["zone", "out", "norht"]),
     (ExitCode.USAGE, ["zone", "sideways", "north"]),
@@ -122,15 +122,15 @@
 )
 
 
-@pytest.mark.parametrize(("code", "arguments"), ENDINGS)
-def test_endings(run, fleet_file, code, arguments):
+@pytest.mark.parametrize(("code", "arguments"), COMMANDS_BY_CODE)
+def test_exit_code(run, fleet_file, code, arguments):
     """Guards against an exit code that differs from the documented one."""
-    ended, printed = run(*arguments)
-    assert ended == code, printed
+    exit_code, printed = run(*arguments)
+    assert exit_code == code, printed
 
 
 def test_lost_race(run, fleet_file):
-    """Guards against a file that overwrites the change of another operator."""
+    """Guards against a published file that overwrites another operator's change."""
     assert run("zone", "out", "north", "--no-wait")[0] == ExitCode.OK
     code, printed = run("config", "publish", str(fleet_file))
     assert code == ExitCode.LOST_RACE
@@ -138,7 +138,7 @@
 
 
 def test_differences(run, fleet_file):
-    """Guards against a script that takes a difference for none."""
+    """Guards against the exit code for no difference when there is one."""
     assert run("config", "diff", str(fleet_file), "--exit-code")[0] == ExitCode.OK
     fleet_file.write_text(
         fleet_file.read_text().replace("upper_limit = 10", "upper_limit = 11")
@@ -149,7 +149,7 @@
 
 @pytest.mark.parametrize("fault", ["outage", "down"])
 def test_outage_of_the_log(run, log_address, fleet_file, fault):
-    """Guards against an outage that is not told with its address."""
+    """Guards against reporting an outage without the address of the log."""
     set_faults(log_address, **{fault: True})
     code, printed = run("zone", "out", "north", "--timeout-s", "1")
     assert code == ExitCode.UNAVAILABLE
@@ -157,7 +157,7 @@
 
 
 def test_outcome_unknown(run, log_address, losing_log, fleet_file):
-    """Guards against calling a change unmade that took effect."""
+    """Guards against reporting a change as failed that took effect."""
     code, printed = run("zone", "out", "north", "--timeout-s", "1", log=losing_log)
     assert code == ExitCode.OUTCOME_UNKNOWN, printed
     assert printed.startswith("It is not known whether the change takes effect: ")
@@ -167,7 +167,7 @@
 
 
 def test_interrupted(start, fleet_file):
-    """Guards against a stack trace at the end of a watch."""
+    """Guards against a traceback when ``watch`` is interrupted."""
     process = start("watch", "--interval-s", "3600")
     assert process.stdout.readline() != ""
     process.send_signal(signal.SIGINT)
--- a/libs/operator/tests/test_first_hour.py
+++ b/libs/operator/tests/test_first_hour.py
@@ -1,4 +1,4 @@
-"""The settings of the first hour are accepted by the programs that read them."""
+"""Programs accept the settings and the configuration in ``examples/first-hour``."""
 
 import subprocess
 import sys
@@ -22,7 +22,7 @@
     ],
 )
 def test_settings_of_the_first_hour(module, arguments):
-    """Guards against a first hour that ends at a mistake in its own files."""
+    """Guards against example files that the programs reject or warn about."""
     command = [sys.executable, "-m", f"lycheeloom.{module}", *arguments]
     ended = subprocess.run(command, cwd=FOLDER, capture_output=True, text=True)
     assert ended.returncode == 0, ended.stdout + ended.stderr
--- a/libs/operator/tests/test_guide_commands.py
+++ b/libs/operator/tests/test_guide_commands.py
@@ -1,4 +1,4 @@
-"""The commands that the pages tell a reader to type."""
+"""The commands, files and ports that the README and the operators' guide name."""
 
 import itertools
 import re
@@ -12,12 +12,12 @@
 
 ROOT = Path(__file__).parents[3]
 PAGES = ("README.md", "docs/operators-guide.md")
-# Ends a command within a line of a shell block.
-END = re.compile(r" +(?:[|>&#]|>>|2>&1)(?: |$).*")
+# Where a command ends within a line: at a pipe, redirection, ``&`` or comment.
+COMMAND_END = re.compile(r" +(?:[|>&#]|>>|2>&1)(?: |$).*")
 
 
 def code_of(page):
-    """Return the lines of all blocks and the spans of code of a page."""
+    """Return the lines of all code blocks and the inline code of a page."""
     text = (ROOT / page).read_text(encoding="utf-8")
     blocks = re.findall(r"^ *```\w*\n(.*?)^ *```", text, re.DOTALL | re.MULTILINE)
     lines = [line for block in blocks for line in block.splitlines()]
@@ -25,13 +25,16 @@
 
 
 def commands_of(page, program):
-    """Return each use of a program; ``a|b`` without spaces stands for both."""
+    """Return the argument lists with which a page calls a program.
+
+    A word ``a|b`` stands for two calls, one with ``a`` and one with ``b``.
+    """
     found = []
     for line in code_of(page):
         match = re.search(rf"(?:^|\$\()({program} .+)", line)
         if match is None:
             continue
-        words = shlex.split(END.sub("", match[1]), comments=True)
+        words = shlex.split(COMMAND_END.sub("", match[1]), comments=True)
         found += itertools.product(*(word.split("|") for word in words))
     return sorted(set(found))
 
@@ -45,11 +48,11 @@
     ],
 )
 def test_command_is_understood(command):
-    """Guards against a command in the pages that the program refuses."""
+    """Guards against a documented command that the program does not accept."""
     try:
         args = build_parser().parse_args(command[1:])
     except SystemExit as ended:
-        # Such as --help.
+        # Options such as --help end the program.
         assert ended.code == 0, command
         return
     file = getattr(args, "file", "")
@@ -58,7 +61,7 @@
 
 
 def test_commands_are_found():
-    """Guards against a search that finds nothing to check."""
+    """Guards against a search for commands that finds only some or none."""
     found = {
         command[1] for page in PAGES for command in commands_of(page, "lycheeloom")
     }
@@ -68,7 +71,7 @@
 
 @pytest.mark.parametrize("page", PAGES)
 def test_daemons_and_their_settings_exist(page):
-    """Guards against a program or a settings file that was renamed."""
+    """Guards against naming a program or an example file that does not exist."""
     scripts = {}
     for path in ROOT.glob("libs/*/pyproject.toml"):
         scripts |= tomllib.loads(path.read_text())["project"].get("scripts", {})
@@ -81,7 +84,7 @@
 
 @pytest.mark.parametrize("page", PAGES)
 def test_make_targets_exist(page):
-    """Guards against a first command that fails."""
+    """Guards against naming a make target that does not exist."""
     targets = set(re.findall(r"^(\w+):", (ROOT / "Makefile").read_text(), re.M))
     named = {
         words[1]
@@ -92,7 +95,7 @@
 
 
 def test_addresses_of_the_first_hour_are_in_its_settings():
-    """Guards against a request to a port where nothing listens."""
+    """Guards against a documented port that no example settings file has."""
     settings = "".join(
         path.read_text() for path in (ROOT / "examples/first-hour").glob("*.toml")
     )
--- a/libs/operator/tests/test_log_timeline.py
+++ b/libs/operator/tests/test_log_timeline.py
@@ -1,4 +1,4 @@
-"""The story of a job and of the leaders, told from log lines."""
+"""Timelines of a job and of the leaders, built from log lines."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def line(second: int, process: str, event: str, **fields: str) -> str:
-    """Return a line as a process writes it."""
+    """Return a log line as a process writes it."""
     pairs = " ".join(f"{k}={v}" for k, v in fields.items())
     time = f"2026-12-04T10:00:{second:02d}.000+00:00"
     return f"time={time} level=INFO process={process} event={event} {pairs}\n"
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def log():
-    """A job whose leader was replaced while a task ran, and another job."""
+    """Log lines of a job whose leader changed while a task ran, and of another job."""
     return [
         line(9, "n2", "task_adopted", task=f"{JOB}.0.0.0", run="1", worker="w"),
         "a line of something else\n",
@@ -37,10 +37,10 @@
     ]
 
 
-def test_story_is_in_order_over_processes_with_gaps(log):
-    """Guards against stories that hide the time in which nothing was logged."""
-    story = build_timeline(log, JOB)
-    events = [row.split()[2] for row in story if not row.startswith(" ")]
+def test_timeline_merges_processes_and_shows_gaps(log):
+    """Guards against timelines that hide periods without a log line."""
+    timeline = build_timeline(log, JOB)
+    events = [row.split()[2] for row in timeline if not row.startswith(" ")]
     assert events == [
         "job_submitted",
         "job_opened",
@@ -49,30 +49,30 @@
         "task_adopted",
         "job_ended",
     ]
-    assert "    no line for 6.0 s" in story
+    assert "    no line for 6.0 s" in timeline
 
 
-def test_missing_parts_are_named(log):
-    """Guards against taking a missing log for a job that was never handled."""
-    story = build_timeline(log[1:3], JOB)
-    assert "    no line of a leader that took it over" in story
+def test_missing_events_are_reported(log):
+    """Guards against mistaking a missing log file for a job that no leader handled."""
+    timeline = build_timeline(log[1:3], JOB)
+    assert "    no line about a leader taking the job over" in timeline
 
 
-def test_story_of_the_leaders(log):
-    """Guards against changes of leader that cannot be followed."""
+def test_timeline_of_the_leaders(log):
+    """Guards against timelines that lack a change of leader."""
     assert build_leader_timeline(log) == [
         "2026-12-04T10:00:08.000+00:00 n2 lead_taken token=2"
     ]
 
 
 def test_prefixes_and_quoted_values_are_read():
-    """Guards against lines of a collector that puts its own words in front."""
+    """Guards against ignoring lines to which a log collector added a prefix."""
     text = '  1.25 n1 time=T level=INFO process=n1 event=e reason="no \\"x\\" here"'
     assert parse_line(text).fields == {"reason": 'no "x" here'}
 
 
 def test_command_reads_files(log, tmp_path, capsys):
-    """Guards against a command that asks for settings to read logs."""
+    """Guards against requiring a settings file for a command that reads only logs."""
     path = tmp_path / "n.log"
     path.write_text("".join(log))
     assert main(["explain", "job", JOB, "--logs", str(path)]) == ExitCode.OK
--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -1,4 +1,4 @@
-"""Each kind of mistake gets one exact message, and all come in one go."""
+"""Each problem of a configuration has one exact message, and all are reported."""
 
 import datetime
 
@@ -20,14 +20,17 @@
 ABOVE_0 = "a number greater than 0"
 FROM_0 = "a whole number, 0 or more"
 FROM_1 = "a whole number, 1 or more"
-NAME = "1 to 63 letters, digits, dots, hyphens or underscores, first no sign"
+NAME = (
+    "1 to 63 letters, digits, dots, hyphens or underscores, starting with a letter or "
+    "digit"
+)
 ONE_ORGANISATION = (
     "but work without a key on a queue that is open to all is charged to the one "
     "organisation "
     "named here; allowed: exactly one organisation, or open_to_all = false"
 )
 
-# A merge patch on a configuration without mistakes, and the message it causes.
+# A merge patch for ``small_fleet`` and the message that it causes.
 BAD_CONFIGURATIONS = [
     (
         {"organisations": {"red": {"share": 0}}},
@@ -87,7 +90,7 @@
         {"organisations": {"red": {"keys": {"k.1": KEY}}}},
         'organisations.red.keys."k.1": "k.1" cannot be the name of a key; allowed: '
         "1 to 63 "
-        "letters, digits, hyphens or underscores, first no sign",
+        "letters, digits, hyphens or underscores, starting with a letter or digit",
     ),
     (
         {
@@ -132,7 +135,7 @@
     (
         {"instances": {"w5": {"rack": "south-1"}}},
         'instances.w5.rack: is "south-1" in zone "north" and elsewhere in zone '
-        '"south"; allowed: racks that stand in one zone each',
+        '"south"; allowed: a rack whose instances are in one zone',
     ),
     (
         {"instances": {"w5": {"rack": None}}},
@@ -253,26 +256,26 @@
 
 @pytest.mark.parametrize(("patch", "message"), BAD_CONFIGURATIONS)
 def test_each_mistake_has_one_exact_message(patch, message):
-    """Guards against a mistake that is missed, or told twice or unclearly."""
+    """Guards against a problem that is missed, reported twice or worded otherwise."""
     document = merge_patch(small_fleet(), patch)
     problems = check_document(document, "fleet.toml", small_fleet(), USAGE)
     assert [str(problem) for problem in problems] == [f"fleet.toml: {message}"]
 
 
 def test_a_fleet_without_mistakes_passes():
-    """Guards against messages about nothing."""
+    """Guards against messages about a valid configuration."""
     assert check_document(small_fleet(), "fleet.toml", {}, USAGE) == []
 
 
 def test_a_queue_open_to_all_with_one_organisation_passes():
-    """Guards against a check that forbids every queue that is open to all."""
+    """Guards against a check that rejects every queue that is open to all."""
     patch = {"queues": {"find": {"open_to_all": True, "organisations": ["blue"]}}}
     document = merge_patch(small_fleet(), patch)
     assert check_document(document, "fleet.toml", small_fleet(), USAGE) == []
 
 
 def test_all_mistakes_come_in_one_go():
-    """Guards against operators who mend one mistake to be told the next."""
+    """Guards against a check that stops at the first problem."""
     patch = {"organisations": {"red": {"share": 0}}, "instances": {"w5": {"pool": "x"}}}
     document = merge_patch(small_fleet(), patch)
     document["queues"]["find"]["organisations"] = ["rad"]
@@ -285,7 +288,7 @@
 
 
 def test_removing_a_pool_that_still_holds_an_instance():
-    """Guards against a change that replay would silently give no effect."""
+    """Guards against publishing a change that would have no effect when replayed."""
     document = merge_patch(small_fleet(), {"pools": {"old": None}})
     usage = Usage(pool_by_instance={"w1": "old"})
     problems = check_document(document, "fleet.toml", {}, usage)
@@ -296,7 +299,7 @@
 
 
 def test_fields_of_a_newer_program_are_kept():
-    """Guards against an older command that takes newer fields for mistakes."""
+    """Guards against rejecting fields that a newer program version published."""
     document = merge_patch(small_fleet(), {"organisations": {"red": {"burst": 3}}})
     assert check_document(document, "fleet.toml", in_force=document) == []
     assert len(check_document(document, "fleet.toml", in_force=small_fleet())) == 1
@@ -333,12 +336,12 @@
     ],
 )
 def test_mistakes_of_toml(text, message):
-    """Guards against parser messages that name no key."""
+    """Guards against parser messages that name neither key nor line."""
     assert str(read_config_text(text, "fleet.toml")) == f"fleet.toml: {message}"
 
 
 def test_dates_are_no_settings():
-    """Guards against values that a published document cannot carry."""
+    """Guards against values that cannot be expressed in a published document."""
     file = read_config_text(print_config(small_fleet()) + "\n", "fleet.toml")
     file.document["organisations"]["red"]["since"] = datetime.date(2026, 1, 2)
     problems = check_document(file.document, "fleet.toml", file.document)
@@ -349,7 +352,7 @@
 
 
 def test_a_draft_collects_its_mistakes():
-    """Guards against a builder that stops at the first mistake."""
+    """Guards against a draft that stops at the first problem."""
     draft = Draft(small_fleet())
     draft.add_instance("w1", pool="general")
     draft.move_instance("w2", "genral")
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -1,4 +1,4 @@
-"""Publishing under an expected version, through faults and against others."""
+"""Publishing with an expected version, with faulty logs and competing operators."""
 
 from collections import deque
 
@@ -33,14 +33,14 @@
 
 
 def snapshot_batch(state):
-    """Return a batch with a whole snapshot."""
+    """Return an encoded batch with all chunks of a snapshot of the state."""
     covers = state.next_offset - 1
     chunks = split_snapshot("s1", covers, state.dump_snapshot())
     return encode_batch(Batch("writer", 1, tuple(chunks)))
 
 
 def test_published_configuration_is_in_force_on_each_entry(make_operator, fleet):
-    """Guards against an accepted change that entries learn of late."""
+    """Guards against an accepted change that the entries learn only from the log."""
     entries = [FakeEntry("a"), FakeEntry("b")]
     operator = make_operator("aoife", *entries)
     result = operator.publish(fleet, 0)
@@ -52,8 +52,8 @@
     assert operator.publish(fleet, 1) == NothingToChange(1)
 
 
-def test_an_entry_that_lacks_the_version_is_named(make_operator, fleet):
-    """Guards against calling a change in force that is not."""
+def test_an_entry_without_the_version_is_named(make_operator, fleet):
+    """Guards against reporting a version as in force that some entries lack."""
     lagging = FakeEntry("b")
     lagging.state.skip(0)
     silent = FakeEntry("c", reachable=False)
@@ -78,7 +78,7 @@
     ],
 )
 def test_a_lost_append_answer_is_resolved(make_operator, log, fleet, faults):
-    """Guards against a change that is made twice or called lost after success."""
+    """Guards against a change that takes effect twice, or is reported as failed."""
     log.faults.extend(faults)
     operator = make_operator("aoife")
     result = operator.publish(fleet, 0)
@@ -88,20 +88,20 @@
     assert len(operator.history()) == 1
 
 
-def test_an_answer_that_stays_lost_is_unknown(make_operator, log, fleet):
-    """Guards against calling a change lost that may still take effect."""
+def test_an_unresolved_append_has_an_unknown_outcome(make_operator, log, fleet):
+    """Guards against reporting a change as failed that may still take effect."""
     log.faults.extend(["dropped"] * 100)
     operator = make_operator("aoife")
     result = operator.publish(fleet, 0, timeout_s=3)
     assert isinstance(result, OutcomeUnknown)
-    # Refused later on, but the first append may still be on its way.
+    # The retry is refused, but the first append may still arrive.
     log.faults = type(log.faults)(["dropped", "large"])
     assert isinstance(operator.publish(fleet, 0), OutcomeUnknown)
 
 
 @pytest.mark.parametrize("faults", [["large"], ["down"] * 100])
 def test_a_refused_append_changed_nothing(make_operator, log, fleet, faults):
-    """Guards against doubt where the log certainly refused."""
+    """Guards against an unknown outcome for an append that the log refused."""
     log.faults.extend(faults)
     result = make_operator("aoife").publish(fleet, 0, timeout_s=3)
     assert isinstance(result, NotAccepted)
@@ -117,8 +117,8 @@
     )
 
 
-def test_the_loser_of_a_race_is_told_who_won(make_operator, log, fleet):
-    """Guards against undoing the change of another operator."""
+def test_a_lost_race_names_the_winner(make_operator, log, fleet):
+    """Guards against overwriting the change of another operator."""
     first, second = make_operator("aoife"), make_operator("brendan")
     assert isinstance(first.publish(fleet, 0), Published)
     raised = merge_patch(fleet, {"organisations": {"red": {"upper_limit": 20}}})
@@ -131,7 +131,7 @@
     assert winner.operator == "brendan"
     assert winner.sentences == ("Organisation red: upper_limit changes from 10 to 6",)
     assert first.document == lowered
-    # The same is told when the race was lost before the append.
+    # The result is the same if the race was lost before the append.
     assert first.publish(raised, 1) == result
 
 
@@ -142,11 +142,11 @@
 
 @settings(derandomize=True, deadline=None, max_examples=200)
 @given(st.lists(st.tuples(st.integers(0, 2), st.booleans(), FAULTS), max_size=6))
-def test_what_operators_are_told_is_true(steps):
-    """Guards against a result that the log does not bear out.
+def test_results_match_the_log(steps):
+    """Guards against results that contradict the log.
 
-    Three operators set one limit to values used once, some of them in between
-    the read and the append of another, while answers are lost.
+    Three operators set the same limit, each time to a new value, while answers are
+    lost. Some of them publish between the read and the append of another.
     """
     log = FakeLog()
     operators = [
@@ -191,7 +191,7 @@
 
 
 def test_small_changes_of_two_operators_both_take_effect(make_operator, log, fleet):
-    """Guards against an emergency change lost to an unrelated one."""
+    """Guards against an emergency change that fails because of an unrelated one."""
     first, second = make_operator("aoife"), make_operator("brendan")
     first.publish(fleet, 0)
     log.before_append = lambda: second.change(lambda draft: draft.set_limit("red", 9))
@@ -203,7 +203,7 @@
 
 
 def test_a_small_change_of_the_same_setting_loses(make_operator, log, fleet):
-    """Guards against overwriting what another operator just set."""
+    """Guards against overwriting a setting that another operator has just changed."""
     first, second = make_operator("aoife"), make_operator("brendan")
     first.publish(fleet, 0)
     log.before_append = lambda: second.change(lambda draft: draft.set_limit("red", 9))
@@ -213,7 +213,7 @@
 
 
 def test_an_expired_log_is_read_from_a_snapshot(make_operator, log, fleet):
-    """Guards against a command that works only while the log keeps offset 0."""
+    """Guards against a command that fails once offset 0 of the log has expired."""
     first = make_operator("aoife")
     first.publish(fleet, 0)
     first.change(lambda draft: draft.set_limit("red", 9))
@@ -252,8 +252,8 @@
     assert entry.state.configuration.document == large_fleet()
 
 
-def test_a_part_that_fails_is_told(make_operator, log):
-    """Guards against calling a change unpublished of which a part is in force."""
+def test_a_failed_part_is_reported(make_operator, log):
+    """Guards against reporting a partly published change as not published."""
     log.faults.extend(["", "large"])
     operator = make_operator("aoife")
     result = operator.publish(large_fleet(), 0)
@@ -274,19 +274,19 @@
 
 
 def test_warnings_must_be_accepted(make_operator, fleet):
-    """Guards against a limit below what is running, set by mistake."""
+    """Guards against an upper limit below the running tasks, set by mistake."""
     operator = make_operator("aoife", FakeEntry("a", running={"red": 8}))
     operator.publish(fleet, 0)
     lower = merge_patch(fleet, {"organisations": {"red": {"upper_limit": 3}}})
     assert isinstance(operator.publish(lower, 1), Rejected)
     assert isinstance(operator.publish(lower, 1, accept_warnings=True), Published)
-    # The warning is about what is in force now, and does not block other changes.
+    # The warning now concerns the configuration in force and blocks no other change.
     result = operator.change(lambda draft: draft.take_zone_out("north"))
     assert isinstance(result, Published)
 
 
 def test_an_error_in_force_does_not_block_other_changes(make_operator, log, fleet):
-    """Guards against a newer check that keeps a zone from being taken out."""
+    """Guards against a newly added check that prevents taking a zone out."""
     fleet["queues"]["find"]["open_to_all"] = True
     older = ConfigChanged(0, canonical_json(fleet), "aoife")
     log.batches.append(encode_batch(Batch("older-program", 1, (older,))))
@@ -298,14 +298,14 @@
 
 
 def test_errors_cannot_be_accepted(make_operator, fleet):
-    """Guards against publishing what every entry would ignore."""
+    """Guards against publishing a configuration that every entry would ignore."""
     operator = make_operator("aoife")
     fleet["organisations"]["red"]["share"] = 0
     assert isinstance(operator.publish(fleet, 0, accept_warnings=True), Rejected)
 
 
-def test_waves_follow_their_states(make_operator, log, fleet):
-    """Guards against two operators commanding one wave against each other."""
+def test_wave_commands_depend_on_the_state(make_operator, log, fleet):
+    """Guards against commanding a wave whose state another operator just changed."""
     first, second = make_operator("aoife"), make_operator("brendan")
     first.publish(fleet, 0)
     assert first.command_wave("spring", WaveState.RUNNING) == WaveChanged()
@@ -320,7 +320,7 @@
 
 
 def test_a_key_is_published_only_as_a_hash(make_operator, log, fleet):
-    """Guards against a secret in the log."""
+    """Guards against writing the secret of a key to the log."""
     operator = make_operator("aoife")
     operator.publish(fleet, 0)
     made = []
--- a/libs/operator/tests/test_round_trip.py
+++ b/libs/operator/tests/test_round_trip.py
@@ -31,8 +31,8 @@
     ),
     max_leaves=6,
 )
-# Known fields with any value, and fields of a newer program version.
-ENTRIES = {
+# Known fields with any value, and unknown fields, as of a newer program version.
+ITEMS = {
     section: st.dictionaries(
         st.sampled_from(sorted(set(fields) - {"keys"})) | TEXT.filter("keys".__ne__),
         VALUES,
@@ -41,18 +41,16 @@
     for section, fields in MEANING_BY_FIELD.items()
 }
 ORGANISATIONS = st.builds(
-    lambda entry, keys: entry | keys,
-    ENTRIES["organisations"],
+    lambda item, keys: item | keys,
+    ITEMS["organisations"],
     st.just({})
-    | st.fixed_dictionaries(
-        {"keys": st.dictionaries(TEXT, ENTRIES["keys"], max_size=2)}
-    ),
+    | st.fixed_dictionaries({"keys": st.dictionaries(TEXT, ITEMS["keys"], max_size=2)}),
 )
 SECTIONS = {
     section: st.dictionaries(
-        TEXT, ORGANISATIONS if section == "organisations" else entry, max_size=3
+        TEXT, ORGANISATIONS if section == "organisations" else item, max_size=3
     )
-    for section, entry in ENTRIES.items()
+    for section, item in ITEMS.items()
     if section != "keys"
 }
 EXTRAS = st.dictionaries(
@@ -65,13 +63,13 @@
     st.fixed_dictionaries({}, optional={"name": TEXT, **SECTIONS}),
     EXTRAS,
 )
-REPEATABLE = settings(derandomize=True, deadline=None, max_examples=300)
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=300)
 
 
-@REPEATABLE
+@DETERMINISTIC
 @given(DOCUMENTS, st.none() | st.integers(0, 10**6))
 def test_printed_configuration_reads_back_exactly(document, version):
-    """Guards against publishing something else than what was printed."""
+    """Guards against a printed file that publishes another document."""
     text = print_config(document, version)
     file = read_config_text(text, "printed")
     assert isinstance(file, ConfigFile), f"{file}\n{text}"
@@ -79,27 +77,27 @@
     assert file.version == version
 
 
-@REPEATABLE
+@DETERMINISTIC
 @given(DOCUMENTS, DOCUMENTS)
 def test_patch_rebuilds_the_document(before, after):
-    """Guards against a patch that leaves a difference or hides one."""
+    """Guards against differences that ``make_patch`` or ``compare`` misses."""
     patch = make_patch(before, after)
     assert canonical_json(merge_patch(before, patch)) == canonical_json(after)
     assert bool(patch) == bool(compare(before, after))
 
 
-@REPEATABLE
+@DETERMINISTIC
 @given(DOCUMENTS, DOCUMENTS)
 def test_split_patch_leads_to_the_same_document(before, after):
-    """Guards against a large change that loses entries between its parts."""
+    """Guards against a large change whose parts omit some of its items."""
     document = before
     for part in split_patch(make_patch(before, after), max_bytes=60):
         document = merge_patch(document, part)
     assert canonical_json(document) == canonical_json(after)
 
 
-def test_each_figure_is_explained():
-    """Guards against a figure without its meaning and unit."""
+def test_each_value_is_explained():
+    """Guards against printed values without an explanation of meaning and unit."""
     text = print_config(small_fleet(), 3)
     for line in (
         "printed_from_version = 3  # It can be published while this version is in "
@@ -117,7 +115,10 @@
 
 
 def test_large_change_is_split_below_the_limit():
-    """Guards against a fleet of 5,100 workers that no batch can carry."""
+    """Guards against a fleet of 5,100 workers that cannot be published.
+
+    Its configuration is larger than the largest batch.
+    """
     worker = small_fleet()["instances"]["w1"]
     after = {"instances": {f"worker-{number}": worker for number in range(5100)}}
     parts = split_patch(after)
--- a/libs/operator/tests/test_settings.py
+++ b/libs/operator/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Each mistake in the settings of the command gets one exact message."""
+"""Each problem in the settings of the command has one exact message."""
 
 import pytest
 
@@ -55,7 +55,7 @@
     ],
 )
 def test_mistakes_of_settings(tmp_path, text, messages):
-    """Guards against settings that fail later and less clearly."""
+    """Guards against invalid settings that pass the check and cause failures later."""
     path = tmp_path / "lycheeloom.toml"
     path.write_text(text)
     problems = load_settings(str(path))
@@ -63,7 +63,7 @@
 
 
 def test_missing_settings_file(tmp_path):
-    """Guards against a traceback where there is no file."""
+    """Guards against a traceback when the settings file does not exist."""
     path = str(tmp_path / "none.toml")
     assert [str(item) for item in load_settings(path)] == [
         f"{path}: file: No such file or directory; allowed: a readable file"
--- a/libs/operator/tests/test_with_standins.py
+++ b/libs/operator/tests/test_with_standins.py
@@ -1,4 +1,4 @@
-"""The command against the stand-in of the log, in its own process."""
+"""The library and the command against the stand-in of the log, over HTTP."""
 
 import pytest
 
@@ -16,7 +16,7 @@
 
 
 class LosingLog(LogClient):
-    """A log whose next answer to an append is lost."""
+    """A client that loses the answer to each append."""
 
     def append(self, batch, **options):
         set_faults(self.address, lose_answers=1)
@@ -24,7 +24,7 @@
 
 
 def test_lost_append_answer(log_address, fleet):
-    """Guards against resolving a lost answer only against the log in memory."""
+    """Guards against a lost answer that is resolved only with the log in memory."""
     operator = Operator(LosingLog(log_address), Entries([]), "aoife")
     result = operator.publish(fleet, 0)
     assert isinstance(result, Published)
