--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -10,7 +10,7 @@
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
 from lycheeloom.model.records import WaveCommand, WaveState
 
-from .fleet_world import Controller, World, large_fleet, user_fleet
+from .fleet_world import Controller, SimulatedFleet, large_fleet, user_fleet
 
 DRAIN_S = 60.0
 REBOOT_S = 300.0
@@ -57,12 +57,12 @@
         "roll-out s": round(duration_s),
         "ratio": round(duration_s / planned.bound_s, 3),
         "goal": goal,
-        "over budget": len(planned.world.over_budget),
-        "work lost": planned.world.lost_work,
+        "over budget": len(planned.world.budget_violations),
+        "work lost": planned.world.lost_tasks,
         "forecast s": round(planned.first_forecast_s),
         **planned.forecasts_at_half(duration_s),
         "batches ratio": round(naive_s / planned.bound_s, 3),
-        "batches over budget": len(naive.world.over_budget),
+        "batches over budget": len(naive.world.budget_violations),
         "racks failed": planned.racks_failed,
         "run s": round(time.monotonic() - begun, 1),
     }
@@ -73,7 +73,7 @@
 
     def __init__(self, name: str, document: dict, failing: bool, seed: int):
         rng = random.Random(seed)
-        self.world = World(document, DRAIN_S, REBOOT_S)
+        self.world = SimulatedFleet(document, DRAIN_S, REBOOT_S)
         self.step_s = STEP_S[name]
         for instance in self.world.workers:
             spread = rng.uniform(1 - DRAIN_SPREAD, 1 + DRAIN_SPREAD)
@@ -192,10 +192,10 @@
         if f"{name}.reboot" in world.status_by_action:
             if not worker.alive:
                 return False
-            world.act(PlatformAction(name, ActionKind.UNDRAIN, f"{name}.undrain"))
+            world.execute(PlatformAction(name, ActionKind.UNDRAIN, f"{name}.undrain"))
             return True
         if not worker.draining:
-            world.act(PlatformAction(name, ActionKind.DRAIN, f"{name}.drain"))
+            world.execute(PlatformAction(name, ActionKind.DRAIN, f"{name}.drain"))
         elif worker.running == 0:
-            world.act(PlatformAction(name, ActionKind.REBOOT, f"{name}.reboot"))
+            world.execute(PlatformAction(name, ActionKind.REBOOT, f"{name}.reboot"))
         return False
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -113,9 +113,9 @@
     """Shut an entry down and start another version in its place."""
     assert world.stop_entry(name) == 0
     world.start_entry(name, program=program)
-    world.open_entries.discard(name)
+    world.serving_entries.discard(name)
     world.wait_ready([name])
-    world.open_entries.add(name)
+    world.serving_entries.add(name)
     for other in world.zone_by_entry:
         if other != name:
             wait_until(lambda other=other: hears(world, other, name))
@@ -176,7 +176,7 @@
     )
 
     def call(entry):
-        work = world.new_work()
+        work = world.new_work_id()
         kind = ("lookup", "keyed", "batch")[int(work.split("-")[1]) % 3]
         options = {"idempotency_key": work} if kind == "keyed" else {}
         return world.submit(kind, entry, key, work=work, work_ms=200, **options)
@@ -191,7 +191,7 @@
             load.wait_for_more(12)
             replace(world, name, NEWER)
             world.grant_key("blue")
-            world.note_versions()
+            world.record_versions()
         load.wait_for_more(12)
         for name in names:
             replace(world, name, TODAY)
@@ -200,7 +200,7 @@
             load.wait_for_more(12)
             # A draft of today's operator keeps what it does not know.
             world.grant_key("green")
-            world.note_versions()
+            world.record_versions()
     for call_seen in load.calls:
         if call_seen.kind == "keyed" and call_seen.verdict == "accepted":
             wait_until(lambda seen=call_seen: accepted(world.collect(seen, "e1", 1000)))
