--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -91,16 +91,16 @@
                     f"the log at {self._log.address} {_describe_append_result(result)}"
                 )
                 if result == AppendRefused(AppendRefusal.TOO_LARGE):
-                    return _unresolved(may_be_in_log, reason, may_repeat=False)
+                    return _not_confirmed(may_be_in_log, reason, may_repeat=False)
             if may_be_in_log:
-                problem = self._view.catch_up()
+                failure = self._view.catch_up()
                 outcome = self._view.outcome(self._sequence)
                 if outcome is not None:
                     return Accepted(outcome, data)
-                if problem is not None:
-                    reason = self._view.read_failure(problem)
+                if failure is not None:
+                    reason = self._view.read_failure(failure)
             if self._clock.now_s() + backoff_s > deadline_s:
-                return _unresolved(may_be_in_log, reason)
+                return _not_confirmed(may_be_in_log, reason)
             self._clock.sleep(backoff_s * random.uniform(0.5, 1.0))
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
@@ -118,7 +118,7 @@
     return "accepted the change but did not show it in time"
 
 
-def _unresolved(
+def _not_confirmed(
     may_be_in_log: bool, reason: str, may_repeat: bool = True
 ) -> NotAccepted | OutcomeUnknown:
     if may_be_in_log:
--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -39,9 +39,9 @@
         return report_problems([file])
     expected = args.expect if args.expect is not None else file.version
     if expected is None:
-        problem = operator.refresh()
-        if problem is not None:
-            return report_result(problem)
+        failure = operator.refresh()
+        if failure is not None:
+            return report_result(failure)
         if operator.version != 0:
             return report_problems([_version_missing(file, operator.version)])
         expected = 0
@@ -57,19 +57,19 @@
 
 def grant_key(operator: Operator, args: argparse.Namespace) -> Report:
     """Create a key for an organisation and show its token."""
-    made: list[NewKey | None] = []
+    created_keys: list[NewKey | None] = []
     report = _change(
         operator,
         args,
-        lambda draft: made.append(draft.grant_key(args.organisation, args.id)),
+        lambda draft: created_keys.append(draft.grant_key(args.organisation, args.id)),
         {
             join_key("organisations", args.organisation, "keys"): "--id",
             "organisations": "ORGANISATION",
         },
     )
-    key = made[-1] if made else None
-    shown = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.OUTCOME_UNKNOWN)
-    if key is None or report.code not in shown:
+    key = created_keys[-1] if created_keys else None
+    codes_with_token = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.OUTCOME_UNKNOWN)
+    if key is None or report.code not in codes_with_token:
         return report
     lines = (
         f"Key {key.id} of the organisation {args.organisation}, shown only now:",
@@ -125,12 +125,12 @@
     """Start, pause, resume or abort a wave."""
     wanted, expected = _STATES_BY_COMMAND[args.command]
     pools = getattr(args, "pool", [])
-    problem = operator.refresh()
-    if problem is not None:
-        return report_result(problem)
-    mistakes = unknown_pools(operator, pools)
-    if mistakes:
-        return report_problems(mistakes)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_result(failure)
+    problems = unknown_pools(operator, pools)
+    if problems:
+        return report_problems(problems)
     result = operator.command_wave(
         args.wave,
         wanted,
@@ -203,8 +203,8 @@
     report = report_result(result)
     if not isinstance(result, Published) or args.no_wait:
         return report
-    waited = operator.wait_in_force(result.version, args.timeout_s)
-    return report + report_result(waited)
+    in_force = operator.wait_in_force(result.version, args.timeout_s)
+    return report + report_result(in_force)
 
 
 def _version_missing(file: ConfigFile, version: int) -> Problem:
--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -119,7 +119,7 @@
         "lycheeloom config diff fleet.toml --exit-code && echo same",
     )
     diff.add_argument(
-        "--exit-code", action="store_true", help="end with 8 if there are differences"
+        "--exit-code", action="store_true", help="exit with 8 if there are differences"
     )
     publish = _add_command(
         parsers,
@@ -140,7 +140,7 @@
     history = _add_command(
         parsers,
         "config history",
-        "say who changed what",
+        "list published changes and who made them",
         "lycheeloom config history --limit 5",
     )
     history.add_argument(
@@ -303,7 +303,7 @@
         type=_whole_number,
         default=0,
         metavar="COUNT",
-        help="end after this many prints (default: 0, never)",
+        help="exit after this many prints (default: 0, never)",
     )
 
 
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -38,7 +38,7 @@
             return _to_default(path_text, format_value(self.before), default)
         if self.before is ABSENT:
             return f"{path_text} is added: {_summarise(self.path, self.after)}"
-        if self.after is ABSENT and _is_key_path(self.path):
+        if self.after is ABSENT and _is_organisation_key(self.path):
             return f"{path_text} is removed"
         if self.after is ABSENT:
             return (
@@ -167,7 +167,7 @@
 
 def _from_default(path_text: str, default: str, after: str) -> str:
     if default == after:
-        return f"{path_text} is written out as {after}, which was the default"
+        return f"{path_text} is now set to {after}, which was the default already"
     return f"{path_text} changes from {default} (the default) to {after}"
 
 
@@ -185,12 +185,13 @@
     return None if default in (None, [], {}, "") else format_value(default)
 
 
-def _is_key_path(path: tuple[str, ...]) -> bool:
+def _is_organisation_key(path: tuple[str, ...]) -> bool:
+    """Tell whether a path leads to a key of an organisation, stored as a hash."""
     return path[-2:-1] == ("keys",)
 
 
 def _summarise(path: tuple[str, ...], value: Any) -> str:
-    if _is_key_path(path):
+    if _is_organisation_key(path):
         return "a salted hash"
     if not isinstance(value, Mapping):
         return format_value(value)
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -75,7 +75,7 @@
             del self.document[section][name]
 
     def set_share(self, organisation: str, share: float) -> None:
-        """Set the weight by which organisations divide a full fleet."""
+        """Set the weight of an organisation when a full fleet is divided."""
         self.change("organisations", organisation, share=share)
 
     def set_limit(self, organisation: str, upper_limit: int) -> None:
@@ -92,9 +92,9 @@
 
     def move_instance(self, instance: str, pool: str) -> None:
         """Set the wanted pool of an instance; the controller drains and moves it."""
-        is_known = self._find_item("pools", pool) is not None
+        pool_exists = self._find_item("pools", pool) is not None
         item = self._find_item("instances", instance)
-        if is_known and item is not None:
+        if pool_exists and item is not None:
             item["pool"] = pool
 
     def grant_key(self, organisation: str, key_id: str = "") -> NewKey | None:
--- a/libs/operator/src/lycheeloom/operator/log_timeline.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -64,13 +64,13 @@
     return LogLine(fields["time"], fields["process"], fields["event"], rest)
 
 
-def build_timeline(texts: Iterable[str], name: str) -> list[str]:
+def build_timeline(raw_lines: Iterable[str], name: str) -> list[str]:
     """Return the lines about a job, instance, worker or wave, ordered by time.
 
     Changes of leader in the same period are included, since they explain why tasks
     are started again.
     """
-    lines = [line for text in texts if (line := parse_line(text)) is not None]
+    lines = [line for text in raw_lines if (line := parse_line(text)) is not None]
     matching = [line for line in lines if _is_about(line, name)]
     if not matching:
         return []
@@ -83,9 +83,9 @@
     return [*_render(matching + leaders), *_missing_events(matching)]
 
 
-def build_leader_timeline(texts: Iterable[str]) -> list[str]:
+def build_leader_timeline(raw_lines: Iterable[str]) -> list[str]:
     """Return the events that show which process led when and why that changed."""
-    lines = [line for text in texts if (line := parse_line(text)) is not None]
+    lines = [line for text in raw_lines if (line := parse_line(text)) is not None]
     return _render([line for line in lines if line.event in LEADER_EVENTS])
 
 
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -96,9 +96,9 @@
     def catch_up(self) -> Unavailable | None:
         """Replay the log to its end and return the failure, if any."""
         if not self._is_initialised:
-            problem = self._load_snapshot()
-            if problem is not None:
-                return problem
+            failure = self._load_snapshot()
+            if failure is not None:
+                return failure
         for _ in range(MAX_READS):
             first = self.state.next_offset
             result = self._log.read(first, MAX_BATCHES_PER_READ, 0.0)
@@ -106,9 +106,9 @@
                 case Unavailable():
                     return result
                 case Expired():
-                    problem = self._load_snapshot()
-                    if problem is not None:
-                        return problem
+                    failure = self._load_snapshot()
+                    if failure is not None:
+                        return failure
                 case ReadBatches(batches=batches):
                     if not batches:
                         return None
@@ -117,9 +117,9 @@
                         return Unavailable(f"no batch at offset {first}")
         return Unavailable("the log grows faster than it is read")
 
-    def read_failure(self, problem: Unavailable) -> str:
+    def read_failure(self, failure: Unavailable) -> str:
         """Describe which log could not be read and why."""
-        return f"the log at {self._log.address} cannot be read ({problem.reason})"
+        return f"the log at {self._log.address} cannot be read ({failure.reason})"
 
     def outcome(self, sequence: int) -> BatchOutcome | None:
         """Return the outcome of a batch of the author, or None if it was not read."""
--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -26,7 +26,7 @@
 ABOVE_0 = "a number greater than 0"
 PERCENT = "a number from 0 to 100"
 YES_NO = "true or false"
-NAME_TEXT = "a text in quotation marks"
+QUOTED_TEXT = "a text in quotation marks"
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
 MEANING_BY_FIELD: dict[str, dict[str, Meaning]] = {
     "zones": {
         "region": Meaning(
-            NAME_TEXT, "This availability zone belongs to the region {value}."
+            QUOTED_TEXT, "This availability zone belongs to the region {value}."
         ),
         "state": Meaning(
             'one of "in", "out"',
@@ -117,7 +117,7 @@
             "the name of a zone under [zones]",
             "This instance is in the availability zone {value}.",
         ),
-        "rack": Meaning(NAME_TEXT, "This instance is in the rack {value}."),
+        "rack": Meaning(QUOTED_TEXT, "This instance is in the rack {value}."),
         "address": Meaning(
             'host and port, such as "10.1.0.4:7100"',
             "This instance answers at the address {value}.",
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -99,9 +99,9 @@
 
     def refresh(self) -> LogUnavailable | None:
         """Read the log to its end and return the reason if that failed."""
-        problem = self._view.catch_up()
-        if isinstance(problem, Unavailable):
-            return LogUnavailable(self._view.read_failure(problem))
+        failure = self._view.catch_up()
+        if isinstance(failure, Unavailable):
+            return LogUnavailable(self._view.read_failure(failure))
         return None
 
     def draft(self) -> Draft:
@@ -174,9 +174,9 @@
 
         Warnings prevent publication unless they are accepted.
         """
-        problem = self.refresh()
-        if problem is not None:
-            return problem
+        failure = self.refresh()
+        if failure is not None:
+            return failure
         if self.version != expected_version:
             return self._lost_race(expected_version)
         problems = self.new_problems(document, file)
@@ -198,9 +198,9 @@
         """
         result: PublishResult = LogUnavailable("not read yet")
         for _ in range(MAX_ATTEMPTS):
-            problem = self.refresh()
-            if problem is not None:
-                return problem
+            failure = self.refresh()
+            if failure is not None:
+                return failure
             before = self.document
             draft = self.draft()
             edit(draft)
@@ -234,9 +234,9 @@
         ``wanted`` is the state to bring the wave into. ``expected`` are the states
         from which this is allowed; by default those that suit ``wanted``.
         """
-        problem = self.refresh()
-        if problem is not None:
-            return problem
+        failure = self.refresh()
+        if failure is not None:
+            return failure
         allowed = tuple(expected or _ALLOWED_STATES.get(wanted, ()))
         state = self._wave_state(wave_id)
         if state not in allowed:
--- a/libs/operator/src/lycheeloom/operator/output.py
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """Lines for people, ``data`` for ``--json``, and the exit code."""
+    """What a command prints, as text or as ``data`` for ``--json``; its exit code."""
 
     lines: tuple[str, ...]
     data: Mapping[str, Any] = field(default_factory=dict)
@@ -61,7 +61,9 @@
         for item in problems
     ]
     if not errors_in(problems):
-        lines.append("Nothing was published. Repeat with --accept-warnings to do it.")
+        lines.append(
+            "Nothing was published. Repeat with --accept-warnings to publish anyway."
+        )
     data = {"result": "rejected", "problems": list(problems)}
     return Report(tuple(lines), data, ExitCode.INVALID_INPUT)
 
@@ -86,7 +88,7 @@
             lines += _not_handed_lines(not_handed)
             return _result_report(result, lines, ExitCode.OK)
         case NothingToChange(version):
-            line = f"Nothing to change: version {version} says the same already."
+            line = f"Nothing to change: version {version} already has this content."
             return _result_report(result, [line], ExitCode.OK)
         case Rejected(problems):
             return report_problems(problems)
@@ -127,13 +129,13 @@
     raise TypeError(f"no report for {type(result).__name__}")
 
 
-def report_log_unavailable(problem: LogUnavailable) -> Report:
+def report_log_unavailable(failure: LogUnavailable) -> Report:
     """Report that a command that changes nothing could not read the log."""
     lines = [
-        f"{problem.reason[:1].upper()}{problem.reason[1:]}.",
+        f"{failure.reason[:1].upper()}{failure.reason[1:]}.",
         f"{OUTAGE_NOTE} Repeat the command when the log answers again.",
     ]
-    return _result_report(problem, lines, ExitCode.UNAVAILABLE)
+    return _result_report(failure, lines, ExitCode.UNAVAILABLE)
 
 
 def report_history(changes: Iterable[PublishedChange]) -> Report:
@@ -197,7 +199,7 @@
         return [*lines, "No such version exists yet."]
     for winner in result.winners:
         lines += _change_lines(winner)
-    lines.append("Print the configuration again and make your change on it.")
+    lines.append("Print the configuration again and repeat your change there.")
     return lines
 
 
@@ -209,7 +211,8 @@
 
 def _not_handed_lines(reason_by_entry: Mapping[str, str]) -> list[str]:
     return [
-        f"Entry {address} was not told directly ({reason}); it reads the log."
+        f"Entry {address} was not sent the change directly ({reason}); it will read it "
+        "from the log."
         for address, reason in reason_by_entry.items()
     ]
 
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -34,9 +34,9 @@
 
 def show_config(operator: Operator, args: argparse.Namespace) -> Report:
     """Print the configuration in force."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_log_unavailable(problem)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
     text = print_config(operator.document, operator.version)
     data = {"version": operator.version, "document": operator.document}
     return Report(tuple(text.splitlines()), data)
@@ -60,9 +60,9 @@
     file = read_config(args.file)
     if isinstance(file, Problem):
         return report_problems([file])
-    problem = operator.refresh()
-    if problem is not None:
-        return report_log_unavailable(problem)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
     problems = operator.new_problems(file.document, file.source)
     if errors_in(problems):
         return report_problems(problems)
@@ -76,9 +76,9 @@
 
 def show_history(operator: Operator, args: argparse.Namespace) -> Report:
     """List the newest published changes and who made them."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_log_unavailable(problem)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
     changes = operator.history()
     return report_history(changes[len(changes) - min(args.limit, len(changes)) :])
 
@@ -102,12 +102,12 @@
 
 def plan_wave(operator: Operator, args: argparse.Namespace) -> Report:
     """Show the rounds of a wave that is not started yet."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_log_unavailable(problem)
-    mistakes = unknown_pools(operator, args.pool)
-    if mistakes:
-        return report_problems(mistakes)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
+    problems = unknown_pools(operator, args.pool)
+    if problems:
+        return report_problems(problems)
     config: FleetConfig = operator.view.state.config
     preview = preview_wave(config, args.pool)
     seconds = preview.duration_s(args.drain_s, args.reboot_s)
@@ -136,10 +136,10 @@
 
 def show_waves(operator: Operator, args: argparse.Namespace) -> Report:
     """Show the progress of waves."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_log_unavailable(problem)
-    waves = _waves(operator)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
+    waves = _waves_with_progress(operator)
     if args.wave:
         if args.wave not in waves:
             line = f'There is no wave "{args.wave}".'
@@ -178,22 +178,22 @@
 
 def explain_logs(args: argparse.Namespace) -> Report:
     """Print the timeline of one object, or of the leaders, from log files."""
-    texts: list[str] = []
+    raw_lines: list[str] = []
     for name in args.logs:
         try:
-            texts += _read_lines(name)
+            raw_lines += _read_lines(name)
         except OSError as error:
             line = f"{name}: cannot be read: {error.strerror}"
             return Report((line,), {"story": []}, ExitCode.INVALID_INPUT)
     if args.kind == LEADER_KIND:
-        story = build_leader_timeline(texts)
+        timeline = build_leader_timeline(raw_lines)
     else:
-        story = build_timeline(texts, args.id)
-    if not story:
+        timeline = build_timeline(raw_lines, args.id)
+    if not timeline:
         name = args.id or args.kind
         line = f"No line of these logs mentions {name}."
         return Report((line,), {"story": []}, ExitCode.NOT_FOUND)
-    return Report(tuple(story), {"story": story})
+    return Report(tuple(timeline), {"story": timeline})
 
 
 def _read_lines(name: str) -> list[str]:
@@ -203,7 +203,7 @@
     return Path(name).read_text(errors="replace").splitlines()
 
 
-def _waves(operator: Operator) -> Mapping[str, WaveStatus]:
+def _waves_with_progress(operator: Operator) -> Mapping[str, WaveStatus]:
     """Return the waves on record, with the progress that entries report."""
     newest = newest_status(operator.statuses())
     reported = newest.waves if newest is not None else {}
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -257,6 +257,7 @@
 
 
 def _check_startable(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    """Warn if no task can start: all zones are out, or a pool has no instances."""
     if tables.zones and all(
         zone.get("state") == "out" for zone in tables.zones.values()
     ):
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -47,6 +47,7 @@
 
 
 def _items_in_order(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
+    """Yield section, item name and value; the name is None for a whole section."""
     for section, value in patch.items():
         is_table = isinstance(value, Mapping) and value
         if value is not None and not (is_table and section in _ADDITION_ORDER):
--- a/libs/operator/src/lycheeloom/operator/toml_reader.py
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -11,6 +11,7 @@
 
 from .problems import Problem, format_value, join_key
 
+# Patterns for the error messages of ``tomllib``.
 _DUPLICATE_DECLARATION = re.compile(
     r"Cannot (?:declare|mutate immutable namespace) (\(.*\))"
 )
@@ -104,6 +105,7 @@
 
 
 def _key_at(text: str, line: int) -> tuple[str, str]:
+    """Return the dotted key that a line sets, and the section that it is in."""
     lines = text.splitlines()[:line]
     name = lines[-1].partition("=")[0].strip()
     for row in reversed(lines):
