--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -11,10 +11,10 @@
 from .settings import DEFAULT_PATH, PATH_VARIABLE
 
 VERSION = "0.1.0"
-# The kind that needs no name.
+# Kinds of objects that entries and controllers explain; "fleet" needs no name.
 FLEET_KIND = "fleet"
 EXPLAINED_KINDS = ("request", "instance", "pool", "organisation", FLEET_KIND)
-# Kinds that are explained from log lines.
+# Kinds of objects that ``--logs`` explains from log lines; "leader" needs no name.
 LEADER_KIND = "leader"
 LOGGED_KINDS = ("job", "instance", "worker", "wave", LEADER_KIND)
 ALL_KINDS = tuple(dict.fromkeys(EXPLAINED_KINDS + LOGGED_KINDS))
@@ -26,7 +26,7 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Return the parser; ``args.command`` is such as ``"zone out"``."""
+    """Return the parser; it sets ``args.command`` to, for example, ``"zone out"``."""
     parser = argparse.ArgumentParser(
         prog="lycheeloom",
         description="Manages the configuration and maintenance of a fleet.",
@@ -76,12 +76,12 @@
     )
 
 
-def _group(groups: _Subparsers, name: str, text: str) -> _Subparsers:
+def _add_group(groups: _Subparsers, name: str, text: str) -> _Subparsers:
     parser = groups.add_parser(name, help=text, description=text.capitalize() + ".")
     return parser.add_subparsers(metavar="COMMAND", required=True)
 
 
-def _leaf(
+def _add_command(
     parsers: _Subparsers, command: str, text: str, *examples: str
 ) -> argparse.ArgumentParser:
     parser = parsers.add_parser(
@@ -91,27 +91,27 @@
         epilog=_examples(*examples),
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    # Without defaults, so that options before the command are kept.
+    # No defaults here: they would override options given before the command.
     _add_common(parser, argparse.SUPPRESS, argparse.SUPPRESS, argparse.SUPPRESS)
     parser.set_defaults(command=command)
     return parser
 
 
 def _add_config(groups: _Subparsers) -> None:
-    parsers = _group(groups, "config", "the configuration of the fleet")
-    _leaf(
+    parsers = _add_group(groups, "config", "the configuration of the fleet")
+    _add_command(
         parsers,
         "config show",
         "print the configuration in force as TOML with explanations",
         "lycheeloom config show > fleet.toml",
     )
-    check = _leaf(
+    check = _add_command(
         parsers,
         "config check",
         "report every mistake in a file, without asking the log or the entries",
         "lycheeloom config check fleet.toml",
     )
-    diff = _leaf(
+    diff = _add_command(
         parsers,
         "config diff",
         "say what publishing a file would change",
@@ -119,9 +119,9 @@
         "lycheeloom config diff fleet.toml --exit-code && echo same",
     )
     diff.add_argument(
-        "--exit-code", action="store_true", help="end with 8 if there are differences"
+        "--exit-code", action="store_true", help="exit with 8 if there are differences"
     )
-    publish = _leaf(
+    publish = _add_command(
         parsers,
         "config publish",
         "publish a file and wait until it is in force",
@@ -132,25 +132,29 @@
         _file_argument(parser)
     publish.add_argument(
         "--expect",
-        type=_count,
+        type=_whole_number,
         metavar="VERSION",
         help="the version that must be in force (default: the one in the file)",
     )
     _add_change_options(publish)
-    history = _leaf(
+    history = _add_command(
         parsers,
         "config history",
-        "say who changed what",
+        "list published changes and who made them",
         "lycheeloom config history --limit 5",
     )
     history.add_argument(
-        "--limit", type=_count, default=20, metavar="COUNT", help="newest changes shown"
+        "--limit",
+        type=_whole_number,
+        default=20,
+        metavar="COUNT",
+        help="newest changes shown",
     )
 
 
 def _add_key(groups: _Subparsers) -> None:
-    parsers = _group(groups, "key", "keys of organisations")
-    grant = _leaf(
+    parsers = _add_group(groups, "key", "keys of organisations")
+    grant = _add_command(
         parsers,
         "key grant",
         "make a key for an organisation and show it once",
@@ -159,7 +163,7 @@
     )
     grant.add_argument("organisation", metavar="ORGANISATION")
     grant.add_argument("--id", default="", metavar="KEY", help="name of the key")
-    withdraw = _leaf(
+    withdraw = _add_command(
         parsers,
         "key withdraw",
         "withdraw a key; every entry refuses it within 3 seconds",
@@ -171,19 +175,21 @@
 
 
 def _add_zone(groups: _Subparsers) -> None:
-    parsers = _group(groups, "zone", "availability zones")
+    parsers = _add_group(groups, "zone", "availability zones")
     for word, text in (
         ("out", "take a zone out of service; no task starts there after 3 seconds"),
         ("in", "bring a zone back into service"),
     ):
-        parser = _leaf(parsers, f"zone {word}", text, f"lycheeloom zone {word} north")
+        parser = _add_command(
+            parsers, f"zone {word}", text, f"lycheeloom zone {word} north"
+        )
         parser.add_argument("zone", metavar="ZONE")
         _add_change_options(parser)
 
 
 def _add_wave(groups: _Subparsers) -> None:
-    parsers = _group(groups, "wave", "maintenance waves")
-    plan = _leaf(
+    parsers = _add_group(groups, "wave", "maintenance waves")
+    plan = _add_command(
         parsers,
         "wave plan",
         "show in which rounds a wave would maintain instances, and how long it takes",
@@ -200,7 +206,7 @@
             metavar="SECONDS",
             help=f"{text} (default: {default:g})",
         )
-    start = _leaf(
+    start = _add_command(
         parsers,
         "wave start",
         "start a wave over all pools or some",
@@ -219,15 +225,15 @@
         "--no-reboot", action="store_true", help="drain and return without a reboot"
     )
     for word, text in (
-        ("pause", "begin no further instance"),
+        ("pause", "begin maintenance of no further instance"),
         ("resume", "continue a paused wave"),
         ("abort", "end a wave; instances in progress are finished"),
     ):
-        parser = _leaf(
+        parser = _add_command(
             parsers, f"wave {word}", text, f"lycheeloom wave {word} kernel-6"
         )
         parser.add_argument("wave", metavar="WAVE")
-    status = _leaf(
+    status = _add_command(
         parsers,
         "wave status",
         "show the progress of all waves or one",
@@ -237,8 +243,8 @@
 
 
 def _add_pool(groups: _Subparsers) -> None:
-    parsers = _group(groups, "pool", "pools of instances")
-    move = _leaf(
+    parsers = _add_group(groups, "pool", "pools of instances")
+    move = _add_command(
         parsers,
         "pool move",
         "move an instance to another pool; it is drained first",
@@ -250,7 +256,7 @@
 
 
 def _add_views(groups: _Subparsers) -> None:
-    _leaf(
+    _add_command(
         groups,
         "status",
         "show organisations against shares and limits, queues, zones, pools and "
@@ -258,7 +264,7 @@
         "lycheeloom status",
         "lycheeloom status --json",
     )
-    explain = _leaf(
+    explain = _add_command(
         groups,
         "explain",
         "say why something was decided",
@@ -276,12 +282,12 @@
         "--logs",
         nargs="+",
         metavar="FILE",
-        help="tell the story from log lines in these files; - is standard input",
+        help="build a timeline from log lines in these files; - is standard input",
     )
-    watch = _leaf(
+    watch = _add_command(
         groups,
         "watch",
-        "print the status again and again, until Ctrl-C",
+        "print the status repeatedly, until Ctrl-C",
         "lycheeloom watch --interval-s 5",
         "lycheeloom watch --count 3",
     )
@@ -294,10 +300,10 @@
     )
     watch.add_argument(
         "--count",
-        type=_count,
+        type=_whole_number,
         default=0,
         metavar="COUNT",
-        help="end after this many prints (default: 0, never)",
+        help="exit after this many prints (default: 0, never)",
     )
 
 
@@ -326,7 +332,7 @@
     return value
 
 
-def _count(text: str) -> int:
+def _whole_number(text: str) -> int:
     value = int(text)
     if value < 0:
         raise argparse.ArgumentTypeError("allowed: a whole number, 0 or more")
