--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -2,7 +2,7 @@
 
 from .faults import Faults
 from .instances import Instance, InstancesStandIn
-from .ledger import peak_running
+from .ledger import peak_concurrency
 from .log import LogLimits, LogStandIn
 from .platform import PlatformStandIns
 from .server import StandIn
@@ -20,5 +20,5 @@
     "StandIn",
     "TaskStatus",
     "WorkerStandIn",
-    "peak_running",
+    "peak_concurrency",
 ]
--- a/libs/standins/src/lycheeloom/standins/faults.py
+++ b/libs/standins/src/lycheeloom/standins/faults.py
@@ -38,7 +38,7 @@
     reason: str
 
 
-def check_faults(changes: Any) -> BadFaults | None:
+def validate_faults(changes: Any) -> BadFaults | None:
     """Return what is wrong with ``changes``, or None."""
     if not isinstance(changes, dict):
         return BadFaults("faults must be a JSON object")
--- a/libs/standins/src/lycheeloom/standins/instances.py
+++ b/libs/standins/src/lycheeloom/standins/instances.py
@@ -10,11 +10,11 @@
 
 import gevent
 
-from .server import Reply, Request, StandIn, refuse, split_path
+from .server import Reply, Request, StandIn, error_reply, split_path
 from .worker import WorkerStandIn
 
-KINDS = ("drain", "undrain", "reboot")
-DRAIN_CHECK_S = 0.02
+ACTION_KINDS = ("drain", "undrain", "reboot")
+DRAIN_POLL_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Listing:
+class _ListVersion:
     """The list as it was from a time on."""
 
     recorded_at: float
@@ -69,22 +69,22 @@
         self._instance_by_id: dict[str, Instance] = {}
         self._worker_by_id: dict[str, WorkerStandIn] = {}
         # Also workers that were removed: their starts still count.
-        self._ledger_workers: list[WorkerStandIn] = []
+        self._all_workers: list[WorkerStandIn] = []
         self._action_by_id: dict[str, Action] = {}
-        self._listings: deque[_Listing] = deque([_Listing(0.0, 0)])
+        self._versions: deque[_ListVersion] = deque([_ListVersion(0.0, 0)])
         # Differs between processes, so that versions of two are never equal.
         self._etag_prefix = secrets.token_hex(4)
 
     def add(self, instance: Instance) -> None:
         """Add or replace an instance that is not a worker stand-in."""
         self._instance_by_id[instance.instance] = instance
-        self._record_listing()
+        self._record_version()
 
     def add_worker(self, worker: WorkerStandIn) -> None:
         """Add a started worker stand-in under its name."""
         self._worker_by_id[worker.name] = worker
-        if worker not in self._ledger_workers:
-            self._ledger_workers.append(worker)
+        if worker not in self._all_workers:
+            self._all_workers.append(worker)
         self.add(
             Instance(
                 worker.name,
@@ -100,134 +100,136 @@
         """Remove an instance; it disappears from the list after the lag."""
         self._instance_by_id.pop(instance_id, None)
         self._worker_by_id.pop(instance_id, None)
-        self._record_listing()
+        self._record_version()
 
     def handle(self, request: Request) -> Reply:
         if self.faults.fail_all:
-            return refuse(500, "failed")
+            return error_reply(500, "failed")
         match request.method, split_path(request.path):
             case "GET", ["instances"]:
-                return self._list(request.if_none_match)
+                return self._handle_list(request.if_none_match)
             case "PUT", ["instances", instance_id]:
-                return self._put(instance_id, request)
+                return self._handle_put(instance_id, request)
             case "DELETE", ["instances", instance_id]:
                 self.remove(instance_id)
                 return Reply(200, {})
-            case "POST", ["instances", instance_id, kind] if kind in KINDS:
+            case "POST", ["instances", instance_id, kind] if kind in ACTION_KINDS:
                 return self._handle_action(instance_id, kind, request)
             case "GET", ["actions", action_id]:
                 action = self._action_by_id.get(action_id)
-                return refuse(404, "unknown") if action is None else _show(action)
+                return (
+                    error_reply(404, "unknown")
+                    if action is None
+                    else _action_reply(action)
+                )
             case "GET", ["ledger"]:
                 return Reply(200, {"starts": self.ledger_entries()})
-        return refuse(404, "not_found")
+        return error_reply(404, "not_found")
 
-    def listing(self) -> tuple[Instance, ...]:
+    def visible_instances(self) -> tuple[Instance, ...]:
         """Return the list as it was ``lag_ms`` ago."""
-        return self._visible().instances
+        return self._visible_version().instances
 
     def ledger_entries(self) -> list[dict[str, Any]]:
         """Return the starts at all workers, in the order of their times."""
         starts = [
-            entry
-            for worker in self._ledger_workers
-            for entry in worker.ledger_entries()
+            entry for worker in self._all_workers for entry in worker.ledger_entries()
         ]
         return sorted(starts, key=lambda entry: entry["started_at"])
 
-    def _list(self, known_etag: str) -> Reply:
-        visible = self._visible()
+    def _handle_list(self, known_etag: str) -> Reply:
+        visible = self._visible_version()
         etag = f'"{self._etag_prefix}-{visible.version}"'
         headers = (("ETag", etag),)
         if known_etag == etag:
             return Reply(304, None, headers)
-        listing = [asdict(instance) for instance in visible.instances]
-        return Reply(200, {"instances": listing}, headers)
+        visible_instances = [asdict(instance) for instance in visible.instances]
+        return Reply(200, {"instances": visible_instances}, headers)
 
-    def _visible(self) -> _Listing:
+    def _visible_version(self) -> _ListVersion:
         at = time.monotonic() - self.faults.lag_ms / 1000
-        seen = self._listings[0]
-        for listing in self._listings:
-            if listing.recorded_at > at:
+        seen = self._versions[0]
+        for visible_instances in self._versions:
+            if visible_instances.recorded_at > at:
                 break
-            seen = listing
+            seen = visible_instances
         return seen
 
-    def _put(self, instance_id: str, request: Request) -> Reply:
+    def _handle_put(self, instance_id: str, request: Request) -> Reply:
         document = request.document()
         try:
             self.add(Instance(**{**document, "instance": instance_id}))
         except TypeError as error:
-            return refuse(400, str(error))
+            return error_reply(400, str(error))
         return Reply(200, {})
 
     def _handle_action(self, instance_id: str, kind: str, request: Request) -> Reply:
         document = request.document()
         action_id = document.get("action") if document else None
         if not isinstance(action_id, str) or not action_id:
-            return refuse(400, "action must be a string")
+            return error_reply(400, "action must be a string")
         known = self._action_by_id.get(action_id)
         if known is not None:
             if (known.instance, known.kind) != (instance_id, kind):
-                return refuse(409, "action_conflict")
-            return _show(known)
+                return error_reply(409, "action_conflict")
+            return _action_reply(known)
         if instance_id not in self._instance_by_id:
-            return refuse(404, "unknown_instance")
+            return error_reply(404, "unknown_instance")
         action = Action(action_id, instance_id, kind)
         self._action_by_id[action_id] = action
-        self._begin(action)
-        return _show(action)
+        self._start_action(action)
+        return _action_reply(action)
 
-    def _begin(self, action: Action) -> None:
+    def _start_action(self, action: Action) -> None:
         worker = self._worker_by_id.get(action.instance)
         match action.kind:
             case "drain":
-                self._update(action.instance, state="leaving")
-                gevent.spawn(_drain, action, worker)
+                self._update_instance(action.instance, state="leaving")
+                gevent.spawn(_run_drain, action, worker)
             case "undrain":
-                self._update(action.instance, state="live")
+                self._update_instance(action.instance, state="live")
                 if worker is not None:
                     worker.undrain()
                 action.state = "done"
             case "reboot":
-                gevent.spawn(self._reboot, action, worker)
+                gevent.spawn(self._run_reboot, action, worker)
 
-    def _reboot(self, action: Action, worker: WorkerStandIn | None) -> None:
+    def _run_reboot(self, action: Action, worker: WorkerStandIn | None) -> None:
         if worker is None:
             gevent.sleep(self.reboot_s)
-            self._update(action.instance, boot_id=secrets.token_hex(8))
+            self._update_instance(action.instance, boot_id=secrets.token_hex(8))
         else:
             worker.set_faults(down=True)
             worker.reboot()
             gevent.sleep(self.reboot_s)
             worker.set_faults(down=False)
-            self._update(action.instance, boot_id=worker.boot_id)
+            self._update_instance(action.instance, boot_id=worker.boot_id)
         action.state = "done"
 
-    def _update(self, instance_id: str, **changes: str) -> None:
+    def _update_instance(self, instance_id: str, **changes: str) -> None:
         instance = self._instance_by_id.get(instance_id)
         if instance is not None:
             self.add(replace(instance, **changes))
 
-    def _record_listing(self) -> None:
+    def _record_version(self) -> None:
         now = time.monotonic()
-        version = self._listings[-1].version + 1
+        version = self._versions[-1].version + 1
         instances = tuple(self._instance_by_id.values())
-        self._listings.append(_Listing(now, version, instances))
+        self._versions.append(_ListVersion(now, version, instances))
         oldest_needed = now - self.faults.lag_ms / 1000
         while (
-            len(self._listings) > 2 and self._listings[1].recorded_at <= oldest_needed
+            len(self._versions) > 2 and self._versions[1].recorded_at <= oldest_needed
         ):
-            self._listings.popleft()
+            self._versions.popleft()
 
 
-def _drain(action: Action, worker: WorkerStandIn | None) -> None:
+def _run_drain(action: Action, worker: WorkerStandIn | None) -> None:
     if worker is not None:
         worker.drain()
         while worker.running:
-            gevent.sleep(DRAIN_CHECK_S)
+            gevent.sleep(DRAIN_POLL_INTERVAL_S)
     action.state = "done"
 
 
-def _show(action: Action) -> Reply:
+def _action_reply(action: Action) -> Reply:
     return Reply(200, asdict(action))
--- a/libs/standins/src/lycheeloom/standins/ledger.py
+++ b/libs/standins/src/lycheeloom/standins/ledger.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 
-def peak_running(
+def peak_concurrency(
     starts: Iterable[dict[str, Any]], key: str = "organisation"
 ) -> dict[str, int]:
     """Return the largest number of tasks that ran at the same time, by ``key``.
@@ -15,7 +15,7 @@
     Takes ledger entries of any number of workers of one process, whose time stamps
     are from one clock. A task that ends when another starts does not overlap it.
 
-    >>> peak_running([{"organisation": "red", "started_at": 1.0, "ended_at": None}])
+    >>> peak_concurrency([{"organisation": "red", "started_at": 1.0, "ended_at": None}])
     {'red': 1}
     """
     changes: list[tuple[float, int, str]] = []
--- a/libs/standins/src/lycheeloom/standins/log.py
+++ b/libs/standins/src/lycheeloom/standins/log.py
@@ -10,7 +10,7 @@
 
 from gevent.event import Event
 
-from .server import Reply, Request, StandIn, refuse
+from .server import Reply, Request, StandIn, error_reply
 
 MAX_RECORD_BYTES = 256 * 1024
 MAX_WAIT_MS = 30_000
@@ -45,58 +45,58 @@
         super().__init__(name, host, port)
         self.limits = limits
         self._clock = clock
-        self._oldest = 0
+        self._oldest_offset = 0
         self._batches: deque[tuple[float, bytes]] = deque()
-        self._grown = Event()
-        self._allowance = float(limits.appends_per_s or 0)
-        self._allowance_at = clock()
+        self._appended = Event()
+        self._tokens = float(limits.appends_per_s or 0)
+        self._tokens_updated_at = clock()
 
     @property
     def next_offset(self) -> int:
-        return self._oldest + len(self._batches)
+        return self._oldest_offset + len(self._batches)
 
     @property
     def oldest_offset(self) -> int:
-        self._expire()
-        return self._oldest
+        self._apply_retention()
+        return self._oldest_offset
 
     def append(self, batch: bytes) -> int:
         """Append without limits and return the offset."""
         offset = self.next_offset
         self._batches.append((self._clock(), batch))
-        self._expire()
-        grown, self._grown = self._grown, Event()
-        grown.set()
+        self._apply_retention()
+        appended, self._appended = self._appended, Event()
+        appended.set()
         return offset
 
     def handle(self, request: Request) -> Reply:
         if self.faults.fail_all:
-            return refuse(500, "failed")
+            return error_reply(500, "failed")
         match request.method, request.path:
             case "POST", "/v1/append":
                 return self._handle_append(request.body)
             case "GET", "/v1/read":
                 return self._handle_read(request.query)
-        return refuse(404, "not_found")
+        return error_reply(404, "not_found")
 
     def _handle_append(self, batch: bytes) -> Reply:
         if len(batch) > self.limits.max_record_bytes:
-            return refuse(413, "too_large")
-        if not self._take_allowance():
+            return error_reply(413, "too_large")
+        if not self._take_token():
             return Reply(429, {"reason": "busy"}, (("Retry-After", "1"),))
         return Reply(200, {"offset": self.append(batch)})
 
-    def _take_allowance(self) -> bool:
+    def _take_token(self) -> bool:
         rate = self.limits.appends_per_s
         if rate is None:
             return True
         now = self._clock()
-        earned = (now - self._allowance_at) * rate
-        self._allowance = min(float(rate), self._allowance + earned)
-        self._allowance_at = now
-        if self._allowance < 1:
+        refilled = (now - self._tokens_updated_at) * rate
+        self._tokens = min(float(rate), self._tokens + refilled)
+        self._tokens_updated_at = now
+        if self._tokens < 1:
             return False
-        self._allowance -= 1
+        self._tokens -= 1
         return True
 
     def _handle_read(self, query: dict[str, str]) -> Reply:
@@ -105,23 +105,23 @@
             limit = int(query.get("limit", "1000"))
             wait_ms = min(int(query.get("wait_ms", "0")), MAX_WAIT_MS)
         except ValueError:
-            return refuse(400, "from, limit and wait_ms must be integers")
+            return error_reply(400, "from, limit and wait_ms must be integers")
         if first == self.next_offset and wait_ms > 0:
-            self._grown.wait(wait_ms / 1000)
+            self._appended.wait(wait_ms / 1000)
             if self.faults.outage:
-                return refuse(503, "down")
+                return error_reply(503, "down")
         return self._read(first, limit)
 
     def _read(self, first: int, limit: int) -> Reply:
-        self._expire()
-        if first < self._oldest:
-            return Reply(410, {"oldest": self._oldest})
+        self._apply_retention()
+        if first < self._oldest_offset:
+            return Reply(410, {"oldest": self._oldest_offset})
         # A reader beyond the end learns where the end is.
         first = min(first, self.next_offset)
         batches: list[str] = []
         size = 0
         for offset in range(first, min(first + limit, self.next_offset)):
-            batch = self._batches[offset - self._oldest][1]
+            batch = self._batches[offset - self._oldest_offset][1]
             size += len(batch)
             if batches and size > MAX_READ_BYTES:
                 break
@@ -129,16 +129,16 @@
         document = {"first": first, "next": first + len(batches), "batches": batches}
         return Reply(200, document)
 
-    def _expire(self) -> None:
-        kept, age = self.limits.retained_records, self.limits.retained_s
-        while kept is not None and len(self._batches) > kept:
+    def _apply_retention(self) -> None:
+        max_records, max_age_s = self.limits.retained_records, self.limits.retained_s
+        while max_records is not None and len(self._batches) > max_records:
             self._drop_oldest()
-        if age is None:
+        if max_age_s is None:
             return
-        expired_at = self._clock() - age
-        while self._batches and self._batches[0][0] < expired_at:
+        cutoff = self._clock() - max_age_s
+        while self._batches and self._batches[0][0] < cutoff:
             self._drop_oldest()
 
     def _drop_oldest(self) -> None:
         self._batches.popleft()
-        self._oldest += 1
+        self._oldest_offset += 1
--- a/libs/standins/src/lycheeloom/standins/main.py
+++ b/libs/standins/src/lycheeloom/standins/main.py
@@ -42,7 +42,7 @@
     except OSError as error:
         print(f"cannot listen: {error}", file=sys.stderr)
         return EXIT_CANNOT_LISTEN
-    _announce(platform)
+    _print_addresses(platform)
     stopped.wait()
     platform.stop()
     return EXIT_OK
@@ -68,7 +68,7 @@
         return "unknown"
 
 
-def _announce(platform: PlatformStandIns) -> None:
+def _print_addresses(platform: PlatformStandIns) -> None:
     for standin in [*platform.by_name.values(), platform.control]:
         print(f"event=listening standin={standin.name} address={standin.address}")
     print("event=ready", flush=True)
--- a/libs/standins/src/lycheeloom/standins/platform.py
+++ b/libs/standins/src/lycheeloom/standins/platform.py
@@ -6,7 +6,7 @@
 
 from .instances import InstancesStandIn
 from .log import LogStandIn
-from .server import Reply, Request, StandIn, refuse, split_path
+from .server import Reply, Request, StandIn, error_reply, split_path
 from .worker import WorkerStandIn
 
 
@@ -67,12 +67,12 @@
             case "GET" | "POST", ["standins", name, "faults"]:
                 standin = self._platform.by_name.get(name)
                 if standin is None:
-                    return refuse(404, "unknown_standin")
+                    return error_reply(404, "unknown_standin")
                 return standin.handle_faults(request)
             case "GET", ["ledger"]:
                 ledger = self._platform.instances.ledger_entries()
                 return Reply(200, {"starts": ledger})
-        return refuse(404, "not_found")
+        return error_reply(404, "not_found")
 
     def _list(self) -> list[dict[str, Any]]:
         return [
--- a/libs/standins/src/lycheeloom/standins/server.py
+++ b/libs/standins/src/lycheeloom/standins/server.py
@@ -16,7 +16,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
-from .faults import BadFaults, Faults, check_faults
+from .faults import BadFaults, Faults, validate_faults
 
 STATUS_LINES = {
     200: "200 OK",
@@ -34,7 +34,7 @@
 BACKLOG = 1024
 # A connection handler gets this long to write the answer to the request that
 # took its own stand-in down.
-DOWN_DELAY_S = 0.02
+DEFERRED_FAULT_DELAY_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-def refuse(status: int, reason: str) -> Reply:
+def error_reply(status: int, reason: str) -> Reply:
     """Build a reply that only carries a reason."""
     return Reply(status, {"reason": reason})
 
@@ -78,7 +78,7 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.opened_in = self.server.silenced
+        self.silence_count_at_open = self.server.silence_count
         self.server.connections_opened += 1
 
     def get_environ(self) -> dict[str, Any]:
@@ -115,10 +115,10 @@
             return
         super().handle_error(t, v, tb)
 
-    def is_silent(self) -> bool:
-        return self.opened_in < self.server.silenced
+    def is_silenced(self) -> bool:
+        return self.silence_count_at_open < self.server.silence_count
 
-    def break_off(self) -> None:
+    def abort(self) -> None:
         self.close_connection = True
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
@@ -129,7 +129,7 @@
 class _Server(WSGIServer):
     handler_class = _Handler
     # Counts how often open connections were silenced.
-    silenced = 0
+    silence_count = 0
     connections_opened = 0
 
 
@@ -146,7 +146,7 @@
         self._port = port
         self._server: _Server | None = None
         self._listener: gevent_socket.socket | None = None
-        self._forever = Event()
+        self._never_set = Event()
 
     @property
     def address(self) -> str:
@@ -189,15 +189,15 @@
 
     def set_faults(self, **changes: Any) -> None:
         """Change fault switches; raises ValueError for an unknown one."""
-        problem = check_faults(changes)
+        problem = validate_faults(changes)
         if problem is not None:
             raise ValueError(problem.reason)
         for name, value in changes.items():
             setattr(self.faults, name, value)
         if changes.get("silent") and self._server is not None:
-            self._server.silenced += 1
+            self._server.silence_count += 1
         if "down" in changes:
-            self._follow_down()
+            self._apply_down()
 
     @abstractmethod
     def handle(self, request: Request) -> Reply:
@@ -210,17 +210,17 @@
         changes = request.document()
         problem = BadFaults("not a JSON object")
         if changes is not None:
-            problem = check_faults(changes)
+            problem = validate_faults(changes)
         if problem is not None:
-            return refuse(400, problem.reason)
+            return error_reply(400, problem.reason)
         # Taking the stand-in down or silencing it must not hit this answer.
-        later = {k: changes.pop(k) for k in ("down", "silent") if k in changes}
+        deferred = {k: changes.pop(k) for k in ("down", "silent") if k in changes}
         self.set_faults(**changes)
-        if later:
-            gevent.spawn_later(DOWN_DELAY_S, self.set_faults, **later)
-        return Reply(200, self.faults.as_dict() | later)
+        if deferred:
+            gevent.spawn_later(DEFERRED_FAULT_DELAY_S, self.set_faults, **deferred)
+        return Reply(200, self.faults.as_dict() | deferred)
 
-    def _follow_down(self) -> None:
+    def _apply_down(self) -> None:
         if not self.faults.down:
             self.start()
             return
@@ -233,8 +233,8 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         connection = environ["standin.connection"]
-        if connection.is_silent():
-            self._forever.wait()
+        if connection.is_silenced():
+            self._never_set.wait()
         body = environ["wsgi.input"].read()
         query = environ["QUERY_STRING"]
         request = Request(
@@ -246,23 +246,23 @@
             environ["HTTP_IF_NONE_MATCH"],
         )
         if request.path == "/v1/faults":
-            return _send(self.handle_faults(request), start_response)
+            return _send_reply(self.handle_faults(request), start_response)
         reply = self._handle_with_faults(request)
-        if connection.is_silent():
-            self._forever.wait()
-        if self._loses_answer():
-            connection.break_off()
-        return _send(reply, start_response)
+        if connection.is_silenced():
+            self._never_set.wait()
+        if self._should_lose_answer():
+            connection.abort()
+        return _send_reply(reply, start_response)
 
     def _handle_with_faults(self, request: Request) -> Reply:
         faults = self.faults
         if faults.slow_ms:
             gevent.sleep(faults.slow_ms / 1000)
         if faults.outage:
-            return refuse(503, "down")
+            return error_reply(503, "down")
         return self.handle(request)
 
-    def _loses_answer(self) -> bool:
+    def _should_lose_answer(self) -> bool:
         left = self.faults.lose_answers
         if not left:
             return False
@@ -276,7 +276,7 @@
     return [unquote(segment) for segment in path.split("/")[2:]]
 
 
-def _send(reply: Reply, start_response: Callable[..., Any]) -> list[bytes]:
+def _send_reply(reply: Reply, start_response: Callable[..., Any]) -> list[bytes]:
     if reply.status == 304:
         # Such an answer has no body.
         start_response(STATUS_LINES[304], list(reply.headers))
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Work:
+class SimulatedWork:
     """What a payload asks of the worker.
 
     A payload that is a JSON object may name ``work_ms``, ``fail``, the resources
@@ -56,13 +56,13 @@
     call: str = ""
 
 
-def parse_work(payload: bytes, default_s: float) -> Work:
+def parse_work(payload: bytes, default_s: float) -> SimulatedWork:
     """Read the work out of a payload."""
     if not payload.startswith(b"{"):
-        return Work(default_s)
+        return SimulatedWork(default_s)
     try:
         document = json.loads(payload)
-        return Work(
+        return SimulatedWork(
             float(document.get("work_ms", default_s * 1000)) / 1000,
             bool(document.get("fail", False)),
             document.get("used_cores"),
@@ -70,7 +70,7 @@
             str(document.get("call", "")),
         )
     except (ValueError, TypeError):
-        return Work(default_s)
+        return SimulatedWork(default_s)
 
 
 @dataclass(slots=True, eq=False)
@@ -81,8 +81,8 @@
     request_id: str
     organisation: str
     queue: str
-    amount: ResourceAmounts
-    work: Work
+    resources: ResourceAmounts
+    work: SimulatedWork
     answer: bytes
     started_at: float
     lease_until: float
@@ -91,21 +91,21 @@
     status: TaskStatus = TaskStatus.RUNNING
     rate: float = 1.0
     worked_s: float = 0.0
-    counted_at: float = 0.0
+    progress_updated_at: float = 0.0
     changed: Event | None = None
     ended: Event | None = None
 
-    def count_work(self, now: float) -> None:
+    def update_progress(self, now: float) -> None:
         """Add the work done since the last count at the current rate."""
-        self.worked_s += (now - self.counted_at) * self.rate
-        self.counted_at = now
+        self.worked_s += (now - self.progress_updated_at) * self.rate
+        self.progress_updated_at = now
 
     def remaining_s(self, now: float) -> float:
         """Return the time until the work is done at the current rate."""
-        self.count_work(now)
+        self.update_progress(now)
         return (self.work.duration_s - self.worked_s) / self.rate
 
-    def wake(self) -> None:
+    def notify_change(self) -> None:
         """Make a running task look at its lease, rate and status again."""
         if self.changed is not None:
             self.changed.set()
@@ -125,12 +125,12 @@
     return task.status
 
 
-def spawn_task(task: Task, on_end: Any) -> None:
-    """Run a task in its own greenlet; ``on_end(task, status)`` when it ends."""
+def spawn_task(task: Task, on_finished: Any) -> None:
+    """Run a task in its own greenlet; ``on_finished(task, status)`` when it ends."""
     task.changed = Event()
     task.ended = Event()
-    gevent.spawn(_run_to_end, task, on_end)
+    gevent.spawn(_run_and_report, task, on_finished)
 
 
-def _run_to_end(task: Task, on_end: Any) -> None:
-    on_end(task, run_task(task))
+def _run_and_report(task: Task, on_finished: Any) -> None:
+    on_finished(task, run_task(task))
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -10,14 +10,14 @@
 from typing import Any
 from urllib.parse import unquote
 
-from .server import Reply, Request, StandIn, refuse
+from .server import Reply, Request, StandIn, error_reply
 from .tasks import ResourceAmounts, Task, TaskStatus, parse_work, spawn_task
 
 # Ended tasks stay visible to lagging usage reports this long.
-USAGE_HISTORY_S = 60.0
+USAGE_RETENTION_S = 60.0
 # Answers of ended tasks are kept this long; the status is kept until reboot.
-ANSWERS_KEPT_S = 300.0
-ACTIONS = ("renew", "cancel", "checkpoint", "throttle", "stop")
+ANSWER_RETENTION_S = 300.0
+TASK_ACTIONS = ("renew", "cancel", "checkpoint", "throttle", "stop")
 
 
 class WorkerStandIn(StandIn):
@@ -48,9 +48,9 @@
         self.running: dict[str, Task] = {}
         self._used = ResourceAmounts()
         self._task_by_id: dict[str, Task] = {}
-        self._lapse_at_by_session: dict[str, float] = {}
-        self._ended: deque[Task] = deque()
-        self._answered: deque[Task] = deque()
+        self._expiry_by_session: dict[str, float] = {}
+        self._recently_ended: deque[Task] = deque()
+        self._tasks_with_answer: deque[Task] = deque()
 
     # Requests.
 
@@ -65,88 +65,90 @@
                 return Reply(200, self.usage())
             case "GET", "/v1/ledger":
                 return Reply(200, {"starts": self.ledger_entries()})
-        return refuse(404, "not_found")
+        return error_reply(404, "not_found")
 
     def _handle_task(self, request: Request, rest: str) -> Reply:
         task_id, _, action = rest.partition("/")
         task_id = unquote(task_id)
         if request.method == "GET" and not action:
-            return self._status(task_id)
+            return self._status_reply(task_id)
         document = request.document()
         if request.method != "POST" or document is None:
-            return refuse(400, "expected a JSON object")
+            return error_reply(400, "expected a JSON object")
         if not action:
-            return self._start(task_id, document, request.traceparent)
-        if action not in ACTIONS:
-            return refuse(404, "not_found")
+            return self._handle_start(task_id, document, request.traceparent)
+        if action not in TASK_ACTIONS:
+            return error_reply(404, "not_found")
         task = self._task_by_id.get(task_id)
         if task is not None and task.status is TaskStatus.RUNNING:
-            refusal = self._act(task, action, document)
+            refusal = self._apply_action(task, action, document)
             if refusal is not None:
                 return refusal
-        return self._status(task_id)
+        return self._status_reply(task_id)
 
     def _open_session(self, request: Request) -> Reply:
         document = request.document()
         try:
             ttl_s = float(document["ttl_ms"]) / 1000
         except (TypeError, KeyError, ValueError):
-            return refuse(400, "ttl_ms must be a number")
+            return error_reply(400, "ttl_ms must be a number")
         now = time.monotonic()
         session = document.get("session") or secrets.token_hex(8)
-        if self._session_lapsed(session, now):
+        if self._session_expired(session, now):
             session = secrets.token_hex(8)
-        self._drop_lapsed_sessions(now)
-        self._lapse_at_by_session[session] = now + ttl_s
+        self._drop_expired_sessions(now)
+        self._expiry_by_session[session] = now + ttl_s
         document = {
             "session": session,
             "boot_id": self.boot_id,
             "draining": self.draining,
-            "free": self._free(),
+            "free": self._free_resources(),
         }
         return Reply(200, document)
 
-    def _session_lapsed(self, session: str, now: float) -> bool:
-        return now >= self._lapse_at_by_session.get(session, now)
+    def _session_expired(self, session: str, now: float) -> bool:
+        return now >= self._expiry_by_session.get(session, now)
 
-    def _drop_lapsed_sessions(self, now: float) -> None:
-        lapse_at = self._lapse_at_by_session
-        for session in [s for s, at in lapse_at.items() if at <= now]:
-            del lapse_at[session]
+    def _drop_expired_sessions(self, now: float) -> None:
+        expiry_by_session = self._expiry_by_session
+        for session in [s for s, at in expiry_by_session.items() if at <= now]:
+            del expiry_by_session[session]
 
-    def _start(self, task_id: str, document: dict[str, Any], traceparent: str) -> Reply:
+    def _handle_start(
+        self, task_id: str, document: dict[str, Any], traceparent: str
+    ) -> Reply:
         now = time.monotonic()
         if task_id in self._task_by_id:
             return self._refuse_start("duplicate")
         if self.draining:
             return self._refuse_start("draining")
-        if self.faults.lapse_leases or self._session_lapsed(
+        if self.faults.lapse_leases or self._session_expired(
             document.get("session", ""), now
         ):
             return self._refuse_start("lease_lapsed")
         try:
-            task = self._read_task(task_id, document, now)
+            task = self._parse_task(task_id, document, now)
         except (KeyError, TypeError, ValueError) as error:
-            return refuse(400, f"bad field: {error}")
-        if not self._fits(task.amount):
+            return error_reply(400, f"bad field: {error}")
+        if not self._fits(task.resources):
             return self._refuse_start("no_capacity")
         task.traceparent = traceparent
-        self._begin(task)
+        self._start_task(task)
         if task.ended is None:
-            return self._status(task_id)
+            return self._status_reply(task_id)
         if document.get("wait", True):
             task.ended.wait()
-            return self._reply(200, task)
-        return self._reply(202, task)
+            return self._task_reply(200, task)
+        return self._task_reply(202, task)
 
-    def _read_task(self, task_id: str, document: dict[str, Any], now: float) -> Task:
+    def _parse_task(self, task_id: str, document: dict[str, Any], now: float) -> Task:
         payload = b64decode(document.get("payload", ""))
-        amount = ResourceAmounts(**document.get("resources", {}))
+        resources = ResourceAmounts(**document.get("resources", {}))
         lease_s = float(document["lease_ms"]) / 1000
         organisation = document["organisation"]
         if not isinstance(organisation, str) or lease_s <= 0:
             raise ValueError("organisation must be a string and lease_ms positive")
-        if min(amount.cores, amount.memory_mb, amount.accelerators) < 0:
+        if min(resources.cores, resources.memory_mb, resources.accelerators) < 0:
             raise ValueError("resources must not be negative")
         request_id = document.get("request_id") or task_id.rpartition(".")[0]
         work = parse_work(payload, self.default_work_s)
@@ -155,94 +157,96 @@
             request_id,
             organisation,
             document.get("queue", ""),
-            amount,
+            resources,
             work,
             payload,
             now,
             now + lease_s,
-            counted_at=now,
+            progress_updated_at=now,
         )
         if document.get("checkpoint"):
             task.worked_s = float(json.loads(document["checkpoint"])["worked_s"])
         return task
 
-    def _fits(self, amount: ResourceAmounts) -> bool:
+    def _fits(self, resources: ResourceAmounts) -> bool:
         used, total = self._used, self.capacity
         return (
-            used.cores + amount.cores <= total.cores
-            and used.memory_mb + amount.memory_mb <= total.memory_mb
-            and used.accelerators + amount.accelerators <= total.accelerators
+            used.cores + resources.cores <= total.cores
+            and used.memory_mb + resources.memory_mb <= total.memory_mb
+            and used.accelerators + resources.accelerators <= total.accelerators
         )
 
-    def _begin(self, task: Task) -> None:
+    def _start_task(self, task: Task) -> None:
         self._task_by_id[task.id] = task
         self.ledger.append(task)
         self.running[task.id] = task
-        self._take(task.amount, 1)
+        self._adjust_used(task.resources, 1)
         if self.faults.fail_all:
-            self._end(task, TaskStatus.FAILED)
+            self._finish_task(task, TaskStatus.FAILED)
         elif task.work.duration_s <= task.worked_s:
             failed = task.work.fails
-            self._end(task, TaskStatus.FAILED if failed else TaskStatus.DONE)
+            self._finish_task(task, TaskStatus.FAILED if failed else TaskStatus.DONE)
         else:
-            spawn_task(task, self._end)
+            spawn_task(task, self._finish_task)
 
-    def _end(self, task: Task, status: TaskStatus) -> None:
+    def _finish_task(self, task: Task, status: TaskStatus) -> None:
         if self.running.pop(task.id, None) is None:
             return
         now = time.monotonic()
         task.status = status
         task.ended_at = now
-        self._take(task.amount, -1)
-        self._ended.append(task)
-        while self._ended[0].ended_at < now - USAGE_HISTORY_S:
-            self._ended.popleft()
-        self._answered.append(task)
-        while self._answered[0].ended_at < now - ANSWERS_KEPT_S:
-            self._answered.popleft().answer = b""
+        self._adjust_used(task.resources, -1)
+        self._recently_ended.append(task)
+        while self._recently_ended[0].ended_at < now - USAGE_RETENTION_S:
+            self._recently_ended.popleft()
+        self._tasks_with_answer.append(task)
+        while self._tasks_with_answer[0].ended_at < now - ANSWER_RETENTION_S:
+            self._tasks_with_answer.popleft().answer = b""
         if task.ended is not None:
-            task.wake()
+            task.notify_change()
             task.ended.set()
 
-    def _act(self, task: Task, action: str, document: dict[str, Any]) -> Reply | None:
+    def _apply_action(
+        self, task: Task, action: str, document: dict[str, Any]
+    ) -> Reply | None:
         match action:
             case "renew":
                 return self._renew(task, document)
             case "throttle":
                 return self._throttle(task, document)
             case "checkpoint":
-                task.count_work(time.monotonic())
-                self._end(task, TaskStatus.CHECKPOINTED)
+                task.update_progress(time.monotonic())
+                self._finish_task(task, TaskStatus.CHECKPOINTED)
             case "stop" | "cancel":
-                self._end(task, TaskStatus.STOPPED)
+                self._finish_task(task, TaskStatus.STOPPED)
         return None
 
     def _renew(self, task: Task, document: dict[str, Any]) -> Reply | None:
         try:
             lease_s = float(document["lease_ms"]) / 1000
         except (KeyError, TypeError, ValueError):
-            return refuse(400, "lease_ms must be a number")
+            return error_reply(400, "lease_ms must be a number")
         now = time.monotonic()
-        if self._session_lapsed(document.get("session", ""), now):
+        if self._session_expired(document.get("session", ""), now):
             return self._refuse_start("lease_lapsed")
         if not self.faults.lapse_leases:
             task.lease_until = now + lease_s
-            task.wake()
+            task.notify_change()
         return None
 
     def _throttle(self, task: Task, document: dict[str, Any]) -> Reply | None:
         """Run the task at a fraction of its speed and processors."""
         fraction = document.get("fraction")
         if not isinstance(fraction, int | float) or not 0 < fraction <= 1:
-            return refuse(400, "fraction must be above 0 and at most 1")
-        cores = task.amount.cores / task.rate * fraction
-        if not self._fits(ResourceAmounts(cores - task.amount.cores)):
+            return error_reply(400, "fraction must be above 0 and at most 1")
+        cores = task.resources.cores / task.rate * fraction
+        if not self._fits(ResourceAmounts(cores - task.resources.cores)):
             return self._refuse_start("no_capacity")
-        task.count_work(time.monotonic())
-        self._used.cores += cores - task.amount.cores
-        task.amount.cores = cores
+        task.update_progress(time.monotonic())
+        self._used.cores += cores - task.resources.cores
+        task.resources.cores = cores
         task.rate = fraction
-        task.wake()
+        task.notify_change()
         return None
 
     # State.
@@ -258,27 +262,29 @@
         """Stop every task and forget sessions and tasks; the ledger stays."""
         self.boot_id = secrets.token_hex(8)
         for task in list(self.running.values()):
-            self._end(task, TaskStatus.STOPPED)
+            self._finish_task(task, TaskStatus.STOPPED)
         self._task_by_id.clear()
-        self._lapse_at_by_session.clear()
+        self._expiry_by_session.clear()
 
     def set_faults(self, **changes: Any) -> None:
         """Change fault switches; lapsed leases end sessions and tasks at once."""
         super().set_faults(**changes)
         if not self.faults.lapse_leases:
             return
-        self._lapse_at_by_session.clear()
+        self._expiry_by_session.clear()
         for task in list(self.running.values()):
-            self._end(task, TaskStatus.STOPPED)
+            self._finish_task(task, TaskStatus.STOPPED)
 
     def usage(self) -> dict[str, Any]:
         """Return what ran and what it used ``lag_ms`` ago."""
         at = time.monotonic() - self.faults.lag_ms / 1000
-        tasks = [*self._ended, *self.running.values()]
+        tasks = [*self._recently_ended, *self.running.values()]
         return {
             "boot_id": self.boot_id,
             "age_ms": self.faults.lag_ms,
-            "tasks": [_usage_of(task, at) for task in tasks if _ran_at(task, at)],
+            "tasks": [
+                _usage_entry(task, at) for task in tasks if _was_running_at(task, at)
+            ],
         }
 
     def ledger_entries(self) -> list[dict[str, Any]]:
@@ -300,13 +306,13 @@
             "ended_at": task.ended_at,
         }
 
-    def _take(self, amount: ResourceAmounts, sign: int) -> None:
+    def _adjust_used(self, resources: ResourceAmounts, sign: int) -> None:
         used = self._used
-        used.cores += sign * amount.cores
-        used.memory_mb += sign * amount.memory_mb
-        used.accelerators += sign * amount.accelerators
+        used.cores += sign * resources.cores
+        used.memory_mb += sign * resources.memory_mb
+        used.accelerators += sign * resources.accelerators
 
-    def _free(self) -> dict[str, Any]:
+    def _free_resources(self) -> dict[str, Any]:
         used, total = self._used, self.capacity
         return {
             "cores": total.cores - used.cores,
@@ -314,24 +320,24 @@
             "accelerators": total.accelerators - used.accelerators,
         }
 
-    def _status(self, task_id: str) -> Reply:
+    def _status_reply(self, task_id: str) -> Reply:
         task = self._task_by_id.get(task_id)
         if task is not None:
-            return self._reply(200, task)
+            return self._task_reply(200, task)
         document = {
             "task": task_id,
             "status": TaskStatus.UNKNOWN,
             "boot_id": self.boot_id,
-            "free": self._free(),
+            "free": self._free_resources(),
         }
         return Reply(200, document)
 
-    def _reply(self, status: int, task: Task) -> Reply:
+    def _task_reply(self, status: int, task: Task) -> Reply:
         document = {
             "task": task.id,
             "status": task.status,
             "boot_id": self.boot_id,
-            "free": self._free(),
+            "free": self._free_resources(),
         }
         if task.status is TaskStatus.CHECKPOINTED:
             document["checkpoint"] = json.dumps({"worked_s": task.worked_s})
@@ -340,23 +346,23 @@
         return Reply(status, document)
 
     def _refuse_start(self, reason: str) -> Reply:
-        return Reply(409, {"reason": reason, "free": self._free()})
+        return Reply(409, {"reason": reason, "free": self._free_resources()})
 
 
-def _ran_at(task: Task, at: float) -> bool:
+def _was_running_at(task: Task, at: float) -> bool:
     ended = task.ended_at
     return task.started_at <= at and (ended is None or ended > at)
 
 
-def _usage_of(task: Task, at: float) -> dict[str, Any]:
+def _usage_entry(task: Task, at: float) -> dict[str, Any]:
     work = task.work
-    cores, memory_mb = task.amount.cores, task.amount.memory_mb
+    cores, memory_mb = task.resources.cores, task.resources.memory_mb
     return {
         "task": task.id,
         "organisation": task.organisation,
         "queue": task.queue,
         "cores": cores if work.used_cores is None else work.used_cores,
         "memory_mb": memory_mb if work.used_memory_mb is None else work.used_memory_mb,
-        "accelerators": task.amount.accelerators,
+        "accelerators": task.resources.accelerators,
         "ran_ms": round((at - task.started_at) * 1000),
     }
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -16,7 +16,7 @@
     PlatformStandIns,
     StandIn,
     WorkerStandIn,
-    peak_running,
+    peak_concurrency,
 )
 from lycheeloom.standins.main import EXIT_BAD_SETTINGS, EXIT_OK, main
 from lycheeloom.standins.server import Request
@@ -32,7 +32,7 @@
 
 
 def ids(instances):
-    return [line.instance for line in instances.listing()]
+    return [line.instance for line in instances.visible_instances()]
 
 
 def test_listing_lags():
@@ -53,8 +53,12 @@
     with PlatformStandIns() as platform:
         entry = {"role": "entry", "address": "127.0.0.1:9", "zone": "z1", "rack": ""}
         assert call(platform.instances, "PUT", "/v1/instances/e1", entry)[0] == 200
-        listing = call(platform.instances, "GET", "/v1/instances")[1]["instances"]
-        assert listing == [{**entry, "instance": "e1", "state": "live", "boot_id": ""}]
+        visible_instances = call(platform.instances, "GET", "/v1/instances")[1][
+            "instances"
+        ]
+        assert visible_instances == [
+            {**entry, "instance": "e1", "state": "live", "boot_id": ""}
+        ]
         bad = call(platform.instances, "PUT", "/v1/instances/e2", {"role": "entry"})
         assert bad[0] == 400
         call(platform.instances, "DELETE", "/v1/instances/e1")
@@ -94,7 +98,7 @@
 def test_peak_running(times, peak):
     """Organisation limits are judged by this count, at the borders of tasks too."""
     starts = [{"organisation": "t", "started_at": a, "ended_at": b} for a, b in times]
-    assert peak_running(starts) == {"t": peak}
+    assert peak_concurrency(starts) == {"t": peak}
 
 
 def test_drain_waits_for_running_tasks():
--- a/libs/standins/tests/test_worker.py
+++ b/libs/standins/tests/test_worker.py
@@ -109,16 +109,16 @@
 def test_throttled_task_takes_longer(worker):
     start(worker, "r1.1", b'{"work_ms": 1000000}')
     task = worker.running["r1.1"]
-    now = task.counted_at
+    now = task.progress_updated_at
     post(worker, "/v1/tasks/r1.1/throttle", fraction=0.5)
-    assert task.remaining_s(task.counted_at) == pytest.approx(
-        2 * (1000 - (task.counted_at - now))
+    assert task.remaining_s(task.progress_updated_at) == pytest.approx(
+        2 * (1000 - (task.progress_updated_at - now))
     )
     assert start(worker, "r2.1", HOUR_OF_WORK, resources={"cores": 3.5}).status == 202
     refused = post(worker, "/v1/tasks/r1.1/throttle", fraction=1)
     assert refused.document["reason"] == "no_capacity"
     stop_all(worker)
-    assert worker._free()["cores"] == 4
+    assert worker._free_resources()["cores"] == 4
 
 
 def test_usage_lags_and_tells_what_was_really_used(worker):
