--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -11,7 +11,7 @@
 from urllib.parse import unquote
 
 from .server import Reply, Request, StandIn, error_reply
-from .tasks import ResourceAmounts, Task, TaskStatus, parse_work, spawn_task
+from .tasks import Amount, Task, TaskStatus, parse_work, spawn_task
 
 # Ended tasks stay visible to lagging usage reports this long.
 USAGE_RETENTION_S = 60.0
@@ -34,19 +34,19 @@
         *,
         zone: str = "z1",
         rack: str = "r1",
-        capacity: ResourceAmounts | None = None,
+        capacity: Amount | None = None,
         default_work_s: float = 0.0,
     ) -> None:
         super().__init__(name, host, port)
         self.zone = zone
         self.rack = rack
-        self.capacity = capacity or ResourceAmounts(64, 256 * 1024, 0)
+        self.capacity = capacity or Amount(64, 256 * 1024, 0)
         self.default_work_s = default_work_s
         self.draining = False
         self.boot_id = secrets.token_hex(8)
         self.ledger: list[Task] = []
         self.running: dict[str, Task] = {}
-        self._used = ResourceAmounts()
+        self._used = Amount()
         self._task_by_id: dict[str, Task] = {}
         self._expiry_by_session: dict[str, float] = {}
         self._recently_ended: deque[Task] = deque()
@@ -143,7 +143,7 @@
 
     def _parse_task(self, task_id: str, document: dict[str, Any], now: float) -> Task:
         payload = b64decode(document.get("payload", ""))
-        resources = ResourceAmounts(**document.get("resources", {}))
+        resources = Amount(**document.get("resources", {}))
         lease_s = float(document["lease_ms"]) / 1000
         organisation = document["organisation"]
         if not isinstance(organisation, str) or lease_s <= 0:
@@ -168,7 +168,7 @@
             task.worked_s = float(json.loads(document["checkpoint"])["worked_s"])
         return task
 
-    def _fits(self, resources: ResourceAmounts) -> bool:
+    def _fits(self, resources: Amount) -> bool:
         used, total = self._used, self.capacity
         return (
             used.cores + resources.cores <= total.cores
@@ -240,7 +240,7 @@
         if not isinstance(fraction, int | float) or not 0 < fraction <= 1:
             return error_reply(400, "fraction must be above 0 and at most 1")
         cores = task.resources.cores / task.rate * fraction
-        if not self._fits(ResourceAmounts(cores - task.resources.cores)):
+        if not self._fits(Amount(cores - task.resources.cores)):
             return self._refuse_start("no_capacity")
         task.update_progress(time.monotonic())
         self._used.cores += cores - task.resources.cores
@@ -306,7 +306,7 @@
             "ended_at": task.ended_at,
         }
 
-    def _adjust_used(self, resources: ResourceAmounts, sign: int) -> None:
+    def _adjust_used(self, resources: Amount, sign: int) -> None:
         used = self._used
         used.cores += sign * resources.cores
         used.memory_mb += sign * resources.memory_mb
