--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -32,9 +32,9 @@
     read_config,
 )
 
-from .callers import Callers, Work  # noqa: E402
+from .callers import Callers, CallKind  # noqa: E402
 from .processes import HANDOVER_TOKEN, Fleet, Program, running_fleet  # noqa: E402
-from .verdicts import Line, ZoneOut, check, peak_by_organisation  # noqa: E402
+from .verdicts import ResultRow, ZoneOutPeriod, count_results, peak_by_organisation  # noqa: E402
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 CONFIGS = [EXAMPLES / "user-a.toml", EXAMPLES / "user-b.toml"]
@@ -42,11 +42,11 @@
 CALLS_PER_S = 40
 OVERNIGHT_REQUESTS = 40
 # One organisation gets an upper limit below what it wants to run.
-LOW_LIMIT = 4
-LOAD_S = 26.0
+LOW_UPPER_LIMIT = 4
+LOAD_DURATION_S = 26.0
 REVOKE_AT_S = 4.0
 ZONE_OUT_AT_S = 7.0
-ZONE_IN_AT_S = 13.0
+ZONE_BACK_AT_S = 13.0
 KILL_AT_S = 16.0
 REPLACE_AT_S = 17.5
 END_TIMEOUT_S = 40.0
@@ -63,10 +63,10 @@
         self.organisations = list(self.document["organisations"])
         self.queues = [q for q in self.document["queues"] if q != "overnight"]
         self.entries: list[Program] = []
-        self.zone_outs: list[ZoneOut] = []
+        self.zone_out_periods: list[ZoneOutPeriod] = []
         self.revoked_at_by_organisation: dict[str, float] = {}
         self.key_by_organisation: dict[str, str] = {}
-        self.operator = self._operator()
+        self.operator = self._make_operator()
         self.callers = Callers(self._addresses, {}, seed)
 
     def _read_document(self, config_path: Path) -> dict:
@@ -77,30 +77,30 @@
         for name, instance in file.document["instances"].items():
             instance["address"] = platform.workers[name]
         limited = list(file.document["organisations"])[1]
-        file.document["organisations"][limited]["upper_limit"] = LOW_LIMIT
+        file.document["organisations"][limited]["upper_limit"] = LOW_UPPER_LIMIT
         return file.document
 
-    def _operator(self) -> Operator:
+    def _make_operator(self) -> Operator:
         entries = Entries.at(self._addresses(), HANDOVER_TOKEN)
         return Operator(LogClient(self.fleet.platform.log), entries, "demo")
 
     def _addresses(self) -> list[str]:
         return [program.address for program in self.entries]
 
-    def tell(self, text: str) -> None:
+    def report(self, text: str) -> None:
         """Print one line of the story."""
         print(f"{self.document['name']}: {text}", flush=True)
 
     def start(self) -> None:
         """Publish the configuration, start the entries and grant the keys."""
         result = self.operator.publish(self.document, 0, accept_warnings=True)
-        expect(result, Published)
+        require(result, Published)
         for index in range(ENTRIES_PER_ZONE * len(self.zones)):
             zone = self.zones[index % len(self.zones)]
             self.entries.append(self.fleet.start_entry(f"entry-{index + 1}", zone))
         ready_s = self.fleet.wait_ready(self.entries)
-        self.tell(f"{len(self.entries)} entries are ready after {ready_s:.1f} s")
-        self.operator = self._operator()
+        self.report(f"{len(self.entries)} entries are ready after {ready_s:.1f} s")
+        self.operator = self._make_operator()
         tokens = {}
 
         def grant(draft: Draft) -> None:
@@ -109,68 +109,70 @@
                 tokens[organisation] = key.token
                 self.key_by_organisation[organisation] = key.id
 
-        self.change(
+        self.publish_change(
             grant, f"granted a key to each of {len(self.organisations)} organisations"
         )
         self.callers.token_by_organisation.update(tokens)
 
-    def change(self, edit: object, text: str) -> float:
+    def publish_change(self, edit: object, text: str) -> float:
         """Publish a change and return when it was accepted."""
         result = self.operator.change(edit, accept_warnings=True)
         accepted_at = time.monotonic()
-        expect(result, Published)
+        require(result, Published)
         in_force = self.operator.wait_in_force(result.version, 10)
         took_s = time.monotonic() - accepted_at
         state = "everywhere" if isinstance(in_force, InForce) else "not everywhere"
-        self.tell(
+        self.report(
             f"{text}: version {result.version}, in force {state} after {took_s:.2f} s"
         )
         return accepted_at
 
     def run_events(self) -> None:
         """Make the changes and failures at their times."""
-        began_at = time.monotonic()
-        self._sleep_until(began_at + REVOKE_AT_S)
+        started_at = time.monotonic()
+        self._sleep_until(started_at + REVOKE_AT_S)
         organisation = self.organisations[-1]
         key = self.key_by_organisation[organisation]
-        self.revoked_at_by_organisation[organisation] = self.change(
+        self.revoked_at_by_organisation[organisation] = self.publish_change(
             lambda draft: draft.withdraw_key(key),
             f"revoked the key of organisation {organisation}",
         )
-        self._sleep_until(began_at + ZONE_OUT_AT_S)
+        self._sleep_until(started_at + ZONE_OUT_AT_S)
         zone = self.zones[0]
-        out_at = self.change(
+        out_at = self.publish_change(
             lambda draft: draft.take_zone_out(zone), f"took zone {zone} out"
         )
-        self._sleep_until(began_at + ZONE_IN_AT_S)
+        self._sleep_until(started_at + ZONE_BACK_AT_S)
         in_at = time.monotonic()
-        self.change(lambda draft: draft.bring_zone_in(zone), f"brought zone {zone} in")
-        self.zone_outs.append(ZoneOut(zone, out_at, in_at))
-        self._sleep_until(began_at + KILL_AT_S)
-        victim = self.entries[0]
-        victim.kill()
-        self.tell(f"killed {victim.name}")
-        self._sleep_until(began_at + REPLACE_AT_S)
-        replacement = self.fleet.start_entry(victim.name, zone)
+        self.publish_change(
+            lambda draft: draft.bring_zone_in(zone), f"brought zone {zone} in"
+        )
+        self.zone_out_periods.append(ZoneOutPeriod(zone, out_at, in_at))
+        self._sleep_until(started_at + KILL_AT_S)
+        killed_entry = self.entries[0]
+        killed_entry.kill()
+        self.report(f"killed {killed_entry.name}")
+        self._sleep_until(started_at + REPLACE_AT_S)
+        replacement = self.fleet.start_entry(killed_entry.name, zone)
         ready_s = self.fleet.wait_ready([replacement])
         self.entries[0] = replacement
-        self.tell(f"replaced {victim.name}, ready after {ready_s:.1f} s")
-        self.operator = self._operator()
+        self.report(f"replaced {killed_entry.name}, ready after {ready_s:.1f} s")
+        self.operator = self._make_operator()
 
     def run_load(self) -> None:
         """Send lookups and bookings of all organisations, and an overnight batch."""
         for index in range(OVERNIGHT_REQUESTS):
             organisation = self.organisations[index % (len(self.organisations) - 1)]
-            self.callers.send(Work.OVERNIGHT, organisation, "overnight", 1500)
-        began_at = time.monotonic()
-        for index in range(int(LOAD_S * CALLS_PER_S)):
-            self._sleep_until(began_at + index / CALLS_PER_S)
+            self.callers.send(CallKind.OVERNIGHT, organisation, "overnight", 1500)
+        started_at = time.monotonic()
+        for index in range(int(LOAD_DURATION_S * CALLS_PER_S)):
+            self._sleep_until(started_at + index / CALLS_PER_S)
             organisation = self.rng.choice(self.organisations)
             queue = self.rng.choice(self.queues)
-            work = Work.BOOKING if self.rng.random() < 0.2 else Work.LOOKUP
-            self.callers.send(work, organisation, queue, self.rng.choice((20, 50, 200)))
+            kind = CallKind.BOOKING if self.rng.random() < 0.2 else CallKind.LOOKUP
+            self.callers.send(kind, organisation, queue, self.rng.choice((20, 50, 200)))
 
-    def finish(self) -> list[Line]:
+    def collect_results(self) -> list[ResultRow]:
         """Wait for the last answers and check the counts."""
         self.callers.wait_all(END_TIMEOUT_S)
         ledger = self.fleet.ledger()
@@ -178,28 +180,28 @@
             organisation: self.document["organisations"][organisation]["upper_limit"]
             for organisation in self.organisations
         }
-        lines = check(
+        rows = count_results(
             self.callers.calls,
             ledger,
             limits,
-            self.zone_outs,
+            self.zone_out_periods,
             self.revoked_at_by_organisation,
         )
         peak = peak_by_organisation(ledger).get(self.organisations[1], 0)
-        name = f"most running of the organisation with limit {LOW_LIMIT}"
-        return [*lines, Line(name, peak, LOW_LIMIT)]
+        name = f"most running of the organisation with limit {LOW_UPPER_LIMIT}"
+        return [*rows, ResultRow(name, peak, LOW_UPPER_LIMIT)]
 
     def _sleep_until(self, at: float) -> None:
         gevent.sleep(max(0.0, at - time.monotonic()))
 
 
-def expect(result: object, kind: type) -> None:
+def require(result: object, kind: type) -> None:
     """Stop the demonstration if an operator's change was not accepted."""
     if not isinstance(result, kind):
         raise SystemExit(f"expected {kind.__name__}, got {result}")
 
 
-def run_fleet(config_path: Path, seed: int) -> list[Line]:
+def run_fleet(config_path: Path, seed: int) -> list[ResultRow]:
     """Run the demonstration on one fleet and return its counts."""
     with running_fleet() as fleet:
         demo = Demo(fleet, config_path, seed)
@@ -207,25 +209,25 @@
         load = gevent.spawn(demo.run_load)
         events = gevent.spawn(demo.run_events)
         gevent.joinall([load, events], raise_error=True)
-        lines = demo.finish()
+        rows = demo.collect_results()
         failed_stops = sum(entry.terminate() != 0 for entry in demo.entries)
-    lines.append(Line("entries that did not shut down cleanly", failed_stops, 0))
-    return lines
+    rows.append(ResultRow("entries that did not shut down cleanly", failed_stops, 0))
+    return rows
 
 
-def print_result(lines_by_fleet: dict[str, list[Line]]) -> bool:
+def print_result(rows_by_fleet: dict[str, list[ResultRow]]) -> bool:
     """Print the counts of all fleets and tell whether they are right."""
-    columns = list(lines_by_fleet.values())
-    rows = [
-        [lines[0].name, *(line.count for line in lines), lines[0].wanted]
-        for lines in zip(*columns, strict=True)
+    columns = list(rows_by_fleet.values())
+    table = [
+        [rows[0].name, *(row.count for row in rows), rows[0].expected]
+        for rows in zip(*columns, strict=True)
     ]
-    print(tabulate(rows, headers=("what", *lines_by_fleet, "must be"), missingval=""))
+    print(tabulate(table, headers=("what", *rows_by_fleet, "must be"), missingval=""))
     wrong = [
-        f"{fleet}: {line.name}"
-        for fleet, lines in lines_by_fleet.items()
-        for line in lines
-        if not line.is_right
+        f"{fleet}: {row.name}"
+        for fleet, rows in rows_by_fleet.items()
+        for row in rows
+        if not row.is_ok
     ]
     print("all counts are right" if not wrong else f"wrong: {', '.join(wrong)}")
     return not wrong
@@ -244,8 +246,8 @@
         # The programs of the other fleet must end even if one fleet fails.
         gevent.killall(runs)
     names = [path.stem for path in arguments.config]
-    lines_by_fleet = {name: run.get() for name, run in zip(names, runs, strict=True)}
-    return 0 if print_result(lines_by_fleet) else 1
+    rows_by_fleet = {name: run.get() for name, run in zip(names, runs, strict=True)}
+    return 0 if print_result(rows_by_fleet) else 1
 
 
 if __name__ == "__main__":
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -15,10 +15,10 @@
 
 CALL_TIMEOUT_S = 40.0
 RETRY_DELAY_S = 0.1
-MAX_TRIES = 60
+MAX_ATTEMPTS = 60
 
 
-class Work(StrEnum):
+class CallKind(StrEnum):
     """Kinds of calls: lookups are idempotent, bookings are not."""
 
     LOOKUP = "lookup"
@@ -26,12 +26,12 @@
     OVERNIGHT = "overnight"
 
 
-class Seen(StrEnum):
+class Outcome(StrEnum):
     """How a call ended for its caller."""
 
     ANSWERED = "answered"
     REFUSED = "refused as not run"
-    DOUBTFUL = "may have run"
+    MAY_HAVE_RUN = "may have run"
     LOST = "lost"
 
 
@@ -40,11 +40,11 @@
     """One call with everything its caller saw."""
 
     name: str
-    work: Work
+    kind: CallKind
     organisation: str
     queue: str
-    began_at: float
-    seen: Seen | None = None
+    sent_at: float
+    outcome: Outcome | None = None
     reason: str = ""
     ended_at: float = 0.0
     request_id: str = ""
@@ -71,50 +71,50 @@
 
     def send(
         self,
-        work: Work,
+        kind: CallKind,
         organisation: str,
         queue: str,
         work_ms: int,
-        tries: int = MAX_TRIES,
+        max_attempts: int = MAX_ATTEMPTS,
     ) -> Call:
         """Begin a call in its own greenlet."""
-        name = f"{work}-{len(self.calls)}"
-        call = Call(name, work, organisation, queue, time.monotonic())
+        name = f"{kind}-{len(self.calls)}"
+        call = Call(name, kind, organisation, queue, time.monotonic())
         self.calls.append(call)
-        gevent.spawn(self._run, call, work_ms, tries)
+        gevent.spawn(self._run, call, work_ms, max_attempts)
         return call
 
     def wait_all(self, timeout_s: float) -> None:
         """Wait until every call has ended; the others count as lost."""
-        give_up_at = time.monotonic() + timeout_s
-        while time.monotonic() < give_up_at:
-            if all(call.seen is not None for call in self.calls):
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            if all(call.outcome is not None for call in self.calls):
                 return
             gevent.sleep(0.05)
         for call in self.calls:
-            if call.seen is None:
-                self._end(call, Seen.LOST, "no end in time")
+            if call.outcome is None:
+                self._end(call, Outcome.LOST, "no end in time")
 
-    def _run(self, call: Call, work_ms: int, tries: int) -> None:
+    def _run(self, call: Call, work_ms: int, max_attempts: int) -> None:
         payload = {"call": call.name, "work_ms": work_ms}
         document = {
             "payload": payload,
             "run_ms": work_ms,
             "cores": 1,
             "memory_mb": 1024,
-            "idempotent": call.work is Work.LOOKUP,
-            "wait": call.work is not Work.OVERNIGHT,
+            "idempotent": call.kind is CallKind.LOOKUP,
+            "wait": call.kind is not CallKind.OVERNIGHT,
         }
-        for _ in range(tries):
-            if self._try_once(call, document):
+        for _ in range(max_attempts):
+            if self._attempt(call, document):
                 break
             gevent.sleep(RETRY_DELAY_S)
         else:
-            self._end(call, Seen.REFUSED, call.reason)
-        if call.work is Work.OVERNIGHT and call.request_id and call.seen is None:
+            self._end(call, Outcome.REFUSED, call.reason)
+        if call.kind is CallKind.OVERNIGHT and call.request_id and call.outcome is None:
             self._collect(call)
 
-    def _try_once(self, call: Call, document: dict) -> bool:
+    def _attempt(self, call: Call, document: dict) -> bool:
         """Send the call; returns whether it must not be sent again."""
         answer = self._request(call, "POST", self._submit_path(call), document)
         if answer is None:
@@ -125,43 +125,43 @@
         if status == 202:
             call.request_id = reply["request_id"]
             call.accepted_at = time.monotonic()
-            if call.work is not Work.OVERNIGHT:
+            if call.kind is not CallKind.OVERNIGHT:
                 self._collect(call)
             return True
         if reply.get("verdict") == "not_run":
             call.refusals += 1
             call.reason = reply["reason"]
             if reply["reason"] in ("key_rejected", "never_fits"):
-                self._end(call, Seen.REFUSED, call.reason)
+                self._end(call, Outcome.REFUSED, call.reason)
                 return True
             return False
-        self._take_final(call, reply)
+        self._record_verdict(call, reply)
         return True
 
     def _collect(self, call: Call) -> None:
         path = f"/v1/requests/{call.request_id}?wait_ms=2000"
-        for _ in range(MAX_TRIES):
+        for _ in range(MAX_ATTEMPTS):
             answer = self._request(call, "GET", path, None)
             if answer is not None and "verdict" in answer[1]:
-                self._take_final(call, answer[1])
+                self._record_verdict(call, answer[1])
                 return
             gevent.sleep(RETRY_DELAY_S)
-        self._end(call, Seen.LOST, "no answer to collect")
+        self._end(call, Outcome.LOST, "no answer to collect")
 
-    def _take_final(self, call: Call, reply: dict) -> None:
+    def _record_verdict(self, call: Call, reply: dict) -> None:
         call.request_id = reply.get("request_id", call.request_id)
         if reply.get("verdict") == "ran":
             is_own = json.loads(reply["answer"]).get("call") == call.name
             reason = "" if is_own else "answer of another call"
-            self._end(call, Seen.ANSWERED if is_own else Seen.LOST, reason)
+            self._end(call, Outcome.ANSWERED if is_own else Outcome.LOST, reason)
             return
         if reply.get("verdict") == "not_run":
-            self._end(call, Seen.REFUSED, reply["reason"])
+            self._end(call, Outcome.REFUSED, reply["reason"])
             return
-        self._end(call, Seen.DOUBTFUL, reply.get("message", ""))
+        self._end(call, Outcome.MAY_HAVE_RUN, reply.get("message", ""))
 
-    def _end(self, call: Call, seen: Seen, reason: str) -> None:
-        call.seen = seen
+    def _end(self, call: Call, outcome: Outcome, reason: str) -> None:
+        call.outcome = outcome
         call.reason = reason
         call.ended_at = time.monotonic()
 
@@ -176,7 +176,7 @@
             "Content-Type": "application/json",
             "Authorization": f"Bearer {self.token_by_organisation[call.organisation]}",
         }
-        if call.work is not Work.LOOKUP:
+        if call.kind is not CallKind.LOOKUP:
             headers["Idempotency-Key"] = call.name
         body = None if document is None else json.dumps(document).encode()
         answer = self.transport.call(
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -40,16 +40,18 @@
     file = read_config(arguments.config)
     if not isinstance(file, ConfigFile):
         raise SystemExit(str(file))
-    platform = build(file.document, arguments.reboot_s, arguments.log_retention_s)
+    platform = build_platform(
+        file.document, arguments.reboot_s, arguments.log_retention_s
+    )
     stopped = Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
     platform.start()
-    print(json.dumps(describe(platform)), flush=True)
+    print(json.dumps(addresses_of(platform)), flush=True)
     stopped.wait()
     platform.stop()
 
 
-def build(
+def build_platform(
     document: dict, reboot_s: float, log_retention_s: float | None = None
 ) -> PlatformStandIns:
     """Create one stand-in for each instance of a configuration document."""
@@ -70,7 +72,7 @@
     return PlatformStandIns(log=log, instances=instances, workers=workers)
 
 
-def describe(platform: PlatformStandIns) -> dict:
+def addresses_of(platform: PlatformStandIns) -> dict:
     """Return the addresses of all stand-ins."""
     return {
         "log": platform.log.address,
--- a/demo/verdicts.py
+++ b/demo/verdicts.py
@@ -5,16 +5,16 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
-from .callers import Call, Seen, Work
+from .callers import Call, CallKind, Outcome
 
 # A zone that was taken out gets no start later than this after publication.
-ZONE_OUT_S = 3.0
+ZONE_OUT_LIMIT_S = 3.0
 # A key that was revoked is accepted nowhere later than this.
-KEY_REVOKED_S = 3.0
+KEY_REVOCATION_LIMIT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
-class ZoneOut:
+class ZoneOutPeriod:
     """A zone was out from one time to another, on the shared monotonic clock."""
 
     zone: str
@@ -23,75 +23,93 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
-    """One line of the result; ``wanted`` is None where any count is right."""
+class ResultRow:
+    """One line of the result; ``expected`` is None where any count is right."""
 
     name: str
     count: int
-    wanted: int | None = None
+    expected: int | None = None
 
     @property
-    def is_right(self) -> bool:
+    def is_ok(self) -> bool:
         """Whether the count is the wanted one."""
-        return self.wanted is None or self.count == self.wanted
+        return self.expected is None or self.count == self.expected
 
 
-def check(
+def count_results(
     calls: list[Call],
     ledger: list[dict],
     limit_by_organisation: dict[str, int],
-    zone_outs: list[ZoneOut],
+    zone_out_periods: list[ZoneOutPeriod],
     revoked_at_by_organisation: dict[str, float],
-) -> list[Line]:
+) -> list[ResultRow]:
     """Return the counts of a run with the ones that must be zero."""
-    seen = Counter(call.seen for call in calls)
+    outcomes = Counter(call.outcome for call in calls)
     starts = Counter(start["call"] for start in ledger)
     return [
-        Line("calls", len(calls)),
-        Line("answered", seen[Seen.ANSWERED]),
-        Line("refused as not run", seen[Seen.REFUSED]),
-        Line("may have run", seen[Seen.DOUBTFUL]),
-        Line("lost", seen[Seen.LOST], 0),
-        Line("starts at workers", len(ledger)),
-        Line("not idempotent and started twice", _doubled(calls, starts), 0),
-        Line("answered without a start", _unstarted(calls, starts), 0),
-        Line("refused as not run but started", _false_refusals(calls, starts), 0),
-        Line("starts in a zone out for over 3 s", _zone_starts(ledger, zone_outs), 0),
-        Line(
+        ResultRow("calls", len(calls)),
+        ResultRow("answered", outcomes[Outcome.ANSWERED]),
+        ResultRow("refused as not run", outcomes[Outcome.REFUSED]),
+        ResultRow("may have run", outcomes[Outcome.MAY_HAVE_RUN]),
+        ResultRow("lost", outcomes[Outcome.LOST], 0),
+        ResultRow("starts at workers", len(ledger)),
+        ResultRow("not idempotent and started twice", _started_twice(calls, starts), 0),
+        ResultRow(
+            "answered without a start", _answered_without_start(calls, starts), 0
+        ),
+        ResultRow(
+            "refused as not run but started", _refused_but_started(calls, starts), 0
+        ),
+        ResultRow(
+            "starts in a zone out for over 3 s",
+            _starts_in_zones_out(ledger, zone_out_periods),
+            0,
+        ),
+        ResultRow(
             "organisations above their limit",
-            _above_limit(ledger, limit_by_organisation),
+            _organisations_above_limit(ledger, limit_by_organisation),
             0,
         ),
-        Line(
+        ResultRow(
             "accepted with a key revoked for over 3 s",
-            _late_keys(calls, revoked_at_by_organisation),
+            _accepted_after_revocation(calls, revoked_at_by_organisation),
             0,
         ),
     ]
 
 
-def _doubled(calls: list[Call], starts: Counter) -> int:
-    return sum(starts[call.name] > 1 for call in calls if call.work is not Work.LOOKUP)
+def _started_twice(calls: list[Call], starts: Counter) -> int:
+    return sum(
+        starts[call.name] > 1 for call in calls if call.kind is not CallKind.LOOKUP
+    )
 
 
-def _unstarted(calls: list[Call], starts: Counter) -> int:
-    return sum(starts[call.name] == 0 for call in calls if call.seen is Seen.ANSWERED)
+def _answered_without_start(calls: list[Call], starts: Counter) -> int:
+    return sum(
+        starts[call.name] == 0 for call in calls if call.outcome is Outcome.ANSWERED
+    )
 
 
-def _false_refusals(calls: list[Call], starts: Counter) -> int:
-    return sum(starts[call.name] > 0 for call in calls if call.seen is Seen.REFUSED)
+def _refused_but_started(calls: list[Call], starts: Counter) -> int:
+    return sum(
+        starts[call.name] > 0 for call in calls if call.outcome is Outcome.REFUSED
+    )
 
 
-def _zone_starts(ledger: list[dict], zone_outs: list[ZoneOut]) -> int:
+def _starts_in_zones_out(
+    ledger: list[dict], zone_out_periods: list[ZoneOutPeriod]
+) -> int:
     return sum(
-        start["zone"] == out.zone
-        and out.out_at + ZONE_OUT_S < start["started_at"] < out.in_at
+        start["zone"] == period.zone
+        and period.out_at + ZONE_OUT_LIMIT_S < start["started_at"] < period.in_at
         for start in ledger
-        for out in zone_outs
+        for period in zone_out_periods
     )
 
 
-def _above_limit(ledger: list[dict], limit_by_organisation: dict[str, int]) -> int:
+def _organisations_above_limit(
+    ledger: list[dict], limit_by_organisation: dict[str, int]
+) -> int:
     return sum(
         peak > limit_by_organisation[organisation]
         for organisation, peak in peak_by_organisation(ledger).items()
@@ -115,11 +133,13 @@
     return peaks
 
 
-def _late_keys(calls: list[Call], revoked_at_by_organisation: dict[str, float]) -> int:
+def _accepted_after_revocation(
+    calls: list[Call], revoked_at_by_organisation: dict[str, float]
+) -> int:
     return sum(
-        call.seen is not Seen.REFUSED
-        and call.began_at
-        > revoked_at_by_organisation[call.organisation] + KEY_REVOKED_S
+        call.outcome is not Outcome.REFUSED
+        and call.sent_at
+        > revoked_at_by_organisation[call.organisation] + KEY_REVOCATION_LIMIT_S
         for call in calls
         if call.organisation in revoked_at_by_organisation
     )
