--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -1,4 +1,8 @@
-"""Stand-ins for the platform, for tests and the demo."""
+"""Stand-ins for the platform's services, for tests and the demo.
+
+Each stand-in is an HTTP server that keeps its state in memory: the log, the instance
+list or a worker. Its faults can be switched on and off at run time.
+"""
 
 from .faults import Faults
 from .instances import Instance, InstancesStandIn
--- a/libs/standins/src/lycheeloom/standins/faults.py
+++ b/libs/standins/src/lycheeloom/standins/faults.py
@@ -1,4 +1,4 @@
-"""Fault switches that every stand-in has."""
+"""Faults that can be switched on at every stand-in."""
 
 from __future__ import annotations
 
@@ -10,12 +10,14 @@
 class Faults:
     """Faults in force at one stand-in; all off by default.
 
-    ``down`` refuses connections. ``outage`` answers 503. ``slow_ms`` delays each
-    request. ``lose_answers`` closes the connection after the effect for that many
-    answers, or for all with -1. ``lag_ms`` ages the instance list and usage
-    reports. ``lapse_leases`` ends every session and task lease. ``fail_all`` fails
-    every task, or answers 500 elsewhere. ``silent`` makes the connections open at
-    the time it is set never answer again, also after it is cleared.
+    ``down`` refuses connections. ``outage`` responds to every request with 503.
+    ``slow_ms`` delays each request. ``lose_answers`` carries out that many requests
+    but closes their connections instead of responding; -1 means all requests.
+    ``lag_ms`` is the age of the state that the instance list and usage reports show.
+    ``lapse_leases`` expires every session and task lease. ``fail_all`` fails every
+    task at a worker; other stand-ins respond with 500. ``silent`` leaves the
+    connections that are open when it is set without any further response, even after
+    it is cleared; later connections are not affected.
     """
 
     down: bool = False
@@ -39,7 +41,7 @@
 
 
 def validate_faults(changes: Any) -> BadFaults | None:
-    """Return what is wrong with ``changes``, or None."""
+    """Return why ``changes`` cannot be applied, or None if they can."""
     if not isinstance(changes, dict):
         return BadFaults("faults must be a JSON object")
     kind_by_name = {field.name: field.type for field in fields(Faults)}
--- a/libs/standins/src/lycheeloom/standins/instances.py
+++ b/libs/standins/src/lycheeloom/standins/instances.py
@@ -1,4 +1,7 @@
-"""Stand-in of the lagging instance list with drain and reboot actions."""
+"""Stand-in for the platform's instance list and its drain and reboot actions.
+
+The list shows changes only after a configurable lag.
+"""
 
 from __future__ import annotations
 
@@ -19,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """One line of the instance list."""
+    """One instance as the instance list shows it."""
 
     instance: str
     role: str
@@ -32,7 +35,11 @@
 
 @dataclass(slots=True)
 class Action:
-    """A drain, undrain or reboot, known by its action id."""
+    """A drain, undrain or reboot of an instance.
+
+    ``action`` is the id that the caller chose. A repeated request with the same id
+    returns the existing action.
+    """
 
     action: str
     instance: str
@@ -43,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _ListVersion:
-    """The list as it was from a time on."""
+    """The instance list from ``recorded_at`` (monotonic, s) until the next version."""
 
     recorded_at: float
     version: int
@@ -51,9 +58,9 @@
 
 
 class InstancesStandIn(StandIn):
-    """The instance list; drain and reboot act on its worker stand-ins.
+    """The instance list, whose actions drain and reboot its worker stand-ins.
 
-    ``reboot_s`` is how long a rebooting worker refuses connections.
+    ``reboot_s`` is how long a rebooting worker refuses connections, in seconds.
     """
 
     def __init__(
@@ -68,11 +75,11 @@
         self.reboot_s = reboot_s
         self._instance_by_id: dict[str, Instance] = {}
         self._worker_by_id: dict[str, WorkerStandIn] = {}
-        # Also workers that were removed: their starts still count.
+        # Includes removed workers, whose task starts stay in the ledger.
         self._all_workers: list[WorkerStandIn] = []
         self._action_by_id: dict[str, Action] = {}
         self._versions: deque[_ListVersion] = deque([_ListVersion(0.0, 0)])
-        # Differs between processes, so that versions of two are never equal.
+        # Random, so that ETags of different processes never match.
         self._etag_prefix = secrets.token_hex(4)
 
     def add(self, instance: Instance) -> None:
@@ -81,7 +88,7 @@
         self._record_version()
 
     def add_worker(self, worker: WorkerStandIn) -> None:
-        """Add a started worker stand-in under its name."""
+        """Add a worker stand-in under its name; it must have been started."""
         self._worker_by_id[worker.name] = worker
         if worker not in self._all_workers:
             self._all_workers.append(worker)
@@ -97,7 +104,7 @@
         )
 
     def remove(self, instance_id: str) -> None:
-        """Remove an instance; it disappears from the list after the lag."""
+        """Remove an instance; the list shows it until the lag has passed."""
         self._instance_by_id.pop(instance_id, None)
         self._worker_by_id.pop(instance_id, None)
         self._record_version()
@@ -131,7 +138,7 @@
         return self._visible_version().instances
 
     def ledger_entries(self) -> list[dict[str, Any]]:
-        """Return the starts at all workers, in the order of their times."""
+        """Return the task starts at all workers, ordered by time."""
         starts = [
             entry for worker in self._all_workers for entry in worker.ledger_entries()
         ]
@@ -143,17 +150,17 @@
         headers = (("ETag", etag),)
         if known_etag == etag:
             return Reply(304, None, headers)
-        visible_instances = [asdict(instance) for instance in visible.instances]
-        return Reply(200, {"instances": visible_instances}, headers)
+        instances = [asdict(instance) for instance in visible.instances]
+        return Reply(200, {"instances": instances}, headers)
 
     def _visible_version(self) -> _ListVersion:
         at = time.monotonic() - self.faults.lag_ms / 1000
-        seen = self._versions[0]
-        for visible_instances in self._versions:
-            if visible_instances.recorded_at > at:
+        visible = self._versions[0]
+        for version in self._versions:
+            if version.recorded_at > at:
                 break
-            seen = visible_instances
-        return seen
+            visible = version
+        return visible
 
     def _handle_put(self, instance_id: str, request: Request) -> Reply:
         document = request.document()
--- a/libs/standins/src/lycheeloom/standins/ledger.py
+++ b/libs/standins/src/lycheeloom/standins/ledger.py
@@ -1,4 +1,7 @@
-"""Counts over ledger entries, independent of the system under test."""
+"""Evaluation of the ledger, the record of every task start at the worker stand-ins.
+
+The stand-ins write the ledger, so its counts don't depend on the system under test.
+"""
 
 from __future__ import annotations
 
@@ -10,10 +13,11 @@
 def peak_concurrency(
     starts: Iterable[dict[str, Any]], key: str = "organisation"
 ) -> dict[str, int]:
-    """Return the largest number of tasks that ran at the same time, by ``key``.
+    """Return the peak number of tasks running at the same time, per value of ``key``.
 
-    Takes ledger entries of any number of workers of one process, whose time stamps
-    are from one clock. A task that ends when another starts does not overlap it.
+    ``starts`` are ledger entries of any number of workers in one process, so that
+    their time stamps are from the same clock. A task that ends at the moment another
+    one starts does not overlap it.
 
     >>> peak_concurrency([{"organisation": "red", "started_at": 1.0, "ended_at": None}])
     {'red': 1}
--- a/libs/standins/src/lycheeloom/standins/log.py
+++ b/libs/standins/src/lycheeloom/standins/log.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's append-only log service."""
+"""Stand-in for the platform's append-only log service."""
 
 from __future__ import annotations
 
@@ -14,7 +14,8 @@
 
 MAX_RECORD_BYTES = 256 * 1024
 MAX_WAIT_MS = 30_000
-# One answer to a read stays below this, but carries at least one batch.
+# Limit on the size of the batches in one read response, before base64 encoding.
+# A larger batch is returned alone.
 MAX_READ_BYTES = 4 * 1024 * 1024
 
 
@@ -22,7 +23,9 @@
 class LogLimits:
     """Limits of the log: record size, appends per second and retention.
 
-    A limit of None is absent.
+    ``max_record_bytes`` is the maximum size of one appended batch. The oldest batches
+    are dropped beyond ``retained_records`` batches or after ``retained_s`` seconds.
+    None means unlimited.
     """
 
     max_record_bytes: int = MAX_RECORD_BYTES
@@ -32,7 +35,7 @@
 
 
 class LogStandIn(StandIn):
-    """A log with sequential offsets from 0, kept in memory."""
+    """An in-memory log whose batches have sequential offsets from 0."""
 
     def __init__(
         self,
@@ -61,7 +64,7 @@
         return self._oldest_offset
 
     def append(self, batch: bytes) -> int:
-        """Append without limits and return the offset."""
+        """Append a batch regardless of size and rate limits; returns its offset."""
         offset = self.next_offset
         self._batches.append((self._clock(), batch))
         self._apply_retention()
@@ -116,7 +119,7 @@
         self._apply_retention()
         if first < self._oldest_offset:
             return Reply(410, {"oldest": self._oldest_offset})
-        # A reader beyond the end learns where the end is.
+        # A read from beyond the end returns no batches and the next offset.
         first = min(first, self.next_offset)
         batches: list[str] = []
         size = 0
--- a/libs/standins/src/lycheeloom/standins/main.py
+++ b/libs/standins/src/lycheeloom/standins/main.py
@@ -1,4 +1,4 @@
-"""Program ``lycheeloom-standins``: the platform's stand-ins in one process."""
+"""Program ``lycheeloom-standins``: runs all stand-ins in one process."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run until SIGTERM or SIGINT; returns the exit code.
+    """Run until SIGTERM or SIGINT and return the exit code.
 
-    0: stopped by a signal or settings valid. 1: a port cannot be used. 2: bad
-    arguments or settings.
+    0: stopped by a signal, or ``--check-config`` found the settings valid. 1: a
+    listening port is unavailable. 2: invalid arguments or settings.
     """
     arguments = _parse_arguments(argv)
     settings = load_settings(arguments.settings)
--- a/libs/standins/src/lycheeloom/standins/platform.py
+++ b/libs/standins/src/lycheeloom/standins/platform.py
@@ -1,4 +1,4 @@
-"""All stand-ins of one process: log, instance list, workers and control."""
+"""The stand-ins of one process: log, instance list, workers and control."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class PlatformStandIns:
-    """A log, an instance list and any number of workers, with faults by name.
+    """A log, an instance list and any number of workers, found by name.
 
     >>> with PlatformStandIns(workers=[WorkerStandIn("w1")]) as platform:
     ...     platform.by_name["w1"].set_faults(down=True)
@@ -33,7 +33,7 @@
         self.control = ControlStandIn(self, port=control_port)
 
     def start(self) -> PlatformStandIns:
-        """Start all stand-ins and list the workers as instances."""
+        """Start all stand-ins and add the workers to the instance list."""
         for standin in [*self.by_name.values(), self.control]:
             standin.start()
         for worker in self.workers:
@@ -52,7 +52,10 @@
 
 
 class ControlStandIn(StandIn):
-    """Sets faults of the other stand-ins, also of those that are down."""
+    """Shows and sets the faults of the other stand-ins, including those that are down.
+
+    Also serves the ledger of all workers.
+    """
 
     def __init__(
         self, platform: PlatformStandIns, host: str = "127.0.0.1", port: int = 0
--- a/libs/standins/src/lycheeloom/standins/server.py
+++ b/libs/standins/src/lycheeloom/standins/server.py
@@ -1,4 +1,4 @@
-"""HTTP server of a stand-in, with the faults that all stand-ins share."""
+"""Base class and HTTP server of the stand-ins, with the faults common to all."""
 
 from __future__ import annotations
 
@@ -32,14 +32,14 @@
     503: "503 Service Unavailable",
 }
 BACKLOG = 1024
-# A connection handler gets this long to write the answer to the request that
-# took its own stand-in down.
+# Delay before a stand-in applies "down" or "silent" set over its own HTTP API, so that
+# it can still respond to the request that set the fault.
 DEFERRED_FAULT_DELAY_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """An HTTP status with a JSON document."""
+    """An HTTP response: status, JSON document and additional headers."""
 
     status: int
     document: Any
@@ -47,13 +47,13 @@
 
 
 def error_reply(status: int, reason: str) -> Reply:
-    """Build a reply that only carries a reason."""
+    """Build an error reply whose document has only the key ``reason``."""
     return Reply(status, {"reason": reason})
 
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """The parts of an HTTP request that stand-ins look at."""
+    """The parts of an HTTP request that stand-ins use."""
 
     method: str
     path: str
@@ -63,7 +63,10 @@
     if_none_match: str = ""
 
     def document(self) -> dict[str, Any] | None:
-        """Return the body as a JSON object, ``{}`` if empty, None if neither."""
+        """Return the JSON object in the body, or None if the body is anything else.
+
+        An empty body counts as ``{}``.
+        """
         if not self.body:
             return {}
         try:
@@ -74,7 +77,7 @@
 
 
 class _Handler(WSGIHandler):
-    """Handler of one connection that lets the application break it off."""
+    """Handler of one connection, which the application can abort or keep silent."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -82,7 +85,10 @@
         self.server.connections_opened += 1
 
     def get_environ(self) -> dict[str, Any]:
-        """Build only what the stand-ins read: the full one costs 40 microseconds."""
+        """Build only the keys that stand-ins read.
+
+        The complete WSGI environment takes 40 microseconds per request.
+        """
         path, _, query = self.path.partition("?")
         self.wsgi_input = Input(self.rfile, self.content_length)
         return {
@@ -96,12 +102,13 @@
         }
 
     def log_request(self) -> None:
-        """Log nothing: formatting the line takes time also without a log."""
+        """Skip the access log: pywsgi formats each line even if no log is set."""
 
     def _write_with_headers(self, data: bytes) -> None:
-        """Send headers and body with one call; the original makes two.
+        """Send headers and body in one call, where pywsgi makes two.
 
-        The length is always given, and no date: each header costs the clients time.
+        The application sets Content-Length. The Date header is left out because each
+        header costs the clients time.
         """
         self.headers_sent = True
         lines = [b"HTTP/1.1 " + self.status]
@@ -109,7 +116,7 @@
         self._sendall(b"\r\n".join(lines) + b"\r\n\r\n" + data)
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        """Close a connection whose stand-in stops; the original answers 500."""
+        """Close the connection when the stand-in stops; pywsgi would send a 500."""
         if issubclass(t, gevent.GreenletExit):
             self.close_connection = True
             return
@@ -128,15 +135,15 @@
 
 class _Server(WSGIServer):
     handler_class = _Handler
-    # Counts how often open connections were silenced.
+    # How often the fault "silent" was set; connections opened before are silenced.
     silence_count = 0
     connections_opened = 0
 
 
 class StandIn(ABC):
-    """Base of the stand-ins: start on a loopback port, faults, stop.
+    """Base class of the stand-ins: an HTTP server with faults.
 
-    Port 0 picks a free port at the first start; the port is kept over restarts.
+    Port 0 picks a free port at the first start; later starts use the same port.
     """
 
     def __init__(self, name: str, host: str = "127.0.0.1", port: int = 0) -> None:
@@ -158,7 +165,7 @@
         return 0 if self._server is None else self._server.connections_opened
 
     def start(self) -> Self:
-        """Listen; connections are refused before this."""
+        """Start to listen, if not yet done; until then connections are refused."""
         if self._server is not None:
             return self
         listener = self._listener or self._bind()
@@ -180,15 +187,15 @@
     def _bind(self) -> gevent_socket.socket:
         listener = gevent_socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted connections inherit this. Without it answers wait for the
-        # delayed acknowledgement of the client, 40 ms.
+        # Accepted connections inherit this. Without it, responses wait for the
+        # client's delayed acknowledgement, 40 ms.
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         listener.bind((self._host, self._port))
         self._port = listener.getsockname()[1]
         return listener
 
     def set_faults(self, **changes: Any) -> None:
-        """Change fault switches; raises ValueError for an unknown one."""
+        """Change faults; raises ValueError for an unknown fault or a wrong type."""
         problem = validate_faults(changes)
         if problem is not None:
             raise ValueError(problem.reason)
@@ -201,10 +208,10 @@
 
     @abstractmethod
     def handle(self, request: Request) -> Reply:
-        """Answer one request."""
+        """Carry out one request and return the reply."""
 
     def handle_faults(self, request: Request) -> Reply:
-        """Answer a request to read or change the fault switches."""
+        """Handle a GET or POST of this stand-in's faults."""
         if request.method == "GET":
             return Reply(200, self.faults.as_dict())
         changes = request.document()
@@ -213,7 +220,7 @@
             problem = validate_faults(changes)
         if problem is not None:
             return error_reply(400, problem.reason)
-        # Taking the stand-in down or silencing it must not hit this answer.
+        # Applied after a delay, as they would prevent the response to this request.
         deferred = {k: changes.pop(k) for k in ("down", "silent") if k in changes}
         self.set_faults(**changes)
         if deferred:
@@ -225,7 +232,7 @@
             self.start()
             return
         self.stop()
-        # Bound but not listening: connections are refused and nobody else can
+        # Bound but not listening: connections are refused, and no other process can
         # take the port meanwhile.
         self._listener = self._bind()
 
@@ -263,22 +270,23 @@
         return self.handle(request)
 
     def _should_lose_answer(self) -> bool:
-        left = self.faults.lose_answers
-        if not left:
+        """Return whether to drop this response; counts down a limited number."""
+        remaining = self.faults.lose_answers
+        if not remaining:
             return False
-        if left > 0:
-            self.faults.lose_answers = left - 1
+        if remaining > 0:
+            self.faults.lose_answers = remaining - 1
         return True
 
 
 def split_path(path: str) -> list[str]:
-    """Split a path into its unquoted segments after the version."""
+    """Return the unquoted path segments after the API version."""
     return [unquote(segment) for segment in path.split("/")[2:]]
 
 
 def _send_reply(reply: Reply, start_response: Callable[..., Any]) -> list[bytes]:
     if reply.status == 304:
-        # Such an answer has no body.
+        # A 304 response has no body.
         start_response(STATUS_LINES[304], list(reply.headers))
         return []
     payload = json.dumps(reply.document, separators=(",", ":")).encode()
--- a/libs/standins/src/lycheeloom/standins/settings.py
+++ b/libs/standins/src/lycheeloom/standins/settings.py
@@ -21,7 +21,7 @@
 
 
 class LogSettings(_Section):
-    """Section ``[log]``; a limit that is not given is absent."""
+    """Section ``[log]``; batches are kept forever unless a retention is given."""
 
     port: int = Field(default=0, ge=0, le=65535)
     max_record_bytes: int = Field(default=MAX_RECORD_BYTES, gt=0)
@@ -31,7 +31,7 @@
 
 
 class InstancesSettings(_Section):
-    """Section ``[instances]``."""
+    """Section ``[instances]``: lag of the list and duration of a reboot."""
 
     port: int = Field(default=0, ge=0, le=65535)
     lag_ms: int = Field(default=0, ge=0)
@@ -45,10 +45,11 @@
 
 
 class WorkersSettings(_Section):
-    """One group ``[[workers]]`` of equal workers in one availability zone.
+    """One group ``[[workers]]`` of identical workers in one availability zone.
 
     Workers are named ``<prefix>-1`` and so on and listen on consecutive ports from
-    ``first_port``, or on free ports if it is 0. Racks are ``<zone>-r1`` and so on.
+    ``first_port``, or on free ports if it is 0. Racks are named ``<zone>-r1`` and so
+    on. ``default_work_ms`` is the duration of a task whose payload gives none.
     """
 
     prefix: str = Field(min_length=1)
@@ -75,13 +76,13 @@
 
 @dataclass(frozen=True, slots=True)
 class BadSettings:
-    """The settings cannot be used; ``reason`` names file, key and what is allowed."""
+    """Invalid settings; ``reason`` names the file, the key and what is allowed."""
 
     reason: str
 
 
 def load_settings(path: Path) -> Settings | BadSettings:
-    """Read and check a settings file."""
+    """Read and validate a settings file."""
     try:
         document = tomllib.loads(path.read_text())
     except OSError as error:
@@ -114,7 +115,7 @@
 
 
 def build_platform(settings: Settings) -> PlatformStandIns:
-    """Create the stand-ins, not yet started, that the settings describe."""
+    """Create the stand-ins that the settings describe, without starting them."""
     host, log = settings.host, settings.log
     limits = LogLimits(
         log.max_record_bytes, log.appends_per_s, log.retained_records, log.retained_s
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -1,4 +1,4 @@
-"""Tasks of a worker stand-in: how they progress, end and are remembered."""
+"""Tasks of a worker stand-in: their payload, progress and end."""
 
 from __future__ import annotations
 
@@ -41,12 +41,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SimulatedWork:
-    """What a payload asks of the worker.
+    """What a task is to simulate, as its payload says.
 
-    A payload that is a JSON object may name ``work_ms``, ``fail``, the resources
-    really used (``used_cores``, ``used_memory_mb``) and the caller's own name of
-    the work (``call``), which the ledger keeps. Any other payload is work of the
-    default duration.
+    A payload that is a JSON object can give the duration (``work_ms``), whether the
+    task fails at its end (``fail``), the resources that usage reports show instead of
+    the requested ones (``used_cores``, ``used_memory_mb``) and an id chosen by the
+    caller (``call``), which the ledger records. Any other payload means a successful
+    task of the default duration.
     """
 
     duration_s: float
@@ -57,7 +58,7 @@
 
 
 def parse_work(payload: bytes, default_s: float) -> SimulatedWork:
-    """Read the work out of a payload."""
+    """Parse a payload; an invalid one means work of the default duration."""
     if not payload.startswith(b"{"):
         return SimulatedWork(default_s)
     try:
@@ -75,7 +76,13 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """One start of a task; times are from the monotonic clock, in seconds."""
+    """One start of a task; times are from the monotonic clock, in seconds.
+
+    ``worked_s`` is the work done until ``progress_updated_at``, in seconds at full
+    speed; ``rate`` is the current fraction of full speed. ``changed`` wakes the
+    greenlet that runs the task; it and ``ended`` are None if the task ended at its
+    start.
+    """
 
     id: str
     request_id: str
@@ -96,23 +103,23 @@
     ended: Event | None = None
 
     def update_progress(self, now: float) -> None:
-        """Add the work done since the last count at the current rate."""
+        """Add the work done since the last update at the current rate."""
         self.worked_s += (now - self.progress_updated_at) * self.rate
         self.progress_updated_at = now
 
     def remaining_s(self, now: float) -> float:
-        """Return the time until the work is done at the current rate."""
+        """Update the progress and return the time left at the current rate."""
         self.update_progress(now)
         return (self.work.duration_s - self.worked_s) / self.rate
 
     def notify_change(self) -> None:
-        """Make a running task look at its lease, rate and status again."""
+        """Make the greenlet that runs the task re-read its lease, rate and status."""
         if self.changed is not None:
             self.changed.set()
 
 
 def run_task(task: Task) -> TaskStatus:
-    """Wait until the task's work is done, its lease lapses or it is stopped."""
+    """Wait until the work is done, the lease expires or the task is stopped."""
     while task.status is TaskStatus.RUNNING:
         now = time.monotonic()
         if now >= task.lease_until:
@@ -126,7 +133,7 @@
 
 
 def spawn_task(task: Task, on_finished: Any) -> None:
-    """Run a task in its own greenlet; ``on_finished(task, status)`` when it ends."""
+    """Run a task in its own greenlet and call ``on_finished(task, status)`` after."""
     task.changed = Event()
     task.ended = Event()
     gevent.spawn(_run_and_report, task, on_finished)
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -1,4 +1,4 @@
-"""Stand-in of a worker: sessions, task leases, capacity, usage, ledger."""
+"""Stand-in for a worker: sessions, task leases, capacity, usage and ledger."""
 
 from __future__ import annotations
 
@@ -13,17 +13,18 @@
 from .server import Reply, Request, StandIn, error_reply
 from .tasks import Amount, Task, TaskStatus, parse_work, spawn_task
 
-# Ended tasks stay visible to lagging usage reports this long.
+# How long ended tasks are kept for usage reports, which may lag.
 USAGE_RETENTION_S = 60.0
-# Answers of ended tasks are kept this long; the status is kept until reboot.
+# How long answers of ended tasks are kept; their status is kept until a reboot.
 ANSWER_RETENTION_S = 300.0
 TASK_ACTIONS = ("renew", "cancel", "checkpoint", "throttle", "stop")
 
 
 class WorkerStandIn(StandIn):
-    """A worker that runs tasks by waiting.
+    """A worker that simulates tasks by waiting for their duration.
 
-    ``default_work_s`` is the duration of a task whose payload names none.
+    ``default_work_s`` is the duration of a task whose payload gives none, in seconds.
+    The answer of a task is its payload. ``ledger`` records every task start.
     """
 
     def __init__(
@@ -52,7 +53,7 @@
         self._recently_ended: deque[Task] = deque()
         self._tasks_with_answer: deque[Task] = deque()
 
-    # Requests.
+    # HTTP requests.
 
     def handle(self, request: Request) -> Reply:
         path = request.path
@@ -107,6 +108,7 @@
         return Reply(200, document)
 
     def _session_expired(self, session: str, now: float) -> bool:
+        """Return whether a session is unknown or has expired."""
         return now >= self._expiry_by_session.get(session, now)
 
     def _drop_expired_sessions(self, now: float) -> None:
@@ -235,7 +237,7 @@
         return None
 
     def _throttle(self, task: Task, document: dict[str, Any]) -> Reply | None:
-        """Run the task at a fraction of its speed and processors."""
+        """Set the fraction of full speed and requested cores that a task gets."""
         fraction = document.get("fraction")
         if not isinstance(fraction, int | float) or not 0 < fraction <= 1:
             return error_reply(400, "fraction must be above 0 and at most 1")
@@ -249,17 +251,17 @@
         task.notify_change()
         return None
 
-    # State.
+    # State and reports.
 
     def drain(self) -> None:
-        """Refuse new tasks; running ones go on."""
+        """Refuse new tasks; running tasks continue."""
         self.draining = True
 
     def undrain(self) -> None:
         self.draining = False
 
     def reboot(self) -> None:
-        """Stop every task and forget sessions and tasks; the ledger stays."""
+        """Stop all tasks and forget sessions and tasks; the ledger is kept."""
         self.boot_id = secrets.token_hex(8)
         for task in list(self.running.values()):
             self._finish_task(task, TaskStatus.STOPPED)
@@ -267,7 +269,7 @@
         self._expiry_by_session.clear()
 
     def set_faults(self, **changes: Any) -> None:
-        """Change fault switches; lapsed leases end sessions and tasks at once."""
+        """Change faults; ``lapse_leases`` ends all sessions and tasks at once."""
         super().set_faults(**changes)
         if not self.faults.lapse_leases:
             return
@@ -276,7 +278,7 @@
             self._finish_task(task, TaskStatus.STOPPED)
 
     def usage(self) -> dict[str, Any]:
-        """Return what ran and what it used ``lag_ms`` ago."""
+        """Return the tasks that were running ``lag_ms`` ago and what they used."""
         at = time.monotonic() - self.faults.lag_ms / 1000
         tasks = [*self._recently_ended, *self.running.values()]
         return {
@@ -288,7 +290,7 @@
         }
 
     def ledger_entries(self) -> list[dict[str, Any]]:
-        """Return every start so far, also those before a reboot."""
+        """Return every task start so far, including those before a reboot."""
         return [self._ledger_entry(task) for task in self.ledger]
 
     def _ledger_entry(self, task: Task) -> dict[str, Any]:
