--- a/libs/standins/tests/test_log.py
+++ b/libs/standins/tests/test_log.py
@@ -1,4 +1,4 @@
-"""Limits of the log stand-in, on a clock that the test moves."""
+"""Limits and reads of the log stand-in, on a clock that the test advances."""
 
 import pytest
 
@@ -6,7 +6,7 @@
 from lycheeloom.standins.server import Request
 
 
-class Clock:
+class ManualClock:
     now = 100.0
 
     def __call__(self):
@@ -21,9 +21,9 @@
     return log.handle(Request("GET", "/v1/read", query))
 
 
-def test_appends_per_second():
-    """The limit must refill with time and not exceed one second's worth."""
-    clock = Clock()
+def test_append_rate_is_limited():
+    """Unused appends accumulate for at most one second."""
+    clock = ManualClock()
     log = LogStandIn(limits=LogLimits(appends_per_s=2), clock=clock)
     assert [append(log).status for _ in range(3)] == [200, 200, 429]
     clock.now += 0.5
@@ -33,14 +33,14 @@
 
 
 @pytest.mark.parametrize(("size", "status"), [(8, 200), (9, 413)])
-def test_record_size(size, status):
+def test_record_size_is_limited(size, status):
     log = LogStandIn(limits=LogLimits(max_record_bytes=8))
     assert append(log, b"x" * size).status == status
 
 
-def test_retention_by_age():
-    """Records older than the retention must be gone also without an append."""
-    clock = Clock()
+def test_old_batches_expire():
+    """Batches older than the retention are dropped even without a new append."""
+    clock = ManualClock()
     log = LogStandIn(limits=LogLimits(retained_s=10), clock=clock)
     append(log)
     clock.now += 6
@@ -54,7 +54,7 @@
 
 
 def test_large_reads_are_split():
-    """One answer stays small enough for a client, and the next read goes on."""
+    """A read response has a limited size, and the next read continues after it."""
     log = LogStandIn(limits=LogLimits(max_record_bytes=3 * 1024 * 1024))
     for _ in range(3):
         append(log, b"x" * 3 * 1024 * 1024)
@@ -63,5 +63,5 @@
 
 
 @pytest.mark.parametrize("query", [{"from": "x"}, {"limit": ""}, {"wait_ms": "1.5"}])
-def test_bad_query(query):
+def test_invalid_query_is_refused(query):
     assert read(LogStandIn(), **query).status == 400
--- a/libs/standins/tests/test_platform.py
+++ b/libs/standins/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""Instance list, faults over HTTP, control, settings and the program."""
+"""The instance list, faults over HTTP, control, settings and the program."""
 
 import json
 import signal
@@ -31,42 +31,38 @@
     return response.status, response.json()
 
 
-def ids(instances):
-    return [line.instance for line in instances.visible_instances()]
+def visible_ids(instances):
+    return [instance.instance for instance in instances.visible_instances()]
 
 
-def test_listing_lags():
-    """A removed instance must stay visible for the lag, a new one be unseen."""
+def test_instance_list_lags():
+    """The list shows additions and removals only after the lag."""
     instances = InstancesStandIn()
     instances.add(Instance("a", "entry", "127.0.0.1:1", "z1", "r1"))
-    assert ids(instances) == ["a"]
+    assert visible_ids(instances) == ["a"]
     instances.set_faults(lag_ms=3_600_000)
     instances.add(Instance("b", "entry", "127.0.0.1:2", "z1", "r1"))
-    assert ids(instances) == []
+    assert visible_ids(instances) == []
     instances.faults.lag_ms = 0
-    assert ids(instances) == ["a", "b"]
+    assert visible_ids(instances) == ["a", "b"]
     instances.remove("a")
-    assert ids(instances) == ["b"]
+    assert visible_ids(instances) == ["b"]
 
 
-def test_instances_come_and_go_over_http():
+def test_instances_are_added_and_removed_over_http():
     with PlatformStandIns() as platform:
         entry = {"role": "entry", "address": "127.0.0.1:9", "zone": "z1", "rack": ""}
         assert call(platform.instances, "PUT", "/v1/instances/e1", entry)[0] == 200
-        visible_instances = call(platform.instances, "GET", "/v1/instances")[1][
-            "instances"
-        ]
-        assert visible_instances == [
-            {**entry, "instance": "e1", "state": "live", "boot_id": ""}
-        ]
+        listed = call(platform.instances, "GET", "/v1/instances")[1]["instances"]
+        assert listed == [{**entry, "instance": "e1", "state": "live", "boot_id": ""}]
         bad = call(platform.instances, "PUT", "/v1/instances/e2", {"role": "entry"})
         assert bad[0] == 400
         call(platform.instances, "DELETE", "/v1/instances/e1")
-        assert ids(platform.instances) == []
+        assert visible_ids(platform.instances) == []
 
 
 def test_merged_ledger_keeps_removed_workers():
-    """The independent count must not lose starts when an instance is replaced."""
+    """Task starts of a removed worker must stay in the merged ledger."""
     workers = [WorkerStandIn("w1"), WorkerStandIn("w2", zone="z2")]
     with PlatformStandIns(workers=workers) as platform:
         for worker in workers:
@@ -96,13 +92,13 @@
     ],
 )
 def test_peak_running(times, peak):
-    """Organisation limits are judged by this count, at the borders of tasks too."""
+    """Tests of organisation limits use this count, so task boundaries matter too."""
     starts = [{"organisation": "t", "started_at": a, "ended_at": b} for a, b in times]
     assert peak_concurrency(starts) == {"t": peak}
 
 
 def test_drain_waits_for_running_tasks():
-    """A drain that ends early would let a reboot interrupt a request."""
+    """If a drain ended early, the following reboot would interrupt running tasks."""
     with PlatformStandIns(workers=[WorkerStandIn("w1")]) as platform:
         worker = platform.workers[0]
         session = call(worker, "POST", "/v1/sessions", {"ttl_ms": 60_000})[1]
@@ -139,15 +135,15 @@
     ids=str,
 )
 def test_faults_over_http(body, status):
-    """A misspelt fault must not pass as set."""
+    """A misspelt fault or a value of the wrong type must be refused."""
     with PlatformStandIns() as platform:
         assert call(platform.log, "POST", "/v1/faults", body)[0] == status
         faults = call(platform.log, "GET", "/v1/faults")[1]
         assert faults["slow_ms"] == (5 if status == 200 else 0)
 
 
-def test_control_brings_back_what_is_down():
-    """A stand-in that is down cannot be reached to end its fault."""
+def test_control_restores_a_stand_in_that_is_down():
+    """A stand-in that is down cannot clear its own fault over HTTP."""
     with PlatformStandIns() as platform:
         assert call(platform.log, "POST", "/v1/faults", {"down": True})[0] == 200
         while platform.log._server is not None:
@@ -163,7 +159,7 @@
 
 @pytest.mark.parametrize("standin", [LogStandIn, InstancesStandIn, WorkerStandIn])
 def test_unknown_fault_changes_nothing(standin):
-    """A misspelt fault in a test must fail it, not leave the stand-in healthy."""
+    """A misspelt fault must fail the test instead of leaving the stand-in healthy."""
     stand_in = standin()
     healthy = stand_in.faults.as_dict()
     with pytest.raises(ValueError, match="slow"):
@@ -171,8 +167,8 @@
     assert stand_in.faults.as_dict() == healthy
 
 
-def test_stand_in_without_a_handler_cannot_be_made():
-    """A stand-in that answers nothing must fail before a test talks to it."""
+def test_stand_in_without_a_handler_cannot_be_created():
+    """A stand-in class that handles no requests must fail at its creation."""
     with pytest.raises(TypeError, match="handle"):
         StandIn("odd")
 
@@ -223,7 +219,7 @@
         ("[log]", "[log", "not TOML"),
     ],
 )
-def test_bad_settings_are_explained(tmp_path, capsys, old, new, message):
+def test_invalid_settings_are_explained(tmp_path, capsys, old, new, message):
     path = tmp_path / "standins.toml"
     path.write_text(SETTINGS.replace(old, new))
     assert main([str(path)]) == EXIT_BAD_SETTINGS
@@ -233,7 +229,7 @@
 
 
 def test_program_stops_on_sigterm(tmp_path):
-    """The demo ends the program by its signal and checks the exit code."""
+    """SIGTERM stops the program with exit code 0."""
     path = tmp_path / "standins.toml"
     path.write_text(SETTINGS)
     command = [sys.executable, "-m", "lycheeloom.standins.main", str(path)]
--- a/libs/standins/tests/test_worker.py
+++ b/libs/standins/tests/test_worker.py
@@ -1,4 +1,4 @@
-"""Rules of the worker stand-in that clients and the demo's counts rely on."""
+"""Behaviour of the worker stand-in that clients and the demo's counts rely on."""
 
 import json
 from base64 import b64encode
@@ -48,7 +48,7 @@
     ids=str,
 )
 def test_capacity_is_enforced(worker, resources):
-    """Over-committed workers would hide faults of the scheduler."""
+    """A worker that accepted too many tasks would hide faults of the scheduler."""
     codes = [
         start(worker, f"r{n}.1", HOUR_OF_WORK, resources=resources).status
         for n in range(5)
@@ -72,15 +72,15 @@
         (b'{"work_ms": "x"}', {}, TaskStatus.DONE),
     ],
 )
-def test_end_of_a_task(worker, payload, changes, expected):
-    """A task whose lease lapses must be stopped, whatever is left of its work."""
+def test_final_status_of_a_task(worker, payload, changes, expected):
+    """A task ends with its work or is stopped when its lease expires."""
     reply = start(worker, "r1.1", payload, wait=True, **changes)
     assert reply.document["status"] is expected
     assert status(worker, "r1.1") is expected
     assert worker.running == {}
 
 
-def test_lapsed_leases_stop_tasks_and_refuse_starts(worker):
+def test_expired_leases_stop_tasks_and_refuse_starts(worker):
     start(worker, "r1.1", HOUR_OF_WORK)
     worker.set_faults(lapse_leases=True)
     assert status(worker, "r1.1") is TaskStatus.STOPPED
@@ -90,7 +90,7 @@
 
 
 def test_reboot_forgets_tasks_but_not_the_ledger(worker):
-    """The boot id must tell that 'unknown' proves nothing about older tasks."""
+    """A new boot id shows that the status "unknown" doesn't mean "never started"."""
     boot_id = worker.boot_id
     start(worker, "r1.1", HOUR_OF_WORK)
     worker.reboot()
@@ -109,10 +109,10 @@
 def test_throttled_task_takes_longer(worker):
     start(worker, "r1.1", b'{"work_ms": 1000000}')
     task = worker.running["r1.1"]
-    now = task.progress_updated_at
+    started_at = task.progress_updated_at
     post(worker, "/v1/tasks/r1.1/throttle", fraction=0.5)
     assert task.remaining_s(task.progress_updated_at) == pytest.approx(
-        2 * (1000 - (task.progress_updated_at - now))
+        2 * (1000 - (task.progress_updated_at - started_at))
     )
     assert start(worker, "r2.1", HOUR_OF_WORK, resources={"cores": 3.5}).status == 202
     refused = post(worker, "/v1/tasks/r1.1/throttle", fraction=1)
@@ -121,8 +121,8 @@
     assert worker._free_resources()["cores"] == 4
 
 
-def test_usage_lags_and_tells_what_was_really_used(worker):
-    """A report must show the past, and use that differs from the declaration."""
+def test_usage_lags_and_shows_actual_use(worker):
+    """A report shows past use, which can differ from the requested resources."""
     payload = b'{"work_ms": 3600000, "used_cores": 3, "used_memory_mb": 7}'
     start(worker, "r1.1", payload)
     (entry,) = worker.usage()["tasks"]
