--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -1,1 +1,1 @@
-"""The demonstration: a whole fleet as plain processes on one machine."""
+"""Demonstration: complete fleets as processes on one machine."""
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,9 +1,9 @@
-"""The main job: two fleets on one machine, with failures, in under a minute.
+"""Demonstration: two fleets on one machine, with failures, in under a minute.
 
-For each fleet it starts stand-ins for the platform and 6 entries over 3
-availability zones, sends requests of several organisations, revokes a key, takes a zone
-out and back, kills an entry and replaces it. Exits with 1 if a count that must be
-zero is not.
+For each fleet it starts stand-ins for the platform and 6 entries in 3 availability
+zones, sends requests of several organisations, revokes a key, takes a zone out of
+service and back, kills an entry and replaces it. Exits with 1 if a result differs from
+its expected count.
 """
 
 from __future__ import annotations
@@ -41,19 +41,20 @@
 ENTRIES_PER_ZONE = 2
 CALLS_PER_S = 40
 OVERNIGHT_REQUESTS = 40
-# One organisation gets an upper limit below what it wants to run.
+# One organisation gets this upper limit, which is below its demand.
 LOW_UPPER_LIMIT = 4
 LOAD_DURATION_S = 26.0
+# Times of the changes and failures, from the start of the load.
 REVOKE_AT_S = 4.0
 ZONE_OUT_AT_S = 7.0
 ZONE_BACK_AT_S = 13.0
 KILL_AT_S = 16.0
 REPLACE_AT_S = 17.5
-END_TIMEOUT_S = 40.0
+END_OF_CALLS_TIMEOUT_S = 40.0
 
 
 class Demo:
-    """One run: a fleet, its callers and an operator."""
+    """One run of the demonstration: a fleet, its callers and an operator."""
 
     def __init__(self, fleet: Fleet, config_path: Path, seed: int) -> None:
         self.fleet = fleet
@@ -88,18 +89,18 @@
         return [program.address for program in self.entries]
 
     def report(self, text: str) -> None:
-        """Print one line of the story."""
+        """Print a progress message."""
         print(f"{self.document['name']}: {text}", flush=True)
 
     def start(self) -> None:
-        """Publish the configuration, start the entries and grant the keys."""
+        """Publish the configuration, start the entries and create the API keys."""
         result = self.operator.publish(self.document, 0, accept_warnings=True)
         require(result, Published)
         for index in range(ENTRIES_PER_ZONE * len(self.zones)):
             zone = self.zones[index % len(self.zones)]
             self.entries.append(self.fleet.start_entry(f"entry-{index + 1}", zone))
         ready_s = self.fleet.wait_ready(self.entries)
-        self.report(f"{len(self.entries)} entries are ready after {ready_s:.1f} s")
+        self.report(f"{len(self.entries)} entries ready after {ready_s:.1f} s")
         self.operator = self._make_operator()
         tokens = {}
 
@@ -115,7 +116,7 @@
         self.callers.token_by_organisation.update(tokens)
 
     def publish_change(self, edit: object, text: str) -> float:
-        """Publish a change and return when it was accepted."""
+        """Publish a change of the configuration and return when it was accepted."""
         result = self.operator.change(edit, accept_warnings=True)
         accepted_at = time.monotonic()
         require(result, Published)
@@ -128,7 +129,7 @@
         return accepted_at
 
     def run_events(self) -> None:
-        """Make the changes and failures at their times."""
+        """Make the configuration changes and cause the failures at their times."""
         started_at = time.monotonic()
         self._sleep_until(started_at + REVOKE_AT_S)
         organisation = self.organisations[-1]
@@ -140,7 +141,7 @@
         self._sleep_until(started_at + ZONE_OUT_AT_S)
         zone = self.zones[0]
         out_at = self.publish_change(
-            lambda draft: draft.take_zone_out(zone), f"took zone {zone} out"
+            lambda draft: draft.take_zone_out(zone), f"took zone {zone} out of service"
         )
         self._sleep_until(started_at + ZONE_BACK_AT_S)
         in_at = time.monotonic()
@@ -160,7 +161,7 @@
         self.operator = self._make_operator()
 
     def run_load(self) -> None:
-        """Send lookups and bookings of all organisations, and an overnight batch."""
+        """Send the overnight requests, then lookups and bookings at a fixed rate."""
         for index in range(OVERNIGHT_REQUESTS):
             organisation = self.organisations[index % (len(self.organisations) - 1)]
             self.callers.send(CallKind.OVERNIGHT, organisation, "overnight", 1500)
@@ -173,8 +174,8 @@
             self.callers.send(kind, organisation, queue, self.rng.choice((20, 50, 200)))
 
     def collect_results(self) -> list[ResultRow]:
-        """Wait for the last answers and check the counts."""
-        self.callers.wait_all(END_TIMEOUT_S)
+        """Wait until all calls have ended and return the counts."""
+        self.callers.wait_all(END_OF_CALLS_TIMEOUT_S)
         ledger = self.fleet.ledger()
         limits = {
             organisation: self.document["organisations"][organisation]["upper_limit"]
@@ -188,7 +189,7 @@
             self.revoked_at_by_organisation,
         )
         peak = peak_by_organisation(ledger).get(self.organisations[1], 0)
-        name = f"most running of the organisation with limit {LOW_UPPER_LIMIT}"
+        name = f"peak running tasks with an upper limit of {LOW_UPPER_LIMIT}"
         return [*rows, ResultRow(name, peak, LOW_UPPER_LIMIT)]
 
     def _sleep_until(self, at: float) -> None:
@@ -196,13 +197,13 @@
 
 
 def require(result: object, kind: type) -> None:
-    """Stop the demonstration if an operator's change was not accepted."""
+    """Exit if the result of an operator's change is not of the expected type."""
     if not isinstance(result, kind):
         raise SystemExit(f"expected {kind.__name__}, got {result}")
 
 
 def run_fleet(config_path: Path, seed: int) -> list[ResultRow]:
-    """Run the demonstration on one fleet and return its counts."""
+    """Run the demonstration with one fleet and return its counts."""
     with running_fleet() as fleet:
         demo = Demo(fleet, config_path, seed)
         demo.start()
@@ -216,25 +217,29 @@
 
 
 def print_result(rows_by_fleet: dict[str, list[ResultRow]]) -> bool:
-    """Print the counts of all fleets and tell whether they are right."""
+    """Print the counts of all fleets; returns whether all are as expected."""
     columns = list(rows_by_fleet.values())
     table = [
         [rows[0].name, *(row.count for row in rows), rows[0].expected]
         for rows in zip(*columns, strict=True)
     ]
-    print(tabulate(table, headers=("what", *rows_by_fleet, "must be"), missingval=""))
-    wrong = [
+    print(tabulate(table, headers=("count", *rows_by_fleet, "expected"), missingval=""))
+    unexpected = [
         f"{fleet}: {row.name}"
         for fleet, rows in rows_by_fleet.items()
         for row in rows
         if not row.is_ok
     ]
-    print("all counts are right" if not wrong else f"wrong: {', '.join(wrong)}")
-    return not wrong
+    print(
+        "all counts are as expected"
+        if not unexpected
+        else f"unexpected counts: {', '.join(unexpected)}"
+    )
+    return not unexpected
 
 
 def main() -> int:
-    """Run the demonstration and return the exit status."""
+    """Run the demonstration with each fleet and return the exit status."""
     parser = argparse.ArgumentParser(prog="demo", description=__doc__)
     parser.add_argument("--config", type=Path, nargs="+", default=CONFIGS)
     parser.add_argument("--seed", type=int, default=1)
@@ -243,7 +248,7 @@
     try:
         gevent.joinall(runs, raise_error=True)
     finally:
-        # The programs of the other fleet must end even if one fleet fails.
+        # If one fleet fails, this also stops the programs of the others.
         gevent.killall(runs)
     names = [path.stem for path in arguments.config]
     rows_by_fleet = {name: run.get() for name, run in zip(names, runs, strict=True)}
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -1,4 +1,4 @@
-"""Callers of the demonstration and what they saw."""
+"""Callers of the demonstration and the outcomes of their calls."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class CallKind(StrEnum):
-    """Kinds of calls: lookups are idempotent, bookings are not."""
+    """Kinds of calls: lookups are idempotent, the others are not."""
 
     LOOKUP = "lookup"
     BOOKING = "booking"
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class Call:
-    """One call with everything its caller saw."""
+    """One call and its outcome for the caller; times are monotonic, in seconds."""
 
     name: str
     kind: CallKind
@@ -54,10 +54,11 @@
 
 @dataclass
 class Callers:
-    """Sends calls of several organisations to entries, as a balancer would spread them.
+    """Sends calls of several organisations to random entries, as a load balancer would.
 
-    A call is sent again only after a refusal that says it did not run, or, for
-    a lookup or a booking with its idempotency key, after a broken connection.
+    A call is repeated only after a refusal with the verdict "not_run" or after a
+    broken connection. The latter is safe because lookups are idempotent and other
+    calls carry an idempotency key.
     """
 
     entries: Callable[[], list[str]]
@@ -77,7 +78,7 @@
         work_ms: int,
         max_attempts: int = MAX_ATTEMPTS,
     ) -> Call:
-        """Begin a call in its own greenlet."""
+        """Start a call in its own greenlet."""
         name = f"{kind}-{len(self.calls)}"
         call = Call(name, kind, organisation, queue, time.monotonic())
         self.calls.append(call)
@@ -85,7 +86,7 @@
         return call
 
     def wait_all(self, timeout_s: float) -> None:
-        """Wait until every call has ended; the others count as lost."""
+        """Wait until every call has ended; calls still open then count as lost."""
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
             if all(call.outcome is not None for call in self.calls):
@@ -93,7 +94,7 @@
             gevent.sleep(0.05)
         for call in self.calls:
             if call.outcome is None:
-                self._end(call, Outcome.LOST, "no end in time")
+                self._end(call, Outcome.LOST, "not ended before the timeout")
 
     def _run(self, call: Call, work_ms: int, max_attempts: int) -> None:
         payload = {"call": call.name, "work_ms": work_ms}
@@ -115,10 +116,10 @@
             self._collect(call)
 
     def _attempt(self, call: Call, document: dict) -> bool:
-        """Send the call; returns whether it must not be sent again."""
+        """Send the call once; returns False if it may be sent again."""
         answer = self._request(call, "POST", self._submit_path(call), document)
         if answer is None:
-            # A repeated key finds the first request, so repeating is safe.
+            # Safe to repeat: the call is idempotent or its key finds the first request.
             call.reason = "connection broken"
             return False
         status, reply = answer
@@ -146,7 +147,7 @@
                 self._record_verdict(call, answer[1])
                 return
             gevent.sleep(RETRY_DELAY_S)
-        self._end(call, Outcome.LOST, "no answer to collect")
+        self._end(call, Outcome.LOST, "no answer could be collected")
 
     def _record_verdict(self, call: Call, reply: dict) -> None:
         call.request_id = reply.get("request_id", call.request_id)
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -1,7 +1,7 @@
-"""Runs stand-ins of the log, the instance list and every worker of a fleet.
+"""Runs stand-ins for the log, the instance list and all workers of a fleet.
 
-``python -m demo.platform FLEET.toml`` prints one JSON line with the addresses
-and serves until SIGTERM.
+``python -m demo.platform FLEET.toml`` prints the addresses as one JSON line and
+serves until SIGTERM.
 """
 
 from gevent import monkey
@@ -26,12 +26,12 @@
 from lycheeloom.standins.tasks import Amount  # noqa: E402
 
 APPENDS_PER_S = 400
-LIST_LAG_MS = 1000
+INSTANCE_LIST_LAG_MS = 1000
 USAGE_LAG_MS = 1000
 
 
 def main() -> None:
-    """Serve the stand-ins of the fleet in a configuration file."""
+    """Run the stand-ins for the fleet in a configuration file until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("config")
     parser.add_argument("--reboot-s", type=float, default=1.0)
@@ -54,7 +54,7 @@
 def build_platform(
     document: dict, reboot_s: float, log_retention_s: float | None = None
 ) -> PlatformStandIns:
-    """Create one stand-in for each instance of a configuration document."""
+    """Create the stand-ins, with a worker for each instance of the configuration."""
     workers = []
     for name, instance in document["instances"].items():
         capacity = Amount(
@@ -66,7 +66,7 @@
         worker.faults.lag_ms = USAGE_LAG_MS
         workers.append(worker)
     instances = InstancesStandIn(reboot_s=reboot_s)
-    instances.faults.lag_ms = LIST_LAG_MS
+    instances.faults.lag_ms = INSTANCE_LIST_LAG_MS
     limits = LogLimits(appends_per_s=APPENDS_PER_S, retained_s=log_retention_s)
     log = LogStandIn(limits=limits)
     return PlatformStandIns(log=log, instances=instances, workers=workers)
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -1,4 +1,4 @@
-"""Starts the programs of a fleet as plain processes and ends them by id."""
+"""Starts the programs of a fleet as child processes and stops them by process id."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 
 from lycheeloom.clients import Response, Transport
 
-# Only ends a wait for a program that never starts.
+# Bounds the wait for a program that never becomes ready.
 START_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 15.0
-POLL_S = 0.05
+READY_POLL_INTERVAL_S = 0.05
 HANDOVER_TOKEN = "handover"
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class Program:
-    """One running program."""
+    """A program started as a child process."""
 
     name: str
     process: subprocess.Popen
@@ -45,12 +45,15 @@
             os.kill(self.process.pid, number)
 
     def kill(self) -> None:
-        """End the process at once, as a crash would."""
+        """Kill the process with SIGKILL, which simulates a crash."""
         self.signal(signal.SIGKILL)
         self.process.wait()
 
     def terminate(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """Ask the process to shut down and return its exit status."""
+        """Shut the process down and return its exit status.
+
+        It is resumed first in case it is suspended, and killed after ``timeout_s``.
+        """
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
         try:
@@ -62,7 +65,7 @@
 
 @dataclass(slots=True)
 class PlatformAddresses:
-    """Where the stand-ins listen."""
+    """Addresses of the stand-ins; those of the workers by name."""
 
     log: str
     instances: str
@@ -72,7 +75,7 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """All programs of one run; files lie in a temporary folder."""
+    """The programs of one fleet; ``folder`` holds their settings and output."""
 
     folder: Path
     programs: list[Program] = field(default_factory=list)
@@ -94,7 +97,7 @@
         program: str = "lycheeloom.entry.main",
         **settings: object,
     ) -> Program:
-        """Start an entry; a new process gets new ports."""
+        """Start an entry on newly chosen ports."""
         listen, peer_listen = free_address(), free_address()
         values = {
             "instance": instance,
@@ -112,7 +115,7 @@
         return started
 
     def start_controller(self, instance: str, zone: str, **settings: object) -> Program:
-        """Start a controller."""
+        """Start a controller on a newly chosen port."""
         listen = free_address()
         values = {
             "instance": instance,
@@ -129,19 +132,22 @@
         return started
 
     def wait_ready(self, programs: Sequence[Program]) -> float:
-        """Wait until each program answers at ``/readyz``; returns the seconds."""
+        """Wait until ``/readyz`` of each program returns 200; returns the seconds."""
         started_at = time.monotonic()
         for program in programs:
             while not self._is_ready(program):
                 if time.monotonic() - started_at > START_TIMEOUT_S:
-                    raise TimeoutError(f"{program.name} is not ready")
-                time.sleep(POLL_S)
+                    raise TimeoutError(f"{program.name} did not become ready")
+                time.sleep(READY_POLL_INTERVAL_S)
         return time.monotonic() - started_at
 
     def call(
         self, address: str, method: str, path: str, document: dict | None = None
     ) -> tuple[int, dict]:
-        """Make one JSON call and return status and document."""
+        """Send one JSON request and return the status and document of the response.
+
+        Without a response, the status is 0 and the document has the reason.
+        """
         body = None if document is None else json.dumps(document).encode()
         answer = self.transport.call(address, method, path, body=body, timeout_s=10)
         if not isinstance(answer, Response):
@@ -149,19 +155,19 @@
         return answer.status, json.loads(answer.body or b"{}")
 
     def set_faults(self, standin: str, **faults: object) -> None:
-        """Switch faults of a stand-in."""
+        """Set faults of the stand-in with this name."""
         path = f"/v1/standins/{standin}/faults"
         status, document = self.call(self.platform.control, "POST", path, faults)
         if status != 200:
-            raise ValueError(f"faults of {standin}: {document}")
+            raise ValueError(f"cannot set faults of {standin}: {document}")
 
     def ledger(self) -> list[dict]:
-        """Return every start at every worker, as the workers counted them."""
+        """Return every task start that the worker stand-ins recorded."""
         _, document = self.call(self.platform.control, "GET", "/v1/ledger")
         return document["starts"]
 
     def stop(self) -> None:
-        """End every program that still runs, newest first."""
+        """Kill every program that still runs, newest first."""
         for program in reversed(self.programs):
             program.signal(signal.SIGCONT)
             program.kill()
@@ -170,7 +176,7 @@
         if program.process.poll() is not None:
             output = program.log_path.read_text()[-2000:] if program.log_path else ""
             code = program.process.returncode
-            raise RuntimeError(f"{program.name} ended with {code}: {output}")
+            raise RuntimeError(f"{program.name} exited with {code}: {output}")
         answer = self.transport.call(program.address, "GET", "/readyz", timeout_s=1)
         return isinstance(answer, Response) and answer.status == 200
 
@@ -197,7 +203,7 @@
 
 @contextmanager
 def running_fleet() -> Iterator[Fleet]:
-    """Provide an empty fleet and end all its programs afterwards."""
+    """Yield a fleet without programs; kills its programs on exit."""
     with tempfile.TemporaryDirectory(prefix="lycheeloom-") as folder:
         fleet = Fleet(Path(folder))
         try:
@@ -207,10 +213,10 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now.
+    """Return a loopback address with a port that is currently free.
 
-    The port lies below those that the kernel gives to outgoing connections; one
-    of them could take it before the program listens.
+    The port lies below the kernel's range of ephemeral ports. Otherwise, an outgoing
+    connection could take the port before the program listens.
     """
     while True:
         port = _random.randrange(FIRST_PORT, LAST_PORT)
--- a/demo/results.py
+++ b/demo/results.py
@@ -1,4 +1,4 @@
-"""Checks of what callers and workers saw against what must always hold."""
+"""Counts of a run from the outcomes of calls and the task starts at workers."""
 
 from __future__ import annotations
 
@@ -7,15 +7,15 @@
 
 from .callers import Call, CallKind, Outcome
 
-# A zone that was taken out gets no start later than this after publication.
+# Maximum time from publishing that a zone is out of service until its last start.
 ZONE_OUT_LIMIT_S = 3.0
-# A key that was revoked is accepted nowhere later than this.
+# Maximum time from publishing that a key is revoked until no entry accepts it.
 KEY_REVOCATION_LIMIT_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
 class ZoneOutPeriod:
-    """A zone was out from one time to another, on the shared monotonic clock."""
+    """Time for which a zone was out of service, on the shared monotonic clock."""
 
     zone: str
     out_at: float
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ResultRow:
-    """One line of the result; ``expected`` is None where any count is right."""
+    """One row of the result table; ``expected`` is None where any count is valid."""
 
     name: str
     count: int
@@ -43,7 +43,7 @@
     zone_out_periods: list[ZoneOutPeriod],
     revoked_at_by_organisation: dict[str, float],
 ) -> list[ResultRow]:
-    """Return the counts of a run with the ones that must be zero."""
+    """Return the counts of a run with their expected values."""
     outcomes = Counter(call.outcome for call in calls)
     starts = Counter(start["call"] for start in ledger)
     return [
@@ -53,7 +53,11 @@
         ResultRow("may have run", outcomes[Outcome.MAY_HAVE_RUN]),
         ResultRow("lost", outcomes[Outcome.LOST], 0),
         ResultRow("starts at workers", len(ledger)),
-        ResultRow("not idempotent and started twice", _started_twice(calls, starts), 0),
+        ResultRow(
+            "not idempotent but started more than once",
+            _started_repeatedly(calls, starts),
+            0,
+        ),
         ResultRow(
             "answered without a start", _answered_without_start(calls, starts), 0
         ),
@@ -61,12 +65,12 @@
             "refused as not run but started", _refused_but_started(calls, starts), 0
         ),
         ResultRow(
-            "starts in a zone out for over 3 s",
+            "starts in a zone out of service for over 3 s",
             _starts_in_zones_out(ledger, zone_out_periods),
             0,
         ),
         ResultRow(
-            "organisations above their limit",
+            "organisations above their upper limit",
             _organisations_above_limit(ledger, limit_by_organisation),
             0,
         ),
@@ -78,7 +82,7 @@
     ]
 
 
-def _started_twice(calls: list[Call], starts: Counter) -> int:
+def _started_repeatedly(calls: list[Call], starts: Counter) -> int:
     return sum(
         starts[call.name] > 1 for call in calls if call.kind is not CallKind.LOOKUP
     )
@@ -117,7 +121,7 @@
 
 
 def peak_by_organisation(ledger: list[dict]) -> dict[str, int]:
-    """Return the most tasks that each organisation had running at one moment."""
+    """Return the peak number of tasks that each organisation ran at the same time."""
     changes = defaultdict(list)
     for start in ledger:
         changes[start["organisation"]].append((start["started_at"], 1))
