--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -34,7 +34,12 @@
 
 from .callers import Callers, CallKind  # noqa: E402
 from .processes import HANDOVER_TOKEN, Fleet, Program, running_fleet  # noqa: E402
-from .results import ResultRow, ZoneOutPeriod, count_results, peak_by_organisation  # noqa: E402
+from .results import (  # noqa: E402
+    ResultRow,
+    ZoneOutPeriod,
+    count_results,
+    peak_by_organisation,
+)
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 CONFIGS = [EXAMPLES / "user-a.toml", EXAMPLES / "user-b.toml"]
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -61,7 +61,7 @@
     calls carry an idempotency key.
     """
 
-    entries: Callable[[], list[str]]
+    entry_addresses: Callable[[], list[str]]
     token_by_organisation: dict[str, str]
     seed: int
     calls: list[Call] = field(default_factory=list)
@@ -113,7 +113,7 @@
         else:
             self._end(call, Outcome.REFUSED, call.reason)
         if call.kind is CallKind.OVERNIGHT and call.request_id and call.outcome is None:
-            self._collect(call)
+            self._collect_answer(call)
 
     def _attempt(self, call: Call, document: dict) -> bool:
         """Send the call once; returns False if it may be sent again."""
@@ -127,7 +127,7 @@
             call.request_id = reply["request_id"]
             call.accepted_at = time.monotonic()
             if call.kind is not CallKind.OVERNIGHT:
-                self._collect(call)
+                self._collect_answer(call)
             return True
         if reply.get("verdict") == "not_run":
             call.refusals += 1
@@ -139,7 +139,7 @@
         self._record_verdict(call, reply)
         return True
 
-    def _collect(self, call: Call) -> None:
+    def _collect_answer(self, call: Call) -> None:
         path = f"/v1/requests/{call.request_id}?wait_ms=2000"
         for _ in range(MAX_ATTEMPTS):
             answer = self._request(call, "GET", path, None)
@@ -172,7 +172,7 @@
     def _request(
         self, call: Call, method: str, path: str, document: dict | None
     ) -> tuple[int, dict] | None:
-        address = self._rng.choice(self.entries())
+        address = self._rng.choice(self.entry_addresses())
         headers = {
             "Content-Type": "application/json",
             "Authorization": f"Bearer {self.token_by_organisation[call.organisation]}",
--- a/libs/standins/src/lycheeloom/standins/worker.py
+++ b/libs/standins/src/lycheeloom/standins/worker.py
@@ -49,7 +49,7 @@
         self.running: dict[str, Task] = {}
         self._used = Amount()
         self._task_by_id: dict[str, Task] = {}
-        self._expiry_by_session: dict[str, float] = {}
+        self._expires_at_by_session: dict[str, float] = {}
         self._recently_ended: deque[Task] = deque()
         self._tasks_with_answer: deque[Task] = deque()
 
@@ -98,7 +98,7 @@
         if self._session_expired(session, now):
             session = secrets.token_hex(8)
         self._drop_expired_sessions(now)
-        self._expiry_by_session[session] = now + ttl_s
+        self._expires_at_by_session[session] = now + ttl_s
         document = {
             "session": session,
             "boot_id": self.boot_id,
@@ -109,31 +109,31 @@
 
     def _session_expired(self, session: str, now: float) -> bool:
         """Return whether a session is unknown or has expired."""
-        return now >= self._expiry_by_session.get(session, now)
+        return now >= self._expires_at_by_session.get(session, now)
 
     def _drop_expired_sessions(self, now: float) -> None:
-        expiry_by_session = self._expiry_by_session
-        for session in [s for s, at in expiry_by_session.items() if at <= now]:
-            del expiry_by_session[session]
+        expires_at_by_session = self._expires_at_by_session
+        for session in [s for s, at in expires_at_by_session.items() if at <= now]:
+            del expires_at_by_session[session]
 
     def _handle_start(
         self, task_id: str, document: dict[str, Any], traceparent: str
     ) -> Reply:
         now = time.monotonic()
         if task_id in self._task_by_id:
-            return self._refuse_start("duplicate")
+            return self._refuse("duplicate")
         if self.draining:
-            return self._refuse_start("draining")
+            return self._refuse("draining")
         if self.faults.lapse_leases or self._session_expired(
             document.get("session", ""), now
         ):
-            return self._refuse_start("lease_lapsed")
+            return self._refuse("lease_lapsed")
         try:
             task = self._parse_task(task_id, document, now)
         except (KeyError, TypeError, ValueError) as error:
             return error_reply(400, f"bad field: {error}")
         if not self._fits(task.resources):
-            return self._refuse_start("no_capacity")
+            return self._refuse("no_capacity")
         task.traceparent = traceparent
         self._start_task(task)
         if task.ended is None:
@@ -230,7 +230,7 @@
             return error_reply(400, "lease_ms must be a number")
         now = time.monotonic()
         if self._session_expired(document.get("session", ""), now):
-            return self._refuse_start("lease_lapsed")
+            return self._refuse("lease_lapsed")
         if not self.faults.lapse_leases:
             task.lease_until = now + lease_s
             task.notify_change()
@@ -243,7 +243,7 @@
             return error_reply(400, "fraction must be above 0 and at most 1")
         cores = task.resources.cores / task.rate * fraction
         if not self._fits(Amount(cores - task.resources.cores)):
-            return self._refuse_start("no_capacity")
+            return self._refuse("no_capacity")
         task.update_progress(time.monotonic())
         self._used.cores += cores - task.resources.cores
         task.resources.cores = cores
@@ -266,14 +266,14 @@
         for task in list(self.running.values()):
             self._finish_task(task, TaskStatus.STOPPED)
         self._task_by_id.clear()
-        self._expiry_by_session.clear()
+        self._expires_at_by_session.clear()
 
     def set_faults(self, **changes: Any) -> None:
         """Change faults; ``lapse_leases`` ends all sessions and tasks at once."""
         super().set_faults(**changes)
         if not self.faults.lapse_leases:
             return
-        self._expiry_by_session.clear()
+        self._expires_at_by_session.clear()
         for task in list(self.running.values()):
             self._finish_task(task, TaskStatus.STOPPED)
 
@@ -347,7 +347,7 @@
             document["answer"] = b64encode(task.answer).decode()
         return Reply(status, document)
 
-    def _refuse_start(self, reason: str) -> Reply:
+    def _refuse(self, reason: str) -> Reply:
         return Reply(409, {"reason": reason, "free": self._free_resources()})
 
 
