--- a/bench/fleet_world.py
+++ b/bench/fleet_world.py
@@ -20,7 +20,7 @@
     Planner,
     PlatformAction,
 )
-from lycheeloom.log import Replayed
+from lycheeloom.log import ReplayedBatch
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
     Batch,
@@ -67,7 +67,7 @@
     lost_tasks: int = 0
     budget_violations: list[str] = field(default_factory=list)
     sequence: Counter = field(default_factory=Counter)
-    listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
+    listeners: list[Callable[[ReplayedBatch], None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         change = ConfigChanged(0, canonical_json(self.document), "operator")
@@ -81,7 +81,7 @@
         offset = self.state.next_offset
         applied = self.state.apply(offset, batch)
         for listener in self.listeners:
-            listener(Replayed(offset, batch, b"", applied))
+            listener(ReplayedBatch(offset, batch, b"", applied))
         return applied.effective
 
     def claim(self, author: str) -> int:
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -22,7 +22,7 @@
     Outcome,
     Pending,
     Priority,
-    Replayed,
+    ReplayedBatch,
 )
 from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_TIMEOUT_S
 from lycheeloom.model.records import (
@@ -264,7 +264,7 @@
             self._voted_at.pop(peer, None)
             self._last_batch_at.pop(peer, None)
 
-    def _on_replayed(self, replayed: Replayed) -> None:
+    def _on_replayed(self, replayed: ReplayedBatch) -> None:
         author = replayed.batch.author
         if author in self._first_seen_at:
             self._last_batch_at[author] = self._clock()
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -12,7 +12,7 @@
 
 from lycheeloom.clients import Unavailable, UsageReport, WorkerClient
 from lycheeloom.fleet import HealthMonitor
-from lycheeloom.log import LogTail, Replayed
+from lycheeloom.log import LogTail, ReplayedBatch
 from lycheeloom.model.records import (
     Outcome,
     RequestClaimed,
@@ -127,7 +127,7 @@
         self._worker_by_request: OrderedDict[str, str] = OrderedDict()
         tail.add_listener(self._on_replayed)
 
-    def _on_replayed(self, replayed: Replayed) -> None:
+    def _on_replayed(self, replayed: ReplayedBatch) -> None:
         effects = replayed.applied.effective
         for record, effective in zip(replayed.batch.records, effects, strict=True):
             if effective:
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -17,7 +17,7 @@
     NotWritten,
     RecordLost,
     RecordReader,
-    Replayed,
+    ReplayedBatch,
     Unknown,
 )
 from lycheeloom.log import (
@@ -244,7 +244,7 @@
         message = "the Idempotency-Key was used with another request"
         return Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, message)
 
-    def _on_replayed(self, replayed: Replayed) -> None:
+    def _on_replayed(self, replayed: ReplayedBatch) -> None:
         if replayed.applied.is_repeat:
             return
         effects = replayed.applied.effective
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -24,7 +24,7 @@
     PeerMesh,
     new_incarnation,
 )
-from lycheeloom.log import LogTail, LogWriter, RecoveryFailed, Replayed, recover
+from lycheeloom.log import LogTail, LogWriter, RecoveryFailed, ReplayedBatch, recover
 from lycheeloom.model.records import (
     ConfigChanged,
     GrantRequested,
@@ -315,7 +315,7 @@
             self.monitor.observe_instances(listing)
         return listing
 
-    def _on_replayed(self, replayed: Replayed) -> None:
+    def _on_replayed(self, replayed: ReplayedBatch) -> None:
         kinds = {type(record) for record in replayed.batch.records}
         if ConfigChanged in kinds:
             self._apply_config()
--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -11,7 +11,7 @@
 from lycheeloom.fleet.budgets import BudgetUsage, Layout
 from lycheeloom.fleet.events import NotChosen, describe
 from lycheeloom.fleet.waves import first_blocked, forecast, given_up_instances
-from lycheeloom.log import Replayed
+from lycheeloom.log import ReplayedBatch
 from lycheeloom.model.records import MoveStage, MoveStep, WaveState
 from lycheeloom.model.status import WaveStatus
 from lycheeloom.state import FleetState, Wave
@@ -52,7 +52,7 @@
             reboot: deque(maxlen=MAX_MEASURED_MOVES) for reboot in (False, True)
         }
 
-    def on_replayed(self, replayed: Replayed) -> None:
+    def on_replayed(self, replayed: ReplayedBatch) -> None:
         """Read the stages of moves in a replayed batch."""
         is_timely = self._log_age_s() <= MAX_LOG_AGE_S
         effects = replayed.applied.effective
--- a/libs/entry/tests/test_wave_status.py
+++ b/libs/entry/tests/test_wave_status.py
@@ -6,7 +6,7 @@
 
 from lycheeloom.entry.wave_progress import FORECAST_TTL_S, MoveTimes, WaveProgress
 from lycheeloom.fleet import PlannerSettings
-from lycheeloom.log import Replayed
+from lycheeloom.log import ReplayedBatch
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
     Batch,
@@ -78,7 +78,7 @@
         offset, batch = self.state.next_offset, Batch("c", self.sequence, records)
         applied = self.state.apply(offset, batch)
         assert all(applied.effective)
-        self.times.on_replayed(Replayed(offset, batch, b"", applied))
+        self.times.on_replayed(ReplayedBatch(offset, batch, b"", applied))
 
     def command(self, wanted, expected=WaveState.RUNNING, wave="w", pools=("main",)):
         self.append(WaveCommand(wave, expected, wanted, pools))
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -15,7 +15,7 @@
 from .ring import BatchRing
 from .snapshot_reader import SnapshotReader
 from .snapshot_writer import SnapshotPolicy, SnapshotResult, SnapshotWriter
-from .tail import LogTail, Offer, Replayed
+from .tail import LogTail, Offer, ReplayedBatch
 from .writer import LogWriter
 
 __all__ = [
@@ -33,7 +33,7 @@
     "RecordLost",
     "RecordReader",
     "RecoveryFailed",
-    "Replayed",
+    "ReplayedBatch",
     "SnapshotPolicy",
     "SnapshotReader",
     "SnapshotResult",
--- a/libs/log/src/lycheeloom/log/snapshot_writer.py
+++ b/libs/log/src/lycheeloom/log/snapshot_writer.py
@@ -12,7 +12,7 @@
 
 from .outcomes import Effective, Priority
 from .snapshot import SnapshotCollector, split_snapshot
-from .tail import LogTail, Replayed
+from .tail import LogTail, ReplayedBatch
 from .writer import LogWriter
 
 CHUNK_TIMEOUT_S = 30.0
@@ -126,7 +126,7 @@
         self.written += 1
         return SnapshotResult.WRITTEN
 
-    def _on_replayed(self, replayed: Replayed) -> None:
+    def _on_replayed(self, replayed: ReplayedBatch) -> None:
         for record in replayed.batch.records:
             if isinstance(record, SnapshotChunk):
                 self._observe_chunk(record)
--- a/libs/log/src/lycheeloom/log/tail.py
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Replayed:
+class ReplayedBatch:
     """A batch that was applied at ``offset``, as passed to listeners."""
 
     offset: int
@@ -90,7 +90,7 @@
         self._backoff = Backoff(
             INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S, rng or random.Random()
         )
-        self._listeners: list[Callable[[Replayed], None]] = []
+        self._listeners: list[Callable[[ReplayedBatch], None]] = []
         self._reset_listeners: list[Callable[[FleetState], None]] = []
         self._margin_s = READ_MARGIN_S
         self._greenlet: gevent.Greenlet | None = None
@@ -100,7 +100,7 @@
         """The offset after the last replayed batch."""
         return self.state.next_offset
 
-    def add_listener(self, listener: Callable[[Replayed], None]) -> None:
+    def add_listener(self, listener: Callable[[ReplayedBatch], None]) -> None:
         """Call ``listener`` after each applied batch; it must not block."""
         self._listeners.append(listener)
 
@@ -174,7 +174,7 @@
             self.state.skip(offset)
             return
         applied = self.state.apply(offset, batch)
-        replayed = Replayed(offset, batch, encoded, applied)
+        replayed = ReplayedBatch(offset, batch, encoded, applied)
         for listener in self._listeners:
             self._notify(listener, replayed)
 
--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -25,7 +25,7 @@
 from .client import LogClient
 from .outcomes import Effective, NoEffect, NotWritten, Pending, Priority, Unknown
 from .queue import RecordQueue, record_size_bound
-from .tail import LogTail, Replayed
+from .tail import LogTail, ReplayedBatch
 
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
@@ -210,7 +210,7 @@
         self._queue.max_batch_bytes = smaller
         self._queue.put_back(sealed.records)
 
-    def _on_replayed(self, replayed: Replayed) -> None:
+    def _on_replayed(self, replayed: ReplayedBatch) -> None:
         key = replayed.batch.author, replayed.batch.sequence
         sealed = self._pop_sealed(key)
         if sealed is None:
