--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -20,7 +20,7 @@
     LogWriter,
     NotWritten,
     Outcome,
-    Pending,
+    PendingRecord,
     Priority,
     ReplayedBatch,
 )
@@ -107,7 +107,7 @@
         self._on_rejoin = on_rejoin
         self._has_left = False
         self._was_member = False
-        self._pending_by_record: dict[Record, Pending] = {}
+        self._pending_by_record: dict[Record, PendingRecord] = {}
         self._vote_by_target: dict[str, MemberVote] = {}
         self._voted_at: dict[str, float] = {}
         self._first_seen_at: dict[str, float] = {}
--- a/libs/controller/src/lycheeloom/controller/duty.py
+++ b/libs/controller/src/lycheeloom/controller/duty.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from lycheeloom.log import LogTail, LogWriter, Pending, Priority
+from lycheeloom.log import LogTail, LogWriter, PendingRecord, Priority
 from lycheeloom.model.limits import FRESHNESS_S
 from lycheeloom.model.records import Duty, DutyClaimed
 
@@ -34,7 +34,7 @@
         self._tail = tail
         self._writer = writer
         self._clock = clock
-        self._pending: Pending | None = None
+        self._pending: PendingRecord | None = None
         self._last_claim: tuple[str, int, int] | None = None
         self._last_claim_at = clock()
         self._last_sent_at = -RENEW_S
--- a/libs/controller/src/lycheeloom/controller/housekeeping.py
+++ b/libs/controller/src/lycheeloom/controller/housekeeping.py
@@ -8,7 +8,7 @@
 from lycheeloom.log import (
     LogTail,
     LogWriter,
-    Pending,
+    PendingRecord,
     Priority,
     SnapshotPolicy,
     SnapshotResult,
@@ -60,7 +60,7 @@
         self._tail = tail
         self._writer = writer
         self._ages = OffsetAges(EXPIRY_INTERVAL_S, clock)
-        self._pending: Pending | None = None
+        self._pending: PendingRecord | None = None
         self._is_due = False
 
     def step(self) -> None:
--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -12,7 +12,7 @@
     ListedInstance,
 )
 from lycheeloom.fleet import FleetView, Plan, PlannedRecord, Planner
-from lycheeloom.log import LogTail, LogWriter, NoEffect, Pending, Priority
+from lycheeloom.log import LogTail, LogWriter, NoEffect, PendingRecord, Priority
 from lycheeloom.model.records import InstanceHealth, MoveStage, MoveStep
 from lycheeloom.telemetry import log_event
 
@@ -55,7 +55,7 @@
         self._actions = ActionRunner(instances)
         self._probes = probes
         self._clock = clock
-        self._pending: dict[PlannedRecord, Pending] = {}
+        self._pending: dict[PlannedRecord, PendingRecord] = {}
         self._list: InstanceList | None = None
         self._is_list_unchanged = False
         self._listed_at = float("-inf")
--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -12,7 +12,7 @@
 from lycheeloom.log import (
     LogTail,
     LogWriter,
-    Pending,
+    PendingRecord,
     Priority,
     RecordLost,
     RecordReader,
@@ -57,7 +57,7 @@
         self._ages = OffsetAges(retention_s / 20, clock)
         self._started_at = clock()
         self._offset_at_start = tail.next_offset
-        self._pending_by_id: dict[str, Pending] = {}
+        self._pending_by_id: dict[str, PendingRecord] = {}
         # Each lost record is reported once; it cannot be appended again.
         self._lost_ids: set[str] = set()
 
--- a/libs/entry/src/lycheeloom/entry/grant_manager.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from lycheeloom.log import LogTail, LogWriter, Pending, Priority
+from lycheeloom.log import LogTail, LogWriter, PendingRecord, Priority
 from lycheeloom.model.limits import FRESHNESS_S
 from lycheeloom.model.records import GrantRequested, GrantReturned
 from lycheeloom.model.ticks import seconds_until_tick
@@ -26,7 +26,7 @@
 @dataclass(slots=True)
 class _PendingReturn:
     count: int
-    pending: Pending
+    pending: PendingRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
         self._clock = clock
         self._return_by_organisation: dict[str, _PendingReturn] = {}
         self._requested_at: dict[str, float] = {}
-        self._request_by_organisation: dict[str, Pending] = {}
+        self._request_by_organisation: dict[str, PendingRecord] = {}
         self._slots_by_organisation: Mapping[str, int] = {}
         self._next_full_step_at = -math.inf
 
@@ -119,7 +119,7 @@
         self._scheduler.set_grants(slots)
         self._on_change()
 
-    def return_idle_slots(self) -> list[Pending]:
+    def return_idle_slots(self) -> list[PendingRecord]:
         """Return every slot without a running task; used when leaving."""
         pendings = []
         for organisation in self._tail.state.config.organisation_by_id:
@@ -238,7 +238,7 @@
         if request is not None and request.outcome is None:
             request.withdraw("no more slots are wanted")
 
-    def _return_slots(self, organisation: str, count: int) -> Pending:
+    def _return_slots(self, organisation: str, count: int) -> PendingRecord:
         pending = self._writer.append(
             GrantReturned(organisation, count), Priority.CONTROL
         )
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -6,7 +6,7 @@
     NoEffect,
     NotWritten,
     Outcome,
-    Pending,
+    PendingRecord,
     Priority,
     Unknown,
 )
@@ -28,7 +28,7 @@
     "NotWritten",
     "Offer",
     "Outcome",
-    "Pending",
+    "PendingRecord",
     "Priority",
     "RecordLost",
     "RecordReader",
--- a/libs/log/src/lycheeloom/log/outcomes.py
+++ b/libs/log/src/lycheeloom/log/outcomes.py
@@ -48,7 +48,7 @@
 Outcome = Effective | NoEffect | NotWritten | Unknown
 
 
-class Pending:
+class PendingRecord:
     """A record that was given to the writer, and its outcome once known.
 
     Example: ``match writer.append(record).wait(2.0): case Effective(): ...``
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -10,7 +10,7 @@
 from lycheeloom.model.limits import MAX_BATCH_BYTES
 from lycheeloom.model.records import Record
 
-from .outcomes import NotWritten, Pending, Priority
+from .outcomes import NotWritten, PendingRecord, Priority
 
 # Encoded size of the author, the list headers and the segment table of a batch.
 BATCH_OVERHEAD_BYTES = 1024
@@ -45,7 +45,7 @@
     """Bounded queues of records, one for each priority."""
 
     def __init__(self) -> None:
-        self._waiting: dict[Priority, deque[Pending]] = {
+        self._waiting: dict[Priority, deque[PendingRecord]] = {
             priority: deque() for priority in Priority
         }
         self._queued_bytes = 0
@@ -54,7 +54,7 @@
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self._waiting.values())
 
-    def add(self, pending: Pending) -> None:
+    def add(self, pending: PendingRecord) -> None:
         """Queue a record, or settle it as not written if it cannot be queued."""
         if pending.size_bytes > self.max_batch_bytes - BATCH_OVERHEAD_BYTES:
             pending.settle(NotWritten(f"record of {pending.size_bytes} bytes"))
@@ -67,7 +67,7 @@
         self._waiting[pending.priority].append(pending)
         self._queued_bytes += pending.size_bytes
 
-    def put_back(self, batch: Sequence[Pending]) -> None:
+    def put_back(self, batch: Sequence[PendingRecord]) -> None:
         """Put back the records of a batch that was not appended.
 
         A record whose caller has stopped waiting is settled instead. Otherwise it
@@ -82,7 +82,7 @@
             self._waiting[pending.priority].appendleft(pending)
             self._queued_bytes += pending.size_bytes
 
-    def take_batch(self) -> list[Pending]:
+    def take_batch(self) -> list[PendingRecord]:
         """Remove the records of the next batch, control records first."""
         capacity = self.max_batch_bytes - BATCH_OVERHEAD_BYTES
         has_requests = bool(self._waiting[Priority.REQUEST])
@@ -104,13 +104,13 @@
 
     def _take_records(
         self, priority: Priority, soft_limit: float, hard_limit: float
-    ) -> list[Pending]:
+    ) -> list[PendingRecord]:
         """Remove records of up to ``soft_limit`` bytes in total.
 
         The first record may be larger, up to ``hard_limit`` bytes.
         """
         waiting = self._waiting[priority]
-        taken: list[Pending] = []
+        taken: list[PendingRecord] = []
         used = 0
         while waiting:
             pending = waiting[0]
--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -23,7 +23,7 @@
 
 from .backoff import Backoff
 from .client import LogClient
-from .outcomes import Effective, NoEffect, NotWritten, Pending, Priority, Unknown
+from .outcomes import Effective, NoEffect, NotWritten, PendingRecord, Priority, Unknown
 from .queue import RecordQueue, record_size_bound
 from .tail import LogTail, ReplayedBatch
 
@@ -40,7 +40,7 @@
 
     author: str
     sequence: int
-    records: list[Pending]
+    records: list[PendingRecord]
     encoded: bytes
     # Set after an append whose result is unknown: it may still reach the log at any
     # time.
@@ -99,9 +99,11 @@
         """Whether no record waits to be sent, acknowledged or replayed."""
         return not (len(self._queue) or self._in_flight or self._awaiting_replay)
 
-    def append(self, record: Record, priority: Priority = Priority.REQUEST) -> Pending:
+    def append(
+        self, record: Record, priority: Priority = Priority.REQUEST
+    ) -> PendingRecord:
         """Queue a record; never blocks."""
-        pending = Pending(record, priority, record_size_bound(record))
+        pending = PendingRecord(record, priority, record_size_bound(record))
         self._queue.add(pending)
         self._has_work.set()
         return pending
@@ -177,7 +179,7 @@
             # only now.
             return self._encode([item for item in records if _can_encode(item)])
 
-    def _encode(self, records: list[Pending]) -> _SealedBatch | None:
+    def _encode(self, records: list[PendingRecord]) -> _SealedBatch | None:
         if not records:
             return None
         sequence = self._last_sequence + 1
@@ -241,7 +243,7 @@
             pending.settle(outcome)
 
 
-def _can_encode(pending: Pending) -> bool:
+def _can_encode(pending: PendingRecord) -> bool:
     """Tell whether a record can be encoded; if not, settle it as not written."""
     try:
         encode_batch(Batch("", 1, (pending.record,)))
