--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from loguru import logger
 
-from lycheeloom.log import Offer
+from lycheeloom.log import OfferResult
 from lycheeloom.model.limits import HEARTBEAT_INTERVAL_S
 from lycheeloom.model.ticks import seconds_until_tick
 from lycheeloom.wire import Heartbeat, PeerMessage, RangeRequest, RecordRelay
@@ -157,7 +157,7 @@
         if not isinstance(answer, RecordRelay):
             raise PeerConnectionError("range request was not answered with records")
         for offset, encoded in enumerate(answer.batches, answer.offset):
-            if tail.offer(offset, encoded) is Offer.GAP:
+            if tail.offer(offset, encoded) is OfferResult.GAP:
                 return False
         return tail.next_offset > first
 
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -12,7 +12,7 @@
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
-from lycheeloom.log import LogTail, Offer
+from lycheeloom.log import LogTail, OfferResult
 from lycheeloom.model.ticks import seconds_until_tick
 from lycheeloom.wire import (
     Heartbeat,
@@ -229,7 +229,7 @@
     def _apply_relay(self, offset: int, batches: tuple[bytes, ...]) -> None:
         # At a gap, the next offset in the answer tells the sender where to continue.
         for position, encoded in enumerate(batches, offset):
-            if self.tail.offer(position, encoded) is Offer.GAP:
+            if self.tail.offer(position, encoded) is OfferResult.GAP:
                 return
 
     def _may_confirm(self, peer: str) -> bool:
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -12,7 +12,7 @@
 from bottle import Bottle, HTTPResponse, request
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from lycheeloom.log import LogTail, Offer
+from lycheeloom.log import LogTail, OfferResult
 from lycheeloom.model.limits import MAX_BATCH_BYTES, MAX_PAYLOAD_BYTES
 from lycheeloom.model.status import StatusDocument
 from lycheeloom.model.verdict import Refusal, RefusalReason
@@ -119,7 +119,7 @@
             self._tail.offer(position, encoded)
             for position, encoded in enumerate(batches, offset)
         ]
-        is_gap = Offer.GAP in results
+        is_gap = OfferResult.GAP in results
         document = {"next_offset": self._tail.next_offset, "gap": is_gap}
         return _respond(Reply(200, document))
 
--- a/libs/entry/tests/test_http_api.py
+++ b/libs/entry/tests/test_http_api.py
@@ -9,7 +9,7 @@
 
 from lycheeloom.entry.http_api import HttpApi
 from lycheeloom.entry.metrics import EntryMetrics
-from lycheeloom.log import Offer
+from lycheeloom.log import OfferResult
 
 TOKEN = "shared"
 
@@ -23,7 +23,7 @@
 def call(offered):
     def offer(offset, encoded):
         offered.append((offset, encoded))
-        return Offer.APPLIED
+        return OfferResult.APPLIED
 
     tail = SimpleNamespace(offer=offer, next_offset=8)
     api = HttpApi(
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -15,7 +15,7 @@
 from .ring import BatchRing
 from .snapshot_reader import SnapshotReader
 from .snapshot_writer import SnapshotPolicy, SnapshotResult, SnapshotWriter
-from .tail import LogTail, Offer, ReplayedBatch
+from .tail import LogTail, OfferResult, ReplayedBatch
 from .writer import LogWriter
 
 __all__ = [
@@ -26,7 +26,7 @@
     "LogWriter",
     "NoEffect",
     "NotWritten",
-    "Offer",
+    "OfferResult",
     "Outcome",
     "PendingRecord",
     "Priority",
--- a/libs/log/src/lycheeloom/log/tail.py
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -50,7 +50,7 @@
     applied: AppliedBatch
 
 
-class Offer(Enum):
+class OfferResult(Enum):
     """Result of ``LogTail.offer``.
 
     ``KNOWN`` means that the batch had been replayed before, ``GAP`` that batches
@@ -143,14 +143,14 @@
                     self._margin_s = min(MAX_READ_MARGIN_S, 2 * self._margin_s)
         return self._backoff.next_delay_s()
 
-    def offer(self, offset: int, encoded: bytes) -> Offer:
+    def offer(self, offset: int, encoded: bytes) -> OfferResult:
         """Apply a batch from the log or a peer if it is at the next offset."""
         if offset < self.next_offset:
-            return Offer.KNOWN
+            return OfferResult.KNOWN
         if offset > self.next_offset:
-            return Offer.GAP
+            return OfferResult.GAP
         self._apply(offset, encoded)
-        return Offer.APPLIED
+        return OfferResult.APPLIED
 
     def _apply_answer(self, answer: ReadBatches, first: int, sent_at: float) -> float:
         for offset, encoded in enumerate(answer.batches, answer.first):
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -11,7 +11,7 @@
     BatchRing,
     LogTail,
     LogWriter,
-    Offer,
+    OfferResult,
     RecoveryFailed,
     SnapshotPolicy,
     recover,
@@ -157,7 +157,13 @@
     heard = []
     tail.add_listener(lambda replayed: heard.append(replayed.offset))
     offers = [tail.offer(offset, log.archive[offset]) for offset in (1, 0, 0, 2, 1)]
-    assert offers == [Offer.GAP, Offer.APPLIED, Offer.KNOWN, Offer.GAP, Offer.APPLIED]
+    assert offers == [
+        OfferResult.GAP,
+        OfferResult.APPLIED,
+        OfferResult.KNOWN,
+        OfferResult.GAP,
+        OfferResult.APPLIED,
+    ]
     tail.step()
     assert heard == [0, 1, 2]
     assert tail.ring.read(1, 10**6) == tuple(log.archive[1:])
