--- a/libs/cluster/src/lycheeloom/cluster/__init__.py
+++ b/libs/cluster/src/lycheeloom/cluster/__init__.py
@@ -2,7 +2,7 @@
 
 from .framing import Connection, PeerConnectionError, connect
 from .freshness import Freshness, FreshnessReason
-from .membership import Identity, MembershipKeeper, new_incarnation
+from .membership import Identity, MembershipManager, new_incarnation
 from .mesh import PeerMesh, PeerView
 from .node import ClusterNode
 
@@ -13,7 +13,7 @@
     "FreshnessReason",
     "Freshness",
     "Identity",
-    "MembershipKeeper",
+    "MembershipManager",
     "PeerMesh",
     "PeerView",
     "connect",
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -73,7 +73,7 @@
     return f"{instance}-{bits:012x}"
 
 
-class MembershipKeeper:
+class MembershipManager:
     """Keeps this process a member and helps to expel members that are gone.
 
     The writer's author is the incarnation. ``is_replaced`` becomes true when
--- a/libs/cluster/src/lycheeloom/cluster/node.py
+++ b/libs/cluster/src/lycheeloom/cluster/node.py
@@ -15,7 +15,7 @@
 
 from .framing import Connection, connect
 from .freshness import Freshness
-from .membership import Identity, MembershipKeeper, new_incarnation
+from .membership import Identity, MembershipManager, new_incarnation
 from .mesh import PeerMesh
 
 
@@ -53,7 +53,7 @@
             clock=clock,
             connect=connect,
         )
-        self.keeper = MembershipKeeper(
+        self.keeper = MembershipManager(
             identity,
             self.writer,
             self.tail,
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -20,7 +20,7 @@
 from lycheeloom.cluster import (
     Freshness,
     Identity,
-    MembershipKeeper,
+    MembershipManager,
     PeerMesh,
     new_incarnation,
 )
@@ -158,7 +158,7 @@
         self.freshness = Freshness(self.tail, lambda: self.writer.author)
         self.mesh = PeerMesh(incarnation, self.tail, self.freshness)
         self.scheduler = Scheduler(state.config, settings.seed)
-        self.keeper = MembershipKeeper(
+        self.keeper = MembershipManager(
             Identity(
                 settings.instance, settings.peer_listen, settings.zone, PROGRAM_VERSION
             ),
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lycheeloom.cluster import Freshness, MembershipKeeper
+from lycheeloom.cluster import Freshness, MembershipManager
 from lycheeloom.log import LogTail
 from lycheeloom.model.config import ZoneState
 
@@ -20,7 +20,7 @@
         self,
         tail: LogTail,
         freshness: Freshness,
-        keeper: MembershipKeeper,
+        keeper: MembershipManager,
         dispatcher: Dispatcher,
         grants: GrantManager,
         worker_monitor: WorkerMonitor,
