--- a/libs/sched/src/lycheeloom/sched/admission.py
+++ b/libs/sched/src/lycheeloom/sched/admission.py
@@ -9,36 +9,39 @@
 from .state import SchedulerState
 from .tasks import Accepted, Held, Task
 
+# Time after which a caller may retry a task refused for a full queue or a long wait.
 RETRY_AFTER_S = 1.0
 
 
 class Admission:
-    """Refuses tasks that may not or cannot run, with a reason."""
+    """Refuses tasks that may not be queued or could not start, with a reason."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
 
     def check(self, task: Task, now: float) -> Accepted | Held | Refusal:
-        """Return whether a new task is accepted, held or refused."""
-        disallowed = self.check_allowed(task)
-        if disallowed is not None:
-            return disallowed
-        fit = self._check_size(task, self._state.queues.home_pool(task.queue))
-        if isinstance(fit, Refusal):
-            return fit
-        late = self._check_deadline(task, now)
-        if late is not None:
-            return late
+        """Return whether a new task is accepted, held or refused; do not queue it."""
+        refusal = self.check_allowed(task)
+        if refusal is not None:
+            return refusal
+        size_verdict = self._check_size(
+            task, self._state.queues.pool_of_queue(task.queue)
+        )
+        if isinstance(size_verdict, Refusal):
+            return size_verdict
+        deadline_refusal = self._check_deadline(task, now)
+        if deadline_refusal is not None:
+            return deadline_refusal
         if not self._state.queues.has_space(task.organisation, task.queue):
             message = (
                 f"queue {task.queue!r} has no space for organisation "
                 f"{task.organisation!r}"
             )
             return Refusal(RefusalReason.QUEUE_FULL, message, RETRY_AFTER_S)
-        return fit
+        return size_verdict
 
     def check_allowed(self, task: Task) -> Refusal | None:
-        """Return a refusal if the organisation may not use the queue."""
+        """Return a refusal if the queue is unknown or closed to the organisation."""
         queue = self._state.config.queue_by_id.get(task.queue)
         if queue is None:
             message = f"no queue {task.queue!r}"
@@ -51,44 +54,51 @@
         return None
 
     def _check_size(self, task: Task, pool: str) -> Accepted | Held | Refusal:
-        """Compare the size of a task with the workers it may use and with the fleet.
+        """Compare the size of a task with the sizes of workers.
 
-        A task whose declared size is too large is not refused if its corrected size
-        fits.
+        The task is accepted if a worker of ``pool`` or of a spare pool is large enough,
+        held if only a worker of another pool is, and refused otherwise. It suffices
+        that either the declared or the corrected size fits.
         """
         state = self._state
         pools = [pool]
         pools += [p.id for p in state.config.pool_by_id.values() if p.spare]
         corrected = state.sizes.corrected_size(task)
         for wanted in (task.resources, corrected):
-            for name in pools:
+            for pool_id in pools:
                 if any(
-                    wanted.fits_in(size) for size in state.workers.worker_sizes(name)
+                    wanted.fits_in(size) for size in state.workers.worker_sizes(pool_id)
                 ):
                     return Accepted()
         smallest = min(task.resources, corrected, key=lambda r: (r.cores, r.memory_mb))
-        for name in state.config.pool_by_id:
-            if any(smallest.fits_in(size) for size in state.workers.worker_sizes(name)):
+        for pool_id in state.config.pool_by_id:
+            if any(
+                smallest.fits_in(size) for size in state.workers.worker_sizes(pool_id)
+            ):
                 return Held(
                     f"no worker of pool {pool} or a spare pool has room for "
-                    f"{describe(smallest)}; pool {name} has workers that could be "
+                    f"{describe(smallest)}; pool {pool_id} has workers that could be "
                     f"moved"
                 )
         return self._never_fits(task.resources)
 
     def _never_fits(self, wanted: Resources) -> Refusal:
+        """Return a refusal that names a resource of which no instance has enough.
+
+        If each resource alone would fit, the refusal names the largest instance.
+        """
         instances = self._state.config.instance_by_id.values()
-        for name in ("cores", "memory_mb", "accelerators"):
+        for resource in ("cores", "memory_mb", "accelerators"):
             largest = max(
-                instances, key=lambda i: (getattr(i.size, name), i.id), default=None
+                instances, key=lambda i: (getattr(i.size, resource), i.id), default=None
             )
             if largest is None:
                 message = "the fleet has no instances"
                 return Refusal(RefusalReason.NEVER_FITS, message)
-            available = getattr(largest.size, name)
-            if getattr(wanted, name) > available:
+            available = getattr(largest.size, resource)
+            if getattr(wanted, resource) > available:
                 message = (
-                    f"the task needs {getattr(wanted, name):g} {name}, but the "
+                    f"the task needs {getattr(wanted, resource):g} {resource}, but the "
                     f"largest instance, {largest.id}, has {available:g}"
                 )
                 return Refusal(RefusalReason.NEVER_FITS, message)
@@ -100,6 +110,7 @@
         return Refusal(RefusalReason.NEVER_FITS, message)
 
     def _check_deadline(self, task: Task, now: float) -> Refusal | None:
+        """Return a refusal if the task is not expected to start before its deadline."""
         if task.deadline is None:
             return None
         if now >= task.deadline:
--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -16,18 +16,22 @@
 from .tasks import Decision, Task, TaskRecord
 from .workers import Worker
 
-# Capacity is left to an organisation at peers only if it is below the next one here by
-# this fraction of its fair share, as entries know each other's usage only as of the
-# last heartbeat.
+# Free capacity is left to an organisation that waits only at peers if its usage is
+# below that of the next organisation here by more than this fraction of its fair share.
+# A smaller gap may be an error, as entries know each other's usage only as of the last
+# heartbeat.
 DEFERRAL_MARGIN = 0.02
-# The same as a number of tasks. The usage of a small organisation always varies by a
-# few tasks, which its own entries correct without capacity from others.
+# The same margin as a number of average tasks; the larger margin applies. The usage of
+# a small organisation always varies by a few tasks, which its own entries correct
+# without capacity from others.
 DEFERRAL_MIN_TASKS = 3
 # Dominant share assumed for a task of an organisation that has not run here yet.
 DEFAULT_TASK_SHARE = 0.01
-# Organisations above this usage level have no precedence in their queues' own pools.
+# Usage level of an organisation that uses just its fair share. Organisations above it
+# have no precedence in the pools that serve their queues.
 FAIR_USAGE_LEVEL = 1.0 / USAGE_LEVEL_STEP
-# All pools and subqueues are tried again this often, in case a change was missed.
+# All pools and active subqueues are tried again this often, in case a change was
+# missed.
 SWEEP_INTERVAL_S = 1.0
 
 SubqueuesByOrganisation = Mapping[str, Mapping[str, Subqueue]]
@@ -37,10 +41,15 @@
 class FairShareAllocator:
     """Starts queued tasks on free capacity.
 
-    A pool serves its own queues first, for organisations within their fair share. What
-    is left is lent to tasks of any queue, to the organisation with the lowest usage
-    level first; spare pools are used before other pools. Batch work comes after
-    interactive work.
+    A pool first serves its own queues, and of these only organisations within their
+    fair share. What is left is lent to tasks of any queue; spare pools are lent before
+    other pools. In both cases the organisation with the lowest usage level comes first.
+    Batch work comes after interactive work.
+
+    The subqueues to serve are passed on as ``subqueues_by_organisation``, which maps
+    organisation and queue to the subqueue. With ``batch_priority``, only subqueues with
+    batch priority are served, otherwise only the others. Decisions are appended to
+    ``decisions``.
     """
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
@@ -52,7 +61,7 @@
         self._pool_order: list[str] = []
 
     def allocate(self, now: float) -> list[Decision]:
-        """Start the tasks that changes since the last call allow to start."""
+        """Start the tasks that can start because of changes since the last call."""
         state = self._state
         freed = state.workers.freed_pools
         changed = state.queues.changed_subqueues
@@ -67,13 +76,13 @@
         state.queues.changed_subqueues = {}
         decisions: list[Decision] = []
         for batch_priority in (False, True) if state.queues.has_batch else (False,):
-            self._allocate_home_pools(freed, changed, batch_priority, now, decisions)
+            self._allocate_own_queues(freed, changed, batch_priority, now, decisions)
             self._lend_leftover_capacity(freed, changed, batch_priority, now, decisions)
         # Starts refresh workers, which marks their pools as freed again.
         state.workers.freed_pools = set()
         return decisions
 
-    def _allocate_home_pools(
+    def _allocate_own_queues(
         self,
         freed: set[str],
         changed: Mapping[tuple[str, str], Subqueue],
@@ -81,10 +90,11 @@
         now: float,
         decisions: list[Decision],
     ) -> None:
+        """Start tasks in the pools that serve their queues."""
         state = self._state
         pools = set(freed)
         for _, queue in changed:
-            pools.add(state.queues.home_pool(queue))
+            pools.add(state.queues.pool_of_queue(queue))
         for pool in sorted(pools):
             if self._is_spare(pool) or not state.workers.has_room(pool):
                 continue
@@ -99,7 +109,10 @@
         now: float,
         decisions: list[Decision],
     ) -> None:
-        """Lend spare pools, then what other pools have left, to tasks of any queue."""
+        """Lend spare pools, then what other pools have left, to tasks of any queue.
+
+        A pool that was not freed is tried only with the changed subqueues.
+        """
         state = self._state
         changed_subqueues: dict[str, dict[str, Subqueue]] = {}
         for (organisation, queue), subqueue in changed.items():
@@ -118,6 +131,7 @@
             self._allocate_pool(pool, True, subqueues, batch_priority, now, decisions)
 
     def _defers_to_peers(self, pool: str, now: float) -> bool:
+        """Begin or continue a deferral; return whether capacity stays free now."""
         workers = self._state.workers
         return self._deferrals.defers(
             pool,
@@ -135,6 +149,11 @@
         now: float,
         decisions: list[Decision],
     ) -> None:
+        """Start tasks in a pool, those of the lowest usage level first.
+
+        Ends when no task fits, the pool has no room, or capacity is left to peers.
+        Unless ``lending``, also ends at organisations above their fair share.
+        """
         state = self._state
         heap = [
             (state.shares.usage_level(organisation), organisation)
@@ -147,12 +166,14 @@
         peer_organisations = self._peer_organisations(
             pool, lending, subqueues_by_organisation
         )
+        # First tasks of size classes that fitted on no worker, keyed by organisation,
+        # queue and size class. They are not tried again in this call.
         unplaced: dict[tuple, TaskRecord] = {}
         unplaceable_sizes: set[Resources] = set()
         while heap:
             usage_level, organisation = heap[0]
             if not lending and usage_level[0] > FAIR_USAGE_LEVEL:
-                # The rest is lent by ``_lend_leftover_capacity``.
+                # What is still free is lent by ``_lend_leftover_capacity``.
                 return
             if peer_organisations and self._should_leave_to_peers(
                 pool, usage_level[0], peer_organisations, now
@@ -186,7 +207,11 @@
         unplaced: dict[tuple, TaskRecord],
         unplaceable_sizes: set[Resources],
     ) -> Decision | None:
-        """Start the oldest task of an organisation that fits, if there is one."""
+        """Start the oldest task of an organisation that fits, if there is one.
+
+        Adds the tasks that do not fit to ``unplaced``, and marks those as passed over
+        if another task starts.
+        """
         state = self._state
         for subqueue in _by_oldest_task(subqueues):
             if (
@@ -195,20 +220,20 @@
             ):
                 continue
             for size_class, record in subqueue.heads():
-                key = (subqueue.organisation, subqueue.queue, size_class)
-                if key in unplaced:
+                head_key = (subqueue.organisation, subqueue.queue, size_class)
+                if head_key in unplaced:
                     continue
                 need = state.need(record.task, pool)
                 worker = self._place(record, need, pool, now, unplaceable_sizes)
                 if worker is None:
-                    unplaced[key] = record
+                    unplaced[head_key] = record
                     self._reservations.reserve_if_starved(
                         subqueue, size_class, record, need, pool, now
                     )
                     continue
-                for passed in unplaced.values():
-                    if passed.passed_over_at is None:
-                        passed.passed_over_at = now
+                for passed_record in unplaced.values():
+                    if passed_record.passed_over_at is None:
+                        passed_record.passed_over_at = now
                 state.queues.take(subqueue, size_class)
                 return state.start(record, worker, need, now)
         return None
@@ -221,7 +246,7 @@
         now: float,
         unplaceable_sizes: set[Resources],
     ) -> Worker | None:
-        """Choose a worker; collect sizes that fit nowhere in ``unplaceable_sizes``."""
+        """Choose a worker; add a need that fits nowhere to ``unplaceable_sizes``."""
         task: Task = record.task
         excluded = self._state.excluded(record, now)
         if need not in unplaceable_sizes:
@@ -238,13 +263,16 @@
         lending: bool,
         subqueues_by_organisation: SubqueuesByOrganisation,
     ) -> list[str]:
-        """Return the organisations that wait for the pool at peers but not here."""
+        """Return the organisations that wait for the pool at peers but not here.
+
+        If there are none, the deferral of the pool is forgotten.
+        """
         state = self._state
         organisations = []
         for organisation, queues in state.peer_queues_by_organisation.items():
             if organisation in subqueues_by_organisation:
                 continue
-            if lending or any(state.queues.home_pool(q) == pool for q in queues):
+            if lending or any(state.queues.pool_of_queue(q) == pool for q in queues):
                 organisations.append(organisation)
         if not organisations:
             self._deferrals.cancel(pool)
@@ -255,27 +283,30 @@
     ) -> bool:
         """Return whether to leave free capacity to organisations at peers.
 
-        At most as much is left free as would bring them up to ``usage_level``.
+        At most as much is left free as would bring them up to ``usage_level``, the
+        level of the next organisation here.
         """
         state = self._state
         shares = state.shares
         deficit = 0.0
         for organisation in peer_organisations:
             gap = (usage_level - shares.usage_level(organisation)[0]) * USAGE_LEVEL_STEP
-            fair = shares.fair_share(organisation)
-            tolerated = max(
-                DEFERRAL_MARGIN * fair,
+            fair_share = shares.fair_share(organisation)
+            tolerated_gap = max(
+                DEFERRAL_MARGIN * fair_share,
                 DEFERRAL_MIN_TASKS * shares.mean_task_share(organisation),
             )
             mean_task_share = shares.mean_task_share(organisation) or DEFAULT_TASK_SHARE
-            wanted = state.peer_queued_by_organisation[organisation] * mean_task_share
-            deficit += min(wanted, max(0.0, gap * fair - tolerated))
+            queued_share = (
+                state.peer_queued_by_organisation[organisation] * mean_task_share
+            )
+            deficit += min(queued_share, max(0.0, gap * fair_share - tolerated_gap))
         if not deficit or state.workers.free_fraction(pool) > deficit:
             return False
         return self._defers_to_peers(pool, now)
 
     def _pools_spare_first(self) -> list[str]:
-        """Return all pools, spare ones first; sorted only when the pools changed."""
+        """Return all pools, spare ones first; sort them only after they changed."""
         pools = self._state.config.pool_by_id
         if pools is not self._sorted_pools:
             self._sorted_pools = pools
@@ -283,12 +314,12 @@
         return self._pool_order
 
     def _is_spare(self, pool: str) -> bool:
-        settings = self._state.config.pool_by_id.get(pool)
-        return settings is not None and settings.spare
+        pool_config = self._state.config.pool_by_id.get(pool)
+        return pool_config is not None and pool_config.spare
 
 
 def _by_oldest_task(subqueues: Mapping[str, Subqueue]) -> list[Subqueue]:
-    """Order an organisation's subqueues by their oldest task."""
+    """Order the subqueues of an organisation by the age of their oldest task."""
     if len(subqueues) == 1:
         return list(subqueues.values())
     by_sequence = []
--- a/libs/sched/src/lycheeloom/sched/budgets.py
+++ b/libs/sched/src/lycheeloom/sched/budgets.py
@@ -1,10 +1,13 @@
-"""Token buckets that limit the retries and hedged requests of a queue."""
+"""Token buckets that limit the retries and hedged requests of a queue.
+
+One token pays for one retry or hedged request.
+"""
 
 from __future__ import annotations
 
 from lycheeloom.model.config import Queue
 
-# Largest number of unused retries, and so the largest burst, of a queue.
+# Tokens that a queue can save up, and so its largest burst of retries or hedges.
 MAX_SAVED_TOKENS = 10.0
 
 
@@ -18,14 +21,15 @@
 
     def __init__(self, queue: Queue) -> None:
         self.percent = queue.retry_budget_percent
+        # The first token makes a retry possible while few requests have been counted.
         self._tokens = 1.0 if self.percent > 0 else 0.0
 
     def on_request(self) -> None:
-        """Count a first attempt, which adds a fraction of a retry to the budget."""
+        """Count a first attempt, which adds a fraction of a token to the budget."""
         self._tokens = min(MAX_SAVED_TOKENS, self._tokens + self.percent / 100.0)
 
     def try_spend(self) -> bool:
-        """Take one retry out of the budget; return whether there was one left."""
+        """Spend a token on a retry; return False if the budget does not allow one."""
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -33,7 +37,10 @@
 
 
 class HedgeBudget(RetryBudget):
-    """Limits hedged requests to a percentage; queues must be idempotent to have any."""
+    """Limits hedged requests to a percentage of a queue's requests.
+
+    A queue that is not idempotent has no hedged requests.
+    """
 
     def __init__(self, queue: Queue) -> None:
         super().__init__(queue)
--- a/libs/sched/src/lycheeloom/sched/capacity.py
+++ b/libs/sched/src/lycheeloom/sched/capacity.py
@@ -4,29 +4,32 @@
 
 from lycheeloom.model.resources import Resources
 
-# Value of a leaf that is closed: no task fits, as no task needs a negative amount.
+# Value of the leaf of a worker on which nothing may start. Even a task that needs
+# nothing does not fit into a negative amount.
 CLOSED = (-1.0, -1, -1)
 
 
 class CapacityTree:
     """A segment tree over workers; each node keeps the maximum of each resource.
 
-    Workers are addressed by their index. ``find(need, start)`` returns the first
-    index at or after ``start`` whose worker has room for ``need``, or -1. The
-    maxima of a node may come from different workers, so the search may backtrack.
-    It stays close to logarithmic, because on a full fleet most subtrees are
+    Workers are addressed by their index, which is that of their leaf. The tree is an
+    array: ``nodes[1]`` is the root, the children of ``nodes[i]`` are ``nodes[2 * i]``
+    and ``nodes[2 * i + 1]``, and the leaves begin at ``nodes[leaf_count]``.
+
+    The maxima of a node may come from different workers, so a search may backtrack.
+    Its cost stays close to logarithmic, because on a full fleet most subtrees are
     rejected near the root.
     """
 
     def __init__(self, count: int) -> None:
-        self.size = 1
-        while self.size < count:
-            self.size *= 2
-        self.nodes = [CLOSED] * (2 * self.size)
+        self.leaf_count = 1
+        while self.leaf_count < count:
+            self.leaf_count *= 2
+        self.nodes = [CLOSED] * (2 * self.leaf_count)
 
     def set(self, index: int, free: Resources | None) -> None:
-        """Set the free capacity at an index; None closes it, so that nothing fits."""
-        node = index + self.size
+        """Set the free capacity of a worker; with None, no task fits on it."""
+        node = index + self.leaf_count
         value = CLOSED if free is None else _as_tuple(free)
         nodes = self.nodes
         if nodes[node] == value:
@@ -42,15 +45,17 @@
                 left[2] if left[2] > right[2] else right[2],
             )
             if nodes[node] == value:
+                # The nodes above do not change either.
                 return
             nodes[node] = value
             node //= 2
 
     def find(self, need: Resources, start: int = 0) -> int:
-        """Return the first fitting index at or after ``start``, or -1."""
+        """Return the first worker from ``start`` on with room for ``need``, or -1."""
         nodes = self.nodes
         cores, memory_mb, accelerators = need.cores, need.memory_mb, need.accelerators
-        stack = [(1, 0, self.size)]
+        # Each item is a node, the index of its first leaf and the number of its leaves.
+        stack = [(1, 0, self.leaf_count)]
         while stack:
             node, low, width = stack.pop()
             if low + width <= start:
--- a/libs/sched/src/lycheeloom/sched/events.py
+++ b/libs/sched/src/lycheeloom/sched/events.py
@@ -1,4 +1,8 @@
-"""Typed events that explain decisions; ``str()`` gives a sentence for operators."""
+"""Events that explain what the scheduler did and why.
+
+``str()`` of an event is a sentence for operators. ``at`` is the time of the event in
+seconds of the entry's monotonic clock.
+"""
 
 from __future__ import annotations
 
@@ -45,7 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PreemptionRequested:
-    """A checkpoint or a throttle of a running task was requested."""
+    """A running task was asked to checkpoint or to slow down.
+
+    ``action`` is "checkpoint" or "throttle".
+    """
 
     at: float
     action: str
@@ -57,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskEnded:
-    """A started task ended."""
+    """A task ended, or was removed before it had started on any worker."""
 
     at: float
     worker: str
@@ -69,7 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReserved:
-    """A worker is reserved for a task that does not fit anywhere now."""
+    """A worker was reserved for a task that fitted on no worker.
+
+    It is expected to have room for the task at ``expected_at``.
+    """
 
     at: float
     worker: str
@@ -82,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskWaiting:
-    """Why a queued task has not started yet."""
+    """A task has not started yet, for the given reason."""
 
     at: float
     reason: str
@@ -106,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationStatus:
-    """How much an organisation uses of its fair share and of its running slots."""
+    """How much an organisation uses of its fair share and of its granted slots."""
 
     at: float
     organisation: str
@@ -127,7 +137,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerOnProbation:
-    """A worker entered probation, by its failures here or by a fleet-wide decision."""
+    """A worker entered probation, for failures here or by a fleet-wide decision."""
 
     at: float
     worker: str
--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -1,4 +1,4 @@
-"""Explains the state of tasks and organisations by typed events."""
+"""Explains the state of a task or an organisation by a sequence of events."""
 
 from __future__ import annotations
 
@@ -16,7 +16,10 @@
 def explain_task(
     state: SchedulerState, task_id: str, now: float
 ) -> tuple[TaskEvent, ...]:
-    """Return the events of a task and, if it waits, the reason."""
+    """Return the events of a task and, unless it has started, why it waits.
+
+    The result is empty for an unknown task.
+    """
     record = state.record_by_id.get(task_id)
     if record is None:
         return tuple(state.events_by_ended_task.get(task_id, ()))
@@ -28,7 +31,7 @@
 def explain_organisation(
     state: SchedulerState, organisation: str, now: float
 ) -> tuple[OrganisationEvent, ...]:
-    """Return the status of an organisation and its latest refusals."""
+    """Return the status of an organisation, followed by its latest refusals."""
     status = OrganisationStatus(
         now,
         organisation,
@@ -49,7 +52,7 @@
         granted = state.grant_by_organisation.get(task.organisation, 0)
         return f"organisation {task.organisation} uses all {granted} running slots "
         "granted here"
-    pool = state.queues.home_pool(task.queue)
+    pool = state.queues.pool_of_queue(task.queue)
     need = state.need(task, pool)
     if not any(need.fits_in(size) for size in state.workers.worker_sizes(pool)):
         return f"no worker of pool {pool} is large enough for {describe(need)}"
--- a/libs/sched/src/lycheeloom/sched/outages.py
+++ b/libs/sched/src/lycheeloom/sched/outages.py
@@ -1,4 +1,4 @@
-"""Detects that all workers of a rack were lost together, as one event."""
+"""Reports the joint loss of all workers of a rack as one event."""
 
 from __future__ import annotations
 
@@ -11,35 +11,42 @@
 
 
 class RackOutages:
-    """Tracks unavailable workers by rack."""
+    """Tracks the unavailable workers of each rack.
+
+    A rack counts as lost until one of its workers is available again.
+    """
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
+        # When each unavailable worker was lost, by rack and worker.
         self._down_at_by_rack: dict[str, dict[str, float]] = {}
         self._lost_racks: set[str] = set()
 
     def observe(self, worker: Worker, available: bool, now: float) -> RackLost | None:
-        """Update one worker; return an event when its whole rack is lost."""
-        down = self._down_at_by_rack.setdefault(worker.rack, {})
+        """Apply a worker's state; return an event if its whole rack is now lost."""
+        down_at = self._down_at_by_rack.setdefault(worker.rack, {})
         if available:
-            down.pop(worker.id, None)
+            down_at.pop(worker.id, None)
             self._lost_racks.discard(worker.rack)
             return None
-        down.setdefault(worker.id, now)
+        down_at.setdefault(worker.id, now)
         if worker.rack in self._lost_racks:
             return None
-        members = [
+        rack_workers = [
             other.id
             for other in self._state.workers.worker_by_id.values()
             if other.rack == worker.rack
         ]
-        if len(members) < 2 or any(member not in down for member in members):
+        if len(rack_workers) < 2 or any(w not in down_at for w in rack_workers):
             return None
-        if now - min(down[member] for member in members) > RACK_LOSS_WINDOW_S:
+        if now - min(down_at[w] for w in rack_workers) > RACK_LOSS_WINDOW_S:
             return None
         self._lost_racks.add(worker.rack)
-        return RackLost(now, worker.rack, tuple(sorted(members)))
+        return RackLost(now, worker.rack, tuple(sorted(rack_workers)))
 
     def rack_is_lost(self, rack: str) -> bool:
-        """Return whether the rack was lost and none of its workers is back."""
+        """Return whether the rack was lost and none of its workers is back.
+
+        If so, failed tasks say nothing about a single worker of the rack.
+        """
         return rack in self._lost_racks
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -1,36 +1,48 @@
-"""Finds workers that fail every task, without counting failures of faulty tasks."""
+"""Finds workers that fail every task, without counting failures of faulty tasks.
+
+Such a worker is put on probation: it then gets only trials, one task at a time,
+until enough of them in a row have succeeded. After each failed trial, the backoff
+before the next one doubles.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-# Failures in a row, of different tasks, that put a worker on probation: fewer if it is
-# known from other workers that tasks of these groups usually succeed.
+# Failures in a row, of different tasks, that put a worker on probation. Fewer are
+# needed with evidence: outcomes on other workers show that a group of these tasks
+# usually succeeds.
 FAILURES_WITH_EVIDENCE = 3
 FAILURES_WITHOUT_EVIDENCE = 6
+# Time until the first trial; it doubles with each failed trial up to MAX_BACKOFF_S.
 FIRST_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 120.0
 # Trials that must succeed in a row before a worker leaves probation.
 TRIALS_TO_PASS = 2
 # Recent outcomes kept per group of tasks.
 WINDOW_OUTCOMES = 50
-# A group that fails at this rate or more on other workers is itself at fault.
+# A group of tasks that fails at this rate or more on other workers is itself at fault.
 FAULTY_GROUP_FAILURE_RATE = 0.5
+# Failed tasks for which the workers that failed them are remembered.
 MAX_REMEMBERED_TASKS = 5_000
 
-# Organisation and queue of a task.
+# Groups tasks by organisation and queue.
 TaskGroup = tuple[str, str]
 
 
 @dataclass(slots=True)
 class _WorkerRecord:
-    # Group by id of each task that failed since the last success.
+    """What is known of a worker that has failed tasks or is on probation."""
+
+    # Group of each task that has failed since the last success, by id of the task.
     failed_tasks: dict[str, TaskGroup] = field(default_factory=dict)
     on_probation: bool = False
     backoff_s: float = FIRST_BACKOFF_S
     next_trial_at: float = 0.0
+    # Id of the running trial task, empty if there is none.
     trial_task: str = ""
+    # Successful trials since the last failed one.
     trials_passed: int = 0
 
 
@@ -39,6 +51,7 @@
 
     def __init__(self) -> None:
         self._record_by_worker: dict[str, _WorkerRecord] = {}
+        # Worker and success of each of the latest outcomes.
         self._outcomes_by_group: dict[TaskGroup, deque[tuple[str, bool]]] = {}
         self._workers_by_failed_task: OrderedDict[str, set[str]] = OrderedDict()
 
@@ -53,11 +66,11 @@
         return not record.trial_task and now >= record.next_trial_at
 
     def record_trial_start(self, worker: str, task_id: str) -> None:
-        """Record the trial task of a worker on probation, which runs no other task."""
+        """Record the start of a trial, the only task that the worker runs."""
         self._record_by_worker[worker].trial_task = task_id
 
     def record_success(self, worker: str, task_id: str, group: TaskGroup) -> bool:
-        """Record a success; return whether the worker leaves probation now."""
+        """Record a successful task; return whether its worker leaves probation now."""
         self._outcomes(group).append((worker, True))
         record = self._record_by_worker.get(worker)
         if record is None:
@@ -77,14 +90,17 @@
     def record_failure(
         self, worker: str, task_id: str, group: TaskGroup, now: float
     ) -> bool:
-        """Record a failure; return whether the worker enters probation now."""
+        """Record a failed task; return whether its worker enters probation now.
+
+        A failure does not count if the task has failed on other workers too.
+        """
         self._outcomes(group).append((worker, False))
         record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if self._task_at_fault(task_id, worker):
             self.discard_trial(worker, task_id)
             return False
         if record.on_probation:
-            self._trial_failed(record, task_id, now)
+            self._record_failed_trial(record, task_id, now)
             return False
         record.failed_tasks[task_id] = group
         if not self._worker_at_fault(worker, record):
@@ -94,9 +110,9 @@
         return True
 
     def put_on_probation(self, worker: str, now: float) -> bool:
-        """Put a worker on probation for another reason than its failures at this entry.
+        """Put a worker on probation for a reason other than its failures at this entry.
 
-        Trials may begin at once. Return whether it was not on probation before.
+        Trials may begin at once. Returns False if the worker was on probation already.
         """
         record = self._record_by_worker.setdefault(worker, _WorkerRecord())
         if record.on_probation:
@@ -120,7 +136,7 @@
             record.trial_task = ""
 
     def rebooted(self, worker: str) -> None:
-        """Allow a trial at once after a reboot."""
+        """Forget the failures of a rebooted worker and allow a trial at once."""
         record = self._record_by_worker.get(worker)
         if record is None:
             return
@@ -129,7 +145,9 @@
         record.backoff_s = FIRST_BACKOFF_S
         record.next_trial_at = 0.0
 
-    def _trial_failed(self, record: _WorkerRecord, task_id: str, now: float) -> None:
+    def _record_failed_trial(
+        self, record: _WorkerRecord, task_id: str, now: float
+    ) -> None:
         record.trials_passed = 0
         if record.trial_task == task_id:
             record.trial_task = ""
@@ -137,18 +155,19 @@
             record.next_trial_at = now + record.backoff_s
 
     def _task_at_fault(self, task_id: str, worker: str) -> bool:
-        """Return whether the task failed on other workers too.
+        """Record a failure; return whether the task has failed on other workers too.
 
-        If so, its failures on those workers no longer count either.
+        If so, its failures on those workers no longer count either. Failures on workers
+        that are on probation are not considered.
         """
         workers = self._workers_by_failed_task.setdefault(task_id, set())
         workers.add(worker)
         if len(self._workers_by_failed_task) > MAX_REMEMBERED_TASKS:
             self._workers_by_failed_task.popitem(last=False)
-        others = [w for w in workers if w != worker and not self.on_probation(w)]
-        if not others:
+        other_workers = [w for w in workers if w != worker and not self.on_probation(w)]
+        if not other_workers:
             return False
-        for other in others:
+        for other in other_workers:
             record = self._record_by_worker.get(other)
             if record is not None:
                 record.failed_tasks.pop(task_id, None)
@@ -157,26 +176,28 @@
     def _worker_at_fault(self, worker: str, record: _WorkerRecord) -> bool:
         """Return whether the failures in a row are the worker's fault.
 
-        Failures of groups that fail on other workers too do not count. If no outcomes
-        of these groups on other workers are known, more failures are needed.
+        Failures of tasks whose group often fails on other workers do not count. More
+        failures are needed if no outcomes of the counted groups on other workers are
+        known.
         """
-        counted = 0
+        counted_failures = 0
         has_evidence = False
         for group in record.failed_tasks.values():
             rate = self._failure_rate_elsewhere(group, worker)
             if rate is not None and rate >= FAULTY_GROUP_FAILURE_RATE:
                 continue
-            counted += 1
+            counted_failures += 1
             has_evidence = has_evidence or rate is not None
-        return counted >= (
+        return counted_failures >= (
             FAILURES_WITH_EVIDENCE if has_evidence else FAILURES_WITHOUT_EVIDENCE
         )
 
     def _failure_rate_elsewhere(self, group: TaskGroup, worker: str) -> float | None:
+        """Return the failure rate of a group on other workers, None if unknown."""
         elsewhere = [
-            good
-            for name, good in self._outcomes(group)
-            if name != worker and not self.on_probation(name)
+            succeeded
+            for other, succeeded in self._outcomes(group)
+            if other != worker and not self.on_probation(other)
         ]
         if not elsewhere:
             return None
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -15,23 +15,30 @@
 
 
 class Queues:
-    """The queued tasks of this entry."""
+    """The queued tasks of this entry.
+
+    Urgent tasks are kept in a mapping of their own. All others are in a subqueue for
+    each organisation and queue. A subqueue is active while it has queued tasks.
+    """
 
     def __init__(self) -> None:
+        # Urgent tasks by id, in the order in which they were queued.
         self.urgent: dict[str, TaskRecord] = {}
-        # Subqueues to try again, as a task of them may be able to start now.
+        # Subqueues that may have a task able to start now, for the next allocation.
+        # Keyed by organisation and queue, as is ``_subqueue_by_key``.
         self.changed_subqueues: dict[tuple[str, str], Subqueue] = {}
         self.count_by_organisation: Counter[str] = Counter()
         self._count_by_queue: Counter[str] = Counter()
         self._subqueue_by_key: dict[tuple[str, str], Subqueue] = {}
-        # Only subqueues with queued tasks, by pool, organisation and queue.
+        # Active subqueues by pool, organisation and queue.
         self._active_by_pool: dict[str, dict[str, dict[str, Subqueue]]] = {}
         self._active_by_organisation: dict[str, dict[str, Subqueue]] = {}
         self._config = FleetConfig()
+        # Whether any configured queue is for batch work.
         self.has_batch = False
 
     def set_config(self, config: FleetConfig) -> None:
-        """Apply the queues; subqueues move to the pool that now serves them."""
+        """Apply the queues; assign each subqueue to the pool that now serves it."""
         self._config = config
         kinds = (queue.kind for queue in config.queue_by_id.values())
         self.has_batch = QueueKind.BATCH in kinds
@@ -44,8 +51,8 @@
     def has_space(self, organisation: str, queue: str) -> bool:
         """Return whether the queue accepts one more task of the organisation.
 
-        No queue exceeds its bound. Half of the bound is reserved for the organisations
-        in equal parts, so that no organisation can fill the queue against the others.
+        No queue exceeds its bound. Half of the bound is reserved in equal parts for the
+        organisations of the queue, so that none of them can keep the others out.
         """
         settings = self._config.queue_by_id[queue]
         total = self._count_by_queue[queue]
@@ -65,7 +72,10 @@
         return total + unused_reserved < settings.max_queued
 
     def add(self, record: TaskRecord, first: bool = False) -> None:
-        """Queue a task at the end or, with ``first``, in front."""
+        """Queue a task at the end or, with ``first``, in front.
+
+        ``first`` has no effect on an urgent task.
+        """
         task = record.task
         record.state = TaskState.QUEUED
         self.count_by_organisation[task.organisation] += 1
@@ -73,21 +83,21 @@
         if task.urgent:
             self.urgent[task.id] = record
             return
-        key = (task.organisation, task.queue)
-        subqueue = self._subqueue_by_key.get(key)
+        subqueue_key = (task.organisation, task.queue)
+        subqueue = self._subqueue_by_key.get(subqueue_key)
         if subqueue is None:
-            subqueue = self._subqueue_by_key[key] = Subqueue(*key)
+            subqueue = self._subqueue_by_key[subqueue_key] = Subqueue(*subqueue_key)
         if first:
             subqueue.prepend(record)
-            self.changed_subqueues[key] = subqueue
+            self.changed_subqueues[subqueue_key] = subqueue
         elif subqueue.append(record):
-            self.changed_subqueues[key] = subqueue
+            self.changed_subqueues[subqueue_key] = subqueue
         if subqueue.count == 1:
             self._activate(subqueue)
 
     def discard(self, record: TaskRecord) -> None:
-        """Remove a queued task in constant time."""
-        self._uncount(record)
+        """Remove a queued task, which is marked as ended, in constant time."""
+        self._decrement_counts(record)
         if self.urgent.pop(record.task.id, None) is not None:
             record.state = TaskState.ENDED
             return
@@ -97,45 +107,48 @@
             self._deactivate(subqueue)
 
     def take_urgent(self, record: TaskRecord) -> None:
-        """Remove an urgent task that starts."""
-        self._uncount(record)
+        """Remove an urgent task that is about to start."""
+        self._decrement_counts(record)
         del self.urgent[record.task.id]
 
-    def take(self, subqueue: Subqueue, key: tuple[int, int, int]) -> TaskRecord:
-        """Remove and return the oldest task of a size class, which starts."""
-        record = subqueue.take(key)
-        self._uncount(record)
+    def take(self, subqueue: Subqueue, size_class: tuple[int, int, int]) -> TaskRecord:
+        """Remove and return the first task of a size class, which is about to start."""
+        record = subqueue.take(size_class)
+        self._decrement_counts(record)
         if not subqueue.count:
             self._deactivate(subqueue)
         return record
 
     def take_record(self, record: TaskRecord) -> None:
-        """Remove any queued task, which starts."""
+        """Remove a queued task, urgent or not, that is about to start."""
         if record.task.urgent:
             self.take_urgent(record)
             return
         self.discard(record)
 
     def mark_organisation_changed(self, organisation: str) -> None:
-        """Have all subqueues of an organisation tried again, as it may run more now."""
+        """Mark all subqueues of an organisation, which may now run more tasks."""
         for subqueue in self._active_by_organisation.get(organisation, {}).values():
             self.changed_subqueues[organisation, subqueue.queue] = subqueue
 
     def active_subqueues(self) -> Iterator[Subqueue]:
-        """Yield all subqueues with queued tasks."""
+        """Yield all active subqueues."""
         for subqueues in self._active_by_organisation.values():
             yield from subqueues.values()
 
     def subqueues_by_organisation(self, pool: str) -> dict[str, dict[str, Subqueue]]:
-        """Return the non-empty subqueues of queues that the pool serves."""
+        """Return the active subqueues of the queues that a pool serves.
+
+        The result maps organisation and queue to the subqueue.
+        """
         return self._active_by_pool.get(pool, {})
 
     def all_subqueues_by_organisation(self) -> dict[str, dict[str, Subqueue]]:
-        """Return all non-empty subqueues."""
+        """Return all active subqueues by organisation and queue."""
         return self._active_by_organisation
 
-    def home_pool(self, queue: str) -> str:
-        """Return the pool that serves a queue, an empty string if the queue is gone."""
+    def pool_of_queue(self, queue: str) -> str:
+        """Return the pool that serves a queue, "" if the queue is not configured."""
         settings = self._config.queue_by_id.get(queue)
         return settings.pool if settings is not None else ""
 
@@ -145,13 +158,16 @@
         return settings is not None and settings.kind is QueueKind.BATCH
 
     def has_batch_priority(self, record: TaskRecord, now: float) -> bool:
-        """Return whether a task is batch work that has not been promoted by age."""
+        """Return whether a task is batch work that has not been promoted by its age."""
         if not self.is_batch(record.task.queue):
             return False
         return now - record.queued_at < BATCH_PROMOTION_S
 
     def subqueue_has_batch_priority(self, subqueue: Subqueue, now: float) -> bool:
-        """Return whether a subqueue only uses capacity that interactive work leaves."""
+        """Return whether the oldest task of a subqueue has batch priority.
+
+        If so, the subqueue only gets capacity that interactive work leaves.
+        """
         if not self.is_batch(subqueue.queue):
             return False
         oldest = subqueue.oldest()
@@ -162,13 +178,13 @@
         subqueue = self._subqueue_by_key.get((organisation, queue))
         return subqueue.count if subqueue is not None else 0
 
-    def _uncount(self, record: TaskRecord) -> None:
+    def _decrement_counts(self, record: TaskRecord) -> None:
         self.count_by_organisation[record.task.organisation] -= 1
         self._count_by_queue[record.task.queue] -= 1
 
     def _activate(self, subqueue: Subqueue) -> None:
         organisations = self._active_by_pool.setdefault(
-            self.home_pool(subqueue.queue), {}
+            self.pool_of_queue(subqueue.queue), {}
         )
         organisations.setdefault(subqueue.organisation, {})[subqueue.queue] = subqueue
         self._active_by_organisation.setdefault(subqueue.organisation, {})[
@@ -177,12 +193,12 @@
 
     def _deactivate(self, subqueue: Subqueue) -> None:
         self.changed_subqueues.pop((subqueue.organisation, subqueue.queue), None)
-        pool = self.home_pool(subqueue.queue)
-        _remove(self._active_by_pool.get(pool, {}), subqueue)
-        _remove(self._active_by_organisation, subqueue)
+        pool = self.pool_of_queue(subqueue.queue)
+        _remove_subqueue(self._active_by_pool.get(pool, {}), subqueue)
+        _remove_subqueue(self._active_by_organisation, subqueue)
 
 
-def _remove(
+def _remove_subqueue(
     subqueues_by_organisation: dict[str, dict[str, Subqueue]], subqueue: Subqueue
 ) -> None:
     subqueues = subqueues_by_organisation.get(subqueue.organisation, {})
--- a/libs/sched/src/lycheeloom/sched/reclaim.py
+++ b/libs/sched/src/lycheeloom/sched/reclaim.py
@@ -1,6 +1,8 @@
 """Takes back capacity from borrowers, batch work and zones out of service.
 
-Tasks are checkpointed, or throttled if that is impossible, so that no work is lost.
+A borrower is a task that runs outside its queue's own pool. Borrowers and batch tasks
+are checkpointed, or throttled if they cannot be, so that no work is lost. In a zone out
+of service, tasks that cannot be checkpointed run on.
 """
 
 from __future__ import annotations
@@ -9,21 +11,22 @@
 from .state import SchedulerState
 from .tasks import Decision, PreemptionReason, TaskRecord, TaskState
 
-# A waiting task gets this long to start without preemption. Tasks that should end
-# within this time are not preempted.
+# A waiting task has this long to start without preemption. Running tasks that should
+# end within this time are not preempted, unless they are overdue by more than it.
 GRACE_S = 1.0
+# Time between two rounds of preemptions.
 RECLAIM_INTERVAL_S = 0.5
 
 
 class Reclaimer:
-    """Preempts running tasks in favour of tasks that take precedence in the pool."""
+    """Preempts running tasks in favour of tasks that take precedence in their pool."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
         self._next_reclaim_at = 0.0
 
     def evacuate(self, zones: set[str], now: float) -> list[Decision]:
-        """Checkpoint the checkpointable tasks in zones taken out of service."""
+        """Checkpoint the checkpointable tasks in zones now out of service."""
         decisions: list[Decision] = []
         for worker in self._state.workers.worker_by_id.values():
             if worker.zone not in zones:
@@ -37,7 +40,7 @@
         return decisions
 
     def reclaim(self, now: float) -> list[Decision]:
-        """Preempt one task per subqueue whose oldest task has waited too long."""
+        """Preempt at most one task per subqueue whose oldest task waited too long."""
         if now < self._next_reclaim_at:
             return []
         self._next_reclaim_at = now + RECLAIM_INTERVAL_S
@@ -51,7 +54,10 @@
         return decisions
 
     def _waiting_tasks(self, pool: str, now: float) -> list[TaskRecord]:
-        """Return the oldest tasks of the pool's own queues that waited too long."""
+        """Return the oldest tasks of the pool's own queues that have waited too long.
+
+        Left out are batch work and organisations that have used up their grant.
+        """
         state = self._state
         queues: Queues = state.queues
         waiting = []
@@ -69,13 +75,15 @@
     def _reclaim_for(
         self, pool: str, waiting: list[TaskRecord], now: float
     ) -> list[Decision]:
+        """Preempt at most one running task of the pool for each waiting task."""
         candidates = self._candidates(pool, now)
         decisions: list[Decision] = []
         if not candidates:
             return decisions
         usage_level = self._state.shares.usage_level
         waiting.sort(key=lambda record: usage_level(record.task.organisation))
-        # Tasks of organisations furthest above their fair share are preempted first.
+        # Tasks of organisations furthest above their fair share come last, and are
+        # preempted first.
         candidates.sort(
             key=lambda item: (usage_level(item[0].task.organisation), item[0].sequence)
         )
@@ -87,6 +95,7 @@
             if is_borrower and usage_level(record.task.organisation) >= usage_level(
                 victim.task.organisation
             ):
+                # The organisations of the other waiting tasks use no less.
                 break
             candidates.pop()
             decisions.append(self._preempt(victim, reason, now))
@@ -95,13 +104,15 @@
     def _candidates(
         self, pool: str, now: float
     ) -> list[tuple[TaskRecord, PreemptionReason]]:
-        """Return the borrowers and batch tasks of the pool that will not end soon.
+        """Return the tasks in the pool that may be preempted, with the reasons.
 
-        While a requested checkpoint is in progress in the pool, there are none.
+        These are the borrowers and the batch tasks that should not end soon and are not
+        yet throttled. A spare pool has no borrowers to preempt. While any requested
+        checkpoint is in progress in the pool, the result is empty.
         """
         state = self._state
-        settings = state.config.pool_by_id[pool]
-        found = []
+        pool_config = state.config.pool_by_id[pool]
+        candidates = []
         checkpoints_in_progress = 0
         for worker in state.workers.workers_in_pool(pool):
             for record in worker.running.values():
@@ -110,24 +121,24 @@
                     continue
                 if record.task.urgent or record.state is not TaskState.RUNNING:
                     continue
-                if record.expected_end - now < GRACE_S and not self._overdue(
+                if record.expected_end - now < GRACE_S and not self._is_overdue(
                     record, now
                 ):
                     continue
                 if state.queues.has_batch_priority(record, now):
-                    found.append((record, PreemptionReason.BATCH_YIELD))
-                elif not settings.spare and self._is_borrower(record, pool):
-                    found.append((record, PreemptionReason.LOAN_RETURN))
+                    candidates.append((record, PreemptionReason.BATCH_YIELD))
+                elif not pool_config.spare and self._is_borrower(record, pool):
+                    candidates.append((record, PreemptionReason.LOAN_RETURN))
         preemptible = [
-            f for f in found if f[0].task.checkpointable or not f[0].throttled
+            f for f in candidates if f[0].task.checkpointable or not f[0].throttled
         ]
         return preemptible if not checkpoints_in_progress else []
 
     def _is_borrower(self, record: TaskRecord, pool: str) -> bool:
-        return self._state.queues.home_pool(record.task.queue) != pool
+        return self._state.queues.pool_of_queue(record.task.queue) != pool
 
-    def _overdue(self, record: TaskRecord, now: float) -> bool:
-        """Return whether a task has run longer than expected by more than GRACE_S."""
+    def _is_overdue(self, record: TaskRecord, now: float) -> bool:
+        """Return whether a task should have ended more than GRACE_S ago."""
         return now > record.expected_end + GRACE_S
 
     def _preempt(
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -1,9 +1,9 @@
 """Workers reserved for tasks that need more room than becomes free at once.
 
 A large task would never start on a full fleet, because smaller tasks take whatever
-becomes free. So a worker is reserved for it. Until the expected start, the worker is
-backfilled only with tasks that end before then. An urgent task reserves the worker
-on which tasks are preempted for it.
+becomes free. So a worker is reserved for the large task. Until that task is expected
+to start, the worker is backfilled only with tasks that should end before then. For an
+urgent task, the worker is reserved on which other tasks are preempted.
 """
 
 from __future__ import annotations
@@ -19,21 +19,24 @@
 from .tasks import Decision, Task, TaskRecord, TaskState
 from .workers import Worker
 
-# A task that others have passed over gets a reservation once it has waited for this
-# fraction of the time that the worker will take to have room, and at the latest after
-# RESERVE_AFTER_S. So small tasks, for which a worker soon has room and little is kept
-# idle, get one early.
+# A task that was passed over gets a reservation once it has waited since then for this
+# fraction of the time until the worker is expected to have room, and at the latest
+# after RESERVE_AFTER_S. So small tasks get one early: a worker soon has room for them,
+# and little capacity is kept idle.
 RESERVE_WAIT_FRACTION = 0.25
 RESERVE_AFTER_S = 2.0
-# Reservations hold at most this fraction of a pool's workers, or one worker if more.
+# Reservations for tasks that are not urgent hold at most this fraction of a pool's
+# workers, or one worker if that is more. A part of a worker counts as that part.
 MAX_RESERVED_FRACTION = 0.1
-# Tasks of other entries on a worker are assumed to end after this time.
+# If room on a worker depends on tasks of other entries, these are assumed to end after
+# this time.
 ASSUMED_PEER_TASK_S = 10.0
-# The search for a worker looks at every worker of a pool; this bounds its cost.
+# Time between two searches in a pool, for each of its workers. A search looks at every
+# worker of the pool, so this bounds the cost of searching.
 SEARCH_INTERVAL_PER_WORKER_S = 0.0005
 # Peers are told only of reservations older than this; see ``published_worker_ids``.
 PUBLISH_AFTER_S = 1.0
-# All reservations are checked this often; those whose task is gone are released.
+# All reservations are checked this often, and released if their task is gone.
 CHECK_INTERVAL_S = 0.5
 
 
@@ -41,8 +44,12 @@
 class Reservation:
     """A worker reserved for an urgent task or for a size class of a subqueue.
 
-    ``fraction`` is the part of the worker that the task needs, ``expected_at`` the
-    time at which the worker is expected to have room.
+    ``fraction`` is the part of the worker that the task needs, 0.0 for an urgent task.
+    ``expected_at`` is the time at which the worker is expected to have room.
+
+    A reservation for an urgent task has the id of the task as ``urgent_task``, and no
+    subqueue. Any other has an empty ``urgent_task``. It is for whichever task comes
+    first in ``size_class`` of ``subqueue`` when the worker has room.
     """
 
     worker: Worker
@@ -56,7 +63,7 @@
 
 
 class Reservations:
-    """All reservations of this entry."""
+    """All reservations of this entry; a worker has at most one."""
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
@@ -74,14 +81,14 @@
     def published_worker_ids(self) -> tuple[str, ...]:
         """Return the reserved workers that peers should not start tasks on.
 
-        Young reservations of tasks that are not urgent are left out. They often end
+        Young reservations for tasks that are not urgent are left out. They often end
         before peers learn of them, and what peers then leave free on the worker would
         stay idle until this entry notices.
         """
         now = self._now
         return tuple(
-            name
-            for name, reservation in self._by_worker.items()
+            worker_id
+            for worker_id, reservation in self._by_worker.items()
             if reservation.urgent_task or now - reservation.created_at > PUBLISH_AFTER_S
         )
 
@@ -98,22 +105,22 @@
         append_event(record, WorkerReserved(now, worker.id, expected_at))
 
     def release_urgent(self, task_id: str, now: float) -> None:
-        """Release the worker reserved for an urgent task."""
+        """Release the worker reserved for an urgent task, if there is one."""
         worker_id = self._worker_by_urgent_task.get(task_id)
         if worker_id is not None:
             self._release(self._by_worker[worker_id], now)
 
     def start_ready(self, now: float) -> list[Decision]:
-        """Start tasks whose reserved worker has room; release what is not needed."""
+        """Start tasks whose reserved worker has room; release unneeded reservations."""
         self._now = now
-        changed = self._state.workers.changed_reserved
+        changed_workers = self._state.workers.changed_reserved
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_S
-            changed.update(self._by_worker)
-        if not changed and not self._worker_by_urgent_task:
+            changed_workers.update(self._by_worker)
+        if not changed_workers and not self._worker_by_urgent_task:
             return []
         self._state.workers.changed_reserved = set()
-        worker_ids = changed | set(self._worker_by_urgent_task.values())
+        worker_ids = changed_workers | set(self._worker_by_urgent_task.values())
         decisions: list[Decision] = []
         for worker_id in sorted(worker_ids):
             reservation = self._by_worker.get(worker_id)
@@ -132,14 +139,18 @@
         excluded: frozenset[str],
         now: float,
     ) -> Worker | None:
-        """Return a reserved worker on which the task ends before the expected start."""
+        """Return a reserved worker that the task would leave again in time.
+
+        The task must be expected to end before the task starts for which the worker is
+        reserved. Workers reserved for urgent tasks are not backfilled.
+        """
         reservations = self._by_pool.get(pool)
         if not reservations:
             return None
-        end = now + self._state.sizes.corrected_run_s(task)
+        expected_end = now + self._state.sizes.corrected_run_s(task)
         for reservation in reservations.values():
             worker = reservation.worker
-            if end > reservation.expected_at or reservation.urgent_task:
+            if expected_end > reservation.expected_at or reservation.urgent_task:
                 continue
             if worker.id in excluded or not self._state.workers.accepts_starts(worker):
                 continue
@@ -156,7 +167,7 @@
         pool: str,
         now: float,
     ) -> None:
-        """Reserve a worker for a record that has been passed over for too long."""
+        """Reserve a worker for a task that was first passed over too long ago."""
         passed_over_at = record.passed_over_at
         if passed_over_at is None or now <= passed_over_at:
             return
@@ -166,17 +177,18 @@
         self._next_search_at_by_pool[pool] = now + SEARCH_INTERVAL_PER_WORKER_S * len(
             workers
         )
-        best: tuple[float, str] | None = None
+        # When a worker is first expected to have room, and the id of the worker.
+        earliest: tuple[float, str] | None = None
         for worker in self._candidates(workers, need):
             expected_at = expected_room_at(worker, need, now)
-            if best is None or (expected_at, worker.id) < best:
-                best = (expected_at, worker.id)
-        if best is None:
+            if earliest is None or (expected_at, worker.id) < earliest:
+                earliest = (expected_at, worker.id)
+        if earliest is None:
             return
-        wait_s = min(RESERVE_AFTER_S, RESERVE_WAIT_FRACTION * (best[0] - now))
+        wait_s = min(RESERVE_AFTER_S, RESERVE_WAIT_FRACTION * (earliest[0] - now))
         if now - passed_over_at < wait_s:
             return
-        worker = self._state.workers.worker_by_id[best[1]]
+        worker = self._state.workers.worker_by_id[earliest[1]]
         fraction = need.dominant_share(worker.size)
         reserved = sum(r.fraction for r in self._by_pool.get(pool, {}).values())
         if reserved + fraction > max(1.0, len(workers) * MAX_RESERVED_FRACTION):
@@ -186,14 +198,19 @@
             pool,
             fraction,
             now,
-            best[0],
+            earliest[0],
             subqueue=subqueue,
             size_class=size_class,
         )
         self._add(reservation, now)
-        append_event(record, WorkerReserved(now, worker.id, best[0]))
+        append_event(record, WorkerReserved(now, worker.id, earliest[0]))
 
     def _start_on(self, reservation: Reservation, now: float) -> Decision | None:
+        """Start the task of a reservation if its worker has room.
+
+        The reservation is released if the task starts, is gone, no longer fits on the
+        worker or must wait for a grant, or if the worker takes no normal work.
+        """
         state = self._state
         worker = reservation.worker
         record = self._next_task(reservation)
@@ -216,7 +233,7 @@
         return state.start(record, worker, need, now)
 
     def _next_task(self, reservation: Reservation) -> TaskRecord | None:
-        """Return the task that the reservation is for, None if it is gone."""
+        """Return the queued task that the reservation now serves, None if gone."""
         if reservation.subqueue is not None:
             return reservation.subqueue.head(reservation.size_class)
         record = self._state.record_by_id.get(reservation.urgent_task)
@@ -253,17 +270,17 @@
 
 
 def expected_room_at(worker: Worker, need: Resources, now: float) -> float:
-    """Return when the worker is expected to have room for ``need``."""
+    """Return when running tasks are expected to have left room for ``need``."""
     free = worker.free
     if need.fits_in(free):
         return now
-    ends = sorted(
+    expected_ends = sorted(
         (max(now, record.expected_end), record.sequence, record.need)
         for record in worker.running.values()
     )
     freed = NO_RESOURCES
-    for end, _, size in ends:
-        freed = freed + size
+    for expected_end, _, ended_need in expected_ends:
+        freed = freed + ended_need
         if need.fits_in(free + freed):
-            return end
+            return expected_end
     return now + ASSUMED_PEER_TASK_S
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -42,8 +42,8 @@
 from .urgent import UrgentPlacement
 from .workers import WorkerTable
 
-# Even the oldest task waits until capacity becomes free. Peers are told only of
-# subqueues that have waited longer, so that they keep no capacity idle in vain.
+# Peers are told only of subqueues whose oldest task has waited for longer. Shorter waits
+# for free capacity are usual, and peers would keep capacity idle for them in vain.
 REPORT_AFTER_S = 0.25
 
 
@@ -108,7 +108,7 @@
         boot_id: str,
         now: float,
     ) -> None:
-        """Apply what a worker reported; ``free`` is None if not known."""
+        """Apply what a worker reported; ``free`` is None, ``boot_id`` "" if unknown."""
         self._now = now
         state = self._state
         worker = state.workers.worker_by_id.get(worker_id)
@@ -140,10 +140,10 @@
     def set_grants(self, slots_by_organisation: Mapping[str, int]) -> None:
         """Set how many tasks of each organisation this entry may run at once."""
         state = self._state
-        before = state.grant_by_organisation
+        previous_grants = state.grant_by_organisation
         state.grant_by_organisation = dict(slots_by_organisation)
         for organisation, slots in slots_by_organisation.items():
-            if slots > before.get(organisation, 0):
+            if slots > previous_grants.get(organisation, 0):
                 state.queues.mark_organisation_changed(organisation)
 
     def set_peer_usage(
@@ -151,7 +151,7 @@
         usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]],
         reserved_workers: Iterable[str] = (),
     ) -> None:
-        """Set the usage of all peers and the workers they have reserved."""
+        """Set the usage of all peers, and the workers that they have reserved."""
         state = self._state
         state.shares.set_peer_usage(usage_by_peer, self._now)
         state.workers.set_reserved_by_peers(reserved_workers, self._now)
@@ -169,16 +169,16 @@
         state.peer_queues_by_organisation = queues_by_organisation
 
     def observe_usage(self, reports: Iterable[UsageReport], now: float) -> None:
-        """Correct sizes by usage reports; charge running tasks that exceed theirs."""
+        """Correct declared sizes by usage reports; raise the need of running tasks."""
         self._now = now
         for report in reports:
             record = self._state.record_by_id.get(report.task_id)
             if record is not None and record.state is TaskState.RUNNING:
-                self._raise_need(record, report.peak, now)
+                self._reserve_excess_usage(record, report.peak, now)
             self._state.sizes.observe(report)
 
     def submit(self, task: Task, now: float) -> Accepted | Held | Refusal:
-        """Queue a task or refuse it; a repeated id is accepted without effect."""
+        """Queue a task or refuse it; accept a known id again without effect."""
         self._now = now
         if task.id in self._state.record_by_id:
             return Accepted()
@@ -196,7 +196,7 @@
         return verdict
 
     def cancel(self, task_ids: Iterable[str], now: float) -> tuple[str, ...]:
-        """Remove tasks that do not run; return those that certainly will not run.
+        """Remove tasks that are not running; return those that were removed.
 
         Running tasks are not touched: the caller cancels them at the worker.
         """
@@ -220,7 +220,7 @@
         state.workers.advance_ramps(now)
         decisions: list[Decision] = self._pending_decisions
         self._pending_decisions = []
-        decisions.extend(self._expire(now))
+        decisions.extend(self._refuse_past_deadline(now))
         decisions.extend(self._reservations.start_ready(now))
         decisions.extend(self._urgent.place(now))
         decisions.extend(self._trials.start(now))
@@ -229,10 +229,10 @@
         return decisions
 
     def finished(self, task_id: str, outcome: Outcome, now: float) -> None:
-        """Release a started task.
+        """Free what a started task held, as it no longer runs.
 
-        A task refused by its worker waits for ``requeue``, one stopped by a
-        checkpoint is queued again, and any other is removed.
+        A task refused by its worker then waits for ``requeue``, one stopped by a
+        requested checkpoint is queued again, and any other is removed.
         """
         self._now = now
         state = self._state
@@ -240,7 +240,7 @@
         if record is None or record.state is not TaskState.RUNNING:
             return
         state.release(record, now)
-        self._apply_outcome(record, outcome, now)
+        self._assess_worker(record, outcome, now)
         if outcome is Outcome.REFUSED_BY_WORKER:
             record.state = TaskState.AWAITING_REQUEUE
             return
@@ -250,7 +250,7 @@
         state.forget(record, outcome.value, now)
 
     def requeue(self, task_id: str, excluded_worker: str) -> None:
-        """Queue a task again that a worker refused without running it."""
+        """Queue a task again that a worker refused; avoid that worker for a while."""
         state = self._state
         record = state.record_by_id.get(task_id)
         if record is None:
@@ -284,7 +284,7 @@
         return demand
 
     def usage_by_organisation(self) -> dict[str, OrganisationUsage]:
-        """Return the usage of this entry, for its peers."""
+        """Return what this entry runs and has queued, to be sent to its peers."""
         state = self._state
         usage = {}
         for organisation in self.demand_by_organisation():
@@ -296,7 +296,7 @@
                 queued_by_queue = {
                     queue: subqueue.count
                     for queue, subqueue in subqueues.items()
-                    if self._has_waited(subqueue)
+                    if self._has_waited_to_report(subqueue)
                 }
             usage[organisation] = OrganisationUsage(
                 state.shares.running_resources(organisation),
@@ -310,7 +310,7 @@
         return self._reservations.published_worker_ids()
 
     def explain(self, task_id: str) -> tuple[TaskEvent, ...]:
-        """Return the events of a task, oldest first, then why it waits."""
+        """Return the events of a task, oldest first, and at the end why it waits."""
         return explain_task(self._state, task_id, self._now)
 
     def explain_organisation(self, organisation: str) -> tuple[OrganisationEvent, ...]:
@@ -321,11 +321,12 @@
         """Return the latest events of workers, racks and zones."""
         return tuple(self._state.fleet_events)
 
-    def _expire(self, now: float) -> list[Decision]:
+    def _refuse_past_deadline(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         while self._deadlines and self._deadlines[0][0] <= now:
             deadline, task_id = heapq.heappop(self._deadlines)
             record = self._state.record_by_id.get(task_id)
+            # The task may have ended, and another task may have got its id.
             if record is None or record.task.deadline != deadline:
                 continue
             if record.state is TaskState.RUNNING:
@@ -353,11 +354,13 @@
             state.forget(record, "no longer allowed", now)
             self._pending_decisions.append(Expire(record.task, refusal))
 
-    def _has_waited(self, subqueue: Subqueue) -> bool:
+    def _has_waited_to_report(self, subqueue: Subqueue) -> bool:
         oldest = subqueue.oldest()
         return oldest is not None and self._now - oldest.queued_at > REPORT_AFTER_S
 
-    def _raise_need(self, record: TaskRecord, peak: Resources, now: float) -> None:
+    def _reserve_excess_usage(
+        self, record: TaskRecord, peak: Resources, now: float
+    ) -> None:
         need = record.need
         extra = Resources(
             max(0.0, peak.cores - need.cores),
@@ -372,7 +375,7 @@
         record.need = need + extra
         self._state.shares.resized(record.task.organisation, extra, now)
 
-    def _apply_outcome(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
+    def _assess_worker(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
         state = self._state
         worker = state.workers.worker_by_id.get(record.worker)
         if worker is None:
@@ -394,5 +397,5 @@
                 state.probation.discard_trial(worker.id, task.id)
             case Outcome.REFUSED_BY_WORKER:
                 state.probation.discard_trial(worker.id, task.id)
-                # Starts nothing there until the worker reports its free capacity.
+                # The worker counts as full until it next reports its free capacity.
                 state.workers.observe(worker, worker.available, Resources(), now)
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -1,4 +1,4 @@
-"""Tracks how much of the fleet each organisation uses, against its fair share."""
+"""Compares how much of the fleet each organisation uses with its fair share."""
 
 from __future__ import annotations
 
@@ -11,33 +11,40 @@
 
 from .tasks import OrganisationUsage
 
+# Half-life of the decaying mean of an organisation's past share.
 PAST_SHARE_HALF_LIFE_S = 60.0
 # Usage levels are compared in steps of this fraction of an organisation's fair share;
 # within a step the decaying mean of the past share decides.
 USAGE_LEVEL_STEP = 0.002
-# Weight of the newest task in the moving means of the tasks' shares.
+# Weight of the newest task in the moving means of an organisation's task shares.
 NEWEST_TASK_WEIGHT = 0.05
 # Weight of each caller of an open queue that is not a configured organisation.
 UNCONFIGURED_WEIGHT = 1.0
 
-# Usage over fair share in steps of USAGE_LEVEL_STEP, then past share over fair share.
+# Share divided by fair share, counted in steps of USAGE_LEVEL_STEP, and past share
+# divided by fair share, which breaks ties.
 UsageLevel = tuple[float, float]
 
 
 @dataclass(slots=True)
 class _OrganisationState:
+    """What this entry knows of the usage of one organisation."""
+
     weight: float
+    # Resources and number of the tasks that this entry runs.
     cores: float = 0.0
     memory_mb: float = 0.0
     accelerators: float = 0.0
     running: int = 0
-    # Resources of the tasks that peers run, as last reported.
+    # Resources of the tasks that peers run, as they last reported.
     peer_running: Resources = NO_RESOURCES
-    # Moving means of the dominant share of a task and of that share squared.
+    # Moving means of the dominant share of one task and of the square of that share.
     mean_task_share: float = 0.0
     mean_square_task_share: float = 0.0
+    # Decaying mean of ``share``, and when it was last updated.
     past_share: float = 0.0
     past_share_at: float = 0.0
+    # Present dominant share of the whole fleet, this entry and its peers together.
     share: float = 0.0
     usage_level: UsageLevel = (0.0, 0.0)
 
@@ -45,12 +52,12 @@
 class OrganisationShares:
     """Orders organisations by weighted dominant share of the whole fleet.
 
-    An organisation's dominant share is the largest fraction of a resource of the
-    fleet that its running tasks take, at all entries. Peers report their usage at
-    intervals; between reports it counts as unchanged. The alternative is to assume
-    that peers change as this entry does. That avoids that every entry corrects the
-    same deficit, but makes the usage levels of small organisations so uncertain
-    that they are served too often.
+    An organisation's dominant share is the largest fraction of any resource of the
+    fleet that its running tasks take at all entries. Peers report their usage at
+    intervals; between reports it counts as unchanged. If the usage of peers were
+    assumed to change as that of this entry does, entries would not all correct the
+    same deficit at once. But the usage levels of small organisations would be so
+    uncertain that these organisations were served too often.
     """
 
     def __init__(self) -> None:
@@ -84,15 +91,15 @@
         return self._state(organisation).share
 
     def fair_share(self, organisation: str) -> float:
-        """Return the share due to the organisation when all others have enough work."""
+        """Return the share due to an organisation while all others have enough work."""
         return self._state(organisation).weight / self._weight_sum
 
     def mean_task_share(self, organisation: str) -> float:
-        """Return the mean dominant share of one task, 0.0 if none was started yet."""
+        """Return the mean dominant share of its tasks, 0.0 if none was started yet."""
         return self._state(organisation).mean_task_share
 
     def organisations(self) -> list[str]:
-        """Return every organisation seen so far."""
+        """Return every organisation that was configured, used or reported so far."""
         return list(self._state_by_organisation)
 
     def running(self, organisation: str) -> int:
@@ -100,7 +107,7 @@
         return self._state(organisation).running
 
     def running_resources(self, organisation: str) -> Resources:
-        """Return the resources that this entry runs for an organisation."""
+        """Return the resources that the tasks of an organisation use at this entry."""
         state = self._state(organisation)
         return Resources(state.cores, round(state.memory_mb), round(state.accelerators))
 
@@ -117,19 +124,19 @@
         self._add(state, need, 1, now)
 
     def ended(self, organisation: str, need: Resources, now: float) -> None:
-        """Release the charge of a task that ended."""
+        """Stop charging an organisation for a task that ended."""
         state = self._state(organisation)
         state.running -= 1
         self._add(state, need, -1, now)
 
     def resized(self, organisation: str, extra: Resources, now: float) -> None:
-        """Charge a running task for using more than was reserved for it."""
+        """Charge an organisation for what a task uses beyond its reservation."""
         self._add(self._state(organisation), extra, 1, now)
 
     def set_peer_usage(
         self, usage_by_peer: Mapping[str, Mapping[str, OrganisationUsage]], now: float
     ) -> None:
-        """Replace the usage of all peers."""
+        """Replace what is known of the usage of all peers."""
         for state in self._state_by_organisation.values():
             state.peer_running = NO_RESOURCES
         for usage_by_organisation in usage_by_peer.values():
@@ -160,20 +167,23 @@
 
     def _update(self, state: _OrganisationState, now: float) -> None:
         elapsed_s = max(0.0, now - state.past_share_at)
-        kept = 0.5 ** (elapsed_s / PAST_SHARE_HALF_LIFE_S)
-        state.past_share = state.past_share * kept + state.share * (1.0 - kept)
+        past_weight = 0.5 ** (elapsed_s / PAST_SHARE_HALF_LIFE_S)
+        state.past_share = state.past_share * past_weight + state.share * (
+            1.0 - past_weight
+        )
         state.past_share_at = now
         state.share = self._fleet_usage(state).dominant_share(self._total)
         fair = state.weight / self._weight_sum
-        # A share changes by whole tasks. Half of such a step is added, so that
-        # organisations with large tasks do not exceed their share on average. The
-        # step is the mean weighted by size, as large tasks dominate the changes.
-        step = (
+        # A share changes by whole tasks. Half of such a change is added, so that
+        # organisations with large tasks do not exceed their fair share on average. The
+        # size of a change is the mean task share weighted by itself, as large tasks
+        # dominate the changes.
+        size_of_change = (
             state.mean_square_task_share / state.mean_task_share
             if state.mean_task_share
             else 0.0
         )
-        relative_share = (state.share + step / 2) / fair
+        relative_share = (state.share + size_of_change / 2) / fair
         state.usage_level = (
             math.floor(relative_share / USAGE_LEVEL_STEP),
             state.past_share / fair,
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -34,12 +34,13 @@
 from .waits import WaitEstimator
 from .workers import Worker, WorkerTable
 
+# Events and refusals kept for explanations.
 MAX_EVENTS_PER_TASK = 20
-MAX_EVENTS_PER_ORGANISATION = 50
+MAX_REFUSALS_PER_ORGANISATION = 50
 MAX_FLEET_EVENTS = 500
 # Ended tasks whose events are kept for explanations.
-EXPLAINABLE_ENDED_TASKS = 2_000
-# A worker that refused a task is not offered the task again for this long.
+MAX_EXPLAINABLE_ENDED_TASKS = 2_000
+# A task does not start again on a worker that refused it for this long.
 EXCLUSION_S = 2.0
 
 
@@ -56,7 +57,8 @@
     waits: WaitEstimator = field(default_factory=WaitEstimator)
     record_by_id: dict[str, TaskRecord] = field(default_factory=dict)
     grant_by_organisation: Mapping[str, int] = field(default_factory=dict)
-    # Queued tasks that the peers' grants allow them to start.
+    # The queued tasks that peers report for capacity to be left to them: how many tasks
+    # and on which queues.
     peer_queued_by_organisation: Counter[str] = field(default_factory=Counter)
     peer_queues_by_organisation: dict[str, set[str]] = field(default_factory=dict)
     fleet_events: deque[FleetEvent] = field(
@@ -76,7 +78,7 @@
         """Return whether the grant allows the organisation one more running task.
 
         Callers of open queues that are not a configured organisation have no upper
-        limit and therefore no grants.
+        limit, so they need no grant.
         """
         if organisation not in self.config.organisation_by_id:
             return True
@@ -106,7 +108,7 @@
         return corrected
 
     def excluded(self, record: TaskRecord, now: float) -> frozenset[str]:
-        """Return the workers that must not be offered the task now."""
+        """Return the workers on which the task must not start now."""
         if record.excluded and now - record.queued_at < EXCLUSION_S:
             return record.excluded | record.task.excluded_workers
         return record.task.excluded_workers
@@ -123,11 +125,13 @@
     def requeue(
         self, record: TaskRecord, now: float, reason: str, excluded: frozenset[str]
     ) -> TaskRecord:
-        """Queue a task in front again that was checkpointed or refused by a worker.
+        """Queue a checkpointed task, or one refused by a worker, again in front.
 
-        The record is replaced, because subqueues drop removed records only later.
+        A new record replaces that of the task. The old one may still be in a deque of
+        its subqueue, which drops removed records only later, and must not be taken for
+        a queued task there.
         """
-        again = replace(
+        new_record = replace(
             record,
             state=TaskState.QUEUED,
             worker="",
@@ -139,15 +143,15 @@
             throttled=False,
             passed_over_at=None,
         )
-        self.record_by_id[record.task.id] = again
-        self.queues.add(again, first=True)
-        append_event(again, TaskQueued(now, record.task.queue, reason))
-        return again
+        self.record_by_id[record.task.id] = new_record
+        self.queues.add(new_record, first=True)
+        append_event(new_record, TaskQueued(now, record.task.queue, reason))
+        return new_record
 
     def start(
         self, record: TaskRecord, worker: Worker, need: Resources, now: float
     ) -> Start:
-        """Start a task that has left its queue, and charge its organisation."""
+        """Start a task that was taken from its queue, and charge its organisation."""
         task = record.task
         record.state = TaskState.RUNNING
         record.worker = worker.id
@@ -159,14 +163,14 @@
         self.shares.started(task.organisation, need, now)
         self.sizes.remember(task)
         self.waits.record_start(task.organisation, task.queue, now)
-        borrowed = worker.pool != self.queues.home_pool(task.queue)
+        borrowed = worker.pool != self.queues.pool_of_queue(task.queue)
         record.reclaimable = borrowed or self.queues.is_batch(task.queue)
         self.reclaimable_count_by_pool[worker.pool] += record.reclaimable
         append_event(record, TaskStarted(now, worker.id, worker.pool, need, borrowed))
         return Start(task, worker.id, need)
 
     def release(self, record: TaskRecord, now: float) -> None:
-        """Free the running slot and the capacity of a task that ended."""
+        """Free the running slot and the capacity that a task held until it ended."""
         worker = self.workers.worker_by_id.get(record.worker)
         if worker is not None and record.task.id in worker.running:
             self.workers.detach(worker, record, now)
@@ -178,18 +182,18 @@
             self.queues.mark_organisation_changed(organisation)
 
     def forget(self, record: TaskRecord, outcome: str, now: float) -> None:
-        """Remove an ended task; its events stay for explanations."""
+        """Remove the record of an ended task; keep its events for explanations."""
         record.state = TaskState.ENDED
         del self.record_by_id[record.task.id]
         append_event(record, TaskEnded(now, record.worker or "no worker", outcome))
         self.events_by_ended_task[record.task.id] = record.events
-        if len(self.events_by_ended_task) > EXPLAINABLE_ENDED_TASKS:
+        if len(self.events_by_ended_task) > MAX_EXPLAINABLE_ENDED_TASKS:
             self.events_by_ended_task.popitem(last=False)
 
     def request_checkpoint(
         self, record: TaskRecord, reason: PreemptionReason, now: float
     ) -> Checkpoint:
-        """Preempt a running task by a checkpoint; it is queued again afterwards."""
+        """Ask a running task to checkpoint; once stopped, it is queued again."""
         record.checkpointing = True
         append_event(record, PreemptionRequested(now, "checkpoint", reason.value))
         return Checkpoint(record.task.id, reason)
@@ -197,7 +201,7 @@
     def request_throttle(
         self, record: TaskRecord, reason: PreemptionReason, now: float
     ) -> Throttle:
-        """Request that a running task is slowed down."""
+        """Ask a running task to slow down."""
         record.throttled = True
         append_event(record, PreemptionRequested(now, "throttle", reason.value))
         return Throttle(record.task.id)
@@ -206,13 +210,13 @@
         """Keep the refusal of a task for the explanation of its organisation."""
         refusals = self.refusals_by_organisation.get(task.organisation)
         if refusals is None:
-            refusals = deque(maxlen=MAX_EVENTS_PER_ORGANISATION)
+            refusals = deque(maxlen=MAX_REFUSALS_PER_ORGANISATION)
             self.refusals_by_organisation[task.organisation] = refusals
         refusals.append(TaskRefused(now, task.id, reason, message))
 
 
 def append_event(record: TaskRecord, event: TaskEvent) -> None:
-    """Append an event of a task; when full, the oldest but the first is dropped."""
+    """Append an event of a task; if there are too many, drop the second oldest."""
     if len(record.events) >= MAX_EVENTS_PER_TASK:
         del record.events[1]
     record.events.append(event)
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -14,9 +14,10 @@
 class Task:
     """One attempt to run a request.
 
-    ``resources`` and ``run_s`` are as declared by the caller. ``submitted_at``
-    and ``deadline`` are seconds of the entry's monotonic clock; the task must
-    start before ``deadline``. ``excluded_workers`` are never offered the task.
+    ``resources`` and ``run_s``, the run time in seconds, are as declared by the
+    caller. ``submitted_at`` and ``deadline`` are seconds of the entry's monotonic
+    clock; the task must start before ``deadline``. An ``idempotent`` task may
+    run again after a failure. The task never starts on ``excluded_workers``.
     """
 
     id: str
@@ -37,27 +38,37 @@
 
     DONE = "done"
     FAILED = "failed"
+    # The worker refused the task without running it.
     REFUSED_BY_WORKER = "refused_by_worker"
+    # Stopped before it was done; queued again if the scheduler asked for a checkpoint.
     STOPPED = "stopped"
 
 
 class PreemptionReason(StrEnum):
-    """Why a running task is asked to checkpoint or is throttled."""
+    """Why a running task is checkpointed or throttled."""
 
+    # Operators took the zone of the task's worker out of service.
     ZONE_OUT = "zone_out"
+    # An urgent task needs the capacity or the running slot.
     URGENT = "urgent"
+    # The task borrows capacity of a pool whose own queues need it back.
     LOAN_RETURN = "loan_return"
+    # The task is batch work, and other work of the pool's own queues waits.
     BATCH_YIELD = "batch_yield"
 
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The task is queued."""
+    """A submitted task is queued."""
 
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """The task is queued, but no worker that it may use now is large enough."""
+    """A submitted task is queued, but would have to wait for a larger worker.
+
+    Only pools other than its queue's own pool and the spare pools have workers that
+    are large enough; one of them could be moved.
+    """
 
     message: str
 
@@ -66,7 +77,7 @@
 class Start:
     """Start ``task`` on ``worker`` and reserve ``resources`` there.
 
-    ``resources`` is the corrected size; it replaces the declared one in the
+    ``resources`` is the corrected size, which replaces the declared size in the
     request to the worker.
     """
 
@@ -92,9 +103,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Expire:
-    """A queued task is refused without running.
+    """Refuse a task that waits for its start and will not run.
 
-    Its deadline has passed, or its queue is gone or closed to its organisation.
+    The deadline of the task has passed, or its queue was removed from the
+    configuration or closed to its organisation.
     """
 
     task: Task
@@ -106,7 +118,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageReport:
-    """Usage of one task, reported with a delay: peak resources and run time."""
+    """Peak resources and run time of one task, reported with a delay.
+
+    ``ended`` is False in the report of a task that still runs.
+    """
 
     task_id: str
     peak: Resources
@@ -118,8 +133,10 @@
 class OrganisationUsage:
     """What one entry runs and has queued for an organisation.
 
-    ``queued_by_queue`` counts only tasks that the entry's grant allows it to start;
-    peers leave capacity for these. It is empty if the entry did not send it.
+    ``queued`` counts all queued tasks, ``queued_by_queue`` only those that peers should
+    leave capacity for: tasks of queues on which the organisation has waited for some
+    time, as long as its grant at the entry allows one more start. The mapping is also
+    empty if the entry did not send it.
     """
 
     running: Resources = NO_RESOURCES
@@ -128,11 +145,14 @@
 
 
 class TaskState(StrEnum):
-    """The stages of a task in the scheduler."""
+    """The stages of a task in the scheduler.
+
+    ``ENDED`` also marks the record of a task that was removed from its subqueue.
+    """
 
     QUEUED = "queued"
     RUNNING = "running"
-    # Refused by a worker; waits for ``Scheduler.requeue``.
+    # A worker refused the task, which waits for the call of ``Scheduler.requeue``.
     AWAITING_REQUEUE = "parked"
     ENDED = "ended"
 
@@ -142,21 +162,27 @@
     """The scheduler's mutable state of one task."""
 
     task: Task
+    # Order of submission; a task that is queued again keeps its number.
     sequence: int
+    # Reset when the task is queued again after a refusal, kept after a checkpoint.
     queued_at: float
     state: TaskState = TaskState.QUEUED
+    # Empty until the task starts.
     worker: str = ""
+    # Reserved on the worker.
     need: Resources = NO_RESOURCES
     started_at: float = 0.0
     expected_end: float = 0.0
+    # Workers that refused the task, on which it does not start for a while.
     excluded: frozenset[str] = frozenset()
     # A checkpoint was requested and the task has not ended yet.
     checkpointing: bool = False
     throttled: bool = False
-    # When another task was first started instead, because this one did not fit.
+    # When another task first started ahead of this one, which fitted on no worker.
     passed_over_at: float | None = None
     # The pool that ``worker`` was in when the task started.
     pool: str = ""
-    # Runs outside its queue's own pool or is batch work, so it may be preempted.
+    # The task runs outside its queue's own pool or is batch work, so that it may be
+    # preempted for tasks that take precedence in the pool.
     reclaimable: bool = False
     events: list = field(default_factory=list)
--- a/libs/sched/src/lycheeloom/sched/trials.py
+++ b/libs/sched/src/lycheeloom/sched/trials.py
@@ -1,4 +1,4 @@
-"""Starts trial tasks on workers on probation, one at a time."""
+"""Starts trials: single tasks that test whether a worker on probation works."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 class Trials:
     """Chooses a task for each worker on probation whose backoff has ended.
 
-    Trials are idempotent tasks, because a trial is likely to fail and a task that
-    is not idempotent could not be repeated. Other tasks are tried only while no
-    worker takes normal work, as they would otherwise wait for ever.
+    A trial is likely to fail, and a task that is not idempotent could not be repeated.
+    So only idempotent tasks are used for trials. Other tasks are used while no worker
+    of the fleet takes normal work, as they would otherwise wait for ever.
     """
 
     def __init__(self, state: SchedulerState) -> None:
@@ -20,7 +20,7 @@
         self._on_probation: dict[str, Worker] = {}
 
     def begin_probation(self, worker: Worker, now: float) -> None:
-        """Close a worker to normal work; it only gets trial tasks."""
+        """Close a worker to normal work, so that it only gets trials."""
         worker.on_probation = True
         self._on_probation[worker.id] = worker
         self._state.workers.refresh(worker, now)
@@ -32,7 +32,7 @@
         self._state.workers.refresh(worker, now)
 
     def start(self, now: float) -> list[Decision]:
-        """Start at most one trial on each worker on probation that is idle."""
+        """Start a trial on each idle worker on probation that is due for one."""
         decisions: list[Decision] = []
         state = self._state
         for worker in self._on_probation.values():
@@ -46,6 +46,7 @@
         return decisions
 
     def _start_on(self, worker: Worker, now: float) -> Decision | None:
+        """Start the first suitable task of the queues that the worker's pool serves."""
         state = self._state
         no_other_worker = self._no_worker_for_normal_work()
         for organisation, subqueues in state.queues.subqueues_by_organisation(
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -11,24 +11,32 @@
 from .tasks import Decision, PreemptionReason, TaskRecord, TaskState
 from .workers import Worker
 
-# A reserved worker without room after this time is released to choose another.
+# If the worker reserved for an urgent task still has no room after this time, it is
+# released and a worker is chosen anew.
 MAKE_ROOM_TIMEOUT_S = 1.5
 
 
 class UrgentPlacement:
-    """Places urgent tasks before all others, charged to their organisation as usual."""
+    """Places urgent tasks before all others.
+
+    If no worker has room, a worker is reserved and tasks on it are preempted. Urgent
+    tasks count towards the grant and the share of their organisation as others do.
+    """
 
     def __init__(self, state: SchedulerState, reservations: Reservations) -> None:
         self._state = state
         self._reservations = reservations
-        self._preempted_at_by_task: dict[str, float] = {}
+        # When running tasks were last preempted for each urgent task.
+        self._preempted_at_by_urgent_task: dict[str, float] = {}
 
     def place(self, now: float) -> list[Decision]:
         """Start urgent tasks, or preempt running tasks for them."""
         decisions: list[Decision] = []
         urgent = self._state.queues.urgent
-        for task_id in [t for t in self._preempted_at_by_task if t not in urgent]:
-            del self._preempted_at_by_task[task_id]
+        for task_id in [
+            t for t in self._preempted_at_by_urgent_task if t not in urgent
+        ]:
+            del self._preempted_at_by_urgent_task[task_id]
         for record in list(urgent.values()):
             if self._waits_for_room(record, now):
                 continue
@@ -36,14 +44,19 @@
         return decisions
 
     def _waits_for_room(self, record: TaskRecord, now: float) -> bool:
+        """Return whether a worker is reserved for the task and is still making room.
+
+        Releases the worker if its time for that is over.
+        """
         task_id = record.task.id
-        preempted_at = self._preempted_at_by_task.get(task_id)
+        preempted_at = self._preempted_at_by_urgent_task.get(task_id)
         if preempted_at is None or now - preempted_at >= MAKE_ROOM_TIMEOUT_S:
             self._reservations.release_urgent(task_id, now)
             return False
         return self._reservations.has_urgent(task_id)
 
     def _place_one(self, record: TaskRecord, now: float) -> list[Decision]:
+        """Start an urgent task if possible; preempt running tasks for it otherwise."""
         state = self._state
         task = record.task
         if not state.may_run(task.organisation):
@@ -59,34 +72,39 @@
 
     def _pools(self, record: TaskRecord) -> Iterator[str]:
         """Yield the queue's own pool, then spare pools, then all others."""
-        home = self._state.queues.home_pool(record.task.queue)
-        yield home
+        own_pool = self._state.queues.pool_of_queue(record.task.queue)
+        yield own_pool
         pools = self._state.config.pool_by_id.values()
-        for spare in (True, False):
+        for is_spare in (True, False):
             for pool in pools:
-                if pool.spare is spare and pool.id != home:
+                if pool.spare is is_spare and pool.id != own_pool:
                     yield pool.id
 
     def _preempt_same_organisation(
         self, record: TaskRecord, now: float
     ) -> list[Decision]:
-        """Preempt one task of the organisation, which has used up its grant."""
-        if record.task.id in self._preempted_at_by_task:
+        """Preempt one task of the same organisation, which has used up its grant.
+
+        The urgent task takes over its running slot. One preemption is enough, so no
+        other follows while the urgent task waits.
+        """
+        if record.task.id in self._preempted_at_by_urgent_task:
             return []
         for other in self._state.record_by_id.values():
             if other.task.organisation == record.task.organisation and _is_preemptible(
                 other
             ):
-                self._preempted_at_by_task[record.task.id] = now
-                return [self._preempt(other, now)]
+                self._preempted_at_by_urgent_task[record.task.id] = now
+                return [self._checkpoint(other, now)]
         return []
 
     def _reserve_and_preempt(self, record: TaskRecord, now: float) -> list[Decision]:
         """Reserve the best worker and preempt tasks of this entry there.
 
-        The best worker is one on which few preemptions make enough room. If there is
-        none, it is the one that then lacks least. Peers learn of the reservation and
-        do not use what their own tasks free there.
+        The best worker is the one that lacks least room after the preemptions, and of
+        several such workers the one with the fewest preemptions. Pools are searched in
+        turn until one has a worker that would have enough room. Peers learn of the
+        reservation and do not use what their own tasks free on the worker.
         """
         state = self._state
         best: tuple[tuple[float, ...], Worker, list[TaskRecord]] | None = None
@@ -96,9 +114,9 @@
                 if not self._may_reserve(worker, record, need, now):
                     continue
                 victims, lacking = self._victims(worker, need, now)
-                key = (lacking, float(len(victims)))
-                if best is None or key < best[0]:
-                    best = (key, worker, victims)
+                preference = (lacking, float(len(victims)))
+                if best is None or preference < best[0]:
+                    best = (preference, worker, victims)
             if best is not None and best[0][0] <= 0.0:
                 break
         if best is None:
@@ -107,12 +125,13 @@
         self._reservations.reserve_urgent(
             record, worker, now + MAKE_ROOM_TIMEOUT_S, now
         )
-        self._preempted_at_by_task[record.task.id] = now
-        return [self._preempt(victim, now) for victim in victims]
+        self._preempted_at_by_urgent_task[record.task.id] = now
+        return [self._checkpoint(victim, now) for victim in victims]
 
     def _may_reserve(
         self, worker: Worker, record: TaskRecord, need: Resources, now: float
     ) -> bool:
+        """Return whether a worker could run the task once it has enough room."""
         state = self._state
         if not state.workers.accepts_starts(worker) or worker.on_probation:
             return False
@@ -125,10 +144,14 @@
     def _victims(
         self, worker: Worker, need: Resources, now: float
     ) -> tuple[list[TaskRecord], float]:
-        """Return the tasks to preempt, and the fraction of the need still lacking."""
+        """Return the tasks to preempt, and the fraction of the need still lacking then.
+
+        The fraction is 0.0 if the preemptions make enough room.
+        """
         usage_level = self._state.shares.usage_level
         running = [r for r in worker.running.values() if _is_preemptible(r)]
-        # Tasks of organisations furthest above their fair share are preempted first.
+        # Tasks of organisations furthest above their fair share come last, and are
+        # preempted first.
         running.sort(key=lambda r: (usage_level(r.task.organisation), r.sequence))
         free = worker.free
         victims = []
@@ -140,7 +163,7 @@
             return victims, 0.0
         return victims, (need - free).dominant_share(need)
 
-    def _preempt(self, victim: TaskRecord, now: float) -> Decision:
+    def _checkpoint(self, victim: TaskRecord, now: float) -> Decision:
         return self._state.request_checkpoint(victim, PreemptionReason.URGENT, now)
 
 
--- a/libs/sched/src/lycheeloom/sched/waits.py
+++ b/libs/sched/src/lycheeloom/sched/waits.py
@@ -1,27 +1,29 @@
-"""Estimates waiting times from recent start rates."""
+"""Estimates how long new tasks wait, from the rate of recent starts."""
 
 from __future__ import annotations
 
 from collections import deque
 
-# Older starts do not count towards the present rate.
-WINDOW_S = 10.0
-MAX_STARTS = 200
+# Starts that are older do not count towards the present rate.
+RATE_WINDOW_S = 10.0
+# Latest starts kept per organisation and queue.
+MAX_REMEMBERED_STARTS = 200
 # A rate from fewer starts is too uncertain to refuse tasks because of it.
-MIN_STARTS = 5
+MIN_STARTS_FOR_RATE = 5
 
 
 class WaitEstimator:
     """Estimates how long a new task of an organisation waits on a queue."""
 
     def __init__(self) -> None:
+        # Start times, keyed by organisation and queue.
         self._starts_by_subqueue: dict[tuple[str, str], deque[float]] = {}
 
     def record_start(self, organisation: str, queue: str, now: float) -> None:
         """Count the start of a task."""
         starts = self._starts_by_subqueue.get((organisation, queue))
         if starts is None:
-            starts = deque(maxlen=MAX_STARTS)
+            starts = deque(maxlen=MAX_REMEMBERED_STARTS)
             self._starts_by_subqueue[organisation, queue] = starts
         starts.append(now)
 
@@ -37,8 +39,8 @@
         starts = self._starts_by_subqueue.get((organisation, queue))
         if starts is None:
             return None
-        while starts and now - starts[0] > WINDOW_S:
+        while starts and now - starts[0] > RATE_WINDOW_S:
             starts.popleft()
-        if len(starts) < MIN_STARTS or now <= starts[0]:
+        if len(starts) < MIN_STARTS_FOR_RATE or now <= starts[0]:
             return None
         return queued * (now - starts[0]) / len(starts)
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -13,13 +13,14 @@
 from .capacity import CapacityTree
 from .tasks import TaskRecord
 
-# Fitting workers compared for one start. More of them cost time and spread tasks no
-# better.
-CANDIDATES = 3
+# Fitting workers of a zone that are compared for one start. Comparing more would cost
+# time and spread tasks no better.
+MAX_CANDIDATES = 3
 # A zone that is back in service may use this fraction of its capacity at first and all
 # of it after RAMP_S, so that workers with cold caches are not all filled at once.
 RAMP_START_FRACTION = 0.25
 RAMP_S = 3.0
+# Time between two increases of the capacity of such a zone.
 RAMP_STEP_S = 0.25
 
 
@@ -34,13 +35,18 @@
     size: Resources
     tree_index: int = 0
     available: bool = False
+    # As the worker last reported, corrected for what this entry started or ended since.
     free: Resources = NO_RESOURCES
+    # Reserved for the running tasks of this entry.
     own_used: Resources = NO_RESOURCES
+    # Empty until the worker has reported it.
     boot_id: str = ""
     on_probation: bool = False
     # This entry keeps the worker free for a waiting task.
     reserved: bool = False
+    # A peer keeps the worker free for a waiting task.
     reserved_by_peer: bool = False
+    # Tasks of this entry by id.
     running: dict[str, TaskRecord] = field(default_factory=dict)
 
 
@@ -59,6 +65,8 @@
     def __init__(self, seed: int) -> None:
         self.worker_by_id: dict[str, Worker] = {}
         self.total_cores = 0.0
+        # Pools of which a usable worker changed since the last allocation, so that
+        # queued tasks may be able to start there.
         self.freed_pools: set[str] = set()
         # Reserved workers that changed since the reservations were last checked.
         self.changed_reserved: set[str] = set()
@@ -70,12 +78,12 @@
         self._next_ramp_at = 0.0
         self._pool_by_instance: Mapping[str, str] = {}
         self._instance_by_id: Mapping[str, Instance] = {}
-        # Running tasks of this entry per queue and zone of a pool, and per queue and
-        # rack, for spreading.
+        # Running tasks of this entry, keyed by queue and "pool/zone" and also by queue
+        # and rack, to spread each queue.
         self._running_by_location: Counter[tuple[str, str]] = Counter()
 
     def set_config(self, config: FleetConfig, now: float) -> tuple[set[str], set[str]]:
-        """Apply instances and zones; return the zones taken out and returned."""
+        """Apply instances and zones; return the zones taken out and those returned."""
         out = {z.id for z in config.zone_by_id.values() if z.state is ZoneState.OUT}
         taken_out, returned = (
             out - self._zones_out_of_service,
@@ -115,7 +123,7 @@
             yield from zone_index.workers
 
     def peer_cores(self, pool: str) -> float:
-        """Return the cores of a pool that peers use, as last reported."""
+        """Return the cores of a pool that peers use, as the workers last reported."""
         return sum(
             worker.size.cores - worker.free.cores - worker.own_used.cores
             for worker in self.workers_in_pool(pool)
@@ -123,7 +131,10 @@
         )
 
     def free_fraction(self, pool: str) -> float:
-        """Return the free cores of a pool as a fraction of all cores of the fleet."""
+        """Return the free cores of a pool as a fraction of all cores of the fleet.
+
+        Only workers that accept starts count as free.
+        """
         free = sum(
             w.free.cores for w in self.workers_in_pool(pool) if self.accepts_starts(w)
         )
@@ -132,6 +143,7 @@
     def has_room(self, pool: str) -> bool:
         """Return whether any usable worker of the pool has free cores."""
         for zone_index in self._zones_by_pool.get(pool, ()):
+            # The cores at the root are the most that any worker has free.
             if zone_index.tree.nodes[1][0] > 0:
                 return True
         return False
@@ -150,7 +162,10 @@
     def place(
         self, need: Resources, pool: str, queue: str, excluded: frozenset[str]
     ) -> Worker | None:
-        """Choose a worker with room, spreading a queue over zones and racks."""
+        """Choose a worker with room, so that a queue is spread over zones and racks.
+
+        Returns None if no worker of the pool has room.
+        """
         indexes = [
             zone_index
             for zone_index in self._zones_by_pool.get(pool, ())
@@ -169,7 +184,7 @@
         return None
 
     def attach(self, worker: Worker, record: TaskRecord, now: float) -> None:
-        """Reserve capacity on a worker for a started task."""
+        """Reserve the need of a started task on its worker."""
         worker.running[record.task.id] = record
         worker.free = worker.free - record.need
         worker.own_used = worker.own_used + record.need
@@ -179,7 +194,7 @@
         self.refresh(worker, now)
 
     def detach(self, worker: Worker, record: TaskRecord, now: float) -> None:
-        """Free the capacity of a task that ended."""
+        """Free the capacity of a worker that a task held until it ended."""
         del worker.running[record.task.id]
         worker.free = worker.free + record.need
         worker.own_used = worker.own_used - record.need
@@ -199,16 +214,17 @@
     ) -> None:
         """Apply what a worker reported about itself.
 
-        Its report may not include the tasks that this entry has just started, so
-        ``free`` is limited to what this entry's own tasks leave.
+        The report may not yet include tasks that this entry has just started, so
+        ``free`` is limited to what the tasks of this entry leave. If ``free`` is None,
+        the free capacity stays as it was.
         """
         worker.available = available
         if free is not None:
-            left = worker.size - worker.own_used
+            unreserved = worker.size - worker.own_used
             worker.free = Resources(
-                min(free.cores, left.cores),
-                min(free.memory_mb, left.memory_mb),
-                min(free.accelerators, left.accelerators),
+                min(free.cores, unreserved.cores),
+                min(free.memory_mb, unreserved.memory_mb),
+                min(free.accelerators, unreserved.accelerators),
             )
         self.refresh(worker, now)
 
@@ -222,7 +238,7 @@
                 self.refresh(worker, now)
 
     def refresh(self, worker: Worker, now: float) -> None:
-        """Update the index after a worker changed."""
+        """Update the index after a worker changed, and mark its pool as freed."""
         if worker.reserved:
             self.changed_reserved.add(worker.id)
         for zone_index in self._zones_by_pool.get(worker.pool, ()):
@@ -234,7 +250,7 @@
                 return
 
     def accepts_starts(self, worker: Worker) -> bool:
-        """Return whether the worker is available, in service and in the fleet."""
+        """Return whether a configured worker is available and its zone in service."""
         return (
             worker.available
             and worker.zone not in self._zones_out_of_service
@@ -249,6 +265,7 @@
         return self.accepts_starts(worker) and not worker.on_probation
 
     def _usable_capacity(self, worker: Worker, now: float) -> Resources | None:
+        """Return what normal work may use of a worker, None if nothing may start."""
         if not self.accepts_starts(worker) or worker.on_probation:
             return None
         if worker.reserved or worker.reserved_by_peer:
@@ -260,12 +277,12 @@
             RAMP_START_FRACTION
             + (1 - RAMP_START_FRACTION) * (now - returned_at) / RAMP_S
         )
-        kept = Resources(
+        withheld = Resources(
             worker.size.cores * (1 - fraction),
             int(worker.size.memory_mb * (1 - fraction)),
             int(worker.size.accelerators * (1 - fraction)),
         )
-        return worker.free - kept
+        return worker.free - withheld
 
     def _place_in(
         self,
@@ -274,15 +291,21 @@
         queue: str,
         excluded: frozenset[str],
     ) -> Worker | None:
+        """Choose the best of a few fitting workers, found from a random index on.
+
+        The best worker runs the fewest tasks of the queue in its rack; among equal
+        ones it has the least free cores.
+        """
         count = len(zone_index.workers)
         tree_index = self._random.randrange(count)
         chosen: Worker | None = None
-        best = (0, 0.0)
+        best_preference = (0, 0.0)
         found = 0
         wrapped = False
-        while found < CANDIDATES:
+        while found < MAX_CANDIDATES:
             tree_index = zone_index.tree.find(need, tree_index)
             if tree_index < 0:
+                # After the last index the search goes on once from index 0.
                 if wrapped:
                     break
                 wrapped, tree_index = True, 0
@@ -292,12 +315,16 @@
             if worker.id in excluded:
                 continue
             found += 1
-            key = (self._running_by_location[queue, worker.rack], worker.free.cores)
-            if chosen is None or key < best:
-                chosen, best = worker, key
+            preference = (
+                self._running_by_location[queue, worker.rack],
+                worker.free.cores,
+            )
+            if chosen is None or preference < best_preference:
+                chosen, best_preference = worker, preference
         return chosen
 
     def _zone_load(self, queue: str, pool: str, zone_index: _ZoneIndex) -> float:
+        """Return the running tasks of a queue per worker of a pool in a zone."""
         running = self._running_by_location[queue, f"{pool}/{zone_index.zone}"]
         return running / len(zone_index.workers)
 
@@ -307,23 +334,25 @@
                 self.refresh(worker, now)
 
     def _rebuild(self, now: float) -> None:
-        """Rebuild the index after instances or pools changed."""
-        previous = self.worker_by_id
+        """Rebuild the index after instances or pools changed, keeping known workers."""
+        previous_worker_by_id = self.worker_by_id
         self.worker_by_id = {}
-        grouped: dict[tuple[str, str], list[Worker]] = {}
+        workers_by_location: dict[tuple[str, str], list[Worker]] = {}
         self._sizes_by_pool = {}
         self.total_cores = sum(i.size.cores for i in self._instance_by_id.values())
         for instance in self._instance_by_id.values():
-            worker = previous.get(instance.id) or _new_worker(instance)
+            worker = previous_worker_by_id.get(instance.id) or _new_worker(instance)
             worker.size = instance.size
             worker.zone = instance.zone
             worker.rack = instance.rack
             worker.pool = self._pool_by_instance.get(instance.id, instance.pool)
             self.worker_by_id[instance.id] = worker
-            grouped.setdefault((worker.pool, worker.zone), []).append(worker)
+            workers_by_location.setdefault((worker.pool, worker.zone), []).append(
+                worker
+            )
             self._sizes_by_pool.setdefault(worker.pool, set()).add(worker.size)
         self._zones_by_pool = {}
-        for (pool, zone), workers in grouped.items():
+        for (pool, zone), workers in workers_by_location.items():
             workers.sort(key=lambda worker: (worker.rack, worker.id))
             zone_index = _ZoneIndex(zone, workers, CapacityTree(len(workers)))
             for tree_index, worker in enumerate(workers):
