--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -90,7 +90,7 @@
         now: float,
         decisions: list[Decision],
     ) -> None:
-        """Start tasks in the pools that serve their queues."""
+        """Start tasks in the pools that serve their queues; spare pools are only lent."""
         state = self._state
         pools = set(freed)
         for _, queue in changed:
@@ -246,13 +246,17 @@
         now: float,
         unplaceable_sizes: set[Resources],
     ) -> Worker | None:
-        """Choose a worker; add a need that fits nowhere to ``unplaceable_sizes``."""
+        """Choose a worker with room, or else a reserved worker to backfill.
+
+        Adds a need for which no worker has room to ``unplaceable_sizes``.
+        """
         task: Task = record.task
         excluded = self._state.excluded(record, now)
         if need not in unplaceable_sizes:
             worker = self._state.workers.place(need, pool, task.queue, excluded)
             if worker is not None:
                 return worker
+            # With excluded workers, another task of the same need may still fit.
             if not excluded:
                 unplaceable_sizes.add(need)
         return self._reservations.backfill(task, need, pool, excluded, now)
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -49,7 +49,8 @@
 
     A reservation for an urgent task has the id of the task as ``urgent_task``, and no
     subqueue. Any other has an empty ``urgent_task``. It is for whichever task comes
-    first in ``size_class`` of ``subqueue`` when the worker has room.
+    first in ``size_class`` of ``subqueue`` when the worker has room; a size class may
+    have several reservations.
     """
 
     worker: Worker
@@ -167,7 +168,7 @@
         pool: str,
         now: float,
     ) -> None:
-        """Reserve a worker for a task that was first passed over too long ago."""
+        """Reserve a worker for a task if it was first passed over long enough ago."""
         passed_over_at = record.passed_over_at
         if passed_over_at is None or now <= passed_over_at:
             return
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -42,8 +42,8 @@
 from .urgent import UrgentPlacement
 from .workers import WorkerTable
 
-# Peers are told only of subqueues whose oldest task has waited for longer. Shorter waits
-# for free capacity are usual, and peers would keep capacity idle for them in vain.
+# Peers are told only of subqueues whose oldest task has waited longer. A shorter wait
+# for free capacity is usual, and peers would keep capacity idle for it in vain.
 REPORT_AFTER_S = 0.25
 
 
@@ -174,7 +174,7 @@
         for report in reports:
             record = self._state.record_by_id.get(report.task_id)
             if record is not None and record.state is TaskState.RUNNING:
-                self._reserve_excess_usage(record, report.peak, now)
+                self._raise_need(record, report.peak, now)
             self._state.sizes.observe(report)
 
     def submit(self, task: Task, now: float) -> Accepted | Held | Refusal:
@@ -358,9 +358,7 @@
         oldest = subqueue.oldest()
         return oldest is not None and self._now - oldest.queued_at > REPORT_AFTER_S
 
-    def _reserve_excess_usage(
-        self, record: TaskRecord, peak: Resources, now: float
-    ) -> None:
+    def _raise_need(self, record: TaskRecord, peak: Resources, now: float) -> None:
         need = record.need
         extra = Resources(
             max(0.0, peak.cores - need.cores),
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -157,6 +157,7 @@
     def _add(
         self, state: _OrganisationState, need: Resources, sign: int, now: float
     ) -> None:
+        """Add a need to what the organisation uses here; -1 as ``sign`` subtracts it."""
         state.cores += sign * need.cores
         state.memory_mb += sign * need.memory_mb
         state.accelerators += sign * need.accelerators
@@ -166,6 +167,7 @@
         self._update(state, now)
 
     def _update(self, state: _OrganisationState, now: float) -> None:
+        """Update the past share, the present share and the usage level."""
         elapsed_s = max(0.0, now - state.past_share_at)
         past_weight = 0.5 ** (elapsed_s / PAST_SHARE_HALF_LIFE_S)
         state.past_share = state.past_share * past_weight + state.share * (
--- a/libs/sched/src/lycheeloom/sched/subqueues.py
+++ b/libs/sched/src/lycheeloom/sched/subqueues.py
@@ -47,6 +47,7 @@
     def append(self, record: TaskRecord) -> bool:
         """Append a record; return whether it is the only one of its size class."""
         records = self._records_of_class(record)
+        # Drops records that were marked by ``remove``.
         while records and records[0].state is not TaskState.QUEUED:
             records.popleft()
         records.append(record)
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -64,10 +64,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """A submitted task is queued, but would have to wait for a larger worker.
+    """A submitted task is queued, but may have to wait until a worker is moved.
 
-    Only pools other than its queue's own pool and the spare pools have workers that
-    are large enough; one of them could be moved.
+    Its queue's own pool and the spare pools have no worker that is large enough, but
+    another pool has.
     """
 
     message: str
@@ -185,4 +185,5 @@
     # The task runs outside its queue's own pool or is batch work, so that it may be
     # preempted for tasks that take precedence in the pool.
     reclaimable: bool = False
+    # Latest events, the oldest first.
     events: list = field(default_factory=list)
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -85,8 +85,8 @@
     ) -> list[Decision]:
         """Preempt one task of the same organisation, which has used up its grant.
 
-        The urgent task takes over its running slot. One preemption is enough, so no
-        other follows while the urgent task waits.
+        The urgent task gets the running slot of that task. One preemption is enough, so
+        no other follows while the urgent task waits.
         """
         if record.task.id in self._preempted_at_by_urgent_task:
             return []
--- a/libs/sched/tests/fleet_fixtures.py
+++ b/libs/sched/tests/fleet_fixtures.py
@@ -21,11 +21,14 @@
 WORKER_SIZE = Resources(4, 16384)
 
 
-def make_config(workers=6, weights=(1, 1), spare=0, zones=3, limit=1000, **queue):
+def make_config(workers=6, weights=(1, 1), spare=0, zones=3, upper_limit=1000, **queue):
     """Return a fleet of three pools and three queues.
 
     Pool ``main`` serves queue ``q`` and the batch queue ``b``, pool ``other`` serves
-    queue ``o``, and pool ``spare`` is a spare pool. ``queue`` holds settings of ``q``.
+    queue ``o``, and pool ``spare`` is a spare pool. ``workers`` is the number of
+    workers in each of the first two, ``spare`` that in the spare pool. There is one
+    organisation for each of ``weights``: ``t0``, ``t1`` and so on. Each has the same
+    upper limit and may use all queues. ``queue`` holds settings of ``q``.
     """
     instances = {}
     for pool, count in (("main", workers), ("other", workers), ("spare", spare)):
@@ -35,9 +38,10 @@
             rack = f"{zone}-r{n // (2 * zones)}"
             instances[name] = Instance(name, pool, zone, rack, "", WORKER_SIZE)
     organisations = {
-        f"t{n}": Organisation(f"t{n}", w, limit) for n, w in enumerate(weights)
+        f"t{n}": Organisation(f"t{n}", weight, upper_limit)
+        for n, weight in enumerate(weights)
     }
-    names = frozenset(organisations)
+    organisation_ids = frozenset(organisations)
     return FleetConfig(
         version=1,
         zone_by_id={f"z{n}": Zone(f"z{n}") for n in range(zones)},
@@ -45,20 +49,25 @@
         instance_by_id=instances,
         organisation_by_id=organisations,
         queue_by_id={
-            "q": Queue("q", "main", organisations=names, **queue),
-            "o": Queue("o", "other", organisations=names),
-            "b": Queue("b", "main", QueueKind.BATCH, organisations=names),
+            "q": Queue("q", "main", organisations=organisation_ids, **queue),
+            "o": Queue("o", "other", organisations=organisation_ids),
+            "b": Queue("b", "main", QueueKind.BATCH, organisations=organisation_ids),
         },
     )
 
 
 def with_zone(config, zone, state=ZoneState.OUT):
+    """Return a copy of the configuration in which a zone has the given state."""
     zones = dict(config.zone_by_id)
     zones[zone] = replace(zones[zone], state=state)
     return replace(config, zone_by_id=zones)
 
 
 def make_scheduler(config, grants=1000):
+    """Return a scheduler that knows all workers as available.
+
+    ``grants`` is the grant of every organisation.
+    """
     scheduler = Scheduler(config, seed=1)
     scheduler.set_grants(dict.fromkeys(config.organisation_by_id, grants))
     for name in config.instance_by_id:
@@ -82,4 +91,5 @@
 
 
 def starts(scheduler, now):
+    """Return the starts among the scheduler's next decisions."""
     return [d for d in scheduler.next_decisions(now) if isinstance(d, Start)]
--- a/libs/sched/tests/test_budgets.py
+++ b/libs/sched/tests/test_budgets.py
@@ -11,11 +11,12 @@
     for _ in range(1000):
         budget.on_request()
         allowed += budget.try_spend()
+    # 10 % of the requests, and one retry that is allowed from the start.
     assert 95 <= allowed <= 101
 
 
-def test_hedges_only_on_idempotent_queues():
-    """Guards against running a task twice that is not idempotent."""
+def test_only_idempotent_queues_have_hedged_requests():
+    """Guards against hedged requests that run a task twice that is not idempotent."""
     bookings = HedgeBudget(Queue("q", "p", hedge_budget_percent=50))
     lookups = HedgeBudget(Queue("q", "p", idempotent=True, hedge_budget_percent=50))
     for budget in (bookings, lookups):
--- a/libs/sched/tests/test_placement.py
+++ b/libs/sched/tests/test_placement.py
@@ -32,6 +32,7 @@
 
 
 def zone_of(config, decision):
+    """Return the zone of the worker that a start chose."""
     return config.instance_by_id[decision.worker].zone
 
 
@@ -61,7 +62,7 @@
     assert all(word in verdict.message for word in words)
 
 
-def test_task_is_held_if_a_larger_worker_could_be_moved():
+def test_task_is_held_if_a_worker_of_another_pool_could_be_moved():
     """Guards against refusing a task that fits once a worker is moved to its pool."""
     config = make_config()
     scheduler = make_scheduler(config)
@@ -73,18 +74,18 @@
     assert "other" in verdict.message
 
 
-def test_zone_out_stops_starts_at_once_and_checkpoints():
+def test_zone_out_of_service_gets_no_starts_and_its_tasks_are_checkpointed():
     """Guards against starts in a zone that operators took out of service (I5)."""
     config = make_config()
     scheduler = make_scheduler(config)
     submit(scheduler, 12, checkpointable=True)
-    first = starts(scheduler, 0.0)
-    in_zone = {d.task.id for d in first if zone_of(config, d) == "z1"}
+    first_starts = starts(scheduler, 0.0)
+    tasks_in_zone = {d.task.id for d in first_starts if zone_of(config, d) == "z1"}
     scheduler.set_config(with_zone(config, "z1"), 1.0)
     submit(scheduler, 40, "t1", now=1.0)
     decisions = scheduler.next_decisions(1.0)
-    assert {d.task_id for d in decisions if isinstance(d, Checkpoint)} == in_zone
-    for task_id in in_zone:
+    assert {d.task_id for d in decisions if isinstance(d, Checkpoint)} == tasks_in_zone
+    for task_id in tasks_in_zone:
         scheduler.finished(task_id, Outcome.STOPPED, 1.1)
     for decision in [*decisions, *scheduler.next_decisions(1.2)]:
         if isinstance(decision, Start):
@@ -100,9 +101,10 @@
     scheduler.set_config(with_zone(config, "z1", ZoneState.IN), 10.0)
     counts = []
     for tenths in range(0, 40, 5):
-        found = starts(scheduler, 10.0 + tenths / 10)
-        assert all(zone_of(config, d) == "z1" for d in found)
-        counts.append(len(found))
+        started = starts(scheduler, 10.0 + tenths / 10)
+        assert all(zone_of(config, d) == "z1" for d in started)
+        counts.append(len(started))
+    # The zone has 16 cores, a quarter of which may be used at first.
     assert 0 < counts[0] <= 4
     assert sum(counts) == 16
 
@@ -113,6 +115,7 @@
     scheduler = make_scheduler(config)
     submit(scheduler, 4, "t0", run_s=2.0)
     assert len(starts(scheduler, 0.0)) == 4
+    # The only other worker stays full.
     submit(scheduler, 4, "t0", "o", run_s=1000.0)
     starts(scheduler, 0.0)
     submit(scheduler, 1, "t1", now=0.0, resources=WORKER_SIZE)
@@ -131,7 +134,7 @@
     pytest.fail("the large task never started")
 
 
-def test_corrected_size_is_used_and_never_below_observed():
+def test_tasks_are_placed_by_corrected_size_and_present_usage():
     """Guards against placing tasks by declared sizes that usage reports contradict."""
     scheduler = make_scheduler(make_config())
     submit(scheduler, 8)
@@ -145,6 +148,7 @@
     report = UsageReport(start.task.id, Resources(3, 4096), 1.0, ended=False)
     scheduler.observe_usage([report], 5.0)
     submit(scheduler, 40, "t1", "q", now=5.0, resources=Resources(2, 1024))
+    # Of the worker's four cores, its running task uses three.
     workers = [d.worker for d in starts(scheduler, 5.0)]
     assert start.worker not in workers
 
@@ -153,15 +157,16 @@
     """Guards against a broken worker that takes and fails the whole queue."""
     scheduler = make_scheduler(make_config(workers=2))
     submit(scheduler, 200, idempotent=True, now=0.0)
-    now, on_bad = 0.0, 0
+    now, starts_on_bad_worker = 0.0, 0
     for _ in range(40):
         now += 0.25
         for start in starts(scheduler, now):
             bad = start.worker == "main-0"
-            on_bad += bad and now > 1.0
+            starts_on_bad_worker += bad and now > 1.0
             outcome = Outcome.FAILED if bad else Outcome.DONE
             scheduler.finished(start.task.id, outcome, now + 0.1)
-    assert on_bad <= 4
+    # Only trials start on the worker by then, and the backoff limits their number.
+    assert starts_on_bad_worker <= 4
     events = scheduler.fleet_events()
     assert [e.worker for e in events if isinstance(e, WorkerOnProbation)] == ["main-0"]
 
@@ -208,16 +213,16 @@
     assert [e.rack for e in events] == [rack]
 
 
-def test_urgent_task_checkpoints_on_a_full_fleet_and_is_charged():
+def test_urgent_task_preempts_on_a_full_fleet_and_is_charged():
     """Guards against urgent tasks that wait on a full fleet or are not charged."""
     scheduler = make_scheduler(make_config(workers=2))
     submit(scheduler, 8, "t0", checkpointable=True, run_s=1000.0)
     submit(scheduler, 8, "t0", "o", checkpointable=True, run_s=1000.0)
     assert len(starts(scheduler, 0.0)) == 16
     submit(scheduler, 1, "t1", urgent=True, resources=Resources(2, 2048), now=1.0)
-    asked = scheduler.next_decisions(1.0)
-    assert [d.reason for d in asked] == [PreemptionReason.URGENT] * 2
-    for decision in asked:
+    requested = scheduler.next_decisions(1.0)
+    assert [d.reason for d in requested] == [PreemptionReason.URGENT] * 2
+    for decision in requested:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 1.3)
     (start,) = starts(scheduler, 1.3)
     assert start.task.urgent
@@ -231,9 +236,11 @@
     submit(scheduler, 16, "t0", "o", checkpointable=True, run_s=1000.0)
     assert len(starts(scheduler, 0.0)) == 16
     submit(scheduler, 4, "t1", "q", now=10.0)
-    asked = list(scheduler.next_decisions(10.0)) + list(scheduler.next_decisions(12.0))
-    assert {d.reason for d in asked} == {PreemptionReason.LOAN_RETURN}
-    for decision in asked:
+    requested = list(scheduler.next_decisions(10.0)) + list(
+        scheduler.next_decisions(12.0)
+    )
+    assert {d.reason for d in requested} == {PreemptionReason.LOAN_RETURN}
+    for decision in requested:
         scheduler.finished(decision.task_id, Outcome.STOPPED, 12.5)
     assert [d.task.organisation for d in starts(scheduler, 12.5)][:1] == ["t1"]
 
@@ -242,6 +249,7 @@
     """Guards against tasks that wait although they cannot start in time."""
     scheduler = make_scheduler(make_config(workers=1), grants=1)
     submit(scheduler, 30, now=0.0)
+    # One task starts each second, so a new task of t0 waits for longer than 3 seconds.
     for second in range(1, 9):
         for start in starts(scheduler, float(second)):
             scheduler.finished(start.task.id, Outcome.DONE, second + 0.5)
@@ -250,14 +258,15 @@
     assert isinstance(verdict, Refusal)
     assert verdict.reason is RefusalReason.DEADLINE
     scheduler.set_grants({})
+    # No start of t1 is known, so its wait cannot be estimated.
     tight = Task("tight", "t1", "q", ONE_CORE, deadline=10.0)
     assert isinstance(scheduler.submit(tight, 9.0), Accepted)
     decisions = scheduler.next_decisions(10.0)
     assert [d.task.id for d in decisions if isinstance(d, Expire)] == ["tight"]
 
 
-def test_refused_start_is_queued_again_elsewhere():
-    """Guards against losing a refused task or offering it to the same worker."""
+def test_task_refused_by_a_worker_starts_on_another():
+    """Guards against losing a refused task or starting it on the same worker."""
     scheduler = make_scheduler(make_config())
     submit(scheduler, 1)
     (start,) = starts(scheduler, 0.0)
@@ -269,7 +278,7 @@
     assert again.worker != start.worker
 
 
-def test_explanations_are_sentences():
+def test_explanations_tell_why_a_task_waits_or_where_it_started():
     """Guards against decisions for which an operator finds no reason."""
     scheduler = make_scheduler(make_config(workers=1), grants=2)
     submit(scheduler, 3)
@@ -279,11 +288,11 @@
     assert "runs 2 of 2" in str(scheduler.explain_organisation("t0")[0])
 
 
-def test_pool_on_probation_returns_without_idempotent_work():
+def test_trials_use_other_tasks_if_no_worker_takes_normal_work():
     """Guards against tasks that are not idempotent and wait for ever.
 
-    The only available worker is on probation, and there is no idempotent task to try
-    it with.
+    The only available worker is on probation, and there is no idempotent task to use
+    for a trial.
     """
     scheduler = make_scheduler(make_config(workers=1))
     scheduler.observe_worker("other-0", False, None, "boot", 0.0)
@@ -297,8 +306,8 @@
     assert done == 8
 
 
-def test_trials_are_idempotent_while_others_can_do_the_work():
-    """Guards against trying a suspect worker with tasks that cannot be repeated."""
+def test_trials_use_only_idempotent_tasks_while_other_workers_take_normal_work():
+    """Guards against trials with tasks that cannot be repeated."""
     scheduler = make_scheduler(make_config(workers=1, spare=1))
     fail_until_on_probation(scheduler)
     submit(scheduler, 8, now=1.0, prefix="booking-")
@@ -323,7 +332,10 @@
 
 
 def test_worker_put_on_probation_by_the_fleet_gets_single_trials():
-    """Guards against normal work on a worker that the fleet has put on probation."""
+    """Guards against normal work on a worker put on probation by a fleet-wide decision.
+
+    One trial runs at a time. Once the probation has ended, several tasks start.
+    """
     scheduler = make_scheduler(make_config(workers=1, spare=1))
     scheduler.set_probation("main-0", True, 0.0)
     submit(scheduler, 8, now=1.0, prefix="lookup-", idempotent=True)
--- a/libs/sched/tests/test_shares.py
+++ b/libs/sched/tests/test_shares.py
@@ -8,6 +8,7 @@
 
 
 def organisations_of(decisions):
+    """Count the decisions by organisation."""
     return Counter(d.task.organisation for d in decisions)
 
 
@@ -18,6 +19,7 @@
     submit(scheduler, 100, "t1")
     submit(scheduler, 100, "t1", "o")
     submit(scheduler, 100, "t0", "o")
+    # The fleet has 48 cores, and each task needs one.
     assert organisations_of(starts(scheduler, 1.0)) == {"t0": 36, "t1": 12}
 
 
@@ -30,7 +32,7 @@
 
 
 def test_grant_is_never_exceeded():
-    """Guards against more running tasks than the grant, also after requeues."""
+    """Guards against more running tasks than the grant, also after it was lowered."""
     scheduler = make_scheduler(make_config(), grants=5)
     submit(scheduler, 20)
     first = starts(scheduler, 1.0)
@@ -44,7 +46,7 @@
     assert len(starts(scheduler, 4.0)) == 1
 
 
-def test_no_grant_means_no_start():
+def test_nothing_starts_without_a_grant():
     """Guards against starts before the entry has any grant."""
     config = make_config()
     scheduler = make_scheduler(config)
@@ -53,7 +55,7 @@
     assert not starts(scheduler, 1.0)
 
 
-def test_usage_of_peers_counts():
+def test_usage_at_peers_counts_towards_the_share():
     """Guards against shares that count only the usage of the entry itself."""
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     running = make_config().instance_by_id["main-0"].size
@@ -61,13 +63,14 @@
     submit(scheduler, 100, "t0")
     submit(scheduler, 100, "t1")
     started = [d.task.organisation for d in starts(scheduler, 1.0)]
+    # At the peer, t0 already uses a whole worker of four cores.
     assert set(started[:3]) == {"t1"}
 
 
 def test_capacity_is_left_for_a_short_time_to_a_peer_whose_organisation_has_less():
     """Guards against one entry taking a whole pool, and against idle capacity.
 
-    Only the peer has tasks of the organisation with the lower usage.
+    Only the peer has tasks of t1, the organisation with the lower usage.
     """
     scheduler = make_scheduler(make_config(weights=(1, 1)))
     waiting = OrganisationUsage(queued=50, queued_by_queue={"q": 50, "o": 50})
@@ -75,6 +78,7 @@
     submit(scheduler, 100, "t0")
     # The pools have 48 cores together, half of which the peer's organisation is due.
     started = len(starts(scheduler, 1.0))
+    # At most a few tasks more than that half start.
     assert started <= 26
     assert started + len(starts(scheduler, 2.0)) == 48
 
@@ -87,6 +91,7 @@
     submit(scheduler, 100, "t0", now=50.0, prefix="x")
     submit(scheduler, 100, "t1", now=50.0, prefix="x")
     decisions = starts(scheduler, 50.0)
+    # The past usage of t0 decides only which organisation is served first.
     assert decisions[0].task.organisation == "t1"
     assert organisations_of(decisions[:24]) == {"t0": 12, "t1": 12}
 
@@ -94,6 +99,7 @@
 def test_queue_is_bounded_and_keeps_space_for_every_organisation():
     """Guards against one organisation filling a queue so that others are refused."""
     scheduler = make_scheduler(make_config(max_queued=40))
+    # A quarter of the bound is reserved for each of the two organisations.
     submit(scheduler, 100, "t0")
     assert scheduler.demand_by_organisation() == {"t0": 30}
     submit(scheduler, 100, "t1")
@@ -111,6 +117,7 @@
         "o": 4,
         "b": 1,
     }
+    # By now the batch tasks have been queued for more than BATCH_PROMOTION_S.
     for n in range(3):
         scheduler.finished(f"t1-q-{n}", Outcome.DONE, 700.0)
     submit(scheduler, 20, "t1", "q", now=700.0, prefix="x")
--- a/libs/sched/tests/test_state_machine.py
+++ b/libs/sched/tests/test_state_machine.py
@@ -38,7 +38,11 @@
 
 
 class SchedulerMachine(RuleBasedStateMachine):
-    """Callers, operators and workers act at random; the model checks the decisions."""
+    """Lets callers, operators, workers and a peer act at random; checks every decision.
+
+    ``queued``, ``running``, ``awaiting_requeue``, ``free`` and ``grants`` are the
+    model. It follows from what is submitted, decided and reported.
+    """
 
     @initialize(seed=st.integers(0, 1000))
     def start_scheduler(self, seed):
@@ -54,6 +58,7 @@
         self.checkpoint_requested = set()
         self.awaiting_requeue = {}
         self.free = {n: i.size for n, i in self.config.instance_by_id.items()}
+        # Since when a core has been free while a task might start; None if not so.
         self.idle_since = None
         for name in self.free:
             self.scheduler.observe_worker(name, True, self.free[name], "b", 0.0)
@@ -67,6 +72,7 @@
         deadline_after_s=st.sampled_from((None, 3.0)),
     )
     def submit(self, organisation, queue, size, count, flags, deadline_after_s):
+        # Of the tasks with the flag, only every fourth is urgent.
         idempotent, urgent, checkpointable = flags
         for _ in range(count):
             self.task_count += 1
@@ -87,9 +93,9 @@
             if not isinstance(verdict, Refusal):
                 self.queued[task.id] = task
 
-    @rule(step=st.sampled_from((0.0, 0.1, 0.6, 2.5)))
-    def advance(self, step):
-        self.now += step
+    @rule(elapsed_s=st.sampled_from((0.0, 0.1, 0.6, 2.5)))
+    def advance(self, elapsed_s):
+        self.now += elapsed_s
         for decision in self.scheduler.next_decisions(self.now):
             match decision:
                 case Start(task, worker, resources):
@@ -103,13 +109,15 @@
                     # A task that a worker refused may expire before its requeue.
                     if self.queued.pop(task.id, None) is None:
                         del self.awaiting_requeue[task.id]
-        self.check_work_conservation(step)
+        self.check_work_conservation(elapsed_s)
 
     def check_start(self, task, worker, resources):
+        """Check a start against zones, free capacity and grants, and record it."""
         assert self.queued.pop(task.id) == task
         zone = self.config.instance_by_id[worker].zone
         assert self.config.zone_by_id[zone].state is ZoneState.IN
         assert resources.fits_in(self.free[worker])
+        # Only these tasks may start again after they have run.
         if not (task.idempotent or task.checkpointable):
             assert task.id not in self.started_once
         self.started_once.add(task.id)
@@ -120,27 +128,30 @@
         )
         assert running <= self.grants[task.organisation]
 
-    def check_work_conservation(self, step):
-        """Check that no core stays idle for long while a small task may run."""
+    def check_work_conservation(self, elapsed_s):
+        """Check that no core stays free for long while a task of one core may start.
+
+        Not checked while a requested checkpoint is in progress.
+        """
         running = dict.fromkeys(ORGANISATIONS, 0)
         for task, _, _ in self.running.values():
             running[task.organisation] += 1
-        waits = any(
+        task_may_start = any(
             task.resources == SIZES[0]
             and running[task.organisation] < self.grants[task.organisation]
             for task in self.queued.values()
         )
-        idle = any(
+        has_free_core = any(
             self.free[name].cores >= 1
-            and self.config.zone_by_id[i.zone].state is ZoneState.IN
-            for name, i in self.config.instance_by_id.items()
+            and self.config.zone_by_id[instance.zone].state is ZoneState.IN
+            for name, instance in self.config.instance_by_id.items()
         )
-        if not (waits and idle) or self.checkpoint_requested:
+        if not (task_may_start and has_free_core) or self.checkpoint_requested:
             self.idle_since = None
         elif self.idle_since is None:
             self.idle_since = self.now
-        # After a large step of time the scheduler had no chance to act within it.
-        if self.idle_since is not None and step <= 0.6:
+        # The scheduler could not act while a large step of time passed.
+        if self.idle_since is not None and elapsed_s <= 0.6:
             assert self.now - self.idle_since <= MAX_IDLE_S
 
     @rule(data=st.data(), outcome=st.sampled_from(Outcome))
@@ -161,7 +172,7 @@
         if outcome is Outcome.STOPPED:
             self.queued[task_id] = task
         if outcome is Outcome.REFUSED_BY_WORKER:
-            # A worker refuses a task only without having run it.
+            # A worker that refuses a task has not run it.
             self.started_once.discard(task_id)
             self.awaiting_requeue[task_id] = (task, worker)
         self.scheduler.observe_worker(worker, True, self.free[worker], "b", self.now)
@@ -178,8 +189,8 @@
         if not self.queued:
             return
         chosen = data.draw(st.sets(st.sampled_from(sorted(self.queued)), max_size=5))
-        done = self.scheduler.cancel([*chosen, "unknown"], self.now)
-        assert set(done) == chosen
+        cancelled = self.scheduler.cancel([*chosen, "unknown"], self.now)
+        assert set(cancelled) == chosen
         for task_id in chosen:
             del self.queued[task_id]
 
@@ -206,11 +217,11 @@
         pools[f"other-{worker}"] = "main"
         self.scheduler.set_pool_by_instance(pools)
 
-    @rule(bound=st.integers(5, 50))
-    def change_queue(self, bound):
+    @rule(max_queued=st.integers(5, 50))
+    def change_queue_bound(self, max_queued):
         queues = dict(self.config.queue_by_id)
         queue: Queue = queues["q"]
-        queues["q"] = replace(queue, max_queued=bound)
+        queues["q"] = replace(queue, max_queued=max_queued)
         self.config = replace(self.config, queue_by_id=queues)
         self.scheduler.set_config(self.config, self.now)
 
