--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -90,7 +90,7 @@
         now: float,
         decisions: list[Decision],
     ) -> None:
-        """Start tasks in the pools that serve their queues; spare pools are only lent."""
+        """Start tasks in the pools that serve their queues; skip spare pools."""
         state = self._state
         pools = set(freed)
         for _, queue in changed:
--- a/libs/sched/src/lycheeloom/sched/probation.py
+++ b/libs/sched/src/lycheeloom/sched/probation.py
@@ -20,7 +20,7 @@
 MAX_BACKOFF_S = 120.0
 # Trials that must succeed in a row before a worker leaves probation.
 TRIALS_TO_PASS = 2
-# Recent outcomes kept per group of tasks.
+# Latest outcomes kept for each group of tasks.
 WINDOW_OUTCOMES = 50
 # A group of tasks that fails at this rate or more on other workers is itself at fault.
 FAULTY_GROUP_FAILURE_RATE = 0.5
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -68,14 +68,14 @@
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
-        self._by_worker: dict[str, Reservation] = {}
-        self._by_pool: dict[str, dict[str, Reservation]] = {}
+        self._reservation_by_worker: dict[str, Reservation] = {}
+        self._reservations_by_pool: dict[str, dict[str, Reservation]] = {}
         self._worker_by_urgent_task: dict[str, str] = {}
         self._now = 0.0
         self._next_check_at = 0.0
         self._next_search_at_by_pool: dict[str, float] = {}
 
-    def has_urgent(self, urgent_task: str) -> bool:
+    def has_worker_for(self, urgent_task: str) -> bool:
         """Return whether a worker is reserved for an urgent task."""
         return urgent_task in self._worker_by_urgent_task
 
@@ -89,7 +89,7 @@
         now = self._now
         return tuple(
             worker_id
-            for worker_id, reservation in self._by_worker.items()
+            for worker_id, reservation in self._reservation_by_worker.items()
             if reservation.urgent_task or now - reservation.created_at > PUBLISH_AFTER_S
         )
 
@@ -109,7 +109,7 @@
         """Release the worker reserved for an urgent task, if there is one."""
         worker_id = self._worker_by_urgent_task.get(task_id)
         if worker_id is not None:
-            self._release(self._by_worker[worker_id], now)
+            self._release(self._reservation_by_worker[worker_id], now)
 
     def start_ready(self, now: float) -> list[Decision]:
         """Start tasks whose reserved worker has room; release unneeded reservations."""
@@ -117,14 +117,14 @@
         changed_workers = self._state.workers.changed_reserved
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_S
-            changed_workers.update(self._by_worker)
+            changed_workers.update(self._reservation_by_worker)
         if not changed_workers and not self._worker_by_urgent_task:
             return []
         self._state.workers.changed_reserved = set()
         worker_ids = changed_workers | set(self._worker_by_urgent_task.values())
         decisions: list[Decision] = []
         for worker_id in sorted(worker_ids):
-            reservation = self._by_worker.get(worker_id)
+            reservation = self._reservation_by_worker.get(worker_id)
             if reservation is None:
                 continue
             decision = self._start_on(reservation, now)
@@ -145,7 +145,7 @@
         The task must be expected to end before the task starts for which the worker is
         reserved. Workers reserved for urgent tasks are not backfilled.
         """
-        reservations = self._by_pool.get(pool)
+        reservations = self._reservations_by_pool.get(pool)
         if not reservations:
             return None
         expected_end = now + self._state.sizes.corrected_run_s(task)
@@ -191,7 +191,9 @@
             return
         worker = self._state.workers.worker_by_id[earliest[1]]
         fraction = need.dominant_share(worker.size)
-        reserved = sum(r.fraction for r in self._by_pool.get(pool, {}).values())
+        reserved = sum(
+            r.fraction for r in self._reservations_by_pool.get(pool, {}).values()
+        )
         if reserved + fraction > max(1.0, len(workers) * MAX_RESERVED_FRACTION):
             return
         reservation = Reservation(
@@ -245,15 +247,17 @@
     def _add(self, reservation: Reservation, now: float) -> None:
         worker = reservation.worker
         worker.reserved = True
-        self._by_worker[worker.id] = reservation
-        self._by_pool.setdefault(reservation.pool, {})[worker.id] = reservation
+        self._reservation_by_worker[worker.id] = reservation
+        self._reservations_by_pool.setdefault(reservation.pool, {})[worker.id] = (
+            reservation
+        )
         self._state.workers.refresh(worker, now)
 
     def _release(self, reservation: Reservation, now: float) -> None:
         worker = reservation.worker
         worker.reserved = False
-        del self._by_worker[worker.id]
-        del self._by_pool[reservation.pool][worker.id]
+        del self._reservation_by_worker[worker.id]
+        del self._reservations_by_pool[reservation.pool][worker.id]
         self._worker_by_urgent_task.pop(reservation.urgent_task, None)
         self._state.workers.refresh(worker, now)
 
--- a/libs/sched/src/lycheeloom/sched/scheduler.py
+++ b/libs/sched/src/lycheeloom/sched/scheduler.py
@@ -276,7 +276,7 @@
     def demand_by_organisation(self) -> dict[str, int]:
         """Return running plus queued tasks per organisation, to request grants."""
         state = self._state
-        demand = {t: n for t, n in state.queues.count_by_organisation.items() if n}
+        demand = {o: n for o, n in state.queues.count_by_organisation.items() if n}
         for organisation in state.shares.organisations():
             running = state.shares.running(organisation)
             if running:
@@ -296,7 +296,7 @@
                 queued_by_queue = {
                     queue: subqueue.count
                     for queue, subqueue in subqueues.items()
-                    if self._has_waited_to_report(subqueue)
+                    if self._is_due_for_report(subqueue)
                 }
             usage[organisation] = OrganisationUsage(
                 state.shares.running_resources(organisation),
@@ -354,7 +354,7 @@
             state.forget(record, "no longer allowed", now)
             self._pending_decisions.append(Expire(record.task, refusal))
 
-    def _has_waited_to_report(self, subqueue: Subqueue) -> bool:
+    def _is_due_for_report(self, subqueue: Subqueue) -> bool:
         oldest = subqueue.oldest()
         return oldest is not None and self._now - oldest.queued_at > REPORT_AFTER_S
 
@@ -371,7 +371,7 @@
         if worker is not None and record.task.id in worker.running:
             self._state.workers.resize(worker, extra, now)
         record.need = need + extra
-        self._state.shares.resized(record.task.organisation, extra, now)
+        self._state.shares.add_excess(record.task.organisation, extra, now)
 
     def _assess_worker(self, record: TaskRecord, outcome: Outcome, now: float) -> None:
         state = self._state
--- a/libs/sched/src/lycheeloom/sched/shares.py
+++ b/libs/sched/src/lycheeloom/sched/shares.py
@@ -72,7 +72,7 @@
             total = total + instance.size
         self._total = total
         self._weight_sum = (
-            sum(t.share for t in config.organisation_by_id.values()) or 1.0
+            sum(o.share for o in config.organisation_by_id.values()) or 1.0
         )
         for organisation_id, organisation in config.organisation_by_id.items():
             state = self._state_by_organisation.setdefault(
@@ -111,7 +111,7 @@
         state = self._state(organisation)
         return Resources(state.cores, round(state.memory_mb), round(state.accelerators))
 
-    def started(self, organisation: str, need: Resources, now: float) -> None:
+    def add_started_task(self, organisation: str, need: Resources, now: float) -> None:
         """Charge a started task to its organisation."""
         state = self._state(organisation)
         state.running += 1
@@ -123,13 +123,13 @@
         )
         self._add(state, need, 1, now)
 
-    def ended(self, organisation: str, need: Resources, now: float) -> None:
+    def remove_ended_task(self, organisation: str, need: Resources, now: float) -> None:
         """Stop charging an organisation for a task that ended."""
         state = self._state(organisation)
         state.running -= 1
         self._add(state, need, -1, now)
 
-    def resized(self, organisation: str, extra: Resources, now: float) -> None:
+    def add_excess(self, organisation: str, extra: Resources, now: float) -> None:
         """Charge an organisation for what a task uses beyond its reservation."""
         self._add(self._state(organisation), extra, 1, now)
 
@@ -157,7 +157,7 @@
     def _add(
         self, state: _OrganisationState, need: Resources, sign: int, now: float
     ) -> None:
-        """Add a need to what the organisation uses here; -1 as ``sign`` subtracts it."""
+        """Add a need to the usage of an organisation here, or subtract it with -1."""
         state.cores += sign * need.cores
         state.memory_mb += sign * need.memory_mb
         state.accelerators += sign * need.accelerators
--- a/libs/sched/src/lycheeloom/sched/state.py
+++ b/libs/sched/src/lycheeloom/sched/state.py
@@ -160,7 +160,7 @@
         record.started_at = now
         record.expected_end = now + self.sizes.corrected_run_s(task)
         self.workers.attach(worker, record, now)
-        self.shares.started(task.organisation, need, now)
+        self.shares.add_started_task(task.organisation, need, now)
         self.sizes.remember(task)
         self.waits.record_start(task.organisation, task.queue, now)
         borrowed = worker.pool != self.queues.pool_of_queue(task.queue)
@@ -177,7 +177,7 @@
         self.reclaimable_count_by_pool[record.pool] -= record.reclaimable
         organisation = record.task.organisation
         was_at_grant = not self.may_run(organisation)
-        self.shares.ended(organisation, record.need, now)
+        self.shares.remove_ended_task(organisation, record.need, now)
         if was_at_grant:
             self.queues.mark_organisation_changed(organisation)
 
--- a/libs/sched/src/lycheeloom/sched/tasks.py
+++ b/libs/sched/src/lycheeloom/sched/tasks.py
@@ -17,7 +17,7 @@
     ``resources`` and ``run_s``, the run time in seconds, are as declared by the
     caller. ``submitted_at`` and ``deadline`` are seconds of the entry's monotonic
     clock; the task must start before ``deadline``. An ``idempotent`` task may
-    run again after a failure. The task never starts on ``excluded_workers``.
+    run again after a failure. The task must not start on ``excluded_workers``.
     """
 
     id: str
--- a/libs/sched/src/lycheeloom/sched/trials.py
+++ b/libs/sched/src/lycheeloom/sched/trials.py
@@ -11,31 +11,31 @@
     """Chooses a task for each worker on probation whose backoff has ended.
 
     A trial is likely to fail, and a task that is not idempotent could not be repeated.
-    So only idempotent tasks are used for trials. Other tasks are used while no worker
-    of the fleet takes normal work, as they would otherwise wait for ever.
+    So idempotent tasks are used for trials, and others only while no worker of the
+    fleet takes normal work, as these would otherwise wait for ever.
     """
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
-        self._on_probation: dict[str, Worker] = {}
+        self._worker_on_probation_by_id: dict[str, Worker] = {}
 
     def begin_probation(self, worker: Worker, now: float) -> None:
         """Close a worker to normal work, so that it only gets trials."""
         worker.on_probation = True
-        self._on_probation[worker.id] = worker
+        self._worker_on_probation_by_id[worker.id] = worker
         self._state.workers.refresh(worker, now)
 
     def end_probation(self, worker: Worker, now: float) -> None:
         """Open a worker to normal work again."""
         worker.on_probation = False
-        self._on_probation.pop(worker.id, None)
+        self._worker_on_probation_by_id.pop(worker.id, None)
         self._state.workers.refresh(worker, now)
 
     def start(self, now: float) -> list[Decision]:
         """Start a trial on each idle worker on probation that is due for one."""
         decisions: list[Decision] = []
         state = self._state
-        for worker in self._on_probation.values():
+        for worker in self._worker_on_probation_by_id.values():
             if not state.workers.accepts_starts(worker) or worker.running:
                 continue
             if not state.probation.may_start_trial(worker.id, now):
--- a/libs/sched/src/lycheeloom/sched/urgent.py
+++ b/libs/sched/src/lycheeloom/sched/urgent.py
@@ -53,7 +53,7 @@
         if preempted_at is None or now - preempted_at >= MAKE_ROOM_TIMEOUT_S:
             self._reservations.release_urgent(task_id, now)
             return False
-        return self._reservations.has_urgent(task_id)
+        return self._reservations.has_worker_for(task_id)
 
     def _place_one(self, record: TaskRecord, now: float) -> list[Decision]:
         """Start an urgent task if possible; preempt running tasks for it otherwise."""
