--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -19,8 +19,8 @@
 from .local_requests import Submission
 
 # An interactive request without a deadline is refused after waiting this long.
-DEFAULT_WAIT_S = 30.0
-MAX_KEY_LENGTH = 128
+DEFAULT_DEADLINE_S = 30.0
+MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
 
 class RequestDocument(BaseModel):
@@ -62,14 +62,16 @@
     document = _parse_body(body)
     if isinstance(document, Refusal):
         return document
-    if len(headers.idempotency_key) > MAX_KEY_LENGTH:
-        message = f"Idempotency-Key is longer than {MAX_KEY_LENGTH} characters"
+    if len(headers.idempotency_key) > MAX_IDEMPOTENCY_KEY_LENGTH:
+        message = (
+            f"Idempotency-Key is longer than {MAX_IDEMPOTENCY_KEY_LENGTH} characters"
+        )
         return Refusal(RefusalReason.BAD_REQUEST, message)
     payload = _encode_payload(document.payload)
     if len(payload) > MAX_PAYLOAD_BYTES:
         message = f"the payload has {len(payload)} bytes, allowed {MAX_PAYLOAD_BYTES}"
         return Refusal(RefusalReason.TOO_LARGE, message)
-    return _build(queue, organisation, document, payload, headers)
+    return _build_submission(queue, organisation, document, payload, headers)
 
 
 def find_organisation(
@@ -112,7 +114,7 @@
     return json.dumps(payload, separators=(",", ":")).encode()
 
 
-def _build(
+def _build_submission(
     queue: Queue,
     organisation: str,
     document: RequestDocument,
@@ -124,7 +126,7 @@
     if document.deadline_ms is not None:
         deadline = now + document.deadline_ms / 1000
     elif document.wait and queue.kind is QueueKind.INTERACTIVE:
-        deadline = now + DEFAULT_WAIT_S
+        deadline = now + DEFAULT_DEADLINE_S
     is_idempotent = document.idempotent
     return Submission(
         request_id=uuid.uuid4().hex,
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -37,10 +37,12 @@
 # The start call of a task with a longer declared run time returns before the task
 # ends, so that it does not hold a connection.
 MAX_WAITING_RUN_S = 1.0
+# The interval between status calls grows from the minimum to the maximum.
 MIN_POLL_INTERVAL_S = 0.05
 MAX_POLL_INTERVAL_S = 1.0
+# A lease is renewed by the first poll that is due this long after the last renewal.
 RENEW_INTERVAL_S = 5.0
-# Covers different clock rates of this process and the worker.
+# Added to a worker's time limits, as its clock may run slower than this process's.
 CLOCK_MARGIN_S = 2.0
 
 
@@ -107,9 +109,10 @@
     sent_at: float
     # The incarnation whose grant the task counts against.
     holder: str
-    # The worker has stopped the task by then at the latest.
+    # The lease has expired by then at the latest, so the worker has stopped the task.
     lease_expires_by: float
     renewed_at: float
+    # Whether the worker answered the latest status call or renewal.
     is_reachable: bool = True
 
 
@@ -121,7 +124,8 @@
     ``claim(request, attempt, worker, boot_id)`` records an attempt of a recorded
     request and returns why it must not start, or None. ``holder()`` is the current
     incarnation of this entry, and ``may_renew(holder)`` tells whether leases of that
-    incarnation may be renewed.
+    incarnation may be renewed. ``on_report(worker, report)`` is called for each report
+    of a task's status.
     """
 
     def __init__(
@@ -152,7 +156,10 @@
         placement: Placement,
         on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        """Run one attempt; call ``on_silence`` once if the worker does not answer."""
+        """Run one attempt and return how it ended.
+
+        ``on_silence`` is called once if the worker leaves a status call unanswered.
+        """
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable):
             return Refused(StartRefusal.UNREACHABLE)
@@ -180,7 +187,7 @@
         boot_id: str,
         on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        # A claim waits for a commit of the log, so the session may have expired.
+        # The claim waited for a commit of the log: the session may have expired since.
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or session.boot_id != boot_id:
             return Refused(StartRefusal.UNREACHABLE)
@@ -211,7 +218,7 @@
             checkpoint=request.checkpoint,
             wait=submission.run_s <= MAX_WAITING_RUN_S,
         )
-        now = self._clock()
+        sent_at = self._clock()
         holder = self._holder()
         with self._tracer.span(
             "start_task", submission.traceparent, worker=placement.worker
@@ -228,10 +235,10 @@
             start.task,
             placement,
             session.boot_id,
-            now,
+            sent_at,
             holder,
             self._clock() + SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S,
-            now,
+            sent_at,
         )
         match result:
             case StartRefused(reason, free):
@@ -247,7 +254,7 @@
     def _poll_until_end(
         self, sent: _SentStart, on_silence: Callable[[], None]
     ) -> AttemptEnd:
-        """Poll the task's status until it has ended or its lease has expired."""
+        """Poll the task's status until its end is known or its lease has expired."""
         poll_s = 0.0
         is_silence_reported = False
         while True:
@@ -274,8 +281,8 @@
     def _poll(self, sent: _SentStart) -> TaskReport | Unavailable | ActionRefused:
         address = sent.placement.address
         is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
-        # A worker that does not answer gets no further renewals: each one would
-        # delay the time at which its lease has certainly expired.
+        # A worker that does not answer gets no further renewals: each of them would
+        # delay the time at which the lease has certainly expired.
         if is_due and sent.is_reachable:
             report = self._renew(sent)
             if report is not None:
@@ -283,7 +290,7 @@
         return self._client.status(address, sent.task)
 
     def _renew(self, sent: _SentStart) -> TaskReport | Unavailable | None:
-        """Renew the lease; return None if nothing was sent or it was refused."""
+        """Renew the lease; return None if no renewal was sent or it was refused."""
         placement = sent.placement
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or not self._may_renew(sent.holder):
@@ -294,8 +301,8 @@
         if isinstance(report, ActionRefused):
             self._sessions.drop(placement.worker)
             return None
-        # Set even if the answer is lost: the renewal may have had effect, or may
-        # still arrive while its session is accepted.
+        # The times change even if the answer is lost: the renewal may have had effect,
+        # or may still arrive while its session is accepted.
         sent.renewed_at = self._clock()
         lease_end_s = SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S
         sent.lease_expires_by = sent.renewed_at + lease_end_s
@@ -315,10 +322,11 @@
                 return Stopped(report.checkpoint)
             case TaskStatus.RUNNING:
                 return None
+        # The worker does not know the task.
         if report.boot_id != sent.boot_id:
             return Lost(f"worker {sent.placement.worker} restarted")
         session_ended_at = sent.sent_at + SESSION_TTL_S + CLOCK_MARGIN_S
         if self._clock() < session_ended_at:
-            # The start may still arrive.
+            # The start may still arrive while its session is accepted.
             return None
         return Refused(StartRefusal.UNREACHABLE)
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -1,4 +1,4 @@
-"""Starts, retries, hedges, cancels and settles requests as the scheduler decides."""
+"""Runs the scheduler's decisions; retries, hedges, cancels and settles requests."""
 
 from __future__ import annotations
 
@@ -48,14 +48,14 @@
 from .scheduler_tasks import AttemptState, request_id_of, task_id_of, task_of
 from .verdict_reporter import VerdictReporter
 
-# Deadlines, back-offs and zone ramps fall due without an event that starts a round.
-ROUND_INTERVAL_S = 0.05
-# With an empty queue a round only exchanges worker reservations with peers.
+# Deadlines, back-offs and zones' load ramps take effect without waking the loop.
+BUSY_INTERVAL_S = 0.05
+# Without queued tasks, rounds only sync worker reservations with the other entries.
 IDLE_INTERVAL_S = 0.2
-# Refused or unsent starts after which an unrecorded request is refused.
-MAX_START_TRIES = 50
-# After this long without contact to the worker the verdict is "may have run".
-SILENCE_TIMEOUT_S = 5.0
+# An unrecorded request with more refused or unsent starts and copies is refused.
+MAX_REQUEUES = 50
+# From a worker's first missing answer to "may have run", unless the attempt ends.
+MAY_HAVE_RUN_DELAY_S = 5.0
 # Speed of a throttled task, as a fraction of its full speed.
 THROTTLE_FRACTION = 0.25
 # A hedge starts after HEDGE_DELAY_S + HEDGE_FACTOR * the declared run time.
@@ -66,6 +66,9 @@
 class Dispatcher:
     """Queues this entry's requests with the scheduler and runs their attempts.
 
+    ``runner`` must be set before the first submission. ``address_of(worker)`` is None
+    for an unconfigured worker. Nothing starts while ``may_dispatch()`` is false.
+    ``record_release(request, attempt)`` gives up the claim on a recorded request.
     ``on_settled`` is called once for each request, after its verdict is set.
     """
 
@@ -77,13 +80,13 @@
         client: WorkerClient,
         address_of: Callable[[str], str | None],
         may_dispatch: Callable[[], bool],
-        release: Callable[[LocalRequest, int], bool],
+        record_release: Callable[[LocalRequest, int], bool],
         on_settled: Callable[[LocalRequest], None],
     ) -> None:
         self.runner: AttemptRunner | None = None
-        # Called after each scheduling round of ``run``.
+        # Called after each round of ``run_rounds``.
         self.after_round: Callable[[], None] = lambda: None
-        # Called as (worker, queue, has_failed) for each task that ended.
+        # Called as (worker, queue, has_failed) if an unrecorded request ran or failed.
         self.on_outcome: Callable[[str, str, bool], None] = lambda *outcome: None
         self.scheduler = scheduler
         self._requests = local_requests
@@ -92,46 +95,44 @@
         self._client = client
         self._address_of = address_of
         self._may_dispatch = may_dispatch
-        self._release = release
+        self._record_release = record_release
         self._on_settled = on_settled
         self._budgets = QueueBudgets()
         self._wake = Event()
-        self._running_by_organisation: dict[str, int] = {}
+        self._running_counts: dict[str, int] = {}
         self.running_tasks = 0
 
-    def running(self, organisation: str) -> int:
-        """Return how many running slots of an organisation this entry uses."""
-        return self._running_by_organisation.get(organisation, 0)
+    def running_count(self, organisation: str) -> int:
+        """Return how many attempts of an organisation's requests are running here."""
+        return self._running_counts.get(organisation, 0)
 
     def wake(self) -> None:
-        """Request a scheduling round; calls before it starts are merged into one."""
+        """Ask for a scheduling round; calls made before it starts share one round."""
         self._wake.set()
 
-    def run(self) -> None:
+    def run_rounds(self) -> None:
         """Run scheduling rounds until stopped."""
         while True:
-            interval_s = (
-                ROUND_INTERVAL_S if self.scheduler.has_queued() else IDLE_INTERVAL_S
-            )
-            self._wake.wait(seconds_until_tick(interval_s))
+            tick_s = BUSY_INTERVAL_S if self.scheduler.has_queued() else IDLE_INTERVAL_S
+            self._wake.wait(seconds_until_tick(tick_s))
             self._wake.clear()
             self._apply_decisions()
             self.after_round()
 
     def submit(self, request: LocalRequest) -> Refusal | None:
-        """Queue a request, or return why it is refused as not run."""
-        verdict = self.scheduler.submit(task_of(request), time.monotonic())
-        if isinstance(verdict, Refusal):
-            return verdict
-        if request.tries == 0:
+        """Queue a request or a copy of it, or return why the scheduler refuses it."""
+        result = self.scheduler.submit(task_of(request), time.monotonic())
+        if isinstance(result, Refusal):
+            return result
+        if request.requeue_count == 0:
             self._budgets.on_request(request.submission.queue)
         self._requests.add(request)
-        # A round here saves a switch to the greenlet of ``run`` and back.
+        # Without this round, the start would wait for the greenlet of ``run_rounds``.
         self._apply_decisions()
         return None
 
     def cancel(self, request: LocalRequest) -> None:
-        """Cancel a request: at once while queued, at the worker while running."""
+        """Settle a queued request as cancelled, or ask workers to stop its attempts."""
         request.cancel_requested = True
         if self.scheduler.cancel([task_id_of(request)], time.monotonic()):
             self._settle(
@@ -143,15 +144,15 @@
             gevent.spawn(self._client.cancel, address, f"{request.id}.{attempt}")
 
     def withdraw(self, request: LocalRequest) -> bool:
-        """Drop a queued request without a verdict, as another entry runs it."""
+        """Drop a request that another entry runs; return False unless it was queued."""
         if not self.scheduler.cancel([task_id_of(request)], time.monotonic()):
             return False
         self._requests.remove(request)
         request.wake_waiters()
         return True
 
-    def set_queues(self, queues: Iterable[Queue]) -> None:
-        """Apply the retry and hedge budgets of a new configuration."""
+    def configure_budgets(self, queues: Iterable[Queue]) -> None:
+        """Replace the queues whose retry and hedge budgets apply."""
         self._budgets.set_queues(queues)
 
     def _apply_decisions(self) -> None:
@@ -188,7 +189,7 @@
             self.scheduler.finished(task.id, Outcome.STOPPED, time.monotonic())
             return
         organisation = task.organisation
-        self._running_by_organisation[organisation] = self.running(organisation) + 1
+        self._running_counts[organisation] = self.running_count(organisation) + 1
         self.running_tasks += 1
         gevent.spawn(self._run, request, task, Placement(worker, address, resources))
 
@@ -199,14 +200,14 @@
             state.hedge_timer = gevent.spawn_later(
                 hedge_after_s, self._start_hedge, request, placement, state
             )
-        end: AttemptEnd = Lost("the attempt was interrupted")
+        end: AttemptEnd = Lost("the attempt was interrupted")  # if the runner raises
         try:
             end = self.runner.run(
                 request, placement, lambda: self._on_silence(request, placement, state)
             )
         finally:
             organisation = task.organisation
-            self._running_by_organisation[organisation] = self.running(organisation) - 1
+            self._running_counts[organisation] = self.running_count(organisation) - 1
             self.running_tasks -= 1
             state.stop_timers()
             self._handle_end(request, task, placement, end, state.has_copy)
@@ -216,25 +217,25 @@
     def _start_hedge(
         self, request: LocalRequest, placement: Placement, state: AttemptState
     ) -> None:
-        """Submit a second copy of a slow idempotent request to another worker."""
-        if state.has_copy or request.verdict is not None or request.tries:
+        """Submit a copy of a request whose first attempt is slow, to another worker."""
+        if state.has_copy or request.verdict is not None or request.requeue_count:
             return
         queue = request.submission.queue
         if self._budgets.hedge(queue).try_spend():
             self._metrics.hedges.labels(queue).inc()
-            state.has_copy = self._repeat(request, placement.worker)
+            state.has_copy = self._submit_copy(request, placement.worker)
 
     def _on_silence(
         self, request: LocalRequest, placement: Placement, state: AttemptState
     ) -> None:
-        """Retry elsewhere if idempotent, else schedule a "may have run" verdict."""
+        """Retry an idempotent unrecorded request, else schedule "may have run"."""
         if request.submission.idempotent and not request.is_recorded:
             if not state.has_copy:
                 state.has_copy = self._retry(request, placement.worker)
             return
         message = f"worker {placement.worker} does not answer"
         state.may_have_run_timer = gevent.spawn_later(
-            SILENCE_TIMEOUT_S, self._settle_unrecorded, request, MayHaveRun(message)
+            MAY_HAVE_RUN_DELAY_S, self._settle_unrecorded, request, MayHaveRun(message)
         )
 
     def _handle_end(
@@ -262,17 +263,17 @@
                     request, placement, has_copy, "the task failed after it had started"
                 )
             case Refused(reason, free):
-                self._requeue(request, task, placement, reason, free, has_copy)
+                self._handle_unstarted(request, task, placement, reason, free, has_copy)
             case NotSent(reason):
                 log_event("start_not_sent", "DEBUG", request=request.id, reason=reason)
-                self._requeue(request, task, placement, None, None, has_copy)
+                self._handle_unstarted(request, task, placement, None, None, has_copy)
             case Stopped(checkpoint):
-                self._resume(request, task, placement, checkpoint, has_copy)
+                self._handle_stopped(request, task, placement, checkpoint, has_copy)
             case Lost(message):
                 self.scheduler.finished(task.id, Outcome.FAILED, now)
                 self._retry_or_give_up(request, placement, has_copy, message)
 
-    def _requeue(
+    def _handle_unstarted(
         self,
         request: LocalRequest,
         task: Task,
@@ -281,20 +282,20 @@
         free: Resources | None,
         has_copy: bool,
     ) -> None:
-        """Requeue a request whose start certainly had no effect."""
+        """Requeue, drop or settle a request whose task certainly did not start."""
         now = time.monotonic()
         self.scheduler.finished(task.id, Outcome.REFUSED_BY_WORKER, now)
         if reason is StartRefusal.DRAINING or reason is StartRefusal.UNREACHABLE:
             self.scheduler.observe_worker(placement.worker, False, free, "", now)
         elif free is not None:
             self.scheduler.observe_worker(placement.worker, True, free, "", now)
-        request.tries += 1
-        if request.is_claimed_elsewhere:
+        request.requeue_count += 1
+        if request.is_claim_rejected:
             self.scheduler.cancel([task.id], now)
             self._requests.remove(request)
             request.wake_waiters()
             return
-        self._release_claim(request)
+        self._release_recorded_claim(request)
         if request.verdict is not None or has_copy:
             self.scheduler.cancel([task.id], now)
             return
@@ -305,14 +306,14 @@
                 text = "cancelled by the caller"
             self._settle(request, NotRun(Refusal(RefusalReason.CANCELLED, text)))
             return
-        if request.tries > MAX_START_TRIES and not request.is_recorded:
+        if request.requeue_count > MAX_REQUEUES and not request.is_recorded:
             self.scheduler.cancel([task.id], now)
-            text = f"no worker accepted the task in {MAX_START_TRIES} tries"
+            text = f"no worker accepted the task in {MAX_REQUEUES} tries"
             self._settle(request, NotRun(Refusal(RefusalReason.NO_WORKER, text, 1.0)))
             return
         self.scheduler.requeue(task.id, placement.worker)
 
-    def _resume(
+    def _handle_stopped(
         self,
         request: LocalRequest,
         task: Task,
@@ -320,23 +321,23 @@
         checkpoint: str,
         has_copy: bool,
     ) -> None:
-        """Requeue a stopped task from its checkpoint; without one, retry or settle."""
+        """Resume a stopped task from its checkpoint; without one, retry or settle."""
         now = time.monotonic()
         self.scheduler.finished(task.id, Outcome.STOPPED, now)
-        is_requeued = bool(self.scheduler.is_queued(task.id))
+        is_queued_by_scheduler = bool(self.scheduler.is_queued(task.id))
         if request.cancel_requested:
             self.scheduler.cancel([task.id], now)
             self._settle(request, MayHaveRun("cancelled while it was running"))
             return
         if checkpoint:
             request.checkpoint = checkpoint
-            self._release_claim(request)
+            self._release_recorded_claim(request)
             if has_copy:
                 self.scheduler.cancel([task.id], now)
-            elif not is_requeued:
-                self._submit_again(request)
+            elif not is_queued_by_scheduler:
+                self._resubmit(request)
             return
-        if is_requeued:
+        if is_queued_by_scheduler:
             self.scheduler.cancel([task.id], now)
         self._retry_or_give_up(
             request, placement, has_copy, "the worker stopped the task while it ran"
@@ -352,34 +353,34 @@
         self._settle(request, MayHaveRun(message))
 
     def _retry(self, request: LocalRequest, worker: str) -> bool:
-        """Retry a request on another worker if its queue's budget allows."""
+        """Submit a copy after a failure or silence if the retry budget allows one."""
         if request.verdict is not None or request.cancel_requested:
             return False
         queue = request.submission.queue
         if not self._budgets.retry(queue).try_spend():
             return False
         self._metrics.retries.labels(queue).inc()
-        return self._repeat(request, worker)
+        return self._submit_copy(request, worker)
 
-    def _repeat(self, request: LocalRequest, worker: str) -> bool:
-        # The earlier attempt failed, or its worker has not answered yet.
+    def _submit_copy(self, request: LocalRequest, worker: str) -> bool:
+        # The attempt at ``worker`` failed, is slow, or its worker does not answer.
         request.may_have_started = True
-        request.copies += 1
+        request.copy_count += 1
         request.excluded_workers.add(worker)
-        self._release_claim(request)
-        return self._submit_again(request)
+        self._release_recorded_claim(request)
+        return self._resubmit(request)
 
-    def _submit_again(self, request: LocalRequest) -> bool:
-        request.tries += 1
+    def _resubmit(self, request: LocalRequest) -> bool:
+        request.requeue_count += 1
         refusal = self.submit(request)
         if refusal is None:
             return True
         log_event("retry_refused", request=request.id, reason=refusal.reason)
         return False
 
-    def _release_claim(self, request: LocalRequest) -> None:
+    def _release_recorded_claim(self, request: LocalRequest) -> None:
         if request.is_recorded:
-            self._release(request, request.attempt)
+            self._record_release(request, request.attempt)
 
     def _settle_unrecorded(self, request: LocalRequest, verdict: Verdict) -> None:
         if not request.is_recorded:
@@ -388,11 +389,11 @@
     def _settle(self, request: LocalRequest, verdict: Verdict) -> None:
         if not self._verdict_reporter.settle(request, verdict):
             return
-        # A copy of the request that is still queued need not run.
+        # The newest copy of the request may still be queued and need not run.
         self.scheduler.cancel([task_id_of(request)], time.monotonic())
         self._on_settled(request)
 
     def observe_report(self, worker: str, report: TaskReport) -> None:
-        """Tell the scheduler the free capacity that a worker reported."""
+        """Tell the scheduler that a worker is available, and its free capacity."""
         now = time.monotonic()
         self.scheduler.observe_worker(worker, True, report.free, report.boot_id, now)
--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -40,7 +40,7 @@
         if recorded is not None:
             lines.extend(_describe_recorded(recorded))
         local = self._local_requests.by_id.get(name)
-        retries = local.copies if local is not None else 0
+        retries = local.copy_count if local is not None else 0
         for attempt in range(retries + 1):
             events = self._scheduler.explain(f"{name}#{attempt}")
             lines.extend(str(event) for event in events)
--- a/libs/entry/src/lycheeloom/entry/grant_manager.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class _PendingReturn:
+class _SlotReturn:
     count: int
     pending: PendingRecord
 
@@ -74,7 +74,7 @@
         self._is_draining = is_draining
         self._on_change = on_change
         self._clock = clock
-        self._return_by_organisation: dict[str, _PendingReturn] = {}
+        self._return_by_organisation: dict[str, _SlotReturn] = {}
         self._requested_at: dict[str, float] = {}
         self._request_by_organisation: dict[str, PendingRecord] = {}
         self._slots_by_organisation: Mapping[str, int] = {}
@@ -206,8 +206,8 @@
         peers = demand.peers_by_organisation.get(organisation, 0)
         if peers + own <= limit:
             return max(own, min(reserve, limit - peers))
-        part = -(-limit * own // max(1, peers + own))
-        return min(own, part) if own else 0
+        proportional_part = -(-limit * own // max(1, peers + own))
+        return min(own, proportional_part) if own else 0
 
     def _held_slots(self, organisation: str) -> int:
         own = self._incarnation()
@@ -242,7 +242,7 @@
         pending = self._writer.append(
             GrantReturned(organisation, count), Priority.CONTROL
         )
-        self._return_by_organisation[organisation] = _PendingReturn(count, pending)
+        self._return_by_organisation[organisation] = _SlotReturn(count, pending)
         self.update_scheduler()
         return pending
 
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -24,7 +24,7 @@
 from .status_page import render_status_page
 
 # JSON escapes make a payload at most six times as long.
-MAX_BODY_BYTES = 6 * MAX_PAYLOAD_BYTES + 4096
+MAX_SUBMISSION_BYTES = 6 * MAX_PAYLOAD_BYTES + 4096
 MAX_RECORDS_BODY_BYTES = 2 * MAX_BATCH_BYTES
 _JSON = "application/json"
 
@@ -69,9 +69,9 @@
 
     def submit(self, queue: str) -> HTTPResponse:
         """``POST /v1/queues/<queue>/requests``."""
-        body = request.environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
-        if len(body) > MAX_BODY_BYTES:
-            message = f"the body is longer than {MAX_BODY_BYTES} bytes"
+        body = request.environ["wsgi.input"].read(MAX_SUBMISSION_BYTES + 1)
+        if len(body) > MAX_SUBMISSION_BYTES:
+            message = f"the body is longer than {MAX_SUBMISSION_BYTES} bytes"
             return _respond(refusal_reply(Refusal(RefusalReason.TOO_LARGE, message)))
         headers = RequestHeaders(
             request.environ.get("HTTP_AUTHORIZATION", ""),
@@ -103,8 +103,8 @@
         """
         authorization = request.environ.get("HTTP_AUTHORIZATION", "")
         expected = f"Bearer {self._handover_token}"
-        is_known = hmac.compare_digest(authorization.encode(), expected.encode())
-        if not (self._handover_token and is_known):
+        is_authorised = hmac.compare_digest(authorization.encode(), expected.encode())
+        if not (self._handover_token and is_authorised):
             message = "the handover token of this entry is needed"
             return _respond(Reply(403, {"reason": "forbidden", "message": message}))
         raw = request.environ["wsgi.input"].read(MAX_RECORDS_BODY_BYTES + 1)
--- a/libs/entry/src/lycheeloom/entry/local_requests.py
+++ b/libs/entry/src/lycheeloom/entry/local_requests.py
@@ -11,16 +11,18 @@
 from lycheeloom.model.resources import Resources
 from lycheeloom.model.verdict import Verdict
 
-# Callers can read the verdict of an unrecorded request here for this long.
-VERDICT_KEPT_S = 60.0
+# Settled requests are kept for this long, so that callers can ask for the verdict.
+VERDICT_RETENTION_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class Submission:
     """A validated request of a caller.
 
-    ``submitted_at`` and ``deadline`` are monotonic times in seconds, ``run_s`` is the
-    declared run time, and ``wait`` tells whether the caller waits on its connection.
+    ``submitted_at`` and ``deadline`` are monotonic times in seconds. ``run_s`` is the
+    run time that the caller declared. ``wait`` tells whether the caller waits for the
+    verdict on its connection. ``idempotency_key`` and ``traceparent`` are empty if the
+    caller sent none.
     """
 
     request_id: str
@@ -40,7 +42,11 @@
 
     @property
     def is_recorded(self) -> bool:
-        """Whether the request must be in the log before it may start."""
+        """Whether the request must be in the log before it may start.
+
+        A request is recorded if it may run at most once over repeated submissions, or
+        if its caller does not wait and collects the answer later.
+        """
         needs_claim = bool(self.idempotency_key) and not self.idempotent
         return needs_claim or not self.wait
 
@@ -50,25 +56,36 @@
     """A request that this entry queues or runs.
 
     Each start at a worker has its own attempt number, so that the answer of an
-    earlier attempt is never taken for that of a later one.
+    earlier attempt is never taken for that of a later one. An attempt of a recorded
+    request needs a claim: a record by which this entry reserves the attempt number
+    for itself, so that no other entry starts the request meanwhile.
+
+    Copies of a request are retries and hedges. Each copy is a task of its own in the
+    scheduler, and the first verdict of any copy settles the request.
     """
 
     submission: Submission
     is_recorded: bool = False
-    # Another entry holds the claim; this one must not run the request.
-    is_claimed_elsewhere: bool = False
+    # The log rejected a claim of this entry, as another entry has claimed the request
+    # or it is finished or cancelled: this entry must not run it.
+    is_claim_rejected: bool = False
+    # The number of the latest attempt.
     attempt: int = 0
+    # The checkpoint from which the next attempt resumes; empty without one.
     checkpoint: str = ""
-    # Starts that had no effect, and submissions after the first one.
-    tries: int = 0
-    # Retries and hedges; each is a task of its own in the scheduler.
-    copies: int = 0
+    # Starts that were refused or not sent, and submissions after the first one.
+    requeue_count: int = 0
+    # Retries and hedges that were submitted.
+    copy_count: int = 0
+    # Workers where an attempt failed, is slow or is silent; copies go to others.
     excluded_workers: set[str] = field(default_factory=set)
+    # The worker addresses of the running attempts.
     address_by_attempt: dict[int, str] = field(default_factory=dict)
     cancel_requested: bool = False
-    # An attempt may have started, so no later refusal may be told as "not run".
+    # An attempt may have started, so the verdict can no longer be "not run".
     may_have_started: bool = False
     verdict: Verdict | None = None
+    # Set with the verdict, or without one if another entry runs the request.
     settled: Event = field(default_factory=Event)
     settled_at: float = 0.0
 
@@ -78,11 +95,11 @@
         return self.submission.request_id
 
     def wake_waiters(self) -> None:
-        """End the waits for a verdict here, as another entry runs the request."""
+        """End the waits for a verdict, as another entry runs the request."""
         self.settled.set()
 
     def settle(self, verdict: Verdict) -> bool:
-        """Set the verdict unless there is one; return whether it was set."""
+        """Set the verdict unless one is set already; return whether it was set."""
         if self.verdict is not None:
             return False
         self.verdict = verdict
@@ -99,18 +116,21 @@
         self._settled: deque[LocalRequest] = deque()
 
     def add(self, request: LocalRequest) -> None:
-        """Add a request, in place of an older one with the same id."""
+        """Add a request; an older one with the same id is replaced."""
         self.by_id[request.id] = request
 
     def expire_later(self, request: LocalRequest) -> None:
-        """Remove a settled request after ``VERDICT_KEPT_S``, on a later call."""
+        """Let a settled request expire after ``VERDICT_RETENTION_S``.
+
+        Expired requests are removed only by calls of this method.
+        """
         self._settled.append(request)
-        oldest = time.monotonic() - VERDICT_KEPT_S
-        while self._settled and self._settled[0].settled_at < oldest:
+        kept_since = time.monotonic() - VERDICT_RETENTION_S
+        while self._settled and self._settled[0].settled_at < kept_since:
             self.remove(self._settled.popleft())
 
     def remove(self, request: LocalRequest) -> None:
-        """Remove a request unless a newer one has taken its id."""
+        """Remove a request unless a newer one with the same id has replaced it."""
         if self.by_id.get(request.id) is request:
             del self.by_id[request.id]
 
--- a/libs/entry/src/lycheeloom/entry/outcome_counts.py
+++ b/libs/entry/src/lycheeloom/entry/outcome_counts.py
@@ -17,7 +17,7 @@
 SUSPECT_PERIODS = 60
 # Limits a report to about 6 KB. Workers with most failures come first; those left out
 # are reported with their next failures.
-MAX_COUNTS = 100
+MAX_REPORTED_COUNTS = 100
 
 
 class OutcomeCounts:
@@ -70,7 +70,7 @@
         ordered = sorted(total.items(), key=lambda item: (-item[1][1], item[0]))
         found = tuple(
             OutcomeCount(worker, queue, ended, failed)
-            for (worker, queue), (ended, failed) in ordered[:MAX_COUNTS]
+            for (worker, queue), (ended, failed) in ordered[:MAX_REPORTED_COUNTS]
         )
         oldest = through - SUSPECT_PERIODS
         succeeded = sorted(
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -34,10 +34,11 @@
 from .local_requests import LocalRequest, LocalRequestTable, Submission
 from .rendezvous import select_member
 
+# Unsent records are withdrawn after this; callers wait no longer for a commit.
 COMMIT_TIMEOUT_S = 3.0
-# A claim may take this long to commit; meanwhile the attempt holds its slot.
-CLAIM_WAIT_S = 5.0
-RETRY_INTERVAL_S = 0.5
+# An unsent claim is withdrawn after this; meanwhile the attempt holds its slot.
+CLAIM_SEND_TIMEOUT_S = 5.0
+RETRY_INTERVAL_S = 0.5  # between failed writes, and failed reads, of a record
 
 
 class RecordedRequestManager:
@@ -64,8 +65,8 @@
         self._local_requests = local_requests
         self._incarnation = incarnation
         self._may_run = may_run
-        self._waiter_by_id: dict[str, Event] = {}
-        # Submissions whose record is being written; the log omits deadline and trace.
+        self._finished_event_by_id: dict[str, Event] = {}
+        # Submissions being recorded; the log stores neither their deadline nor trace.
         self._submission_by_id: dict[str, Submission] = {}
         # Requests submitted here whose callers wait on their connections.
         self._awaited_ids: set[str] = set()
@@ -79,10 +80,10 @@
     def submit(
         self, submission: Submission, digest: bytes
     ) -> RecordedRequest | Refusal | MayHaveRun:
-        """Record a request, or find the one with the same idempotency key."""
-        known = self._find_by_idempotency_key(submission, digest)
-        if known is not None:
-            return known
+        """Record a request, or return the one recorded with its idempotency key."""
+        existing = self._find_by_idempotency_key(submission, digest)
+        if existing is not None:
+            return existing
         record = r.RequestSubmitted(
             request_id=submission.request_id,
             organisation=submission.organisation,
@@ -108,9 +109,9 @@
                 message = f"the request could not be recorded: {reason}"
                 return Refusal(RefusalReason.LOG_UNAVAILABLE, message, 2.0)
             case NoEffect():
-                known = self._find_by_idempotency_key(submission, digest)
-                if known is not None:
-                    return known
+                existing = self._find_by_idempotency_key(submission, digest)
+                if existing is not None:
+                    return existing
                 message = "another request has the same id"
                 return Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, message)
             case Unknown(reason):
@@ -120,7 +121,7 @@
                 )
 
     def stop_awaiting(self, request_id: str) -> None:
-        """Note that the caller of a request submitted here has stopped waiting."""
+        """Note that the caller of a request submitted here no longer waits for it."""
         self._awaited_ids.discard(request_id)
 
     def cancel(self, request: RecordedRequest) -> WriteOutcome:
@@ -131,27 +132,27 @@
     def claim(
         self, local: LocalRequest, attempt: int, worker: str, boot_id: str
     ) -> str | None:
-        """Record an attempt; return why it must not start, or None."""
+        """Claim a request for an attempt; return why it must not start, or None."""
         record = r.RequestClaimed(local.id, attempt, worker, boot_id)
-        match self._writer.append(record).wait_settled(CLAIM_WAIT_S):
+        match self._writer.append(record).wait_settled(CLAIM_SEND_TIMEOUT_S):
             case Effective():
                 return None
             case NoEffect():
-                local.is_claimed_elsewhere = True
+                local.is_claim_rejected = True
                 return "the request is claimed, finished or cancelled"
             case Unknown() if self._is_own_claim(local.id, attempt):
                 # The claim was replayed as part of a snapshot.
                 return None
             case NotWritten(reason) | Unknown(reason):
-                # No record has the attempt number, so it can be used again.
+                # The log has no claim with this attempt number: the next one uses it.
                 local.attempt -= 1
                 return f"the claim was not recorded: {reason}"
 
     def release(self, local: LocalRequest, attempt: int) -> bool:
-        """Release this entry's claim, if any; return whether it holds none now."""
+        """Release the claim on a request; return whether this entry holds none now."""
         if not self._is_own_claim(local.id, attempt):
             return True
-        outcome = self._write(r.RequestReleased(local.id, attempt, local.checkpoint))
+        outcome = self._persist(r.RequestReleased(local.id, attempt, local.checkpoint))
         return isinstance(outcome, Effective)
 
     def record_verdict(self, local: LocalRequest) -> None:
@@ -172,40 +173,40 @@
                 record = r.RequestCancelled(local.id)
             case _:
                 return
-        outcome = self._write(record)
+        outcome = self._persist(record)
         if isinstance(outcome, NoEffect) and isinstance(local.verdict, MayHaveRun):
-            # The claim was released for a retry that was then refused; without
-            # this the request would stay pending and no entry would run it.
+            # The claim was released for a retry that the scheduler then refused. If
+            # not taken over again, the request would stay pending forever.
             self._local_requests.remove(local)
-            self._take_over_again(local.id)
+            self._retry_take_over(local.id)
 
     def wait(self, request_id: str, timeout_s: float) -> RecordedRequest | None:
-        """Wait for a request to finish; return its state then, or None if unknown."""
+        """Wait until a request is finished; return its state, or None if unknown."""
         request = self._tail.state.requests.request_by_id.get(request_id)
         if request is None or request.status is RequestStatus.FINISHED:
             return request
-        waiter = self._waiter_by_id.setdefault(request_id, Event())
-        waiter.wait(min(timeout_s, COMMIT_TIMEOUT_S) if self._draining else timeout_s)
+        finished = self._finished_event_by_id.setdefault(request_id, Event())
+        finished.wait(min(timeout_s, COMMIT_TIMEOUT_S) if self._draining else timeout_s)
         return self._tail.state.requests.request_by_id.get(request_id)
 
     def release_waiters(self) -> None:
         """End all waits for recorded requests, as this entry shuts down.
 
-        The callers can get the answers from other entries. Otherwise the shutdown
-        would wait for requests that other entries take over only after it.
+        The callers can get the answers from other entries. With such waits, the
+        shutdown would wait for requests that others take over only when it is over.
         """
         self._draining = True
-        for waiter in self._waiter_by_id.values():
-            waiter.set()
-        self._waiter_by_id.clear()
+        for finished in self._finished_event_by_id.values():
+            finished.set()
+        self._finished_event_by_id.clear()
 
     def read_answer(self, request: RecordedRequest) -> bytes | RecordLost | None:
-        """Return the answer of a finished request, or None if not readable now."""
+        """Return a finished request's answer, or None if the log is not readable now."""
         record = self._reader.answer(request.answer_offset, request.request_id)
         return record.answer if isinstance(record, r.RequestFinished) else record
 
     def reassign_pending(self) -> None:
-        """Take over or drop pending requests after the members changed."""
+        """Take over the pending requests to run here, and drop the other ones."""
         requests = self._tail.state.requests
         for request_id in list(requests.pending):
             request = requests.request_by_id[request_id]
@@ -236,11 +237,11 @@
     ) -> RecordedRequest | Refusal | None:
         if not submission.idempotency_key:
             return None
-        known = self._tail.state.requests.find_by_key(
+        existing = self._tail.state.requests.find_by_key(
             submission.organisation, submission.idempotency_key
         )
-        if known is None or known.body_digest == digest:
-            return known
+        if existing is None or existing.body_digest == digest:
+            return existing
         message = "the Idempotency-Key was used with another request"
         return Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, message)
 
@@ -257,24 +258,24 @@
             self.reassign_pending()
 
     def _on_reset(self, state: FleetState) -> None:
-        """Catch up with a loaded snapshot, which stands for records not seen here."""
-        for request_id in list(self._waiter_by_id):
+        """Apply a loaded snapshot, whose records were not replayed one by one."""
+        for request_id in list(self._finished_event_by_id):
             request = state.requests.request_by_id.get(request_id)
             if request is None or request.status is RequestStatus.FINISHED:
-                self._wake_waiter(request_id)
+                self._end_wait(request_id)
         self.reassign_pending()
 
-    def _wake_waiter(self, request_id: str) -> None:
-        waiter = self._waiter_by_id.pop(request_id, None)
-        if waiter is not None:
-            waiter.set()
+    def _end_wait(self, request_id: str) -> None:
+        finished = self._finished_event_by_id.pop(request_id, None)
+        if finished is not None:
+            finished.set()
 
     def _on_record(self, record: Record) -> None:
         match record:
             case r.RequestSubmitted() | r.RequestReleased():
                 self._enqueue_if_own(record)
             case r.RequestFinished(request_id) | r.RequestCancelled(request_id):
-                self._wake_waiter(request_id)
+                self._end_wait(request_id)
                 if isinstance(record, r.RequestCancelled):
                     self._drop_cancelled(request_id)
             case _:
@@ -300,16 +301,16 @@
         submitted = self._reader.submission(request.body_offset, request.request_id)
         if isinstance(submitted, RecordLost):
             log_event("request_body_lost", "ERROR", request=request.request_id)
-            self._cancel_refused(request.request_id)
+            self._cancel_unrunnable(request.request_id)
             return
         if submitted is None:
             log_event("request_body_unavailable", "WARNING", request=request.request_id)
             gevent.sleep(RETRY_INTERVAL_S)
-            gevent.spawn(self._take_over_again, request.request_id)
+            gevent.spawn(self._retry_take_over, request.request_id)
             return
         self._enqueue(request, submitted.payload)
 
-    def _take_over_again(self, request_id: str) -> None:
+    def _retry_take_over(self, request_id: str) -> None:
         request = self._tail.state.requests.request_by_id.get(request_id)
         if request is None or request.status is not RequestStatus.PENDING:
             return
@@ -335,7 +336,7 @@
             return
         if refusal.retry_after_s is not None:
             gevent.spawn_later(
-                refusal.retry_after_s, self._take_over_again, request.request_id
+                refusal.retry_after_s, self._retry_take_over, request.request_id
             )
             return
         log_event(
@@ -345,9 +346,9 @@
             reason=refusal.reason,
             message=refusal.message,
         )
-        gevent.spawn(self._cancel_refused, request.request_id)
+        gevent.spawn(self._cancel_unrunnable, request.request_id)
 
-    def _cancel_refused(self, request_id: str) -> None:
+    def _cancel_unrunnable(self, request_id: str) -> None:
         """Cancel a request that cannot run, with at most one record in flight.
 
         In a log outage the request stays pending, so each change of the members
@@ -357,7 +358,7 @@
             return
         self._cancelling_ids.add(request_id)
         try:
-            self._write(r.RequestCancelled(request_id))
+            self._persist(r.RequestCancelled(request_id))
         finally:
             self._cancelling_ids.discard(request_id)
 
@@ -365,8 +366,8 @@
         request = self._tail.state.requests.find_claim(request_id, attempt)
         return request is not None and request.holder == self._incarnation()
 
-    def _write(self, record: Record) -> WriteOutcome:
-        """Append a record; repeat while it is not written and the author unchanged."""
+    def _persist(self, record: Record) -> WriteOutcome:
+        """Append a record, again if not written, until the incarnation changes."""
         author = self._incarnation()
         while True:
             outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -19,7 +19,7 @@
 SCAN_INTERVAL_S = 1.0
 COMMIT_TIMEOUT_S = 5.0
 # A worker that does not answer is polled again for this long.
-LOOKUP_TIME_S = 60.0
+LOOKUP_TIMEOUT_S = 60.0
 LOOKUP_INTERVAL_S = 1.0
 
 
@@ -38,7 +38,7 @@
         incarnation: Callable[[], str],
         may_act: Callable[[], bool],
     ) -> None:
-        self.recovered = 0
+        self.recovered_count = 0
         self._tail = tail
         self._writer = writer
         self._client = client
@@ -71,11 +71,11 @@
     def _recover(self, request: RecordedRequest, attempt: int) -> None:
         try:
             report = self._look_up(request, attempt)
-            record = decide(request, attempt, report)
+            record = choose_record(request, attempt, report)
             # Later scans must not append another record while this one can still be
             # written.
             outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
-            self.recovered += 1
+            self.recovered_count += 1
             log_event(
                 "claim_recovered",
                 request=request.request_id,
@@ -89,18 +89,20 @@
         instance = self._tail.state.config.instance_by_id.get(request.worker)
         if instance is None:
             return None
-        give_up_at = time.monotonic() + LOOKUP_TIME_S
+        give_up_at = time.monotonic() + LOOKUP_TIMEOUT_S
         while time.monotonic() < give_up_at:
             task = f"{request.request_id}.{attempt}"
             report = self._client.status(instance.address, task)
-            is_final = isinstance(report, TaskReport)
-            if is_final and report.status is not TaskStatus.RUNNING:
+            has_report = isinstance(report, TaskReport)
+            if has_report and report.status is not TaskStatus.RUNNING:
                 return report
             gevent.sleep(LOOKUP_INTERVAL_S)
         return None
 
 
-def decide(request: RecordedRequest, attempt: int, report: TaskReport | None) -> Record:
+def choose_record(
+    request: RecordedRequest, attempt: int, report: TaskReport | None
+) -> Record:
     """Return the record that finishes or releases a lost attempt.
 
     ``report`` is the worker's final report about the attempt, or None if there is none.
--- a/libs/entry/src/lycheeloom/entry/rendezvous.py
+++ b/libs/entry/src/lycheeloom/entry/rendezvous.py
@@ -1,4 +1,4 @@
-"""Selection of one member by rendezvous hashing, the same at every entry."""
+"""Rendezvous hashing: entries that know the same members select the same one."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 
 
 def select_member(request_id: str, members: list[str]) -> str:
-    """Return the member with the highest hash for a request; ``""`` without members."""
+    """Return the member whose hash with the request id is highest, or ``""``.
+
+    ``""`` is returned if there are no members.
+    """
     return max(
         members,
         key=lambda member: xxhash.xxh64_intdigest(f"{request_id}\n{member}".encode()),
--- a/libs/entry/src/lycheeloom/entry/request_handler.py
+++ b/libs/entry/src/lycheeloom/entry/request_handler.py
@@ -217,8 +217,8 @@
         found = recorded or local
         if found is None:
             return _unknown_request(request_id)
-        owner = recorded or local.submission
-        queue = self._tail.state.config.queue_by_id.get(owner.queue)
+        submission = recorded or local.submission
+        queue = self._tail.state.config.queue_by_id.get(submission.queue)
         if queue is None:
             return _unknown_request(request_id)
         organisation = find_organisation(self._tail.state.config, queue, authorization)
@@ -230,7 +230,7 @@
             return Reply(401, document)
         return (
             found
-            if organisation == owner.organisation
+            if organisation == submission.organisation
             else _unknown_request(request_id)
         )
 
--- a/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
+++ b/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
@@ -1,4 +1,8 @@
-"""Conversion of requests to scheduler tasks, and the state of running attempts."""
+"""Conversion of requests to scheduler tasks, and the state of running attempts.
+
+The scheduler knows each copy of a request as one task: the first submission, and every
+retry and hedge. A task keeps its id when it is queued again.
+"""
 
 from __future__ import annotations
 
@@ -10,15 +14,16 @@
 
 
 class AttemptState:
-    """Whether a running attempt has a second copy, and the timers that it set."""
+    """State of one running attempt: its timers, and whether a copy replaces it."""
 
     def __init__(self) -> None:
+        # Another copy of the request was submitted while this attempt ran.
         self.has_copy = False
         self.hedge_timer: gevent.Greenlet | None = None
         self.may_have_run_timer: gevent.Greenlet | None = None
 
     def stop_timers(self) -> None:
-        """Cancel the timers that have not fired."""
+        """Stop the timers of the attempt."""
         for timer in (self.hedge_timer, self.may_have_run_timer):
             if timer is not None:
                 timer.kill(block=False)
@@ -26,7 +31,7 @@
 
 def task_id_of(request: LocalRequest) -> str:
     """Return the scheduler's task id of the newest copy of a request."""
-    return f"{request.id}#{request.copies}"
+    return f"{request.id}#{request.copy_count}"
 
 
 def request_id_of(task_id: str) -> str:
@@ -37,7 +42,7 @@
 def task_of(request: LocalRequest) -> Task:
     """Return the scheduler task for the newest copy of a request.
 
-    Only the task of the first submission has a deadline.
+    The deadline bounds the wait for the first start, so later submissions have none.
     """
     submission = request.submission
     return Task(
@@ -47,7 +52,7 @@
         resources=submission.resources,
         run_s=submission.run_s,
         submitted_at=submission.submitted_at,
-        deadline=submission.deadline if request.tries == 0 else None,
+        deadline=submission.deadline if request.requeue_count == 0 else None,
         idempotent=submission.idempotent,
         urgent=submission.urgent,
         checkpointable=submission.checkpointable,
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -120,14 +120,14 @@
         log_event(
             "entry_started",
             listen=self.settings.listen,
-            incarnation=self.keeper.incarnation,
+            incarnation=self.membership.incarnation,
             next_offset=self.tail.next_offset,
         )
         while not self._stopping.wait(0.5):
-            if self.keeper.is_replaced:
+            if self.membership.is_replaced:
                 log_event("entry_replaced", "WARNING")
                 break
-            if self.keeper.is_leaving:
+            if self.membership.is_leaving:
                 log_event("instance_leaving")
                 break
         self._drain()
@@ -158,7 +158,7 @@
         self.freshness = Freshness(self.tail, lambda: self.writer.author)
         self.mesh = PeerMesh(incarnation, self.tail, self.freshness)
         self.scheduler = Scheduler(state.config, settings.seed)
-        self.keeper = MembershipManager(
+        self.membership = MembershipManager(
             Identity(
                 settings.instance, settings.peer_listen, settings.zone, PROGRAM_VERSION
             ),
@@ -179,7 +179,7 @@
         )
         sessions = WorkerSessions(
             self._clients.workers,
-            lambda: self.keeper.incarnation,
+            lambda: self.membership.incarnation,
             self.monitor.observe_session,
         )
         self.monitor.sessions = sessions
@@ -188,8 +188,8 @@
             self.writer,
             self._clients.log,
             self.local_requests,
-            lambda: self.keeper.incarnation,
-            lambda: self.keeper.is_member and not self.mesh.draining,
+            lambda: self.membership.incarnation,
+            lambda: self.membership.is_member and not self.mesh.draining,
         )
         self.dispatcher = Dispatcher(
             self.scheduler,
@@ -211,8 +211,8 @@
             self.tail,
             self.writer,
             self.scheduler,
-            lambda: self.keeper.incarnation,
-            self.dispatcher.running,
+            lambda: self.membership.incarnation,
+            self.dispatcher.running_count,
             self.exchange.peer_demand,
             lambda: self.mesh.draining,
             self._wake,
@@ -220,7 +220,7 @@
         checks = StartChecks(
             self.tail,
             self.freshness,
-            self.keeper,
+            self.membership,
             self.dispatcher,
             self.grants,
             self.monitor,
@@ -230,7 +230,7 @@
             sessions,
             self._tracer,
             checks.may_start,
-            lambda: self.keeper.incarnation,
+            lambda: self.membership.incarnation,
             checks.may_renew,
             self.recorded_requests.claim,
             self.dispatcher.observe_report,
@@ -239,8 +239,8 @@
             self.tail,
             self.writer,
             self._clients.workers,
-            lambda: self.keeper.incarnation,
-            lambda: self.keeper.is_member and not self.mesh.draining,
+            lambda: self.membership.incarnation,
+            lambda: self.membership.is_member and not self.mesh.draining,
         )
 
     def _build_http(self) -> None:
@@ -290,9 +290,9 @@
         self.mesh.start(*split_address(self.settings.peer_listen))
         for loop in (
             self.freshness.run,
-            self.keeper.run,
-            self.keeper.poll_instance_list,
-            self.dispatcher.run,
+            self.membership.run,
+            self.membership.poll_instance_list,
+            self.dispatcher.run_rounds,
             self.grants.run,
             self.monitor.run,
             self.recovery.run,
@@ -330,7 +330,7 @@
     def _apply_config(self) -> None:
         config = self.tail.state.config
         self.scheduler.set_config(config, time.monotonic())
-        self.dispatcher.set_queues(list(config.queue_by_id.values()))
+        self.dispatcher.configure_budgets(list(config.queue_by_id.values()))
         self._apply_pools()
         self.grants.schedule_full_step()
         self._wake()
@@ -361,7 +361,7 @@
                 organisation
             ) or OrganisationUsage(organisation, 0, 0)
             self.metrics.running.labels(organisation).set(
-                self.dispatcher.running(organisation)
+                self.dispatcher.running_count(organisation)
             )
             self.metrics.queued.labels(organisation).set(own.queued)
             self.metrics.granted.labels(organisation).set(
@@ -395,7 +395,7 @@
         if self.dispatcher.running_tasks:
             log_event("drain_timeout", "WARNING", tasks=self.dispatcher.running_tasks)
             return
-        self.keeper.leave(LEAVE_TIMEOUT_S)
+        self.membership.leave(LEAVE_TIMEOUT_S)
 
     def _stop_all(self) -> None:
         self._server.stop(timeout=1.0)
--- a/libs/entry/src/lycheeloom/entry/sessions.py
+++ b/libs/entry/src/lycheeloom/entry/sessions.py
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class _Opened:
+class _OpenedSession:
     session: Session
     requested_at: float
 
@@ -43,7 +43,7 @@
         self._holder = holder
         self._on_opened = on_opened
         self._clock = clock
-        self._opened_by_worker: dict[str, _Opened] = {}
+        self._opened_by_worker: dict[str, _OpenedSession] = {}
         self._opening_by_worker: dict[str, AsyncResult] = {}
 
     def get(self, worker: str, address: str) -> Session | Unavailable:
@@ -78,7 +78,7 @@
         requested_at = self._clock()
         result = self._client.open_session(address, self._holder(), SESSION_TTL_S)
         if isinstance(result, Session):
-            self._opened_by_worker[worker] = _Opened(result, requested_at)
+            self._opened_by_worker[worker] = _OpenedSession(result, requested_at)
         else:
             self._opened_by_worker.pop(worker, None)
         self._on_opened(worker, result)
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -20,14 +20,14 @@
         self,
         tail: LogTail,
         freshness: Freshness,
-        keeper: MembershipManager,
+        membership: MembershipManager,
         dispatcher: Dispatcher,
         grants: GrantManager,
         worker_monitor: WorkerMonitor,
     ) -> None:
         self._tail = tail
         self._freshness = freshness
-        self._keeper = keeper
+        self._keeper = membership
         self._dispatcher = dispatcher
         self._grants = grants
         self._worker_monitor = worker_monitor
@@ -39,7 +39,9 @@
         if request.verdict is not None or request.cancel_requested:
             return "the request is already settled"
         organisation = request.submission.organisation
-        if self._dispatcher.running(organisation) > self._grants.usable(organisation):
+        if self._dispatcher.running_count(organisation) > self._grants.usable(
+            organisation
+        ):
             return f"no running slot of organisation {organisation} is granted here"
         config = self._tail.state.config
         instance = config.instance_by_id.get(placement.worker)
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -16,10 +16,10 @@
 
 from .dispatch import Dispatcher
 
-INTERVAL_S = 0.2
+EXCHANGE_INTERVAL_S = 0.2
 # While no peer has work, the scheduler gets the peers' usage this rarely, for the
 # decay of past usage.
-IDLE_STEPS = 10
+IDLE_CYCLE_STEPS = 10
 
 
 class UsageExchange:
@@ -35,10 +35,10 @@
         self._idle_steps = 0
 
     def run(self) -> None:
-        """Run a step every ``INTERVAL_S`` until stopped."""
+        """Run a step every ``EXCHANGE_INTERVAL_S`` until stopped."""
         while True:
             self.step()
-            gevent.sleep(seconds_until_tick(INTERVAL_S))
+            gevent.sleep(seconds_until_tick(EXCHANGE_INTERVAL_S))
 
     def step(self) -> None:
         """Pass usage and reservations in both directions."""
@@ -51,7 +51,7 @@
         usage_by_peer = self._mesh.usage_by_peer()
         is_idle = not self._reserved_by_peers and not any(usage_by_peer.values())
         self._idle_steps = self._idle_steps + 1 if is_idle else 0
-        if self._idle_steps % IDLE_STEPS > 1:
+        if self._idle_steps % IDLE_CYCLE_STEPS > 1:
             return
         self._scheduler.set_peer_usage(
             {
@@ -87,7 +87,7 @@
         )
         return OrganisationUsage(
             organisation,
-            self._dispatcher.running(organisation),
+            self._dispatcher.running_count(organisation),
             usage.queued,
             running.cores,
             running.memory_mb,
--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -48,7 +48,7 @@
         self._log_age_s = log_age_s
         self._clock = clock
         self._begun_at_by_move: dict[str, float] = {}
-        self._durations: dict[bool, deque[float]] = {
+        self._durations_by_reboot: dict[bool, deque[float]] = {
             reboot: deque(maxlen=MAX_MEASURED_MOVES) for reboot in (False, True)
         }
 
@@ -62,7 +62,7 @@
 
     def mean_move_s(self, reboot: bool) -> float:
         """Return the mean duration of recent moves, the expected one without any."""
-        durations = self._durations[reboot]
+        durations = self._durations_by_reboot[reboot]
         return fmean(durations) if durations else PlannerSettings().expected_move_s
 
     def remaining_fractions(
@@ -73,13 +73,13 @@
         It is 1 for a move whose start was not seen.
         """
         now, mean_move_s = self._clock(), self.mean_move_s(reboot)
-        left = {}
+        remaining_by_instance = {}
         for instance, move_id in move_by_instance.items():
             elapsed_s = now - self._begun_at_by_move.get(move_id, now)
             # Moves can take no time if nothing runs and nothing is rebooted.
             fraction = elapsed_s / mean_move_s if mean_move_s else 0.0
-            left[instance] = 1 - min(fraction, MAX_ELAPSED_FRACTION)
-        return left
+            remaining_by_instance[instance] = 1 - min(fraction, MAX_ELAPSED_FRACTION)
+        return remaining_by_instance
 
     def _observe_step(self, record: MoveStep, is_timely: bool) -> None:
         match record.stage:
@@ -90,7 +90,7 @@
                 has_joined = record.stage is MoveStage.JOINED
                 if has_joined and is_timely and begun_at is not None:
                     duration_s = self._clock() - begun_at
-                    self._durations[record.reboot].append(duration_s)
+                    self._durations_by_reboot[record.reboot].append(duration_s)
 
 
 class WaveProgress:
@@ -155,11 +155,11 @@
         maintenance = self._state().maintenance
         moves = maintenance.move_by_instance
         skipped = given_up_instances(maintenance.health_by_instance)
-        choice = first_blocked(wave, layout, usage, moves, skipped)
+        blocked = first_blocked(wave, layout, usage, moves, skipped)
         reason = ""
-        if choice is not None:
-            pool = layout.location_by_instance[choice.instance][0]
-            reason = describe(NotChosen(choice.instance, pool, choice.limit))
+        if blocked is not None:
+            pool = layout.location_by_instance[blocked.instance][0]
+            reason = describe(NotChosen(blocked.instance, pool, blocked.limit))
         ends_in_s = None
         # Nothing tells when a blocked wave without open moves can go on.
         if not reason or status.in_progress:
@@ -184,12 +184,12 @@
     def _budget_usage(self, layout: Layout) -> BudgetUsage:
         """Count the instances out of service, as the controller does."""
         maintenance = self._state().maintenance
-        out = {
+        out_of_service = {
             name
             for name in layout.location_by_instance
             if not self._is_in_service(name)
         }
-        usage = BudgetUsage(layout, out | layout.out_of_service)
+        usage = BudgetUsage(layout, out_of_service | layout.out_of_service)
         usage.take_recorded_out(
             maintenance.health_by_instance, maintenance.move_by_instance
         )
--- a/libs/entry/src/lycheeloom/entry/worker_monitor.py
+++ b/libs/entry/src/lycheeloom/entry/worker_monitor.py
@@ -26,9 +26,9 @@
 # Limits an entry to 15 probes a second; with 30 workers each is probed every 2 s.
 PROBE_INTERVAL_S = 0.2
 PROBES_PER_INTERVAL = 3
-# Concurrent probes; the probe of a silent worker takes the whole call timeout.
-MAX_PROBES = 16
-# Every nth probe of a worker fetches its usage report instead of a session.
+# Limits concurrent probes; that of a silent worker takes the whole call timeout.
+MAX_CONCURRENT_PROBES = 16
+# Each third round of probes fetches usage reports instead of opening sessions.
 USAGE_PROBE_PERIOD = 3
 _LEAVING_STAGES = frozenset(
     {MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING}
@@ -37,7 +37,12 @@
 
 
 class WorkerMonitor:
-    """Tells the scheduler which workers are available and how much is free."""
+    """Tells the scheduler which workers are available and how much is free.
+
+    A probe opens a new session at a worker or fetches its usage report. ``sessions``
+    must be set before ``run`` is called. ``on_change`` is called after each result
+    of opening a session.
+    """
 
     def __init__(
         self,
@@ -61,7 +66,7 @@
         return instance.address if instance else None
 
     def may_take_tasks(self, worker: str) -> bool:
-        """Tell whether the log and the instance list allow a worker new tasks."""
+        """Tell whether the log and the instance list allow new tasks on a worker."""
         if worker in self._leaving:
             return False
         maintenance = self._tail.state.maintenance
@@ -72,7 +77,10 @@
         return health is None or health.health not in _UNUSABLE_HEALTH
 
     def is_in_service(self, worker: str) -> bool:
-        """Tell whether a worker may get new tasks and answered its last probe."""
+        """Tell whether a worker may get new tasks and is reachable.
+
+        A worker counts as reachable until a session could not be opened.
+        """
         return self.may_take_tasks(worker) and self._reachable.get(worker, True)
 
     def is_on_probation(self, worker: str) -> bool:
@@ -128,9 +136,10 @@
 
     def run(self) -> None:
         """Probe all workers in turn until stopped."""
-        pool = gevent.pool.Pool(MAX_PROBES)
+        pool = gevent.pool.Pool(MAX_CONCURRENT_PROBES)
         for round_number in count():
             workers = list(self._tail.state.config.instance_by_id)
+            # Without any workers, a round still takes one interval.
             for first in range(0, max(1, len(workers)), PROBES_PER_INTERVAL):
                 gevent.sleep(seconds_until_tick(PROBE_INTERVAL_S))
                 for worker in workers[first : first + PROBES_PER_INTERVAL]:
@@ -156,4 +165,5 @@
         self._scheduler.observe_usage(reports, time.monotonic())
 
     def _mark_unavailable(self, worker: str) -> None:
+        # The free capacity and the boot id are not known.
         self._scheduler.observe_worker(worker, False, None, "", time.monotonic())
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -57,7 +57,7 @@
         lambda request, attempt: True,
         lambda request: None,
     )
-    made.set_queues(list(config.queue_by_id.values()))
+    made.configure_budgets(list(config.queue_by_id.values()))
     return made
 
 
@@ -143,7 +143,7 @@
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
     queue = Queue("find", "main", idempotent=True, hedge_budget_percent=percent)
-    dispatcher.set_queues([queue])
+    dispatcher.configure_budgets([queue])
     dispatcher.runner = SlowRunner()
     request = make_request()
     assert dispatcher.submit(request) is None
@@ -171,7 +171,9 @@
 def test_released_request_keeps_its_checkpoint(dispatcher):
     """Guards against a checkpointed request that starts from the beginning again."""
     released = []
-    dispatcher._release = lambda request, attempt: released.append(request.checkpoint)
+    dispatcher._record_release = lambda request, attempt: released.append(
+        request.checkpoint
+    )
     dispatcher.runner = FakeRunner([Stopped("half"), Answered(b"whole")])
     submission = Submission(
         "r1", "red", "find", b"", SIZE, 9.0, 0.0, checkpointable=True
--- a/libs/entry/tests/test_outcome_counts.py
+++ b/libs/entry/tests/test_outcome_counts.py
@@ -4,7 +4,7 @@
 
 from lycheeloom.entry.outcome_counts import (
     KEPT_PERIODS,
-    MAX_COUNTS,
+    MAX_REPORTED_COUNTS,
     PERIOD_S,
     SUSPECT_PERIODS,
     OutcomeCounts,
@@ -90,11 +90,11 @@
 
 def test_report_is_bounded(counts, clock):
     """Guards against a report of thousands of workers after a bad release."""
-    for number in range(3 * MAX_COUNTS):
+    for number in range(3 * MAX_REPORTED_COUNTS):
         counts.record(f"w{number}", "find", True)
     for _ in range(2):
         counts.record("w250", "find", True)
     clock.pass_periods()
     found = counts.report(0).counts
-    assert len(found) == MAX_COUNTS
+    assert len(found) == MAX_REPORTED_COUNTS
     assert found[0] == OutcomeCount("w250", "find", 3, 3)
--- a/libs/entry/tests/test_recovery.py
+++ b/libs/entry/tests/test_recovery.py
@@ -13,7 +13,7 @@
     TaskStatus,
 )
 from lycheeloom.entry import recovery
-from lycheeloom.entry.recovery import ClaimRecovery, decide
+from lycheeloom.entry.recovery import ClaimRecovery, choose_record
 from lycheeloom.log import LogTail, LogWriter
 from lycheeloom.model.records import Outcome, RequestFinished, RequestReleased
 from lycheeloom.model.resources import NO_RESOURCES
@@ -64,7 +64,7 @@
 def test_decision_about_a_lost_attempt(found, non_idempotent, idempotent):
     """A non-idempotent request may start again only if it certainly did not run."""
     for expected, is_idempotent in ((non_idempotent, False), (idempotent, True)):
-        record = decide(request(is_idempotent), 2, found)
+        record = choose_record(request(is_idempotent), 2, found)
         if isinstance(expected, Outcome):
             assert (type(record), record.outcome) == (RequestFinished, expected)
             continue
@@ -75,7 +75,7 @@
 def test_answer_that_the_worker_kept_is_collected(is_idempotent):
     """A finished task must be answered, not run again."""
     found = report(TaskStatus.DONE, answer=b"whole")
-    record = decide(request(is_idempotent), 2, found)
+    record = choose_record(request(is_idempotent), 2, found)
     assert record == RequestFinished("r", 2, Outcome.RAN, b"whole")
 
 
