--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -18,7 +18,7 @@
 
 from .local_requests import Submission
 
-# An interactive request without a deadline is refused after waiting this long.
+# Longest wait for the start of an interactive request that sets no deadline.
 DEFAULT_DEADLINE_S = 30.0
 MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
@@ -79,8 +79,8 @@
 ) -> str | Refusal:
     """Return the organisation that a request is charged to, or a refusal.
 
-    A request without a key to a queue that is open to all is charged to the
-    organisation that the queue lists.
+    A request without a key is charged to the first organisation of the queue if the
+    queue is open to all, and refused otherwise.
     """
     if not authorization:
         if queue.open_to_all and queue.organisations:
--- a/libs/entry/src/lycheeloom/entry/explanations.py
+++ b/libs/entry/src/lycheeloom/entry/explanations.py
@@ -20,7 +20,10 @@
         self._local_requests = local_requests
 
     def explain(self, kind: str, name: str) -> list[str] | None:
-        """Return sentences, oldest first, or None if nothing is known."""
+        """Return sentences about an object, or None if nothing is known about it.
+
+        ``name`` is the id of the object. Older events come first.
+        """
         match kind:
             case "request":
                 return self._explain_request(name)
@@ -41,8 +44,9 @@
             lines.extend(_describe_recorded(recorded))
         local = self._local_requests.by_id.get(name)
         retries = local.copy_count if local is not None else 0
-        for attempt in range(retries + 1):
-            events = self._scheduler.explain(f"{name}#{attempt}")
+        # The events of the first submission, then those of each retry and hedge.
+        for copy_number in range(retries + 1):
+            events = self._scheduler.explain(f"{name}#{copy_number}")
             lines.extend(str(event) for event in events)
         return lines or None
 
--- a/libs/entry/src/lycheeloom/entry/grant_manager.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -1,4 +1,9 @@
-"""Requests running slots by demand and returns those that other entries need."""
+"""Requests running slots by demand and returns those that other entries need.
+
+A grant is the number of running slots of an organisation that an entry holds by the
+log; each running task takes one. In this module, a request is a record that asks for
+more slots, not a caller's request.
+"""
 
 from __future__ import annotations
 
@@ -16,23 +21,29 @@
 from lycheeloom.sched import Scheduler
 
 STEP_INTERVAL_S = 0.1
-# A request for slots is repeated this often while demand stays above the grant.
+# A request for slots is repeated at this interval while demand exceeds the grant.
 REQUEST_INTERVAL_S = 1.0
-# A step covers the organisations with demand; this often it covers all of them.
-# Covering 210 organisations in each step took 0.6% of a core.
+# A step covers the organisations with demand; at this interval it covers all of them,
+# as covering 210 organisations in each step took 0.6% of a core.
 FULL_STEP_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
 class _SlotReturn:
+    """A return of slots whose record may still be written."""
+
     count: int
     pending: PendingRecord
 
 
 @dataclass(frozen=True, slots=True)
 class _Demand:
-    """This entry, the active members and the demand, read once for each step."""
+    """What a step compares grants with, read once for each step.
 
+    Demand is the number of running and queued tasks.
+    """
+
+    # The incarnation of this entry.
     own: str
     members: frozenset[str]
     by_organisation: Mapping[str, int]
@@ -46,10 +57,14 @@
 class GrantManager:
     """Keeps this entry's grants near its demand.
 
-    Without demand an entry holds an equal part of each limit, so that it can start
-    tasks in a log outage. While another entry has unmet demand, an entry keeps only
-    the part of the limit that is proportional to its demand. A draining entry keeps
-    no reserve, only what its queued and running tasks need until they have ended.
+    Without demand an entry holds an equal part of each organisation's limit as its
+    reserve, so that it can start tasks in a log outage. While another entry has unmet
+    demand, an entry keeps only the part of the limit that is proportional to its own
+    demand. A draining entry keeps no reserve, only what its queued and running tasks
+    need until they have ended.
+
+    ``running(organisation)`` returns how many slots are in use here, and ``on_change``
+    is called after the scheduler got a different number of usable slots.
     """
 
     def __init__(
@@ -75,8 +90,11 @@
         self._on_change = on_change
         self._clock = clock
         self._return_by_organisation: dict[str, _SlotReturn] = {}
+        # When slots were last requested, by organisation.
         self._requested_at: dict[str, float] = {}
+        # The latest request for slots; its outcome is None until it is known.
         self._request_by_organisation: dict[str, PendingRecord] = {}
+        # The usable slots that the scheduler was told last.
         self._slots_by_organisation: Mapping[str, int] = {}
         self._next_full_step_at = -math.inf
 
@@ -98,7 +116,7 @@
         return self._usable(own, organisation)
 
     def schedule_full_step(self) -> None:
-        """Cover all organisations in the next step, as grants or members changed."""
+        """Let the next step cover all organisations, as grants or members changed."""
         self._next_full_step_at = -math.inf
         self.update_scheduler()
 
@@ -120,7 +138,7 @@
         self._on_change()
 
     def return_idle_slots(self) -> list[PendingRecord]:
-        """Return every slot without a running task; used when leaving."""
+        """Give back every slot without a running task; return the pending records."""
         pendings = []
         for organisation in self._tail.state.config.organisation_by_id:
             idle = self._held_slots(organisation) - self._running(organisation)
@@ -129,7 +147,7 @@
         return pendings
 
     def step(self) -> None:
-        """Drop finished returns, then request or return slots of each organisation."""
+        """Forget settled returns, then request or return slots."""
         self._settle_returns()
         own = self._incarnation()
         state = self._tail.state
@@ -163,8 +181,8 @@
         grants = self._tail.state.grants.of(organisation)
         held = grants.count_by_holder.get(demand.own, 0)
         is_over_limit = grants.total() > grants.limit
-        # No entry can use the slots of expelled members until they are reclaimed. With
-        # these counted, the reserves of idle entries would exceed what is left.
+        # No entry can use the slots of expelled members until they are reclaimed. If
+        # they counted, the reserves of idle entries would exceed the remaining slots.
         unusable = sum(
             count
             for holder, count in grants.count_by_holder.items()
@@ -176,7 +194,8 @@
         others_wait = any(holder != demand.own for holder in grants.unmet_by_holder)
         if (others_wait or is_over_limit) and held > wanted:
             self._withdraw_request(organisation)
-            # No entry could use slots returned in a log outage until its end.
+            # A return in a log outage takes effect only afterwards, and until then no
+            # entry could use the returned slots.
             if not self._is_log_readable():
                 return
             idle = held - max(wanted, self._running(organisation))
@@ -197,15 +216,16 @@
             return running
         own = demand.by_organisation.get(organisation, 0)
         if self._is_draining():
-            # Without new requests, slots become free as the queued ones end. With fewer
-            # slots than its demand the entry might not end them in time.
+            # Callers submit nothing new here, so slots become free as tasks end. With
+            # fewer slots than its demand the entry might not end them in time.
             return max(running, min(own, limit))
-        # Zero for a limit below the number of entries: idle entries that kept a slot
+        # Rounded down: with fewer slots than entries, idle entries that kept one slot
         # each would leave none to an entry with demand.
         reserve = limit // len(demand.members)
         peers = demand.peers_by_organisation.get(organisation, 0)
         if peers + own <= limit:
             return max(own, min(reserve, limit - peers))
+        # Rounded up.
         proportional_part = -(-limit * own // max(1, peers + own))
         return min(own, proportional_part) if own else 0
 
@@ -216,8 +236,8 @@
     def _request_slots(self, organisation: str, count: int) -> None:
         """Request slots, with at most one request in flight for each organisation.
 
-        Otherwise a log outage of 30 minutes with a request each second would leave
-        1,800 records of each organisation to be written after it.
+        With one request each second, a log outage of 30 minutes would leave 1,800
+        records for each organisation, to be written after the outage.
         """
         now = self._clock()
         if now - self._requested_at.get(organisation, -math.inf) < REQUEST_INTERVAL_S:
@@ -250,11 +270,12 @@
         return self._clock() - self._tail.last_read_sent_at <= FRESHNESS_S
 
     def _settle_returns(self) -> None:
+        """Forget returns with an outcome; in a log outage, withdraw unsent ones."""
         is_outage = not self._is_log_readable()
         for organisation, returning in list(self._return_by_organisation.items()):
             if is_outage and returning.pending.outcome is None:
                 returning.pending.withdraw("the log is down")
-            # A return without an outcome may still take effect at any time.
+            # A return that still has no outcome may take effect at any time.
             if returning.pending.outcome is not None:
                 del self._return_by_organisation[organisation]
                 self._next_full_step_at = -math.inf
--- a/libs/entry/src/lycheeloom/entry/http_api.py
+++ b/libs/entry/src/lycheeloom/entry/http_api.py
@@ -23,14 +23,20 @@
 from .request_handler import RequestHandler
 from .status_page import render_status_page
 
-# JSON escapes make a payload at most six times as long.
+# JSON escapes make a payload at most six times as long; the rest is for other fields.
 MAX_SUBMISSION_BYTES = 6 * MAX_PAYLOAD_BYTES + 4096
+# Bounds the body of POST /v1/records, whose batches are in base64.
 MAX_RECORDS_BODY_BYTES = 2 * MAX_BATCH_BYTES
 _JSON = "application/json"
 
 
 class HttpApi:
-    """Routes of one entry; ``app`` is the WSGI application."""
+    """Routes of one entry; ``app`` is the WSGI application.
+
+    ``explain(kind, id)`` returns sentences, or None if the object is not known.
+    ``update_metrics`` is called before each scrape. With an empty ``handover_token``,
+    ``POST /v1/records`` is always refused.
+    """
 
     def __init__(
         self,
@@ -68,7 +74,7 @@
         route("/readyz", "GET", self.ready)
 
     def submit(self, queue: str) -> HTTPResponse:
-        """``POST /v1/queues/<queue>/requests``."""
+        """``POST /v1/queues/<queue>/requests``: submit a request."""
         body = request.environ["wsgi.input"].read(MAX_SUBMISSION_BYTES + 1)
         if len(body) > MAX_SUBMISSION_BYTES:
             message = f"the body is longer than {MAX_SUBMISSION_BYTES} bytes"
@@ -81,7 +87,7 @@
         return _respond(self._request_handler.submit(queue, headers, body))
 
     def show(self, request_id: str) -> HTTPResponse:
-        """``GET /v1/requests/<id>?wait_ms=``."""
+        """``GET /v1/requests/<id>?wait_ms=``: the verdict or progress of a request."""
         try:
             wait_s = max(0, int(request.query.get("wait_ms") or 0)) / 1000
         except ValueError:
@@ -91,15 +97,16 @@
         return _respond(self._request_handler.show(request_id, authorization, wait_s))
 
     def cancel(self, request_id: str) -> HTTPResponse:
-        """``DELETE /v1/requests/<id>``."""
+        """``DELETE /v1/requests/<id>``: cancel a request."""
         authorization = request.environ.get("HTTP_AUTHORIZATION", "")
         return _respond(self._request_handler.cancel(request_id, authorization))
 
     def post_records(self) -> HTTPResponse:
-        """``POST /v1/records``: batches that the log accepted, from an operator's tool.
+        """``POST /v1/records``: take batches from an operator's tool.
 
-        A forged batch would change the configuration of this entry, so the handover
-        token in the settings is required.
+        The log has accepted the batches, and this entry may not be able to read them
+        there. A forged batch would change the configuration of this entry, so the
+        handover token in the settings is required.
         """
         authorization = request.environ.get("HTTP_AUTHORIZATION", "")
         expected = f"Bearer {self._handover_token}"
@@ -124,18 +131,18 @@
         return _respond(Reply(200, document))
 
     def status(self) -> HTTPResponse:
-        """``GET /v1/status``."""
+        """``GET /v1/status``: the status document as JSON."""
         return HTTPResponse(
             self._read_status().model_dump_json(), 200, {"Content-Type": _JSON}
         )
 
     def status_page(self) -> HTTPResponse:
-        """``GET /status``."""
+        """``GET /status``: the status document as an HTML page."""
         headers = {"Content-Type": "text/html; charset=utf-8"}
         return HTTPResponse(render_status_page(self._read_status()), 200, headers)
 
     def explain(self, kind: str, name: str) -> HTTPResponse:
-        """``GET /v1/explain/<kind>/<id>``."""
+        """``GET /v1/explain/<kind>/<id>``: the sentences that explain an object."""
         lines = self._explain(kind, name)
         if lines is None:
             message = f"nothing is known about {kind} {name!r}"
--- a/libs/entry/src/lycheeloom/entry/main.py
+++ b/libs/entry/src/lycheeloom/entry/main.py
@@ -43,7 +43,7 @@
     try:
         service.run()
     except OSError as error:
-        # Only listening raises OSError; clients return their failures as results.
+        # Only listening raises OSError: clients return failed calls as results.
         log_event("cannot_listen", "ERROR", reason=str(error))
         return ExitCode.CANNOT_LISTEN
     return ExitCode.OK
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -121,11 +121,15 @@
         return Gauge(f"lycheeloom_{name}", text, labels, registry=self.registry)
 
     def set_status(self, status: StatusDocument) -> None:
-        """Set the gauges from the status document; removed label values disappear."""
+        """Set the gauges from the status document.
+
+        Label values that are no longer in the document disappear.
+        """
         self.fresh.set(int(status.fresh))
         self.draining.set(int(status.draining))
         self.config_version.set(status.config_version)
-        # An entry that has never read the log must not look up to date to alerts.
+        # Alerts compare this gauge with a limit: infinity, unlike 0, raises them for an
+        # entry that has never read the log.
         never = status.log_age_ms is None
         self.log_age_s.set(math.inf if never else status.log_age_ms / 1000)
         self._set_members(status)
--- a/libs/entry/src/lycheeloom/entry/outcome_counts.py
+++ b/libs/entry/src/lycheeloom/entry/outcome_counts.py
@@ -8,24 +8,25 @@
 
 from lycheeloom.wire import OutcomeCount, OutcomeReport
 
+# Outcomes are counted in periods of this length, numbered from 1.
 PERIOD_S = 5.0
-# A controller may miss the reports of one minute, for instance on a connection that
-# went silent, and get their counts with the next one.
+# A controller that misses the reports of one minute, for instance on a connection that
+# went silent, gets their counts with its next report.
 KEPT_PERIODS = 12
-# A worker is suspect for this long after a task has failed on it; the same window as
-# that of the controller's health monitor.
+# A worker stays suspect for this long after a task has failed on it. The controller's
+# health monitor uses the same window.
 SUSPECT_PERIODS = 60
-# Limits a report to about 6 KB. Workers with most failures come first; those left out
-# are reported with their next failures.
+# Limits a report to about 6 KB. Workers with the most failures come first; one that is
+# left out is reported when it fails again.
 MAX_REPORTED_COUNTS = 100
 
 
 class OutcomeCounts:
     """Counts how the tasks of unrecorded requests ended.
 
-    Recorded requests are left out, as controllers read their outcomes from the
-    log. Only suspect workers are counted: those with a failure in the last
-    ``SUSPECT_PERIODS``, and those on probation, which ends with enough successes.
+    Recorded requests are not counted, as controllers read their outcomes from the
+    log. Tasks are counted only on suspect workers: those with a failure in the last
+    ``SUSPECT_PERIODS``, and those on probation, which enough successes end.
     """
 
     def __init__(
@@ -35,8 +36,10 @@
     ) -> None:
         self._is_on_probation = is_on_probation
         self._clock = clock
+        # The period of the last failure, by worker, and of the last success, by queue.
         self._last_failure: dict[str, int] = {}
         self._last_success: dict[str, int] = {}
+        # By period, and by worker and queue: the numbers of ended and of failed tasks.
         self._counts: dict[int, dict[tuple[str, str], list[int]]] = {}
 
     def record(self, worker: str, queue: str, has_failed: bool) -> None:
@@ -56,32 +59,36 @@
         count[1] += has_failed
 
     def report(self, after: int) -> OutcomeReport:
-        """Return the sums over the completed periods after period ``after``."""
-        through = self._period() - 1
-        self._drop_old(through)
-        total: dict[tuple[str, str], list[int]] = defaultdict(lambda: [0, 0])
+        """Return the counts summed over the completed periods after ``after``.
+
+        The report also names those of its queues in which a task has recently
+        succeeded on any worker.
+        """
+        last_period = self._period() - 1
+        self._drop_old(last_period)
+        sums: dict[tuple[str, str], list[int]] = defaultdict(lambda: [0, 0])
         for period, counts in self._counts.items():
-            if not after < period <= through:
+            if not after < period <= last_period:
                 continue
             for key, (ended, failed) in counts.items():
-                total[key][0] += ended
-                total[key][1] += failed
-        # If not all fit, the workers with most failures are reported.
-        ordered = sorted(total.items(), key=lambda item: (-item[1][1], item[0]))
-        found = tuple(
+                sums[key][0] += ended
+                sums[key][1] += failed
+        # Most failures first.
+        ordered = sorted(sums.items(), key=lambda item: (-item[1][1], item[0]))
+        reported = tuple(
             OutcomeCount(worker, queue, ended, failed)
             for (worker, queue), (ended, failed) in ordered[:MAX_REPORTED_COUNTS]
         )
-        oldest = through - SUSPECT_PERIODS
+        oldest = last_period - SUSPECT_PERIODS
         succeeded = sorted(
             queue
-            for queue in {count.queue for count in found}
+            for queue in {count.queue for count in reported}
             if self._last_success.get(queue, 0) > oldest
         )
-        return OutcomeReport(through, found, tuple(succeeded))
+        return OutcomeReport(last_period, reported, tuple(succeeded))
 
     def _period(self) -> int:
-        # Starts at 1, as ``report(0)`` returns all periods.
+        # The first period is 1, so that ``report(0)`` covers all periods.
         return int(self._clock() // PERIOD_S) + 1
 
     def _is_suspect(self, worker: str, period: int) -> bool:
--- a/libs/entry/src/lycheeloom/entry/queue_budgets.py
+++ b/libs/entry/src/lycheeloom/entry/queue_budgets.py
@@ -7,6 +7,7 @@
 from lycheeloom.model.config import Queue
 from lycheeloom.sched import HedgeBudget, RetryBudget
 
+# Its budgets allow no retries and no hedges.
 _UNKNOWN_QUEUE = Queue("", "", retry_budget_percent=0)
 
 
@@ -18,7 +19,7 @@
         self._hedge_by_queue: dict[str, HedgeBudget] = {}
 
     def set_queues(self, queues: Iterable[Queue]) -> None:
-        """Replace the queues; a budget with the same percentage keeps its balance."""
+        """Replace the queues; a budget whose percentage stays keeps its balance."""
         retries, hedges = self._retry_by_queue, self._hedge_by_queue
         self._retry_by_queue, self._hedge_by_queue = {}, {}
         for queue in queues:
@@ -32,7 +33,7 @@
             self._hedge_by_queue[queue.id] = hedge
 
     def on_request(self, queue: str) -> None:
-        """Credit both budgets of a queue for a first attempt."""
+        """Credit the retry budget and the hedge budget for a new request on a queue."""
         self.retry(queue).on_request()
         self.hedge(queue).on_request()
 
@@ -41,5 +42,5 @@
         return self._retry_by_queue.get(queue) or RetryBudget(_UNKNOWN_QUEUE)
 
     def hedge(self, queue: str) -> HedgeBudget:
-        """Return the budget for second copies of slow requests."""
+        """Return the budget for hedges, the second copies of slow requests."""
         return self._hedge_by_queue.get(queue) or HedgeBudget(_UNKNOWN_QUEUE)
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -201,7 +201,7 @@
         self._finished_event_by_id.clear()
 
     def read_answer(self, request: RecordedRequest) -> bytes | RecordLost | None:
-        """Return a finished request's answer, or None if the log is not readable now."""
+        """Return the answer, ``RecordLost``, or None if the log is not readable now."""
         record = self._reader.answer(request.answer_offset, request.request_id)
         return record.answer if isinstance(record, r.RequestFinished) else record
 
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -1,4 +1,4 @@
-"""Recovery of recorded requests whose claim belongs to a lost or removed member."""
+"""Recovery of recorded requests whose claim belongs to an entry that is gone."""
 
 from __future__ import annotations
 
@@ -17,8 +17,9 @@
 from .rendezvous import select_member
 
 SCAN_INTERVAL_S = 1.0
+# A record that is not sent to the log within this time is withdrawn.
 COMMIT_TIMEOUT_S = 5.0
-# A worker that does not answer is polled again for this long.
+# A worker that does not answer, or reports the task as running, is polled this long.
 LOOKUP_TIMEOUT_S = 60.0
 LOOKUP_INTERVAL_S = 1.0
 
@@ -27,7 +28,9 @@
     """Finishes or releases claims of members that left or whose grants were reclaimed.
 
     Every lease of such a member has expired, so its tasks no longer run and its
-    starts are refused. The status of a task at its worker is therefore final.
+    starts are refused. What a worker reports about a task that ended, or that it does
+    not know, is therefore final. Each claim is recovered by the member that rendezvous
+    hashing selects.
     """
 
     def __init__(
@@ -47,7 +50,7 @@
         self._in_progress: set[str] = set()
 
     def run(self) -> None:
-        """Scan for such claims until stopped."""
+        """Scan for claims of lost members until stopped."""
         while True:
             if self._may_act():
                 self.scan()
@@ -86,6 +89,7 @@
             self._in_progress.discard(request.request_id)
 
     def _look_up(self, request: RecordedRequest, attempt: int) -> TaskReport | None:
+        """Return the worker's final report about an attempt, or None without one."""
         instance = self._tail.state.config.instance_by_id.get(request.worker)
         if instance is None:
             return None
@@ -103,9 +107,11 @@
 def choose_record(
     request: RecordedRequest, attempt: int, report: TaskReport | None
 ) -> Record:
-    """Return the record that finishes or releases a lost attempt.
+    """Return the record that finishes a request or releases the claim on it.
 
     ``report`` is the worker's final report about the attempt, or None if there is none.
+    A release queues the request again, so a request that is not idempotent is released
+    only if the attempt certainly did not run or left a checkpoint.
     """
     request_id = request.request_id
     release = r.RequestReleased(request_id, attempt)
@@ -123,6 +129,6 @@
         case TaskStatus.CHECKPOINTED:
             return r.RequestReleased(request_id, attempt, report.checkpoint)
         case TaskStatus.UNKNOWN if report.boot_id == request.worker_boot:
-            # The worker never got the start, and would refuse it now.
+            # The worker did not get the start, and would refuse it if it came now.
             return release
     return release if request.idempotent else may_have_run
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -51,7 +51,10 @@
 
 
 def refusal_reply(refusal: Refusal, request_id: str = "") -> Reply:
-    """Return the reply for a request that certainly did not run."""
+    """Return the reply for a request that certainly did not run.
+
+    ``request_id`` is empty for a request that got no id before it was refused.
+    """
     headers = {}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_after_s)))
@@ -77,7 +80,10 @@
 
 
 def ran_reply(request_id: str, answer: bytes) -> Reply:
-    """Return the reply with a task's answer, as text if it is UTF-8, else in base64."""
+    """Return the reply for a request that ran.
+
+    Its answer is given as text if it is UTF-8, else in base64.
+    """
     document: dict[str, Any] = {"request_id": request_id, "verdict": "ran"}
     try:
         document["answer"] = answer.decode()
@@ -98,7 +104,7 @@
 
 
 def answer_lost_reply(request_id: str) -> Reply:
-    """Return the reply for a request that ran and whose answer the log dropped."""
+    """Return the reply for a request that ran, but whose answer the log dropped."""
     document = {
         "request_id": request_id,
         "verdict": "ran",
--- a/libs/entry/src/lycheeloom/entry/request_handler.py
+++ b/libs/entry/src/lycheeloom/entry/request_handler.py
@@ -1,4 +1,4 @@
-"""Handling of callers' requests, from validation to the answer."""
+"""Handling of callers' requests, from validation to the reply."""
 
 from __future__ import annotations
 
@@ -28,12 +28,16 @@
     verdict_reply,
 )
 
-# A caller whose wait ends without an answer gets its request id to ask again with.
+# A caller that has waited this long gets the request id, to ask for the verdict later.
 MAX_WAIT_S = 120.0
 
 
 class RequestHandler:
-    """Submits, shows and cancels requests for the HTTP interface."""
+    """Submits, shows and cancels requests for the HTTP interface.
+
+    A recorded request is in the log, and any entry can tell its outcome. An unrecorded
+    one is known only to the entry that accepted it.
+    """
 
     def __init__(
         self,
@@ -46,6 +50,7 @@
         tracer: Tracer,
     ) -> None:
         self.is_draining = False
+        # Submissions and reads whose callers wait for the reply now.
         self.open_requests = 0
         self._tail = tail
         self._freshness = freshness
@@ -56,7 +61,7 @@
         self._tracer = tracer
 
     def submit(self, queue: str, headers: RequestHeaders, body: bytes) -> Reply:
-        """Submit a request; answer with its verdict, or with its progress."""
+        """Submit a request; reply with its verdict, or with its progress."""
         self.open_requests += 1
         try:
             with self._tracer.span("request", headers.traceparent, queue=queue) as span:
@@ -70,7 +75,7 @@
             self.open_requests -= 1
 
     def show(self, request_id: str, authorization: str, wait_s: float) -> Reply:
-        """Answer with a request's verdict, or with its progress after ``wait_s``."""
+        """Reply with a request's verdict, or with its progress after ``wait_s``."""
         self.open_requests += 1
         try:
             return self._show(request_id, authorization, min(wait_s, MAX_WAIT_S))
@@ -78,7 +83,7 @@
             self.open_requests -= 1
 
     def cancel(self, request_id: str, authorization: str) -> Reply:
-        """Cancel a request and answer with its verdict, or with its progress."""
+        """Cancel a request and reply with its verdict, or with its progress."""
         found = self._find(request_id, authorization)
         if isinstance(found, Reply):
             return found
@@ -142,9 +147,9 @@
     def _await_local_verdict(self, request_id: str) -> Reply:
         """Wait for the verdict of a recorded request that was submitted here.
 
-        An answer is returned without waiting for its commit. "Not run" is returned
-        only once it is in the log: until then another entry could still take the
-        request over.
+        An answer is returned without waiting for its commit. The other verdicts are
+        returned only once they are in the log: until "not run" is recorded, another
+        entry could still take the request over.
         """
         give_up_at = time.monotonic() + MAX_WAIT_S
         local = self._local_requests.by_id.get(request_id)
@@ -157,9 +162,9 @@
         return self._await_recorded_outcome(request_id, give_up_at - time.monotonic())
 
     def _await_recorded_outcome(self, request_id: str, wait_s: float) -> Reply:
-        """Wait until a recorded request is finished in the log.
+        """Wait until a recorded request is finished in the log, and return the reply.
 
-        Answers to later calls and to repeated submissions come from the log only, so
+        Replies to later calls and to repeated submissions come from the log only, so
         that all entries give the same one: if this entry is lost before its verdict is
         recorded, another entry records that the request may have run.
         """
@@ -174,7 +179,7 @@
             return progress_reply(request_id, request.status.value)
         if request.outcome is Outcome.NOT_RUN:
             if request.idempotent and request.attempt > 0:
-                # Its claim was released without proof that its attempts did not run.
+                # The claim was released without proof that no attempt has run.
                 return may_have_run_reply(request_id, "cancelled after an attempt")
             local = self._local_requests.by_id.get(request_id)
             if local is not None and isinstance(local.verdict, NotRun):
@@ -207,7 +212,10 @@
     def _find(
         self, request_id: str, authorization: str
     ) -> RecordedRequest | LocalRequest | Reply:
-        """Return a request that the key in ``authorization`` may read, or a refusal."""
+        """Return a request that the key in ``authorization`` may read, or a reply.
+
+        A request of another organisation is reported as unknown.
+        """
         if not self._freshness.is_fresh():
             message = "this entry has no recent contact with the log or its peers"
             refusal = Refusal(RefusalReason.STALE_ENTRY, message, 1.0)
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -65,16 +65,16 @@
 from .worker_monitor import WorkerMonitor
 
 PROGRAM_VERSION = "0.1.0"
-RECOVERY_RETRY_S = 0.5
+RECOVERY_RETRY_S = 0.5  # between attempts to read the state from the log
 # Interval between two measurements of the event loop's delay.
 LOOP_DELAY_INTERVAL_S = 5.0
 CLOSE_IDLE_INTERVAL_S = 5.0
 DRAIN_POLL_S = 0.05
-# The load balancer learns from /readyz that this entry is draining; until then new
-# requests get a refusal instead of a closed connection.
+# Until the load balancer learns from /readyz that this entry is draining, new requests
+# get a refusal instead of a closed connection.
 MIN_DRAIN_DURATION_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
-# Allocations between two collections of the youngest generation.
+# Allocations between two garbage collections of the youngest generation.
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # Records that can change the grants of this entry or the number of members.
 _GRANT_RECORD_TYPES = {
@@ -114,7 +114,7 @@
         self._stopping = gevent.event.Event()
 
     def run(self) -> None:
-        """Serve until ``stop`` is called, then end accepted requests and shut down."""
+        """Serve until stopped, replaced or marked as leaving; drain and shut down."""
         self._build(self._recover())
         self._start()
         log_event(
@@ -277,8 +277,8 @@
         )
 
     def _start(self) -> None:
-        # Modules and the recovered state are long-lived. Without the freeze, each full
-        # garbage collection scanned them and delayed answers by tens of milliseconds.
+        # Keeps the modules and the recovered state out of full garbage collections,
+        # which scanned them and delayed answers by tens of milliseconds.
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
@@ -379,7 +379,7 @@
             self._clients.workers.close_idle()
 
     def _drain(self) -> None:
-        """Refuse new requests, finish the accepted ones, and leave the members."""
+        """Refuse new requests, finish the accepted ones, then leave the cluster."""
         self.handler.is_draining = True
         self.mesh.draining = True
         self.recorded_requests.release_waiters()
--- a/libs/entry/src/lycheeloom/entry/sessions.py
+++ b/libs/entry/src/lycheeloom/entry/sessions.py
@@ -1,8 +1,9 @@
 """Sessions at workers, opened before the starts that refer to them.
 
-A worker accepts a start only within ``SESSION_TTL_S`` after it created the session.
-Sessions are never renewed: each new one has a new id, so that a delayed call cannot
-extend the time in which an earlier start is accepted.
+Each start names a session, and the worker accepts the start only within
+``SESSION_TTL_S`` after it created that session. Sessions are never renewed: each new
+one has a new id, so that a delayed call cannot extend the time in which an earlier
+start is accepted.
 """
 
 from __future__ import annotations
@@ -17,20 +18,26 @@
 from lycheeloom.clients import Session, Unavailable, WorkerClient
 from lycheeloom.model.limits import SESSION_TTL_S
 
-# A session older than this is replaced before it is used in a start.
+# A session of this age is replaced before a start; below SESSION_TTL_S, as the start
+# still has to arrive.
 MAX_SESSION_AGE_S = 1.2
-# A session older than this is used, and replaced in the background.
+# A session of this age is still used, and replaced in the background.
 REFRESH_AGE_S = 0.7
 
 
 @dataclass(slots=True)
 class _OpenedSession:
     session: Session
+    # Before the worker created the session, so its age is not underestimated.
     requested_at: float
 
 
 class WorkerSessions:
-    """The newest session of each worker; concurrent calls share one opening."""
+    """The newest session of each worker; concurrent callers share one call to open it.
+
+    ``holder()`` is the incarnation of this entry for which sessions are opened.
+    ``on_opened(worker, result)`` is called after each attempt to open a session.
+    """
 
     def __init__(
         self,
@@ -47,7 +54,7 @@
         self._opening_by_worker: dict[str, AsyncResult] = {}
 
     def get(self, worker: str, address: str) -> Session | Unavailable:
-        """Return a session that a start can use now; may wait for the worker."""
+        """Return a session that a start can use now; waits for the worker if needed."""
         opened = self._opened_by_worker.get(worker)
         age_s = self._clock() - opened.requested_at if opened else MAX_SESSION_AGE_S
         if age_s >= MAX_SESSION_AGE_S:
@@ -57,7 +64,7 @@
         return opened.session
 
     def open(self, worker: str, address: str) -> Session | Unavailable:
-        """Open a new session, or wait for the one that another greenlet opens."""
+        """Open a new session, or return the one that another greenlet is opening."""
         opening = self._opening_by_worker.get(worker)
         if opening is not None:
             return opening.get()
--- a/libs/entry/src/lycheeloom/entry/settings.py
+++ b/libs/entry/src/lycheeloom/entry/settings.py
@@ -10,7 +10,11 @@
 
 
 class Settings(BaseModel):
-    """Addresses of this entry and of the platform; times are in seconds."""
+    """Addresses of this entry and of the platform; times are in seconds.
+
+    ``log`` is the address of the log, and ``instances`` that of the instance list.
+    ``trace_ratio`` is the fraction of requests that are traced.
+    """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -24,6 +28,6 @@
     trace_ratio: float = Field(default=0.0, ge=0, le=1)
     drain_timeout_s: float = Field(default=30.0, gt=0)
     seed: int = 0
-    # Required from operators' tools that send accepted records straight to this entry;
-    # while it is empty, no such records are accepted.
+    # Operators' tools must present this token to send records straight to this entry.
+    # If it is empty, such records are refused.
     handover_token: str = Field(default="", max_length=256)
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -1,4 +1,4 @@
-"""The last checks before a start or a lease renewal is sent."""
+"""The last checks before a start or a lease renewal is sent to a worker."""
 
 from __future__ import annotations
 
@@ -39,6 +39,7 @@
         if request.verdict is not None or request.cancel_requested:
             return "the request is already settled"
         organisation = request.submission.organisation
+        # The running count includes this attempt.
         if self._dispatcher.running_count(organisation) > self._grants.usable(
             organisation
         ):
@@ -57,7 +58,8 @@
     def may_renew(self, holder: str) -> bool:
         """Tell whether leases of one of this entry's incarnations may be renewed.
 
-        The slots of an expelled incarnation are given to other entries once its
-        leases have expired, so they are not renewed after this entry has rejoined.
+        The slots of an expelled incarnation go to other entries once its leases have
+        expired. After this entry has rejoined as a new incarnation, it must therefore
+        not renew leases of the old one.
         """
         return holder == self._keeper.incarnation and self._freshness.is_fresh()
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -1,4 +1,4 @@
-"""Builds the status document of an entry."""
+"""Builds the status document of an entry, for operators and monitoring."""
 
 from __future__ import annotations
 
@@ -50,13 +50,13 @@
         self._local_requests = local_requests
         self._worker_monitor = worker_monitor
         self._waves = waves
-        # The configuration that the totals below were computed for.
+        # Totals over the fleet, and the configuration that they were computed for.
         self._totals_config: FleetConfig | None = None
         self._fleet_resources = NO_RESOURCES
         self._wanted_buffer = 0
 
     def build(self, instance: str, zone: str, version: str) -> StatusDocument:
-        """Return the current status."""
+        """Return the current status; ``version`` is that of this program."""
         config = self._tail.state.config
         log_age_s = self._mesh.log_age_s()
         return StatusDocument(
@@ -110,17 +110,22 @@
     def fleet_usage(self) -> dict[str, OrganisationUsage]:
         """Return the usage of each organisation, summed over all entries."""
         total: dict[str, OrganisationUsage] = {}
-        parts = [self._mesh.usage_by_organisation, *self._mesh.usage_by_peer().values()]
-        for usage_by_organisation in parts:
+        usages = [
+            self._mesh.usage_by_organisation,
+            *self._mesh.usage_by_peer().values(),
+        ]
+        for usage_by_organisation in usages:
             for organisation, usage in usage_by_organisation.items():
-                known = total.get(organisation) or OrganisationUsage(organisation, 0, 0)
+                subtotal = total.get(organisation) or OrganisationUsage(
+                    organisation, 0, 0
+                )
                 total[organisation] = OrganisationUsage(
                     organisation,
-                    known.running + usage.running,
-                    known.queued + usage.queued,
-                    known.cores + usage.cores,
-                    known.memory_mb + usage.memory_mb,
-                    known.accelerators + usage.accelerators,
+                    subtotal.running + usage.running,
+                    subtotal.queued + usage.queued,
+                    subtotal.cores + usage.cores,
+                    subtotal.memory_mb + usage.memory_mb,
+                    subtotal.accelerators + usage.accelerators,
                 )
         return total
 
@@ -151,6 +156,7 @@
             )
             used = Resources(usage.cores, usage.memory_mb, usage.accelerators)
             grants = state.grants.of(organisation_id)
+            # The first event tells the present status, with the fair share.
             fair_share_event = self._scheduler.explain_organisation(organisation_id)[0]
             document[organisation_id] = OrganisationStatus(
                 running=usage.running,
@@ -170,6 +176,7 @@
         oldest: dict[str, float] = {}
         for local in self._local_requests.unsettled():
             queue = local.submission.queue
+            # An attempt has an address while it is running.
             if local.address_by_attempt:
                 running[queue] += 1
                 continue
@@ -195,7 +202,7 @@
         in_service: Counter[str] = Counter()
         for instance in config.instance_by_id.values():
             workers[instance.zone] += 1
-            in_service[instance.zone] += self._may_start_on(instance.id)
+            in_service[instance.zone] += self._is_in_service(instance.id)
         return {
             zone_id: ZoneStatus(
                 region=zone.region,
@@ -206,7 +213,8 @@
             for zone_id, zone in config.zone_by_id.items()
         }
 
-    def _may_start_on(self, instance_id: str) -> bool:
+    def _is_in_service(self, instance_id: str) -> bool:
+        """Tell whether a worker is in service and its zone is not taken out."""
         config = self._tail.state.config
         instance = config.instance_by_id.get(instance_id)
         if instance is None or not self._worker_monitor.is_in_service(instance_id):
@@ -219,7 +227,7 @@
         in_service: Counter[str] = Counter()
         for instance, pool in state.maintenance.pool_by_instance.items():
             workers[pool] += 1
-            in_service[pool] += self._may_start_on(instance)
+            in_service[pool] += self._is_in_service(instance)
         self._update_totals()
         spare_pools = sum(pool.spare for pool in state.config.pool_by_id.values())
         return {
@@ -229,7 +237,8 @@
                 needed=pool.needed,
                 buffer=max(0, in_service[pool_id] - pool.needed),
                 unavailable=workers[pool_id] - in_service[pool_id],
-                # The wanted buffer of the fleet is divided among the spare pools.
+                # The wanted buffer of the fleet is divided among the spare pools,
+                # rounded up.
                 buffer_wanted=(
                     -(-self._wanted_buffer // spare_pools) if pool.spare else 0
                 ),
--- a/libs/entry/src/lycheeloom/entry/status_page.py
+++ b/libs/entry/src/lycheeloom/entry/status_page.py
@@ -57,6 +57,7 @@
 def _organisation_level(organisation: OrganisationStatus) -> str:
     if organisation.upper_limit and organisation.running >= organisation.upper_limit:
         return "at its limit"
+    # A share up to 5% below the entitlement counts as reached.
     if (
         organisation.queued
         and organisation.dominant_share < 0.95 * organisation.entitlement
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -17,13 +17,17 @@
 from .dispatch import Dispatcher
 
 EXCHANGE_INTERVAL_S = 0.2
-# While no peer has work, the scheduler gets the peers' usage this rarely, for the
-# decay of past usage.
+# While no peer has work or reservations, the scheduler gets the peers' usage in only
+# two of this many steps, which is enough for the decay of past usage.
 IDLE_CYCLE_STEPS = 10
 
 
 class UsageExchange:
-    """Passes local usage to the peers, and the peers' usage to the scheduler."""
+    """Passes local usage to the peers, and the peers' usage to the scheduler.
+
+    Usage is the running and queued tasks of each organisation. A reservation keeps a
+    worker for one entry, so that the others place no tasks there.
+    """
 
     def __init__(
         self, mesh: PeerMesh, scheduler: Scheduler, dispatcher: Dispatcher
@@ -41,7 +45,7 @@
             gevent.sleep(seconds_until_tick(EXCHANGE_INTERVAL_S))
 
     def step(self) -> None:
-        """Pass usage and reservations in both directions."""
+        """Pass usage and reservations to the peers, and theirs to the scheduler."""
         self._mesh.usage_by_organisation = {
             organisation: self._to_wire(organisation, usage)
             for organisation, usage in self._scheduler.usage_by_organisation().items()
@@ -65,7 +69,7 @@
         )
 
     def sync_reservations(self) -> None:
-        """Pass changed reservations in both directions without waiting for a step."""
+        """Pass changed reservations on without waiting for the next step of ``run``."""
         self._mesh.reserve_workers(self._scheduler.reserved_workers())
         if self._mesh.workers_reserved_by_peers() != self._reserved_by_peers:
             self.step()
--- a/libs/entry/src/lycheeloom/entry/verdict_reporter.py
+++ b/libs/entry/src/lycheeloom/entry/verdict_reporter.py
@@ -19,7 +19,7 @@
         self._metrics = metrics
 
     def settle(self, request: LocalRequest, verdict: Verdict) -> bool:
-        """Set the verdict unless there is one; return whether it was set.
+        """Set the verdict unless one is set already; return whether it was set.
 
         For a request that may have started, "not run" becomes "may have run".
         """
--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -1,4 +1,8 @@
-"""Progress of maintenance waves: counts, forecast end and what a wave waits for."""
+"""Progress of maintenance waves: counts, forecast end and what a wave waits for.
+
+A wave maintains each of its instances by a move, which starts with the stage PLANNED
+and ends with JOINED or ABANDONED.
+"""
 
 from __future__ import annotations
 
@@ -17,15 +21,15 @@
 from lycheeloom.state import FleetState, Wave
 from lycheeloom.state.maintenance import Maintenance
 
-# Latest moves that the mean duration is computed from.
+# The mean duration is computed from this many of the latest moves.
 MAX_MEASURED_MOVES = 50
-# Records replayed later than this after their append are not used for durations: a
-# reader that catches up sees the start and the end of a move at once.
+# Records are not used for durations while this process is further behind the log: a
+# reader that catches up replays the start and the end of a move at the same time.
 MAX_LOG_AGE_S = 5.0
 # Forecasts are cached: at 5,100 workers one takes longer than the rest of the status
 # document, which is built for each read.
 FORECAST_TTL_S = 5.0
-# An open move counts as completed by at most this fraction, however long it takes.
+# However long an open move takes, at most this fraction of it counts as done.
 MAX_ELAPSED_FRACTION = 0.9
 _REASON_BY_STATE = {
     WaveState.PAUSED: "An operator paused it.",
@@ -47,13 +51,15 @@
     ) -> None:
         self._log_age_s = log_age_s
         self._clock = clock
+        # Open moves whose start was seen, by move id.
         self._begun_at_by_move: dict[str, float] = {}
+        # In seconds, apart for moves without and with a reboot.
         self._durations_by_reboot: dict[bool, deque[float]] = {
             reboot: deque(maxlen=MAX_MEASURED_MOVES) for reboot in (False, True)
         }
 
     def on_replayed(self, replayed: ReplayedBatch) -> None:
-        """Read the stages of moves in a replayed batch."""
+        """Note the times of the move stages in a replayed batch."""
         is_timely = self._log_age_s() <= MAX_LOG_AGE_S
         effects = replayed.applied.effective
         for record, effective in zip(replayed.batch.records, effects, strict=True):
@@ -61,22 +67,25 @@
                 self._observe_step(record, is_timely)
 
     def mean_move_s(self, reboot: bool) -> float:
-        """Return the mean duration of recent moves, the expected one without any."""
+        """Return the mean duration of the measured moves in seconds.
+
+        Without measured moves it is the planner's expected duration.
+        """
         durations = self._durations_by_reboot[reboot]
         return fmean(durations) if durations else PlannerSettings().expected_move_s
 
     def remaining_fractions(
         self, move_by_instance: Mapping[str, str], reboot: bool
     ) -> dict[str, float]:
-        """Return the fraction of each open move that remains, by instance.
+        """Return the remaining fraction of each open move, by instance.
 
-        It is 1 for a move whose start was not seen.
+        The fraction is 1 for a move whose start was not seen.
         """
         now, mean_move_s = self._clock(), self.mean_move_s(reboot)
         remaining_by_instance = {}
         for instance, move_id in move_by_instance.items():
             elapsed_s = now - self._begun_at_by_move.get(move_id, now)
-            # Moves can take no time if nothing runs and nothing is rebooted.
+            # The mean is 0 if moves took no time: nothing ran, nothing was rebooted.
             fraction = elapsed_s / mean_move_s if mean_move_s else 0.0
             remaining_by_instance[instance] = 1 - min(fraction, MAX_ELAPSED_FRACTION)
         return remaining_by_instance
@@ -112,7 +121,7 @@
         self._times = times
         self._clock = clock
         self._layout: Layout | None = None
-        # Cached end and reason of each running wave, and when they were computed.
+        # The end and reason of each running wave, as fields of its ``WaveStatus``.
         self._forecast_by_wave: dict[str, dict[str, object]] = {}
         self._forecast_at = float("-inf")
 
@@ -125,18 +134,20 @@
         self._refresh_forecasts(running, statuses)
         for wave in running:
             status = statuses[wave.wave_id]
-            update = self._forecast_by_wave[wave.wave_id]
-            statuses[wave.wave_id] = status.model_copy(update=update)
+            forecast_fields = self._forecast_by_wave[wave.wave_id]
+            statuses[wave.wave_id] = status.model_copy(update=forecast_fields)
         return statuses
 
     def _refresh_forecasts(
         self, running: list[Wave], statuses: dict[str, WaveStatus]
     ) -> None:
-        """Compute the forecasts again if they are old or the running waves changed."""
-        names = {wave.wave_id for wave in running}
+        """Recompute the forecasts if they are old or other waves are running."""
+        running_ids = {wave.wave_id for wave in running}
         now = self._clock()
         is_recent = now < self._forecast_at + FORECAST_TTL_S
-        if not names or (is_recent and names == self._forecast_by_wave.keys()):
+        if not running_ids or (
+            is_recent and running_ids == self._forecast_by_wave.keys()
+        ):
             return
         layout = self._current_layout()
         usage = self._budget_usage(layout)
@@ -151,7 +162,10 @@
     def _forecast_wave(
         self, wave: Wave, status: WaveStatus, layout: Layout, usage: BudgetUsage
     ) -> dict[str, object]:
-        """Return the forecast end of a running wave and the limit that it waits for."""
+        """Return the end of a running wave, and the limit that its next move waits for.
+
+        Both are fields of ``WaveStatus``. The reason is empty if no move is blocked.
+        """
         maintenance = self._state().maintenance
         moves = maintenance.move_by_instance
         skipped = given_up_instances(maintenance.health_by_instance)
@@ -161,7 +175,7 @@
             pool = layout.location_by_instance[blocked.instance][0]
             reason = describe(NotChosen(blocked.instance, pool, blocked.limit))
         ends_in_s = None
-        # Nothing tells when a blocked wave without open moves can go on.
+        # For a blocked wave without open moves, the end of the blockage is unknown.
         if not reason or status.in_progress:
             ends_in_s = self._ends_in_s(wave, layout, skipped)
         return {"reason": reason, "ends_in_s": ends_in_s}
@@ -182,7 +196,7 @@
         ).end_s
 
     def _budget_usage(self, layout: Layout) -> BudgetUsage:
-        """Count the instances out of service, as the controller does."""
+        """Return the out-of-service budgets in use, counted as the controller does."""
         maintenance = self._state().maintenance
         out_of_service = {
             name
@@ -208,8 +222,8 @@
     counts = maintenance.count_wave(wave)
     done, failed, in_progress = counts.done, counts.failed, len(counts.open_moves)
     if wave.state is WaveState.DONE and wave.counts_at_end is None:
-        # Loaded from a snapshot of an older version without counts; the latest moves
-        # of its instances may belong to later waves.
+        # The wave was loaded from a snapshot of an older version, without counts. The
+        # latest moves of its instances may belong to later waves, so all count as done.
         done, failed, in_progress = counts.total, 0, 0
     return WaveStatus(
         state=wave.state,
