--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -158,7 +158,7 @@
     ) -> AttemptEnd:
         """Run one attempt and return how it ended.
 
-        ``on_silence`` is called once if the worker leaves a status call unanswered.
+        ``on_silence`` is called once if a poll gets no report about the task.
         """
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable):
@@ -231,6 +231,7 @@
             )
             if not isinstance(result, TaskReport):
                 span.fail(str(result.reason))
+        # Until the session has expired, a delayed start can still begin a lease.
         sent = _SentStart(
             start.task,
             placement,
--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -52,7 +52,7 @@
 BUSY_INTERVAL_S = 0.05
 # Without queued tasks, rounds only sync worker reservations with the other entries.
 IDLE_INTERVAL_S = 0.2
-# An unrecorded request with more refused or unsent starts and copies is refused.
+# Refused or unsent starts plus copies after which an unrecorded request is refused.
 MAX_REQUEUES = 50
 # From a worker's first missing answer to "may have run", unless the attempt ends.
 MAY_HAVE_RUN_DELAY_S = 5.0
@@ -67,7 +67,7 @@
     """Queues this entry's requests with the scheduler and runs their attempts.
 
     ``runner`` must be set before the first submission. ``address_of(worker)`` is None
-    for an unconfigured worker. Nothing starts while ``may_dispatch()`` is false.
+    for an unconfigured worker. Rounds do nothing while ``may_dispatch()`` is false.
     ``record_release(request, attempt)`` gives up the claim on a recorded request.
     ``on_settled`` is called once for each request, after its verdict is set.
     """
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -34,15 +34,15 @@
 from .local_requests import LocalRequest, LocalRequestTable, Submission
 from .rendezvous import select_member
 
-# Unsent records are withdrawn after this; callers wait no longer for a commit.
+# Unsent records are withdrawn, and callers stop waiting for a commit, after this.
 COMMIT_TIMEOUT_S = 3.0
 # An unsent claim is withdrawn after this; meanwhile the attempt holds its slot.
 CLAIM_SEND_TIMEOUT_S = 5.0
-RETRY_INTERVAL_S = 0.5  # between failed writes, and failed reads, of a record
+RETRY_INTERVAL_S = 0.5  # between attempts to write or to read a record
 
 
 class RecordedRequestManager:
-    """Submits recorded requests to the log and runs those that fall to this entry.
+    """Submits recorded requests to the log and queues those that this entry should run.
 
     The entry that accepted a request runs it while that entry is a member; any
     other pending request is run by the member that rendezvous hashing selects. If
@@ -144,12 +144,12 @@
                 # The claim was replayed as part of a snapshot.
                 return None
             case NotWritten(reason) | Unknown(reason):
-                # The log has no claim with this attempt number: the next one uses it.
+                # The log has no claim with this attempt number: reuse the number.
                 local.attempt -= 1
                 return f"the claim was not recorded: {reason}"
 
     def release(self, local: LocalRequest, attempt: int) -> bool:
-        """Release the claim on a request; return whether this entry holds none now."""
+        """Release the claim of an attempt; return whether this entry holds none now."""
         if not self._is_own_claim(local.id, attempt):
             return True
         outcome = self._persist(r.RequestReleased(local.id, attempt, local.checkpoint))
@@ -181,7 +181,7 @@
             self._retry_take_over(local.id)
 
     def wait(self, request_id: str, timeout_s: float) -> RecordedRequest | None:
-        """Wait until a request is finished; return its state, or None if unknown."""
+        """Wait for a request to finish or the timeout; return None if it is unknown."""
         request = self._tail.state.requests.request_by_id.get(request_id)
         if request is None or request.status is RequestStatus.FINISHED:
             return request
@@ -192,8 +192,8 @@
     def release_waiters(self) -> None:
         """End all waits for recorded requests, as this entry shuts down.
 
-        The callers can get the answers from other entries. With such waits, the
-        shutdown would wait for requests that others take over only when it is over.
+        The callers can get the answers from other entries. The shutdown must not wait
+        for requests that other entries take over only after it.
         """
         self._draining = True
         for finished in self._finished_event_by_id.values():
@@ -206,7 +206,7 @@
         return record.answer if isinstance(record, r.RequestFinished) else record
 
     def reassign_pending(self) -> None:
-        """Take over the pending requests to run here, and drop the other ones."""
+        """Take over pending requests that this entry should run; drop the others."""
         requests = self._tail.state.requests
         for request_id in list(requests.pending):
             request = requests.request_by_id[request_id]
--- a/libs/entry/tests/test_admission.py
+++ b/libs/entry/tests/test_admission.py
@@ -76,6 +76,7 @@
 )
 def test_refused_request(config, keys, queue, key, body, reason):
     """Bad input or a wrong key must be refused with its own reason."""
+    # An unknown key stands for a token with the id of a key, but a wrong secret.
     token = keys[key].token if key in keys else key and "key-a.wrong"
     result = check(config, queue, token, body)
     assert isinstance(result, Refusal)
@@ -83,7 +84,10 @@
 
 
 def test_work_is_accepted_for_the_organisation_of_the_key(config, keys):
-    """A key must not give access in another organisation's name."""
+    """A request must not be charged to an organisation other than its key's.
+
+    Without a key, a request to an open queue is charged to the queue's organisation.
+    """
     assert check(config, "closed", keys["a"].token).organisation == "a"
     assert check(config, "open", keys["b"].token).organisation == "b"
     assert check(config, "open").organisation == "a"
@@ -117,7 +121,7 @@
 
 
 def test_every_reason_has_the_documented_status():
-    """The page of refusal reasons must match what entries answer."""
+    """The documented statuses of refusal reasons must match those of replies."""
     rows = re.findall(
         r"^\| `(\w+)` \| `not_run` \| (\d+) \|", HTTP_PAGE.read_text(), re.MULTILINE
     )
--- a/libs/entry/tests/test_attempt.py
+++ b/libs/entry/tests/test_attempt.py
@@ -41,7 +41,11 @@
 
 @dataclass
 class FakeWorker:
-    """Answers starts and status calls from lists; the last status repeats."""
+    """Returns ``start_result`` to starts, and ``statuses`` in turn to status calls.
+
+    The last status repeats. ``session`` is the result of opening a session; without it,
+    each session is a new one.
+    """
 
     start_result: object
     statuses: list = field(default_factory=list)
@@ -69,6 +73,8 @@
 
 
 class Clock:
+    """A clock that only ``sleep`` moves on."""
+
     def __init__(self):
         self.now = 100.0
 
@@ -88,6 +94,11 @@
 
 @pytest.fixture
 def run(clock):
+    """Run one attempt; return its end and the times at which silence was reported.
+
+    ``may_start`` and ``claim`` are the reasons why the attempt must not start.
+    """
+
     def run(worker, *, may_start=None, claim=None, recorded=False, run_s=0.1):
         submission = Submission("r", "t", "q", b"x", NO_RESOURCES, run_s, clock())
         request = LocalRequest(submission, is_recorded=recorded)
@@ -143,12 +154,12 @@
     ],
 )
 def test_end_of_an_attempt(run, start_result, statuses, expected):
-    """A wrong verdict would start a task twice or refuse one that ran."""
+    """A wrong end would start a task twice or refuse one that ran."""
     end, _ = run(FakeWorker(start_result, statuses))
     assert end == expected
 
 
-def test_unknown_task_counts_as_not_started_only_after_its_session(run, clock):
+def test_unknown_task_counts_as_not_started_once_its_session_has_expired(run, clock):
     """A delayed start could still arrive while its session is accepted."""
     began_at = clock()
     run(FakeWorker(UNKNOWN, [report(TaskStatus.UNKNOWN)]))
@@ -164,7 +175,7 @@
 
 
 def test_silent_worker_is_not_sent_renewals(run):
-    """Renewals without an answer would put off the end of the lease forever."""
+    """Each renewal without an answer would extend the wait for the lease's end."""
     worker = FakeWorker(report(TaskStatus.RUNNING), [SILENT])
     end, _ = run(worker, run_s=60)
     assert isinstance(end, Lost)
@@ -214,7 +225,7 @@
 
 
 def test_sessions_are_replaced_and_never_renewed(clock):
-    """With a renewed session, a worker would accept starts checked long before."""
+    """With a renewed session, a worker would accept starts sent long before."""
     worker = FakeWorker(UNKNOWN)
     sessions = WorkerSessions(worker, lambda: "e", lambda *_: None, clock)
     first = sessions.get("w1", "a")
--- a/libs/entry/tests/test_attempt_renewal.py
+++ b/libs/entry/tests/test_attempt_renewal.py
@@ -13,7 +13,10 @@
 
 
 class FakeWorker:
-    """Runs one task until its lease expires; each status call takes 2 s."""
+    """Runs one task until its lease expires; each status call takes 2 s.
+
+    Renewals with a session in ``lapsed_sessions`` are refused.
+    """
 
     def __init__(self):
         self.now = 0.0
@@ -48,7 +51,7 @@
 
 
 class FakeSessions:
-    """Returns a session of the same boot always, and a new one after a drop."""
+    """Returns the same session until it is dropped, then a new one of the same boot."""
 
     def __init__(self):
         self.opened = 1
@@ -81,10 +84,10 @@
 
 
 def test_lease_of_an_expelled_incarnation_is_not_renewed(worker, monkeypatch):
-    """Guards against a task that still runs after its slot was given to another.
+    """Guards against a task that still runs after its slot went to another entry.
 
-    A paused entry was expelled, rejoined under a new incarnation and went on
-    renewing the lease; 20 s later other entries started tasks in the reclaimed slots.
+    A paused entry was expelled, rejoined under a new incarnation and went on renewing
+    the lease; 20 s later other entries started tasks in the reclaimed slots.
     """
     monkeypatch.setattr(attempt, "MAX_POLL_INTERVAL_S", 0.0)
     holder = ["e1-old"]
@@ -105,18 +108,18 @@
     assert worker.now == 22.0
 
 
-def test_renewal_with_a_lapsed_session_is_repeated(worker, monkeypatch):
+def test_renewal_refused_for_its_session_is_repeated(worker, monkeypatch):
     """Guards against a task that is stopped because one renewal was refused."""
     monkeypatch.setattr(attempt, "MAX_POLL_INTERVAL_S", 0.0)
     worker.lapsed_sessions.add("session-1")
     submission = Submission("r1", "red", "bookings", b"", SIZE, 100.0, 0.0)
     runner = make_runner(worker, ["e1"])
 
-    def end_soon():
+    def end_lease_after_30_s():
         if worker.now > 30.0:
             worker.lease_until = 0.0
 
-    worker.on_status = end_soon
+    worker.on_status = end_lease_after_30_s
     runner.run(LocalRequest(submission), Placement("w1", "a:1", SIZE), lambda: None)
     # Without a second renewal the task would have ended at 15 s.
     assert worker.now > 30.0
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -18,7 +18,7 @@
 
 
 class FakeRunner:
-    """Runs no task: each attempt ends with the next item of ``ends``."""
+    """Runs no task: each attempt ends at once with the next item of ``ends``."""
 
     def __init__(self, ends):
         self.ends = list(ends)
@@ -47,7 +47,7 @@
     scheduler.set_grants({"red": 9})
     for name in ("w1", "w2", "w3"):
         scheduler.observe_worker(name, True, Resources(8, 8192), "boot", 0.0)
-    made = Dispatcher(
+    new_dispatcher = Dispatcher(
         scheduler,
         LocalRequestTable(),
         EntryMetrics(),
@@ -57,12 +57,12 @@
         lambda request, attempt: True,
         lambda request: None,
     )
-    made.configure_budgets(list(config.queue_by_id.values()))
-    return made
+    new_dispatcher.configure_budgets(list(config.queue_by_id.values()))
+    return new_dispatcher
 
 
-def run_until_idle(dispatcher):
-    """Run scheduling rounds until no attempt is running."""
+def run_ten_rounds(dispatcher):
+    """Run ten scheduling rounds, in which all attempts of a test end."""
     for _ in range(10):
         dispatcher._apply_decisions()
         gevent.sleep(0)
@@ -82,19 +82,19 @@
     ],
     ids=["retried", "first"],
 )
-def test_refusal_after_a_failed_attempt(dispatcher, ends, verdict):
+def test_verdict_of_a_refused_start(dispatcher, ends, verdict):
     """Guards against "not run" for a request whose earlier attempt had started."""
     dispatcher.runner = FakeRunner(ends)
     request = make_request()
     assert dispatcher.submit(request) is None
-    run_until_idle(dispatcher)
+    run_ten_rounds(dispatcher)
     assert isinstance(request.verdict, verdict)
 
 
 @pytest.mark.parametrize("is_recorded", [False, True])
-def test_outcomes_of_unrecorded_requests_are_counted(dispatcher, is_recorded):
+def test_only_outcomes_of_unrecorded_requests_are_counted(dispatcher, is_recorded):
     """Guards against failures that are not reported to controllers, and against
-    outcomes of recorded requests that they count twice, as they read the log too.
+    outcomes of recorded requests that controllers count twice, as they read the log.
     """
     outcomes = []
     dispatcher.on_outcome = lambda *outcome: outcomes.append(outcome)
@@ -102,15 +102,15 @@
     request = make_request()
     request.is_recorded = is_recorded
     assert dispatcher.submit(request) is None
-    run_until_idle(dispatcher)
+    run_ten_rounds(dispatcher)
     assert isinstance(request.verdict, Ran)
     assert [(queue, failed) for _, queue, failed in outcomes] == (
         [] if is_recorded else [("find", True), ("find", False)]
     )
 
 
-def test_cancellation_after_a_failed_attempt(dispatcher):
-    """Guards against "not run" for a cancelled retry."""
+def test_cancelled_retry_may_have_run(dispatcher):
+    """Guards against "not run" for a request that is cancelled after an attempt."""
     dispatcher.runner = FakeRunner([Failed()])
     request = make_request()
     assert dispatcher.submit(request) is None
@@ -123,7 +123,7 @@
 
 
 class SlowRunner:
-    """Ends the first attempt only when told; later ones end at once."""
+    """Refuses the first attempt once ``release`` is set; answers later ones at once."""
 
     def __init__(self):
         self.workers = []
@@ -137,8 +137,8 @@
         return Answered(b"second")
 
 
-@pytest.mark.parametrize(("percent", "copies"), [(100, 2), (0, 1)])
-def test_slow_request_is_hedged(dispatcher, monkeypatch, percent, copies):
+@pytest.mark.parametrize(("percent", "starts"), [(100, 2), (0, 1)])
+def test_slow_request_is_hedged(dispatcher, monkeypatch, percent, starts):
     """A slow worker must not delay an idempotent request while the budget lasts."""
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
@@ -149,17 +149,17 @@
     assert dispatcher.submit(request) is None
     for _ in range(20):
         gevent.sleep(0.001)
-    assert len(dispatcher.runner.workers) == copies
+    assert len(dispatcher.runner.workers) == starts
     dispatcher.runner.release.set()
-    run_until_idle(dispatcher)
+    run_ten_rounds(dispatcher)
     assert request.verdict == Ran(b"second")
     assert len(dispatcher.runner.workers) == 2
     assert not dispatcher.scheduler.has_queued()
 
 
 def test_withdrawn_request_wakes_its_callers(dispatcher):
-    """Guards against callers that wait here for a request that another entry runs."""
-    # A submission is started at once unless the entry is not fresh.
+    """Guards against callers that wait at an entry for a request that another runs."""
+    # The request stays queued, as no round may start it.
     dispatcher._may_dispatch = lambda: False
     request = make_request()
     assert dispatcher.submit(request) is None
@@ -180,6 +180,6 @@
     )
     request = LocalRequest(submission, is_recorded=True)
     assert dispatcher.submit(request) is None
-    run_until_idle(dispatcher)
+    run_ten_rounds(dispatcher)
     assert released == ["half"]
     assert request.verdict == Ran(b"whole")
--- a/libs/entry/tests/test_grant_manager.py
+++ b/libs/entry/tests/test_grant_manager.py
@@ -17,7 +17,7 @@
 
 
 class EntryGroup:
-    """Grant managers of several entries that apply each record immediately."""
+    """Grant managers of several entries; each appended record takes effect at once."""
 
     def __init__(self, limit):
         self.state = FleetState()
@@ -56,6 +56,7 @@
 
     def step(self):
         for manager in self.managers:
+            # Each step may request slots, without waiting for the request interval.
             manager._requested_at.clear()
             manager.step()
 
@@ -102,7 +103,10 @@
 
 
 class LoggedEntry:
-    """One entry with a grant manager, over a log whose calls can fail."""
+    """One entry with a grant manager, and a peer, over a log whose calls can fail.
+
+    ``fault`` is the fault of appends, and ``is_unreadable`` makes reads fail.
+    """
 
     def __init__(self, limit_by_organisation):
         self.clock, self.log = Clock(), FakeLog()
@@ -188,31 +192,32 @@
 def test_requests_do_not_pile_up_in_an_outage(fault, is_changing):
     """Guards against a request for slots each second while the log is down.
 
-    For each organisation they filled the queue of control records and were all written
-    after the outage.
+    The requests for each organisation filled the queue of control records and were all
+    written after the outage.
     """
     entry = LoggedEntry({"red": 90, "blue": 90})
-    before = len(entry.log.archive)
+    first_offset = len(entry.log.archive)
     entry.peer_demand_by_organisation = {"red": 1, "blue": 1}
     entry.fault = fault
-    most = 0
+    max_unsettled = 0
 
     def check():
-        nonlocal most
+        nonlocal max_unsettled
         unsettled = (
             entry.unsettled(GrantRequested, organisation)
             for organisation in ("red", "blue")
         )
-        most = max(most, *map(len, unsettled))
+        max_unsettled = max(max_unsettled, *map(len, unsettled))
 
     for second in range(1800):
+        # With ``is_changing``, the demand for "red" changes every 10 s.
         extra = second // 10 % 3 if is_changing else 0
         entry.demand_by_organisation = {"red": 89 - extra, "blue": 89}
         entry.run(1.0, check)
     entry.fault = ""
     entry.run(5.0)
-    written = entry.written(GrantRequested, before)
-    assert most == 1
+    written = entry.written(GrantRequested, first_offset)
+    assert max_unsettled == 1
     assert len(written) == 2
     assert entry.usable("blue") == 89
     # A request that may have reached the log is not replaced by a newer count.
@@ -239,8 +244,8 @@
 def test_slots_stay_usable_in_an_outage():
     """Guards against slots that no entry may use until the log is back.
 
-    An entry returned idle slots because of a peer's request that it had replayed
-    before the outage; the return was not written, so neither could use the slots.
+    An entry returned idle slots because of a peer's request that it had replayed before
+    the outage. The return was not written, so neither entry could use the slots.
     """
     entry = LoggedEntry({"red": 90})
     entry.append_as_peer(GrantRequested("red", 90))
@@ -277,7 +282,7 @@
 
 
 def test_draining_entry_requests_slots_for_its_queued_requests():
-    """Guards against a shutdown that waits for requests without any slot."""
+    """Guards against a shutdown that waits for queued requests without any slots."""
     entry = LoggedEntry({"red": 90})
     entry.is_draining = True
     entry.demand_by_organisation = {"red": 60}
--- a/libs/entry/tests/test_http_api.py
+++ b/libs/entry/tests/test_http_api.py
@@ -59,7 +59,7 @@
 
 @pytest.mark.parametrize("authorization", ["", "Bearer ", "Bearer wrong", TOKEN])
 def test_batch_without_the_token_is_rejected(call, offered, authorization):
-    """A forged batch would change the configuration of one entry."""
+    """A forged batch would change the configuration of the entry that takes it."""
     assert call(DOCUMENT, authorization) == 403
     assert offered == []
 
--- a/libs/entry/tests/test_http_server.py
+++ b/libs/entry/tests/test_http_server.py
@@ -1,4 +1,4 @@
-"""Guards against responses that wait for delayed acknowledgements."""
+"""Socket options of the HTTP server."""
 
 from gevent import socket
 from gevent.pywsgi import WSGIServer
@@ -7,7 +7,10 @@
 
 
 def test_connections_send_without_delay(monkeypatch):
-    """Without TCP_NODELAY each response took about 40 ms longer."""
+    """Guards against responses that wait for the peer's delayed acknowledgement.
+
+    Without TCP_NODELAY each response took about 40 ms longer.
+    """
     served = []
     monkeypatch.setattr(WSGIServer, "handle", lambda self, sock, _: served.append(sock))
     server = HttpServer(("127.0.0.1", 0), lambda *_: [])
--- a/libs/entry/tests/test_main.py
+++ b/libs/entry/tests/test_main.py
@@ -17,18 +17,18 @@
 
 
 @pytest.fixture
-def write(tmp_path):
-    def write(text):
+def write_settings(tmp_path):
+    def write_settings(text):
         path = tmp_path / "entry.toml"
         path.write_text(text)
         return path
 
-    return write
+    return write_settings
 
 
-def test_good_settings_are_accepted(write, capsys):
+def test_good_settings_are_accepted(write_settings, capsys):
     """A correct settings file must pass the check."""
-    path = write(GOOD)
+    path = write_settings(GOOD)
     assert isinstance(load_settings(path, Settings), Settings)
     assert main([str(path), "--check-config"]) == 0
     assert "no problems found" in capsys.readouterr().out
@@ -59,9 +59,9 @@
         ),
     ],
 )
-def test_bad_settings_are_named(write, capsys, text, message):
+def test_bad_settings_are_named(write_settings, capsys, text, message):
     """A wrong setting must be reported with the allowed values before the start."""
-    path = write(text)
+    path = write_settings(text)
     assert main([str(path)]) == 2
     error = capsys.readouterr().err
     assert f"{path}: {message}" in error
--- a/libs/entry/tests/test_outcome_counts.py
+++ b/libs/entry/tests/test_outcome_counts.py
@@ -13,6 +13,8 @@
 
 
 class Clock:
+    """A clock that starts in period 1001."""
+
     def __init__(self):
         self.now = 1000 * PERIOD_S
 
@@ -29,18 +31,18 @@
 
 
 @pytest.fixture
-def probation():
+def workers_on_probation():
     return set()
 
 
 @pytest.fixture
-def counts(clock, probation):
-    return OutcomeCounts(probation.__contains__, clock)
+def counts(clock, workers_on_probation):
+    return OutcomeCounts(workers_on_probation.__contains__, clock)
 
 
-def test_only_suspect_workers_are_reported(counts, clock, probation):
+def test_only_suspect_workers_are_reported(counts, clock, workers_on_probation):
     """Guards against reports that grow with the fleet."""
-    probation.add("w2")
+    workers_on_probation.add("w2")
     counts.record("w1", "find", True)
     for worker in ("w1", "w2", "w3"):
         counts.record(worker, "find", False)
@@ -58,7 +60,7 @@
     clock.pass_periods()
     first = counts.report(0)
     assert first.counts == (OutcomeCount("w1", "find", 1, 1),)
-    # Requested again after a lost report, then after one that arrived.
+    # The controller asks again after a lost report, then after one that arrived.
     assert counts.report(0) == first
     counts.record("w1", "book", True)
     clock.pass_periods()
@@ -66,7 +68,7 @@
     assert second.counts == (OutcomeCount("w1", "book", 1, 1),)
 
 
-def test_queues_that_succeed_elsewhere_are_named(counts, clock):
+def test_reported_queues_that_succeed_elsewhere_are_named(counts, clock):
     """Guards against failures of a worker that are blamed on its queue."""
     counts.record("w9", "find", False)
     counts.record("w9", "unrelated", False)
--- a/libs/entry/tests/test_recorded_requests.py
+++ b/libs/entry/tests/test_recorded_requests.py
@@ -65,7 +65,10 @@
 
 
 class SingleEntry:
-    """An entry that is the only member; ``pump`` writes and replays its log."""
+    """An entry that is the only member.
+
+    Its log is written and replayed only by ``pump``.
+    """
 
     def __init__(self):
         self.log = FakeLog()
@@ -93,6 +96,7 @@
             self.tail.step()
 
     def call(self, function, *arguments):
+        """Return the result of a function that waits for a commit."""
         greenlet = gevent.spawn(function, *arguments)
         self.pump()
         return greenlet.get(block=False)
@@ -129,14 +133,14 @@
     assert entry.call(entry.recorded_requests.release, local, 1)
     local.settle(MayHaveRun("the task failed, and the queue refused the retry"))
     entry.call(entry.recorded_requests.record_verdict, local)
-    again = entry.dispatcher.submitted[-1]
-    assert again is not local
-    assert again.attempt == 1
-    assert again.verdict is None
+    retaken = entry.dispatcher.submitted[-1]
+    assert retaken is not local
+    assert retaken.attempt == 1
+    assert retaken.verdict is None
 
 
 def test_refused_request_is_cancelled_by_one_record(entry):
-    """Guards against one more record for each membership change in a log outage."""
+    """Guards against a new record for each membership change in a log outage."""
     local = entry.accept()
     entry.local_requests.remove(local)
     batches_before = len(entry.log.batches)
@@ -153,7 +157,7 @@
     assert request.outcome is Outcome.NOT_RUN
 
 
-def test_claim_that_was_replayed_as_part_of_a_snapshot(entry):
+def test_claim_in_a_loaded_snapshot_is_recognised(entry):
     """Guards against a claim that this entry holds but does not run."""
     local = entry.accept()
     claiming = gevent.spawn(entry.recorded_requests.claim, local, 1, "w1", "boot")
@@ -165,7 +169,7 @@
     assert claiming.get() is None
 
 
-def test_wait_ends_with_a_snapshot_that_has_the_answer(entry):
+def test_wait_ends_with_a_snapshot_in_which_the_request_is_finished(entry):
     """Guards against a caller that waits on although the request is finished."""
     local = entry.accept()
     entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
@@ -179,7 +183,7 @@
     assert waiting.get(timeout=60.0).status is RequestStatus.FINISHED
 
 
-def test_shutdown_ends_waits_for_other_entries(entry):
+def test_shutdown_ends_waits_for_pending_requests(entry):
     """Guards against a shutdown that waits for requests taken over only after it."""
     entry.accept()
     waiting = gevent.spawn(entry.recorded_requests.wait, "r1", 3600.0)
@@ -193,7 +197,10 @@
     [(True, 1, "may_have_run"), (True, 0, "not_run"), (False, 1, "not_run")],
 )
 def test_answer_for_a_cancelled_request(is_idempotent, attempt, verdict):
-    """Guards against "not run" for a request released without proof of that."""
+    """Guards against "not run" for a request that may have run.
+
+    The claim on an idempotent request is released without proof that it did not run.
+    """
     request = RecordedRequest(
         "r1", "red", "find", is_idempotent, "", b"", SIZE, 1, False, 0, 0
     )
@@ -222,12 +229,12 @@
 
 
 def drop_all(entry):
-    """Drop every record from the log and from the entry's recent batches."""
+    """Make the log drop every record, and empty the entry's ring of recent batches."""
     entry.log.oldest = len(entry.log.batches)
     entry.tail.ring = BatchRing()
 
 
-def test_answer_that_the_log_has_dropped(entry, handler):
+def test_reply_without_the_answer_that_the_log_has_dropped(entry, handler):
     """Guards against a caller that is told forever to ask again later."""
     local = entry.accept()
     entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
@@ -240,7 +247,7 @@
     assert lost.document["reason"] == "answer_lost"
 
 
-def test_request_whose_body_the_log_has_dropped(entry):
+def test_request_whose_body_the_log_has_dropped_is_cancelled(entry):
     """Guards against a request that stays pending forever."""
     local = entry.accept()
     entry.local_requests.remove(local)
@@ -251,11 +258,11 @@
     assert request.outcome is Outcome.NOT_RUN
 
 
-def test_collected_answer_is_the_recorded_one(entry, handler):
+def test_reply_to_a_read_is_the_recorded_outcome(entry, handler):
     """Guards against two entries that give different answers for one request.
 
-    An entry answered with its own verdict before that was in the log, and was then
-    lost; another entry recorded that the request may have run.
+    An entry answered with its own verdict before the verdict was in the log, and was
+    then lost; another entry recorded that the request may have run.
     """
     local = entry.accept(idempotent=False)
     entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot")
--- a/libs/entry/tests/test_recovery.py
+++ b/libs/entry/tests/test_recovery.py
@@ -23,7 +23,7 @@
 MAY_HAVE_RUN = Outcome.MAY_HAVE_RUN
 
 
-def request(idempotent):
+def make_request(idempotent):
     return RecordedRequest(
         request_id="r",
         organisation="t",
@@ -42,29 +42,29 @@
     )
 
 
-def report(status, boot="boot", answer=b"", checkpoint=""):
+def make_report(status, boot="boot", answer=b"", checkpoint=""):
     return TaskReport("r.2", status, boot, NO_RESOURCES, answer, checkpoint)
 
 
 @pytest.mark.parametrize(
     ("found", "non_idempotent", "idempotent"),
     [
-        (report(TaskStatus.UNKNOWN), RELEASED, RELEASED),
-        (report(TaskStatus.UNKNOWN, boot="other"), MAY_HAVE_RUN, RELEASED),
-        (report(TaskStatus.STOPPED), MAY_HAVE_RUN, RELEASED),
-        (report(TaskStatus.FAILED), MAY_HAVE_RUN, RELEASED),
+        (make_report(TaskStatus.UNKNOWN), RELEASED, RELEASED),
+        (make_report(TaskStatus.UNKNOWN, boot="other"), MAY_HAVE_RUN, RELEASED),
+        (make_report(TaskStatus.STOPPED), MAY_HAVE_RUN, RELEASED),
+        (make_report(TaskStatus.FAILED), MAY_HAVE_RUN, RELEASED),
         (
-            report(TaskStatus.CHECKPOINTED, checkpoint="half"),
+            make_report(TaskStatus.CHECKPOINTED, checkpoint="half"),
             RequestReleased("r", 2, "half"),
             RequestReleased("r", 2, "half"),
         ),
         (None, MAY_HAVE_RUN, RELEASED),
     ],
 )
-def test_decision_about_a_lost_attempt(found, non_idempotent, idempotent):
+def test_record_for_a_lost_attempt(found, non_idempotent, idempotent):
     """A non-idempotent request may start again only if it certainly did not run."""
     for expected, is_idempotent in ((non_idempotent, False), (idempotent, True)):
-        record = choose_record(request(is_idempotent), 2, found)
+        record = choose_record(make_request(is_idempotent), 2, found)
         if isinstance(expected, Outcome):
             assert (type(record), record.outcome) == (RequestFinished, expected)
             continue
@@ -73,23 +73,23 @@
 
 @pytest.mark.parametrize("is_idempotent", [True, False])
 def test_answer_that_the_worker_kept_is_collected(is_idempotent):
-    """A finished task must be answered, not run again."""
-    found = report(TaskStatus.DONE, answer=b"whole")
-    record = choose_record(request(is_idempotent), 2, found)
+    """A request whose task is done must be answered, not run again."""
+    found = make_report(TaskStatus.DONE, answer=b"whole")
+    record = choose_record(make_request(is_idempotent), 2, found)
     assert record == RequestFinished("r", 2, Outcome.RAN, b"whole")
 
 
-WAIT_S = 0.01
+COMMIT_TIMEOUT_S = 0.01
 
 
 class SlowLog:
-    """A log that answers later than the recovery waits for an outcome."""
+    """A log that answers an append only after the commit timeout of the recovery."""
 
     def __init__(self, answer):
         self.answer = answer
 
     def append(self, batch):
-        gevent.sleep(3 * WAIT_S)
+        gevent.sleep(3 * COMMIT_TIMEOUT_S)
         return self.answer
 
 
@@ -97,9 +97,9 @@
     "answer", [AppendRefused(AppendRefusal.DOWN), AppendUnknown("no answer in time")]
 )
 def test_claim_has_one_record_in_flight_in_an_outage(monkeypatch, answer):
-    """Guards against one more record from each scan while the first has no outcome."""
-    monkeypatch.setattr(recovery, "COMMIT_TIMEOUT_S", WAIT_S)
-    lost = request(True)
+    """Guards against a new record from each scan while the first has no outcome."""
+    monkeypatch.setattr(recovery, "COMMIT_TIMEOUT_S", COMMIT_TIMEOUT_S)
+    lost = make_request(True)
     lost.holder = "gone"
     state = SimpleNamespace(
         members=SimpleNamespace(
--- a/libs/entry/tests/test_status_page.py
+++ b/libs/entry/tests/test_status_page.py
@@ -33,7 +33,7 @@
 
 
 def test_page_names_each_problem():
-    """Guards against an operator missing a zone that is out or a short pool."""
+    """Guards against an operator who misses a zone that is out or a short pool."""
     page = render_status_page(STATUS)
     for text in (
         "Zone north is out of service.",
--- a/libs/entry/tests/test_wave_status.py
+++ b/libs/entry/tests/test_wave_status.py
@@ -24,7 +24,7 @@
 from lycheeloom.state.fleet_state import SnapshotContent
 from lycheeloom.state.maintenance import Maintenance, Move, Wave
 
-JOINING = (
+MOVE_STAGES = (
     MoveStage.PLANNED,
     MoveStage.DRAINING,
     MoveStage.DRAINED,
@@ -34,7 +34,10 @@
 
 
 class ReplayedFleet:
-    """A replayed state of three workers or four, and the wave progress in it."""
+    """The replayed state of three workers, and the progress of waves in it.
+
+    ``spare`` adds a spare instance, and ``pool`` sets limits of the pool "main".
+    """
 
     def __init__(self, spare=False, **pool):
         self.state = FleetState()
@@ -86,7 +89,7 @@
     def start(self, wave="w"):
         self.command(WaveState.RUNNING, WaveState.ABSENT, wave)
 
-    def move(self, name, stages=JOINING, step_s=0.0, wave="w"):
+    def move(self, name, stages=MOVE_STAGES, step_s=0.0, wave="w"):
         for stage in stages:
             move_id = f"wave.{wave}.{name}.1"
             self.append(MoveStep(name, move_id, stage, 1, "main", True))
@@ -101,6 +104,7 @@
     fleet = ReplayedFleet()
     fleet.start()
     assert fleet.status().ends_in_s == 3 * PlannerSettings().expected_move_s
+    # The four stages before JOINED take 10 s each.
     fleet.move("w1", step_s=10.0)
     assert fleet.status().ends_in_s == 2 * 40.0
     assert fleet.status().reason == ""
@@ -111,8 +115,9 @@
     fleet = ReplayedFleet()
     fleet.start()
     fleet.move("w1", step_s=10.0)
-    fleet.move("w2", JOINING[:2], step_s=10.0)
+    fleet.move("w2", MOVE_STAGES[:2], step_s=10.0)
     assert fleet.status().ends_in_s == 2 * 40.0 - 20.0
+    # An open move counts as at most 90% done: 36 s of 40 s.
     fleet.now += 1000.0
     assert fleet.status().ends_in_s == pytest.approx(2 * 40.0 - 36.0)
 
@@ -152,7 +157,7 @@
     """Guards against a wave that waits without showing operators the reason."""
     fleet = ReplayedFleet(spare, **pool)
     fleet.start()
-    fleet.move("w1", JOINING[:2])
+    fleet.move("w1", MOVE_STAGES[:2])
     fleet.out.add("w1")
     if "of its pool in rack" in why:
         fleet.move("w3")
@@ -163,18 +168,18 @@
 
 
 def test_reason_names_the_zone():
-    """Guards against a zone's limit that is not given as the reason."""
+    """Guards against a wave that waits for a zone's limit without showing it."""
     fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     change = b'{"zones": {"z1": {"max_unavailable": 1}}}'
     fleet.append(ConfigChanged(1, change, "operator"))
     fleet.start()
     fleet.move("w3")
-    fleet.move("w1", JOINING[:2])
+    fleet.move("w1", MOVE_STAGES[:2])
     assert "1 of at most 1 instances in zone z1 are out" in fleet.status().reason
 
 
 def test_end_is_unknown_while_faults_block_the_wave():
-    """Guards against a forecast end for a wave that faults keep from starting."""
+    """Guards against a forecast end for a wave that no move of its own will unblock."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.out.add("w1")
@@ -184,11 +189,11 @@
 
 
 def test_given_up_instances_are_not_waited_for():
-    """Guards against a forecast that includes instances that no wave waits for."""
+    """Guards against a forecast that includes instances that were given up."""
     fleet = ReplayedFleet()
     fleet.start()
     fleet.append(InstanceHealth("w1", Health.GIVEN_UP, 1, "broken"))
-    fleet.move("w2", JOINING[:1])
+    fleet.move("w2", MOVE_STAGES[:1])
     assert fleet.status().ends_in_s == 2 * PlannerSettings().expected_move_s
 
 
@@ -233,21 +238,21 @@
 
 
 def test_an_aborted_wave_is_not_changed_by_a_later_one():
-    """Guards against moves of a later wave that count for an aborted one."""
+    """Guards against moves of a later wave that are counted for an aborted one."""
     fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     fleet.start("a")
     fleet.move("w1", wave="a")
-    fleet.move("w2", JOINING[:3], wave="a")
-    fleet.move("w3", JOINING[:2], wave="a")
+    fleet.move("w2", MOVE_STAGES[:3], wave="a")
+    fleet.move("w3", MOVE_STAGES[:2], wave="a")
     fleet.command(WaveState.ABORTED, wave="a")
     assert counts(fleet.status("a")) == (1, 2, 0, 3)
     # Moves that were in progress at the abort are followed to their end.
-    fleet.move("w2", JOINING[3:], wave="a")
+    fleet.move("w2", MOVE_STAGES[3:], wave="a")
     fleet.move("w3", [MoveStage.ABANDONED], wave="a")
     assert counts(fleet.status("a")) == (2, 0, 1, 3)
     fleet.start("b")
     fleet.move("w3", wave="b")
-    fleet.move("w1", JOINING[:2], wave="b")
+    fleet.move("w1", MOVE_STAGES[:2], wave="b")
     assert counts(fleet.status("a")) == (2, 0, 1, 3)
     assert counts(fleet.status("b")) == (1, 1, 0, 3)
     fleet.state = FleetState.load_snapshot(fleet.state.dump_snapshot())
@@ -258,20 +263,20 @@
     """Guards against an aborted wave with moves in progress that cannot end."""
     fleet = ReplayedFleet()
     fleet.start()
-    fleet.move("w1", JOINING[:2])
+    fleet.move("w1", MOVE_STAGES[:2])
     fleet.command(WaveState.ABORTED)
     fleet.append(ConfigChanged(1, b'{"instances": {"w1": null}}', "operator"))
     assert counts(fleet.status()) == (0, 0, 0, 3)
 
 
 def test_forecasts_are_cached_for_some_seconds():
-    """Guards against counting the whole fleet for each read of the status."""
+    """Guards against a check of every instance at each read of the status."""
     fleet = ReplayedFleet(max_unavailable=3, max_unavailable_per_rack=3)
     fleet.start("a")
-    now, checked = [100.0], []
+    now, checked_instances = [100.0], []
     fleet.progress = WaveProgress(
         lambda: fleet.state,
-        lambda name: checked.append(name) or True,
+        lambda name: checked_instances.append(name) or True,
         fleet.times,
         lambda: now[0],
     )
@@ -279,11 +284,11 @@
     fleet.move("w1", wave="a", step_s=1.0)
     assert fleet.status("a").done == 1
     assert fleet.status("a").ends_in_s == first
-    assert len(checked) == 3
+    assert len(checked_instances) == 3
     # A new wave causes all forecasts to be computed again.
     fleet.start("b")
     assert fleet.status("b").ends_in_s is not None
-    assert len(checked) == 6
+    assert len(checked_instances) == 6
     now[0] += FORECAST_TTL_S
     assert fleet.status("a").ends_in_s < first
     fleet.command(WaveState.PAUSED, wave="a")
