--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -29,6 +29,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     payload: Any = ""
+    # None stands for the setting of the queue.
     idempotent: bool | None = None
     cores: float = Field(default=1.0, gt=0)
     memory_mb: int = Field(default=256, ge=0)
@@ -127,7 +128,7 @@
         deadline = now + document.deadline_ms / 1000
     elif document.wait and queue.kind is QueueKind.INTERACTIVE:
         deadline = now + DEFAULT_DEADLINE_S
-    is_idempotent = document.idempotent
+    declared_idempotent = document.idempotent
     return Submission(
         request_id=uuid.uuid4().hex,
         organisation=organisation,
@@ -137,7 +138,9 @@
         run_s=document.run_ms / 1000,
         submitted_at=now,
         deadline=deadline,
-        idempotent=queue.idempotent if is_idempotent is None else is_idempotent,
+        idempotent=queue.idempotent
+        if declared_idempotent is None
+        else declared_idempotent,
         idempotency_key=headers.idempotency_key,
         urgent=document.urgent,
         checkpointable=document.checkpointable,
--- a/libs/entry/src/lycheeloom/entry/grant_manager.py
+++ b/libs/entry/src/lycheeloom/entry/grant_manager.py
@@ -21,7 +21,7 @@
 from lycheeloom.sched import Scheduler
 
 STEP_INTERVAL_S = 0.1
-# A request for slots is repeated at this interval while demand exceeds the grant.
+# While demand exceeds the grant, slots are requested at most once in this interval.
 REQUEST_INTERVAL_S = 1.0
 # A step covers the organisations with demand; at this interval it covers all of them,
 # as covering 210 organisations in each step took 0.6% of a core.
@@ -210,7 +210,10 @@
     def _wanted_slots(
         self, organisation: str, limit: int, is_over_limit: bool, demand: _Demand
     ) -> int:
-        """Return how many slots this entry should hold."""
+        """Return how many slots this entry should hold.
+
+        ``limit`` is the part of the organisation's limit that active members can use.
+        """
         running = self._running(organisation)
         if is_over_limit:
             return running
@@ -253,7 +256,7 @@
         )
 
     def _withdraw_request(self, organisation: str) -> None:
-        """Withdraw an unsent request, as no more slots are wanted."""
+        """Withdraw a request that is not sent yet, as no more slots are wanted."""
         request = self._request_by_organisation.get(organisation)
         if request is not None and request.outcome is None:
             request.withdraw("no more slots are wanted")
--- a/libs/entry/src/lycheeloom/entry/outcome_counts.py
+++ b/libs/entry/src/lycheeloom/entry/outcome_counts.py
@@ -59,10 +59,10 @@
         count[1] += has_failed
 
     def report(self, after: int) -> OutcomeReport:
-        """Return the counts summed over the completed periods after ``after``.
+        """Return the counts summed over the completed periods after period ``after``.
 
-        The report also names those of its queues in which a task has recently
-        succeeded on any worker.
+        The report also names the queues among the reported ones in which a task has
+        succeeded on any worker in the last ``SUSPECT_PERIODS``.
         """
         last_period = self._period() - 1
         self._drop_old(last_period)
@@ -70,20 +70,20 @@
         for period, counts in self._counts.items():
             if not after < period <= last_period:
                 continue
-            for key, (ended, failed) in counts.items():
-                sums[key][0] += ended
-                sums[key][1] += failed
+            for worker_and_queue, (ended, failed) in counts.items():
+                sums[worker_and_queue][0] += ended
+                sums[worker_and_queue][1] += failed
         # Most failures first.
         ordered = sorted(sums.items(), key=lambda item: (-item[1][1], item[0]))
         reported = tuple(
             OutcomeCount(worker, queue, ended, failed)
             for (worker, queue), (ended, failed) in ordered[:MAX_REPORTED_COUNTS]
         )
-        oldest = last_period - SUSPECT_PERIODS
+        cutoff_period = last_period - SUSPECT_PERIODS
         succeeded = sorted(
             queue
             for queue in {count.queue for count in reported}
-            if self._last_success.get(queue, 0) > oldest
+            if self._last_success.get(queue, 0) > cutoff_period
         )
         return OutcomeReport(last_period, reported, tuple(succeeded))
 
@@ -92,15 +92,17 @@
         return int(self._clock() // PERIOD_S) + 1
 
     def _is_suspect(self, worker: str, period: int) -> bool:
-        last = self._last_failure.get(worker)
-        if last is not None and last > period - SUSPECT_PERIODS:
+        last_failure = self._last_failure.get(worker)
+        if last_failure is not None and last_failure > period - SUSPECT_PERIODS:
             return True
         return self._is_on_probation(worker)
 
     def _drop_old(self, period: int) -> None:
-        for old in [p for p in self._counts if p <= period - KEPT_PERIODS]:
-            del self._counts[old]
-        oldest = period - SUSPECT_PERIODS
+        for old_period in [p for p in self._counts if p <= period - KEPT_PERIODS]:
+            del self._counts[old_period]
+        cutoff_period = period - SUSPECT_PERIODS
         self._last_failure = {
-            worker: last for worker, last in self._last_failure.items() if last > oldest
+            worker: last_failure
+            for worker, last_failure in self._last_failure.items()
+            if last_failure > cutoff_period
         }
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -41,12 +41,14 @@
         incarnation: Callable[[], str],
         may_act: Callable[[], bool],
     ) -> None:
+        # Claims for which a record was appended, whatever its outcome.
         self.recovered_count = 0
         self._tail = tail
         self._writer = writer
         self._client = client
         self._incarnation = incarnation
         self._may_act = may_act
+        # Ids of the requests whose claims are being recovered.
         self._in_progress: set[str] = set()
 
     def run(self) -> None:
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -123,7 +123,7 @@
             incarnation=self.membership.incarnation,
             next_offset=self.tail.next_offset,
         )
-        while not self._stopping.wait(0.5):
+        while not self._stopping.wait(0.5):  # seconds between membership checks
             if self.membership.is_replaced:
                 log_event("entry_replaced", "WARNING")
                 break
@@ -316,15 +316,15 @@
         return listing
 
     def _on_replayed(self, replayed: ReplayedBatch) -> None:
-        kinds = {type(record) for record in replayed.batch.records}
-        if ConfigChanged in kinds:
+        record_types = {type(record) for record in replayed.batch.records}
+        if ConfigChanged in record_types:
             self._apply_config()
-        elif MoveStep in kinds:
+        elif MoveStep in record_types:
             self._apply_pools()
         for record in replayed.batch.records:
             if isinstance(record, InstanceHealth):
                 self.monitor.apply_health(record.instance)
-        if kinds & _GRANT_RECORD_TYPES:
+        if record_types & _GRANT_RECORD_TYPES:
             self.grants.schedule_full_step()
 
     def _apply_config(self) -> None:
@@ -357,13 +357,13 @@
         for gauge in (self.metrics.running, self.metrics.queued, self.metrics.granted):
             gauge.clear()
         for organisation in self.tail.state.config.organisation_by_id:
-            own = self.mesh.usage_by_organisation.get(
+            own_usage = self.mesh.usage_by_organisation.get(
                 organisation
             ) or OrganisationUsage(organisation, 0, 0)
             self.metrics.running.labels(organisation).set(
                 self.dispatcher.running_count(organisation)
             )
-            self.metrics.queued.labels(organisation).set(own.queued)
+            self.metrics.queued.labels(organisation).set(own_usage.queued)
             self.metrics.granted.labels(organisation).set(
                 self.grants.usable(organisation)
             )
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -37,7 +37,7 @@
         if not self._freshness.is_fresh():
             return "the state is not fresh"
         if request.verdict is not None or request.cancel_requested:
-            return "the request is already settled"
+            return "the request is settled or being cancelled"
         organisation = request.submission.organisation
         # The running count includes this attempt.
         if self._dispatcher.running_count(organisation) > self._grants.usable(
--- a/libs/entry/src/lycheeloom/entry/status.py
+++ b/libs/entry/src/lycheeloom/entry/status.py
@@ -96,6 +96,7 @@
             state = MemberState.SILENT
         else:
             state = MemberState.LIVE
+        # A member knows this entry once it has replayed the record by which it joined.
         return MemberStatus(
             incarnation=member.incarnation,
             instance=member.instance,
@@ -147,9 +148,9 @@
     def _organisations(self) -> dict[str, OrganisationStatus]:
         state = self._tail.state
         usage_by_organisation = self.fleet_usage()
-        size = self.fleet_resources()
+        fleet_resources = self.fleet_resources()
         own = self._mesh.incarnation
-        document = {}
+        status_by_id = {}
         for organisation_id, organisation in state.config.organisation_by_id.items():
             usage = usage_by_organisation.get(organisation_id) or OrganisationUsage(
                 organisation_id, 0, 0
@@ -158,17 +159,17 @@
             grants = state.grants.of(organisation_id)
             # The first event tells the present status, with the fair share.
             fair_share_event = self._scheduler.explain_organisation(organisation_id)[0]
-            document[organisation_id] = OrganisationStatus(
+            status_by_id[organisation_id] = OrganisationStatus(
                 running=usage.running,
                 queued=usage.queued,
                 share=organisation.share,
                 entitlement=fair_share_event.fair_share,
-                dominant_share=used.dominant_share(size),
+                dominant_share=used.dominant_share(fleet_resources),
                 upper_limit=organisation.upper_limit,
                 grant=grants.count_by_holder.get(own, 0),
                 granted=grants.total(),
             )
-        return document
+        return status_by_id
 
     def _queues(self) -> dict[str, QueueStatus]:
         running: Counter[str] = Counter()
--- a/libs/entry/src/lycheeloom/entry/wave_progress.py
+++ b/libs/entry/src/lycheeloom/entry/wave_progress.py
@@ -53,7 +53,7 @@
         self._clock = clock
         # Open moves whose start was seen, by move id.
         self._begun_at_by_move: dict[str, float] = {}
-        # In seconds, apart for moves without and with a reboot.
+        # In seconds; moves with a reboot are measured apart from those without.
         self._durations_by_reboot: dict[bool, deque[float]] = {
             reboot: deque(maxlen=MAX_MEASURED_MOVES) for reboot in (False, True)
         }
@@ -105,8 +105,8 @@
 class WaveProgress:
     """Computes the progress of each wave from the replayed state.
 
-    ``is_in_service`` tells whether a worker may start tasks. Counts are current;
-    forecasts and reasons may be up to ``FORECAST_TTL_S`` old.
+    ``is_in_service(worker)`` tells whether a worker may start tasks. Counts are
+    current; forecasts and reasons may be up to ``FORECAST_TTL_S`` old.
     """
 
     def __init__(
@@ -196,7 +196,7 @@
         ).end_s
 
     def _budget_usage(self, layout: Layout) -> BudgetUsage:
-        """Return the out-of-service budgets in use, counted as the controller does."""
+        """Return the use of the limits on unavailable instances, as controllers do."""
         maintenance = self._state().maintenance
         out_of_service = {
             name
