--- a/libs/entry/src/lycheeloom/entry/local_requests.py
+++ b/libs/entry/src/lycheeloom/entry/local_requests.py
@@ -65,6 +65,7 @@
     """
 
     submission: Submission
+    # Whether the request is in the log, so that its attempts need claims.
     is_recorded: bool = False
     # The log rejected a claim of this entry, as another entry has claimed the request
     # or it is finished or cancelled: this entry must not run it.
@@ -75,7 +76,7 @@
     checkpoint: str = ""
     # Starts that were refused or not sent, and submissions after the first one.
     requeue_count: int = 0
-    # Retries and hedges that were submitted.
+    # Retries and hedges, including those that the scheduler refused.
     copy_count: int = 0
     # Workers where an attempt failed, is slow or is silent; copies go to others.
     excluded_workers: set[str] = field(default_factory=set)
--- a/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
+++ b/libs/entry/src/lycheeloom/entry/scheduler_tasks.py
@@ -14,10 +14,11 @@
 
 
 class AttemptState:
-    """State of one running attempt: its timers, and whether a copy replaces it."""
+    """The timers of one running attempt, and whether a copy of its request exists."""
 
     def __init__(self) -> None:
-        # Another copy of the request was submitted while this attempt ran.
+        # A retry or hedge was submitted while this attempt was running, so its end
+        # causes no further copy.
         self.has_copy = False
         self.hedge_timer: gevent.Greenlet | None = None
         self.may_have_run_timer: gevent.Greenlet | None = None
--- a/libs/entry/src/lycheeloom/entry/sessions.py
+++ b/libs/entry/src/lycheeloom/entry/sessions.py
@@ -35,7 +35,7 @@
 class WorkerSessions:
     """The newest session of each worker; concurrent callers share one call to open it.
 
-    ``holder()`` is the incarnation of this entry for which sessions are opened.
+    ``holder()`` is the current incarnation of this entry, which holds the sessions.
     ``on_opened(worker, result)`` is called after each attempt to open a session.
     """
 
