--- a/libs/entry/src/lycheeloom/entry/admission.py
+++ b/libs/entry/src/lycheeloom/entry/admission.py
@@ -18,9 +18,9 @@
 
 from .local_requests import Submission
 
-# An interactive request without a deadline is refused after waiting this long.
-DEFAULT_WAIT_S = 30.0
-MAX_KEY_LENGTH = 128
+# Longest wait for the start of an interactive request that sets no deadline.
+DEFAULT_DEADLINE_S = 30.0
+MAX_IDEMPOTENCY_KEY_LENGTH = 128
 
 
 class RequestDocument(BaseModel):
@@ -29,6 +29,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     payload: Any = ""
+    # None stands for the setting of the queue.
     idempotent: bool | None = None
     cores: float = Field(default=1.0, gt=0)
     memory_mb: int = Field(default=256, ge=0)
@@ -62,14 +63,16 @@
     document = _parse_body(body)
     if isinstance(document, Refusal):
         return document
-    if len(headers.idempotency_key) > MAX_KEY_LENGTH:
-        message = f"Idempotency-Key is longer than {MAX_KEY_LENGTH} characters"
+    if len(headers.idempotency_key) > MAX_IDEMPOTENCY_KEY_LENGTH:
+        message = (
+            f"Idempotency-Key is longer than {MAX_IDEMPOTENCY_KEY_LENGTH} characters"
+        )
         return Refusal(RefusalReason.BAD_REQUEST, message)
     payload = _encode_payload(document.payload)
     if len(payload) > MAX_PAYLOAD_BYTES:
         message = f"the payload has {len(payload)} bytes, allowed {MAX_PAYLOAD_BYTES}"
         return Refusal(RefusalReason.TOO_LARGE, message)
-    return _build(queue, organisation, document, payload, headers)
+    return _build_submission(queue, organisation, document, payload, headers)
 
 
 def find_organisation(
@@ -77,8 +80,8 @@
 ) -> str | Refusal:
     """Return the organisation that a request is charged to, or a refusal.
 
-    A request without a key to a queue that is open to all is charged to the
-    organisation that the queue lists.
+    A request without a key is charged to the first organisation of the queue if the
+    queue is open to all, and refused otherwise.
     """
     if not authorization:
         if queue.open_to_all and queue.organisations:
@@ -112,7 +115,7 @@
     return json.dumps(payload, separators=(",", ":")).encode()
 
 
-def _build(
+def _build_submission(
     queue: Queue,
     organisation: str,
     document: RequestDocument,
@@ -124,8 +127,8 @@
     if document.deadline_ms is not None:
         deadline = now + document.deadline_ms / 1000
     elif document.wait and queue.kind is QueueKind.INTERACTIVE:
-        deadline = now + DEFAULT_WAIT_S
-    is_idempotent = document.idempotent
+        deadline = now + DEFAULT_DEADLINE_S
+    declared_idempotent = document.idempotent
     return Submission(
         request_id=uuid.uuid4().hex,
         organisation=organisation,
@@ -135,7 +138,9 @@
         run_s=document.run_ms / 1000,
         submitted_at=now,
         deadline=deadline,
-        idempotent=queue.idempotent if is_idempotent is None else is_idempotent,
+        idempotent=queue.idempotent
+        if declared_idempotent is None
+        else declared_idempotent,
         idempotency_key=headers.idempotency_key,
         urgent=document.urgent,
         checkpointable=document.checkpointable,
--- a/libs/entry/src/lycheeloom/entry/recovery.py
+++ b/libs/entry/src/lycheeloom/entry/recovery.py
@@ -1,4 +1,4 @@
-"""Recovery of recorded requests whose claim belongs to a lost or removed member."""
+"""Recovery of recorded requests whose claim belongs to an entry that is gone."""
 
 from __future__ import annotations
 
@@ -17,9 +17,10 @@
 from .rendezvous import select_member
 
 SCAN_INTERVAL_S = 1.0
+# A record that is not sent to the log within this time is withdrawn.
 COMMIT_TIMEOUT_S = 5.0
-# A worker that does not answer is polled again for this long.
-LOOKUP_TIME_S = 60.0
+# A worker that does not answer, or reports the task as running, is polled this long.
+LOOKUP_TIMEOUT_S = 60.0
 LOOKUP_INTERVAL_S = 1.0
 
 
@@ -27,7 +28,9 @@
     """Finishes or releases claims of members that left or whose grants were reclaimed.
 
     Every lease of such a member has expired, so its tasks no longer run and its
-    starts are refused. The status of a task at its worker is therefore final.
+    starts are refused. What a worker reports about a task that ended, or that it does
+    not know, is therefore final. Each claim is recovered by the member that rendezvous
+    hashing selects.
     """
 
     def __init__(
@@ -38,16 +41,18 @@
         incarnation: Callable[[], str],
         may_act: Callable[[], bool],
     ) -> None:
-        self.recovered = 0
+        # Claims for which a record was appended, whatever its outcome.
+        self.recovered_count = 0
         self._tail = tail
         self._writer = writer
         self._client = client
         self._incarnation = incarnation
         self._may_act = may_act
+        # Ids of the requests whose claims are being recovered.
         self._in_progress: set[str] = set()
 
     def run(self) -> None:
-        """Scan for such claims until stopped."""
+        """Scan for claims of lost members until stopped."""
         while True:
             if self._may_act():
                 self.scan()
@@ -71,11 +76,11 @@
     def _recover(self, request: RecordedRequest, attempt: int) -> None:
         try:
             report = self._look_up(request, attempt)
-            record = decide(request, attempt, report)
+            record = choose_record(request, attempt, report)
             # Later scans must not append another record while this one can still be
             # written.
             outcome = self._writer.append(record).wait_settled(COMMIT_TIMEOUT_S)
-            self.recovered += 1
+            self.recovered_count += 1
             log_event(
                 "claim_recovered",
                 request=request.request_id,
@@ -86,24 +91,29 @@
             self._in_progress.discard(request.request_id)
 
     def _look_up(self, request: RecordedRequest, attempt: int) -> TaskReport | None:
+        """Return the worker's final report about an attempt, or None without one."""
         instance = self._tail.state.config.instance_by_id.get(request.worker)
         if instance is None:
             return None
-        give_up_at = time.monotonic() + LOOKUP_TIME_S
+        give_up_at = time.monotonic() + LOOKUP_TIMEOUT_S
         while time.monotonic() < give_up_at:
             task = f"{request.request_id}.{attempt}"
             report = self._client.status(instance.address, task)
-            is_final = isinstance(report, TaskReport)
-            if is_final and report.status is not TaskStatus.RUNNING:
+            has_report = isinstance(report, TaskReport)
+            if has_report and report.status is not TaskStatus.RUNNING:
                 return report
             gevent.sleep(LOOKUP_INTERVAL_S)
         return None
 
 
-def decide(request: RecordedRequest, attempt: int, report: TaskReport | None) -> Record:
-    """Return the record that finishes or releases a lost attempt.
+def choose_record(
+    request: RecordedRequest, attempt: int, report: TaskReport | None
+) -> Record:
+    """Return the record that finishes a request or releases the claim on it.
 
     ``report`` is the worker's final report about the attempt, or None if there is none.
+    A release queues the request again, so a request that is not idempotent is released
+    only if the attempt certainly did not run or left a checkpoint.
     """
     request_id = request.request_id
     release = r.RequestReleased(request_id, attempt)
@@ -121,6 +131,6 @@
         case TaskStatus.CHECKPOINTED:
             return r.RequestReleased(request_id, attempt, report.checkpoint)
         case TaskStatus.UNKNOWN if report.boot_id == request.worker_boot:
-            # The worker never got the start, and would refuse it now.
+            # The worker did not get the start, and would refuse it if it came now.
             return release
     return release if request.idempotent else may_have_run
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -65,16 +65,16 @@
 from .worker_monitor import WorkerMonitor
 
 PROGRAM_VERSION = "0.1.0"
-RECOVERY_RETRY_S = 0.5
+RECOVERY_RETRY_S = 0.5  # between attempts to read the state from the log
 # Interval between two measurements of the event loop's delay.
 LOOP_DELAY_INTERVAL_S = 5.0
 CLOSE_IDLE_INTERVAL_S = 5.0
 DRAIN_POLL_S = 0.05
-# The load balancer learns from /readyz that this entry is draining; until then new
-# requests get a refusal instead of a closed connection.
+# Until the load balancer learns from /readyz that this entry is draining, new requests
+# get a refusal instead of a closed connection.
 MIN_DRAIN_DURATION_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
-# Allocations between two collections of the youngest generation.
+# Allocations between two garbage collections of the youngest generation.
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # Records that can change the grants of this entry or the number of members.
 _GRANT_RECORD_TYPES = {
@@ -114,20 +114,20 @@
         self._stopping = gevent.event.Event()
 
     def run(self) -> None:
-        """Serve until ``stop`` is called, then end accepted requests and shut down."""
+        """Serve until stopped, replaced or marked as leaving; drain and shut down."""
         self._build(self._recover())
         self._start()
         log_event(
             "entry_started",
             listen=self.settings.listen,
-            incarnation=self.keeper.incarnation,
+            incarnation=self.membership.incarnation,
             next_offset=self.tail.next_offset,
         )
-        while not self._stopping.wait(0.5):
-            if self.keeper.is_replaced:
+        while not self._stopping.wait(0.5):  # seconds between membership checks
+            if self.membership.is_replaced:
                 log_event("entry_replaced", "WARNING")
                 break
-            if self.keeper.is_leaving:
+            if self.membership.is_leaving:
                 log_event("instance_leaving")
                 break
         self._drain()
@@ -158,7 +158,7 @@
         self.freshness = Freshness(self.tail, lambda: self.writer.author)
         self.mesh = PeerMesh(incarnation, self.tail, self.freshness)
         self.scheduler = Scheduler(state.config, settings.seed)
-        self.keeper = MembershipManager(
+        self.membership = MembershipManager(
             Identity(
                 settings.instance, settings.peer_listen, settings.zone, PROGRAM_VERSION
             ),
@@ -179,7 +179,7 @@
         )
         sessions = WorkerSessions(
             self._clients.workers,
-            lambda: self.keeper.incarnation,
+            lambda: self.membership.incarnation,
             self.monitor.observe_session,
         )
         self.monitor.sessions = sessions
@@ -188,8 +188,8 @@
             self.writer,
             self._clients.log,
             self.local_requests,
-            lambda: self.keeper.incarnation,
-            lambda: self.keeper.is_member and not self.mesh.draining,
+            lambda: self.membership.incarnation,
+            lambda: self.membership.is_member and not self.mesh.draining,
         )
         self.dispatcher = Dispatcher(
             self.scheduler,
@@ -211,8 +211,8 @@
             self.tail,
             self.writer,
             self.scheduler,
-            lambda: self.keeper.incarnation,
-            self.dispatcher.running,
+            lambda: self.membership.incarnation,
+            self.dispatcher.running_count,
             self.exchange.peer_demand,
             lambda: self.mesh.draining,
             self._wake,
@@ -220,7 +220,7 @@
         checks = StartChecks(
             self.tail,
             self.freshness,
-            self.keeper,
+            self.membership,
             self.dispatcher,
             self.grants,
             self.monitor,
@@ -230,7 +230,7 @@
             sessions,
             self._tracer,
             checks.may_start,
-            lambda: self.keeper.incarnation,
+            lambda: self.membership.incarnation,
             checks.may_renew,
             self.recorded_requests.claim,
             self.dispatcher.observe_report,
@@ -239,8 +239,8 @@
             self.tail,
             self.writer,
             self._clients.workers,
-            lambda: self.keeper.incarnation,
-            lambda: self.keeper.is_member and not self.mesh.draining,
+            lambda: self.membership.incarnation,
+            lambda: self.membership.is_member and not self.mesh.draining,
         )
 
     def _build_http(self) -> None:
@@ -277,8 +277,8 @@
         )
 
     def _start(self) -> None:
-        # Modules and the recovered state are long-lived. Without the freeze, each full
-        # garbage collection scanned them and delayed answers by tens of milliseconds.
+        # Keeps the modules and the recovered state out of full garbage collections,
+        # which scanned them and delayed answers by tens of milliseconds.
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
@@ -290,9 +290,9 @@
         self.mesh.start(*split_address(self.settings.peer_listen))
         for loop in (
             self.freshness.run,
-            self.keeper.run,
-            self.keeper.poll_instance_list,
-            self.dispatcher.run,
+            self.membership.run,
+            self.membership.poll_instance_list,
+            self.dispatcher.run_rounds,
             self.grants.run,
             self.monitor.run,
             self.recovery.run,
@@ -316,21 +316,21 @@
         return listing
 
     def _on_replayed(self, replayed: ReplayedBatch) -> None:
-        kinds = {type(record) for record in replayed.batch.records}
-        if ConfigChanged in kinds:
+        record_types = {type(record) for record in replayed.batch.records}
+        if ConfigChanged in record_types:
             self._apply_config()
-        elif MoveStep in kinds:
+        elif MoveStep in record_types:
             self._apply_pools()
         for record in replayed.batch.records:
             if isinstance(record, InstanceHealth):
                 self.monitor.apply_health(record.instance)
-        if kinds & _GRANT_RECORD_TYPES:
+        if record_types & _GRANT_RECORD_TYPES:
             self.grants.schedule_full_step()
 
     def _apply_config(self) -> None:
         config = self.tail.state.config
         self.scheduler.set_config(config, time.monotonic())
-        self.dispatcher.set_queues(list(config.queue_by_id.values()))
+        self.dispatcher.configure_budgets(list(config.queue_by_id.values()))
         self._apply_pools()
         self.grants.schedule_full_step()
         self._wake()
@@ -357,13 +357,13 @@
         for gauge in (self.metrics.running, self.metrics.queued, self.metrics.granted):
             gauge.clear()
         for organisation in self.tail.state.config.organisation_by_id:
-            own = self.mesh.usage_by_organisation.get(
+            own_usage = self.mesh.usage_by_organisation.get(
                 organisation
             ) or OrganisationUsage(organisation, 0, 0)
             self.metrics.running.labels(organisation).set(
-                self.dispatcher.running(organisation)
+                self.dispatcher.running_count(organisation)
             )
-            self.metrics.queued.labels(organisation).set(own.queued)
+            self.metrics.queued.labels(organisation).set(own_usage.queued)
             self.metrics.granted.labels(organisation).set(
                 self.grants.usable(organisation)
             )
@@ -379,7 +379,7 @@
             self._clients.workers.close_idle()
 
     def _drain(self) -> None:
-        """Refuse new requests, finish the accepted ones, and leave the members."""
+        """Refuse new requests, finish the accepted ones, then leave the cluster."""
         self.handler.is_draining = True
         self.mesh.draining = True
         self.recorded_requests.release_waiters()
@@ -395,7 +395,7 @@
         if self.dispatcher.running_tasks:
             log_event("drain_timeout", "WARNING", tasks=self.dispatcher.running_tasks)
             return
-        self.keeper.leave(LEAVE_TIMEOUT_S)
+        self.membership.leave(LEAVE_TIMEOUT_S)
 
     def _stop_all(self) -> None:
         self._server.stop(timeout=1.0)
--- a/libs/entry/src/lycheeloom/entry/start_checks.py
+++ b/libs/entry/src/lycheeloom/entry/start_checks.py
@@ -1,4 +1,4 @@
-"""The last checks before a start or a lease renewal is sent."""
+"""The last checks before a start or a lease renewal is sent to a worker."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
         self,
         tail: LogTail,
         freshness: Freshness,
-        keeper: MembershipManager,
+        membership: MembershipManager,
         dispatcher: Dispatcher,
         grants: GrantManager,
         worker_monitor: WorkerMonitor,
     ) -> None:
         self._tail = tail
         self._freshness = freshness
-        self._keeper = keeper
+        self._keeper = membership
         self._dispatcher = dispatcher
         self._grants = grants
         self._worker_monitor = worker_monitor
@@ -37,9 +37,12 @@
         if not self._freshness.is_fresh():
             return "the state is not fresh"
         if request.verdict is not None or request.cancel_requested:
-            return "the request is already settled"
+            return "the request is settled or being cancelled"
         organisation = request.submission.organisation
-        if self._dispatcher.running(organisation) > self._grants.usable(organisation):
+        # The running count includes this attempt.
+        if self._dispatcher.running_count(organisation) > self._grants.usable(
+            organisation
+        ):
             return f"no running slot of organisation {organisation} is granted here"
         config = self._tail.state.config
         instance = config.instance_by_id.get(placement.worker)
@@ -55,7 +58,8 @@
     def may_renew(self, holder: str) -> bool:
         """Tell whether leases of one of this entry's incarnations may be renewed.
 
-        The slots of an expelled incarnation are given to other entries once its
-        leases have expired, so they are not renewed after this entry has rejoined.
+        The slots of an expelled incarnation go to other entries once its leases have
+        expired. After this entry has rejoined as a new incarnation, it must therefore
+        not renew leases of the old one.
         """
         return holder == self._keeper.incarnation and self._freshness.is_fresh()
--- a/libs/entry/src/lycheeloom/entry/usage_exchange.py
+++ b/libs/entry/src/lycheeloom/entry/usage_exchange.py
@@ -16,14 +16,18 @@
 
 from .dispatch import Dispatcher
 
-INTERVAL_S = 0.2
-# While no peer has work, the scheduler gets the peers' usage this rarely, for the
-# decay of past usage.
-IDLE_STEPS = 10
+EXCHANGE_INTERVAL_S = 0.2
+# While no peer has work or reservations, the scheduler gets the peers' usage in only
+# two of this many steps, which is enough for the decay of past usage.
+IDLE_CYCLE_STEPS = 10
 
 
 class UsageExchange:
-    """Passes local usage to the peers, and the peers' usage to the scheduler."""
+    """Passes local usage to the peers, and the peers' usage to the scheduler.
+
+    Usage is the running and queued tasks of each organisation. A reservation keeps a
+    worker for one entry, so that the others place no tasks there.
+    """
 
     def __init__(
         self, mesh: PeerMesh, scheduler: Scheduler, dispatcher: Dispatcher
@@ -35,13 +39,13 @@
         self._idle_steps = 0
 
     def run(self) -> None:
-        """Run a step every ``INTERVAL_S`` until stopped."""
+        """Run a step every ``EXCHANGE_INTERVAL_S`` until stopped."""
         while True:
             self.step()
-            gevent.sleep(seconds_until_tick(INTERVAL_S))
+            gevent.sleep(seconds_until_tick(EXCHANGE_INTERVAL_S))
 
     def step(self) -> None:
-        """Pass usage and reservations in both directions."""
+        """Pass usage and reservations to the peers, and theirs to the scheduler."""
         self._mesh.usage_by_organisation = {
             organisation: self._to_wire(organisation, usage)
             for organisation, usage in self._scheduler.usage_by_organisation().items()
@@ -51,7 +55,7 @@
         usage_by_peer = self._mesh.usage_by_peer()
         is_idle = not self._reserved_by_peers and not any(usage_by_peer.values())
         self._idle_steps = self._idle_steps + 1 if is_idle else 0
-        if self._idle_steps % IDLE_STEPS > 1:
+        if self._idle_steps % IDLE_CYCLE_STEPS > 1:
             return
         self._scheduler.set_peer_usage(
             {
@@ -65,7 +69,7 @@
         )
 
     def sync_reservations(self) -> None:
-        """Pass changed reservations in both directions without waiting for a step."""
+        """Pass changed reservations on without waiting for the next step of ``run``."""
         self._mesh.reserve_workers(self._scheduler.reserved_workers())
         if self._mesh.workers_reserved_by_peers() != self._reserved_by_peers:
             self.step()
@@ -87,7 +91,7 @@
         )
         return OrganisationUsage(
             organisation,
-            self._dispatcher.running(organisation),
+            self._dispatcher.running_count(organisation),
             usage.queued,
             running.cores,
             running.memory_mb,
--- a/libs/entry/tests/test_outcome_counts.py
+++ b/libs/entry/tests/test_outcome_counts.py
@@ -4,7 +4,7 @@
 
 from lycheeloom.entry.outcome_counts import (
     KEPT_PERIODS,
-    MAX_COUNTS,
+    MAX_REPORTED_COUNTS,
     PERIOD_S,
     SUSPECT_PERIODS,
     OutcomeCounts,
@@ -13,6 +13,8 @@
 
 
 class Clock:
+    """A clock that starts in period 1001."""
+
     def __init__(self):
         self.now = 1000 * PERIOD_S
 
@@ -29,18 +31,18 @@
 
 
 @pytest.fixture
-def probation():
+def workers_on_probation():
     return set()
 
 
 @pytest.fixture
-def counts(clock, probation):
-    return OutcomeCounts(probation.__contains__, clock)
+def counts(clock, workers_on_probation):
+    return OutcomeCounts(workers_on_probation.__contains__, clock)
 
 
-def test_only_suspect_workers_are_reported(counts, clock, probation):
+def test_only_suspect_workers_are_reported(counts, clock, workers_on_probation):
     """Guards against reports that grow with the fleet."""
-    probation.add("w2")
+    workers_on_probation.add("w2")
     counts.record("w1", "find", True)
     for worker in ("w1", "w2", "w3"):
         counts.record(worker, "find", False)
@@ -58,7 +60,7 @@
     clock.pass_periods()
     first = counts.report(0)
     assert first.counts == (OutcomeCount("w1", "find", 1, 1),)
-    # Requested again after a lost report, then after one that arrived.
+    # The controller asks again after a lost report, then after one that arrived.
     assert counts.report(0) == first
     counts.record("w1", "book", True)
     clock.pass_periods()
@@ -66,7 +68,7 @@
     assert second.counts == (OutcomeCount("w1", "book", 1, 1),)
 
 
-def test_queues_that_succeed_elsewhere_are_named(counts, clock):
+def test_reported_queues_that_succeed_elsewhere_are_named(counts, clock):
     """Guards against failures of a worker that are blamed on its queue."""
     counts.record("w9", "find", False)
     counts.record("w9", "unrelated", False)
@@ -90,11 +92,11 @@
 
 def test_report_is_bounded(counts, clock):
     """Guards against a report of thousands of workers after a bad release."""
-    for number in range(3 * MAX_COUNTS):
+    for number in range(3 * MAX_REPORTED_COUNTS):
         counts.record(f"w{number}", "find", True)
     for _ in range(2):
         counts.record("w250", "find", True)
     clock.pass_periods()
     found = counts.report(0).counts
-    assert len(found) == MAX_COUNTS
+    assert len(found) == MAX_REPORTED_COUNTS
     assert found[0] == OutcomeCount("w250", "find", 3, 3)
