--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation $(addprefix -e ./,$(LIBS))
 	touch $@
 
-# Without ARGS all tests run, in parts side by side.
+# Without ARGS, tests/run_parts.py runs all tests in parallel pytest processes.
 test: setup
 	$(if $(ARGS),$(PYTHON) -m pytest $(ARGS),$(PYTHON) tests/run_parts.py)
 
@@ -30,7 +30,7 @@
 demo: setup
 	$(PYTHON) -m demo
 
-# Prints the import path of the workspace, for running programs by hand.
+# Prints the PYTHONPATH of the workspace, for running programs by hand.
 .PHONY: pythonpath
 pythonpath:
 	@echo $(PYTHONPATH)
--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,4 @@
-"""Patches the standard library for gevent before any test module imports it."""
+"""Applies gevent's monkey patches before pytest imports any test module."""
 
 from gevent import monkey
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,7 @@
-"""A small fleet of real processes: 6 workers in 3 zones, 3 entries."""
+"""Fixtures and helpers for tests on a small fleet of real processes.
+
+By default a fleet has 6 stand-in workers in 3 zones, and 3 entries.
+"""
 
 from __future__ import annotations
 
@@ -18,23 +21,23 @@
 from bench.fault_oracle import check_history
 from lycheeloom.operator import Draft, Published
 
-# Only ends a test whose condition never comes true; no verdict depends on it.
-PATIENCE_S = 60.0
+# Only ends a test whose condition never becomes true; no result depends on it.
+WAIT_TIMEOUT_S = 60.0
 
 
 def wait_until(condition: Callable[[], object]) -> object:
-    """Return the first true value of a condition."""
-    give_up_at = time.monotonic() + PATIENCE_S
-    while time.monotonic() < give_up_at:
+    """Poll a condition and return its first true value."""
+    deadline = time.monotonic() + WAIT_TIMEOUT_S
+    while time.monotonic() < deadline:
         value = condition()
         if value:
             return value
         gevent.sleep(0.05)
-    raise TimeoutError(f"never true: {condition}")
+    raise TimeoutError(f"condition did not become true in time: {condition}")
 
 
-class Forwarder:
-    """Forwards one entry's connections to the log until it is cut."""
+class LogProxy:
+    """Forwards the TCP connections of one entry to the log until disconnected."""
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
@@ -44,123 +47,129 @@
         self._server.start()
         self.address = f"127.0.0.1:{self._server.server_port}"
 
-    def cut(self) -> None:
-        """Refuse connections and break those that are open."""
+    def disconnect(self) -> None:
+        """Close open connections and refuse new ones."""
         self._server.stop(timeout=0)
         self._connections.kill()
 
-    def _serve(self, caller: socket.socket, _address: object) -> None:
-        with caller, socket.create_connection(self._target) as log:
-            pumps = [self._connections.spawn(_pump, caller, log)]
-            pumps.append(self._connections.spawn(_pump, log, caller))
-            gevent.joinall(pumps, count=1)
-            gevent.killall(pumps)
+    def _serve(self, entry: socket.socket, _address: object) -> None:
+        with entry, socket.create_connection(self._target) as log:
+            copiers = [self._connections.spawn(_copy_bytes, entry, log)]
+            copiers.append(self._connections.spawn(_copy_bytes, log, entry))
+            gevent.joinall(copiers, count=1)
+            gevent.killall(copiers)
 
 
-def _pump(source: socket.socket, sink: socket.socket) -> None:
+def _copy_bytes(source: socket.socket, sink: socket.socket) -> None:
     while data := source.recv(65536):
         sink.sendall(data)
 
 
 class Load:
-    """Callers, spread over the open entries, that repeat a call in a block."""
+    """Callers that repeat a call to the serving entries during a ``with`` block."""
 
     def __init__(
-        self, world: FaultFleet, callers: int, call: Callable[[str], CallRecord]
+        self, harness: FaultFleet, callers: int, call: Callable[[str], CallRecord]
     ) -> None:
         self.calls: list[CallRecord] = []
-        self._world = world
+        self._harness = harness
         self._callers = callers
         self._call = call
         self._greenlets: list[gevent.Greenlet] = []
-        self._is_over = False
+        self._is_stopping = False
 
     def __enter__(self) -> Load:
         self._greenlets = [gevent.spawn(self._run, n) for n in range(self._callers)]
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        self._is_over = True
+        self._is_stopping = True
         gevent.joinall(self._greenlets, raise_error=True)
 
-    def wait_for_more(self, calls: int) -> None:
-        """Wait until this many more calls have been answered."""
-        seen = len(self.calls)
-        wait_until(lambda: len(self.calls) >= seen + calls)
+    def wait_for_more_calls(self, count: int) -> None:
+        """Wait until this many more calls have ended, with or without an answer."""
+        count_before = len(self.calls)
+        wait_until(lambda: len(self.calls) >= count_before + count)
 
-    def _run(self, number: int) -> None:
-        while not self._is_over:
-            entries = sorted(self._world.serving_entries)
-            self.calls.append(self._call(entries[number % len(entries)]))
+    def _run(self, caller_number: int) -> None:
+        while not self._is_stopping:
+            entries = sorted(self._harness.serving_entries)
+            self.calls.append(self._call(entries[caller_number % len(entries)]))
             gevent.sleep(0.02)
 
 
-def publish_surely(
-    world: FaultFleet, what: str, name: str, edit: Callable[[Draft], object]
+def publish_with_retries(
+    harness: FaultFleet, what: str, name: str, edit: Callable[[Draft], object]
 ) -> Publication:
-    """Publish a change although answers of the log are lost."""
-    wait_until(lambda: isinstance(world.publish(what, name, edit), Published))
-    return world.history.publications[-1]
+    """Publish a change, again if the log's answer is lost, and return its record."""
+    wait_until(lambda: isinstance(harness.publish(what, name, edit), Published))
+    return harness.history.publications[-1]
 
 
-def hears(world, listener, name):
-    """Tell whether another instance has shown an entry that it knows of its joining.
+def is_known_by(harness, entry, peer):
+    """Tell whether an entry reports that a peer has replayed that the entry joined.
 
-    An entry that was paused before could not be expelled by the votes of this one.
+    Until then the entry may not vote to expel the peer, so a test that pauses the
+    peer has to wait for this first.
     """
-    members = world.status(listener)["members"]
-    return any(m["instance"] == name and m["knows_reporter"] for m in members)
+    members = harness.status(entry)["members"]
+    return any(m["instance"] == peer and m["knows_reporter"] for m in members)
 
 
-def accepted(call):
-    """Return a call that ran, else None."""
+def call_if_ran(call):
+    """Return the call if its verdict is "ran", else None."""
     return call if call.verdict == "ran" else None
 
 
-def start_world(**shape: int) -> object:
-    """Yield a fleet that serves."""
+def start_harness(**options: int) -> object:
+    """Start a fleet, yield it once every entry holds its grants, and end it."""
     with running_fleet() as fleet:
-        world = FaultFleet(fleet, entries=3, **shape)
-        world.start()
-        wait_until(lambda: all(granted(world, name) for name in world.zone_by_entry))
-        yield world
-
-
-def granted(world: FaultFleet, name: str) -> bool:
-    """Tell whether an entry holds running slots of every organisation."""
-    status = world.status(name)
+        harness = FaultFleet(fleet, entries=3, **options)
+        harness.start()
+        wait_until(
+            lambda: all(
+                holds_all_grants(harness, name) for name in harness.zone_by_entry
+            )
+        )
+        yield harness
+
+
+def holds_all_grants(harness: FaultFleet, name: str) -> bool:
+    """Tell whether an entry holds a grant of every organisation."""
+    status = harness.status(name)
     return status is not None and all(
         organisation["grant"] > 0 for organisation in status["organisations"].values()
     )
 
 
 @pytest.fixture(scope="module")
-def shared_world():
+def shared_harness():
     """The fleet that the tests of a module share; each leaves it healthy."""
-    yield from start_world()
+    yield from start_harness()
 
 
 @pytest.fixture
-def world(shared_world):
-    """The shared fleet; after each test nothing that was seen breaks a rule."""
-    yield shared_world
-    for entry in shared_world.entry_by_name.values():
+def harness(shared_harness):
+    """The shared fleet; the invariants are checked after each test."""
+    yield shared_harness
+    for entry in shared_harness.entry_by_name.values():
         entry.signal(signal.SIGCONT)
-    shared_world.paused.clear()
-    shared_world.wait_ready()
-    assert_invariants(shared_world)
+    shared_harness.paused.clear()
+    shared_harness.wait_ready()
+    assert_invariants(shared_harness)
 
 
 @pytest.fixture
-def lone_world():
-    """A fleet of its own for a test that ends entries."""
-    for world in start_world():
-        yield world
-        assert_invariants(world)
+def isolated_harness():
+    """A fleet for one test only, for tests that stop or replace entries."""
+    for harness in start_harness():
+        yield harness
+        assert_invariants(harness)
 
 
-def assert_invariants(world: FaultFleet) -> None:
-    """Judge by the notes and the ledger of the workers."""
+def assert_invariants(harness: FaultFleet) -> None:
+    """Check the invariants on the recorded calls, publications and worker starts."""
     assert (
-        check_history(world.history, world.fleet.ledger(), LIMIT_BY_ORGANISATION) == []
+        check_history(harness.history, harness.fleet.ledger(), LIMIT_BY_ORGANISATION)
+        == []
     )
--- a/tests/newer_entry.py
+++ b/tests/newer_entry.py
@@ -1,7 +1,7 @@
-"""An entry of a made-up newer version, run as ``python -m tests.newer_entry``.
+"""A simulated newer version of the entry, run as ``python -m tests.newer_entry``.
 
-It is today's entry with schemas that are extended when they are loaded: it
-writes an optional field and a kind of record that today's version does not know.
+It is the current entry with schemas that are extended when they are loaded. It
+writes optional fields and a kind of record that the current version does not know.
 """
 
 from __future__ import annotations
@@ -31,15 +31,15 @@
 COST_CENTRE = "north-7"
 NOTE_INTERVAL_S = 0.3
 
-# Additions behind the last line of a struct or union, as a later version of the
-# schemas would make them.
-_ADDED_TO_RECORDS = {
+# Text to insert, by the line that it follows. As in a real later version of the
+# schemas, fields and union members are added after the last existing one.
+_RECORD_ADDITIONS = {
     "    snapshotChunk @19 :SnapshotChunk;\n": "    entryNote @20 :EntryNote;\n",
     "  checkpointable @10 :Bool;\n": "  costCentre @11 :Text;\n",
     "  outcome @2 :Text;\n  answer @3 :Data;\n": "  costCentre @4 :Text;\n",
     "struct Empty {}\n": "struct EntryNote {\n  text @0 :Text;\n}\n",
 }
-_ADDED_TO_PEERS = {
+_PEER_ADDITIONS = {
     "  reservedWorkers @7 :List(Text);\n": "  buildLabel @8 :Text;\n",
 }
 
@@ -52,44 +52,45 @@
 
 
 class NewerEntry(service.EntryService):
-    """Appends a note now and then."""
+    """An entry service that also appends an EntryNote at a fixed interval."""
 
     def _start(self) -> None:
         super()._start()
-        self._greenlets.append(gevent.spawn(self._run_notes))
+        self._greenlets.append(gevent.spawn(self._append_notes))
 
-    def _run_notes(self) -> None:
+    def _append_notes(self) -> None:
         while True:
             self.writer.append(EntryNote(f"from {self.settings.instance}"))
             gevent.sleep(NOTE_INTERVAL_S)
 
 
 def load_newer_records() -> Any:
-    """Return the schema of records as the newer version has it."""
-    return _load("records.capnp", _ADDED_TO_RECORDS)
+    """Return the schema of log records with the additions of the newer version."""
+    return _load_extended("records.capnp", _RECORD_ADDITIONS)
 
 
 def load_newer_peers() -> Any:
-    """Return the schema of peer messages as the newer version has it."""
-    return _load("peers.capnp", _ADDED_TO_PEERS)
+    """Return the schema of peer messages with the additions of the newer version."""
+    return _load_extended("peers.capnp", _PEER_ADDITIONS)
 
 
-def _load(name: str, added: dict[str, str]) -> Any:
+def _load_extended(name: str, addition_by_line: dict[str, str]) -> Any:
     text = Path(batches.__file__).with_name(name).read_text()
-    for line, addition in added.items():
+    for line, addition in addition_by_line.items():
         if text.count(line) != 1:
-            raise ValueError(f"{name} does not have {line!r} once")
+            raise ValueError(f"{name} does not contain {line!r} exactly once")
         text = text.replace(line, line + addition)
-    # Both versions are loaded in one process, so the file needs an id of its own.
-    first, _, rest = text.partition(";")
-    text = f"{first[:-1]}{int(first[-1], 16) ^ 1:x};{rest}"
+    # Both versions are loaded in one process, so this one needs a file id of its own:
+    # the id on the first line with its last bit inverted.
+    file_id, _, rest = text.partition(";")
+    text = f"{file_id[:-1]}{int(file_id[-1], 16) ^ 1:x};{rest}"
     with tempfile.TemporaryDirectory(prefix="lycheeloom-") as folder:
         path = Path(folder) / name
         path.write_text(text)
         return capnp.load(str(path))
 
 
-def _adopt_newer_version() -> None:
+def _patch_in_newer_version() -> None:
     batches._SCHEMA = load_newer_records()
     batches._KIND_BY_TAG["entryNote"] = EntryNote
     batches._TAG_BY_KIND[EntryNote] = "entryNote"
@@ -111,5 +112,5 @@
 
 
 if __name__ == "__main__":
-    _adopt_newer_version()
+    _patch_in_newer_version()
     sys.exit(entry_main.main())
--- a/tests/test_failing_worker.py
+++ b/tests/test_failing_worker.py
@@ -1,4 +1,4 @@
-"""A worker that fails what entries start there, seen by the controller."""
+"""Tests that the controller detects a worker on which every task fails."""
 
 from __future__ import annotations
 
@@ -12,30 +12,32 @@
 from .conftest import Load, wait_until
 
 
-def read_state(world: FaultFleet) -> FleetState:
-    """Return the state that the log holds now."""
-    state = recover(LogClient(world.fleet.platform.log))
+def read_state(harness: FaultFleet) -> FleetState:
+    """Return the state replayed from the log up to its current end."""
+    state = recover(LogClient(harness.fleet.platform.log))
     assert isinstance(state, FleetState)
     return state
 
 
-def test_failing_worker_is_put_on_probation_without_recorded_requests(lone_world):
-    """Guards against a controller that sees only outcomes on record: lookups
-    leave none, so a worker that fails them all was never repaired.
+def test_failing_worker_is_put_on_probation_without_recorded_requests(isolated_harness):
+    """Guards against a controller that counts only outcomes recorded in the log.
+
+    Lookups leave no record there, so a worker that failed all of them was never
+    repaired.
     """
-    world = lone_world
-    world.fleet.start_controller("c0", "mid")
-    world.fleet.set_faults("w1", fail_all=True)
-    key = world.keys_in_force[0]
-
-    def health():
-        return read_state(world).maintenance.health_by_instance
-
-    with Load(world, 12, lambda entry: world.submit("lookup", entry, key)):
-        wait_until(lambda: "w1" in health())
-        state = read_state(world)
-    found = state.maintenance.health_by_instance
-    assert list(found) == ["w1"]
-    assert found["w1"].health is Health.PROBATION
-    assert found["w1"].reason == SYMPTOM_TEXT[Symptom.FAILING]
+    harness = isolated_harness
+    harness.fleet.start_controller("c0", "mid")
+    harness.fleet.set_faults("w1", fail_all=True)
+    key = harness.keys_in_force[0]
+
+    def health_by_instance():
+        return read_state(harness).maintenance.health_by_instance
+
+    with Load(harness, 12, lambda entry: harness.submit("lookup", entry, key)):
+        wait_until(lambda: "w1" in health_by_instance())
+        state = read_state(harness)
+    final_health = state.maintenance.health_by_instance
+    assert list(final_health) == ["w1"]
+    assert final_health["w1"].health is Health.PROBATION
+    assert final_health["w1"].reason == SYMPTOM_TEXT[Symptom.FAILING]
     assert not state.requests.request_by_id
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -1,4 +1,4 @@
-"""Repair and maintenance by a controller process, against workers that fail."""
+"""Tests repair and maintenance by a controller process when workers fail."""
 
 from __future__ import annotations
 
@@ -16,50 +16,51 @@
 )
 from lycheeloom.wire import decode_batch
 
-from .conftest import Load, assert_invariants, start_world, wait_until
+from .conftest import Load, assert_invariants, start_harness, wait_until
 
-# Short times, within what the settings allow, so that a test ends soon.
+# Short times, within the range that the settings allow, to keep the tests fast.
 SETTINGS = {"step_s": 0.2, "silent_s": 10, "dead_after_s": 20, "probation_s": 1}
-# Long enough for a slow machine to find the lone worker silent within the hold.
+# How long a correlated failure holds maintenance; long enough that a slow machine
+# still finds UNRELATED_WORKER silent within the hold.
 HOLD_S = 40
-RACK = ("w0", "w3")
-# In another zone than the rack.
-LONE_WORKER = "w1"
-HELD = "because instances failed together"
+FAILED_RACK = ("w0", "w3")
+# In another zone than FAILED_RACK.
+UNRELATED_WORKER = "w1"
+HOLD_TEXT = "because instances failed together"
 
 
 @pytest.fixture
-def world():
-    """A fleet with two workers to a rack; all of a rack may be out at once."""
-    for world in start_world(workers=12, workers_per_rack=2):
-        result = world.publish("limits", "main", widen_limits)
+def harness():
+    """A fleet with two workers per rack; a whole rack may be unavailable at once."""
+    for harness in start_harness(workers=12, workers_per_rack=2):
+        result = harness.publish("limits", "main", raise_unavailability_limits)
         assert isinstance(result, Published), result
-        yield world
-        assert_invariants(world)
+        yield harness
+        assert_invariants(harness)
 
 
-def widen_limits(draft):
-    """Let a whole rack and more be out at once."""
+def raise_unavailability_limits(draft):
+    """Let more workers than those of one rack be unavailable at once."""
     draft.change("pools", "main", max_unavailable=6, max_unavailable_per_rack=2)
 
 
-class Maintenance:
-    """A controller as operators see it, and the maintenance state in the log."""
+class MaintenanceView:
+    """Starts a controller and reads its explanations and the state in the log."""
 
-    def __init__(self, world, **settings):
-        self._controller = world.fleet.start_controller("c0", "north", **settings)
-        world.fleet.wait_ready([self._controller])
+    def __init__(self, harness, **settings):
+        self._controller = harness.fleet.start_controller("c0", "north", **settings)
+        harness.fleet.wait_ready([self._controller])
         self.operator = Operator(
-            LogClient(world.fleet.platform.log),
-            world._entries(),
+            LogClient(harness.fleet.platform.log),
+            harness._entries(),
             "operator",
             controllers=Entries.at([self._controller.address]),
         )
-        # The controller answers only once it holds the duty.
-        wait_until(lambda: self.told("instance", "w0"))
+        # The controller gives explanations only once it holds the duty.
+        wait_until(lambda: self.explain("instance", "w0"))
 
-    def told(self, kind, name):
-        """Return the sentences that the controller gives as an explanation."""
+    def explain(self, kind, name):
+        """Return the sentences of the controller's explanation, if it gives one."""
         answer = self.operator.explain(kind, name)[self._controller.address]
         return list(answer.sentences) if isinstance(answer, Explanation) else []
 
@@ -69,97 +70,97 @@
         return self.operator.view.state.maintenance
 
     def health(self, name):
-        """Return the recorded health of an instance."""
+        """Return the health of an instance on record; by default it is in service."""
         state = self.state().health_by_instance.get(name)
         return state.health if state is not None else Health.IN_SERVICE
 
-    def is_held(self):
-        """Tell whether the controller says that it holds maintenance."""
-        return any(HELD in sentence for sentence in self.told("instance", "w2"))
+    def is_on_hold(self):
+        """Tell whether the controller reports that maintenance is on hold."""
+        return any(HOLD_TEXT in sentence for sentence in self.explain("instance", "w2"))
 
 
-def test_failed_rack_is_one_event_that_holds_maintenance(world):
-    """Guards against repairs and waves that begin while a rack has just failed,
-    and against a hold that operators are not told of.
+def test_failed_rack_is_one_event_that_holds_maintenance(harness):
+    """Guards against repairs and waves that start just after a rack has failed, and
+    against a hold that is not explained to operators.
 
     One worker of the rack refuses connections and the other does not answer, so
-    they are found silent at different times.
+    the controller finds them silent at different times.
     """
-    maintenance = Maintenance(world, correlated_pause_s=HOLD_S, **SETTINGS)
+    maintenance = MaintenanceView(harness, correlated_pause_s=HOLD_S, **SETTINGS)
     key = next(
-        key
-        for key, organisation in world.organisation_by_key.items()
-        if organisation == "red"
+        key for key, owner in harness.organisation_by_key.items() if owner == "red"
     )
-    with Load(world, 3, lambda entry: world.submit("lookup", entry, key)):
-        world.fleet.set_faults(RACK[0], down=True)
-        world.fleet.set_faults(RACK[1], slow_ms=60_000)
-        wait_until(maintenance.is_held)
+    with Load(harness, 3, lambda entry: harness.submit("lookup", entry, key)):
+        harness.fleet.set_faults(FAILED_RACK[0], down=True)
+        harness.fleet.set_faults(FAILED_RACK[1], slow_ms=60_000)
+        wait_until(maintenance.is_on_hold)
         assert maintenance.state().health_by_instance == {}
-        world.fleet.set_faults(RACK[0], down=False)
-        world.fleet.set_faults(RACK[1], slow_ms=0)
-        # A wave and a second fault come during the hold.
-        world.fleet.set_faults(LONE_WORKER, down=True)
+        harness.fleet.set_faults(FAILED_RACK[0], down=False)
+        harness.fleet.set_faults(FAILED_RACK[1], slow_ms=0)
+        # During the hold a wave is started and another worker fails.
+        harness.fleet.set_faults(UNRELATED_WORKER, down=True)
         result = maintenance.operator.command_wave("kernel", WaveState.RUNNING)
         assert isinstance(result, WaveChanged), result
-        for kind, name in (*(("instance", name) for name in RACK), ("pool", "main")):
-            told = maintenance.told(kind, name)
+        for kind, name in (
+            *(("instance", name) for name in FAILED_RACK),
+            ("pool", "main"),
+        ):
+            sentences = maintenance.explain(kind, name)
             assert any(
-                "Rack north/north-r0 failed: 2 instances" in text for text in told
-            ), told
-            assert any("on hold" in text for text in told), told
-        assert_nothing_starts_while_held(maintenance)
-        wait_until(lambda: maintenance.health(LONE_WORKER) is Health.PROBATION)
+                "Rack north/north-r0 failed: 2 instances" in text for text in sentences
+            ), sentences
+            assert any("on hold" in text for text in sentences), sentences
+        assert_nothing_starts_during_hold(maintenance)
+        wait_until(lambda: maintenance.health(UNRELATED_WORKER) is Health.PROBATION)
         wait_until(lambda: maintenance.state().move_by_instance)
-        assert not set(RACK) & set(maintenance.state().health_by_instance)
+        assert not set(FAILED_RACK) & set(maintenance.state().health_by_instance)
         aborted = maintenance.operator.command_wave("kernel", WaveState.ABORTED)
         assert isinstance(aborted, WaveChanged), aborted
 
 
-def assert_nothing_starts_while_held(maintenance):
-    """The log has no move and no repair as long as the controller tells of a hold.
+def assert_nothing_starts_during_hold(maintenance):
+    """Check that no move and no repair is in the log while maintenance is on hold.
 
-    The log is read between two answers of the controller, so what it has was
-    written before the second one.
+    The log is read between two answers of the controller. If the second answer
+    still reports the hold, all that was read was written during it.
     """
-    was_silent = False
+    was_out_of_service = False
     while True:
         state = maintenance.state()
         moves, health = dict(state.move_by_instance), dict(state.health_by_instance)
-        out = any(
+        is_out_of_service = any(
             "out of service" in text
-            for text in maintenance.told("instance", LONE_WORKER)
+            for text in maintenance.explain("instance", UNRELATED_WORKER)
         )
-        if not maintenance.is_held():
+        if not maintenance.is_on_hold():
             break
         assert moves == {}
         assert health == {}
-        was_silent = was_silent or out
+        was_out_of_service = was_out_of_service or is_out_of_service
         gevent.sleep(0.1)
-    # Without the hold, repair would have begun.
-    assert was_silent
+    # Without the hold, the repair of this worker would have started.
+    assert was_out_of_service
 
 
-def test_silent_worker_is_rebooted_tried_and_given_up(world):
-    """Guards against a worker that is rebooted for ever, or never tried again.
+def test_silent_worker_is_rebooted_tried_and_given_up(harness):
+    """Guards against a worker that is rebooted without end, or that gets no trial
+    tasks after a reboot.
 
-    A reboot makes the first worker answer again, and it passes its trial. The
+    The reboot makes the first worker answer again, and it passes its trial. The
     second one stays silent.
     """
-    maintenance = Maintenance(world, max_reboots=2, **SETTINGS)
+    maintenance = MaintenanceView(harness, max_reboots=2, **SETTINGS)
     key = next(
-        key
-        for key, organisation in world.organisation_by_key.items()
-        if organisation == "blue"
+        key for key, owner in harness.organisation_by_key.items() if owner == "blue"
     )
-    mended, dead = "w4", "w8"
-    with Load(world, 6, lambda entry: run_batch(world, entry, key)):
-        world.fleet.set_faults(mended, down=True)
-        wait_until(lambda: maintenance.health(mended) is Health.REBOOTING)
-        wait_until(lambda: maintenance.health(mended) is Health.PROBATION)
-        wait_until(lambda: maintenance.health(mended) is Health.IN_SERVICE)
-    assert_told_in_order(
-        maintenance.told("instance", mended),
+    recovering, dead = "w4", "w8"
+    with Load(harness, 6, lambda entry: run_batch(harness, entry, key)):
+        harness.fleet.set_faults(recovering, down=True)
+        wait_until(lambda: maintenance.health(recovering) is Health.REBOOTING)
+        wait_until(lambda: maintenance.health(recovering) is Health.PROBATION)
+        wait_until(lambda: maintenance.health(recovering) is Health.IN_SERVICE)
+    assert_explained_in_order(
+        maintenance.explain("instance", recovering),
         "is on probation and gets single trial tasks only, because nothing was heard",
         "is taken out to be rebooted, because nothing was heard from it, reboot 1 of 2",
         "is being rebooted",
@@ -167,14 +168,14 @@
         "is in normal service, because",
     )
 
-    world.fleet.set_faults(dead, slow_ms=60_000)
+    harness.fleet.set_faults(dead, slow_ms=60_000)
     wait_until(lambda: maintenance.health(dead) is Health.REBOOTING)
     wait_until(lambda: maintenance.health(dead) is Health.PROBATION)
     wait_until(lambda: maintenance.health(dead) is Health.REBOOTING)
     wait_until(lambda: maintenance.health(dead) is Health.GIVEN_UP)
-    given_up_at = len(starts_at(world, dead))
-    assert_told_in_order(
-        maintenance.told("instance", dead),
+    starts_when_given_up = len(starts_at(harness, dead))
+    assert_explained_in_order(
+        maintenance.explain("instance", dead),
         "is on probation and gets single trial tasks only, because nothing was heard",
         "is taken out to be rebooted, because nothing was heard from it, reboot 1 of 2",
         "is being rebooted",
@@ -184,56 +185,57 @@
         "because it is on trial after reboot 2 of 2",
         "has been given up and needs a person to look at it, because nothing was heard",
     )
-    assert reboots_by_platform(world, dead) == 2
-    # It answers again, but only a person may return it.
-    world.fleet.set_faults(dead, slow_ms=0)
+    assert count_completed_reboots(harness, dead) == 2
+    # It answers again, but only a person may return it to service.
+    harness.fleet.set_faults(dead, slow_ms=0)
     key = next(
-        key
-        for key, organisation in world.organisation_by_key.items()
-        if organisation == "red"
+        key for key, owner in harness.organisation_by_key.items() if owner == "red"
     )
-    with Load(world, 6, lambda entry: world.submit("lookup", entry, key)) as load:
-        load.wait_for_more(100)
+    with Load(harness, 6, lambda entry: harness.submit("lookup", entry, key)) as load:
+        load.wait_for_more_calls(100)
     assert maintenance.health(dead) is Health.GIVEN_UP
-    assert len(starts_at(world, dead)) == given_up_at
+    assert len(starts_at(harness, dead)) == starts_when_given_up
 
 
-def run_batch(world, entry, key):
-    """Submit a batch request and collect its answer.
+def run_batch(harness, entry, key):
+    """Submit an idempotent batch request and wait for its answer.
 
-    Only recorded requests tell the controller of trials, and only idempotent ones
-    are used for them while there are other workers.
+    The controller learns of trial tasks only from recorded requests, and as long as
+    there are other workers, only idempotent requests are used as trial tasks.
     """
-    batch = world.submit("batch", entry, key, idempotent=True)
+    batch = harness.submit("batch", entry, key, idempotent=True)
     assert batch.is_accepted_batch, batch
-    wait_until(lambda: world.collect(batch, entry, 1000).is_final)
+    wait_until(lambda: harness.collect(batch, entry, 1000).is_final)
     return batch
 
 
-def reboots_by_platform(world, name):
-    """Return how many reboots of recorded moves the platform has carried out."""
-    answer = LogClient(world.fleet.platform.log).read(0, 10_000, 0.0)
-    moves = {
+def count_completed_reboots(harness, name):
+    """Return how many reboots of an instance the platform has completed.
+
+    The reboots are looked up by the moves that are recorded for the instance.
+    """
+    answer = LogClient(harness.fleet.platform.log).read(0, 10_000, 0.0)
+    move_ids = {
         record.move_id
         for encoded in answer.batches
         for record in decode_batch(encoded).records
         if isinstance(record, MoveStep) and record.instance == name
     }
-    platform = world.fleet.platform.instances
+    platform = harness.fleet.platform.instances
     answers = [
-        world.fleet.call(platform, "GET", f"/v1/actions/{move}.rebooting")
-        for move in moves
+        harness.fleet.call(platform, "GET", f"/v1/actions/{move_id}.rebooting")
+        for move_id in move_ids
     ]
     return [document.get("state") for _, document in answers].count("done")
 
 
-def starts_at(world, worker):
-    """Return the starts at a worker."""
-    return [start for start in world.fleet.ledger() if start["worker"] == worker]
+def starts_at(harness, worker):
+    """Return the task starts at a worker, from the ledger."""
+    return [start for start in harness.fleet.ledger() if start["worker"] == worker]
 
 
-def assert_told_in_order(told, *parts):
-    """Each part is in a sentence, and later ones in later sentences."""
-    rest = iter(told)
+def assert_explained_in_order(sentences, *parts):
+    """Check that each part is in a sentence, and each later part in a later one."""
+    remaining = iter(sentences)
     for part in parts:
-        assert any(part in sentence for sentence in rest), (part, told)
+        assert any(part in sentence for sentence in remaining), (part, sentences)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""Follows one trace and one request id from the caller to the worker."""
+"""Tests that one trace and one request id reach the worker from the caller."""
 
 import json
 import re
@@ -13,36 +13,35 @@
 
 
 @pytest.fixture
-def key(world):
+def key(harness):
+    """A key of organisation red."""
     return next(
-        key
-        for key, organisation in world.organisation_by_key.items()
-        if organisation == "red"
+        key for key, owner in harness.organisation_by_key.items() if owner == "red"
     )
 
 
-def spans_of(world):
-    """Return the spans of the trace that entries have written, by name."""
-    lines = world.entry_by_name["e0"].log_path.read_text().splitlines()
-    pairs = [dict(re.findall(r'(\w+)=("[^"]*"|\S+)', line)) for line in lines]
+def logged_spans(harness):
+    """Return the spans of the trace that entry e0 has logged, by span name."""
+    lines = harness.entry_by_name["e0"].log_path.read_text().splitlines()
+    parsed_lines = [dict(re.findall(r'(\w+)=("[^"]*"|\S+)', line)) for line in lines]
     return {
-        pair["name"]: pair
-        for pair in pairs
-        if pair.get("event") == "span" and pair.get("trace") == TRACE_ID
+        fields["name"]: fields
+        for fields in parsed_lines
+        if fields.get("event") == "span" and fields.get("trace") == TRACE_ID
     }
 
 
-def test_trace_is_followed_from_caller_to_worker(world, key):
-    """Guards against a hop that drops the caller's trace."""
-    work = world.new_work_id()
+def test_trace_is_followed_from_caller_to_worker(harness, key):
+    """Guards against an entry or worker call that drops the caller's trace context."""
+    work_id = harness.new_work_id()
     headers = {
         "Content-Type": "application/json",
-        "Authorization": f"Bearer {world.token_by_key[key]}",
+        "Authorization": f"Bearer {harness.token_by_key[key]}",
         "traceparent": f"00-{TRACE_ID}-{CALLER_SPAN}-01",
     }
-    body = json.dumps({"payload": {"call": work}, "idempotent": True}).encode()
+    body = json.dumps({"payload": {"call": work_id}, "idempotent": True}).encode()
     answer = Transport().call(
-        world.entry_by_name["e0"].address,
+        harness.entry_by_name["e0"].address,
         "POST",
         "/v1/queues/lookups/requests",
         body=body,
@@ -50,12 +49,14 @@
         timeout_s=10.0,
     )
     assert answer.status == 200
-    spans = wait_until(lambda: spans_of(world) if len(spans_of(world)) == 2 else None)
-    request, start = spans["request"], spans["start_task"]
-    assert request["parent"] == CALLER_SPAN
-    assert start["parent"] == request["span"]
-    begun = [item for item in world.fleet.ledger() if item["call"] == work]
-    assert [item["traceparent"] for item in begun] == [
-        f"00-{TRACE_ID}-{start['span']}-01"
+    spans = wait_until(
+        lambda: logged_spans(harness) if len(logged_spans(harness)) == 2 else None
+    )
+    request_span, task_span = spans["request"], spans["start_task"]
+    assert request_span["parent"] == CALLER_SPAN
+    assert task_span["parent"] == request_span["span"]
+    starts = [start for start in harness.fleet.ledger() if start["call"] == work_id]
+    assert [start["traceparent"] for start in starts] == [
+        f"00-{TRACE_ID}-{task_span['span']}-01"
     ]
-    assert begun[0]["request_id"] == json.loads(answer.body)["request_id"]
+    assert starts[0]["request_id"] == json.loads(answer.body)["request_id"]
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -1,6 +1,6 @@
-"""A rolling restart to a newer version of the entry and back to today's.
+"""Tests a rolling restart to a newer version of the entry and back to this one.
 
-The newer version is ``tests.newer_entry``.
+The newer version is simulated by ``tests.newer_entry``.
 """
 
 from __future__ import annotations
@@ -21,34 +21,34 @@
 from lycheeloom.wire.seal import unseal
 
 from . import newer_entry
-from .conftest import Load, accepted, hears, wait_until
+from .conftest import Load, call_if_ran, is_known_by, wait_until
 
-NEWER = "tests.newer_entry"
-TODAY = "lycheeloom.entry.main"
-# Records are appended again when they are older than half of this.
-RETENTION_S = 4.0
+NEWER_PROGRAM = "tests.newer_entry"
+CURRENT_PROGRAM = "lycheeloom.entry.main"
+# The controller appends records again once they are older than half of this.
+LOG_RETENTION_S = 4.0
 COLLECT_TIMEOUT_S = 60.0
-POOL_FIELDS = {"cost_centre": newer_entry.COST_CENTRE}
-NOTICES = {"evening": {"text": "closed", "from": 18}}
+NEWER_POOL_FIELDS = {"cost_centre": newer_entry.COST_CENTRE}
+NEWER_NOTICES = {"evening": {"text": "closed", "from": 18}}
 
 
 class NewerOperator(Operator):
-    """An operator whose program knows the fields that today's does not."""
+    """An operator of the newer version, which knows the newer fields."""
 
     def new_problems(self, document, file):
-        """Accept every field."""
+        """Report no problem with any field."""
         return []
 
 
 @pytest.fixture(scope="module")
 def newer_records():
-    """The schema of records with the fields of the newer version."""
+    """The schema of log records with the additions of the newer version."""
     return newer_entry.load_newer_records()
 
 
-def batches_of(world):
-    """Return every batch of the log by offset."""
-    client, batches = LogClient(world.fleet.platform.log), []
+def read_batches(harness):
+    """Return all encoded batches of the log; the index of each is its offset."""
+    client, batches = LogClient(harness.fleet.platform.log), []
     while True:
         answer = client.read(len(batches), 1000, 0.0)
         assert isinstance(answer, ReadBatches), answer
@@ -57,8 +57,8 @@
         batches += answer.batches
 
 
-def read_field(schema, encoded, tag):
-    """Return the newer field of each record of a kind, with its request id."""
+def read_cost_centres(schema, encoded, tag):
+    """Return request id and cost centre of the records of a kind in a batch."""
     with schema.Batch.from_bytes(unseal(encoded)) as batch:
         return [
             (str(getattr(item, tag).requestId), str(getattr(item, tag).costCentre))
@@ -67,182 +67,189 @@
         ]
 
 
-def fields_in_log(world, schema, tag, request_id):
-    """Return the newer field of every copy of a record in the log."""
+def cost_centres_in_log(harness, schema, tag, request_id):
+    """Return the cost centre of every copy of a request's record in the log."""
     return [
-        centre
-        for encoded in batches_of(world)
-        for found, centre in read_field(schema, encoded, tag)
-        if found == request_id
+        cost_centre
+        for encoded in read_batches(harness)
+        for found_id, cost_centre in read_cost_centres(schema, encoded, tag)
+        if found_id == request_id
     ]
 
 
-def notes_in_log(world):
-    """Return how many records of the unknown kind the log has."""
+def count_unknown_in_log(harness):
+    """Return how many records in the log are of a kind unknown to this version."""
     return sum(
         isinstance(record, UnknownRecord)
-        for encoded in batches_of(world)
+        for encoded in read_batches(harness)
         for record in decode_batch(encoded).records
     )
 
 
-def unknown_records(world, name):
-    """Return how many records an entry says that it has skipped."""
-    answer = world.fleet.transport.call(
-        world.entry_by_name[name].address, "GET", "/metrics", timeout_s=5.0
+def count_skipped_by(harness, name):
+    """Return how many unknown records an entry reports to have skipped."""
+    answer = harness.fleet.transport.call(
+        harness.entry_by_name[name].address, "GET", "/metrics", timeout_s=5.0
     )
     assert isinstance(answer, Response)
     return float(re.search(rb"^\S*unknown_records (\S+)$", answer.body, re.M)[1])
 
 
-def relayed_batches(world, name, first):
-    """Return what an entry relays to a peer that asks from an offset on."""
-    operator = world.operator("reader")
+def relayed_batches(harness, name, first_offset):
+    """Return the batches that an entry relays to a peer, starting at an offset."""
+    operator = harness.operator("reader")
     operator.refresh()
     members = operator.view.state.members.active()
     address = next(m.address for m in members if m.instance == name)
     connection = connect(address, 5.0)
     try:
-        answer = connection.call(PeerMessage("test", RangeRequest(first)), 5.0)
+        answer = connection.call(PeerMessage("test", RangeRequest(first_offset)), 5.0)
     finally:
         connection.close()
     return answer.body.batches
 
 
-def replace(world, name, program):
-    """Shut an entry down and start another version in its place."""
-    assert world.stop_entry(name) == 0
-    world.start_entry(name, program=program)
-    world.serving_entries.discard(name)
-    world.wait_ready([name])
-    world.serving_entries.add(name)
-    for other in world.zone_by_entry:
+def replace_entry(harness, name, program):
+    """Shut an entry down, start another version and wait until it takes part.
+
+    It takes part once it is ready and it and every other entry know each other.
+    """
+    assert harness.stop_entry(name) == 0
+    harness.start_entry(name, program=program)
+    harness.serving_entries.discard(name)
+    harness.wait_ready([name])
+    harness.serving_entries.add(name)
+    for other in harness.zone_by_entry:
         if other != name:
-            wait_until(lambda other=other: hears(world, other, name))
-            wait_until(lambda other=other: hears(world, name, other))
+            wait_until(lambda other=other: is_known_by(harness, other, name))
+            wait_until(lambda other=other: is_known_by(harness, name, other))
 
 
-def publish_newer_fields(world):
-    """Publish fields that today's version does not know."""
+def publish_newer_fields(harness):
+    """Publish a configuration with fields that the current version does not know."""
     operator = NewerOperator(
-        LogClient(world.fleet.platform.log), world._entries(), "newer"
+        LogClient(harness.fleet.platform.log), harness._entries(), "newer"
     )
 
     def edit(draft):
-        draft.document["notices"] = NOTICES
-        draft.document["pools"]["main"].update(POOL_FIELDS)
+        draft.document["notices"] = NEWER_NOTICES
+        draft.document["pools"]["main"].update(NEWER_POOL_FIELDS)
 
     result = operator.change(edit, accept_warnings=True)
     assert isinstance(result, Published), result
 
 
 def assert_newer_fields(document):
-    """The unknown fields of a configuration are as they were published."""
-    assert document["notices"] == NOTICES
-    assert POOL_FIELDS.items() <= document["pools"]["main"].items()
+    """Check that the newer fields of a configuration are as they were published."""
+    assert document["notices"] == NEWER_NOTICES
+    assert NEWER_POOL_FIELDS.items() <= document["pools"]["main"].items()
 
 
-def assert_fields_outlive_retention(world, schema, entry, key):
-    """A request of the newer version keeps its field when it is appended again."""
-    batch = world.submit("batch", entry, key, work_ms=9000)
+def assert_fields_outlive_retention(harness, schema, entry, key):
+    """Check that records keep their newer field when they are appended again."""
+    batch = harness.submit("batch", entry, key, work_ms=9000)
     assert batch.status == 202, batch
     request_id = batch.document["request_id"]
     for tag in ("requestSubmitted", "requestFinished"):
-        copies = wait_until(
-            lambda tag=tag: several(fields_in_log(world, schema, tag, request_id))
+        cost_centres = wait_until(
+            lambda tag=tag: list_if_several(
+                cost_centres_in_log(harness, schema, tag, request_id)
+            )
         )
-        assert set(copies) == {newer_entry.COST_CENTRE}, tag
+        assert set(cost_centres) == {newer_entry.COST_CENTRE}, tag
 
 
-def several(items):
-    """Return a list if it has more than one item."""
+def list_if_several(items):
+    """Return the list if it has more than one item, else None."""
     return items if len(items) > 1 else None
 
 
-def test_rolling_restart_to_a_newer_version_and_back(lone_world, newer_records):
-    """Guards against an older entry or controller that stops at a record or field
-    of a newer one, or loses it.
+def test_rolling_restart_to_a_newer_version_and_back(isolated_harness, newer_records):
+    """Guards against an older entry or controller that fails on a record or field of
+    a newer version, or loses it.
 
-    A controller of today's version writes snapshots and appends old records again.
+    A controller of the current version writes snapshots and appends old records
+    again.
     """
-    world = lone_world
+    harness = isolated_harness
     key = next(
-        key
-        for key, organisation in world.organisation_by_key.items()
-        if organisation == "red"
+        key for key, owner in harness.organisation_by_key.items() if owner == "red"
     )
-    controller = world.fleet.start_controller(
-        "c0", "north", log_retention_s=RETENTION_S
+    controller = harness.fleet.start_controller(
+        "c0", "north", log_retention_s=LOG_RETENTION_S
     )
 
-    def call(entry):
-        work = world.new_work_id()
-        kind = ("lookup", "keyed", "batch")[int(work.split("-")[1]) % 3]
-        options = {"idempotency_key": work} if kind == "keyed" else {}
-        return world.submit(kind, entry, key, work=work, work_ms=200, **options)
-
-    names = sorted(world.zone_by_entry)
-    with Load(world, 6, call) as load:
-        replace(world, names[0], NEWER)
-        publish_newer_fields(world)
-        assert_fields_outlive_retention(world, newer_records, names[0], key)
+    def submit_mixed(entry):
+        work_id = harness.new_work_id()
+        kind = ("lookup", "keyed", "batch")[int(work_id.split("-")[1]) % 3]
+        options = {"idempotency_key": work_id} if kind == "keyed" else {}
+        return harness.submit(kind, entry, key, work=work_id, work_ms=200, **options)
+
+    names = sorted(harness.zone_by_entry)
+    with Load(harness, 6, submit_mixed) as load:
+        replace_entry(harness, names[0], NEWER_PROGRAM)
+        publish_newer_fields(harness)
+        assert_fields_outlive_retention(harness, newer_records, names[0], key)
         for name in names[1:]:
-            assert_relays_unchanged(world, name)
-            load.wait_for_more(12)
-            replace(world, name, NEWER)
-            world.grant_key("blue")
-            world.record_versions()
-        load.wait_for_more(12)
+            assert_relays_unchanged(harness, name)
+            load.wait_for_more_calls(12)
+            replace_entry(harness, name, NEWER_PROGRAM)
+            harness.grant_key("blue")
+            harness.record_versions()
+        load.wait_for_more_calls(12)
         for name in names:
-            replace(world, name, TODAY)
+            replace_entry(harness, name, CURRENT_PROGRAM)
             if name != names[-1]:
-                assert_relays_unchanged(world, name)
-            load.wait_for_more(12)
-            # A draft of today's operator keeps what it does not know.
-            world.grant_key("green")
-            world.record_versions()
-    for call_seen in load.calls:
-        if call_seen.kind == "keyed" and call_seen.verdict == "accepted":
-            wait_until(lambda seen=call_seen: accepted(world.collect(seen, "e1", 1000)))
-    collect_all(world, random.Random(1), COLLECT_TIMEOUT_S)
-
-    assert {seen.verdict for seen in load.calls} <= {"ran", "not_run", "accepted"}
-    notes = notes_in_log(world)
-    assert notes > 0
+                assert_relays_unchanged(harness, name)
+            load.wait_for_more_calls(12)
+            # A draft of the current version keeps fields that it does not know.
+            harness.grant_key("green")
+            harness.record_versions()
+    for call in load.calls:
+        if call.kind == "keyed" and call.verdict == "accepted":
+            wait_until(lambda call=call: call_if_ran(harness.collect(call, "e1", 1000)))
+    collect_all(harness, random.Random(1), COLLECT_TIMEOUT_S)
+
+    assert {call.verdict for call in load.calls} <= {"ran", "not_run", "accepted"}
+    unknown_count = count_unknown_in_log(harness)
+    assert unknown_count > 0
     for name in names:
-        wait_until(lambda name=name: unknown_records(world, name) == notes)
-    assert_kept_in_log_and_snapshot(world)
-    assert_nobody_stopped(world, controller)
+        wait_until(lambda name=name: count_skipped_by(harness, name) == unknown_count)
+    assert_kept_in_log_and_snapshot(harness)
+    assert_no_program_failed(harness, controller)
 
 
-def assert_kept_in_log_and_snapshot(world):
-    """The newer fields of the configuration are read back unchanged."""
-    operator = world.operator("reader")
+def assert_kept_in_log_and_snapshot(harness):
+    """Check that log and snapshot return the newer configuration fields unchanged."""
+    operator = harness.operator("reader")
     operator.refresh()
     assert_newer_fields(operator.document)
-    reader = SnapshotReader(LogClient(world.fleet.platform.log))
+    reader = SnapshotReader(LogClient(harness.fleet.platform.log))
     snapshot = reader.find_newest(reader.find_range())
     assert_newer_fields(snapshot.configuration.document)
     assert snapshot.unknown_records > 0
 
 
-def assert_relays_unchanged(world, name):
-    """An entry of today's version relays the newest unknown record as it is."""
-    log = batches_of(world)
-    last_note = max(
+def assert_relays_unchanged(harness, name):
+    """Check that an entry of the current version relays the log byte for byte.
+
+    The relayed range starts at the newest record that this version does not know.
+    """
+    batches = read_batches(harness)
+    last_unknown_offset = max(
         offset
-        for offset, encoded in enumerate(log)
+        for offset, encoded in enumerate(batches)
         if UnknownRecord() in decode_batch(encoded).records
     )
-    relayed = wait_until(lambda: relayed_batches(world, name, last_note))
-    assert list(relayed) == batches_of(world)[last_note:][: len(relayed)]
-
-
-def assert_nobody_stopped(world, controller):
-    """Every program still runs and none has reported a fault of its own."""
-    running = [*world.entry_by_name.values(), controller]
-    assert [program.process.poll() for program in running] == [None] * 4
-    for program in world.fleet.programs:
-        text = Path(program.log_path).read_text()
-        for mark in ("Traceback", "heartbeat_failed", "step_failed"):
-            assert mark not in text, f"{program.name}: {text[-2000:]}"
+    relayed = wait_until(lambda: relayed_batches(harness, name, last_unknown_offset))
+    assert list(relayed) == read_batches(harness)[last_unknown_offset:][: len(relayed)]
+
+
+def assert_no_program_failed(harness, controller):
+    """Check that every program still runs and has logged no internal error."""
+    expected_running = [*harness.entry_by_name.values(), controller]
+    assert [program.process.poll() for program in expected_running] == [None] * 4
+    for program in harness.fleet.programs:
+        log_text = Path(program.log_path).read_text()
+        for error_mark in ("Traceback", "heartbeat_failed", "step_failed"):
+            assert error_mark not in log_text, f"{program.name}: {log_text[-2000:]}"
