--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -155,27 +155,27 @@
     """
     harness = isolated_harness
     limit = LIMIT_BY_ORGANISATION["green"]
-    key = next(
+    green_key = next(
         key for key, owner in harness.organisation_by_key.items() if owner == "green"
     )
 
     def hold_slot():
-        harness.submit("booking", "e0", key, work_ms=40_000, timeout_s=100.0)
+        harness.submit("booking", "e0", green_key, work_ms=40_000, timeout_s=100.0)
 
     long_calls = [gevent.spawn(hold_slot) for _ in range(limit)]
     wait_until(
         lambda: peak_by_organisation(harness.fleet.ledger()).get("green") == limit
     )
-    keyed = {
+    booking = {
         "work": harness.new_work_id(),
         "work_ms": 1000,
         "idempotency_key": "booking",
     }
-    red = next(
+    red_key = next(
         key for key, owner in harness.organisation_by_key.items() if owner == "red"
     )
-    interrupted_call = gevent.spawn(harness.submit, "keyed", "e2", red, **keyed)
-    wait_until(lambda: starts_of(harness, keyed["work"]))
+    interrupted_call = gevent.spawn(harness.submit, "keyed", "e2", red_key, **booking)
+    wait_until(lambda: starts_of(harness, booking["work"]))
     harness.entry_by_name["e2"].kill()
     assert interrupted_call.get().verdict == "may_have_run"
     harness.start_entry("e2")
@@ -188,16 +188,18 @@
     with Load(
         harness,
         2 * limit,
-        lambda entry: harness.submit("lookup", entry, key, work_ms=2000),
+        lambda entry: harness.submit("lookup", entry, green_key, work_ms=2000),
     ) as load:
         wait_until(lambda: "expelled" in member_states(harness, "e0"))
         lost_entry.signal(signal.SIGCONT)
         wait_until(lambda: member_states(harness, "e0") == {"live"})
         load.wait_for_more_calls(2 * limit)
-        wait_until(lambda: call_if_ran(harness.submit("keyed", "e1", red, **keyed)))
+        wait_until(
+            lambda: call_if_ran(harness.submit("keyed", "e1", red_key, **booking))
+        )
         lost_entry.kill()
     gevent.joinall(long_calls)
-    assert len(starts_of(harness, keyed["work"])) == 1
+    assert len(starts_of(harness, booking["work"])) == 1
     assert peak_by_organisation(harness.fleet.ledger())["green"] == limit
 
 
