--- a/libs/cluster/src/lycheeloom/cluster/__init__.py
+++ b/libs/cluster/src/lycheeloom/cluster/__init__.py
@@ -1,8 +1,8 @@
-"""Peer links, membership and freshness."""
+"""Entries as a cluster: links between peers, membership and freshness."""
 
 from .framing import Connection, PeerConnectionError, connect
-from .freshness import FreshBy, Freshness
-from .membership import Identity, MembershipKeeper, new_incarnation
+from .freshness import Freshness, FreshnessReason
+from .membership import Identity, MembershipManager, new_incarnation
 from .mesh import PeerMesh, PeerView
 from .node import ClusterNode
 
@@ -10,10 +10,10 @@
     "ClusterNode",
     "Connection",
     "PeerConnectionError",
-    "FreshBy",
+    "FreshnessReason",
     "Freshness",
     "Identity",
-    "MembershipKeeper",
+    "MembershipManager",
     "PeerMesh",
     "PeerView",
     "connect",
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -1,7 +1,7 @@
-"""One attempt to run a request at a worker, from session to proven end.
+"""One attempt to run a request at a worker.
 
-The attempt's running slot is free once ``run`` returns: every end means that the
-task ended, never started, or can no longer run because its lease expired.
+The attempt's running slot is free once ``AttemptRunner.run`` returns: every end means
+that the task ended, never started, or can no longer run because its lease expired.
 """
 
 from __future__ import annotations
@@ -28,24 +28,25 @@
 from lycheeloom.model.resources import Resources
 from lycheeloom.telemetry import Tracer
 
-from .jobs import Job
+from .local_requests import LocalRequest
 from .sessions import WorkerSessions
 
-# A start that has not been answered by then is followed by status calls on new
-# connections, as the first one may have gone silent.
-START_WAIT_S = 2.0
-# Tasks with a longer declared run time do not hold a connection while they run.
-MAX_HELD_RUN_S = 1.0
-FIRST_POLL_S = 0.05
-LONGEST_POLL_S = 1.0
+# After this long without an answer to a start, the task is polled on new connections,
+# as the first connection may have gone silent.
+START_TIMEOUT_S = 2.0
+# The start call of a task with a longer declared run time returns before the task
+# ends, so that it does not hold a connection.
+MAX_WAITING_RUN_S = 1.0
+MIN_POLL_INTERVAL_S = 0.05
+MAX_POLL_INTERVAL_S = 1.0
 RENEW_INTERVAL_S = 5.0
-# Covers differences of clock rates between this process and the worker.
+# Covers different clock rates of this process and the worker.
 CLOCK_MARGIN_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The task is done; ``answer`` is whole."""
+    """The task is done; ``answer`` is complete."""
 
     answer: bytes
 
@@ -57,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The worker proved that the task did not start."""
+    """The task certainly did not start; ``free`` is the worker's free capacity."""
 
     reason: StartRefusal
     free: Resources | None = None
@@ -65,21 +66,21 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """This entry decided not to send the start."""
+    """This entry did not send the start."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class Stopped:
-    """The task was stopped; it goes on from ``checkpoint`` if there is one."""
+    """The task was stopped; it can resume from ``checkpoint`` if that is not empty."""
 
     checkpoint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """Whether the task ran is not known; it does not run any more."""
+    """The task may have run; it is certainly not running any more."""
 
     message: str
 
@@ -89,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Where an attempt runs and the size to reserve there."""
+    """The worker of an attempt, and the resources to reserve there."""
 
     worker: str
     address: str
@@ -97,8 +98,8 @@
 
 
 @dataclass(slots=True)
-class _Sent:
-    """A start that may have reached the worker."""
+class _SentStart:
+    """A start that may have reached the worker; times are from this process's clock."""
 
     task: str
     placement: Placement
@@ -106,8 +107,8 @@
     sent_at: float
     # The incarnation whose grant the task counts against.
     holder: str
-    # The worker stops the task at the latest then, by this process's clock.
-    runs_until: float
+    # The worker has stopped the task by then at the latest.
+    lease_expires_by: float
     renewed_at: float
     is_reachable: bool = True
 
@@ -115,10 +116,12 @@
 class AttemptRunner:
     """Runs attempts; each call of ``run`` belongs to one greenlet.
 
-    ``may_start(job, placement)`` is asked in the same step in which a start is
-    sent and returns why not, or None. ``claim(job, attempt, worker, boot_id)``
-    records an attempt of a recorded request and returns why it may not start.
-    ``may_renew(holder)`` tells whether a lease of that incarnation may be renewed.
+    ``may_start(request, placement)`` is called immediately before a start is sent
+    and returns why it must not be sent, or None.
+    ``claim(request, attempt, worker, boot_id)`` records an attempt of a recorded
+    request and returns why it must not start, or None. ``holder()`` is the current
+    incarnation of this entry, and ``may_renew(holder)`` tells whether leases of that
+    incarnation may be renewed.
     """
 
     def __init__(
@@ -126,10 +129,10 @@
         client: WorkerClient,
         sessions: WorkerSessions,
         tracer: Tracer,
-        may_start: Callable[[Job, Placement], str | None],
+        may_start: Callable[[LocalRequest, Placement], str | None],
         holder: Callable[[], str],
         may_renew: Callable[[str], bool],
-        claim: Callable[[Job, int, str, str], str | None],
+        claim: Callable[[LocalRequest, int, str, str], str | None],
         on_report: Callable[[str, TaskReport], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -144,54 +147,59 @@
         self._clock = clock
 
     def run(
-        self, job: Job, placement: Placement, on_doubt: Callable[[], None]
+        self,
+        request: LocalRequest,
+        placement: Placement,
+        on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        """Run one attempt; ``on_doubt`` is called once if the worker is silent."""
+        """Run one attempt; call ``on_silence`` once if the worker does not answer."""
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable):
             return Refused(StartRefusal.UNREACHABLE)
         if session.draining:
             return Refused(StartRefusal.DRAINING, session.free)
-        job.attempt += 1
-        attempt = job.attempt
-        job.address_by_attempt[attempt] = placement.address
+        request.attempt += 1
+        attempt = request.attempt
+        request.address_by_attempt[attempt] = placement.address
         try:
-            if job.is_recorded:
-                reason = self._claim(job, attempt, placement.worker, session.boot_id)
+            if request.is_recorded:
+                reason = self._claim(
+                    request, attempt, placement.worker, session.boot_id
+                )
                 if reason is not None:
                     return NotSent(reason)
-            return self._start(job, attempt, placement, session.boot_id, on_doubt)
+            return self._start(request, attempt, placement, session.boot_id, on_silence)
         finally:
-            del job.address_by_attempt[attempt]
+            del request.address_by_attempt[attempt]
 
     def _start(
         self,
-        job: Job,
+        request: LocalRequest,
         attempt: int,
         placement: Placement,
         boot_id: str,
-        on_doubt: Callable[[], None],
+        on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        # A claim takes a commit of the log, after which the session may be old.
+        # A claim waits for a commit of the log, so the session may have expired.
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or session.boot_id != boot_id:
             return Refused(StartRefusal.UNREACHABLE)
-        reason = self._may_start(job, placement)
+        reason = self._may_start(request, placement)
         if reason is not None:
             return NotSent(reason)
-        return self._send(job, attempt, placement, session, on_doubt)
+        return self._send(request, attempt, placement, session, on_silence)
 
     def _send(
         self,
-        job: Job,
+        request: LocalRequest,
         attempt: int,
         placement: Placement,
         session: Session,
-        on_doubt: Callable[[], None],
+        on_silence: Callable[[], None],
     ) -> AttemptEnd:
-        submission = job.submission
+        submission = request.submission
         start = TaskStart(
-            task=f"{job.id}.{attempt}",
+            task=f"{request.id}.{attempt}",
             session=session.id,
             organisation=submission.organisation,
             queue=submission.queue,
@@ -199,9 +207,9 @@
             resources=placement.resources,
             lease_s=TASK_LEASE_S,
             run_s=submission.run_s,
-            request_id=job.id,
-            checkpoint=job.checkpoint,
-            wait=submission.run_s <= MAX_HELD_RUN_S,
+            request_id=request.id,
+            checkpoint=request.checkpoint,
+            wait=submission.run_s <= MAX_WAITING_RUN_S,
         )
         now = self._clock()
         holder = self._holder()
@@ -211,12 +219,12 @@
             result = self._client.start(
                 placement.address,
                 start,
-                timeout_s=START_WAIT_S,
+                timeout_s=START_TIMEOUT_S,
                 traceparent=span.traceparent,
             )
             if not isinstance(result, TaskReport):
                 span.fail(str(result.reason))
-        sent = _Sent(
+        sent = _SentStart(
             start.task,
             placement,
             session.boot_id,
@@ -231,47 +239,51 @@
                     self._sessions.drop(placement.worker)
                 return Refused(reason, free)
             case StartUnknown():
-                return self._follow(sent, on_doubt)
+                return self._poll_until_end(sent, on_silence)
             case TaskReport():
-                end = self._judge(sent, result)
-                return end or self._follow(sent, on_doubt)
+                end = self._end_proven_by(sent, result)
+                return end or self._poll_until_end(sent, on_silence)
 
-    def _follow(self, sent: _Sent, on_doubt: Callable[[], None]) -> AttemptEnd:
-        """Ask for the task's status until it ended or its lease expired."""
+    def _poll_until_end(
+        self, sent: _SentStart, on_silence: Callable[[], None]
+    ) -> AttemptEnd:
+        """Poll the task's status until it has ended or its lease has expired."""
         poll_s = 0.0
-        is_doubted = False
+        is_silence_reported = False
         while True:
             report = self._poll(sent)
             match report:
                 case TaskReport():
                     sent.is_reachable = True
-                    end = self._judge(sent, report)
+                    end = self._end_proven_by(sent, report)
                     if end is not None:
                         return end
-                    poll_s = min(LONGEST_POLL_S, max(FIRST_POLL_S, poll_s * 1.5))
+                    poll_s = min(
+                        MAX_POLL_INTERVAL_S, max(MIN_POLL_INTERVAL_S, poll_s * 1.5)
+                    )
                 case Unavailable(reason) | ActionRefused(reason):
                     sent.is_reachable = False
-                    if self._clock() >= sent.runs_until:
+                    if self._clock() >= sent.lease_expires_by:
                         return Lost(f"worker {sent.placement.worker}: {reason}")
-                    if not is_doubted:
-                        is_doubted = True
-                        on_doubt()
-                    poll_s = LONGEST_POLL_S
+                    if not is_silence_reported:
+                        is_silence_reported = True
+                        on_silence()
+                    poll_s = MAX_POLL_INTERVAL_S
             gevent.sleep(poll_s)
 
-    def _poll(self, sent: _Sent) -> TaskReport | Unavailable | ActionRefused:
+    def _poll(self, sent: _SentStart) -> TaskReport | Unavailable | ActionRefused:
         address = sent.placement.address
         is_due = self._clock() - sent.renewed_at >= RENEW_INTERVAL_S
-        # A worker that does not answer is not sent further renewals: each one
-        # would put off the time at which its lease has certainly expired.
+        # A worker that does not answer gets no further renewals: each one would
+        # delay the time at which its lease has certainly expired.
         if is_due and sent.is_reachable:
             report = self._renew(sent)
             if report is not None:
                 return report
         return self._client.status(address, sent.task)
 
-    def _renew(self, sent: _Sent) -> TaskReport | Unavailable | None:
-        """Renew the lease, or return None if that had no effect."""
+    def _renew(self, sent: _SentStart) -> TaskReport | Unavailable | None:
+        """Renew the lease; return None if nothing was sent or it was refused."""
         placement = sent.placement
         session = self._sessions.get(placement.worker, placement.address)
         if isinstance(session, Unavailable) or not self._may_renew(sent.holder):
@@ -282,15 +294,15 @@
         if isinstance(report, ActionRefused):
             self._sessions.drop(placement.worker)
             return None
-        # Counted even if the answer is lost: the renewal may have had effect, or
+        # Set even if the answer is lost: the renewal may have had effect, or may
         # still arrive while its session is accepted.
         sent.renewed_at = self._clock()
         lease_end_s = SESSION_TTL_S + TASK_LEASE_S + CLOCK_MARGIN_S
-        sent.runs_until = sent.renewed_at + lease_end_s
+        sent.lease_expires_by = sent.renewed_at + lease_end_s
         return report
 
-    def _judge(self, sent: _Sent, report: TaskReport) -> AttemptEnd | None:
-        """Return the end that a report proves, or None while the task runs."""
+    def _end_proven_by(self, sent: _SentStart, report: TaskReport) -> AttemptEnd | None:
+        """Return the end that a report proves, or None if the task may still run."""
         self._on_report(sent.placement.worker, report)
         match report.status:
             case TaskStatus.DONE:
--- a/libs/entry/tests/test_admission.py
+++ b/libs/entry/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Guards the checks of callers' requests and the answers to them."""
+"""Validation of callers' requests and the replies to them."""
 
 import json
 import re
@@ -7,7 +7,7 @@
 import pytest
 
 from lycheeloom.entry.admission import RequestHeaders, check_request
-from lycheeloom.entry.jobs import Submission
+from lycheeloom.entry.local_requests import Submission
 from lycheeloom.entry.replies import (
     MAY_HAVE_RUN_STATUS,
     STATUS_BY_REASON,
@@ -110,7 +110,7 @@
     ],
 )
 def test_which_requests_are_recorded(config, keys, body, key, is_recorded):
-    """A request that must survive, or run once, needs a record before it starts."""
+    """A request that must survive its entry, or run at most once, is recorded."""
     submission = check(config, "closed", keys["a"].token, body, idempotency_key=key)
     assert isinstance(submission, Submission)
     assert submission.is_recorded is is_recorded
@@ -133,8 +133,8 @@
     reply = refusal_reply(refusal, "r")
     assert reply.headers == {"Retry-After": "1"}
     assert verdict_reply("r", NotRun(refusal)).document["verdict"] == "not_run"
-    doubt = verdict_reply("r", MayHaveRun("why"))
-    assert (doubt.status, doubt.document["verdict"]) == (
+    may_have_run = verdict_reply("r", MayHaveRun("why"))
+    assert (may_have_run.status, may_have_run.document["verdict"]) == (
         MAY_HAVE_RUN_STATUS,
         "may_have_run",
     )
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -1,4 +1,4 @@
-"""A rack that fails is one event, and what is held and told because of it."""
+"""Tests of a failed rack: holds on maintenance and repair, and explanations."""
 
 from __future__ import annotations
 
@@ -26,21 +26,27 @@
 
 
 def test_lost_rack_is_explained_under_its_instances_and_pools(world, controller):
-    """Operators ask about an instance or a pool, and were told nothing."""
+    """Guards against explanations that are found only under the fleet.
+
+    Operators ask about an instance or a pool.
+    """
     world.fail(RACK)
     run(controller, 5)
-    kept = controller.planner.explanations
+    explanations = controller.planner.explanations
     pools = {world.state.maintenance.pool_by_instance[name] for name in RACK}
-    told = [kept.of_instance(name) for name in RACK]
-    told += [kept.of_pool(pool) for pool in sorted(pools)]
-    for events in told:
+    found = [explanations.for_instance(name) for name in RACK]
+    found += [explanations.for_pool(pool) for pool in sorted(pools)]
+    for events in found:
         texts = [item.text for item in events]
         assert any("treated as one event" in text for text in texts), texts
         assert any("are on hold" in text for text in texts), texts
 
 
 def test_lost_rack_is_not_repaired_before_all_of_it_is_silent(world, controller):
-    """Probes that time out end apart, so one instance is silent before the others."""
+    """Guards against repair of the first silent instance of a failed rack.
+
+    Probes of its instances time out at different times.
+    """
     health = controller.planner.health
     for number, name in enumerate(RACK):
         health.record_miss(name, world.now_s + 5.0 * number)
@@ -48,11 +54,11 @@
         world.advance(1.0)
         plan = controller.planner.step(controller.view(), world.now_s)
         assert not any(isinstance(item, InstanceHealth) for item in plan.records)
-    assert controller.planner.explanations.of_fleet()
+    assert controller.planner.explanations.for_fleet()
 
 
 def test_correlated_failure_holds_repair_elsewhere(world, controller):
-    """A second fault during a large one must not start reboots at once."""
+    """Guards against reboots elsewhere right after a correlated failure."""
     world.fail(RACK)
     run(controller, 5)
     world.fail(["w01"])
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -1,7 +1,7 @@
-"""Fault cases of each step of a drain, a move and a reboot.
+"""Tests that inject a fault at each step of a drain, a move and a reboot.
 
-Each case guards against a move that hangs, runs an action twice, loses work or
-leaves an instance drained or in the wrong pool.
+They guard against a move that hangs, runs an action twice, loses work or leaves
+an instance drained or in the wrong pool.
 """
 
 from __future__ import annotations
@@ -47,19 +47,19 @@
 
 
 class FaultyRun:
-    """Runs one move and injects one fault at one step of it."""
+    """Runs one move and injects one fault at one of its steps."""
 
     def __init__(self, kind: str, step: str, fault: str):
         self.world = SimulatedFleet(user_fleet(16, 65536))
         self.controller = Controller(self.world, "first")
-        self.old: Controller | None = None
+        self.replaced: Controller | None = None
         self.step, self.fault = step, fault
         self.injected = 0
-        self.held: list[tuple[int, object]] = []
+        self.delayed: list[tuple[int, object]] = []
         self.tick_number = 0
-        self._request(kind)
+        self._request_move(kind)
 
-    def _request(self, kind: str) -> None:
+    def _request_move(self, kind: str) -> None:
         if kind != "move":
             wave = WaveCommand(
                 "w", WaveState.ABSENT, WaveState.RUNNING, ("north",), reboot=True
@@ -72,8 +72,8 @@
 
     def run(self, ticks: int = 1000) -> None:
         for self.tick_number in range(ticks):
-            self._release()
-            for controller in filter(None, (self.old, self.controller)):
+            self._deliver_delayed()
+            for controller in filter(None, (self.replaced, self.controller)):
                 plan = controller.plan()
                 for record in plan.records:
                     self._append(controller, record)
@@ -81,9 +81,11 @@
                     self._act(controller, action)
             self.world.advance(10)
 
-    def _release(self) -> None:
-        due = [item for at, item in self.held if at <= self.tick_number]
-        self.held = [(at, item) for at, item in self.held if at > self.tick_number]
+    def _deliver_delayed(self) -> None:
+        due = [item for at, item in self.delayed if at <= self.tick_number]
+        self.delayed = [
+            (at, item) for at, item in self.delayed if at > self.tick_number
+        ]
         for item in due:
             if isinstance(item, PlatformAction):
                 self.world.status_by_action.pop(item.action_id, None)
@@ -91,7 +93,7 @@
             else:
                 self.world.append(*item)
 
-    def _is_hit(self, step: str, instance: str) -> bool:
+    def _should_inject(self, step: str, instance: str) -> bool:
         if step != self.step or instance != TARGET or self.injected:
             return False
         self.injected += 1
@@ -100,7 +102,7 @@
     def _append(self, controller: Controller, record) -> None:
         author = controller.author
         is_step = isinstance(record, MoveStep)
-        if not is_step or not self._is_hit(str(record.stage), record.instance):
+        if not is_step or not self._should_inject(str(record.stage), record.instance):
             self.world.append(author, [record])
             return
         match self.fault:
@@ -110,19 +112,19 @@
             case "refused":
                 return
             case "slow":
-                self.held.append((self.tick_number + SLOW_TICKS, (author, [record])))
+                self.delayed.append((self.tick_number + SLOW_TICKS, (author, [record])))
             case "crash_before":
                 self._replace()
             case "crash_after":
                 self.world.append(author, [record])
                 self._replace()
             case "second_controller":
-                self.old = controller
+                self.replaced = controller
                 self._replace()
                 self.world.append(author, [record])
 
     def _act(self, controller: Controller, action: PlatformAction) -> None:
-        if not self._is_hit(str(action.kind), action.instance):
+        if not self._should_inject(str(action.kind), action.instance):
             self.world.execute(action)
             return
         match self.fault:
@@ -132,7 +134,7 @@
                 self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
             case "slow":
                 self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
-                self.held.append((self.tick_number + SLOW_TICKS, action))
+                self.delayed.append((self.tick_number + SLOW_TICKS, action))
             case "repeated":
                 self.world.execute(action)
                 self.world.execute(action)
@@ -142,7 +144,7 @@
                 self.world.execute(action)
                 self._replace()
             case "second_controller":
-                self.old = controller
+                self.replaced = controller
                 self._replace()
                 self.world.execute(action)
                 self.world.execute(action)
@@ -172,8 +174,8 @@
     assert world.budget_violations == []
 
 
-def test_reboot_waits_for_work_that_never_ends():
-    """Work that neither ends nor is checkpointed must end the move, not be lost."""
+def test_move_is_abandoned_if_work_never_ends():
+    """Guards against a reboot that loses work which neither ends nor checkpoints."""
     world = SimulatedFleet(user_fleet(16, 65536), drain_s=float("inf"))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
@@ -187,8 +189,8 @@
     assert MoveStage.DRAINED not in stages
 
 
-def test_reboot_refused_for_good_ends_the_move():
-    """A platform that refuses every reboot must not leave an instance drained."""
+def test_move_ends_if_platform_refuses_every_reboot():
+    """Guards against an instance that stays drained after refused reboots."""
     world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "first")
     wave = WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING, ("north",))
@@ -204,6 +206,6 @@
         world.advance(10)
     moves = world.state.maintenance.move_by_instance
     assert any(move.stage is MoveStage.JOINED for move in moves.values())
-    texts = [item.text for item in controller.planner.explanations.of_pool("north")]
+    texts = [item.text for item in controller.planner.explanations.for_pool("north")]
     assert any("refused to reboot" in text for text in texts)
     assert sum(worker.draining for worker in world.workers.values()) <= 1
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -0,0 +1,236 @@
+"""Scheduling state of a job that has not ended."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .model import FINAL_STATES, EndKind, Job, JobState, Step, TaskKey
+from .records import JobProgress, StepProgress, TaskCheckpoint, TaskFailures
+
+StepKey = tuple[int, int]
+
+
+@dataclass(slots=True)
+class StepTasks:
+    """Scheduling state of the tasks of one occurrence of a step."""
+
+    step: Step
+    done: set[int] = field(default_factory=set)
+    # Indexes of the tasks without a run, in starting order.
+    waiting: list[int] = field(default_factory=list)
+    failures_by_index: dict[int, TaskFailures] = field(default_factory=dict)
+    checkpoint_by_index: dict[int, str] = field(default_factory=dict)
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether all tasks are done."""
+        return len(self.done) >= self.step.count
+
+
+class ActiveJob:
+    """Tracks the tasks of a job: waiting, done, failures and checkpoints.
+
+    The leader keeps one for each job that has not ended, built from the job's
+    progress record if there is one.
+    """
+
+    def __init__(self, job: Job, progress: JobProgress | None = None) -> None:
+        self.job = job
+        # Failed runs of a task after which the job fails; None while the queue of the
+        # job is not in the policy.
+        self.max_attempts: int | None = None
+        self.state = JobState.QUEUED
+        self.highest_run = 0
+        self.finished_ms = 0
+        self.has_begun = False
+        self.tasks_by_step: dict[StepKey, StepTasks] = {
+            (occurrence, number): StepTasks(step, waiting=list(range(step.count)))
+            for occurrence in range(job.occurrences)
+            for number, step in enumerate(job.steps)
+        }
+        if progress is not None:
+            self._restore(progress)
+
+    @property
+    def is_final(self) -> bool:
+        """Return whether the job has reached a final state."""
+        return self.state in FINAL_STATES
+
+    def startable_steps(self, now_ms: float) -> Iterator[tuple[StepKey, StepTasks]]:
+        """Yield the steps with waiting tasks that are due and unblocked.
+
+        ``now_ms`` is Unix time.
+        """
+        if self.is_final:
+            return
+        for key, step_tasks in self.tasks_by_step.items():
+            if not step_tasks.waiting:
+                continue
+            occurrence = key[0]
+            if self.job.due_ms(occurrence) > now_ms:
+                continue
+            if self._predecessors_done(occurrence, step_tasks.step):
+                yield key, step_tasks
+
+    def remaining_chain_ms(self, key: StepKey) -> float:
+        """Return the estimated time from the start of a step to the end of the job."""
+        return self._chain_ms(key[1], {})
+
+    def chain_ms(self) -> float:
+        """Return the estimated duration of the longest chain of dependent steps."""
+        known: dict[int, float] = {}
+        return max(
+            (self._chain_ms(number, known) for number in range(len(self.job.steps))),
+            default=0.0,
+        )
+
+    def take(self, task: TaskKey) -> int:
+        """Remove a task from the waiting ones and return its new run number."""
+        step_tasks = self.tasks_by_step[task.occurrence, task.step]
+        step_tasks.waiting.remove(task.index)
+        return self.next_run()
+
+    def next_run(self) -> int:
+        """Return a run number that no task of the job has used."""
+        self.highest_run += 1
+        return self.highest_run
+
+    def note_run(self, run: int) -> None:
+        """Ensure that new run numbers are higher than one reported by a worker."""
+        self.highest_run = max(self.highest_run, run)
+
+    def note_begun(self) -> bool:
+        """Record that a task has started; return whether it is the job's first."""
+        if self.has_begun:
+            return False
+        self.has_begun = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        return True
+
+    def put_back(self, task: TaskKey, checkpoint: str = "") -> None:
+        """Return a task to the front of the waiting ones after an unfinished run."""
+        step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
+        if (
+            step_tasks is None
+            or task.index in step_tasks.done
+            or task.index in step_tasks.waiting
+        ):
+            return
+        if checkpoint:
+            step_tasks.checkpoint_by_index[task.index] = checkpoint
+        step_tasks.waiting.insert(0, task.index)
+
+    def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
+        """Record the end of a run; return whether the job's progress has changed."""
+        step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
+        if step_tasks is None or task.index in step_tasks.done:
+            return False
+        if checkpoint and kind is not EndKind.DONE:
+            step_tasks.checkpoint_by_index[task.index] = checkpoint
+        if kind is EndKind.DONE and not step_tasks.step.long_running:
+            self._note_done(task, step_tasks)
+            return True
+        if kind is EndKind.FAILED and not step_tasks.step.long_running:
+            return self._note_failed(task, run, step_tasks)
+        return bool(checkpoint)
+
+    def cancel(self) -> None:
+        """Cancel the job unless it has ended."""
+        if not self.is_final:
+            self.state = JobState.CANCELLED
+
+    def progress(self) -> JobProgress:
+        """Return the progress record from which another leader can continue."""
+        return JobProgress(
+            self.state,
+            self.highest_run,
+            tuple(
+                _step_progress(key, step_tasks)
+                for key, step_tasks in self.tasks_by_step.items()
+                if step_tasks.done
+                or step_tasks.failures_by_index
+                or step_tasks.checkpoint_by_index
+            ),
+            self.finished_ms,
+        )
+
+    def _note_done(self, task: TaskKey, step_tasks: StepTasks) -> None:
+        members = (
+            range(step_tasks.step.count) if step_tasks.step.gang else (task.index,)
+        )
+        for index in members:
+            step_tasks.done.add(index)
+            step_tasks.checkpoint_by_index.pop(index, None)
+            if index in step_tasks.waiting:
+                step_tasks.waiting.remove(index)
+        if not self.is_final and all(w.is_done for w in self.tasks_by_step.values()):
+            self.state = JobState.COMPLETED
+
+    def _note_failed(self, task: TaskKey, run: int, step_tasks: StepTasks) -> bool:
+        failures = step_tasks.failures_by_index.get(
+            task.index, TaskFailures(task.index)
+        )
+        if run in failures.runs:
+            return False
+        failures = failures.with_run(run)
+        step_tasks.failures_by_index[task.index] = failures
+        limit = self.max_attempts
+        if limit is not None and failures.count >= limit and not self.is_final:
+            self.state = JobState.FAILED
+        return True
+
+    def _predecessors_done(self, occurrence: int, step: Step) -> bool:
+        return all(self.tasks_by_step[occurrence, n].is_done for n in step.after)
+
+    def _chain_ms(self, number: int, known: dict[int, float]) -> float:
+        if number in known:
+            return known[number]
+        rest = [
+            self._chain_ms(later, known)
+            for later, step in enumerate(self.job.steps)
+            if number in step.after and later > number
+        ]
+        known[number] = self.job.steps[number].estimated_ms + max(rest, default=0.0)
+        return known[number]
+
+    def _restore(self, progress: JobProgress) -> None:
+        self.state = progress.state
+        self.highest_run = progress.highest_run
+        self.finished_ms = progress.finished_ms
+        self.has_begun = progress.state is not JobState.QUEUED
+        for saved in progress.steps:
+            step_tasks = self.tasks_by_step.get((saved.occurrence, saved.step))
+            if step_tasks is None:
+                continue
+            step_tasks.done = _indexes(saved.done)
+            step_tasks.waiting = [
+                i for i in step_tasks.waiting if i not in step_tasks.done
+            ]
+            step_tasks.failures_by_index = {f.index: f for f in saved.failures}
+            step_tasks.checkpoint_by_index = {
+                c.index: c.checkpoint for c in saved.checkpoints
+            }
+
+
+def _step_progress(key: StepKey, step_tasks: StepTasks) -> StepProgress:
+    bits = bytearray((step_tasks.step.count + 7) // 8)
+    for index in step_tasks.done:
+        bits[index // 8] |= 1 << index % 8
+    return StepProgress(
+        key[0],
+        key[1],
+        bytes(bits),
+        tuple(step_tasks.failures_by_index.values()),
+        tuple(TaskCheckpoint(i, c) for i, c in step_tasks.checkpoint_by_index.items()),
+    )
+
+
+def _indexes(bits: bytes) -> set[int]:
+    return {
+        byte_index * 8 + bit
+        for byte_index, byte in enumerate(bits)
+        for bit in range(8)
+        if byte >> bit & 1
+    }
--- a/libs/operator/src/lycheeloom/operator/checks.py
+++ b/libs/operator/src/lycheeloom/operator/checks.py
@@ -1,4 +1,4 @@
-"""Checks a configuration and returns every mistake in one go."""
+"""Runs all checks of a configuration and collects their problems."""
 
 from __future__ import annotations
 
@@ -25,16 +25,16 @@
 ) -> list[Problem]:
     """Return all problems of a document, without duplicates.
 
-    ``in_force`` is the document that this one replaces and ``usage`` what the
-    fleet does now. A document without errors is one that ``parse_config``
-    accepts, so every entry will accept it too.
+    ``in_force`` is the document that this one replaces; ``usage`` is what the fleet
+    runs now. ``parse_config`` accepts a document without errors, so every entry
+    accepts it too.
     """
     problems = [
         *check_fields(document, in_force or {}, file),
         *check_references(document, usage, file),
     ]
     keys = {problem.key for problem in problems}
-    plain = _check_plain((), document, file)
+    plain = _check_json_types((), document, file)
     problems += [problem for problem in plain if problem.key not in keys]
     if not errors_in(problems):
         parsed = parse_config(json.loads(json.dumps(document)), 0)
@@ -46,22 +46,24 @@
     return list(dict.fromkeys(problems))
 
 
-def _check_plain(path: tuple[str, ...], value: Any, file: str) -> Iterator[Problem]:
-    """Find TOML values that JSON, in which documents are published, lacks."""
+def _check_json_types(
+    path: tuple[str, ...], value: Any, file: str
+) -> Iterator[Problem]:
+    """Find values that JSON, the format of published documents, cannot express."""
     if isinstance(value, Mapping):
         for name, item in value.items():
-            yield from _check_plain((*path, name), item, file)
+            yield from _check_json_types((*path, name), item, file)
     elif isinstance(value, list):
         for item in value:
-            yield from _check_plain(path, item, file)
+            yield from _check_json_types(path, item, file)
     else:
-        wrong = _wrong_plain(value)
+        wrong = _describe_non_json(value)
         if wrong:
             allowed = "texts, finite numbers, true, false, lists and tables"
             yield Problem(file, join_key(*path), wrong, allowed)
 
 
-def _wrong_plain(value: Any) -> str:
+def _describe_non_json(value: Any) -> str:
     if value is None:
         return "is null"
     if isinstance(value, datetime.date | datetime.time):
--- a/libs/operator/src/lycheeloom/operator/log_story.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -1,4 +1,4 @@
-"""Tells the story of one job, instance or of the leaders from log lines."""
+"""Builds the timeline of a job, instance, worker, wave or of the leaders from logs."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
-# Events that tell who leads, and what makes a leader stop.
+# Events that show which process leads and why a leader stops.
 LEADER_EVENTS = frozenset(
     {
         "lead_taken",
@@ -23,16 +23,17 @@
         "store_regained",
     }
 )
-# Fields that name a thing; a task's name begins with its job.
+# Fields that hold the name of an object. Tasks and steps are matched by ``_is_about``,
+# since their names begin with that of the job.
 _NAME_FIELDS = ("job", "instance", "worker", "wave")
-_HEAD_FIELDS = frozenset({"time", "level", "process", "event"})
-# Without any line for this long a story has a gap.
-GAP_S = 5.0
+_COMMON_FIELDS = frozenset({"time", "level", "process", "event"})
+# Two consecutive lines further apart than this are reported as a gap.
+MIN_GAP_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One event of a process."""
+    """One event that a process logged; ``fields`` leaves out the common ones."""
 
     time: str
     process: str
@@ -41,7 +42,7 @@
 
     @property
     def seconds(self) -> float:
-        """Return the time of day in seconds."""
+        """The time of day in seconds, 0 if the line has no valid time."""
         match = re.search(r"T(\d+):(\d+):([\d.]+)", self.time)
         if match is None:
             return 0.0
@@ -49,9 +50,9 @@
 
 
 def parse_line(text: str) -> LogLine | None:
-    """Read a line of key=value pairs; None if it is not one of ours.
+    """Parse a line of key=value pairs; None if it lacks time, process or event.
 
-    What stands before the first pair, such as a collector's own prefix, is left out.
+    Text before the first pair, such as the prefix of a log collector, is ignored.
     """
     fields = {
         name: value[1:-1].replace('\\"', '"') if value.startswith('"') else value
@@ -59,36 +60,36 @@
     }
     if not {"time", "process", "event"} <= fields.keys():
         return None
-    rest = {name: v for name, v in fields.items() if name not in _HEAD_FIELDS}
+    rest = {name: v for name, v in fields.items() if name not in _COMMON_FIELDS}
     return LogLine(fields["time"], fields["process"], fields["event"], rest)
 
 
-def tell_story(texts: Iterable[str], name: str) -> list[str]:
-    """Return the lines about a job, instance, worker or wave, in order.
+def build_timeline(raw_lines: Iterable[str], name: str) -> list[str]:
+    """Return the lines about a job, instance, worker or wave, ordered by time.
 
-    Changes of the leader between them are told too, since they explain repeated
-    starts.
+    Changes of leader in the same period are included, since they explain why tasks
+    are started again.
     """
-    lines = [line for text in texts if (line := parse_line(text)) is not None]
-    own = [line for line in lines if _concerns(line, name)]
-    if not own:
+    lines = [line for text in raw_lines if (line := parse_line(text)) is not None]
+    matching = [line for line in lines if _is_about(line, name)]
+    if not matching:
         return []
-    first, last = min(x.time for x in own), max(x.time for x in own)
+    first, last = min(x.time for x in matching), max(x.time for x in matching)
     leaders = [
         line
         for line in lines
         if line.event in ("lead_taken", "lead_given_up") and first <= line.time <= last
     ]
-    return [*_render(own + leaders), *_missing(own)]
+    return [*_render(matching + leaders), *_missing_events(matching)]
 
 
-def tell_leaders(texts: Iterable[str]) -> list[str]:
-    """Return who has led when, and what each change came from."""
-    lines = [line for text in texts if (line := parse_line(text)) is not None]
+def build_leader_timeline(raw_lines: Iterable[str]) -> list[str]:
+    """Return the events that show which process led when and why that changed."""
+    lines = [line for text in raw_lines if (line := parse_line(text)) is not None]
     return _render([line for line in lines if line.event in LEADER_EVENTS])
 
 
-def _concerns(line: LogLine, name: str) -> bool:
+def _is_about(line: LogLine, name: str) -> bool:
     if any(line.fields.get(key) == name for key in _NAME_FIELDS):
         return True
     task = line.fields.get("task", line.fields.get("step", ""))
@@ -99,7 +100,7 @@
     rendered = []
     before: LogLine | None = None
     for line in sorted(lines, key=lambda x: x.time):
-        if before is not None and line.seconds - before.seconds > GAP_S:
+        if before is not None and line.seconds - before.seconds > MIN_GAP_S:
             gap_s = line.seconds - before.seconds
             rendered.append(f"    no line for {gap_s:.1f} s")
         before = line
@@ -108,14 +109,15 @@
     return rendered
 
 
-def _missing(lines: Sequence[LogLine]) -> list[str]:
-    """Say which parts of a job's story no process has told."""
+def _missing_events(lines: Sequence[LogLine]) -> list[str]:
+    """Report the main events of a job that no line mentions; nothing for others."""
     events = {line.event for line in lines}
     if not events & {"job_submitted", "job_opened", "job_ended"}:
         return []
     expected = {
-        "job_submitted": "no line of an instance that accepted it",
-        "job_opened": "no line of a leader that took it over",
-        "job_ended": "no line of its end: it runs, or a leader's log is missing",
+        "job_submitted": "no line about an instance accepting the job",
+        "job_opened": "no line about a leader taking the job over",
+        "job_ended": "no line about the end of the job: it still runs, or the log of "
+        "a leader is missing",
     }
     return [f"    {text}" for event, text in expected.items() if event not in events]
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -1,4 +1,4 @@
-"""The operator's own replay of the log."""
+"""Replays the log for an operator."""
 
 from __future__ import annotations
 
@@ -22,20 +22,21 @@
 
 from .difference import compare, describe_patch
 
-READ_LIMIT = 1000
-# Bounds one replay, also where retention overtakes it again and again.
+MAX_BATCHES_PER_READ = 1000
+# Ends a replay that never reaches the end of the log, for instance because the log
+# expires batches faster than they are read.
 MAX_READS = 100_000
-# Documents kept for telling what an earlier change did.
-KEPT_DOCUMENTS = 100
+# Versions of the document kept for describing earlier changes.
+MAX_KEPT_DOCUMENTS = 100
 
 
 class Log(Protocol):
-    """What the operator library needs of ``lycheeloom.clients.LogClient``."""
+    """The part of ``lycheeloom.clients.LogClient`` that the operator library uses."""
 
     address: str
 
     def append(self, batch: bytes) -> Appended | AppendUnknown | AppendRefused:
-        """Append one batch."""
+        """Append one encoded batch."""
 
     def read(
         self,
@@ -45,12 +46,12 @@
         *,
         margin_s: float = 2.0,
     ) -> ReadBatches | Expired | Unavailable:
-        """Read batches from an offset on."""
+        """Read at most ``limit`` batches, starting at ``first_offset``."""
 
 
 @dataclass(frozen=True, slots=True)
 class PublishedChange:
-    """One accepted change of the configuration, in sentences."""
+    """One accepted change of the configuration; ``sentences`` describe it."""
 
     version: int
     operator: str
@@ -61,24 +62,23 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchOutcome:
-    """Where a batch first stood in the log and what took effect."""
+    """The offset of the first copy of a batch, and for each record its effect."""
 
     offset: int
     effective: tuple[bool, ...]
 
 
 class LogView:
-    """Reads the log and keeps what the operator needs of it.
+    """The fleet state replayed from the log, as one author sees it.
 
-    It begins with the newest snapshot, since a log of hours takes minutes to
-    replay. The view of one author remembers the outcome of that author's
-    batches.
+    Replay starts from the newest snapshot, since replaying hours of log takes
+    minutes. The outcomes of the author's own batches are kept.
     """
 
     def __init__(self, log: Log, author: str) -> None:
         self._log = log
         self._author = author
-        self._is_recovered = False
+        self._is_initialised = False
         self.state = FleetState()
         self._outcome_by_sequence: dict[int, BatchOutcome] = {}
         self._document_by_version: dict[int, dict[str, Any]] = {0: {}}
@@ -94,21 +94,21 @@
         return self.state.configuration.document
 
     def catch_up(self) -> Unavailable | None:
-        """Replay the log to its end; returns why if that failed."""
-        if not self._is_recovered:
-            problem = self._recover()
-            if problem is not None:
-                return problem
+        """Replay the log to its end and return the failure, if any."""
+        if not self._is_initialised:
+            failure = self._load_snapshot()
+            if failure is not None:
+                return failure
         for _ in range(MAX_READS):
             first = self.state.next_offset
-            result = self._log.read(first, READ_LIMIT, 0.0)
+            result = self._log.read(first, MAX_BATCHES_PER_READ, 0.0)
             match result:
                 case Unavailable():
                     return result
                 case Expired():
-                    problem = self._recover()
-                    if problem is not None:
-                        return problem
+                    failure = self._load_snapshot()
+                    if failure is not None:
+                        return failure
                 case ReadBatches(batches=batches):
                     if not batches:
                         return None
@@ -117,19 +117,21 @@
                         return Unavailable(f"no batch at offset {first}")
         return Unavailable("the log grows faster than it is read")
 
-    def unreadable(self, problem: Unavailable) -> str:
-        """Say which log could not be read and why."""
-        return f"the log at {self._log.address} cannot be read ({problem.reason})"
+    def read_failure(self, failure: Unavailable) -> str:
+        """Describe which log could not be read and why."""
+        return f"the log at {self._log.address} cannot be read ({failure.reason})"
 
     def outcome(self, sequence: int) -> BatchOutcome | None:
-        """Return what became of a batch of the author, if it was read."""
+        """Return the outcome of a batch of the author, or None if it was not read."""
         return self._outcome_by_sequence.get(sequence)
 
     def changes_since(self, version: int) -> list[PublishedChange]:
-        """Return the accepted changes after a version, the oldest first."""
+        """Return the accepted changes after a version, oldest first."""
         history = self.state.configuration.history
         return [
-            self._describe(change) for change in history if change.version > version
+            self._to_published_change(change)
+            for change in history
+            if change.version > version
         ]
 
     def _apply(self, read: ReadBatches) -> None:
@@ -150,31 +152,33 @@
         documents = self._document_by_version
         if self.version not in documents:
             documents[self.version] = self.document
-            documents.pop(self.version - KEPT_DOCUMENTS, None)
+            documents.pop(self.version - MAX_KEPT_DOCUMENTS, None)
 
-    def _recover(self) -> Unavailable | None:
-        """Begin with the newest snapshot, or with offset 0 if there is none."""
+    def _load_snapshot(self) -> Unavailable | None:
+        """Reset the state to the newest snapshot, or to offset 0 if there is none."""
         reader = SnapshotReader(self._log)
-        kept = reader.find_range()
-        if isinstance(kept, str):
-            return Unavailable(kept)
-        state = reader.find_newest(kept)
+        retained = reader.find_range()
+        if isinstance(retained, str):
+            return Unavailable(retained)
+        state = reader.find_newest(retained)
         if isinstance(state, str):
             return Unavailable(state)
-        if state is None and kept.oldest > 0:
-            return Unavailable(f"the log has no snapshot since offset {kept.oldest}")
+        if state is None and retained.oldest > 0:
+            return Unavailable(
+                f"the log has no snapshot since offset {retained.oldest}"
+            )
         self.state = state or FleetState()
-        self._is_recovered = True
+        self._is_initialised = True
         self._remember_document()
         return None
 
-    def _describe(self, change: Any) -> PublishedChange:
+    def _to_published_change(self, change: Any) -> PublishedChange:
         before = self._document_by_version.get(change.version - 1)
         after = self._document_by_version.get(change.version)
         if before is None or after is None:
             sentences = tuple(describe_patch(_load_patch(change.patch)))
         else:
-            sentences = tuple(item.sentence() for item in compare(before, after))
+            sentences = tuple(item.describe() for item in compare(before, after))
         return PublishedChange(
             change.version,
             change.operator,
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -1,4 +1,4 @@
-"""The operator library: one object for all changes of a fleet."""
+"""The operator library: reads and changes the configuration and waves of a fleet."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 from .appending import Accepted, Appender, Clock
 from .checks import check_document
-from .difference import Change, compare, make_patch, overlap, patch_changes
+from .difference import Change, changed_paths, compare, make_patch, paths_overlap
 from .draft import Draft
-from .entries import Entries, EntryUnavailable, Explanation, UnknownThing
+from .entries import Entries, EntryUnavailable, Explanation, ExplanationNotFound
 from .log_view import Log, LogView, PublishedChange
-from .problems import Problem, errors_in, near_match
+from .problems import Problem, did_you_mean, errors_in
 from .reference_checks import Usage
 from .results import (
     InForce,
@@ -37,10 +37,11 @@
 
 DEFAULT_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.1
-# A small change is made again on top of the changes of other operators.
+# How often ``change`` applies its edit when other operators keep publishing first.
 MAX_ATTEMPTS = 5
 
-_STATES_BEFORE: Mapping[WaveState, tuple[WaveState, ...]] = {
+# The states in which a wave may be commanded into the state that is the key.
+_ALLOWED_STATES: Mapping[WaveState, tuple[WaveState, ...]] = {
     WaveState.RUNNING: (WaveState.ABSENT, WaveState.PAUSED),
     WaveState.PAUSED: (WaveState.RUNNING,),
     WaveState.ABORTED: (WaveState.RUNNING, WaveState.PAUSED),
@@ -57,8 +58,9 @@
         if isinstance(result, Published):
             print(operator.wait_in_force(result.version))
 
-    Results are data classes that say what happened; nothing is raised for a
-    mistake, a lost race or an outage. All timeouts are in seconds.
+    The outcome of a change is returned as a data class of ``results``. Invalid
+    documents, lost races and outages raise no exception. All timeouts are in
+    seconds.
     """
 
     def __init__(
@@ -70,7 +72,8 @@
         controllers: Entries | None = None,
         clock: Clock | None = None,
     ) -> None:
-        # Each author numbers its batches from 1, so the id is never used again.
+        # Each Operator object numbers its batches from 1, so each needs an author id
+        # that was never used before.
         self.author = f"operator:{name}:{secrets.token_hex(8)}"
         self.name = name
         self._entries = entries
@@ -81,24 +84,24 @@
 
     @property
     def version(self) -> int:
-        """The version that was in force when the log was last read."""
+        """The configuration version in force when the log was last read."""
         return self._view.version
 
     @property
     def document(self) -> dict[str, Any]:
-        """The document that was in force when the log was last read."""
+        """The configuration document in force when the log was last read."""
         return self._view.document
 
     @property
     def view(self) -> LogView:
-        """The replayed log, for reading only."""
+        """The replayed log; callers must not change it."""
         return self._view
 
     def refresh(self) -> LogUnavailable | None:
-        """Read the log to its end; returns why if that failed."""
-        problem = self._view.catch_up()
-        if isinstance(problem, Unavailable):
-            return LogUnavailable(self._view.unreadable(problem))
+        """Read the log to its end and return the reason if that failed."""
+        failure = self._view.catch_up()
+        if isinstance(failure, Unavailable):
+            return LogUnavailable(self._view.read_failure(failure))
         return None
 
     def draft(self) -> Draft:
@@ -106,7 +109,10 @@
         return Draft(self.document)
 
     def usage(self) -> Usage:
-        """Return what the fleet does now, as far as entries and log tell."""
+        """Return running tasks as entries report them and pools as the log has them.
+
+        Each entry reports counts of the whole fleet; the highest one is used.
+        """
         running: dict[str, int] = {}
         for status in self._entries.statuses().values():
             if not isinstance(status, StatusDocument):
@@ -127,20 +133,20 @@
 
     def explain(
         self, kind: str, name: str
-    ) -> dict[str, Explanation | UnknownThing | EntryUnavailable]:
-        """Ask each entry and controller why something was decided."""
+    ) -> dict[str, Explanation | ExplanationNotFound | EntryUnavailable]:
+        """Ask each entry and controller for the decisions on one object, by address."""
         answers = self._entries.explain(kind, name)
         return answers | self._controllers.explain(kind, name)
 
     def check(self, document: Mapping[str, Any], file: str) -> list[Problem]:
-        """Return all mistakes of a document that would replace the one in force."""
+        """Return all problems of a document that would replace the one in force."""
         return check_document(document, file, self.document, self.usage())
 
     def new_problems(self, document: Mapping[str, Any], file: str) -> list[Problem]:
-        """Return the mistakes that the document in force does not have already.
+        """Return the problems that the document in force does not have already.
 
-        A warning about what is in force must not keep an operator from taking a
-        zone out in an emergency.
+        A problem of the document in force must not prevent an unrelated change,
+        such as taking a zone out in an emergency.
         """
         usage = self.usage()
         known = set(check_document(self.document, file, self.document, usage))
@@ -152,7 +158,7 @@
         return compare(self.document, document)
 
     def history(self) -> list[PublishedChange]:
-        """Return the accepted changes that are still on record."""
+        """Return the accepted changes that the replayed state still holds."""
         return self._view.changes_since(0)
 
     def publish(
@@ -168,11 +174,11 @@
 
         Warnings prevent publication unless they are accepted.
         """
-        problem = self.refresh()
-        if problem is not None:
-            return problem
+        failure = self.refresh()
+        if failure is not None:
+            return failure
         if self.version != expected_version:
-            return self._lost(expected_version)
+            return self._lost_race(expected_version)
         problems = self.new_problems(document, file)
         if errors_in(problems) or (problems and not accept_warnings):
             return Rejected(tuple(problems))
@@ -187,14 +193,14 @@
     ) -> PublishResult:
         """Edit the configuration in force and publish the result.
 
-        If another operator published in between, the edit is made again on the
+        If another operator publishes in between, the edit is applied again to the
         new configuration, unless both changed the same settings.
         """
         result: PublishResult = LogUnavailable("not read yet")
         for _ in range(MAX_ATTEMPTS):
-            problem = self.refresh()
-            if problem is not None:
-                return problem
+            failure = self.refresh()
+            if failure is not None:
+                return failure
             before = self.document
             draft = self.draft()
             edit(draft)
@@ -207,8 +213,8 @@
             result = self._publish(draft.document, timeout_s)
             if not isinstance(result, LostRace):
                 return result
-            paths = patch_changes(before, make_patch(before, draft.document))
-            if _touches(result.winners, before, paths):
+            paths = changed_paths(before, make_patch(before, draft.document))
+            if _conflicts_with_any(result.winners, before, paths):
                 return result
         return result
 
@@ -223,15 +229,19 @@
         expected: Iterable[WaveState] | None = None,
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> WaveResult:
-        """Start, pause, resume or abort a maintenance wave."""
-        problem = self.refresh()
-        if problem is not None:
-            return problem
-        allowed = tuple(expected or _STATES_BEFORE.get(wanted, ()))
+        """Start, pause, resume or abort a maintenance wave.
+
+        ``wanted`` is the state to bring the wave into. ``expected`` are the states
+        from which this is allowed; by default those that suit ``wanted``.
+        """
+        failure = self.refresh()
+        if failure is not None:
+            return failure
+        allowed = tuple(expected or _ALLOWED_STATES.get(wanted, ()))
         state = self._wave_state(wave_id)
         if state not in allowed:
             known = self._view.state.maintenance.wave_by_id
-            return WaveRefused(_wrong_state(wave_id, state, allowed, known))
+            return WaveRefused(_describe_wrong_state(wave_id, state, allowed, known))
         record = WaveCommand(
             wave_id, state, wanted, tuple(pools), urgent, reboot, self.name
         )
@@ -249,17 +259,17 @@
     def wait_in_force(
         self, version: int, timeout_s: float = DEFAULT_TIMEOUT_S
     ) -> InForce | NotYetInForce:
-        """Wait until every entry has the version, or say which do not."""
-        give_up_at_s = self._clock.now_s() + timeout_s
+        """Wait until every entry has the version; on timeout say which lack it."""
+        deadline_s = self._clock.now_s() + timeout_s
         while True:
             missing = {
-                address: _lag(status)
+                address: _describe_lag(status)
                 for address, status in self._entries.statuses().items()
                 if not _has_version(status, version)
             }
             if not missing:
                 return InForce(version)
-            if self._clock.now_s() + POLL_INTERVAL_S > give_up_at_s:
+            if self._clock.now_s() + POLL_INTERVAL_S > deadline_s:
                 return NotYetInForce(version, missing)
             self._clock.sleep(POLL_INTERVAL_S)
 
@@ -279,20 +289,22 @@
                 not_handed.update(self._hand_over(result))
                 if result.outcome.effective[0]:
                     continue
-                result = self._without_effect(expected, result)
+                result = self._explain_no_effect(expected, result)
             if index:
                 return PartlyPublished(self.version, index, len(parts), result)
             return result
         changes = tuple(compare(before, document))
         return Published(expected + 1, changes, not_handed)
 
-    def _without_effect(self, expected: int, result: Accepted) -> LostRace | NoEffect:
+    def _explain_no_effect(
+        self, expected: int, result: Accepted
+    ) -> LostRace | NoEffect:
         winners = self._view.changes_since(expected)
         if any(change.offset < result.outcome.offset for change in winners):
-            return self._lost(expected)
+            return self._lost_race(expected)
         return NoEffect("the fleet changed meanwhile; check the document again")
 
-    def _lost(self, expected: int) -> LostRace:
+    def _lost_race(self, expected: int) -> LostRace:
         winners = tuple(self._view.changes_since(expected))
         return LostRace(expected, self.version, winners)
 
@@ -304,22 +316,23 @@
         return wave.state if wave is not None else WaveState.ABSENT
 
 
-def _touches(
+def _conflicts_with_any(
     winners: Iterable[PublishedChange], before: Mapping[str, Any], paths: set[tuple]
 ) -> bool:
+    """Tell whether one of the changes touched one of the paths."""
     return any(
-        overlap(paths, patch_changes(before, winner.patch)) for winner in winners
+        paths_overlap(paths, changed_paths(before, winner.patch)) for winner in winners
     )
 
 
-def _wrong_state(
+def _describe_wrong_state(
     wave_id: str,
     state: WaveState,
     allowed: Iterable[WaveState],
     known: Iterable[str] = (),
 ) -> str:
     if state is WaveState.ABSENT:
-        return f'there is no wave "{wave_id}"{near_match(wave_id, known)}'
+        return f'there is no wave "{wave_id}"{did_you_mean(wave_id, known)}'
     if tuple(allowed) == (WaveState.ABSENT,):
         return f'the wave "{wave_id}" exists already and is "{state}"'
     states = " or ".join(f'"{item}"' for item in allowed)
@@ -330,7 +343,7 @@
     return isinstance(status, StatusDocument) and status.config_version >= version
 
 
-def _lag(status: StatusDocument | EntryUnavailable) -> str:
+def _describe_lag(status: StatusDocument | EntryUnavailable) -> str:
     if isinstance(status, EntryUnavailable):
         return f"no answer: {status.reason}"
     freshness = "" if status.fresh else " and is not fresh"
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -1,4 +1,4 @@
-"""Commands that only read."""
+"""Handlers of the commands that change nothing."""
 
 from __future__ import annotations
 
@@ -14,13 +14,19 @@
 from .changing_commands import unknown_pools
 from .checks import check_document
 from .cli_parser import FLEET_KIND, LEADER_KIND
-from .entries import EntryUnavailable, Explanation, UnknownThing, newest_status
+from .entries import EntryUnavailable, Explanation, ExplanationNotFound, newest_status
 from .exit_codes import ExitCode
-from .log_story import tell_leaders, tell_story
+from .log_timeline import build_leader_timeline, build_timeline
 from .operator import Operator
-from .output import Report, report_history, report_mistakes, report_unread, table
+from .output import (
+    Report,
+    report_history,
+    report_log_unavailable,
+    report_problems,
+    table,
+)
 from .problems import Problem, errors_in
-from .status_text import duration, status_lines, wave_rows
+from .status_text import format_duration, status_lines, wave_table
 from .toml_reader import read_config
 from .toml_writer import print_config
 from .waves import preview_wave
@@ -28,21 +34,21 @@
 
 def show_config(operator: Operator, args: argparse.Namespace) -> Report:
     """Print the configuration in force."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_unread(problem)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
     text = print_config(operator.document, operator.version)
     data = {"version": operator.version, "document": operator.document}
     return Report(tuple(text.splitlines()), data)
 
 
 def check_file(args: argparse.Namespace) -> Report:
-    """Check a file by itself."""
+    """Check a file without comparing it with the configuration in force."""
     file = read_config(args.file)
     if isinstance(file, Problem):
-        return report_mistakes([file])
+        return report_problems([file])
     problems = check_document(file.document, file.source)
-    report = report_mistakes(problems)
+    report = report_problems(problems)
     if errors_in(problems):
         return report
     lines = [f"warning: {problem}" for problem in problems]
@@ -53,32 +59,32 @@
     """Compare a file with the configuration in force."""
     file = read_config(args.file)
     if isinstance(file, Problem):
-        return report_mistakes([file])
-    problem = operator.refresh()
-    if problem is not None:
-        return report_unread(problem)
+        return report_problems([file])
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
     problems = operator.new_problems(file.document, file.source)
     if errors_in(problems):
-        return report_mistakes(problems)
+        return report_problems(problems)
     changes = operator.compare(file.document)
     lines = [f"warning: {problem}" for problem in problems]
-    lines += [change.sentence() for change in changes] or ["No differences."]
+    lines += [change.describe() for change in changes] or ["No differences."]
     data = {"changes": changes, "warnings": problems, "version": operator.version}
-    code = ExitCode.DIFFERENT if changes and args.exit_code else ExitCode.OK
+    code = ExitCode.DIFFERENCES_FOUND if changes and args.exit_code else ExitCode.OK
     return Report(tuple(lines), data, code)
 
 
 def show_history(operator: Operator, args: argparse.Namespace) -> Report:
-    """Say who changed what."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_unread(problem)
+    """List the newest published changes and who made them."""
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
     changes = operator.history()
     return report_history(changes[len(changes) - min(args.limit, len(changes)) :])
 
 
 def show_status(operator: Operator, args: argparse.Namespace) -> Report:
-    """Show the fleet and each entry."""
+    """Show the status of the fleet and of each entry."""
     statuses = operator.statuses()
     newest = newest_status(statuses)
     data = {
@@ -96,12 +102,12 @@
 
 def plan_wave(operator: Operator, args: argparse.Namespace) -> Report:
     """Show the rounds of a wave that is not started yet."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_unread(problem)
-    mistakes = unknown_pools(operator, args.pool)
-    if mistakes:
-        return report_mistakes(mistakes)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
+    problems = unknown_pools(operator, args.pool)
+    if problems:
+        return report_problems(problems)
     config: FleetConfig = operator.view.state.config
     preview = preview_wave(config, args.pool)
     seconds = preview.duration_s(args.drain_s, args.reboot_s)
@@ -111,17 +117,18 @@
     ]
     lines.append(
         f"Instances: {preview.instance_count}, rounds: {len(preview.rounds)}, about "
-        f"{duration(seconds)} if every round takes {duration(args.drain_s)} to drain "
-        f"and {duration(args.reboot_s)} to reboot."
+        f"{format_duration(seconds)} if every round takes "
+        f"{format_duration(args.drain_s)} to drain and "
+        f"{format_duration(args.reboot_s)} to reboot."
     )
     lines += [
         f"Instance {name} is never maintained: a budget allows 0 unavailable, or "
         "no spare instance would be left."
-        for name in preview.never
+        for name in preview.never_maintained
     ]
     data = {
         "rounds": preview.rounds,
-        "never": preview.never,
+        "never": preview.never_maintained,
         "duration_s": seconds,
     }
     return Report(tuple(lines), data)
@@ -129,21 +136,21 @@
 
 def show_waves(operator: Operator, args: argparse.Namespace) -> Report:
     """Show the progress of waves."""
-    problem = operator.refresh()
-    if problem is not None:
-        return report_unread(problem)
-    waves = _waves(operator)
+    failure = operator.refresh()
+    if failure is not None:
+        return report_log_unavailable(failure)
+    waves = _waves_with_progress(operator)
     if args.wave:
         if args.wave not in waves:
             line = f'There is no wave "{args.wave}".'
             return Report((line,), {"waves": {}}, ExitCode.NOT_FOUND)
         waves = {args.wave: waves[args.wave]}
-    lines = table(*wave_rows(waves)) if waves else ["No wave is on record."]
+    lines = table(*wave_table(waves)) if waves else ["No wave is on record."]
     return Report(tuple(lines), {"waves": waves})
 
 
 def explain(operator: Operator, args: argparse.Namespace) -> Report:
-    """Print what the entries know about the decisions on one thing."""
+    """Print how entries and controllers explain the decisions on one object."""
     name = args.id or args.kind
     answers = operator.explain(args.kind, name)
     found = {
@@ -156,7 +163,7 @@
             sentence for answer in found.values() for sentence in answer.sentences
         )
         return Report(tuple(lines), {"explanations": found})
-    if any(isinstance(answer, UnknownThing) for answer in answers.values()):
+    if any(isinstance(answer, ExplanationNotFound) for answer in answers.values()):
         line = f"No entry knows the {args.kind} {name}."
         if args.kind == FLEET_KIND:
             line = "No decision about the whole fleet is known."
@@ -170,23 +177,23 @@
 
 
 def explain_logs(args: argparse.Namespace) -> Report:
-    """Print the story of one thing as log lines tell it."""
-    texts: list[str] = []
+    """Print the timeline of one object, or of the leaders, from log files."""
+    raw_lines: list[str] = []
     for name in args.logs:
         try:
-            texts += _read_lines(name)
+            raw_lines += _read_lines(name)
         except OSError as error:
             line = f"{name}: cannot be read: {error.strerror}"
-            return Report((line,), {"story": []}, ExitCode.MISTAKES)
+            return Report((line,), {"story": []}, ExitCode.INVALID_INPUT)
     if args.kind == LEADER_KIND:
-        story = tell_leaders(texts)
+        timeline = build_leader_timeline(raw_lines)
     else:
-        story = tell_story(texts, args.id)
-    if not story:
+        timeline = build_timeline(raw_lines, args.id)
+    if not timeline:
         name = args.id or args.kind
-        line = f"No line of these logs tells of {name}."
+        line = f"No line of these logs mentions {name}."
         return Report((line,), {"story": []}, ExitCode.NOT_FOUND)
-    return Report(tuple(story), {"story": story})
+    return Report(tuple(timeline), {"story": timeline})
 
 
 def _read_lines(name: str) -> list[str]:
@@ -196,7 +203,7 @@
     return Path(name).read_text(errors="replace").splitlines()
 
 
-def _waves(operator: Operator) -> Mapping[str, WaveStatus]:
+def _waves_with_progress(operator: Operator) -> Mapping[str, WaveStatus]:
     """Return the waves on record, with the progress that entries report."""
     newest = newest_status(operator.statuses())
     reported = newest.waves if newest is not None else {}
--- a/libs/sched/src/lycheeloom/sched/explain.py
+++ b/libs/sched/src/lycheeloom/sched/explain.py
@@ -1,4 +1,4 @@
-"""Explains tasks and organisations with typed events."""
+"""Explains the state of tasks and organisations by typed events."""
 
 from __future__ import annotations
 
@@ -16,19 +16,19 @@
 def explain_task(
     state: SchedulerState, task_id: str, now: float
 ) -> tuple[TaskEvent, ...]:
-    """Return the events of a task and, if it waits, why."""
+    """Return the events of a task and, if it waits, the reason."""
     record = state.record_by_id.get(task_id)
     if record is None:
-        return tuple(state.ended_events.get(task_id, ()))
+        return tuple(state.events_by_ended_task.get(task_id, ()))
     if record.state is TaskState.RUNNING:
         return tuple(record.events)
-    return (*record.events, TaskWaiting(now, _why_waiting(state, record)))
+    return (*record.events, TaskWaiting(now, _waiting_reason(state, record)))
 
 
 def explain_organisation(
     state: SchedulerState, organisation: str, now: float
 ) -> tuple[OrganisationEvent, ...]:
-    """Return the standing of an organisation and its latest refusals."""
+    """Return the status of an organisation and its latest refusals."""
     status = OrganisationStatus(
         now,
         organisation,
@@ -41,9 +41,9 @@
     return (status, *state.refusals_by_organisation.get(organisation, ()))
 
 
-def _why_waiting(state: SchedulerState, record: TaskRecord) -> str:
+def _waiting_reason(state: SchedulerState, record: TaskRecord) -> str:
     task = record.task
-    if record.state is TaskState.PARKED:
+    if record.state is TaskState.AWAITING_REQUEUE:
         return "a worker refused the task and it is about to be queued again"
     if not state.may_run(task.organisation):
         granted = state.grant_by_organisation.get(task.organisation, 0)
@@ -51,14 +51,13 @@
         "granted here"
     pool = state.queues.home_pool(task.queue)
     need = state.need(task, pool)
-    if not any(need.fits_in(size) for size in state.workers.sizes(pool)):
+    if not any(need.fits_in(size) for size in state.workers.worker_sizes(pool)):
         return f"no worker of pool {pool} is large enough for {describe(need)}"
     queued = state.queues.queued(task.organisation, task.queue)
     share = state.shares.share(task.organisation)
     fair = state.shares.fair_share(task.organisation)
     return (
         f"pool {pool} has no room for {describe(need)}; organisation "
-        f"{task.organisation} has "
-        f"{queued} tasks queued on {task.queue} and uses {share:.1%} of the fleet "
-        f"where its fair share is {fair:.1%}"
+        f"{task.organisation} has {queued} tasks queued on {task.queue} and uses "
+        f"{share:.1%} of the fleet where its fair share is {fair:.1%}"
     )
--- a/libs/sched/src/lycheeloom/sched/sizes.py
+++ b/libs/sched/src/lycheeloom/sched/sizes.py
@@ -1,4 +1,4 @@
-"""Corrected sizes and run times, learned from lagged usage reports."""
+"""Corrects declared sizes and run times by what delayed usage reports show."""
 
 from __future__ import annotations
 
@@ -9,20 +9,20 @@
 
 from .tasks import Task, UsageReport
 
-# Fewer reports than this say too little about a queue and organisation.
+# With fewer reports of an organisation on a queue, nothing is corrected.
 MIN_SAMPLES = 5
 WINDOW_SAMPLES = 64
-# Memory that is exceeded kills tasks, processors that are exceeded slow them
-# down; so memory is corrected to a high quantile and processors to the mean.
+# Exceeding the reserved memory kills a task, exceeding the reserved cores only slows
+# it down. So memory is corrected to a high quantile and cores to the mean.
 MEMORY_QUANTILE = 0.95
-# Declared sizes are wrong by up to 4 times either way.
+# Declared sizes are up to 4 times too large or too small.
 MAX_CORRECTION = 4.0
-# Reports arrive after the task ended; this many ended tasks are remembered.
-REMEMBERED_TASKS = 20_000
+# Reports arrive after the task ended, so this many started tasks are kept for them.
+MAX_REMEMBERED_TASKS = 20_000
 
 
 @dataclass(slots=True)
-class _Ratios:
+class _UsageRatios:
     cores: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
     memory: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
     run: deque[float] = field(default_factory=lambda: deque(maxlen=WINDOW_SAMPLES))
@@ -32,42 +32,42 @@
 
 
 class SizeEstimator:
-    """Corrects declared sizes per queue and organisation."""
+    """Corrects declared sizes and run times per organisation and queue."""
 
     def __init__(self) -> None:
-        self._ratios_by_lane: dict[tuple[str, str], _Ratios] = {}
+        self._ratios_by_subqueue: dict[tuple[str, str], _UsageRatios] = {}
         self._task_by_id: OrderedDict[str, Task] = OrderedDict()
 
     def remember(self, task: Task) -> None:
-        """Keep a started task so that its report can be used later."""
+        """Keep a started task until its usage report arrives."""
         self._task_by_id[task.id] = task
-        if len(self._task_by_id) > REMEMBERED_TASKS:
+        if len(self._task_by_id) > MAX_REMEMBERED_TASKS:
             self._task_by_id.popitem(last=False)
 
     def observe(self, report: UsageReport) -> None:
-        """Learn from the report of an ended task."""
+        """Update the corrections from the report of an ended task."""
         if not report.ended:
             return
         task = self._task_by_id.pop(report.task_id, None)
         if task is None:
             return
-        ratios = self._ratios_by_lane.setdefault(
-            (task.organisation, task.queue), _Ratios()
+        ratios = self._ratios_by_subqueue.setdefault(
+            (task.organisation, task.queue), _UsageRatios()
         )
         if task.resources.cores > 0:
-            ratios.cores.append(_bounded(report.peak.cores / task.resources.cores))
+            ratios.cores.append(_clamp_ratio(report.peak.cores / task.resources.cores))
         if task.resources.memory_mb > 0:
             ratio = report.peak.memory_mb / task.resources.memory_mb
-            ratios.memory.append(_bounded(ratio))
+            ratios.memory.append(_clamp_ratio(ratio))
         if task.run_s > 0:
-            ratios.run.append(_bounded(report.run_s / task.run_s))
+            ratios.run.append(_clamp_ratio(report.run_s / task.run_s))
         ratios.cores_factor = _mean(ratios.cores)
         ratios.memory_factor = _quantile(ratios.memory, MEMORY_QUANTILE)
         ratios.run_factor = _mean(ratios.run)
 
-    def size(self, task: Task) -> Resources:
+    def corrected_size(self, task: Task) -> Resources:
         """Return the corrected size of a task that has not run yet."""
-        ratios = self._ratios_by_lane.get((task.organisation, task.queue))
+        ratios = self._ratios_by_subqueue.get((task.organisation, task.queue))
         if ratios is None:
             return task.resources
         declared = task.resources
@@ -77,15 +77,15 @@
             declared.accelerators,
         )
 
-    def run_s(self, task: Task) -> float:
+    def corrected_run_s(self, task: Task) -> float:
         """Return the corrected run time in seconds."""
-        ratios = self._ratios_by_lane.get((task.organisation, task.queue))
+        ratios = self._ratios_by_subqueue.get((task.organisation, task.queue))
         if ratios is None:
             return task.run_s
         return task.run_s * ratios.run_factor
 
 
-def _bounded(ratio: float) -> float:
+def _clamp_ratio(ratio: float) -> float:
     return min(max(ratio, 1.0 / MAX_CORRECTION), MAX_CORRECTION)
 
 
--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -1,8 +1,12 @@
-"""Stand-ins for the platform, for tests and the demo."""
+"""Stand-ins for the platform's services, for tests and the demo.
+
+Each stand-in is an HTTP server that keeps its state in memory: the log, the instance
+list or a worker. Its faults can be switched on and off at run time.
+"""
 
 from .faults import Faults
 from .instances import Instance, InstancesStandIn
-from .ledger import peak_running
+from .ledger import peak_concurrency
 from .log import LogLimits, LogStandIn
 from .platform import PlatformStandIns
 from .server import StandIn
@@ -20,5 +24,5 @@
     "StandIn",
     "TaskStatus",
     "WorkerStandIn",
-    "peak_running",
+    "peak_concurrency",
 ]
