--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -18,7 +18,7 @@
 from lycheeloom.model.records import UnknownRecord
 from lycheeloom.operator import Operator, Published
 from lycheeloom.wire import PeerMessage, RangeRequest, decode_batch
-from lycheeloom.wire.seal import unseal
+from lycheeloom.wire.checksum import strip_checksum
 
 from . import newer_entry
 from .conftest import Load, call_if_ran, is_known_by, wait_until
@@ -59,7 +59,7 @@
 
 def read_cost_centres(schema, encoded, tag):
     """Return request id and cost centre of the records of a kind in a batch."""
-    with schema.Batch.from_bytes(unseal(encoded)) as batch:
+    with schema.Batch.from_bytes(strip_checksum(encoded)) as batch:
         return [
             (str(getattr(item, tag).requestId), str(getattr(item, tag).costCentre))
             for item in batch.records
