--- a/libs/state/src/lycheeloom/state/configuration.py
+++ b/libs/state/src/lycheeloom/state/configuration.py
@@ -14,13 +14,17 @@
 )
 from lycheeloom.model.records import ConfigChanged
 
-# The latest changes are kept so that operators can see who published what.
+# Number of latest changes that are kept, so that operators can see who published what.
 HISTORY_LENGTH = 100
 
 
 @dataclass(slots=True)
 class ConfigChange:
-    """One accepted change of the configuration."""
+    """One accepted change of the configuration.
+
+    ``version`` is the version that the change created, ``patch`` its JSON merge patch
+    as text and ``offset`` the position of its batch in the log.
+    """
 
     version: int
     operator: str
@@ -30,10 +34,10 @@
 
 @dataclass(slots=True)
 class Configuration:
-    """The document in force and its latest changes.
+    """The document in force, its version and its latest changes, newest last.
 
     The document is kept as published, including fields that only newer program
-    versions know.
+    versions know. Version 0 is the empty document before the first change.
     """
 
     version: int = 0
@@ -43,10 +47,10 @@
     def prepare_change(
         self, record: ConfigChanged, config: FleetConfig
     ) -> tuple[dict, FleetConfig] | None:
-        """Return the document and configuration after a change.
+        """Return the document and the configuration as a change would make them.
 
-        Returns None if the change was made from another version or is invalid.
-        ``config`` is the configuration in force.
+        Returns None if the change expects another version than the current one or is
+        invalid. ``config`` is the configuration in force.
         """
         if record.expected_version != self.version:
             return None
@@ -61,7 +65,7 @@
         return document, changed
 
     def commit_change(self, offset: int, record: ConfigChanged, document: dict) -> None:
-        """Put the document of a prepared change in force as the next version."""
+        """Put the document from ``prepare_change`` in force as the next version."""
         self.version += 1
         self.document = document
         self.history.append(
--- a/libs/state/src/lycheeloom/state/duties.py
+++ b/libs/state/src/lycheeloom/state/duties.py
@@ -13,9 +13,10 @@
 
 @dataclass(slots=True)
 class DutyState:
-    """The holder of a duty.
+    """The holder of a duty and the epoch of its claim.
 
-    ``renewed_at`` is the offset of its last claim or renewal.
+    ``holder`` is empty and ``epoch`` is 0 before the first claim. ``renewed_at`` is
+    the offset of the holder's last claim or renewal.
     """
 
     holder: str = ""
@@ -36,9 +37,9 @@
     def claim(self, offset: int, author: str, record: DutyClaimed) -> bool:
         """Renew the author's claim, or let the author take the duty over.
 
-        A takeover names the last renewal that its author has seen, so that a
-        holder that has renewed since then keeps the duty. Returns whether the
-        claim took effect.
+        A takeover names the offset of the last renewal that its author has replayed.
+        It has no effect if the holder has renewed since, so that such a holder keeps
+        the duty. Returns whether the claim took effect.
         """
         state = self.state_by_duty.setdefault(record.duty, DutyState())
         if record.expected_epoch != state.epoch:
@@ -54,6 +55,6 @@
         return True
 
     def is_current_holder(self, duty: Duty, author: str, epoch: int) -> bool:
-        """Tell whether the author holds a duty under this epoch."""
+        """Tell whether the author holds a duty and ``epoch`` is its current epoch."""
         state = self.of(duty)
         return state.holder == author and state.epoch == epoch
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -1,7 +1,8 @@
 """The state machine that replays the log into the fleet state.
 
-Every rule depends only on the state and the record, never on a clock, so two
-processes that have replayed the same offsets hold the same state.
+The effect of a record depends only on the state, the record, its author and its
+offset, never on a clock. Processes that have replayed the same batches therefore hold
+the same state.
 """
 
 from __future__ import annotations
@@ -22,9 +23,9 @@
 from .members import Members
 from .requests import Requests
 
-# Authors whose last sequence number is kept, to detect repeated batches. Each
-# process and each operator command is an author; the authors whose last batch is
-# oldest are dropped first.
+# Number of authors whose last sequence number is kept, to detect repeated batches.
+# Each process and each operator command is an author; the author whose last batch is
+# the oldest is dropped first.
 MAX_AUTHORS = 10_000
 
 
@@ -32,8 +33,9 @@
 class AppliedBatch:
     """Which records of a batch took effect at its offset.
 
-    ``is_repeat`` marks a batch that had been applied before, because its append was
-    repeated; none of its records takes effect.
+    ``effective`` has one flag for each record, in order. ``is_repeat`` marks a batch
+    whose sequence number, or a higher one of the same author, was applied before, as
+    happens when an append is repeated; none of its records takes effect.
     """
 
     offset: int
@@ -45,7 +47,10 @@
 
 @dataclass(slots=True)
 class SnapshotContent:
-    """The data that a snapshot holds."""
+    """The replayed data, all of which a snapshot holds.
+
+    ``sequence_by_author`` is ordered by the offset of each author's last batch.
+    """
 
     next_offset: int = 0
     sequence_by_author: dict[str, int] = field(default_factory=dict)
@@ -140,12 +145,15 @@
         self._content.unknown_records += 1
 
     def dump_snapshot(self) -> bytes:
-        """Serialise the state after the batches before ``next_offset``."""
+        """Return the state after all batches before ``next_offset``, as bytes."""
         return zlib.compress(_SNAPSHOT_ADAPTER.dump_json(self._content))
 
     @classmethod
     def load_snapshot(cls, data: bytes) -> FleetState:
-        """Restore a state; raises ``ValueError`` for damaged bytes."""
+        """Return the state that ``dump_snapshot`` wrote.
+
+        Raises ``ValueError`` if the bytes are damaged.
+        """
         try:
             return cls(_SNAPSHOT_ADAPTER.validate_json(zlib.decompress(data)))
         except zlib.error as error:
@@ -160,6 +168,7 @@
 
     def _store_sequence(self, author: str, sequence: int) -> None:
         sequences = self._content.sequence_by_author
+        # Removing the author first moves it to the end of the order.
         sequences.pop(author, None)
         sequences[author] = sequence
         if len(sequences) > MAX_AUTHORS:
@@ -184,6 +193,7 @@
             case r.MoveStep() | r.InstanceHealth() | r.WaveCommand():
                 return self._apply_maintenance_change(offset, author, record)
             case r.SnapshotChunk():
+                # Readers of snapshots collect the chunks; the state ignores them.
                 return True
             case r.UnknownRecord():
                 self._content.unknown_records += 1
@@ -192,22 +202,26 @@
                 return self._apply_request_change(offset, author, record)
 
     def _apply_config_change(self, offset: int, record: r.ConfigChanged) -> bool:
-        proposed = self.configuration.prepare_change(record, self.config)
-        if proposed is None:
+        prepared = self.configuration.prepare_change(record, self.config)
+        if prepared is None:
             return False
-        document, config = proposed
+        document, config = prepared
         pools_in_use = self.maintenance.pools_in_use(config.instance_by_id)
+        # A pool cannot be removed while an instance is in it or is moving to it.
         if not pools_in_use <= set(config.pool_by_id):
             return False
         self.configuration.commit_change(offset, record, document)
         self.config = config
         self.maintenance.sync_instances(
-            {name: item.pool for name, item in config.instance_by_id.items()}
+            {
+                instance_id: instance.pool
+                for instance_id, instance in config.instance_by_id.items()
+            }
         )
         self.grants.set_limits(
             {
-                name: organisation.upper_limit
-                for name, organisation in config.organisation_by_id.items()
+                organisation_id: organisation.upper_limit
+                for organisation_id, organisation in config.organisation_by_id.items()
             }
         )
         return True
@@ -221,14 +235,15 @@
                 took_effect = self.members.vote(offset, author, record)
             case _:
                 took_effect = self.members.refute(author)
+        # A join or a vote may expel members; an expelled one must get no more grants.
         for incarnation in self._expelled_incarnations() - expelled_before:
             self.grants.drop_unmet_requests(incarnation)
         return took_effect
 
     def _expelled_incarnations(self) -> set[str]:
         return {
-            name
-            for name, member in self.members.member_by_incarnation.items()
+            incarnation
+            for incarnation, member in self.members.member_by_incarnation.items()
             if member.expelled_at is not None
         }
 
@@ -282,9 +297,11 @@
         return False
 
     def _may_resolve_claim(self, author: str, request_id: str, attempt: int) -> bool:
-        """Tell whether the author may release or finish a claim.
+        """Tell whether the author may release a request or record its answer.
 
-        Until the holder's grants are reclaimed, only the holder may.
+        While the holder of the claim is a member or is expelled but not reclaimed,
+        only the holder may. Also returns True if no claim with this attempt exists, as
+        then no holder can object; ``Requests`` checks the request itself.
         """
         request = self.requests.find_claim(request_id, attempt)
         if request is None or request.holder == author:
--- a/libs/state/src/lycheeloom/state/maintenance.py
+++ b/libs/state/src/lycheeloom/state/maintenance.py
@@ -66,8 +66,9 @@
 
 @dataclass(slots=True)
 class WaveCounts:
-    """How many instances of a wave there are, are done and have failed.
+    """Number of instances in a wave, and of its moves that succeeded and failed.
 
+    A move that ended in ``JOINED`` counts as done, an abandoned one as failed.
     ``open_moves`` has the ids of the moves in progress, by instance.
     """
 
@@ -77,7 +78,10 @@
     open_moves: dict[str, str] = field(default_factory=dict)
 
     def count_ended_move(self, instance: str, move: Move) -> None:
-        """Count a move that has ended; ignores moves not in ``open_moves``."""
+        """Count a move that has ended, and drop it from ``open_moves``.
+
+        Has no effect for a move that is not in ``open_moves``.
+        """
         if self.open_moves.get(instance) != move.move_id:
             return
         del self.open_moves[instance]
@@ -89,11 +93,11 @@
 
 @dataclass(slots=True)
 class Wave:
-    """A maintenance wave over pools; no pools means all.
+    """A maintenance wave over the instances of ``pools``, or of all pools if empty.
 
-    ``started_at`` is an offset. ``counts_at_end`` is taken when the wave ends, as
-    later moves of its instances belong to other waves; snapshots of older program
-    versions lack it.
+    ``started_at`` is an offset. ``counts_at_end`` holds the counts from the end of the
+    wave, as later moves of its instances belong to other waves. It is None until the
+    wave ends, and also for ended waves from snapshots of older program versions.
     """
 
     wave_id: str
@@ -127,7 +131,10 @@
                 counts.open_moves.pop(instance, None)
 
     def pools_in_use(self, instances: Iterable[str]) -> set[str]:
-        """Return the pools that these instances are in or are moving to."""
+        """Return the pools that these instances are in or are moving to.
+
+        Instances that this state does not know are ignored.
+        """
         pools = set()
         for instance in instances:
             if instance in self.pool_by_instance:
@@ -138,7 +145,11 @@
         return pools
 
     def advance_move(self, offset: int, record: MoveStep, pools: Iterable[str]) -> bool:
-        """Advance a move by one stage; stage ``JOINED`` changes the pool."""
+        """Plan a move or advance the planned move of an instance to its next stage.
+
+        The instance changes its pool at stage ``JOINED``. Returns whether the record
+        took effect.
+        """
         if record.instance not in self.pool_by_instance:
             return False
         move = self.move_by_instance.get(record.instance)
@@ -148,6 +159,7 @@
             return False
         if record.stage not in _NEXT_STAGES[move.stage]:
             return False
+        # A move with a reboot cannot skip the stage ``REBOOTING``.
         if move.reboot and (move.stage, record.stage) == (
             MoveStage.DRAINED,
             MoveStage.JOINED,
@@ -172,7 +184,11 @@
         return True
 
     def command_wave(self, offset: int, record: WaveCommand) -> bool:
-        """Start or change a wave if its state is the one the operator expects."""
+        """Start a wave or change its state.
+
+        Has no effect if the wave is not in the state that the operator expects, or if
+        the change of state is not allowed.
+        """
         wave = self.wave_by_id.get(record.wave_id)
         current = wave.state if wave is not None else WaveState.ABSENT
         if record.expected is not current:
@@ -196,10 +212,10 @@
         return True
 
     def count_wave(self, wave: Wave) -> WaveCounts:
-        """Count the instances of a wave by their latest moves since it started.
+        """Count the instances of a wave and their moves since the wave started.
 
-        After a wave has ended, only the moves that were in progress at its end are
-        still counted.
+        Only the latest move of an instance counts. After a wave has ended, its counts
+        change only by the moves that were in progress at its end.
         """
         if wave.counts_at_end is not None:
             return wave.counts_at_end
@@ -211,12 +227,14 @@
             move = self.move_by_instance.get(instance)
             if move is None or move.changed_at <= wave.started_at:
                 continue
+            # ``count_ended_move`` removes the move from the open ones again.
             counts.open_moves[instance] = move.move_id
             if move.is_ended():
                 counts.count_ended_move(instance, move)
         return counts
 
     def _counts_at_end(self) -> Iterator[WaveCounts]:
+        """Yield the counts of each wave that has ended."""
         for wave in self.wave_by_id.values():
             if wave.counts_at_end is not None:
                 yield wave.counts_at_end
--- a/libs/state/src/lycheeloom/state/members.py
+++ b/libs/state/src/lycheeloom/state/members.py
@@ -1,4 +1,8 @@
-"""Membership of entry incarnations: joining, votes to expel and expulsion."""
+"""Membership of entry incarnations: joining, votes to expel and expulsion.
+
+An incarnation is one run of an entry process. An expelled incarnation keeps its grants
+until they are reclaimed, as its tasks may still run.
+"""
 
 from __future__ import annotations
 
@@ -11,8 +15,8 @@
 class Member:
     """One incarnation of an entry.
 
-    ``joined_at`` and ``expelled_at`` are offsets; ``votes`` has the incarnations
-    that vote to expel it.
+    ``joined_at`` and ``expelled_at`` are offsets; ``expelled_at`` is None for a member
+    that is not expelled. ``votes`` has the incarnations that vote to expel this one.
     """
 
     incarnation: str
@@ -27,7 +31,7 @@
 
 @dataclass(slots=True)
 class Members:
-    """All members, and expelled ones until their grants are reclaimed."""
+    """All members, and expelled members until their grants are reclaimed."""
 
     member_by_incarnation: dict[str, Member] = field(default_factory=dict)
 
@@ -45,7 +49,10 @@
         return member is not None and member.expelled_at is None
 
     def join(self, offset: int, record: MemberJoined) -> bool:
-        """Add a member and expel older incarnations on the same instance."""
+        """Add a member and expel older incarnations on the same instance.
+
+        Has no effect and returns False if the incarnation is already known.
+        """
         if record.incarnation in self.member_by_incarnation:
             return False
         for member in self.active():
@@ -64,9 +71,10 @@
         return True
 
     def vote(self, offset: int, author: str, record: MemberVote) -> bool:
-        """Count a vote to expel.
+        """Count the author's vote to expel another member.
 
-        A majority expels the target, and so does one vote with reason ``GONE``.
+        The votes of a majority of the active members expel the target, and so does one
+        vote with reason ``GONE``. Returns whether the vote counts.
         """
         if not (self.is_active(author) and self.is_active(record.target)):
             return False
@@ -88,14 +96,17 @@
         return True
 
     def leave(self, author: str) -> bool:
-        """Remove a member that has no running task left."""
+        """Remove the author, which has no running task left, from the members."""
         if not self.is_active(author):
             return False
         self._remove(author)
         return True
 
     def reclaim(self, target: str, expelled_at: int) -> bool:
-        """Remove a member that was expelled at offset ``expelled_at``."""
+        """Remove a member that was expelled at offset ``expelled_at``.
+
+        Has no effect and returns False if it was not expelled at this offset.
+        """
         member = self.member_by_incarnation.get(target)
         if member is None or member.expelled_at is None:
             return False
--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -1,8 +1,12 @@
 """Recorded requests: their status, holder and the offsets of body and answer.
 
-Bodies and answers stay in the log; the state keeps their offsets. Appending the
-same submission or answer again updates its offset, which keeps the record beyond the
-log's retention.
+Bodies and answers stay in the log; the state keeps only their offsets. To keep a body
+or an answer beyond the log's retention, its record is appended again, which updates
+the offset.
+
+An entry claims a pending request before it starts the request on a worker. Each claim
+is an attempt with the next higher number. The holder of the claim releases the request,
+which makes it pending again, or finishes it with an answer.
 """
 
 from __future__ import annotations
@@ -35,7 +39,9 @@
     """A request recorded in the log, so that it survives the loss of every entry.
 
     ``body_offset``, ``submitted_at``, ``answer_offset`` and ``finished_at`` are
-    offsets; ``submitted_by`` and ``holder`` are incarnations.
+    offsets; ``submitted_by`` and ``holder`` are incarnations. ``holder`` is empty while
+    the request is pending. ``attempt`` is the number of the latest attempt, 0 before
+    the first.
     """
 
     # Pydantic writes bytes to JSON as UTF-8 by default, and a digest is rarely valid
@@ -68,7 +74,11 @@
 
 @dataclass(slots=True)
 class Requests:
-    """Recorded requests that are unfinished or whose answer has not expired."""
+    """Recorded requests that are unfinished or whose answer has not expired.
+
+    ``id_by_key`` is by organisation and idempotency key. ``pending`` and ``claimed``
+    are ordered sets of request ids.
+    """
 
     request_by_id: dict[str, RecordedRequest] = field(default_factory=dict)
     id_by_key: dict[str, str] = field(default_factory=dict)
@@ -81,18 +91,22 @@
         return self.request_by_id.get(request_id) if request_id else None
 
     def submit(self, offset: int, author: str, record: RequestSubmitted) -> bool:
-        """Add a request, or update the body offset of a known one."""
-        known = self.request_by_id.get(record.request_id)
-        if known is not None:
-            if known.body_digest != record.body_digest:
+        """Add a request, or update the body offset of a known one.
+
+        Has no effect and returns False if a known request has another body, or if the
+        organisation has used the idempotency key for another request.
+        """
+        known_request = self.request_by_id.get(record.request_id)
+        if known_request is not None:
+            if known_request.body_digest != record.body_digest:
                 return False
-            known.body_offset = offset
+            known_request.body_offset = offset
             return True
         if record.idempotency_key:
-            key = _scoped_key(record.organisation, record.idempotency_key)
-            if key in self.id_by_key:
+            scoped_key = _scoped_key(record.organisation, record.idempotency_key)
+            if scoped_key in self.id_by_key:
                 return False
-            self.id_by_key[key] = record.request_id
+            self.id_by_key[scoped_key] = record.request_id
         self.request_by_id[record.request_id] = RecordedRequest(
             request_id=record.request_id,
             organisation=record.organisation,
@@ -128,7 +142,10 @@
         return True
 
     def release(self, record: RequestReleased) -> bool:
-        """Make a claimed request pending again."""
+        """Make a claimed request pending again.
+
+        The request keeps its last checkpoint if the record has none.
+        """
         request_id = record.request_id
         request = self.find_claim(request_id, record.attempt)
         if request is None:
@@ -141,7 +158,7 @@
         return True
 
     def finish(self, offset: int, record: RequestFinished) -> bool:
-        """Finish a claimed request, or update the offset of its kept answer."""
+        """Finish a claimed request, or update the answer offset of a finished one."""
         request = self.request_by_id.get(record.request_id)
         if request is None or request.attempt != record.attempt:
             return False
@@ -167,7 +184,10 @@
         return True
 
     def expire(self, through_offset: int, queue: str) -> None:
-        """Drop requests finished at or before an offset, of one queue or of all."""
+        """Drop requests that finished at or before ``through_offset``.
+
+        ``queue`` limits this to the requests of one queue; empty means all queues.
+        """
         for request in list(self.request_by_id.values()):
             if request.finished_at is None or request.finished_at > through_offset:
                 continue
@@ -195,4 +215,5 @@
 
 
 def _scoped_key(organisation: str, key: str) -> str:
+    """Return a key that only the same idempotency key of the organisation gives."""
     return f"{organisation}\n{key}"
