--- a/libs/log/src/lycheeloom/log/backoff.py
+++ b/libs/log/src/lycheeloom/log/backoff.py
@@ -16,12 +16,13 @@
 
     def next_delay_s(self) -> float:
         """Return the delay to wait after another failure."""
+        # The bound keeps the power small; ``max_s`` is reached much earlier.
         exponent = min(self._failures, 20)
         self._failures += 1
-        max_delay_s = min(self._max_s, self._initial_s * 2**exponent)
-        # Half of the delay is random, so that processes that failed at the same
-        # time do not retry at the same time.
-        return max_delay_s * (0.5 + self._rng.random() / 2)
+        full_delay_s = min(self._max_s, self._initial_s * 2**exponent)
+        # Up to half of the delay is taken off at random, so that processes that failed
+        # at the same time do not retry at the same time.
+        return full_delay_s * (0.5 + self._rng.random() / 2)
 
     def reset(self) -> None:
         """Restart at the initial delay after a success."""
--- a/libs/log/src/lycheeloom/log/client.py
+++ b/libs/log/src/lycheeloom/log/client.py
@@ -18,15 +18,20 @@
 
 
 class LogClient(Protocol):
-    """Calls to the log service; each is bounded in time and none raises."""
+    """Calls to the log service.
+
+    Each call ends within a bounded time and returns a failure instead of raising.
+    """
 
     def append(self, batch: bytes) -> AppendAnswer:
-        """Append an encoded batch."""
+        """Append an encoded batch; one attempt, without retries."""
 
     def read(
         self, first_offset: int, limit: int, wait_s: float, *, margin_s: float = 2.0
     ) -> ReadAnswer:
-        """Read up to ``limit`` batches; wait up to ``wait_s`` if there are none yet.
+        """Read up to ``limit`` batches from ``first_offset`` on.
+
+        If there are none yet, the log waits up to ``wait_s`` for the first one.
 
         The call ends within ``wait_s + margin_s``.
         """
--- a/libs/log/src/lycheeloom/log/outcomes.py
+++ b/libs/log/src/lycheeloom/log/outcomes.py
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotWritten:
-    """The record is not in the log and will never be."""
+    """The record is not in the log and will never get there."""
 
     reason: str
 
@@ -59,35 +59,38 @@
         self.priority = priority
         self.size_bytes = size_bytes
         self.outcome: Outcome | None = None
-        # Set once the record is part of a batch that may reach the log; cleared if
-        # the log refuses that batch.
+        # Set once the record is part of a batch that may reach the log; cleared when
+        # the records of a refused batch return to the queue.
         self.is_sent = False
-        # Set once a wait ended without an outcome. The record is then not sent
-        # again if the append in progress is refused.
+        # Set once a call of ``wait`` has ended without an outcome. If the log then
+        # refuses the batch of the record, the record is not sent again.
         self.wait_timed_out = False
         self._settled = Event()
 
     def settle(self, outcome: Outcome) -> None:
-        """Set the outcome; later calls have no effect."""
+        """Set the final outcome; later calls have no effect."""
         if self.outcome is not None:
             return
         self.outcome = outcome
         self._settled.set()
 
     def withdraw(self, reason: str = "withdrawn before it was sent") -> bool:
-        """Drop the record if it was not sent; return whether it is not written."""
+        """Drop the record if it was not sent.
+
+        Returns whether the outcome is now ``NotWritten``; if not, the record was sent.
+        """
         if self.is_sent or self.outcome is not None:
             return isinstance(self.outcome, NotWritten)
         self.settle(NotWritten(reason))
         return True
 
     def wait(self, timeout_s: float | None = None) -> Outcome:
-        """Wait for the outcome.
+        """Wait for the outcome, at most ``timeout_s`` if that is given.
 
-        A record that is not sent within the time is withdrawn: its outcome is
-        ``NotWritten``. For a record that was sent, ``Unknown`` is not final and
-        ``wait`` may be called again; the outcome becomes ``NotWritten`` if the log
-        refuses the record.
+        A record that was not sent by then is withdrawn, so its outcome is
+        ``NotWritten``. For a record that was sent but has no outcome by then, ``wait``
+        returns ``Unknown`` and may be called again; the outcome becomes ``NotWritten``
+        if the log refuses the batch of the record.
         """
         if self._settled.wait(timeout_s) and self.outcome is not None:
             return self.outcome
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -12,16 +12,20 @@
 
 from .outcomes import NotWritten, PendingRecord, Priority
 
-# Encoded size of the author, the list headers and the segment table of a batch.
+# Upper bound on the encoded size of a batch without its records: the author, the list
+# headers and the segment table.
 BATCH_OVERHEAD_BYTES = 1024
-# Size of the fixed part and the pointers of the largest record kind, with its list
-# element.
+# Upper bound on the encoded size of a record without its texts, bytes and lists: the
+# fixed part and the pointers of the largest record kind, and its list element.
 RECORD_OVERHEAD_BYTES = 192
-# Control records leave this fraction of a batch to queued request records, so that
-# many control records do not hold up requests.
+# While request records are queued, control records leave this fraction of a batch to
+# them, so that many control records do not hold up requests.
 MIN_REQUEST_FRACTION = 0.25
 
+# Number of queued records of each priority.
 MAX_QUEUED_BY_PRIORITY = {Priority.CONTROL: 2_000, Priority.REQUEST: 10_000}
+# Request records are refused while the queued records of both priorities have this
+# size in total; control records are limited by number only.
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 
 
@@ -32,6 +36,11 @@
 
 
 def _variable_size(value: Any) -> int:
+    """Return an upper bound on what a field adds to the fixed part of its record.
+
+    Each text, byte string and list takes up to 16 bytes beyond its content. Numbers and
+    flags are in the fixed part.
+    """
     if isinstance(value, str):
         return len(value.encode()) + 16
     if isinstance(value, bytes):
@@ -45,14 +54,16 @@
     """Bounded queues of records, one for each priority."""
 
     def __init__(self) -> None:
-        self._waiting: dict[Priority, deque[PendingRecord]] = {
+        self._queue_by_priority: dict[Priority, deque[PendingRecord]] = {
             priority: deque() for priority in Priority
         }
+        # May include settled records, until they are dropped from the queues.
         self._queued_bytes = 0
+        # The writer lowers this if the log refuses a batch as too large.
         self.max_batch_bytes = MAX_BATCH_BYTES
 
     def __len__(self) -> int:
-        return sum(len(waiting) for waiting in self._waiting.values())
+        return sum(len(queue) for queue in self._queue_by_priority.values())
 
     def add(self, pending: PendingRecord) -> None:
         """Queue a record, or settle it as not written if it cannot be queued."""
@@ -64,81 +75,84 @@
         if self._is_full(pending.priority):
             pending.settle(NotWritten("queue of unsent records is full"))
             return
-        self._waiting[pending.priority].append(pending)
+        self._queue_by_priority[pending.priority].append(pending)
         self._queued_bytes += pending.size_bytes
 
     def put_back(self, batch: Sequence[PendingRecord]) -> None:
         """Put back the records of a batch that was not appended.
 
-        A record whose caller has stopped waiting is settled instead. Otherwise it
-        would be written after the outage, in addition to the copy that its caller
-        may have appended since.
+        A record whose caller has stopped waiting is settled as not written instead.
+        Otherwise the record would be written after the outage, in addition to the copy
+        that its caller may have appended since.
         """
         for pending in reversed(batch):
             pending.is_sent = False
             if pending.wait_timed_out:
                 pending.settle(NotWritten("refused after its waiter gave up"))
                 continue
-            self._waiting[pending.priority].appendleft(pending)
+            self._queue_by_priority[pending.priority].appendleft(pending)
             self._queued_bytes += pending.size_bytes
 
     def take_batch(self) -> list[PendingRecord]:
-        """Remove the records of the next batch, control records first."""
+        """Remove and return the records of the next batch, control records first."""
         capacity = self.max_batch_bytes - BATCH_OVERHEAD_BYTES
-        has_requests = bool(self._waiting[Priority.REQUEST])
+        has_requests = bool(self._queue_by_priority[Priority.REQUEST])
         control_limit = (
             capacity * (1 - MIN_REQUEST_FRACTION) if has_requests else capacity
         )
         batch = self._take_records(Priority.CONTROL, control_limit, capacity)
-        used = sum(pending.size_bytes for pending in batch)
-        batch += self._take_records(Priority.REQUEST, capacity - used, capacity - used)
+        used_bytes = sum(pending.size_bytes for pending in batch)
+        batch += self._take_records(
+            Priority.REQUEST, capacity - used_bytes, capacity - used_bytes
+        )
         return batch
 
     def fail_all(self, reason: str) -> None:
         """Settle all queued records as not written."""
-        for waiting in self._waiting.values():
-            for pending in waiting:
+        for queue in self._queue_by_priority.values():
+            for pending in queue:
                 pending.settle(NotWritten(reason))
-            waiting.clear()
+            queue.clear()
         self._queued_bytes = 0
 
     def _take_records(
         self, priority: Priority, soft_limit: float, hard_limit: float
     ) -> list[PendingRecord]:
-        """Remove records of up to ``soft_limit`` bytes in total.
+        """Remove and return records of up to ``soft_limit`` bytes in total.
 
-        The first record may be larger, up to ``hard_limit`` bytes.
+        The first record may be larger, up to ``hard_limit`` bytes. Records that already
+        have an outcome, such as withdrawn ones, are removed but not returned.
         """
-        waiting = self._waiting[priority]
-        taken: list[PendingRecord] = []
-        used = 0
-        while waiting:
-            pending = waiting[0]
-            size = pending.size_bytes
-            if pending.outcome is None and used + size > (
-                soft_limit if taken else hard_limit
+        queue = self._queue_by_priority[priority]
+        records: list[PendingRecord] = []
+        used_bytes = 0
+        while queue:
+            pending = queue[0]
+            size_bytes = pending.size_bytes
+            if pending.outcome is None and used_bytes + size_bytes > (
+                soft_limit if records else hard_limit
             ):
                 break
-            waiting.popleft()
-            self._queued_bytes -= size
+            queue.popleft()
+            self._queued_bytes -= size_bytes
             if pending.outcome is not None:
                 continue
-            taken.append(pending)
-            used += size
-        return taken
+            records.append(pending)
+            used_bytes += size_bytes
+        return records
 
     def _is_full(self, priority: Priority) -> bool:
-        if len(self._waiting[priority]) >= MAX_QUEUED_BY_PRIORITY[priority]:
+        if len(self._queue_by_priority[priority]) >= MAX_QUEUED_BY_PRIORITY[priority]:
             return True
         return priority is Priority.REQUEST and self._queued_bytes >= MAX_QUEUED_BYTES
 
     def _drop_settled(self) -> None:
-        for priority, waiting in self._waiting.items():
-            self._waiting[priority] = deque(
-                pending for pending in waiting if pending.outcome is None
+        for priority, queue in self._queue_by_priority.items():
+            self._queue_by_priority[priority] = deque(
+                pending for pending in queue if pending.outcome is None
             )
         self._queued_bytes = sum(
             pending.size_bytes
-            for waiting in self._waiting.values()
-            for pending in waiting
+            for queue in self._queue_by_priority.values()
+            for pending in queue
         )
--- a/libs/log/src/lycheeloom/log/record_reader.py
+++ b/libs/log/src/lycheeloom/log/record_reader.py
@@ -1,4 +1,4 @@
-"""Reading single request records from the log."""
+"""Reading single submissions and answers from the log."""
 
 from __future__ import annotations
 
@@ -23,15 +23,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordLost:
-    """The log has dropped the record, so it can no longer be read."""
+    """The log has dropped the record, so it can no longer be read.
+
+    ``oldest_offset`` is the oldest offset that the log still keeps.
+    """
 
     oldest_offset: int
 
 
 class RecordReader:
-    """Reads submissions and answers at the offsets that the state keeps.
+    """Reads submissions and answers at the offsets that the fleet state has for them.
 
-    Recent batches come from the tail's ring, others from the log.
+    Recent batches come from the tail's ring, others from the log. Methods return None
+    if ``offset`` is None, if the log cannot be read now, or if the batch at the offset
+    has no such record.
     """
 
     def __init__(self, tail: LogTail, client: LogClient) -> None:
@@ -41,13 +46,13 @@
     def submission(
         self, offset: int | None, request_id: str
     ) -> RequestSubmitted | RecordLost | None:
-        """Return the submission at an offset, or None if not readable now."""
+        """Return the submission of a request from the batch at ``offset``."""
         return self._find(offset, request_id, RequestSubmitted)
 
     def answer(
         self, offset: int | None, request_id: str
     ) -> RequestFinished | RecordLost | None:
-        """Return the answer record at an offset, or None if not readable now."""
+        """Return the answer of a request from the batch at ``offset``."""
         return self._find(offset, request_id, RequestFinished)
 
     def copy(
@@ -56,7 +61,7 @@
         request_id: str,
         kind: type[RequestSubmitted | RequestFinished],
     ) -> CopiedRecord | RecordLost | None:
-        """Return the record as encoded in the log, for appending it again."""
+        """Return the record of ``kind`` as encoded in the log, to append it again."""
         encoded = self._read_encoded(offset)
         if isinstance(encoded, RecordLost):
             return encoded
@@ -79,15 +84,16 @@
     def _read_encoded(self, offset: int | None) -> bytes | RecordLost | None:
         if offset is None:
             return None
-        encoded = self._tail.ring.read(offset, 1)
-        if not encoded:
+        # A limit of 1 byte gives just the first batch.
+        batches = self._tail.ring.read(offset, 1)
+        if not batches:
             answer = self._client.read(offset, 1, 0.0)
             if isinstance(answer, Expired):
                 return RecordLost(answer.oldest)
             if not isinstance(answer, ReadBatches) or answer.first != offset:
                 return None
-            encoded = answer.batches
-        return encoded[0] if encoded else None
+            batches = answer.batches
+        return batches[0] if batches else None
 
 
 def _decode(encoded: bytes | None) -> tuple[Record, ...]:
--- a/libs/log/src/lycheeloom/log/recovery.py
+++ b/libs/log/src/lycheeloom/log/recovery.py
@@ -11,10 +11,11 @@
 from .client import LogClient
 from .snapshot_reader import LogRange, SnapshotReader
 
+# Number of batches in one answer.
 READ_LIMIT = 1000
-# The log may drop the chosen snapshot while it is read; by then a newer one is
-# complete or being written.
-MAX_ATTEMPTS = 3
+# An attempt fails if the log drops the chosen snapshot while it is read. By then a
+# newer snapshot is complete or being written, so another attempt can succeed.
+MAX_RECOVERY_ATTEMPTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,12 +26,13 @@
 
 
 def recover(client: LogClient) -> FleetState | RecoveryFailed:
-    """Return the state at the log's end, replayed from the newest snapshot.
+    """Return the state at the end that the log has when recovery starts.
 
-    Without a snapshot the log is replayed from offset 0.
+    The log is replayed from the newest snapshot, or from offset 0 if there is none. If
+    offset 0 has been dropped, recovery without a snapshot fails.
     """
     outcome: FleetState | RecoveryFailed = RecoveryFailed("not attempted")
-    for _ in range(MAX_ATTEMPTS):
+    for _ in range(MAX_RECOVERY_ATTEMPTS):
         outcome = _recover_once(client)
         if isinstance(outcome, FleetState):
             return outcome
--- a/libs/log/src/lycheeloom/log/snapshot.py
+++ b/libs/log/src/lycheeloom/log/snapshot.py
@@ -1,6 +1,6 @@
 """Splitting a snapshot into log records and assembling it again.
 
-The dump of the state is already compressed with zlib.
+The dump is the serialised state, which is already compressed with zlib.
 """
 
 from __future__ import annotations
@@ -17,7 +17,10 @@
 def split_snapshot(
     snapshot_id: str, covers_offset: int, dump: bytes, chunk_bytes: int = CHUNK_BYTES
 ) -> list[SnapshotChunk]:
-    """Split a dump into records; ``covers_offset`` is its last replayed offset."""
+    """Split a dump into chunks.
+
+    ``covers_offset`` is the offset of the last batch that the dump covers.
+    """
     digest = _digest(dump)
     parts = [
         dump[start : start + chunk_bytes] for start in range(0, len(dump), chunk_bytes)
@@ -34,38 +37,43 @@
 
 @dataclass(slots=True)
 class PartialSnapshot:
-    """The chunks of one snapshot that were read so far."""
+    """The chunks of one snapshot that were read so far, out of ``chunk_count``."""
 
     covers_offset: int
-    count: int
+    chunk_count: int
     digest: bytes
-    part_by_index: dict[int, bytes] = field(default_factory=dict)
+    payload_by_index: dict[int, bytes] = field(default_factory=dict)
 
     def add(self, chunk: SnapshotChunk) -> None:
         """Add a chunk; repeated chunks have no effect."""
-        if chunk.index < self.count:
-            self.part_by_index[chunk.index] = chunk.payload
+        if chunk.index < self.chunk_count:
+            self.payload_by_index[chunk.index] = chunk.payload
 
     def assemble(self) -> bytes | None:
         """Return the whole dump, or None while it is incomplete or damaged."""
-        if len(self.part_by_index) < self.count:
+        if len(self.payload_by_index) < self.chunk_count:
             return None
-        dump = b"".join(self.part_by_index[index] for index in range(self.count))
+        dump = b"".join(
+            self.payload_by_index[index] for index in range(self.chunk_count)
+        )
         return dump if _digest(dump) == self.digest else None
 
 
 class SnapshotCollector:
-    """Collects chunks in any order until a snapshot is complete."""
+    """Collects the chunks of several snapshots, in any order.
+
+    Chunks belong to the same snapshot if all their fields but index and payload agree.
+    """
 
     def __init__(self) -> None:
-        self._partial_by_key: dict[tuple[str, int, int, bytes], PartialSnapshot] = {}
+        self._snapshot_by_id: dict[tuple[str, int, int, bytes], PartialSnapshot] = {}
 
     def add(self, chunk: SnapshotChunk) -> PartialSnapshot:
         """Add a chunk and return its snapshot, complete or not."""
-        key = (chunk.snapshot_id, chunk.covers_offset, chunk.count, chunk.digest)
-        partial = self._partial_by_key.get(key)
-        if partial is None:
-            partial = PartialSnapshot(chunk.covers_offset, chunk.count, chunk.digest)
-            self._partial_by_key[key] = partial
-        partial.add(chunk)
-        return partial
+        full_id = (chunk.snapshot_id, chunk.covers_offset, chunk.count, chunk.digest)
+        snapshot = self._snapshot_by_id.get(full_id)
+        if snapshot is None:
+            snapshot = PartialSnapshot(chunk.covers_offset, chunk.count, chunk.digest)
+            self._snapshot_by_id[full_id] = snapshot
+        snapshot.add(chunk)
+        return snapshot
--- a/libs/log/src/lycheeloom/log/snapshot_reader.py
+++ b/libs/log/src/lycheeloom/log/snapshot_reader.py
@@ -13,10 +13,12 @@
 from .client import LogClient
 from .snapshot import SnapshotCollector
 
-# Number of offsets that are read and searched together. As the log limits answers to
-# 4 MiB and batches to 256 KiB, this may take several reads.
+# Number of offsets in a page, the part of the log that is read and then searched
+# backwards. As the log limits answers to 4 MiB and batches to 256 KiB, it may take
+# several reads to get one page.
 PAGE_OFFSETS = 256
-# The log answers a read beyond its end with the offset of its end.
+# An offset beyond the end of any log. The log answers a read from there with the offset
+# of its end.
 BEYOND_END = 2**62
 
 
@@ -46,6 +48,7 @@
                 return f"the log is empty from {oldest} on"
             case Unavailable(reason):
                 return reason
+        # If offset 0 has expired, the answer names the oldest offset.
         match self._client.read(0, 1, 0.0):
             case Expired(oldest):
                 return LogRange(oldest, end)
@@ -54,7 +57,7 @@
         return LogRange(0, end)
 
     def find_newest(self, log_range: LogRange) -> FleetState | None | str:
-        """Return the state of the newest usable snapshot, or None without one."""
+        """Return the state of the newest usable snapshot, or None if there is none."""
         collector = SnapshotCollector()
         end = log_range.end
         while end > log_range.oldest:
@@ -63,12 +66,12 @@
             if isinstance(page, str):
                 return page
             for chunk in _chunks_backwards(page):
-                partial = collector.add(chunk)
+                snapshot = collector.add(chunk)
                 # The log has dropped batches that follow this snapshot, so it cannot
-                # be replayed to the end.
-                if partial.covers_offset + 1 < log_range.oldest:
+                # be replayed from there to its end.
+                if snapshot.covers_offset + 1 < log_range.oldest:
                     continue
-                state = _load_state(partial.assemble(), partial.covers_offset)
+                state = _load_state(snapshot.assemble(), snapshot.covers_offset)
                 if state is not None:
                     return state
             end = start
@@ -102,7 +105,7 @@
 
 
 def _load_state(dump: bytes | None, covers_offset: int) -> FleetState | None:
-    """Return the state of a dump, or None if the dump is not usable."""
+    """Return the state of a dump, or None if there is no usable dump."""
     if dump is None:
         return None
     try:
--- a/libs/log/src/lycheeloom/log/tail.py
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -22,18 +22,22 @@
 from .recovery import RecoveryFailed, recover
 from .ring import BatchRing
 
-# A long poll ends well within FRESHNESS_S (1.5 s), as freshness counts from the
-# time the read was sent.
+# Longest time that a read waits in the log for a batch. A read counts as evidence of
+# freshness from the time it was sent, so it must end well within FRESHNESS_S (1.5 s).
 LONG_POLL_S = 0.25
-# Minimum time between reads. With several hundred appends per second every long poll
-# would return at once; this limits a reader to 25 reads per second.
+# Minimum time between sending two reads while batches arrive. With several hundred
+# appends per second every long poll would return immediately; this limits a reader to
+# 25 reads per second.
 READ_INTERVAL_S = 0.04
+# Number of batches in one answer.
 READ_LIMIT = 1000
-# The log cuts answers off at 4 MiB; an answer below half of that reached its end.
+# The log cuts answers off at 4 MiB. An answer of less than half of that was not cut
+# off, so it reached the end of the log.
 FULL_ANSWER_BYTES = 2 * 1024 * 1024
-# A read on a dead connection ends early enough for another read on a new connection
-# within FRESHNESS_S. While the log is slow the margin grows, as reading records late is
-# better than not reading them.
+# Time that a read may take in addition to its long poll. A read on a dead connection
+# then ends early enough for another read on a new connection within FRESHNESS_S. While
+# the log is slow the margin grows, as reading records late is better than not reading
+# them.
 READ_MARGIN_S = 0.5
 MAX_READ_MARGIN_S = 8.0
 INITIAL_RETRY_DELAY_S = 0.05
@@ -42,7 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplayedBatch:
-    """A batch that was applied at ``offset``, as passed to listeners."""
+    """A batch that was applied at ``offset``, as passed to listeners.
+
+    ``encoded`` is the batch as it is in the log; ``applied`` says which of its records
+    took effect.
+    """
 
     offset: int
     batch: Batch
@@ -53,8 +61,8 @@
 class OfferResult(Enum):
     """Result of ``LogTail.offer``.
 
-    ``KNOWN`` means that the batch had been replayed before, ``GAP`` that batches
-    before it are missing.
+    ``APPLIED`` means that the batch was at the next offset, ``KNOWN`` that it had been
+    replayed before, and ``GAP`` that batches before it are missing.
     """
 
     APPLIED = "applied"
@@ -65,8 +73,9 @@
 class LogTail:
     """Keeps a ``FleetState`` up to date from the log and from peers.
 
-    ``state`` is replaced when the log has dropped offsets that were not read yet, so
-    keep a reference to the tail, not to the state.
+    When the log has dropped offsets that were not read yet, ``state`` is replaced by
+    another object, recovered from a snapshot. Therefore keep a reference to the tail,
+    not to the state.
     """
 
     def __init__(
@@ -80,10 +89,11 @@
     ) -> None:
         self.state = state
         self.ring = ring or BatchRing()
-        # When the last read that reached the end of the log was sent.
+        # When the latest read was sent whose answer reached the end of the log.
         self.last_read_sent_at = -math.inf
         self.undecodable_batches = 0
         self.failed_reads = 0
+        # How often ``state`` was replaced.
         self.resets = 0
         self._client = client
         self._clock = clock
@@ -92,7 +102,7 @@
         )
         self._listeners: list[Callable[[ReplayedBatch], None]] = []
         self._reset_listeners: list[Callable[[FleetState], None]] = []
-        self._margin_s = READ_MARGIN_S
+        self._read_margin_s = READ_MARGIN_S
         self._greenlet: gevent.Greenlet | None = None
 
     @property
@@ -101,11 +111,14 @@
         return self.state.next_offset
 
     def add_listener(self, listener: Callable[[ReplayedBatch], None]) -> None:
-        """Call ``listener`` after each applied batch; it must not block."""
+        """Call ``listener`` after each applied batch; it must not block.
+
+        Batches that cannot be decoded are skipped without a call.
+        """
         self._listeners.append(listener)
 
     def add_reset_listener(self, listener: Callable[[FleetState], None]) -> None:
-        """Call ``listener`` after the state is replaced from a snapshot."""
+        """Call ``listener`` with the new state after the state was replaced."""
         self._reset_listeners.append(listener)
 
     def start(self) -> None:
@@ -125,26 +138,32 @@
     def step(self) -> float:
         """Read once, replay and return the delay before the next read, in seconds."""
         sent_at = self._clock()
-        first = self.next_offset
+        first_offset = self.next_offset
         answer = self._client.read(
-            first, READ_LIMIT, LONG_POLL_S, margin_s=self._margin_s
+            first_offset, READ_LIMIT, LONG_POLL_S, margin_s=self._read_margin_s
         )
-        took_s = self._clock() - sent_at
+        duration_s = self._clock() - sent_at
         match answer:
             case ReadBatches():
                 self._backoff.reset()
-                self._margin_s = max(READ_MARGIN_S, 2 * (took_s - LONG_POLL_S))
-                return self._apply_answer(answer, first, sent_at)
+                self._read_margin_s = max(READ_MARGIN_S, 2 * (duration_s - LONG_POLL_S))
+                return self._apply_answer(answer, first_offset, sent_at)
             case Expired():
                 return self._reload_from_snapshot()
             case Unavailable():
                 self.failed_reads += 1
-                if took_s >= self._margin_s:
-                    self._margin_s = min(MAX_READ_MARGIN_S, 2 * self._margin_s)
+                # The read timed out, perhaps because the log is slow.
+                if duration_s >= self._read_margin_s:
+                    self._read_margin_s = min(
+                        MAX_READ_MARGIN_S, 2 * self._read_margin_s
+                    )
         return self._backoff.next_delay_s()
 
     def offer(self, offset: int, encoded: bytes) -> OfferResult:
-        """Apply a batch from the log or a peer if it is at the next offset."""
+        """Apply a batch from the log or a peer if it is at the next offset.
+
+        A batch at the next offset that cannot be decoded is skipped.
+        """
         if offset < self.next_offset:
             return OfferResult.KNOWN
         if offset > self.next_offset:
@@ -152,17 +171,25 @@
         self._apply(offset, encoded)
         return OfferResult.APPLIED
 
-    def _apply_answer(self, answer: ReadBatches, first: int, sent_at: float) -> float:
+    def _apply_answer(
+        self, answer: ReadBatches, requested_offset: int, sent_at: float
+    ) -> float:
+        """Replay the batches and return the delay before the next read, in seconds."""
         for offset, encoded in enumerate(answer.batches, answer.first):
             # A peer may have relayed some of these batches in the meantime.
             self.offer(offset, encoded)
-        size = sum(len(encoded) for encoded in answer.batches)
-        reached_end = len(answer.batches) < READ_LIMIT and size < FULL_ANSWER_BYTES
+        size_bytes = sum(len(encoded) for encoded in answer.batches)
+        reached_end = (
+            len(answer.batches) < READ_LIMIT and size_bytes < FULL_ANSWER_BYTES
+        )
         if not reached_end:
             return 0.0
-        if answer.first == first:
+        # An answer to a read beyond the end of the log starts at the end instead. Such
+        # an answer is no evidence of freshness.
+        if answer.first == requested_offset:
             self.last_read_sent_at = sent_at
         if not answer.batches:
+            # The long poll has already waited.
             return 0.0
         return max(0.0, sent_at + READ_INTERVAL_S - self._clock())
 
@@ -179,15 +206,18 @@
             self._notify(listener, replayed)
 
     def _notify(self, listener: Callable, argument: object) -> None:
-        # An exception in one listener must not stop replay, on which freshness and all
-        # other listeners depend.
+        # An exception in one listener must not stop the replay: freshness and all other
+        # listeners depend on it.
         try:
             listener(argument)
         except Exception:
             logger.exception("event=listener_failed offset={}", self.next_offset)
 
     def _reload_from_snapshot(self) -> float:
-        """Replace the state from a snapshot after the log dropped unread offsets."""
+        """Replace the state from a snapshot after the log has dropped unread offsets.
+
+        Returns the delay before the next read, in seconds.
+        """
         recovered = recover(self._client)
         if isinstance(recovered, RecoveryFailed):
             self.failed_reads += 1
--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -1,4 +1,4 @@
-"""Group commit of records to the log."""
+"""Group commit: appending queued records to the log in batches."""
 
 from __future__ import annotations
 
@@ -29,35 +29,40 @@
 
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
-# Limit of acknowledged batches that are not replayed yet, 10 s of batches. At the limit
-# the tail is stuck, and further appends would only grow the backlog.
+# Number of batches that the log has acknowledged but the tail has not replayed yet: the
+# batches of 10 s. A tail that is so far behind is stuck, and further appends would only
+# grow the backlog.
 MAX_AWAITING_REPLAY = 200
 
 
 @dataclass(slots=True)
 class _SealedBatch:
-    """An encoded batch. Its bytes and sequence number are the same in every attempt."""
+    """A batch that is encoded once, so that every append of it has the same bytes.
+
+    ``author`` and ``sequence`` identify the batch in the log.
+    """
 
     author: str
     sequence: int
     records: list[PendingRecord]
     encoded: bytes
-    # Set after an append whose result is unknown: it may still reach the log at any
-    # time.
+    # Set after an append whose result is unknown: that append may still reach the log
+    # at any time.
     may_be_written: bool = False
 
     @property
-    def key(self) -> tuple[str, int]:
+    def batch_id(self) -> tuple[str, int]:
         return self.author, self.sequence
 
 
 class LogWriter:
-    """Appends records in batches and reports their outcome from replay.
+    """Appends records in batches and reports their outcome once they are replayed.
 
     One batch is in flight at a time: if a later sequence number overtook an earlier
-    one, the earlier batch would have no effect. The records of a refused batch return
-    to the queue, so they can still be withdrawn. A batch whose append has an unknown
-    result is repeated unchanged until the tail has replayed it.
+    one, the earlier batch would have no effect. A batch that the log has acknowledged
+    only waits for its replay. The records of a refused batch return to the queue, so
+    they can still be withdrawn. A batch whose append has an unknown result is repeated
+    unchanged until the tail has replayed it, also if a repetition is refused.
     """
 
     def __init__(
@@ -91,7 +96,7 @@
 
     @property
     def queued_records(self) -> int:
-        """How many records wait to be sent."""
+        """How many records are queued, including withdrawn ones not yet removed."""
         return len(self._queue)
 
     @property
@@ -102,14 +107,18 @@
     def append(
         self, record: Record, priority: Priority = Priority.REQUEST
     ) -> PendingRecord:
-        """Queue a record; never blocks."""
+        """Queue a record without blocking.
+
+        If the record is too large or the queue is full, its outcome is already
+        ``NotWritten`` on return.
+        """
         pending = PendingRecord(record, priority, record_size_bound(record))
         self._queue.add(pending)
         self._has_work.set()
         return pending
 
     def change_author(self, author: str) -> None:
-        """Write as a new incarnation; unsent records are settled as not written.
+        """Write as a new incarnation and settle unsent records as not written.
 
         A batch of the old incarnation whose append has an unknown result is still
         repeated until it is replayed, so that its outcome becomes known.
@@ -123,7 +132,7 @@
         self._greenlet = gevent.spawn(self.run)
 
     def stop(self) -> None:
-        """Stop the greenlet and settle all records without an outcome."""
+        """Stop the greenlet and settle all records that have no outcome yet."""
         if self._greenlet is not None:
             self._greenlet.kill()
         self._queue.fail_all("the writer stopped")
@@ -158,7 +167,7 @@
         match answer:
             case Appended():
                 self._in_flight = None
-                self._awaiting_replay[sealed.key] = sealed
+                self._awaiting_replay[sealed.batch_id] = sealed
                 self.appended_batches += 1
                 self._backoff.reset()
                 return self._remaining_interval_s(sent_at)
@@ -171,19 +180,24 @@
         return max(self._backoff.next_delay_s(), self._remaining_interval_s(sent_at))
 
     def _seal_next(self) -> _SealedBatch | None:
+        """Return a batch of queued records, or None if there is none to send."""
         records = self._queue.take_batch()
         try:
             return self._encode(records)
         except ValueError:
-            # A record cannot be encoded. This is rare, so records are tested one by one
-            # only now.
-            return self._encode([item for item in records if _can_encode(item)])
+            # At least one record cannot be encoded. This is rare, so the records are
+            # tested one by one only in this case.
+            return self._encode(
+                [pending for pending in records if _can_encode(pending)]
+            )
 
     def _encode(self, records: list[PendingRecord]) -> _SealedBatch | None:
         if not records:
             return None
         sequence = self._last_sequence + 1
-        batch = Batch(self.author, sequence, tuple(item.record for item in records))
+        batch = Batch(
+            self.author, sequence, tuple(pending.record for pending in records)
+        )
         encoded = encode_batch(batch)
         self._last_sequence = sequence
         for pending in records:
@@ -195,6 +209,7 @@
 
     def _handle_refusal(self, sealed: _SealedBatch, reason: AppendRefusal) -> None:
         if sealed.may_be_written:
+            # An earlier append may still reach the log, so the batch stays in flight.
             return
         self._in_flight = None
         if sealed.author != self.author:
@@ -208,34 +223,39 @@
         if len(sealed.records) == 1:
             self._settle_all(sealed, NotWritten(reason))
             return
-        smaller = max(MAX_BATCH_BYTES // 16, self._queue.max_batch_bytes // 2)
-        self._queue.max_batch_bytes = smaller
+        # The log accepts less than assumed. From now on batches are half as large, but
+        # never limited to less than a sixteenth of the initial size.
+        max_batch_bytes = max(MAX_BATCH_BYTES // 16, self._queue.max_batch_bytes // 2)
+        self._queue.max_batch_bytes = max_batch_bytes
         self._queue.put_back(sealed.records)
 
     def _on_replayed(self, replayed: ReplayedBatch) -> None:
-        key = replayed.batch.author, replayed.batch.sequence
-        sealed = self._pop_sealed(key)
+        batch_id = replayed.batch.author, replayed.batch.sequence
+        sealed = self._pop_sealed(batch_id)
         if sealed is None:
             return
         effects = replayed.applied.effective
         for pending, is_effective in zip(sealed.records, effects, strict=True):
-            kind = Effective if is_effective else NoEffect
-            pending.settle(kind(replayed.offset))
+            outcome_type = Effective if is_effective else NoEffect
+            pending.settle(outcome_type(replayed.offset))
 
-    def _pop_sealed(self, key: tuple[str, int]) -> _SealedBatch | None:
+    def _pop_sealed(self, batch_id: tuple[str, int]) -> _SealedBatch | None:
         sealed = self._in_flight
-        if sealed is not None and sealed.key == key:
+        if sealed is not None and sealed.batch_id == batch_id:
             self._in_flight = None
             return sealed
-        return self._awaiting_replay.pop(key, None)
+        return self._awaiting_replay.pop(batch_id, None)
 
     def _on_reset(self, state: FleetState) -> None:
-        """Settle batches that the new state covers but the tail did not replay."""
+        """Settle as unknown the batches that the new state covers.
+
+        The tail has not replayed these batches and never will.
+        """
         sealed_batches = [self._in_flight, *self._awaiting_replay.values()]
         for sealed in sealed_batches:
             if sealed is None or state.last_sequence(sealed.author) < sealed.sequence:
                 continue
-            self._pop_sealed(sealed.key)
+            self._pop_sealed(sealed.batch_id)
             self._settle_all(sealed, Unknown("replayed within a snapshot"))
 
     def _settle_all(self, sealed: _SealedBatch, outcome: NotWritten | Unknown) -> None:
@@ -246,6 +266,7 @@
 def _can_encode(pending: PendingRecord) -> bool:
     """Tell whether a record can be encoded; if not, settle it as not written."""
     try:
+        # Author and sequence number do not matter for the test.
         encode_batch(Batch("", 1, (pending.record,)))
     except ValueError as error:
         pending.settle(NotWritten(str(error)))
