--- a/libs/cluster/src/lycheeloom/cluster/framing.py
+++ b/libs/cluster/src/lycheeloom/cluster/framing.py
@@ -1,4 +1,8 @@
-"""Length-prefixed frames of peer messages on a TCP connection."""
+"""Length-prefixed frames of peer messages on a TCP connection.
+
+A frame is a header of 4 bytes and the encoded message. The header is the length of the
+rest; its highest bit is set if the rest is compressed.
+"""
 
 from __future__ import annotations
 
@@ -18,8 +22,8 @@
 
 # A relay message carries up to 512 KiB of batches; one batch has at most 256 KiB.
 MAX_FRAME_BYTES = 1024 * 1024
-# Compression shrinks usage lists to about a sixth and heartbeats without them to two
-# thirds.
+# Messages of at least this size are compressed, with zlib at its fastest level. That
+# shrinks usage lists to about a sixth and heartbeats without such lists to two thirds.
 COMPRESSION_THRESHOLD_BYTES = 64
 COMPRESSION_LEVEL = 1
 _HEADER = struct.Struct(">I")
@@ -54,6 +58,7 @@
 def _decompress(body: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
+        # Without the limit a small frame could exhaust the memory.
         plain = decompressor.decompress(body, MAX_FRAME_BYTES)
     except zlib.error as error:
         raise PeerConnectionError(str(error)) from error
@@ -64,16 +69,18 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """Total bytes sent and received in frames, over several connections."""
+    """Total bytes of frames sent and received, summed over several connections."""
 
     sent_bytes: int = 0
     received_bytes: int = 0
 
 
 class Connection:
-    """A TCP connection that carries frames; every call has a time limit.
+    """A TCP connection that carries frames.
 
-    Calls raise ``PeerConnectionError`` if the connection fails or the time is over.
+    ``call``, ``send`` and ``receive`` end within ``timeout_s``. They raise
+    ``PeerConnectionError`` if the connection fails, the time is over or the peer sends
+    an invalid frame.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -92,7 +99,7 @@
             self._send(message)
 
     def receive(self, timeout_s: float) -> PeerMessage:
-        """Return the next message."""
+        """Wait for the next message and return it."""
         with gevent.Timeout(timeout_s, PeerConnectionError("no message in time")):
             return self._receive()
 
@@ -119,23 +126,27 @@
         data = bytearray()
         while len(data) < size:
             try:
-                part = self._sock.recv(min(65536, size - len(data)))
+                received = self._sock.recv(min(65536, size - len(data)))
             except OSError as error:
                 raise PeerConnectionError(str(error)) from error
-            if not part:
+            if not received:
                 raise PeerConnectionError("connection closed by the peer")
-            data += part
+            data += received
         self.traffic.received_bytes += size
         return bytes(data)
 
 
 def connect(address: str, timeout_s: float) -> Connection:
-    """Connect to ``host:port``; raises ``PeerConnectionError``."""
+    """Connect to ``address``, which is ``host:port``.
+
+    Raises ``PeerConnectionError`` if that fails or takes longer than ``timeout_s``.
+    """
     host, _, port = address.rpartition(":")
     try:
         sock = socket.create_connection((host, int(port)), timeout_s)
     except (OSError, ValueError) as error:
         raise PeerConnectionError(str(error)) from error
+    # The methods of ``Connection`` have timeouts of their own.
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return Connection(sock)
--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -14,16 +14,22 @@
 from lycheeloom.model.limits import FRESHNESS_S
 from lycheeloom.model.ticks import seconds_until_tick
 
+# Interval of the checks for a pause of the process.
 TICK_S = 0.1
-# A longer gap between two ticks means that the process was paused.
+# If two checks are further apart, the process was paused.
 MAX_TICK_GAP_S = 1.0
-# Limit of positions, and of confirmations, kept for one peer until this process has
-# replayed the log up to them.
+# Number of positions, and of confirmations, that are kept for one peer until this
+# process has replayed the log up to them; the oldest are dropped first.
 MAX_PENDING_PER_PEER = 16
 
 
 class FreshnessReason(StrEnum):
-    """Why the process is fresh; ``STALE`` and ``NOT_A_MEMBER`` say why it is not."""
+    """Why the process is fresh or not.
+
+    It is fresh by its own log reads (``LOG``), by batches from a peer that reads the
+    log (``RELAY``) or by confirmations of a majority of the members (``MAJORITY``). It
+    is not fresh without recent evidence (``STALE``) or if it is ``NOT_A_MEMBER``.
+    """
 
     LOG = "log"
     RELAY = "relay"
@@ -35,9 +41,14 @@
 class Freshness:
     """Collects evidence that the replayed state is recent.
 
-    Evidence is the answer to a log read or to a heartbeat. It holds for
-    ``FRESHNESS_S`` from the time the read or heartbeat was sent, on this process's
-    clock. Evidence from before a pause of the process does not count.
+    There are three kinds of evidence: a log read of this process that reached the end
+    of the log; a position, which says up to where and when a peer had read the log; and
+    confirmations, in which peers say that this process is a member. Confirmations count
+    only from a majority of the members. Positions and confirmations count once this
+    process has replayed the log up to the same offset as the peer.
+
+    Evidence holds for ``FRESHNESS_S`` from the time the read or heartbeat was sent, on
+    this process's clock. Evidence from before a pause of the process does not count.
     """
 
     def __init__(
@@ -53,11 +64,15 @@
         self._last_tick_at = clock()
         self.resumed_at = clock()
         self.pauses = 0
-        self._confirmed_at: dict[str, float] = {}
-        # Pairs of a next offset to be replayed and the send time of a heartbeat.
+        # Send time of the latest heartbeat that each peer has confirmed.
+        self._confirmed_at_by_peer: dict[str, float] = {}
+        # Confirmations that do not count yet: pairs of the offset to be reached and the
+        # send time of the heartbeat.
         self._confirmations_by_peer: dict[str, deque[tuple[int, float]]] = {}
+        # Time of the latest log read of a peer that this process has caught up with.
         self._relayed_at = -math.inf
-        # Pairs of a next offset to be replayed and the time of a peer's log read.
+        # Positions that do not count yet: pairs of the offset to be reached and the
+        # time of the peer's log read.
         self._positions_by_peer: dict[str, deque[tuple[int, float]]] = {}
 
     def add_confirmation(self, peer: str, sent_at: float, next_offset: int) -> None:
@@ -65,8 +80,8 @@
 
         The peer had replayed the log up to ``next_offset`` when it answered a
         heartbeat sent at ``sent_at``. The confirmation counts once this process has
-        replayed as much: peers confirm a process at once when it resumes from a pause,
-        and it would otherwise act on the state from before its pause.
+        replayed as much. Without that condition, a process that resumes from a pause
+        would get confirmations immediately and act on its state from before the pause.
         """
         confirmations = self._confirmations_by_peer.setdefault(
             peer, deque(maxlen=MAX_PENDING_PER_PEER)
@@ -75,7 +90,11 @@
         self._apply_reached_confirmations()
 
     def add_position(self, peer: str, read_at: float, next_offset: int) -> None:
-        """Add that at ``read_at`` or later a peer had read up to ``next_offset``."""
+        """Add a peer's position in the log.
+
+        At ``read_at`` or later the peer had read the log up to ``next_offset``, where
+        the log ended.
+        """
         positions = self._positions_by_peer.setdefault(
             peer, deque(maxlen=MAX_PENDING_PER_PEER)
         )
@@ -83,13 +102,13 @@
         self._apply_reached_positions()
 
     def drop_peer(self, peer: str) -> None:
-        """Drop the evidence from a peer that is no longer a member."""
-        self._confirmed_at.pop(peer, None)
+        """Drop the confirmations and waiting positions of a peer that is no member."""
+        self._confirmed_at_by_peer.pop(peer, None)
         self._confirmations_by_peer.pop(peer, None)
         self._positions_by_peer.pop(peer, None)
 
     def tick(self) -> None:
-        """Detect a pause of the process; to be called every ``TICK_S``."""
+        """Detect a pause of the process; must be called at least every ``TICK_S``."""
         now = self._clock()
         if now - self._last_tick_at > MAX_TICK_GAP_S:
             self.resumed_at = now
@@ -111,7 +130,7 @@
 
     def explain(self) -> FreshnessReason:
         """Return why the process is fresh now, or why it is not."""
-        # After a pause this may run before the next regular tick.
+        # After a pause this method may run before the next regular call of ``tick``.
         self.tick()
         if not self._tail.state.members.is_active(self._own_incarnation()):
             return FreshnessReason.NOT_A_MEMBER
@@ -135,23 +154,27 @@
         for peer, confirmations in self._confirmations_by_peer.items():
             while confirmations and confirmations[0][0] <= self._tail.next_offset:
                 sent_at = confirmations.popleft()[1]
-                known_at = self._confirmed_at.get(peer, -math.inf)
-                self._confirmed_at[peer] = max(sent_at, known_at)
+                previous_at = self._confirmed_at_by_peer.get(peer, -math.inf)
+                self._confirmed_at_by_peer[peer] = max(sent_at, previous_at)
 
     def _majority_confirmed_at(self) -> float:
-        """Return the latest time since which a majority has confirmed heartbeats."""
+        """Return the latest time for which a majority of the members has confirmed.
+
+        Each peer of the majority has confirmed a heartbeat sent at that time or later.
+        """
         own = self._own_incarnation()
         members = [member.incarnation for member in self._tail.state.members.active()]
-        needed = len(members) // 2
-        if needed == 0:
+        # With this process itself these peers are a majority.
+        needed_peers = len(members) // 2
+        if needed_peers == 0:
             # A single member is a majority by itself.
             return self._clock()
-        times = sorted(
+        confirmed_times = sorted(
             (
-                self._confirmed_at.get(member, -math.inf)
+                self._confirmed_at_by_peer.get(member, -math.inf)
                 for member in members
                 if member != own
             ),
             reverse=True,
         )
-        return times[needed - 1]
+        return confirmed_times[needed_peers - 1]
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -21,27 +21,32 @@
     from .mesh import PeerMesh
 
 CONNECT_TIMEOUT_S = 0.4
-# Minimum time between heartbeats, also if one is sent early.
+# Minimum time between two heartbeats, even if one is requested early.
 MIN_HEARTBEAT_GAP_S = 0.1
-# A dead connection is closed early enough to send a heartbeat over a new one before
-# FRESHNESS_S (1.5 s) has passed since the last answered heartbeat: the sum of one
-# heartbeat interval (0.5 s), this timeout and a round trip is smaller.
+# A dead connection is closed early enough that a heartbeat over a new connection is
+# answered before FRESHNESS_S (1.5 s) has passed since the last answered heartbeat was
+# sent: the sum of one heartbeat interval (0.5 s), this timeout and a round trip is
+# smaller.
 ANSWER_TIMEOUT_S = 0.7
-# Records are relayed to a process whose last successful log read is at least this old.
-# A process that reads the log has a read no older than LONG_POLL_S and a round trip;
-# one that does not gets records before it stops being fresh.
+# Batches are relayed to a process whose last successful log read was sent at least this
+# long ago. In a process that can read the log, the last read is no older than
+# LONG_POLL_S and a round trip. A process that cannot read the log gets batches before
+# it stops being fresh (FRESHNESS_S).
 RELAY_AFTER_S = 0.8
-# Bounds the time between heartbeats while a peer catches up; the relay continues with
-# the next heartbeat.
+# Most messages with batches in one exchange. This bounds the time between heartbeats
+# while a peer catches up; the relay continues after the next heartbeat.
 MAX_RELAY_ROUNDS = 8
+# Size of the batches in one message.
 MAX_RELAY_BYTES = 512 * 1024
 
 
 class PeerLink:
-    """Sends heartbeats to one peer and exchanges missing records with it.
+    """Sends heartbeats to one peer and exchanges missing batches with it.
 
-    Each message is answered on the same connection, so one timeout detects a dead
-    connection in either direction.
+    The answer to a heartbeat shows which side has replayed more of the log. If the
+    other side cannot read the log, the side that is ahead relays batches to it. Each
+    message is answered on the same connection, so one timeout detects a dead connection
+    in either direction.
     """
 
     def __init__(
@@ -53,18 +58,18 @@
     ) -> None:
         self.peer = peer
         self.address = address
-        self.replaced_connections = 0
-        # Set to send the next heartbeat before its interval has passed.
-        self.send_early = Event()
+        self.failed_exchanges = 0
+        # To be set to send the next heartbeat before its interval has passed.
+        self.early_heartbeat_requested = Event()
         self._mesh = mesh
         self._connect = connect
-        self._usage = UsageSender()
+        self._usage_sender = UsageSender()
         self._connection: Connection | None = None
 
     def run(self) -> None:
         """Send heartbeats until stopped."""
-        # Gives a new peer time to replay that this process joined: until its heartbeats
-        # show that it has, this process may not vote to expel it.
+        # Gives a new peer time to replay the join of this process. Until the peer's
+        # heartbeats show that it has, this process may not vote to expel the peer.
         gevent.sleep(seconds_until_tick(HEARTBEAT_INTERVAL_S))
         try:
             while True:
@@ -77,15 +82,19 @@
     def _wait_for_next_heartbeat(self, started_at: float) -> None:
         """Wait until the next heartbeat is due or is requested early.
 
-        The heartbeats to all peers are due together, in one pass of the event loop.
+        The heartbeats to all peers are due at the same time, so that one iteration of
+        the event loop sends them all.
         """
-        if self.send_early.wait(seconds_until_tick(HEARTBEAT_INTERVAL_S)):
-            gap_s = started_at + MIN_HEARTBEAT_GAP_S - self._mesh.clock()
-            gevent.sleep(max(0.0, gap_s))
-            self.send_early.clear()
+        if self.early_heartbeat_requested.wait(
+            seconds_until_tick(HEARTBEAT_INTERVAL_S)
+        ):
+            remaining_s = started_at + MIN_HEARTBEAT_GAP_S - self._mesh.clock()
+            gevent.sleep(max(0.0, remaining_s))
+            self.early_heartbeat_requested.clear()
 
     def _exchange_heartbeat_safely(self) -> None:
-        # An unexpected answer, as of another program version, must not end the link.
+        # An unexpected answer, for example from another program version, must not end
+        # the link.
         try:
             self.exchange_heartbeat()
         except Exception:
@@ -93,10 +102,10 @@
             self.close()
 
     def exchange_heartbeat(self) -> bool:
-        """Exchange a heartbeat and missing records; return whether that succeeded.
+        """Exchange a heartbeat and missing batches; return whether that succeeded.
 
-        If an existing connection fails, the exchange is tried again at once on a new
-        one.
+        If an existing connection fails, the exchange is immediately tried again on a
+        new connection.
         """
         if self._connection is not None and self._try_exchange():
             return True
@@ -116,7 +125,7 @@
         except PeerConnectionError:
             return False
         self._connection.traffic = self._mesh.traffic
-        self._usage.reset()
+        self._usage_sender.reset()
         return True
 
     def _try_exchange(self) -> bool:
@@ -124,48 +133,60 @@
             self._exchange()
         except PeerConnectionError:
             self.close()
-            self.replaced_connections += 1
+            self.failed_exchanges += 1
             return False
         return True
 
     def _exchange(self) -> None:
+        """Send a heartbeat, then fetch or push batches until both sides are level.
+
+        Raises ``PeerConnectionError`` if the connection fails.
+        """
         mesh = self._mesh
         sent_at = mesh.clock()
-        usage, complete = self._usage.select(mesh.usage_by_organisation, sent_at)
-        heartbeat = mesh.own_heartbeat(0, usage, complete)
+        usage, is_complete = self._usage_sender.select(
+            mesh.usage_by_organisation, sent_at
+        )
+        heartbeat = mesh.own_heartbeat(0, usage, is_complete)
         answer = self._call_for_heartbeat(heartbeat)
         mesh.handle_answer(self.peer, heartbeat.sent_us, answer, sent_at)
         for _ in range(MAX_RELAY_ROUNDS):
             if answer.next_offset > mesh.tail.next_offset:
+                # The peer is ahead; fetch batches unless this process reads the log.
                 if mesh.log_age_s() < RELAY_AFTER_S or not self._fetch_batches():
                     return
             elif answer.next_offset < mesh.tail.next_offset:
+                # The peer is behind; push batches unless it reads the log.
                 if answer.log_age_ms < RELAY_AFTER_S * 1000:
                     return
-                progress = self._push_batches(answer.next_offset)
-                if progress is None or progress.next_offset <= answer.next_offset:
+                new_answer = self._push_batches(answer.next_offset)
+                if new_answer is None or new_answer.next_offset <= answer.next_offset:
                     return
-                answer = progress
+                answer = new_answer
             else:
                 return
 
     def _fetch_batches(self) -> bool:
-        """Request the batches from the next offset on; return whether any came."""
+        """Request the batches from the next offset on; return whether any was new.
+
+        Returns False if batches are missing in the answer.
+        """
         tail = self._mesh.tail
-        first = tail.next_offset
-        answer = self._call(RangeRequest(first))
+        first_offset = tail.next_offset
+        answer = self._call(RangeRequest(first_offset))
         if not isinstance(answer, RecordRelay):
             raise PeerConnectionError("range request was not answered with records")
         for offset, encoded in enumerate(answer.batches, answer.offset):
             if tail.offer(offset, encoded) is OfferResult.GAP:
                 return False
-        return tail.next_offset > first
+        return tail.next_offset > first_offset
 
-    def _push_batches(self, first: int) -> Heartbeat | None:
-        batches = self._mesh.tail.ring.read(first, MAX_RELAY_BYTES)
+    def _push_batches(self, first_offset: int) -> Heartbeat | None:
+        """Send batches and return the answer, or None if the ring lacks them."""
+        batches = self._mesh.tail.ring.read(first_offset, MAX_RELAY_BYTES)
         if not batches:
             return None
-        return self._call_for_heartbeat(RecordRelay(first, batches))
+        return self._call_for_heartbeat(RecordRelay(first_offset, batches))
 
     def _call_for_heartbeat(self, body: Heartbeat | RecordRelay) -> Heartbeat:
         answer = self._call(body)
@@ -182,7 +203,7 @@
         message = PeerMessage(self._mesh.incarnation, body)
         answer = connection.call(message, ANSWER_TIMEOUT_S)
         if answer.sender != self.peer:
-            # Another incarnation now listens at this address; its answers are no
-            # evidence about the member that this link is for.
+            # Another incarnation now listens at this address. Its answers are no
+            # evidence that the member of this link is alive.
             raise PeerConnectionError(f"answered by incarnation {answer.sender}")
         return answer.body
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -1,7 +1,7 @@
 """Membership of this process, and its part in expelling other members.
 
-It joins, votes to expel silent members, refutes votes against itself and reclaims the
-grants of expelled members, all by records in the log.
+All of this happens by records in the log: a process joins, votes to expel silent
+members, refutes votes against itself and reclaims the grants of expelled members.
 """
 
 from __future__ import annotations
@@ -42,14 +42,15 @@
 
 STEP_INTERVAL_S = 0.2
 LIST_INTERVAL_S = 2.0
-# The instance list lags behind: an instance that is missing in it but was heard more
-# recently than this is still running.
+# The instance list is updated late: a member whose instance is missing in it is still
+# running if the member was heard more recently than this.
 MIN_GONE_SILENCE_S = 2.0
-# A member that has not heard a peer for this long appends a record that shows it is
-# alive, before its peers vote. Otherwise an entry that reaches the log but no peer
-# would be expelled every few seconds and lose its grants each time.
+# A member that has not heard some peer for this long appends a record to show that it
+# is alive itself, before that peer votes to expel it. Otherwise an entry that reaches
+# the log but no peer would be expelled every few seconds and lose its grants each time.
 ASSERT_ALIVE_AFTER_S = SILENCE_TIMEOUT_S / 2
-# Spreads the appends of members that replay the same expulsion at the same time.
+# Longest random delay of a reclaim, so that members that replay the same expulsion at
+# the same time do not all append a record.
 RECLAIM_SPREAD_S = 1.0
 
 
@@ -64,7 +65,7 @@
 
 
 def new_incarnation(instance: str, rng: random.Random | None = None) -> str:
-    """Return a name that no other process on the instance has had.
+    """Return the name of an incarnation that no other process on the instance has had.
 
     ``rng`` must be seeded differently in each process; by default the system's
     random source is used.
@@ -76,8 +77,10 @@
 class MembershipManager:
     """Keeps this process a member and helps to expel members that are gone.
 
-    The writer's author is the incarnation. ``is_replaced`` becomes true when
-    another process has joined on the same instance; this process should then exit.
+    Each time the process joins, it is a new incarnation, which is also the author of
+    the records that it writes. ``on_rejoin`` is called with the incarnation that
+    follows an earlier one. ``is_replaced`` becomes true when another process has joined
+    on the same instance; this process should then exit.
     """
 
     def __init__(
@@ -107,17 +110,21 @@
         self._on_rejoin = on_rejoin
         self._has_left = False
         self._was_member = False
+        # The last append of each record, to avoid a second one while it is pending.
         self._pending_by_record: dict[Record, PendingRecord] = {}
         self._vote_by_target: dict[str, MemberVote] = {}
         self._voted_at: dict[str, float] = {}
         self._first_seen_at: dict[str, float] = {}
+        # Start of the wait for a reclaim, by incarnation and offset of the expulsion.
         self._reclaim_wait_from: dict[tuple[str, int], float] = {}
         self._last_batch_at: dict[str, float] = {}
+        # When this process last appended a record just to show that it is alive.
         self._last_assertion_at = -math.inf
+        # When this process last found its log reads older than ``FRESHNESS_S``.
         self._log_stale_at = -math.inf
         self._last_listing: InstanceList | None = None
-        self._ever_listed: set[str] = set()
-        self._currently_listed: set[str] | None = None
+        self._ever_listed_instances: set[str] = set()
+        self._currently_listed_instances: set[str] | None = None
         tail.add_listener(self._on_replayed)
 
     @property
@@ -145,12 +152,12 @@
             gevent.sleep(seconds_until_tick(LIST_INTERVAL_S))
 
     def observe_instances(self, listing: InstanceList) -> None:
-        """Process the platform's instance list, which lags behind."""
+        """Process the platform's instance list, once for each list object."""
         if listing is self._last_listing:
             return
         self._last_listing = listing
-        self._currently_listed = {item.instance for item in listing.instances}
-        self._ever_listed |= self._currently_listed
+        self._currently_listed_instances = {item.instance for item in listing.instances}
+        self._ever_listed_instances |= self._currently_listed_instances
         self.is_leaving = any(
             item.instance == self.identity.instance
             and item.state is InstanceState.LEAVING
@@ -158,7 +165,7 @@
         )
 
     def leave(self, timeout_s: float) -> Outcome:
-        """Leave the cluster, which frees all grants; call it after the last task."""
+        """Leave the cluster and free all grants; to be called after the last task."""
         self._has_left = True
         return self._writer.append(MemberLeft(), Priority.CONTROL).wait(timeout_s)
 
@@ -188,19 +195,21 @@
         ]
 
     def _join(self) -> None:
+        """Join, wait for the join to take effect, or join as a new incarnation."""
         if self._has_successor():
             self.is_replaced = True
             return
         record = self._join_record()
         pending = self._pending_by_record.get(record)
-        known = self._tail.state.members.member_by_incarnation
-        if self._was_member or self.incarnation in known:
+        member_by_incarnation = self._tail.state.members.member_by_incarnation
+        if self._was_member or self.incarnation in member_by_incarnation:
+            # This incarnation was a member and is expelled.
             self._rejoin()
         elif pending is None or isinstance(pending.outcome, NotWritten):
             self._append(record)
         elif pending.outcome is not None:
-            # The record may have taken effect and the member been expelled since; an
-            # incarnation must not join twice.
+            # The record may have taken effect and this incarnation may have been
+            # expelled since. An incarnation must not join twice.
             self._rejoin()
 
     def _join_record(self) -> MemberJoined:
@@ -216,7 +225,7 @@
     def _has_successor(self) -> bool:
         """Tell whether a newer process has joined on the same instance.
 
-        If this process joined again, the two would expel each other forever.
+        If this process joined again then, the two would expel each other forever.
         """
         return self._was_member and any(
             member.instance == self.identity.instance
@@ -241,6 +250,7 @@
         self._pending_by_record[record] = self._writer.append(record, Priority.CONTROL)
 
     def _is_pending(self, record: Record) -> bool:
+        """Tell whether an append of the record has no outcome yet; else forget it."""
         pending = self._pending_by_record.get(record)
         if pending is None:
             return False
@@ -255,6 +265,7 @@
             self._append(MemberRefuted())
 
     def _track_peers(self) -> None:
+        """Start to track new peers and forget former members."""
         now = self._clock()
         peers = {member.incarnation for member in self._peers()}
         for peer in peers:
@@ -270,6 +281,7 @@
             self._last_batch_at[author] = self._clock()
 
     def _assert_alive(self) -> None:
+        """Append a sign of life if a peer, which may not hear this one, is silent."""
         now = self._clock()
         if now - self._last_assertion_at < ASSERT_ALIVE_AFTER_S:
             return
@@ -284,7 +296,10 @@
             self._append(MemberRefuted())
 
     def _last_heard_at(self, member: Member) -> float:
-        """Return the time of the last heartbeat, or since when one could be heard."""
+        """Return when the last heartbeat arrived, or when the silence began to count.
+
+        Silence counts from when the member became known and after a pause.
+        """
         return max(
             self._mesh.view(member.incarnation).heard_at,
             self._first_seen_at[member.incarnation],
@@ -300,10 +315,12 @@
         target = member.incarnation
         if target in self._vote_by_target or self.incarnation in member.votes:
             return
-        # A vote cannot take effect during an outage of the log and would only withhold
-        # confirmations. After an outage each peer gets time to show that it is alive.
+        # During an outage of the log a vote cannot take effect. It would only keep this
+        # process from confirming the peer. After an outage each peer gets time to show
+        # that it is alive.
         if self._clock() - self._log_stale_at < ASSERT_ALIVE_AFTER_S:
             return
+        # The target may have refuted the last vote; it gets time before the next.
         voted_at = self._voted_at.get(target)
         if voted_at is not None and self._clock() - voted_at < SILENCE_TIMEOUT_S:
             return
@@ -314,19 +331,19 @@
             self._vote(target, VoteReason.SILENT)
 
     def _is_gone_from_list(self, member: Member) -> bool:
-        currently_listed = self._currently_listed
+        currently_listed = self._currently_listed_instances
         return (
             currently_listed is not None
-            and member.instance in self._ever_listed
+            and member.instance in self._ever_listed_instances
             and member.instance not in currently_listed
         )
 
     def _has_replayed_own_join(self, member: Member) -> bool:
         """Tell whether the member has replayed that this process joined.
 
-        A member cut off from the log counts majorities among the members that it
-        knows. If members that joined later could vote, they might expel it while a
-        majority of the older members still confirms it.
+        A member that cannot read the log counts majorities among the members that it
+        knows. If processes that joined later could vote, they might expel the member
+        while a majority of the older members still confirms it as a member.
         """
         own = self._tail.state.members.member_by_incarnation[self.incarnation]
         return self._mesh.view(member.incarnation).next_offset > own.joined_at
@@ -340,6 +357,7 @@
         self._append(record)
 
     def _drop_ended_votes(self) -> None:
+        """Forget votes that have ended and confirm their targets again."""
         for target, record in list(self._vote_by_target.items()):
             if self._has_vote_ended(target, record):
                 del self._vote_by_target[target]
@@ -354,13 +372,14 @@
         pending = self._pending_by_record[record]
         if pending.outcome is None:
             heard_at = self._mesh.view(target).heard_at
-            is_back = heard_at > self._voted_at[target]
-            return is_back and pending.withdraw("the peer was heard again")
+            is_heard_again = heard_at > self._voted_at[target]
+            return is_heard_again and pending.withdraw("the peer was heard again")
         if isinstance(pending.outcome, NotWritten):
             return True
         return self.incarnation not in members.member_by_incarnation[target].votes
 
     def _reclaim(self) -> None:
+        """Reclaim the grants of members whose expulsion was seen long enough ago."""
         now = self._clock()
         expulsions = {
             (member.incarnation, member.expelled_at)
@@ -370,7 +389,7 @@
         for expulsion in self._reclaim_wait_from.keys() - expulsions:
             del self._reclaim_wait_from[expulsion]
         for expulsion in expulsions:
-            # It is safe to wait longer, so a random delay is added.
+            # Waiting longer is safe, so a random delay is added when the wait starts.
             spread_s = self._rng.random() * RECLAIM_SPREAD_S
             wait_from = self._reclaim_wait_from.setdefault(expulsion, now + spread_s)
             record = GrantsReclaimed(*expulsion)
--- a/libs/cluster/src/lycheeloom/cluster/mesh.py
+++ b/libs/cluster/src/lycheeloom/cluster/mesh.py
@@ -30,19 +30,23 @@
 from .link import ANSWER_TIMEOUT_S, MAX_RELAY_BYTES, PeerLink
 from .usage import UsageView
 
-# Peers send heartbeats twice a second; a connection without messages for this long is
-# no longer used by its sender.
+# Peers send heartbeats twice a second, so a connection without messages for this long
+# is no longer used and is closed.
 IDLE_TIMEOUT_S = 10.0
-# Bounds the greenlets of dead connections that were not closed.
+# Bounds the number of greenlets that serve dead connections until their idle timeout.
 MAX_INBOUND_CONNECTIONS = 512
+# Interval of comparing the links with the members.
 SYNC_INTERVAL_S = 0.2
-# Largest value of the heartbeat's field, an unsigned 32-bit integer.
+# Largest value of ``log_age_ms`` in a heartbeat, an unsigned 32-bit integer.
 _MAX_LOG_AGE_MS = 2**32 - 1
 
 
 @dataclass(slots=True)
 class PeerView:
-    """What the latest heartbeats of a peer have told this process."""
+    """What the latest heartbeats of a peer have told this process.
+
+    ``heard_at`` is when the last heartbeat or answer arrived, on this process's clock.
+    """
 
     heard_at: float = -math.inf
     next_offset: int = 0
@@ -51,11 +55,14 @@
 
 
 class PeerMesh:
-    """Exchanges heartbeats, usage and relayed records with the other entries.
+    """Exchanges heartbeats, usage and relayed batches with the other entries.
 
     The peers are the other active members of the replayed state, so call ``start``
-    after the tail has recovered. The entry sets ``usage_by_organisation`` to its local
+    after the state was recovered. The entry sets ``usage_by_organisation`` to its own
     usage; ``usage_by_peer()`` returns the usage of the other entries.
+
+    An answer to a heartbeat confirms that its sender is a member by echoing the
+    heartbeat's send time.
     """
 
     def __init__(
@@ -74,12 +81,13 @@
         self.traffic = Traffic()
         self.usage_by_organisation: dict[str, OrganisationUsage] = {}
         self.reserved_workers: tuple[str, ...] = ()
-        # Answers outcome requests of controllers; set by the entry.
-        self.report_outcomes: Callable[[int], OutcomeReport] = lambda after: (
-            OutcomeReport(after)
+        # Returns the task outcomes after a period, to answer the requests of
+        # controllers; replaced by the entry.
+        self.report_outcomes: Callable[[int], OutcomeReport] = lambda after_period: (
+            OutcomeReport(after_period)
         )
-        # Members that this process votes to expel; it does not confirm their
-        # heartbeats.
+        # Members that this process votes to expel. It answers their heartbeats without
+        # confirming that they are members.
         self.unconfirmed_peers: set[str] = set()
         self._freshness = freshness
         self._connect = connect
@@ -90,7 +98,10 @@
         self._sync_greenlet: gevent.Greenlet | None = None
 
     def start(self, host: str, port: int = 0) -> int:
-        """Listen and connect to peers; returns the port."""
+        """Listen, connect to the peers and return the port of the listening socket.
+
+        With port 0 the system chooses a port.
+        """
         self._server = StreamServer(
             (host, port), self._serve, spawn=Pool(MAX_INBOUND_CONNECTIONS)
         )
@@ -99,7 +110,7 @@
         return self._server.server_port
 
     def stop(self) -> None:
-        """Close all connections."""
+        """Close the links to peers and stop listening."""
         if self._sync_greenlet is not None:
             self._sync_greenlet.kill()
         for peer in list(self._link_by_peer):
@@ -108,7 +119,7 @@
             self._server.stop(timeout=0.1)
 
     def view(self, peer: str) -> PeerView:
-        """Return the view of a peer; for an unknown peer, that of a silent one."""
+        """Return the view of a peer; for an unknown peer, one that was never heard."""
         return self._view_by_peer.get(peer) or PeerView()
 
     def usage_by_peer(self) -> Mapping[str, Mapping[str, OrganisationUsage]]:
@@ -131,10 +142,11 @@
         )
 
     def reserve_workers(self, workers: tuple[str, ...]) -> None:
-        """Set the workers that this process needs and tell peers of new ones early.
+        """Set the workers that this process needs for large or urgent tasks.
 
-        The next regular heartbeat, up to 0.5 s later, is too late: by then peers have
-        used the capacity that was freed for an urgent task.
+        If a worker is new, the heartbeats to all peers are sent early. The next regular
+        heartbeat, up to 0.5 s later, would be too late: by then peers would have used
+        the capacity that was freed for an urgent task.
         """
         if set(workers) <= set(self.reserved_workers):
             # No worker is new, so the next regular heartbeat is early enough.
@@ -142,10 +154,13 @@
             return
         self.reserved_workers = workers
         for link in self._link_by_peer.values():
-            link.send_early.set()
+            link.early_heartbeat_requested.set()
 
     def log_age_s(self) -> float:
-        """Return the time since the last log read that reached its end was sent."""
+        """Return the age of the last log read whose answer reached the end of the log.
+
+        The age counts from the time the read was sent.
+        """
         return self.clock() - self.tail.last_read_sent_at
 
     def sync_peers(self) -> None:
@@ -171,13 +186,17 @@
         usage: tuple[OrganisationUsage, ...] = (),
         complete: bool = False,
     ) -> Heartbeat:
-        """Return a heartbeat of this process to send now."""
+        """Return a heartbeat of this process to send now.
+
+        ``echo_us`` is the send time of the heartbeat to confirm; 0 confirms none.
+        """
         age_s = self.log_age_s()
         age_ms = (
             _MAX_LOG_AGE_MS
             if age_s * 1000 > _MAX_LOG_AGE_MS
             else math.ceil(age_s * 1000)
         )
+        # The send time must not be 0, as an echo of 0 confirms nothing.
         return Heartbeat(
             max(1, int(self.clock() * 1_000_000)),
             echo_us,
@@ -192,10 +211,13 @@
     def handle_answer(
         self, peer: str, sent_us: int, answer: Heartbeat, sent_at: float
     ) -> None:
-        """Handle a peer's answer to a heartbeat that was sent at ``sent_at``."""
+        """Handle a peer's answer to a heartbeat that was sent at ``sent_at``.
+
+        ``sent_us`` is the send time as written in the heartbeat.
+        """
         self._update_view(peer, answer)
-        # The peer measured the age of its log read after the heartbeat was sent, so
-        # that read was sent at ``read_at`` or later.
+        # The peer measured the age of its last log read after the heartbeat was sent,
+        # so the peer has sent this read at ``read_at`` or later.
         read_at = sent_at - answer.log_age_ms / 1000
         self._freshness.add_position(peer, read_at, answer.next_offset)
         if answer.echo_us == sent_us:
@@ -220,16 +242,18 @@
             case OutcomeRequest(after_period):
                 return self._answer(self.report_outcomes(after_period))
             case OutcomeReport():
-                # Only sent as an answer; a sender by mistake gets a heartbeat.
+                # A report is only an answer. If a peer sends one by mistake, a
+                # heartbeat is returned.
                 return self._answer(self.own_heartbeat(0))
 
     def _answer(self, body: PeerBody) -> PeerMessage:
         return PeerMessage(self.incarnation, body)
 
     def _apply_relay(self, offset: int, batches: tuple[bytes, ...]) -> None:
-        # At a gap, the next offset in the answer tells the sender where to continue.
-        for position, encoded in enumerate(batches, offset):
-            if self.tail.offer(position, encoded) is OfferResult.GAP:
+        # After a gap the rest cannot be applied; ``next_offset`` in the answer tells
+        # the sender where to continue.
+        for batch_offset, encoded in enumerate(batches, offset):
+            if self.tail.offer(batch_offset, encoded) is OfferResult.GAP:
                 return
 
     def _may_confirm(self, peer: str) -> bool:
--- a/libs/cluster/src/lycheeloom/cluster/node.py
+++ b/libs/cluster/src/lycheeloom/cluster/node.py
@@ -1,4 +1,4 @@
-"""The log and cluster components of one entry, connected to each other."""
+"""The log and cluster components of one process, connected to each other."""
 
 from __future__ import annotations
 
@@ -20,9 +20,10 @@
 
 
 class ClusterNode:
-    """The tail, writer, freshness, mesh and membership keeper of one process.
+    """The tail, writer, freshness, mesh and membership of one process.
 
-    ``state`` comes from ``lycheeloom.log.recover``. Example::
+    ``state`` is the state that ``lycheeloom.log.recover`` has returned. ``on_rejoin``
+    is called with the new incarnation when the process joins again. Example::
 
         node = ClusterNode(identity, client, state, instances.list)
         node.start("0.0.0.0", 7100)
@@ -53,7 +54,7 @@
             clock=clock,
             connect=connect,
         )
-        self.keeper = MembershipManager(
+        self.membership = MembershipManager(
             identity,
             self.writer,
             self.tail,
@@ -67,7 +68,7 @@
         self._greenlets: list[gevent.Greenlet] = []
 
     def start(self, host: str, port: int) -> None:
-        """Listen and start all greenlets.
+        """Listen for peers and start all greenlets.
 
         With port 0 the system chooses a port, and the identity's address is replaced
         by ``host`` and that port.
@@ -75,10 +76,16 @@
         listening_port = self.mesh.start(host, port)
         if port == 0:
             address = f"{host}:{listening_port}"
-            self.keeper.identity = replace(self.keeper.identity, address=address)
+            self.membership.identity = replace(
+                self.membership.identity, address=address
+            )
         self.tail.start()
         self.writer.start()
-        loops = (self.freshness.run, self.keeper.run, self.keeper.poll_instance_list)
+        loops = (
+            self.freshness.run,
+            self.membership.run,
+            self.membership.poll_instance_list,
+        )
         self._greenlets = [gevent.spawn(loop) for loop in loops]
 
     def stop(self) -> None:
--- a/libs/cluster/tests/simulated_cluster.py
+++ b/libs/cluster/tests/simulated_cluster.py
@@ -85,7 +85,7 @@
         if tick % 5 == 0:
             self.mesh.exchange_heartbeats()
         if tick % 2 == 0:
-            self.keeper.step()
+            self.membership.step()
 
 
 class SimulatedCluster:
--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -114,7 +114,7 @@
 def test_paused_entry_is_expelled_and_rejoins(cluster):
     """A paused entry must not be fresh on resuming; it joins as a new incarnation."""
     paused = cluster.node_by_name["a"]
-    old = paused.keeper.incarnation
+    old = paused.membership.incarnation
     paused.is_paused = True
     cluster.run(SILENCE_TIMEOUT_S + 2)
     assert cluster.members() == set("bcde")
@@ -122,7 +122,7 @@
     paused.is_paused = False
     assert not paused.is_fresh and paused.freshness.pauses == 1
     cluster.run(3.0)
-    assert paused.is_fresh and paused.keeper.incarnation != old
+    assert paused.is_fresh and paused.membership.incarnation != old
     members = paused.tail.state.members.member_by_incarnation
     cluster.run(RECLAIM_WAIT_S - 3.0 - 2.0)
     assert old in members and not records_of(cluster, r.GrantsReclaimed)
@@ -163,7 +163,7 @@
 
 def test_vote_against_a_live_entry_is_refuted(cluster):
     """A vote that is not cleared would count towards a later expulsion."""
-    target = cluster.node_by_name["c"].keeper.incarnation
+    target = cluster.node_by_name["c"].membership.incarnation
     vote = r.MemberVote(target, r.VoteReason.SILENT)
     pending = cluster.node_by_name["b"].writer.append(vote, Priority.CONTROL)
     cluster.run(1.0)
@@ -177,7 +177,7 @@
 def test_confirmations_stop_before_the_vote(cluster):
     """Voters must stop confirming an entry before they vote to expel it."""
     node = cluster.node_by_name["b"]
-    target = cluster.node_by_name["a"].keeper.incarnation
+    target = cluster.node_by_name["a"].membership.incarnation
     unconfirmed_at_append = []
     append = node.writer.append
 
@@ -198,8 +198,8 @@
 def test_unsent_vote_is_withdrawn_when_the_peer_is_back(cluster):
     """A vote that waits for the log must not withhold confirmations forever."""
     voter, target = cluster.node_by_name["b"], cluster.node_by_name["a"]
-    voter.keeper._first_seen_at[target.keeper.incarnation] = cluster.clock.now
-    voter.keeper._vote(target.keeper.incarnation, r.VoteReason.SILENT)
+    voter.membership._first_seen_at[target.membership.incarnation] = cluster.clock.now
+    voter.membership._vote(target.membership.incarnation, r.VoteReason.SILENT)
     voter.client.append_faults.append("down")
     cluster.without_log = set(ENTRIES)
     cluster.run(1.0)
@@ -218,7 +218,7 @@
 def test_gone_needs_an_earlier_listing(cluster, lists, expelled):
     """A new entry that is not in the instance list yet must not be expelled."""
     cluster.node_by_name["a"].is_paused = True
-    voter = cluster.node_by_name["b"].keeper
+    voter = cluster.node_by_name["b"].membership
     for names in lists:
         voter.observe_instances(listing(names))
     cluster.run(3.0)
@@ -228,12 +228,12 @@
 def test_listed_as_gone_but_heard(cluster):
     """An entry missing in the instance list must stay a member while it is heard."""
     for node in cluster.node_by_name.values():
-        node.keeper.observe_instances(listing(ENTRIES))
-        node.keeper.observe_instances(listing("bcde", leaving="b"))
+        node.membership.observe_instances(listing(ENTRIES))
+        node.membership.observe_instances(listing("bcde", leaving="b"))
     cluster.run(10)
     assert cluster.members() == set(ENTRIES)
-    assert cluster.node_by_name["b"].keeper.is_leaving
-    assert not cluster.node_by_name["c"].keeper.is_leaving
+    assert cluster.node_by_name["b"].membership.is_leaving
+    assert not cluster.node_by_name["c"].membership.is_leaving
 
 
 def test_new_process_on_the_instance_replaces_the_old(cluster):
@@ -245,14 +245,14 @@
     cluster.node_by_name["old"] = old
     old.is_paused = False
     cluster.run(10)
-    assert old.keeper.is_replaced and not old.is_fresh
-    assert new.keeper.is_member and len(records_of(cluster, r.MemberJoined)) == 6
+    assert old.membership.is_replaced and not old.is_fresh
+    assert new.membership.is_member and len(records_of(cluster, r.MemberJoined)) == 6
 
 
 def test_leaving_member_does_not_rejoin(cluster):
     """A member that has left must not join again."""
     node = cluster.node_by_name["a"]
-    node.keeper._has_left = True
+    node.membership._has_left = True
     pending = node.writer.append(r.MemberLeft(), Priority.CONTROL)
     cluster.run(2.0)
     assert isinstance(pending.outcome, Effective)
@@ -302,7 +302,7 @@
         for data in cluster.log.archive[oracle.next_offset :]:
             oracle.apply(oracle.next_offset, decode_batch(data))
         for node in cluster.node_by_name.values():
-            name = node.keeper.incarnation
+            name = node.membership.incarnation
             if oracle.members.is_active(name):
                 expelled_at.pop(name, None)
                 continue
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -164,7 +164,7 @@
 
     link = PeerLink(mesh, "a", "x", lambda *_: Restarted())
     assert not link.exchange_heartbeat()
-    assert not mesh._freshness._confirmed_at
+    assert not mesh._freshness._confirmed_at_by_peer
 
 
 def test_relay_counts_only_after_replay():
@@ -246,9 +246,9 @@
     link = PeerLink(mesh, "peer", "address", None)
     mesh._link_by_peer = {"peer": link}
     mesh.reserve_workers(("w1",))
-    assert link.send_early.is_set()
-    link.send_early.clear()
+    assert link.early_heartbeat_requested.is_set()
+    link.early_heartbeat_requested.clear()
     mesh.reserve_workers(("w1",))
     mesh.reserve_workers(())
-    assert not link.send_early.is_set()
+    assert not link.early_heartbeat_requested.is_set()
     assert mesh.reserved_workers == ()
--- a/libs/cluster/tests/test_over_tcp.py
+++ b/libs/cluster/tests/test_over_tcp.py
@@ -76,7 +76,7 @@
 
 def test_snapshot_lets_a_new_entry_start(log, entries):
     """A new entry must start from a snapshot if the log has dropped older records."""
-    wait_until(lambda: all(entry.keeper.is_member for entry in entries))
+    wait_until(lambda: all(entry.membership.is_member for entry in entries))
     policy = SnapshotPolicy(retention_s=600)
     snapshots = SnapshotWriter(entries[0].writer, entries[0].tail, policy)
     assert snapshots.is_due() and snapshots.write() is SnapshotResult.WRITTEN
