--- a/libs/cluster/tests/simulated_cluster.py
+++ b/libs/cluster/tests/simulated_cluster.py
@@ -1,6 +1,6 @@
 """A simulated cluster of entries on an in-memory log, without sockets.
 
-The test drives all entries in steps of 100 ms on one clock.
+The test drives all entries in ticks of 100 ms on one clock.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
     def _add_link(self, peer, address):
         link = PeerLink(self, peer, address, self._connect)
         self._link_by_peer[peer] = link
+        # Never started; the mesh kills it when it drops the link.
         self._greenlet_by_peer[peer] = gevent.Greenlet()
 
     def exchange_heartbeats(self):
@@ -33,6 +34,11 @@
 
 
 class FakeConnection:
+    """A connection that calls the mesh of its target directly.
+
+    Set ``is_silent`` to make calls time out although the target is reachable.
+    """
+
     def __init__(self, cluster, source, address):
         self.cluster, self.source, self.address = cluster, source, address
         self.is_silent = False
@@ -46,7 +52,9 @@
         pass
 
 
-class Node(ClusterNode):
+class SimulatedNode(ClusterNode):
+    """An entry whose name is also its instance and its address."""
+
     def __init__(self, cluster, name):
         self.name, self.cluster = name, cluster
         self.is_paused = False
@@ -58,6 +66,7 @@
             recover(self.client),
             lambda: None,
             clock=cluster.clock,
+            # A process that starts again under the same name gets another incarnation.
             rng=random.Random(name + str(len(cluster.log.archive))),
             connect=self._connect,
             mesh_type=SteppedMesh,
@@ -74,6 +83,7 @@
         return self.connections[-1]
 
     def step(self, tick):
+        """Run tick number ``tick``: heartbeats every 0.5 s, membership every 0.2 s."""
         is_cut_off = self.name in self.cluster.without_log
         self.client.read_faults.append("down" if is_cut_off else "")
         self.client.append_faults.append("down" if is_cut_off else "")
@@ -89,10 +99,10 @@
 
 
 class SimulatedCluster:
-    """Entries by name, with a common log and clock, and the faults between them.
+    """Entries by name with a common log and clock, and the faults that they meet.
 
-    Entries in ``without_log`` cannot reach the log. ``groups``, if set, are the sets
-    of entries that reach each other. A node with ``is_paused`` set does not run.
+    Entries in ``without_log`` cannot reach the log. If ``groups`` is set, only entries
+    in the same group reach each other. A node with ``is_paused`` set does not run.
     """
 
     def __init__(self, names):
@@ -107,10 +117,11 @@
         self.run(2.0)
 
     def add(self, name):
-        self.node_by_name[name] = Node(self, name)
+        self.node_by_name[name] = SimulatedNode(self, name)
         return self.node_by_name[name]
 
     def reaches(self, source, target):
+        """Tell whether messages from one entry to another arrive."""
         node = self.node_by_name.get(target)
         if node is None or node.is_paused:
             return False
@@ -119,6 +130,7 @@
         )
 
     def run(self, seconds, check=lambda: None):
+        """Run all entries that are not paused and call ``check`` after each tick."""
         for _ in range(round(seconds / TICK_S)):
             self.clock.now += TICK_S
             self.tick += 1
@@ -128,6 +140,7 @@
             check()
 
     def fresh(self):
+        """Return the names of the entries that are fresh and not paused."""
         return {
             name
             for name, node in self.node_by_name.items()
--- a/libs/cluster/tests/test_freshness.py
+++ b/libs/cluster/tests/test_freshness.py
@@ -8,7 +8,9 @@
 from lycheeloom.cluster import Freshness
 
 
-class Members:
+class FakeMembers:
+    """Three members; this process is ``own``."""
+
     def active(self):
         return [SimpleNamespace(incarnation=name) for name in ("own", "a", "b")]
 
@@ -23,7 +25,7 @@
 
 @pytest.fixture
 def tail():
-    state = SimpleNamespace(members=Members())
+    state = SimpleNamespace(members=FakeMembers())
     return SimpleNamespace(state=state, next_offset=7, last_read_sent_at=-math.inf)
 
 
@@ -33,7 +35,7 @@
 
 
 def test_evidence_from_before_a_pause_does_not_count(freshness, tail, clock):
-    """After a pause a process must first hear from the log or from peers."""
+    """After a pause a process needs new evidence from the log or from peers."""
     freshness.add_confirmation("a", clock.now, next_offset=7)
     tail.last_read_sent_at = clock.now
     assert freshness.is_fresh()
--- a/libs/cluster/tests/test_freshness_after_pause.py
+++ b/libs/cluster/tests/test_freshness_after_pause.py
@@ -1,4 +1,4 @@
-"""Guards against a process that is fresh after a pause although its state is old."""
+"""Guards against a process that is fresh after a pause with a state from before it."""
 
 from __future__ import annotations
 
@@ -40,9 +40,10 @@
 def test_confirmation_counts_once_the_offset_of_the_peer_is_replayed():
     """Guards against starts in a zone that was taken out of service during a pause.
 
-    After a pause of 3 s, heartbeats were answered before the first log read. With
-    these confirmations an entry was fresh before it had replayed the change, and a
-    task started in the zone 3.01 s after the change was accepted.
+    After a pause of 3 s, heartbeats can be answered before the first log read. If their
+    confirmations counted immediately, the entry would be fresh before it had replayed
+    the change of the zone, and could start a task there 3.01 s after that change was
+    accepted.
     """
     freshness, tail, clock = make_freshness()
     clock.now = 3.0
@@ -54,11 +55,11 @@
     assert freshness.is_fresh()
 
 
-def test_confirmations_of_an_outage_need_no_new_offset():
+def test_confirmations_count_while_no_batches_are_appended():
     """Guards against entries that refuse requests during an outage of the log."""
     freshness, _, clock = make_freshness()
-    for now in (2.0, 2.5, 3.0):
-        clock.now = now
+    for sent_at in (2.0, 2.5, 3.0):
+        clock.now = sent_at
         freshness.tick()
-        freshness.add_confirmation("b", now, next_offset=3)
+        freshness.add_confirmation("b", sent_at, next_offset=3)
         assert freshness.is_fresh()
--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -1,4 +1,7 @@
-"""Guards against two holders of one grant and against needless expulsions."""
+"""Guards against expelled entries that still start tasks, and needless expulsions.
+
+The grants of an expelled entry are reclaimed and granted to others.
+"""
 
 import json
 
@@ -15,8 +18,10 @@
 from lycheeloom.model.limits import FRESHNESS_S, RECLAIM_WAIT_S, SILENCE_TIMEOUT_S
 from lycheeloom.wire import decode_batch
 
+# The names of five entries, one letter each.
 ENTRIES = "abcde"
-STATES = (InstanceState.LIVE, InstanceState.LEAVING)
+# Indexed by whether the instance is leaving.
+INSTANCE_STATES = (InstanceState.LIVE, InstanceState.LEAVING)
 
 
 @pytest.fixture
@@ -24,7 +29,7 @@
     return SimulatedCluster(ENTRIES)
 
 
-def records_of(cluster, kind):
+def records_in_log(cluster, kind):
     return [
         record
         for data in cluster.log.archive
@@ -33,38 +38,41 @@
     ]
 
 
-def listing(names, leaving=()):
+def make_instance_list(names, leaving=()):
     return InstanceList(
         tuple(
             ListedInstance(
-                name, "entry", name, "z1", "r1", STATES[name in leaving], "b"
+                name, "entry", name, "z1", "r1", INSTANCE_STATES[name in leaving], "b"
             )
             for name in names
         )
     )
 
 
-def test_all_join_and_are_fresh(cluster):
+def test_all_entries_join_and_are_fresh(cluster):
     """Every new entry must become a member by itself."""
     assert cluster.members() == set(ENTRIES) == cluster.fresh()
-    assert len(records_of(cluster, r.MemberJoined)) == 5
+    assert len(records_in_log(cluster, r.MemberJoined)) == 5
+
 
+def test_live_entries_stay_fresh_in_a_log_outage(cluster):
+    """The loss of an entry during a log outage must not stop the other entries.
 
-def test_log_outage_with_one_entry_lost(cluster):
-    """All live entries must stay fresh in a log outage, which may last 30 minutes."""
+    An outage may last 30 minutes. The lost entry is expelled only after the outage.
+    """
     cluster.without_log = set(ENTRIES)
     cluster.run(60)
     cluster.node_by_name["a"].is_paused = True
     cluster.run(120, lambda: cluster.fresh() == set("bcde") or pytest.fail("not fresh"))
     assert cluster.node_by_name["b"].freshness.explain() is FreshnessReason.MAJORITY
-    assert not records_of(cluster, r.MemberVote)
+    assert not records_in_log(cluster, r.MemberVote)
     cluster.without_log = set()
     cluster.run(SILENCE_TIMEOUT_S + 2)
     assert cluster.members() == set("bcde") == cluster.fresh()
 
 
 @pytest.mark.parametrize(
-    ("without_log", "groups", "fresh"),
+    ("without_log", "groups", "fresh_names"),
     [
         ("", ["abcde"], "abcde"),
         ("a", ["abcde"], "abcde"),
@@ -76,13 +84,17 @@
         ("", ["a", "b", "c", "d", "e"], "abcde"),
     ],
 )
-def test_partitions(cluster, without_log, groups, fresh):
-    """A minority without the log must stop being fresh within ``FRESHNESS_S``."""
+def test_freshness_in_partitions(cluster, without_log, groups, fresh_names):
+    """Entries that reach neither the log nor a majority must stop being fresh.
+
+    Entries that reach one of them, even through a peer, must stay fresh. The limit is
+    ``FRESHNESS_S``.
+    """
     cluster.without_log, cluster.groups = set(without_log), groups
     cluster.run(FRESHNESS_S + 0.2)
-    assert cluster.fresh() == set(fresh)
+    assert cluster.fresh() == set(fresh_names)
     cluster.run(1.0)
-    assert cluster.fresh() == set(fresh)
+    assert cluster.fresh() == set(fresh_names)
 
 
 def test_configuration_reaches_an_entry_without_the_log(cluster):
@@ -97,8 +109,8 @@
     assert cluster.node_by_name["a"].freshness.explain() is FreshnessReason.RELAY
 
 
-def test_long_gap_is_filled_by_range_requests(cluster):
-    """An entry far behind must catch up from a peer's ring, without the log."""
+def test_entry_far_behind_catches_up_through_its_peers(cluster):
+    """An entry that cannot read the log must get many missing batches from peers."""
     cluster.without_log, cluster.groups = {"a"}, ["a", "bcde"]
     cluster.run(1.0)
     writer = cluster.node_by_name["b"].writer
@@ -114,7 +126,7 @@
 def test_paused_entry_is_expelled_and_rejoins(cluster):
     """A paused entry must not be fresh on resuming; it joins as a new incarnation."""
     paused = cluster.node_by_name["a"]
-    old = paused.membership.incarnation
+    old_incarnation = paused.membership.incarnation
     paused.is_paused = True
     cluster.run(SILENCE_TIMEOUT_S + 2)
     assert cluster.members() == set("bcde")
@@ -122,12 +134,12 @@
     paused.is_paused = False
     assert not paused.is_fresh and paused.freshness.pauses == 1
     cluster.run(3.0)
-    assert paused.is_fresh and paused.membership.incarnation != old
+    assert paused.is_fresh and paused.membership.incarnation != old_incarnation
     members = paused.tail.state.members.member_by_incarnation
     cluster.run(RECLAIM_WAIT_S - 3.0 - 2.0)
-    assert old in members and not records_of(cluster, r.GrantsReclaimed)
+    assert old_incarnation in members and not records_in_log(cluster, r.GrantsReclaimed)
     cluster.run(5.0)
-    assert old not in paused.tail.state.members.member_by_incarnation
+    assert old_incarnation not in paused.tail.state.members.member_by_incarnation
     assert cluster.clock.now - expelled_at >= RECLAIM_WAIT_S
 
 
@@ -137,11 +149,11 @@
     cluster.run(SILENCE_TIMEOUT_S + 5)
     cluster.without_log, cluster.groups = set(), None
     cluster.run(SILENCE_TIMEOUT_S)
-    assert len(records_of(cluster, r.MemberJoined)) == 5
+    assert len(records_in_log(cluster, r.MemberJoined)) == 5
     assert cluster.fresh() == set(ENTRIES)
 
 
-def test_short_pause_needs_new_evidence(cluster):
+def test_entry_is_stale_after_a_short_pause_until_new_evidence(cluster):
     """Evidence from before a pause must not count, as it may be out of date."""
     node = cluster.node_by_name["a"]
     node.is_paused = True
@@ -157,36 +169,38 @@
     cluster.groups = ["a", "bcde"]
     cluster.run(30)
     assert cluster.members() == set(ENTRIES) == cluster.fresh()
-    assert len(records_of(cluster, r.MemberJoined)) == 5
-    assert len(records_of(cluster, r.MemberRefuted)) <= 5 * 30 / (SILENCE_TIMEOUT_S / 2)
+    assert len(records_in_log(cluster, r.MemberJoined)) == 5
+    assert len(records_in_log(cluster, r.MemberRefuted)) <= 5 * 30 / (
+        SILENCE_TIMEOUT_S / 2
+    )
 
 
-def test_vote_against_a_live_entry_is_refuted(cluster):
-    """A vote that is not cleared would count towards a later expulsion."""
+def test_live_entry_refutes_a_vote_against_it(cluster):
+    """A vote that is not refuted would count towards a later expulsion."""
     target = cluster.node_by_name["c"].membership.incarnation
     vote = r.MemberVote(target, r.VoteReason.SILENT)
     pending = cluster.node_by_name["b"].writer.append(vote, Priority.CONTROL)
     cluster.run(1.0)
     assert isinstance(pending.outcome, Effective)
-    assert len(records_of(cluster, r.MemberRefuted)) == 1
+    assert len(records_in_log(cluster, r.MemberRefuted)) == 1
     assert not any(
-        m.votes for m in cluster.node_by_name["b"].tail.state.members.active()
+        member.votes for member in cluster.node_by_name["b"].tail.state.members.active()
     )
 
 
-def test_confirmations_stop_before_the_vote(cluster):
-    """Voters must stop confirming an entry before they vote to expel it."""
+def test_voter_stops_confirming_before_it_votes(cluster):
+    """A vote must not take effect while the voter still confirms the target."""
     node = cluster.node_by_name["b"]
     target = cluster.node_by_name["a"].membership.incarnation
     unconfirmed_at_append = []
     append = node.writer.append
 
-    def watch(record, priority):
+    def observe_append(record, priority):
         if isinstance(record, r.MemberVote):
             unconfirmed_at_append.append(set(node.mesh.unconfirmed_peers))
         return append(record, priority)
 
-    node.writer.append = watch
+    node.writer.append = observe_append
     cluster.node_by_name["a"].is_paused = True
     cluster.run(SILENCE_TIMEOUT_S + 2)
     assert unconfirmed_at_append == [{target}]
@@ -196,7 +210,7 @@
 
 
 def test_unsent_vote_is_withdrawn_when_the_peer_is_back(cluster):
-    """A vote that waits for the log must not withhold confirmations forever."""
+    """A vote that cannot be sent must not withhold confirmations forever."""
     voter, target = cluster.node_by_name["b"], cluster.node_by_name["a"]
     voter.membership._first_seen_at[target.membership.incarnation] = cluster.clock.now
     voter.membership._vote(target.membership.incarnation, r.VoteReason.SILENT)
@@ -207,7 +221,7 @@
 
 
 @pytest.mark.parametrize(
-    ("lists", "expelled"),
+    ("listed_names", "is_expelled"),
     [
         ([ENTRIES, "bcde"], True),
         (["bcde", "bcde"], False),
@@ -215,38 +229,46 @@
         ([ENTRIES, ENTRIES], False),
     ],
 )
-def test_gone_needs_an_earlier_listing(cluster, lists, expelled):
+def test_only_an_instance_listed_before_counts_as_gone(
+    cluster, listed_names, is_expelled
+):
     """A new entry that is not in the instance list yet must not be expelled."""
     cluster.node_by_name["a"].is_paused = True
     voter = cluster.node_by_name["b"].membership
-    for names in lists:
-        voter.observe_instances(listing(names))
+    for names in listed_names:
+        voter.observe_instances(make_instance_list(names))
     cluster.run(3.0)
-    assert ("a" not in cluster.members()) == expelled
+    assert ("a" not in cluster.members()) == is_expelled
+
 
+def test_entry_missing_in_the_list_stays_while_it_is_heard(cluster):
+    """An outdated instance list must not expel an entry that is running.
 
-def test_listed_as_gone_but_heard(cluster):
-    """An entry missing in the instance list must stay a member while it is heard."""
+    An entry that is listed as leaving must know that.
+    """
     for node in cluster.node_by_name.values():
-        node.membership.observe_instances(listing(ENTRIES))
-        node.membership.observe_instances(listing("bcde", leaving="b"))
+        node.membership.observe_instances(make_instance_list(ENTRIES))
+        node.membership.observe_instances(make_instance_list("bcde", leaving="b"))
     cluster.run(10)
     assert cluster.members() == set(ENTRIES)
     assert cluster.node_by_name["b"].membership.is_leaving
     assert not cluster.node_by_name["c"].membership.is_leaving
 
 
-def test_new_process_on_the_instance_replaces_the_old(cluster):
+def test_new_process_on_an_instance_replaces_the_old_one(cluster):
     """Two processes on one instance must not expel each other forever."""
     old = cluster.node_by_name["a"]
     old.is_paused = True
     new = cluster.add("a")
     cluster.run(3.0)
+    # The old process continues beside the new one, under another name in the test.
     cluster.node_by_name["old"] = old
     old.is_paused = False
     cluster.run(10)
     assert old.membership.is_replaced and not old.is_fresh
-    assert new.membership.is_member and len(records_of(cluster, r.MemberJoined)) == 6
+    assert (
+        new.membership.is_member and len(records_in_log(cluster, r.MemberJoined)) == 6
+    )
 
 
 def test_leaving_member_does_not_rejoin(cluster):
@@ -259,11 +281,11 @@
     assert cluster.members() == set("bcde") and not node.is_fresh
 
 
-def test_newer_members_do_not_vote_out_those_that_never_knew_them():
-    """Entries that are fresh by a majority of an older membership must stay members.
+def test_newer_members_cannot_expel_members_that_do_not_know_them():
+    """Entries that are fresh by a majority of the members that they know must stay.
 
-    Two entries are cut off from the log and from members that joined later; they still
-    confirm each other as a majority of the members they know.
+    Two of three entries are cut off from the log, from the third entry and from two
+    that join later. They still confirm each other as a majority of three members.
     """
     cluster = SimulatedCluster("abc")
     cluster.without_log, cluster.groups = set("ab"), ["ab", "cde"]
@@ -278,9 +300,12 @@
     assert cluster.members() == set("bcde") == cluster.fresh()
 
 
-GROUPS = st.lists(st.integers(0, 2), min_size=6, max_size=6)
+# For each of six entries the number of the group that it is in.
+GROUP_NUMBERS = st.lists(st.integers(0, 2), min_size=6, max_size=6)
+# The groups, the entries without the log, the paused entries and the duration in
+# seconds.
 FAULTS = st.tuples(
-    GROUPS,
+    GROUP_NUMBERS,
     st.sets(st.sampled_from("abcdef")),
     st.sets(st.sampled_from("abcdef"), max_size=2),
     st.sampled_from([0.5, 1.3, 4.0, 7.0]),
@@ -289,34 +314,38 @@
 
 @settings(max_examples=40, derandomize=True, deadline=None)
 @given(st.lists(FAULTS, min_size=1, max_size=8))
-def test_an_expelled_entry_is_soon_not_fresh(faults):
+def test_expelled_entry_stops_being_fresh(fault_phases):
     """An expelled entry must stop being fresh within ``FRESHNESS_S``.
 
     Its grants are reclaimed and granted to others, so it must not start tasks.
     """
     cluster = SimulatedCluster("abcd")
-    expelled_at = {}
+    not_member_since = {}
     oracle = recover(FakeClient(cluster.log))
 
     def check():
         for data in cluster.log.archive[oracle.next_offset :]:
             oracle.apply(oracle.next_offset, decode_batch(data))
         for node in cluster.node_by_name.values():
-            name = node.membership.incarnation
-            if oracle.members.is_active(name):
-                expelled_at.pop(name, None)
+            incarnation = node.membership.incarnation
+            if oracle.members.is_active(incarnation):
+                not_member_since.pop(incarnation, None)
                 continue
-            since = expelled_at.setdefault(name, cluster.clock.now)
+            since = not_member_since.setdefault(incarnation, cluster.clock.now)
             if cluster.clock.now - since > FRESHNESS_S:
                 assert node.is_paused or not node.is_fresh
 
-    for step, (groups, without_log, paused, seconds) in enumerate(faults):
-        if step == 2:
+    for phase, (group_numbers, without_log, paused, seconds) in enumerate(fault_phases):
+        if phase == 2:
             cluster.add("e")
             cluster.add("f")
         names = "abcdef"
         cluster.groups = [
-            {n for n, g in zip(names, groups, strict=True) if g == group}
+            {
+                name
+                for name, number in zip(names, group_numbers, strict=True)
+                if number == group
+            }
             for group in range(3)
         ]
         cluster.without_log = without_log
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -1,4 +1,4 @@
-"""Guards against dead connections, invalid frames and outdated usage."""
+"""Guards against dead connections, invalid frames and outdated reports of usage."""
 
 import random
 import struct
@@ -37,6 +37,7 @@
     encode_batch,
 )
 
+# Any valid message of member ``a``.
 HEARTBEAT = PeerMessage("a", Heartbeat(1, 0, 0, 0))
 
 
@@ -54,6 +55,7 @@
     joins = tuple(r.MemberJoined(f"i{n}", n, "127.0.0.1:1", "z") for n in "ab")
     mesh.tail.offer(0, encode_batch(Batch("a", 1, joins)))
     mesh.port = mesh.start("127.0.0.1")
+    # Member ``a`` does not run, so the mesh must not try to connect to it.
     mesh._sync_greenlet.kill()
     yield mesh
     mesh.stop()
@@ -80,7 +82,7 @@
     connection.close()
 
 
-def test_outcomes_are_reported_to_a_process_that_is_no_member(server):
+def test_outcomes_are_reported_to_processes_that_are_no_members(server):
     """Controllers are not members, but need the reports to find failing workers."""
     report = OutcomeReport(9, (OutcomeCount("w1", "find", 2, 1),), ("find",))
     server.report_outcomes = lambda after: report if after == 8 else None
@@ -99,22 +101,22 @@
         struct.pack(">I", 1 << 31 | 8) + b"\xff" * 8,
         struct.pack(">I", 0),
     ],
-    ids=["too long", "garbage", "bad compression", "empty"],
+    ids=["too long", "undecodable", "bad compression", "empty"],
 )
-def test_bad_frames_close_the_connection(server, data):
-    """Invalid frames must neither crash the process nor exhaust its memory."""
+def test_invalid_frame_closes_the_connection(server, data):
+    """An invalid frame must neither crash the process nor exhaust its memory."""
     assert is_closed_after(server.port, data)
     connection = connect(f"127.0.0.1:{server.port}", 1.0)
     assert connection.call(HEARTBEAT, 1.0).sender == "b"
 
 
-def test_compressed_frame_is_bounded_after_expansion(server):
+def test_size_of_a_decompressed_frame_is_limited(server):
     """A small compressed frame must not exhaust the memory when decompressed."""
-    bomb = zlib.compress(bytes(50 * MAX_FRAME_BYTES))
-    assert is_closed_after(server.port, struct.pack(">I", len(bomb) | 1 << 31) + bomb)
+    body = zlib.compress(bytes(50 * MAX_FRAME_BYTES))
+    assert is_closed_after(server.port, struct.pack(">I", len(body) | 1 << 31) + body)
 
 
-def test_silent_peer_ends_a_call_in_time():
+def test_call_to_a_silent_peer_times_out():
     """A call on a connection without answers must end after its timeout."""
     silent = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(10))
     silent.start()
@@ -125,7 +127,7 @@
     silent.stop(timeout=0)
 
 
-def test_large_relay_fits_a_frame(server):
+def test_relay_of_large_batches_fits_into_a_frame(server):
     """Batches of the maximum size must fit into a relay message."""
     for offset in range(1, 5):
         payload = random.Random(offset).randbytes(200_000)
@@ -137,8 +139,8 @@
     connection.close()
 
 
-def test_silent_connections_are_replaced_before_freshness_ends():
-    """If open connections die while new ones work, entries must stay fresh."""
+def test_dead_connections_are_replaced_before_freshness_ends():
+    """If all open connections die but new ones work, entries must stay fresh."""
     assert HEARTBEAT_INTERVAL_S + ANSWER_TIMEOUT_S < FRESHNESS_S
     cluster = SimulatedCluster("abc")
     cluster.without_log = set("abc")
@@ -147,14 +149,15 @@
         for connection in node.connections:
             connection.is_silent = True
     cluster.run(3.0, lambda: cluster.fresh() == set("abc") or pytest.fail("not fresh"))
+    # Each node has replaced its connections to two peers.
     assert all(len(node.connections) == 4 for node in cluster.node_by_name.values())
 
 
 def test_answer_of_another_incarnation_is_no_confirmation():
-    """A new incarnation at an old address must not confirm for the old one."""
+    """An answer from another incarnation at the address must not confirm."""
     mesh = make_mesh("b")
 
-    class Restarted:
+    class ConnectionToAnotherIncarnation:
         def call(self, message, timeout_s):
             echo = Heartbeat(1, message.body.sent_us, 0, 0)
             return PeerMessage("other", echo)
@@ -162,12 +165,12 @@
         def close(self):
             pass
 
-    link = PeerLink(mesh, "a", "x", lambda *_: Restarted())
+    link = PeerLink(mesh, "a", "x", lambda *_: ConnectionToAnotherIncarnation())
     assert not link.exchange_heartbeat()
     assert not mesh._freshness._confirmed_at_by_peer
 
 
-def test_relay_counts_only_after_replay():
+def test_position_of_a_peer_counts_only_after_replay():
     """A peer's position must count only once this process has replayed up to it."""
     clock = Clock()
     tail = LogTail(FakeClient(FakeLog()), FleetState(), clock=clock)
@@ -176,6 +179,7 @@
     freshness = Freshness(tail, lambda: "a", clock=clock)
 
     def advance(seconds):
+        # In steps, as a long time between two ticks counts as a pause.
         for _ in range(10):
             clock.now += seconds / 10
             freshness.tick()
@@ -192,27 +196,27 @@
 
 
 def test_usage_is_sent_as_changes_and_as_complete_lists():
-    """A receiver's view must equal the sender's usage, also after usage ends."""
+    """The receiver's view must equal the sender's usage, also after usage has ended."""
     sender, view = UsageSender(), UsageView()
     rng = random.Random(1)
     sent_us = 0
 
-    def send(usage, now):
+    def send(usage, now_s):
         nonlocal sent_us
         sent_us += 1
-        organisations, complete = sender.select(usage, now)
-        view.update(Heartbeat(sent_us, 0, 0, 0, False, organisations, complete))
-        return organisations, complete
+        sent_usage, is_complete = sender.select(usage, now_s)
+        view.update(Heartbeat(sent_us, 0, 0, 0, False, sent_usage, is_complete))
+        return sent_usage, is_complete
 
     usage = {f"t{i}": OrganisationUsage(f"t{i}", 5, 1) for i in range(50)}
     assert send(usage, 0.0)[1] and view.usage_by_organisation == usage
     assert send(usage, 0.5) == ((), False)
-    for step in range(1, 5):
+    for second in range(1, 5):
         organisation = f"t{rng.randrange(50)}"
-        usage = {**usage, organisation: OrganisationUsage(organisation, step, 0)}
+        usage = {**usage, organisation: OrganisationUsage(organisation, second, 0)}
         usage.pop(f"t{rng.randrange(50)}", None)
-        organisations, complete = send(usage, step)
-        assert not complete and 0 < len(organisations) <= 2
+        sent_usage, is_complete = send(usage, second)
+        assert not is_complete and 0 < len(sent_usage) <= 2
         assert view.usage_by_organisation == usage
     all_changed = {
         organisation: OrganisationUsage(organisation, 9, 9) for organisation in usage
@@ -222,12 +226,16 @@
     assert view.usage_by_organisation == all_changed
     assert send(all_changed, 2 * BACKLOG_INTERVAL_S + 0.2) == ((), False)
     assert send(all_changed, BACKLOG_INTERVAL_S + COMPLETE_INTERVAL_S + 0.2)[1]
+    # A heartbeat that was sent before the others arrives late.
     view.update(Heartbeat(1, 0, 0, 0, False, (OrganisationUsage("late", 1, 1),)))
     assert "late" not in view.usage_by_organisation
 
 
-def test_reserved_workers_follow_the_newest_heartbeat():
-    """Workers that a peer no longer reserves must become usable again."""
+def test_reserved_workers_are_those_of_the_newest_heartbeat():
+    """Workers that a peer no longer reserves must become usable again.
+
+    A heartbeat that arrives late must not change the reservations.
+    """
     view = UsageView()
     view.update(Heartbeat(2, 0, 0, 0, reserved_workers=("w1",)))
     view.update(Heartbeat(1, 0, 0, 0, reserved_workers=("w0",)))
@@ -236,10 +244,10 @@
     assert view.reserved_workers == ()
 
 
-def test_new_reservation_asks_for_an_early_heartbeat():
-    """Guards against peers that use capacity freed for an urgent task.
+def test_only_a_new_reservation_requests_an_early_heartbeat():
+    """Guards against peers that use the capacity that was freed for an urgent task.
 
-    They did so before the next regular heartbeat told them of the reservation.
+    Peers would use it before the next regular heartbeat tells them of the reservation.
     """
     mesh = PeerMesh.__new__(PeerMesh)
     mesh.reserved_workers = ()
--- a/libs/cluster/tests/test_over_tcp.py
+++ b/libs/cluster/tests/test_over_tcp.py
@@ -1,4 +1,4 @@
-"""Guards against faults that show only with greenlets, sockets and timeouts."""
+"""Guards against faults that appear only with real sockets, greenlets and timeouts."""
 
 import json
 import time
@@ -20,16 +20,16 @@
 from lycheeloom.standins import LogLimits, LogStandIn
 from lycheeloom.state import FleetState
 
-# Limits how long a failing test runs; a passing test waits only for its event.
-TIMEOUT_S = 30.0
+# Time limit for each expected event. A passing test waits only until the event.
+EVENT_TIMEOUT_S = 30.0
 
 
-def no_instances():
+def list_no_instances():
     return InstanceList(())
 
 
 def wait_until(condition):
-    deadline = time.monotonic() + TIMEOUT_S
+    deadline = time.monotonic() + EVENT_TIMEOUT_S
     while not condition():
         assert time.monotonic() < deadline
         gevent.sleep(0.02)
@@ -46,7 +46,9 @@
 def entries(log):
     client = LogClient(log.address)
     entries = [
-        ClusterNode(Identity(name, "", "z1"), client, recover(client), no_instances)
+        ClusterNode(
+            Identity(name, "", "z1"), client, recover(client), list_no_instances
+        )
         for name in "abc"
     ]
     for entry in entries:
@@ -56,16 +58,21 @@
         entry.stop()
 
 
-def test_entries_join_and_outlive_a_log_outage(log, entries):
-    """Entries must join, and stay fresh through their peers in a log outage."""
+def test_entries_join_and_stay_fresh_in_a_log_outage(log, entries):
+    """Entries must stay fresh through their peers while the log is down.
+
+    An entry that also loses its peers must not stay fresh.
+    """
     wait_until(lambda: all(entry.freshness.is_fresh() for entry in entries))
     patch = ConfigChanged(0, json.dumps({"name": "new"}))
     pending = entries[0].writer.append(patch, Priority.CONTROL)
-    assert isinstance(pending.wait(TIMEOUT_S), Effective)
-    wait_until(lambda: all(e.tail.state.config.name == "new" for e in entries))
+    assert isinstance(pending.wait(EVENT_TIMEOUT_S), Effective)
+    wait_until(lambda: all(entry.tail.state.config.name == "new" for entry in entries))
     log.set_faults(outage=True)
     wait_until(
-        lambda: all(e.freshness.explain() is FreshnessReason.MAJORITY for e in entries)
+        lambda: all(
+            entry.freshness.explain() is FreshnessReason.MAJORITY for entry in entries
+        )
     )
     entries[0].mesh.stop()
     entries[1].mesh.stop()
@@ -74,8 +81,8 @@
     wait_until(lambda: entries[2].freshness.explain() is FreshnessReason.LOG)
 
 
-def test_snapshot_lets_a_new_entry_start(log, entries):
-    """A new entry must start from a snapshot if the log has dropped older records."""
+def test_new_entry_starts_from_a_snapshot(log, entries):
+    """A new entry must start although the log has dropped its oldest records."""
     wait_until(lambda: all(entry.membership.is_member for entry in entries))
     policy = SnapshotPolicy(retention_s=600)
     snapshots = SnapshotWriter(entries[0].writer, entries[0].tail, policy)
--- a/libs/log/tests/fake_log.py
+++ b/libs/log/tests/fake_log.py
@@ -1,4 +1,4 @@
-"""An in-memory log and clients that inject faults."""
+"""An in-memory log and a client whose calls fail as the test demands."""
 
 from __future__ import annotations
 
@@ -26,9 +26,9 @@
 
 
 class FakeLog:
-    """Keeps every batch in ``archive``; readers see those from ``oldest`` on.
+    """Keeps every batch in ``archive``; readers see only those from ``oldest`` on.
 
-    ``delayed`` holds batches that reach the log only with ``deliver_delayed``.
+    ``delayed`` holds batches that are appended only when ``deliver_delayed`` is called.
     """
 
     def __init__(self) -> None:
@@ -42,10 +42,12 @@
 
 
 class FakeClient:
-    """A client of ``FakeLog``; each call takes the next fault of its queue.
+    """A client of ``FakeLog`` whose calls fail as listed in two queues.
 
-    An empty string means no fault. Append faults are "lost_answer", "lost_request",
-    "delayed" or an ``AppendRefusal`` value; any other string fails a read.
+    Each append takes the next item of ``append_faults``: "lost_answer", "lost_request",
+    "delayed" or an ``AppendRefusal`` value. Each read takes the next item of
+    ``read_faults``, where any text makes the log unavailable. An empty string or an
+    empty queue means no fault.
     """
 
     def __init__(self, log: FakeLog) -> None:
--- a/libs/log/tests/test_writer.py
+++ b/libs/log/tests/test_writer.py
@@ -29,7 +29,7 @@
 
 
 class Process:
-    """A writer and a tail over one client, driven step by step."""
+    """A writer and a tail over one client, which the test drives step by step."""
 
     def __init__(self, log, author="a"):
         self.clock = Clock()
@@ -43,8 +43,8 @@
     def append(self, record, priority=Priority.REQUEST):
         return self.writer.append(record, priority)
 
-    def settle(self, steps=20):
-        for _ in range(steps):
+    def run_rounds(self, rounds=20):
+        for _ in range(rounds):
             self.clock.now += self.writer.step()
             self.tail.step()
 
@@ -59,7 +59,7 @@
     return Process(log)
 
 
-def submitted(request_id, size=1):
+def make_submission(request_id, size=1):
     return r.RequestSubmitted(request_id, "t", "main", b"x" * size)
 
 
@@ -68,7 +68,7 @@
 
 
 @pytest.mark.parametrize(
-    ("faults", "copies"),
+    ("faults", "batches_in_log"),
     [
         ([], 1),
         (["down"] * 5, 1),
@@ -80,49 +80,55 @@
     ],
     ids=str,
 )
-def test_record_takes_effect_once(log, process, faults, copies):
+def test_record_takes_effect_once(log, process, faults, batches_in_log):
     """A lost or delayed append must take effect exactly once."""
     process.client.append_faults.extend(faults)
-    pending = process.append(submitted("q1"))
-    process.settle()
+    pending = process.append(make_submission("q1"))
+    process.run_rounds()
     log.deliver_delayed()
-    process.settle()
+    process.run_rounds()
     assert pending.wait(0) == Effective(0)
-    assert len(log.archive) == copies
+    assert len(log.archive) == batches_in_log
     assert len(process.tail.state.requests.request_by_id) == 1
     assert process.writer.is_idle
 
 
 def test_lost_answer_is_repeated_until_replayed(log, process):
-    """While the tail cannot read, the writer must repeat the same batch."""
+    """Until the tail can read the log, the writer must repeat the same batch."""
     process.client.append_faults.extend(["lost_answer", "lost_answer"])
     process.client.read_faults.append("down")
-    first = process.append(submitted("q1"))
+    first = process.append(make_submission("q1"))
     process.clock.now += process.writer.step()
-    second = process.append(submitted("q2"))
-    process.settle()
+    second = process.append(make_submission("q2"))
+    process.run_rounds()
     assert log.archive[0] == log.archive[1] == log.archive[2]
     assert first.wait(0) == Effective(0)
     assert second.wait(0) == Effective(3)
 
 
-def test_precondition_that_fails_is_reported(process):
-    """A record without effect must not be reported as effective."""
-    first, second = process.append(submitted("q1")), process.append(r.MemberLeft())
-    process.settle()
+def test_unmet_precondition_is_reported(process):
+    """A record without effect must not be reported as effective.
+
+    The author of ``MemberLeft`` is no member.
+    """
+    first, second = (
+        process.append(make_submission("q1")),
+        process.append(r.MemberLeft()),
+    )
+    process.run_rounds()
     assert (first.wait(0), second.wait(0)) == (Effective(0), NoEffect(0))
 
 
 def test_records_share_a_batch_and_control_goes_first(log, process):
     """Configuration must not wait behind queued request records."""
-    requests = [process.append(submitted(f"q{i}", 60_000)) for i in range(20)]
+    requests = [process.append(make_submission(f"q{i}", 60_000)) for i in range(20)]
     config = process.append(r.ConfigChanged(0, '{"name":"x"}'), Priority.CONTROL)
     process.writer.step()
     process.tail.step()
     assert config.wait(0) == Effective(0)
     assert isinstance(decode_batch(log.archive[0]).records[0], r.ConfigChanged)
     assert requests[0].wait(0) == Effective(0)
-    process.settle()
+    process.run_rounds()
     assert all(isinstance(item.wait(0), Effective) for item in requests)
     assert all(len(data) <= MAX_BATCH_BYTES for data in log.archive)
 
@@ -130,19 +136,20 @@
 def test_requests_keep_a_part_of_each_batch(process):
     """Many control records must not hold up request records."""
     for i in range(20):
-        process.append(submitted(f"c{i}", 60_000), Priority.CONTROL)
-    request = process.append(submitted("q1", 30_000))
+        process.append(make_submission(f"c{i}", 60_000), Priority.CONTROL)
+    request = process.append(make_submission("q1", 30_000))
     process.writer.step()
     process.tail.step()
     assert request.wait(0) == Effective(0)
 
 
 def test_commit_interval_bounds_the_batches(log, process):
-    """An entry may append 20 batches a second; more would overload the log."""
+    """A process may append 20 batches a second; more would overload the log."""
     assert COMMIT_INTERVAL_S == 0.05
-    end = process.clock.now + 1.0 - COMMIT_INTERVAL_S / 2
-    while process.clock.now < end:
-        process.append(submitted(f"q{process.clock.now}"))
+    # Half an interval less than 1 s, so that rounding cannot add a batch.
+    ends_at = process.clock.now + 1.0 - COMMIT_INTERVAL_S / 2
+    while process.clock.now < ends_at:
+        process.append(make_submission(f"q{process.clock.now}"))
         process.clock.now += process.writer.step()
         process.tail.step()
     assert len(log.archive) == 20
@@ -151,84 +158,87 @@
 def test_not_written_is_never_reported_for_a_written_record(log, process):
     """``NotWritten`` must never be reported for a record that is in the log."""
     process.client.append_faults.extend(["down"] * 2 + ["lost_answer"] * 100)
-    refused = process.append(submitted("q1"))
+    refused = process.append(make_submission("q1"))
     process.writer.step()
     assert isinstance(refused.wait(0), NotWritten)
-    unclear = process.append(submitted("q2"))
+    unknown = process.append(make_submission("q2"))
     process.writer.step()
     process.writer.step()
-    assert isinstance(unclear.wait(0), Unknown)
-    too_large = process.append(submitted("q3", MAX_BATCH_BYTES))
+    assert isinstance(unknown.wait(0), Unknown)
+    too_large = process.append(make_submission("q3", MAX_BATCH_BYTES))
     assert isinstance(too_large.wait(0), NotWritten)
-    process.settle()
+    process.run_rounds()
     assert {record.request_id for record in records_in(log)} == {"q2"}
-    assert unclear.wait(0) == Effective(0)
+    assert unknown.wait(0) == Effective(0)
 
 
-def test_record_given_up_while_it_is_sent_is_not_sent_again(log, process):
+def test_record_whose_wait_ended_during_a_refused_append_is_not_sent_again(
+    log, process
+):
     """A caller that appends again must not leave the earlier copy in the queue.
 
-    During an outage each copy whose wait timed out during an append stayed queued,
-    and all were written afterwards.
+    If the wait for a record times out during an append that is refused, the record must
+    not return to the queue: after an outage all such copies would be written.
     """
     append = process.client.append
     outcomes = []
 
-    def wait_meanwhile(batch):
+    def append_after_wait_ended(batch):
         outcomes.append(copies[-1].wait(0))
         return append(batch)
 
-    process.client.append = wait_meanwhile
+    process.client.append = append_after_wait_ended
     process.client.append_faults.extend(["down"] * 10)
     copies = []
     for i in range(10):
-        copies.append(process.append(submitted(f"q{i}")))
+        copies.append(process.append(make_submission(f"q{i}")))
         process.writer.step()
     process.client.append = append
-    process.settle()
+    process.run_rounds()
     assert all(isinstance(outcome, Unknown) for outcome in outcomes)
     assert all(isinstance(copy.outcome, NotWritten) for copy in copies)
     assert records_in(log) == []
 
 
-def test_log_with_a_smaller_limit(log, process):
+def test_batches_shrink_for_a_log_with_a_smaller_limit(log, process):
     """A log with a smaller batch limit must not block the queue forever."""
     process.client.append_faults.extend(["too_large"])
-    small = [process.append(submitted(f"q{i}", 50_000)) for i in range(4)]
-    process.settle()
+    shared = [process.append(make_submission(f"q{i}", 50_000)) for i in range(4)]
+    process.run_rounds()
     assert len(log.archive) == 2
-    assert all(isinstance(item.wait(0), Effective) for item in small)
+    assert all(isinstance(item.wait(0), Effective) for item in shared)
     process.client.append_faults.extend(["too_large"])
-    alone = process.append(submitted("q9", 100_000))
-    process.settle()
-    assert isinstance(alone.wait(0), NotWritten)
+    too_large = process.append(make_submission("q9", 100_000))
+    process.run_rounds()
+    assert isinstance(too_large.wait(0), NotWritten)
 
 
-def test_record_that_cannot_be_encoded(process):
+def test_record_that_cannot_be_encoded_is_not_written(process):
     """One invalid record must not stop the writer or the rest of its batch."""
-    before = process.append(submitted("q1"))
-    bad = process.append(r.GrantRequested("t", -1))
-    after = process.append(submitted("q2"))
-    process.settle()
-    assert isinstance(bad.wait(0), NotWritten)
+    before = process.append(make_submission("q1"))
+    invalid = process.append(r.GrantRequested("t", -1))
+    after = process.append(make_submission("q2"))
+    process.run_rounds()
+    assert isinstance(invalid.wait(0), NotWritten)
     assert (before.wait(0), after.wait(0)) == (Effective(0), Effective(0))
 
 
-def test_full_queue_refuses(process):
+def test_full_queue_refuses_records_until_one_is_withdrawn(process):
     """An outage of 30 minutes must not grow the queue without bound."""
     limit = MAX_QUEUED_BY_PRIORITY[Priority.REQUEST]
-    waiting = [process.append(submitted(f"q{i}")) for i in range(limit)]
-    assert isinstance(process.append(submitted("over")).wait(0), NotWritten)
-    assert waiting[0].withdraw()
-    process.append(submitted("next"))
+    queued = [process.append(make_submission(f"q{i}")) for i in range(limit)]
+    assert isinstance(process.append(make_submission("over")).wait(0), NotWritten)
+    assert queued[0].withdraw()
+    process.append(make_submission("next"))
     assert process.writer.queued_records == limit
 
 
-def test_snapshot_that_skips_a_batch_ends_its_repetition(log, process):
-    """A batch covered by the snapshot in use must not be repeated forever."""
+def test_batch_covered_by_a_loaded_snapshot_is_not_repeated(log, process):
+    """A batch that the tail skipped by loading a snapshot must not stay in flight."""
     process.client.append_faults.append("lost_answer")
-    pending = process.append(submitted("q1"))
+    pending = process.append(make_submission("q1"))
     process.writer.step()
+    # The state of another process stands for the one loaded from a snapshot.
     other = Process(log)
     other.tail.step()
     for listener in process.tail._reset_listeners:
@@ -240,15 +250,17 @@
 def test_new_author_does_not_write_unsent_records_of_the_old_one(log, process):
     """Records of an expelled incarnation must not be written by the next one."""
     process.client.append_faults.extend(["lost_request"])
-    sent = process.append(submitted("q1"))
+    sent = process.append(make_submission("q1"))
     process.writer.step()
-    unsent = process.append(submitted("q2"))
+    unsent = process.append(make_submission("q2"))
     process.writer.change_author("b")
-    new = process.append(submitted("q3"))
-    process.settle()
+    new = process.append(make_submission("q3"))
+    process.run_rounds()
     assert isinstance(unsent.wait(0), NotWritten)
     assert (sent.wait(0), new.wait(0)) == (Effective(0), Effective(1))
-    authors = [(b.author, b.sequence) for b in map(decode_batch, log.archive)]
+    authors = [
+        (batch.author, batch.sequence) for batch in map(decode_batch, log.archive)
+    ]
     assert authors == [("a", 1), ("b", 1)]
 
 
@@ -259,7 +271,7 @@
     st.lists(st.text(max_size=20), max_size=20),
 )
 def test_size_bound_covers_encoding(text, data, pools):
-    """The estimated size must not be too small: the log refuses larger batches."""
+    """The bound must not be too small, as the log refuses batches above its limit."""
     wave = r.WaveCommand(text, r.WaveState.ABSENT, r.WaveState.RUNNING, tuple(pools))
     records = (
         r.RequestSubmitted(text, text, text, data, True, text, data),
--- a/libs/state/tests/test_fleet_state.py
+++ b/libs/state/tests/test_fleet_state.py
@@ -1,4 +1,7 @@
-"""Guards against records with unmet preconditions and against uneven replay."""
+"""Guards against effects of records whose preconditions are not met.
+
+Also guards against states that differ after replaying the same batches.
+"""
 
 import json
 
@@ -27,16 +30,20 @@
 
 
 class Log:
-    """Applies single-record batches with consecutive offsets and sequences."""
+    """Applies batches of one record each, with consecutive offsets.
+
+    ``append`` numbers the batches of each author and returns whether the record took
+    effect.
+    """
 
     def __init__(self):
         self.state = FleetState()
         self.batches = []
-        self.sequences = {}
+        self.sequence_by_author = {}
 
     def append(self, author, record):
-        sequence = self.sequences.get(author, 0) + 1
-        self.sequences[author] = sequence
+        sequence = self.sequence_by_author.get(author, 0) + 1
+        self.sequence_by_author[author] = sequence
         return self.apply_batch(Batch(author, sequence, (record,)))
 
     def apply_batch(self, batch):
@@ -54,8 +61,8 @@
     return log
 
 
-# Not valid UTF-8, like most digests; snapshots with such digests failed to be
-# written.
+# Not valid UTF-8, like most digests. Guards against snapshots that cannot be written
+# because of such a digest.
 DIGEST = b"\xff\x00d"
 
 
@@ -66,8 +73,8 @@
     return log.append("a", record)
 
 
-def test_config_needs_expected_version(log):
-    """If two operators change the same version, only the first must take effect."""
+def test_config_change_needs_the_expected_version(log):
+    """If two operators change the same version, only the first may succeed."""
     patch = json.dumps({"name": "x"})
     assert log.append("op1", r.ConfigChanged(1, patch, "one"))
     assert not log.append("op2", r.ConfigChanged(1, patch, "two"))
@@ -78,20 +85,20 @@
 @pytest.mark.parametrize(
     "patch", ["{", json.dumps({"pools": {"p": None}}), json.dumps({"organisations": 3})]
 )
-def test_invalid_config_has_no_effect(log, patch):
+def test_invalid_config_change_has_no_effect(log, patch):
     """An invalid patch, or one that removes a pool in use, must change nothing."""
     assert not log.append("op", r.ConfigChanged(1, patch))
     assert log.state.config.version == 1
 
 
 def test_unknown_config_fields_are_kept(log):
-    """An older program version must keep the optional fields of a newer one."""
+    """An older program version must keep optional fields of a newer one."""
     log.append("op", r.ConfigChanged(1, json.dumps({"zones": {"z1": {"new": 7}}})))
     restored = FleetState.load_snapshot(log.state.dump_snapshot())
     assert restored.configuration.document["zones"]["z1"]["new"] == 7
 
 
-def test_repeated_batch_has_one_effect(log):
+def test_repeated_batch_takes_effect_once(log):
     """An append repeated after a lost answer must not grant twice."""
     batch = Batch("a", 50, (r.GrantRequested("t", 3),))
     assert log.apply_batch(batch)
@@ -122,8 +129,8 @@
     assert grants.usable("a") == 4
 
 
-def test_majority_expels_and_reclaim_needs_the_offset(log):
-    """A dead holder's grants must become free only after expulsion and reclaim."""
+def test_grants_are_reclaimed_only_for_the_offset_of_the_expulsion(log):
+    """A dead holder's grants must stay granted until it is expelled and reclaimed."""
     log.append("c", r.GrantRequested("t", 10))
     log.append("a", r.MemberVote("c", VoteReason.SILENT))
     assert log.state.members.is_active("c")
@@ -136,8 +143,8 @@
     assert log.state.grants.of("t").total() == 0
 
 
-def test_refuted_votes_are_cleared(log):
-    """Votes from before a member was heard again must not count later."""
+def test_refuted_votes_do_not_count(log):
+    """Votes that a member has refuted must not count towards a later expulsion."""
     log.append("a", r.MemberVote("c", VoteReason.SILENT))
     log.append("c", r.MemberRefuted())
     log.append("b", r.MemberVote("c", VoteReason.SILENT))
@@ -151,14 +158,14 @@
     assert not log.append("c", r.GrantRequested("t", 1))
 
 
-def test_idempotency_key_is_taken_once(log):
+def test_idempotency_key_identifies_one_request(log):
     """The same key sent to another entry must not submit a second request."""
     assert submit(log, "q1", "k")
     assert not submit(log, "q2", "k")
     assert log.state.requests.find_by_key("t", "k").request_id == "q1"
 
 
-def test_one_claim_for_each_attempt(log):
+def test_each_attempt_is_claimed_once(log):
     """Two entries that claim one request must not both start it."""
     submit(log)
     assert log.append("a", r.RequestClaimed("q1", 1, "w1", "boot"))
@@ -181,7 +188,7 @@
     assert log.state.requests.request_by_id["q1"].checkpoint == "half"
 
 
-def test_another_member_decides_only_after_reclaim(log):
+def test_another_member_releases_a_claim_only_after_the_reclaim(log):
     """A paused holder's claim must not be released while it may start the task."""
     submit(log)
     log.append("c", r.RequestClaimed("q1", 1, "w1", "boot"))
@@ -196,11 +203,11 @@
     """A holder that has renewed in time must not lose its duty."""
     duty = r.Duty.MAINTENANCE
     assert log.append("x", r.DutyClaimed(duty, 0, 0))
-    seen = log.state.duties.of(duty).renewed_at
+    last_renewal = log.state.duties.of(duty).renewed_at
     assert log.append("x", r.DutyClaimed(duty, 1))
-    assert not log.append("y", r.DutyClaimed(duty, 1, seen))
-    seen = log.state.duties.of(duty).renewed_at
-    assert log.append("y", r.DutyClaimed(duty, 1, seen))
+    assert not log.append("y", r.DutyClaimed(duty, 1, last_renewal))
+    last_renewal = log.state.duties.of(duty).renewed_at
+    assert log.append("y", r.DutyClaimed(duty, 1, last_renewal))
     assert log.state.duties.of(duty).epoch == 2
     assert not log.append("x", r.DutyClaimed(duty, 1))
 
@@ -210,23 +217,23 @@
     log.append("x", r.DutyClaimed(r.Duty.MAINTENANCE, 0))
     pools = log.state.maintenance.pool_by_instance
 
-    def step(stage, epoch=1, move_id="m"):
+    def advance(stage, epoch=1, move_id="m"):
         return log.append("x", r.MoveStep("w1", move_id, stage, epoch, "q"))
 
-    assert not step(MoveStage.DRAINING)
-    assert step(MoveStage.PLANNED)
-    assert not step(MoveStage.PLANNED, move_id="other")
-    assert not step(MoveStage.DRAINING, epoch=0)
-    assert step(MoveStage.DRAINING)
-    assert step(MoveStage.DRAINED)
+    assert not advance(MoveStage.DRAINING)
+    assert advance(MoveStage.PLANNED)
+    assert not advance(MoveStage.PLANNED, move_id="other")
+    assert not advance(MoveStage.DRAINING, epoch=0)
+    assert advance(MoveStage.DRAINING)
+    assert advance(MoveStage.DRAINED)
     assert pools == {"w1": "p"}
-    assert step(MoveStage.JOINED)
+    assert advance(MoveStage.JOINED)
     assert pools == {"w1": "q"}
-    assert not step(MoveStage.JOINED)
+    assert not advance(MoveStage.JOINED)
 
 
 def test_wave_command_needs_the_expected_state(log):
-    """An operator who has not seen a pause must not resume or abort the wave."""
+    """An operator who does not know the current state must not change the wave."""
     start = r.WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING)
     assert log.append("op", start)
     assert not log.append("op", start)
@@ -235,16 +242,16 @@
     assert not log.append("op", pause)
 
 
-def test_expired_answers_free_their_key(log):
+def test_expired_answers_free_their_idempotency_key(log):
     """Expiry must drop answers of the given queue only and free their keys."""
     submit(log, "q1", "k")
     log.append("a", r.RequestCancelled("q1"))
-    through = log.state.next_offset
-    assert not log.append("x", r.AnswersExpired(through))
+    through_offset = log.state.next_offset
+    assert not log.append("x", r.AnswersExpired(through_offset))
     log.append("x", r.DutyClaimed(r.Duty.HOUSEKEEPING, 0))
-    log.append("x", r.AnswersExpired(through, "other"))
+    log.append("x", r.AnswersExpired(through_offset, "other"))
     assert "q1" in log.state.requests.request_by_id
-    log.append("x", r.AnswersExpired(through, "main"))
+    log.append("x", r.AnswersExpired(through_offset, "main"))
     assert log.state.requests.request_by_id == {}
     assert submit(log, "q2", "k")
 
@@ -268,7 +275,7 @@
         FleetState.load_snapshot(log.state.dump_snapshot()[:-9])
 
 
-def test_offsets_must_follow(log):
-    """A skipped offset would make two readers differ."""
+def test_offsets_must_be_consecutive(log):
+    """If one process skipped an offset, the states of two processes would differ."""
     with pytest.raises(ValueError, match="is not"):
         log.state.apply(log.state.next_offset + 1, Batch("a", 99, ()))
