--- a/libs/cluster/src/lycheeloom/cluster/freshness.py
+++ b/libs/cluster/src/lycheeloom/cluster/freshness.py
@@ -92,8 +92,8 @@
     def add_position(self, peer: str, read_at: float, next_offset: int) -> None:
         """Add a peer's position in the log.
 
-        At ``read_at`` or later the peer had read the log up to ``next_offset``, where
-        the log ended.
+        The peer sent a read that reached the end of the log at ``read_at`` or later,
+        and has replayed the log up to ``next_offset``.
         """
         positions = self._positions_by_peer.setdefault(
             peer, deque(maxlen=MAX_PENDING_PER_PEER)
@@ -108,7 +108,10 @@
         self._positions_by_peer.pop(peer, None)
 
     def tick(self) -> None:
-        """Detect a pause of the process; must be called at least every ``TICK_S``."""
+        """Detect a pause of the process; to be called every ``TICK_S``.
+
+        More than ``MAX_TICK_GAP_S`` between two calls counts as a pause.
+        """
         now = self._clock()
         if now - self._last_tick_at > MAX_TICK_GAP_S:
             self.resumed_at = now
--- a/libs/cluster/src/lycheeloom/cluster/link.py
+++ b/libs/cluster/src/lycheeloom/cluster/link.py
@@ -33,10 +33,10 @@
 # LONG_POLL_S and a round trip. A process that cannot read the log gets batches before
 # it stops being fresh (FRESHNESS_S).
 RELAY_AFTER_S = 0.8
-# Most messages with batches in one exchange. This bounds the time between heartbeats
-# while a peer catches up; the relay continues after the next heartbeat.
+# Maximum number of messages with batches in one exchange. This bounds the time between
+# heartbeats while a peer catches up; the relay continues after the next heartbeat.
 MAX_RELAY_ROUNDS = 8
-# Size of the batches in one message.
+# Maximum size of the batches in one message.
 MAX_RELAY_BYTES = 512 * 1024
 
 
@@ -138,9 +138,10 @@
         return True
 
     def _exchange(self) -> None:
-        """Send a heartbeat, then fetch or push batches until both sides are level.
+        """Send a heartbeat, then relay batches if one side needs them.
 
-        Raises ``PeerConnectionError`` if the connection fails.
+        One side needs them if it is behind the other and cannot read the log. Raises
+        ``PeerConnectionError`` if the connection fails.
         """
         mesh = self._mesh
         sent_at = mesh.clock()
@@ -152,11 +153,11 @@
         mesh.handle_answer(self.peer, heartbeat.sent_us, answer, sent_at)
         for _ in range(MAX_RELAY_ROUNDS):
             if answer.next_offset > mesh.tail.next_offset:
-                # The peer is ahead; fetch batches unless this process reads the log.
+                # The peer is ahead: fetch batches unless this process reads the log.
                 if mesh.log_age_s() < RELAY_AFTER_S or not self._fetch_batches():
                     return
             elif answer.next_offset < mesh.tail.next_offset:
-                # The peer is behind; push batches unless it reads the log.
+                # The peer is behind: push batches unless the peer reads the log.
                 if answer.log_age_ms < RELAY_AFTER_S * 1000:
                     return
                 new_answer = self._push_batches(answer.next_offset)
@@ -169,7 +170,7 @@
     def _fetch_batches(self) -> bool:
         """Request the batches from the next offset on; return whether any was new.
 
-        Returns False if batches are missing in the answer.
+        An answer that starts after the next offset cannot be used.
         """
         tail = self._mesh.tail
         first_offset = tail.next_offset
--- a/libs/cluster/src/lycheeloom/cluster/membership.py
+++ b/libs/cluster/src/lycheeloom/cluster/membership.py
@@ -109,9 +109,11 @@
         self._rng = rng or random.Random()
         self._on_rejoin = on_rejoin
         self._has_left = False
+        # Whether the current incarnation has been a member.
         self._was_member = False
         # The last append of each record, to avoid a second one while it is pending.
         self._pending_by_record: dict[Record, PendingRecord] = {}
+        # Votes of this process that have not ended, and when it last voted, by target.
         self._vote_by_target: dict[str, MemberVote] = {}
         self._voted_at: dict[str, float] = {}
         self._first_seen_at: dict[str, float] = {}
@@ -298,7 +300,7 @@
     def _last_heard_at(self, member: Member) -> float:
         """Return when the last heartbeat arrived, or when the silence began to count.
 
-        Silence counts from when the member became known and after a pause.
+        Silence counts from when the member became known, and anew after each pause.
         """
         return max(
             self._mesh.view(member.incarnation).heard_at,
--- a/libs/cluster/src/lycheeloom/cluster/usage.py
+++ b/libs/cluster/src/lycheeloom/cluster/usage.py
@@ -1,4 +1,4 @@
-"""How entries tell each other which resources each organisation uses.
+"""How entries tell each other what each organisation runs and has queued.
 
 Heartbeats carry the usage. A list in a heartbeat is either complete or holds only the
 organisations whose usage has changed since it was last sent to the same peer.
@@ -17,9 +17,9 @@
 # Time between complete lists while more organisations change than one heartbeat can
 # carry. It bounds how long a small change waits behind larger ones.
 BACKLOG_INTERVAL_S = 10.0
-# Most organisations in a list of changes. This bounds the size of a heartbeat when the
-# usage of every organisation changes: the largest changes are sent first and the rest
-# follow in the next heartbeats.
+# Maximum number of organisations in a list of changes. This bounds the size of a
+# heartbeat when the usage of every organisation changes: the largest changes are sent
+# first and the rest follow in the next heartbeats.
 MAX_CHANGED_ORGANISATIONS = 12
 
 
@@ -55,13 +55,13 @@
             self._last_complete_at = now_s
             self._has_backlog = False
             return tuple(usage.values()), True
-        changed = self._changed_usage(usage)
-        if len(changed) > MAX_CHANGED_ORGANISATIONS:
+        changed_usage = self._changed_usage(usage)
+        if len(changed_usage) > MAX_CHANGED_ORGANISATIONS:
             self._has_backlog = True
-            changed = changed[:MAX_CHANGED_ORGANISATIONS]
-        for item in changed:
+            changed_usage = changed_usage[:MAX_CHANGED_ORGANISATIONS]
+        for item in changed_usage:
             self._last_sent[item.organisation] = item
-        return tuple(changed), False
+        return tuple(changed_usage), False
 
     def _changed_usage(
         self, usage: dict[str, OrganisationUsage]
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -22,7 +22,7 @@
 # them, so that many control records do not hold up requests.
 MIN_REQUEST_FRACTION = 0.25
 
-# Number of queued records of each priority.
+# Maximum number of queued records of each priority.
 MAX_QUEUED_BY_PRIORITY = {Priority.CONTROL: 2_000, Priority.REQUEST: 10_000}
 # Request records are refused while the queued records of both priorities have this
 # size in total; control records are limited by number only.
--- a/libs/log/src/lycheeloom/log/recovery.py
+++ b/libs/log/src/lycheeloom/log/recovery.py
@@ -11,7 +11,7 @@
 from .client import LogClient
 from .snapshot_reader import LogRange, SnapshotReader
 
-# Number of batches in one answer.
+# Maximum number of batches in one answer.
 READ_LIMIT = 1000
 # An attempt fails if the log drops the chosen snapshot while it is read. By then a
 # newer snapshot is complete or being written, so another attempt can succeed.
--- a/libs/log/src/lycheeloom/log/tail.py
+++ b/libs/log/src/lycheeloom/log/tail.py
@@ -29,7 +29,7 @@
 # appends per second every long poll would return immediately; this limits a reader to
 # 25 reads per second.
 READ_INTERVAL_S = 0.04
-# Number of batches in one answer.
+# Maximum number of batches in one answer.
 READ_LIMIT = 1000
 # The log cuts answers off at 4 MiB. An answer of less than half of that was not cut
 # off, so it reached the end of the log.
@@ -152,7 +152,7 @@
                 return self._reload_from_snapshot()
             case Unavailable():
                 self.failed_reads += 1
-                # The read timed out, perhaps because the log is slow.
+                # If the read timed out, the log may be slow and need more time.
                 if duration_s >= self._read_margin_s:
                     self._read_margin_s = min(
                         MAX_READ_MARGIN_S, 2 * self._read_margin_s
--- a/libs/log/src/lycheeloom/log/writer.py
+++ b/libs/log/src/lycheeloom/log/writer.py
@@ -29,9 +29,9 @@
 
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
-# Number of batches that the log has acknowledged but the tail has not replayed yet: the
-# batches of 10 s. A tail that is so far behind is stuck, and further appends would only
-# grow the backlog.
+# Maximum number of batches that the log has acknowledged but the tail has not replayed
+# yet: the batches of 10 s. A tail that is so far behind is stuck, and further appends
+# would only grow the backlog.
 MAX_AWAITING_REPLAY = 200
 
 
--- a/libs/state/src/lycheeloom/state/configuration.py
+++ b/libs/state/src/lycheeloom/state/configuration.py
@@ -14,7 +14,8 @@
 )
 from lycheeloom.model.records import ConfigChanged
 
-# Number of latest changes that are kept, so that operators can see who published what.
+# Maximum number of latest changes that are kept, so that operators can see who
+# published what.
 HISTORY_LENGTH = 100
 
 
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -23,9 +23,9 @@
 from .members import Members
 from .requests import Requests
 
-# Number of authors whose last sequence number is kept, to detect repeated batches.
-# Each process and each operator command is an author; the author whose last batch is
-# the oldest is dropped first.
+# Maximum number of authors whose last sequence number is kept, to detect repeated
+# batches. Each process and each operator command is an author; the author whose last
+# batch is the oldest is dropped first.
 MAX_AUTHORS = 10_000
 
 
--- a/libs/state/src/lycheeloom/state/maintenance.py
+++ b/libs/state/src/lycheeloom/state/maintenance.py
@@ -93,7 +93,7 @@
 
 @dataclass(slots=True)
 class Wave:
-    """A maintenance wave over the instances of ``pools``, or of all pools if empty.
+    """A maintenance wave over the instances of ``pools``; empty means all pools.
 
     ``started_at`` is an offset. ``counts_at_end`` holds the counts from the end of the
     wave, as later moves of its instances belong to other waves. It is None until the
@@ -242,6 +242,10 @@
     def _plan_move(
         self, offset: int, record: MoveStep, move: Move | None, pools: Iterable[str]
     ) -> bool:
+        """Start a new move, unless the last one is in progress or has the same id.
+
+        Returns False also if the pool is not one of ``pools``.
+        """
         if move is not None and not move.is_ended():
             return False
         if record.to_pool not in pools:
--- a/libs/state/src/lycheeloom/state/requests.py
+++ b/libs/state/src/lycheeloom/state/requests.py
@@ -144,7 +144,7 @@
     def release(self, record: RequestReleased) -> bool:
         """Make a claimed request pending again.
 
-        The request keeps its last checkpoint if the record has none.
+        The request keeps its last checkpoint if ``record`` has none.
         """
         request_id = record.request_id
         request = self.find_claim(request_id, record.attempt)
@@ -158,7 +158,10 @@
         return True
 
     def finish(self, offset: int, record: RequestFinished) -> bool:
-        """Finish a claimed request, or update the answer offset of a finished one."""
+        """Finish a claimed request, or update the answer offset of a finished one.
+
+        A record with another outcome has no effect on a finished request.
+        """
         request = self.request_by_id.get(record.request_id)
         if request is None or request.attempt != record.attempt:
             return False
