--- a/libs/cluster/tests/test_membership.py
+++ b/libs/cluster/tests/test_membership.py
@@ -303,7 +303,8 @@
 # For each of six entries the number of the group that it is in.
 GROUP_NUMBERS = st.lists(st.integers(0, 2), min_size=6, max_size=6)
 # The groups, the entries without the log, the paused entries and the duration in
-# seconds.
+# seconds. Of the durations 0.5 s is below all time limits, 1.3 s counts as a pause, 4 s
+# outlasts freshness and 7 s also outlasts ``SILENCE_TIMEOUT_S``.
 FAULTS = st.tuples(
     GROUP_NUMBERS,
     st.sets(st.sampled_from("abcdef")),
--- a/libs/cluster/tests/test_mesh.py
+++ b/libs/cluster/tests/test_mesh.py
@@ -93,6 +93,7 @@
     connection.close()
 
 
+# The highest bit of the header marks a compressed frame.
 @pytest.mark.parametrize(
     "data",
     [
@@ -135,6 +136,7 @@
         server.tail.offer(offset, encode_batch(Batch("w", offset, (record,))))
     connection = connect(f"127.0.0.1:{server.port}", 1.0)
     answer = connection.call(PeerMessage("a", RangeRequest(1)), 5.0)
+    # A third batch of 200 kB would exceed ``MAX_RELAY_BYTES``.
     assert answer.body.offset == 1 and len(answer.body.batches) == 2
     connection.close()
 
@@ -185,6 +187,7 @@
             freshness.tick()
 
     advance(0.5)
+    # Member ``b`` has replayed up to offset 2 and sent its last read 0.25 s ago.
     freshness.add_position("b", clock.now - 0.25, 2)
     assert not freshness.is_fresh()
     tail.offer(1, encode_batch(Batch("b", 1, ())))
--- a/libs/log/tests/test_tail_and_snapshots.py
+++ b/libs/log/tests/test_tail_and_snapshots.py
@@ -293,6 +293,7 @@
     add_snapshot(log)
     tail.step()
     assert not snapshots.is_due()
+    # 499 s, and later 49 batches, are just less than half of the retention.
     clock.now += 499
     assert snapshots.is_due()
     # The alert on overdue snapshots uses this age.
--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -49,7 +49,7 @@
 class SnapshotContent:
     """The replayed data, all of which a snapshot holds.
 
-    ``sequence_by_author`` is ordered by the offset of each author's last batch.
+    ``sequence_by_author`` is ordered by the offset of the last batch applied from each author.
     """
 
     next_offset: int = 0
@@ -89,7 +89,7 @@
 
     @property
     def members(self) -> Members:
-        """Entry incarnations that joined and still have grants."""
+        """The members, and expelled members until their grants are reclaimed."""
         return self._content.members
 
     @property
