--- a/libs/state/src/lycheeloom/state/fleet_state.py
+++ b/libs/state/src/lycheeloom/state/fleet_state.py
@@ -49,7 +49,8 @@
 class SnapshotContent:
     """The replayed data, all of which a snapshot holds.
 
-    ``sequence_by_author`` is ordered by the offset of the last batch applied from each author.
+    ``sequence_by_author`` is ordered by the offset of the last batch applied from each
+    author.
     """
 
     next_offset: int = 0
