--- a/libs/model/src/lycheeloom/model/config.py
+++ b/libs/model/src/lycheeloom/model/config.py
@@ -1,8 +1,8 @@
 """Fleet configuration: the published document and its parsed form.
 
 Operators publish a JSON document; programs work with a ``FleetConfig``.
-``parse_config`` converts the whole document, ``change_config`` updates a
-``FleetConfig`` for a patched document.
+``parse_config`` converts a whole document. ``change_config`` updates a ``FleetConfig``
+after a patch of its document, and validates only the changed items if it can.
 """
 
 from .config_change import change_config
--- a/libs/model/src/lycheeloom/model/config_change.py
+++ b/libs/model/src/lycheeloom/model/config_change.py
@@ -32,7 +32,8 @@
 )
 from .fleet_config import FleetConfig, Instance, Queue
 
-# Above this number of changed items, parsing the whole document costs no more.
+# The whole document is parsed if a patch has more items than this. Validating them one
+# by one would not be cheaper.
 MAX_CHANGED_ITEMS = 200
 
 
@@ -68,9 +69,9 @@
     """Return the configuration for ``document``, the result of applying ``patch``.
 
     ``previous`` is the configuration before the patch. The result equals that of
-    ``parse_config(document, version)``. The whole document is parsed if the patch
-    removes items or replaces whole sections, and if it has an error, so that
-    error messages are the same on both paths.
+    ``parse_config(document, version)``. The whole document is parsed unless the patch
+    only sets a few items, and also if a changed item is not valid, so that the error
+    messages do not depend on the patch.
     """
     if not _only_sets_items(document, patch):
         return parse_config(document, version)
@@ -86,16 +87,19 @@
 
 
 def _only_sets_items(document: Mapping[str, Any], patch: Any) -> bool:
-    """Tell whether a patch only adds or changes a few items of known sections."""
+    """Tell whether a patch only adds or changes a few items of known sections.
+
+    ``document`` is the document after the patch.
+    """
     if not isinstance(patch, dict):
         return False
     count = 0
-    for name, items in patch.items():
-        if name not in _SECTION_BY_NAME or not isinstance(items, dict):
+    for section_name, item_patches in patch.items():
+        if section_name not in _SECTION_BY_NAME or not isinstance(item_patches, dict):
             return False
-        count += len(items)
+        count += len(item_patches)
         # An item that the patch sets to null is missing in the document.
-        if any(item not in document[name] for item in items):
+        if any(item_id not in document[section_name] for item_id in item_patches):
             return False
     return count <= MAX_CHANGED_ITEMS
 
@@ -107,12 +111,14 @@
     version: int,
 ) -> FleetConfig:
     values: dict[str, Any] = {}
-    for name, items in patch.items():
-        section = _SECTION_BY_NAME[name]
+    for section_name, item_patches in patch.items():
+        section = _SECTION_BY_NAME[section_name]
         index = dict(getattr(previous, section.index_field))
-        for item in items:
-            validated = section.document_type.model_validate(document[name][item])
-            index[item] = section.build(item, validated)
+        for item_id in item_patches:
+            validated = section.document_type.model_validate(
+                document[section_name][item_id]
+            )
+            index[item_id] = section.build(item_id, validated)
         values[section.index_field] = index
     if "organisations" in patch:
         values["key_by_id"] = _update_keys(previous, document, patch["organisations"])
@@ -122,6 +128,7 @@
 def _update_keys(
     previous: FleetConfig, document: Mapping[str, Any], organisations: Mapping[str, Any]
 ) -> dict[str, Any]:
+    """Return all keys by id, with those of ``organisations`` built anew."""
     keys = {
         key_id: key
         for key_id, key in previous.key_by_id.items()
@@ -137,9 +144,9 @@
 
 
 def _references_exist(config: FleetConfig, patch: Mapping[str, Any]) -> bool:
-    """Tell whether all pools, zones and organisations that items name exist.
+    """Tell whether the items in ``patch`` name only existing pools, zones and the like.
 
-    Only the items in ``patch`` are checked.
+    Items that the patch does not contain are valid already, as it removes nothing.
     """
     return all(
         _instance_references_exist(config, config.instance_by_id[name])
@@ -162,21 +169,28 @@
 
 
 def _keys_are_valid(previous: FleetConfig, organisations: Mapping[str, Any]) -> bool:
-    """Tell whether the key ids in a patch are well formed and unique.
+    """Tell whether the key ids in a patch are well formed and unique in the fleet.
 
-    A key id may be used by one organisation only.
+    ``organisations`` is the patch of this section. ``False`` only means that the whole
+    document has to be parsed, which reports the problem if there is one.
     """
-    seen: set[str] = set()
-    for organisation, item in organisations.items():
-        keys = item.get("keys") if isinstance(item, dict) else None
+    checked_key_ids: set[str] = set()
+    for organisation, organisation_patch in organisations.items():
+        keys = (
+            organisation_patch.get("keys")
+            if isinstance(organisation_patch, dict)
+            else None
+        )
         if keys is None:
             continue
         if not isinstance(keys, dict):
             return False
         for key_id in keys:
-            owner = previous.key_by_id.get(key_id)
-            is_taken = owner is not None and owner.organisation != organisation
-            if "." in key_id or not key_id or key_id in seen or is_taken:
+            existing_key = previous.key_by_id.get(key_id)
+            is_taken = (
+                existing_key is not None and existing_key.organisation != organisation
+            )
+            if "." in key_id or not key_id or key_id in checked_key_ids or is_taken:
                 return False
-            seen.add(key_id)
+            checked_key_ids.add(key_id)
     return True
--- a/libs/model/src/lycheeloom/model/config_document.py
+++ b/libs/model/src/lycheeloom/model/config_document.py
@@ -15,22 +15,21 @@
 
 
 class QueueKind(StrEnum):
-    """Whether callers wait for the requests of a queue or they may be delayed."""
+    """Whether callers wait for the answers of a queue (``INTERACTIVE``) or not."""
 
     INTERACTIVE = "interactive"
     BATCH = "batch"
 
 
 class _Document(BaseModel):
-    # extra: Unknown fields are kept, so that a program can read documents of newer
-    # versions.
-    # allow_inf_nan: Strict JSON has no infinity or NaN, and shares are divided by
-    # each other.
+    # Unknown fields are allowed and kept (extra), so that a program can read documents
+    # of newer versions. Infinity and NaN are not allowed, as strict JSON has neither
+    # and shares are divided by each other.
     model_config = ConfigDict(extra="allow", frozen=True, allow_inf_nan=False)
 
 
 class KeyDocument(_Document):
-    """A salted hash of one organisation key, both in hexadecimal."""
+    """Salt and salted hash (``digest``) of an organisation key, in hexadecimal."""
 
     salt: str = Field(pattern=r"^[0-9a-f]{16,32}$")
     digest: str = Field(pattern=r"^[0-9a-f]{64}$")
@@ -48,7 +47,10 @@
 
 
 class ZoneDocument(_Document):
-    """An availability zone and its limit of unavailable instances."""
+    """An availability zone and its limit of unavailable instances.
+
+    ``max_unavailable`` is None if the zone has no limit of its own.
+    """
 
     region: str = "default"
     state: ZoneState = ZoneState.IN
@@ -83,7 +85,12 @@
 
 
 class QueueDocument(_Document):
-    """A queue of requests, served by one pool."""
+    """A queue of requests, served by its pool and, under overload, by spare pools.
+
+    Requests of an ``idempotent`` queue may run twice. An answer can be collected for
+    ``answer_retention_s`` seconds. The budgets limit how many retries and hedges
+    (second copies of slow requests) are added to the requests of the queue.
+    """
 
     pool: str
     kind: QueueKind = QueueKind.INTERACTIVE
@@ -129,16 +136,16 @@
         return self
 
     def _key_problems(self) -> list[str]:
-        # A key is "<key id>.<secret>" and is looked up by its key id, so an id must
-        # not contain a dot and must belong to a single organisation.
+        # Callers send "<key id>.<secret>", and the key is looked up by its id. The id
+        # must therefore not contain a dot and must belong to a single organisation.
         problems = []
-        owner_by_key: dict[str, str] = {}
+        owner_by_key_id: dict[str, str] = {}
         for organisation, document in self.organisations.items():
             for key_id in document.keys:
                 path = f"organisations.{organisation}.keys.{key_id}"
                 if "." in key_id or not key_id:
                     problems.append(f"{path}: a key id is not empty and has no dot")
-                owner = owner_by_key.setdefault(key_id, organisation)
+                owner = owner_by_key_id.setdefault(key_id, organisation)
                 if owner != organisation:
                     problems.append(
                         f"{path}: organisation {owner!r} has this key id too"
--- a/libs/model/src/lycheeloom/model/config_parse.py
+++ b/libs/model/src/lycheeloom/model/config_parse.py
@@ -23,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigError:
-    """A document is not a valid configuration; one line for each problem."""
+    """A document is not a valid configuration.
+
+    ``problems`` has one line for each problem.
+    """
 
     problems: tuple[str, ...]
 
@@ -51,14 +54,14 @@
     try:
         validated = ConfigDocument.model_validate(document)
     except ValidationError as error:
-        return ConfigError(tuple(describe_error(item) for item in error.errors()))
+        return ConfigError(tuple(describe_error(details) for details in error.errors()))
     return _index(validated, version)
 
 
-def describe_error(item: Mapping[str, Any]) -> str:
+def describe_error(details: Mapping[str, Any]) -> str:
     """Return one line with the path and the message of a pydantic error."""
-    path = ".".join(str(part) for part in item["loc"]) or "document"
-    return f"{path}: {item['msg']}"
+    path = ".".join(str(part) for part in details["loc"]) or "document"
+    return f"{path}: {details['msg']}"
 
 
 def _index(document: ConfigDocument, version: int) -> FleetConfig:
--- a/libs/model/src/lycheeloom/model/fleet_config.py
+++ b/libs/model/src/lycheeloom/model/fleet_config.py
@@ -33,7 +33,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Zone:
-    """An availability zone and whether tasks may start in it."""
+    """An availability zone and whether tasks may start in it.
+
+    ``max_unavailable`` limits the instances of the zone that are out of service at
+    the same time; None if the zone has no limit of its own.
+    """
 
     id: str
     region: str = "default"
@@ -43,7 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """A pool with its availability budget, counted in instances."""
+    """A pool with its availability budget, counted in instances.
+
+    ``needed`` is the minimum number of instances in service. A pool with ``spare`` set
+    serves requests of any queue when there are too many for the queue's own pool.
+    """
 
     id: str
     max_unavailable: int = 1
@@ -54,7 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Instance:
-    """A worker instance; ``pool`` is the pool in which it is meant to be."""
+    """A worker instance.
+
+    ``pool`` is the configured pool; a move may have put the instance into another one.
+    """
 
     id: str
     pool: str
@@ -66,7 +77,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Queue:
-    """A queue of requests, served by its pool and, under overload, by spare pools."""
+    """A queue of requests, served by its pool and, under overload, by spare pools.
+
+    ``QueueDocument`` explains the fields. ``organisations`` may submit requests, or
+    any organisation if ``open_to_all`` is set.
+    """
 
     id: str
     pool: str
--- a/libs/model/src/lycheeloom/model/keys.py
+++ b/libs/model/src/lycheeloom/model/keys.py
@@ -20,7 +20,11 @@
 
 @dataclass(frozen=True, slots=True)
 class NewKey:
-    """A created key: ``token`` is shown once, ``document`` goes into the config."""
+    """A created key.
+
+    ``token`` is shown once to the organisation; ``document`` goes into the
+    configuration.
+    """
 
     id: str
     token: str
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -1,7 +1,10 @@
 """Records of the replicated log, the only means by which processes agree.
 
-Each record states the precondition under which it takes effect at its offset.
-``lycheeloom.state`` replays the records and checks their preconditions.
+Every process replays the log in the same order and so reaches the same state. A
+record takes effect only if its precondition holds in the state before its offset;
+``lycheeloom.state`` checks the preconditions. The author of a record is the
+incarnation that has appended it. A process gets a new incarnation at each start, and an
+entry also when it joins again after it was expelled.
 """
 
 from __future__ import annotations
@@ -13,10 +16,11 @@
 
 
 class VoteReason(StrEnum):
-    """Why a member votes to expel another one.
+    """Why a member votes to expel another member, the target.
 
-    ``SILENT``: it sends neither heartbeats nor batches. ``GONE``: its instance has
-    also disappeared from the platform's instance list; one vote is enough then.
+    ``SILENT``: the target sends neither heartbeats nor batches. ``GONE``: in addition,
+    the instance of the target has disappeared from the platform's instance list. One
+    vote with the reason ``GONE`` expels the target, otherwise a majority is needed.
     """
 
     SILENT = "silent"
@@ -24,7 +28,10 @@
 
 
 class Duty(StrEnum):
-    """Work that a single process at a time does for the whole fleet."""
+    """Work that a single process at a time does for the whole fleet.
+
+    The process holds the duty as a lease in the log (see ``DutyClaimed``).
+    """
 
     MAINTENANCE = "maintenance"
     SNAPSHOT = "snapshot"
@@ -32,10 +39,11 @@
 
 
 class MoveStage(StrEnum):
-    """Stages of moving or maintaining one instance, in order.
+    """Stages of a move, which takes one instance to a pool, with or without a reboot.
 
-    ``JOINED`` and ``ABANDONED`` are final; only a planned or draining move can be
-    abandoned.
+    Maintenance of an instance is a move as well, usually with a reboot. The stages are
+    in order, and ``REBOOTING`` is skipped without a reboot. ``JOINED`` and ``ABANDONED``
+    are final; only a planned or draining move can be abandoned.
     """
 
     PLANNED = "planned"
@@ -56,7 +64,10 @@
 
 
 class WaveState(StrEnum):
-    """State of a maintenance wave; ``ABSENT`` before it exists."""
+    """State of a maintenance wave; ``ABSENT`` before the wave has been started.
+
+    A wave maintains every instance of some pools.
+    """
 
     ABSENT = "absent"
     RUNNING = "running"
@@ -75,9 +86,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigChanged:
-    """A JSON merge patch of the configuration.
+    """An operator changes the configuration by a JSON merge patch.
 
-    It takes effect only if ``expected_version`` is the current version.
+    The change takes effect only if ``expected_version`` is the current version.
     """
 
     expected_version: int
@@ -87,7 +98,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberJoined:
-    """A new incarnation of an entry joins; older ones on its instance are expelled."""
+    """A new incarnation of an entry becomes a member.
+
+    Older incarnations on the same instance are expelled.
+    """
 
     instance: str
     incarnation: str
@@ -111,12 +125,16 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberLeft:
-    """The author has no running tasks left and leaves the members."""
+    """The author has no running tasks left and ceases to be a member."""
 
 
 @dataclass(frozen=True, slots=True)
 class GrantsReclaimed:
-    """The grants of a member expelled at offset ``expelled_at`` are free again."""
+    """The grants of a member that was expelled at ``expelled_at`` are free again.
+
+    ``target`` is the incarnation of the member; ``expelled_at`` is an offset. Any
+    process may append this record after ``RECLAIM_WAIT_S``.
+    """
 
     target: str
     expelled_at: int
@@ -124,7 +142,11 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantRequested:
-    """The author asks for up to ``count`` more running slots of an organisation."""
+    """The author asks for up to ``count`` more running slots of an organisation.
+
+    The request replaces the author's earlier one, and the part of it that cannot be
+    granted at once waits for free slots. A ``count`` of 0 withdraws it.
+    """
 
     organisation: str
     count: int
@@ -140,7 +162,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSubmitted:
-    """A request that is recorded so that it survives the loss of every entry."""
+    """A request is recorded in the log, so that it survives the loss of every entry.
+
+    It is pending until a member claims it for an attempt. An empty
+    ``idempotency_key`` means that the caller has sent none.
+    """
 
     request_id: str
     organisation: str
@@ -157,7 +183,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClaimed:
-    """The author is about to start ``attempt`` on ``worker``."""
+    """The author claims a pending request to start its next attempt on ``worker``.
+
+    Attempts are numbered from 1. ``worker_boot`` is the boot id of the worker.
+    """
 
     request_id: str
     attempt: int
@@ -167,9 +196,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReleased:
-    """The attempt did not run or may be repeated, so the request is pending again.
+    """The request of a claim is pending again, as it did not run or may run again.
 
-    If ``checkpoint`` is set, the next attempt resumes from it.
+    The next attempt resumes from ``checkpoint``; if that is empty, from the last
+    checkpoint that was recorded, or else from the start.
     """
 
     request_id: str
@@ -179,7 +209,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestFinished:
-    """The attempt ended; ``answer`` is its complete answer."""
+    """The claimed attempt has ended; ``answer`` is its complete answer.
+
+    If the request has already finished with this outcome, the record only keeps the
+    answer beyond the retention of the log.
+    """
 
     request_id: str
     attempt: int
@@ -189,16 +223,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestCancelled:
-    """A pending request ends with the outcome ``NOT_RUN``."""
+    """A pending request is cancelled and finishes with the outcome ``NOT_RUN``."""
 
     request_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class AnswersExpired:
-    """Answers of requests that finished at or below ``through_offset`` are deleted.
+    """Requests that finished at or before ``through_offset`` and their answers expire.
 
-    ``queue`` limits this to one queue; empty means all queues.
+    Only requests of ``queue`` expire; an empty ``queue`` means all queues. The record
+    takes effect only if its author holds the housekeeping duty.
     """
 
     through_offset: int
@@ -207,10 +242,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyClaimed:
-    """The author renews its claim to a duty, or takes over from a silent holder.
+    """The author renews its hold of a duty, or takes the duty over.
 
-    ``expected_renewal`` is the offset of the last claim or renewal that the
-    author has seen; a takeover has no effect if the holder has renewed since.
+    Each takeover raises the epoch of the duty by one; ``expected_epoch`` is the epoch
+    before the claim. ``expected_renewal`` is the offset of the last claim or renewal
+    that the author has seen: a takeover has no effect if the holder has renewed since.
     """
 
     duty: Duty
@@ -220,7 +256,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveStep:
-    """The move or maintenance of ``instance`` enters its next stage."""
+    """The move of ``instance`` begins (stage ``PLANNED``) or enters its next stage.
+
+    Replay uses ``to_pool``, ``reboot`` and ``reason`` only in the stage ``PLANNED``. The
+    author must hold the maintenance duty under ``duty_epoch``.
+    """
 
     instance: str
     move_id: str
@@ -233,7 +273,10 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceHealth:
-    """The holder of the maintenance duty changes the health of an instance."""
+    """The holder of the maintenance duty changes the health of an instance.
+
+    The author must hold the duty under ``duty_epoch``.
+    """
 
     instance: str
     health: Health
@@ -243,9 +286,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveCommand:
-    """An operator changes the state of a maintenance wave.
+    """An operator starts a maintenance wave or changes its state to ``wanted``.
 
-    It takes effect only if the current state is ``expected``.
+    The command takes effect only if the current state is ``expected``. ``pools``,
+    ``urgent`` and ``reboot`` apply only to the start; no pools means all pools.
     """
 
     wave_id: str
@@ -259,7 +303,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotChunk:
-    """One part of a snapshot of the state through ``covers_offset``."""
+    """One part of a snapshot of the state after the batch at ``covers_offset``.
+
+    ``index`` is the number of the part, from 0, and ``count`` the number of parts.
+    ``digest`` is the hash of the whole snapshot.
+    """
 
     snapshot_id: str
     covers_offset: int
@@ -283,9 +331,9 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownRecord:
-    """A record of a kind that only newer program versions know.
+    """A record of a kind, or with an enum value, that only newer versions know.
 
-    It is skipped and counted.
+    Replay skips and counts such records.
     """
 
 
@@ -318,7 +366,9 @@
 class Batch:
     """Records that are appended together.
 
-    ``sequence`` numbers the batches of one author, with an increment of one.
+    ``sequence`` numbers the batches of one author in steps of one. A batch whose number
+    is not above that of the author's last batch has no effect, so a batch that is
+    appended twice takes effect once.
     """
 
     author: str
--- a/libs/model/src/lycheeloom/model/status.py
+++ b/libs/model/src/lycheeloom/model/status.py
@@ -37,13 +37,13 @@
     zone: str = ""
     state: MemberState = MemberState.LIVE
     heard_ms: int | None = Field(
-        default=None, description="time since its last heartbeat"
+        default=None, description="time since the member's last heartbeat"
     )
     knows_reporter: bool = Field(
         default=False,
         description="whether this member has replayed the record by which the "
         "reporting entry joined; until then the reporting entry does not vote to "
-        "expel it for silence",
+        "expel this member for silence",
     )
     program_version: str = ""
 
@@ -66,7 +66,10 @@
 
 
 class QueueStatus(_Status):
-    """Load of one queue compared with its limit."""
+    """Requests of one queue at the reporting entry.
+
+    At most ``max_queued`` of them may wait; ``oldest_wait_ms`` is 0 if none waits.
+    """
 
     pool: str = ""
     kind: QueueKind = QueueKind.INTERACTIVE
@@ -95,7 +98,7 @@
     in_service: int = Field(default=0, description="workers that may start tasks")
     needed: int = Field(default=0, description="minimum number of instances in service")
     buffer: int = Field(
-        default=0, description="instances that it has beyond the needed ones"
+        default=0, description="instances in service beyond the needed ones"
     )
     buffer_wanted: int = Field(
         default=0,
@@ -119,9 +122,9 @@
     in_progress: int = 0
     failed: int = 0
     ends_in_s: float | None = Field(
-        default=None, description="estimated time until it ends"
+        default=None, description="estimated time until the wave ends"
     )
-    reason: str = Field(default="", description="why it waits, as a sentence")
+    reason: str = Field(default="", description="why the wave waits, as a sentence")
 
 
 class StatusDocument(_Status):
--- a/libs/model/src/lycheeloom/model/ticks.py
+++ b/libs/model/src/lycheeloom/model/ticks.py
@@ -5,17 +5,21 @@
 import random
 import time
 
-# Processes on one machine share a clock. Each one offsets its ticks by a random
-# phase, so that they do not all wake at the same moment.
+# Processes on one machine share a clock. Each process shifts its ticks by a random
+# phase, so that the processes do not all wake at the same moment.
 _PHASE_S = random.random()
 
 
 def seconds_until_tick(interval_s: float, now: float | None = None) -> float:
-    """Return the seconds until the next tick, a multiple of ``interval_s``.
+    """Return the seconds until the next tick of a loop with period ``interval_s``.
 
-    ``now`` is in seconds on the monotonic clock. Loops that wake together share one
-    iteration of the event loop: an idle process spent 0.7% of a core on 100 separate
-    wake-ups per second, and 0.2% on the same wake-ups in 10 groups.
+    Ticks are ``interval_s`` apart and the same for all loops with this period. A tick
+    that is less than a quarter of ``interval_s`` away is skipped. ``now`` is in seconds
+    on the monotonic clock.
+
+    Loops that wake together share one iteration of the event loop: an idle process
+    spent 0.7% of a core on 100 separate wake-ups per second, and 0.2% on the same
+    wake-ups in 10 groups.
 
     Example: ``gevent.sleep(seconds_until_tick(0.2))``
     """
--- a/libs/model/src/lycheeloom/model/verdict.py
+++ b/libs/model/src/lycheeloom/model/verdict.py
@@ -28,7 +28,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Why a request was not run: a reason for programs and a message for people."""
+    """Why a request was not run: a reason for programs and a message for people.
+
+    ``retry_after_s`` is the time after which a retry may succeed, or None if a retry
+    is not advised.
+    """
 
     reason: RefusalReason
     message: str
@@ -37,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request certainly did not run."""
+    """The request certainly did not run; ``refusal`` says why."""
 
     refusal: Refusal
 
--- a/libs/settings/src/lycheeloom/settings/daemon.py
+++ b/libs/settings/src/lycheeloom/settings/daemon.py
@@ -36,11 +36,12 @@
 def read_settings(
     program: Program, model: type[Model], arguments: Sequence[str] | None = None
 ) -> Model | ExitCode:
-    """Parse the command line and return the settings.
+    """Parse the command line and return the settings, validated as ``model``.
 
-    Returns an exit code instead if the settings are not valid or are only to be
-    checked. Problems are printed to standard error. ``--help``, ``--version`` and
-    invalid arguments exit the process, as usual with argparse.
+    Returns an exit code instead if the settings are not valid, after printing the
+    problems to standard error, and with ``--check-config``. ``--help``, ``--version``
+    and invalid arguments exit the process, as usual with argparse.
+    ``arguments`` are those of the process by default.
     """
     options = _parse_arguments(program, arguments)
     settings = load_settings(options.settings, model)
--- a/libs/settings/src/lycheeloom/settings/loading.py
+++ b/libs/settings/src/lycheeloom/settings/loading.py
@@ -10,19 +10,23 @@
 
 from pydantic import BaseModel, ValidationError
 
+# Host and port, such as "127.0.0.1:80".
 ADDRESS_PATTERN = r"^[^:\s]+:\d{1,5}$"
 Model = TypeVar("Model", bound=BaseModel)
 
 
 @dataclass(frozen=True, slots=True)
 class BadSettings:
-    """A settings file cannot be used; one line for each problem."""
+    """A settings file cannot be used.
+
+    ``problems`` has one line for each problem.
+    """
 
     problems: tuple[str, ...]
 
 
 def load_settings(path: Path, model: type[Model]) -> Model | BadSettings:
-    """Read and validate a settings file; return all problems if there are any."""
+    """Read and validate a settings file; return ``BadSettings`` if it cannot be used."""
     try:
         document = tomllib.loads(path.read_text())
     except OSError as error:
@@ -34,7 +38,9 @@
     except ValidationError as error:
         allowed = ", ".join(model.model_fields)
         return BadSettings(
-            tuple(f"{path}: {_describe(item, allowed)}" for item in error.errors())
+            tuple(
+                f"{path}: {_describe(details, allowed)}" for details in error.errors()
+            )
         )
 
 
@@ -47,10 +53,11 @@
     return host, int(port)
 
 
-def _describe(item: Mapping[str, Any], allowed: str) -> str:
-    key = ".".join(str(part) for part in item["loc"])
-    if item["type"] == "extra_forbidden":
+def _describe(details: Mapping[str, Any], allowed: str) -> str:
+    """Return the key and the message of a pydantic error, without the file's path."""
+    key = ".".join(str(part) for part in details["loc"])
+    if details["type"] == "extra_forbidden":
         return f"{key}: unknown key; allowed: {allowed}"
-    if item["type"] == "missing":
+    if details["type"] == "missing":
         return f"{key}: is missing"
-    return f"{key}: {item['msg']}, got {item['input']!r}"
+    return f"{key}: {details['msg']}, got {details['input']!r}"
--- a/libs/wire/src/lycheeloom/wire/batches.py
+++ b/libs/wire/src/lycheeloom/wire/batches.py
@@ -14,10 +14,11 @@
 from .checksum import add_checksum, strip_checksum
 from .structs import from_struct, to_fields
 
-# Reading uses the default traversal limit of 64 MiB, as a batch has at most
+# Decoding keeps Cap'n Proto's default traversal limit of 64 MiB, as a batch has at most
 # MAX_BATCH_BYTES.
 _SCHEMA = capnp.load(str(Path(__file__).with_name("records.capnp")))
 
+# A tag is the name of the union member that holds the record.
 _KIND_BY_TAG: dict[str, type] = {
     "configChanged": records.ConfigChanged,
     "memberJoined": records.MemberJoined,
@@ -55,29 +56,30 @@
     Raises ``ValueError`` if a number is negative or needs more than 64 bits, and if
     a value is None.
     """
-    fields_by_record = [
+    record_fields = [
         None if isinstance(record, CopiedRecord) else to_fields(record)
         for record in batch.records
     ]
     message = _SCHEMA.Batch.new_message(author=batch.author, sequence=batch.sequence)
-    records = message.init("records", len(batch.records))
+    encoded_records = message.init("records", len(batch.records))
     for index, record in enumerate(batch.records):
         if isinstance(record, CopiedRecord):
             message_bytes = strip_checksum(record.encoded)
             with _SCHEMA.Batch.from_bytes(message_bytes) as source:
-                _copy_union_member(source.records[0], records[index])
+                _copy_union_member(source.records[0], encoded_records[index])
             continue
-        # Assigning a dict to the union member would raise an error inside the
-        # library before it succeeds, which crashes a greenlet (see checksum.py).
-        member = records[index].init(_TAG_BY_KIND[type(record)])
-        member.from_dict(fields_by_record[index])
+        # Assigning a dict to the union member would succeed, but only after an error
+        # inside the library, which crashes a greenlet (see checksum.py).
+        member = encoded_records[index].init(_TAG_BY_KIND[type(record)])
+        member.from_dict(record_fields[index])
     return add_checksum(message.to_bytes())
 
 
 def copy_record(encoded: bytes, index: int) -> CopiedRecord:
     """Return the record at ``index`` of an encoded batch for appending it again.
 
-    The batch must be valid and the record of a known kind, so decode it first.
+    Decode the batch first to check that it is valid and that the kind of the record is
+    known: errors inside the library crash a greenlet (see checksum.py).
     """
     copy = _SCHEMA.Batch.new_message()
     message_bytes = strip_checksum(encoded)
@@ -87,7 +89,7 @@
 
 
 def _copy_union_member(source: Any, target: Any) -> None:
-    # Copying the whole struct keeps fields that are missing in this schema.
+    # Copying the struct as a whole keeps fields that this version of the schema lacks.
     tag = str(source.which())
     setattr(target, tag, getattr(source, tag))
 
@@ -112,9 +114,11 @@
     try:
         tag = str(record.which())
     except capnp.KjException:
+        # The record is of a kind that a newer program version has added.
         return UnknownRecord()
     kind = _KIND_BY_TAG.get(tag)
     if kind is None:
+        # The member "none" is set, which is the default of the union.
         return UnknownRecord()
     try:
         return from_struct(kind, getattr(record, tag))
--- a/libs/wire/src/lycheeloom/wire/checksum.py
+++ b/libs/wire/src/lycheeloom/wire/checksum.py
@@ -1,8 +1,8 @@
 """Checksum in front of each encoded message.
 
-The Cap'n Proto library collects a stack trace for every error. In a greenlet, this
-reads past the end of the stack and crashes the process, so damaged bytes must be
-detected before the library decodes them.
+The Cap'n Proto library collects a stack trace for every error. In a greenlet,
+collecting it reads past the end of the stack and crashes the process. Damaged bytes
+must therefore be detected before the library decodes them.
 """
 
 from __future__ import annotations
--- a/libs/wire/src/lycheeloom/wire/peers.capnp
+++ b/libs/wire/src/lycheeloom/wire/peers.capnp
@@ -1,5 +1,5 @@
 @0xd9b0e1f4c65a7322;
-# Messages between entries, and from controllers to entries. On TCP connections, each
+# Messages between entries, and between controllers and entries. On TCP connections, each
 # message has its length in front.
 
 struct PeerMessage {
@@ -16,7 +16,8 @@
 struct Heartbeat {
   # Send time on the sender's monotonic clock, in microseconds.
   sentUs @0 :UInt64;
-  # The sentUs of the heartbeat that this one answers and confirms, or 0.
+  # The sentUs of the heartbeat that this one answers. It is 0 if this one is no answer,
+  # or if the sender does not confirm that the receiver is a member.
   echoUs @1 :UInt64;
   # The offset after the last replayed batch.
   nextOffset @2 :UInt64;
@@ -65,7 +66,7 @@
   # monotonic clock.
   throughPeriod @0 :UInt64;
   counts @1 :List(OutcomeCount);
-  # The queues in counts of which a task has succeeded on any worker.
+  # The queues in counts with a recent successful task on any worker.
   succeededQueues @2 :List(Text);
 }
 
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -1,4 +1,8 @@
-"""Encoding and decoding of messages between entries, and from controllers to them."""
+"""Encoding and decoding of messages between entries and with controllers.
+
+Entries exchange heartbeats and log records with each other. Controllers ask entries for
+the outcomes of tasks.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueCount:
-    """Number of requests of an organisation that wait in one queue."""
+    """How many requests of an organisation wait in one queue."""
 
     queue: str
     count: int
@@ -23,9 +27,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationUsage:
-    """Resources that one organisation uses and requests it has queued at the sender.
+    """Running tasks, queued requests and used resources of an organisation at the sender.
 
-    ``startable`` counts only requests that the sender may start under its grant.
+    ``startable`` counts the queued requests that the sender may start under its grant
+    once there is capacity.
     """
 
     organisation: str
@@ -41,10 +46,13 @@
 class Heartbeat:
     """Liveness, replay position and usage of the sender.
 
-    ``echo_us`` is the ``sent_us`` of the heartbeat that this one answers and
-    confirms, or 0. ``next_offset`` is the offset after the last replayed batch.
-    ``usage`` holds the organisations whose usage has changed, or all of them if
-    ``complete`` is set.
+    ``sent_us`` is the send time on the sender's monotonic clock. ``echo_us`` is the
+    ``sent_us`` of the heartbeat that this one answers. It is 0 if this one is no answer,
+    or if the sender does not confirm that the receiver is a member. ``next_offset`` is
+    the offset after the last replayed batch, and ``log_age_ms`` the time since the
+    sender's last successful read of the log. ``usage`` holds the organisations whose
+    usage has changed, or all of them if ``complete`` is set. ``reserved_workers`` are
+    the workers that the sender reserves for large or urgent tasks that wait.
     """
 
     sent_us: int
@@ -84,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeCount:
-    """Number of tasks of one queue that ended on one worker, and that failed there."""
+    """How many tasks of a queue ended on a worker, and how many of those failed."""
 
     worker: str
     queue: str
@@ -94,10 +102,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeReport:
-    """Task outcomes through a period on workers with recent failures or on probation.
+    """Answers an ``OutcomeRequest``; ``through_period`` is the last period reported.
 
-    ``succeeded_queues`` are the queues in ``counts`` of which a task has succeeded
-    on any worker.
+    Only workers with recent failures or on probation are counted. ``succeeded_queues``
+    are the queues in ``counts`` with a recent successful task on any worker.
     """
 
     through_period: int
--- a/libs/wire/src/lycheeloom/wire/structs.py
+++ b/libs/wire/src/lycheeloom/wire/structs.py
@@ -45,6 +45,7 @@
 
 @cache
 def _fields(kind: type) -> tuple[tuple[str, str, Any], ...]:
+    """Return name, name in the schema and type of each field of a data class."""
     hints = typing.get_type_hints(kind)
     return tuple(
         (field.name, camel_case(field.name), hints[field.name])
@@ -65,6 +66,7 @@
 
 
 def _from_plain(hint: Any, value: Any) -> Any:
+    # The only generic type of a field is tuple[item, ...].
     if isinstance(hint, types.GenericAlias):
         item_hint = typing.get_args(hint)[0]
         return tuple(_from_plain(item_hint, item) for item in value)
