--- a/libs/clients/src/lycheeloom/clients/connections.py
+++ b/libs/clients/src/lycheeloom/clients/connections.py
@@ -16,7 +16,9 @@
 class Connection(HTTPConnection):
     """A urllib3 connection that sends a whole request in one system call."""
 
+    # Time on the monotonic clock of the last ``IdleConnections.put``.
     idle_since_s = 0.0
+    # Headers and body of the request that ``request`` is about to send, else None.
     _unsent_parts: list[bytes] | None = None
 
     def _new_conn(self) -> socket.socket:
@@ -43,13 +45,13 @@
             sock.close()
             raise NewConnectionError(self, f"cannot connect: {error}") from error
         except BaseException:
-            # Such as gevent.Timeout at the deadline of the call.
+            # For example gevent.Timeout, which is no Exception, at the call's deadline.
             sock.close()
             raise
         return sock
 
     def request(self, *args: Any, **kwargs: Any) -> None:
-        """Send headers and body together; urllib3 sends them one by one."""
+        """Send headers and body together; urllib3 would send them separately."""
         self._unsent_parts = []
         try:
             super().request(*args, **kwargs)
@@ -58,6 +60,7 @@
         super().send(b"".join(parts))
 
     def send(self, data: bytes) -> None:
+        """Collect a part of the request if ``request`` is running, else send it."""
         if self._unsent_parts is None:
             super().send(data)
         else:
@@ -79,7 +82,10 @@
 
 
 class IdleConnections:
-    """Idle connections to one address; the most recently used is taken first."""
+    """Idle connections to one address (``"127.0.0.1:80"`` or ``"[::1]:80"``).
+
+    The most recently used one is taken first.
+    """
 
     __slots__ = ("_host", "_port", "_stack")
 
@@ -105,7 +111,8 @@
     def put(self, connection: Connection, max_count: int) -> None:
         """Keep a connection for reuse; its last response must be read to the end.
 
-        It is closed instead if ``max_count`` connections are already kept.
+        The connection is closed instead if ``max_count`` connections are already kept.
+        A connection without a socket is closed already and not kept.
         """
         if connection.sock is None:
             return
@@ -118,7 +125,7 @@
     def close_older_than(self, idle_s: float) -> None:
         """Close the connections that have been idle for more than ``idle_s``."""
         oldest_allowed = time.monotonic() - idle_s
-        expired = [c for c in self._stack if c.idle_since_s < oldest_allowed]
+        old_connections = [c for c in self._stack if c.idle_since_s < oldest_allowed]
         self._stack = [c for c in self._stack if c.idle_since_s >= oldest_allowed]
-        for connection in expired:
+        for connection in old_connections:
             connection.close()
--- a/libs/clients/src/lycheeloom/clients/instances.py
+++ b/libs/clients/src/lycheeloom/clients/instances.py
@@ -33,9 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedInstance:
-    """One instance of the list, which lags behind the actual state.
+    """One instance of the list.
 
-    Being listed is therefore no sufficient reason to start a task on an instance.
+    The list lags behind the actual state. That an instance is listed is therefore no
+    sufficient reason to start a task on it.
     """
 
     instance: str
@@ -49,14 +50,17 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """The live and leaving instances; lags behind the actual state."""
+    """The live and leaving instances; the list lags behind the actual state."""
 
     instances: tuple[ListedInstance, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ActionStatus:
-    """Progress of a drain, undrain or reboot; ``action`` is the id of the action."""
+    """Progress of a drain, undrain or reboot.
+
+    ``action`` is the id of the action and ``kind`` which of the three it is.
+    """
 
     action: str
     instance: str
@@ -91,8 +95,8 @@
     def list(self) -> InstanceList | Unavailable:
         """Return the list of instances, which lags behind the actual state.
 
-        The same object is returned until the list changes. The list is not sent
-        again while its ETag matches, as it takes 800 KB for 5,100 workers.
+        The same object is returned until the list changes. The platform does not send
+        an unchanged list again (ETag), as a list of 5,100 workers takes 800 KB.
         """
         headers = dict(BASE_HEADERS)
         if self._etag:
@@ -106,7 +110,7 @@
         return result
 
     def drain(self, instance: str, action_id: str) -> ActionResult:
-        """Make a worker refuse new tasks; done when it runs none."""
+        """Make a worker refuse new tasks; the action is done when it runs no task."""
         return self._post_action(instance, "drain", action_id)
 
     def undrain(self, instance: str, action_id: str) -> ActionResult:
@@ -114,7 +118,7 @@
         return self._post_action(instance, "undrain", action_id)
 
     def reboot(self, instance: str, action_id: str) -> ActionResult:
-        """Reboot an instance; done when it is back under a new boot id."""
+        """Reboot an instance; the action is done when it is back with a new boot id."""
         return self._post_action(instance, "reboot", action_id)
 
     def action_status(self, action_id: str) -> ActionResult:
--- a/libs/clients/src/lycheeloom/clients/log.py
+++ b/libs/clients/src/lycheeloom/clients/log.py
@@ -18,13 +18,17 @@
 APPEND_TIMEOUT_S = 2.0
 # Added to the wait time of a long poll to get the timeout of the call.
 READ_MARGIN_S = 2.0
+# Default maximum number of batches in one response.
 READ_LIMIT = 1000
-# An offset beyond the end of any log. A read from there returns the end.
+# An offset beyond the end of any log. A read from there returns the end of the log.
 _OFFSET_BEYOND_END = 2**62
 
 
 class AppendRefusal(StrEnum):
-    """Why the log certainly did not append a batch."""
+    """Why the log certainly did not append a batch.
+
+    ``DOWN`` includes that the log could not be reached.
+    """
 
     TOO_LARGE = "too_large"
     BUSY = "busy"
@@ -40,9 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AppendUnknown:
-    """The batch may be in the log.
+    """The batch may be in the log; ``reason`` says what went wrong.
 
-    Append it again with the same sequence number, so that it takes effect once.
+    Append the same bytes again: as the batch keeps its sequence number, it takes effect
+    only once.
     """
 
     reason: str
@@ -57,9 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadBatches:
-    """Batches from offset ``first`` on; ``next`` is the offset to read from next.
+    """Encoded batches, the first of which is at offset ``first``.
 
-    A read beyond the end of the log returns no batches, and the end as ``next``.
+    ``next`` is the offset to read from next. A read beyond the end of the log returns
+    no batches, and the end of the log as ``next``.
     """
 
     first: int
@@ -69,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Expired:
-    """The offset is no longer retained; ``oldest`` is the first that still is."""
+    """The log no longer retains the offset; ``oldest`` is its first retained offset."""
 
     oldest: int
 
@@ -108,7 +114,7 @@
         timeout_s: float | None = None,
         traceparent: str = "",
     ) -> Appended | AppendUnknown | AppendRefused:
-        """Append one batch without retrying; the caller decides whether to repeat."""
+        """Append one encoded batch; the caller decides whether to retry."""
         headers = {**BASE_HEADERS, "Content-Type": "application/octet-stream"}
         if traceparent:
             headers["traceparent"] = traceparent
@@ -139,7 +145,10 @@
         *,
         margin_s: float | None = None,
     ) -> ReadBatches | Expired | Unavailable:
-        """Read up to ``limit`` batches; wait up to ``wait_s`` if there is none yet."""
+        """Read up to ``limit`` batches from ``first_offset`` on.
+
+        Waits up to ``wait_s`` if there is no batch at that offset yet.
+        """
         if margin_s is None:
             margin_s = self._read_margin_s
         wait_ms = round(wait_s * 1000)
--- a/libs/clients/src/lycheeloom/clients/results.py
+++ b/libs/clients/src/lycheeloom/clients/results.py
@@ -41,7 +41,7 @@
 
 
 def to_unavailable(failed: CallFailed) -> Unavailable:
-    """Convert a failed call to a result."""
+    """Convert a failed call to the result that the clients return for it."""
     return Unavailable(failed.reason, failed.sent)
 
 
@@ -52,7 +52,8 @@
 ) -> Parsed | Unavailable:
     """Parse the JSON object in a response with one of ``success_statuses``.
 
-    ``parse`` may raise any of ``PARSE_ERRORS``, which makes the response malformed.
+    Returns ``Unavailable`` for a failed call, for any other status, and if ``parse``
+    raises any of ``PARSE_ERRORS``, which means that the response is malformed.
     """
     if isinstance(response, CallFailed):
         return to_unavailable(response)
--- a/libs/clients/src/lycheeloom/clients/tasks.py
+++ b/libs/clients/src/lycheeloom/clients/tasks.py
@@ -22,7 +22,10 @@
 
 
 class StartRefusal(StrEnum):
-    """Why a start certainly had no effect."""
+    """Why a start certainly had no effect.
+
+    ``UNREACHABLE``: no request was sent, as there was no connection to the worker.
+    """
 
     LEASE_LAPSED = "lease_lapsed"
     NO_CAPACITY = "no_capacity"
@@ -33,11 +36,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskStart:
-    """A request to start one task; ``task`` is the request id and the attempt.
+    """A request to start one task.
 
-    ``lease_s`` and ``run_s`` are in seconds. With ``wait``, the worker responds
-    when the task has ended, otherwise at once. If ``checkpoint`` is set, the task
-    resumes from this checkpoint of an earlier attempt.
+    ``task`` is the request id and the number of the attempt, such as ``"r1.2"``.
+    ``lease_s`` and ``run_s`` (the estimated run time) are in seconds. With ``wait``,
+    the worker responds when the task has ended, otherwise as soon as the task has
+    started. If ``checkpoint`` is set, the task resumes from this checkpoint of an
+    earlier attempt.
     """
 
     task: str
@@ -55,7 +60,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Session:
-    """A session at a worker, which accepts starts in its name until it lapses."""
+    """A session at a worker.
+
+    Until the session lapses, the worker accepts starts that name it. ``draining`` says
+    whether the worker drains, and ``free`` what it has free.
+    """
 
     id: str
     boot_id: str
@@ -65,10 +74,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskReport:
-    """State of a task; unless it is ``UNKNOWN``, the task has run or is running.
+    """State of a task, and what its worker has free.
 
-    ``answer`` is the complete answer of a task that has ended. ``checkpoint`` is
-    where another attempt can resume a checkpointed task.
+    Unless ``status`` is ``UNKNOWN``, the task has run or is running. ``answer`` is the
+    complete answer of a task that has ended. Another attempt can resume a checkpointed
+    task from ``checkpoint``.
     """
 
     task: str
@@ -109,7 +119,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskUsage:
-    """Resources that one task used at the time of the report."""
+    """Resources that one task used at the time of the report, and its run time then."""
 
     task: str
     organisation: str
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -23,7 +23,7 @@
 
 from .connections import Connection, IdleConnections
 
-# Connections that have been idle for longer are replaced, as a connection can stop
+# A connection that has been idle for longer is replaced, as it may have stopped
 # responding without being closed.
 MAX_IDLE_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
@@ -43,13 +43,17 @@
 
     status: int
     body: bytes
-    # Identifies the version of the document in a later If-None-Match.
+    # The ETag header, or empty. A later If-None-Match header names by it the version of
+    # the document that the client has.
     etag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """There was no complete response; ``sent`` is False only if no byte was sent."""
+    """There was no complete response; ``reason`` says why.
+
+    ``sent`` is False only if certainly no byte of the request was sent.
+    """
 
     sent: bool
     reason: str
@@ -67,8 +71,8 @@
         self._connect_timeout_s = connect_timeout_s
         self._max_idle_connections = max_idle_connections
         self._idle_by_address: dict[str, IdleConnections] = {}
-        # With gevent's sockets, the gevent.Timeout of the call interrupts every
-        # wait, so a timeout for each read would only cost time.
+        # With gevent's sockets, the gevent.Timeout in call() interrupts every wait, so
+        # a timeout for each read would only cost time. Without them, it never fires.
         self._needs_read_timeout = not monkey.is_module_patched("socket")
 
     def call(
@@ -85,22 +89,23 @@
 
         The connection is closed unless its response was read to the end.
         """
-        idle = self._idle_by_address.get(address)
-        if idle is None:
-            idle = self._idle_by_address[address] = IdleConnections(address)
-        connection = idle.take(MAX_IDLE_S)
+        idle_connections = self._idle_by_address.get(address)
+        if idle_connections is None:
+            idle_connections = self._idle_by_address[address] = IdleConnections(address)
+        connection = idle_connections.take(MAX_IDLE_S)
         deadline = gevent.Timeout.start_new(timeout_s)
         result: Response | CallFailed | None = None
         try:
             result = self._exchange(connection, method, path, body, headers, timeout_s)
         except gevent.Timeout as expired:
             if expired is not deadline:
+                # The timeout belongs to the code that made the call.
                 raise
             result = CallFailed(True, "no answer in time")
         finally:
             deadline.close()
             if isinstance(result, Response):
-                idle.put(connection, self._max_idle_connections)
+                idle_connections.put(connection, self._max_idle_connections)
             else:
                 connection.close()
         return result
@@ -114,8 +119,8 @@
         headers: Mapping[str, str],
         timeout_s: float,
     ) -> Response | CallFailed:
-        # The attempt to connect times out before the deadline of the call. A call
-        # that fails to connect is thus known to have sent nothing.
+        # The attempt to connect must time out before the deadline of the call: a failed
+        # attempt shows that nothing was sent, a missed deadline does not.
         connection.timeout = min(self._connect_timeout_s, timeout_s / 2)
         try:
             connection.request(
@@ -139,10 +144,13 @@
         return Response(response.status, content, etag)
 
     def close_idle(self, idle_s: float = MAX_IDLE_S) -> None:
-        """Close connections idle for ``idle_s`` and forget addresses without any."""
-        for address, idle in list(self._idle_by_address.items()):
-            idle.close_older_than(idle_s)
-            if not len(idle):
+        """Close connections that have been idle for more than ``idle_s``.
+
+        Addresses that have no idle connections left are forgotten.
+        """
+        for address, idle_connections in list(self._idle_by_address.items()):
+            idle_connections.close_older_than(idle_s)
+            if not len(idle_connections):
                 del self._idle_by_address[address]
 
     def close(self) -> None:
@@ -151,7 +159,7 @@
 
 
 def _describe(error: Exception) -> str:
-    """Return a reason that operators understand."""
+    """Return the reason of an error in words that operators understand."""
     match error:
         case NewConnectionError(__cause__=OSError(strerror=str(text))):
             return text.lower()
--- a/libs/clients/src/lycheeloom/clients/worker.py
+++ b/libs/clients/src/lycheeloom/clients/worker.py
@@ -32,6 +32,7 @@
 
 CALL_TIMEOUT_S = 1.5
 _SUCCESS_STATUSES = (200, 202)
+# Reasons in a response with status 409 that prove that the task did not start.
 _REPORTED_REFUSALS = frozenset(
     (StartRefusal.LEASE_LAPSED, StartRefusal.NO_CAPACITY, StartRefusal.DRAINING)
 )
@@ -56,7 +57,11 @@
     def open_session(
         self, address: str, holder: str, ttl_s: float, session: str = ""
     ) -> Session | Unavailable:
-        """Renew ``session``, or create a new one if it is empty or has lapsed."""
+        """Renew ``session``, or create a session if that is empty or has lapsed.
+
+        ``holder`` is the name of the caller. The session lapses ``ttl_s`` seconds after
+        its last renewal.
+        """
         document = {"holder": holder, "ttl_ms": round(ttl_s * 1000)}
         if session:
             document["session"] = session
@@ -71,11 +76,11 @@
         timeout_s: float,
         traceparent: str = "",
     ) -> TaskReport | StartRefused | StartUnknown:
-        """Start a task; with ``start.wait``, return the report of its end.
+        """Start a task; with ``start.wait``, wait for its end and return the report.
 
-        ``timeout_s`` limits the whole call, including the run of a task that is
-        waited for. Nothing is retried; only ``StartRefused`` proves that the task
-        did not run.
+        ``timeout_s`` limits the whole call, including the run of the task if the call
+        waits for it. Nothing is retried; only ``StartRefused`` proves that the task did
+        not run.
         """
         headers = JSON_HEADERS
         if traceparent:
@@ -102,8 +107,8 @@
     ) -> TaskReport | ActionRefused | Unavailable:
         """Renew the lease of a running task.
 
-        The worker refuses it with ``lease_lapsed`` once ``session`` has lapsed, so
-        that a delayed renewal has no effect.
+        The worker refuses the renewal with ``lease_lapsed`` once ``session`` has
+        lapsed, so that a delayed renewal has no effect.
         """
         document = {"lease_ms": round(lease_s * 1000), "session": session}
         return self._post_action(address, task, "renew", document)
@@ -127,7 +132,7 @@
     def throttle(
         self, address: str, task: str, fraction: float
     ) -> TaskReport | ActionRefused | Unavailable:
-        """Limit a task to a fraction of its speed and of its processor cores."""
+        """Limit a task to a fraction, 0 to 1, of its speed and its processor cores."""
         return self._post_action(address, task, "throttle", {"fraction": fraction})
 
     def usage(self, address: str) -> UsageReport | Unavailable:
@@ -136,7 +141,7 @@
         return parse_response(response, parse_usage, _SUCCESS_STATUSES)
 
     def close_idle(self) -> None:
-        """Close connections that have been idle too long; call it periodically."""
+        """Close connections that have been idle too long, to be called periodically."""
         self._transport.close_idle()
 
     def close(self) -> None:
@@ -216,7 +221,7 @@
     document = parse_object(response)
     reason = document.get("reason")
     if reason not in _REPORTED_REFUSALS:
-        # The reason "duplicate" means that an earlier start of this task took effect.
+        # For example "duplicate": an earlier start of this task took effect.
         return StartUnknown(str(reason))
     try:
         free = parse_resources(document["free"])
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -42,8 +42,8 @@
     """Stages of a move, which takes one instance to a pool, with or without a reboot.
 
     Maintenance of an instance is a move as well, usually with a reboot. The stages are
-    in order, and ``REBOOTING`` is skipped without a reboot. ``JOINED`` and ``ABANDONED``
-    are final; only a planned or draining move can be abandoned.
+    in order, and ``REBOOTING`` is skipped without a reboot. ``JOINED`` and
+    ``ABANDONED`` are final; only a planned or draining move can be abandoned.
     """
 
     PLANNED = "planned"
@@ -258,8 +258,8 @@
 class MoveStep:
     """The move of ``instance`` begins (stage ``PLANNED``) or enters its next stage.
 
-    Replay uses ``to_pool``, ``reboot`` and ``reason`` only in the stage ``PLANNED``. The
-    author must hold the maintenance duty under ``duty_epoch``.
+    Replay uses ``to_pool``, ``reboot`` and ``reason`` only in the stage ``PLANNED``.
+    The author must hold the maintenance duty under ``duty_epoch``.
     """
 
     instance: str
--- a/libs/model/tests/test_config_change.py
+++ b/libs/model/tests/test_config_change.py
@@ -13,7 +13,7 @@
 )
 
 KEY = {"salt": "0" * 32, "digest": "0" * 64}
-BASE = {
+BASE_DOCUMENT = {
     "zones": {"z1": {}, "z2": {"state": "out"}},
     "pools": {"p1": {}, "p2": {"needed": 1}},
     "instances": {
@@ -32,12 +32,16 @@
     },
     "queues": {"q1": {"pool": "p1", "organisations": ["t1"]}},
 }
-names = st.sampled_from(["z1", "p1", "p2", "t1", "t2", "w1", "w2", "q1", "new"])
+# The strategies generate valid and invalid patches of BASE_DOCUMENT.
+item_ids = st.sampled_from(["z1", "p1", "p2", "t1", "t2", "w1", "w2", "q1", "new"])
 key_ids = st.sampled_from(["k1", "k2", "a.b", ""])
-values = st.one_of(st.none(), st.integers(-1, 3), names, st.lists(names, max_size=2))
-items = st.one_of(
+field_values = st.one_of(
+    st.none(), st.integers(-1, 3), item_ids, st.lists(item_ids, max_size=2)
+)
+# None removes the item.
+item_patches = st.one_of(
     st.none(),
-    st.just(BASE["instances"]["w1"]),
+    st.just(BASE_DOCUMENT["instances"]["w1"]),
     st.just({"share": 1, "upper_limit": 3}),
     st.builds(lambda keys: {"keys": keys}, st.dictionaries(key_ids, st.just(KEY))),
     st.builds(
@@ -56,26 +60,26 @@
                 "keys",
             ]
         ),
-        values,
+        field_values,
         max_size=2,
     ),
 )
-patches = st.dictionaries(
+config_patches = st.dictionaries(
     st.sampled_from(["zones", "pools", "instances", "organisations", "queues", "name"]),
-    st.one_of(st.dictionaries(names, items, max_size=3), values),
+    st.one_of(st.dictionaries(item_ids, item_patches, max_size=3), field_values),
     max_size=3,
 )
 
 
 @settings(max_examples=1500, derandomize=True, deadline=None)
-@given(patches)
-def test_change_equals_parsing_the_whole_document(patch):
+@given(config_patches)
+def test_changed_config_equals_the_parsed_whole_document(patch):
     """Processes replaying one record must all get the same configuration.
 
     Some of them parse the whole document and some only update it.
     """
-    previous = parse_config(BASE, 1)
-    document = merge_patch(BASE, patch)
+    previous = parse_config(BASE_DOCUMENT, 1)
+    document = merge_patch(BASE_DOCUMENT, patch)
     assert change_config(previous, document, patch, 2) == parse_config(document, 2)
 
 
@@ -90,17 +94,17 @@
     ],
 )
 def test_incremental_change_detects_errors(patch):
-    """Guards against accepting a key id of two organisations or an unknown name."""
-    previous = parse_config(BASE, 1)
-    result = change_config(previous, merge_patch(BASE, patch), patch, 2)
+    """Guards against accepting a key id of two organisations or an undefined name."""
+    previous = parse_config(BASE_DOCUMENT, 1)
+    result = change_config(previous, merge_patch(BASE_DOCUMENT, patch), patch, 2)
     assert isinstance(result, ConfigError)
 
 
 def test_change_reuses_unchanged_indexes():
     """A change of one key must not rebuild the index of all instances."""
-    previous = parse_config(BASE, 1)
+    previous = parse_config(BASE_DOCUMENT, 1)
     patch = {"organisations": {"t1": {"keys": {"k1": None}}}}
-    changed = change_config(previous, merge_patch(BASE, patch), patch, 2)
+    changed = change_config(previous, merge_patch(BASE_DOCUMENT, patch), patch, 2)
     assert isinstance(changed, FleetConfig)
     assert changed.instance_by_id is previous.instance_by_id
     assert changed.key_by_id == {}
--- a/libs/settings/src/lycheeloom/settings/loading.py
+++ b/libs/settings/src/lycheeloom/settings/loading.py
@@ -26,7 +26,7 @@
 
 
 def load_settings(path: Path, model: type[Model]) -> Model | BadSettings:
-    """Read and validate a settings file; return ``BadSettings`` if it cannot be used."""
+    """Read a settings file and validate it; return all problems if there are any."""
     try:
         document = tomllib.loads(path.read_text())
     except OSError as error:
--- a/libs/settings/tests/test_daemon.py
+++ b/libs/settings/tests/test_daemon.py
@@ -32,32 +32,32 @@
 
 
 @pytest.fixture
-def write(tmp_path):
-    def write(text):
+def write_settings(tmp_path):
+    def write_file(text):
         path = tmp_path / "test.toml"
         path.write_text(text)
         return str(path)
 
-    return write
+    return write_file
 
 
-def test_good_settings_are_returned(write):
+def test_valid_settings_are_returned(write_settings):
     """A daemon must get the values of its settings file and the defaults."""
-    settings = read_settings(PROGRAM, Settings, [write('name = "a"')])
+    settings = read_settings(PROGRAM, Settings, [write_settings('name = "a"')])
     assert settings == Settings(name="a")
 
 
-def test_check_config_does_not_return_settings(write, capsys):
-    """--check-config must never start the daemon."""
-    path = write('name = "a"')
+def test_check_config_does_not_return_settings(write_settings, capsys):
+    """--check-config must never start the daemon, so no settings are returned."""
+    path = write_settings('name = "a"')
     assert read_settings(PROGRAM, Settings, [path, "--check-config"]) is ExitCode.OK
     assert capsys.readouterr().out == f"{path}: no problems found\n"
 
 
 @pytest.mark.parametrize("options", [[], ["--check-config"]])
-def test_every_problem_is_printed(write, capsys, options):
-    """All problems must be printed at once, not one after the other is fixed."""
-    path = write("colour = 1")
+def test_every_problem_is_printed(write_settings, capsys, options):
+    """All problems must be printed by one run of the program, not one by each."""
+    path = write_settings("colour = 1")
     code = read_settings(PROGRAM, Settings, [path, *options])
     assert code is ExitCode.BAD_SETTINGS
     assert capsys.readouterr().err.splitlines() == [
@@ -66,11 +66,11 @@
     ]
 
 
-def test_version_is_that_of_the_program(capsys):
+def test_version_option_prints_the_version(capsys):
     """Operators compare the output of --version with the running daemons."""
-    with pytest.raises(SystemExit) as ended:
+    with pytest.raises(SystemExit) as exit_info:
         read_settings(PROGRAM, Settings, ["--version"])
-    assert ended.value.code == 0
+    assert exit_info.value.code == 0
     assert capsys.readouterr().out == "1.2.3\n"
 
 
--- a/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
@@ -11,15 +11,17 @@
 from gevent.event import Event
 from gevent.os import make_nonblocking, nb_write
 
-# Lines that are queued while the reader is slow, about 600 KB. Further lines are
-# dropped and counted.
+# Maximum number of queued lines, about 600 KB, while the reader is slow. Further lines
+# are dropped and counted.
 MAX_WAITING_LINES = 3_000
-# Token bucket: the average rate of lines, and the burst allowed after a quiet time.
+# A token bucket limits the lines: to this average rate, and to this number at once
+# after a quiet time.
 LINES_PER_S = 400.0
 BURST_LINES = 4_000
-FLUSH_INTERVAL_S = 0.05
-# Writes to a pipe are atomic up to this size, so that lines of several processes are
-# neither mixed nor cut.
+# Pause of the writing greenlet in which lines collect, to be written together.
+WRITE_INTERVAL_S = 0.05
+# A write to a pipe is atomic up to this size. Lines of several processes that write to
+# the same pipe are thus neither mixed nor cut.
 MAX_WRITE_BYTES = select.PIPE_BUF
 
 
@@ -27,8 +29,10 @@
     """Queues lines and writes them in a greenlet of its own.
 
     A reader that stops reading does not block the process: the queue fills up and
-    further lines are dropped. Once lines are accepted again, a line reports how many
-    were dropped.
+    further lines are dropped. Lines above the rate limit are dropped too. The next line
+    that is accepted is preceded by a line with the number of dropped ones.
+
+    ``dropped`` counts all lines that were not written.
     """
 
     def __init__(
@@ -68,9 +72,10 @@
         """Wait up to ``timeout_s`` until all queued lines are written."""
         deadline_s = time.monotonic() + timeout_s
         while self._waiting and time.monotonic() < deadline_s:
-            gevent.sleep(FLUSH_INTERVAL_S / 5)
+            gevent.sleep(WRITE_INTERVAL_S / 5)
 
     def _take_token(self) -> bool:
+        """Take a token for one line; return False if there is none."""
         now_s = time.monotonic()
         refill = (now_s - self._refilled_at_s) * self._lines_per_s
         self._tokens = min(self._burst, self._tokens + refill)
@@ -86,22 +91,26 @@
             self._has_lines.clear()
             while self._waiting:
                 self._write_batch()
-            gevent.sleep(FLUSH_INTERVAL_S)
+            gevent.sleep(WRITE_INTERVAL_S)
 
     def _write_batch(self) -> None:
-        """Write whole lines, then remove them from the queue."""
-        lines, size = [], 0
+        """Write as many lines as fit into one write, then remove them from the queue.
+
+        A line that is longer than ``MAX_WRITE_BYTES`` is written alone.
+        """
+        lines, length = [], 0
         for line in self._waiting:
-            if lines and size + len(line) > MAX_WRITE_BYTES:
+            if lines and length + len(line) > MAX_WRITE_BYTES:
                 break
             lines.append(line)
-            size += len(line)
+            length += len(line)
         data = "".join(lines).encode(errors="replace")
         try:
             while data:
                 data = data[nb_write(self._descriptor, data) :]
         except OSError:
-            # The output is closed, so this cannot be logged; only the count shows it.
+            # The output is closed, so the error cannot be logged. Only the count shows
+            # that lines are lost.
             self.dropped += len(lines)
         for _ in lines:
             self._waiting.popleft()
--- a/libs/telemetry/src/lycheeloom/telemetry/logs.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/logs.py
@@ -11,6 +11,7 @@
     "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} "
     "process={extra[process]} {message}"
 )
+# Number that loguru gives to the lowest level that is logged.
 _min_level_no = 0
 _CHARACTERS_TO_QUOTE = frozenset(' "=\n\r\t')
 
@@ -38,17 +39,25 @@
 
 
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
-    """Write one line for an event: ``log_event("zone_out", zone="z1")``."""
+    """Write one line for an event.
+
+    ``log_event("zone_out", zone="z1")`` writes ``event=zone_out zone=z1`` after the
+    time, the level and the process.
+    """
     if logger.level(level).no < _min_level_no:
         return
     pairs = [f"event={event}"]
     pairs.extend(f"{name}={format_value(value)}" for name, value in fields.items())
-    # Passed as an argument, as loguru would format braces in a message.
+    # The pairs are an argument of the message, as loguru would interpret braces in the
+    # message itself.
     logger.opt(depth=1).log(level, "{}", " ".join(pairs))
 
 
 def format_value(value: Any) -> str:
-    """Return a value as text for a key=value pair, in quotes if necessary."""
+    """Return a value as text for a key=value pair, in quotes if necessary.
+
+    Floats have three decimals.
+    """
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
     if text and not _CHARACTERS_TO_QUOTE.intersection(text):
         return text
--- a/libs/telemetry/src/lycheeloom/telemetry/traces.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/traces.py
@@ -29,7 +29,7 @@
 
 _PROPAGATOR = TraceContextTextMapPropagator()
 _NANOSECONDS_PER_MICROSECOND = 1000
-# Ends the traceparent of a trace that the caller does not record.
+# End of the traceparent of a trace that the caller does not record.
 _NOT_SAMPLED_SUFFIX = "-00"
 
 
@@ -51,8 +51,8 @@
 class ActiveSpan:
     """A span in progress, or a placeholder if the trace is not recorded.
 
-    ``traceparent`` is the header for calls to other processes; ``span`` is None if
-    the trace is not recorded.
+    ``traceparent`` is the header for calls to other processes. If the trace is not
+    recorded, ``span`` is None and ``traceparent`` is that of the caller, or empty.
     """
 
     span: Span | None
@@ -72,9 +72,9 @@
 class _ForkSafeTracerProvider(TracerProvider):
     """A tracer provider that does nothing in a forked child process.
 
-    The SDK would start threads in the child. Under gevent, this switches to the
-    event loop, and the child runs the greenlets of its parent on the parent's
-    connections until it executes another program.
+    The SDK would start threads in the child. Under gevent, starting a thread switches
+    to the event loop. The child would then run the greenlets of its parent, on the
+    parent's connections, until it executes another program.
     """
 
     def _handle_fork(self) -> None:
@@ -85,7 +85,8 @@
     """Creates the spans of one process.
 
     ``sample_ratio`` is the fraction, 0 to 1, of the traces starting in this process
-    that are recorded. For other traces, the caller's sampling decision applies.
+    that are recorded. Traces that a caller has started are recorded if the caller
+    records them.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
             span.end()
 
     def _is_unrecorded(self, traceparent: str | None) -> bool:
+        """Tell whether it is certain, without the SDK, that a span is not recorded."""
         if traceparent:
             return traceparent.endswith(_NOT_SAMPLED_SUFFIX)
         return self._sample_ratio == 0
--- a/libs/telemetry/tests/test_bounded_output.py
+++ b/libs/telemetry/tests/test_bounded_output.py
@@ -15,6 +15,7 @@
     reader, writer = os.pipe()
     output = BoundedOutput(writer, max_waiting=50)
     line = "x" * 9_999 + "\n"
+    # The pipe and the queue hold far fewer than 200 of these lines.
     for _ in range(500):
         output.write(line)
         gevent.sleep(0)
@@ -29,7 +30,7 @@
     assert received.startswith(line.encode())
 
 
-def test_volume_is_bounded_and_drops_are_counted():
+def test_rate_limit_drops_and_counts_lines():
     """Guards against a flood of log lines under load."""
     reader, writer = os.pipe()
     output = BoundedOutput(writer, lines_per_s=0.0, burst=10)
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -39,7 +39,7 @@
     assert 'event=request_refused message="bad {payload}\\nsecond"' in line
 
 
-def test_child_span_names_its_parent():
+def test_child_span_has_trace_and_parent_of_the_caller():
     """Spans of one trace must be linked across processes."""
     stream = io.StringIO()
     exporter = LineSpanExporter(stream)
@@ -84,11 +84,12 @@
     """Guards against a forked child that uses its parent's connections before exec.
 
     A child sent a request on an idle connection of its parent, and the parent took
-    the response for that to its own next request.
+    the response to be that of its own next request.
     """
     path = tmp_path / "runs"
     path.touch()
     parent = os.getpid()
+    # Each tracer registers a fork handler, which works as long as the tracer exists.
     tracers = [Tracer(f"entry-{number}", 0.0) for number in range(30)]
     with path.open("a", buffering=1) as runs:
 
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -27,8 +27,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationUsage:
-    """Running tasks, queued requests and used resources of an organisation at the sender.
+    """Running tasks, queued requests and resources in use of one organisation.
 
+    The numbers cover only the entry that sends the heartbeat.
     ``startable`` counts the queued requests that the sender may start under its grant
     once there is capacity.
     """
@@ -47,8 +48,8 @@
     """Liveness, replay position and usage of the sender.
 
     ``sent_us`` is the send time on the sender's monotonic clock. ``echo_us`` is the
-    ``sent_us`` of the heartbeat that this one answers. It is 0 if this one is no answer,
-    or if the sender does not confirm that the receiver is a member. ``next_offset`` is
+    ``sent_us`` of the heartbeat that this one answers, or 0 if this one is no answer
+    or if its sender does not confirm that the receiver is a member. ``next_offset`` is
     the offset after the last replayed batch, and ``log_age_ms`` the time since the
     sender's last successful read of the log. ``usage`` holds the organisations whose
     usage has changed, or all of them if ``complete`` is set. ``reserved_workers`` are
--- a/libs/wire/tests/test_wire.py
+++ b/libs/wire/tests/test_wire.py
@@ -27,6 +27,7 @@
 from lycheeloom.wire.batches import _SCHEMA
 from lycheeloom.wire.checksum import add_checksum
 
+# One record of each kind that can be encoded.
 RECORDS = [
     r.ConfigChanged(3, '{"a":null}', "ada"),
     r.MemberJoined("i1", "i1-a", "127.0.0.1:1", "z1", "0.1"),
@@ -84,7 +85,7 @@
 
 
 def test_record_without_known_kind_is_unknown():
-    """A record of a newer program version must not stop replay in an older one."""
+    """A record of a newer program version must not stop replay in an older version."""
     message = _SCHEMA.Batch.new_message(author="a", sequence=1, records=[{}])
     assert decode_batch(add_checksum(message.to_bytes())) == Batch(
         "a", 1, (UnknownRecord(),)
@@ -94,16 +95,16 @@
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
 def test_copied_record_is_the_same_record(record):
     """A record that is copied and appended again must be unchanged."""
-    first = encode_batch(Batch("first", 3, (r.MemberRefuted(), record)))
-    copy = copy_record(first, 1)
-    again = encode_batch(Batch("second", 8, (copy, r.MemberLeft())))
-    assert decode_batch(again) == Batch("second", 8, (record, r.MemberLeft()))
+    original = encode_batch(Batch("first", 3, (r.MemberRefuted(), record)))
+    copy = copy_record(original, 1)
+    with_copy = encode_batch(Batch("second", 8, (copy, r.MemberLeft())))
+    assert decode_batch(with_copy) == Batch("second", 8, (record, r.MemberLeft()))
 
 
 def in_resumed_greenlet(function):
     """Run a function in a greenlet that has already been suspended and resumed.
 
-    An error inside the Cap'n Proto library crashes the process there.
+    An error inside the Cap'n Proto library crashes the process in such a greenlet.
     """
 
     def run():
@@ -115,7 +116,7 @@
 
 @pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
 def test_codec_works_in_a_greenlet(record):
-    """Guards against a segmentation fault when a record is encoded in a greenlet."""
+    """Guards against a crash when records are encoded or decoded in a greenlet."""
     batch = Batch("author", 7, (record,))
     encoded = in_resumed_greenlet(lambda: encode_batch(batch))
     copy = in_resumed_greenlet(lambda: copy_record(encoded, 0))
