--- a/libs/clients/src/lycheeloom/clients/tasks.py
+++ b/libs/clients/src/lycheeloom/clients/tasks.py
@@ -39,10 +39,9 @@
     """A request to start one task.
 
     ``task`` is the request id and the number of the attempt, such as ``"r1.2"``.
-    ``lease_s`` and ``run_s`` (the estimated run time) are in seconds. With ``wait``,
-    the worker responds when the task has ended, otherwise as soon as the task has
-    started. If ``checkpoint`` is set, the task resumes from this checkpoint of an
-    earlier attempt.
+    ``run_s`` is the run time that the caller expects. With ``wait``, the worker
+    responds when the task has ended, otherwise as soon as it has accepted the task. If
+    ``checkpoint`` is set, the task resumes from this checkpoint of an earlier attempt.
     """
 
     task: str
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -43,8 +43,8 @@
 
     status: int
     body: bytes
-    # The ETag header, or empty. A later If-None-Match header names by it the version of
-    # the document that the client has.
+    # The ETag header, or empty. In the If-None-Match header of a later call, it names
+    # the version of the document that the client has.
     etag: str = ""
 
 
@@ -97,8 +97,8 @@
         result: Response | CallFailed | None = None
         try:
             result = self._exchange(connection, method, path, body, headers, timeout_s)
-        except gevent.Timeout as expired:
-            if expired is not deadline:
+        except gevent.Timeout as timeout:
+            if timeout is not deadline:
                 # The timeout belongs to the code that made the call.
                 raise
             result = CallFailed(True, "no answer in time")
--- a/libs/clients/tests/conftest.py
+++ b/libs/clients/tests/conftest.py
@@ -79,6 +79,8 @@
 
 @pytest.fixture
 def make_start(session):
+    """Make a ``TaskStart`` of the fixture's session, with changes to its defaults."""
+
     def make(task="r1.1", **changes):
         fields = {
             "session": session,
--- a/libs/clients/tests/test_instance_client.py
+++ b/libs/clients/tests/test_instance_client.py
@@ -13,15 +13,16 @@
 from lycheeloom.standins import InstancesStandIn
 from lycheeloom.standins.instances import Instance
 
+# Timeout of calls that must get no response.
 SHORT_S = 0.1
 
 
-def wait_until_done(client, action):
-    while client.action_status(action).state is not ActionState.DONE:
+def wait_until_done(client, action_id):
+    while client.action_status(action_id).state is not ActionState.DONE:
         gevent.sleep(0.001)
 
 
-def test_list(instance_client, worker):
+def test_list_returns_the_listed_instances(instance_client, worker):
     (listed,) = instance_client.list().instances
     assert (listed.instance, listed.address, listed.zone, listed.boot_id) == (
         "w1",
@@ -32,7 +33,7 @@
 
 
 def test_unchanged_list_is_not_sent_again(instance_client, instances):
-    """An unchanged list must be answered with 304.
+    """An unchanged list must be answered with status 304, without the list.
 
     Sending a list of 5,100 workers every 2 s took 17 times the bandwidth budget of
     control traffic.
@@ -44,23 +45,23 @@
 
 
 def test_list_of_a_restarted_platform_is_read_again(instance_client, instances):
-    """A restarted platform counts list versions anew.
+    """A restarted platform numbers the versions of its list anew.
 
-    Guards against an equal version number that hides a change of the list.
+    Guards against an ETag with an equal number that hides a change of the list.
     """
     first = instance_client.list()
-    other = InstancesStandIn("other", port=int(instances.address.split(":")[1]))
+    restarted = InstancesStandIn("other", port=int(instances.address.split(":")[1]))
     instances.stop()
-    other.add(Instance("w2", "worker", "127.0.0.1:1", "z1", "r1"))
-    other.start()
+    restarted.add(Instance("w2", "worker", "127.0.0.1:1", "z1", "r1"))
+    restarted.start()
     try:
         assert instance_client.list() != first
     finally:
-        other.stop()
+        restarted.stop()
 
 
-def test_drain_reboot_undrain(instance_client, worker):
-    """A drained instance is leaving; a rebooted one has a new boot id."""
+def test_drain_reboot_and_undrain_show_in_the_list(instance_client, worker):
+    """A drained instance is listed as leaving, a rebooted one with a new boot id."""
     boot_id = worker.boot_id
     instance_client.drain("w1", "m1-drain")
     wait_until_done(instance_client, "m1-drain")
@@ -97,7 +98,8 @@
         (lambda c: c.drain("w1", ""), "action must be a string"),
     ],
 )
-def test_refused(instance_client, call, reason):
+def test_refused_action_returns_the_reason(instance_client, call, reason):
+    # The id "used" thus belongs to an undrain, not to a drain.
     instance_client.undrain("w1", "used")
     assert call(instance_client) == ActionRefused(reason)
 
@@ -112,9 +114,11 @@
     [lambda c: c.list(), lambda c: c.drain("w1", "a1"), lambda c: c.action_status("a")],
     ids=["list", "drain", "action_status"],
 )
-def test_unavailable(instance_client, instances, faults, call):
-    """Without a response, nothing may be concluded about an instance."""
-    assert isinstance(instance_client.list(), InstanceList)
+def test_call_without_usable_response_is_unavailable(
+    instance_client, instances, faults, call
+):
+    """Without a usable response, nothing may be concluded about an instance."""
+    assert isinstance(instance_client.list(), InstanceList)  # opens a connection
     instances.set_faults(**faults)
     instance_client._call_timeout_s = SHORT_S
     assert isinstance(call(instance_client), Unavailable)
--- a/libs/clients/tests/test_log_client.py
+++ b/libs/clients/tests/test_log_client.py
@@ -15,7 +15,9 @@
 )
 from lycheeloom.standins import LogLimits, LogStandIn
 
+# Timeout of calls that must get a response, however busy the machine is.
 LONG_S = 60.0
+# Timeout of calls that must get no response.
 SHORT_S = 0.1
 
 
@@ -42,7 +44,9 @@
     ],
     ids=lambda value: str(value) if isinstance(value, dict) else "",
 )
-def test_append_fault(log, log_client, faults, batch, expected, appended):
+def test_append_result_under_a_fault(
+    log, log_client, faults, batch, expected, appended
+):
     """An append that may have taken effect must not be reported as refused."""
     assert isinstance(log_client.read(0), ReadBatches)  # opens a connection
     log.set_faults(**faults)
@@ -55,7 +59,7 @@
 def test_append_rate_limit_is_a_refusal(transport):
     """Guards against treating status 429 as an unknown outcome.
 
-    An unknown outcome must be resolved by replaying the log.
+    An unknown outcome costs more: only replaying the log resolves it.
     """
     log = LogStandIn(limits=LogLimits(appends_per_s=1), clock=lambda: 0.0).start()
     client = LogClient(log.address, transport, append_timeout_s=LONG_S)
@@ -76,27 +80,28 @@
     ],
     ids=str,
 )
-def test_read_fault(log, log_client, faults):
+def test_read_is_unavailable_under_a_fault(log, log_client, faults):
     """A failed read must return ``Unavailable`` in bounded time."""
-    assert isinstance(log_client.read(0), ReadBatches)
+    assert isinstance(log_client.read(0), ReadBatches)  # opens a connection
     log.set_faults(**faults)
     assert isinstance(log_client.read(0, margin_s=SHORT_S), Unavailable)
 
 
 def test_read_waits_for_an_append(log, log_client):
-    """Guards against a long poll that returns no batches or misses the append."""
+    """Guards against a long poll that returns early or misses the append."""
     reader = gevent.spawn(log_client.read, 0, 10, LONG_S)
+    # The read has begun once the client has connected.
     while not log.connections_opened:
         gevent.sleep(0.001)
     log.append(b"late")
     assert reader.get() == ReadBatches(0, 1, (b"late",))
 
 
-def test_read_without_new_batches_returns_empty(log_client):
+def test_read_without_new_batches_returns_none(log_client):
     assert log_client.read(0, wait_s=0.01) == ReadBatches(0, 0, ())
 
 
-def test_read_before_retention(transport):
+def test_read_of_an_expired_offset_returns_the_oldest(transport):
     """A reader that has fallen behind must get the oldest retained offset."""
     log = LogStandIn(limits=LogLimits(retained_records=2)).start()
     for batch in (b"a", b"b", b"c"):
--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -23,12 +23,14 @@
 from lycheeloom.standins import StandIn
 from lycheeloom.standins.server import Reply
 
+# Timeout of calls that must get a response, however busy the machine is.
 LONG_S = 60.0
+# Timeout of calls that must get no response.
 SHORT_S = 0.1
 
 
-def call(client, standin, timeout_s=LONG_S):
-    return client.call(standin.address, "GET", "/v1/faults", timeout_s=timeout_s)
+def call(transport, standin, timeout_s=LONG_S):
+    return transport.call(standin.address, "GET", "/v1/faults", timeout_s=timeout_s)
 
 
 def test_recently_used_connection_is_reused(transport, worker):
@@ -38,8 +40,9 @@
 
 
 def test_idle_connection_is_replaced(transport, worker, monkeypatch):
-    """A connection that has been idle for 10 s may have stopped responding."""
+    """A connection that has been idle too long may have stopped responding."""
     call(transport, worker)
+    # With this limit, every idle connection has been idle too long.
     monkeypatch.setattr(transport_module, "MAX_IDLE_S", -1.0)
     call(transport, worker)
     assert worker.connections_opened == 2
@@ -83,20 +86,21 @@
 
 
 def test_unanswered_connection_attempt_sent_nothing():
-    """A call must end even if a full accept queue drops its connection attempts."""
+    """A call must end even if the server's full accept queue drops its connection."""
     listener = gevent.socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen(0)
     address = listener.getsockname()
-    waiting = [gevent.socket.socket() for _ in range(4)]
-    for sock in waiting:
+    # These connections fill the accept queue.
+    queued = [gevent.socket.socket() for _ in range(4)]
+    for sock in queued:
         sock.setblocking(False)
         sock.connect_ex(address)
     result = Transport(connect_timeout_s=SHORT_S).call(
         f"{address[0]}:{address[1]}", "GET", "/", timeout_s=LONG_S
     )
     assert result == CallFailed(False, "not connected: no answer in time")
-    for sock in [*waiting, listener]:
+    for sock in [*queued, listener]:
         sock.close()
 
 
@@ -109,7 +113,7 @@
     assert transport._idle_by_address == {}
 
 
-def trickle(sock, _address):
+def send_endless_response(sock, _address):
     """Send a response that never ends, one byte at a time."""
     sock.sendall(b"HTTP/1.1 200 OK\r\nX: ")
     try:
@@ -120,35 +124,39 @@
         sock.close()
 
 
-def cut_short(sock, _address):
+def send_truncated_response(sock, _address):
     sock.recv(1)
     sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}")
     sock.close()
 
 
-def not_http(sock, _address):
+def send_garbage(sock, _address):
     sock.recv(1)
     sock.sendall(b"\x00\x01\x02\r\n\r\n")
     sock.close()
 
 
-@pytest.mark.parametrize("handler", [trickle, cut_short, not_http])
+@pytest.mark.parametrize(
+    "handler", [send_endless_response, send_truncated_response, send_garbage]
+)
 def test_broken_response_ends_the_call(handler, transport):
     """Guards against a timeout that starts anew with each read.
 
-    It would never expire while a response arrives byte by byte.
+    Such a timeout would never expire while a response arrives byte by byte.
     """
     server = StreamServer(("127.0.0.1", 0), handler)
     server.start()
     address = f"127.0.0.1:{server.server_port}"
-    timeout_s = 1.0 if handler is trickle else LONG_S
+    # Only the endless response has to run into the timeout.
+    timeout_s = 1.0 if handler is send_endless_response else LONG_S
     result = transport.call(address, "GET", "/", timeout_s=timeout_s)
     assert isinstance(result, CallFailed)
     assert result.sent
     server.stop()
 
 
-UNPATCHED = """
+# Makes one call without gevent's monkey patching.
+UNPATCHED_CALL = """
 import sys
 from lycheeloom.clients.transport import Transport
 print(Transport().call(sys.argv[1], "GET", "/", timeout_s=0.1))
@@ -156,12 +164,15 @@
 
 
 def test_call_ends_without_monkey_patching():
-    """The operator's command runs unpatched, so gevent.Timeout never fires there."""
+    """Guards against a call without time limit in the operator's command.
+
+    The command runs without monkey patching, so gevent.Timeout never fires there.
+    """
     listener = gevent.socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen(1)
     address = f"127.0.0.1:{listener.getsockname()[1]}"
-    command = [sys.executable, "-c", UNPATCHED, address]
+    command = [sys.executable, "-c", UNPATCHED_CALL, address]
     output = subprocess.run(command, capture_output=True, text=True).stdout
     assert "CallFailed" in output
     listener.close()
@@ -203,8 +214,8 @@
     ids=str,
 )
 def test_malformed_response_is_no_result(document, transport, make_start):
-    """Guards against exceptions and against taking the answer of another task."""
-    standin = FixedResponseStandIn("odd").start()
+    """Guards against exceptions and against using the answer of another task."""
+    standin = FixedResponseStandIn("malformed").start()
     standin.document = document
     log = LogClient(standin.address, transport, append_timeout_s=LONG_S)
     workers = WorkerClient(transport)
--- a/libs/clients/tests/test_worker_client.py
+++ b/libs/clients/tests/test_worker_client.py
@@ -16,8 +16,11 @@
 from lycheeloom.model.resources import Resources
 from lycheeloom.standins import Amount, PlatformStandIns, WorkerStandIn
 
+# Timeout of calls that must get a response, however busy the machine is.
 LONG_S = 60.0
+# Timeout of calls that must get no response.
 SHORT_S = 0.1
+# Payload of a task that runs for an hour.
 HOUR_OF_WORK = b'{"work_ms": 3600000}'
 
 
@@ -27,7 +30,7 @@
 
 
 def test_start_returns_the_answer(worker, workers, make_start):
-    """Guards against changed payloads and a missing traceparent."""
+    """Guards against changed payloads and a missing traceparent header."""
     payload = bytes(range(256))
     start = make_start(payload=payload)
     report = workers.start(
@@ -63,7 +66,9 @@
     ],
     ids=str,
 )
-def test_start_refused(worker, workers, make_start, faults, changes, reason):
+def test_refused_start_has_no_effect(
+    worker, workers, make_start, faults, changes, reason
+):
     """A refused start must not have had any effect at the worker."""
     worker.set_faults(**faults)
     start = make_start(**changes)
@@ -73,7 +78,7 @@
     assert worker.ledger == []
 
 
-def test_start_refused_while_draining(worker, workers, make_start):
+def test_draining_worker_refuses_starts(worker, workers, make_start):
     worker.drain()
     result = workers.start(worker.address, make_start(), timeout_s=LONG_S)
     assert result == StartRefused(StartRefusal.DRAINING, Resources(64, 256 * 1024, 0))
@@ -89,7 +94,9 @@
     ],
     ids=str,
 )
-def test_start_unknown(worker, workers, make_start, faults, started):
+def test_start_without_response_is_unknown(
+    worker, workers, make_start, faults, started
+):
     """Without a response, nothing proves that the task did not run."""
     start = make_start()
     worker.set_faults(**faults)
@@ -98,13 +105,14 @@
     result = workers.start(worker.address, start, timeout_s=timeout_s)
     assert isinstance(result, StartUnknown)
     assert len(worker.ledger) == started
+    # Clears the faults: the default value of each type means no fault.
     worker.set_faults(**{name: type(value)() for name, value in faults.items()})
     report = workers.status(worker.address, start.task)
     assert report.status is (TaskStatus.DONE if started else TaskStatus.UNKNOWN)
 
 
 def test_duplicate_start_is_not_a_refusal(worker, workers, make_start):
-    """The worker refuses a task that it knows, but that task may have run."""
+    """A worker refuses a second start of a task, but the first one may have run it."""
     start = make_start()
     workers.start(worker.address, start, timeout_s=LONG_S)
     result = workers.start(worker.address, start, timeout_s=LONG_S)
@@ -121,14 +129,14 @@
     workers.stop(worker.address, start.task)
 
 
-def test_failed_task_ran(worker, workers, make_start):
+def test_failed_task_is_reported_as_failed(worker, workers, make_start):
     worker.set_faults(fail_all=True)
     report = workers.start(worker.address, make_start(), timeout_s=LONG_S)
     assert report.status is TaskStatus.FAILED
 
 
-def test_lapsed_session_gets_a_new_one(worker, workers):
-    """A renewal after a session has lapsed must not revive it."""
+def test_renewal_of_a_lapsed_session_creates_a_session(worker, workers):
+    """A lapsed session must not be revived."""
     first = workers.open_session(worker.address, "e", 0.001)
     gevent.sleep(0.01)
     second = workers.open_session(worker.address, "e", LONG_S, first.id)
@@ -141,6 +149,7 @@
     """Guards against losing the work done before a checkpoint."""
     first = make_start(payload=b'{"work_ms": 3600000}', wait=False)
     assert workers.start(worker.address, first, timeout_s=LONG_S).status == "running"
+    # The second attempt has 1 ms of work left.
     worker.running["r1.1"].worked_s = 3599.999
     report = workers.checkpoint(worker.address, "r1.1")
     assert report.status is TaskStatus.CHECKPOINTED
@@ -151,7 +160,7 @@
 
 @pytest.mark.parametrize("action", ["cancel", "stop"])
 def test_stopping_frees_capacity(worker, workers, make_start, action):
-    """The waiting start gets the final report, and the resources are free again."""
+    """A start that waits gets the final report, and the resources are free again."""
     start = make_start(payload=HOUR_OF_WORK, resources=Resources(64, 1, 0))
     waiting = gevent.spawn(workers.start, worker.address, start, timeout_s=LONG_S)
     wait_until(lambda: worker.running)
@@ -162,10 +171,11 @@
     assert workers.usage(worker.address) == UsageReport(worker.boot_id, 0, ())
 
 
-def test_throttle_frees_processors(worker, workers, make_start):
+def test_throttle_frees_processor_cores(worker, workers, make_start):
     start = make_start(payload=HOUR_OF_WORK, resources=Resources(8, 1, 0), wait=False)
     workers.start(worker.address, start, timeout_s=LONG_S)
     report = workers.throttle(worker.address, start.task, 0.25)
+    # A quarter of 8 cores is in use, out of 64.
     assert report.free.cores == 62
     refused = workers.throttle(worker.address, start.task, 2)
     assert isinstance(refused, ActionRefused)
@@ -187,7 +197,8 @@
 ):
     """Guards against a delayed renewal that extends the lease of a lost entry's task.
 
-    The slots of the entry would be given to others while the task still runs.
+    The slots of the lost entry would be granted to other entries while the task still
+    runs.
     """
     start = make_start(payload=HOUR_OF_WORK, wait=False)
     workers.start(worker.address, start, timeout_s=LONG_S)
@@ -203,14 +214,15 @@
     fleet = [WorkerStandIn(f"w{n}", capacity=Amount(1e6, 10**9)) for n in range(3)]
     with PlatformStandIns(workers=fleet):
         answers = gevent.pool.Pool(100).map(
-            lambda n: run_on(fleet[n % 3], make_start, n), range(600)
+            lambda n: run_task(fleet[n % 3], make_start, n), range(600)
         )
     assert answers == [str(n).encode() for n in range(600)]
     assert sum(len(worker.ledger) for worker in fleet) == 600
 
 
-def run_on(worker, make_start, number):
-    client = run_on.client
+def run_task(worker, make_start, number):
+    """Run a task with the shared client; return its answer, which is the number."""
+    client = run_task.client
     session = client.open_session(worker.address, "e", LONG_S).id
     start = make_start(f"r{number}.1", session=session, payload=str(number).encode())
     return client.start(worker.address, start, timeout_s=LONG_S).answer
@@ -218,7 +230,7 @@
 
 @pytest.fixture(autouse=True)
 def _shared_client(workers):
-    run_on.client = workers
+    run_task.client = workers
 
 
 @pytest.mark.parametrize(
@@ -236,8 +248,8 @@
     ],
     ids=["open_session", "status", "renew", "usage"],
 )
-def test_other_calls_report_unavailability(worker, workers, faults, call):
-    workers.usage(worker.address)
+def test_call_without_usable_response_is_unavailable(worker, workers, faults, call):
+    workers.usage(worker.address)  # opens a connection
     worker.set_faults(**faults)
     workers._call_timeout_s = SHORT_S
     assert isinstance(call(workers, worker.address), Unavailable)
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -164,8 +164,9 @@
 class RequestSubmitted:
     """A request is recorded in the log, so that it survives the loss of every entry.
 
-    It is pending until a member claims it for an attempt. An empty
-    ``idempotency_key`` means that the caller has sent none.
+    The request is pending until a member claims it for an attempt. ``run_ms`` is the
+    run time that the caller expects. An empty ``idempotency_key`` means that the caller
+    has sent none.
     """
 
     request_id: str
