--- a/libs/clients/tests/conftest.py
+++ b/libs/clients/tests/conftest.py
@@ -59,7 +59,7 @@
 
 
 @pytest.fixture
-def workers(transport):
+def worker_client(transport):
     client = WorkerClient(transport, call_timeout_s=LONG_S)
     yield client
     client.close()
@@ -73,8 +73,8 @@
 
 
 @pytest.fixture
-def session(worker, workers):
-    return workers.open_session(worker.address, "entry-1", LONG_S).id
+def session(worker, worker_client):
+    return worker_client.open_session(worker.address, "entry-1", LONG_S).id
 
 
 @pytest.fixture
--- a/libs/clients/tests/test_log_client.py
+++ b/libs/clients/tests/test_log_client.py
@@ -97,7 +97,7 @@
     assert reader.get() == ReadBatches(0, 1, (b"late",))
 
 
-def test_read_without_new_batches_returns_none(log_client):
+def test_read_without_new_batches_is_empty(log_client):
     assert log_client.read(0, wait_s=0.01) == ReadBatches(0, 0, ())
 
 
--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -40,9 +40,9 @@
 
 
 def test_idle_connection_is_replaced(transport, worker, monkeypatch):
-    """A connection that has been idle too long may have stopped responding."""
+    """A connection that has been idle for 10 s may have stopped responding."""
     call(transport, worker)
-    # With this limit, every idle connection has been idle too long.
+    # A negative limit, as the test cannot wait for 10 s.
     monkeypatch.setattr(transport_module, "MAX_IDLE_S", -1.0)
     call(transport, worker)
     assert worker.connections_opened == 2
@@ -57,15 +57,15 @@
     assert worker.connections_opened == 2
 
 
-def test_connection_closed_by_the_server_is_replaced(worker, workers, make_start):
+def test_connection_closed_by_the_server_is_replaced(worker, worker_client, make_start):
     """Guards against a start with an unknown outcome after a worker has restarted."""
     assert isinstance(
-        workers.start(worker.address, make_start(), timeout_s=LONG_S), TaskReport
+        worker_client.start(worker.address, make_start(), timeout_s=LONG_S), TaskReport
     )
     worker.set_faults(down=True)
     worker.set_faults(down=False)
     start = make_start("r2.1")
-    report = workers.start(worker.address, start, timeout_s=LONG_S)
+    report = worker_client.start(worker.address, start, timeout_s=LONG_S)
     assert isinstance(report, TaskReport)
     assert len(worker.ledger) == 2
 
@@ -218,16 +218,16 @@
     standin = FixedResponseStandIn("malformed").start()
     standin.document = document
     log = LogClient(standin.address, transport, append_timeout_s=LONG_S)
-    workers = WorkerClient(transport)
+    worker_client = WorkerClient(transport)
     instances = InstanceClient(standin.address, transport)
-    start = workers.start(standin.address, make_start(), timeout_s=LONG_S)
+    start = worker_client.start(standin.address, make_start(), timeout_s=LONG_S)
     assert isinstance(start, StartUnknown)
     assert isinstance(log.append(b"x"), AppendUnknown)
     unavailable = [
         log.read(0),
-        workers.status(standin.address, "r1.1"),
-        workers.open_session(standin.address, "e", 1.0),
-        workers.usage(standin.address),
+        worker_client.status(standin.address, "r1.1"),
+        worker_client.open_session(standin.address, "e", 1.0),
+        worker_client.usage(standin.address),
         instances.list(),
         instances.drain("w1", "a"),
     ]
--- a/libs/clients/tests/test_worker_client.py
+++ b/libs/clients/tests/test_worker_client.py
@@ -29,11 +29,11 @@
         gevent.sleep(0.001)
 
 
-def test_start_returns_the_answer(worker, workers, make_start):
+def test_start_returns_the_answer(worker, worker_client, make_start):
     """Guards against changed payloads and a missing traceparent header."""
     payload = bytes(range(256))
     start = make_start(payload=payload)
-    report = workers.start(
+    report = worker_client.start(
         worker.address, start, timeout_s=LONG_S, traceparent="00-a-b-01"
     )
     free = Resources(64, 256 * 1024, 0)
@@ -44,12 +44,12 @@
     assert (entry["request_id"], entry["traceparent"]) == ("r1", "00-a-b-01")
 
 
-def test_task_id_is_quoted(worker, workers, make_start):
+def test_task_id_is_quoted(worker, worker_client, make_start):
     """A task id with reserved characters must not change the URL path."""
     start = make_start("a/b?c d%é.1")
-    report = workers.start(worker.address, start, timeout_s=LONG_S)
+    report = worker_client.start(worker.address, start, timeout_s=LONG_S)
     assert report.task == start.task
-    assert workers.status(worker.address, start.task).status is TaskStatus.DONE
+    assert worker_client.status(worker.address, start.task).status is TaskStatus.DONE
 
 
 @pytest.mark.parametrize(
@@ -67,20 +67,20 @@
     ids=str,
 )
 def test_refused_start_has_no_effect(
-    worker, workers, make_start, faults, changes, reason
+    worker, worker_client, make_start, faults, changes, reason
 ):
     """A refused start must not have had any effect at the worker."""
     worker.set_faults(**faults)
     start = make_start(**changes)
-    result = workers.start(worker.address, start, timeout_s=LONG_S)
+    result = worker_client.start(worker.address, start, timeout_s=LONG_S)
     assert isinstance(result, StartRefused)
     assert result.reason is reason
     assert worker.ledger == []
 
 
-def test_draining_worker_refuses_starts(worker, workers, make_start):
+def test_draining_worker_refuses_starts(worker, worker_client, make_start):
     worker.drain()
-    result = workers.start(worker.address, make_start(), timeout_s=LONG_S)
+    result = worker_client.start(worker.address, make_start(), timeout_s=LONG_S)
     assert result == StartRefused(StartRefusal.DRAINING, Resources(64, 256 * 1024, 0))
 
 
@@ -95,105 +95,107 @@
     ids=str,
 )
 def test_start_without_response_is_unknown(
-    worker, workers, make_start, faults, started
+    worker, worker_client, make_start, faults, started
 ):
     """Without a response, nothing proves that the task did not run."""
     start = make_start()
     worker.set_faults(**faults)
     ends_by_timeout = "silent" in faults or "slow_ms" in faults
     timeout_s = SHORT_S if ends_by_timeout else LONG_S
-    result = workers.start(worker.address, start, timeout_s=timeout_s)
+    result = worker_client.start(worker.address, start, timeout_s=timeout_s)
     assert isinstance(result, StartUnknown)
     assert len(worker.ledger) == started
     # Clears the faults: the default value of each type means no fault.
     worker.set_faults(**{name: type(value)() for name, value in faults.items()})
-    report = workers.status(worker.address, start.task)
+    report = worker_client.status(worker.address, start.task)
     assert report.status is (TaskStatus.DONE if started else TaskStatus.UNKNOWN)
 
 
-def test_duplicate_start_is_not_a_refusal(worker, workers, make_start):
-    """A worker refuses a second start of a task, but the first one may have run it."""
+def test_duplicate_start_is_not_a_refusal(worker, worker_client, make_start):
+    """The task may have run, as the worker has accepted its first start."""
     start = make_start()
-    workers.start(worker.address, start, timeout_s=LONG_S)
-    result = workers.start(worker.address, start, timeout_s=LONG_S)
+    worker_client.start(worker.address, start, timeout_s=LONG_S)
+    result = worker_client.start(worker.address, start, timeout_s=LONG_S)
     assert result == StartUnknown("duplicate")
 
 
-def test_task_outlives_the_timeout_of_its_start(worker, workers, make_start):
+def test_task_outlives_the_timeout_of_its_start(worker, worker_client, make_start):
     """After the timeout, the outcome is unknown and the status says running."""
     start = make_start(payload=HOUR_OF_WORK)
-    result = workers.start(worker.address, start, timeout_s=SHORT_S)
+    result = worker_client.start(worker.address, start, timeout_s=SHORT_S)
     assert isinstance(result, StartUnknown)
     wait_until(lambda: worker.running)
-    assert workers.status(worker.address, start.task).status is TaskStatus.RUNNING
-    workers.stop(worker.address, start.task)
+    assert worker_client.status(worker.address, start.task).status is TaskStatus.RUNNING
+    worker_client.stop(worker.address, start.task)
 
 
-def test_failed_task_is_reported_as_failed(worker, workers, make_start):
+def test_failed_task_is_reported_as_failed(worker, worker_client, make_start):
     worker.set_faults(fail_all=True)
-    report = workers.start(worker.address, make_start(), timeout_s=LONG_S)
+    report = worker_client.start(worker.address, make_start(), timeout_s=LONG_S)
     assert report.status is TaskStatus.FAILED
 
 
-def test_renewal_of_a_lapsed_session_creates_a_session(worker, workers):
+def test_renewal_of_a_lapsed_session_creates_a_session(worker, worker_client):
     """A lapsed session must not be revived."""
-    first = workers.open_session(worker.address, "e", 0.001)
+    first = worker_client.open_session(worker.address, "e", 0.001)
     gevent.sleep(0.01)
-    second = workers.open_session(worker.address, "e", LONG_S, first.id)
-    third = workers.open_session(worker.address, "e", LONG_S, second.id)
+    second = worker_client.open_session(worker.address, "e", LONG_S, first.id)
+    third = worker_client.open_session(worker.address, "e", LONG_S, second.id)
     assert first.id != second.id
     assert second.id == third.id
 
 
-def test_checkpoint_resumes_in_another_attempt(worker, workers, make_start):
+def test_checkpoint_resumes_in_another_attempt(worker, worker_client, make_start):
     """Guards against losing the work done before a checkpoint."""
     first = make_start(payload=b'{"work_ms": 3600000}', wait=False)
-    assert workers.start(worker.address, first, timeout_s=LONG_S).status == "running"
+    assert (
+        worker_client.start(worker.address, first, timeout_s=LONG_S).status == "running"
+    )
     # The second attempt has 1 ms of work left.
     worker.running["r1.1"].worked_s = 3599.999
-    report = workers.checkpoint(worker.address, "r1.1")
+    report = worker_client.checkpoint(worker.address, "r1.1")
     assert report.status is TaskStatus.CHECKPOINTED
     second = make_start("r1.2", payload=HOUR_OF_WORK, checkpoint=report.checkpoint)
-    report = workers.start(worker.address, second, timeout_s=LONG_S)
+    report = worker_client.start(worker.address, second, timeout_s=LONG_S)
     assert report.status is TaskStatus.DONE
 
 
 @pytest.mark.parametrize("action", ["cancel", "stop"])
-def test_stopping_frees_capacity(worker, workers, make_start, action):
+def test_stopping_frees_capacity(worker, worker_client, make_start, action):
     """A start that waits gets the final report, and the resources are free again."""
     start = make_start(payload=HOUR_OF_WORK, resources=Resources(64, 1, 0))
-    waiting = gevent.spawn(workers.start, worker.address, start, timeout_s=LONG_S)
+    waiting = gevent.spawn(worker_client.start, worker.address, start, timeout_s=LONG_S)
     wait_until(lambda: worker.running)
-    assert workers.usage(worker.address).tasks[0].used.cores == 64
-    report = getattr(workers, action)(worker.address, start.task)
+    assert worker_client.usage(worker.address).tasks[0].used.cores == 64
+    report = getattr(worker_client, action)(worker.address, start.task)
     assert (report.status, report.free.cores) == (TaskStatus.STOPPED, 64)
     assert waiting.get().status is TaskStatus.STOPPED
-    assert workers.usage(worker.address) == UsageReport(worker.boot_id, 0, ())
+    assert worker_client.usage(worker.address) == UsageReport(worker.boot_id, 0, ())
 
 
-def test_throttle_frees_processor_cores(worker, workers, make_start):
+def test_throttle_frees_processor_cores(worker, worker_client, make_start):
     start = make_start(payload=HOUR_OF_WORK, resources=Resources(8, 1, 0), wait=False)
-    workers.start(worker.address, start, timeout_s=LONG_S)
-    report = workers.throttle(worker.address, start.task, 0.25)
+    worker_client.start(worker.address, start, timeout_s=LONG_S)
+    report = worker_client.throttle(worker.address, start.task, 0.25)
     # A quarter of 8 cores is in use, out of 64.
     assert report.free.cores == 62
-    refused = workers.throttle(worker.address, start.task, 2)
+    refused = worker_client.throttle(worker.address, start.task, 2)
     assert isinstance(refused, ActionRefused)
-    workers.stop(worker.address, start.task)
+    worker_client.stop(worker.address, start.task)
 
 
-def test_renew_sets_the_end_of_the_lease(worker, workers, make_start):
+def test_renew_sets_the_end_of_the_lease(worker, worker_client, make_start):
     """The worker must stop a task when its renewed lease has lapsed."""
     start = make_start(payload=HOUR_OF_WORK)
-    waiting = gevent.spawn(workers.start, worker.address, start, timeout_s=LONG_S)
+    waiting = gevent.spawn(worker_client.start, worker.address, start, timeout_s=LONG_S)
     wait_until(lambda: worker.running)
-    workers.renew(worker.address, start.task, 0.01, start.session)
+    worker_client.renew(worker.address, start.task, 0.01, start.session)
     assert waiting.get().status is TaskStatus.STOPPED
 
 
 @pytest.mark.parametrize("named_session", ["", "lapsed"])
 def test_renewal_without_a_valid_session_has_no_effect(
-    worker, workers, make_start, named_session
+    worker, worker_client, make_start, named_session
 ):
     """Guards against a delayed renewal that extends the lease of a lost entry's task.
 
@@ -201,12 +203,12 @@
     runs.
     """
     start = make_start(payload=HOUR_OF_WORK, wait=False)
-    workers.start(worker.address, start, timeout_s=LONG_S)
+    worker_client.start(worker.address, start, timeout_s=LONG_S)
     lease_until = worker.running[start.task].lease_until
-    refused = workers.renew(worker.address, start.task, 2 * LONG_S, named_session)
+    refused = worker_client.renew(worker.address, start.task, 2 * LONG_S, named_session)
     assert refused == ActionRefused("lease_lapsed")
     assert worker.running[start.task].lease_until == lease_until
-    workers.stop(worker.address, start.task)
+    worker_client.stop(worker.address, start.task)
 
 
 def test_every_greenlet_gets_its_own_answer(make_start):
@@ -229,8 +231,8 @@
 
 
 @pytest.fixture(autouse=True)
-def _shared_client(workers):
-    run_task.client = workers
+def _shared_client(worker_client):
+    run_task.client = worker_client
 
 
 @pytest.mark.parametrize(
@@ -248,8 +250,10 @@
     ],
     ids=["open_session", "status", "renew", "usage"],
 )
-def test_call_without_usable_response_is_unavailable(worker, workers, faults, call):
-    workers.usage(worker.address)  # opens a connection
+def test_call_without_usable_response_is_unavailable(
+    worker, worker_client, faults, call
+):
+    worker_client.usage(worker.address)  # opens a connection
     worker.set_faults(**faults)
-    workers._call_timeout_s = SHORT_S
-    assert isinstance(call(workers, worker.address), Unavailable)
+    worker_client._call_timeout_s = SHORT_S
+    assert isinstance(call(worker_client, worker.address), Unavailable)
--- a/libs/model/src/lycheeloom/model/config_change.py
+++ b/libs/model/src/lycheeloom/model/config_change.py
@@ -144,9 +144,9 @@
 
 
 def _references_exist(config: FleetConfig, patch: Mapping[str, Any]) -> bool:
-    """Tell whether the items in ``patch`` name only existing pools, zones and the like.
+    """Tell whether every pool, zone and organisation that a patched item names exists.
 
-    Items that the patch does not contain are valid already, as it removes nothing.
+    The other items need no check, as the patch removes nothing.
     """
     return all(
         _instance_references_exist(config, config.instance_by_id[name])
--- a/libs/model/src/lycheeloom/model/records.py
+++ b/libs/model/src/lycheeloom/model/records.py
@@ -4,7 +4,7 @@
 record takes effect only if its precondition holds in the state before its offset;
 ``lycheeloom.state`` checks the preconditions. The author of a record is the
 incarnation that has appended it. A process gets a new incarnation at each start, and an
-entry also when it joins again after it was expelled.
+entry also when it joins again without a restart.
 """
 
 from __future__ import annotations
@@ -120,7 +120,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRefuted:
-    """The author is alive, so the votes to expel it are cleared."""
+    """The author is alive, so the votes to expel it are cleared.
+
+    The record also shows that the author is alive to members that do not get its
+    heartbeats.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/bounded_output.py
@@ -18,7 +18,8 @@
 # after a quiet time.
 LINES_PER_S = 400.0
 BURST_LINES = 4_000
-# Pause of the writing greenlet in which lines collect, to be written together.
+# After writing, the greenlet pauses for this long, so that the next lines collect and
+# are written together.
 WRITE_INTERVAL_S = 0.05
 # A write to a pipe is atomic up to this size. Lines of several processes that write to
 # the same pipe are thus neither mixed nor cut.
@@ -32,7 +33,7 @@
     further lines are dropped. Lines above the rate limit are dropped too. The next line
     that is accepted is preceded by a line with the number of dropped ones.
 
-    ``dropped`` counts all lines that were not written.
+    ``dropped`` counts the dropped lines and those that could not be written.
     """
 
     def __init__(
