--- a/libs/model/src/lycheeloom/model/config_document.py
+++ b/libs/model/src/lycheeloom/model/config_document.py
@@ -87,9 +87,10 @@
 class QueueDocument(_Document):
     """A queue of requests, served by its pool and, under overload, by spare pools.
 
-    Requests of an ``idempotent`` queue may run twice. An answer can be collected for
-    ``answer_retention_s`` seconds. The budgets limit how many retries and hedges
-    (second copies of slow requests) are added to the requests of the queue.
+    Requests of an ``idempotent`` queue may run twice, unless a request says otherwise.
+    An answer can be collected for ``answer_retention_s`` seconds. The budgets limit how
+    many retries and hedges (second copies of slow requests) are added to the requests
+    of the queue.
     """
 
     pool: str
--- a/libs/model/src/lycheeloom/model/status.py
+++ b/libs/model/src/lycheeloom/model/status.py
@@ -68,7 +68,8 @@
 class QueueStatus(_Status):
     """Requests of one queue at the reporting entry.
 
-    At most ``max_queued`` of them may wait; ``oldest_wait_ms`` is 0 if none waits.
+    ``max_queued`` is the configured limit of ``queued``; ``oldest_wait_ms`` is 0 if no
+    request is queued.
     """
 
     pool: str = ""
--- a/libs/wire/src/lycheeloom/wire/peers.py
+++ b/libs/wire/src/lycheeloom/wire/peers.py
@@ -29,9 +29,8 @@
 class OrganisationUsage:
     """Running tasks, queued requests and resources in use of one organisation.
 
-    The numbers cover only the entry that sends the heartbeat.
-    ``startable`` counts the queued requests that the sender may start under its grant
-    once there is capacity.
+    In a heartbeat, the numbers cover only the sender. ``startable`` counts the queued
+    requests that the sender may start under its grant once there is capacity.
     """
 
     organisation: str
