--- a/libs/sched/src/lycheeloom/sched/allocator.py
+++ b/libs/sched/src/lycheeloom/sched/allocator.py
@@ -259,7 +259,7 @@
             # With excluded workers, another task of the same need may still fit.
             if not excluded:
                 unplaceable_sizes.add(need)
-        return self._reservations.backfill(task, need, pool, excluded, now)
+        return self._reservations.worker_to_backfill(task, need, pool, excluded, now)
 
     def _peer_organisations(
         self,
--- a/libs/sched/src/lycheeloom/sched/queues.py
+++ b/libs/sched/src/lycheeloom/sched/queues.py
@@ -1,4 +1,4 @@
-"""The queued tasks of an entry, indexed by pool, with a strict bound per queue."""
+"""The queued tasks of an entry, and the check whether a queue accepts one more."""
 
 from __future__ import annotations
 
@@ -24,8 +24,9 @@
     def __init__(self) -> None:
         # Urgent tasks by id, in the order in which they were queued.
         self.urgent: dict[str, TaskRecord] = {}
-        # Subqueues that may have a task able to start now, for the next allocation.
-        # Keyed by organisation and queue, as is ``_subqueue_by_key``.
+        # Subqueues that changed since the last allocation in a way that may let one of
+        # their tasks start, such as a new first task of a size class. Keyed by
+        # organisation and queue, as is ``_subqueue_by_key``.
         self.changed_subqueues: dict[tuple[str, str], Subqueue] = {}
         self.count_by_organisation: Counter[str] = Counter()
         self._count_by_queue: Counter[str] = Counter()
@@ -38,7 +39,7 @@
         self.has_batch = False
 
     def set_config(self, config: FleetConfig) -> None:
-        """Apply the queues; assign each subqueue to the pool that now serves it."""
+        """Set the queues; index active subqueues by the pools that now serve them."""
         self._config = config
         kinds = (queue.kind for queue in config.queue_by_id.values())
         self.has_batch = QueueKind.BATCH in kinds
@@ -51,8 +52,12 @@
     def has_space(self, organisation: str, queue: str) -> bool:
         """Return whether the queue accepts one more task of the organisation.
 
-        No queue exceeds its bound. Half of the bound is reserved in equal parts for the
-        organisations of the queue, so that none of them can keep the others out.
+        ``add`` does not check this, so a task that is queued again may exceed the bound
+        of its queue.
+
+        Half of the bound is reserved in equal parts for the organisations that the
+        queue lists, so that none of them can keep the others out. An organisation that
+        the queue does not list may fill the queue up to its bound.
         """
         settings = self._config.queue_by_id[queue]
         total = self._count_by_queue[queue]
@@ -72,9 +77,9 @@
         return total + unused_reserved < settings.max_queued
 
     def add(self, record: TaskRecord, first: bool = False) -> None:
-        """Queue a task at the end or, with ``first``, in front.
+        """Queue a task as the last or, with ``first``, as the first of its size class.
 
-        ``first`` has no effect on an urgent task.
+        An urgent task is always queued as the last urgent one.
         """
         task = record.task
         record.state = TaskState.QUEUED
@@ -96,7 +101,7 @@
             self._activate(subqueue)
 
     def discard(self, record: TaskRecord) -> None:
-        """Remove a queued task, which is marked as ended, in constant time."""
+        """Remove a queued task in constant time, and set its state to ``ENDED``."""
         self._decrement_counts(record)
         if self.urgent.pop(record.task.id, None) is not None:
             record.state = TaskState.ENDED
@@ -120,14 +125,18 @@
         return record
 
     def take_record(self, record: TaskRecord) -> None:
-        """Remove a queued task, urgent or not, that is about to start."""
+        """Remove a queued task, urgent or not, that is about to start.
+
+        The caller must set the state of the record: it is now ``ENDED``, or still
+        ``QUEUED`` if the task is urgent.
+        """
         if record.task.urgent:
             self.take_urgent(record)
             return
         self.discard(record)
 
     def mark_organisation_changed(self, organisation: str) -> None:
-        """Mark all subqueues of an organisation, which may now run more tasks."""
+        """Mark the active subqueues of an organisation that may now run more tasks."""
         for subqueue in self._active_by_organisation.get(organisation, {}).values():
             self.changed_subqueues[organisation, subqueue.queue] = subqueue
 
@@ -174,7 +183,7 @@
         return oldest is not None and self.has_batch_priority(oldest, now)
 
     def queued(self, organisation: str, queue: str) -> int:
-        """Return the number of queued tasks of an organisation on a queue."""
+        """Return how many tasks of an organisation a queue has, without urgent ones."""
         subqueue = self._subqueue_by_key.get((organisation, queue))
         return subqueue.count if subqueue is not None else 0
 
--- a/libs/sched/src/lycheeloom/sched/reservations.py
+++ b/libs/sched/src/lycheeloom/sched/reservations.py
@@ -1,9 +1,11 @@
-"""Workers reserved for tasks that need more room than becomes free at once.
+"""Reservations of workers for tasks that need more room than any worker has free.
 
 A large task would never start on a full fleet, because smaller tasks take whatever
-becomes free. So a worker is reserved for the large task. Until that task is expected
-to start, the worker is backfilled only with tasks that should end before then. For an
-urgent task, the worker is reserved on which other tasks are preempted.
+becomes free. So a worker is reserved for the large task. Until the large task is
+expected to start, the worker is backfilled only with tasks that should end before then.
+
+For an urgent task, running tasks are preempted on a worker, and this worker is reserved
+for the urgent task.
 """
 
 from __future__ import annotations
@@ -19,24 +21,29 @@
 from .tasks import Decision, Task, TaskRecord, TaskState
 from .workers import Worker
 
-# A task that was passed over gets a reservation once it has waited since then for this
-# fraction of the time until the worker is expected to have room, and at the latest
-# after RESERVE_AFTER_S. So small tasks get one early: a worker soon has room for them,
-# and little capacity is kept idle.
+# A task is passed over when it fits on no worker and another task starts instead. A
+# worker is reserved for the task once the time since it was first passed over reaches
+# this fraction of the time until a worker is expected to have room for it, or
+# RESERVE_AFTER_S if that is less. So small tasks get a reservation early: a worker soon
+# has room for them, and little capacity is kept idle.
 RESERVE_WAIT_FRACTION = 0.25
 RESERVE_AFTER_S = 2.0
-# Reservations for tasks that are not urgent hold at most this fraction of a pool's
-# workers, or one worker if that is more. A part of a worker counts as that part.
+# Reservations for tasks that are not urgent take at most this fraction of a pool's
+# workers, or one worker if that is more. Each reservation counts only as the part of
+# its worker that the task needs.
 MAX_RESERVED_FRACTION = 0.1
-# If room on a worker depends on tasks of other entries, these are assumed to end after
-# this time.
+# If a worker gets enough room only when tasks of other entries end, those tasks are
+# assumed to end after this time.
 ASSUMED_PEER_TASK_S = 10.0
-# Time between two searches in a pool, for each of its workers. A search looks at every
-# worker of the pool, so this bounds the cost of searching.
+# Minimum time between two searches of a pool for a worker to reserve, divided by the
+# number of workers in the pool. A search looks at every worker of the pool, so this
+# bounds the cost of searching.
 SEARCH_INTERVAL_PER_WORKER_S = 0.0005
-# Peers are told only of reservations older than this; see ``published_worker_ids``.
+# Peers are told of reservations that are older than this, and of those for urgent tasks
+# at once; see ``published_worker_ids``.
 PUBLISH_AFTER_S = 1.0
-# All reservations are checked this often, and released if their task is gone.
+# All reservations are checked this often, also if their workers did not change. So a
+# reservation whose task is gone is released within this time.
 CHECK_INTERVAL_S = 0.5
 
 
@@ -47,10 +54,10 @@
     ``fraction`` is the part of the worker that the task needs, 0.0 for an urgent task.
     ``expected_at`` is the time at which the worker is expected to have room.
 
-    A reservation for an urgent task has the id of the task as ``urgent_task``, and no
-    subqueue. Any other has an empty ``urgent_task``. It is for whichever task comes
-    first in ``size_class`` of ``subqueue`` when the worker has room; a size class may
-    have several reservations.
+    A reservation for an urgent task has the id of the task as ``urgent_task_id``, and
+    no subqueue. Any other reservation has an empty ``urgent_task_id``, and is for the
+    task that is first in ``size_class`` of ``subqueue`` when the worker has room. A
+    size class may have several reservations.
     """
 
     worker: Worker
@@ -58,7 +65,7 @@
     fraction: float
     created_at: float
     expected_at: float
-    urgent_task: str = ""
+    urgent_task_id: str = ""
     subqueue: Subqueue | None = None
     size_class: SizeClass = (0, 0, 0)
 
@@ -70,27 +77,29 @@
         self._state = state
         self._reservation_by_worker: dict[str, Reservation] = {}
         self._reservations_by_pool: dict[str, dict[str, Reservation]] = {}
-        self._worker_by_urgent_task: dict[str, str] = {}
+        self._worker_id_by_urgent_task: dict[str, str] = {}
         self._now = 0.0
         self._next_check_at = 0.0
         self._next_search_at_by_pool: dict[str, float] = {}
 
-    def has_worker_for(self, urgent_task: str) -> bool:
+    def has_worker_for(self, urgent_task_id: str) -> bool:
         """Return whether a worker is reserved for an urgent task."""
-        return urgent_task in self._worker_by_urgent_task
+        return urgent_task_id in self._worker_id_by_urgent_task
 
     def published_worker_ids(self) -> tuple[str, ...]:
         """Return the reserved workers that peers should not start tasks on.
 
-        Young reservations for tasks that are not urgent are left out. They often end
-        before peers learn of them, and what peers then leave free on the worker would
+        For tasks that are not urgent, reservations up to ``PUBLISH_AFTER_S`` old are
+        left out. Many are released before peers learn of them. Peers would then leave
+        room free on the worker that no reservation needs any more, and that room would
         stay idle until this entry notices.
         """
         now = self._now
         return tuple(
             worker_id
             for worker_id, reservation in self._reservation_by_worker.items()
-            if reservation.urgent_task or now - reservation.created_at > PUBLISH_AFTER_S
+            if reservation.urgent_task_id
+            or now - reservation.created_at > PUBLISH_AFTER_S
         )
 
     def reserve_urgent(
@@ -98,32 +107,38 @@
     ) -> None:
         """Reserve a worker for an urgent task."""
         task_id = record.task.id
-        self._worker_by_urgent_task[task_id] = worker.id
+        self._worker_id_by_urgent_task[task_id] = worker.id
         reservation = Reservation(
-            worker, worker.pool, 0.0, now, expected_at, urgent_task=task_id
+            worker, worker.pool, 0.0, now, expected_at, urgent_task_id=task_id
         )
         self._add(reservation, now)
         append_event(record, WorkerReserved(now, worker.id, expected_at))
 
     def release_urgent(self, task_id: str, now: float) -> None:
         """Release the worker reserved for an urgent task, if there is one."""
-        worker_id = self._worker_by_urgent_task.get(task_id)
+        worker_id = self._worker_id_by_urgent_task.get(task_id)
         if worker_id is not None:
             self._release(self._reservation_by_worker[worker_id], now)
 
     def start_ready(self, now: float) -> list[Decision]:
-        """Start tasks whose reserved worker has room; release unneeded reservations."""
+        """Start tasks whose reserved worker has room; release unneeded reservations.
+
+        Checks the reservations of urgent tasks and of workers that changed, and every
+        ``CHECK_INTERVAL_S`` all reservations.
+        """
         self._now = now
-        changed_workers = self._state.workers.changed_reserved
+        changed_or_due_ids = self._state.workers.changed_reserved_worker_ids
         if now >= self._next_check_at:
             self._next_check_at = now + CHECK_INTERVAL_S
-            changed_workers.update(self._reservation_by_worker)
-        if not changed_workers and not self._worker_by_urgent_task:
+            changed_or_due_ids.update(self._reservation_by_worker)
+        if not changed_or_due_ids and not self._worker_id_by_urgent_task:
             return []
-        self._state.workers.changed_reserved = set()
-        worker_ids = changed_workers | set(self._worker_by_urgent_task.values())
+        self._state.workers.changed_reserved_worker_ids = set()
+        worker_ids_to_check = changed_or_due_ids | set(
+            self._worker_id_by_urgent_task.values()
+        )
         decisions: list[Decision] = []
-        for worker_id in sorted(worker_ids):
+        for worker_id in sorted(worker_ids_to_check):
             reservation = self._reservation_by_worker.get(worker_id)
             if reservation is None:
                 continue
@@ -132,7 +147,7 @@
                 decisions.append(decision)
         return decisions
 
-    def backfill(
+    def worker_to_backfill(
         self,
         task: Task,
         need: Resources,
@@ -140,10 +155,10 @@
         excluded: frozenset[str],
         now: float,
     ) -> Worker | None:
-        """Return a reserved worker that the task would leave again in time.
+        """Return a reserved worker on which the task may run meanwhile, or None.
 
-        The task must be expected to end before the task starts for which the worker is
-        reserved. Workers reserved for urgent tasks are not backfilled.
+        The task must be expected to end by the time at which the reservation expects
+        room on the worker. Workers reserved for urgent tasks are not backfilled.
         """
         reservations = self._reservations_by_pool.get(pool)
         if not reservations:
@@ -151,7 +166,7 @@
         expected_end = now + self._state.sizes.corrected_run_s(task)
         for reservation in reservations.values():
             worker = reservation.worker
-            if expected_end > reservation.expected_at or reservation.urgent_task:
+            if expected_end > reservation.expected_at or reservation.urgent_task_id:
                 continue
             if worker.id in excluded or not self._state.workers.accepts_starts(worker):
                 continue
@@ -168,7 +183,13 @@
         pool: str,
         now: float,
     ) -> None:
-        """Reserve a worker for a task if it was first passed over long enough ago."""
+        """Reserve a worker for a task that was passed over and has waited long enough.
+
+        See ``RESERVE_WAIT_FRACTION`` for how long. The worker is the one expected to
+        have room first. None is reserved if no worker of the pool is eligible, if the
+        last search of the pool is too recent, or if the reservations of the pool would
+        exceed ``MAX_RESERVED_FRACTION``.
+        """
         passed_over_at = record.passed_over_at
         if passed_over_at is None or now <= passed_over_at:
             return
@@ -178,7 +199,8 @@
         self._next_search_at_by_pool[pool] = now + SEARCH_INTERVAL_PER_WORKER_S * len(
             workers
         )
-        # When a worker is first expected to have room, and the id of the worker.
+        # The earliest time at which a worker is expected to have room, and the id of
+        # that worker.
         earliest: tuple[float, str] | None = None
         for worker in self._candidates(workers, need):
             expected_at = expected_room_at(worker, need, now)
@@ -211,8 +233,9 @@
     def _start_on(self, reservation: Reservation, now: float) -> Decision | None:
         """Start the task of a reservation if its worker has room.
 
-        The reservation is released if the task starts, is gone, no longer fits on the
-        worker or must wait for a grant, or if the worker takes no normal work.
+        The reservation is released if the task starts, is gone, is too large for the
+        worker or must wait for a grant. It is also released if the worker accepts no
+        starts or is on probation.
         """
         state = self._state
         worker = reservation.worker
@@ -236,10 +259,10 @@
         return state.start(record, worker, need, now)
 
     def _next_task(self, reservation: Reservation) -> TaskRecord | None:
-        """Return the queued task that the reservation now serves, None if gone."""
+        """Return the queued task that the reservation is for now, None if gone."""
         if reservation.subqueue is not None:
             return reservation.subqueue.head(reservation.size_class)
-        record = self._state.record_by_id.get(reservation.urgent_task)
+        record = self._state.record_by_id.get(reservation.urgent_task_id)
         if record is None or record.state is not TaskState.QUEUED:
             return None
         return record
@@ -258,10 +281,11 @@
         worker.reserved = False
         del self._reservation_by_worker[worker.id]
         del self._reservations_by_pool[reservation.pool][worker.id]
-        self._worker_by_urgent_task.pop(reservation.urgent_task, None)
+        self._worker_id_by_urgent_task.pop(reservation.urgent_task_id, None)
         self._state.workers.refresh(worker, now)
 
     def _candidates(self, workers: Iterable[Worker], need: Resources) -> list[Worker]:
+        """Return the workers that may be reserved and are large enough."""
         accepts_starts = self._state.workers.accepts_starts
         return [
             worker
@@ -275,7 +299,11 @@
 
 
 def expected_room_at(worker: Worker, need: Resources, now: float) -> float:
-    """Return when running tasks are expected to have left room for ``need``."""
+    """Return when a worker is expected to have room for ``need``.
+
+    If too little room is left even after all running tasks of this entry have ended,
+    the rest must come from tasks of other entries; see ``ASSUMED_PEER_TASK_S``.
+    """
     free = worker.free
     if need.fits_in(free):
         return now
--- a/libs/sched/src/lycheeloom/sched/workers.py
+++ b/libs/sched/src/lycheeloom/sched/workers.py
@@ -68,8 +68,8 @@
         # Pools of which a usable worker changed since the last allocation, so that
         # queued tasks may be able to start there.
         self.freed_pools: set[str] = set()
-        # Reserved workers that changed since the reservations were last checked.
-        self.changed_reserved: set[str] = set()
+        # Ids of reserved workers that changed since the last check of reservations.
+        self.changed_reserved_worker_ids: set[str] = set()
         self._random = random.Random(seed)
         self._zones_by_pool: dict[str, list[_ZoneIndex]] = {}
         self._sizes_by_pool: dict[str, set[Resources]] = {}
@@ -240,7 +240,7 @@
     def refresh(self, worker: Worker, now: float) -> None:
         """Update the index after a worker changed, and mark its pool as freed."""
         if worker.reserved:
-            self.changed_reserved.add(worker.id)
+            self.changed_reserved_worker_ids.add(worker.id)
         for zone_index in self._zones_by_pool.get(worker.pool, ()):
             if zone_index.zone == worker.zone:
                 usable = self._usable_capacity(worker, now)
