--- a/libs/entry/src/lycheeloom/entry/dispatch.py
+++ b/libs/entry/src/lycheeloom/entry/dispatch.py
@@ -85,7 +85,7 @@
     ) -> None:
         self.runner: AttemptRunner | None = None
         # Called after each round of ``run_rounds``.
-        self.after_round: Callable[[], None] = lambda: None
+        self.after_scheduling_round: Callable[[], None] = lambda: None
         # Called as (worker, queue, has_failed) if an unrecorded request ran or failed.
         self.on_outcome: Callable[[str, str, bool], None] = lambda *outcome: None
         self.scheduler = scheduler
@@ -117,7 +117,7 @@
             self._wake.wait(seconds_until_tick(tick_s))
             self._wake.clear()
             self._apply_decisions()
-            self.after_round()
+            self.after_scheduling_round()
 
     def submit(self, request: LocalRequest) -> Refusal | None:
         """Queue a request or a copy of it, or return why the scheduler refuses it."""
@@ -151,7 +151,7 @@
         request.wake_waiters()
         return True
 
-    def configure_budgets(self, queues: Iterable[Queue]) -> None:
+    def set_retry_and_hedge_budgets(self, queues: Iterable[Queue]) -> None:
         """Replace the queues whose retry and hedge budgets apply."""
         self._budgets.set_queues(queues)
 
--- a/libs/entry/src/lycheeloom/entry/recorded_requests.py
+++ b/libs/entry/src/lycheeloom/entry/recorded_requests.py
@@ -148,7 +148,7 @@
                 local.attempt -= 1
                 return f"the claim was not recorded: {reason}"
 
-    def release(self, local: LocalRequest, attempt: int) -> bool:
+    def release_claim(self, local: LocalRequest, attempt: int) -> bool:
         """Release the claim of an attempt; return whether this entry holds none now."""
         if not self._is_own_claim(local.id, attempt):
             return True
@@ -169,7 +169,7 @@
             case MayHaveRun(message):
                 record = _may_have_run(local.id, local.attempt, message)
             case NotRun():
-                self.release(local, local.attempt)
+                self.release_claim(local, local.attempt)
                 record = r.RequestCancelled(local.id)
             case _:
                 return
@@ -189,7 +189,7 @@
         finished.wait(min(timeout_s, COMMIT_TIMEOUT_S) if self._draining else timeout_s)
         return self._tail.state.requests.request_by_id.get(request_id)
 
-    def release_waiters(self) -> None:
+    def end_all_waits(self) -> None:
         """End all waits for recorded requests, as this entry shuts down.
 
         The callers can get the answers from other entries. The shutdown must not wait
--- a/libs/entry/src/lycheeloom/entry/replies.py
+++ b/libs/entry/src/lycheeloom/entry/replies.py
@@ -82,7 +82,7 @@
 def ran_reply(request_id: str, answer: bytes) -> Reply:
     """Return the reply for a request that ran.
 
-    Its answer is given as text if it is UTF-8, else in base64.
+    The reply has the answer as text if the answer is UTF-8, else in base64.
     """
     document: dict[str, Any] = {"request_id": request_id, "verdict": "ran"}
     try:
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -66,16 +66,15 @@
 
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5  # between attempts to read the state from the log
-# Interval between two measurements of the event loop's delay.
-LOOP_DELAY_INTERVAL_S = 5.0
+LOOP_DELAY_INTERVAL_S = 5.0  # between two measurements of the event loop's delay
 CLOSE_IDLE_INTERVAL_S = 5.0
 DRAIN_POLL_S = 0.05
-# Until the load balancer learns from /readyz that this entry is draining, new requests
-# get a refusal instead of a closed connection.
+# Draining takes at least this long, so that new requests get a refusal, not a closed
+# connection, until the load balancer learns from /readyz that this entry is draining.
 MIN_DRAIN_DURATION_S = 1.0
 LEAVE_TIMEOUT_S = 3.0
-# Allocations between two garbage collections of the youngest generation.
-GC_THRESHOLD_ALLOCATIONS = 20_000
+# Net container allocations that start a collection of the youngest generation.
+GC_THRESHOLD_NET_ALLOCATIONS = 20_000
 # Records that can change the grants of this entry or the number of members.
 _GRANT_RECORD_TYPES = {
     GrantRequested,
@@ -96,7 +95,7 @@
 
 
 class EntryService:
-    """One entry: accepts requests, runs them at workers, answers callers."""
+    """One entry, which accepts requests, runs them at workers and answers callers."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
@@ -115,7 +114,7 @@
 
     def run(self) -> None:
         """Serve until stopped, replaced or marked as leaving; drain and shut down."""
-        self._build(self._recover())
+        self._build(self._recover_state())
         self._start()
         log_event(
             "entry_started",
@@ -138,14 +137,14 @@
         """Ask ``run`` to shut down."""
         self._stopping.set()
 
-    def _recover(self) -> FleetState:
+    def _recover_state(self) -> FleetState:
         while True:
-            state = recover(self._clients.log)
-            if isinstance(state, FleetState):
-                return state
-            self._log_recovery_failure(state)
+            result = recover(self._clients.log)
+            if isinstance(result, FleetState):
+                return result
+            self._log_recovery_failure(result)
             if self._stopping.wait(RECOVERY_RETRY_S):
-                return FleetState()
+                return FleetState()  # ``run`` starts the entry, then stops it at once
 
     def _log_recovery_failure(self, failed: RecoveryFailed) -> None:
         log_event("recovery_failed", "WARNING", reason=failed.reason)
@@ -155,6 +154,7 @@
         incarnation = new_incarnation(settings.instance)
         self.tail = LogTail(self._clients.log, state)
         self.writer = LogWriter(self._clients.log, incarnation, self.tail)
+        # The author of the writer is always the current incarnation of this entry.
         self.freshness = Freshness(self.tail, lambda: self.writer.author)
         self.mesh = PeerMesh(incarnation, self.tail, self.freshness)
         self.scheduler = Scheduler(state.config, settings.seed)
@@ -198,12 +198,12 @@
             self._clients.workers,
             self.monitor.address_of,
             self.freshness.is_fresh,
-            self.recorded_requests.release,
+            self.recorded_requests.release_claim,
             self._on_settled,
         )
         self.recorded_requests.dispatcher = self.dispatcher
         self.exchange = UsageExchange(self.mesh, self.scheduler, self.dispatcher)
-        self.dispatcher.after_round = self.exchange.sync_reservations
+        self.dispatcher.after_scheduling_round = self.exchange.sync_reservations
         outcomes = OutcomeCounts(self.monitor.is_on_probation)
         self.dispatcher.on_outcome = outcomes.record
         self.mesh.report_outcomes = outcomes.report
@@ -235,7 +235,7 @@
             self.recorded_requests.claim,
             self.dispatcher.observe_report,
         )
-        self.recovery = ClaimRecovery(
+        self.claim_recovery = ClaimRecovery(
             self.tail,
             self.writer,
             self._clients.workers,
@@ -269,7 +269,7 @@
             self.handler,
             self.tail,
             self.metrics,
-            self._read_status,
+            self._status_document,
             lambda: self.freshness.is_fresh() and not self.handler.is_draining,
             explanations.explain,
             self.settings.handover_token,
@@ -277,14 +277,13 @@
         )
 
     def _start(self) -> None:
-        # Keeps the modules and the recovered state out of full garbage collections,
-        # which scanned them and delayed answers by tens of milliseconds.
+        # Full collections of modules and state would delay answers by tens of ms.
         gc.collect()
         gc.freeze()
-        gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
+        gc.set_threshold(GC_THRESHOLD_NET_ALLOCATIONS)
         self._apply_config()
-        for worker in self.tail.state.maintenance.health_by_instance:
-            self.monitor.apply_health(worker)
+        for instance in self.tail.state.maintenance.health_by_instance:
+            self.monitor.apply_health(instance)
         self.tail.start()
         self.writer.start()
         self.mesh.start(*split_address(self.settings.peer_listen))
@@ -295,7 +294,7 @@
             self.dispatcher.run_rounds,
             self.grants.run,
             self.monitor.run,
-            self.recovery.run,
+            self.claim_recovery.run,
             self.exchange.run,
             self._measure_loop_delay,
             self._close_idle_connections,
@@ -330,7 +329,7 @@
     def _apply_config(self) -> None:
         config = self.tail.state.config
         self.scheduler.set_config(config, time.monotonic())
-        self.dispatcher.configure_budgets(list(config.queue_by_id.values()))
+        self.dispatcher.set_retry_and_hedge_budgets(list(config.queue_by_id.values()))
         self._apply_pools()
         self.grants.schedule_full_step()
         self._wake()
@@ -352,7 +351,7 @@
             self.metrics.loop_delay_s.set(max(0.0, time.monotonic() - due))
 
     def _update_metrics(self) -> None:
-        self.metrics.set_status(self._read_status())
+        self.metrics.set_status(self._status_document())
         self.metrics.unknown_records.set(self.tail.state.unknown_records)
         for gauge in (self.metrics.running, self.metrics.queued, self.metrics.granted):
             gauge.clear()
@@ -368,7 +367,7 @@
                 self.grants.usable(organisation)
             )
 
-    def _read_status(self) -> StatusDocument:
+    def _status_document(self) -> StatusDocument:
         return self.status.build(
             self.settings.instance, self.settings.zone, PROGRAM_VERSION
         )
@@ -379,10 +378,10 @@
             self._clients.workers.close_idle()
 
     def _drain(self) -> None:
-        """Refuse new requests, finish the accepted ones, then leave the cluster."""
+        """Refuse new requests and wait for open ones; leave unless tasks still run."""
         self.handler.is_draining = True
         self.mesh.draining = True
-        self.recorded_requests.release_waiters()
+        self.recorded_requests.end_all_waits()
         self.recorded_requests.reassign_pending()
         log_event("draining", open_requests=self.handler.open_requests)
         gevent.sleep(MIN_DRAIN_DURATION_S)
@@ -394,6 +393,7 @@
             gevent.sleep(DRAIN_POLL_S)
         if self.dispatcher.running_tasks:
             log_event("drain_timeout", "WARNING", tasks=self.dispatcher.running_tasks)
+            # The entry stays a member until its peers expel it for its silence.
             return
         self.membership.leave(LEAVE_TIMEOUT_S)
 
--- a/libs/entry/tests/test_dispatch.py
+++ b/libs/entry/tests/test_dispatch.py
@@ -57,7 +57,7 @@
         lambda request, attempt: True,
         lambda request: None,
     )
-    new_dispatcher.configure_budgets(list(config.queue_by_id.values()))
+    new_dispatcher.set_retry_and_hedge_budgets(list(config.queue_by_id.values()))
     return new_dispatcher
 
 
@@ -143,7 +143,7 @@
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_DELAY_S", 0.0)
     monkeypatch.setattr("lycheeloom.entry.dispatch.HEDGE_FACTOR", 0.0)
     queue = Queue("find", "main", idempotent=True, hedge_budget_percent=percent)
-    dispatcher.configure_budgets([queue])
+    dispatcher.set_retry_and_hedge_budgets([queue])
     dispatcher.runner = SlowRunner()
     request = make_request()
     assert dispatcher.submit(request) is None
--- a/libs/entry/tests/test_recorded_requests.py
+++ b/libs/entry/tests/test_recorded_requests.py
@@ -130,7 +130,7 @@
     local = entry.accept()
     local.attempt = 1
     assert entry.call(entry.recorded_requests.claim, local, 1, "w1", "boot") is None
-    assert entry.call(entry.recorded_requests.release, local, 1)
+    assert entry.call(entry.recorded_requests.release_claim, local, 1)
     local.settle(MayHaveRun("the task failed, and the queue refused the retry"))
     entry.call(entry.recorded_requests.record_verdict, local)
     retaken = entry.dispatcher.submitted[-1]
@@ -188,7 +188,7 @@
     entry.accept()
     waiting = gevent.spawn(entry.recorded_requests.wait, "r1", 3600.0)
     gevent.sleep(0)
-    entry.recorded_requests.release_waiters()
+    entry.recorded_requests.end_all_waits()
     assert waiting.get().status is RequestStatus.PENDING
 
 
