--- a/libs/cluster/tests/test_freshness_after_pause.py
+++ b/libs/cluster/tests/test_freshness_after_pause.py
@@ -1,4 +1,4 @@
-"""Guards against a process that is fresh after a pause with a state from before it."""
+"""Tests that confirmations make a process fresh only if its state is recent."""
 
 from __future__ import annotations
 
@@ -29,21 +29,21 @@
 
 
 def make_freshness():
-    """Return the freshness of one of three members, its tail and its clock."""
+    """Return the freshness of member "a" of three, with its tail and its clock."""
     tail, clock = FakeTail(), Clock()
     members: Members = tail.state.members
-    for name in ("a", "b", "c"):
-        members.join(0, MemberJoined(name, name, "x:1", "north"))
+    for member in ("a", "b", "c"):
+        members.join(0, MemberJoined(member, member, "x:1", "north"))
     return Freshness(tail, lambda: "a", clock=clock), tail, clock
 
 
-def test_confirmation_counts_once_the_offset_of_the_peer_is_replayed():
+def test_confirmations_count_only_after_replay_up_to_the_offset_of_the_peer():
     """Guards against starts in a zone that was taken out of service during a pause.
 
     After a pause of 3 s, heartbeats can be answered before the first log read. If their
     confirmations counted immediately, the entry would be fresh before it had replayed
-    the change of the zone, and could start a task there 3.01 s after that change was
-    accepted.
+    the change of the zone. It could then start a task in the zone 10 ms after the
+    pause, which is 3.01 s after a change that was accepted when the pause began.
     """
     freshness, tail, clock = make_freshness()
     clock.now = 3.0
@@ -56,7 +56,10 @@
 
 
 def test_confirmations_count_while_no_batches_are_appended():
-    """Guards against entries that refuse requests during an outage of the log."""
+    """Guards against entries that refuse requests during an outage of the log.
+
+    The peers then confirm with the offset that this entry has already replayed.
+    """
     freshness, _, clock = make_freshness()
     for sent_at in (2.0, 2.5, 3.0):
         clock.now = sent_at
--- a/libs/log/src/lycheeloom/log/queue.py
+++ b/libs/log/src/lycheeloom/log/queue.py
@@ -16,7 +16,8 @@
 # headers and the segment table.
 BATCH_OVERHEAD_BYTES = 1024
 # Upper bound on the encoded size of a record without its texts, bytes and lists: the
-# fixed part and the pointers of the largest record kind, and its list element.
+# fixed part and the pointers of the largest record type, and the element that each
+# record takes in the record list of the batch.
 RECORD_OVERHEAD_BYTES = 192
 # While request records are queued, control records leave this fraction of a batch to
 # them, so that many control records do not hold up requests.
@@ -24,8 +25,8 @@
 
 # Maximum number of queued records of each priority.
 MAX_QUEUED_BY_PRIORITY = {Priority.CONTROL: 2_000, Priority.REQUEST: 10_000}
-# Request records are refused while the queued records of both priorities have this
-# size in total; control records are limited by number only.
+# Request records are refused while the queued records of both priorities take this many
+# bytes or more in total. Control records are limited by number only.
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 
 
@@ -38,8 +39,8 @@
 def _variable_size(value: Any) -> int:
     """Return an upper bound on what a field adds to the fixed part of its record.
 
-    Each text, byte string and list takes up to 16 bytes beyond its content. Numbers and
-    flags are in the fixed part.
+    A text, a byte string or a list takes up to 16 bytes beyond its content, and a list
+    also up to 16 bytes for each item. Numbers and flags are in the fixed part.
     """
     if isinstance(value, str):
         return len(value.encode()) + 16
@@ -57,7 +58,8 @@
         self._queue_by_priority: dict[Priority, deque[PendingRecord]] = {
             priority: deque() for priority in Priority
         }
-        # May include settled records, until they are dropped from the queues.
+        # Size of all queued records. A record that was settled while queued counts
+        # until it is dropped from its queue.
         self._queued_bytes = 0
         # The writer lowers this if the log refuses a batch as too large.
         self.max_batch_bytes = MAX_BATCH_BYTES
@@ -81,9 +83,9 @@
     def put_back(self, batch: Sequence[PendingRecord]) -> None:
         """Put back the records of a batch that was not appended.
 
-        A record whose caller has stopped waiting is settled as not written instead.
-        Otherwise the record would be written after the outage, in addition to the copy
-        that its caller may have appended since.
+        A record for which ``PendingRecord.wait`` has timed out is settled as not
+        written instead. The code that appended the record may have appended a copy
+        since, and the log would get both once it accepts batches again.
         """
         for pending in reversed(batch):
             pending.is_sent = False
@@ -120,8 +122,8 @@
     ) -> list[PendingRecord]:
         """Remove and return records of up to ``soft_limit`` bytes in total.
 
-        The first record may be larger, up to ``hard_limit`` bytes. Records that already
-        have an outcome, such as withdrawn ones, are removed but not returned.
+        The first record may be larger, up to ``hard_limit`` bytes. Records that were
+        withdrawn while queued already have an outcome; they are removed, not returned.
         """
         queue = self._queue_by_priority[priority]
         records: list[PendingRecord] = []
