--- a/libs/fleet/src/lycheeloom/fleet/blockers.py
+++ b/libs/fleet/src/lycheeloom/fleet/blockers.py
@@ -10,7 +10,11 @@
 def describe_blocker(
     step: StepContext | None, instance: str, hold_until_s: float
 ) -> str:
-    """Return a sentence about what keeps an instance from maintenance now."""
+    """Return a sentence about what keeps an instance from maintenance.
+
+    ``step`` is the last planner step, None before the first one. Waves and repair are
+    on hold until ``hold_until_s``.
+    """
     if step is None or instance not in step.layout.location_by_instance:
         return f"Instance {instance} is not known."
     pool = step.layout.location_by_instance[instance][0]
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -31,9 +31,11 @@
 class Limit:
     """A limit that allows no further instance to leave service.
 
-    ``scope`` names the pool, rack or zone. ``current`` counts instances out of
-    service, except for ``NEED`` (instances in service, against the ``allowed``
-    minimum) and ``LAST_SPARE`` (spare instances, against the pools' shortfall).
+    ``scope`` names the pool, rack or zone. Usually ``current`` counts the instances out
+    of service and ``allowed`` is their maximum. For ``NEED``, ``current`` counts the
+    instances in service and ``allowed`` is the least number of them. For
+    ``LAST_SPARE``, ``current`` counts the spare instances and ``allowed`` the instances
+    that other pools lack of their need, both as if the instance had left service.
     """
 
     kind: LimitKind
@@ -58,7 +60,7 @@
         self.members_by_zone: dict[str, list[str]] = defaultdict(list)
         for name, instance in config.instance_by_id.items():
             pool = self.pool_by_instance.get(name, instance.pool)
-            # Rack names may repeat in different zones.
+            # Racks of different zones may have the same name.
             rack = f"{instance.zone}/{instance.rack}"
             self.location_by_instance[name] = (pool, rack, instance.zone)
             self.members_by_pool[pool].append(name)
@@ -94,6 +96,8 @@
         self._out_by_pool: dict[str, int] = defaultdict(int)
         self._out_by_rack: dict[tuple[str, str], int] = defaultdict(int)
         self._out_by_zone: dict[str, int] = defaultdict(int)
+        # The instances of spare pools in service beyond their own need, and the
+        # instances in service that all other pools lack of their need.
         self._spares = self._shortfall = 0
         for pool_id, pool in layout.config.pool_by_id.items():
             size = layout.size_by_pool[pool_id]
@@ -156,12 +160,19 @@
         return self._limit_exceeded_by(instance, 1, to_pool)
 
     def exceeded_limit(self, instance: str, to_pool: str = "") -> Limit | None:
-        """Return a limit that is exceeded already with the instance out of service."""
+        """Return a limit that is exceeded now, None if there is none.
+
+        The instance must be counted as out of service already.
+        """
         return self._limit_exceeded_by(instance, 0, to_pool)
 
     def _limit_exceeded_by(
         self, instance: str, more: int, to_pool: str
     ) -> Limit | None:
+        """Return the limit that is exceeded if ``more`` instances leave service here.
+
+        ``more`` is 0 if the instance counts as out of service already, else 1.
+        """
         config = self._layout.config
         pool_id, rack, zone_id = self._layout.location_by_instance[instance]
         pool = config.pool_by_id.get(pool_id)
@@ -183,9 +194,11 @@
     def _spare_limit_exceeded_by(
         self, pool_id: str, more: int, to_pool: str
     ) -> Limit | None:
-        """Return the limit on spares: every need covered and one spare left over.
+        """Return the limit that keeps needs covered, None if it is not exceeded.
 
-        The shortfall does not keep a spare from joining a pool that is short.
+        Spare instances must cover the shortfall of all pools, with one left over. The
+        shortfall does not keep a spare instance from joining a pool that is short.
+        Without a spare pool, each pool must cover its own need.
         """
         pool = self._layout.config.pool_by_id[pool_id]
         if not self._layout.has_spare_pool:
--- a/libs/fleet/src/lycheeloom/fleet/buffers.py
+++ b/libs/fleet/src/lycheeloom/fleet/buffers.py
@@ -2,15 +2,15 @@
 
 The declared need must stay covered after the loss of any one failure domain, a
 zone or a rack. A spare instance can replace any lost instance of its own size, so
-each size is planned separately. For one size, let ``T`` instances be present, of
-which ``T_z`` are in the lost domain ``z``, and let pool ``p`` have ``n_pz``
-instances in ``z`` and a surplus of ``e_p`` over its need. Then the need ``N`` is
-covered exactly if
+each size is planned separately. For one size, let ``T`` usable instances be present,
+of which ``T_z`` are in the domain ``z``. Let each pool ``p`` that is not a spare pool
+have ``n_pz`` instances in ``z`` and a surplus of ``e_p`` instances over its need. Then
+the total need ``N`` of the pools stays covered after the loss of ``z`` exactly if
 
     sum over p of max(0, e_p - n_pz)  <=  T - T_z - N      for each z,
 
-because a surplus that stays in its pool cannot help elsewhere. Moves change the
-left side only; a negative right side means that the fleet is short of instances.
+because a surplus that stays in its pool cannot help elsewhere. Moves change only the
+left side. A negative right side means that the fleet has too few instances.
 """
 
 from __future__ import annotations
@@ -61,14 +61,17 @@
 
 
 def wanted_buffer(needs: Iterable[SizeNeed]) -> int:
-    """Return how many instances beyond the need cover the loss of any one domain."""
+    """Return how many instances beyond the need cover the loss of any one domain.
+
+    For a size of which no number would do, all instances beyond the need count.
+    """
     return sum(max(0, (need.least or need.present) - need.needed) for need in needs)
 
 
 class BufferPlanner:
     """Plans the fewest moves that cover every need, over the whole fleet.
 
-    The counts are kept between plans, so that a further plan for the same
+    Each ``SizePlan`` keeps its counts of instances, so that a further plan for the same
     configuration is cheap if little has changed.
     """
 
@@ -91,7 +94,7 @@
     def plan(
         self, pool_by_instance: Mapping[str, str], unusable: frozenset[str]
     ) -> BufferPlan:
-        """Plan for instances in these pools, without the ``unusable`` ones."""
+        """Plan for these pools of the instances, without the ``unusable`` instances."""
         moves: list[BufferMove] = []
         shortages: list[Shortage] = []
         needs: list[SizeNeed] = []
@@ -105,7 +108,7 @@
 
 
 def pool_sizes(config: FleetConfig) -> dict[str, Resources]:
-    """Return the instance size of each pool, the most common size in it.
+    """Return the instance size of each pool: the most common size of its instances.
 
     A pool without instances in the configuration takes the most common size of
     the fleet, so that its need is not overlooked.
--- a/libs/fleet/src/lycheeloom/fleet/events.py
+++ b/libs/fleet/src/lycheeloom/fleet/events.py
@@ -1,4 +1,7 @@
-"""Typed decisions of the planner and their descriptions for operators."""
+"""Decisions of the planner and their descriptions for operators.
+
+In each event, ``instance`` and ``pool`` name the instance concerned and its pool.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveStarted:
-    """An instance was chosen for a move."""
+    """An instance was chosen for a move that ends in pool ``to_pool``."""
 
     instance: str
     pool: str
@@ -32,7 +35,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveWaiting:
-    """A move cannot proceed yet."""
+    """A move cannot proceed yet.
+
+    ``limit`` is given if the move waits for an availability budget.
+    """
 
     instance: str
     pool: str
@@ -42,7 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveEnded:
-    """The instance joined its pool, or the move was abandoned."""
+    """The instance joined its pool, or the move was abandoned.
+
+    ``reason`` is a fault that the move met, or why it was abandoned.
+    """
 
     instance: str
     pool: str
@@ -63,7 +72,9 @@
 class MaintenanceOnHold:
     """Waves and repair start nothing because of a correlated failure.
 
-    ``lost`` counts the failed instances of ``domain``; ``until_s`` ends the hold.
+    ``lost`` counts all failed instances of ``domain``; ``instances`` names those that
+    have failed since the last step, and ``pools`` their pools. The hold lasts until
+    ``until_s``.
     """
 
     domain: str
@@ -77,8 +88,8 @@
 class FailureDomainLost:
     """The instances of a rack or zone failed together.
 
-    ``lost`` counts all failed instances of ``domain``, ``instances`` names those
-    that have failed since the last step.
+    ``lost`` counts all failed instances of ``domain``; ``instances`` names those that
+    have failed since the last step, and ``pools`` their pools.
     """
 
     domain: str
@@ -107,10 +118,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BufferShortage:
-    """The fleet lacks instances, which no move between pools can provide.
+    """The fleet lacks instances, and no move between pools can provide them.
 
-    ``domain`` is the rack or zone whose loss would leave it short; it is empty if
-    instances are lacking already.
+    ``domain`` is the rack or zone whose loss would leave the fleet short; it is empty
+    if instances are lacking already. ``size`` describes the size of the instances.
     """
 
     domain: str
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -10,7 +10,8 @@
 
 from .budgets import Layout
 
-MAX_OUTCOMES_PER_INSTANCE = 50
+# Signals of each kind (returns, outcomes, lost leases) that are kept for an instance.
+MAX_SIGNALS_PER_INSTANCE = 50
 
 
 class Symptom(StrEnum):
@@ -34,13 +35,21 @@
 class MonitorSettings:
     """Thresholds of the detection; times are in seconds.
 
+    An instance is silent ``silent_s`` after its first missed probe. It is failing if,
+    of at least ``min_outcomes`` tasks in the last ``window_s``, ``failed_fraction`` or
+    more failed. It is losing leases if it lost ``min_lost_leases`` in the last
+    ``window_s`` and no task succeeded. It is flapping if it returned
+    ``min_flap_returns`` times in the last ``flap_window_s``.
+
+    A workload is the tasks of one queue. If it fails on ``failing_workload_instances``
+    instances within ``window_s`` and succeeds on none, the workload itself is taken to
+    be faulty, and its outcomes are not held against workers.
+
     A rack or zone counts as failed once at least ``domain_silent_fraction`` of its
-    instances, and at least ``domain_silent_min``, are silent.
-    ``max_silent_fraction`` exceeds the third of a fleet that one of three zones
-    holds. If more instances look silent, and more than ``max_silent_floor``, the
-    controller itself is the more likely cause. A workload that fails on
-    ``failing_workload_instances`` instances and succeeds on none is taken to be
-    faulty itself, and its outcomes are not held against workers.
+    instances, and at least ``domain_silent_min``, are silent. If more instances than
+    ``max_silent_fraction`` of the fleet and than ``max_silent_floor`` look silent, the
+    controller itself is the more likely cause. ``max_silent_fraction`` exceeds the
+    third of a fleet that one of three zones holds.
     """
 
     silent_s: float = 30
@@ -69,9 +78,11 @@
 class Assessment:
     """The symptoms and correlated failures at one moment.
 
-    ``too_many_silent`` tells that the silence is not credible. ``possibly_failed``
-    holds silent instances whose rack or zone counts as failed if the instances
-    that have missed probes for less than ``silent_s`` become silent as well.
+    ``silent`` and ``symptom_by_instance`` cover configured instances only.
+    ``too_many_silent`` means that so many instances look silent that the silence is
+    not credible. ``possibly_failed`` holds the silent instances whose rack or zone
+    will count as failed if the instances that have missed probes for less than
+    ``silent_s`` become silent as well.
     """
 
     silent: frozenset[str] = frozenset()
@@ -82,7 +93,11 @@
 
 
 class HealthMonitor:
-    """Collects signals about workers and derives symptoms from them."""
+    """Collects signals about workers and derives symptoms from them.
+
+    A returning worker, a task's outcome and a lost lease are recorded with their
+    times. Symptoms consider the signals of a recent window.
+    """
 
     def __init__(self, settings: MonitorSettings | None = None):
         self.settings = settings or MonitorSettings()
@@ -109,10 +124,11 @@
             self._boot_id_by_instance[instance] = boot_id
 
     def record_miss(self, instance: str, at_s: float) -> bool:
-        """Record that the instance did not answer; True for the first miss.
+        """Record that the instance did not answer a probe.
 
-        Silence is measured from the first miss, not from the last answer, so that
-        neither rare probes nor a stalled controller make instances look silent.
+        Returns True for the first miss since the last answer. Silence is measured from
+        the first miss, not from the last answer, so that neither rare probes nor a
+        stalled controller make instances look silent.
         """
         if instance in self._first_miss_s:
             return False
@@ -126,7 +142,7 @@
     def record_outcome(
         self, instance: str, workload: str, ok: bool, at_s: float
     ) -> None:
-        """Record a task's outcome; ``workload`` is its queue or kind."""
+        """Record a task's outcome; ``workload`` is the name of its queue."""
         self._append(self._outcomes, instance, (at_s, workload, ok))
 
     def record_workload_success(self, workload: str, at_s: float) -> None:
@@ -134,12 +150,19 @@
         self._workload_success_s[workload] = at_s
 
     def forget_faults(self, instance: str) -> None:
-        """Drop the recorded faults of an instance, such as after a reboot."""
+        """Drop the returns, outcomes and lost leases of an instance.
+
+        Called when the instance returns to service or is rebooted. A first missed
+        probe is kept.
+        """
         for signals in (self._returns, self._outcomes, self._lost_leases):
             signals.pop(instance, None)
 
     def retain(self, known: Container[str]) -> None:
-        """Drop the signals of all instances that are not in ``known``."""
+        """Drop the signals of all instances that are not in ``known``.
+
+        ``known`` holds the configured instances.
+        """
         for signals in (
             self._first_miss_s,
             self._boot_id_by_instance,
@@ -241,7 +264,10 @@
     def _failed_domains(
         self, layout: Layout, silent: frozenset[str]
     ) -> tuple[FailedDomain, ...]:
-        """Return the failed zones, then the failed racks of the other zones."""
+        """Return the failed zones, then the failed racks of the other zones.
+
+        A zone or rack counts as failed if enough of its instances are in ``silent``.
+        """
         locations = layout.location_by_instance
         lost = self._failed_domains_of_kind(
             "zone", layout.members_by_zone, silent, lambda name: locations[name][2]
@@ -274,7 +300,7 @@
     @staticmethod
     def _append(signals: dict[str, deque], instance: str, value) -> None:
         if instance not in signals:
-            signals[instance] = deque(maxlen=MAX_OUTCOMES_PER_INSTANCE)
+            signals[instance] = deque(maxlen=MAX_SIGNALS_PER_INSTANCE)
         signals[instance].append(value)
 
 
--- a/libs/fleet/src/lycheeloom/fleet/move_runner.py
+++ b/libs/fleet/src/lycheeloom/fleet/move_runner.py
@@ -20,7 +20,7 @@
 
 
 class MoveRunner:
-    """Advances the open moves and averages how long moves take."""
+    """Advances the open moves and measures the mean duration of moves."""
 
     def __init__(
         self,
@@ -33,13 +33,17 @@
         self._settings = settings
         self._explanations = explanations
         self._timers = Timers()
+        # The id of the open move and the time at which this process first saw it.
         self._started_by_instance: dict[str, tuple[str, float]] = {}
         self._abandoned_at_s: dict[str, float] = {}
 
     def advance_all(
         self, step: StepContext, abandon_reason: Callable[[StepContext, str, Move], str]
     ) -> None:
-        """Add the next record or action of each open move to the step."""
+        """Add the next record or action of each open move to the step.
+
+        ``abandon_reason`` returns why a move should end early, or an empty string.
+        """
         for name, move in step.view.move_by_instance.items():
             if (
                 move.stage in ENDED_STAGES
@@ -64,10 +68,11 @@
         self._timers.sweep()
 
     def _exceeded_limit(self, step: StepContext, name: str, move: Move) -> Limit | None:
-        """Return a limit that is exceeded with the instance itself counted as out.
+        """Return a limit that is exceeded while the instance counts as out of service.
 
-        The limit is checked again before the drain, because the budgets may have
-        changed while a slow log delayed the move.
+        None if the move may go on. The limits that allowed the start of the move are
+        checked again until the drain, because the budgets may have changed while a
+        slow log delayed the move.
         """
         if move.stage not in (MoveStage.PLANNED, MoveStage.DRAINING):
             return None
@@ -90,8 +95,9 @@
     ) -> MoveFacts:
         view, settings = step.view, self._settings
         silent_s = 0.0
-        # A drained instance is out of service too, but may still run tasks. Only
-        # silence for longer than any lease proves that its tasks have ended.
+        # Time since the instance was first seen as silent. A drained instance is out of
+        # service as well but may still run tasks. Only silence for longer than any
+        # task lease proves that the tasks have ended.
         if name in step.assessment.silent:
             silent_s = self._timers.elapsed(("silent", name), step.now_s)
         abandon = abandon_reason(step, name, move)
@@ -120,17 +126,19 @@
     ) -> tuple[dict[str, ActionStatus], dict[str, float]]:
         """Return the statuses of a move's actions and the age of each refusal.
 
-        An action that the platform accepted does not time out: it could still take
-        effect after the move has ended.
+        A move waits for an accepted action without a timeout, because the action could
+        still take effect after the move had ended.
         """
         statuses, refused_for = {}, {}
-        for key in action_ids(move, self._settings.max_attempts):
-            status = view.status_by_action.get(key)
+        for id_of_action in action_ids(move, self._settings.max_attempts):
+            status = view.status_by_action.get(id_of_action)
             if status is None:
                 continue
             if status is ActionStatus.REFUSED:
-                refused_for[key] = self._timers.elapsed(("refused", key), now_s)
-            statuses[key] = status
+                refused_for[id_of_action] = self._timers.elapsed(
+                    ("refused", id_of_action), now_s
+                )
+            statuses[id_of_action] = status
         return statuses, refused_for
 
     def _apply(
@@ -147,14 +155,14 @@
         if decision.action is not None:
             step.actions.append(decision.action)
         if decision.stage is not None:
-            self._record(step, name, move, decision, pool)
+            self._record_stage(step, name, move, decision, pool)
         elif decision.wait is not Wait.NOTHING:
             is_list_outdated = decision.wait is Wait.BUDGET and limit is None
             wait = Wait.INSTANCE_LIST if is_list_outdated else decision.wait
             waiting = events.MoveWaiting(name, pool, wait, limit)
             self._explanations.add(waiting, step.now_s)
 
-    def _record(
+    def _record_stage(
         self,
         step: StepContext,
         name: str,
@@ -183,7 +191,7 @@
         self._explanations.add(ended, step.now_s)
 
     def _process_ended_moves(self, step: StepContext) -> None:
-        """Process the moves that have ended since the last step."""
+        """Update the mean duration and the cooldowns for moves that have ended."""
         for name, (move_id, started_s) in list(self._started_by_instance.items()):
             move = step.view.move_by_instance.get(name)
             if move is not None and move.move_id == move_id:
@@ -194,7 +202,7 @@
                 else:
                     lasted_s = step.now_s - started_s
                     self.mean_move_s += _MEAN_WEIGHT * (lasted_s - self.mean_move_s)
-                # The return after the reboot must not count as flapping.
+                # The return after a reboot must not count as flapping.
                 self._monitor.forget_faults(name)
             del self._started_by_instance[name]
 
@@ -202,8 +210,9 @@
 def _is_out_anyway(step: StepContext, name: str, move: Move) -> bool:
     """Tell whether the instance is out of service regardless of its move.
 
-    An instance in a zone that operators took out of service does not count as
-    such, because they may return the zone to service at any time.
+    That is so for an instance that does not serve and for one under repair. It is not
+    so for an instance in a zone that operators took out of service, because they may
+    return the zone to service at any time.
     """
     if name in step.layout.out_of_service:
         return False
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -1,11 +1,11 @@
 """The state machine of one move.
 
-A stage is recorded before the platform is asked to carry it out, and the next
-stage is recorded only once the platform has done so. If a controller is killed at
-any point, another one can therefore continue the move, and a move that has ended
-needs no further action. The platform is asked to return a drained instance to
-service before ``joined`` or ``abandoned`` is recorded; until then entries see an
-open move and start nothing on the instance.
+The stages ``draining`` and ``rebooting`` are recorded before the platform is asked
+to carry them out, and the next stage is recorded only once the platform has done so.
+If a controller is killed at any point, another one can therefore continue the move.
+The stages ``joined`` and ``abandoned`` end a move. They are recorded after the
+platform has returned the instance to service, so that an ended move needs no further
+action; until then entries see an open move and start nothing on the instance.
 """
 
 from __future__ import annotations
@@ -19,13 +19,13 @@
 
 from .view import ActionKind, ActionStatus, Move, PlatformAction
 
-# A move ends and is reported once the platform has refused this often to return
-# its instance to service.
+# Once the platform has refused this often to return an instance to service, the move
+# ends nevertheless, with the refusal as its reason.
 MAX_RETURN_ATTEMPTS = 5
 
 
 class Wait(StrEnum):
-    """What a move waits for."""
+    """What a move waits for; ``NOTHING`` if it has a next stage or action."""
 
     NOTHING = "nothing"
     BUDGET = "budget"
@@ -38,13 +38,17 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveFacts:
-    """The observations that decide the next step of a move.
-
-    ``running`` is the number of running tasks, None if it is not known.
-    ``is_dead`` means silent for longer than any task lease lasts. ``may_start``
-    means that the budgets allow the move. ``abandon_reason`` says why the move
-    should end early and is empty if it should not. ``refused_for_s`` gives the
-    seconds since the refusal of an action was first seen, by action id.
+    """The observations and limits that decide the next step of a move.
+
+    ``status_by_action`` lacks the action ids for which the platform has not answered.
+    ``running`` is the number of running tasks, None if it is not known. ``is_dead``
+    means that the instance has been silent for longer than any task lease lasts.
+    ``may_start`` means that the budgets allow the drain and that the instance list is
+    current. ``abandon_reason`` says why the move should end early; it is empty if the
+    move should continue. ``refused_for_s`` gives the seconds since the refusal of an
+    action was first seen, by action id. A refused reboot or return to service is
+    requested again after ``retry_after_s``, a reboot at most ``max_attempts`` times
+    in all.
     """
 
     status_by_action: Mapping[str, ActionStatus]
@@ -73,7 +77,11 @@
 
 
 def action_id(move_id: str, stage: MoveStage, attempt: int = 1) -> str:
-    """Return the action id of a stage; each retry after a refusal has its own id."""
+    """Return the id of the action that belongs to a stage of a move.
+
+    The action is a drain for ``draining``, a reboot for ``rebooting`` and an undrain
+    for ``joined`` and ``abandoned``. Each attempt after a refusal has its own id.
+    """
     base = f"{move_id}.{stage}"
     return base if attempt == 1 else f"{base}.{attempt}"
 
@@ -83,7 +91,7 @@
     return _action_ids(move.move_id, move.stage, max_attempts)
 
 
-# More entries than the moves that the budgets of 5,100 instances allow at once.
+# The cache holds more moves than the budgets of 5,100 instances allow at once.
 @lru_cache(maxsize=4096)
 def _action_ids(move_id: str, stage: MoveStage, max_attempts: int) -> tuple[str, ...]:
     match stage:
@@ -123,6 +131,7 @@
     return MoveDecision()
 
 
+# The actions whose status must be known before a move can leave a stage.
 _REQUIRED_STATUSES = {
     MoveStage.PLANNED: (MoveStage.DRAINING,),
     MoveStage.DRAINING: (MoveStage.DRAINING, MoveStage.ABANDONED),
@@ -135,14 +144,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _OpenMove:
+    """An open move and the facts that decide its next step."""
+
     instance: str
     move: Move
     facts: MoveFacts
 
     def has_action_statuses(self) -> bool:
-        """Tell whether the status of each first attempt is known.
+        """Tell whether the first attempt of each required action has a known status.
 
-        Without it, actions of an earlier controller could be overlooked.
+        Otherwise actions of an earlier controller could be overlooked.
         """
         return all(
             self.action_id_for(stage) in self.facts.status_by_action
@@ -153,14 +164,14 @@
         return action_id(self.move.move_id, stage, attempt)
 
     def status(self, stage: MoveStage, attempt: int = 1) -> ActionStatus:
-        key = self.action_id_for(stage, attempt)
-        return self.facts.status_by_action.get(key, ActionStatus.UNKNOWN)
+        attempt_id = self.action_id_for(stage, attempt)
+        return self.facts.status_by_action.get(attempt_id, ActionStatus.UNKNOWN)
 
     def request_action(
         self, kind: ActionKind, stage: MoveStage, attempt: int = 1
     ) -> MoveDecision:
-        key = self.action_id_for(stage, attempt)
-        return MoveDecision(action=PlatformAction(self.instance, kind, key))
+        attempt_id = self.action_id_for(stage, attempt)
+        return MoveDecision(action=PlatformAction(self.instance, kind, attempt_id))
 
     def refused_recently(self, stage: MoveStage, attempt: int) -> bool:
         elapsed_s = self.facts.refused_for_s.get(
@@ -170,10 +181,10 @@
 
 
 def _advance_planned(open_move: _OpenMove) -> MoveDecision:
-    """Start a move, unless its action ids were used before.
+    """Start a move, unless the platform already knows its drain.
 
-    A slow log can deliver a second copy of a plan after the move has ended. The
-    platform would ignore its action ids, so the move must not start again.
+    A slow log can deliver a second copy of the first record after the move has ended.
+    The platform would ignore the used action ids, so the move must not start again.
     """
     facts = open_move.facts
     if open_move.status(MoveStage.DRAINING) is not ActionStatus.UNKNOWN:
@@ -196,7 +207,8 @@
     facts = open_move.facts
     drain = open_move.status(MoveStage.DRAINING)
     if open_move.status(MoveStage.ABANDONED) is not ActionStatus.UNKNOWN:
-        # An earlier controller has requested the return, which must be completed.
+        # The return was requested before, perhaps by an earlier controller, and must
+        # be completed.
         reason = facts.abandon_reason or "an earlier controller began to return it"
         return _return_to_service(open_move, MoveStage.ABANDONED, reason)
     if drain is ActionStatus.UNKNOWN:
@@ -241,12 +253,13 @@
             case ActionStatus.RUNNING:
                 return MoveDecision(wait=Wait.PLATFORM)
             case ActionStatus.UNKNOWN if not open_move.facts.is_idle:
-                # A task that started after the drain must not be lost.
+                # The reboot must not kill a task that started after the drain.
                 return MoveDecision(wait=Wait.RUNNING_TASKS)
             case ActionStatus.UNKNOWN:
                 return open_move.request_action(
                     ActionKind.REBOOT, MoveStage.REBOOTING, attempt
                 )
+        # Only a refused attempt gets here.
         if open_move.refused_recently(MoveStage.REBOOTING, attempt):
             return MoveDecision(wait=Wait.RETRY)
     return _return_to_service(
@@ -255,6 +268,7 @@
 
 
 def _skipped_reboot_reason(open_move: _OpenMove) -> str:
+    """Return why the instance joins without a reboot; empty if it was rebooted."""
     attempts = range(1, open_move.facts.max_attempts + 1)
     statuses = {open_move.status(MoveStage.REBOOTING, attempt) for attempt in attempts}
     if statuses == {ActionStatus.REFUSED}:
@@ -263,20 +277,25 @@
 
 
 def _return_to_service(
-    open_move: _OpenMove, end: MoveStage, reason: str = ""
+    open_move: _OpenMove, final_stage: MoveStage, reason: str = ""
 ) -> MoveDecision:
-    """Have the platform return the instance to service, then record the end."""
+    """Have the platform return the instance to service, then record ``final_stage``."""
     for attempt in range(1, MAX_RETURN_ATTEMPTS + 1):
-        match open_move.status(end, attempt):
+        match open_move.status(final_stage, attempt):
             case ActionStatus.DONE:
-                return MoveDecision(end, reason=reason)
+                return MoveDecision(final_stage, reason=reason)
             case ActionStatus.RUNNING:
                 return MoveDecision(wait=Wait.PLATFORM)
             case ActionStatus.UNKNOWN:
-                return open_move.request_action(ActionKind.UNDRAIN, end, attempt)
-        if open_move.refused_recently(end, attempt):
+                return open_move.request_action(
+                    ActionKind.UNDRAIN, final_stage, attempt
+                )
+        # Only a refused attempt gets here.
+        if open_move.refused_recently(final_stage, attempt):
             return MoveDecision(wait=Wait.RETRY)
-    return MoveDecision(end, reason="the platform refused to return it to service")
+    return MoveDecision(
+        final_stage, reason="the platform refused to return it to service"
+    )
 
 
 def _attempt_ids(move_id: str, stage: MoveStage, count: int) -> tuple[str, ...]:
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -22,26 +22,23 @@
 from .rebalance import Rebalancer
 from .repair import Repair, RepairPlanner, RepairSettings, repair_prefix
 from .step import StepContext
-from .view import (
-    ENDED_STAGES,
-    FleetView,
-    Move,
-    Plan,
-    PlannerSettings,
-    Wave,
-)
+from .view import ENDED_STAGES, FleetView, Move, Plan, PlannerSettings, Wave
 
 CONTROLLER_OPERATOR = "maintenance controller"
+# Bounds a step's explanations of instances that waves cannot take, and of shortages.
 _MAX_EVENTS_PER_STEP = 50
 
 
 class Planner:
     """Plans maintenance of a fleet.
 
-    Call ``step(view, now_s)`` about once a second, append the records and request
-    the actions. Both may be repeated, lost or delayed: later steps return them
-    until they have taken effect. Report the signals of workers to ``health``;
-    ``explanations`` holds the reasons for the decisions.
+    Call ``step(view, now_s)`` about once a second, append the records of the plan and
+    request its actions. Records and actions may be repeated, lost or delayed: later
+    steps return them until they have taken effect. Report the signals of workers to
+    ``health``; ``explanations`` holds the reasons for the decisions.
+
+    Waves, pool changes and repair start moves; an instance has at most one open move.
+    Its first record has the stage ``planned``, and later steps record the next ones.
     """
 
     def __init__(
@@ -58,13 +55,14 @@
         self._runner = MoveRunner(self.settings, self.explanations, self.health)
         self._layout: Layout | None = None
         self._last_step: StepContext | None = None
+        # The first record of each move that is not yet in the view, by instance.
         self._unreplayed_moves: dict[str, MoveStep] = {}
         self._hold_until_s = float("-inf")
         self._failed_members: frozenset[str] = frozenset()
 
     @property
     def buffer_plan(self):
-        """The last buffer plan: moves, shortages and the need of each size."""
+        """The newest buffer plan: moves, shortages and the need of each size."""
         return self._rebalancer.plan
 
     def action_ids(self, moves: Mapping[str, Move]) -> tuple[str, ...]:
@@ -92,7 +90,7 @@
     def forecast(
         self, view: FleetView, wave_id: str, now_s: float
     ) -> waves.Forecast | None:
-        """Return the forecast of a wave, None if the wave is not known."""
+        """Forecast a wave from the end of any hold; None if the wave is not known."""
         wave = view.wave_by_id.get(wave_id)
         if wave is None:
             return None
@@ -115,7 +113,7 @@
         return last is not None and instance in last.layout.location_by_instance
 
     def unavailable_by_pool(self) -> dict[str, int]:
-        """Return the number of instances out of service, by pool, at the last step."""
+        """Count the instances out of service at the end of the last step, by pool."""
         if self._last_step is None:
             return {}
         layout, budgets = self._last_step.layout, self._last_step.budgets
@@ -156,8 +154,8 @@
     def _repeat_unreplayed_moves(self, step: StepContext) -> None:
         """Repeat the first records of moves that have not been replayed yet.
 
-        Their instances count as out of service already, so that a slow log does
-        not lead later steps to choose further instances beyond the budget.
+        The instances of these moves count as out of service already, so that a slow
+        log does not lead later steps to choose further instances beyond the budget.
         """
         for name, record in list(self._unreplayed_moves.items()):
             if self._is_obsolete(step.view, record):
@@ -168,6 +166,7 @@
 
     @staticmethod
     def _is_obsolete(view: FleetView, record: MoveStep) -> bool:
+        """Tell whether the move was replayed or its record can take no effect now."""
         if record.duty_epoch != view.duty_epoch:
             return True
         if record.instance not in view.config.instance_by_id:
@@ -191,7 +190,7 @@
         )
 
     def _abandon_reason(self, step: StepContext, name: str, move: Move) -> str:
-        """Return why a move should end early, empty if it should continue."""
+        """Return why a move should end early; empty if the move should continue."""
         for wave in step.view.wave_by_id.values():
             if wave.state is not WaveState.ABORTED:
                 continue
@@ -205,7 +204,7 @@
             step.layout,
             step.assessment,
             step.now_s,
-            held=step.now_s < self._hold_until_s,
+            on_hold=step.now_s < self._hold_until_s,
         )
         for repair in found:
             if repair.reboot:
@@ -235,7 +234,7 @@
         )
 
     def _hold_on_failed_domains(self, step: StepContext) -> None:
-        """Hold waves and repair for some time whenever a correlated failure grows."""
+        """Begin a hold whenever a rack or zone fails or loses further instances."""
         if step.assessment.too_many_silent:
             silent, total = (
                 len(step.assessment.silent),
@@ -274,14 +273,14 @@
             for wave in step.view.wave_by_id.values()
             if wave.state is WaveState.RUNNING
         ]
-        skipped = self._runner.recently_abandoned(step.now_s)
+        recently_abandoned = self._runner.recently_abandoned(step.now_s)
         explained = started = 0
         for wave in sorted(
             running, key=lambda wave: (not wave.urgent, wave.started_at)
         ):
             moves = step.view.move_by_instance
             for choice in waves.choose_instances(
-                wave, step.layout, step.budgets, moves, skipped
+                wave, step.layout, step.budgets, moves, recently_abandoned
             ):
                 if started >= self.settings.max_starts_per_step:
                     return
@@ -334,6 +333,7 @@
 
     @staticmethod
     def _reboots_in_wave(step: StepContext, pool: str) -> bool:
+        """Tell whether a running or paused wave reboots the instances of the pool."""
         return any(
             wave.state in (WaveState.RUNNING, WaveState.PAUSED)
             and wave.reboot
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -1,8 +1,8 @@
-"""Plans pool changes, for configuration changes and for buffers.
+"""Plans pool changes that follow the configuration or provide buffers.
 
 The home pool of an instance is the pool that the configuration names. An instance
-leaves it only to cover a need elsewhere, and returns once the buffers hold
-without it there.
+leaves its home pool only to cover a need elsewhere. It returns once the buffers of
+the other pools are sufficient without it.
 """
 
 from __future__ import annotations
@@ -18,17 +18,21 @@
 from .view import ENDED_STAGES, FleetView, PlannerSettings
 
 HOUR_S = 3600.0
+# Interval between plans while the hourly limit allows no pool change.
 IDLE_PLAN_INTERVAL_S = 60.0
-# Each round plans the whole fleet again.
+# Rounds of ``plan_with_returns``; each of them plans the whole fleet again.
 MAX_RETURN_ROUNDS = 6
 
 
 class Rebalancer:
-    """Plans pool changes over the whole fleet and limits their rate."""
+    """Plans pool changes over the whole fleet and limits their rate.
+
+    ``plan`` is the newest plan.
+    """
 
     def __init__(self, settings: PlannerSettings):
         self._settings = settings
-        self._lost = DebouncedSet(settings.settle_s)
+        self._lost_instances = DebouncedSet(settings.settle_s)
         self._start_times_s: deque[float] = deque()
         self._moved_at_s: dict[str, float] = {}
         self._planned_s = float("-inf")
@@ -39,22 +43,28 @@
     def due_moves(
         self, view: FleetView, layout: Layout, not_serving: frozenset[str], now_s: float
     ) -> list[BufferMove]:
-        """Return the pool changes that may start now, most urgent first."""
+        """Return the pool changes that may start now, in the order of the plan.
+
+        Instances that are in a move or in the cooldown of a pool change are left out.
+        """
         self._drop_expired(now_s)
         assigned, moving = _assignment(view, layout)
-        # An instance that is out of service for its move is not lost.
-        unusable = self._lost.update(not_serving - moving, now_s) | _given_up(view)
-        key = (view.config, assigned, unusable)
+        # An instance that is out of service because of its own move is not lost.
+        unusable = self._lost_instances.update(not_serving - moving, now_s) | _given_up(
+            view
+        )
+        inputs = (view.config, assigned, unusable)
         may_start = self.may_start()
         # Planning takes up to half a second if many instances are away from their
-        # home pools. While no move may start, a plan only reports shortages.
+        # home pools. While no move may start, plans only serve to report shortages, so
+        # they are made at longer intervals.
         is_due = may_start or now_s - self._planned_s >= IDLE_PLAN_INTERVAL_S
-        if is_due and not self._is_plan_current(key):
+        if is_due and not self._is_plan_current(inputs):
             self._planned_s = now_s
             if self._planner is None or self._planner.config is not view.config:
                 self._planner = BufferPlanner(view.config)
             self.plan = plan_with_returns(self._planner, assigned, unusable)
-            self._plan_inputs = key
+            self._plan_inputs = inputs
         if not may_start:
             return []
         return [
@@ -68,7 +78,7 @@
         return len(self._start_times_s) < self._settings.buffer_moves_per_hour
 
     def record_start(self, move: BufferMove, now_s: float) -> None:
-        """Count a started change against the limit and begin its cooldown."""
+        """Count a started pool change against the hourly limit; begin its cooldown."""
         self._start_times_s.append(now_s)
         self._moved_at_s[move.instance] = now_s
 
@@ -79,9 +89,9 @@
         for name in [name for name, at in self._moved_at_s.items() if at <= oldest]:
             del self._moved_at_s[name]
 
-    def _is_plan_current(self, key: tuple) -> bool:
+    def _is_plan_current(self, inputs: tuple) -> bool:
         last = self._plan_inputs
-        return last is not None and last[0] is key[0] and last[1:] == key[1:]
+        return last is not None and last[0] is inputs[0] and last[1:] == inputs[1:]
 
 
 def plan_with_returns(
@@ -89,49 +99,60 @@
 ) -> BufferPlan:
     """Plan buffers and return instances to their home pools where possible.
 
-    A plan made as if all instances were at home shows which of them are needed
-    elsewhere. Those stay, and the plan is made again. An instance returns only if
-    that takes no further move.
+    ``assigned`` gives the pool of each instance. A plan made as if all instances were
+    at home shows which of them are needed elsewhere. Those instances stay where they
+    are, and the plan is made again. An instance returns only if its return makes no
+    further move necessary. If that is not settled after ``MAX_RETURN_ROUNDS``, no
+    instance returns.
     """
     config = planner.config
-    unreturned = planner.plan(assigned, unusable)
-    homes = {
+    plan_without_returns = planner.plan(assigned, unusable)
+    home_by_instance = {
         name: config.instance_by_id[name].pool
         for name, pool in assigned.items()
         if config.instance_by_id[name].pool != pool
     }
     for _ in range(MAX_RETURN_ROUNDS):
-        if not homes:
-            return unreturned
-        plan = planner.plan({**assigned, **homes}, unusable)
-        stay = _needed_elsewhere(plan, unreturned, assigned, homes)
+        if not home_by_instance:
+            return plan_without_returns
+        plan = planner.plan({**assigned, **home_by_instance}, unusable)
+        stay = _needed_elsewhere(plan, plan_without_returns, assigned, home_by_instance)
         if not stay:
-            returns = [BufferMove(name, assigned[name], homes[name]) for name in homes]
+            returns = [
+                BufferMove(name, assigned[name], home_by_instance[name])
+                for name in home_by_instance
+            ]
             return BufferPlan((*returns, *plan.moves), plan.shortages, plan.needs)
         for name in stay:
-            del homes[name]
-    return unreturned
+            del home_by_instance[name]
+    return plan_without_returns
 
 
 def _needed_elsewhere(
     plan: BufferPlan,
-    unreturned: BufferPlan,
+    plan_without_returns: BufferPlan,
     assigned: Mapping[str, str],
-    homes: Mapping[str, str],
+    home_by_instance: Mapping[str, str],
 ) -> set[str]:
-    """Return the instances that should not return home under this plan."""
-    stay = {move.instance for move in plan.moves if move.instance in homes}
-    if stay or len(plan.moves) <= len(unreturned.moves):
+    """Return the instances that must not return home.
+
+    These are the instances that the plan moves away from home again. If there are none
+    but the plan takes more moves than the plan without returns, one returning instance
+    stays for each move out of its home pool, preferably one that is in the target pool
+    of the move already. If no returning instance fits a move, all of them stay.
+    """
+    stay = {move.instance for move in plan.moves if move.instance in home_by_instance}
+    if stay or len(plan.moves) <= len(plan_without_returns.moves):
         return stay
     for move in plan.moves:
         candidates = sorted(
             (assigned[name] != move.to_pool, name)
-            for name, home in homes.items()
+            for name, home in home_by_instance.items()
             if home == move.from_pool and name not in stay
         )
         if candidates:
             stay.add(candidates[0][1])
-    return stay or set(homes)
+    return stay or set(home_by_instance)
 
 
 def _given_up(view: FleetView) -> frozenset[str]:
@@ -145,7 +166,7 @@
 def _assignment(
     view: FleetView, layout: Layout
 ) -> tuple[dict[str, str], frozenset[str]]:
-    """Return the pool of each instance after the open moves, and who is moving."""
+    """Return the pool of each instance after its open move, and who is moving."""
     assigned = {
         name: location[0] for name, location in layout.location_by_instance.items()
     }
--- a/libs/fleet/src/lycheeloom/fleet/repair.py
+++ b/libs/fleet/src/lycheeloom/fleet/repair.py
@@ -1,7 +1,9 @@
 """Repair of faulty workers: probation, reboot, trial and giving up.
 
-The number of reboots is part of the recorded reason, so that a controller that
-takes over continues the count.
+A worker with a symptom is put on probation, where it gets single trial tasks only. If
+the symptom lasts, the worker is rebooted and put on probation again. A worker that is
+still faulty after the last allowed reboot is given up. The number of reboots is part
+of the recorded reason, so that a controller that takes over continues the count.
 """
 
 from __future__ import annotations
@@ -17,7 +19,8 @@
 from .view import ENDED_STAGES, FleetView, HealthState, Move
 
 _REBOOT_COUNT = re.compile(r"reboot (\d+) of \d+")
-# Exceeds the half hour for which the log may be slow.
+# A proposed repair that is never replayed counts against the quota for this long. The
+# time exceeds the half hour for which the log may be slow.
 PROPOSAL_TIMEOUT_S = 3600.0
 _HEALTHY = HealthState(Health.IN_SERVICE)
 
@@ -26,9 +29,12 @@
 class RepairSettings:
     """Limits of repair; times are in seconds.
 
-    ``max_unhealthy_fraction`` bounds the instances treated as faulty at the same
-    time, so that false detections cannot empty the fleet. ``trials_needed``
-    successful tasks end a probation, as does ``idle_probation_s`` without a fault.
+    A worker that still has a symptom after ``probation_s`` on probation is rebooted,
+    or given up if it was rebooted ``max_reboots`` times since it was last in service.
+    A worker without a symptom returns to service after ``trials_needed`` successful
+    tasks, or after ``idle_probation_s`` on probation. ``max_unhealthy_fraction`` bounds
+    the instances treated as faulty at the same time, so that false detections cannot
+    empty the fleet.
     """
 
     probation_s: float = 120
@@ -40,7 +46,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Repair:
-    """A health to record for an instance, or a reboot to start."""
+    """A health to record for an instance, or a reboot to start.
+
+    ``health`` is None if ``reboot`` is true.
+    """
 
     instance: str
     health: Health | None
@@ -69,13 +78,14 @@
         assessment: Assessment,
         now_s: float,
         *,
-        held: bool = False,
+        on_hold: bool = False,
     ) -> list[Repair]:
         """Return the repairs to make now.
 
-        Instances of a failed rack or zone are skipped, because rebooting them
-        cannot repair it. While repair is ``held``, no further instance is taken
-        out of service or given up.
+        Instances of a failed rack or zone are skipped, because their reboot cannot
+        repair the rack or zone. While repair is ``on_hold``, no instance becomes less
+        available. While too many instances are silent, no reboot starts and no further
+        instance is treated as faulty.
         """
         symptoms = assessment.symptom_by_instance or {}
         in_failed_domain = assessment.possibly_failed.union(
@@ -97,7 +107,7 @@
             found = self._decide_instance(name, state, move, symptoms.get(name), now_s)
             if found is None or (found.reboot and assessment.too_many_silent):
                 continue
-            if held and _reduces_service(state, found):
+            if on_hold and _reduces_service(state, found):
                 continue
             is_new = (
                 state.health is Health.IN_SERVICE and name not in self._proposed_at_s
@@ -118,7 +128,7 @@
     ) -> int:
         """Return how many more instances may be treated as faulty.
 
-        Proposed repairs that have not been replayed from the log yet count too.
+        Instances count too while their proposed repair is not yet replayed.
         """
         oldest = now_s - PROPOSAL_TIMEOUT_S
         self._proposed_at_s = {
@@ -176,7 +186,7 @@
 def _reduces_service(state: HealthState, found: Repair) -> bool:
     """Tell whether a repair makes an instance less available.
 
-    A probation after a reboot does not.
+    A probation does so if it begins in service, but not if it follows a reboot.
     """
     if found.health is Health.PROBATION:
         return state.health is Health.IN_SERVICE
@@ -184,7 +194,10 @@
 
 
 def _follow_reboot(name: str, state: HealthState, move: Move | None) -> Repair | None:
-    """Return the reboot to start, or the probation that follows it."""
+    """Return the reboot to start, or the probation that follows a finished reboot.
+
+    None while the instance is in a move.
+    """
     if _is_in_move(move):
         return None
     was_rebooted = (
@@ -194,9 +207,9 @@
     )
     if not was_rebooted:
         return Repair(name, None, state.reason, reboot=True)
-    count = _REBOOT_COUNT.search(state.reason)
-    done = count[0] if count else "a reboot"
-    return Repair(name, Health.PROBATION, f"it is on trial after {done}")
+    found = _REBOOT_COUNT.search(state.reason)
+    reboot = found[0] if found else "a reboot"
+    return Repair(name, Health.PROBATION, f"it is on trial after {reboot}")
 
 
 def _is_in_move(move: Move | None) -> bool:
--- a/libs/fleet/src/lycheeloom/fleet/size_plan.py
+++ b/libs/fleet/src/lycheeloom/fleet/size_plan.py
@@ -1,6 +1,8 @@
 """The buffer plan of one instance size.
 
-A failure domain is a zone or a rack, as a (kind, name) pair.
+A failure domain is a zone or a rack, given as a (kind, name) pair. A location is a
+(zone, rack) pair. The need of a pool is the number of instances that it must have in
+service; the excess of a pool is its number of instances beyond its need.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 from .spare_need import BufferMove, Shortage, SizeNeed, least_in_service
 
 Domain = tuple[str, str]
-# Name, home pool, location as (zone, rack), zone domain and rack domain.
+# An instance: name, home pool, location, zone domain and rack domain.
 Member = tuple[str, str, Domain, Domain, Domain]
 
 
@@ -24,7 +26,10 @@
 
 
 class SizePlan:
-    """Counts the instances of one size and plans their moves between pools."""
+    """Counts the instances of one size and plans their moves between pools.
+
+    Only usable instances in pools of this size and in spare pools are counted.
+    """
 
     def __init__(self, config: FleetConfig, members: Sequence[Member], pools: set[str]):
         self._members = members
@@ -57,7 +62,7 @@
             name = member[0]
             pool = pool_by_instance.get(name, member[1])
             if name in unusable or pool not in self._planned_pools:
-                pool = ""
+                pool = ""  # not counted in any pool
             last = self._pool_by_instance.get(name, "")
             if pool == last:
                 continue
@@ -83,17 +88,18 @@
     def plan(
         self, size: Resources
     ) -> tuple[list[BufferMove], list[Shortage], SizeNeed]:
-        """Return the moves, the shortages that they leave, and the need."""
+        """Return the moves, the shortages that remain after them, and the need."""
         moves = self._fill_needs()
         if self._spare_pools:
             moves += self._release_surplus()
         result = [move for move, _ in moves], self._shortages(size), self._need(size)
+        # The moves are only planned, so the counts are restored.
         for move, location in reversed(moves):
             self._shift(move.instance, location, move.to_pool, move.from_pool)
         return result
 
     def _need(self, size: Resources) -> SizeNeed:
-        """Return the least number of instances that covers the need."""
+        """Return the need and the least number of instances that covers it."""
         counts = {
             zone: list(racks.values())
             for zone, racks in self._rack_counts_by_zone.items()
@@ -102,7 +108,10 @@
         return SizeNeed(size, self._sum_needed, self._usable, least)
 
     def _shortages(self, size: Resources) -> list[Shortage]:
-        """Return the shortages that remain after the moves, worst first."""
+        """Return the shortages that remain after the moves, worst first.
+
+        Without a spare pool, the loss of a domain is not considered.
+        """
         short = []
         spares = sum(self._count_by_pool[pool] for pool in self._spare_pools)
         lacking = sum(max(0, -self._excess(pool)) for pool in self._needed)
@@ -115,6 +124,7 @@
         return sorted(short, key=lambda item: (-item.lacking, item.domain))
 
     def _fill_needs(self) -> list[tuple[BufferMove, Domain]]:
+        """Move surplus instances, or else spare ones, into pools below their need."""
         moves = []
         for pool in sorted(self._needed, key=self._excess):
             while self._excess(pool) < 0:
@@ -125,6 +135,7 @@
         return moves
 
     def _release_surplus(self) -> list[tuple[BufferMove, Domain]]:
+        """Move surplus to the first spare pool while the condition is violated."""
         moves: list[tuple[BufferMove, Domain]] = []
         while True:
             violations = {
@@ -140,11 +151,11 @@
         return self._count_by_pool[pool] - self._needed[pool]
 
     def _violations(self, strict: bool = False) -> dict[Domain, tuple[int, int]]:
-        """Return the allowance of each violated domain and the excess over it.
+        """Return the allowance and the violation of each violated domain.
 
-        The allowance is the right side of the condition in ``buffers``. As moves
-        cannot make up for missing instances, it counts as at least 0 unless
-        ``strict``.
+        The allowance is the right side of the condition in ``buffers``; the violation
+        is the number by which the left side exceeds it. Because moves cannot make up
+        for missing instances, an allowance counts as at least 0 unless ``strict``.
         """
         excess = {pool: max(0, self._excess(pool)) for pool in self._needed}
         surplus = sum(excess.values())
@@ -167,7 +178,13 @@
     def _best_surplus(
         self, violations: Mapping[Domain, int] | None = None
     ) -> tuple[str, Domain] | None:
-        """Return the pool and location whose surplus reduces the violations most."""
+        """Return the pool and location whose surplus reduces the violations most.
+
+        To take an instance out of a pool reduces the violation of a domain by one,
+        unless the domain holds at least the whole excess of the pool, or the instance
+        itself is in the domain. Equal reductions are decided by the larger excess.
+        None if no pool has a surplus.
+        """
         if violations is None:
             violations = {
                 domain: over for domain, (_, over) in self._violations().items()
@@ -197,7 +214,10 @@
         return best
 
     def _spare_for(self, pool: str) -> tuple[str, Domain] | None:
-        """Return the spare pool and location where ``pool`` has fewest instances."""
+        """Return a spare pool and a location in it to take an instance from.
+
+        ``pool`` has the fewest instances in the zone and rack of this location.
+        """
         held = self._count_by_domain[pool]
         choices = [
             ([held[domain] for domain in domains_of(*location)], spare, location)
--- a/libs/fleet/src/lycheeloom/fleet/spare_need.py
+++ b/libs/fleet/src/lycheeloom/fleet/spare_need.py
@@ -1,4 +1,4 @@
-"""The number of instances of one size that must be in service, and shortages."""
+"""The least number of instances of one size that survives the loss of a domain."""
 
 from __future__ import annotations
 
@@ -19,9 +19,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Shortage:
-    """The instances of a size that are lacking if ``domain`` is lost.
+    """The number of instances of a size that are lacking if ``domain`` is lost.
 
-    ``domain`` is a rack or zone; if empty, they are lacking already.
+    ``domain`` is a rack or zone; it is empty if the instances are lacking already.
     """
 
     size: Resources
@@ -33,8 +33,10 @@
 class SizeNeed:
     """The need of one instance size.
 
-    ``least`` is the smallest number of instances in service that covers ``needed``
-    after the loss of any one rack or zone, None if the racks cannot hold it.
+    ``needed`` is the sum of the needs of all pools of this size, ``present`` the number
+    of usable instances. ``least`` is the smallest number of instances in service that
+    covers ``needed`` after the loss of any one rack or zone; it is None if even all
+    present instances do not.
     """
 
     size: Resources
@@ -46,10 +48,13 @@
 def least_in_service(
     needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
 ) -> int | None:
-    """Return the fewest instances that leave ``needed`` after any one loss.
+    """Return the fewest instances of which ``needed`` survive any one loss.
 
-    With a buffer of ``b`` instances no rack and no zone may hold more than
-    ``b``. The number that the zones may then hold, less ``b``, is concave in ``b``.
+    ``rack_counts_by_zone`` gives the number of present instances in each rack. None if
+    not even all of them suffice. With a buffer of ``b`` instances beyond the need, no
+    rack and no zone may hold more than ``b``. The number of instances that the zones
+    may then hold, less ``b``, is concave in ``b``, so that a binary search finds both
+    its peak and the smallest sufficient ``b``.
     """
 
     def covered(buffer: int) -> int:
@@ -68,7 +73,9 @@
 def least_layout(
     needed: int, rack_counts_by_zone: Mapping[str, Sequence[int]]
 ) -> dict[str, list[int]] | None:
-    """Return the instances to use in each rack, by zone, for ``least_in_service``.
+    """Return how many instances of each rack to use, by zone; their sum is the least.
+
+    None if ``least_in_service`` finds no number.
 
     ``least_layout(2, {"a": [2], "b": [2]})`` gives ``{"a": [2], "b": [2]}``.
     """
@@ -89,7 +96,7 @@
 
 
 def _first_true(limit: int, holds: Callable[[int], bool]) -> int:
-    """Return the first number from which ``holds`` is true, at most ``limit``."""
+    """Return the first number from which ``holds`` is true, or ``limit``."""
     low, high = 0, limit
     while low < high:
         middle = (low + high) // 2
--- a/libs/fleet/src/lycheeloom/fleet/step.py
+++ b/libs/fleet/src/lycheeloom/fleet/step.py
@@ -14,7 +14,8 @@
     """The inputs of one planner step and the records and actions it collects.
 
     ``not_serving`` holds the instances that are observed to be unavailable or
-    silent, or whose zone operators took out of service.
+    silent, and those in zones that operators took out of service. ``budgets`` counts
+    them as out of service, and also the instances that the step takes out.
     """
 
     view: FleetView
--- a/libs/fleet/src/lycheeloom/fleet/timers.py
+++ b/libs/fleet/src/lycheeloom/fleet/timers.py
@@ -1,4 +1,4 @@
-"""Elapsed times and a debounced set, driven by times that callers pass in."""
+"""Timers and a debounced set; callers pass in the current time."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 class Timers:
     """Measures the time since each key was first queried.
 
-    ``sweep`` drops the keys that a step did not query, so memory is bounded by
-    the open moves. A controller that takes over starts from zero, which only
-    lengthens its waits.
+    Called at the end of each step, ``sweep`` drops the keys that the step did not
+    query, so that memory stays bounded. The timers of a controller that takes over
+    start from zero, which only lengthens its waits.
     """
 
     def __init__(self) -> None:
@@ -32,7 +32,8 @@
 class DebouncedSet:
     """A set whose members change only after a change has lasted ``settle_s``.
 
-    An instance that repeatedly fails and returns thus causes no moves.
+    The planner uses it so that an instance that keeps failing and returning causes no
+    pool changes.
     """
 
     def __init__(self, settle_s: float) -> None:
@@ -41,7 +42,7 @@
         self.members: frozenset[str] = frozenset()
 
     def update(self, observed: frozenset[str], now_s: float) -> frozenset[str]:
-        """Apply the observed set and return the debounced one."""
+        """Take in the set observed at ``now_s`` and return the debounced set."""
         different = observed ^ self.members
         for name in self._changed_s.keys() - different:
             del self._changed_s[name]
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -41,10 +41,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """The last move of an instance; ``changed_at`` is a log offset.
+    """The last move of an instance: a drain that ends in pool ``to_pool``.
 
-    The replayed state's move has the same fields and is passed in its place, so
-    that a step does not copy thousands of moves.
+    ``to_pool`` may be the pool that the instance is in already. ``changed_at`` is the
+    log offset of the last stage. The state library has a ``Move`` with the same
+    fields, as it has for ``HealthState`` and ``Wave``. A ``FleetView`` may hold those
+    objects instead, so that a step does not copy thousands of moves.
     """
 
     move_id: str
@@ -57,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthState:
-    """The last health decision about an instance."""
+    """The last health decision about an instance; ``changed_at`` is its log offset."""
 
     health: Health
     reason: str = ""
@@ -66,7 +68,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Wave:
-    """A maintenance wave over pools; an empty ``pools`` means all pools."""
+    """A maintenance wave over pools; an empty ``pools`` means all pools.
+
+    ``started_at`` is a log offset.
+    """
 
     wave_id: str
     state: WaveState
@@ -80,12 +85,14 @@
 class FleetView:
     """The replayed and observed state of a fleet at one moment.
 
-    ``offset`` is the log position up to which the state was replayed; it makes
-    move ids unique. ``unavailable`` holds the instances observed to be out of
-    service. ``running_by_instance`` gives the numbers of running tasks that are
-    known, ``status_by_action`` the statuses that the platform returned. While
-    ``is_list_current`` is false, because the platform's instance list could not
-    be read, no new move is started.
+    ``offset`` is the log position up to which the state was replayed; the planner
+    appends it to the ids of new moves to make them unique. ``duty_epoch`` is the epoch
+    under which the controller holds the maintenance duty. ``unavailable`` holds the
+    instances that the platform reports as leaving or no longer lists.
+    ``running_by_instance`` gives the number of running tasks of each instance for
+    which it is known, ``status_by_action`` the status of each action id for which the
+    platform returned one. While ``is_list_current`` is false, because the platform's
+    instance list could not be read, no new move is started.
     """
 
     config: FleetConfig
@@ -125,16 +132,24 @@
 class PlannerSettings:
     """Limits of the planner; times are in seconds.
 
-    ``drain_limit_s`` abandons a move whose tasks neither end nor checkpoint.
-    ``dead_after_s`` of silence prove that no task of a worker is running; it
-    exceeds the 18 s for which a task lease of a silent worker can still be valid.
-    The buffer plan follows the loss or return of an instance after ``settle_s``.
-    ``pool_change_cooldown_s`` is the shortest stay in a new pool.
-    ``max_starts_per_step`` bounds the time of a step and the size of its batch.
-    ``abandoned_cooldown_s`` keeps an instance whose move was abandoned out of waves;
-    ``correlated_pause_s`` holds waves and repair whenever further instances are
-    lost to a correlated failure. ``regular_cycle_s`` is the period of regular
-    waves; 0 starts none.
+    A move that stays ``planned`` or ``draining`` for ``drain_limit_s`` is abandoned.
+    A worker that has been detected as silent for a further ``dead_after_s`` cannot be
+    running a task any more: a task lease of a silent worker is valid for at most 18 s.
+    An action that the platform refused is requested again after ``retry_after_s``, a
+    reboot at most ``max_attempts`` times in all.
+
+    The buffer plan reacts to the loss or return of an instance after ``settle_s``.
+    After the start of a pool change, the next one of the same instance starts
+    ``pool_change_cooldown_s`` later at the earliest. ``buffer_moves_per_hour`` limits
+    the pool changes of the whole fleet.
+
+    ``max_starts_per_step`` limits the moves that waves start in one step, and thereby
+    the time of the step and the size of its batch. ``regular_cycle_s`` is the period
+    of regular waves; 0 means that the planner starts no waves. ``expected_move_s`` is
+    the duration that forecasts assume before moves have been measured. Waves skip an
+    instance for ``abandoned_cooldown_s`` after its move was abandoned. Waves and
+    repair are on hold for ``correlated_pause_s`` whenever further instances are lost
+    to a correlated failure.
     """
 
     drain_limit_s: float = 4 * 3600
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -1,4 +1,8 @@
-"""Selects the next instances of a maintenance wave and forecasts its end."""
+"""Selects the next instances of a maintenance wave and forecasts its end.
+
+A wave maintains as many instances at once as the availability budgets allow. The time
+in which these instances complete one move is called a round.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +17,7 @@
 from .budgets import BudgetUsage, Layout, Limit, LimitKind
 from .view import HealthState, Move, Wave
 
-# Limits that block every instance of the pool.
+# A limit of one of these kinds blocks every instance of a pool.
 _POOL_WIDE = frozenset({LimitKind.POOL, LimitKind.LAST_SPARE, LimitKind.NEED})
 
 
@@ -27,7 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
-    """The progress of a wave; ``end_s`` is None while no forecast is possible."""
+    """The progress of a wave, in instances, and its expected end.
+
+    ``end_s`` is None if the wave is not running or if a budget of 0 blocks it.
+    """
 
     wave_id: str
     state: WaveState
@@ -43,7 +50,7 @@
 
 
 def is_maintained(wave: Wave, move: Move | None) -> bool:
-    """Tell whether the wave has maintained an instance, by its last move.
+    """Tell from the last move of an instance whether the wave has maintained it.
 
     An instance that changes pools during a wave is rebooted in the same move, so
     the last move alone is decisive.
@@ -69,7 +76,7 @@
 
 
 def given_up_instances(health_by_instance: Mapping[str, HealthState]) -> frozenset[str]:
-    """Return the instances that repair gave up, which waves do not wait for."""
+    """Return the instances that repair gave up; a wave ends without them."""
     return frozenset(
         name
         for name, state in health_by_instance.items()
@@ -86,9 +93,11 @@
 ) -> Iterator[Choice]:
     """Yield the instances that a wave takes now and those that a limit blocks.
 
-    The caller must count each taken instance as out of service before it asks for
-    the next one. Pools with the most rounds left come first, and within a pool the
-    racks with the most instances left, as they determine the length of the wave.
+    ``moves`` are the last moves by instance; the instances in ``skipped`` are not
+    chosen. The caller must count each taken instance as out of service before it asks
+    for the next one. The pools with the most rounds left come first, and within a pool
+    the racks with the most instances left, because these determine when the wave ends.
+    Pools whose own budget is used up are left out without a blocked instance.
     """
     pools = [
         p for p in covered_pools(wave, layout) if budgets.remaining_pool_budget(p) > 0
@@ -106,7 +115,7 @@
 ) -> Choice | None:
     """Return the first instance that a limit blocks.
 
-    None if the wave may take an instance now or has none left to take.
+    None if the wave may take any instance now, or if it has none left to take.
     """
     first = None
     pools = covered_pools(wave, layout)
@@ -126,7 +135,10 @@
     moves: Mapping[str, Move],
     skipped: frozenset[str],
 ) -> list[list[str]]:
-    """Return, for each pool, the instances in service yet to be maintained."""
+    """Return the instances in service yet to be maintained, one list for each pool.
+
+    The pools with the most rounds left come first.
+    """
     candidates = []
     for pool in pools:
         left = remaining(wave, layout, moves, pool, skipped)
@@ -141,11 +153,15 @@
 def _choose_in_pool(
     layout: Layout, budgets: BudgetUsage, names: Iterable[str]
 ) -> Iterator[Choice]:
+    """Yield the choices of one pool.
+
+    A rack ends at its first blocked instance, the pool at a limit on the whole pool.
+    """
     by_rack: dict[str, list[str]] = defaultdict(list)
     for name in names:
         by_rack[layout.location_by_instance[name][1]].append(name)
     while by_rack:
-        rack = max(by_rack, key=lambda key: (len(by_rack[key]), key))
+        rack = max(by_rack, key=lambda rack_id: (len(by_rack[rack_id]), rack_id))
         name = by_rack[rack][-1]
         limit = budgets.blocking_limit(name)
         yield Choice(name, limit)
@@ -170,8 +186,9 @@
 ) -> Forecast:
     """Forecast the end of a wave from the budget that needs the most rounds.
 
-    ``remaining_fraction_by_instance`` gives the fraction of a move's duration that
-    the open move of an instance still takes; all others count as whole moves.
+    ``move_s`` is the expected duration of a move. ``remaining_fraction_by_instance``
+    gives the fraction of it that the open move of an instance still takes; all other
+    instances take a whole move. Instances in ``skipped`` count as done.
     """
     pools = covered_pools(wave, layout)
     left_by_pool = {
@@ -191,7 +208,10 @@
     left_by_pool: Mapping[str, list[str]],
     remaining_fraction_by_instance: Mapping[str, float],
 ) -> float | None:
-    """Return the rounds that the tightest budget needs, None if one allows 0."""
+    """Return the rounds that the tightest budget needs.
+
+    None if instances are left under a budget that allows none out of service.
+    """
     config = layout.config
     by_zone: dict[str, list[str]] = defaultdict(list)
     groups: list[tuple[list[str], int]] = []
@@ -223,7 +243,11 @@
 def _rounds_within_budget(
     names: list[str], budget: int, remaining_fraction_by_instance: Mapping[str, float]
 ) -> float:
-    """Return the rounds that one budget needs; a round in progress counts in part."""
+    """Return the rounds that one budget needs.
+
+    If some of the instances are in an open move, one round is in progress. It counts
+    with the mean fraction that these moves still take.
+    """
     rounds = ceil(len(names) / budget)
     current = [
         remaining_fraction_by_instance[name]
--- a/libs/fleet/tests/test_explanations.py
+++ b/libs/fleet/tests/test_explanations.py
@@ -7,8 +7,8 @@
 from lycheeloom.fleet.events import NotChosen
 
 
-def test_explanations_are_bounded_and_count_repeats():
-    explanations = Explanations(max_events=50, max_keys=20)
+def test_explanations_are_bounded_and_count_repeated_decisions():
+    explanations = Explanations(max_events=50, max_subjects=20)
     limit = Limit(LimitKind.POOL, "north", 1, 1)
     for number in range(1000):
         explanations.add(NotChosen(f"w{number}", "north", limit), number)
