--- a/libs/controller/src/lycheeloom/controller/actions.py
+++ b/libs/controller/src/lycheeloom/controller/actions.py
@@ -1,4 +1,8 @@
-"""Requests actions from the platform and queries their status."""
+"""Requests actions from the platform and queries their status.
+
+The platform executes each action id at most once. The id of the first attempt of an
+action is ``<move id>.<stage>``; further attempts append ``.2``, ``.3`` and so on.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,7 @@
 
 # Calls run concurrently, as each takes its whole timeout if the platform is silent.
 MAX_CONCURRENT_CALLS = 16
+# Cached statuses of ended actions; the oldest are dropped first.
 MAX_FINAL_STATUSES = 10_000
 
 _FINAL_STATUSES = frozenset({ActionStatus.DONE, ActionStatus.REFUSED})
@@ -37,10 +42,10 @@
         self._calls = Pool(MAX_CONCURRENT_CALLS)
 
     def statuses(self, action_ids: Iterable[str]) -> dict[str, ActionStatus]:
-        """Return the statuses that the platform returned.
+        """Return the status of each action id for which the platform returned one.
 
         A further attempt of an action is queried only if the previous attempt was
-        refused, since it cannot exist otherwise.
+        refused, since the further attempt cannot exist otherwise.
         """
         found: dict[str, ActionStatus] = {}
         remaining = list(action_ids)
@@ -92,6 +97,10 @@
                 log_event("action_unanswered", "WARNING", reason=reason, **fields)
 
     def _record_answer(self, action_id: str, answer: object) -> ActionStatus | None:
+        """Return the status in an answer, None if the answer gives no status.
+
+        A final status is added to the cache.
+        """
         match answer:
             case ActionReport(state=state):
                 status = _STATUS_BY_STATE[state]
@@ -109,6 +118,10 @@
 
 
 def _may_exist(action_id: str, found: dict[str, ActionStatus]) -> bool:
+    """Tell whether the platform may know an action id.
+
+    That is so for a first attempt and for an attempt that follows a refusal.
+    """
     base, _, number = action_id.rpartition(".")
     if not number.isdecimal():
         return True
--- a/libs/controller/src/lycheeloom/controller/duty.py
+++ b/libs/controller/src/lycheeloom/controller/duty.py
@@ -1,4 +1,9 @@
-"""Election of the holder of a duty, by claims in the log."""
+"""Election of the holder of a duty, by claims in the log.
+
+A claim takes a duty over or renews it. It names the epoch of the duty and the last
+renewal that its author has replayed, so that of several concurrent takeovers only the
+first one in the log takes effect. Each takeover raises the epoch.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +14,8 @@
 from lycheeloom.model.limits import FRESHNESS_S
 from lycheeloom.model.records import Duty, DutyClaimed
 
-RENEW_S = 3.0
+# Time between the renewals of a holder.
+RENEWAL_INTERVAL_S = 3.0
 # A holder that did not renew for this long while the log was readable is replaced.
 TAKEOVER_S = 12.0
 
@@ -17,9 +23,9 @@
 class DutyElection:
     """Claims one duty for this process if no other process holds it.
 
-    The time since the holder's last claim counts only while the log can be read: in
-    an outage of the log nobody can renew, and after it the holder has the whole
-    ``TAKEOVER_S`` again.
+    The time since the holder's last claim counts only while the log can be read. In
+    an outage of the log no process can renew, and after the outage the holder has the
+    whole ``TAKEOVER_S`` again.
     """
 
     def __init__(
@@ -35,13 +41,15 @@
         self._writer = writer
         self._clock = clock
         self._pending: PendingRecord | None = None
+        # Holder, epoch and offset of the last replayed claim, and when it was first
+        # seen here; an outage of the log restarts the time.
         self._last_claim: tuple[str, int, int] | None = None
         self._last_claim_at = clock()
-        self._last_sent_at = -RENEW_S
+        self._last_sent_at = -RENEWAL_INTERVAL_S
 
     @property
     def epoch(self) -> int:
-        """The epoch of the duty as replayed."""
+        """The epoch of the duty in the replayed state, whoever holds the duty."""
         return self._tail.state.duties.of(self.duty).epoch
 
     def is_fresh(self) -> bool:
@@ -54,7 +62,11 @@
         return holder == self._writer.author and self.is_fresh()
 
     def step(self) -> None:
-        """Renew the duty or take it over if that is due; call every second."""
+        """Renew the duty or take it over if that is due; call about every second.
+
+        Nothing is sent while an earlier claim of this process has no outcome or while
+        the replayed state is not fresh.
+        """
         now = self._clock()
         current = self._tail.state.duties.of(self.duty)
         claim = current.holder, current.epoch, current.renewed_at
@@ -65,7 +77,7 @@
         if not self.is_fresh():
             return
         if current.holder == self._writer.author:
-            if now - self._last_sent_at >= RENEW_S:
+            if now - self._last_sent_at >= RENEWAL_INTERVAL_S:
                 self._claim(current.epoch, current.renewed_at, now)
         elif not current.holder or now - self._last_claim_at >= TAKEOVER_S:
             self._claim(current.epoch, current.renewed_at, now)
--- a/libs/controller/src/lycheeloom/controller/housekeeping.py
+++ b/libs/controller/src/lycheeloom/controller/housekeeping.py
@@ -20,11 +20,12 @@
 from .duty import DutyElection
 from .offset_ages import OffsetAges
 
+# Time between two expiry records, each of which covers one queue.
 EXPIRY_INTERVAL_S = 10.0
 
 
 class SnapshotLoop:
-    """Writes a snapshot when one is due while the duty is held."""
+    """Writes due snapshots while this process holds the snapshot duty."""
 
     def __init__(
         self, duty: DutyElection, tail: LogTail, writer: LogWriter, retention_s: float
@@ -42,10 +43,11 @@
 
 
 class AnswerExpiry:
-    """Expires kept answers once their queue's retention time has passed.
+    """Expires answers after the retention time that their queue declares.
 
-    The time runs from when this process saw the request finish, and from its own
-    start for earlier requests, so answers are never dropped too early.
+    The time runs from when this process replayed the end of the request. For requests
+    that ended earlier it runs from the start of this process, so that answers are never
+    dropped too early.
     """
 
     def __init__(
@@ -64,7 +66,7 @@
         self._is_due = False
 
     def step(self) -> None:
-        """Expire the answers that are older than the retention of their queue."""
+        """Expire the old answers of at most one queue, if the duty is held."""
         if self._ages.sample(self._tail.next_offset - 1):
             self._is_due = True
         queues = self._tail.state.config.queue_by_id
@@ -77,23 +79,26 @@
             self._expire_next()
 
     def _expire_next(self) -> None:
-        """Append the expiry of one queue; the next queue follows an interval later."""
-        oldest = self._oldest_finish_by_queue()
+        """Append the expiry of the first queue that has old answers.
+
+        The next queue follows after ``EXPIRY_INTERVAL_S``.
+        """
+        oldest_finish_by_queue = self._oldest_finish_by_queue()
         for queue in self._tail.state.config.queue_by_id.values():
-            first = oldest.get(queue.id)
+            oldest_finish = oldest_finish_by_queue.get(queue.id)
             through = self._ages.newest_offset_older_than(queue.answer_retention_s)
-            if first is None or through < first:
+            if oldest_finish is None or through < oldest_finish:
                 continue
             record = AnswersExpired(through, queue.id)
             self._pending = self._writer.append(record, Priority.CONTROL)
             return
 
     def _oldest_finish_by_queue(self) -> dict[str, int]:
-        """Return the offset at which the oldest kept request finished, by queue."""
-        oldest: dict[str, int] = {}
+        """Return the offset of the earliest end of a finished request, by queue."""
+        oldest_finish_by_queue: dict[str, int] = {}
         for request in self._tail.state.requests.request_by_id.values():
             ended_at = request.finished_at
             if ended_at is not None:
-                first = oldest.get(request.queue, ended_at)
-                oldest[request.queue] = min(first, ended_at)
-        return oldest
+                oldest_finish = oldest_finish_by_queue.get(request.queue, ended_at)
+                oldest_finish_by_queue[request.queue] = min(oldest_finish, ended_at)
+        return oldest_finish_by_queue
--- a/libs/controller/src/lycheeloom/controller/http_api.py
+++ b/libs/controller/src/lycheeloom/controller/http_api.py
@@ -34,20 +34,24 @@
         self.app.route("/v1/explain/<kind>/<name>", "GET", self.explain)
 
     def ready(self) -> HTTPResponse:
-        """``GET /readyz``: 200 while the log is read to its end."""
+        """``GET /readyz``: 200 if the replayed state is fresh, else 503.
+
+        The state is fresh if the log was read to its end within ``FRESHNESS_S``.
+        """
         if self._is_ready():
             return HTTPResponse("ready\n", 200)
         return HTTPResponse("not ready\n", 503)
 
     def metrics(self) -> HTTPResponse:
-        """``GET /metrics``."""
+        """``GET /metrics``: the metrics in the text format of Prometheus."""
         headers = {"Content-Type": CONTENT_TYPE_LATEST}
         return HTTPResponse(generate_latest(self._registry), 200, headers)
 
     def explain(self, kind: str, name: str) -> HTTPResponse:
-        """``GET /v1/explain/<kind>/<id>`` for an instance, pool or the fleet.
+        """``GET /v1/explain/<kind>/<id>`` for an instance, a pool or the fleet.
 
-        Only the holder of the maintenance duty has explanations; others answer 404.
+        For the kind ``fleet``, any id will do. Only the holder of the maintenance duty
+        has explanations; other controllers answer 404.
         """
         sentences = self._sentences(kind, name) if self._is_holder() else []
         if not sentences:
@@ -65,8 +69,8 @@
                 if not self._planner.knows_instance(name):
                     return []
                 past = [item.text for item in explanations.for_instance(name)]
-                now = self._planner.describe_blocker(name)
-                return past if past and past[-1] == now else [*past, now]
+                blocker = self._planner.describe_blocker(name)
+                return past if past and past[-1] == blocker else [*past, blocker]
             case "pool":
                 return [item.text for item in explanations.for_pool(name)]
             case "fleet":
--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -1,4 +1,8 @@
-"""The maintenance loop: runs planner steps and carries out their plans."""
+"""The maintenance loop: runs planner steps and carries out their plans.
+
+A plan's records are appended to the log, its actions requested from the platform. Both
+are repeated by later steps until they have taken effect.
+"""
 
 from __future__ import annotations
 
@@ -20,11 +24,11 @@
 from .duty import DutyElection
 from .probes import WorkerProber
 
-# A line of the list has about 150 bytes, so 50 lines a second take 7.5 KB per
-# second of the 24 KB that a daemon may use.
+# Average rate at which lines of a changing instance list are transferred. A line has
+# about 150 bytes, so 50 lines take 7.5 KB of the 24 KB a second that a daemon may use.
 LIST_LINES_PER_S = 50
 MIN_LIST_INTERVAL_S = 1.0
-# A list older than its read interval plus this is outdated: no new move starts.
+# No new move starts once the list is older than its read interval plus this time.
 LIST_GRACE_S = 30.0
 _STAGES_NEEDING_TASK_COUNT = frozenset(
     {MoveStage.DRAINING, MoveStage.DRAINED, MoveStage.REBOOTING}
@@ -32,7 +36,11 @@
 
 
 class MaintenanceLoop:
-    """Runs the planner while this process holds the maintenance duty."""
+    """Runs the planner while this process holds the maintenance duty.
+
+    ``view`` is the view of the last planner step, None without the duty;
+    ``last_step_s`` is how long that step took.
+    """
 
     def __init__(
         self,
@@ -79,7 +87,11 @@
             self._actions.perform(plan.actions)
 
     def _list_interval_s(self) -> float:
-        """Return the time between reads; an unchanged list costs no transfer."""
+        """Return the time between two reads of the instance list.
+
+        A list that did not change at the last read may be read often, because an
+        unchanged list is not transferred again.
+        """
         if self._is_list_unchanged or self._list is None:
             return MIN_LIST_INTERVAL_S
         lines = len(self._list.instances)
@@ -92,10 +104,16 @@
         if not isinstance(listing, InstanceList):
             log_event("instance_list_unavailable", "WARNING", reason=listing.reason)
             return
+        # The client returns the same object if the list has not changed.
         self._is_list_unchanged = listing is self._list
         self._list, self._listed_at = listing, self._clock()
 
     def _observe(self) -> FleetView:
+        """Return the view for a planner step, after probes and status queries.
+
+        These take time, in which the replayed state advances and may be replaced, so
+        the state is read again after them. The epoch and the offset are those before.
+        """
         state = self._tail.state
         maintenance = state.maintenance
         moves = maintenance.move_by_instance
@@ -131,7 +149,8 @@
     def _unavailable(self, known) -> frozenset[str]:
         """Return the instances that are leaving or have vanished from the list.
 
-        The list lags, so an instance that was never listed does not count.
+        The list lags behind the configuration, so a configured instance that was never
+        listed does not count. ``known`` holds the configured instances.
         """
         if self._list is None:
             return frozenset()
@@ -156,14 +175,14 @@
             log_event("record_appended", **_log_fields(record))
 
     def _withdraw_except(self, wanted) -> None:
-        """Withdraw unsent records that are not ``wanted`` and drop finished ones.
+        """Withdraw unsent records that are not ``wanted``; drop those with an outcome.
 
         While the log is slow, the records of earlier steps would otherwise pile up
         and take effect late.
         """
-        kept = set(wanted)
+        wanted_records = set(wanted)
         for record, pending in list(self._pending.items()):
-            if pending.outcome is None and record not in kept:
+            if pending.outcome is None and record not in wanted_records:
                 pending.withdraw()
             if pending.outcome is None:
                 continue
--- a/libs/controller/src/lycheeloom/controller/metrics.py
+++ b/libs/controller/src/lycheeloom/controller/metrics.py
@@ -16,7 +16,10 @@
 
 
 class ControllerMetrics:
-    """All metrics of one controller, in their own registry."""
+    """All metrics of one controller, in their own registry.
+
+    Gauges without a leading underscore are set by the service.
+    """
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -57,6 +60,7 @@
         self.log_retention_s = self._gauge(
             "log_retention_seconds", "How long the log keeps records"
         )
+        # The current stage of each open move, and when this process first saw it.
         self._stage_start_by_instance: dict[
             str, tuple[tuple[str, MoveStage], float]
         ] = {}
@@ -66,7 +70,10 @@
         self._duty_held.labels(duty).set(int(is_held))
 
     def set_fleet(self, view: FleetView | None, planner: Planner) -> None:
-        """Set the metrics of the fleet; ``view`` is None without the duty."""
+        """Set the metrics of the fleet.
+
+        ``view`` is the last view of the planner, None without the maintenance duty.
+        """
         for gauge in (
             *self._pool_gauge_by_name.values(),
             self._wave_instances,
@@ -85,7 +92,7 @@
         self._set_moves(view)
         healths = Counter(state.health for state in view.health_by_instance.values())
         unhealthy = sum(
-            n for health, n in healths.items() if health != Health.IN_SERVICE
+            count for health, count in healths.items() if health != Health.IN_SERVICE
         )
         for health in Health:
             self._instances.labels(health).set(healths[health])
@@ -94,22 +101,22 @@
 
     def _set_pools(self, view: FleetView, planner: Planner) -> None:
         unavailable_by_pool = planner.unavailable_by_pool()
-        sizes = Counter(view.pool_by_instance.values())
+        size_by_pool = Counter(view.pool_by_instance.values())
         wanted = wanted_buffer(planner.buffer_plan.needs)
         spare_pools = [p.id for p in view.config.pool_by_id.values() if p.spare]
         for name, pool in view.config.pool_by_id.items():
             out = unavailable_by_pool.get(name, 0)
             values = {
-                "in_service": sizes[name] - out,
+                "in_service": size_by_pool[name] - out,
                 "needed": pool.needed,
-                "buffer": max(0, sizes[name] - out - pool.needed),
-                # The buffer of the whole fleet is split evenly among spare pools.
+                "buffer": max(0, size_by_pool[name] - out - pool.needed),
+                # The wanted buffer of the fleet is split evenly among the spare pools.
                 "buffer_wanted": wanted / len(spare_pools) if pool.spare else 0,
                 "unavailable": out,
                 "max_unavailable": pool.max_unavailable,
             }
-            for key, value in values.items():
-                self._pool_gauge_by_name[key].labels(name).set(value)
+            for gauge_name, value in values.items():
+                self._pool_gauge_by_name[gauge_name].labels(name).set(value)
 
     def _set_waves(self, view: FleetView) -> None:
         for wave_id, wave in view.wave_by_id.items():
@@ -128,6 +135,7 @@
 
     @staticmethod
     def _wave_state(view: FleetView, wave, name: str) -> str:
+        """Return the value of the label ``state`` for an instance of a wave."""
         move = view.move_by_instance.get(name)
         if is_maintained(wave, move):
             return "done"
@@ -140,17 +148,19 @@
 
     def _set_moves(self, view: FleetView) -> None:
         now = time.monotonic()
-        since = {}
+        start_by_instance = {}
         for name, move in view.move_by_instance.items():
             if move.stage in _ENDED_STAGES:
                 continue
-            step = move.move_id, move.stage
+            stage = move.move_id, move.stage
             last = self._stage_start_by_instance.get(name)
-            since[name] = last if last and last[0] == step else (step, now)
-        self._stage_start_by_instance = since
-        self._moves_in_progress.set(len(since))
+            start_by_instance[name] = (
+                last if last and last[0] == stage else (stage, now)
+            )
+        self._stage_start_by_instance = start_by_instance
+        self._moves_in_progress.set(len(start_by_instance))
         self._oldest_move_s.set(
-            max((now - at for _, at in since.values()), default=0.0)
+            max((now - at for _, at in start_by_instance.values()), default=0.0)
         )
 
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
--- a/libs/controller/src/lycheeloom/controller/outcome_reports.py
+++ b/libs/controller/src/lycheeloom/controller/outcome_reports.py
@@ -1,4 +1,8 @@
-"""Polls the entries for task outcomes that are not recorded in the log."""
+"""Polls the entries for task outcomes that are not recorded in the log.
+
+An entry counts outcomes in numbered periods. A request names the last period that the
+controller has received, and the report covers the periods after it.
+"""
 
 from __future__ import annotations
 
@@ -19,24 +23,27 @@
 CONNECT_TIMEOUT_S = 0.5
 ANSWER_TIMEOUT_S = 1.0
 MAX_CONCURRENT_CALLS = 16
-# The monitor keeps 50 outcomes of a worker; a single busy entry must not displace
-# those that other entries report.
-MAX_OUTCOMES_PER_REPORT = 10
+# The monitor keeps 50 outcomes of a worker. A count of more outcomes is scaled down to
+# this many, so that a busy entry does not displace the outcomes from other entries.
+MAX_OUTCOMES_PER_COUNT = 10
 
 
 @dataclass(slots=True)
 class _EntryPoll:
-    """The connection to one entry and the last period that it has reported."""
+    """The connection to one entry and the last period that the entry has reported.
+
+    ``through_period`` is 0 before the first report.
+    """
 
     connection: Connection | None = None
     through_period: int = 0
 
 
 class OutcomeReportPoller:
-    """Polls each entry for the outcomes of workers on which tasks failed.
+    """Polls each entry for the task outcomes of workers on which tasks failed.
 
-    All controllers do so, not only the holder of the duty, so that a controller
-    that takes over has the outcomes of the last minutes.
+    All controllers poll, not only the holder of the maintenance duty, so that a
+    controller that takes over has the outcomes of the last minutes.
     """
 
     def __init__(
@@ -72,12 +79,13 @@
                 poll.connection = self._connect(member.address, CONNECT_TIMEOUT_S)
             answer = poll.connection.call(request, ANSWER_TIMEOUT_S)
         except PeerConnectionError:
-            # Retried at the next step; entries keep the counts of the last minute.
+            # The next step polls again; entries keep the counts of the last minute.
             self._close(poll)
             return
         report = answer.body
         is_expected = isinstance(report, OutcomeReport)
         if not is_expected or answer.sender != member.incarnation:
+            # Another process may serve the address by now.
             self._close(poll)
             return
         poll.through_period = report.through_period
@@ -93,7 +101,8 @@
                 self._apply_count(count, now)
 
     def _apply_count(self, count: OutcomeCount, now: float) -> None:
-        ended = min(count.ended, MAX_OUTCOMES_PER_REPORT)
+        """Record the outcomes of a count, scaled down if there are too many."""
+        ended = min(count.ended, MAX_OUTCOMES_PER_COUNT)
         failed = round(count.failed * ended / count.ended)
         for number in range(ended):
             is_ok = number >= failed
--- a/libs/controller/src/lycheeloom/controller/probes.py
+++ b/libs/controller/src/lycheeloom/controller/probes.py
@@ -24,11 +24,13 @@
 # rate would take too much of the 3.5% of a core that a daemon may use.
 PROBES_PER_S = 10
 MAX_CONCURRENT_PROBES = 16
-# A worker that did not answer is probed again after this time, the others of its
-# rack at once, so that the failure of a whole rack is recognised.
+# A worker that did not answer is probed again after this time. The first miss of a
+# worker also makes probes of the others in its rack due at once, so that the failure of
+# a whole rack is recognised.
 FAILED_PROBE_RETRY_S = 5.0
-# Older counts of running tasks are not used.
+# A count of running tasks is not used once it is older than this.
 TASK_COUNT_MAX_AGE_S = 10.0
+# Claims of unfinished requests that are remembered; the oldest are dropped first.
 MAX_TRACKED_CLAIMS = 20_000
 
 
@@ -47,13 +49,14 @@
         self._client = client
         self._monitor = monitor
         self._clock = clock
+        # The time of the last answer and the number of running tasks that it gave.
         self._running_sample_by_instance: dict[str, tuple[float, int]] = {}
-        # Times of probes out of turn, after a failed probe in the rack.
+        # When a worker is to be probed out of turn, after a failed probe in its rack.
         self._early_probe_at: dict[str, float] = {}
         self._calls = Pool(MAX_CONCURRENT_PROBES)
 
     def run(self) -> None:
-        """Probe all workers in turn until stopped."""
+        """Probe all configured workers in turn, forever."""
         for _ in count():
             names = list(self._tail.state.config.instance_by_id)
             for name in names:
@@ -64,15 +67,18 @@
                 gevent.sleep(1 / PROBES_PER_S)
 
     def probe_now(self, names: Iterable[str]) -> None:
-        """Probe workers at once, as a move waits for their running tasks."""
+        """Probe workers out of turn and return after their answers or timeouts.
+
+        Moves use it to learn how many tasks their instances are running.
+        """
         self._calls.map(self._probe, names)
 
     def running_by_instance(self) -> dict[str, int]:
-        """Return the recent numbers of running tasks."""
+        """Return the number of running tasks of each worker with a recent answer."""
         oldest = self._clock() - TASK_COUNT_MAX_AGE_S
         return {
-            name: n
-            for name, (at, n) in self._running_sample_by_instance.items()
+            name: running
+            for name, (at, running) in self._running_sample_by_instance.items()
             if at >= oldest
         }
 
@@ -106,13 +112,17 @@
                 self._early_probe_at.setdefault(other.id, now)
 
     def forget_unconfigured(self, known: Collection[str]) -> None:
-        """Drop the counts of workers that are no longer configured."""
+        """Drop the task counts of workers that are no longer configured."""
         for name in self._running_sample_by_instance.keys() - known:
             del self._running_sample_by_instance[name]
 
 
 class ReplayedOutcomes:
-    """Reports the outcomes of requests to the monitor as records are replayed."""
+    """Reports the outcomes of recorded requests to the monitor during replay.
+
+    A claim assigns a request to a worker. It ends when the request is finished, or when
+    it is released to be claimed again.
+    """
 
     def __init__(
         self,
@@ -145,6 +155,7 @@
                 self._record_finish(request, outcome)
 
     def _record_finish(self, request: str, outcome: Outcome) -> None:
+        """Report a finished request, unless its claim was not replayed here."""
         worker = self._worker_by_request.pop(request, None)
         if worker is None:
             return
@@ -152,7 +163,7 @@
         if outcome is Outcome.RAN:
             self._monitor.record_outcome(worker, self._queue_of(request), True, now)
         elif outcome is Outcome.MAY_HAVE_RUN:
-            # The worker accepted the task and never answered.
+            # The worker accepted the task but never reported its end.
             self._monitor.record_lost_lease(worker, now)
 
     def _queue_of(self, request: str) -> str:
--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -1,7 +1,7 @@
 """Appends request bodies and answers again before the log drops them.
 
-The state and its snapshots hold only the offsets of bodies and answers, so both
-would be lost once they are older than the log's retention.
+The replayed state and its snapshots hold only the offsets of bodies and answers. A body
+or an answer would be lost once its record is older than the log's retention.
 """
 
 from __future__ import annotations
@@ -26,11 +26,11 @@
 
 # Records older than this fraction of the retention are appended again.
 REFRESH_AGE_FRACTION = 0.5
-# The age of records from before this process started is not known. They become due
-# once the process has run for this fraction of the retention, as the previous holder
-# of the duty left none older than REFRESH_AGE_FRACTION.
+# The age of records from before this process started is not known. The previous holder
+# of the duty left none older than REFRESH_AGE_FRACTION, so these records become due
+# once the process has run for this fraction of the retention.
 UNKNOWN_AGE_WAIT_FRACTION = 0.1
-# Bounds the pending appends; a step runs every few seconds.
+# Records that may be pending at a time; a step runs every few seconds.
 MAX_PENDING_RECORDS = 100
 
 
@@ -54,6 +54,7 @@
         self._reader = reader
         self._retention_s = retention_s
         self._clock = clock
+        # Ages are known to a twentieth of the retention.
         self._ages = OffsetAges(retention_s / 20, clock)
         self._started_at = clock()
         self._offset_at_start = tail.next_offset
@@ -62,7 +63,10 @@
         self._lost_ids: set[str] = set()
 
     def step(self) -> None:
-        """Append the records that are due again, a bounded number at a time."""
+        """Append the records that are due again, while the duty is held.
+
+        At most ``MAX_PENDING_RECORDS`` are pending at a time; later steps continue.
+        """
         self._ages.sample(self._tail.next_offset - 1)
         self._pending_by_id = {
             request_id: pending
@@ -77,6 +81,7 @@
             self._refresh(request)
 
     def _due_requests(self) -> Iterator[RecordedRequest]:
+        """Yield the requests of which a record is due and neither lost nor pending."""
         request_by_id = self._tail.state.requests.request_by_id
         self._lost_ids.intersection_update(request_by_id)
         through = self._ages.newest_offset_older_than(
@@ -104,7 +109,7 @@
             self._lost_ids.add(request.request_id)
             log_event("record_lost", "ERROR", request=request.request_id)
             return
-        if record is None:
+        if record is None:  # not readable now; a later step tries again
             log_event("record_unreadable", "WARNING", request=request.request_id)
             return
         pending = self._writer.append(record, Priority.REQUEST)
@@ -113,7 +118,10 @@
 
 
 def _offset_of(request: RecordedRequest) -> int | None:
-    """Return the offset of the record that must stay readable, if any."""
+    """Return the offset of the record that must stay readable, None if there is none.
+
+    That record holds the answer of a finished request, else the body.
+    """
     if request.status is RequestStatus.FINISHED:
         return request.answer_offset
     return request.body_offset
--- a/libs/controller/src/lycheeloom/controller/service.py
+++ b/libs/controller/src/lycheeloom/controller/service.py
@@ -32,15 +32,19 @@
 
 PROGRAM_VERSION = "0.1.0"
 RECOVERY_RETRY_S = 0.5
-DUTY_STEP_S = 1.0
-HOUSEKEEPING_STEP_S = 5.0
-METRICS_STEP_S = 5.0
-IDLE_CONNECTION_CHECK_S = 5.0
+DUTY_STEP_INTERVAL_S = 1.0
+HOUSEKEEPING_STEP_INTERVAL_S = 5.0
+METRICS_INTERVAL_S = 5.0
+IDLE_CONNECTION_CHECK_INTERVAL_S = 5.0
 WEEK_S = 7 * 24 * 3600.0
 
 
 class ControllerService:
-    """A controller process; each duty is held by one of all controllers."""
+    """The components and loops of one controller process.
+
+    Each duty is held by one of the controllers; the components of a duty do nothing
+    in the other controllers.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
@@ -77,6 +81,7 @@
         self._stopping.set()
 
     def _recover(self) -> FleetState | None:
+        """Return the state recovered from the log, None if stopped before that."""
         while not self._stopping.is_set():
             state = recover(self._log)
             if isinstance(state, FleetState):
@@ -106,10 +111,11 @@
         self.election_by_duty = {
             duty: DutyElection(duty, self.tail, self.writer) for duty in Duty
         }
-        # The planner's clock must not jump, but must agree between processes on the
-        # number of the current cycle of regular waves.
-        started_at, wall = time.monotonic(), time.time()
-        clock = lambda: wall + time.monotonic() - started_at  # noqa: E731
+        # The number of the current cycle of regular waves is derived from this clock.
+        # All processes must agree on that number, so the clock starts at the wall time.
+        # The clock must not jump, so it advances with the monotonic clock.
+        started_at, wall_at_start = time.monotonic(), time.time()
+        clock = lambda: wall_at_start + time.monotonic() - started_at  # noqa: E731
         self.probes = WorkerProber(
             self.tail, self._workers, self.planner.health, clock=clock
         )
@@ -161,14 +167,16 @@
         self.tail.start()
         self.writer.start()
         elections = list(self.election_by_duty.values())
-        self._spawn_loop(lambda: [item.step() for item in elections], DUTY_STEP_S)
+        self._spawn_loop(
+            lambda: [election.step() for election in elections], DUTY_STEP_INTERVAL_S
+        )
         self._spawn_loop(self.maintenance.step, self.settings.step_s)
-        self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_S)
-        self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_S)
-        self._spawn_loop(self.refresher.step, HOUSEKEEPING_STEP_S)
+        self._spawn_loop(self.snapshots.step, HOUSEKEEPING_STEP_INTERVAL_S)
+        self._spawn_loop(self.expiry.step, HOUSEKEEPING_STEP_INTERVAL_S)
+        self._spawn_loop(self.refresher.step, HOUSEKEEPING_STEP_INTERVAL_S)
         self._spawn_loop(self.outcome_reports.step, OUTCOME_POLL_INTERVAL_S)
-        self._spawn_loop(self._update_metrics, METRICS_STEP_S)
-        self._spawn_loop(self._workers.close_idle, IDLE_CONNECTION_CHECK_S)
+        self._spawn_loop(self._update_metrics, METRICS_INTERVAL_S)
+        self._spawn_loop(self._workers.close_idle, IDLE_CONNECTION_CHECK_INTERVAL_S)
         self._greenlets.append(gevent.spawn(self.probes.run))
         self._server = WSGIServer(
             split_address(self.settings.listen), self._api.app, log=None, error_log=None
@@ -197,7 +205,10 @@
 
 
 def _run_loop(step: Callable[[], object], interval_s: float) -> None:
-    """Run a step at intervals; an exception in one step must not end the loop."""
+    """Run ``step`` forever, with a pause of ``interval_s`` after each run.
+
+    An exception in one run is logged and does not end the loop.
+    """
     while True:
         try:
             step()
--- a/libs/controller/src/lycheeloom/controller/settings.py
+++ b/libs/controller/src/lycheeloom/controller/settings.py
@@ -15,13 +15,25 @@
 class Settings(BaseModel):
     """Addresses and settings of a controller; times are in seconds.
 
-    ``regular_wave_weeks`` is the period in which a maintenance wave over all pools
-    starts; 0 leaves waves to operators. ``log_retention_s`` is how long the log
-    keeps records; snapshots are written well before that. A worker counts as silent
-    after ``silent_s`` without an answer. Waves and repair are held for
-    ``correlated_pause_s`` after instances of a rack or zone failed together.
-    ``dead_after_s`` of further silence prove that no task of a worker is running;
-    no task lease may last longer.
+    ``instance`` and ``zone`` name this controller and its availability zone. The
+    controller serves operators and monitoring at ``listen``. ``log`` is the address of
+    the log, ``instances`` that of the platform's instance interface.
+
+    ``step_s`` is the interval between planner steps. The planner starts a maintenance
+    wave over all pools every ``regular_wave_weeks``; 0 leaves all waves to operators.
+    A move that waits for its drain to start or to finish for longer than
+    ``drain_limit_s`` is abandoned. At most ``buffer_moves_per_hour`` instances of the
+    fleet change pools within an hour. ``log_retention_s`` is how long the log keeps
+    records. A snapshot is due once the last one has 0.4 of that age; request bodies and
+    answers that are still needed are appended again at half of that age.
+
+    A worker counts as silent ``silent_s`` after its first missed probe. Waves and
+    repair are on hold for ``correlated_pause_s`` after instances of a rack or zone
+    failed together. A worker that is faulty is put on probation. If the fault lasts for
+    ``probation_s``, the worker is rebooted, or given up after ``max_reboots`` reboots
+    since it was last in service. Once a silent worker has stayed silent for a further
+    ``dead_after_s``, none of its tasks can still be running, as no task lease may last
+    longer.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
--- a/libs/controller/tests/test_controller.py
+++ b/libs/controller/tests/test_controller.py
@@ -70,6 +70,7 @@
         return process
 
     def start_platform(self):
+        """Start the platform stand-ins; note the address of each."""
         process = self.start("lycheeloom.standins.main", STANDINS, "platform")
         for line in process.stdout:
             fields = dict(pair.split("=", 1) for pair in line.split())
@@ -78,6 +79,7 @@
             self.address_by_name[fields["standin"]] = fields["address"]
 
     def start_controller(self, name):
+        """Start a controller; return its process and the address that it serves."""
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             listen = f"127.0.0.1:{free.getsockname()[1]}"
@@ -103,7 +105,8 @@
         process.wait()
 
 
-def publish(processes):
+def publish_config(processes):
+    """Append a configuration that names the stand-in workers as instances."""
     workers = {n: a for n, a in processes.address_by_name.items() if n[:2] == "w-"}
     document = {
         "zones": {"z1": {}},
@@ -145,7 +148,8 @@
     return wave.state if wave else WaveState.ABSENT
 
 
-def joined(state):
+def joined_count(state):
+    """Return the number of instances whose last move has joined its pool."""
     moves = state.maintenance.move_by_instance.values()
     return sum(move.stage == "joined" for move in moves)
 
@@ -157,15 +161,15 @@
 
 def test_wave_completes_although_its_controller_is_killed(processes):
     """Guards against moves that stop with the controller that started them."""
-    publish(processes)
+    publish_config(processes)
     first, first_address = processes.start_controller("one")
     wait_for(processes, lambda s: s.duties.of(Duty.MAINTENANCE).epoch == 1)
     second, second_address = processes.start_controller("two")
     append(processes, 2, WaveCommand("w", WaveState.ABSENT, WaveState.RUNNING))
-    wait_for(processes, lambda state: joined(state) >= 1)
+    wait_for(processes, lambda state: joined_count(state) >= 1)
     first.send_signal(signal.SIGKILL)
     state = wait_for(processes, lambda s: wave_state(s) is WaveState.DONE)
-    assert joined(state) == 4
+    assert joined_count(state) == 4
     assert state.duties.of(Duty.MAINTENANCE).epoch == 2
     assert get(second_address, "/healthz")[0] == 200
     assert get(second_address, "/readyz")[0] == 200
@@ -174,7 +178,7 @@
     assert status == 200
     assert any("was chosen to be rebooted" in text for text in sentences)
     assert get(second_address, "/v1/explain/instance/nobody")[0] == 404
-    time.sleep(5.5)
+    time.sleep(5.5)  # metrics are updated every 5 s
     assert (
         'lycheeloom_duty_held{duty="maintenance"} 1.0'
         in get(second_address, "/metrics")[1]
@@ -213,6 +217,8 @@
 
 
 class FakeWriter:
+    """Applies each appended record to the state of the tail at once."""
+
     author = "me"
 
     def __init__(self, tail):
@@ -220,6 +226,7 @@
 
     def append(self, record, priority):
         state = self._tail.state
+        # Any sequence will do that grows with each batch.
         state.apply(state.next_offset, Batch("me", state.next_offset + 9, (record,)))
 
 
@@ -245,6 +252,8 @@
 
 
 class FakeInstances:
+    """Answers by action id; ids without an answer are unknown."""
+
     def __init__(self, answers):
         self.answers = answers
         self.queried = []
@@ -257,7 +266,7 @@
         return self.answers[name]
 
 
-def test_statuses_distinguish_unknown_from_unavailable():
+def test_statuses_distinguish_an_unknown_action_from_an_unavailable_platform():
     """Guards against taking an unreachable platform for an unknown action."""
     client = FakeInstances({"b": Unavailable("timeout"), "d": ActionRefused("no")})
     runner = ActionRunner(client)
@@ -270,13 +279,14 @@
     }
 
 
-def test_unchanged_list_is_read_again_soon():
+def test_unchanged_instance_list_is_read_again_soon():
     """Guards against seeing leaving instances 102 s late with 5,100 workers.
 
     Only a changed list is transferred, so only its reads are rate limited.
     """
     now = [0.0]
     line = ListedInstance("w", "worker", "a:1", "z", "r", InstanceState.LIVE, "b")
+    # The client returns the same object as long as the list is unchanged.
     listings = [InstanceList((line,) * 5100), InstanceList((line,) * 5100)]
     client = SimpleNamespace(list=lambda: listings[0])
     loop = MaintenanceLoop(None, None, None, None, client, None, clock=lambda: now[0])
--- a/libs/controller/tests/test_housekeeping.py
+++ b/libs/controller/tests/test_housekeeping.py
@@ -74,7 +74,7 @@
     append(r.RequestSubmitted(request_id, "t", "q", payload, body_digest=b"d"))
 
 
-def settle(tail, writer):
+def wait_for_appends(tail, writer):
     while not writer.is_idle:
         gevent.sleep(0.01)
 
@@ -97,7 +97,7 @@
     for step in range(1, 40):
         clock.now += RETENTION_S / 20
         refresher.step()
-        settle(tail, writer)
+        wait_for_appends(tail, writer)
         if step % 3 == 0:
             # Further records make the log drop the oldest ones.
             append(r.MemberRefuted())
@@ -109,7 +109,7 @@
 
 
 def test_lost_record_is_read_once(append, tail, writer, client, clock):
-    """Guards against a read and a log line at every step for each lost record."""
+    """Guards against reading and reporting each lost record again at every step."""
     reader = RecordReader(tail, client)
     reads = []
 
@@ -134,7 +134,7 @@
 
 
 def test_only_the_holder_of_the_duty_refreshes(append, tail, writer, client, clock):
-    """Guards against appends by every controller."""
+    """Guards against every controller appending the same records again."""
     duty = SimpleNamespace(is_held=lambda: False)
     refresher = RecordRefresher(
         duty,
@@ -160,5 +160,5 @@
     for now, is_kept in ((0.0, True), (90.0, True), (111.0, False)):
         clock.now = now
         expiry.step()
-        settle(tail, writer)
+        wait_for_appends(tail, writer)
         assert ("done" in tail.state.requests.request_by_id) is is_kept
--- a/libs/controller/tests/test_metrics.py
+++ b/libs/controller/tests/test_metrics.py
@@ -11,7 +11,7 @@
 from lycheeloom.model.records import MoveStage
 
 
-def test_former_holder_reports_no_move(monkeypatch):
+def test_former_holder_of_the_duty_reports_no_move(monkeypatch):
     """Guards against a stuck-move alert from a controller that lost the duty."""
     now = [0.0]
     clock = SimpleNamespace(monotonic=lambda: now[0])
--- a/libs/controller/tests/test_outcome_reports.py
+++ b/libs/controller/tests/test_outcome_reports.py
@@ -16,7 +16,9 @@
 WORKERS = ("w1", "w2", "w3", "w4")
 
 
-class Tail:
+class FakeTail:
+    """A state with one pool of workers and the two entries e1 and e2."""
+
     def __init__(self):
         document = {
             "zones": {"z1": {}},
@@ -39,13 +41,14 @@
         self.state.apply(0, Batch("operator", 1, (change, *joins)))
 
 
-class Entries:
+class FakeEntries:
     """Fake entries that return preset bodies and record each request."""
 
     def __init__(self):
         self.body_by_entry = {}
         self.name_by_address = {"e1": "e1", "e2": "e2"}
         self.silent = set()
+        # Address and ``after_period`` of each request, and address of each connection.
         self.asked = []
         self.opened = []
 
@@ -71,8 +74,14 @@
 
 
 class Setup:
+    """A poller of two fake entries and the monitor that it reports to."""
+
     def __init__(self):
-        self.tail, self.entries, self.monitor = Tail(), Entries(), HealthMonitor()
+        self.tail, self.entries, self.monitor = (
+            FakeTail(),
+            FakeEntries(),
+            HealthMonitor(),
+        )
         self.reports = OutcomeReportPoller(
             self.tail,
             self.monitor,
@@ -92,6 +101,7 @@
 
 
 def failing(*workers, ended=6, failed=6):
+    """Return one count for each worker; by default all of its tasks failed."""
     return tuple(OutcomeCount(worker, "find", ended, failed) for worker in workers)
 
 
@@ -108,7 +118,7 @@
     """Guards against taking failing workers for a failing workload.
 
     Entries report counts only for workers with failures, so the success of the
-    queue elsewhere is reported apart.
+    queue on other workers is reported separately.
     """
     report = OutcomeReport(7, failing("w1", "w2", "w3"), ("find",))
     setup.entries.body_by_entry["e1"] = report
@@ -124,7 +134,7 @@
 
 
 def test_busy_workers_keep_their_failure_rate(setup):
-    """Guards against detecting a busy worker as failing for a minority of failures."""
+    """Guards against detecting a busy worker as failing when most tasks succeed."""
     counts = failing("w1", ended=1000, failed=300)
     setup.entries.body_by_entry["e1"] = OutcomeReport(7, counts, ("find",))
     for _ in range(6):
@@ -151,7 +161,7 @@
     ids=["other incarnation", "other message"],
 )
 def test_answers_of_another_process_or_type_are_dropped(setup, name, body):
-    """Guards against counts from another process that now serves the address."""
+    """Guards against counting outcomes of another process that serves the address."""
     setup.entries.name_by_address["e1"] = name
     setup.entries.body_by_entry["e1"] = body
     setup.reports.step()
--- a/libs/fleet/tests/planner_runs.py
+++ b/libs/fleet/tests/planner_runs.py
@@ -5,13 +5,14 @@
 from lycheeloom.model.records import MoveStage, MoveStep, WaveCommand, WaveState
 
 
-def command(world, wave_id, expected, wanted, pools=(), urgent=False):
+def change_wave(world, wave_id, expected, wanted, pools=(), urgent=False):
+    """Append an operator's command that changes the state of a wave."""
     record = WaveCommand(wave_id, expected, wanted, pools, urgent)
     assert world.append("operator", [record]) == (True,)
 
 
 def start_wave(world, wave_id="w", pools=(), urgent=False):
-    command(world, wave_id, WaveState.ABSENT, WaveState.RUNNING, pools, urgent)
+    change_wave(world, wave_id, WaveState.ABSENT, WaveState.RUNNING, pools, urgent)
 
 
 def run(controller, ticks):
@@ -19,7 +20,8 @@
         controller.tick()
 
 
-def planned(plan):
+def planned_moves(plan):
+    """Return the records of a plan that start a move."""
     return [
         record
         for record in plan.records
--- a/libs/fleet/tests/test_buffers.py
+++ b/libs/fleet/tests/test_buffers.py
@@ -28,7 +28,7 @@
     assert not any(move.move_id.startswith("pool.") for move in moves)
 
 
-def test_lasting_loss_is_covered_by_one_move_and_undone():
+def test_lasting_loss_is_covered_by_one_move_that_is_undone_after_the_return():
     world = SimulatedFleet(user_fleet(16, 65536, needed=6))
     controller = Controller(world, "controller")
     # Without reboots the instance stays silent until the test repairs it.
@@ -83,6 +83,7 @@
         }
         for n in range(rng.randrange(8, 20))
     ]
+    # Each pool has at least one instance.
     instances += [
         {"id": f"x{n}", "pool": name, "zone": "z0", "rack": "r0"}
         for n, name in enumerate(names)
@@ -93,14 +94,18 @@
     plan = plan_buffers(config, homes)
     after = {**homes, **{move.instance: move.to_pool for move in plan.moves}}
     worst = max(
-        uncovered(config, after, zone, rack)
+        lacking_after_loss(config, after, zone, rack)
         for zone, rack in [*product(zones, ["", "r0", "r1"]), ("", "")]
     )
     expected = max((short.lacking for short in plan.shortages), default=0)
     assert worst == expected
 
 
-def uncovered(config, pools, zone, rack):
+def lacking_after_loss(config, pools, zone, rack):
+    """Return how many instances the fleet lacks if a rack or zone is lost.
+
+    An empty ``rack`` stands for the whole zone, an empty ``zone`` for no loss.
+    """
     left = [
         name
         for name, item in config.instance_by_id.items()
@@ -115,8 +120,9 @@
     return max(0, lacking - count.get("spare", 0))
 
 
-def test_least_in_service_is_the_smallest_that_survives():
+def test_least_in_service_is_the_smallest_number_that_survives_any_loss():
     racks = {"z0": [4, 4], "z1": [4, 1], "z2": [3]}
+    # The numbers of used instances in the five racks; the loss of a zone is the worst.
     choices = product(range(5), range(5), range(5), range(2), range(4))
     fits = [
         sum(used)
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -28,7 +28,7 @@
 def test_lost_rack_is_explained_under_its_instances_and_pools(world, controller):
     """Guards against explanations that are found only under the fleet.
 
-    Operators ask about an instance or a pool.
+    Operators usually ask about an instance or a pool.
     """
     world.fail(RACK)
     run(controller, 5)
@@ -42,10 +42,10 @@
         assert any("are on hold" in text for text in texts), texts
 
 
-def test_lost_rack_is_not_repaired_before_all_of_it_is_silent(world, controller):
+def test_failing_rack_is_not_repaired_before_all_of_it_is_silent(world, controller):
     """Guards against repair of the first silent instance of a failed rack.
 
-    Probes of its instances time out at different times.
+    Probes of the rack's instances time out at different times.
     """
     health = controller.planner.health
     for number, name in enumerate(RACK):
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -1,7 +1,8 @@
-"""Tests that inject a fault at each step of a drain, a move and a reboot.
+"""Tests that inject a fault at each step of a move with or without a reboot.
 
-They guard against a move that hangs, runs an action twice, loses work or leaves
-an instance drained or in the wrong pool.
+A step is either a record (named by its stage) or an action (named by its kind). The
+tests guard against a move that hangs, runs an action twice, loses work or leaves an
+instance drained or in the wrong pool.
 """
 
 from __future__ import annotations
@@ -52,9 +53,11 @@
     def __init__(self, kind: str, step: str, fault: str):
         self.world = SimulatedFleet(user_fleet(16, 65536))
         self.controller = Controller(self.world, "first")
-        self.replaced: Controller | None = None
+        # A replaced controller that has not stopped and still acts.
+        self.replaced_controller: Controller | None = None
         self.step, self.fault = step, fault
         self.injected = 0
+        # Actions, or authors with their records, and the tick of their delivery.
         self.delayed: list[tuple[int, object]] = []
         self.tick_number = 0
         self._request_move(kind)
@@ -73,12 +76,12 @@
     def run(self, ticks: int = 1000) -> None:
         for self.tick_number in range(ticks):
             self._deliver_delayed()
-            for controller in filter(None, (self.replaced, self.controller)):
+            for controller in filter(None, (self.replaced_controller, self.controller)):
                 plan = controller.plan()
                 for record in plan.records:
                     self._append(controller, record)
                 for action in plan.actions:
-                    self._act(controller, action)
+                    self._request_action(controller, action)
             self.world.advance(10)
 
     def _deliver_delayed(self) -> None:
@@ -94,6 +97,7 @@
                 self.world.append(*item)
 
     def _should_inject(self, step: str, instance: str) -> bool:
+        """Tell whether the fault belongs here, and count it; it is injected once."""
         if step != self.step or instance != TARGET or self.injected:
             return False
         self.injected += 1
@@ -114,16 +118,16 @@
             case "slow":
                 self.delayed.append((self.tick_number + SLOW_TICKS, (author, [record])))
             case "crash_before":
-                self._replace()
+                self._replace_controller()
             case "crash_after":
                 self.world.append(author, [record])
-                self._replace()
+                self._replace_controller()
             case "second_controller":
-                self.replaced = controller
-                self._replace()
+                self.replaced_controller = controller
+                self._replace_controller()
                 self.world.append(author, [record])
 
-    def _act(self, controller: Controller, action: PlatformAction) -> None:
+    def _request_action(self, controller: Controller, action: PlatformAction) -> None:
         if not self._should_inject(str(action.kind), action.instance):
             self.world.execute(action)
             return
@@ -139,17 +143,17 @@
                 self.world.execute(action)
                 self.world.execute(action)
             case "crash_before":
-                self._replace()
+                self._replace_controller()
             case "crash_after":
                 self.world.execute(action)
-                self._replace()
+                self._replace_controller()
             case "second_controller":
-                self.replaced = controller
-                self._replace()
+                self.replaced_controller = controller
+                self._replace_controller()
                 self.world.execute(action)
                 self.world.execute(action)
 
-    def _replace(self) -> None:
+    def _replace_controller(self) -> None:
         self.controller = Controller(self.world, "second")
 
 
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -27,6 +27,8 @@
 
 
 class PlannerMachine(RuleBasedStateMachine):
+    """Runs a planner against a simulated fleet in which the rules inject faults."""
+
     def __init__(self):
         super().__init__()
         document = user_fleet(16, 65536, needed=5)
@@ -34,16 +36,17 @@
         document["pools"]["general"]["max_unavailable_per_rack"] = 2
         document["zones"]["z1"]["max_unavailable"] = 2
         self.world = SimulatedFleet(document, drain_s=200)
-        self.controllers = 0
-        self.waves = 0
-        self.held_records: list[tuple[str, tuple]] = []
-        self.held_actions: list = []
+        self.controller_count = 0
+        self.wave_count = 0
+        self.delayed_records: list[tuple[str, tuple]] = []
+        self.delayed_actions: list = []
         self.takeover()
 
     @rule()
     def takeover(self):
-        self.controllers += 1
-        author = f"controller-{self.controllers}"
+        """A new controller takes the duty over and starts without memory."""
+        self.controller_count += 1
+        author = f"controller-{self.controller_count}"
         self.controller = Controller(self.world, author, SETTINGS)
 
     @rule(ticks=st.integers(1, 20))
@@ -53,6 +56,7 @@
 
     @rule(part=st.sampled_from(["records", "actions", "neither"]))
     def lose(self, part):
+        """Lose a plan but for its records or its actions."""
         plan = self.controller.plan()
         if part == "records":
             self.world.append(self.controller.author, plan.records)
@@ -63,6 +67,7 @@
 
     @rule()
     def repeat(self):
+        """Carry out a plan twice."""
         plan = self.controller.plan()
         self.world.apply_plan(self.controller.author, plan)
         self.world.apply_plan(self.controller.author, plan)
@@ -70,21 +75,23 @@
 
     @rule()
     def hold(self):
+        """Delay the records and actions of a plan until ``deliver`` runs."""
         plan = self.controller.plan()
-        self.held_records.append((self.controller.author, plan.records))
-        self.held_actions += plan.actions
+        self.delayed_records.append((self.controller.author, plan.records))
+        self.delayed_actions += plan.actions
 
     @rule()
     def deliver(self):
-        for author, records in self.held_records:
+        """Carry out all delayed records and actions."""
+        for author, records in self.delayed_records:
             self.world.append(author, records)
-        self.held_records.clear()
-        known = len(self.world.budget_violations)
-        for action in self.held_actions:
+        self.delayed_records.clear()
+        earlier_violations = len(self.world.budget_violations)
+        for action in self.delayed_actions:
             self.world.execute(action)
         # A delayed request cannot be recalled, so it may exceed a budget.
-        del self.world.budget_violations[known:]
-        self.held_actions.clear()
+        del self.world.budget_violations[earlier_violations:]
+        self.delayed_actions.clear()
 
     @rule(names=st.sets(st.sampled_from(INSTANCES), max_size=3))
     def fail(self, names):
@@ -101,19 +108,24 @@
 
     @rule(urgent=st.booleans(), reboot=st.booleans())
     def start_wave(self, urgent, reboot):
-        self.waves += 1
+        self.wave_count += 1
         record = WaveCommand(
-            f"w{self.waves}", WaveState.ABSENT, WaveState.RUNNING, (), urgent, reboot
+            f"w{self.wave_count}",
+            WaveState.ABSENT,
+            WaveState.RUNNING,
+            (),
+            urgent,
+            reboot,
         )
         self.world.append("operator", [record])
 
     @rule(wanted=st.sampled_from([WaveState.PAUSED, WaveState.ABORTED]))
     def stop_wave(self, wanted):
-        self._command(f"w{self.waves}", WaveState.RUNNING, wanted)
+        self._command(f"w{self.wave_count}", WaveState.RUNNING, wanted)
 
     @rule()
     def resume_wave(self):
-        self._command(f"w{self.waves}", WaveState.PAUSED, WaveState.RUNNING)
+        self._command(f"w{self.wave_count}", WaveState.PAUSED, WaveState.RUNNING)
 
     def _command(self, wave_id, expected, wanted):
         self.world.append("operator", [WaveCommand(wave_id, expected, wanted)])
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -19,14 +19,14 @@
 
 def test_failing_worker_is_put_on_probation_rebooted_and_given_up(world, controller):
     health = controller.planner.health
-    seen = set()
+    healths = set()
     for _ in range(400):
         fail_tasks(controller, "w07")
         health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
         state = world.state.maintenance.health_by_instance.get("w07")
-        seen.add(state and state.health)
-    assert seen >= {Health.PROBATION, Health.REBOOTING, Health.GIVEN_UP}
+        healths.add(state and state.health)
+    assert healths >= {Health.PROBATION, Health.REBOOTING, Health.GIVEN_UP}
     assert world.workers["w07"].boots == 3
     assert set(world.state.maintenance.health_by_instance) == {"w07"}
     texts = [x.text for x in controller.planner.explanations.for_instance("w07")]
@@ -67,9 +67,7 @@
 
 
 @pytest.mark.parametrize("signal", ["lost_lease", "flapping", "silent"])
-def test_lost_leases_flapping_and_silence_put_a_worker_on_probation(
-    world, controller, signal
-):
+def test_each_signal_of_a_fault_puts_a_worker_on_probation(world, controller, signal):
     health = controller.planner.health
     run(controller, 1)
     for number in range(6):
@@ -84,7 +82,7 @@
 
 
 def test_nothing_is_rebooted_if_too_many_instances_are_silent(world, controller):
-    """Guards against reboots of the fleet by a controller that reaches no worker."""
+    """Guards against reboots of a fleet by a controller that reaches no worker."""
     run(controller, 1)
     world.fail(list(world.workers)[:20])
     start_wave(world)
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from libs.fleet.tests.planner_runs import command, planned, run, start_wave
+from libs.fleet.tests.planner_runs import change_wave, planned_moves, run, start_wave
 
 from bench.fleet_world import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
@@ -17,7 +17,7 @@
     start_wave(world)
     chosen = set()
     for _ in range(180):
-        chosen |= {record.instance for record in planned(controller.plan())}
+        chosen |= {record.instance for record in planned_moves(controller.plan())}
         world.advance(10)
     assert len(chosen) == 5
 
@@ -33,8 +33,9 @@
 
 
 def test_regular_wave_starts_once_in_each_cycle(world):
-    """Guards against a second regular wave in a cycle and against one that restarts
-    after it was aborted.
+    """Guards against a second regular wave in a cycle.
+
+    Also guards against a regular wave that starts again after an operator aborted it.
     """
     controller = Controller(
         world, "controller", PlannerSettings(regular_cycle_s=20_000)
@@ -46,13 +47,13 @@
     }
     world.now_s = 20_000
     run(controller, 5)
-    command(world, "regular-1", WaveState.RUNNING, WaveState.ABORTED)
+    change_wave(world, "regular-1", WaveState.RUNNING, WaveState.ABORTED)
     run(controller, 20)
     assert waves["regular-1"].state is WaveState.ABORTED
     assert {worker.boots for worker in world.workers.values()} == {1}
 
 
-def test_nothing_starts_while_the_list_cannot_be_read(world, controller):
+def test_nothing_starts_while_the_instance_list_cannot_be_read(world, controller):
     start_wave(world)
     controller.tick()
     view = replace(controller.view(), is_list_current=False)
@@ -65,12 +66,12 @@
 def test_paused_wave_starts_nothing_and_resumes(world, controller):
     start_wave(world)
     run(controller, 5)
-    command(world, "w", WaveState.RUNNING, WaveState.PAUSED)
+    change_wave(world, "w", WaveState.RUNNING, WaveState.PAUSED)
     run(controller, 60)
-    done = sum(worker.boots for worker in world.workers.values())
-    assert done == 5
+    reboots = sum(worker.boots for worker in world.workers.values())
+    assert reboots == 5
     assert controller.planner.forecast(controller.view(), "w", 0.0).end_s is None
-    command(world, "w", WaveState.PAUSED, WaveState.RUNNING)
+    change_wave(world, "w", WaveState.PAUSED, WaveState.RUNNING)
     run(controller, 200)
     assert sum(worker.boots for worker in world.workers.values()) == 30
 
@@ -79,7 +80,7 @@
     start_wave(world)
     run(controller, 4)
     assert any(worker.draining for worker in world.workers.values())
-    command(world, "w", WaveState.RUNNING, WaveState.ABORTED)
+    change_wave(world, "w", WaveState.RUNNING, WaveState.ABORTED)
     run(controller, 20)
     assert not any(worker.draining for worker in world.workers.values())
     assert sum(worker.boots for worker in world.workers.values()) == 0
@@ -89,9 +90,9 @@
 def test_urgent_wave_goes_first(world, controller):
     start_wave(world, "slow")
     start_wave(world, "urgent", ("north",), urgent=True)
-    first = [record.move_id for record in planned(controller.plan())]
-    assert sum(name.startswith("wave.urgent") for name in first) == 1
-    assert [name for name in first if ".w0" in name][0].startswith("wave.urgent")
+    move_ids = [record.move_id for record in planned_moves(controller.plan())]
+    assert sum(move_id.startswith("wave.urgent") for move_id in move_ids) == 1
+    assert [i for i in move_ids if ".w0" in i][0].startswith("wave.urgent")
 
 
 def test_correlated_failure_is_one_event_that_holds_waves(world, controller):
@@ -101,10 +102,10 @@
     rack = [name for name in world.workers if name in ("w00", "w03", "w06", "w09")]
     world.fail(rack)
     run(controller, 5)
-    before = len(world.state.maintenance.move_by_instance)
+    moves_before = len(world.state.maintenance.move_by_instance)
     run(controller, 20)
     maintenance = world.state.maintenance
-    assert len(maintenance.move_by_instance) == before
+    assert len(maintenance.move_by_instance) == moves_before
     assert not set(rack) & set(maintenance.health_by_instance)
     fleet = controller.planner.explanations.for_fleet()
     assert [x.text for x in fleet if "one event" in x.text] == [
@@ -114,7 +115,11 @@
 
 
 def test_zone_out_of_service_does_not_free_its_instances_for_drains():
-    """Guards against a drain that exceeds the budget if the zone returns."""
+    """Guards against a drain that exceeds the budget once the zone is back in service.
+
+    The zone of an instance goes out of service while the move of the instance waits,
+    and another instance of the same pool fails.
+    """
     world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
@@ -132,7 +137,11 @@
 
 
 def test_abandoning_before_the_drain_does_not_drain():
-    """Guards against a late drain that takes effect after the move was abandoned."""
+    """Guards against a late drain that takes effect after the move was abandoned.
+
+    The failure of another instance in the pool keeps the drain from being requested
+    before the wave is aborted.
+    """
     world = SimulatedFleet(user_fleet(16, 65536))
     controller = Controller(world, "controller")
     start_wave(world, pools=("north",))
@@ -140,7 +149,7 @@
     world.append("controller", controller.plan().records)
     name = world.open_moves()[0]
     world.fail([other for other in ("w00", "w01") if other != name])
-    command(world, "w", WaveState.RUNNING, WaveState.ABORTED, ("north",))
+    change_wave(world, "w", WaveState.RUNNING, WaveState.ABORTED, ("north",))
     move_id = world.state.maintenance.move_by_instance[name].move_id
     late = PlatformAction(name, ActionKind.DRAIN, f"{move_id}.draining")
     run(controller, 5)
@@ -160,6 +169,6 @@
     world.fail(spares[1:])
     controller = Controller(world, "controller")
     start_wave(world)
-    assert planned(controller.plan()) == []
+    assert planned_moves(controller.plan()) == []
     text = controller.planner.describe_blocker("w00")
     assert "last spare" in text
