--- a/libs/controller/src/lycheeloom/controller/actions.py
+++ b/libs/controller/src/lycheeloom/controller/actions.py
@@ -47,22 +47,26 @@
         A further attempt of an action is queried only if the previous attempt was
         refused, since the further attempt cannot exist otherwise.
         """
-        found: dict[str, ActionStatus] = {}
-        remaining = list(action_ids)
-        while remaining:
-            queryable = [
-                action_id for action_id in remaining if _may_exist(action_id, found)
+        status_by_action: dict[str, ActionStatus] = {}
+        remaining_ids = list(action_ids)
+        while remaining_ids:
+            queryable_ids = [
+                action_id
+                for action_id in remaining_ids
+                if _may_exist(action_id, status_by_action)
             ]
-            if not queryable:
-                return found
-            answers = self._calls.map(self._status, queryable)
-            for action_id, status in zip(queryable, answers, strict=True):
+            if not queryable_ids:
+                return status_by_action
+            answers = self._calls.map(self._status, queryable_ids)
+            for action_id, status in zip(queryable_ids, answers, strict=True):
                 if status is not None:
-                    found[action_id] = status
-            remaining = [
-                action_id for action_id in remaining if action_id not in set(queryable)
+                    status_by_action[action_id] = status
+            remaining_ids = [
+                action_id
+                for action_id in remaining_ids
+                if action_id not in set(queryable_ids)
             ]
-        return found
+        return status_by_action
 
     def perform(self, actions: Sequence[PlatformAction]) -> None:
         """Request actions from the platform; the next step queries their status."""
@@ -117,7 +121,7 @@
             self._final_status_by_action.popitem(last=False)
 
 
-def _may_exist(action_id: str, found: dict[str, ActionStatus]) -> bool:
+def _may_exist(action_id: str, status_by_action: dict[str, ActionStatus]) -> bool:
     """Tell whether the platform may know an action id.
 
     That is so for a first attempt and for an attempt that follows a refusal.
@@ -127,4 +131,4 @@
         return True
     attempt = int(number)
     previous = base if attempt == 2 else f"{base}.{attempt - 1}"
-    return found.get(previous) is ActionStatus.REFUSED
+    return status_by_action.get(previous) is ActionStatus.REFUSED
--- a/libs/controller/src/lycheeloom/controller/housekeeping.py
+++ b/libs/controller/src/lycheeloom/controller/housekeeping.py
@@ -63,6 +63,7 @@
         self._writer = writer
         self._ages = OffsetAges(EXPIRY_INTERVAL_S, clock)
         self._pending: PendingRecord | None = None
+        # An interval has passed since the last expiry.
         self._is_due = False
 
     def step(self) -> None:
@@ -70,8 +71,10 @@
         if self._ages.sample(self._tail.next_offset - 1):
             self._is_due = True
         queues = self._tail.state.config.queue_by_id
-        longest = max((q.answer_retention_s for q in queues.values()), default=0)
-        self._ages.drop_older_than(longest)
+        longest_retention_s = max(
+            (q.answer_retention_s for q in queues.values()), default=0
+        )
+        self._ages.drop_older_than(longest_retention_s)
         if self._pending is not None and self._pending.outcome is None:
             return
         if self._is_due and self._duty.is_held():
@@ -86,10 +89,12 @@
         oldest_finish_by_queue = self._oldest_finish_by_queue()
         for queue in self._tail.state.config.queue_by_id.values():
             oldest_finish = oldest_finish_by_queue.get(queue.id)
-            through = self._ages.newest_offset_older_than(queue.answer_retention_s)
-            if oldest_finish is None or through < oldest_finish:
+            through_offset = self._ages.newest_offset_older_than(
+                queue.answer_retention_s
+            )
+            if oldest_finish is None or through_offset < oldest_finish:
                 continue
-            record = AnswersExpired(through, queue.id)
+            record = AnswersExpired(through_offset, queue.id)
             self._pending = self._writer.append(record, Priority.CONTROL)
             return
 
--- a/libs/controller/src/lycheeloom/controller/maintenance.py
+++ b/libs/controller/src/lycheeloom/controller/maintenance.py
@@ -63,8 +63,8 @@
         self._actions = ActionRunner(instances)
         self._probes = probes
         self._clock = clock
-        self._pending: dict[PlannedRecord, PendingRecord] = {}
-        self._list: InstanceList | None = None
+        self._pending_by_record: dict[PlannedRecord, PendingRecord] = {}
+        self._instance_list: InstanceList | None = None
         self._is_list_unchanged = False
         self._listed_at = float("-inf")
         self._seen_in_list: set[str] = set()
@@ -92,9 +92,9 @@
         A list that did not change at the last read may be read often, because an
         unchanged list is not transferred again.
         """
-        if self._is_list_unchanged or self._list is None:
+        if self._is_list_unchanged or self._instance_list is None:
             return MIN_LIST_INTERVAL_S
-        lines = len(self._list.instances)
+        lines = len(self._instance_list.instances)
         return max(MIN_LIST_INTERVAL_S, lines / LIST_LINES_PER_S)
 
     def _refresh_list(self) -> None:
@@ -105,8 +105,8 @@
             log_event("instance_list_unavailable", "WARNING", reason=listing.reason)
             return
         # The client returns the same object if the list has not changed.
-        self._is_list_unchanged = listing is self._list
-        self._list, self._listed_at = listing, self._clock()
+        self._is_list_unchanged = listing is self._instance_list
+        self._instance_list, self._listed_at = listing, self._clock()
 
     def _observe(self) -> FleetView:
         """Return the view for a planner step, after probes and status queries.
@@ -152,10 +152,10 @@
         The list lags behind the configuration, so a configured instance that was never
         listed does not count. ``known`` holds the configured instances.
         """
-        if self._list is None:
+        if self._instance_list is None:
             return frozenset()
         listed: dict[str, ListedInstance] = {
-            item.instance: item for item in self._list.instances
+            item.instance: item for item in self._instance_list.instances
         }
         self._seen_in_list = (self._seen_in_list | listed.keys()) & known.keys()
         leaving = {
@@ -169,9 +169,11 @@
         """Append the records of a plan that are not pending already."""
         self._withdraw_except(plan.records)
         for record in plan.records:
-            if record in self._pending:
+            if record in self._pending_by_record:
                 continue
-            self._pending[record] = self._writer.append(record, Priority.CONTROL)
+            self._pending_by_record[record] = self._writer.append(
+                record, Priority.CONTROL
+            )
             log_event("record_appended", **_log_fields(record))
 
     def _withdraw_except(self, wanted) -> None:
@@ -181,14 +183,14 @@
         and take effect late.
         """
         wanted_records = set(wanted)
-        for record, pending in list(self._pending.items()):
+        for record, pending in list(self._pending_by_record.items()):
             if pending.outcome is None and record not in wanted_records:
                 pending.withdraw()
             if pending.outcome is None:
                 continue
             if isinstance(pending.outcome, NoEffect):
                 log_event("record_without_effect", "WARNING", **_log_fields(record))
-            del self._pending[record]
+            del self._pending_by_record[record]
 
 
 def _log_fields(record: PlannedRecord) -> dict[str, str]:
--- a/libs/controller/src/lycheeloom/controller/refresh.py
+++ b/libs/controller/src/lycheeloom/controller/refresh.py
@@ -84,17 +84,17 @@
         """Yield the requests of which a record is due and neither lost nor pending."""
         request_by_id = self._tail.state.requests.request_by_id
         self._lost_ids.intersection_update(request_by_id)
-        through = self._ages.newest_offset_older_than(
+        through_offset = self._ages.newest_offset_older_than(
             REFRESH_AGE_FRACTION * self._retention_s
         )
         if (
             self._clock() - self._started_at
             >= UNKNOWN_AGE_WAIT_FRACTION * self._retention_s
         ):
-            through = max(through, self._offset_at_start - 1)
+            through_offset = max(through_offset, self._offset_at_start - 1)
         for request in list(request_by_id.values()):
             offset = _offset_of(request)
-            if offset is None or offset > through:
+            if offset is None or offset > through_offset:
                 continue
             if request.request_id in self._lost_ids:
                 continue
--- a/libs/fleet/src/lycheeloom/fleet/monitor.py
+++ b/libs/fleet/src/lycheeloom/fleet/monitor.py
@@ -111,7 +111,8 @@
     def record_heartbeat(self, instance: str, at_s: float, boot_id: str = "") -> None:
         """Record that the instance answered.
 
-        A new boot id, or an answer after silence, counts as a return.
+        A new boot id, or an answer after silence, counts as a return. An empty
+        ``boot_id`` means that it is not known.
         """
         first_miss_s = self._first_miss_s.pop(instance, None)
         was_silent = (
@@ -234,8 +235,8 @@
 
     def _is_losing_leases(self, instance: str, now_s: float) -> bool:
         since = now_s - self.settings.window_s
-        lost = _count_since(self._lost_leases[instance], since)
-        if lost < self.settings.min_lost_leases:
+        lost_count = _count_since(self._lost_leases[instance], since)
+        if lost_count < self.settings.min_lost_leases:
             return False
         return self.successes_since(instance, since) == 0
 
@@ -269,23 +270,23 @@
         A zone or rack counts as failed if enough of its instances are in ``silent``.
         """
         locations = layout.location_by_instance
-        lost = self._failed_domains_of_kind(
+        failed_domains = self._failed_domains_of_kind(
             "zone", layout.members_by_zone, silent, lambda name: locations[name][2]
         )
-        covered = _members(lost)
-        lost += self._failed_domains_of_kind(
+        in_failed_zones = _members(failed_domains)
+        failed_domains += self._failed_domains_of_kind(
             "rack",
             layout.members_by_rack,
-            silent - covered,
+            silent - in_failed_zones,
             lambda name: locations[name][1],
         )
-        return tuple(lost)
+        return tuple(failed_domains)
 
     def _failed_domains_of_kind(
         self, kind, members_by_domain, silent, domain_of
     ) -> list[FailedDomain]:
         counts = Counter(domain_of(name) for name in silent)
-        lost = []
+        failed_domains = []
         for domain in sorted(counts):
             size = len(members_by_domain[domain])
             least = max(
@@ -294,8 +295,8 @@
             )
             if counts[domain] >= least:
                 members = frozenset(n for n in silent if domain_of(n) == domain)
-                lost.append(FailedDomain(f"{kind} {domain}", members))
-        return lost
+                failed_domains.append(FailedDomain(f"{kind} {domain}", members))
+        return failed_domains
 
     @staticmethod
     def _append(signals: dict[str, deque], instance: str, value) -> None:
--- a/libs/fleet/src/lycheeloom/fleet/move_runner.py
+++ b/libs/fleet/src/lycheeloom/fleet/move_runner.py
@@ -100,16 +100,16 @@
         # task lease proves that the tasks have ended.
         if name in step.assessment.silent:
             silent_s = self._timers.elapsed(("silent", name), step.now_s)
-        abandon = abandon_reason(step, name, move)
-        if not abandon and self._is_overdue(name, move, step.now_s):
-            abandon = "its work neither ended nor was checkpointed in time"
+        reason = abandon_reason(step, name, move)
+        if not reason and self._is_overdue(name, move, step.now_s):
+            reason = "its work neither ended nor was checkpointed in time"
         statuses, refused_for = self._statuses(view, move, step.now_s)
         return MoveFacts(
             statuses,
             view.running_by_instance.get(name),
             silent_s >= settings.dead_after_s,
             limit is None and view.is_list_current,
-            abandon,
+            reason,
             refused_for,
             settings.retry_after_s,
             settings.max_attempts,
--- a/libs/fleet/src/lycheeloom/fleet/planner.py
+++ b/libs/fleet/src/lycheeloom/fleet/planner.py
@@ -241,14 +241,14 @@
                 len(step.layout.location_by_instance),
             )
             self.explanations.add(events.TooManySilent(silent, total), step.now_s)
-        failed: set[str] = set()
+        failed_members: set[str] = set()
         for domain in step.assessment.failed_domains:
-            failed |= domain.members
+            failed_members |= domain.members
             newly_failed = domain.members - self._failed_members
             if newly_failed:
                 self._hold_until_s = step.now_s + self.settings.correlated_pause_s
                 self._explain_failed_domain(step, domain, newly_failed)
-        self._failed_members = frozenset(failed)
+        self._failed_members = frozenset(failed_members)
 
     def _explain_failed_domain(
         self, step: StepContext, domain: FailedDomain, newly_failed: frozenset[str]
@@ -268,27 +268,27 @@
     def _plan_waves(self, step: StepContext) -> None:
         if step.now_s < self._hold_until_s:
             return
-        running = [
+        running_waves = [
             wave
             for wave in step.view.wave_by_id.values()
             if wave.state is WaveState.RUNNING
         ]
         recently_abandoned = self._runner.recently_abandoned(step.now_s)
-        explained = started = 0
+        explained_count = started_count = 0
         for wave in sorted(
-            running, key=lambda wave: (not wave.urgent, wave.started_at)
+            running_waves, key=lambda wave: (not wave.urgent, wave.started_at)
         ):
             moves = step.view.move_by_instance
             for choice in waves.choose_instances(
                 wave, step.layout, step.budgets, moves, recently_abandoned
             ):
-                if started >= self.settings.max_starts_per_step:
+                if started_count >= self.settings.max_starts_per_step:
                     return
                 if choice.limit is None:
-                    started += 1
+                    started_count += 1
                     self._start_wave_move(step, wave, choice.instance)
-                elif explained < _MAX_EVENTS_PER_STEP:
-                    explained += 1
+                elif explained_count < _MAX_EVENTS_PER_STEP:
+                    explained_count += 1
                     self._explain_blocked(step, choice.instance, choice.limit)
 
     def _start_wave_move(self, step: StepContext, wave: Wave, name: str) -> None:
--- a/libs/fleet/src/lycheeloom/fleet/rebalance.py
+++ b/libs/fleet/src/lycheeloom/fleet/rebalance.py
@@ -48,12 +48,12 @@
         Instances that are in a move or in the cooldown of a pool change are left out.
         """
         self._drop_expired(now_s)
-        assigned, moving = _assignment(view, layout)
+        pool_by_instance, moving_instances = _assignment(view, layout)
         # An instance that is out of service because of its own move is not lost.
-        unusable = self._lost_instances.update(not_serving - moving, now_s) | _given_up(
-            view
-        )
-        inputs = (view.config, assigned, unusable)
+        unusable = self._lost_instances.update(
+            not_serving - moving_instances, now_s
+        ) | _given_up(view)
+        inputs = (view.config, pool_by_instance, unusable)
         may_start = self.may_start()
         # Planning takes up to half a second if many instances are away from their
         # home pools. While no move may start, plans only serve to report shortages, so
@@ -63,14 +63,15 @@
             self._planned_s = now_s
             if self._planner is None or self._planner.config is not view.config:
                 self._planner = BufferPlanner(view.config)
-            self.plan = plan_with_returns(self._planner, assigned, unusable)
+            self.plan = plan_with_returns(self._planner, pool_by_instance, unusable)
             self._plan_inputs = inputs
         if not may_start:
             return []
         return [
             move
             for move in self.plan.moves
-            if move.instance not in moving and move.instance not in self._moved_at_s
+            if move.instance not in moving_instances
+            and move.instance not in self._moved_at_s
         ]
 
     def may_start(self) -> bool:
@@ -95,35 +96,38 @@
 
 
 def plan_with_returns(
-    planner: BufferPlanner, assigned: Mapping[str, str], unusable: frozenset[str]
+    planner: BufferPlanner,
+    pool_by_instance: Mapping[str, str],
+    unusable: frozenset[str],
 ) -> BufferPlan:
     """Plan buffers and return instances to their home pools where possible.
 
-    ``assigned`` gives the pool of each instance. A plan made as if all instances were
-    at home shows which of them are needed elsewhere. Those instances stay where they
-    are, and the plan is made again. An instance returns only if its return makes no
-    further move necessary. If that is not settled after ``MAX_RETURN_ROUNDS``, no
-    instance returns.
+    A plan made as if all instances were at home shows which of them are needed
+    elsewhere. Those instances stay where they are, and the plan is made again. An
+    instance returns only if its return makes no further move necessary. If no plan
+    has been found after ``MAX_RETURN_ROUNDS``, no instance returns.
     """
     config = planner.config
-    plan_without_returns = planner.plan(assigned, unusable)
+    plan_without_returns = planner.plan(pool_by_instance, unusable)
     home_by_instance = {
         name: config.instance_by_id[name].pool
-        for name, pool in assigned.items()
+        for name, pool in pool_by_instance.items()
         if config.instance_by_id[name].pool != pool
     }
     for _ in range(MAX_RETURN_ROUNDS):
         if not home_by_instance:
             return plan_without_returns
-        plan = planner.plan({**assigned, **home_by_instance}, unusable)
-        stay = _needed_elsewhere(plan, plan_without_returns, assigned, home_by_instance)
-        if not stay:
+        plan = planner.plan({**pool_by_instance, **home_by_instance}, unusable)
+        staying_instances = _needed_elsewhere(
+            plan, plan_without_returns, pool_by_instance, home_by_instance
+        )
+        if not staying_instances:
             returns = [
-                BufferMove(name, assigned[name], home_by_instance[name])
+                BufferMove(name, pool_by_instance[name], home_by_instance[name])
                 for name in home_by_instance
             ]
             return BufferPlan((*returns, *plan.moves), plan.shortages, plan.needs)
-        for name in stay:
+        for name in staying_instances:
             del home_by_instance[name]
     return plan_without_returns
 
@@ -131,7 +135,7 @@
 def _needed_elsewhere(
     plan: BufferPlan,
     plan_without_returns: BufferPlan,
-    assigned: Mapping[str, str],
+    pool_by_instance: Mapping[str, str],
     home_by_instance: Mapping[str, str],
 ) -> set[str]:
     """Return the instances that must not return home.
@@ -141,18 +145,20 @@
     stays for each move out of its home pool, preferably one that is in the target pool
     of the move already. If no returning instance fits a move, all of them stay.
     """
-    stay = {move.instance for move in plan.moves if move.instance in home_by_instance}
-    if stay or len(plan.moves) <= len(plan_without_returns.moves):
-        return stay
+    staying_instances = {
+        move.instance for move in plan.moves if move.instance in home_by_instance
+    }
+    if staying_instances or len(plan.moves) <= len(plan_without_returns.moves):
+        return staying_instances
     for move in plan.moves:
         candidates = sorted(
-            (assigned[name] != move.to_pool, name)
+            (pool_by_instance[name] != move.to_pool, name)
             for name, home in home_by_instance.items()
-            if home == move.from_pool and name not in stay
+            if home == move.from_pool and name not in staying_instances
         )
         if candidates:
-            stay.add(candidates[0][1])
-    return stay or set(home_by_instance)
+            staying_instances.add(candidates[0][1])
+    return staying_instances or set(home_by_instance)
 
 
 def _given_up(view: FleetView) -> frozenset[str]:
@@ -167,12 +173,12 @@
     view: FleetView, layout: Layout
 ) -> tuple[dict[str, str], frozenset[str]]:
     """Return the pool of each instance after its open move, and who is moving."""
-    assigned = {
+    pool_by_instance = {
         name: location[0] for name, location in layout.location_by_instance.items()
     }
-    moving = set()
+    moving_instances = set()
     for name, move in view.move_by_instance.items():
-        if move.stage not in ENDED_STAGES and name in assigned:
-            assigned[name] = move.to_pool
-            moving.add(name)
-    return assigned, frozenset(moving)
+        if move.stage not in ENDED_STAGES and name in pool_by_instance:
+            pool_by_instance[name] = move.to_pool
+            moving_instances.add(name)
+    return pool_by_instance, frozenset(moving_instances)
--- a/libs/fleet/src/lycheeloom/fleet/repair.py
+++ b/libs/fleet/src/lycheeloom/fleet/repair.py
@@ -104,10 +104,10 @@
                 continue
             state = view.health_by_instance.get(name, _HEALTHY)
             move = view.move_by_instance.get(name)
-            found = self._decide_instance(name, state, move, symptoms.get(name), now_s)
-            if found is None or (found.reboot and assessment.too_many_silent):
+            repair = self._decide_instance(name, state, move, symptoms.get(name), now_s)
+            if repair is None or (repair.reboot and assessment.too_many_silent):
                 continue
-            if on_hold and _reduces_service(state, found):
+            if on_hold and _reduces_service(state, repair):
                 continue
             is_new = (
                 state.health is Health.IN_SERVICE and name not in self._proposed_at_s
@@ -117,9 +117,9 @@
             if is_new:
                 quota -= 1
                 self._proposed_at_s[name] = now_s
-            if found.health in (Health.IN_SERVICE, Health.REBOOTING):
+            if repair.health in (Health.IN_SERVICE, Health.REBOOTING):
                 self._monitor.forget_faults(name)
-            repairs.append(found)
+            repairs.append(repair)
         self._timers.sweep()
         return repairs
 
@@ -183,14 +183,14 @@
         return Repair(name, Health.REBOOTING, reason)
 
 
-def _reduces_service(state: HealthState, found: Repair) -> bool:
+def _reduces_service(state: HealthState, repair: Repair) -> bool:
     """Tell whether a repair makes an instance less available.
 
     A probation does so if it begins in service, but not if it follows a reboot.
     """
-    if found.health is Health.PROBATION:
+    if repair.health is Health.PROBATION:
         return state.health is Health.IN_SERVICE
-    return found.health is not Health.IN_SERVICE
+    return repair.health is not Health.IN_SERVICE
 
 
 def _follow_reboot(name: str, state: HealthState, move: Move | None) -> Repair | None:
--- a/libs/fleet/src/lycheeloom/fleet/size_plan.py
+++ b/libs/fleet/src/lycheeloom/fleet/size_plan.py
@@ -63,12 +63,12 @@
             pool = pool_by_instance.get(name, member[1])
             if name in unusable or pool not in self._planned_pools:
                 pool = ""  # not counted in any pool
-            last = self._pool_by_instance.get(name, "")
-            if pool == last:
+            last_pool = self._pool_by_instance.get(name, "")
+            if pool == last_pool:
                 continue
-            if last:
-                self._count_in(member, last, -1)
-                self._names_by_location[last][member[2]].remove(name)
+            if last_pool:
+                self._count_in(member, last_pool, -1)
+                self._names_by_location[last_pool][member[2]].remove(name)
             if pool:
                 self._count_in(member, pool, 1)
                 self._names_by_location[pool][member[2]].append(name)
@@ -81,9 +81,9 @@
         self._count_by_pool[pool] += change
         self._total_by_domain[zone] += change
         self._total_by_domain[rack] += change
-        held = self._count_by_domain[pool]
-        held[zone] += change
-        held[rack] += change
+        count_by_domain = self._count_by_domain[pool]
+        count_by_domain[zone] += change
+        count_by_domain[rack] += change
 
     def plan(
         self, size: Resources
@@ -112,16 +112,16 @@
 
         Without a spare pool, the loss of a domain is not considered.
         """
-        short = []
+        shortages = []
         spares = sum(self._count_by_pool[pool] for pool in self._spare_pools)
         lacking = sum(max(0, -self._excess(pool)) for pool in self._needed)
         if lacking > spares:
-            short.append(Shortage(size, "", lacking - spares))
+            shortages.append(Shortage(size, "", lacking - spares))
         if not self._spare_pools:
-            return short
+            return shortages
         for domain, (_, violation) in self._violations(strict=True).items():
-            short.append(Shortage(size, " ".join(domain), violation))
-        return sorted(short, key=lambda item: (-item.lacking, item.domain))
+            shortages.append(Shortage(size, " ".join(domain), violation))
+        return sorted(shortages, key=lambda item: (-item.lacking, item.domain))
 
     def _fill_needs(self) -> list[tuple[BufferMove, Domain]]:
         """Move surplus instances, or else spare ones, into pools below their need."""
@@ -159,18 +159,18 @@
         """
         excess = {pool: max(0, self._excess(pool)) for pool in self._needed}
         surplus = sum(excess.values())
-        local: Counter[Domain] = Counter()
-        for pool, over in excess.items():
-            if not over:
+        local_surplus: Counter[Domain] = Counter()
+        for pool, pool_excess in excess.items():
+            if not pool_excess:
                 continue
-            for domain, held in self._count_by_domain[pool].items():
-                local[domain] += min(over, held)
+            for domain, count in self._count_by_domain[pool].items():
+                local_surplus[domain] += min(pool_excess, count)
         found = {}
         for domain, total in self._total_by_domain.items():
             allowance = self._usable - total - self._sum_needed
             if not strict:
                 allowance = max(0, allowance)
-            violation = surplus - local[domain] - allowance
+            violation = surplus - local_surplus[domain] - allowance
             if violation > 0:
                 found[domain] = (allowance, violation)
         return found
@@ -187,18 +187,19 @@
         """
         if violations is None:
             violations = {
-                domain: over for domain, (_, over) in self._violations().items()
+                domain: violation
+                for domain, (_, violation) in self._violations().items()
             }
-        weight = sum(violations.values())
+        total_violation = sum(violations.values())
         best, best_gain = None, (0 if violations else -1, 0)
         for pool in self._needed:
             excess = self._excess(pool)
             if excess <= 0:
                 continue
-            held = self._count_by_domain[pool]
-            gain = weight - sum(
+            count_by_domain = self._count_by_domain[pool]
+            gain = total_violation - sum(
                 violations.get(domain, 0)
-                for domain, count in held.items()
+                for domain, count in count_by_domain.items()
                 if count >= excess
             )
             for location, names in self._names_by_location[pool].items():
@@ -207,7 +208,7 @@
                 loss = sum(
                     violations.get(domain, 0)
                     for domain in domains_of(*location)
-                    if held[domain] < excess
+                    if count_by_domain[domain] < excess
                 )
                 if (gain - loss, excess) > best_gain:
                     best, best_gain = (pool, location), (gain - loss, excess)
@@ -218,9 +219,13 @@
 
         ``pool`` has the fewest instances in the zone and rack of this location.
         """
-        held = self._count_by_domain[pool]
+        count_by_domain = self._count_by_domain[pool]
         choices = [
-            ([held[domain] for domain in domains_of(*location)], spare, location)
+            (
+                [count_by_domain[domain] for domain in domains_of(*location)],
+                spare,
+                location,
+            )
             for spare in self._spare_pools
             for location, names in self._names_by_location[spare].items()
             if names
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -41,9 +41,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """The last move of an instance: a drain that ends in pool ``to_pool``.
+    """The last move of an instance: a drain, perhaps a reboot, and the return to service.
 
-    ``to_pool`` may be the pool that the instance is in already. ``changed_at`` is the
+    ``to_pool`` is the pool that the instance joins, perhaps the one that it is in. ``changed_at`` is the
     log offset of the last stage. The state library has a ``Move`` with the same
     fields, as it has for ``HealthState`` and ``Wave``. A ``FleetView`` may hold those
     objects instead, so that a step does not copy thousands of moves.
@@ -132,9 +132,10 @@
 class PlannerSettings:
     """Limits of the planner; times are in seconds.
 
-    A move that stays ``planned`` or ``draining`` for ``drain_limit_s`` is abandoned.
-    A worker that has been detected as silent for a further ``dead_after_s`` cannot be
-    running a task any more: a task lease of a silent worker is valid for at most 18 s.
+    A move that stays ``planned`` or stays ``draining`` for ``drain_limit_s`` is
+    abandoned. Once a worker has been silent for a further ``dead_after_s`` after its
+    silence was detected, none of its tasks can still be running: a task lease of a
+    silent worker is valid for at most 18 s.
     An action that the platform refused is requested again after ``retry_after_s``, a
     reboot at most ``max_attempts`` times in all.
 
--- a/libs/fleet/src/lycheeloom/fleet/waves.py
+++ b/libs/fleet/src/lycheeloom/fleet/waves.py
@@ -117,14 +117,14 @@
 
     None if the wave may take any instance now, or if it has none left to take.
     """
-    first = None
+    first_blocked_choice = None
     pools = covered_pools(wave, layout)
     for serving in _candidates(pools, wave, layout, budgets, moves, skipped):
         for choice in _choose_in_pool(layout, budgets, serving):
             if choice.limit is None:
                 return None
-            first = first or choice
-    return first
+            first_blocked_choice = first_blocked_choice or choice
+    return first_blocked_choice
 
 
 def _candidates(
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -56,9 +56,9 @@
         # A replaced controller that has not stopped and still acts.
         self.replaced_controller: Controller | None = None
         self.step, self.fault = step, fault
-        self.injected = 0
+        self.injected_count = 0
         # Actions, or authors with their records, and the tick of their delivery.
-        self.delayed: list[tuple[int, object]] = []
+        self.delayed_deliveries: list[tuple[int, object]] = []
         self.tick_number = 0
         self._request_move(kind)
 
@@ -85,9 +85,9 @@
             self.world.advance(10)
 
     def _deliver_delayed(self) -> None:
-        due = [item for at, item in self.delayed if at <= self.tick_number]
-        self.delayed = [
-            (at, item) for at, item in self.delayed if at > self.tick_number
+        due = [item for at, item in self.delayed_deliveries if at <= self.tick_number]
+        self.delayed_deliveries = [
+            (at, item) for at, item in self.delayed_deliveries if at > self.tick_number
         ]
         for item in due:
             if isinstance(item, PlatformAction):
@@ -98,9 +98,9 @@
 
     def _should_inject(self, step: str, instance: str) -> bool:
         """Tell whether the fault belongs here, and count it; it is injected once."""
-        if step != self.step or instance != TARGET or self.injected:
+        if step != self.step or instance != TARGET or self.injected_count:
             return False
-        self.injected += 1
+        self.injected_count += 1
         return True
 
     def _append(self, controller: Controller, record) -> None:
@@ -116,7 +116,9 @@
             case "refused":
                 return
             case "slow":
-                self.delayed.append((self.tick_number + SLOW_TICKS, (author, [record])))
+                self.delayed_deliveries.append(
+                    (self.tick_number + SLOW_TICKS, (author, [record]))
+                )
             case "crash_before":
                 self._replace_controller()
             case "crash_after":
@@ -138,7 +140,7 @@
                 self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
             case "slow":
                 self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
-                self.delayed.append((self.tick_number + SLOW_TICKS, action))
+                self.delayed_deliveries.append((self.tick_number + SLOW_TICKS, action))
             case "repeated":
                 self.world.execute(action)
                 self.world.execute(action)
@@ -159,15 +161,15 @@
 
 @pytest.mark.parametrize(("kind", "step", "fault"), CASES)
 def test_move_survives_fault(kind, step, fault):
-    run = FaultyRun(kind, step, fault)
-    run.run()
-    world = run.world
+    faulty_run = FaultyRun(kind, step, fault)
+    faulty_run.run()
+    world = faulty_run.world
     maintenance = world.state.maintenance
     move = maintenance.move_by_instance[TARGET]
-    assert run.injected == 1
+    assert faulty_run.injected_count == 1
     assert move.stage in (MoveStage.JOINED, MoveStage.ABANDONED)
-    wanted = "north" if kind == "reboot" else "south"
-    assert maintenance.pool_by_instance[TARGET] == wanted
+    wanted_pool = "north" if kind == "reboot" else "south"
+    assert maintenance.pool_by_instance[TARGET] == wanted_pool
     assert set(maintenance.pool_by_instance) == set(world.workers)
     worker = world.workers[TARGET]
     assert worker.alive
