--- a/libs/fleet/src/lycheeloom/fleet/move_runner.py
+++ b/libs/fleet/src/lycheeloom/fleet/move_runner.py
@@ -70,9 +70,9 @@
     def _exceeded_limit(self, step: StepContext, name: str, move: Move) -> Limit | None:
         """Return a limit that is exceeded while the instance counts as out of service.
 
-        None if the move may go on. The limits that allowed the start of the move are
-        checked again until the drain, because the budgets may have changed while a
-        slow log delayed the move.
+        None if the move may go on. The limits are checked again until the drain has
+        been requested, because the budgets may have changed while a slow log delayed
+        the move.
         """
         if move.stage not in (MoveStage.PLANNED, MoveStage.DRAINING):
             return None
@@ -95,7 +95,7 @@
     ) -> MoveFacts:
         view, settings = step.view, self._settings
         silent_s = 0.0
-        # Time since the instance was first seen as silent. A drained instance is out of
+        # Time since the open move first saw the instance as silent. A drained instance is out of
         # service as well but may still run tasks. Only silence for longer than any
         # task lease proves that the tasks have ended.
         if name in step.assessment.silent:
--- a/libs/fleet/src/lycheeloom/fleet/moves.py
+++ b/libs/fleet/src/lycheeloom/fleet/moves.py
@@ -1,11 +1,12 @@
 """The state machine of one move.
 
 The stages ``draining`` and ``rebooting`` are recorded before the platform is asked
-to carry them out, and the next stage is recorded only once the platform has done so.
-If a controller is killed at any point, another one can therefore continue the move.
-The stages ``joined`` and ``abandoned`` end a move. They are recorded after the
-platform has returned the instance to service, so that an ended move needs no further
-action; until then entries see an open move and start nothing on the instance.
+to carry them out, and the next stage is recorded only once the platform has done so
+or, for a drain, once the instance is dead. If a controller is killed at any point,
+another one can therefore continue the move. The stages ``joined`` and ``abandoned``
+end a move. Before they are recorded, the platform is asked to return a drained
+instance to service, so that an ended move needs no further action. Until then entries
+see an open move and start nothing on the instance.
 """
 
 from __future__ import annotations
--- a/libs/fleet/src/lycheeloom/fleet/size_plan.py
+++ b/libs/fleet/src/lycheeloom/fleet/size_plan.py
@@ -191,6 +191,7 @@
                 for domain, (_, violation) in self._violations().items()
             }
         total_violation = sum(violations.values())
+        # Any surplus instance beats the initial gain.
         best, best_gain = None, (0 if violations else -1, 0)
         for pool in self._needed:
             excess = self._excess(pool)
--- a/libs/fleet/src/lycheeloom/fleet/view.py
+++ b/libs/fleet/src/lycheeloom/fleet/view.py
@@ -41,12 +41,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """The last move of an instance: a drain, perhaps a reboot, and the return to service.
+    """The last move of an instance: drain, optional reboot and return to service.
 
-    ``to_pool`` is the pool that the instance joins, perhaps the one that it is in. ``changed_at`` is the
-    log offset of the last stage. The state library has a ``Move`` with the same
-    fields, as it has for ``HealthState`` and ``Wave``. A ``FleetView`` may hold those
-    objects instead, so that a step does not copy thousands of moves.
+    ``to_pool`` is the pool that the instance joins, which may be its present one.
+    ``changed_at`` is the log offset of the last stage. The state library has a ``Move``
+    with the same fields, as it has for ``HealthState`` and ``Wave``. A ``FleetView``
+    may hold those objects instead, so that a step does not copy thousands of moves.
     """
 
     move_id: str
@@ -136,8 +136,8 @@
     abandoned. Once a worker has been silent for a further ``dead_after_s`` after its
     silence was detected, none of its tasks can still be running: a task lease of a
     silent worker is valid for at most 18 s.
-    An action that the platform refused is requested again after ``retry_after_s``, a
-    reboot at most ``max_attempts`` times in all.
+    A reboot or return to service that the platform refused is requested again after
+    ``retry_after_s``, a reboot at most ``max_attempts`` times in all.
 
     The buffer plan reacts to the loss or return of an instance after ``settle_s``.
     After the start of a pool change, the next one of the same instance starts
--- a/libs/fleet/tests/planner_runs.py
+++ b/libs/fleet/tests/planner_runs.py
@@ -16,6 +16,7 @@
 
 
 def run(controller, ticks):
+    """Run planner steps of a controller and let the world's time pass."""
     for _ in range(ticks):
         controller.tick()
 
