--- a/libs/controller/src/lycheeloom/controller/settings.py
+++ b/libs/controller/src/lycheeloom/controller/settings.py
@@ -19,8 +19,9 @@
     controller serves operators and monitoring at ``listen``. ``log`` is the address of
     the log, ``instances`` that of the platform's instance interface.
 
-    ``step_s`` is the interval between planner steps. The planner starts a maintenance
-    wave over all pools every ``regular_wave_weeks``; 0 leaves all waves to operators.
+    ``step_s`` is the interval between planner steps. ``regular_wave_weeks`` is a period
+    in weeks, in each of which the planner starts one maintenance wave over all pools;
+    0 leaves all waves to operators.
     A move that waits for its drain to start or to finish for longer than
     ``drain_limit_s`` is abandoned. At most ``buffer_moves_per_hour`` instances of the
     fleet change pools within an hour. ``log_retention_s`` is how long the log keeps
--- a/libs/fleet/src/lycheeloom/fleet/budgets.py
+++ b/libs/fleet/src/lycheeloom/fleet/budgets.py
@@ -35,7 +35,7 @@
     of service and ``allowed`` is their maximum. For ``NEED``, ``current`` counts the
     instances in service and ``allowed`` is the least number of them. For
     ``LAST_SPARE``, ``current`` counts the spare instances and ``allowed`` the instances
-    that other pools lack of their need, both as if the instance had left service.
+    that the other pools are short of, both as if the instance had left service.
     """
 
     kind: LimitKind
@@ -96,8 +96,8 @@
         self._out_by_pool: dict[str, int] = defaultdict(int)
         self._out_by_rack: dict[tuple[str, str], int] = defaultdict(int)
         self._out_by_zone: dict[str, int] = defaultdict(int)
-        # The instances of spare pools in service beyond their own need, and the
-        # instances in service that all other pools lack of their need.
+        # How many instances the spare pools have in service beyond their own need, and
+        # how many the other pools are short of.
         self._spares = self._shortfall = 0
         for pool_id, pool in layout.config.pool_by_id.items():
             size = layout.size_by_pool[pool_id]
@@ -169,7 +169,7 @@
     def _limit_exceeded_by(
         self, instance: str, more: int, to_pool: str
     ) -> Limit | None:
-        """Return the limit that is exceeded if ``more`` instances leave service here.
+        """Return the limit that is exceeded once the instance is out of service.
 
         ``more`` is 0 if the instance counts as out of service already, else 1.
         """
--- a/libs/fleet/src/lycheeloom/fleet/move_runner.py
+++ b/libs/fleet/src/lycheeloom/fleet/move_runner.py
@@ -95,9 +95,9 @@
     ) -> MoveFacts:
         view, settings = step.view, self._settings
         silent_s = 0.0
-        # Time since the open move first saw the instance as silent. A drained instance is out of
-        # service as well but may still run tasks. Only silence for longer than any
-        # task lease proves that the tasks have ended.
+        # Time since the open move first saw the instance as silent. A drained instance
+        # is out of service as well but may still run tasks. Only silence for longer
+        # than any task lease proves that the tasks have ended.
         if name in step.assessment.silent:
             silent_s = self._timers.elapsed(("silent", name), step.now_s)
         reason = abandon_reason(step, name, move)
--- a/libs/fleet/src/lycheeloom/fleet/repair.py
+++ b/libs/fleet/src/lycheeloom/fleet/repair.py
@@ -128,7 +128,7 @@
     ) -> int:
         """Return how many more instances may be treated as faulty.
 
-        Instances count too while their proposed repair is not yet replayed.
+        Instances whose proposed repair is not yet replayed count as faulty already.
         """
         oldest = now_s - PROPOSAL_TIMEOUT_S
         self._proposed_at_s = {
