--- a/libs/controller/src/lycheeloom/controller/actions.py
+++ b/libs/controller/src/lycheeloom/controller/actions.py
@@ -1,4 +1,8 @@
-"""Requests actions from the platform and queries their status."""
+"""Requests actions from the platform and queries their status.
+
+The platform executes each action id at most once. The id of the first attempt of an
+action is ``<move id>.<stage>``; further attempts append ``.2``, ``.3`` and so on.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,7 @@
 
 # Calls run concurrently, as each takes its whole timeout if the platform is silent.
 MAX_CONCURRENT_CALLS = 16
+# Cached statuses of ended actions; the oldest are dropped first.
 MAX_FINAL_STATUSES = 10_000
 
 _FINAL_STATUSES = frozenset({ActionStatus.DONE, ActionStatus.REFUSED})
@@ -37,27 +42,31 @@
         self._calls = Pool(MAX_CONCURRENT_CALLS)
 
     def statuses(self, action_ids: Iterable[str]) -> dict[str, ActionStatus]:
-        """Return the statuses that the platform returned.
+        """Return the status of each action id for which the platform returned one.
 
         A further attempt of an action is queried only if the previous attempt was
-        refused, since it cannot exist otherwise.
+        refused, since the further attempt cannot exist otherwise.
         """
-        found: dict[str, ActionStatus] = {}
-        remaining = list(action_ids)
-        while remaining:
-            queryable = [
-                action_id for action_id in remaining if _may_exist(action_id, found)
+        status_by_action: dict[str, ActionStatus] = {}
+        remaining_ids = list(action_ids)
+        while remaining_ids:
+            queryable_ids = [
+                action_id
+                for action_id in remaining_ids
+                if _may_exist(action_id, status_by_action)
             ]
-            if not queryable:
-                return found
-            answers = self._calls.map(self._status, queryable)
-            for action_id, status in zip(queryable, answers, strict=True):
+            if not queryable_ids:
+                return status_by_action
+            answers = self._calls.map(self._status, queryable_ids)
+            for action_id, status in zip(queryable_ids, answers, strict=True):
                 if status is not None:
-                    found[action_id] = status
-            remaining = [
-                action_id for action_id in remaining if action_id not in set(queryable)
+                    status_by_action[action_id] = status
+            remaining_ids = [
+                action_id
+                for action_id in remaining_ids
+                if action_id not in set(queryable_ids)
             ]
-        return found
+        return status_by_action
 
     def perform(self, actions: Sequence[PlatformAction]) -> None:
         """Request actions from the platform; the next step queries their status."""
@@ -92,6 +101,10 @@
                 log_event("action_unanswered", "WARNING", reason=reason, **fields)
 
     def _record_answer(self, action_id: str, answer: object) -> ActionStatus | None:
+        """Return the status in an answer, None if the answer gives no status.
+
+        A final status is added to the cache.
+        """
         match answer:
             case ActionReport(state=state):
                 status = _STATUS_BY_STATE[state]
@@ -108,10 +121,14 @@
             self._final_status_by_action.popitem(last=False)
 
 
-def _may_exist(action_id: str, found: dict[str, ActionStatus]) -> bool:
+def _may_exist(action_id: str, status_by_action: dict[str, ActionStatus]) -> bool:
+    """Tell whether the platform may know an action id.
+
+    That is so for a first attempt and for an attempt that follows a refusal.
+    """
     base, _, number = action_id.rpartition(".")
     if not number.isdecimal():
         return True
     attempt = int(number)
     previous = base if attempt == 2 else f"{base}.{attempt - 1}"
-    return found.get(previous) is ActionStatus.REFUSED
+    return status_by_action.get(previous) is ActionStatus.REFUSED
--- a/libs/fleet/src/lycheeloom/fleet/size_plan.py
+++ b/libs/fleet/src/lycheeloom/fleet/size_plan.py
@@ -1,6 +1,8 @@
 """The buffer plan of one instance size.
 
-A failure domain is a zone or a rack, as a (kind, name) pair.
+A failure domain is a zone or a rack, given as a (kind, name) pair. A location is a
+(zone, rack) pair. The need of a pool is the number of instances that it must have in
+service; the excess of a pool is its number of instances beyond its need.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 from .spare_need import BufferMove, Shortage, SizeNeed, least_in_service
 
 Domain = tuple[str, str]
-# Name, home pool, location as (zone, rack), zone domain and rack domain.
+# An instance: name, home pool, location, zone domain and rack domain.
 Member = tuple[str, str, Domain, Domain, Domain]
 
 
@@ -24,7 +26,10 @@
 
 
 class SizePlan:
-    """Counts the instances of one size and plans their moves between pools."""
+    """Counts the instances of one size and plans their moves between pools.
+
+    Only usable instances in pools of this size and in spare pools are counted.
+    """
 
     def __init__(self, config: FleetConfig, members: Sequence[Member], pools: set[str]):
         self._members = members
@@ -57,13 +62,13 @@
             name = member[0]
             pool = pool_by_instance.get(name, member[1])
             if name in unusable or pool not in self._planned_pools:
-                pool = ""
-            last = self._pool_by_instance.get(name, "")
-            if pool == last:
+                pool = ""  # not counted in any pool
+            last_pool = self._pool_by_instance.get(name, "")
+            if pool == last_pool:
                 continue
-            if last:
-                self._count_in(member, last, -1)
-                self._names_by_location[last][member[2]].remove(name)
+            if last_pool:
+                self._count_in(member, last_pool, -1)
+                self._names_by_location[last_pool][member[2]].remove(name)
             if pool:
                 self._count_in(member, pool, 1)
                 self._names_by_location[pool][member[2]].append(name)
@@ -76,24 +81,25 @@
         self._count_by_pool[pool] += change
         self._total_by_domain[zone] += change
         self._total_by_domain[rack] += change
-        held = self._count_by_domain[pool]
-        held[zone] += change
-        held[rack] += change
+        count_by_domain = self._count_by_domain[pool]
+        count_by_domain[zone] += change
+        count_by_domain[rack] += change
 
     def plan(
         self, size: Resources
     ) -> tuple[list[BufferMove], list[Shortage], SizeNeed]:
-        """Return the moves, the shortages that they leave, and the need."""
+        """Return the moves, the shortages that remain after them, and the need."""
         moves = self._fill_needs()
         if self._spare_pools:
             moves += self._release_surplus()
         result = [move for move, _ in moves], self._shortages(size), self._need(size)
+        # The moves are only planned, so the counts are restored.
         for move, location in reversed(moves):
             self._shift(move.instance, location, move.to_pool, move.from_pool)
         return result
 
     def _need(self, size: Resources) -> SizeNeed:
-        """Return the least number of instances that covers the need."""
+        """Return the need and the least number of instances that covers it."""
         counts = {
             zone: list(racks.values())
             for zone, racks in self._rack_counts_by_zone.items()
@@ -102,19 +108,23 @@
         return SizeNeed(size, self._sum_needed, self._usable, least)
 
     def _shortages(self, size: Resources) -> list[Shortage]:
-        """Return the shortages that remain after the moves, worst first."""
-        short = []
+        """Return the shortages that remain after the moves, worst first.
+
+        Without a spare pool, the loss of a domain is not considered.
+        """
+        shortages = []
         spares = sum(self._count_by_pool[pool] for pool in self._spare_pools)
         lacking = sum(max(0, -self._excess(pool)) for pool in self._needed)
         if lacking > spares:
-            short.append(Shortage(size, "", lacking - spares))
+            shortages.append(Shortage(size, "", lacking - spares))
         if not self._spare_pools:
-            return short
+            return shortages
         for domain, (_, violation) in self._violations(strict=True).items():
-            short.append(Shortage(size, " ".join(domain), violation))
-        return sorted(short, key=lambda item: (-item.lacking, item.domain))
+            shortages.append(Shortage(size, " ".join(domain), violation))
+        return sorted(shortages, key=lambda item: (-item.lacking, item.domain))
 
     def _fill_needs(self) -> list[tuple[BufferMove, Domain]]:
+        """Move surplus instances, or else spare ones, into pools below their need."""
         moves = []
         for pool in sorted(self._needed, key=self._excess):
             while self._excess(pool) < 0:
@@ -125,6 +135,7 @@
         return moves
 
     def _release_surplus(self) -> list[tuple[BufferMove, Domain]]:
+        """Move surplus to the first spare pool while the condition is violated."""
         moves: list[tuple[BufferMove, Domain]] = []
         while True:
             violations = {
@@ -140,26 +151,26 @@
         return self._count_by_pool[pool] - self._needed[pool]
 
     def _violations(self, strict: bool = False) -> dict[Domain, tuple[int, int]]:
-        """Return the allowance of each violated domain and the excess over it.
+        """Return the allowance and the violation of each violated domain.
 
-        The allowance is the right side of the condition in ``buffers``. As moves
-        cannot make up for missing instances, it counts as at least 0 unless
-        ``strict``.
+        The allowance is the right side of the condition in ``buffers``; the violation
+        is the number by which the left side exceeds it. Because moves cannot make up
+        for missing instances, an allowance counts as at least 0 unless ``strict``.
         """
         excess = {pool: max(0, self._excess(pool)) for pool in self._needed}
         surplus = sum(excess.values())
-        local: Counter[Domain] = Counter()
-        for pool, over in excess.items():
-            if not over:
+        local_surplus: Counter[Domain] = Counter()
+        for pool, pool_excess in excess.items():
+            if not pool_excess:
                 continue
-            for domain, held in self._count_by_domain[pool].items():
-                local[domain] += min(over, held)
+            for domain, count in self._count_by_domain[pool].items():
+                local_surplus[domain] += min(pool_excess, count)
         found = {}
         for domain, total in self._total_by_domain.items():
             allowance = self._usable - total - self._sum_needed
             if not strict:
                 allowance = max(0, allowance)
-            violation = surplus - local[domain] - allowance
+            violation = surplus - local_surplus[domain] - allowance
             if violation > 0:
                 found[domain] = (allowance, violation)
         return found
@@ -167,21 +178,29 @@
     def _best_surplus(
         self, violations: Mapping[Domain, int] | None = None
     ) -> tuple[str, Domain] | None:
-        """Return the pool and location whose surplus reduces the violations most."""
+        """Return the pool and location whose surplus reduces the violations most.
+
+        To take an instance out of a pool reduces the violation of a domain by one,
+        unless the domain holds at least the whole excess of the pool, or the instance
+        itself is in the domain. Equal reductions are decided by the larger excess.
+        None if no pool has a surplus.
+        """
         if violations is None:
             violations = {
-                domain: over for domain, (_, over) in self._violations().items()
+                domain: violation
+                for domain, (_, violation) in self._violations().items()
             }
-        weight = sum(violations.values())
+        total_violation = sum(violations.values())
+        # Any surplus instance beats the initial gain.
         best, best_gain = None, (0 if violations else -1, 0)
         for pool in self._needed:
             excess = self._excess(pool)
             if excess <= 0:
                 continue
-            held = self._count_by_domain[pool]
-            gain = weight - sum(
+            count_by_domain = self._count_by_domain[pool]
+            gain = total_violation - sum(
                 violations.get(domain, 0)
-                for domain, count in held.items()
+                for domain, count in count_by_domain.items()
                 if count >= excess
             )
             for location, names in self._names_by_location[pool].items():
@@ -190,17 +209,24 @@
                 loss = sum(
                     violations.get(domain, 0)
                     for domain in domains_of(*location)
-                    if held[domain] < excess
+                    if count_by_domain[domain] < excess
                 )
                 if (gain - loss, excess) > best_gain:
                     best, best_gain = (pool, location), (gain - loss, excess)
         return best
 
     def _spare_for(self, pool: str) -> tuple[str, Domain] | None:
-        """Return the spare pool and location where ``pool`` has fewest instances."""
-        held = self._count_by_domain[pool]
+        """Return a spare pool and a location in it to take an instance from.
+
+        ``pool`` has the fewest instances in the zone and rack of this location.
+        """
+        count_by_domain = self._count_by_domain[pool]
         choices = [
-            ([held[domain] for domain in domains_of(*location)], spare, location)
+            (
+                [count_by_domain[domain] for domain in domains_of(*location)],
+                spare,
+                location,
+            )
             for spare in self._spare_pools
             for location, names in self._names_by_location[spare].items()
             if names
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -1,7 +1,8 @@
-"""Tests that inject a fault at each step of a drain, a move and a reboot.
+"""Tests that inject a fault at each step of a move with or without a reboot.
 
-They guard against a move that hangs, runs an action twice, loses work or leaves
-an instance drained or in the wrong pool.
+A step is either a record (named by its stage) or an action (named by its kind). The
+tests guard against a move that hangs, runs an action twice, loses work or leaves an
+instance drained or in the wrong pool.
 """
 
 from __future__ import annotations
@@ -52,10 +53,12 @@
     def __init__(self, kind: str, step: str, fault: str):
         self.world = SimulatedFleet(user_fleet(16, 65536))
         self.controller = Controller(self.world, "first")
-        self.replaced: Controller | None = None
+        # A replaced controller that has not stopped and still acts.
+        self.replaced_controller: Controller | None = None
         self.step, self.fault = step, fault
-        self.injected = 0
-        self.delayed: list[tuple[int, object]] = []
+        self.injected_count = 0
+        # Actions, or authors with their records, and the tick of their delivery.
+        self.delayed_deliveries: list[tuple[int, object]] = []
         self.tick_number = 0
         self._request_move(kind)
 
@@ -73,18 +76,18 @@
     def run(self, ticks: int = 1000) -> None:
         for self.tick_number in range(ticks):
             self._deliver_delayed()
-            for controller in filter(None, (self.replaced, self.controller)):
+            for controller in filter(None, (self.replaced_controller, self.controller)):
                 plan = controller.plan()
                 for record in plan.records:
                     self._append(controller, record)
                 for action in plan.actions:
-                    self._act(controller, action)
+                    self._request_action(controller, action)
             self.world.advance(10)
 
     def _deliver_delayed(self) -> None:
-        due = [item for at, item in self.delayed if at <= self.tick_number]
-        self.delayed = [
-            (at, item) for at, item in self.delayed if at > self.tick_number
+        due = [item for at, item in self.delayed_deliveries if at <= self.tick_number]
+        self.delayed_deliveries = [
+            (at, item) for at, item in self.delayed_deliveries if at > self.tick_number
         ]
         for item in due:
             if isinstance(item, PlatformAction):
@@ -94,9 +97,10 @@
                 self.world.append(*item)
 
     def _should_inject(self, step: str, instance: str) -> bool:
-        if step != self.step or instance != TARGET or self.injected:
+        """Tell whether the fault belongs here, and count it; it is injected once."""
+        if step != self.step or instance != TARGET or self.injected_count:
             return False
-        self.injected += 1
+        self.injected_count += 1
         return True
 
     def _append(self, controller: Controller, record) -> None:
@@ -112,18 +116,20 @@
             case "refused":
                 return
             case "slow":
-                self.delayed.append((self.tick_number + SLOW_TICKS, (author, [record])))
+                self.delayed_deliveries.append(
+                    (self.tick_number + SLOW_TICKS, (author, [record]))
+                )
             case "crash_before":
-                self._replace()
+                self._replace_controller()
             case "crash_after":
                 self.world.append(author, [record])
-                self._replace()
+                self._replace_controller()
             case "second_controller":
-                self.replaced = controller
-                self._replace()
+                self.replaced_controller = controller
+                self._replace_controller()
                 self.world.append(author, [record])
 
-    def _act(self, controller: Controller, action: PlatformAction) -> None:
+    def _request_action(self, controller: Controller, action: PlatformAction) -> None:
         if not self._should_inject(str(action.kind), action.instance):
             self.world.execute(action)
             return
@@ -134,36 +140,36 @@
                 self.world.status_by_action[action.action_id] = ActionStatus.REFUSED
             case "slow":
                 self.world.status_by_action[action.action_id] = ActionStatus.RUNNING
-                self.delayed.append((self.tick_number + SLOW_TICKS, action))
+                self.delayed_deliveries.append((self.tick_number + SLOW_TICKS, action))
             case "repeated":
                 self.world.execute(action)
                 self.world.execute(action)
             case "crash_before":
-                self._replace()
+                self._replace_controller()
             case "crash_after":
                 self.world.execute(action)
-                self._replace()
+                self._replace_controller()
             case "second_controller":
-                self.replaced = controller
-                self._replace()
+                self.replaced_controller = controller
+                self._replace_controller()
                 self.world.execute(action)
                 self.world.execute(action)
 
-    def _replace(self) -> None:
+    def _replace_controller(self) -> None:
         self.controller = Controller(self.world, "second")
 
 
 @pytest.mark.parametrize(("kind", "step", "fault"), CASES)
 def test_move_survives_fault(kind, step, fault):
-    run = FaultyRun(kind, step, fault)
-    run.run()
-    world = run.world
+    faulty_run = FaultyRun(kind, step, fault)
+    faulty_run.run()
+    world = faulty_run.world
     maintenance = world.state.maintenance
     move = maintenance.move_by_instance[TARGET]
-    assert run.injected == 1
+    assert faulty_run.injected_count == 1
     assert move.stage in (MoveStage.JOINED, MoveStage.ABANDONED)
-    wanted = "north" if kind == "reboot" else "south"
-    assert maintenance.pool_by_instance[TARGET] == wanted
+    wanted_pool = "north" if kind == "reboot" else "south"
+    assert maintenance.pool_by_instance[TARGET] == wanted_pool
     assert set(maintenance.pool_by_instance) == set(world.workers)
     worker = world.workers[TARGET]
     assert worker.alive
