--- a/bench/fleet_buffers.py
+++ b/bench/fleet_buffers.py
@@ -9,7 +9,7 @@
 from lycheeloom.model.config import FleetConfig, parse_config
 
 from .fleet_mip import SmallFleet, least_cost, least_moves, losses
-from .fleet_world import fleet_document, user_fleet
+from .fleet_simulation import fleet_document, user_fleet
 
 RANDOM_FLEETS = 50
 STARTS_PER_USER = 10
--- a/bench/fleet_plan_cost.py
+++ b/bench/fleet_plan_cost.py
@@ -15,7 +15,7 @@
 from lycheeloom.fleet.rebalance import plan_with_returns
 from lycheeloom.model.records import WaveCommand, WaveState
 
-from .fleet_world import Controller, SimulatedFleet, large_fleet
+from .fleet_simulation import Controller, SimulatedFleet, large_fleet
 
 FULL_GOAL_S = 2.0
 STEP_GOAL_MS = 20.0
--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -10,7 +10,7 @@
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
 from lycheeloom.model.records import WaveCommand, WaveState
 
-from .fleet_world import Controller, SimulatedFleet, large_fleet, user_fleet
+from .fleet_simulation import Controller, SimulatedFleet, large_fleet, user_fleet
 
 DRAIN_S = 60.0
 REBOOT_S = 300.0
--- a/bench/test_fleet_goals.py
+++ b/bench/test_fleet_goals.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bench import fleet_buffers, fleet_rollout
-from bench.fleet_world import user_fleet
+from bench.fleet_simulation import user_fleet
 
 
 def test_buffer_plans_meet_their_goals():
--- a/libs/fleet/tests/test_buffers.py
+++ b/libs/fleet/tests/test_buffers.py
@@ -8,7 +8,12 @@
 import pytest
 from libs.fleet.tests.planner_runs import run
 
-from bench.fleet_world import Controller, SimulatedFleet, fleet_document, user_fleet
+from bench.fleet_simulation import (
+    Controller,
+    SimulatedFleet,
+    fleet_document,
+    user_fleet,
+)
 from lycheeloom.fleet import Planner, PlannerSettings
 from lycheeloom.fleet.buffers import least_in_service, plan_buffers
 from lycheeloom.fleet.repair import RepairSettings
--- a/libs/fleet/tests/test_correlated_failures.py
+++ b/libs/fleet/tests/test_correlated_failures.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.fleet_world import Controller, SimulatedFleet, user_fleet
+from bench.fleet_simulation import Controller, SimulatedFleet, user_fleet
 from lycheeloom.model.records import InstanceHealth
 
 RACK = ("w00", "w03", "w06", "w09")
--- a/libs/fleet/tests/test_move_faults.py
+++ b/libs/fleet/tests/test_move_faults.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.fleet_world import Controller, SimulatedFleet, user_fleet
+from bench.fleet_simulation import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import ActionStatus, PlatformAction
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
--- a/libs/fleet/tests/test_planner_machine.py
+++ b/libs/fleet/tests/test_planner_machine.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.fleet_world import Controller, SimulatedFleet, user_fleet
+from bench.fleet_simulation import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import PlannerSettings
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import ConfigChanged, WaveCommand, WaveState
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -5,7 +5,7 @@
 import pytest
 from libs.fleet.tests.planner_runs import run, start_wave
 
-from bench.fleet_world import Controller
+from bench.fleet_simulation import Controller
 from lycheeloom.model.records import Health, InstanceHealth
 
 
--- a/libs/fleet/tests/test_waves.py
+++ b/libs/fleet/tests/test_waves.py
@@ -6,7 +6,7 @@
 
 from libs.fleet.tests.planner_runs import command, planned, run, start_wave
 
-from bench.fleet_world import Controller, SimulatedFleet, user_fleet
+from bench.fleet_simulation import Controller, SimulatedFleet, user_fleet
 from lycheeloom.fleet import ActionKind, PlannerSettings, PlatformAction
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import ConfigChanged, WaveState
