--- a/bench/processes_appends.py
+++ b/bench/processes_appends.py
@@ -7,9 +7,9 @@
 
 import gevent
 
+from .processes_fleet import BATCH, SHAPES, World, running_world
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import machine_load, summary_ms
-from .processes_world import BATCH, SHAPES, World, running_world
 
 ENTRIES = 9
 RATES_PER_S = (10, 30, 60, 120, 240)
--- a/bench/processes_config.py
+++ b/bench/processes_config.py
@@ -14,8 +14,8 @@
 from lycheeloom.model.records import Batch, ConfigChanged
 from lycheeloom.wire import encode_batch
 
+from .processes_fleet import INTERACTIVE, SHAPES, World, running_world
 from .processes_stats import machine_load, summary_ms
-from .processes_world import INTERACTIVE, SHAPES, World, running_world
 
 ENTRIES = 9
 # Each entry is asked this often; times are exact to this and a round trip.
--- a/bench/processes_controller.py
+++ b/bench/processes_controller.py
@@ -17,8 +17,8 @@
 
 from .processes_cost import measure_window as entry_window
 from .processes_entry import MARK
+from .processes_fleet import SHAPES, World, cpu_s, running_world
 from .processes_stats import fit_line, machine_load
-from .processes_world import SHAPES, World, cpu_s, running_world
 
 # All workers are stand-ins here: a controller repairs those that are silent.
 SIZES = (30, 300, 1000)
--- a/bench/processes_cost.py
+++ b/bench/processes_cost.py
@@ -16,9 +16,9 @@
 
 from .processes_config import Publisher
 from .processes_entry import MARK
+from .processes_fleet import INTERACTIVE, SHAPES, World, running_world
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import fit_line, machine_load
-from .processes_world import INTERACTIVE, SHAPES, World, running_world
 
 WINDOW_S = 10.0
 LOAD_PER_ENTRY_PER_S = 20
--- a/bench/processes_latency.py
+++ b/bench/processes_latency.py
@@ -17,9 +17,9 @@
 from lycheeloom.model.limits import SESSION_TTL_S
 from lycheeloom.model.resources import Resources
 
+from .processes_fleet import INTERACTIVE, SHAPES, World, cpu_s, running_world
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import machine_load, percentile
-from .processes_world import INTERACTIVE, SHAPES, World, cpu_s, running_world
 
 RATES_PER_S = (50, 150, 300)
 SECONDS = 8.0
--- a/bench/processes_outage.py
+++ b/bench/processes_outage.py
@@ -14,9 +14,9 @@
 from lycheeloom.model.status import StatusDocument
 from lycheeloom.wire import decode_batch
 
+from .processes_fleet import BATCH, INTERACTIVE, SHAPES, World, running_world
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import machine_load, summary_ms
-from .processes_world import BATCH, INTERACTIVE, SHAPES, World, running_world
 
 ENTRIES = 9
 LOOKUPS_PER_S = 90
--- a/bench/processes_recovery.py
+++ b/bench/processes_recovery.py
@@ -11,8 +11,8 @@
 from lycheeloom.wire import encode_batch
 
 from .processes_config import Publisher
+from .processes_fleet import SHAPES, World, running_world
 from .processes_stats import fit_line, machine_load
-from .processes_world import SHAPES, World, running_world
 
 REPEATS = 3
 GOAL_S = 5.0
--- a/bench/processes_urgent.py
+++ b/bench/processes_urgent.py
@@ -7,9 +7,9 @@
 
 import gevent
 
+from .processes_fleet import BATCH, INTERACTIVE, SHAPES, World, running_world
 from .processes_load import Caller, lookup, run_at_rate
 from .processes_stats import machine_load, summary_ms
-from .processes_world import BATCH, INTERACTIVE, SHAPES, World, running_world
 
 # With one entry no peer competes for the room that a checkpoint makes.
 ENTRIES = (1, 3)
--- a/bench/test_processes_stats.py
+++ b/bench/test_processes_stats.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from bench.processes_fleet import SHAPES, build_document
 from bench.processes_stats import fit_line, percentile
-from bench.processes_world import SHAPES, build_document
 from lycheeloom.model.config import FleetConfig, parse_config
 
 
