--- a/bench/processes_cli.py
+++ b/bench/processes_cli.py
@@ -13,12 +13,12 @@
 
 from tabulate import tabulate  # noqa: E402
 
-from .processes_cost import POINTS as COST_POINTS  # noqa: E402
+from .processes_cost import SIZES as COST_SIZES  # noqa: E402
 from .processes_stats import machine_load  # noqa: E402
 
 
 def main() -> int:
-    """Run one measurement and print its rows."""
+    """Run one measurement and print its rows as tables or as JSON."""
     options = _parse_arguments()
     load_before = machine_load()
     result = _run(options)
@@ -28,7 +28,7 @@
         return 0
     for name, value in result.items():
         if isinstance(value, list):
-            print(tabulate([_flat(row) for row in value], headers="keys"))
+            print(tabulate([_as_strings(row) for row in value], headers="keys"))
         else:
             print(f"{name}: {value}")
     return 0
@@ -38,10 +38,10 @@
     module = import_module(f"bench.processes_{options.command}")
     match options.command:
         case "cost":
-            points = COST_POINTS
+            sizes = COST_SIZES
             if options.workers:
-                points = [(options.workers, options.entries)]
-            return module.measure(points)
+                sizes = [(options.workers, options.entries)]
+            return module.measure(sizes)
         case "config" | "recovery":
             return module.measure(options.workers or 5100, options.count)
         case "outage":
@@ -49,7 +49,7 @@
     return module.measure()
 
 
-def _flat(row: dict) -> dict:
+def _as_strings(row: dict) -> dict:
     return {name: str(item) for name, item in row.items()}
 
 
@@ -62,15 +62,17 @@
         command = commands.add_parser(name)
         command.add_argument("--json", action="store_true")
         if name in ("cost", "config", "recovery"):
-            command.add_argument("--workers", type=int, help="size of the fleet")
+            command.add_argument("--workers", type=int, help="number of workers")
         if name == "cost":
             command.add_argument("--entries", type=int, default=9)
         if name in ("config", "recovery"):
-            command.add_argument("--count", type=int, default=100, help="changes")
+            command.add_argument(
+                "--count", type=int, default=100, help="number of changes"
+            )
         if name == "outage":
             command.add_argument("--seconds", type=float, default=30.0)
             command.add_argument(
-                "--tight", action="store_true", help="few slots, long lookups"
+                "--tight", action="store_true", help="few running slots, long lookups"
             )
     return parser.parse_args()
 
--- a/bench/processes_config.py
+++ b/bench/processes_config.py
@@ -14,23 +14,28 @@
 from lycheeloom.model.records import Batch, ConfigChanged
 from lycheeloom.wire import encode_batch
 
-from .processes_fleet import INTERACTIVE, SHAPES, World, running_world
+from .processes_fleet import (
+    INTERACTIVE_QUEUE,
+    SHAPE_BY_WORKERS,
+    BenchFleet,
+    running_bench_fleet,
+)
 from .processes_stats import machine_load, summary_ms
 
 ENTRIES = 9
-# Each entry is asked this often; times are exact to this and a round trip.
+# Times are exact to one poll interval and a round trip.
 POLL_S = 0.02
-GIVE_UP_S = 30.0
-# Changes come at random moments of the entries' read cycle.
-MAX_PAUSE_S = 0.3
-NEVER_REACHED_OFFSET = 2**40
+TIMEOUT_S = 30.0
+# A random delay before each change spreads them over the entries' read cycle.
+MAX_DELAY_S = 0.3
+UNREACHABLE_OFFSET = 2**40
 
 
 class Publisher:
-    """Appends changes straight to the log and knows when each was accepted.
+    """Appends configuration changes directly to the log.
 
-    Nothing is handed to the entries: each learns of a change from the log or
-    from its peers, as it does when the operator's machine cannot reach it.
+    No change is handed to the entries: each reads it from the log or receives it
+    from a peer, as it does when the operator's machine cannot reach the entry.
     """
 
     def __init__(self, log: LogClient, version: int) -> None:
@@ -39,121 +44,142 @@
         self._sequence = 0
 
     def publish(self, patch: dict) -> tuple[int, float]:
-        """Return the offset of a change and the time of its acceptance."""
+        """Append a change; return its offset and the time of its acceptance."""
         self._sequence += 1
         change = ConfigChanged(self.version, json.dumps(patch), "bench")
         batch = Batch("operator:bench:changes", self._sequence, (change,))
         answer = self._log.append(encode_batch(batch))
         if not isinstance(answer, Appended):
-            raise RuntimeError(f"not appended: {answer}")
+            raise RuntimeError(f"the log did not append the change: {answer}")
         self.version += 1
         return answer.offset, time.monotonic()
 
 
 def measure(workers: int, count: int) -> dict:
     """Measure ``count`` changes of limits and as many key revocations."""
-    with running_world(SHAPES[workers], ENTRIES, keys_of_organisation_0=count) as world:
-        operator = world.operator(hands_over=False)
+    with running_bench_fleet(
+        SHAPE_BY_WORKERS[workers], ENTRIES, extra_key_count=count
+    ) as bench_fleet:
+        operator = bench_fleet.operator(hand_over=False)
         operator.refresh()
-        publisher = Publisher(world.log(), operator.version)
+        publisher = Publisher(bench_fleet.log(), operator.version)
         rows = [
-            _row("change", workers, 2.0 if workers < 5100 else 11.0),
-            _row("key", workers, 3.0),
+            _row_header("change", workers, 2.0 if workers < 5100 else 11.0),
+            _row_header("key", workers, 3.0),
         ]
-        rows[0] |= summary_ms(_changes(world, publisher, count))
+        rows[0] |= summary_ms(_time_changes(bench_fleet, publisher, count))
         rows[0]["load"] = machine_load()
-        rows[1] |= summary_ms(_revocations(world, publisher, count))
+        rows[1] |= summary_ms(_time_revocations(bench_fleet, publisher, count))
         rows[1]["load"] = machine_load()
-        versions = {status.config_version for status in _statuses(world)}
+        versions = {status.config_version for status in _statuses(bench_fleet)}
         if versions != {publisher.version}:
-            raise RuntimeError(f"in force: {versions}, last: {publisher.version}")
+            raise RuntimeError(
+                f"entries are at versions {versions}, "
+                f"the last published one is {publisher.version}"
+            )
     return {"rows": rows}
 
 
-def _row(what: str, workers: int, goal_s: float) -> dict:
+def _row_header(what: str, workers: int, goal_s: float) -> dict:
     return {"what": what, "workers": workers, "entries": ENTRIES, "goal_s": goal_s}
 
 
-def _statuses(world: World) -> list:
-    return list(world.operator().statuses().values())
+def _statuses(bench_fleet: BenchFleet) -> list:
+    return list(bench_fleet.operator().statuses().values())
 
 
-def _changes(world: World, publisher: Publisher, count: int) -> list[float]:
+def _time_changes(
+    bench_fleet: BenchFleet, publisher: Publisher, count: int
+) -> list[float]:
     rng = random.Random(1)
     durations = []
     for number in range(count):
-        gevent.sleep(rng.random() * MAX_PAUSE_S)
+        gevent.sleep(rng.random() * MAX_DELAY_S)
         patch = {"organisations": {"organisation-1": {"upper_limit": 91 + number % 2}}}
         offset, accepted_at = publisher.publish(patch)
         durations.append(
-            _wait_all(world, accepted_at, lambda *to, o=offset: _has_replayed(*to, o))
+            _wait_for_all(
+                bench_fleet, accepted_at, lambda *to, o=offset: _has_replayed(*to, o)
+            )
         )
     return durations
 
 
-def _revocations(world: World, publisher: Publisher, count: int) -> list[float]:
+def _time_revocations(
+    bench_fleet: BenchFleet, publisher: Publisher, count: int
+) -> list[float]:
     rng = random.Random(2)
     durations = []
     for number in range(count):
         key = f"spare-{number}"
-        token = world.token_by_organisation[key]
-        if _refuses_key(Transport(), world.addresses()[0], token):
-            raise RuntimeError(f"key {key} was not in force")
-        gevent.sleep(rng.random() * MAX_PAUSE_S)
+        token = bench_fleet.token_by_organisation[key]
+        if _refuses_key(Transport(), bench_fleet.addresses()[0], token):
+            raise RuntimeError(f"key {key} is refused before its revocation")
+        gevent.sleep(rng.random() * MAX_DELAY_S)
         patch = {"organisations": {"organisation-0": {"keys": {key: None}}}}
         _, accepted_at = publisher.publish(patch)
         durations.append(
-            _wait_all(world, accepted_at, lambda *to, t=token: _refuses_key(*to, t))
+            _wait_for_all(
+                bench_fleet, accepted_at, lambda *to, t=token: _refuses_key(*to, t)
+            )
         )
     return durations
 
 
-def _wait_all(
-    world: World, accepted_at: float, follows: Callable[[Transport, str], bool]
+def _wait_for_all(
+    bench_fleet: BenchFleet,
+    accepted_at: float,
+    follows_change: Callable[[Transport, str], bool],
 ) -> float:
-    """Return the time until the last entry follows a change."""
+    """Return the seconds from acceptance until the last entry follows a change."""
     waiters = [
-        gevent.spawn(_wait_one, address, follows) for address in world.addresses()
+        gevent.spawn(_wait_for_entry, address, follows_change)
+        for address in bench_fleet.addresses()
     ]
     gevent.joinall(waiters, raise_error=True)
     return max(waiter.value for waiter in waiters) - accepted_at
 
 
-def _wait_one(address: str, follows: Callable[[Transport, str], bool]) -> float:
+def _wait_for_entry(
+    address: str, follows_change: Callable[[Transport, str], bool]
+) -> float:
     transport = Transport()
-    give_up_at = time.monotonic() + GIVE_UP_S
+    give_up_at = time.monotonic() + TIMEOUT_S
     try:
         while time.monotonic() < give_up_at:
-            if follows(transport, address):
+            if follows_change(transport, address):
                 return time.monotonic()
             gevent.sleep(POLL_S)
     finally:
         transport.close()
-    raise TimeoutError(f"entry {address} does not follow the change")
+    raise TimeoutError(
+        f"entry {address} does not follow the change after {TIMEOUT_S:g} s"
+    )
 
 
 def _has_replayed(transport: Transport, address: str, offset: int) -> bool:
-    # The configuration is adopted in the same step as its record is replayed.
-    body = json.dumps({"offset": NEVER_REACHED_OFFSET, "batches": []}).encode()
+    # An empty hand-over changes nothing, but its answer has the entry's next offset.
+    # An entry adopts a configuration in the same step as it replays the record.
+    body = json.dumps({"offset": UNREACHABLE_OFFSET, "batches": []}).encode()
     headers = {"Authorization": f"Bearer {HANDOVER_TOKEN}"}
     answer = transport.call(
         address, "POST", "/v1/records", body=body, headers=headers, timeout_s=10
     )
     if not isinstance(answer, Response) or answer.status != 200:
-        raise RuntimeError(f"entry {address}: {answer}")
+        raise RuntimeError(f"entry {address} did not answer the request: {answer}")
     return json.loads(answer.body)["next_offset"] > offset
 
 
 def _refuses_key(transport: Transport, address: str, token: str) -> bool:
-    """Try a key with a request that is refused also if the key is in force."""
+    """Send a request that is refused in any case, and tell if the key is why."""
     answer = transport.call(
         address,
         "POST",
-        f"/v1/queues/{INTERACTIVE}/requests",
+        f"/v1/queues/{INTERACTIVE_QUEUE}/requests",
         body=b'{"cores": 0}',
         headers={"Authorization": f"Bearer {token}"},
         timeout_s=10,
     )
     if not isinstance(answer, Response):
-        raise RuntimeError(f"entry {address}: {answer}")
+        raise RuntimeError(f"entry {address} did not answer the request: {answer}")
     return json.loads(answer.body)["reason"] == "key_rejected"
--- a/bench/processes_fleet.py
+++ b/bench/processes_fleet.py
@@ -1,7 +1,7 @@
 """Fleets of any size for measurements with real processes.
 
-A handful of workers are stand-ins; the other instances have an address at which
-nothing listens, so connections to them are refused.
+Only a few workers run, as stand-ins. The other instances are configured with an
+address at which nothing listens, so connections to them are refused.
 """
 
 from __future__ import annotations
@@ -20,42 +20,50 @@
 from lycheeloom.model.keys import create_key
 from lycheeloom.operator import Entries, Operator, Published
 
-INTERACTIVE = "lookups"
-BATCH = "overnight"
-SERVED_POOL = "pool-0"
+INTERACTIVE_QUEUE = "lookups"
+BATCH_QUEUE = "overnight"
+FIRST_POOL = "pool-0"
 FIRST_POOL_WORKERS = 6
-# Probes reach each stand-in worker and grants settle within this time.
+# Within this time every stand-in worker is probed and the grants stop changing.
 SETTLE_S = 4.0
 PUBLISH_TIMEOUT_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
-class Shape:
-    """The size of a fleet; ``served`` workers are stand-ins."""
+class FleetShape:
+    """The size of a fleet and of its workers.
+
+    ``stand_in_worker_count`` of the workers run as stand-ins. ``cores`` is the
+    size of each worker, ``upper_limit`` the limit of each organisation.
+    """
 
     workers: int
     pools: int
     organisations: int
     zones: int
-    served: int = 6
+    stand_in_worker_count: int = 6
     cores: int = 64
     upper_limit: int = 90
 
 
-SHAPES = {
-    30: Shape(30, 5, 6, 3),
-    300: Shape(300, 12, 18, 3),
-    1500: Shape(1500, 43, 65, 5),
-    5100: Shape(5100, 139, 210, 10),
+SHAPE_BY_WORKERS = {
+    30: FleetShape(30, 5, 6, 3),
+    300: FleetShape(300, 12, 18, 3),
+    1500: FleetShape(1500, 43, 65, 5),
+    5100: FleetShape(5100, 139, 210, 10),
 }
 
 
 @dataclass(slots=True)
-class World:
-    """A fleet of running programs with its configuration in force."""
+class BenchFleet:
+    """Running programs with their configuration in force.
+
+    ``token_by_organisation`` also holds the tokens of extra keys, by key id.
+    ``publish_s`` is how long the first publication took.
+    """
 
     fleet: Fleet
-    shape: Shape
+    shape: FleetShape
     document: dict
     token_by_organisation: dict[str, str]
     publish_s: float = 0.0
@@ -66,7 +74,10 @@
         return [program.address for program in self.entries]
 
     def start_entries(self, count: int) -> float:
-        """Start entries in turn over the zones and wait until all are ready."""
+        """Start entries, assigned to the zones in turn, and wait for readiness.
+
+        Returns what ``Fleet.wait_ready`` returns.
+        """
         zones = list(self.document["zones"])
         for _ in range(count):
             number = len(self.entries)
@@ -78,31 +89,38 @@
         """Return a client of the log."""
         return LogClient(self.fleet.platform.log)
 
-    def operator(self, *, hands_over: bool = True) -> Operator:
-        """Return an operator; accepted changes are handed to the entries."""
-        addresses = self.addresses() if hands_over else []
+    def operator(self, *, hand_over: bool = True) -> Operator:
+        """Return an operator.
+
+        With ``hand_over`` it hands accepted changes to the entries.
+        """
+        addresses = self.addresses() if hand_over else []
         return Operator(self.log(), Entries.at(addresses, HANDOVER_TOKEN), "bench")
 
     def next_offset(self) -> int:
-        """Return the log's end."""
+        """Return the offset that the next batch in the log will get."""
         end = self.log().end()
         if isinstance(end, Unavailable):
-            raise RuntimeError(f"log: {end}")
+            raise RuntimeError(f"cannot read the end of the log: {end}")
         return end
 
     def cpu_s(self) -> list[float]:
-        """Return the processor time used so far by each entry."""
+        """Return the processor seconds used so far by each entry."""
         return [cpu_s(program) for program in self.entries]
 
 
 def cpu_s(program: Program) -> float:
-    """Return the processor time used by a program."""
+    """Return the processor seconds used so far by a program."""
     times = psutil.Process(program.process.pid).cpu_times()
     return times.user + times.system
 
 
-def build_document(shape: Shape, address_by_served: dict[str, str]) -> dict:
-    """Return a configuration; the first workers serve the first pool."""
+def build_document(shape: FleetShape, address_by_stand_in: dict[str, str]) -> dict:
+    """Return a configuration document.
+
+    The first pool consists of the first stand-in workers, at most
+    ``FIRST_POOL_WORKERS``; two queues use it. Every other pool has one queue.
+    """
     zones = [f"zone-{index}" for index in range(shape.zones)]
     pools = [f"pool-{index}" for index in range(shape.pools)]
     organisations = [f"organisation-{index}" for index in range(shape.organisations)]
@@ -121,29 +139,31 @@
         },
     }
     document["instances"] = {
-        f"worker-{index}": _instance(index, shape, address_by_served)
+        f"worker-{index}": _instance(index, shape, address_by_stand_in)
         for index in range(shape.workers)
     }
     document["queues"] = {
-        INTERACTIVE: _queue(SERVED_POOL, "interactive", organisations),
-        BATCH: _queue(SERVED_POOL, "batch", organisations),
+        INTERACTIVE_QUEUE: _queue(FIRST_POOL, "interactive", organisations),
+        BATCH_QUEUE: _queue(FIRST_POOL, "batch", organisations),
     }
     for index, pool in enumerate(pools[1:]):
-        some = [
+        allowed = [
             organisations[(6 * index + step) % len(organisations)] for step in range(6)
         ]
-        document["queues"][f"queue-{pool}"] = _queue(pool, "interactive", some)
+        document["queues"][f"queue-{pool}"] = _queue(pool, "interactive", allowed)
     return document
 
 
-def _instance(index: int, shape: Shape, address_by_served: dict[str, str]) -> dict:
-    is_first = index < min(shape.served, FIRST_POOL_WORKERS)
+def _instance(
+    index: int, shape: FleetShape, address_by_stand_in: dict[str, str]
+) -> dict:
+    is_first = index < min(shape.stand_in_worker_count, FIRST_POOL_WORKERS)
     pool = 0 if is_first else 1 + index % max(1, shape.pools - 1)
     return {
         "pool": f"pool-{min(pool, shape.pools - 1)}",
         "zone": f"zone-{index % shape.zones}",
         "rack": f"rack-{index % shape.zones}-{index // (4 * shape.zones)}",
-        "address": address_by_served.get(f"worker-{index}", _refusing_address(index)),
+        "address": address_by_stand_in.get(f"worker-{index}", _closed_address(index)),
         "cores": shape.cores,
         "memory_mb": shape.cores * 4096,
         # 9,300 accelerators on 5,100 workers.
@@ -151,8 +171,8 @@
     }
 
 
-def _refusing_address(index: int) -> str:
-    # Each instance needs an address of its own; nothing listens on port 1.
+def _closed_address(index: int) -> str:
+    # Addresses must be unique; nothing listens on port 1.
     return f"127.1.{index // 250}.{index % 250 + 1}:1"
 
 
@@ -166,8 +186,8 @@
     }
 
 
-class CountingFleet(Fleet):
-    """A fleet whose entries count the bytes of their sockets."""
+class ByteCountingFleet(Fleet):
+    """A fleet whose entries count the bytes sent and received on their sockets."""
 
     def _spawn(self, name: str, command: list[str], stdout: int | None = None):
         if command[0] == "lycheeloom.entry.main":
@@ -176,31 +196,43 @@
 
 
 @contextmanager
-def running_world(
-    shape: Shape,
+def running_bench_fleet(
+    shape: FleetShape,
     entries: int,
     *,
     counting: bool = False,
-    keys_of_organisation_0: int = 0,
-) -> Iterator[World]:
-    """Start stand-ins, publish the configuration and start the entries."""
-    with running_fleet() as plain:
-        fleet = CountingFleet(plain.folder) if counting else plain
+    extra_key_count: int = 0,
+) -> Iterator[BenchFleet]:
+    """Start stand-ins, publish the configuration and start the entries.
+
+    ``counting`` starts entries that count the bytes of their sockets.
+    ``extra_key_count`` is the number of further keys of ``organisation-0``.
+    """
+    with running_fleet() as plain_fleet:
+        fleet = ByteCountingFleet(plain_fleet.folder) if counting else plain_fleet
         try:
-            world = _publish(fleet, shape, keys_of_organisation_0)
-            world.start_entries(entries)
+            bench_fleet = _publish(fleet, shape, extra_key_count)
+            bench_fleet.start_entries(entries)
             gevent.sleep(SETTLE_S)
-            yield world
+            yield bench_fleet
         finally:
             fleet.stop()
 
 
-def _publish(fleet: Fleet, shape: Shape, keys_of_organisation_0: int) -> World:
-    served = build_document(
-        Shape(shape.served, 1, 1, min(3, shape.zones), shape.served, shape.cores), {}
+def _publish(fleet: Fleet, shape: FleetShape, extra_key_count: int) -> BenchFleet:
+    platform_document = build_document(
+        FleetShape(
+            shape.stand_in_worker_count,
+            1,
+            1,
+            min(3, shape.zones),
+            shape.stand_in_worker_count,
+            shape.cores,
+        ),
+        {},
     )
     path = fleet.folder / "platform.toml"
-    path.write_text(tomlkit.dumps(served))
+    path.write_text(tomlkit.dumps(platform_document))
     platform = fleet.start_platform(path)
     document = build_document(shape, platform.workers)
     token_by_organisation = {}
@@ -208,18 +240,18 @@
         key = create_key(f"key-{organisation}")
         token_by_organisation[organisation] = key.token
         entry["keys"] = {key.id: key.document.model_dump()}
-    world = World(fleet, shape, document, token_by_organisation)
-    first = document["organisations"]["organisation-0"]["keys"]
-    for index in range(keys_of_organisation_0):
+    bench_fleet = BenchFleet(fleet, shape, document, token_by_organisation)
+    extra_keys = document["organisations"]["organisation-0"]["keys"]
+    for index in range(extra_key_count):
         key = create_key(f"spare-{index}")
-        first[key.id] = key.document.model_dump()
+        extra_keys[key.id] = key.document.model_dump()
         token_by_organisation[key.id] = key.token
     started_at = time.monotonic()
-    operator = world.operator(hands_over=False)
+    operator = bench_fleet.operator(hand_over=False)
     result = operator.publish(
         document, 0, accept_warnings=True, timeout_s=PUBLISH_TIMEOUT_S
     )
     if not isinstance(result, Published):
-        raise RuntimeError(f"not published: {result}")
-    world.publish_s = time.monotonic() - started_at
-    return world
+        raise RuntimeError(f"the configuration was not published: {result}")
+    bench_fleet.publish_s = time.monotonic() - started_at
+    return bench_fleet
--- a/bench/processes_load.py
+++ b/bench/processes_load.py
@@ -1,4 +1,4 @@
-"""Bounded load of callers on entries, open loop, with what each caller saw."""
+"""Open-loop load on entries that records latencies and verdicts."""
 
 from __future__ import annotations
 
@@ -16,21 +16,21 @@
 
 CALL_TIMEOUT_S = 40.0
 RETRY_DELAY_S = 0.1
-# Bounds the greenlets of a load that its target cannot keep up with.
+# Bounds the number of greenlets when the entries cannot keep up with the load.
 MAX_OPEN_CALLS = 2000
 
 
 @dataclass(slots=True)
 class Caller:
-    """Sends requests to entries chosen at random, as a balancer would."""
+    """Sends requests to randomly chosen entries, as a load balancer would."""
 
     addresses: Callable[[], Sequence[str]]
     queue: str
     seed: int = 1
-    tries: int = 1
+    max_attempts: int = 1
     latencies_s: list[float] = field(default_factory=list)
-    ended: Counter = field(default_factory=Counter)
-    refused: Counter = field(default_factory=Counter)
+    count_by_verdict: Counter = field(default_factory=Counter)
+    count_by_refusal: Counter = field(default_factory=Counter)
     transport: Transport = field(default_factory=Transport)
     rng: random.Random = field(init=False)
 
@@ -38,23 +38,26 @@
         self.rng = random.Random(self.seed)
 
     def call(self, token: str, document: dict, name: str = "") -> None:
-        """Make one call, again after a refusal as long as tries are left."""
+        """Send one request, repeated after a refusal up to ``max_attempts`` times.
+
+        ``name`` becomes the idempotency key.
+        """
         began_at = time.monotonic()
         body = json.dumps(document).encode()
         headers = {"Authorization": f"Bearer {token}"}
         if name:
             headers["Idempotency-Key"] = name
         verdict = "none"
-        for attempt in range(self.tries):
+        for attempt in range(self.max_attempts):
             if attempt:
                 gevent.sleep(RETRY_DELAY_S)
-            verdict = self._once(headers, body)
+            verdict = self._send_once(headers, body)
             if verdict in ("ran", "accepted", "may_have_run"):
                 break
-        self.ended[verdict] += 1
+        self.count_by_verdict[verdict] += 1
         self.latencies_s.append(time.monotonic() - began_at)
 
-    def _once(self, headers: dict, body: bytes) -> str:
+    def _send_once(self, headers: dict, body: bytes) -> str:
         answer = self.transport.call(
             self.rng.choice(self.addresses()),
             "POST",
@@ -64,19 +67,22 @@
             timeout_s=CALL_TIMEOUT_S,
         )
         if isinstance(answer, CallFailed):
-            self.refused["connection broken"] += 1
+            self.count_by_refusal["connection broken"] += 1
             return "broken"
         if answer.status == 202:
             return "accepted"
-        reply = json.loads(answer.body)
-        verdict = reply.get("verdict", "none")
+        document = json.loads(answer.body)
+        verdict = document.get("verdict", "none")
         if verdict != "ran":
-            self.refused[reply.get("reason", verdict)] += 1
+            self.count_by_refusal[document.get("reason", verdict)] += 1
         return verdict
 
 
-def lookup(work_ms: float, **fields: object) -> dict:
-    """Return the body of a request for one core."""
+def lookup_body(work_ms: float, **fields: object) -> dict:
+    """Return the body of a request for one core.
+
+    ``fields`` are added to the body or replace its fields.
+    """
     payload = {"work_ms": work_ms}
     return {
         "payload": payload,
@@ -87,7 +93,10 @@
 
 
 def run_at_rate(rate_per_s: float, duration_s: float, call: Callable) -> int:
-    """Call ``call(number)`` at a steady rate in greenlets; wait for their ends."""
+    """Run ``call(number)`` in greenlets at a steady rate and wait until they end.
+
+    Returns the number of calls.
+    """
     pool = gevent.pool.Pool(MAX_OPEN_CALLS)
     began_at = time.monotonic()
     count = int(rate_per_s * duration_s)
--- a/bench/processes_stats.py
+++ b/bench/processes_stats.py
@@ -1,4 +1,4 @@
-"""Percentiles and linear fits of measured figures."""
+"""Percentiles and linear fits of measurements."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
     slope: float
     base: float
-    # Largest distance of a measured point from the line.
+    # Largest vertical distance of a measured point from the line.
     largest_error: float
 
     def at(self, size: float) -> float:
@@ -24,12 +24,12 @@
 
 
 def fit_line(sizes: Sequence[float], values: Sequence[float]) -> Fit:
-    """Return the least-squares line; at least 3 points of different size.
+    """Return the least-squares line through at least 3 different sizes.
 
     ``fit_line([1, 2, 3], [3, 5, 7])`` gives slope 2 and base 1.
     """
     if len(set(sizes)) < 3:
-        raise ValueError(f"a fit needs 3 sizes, got {sorted(set(sizes))}")
+        raise ValueError(f"a fit needs at least 3 sizes, got {sorted(set(sizes))}")
     slope, base = statistics.linear_regression(sizes, values)
     errors = (
         abs(value - base - slope * size)
@@ -39,7 +39,7 @@
 
 
 def percentile(values: Sequence[float], percent: float) -> float:
-    """Return the smallest value that ``percent`` of the values do not exceed."""
+    """Return the smallest measured value that ``percent`` % do not exceed."""
     if not values:
         return math.nan
     rank = max(1, math.ceil(len(values) * percent / 100))
@@ -57,5 +57,5 @@
 
 
 def machine_load() -> float:
-    """Return the load average of the last minute, to record beside a figure."""
+    """Return the machine's load average of the last minute."""
     return round(os.getloadavg()[0], 1)
