--- a/bench/processes_config.py
+++ b/bench/processes_config.py
@@ -152,9 +152,7 @@
             gevent.sleep(POLL_S)
     finally:
         transport.close()
-    raise TimeoutError(
-        f"entry {address} does not follow the change after {TIMEOUT_S:g} s"
-    )
+    raise TimeoutError(f"entry {address} does not follow the change")
 
 
 def _has_replayed(transport: Transport, address: str, offset: int) -> bool:
--- a/bench/processes_cost.py
+++ b/bench/processes_cost.py
@@ -113,7 +113,8 @@
     )
     if caller.count_by_verdict["ran"] < 0.9 * sum(caller.count_by_verdict.values()):
         raise RuntimeError(
-            f"entries did not serve the load: {caller.count_by_verdict} {caller.count_by_refusal}"
+            f"the entries did not serve the load: {caller.count_by_verdict}, "
+            f"refusals {caller.count_by_refusal}"
         )
 
 
--- a/bench/processes_entry.py
+++ b/bench/processes_entry.py
@@ -19,8 +19,8 @@
 import gevent  # noqa: E402
 from gevent import socket  # noqa: E402
 
-from lycheeloom.controller.run_entry import run_entry as run_controller  # noqa: E402
-from lycheeloom.entry.run_entry import run_entry  # noqa: E402
+from lycheeloom.controller.main import main as run_controller  # noqa: E402
+from lycheeloom.entry.main import main as run_entry  # noqa: E402
 from lycheeloom.entry.settings import Settings  # noqa: E402
 from lycheeloom.settings import load_settings, split_address  # noqa: E402
 
@@ -82,7 +82,7 @@
     return name_by_port.get(own_port) or f"{host}:{port}"
 
 
-def _run_entry(path: str) -> int:
+def _start_entry(path: str) -> int:
     settings = load_settings(Path(path), Settings)
     name_by_port = {
         split_address(settings.listen)[1]: "callers",
@@ -92,7 +92,7 @@
     return run_entry([path])
 
 
-def _run_controller(path: str) -> int:
+def _start_controller(path: str) -> int:
     _print_on_signal(count_bytes_by_peer({}))
     return run_controller([path])
 
@@ -106,5 +106,5 @@
 
 if __name__ == "__main__":
     if sys.argv[1] == "controller":
-        sys.exit(_run_controller(sys.argv[2]))
-    sys.exit(_run_entry(sys.argv[1]))
+        sys.exit(_start_controller(sys.argv[2]))
+    sys.exit(_start_entry(sys.argv[1]))
