--- a/bench/fault_document.py
+++ b/bench/fault_document.py
@@ -1,4 +1,4 @@
-"""The configuration of the small fleet that faults are tried on."""
+"""The configuration of the small fleet for fault injection."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def fleet_document(workers: int = 6, workers_per_rack: int = 1) -> dict[str, Any]:
-    """Return a configuration with one pool and a queue for each kind of work."""
+    """Return a configuration with one pool and a queue for each kind of request."""
     organisations = sorted(LIMIT_BY_ORGANISATION)
     instances = {
         f"w{number}": {
--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -1,7 +1,8 @@
-"""A small fleet of real processes, with callers and operators that note what they see.
+"""A small fleet of real processes that records what callers and operators see.
 
-The notes and the ledger of the stand-in workers are all that ``fault_oracle``
-judges. Times are seconds of the monotonic clock, which all processes share.
+``fault_oracle`` checks the invariants from this history and the ledger of the
+stand-in workers alone. Times are seconds of the monotonic clock, which all
+processes share.
 """
 
 from __future__ import annotations
@@ -40,7 +41,8 @@
 class CallRecord:
     """One call of a caller and its answer; ``status`` 0 means no answer.
 
-    Repeats with one idempotency key share ``work``, the name in the ledger.
+    ``work`` identifies the work in the ledger; repeats with one idempotency key
+    share it. ``process`` is the process id of the entry.
     """
 
     work: str
@@ -57,25 +59,25 @@
 
     @property
     def verdict(self) -> str:
-        """The verdict as the caller understands it."""
+        """The verdict that the caller concludes from the answer."""
         if self.status == 202:
             return "accepted"
         return self.document.get("verdict", "may_have_run")
 
     @property
     def is_accepted_batch(self) -> bool:
-        """Whether the caller was promised an answer to collect."""
+        """Whether a batch request was accepted, so that its answer can be collected."""
         return self.kind == "batch" and self.status == 202
 
     @property
     def is_final(self) -> bool:
-        """Whether the answer carries a verdict."""
+        """Whether the answer has a verdict."""
         return self.status not in (0, 202) and "verdict" in self.document
 
 
 @dataclass(slots=True)
 class Publication:
-    """A change of an operator: accepted by the log between these two times."""
+    """A configuration change, which the log accepted between the two times."""
 
     what: str
     name: str
@@ -86,27 +88,27 @@
 
 
 @dataclass(slots=True)
-class Notes:
-    """Everything that callers and operators saw."""
+class History:
+    """Everything that callers and operators observed in one run."""
 
     calls: list[CallRecord] = field(default_factory=list)
     # Answers to collecting a batch request, by request id.
     collected: dict[str, list[CallRecord]] = field(default_factory=dict)
     cancelled: list[CallRecord] = field(default_factory=list)
     publications: list[Publication] = field(default_factory=list)
-    # Configuration versions that a process showed, oldest first, by process id.
+    # Configuration versions that a process reported, in order, by process id.
     versions: dict[int, list[int]] = field(default_factory=dict)
-    # Processes that were asked to shut down while they were healthy.
+    # When healthy processes were asked to shut down, by process id.
     asked_to_stop: dict[int, float] = field(default_factory=dict)
 
 
-class TimedLog(LogClient):
-    """A log client that notes when the log accepted the last append."""
+class TimestampingLogClient(LogClient):
+    """A log client that records when the log accepted the last append."""
 
     accepted_at = 0.0
 
     def append(self, batch: bytes, **options: Any) -> Any:
-        """Append and note the time of the answer."""
+        """Append and record the time of the answer."""
         result = super().append(batch, **options)
         if isinstance(result, Appended):
             self.accepted_at = time.monotonic()
@@ -114,7 +116,7 @@
 
 
 class FaultFleet:
-    """Stand-ins, entries by instance name, keys, and the notes of one run."""
+    """The stand-ins, entries and controllers of one run, and its history."""
 
     def __init__(
         self,
@@ -127,17 +129,17 @@
         self.fleet = fleet
         self.controller_by_name: dict[str, Program] = {}
         self._log_retention_s = log_retention_s
-        self.history = Notes()
+        self.history = History()
         self.zone_by_entry = {f"e{n}": ZONES[n % 3] for n in range(entries)}
         self.entry_by_name: dict[str, Program] = {}
-        # Calls go to these; an entry that shuts down leaves them first.
+        # Callers use only these; an entry is removed before it shuts down.
         self.serving_entries: set[str] = set()
         self.paused: set[str] = set()
         self.keys_in_force: list[str] = []
         self.token_by_key: dict[str, str] = {}
         self.organisation_by_key: dict[str, str] = {}
         self._document = fleet_document(workers, workers_per_rack)
-        self._works = 0
+        self._work_count = 0
 
     def start(self) -> None:
         """Start the platform, publish the configuration and start all entries."""
@@ -185,7 +187,7 @@
         self.fleet.wait_ready([self.entry_by_name[name] for name in names])
 
     def stop_entry(self, name: str) -> int:
-        """Shut an entry down without cutting requests; returns its exit code."""
+        """Shut an entry down gracefully; returns its exit status."""
         self.serving_entries.discard(name)
         program = self.entry_by_name[name]
         self.history.asked_to_stop[program.process.pid] = time.monotonic()
@@ -206,7 +208,7 @@
         return Operator(LogClient(self.fleet.platform.log), self._entries(), name)
 
     def _entries(self) -> Entries:
-        """Return the entries that answer; waiting for others only takes time."""
+        """Return all entries but the paused ones, which would delay a publication."""
         return Entries.at(
             [
                 entry.address
@@ -218,55 +220,57 @@
     def publish(
         self, what: str, name: str, edit: Callable[[Draft], Any], timeout_s: float = 10
     ) -> PublishResult:
-        """Make a change and note when it was accepted."""
-        log = TimedLog(self.fleet.platform.log)
+        """Publish a change and record when it was accepted."""
+        log = TimestampingLogClient(self.fleet.platform.log)
         operator = Operator(log, self._entries(), "operator")
         sent_at = time.monotonic()
         result = operator.change(edit, accept_warnings=True, timeout_s=timeout_s)
-        # Without an answer of the log only the end of the call is certain.
+        # Without an answer of the log, only the end of the call is known.
         accepted_at = log.accepted_at or time.monotonic()
         is_accepted = isinstance(result, Published)
-        # A change of unknown outcome bounds nothing, but may be in force.
+        # A change of unknown outcome may be in force; as not accepted it sets no limit.
         if is_accepted or isinstance(result, OutcomeUnknown):
             version = result.version if is_accepted else 0
-            seen = Publication(what, name, sent_at, accepted_at, is_accepted, version)
-            self.history.publications.append(seen)
+            publication = Publication(
+                what, name, sent_at, accepted_at, is_accepted, version
+            )
+            self.history.publications.append(publication)
         return result
 
     def grant_key(self, organisation: str) -> str | None:
-        """Grant a new key to an organisation; returns its name if it is in force."""
-        made = []
+        """Grant a new key to an organisation; returns its id, None if unpublished."""
+        created = []
         result = self.publish(
             "grant",
             organisation,
-            lambda draft: made.append(draft.grant_key(organisation)),
+            lambda draft: created.append(draft.grant_key(organisation)),
         )
         if not isinstance(result, Published):
             return None
-        self.keys_in_force.append(made[-1].id)
-        self.token_by_key[made[-1].id] = made[-1].token
-        self.organisation_by_key[made[-1].id] = organisation
-        return made[-1].id
+        self.keys_in_force.append(created[-1].id)
+        self.token_by_key[created[-1].id] = created[-1].token
+        self.organisation_by_key[created[-1].id] = organisation
+        return created[-1].id
 
     def revoke_key(self, key: str) -> PublishResult:
-        """Withdraw a key; callers may go on presenting it."""
+        """Revoke a key; callers may go on using it."""
         result = self.publish("revoke", key, lambda draft: draft.withdraw_key(key))
         if not isinstance(result, Rejected | NotAccepted | LogUnavailable):
             self.keys_in_force.remove(key)
         return result
 
     def record_versions(self) -> dict[str, int]:
-        """Note the configuration version that each entry shows."""
-        shown = {}
+        """Record and return the configuration version that each entry reports."""
+        version_by_entry = {}
         for name, program in list(self.entry_by_name.items()):
             if name in self.paused or program.process.poll() is not None:
                 continue
             document = self.status(name)
             if document is not None:
                 versions = self.history.versions.setdefault(program.process.pid, [])
-                shown[name] = document["config_version"]
-                versions.append(shown[name])
-        return shown
+                version_by_entry[name] = document["config_version"]
+                versions.append(version_by_entry[name])
+        return version_by_entry
 
     def status(self, name: str) -> dict[str, Any] | None:
         """Return the status document of an entry, or None without an answer."""
@@ -283,9 +287,9 @@
     # Callers.
 
     def new_work_id(self) -> str:
-        """Return a name that no other work of this run has."""
-        self._works += 1
-        return f"work-{self._works}"
+        """Return an identifier that is unique in this run."""
+        self._work_count += 1
+        return f"work-{self._work_count}"
 
     def submit(
         self,
@@ -299,36 +303,39 @@
         timeout_s: float = CALL_TIMEOUT_S,
         **fields: Any,
     ) -> CallRecord:
-        """Send a request of a kind (lookup, booking, batch) and note the answer."""
+        """Send a request and record the answer.
+
+        ``kind`` selects the queue: ``lookup``, ``batch``, or ``booking`` for any other.
+        """
         work = work or self.new_work_id()
         body = {"payload": {"call": work, "work_ms": work_ms}, "run_ms": work_ms}
         body |= {"wait": kind != "batch", **fields}
         queue = {"lookup": "lookups", "batch": "overnight"}.get(kind, "bookings")
-        seen = self._seen(work, kind, entry, key)
-        seen.idempotent = fields.get("idempotent", kind == "lookup")
-        self.history.calls.append(seen)
-        extra = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
+        record = self._new_record(work, kind, entry, key)
+        record.idempotent = fields.get("idempotent", kind == "lookup")
+        self.history.calls.append(record)
+        extra_headers = {"Idempotency-Key": idempotency_key} if idempotency_key else {}
         path = f"/v1/queues/{queue}/requests"
-        return self._call(seen, "POST", path, body, timeout_s, extra)
+        return self._call(record, "POST", path, body, timeout_s, extra_headers)
 
     def collect(self, batch: CallRecord, entry: str, wait_ms: int = 0) -> CallRecord:
-        """Ask an entry for the answer of a batch request and note it."""
+        """Ask an entry for the answer to a batch request and record it."""
         request_id = batch.document["request_id"]
-        seen = self._seen(batch.work, "collect", entry, batch.key)
+        record = self._new_record(batch.work, "collect", entry, batch.key)
         path = f"/v1/requests/{request_id}?wait_ms={wait_ms}"
-        self._call(seen, "GET", path, None, wait_ms / 1000 + 10)
-        self.history.collected.setdefault(request_id, []).append(seen)
-        return seen
+        self._call(record, "GET", path, None, wait_ms / 1000 + 10)
+        self.history.collected.setdefault(request_id, []).append(record)
+        return record
 
     def cancel(self, batch: CallRecord, entry: str) -> CallRecord:
-        """Cancel a batch request and note the answer."""
-        seen = self._seen(batch.work, "cancel", entry, batch.key)
+        """Cancel a batch request and record the answer."""
+        record = self._new_record(batch.work, "cancel", entry, batch.key)
         path = f"/v1/requests/{batch.document['request_id']}"
-        self._call(seen, "DELETE", path, None, 10)
-        self.history.cancelled.append(seen)
-        return seen
+        self._call(record, "DELETE", path, None, 10)
+        self.history.cancelled.append(record)
+        return record
 
-    def _seen(self, work: str, kind: str, entry: str, key: str) -> CallRecord:
+    def _new_record(self, work: str, kind: str, entry: str, key: str) -> CallRecord:
         pid = self.entry_by_name[entry].process.pid
         return CallRecord(
             work, kind, self.organisation_by_key[key], key, entry, pid, time.monotonic()
@@ -336,54 +343,55 @@
 
     def _call(
         self,
-        seen: CallRecord,
+        record: CallRecord,
         method: str,
         path: str,
         body: dict[str, Any] | None,
         timeout_s: float,
-        extra: dict[str, str] | None = None,
+        extra_headers: dict[str, str] | None = None,
     ) -> CallRecord:
         headers = {
             "Content-Type": "application/json",
-            "Authorization": f"Bearer {self.token_by_key[seen.key]}",
-            **(extra or {}),
+            "Authorization": f"Bearer {self.token_by_key[record.key]}",
+            **(extra_headers or {}),
         }
         answer = self.fleet.transport.call(
-            self.entry_by_name[seen.entry].address,
+            self.entry_by_name[record.entry].address,
             method,
             path,
             body=None if body is None else json.dumps(body).encode(),
             headers=headers,
             timeout_s=timeout_s,
         )
-        seen.answered_at = time.monotonic()
+        record.answered_at = time.monotonic()
         if isinstance(answer, Response):
-            seen.status = answer.status
-            seen.document = json.loads(answer.body or b"{}")
+            record.status = answer.status
+            record.document = json.loads(answer.body or b"{}")
         else:
-            seen.document = {"reason": answer.reason, "sent": answer.sent}
+            record.document = {"reason": answer.reason, "sent": answer.sent}
             if not answer.sent:
-                seen.document["verdict"] = "not_run"
-        return seen
+                record.document["verdict"] = "not_run"
+        return record
 
 
-def collect_all(world: FaultFleet, rng: random.Random, timeout_s: float) -> float:
-    """Collect every accepted batch request at two entries.
+def collect_all(fault_fleet: FaultFleet, rng: random.Random, timeout_s: float) -> float:
+    """Collect the answer to every accepted batch request at two entries.
 
-    Returns how long it took; what has no answer by then stays without one.
+    Returns the seconds it took. Requests without an answer after ``timeout_s``
+    stay without one.
     """
     started_at = time.monotonic()
-    # The key of a request may be revoked by now; any key of its organisation shows it.
+    # The key of a request may have been revoked; any key of its organisation will do.
     key_by_organisation = {
-        world.organisation_by_key[key]: key for key in world.keys_in_force
+        fault_fleet.organisation_by_key[key]: key for key in fault_fleet.keys_in_force
     }
-    waiting = [call for call in world.history.calls if call.is_accepted_batch]
+    waiting = [call for call in fault_fleet.history.calls if call.is_accepted_batch]
     while waiting and time.monotonic() < started_at + timeout_s:
         unanswered = []
         for batch in waiting:
             batch.key = key_by_organisation[batch.organisation]
-            entries = rng.sample(world.running_entries(), 2)
-            answers = [world.collect(batch, entry) for entry in entries]
+            entries = rng.sample(fault_fleet.running_entries(), 2)
+            answers = [fault_fleet.collect(batch, entry) for entry in entries]
             if not all(answer.is_final for answer in answers):
                 unanswered.append(batch)
         waiting = unanswered
--- a/bench/fault_oracle.py
+++ b/bench/fault_oracle.py
@@ -1,8 +1,8 @@
-"""Checks the invariants against what callers, operators and workers saw.
+"""Checks the invariants against what callers, operators and workers observed.
 
-Nothing here reads the state of an entry: ``check_history`` takes the notes of callers
-and operators and the ledger of the workers, and returns sentences that say
-which invariant was broken and how.
+No state of an entry is read: ``check_history`` takes the history that callers and
+operators recorded and the ledger of the workers. It returns a message for each
+violation of an invariant.
 """
 
 from __future__ import annotations
@@ -13,21 +13,21 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from .fault_fleet import CallRecord, Notes, Publication
+from .fault_fleet import CallRecord, History, Publication
 
-# Stated targets of the design page, section 1.
+# Targets from section 1 of the design page.
 KEY_REVOCATION_LIMIT_S = 3.0
 ZONE_OUT_LIMIT_S = 3.0
-ONCE_KINDS = frozenset({"booking", "keyed", "batch"})
-# What the transport says when the caller itself stopped waiting.
-OWN_TIMEOUT = "no answer in time"
+AT_MOST_ONCE_KINDS = frozenset({"booking", "keyed", "batch"})
+# The reason that the transport gives when the caller itself stopped waiting.
+CALLER_TIMEOUT = "no answer in time"
 Ledger = list[dict[str, Any]]
 
 
 def check_history(
-    history: Notes, ledger: Ledger, limits: Mapping[str, int]
+    history: History, ledger: Ledger, limits: Mapping[str, int]
 ) -> list[str]:
-    """Return a sentence for each break of an invariant."""
+    """Return a message for each violation of an invariant."""
     starts_by_work = _group(ledger, "call")
     starts_by_request = _group(ledger, "request_id")
     return [
@@ -52,7 +52,7 @@
 
 
 def _check_upper_limits(ledger: Ledger, limits: Mapping[str, int]) -> Iterable[str]:
-    """I4: the running tasks of an organisation at each moment a task starts."""
+    """I4: an organisation never runs more tasks than its upper limit."""
     for organisation, peak in peak_by_organisation(ledger).items():
         if peak > limits.get(organisation, 0):
             yield (
@@ -62,7 +62,7 @@
 
 
 def peak_by_organisation(ledger: Ledger) -> dict[str, int]:
-    """Return the most tasks of each organisation that ran at one moment."""
+    """Return the largest number of tasks that each organisation ran at once."""
     changes = []
     for start in ledger:
         ended_at = start["ended_at"]
@@ -79,38 +79,41 @@
 
 
 def _check_zones(publications: list[Publication], ledger: Ledger) -> Iterable[str]:
-    """I5: no start in a zone that has been out for more than a few seconds."""
-    for index, out in enumerate(publications):
-        if out.what != "zone out" or not out.accepted:
+    """I5: no task starts in a zone later than the limit after its removal."""
+    for index, removal in enumerate(publications):
+        if removal.what != "zone out" or not removal.accepted:
             continue
-        back = [
+        restored_at = [
             later.sent_at
             for later in publications[index + 1 :]
-            if later.what == "zone in" and later.name == out.name
+            if later.what == "zone in" and later.name == removal.name
         ]
-        closed_from, closed_to = (
-            out.accepted_at + ZONE_OUT_LIMIT_S,
-            min([math.inf, *back]),
+        forbidden_from, forbidden_to = (
+            removal.accepted_at + ZONE_OUT_LIMIT_S,
+            min([math.inf, *restored_at]),
         )
         for start in ledger:
-            is_late = closed_from < start["started_at"] < closed_to
-            if start["zone"] == out.name and is_late:
-                late_s = start["started_at"] - out.accepted_at
-                yield f"I5: {start['task']} started in {out.name} {late_s:.2f} s late"
-
-
-def _check_keys(history: Notes) -> Iterable[str]:
-    """I3: no call sent after a key's revocation was in force is accepted."""
-    closed_from_by_key = {
+            is_late = forbidden_from < start["started_at"] < forbidden_to
+            if start["zone"] == removal.name and is_late:
+                late_s = start["started_at"] - removal.accepted_at
+                yield (
+                    f"I5: {start['task']} started in zone {removal.name} "
+                    f"{late_s:.2f} s after its removal"
+                )
+
+
+def _check_keys(history: History) -> Iterable[str]:
+    """I3: no call is accepted that was sent later than the limit after a revocation."""
+    forbidden_from_by_key = {
         item.name: item.accepted_at + KEY_REVOCATION_LIMIT_S
         for item in history.publications
         if item.what == "revoke" and item.accepted
     }
     for call in history.calls:
-        is_late = call.sent_at > closed_from_by_key.get(call.key, math.inf)
+        is_late = call.sent_at > forbidden_from_by_key.get(call.key, math.inf)
         if is_late and call.status in (200, 202, 504):
             late_s = (
-                call.sent_at - closed_from_by_key[call.key] + KEY_REVOCATION_LIMIT_S
+                call.sent_at - forbidden_from_by_key[call.key] + KEY_REVOCATION_LIMIT_S
             )
             yield (
                 f"I3: {call.work} at {call.entry} was accepted with {call.key} "
@@ -119,9 +122,9 @@
 
 
 def _check_not_run(
-    history: Notes, by_work: Mapping[str, Ledger], by_request: Mapping[str, Ledger]
+    history: History, by_work: Mapping[str, Ledger], by_request: Mapping[str, Ledger]
 ) -> Iterable[str]:
-    """I7: what was refused as not run never started."""
+    """I7: a request that was answered with ``not_run`` never starts."""
     answers = [*history.calls, *history.cancelled]
     for collected in history.collected.values():
         answers += collected
@@ -130,15 +133,20 @@
             continue
         request_id = call.document.get("request_id")
         starts = by_request.get(request_id, []) if request_id else []
-        # A repeat may be refused while the first call with its key runs.
+        # A repeat may be refused while the first call with its idempotency key runs.
         if call.kind not in ("keyed", "cancel", "collect"):
             starts = [*starts, *by_work.get(call.work, [])]
         if starts:
-            yield f"I7: {call.work} ({call.kind}) started, but was told {call.document}"
+            yield (
+                f"I7: {call.work} ({call.kind}) started, but the answer was "
+                f"{call.document}"
+            )
 
 
-def _check_own_answers(history: Notes, by_work: Mapping[str, Ledger]) -> Iterable[str]:
-    """I6: an answer is the one that a worker gave to this work, and whole."""
+def _check_own_answers(
+    history: History, by_work: Mapping[str, Ledger]
+) -> Iterable[str]:
+    """I6: an answer is complete and belongs to this work, which a worker finished."""
     answers = list(history.calls)
     for collected in history.collected.values():
         answers += collected
@@ -148,20 +156,20 @@
         try:
             work = json.loads(call.document["answer"])["call"]
         except (KeyError, ValueError, TypeError):
-            yield f"I6: the answer to {call.work} is not whole: {call.document}"
+            yield f"I6: the answer to {call.work} is incomplete: {call.document}"
             continue
         if work != call.work:
             yield f"I6: {call.work} got the answer to {work}"
         done = [s for s in by_work.get(call.work, []) if s["status"] == "done"]
         if not done:
-            yield f"I6: {call.work} was told it ran, but no worker finished it"
+            yield f"I6: {call.work} was answered as run, but no worker finished it"
 
 
 def _check_at_most_once(
     calls: list[CallRecord], by_work: Mapping[str, Ledger]
 ) -> Iterable[str]:
     """I8: work that is not idempotent started at most once."""
-    for work in sorted({c.work for c in calls if c.kind in ONCE_KINDS}):
+    for work in sorted({c.work for c in calls if c.kind in AT_MOST_ONCE_KINDS}):
         starts = by_work.get(work, [])
         if len(starts) > 1 and not any(c.idempotent for c in calls if c.work == work):
             tasks = [(start["task"], start["worker"]) for start in starts]
@@ -169,7 +177,7 @@
 
 
 def _check_repeats(calls: list[CallRecord]) -> Iterable[str]:
-    """I6: repeats with one idempotency key are one request with one answer."""
+    """I6: repeats with one idempotency key become one request."""
     ran_by_work: dict[str, set[str]] = defaultdict(set)
     for call in calls:
         if call.kind == "keyed" and call.verdict in ("ran", "accepted"):
@@ -179,36 +187,41 @@
             yield f"I6: repeats of {work} became {len(ids)} requests"
 
 
-def _check_batches(history: Notes) -> Iterable[str]:
-    """I6: each accepted batch request has one verdict, equal on all entries."""
+def _check_batches(history: History) -> Iterable[str]:
+    """I6: each accepted batch request gets one answer, the same from all entries."""
     for batch in history.calls:
         if not batch.is_accepted_batch:
             continue
         request_id = batch.document["request_id"]
-        seen = history.collected.get(request_id, [])
+        answers = history.collected.get(request_id, [])
         final = {
-            call.document.get("answer", call.verdict) for call in seen if call.is_final
+            call.document.get("answer", call.verdict)
+            for call in answers
+            if call.is_final
         }
         if not final:
-            last = seen[-1].document if seen else "nothing"
-            yield f"I6: {batch.work} ({request_id}) was never answered, last: {last}"
+            last = answers[-1].document if answers else "nothing"
+            yield f"I6: {batch.work} ({request_id}) has no final answer, last: {last}"
         if len(final) > 1:
-            yield f"I6: {batch.work} ({request_id}) had several answers: {final}"
+            yield f"I6: {batch.work} ({request_id}) has different answers: {final}"
 
 
-def _check_shutdowns(history: Notes) -> Iterable[str]:
-    """I10: a call that was under way at an asked shutdown is answered."""
+def _check_shutdowns(history: History) -> Iterable[str]:
+    """I10: a call in progress when its entry is asked to shut down is answered."""
     for call in history.calls:
         asked_at = history.asked_to_stop.get(call.process, -math.inf)
-        if call.document.get("reason") == OWN_TIMEOUT:
+        if call.document.get("reason") == CALLER_TIMEOUT:
             continue
         if call.sent_at < asked_at < call.answered_at and call.status == 0:
-            yield f"I10: {call.work} ({call.kind}) was cut off: {call.document}"
+            yield (
+                f"I10: {call.work} ({call.kind}) got no answer at the shutdown: "
+                f"{call.document}"
+            )
 
 
 def _check_versions(versions: Mapping[int, list[int]]) -> Iterable[str]:
-    """I11: no process goes back to an older configuration."""
-    for process, shown in versions.items():
-        for before, after in zip(shown, shown[1:], strict=False):
+    """I11: no process returns to an older configuration."""
+    for process, reported in versions.items():
+        for before, after in zip(reported, reported[1:], strict=False):
             if after < before:
                 yield f"I11: process {process} went from version {before} to {after}"
