--- a/bench/fleet_buffers.py
+++ b/bench/fleet_buffers.py
@@ -1,4 +1,4 @@
-"""Buffer cost and number of moves against the optimum of a MIP."""
+"""Compares the cost and the moves of buffer plans with the optimum of a MIP."""
 
 from __future__ import annotations
 
@@ -8,21 +8,25 @@
 from lycheeloom.fleet.buffers import least_in_service, least_layout, plan_buffers
 from lycheeloom.model.config import FleetConfig, parse_config
 
-from .fleet_mip import SmallFleet, least_cost, least_moves, losses
+from .fleet_mip import FleetCounts, least_cost, least_moves, possible_losses
 from .fleet_simulation import fleet_document, user_fleet
 
 RANDOM_FLEETS = 50
-STARTS_PER_USER = 10
+FLEETS_PER_USER = 10
 COST_GOAL = 1.05
 MOVES_GOAL = 1.1
 
 
 def measure(seed: int) -> dict:
-    """Compare plans for both users' shapes and random fleets."""
+    """Compare plans for the fleets of both users and for random fleets."""
     rng = random.Random(seed)
     cases_by_group = {
-        "user A": [_user_fleet(64, 262144, n, rng) for n in range(STARTS_PER_USER)],
-        "user B": [_user_fleet(16, 65536, n, rng) for n in range(STARTS_PER_USER)],
+        "user A": [
+            _shuffled_user_fleet(64, 262144, n, rng) for n in range(FLEETS_PER_USER)
+        ],
+        "user B": [
+            _shuffled_user_fleet(16, 65536, n, rng) for n in range(FLEETS_PER_USER)
+        ],
         "random": [_random_fleet(rng) for _ in range(RANDOM_FLEETS)],
     }
     compared = {
@@ -45,33 +49,39 @@
         "fleets": name,
         "buffer": sum(case["buffer"] for case in cases),
         "buffer optimum": sum(case["buffer_optimum"] for case in cases),
-        "cost ratio": _ratio(cases, "buffer", "buffer_optimum", sum_only=True),
-        "worst cost": _ratio(cases, "buffer", "buffer_optimum"),
+        "cost ratio": _ratio_to_optimum(
+            cases, "buffer", "buffer_optimum", sum_only=True
+        ),
+        "worst cost": _ratio_to_optimum(cases, "buffer", "buffer_optimum"),
         "cost goal": COST_GOAL,
         "buffer if each pool has its own": sum(case["naive_buffer"] for case in cases),
         "moves": sum(case["moves"] for case in cases),
         "least moves": sum(case["moves_optimum"] for case in cases),
-        "moves ratio": _ratio(cases, "moves", "moves_optimum", sum_only=True),
-        "worst moves": _ratio(cases, "moves", "moves_optimum"),
+        "moves ratio": _ratio_to_optimum(
+            cases, "moves", "moves_optimum", sum_only=True
+        ),
+        "worst moves": _ratio_to_optimum(cases, "moves", "moves_optimum"),
         "moves goal": MOVES_GOAL,
         "moves if dealt anew": sum(case["naive_moves"] for case in cases),
         "uncovered": sum(case["uncovered"] for case in cases),
     }
 
 
-def _ratio(cases: list[dict], ours: str, best: str, sum_only: bool = False) -> float:
+def _ratio_to_optimum(
+    cases: list[dict], planned: str, optimum: str, sum_only: bool = False
+) -> float:
     if sum_only:
-        total = sum(case[best] for case in cases)
-        return round(sum(case[ours] for case in cases) / total, 3) if total else 1.0
-    ratios = [case[ours] / case[best] for case in cases if case[best]]
+        total = sum(case[optimum] for case in cases)
+        return round(sum(case[planned] for case in cases) / total, 3) if total else 1.0
+    ratios = [case[planned] / case[optimum] for case in cases if case[optimum]]
     # A plan with moves where none is needed has no finite ratio.
-    if any(case[ours] > case[best] == 0 for case in cases):
+    if any(case[planned] > case[optimum] == 0 for case in cases):
         return float("inf")
     return round(max(ratios, default=1.0), 3)
 
 
 def _compare(name: str, config: FleetConfig, pools: dict[str, str]) -> dict:
-    fleet = _small(config, pools)
+    fleet = _count_instances(config, pools)
     total_needed = sum(fleet.needed.values())
     racks: dict[str, list[int]] = defaultdict(list)
     for (zone, _), count in sorted(fleet.in_location().items()):
@@ -79,22 +89,24 @@
     plan = plan_buffers(config, pools)
     after = {**pools, **{move.instance: move.to_pool for move in plan.moves}}
     optimum = least_cost(fleet)
-    own = [least_in_service(needed, racks) for needed in fleet.needed.values()]
+    in_service_alone = [
+        least_in_service(needed, racks) for needed in fleet.needed.values()
+    ]
     return {
         "fleet": name,
         "instances": len(pools),
         "buffer": plan.needs[0].least - total_needed,
         "buffer_optimum": optimum - total_needed,
-        "naive_buffer": sum(own) - total_needed,
+        "naive_buffer": sum(in_service_alone) - total_needed,
         "moves": len(plan.moves),
         "moves_optimum": least_moves(fleet),
-        "naive_moves": _dealt_anew(config, pools),
-        "uncovered": _uncovered(_small(config, after))
-        + _uncovered_layout(total_needed, racks),
+        "naive_moves": _moves_if_reassigned(config, pools),
+        "uncovered": _missing_after_losses(_count_instances(config, after))
+        + _missing_in_layout(total_needed, racks),
     }
 
 
-def _small(config: FleetConfig, pools: dict[str, str]) -> SmallFleet:
+def _count_instances(config: FleetConfig, pools: dict[str, str]) -> FleetCounts:
     held: Counter = Counter()
     for name, instance in config.instance_by_id.items():
         pool = pools[name]
@@ -104,35 +116,37 @@
     needed = {
         name: pool.needed for name, pool in config.pool_by_id.items() if not pool.spare
     }
-    return SmallFleet(dict(held), needed)
+    return FleetCounts(dict(held), needed)
 
 
-def _uncovered(fleet: SmallFleet) -> int:
-    """Count the instances that are lacking over all losses, one by one."""
-    lacking = 0
-    for lost in losses(fleet.locations):
+def _missing_after_losses(fleet: FleetCounts) -> int:
+    """Return the missing instances, summed over all possible single losses."""
+    missing = 0
+    for lost in possible_losses(fleet.locations):
         left: Counter = Counter()
         for (pool, location), count in fleet.held.items():
             if location not in lost:
                 left[pool] += count
-        short = sum(max(0, need - left[pool]) for pool, need in fleet.needed.items())
-        lacking += max(0, short - left["spare"])
-    return lacking
+        shortfall = sum(
+            max(0, need - left[pool]) for pool, need in fleet.needed.items()
+        )
+        missing += max(0, shortfall - left["spare"])
+    return missing
 
 
-def _uncovered_layout(needed: int, racks: dict[str, list[int]]) -> int:
-    """Count what the planned least service lacks over all losses."""
+def _missing_in_layout(needed: int, racks: dict[str, list[int]]) -> int:
+    """Return the missing instances of the planned least layout, over all losses."""
     layout = least_layout(needed, racks)
     held = {
         ("all", (zone, str(number))): count
         for zone, counts in layout.items()
         for number, count in enumerate(counts)
     }
-    return _uncovered(SmallFleet(held, {"all": needed}))
+    return _missing_after_losses(FleetCounts(held, {"all": needed}))
 
 
-def _dealt_anew(config: FleetConfig, pools: dict[str, str]) -> int:
-    """Naive baseline: deal all instances to the pools anew, zone by zone."""
+def _moves_if_reassigned(config: FleetConfig, pools: dict[str, str]) -> int:
+    """Naive baseline: the moves if all instances are assigned to pools from scratch."""
     order = sorted(
         config.instance_by_id.values(), key=lambda item: (item.rack, item.zone, item.id)
     )
@@ -149,11 +163,14 @@
     )
 
 
-def _user_fleet(
+def _shuffled_user_fleet(
     cores: int, memory_mb: int, number: int, rng: random.Random
 ) -> tuple[FleetConfig, dict]:
-    """Return a user's fleet some of whose instances changed pools, as after
-    surges; every other one needs as much as three zones can cover."""
+    """Return a user's fleet with a third of its instances in random pools.
+
+    This is the state after surges. Fleets with an odd ``number`` need as much as
+    three zones can cover.
+    """
     config = parse_config(user_fleet(cores, memory_mb, 4 + number % 2), 1)
     pools = {name: item.pool for name, item in config.instance_by_id.items()}
     for name in rng.sample(sorted(pools), len(pools) // 3):
@@ -162,7 +179,7 @@
 
 
 def _random_fleet(rng: random.Random) -> tuple[FleetConfig, dict]:
-    """Return a random fleet that can cover its need after any loss."""
+    """Return a random fleet that can cover its need after any single loss."""
     zones, racks = rng.randint(2, 5), rng.randint(2, 6)
     names = [f"p{number}" for number in range(rng.randint(2, 8))]
     instances = [
@@ -175,9 +192,9 @@
         for number in range(rng.randint(20, 120))
     ]
     in_zone = Counter(item["zone"] for item in instances)
-    most = len(instances) - max(in_zone.values())
+    max_needed = len(instances) - max(in_zone.values())
     needed = Counter(
-        rng.choice(names) for _ in range(int(most * rng.uniform(0.5, 1.0)))
+        rng.choice(names) for _ in range(int(max_needed * rng.uniform(0.5, 1.0)))
     )
     pools = {name: {"needed": needed[name]} for name in names}
     pools["spare"] = {"spare": True}
--- a/bench/fleet_cli.py
+++ b/bench/fleet_cli.py
@@ -31,7 +31,7 @@
         print(json.dumps(result))
         return 0
     print(f"{result['command']}, seed {result['seed']}")
-    # One column for each case: the rows are short lists of many figures.
+    # Transposed, as there are few rows with many figures.
     rows = result["rows"]
     print(tabulate([[name, *(row[name] for row in rows)] for name in rows[0]]))
     return 0
--- a/bench/fleet_mip.py
+++ b/bench/fleet_mip.py
@@ -1,4 +1,4 @@
-"""Exact buffer plans from a mixed integer program, for comparison."""
+"""Optimal buffer plans from a mixed integer program, for comparison."""
 
 from __future__ import annotations
 
@@ -15,11 +15,12 @@
 
 
 @dataclass(frozen=True)
-class SmallFleet:
-    """Instance counts by pool and location, of one size.
+class FleetCounts:
+    """Counts of instances of one size.
 
-    ``held`` counts instances by pool and (zone, rack); ``needed`` has the pools
-    other than the spare pool, which is called ``spare``.
+    ``held`` counts instances by pool and location, a pair of zone and rack.
+    ``needed`` is the need of every pool but the spare pool, which is named
+    ``spare``.
     """
 
     held: Mapping[tuple[str, tuple[str, str]], int]
@@ -30,27 +31,30 @@
         return sorted({location for _, location in self.held})
 
     def in_location(self) -> Counter:
-        """Return the instances of each location."""
+        """Return the number of instances at each location."""
         total: Counter = Counter()
         for (_, location), count in self.held.items():
             total[location] += count
         return total
 
 
-def losses(locations: Iterable[tuple[str, str]]) -> list[frozenset]:
-    """Return the sets of locations that one failure takes away."""
+def possible_losses(locations: Iterable[tuple[str, str]]) -> list[frozenset]:
+    """Return the sets of locations that fail together: none, a zone or a rack."""
     locations = list(locations)
     zones = {zone for zone, _ in locations}
-    found = [frozenset()]
-    found += [
+    losses = [frozenset()]
+    losses += [
         frozenset(item for item in locations if item[0] == zone) for zone in zones
     ]
-    found += [frozenset([item]) for item in locations]
-    return found
+    losses += [frozenset([item]) for item in locations]
+    return losses
 
 
-def least_cost(fleet: SmallFleet) -> int | None:
-    """Return the fewest instances in service that cover every loss."""
+def least_cost(fleet: FleetCounts) -> int | None:
+    """Return the fewest instances in service that cover every loss.
+
+    Returns None if there is no optimal solution within the time limit.
+    """
     solver = _Solver(fleet)
     count = {
         (pool, location): solver.integer(held)
@@ -67,52 +71,55 @@
     return solver.minimise(sum(count.values()))
 
 
-def least_moves(fleet: SmallFleet) -> int | None:
-    """Return the fewest pool changes that cover every loss."""
+def least_moves(fleet: FleetCounts) -> int | None:
+    """Return the fewest pool changes that cover every loss.
+
+    Returns None if there is no optimal solution within the time limit.
+    """
     solver = _Solver(fleet)
-    kept = {}
-    moved = []
-    after = dict.fromkeys(
+    staying_counts = {}
+    moved_counts = []
+    counts_after = dict.fromkeys(
         ((p, item) for p in solver.pools for item in fleet.locations), 0
     )
     for (pool, location), held in fleet.held.items():
-        stay = solver.integer(held)
-        kept[pool, location] = stay
-        after[pool, location] += stay
+        staying = solver.integer(held)
+        staying_counts[pool, location] = staying
+        counts_after[pool, location] += staying
         leaving = 0
         for target in solver.pools:
             if target == pool:
                 continue
-            going = solver.integer(held)
-            moved.append(going)
-            leaving += going
-            after[target, location] += going
-        solver.model.addConstr(stay + leaving == held)
+            moving = solver.integer(held)
+            moved_counts.append(moving)
+            leaving += moving
+            counts_after[target, location] += moving
+        solver.model.addConstr(staying + leaving == held)
     for pool, needed in fleet.needed.items():
-        in_pool = sum(after[pool, location] for location in fleet.locations)
+        in_pool = sum(counts_after[pool, location] for location in fleet.locations)
         solver.model.addConstr(in_pool >= needed)
-    solver.cover(after)
-    return solver.minimise(sum(moved))
+    solver.cover(counts_after)
+    return solver.minimise(sum(moved_counts))
 
 
 def _new_model() -> highspy.Highs:
-    """Create a model; its banner goes to standard error, not into JSON."""
+    """Create a model; its banner goes to standard error to keep it out of JSON."""
     sys.stdout.flush()
-    kept = os.dup(1)
+    saved_stdout = os.dup(1)
     os.dup2(2, 1)
     try:
         model = highspy.Highs()
-        # The banner waits in the C library's buffer until it is flushed.
+        # The C library buffers the banner until it is flushed.
         ctypes.CDLL(None).fflush(None)
     finally:
-        os.dup2(kept, 1)
-        os.close(kept)
+        os.dup2(saved_stdout, 1)
+        os.close(saved_stdout)
     model.silent()
     return model
 
 
 class _Solver:
-    def __init__(self, fleet: SmallFleet):
+    def __init__(self, fleet: FleetCounts):
         self.fleet = fleet
         self.pools = [*fleet.needed, "spare"]
         self.model = _new_model()
@@ -126,17 +133,17 @@
         )
 
     def cover(self, count) -> None:
-        """Require that spares elsewhere replace what any one loss takes."""
-        for lost in losses(self.fleet.locations):
+        """Require that the remaining spares cover the shortfall after any one loss."""
+        for lost in possible_losses(self.fleet.locations):
             left = [item for item in self.fleet.locations if item not in lost]
-            lacking = 0
+            uncovered = 0
             for pool, needed in self.fleet.needed.items():
-                short = self.model.addVariable(lb=0, ub=max(needed, 0))
+                shortfall = self.model.addVariable(lb=0, ub=max(needed, 0))
                 serving = sum(count[pool, location] for location in left)
-                self.model.addConstr(short + serving >= needed)
-                lacking += short
+                self.model.addConstr(shortfall + serving >= needed)
+                uncovered += shortfall
             spares = sum(count["spare", location] for location in left)
-            self.model.addConstr(lacking - spares <= 0)
+            self.model.addConstr(uncovered - spares <= 0)
 
     def minimise(self, objective) -> int | None:
         self.model.minimize(objective)
--- a/bench/fleet_plan_cost.py
+++ b/bench/fleet_plan_cost.py
@@ -1,6 +1,6 @@
 """Processor time and memory of planning at several fleet sizes.
 
-Processor time, as other work on the machine must not change the figures.
+Processor time is measured because other load on the machine does not change it.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 FULL_GOAL_S = 2.0
 STEP_GOAL_MS = 20.0
-# Workers and pools: today, ten times that, and the planned size.
+# Workers and pools: the current size, ten times that, and the design size.
 SIZES = ((30, 5), (300, 14), (5100, 139))
 STEPS = 600
 STEP_S = 2.0
@@ -35,15 +35,15 @@
 def _measure_size(workers: int, pools: int, seed: int) -> dict:
     document = large_fleet(seed, workers, pools)
     full_s = _full_plan_s(document)
-    world, controller = _running_wave(document)
-    times_ms = _step_times_ms(world, controller)
+    fleet, controller = _running_wave(document)
+    times_ms = _step_times_ms(fleet, controller)
     cuts = quantiles(times_ms, n=100)
-    naive_s = _naive_step_s(world)
+    naive_s = _naive_step_s(fleet)
     return {
         "workers": workers,
         "pools": pools,
         "full plan s": round(full_s, 4),
-        "full plan, a third astray s": round(_disordered_plan_s(document, seed), 4),
+        "full plan, a third astray s": round(_shuffled_plan_s(document, seed), 4),
         "full goal s": FULL_GOAL_S,
         "step p50 ms": round(cuts[49], 2),
         "step p99 ms": round(cuts[98], 2),
@@ -56,79 +56,81 @@
 
 def _full_plan_s(document: dict) -> float:
     """Time the first step of a new controller: wave, buffers and repair."""
-    world, controller = _running_wave(document)
-    controller.hear()
+    fleet, controller = _running_wave(document)
+    controller.observe_workers()
     view = controller.view()
-    begun = time.process_time()
-    controller.planner.step(view, world.now_s)
-    return time.process_time() - begun
+    started_at = time.process_time()
+    controller.planner.step(view, fleet.now_s)
+    return time.process_time() - started_at
 
 
-def _disordered_plan_s(document: dict, seed: int) -> float:
-    """Time a plan for a fleet of which a third is in random pools."""
+def _shuffled_plan_s(document: dict, seed: int) -> float:
+    """Time a plan for a fleet with a third of its instances in random pools."""
     rng = random.Random(seed)
     config = SimulatedFleet(document).state.config
     pools = {name: item.pool for name, item in config.instance_by_id.items()}
     for name in rng.sample(sorted(pools), len(pools) // 3):
         pools[name] = rng.choice(sorted(config.pool_by_id))
-    begun = time.process_time()
+    started_at = time.process_time()
     plan_with_returns(BufferPlanner(config), pools, frozenset())
-    return time.process_time() - begun
+    return time.process_time() - started_at
 
 
 def _running_wave(document: dict) -> tuple[SimulatedFleet, Controller]:
-    world = SimulatedFleet(document)
-    for number, name in enumerate(world.workers):
-        # Unequal drains, so that moves do not go on in step.
-        world.drain_by_instance[name] = 30.0 + number % 61
-    controller = Controller(world, "controller")
+    fleet = SimulatedFleet(document)
+    for number, name in enumerate(fleet.workers):
+        # Unequal drain times, so that the moves are not synchronised.
+        fleet.drain_s_by_instance[name] = 30.0 + number % 61
+    controller = Controller(fleet, "controller")
     wave = WaveCommand("wave", WaveState.ABSENT, WaveState.RUNNING)
-    world.append("operator", [wave])
-    return world, controller
+    fleet.append("operator", [wave])
+    return fleet, controller
 
 
-def _step_times_ms(world: SimulatedFleet, controller: Controller) -> list[float]:
-    """Time the steps after the first of a wave in which instances also fail."""
+def _step_times_ms(fleet: SimulatedFleet, controller: Controller) -> list[float]:
+    """Time the steps of a wave in which instances fail, without the first step."""
     controller.tick(STEP_S)
-    # As the daemon does after recovery.
+    # The daemon does the same after recovery.
     gc.collect()
     gc.freeze()
-    names = sorted(world.workers)
+    names = sorted(fleet.workers)
     times_ms = []
     for number in range(STEPS):
         if number % 20 == 10:
-            world.fail([names[number % len(names)]])
-        controller.hear()
+            fleet.fail([names[number % len(names)]])
+        controller.observe_workers()
         view = controller.view()
-        begun = time.process_time()
-        plan = controller.planner.step(view, world.now_s)
-        times_ms.append((time.process_time() - begun) * 1000)
-        world.apply_plan(controller.author, plan)
-        world.advance(STEP_S)
+        started_at = time.process_time()
+        plan = controller.planner.step(view, fleet.now_s)
+        times_ms.append((time.process_time() - started_at) * 1000)
+        fleet.apply_plan(controller.author, plan)
+        fleet.advance(STEP_S)
     gc.unfreeze()
     return times_ms
 
 
-def _naive_step_s(world: SimulatedFleet) -> float:
-    """Naive baseline: a new planner that plans everything at each step."""
-    config = world.state.config
-    begun = time.process_time()
-    plan_buffers(config, world.state.maintenance.pool_by_instance)
-    controller = Controller(world, "naive")
-    controller.hear()
-    controller.planner.step(controller.view(), world.now_s)
-    return time.process_time() - begun
+def _naive_step_s(fleet: SimulatedFleet) -> float:
+    """Naive baseline: a new planner that plans everything in each step."""
+    config = fleet.state.config
+    started_at = time.process_time()
+    plan_buffers(config, fleet.state.maintenance.pool_by_instance)
+    controller = Controller(fleet, "naive")
+    controller.observe_workers()
+    controller.planner.step(controller.view(), fleet.now_s)
+    return time.process_time() - started_at
 
 
 def _planner_bytes(document: dict) -> int:
-    """Return the memory that a planner takes in its first steps, without the
-    replayed state, which the controller holds in any case."""
-    world, controller = _running_wave(document)
+    """Return the memory that a planner allocates in its first steps.
+
+    The replayed state is not included, as every controller holds it.
+    """
+    fleet, controller = _running_wave(document)
     gc.collect()
     tracemalloc.start()
     for number in range(MEMORY_STEPS):
-        controller.hear()
-        controller.planner.step(controller.view(), world.now_s + number)
+        controller.observe_workers()
+        controller.planner.step(controller.view(), fleet.now_s + number)
     gc.collect()
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
--- a/bench/test_fleet_goals.py
+++ b/bench/test_fleet_goals.py
@@ -1,4 +1,4 @@
-"""The planner's goals that do not depend on the speed of the machine."""
+"""Tests of the planner's goals that do not depend on the speed of the machine."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize(("cores", "memory_mb"), [(64, 262144), (16, 65536)])
 def test_forecast_at_half_of_a_wave_is_within_a_quarter(seed, cores, memory_mb):
-    """Guards against a forecast in the status document that misleads operators."""
+    """The forecast in the status document must be close to the time that is left."""
     row = fleet_rollout._run("user A", user_fleet(cores, memory_mb), False, seed)
     left_s, forecast_s = row["left at half s"], row["forecast at half s"]
     assert abs(forecast_s - left_s) <= 0.25 * left_s
--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -12,7 +12,7 @@
 def fail_tasks(controller, instance, count=5):
     for number in range(count):
         health = controller.planner.health
-        health.task_ended(instance, "lookups", False, controller.world.now_s + number)
+        health.task_ended(instance, "lookups", False, controller.fleet.now_s + number)
 
 
 def test_failing_worker_is_tried_rebooted_and_given_up(world, controller):
