--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -158,7 +158,7 @@
         """
         half = len(self.fleet.workers) / 2
         at_s, _, half_forecast_s = next(
-            forecast for point in self.forecasts if point[1] >= half
+            point for point in self.forecasts if point[1] >= half
         )
         errors = [
             abs(forecast_s / (duration_s - now_s) - 1)
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -356,10 +356,12 @@
     """
     rng = random.Random(seed)
     names = [f"p{number:03}" for number in range(pools - 1)]
-    spare = workers // 8
-    sizes = Counter(rng.choice(names) for _ in range(workers - spare))
-    owners = [name for name in names for _ in range(sizes[name])] + ["spare"] * spare
-    rng.shuffle(owners)
+    spare_count = workers // 8
+    sizes = Counter(rng.choice(names) for _ in range(workers - spare_count))
+    instance_pools = [name for name in names for _ in range(sizes[name])] + [
+        "spare"
+    ] * spare_count
+    rng.shuffle(instance_pools)
     budget = {name: max(1, sizes[name] // 10) for name in names}
     documents = {
         name: {
@@ -371,16 +373,16 @@
     }
     documents["spare"] = {
         "spare": True,
-        "max_unavailable": max(1, spare // 10),
+        "max_unavailable": max(1, spare_count // 10),
         "max_unavailable_per_rack": 2,
     }
     instances = [
         {
             "id": f"w{number:04}",
-            "pool": member_pool,
+            "pool": pool,
             "zone": f"z{number % zones}",
             "rack": f"r{number // zones // rack}",
         }
-        for number, member_pool in enumerate(owners)
+        for number, pool in enumerate(instance_pools)
     ]
     return fleet_document(documents, instances, {f"z{n}": {} for n in range(zones)})
