--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of decisions, costs and behaviour under failure."""
+"""Benchmarks of scheduling decisions, costs and behaviour under faults."""
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 import sys
 
 from . import decision_cost, shares, urgent, wrong_sizes, zones
-from .report import show
+from .report import print_rows
 
 COMMANDS = {
     "shares": shares,
@@ -25,7 +25,7 @@
     parser.add_argument("--seed", type=int, default=1, help="random seed (1)")
     options = parser.parse_args()
     rows = COMMANDS[options.command].run(options.seed)
-    show(f"{options.command}, seed {options.seed}", rows, options.json)
+    print_rows(f"{options.command}, seed {options.seed}", rows, options.json)
     return 1 if any(row.holds is False for row in rows) else 0
 
 
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -1,4 +1,4 @@
-"""Simple policies to compare with: first come first served, equal split."""
+"""Baseline policies: first come first served and an equal split of the workers."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 class FirstComeFirstServed:
     """Starts the tasks of each queue in the order of their arrival.
 
-    A queue uses its own pool, then spare pools, then any other. Declared sizes
-    are believed and organisations are not told apart.
+    A queue uses its own pool first, then spare pools, then any other pool. Declared
+    sizes are taken as true and organisations are not distinguished.
     """
 
     def __init__(self, config: FleetConfig, seed: int = 0) -> None:
         self._config = config
         self._queued: dict[str, deque[Task]] = {q: deque() for q in config.queue_by_id}
         self._running: dict[str, tuple[Task, str]] = {}
-        self._parked: dict[str, Task] = {}
+        self._refused_tasks: dict[str, Task] = {}
         self._free = {n: i.size for n, i in config.instance_by_id.items()}
         self._sizes = set(self._free.values())
         self._pools: dict[str, list[str]] = {}
@@ -41,11 +41,11 @@
         return Accepted()
 
     def next_decisions(self, now: float) -> list[Start]:
-        """Start the first task of each queue as long as it fits."""
+        """Start tasks from the front of each queue until one does not fit."""
         decisions = []
         for queue, queued in self._queued.items():
             while queued:
-                worker = self._place(queued[0], queue)
+                worker = self._choose_worker(queued[0], queue)
                 if worker is None:
                     break
                 task = queued.popleft()
@@ -55,50 +55,51 @@
         return decisions
 
     def finished(self, task_id: str, outcome: Outcome, now: float) -> None:
-        """Release a task."""
+        """Release the resources of a task."""
         task, worker = self._running.pop(task_id)
         self._free[worker] = self._free[worker] + task.resources
         if outcome is Outcome.REFUSED_BY_WORKER:
-            self._parked[task_id] = task
+            self._refused_tasks[task_id] = task
 
     def requeue(self, task_id: str, excluded_worker: str) -> None:
-        """Put a refused task back in front."""
-        task = self._parked.pop(task_id)
+        """Put a task that its worker refused back to the front of its queue."""
+        task = self._refused_tasks.pop(task_id)
         self._queued[task.queue].appendleft(task)
 
     def observe_worker(
         self, worker_id: str, available: bool, free: Resources, boot: str, now: float
     ) -> None:
-        """Believe what the worker reports."""
+        """Take over the free resources that a worker reports."""
         self._free[worker_id] = free
 
     def set_config(self, config: FleetConfig, now: float) -> None:
-        """Take over the states of zones."""
+        """Use the zone states of a new configuration."""
         self._config = config
 
     def set_grants(self, slots_by_organisation: Mapping[str, int]) -> None:
-        """Grants are not used."""
+        """Ignore grants."""
 
     def set_peer_usage(self, usage: Mapping, reserved: Iterable[str] = ()) -> None:
-        """Peers are not looked at."""
+        """Ignore the usage of peers."""
 
     def observe_usage(self, reports: Iterable, now: float) -> None:
-        """Declared sizes are believed."""
+        """Ignore measured usage, as declared sizes are taken as true."""
 
     def usage_by_organisation(self) -> dict:
-        """Tell peers nothing."""
+        """Return no usage for peers."""
         return {}
 
     def reserved_workers(self) -> tuple[str, ...]:
-        """Reserve nothing."""
+        """Return no reserved workers."""
         return ()
 
-    def _place(self, task: Task, queue: str) -> str | None:
-        home = self._config.queue_by_id[queue].pool
-        spare_first = sorted(
-            self._pools, key=lambda p: (p != home, not self._config.pool_by_id[p].spare)
+    def _choose_worker(self, task: Task, queue: str) -> str | None:
+        own_pool = self._config.queue_by_id[queue].pool
+        pools_by_preference = sorted(
+            self._pools,
+            key=lambda p: (p != own_pool, not self._config.pool_by_id[p].spare),
         )
-        for pool in spare_first:
+        for pool in pools_by_preference:
             for name in self._pools[pool]:
                 zone = self._config.instance_by_id[name].zone
                 if self._config.zone_by_id[zone].state is ZoneState.OUT:
@@ -111,7 +112,7 @@
 class EqualSplit(Scheduler):
     """A scheduler that owns an equal part of the workers of each pool.
 
-    Entries share nothing, so each is fair only among its own callers.
+    Entries exchange no usage, so each is fair only among its own callers.
     """
 
     def __init__(self, config: FleetConfig, seed: int, entry: int, count: int) -> None:
@@ -120,13 +121,13 @@
         super().__init__(config, seed)
 
     def set_config(self, config: FleetConfig, now: float) -> None:
-        """Keep only this entry's part of the instances."""
+        """Keep only the instances of this entry."""
         number_in_pool: dict[str, int] = {}
         own = {}
         for name, instance in config.instance_by_id.items():
             number = number_in_pool.get(instance.pool, 0)
             number_in_pool[instance.pool] = number + 1
-            # Every entry gets workers of different zones.
+            # The shift by one each round gives every entry workers of different zones.
             if (number + number // self._count) % self._count == self._entry:
                 own[name] = instance
         super().set_config(replace(config, instance_by_id=own), now)
--- a/bench/comparison.py
+++ b/bench/comparison.py
@@ -1,4 +1,4 @@
-"""Runs the scheduler and the simple policies on the same load."""
+"""Measures the scheduler and the baseline policies under the same load."""
 
 from __future__ import annotations
 
@@ -9,26 +9,30 @@
 from lycheeloom.sched import Scheduler
 
 from .baselines import EqualSplit, FirstComeFirstServed
-from .entries import Policy
+from .entries import SchedulingPolicy
 
 ENTRIES = 3
 Result = TypeVar("Result")
 
 
-def schedulers(config: FleetConfig, seed: int) -> list[Policy]:
+def schedulers(config: FleetConfig, seed: int) -> list[SchedulingPolicy]:
     """Return a scheduler for each entry."""
     return [Scheduler(config, seed * 100 + n) for n in range(ENTRIES)]
 
 
 def compare(
-    config: FleetConfig, seed: int, measure: Callable[[list[Policy], bool], Result]
+    config: FleetConfig,
+    seed: int,
+    measure: Callable[[list[SchedulingPolicy], bool], Result],
 ) -> tuple[Result, Result, Result]:
     """Measure the scheduler, first come first served and equal split, in this order.
 
-    ``measure(policies, coordinated)`` gets a policy for each entry; entries that
-    are coordinated tell each other their usage.
+    ``measure(policies, coordinated)`` is called with one policy for each entry.
+    Coordinated entries tell each other their usage; only the schedulers do so.
     """
-    ours = measure(schedulers(config, seed), True)
-    first = measure([FirstComeFirstServed(config) for _ in range(ENTRIES)], False)
-    split = [EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)]
-    return ours, first, measure(split, False)
+    scheduler = measure(schedulers(config, seed), True)
+    first_come = measure([FirstComeFirstServed(config) for _ in range(ENTRIES)], False)
+    equal_split_policies = [
+        EqualSplit(config, seed * 100 + n, n, ENTRIES) for n in range(ENTRIES)
+    ]
+    return scheduler, first_come, measure(equal_split_policies, False)
--- a/bench/entitlement.py
+++ b/bench/entitlement.py
@@ -1,8 +1,8 @@
 """Max-min entitlements by water-filling, independent of the scheduler.
 
-The level of all organisations is raised together by a linear program until some
-organisation
-cannot rise further; that organisation is frozen and the others go on.
+A linear program raises the share per weight, the level, of all organisations
+together until one of them cannot rise further. That organisation is frozen at
+its level, and the program raises the others again.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 
 class WaterFilling:
-    """Computes entitlements for changing demands on one fleet."""
+    """Computes entitlements on one fleet for any demand."""
 
     def __init__(self, config: FleetConfig) -> None:
         self._config = config
@@ -31,8 +31,8 @@
     def shares(self, demand: Mapping[tuple[str, str], Resources]) -> dict[str, float]:
         """Return the entitled dominant share per organisation.
 
-        ``demand`` is what each organisation runs and has waiting on each queue. All
-        pools lend to all queues, so the fleet counts as a whole.
+        ``demand`` is the running and waiting demand by organisation and queue. Every
+        queue may use every pool, so only the totals of the fleet matter.
         """
         wanted = {
             key: amount.dominant_share(self.total) for key, amount in demand.items()
@@ -42,7 +42,7 @@
         frozen: dict[str, float] = {}
         if not organisations:
             return frozen
-        lp = self._program(wanted, demand, organisations)
+        lp = self._build_program(wanted, demand, organisations)
         while len(frozen) < len(organisations):
             level, blocked = lp.raise_level(frozen)
             for organisation in blocked:
@@ -51,12 +51,12 @@
                 )
         return frozen
 
-    def _program(
+    def _build_program(
         self,
         wanted: Mapping[tuple[str, str], float],
         demand: Mapping[tuple[str, str], Resources],
         organisations: list[str],
-    ) -> _Program:
+    ) -> _LinearProgram:
         rows: list[tuple[dict[int, float], float]] = []
         for number, share in enumerate(wanted.values()):
             rows.append(({number: 1.0}, share))
@@ -71,58 +71,69 @@
             self._config.organisation_by_id[organisation].share
             for organisation in organisations
         ]
-        by_organisation = [
-            [n for n, (t, _) in enumerate(wanted) if t == organisation]
+        variables_by_organisation = [
+            [n for n, (owner, _) in enumerate(wanted) if owner == organisation]
             for organisation in organisations
         ]
-        return _Program(len(wanted), rows, organisations, weights, by_organisation)
+        return _LinearProgram(
+            len(wanted), rows, organisations, weights, variables_by_organisation
+        )
 
 
-class _Program:
-    """One linear program whose organisation rows change from round to round."""
+class _LinearProgram:
+    """A linear program with a row for each organisation, changed when it is frozen."""
 
     def __init__(
         self,
-        uses: int,
+        variable_count: int,
         rows: list[tuple[dict[int, float], float]],
         organisations: list[str],
         weights: list[float],
-        uses_by_organisation: list[list[int]],
+        variables_by_organisation: list[list[int]],
     ) -> None:
         self._organisations = organisations
         self._weights = weights
-        self._level = uses
+        self._level_column = variable_count
         self._first_organisation_row = len(rows)
         solver = highspy.Highs()
         solver.setOptionValue("output_flag", False)
         infinity = highspy.kHighsInf
-        solver.addVars(uses + 1, np.zeros(uses + 1), np.full(uses + 1, infinity))
-        solver.changeColCost(uses, -1.0)
+        solver.addVars(
+            variable_count + 1,
+            np.zeros(variable_count + 1),
+            np.full(variable_count + 1, infinity),
+        )
+        solver.changeColCost(variable_count, -1.0)
         for terms, bound in rows:
             indexes = np.array(list(terms), dtype=np.int32)
             values = np.array(list(terms.values()))
             solver.addRow(-infinity, bound, len(terms), indexes, values)
-        for own, weight in zip(uses_by_organisation, weights, strict=True):
-            indexes = np.array([*own, uses], dtype=np.int32)
-            values = np.array([1.0] * len(own) + [-weight])
+        for variables, weight in zip(variables_by_organisation, weights, strict=True):
+            indexes = np.array([*variables, variable_count], dtype=np.int32)
+            values = np.array([1.0] * len(variables) + [-weight])
             solver.addRow(0.0, infinity, len(indexes), indexes, values)
         self._solver = solver
 
     def raise_level(self, frozen: Mapping[str, float]) -> tuple[float, list[str]]:
-        """Return the highest level of the other organisations and who blocks it."""
+        """Return the highest level of the organisations that are not frozen.
+
+        Also returns those of them that cannot rise above it.
+        """
         solver = self._solver
         for number, organisation in enumerate(self._organisations):
             if organisation in frozen:
                 row = self._first_organisation_row + number
-                solver.changeCoeff(row, self._level, 0.0)
+                solver.changeCoeff(row, self._level_column, 0.0)
                 bound = frozen[organisation] * (1 - EPSILON)
                 solver.changeRowBounds(row, bound, highspy.kHighsInf)
         solver.run()
         solution = solver.getSolution()
-        level = solution.col_value[self._level]
+        level = solution.col_value[self._level_column]
         blocked = []
         for number, organisation in enumerate(self._organisations):
             dual = solution.row_dual[self._first_organisation_row + number]
             if organisation not in frozen and abs(dual) > EPSILON:
                 blocked.append(organisation)
-        return level, blocked or [t for t in self._organisations if t not in frozen]
+        return level, blocked or [
+            name for name in self._organisations if name not in frozen
+        ]
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -1,4 +1,4 @@
-"""Several entries that schedule one fleet and exchange their usage."""
+"""Simulates several entries that schedule one fleet and exchange their usage."""
 
 from __future__ import annotations
 
@@ -20,52 +20,59 @@
 )
 
 from .baselines import FirstComeFirstServed
-from .fakes import FakeWorkers, Job, VirtualClock
+from .fakes import FakeWorkers, TaskBehaviour, VirtualClock
 
 EXCHANGE_S = 0.5
 USAGE_LAG_S = 2.0
 CHECKPOINT_S = 0.3
-MANY_SLOTS = 1_000_000
+UNLIMITED_SLOTS = 1_000_000
 
-Policy = Scheduler | FirstComeFirstServed
+SchedulingPolicy = Scheduler | FirstComeFirstServed
 
 
 class Observer:
-    """Hears of every task in the real order of events.
+    """Is notified of every event of a task, in the order of the events.
 
-    A recorder overrides what it needs; the rest is ignored.
+    A recorder overrides the methods that it needs; the others do nothing.
     """
 
-    def offered(self, task: Task, job: Job, now: float) -> None:
+    def offered(self, task: Task, behaviour: TaskBehaviour, now: float) -> None:
         """A caller sent a task, which may be refused."""
 
-    def submitted(self, task: Task, job: Job, now: float) -> None:
+    def submitted(self, task: Task, behaviour: TaskBehaviour, now: float) -> None:
         """A task was accepted."""
 
-    def started(self, task: Task, job: Job, worker: str, now: float) -> None:
+    def started(
+        self, task: Task, behaviour: TaskBehaviour, worker: str, now: float
+    ) -> None:
         """A worker accepted a start."""
 
-    def ended(self, task: Task, job: Job, good: bool, now: float) -> None:
+    def ended(
+        self, task: Task, behaviour: TaskBehaviour, succeeded: bool, now: float
+    ) -> None:
         """A started task ended."""
 
-    def dropped(self, task: Task, job: Job, now: float) -> None:
+    def dropped(self, task: Task, behaviour: TaskBehaviour, now: float) -> None:
         """A queued task will not run."""
 
 
-class Entries:
-    """Carries out the decisions of several policies on the same workers."""
+class SimulatedEntries:
+    """Executes the decisions of several policies, one for each entry, on one fleet.
+
+    ``coordinated`` entries tell each other their usage and reserved workers.
+    """
 
     def __init__(
         self,
         config: FleetConfig,
-        policies: list[Policy],
+        policies: list[SchedulingPolicy],
         observer: Observer,
         coordinated: bool = True,
     ) -> None:
         self.clock = VirtualClock()
         self.workers = FakeWorkers(config, self.clock)
         self.policies = policies
-        self.job_by_id: dict[str, Job] = {}
+        self.behaviour_by_id: dict[str, TaskBehaviour] = {}
         self._config = config
         self._observer = observer
         self._coordinated = coordinated
@@ -76,98 +83,102 @@
             for _ in policies
         ]
         for entry, policy in enumerate(policies):
-            policy.set_grants(dict.fromkeys(config.organisation_by_id, MANY_SLOTS))
-            offset = EXCHANGE_S * entry / len(policies)
-            self.clock.at(offset, self._heartbeat(entry))
+            policy.set_grants(dict.fromkeys(config.organisation_by_id, UNLIMITED_SLOTS))
+            first_heartbeat_s = EXCHANGE_S * entry / len(policies)
+            self.clock.call_at(first_heartbeat_s, self._heartbeat(entry))
 
-    def submit(self, entry: int, task: Task, job: Job) -> bool:
-        """Submit a new task to an entry; tell whether it was accepted."""
+    def submit(self, entry: int, task: Task, behaviour: TaskBehaviour) -> bool:
+        """Submit a new task to an entry; return whether it was accepted."""
         self._budgets[entry][task.queue].on_request()
-        self._observer.offered(task, job, self.clock.now)
-        return self._submit(entry, task, job)
+        self._observer.offered(task, behaviour, self.clock.now)
+        return self._submit(entry, task, behaviour)
 
     def step(self, entry: int) -> None:
-        """Carry out what the entry decides now."""
+        """Execute the decisions that an entry makes now."""
         now = self.clock.now
         for decision in self.policies[entry].next_decisions(now):
             match decision:
                 case Start(task, worker, resources):
                     self._start(entry, task, worker, resources)
                 case Checkpoint(task_id):
-                    self.clock.at(now + CHECKPOINT_S, self._checkpoint(entry, task_id))
+                    self.clock.call_at(
+                        now + CHECKPOINT_S, self._checkpoint(entry, task_id)
+                    )
                 case Expire(task, _):
-                    self._observer.dropped(task, self.job_by_id.pop(task.id), now)
+                    self._observer.dropped(task, self.behaviour_by_id.pop(task.id), now)
 
-    def _submit(self, entry: int, task: Task, job: Job) -> bool:
+    def _submit(self, entry: int, task: Task, behaviour: TaskBehaviour) -> bool:
         now = self.clock.now
         verdict = self.policies[entry].submit(task, now)
         if isinstance(verdict, Refusal):
             return False
-        self.job_by_id[task.id] = job
-        self._observer.submitted(task, job, now)
+        self.behaviour_by_id[task.id] = behaviour
+        self._observer.submitted(task, behaviour, now)
         self.step(entry)
         return True
 
     def _start(self, entry: int, task: Task, worker: str, reserved: Resources) -> None:
-        job = self.job_by_id[task.id]
+        behaviour = self.behaviour_by_id[task.id]
         policy = self.policies[entry]
         now = self.clock.now
 
-        def ended(good: bool) -> None:
-            self._ended(entry, task, job, worker, good, now)
+        def ended(succeeded: bool) -> None:
+            self._ended(entry, task, behaviour, worker, succeeded, now)
 
-        if not self.workers.start(worker, task.id, job, reserved, ended):
+        if not self.workers.start(worker, task.id, behaviour, reserved, ended):
             policy.finished(task.id, Outcome.REFUSED_BY_WORKER, now)
             policy.observe_worker(worker, True, self.workers.free(worker), "b", now)
             policy.requeue(task.id, worker)
             return
         self._running[task.id] = (task, worker)
-        self._observer.started(task, job, worker, now)
+        self._observer.started(task, behaviour, worker, now)
 
     def _ended(
         self,
         entry: int,
         task: Task,
-        job: Job,
+        behaviour: TaskBehaviour,
         worker: str,
-        good: bool,
+        succeeded: bool,
         started_at: float,
     ) -> None:
         now = self.clock.now
         policy = self.policies[entry]
         self._running.pop(task.id, None)
-        self._observer.ended(task, job, good, now)
-        policy.finished(task.id, Outcome.DONE if good else Outcome.FAILED, now)
+        self._observer.ended(task, behaviour, succeeded, now)
+        policy.finished(task.id, Outcome.DONE if succeeded else Outcome.FAILED, now)
         policy.observe_worker(worker, True, self.workers.free(worker), "b", now)
-        if good:
-            report = UsageReport(task.id, job.size, now - started_at)
+        if succeeded:
+            report = UsageReport(task.id, behaviour.size, now - started_at)
             self._reports[entry].append((now, report))
-            self.job_by_id.pop(task.id, None)
+            self.behaviour_by_id.pop(task.id, None)
         else:
-            self._retry(entry, task, job, worker)
+            self._retry(entry, task, behaviour, worker)
         self.step(entry)
 
-    def _retry(self, entry: int, task: Task, job: Job, worker: str) -> None:
+    def _retry(
+        self, entry: int, task: Task, behaviour: TaskBehaviour, worker: str
+    ) -> None:
         excluded = task.excluded_workers | {worker}
         may_retry = len(excluded) < 3 and task.idempotent
         if may_retry and self._budgets[entry][task.queue].try_spend():
-            again = replace(task, excluded_workers=excluded)
-            if self._submit(entry, again, job):
+            retry = replace(task, excluded_workers=excluded)
+            if self._submit(entry, retry, behaviour):
                 return
-        self.job_by_id.pop(task.id, None)
+        self.behaviour_by_id.pop(task.id, None)
 
     def _checkpoint(self, entry: int, task_id: str) -> Callable[[], None]:
         def stop() -> None:
             if task_id not in self._running:
                 return
             task, worker = self._running.pop(task_id)
-            left_s = self.workers.stop(worker, task_id)
-            job = self.job_by_id[task_id]
+            remaining_s = self.workers.stop(worker, task_id)
+            behaviour = self.behaviour_by_id[task_id]
             now = self.clock.now
             policy = self.policies[entry]
-            self._observer.ended(task, job, False, now)
-            self.job_by_id[task_id] = replace(job, run_s=left_s)
-            self._observer.submitted(task, self.job_by_id[task_id], now)
+            self._observer.ended(task, behaviour, False, now)
+            self.behaviour_by_id[task_id] = replace(behaviour, run_s=remaining_s)
+            self._observer.submitted(task, self.behaviour_by_id[task_id], now)
             policy.finished(task_id, Outcome.STOPPED, now)
             policy.observe_worker(worker, True, self.workers.free(worker), "b", now)
             self.step(entry)
@@ -175,7 +186,7 @@
         return stop
 
     def _heartbeat(self, entry: int) -> Callable[[], None]:
-        def beat() -> None:
+        def heartbeat() -> None:
             now = self.clock.now
             policy = self.policies[entry]
             for name in self._config.instance_by_id:
@@ -195,12 +206,18 @@
                 policy.set_peer_usage(peers, reserved)
             self._deliver_usage(entry, now)
             self.step(entry)
-            self.clock.at(now + EXCHANGE_S, beat)
+            self.clock.call_at(now + EXCHANGE_S, heartbeat)
 
-        return beat
+        return heartbeat
 
     def _deliver_usage(self, entry: int, now: float) -> None:
-        due = [r for at, r in self._reports[entry] if now - at >= USAGE_LAG_S]
-        waiting = [(at, r) for at, r in self._reports[entry] if now - at < USAGE_LAG_S]
+        due = [
+            r for ended_at, r in self._reports[entry] if now - ended_at >= USAGE_LAG_S
+        ]
+        waiting = [
+            (ended_at, r)
+            for ended_at, r in self._reports[entry]
+            if now - ended_at < USAGE_LAG_S
+        ]
         self._reports[entry] = waiting
         self.policies[entry].observe_usage(due, now)
--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -356,12 +356,10 @@
     """
     rng = random.Random(seed)
     names = [f"p{number:03}" for number in range(pools - 1)]
-    spare_count = workers // 8
-    sizes = Counter(rng.choice(names) for _ in range(workers - spare_count))
-    instance_pools = [name for name in names for _ in range(sizes[name])] + [
-        "spare"
-    ] * spare_count
-    rng.shuffle(instance_pools)
+    spares = workers // 8
+    sizes = Counter(rng.choice(names) for _ in range(workers - spares))
+    assigned = [name for name in names for _ in range(sizes[name])] + ["spare"] * spares
+    rng.shuffle(assigned)
     budget = {name: max(1, sizes[name] // 10) for name in names}
     documents = {
         name: {
@@ -373,7 +371,7 @@
     }
     documents["spare"] = {
         "spare": True,
-        "max_unavailable": max(1, spare_count // 10),
+        "max_unavailable": max(1, spares // 10),
         "max_unavailable_per_rack": 2,
     }
     instances = [
@@ -383,6 +381,6 @@
             "zone": f"z{number % zones}",
             "rack": f"r{number // zones // rack}",
         }
-        for number, pool in enumerate(instance_pools)
+        for number, pool in enumerate(assigned)
     ]
     return fleet_document(documents, instances, {f"z{n}": {} for n in range(zones)})
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -1,4 +1,4 @@
-"""Configurations in the users' shapes and at larger scales."""
+"""Fleet configurations in the shapes of users A and B and at larger sizes."""
 
 from __future__ import annotations
 
@@ -25,15 +25,15 @@
 
 
 def user_fleet(size: Resources, max_queued: int = 400) -> FleetConfig:
-    """Return five pools of six workers over three zones, one pool spare."""
+    """Return five pools of six workers in three zones, ``general`` as the spare pool."""
     pools = {q: Pool(q, spare=q == "general") for q in QUEUES}
     instances = {}
-    racked = dict.fromkeys(ZONES, 0)
+    worker_count_by_zone = dict.fromkeys(ZONES, 0)
     for pool in pools:
         for number in range(WORKERS_PER_POOL):
             zone = ZONES[number % len(ZONES)]
-            rack = f"{zone}-r{racked[zone] // WORKERS_PER_RACK}"
-            racked[zone] += 1
+            rack = f"{zone}-r{worker_count_by_zone[zone] // WORKERS_PER_RACK}"
+            worker_count_by_zone[zone] += 1
             name = f"{pool}-{number}"
             instances[name] = Instance(name, pool, zone, rack, "", size)
     organisations = {
@@ -60,14 +60,15 @@
 
 
 def total_cores(config: FleetConfig) -> float:
-    """Return the processor cores of all instances."""
+    """Return the number of cores of all instances."""
     return sum(i.size.cores for i in config.instance_by_id.values())
 
 
 def scaled_fleet(workers: int, organisations: int, max_queued: int) -> FleetConfig:
-    """Return about 37 workers to a pool over ten zones, one pool in 20 spare.
+    """Return a fleet with about 37 workers per pool and ten zones.
 
-    Each organisation may use every queue of a fifth of the pools, and at least two.
+    One pool in 20 is a spare pool. Each organisation may use the queues of a fifth of
+    the pools, or every queue if there are fewer than ten pools.
     """
     pool_count = max(2, round(workers * 139 / 5100))
     pools = {f"p{n}": Pool(f"p{n}", spare=n % 20 == 1) for n in range(pool_count)}
--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -1,10 +1,11 @@
-"""Cost of the log, of snapshots and recovery, and of heartbeats.
+"""Cost of log appends, snapshots, recovery and heartbeats.
 
 Run with ``python -m bench.log_cost [--json] [--seconds S]``. The log stand-in
-runs in the same process over HTTP on loopback, so processor times include it
-where noted. Goals: 9 entries append at most 180 batches a second, a new entry
-is ready within 5 s at the planned size, and heartbeats of one of 9 entries
-with 210 organisations take at most 24 KB a second, sent and received together.
+runs in the same process and is called over HTTP on loopback, so processor times
+include it where noted. Goals: 9 entries append at most 180 batches a second, a
+new entry is ready within 5 s at the design size, and the heartbeats of one of 9
+entries with 210 organisations take at most 24 KB a second, sent and received
+together.
 """
 
 # The stand-in and the clients share one process, so the standard library is
@@ -42,22 +43,22 @@
 from lycheeloom.state import FleetState
 from lycheeloom.wire import OrganisationUsage, decode_batch, encode_batch
 
-from .report import Row, show
+from .report import Row, print_rows
 
 WORKERS, POOLS, ORGANISATIONS, ZONES, ENTRIES = 5_100, 139, 210, 10, 9
 REQUESTS, INSTANCES_PER_PATCH = 2_000, 1_000
-POLICY = SnapshotPolicy(retention_s=3600)
+SNAPSHOT_POLICY = SnapshotPolicy(retention_s=3600)
 TAIL_BATCHES, TAIL_CONFIG_CHANGES = (
-    POLICY.max_tail_batches,
-    POLICY.max_tail_config_changes,
+    SNAPSHOT_POLICY.max_tail_batches,
+    SNAPSHOT_POLICY.max_tail_config_changes,
 )
 LOADS_PER_S = (10, 100, 1_000, 2_000)
 READY_GOAL_S, HEARTBEAT_GOAL_BYTES, APPEND_GOAL_PER_S = 5.0, 24_000, 20.0
 HEARTBEAT_S = 20.0
 
 
-def submitted(number: int) -> r.RequestSubmitted:
-    """Return a recorded request of 200 bytes."""
+def request_record(number: int) -> r.RequestSubmitted:
+    """Return the record of a request with a body of 200 bytes."""
     return r.RequestSubmitted(
         f"request-{number:08d}",
         f"organisation-{number % ORGANISATIONS}",
@@ -67,16 +68,16 @@
 
 
 def measure_appends(seconds: float) -> Iterator[Row]:
-    """Offer records at several rates to one writer."""
+    """Measure one writer at several rates of records."""
     for load in LOADS_PER_S:
         log = LogStandIn(limits=LogLimits(appends_per_s=None)).start()
         tail = LogTail(LogClient(log.address), FleetState())
         writer = LogWriter(LogClient(log.address), "a", tail)
         tail.start()
         writer.start()
-        used = time.process_time()
-        times, effective = _offer(writer, load, seconds)
-        used = time.process_time() - used
+        cpu_s = time.process_time()
+        times, effective = _append_at_rate(writer, load, seconds)
+        cpu_s = time.process_time() - cpu_s
         appends = log.next_offset / seconds
         writer.stop()
         tail.stop()
@@ -90,11 +91,13 @@
         p50, p99 = median(times), times[int(0.99 * (len(times) - 1))]
         yield Row(name + "outcome p50", "", p50 * 1000, None, unit="ms")
         yield Row(name + "outcome p99", "", p99 * 1000, None, unit="ms")
-        share = 100 * used / seconds
+        share = 100 * cpu_s / seconds
         yield Row(name + "processor with stand-in", "", share, None, unit="% core")
 
 
-def _offer(writer: LogWriter, load: int, seconds: float) -> tuple[list[float], int]:
+def _append_at_rate(
+    writer: LogWriter, load: int, seconds: float
+) -> tuple[list[float], int]:
     times: list[float] = []
     outcomes: list[Outcome] = []
 
@@ -106,22 +109,22 @@
     start = time.monotonic()
     for number in range(int(load * seconds)):
         gevent.sleep(max(0.0, start + number / load - time.monotonic()))
-        pending = writer.append(submitted(number))
+        pending = writer.append(request_record(number))
         waiting.append(gevent.spawn(wait_for, pending, time.monotonic()))
     gevent.joinall(waiting, timeout=15)
     return times, sum(isinstance(item, Effective) for item in outcomes)
 
 
 def measure_batches() -> Iterator[Row]:
-    """Time the codec and replay of one batch."""
+    """Time encoding, decoding and replay of batches of several sizes."""
     for size in (1, 16, 100):
         batches = [
-            Batch("a", i + 1, tuple(submitted(i * size + k) for k in range(size)))
+            Batch("a", i + 1, tuple(request_record(i * size + k) for k in range(size)))
             for i in range(2_000 // size)
         ]
         encoded, encode_us = _time_each(batches, encode_batch)
         decoded, decode_us = _time_each(encoded, decode_batch)
-        _, apply_us = _time_each(list(enumerate(decoded)), _applier())
+        _, apply_us = _time_each(list(enumerate(decoded)), _new_apply())
         name = f"batch of {size} requests: "
         yield Row(name + "size", "", len(encoded[0]), None, unit="bytes")
         yield Row(name + "encode", "", encode_us, None, unit="us")
@@ -129,19 +132,19 @@
         yield Row(name + "apply", "", apply_us, None, unit="us")
 
 
-def _applier() -> Callable:
+def _new_apply() -> Callable:
     state = FleetState()
     return lambda item: state.apply(*item)
 
 
-def _time_each(items: list, work: Callable) -> tuple[list, float]:
+def _time_each(inputs: list, function: Callable) -> tuple[list, float]:
     start = time.perf_counter()
-    results = [work(item) for item in items]
-    return results, (time.perf_counter() - start) / len(items) * 1e6
+    results = [function(item) for item in inputs]
+    return results, (time.perf_counter() - start) / len(inputs) * 1e6
 
 
-def _documents() -> Iterator[dict]:
-    """Yield merge patches that give the configuration at the planned size."""
+def _config_patches() -> Iterator[dict]:
+    """Yield merge patches that build the configuration at the design size."""
     yield {
         "zones": {f"zone-{i}": {"region": f"region-{i % 3}"} for i in range(ZONES)},
         "pools": {f"pool-{i}": {"needed": 30} for i in range(POOLS)},
@@ -162,7 +165,7 @@
 
 
 def _organisation(number: int) -> dict:
-    # Random digits, as those of real keys do not compress.
+    # Random digits do not compress, like those of real keys.
     rng = random.Random(number)
     key = {"salt": rng.randbytes(16).hex(), "digest": rng.randbytes(32).hex()}
     return {"share": 1, "upper_limit": 100, "keys": {f"key-{number}": key}}
@@ -180,9 +183,9 @@
     }
 
 
-def planned_records() -> Iterator[Record]:
-    """Yield the records that build the state at the planned size."""
-    for version, document in enumerate(_documents()):
+def design_size_records() -> Iterator[Record]:
+    """Yield the records that build the state at the design size, without grants."""
+    for version, document in enumerate(_config_patches()):
         yield r.ConfigChanged(version, json.dumps(document), "ada")
     for i in range(ENTRIES):
         yield r.MemberJoined(f"e{i}", f"e{i}-0", f"10.0.0.{i}:7100", f"zone-{i}")
@@ -190,12 +193,12 @@
     for i in range(0, WORKERS, 50):
         yield r.InstanceHealth(f"w{i:05d}", r.Health.PROBATION, 1, "fails tasks")
     for i in range(REQUESTS):
-        yield submitted(i)
+        yield request_record(i)
 
 
-def _fill(log: LogStandIn) -> None:
-    """Append the planned state, with the grants of every entry and organisation."""
-    for sequence, record in enumerate(planned_records(), 1):
+def _append_design_state(log: LogStandIn) -> None:
+    """Append the design-size state, with grants for every entry and organisation."""
+    for sequence, record in enumerate(design_size_records(), 1):
         log.append(encode_batch(Batch("m", sequence, (record,))))
     for entry in range(ENTRIES):
         grants = tuple(
@@ -205,14 +208,14 @@
 
 
 def measure_recovery() -> Iterator[Row]:
-    """Write a snapshot at the planned size, then start from it."""
+    """Measure a snapshot at the design size and recovery from it."""
     log = LogStandIn(limits=LogLimits(appends_per_s=None)).start()
-    _fill(log)
+    _append_design_state(log)
     client = LogClient(log.address)
     state = recover(client)
     tail = LogTail(client, state)
     writer = LogWriter(LogClient(log.address), "s", tail)
-    snapshots = SnapshotWriter(writer, tail, POLICY)
+    snapshots = SnapshotWriter(writer, tail, SNAPSHOT_POLICY)
     start = time.perf_counter()
     dump = state.dump_snapshot()
     yield Row("snapshot size", "", len(dump) / 1000, None, unit="KB")
@@ -236,15 +239,13 @@
     yield _time_recovery(log, "nothing")
     for change in range(TAIL_CONFIG_CHANGES):
         log.append(
-            encode_batch(
-                Batch("op", change + 1, (_change_of_one_organisation(change),))
-            )
+            encode_batch(Batch("op", change + 1, (_change_one_organisation(change),)))
         )
     yield _time_recovery(log, f"{TAIL_CONFIG_CHANGES} configuration changes")
     kept = TAIL_CONFIG_CHANGES + TAIL_BATCHES + 10
     log.limits = LogLimits(appends_per_s=None, retained_records=kept)
     for number in range(TAIL_BATCHES):
-        record = submitted(REQUESTS + number)
+        record = request_record(REQUESTS + number)
         log.append(encode_batch(Batch("tail", number + 1, (record,))))
     yield _time_recovery(log, f"these and {TAIL_BATCHES} batches")
     log.stop()
@@ -263,15 +264,15 @@
     return Row(name, "< 5", took_s, holds, unit="s")
 
 
-def _change_of_one_organisation(change: int) -> r.ConfigChanged:
+def _change_one_organisation(change: int) -> r.ConfigChanged:
     patch = json.dumps({"organisations": {"organisation-0": {"share": change + 2}}})
-    return r.ConfigChanged(len(list(_documents())) + change, patch)
+    return r.ConfigChanged(len(list(_config_patches())) + change, patch)
 
 
 def _measure_config_change(state: FleetState) -> Iterator[Row]:
     times = []
     for number in range(5):
-        batch = Batch("op", number + 1, (_change_of_one_organisation(number),))
+        batch = Batch("op", number + 1, (_change_one_organisation(number),))
         start = time.perf_counter()
         applied = state.apply(state.next_offset, batch)
         times.append(time.perf_counter() - start)
@@ -286,7 +287,7 @@
 
 
 def measure_heartbeats() -> Iterator[Row]:
-    """Run 9 meshes on loopback without a log, so that only heartbeats flow."""
+    """Run 9 peer meshes on loopback without a log: they exchange only heartbeats."""
     for changing in (0, 21, ORGANISATIONS):
         rng = random.Random(1)
         meshes = _start_meshes()
@@ -296,7 +297,7 @@
             }
         gevent.sleep(1.0)
         before = [(m.traffic.sent_bytes, m.traffic.received_bytes) for m in meshes]
-        used, end = time.process_time(), time.monotonic() + HEARTBEAT_S
+        cpu_s, end = time.process_time(), time.monotonic() + HEARTBEAT_S
         while time.monotonic() < end:
             for mesh in meshes:
                 for organisation in rng.sample(range(ORGANISATIONS), changing):
@@ -304,7 +305,7 @@
                         organisation, rng
                     )
             gevent.sleep(0.5)
-        used = time.process_time() - used
+        cpu_s = time.process_time() - cpu_s
         rates = [
             (m.traffic.sent_bytes + m.traffic.received_bytes - sum(old)) / HEARTBEAT_S
             for m, old in zip(meshes, before, strict=True)
@@ -317,7 +318,7 @@
         )
         holds = max(rates) <= HEARTBEAT_GOAL_BYTES
         yield Row(name + "both ways", "<= 24000", max(rates), holds, unit="B/s")
-        share = 100 * used / HEARTBEAT_S / ENTRIES
+        share = 100 * cpu_s / HEARTBEAT_S / ENTRIES
         yield Row(name + "processor of an entry", "", share, None, unit="% core")
 
 
@@ -351,10 +352,12 @@
 
 
 def main() -> None:
-    """Run all measurements and print them."""
+    """Run all measurements and print the results."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--json", action="store_true", help="print JSON")
-    parser.add_argument("--seconds", type=float, default=5.0, help="of each load")
+    parser.add_argument(
+        "--seconds", type=float, default=5.0, help="duration of each load (5)"
+    )
     options = parser.parse_args()
     rows = [
         *measure_appends(options.seconds),
@@ -362,7 +365,7 @@
         *measure_recovery(),
         *measure_heartbeats(),
     ]
-    show("Log, snapshots and heartbeats", rows, options.json)
+    print_rows("Log, snapshots and heartbeats", rows, options.json)
 
 
 if __name__ == "__main__":
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,4 +1,4 @@
-"""Results as plain tables or JSON."""
+"""Prints results as a table or as JSON."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One measured quantity with its goal and its baselines."""
+    """One measured quantity with its goal and the values of the baselines.
+
+    ``holds`` tells whether the goal is met; it is None without a goal.
+    """
 
     measure: str
     goal: str
@@ -21,8 +24,8 @@
     unit: str = ""
 
 
-def show(title: str, rows: list[Row], as_json: bool) -> None:
-    """Print the rows."""
+def print_rows(title: str, rows: list[Row], as_json: bool) -> None:
+    """Print the rows as a table, or as one JSON document."""
     if as_json:
         document = {"title": title, "rows": [asdict(row) for row in rows]}
         print(json.dumps(document, indent=2))
--- a/bench/wrong_sizes.py
+++ b/bench/wrong_sizes.py
@@ -1,11 +1,12 @@
-"""Useful work with wrong declarations, bad jobs and bad workers.
-
-User B's shape with three entries and callers who ask for 1.3 times the fleet.
-Declared processors, memory and run time are each wrong by a factor between 1/4
-and 4 that is fixed per organisation and queue, times up to 1.25 either way per job,
-within 1/4 to 4. Of all jobs 2.5 % declare more than any worker has and 2.5 %
-crash everywhere; two workers fail every task. Usage reports lag by 2 s. The
-baseline with perfect information knows real sizes, bad jobs and bad workers.
+"""Goodput with wrong declarations, crashing tasks and failing workers.
+
+The fleet has the shape of user B and three entries; callers ask for 1.3 times its
+capacity. Declared processors, memory and run time are each wrong by a factor
+between 1/4 and 4 that is fixed per organisation and queue. Each task multiplies
+it by a random factor between 1/1.25 and 1.25, within the same bounds. Of all
+tasks, 2.5 % declare more than any worker has and 2.5 % crash on every worker; two
+workers fail every task. Usage reports arrive 2 s late. The baseline with perfect
+information has true declarations, no crashing tasks and only working workers.
 """
 
 from __future__ import annotations
@@ -19,39 +20,41 @@
 from lycheeloom.sched import Task
 
 from .comparison import compare, schedulers
-from .entries import Entries, Observer, Policy
-from .fakes import Job
+from .entries import Observer, SchedulingPolicy, SimulatedEntries
+from .fakes import TaskBehaviour
 from .fleets import QUEUES, USER_B_SIZE, WEIGHTS, total_cores, user_fleet
-from .load import begin_steady_load
+from .load import start_steady_load
 from .report import Row
 
 OFFERED = 1.3
 MEAN_RUN_S = 1.0
 WARM_UP_S = 30.0
 MEASURED_S = 90.0
-GOAL = 90.0
-IMPOSSIBLE_PART = 0.025
-CRASHING_PART = 0.025
+GOAL_PERCENT = 90.0
+IMPOSSIBLE_FRACTION = 0.025
+CRASHING_FRACTION = 0.025
 BAD_WORKERS = ("north-0", "west-3")
 MAX_FACTOR = 4.0
-JOB_NOISE = 1.25
-TOO_LARGE = Resources(1024, 1024 * 1024)
+TASK_NOISE_FACTOR = 1.25
+OVERSIZED = Resources(1024, 1024 * 1024)
 
 
 class GoodputRecorder(Observer):
-    """Sums the real processor time of tasks that ended well."""
+    """Sums the actual processor time of the tasks that succeeded."""
 
     def __init__(self) -> None:
-        self.good_core_s = 0.0
+        self.useful_core_s = 0.0
 
-    def ended(self, task: Task, job: Job, good: bool, now: float) -> None:
-        """Count a task that ended well."""
-        if good and now >= WARM_UP_S:
-            self.good_core_s += job.size.cores * job.run_s
+    def ended(
+        self, task: Task, behaviour: TaskBehaviour, succeeded: bool, now: float
+    ) -> None:
+        """Add a task that succeeded after the warm-up."""
+        if succeeded and now >= WARM_UP_S:
+            self.useful_core_s += behaviour.size.cores * behaviour.run_s
 
 
 class Declarations:
-    """What callers declare instead of what their jobs need."""
+    """Draws the wrong sizes and run times that callers declare."""
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(f"{seed}/declarations")
@@ -64,70 +67,77 @@
                 )
 
     def declare(
-        self, organisation: str, queue: str, job: Job
+        self, organisation: str, queue: str, behaviour: TaskBehaviour
     ) -> tuple[Resources, float]:
-        """Return the declared size and run time of a job."""
-        if self._random.random() < IMPOSSIBLE_PART:
-            return TOO_LARGE, job.run_s
+        """Return the declared size and run time of a task."""
+        if self._random.random() < IMPOSSIBLE_FRACTION:
+            return OVERSIZED, behaviour.run_s
         cores, memory, run = (
-            self._noisy(factor) for factor in self._factors[organisation, queue]
+            self._with_noise(factor) for factor in self._factors[organisation, queue]
         )
         size = Resources(
-            min(USER_B_SIZE.cores, job.size.cores * cores),
-            min(USER_B_SIZE.memory_mb, int(job.size.memory_mb * memory)),
+            min(USER_B_SIZE.cores, behaviour.size.cores * cores),
+            min(USER_B_SIZE.memory_mb, int(behaviour.size.memory_mb * memory)),
         )
-        return size, job.run_s * run
+        return size, behaviour.run_s * run
 
-    def _noisy(self, factor: float) -> float:
-        noisy = factor * JOB_NOISE ** self._random.uniform(-1, 1)
+    def _with_noise(self, factor: float) -> float:
+        noisy = factor * TASK_NOISE_FACTOR ** self._random.uniform(-1, 1)
         return min(MAX_FACTOR, max(1 / MAX_FACTOR, noisy))
 
 
 def measure(
     config: FleetConfig,
     seed: int,
-    wrong: bool,
-    policies: list[Policy],
+    has_faults: bool,
+    policies: list[SchedulingPolicy],
     coordinated: bool,
 ) -> float:
-    """Return the useful processor seconds of one run."""
+    """Return the useful processor seconds of one run.
+
+    ``has_faults`` adds wrong declarations, crashing tasks and failing workers.
+    """
     recorder = GoodputRecorder()
-    entries = Entries(config, policies, recorder, coordinated)
-    if wrong:
+    entries = SimulatedEntries(config, policies, recorder, coordinated)
+    if has_faults:
         for name in BAD_WORKERS:
-            entries.workers.fail_everything(name)
+            entries.workers.fail_all_tasks(name)
     cores = total_cores(user_fleet(USER_B_SIZE))
     declarations = Declarations(seed)
-    begin_steady_load(
+    start_steady_load(
         entries,
         seed,
         cores,
         OFFERED,
         (1, 2),
         MEAN_RUN_S,
-        declare=declarations.declare if wrong else None,
-        crashing=CRASHING_PART if wrong else 0.0,
+        declare=declarations.declare if has_faults else None,
+        crashing_fraction=CRASHING_FRACTION if has_faults else 0.0,
     )
     entries.clock.run(WARM_UP_S + MEASURED_S)
-    return recorder.good_core_s
+    return recorder.useful_core_s
 
 
 def run(seed: int) -> list[Row]:
-    """Measure all policies against perfect information."""
+    """Compare all policies with a scheduler that has perfect information."""
     config = user_fleet(USER_B_SIZE)
-    known = {n: i for n, i in config.instance_by_id.items() if n not in BAD_WORKERS}
-    known_config = replace(config, instance_by_id=known)
-    informed = schedulers(known_config, seed)
-    perfect = measure(known_config, seed, False, informed, True)
-    ours, first, equal = compare(config, seed, partial(measure, config, seed, True))
+    working_instances = {
+        n: i for n, i in config.instance_by_id.items() if n not in BAD_WORKERS
+    }
+    working_config = replace(config, instance_by_id=working_instances)
+    informed_schedulers = schedulers(working_config, seed)
+    perfect = measure(working_config, seed, False, informed_schedulers, True)
+    scheduled, first_come, equal_split = compare(
+        config, seed, partial(measure, config, seed, True)
+    )
     return [
         Row(
             "goodput, of a scheduler with perfect information",
-            f"at least {GOAL:g} %",
-            100 * ours / perfect,
-            100 * ours / perfect >= GOAL,
-            100 * first / perfect,
-            100 * equal / perfect,
+            f"at least {GOAL_PERCENT:g} %",
+            100 * scheduled / perfect,
+            100 * scheduled / perfect >= GOAL_PERCENT,
+            100 * first_come / perfect,
+            100 * equal_split / perfect,
             "%",
         ),
         Row(
