--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -25,7 +25,7 @@
 
 
 def user_fleet(size: Resources, max_queued: int = 400) -> FleetConfig:
-    """Return five pools of six workers in three zones, ``general`` as the spare pool."""
+    """Return five pools of six workers in three zones; ``general`` is spare."""
     pools = {q: Pool(q, spare=q == "general") for q in QUEUES}
     instances = {}
     worker_count_by_zone = dict.fromkeys(ZONES, 0)
