--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -41,7 +41,10 @@
 
 
 def measure(policy_type: type, size: tuple[int, int, int], seed: int) -> float:
-    """Return the processor seconds of one decision on a fleet of a size."""
+    """Return the processor seconds of one decision.
+
+    ``size`` is the number of workers, organisations and queued tasks.
+    """
     workers, organisations, queued = size
     config = scaled_fleet(workers, organisations, max_queued=queued)
     if policy_type is EqualSplit:
--- a/bench/fault_steps.py
+++ b/bench/fault_steps.py
@@ -117,7 +117,7 @@
         return f"kill {name}, replace it after {downtime_s} s"
 
     def _replace_running(self) -> str | None:
-        """Start a second process for an instance while the first one runs."""
+        """Start a second process for a running instance, as a platform may."""
         name = self._pick_entry()
         if name is None:
             return None
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -36,7 +36,7 @@
 CALLERS_PER_ORGANISATION = 10
 STEP_INTERVAL_S = (0.3, 2.5)
 VERSION_INTERVAL_S = 0.5
-# Reclaiming a lost entry's grants takes 20 s and looking its claims up 60 s.
+# Reclaiming the grants of a lost entry takes 20 s, looking up its claims 60 s.
 COLLECT_TIMEOUT_S = 150.0
 CONTROLLERS = ("c0", "c1")
 CALL_KINDS = ("lookup", "booking", "keyed", "batch")
--- a/bench/fleet_rollout.py
+++ b/bench/fleet_rollout.py
@@ -1,4 +1,4 @@
-"""Duration of a full maintenance wave against its lower bound, on virtual time."""
+"""Duration of a full maintenance wave compared with its bound, on virtual time."""
 
 from __future__ import annotations
 
@@ -70,7 +70,10 @@
 
 
 class _Rollout:
-    """One wave over a fleet; drains and failures depend on the seed alone."""
+    """One wave over a fleet.
+
+    With one seed, the planner and the baseline get the same drains and failures.
+    """
 
     def __init__(self, name: str, document: dict, failing: bool, seed: int):
         rng = random.Random(seed)
@@ -87,7 +90,10 @@
         self._events = self._rack_failures(name, rng) if failing else []
 
     def _bound_s(self) -> float:
-        """Return the time of the pool with the most rounds within its budget."""
+        """Return the time of the pool with the most rounds.
+
+        The rounds of a pool are its instances divided by its budget.
+        """
         sizes: dict[str, int] = defaultdict(int)
         for instance in self.fleet.state.config.instance_by_id.values():
             sizes[instance.pool] += 1
