--- a/bench/fleet_simulation.py
+++ b/bench/fleet_simulation.py
@@ -21,7 +21,7 @@
     Planner,
     PlatformAction,
 )
-from lycheeloom.log import Replayed
+from lycheeloom.log import ReplayedBatch
 from lycheeloom.model.config import canonical_json
 from lycheeloom.model.records import (
     Batch,
@@ -71,7 +71,9 @@
     lost_tasks: int = 0
     budget_violations: list[str] = field(default_factory=list)
     sequence_by_author: Counter = field(default_factory=Counter)
-    replay_listeners: list[Callable[[Replayed], None]] = field(default_factory=list)
+    replay_listeners: list[Callable[[ReplayedBatch], None]] = field(
+        default_factory=list
+    )
 
     def __post_init__(self) -> None:
         change = ConfigChanged(0, canonical_json(self.document), "operator")
@@ -85,7 +87,7 @@
         offset = self.state.next_offset
         applied = self.state.apply(offset, batch)
         for listener in self.replay_listeners:
-            listener(Replayed(offset, batch, b"", applied))
+            listener(ReplayedBatch(offset, batch, b"", applied))
         return applied.effective
 
     def claim(self, author: str) -> int:
--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -1,4 +1,4 @@
-"""Removes the records of jobs that ended long ago."""
+"""Removes the records of jobs whose retention time is over."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from .replica import Replica
 
 INTERVAL_S = 10.0
-# Callers are owed the state for a time; clocks of instances differ by less than
-# the rest of this factor.
-KEEP_FACTOR = 1.5
+# Callers must be able to read the state for the retention time; the factor adds a
+# margin for differences between the clocks of instances.
+RETENTION_FACTOR = 1.5
 MAX_JOBS = 200
 
 
 class Cleaner:
-    """Runs beside a dispatcher while this instance leads."""
+    """Removes expired job records while this instance leads."""
 
     def __init__(
         self,
@@ -33,7 +33,7 @@
         self._dispatcher = dispatcher
         self._replica = replica
         self._store = store
-        self._keep_ms = kept_state_s * KEEP_FACTOR * 1000
+        self._retention_ms = kept_state_s * RETENTION_FACTOR * 1000
 
     def run(self) -> None:
         """Remove expired records until the leader is fenced."""
@@ -43,25 +43,25 @@
                 self.clean()
 
     def clean(self) -> None:
-        """Remove the records of jobs whose time is over, a number at a time."""
+        """Remove the records of up to ``MAX_JOBS`` expired jobs."""
         expired = self._expired()[:MAX_JOBS]
         if not expired:
             return
-        calls = [
+        records = [
             Record(key_of(kind, job_id), b"")
             for job_id in expired
             for kind in (Kind.CANCELLATION, Kind.JOB)
         ]
-        result = self._store.append(calls)
+        result = self._store.append(records)
         log_event("jobs_expired", jobs=len(expired), first=expired[0], result=result)
         if isinstance(result, Appended):
-            # Progress goes last: without it a job would seem to be new.
+            # Progress records are removed last: a job without one appears to be new.
             self._dispatcher.writer.write(
                 [Record(key_of(Kind.PROGRESS, job_id), b"") for job_id in expired]
             )
 
     def _expired(self) -> list[str]:
-        before_ms = wall_ms() - self._keep_ms
+        before_ms = wall_ms() - self._retention_ms
         return [
             job_id
             for job_id, entry in self._replica.table.entry_by_id.items()
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -13,9 +13,9 @@
     Move,
     PoolInstance,
     PoolLoad,
+    backlog_by_pool,
     choose_moves,
-    least_by_pool,
-    waiting_by_pool,
+    min_instances_by_pool,
 )
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.telemetry import log_event
@@ -24,38 +24,39 @@
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .inventory import Inventory
-from .order_turns import OrderGuard
+from .order_guard import OrderGuard
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 STEP_PAUSE_S = 0.25
-# A move whose order was not carried out is not tried again for this long.
+# Delay before a failed move is retried.
 RETRY_S = 1.0
-# Orders that are sent at the same time.
+# Maximum move orders in flight.
 MAX_ORDERS = 16
 
 
 class PoolMoves:
-    """Runs beside a dispatcher while this instance leads."""
+    """Sizes the pools while this instance leads, by moving instances."""
 
     def __init__(
         self,
         dispatcher: Dispatcher,
         inventory: Inventory,
-        turns: OrderGuard,
+        order_guard: OrderGuard,
         port: InstancePort,
         is_reserved: Callable[[str], bool],
         move_s: float,
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
-        self._turns = turns
+        self._order_guard = order_guard
         self._port = port
-        # Whether maintenance handles an instance.
+        # Returns whether an instance is being drained or maintained.
         self._is_reserved = is_reserved
         self._move_s = move_s
         self._senders = GreenletPool(MAX_ORDERS)
         self._idle_since_by_worker: dict[str, float] = {}
-        # Pool and the time until which an instance counts as on its way.
+        # Target pool and the time until which an instance counts as moving; the pool is
+        # empty unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
 
     def run(self) -> None:
@@ -80,18 +81,18 @@
                 i.pool,
                 self._idle_s(i.worker_id, now_s),
                 self._is_usable(i),
-                self._turns.may_order(i.instance_id),
+                self._order_guard.may_order(i.instance_id),
             )
             for i in self._inventory.instance_by_id.values()
             if i.state is InstanceState.UP
             and i.instance_id not in self._moving_by_id
             and not self._is_reserved(i.instance_id)
         ]
-        moves = choose_moves(instances, self._loads(), standby)
+        moves = choose_moves(instances, self._load_by_pool(), standby)
         self._order([move for move in moves if self._prepare(move)])
 
     def _release(self, instance_id: str) -> None:
-        """Use an instance again if its move has not happened."""
+        """Allow new tasks on an instance again if it has not moved."""
         instance = self._inventory.instance_by_id.get(instance_id)
         if instance is None or self._is_reserved(instance_id):
             return
@@ -101,7 +102,7 @@
 
     def _note_idle(self, now_s: float) -> None:
         for worker_id, state in self._dispatcher.fleet.state_by_id.items():
-            if state.run_by_task or not state.is_listed:
+            if state.run_by_task or not state.has_current_lists:
                 self._idle_since_by_worker.pop(worker_id, None)
             else:
                 self._idle_since_by_worker.setdefault(worker_id, now_s)
@@ -114,47 +115,51 @@
 
     def _is_usable(self, instance: Instance) -> bool:
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
-        is_leaving = state is not None and state.worker.draining
+        is_draining = state is not None and state.worker.draining
         return (
-            not is_leaving
+            not is_draining
             and instance.zone not in self._dispatcher.view.zones_out_of_service
         )
 
-    def _loads(self) -> dict[str, PoolLoad]:
+    def _load_by_pool(self) -> dict[str, PoolLoad]:
         dispatcher = self._dispatcher
         capacity_by_pool: dict[str, Resources] = {}
         used_by_pool: dict[str, Resources] = {}
-        lasting_by_pool: dict[str, Resources] = {}
+        long_running_need_by_pool: dict[str, Resources] = {}
         for state in dispatcher.fleet.state_by_id.values():
             pool = state.worker.pool
             capacity_by_pool.setdefault(pool, state.worker.capacity)
             used = used_by_pool.get(pool, NO_RESOURCES)
             used_by_pool[pool] = used + state.used
-            lasting = lasting_by_pool.get(pool, NO_RESOURCES)
-            lasting_by_pool[pool] = lasting + state.lasting
-        waiting = waiting_by_pool(
-            dispatcher.work_by_id.values(),
+            long_running_need = long_running_need_by_pool.get(pool, NO_RESOURCES)
+            long_running_need_by_pool[pool] = (
+                long_running_need + state.long_running_need
+            )
+        backlog = backlog_by_pool(
+            dispatcher.active_job_by_id.values(),
             dispatcher.view.policy,
             capacity_by_pool,
             wall_ms(),
         )
-        least = least_by_pool(dispatcher.work_by_id.values(), dispatcher.view.policy)
+        min_instances = min_instances_by_pool(
+            dispatcher.active_job_by_id.values(), dispatcher.view.policy
+        )
         now_s = steady_s()
         arriving = Counter(pool for pool, _ in self._moving_by_id.values())
         return {
             pool: PoolLoad(
                 used_by_pool[pool].dominant_share(capacity),
-                waiting.get(pool, 0.0),
+                backlog.get(pool, 0.0),
                 arriving[pool],
-                least.get(pool, 1),
-                lasting_by_pool[pool].dominant_share(capacity),
-                dispatcher.demand.instances(pool, capacity, now_s),
+                min_instances.get(pool, 1),
+                long_running_need_by_pool[pool].dominant_share(capacity),
+                dispatcher.demand.needed_instances(pool, capacity, now_s),
             )
             for pool, capacity in capacity_by_pool.items()
         }
 
     def _prepare(self, move: Move) -> bool:
-        """Keep new tasks off an instance; False if it has some."""
+        """Exclude an instance from new tasks; False if tasks run on it."""
         state = self._state_of(move)
         if state is None:
             return True
@@ -166,7 +171,7 @@
     def _order(self, moves: Collection[Move]) -> None:
         if not moves:
             return
-        if not self._turns.record([move.instance_id for move in moves]):
+        if not self._order_guard.record([move.instance_id for move in moves]):
             log_event("moves_given_up", level="WARNING", moves=len(moves))
             for move in moves:
                 self._note_reply(move, CallReply(CallOutcome.NOT_SENT, "not recorded"))
@@ -185,8 +190,8 @@
             reason=move.reason,
             size=move.size,
             used=move.load.used,
-            waiting=move.load.waiting,
-            offered=move.load.offered,
+            waiting=move.load.backlog,
+            offered=move.load.offered_load,
             arriving=move.load.arriving,
             token=token,
             outcome=reply.outcome.value,
@@ -196,17 +201,17 @@
         self._note_reply(move, reply)
 
     def _note_reply(self, move: Move, reply: CallReply) -> None:
-        hold_s = RETRY_S
+        moving_s = RETRY_S
         state = self._state_of(move)
         match reply.outcome:
             case CallOutcome.DONE | CallOutcome.UNKNOWN:
-                hold_s = self._move_s + RETRY_S
+                moving_s = self._move_s + RETRY_S
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
             case _ if state is not None:
                 state.is_cordoned = False
         target = move.pool if reply.outcome is CallOutcome.DONE else ""
-        self._moving_by_id[move.instance_id] = (target, steady_s() + hold_s)
+        self._moving_by_id[move.instance_id] = (target, steady_s() + moving_s)
 
     def _state_of(self, move: Move) -> WorkerState | None:
         instance = self._inventory.instance_by_id.get(move.instance_id)
--- /dev/null
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -0,0 +1,196 @@
+"""Tests of the leader's background tasks: advice, pacing and pool moves."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import gevent
+from libs.coordinator.tests.fakes import ID, make_job, make_worker, wait_until
+
+from lycheeloom.coordinator.advisor import Advisor
+from lycheeloom.coordinator.inventory import Inventory
+from lycheeloom.coordinator.order_guard import OrderGuard
+from lycheeloom.coordinator.pacer import Pacer
+from lycheeloom.coordinator.pool_moves import PoolMoves
+from lycheeloom.coordinator.ports import (
+    Advice,
+    CallOutcome,
+    CallReply,
+    Instance,
+    InstanceState,
+)
+from lycheeloom.jobs.model import AdviceTerms, Pool, RunningTask, Step
+from lycheeloom.jobs.records import Kind, key_of
+
+# Longer than any test takes.
+LONG_S = 600.0
+
+
+class FakeAdvice:
+    """Allows one worker; the first ``failures`` calls are refused."""
+
+    def __init__(self, failures: int) -> None:
+        self.failures = failures
+        self.asked: list[tuple[str, int]] = []
+
+    def advise(self, step, worker_ids, timeout_s):
+        self.asked.append((step, len(worker_ids)))
+        if self.failures:
+            self.failures -= 1
+            return CallReply(CallOutcome.REFUSED, "status 429")
+        return Advice({"w1": "ticket"}, 3.0)
+
+
+def require_advice(cluster):
+    """Make the queue of the cluster require advice."""
+    policy = cluster.view.policy
+    queue = dataclasses.replace(
+        policy.queue_by_name["queue"], advice=AdviceTerms(1.0, 1.0, 3_000.0)
+    )
+    cluster.view.policy = dataclasses.replace(policy, queue_by_name={"queue": queue})
+
+
+def test_step_starts_on_the_advised_worker(cluster):
+    """A step must start even if the advice service refused a call before."""
+    require_advice(cluster)
+    cluster.store.add_job(make_job(ID, Step(2, 1000)))
+    dispatcher = cluster.lead()
+    advice = FakeAdvice(failures=1)
+    cluster.spawn(Advisor(dispatcher, advice).run)
+    wait_until(lambda: len(cluster.workers.started) == 2)
+    assert {worker for worker, _, _ in cluster.workers.started} == {"w1"}
+    assert {step for step, _ in advice.asked} == {f"{ID}.0.0"}
+
+
+def test_filling_task_is_paused_next_to_a_service_above_its_target(
+    cluster, monkeypatch
+):
+    """Filling tasks must be slowed while a service misses its latency target."""
+    steps = (
+        Step(1, 1000, long_running=True, target_ms=20, image="serve"),
+        Step(1, 1000, long_running=True, fills=True, image="fill"),
+    )
+    cluster.view.worker_by_id.pop("w1")
+    paces: list[int] = []
+    monkeypatch.setattr(
+        cluster.workers,
+        "pace",
+        lambda worker, task, run, percent, token: (
+            paces.append(percent) or CallReply(CallOutcome.DONE)
+        ),
+    )
+    renew_and_list = cluster.workers.renew_and_list
+
+    def list_over_target(*args):
+        lists = renew_and_list(*args)
+        rows = tuple(
+            RunningTask(r.task, r.run, "", 100, 50.0 if r.task.step == 0 else 1.0)
+            for r in lists.running
+        )
+        return dataclasses.replace(lists, running=rows)
+
+    monkeypatch.setattr(cluster.workers, "renew_and_list", list_over_target)
+    cluster.store.add_job(make_job(ID, *steps))
+    dispatcher = cluster.lead()
+    cluster.spawn(Pacer(dispatcher, cluster.workers).run)
+    wait_until(lambda: 0 in paces)
+    assert paces == sorted(paces, reverse=True)
+
+
+class FakeInstancePort:
+    """An instance port with one standby instance; moves take effect immediately."""
+
+    def __init__(self, cluster) -> None:
+        self._cluster = cluster
+        self.moves: list[tuple[str, str]] = []
+
+    def list_instances(self):
+        standby = (Instance("m-off", "off", InstanceState.UP, "zone-a", ""),)
+        workers = self._cluster.view.worker_by_id.values()
+        return standby + tuple(
+            Instance(f"m-{w.worker_id}", w.pool, InstanceState.UP, w.zone, w.worker_id)
+            for w in workers
+        )
+
+    def move(self, instance_id, pool, token):
+        self.moves.append((instance_id, pool))
+        if instance_id == "m-off":
+            self._cluster.view.worker_by_id["w9"] = make_worker(9, pool)
+        return CallReply(CallOutcome.DONE)
+
+
+def add_standby_pool(cluster) -> None:
+    """Add a standby pool to the policy."""
+    pools = {"pool": Pool("pool"), "off": Pool("off", standby=True)}
+    cluster.view.policy = dataclasses.replace(cluster.view.policy, pool_by_name=pools)
+
+
+def move_instances(cluster, dispatcher, port, lease_s=0.0) -> None:
+    """Let a leader move instances; ``lease_s`` > 0 means it has a predecessor."""
+    inventory = Inventory(port, dispatcher.writer)
+    order_guard = OrderGuard(
+        dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0
+    )
+    moves = PoolMoves(
+        dispatcher, inventory, order_guard, port, lambda instance_id: False, 0.2
+    )
+    cluster.spawn(inventory.run)
+    cluster.spawn(moves.run)
+
+
+def test_standby_instance_moves_to_pool_with_waiting_work(cluster):
+    """Work must not wait while instances are switched off.
+
+    Load pattern: a queue needs several times the capacity of its pool.
+    """
+    add_standby_pool(cluster)
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    dispatcher = cluster.lead()
+    port = FakeInstancePort(cluster)
+    move_instances(cluster, dispatcher, port)
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+    wait_until(lambda: len(cluster.workers.started) == 24)
+    assert port.moves.count(("m-off", "pool")) == 1
+
+
+def test_new_leader_waits_before_it_sends_orders(cluster):
+    """Two leaders must not order the same instance within its lease."""
+    add_standby_pool(cluster)
+    cluster.store.append_order("m-off")
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeInstancePort(cluster)
+    move_instances(cluster, cluster.lead(), port, lease_s=1.5)
+    gevent.sleep(0.7)
+    assert port.moves == []
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+
+
+def test_new_leader_orders_instances_without_recent_orders(cluster):
+    """Waiting work must not wait for the lease of other instances.
+
+    The leader is lost during a load spike, and most standby instances have had no
+    order for seconds.
+    """
+    add_standby_pool(cluster)
+    cluster.store.append_order("m-w0")
+    cluster.store.append_order("m-off", age_s=2 * LONG_S)
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeInstancePort(cluster)
+    move_instances(cluster, cluster.lead(), port, lease_s=LONG_S)
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+
+
+def test_order_is_recorded_before_it_is_sent(cluster):
+    """An order must never be sent without a record for later leaders."""
+    add_standby_pool(cluster)
+    cluster.store.add_job(make_job(ID, Step(30, 1000, estimated_ms=2_000)))
+    port = FakeInstancePort(cluster)
+    dispatcher = cluster.lead()
+    cluster.store.is_down = True
+    move_instances(cluster, dispatcher, port)
+    gevent.sleep(0.7)
+    assert port.moves == []
+    cluster.store.is_down = False
+    wait_until(lambda: ("m-off", "pool") in port.moves)
+    key = key_of(Kind.ORDER, "m-off")
+    assert key in {record.key for record in cluster.store.records}
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -1,4 +1,7 @@
-"""Metrics of an entry. Label values come from the configuration only."""
+"""Prometheus metrics of an entry.
+
+Label values come from the configuration and from enumerations, never from callers.
+"""
 
 from __future__ import annotations
 
@@ -35,7 +38,7 @@
 
 
 class EntryMetrics:
-    """All metrics of one entry in a registry of its own."""
+    """All metrics of one entry, in a registry of its own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -90,10 +93,14 @@
             "organisation",
         )
         self.entitlement_ratio = self._gauge(
-            "organisation_entitlement_ratio", "Fleet-wide share due now", "organisation"
+            "organisation_entitlement_ratio",
+            "Fleet-wide share due now",
+            "organisation",
         )
         self.zone_in_service = self._gauge(
-            "zone_in_service", "0 while operators have taken the zone out", "zone"
+            "zone_in_service",
+            "0 while operators have taken the zone out",
+            "zone",
         )
         self.fresh = self._gauge("entry_fresh", "1 if this entry may start tasks")
         self.draining = self._gauge("entry_draining", "1 while it takes no new work")
@@ -114,11 +121,11 @@
         return Gauge(f"lycheeloom_{name}", text, labels, registry=self.registry)
 
     def set_status(self, status: StatusDocument) -> None:
-        """Report what the status document says; removed names disappear."""
+        """Set the gauges from the status document; removed label values disappear."""
         self.fresh.set(int(status.fresh))
         self.draining.set(int(status.draining))
         self.config_version.set(status.config_version)
-        # An entry that has never read the log must not look up to date.
+        # An entry that has never read the log must not look up to date to alerts.
         never = status.log_age_ms is None
         self.log_age_s.set(math.inf if never else status.log_age_ms / 1000)
         self._set_members(status)
--- a/libs/log/src/lycheeloom/log/__init__.py
+++ b/libs/log/src/lycheeloom/log/__init__.py
@@ -1,4 +1,4 @@
-"""Log writer, log tail and snapshots."""
+"""Client side of the replicated log: writer, tail, recovery and snapshots."""
 
 from .client import LogClient
 from .outcomes import (
@@ -6,7 +6,7 @@
     NoEffect,
     NotWritten,
     Outcome,
-    Pending,
+    PendingRecord,
     Priority,
     Unknown,
 )
@@ -15,7 +15,7 @@
 from .ring import BatchRing
 from .snapshot_reader import SnapshotReader
 from .snapshot_writer import SnapshotPolicy, SnapshotResult, SnapshotWriter
-from .tail import LogTail, Offer, Replayed
+from .tail import LogTail, OfferResult, ReplayedBatch
 from .writer import LogWriter
 
 __all__ = [
@@ -26,14 +26,14 @@
     "LogWriter",
     "NoEffect",
     "NotWritten",
-    "Offer",
+    "OfferResult",
     "Outcome",
-    "Pending",
+    "PendingRecord",
     "Priority",
     "RecordLost",
     "RecordReader",
     "RecoveryFailed",
-    "Replayed",
+    "ReplayedBatch",
     "SnapshotPolicy",
     "SnapshotReader",
     "SnapshotResult",
--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -1,4 +1,4 @@
-"""Appends batches and finds out what became of them."""
+"""Appends batches to the log and determines whether they took effect."""
 
 from __future__ import annotations
 
@@ -18,13 +18,16 @@
 
 from .log_view import BatchOutcome, Log, LogView
 
-FIRST_PAUSE_S = 0.05
-MAX_PAUSE_S = 1.0
+INITIAL_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The batch is in the log; ``outcome`` says what took effect."""
+    """The batch is in the log.
+
+    ``outcome`` tells which of its records took effect; ``data`` is the encoded batch.
+    """
 
     outcome: BatchOutcome
     data: bytes
@@ -32,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotAccepted:
-    """The batch is certainly not in the log and never will be.
+    """The batch is not in the log and will not appear there later.
 
     ``may_repeat`` is False if the log would refuse the same batch again.
     """
@@ -43,24 +46,24 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
-    """The batch may be in the log, now or later."""
+    """The batch may be in the log already or appear there later."""
 
     reason: str
 
 
 @dataclass(frozen=True, slots=True)
 class Clock:
-    """Time as the library sees it, replaced in tests."""
+    """Source of time, which tests replace: ``now_s`` is monotonic, in seconds."""
 
     now_s: Callable[[], float] = time.monotonic
     sleep: Callable[[float], None] = time.sleep
 
 
 class Appender:
-    """Appends the batches of one author, each under the next sequence number.
+    """Appends the batches of one author, each with the next sequence number.
 
-    A lost answer is resolved by reading the log back. The batch is repeated
-    with the same sequence number, so it takes effect at most once.
+    If the answer to an append is lost, the log is read to see whether it holds the
+    batch. Retries keep the sequence number, so a batch takes effect at most once.
     """
 
     def __init__(self, log: Log, view: LogView, author: str, clock: Clock) -> None:
@@ -73,34 +76,36 @@
     def append(
         self, records: tuple[Record, ...], timeout_s: float
     ) -> Accepted | NotAccepted | OutcomeUnknown:
-        """Append records as one batch and read back what they did."""
+        """Append records as one batch and read back which of them took effect."""
         self._sequence += 1
         data = encode_batch(Batch(self._author, self._sequence, records))
-        give_up_at_s = self._clock.now_s() + timeout_s
-        pause_s = FIRST_PAUSE_S
+        deadline_s = self._clock.now_s() + timeout_s
+        backoff_s = INITIAL_BACKOFF_S
         is_appended = may_be_in_log = False
         while True:
             if not is_appended:
                 result = self._log.append(data)
                 is_appended = isinstance(result, Appended)
                 may_be_in_log |= isinstance(result, Appended | AppendUnknown)
-                reason = f"the log at {self._log.address} {_what_happened(result)}"
+                reason = (
+                    f"the log at {self._log.address} {_describe_append_result(result)}"
+                )
                 if result == AppendRefused(AppendRefusal.TOO_LARGE):
-                    return _give_up(may_be_in_log, reason, may_repeat=False)
+                    return _not_confirmed(may_be_in_log, reason, may_repeat=False)
             if may_be_in_log:
-                problem = self._view.catch_up()
+                failure = self._view.catch_up()
                 outcome = self._view.outcome(self._sequence)
                 if outcome is not None:
                     return Accepted(outcome, data)
-                if problem is not None:
-                    reason = self._view.unreadable(problem)
-            if self._clock.now_s() + pause_s > give_up_at_s:
-                return _give_up(may_be_in_log, reason)
-            self._clock.sleep(pause_s * random.uniform(0.5, 1.0))
-            pause_s = min(2 * pause_s, MAX_PAUSE_S)
+                if failure is not None:
+                    reason = self._view.read_failure(failure)
+            if self._clock.now_s() + backoff_s > deadline_s:
+                return _not_confirmed(may_be_in_log, reason)
+            self._clock.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
 
-def _what_happened(result: Appended | AppendUnknown | AppendRefused) -> str:
+def _describe_append_result(result: Appended | AppendUnknown | AppendRefused) -> str:
     match result:
         case AppendUnknown(reason):
             return f"did not confirm the change ({reason})"
@@ -113,7 +118,7 @@
     return "accepted the change but did not show it in time"
 
 
-def _give_up(
+def _not_confirmed(
     may_be_in_log: bool, reason: str, may_repeat: bool = True
 ) -> NotAccepted | OutcomeUnknown:
     if may_be_in_log:
--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -1,7 +1,7 @@
 """The meaning, unit and allowed values of each configuration field.
 
-The same table serves the comments of printed configurations, the messages
-about mistakes, and the test of ``docs/configuration.md``.
+The comments of printed configurations, the messages about problems and the test of
+``docs/configuration.md`` use these texts.
 """
 
 from __future__ import annotations
@@ -26,14 +26,15 @@
 ABOVE_0 = "a number greater than 0"
 PERCENT = "a number from 0 to 100"
 YES_NO = "true or false"
-NAME_TEXT = "a text in quotation marks"
+QUOTED_TEXT = "a text in quotation marks"
 
 
 @dataclass(frozen=True, slots=True)
 class Meaning:
-    """One field: ``sentence`` has ``{value}`` for the figure.
+    """What one field means and allows.
 
-    ``sentence_by_value`` is used instead where each value means something else.
+    ``sentence`` explains a value, for which it has the placeholder ``{value}``.
+    ``sentence_by_value`` is used instead for fields with a few fixed values.
     """
 
     allowed: str
@@ -41,7 +42,7 @@
     sentence_by_value: Mapping[Any, str] = field(default_factory=dict)
 
     def explain(self, value: Any) -> str:
-        """Return the plain sentence for a value."""
+        """Return the sentence that explains a value."""
         if isinstance(value, (str, bool)) and value in self.sentence_by_value:
             return self.sentence_by_value[value]
         return self.sentence.format(value=value)
@@ -67,7 +68,7 @@
 MEANING_BY_FIELD: dict[str, dict[str, Meaning]] = {
     "zones": {
         "region": Meaning(
-            NAME_TEXT, "This availability zone belongs to the region {value}."
+            QUOTED_TEXT, "This availability zone belongs to the region {value}."
         ),
         "state": Meaning(
             'one of "in", "out"',
@@ -116,7 +117,7 @@
             "the name of a zone under [zones]",
             "This instance is in the availability zone {value}.",
         ),
-        "rack": Meaning(NAME_TEXT, "This instance is in the rack {value}."),
+        "rack": Meaning(QUOTED_TEXT, "This instance is in the rack {value}."),
         "address": Meaning(
             'host and port, such as "10.1.0.4:7100"',
             "This instance answers at the address {value}.",
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -1,4 +1,4 @@
-"""Splits a patch that is too large for one batch of the log."""
+"""Splits a configuration patch that is too large for one batch of the log."""
 
 from __future__ import annotations
 
@@ -8,10 +8,11 @@
 
 from lycheeloom.model.limits import MAX_BATCH_BYTES
 
-# Leaves room for the author and the encoding of the batch.
+# The difference is room for the author and the encoding of the batch.
 MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
-# Whatever is referred to is added first and removed last.
-_ADDED_IN_ORDER = ("zones", "pools", "organisations", "instances", "queues")
+# A section comes after those that its items refer to. Additions follow this order and
+# removals the reverse, so that no part refers to an item that does not exist.
+_ADDITION_ORDER = ("zones", "pools", "organisations", "instances", "queues")
 
 
 def patch_text(patch: Mapping[str, Any]) -> str:
@@ -22,22 +23,22 @@
 def split_patch(
     patch: Mapping[str, Any], max_bytes: int = MAX_PATCH_BYTES
 ) -> list[dict[str, Any]]:
-    """Return patches that lead to the same document one after the other.
+    """Return patches that, applied in order, have the effect of the given one.
 
-    One patch is returned wherever it fits, so that a change takes effect at
-    once. A larger one is divided between the entries of its tables, additions
-    and changes first, removals last.
+    A patch that fits into ``max_bytes`` is not split, so that it takes effect at
+    once. A larger one is split between the items of its sections, with additions
+    and changes before removals.
     """
     if len(patch_text(patch)) <= max_bytes:
         return [dict(patch)]
     parts: list[dict[str, Any]] = []
     size = 0
-    for section, name, value in _pieces(patch):
-        piece_size = len(patch_text({section: {name: value}}))
-        if not parts or size + piece_size > max_bytes:
+    for section, name, value in _items_in_order(patch):
+        item_size = len(patch_text({section: {name: value}}))
+        if not parts or size + item_size > max_bytes:
             parts.append({})
             size = 0
-        size += piece_size
+        size += item_size
         if name is None:
             parts[-1][section] = value
         else:
@@ -45,28 +46,29 @@
     return parts
 
 
-def _pieces(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
+def _items_in_order(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
+    """Yield section, item name and value; the name is None for a whole section."""
     for section, value in patch.items():
         is_table = isinstance(value, Mapping) and value
-        if value is not None and not (is_table and section in _ADDED_IN_ORDER):
+        if value is not None and not (is_table and section in _ADDITION_ORDER):
             yield section, None, value
-    for section in _ADDED_IN_ORDER:
-        for name, value in _items(patch, section):
+    for section in _ADDITION_ORDER:
+        for name, value in _table_items(patch, section):
             if value is not None:
                 yield section, name, value
-    for section in reversed(_ADDED_IN_ORDER):
-        for name, value in _items(patch, section):
+    for section in reversed(_ADDITION_ORDER):
+        for name, value in _table_items(patch, section):
             if value is None:
                 yield section, name, value
-    for section in reversed([*_others(patch), *_ADDED_IN_ORDER]):
+    for section in reversed([*_other_sections(patch), *_ADDITION_ORDER]):
         if section in patch and patch[section] is None:
             yield section, None, None
 
 
-def _others(patch: Mapping[str, Any]) -> list[str]:
-    return [section for section in patch if section not in _ADDED_IN_ORDER]
+def _other_sections(patch: Mapping[str, Any]) -> list[str]:
+    return [section for section in patch if section not in _ADDITION_ORDER]
 
 
-def _items(patch: Mapping[str, Any], section: str) -> list[tuple[str, Any]]:
+def _table_items(patch: Mapping[str, Any], section: str) -> list[tuple[str, Any]]:
     value = patch.get(section)
     return list(value.items()) if isinstance(value, Mapping) else []
--- a/libs/sched/src/lycheeloom/sched/events.py
+++ b/libs/sched/src/lycheeloom/sched/events.py
@@ -1,4 +1,4 @@
-"""Typed events that explain decisions in sentences to read aloud."""
+"""Typed events that explain decisions; ``str()`` gives a sentence for operators."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 def describe(resources: Resources) -> str:
-    """Return ``2 cores, 4096 MB and 1 accelerators`` for such resources."""
+    """Format resources, for example as ``2 cores, 4096 MB and 1 accelerators``."""
     text = f"{resources.cores:g} cores, {resources.memory_mb} MB"
     if resources.accelerators:
         text += f" and {resources.accelerators} accelerators"
@@ -17,19 +17,19 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskQueued:
-    """A task entered its queue, or came back to it."""
+    """A task was queued, for the first time or again."""
 
     at: float
     queue: str
-    why: str
+    reason: str
 
     def __str__(self) -> str:
-        return f"Queued on {self.queue}: {self.why}."
+        return f"Queued on {self.queue}: {self.reason}."
 
 
 @dataclass(frozen=True, slots=True)
 class TaskStarted:
-    """A task was placed; ``borrowed`` if not in its queue's own pool."""
+    """A task was started; ``borrowed`` if not in its queue's own pool."""
 
     at: float
     worker: str
@@ -44,8 +44,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TaskAsked:
-    """A running task was asked to checkpoint or to slow down."""
+class PreemptionRequested:
+    """A checkpoint or a throttle of a running task was requested."""
 
     at: float
     action: str
@@ -69,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReserved:
-    """A worker is kept for a task that needs much room."""
+    """A worker is reserved for a task that does not fit anywhere now."""
 
     at: float
     worker: str
@@ -85,10 +85,10 @@
     """Why a queued task has not started yet."""
 
     at: float
-    why: str
+    reason: str
 
     def __str__(self) -> str:
-        return f"Waiting: {self.why}."
+        return f"Waiting: {self.reason}."
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrganisationStatus:
-    """Where an organisation stands against its share and its running slots."""
+    """How much an organisation uses of its fair share and of its running slots."""
 
     at: float
     organisation: str
@@ -127,7 +127,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerOnProbation:
-    """A worker failed several different tasks in a row."""
+    """A worker entered probation, by its failures here or by a fleet-wide decision."""
 
     at: float
     worker: str
@@ -138,7 +138,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReturned:
-    """A worker passed its trials."""
+    """A worker left probation."""
 
     at: float
     worker: str
@@ -176,7 +176,7 @@
 TaskEvent = (
     TaskQueued
     | TaskStarted
-    | TaskAsked
+    | PreemptionRequested
     | TaskEnded
     | WorkerReserved
     | TaskWaiting
--- a/libs/standins/src/lycheeloom/standins/tasks.py
+++ b/libs/standins/src/lycheeloom/standins/tasks.py
@@ -1,4 +1,4 @@
-"""Tasks of a worker stand-in: how they progress, end and are remembered."""
+"""Tasks of a worker stand-in: their payload, progress and end."""
 
 from __future__ import annotations
 
@@ -40,13 +40,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Work:
-    """What a payload asks of the worker.
-
-    A payload that is a JSON object may name ``work_ms``, ``fail``, the resources
-    really used (``used_cores``, ``used_memory_mb``) and the caller's own name of
-    the work (``call``), which the ledger keeps. Any other payload is work of the
-    default duration.
+class SimulatedWork:
+    """What a task is to simulate, as its payload says.
+
+    A payload that is a JSON object can give the duration (``work_ms``), whether the
+    task fails at its end (``fail``), the resources that usage reports show instead of
+    the requested ones (``used_cores``, ``used_memory_mb``) and an id chosen by the
+    caller (``call``), which the ledger records. Any other payload means a successful
+    task of the default duration.
     """
 
     duration_s: float
@@ -56,13 +57,13 @@
     call: str = ""
 
 
-def parse_work(payload: bytes, default_s: float) -> Work:
-    """Read the work out of a payload."""
+def parse_work(payload: bytes, default_s: float) -> SimulatedWork:
+    """Parse a payload; an invalid one means work of the default duration."""
     if not payload.startswith(b"{"):
-        return Work(default_s)
+        return SimulatedWork(default_s)
     try:
         document = json.loads(payload)
-        return Work(
+        return SimulatedWork(
             float(document.get("work_ms", default_s * 1000)) / 1000,
             bool(document.get("fail", False)),
             document.get("used_cores"),
@@ -70,19 +71,25 @@
             str(document.get("call", "")),
         )
     except (ValueError, TypeError):
-        return Work(default_s)
+        return SimulatedWork(default_s)
 
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """One start of a task; times are from the monotonic clock, in seconds."""
+    """One start of a task; times are from the monotonic clock, in seconds.
+
+    ``worked_s`` is the work done until ``progress_updated_at``, in seconds at full
+    speed; ``rate`` is the current fraction of full speed. ``changed`` wakes the
+    greenlet that runs the task; it and ``ended`` are None if the task ended at its
+    start.
+    """
 
     id: str
     request_id: str
     organisation: str
     queue: str
-    amount: Amount
-    work: Work
+    resources: Amount
+    work: SimulatedWork
     answer: bytes
     started_at: float
     lease_until: float
@@ -91,28 +98,28 @@
     status: TaskStatus = TaskStatus.RUNNING
     rate: float = 1.0
     worked_s: float = 0.0
-    counted_at: float = 0.0
+    progress_updated_at: float = 0.0
     changed: Event | None = None
     ended: Event | None = None
 
-    def count_work(self, now: float) -> None:
-        """Add the work done since the last count at the current rate."""
-        self.worked_s += (now - self.counted_at) * self.rate
-        self.counted_at = now
+    def update_progress(self, now: float) -> None:
+        """Add the work done since the last update at the current rate."""
+        self.worked_s += (now - self.progress_updated_at) * self.rate
+        self.progress_updated_at = now
 
     def remaining_s(self, now: float) -> float:
-        """Return the time until the work is done at the current rate."""
-        self.count_work(now)
+        """Update the progress and return the time left at the current rate."""
+        self.update_progress(now)
         return (self.work.duration_s - self.worked_s) / self.rate
 
-    def wake(self) -> None:
-        """Make a running task look at its lease, rate and status again."""
+    def notify_change(self) -> None:
+        """Make the greenlet that runs the task re-read its lease, rate and status."""
         if self.changed is not None:
             self.changed.set()
 
 
 def run_task(task: Task) -> TaskStatus:
-    """Wait until the task's work is done, its lease lapses or it is stopped."""
+    """Wait until the work is done, the lease expires or the task is stopped."""
     while task.status is TaskStatus.RUNNING:
         now = time.monotonic()
         if now >= task.lease_until:
@@ -125,12 +132,12 @@
     return task.status
 
 
-def spawn_task(task: Task, on_end: Any) -> None:
-    """Run a task in its own greenlet; ``on_end(task, status)`` when it ends."""
+def spawn_task(task: Task, on_finished: Any) -> None:
+    """Run a task in its own greenlet and call ``on_finished(task, status)`` after."""
     task.changed = Event()
     task.ended = Event()
-    gevent.spawn(_run_to_end, task, on_end)
+    gevent.spawn(_run_and_report, task, on_finished)
 
 
-def _run_to_end(task: Task, on_end: Any) -> None:
-    on_end(task, run_task(task))
+def _run_and_report(task: Task, on_finished: Any) -> None:
+    on_finished(task, run_task(task))
