--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -1,4 +1,4 @@
-"""Probation, reboots and return of workers that fail."""
+"""Tests of probation, reboots and return to service of faulty workers."""
 
 from __future__ import annotations
 
@@ -12,22 +12,24 @@
 def fail_tasks(controller, instance, count=5):
     for number in range(count):
         health = controller.planner.health
-        health.task_ended(instance, "lookups", False, controller.fleet.now_s + number)
+        health.record_outcome(
+            instance, "lookups", False, controller.fleet.now_s + number
+        )
 
 
-def test_failing_worker_is_tried_rebooted_and_given_up(world, controller):
+def test_failing_worker_is_put_on_probation_rebooted_and_given_up(world, controller):
     health = controller.planner.health
     seen = set()
     for _ in range(400):
         fail_tasks(controller, "w07")
-        health.task_ended("w08", "lookups", True, world.now_s)
+        health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
         state = world.state.maintenance.health_by_instance.get("w07")
         seen.add(state and state.health)
     assert seen >= {Health.PROBATION, Health.REBOOTING, Health.GIVEN_UP}
     assert world.workers["w07"].boots == 3
     assert set(world.state.maintenance.health_by_instance) == {"w07"}
-    texts = [x.text for x in controller.planner.explanations.of_instance("w07")]
+    texts = [x.text for x in controller.planner.explanations.for_instance("w07")]
     assert any("needs a person to look at it" in text for text in texts)
 
 
@@ -37,8 +39,8 @@
         if not world.workers["w07"].boots:
             fail_tasks(controller, "w07")
         elif world.workers["w07"].alive:
-            health.task_ended("w07", "lookups", True, world.now_s)
-        health.task_ended("w08", "lookups", True, world.now_s)
+            health.record_outcome("w07", "lookups", True, world.now_s)
+        health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
     state = world.state.maintenance.health_by_instance["w07"]
     assert state.health is Health.IN_SERVICE
@@ -46,17 +48,17 @@
 
 
 def test_new_holder_continues_the_count_of_reboots(world, controller):
-    """A crash loop of controllers must not reboot a broken worker for ever."""
+    """Guards against endless reboots of a broken worker if controllers crash."""
     for tick in range(600):
         if tick % 40 == 39:
             controller = Controller(world, f"controller-{tick}")
         fail_tasks(controller, "w07")
-        controller.planner.health.task_ended("w08", "lookups", True, world.now_s)
+        controller.planner.health.record_outcome("w08", "lookups", True, world.now_s)
         controller.tick()
     assert world.workers["w07"].boots <= 3
 
 
-def test_work_that_fails_everywhere_blames_no_worker(world, controller):
+def test_workload_that_fails_everywhere_is_not_held_against_workers(world, controller):
     for _ in range(30):
         for name in ("w01", "w02", "w03"):
             fail_tasks(controller, name)
@@ -64,13 +66,15 @@
     assert world.state.maintenance.health_by_instance == {}
 
 
-@pytest.mark.parametrize("signal", ["lease_lost", "flapping", "silent"])
-def test_half_dead_flapping_and_silent_workers_are_noticed(world, controller, signal):
+@pytest.mark.parametrize("signal", ["lost_lease", "flapping", "silent"])
+def test_lost_leases_flapping_and_silence_put_a_worker_on_probation(
+    world, controller, signal
+):
     health = controller.planner.health
     run(controller, 1)
     for number in range(6):
-        if signal == "lease_lost":
-            health.lease_lost("w07", world.now_s)
+        if signal == "lost_lease":
+            health.record_lost_lease("w07", world.now_s)
         if signal == "flapping":
             health.record_heartbeat("w07", world.now_s, f"boot-{number}")
         if signal == "silent":
@@ -79,8 +83,8 @@
     assert world.state.maintenance.health_by_instance["w07"].health is Health.PROBATION
 
 
-def test_silent_majority_is_doubted_and_nothing_is_rebooted(world, controller):
-    """A controller that hears nobody must not reboot the fleet."""
+def test_nothing_is_rebooted_if_too_many_instances_are_silent(world, controller):
+    """Guards against reboots of the fleet by a controller that reaches no worker."""
     run(controller, 1)
     world.fail(list(world.workers)[:20])
     start_wave(world)
