--- a/libs/fleet/tests/test_repair.py
+++ b/libs/fleet/tests/test_repair.py
@@ -5,7 +5,7 @@
 import pytest
 from libs.fleet.tests.planner_runs import run, start_wave
 
-from bench.fleet_world import Controller
+from bench.fleet_simulation import Controller
 from lycheeloom.model.records import Health, InstanceHealth
 
 
@@ -13,7 +13,7 @@
     for number in range(count):
         health = controller.planner.health
         health.record_outcome(
-            instance, "lookups", False, controller.world.now_s + number
+            instance, "lookups", False, controller.fleet.now_s + number
         )
 
 
