--- a/libs/coordinator/src/lycheeloom/coordinator/__init__.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/__init__.py
@@ -1,4 +1,4 @@
-"""Leader election, dispatch and recovery of jobs, independent of the platform.
+"""Acceptance of jobs, leader election and scheduling, independent of the platform.
 
 The platform is accessed through the protocols in ``ports``.
 """
--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -70,7 +70,7 @@
 
     def _expired_job_ids(self) -> list[str]:
         finished_before_ms = wall_ms() - self._retention_ms
-        # A ``finished_ms`` of 0 means that the time is not known.
+        # A ``finished_ms`` of 0 means that the record lacks the time of the end.
         return [
             job_id
             for job_id, entry in self._replica.table.entry_by_id.items()
--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -29,23 +29,31 @@
 )
 from .writer import LeaderWriter
 
-# Pause before each planning round, so that events in quick succession share one.
+# Pause before each planning round, so that events in quick succession share a round.
 PLAN_PAUSE_S = 0.005
-# Planning also happens at this interval, for due times and expired backoffs.
+# Without events there is a planning round at this interval, for occurrences that have
+# become due and backoffs that have expired.
 PLAN_INTERVAL_S = 0.2
-# Longer than any lease granted by the previous leader.
+# From this long after the takeover on, all leases granted by the previous leader have
+# expired.
 TAKEOVER_LAPSE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
 # A list of instances requested this long after a worker was first seen contains its
 # instance.
 INSTANCE_LIST_LAG_S = 0.5
-# Tasks of inherited jobs wait at most this long for the first list of instances.
+# Tasks of inherited jobs, those that the previous leader left unfinished, wait at most
+# this long for the first list of instances.
 FIRST_LIST_WAIT_S = 1.0
-# A worker missing from the platform's list for less than this may still come back.
+# A worker that has been missing from the platform's list of workers for less than this
+# may still come back.
 UNLISTED_GRACE_S = 2.5
 
 
 class Dispatcher:
-    """Schedules tasks on workers while this instance leads."""
+    """Schedules tasks on workers while this instance leads.
+
+    A link polls each worker that the platform lists. After a takeover, the first lists
+    of the workers tell which runs the previous leader has started.
+    """
 
     def __init__(
         self,
@@ -67,12 +75,13 @@
         self._list_reconciler = ListReconciler(
             self.fleet, self._registry, self._orders, self._on_reply, self.wake
         )
+        # Set here since the registry and the orders need each other.
         self._registry.stop_run = self._orders.stop_run
         self._began_s = steady_s()
         self._wake = Event()
-        self._unlisted_since: dict[str, float] = {}
-        # Pools of the workers that the list of instances shows as running, by worker
-        # id; None before the first list.
+        self._unlisted_since_s_by_worker: dict[str, float] = {}
+        # Pool by id of the workers that have an instance, according to the latest list
+        # of instances; None before the first list.
         self._pool_by_live_worker: Mapping[str, str] | None = None
         # Incarnations that have definitely ended but are still listed by the platform.
         self._ended_incarnations: set[tuple[str, int]] = set()
@@ -85,12 +94,12 @@
 
     @property
     def advised_workers(self) -> AdvisedWorkers:
-        """Return the tickets issued by the advice service."""
+        """Return the workers allowed by the advice service, with their tickets."""
         return self._registry.advised_workers
 
     @property
     def demand(self) -> PoolDemand:
-        """Return the rate at which work is submitted to each pool."""
+        """Return the measurement of the work submitted to each pool."""
         return self._registry.demand
 
     def stop_run(self, run: Run, reason: str) -> None:
@@ -98,12 +107,15 @@
         self._orders.stop_run(run, reason)
 
     def run(self, background_loops: Iterable[Callable[[], None]] = ()) -> None:
-        """Lead until fenced, running ``background_loops`` in greenlets meanwhile."""
+        """Schedule tasks until the leader is fenced.
+
+        ``background_loops`` run in greenlets meanwhile, which are killed at the end.
+        """
         self._registry.inherit()
         self.replica.add_listener(self._registry.on_record)
         self._spawn(self.writer.run)
-        for task in background_loops:
-            self._spawn(task)
+        for loop in background_loops:
+            self._spawn(loop)
         try:
             while not self.writer.is_fenced:
                 self.sync_workers()
@@ -125,18 +137,22 @@
         self._wake.set()
 
     def sync_workers(self) -> None:
-        """Add, update and drop workers according to the platform's list."""
+        """Add, update and drop workers according to the platform's list.
+
+        A worker that is no longer listed is dropped after ``UNLISTED_GRACE_S`` if it
+        does not respond and its lease has expired.
+        """
         now_s = steady_s()
         listed = self.view.worker_by_id.values()
         self._ended_incarnations &= {(w.worker_id, w.started_ms) for w in listed}
         for worker in listed:
-            self._unlisted_since.pop(worker.worker_id, None)
+            self._unlisted_since_s_by_worker.pop(worker.worker_id, None)
             if (worker.worker_id, worker.started_ms) not in self._ended_incarnations:
                 self._sync_worker(worker)
         for worker_id in list(self.link_by_id):
             if worker_id in self.view.worker_by_id:
                 continue
-            since_s = self._unlisted_since.setdefault(worker_id, now_s)
+            since_s = self._unlisted_since_s_by_worker.setdefault(worker_id, now_s)
             link = self.link_by_id[worker_id]
             if (
                 now_s - since_s > UNLISTED_GRACE_S
@@ -151,7 +167,8 @@
         """Drop workers that do not respond and no longer belong to any instance.
 
         The worker of an instance that moves, is maintained or crashes ends
-        immediately, but the platform lists it for some seconds longer.
+        immediately, but the platform lists the worker for some seconds longer.
+        ``pool_by_live_worker`` contains the workers that have an instance, by id, and
         ``requested_s`` is when the list of instances was requested.
         """
         self._pool_by_live_worker = pool_by_live_worker
@@ -167,6 +184,7 @@
         link = self.link_by_id.get(worker.worker_id)
         if link is not None and link.worker.started_ms != worker.started_ms:
             if worker.started_ms < link.worker.started_ms:
+                # The platform still lists an earlier incarnation.
                 return
             self._drop_worker(worker.worker_id, "worker restarted")
             link = None
@@ -193,13 +211,17 @@
         link = self.link_by_id.pop(worker_id)
         link.is_stopped = True
         runs = self.fleet.remove_worker(worker_id)
-        self._unlisted_since.pop(worker_id, None)
+        self._unlisted_since_s_by_worker.pop(worker_id, None)
         log_event("worker_dropped", worker=worker_id, reason=reason, runs=len(runs))
         for run in runs:
             self._registry.put_back(run, reason)
         self.wake()
 
     def _check_links(self) -> None:
+        """Remove the runs of workers whose lease has expired; their tasks wait again.
+
+        Also marks the lists of workers that do not respond as outdated.
+        """
         for link in self.link_by_id.values():
             state = self.fleet.state_by_id[link.worker.worker_id]
             if link.failing_for_s > 0:
@@ -211,6 +233,7 @@
                     self._registry.put_back(run, "lease expired")
 
     def _on_reply(self, link: WorkerLink, outcome: CallOutcome) -> None:
+        """Handle outcomes that concern the leader or all runs of a worker."""
         if outcome is CallOutcome.FENCED:
             self._note_fenced(link.worker.worker_id)
         elif outcome is CallOutcome.GONE and link.worker.worker_id in self.link_by_id:
@@ -237,7 +260,7 @@
         active_jobs = [
             active_job
             for active_job in self.active_job_by_id.values()
-            if active_job.job.job_id not in self._registry.inherited
+            if active_job.job.job_id not in self._registry.inherited_job_ids
             or self._pool_of(active_job, policy) not in unknown_pools
         ]
         starts = self._registry.planner.plan(
@@ -254,14 +277,17 @@
     def _pools_with_unknown_runs(self, now_s: float) -> Collection[str]:
         """Return the pools that may have unknown runs of the previous leader.
 
-        For some seconds after an outage of the store, the platform's list of workers
-        lacks some that are running; the list of instances names them.
+        These are the pools with a worker whose lists this leader has not received or
+        that only the list of instances names: for some seconds after an outage of the
+        store, the platform's list of workers lacks some that are running. As long as no
+        worker is known, all pools are returned, and also during ``FIRST_LIST_WAIT_S``
+        until the first list of instances.
         """
-        if not self._registry.inherited:
+        if not self._registry.inherited_job_ids:
             return ()
         led_s = now_s - self._began_s
         if led_s > TAKEOVER_LAPSE_S:
-            self._registry.inherited.clear()
+            self._registry.inherited_job_ids.clear()
             return ()
         if self._pool_by_live_worker is None and led_s < FIRST_LIST_WAIT_S:
             return set(self.view.policy.pool_by_name)
@@ -276,7 +302,7 @@
             if worker_id not in self.fleet.state_by_id
         }
         if not pools and self.fleet.state_by_id:
-            self._registry.inherited.clear()
+            self._registry.inherited_job_ids.clear()
         return pools if self.fleet.state_by_id else set(self.view.policy.pool_by_name)
 
     @staticmethod
--- a/libs/coordinator/src/lycheeloom/coordinator/gauges.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/gauges.py
@@ -19,7 +19,12 @@
 
 
 class Gauges:
-    """Periodically sets the gauges from the state of the process."""
+    """Periodically sets the gauges from the state of the process.
+
+    ``find_dispatcher`` returns the dispatcher while this instance leads, else None.
+    ``policy_applied_s`` returns when the policy came into force, by the monotonic
+    clock, and ``lines_dropped`` the number of log lines dropped so far.
+    """
 
     def __init__(
         self,
@@ -49,15 +54,17 @@
         metrics.LEADING.set(dispatcher is not None)
         metrics.TOKEN.set(table.leader.token if table.leader else 0)
         metrics.POLICY_VERSION.set(self._view.policy.version)
-        at_s = self._policy_applied_s()
-        if at_s is not None:
-            metrics.POLICY_AGE.set(now_s - at_s)
+        applied_s = self._policy_applied_s()
+        if applied_s is not None:
+            metrics.POLICY_AGE.set(now_s - applied_s)
         if self._replica.is_loaded:
             metrics.TABLE_AGE.set(now_s - self._replica.read_at_s)
         metrics.LINES_DROPPED.set(self._lines_dropped())
-        states = Counter(e.state for e in table.entry_by_id.values() if e.job)
+        count_by_state = Counter(
+            entry.state for entry in table.entry_by_id.values() if entry.job
+        )
         for state in JobState:
-            metrics.JOBS.labels(state.value).set(states[state])
+            metrics.JOBS.labels(state.value).set(count_by_state[state])
         # Only the leader knows the runs; other instances must not show outdated values.
         metrics.POOL_CAPACITY.clear()
         metrics.POOL_USED.clear()
@@ -77,5 +84,7 @@
         for pool, cores in capacity.items():
             metrics.POOL_CAPACITY.labels(pool).set(cores)
             metrics.POOL_USED.labels(pool).set(used[pool])
-        for name, amount in dispatcher.fleet.used_by_organisation.items():
-            metrics.ORGANISATION_USED.labels(name or "open").set(amount.cores)
+        # Jobs of a queue that is open to all have no organisation; they are shown as
+        # "open".
+        for name, resources in dispatcher.fleet.used_by_organisation.items():
+            metrics.ORGANISATION_USED.labels(name or "open").set(resources.cores)
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -1,4 +1,4 @@
-"""Accepts, cancels and looks up jobs, on any instance and for any job."""
+"""Accepts, cancels and looks up jobs, on any instance, whether it leads or not."""
 
 from __future__ import annotations
 
@@ -27,11 +27,12 @@
 # Records that arrive within this time are appended together.
 GROUP_PAUSE_S = 0.004
 MAX_RECORDS_PER_APPEND = 64
-# A caller waits at most this long for the store; another instance may be able to reach
-# it.
+# A caller waits at most this long for the store, since another instance may be able to
+# reach it.
 ANSWER_TIMEOUT_S = 2.0
-# An append with an unknown outcome is repeated for this long, since a later answer
-# settles it. A refused append is not: the caller may try another instance.
+# An append with an unknown outcome is repeated for this long, since the answer to a
+# repetition makes the outcome known. An append that is refused at once is not repeated:
+# the caller may try another instance.
 REPEAT_WINDOW_S = 1.0
 # Two attempts, with timeouts of 0.8 s and of this value, end before the deadline of
 # most callers (3 s).
@@ -40,7 +41,7 @@
 
 
 class Verdict(Enum):
-    """Result of a call."""
+    """Result of a submission, cancellation or query of a job."""
 
     ACCEPTED = "accepted"
     # Definitely not recorded; the job will not run.
@@ -52,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """A verdict and its reason, for the caller and the log."""
+    """A verdict and its reason, for the caller and the log; the reason may be empty."""
 
     verdict: Verdict
     reason: str = ""
@@ -92,19 +93,27 @@
                 self._append(group)
 
     def submit(self, job: Job) -> Decision:
-        """Record a job; a known job with the same id is left unchanged."""
+        """Record a job.
+
+        A job whose id is already known is accepted without a further record, since
+        callers may repeat a submission.
+        """
         entry = self.replica.table.entry_by_id.get(job.job_id)
         if entry is not None and entry.job is not None:
             return Decision(Verdict.ACCEPTED, "known")
         return self._record(Record(key_of(Kind.JOB, job.job_id), encode(job)))
 
     def cancel(self, job_id: str) -> Decision:
-        """Record the cancellation of a job, unless the job has ended."""
+        """Record the cancellation of a job, unless the job has ended.
+
+        The cancellation of a job that has ended is accepted, with the state as reason.
+        """
         state = self.look_up(job_id)
         if isinstance(state, Decision):
             return state
         if state in FINAL_STATES:
             return Decision(Verdict.ACCEPTED, state.value)
+        # Any value but an empty one, which would remove the record.
         return self._record(Record(key_of(Kind.CANCELLATION, job_id), b"1"))
 
     def state(self, job_id: str) -> JobState | None:
@@ -113,7 +122,7 @@
         return entry.state if entry is not None and entry.job is not None else None
 
     def look_up(self, job_id: str) -> JobState | Decision:
-        """Return the state of a job, reading the store if the job is not known."""
+        """Return the state of a job, reading the callers' log if it is not known."""
         state = self.state(job_id)
         if state is not None:
             return state
@@ -123,6 +132,7 @@
         return self.state(job_id) or Decision(Verdict.NO_SUCH_JOB)
 
     def _record(self, record: Record) -> Decision:
+        """Queue a record for the next append and wait for its result."""
         if not self.replica.reaches_store:
             return Decision(Verdict.NOT_ACCEPTED, "store not reached")
         began_s = steady_s()
@@ -147,9 +157,11 @@
         return Decision(Verdict.UNKNOWN, "unexpected answer of the store")
 
     def _append(self, group: list[_PendingRecord]) -> None:
-        """Append records, repeating the append while its outcome is unknown.
+        """Append records, repeating the append after an unknown outcome.
 
-        Repeating is safe since applying a record twice has no further effect.
+        Repeating is safe since applying a record twice has no further effect. Once the
+        outcome of an attempt was unknown, a later refusal does not settle it: the
+        append is repeated until it succeeds or ``REPEAT_WINDOW_S`` is over.
         """
         deadline_s = steady_s() + REPEAT_WINDOW_S
         records = [pending.record for pending in group]
@@ -180,12 +192,14 @@
     def _append_once(self, records: list[Record]) -> AppendResult:
         """Append with a timeout that increases while the store is slow.
 
-        The store still carries out an append that timed out here, so repeating it too
-        soon would slow the store further.
+        The store still carries out an append that timed out here, so an early
+        repetition would slow the store further. The timeout is reset after a fast
+        append.
         """
         began_s = steady_s()
         result = self._store.append(records, timeout_s=self._timeout_s)
         took_s = steady_s() - began_s
+        # An unknown outcome well before the timeout has another cause than slowness.
         if isinstance(result, AppendUnknown) and took_s >= self._timeout_s * 0.9:
             self._timeout_s = min(2 * self._timeout_s, MAX_APPEND_TIMEOUT_S)
         elif isinstance(result, Appended) and took_s < APPEND_TIMEOUT_S / 2:
--- a/libs/coordinator/src/lycheeloom/coordinator/inventory.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inventory.py
@@ -13,14 +13,15 @@
 from .writer import LeaderWriter
 
 LIST_INTERVAL_S = 0.5
+# Pause while this instance may not act as leader.
 IDLE_PAUSE_S = 0.1
 
 
 class Inventory:
     """Instances by id, polled from the platform.
 
-    ``on_list`` is called with the pools of the running workers by worker id, and with
-    the time at which the list was requested.
+    After each poll, ``on_list`` is called with the pool of each worker that has an
+    instance, by worker id, and with the time at which the list was requested.
     """
 
     def __init__(
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -21,7 +21,9 @@
 class JobRegistry:
     """Tracks the jobs that have not ended, from log records and ended runs.
 
-    ``stop_run`` is called for each remaining run of a job that has ended.
+    Progress records are written in groups: a change marks its job, and the next
+    ``flush`` writes the progress of all marked jobs. ``stop_run`` is called for each
+    remaining run of a job that has ended.
     """
 
     def __init__(
@@ -37,9 +39,11 @@
         self.demand = PoolDemand()
         self.advised_workers = AdvisedWorkers()
         self.stop_run: Callable[[Run, str], None] = lambda run, reason: None
-        # Jobs of the previous leader whose pool may still have unknown runs.
-        self.inherited: set[str] = set()
-        # Becomes durable only after all records written so far.
+        # Ids of the jobs that the previous leader left unfinished; empty once no pool
+        # can have unknown runs any more.
+        self.inherited_job_ids: set[str] = set()
+        # Commit of the last progress records; it becomes durable only after all records
+        # written before.
         self.last_commit: Commit | None = None
         self._replica = replica
         self._writer = writer
@@ -47,22 +51,23 @@
         self._fleet = fleet
         self._wake = wake
         self._changed_job_ids: set[str] = set()
-        # Jobs that this leader has closed and that are still in the table.
+        # Ids of the jobs that this leader has closed and that are still in the table.
         self._closed_job_ids: set[str] = set()
 
     def inherit(self) -> None:
-        """Open the jobs that are already in the table."""
+        """Open the jobs that are in the table when this instance becomes leader."""
         for job_id in self._replica.table.entry_by_id:
-            self._open_job(job_id, inherited=True)
+            self._open_job(job_id, is_inherited=True)
 
     def on_record(self, applied: AppliedRecord) -> None:
         """Process a record that was applied to the table."""
         match applied.kind:
             case Kind.JOB:
-                self._open_job(applied.name, inherited=False)
+                self._open_job(applied.name, is_inherited=False)
             case Kind.CANCELLATION:
                 self._cancel_job(applied.name)
             case Kind.PROGRESS if applied.name not in self._replica.table.entry_by_id:
+                # The record of the progress was removed, and the job with it.
                 self._closed_job_ids.discard(applied.name)
                 return
             case _:
@@ -70,7 +75,7 @@
         self._wake()
 
     def note_begun(self, active_job: ActiveJob) -> bool:
-        """Record that a task of a job runs; return whether it is the first one."""
+        """Note that a task of a job runs; return whether it is the job's first."""
         if not active_job.note_begun():
             return False
         self._changed_job_ids.add(active_job.job.job_id)
@@ -81,7 +86,10 @@
         self._changed_job_ids.add(active_job.job.job_id)
 
     def refresh_max_attempts(self, active_job: ActiveJob) -> None:
-        """Set a job's limit of attempts from the current policy."""
+        """Set a job's limit of attempts from the current policy.
+
+        The limit stays as it is while the job's queue is not in the policy.
+        """
         queue = self._view.policy.queue_by_name.get(active_job.job.queue)
         if queue is not None:
             active_job.max_attempts = queue.max_attempts
@@ -101,7 +109,7 @@
         self.advised_workers.forget_job(job_id)
 
     def flush(self) -> None:
-        """Write the progress of changed jobs."""
+        """Write the progress of the jobs that have changed since the last flush."""
         records = []
         for job_id in self._changed_job_ids:
             active_job = self.active_job_by_id.get(job_id)
@@ -117,7 +125,7 @@
     def put_back(self, run: Run, reason: str) -> None:
         """Return the task of an unfinished run to the waiting ones.
 
-        Does nothing if the task still has another run.
+        Does nothing if the task still has another run or the job has ended.
         """
         active_job = self.active_job_by_id.get(run.task.job_id)
         if active_job is None or run.task in self._fleet.runs_by_task:
@@ -126,7 +134,7 @@
         active_job.put_back(run.task, run.checkpoint)
         self._wake()
 
-    def _open_job(self, job_id: str, *, inherited: bool) -> None:
+    def _open_job(self, job_id: str, *, is_inherited: bool) -> None:
         entry = self._replica.table.entry_by_id.get(job_id)
         if entry is None or entry.job is None or job_id in self.active_job_by_id:
             return
@@ -139,8 +147,8 @@
         self.active_job_by_id[job_id] = active_job
         self.planner.note_job(active_job, self._view.policy)
         queue = self._view.policy.queue_by_name.get(entry.job.queue)
-        if inherited:
-            self.inherited.add(job_id)
+        if is_inherited:
+            self.inherited_job_ids.add(job_id)
         elif queue is not None:
             self.demand.note(queue.pool, entry.job, steady_s())
         if entry.cancelled:
@@ -152,7 +160,7 @@
             queue=entry.job.queue,
             tasks=sum(step.count for step in entry.job.steps),
             age_ms=wall_ms() - entry.job.accepted_ms,
-            inherited=inherited,
+            inherited=is_inherited,
         )
 
     def _cancel_job(self, job_id: str) -> None:
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -16,14 +16,19 @@
 from .worker_link import WorkerLink
 from .writer import Commit
 
-# A run without progress for this long is stopped and its task restarted.
+# A run without progress for this long is stopped, and its task starts again; does not
+# apply to long-running tasks.
 STALL_S = 2.0
 # The worker of a stalled run gets no tasks for this long.
 STALL_BACKOFF_S = 6.0
 
 
 class ListReconciler:
-    """Updates the fleet and the jobs from the run lists of workers."""
+    """Updates the fleet and the jobs from the run lists of workers.
+
+    A worker lists its running runs, and the ends that the leader has not acknowledged.
+    ``on_reply`` is called if another incarnation of a worker has sent the lists.
+    """
 
     def __init__(
         self,
@@ -94,6 +99,8 @@
             how=end.kind.value,
             known=run is not None,
         )
+        # The first poll may return ends of runs that an earlier leader has started. In
+        # later polls, an end without a known run has no effect.
         if active_job is None or (run is None and not link.is_first_poll):
             return
         active_job.note_run(end.run)
@@ -127,6 +134,7 @@
             run = self._adopt(link, row)
             if run is None:
                 return
+        # A run at 100 percent cannot make further progress and is not stalled.
         if row.percent != run.percent or run.percent >= 100:
             run.percent, run.progress_changed_s = row.percent, now_s
         if row.checkpoint:
@@ -142,7 +150,10 @@
             self._orders.stop_run(run, "no progress")
 
     def _adopt(self, link: WorkerLink, row: RunningTask) -> Run | None:
-        """Add a run started by an earlier leader, or stop it if it is not needed."""
+        """Add a listed run that the fleet lacks, or stop it if it is not needed.
+
+        Returns the added run, which an earlier leader has started, or None.
+        """
         worker_id = link.worker.worker_id
         active_job = self._registry.active_job_by_id.get(row.task.job_id)
         step_key = (row.task.occurrence, row.task.step)
@@ -178,6 +189,9 @@
         return run
 
 
-def _is_other_incarnation(started_ms: int, expected_ms: int) -> bool:
+def _is_other_incarnation(listed_started_ms: int, expected_started_ms: int) -> bool:
     """Return whether two start times differ; 0 means unknown and matches any."""
-    return bool(started_ms and expected_ms) and started_ms != expected_ms
+    return (
+        bool(listed_started_ms and expected_started_ms)
+        and listed_started_ms != expected_started_ms
+    )
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -30,7 +30,8 @@
 )
 
 ROUND_PAUSE_S = 0.1
-# Tasks other than long-running ones may run on for this long before being stopped.
+# On an instance being drained, tasks other than long-running ones are stopped only if
+# they still run after this time.
 DRAIN_TIMEOUT_S = 2.5
 # Delay before a failed order is repeated.
 ORDER_RETRY_S = 0.3
@@ -38,7 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveOrder:
-    """A wave as requested by the operator."""
+    """A maintenance wave as requested by the operator.
+
+    The instances are to have their maintenance within ``time_limit_s``, and at most
+    ``max_unavailable`` of them may be unavailable at the same time.
+    """
 
     wave: str
     instances: tuple[str, ...]
@@ -49,13 +54,18 @@
 
 
 class _Stage(Enum):
+    # The instance gets no new tasks, and its runs have to end before the order is sent.
     DRAINING = "draining"
+    # The maintenance has been ordered.
     AWAY = "away"
 
 
 @dataclass(slots=True)
 class _HandledInstance:
-    """An instance being drained or maintained; its stage began at ``since_s``."""
+    """An instance being drained or maintained; its stage began at ``since_s``.
+
+    The next order is not sent before ``retry_at_s``.
+    """
 
     wave: str
     pool: str
@@ -66,7 +76,14 @@
 
 
 class Maintenance:
-    """Carries out the operator's maintenance waves while this instance leads."""
+    """Carries out the operator's maintenance waves while this instance leads.
+
+    An instance of a wave has begun once its maintenance is ordered; the ids of these
+    instances are recorded, so that a new leader continues the wave without maintaining
+    them again. A wave is reported to the operator as running, and as completed when all
+    its instances that the platform lists have begun. Maintenance takes
+    ``maintenance_s`` per instance.
+    """
 
     def __init__(
         self,
@@ -96,7 +113,9 @@
         """Carry out all waves until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
             gevent.sleep(ROUND_PAUSE_S)
-            open_orders = [o for o in self._orders.values() if not self._is_over(o)]
+            open_orders = [
+                order for order in self._orders.values() if not self._is_over(order)
+            ]
             if not self._dispatcher.writer.may_act:
                 continue
             for order in open_orders:
@@ -110,14 +129,15 @@
         return self._reported_state_by_wave.get(order.wave) == "completed"
 
     def _advance_wave(self, order: WaveOrder) -> None:
+        """Choose instances to drain, and maintain those that are drained."""
         instance_by_id = self._inventory.instance_by_id
         if not instance_by_id:
             return
         begun = self._begun_by_wave.setdefault(order.wave, set())
         pending = [
-            instance_by_id[i]
-            for i in order.instances
-            if i in instance_by_id and i not in begun
+            instance_by_id[instance_id]
+            for instance_id in order.instances
+            if instance_id in instance_by_id and instance_id not in begun
         ]
         self._release_returned(order)
         if not pending:
@@ -131,6 +151,7 @@
                 self._drain(order, instance, handled)
 
     def _choose(self, order: WaveOrder, pending: list[Instance]) -> None:
+        """Begin to drain the pending instances that the wave's limits allow."""
         away = self._count_away(order)
         candidates = [
             self._to_wave_instance(instance)
@@ -169,10 +190,10 @@
     def _count_away(self, order: WaveOrder) -> Counter[str]:
         """Count the instances that are being drained or maintained, by pool.
 
-        Includes instances that the previous leader has ordered into maintenance, also
-        if its order may still be in flight.
+        Also counts the wave's instances for which the previous leader has ordered
+        maintenance, even if its order may still be in flight.
         """
-        away = Counter(h.pool for h in self._handled_by_id.values())
+        away = Counter(handled.pool for handled in self._handled_by_id.values())
         for instance_id in order.instances:
             instance = self._inventory.instance_by_id.get(instance_id)
             if instance is None or instance_id in self._handled_by_id:
@@ -202,9 +223,10 @@
     def _drain(
         self, order: WaveOrder, instance: Instance, handled: _HandledInstance
     ) -> None:
+        """Stop the runs on an instance; order its maintenance when none is left."""
         now_s = steady_s()
         if instance.worker_id != handled.worker_id:
-            # The instance has crashed and restarted meanwhile.
+            # The instance has crashed and restarted meanwhile, with a new worker.
             handled.worker_id, handled.since_s = instance.worker_id, now_s
         state = self._state_of(handled.worker_id)
         if state is not None and not self._runs_are_known(state):
@@ -224,9 +246,11 @@
         return state.has_current_lists or (link is not None and link.has_lapsed)
 
     def _stop_runs(self, state: WorkerState, is_time_over: bool) -> None:
+        """Stop the long-running tasks and, when the drain time is over, the others."""
         for run in list(state.run_by_task.values()):
             active_job = self._dispatcher.active_job_by_id.get(run.task.job_id)
             if active_job is None:
+                # The job has ended, so its runs are being stopped already.
                 continue
             if not run.step.long_running and not is_time_over:
                 continue
@@ -259,6 +283,8 @@
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
             case CallOutcome.INVALID:
+                # The platform will never accept the order: the wave goes on without
+                # this instance.
                 self._release(instance.instance_id)
                 self._note_begun(order, instance.instance_id)
 
@@ -269,6 +295,7 @@
         self._dispatcher.writer.write([Record(key_of(Kind.WAVE, order.wave), value)])
 
     def _release_returned(self, order: WaveOrder) -> None:
+        """Release the wave's instances that are back or can no longer be drained."""
         for instance_id, handled in list(self._handled_by_id.items()):
             if handled.wave != order.wave:
                 continue
@@ -285,6 +312,7 @@
                 self._release(instance_id)
 
     def _release(self, instance_id: str) -> None:
+        """Stop handling an instance; its worker may get tasks again."""
         handled = self._handled_by_id.pop(instance_id, None)
         state = self._state_of(handled.worker_id) if handled else None
         if state is not None:
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -7,8 +7,8 @@
 _LATENCY_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
 
 
-def _histogram(name: str, text: str, *labels: str) -> Histogram:
-    return Histogram(name, text, labels, buckets=_LATENCY_BUCKETS)
+def _histogram(name: str, help_text: str, *labels: str) -> Histogram:
+    return Histogram(name, help_text, labels, buckets=_LATENCY_BUCKETS)
 
 
 SUBMISSIONS = Counter(
--- a/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
@@ -1,4 +1,4 @@
-"""Prevents two leaders from sending orders for an instance within its lease."""
+"""Keeps the orders of different leaders for the same instance apart in time."""
 
 from __future__ import annotations
 
@@ -20,9 +20,10 @@
 class OrderGuard:
     """Decides for which instances this leader may send orders, and records orders.
 
-    Each order is recorded before it is sent, so a new leader knows for which instances
-    its predecessor cannot have sent an order recently. For the others it waits until
-    the lease that began with the change of leader has expired.
+    Between orders of different leaders for the same instance, at least ``lease_s`` must
+    pass. Each order is recorded before it is sent, so a new leader knows for which
+    instances its predecessors cannot have sent an order recently. For the others it
+    waits for ``lease_s`` from the change of leader.
     """
 
     def __init__(
@@ -31,11 +32,11 @@
         self._replica = replica
         self._writer = writer
         self._lease_s = lease_s
-        # From this time on all instances may be ordered; the very first leader does not
-        # have to wait.
+        # From this time on, orders for all instances may be sent; the very first leader
+        # does not have to wait.
         self._unrestricted_from_s = steady_s() + (lease_s if had_leader else 0.0)
-        # Times of the predecessors' last orders; a copy, so that this leader's own
-        # orders are not included.
+        # Time of the predecessors' last order for each instance; a copy, so that this
+        # leader's own orders are not included.
         self._predecessor_order_s_by_id = dict(replica.last_order_s_by_instance)
 
     def may_order(self, instance_id: str) -> bool:
@@ -49,7 +50,10 @@
         return now_s - predecessor_s > self._lease_s + MAX_SEND_DELAY_S
 
     def record(self, instance_ids: Collection[str]) -> bool:
-        """Record orders before they are sent; if False, they must not be sent."""
+        """Record orders before they are sent.
+
+        Returns False if they must not be sent.
+        """
         value = encode(InstanceOrder(int(wall_ms())))
         records = [Record(key_of(Kind.ORDER, i), value) for i in instance_ids]
         is_durable = self._writer.write(records).wait(RECORD_TIMEOUT_S)
--- a/libs/coordinator/src/lycheeloom/coordinator/pacer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pacer.py
@@ -11,12 +11,17 @@
 from .dispatcher import Dispatcher
 from .ports import CallOutcome, WorkerPort
 
-# Workers report latencies measured over the last half second.
+# Workers report tail latencies measured over the last half second.
 ADJUST_INTERVAL_S = 0.5
 
 
 class Pacer:
-    """Adjusts the pace of filling tasks while this instance leads."""
+    """Adjusts the pace of filling tasks while this instance leads.
+
+    Filling tasks reserve no CPU. Their pace is the percentage of their full speed to
+    which the worker limits them while a task on the same worker misses its latency
+    target.
+    """
 
     def __init__(self, dispatcher: Dispatcher, port: WorkerPort) -> None:
         self._dispatcher = dispatcher
@@ -39,7 +44,11 @@
         if not filling:
             return
         worst_latency_ratio = max(
-            (r.latency_or_cores / r.step.target_ms for r in runs if r.step.target_ms),
+            (
+                run.latency_or_cores / run.step.target_ms
+                for run in runs
+                if run.step.target_ms
+            ),
             default=0.0,
         )
         for run in filling:
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -28,14 +28,19 @@
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 ROUND_PAUSE_S = 0.25
-# Delay before a failed move is retried.
+# An instance whose order had no effect counts as moving for this long, so that the
+# order is not repeated earlier. After other orders, it is added to the time of a move.
 RETRY_DELAY_S = 1.0
 # Maximum move orders in flight.
 MAX_ORDERS_IN_FLIGHT = 16
 
 
 class PoolMoves:
-    """Sizes the pools while this instance leads, by moving instances."""
+    """Moves instances between pools as demand requires, while this instance leads.
+
+    ``is_in_maintenance`` returns whether an instance, given by its id, is being drained
+    or maintained; such instances are not moved. A move takes ``move_s``.
+    """
 
     def __init__(
         self,
@@ -50,13 +55,12 @@
         self._inventory = inventory
         self._order_guard = order_guard
         self._port = port
-        # Returns whether an instance is being drained or maintained.
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
         self._senders = GreenletPool(MAX_ORDERS_IN_FLIGHT)
         self._idle_since_by_worker: dict[str, float] = {}
-        # Target pool and the time until which an instance counts as moving; the pool is
-        # empty unless the order succeeded.
+        # Target pool of a move order, and the time until which the instance counts as
+        # moving; the pool is an empty string unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
 
     def run(self) -> None:
@@ -71,22 +75,22 @@
         policy = self._dispatcher.view.policy
         standby = {p.name for p in policy.pool_by_name.values() if p.standby}
         self._note_idle(now_s)
-        for instance_id, (_, until_s) in list(self._moving_by_id.items()):
-            if now_s > until_s:
+        for instance_id, (_, moving_until_s) in list(self._moving_by_id.items()):
+            if now_s > moving_until_s:
                 del self._moving_by_id[instance_id]
                 self._release(instance_id)
         instances = [
             PoolInstance(
-                i.instance_id,
-                i.pool,
-                self._idle_s(i.worker_id, now_s),
-                self._is_usable(i),
-                self._order_guard.may_order(i.instance_id),
+                instance.instance_id,
+                instance.pool,
+                self._idle_s(instance.worker_id, now_s),
+                self._is_usable(instance),
+                self._order_guard.may_order(instance.instance_id),
             )
-            for i in self._inventory.instance_by_id.values()
-            if i.state is InstanceState.UP
-            and i.instance_id not in self._moving_by_id
-            and not self._is_in_maintenance(i.instance_id)
+            for instance in self._inventory.instance_by_id.values()
+            if instance.state is InstanceState.UP
+            and instance.instance_id not in self._moving_by_id
+            and not self._is_in_maintenance(instance.instance_id)
         ]
         moves = choose_moves(instances, self._load_by_pool(), standby)
         self._send_orders([move for move in moves if self._prepare(move)])
@@ -108,12 +112,14 @@
                 self._idle_since_by_worker.setdefault(worker_id, now_s)
 
     def _idle_s(self, worker_id: str, now_s: float) -> float:
+        """Return for how long a worker has had no runs; 0 if it is draining."""
         state = self._dispatcher.fleet.state_by_id.get(worker_id)
         if state is None or state.run_by_task or state.worker.draining:
             return 0.0
         return now_s - self._idle_since_by_worker.get(worker_id, now_s)
 
     def _is_usable(self, instance: Instance) -> bool:
+        """Return whether tasks may start on an instance."""
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
         is_draining = state is not None and state.worker.draining
         return (
@@ -159,7 +165,7 @@
         }
 
     def _prepare(self, move: Move) -> bool:
-        """Exclude an instance from new tasks; False if tasks run on it."""
+        """Exclude an instance from new tasks; return False if tasks run on it."""
         state = self._state_of(move)
         if state is None:
             return True
@@ -169,6 +175,7 @@
         return True
 
     def _send_orders(self, moves: Collection[Move]) -> None:
+        """Record and send the orders; moves that cannot be recorded are given up."""
         if not moves:
             return
         if not self._order_guard.record([move.instance_id for move in moves]):
@@ -201,6 +208,7 @@
         self._note_reply(move, reply)
 
     def _note_reply(self, move: Move, reply: CallReply) -> None:
+        """Set how long the instance counts as moving, according to the reply."""
         moving_s = RETRY_DELAY_S
         state = self._state_of(move)
         match reply.outcome:
@@ -209,6 +217,7 @@
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
             case _ if state is not None:
+                # The order had no effect.
                 state.is_cordoned = False
         target = move.pool if reply.outcome is CallOutcome.DONE else ""
         self._moving_by_id[move.instance_id] = (target, steady_s() + moving_s)
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -206,7 +206,7 @@
     def pace(
         self, worker: Worker, task: str, run: int, percent: int, token: int
     ) -> CallReply:
-        """Limit the CPU use of a run to ``percent`` of what it would use otherwise."""
+        """Limit a run to ``percent`` of its full speed."""
         ...
 
     def renew_and_list(
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -16,15 +16,16 @@
 
 # Long-poll timeout of a read that finds no new records.
 READ_WAIT_S = 1.0
-# Pause after a read, so that many small appends are fetched together. Jobs that are
-# not known yet are read on demand.
+# Pause after a read, so that many small appends are fetched together. A caller's
+# request for a job that is not known yet does not wait for it: see ``refresh_jobs``.
 PAUSE_S_BY_LOG = {Log.CALLERS: 0.4, Log.LEADER: 0.15}
 # The leader reads more often, as task starts wait for its reads.
 LEADER_PAUSE_S = 0.015
 RETRY_PAUSE_S = 0.2
-# Maximum age of the last successful read while the table counts as current.
+# The table counts as current while the last successful read is not older.
 MAX_READ_AGE_S = 2.0
-# A store whose reads have failed for longer is not expected to accept records.
+# A store whose reads have failed for longer than this is not expected to accept
+# records.
 MAX_READ_FAILURE_S = 0.5
 
 
@@ -33,17 +34,20 @@
 
     def __init__(self, store: StorePort) -> None:
         self.table = JobTable()
+        # Set by ``Leadership``; the logs are read more often meanwhile.
         self.is_leading = False
-        # When a record of a leader was last read; None before the first load.
+        # When a record written by a leader was last read, or the leader's log was last
+        # loaded; None before the first load.
         self.leader_seen_s: float | None = None
         # When the last order for an instance was recorded, by the monotonic clock. The
-        # wall-clock time of a record is used only if it was read while loading.
+        # wall-clock time in a record is used only if the record was found while loading
+        # the log; a new record is taken to have been written when it is read.
         self.last_order_s_by_instance: dict[str, float] = {}
         self._listeners: list[Callable[[AppliedRecord], None]] = []
         self._followers = {log: _LogFollower(self, store, log) for log in Log}
 
     def add_listener(self, listener: Callable[[AppliedRecord], None]) -> None:
-        """Call ``listener`` after each change of the table."""
+        """Call ``listener`` after each record that is applied to the table."""
         self._listeners.append(listener)
 
     def remove_listener(self, listener: Callable[[AppliedRecord], None]) -> None:
@@ -70,11 +74,14 @@
 
     @property
     def read_at_s(self) -> float:
-        """Return the earliest of the logs' last successful read times."""
+        """Return when all logs had been read successfully, by the monotonic clock.
+
+        That is the start of the last successful read of the log read longest ago.
+        """
         return min(follower.read_at_s for follower in self._followers.values())
 
     def run(self) -> None:
-        """Follow the logs forever."""
+        """Load and follow the logs forever."""
         gevent.joinall(
             [gevent.spawn(follower.run) for follower in self._followers.values()]
         )
@@ -84,7 +91,10 @@
         return all(follower.load() for follower in self._followers.values())
 
     def wait_for_leader_record(self, offset: int, timeout_s: float) -> bool:
-        """Wait until the leader's records before ``offset`` are applied."""
+        """Wait until the leader's records before ``offset`` are applied.
+
+        Returns False if that takes longer than ``timeout_s``.
+        """
         return self._followers[Log.LEADER].wait_for(offset, timeout_s)
 
     def refresh_jobs(self) -> bool:
@@ -101,6 +111,7 @@
             applied = self.table.apply(offset, record)
             if applied is None:
                 continue
+            # Only leaders write records of the other kinds.
             if applied.kind not in (Kind.JOB, Kind.CANCELLATION):
                 self.leader_seen_s = steady_s()
             if applied.kind is Kind.ORDER:
@@ -109,11 +120,11 @@
                 listener(applied)
 
     def _note_order(self, instance_id: str, is_live: bool) -> None:
-        at_ms = self.table.ordered_ms_by_instance.get(instance_id)
-        if at_ms is None:
+        ordered_ms = self.table.ordered_ms_by_instance.get(instance_id)
+        if ordered_ms is None:
             self.last_order_s_by_instance.pop(instance_id, None)
             return
-        age_s = 0.0 if is_live else max(0.0, (wall_ms() - at_ms) / 1000)
+        age_s = 0.0 if is_live else max(0.0, (wall_ms() - ordered_ms) / 1000)
         self.last_order_s_by_instance[instance_id] = steady_s() - age_s
 
 
@@ -122,8 +133,9 @@
 
     def __init__(self, replica: Replica, store: StorePort, log: Log) -> None:
         self.is_loaded = False
-        # Start of the last successful read.
+        # Start of the last successful read, by the monotonic clock.
         self.read_at_s = 0.0
+        # Offset of the next record to read.
         self._offset = 0
         self._replica = replica
         self._store = store
@@ -182,6 +194,11 @@
         return self.is_loaded and self._read(0.0)
 
     def _read(self, wait_s: float) -> bool:
+        """Read up to the end of the log; return whether that succeeded.
+
+        Waits up to ``wait_s`` if there are no new records. Loads the log again if
+        unread records have been removed from it.
+        """
         began_s = steady_s()
         result = self._store.read(self._log, self._offset, wait_s)
         match result:
@@ -192,12 +209,12 @@
                 if self._offset < result.end:
                     return self._read(0.0)
                 return True
-            case RecordsDropped(first_kept=first):
+            case RecordsDropped(first_kept=first_kept):
                 log_event(
                     "log_dropped",
                     log=self._log.value,
                     wanted=self._offset,
-                    first_kept=first,
+                    first_kept=first_kept,
                 )
                 self.is_loaded = False
                 return self.load()
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -20,8 +20,10 @@
 from .worker_link import WorkerLink
 from .writer import LeaderWriter
 
-# A stopped run disappears from the worker's lists within this time.
+# A stopped run disappears from the worker's lists within this time after the answer to
+# the stop order.
 STOP_SETTLE_S = 0.25
+# Delay before a stop order that was not carried out is repeated.
 STOP_RETRY_DELAY_S = 0.2
 # A worker that reported insufficient resources gets no starts for this long.
 NO_ROOM_BACKOFF_S = 0.1
@@ -29,14 +31,13 @@
 REFUSED_BACKOFF_S = 0.5
 # Reason for stopping a run whose start has an unknown outcome.
 START_NOT_ANSWERED = "start not answered"
-# Maximum stop orders in flight.
 MAX_STOPS_IN_FLIGHT = 64
 
 
 class TaskOrders:
     """Sends start and stop orders to workers while this instance leads.
 
-    ``on_reply`` is called for workers that have restarted or know a later leader.
+    ``on_reply`` is called if a worker has restarted or knows a later leader.
     """
 
     def __init__(
@@ -61,7 +62,10 @@
         self._stops.kill(block=False)
 
     def begin(self, start: Start, now_s: float) -> None:
-        """Start a planned task; its run occupies the worker from now on."""
+        """Start a planned task; its run occupies the worker from now on.
+
+        The order is sent in a greenlet.
+        """
         run = Run(
             start.task,
             start.run,
@@ -83,6 +87,8 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
+        # Until the worker has answered the stop order, the start may still be in
+        # flight, so lists without the run do not show that it is gone.
         run.gone_if_unlisted_after_s = math.inf
         log_event(
             "task_stop",
@@ -94,7 +100,7 @@
         self._stops.spawn(self._stop_until_answered, run)
 
     def stop_listed(self, worker: Worker, row: RunningTask) -> None:
-        """Stop a run that a worker lists and that is not needed."""
+        """Stop a run that a worker lists but that the leader does not need."""
         self._stops.spawn(self._stop_listed, worker, row)
 
     def _start(self, start: Start, run: Run) -> None:
@@ -103,9 +109,10 @@
         if link is None or deadline_ms is None or not self._writer.may_act:
             self._undo_start(run, "no valid lease")
             return
-        key = (start.task.job_id, (start.task.occurrence, start.task.step))
+        job_and_step = (start.task.job_id, (start.task.occurrence, start.task.step))
+        # The ticket is empty if the queue does not require advice.
         ticket, _ = self._registry.advised_workers.ticket_by_key.get(
-            (*key, start.worker_id), ("", 0.0)
+            (*job_and_step, start.worker_id), ("", 0.0)
         )
         began_s = steady_s()
         reply = self._workers.start(
@@ -124,6 +131,7 @@
         reply: CallReply,
         began_s: float,
     ) -> None:
+        """Update the run and the worker according to the reply to a start order."""
         state = self._fleet.state_by_id.get(start.worker_id)
         now_s = steady_s()
         log_event(
@@ -145,9 +153,9 @@
             case CallOutcome.FENCED | CallOutcome.GONE:
                 self._on_reply(link, reply.outcome)
             case CallOutcome.BAD_TICKET:
-                key = (start.task.occurrence, start.task.step)
+                step_key = (start.task.occurrence, start.task.step)
                 self._registry.advised_workers.ticket_by_key.pop(
-                    (start.task.job_id, key, start.worker_id), None
+                    (start.task.job_id, step_key, start.worker_id), None
                 )
                 self._undo_start(run, "ticket rejected")
             case outcome:
@@ -156,10 +164,11 @@
                 self._undo_start(run, outcome.value)
 
     def _settle_unknown_start(self, run: Run, now_s: float) -> None:
-        """Stop a run that may have started; if long-running, wait for a list instead.
+        """Stop a run that may have started, unless its task is long-running.
 
-        Stopping a long-running task could end one that is available by now while other
-        tasks of its step are still unavailable.
+        For a long-running task, the next list shows whether the run exists. A stop
+        could end a task that has become available, while other tasks of its step are
+        still unavailable.
         """
         if run.state is not RunState.STARTING:
             return
@@ -170,6 +179,8 @@
             self.stop_run(run, START_NOT_ANSWERED)
 
     def _note_started(self, start: Start, run: Run, now_s: float) -> None:
+        # The run may have left STARTING while the reply was awaited: a list may already
+        # have shown it, or it may have been stopped.
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.progress_changed_s = now_s
@@ -189,6 +200,7 @@
             case CallOutcome.NO_ROOM:
                 backoff_s = NO_ROOM_BACKOFF_S
             case CallOutcome.OLD_RUN:
+                # Says nothing about the worker.
                 return
             case _:
                 backoff_s = REFUSED_BACKOFF_S
@@ -203,6 +215,7 @@
         self._registry.put_back(run, reason)
 
     def _stop_until_answered(self, run: Run) -> None:
+        """Send the stop order until it is carried out or the run or worker is gone."""
         while not self._writer.is_fenced:
             link = self._link_by_id.get(run.worker_id)
             state = self._fleet.state_by_id.get(run.worker_id)
@@ -223,6 +236,7 @@
             gevent.sleep(STOP_RETRY_DELAY_S)
 
     def _stop_listed(self, worker: Worker, row: RunningTask) -> None:
+        # Sent once: the next list that contains the run triggers another stop.
         reply = self._workers.stop(worker, str(row.task), row.run, self._writer.token)
         log_event(
             "task_stop",
--- a/libs/coordinator/src/lycheeloom/coordinator/view.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/view.py
@@ -38,6 +38,8 @@
         for index, step in enumerate(steps):
             if step.label and step.label not in self.labels_seen:
                 return f"steps.{index}: no worker has the label {step.label!r}"
-            if not any(fits(step.reservation, free) for free in self.capacities_seen):
+            if not any(
+                fits(step.reservation, capacity) for capacity in self.capacities_seen
+            ):
                 return f"steps.{index}: no worker is large enough for one task"
         return ""
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -1,4 +1,4 @@
-"""Polls a worker: renews its lease and reads its lists of runs."""
+"""Polls a worker, which renews the worker's lease and returns its lists of runs."""
 
 from __future__ import annotations
 
@@ -15,27 +15,37 @@
 from .ports import CallOutcome, CallReply, TaskLists, WorkerPort
 from .writer import Commit
 
-# Lease covering all runs on a worker; longer than a change of leader takes.
+# Duration of the lease of all runs on a worker; the worker ends them when it expires.
+# Longer than a change of leader takes.
 WORKER_LEASE_S = 4.0
-# Factor by which a worker's clock may run slower than the leader's.
+# Factor by which a worker's clock may run slower than the leader's, so that the worker
+# ends its runs later.
 CLOCK_RATE_MARGIN = 1.02
-# Allowance for the time a request takes to reach the worker.
+# Allowance for the time that a call takes to reach the worker.
 LAPSE_MARGIN_S = 0.3
 # Long-poll timeout: how long a worker waits for a run to end before it answers.
 POLL_WAIT_MS = 900
 # Long-poll timeout while a run on the worker needs frequent polls.
 SHORT_POLL_WAIT_MS = 300
+# Pause after a failed poll.
 FAILURE_PAUSE_S = 0.25
+# A poll is delayed at most this long until earlier ends are recorded; it then leaves
+# them unacknowledged.
 MAX_COMMIT_WAIT_S = 0.5
+# Pause while this instance may not act as leader.
 IDLE_PAUSE_S = 0.1
 
 
 class WorkerLink:
     """Maintains the lease of one incarnation of a worker and polls its runs.
 
-    ``on_lists`` processes the lists. It returns the commit that must be durable
-    before the worker may forget the ended runs, or None if there is nothing to wait
-    for.
+    A worker numbers the ends of its runs and lists each end until the leader
+    acknowledges it. The leader does so only when it has recorded the end, so that the
+    next leader does not miss it.
+
+    ``on_lists`` processes the lists requested at a given time. It returns the commit
+    that must be durable before the worker may forget the ended runs, or None if there
+    is nothing to wait for. ``on_reply`` is called when a poll fails.
     """
 
     def __init__(
@@ -52,10 +62,12 @@
         self.created_s = steady_s()
         # Number of the latest end that was processed.
         self.newest_end = 0
+        # True until the lists of the first successful poll have been processed.
         self.is_first_poll = True
+        # When the worker last answered a poll.
         self.reached_s = -math.inf
-        # No lease granted to the worker by this leader or its predecessor lasts longer
-        # than this.
+        # No lease granted to the worker by this leader or its predecessors lasts beyond
+        # this time of the leader's monotonic clock.
         self.granted_until_s = steady_s() + _max_lease_s()
         self._port = port
         self._token = token
@@ -63,9 +75,11 @@
         self._on_lists = on_lists
         self._on_reply = on_reply
         self._needs_frequent_polls = needs_frequent_polls
+        # Number of the latest end that was processed and recorded.
         self._newest_durable_end = 0
-        # Becomes durable when everything processed so far is.
+        # Becomes durable when all ends processed so far are recorded.
         self._commit: Commit | None = None
+        # The worker's clock in ms, after the time in s when its answer arrived.
         self._clock_reading: tuple[float, float] | None = None
         self._failing_since_s: float | None = None
         self.is_stopped = False
@@ -77,7 +91,7 @@
 
     @property
     def failing_for_s(self) -> float:
-        """Return how long the worker has not responded, in seconds; 0 if it does."""
+        """Return for how many seconds polls have failed; 0 if the last succeeded."""
         if self._failing_since_s is None:
             return 0.0
         return steady_s() - self._failing_since_s
@@ -90,15 +104,15 @@
     def grant_lease(self) -> int | None:
         """Grant a new lease; return its end in ms by the worker's clock.
 
-        Returns None if the worker's clock is not known yet.
+        Returns None if the worker has not yet told the time of its clock.
         """
         if self._clock_reading is None:
             return None
         now_s = steady_s()
-        at_s, clock_ms = self._clock_reading
+        read_s, clock_ms = self._clock_reading
         until_s = now_s + _max_lease_s()
         self.granted_until_s = max(self.granted_until_s, until_s)
-        return int(clock_ms + (now_s - at_s) * 1000 + WORKER_LEASE_S * 1000)
+        return int(clock_ms + (now_s - read_s) * 1000 + WORKER_LEASE_S * 1000)
 
     def note_clock(self, clock_ms: int | None) -> None:
         """Store the time of the worker's clock, in ms, taken from an answer."""
@@ -116,13 +130,15 @@
     def _poll(self) -> None:
         is_frequent = self.is_first_poll or self._needs_frequent_polls(self)
         wait_ms = SHORT_POLL_WAIT_MS if is_frequent else POLL_WAIT_MS
+        # The worker is to answer immediately if its lists are not known or outdated, or
+        # if ends remain to be acknowledged.
         if self.is_first_poll or self._newest_durable_end < self.newest_end:
             wait_ms = 0
         if self._failing_since_s is not None:
             wait_ms = 0
         began_s = steady_s()
-        # A worker that does not respond gets no new lease: its current one must expire
-        # before its tasks may start elsewhere.
+        # A worker that does not respond gets no new lease: its current lease must
+        # expire before its tasks may start elsewhere.
         deadline_ms = self.grant_lease() if self._failing_since_s is None else None
         result = self._port.renew_and_list(
             self.worker, self._token, self._newest_durable_end, deadline_ms, wait_ms
@@ -146,7 +162,7 @@
             self._commit = commit
         if self._newest_durable_end == self.newest_end:
             return
-        # Ends processed earlier may still wait for the commit of an earlier poll.
+        # Without a new commit, the ends processed so far wait for an earlier one.
         if self._commit is None or self._commit.wait(MAX_COMMIT_WAIT_S):
             self._newest_durable_end = self.newest_end
 
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -13,18 +13,21 @@
 from .clock import steady_s
 from .ports import Appended, Fenced, Producer, StorePort
 
-# Lease of the leader, from the start of its last successful append. Other instances
-# wait longer than this before they take over.
+# Duration of the leader's lease, from the start of its last successful append. Other
+# instances wait longer than this before they take over.
 LEADER_LEASE_S = 1.5
 # Interval at which a leader without records to write renews its lease.
 RENEWAL_INTERVAL_S = 0.4
 RETRY_PAUSE_S = 0.1
-# Maximum records per append; the store limits the size of a call.
+# The store limits the size of a call.
 MAX_RECORDS_PER_APPEND = 400
 
 
 class Commit:
-    """Lets callers of ``LeaderWriter.write`` wait until their records are durable."""
+    """Lets callers of ``LeaderWriter.write`` wait until their records are durable.
+
+    One commit covers all records that were queued while the earlier ones were written.
+    """
 
     def __init__(self) -> None:
         self._done = Event()
@@ -46,13 +49,17 @@
 class LeaderWriter:
     """Writes the leader's records and thereby renews its lease.
 
-    Of pending records with the same key, only the latest is written.
+    Of pending records with the same key, only the latest is written. An append without
+    an answer is repeated with the same sequence number, so that the store carries it
+    out only once. ``on_fenced`` is called when the store rejects an append because a
+    later leader has written.
     """
 
     def __init__(
         self, store: StorePort, token: int, instance: str, on_fenced: Callable[[], None]
     ) -> None:
         self.token = token
+        # By the monotonic clock.
         self.lease_until_s = 0.0
         self._store = store
         self._instance = instance
@@ -61,15 +68,21 @@
         self._pending_value_by_key: dict[str, bytes] = {}
         self._commit = Commit()
         self._has_pending_records = Event()
+        # The leader must not act any more: a later leader has written or acted, or this
+        # one has resigned.
         self.is_fenced = False
 
     @property
     def may_act(self) -> bool:
-        """Return whether this instance definitely still leads."""
+        """Return whether this instance definitely still leads and may send orders."""
         return not self.is_fenced and steady_s() < self.lease_until_s
 
     def open(self, timeout_s: float) -> int | None:
-        """Fence earlier leaders; return the end of the log, or None on failure."""
+        """Write the first leader record, which fences earlier leaders.
+
+        Returns the end of the leader's log, or None if that failed for ``timeout_s`` or
+        a later leader has written.
+        """
         deadline_s = steady_s() + timeout_s
         record = self._leader_record(resigned=False)
         while steady_s() < deadline_s:
@@ -94,6 +107,8 @@
             keys = list(self._pending_value_by_key)[:MAX_RECORDS_PER_APPEND]
             batch = [Record(key, self._pending_value_by_key.pop(key)) for key in keys]
             if self._pending_value_by_key:
+                # Only the batch with the last pending records makes the commit durable
+                # that callers wait for.
                 self._has_pending_records.set()
                 commit = Commit()
             else:
@@ -107,11 +122,15 @@
             commit.mark_durable()
 
     def resign(self, timeout_s: float) -> None:
-        """Give up the lease, so that another instance can take over immediately."""
+        """Give up the lease, so that another instance can take over immediately.
+
+        Waits up to ``timeout_s`` until the resignation is durable.
+        """
         self.write([self._leader_record(resigned=True)]).wait(timeout_s)
         self.is_fenced = True
 
     def _append(self, batch: list[Record]) -> int | None:
+        """Append a batch; return the new end of the log, or None on failure."""
         began_s = steady_s()
         result = self._store.append(batch, Producer(self.token, self._sequence))
         match result:
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -8,6 +8,7 @@
 from .model import FINAL_STATES, EndKind, Job, JobState, Step, TaskKey
 from .records import JobProgress, StepProgress, TaskCheckpoint, TaskFailures
 
+# Occurrence, and index of the step within the job.
 StepKey = tuple[int, int]
 
 
@@ -17,7 +18,7 @@
 
     step: Step
     done: set[int] = field(default_factory=set)
-    # Indexes of the tasks without a run, in starting order.
+    # Indexes of the tasks that are neither done nor have a run, in starting order.
     waiting: list[int] = field(default_factory=list)
     failures_by_index: dict[int, TaskFailures] = field(default_factory=dict)
     checkpoint_by_index: dict[int, str] = field(default_factory=dict)
@@ -37,17 +38,18 @@
 
     def __init__(self, job: Job, progress: JobProgress | None = None) -> None:
         self.job = job
-        # Failed runs of a task after which the job fails; None while the queue of the
-        # job is not in the policy.
+        # Number of failed runs of a task after which the job fails; None, for no limit,
+        # until the leader has found the job's queue in the policy.
         self.max_attempts: int | None = None
         self.state = JobState.QUEUED
         self.highest_run = 0
         self.finished_ms = 0
+        # A task of the job has started.
         self.has_begun = False
         self.tasks_by_step: dict[StepKey, StepTasks] = {
-            (occurrence, number): StepTasks(step, waiting=list(range(step.count)))
+            (occurrence, index): StepTasks(step, waiting=list(range(step.count)))
             for occurrence in range(job.occurrences)
-            for number, step in enumerate(job.steps)
+            for index, step in enumerate(job.steps)
         }
         if progress is not None:
             self._restore(progress)
@@ -58,46 +60,50 @@
         return self.state in FINAL_STATES
 
     def startable_steps(self, now_ms: float) -> Iterator[tuple[StepKey, StepTasks]]:
-        """Yield the steps with waiting tasks that are due and unblocked.
+        """Yield the steps with waiting tasks that may start.
 
-        ``now_ms`` is Unix time.
+        Their occurrence is due, and the steps that they depend on are done. ``now_ms``
+        is Unix time.
         """
         if self.is_final:
             return
-        for key, step_tasks in self.tasks_by_step.items():
+        for step_key, step_tasks in self.tasks_by_step.items():
             if not step_tasks.waiting:
                 continue
-            occurrence = key[0]
+            occurrence = step_key[0]
             if self.job.due_ms(occurrence) > now_ms:
                 continue
             if self._predecessors_done(occurrence, step_tasks.step):
-                yield key, step_tasks
+                yield step_key, step_tasks
 
-    def remaining_chain_ms(self, key: StepKey) -> float:
+    def remaining_chain_ms(self, step_key: StepKey) -> float:
         """Return the estimated time from the start of a step to the end of the job."""
-        return self._chain_ms(key[1], {})
+        return self._chain_ms(step_key[1], {})
 
     def chain_ms(self) -> float:
         """Return the estimated duration of the longest chain of dependent steps."""
-        known: dict[int, float] = {}
+        chain_ms_by_step: dict[int, float] = {}
         return max(
-            (self._chain_ms(number, known) for number in range(len(self.job.steps))),
+            (
+                self._chain_ms(index, chain_ms_by_step)
+                for index in range(len(self.job.steps))
+            ),
             default=0.0,
         )
 
     def take(self, task: TaskKey) -> int:
-        """Remove a task from the waiting ones and return its new run number."""
+        """Remove a task from the waiting tasks and return the number of its new run."""
         step_tasks = self.tasks_by_step[task.occurrence, task.step]
         step_tasks.waiting.remove(task.index)
         return self.next_run()
 
     def next_run(self) -> int:
-        """Return a run number that no task of the job has used."""
+        """Return a run number that no task of the job has used, and mark it as used."""
         self.highest_run += 1
         return self.highest_run
 
     def note_run(self, run: int) -> None:
-        """Ensure that new run numbers are higher than one reported by a worker."""
+        """Ensure that new run numbers are higher than ``run``, reported by a worker."""
         self.highest_run = max(self.highest_run, run)
 
     def note_begun(self) -> bool:
@@ -110,7 +116,10 @@
         return True
 
     def put_back(self, task: TaskKey, checkpoint: str = "") -> None:
-        """Return a task to the front of the waiting ones after an unfinished run."""
+        """Put a task in front of the waiting tasks after an unfinished run.
+
+        Does nothing if the task is done or already waits.
+        """
         step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
         if (
             step_tasks is None
@@ -123,7 +132,10 @@
         step_tasks.waiting.insert(0, task.index)
 
     def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
-        """Record the end of a run; return whether the job's progress has changed."""
+        """Record the end of a run; return whether the progress must be written.
+
+        Ends of long-running tasks change only their checkpoints.
+        """
         step_tasks = self.tasks_by_step.get((task.occurrence, task.step))
         if step_tasks is None or task.index in step_tasks.done:
             return False
@@ -147,8 +159,8 @@
             self.state,
             self.highest_run,
             tuple(
-                _step_progress(key, step_tasks)
-                for key, step_tasks in self.tasks_by_step.items()
+                _step_progress(step_key, step_tasks)
+                for step_key, step_tasks in self.tasks_by_step.items()
                 if step_tasks.done
                 or step_tasks.failures_by_index
                 or step_tasks.checkpoint_by_index
@@ -157,18 +169,22 @@
         )
 
     def _note_done(self, task: TaskKey, step_tasks: StepTasks) -> None:
-        members = (
+        # All tasks of a gang count as done as soon as one of them is done.
+        indexes = (
             range(step_tasks.step.count) if step_tasks.step.gang else (task.index,)
         )
-        for index in members:
+        for index in indexes:
             step_tasks.done.add(index)
             step_tasks.checkpoint_by_index.pop(index, None)
             if index in step_tasks.waiting:
                 step_tasks.waiting.remove(index)
-        if not self.is_final and all(w.is_done for w in self.tasks_by_step.values()):
+        if not self.is_final and all(
+            tasks.is_done for tasks in self.tasks_by_step.values()
+        ):
             self.state = JobState.COMPLETED
 
     def _note_failed(self, task: TaskKey, run: int, step_tasks: StepTasks) -> bool:
+        """Count a failed run; return False if it has been counted before."""
         failures = step_tasks.failures_by_index.get(
             task.index, TaskFailures(task.index)
         )
@@ -182,18 +198,26 @@
         return True
 
     def _predecessors_done(self, occurrence: int, step: Step) -> bool:
-        return all(self.tasks_by_step[occurrence, n].is_done for n in step.after)
+        return all(
+            self.tasks_by_step[occurrence, index].is_done for index in step.after
+        )
+
+    def _chain_ms(self, index: int, chain_ms_by_step: dict[int, float]) -> float:
+        """Return the duration of the longest chain of steps that begins with a step.
 
-    def _chain_ms(self, number: int, known: dict[int, float]) -> float:
-        if number in known:
-            return known[number]
-        rest = [
-            self._chain_ms(later, known)
+        ``chain_ms_by_step`` stores the results, by the index of the step.
+        """
+        if index in chain_ms_by_step:
+            return chain_ms_by_step[index]
+        following_ms = [
+            self._chain_ms(later, chain_ms_by_step)
             for later, step in enumerate(self.job.steps)
-            if number in step.after and later > number
+            if index in step.after and later > index
         ]
-        known[number] = self.job.steps[number].estimated_ms + max(rest, default=0.0)
-        return known[number]
+        chain_ms_by_step[index] = self.job.steps[index].estimated_ms + max(
+            following_ms, default=0.0
+        )
+        return chain_ms_by_step[index]
 
     def _restore(self, progress: JobProgress) -> None:
         self.state = progress.state
@@ -214,13 +238,13 @@
             }
 
 
-def _step_progress(key: StepKey, step_tasks: StepTasks) -> StepProgress:
+def _step_progress(step_key: StepKey, step_tasks: StepTasks) -> StepProgress:
     bits = bytearray((step_tasks.step.count + 7) // 8)
     for index in step_tasks.done:
         bits[index // 8] |= 1 << index % 8
     return StepProgress(
-        key[0],
-        key[1],
+        step_key[0],
+        step_key[1],
         bytes(bits),
         tuple(step_tasks.failures_by_index.values()),
         tuple(TaskCheckpoint(i, c) for i, c in step_tasks.checkpoint_by_index.items()),
--- a/libs/jobs/src/lycheeloom/jobs/availability.py
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -6,9 +6,10 @@
 from .fleet import Fleet, Run, RunState
 from .model import TaskKey
 
+# Progress that the run of a long-running task reports while the task is available.
 READY_PERCENT = 100
-# A task without progress for this long is not expected to become available soon.
-# Longer than the age of the run lists, which is up to a second.
+# A run without progress for this long is stuck: its task is not expected to become
+# available soon. Longer than the age of the run lists, which is up to a second.
 STUCK_S = 3.0
 
 
@@ -29,8 +30,9 @@
 def may_stop(fleet: Fleet, active_job: ActiveJob, run: Run, now_s: float) -> bool:
     """Return whether the unavailability budget of the step allows stopping a run.
 
-    A task that the latest list shows as unavailable may have become available since,
-    so stopping it uses the budget too, unless it is stuck.
+    The budget is the number of tasks of the step that may be unavailable at the same
+    time, ``may_miss``. A task that the latest list shows as unavailable may have become
+    available since, so stopping it uses the budget too, unless its run is stuck.
     """
     step = run.step
     if not step.long_running or not step.may_miss:
--- a/libs/jobs/src/lycheeloom/jobs/demand.py
+++ b/libs/jobs/src/lycheeloom/jobs/demand.py
@@ -30,7 +30,7 @@
         self._recent_jobs_by_pool[pool].append((now_s, job))
 
     def needed_instances(self, pool: str, capacity: Resources, now_s: float) -> float:
-        """Return the submitted work in instance-seconds per second."""
+        """Return the work submitted to a pool, in instance-seconds per second."""
         recent = self._recent_jobs_by_pool[pool]
         while recent and recent[0][0] < now_s - RATE_WINDOW_S:
             recent.popleft()
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -11,9 +11,9 @@
 
 from .model import Step, TaskKey, Worker
 
-# No tasks start on a worker for this long after its last runs failed; the time
-# doubles with each further failure. A single failure is ignored, as it is as likely
-# to be caused by the task itself.
+# No tasks start on a worker for this long after ``MIN_CONSECUTIVE_FAILURES`` of its
+# runs failed in a row; the time doubles with each further failure. A single failure is
+# ignored, as it is as likely to be caused by the task itself.
 FAILURE_BACKOFF_S = 1.0
 MIN_CONSECUTIVE_FAILURES = 2
 MAX_FAILURE_BACKOFF_S = 8.0
@@ -22,12 +22,13 @@
 class RunState(Enum):
     """The leader's knowledge of a run."""
 
-    # The start request has been sent and not yet answered.
+    # The start order is being sent or has not been answered yet.
     STARTING = "starting"
     RUNNING = "running"
-    # The start request timed out; the next list shows whether the run exists.
+    # The start order was not answered; the next list shows whether the run exists.
     UNSURE = "unsure"
-    # A stop is being sent, also to a run whose start may have failed.
+    # A stop order is being sent, or the run has not yet disappeared from the lists.
+    # The start of the run may have failed.
     STOPPING = "stopping"
 
 
@@ -46,13 +47,15 @@
     started_s: float
     checkpoint: str = ""
     percent: int = 0
-    # When ``percent`` last changed.
+    # When ``percent`` last changed, or last was 100, or the run started.
     progress_changed_s: float = 0.0
+    # Tail latency in ms for a task with a latency target, otherwise cores in use.
     latency_or_cores: float = 0.0
+    # Percentage of its full speed to which a filling task is limited.
     pace_percent: int = 100
     # Why the leader stopped the run; empty if it did not.
     stop_reason: str = ""
-    # The run no longer exists if a list requested after this time lacks it.
+    # The run no longer exists if a list that was requested after this time lacks it.
     gone_if_unlisted_after_s: float = math.inf
 
 
@@ -62,13 +65,14 @@
 
     worker: Worker
     run_by_task: dict[TaskKey, Run] = field(default_factory=dict)
+    # Reserved by the runs and, during a planning round, by the starts planned so far.
     used: Resources = NO_RESOURCES
     # No task starts on the worker before this time.
     backoff_until_s: float = 0.0
     consecutive_failures: int = 0
     # This leader has received the run lists of the worker and the worker responds.
     has_current_lists: bool = False
-    # Gets no new tasks because maintenance or a move is planned.
+    # The worker gets no new tasks because maintenance or a move is planned.
     is_cordoned: bool = False
 
     @property
@@ -94,6 +98,7 @@
 
     def __init__(self) -> None:
         self.state_by_id: dict[str, WorkerState] = {}
+        # Resources that count towards the upper limit of an organisation.
         self.used_by_organisation: dict[str, Resources] = defaultdict(Resources)
         self.runs_by_task: dict[TaskKey, list[Run]] = defaultdict(list)
 
@@ -131,6 +136,7 @@
         if state is None or state.run_by_task.get(run.task) is not run:
             return
         del state.run_by_task[run.task]
+        # Without runs, no rounding errors of the sum remain.
         state.used = (
             state.used - run.step.reservation if state.run_by_task else NO_RESOURCES
         )
@@ -141,11 +147,11 @@
         if not runs:
             del self.runs_by_task[run.task]
 
-    def find_run(self, worker_id: str, task: TaskKey, number: int) -> Run | None:
+    def find_run(self, worker_id: str, task: TaskKey, run_number: int) -> Run | None:
         """Return the run of a task on a worker if it has this run number."""
         state = self.state_by_id.get(worker_id)
         run = state.run_by_task.get(task) if state else None
-        return run if run is not None and run.run == number else None
+        return run if run is not None and run.run == run_number else None
 
     def runs_of_job(self, job_id: str) -> list[Run]:
         """Return all runs of a job."""
@@ -157,9 +163,10 @@
         ]
 
     def note_outcome(self, worker_id: str, succeeded: bool, now_s: float) -> None:
-        """Update a worker's failure count and exclude it for a time if needed.
+        """Count a run of a worker as a success or failure.
 
-        The backoff grows with each failure in a row.
+        After several failures in a row, no tasks start on the worker for a time that
+        grows with each further failure.
         """
         state = self.state_by_id.get(worker_id)
         if state is None:
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -24,27 +24,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """A group of identical tasks of a job and their placement constraints."""
+    """A group of identical tasks of a job and their placement constraints.
+
+    Resources are per task.
+    """
 
     count: int
     cpu_milli: int = 0
     memory_mb: int = 0
     accelerators: int = 0
+    # Estimated duration of one task.
     estimated_ms: int = 0
     # Indexes of the steps that must be complete before this one starts.
     after: tuple[int, ...] = ()
+    # Tasks report checkpoints, from which their next runs continue.
     checkpointing: bool = False
     # All tasks start together, with the same run number, or none does.
     gang: bool = False
+    # The tasks of a gang are placed in one rack if one has room for all.
     same_rack: bool = False
-    # Label that the worker must have; empty for no requirement.
+    # Label that the worker must have; an empty string requires none.
     label: str = ""
-    # Preferred rack, the one that holds the data; empty for no preference.
+    # Preferred rack, the one that holds the data; an empty string prefers none.
     rack: str = ""
     # Maximum tasks of one occurrence of the step on one worker; 0 for no limit.
     max_per_worker: int = 0
     speculative: bool = False
-    # Tasks run until the job is cancelled; those that end are restarted.
+    # The tasks form a service: they run until the job is cancelled, and those that end
+    # are restarted.
     long_running: bool = False
     image: str = ""
     # Tail latency target of a long-running task; 0 for none.
@@ -72,7 +79,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """A job as accepted; it never changes afterwards."""
+    """A job as accepted; it never changes afterwards.
+
+    The steps of a repeated job run once in each of its occurrences, which are due at
+    regular intervals.
+    """
 
     job_id: str
     queue: str
@@ -83,6 +94,7 @@
     accepted_ms: int = 0
     # Number of scheduled occurrences; 0 for a job that runs once, immediately.
     repetitions: int = 0
+    # Unix time at which the first occurrence is due.
     first_run_ms: int = 0
     interval_ms: int = 0
 
@@ -114,9 +126,9 @@
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
     @classmethod
-    def parse(cls, name: str) -> TaskKey | None:
+    def parse(cls, text: str) -> TaskKey | None:
         """Parse a key such as ``"5c0e7a21d94b36f8.0.1.17"``; None if malformed."""
-        parts = name.split(".")
+        parts = text.split(".")
         if len(parts) != 4:
             return None
         try:
@@ -127,7 +139,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceTerms:
-    """Duration of a call to the advice service and lifetime of its tickets."""
+    """Duration of a call to the advice service and validity of its tickets.
+
+    A call takes ``decision_ms``, and ``each_worker_ms`` for each worker named in it.
+    """
 
     decision_ms: float
     each_worker_ms: float
@@ -150,7 +165,9 @@
     # longest chain of steps, plus ``target_latency_ms``.
     stretch: float = 1.0
     target_latency_ms: float = 0.0
+    # Callers need no API key; their jobs have no organisation.
     open_to_all: bool = False
+    # Set if tasks may start only on workers that the advice service allows.
     advice: AdviceTerms | None = None
 
 
@@ -159,7 +176,7 @@
     """A pool of instances."""
 
     name: str
-    # The instances of the pool are switched off and cost nothing.
+    # The instances of the pool are switched off: they run no tasks and cost nothing.
     standby: bool = False
     # Workers reject tasks that do not fit.
     rejects_overload: bool = True
@@ -167,12 +184,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
-    """A tenant that submits jobs, with its API keys and resource limit."""
+    """An organisation that submits jobs, with its API keys and resource limit."""
 
     name: str
     keys: frozenset[str]
-    # Share of a fully used fleet, and the number of jobs per second that the
-    # planner does not put behind those of other organisations.
+    # Relative share of a fully used fleet, and the number of jobs per second up to
+    # which the planner does not rank jobs behind those of other organisations.
     weight: float = 1.0
     # Limit on the resources in use; a component of 0 means unlimited.
     upper_limit: Resources = NO_RESOURCES
@@ -190,12 +207,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """The current configuration, indexed by name."""
+    """The current configuration, indexed by name; its version is 0 before the first."""
 
     version: int = 0
     queue_by_name: Mapping[str, Queue] = field(default_factory=dict)
     pool_by_name: Mapping[str, Pool] = field(default_factory=dict)
     organisation_by_name: Mapping[str, Organisation] = field(default_factory=dict)
+    # Name of the organisation by API key.
     organisation_by_key: Mapping[str, str] = field(default_factory=dict)
     max_body_bytes: int = 262_144
 
@@ -215,7 +233,8 @@
     """One incarnation of a process that runs tasks on an instance."""
 
     worker_id: str
-    # Start of this incarnation; a restarted worker keeps its id.
+    # Unix time at which this incarnation started, 0 if unknown; a restarted worker
+    # keeps its id.
     started_ms: int
     pool: str
     address: str
@@ -231,8 +250,10 @@
     """A run that a worker reports as running."""
 
     task: TaskKey
+    # Run number; later runs of a task have higher numbers.
     run: int
     checkpoint: str
+    # Progress; 100 while a long-running task is available.
     percent: int
     # Tail latency in ms for a task with a latency target, otherwise cores in use.
     latency_or_cores: float
@@ -254,7 +275,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedTask:
-    """A run that a worker reports as ended; ``number`` increases with each end."""
+    """A run that a worker reports as ended.
+
+    ``number`` counts the ends of runs on this worker.
+    """
 
     number: int
     task: TaskKey
--- a/libs/jobs/src/lycheeloom/jobs/pacing.py
+++ b/libs/jobs/src/lycheeloom/jobs/pacing.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-# Filling tasks are slowed while the latency exceeds this fraction of its target.
+# Filling tasks are slowed while a latency exceeds this fraction of its target.
 SLOW_DOWN_RATIO = 0.9
-# They are sped up while it is below this fraction.
+# Filling tasks are sped up while all latencies are below this fraction of their
+# targets.
 SPEED_UP_RATIO = 0.6
-# Factor per measurement above the target: reduces the pace from 100 to below 10
-# percent within three measurements, well within the time for which a target may be
-# exceeded.
+# Factor applied to the pace at each measurement above ``SLOW_DOWN_RATIO``. It reduces
+# the pace from 100 to below 10 percent within three measurements, well within the time
+# for which a target may be exceeded.
 SLOW_DOWN_FACTOR = 0.4
 SPEED_UP_INCREMENT_PERCENT = 10
 # Filling tasks are paused instead of running below this pace.
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -10,7 +10,7 @@
 from .fleet import Fleet, WorkerState
 from .model import Step
 
-# Allows for the rounding errors of summed fractions of cores.
+# Allows for rounding errors in sums of fractions of cores.
 TOLERANCE_CORES = 1e-6
 
 
@@ -68,8 +68,8 @@
 
     Prefers the step's rack, then workers outside ``avoid``, then those with the
     fewest failures in a row, then the fullest worker in use: instances that stay idle
-    can be switched off or moved to another pool. ``counts`` holds the tasks of the
-    step on each worker.
+    can be switched off or moved to another pool. ``counts`` holds the number of tasks
+    of the step on each worker.
     """
     need = step.reservation
     best, best_rank = None, None
@@ -94,10 +94,12 @@
 def _load_rank(
     state: WorkerState, step: Step, has_task_of_step: bool
 ) -> tuple[bool, bool, float]:
-    """Rank a worker by load, so that few workers are in use.
+    """Return the rank of a worker by load; the lowest rank is best.
 
-    Long-running tasks are placed with other long-running tasks. Tasks planned in the
-    same round are included in ``used`` but have no run yet.
+    Workers in use rank before unused ones, so that few workers are in use; among them,
+    the fullest is best. For a long-running task, workers with other long-running tasks
+    rank first, and the emptiest is best. ``has_task_of_step`` is given since tasks
+    planned in the same round are included in ``used`` but have no run yet.
     """
     capacity = state.worker.capacity
     free_fraction = state.free.cores / capacity.cores if capacity.cores else 0.0
@@ -119,9 +121,9 @@
     """
     if step.same_rack:
         racks = {state.worker.rack for state in states}
-        for rack in sorted(racks, key=lambda r: (r != step.rack, r)):
-            inside = [state for state in states if state.worker.rack == rack]
-            state_by_index = _fit_all(inside, step, indexes)
+        for rack in sorted(racks, key=lambda name: (name != step.rack, name)):
+            in_rack = [state for state in states if state.worker.rack == rack]
+            state_by_index = _fit_all(in_rack, step, indexes)
             if state_by_index is not None:
                 return state_by_index
     return _fit_all(states, step, indexes)
@@ -130,6 +132,10 @@
 def _fit_all(
     states: list[WorkerState], step: Step, indexes: list[int]
 ) -> dict[int, WorkerState] | None:
+    """Return a worker for each task index, or None if not all tasks fit.
+
+    Prefers the step's rack, then the worker with the most free cores.
+    """
     need = step.reservation
     free_by_id = {state.worker.worker_id: state.free for state in states}
     counts: Counter[str] = Counter()
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -14,10 +14,11 @@
 from .placement import choose_gang, choose_worker, eligible_workers, tasks_by_worker
 
 # Jobs that can no longer meet their deadline are ranked behind the others until they
-# have waited this long; then the deadline alone decides, so that none starves.
+# have waited this long; then they are ranked by their deadline again, so that none
+# starves.
 MAX_LATE_DEFERRAL_S = 6.0
-# Window for the submission rate of an organisation; jobs above the rate given by its
-# weight (jobs per second) are ranked behind the others.
+# Time over which the submission rate of an organisation is measured. Jobs that exceed
+# the rate given by its weight, in jobs per second, are ranked behind the others.
 RATE_WINDOW_S = 4.0
 
 
@@ -37,11 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class _RankedStep:
-    """A step that may start; the lowest rank goes first."""
+    """A step with waiting tasks that may start; the step with the lowest rank is first."""
 
     rank: tuple[float, ...]
     active_job: ActiveJob
-    key: StepKey
+    step_key: StepKey
     step_tasks: StepTasks
     queue: Queue
 
@@ -57,7 +58,10 @@
         self._accepted_s_by_organisation: dict[str, list[float]] = defaultdict(list)
 
     def note_job(self, active_job: ActiveJob, policy: Policy) -> None:
-        """Count a new job towards the submission rate of its organisation."""
+        """Count a new job towards the submission rate of its organisation.
+
+        A job whose organisation is not in the policy never exceeds the rate.
+        """
         organisation = policy.organisation_by_name.get(active_job.job.organisation)
         if organisation is None:
             return
@@ -66,8 +70,8 @@
         recent.append(accepted_s)
         while recent and recent[0] < accepted_s - RATE_WINDOW_S:
             recent.pop(0)
-        allowed = max(1.0, organisation.weight * RATE_WINDOW_S)
-        self._exceeds_rate_by_job[active_job.job.job_id] = len(recent) > allowed
+        allowed_jobs = max(1.0, organisation.weight * RATE_WINDOW_S)
+        self._exceeds_rate_by_job[active_job.job.job_id] = len(recent) > allowed_jobs
 
     def forget_job(self, job_id: str) -> None:
         """Discard the state kept for a job that has ended."""
@@ -86,25 +90,27 @@
     ) -> list[Start]:
         """Return the tasks to start now; the caller adds their runs to the fleet.
 
-        ``now_s`` is the leader's monotonic clock, ``now_ms`` is Unix time.
+        ``now_s`` is the leader's monotonic clock, ``now_ms`` is Unix time. Steps of
+        queues that require advice start only on ``advised_workers``; None stands for
+        no restriction.
         """
         ranked_steps = [
             _RankedStep(
-                self._rank(active_job, queue, key, now_ms),
+                self._rank(active_job, queue, step_key, now_ms),
                 active_job,
-                key,
+                step_key,
                 step_tasks,
                 queue,
             )
             for active_job in active_jobs
             if (queue := policy.queue_by_name.get(active_job.job.queue)) is not None
-            for key, step_tasks in active_job.startable_steps(now_ms)
+            for step_key, step_tasks in active_job.startable_steps(now_ms)
         ]
         ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
         reservations = _Reservations(self._fleet)
-        # A need that did not fit into the pool; tasks that need at least as much
-        # are not tried again in this round.
+        # Resources of a task that did not fit on any worker of the pool; tasks that
+        # need at least as much are not tried again in this round.
         unplaceable_need_by_pool: dict[str, Resources] = {}
         for ranked in ranked_steps:
             starts.extend(
@@ -122,20 +128,29 @@
         return starts
 
     def _rank(
-        self, active_job: ActiveJob, queue: Queue, key: StepKey, now_ms: float
+        self, active_job: ActiveJob, queue: Queue, step_key: StepKey, now_ms: float
     ) -> tuple[float, ...]:
+        """Return the rank of a step; steps with lower ranks start first.
+
+        The rank consists of the priority of the queue, of whether the job exceeds the
+        submission rate of its organisation, of whether it can no longer meet its
+        deadline, and of the deadline. Long-running steps have no deadline and are
+        ranked by their begin instead.
+        """
         job = active_job.job
-        begins_ms = max(job.accepted_ms, job.due_ms(key[0]))
-        objective_ms = queue.stretch * active_job.chain_ms() + queue.target_latency_ms
-        deadline_ms = begins_ms + objective_ms
-        slack_ms = deadline_ms - now_ms - active_job.remaining_chain_ms(key)
+        begins_ms = max(job.accepted_ms, job.due_ms(step_key[0]))
+        target_duration_ms = (
+            queue.stretch * active_job.chain_ms() + queue.target_latency_ms
+        )
+        deadline_ms = begins_ms + target_duration_ms
+        slack_ms = deadline_ms - now_ms - active_job.remaining_chain_ms(step_key)
         waited_s = (now_ms - begins_ms) / 1000
-        is_late = slack_ms < 0 and waited_s < MAX_LATE_DEFERRAL_S
-        step = job.steps[key[1]]
+        is_deferred = slack_ms < 0 and waited_s < MAX_LATE_DEFERRAL_S
+        step = job.steps[step_key[1]]
         if step.long_running:
             return (queue.priority, 0, 0, begins_ms)
         exceeds_rate = self._exceeds_rate_by_job.get(job.job_id, False)
-        return (queue.priority, exceeds_rate, is_late, deadline_ms)
+        return (queue.priority, exceeds_rate, is_deferred, deadline_ms)
 
     def _plan_step(
         self,
@@ -147,6 +162,10 @@
         unplaceable_need_by_pool: dict[str, Resources],
         advised_workers: AdvisedWorkers | None,
     ) -> list[Start]:
+        """Return the starts of a step, up to the limits of workers and organisation.
+
+        Also sets the pool's ``unplaceable_need`` if the pool has no room for a task.
+        """
         step, pool = ranked.step_tasks.step, ranked.queue.pool
         unplaceable_need = unplaceable_need_by_pool.get(pool)
         is_restricted = step.label or step.max_per_worker or step.gang
@@ -161,7 +180,7 @@
         states = eligible_workers(self._fleet, pool, step, zones_out_of_service, now_s)
         if ranked.queue.advice is not None and advised_workers is not None:
             states = advised_workers.filter(
-                ranked.active_job.job.job_id, ranked.key, states
+                ranked.active_job.job.job_id, ranked.step_key, states
             )
         if not states:
             return []
@@ -171,14 +190,14 @@
         counts: Counter[str] = Counter()
         if step.max_per_worker:
             counts = tasks_by_worker(
-                self._fleet, ranked.active_job.job.job_id, *ranked.key
+                self._fleet, ranked.active_job.job.job_id, *ranked.step_key
             )
         for index in list(ranked.step_tasks.waiting):
             if not reservations.allows(
                 policy, ranked.active_job.job.organisation, step
             ):
                 break
-            task = TaskKey(ranked.active_job.job.job_id, *ranked.key, index)
+            task = TaskKey(ranked.active_job.job.job_id, *ranked.step_key, index)
             avoid = self.failed_workers_by_task.get(task, ())
             state = choose_worker(states, step, counts, avoid)
             if state is None:
@@ -199,6 +218,7 @@
         states: list[WorkerState],
         reservations: _Reservations,
     ) -> list[Start]:
+        """Return the starts of all tasks of a gang, or none if not all can start."""
         step, active_job = ranked.step_tasks.step, ranked.active_job
         if len(ranked.step_tasks.waiting) < step.count:
             return []
@@ -208,10 +228,11 @@
         choice = choose_gang(states, step, sorted(ranked.step_tasks.waiting))
         if choice is None:
             return []
+        # All runs of a gang have the same number.
         run = active_job.next_run()
         starts = []
         for index, state in choice.items():
-            task = TaskKey(active_job.job.job_id, *ranked.key, index)
+            task = TaskKey(active_job.job.job_id, *ranked.step_key, index)
             ranked.step_tasks.waiting.remove(index)
             starts.append(self._start(ranked, task, state, run))
             reservations.add(organisation, step, state)
@@ -220,10 +241,11 @@
     def _start(
         self, ranked: _RankedStep, task: TaskKey, state: WorkerState, run: int
     ) -> Start:
-        job, saved = ranked.active_job.job, ranked.step_tasks.checkpoint_by_index
-        checkpoint = saved.get(task.index, "")
+        job, checkpoints = ranked.active_job.job, ranked.step_tasks.checkpoint_by_index
+        checkpoint = checkpoints.get(task.index, "")
+        # All tasks of a gang continue from the same checkpoint.
         if ranked.step_tasks.step.gang:
-            checkpoint = next(iter(saved.values()), "")
+            checkpoint = next(iter(checkpoints.values()), "")
         return Start(
             task,
             run,
@@ -237,66 +259,88 @@
 
 
 class AdvisedWorkers:
-    """Workers that the advice service allows for a step, with their tickets."""
+    """Workers that the advice service allows for a step, with their tickets.
+
+    The leader sends the ticket along with a start; the worker checks it.
+    """
 
     def __init__(self) -> None:
-        # Ticket and the time until which it may be used, by job, step and worker.
+        # Ticket, and the time of the monotonic clock until which it may be used, by job
+        # id, step and worker id.
         self.ticket_by_key: dict[tuple[str, StepKey, str], tuple[str, float]] = {}
 
     def filter(
-        self, job_id: str, key: StepKey, states: list[WorkerState]
+        self, job_id: str, step_key: StepKey, states: list[WorkerState]
     ) -> list[WorkerState]:
         """Return the workers for which a ticket is known."""
         return [
             state
             for state in states
-            if (job_id, key, state.worker.worker_id) in self.ticket_by_key
+            if (job_id, step_key, state.worker.worker_id) in self.ticket_by_key
         ]
 
     def forget_job(self, job_id: str) -> None:
         """Discard the tickets of a job that has ended."""
-        for entry in [e for e in self.ticket_by_key if e[0] == job_id]:
-            del self.ticket_by_key[entry]
+        for ticket_key in [key for key in self.ticket_by_key if key[0] == job_id]:
+            del self.ticket_by_key[ticket_key]
 
 
 class _Reservations:
-    """Resources taken by the starts planned so far in one round."""
+    """Resources taken by the starts planned so far in one round.
+
+    They are added to the workers' ``used`` until ``release``, and to copies of the
+    organisations' use.
+    """
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._used_by_organisation: dict[str, Resources] = {}
-        self._need_by_worker: dict[str, tuple[WorkerState, Resources]] = {}
-
-    def allows(self, policy: Policy, name: str, step: Step, count: int = 1) -> bool:
-        organisation = policy.organisation_by_name.get(name)
+        # Worker and the resources reserved on it, by worker id.
+        self._reservation_by_worker: dict[str, tuple[WorkerState, Resources]] = {}
+
+    def allows(
+        self, policy: Policy, organisation_name: str, step: Step, count: int = 1
+    ) -> bool:
+        """Return whether ``count`` more tasks stay within the organisation's limit."""
+        organisation = policy.organisation_by_name.get(organisation_name)
         if organisation is None:
             return True
         use = step.limit_use
         total = Resources(
             use.cores * count, use.memory_mb * count, use.accelerators * count
         )
-        return organisation.allows(self._used(name), total)
+        return organisation.allows(self._used(organisation_name), total)
 
-    def add(self, name: str, step: Step, state: WorkerState) -> None:
-        self._used_by_organisation[name] = self._used(name) + step.limit_use
+    def add(self, organisation_name: str, step: Step, state: WorkerState) -> None:
+        """Reserve the resources of one task."""
+        self._used_by_organisation[organisation_name] = (
+            self._used(organisation_name) + step.limit_use
+        )
         worker_id = state.worker.worker_id
-        _, need = self._need_by_worker.get(worker_id, (state, Resources()))
-        self._need_by_worker[worker_id] = (state, need + step.reservation)
+        _, reserved = self._reservation_by_worker.get(worker_id, (state, Resources()))
+        self._reservation_by_worker[worker_id] = (state, reserved + step.reservation)
         state.used = state.used + step.reservation
 
     def release(self) -> None:
-        """Undo the reservations; the caller counts the runs by adding them."""
-        for state, need in self._need_by_worker.values():
-            state.used = state.used - need
+        """Undo the reservations on the workers.
 
-    def _used(self, name: str) -> Resources:
-        used = self._used_by_organisation.get(name)
-        return self._fleet.used_by_organisation[name] if used is None else used
+        The runs of the starts are counted when the caller adds them to the fleet.
+        """
+        for state, reserved in self._reservation_by_worker.values():
+            state.used = state.used - reserved
+
+    def _used(self, organisation_name: str) -> Resources:
+        used = self._used_by_organisation.get(organisation_name)
+        return (
+            self._fleet.used_by_organisation[organisation_name]
+            if used is None
+            else used
+        )
 
 
-def _is_at_least(need: Resources, unplaceable_need: Resources) -> bool:
+def _is_at_least(need: Resources, other_need: Resources) -> bool:
     return (
-        need.cores >= unplaceable_need.cores
-        and need.memory_mb >= unplaceable_need.memory_mb
-        and need.accelerators >= unplaceable_need.accelerators
+        need.cores >= other_need.cores
+        and need.memory_mb >= other_need.memory_mb
+        and need.accelerators >= other_need.accelerators
     )
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -12,16 +12,17 @@
 from .active_job import ActiveJob
 from .model import Policy
 
-# Waiting work is to be finished within this time, about the duration of a move.
+# A pool gets enough instances to finish its waiting work within this time, which is
+# about the duration of a move.
 BACKLOG_TARGET_S = 1.5
 # A smaller backlog, in instance-seconds, does not cause moves.
 MIN_BACKLOG_INSTANCE_S = 0.4
-# An instance without tasks for this long is switched off. Keeping it on for one
+# An instance that has had no tasks for this long is switched off. Keeping it on for one
 # second costs about as much as a move.
 SWITCH_OFF_IDLE_S = 1.5
-# Fraction of an instance that can be filled with tasks of different sizes.
+# Fraction of an instance that can be filled, as tasks of different sizes leave gaps.
 PACKING_FRACTION = 0.85
-# Fraction of a pool that must stay free after an instance is taken away.
+# Fraction of a pool that must be free after an instance is taken away.
 MIN_FREE_FRACTION = 0.25
 
 
@@ -57,12 +58,12 @@
     min_instances: int = 1
     # The part of ``used`` that long-running tasks use.
     long_running_use: float = 0.0
-    # Work submitted per second.
+    # Work submitted per second, as measured by ``PoolDemand``.
     offered_load: float = 0.0
 
     @property
     def instances_to_keep_up(self) -> float:
-        """Return how many instances keep up with the submission rate."""
+        """Return how many instances the pool needs to keep up with submissions."""
         return self.long_running_use + self.offered_load / PACKING_FRACTION
 
 
@@ -70,8 +71,8 @@
 class Move:
     """The move of an instance to another pool, with its reason.
 
-    ``load`` and ``size`` (in instances) describe the pool that caused the move: the
-    one with waiting work, or the one with an idle instance.
+    ``pool`` is the target. ``load`` and ``size`` (in instances) describe the pool that
+    caused the move: the target with waiting work, or the one with an idle instance.
     """
 
     instance_id: str
@@ -109,7 +110,10 @@
 def min_instances_by_pool(
     active_jobs: Iterable[ActiveJob], policy: Policy
 ) -> dict[str, int]:
-    """Return the workers needed per pool by steps that limit tasks per worker."""
+    """Return how many workers each pool needs for steps that limit tasks per worker.
+
+    The result contains only pools with such steps.
+    """
     min_instances: dict[str, int] = {}
     for active_job in active_jobs:
         queue = policy.queue_by_name.get(active_job.job.queue)
@@ -130,8 +134,9 @@
 ) -> list[Move]:
     """Return moves into pools that need instances and moves of idle ones to standby.
 
-    Pools are filled with instances that are switched off first, then with idle
-    instances of pools without waiting work.
+    A pool that needs instances first gets those that are switched off, then idle
+    instances of pools without waiting work. Switched-off instances are those of the
+    ``standby_pools``; idle ones go to the first of these by name.
     """
     movable = _MovableInstances(instances, load_by_pool, standby_pools)
     moves = _moves_into_pools(movable)
@@ -149,28 +154,36 @@
         load_by_pool: Mapping[str, PoolLoad],
         standby_pools: Collection[str],
     ) -> None:
-        usable = [i for i in instances if i.is_usable]
+        usable = [instance for instance in instances if instance.is_usable]
         self.load_by_pool = load_by_pool
         self.standby_pools = standby_pools
-        self.size_by_pool = Counter(i.pool for i in usable)
-        self._spare = [i for i in usable if i.may_move and i.pool in standby_pools]
-        # Longest idle first.
+        self.size_by_pool = Counter(instance.pool for instance in usable)
+        # Instances that are switched off.
+        self._standby = [
+            instance
+            for instance in usable
+            if instance.may_move and instance.pool in standby_pools
+        ]
+        # Instances without tasks, of pools without waiting work; longest idle first.
         self.idle = [
-            i
-            for i in sorted(usable, key=lambda i: -i.idle_s)
-            if i.pool not in standby_pools
-            and i.may_move
-            and i.idle_s > 0
-            and not self.load_of(i.pool).backlog
+            instance
+            for instance in sorted(usable, key=lambda instance: -instance.idle_s)
+            if instance.pool not in standby_pools
+            and instance.may_move
+            and instance.idle_s > 0
+            and not self.load_of(instance.pool).backlog
         ]
 
     def load_of(self, pool: str) -> PoolLoad:
         return self.load_by_pool.get(pool, PoolLoad(0, 0))
 
     def take_instance(self) -> PoolInstance | None:
-        """Take an instance that is switched off or, if there is none, an idle one."""
-        if self._spare:
-            return self._spare.pop(0)
+        """Take an instance that is switched off or, if there is none, an idle one.
+
+        Returns None if no pool can spare an instance.
+        """
+        if self._standby:
+            return self._standby.pop(0)
         for instance in self.idle:
             if self.release(instance):
                 self.idle.remove(instance)
@@ -178,7 +191,10 @@
         return None
 
     def release(self, instance: PoolInstance) -> bool:
-        """Remove an instance from the size of its pool; False if the pool needs it."""
+        """Subtract an instance from the size of its pool.
+
+        Returns False, without a change, if the pool needs the instance.
+        """
         pool = instance.pool
         load = self.load_of(pool)
         remaining_size = self.size_by_pool[pool] - 1
@@ -209,7 +225,10 @@
 
 
 def _missing_instances(load: PoolLoad, size: int) -> int:
-    """Return how many more instances a pool needs, including arriving ones."""
+    """Return how many more instances a pool of ``size`` instances needs.
+
+    Instances that are already moving to the pool are not subtracted.
+    """
     missing = max(load.min_instances, math.ceil(load.instances_to_keep_up)) - size
     if load.backlog >= MIN_BACKLOG_INSTANCE_S:
         missing = max(missing, math.ceil(load.backlog / BACKLOG_TARGET_S))
@@ -220,9 +239,11 @@
     movable: _MovableInstances, instances: Collection[PoolInstance], standby_pool: str
 ) -> list[Move]:
     unusable = [
-        i
-        for i in instances
-        if not i.is_usable and i.may_move and i.pool not in movable.standby_pools
+        instance
+        for instance in instances
+        if not instance.is_usable
+        and instance.may_move
+        and instance.pool not in movable.standby_pools
     ]
     moves: list[Move] = []
     for instance in (*movable.idle, *unusable):
@@ -230,6 +251,7 @@
             continue
         pool = instance.pool
         size = movable.size_by_pool[pool]
+        # Instances that are not usable do not count towards the size of their pool.
         if not instance.is_usable or movable.release(instance):
             load = movable.load_of(pool)
             moves.append(Move(instance.instance_id, standby_pool, "idle", load, size))
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -31,9 +31,9 @@
 class TaskFailures:
     """Failed runs of a task.
 
-    ``runs`` holds their run numbers, so that no failure is counted twice: a worker
-    reports an end until a leader has acknowledged it, so a new leader may receive
-    one that its predecessor has already counted. Records written by earlier
+    ``runs`` holds the numbers of these runs, so that no failure is counted twice: a
+    worker reports an end until a leader has acknowledged it, so a new leader may
+    receive an end that its predecessor has already counted. Records written by earlier
     versions contain only the count.
     """
 
@@ -56,7 +56,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StepProgress:
-    """Progress of one occurrence of a step; ``done`` has one bit per task."""
+    """Progress of one occurrence of a step.
+
+    ``done`` is a bit set of the tasks that are done; the lowest bit of the first byte
+    stands for task 0.
+    """
 
     occurrence: int
     step: int
@@ -67,7 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class JobProgress:
-    """Progress of a job, stored so that a new leader can continue the job."""
+    """Progress of a job, stored so that a new leader can continue the job.
+
+    ``highest_run`` is the highest run number of its tasks, and ``finished_ms`` the Unix
+    time at which the job ended, 0 before that.
+    """
 
     state: JobState
     highest_run: int = 0
@@ -77,7 +85,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderRecord:
-    """The instance that leads and its fencing token."""
+    """The instance that leads and its fencing token.
+
+    With ``resigned``, the instance has stopped leading and others may take over
+    immediately.
+    """
 
     token: int
     instance: str
@@ -128,13 +140,13 @@
     return add_checksum(message.to_bytes())
 
 
-def decode(kind: type, data: bytes):
-    """Deserialise a value of type ``kind``; None if the data is invalid."""
+def decode(value_type: type, data: bytes):
+    """Deserialise a value of type ``value_type``; None if the data is invalid."""
     message_bytes = strip_checksum(data)
     if message_bytes is None:
         return None
     try:
-        with _STRUCT_BY_TYPE[kind].from_bytes(message_bytes) as message:
-            return from_struct(kind, message)
+        with _STRUCT_BY_TYPE[value_type].from_bytes(message_bytes) as message:
+            return from_struct(value_type, message)
     except (capnp.KjException, ValueError):
         return None
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -18,7 +18,10 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """A job with its latest progress and whether its cancellation was requested."""
+    """A job with its latest progress and whether its cancellation was requested.
+
+    ``job`` is None while only other records of the job have been applied.
+    """
 
     job: Job | None = None
     cancelled: bool = False
@@ -26,7 +29,10 @@
 
     @property
     def state(self) -> JobState:
-        """Return the state to report to callers."""
+        """Return the state to report to callers.
+
+        A job whose cancellation is requested counts as cancelled, unless it has ended.
+        """
         progress = self.progress
         if progress is not None and progress.state in FINAL_STATES:
             return progress.state
@@ -37,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedRecord:
-    """An applied record; ``name`` is the id of its job, wave or instance."""
+    """Kind and subject of a record that was applied to the table.
+
+    ``name`` is the id of the job, wave or instance; empty for a leader record.
+    """
 
     kind: Kind
     name: str
@@ -52,14 +61,16 @@
 
     def __init__(self) -> None:
         self.entry_by_id: dict[str, JobEntry] = {}
+        # Ids of the instances whose maintenance has begun, by wave.
         self.begun_by_wave: dict[str, frozenset[str]] = {}
+        # Unix time of the last move or maintenance order, by instance.
         self.ordered_ms_by_instance: dict[str, int] = {}
         self.leader: LeaderRecord | None = None
         self.unreadable_records = 0
         self._offset_by_key: dict[str, int] = {}
 
     def apply(self, offset: int, record: Record) -> AppliedRecord | None:
-        """Apply a record; return None if it is outdated or invalid."""
+        """Apply the record at an offset; return None if it is outdated or invalid."""
         if offset <= self._offset_by_key.get(record.key, -1):
             return None
         kind = _kind_of(record.key)
@@ -71,10 +82,10 @@
         if not record.value:
             self._remove(kind, name)
             return AppliedRecord(kind, name)
-        return self._store(kind, name, record.value)
+        return self._apply_value(kind, name, record.value)
 
     def waiting_jobs(self, queue: str) -> int:
-        """Return how many jobs of a queue have not started any task."""
+        """Return how many jobs of a queue are queued: none of their tasks has run."""
         return sum(
             entry.job is not None
             and entry.job.queue == queue
@@ -82,7 +93,7 @@
             for entry in self.entry_by_id.values()
         )
 
-    def _store(self, kind: Kind, name: str, value: bytes) -> AppliedRecord | None:
+    def _apply_value(self, kind: Kind, name: str, value: bytes) -> AppliedRecord | None:
         match kind:
             case Kind.JOB:
                 decoded = decode(Job, value)
@@ -113,6 +124,11 @@
         return AppliedRecord(kind, name)
 
     def _remove(self, kind: Kind, name: str) -> None:
+        """Apply the removal of a record.
+
+        The removal of a cancellation has no effect of its own: the whole entry is
+        removed with the record of the job or of its progress.
+        """
         if kind is Kind.WAVE:
             self.begun_by_wave.pop(name, None)
         if kind is Kind.ORDER:
--- a/libs/jobs/src/lycheeloom/jobs/waves.py
+++ b/libs/jobs/src/lycheeloom/jobs/waves.py
@@ -7,11 +7,11 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-# Maintenance of all instances should have begun after this fraction of the wave's
-# time.
+# Maintenance of all instances should have begun after this fraction of the wave's time
+# limit.
 BEGIN_FRACTION = 0.75
-# Instances of one pool that are unavailable at the same time while the wave is on
-# schedule: tasks that may not share a worker need room on the other instances.
+# Maximum instances of one pool that are unavailable at the same time while the wave is
+# on schedule: tasks that may not share a worker need room on the other instances.
 MAX_AWAY_PER_POOL = 1
 
 
@@ -21,7 +21,7 @@
 
     instance_id: str
     pool: str
-    # Runs on the instance, which would have to end or move.
+    # Number of runs on the instance, which would have to end or move.
     run_count: int
     # Fraction of the pool's CPU cores that is reserved.
     pool_cpu_use: float
@@ -48,19 +48,22 @@
     """Return the ids of the instances to drain now, the least disruptive first.
 
     ``away_by_pool`` counts the instances that are being drained or maintained, and
-    ``max_unavailable`` limits them. While the wave is on schedule, only one instance of a
-    pool is unavailable at a time; a late wave takes as many as the limit allows.
+    ``max_unavailable`` is the limit for all pools together. While the wave is on
+    schedule, only one instance of a pool is unavailable at a time. In a late wave, more
+    instances of a pool are, up to the limit.
     """
-    remaining = max_unavailable - sum(away_by_pool.values())
-    if remaining <= 0 or not pending:
+    allowed = max_unavailable - sum(away_by_pool.values())
+    if allowed <= 0 or not pending:
         return []
     time_left_s = time.time_limit_s * BEGIN_FRACTION - time.elapsed_s
     rounds_left = max(1, math.floor(time_left_s / time.round_s))
-    pending_by_pool = Counter(i.pool for i in pending if not i.is_standby)
+    pending_by_pool = Counter(
+        instance.pool for instance in pending if not instance.is_standby
+    )
     chosen: list[str] = []
     away = Counter(away_by_pool)
     for instance in sorted(pending, key=_disruption):
-        if len(chosen) >= remaining:
+        if len(chosen) >= allowed:
             break
         max_away = max(
             MAX_AWAY_PER_POOL, math.ceil(pending_by_pool[instance.pool] / rounds_left)
@@ -73,6 +76,7 @@
 
 
 def _disruption(instance: WaveInstance) -> tuple[bool, float, int, str]:
+    """Return a sort key that is lowest for the least disruptive instance."""
     return (
         not instance.is_standby,
         instance.pool_cpu_use,
