--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -47,24 +47,33 @@
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 JOB_ID = "0" * 16
-# Network delay of a poll, during which other greenlets run.
+# Time that a poll takes to reach the worker; other greenlets run meanwhile.
 POLL_DELAY_S = 0.03
 # Duration of an append by the leader.
 APPEND_DURATION_S = 0.03
 
 
 class FakeStore:
-    """Store with producer fencing; calls time out while ``is_down`` is set."""
+    """A store that fences the leader's appends and keeps the logs in memory.
+
+    While ``is_down`` is set, appends, reads and claims of the lead fail as if they had
+    timed out.
+    """
 
     def __init__(self) -> None:
+        # Records of the leader's log.
         self.records: list[Record] = []
         self._records_by_log = {Log.CALLERS: [], Log.LEADER: self.records}
         self.is_down = False
-        # Number of next appends that take effect but whose answers are lost.
+        # The next appends, as many as this number, take effect but their answers are
+        # lost.
         self.answers_to_lose = 0
         self.wave_states: list[tuple[str, str]] = []
+        # End of the election log.
         self._claims = 0
+        # Highest fencing token of an append.
         self._token = 0
+        # Results by fencing token and sequence number, returned to repeated appends.
         self._results: dict[tuple[int, int], Appended] = {}
 
     def append(
@@ -80,13 +89,13 @@
             if producer.token < self._token:
                 return Fenced()
             self._token = producer.token
-            repeated = self._results.get((producer.token, producer.sequence))
-            if repeated is not None:
-                return repeated
+            first_result = self._results.get((producer.token, producer.sequence))
+            if first_result is not None:
+                return first_result
         log = Log.CALLERS if producer is None else Log.LEADER
-        kept = self._records_by_log[log]
-        kept.extend(records)
-        result = Appended(len(kept))
+        log_records = self._records_by_log[log]
+        log_records.extend(records)
+        result = Appended(len(log_records))
         if producer is not None:
             self._results[producer.token, producer.sequence] = result
         if self.answers_to_lose:
@@ -95,23 +104,25 @@
         return result
 
     def read(self, log: Log, offset: int, wait_s: float) -> ReadResult:
-        kept = self._records_by_log[log]
+        log_records = self._records_by_log[log]
         deadline_s = steady_s() + wait_s
         while not self.is_down:
-            end = len(kept)
+            end = len(log_records)
             if end > offset or steady_s() >= deadline_s:
-                found = tuple(enumerate(kept[offset:], offset))
-                return RecordsRead(found, end, end)
+                new_records = tuple(enumerate(log_records[offset:], offset))
+                return RecordsRead(new_records, end, end)
             gevent.sleep(0.005)
         return ReadFailed("no answer in time")
 
     def newest(self, log: Log) -> RecordsRead | ReadFailed:
         if self.is_down:
             return ReadFailed("no answer in time")
-        kept = self._records_by_log[log]
-        newest = {r.key: (i, r) for i, r in enumerate(kept)}
-        end = len(kept)
-        return RecordsRead(tuple(sorted(newest.values())), end, end)
+        log_records = self._records_by_log[log]
+        newest_by_key = {
+            record.key: (offset, record) for offset, record in enumerate(log_records)
+        }
+        end = len(log_records)
+        return RecordsRead(tuple(sorted(newest_by_key.values())), end, end)
 
     def claim_lead(self, expected_end: int, instance: str) -> AppendResult:
         if self.is_down:
@@ -126,49 +137,63 @@
         return Appended(len(self.wave_states))
 
     def add_job(self, job: Job) -> None:
-        """Append a job record, as an instance does that accepts the job."""
+        """Append a job record, as if an instance had accepted the job."""
         self.append([Record(key_of(Kind.JOB, job.job_id), encode(job))])
 
     def append_order(self, instance_id: str, age_s: float = 0.0) -> None:
-        """Append a record of an instance order, as a leader does."""
+        """Append the record of a move or maintenance order to the leader's log.
+
+        The record says that the order was sent ``age_s`` ago.
+        """
         order = InstanceOrder(int(time.time() * 1000 - age_s * 1000))
         self.records.append(Record(key_of(Kind.ORDER, instance_id), encode(order)))
 
     def cancel(self, job_id: str) -> None:
-        """Append a cancellation record, as an instance does that accepts it."""
+        """Append a cancellation record, as if an instance had accepted the call."""
         self.append([Record(key_of(Kind.CANCELLATION, job_id), b"1")])
 
 
 @dataclass
 class FakeWorker:
-    """State of one worker: its running tasks, ended runs and faults."""
+    """State and faults of one worker."""
 
+    # Numbers of the running runs, by task.
     running: dict[TaskKey, int] = field(default_factory=dict)
+    # Ends of all runs, including those that the leader has acknowledged.
     ended: list[EndedTask] = field(default_factory=list)
-    # Highest run number that was stopped or has ended; starts up to it are rejected.
+    # Highest run number of each task that was stopped or has ended; starts up to it are
+    # rejected.
     highest_closed_run_by_task: dict[TaskKey, int] = field(default_factory=dict)
+    # Progress that all runs report.
     percent: int = 50
+    # Number of the latest end that the leader has acknowledged.
     acknowledged_end: int = 0
     end_count: int = 0
+    # Highest fencing token of a poll; orders and polls with a lower one are rejected.
     token: int = 0
+    # Calls time out without effect.
     is_unresponsive: bool = False
     # Starts are carried out but their answers are lost.
     loses_start_answers: bool = False
-    # Starts time out and are only carried out by ``carry_out_start``.
+    # Starts time out and are put into ``delayed_starts``; a test can have them carried
+    # out with ``carry_out_start``.
     delays_starts: bool = False
     delayed_starts: list[Start] = field(default_factory=list)
 
 
 class FakeWorkers:
-    """All workers, with a list of the runs that were started."""
+    """A worker port for all workers; ``by_id`` holds those called so far."""
 
     def __init__(self) -> None:
         self.by_id: dict[str, FakeWorker] = {}
+        # Worker, task and run number of each start that was carried out, in order.
         self.started_runs: list[tuple[str, TaskKey, int]] = []
-        # Start time in the lists of all workers; 0 for the one in ``Worker``.
-        self.started_ms = 0
+        # Start time of the worker's incarnation in all lists; if 0, each list contains
+        # the time in the leader's ``Worker``.
+        self.listed_started_ms = 0
 
     def worker(self, worker_id: str) -> FakeWorker:
+        """Return a worker; the first call creates it."""
         return self.by_id.setdefault(worker_id, FakeWorker())
 
     def start(
@@ -188,7 +213,10 @@
         return CallReply(outcome)
 
     def carry_out_start(self, worker_id: str, start: Start) -> CallOutcome:
-        """Start a run unless it or a later one was stopped or has ended."""
+        """Start a run; rejected if it or a later run was stopped or has ended.
+
+        Has no effect if a run of the task is running.
+        """
         fake = self.worker(worker_id)
         if start.run <= fake.highest_closed_run_by_task.get(start.task, 0):
             return CallOutcome.OLD_RUN
@@ -203,12 +231,12 @@
             return CallReply(CallOutcome.UNKNOWN, "no answer in time")
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
-        key = TaskKey.parse(task)
-        fake.highest_closed_run_by_task[key] = max(
-            run, fake.highest_closed_run_by_task.get(key, 0)
+        task_key = TaskKey.parse(task)
+        fake.highest_closed_run_by_task[task_key] = max(
+            run, fake.highest_closed_run_by_task.get(task_key, 0)
         )
-        if fake.running.get(key) == run:
-            self.end_run(worker.worker_id, key, EndKind.STOPPED)
+        if fake.running.get(task_key) == run:
+            self.end_run(worker.worker_id, task_key, EndKind.STOPPED)
         return CallReply(CallOutcome.DONE)
 
     def pace(
@@ -237,7 +265,7 @@
             gevent.sleep(0.005)
         return TaskLists(
             int(steady_s() * 1000),
-            self.started_ms or worker.started_ms,
+            self.listed_started_ms or worker.started_ms,
             tuple(
                 RunningTask(task, run, "", fake.percent, 0.0)
                 for task, run in fake.running.items()
@@ -248,7 +276,7 @@
     def end_run(
         self, worker_id: str, task: TaskKey, kind: EndKind, checkpoint: str = ""
     ) -> None:
-        """End a run."""
+        """End the run of a task on a worker."""
         fake = self.worker(worker_id)
         run = fake.running.pop(task)
         fake.highest_closed_run_by_task[task] = max(
@@ -259,12 +287,12 @@
 
     def end_all_runs(self, kind: EndKind = EndKind.DONE) -> int:
         """End all runs; return their number."""
-        ended = 0
+        ended_count = 0
         for worker_id, fake in self.by_id.items():
             for task in list(fake.running):
                 self.end_run(worker_id, task, kind)
-                ended += 1
-        return ended
+                ended_count += 1
+        return ended_count
 
     @staticmethod
     def _unacknowledged_ends(fake: FakeWorker) -> list[EndedTask]:
@@ -273,21 +301,24 @@
 
 def make_worker(number: int, pool: str = "pool", cores: float = 8.0) -> Worker:
     """Return a worker; workers alternate between two zones with a rack each."""
-    side = "ab"[number % 2]
+    letter = "ab"[number % 2]
     return Worker(
         f"w{number}",
         1,
         pool,
         f"127.0.0.1:{number}",
-        f"zone-{side}",
+        f"zone-{letter}",
         Resources(cores, 32_000, 0),
-        frozenset({"kind", f"rack-{side}"}),
-        f"rack-{side}",
+        frozenset({"kind", f"rack-{letter}"}),
+        f"rack-{letter}",
     )
 
 
 def make_policy(limit: Resources = NO_RESOURCES, max_attempts: int = 2) -> Policy:
-    """Return a policy with one queue, one pool and one organisation."""
+    """Return a policy with one queue, one pool and one organisation.
+
+    ``limit`` is the upper limit of the organisation.
+    """
     queue = Queue(
         "queue", "host", "/q/", "pool", max_attempts=max_attempts, stretch=2.0
     )
@@ -303,18 +334,22 @@
 
 
 class FakeCluster:
-    """A fake store and workers, and the leaders that use them."""
+    """A fake store and fake workers, and the leaders that a test starts."""
 
-    def __init__(self, workers: int = 2) -> None:
+    def __init__(self, worker_count: int = 2) -> None:
         self.store = FakeStore()
         self.workers = FakeWorkers()
         self.view = View(
-            make_policy(), {f"w{n}": make_worker(n) for n in range(workers)}
+            make_policy(),
+            {f"w{number}": make_worker(number) for number in range(worker_count)},
         )
         self._greenlets: list[gevent.Greenlet] = []
 
     def start_leader(self, token: int = 1) -> Dispatcher:
-        """Start a leader with a fencing token; return its dispatcher."""
+        """Start a leader with a fencing token; return its dispatcher.
+
+        Earlier leaders keep running until they notice that they are fenced.
+        """
         replica = Replica(self.store)
         replica.is_leading = True
         assert replica.load()
@@ -327,9 +362,9 @@
         self._greenlets.append(gevent.spawn(dispatcher.run))
         return dispatcher
 
-    def spawn(self, task: Callable[[], None]) -> None:
+    def spawn(self, function: Callable[[], None]) -> None:
         """Run a function in a greenlet until the cluster is closed."""
-        self._greenlets.append(gevent.spawn(task))
+        self._greenlets.append(gevent.spawn(function))
 
     def close(self) -> None:
         """Stop all greenlets."""
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -95,6 +95,7 @@
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
     cluster.store.is_down = True
     cluster.workers.end_all_runs()
+    # Longer than a poll and the time for which it waits for the record.
     gevent.sleep(1.5)
     assert [worker.acknowledged_end for worker in cluster.workers.by_id.values()] == [
         0,
@@ -135,16 +136,16 @@
     cluster.store.add_job(make_job())
     first = cluster.start_leader(1)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
-    holder = cluster.workers.worker(cluster.workers.started_runs[0][0])
+    worker = cluster.workers.worker(cluster.workers.started_runs[0][0])
     cluster.workers.end_all_runs(EndKind.FAILED)
     wait_until(lambda: recorded_failures(cluster) == 1)
-    holder.is_unresponsive = True
+    worker.is_unresponsive = True
     first.writer.is_fenced = True
     gevent.sleep(2 * POLL_DELAY_S)
-    assert holder.acknowledged_end == 0
-    holder.is_unresponsive = False
+    assert worker.acknowledged_end == 0
+    worker.is_unresponsive = False
     second = cluster.start_leader(2)
-    wait_until(lambda: holder.acknowledged_end > 0)
+    wait_until(lambda: worker.acknowledged_end > 0)
     assert recorded_state(cluster) is JobState.RUNNING
     assert recorded_failures(cluster) == 1
     wait_until(lambda: bool(second.fleet.runs_by_task))
@@ -157,8 +158,8 @@
     cluster.store.add_job(make_job())
     cluster.start_leader(1)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
-    holder = cluster.workers.started_runs[0][0]
-    cluster.workers.worker(holder).is_unresponsive = True
+    holder_id = cluster.workers.started_runs[0][0]
+    cluster.workers.worker(holder_id).is_unresponsive = True
     second = cluster.start_leader(2)
     wait_until(
         lambda: any(s.has_current_lists for s in second.fleet.state_by_id.values())
@@ -216,8 +217,11 @@
     assert cluster.workers.started_runs == []
 
 
-def test_start_that_arrives_late_is_rejected(cluster):
-    """A start must not be carried out after its task was started elsewhere."""
+def test_start_carried_out_after_its_stop_is_rejected(cluster):
+    """A delayed start must not be carried out after its run was stopped.
+
+    The task may have been started elsewhere by then.
+    """
     late = cluster.workers.worker("w0")
     late.delays_starts = True
     cluster.view.worker_by_id.pop("w1")
@@ -253,6 +257,7 @@
 
 def test_zone_out_of_service_gets_no_starts(cluster):
     """No task may start in a zone that operators have taken out of service."""
+    # Worker w0 is in zone-a, w1 in zone-b.
     cluster.view.zones_out_of_service = frozenset({"zone-a"})
     cluster.store.add_job(make_job(JOB_ID, Step(6, 1000)))
     cluster.start_leader()
@@ -293,6 +298,7 @@
     cluster.store.add_job(make_job())
     cluster.start_leader(1)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
+    # The policy of a process that has not read the configuration.
     cluster.view.policy = Policy()
     second = cluster.start_leader(2)
     wait_until(lambda: bool(second.fleet.runs_by_task))
@@ -304,15 +310,18 @@
 
 
 def test_tasks_of_unresponsive_worker_start_elsewhere_after_its_lease(cluster):
-    """Polls of an unresponsive worker must not count as new leases."""
+    """A task of an unresponsive worker must start elsewhere when its lease expires.
+
+    Polls that the worker does not answer must not extend the lease.
+    """
     cluster.store.add_job(make_job())
     cluster.start_leader()
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
-    holder = cluster.workers.started_runs[0][0]
+    holder_id = cluster.workers.started_runs[0][0]
     unresponsive_since_s = steady_s()
-    cluster.workers.worker(holder).is_unresponsive = True
+    cluster.workers.worker(holder_id).is_unresponsive = True
     wait_until(lambda: len(cluster.workers.started_runs) == 2)
-    assert cluster.workers.started_runs[1][0] != holder
+    assert cluster.workers.started_runs[1][0] != holder_id
     assert steady_s() - unresponsive_since_s >= WORKER_LEASE_S - POLL_WAIT_MS / 1000
 
 
@@ -324,7 +333,7 @@
     )
 
 
-def watch_instances(
+def poll_instances(
     cluster: FakeCluster, dispatcher: Dispatcher, port: InstancePort
 ) -> Inventory:
     """Let a leader poll the list of instances."""
@@ -343,14 +352,14 @@
     monkeypatch.setattr(worker_link, "WORKER_LEASE_S", LONG_S)
     instances = Mock(list_instances=list_instances_of("w0", "w1"))
     cluster.store.add_job(make_job())
-    watch_instances(cluster, cluster.start_leader(), instances)
+    poll_instances(cluster, cluster.start_leader(), instances)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
-    holder = cluster.workers.started_runs[0][0]
+    holder_id = cluster.workers.started_runs[0][0]
     gevent.sleep(INSTANCE_LIST_LAG_S)
-    cluster.workers.worker(holder).is_unresponsive = True
-    instances.list_instances = list_instances_of("w1" if holder == "w0" else "w0")
+    cluster.workers.worker(holder_id).is_unresponsive = True
+    instances.list_instances = list_instances_of("w1" if holder_id == "w0" else "w0")
     wait_until(lambda: len(cluster.workers.started_runs) == 2)
-    assert cluster.workers.started_runs[1][0] != holder
+    assert cluster.workers.started_runs[1][0] != holder_id
 
 
 def test_takeover_does_not_wait_for_workers_without_an_instance(cluster, monkeypatch):
@@ -362,15 +371,15 @@
     cluster.store.add_job(make_job(JOB_ID, Step(1, 1000), Step(1, 1000, after=(0,))))
     first = cluster.start_leader(1)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
-    holder = cluster.workers.started_runs[0][0]
-    other = "w1" if holder == "w0" else "w0"
+    holder_id = cluster.workers.started_runs[0][0]
+    other = "w1" if holder_id == "w0" else "w0"
     first.writer.is_fenced = True
     gevent.sleep(2 * POLL_DELAY_S)
     cluster.workers.worker(other).is_unresponsive = True
     cluster.workers.end_all_runs()
     monkeypatch.setattr(dispatcher_module, "TAKEOVER_LAPSE_S", LONG_S)
     second = cluster.start_leader(2)
-    watch_instances(cluster, second, Mock(list_instances=list_instances_of(holder)))
+    poll_instances(cluster, second, Mock(list_instances=list_instances_of(holder_id)))
     wait_until(lambda: len(cluster.workers.started_runs) == 2)
 
 
@@ -383,15 +392,15 @@
     cluster.store.add_job(make_job())
     first = cluster.start_leader(1)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
-    holder = cluster.workers.started_runs[0][0]
+    holder_id = cluster.workers.started_runs[0][0]
     first.writer.is_fenced = True
     gevent.sleep(2 * POLL_DELAY_S)
-    worker = cluster.view.worker_by_id.pop(holder)
+    worker = cluster.view.worker_by_id.pop(holder_id)
     second = cluster.start_leader(2)
-    watch_instances(cluster, second, Mock(list_instances=list_instances_of("w0", "w1")))
+    poll_instances(cluster, second, Mock(list_instances=list_instances_of("w0", "w1")))
     gevent.sleep(2 * FIRST_LIST_WAIT_S)
     assert len(cluster.workers.started_runs) == 1
-    cluster.view.worker_by_id[holder] = worker
+    cluster.view.worker_by_id[holder_id] = worker
     wait_until(lambda: bool(second.fleet.runs_by_task))
     assert len(cluster.workers.started_runs) == 1
 
@@ -400,7 +409,7 @@
     """Tasks must not be started twice because a list was outdated."""
     cluster.store.add_job(make_job(JOB_ID, Step(2, 5000)))
     dispatcher = cluster.start_leader()
-    watch_instances(cluster, dispatcher, Mock(list_instances=list_instances_of()))
+    poll_instances(cluster, dispatcher, Mock(list_instances=list_instances_of()))
     wait_until(lambda: len(cluster.workers.started_runs) == 2)
     gevent.sleep(2 * INSTANCE_LIST_LAG_S + LIST_INTERVAL_S)
     assert len(cluster.workers.started_runs) == 2
@@ -410,7 +419,7 @@
 def test_unresponsive_worker_with_instance_keeps_tasks_until_lease_ends(cluster):
     """No second run may start while the first continues behind a partition."""
     cluster.store.add_job(make_job())
-    watch_instances(
+    poll_instances(
         cluster,
         cluster.start_leader(),
         Mock(list_instances=list_instances_of("w0", "w1")),
@@ -423,11 +432,15 @@
 
 
 def test_worker_without_a_reported_start_time_is_used(cluster):
-    """A worker must not be dropped and added again in an endless loop."""
+    """A worker must not be dropped and added again in an endless loop.
+
+    The platform lists the worker without a start time, but the worker's own lists
+    contain one.
+    """
     for worker_id, worker in cluster.view.worker_by_id.items():
-        unknown = dataclasses.replace(worker, started_ms=0)
-        cluster.view.worker_by_id[worker_id] = unknown
-    cluster.workers.started_ms = 5
+        without_start_time = dataclasses.replace(worker, started_ms=0)
+        cluster.view.worker_by_id[worker_id] = without_start_time
+    cluster.workers.listed_started_ms = 5
     cluster.store.add_job(make_job())
     cluster.start_leader()
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
@@ -442,19 +455,21 @@
     wait_until(lambda: recorded_state(cluster) is JobState.COMPLETED)
     replica = dispatcher.replica
     wait_until(lambda: replica.table.entry_by_id[JOB_ID].state is JobState.COMPLETED)
+    # The job ended less than 90 s ago: its records stay.
     Cleaner(dispatcher, replica, cluster.store, 60.0).clean()
     assert JOB_ID in replica.table.entry_by_id
+    # A negative retention time makes the job expire immediately.
     Cleaner(dispatcher, replica, cluster.store, -1.0).clean()
     wait_until(lambda: JOB_ID not in replica.table.entry_by_id)
     gevent.sleep(0.3)
-    fresh = Replica(cluster.store)
-    assert fresh.load()
-    assert fresh.table.entry_by_id == {}
+    new_replica = Replica(cluster.store)
+    assert new_replica.load()
+    assert new_replica.table.entry_by_id == {}
     assert len(cluster.workers.started_runs) == 1
 
 
 def test_steps_that_no_worker_can_run_are_detected(cluster):
-    """Jobs that can never run must not wait until their deadline."""
+    """Jobs with a step that no worker can run must be refused and not wait."""
     view = View()
     large, small = Step(1, 99_000), Step(1, 1_000)
     assert view.find_impossible([large]) == ""
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -22,20 +22,22 @@
 
 
 class SlowStore(FakeStore):
-    """A store with a configurable delay and configurable results of appends."""
+    """A store whose appends have a configurable duration and configurable failures."""
 
     def __init__(self) -> None:
         super().__init__()
+        # Duration of an append; a longer one than its timeout has an unknown outcome.
         self.append_s = 0.0
-        # Results of the next appends; the last one is used for all further appends.
+        # Results of the next appends, which have no effect; the last result is used for
+        # all further appends. Appends succeed if there are none.
         self.failures = []
-        self.appends = 0
-        self.ended = 0
+        self.begun_appends = 0
+        self.ended_appends = 0
 
     def append(self, records, producer=None, timeout_s=APPEND_TIMEOUT_S):
-        self.appends += 1
+        self.begun_appends += 1
         gevent.sleep(min(self.append_s, timeout_s))
-        self.ended += 1
+        self.ended_appends += 1
         if self.failures:
             return self.failures.pop(0) if len(self.failures) > 1 else self.failures[0]
         result = super().append(records, producer, timeout_s)
@@ -55,18 +57,18 @@
     """An ``Intake`` whose replica follows the store."""
     replica = Replica(store)
     intake = Intake(store, replica)
-    tasks = [gevent.spawn(replica.run), gevent.spawn(intake.run)]
+    greenlets = [gevent.spawn(replica.run), gevent.spawn(intake.run)]
     wait_until(lambda: replica.reaches_store)
     yield intake
-    gevent.killall(tasks)
+    gevent.killall(greenlets)
 
 
-def job_id(number: int) -> str:
-    """Return a job id made from a number."""
+def make_job_id(number: int) -> str:
+    """Return a valid job id that differs for each number."""
     return f"{number:016x}"
 
 
-def test_accepted_job_is_in_the_store(store, intake):
+def test_accepted_job_is_in_the_callers_log(store, intake):
     """An accepted job must survive the loss of the instance."""
     assert intake.submit(make_job()).verdict is Verdict.ACCEPTED
     assert store.read(Log.CALLERS, 0, 0.0).end == 1
@@ -103,25 +105,28 @@
     the calls behind it. Jobs whose record was never sent are reported as not accepted.
     """
     store.append_s = 1.2
-    verdict_by_key, times = {}, []
+    verdict_by_key, durations_s = {}, []
 
     def submit(number: int) -> None:
         began_s = steady_s()
-        decision = intake.submit(make_job(job_id(number)))
-        verdict_by_key[key_of(Kind.JOB, job_id(number))] = decision.verdict
-        times.append(steady_s() - began_s)
+        decision = intake.submit(make_job(make_job_id(number)))
+        verdict_by_key[key_of(Kind.JOB, make_job_id(number))] = decision.verdict
+        durations_s.append(steady_s() - began_s)
 
     calls = []
     for number in range(30):
         calls.append(gevent.spawn(submit, number))
         gevent.sleep(0.1)
     gevent.joinall(calls)
-    assert max(times) < CALLER_DEADLINE_S
+    assert max(durations_s) < CALLER_DEADLINE_S
+    # Appends that are still in flight take effect.
     gevent.sleep(store.append_s * 2)
-    kept = {record.key for _, record in store.read(Log.CALLERS, 0, 0.0).records}
+    recorded_keys = {
+        record.key for _, record in store.read(Log.CALLERS, 0, 0.0).records
+    }
     for key, verdict in verdict_by_key.items():
-        assert verdict is not Verdict.ACCEPTED or key in kept
-        assert verdict is not Verdict.NOT_ACCEPTED or key not in kept
+        assert verdict is not Verdict.ACCEPTED or key in recorded_keys
+        assert verdict is not Verdict.NOT_ACCEPTED or key not in recorded_keys
 
 
 def test_instance_without_the_store_refuses_immediately(store, intake):
@@ -134,21 +139,22 @@
     assert intake.look_up(JOB_ID).verdict is Verdict.NOT_ACCEPTED
 
 
-def test_timeout_grows_while_the_store_is_slow(store, intake):
-    """Repeated appends must not slow a slow store further.
+def test_append_timeout_grows_while_the_store_is_slow(store, intake):
+    """A slow store must not be slowed further by repeated appends.
 
     The store takes a second per append while all instances accept jobs, and it also
     carries out the appends that timed out.
     """
     store.append_s = 1.2 * APPEND_TIMEOUT_S
-    intake.submit(make_job(job_id(1)))
+    intake.submit(make_job(make_job_id(1)))
     # The first append times out and is repeated.
-    wait_until(lambda: store.ended == 2)
+    wait_until(lambda: store.ended_appends == 2)
     wait_until(lambda: intake.replica.reaches_store)
-    intake.submit(make_job(job_id(2)))
-    wait_until(lambda: store.ended == 3)
+    intake.submit(make_job(make_job_id(2)))
+    wait_until(lambda: store.ended_appends == 3)
     gevent.sleep(2 * APPEND_TIMEOUT_S)
-    assert store.appends == 3
+    # The second job's append has the longer timeout and is not repeated.
+    assert store.begun_appends == 3
     store.append_s = 0.0
     wait_until(lambda: intake.replica.reaches_store)
-    assert intake.submit(make_job(job_id(3))).verdict is Verdict.ACCEPTED
+    assert intake.submit(make_job(make_job_id(3))).verdict is Verdict.ACCEPTED
--- a/libs/coordinator/tests/test_leader_tasks.py
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -1,4 +1,4 @@
-"""Tests of the leader's background tasks: advice, pacing and pool moves."""
+"""Tests of the leader's background loops: advice, pacing and pool moves."""
 
 from __future__ import annotations
 
@@ -27,16 +27,18 @@
 
 
 class FakeAdvice:
-    """Allows one worker; the first ``failures`` calls are refused."""
+    """An advice service that allows worker w1; the first calls are refused."""
 
-    def __init__(self, failures: int) -> None:
-        self.failures = failures
-        self.asked: list[tuple[str, int]] = []
+    def __init__(self, refusals: int) -> None:
+        # Number of the next calls that are refused.
+        self.refusals = refusals
+        # Step and number of workers of each call.
+        self.calls: list[tuple[str, int]] = []
 
     def advise(self, step, worker_ids, timeout_s):
-        self.asked.append((step, len(worker_ids)))
-        if self.failures:
-            self.failures -= 1
+        self.calls.append((step, len(worker_ids)))
+        if self.refusals:
+            self.refusals -= 1
             return CallReply(CallOutcome.REFUSED, "status 429")
         return Advice({"w1": "ticket"}, 3.0)
 
@@ -51,15 +53,15 @@
 
 
 def test_step_starts_on_the_advised_worker(cluster):
-    """A step must start even if the advice service refused a call before."""
+    """A step must start on the allowed worker, also after a refused call for advice."""
     require_advice(cluster)
     cluster.store.add_job(make_job(JOB_ID, Step(2, 1000)))
     dispatcher = cluster.start_leader()
-    advice = FakeAdvice(failures=1)
+    advice = FakeAdvice(refusals=1)
     cluster.spawn(TicketFetcher(dispatcher, advice).run)
     wait_until(lambda: len(cluster.workers.started_runs) == 2)
     assert {worker for worker, _, _ in cluster.workers.started_runs} == {"w1"}
-    assert {step for step, _ in advice.asked} == {f"{JOB_ID}.0.0"}
+    assert {step for step, _ in advice.calls} == {f"{JOB_ID}.0.0"}
 
 
 def test_filling_task_is_paused_next_to_a_service_above_its_target(
@@ -70,35 +72,41 @@
         Step(1, 1000, long_running=True, target_ms=20, image="serve"),
         Step(1, 1000, long_running=True, fills=True, image="fill"),
     )
+    # Both tasks run on the only worker.
     cluster.view.worker_by_id.pop("w1")
-    paces: list[int] = []
+    pace_percents: list[int] = []
     monkeypatch.setattr(
         cluster.workers,
         "pace",
         lambda worker, task, run, percent, token: (
-            paces.append(percent) or CallReply(CallOutcome.DONE)
+            pace_percents.append(percent) or CallReply(CallOutcome.DONE)
         ),
     )
     renew_and_list = cluster.workers.renew_and_list
 
-    def list_over_target(*args):
+    def list_latency_over_target(*args):
         lists = renew_and_list(*args)
+        # The service has a latency of 50 ms, the filling task uses one core.
         rows = tuple(
-            RunningTask(r.task, r.run, "", 100, 50.0 if r.task.step == 0 else 1.0)
-            for r in lists.running
+            RunningTask(row.task, row.run, "", 100, 50.0 if row.task.step == 0 else 1.0)
+            for row in lists.running
         )
         return dataclasses.replace(lists, running=rows)
 
-    monkeypatch.setattr(cluster.workers, "renew_and_list", list_over_target)
+    monkeypatch.setattr(cluster.workers, "renew_and_list", list_latency_over_target)
     cluster.store.add_job(make_job(JOB_ID, *steps))
     dispatcher = cluster.start_leader()
     cluster.spawn(Pacer(dispatcher, cluster.workers).run)
-    wait_until(lambda: 0 in paces)
-    assert paces == sorted(paces, reverse=True)
+    wait_until(lambda: 0 in pace_percents)
+    assert pace_percents == sorted(pace_percents, reverse=True)
 
 
 class FakeInstancePort:
-    """An instance port with one standby instance; moves take effect immediately."""
+    """An instance port with an instance of each worker and one standby instance.
+
+    A move of the standby instance adds worker w9 immediately; other moves have no
+    effect.
+    """
 
     def __init__(self, cluster) -> None:
         self._cluster = cluster
@@ -126,7 +134,10 @@
 
 
 def move_instances(cluster, dispatcher, port, lease_s=0.0) -> None:
-    """Let a leader move instances; ``lease_s`` > 0 means it has a predecessor."""
+    """Let a leader move instances.
+
+    It must wait if ``lease_s`` > 0, since it then had a predecessor.
+    """
     inventory = Inventory(port, dispatcher.writer)
     order_guard = OrderGuard(
         dispatcher.replica, dispatcher.writer, lease_s, lease_s > 0
@@ -149,12 +160,13 @@
     port = FakeInstancePort(cluster)
     move_instances(cluster, dispatcher, port)
     wait_until(lambda: ("m-off", "pool") in port.moves)
+    # Three workers have room for eight tasks each.
     wait_until(lambda: len(cluster.workers.started_runs) == 24)
     assert port.moves.count(("m-off", "pool")) == 1
 
 
-def test_new_leader_waits_before_it_sends_orders(cluster):
-    """Two leaders must not order the same instance within its lease."""
+def test_new_leader_waits_before_it_orders_recently_ordered_instances(cluster):
+    """Two leaders must not send orders for the same instance within its lease."""
     add_standby_pool(cluster)
     cluster.store.append_order("m-off")
     cluster.store.add_job(make_job(JOB_ID, Step(30, 1000, estimated_ms=2_000)))
@@ -166,7 +178,7 @@
 
 
 def test_new_leader_orders_instances_without_recent_orders(cluster):
-    """Waiting work must not wait for the lease of other instances.
+    """Work must not wait because other instances have had recent orders.
 
     The leader is lost during a load spike, and most standby instances have had no
     order for seconds.
@@ -181,7 +193,7 @@
 
 
 def test_order_is_recorded_before_it_is_sent(cluster):
-    """An order must never be sent without a record for later leaders."""
+    """An order must never be sent without a record that later leaders can read."""
     add_standby_pool(cluster)
     cluster.store.add_job(make_job(JOB_ID, Step(30, 1000, estimated_ms=2_000)))
     port = FakeInstancePort(cluster)
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -1,4 +1,4 @@
-"""Tests of maintenance waves with fake instances."""
+"""Tests of maintenance waves, with a fake instance for each worker."""
 
 from __future__ import annotations
 
@@ -23,13 +23,19 @@
 
 
 class FakeInstances:
-    """An instance port with one instance per worker; records the orders."""
+    """An instance port with one instance per worker, without pool moves.
+
+    An instance is unavailable for ``MAINTENANCE_S`` after its maintenance was ordered.
+    Fails the test if tasks run on the instance then.
+    """
 
     def __init__(self, cluster: FakeCluster) -> None:
         self._cluster = cluster
+        # Ids of the instances whose maintenance was ordered, in order.
         self.maintained: list[str] = []
-        # Outcomes of the next orders, which are not carried out.
-        self.outcomes: list[CallOutcome] = []
+        # Outcomes of the next maintenance orders, which have no effect.
+        self.failures: list[CallOutcome] = []
+        # End of the last maintenance, by worker id.
         self._back_at_s: dict[str, float] = {}
 
     def list_instances(self) -> tuple[Instance, ...]:
@@ -45,15 +51,15 @@
         )
 
     def maintain(self, instance_id: str, wave: str, token: int) -> CallReply:
-        if self.outcomes:
-            return CallReply(self.outcomes.pop(0))
+        if self.failures:
+            return CallReply(self.failures.pop(0))
         worker_id = instance_id.removeprefix("m-")
         assert not self._cluster.workers.worker(worker_id).running
         self.maintained.append(instance_id)
         self._back_at_s[worker_id] = steady_s() + MAINTENANCE_S
         return CallReply(CallOutcome.DONE)
 
-    def away_for(self, instance_id: str, duration_s: float) -> None:
+    def begin_maintenance(self, instance_id: str, duration_s: float) -> None:
         """Put an instance into maintenance, as if ordered by another leader."""
         worker_id = instance_id.removeprefix("m-")
         self._back_at_s[worker_id] = steady_s() + duration_s
@@ -79,7 +85,10 @@
     token: int = 1,
     lease_s: float = 0.0,
 ) -> Maintenance:
-    """Let a leader carry out a wave of both instances, one at a time."""
+    """Let a leader carry out a wave of both instances, one at a time.
+
+    With ``lease_s`` > 0, the leader has a predecessor whose orders it must respect.
+    """
     inventory = Inventory(instances, dispatcher.writer)
     order_guard = OrderGuard(
         dispatcher.replica, dispatcher.writer, lease_s, had_leader=lease_s > 0
@@ -108,8 +117,8 @@
     assert cluster.store.wave_states == [("1", "running"), ("1", "completed")]
 
 
-def test_tasks_may_finish_before_maintenance(cluster, instances):
-    """Maintenance must not stop tasks that can finish in time."""
+def test_maintenance_waits_for_tasks_that_finish_in_time(cluster, instances):
+    """Maintenance must not stop tasks that can end within the drain timeout."""
     # Each task needs more than half a worker.
     cluster.store.add_job(make_job(JOB_ID, Step(2, 5000)))
     dispatcher = cluster.start_leader()
@@ -140,7 +149,7 @@
     The leader is lost while instances of a wave are in maintenance, and the next
     leader sends orders immediately.
     """
-    instances.away_for("m-w0", 1.0)
+    instances.begin_maintenance("m-w0", 1.0)
     began_s = steady_s()
     run_wave(cluster, cluster.start_leader(), instances)
     wait_until(lambda: "m-w1" in instances.maintained)
@@ -148,7 +157,11 @@
 
 
 def test_order_that_may_be_in_flight_counts(cluster, instances):
-    """An instance may become unavailable just after the list was read."""
+    """A wave must not exceed its limit because of an order that takes effect late.
+
+    The previous leader has ordered the maintenance of an instance, which becomes
+    unavailable only after the next leader has read the list of instances.
+    """
     cluster.store.append_order("m-w0")
     began_s = steady_s()
     run_wave(cluster, cluster.start_leader(), instances, lease_s=1.0)
@@ -181,6 +194,7 @@
     run_wave(cluster, dispatcher, instances)
     wait_until(lambda: len(instances.maintained) == 1)
     wait_until(lambda: any(r.key == "w1" for r in cluster.store.records))
+    # The first leader is lost.
     dispatcher.writer.is_fenced = True
     run_wave(cluster, cluster.start_leader(2), instances, token=2)
     wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
@@ -189,6 +203,6 @@
 
 def test_refused_order_is_repeated(cluster, instances):
     """A wave must not give up after a refused order."""
-    instances.outcomes = [CallOutcome.REFUSED, CallOutcome.UNKNOWN]
+    instances.failures = [CallOutcome.REFUSED, CallOutcome.UNKNOWN]
     run_wave(cluster, cluster.start_leader(), instances)
     wait_until(lambda: len(instances.maintained) == 2)
--- a/libs/coordinator/tests/test_metrics_page.py
+++ b/libs/coordinator/tests/test_metrics_page.py
@@ -33,30 +33,35 @@
 
 def served_metrics() -> set[str]:
     """Return the names under which the coordinator's metrics are exposed."""
-    own = {
+    metric_names = {
         metric._name
         for metric in vars(metrics).values()
         if hasattr(metric, "_name") and hasattr(metric, "collect")
     }
-    names = set(re.findall(r"^# HELP (\w+)", generate_latest().decode(), re.M))
-    return {n for n in names if n in own or n.removesuffix("_total") in own}
+    exposed_names = set(re.findall(r"^# HELP (\w+)", generate_latest().decode(), re.M))
+    # The names of counters are exposed with the suffix "_total".
+    return {
+        name
+        for name in exposed_names
+        if name in metric_names or name.removesuffix("_total") in metric_names
+    }
 
 
-def test_page_lists_what_is_served():
+def test_page_lists_exactly_the_served_metrics():
     """The page must list every metric, and none that no longer exists."""
     assert set(re.findall(r"^\| `(\w+)`", SECTION, re.M)) == served_metrics()
 
 
 @pytest.mark.parametrize("alert", ALERTS)
 def test_alert_uses_served_metrics_and_is_explained(alert):
-    """An alert must be able to fire and be explained in OPERATIONS.md."""
+    """An alert must use only metrics that exist, and be explained in OPERATIONS.md."""
     rule = RULES[RULES.index(f"alert: {alert}\n") :].split("- alert:")[0]
-    used = set(re.findall(r"lycheeloom_\w+", rule))
-    known = served_metrics()
-    for name in used:
-        plain = re.sub(r"_(bucket|count|sum)$", "", name)
-        assert name in known or plain in known
-    assert used
+    used_names = set(re.findall(r"lycheeloom_\w+", rule))
+    served_names = served_metrics()
+    for name in used_names:
+        histogram_name = re.sub(r"_(bucket|count|sum)$", "", name)
+        assert name in served_names or histogram_name in served_names
+    assert used_names
     assert f"`{alert}`" in OPERATIONS
 
 
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _RankedStep:
-    """A step with waiting tasks that may start; the step with the lowest rank is first."""
+    """A step with waiting tasks that may start; the lowest rank goes first."""
 
     rank: tuple[float, ...]
     active_job: ActiveJob
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -20,19 +20,19 @@
 
 
 def test_records_survive_encoding():
-    """No field may be lost between the accepting instance and the leader."""
+    """No field of a job or of its progress may be lost in the store."""
     assert decode(Job, encode(JOB)) == JOB
-    step_tasks = ActiveJob(JOB)
-    step_tasks.note_end(TaskKey(JOB.job_id, 1, 0, 2), 1, EndKind.DONE, "")
-    step_tasks.note_end(TaskKey(JOB.job_id, 0, 0, 1), 2, EndKind.FAILED, "c")
-    assert decode(JobProgress, encode(step_tasks.progress())) == step_tasks.progress()
+    active_job = ActiveJob(JOB)
+    active_job.note_end(TaskKey(JOB.job_id, 1, 0, 2), 1, EndKind.DONE, "")
+    active_job.note_end(TaskKey(JOB.job_id, 0, 0, 1), 2, EndKind.FAILED, "c")
+    assert decode(JobProgress, encode(active_job.progress())) == active_job.progress()
 
 
 def test_corrupted_records_are_counted_and_ignored():
-    """Invalid data of another writer must not crash the process."""
+    """An invalid value or key in the store must not crash the process."""
     table = JobTable()
-    data = encode(JOB)
-    assert table.apply(0, Record(key_of(Kind.JOB, "x"), data[:-3])) is None
+    value = encode(JOB)
+    assert table.apply(0, Record(key_of(Kind.JOB, "x"), value[:-3])) is None
     assert table.apply(1, Record("?", b"x")) is None
     assert table.apply(2, Record("", b"x")) is None
     assert table.unreadable_records == 3
@@ -40,7 +40,7 @@
 
 
 def test_older_record_does_not_replace_a_newer_one():
-    """State must not go back where the loaded snapshot and the log overlap."""
+    """A job's state must not go back where the loaded snapshot and the log overlap."""
     table = JobTable()
     key = key_of(Kind.PROGRESS, "x")
     table.apply(8, Record(key, encode(JobProgress(JobState.COMPLETED))))
@@ -56,13 +56,18 @@
 
 
 class ActiveJobMachine(RuleBasedStateMachine):
-    """Runs that end in any order, with a change of leader at any time."""
+    """Lets runs of a job end in any order and kind, with changes of leader in between.
+
+    Ends may be reported again later. A change of leader restores the job from its
+    encoded progress.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.active_job = ActiveJob(JOB)
         self.active_job.max_attempts = 4
-        self.done: set[TaskKey] = set()
+        self.done_tasks: set[TaskKey] = set()
+        # Task, run number and kind of each end so far.
         self.ends: list[tuple[TaskKey, int, EndKind]] = []
 
     @rule(
@@ -80,25 +85,25 @@
         self.active_job.note_end(task, run, kind, "")
         self.ends.append((task, run, kind))
         if kind is EndKind.DONE:
-            self.done.add(task)
+            self.done_tasks.add(task)
         else:
             self.active_job.put_back(task)
 
-    @rule(place=st.integers(0, 50))
-    def report_an_end_again(self, place):
-        if place >= len(self.ends):
+    @rule(end_index=st.integers(0, 50))
+    def report_an_end_again(self, end_index):
+        if end_index >= len(self.ends):
             return
         state = self.active_job.state
-        task, run, kind = self.ends[place]
+        task, run, kind = self.ends[end_index]
         self.active_job.note_end(task, run, kind, "")
         assert self.active_job.state is state
 
     @invariant()
     def each_failure_is_counted_once(self):
-        for key, step_tasks in self.active_job.tasks_by_step.items():
+        for step_key, step_tasks in self.active_job.tasks_by_step.items():
             for index, failures in step_tasks.failures_by_index.items():
-                task = TaskKey(JOB.job_id, *key, index)
-                ends = [e for e in self.ends if e[0] == task]
+                task = TaskKey(JOB.job_id, *step_key, index)
+                ends = [end for end in self.ends if end[0] == task]
                 assert failures.count == sum(
                     kind is EndKind.FAILED for _, _, kind in ends
                 )
@@ -111,14 +116,16 @@
 
     @invariant()
     def done_tasks_stay_done(self):
-        for task in self.done:
+        for task in self.done_tasks:
             step_tasks = self.active_job.tasks_by_step[task.occurrence, task.step]
             assert task.index in step_tasks.done
             assert task.index not in step_tasks.waiting
 
     @invariant()
-    def completed_means_all_done(self):
-        all_done = all(w.is_done for w in self.active_job.tasks_by_step.values())
+    def job_is_completed_if_and_only_if_all_tasks_are_done(self):
+        all_done = all(
+            step_tasks.is_done for step_tasks in self.active_job.tasks_by_step.values()
+        )
         assert (self.active_job.state is JobState.COMPLETED) == all_done
 
 
--- a/libs/jobs/tests/test_demand.py
+++ b/libs/jobs/tests/test_demand.py
@@ -10,12 +10,12 @@
 from lycheeloom.model.resources import Resources
 
 CAPACITY = Resources(64, 256_000)
-# The step needs half an instance for two seconds.
+# The step's tasks together need half an instance for two seconds.
 STEP = Step(8, 4_000, 8_000, estimated_ms=2_000)
 
 
 def make_job(*steps: Step, repetitions: int = 0) -> Job:
-    """Return a job with the given steps."""
+    """Return a job with the given steps; with ``repetitions``, it is repeated."""
     return Job("a", "queue", "red", "", steps, 0, repetitions, 0, 1_000)
 
 
@@ -27,13 +27,14 @@
     demand = PoolDemand()
     for _ in range(6):
         demand.note("pool", make_job(STEP), 10.0)
-    rate = 6 / RATE_WINDOW_S
-    assert demand.needed_instances("pool", CAPACITY, 10.5) == pytest.approx(rate)
+    # Each of the six jobs is one instance-second of work.
+    needed = 6 / RATE_WINDOW_S
+    assert demand.needed_instances("pool", CAPACITY, 10.5) == pytest.approx(needed)
     assert demand.needed_instances("pool", CAPACITY, 10.0 + 2 * RATE_WINDOW_S) == 0
     assert demand.needed_instances("other", CAPACITY, 10.5) == 0
 
 
-def test_scarcest_resource_decides():
+def test_scarcest_resource_determines_the_demand():
     """A pool must get enough memory for tasks that need few cores."""
     demand = PoolDemand()
     demand.note("pool", make_job(Step(8, 1_000, 32_000, estimated_ms=1_000)), 1.0)
@@ -60,7 +61,8 @@
     instances = [PoolInstance("m1", "a", 0.0), *standby_instances(9)]
     load = PoolLoad(1.0, 0.0, long_running_use=0.5, offered_load=5.1)
     moves = choose_moves(instances, {"a": load}, {"off"})
-    # 0.5 of an instance is used by long-running tasks; 5.1 need 6 instances at 85%.
+    # Long-running tasks use 0.5 of an instance, and the other work needs 5.1 instances
+    # that are filled to 85%, which is 6: in all 7, of which one exists.
     assert len(moves) == 6
     arriving = PoolLoad(1.0, 0.0, arriving=6, long_running_use=0.5, offered_load=5.1)
     assert choose_moves(instances, {"a": arriving}, {"off"}) == []
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -25,7 +25,7 @@
 
 
 def make_worker(number: int, cores: float = 8.0) -> Worker:
-    """Return a worker; each rack has two."""
+    """Return a worker; each rack has two workers."""
     rack = f"rack-{number // 2}"
     return Worker(
         f"w{number}",
@@ -49,7 +49,10 @@
 
 
 def make_policy(limit: Resources = NO_RESOURCES, **fields) -> Policy:
-    """Return a policy with one queue; ``fields`` are fields of the queue."""
+    """Return a policy with one queue and one organisation.
+
+    ``limit`` is the upper limit of the organisation, ``fields`` are those of the queue.
+    """
     queue = Queue("queue", "host", "/q/", "pool", stretch=2.0, **fields)
     return Policy(
         1,
@@ -89,7 +92,7 @@
     return starts
 
 
-def test_capacity_is_never_exceeded(fleet):
+def test_capacity_of_workers_is_never_exceeded(fleet):
     """A worker must never get more tasks than fit."""
     starts = plan(fleet, [make_active_job(Step(50, 3000))])
     assert len(starts) == 8
@@ -106,8 +109,8 @@
     first = plan(fleet, [make_active_job(Step(1, 1000))])
     busy_id = first[0].worker_id
     starts = plan(fleet, [make_active_job(Step(9, 1000), job_id="b")])
-    on_busy = [start for start in starts if start.worker_id == busy_id]
-    assert len(on_busy) == 7
+    starts_on_busy = [start for start in starts if start.worker_id == busy_id]
+    assert len(starts_on_busy) == 7
     assert len({start.worker_id for start in starts}) == 2
 
 
@@ -122,8 +125,10 @@
     assert len(starts) == 3
     assert len({start.worker_id for start in starts}) == 1
     plan(fleet, [make_active_job(Step(2, 1000), job_id="b")])
-    joined = plan(fleet, [make_active_job(service, job_id="c")])
-    assert {s.worker_id for s in joined} == {s.worker_id for s in starts}
+    later_starts = plan(fleet, [make_active_job(service, job_id="c")])
+    assert {start.worker_id for start in later_starts} == {
+        start.worker_id for start in starts
+    }
 
 
 def test_limit_of_tasks_per_worker_holds(fleet):
@@ -154,7 +159,7 @@
     assert {start.worker_id for start in starts} == {"w2", "w3"}
 
 
-def test_label_is_required(fleet):
+def test_task_starts_only_on_a_worker_with_the_required_label(fleet):
     """A task must not start on a worker that lacks the required label."""
     assert plan(fleet, [make_active_job(Step(1, 1000, label="other"))]) == []
     assert len(plan(fleet, [make_active_job(Step(1, 1000, label="kind"))])) == 1
@@ -190,6 +195,7 @@
 
 def test_late_jobs_do_not_starve(fleet):
     """Late jobs must start in the end, even during a lasting overload."""
+    # Has waited for longer than late jobs are deferred.
     old = make_active_job(Step(8, 4000, estimated_ms=1000), job_id="old", accepted_ms=1)
     timely = make_active_job(Step(8, 4000, estimated_ms=1000), job_id="timely")
     starts = plan(fleet, [timely, old])
@@ -209,8 +215,10 @@
         fleet.note_outcome("w0", False, 1.0)
     starts = plan(fleet, [make_active_job(Step(6, 1000))])
     assert "w0" not in {start.worker_id for start in starts}
-    later = plan(fleet, [make_active_job(Step(12, 2000), job_id="b")], now_s=100.0)
-    assert "w0" in {start.worker_id for start in later}
+    later_starts = plan(
+        fleet, [make_active_job(Step(12, 2000), job_id="b")], now_s=100.0
+    )
+    assert "w0" in {start.worker_id for start in later_starts}
 
 
 def test_draining_worker_gets_no_starts(fleet):
@@ -234,7 +242,7 @@
 
 
 def test_full_advised_workers_do_not_block_other_steps(fleet):
-    """A pool must not count as full because the workers allowed for one step are."""
+    """A pool must not count as full because a step's allowed workers are full."""
     policy = make_policy(advice=AdviceTerms(1.0, 1.0, 3_000.0))
     first, second = (
         make_active_job(Step(9, 1000)),
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -1,4 +1,4 @@
-"""Tests of waves, pool sizes, unavailability budgets and filling tasks' pace."""
+"""Tests of waves, pool sizes, unavailability budgets and the pace of filling tasks."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 def make_wave_instances(
     pool: str, count: int, standby: bool = False
 ) -> list[WaveInstance]:
-    """Return instances of a pool; unless on standby, number n has n tasks."""
+    """Return instances of a pool; number n has n runs, or none if on standby."""
     return [
-        WaveInstance(f"{pool}-{n}", pool, 0 if standby else n, 0.5, standby)
-        for n in range(count)
+        WaveInstance(f"{pool}-{number}", pool, 0 if standby else number, 0.5, standby)
+        for number in range(count)
     ]
 
 
-def test_wave_keeps_its_limit_of_unavailable_instances():
+def test_wave_does_not_exceed_its_limit_of_unavailable_instances():
     """A wave must not make more instances unavailable than its limit allows."""
     pending = make_wave_instances("a", 5) + make_wave_instances("off", 5, standby=True)
     assert len(choose_next(pending, {"a": 1, "b": 1}, 3, LATE)) == 1
@@ -109,7 +109,7 @@
     assert [(m.instance_id, m.pool) for m in moves] == [("m2", "off")]
 
 
-def test_arriving_instances_count():
+def test_arriving_instances_count_for_their_target_pool():
     """The same waiting work must not cause new moves in each round."""
     instances = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
     assert choose_moves(instances, {"a": PoolLoad(1.0, 2.0, arriving=2)}, {"off"}) == []
@@ -124,21 +124,25 @@
     ],
 )
 def test_idle_instances_are_switched_off_if_the_pool_can_spare_them(load, count):
-    """Idle instances are switched off unless that makes the pool too small."""
-    instances = [PoolInstance(f"m{n}", "a", 5.0) for n in range(2)]
+    """Idle instances must be switched off, unless that makes the pool too small."""
+    # Two idle instances and one with tasks.
+    instances = [PoolInstance(f"m{number}", "a", 5.0) for number in range(2)]
     instances.append(PoolInstance("m9", "a", 0.0))
     assert len(choose_moves(instances, {"a": load}, {"off"})) == count
 
 
-def make_service(away: int) -> tuple[Fleet, ActiveJob, list[Run]]:
-    """Return a running service of 4 tasks, the first ``away`` of them unavailable."""
+def make_service(unavailable: int) -> tuple[Fleet, ActiveJob, list[Run]]:
+    """Return a running service of four tasks, of which one may be unavailable.
+
+    The first ``unavailable`` tasks are. Each task has its own worker.
+    """
     step = Step(4, 1000, long_running=True, may_miss=1)
     active_job = ActiveJob(Job("a", "queue", "red", "", (step,)))
     fleet, runs = Fleet(), []
     for index in range(4):
         worker = Worker(f"w{index}", 1, "pool", "a", "z", Resources(8, 8_000))
         fleet.add_worker(worker).has_current_lists = True
-        percent = 50 if index < away else 100
+        percent = 50 if index < unavailable else 100
         task = TaskKey("a", 0, 0, index)
         run = Run(task, 1, f"w{index}", step, "red", "queue", RunState.RUNNING, 0.0)
         run.percent = percent
@@ -149,14 +153,14 @@
 
 def test_unavailability_budget_of_a_step_holds():
     """Stops must not leave too few tasks of a step available."""
-    fleet, active_job, runs = make_service(away=0)
+    fleet, active_job, runs = make_service(unavailable=0)
     assert may_stop(fleet, active_job, runs[3], 1.0)
-    fleet, active_job, runs = make_service(away=1)
+    fleet, active_job, runs = make_service(unavailable=1)
     assert not may_stop(fleet, active_job, runs[3], 1.0)
     assert may_stop(fleet, active_job, runs[0], 1.0)
 
 
-def test_task_that_has_just_started_counts_as_available():
+def test_task_that_may_have_become_available_uses_the_budget():
     """A service that has just been restarted must not be stopped as a whole.
 
     An instance crashes and its tasks start together on another one. That instance is
@@ -180,17 +184,17 @@
 
 def test_task_on_an_unresponsive_worker_counts_as_unavailable():
     """Runs of a crashed worker that still appear to run must use up the budget."""
-    fleet, active_job, runs = make_service(away=0)
+    fleet, active_job, runs = make_service(unavailable=0)
     fleet.state_by_id["w0"].has_current_lists = False
     assert not may_stop(fleet, active_job, runs[3], 1.0)
 
 
 def test_filling_tasks_pause_quickly_above_the_latency_target():
     """Filling tasks must not slow down other tasks for seconds."""
-    percent, looks = 100, 0
+    percent, measurements = 100, 0
     while percent:
         percent = next_pace(percent, 1.5)
-        looks += 1
-    assert looks <= 4
+        measurements += 1
+    assert measurements <= 4
     assert next_pace(0, 0.2) == 10
     assert next_pace(50, 0.8) == 50
