--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -52,7 +52,7 @@
     """Schedules tasks on workers while this instance leads.
 
     A link polls each worker that the platform lists. After a takeover, the first lists
-    of the workers tell which runs the previous leader has started.
+    of the workers show which runs the previous leader has started.
     """
 
     def __init__(
@@ -77,13 +77,14 @@
         )
         # Set here since the registry and the orders need each other.
         self._registry.stop_run = self._orders.stop_run
-        self._began_s = steady_s()
+        self._took_over_s = steady_s()
         self._wake = Event()
         self._unlisted_since_s_by_worker: dict[str, float] = {}
-        # Pool by id of the workers that have an instance, according to the latest list
-        # of instances; None before the first list.
+        # Pool of each worker that has an instance, by worker id, according to the
+        # latest list of instances; None before the first list.
         self._pool_by_live_worker: Mapping[str, str] | None = None
-        # Incarnations that have definitely ended but are still listed by the platform.
+        # Worker id and start time of incarnations that have definitely ended but are
+        # still listed by the platform.
         self._ended_incarnations: set[tuple[str, int]] = set()
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -285,11 +286,11 @@
         """
         if not self._registry.inherited_job_ids:
             return ()
-        led_s = now_s - self._began_s
-        if led_s > TAKEOVER_LAPSE_S:
+        leading_for_s = now_s - self._took_over_s
+        if leading_for_s > TAKEOVER_LAPSE_S:
             self._registry.inherited_job_ids.clear()
             return ()
-        if self._pool_by_live_worker is None and led_s < FIRST_LIST_WAIT_S:
+        if self._pool_by_live_worker is None and leading_for_s < FIRST_LIST_WAIT_S:
             return set(self.view.policy.pool_by_name)
         pools = {
             state.worker.pool
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -31,8 +31,8 @@
 # reach it.
 ANSWER_TIMEOUT_S = 2.0
 # An append with an unknown outcome is repeated for this long, since the answer to a
-# repetition makes the outcome known. An append that is refused at once is not repeated:
-# the caller may try another instance.
+# repetition makes the outcome known. An append whose first attempt is refused is
+# not repeated: the caller may try another instance.
 REPEAT_WINDOW_S = 1.0
 # Two attempts, with timeouts of 0.8 s and of this value, end before the deadline of
 # most callers (3 s).
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -92,7 +92,7 @@
         order_guard: OrderGuard,
         port: InstancePort,
         store: StorePort,
-        orders: Mapping[str, WaveOrder],
+        order_by_wave: Mapping[str, WaveOrder],
         begun_by_wave: Mapping[str, frozenset[str]],
         maintenance_s: float,
     ) -> None:
@@ -101,7 +101,7 @@
         self._order_guard = order_guard
         self._port = port
         self._store = store
-        self._orders = orders
+        self._order_by_wave = order_by_wave
         self._begun_by_wave = {
             wave: set(begun) for wave, begun in begun_by_wave.items()
         }
@@ -114,7 +114,9 @@
         while not self._dispatcher.writer.is_fenced:
             gevent.sleep(ROUND_PAUSE_S)
             open_orders = [
-                order for order in self._orders.values() if not self._is_over(order)
+                order
+                for order in self._order_by_wave.values()
+                if not self._is_completed(order)
             ]
             if not self._dispatcher.writer.may_act:
                 continue
@@ -125,7 +127,7 @@
         """Return whether an instance is being drained or maintained."""
         return instance_id in self._handled_by_id
 
-    def _is_over(self, order: WaveOrder) -> bool:
+    def _is_completed(self, order: WaveOrder) -> bool:
         return self._reported_state_by_wave.get(order.wave) == "completed"
 
     def _advance_wave(self, order: WaveOrder) -> None:
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -31,7 +31,6 @@
 # An instance whose order had no effect counts as moving for this long, so that the
 # order is not repeated earlier. After other orders, it is added to the time of a move.
 RETRY_DELAY_S = 1.0
-# Maximum move orders in flight.
 MAX_ORDERS_IN_FLIGHT = 16
 
 
@@ -57,8 +56,9 @@
         self._port = port
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
-        self._senders = GreenletPool(MAX_ORDERS_IN_FLIGHT)
-        self._idle_since_by_worker: dict[str, float] = {}
+        self._order_greenlets = GreenletPool(MAX_ORDERS_IN_FLIGHT)
+        # Since when the workers without runs have had none, by worker id.
+        self._idle_since_s_by_worker: dict[str, float] = {}
         # Target pool of a move order, and the time until which the instance counts as
         # moving; the pool is an empty string unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
@@ -71,9 +71,12 @@
                 self._run_round()
 
     def _run_round(self) -> None:
+        """Choose moves by the current load of the pools, and order them."""
         now_s = steady_s()
         policy = self._dispatcher.view.policy
-        standby = {p.name for p in policy.pool_by_name.values() if p.standby}
+        standby_pools = {
+            pool.name for pool in policy.pool_by_name.values() if pool.standby
+        }
         self._note_idle(now_s)
         for instance_id, (_, moving_until_s) in list(self._moving_by_id.items()):
             if now_s > moving_until_s:
@@ -92,7 +95,7 @@
             and instance.instance_id not in self._moving_by_id
             and not self._is_in_maintenance(instance.instance_id)
         ]
-        moves = choose_moves(instances, self._load_by_pool(), standby)
+        moves = choose_moves(instances, self._load_by_pool(), standby_pools)
         self._send_orders([move for move in moves if self._prepare(move)])
 
     def _release(self, instance_id: str) -> None:
@@ -107,16 +110,16 @@
     def _note_idle(self, now_s: float) -> None:
         for worker_id, state in self._dispatcher.fleet.state_by_id.items():
             if state.run_by_task or not state.has_current_lists:
-                self._idle_since_by_worker.pop(worker_id, None)
+                self._idle_since_s_by_worker.pop(worker_id, None)
             else:
-                self._idle_since_by_worker.setdefault(worker_id, now_s)
+                self._idle_since_s_by_worker.setdefault(worker_id, now_s)
 
     def _idle_s(self, worker_id: str, now_s: float) -> float:
         """Return for how long a worker has had no runs; 0 if it is draining."""
         state = self._dispatcher.fleet.state_by_id.get(worker_id)
         if state is None or state.run_by_task or state.worker.draining:
             return 0.0
-        return now_s - self._idle_since_by_worker.get(worker_id, now_s)
+        return now_s - self._idle_since_s_by_worker.get(worker_id, now_s)
 
     def _is_usable(self, instance: Instance) -> bool:
         """Return whether tasks may start on an instance."""
@@ -183,7 +186,7 @@
             for move in moves:
                 self._note_reply(move, CallReply(CallOutcome.NOT_SENT, "not recorded"))
             return
-        self._senders.map(self._send_order, moves)
+        self._order_greenlets.map(self._send_order, moves)
 
     def _send_order(self, move: Move) -> None:
         token = self._dispatcher.writer.token
@@ -219,8 +222,8 @@
             case _ if state is not None:
                 # The order had no effect.
                 state.is_cordoned = False
-        target = move.pool if reply.outcome is CallOutcome.DONE else ""
-        self._moving_by_id[move.instance_id] = (target, steady_s() + moving_s)
+        target_pool = move.pool if reply.outcome is CallOutcome.DONE else ""
+        self._moving_by_id[move.instance_id] = (target_pool, steady_s() + moving_s)
 
     def _state_of(self, move: Move) -> WorkerState | None:
         instance = self._inventory.instance_by_id.get(move.instance_id)
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -104,7 +104,7 @@
     def grant_lease(self) -> int | None:
         """Grant a new lease; return its end in ms by the worker's clock.
 
-        Returns None if the worker has not yet told the time of its clock.
+        Returns None if the worker's clock is not known yet.
         """
         if self._clock_reading is None:
             return None
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -69,10 +69,8 @@
         # lost.
         self.answers_to_lose = 0
         self.wave_states: list[tuple[str, str]] = []
-        # End of the election log.
-        self._claims = 0
-        # Highest fencing token of an append.
-        self._token = 0
+        self._election_end = 0
+        self._highest_token = 0
         # Results by fencing token and sequence number, returned to repeated appends.
         self._results: dict[tuple[int, int], Appended] = {}
 
@@ -86,9 +84,9 @@
             return AppendUnknown("no answer in time")
         if producer is not None:
             gevent.sleep(APPEND_DURATION_S)
-            if producer.token < self._token:
+            if producer.token < self._highest_token:
                 return Fenced()
-            self._token = producer.token
+            self._highest_token = producer.token
             first_result = self._results.get((producer.token, producer.sequence))
             if first_result is not None:
                 return first_result
@@ -127,10 +125,10 @@
     def claim_lead(self, expected_end: int, instance: str) -> AppendResult:
         if self.is_down:
             return AppendUnknown("no answer in time")
-        if expected_end != self._claims:
-            return ConditionFailed(self._claims)
-        self._claims += 1
-        return Appended(self._claims)
+        if expected_end != self._election_end:
+            return ConditionFailed(self._election_end)
+        self._election_end += 1
+        return Appended(self._election_end)
 
     def write_wave_state(self, wave: str, state: str) -> AppendResult:
         self.wave_states.append((wave, state))
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -342,7 +342,7 @@
     return inventory
 
 
-def test_tasks_of_a_worker_without_an_instance_start_elsewhere_at_once(
+def test_tasks_of_a_worker_without_an_instance_start_elsewhere_immediately(
     cluster, monkeypatch
 ):
     """The leader must not wait for the lease of a worker that has definitely ended.
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -85,7 +85,7 @@
     token: int = 1,
     lease_s: float = 0.0,
 ) -> Maintenance:
-    """Let a leader carry out a wave of both instances, one at a time.
+    """Let a leader carry out a wave of the two instances, one at a time.
 
     With ``lease_s`` > 0, the leader has a predecessor whose orders it must respect.
     """
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -52,9 +52,11 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        # Ids of the workers on which a task has failed.
+        # Ids of the workers on which a task has failed; other workers are preferred.
         self.failed_workers_by_task: dict[TaskKey, set[str]] = defaultdict(set)
+        # Whether a job was submitted above the rate allowed for its organisation.
         self._exceeds_rate_by_job: dict[str, bool] = {}
+        # Acceptance times of the recent jobs of an organisation.
         self._accepted_s_by_organisation: dict[str, list[float]] = defaultdict(list)
 
     def note_job(self, active_job: ActiveJob, policy: Policy) -> None:
@@ -66,12 +68,12 @@
         if organisation is None:
             return
         accepted_s = active_job.job.accepted_ms / 1000
-        recent = self._accepted_s_by_organisation[organisation.name]
-        recent.append(accepted_s)
-        while recent and recent[0] < accepted_s - RATE_WINDOW_S:
-            recent.pop(0)
+        recent_s = self._accepted_s_by_organisation[organisation.name]
+        recent_s.append(accepted_s)
+        while recent_s and recent_s[0] < accepted_s - RATE_WINDOW_S:
+            recent_s.pop(0)
         allowed_jobs = max(1.0, organisation.weight * RATE_WINDOW_S)
-        self._exceeds_rate_by_job[active_job.job.job_id] = len(recent) > allowed_jobs
+        self._exceeds_rate_by_job[active_job.job.job_id] = len(recent_s) > allowed_jobs
 
     def forget_job(self, job_id: str) -> None:
         """Discard the state kept for a job that has ended."""
--- a/libs/jobs/src/lycheeloom/jobs/waves.py
+++ b/libs/jobs/src/lycheeloom/jobs/waves.py
@@ -35,7 +35,8 @@
 
     elapsed_s: float
     time_limit_s: float
-    # Time from choosing an instance until it is back in service.
+    # Duration of a round: the time from choosing an instance until it is back in
+    # service.
     round_s: float
 
 
