--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -23,7 +23,7 @@
 from .view import View
 from .worker_link import (
     CLOCK_RATE_MARGIN,
-    LAPSE_MARGIN_S,
+    LEASE_MARGIN_S,
     WORKER_LEASE_S,
     WorkerLink,
 )
@@ -34,9 +34,8 @@
 # Without events there is a planning round at this interval, for occurrences that have
 # become due and backoffs that have expired.
 PLAN_INTERVAL_S = 0.2
-# From this long after the takeover on, all leases granted by the previous leader have
-# expired.
-TAKEOVER_LAPSE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
+# All leases granted by the previous leader have expired this long after the takeover.
+MAX_INHERITED_LEASE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
 # A list of instances requested this long after a worker was first seen contains its
 # instance.
 INSTANCE_LIST_LAG_S = 0.5
@@ -158,7 +157,7 @@
             if (
                 now_s - since_s > UNLISTED_GRACE_S
                 and link.failing_for_s
-                and link.has_lapsed
+                and link.is_lease_expired
             ):
                 self._drop_worker(worker_id, "not listed")
 
@@ -227,7 +226,7 @@
             state = self.fleet.state_by_id[link.worker.worker_id]
             if link.failing_for_s > 0:
                 state.has_current_lists = False
-            if state.run_by_task and link.has_lapsed and not link.is_first_poll:
+            if state.run_by_task and link.is_lease_expired and not link.is_first_poll:
                 log_event("worker_lapsed", worker=link.worker.worker_id)
                 for run in list(state.run_by_task.values()):
                     self.fleet.remove_run(run)
@@ -287,7 +286,7 @@
         if not self._registry.inherited_job_ids:
             return ()
         leading_for_s = now_s - self._took_over_s
-        if leading_for_s > TAKEOVER_LAPSE_S:
+        if leading_for_s > MAX_INHERITED_LEASE_S:
             self._registry.inherited_job_ids.clear()
             return ()
         if self._pool_by_live_worker is None and leading_for_s < FIRST_LIST_WAIT_S:
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -33,7 +33,7 @@
 # On an instance being drained, tasks other than long-running ones are stopped only if
 # they still run after this time.
 DRAIN_TIMEOUT_S = 2.5
-# Delay before a failed order is repeated.
+# Delay before an order for the same instance is repeated.
 ORDER_RETRY_S = 0.3
 
 
@@ -192,8 +192,8 @@
     def _count_away(self, order: WaveOrder) -> Counter[str]:
         """Count the instances that are being drained or maintained, by pool.
 
-        Also counts the wave's instances for which the previous leader has ordered
-        maintenance, even if its order may still be in flight.
+        Also counts the wave's instances that an earlier leader has sent into maintenance,
+        and those for which its last order may still be in flight.
         """
         away = Counter(handled.pool for handled in self._handled_by_id.values())
         for instance_id in order.instances:
@@ -206,6 +206,7 @@
         return away
 
     def _to_wave_instance(self, instance: Instance) -> WaveInstance:
+        """Describe an instance and the load of its pool for ``choose_next``."""
         fleet = self._dispatcher.fleet
         pool = self._dispatcher.view.policy.pool_by_name.get(instance.pool)
         capacity = used = 0.0
@@ -245,7 +246,7 @@
     def _runs_are_known(self, state: WorkerState) -> bool:
         """Return whether all runs on a worker are known or their lease has expired."""
         link = self._dispatcher.link_by_id.get(state.worker.worker_id)
-        return state.has_current_lists or (link is not None and link.has_lapsed)
+        return state.has_current_lists or (link is not None and link.is_lease_expired)
 
     def _stop_runs(self, state: WorkerState, is_time_over: bool) -> None:
         """Stop the long-running tasks and, when the drain time is over, the others."""
@@ -291,6 +292,7 @@
                 self._note_begun(order, instance.instance_id)
 
     def _note_begun(self, order: WaveOrder, instance_id: str) -> None:
+        """Record that the maintenance of an instance has begun."""
         begun = self._begun_by_wave[order.wave]
         begun.add(instance_id)
         value = encode(WaveProgress(tuple(sorted(begun))))
@@ -321,6 +323,7 @@
             state.is_cordoned = False
 
     def _report(self, order: WaveOrder, state: str) -> None:
+        """Report a state to the operator unless it was the last one reported."""
         if self._reported_state_by_wave.get(order.wave) == state:
             return
         result = self._store.write_wave_state(order.wave, state)
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -17,7 +17,7 @@
 # Long-poll timeout of a read that finds no new records.
 READ_WAIT_S = 1.0
 # Pause after a read, so that many small appends are fetched together. A caller's
-# request for a job that is not known yet does not wait for it: see ``refresh_jobs``.
+# request for a job that is not known yet triggers a read: see ``refresh_jobs``.
 PAUSE_S_BY_LOG = {Log.CALLERS: 0.4, Log.LEADER: 0.15}
 # The leader reads more often, as task starts wait for its reads.
 LEADER_PAUSE_S = 0.015
@@ -74,9 +74,9 @@
 
     @property
     def read_at_s(self) -> float:
-        """Return when all logs had been read successfully, by the monotonic clock.
+        """Return the time up to which all logs have been read, by the monotonic clock.
 
-        That is the start of the last successful read of the log read longest ago.
+        For each log, that is the start of the last successful read.
         """
         return min(follower.read_at_s for follower in self._followers.values())
 
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -104,6 +104,7 @@
         self._stops.spawn(self._stop_listed, worker, row)
 
     def _start(self, start: Start, run: Run) -> None:
+        """Send a start order and process the reply."""
         link = self._link_by_id.get(start.worker_id)
         deadline_ms = link.grant_lease() if link else None
         if link is None or deadline_ms is None or not self._writer.may_act:
@@ -196,6 +197,7 @@
     def _back_off_worker(
         self, state: WorkerState, outcome: CallOutcome, now_s: float
     ) -> None:
+        """Exclude a worker that has rejected a start from further starts for a time."""
         match outcome:
             case CallOutcome.NO_ROOM:
                 backoff_s = NO_ROOM_BACKOFF_S
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -22,7 +22,7 @@
 # ends its runs later.
 CLOCK_RATE_MARGIN = 1.02
 # Allowance for the time that a call takes to reach the worker.
-LAPSE_MARGIN_S = 0.3
+LEASE_MARGIN_S = 0.3
 # Long-poll timeout: how long a worker waits for a run to end before it answers.
 POLL_WAIT_MS = 900
 # Long-poll timeout while a run on the worker needs frequent polls.
@@ -97,7 +97,7 @@
         return steady_s() - self._failing_since_s
 
     @property
-    def has_lapsed(self) -> bool:
+    def is_lease_expired(self) -> bool:
         """Return whether all granted leases have definitely expired."""
         return steady_s() > self.granted_until_s
 
@@ -194,4 +194,4 @@
 
 def _max_lease_s() -> float:
     """Return the maximum duration of a lease, by the leader's clock."""
-    return WORKER_LEASE_S * CLOCK_RATE_MARGIN + LAPSE_MARGIN_S
+    return WORKER_LEASE_S * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -377,7 +377,7 @@
     gevent.sleep(2 * POLL_DELAY_S)
     cluster.workers.worker(other).is_unresponsive = True
     cluster.workers.end_all_runs()
-    monkeypatch.setattr(dispatcher_module, "TAKEOVER_LAPSE_S", LONG_S)
+    monkeypatch.setattr(dispatcher_module, "MAX_INHERITED_LEASE_S", LONG_S)
     second = cluster.start_leader(2)
     poll_instances(cluster, second, Mock(list_instances=list_instances_of(holder_id)))
     wait_until(lambda: len(cluster.workers.started_runs) == 2)
