--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -192,8 +192,8 @@
     def _count_away(self, order: WaveOrder) -> Counter[str]:
         """Count the instances that are being drained or maintained, by pool.
 
-        Also counts the wave's instances that an earlier leader has sent into maintenance,
-        and those for which its last order may still be in flight.
+        Also counts the wave's instances that an earlier leader has sent into
+        maintenance, and those for which its last order may still be in flight.
         """
         away = Counter(handled.pool for handled in self._handled_by_id.values())
         for instance_id in order.instances:
