--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -27,15 +27,19 @@
 from .order_guard import OrderGuard
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
-STEP_PAUSE_S = 0.25
-# Delay before a failed move is retried.
-RETRY_S = 1.0
-# Maximum move orders in flight.
-MAX_ORDERS = 16
+ROUND_PAUSE_S = 0.25
+# An instance whose order had no effect counts as moving for this long, so that the
+# order is not repeated earlier. After other orders, it is added to the time of a move.
+RETRY_DELAY_S = 1.0
+MAX_ORDERS_IN_FLIGHT = 16
 
 
 class PoolMoves:
-    """Sizes the pools while this instance leads, by moving instances."""
+    """Moves instances between pools as demand requires, while this instance leads.
+
+    ``is_in_maintenance`` returns whether an instance, given by its id, is being drained
+    or maintained; such instances are not moved. A move takes ``move_s``.
+    """
 
     def __init__(
         self,
@@ -43,58 +47,61 @@
         inventory: Inventory,
         order_guard: OrderGuard,
         port: InstancePort,
-        is_reserved: Callable[[str], bool],
+        is_in_maintenance: Callable[[str], bool],
         move_s: float,
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
         self._order_guard = order_guard
         self._port = port
-        # Returns whether an instance is being drained or maintained.
-        self._is_reserved = is_reserved
+        self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
-        self._senders = GreenletPool(MAX_ORDERS)
-        self._idle_since_by_worker: dict[str, float] = {}
-        # Target pool and the time until which an instance counts as moving; the pool is
-        # empty unless the order succeeded.
+        self._order_greenlets = GreenletPool(MAX_ORDERS_IN_FLIGHT)
+        # Since when the workers without runs have had none, by worker id.
+        self._idle_since_s_by_worker: dict[str, float] = {}
+        # Target pool of a move order, and the time until which the instance counts as
+        # moving; the pool is an empty string unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
 
     def run(self) -> None:
         """Move instances until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
-            gevent.sleep(STEP_PAUSE_S)
+            gevent.sleep(ROUND_PAUSE_S)
             if self._dispatcher.writer.may_act and self._inventory.instance_by_id:
-                self._step()
+                self._run_round()
 
-    def _step(self) -> None:
+    def _run_round(self) -> None:
+        """Choose moves by the current load of the pools, and order them."""
         now_s = steady_s()
         policy = self._dispatcher.view.policy
-        standby = {p.name for p in policy.pool_by_name.values() if p.standby}
+        standby_pools = {
+            pool.name for pool in policy.pool_by_name.values() if pool.standby
+        }
         self._note_idle(now_s)
-        for instance_id, (_, until_s) in list(self._moving_by_id.items()):
-            if now_s > until_s:
+        for instance_id, (_, moving_until_s) in list(self._moving_by_id.items()):
+            if now_s > moving_until_s:
                 del self._moving_by_id[instance_id]
                 self._release(instance_id)
         instances = [
             PoolInstance(
-                i.instance_id,
-                i.pool,
-                self._idle_s(i.worker_id, now_s),
-                self._is_usable(i),
-                self._order_guard.may_order(i.instance_id),
+                instance.instance_id,
+                instance.pool,
+                self._idle_s(instance.worker_id, now_s),
+                self._is_usable(instance),
+                self._order_guard.may_order(instance.instance_id),
             )
-            for i in self._inventory.instance_by_id.values()
-            if i.state is InstanceState.UP
-            and i.instance_id not in self._moving_by_id
-            and not self._is_reserved(i.instance_id)
+            for instance in self._inventory.instance_by_id.values()
+            if instance.state is InstanceState.UP
+            and instance.instance_id not in self._moving_by_id
+            and not self._is_in_maintenance(instance.instance_id)
         ]
-        moves = choose_moves(instances, self._load_by_pool(), standby)
-        self._order([move for move in moves if self._prepare(move)])
+        moves = choose_moves(instances, self._load_by_pool(), standby_pools)
+        self._send_orders([move for move in moves if self._prepare(move)])
 
     def _release(self, instance_id: str) -> None:
         """Allow new tasks on an instance again if it has not moved."""
         instance = self._inventory.instance_by_id.get(instance_id)
-        if instance is None or self._is_reserved(instance_id):
+        if instance is None or self._is_in_maintenance(instance_id):
             return
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
         if state is not None and instance.state is InstanceState.UP:
@@ -103,17 +110,19 @@
     def _note_idle(self, now_s: float) -> None:
         for worker_id, state in self._dispatcher.fleet.state_by_id.items():
             if state.run_by_task or not state.has_current_lists:
-                self._idle_since_by_worker.pop(worker_id, None)
+                self._idle_since_s_by_worker.pop(worker_id, None)
             else:
-                self._idle_since_by_worker.setdefault(worker_id, now_s)
+                self._idle_since_s_by_worker.setdefault(worker_id, now_s)
 
     def _idle_s(self, worker_id: str, now_s: float) -> float:
+        """Return for how long a worker has had no runs; 0 if it is draining."""
         state = self._dispatcher.fleet.state_by_id.get(worker_id)
         if state is None or state.run_by_task or state.worker.draining:
             return 0.0
-        return now_s - self._idle_since_by_worker.get(worker_id, now_s)
+        return now_s - self._idle_since_s_by_worker.get(worker_id, now_s)
 
     def _is_usable(self, instance: Instance) -> bool:
+        """Return whether tasks may start on an instance."""
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
         is_draining = state is not None and state.worker.draining
         return (
@@ -159,7 +168,7 @@
         }
 
     def _prepare(self, move: Move) -> bool:
-        """Exclude an instance from new tasks; False if tasks run on it."""
+        """Exclude an instance from new tasks; return False if tasks run on it."""
         state = self._state_of(move)
         if state is None:
             return True
@@ -168,7 +177,8 @@
         state.is_cordoned = True
         return True
 
-    def _order(self, moves: Collection[Move]) -> None:
+    def _send_orders(self, moves: Collection[Move]) -> None:
+        """Record and send the orders; moves that cannot be recorded are given up."""
         if not moves:
             return
         if not self._order_guard.record([move.instance_id for move in moves]):
@@ -176,9 +186,9 @@
             for move in moves:
                 self._note_reply(move, CallReply(CallOutcome.NOT_SENT, "not recorded"))
             return
-        self._senders.map(self._send, moves)
+        self._order_greenlets.map(self._send_order, moves)
 
-    def _send(self, move: Move) -> None:
+    def _send_order(self, move: Move) -> None:
         token = self._dispatcher.writer.token
         reply = self._port.move(move.instance_id, move.pool, token)
         instance = self._inventory.instance_by_id.get(move.instance_id)
@@ -201,17 +211,19 @@
         self._note_reply(move, reply)
 
     def _note_reply(self, move: Move, reply: CallReply) -> None:
-        moving_s = RETRY_S
+        """Set how long the instance counts as moving, according to the reply."""
+        moving_s = RETRY_DELAY_S
         state = self._state_of(move)
         match reply.outcome:
             case CallOutcome.DONE | CallOutcome.UNKNOWN:
-                moving_s = self._move_s + RETRY_S
+                moving_s = self._move_s + RETRY_DELAY_S
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
             case _ if state is not None:
+                # The order had no effect.
                 state.is_cordoned = False
-        target = move.pool if reply.outcome is CallOutcome.DONE else ""
-        self._moving_by_id[move.instance_id] = (target, steady_s() + moving_s)
+        target_pool = move.pool if reply.outcome is CallOutcome.DONE else ""
+        self._moving_by_id[move.instance_id] = (target_pool, steady_s() + moving_s)
 
     def _state_of(self, move: Move) -> WorkerState | None:
         instance = self._inventory.instance_by_id.get(move.instance_id)
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -1,10 +1,10 @@
-"""Tests of maintenance waves with fake instances."""
+"""Tests of maintenance waves, with a fake instance for each worker."""
 
 from __future__ import annotations
 
 import gevent
 import pytest
-from libs.coordinator.tests.fakes import ID, FakeCluster, make_job, wait_until
+from libs.coordinator.tests.fakes import JOB_ID, FakeCluster, make_job, wait_until
 
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import Dispatcher
@@ -23,13 +23,19 @@
 
 
 class FakeInstances:
-    """An instance port with one instance per worker; records the orders."""
+    """An instance port with one instance per worker, without pool moves.
+
+    An instance is unavailable for ``MAINTENANCE_S`` after its maintenance was ordered.
+    Fails the test if tasks run on the instance then.
+    """
 
     def __init__(self, cluster: FakeCluster) -> None:
         self._cluster = cluster
+        # Ids of the instances whose maintenance was ordered, in order.
         self.maintained: list[str] = []
-        # Outcomes of the next orders, which are not carried out.
-        self.outcomes: list[CallOutcome] = []
+        # Outcomes of the next maintenance orders, which have no effect.
+        self.failures: list[CallOutcome] = []
+        # End of the last maintenance, by worker id.
         self._back_at_s: dict[str, float] = {}
 
     def list_instances(self) -> tuple[Instance, ...]:
@@ -45,15 +51,15 @@
         )
 
     def maintain(self, instance_id: str, wave: str, token: int) -> CallReply:
-        if self.outcomes:
-            return CallReply(self.outcomes.pop(0))
+        if self.failures:
+            return CallReply(self.failures.pop(0))
         worker_id = instance_id.removeprefix("m-")
         assert not self._cluster.workers.worker(worker_id).running
         self.maintained.append(instance_id)
         self._back_at_s[worker_id] = steady_s() + MAINTENANCE_S
         return CallReply(CallOutcome.DONE)
 
-    def away_for(self, instance_id: str, duration_s: float) -> None:
+    def begin_maintenance(self, instance_id: str, duration_s: float) -> None:
         """Put an instance into maintenance, as if ordered by another leader."""
         worker_id = instance_id.removeprefix("m-")
         self._back_at_s[worker_id] = steady_s() + duration_s
@@ -79,7 +85,10 @@
     token: int = 1,
     lease_s: float = 0.0,
 ) -> Maintenance:
-    """Let a leader carry out a wave of both instances, one at a time."""
+    """Let a leader carry out a wave of the two instances, one at a time.
+
+    With ``lease_s`` > 0, the leader has a predecessor whose orders it must respect.
+    """
     inventory = Inventory(instances, dispatcher.writer)
     order_guard = OrderGuard(
         dispatcher.replica, dispatcher.writer, lease_s, had_leader=lease_s > 0
@@ -102,36 +111,36 @@
 
 def test_wave_maintains_each_instance_once(cluster, instances):
     """A wave must not be reported as completed before all instances have begun."""
-    run_wave(cluster, cluster.lead(), instances)
+    run_wave(cluster, cluster.start_leader(), instances)
     wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
     assert sorted(instances.maintained) == ["m-w0", "m-w1"]
     assert cluster.store.wave_states == [("1", "running"), ("1", "completed")]
 
 
-def test_tasks_may_finish_before_maintenance(cluster, instances):
-    """Maintenance must not stop tasks that can finish in time."""
+def test_maintenance_waits_for_tasks_that_finish_in_time(cluster, instances):
+    """Maintenance must not stop tasks that can end within the drain timeout."""
     # Each task needs more than half a worker.
-    cluster.store.add_job(make_job(ID, Step(2, 5000)))
-    dispatcher = cluster.lead()
-    wait_until(lambda: len(cluster.workers.started) == 2)
+    cluster.store.add_job(make_job(JOB_ID, Step(2, 5000)))
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
     run_wave(cluster, dispatcher, instances)
     gevent.sleep(0.5)
     assert instances.maintained == []
-    cluster.workers.end_all()
+    cluster.workers.end_all_runs()
     wait_until(lambda: len(instances.maintained) == 2)
 
 
 def test_long_running_task_is_moved_before_maintenance(cluster, instances):
     """A long-running task must not block the maintenance of its instance."""
     step = Step(1, 1000, long_running=True, may_miss=1)
-    cluster.store.add_job(make_job(ID, step))
-    dispatcher = cluster.lead()
-    wait_until(lambda: len(cluster.workers.started) == 1)
+    cluster.store.add_job(make_job(JOB_ID, step))
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 1)
     for fake in cluster.workers.by_id.values():
         fake.percent = 100
     run_wave(cluster, dispatcher, instances)
     wait_until(lambda: len(instances.maintained) == 2)
-    assert len(cluster.workers.started) >= 2
+    assert len(cluster.workers.started_runs) >= 2
 
 
 def test_instance_in_maintenance_by_previous_leader_counts(cluster, instances):
@@ -140,18 +149,22 @@
     The leader is lost while instances of a wave are in maintenance, and the next
     leader sends orders immediately.
     """
-    instances.away_for("m-w0", 1.0)
+    instances.begin_maintenance("m-w0", 1.0)
     began_s = steady_s()
-    run_wave(cluster, cluster.lead(), instances)
+    run_wave(cluster, cluster.start_leader(), instances)
     wait_until(lambda: "m-w1" in instances.maintained)
     assert steady_s() - began_s >= 1.0
 
 
 def test_order_that_may_be_in_flight_counts(cluster, instances):
-    """An instance may become unavailable just after the list was read."""
+    """A wave must not exceed its limit because of an order that takes effect late.
+
+    The previous leader has ordered the maintenance of an instance, which becomes
+    unavailable only after the next leader has read the list of instances.
+    """
     cluster.store.append_order("m-w0")
     began_s = steady_s()
-    run_wave(cluster, cluster.lead(), instances, lease_s=1.0)
+    run_wave(cluster, cluster.start_leader(), instances, lease_s=1.0)
     wait_until(lambda: "m-w1" in instances.maintained)
     assert steady_s() - began_s >= 1.0
 
@@ -159,36 +172,37 @@
 def test_new_leader_reads_the_run_lists_before_it_orders(cluster, instances):
     """Maintenance must not stop tasks that a new leader does not know yet."""
     # Each task needs more than half a worker.
-    cluster.store.add_job(make_job(ID, Step(2, 5000)))
-    cluster.lead(1)
-    wait_until(lambda: len(cluster.workers.started) == 2)
+    cluster.store.add_job(make_job(JOB_ID, Step(2, 5000)))
+    cluster.start_leader(1)
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
     for fake in cluster.workers.by_id.values():
         fake.is_unresponsive = True
-    run_wave(cluster, cluster.lead(2), instances, token=2)
+    run_wave(cluster, cluster.start_leader(2), instances, token=2)
     gevent.sleep(1.0)
     assert instances.maintained == []
     for fake in cluster.workers.by_id.values():
         fake.is_unresponsive = False
     gevent.sleep(0.5)
     assert instances.maintained == []
-    cluster.workers.end_all(EndKind.DONE)
+    cluster.workers.end_all_runs(EndKind.DONE)
     wait_until(lambda: len(instances.maintained) == 2)
 
 
 def test_new_leader_continues_a_wave(cluster, instances):
     """Instances that have had their maintenance must not get another."""
-    dispatcher = cluster.lead(1)
+    dispatcher = cluster.start_leader(1)
     run_wave(cluster, dispatcher, instances)
     wait_until(lambda: len(instances.maintained) == 1)
     wait_until(lambda: any(r.key == "w1" for r in cluster.store.records))
+    # The first leader is lost.
     dispatcher.writer.is_fenced = True
-    run_wave(cluster, cluster.lead(2), instances, token=2)
+    run_wave(cluster, cluster.start_leader(2), instances, token=2)
     wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
     assert sorted(instances.maintained) == ["m-w0", "m-w1"]
 
 
 def test_refused_order_is_repeated(cluster, instances):
     """A wave must not give up after a refused order."""
-    instances.outcomes = [CallOutcome.REFUSED, CallOutcome.UNKNOWN]
-    run_wave(cluster, cluster.lead(), instances)
+    instances.failures = [CallOutcome.REFUSED, CallOutcome.UNKNOWN]
+    run_wave(cluster, cluster.start_leader(), instances)
     wait_until(lambda: len(instances.maintained) == 2)
