--- a/libs/operator/src/lycheeloom/operator/appending.py
+++ b/libs/operator/src/lycheeloom/operator/appending.py
@@ -37,7 +37,7 @@
 class NotAccepted:
     """The batch is not in the log and will not appear there later.
 
-    ``may_repeat`` is False if the log would refuse the same batch again.
+    ``may_repeat`` is False if the log would refuse the batch each time.
     """
 
     reason: str
@@ -63,7 +63,8 @@
     """Appends the batches of one author, each with the next sequence number.
 
     If the answer to an append is lost, the log is read to see whether it holds the
-    batch. Retries keep the sequence number, so a batch takes effect at most once.
+    batch. A retry appends the batch again with the same sequence number, and replay
+    skips the later copies, so a batch takes effect at most once.
     """
 
     def __init__(self, log: Log, view: LogView, author: str, clock: Clock) -> None:
@@ -76,7 +77,10 @@
     def append(
         self, records: tuple[Record, ...], timeout_s: float
     ) -> Accepted | NotAccepted | OutcomeUnknown:
-        """Append records as one batch and read back which of them took effect."""
+        """Append records as one batch and read back which of them took effect.
+
+        A failed append or read is retried until ``timeout_s`` seconds have passed.
+        """
         self._sequence += 1
         data = encode_batch(Batch(self._author, self._sequence, records))
         deadline_s = self._clock.now_s() + timeout_s
@@ -98,7 +102,7 @@
                 if outcome is not None:
                     return Accepted(outcome, data)
                 if failure is not None:
-                    reason = self._view.read_failure(failure)
+                    reason = self._view.describe_read_failure(failure)
             if self._clock.now_s() + backoff_s > deadline_s:
                 return _not_confirmed(may_be_in_log, reason)
             self._clock.sleep(backoff_s * random.uniform(0.5, 1.0))
@@ -121,6 +125,7 @@
 def _not_confirmed(
     may_be_in_log: bool, reason: str, may_repeat: bool = True
 ) -> NotAccepted | OutcomeUnknown:
+    """Return the result for a batch that was not read back from the log."""
     if may_be_in_log:
         return OutcomeUnknown(reason)
     return NotAccepted(reason, may_repeat)
--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -18,12 +18,13 @@
 from .results import NothingToChange, Published
 from .toml_reader import VERSION_KEY, ConfigFile, read_config
 
-# Shown instead of a file name: the problem is in an argument of the command, or in the
-# configuration that the change would produce.
+# Problems show one of these in place of a file name: the first for a problem of an
+# argument, the second for one of the configuration that the change would produce.
 COMMAND_LINE = "command line"
 AFTER_CHANGE = "after this change"
 
-# The state that a command brings a wave into, and the states from which it may.
+# By command, the state into which it brings a wave, and the states a wave may be in
+# before.
 _STATES_BY_COMMAND = {
     "wave start": (WaveState.RUNNING, (WaveState.ABSENT,)),
     "wave pause": (WaveState.PAUSED, (WaveState.RUNNING,)),
@@ -33,7 +34,11 @@
 
 
 def publish_file(operator: Operator, args: argparse.Namespace) -> Report:
-    """Publish a configuration file if the version it was printed from is in force."""
+    """Publish a configuration file if the version it was printed from is in force.
+
+    ``--expect`` replaces that version. Without either, only the first configuration of
+    a fleet can be published.
+    """
     file = read_config(args.file)
     if isinstance(file, Problem):
         return report_problems([file])
@@ -43,7 +48,7 @@
         if failure is not None:
             return report_result(failure)
         if operator.version != 0:
-            return report_problems([_version_missing(file, operator.version)])
+            return report_problems([_missing_version_problem(file, operator.version)])
         expected = 0
     result = operator.publish(
         file.document,
@@ -67,6 +72,7 @@
             "organisations": "ORGANISATION",
         },
     )
+    # The draft may have been edited several times; the last edit is the published one.
     key = created_keys[-1] if created_keys else None
     codes_with_token = (ExitCode.OK, ExitCode.NOT_IN_FORCE, ExitCode.OUTCOME_UNKNOWN)
     if key is None or report.code not in codes_with_token:
@@ -167,9 +173,9 @@
 ) -> Report:
     """Edit the configuration in force and publish the result.
 
-    ``unchanged_message`` is shown if the edit changes nothing. A problem that the
-    draft reports for a key of ``argument_by_key`` is shown as one of that argument
-    of the command.
+    ``unchanged_message`` is shown if the edit changes nothing. ``argument_by_key``
+    has arguments of the command by dotted key of the configuration: a problem that
+    the draft reports for such a key is shown as a problem of the argument.
     """
 
     def edit_and_name_arguments(draft: Draft) -> None:
@@ -191,6 +197,7 @@
 
 
 def _name_argument(problem: Problem, argument_by_key: Mapping[str, str]) -> Problem:
+    """Return a problem of a key, or of a key below it, as one of its argument."""
     for key, argument in argument_by_key.items():
         if problem.key == key or problem.key.startswith(f"{key}."):
             return replace(problem, file=COMMAND_LINE, key=argument)
@@ -200,6 +207,7 @@
 def _report_and_wait(
     operator: Operator, args: argparse.Namespace, result: Any
 ) -> Report:
+    """Report a result; if it was published, wait until every entry has the version."""
     report = report_result(result)
     if not isinstance(result, Published) or args.no_wait:
         return report
@@ -207,7 +215,7 @@
     return report + report_result(in_force)
 
 
-def _version_missing(file: ConfigFile, version: int) -> Problem:
+def _missing_version_problem(file: ConfigFile, version: int) -> Problem:
     return Problem(
         file.source,
         VERSION_KEY,
--- a/libs/operator/src/lycheeloom/operator/checks.py
+++ b/libs/operator/src/lycheeloom/operator/checks.py
@@ -25,17 +25,19 @@
 ) -> list[Problem]:
     """Return all problems of a document, without duplicates.
 
-    ``in_force`` is the document that this one replaces; ``usage`` is what the fleet
-    runs now. ``parse_config`` accepts a document without errors, so every entry
-    accepts it too.
+    ``in_force`` is the document that this one replaces. ``usage`` tells which tasks
+    run now and in which pools instances are. If none of the problems is an error,
+    ``parse_config`` accepts the document, and so does every entry.
     """
     problems = [
         *check_fields(document, in_force or {}, file),
         *check_references(document, usage, file),
     ]
-    keys = {problem.key for problem in problems}
-    plain = _check_json_types((), document, file)
-    problems += [problem for problem in plain if problem.key not in keys]
+    reported_keys = {problem.key for problem in problems}
+    type_problems = _check_json_types((), document, file)
+    problems += [
+        problem for problem in type_problems if problem.key not in reported_keys
+    ]
     if not errors_in(problems):
         parsed = parse_config(json.loads(json.dumps(document)), 0)
         if isinstance(parsed, ConfigError):
@@ -64,6 +66,7 @@
 
 
 def _describe_non_json(value: Any) -> str:
+    """Say why JSON cannot express a value; an empty string if it can."""
     if value is None:
         return "is null"
     if isinstance(value, datetime.date | datetime.time):
--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -11,16 +11,17 @@
 from .settings import DEFAULT_PATH, PATH_VARIABLE
 
 VERSION = "0.1.0"
-# Kinds of objects that entries and controllers explain; "fleet" needs no name.
+# Kinds of objects that entries and controllers explain; "fleet" needs no ID.
 FLEET_KIND = "fleet"
 EXPLAINED_KINDS = ("request", "instance", "pool", "organisation", FLEET_KIND)
-# Kinds of objects that ``--logs`` explains from log lines; "leader" needs no name.
+# Kinds of objects that ``--logs`` explains from log lines; "leader" needs no ID.
 LEADER_KIND = "leader"
 LOGGED_KINDS = ("job", "instance", "worker", "wave", LEADER_KIND)
 ALL_KINDS = tuple(dict.fromkeys(EXPLAINED_KINDS + LOGGED_KINDS))
-DEFAULT_DRAIN_S = 60.0
-DEFAULT_REBOOT_S = 300.0
-DEFAULT_INTERVAL_S = 2.0
+# Times that "wave plan" assumes for draining and rebooting an instance.
+DEFAULT_PLANNED_DRAIN_S = 60.0
+DEFAULT_PLANNED_REBOOT_S = 300.0
+DEFAULT_WATCH_INTERVAL_S = 2.0
 
 _Subparsers = "argparse._SubParsersAction[argparse.ArgumentParser]"
 
@@ -39,7 +40,12 @@
         + exit_code_help(),
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    _add_common(parser, os.environ.get(PATH_VARIABLE, DEFAULT_PATH), False, None)
+    _add_common_options(
+        parser,
+        os.environ.get(PATH_VARIABLE, DEFAULT_PATH),
+        False,
+        None,
+    )
     parser.add_argument("--version", action="version", version=f"%(prog)s {VERSION}")
     parser.add_argument(
         "--check-config", action="store_true", help="check the settings file and end"
@@ -51,13 +57,14 @@
     _add_zone(groups)
     _add_wave(groups)
     _add_pool(groups)
-    _add_views(groups)
+    _add_view_commands(groups)
     return parser
 
 
-def _add_common(
+def _add_common_options(
     parser: argparse.ArgumentParser, settings: object, as_json: object, timeout: object
 ) -> None:
+    """Add the options that all commands have, with these defaults."""
     parser.add_argument(
         "--settings",
         metavar="FILE",
@@ -92,7 +99,7 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     # No defaults here: they would override options given before the command.
-    _add_common(parser, argparse.SUPPRESS, argparse.SUPPRESS, argparse.SUPPRESS)
+    _add_common_options(parser, argparse.SUPPRESS, argparse.SUPPRESS, argparse.SUPPRESS)
     parser.set_defaults(command=command)
     return parser
 
@@ -129,7 +136,7 @@
         "lycheeloom config publish fleet.toml --expect 7 --accept-warnings",
     )
     for parser in (check, diff, publish):
-        _file_argument(parser)
+        _add_file_argument(parser)
     publish.add_argument(
         "--expect",
         type=_whole_number,
@@ -196,8 +203,12 @@
         "lycheeloom wave plan --pool general --reboot-s 240",
     )
     for option, default, text in (
-        ("--drain-s", DEFAULT_DRAIN_S, "seconds that draining an instance takes"),
-        ("--reboot-s", DEFAULT_REBOOT_S, "seconds that a reboot takes"),
+        (
+            "--drain-s",
+            DEFAULT_PLANNED_DRAIN_S,
+            "seconds that draining an instance takes",
+        ),
+        ("--reboot-s", DEFAULT_PLANNED_REBOOT_S, "seconds that a reboot takes"),
     ):
         plan.add_argument(
             option,
@@ -255,7 +266,7 @@
     _add_change_options(move)
 
 
-def _add_views(groups: _Subparsers) -> None:
+def _add_view_commands(groups: _Subparsers) -> None:
     _add_command(
         groups,
         "status",
@@ -294,9 +305,9 @@
     watch.add_argument(
         "--interval-s",
         type=_seconds,
-        default=DEFAULT_INTERVAL_S,
+        default=DEFAULT_WATCH_INTERVAL_S,
         metavar="SECONDS",
-        help=f"pause between two prints (default: {DEFAULT_INTERVAL_S:g})",
+        help=f"pause between two prints (default: {DEFAULT_WATCH_INTERVAL_S:g})",
     )
     watch.add_argument(
         "--count",
@@ -316,7 +327,7 @@
     )
 
 
-def _file_argument(parser: argparse.ArgumentParser) -> None:
+def _add_file_argument(parser: argparse.ArgumentParser) -> None:
     argument = parser.add_argument("file", metavar="FILE", help="configuration in TOML")
     argument.complete = shtab.FILE  # type: ignore[attr-defined]
 
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One key whose value differs; ``ABSENT`` stands for a key that does not exist."""
+    """One key whose value differs; the value of an absent key is ``ABSENT``."""
 
     path: tuple[str, ...]
     before: Any
@@ -33,9 +33,13 @@
         path_text = _describe_path(self.path)
         default = _default_text(self.path)
         if default is not None and self.before is ABSENT:
-            return _from_default(path_text, default, format_value(self.after))
+            return _describe_change_from_default(
+                path_text, default, format_value(self.after)
+            )
         if default is not None and self.after is ABSENT:
-            return _to_default(path_text, format_value(self.before), default)
+            return _describe_change_to_default(
+                path_text, format_value(self.before), default
+            )
         if self.before is ABSENT:
             return f"{path_text} is added: {_summarise(self.path, self.after)}"
         if self.after is ABSENT and _is_organisation_key(self.path):
@@ -74,7 +78,11 @@
 
 
 def describe_patch(patch: Mapping[str, Any]) -> list[str]:
-    """Describe what a patch sets, for when the document before it is not known."""
+    """Return a sentence for each value that a patch sets or removes.
+
+    The sentences do not name the values before, so this serves where the document
+    before the patch is not known.
+    """
     return [
         f"{_describe_path(path)} is removed"
         if value is None
@@ -89,15 +97,19 @@
 
 
 def paths_overlap(first: set[tuple], second: set[tuple]) -> bool:
-    """Tell whether a path of one set equals or contains one of the other."""
+    """Tell whether a path of one set equals or contains a path of the other set."""
     return any(
-        one[: len(two)] == two or two[: len(one)] == one
-        for one in first
-        for two in second
+        path[: len(other)] == other or other[: len(path)] == path
+        for path in first
+        for other in second
     )
 
 
 def _patch_paths(path: tuple, patch: Any, before: Any) -> Iterator[tuple]:
+    """Yield the paths that a patch of the table at ``path`` sets or removes.
+
+    Where both patch and document have a table, these are paths of keys within it.
+    """
     for name, value in patch.items():
         old = before.get(name) if isinstance(before, Mapping) else None
         if isinstance(value, Mapping) and isinstance(old, Mapping):
@@ -107,6 +119,7 @@
 
 
 def _patch_leaves(path: tuple[str, ...], patch: Any) -> Iterator[tuple[tuple, Any]]:
+    """Yield path and value of everything in a patch but tables that have keys."""
     for name, value in patch.items():
         if isinstance(value, Mapping) and value:
             yield from _patch_leaves((*path, name), value)
@@ -141,9 +154,10 @@
 
 
 def _is_compared_by_item(path: tuple[str, ...]) -> bool:
-    """Tell whether the table at a path is compared item by item.
+    """Tell whether adding or removing the table at a path is one change for each item.
 
-    An added or removed section, or table of keys, gives one change for each item.
+    This holds for a section and for the keys of an organisation. Any other table
+    that is added or removed is one change.
     """
     return len(path) == 1 or (path[0] == "organisations" and path[2:] == ("keys",))
 
@@ -165,20 +179,20 @@
     return f"{noun}: {join_key(*path[2:])}"
 
 
-def _from_default(path_text: str, default: str, after: str) -> str:
+def _describe_change_from_default(path_text: str, default: str, after: str) -> str:
     if default == after:
         return f"{path_text} is now set to {after}, which was the default already"
     return f"{path_text} changes from {default} (the default) to {after}"
 
 
-def _to_default(path_text: str, before: str, default: str) -> str:
+def _describe_change_to_default(path_text: str, before: str, default: str) -> str:
     if default == before:
         return f"{path_text} stays {default}, which is the default"
     return f"{path_text} changes from {before} to {default} (the default)"
 
 
 def _default_text(path: tuple[str, ...]) -> str | None:
-    """Return the default of the field at a path, None if it has none or it is empty."""
+    """Return the default of a field as JSON, None if it has none or an empty one."""
     if len(path) != 3 or path[2] not in MEANING_BY_FIELD.get(path[0], {}):
         return None
     default = default_of(path[0], path[2])
@@ -191,6 +205,10 @@
 
 
 def _summarise(path: tuple[str, ...], value: Any) -> str:
+    """Describe a value; of a table only the fields that this version knows.
+
+    The keys of an organisation are counted, and the hash of a key is not shown.
+    """
     if _is_organisation_key(path):
         return "a salted hash"
     if not isinstance(value, Mapping):
--- a/libs/operator/src/lycheeloom/operator/draft.py
+++ b/libs/operator/src/lycheeloom/operator/draft.py
@@ -16,14 +16,17 @@
 from .reference_checks import Usage
 
 DEFAULT_FILE = "draft"
-KEY_ID_BYTES = 4
+RANDOM_KEY_ID_BYTES = 4
 
 
 class Draft:
-    """A configuration being edited; problems are collected, not raised.
+    """A copy of the configuration in force to edit; problems raise no exception.
 
-    Each method makes one change. A change that cannot be made, such as one with an
-    unknown or duplicate name, adds a problem to those that ``check`` returns:
+    Each editing method makes one change. A change that cannot be made, such as one
+    with an unknown or duplicate name, leaves the copy as it is and adds a problem to
+    those that ``check`` returns. ``file`` stands for a file name in these problems.
+
+    Example:
 
         draft = Draft(in_force)
         draft.set_limit("red", 40)
@@ -75,7 +78,7 @@
             del self.document[section][name]
 
     def set_share(self, organisation: str, share: float) -> None:
-        """Set the weight of an organisation when a full fleet is divided."""
+        """Set the weight with which an organisation gets a part of a full fleet."""
         self.change("organisations", organisation, share=share)
 
     def set_limit(self, organisation: str, upper_limit: int) -> None:
@@ -98,22 +101,29 @@
             item["pool"] = pool
 
     def grant_key(self, organisation: str, key_id: str = "") -> NewKey | None:
-        """Add a key to an organisation; its token cannot be read again later."""
+        """Create a key of an organisation and return it, or None if there is a problem.
+
+        Without ``key_id``, the id is the name of the organisation with random digits.
+        The draft holds only a hash of the key, so the token of the returned key cannot
+        be read again later.
+        """
         item = self._find_item("organisations", organisation)
         if item is None:
             return None
-        key = create_key(key_id or f"{organisation}-{secrets.token_hex(KEY_ID_BYTES)}")
-        place = join_key("organisations", organisation, "keys", key.id)
+        key = create_key(
+            key_id or f"{organisation}-{secrets.token_hex(RANDOM_KEY_ID_BYTES)}"
+        )
+        dotted_key = join_key("organisations", organisation, "keys", key.id)
         owner = self._organisation_of_key(key.id)
         if owner is not None:
             wrong = f'is a key of the organisation "{owner}" already'
-            self._add_problem(place, wrong, "a key name that is not in use")
+            self._add_problem(dotted_key, wrong, "a key name that is not in use")
             return None
         item.setdefault("keys", {})[key.id] = key.document.model_dump()
         return key
 
     def withdraw_key(self, key_id: str) -> None:
-        """Remove a key; every entry refuses it within 3 s."""
+        """Remove a key; every entry refuses the key within 3 s of the publication."""
         owner = self._organisation_of_key(key_id)
         if owner is None:
             known = [
@@ -129,7 +139,7 @@
         del self.document["organisations"][owner]["keys"][key_id]
 
     def check(self, usage: Usage = NO_USAGE) -> list[Problem]:
-        """Return all problems of the draft."""
+        """Return the problems of the edits and those of the edited document."""
         found = check_document(self.document, self.file, self._in_force, usage)
         return [*self.problems, *found]
 
--- a/libs/operator/src/lycheeloom/operator/entries.py
+++ b/libs/operator/src/lycheeloom/operator/entries.py
@@ -40,7 +40,11 @@
 
 
 class EntryClient:
-    """Calls one entry or controller; not for use by several threads at once."""
+    """Calls one entry or controller; not for use by several threads at once.
+
+    ``handover_token`` is the bearer token for ``hand_over``; entries refuse the
+    batches without it.
+    """
 
     def __init__(
         self,
@@ -71,7 +75,8 @@
     ) -> EntryUnavailable | None:
         """Send batches of the log to the entry and return the failure, if any.
 
-        ``offset`` is the log offset of the first batch.
+        ``offset`` is the log offset of the first batch. The entry need not wait until
+        it reads the batches from the log, so a change is in force sooner.
         """
         encoded = [base64.b64encode(batch).decode() for batch in batches]
         body = json.dumps({"offset": offset, "batches": encoded}).encode()
@@ -116,6 +121,7 @@
             headers=headers,
             timeout_s=self._timeout_s,
         )
+        # A call that failed has a reason and no status.
         status = getattr(response, "status", None)
         if status is None:
             return EntryUnavailable(response.reason)
@@ -123,14 +129,14 @@
 
 
 class Entries:
-    """The entries of a fleet, or its controllers, called in parallel."""
+    """Calls all entries of a fleet, or all its controllers, in parallel."""
 
     def __init__(self, clients: Sequence[EntryClient]) -> None:
         self._clients = tuple(clients)
 
     @classmethod
     def at(cls, addresses: Sequence[str], handover_token: str = "") -> Entries:
-        """Return clients for these addresses."""
+        """Return the entries, or controllers, at these addresses."""
         return cls(
             [
                 EntryClient(address, handover_token=handover_token)
@@ -143,7 +149,7 @@
         return self._call_each(lambda client: client.status())
 
     def hand_over(self, offset: int, batches: Sequence[bytes]) -> dict[str, str]:
-        """Send batches to each entry and return the reason of each failure."""
+        """Send batches to each entry; return the reason of each failure by address."""
         results = self._call_each(lambda client: client.hand_over(offset, batches))
         return {
             address: result.reason
@@ -154,7 +160,10 @@
     def explain(
         self, kind: str, name: str
     ) -> dict[str, Explanation | ExplanationNotFound | EntryUnavailable]:
-        """Ask each entry, since a request may be known to one entry only."""
+        """Ask each entry for the decisions on an object; return the answers by address.
+
+        All are asked, since a request may be known to one entry only.
+        """
         return self._call_each(lambda client: client.explain(kind, name))
 
     def _call_each(self, call: Callable[[EntryClient], Any]) -> dict[str, Any]:
@@ -172,7 +181,10 @@
 def newest_status(
     statuses: Mapping[str, StatusDocument | EntryUnavailable],
 ) -> StatusDocument | None:
-    """Return the status of the entry that has read the log furthest."""
+    """Return the status of the entry that has read the log furthest.
+
+    The result is None if no entry answered.
+    """
     found = [item for item in statuses.values() if isinstance(item, StatusDocument)]
     if not found:
         return None
--- a/libs/operator/src/lycheeloom/operator/log_timeline.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -1,4 +1,4 @@
-"""Builds the timeline of a job, instance, worker, wave or of the leaders from logs."""
+"""Builds timelines of jobs, instances, workers, waves and leaders from log lines."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
         "store_regained",
     }
 )
-# Fields that hold the name of an object. Tasks and steps are matched by ``_is_about``,
-# since their names begin with that of the job.
+# Fields that hold the name of an object. ``_is_about`` matches the fields for tasks and
+# steps, whose names are the name of their job followed by a dot and numbers.
 _NAME_FIELDS = ("job", "instance", "worker", "wave")
 _COMMON_FIELDS = frozenset({"time", "level", "process", "event"})
 # Two consecutive lines further apart than this are reported as a gap.
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogLine:
-    """One event that a process logged; ``fields`` leaves out the common ones."""
+    """One event that a process logged; ``fields`` has all but ``_COMMON_FIELDS``."""
 
     time: str
     process: str
@@ -42,7 +42,7 @@
 
     @property
     def seconds(self) -> float:
-        """The time of day in seconds, 0 if the line has no valid time."""
+        """The time of day in seconds, 0 if ``time`` has no time of day."""
         match = re.search(r"T(\d+):(\d+):([\d.]+)", self.time)
         if match is None:
             return 0.0
@@ -60,15 +60,18 @@
     }
     if not {"time", "process", "event"} <= fields.keys():
         return None
-    rest = {name: v for name, v in fields.items() if name not in _COMMON_FIELDS}
-    return LogLine(fields["time"], fields["process"], fields["event"], rest)
+    other_fields = {
+        name: value for name, value in fields.items() if name not in _COMMON_FIELDS
+    }
+    return LogLine(fields["time"], fields["process"], fields["event"], other_fields)
 
 
 def build_timeline(raw_lines: Iterable[str], name: str) -> list[str]:
     """Return the lines about a job, instance, worker or wave, ordered by time.
 
-    Changes of leader in the same period are included, since they explain why tasks
-    are started again.
+    Changes of leader between the first and the last of these lines are included, since
+    they explain why tasks are started again. At the end stand the main events of a
+    job that no line mentions. Without any line about the object the result is empty.
     """
     lines = [line for text in raw_lines if (line := parse_line(text)) is not None]
     matching = [line for line in lines if _is_about(line, name)]
@@ -90,6 +93,7 @@
 
 
 def _is_about(line: LogLine, name: str) -> bool:
+    """Tell whether a line names an object, or a task or step of a job of that name."""
     if any(line.fields.get(key) == name for key in _NAME_FIELDS):
         return True
     task = line.fields.get("task", line.fields.get("step", ""))
@@ -97,20 +101,24 @@
 
 
 def _render(lines: Sequence[LogLine]) -> list[str]:
+    """Return the lines as text, ordered by time, with a line for each gap."""
     rendered = []
-    before: LogLine | None = None
+    previous: LogLine | None = None
     for line in sorted(lines, key=lambda x: x.time):
-        if before is not None and line.seconds - before.seconds > MIN_GAP_S:
-            gap_s = line.seconds - before.seconds
+        if previous is not None and line.seconds - previous.seconds > MIN_GAP_S:
+            gap_s = line.seconds - previous.seconds
             rendered.append(f"    no line for {gap_s:.1f} s")
-        before = line
+        previous = line
         pairs = " ".join(f"{k}={v}" for k, v in line.fields.items())
         rendered.append(f"{line.time} {line.process} {line.event} {pairs}".rstrip())
     return rendered
 
 
 def _missing_events(lines: Sequence[LogLine]) -> list[str]:
-    """Report the main events of a job that no line mentions; nothing for others."""
+    """Return a text for each main event of a job that no line mentions.
+
+    The result is empty if the lines are not about a job.
+    """
     events = {line.event for line in lines}
     if not events & {"job_submitted", "job_opened", "job_ended"}:
         return []
--- a/libs/operator/src/lycheeloom/operator/log_view.py
+++ b/libs/operator/src/lycheeloom/operator/log_view.py
@@ -23,10 +23,11 @@
 from .difference import compare, describe_patch
 
 MAX_BATCHES_PER_READ = 1000
-# Ends a replay that never reaches the end of the log, for instance because the log
-# expires batches faster than they are read.
-MAX_READS = 100_000
-# Versions of the document kept for describing earlier changes.
+# Ends a replay that does not reach the end of the log, for instance because batches
+# expire faster than they are read.
+MAX_READS_PER_REPLAY = 100_000
+# How many versions of the configuration document are kept, to describe the changes
+# between them.
 MAX_KEPT_DOCUMENTS = 100
 
 
@@ -62,17 +63,20 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchOutcome:
-    """The offset of the first copy of a batch, and for each record its effect."""
+    """The offset of the first copy of a batch, and which of its records took effect.
+
+    ``effective`` has one value for each record, in their order.
+    """
 
     offset: int
     effective: tuple[bool, ...]
 
 
 class LogView:
-    """The fleet state replayed from the log, as one author sees it.
+    """The fleet state replayed from the log, and the outcomes of one author's batches.
 
     Replay starts from the newest snapshot, since replaying hours of log takes
-    minutes. The outcomes of the author's own batches are kept.
+    minutes.
     """
 
     def __init__(self, log: Log, author: str) -> None:
@@ -99,7 +103,7 @@
             failure = self._load_snapshot()
             if failure is not None:
                 return failure
-        for _ in range(MAX_READS):
+        for _ in range(MAX_READS_PER_REPLAY):
             first = self.state.next_offset
             result = self._log.read(first, MAX_BATCHES_PER_READ, 0.0)
             match result:
@@ -117,12 +121,12 @@
                         return Unavailable(f"no batch at offset {first}")
         return Unavailable("the log grows faster than it is read")
 
-    def read_failure(self, failure: Unavailable) -> str:
-        """Describe which log could not be read and why."""
+    def describe_read_failure(self, failure: Unavailable) -> str:
+        """Return a text that says which log could not be read and why."""
         return f"the log at {self._log.address} cannot be read ({failure.reason})"
 
     def outcome(self, sequence: int) -> BatchOutcome | None:
-        """Return the outcome of a batch of the author, or None if it was not read."""
+        """Return the outcome of a batch of the author, None if no copy was read yet."""
         return self._outcome_by_sequence.get(sequence)
 
     def changes_since(self, version: int) -> list[PublishedChange]:
@@ -139,6 +143,7 @@
             if offset < self.state.next_offset:
                 continue
             batch = decode_batch(data)
+            # A batch that cannot be decoded has no effect in any replay.
             if not isinstance(batch, Batch):
                 self.state.skip(offset)
                 continue
@@ -173,6 +178,8 @@
         return None
 
     def _to_published_change(self, change: Any) -> PublishedChange:
+        # A document is missing if the version is older than the snapshot with which
+        # replay began, or than the documents that are kept.
         before = self._document_by_version.get(change.version - 1)
         after = self._document_by_version.get(change.version)
         if before is None or after is None:
@@ -189,5 +196,6 @@
 
 
 def _load_patch(text: str) -> Mapping[str, Any]:
+    """Parse a patch; one that is not a JSON object counts as empty."""
     patch = json.loads(text)
     return patch if isinstance(patch, dict) else {}
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -69,7 +69,7 @@
 
 
 def make_operator(settings: Settings) -> Operator:
-    """Return an operator connected to the log, the entries and the controllers."""
+    """Return an ``Operator`` for the log, entries and controllers in the settings."""
     return Operator(
         LogClient(settings.log),
         Entries.at(settings.entries, settings.handover_token),
@@ -86,7 +86,7 @@
         parser.print_help(sys.stderr)
         return ExitCode.USAGE
     if command == "explain":
-        _check_explain(parser, args)
+        _check_explain_arguments(parser, args)
         if args.logs:
             return _print(reading.explain_logs(args), args.json)
     settings = load_settings(args.settings)
@@ -102,7 +102,9 @@
     return _print(COMMANDS[command](operator, args), args.json)
 
 
-def _check_explain(parser: argparse.ArgumentParser, args: argparse.Namespace) -> None:
+def _check_explain_arguments(
+    parser: argparse.ArgumentParser, args: argparse.Namespace
+) -> None:
     if not args.id and args.kind not in (FLEET_KIND, LEADER_KIND):
         parser.error(f"explain {args.kind} needs an ID")
     if args.logs and args.kind not in LOGGED_KINDS:
@@ -113,6 +115,7 @@
 
 def _watch(operator: Operator, args: argparse.Namespace) -> int:
     printed = 0
+    # ``args.count`` is 0 without the option; it then never equals ``printed``.
     while True:
         code = _print(COMMANDS["watch"](operator, args), args.json)
         printed += 1
--- a/libs/operator/src/lycheeloom/operator/meanings.py
+++ b/libs/operator/src/lycheeloom/operator/meanings.py
@@ -31,10 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Meaning:
-    """What one field means and allows.
+    """What one field means and which values it allows.
 
-    ``sentence`` explains a value, for which it has the placeholder ``{value}``.
-    ``sentence_by_value`` is used instead for fields with a few fixed values.
+    ``allowed`` describes the allowed values. ``sentence`` explains a value, which
+    replaces ``{value}`` in it. A field with a few fixed values has
+    ``sentence_by_value`` instead.
     """
 
     allowed: str
@@ -211,7 +212,10 @@
 
 
 def default_of(section: str, name: str) -> Any:
-    """Return the default of a field as a plain value, or None if it has none."""
+    """Return the default of a field, or None if the field has none.
+
+    The default of a field with an enum is the value of the member.
+    """
     info = MODEL_BY_SECTION[section].model_fields[name]
     if info.is_required():
         return None
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -36,12 +36,13 @@
 from .splitting import patch_text, split_patch
 
 DEFAULT_TIMEOUT_S = 10.0
+# Pause between two looks at the status of the entries.
 POLL_INTERVAL_S = 0.1
-# How often ``change`` applies its edit when other operators keep publishing first.
-MAX_ATTEMPTS = 5
+# How often ``change`` applies its edit if other operators publish first each time.
+MAX_CHANGE_ATTEMPTS = 5
 
-# The states in which a wave may be commanded into the state that is the key.
-_ALLOWED_STATES: Mapping[WaveState, tuple[WaveState, ...]] = {
+# By wanted state, the states from which a wave may be commanded into it.
+_ALLOWED_STATES_BY_WANTED: Mapping[WaveState, tuple[WaveState, ...]] = {
     WaveState.RUNNING: (WaveState.ABSENT, WaveState.PAUSED),
     WaveState.PAUSED: (WaveState.RUNNING,),
     WaveState.ABORTED: (WaveState.RUNNING, WaveState.PAUSED),
@@ -59,8 +60,8 @@
             print(operator.wait_in_force(result.version))
 
     The outcome of a change is returned as a data class of ``results``. Invalid
-    documents, lost races and outages raise no exception. All timeouts are in
-    seconds.
+    documents, lost races and outages raise no exception. Controllers are asked only
+    for explanations. All timeouts are in seconds.
     """
 
     def __init__(
@@ -84,7 +85,7 @@
 
     @property
     def version(self) -> int:
-        """The configuration version in force when the log was last read."""
+        """The version of the configuration in force when the log was last read."""
         return self._view.version
 
     @property
@@ -101,7 +102,7 @@
         """Read the log to its end and return the reason if that failed."""
         failure = self._view.catch_up()
         if isinstance(failure, Unavailable):
-            return LogUnavailable(self._view.read_failure(failure))
+            return LogUnavailable(self._view.describe_read_failure(failure))
         return None
 
     def draft(self) -> Draft:
@@ -109,9 +110,10 @@
         return Draft(self.document)
 
     def usage(self) -> Usage:
-        """Return running tasks as entries report them and pools as the log has them.
+        """Return running tasks and the pools of instances, for checks of a document.
 
-        Each entry reports counts of the whole fleet; the highest one is used.
+        Each entry reports how many tasks of an organisation run in the whole fleet;
+        the highest report counts. The pools are those in the replayed log.
         """
         running: dict[str, int] = {}
         for status in self._entries.statuses().values():
@@ -172,7 +174,8 @@
     ) -> PublishResult:
         """Replace the configuration if ``expected_version`` is still in force.
 
-        Warnings prevent publication unless they are accepted.
+        Errors prevent publication, and so do warnings unless they are accepted.
+        Problems that the document in force has too do not.
         """
         failure = self.refresh()
         if failure is not None:
@@ -193,11 +196,11 @@
     ) -> PublishResult:
         """Edit the configuration in force and publish the result.
 
-        If another operator publishes in between, the edit is applied again to the
-        new configuration, unless both changed the same settings.
+        If another operator publishes between the read and the append, the edit is
+        applied again to the new configuration, unless both changed the same settings.
         """
         result: PublishResult = LogUnavailable("not read yet")
-        for _ in range(MAX_ATTEMPTS):
+        for _ in range(MAX_CHANGE_ATTEMPTS):
             failure = self.refresh()
             if failure is not None:
                 return failure
@@ -232,12 +235,12 @@
         """Start, pause, resume or abort a maintenance wave.
 
         ``wanted`` is the state to bring the wave into. ``expected`` are the states
-        from which this is allowed; by default those that suit ``wanted``.
+        from which this is allowed; by default all from which a wave can get there.
         """
         failure = self.refresh()
         if failure is not None:
             return failure
-        allowed = tuple(expected or _ALLOWED_STATES.get(wanted, ()))
+        allowed = tuple(expected or _ALLOWED_STATES_BY_WANTED.get(wanted, ()))
         state = self._wave_state(wave_id)
         if state not in allowed:
             known = self._view.state.maintenance.wave_by_id
@@ -259,7 +262,7 @@
     def wait_in_force(
         self, version: int, timeout_s: float = DEFAULT_TIMEOUT_S
     ) -> InForce | NotYetInForce:
-        """Wait until every entry has the version; on timeout say which lack it."""
+        """Wait until every entry has the version or a newer one, or the time is up."""
         deadline_s = self._clock.now_s() + timeout_s
         while True:
             missing = {
@@ -274,6 +277,7 @@
             self._clock.sleep(POLL_INTERVAL_S)
 
     def _publish(self, document: Mapping[str, Any], timeout_s: float) -> PublishResult:
+        """Append the patch to a document, one batch after another if it is large."""
         before = self.document
         patch = make_patch(before, document)
         if not patch:
@@ -299,6 +303,11 @@
     def _explain_no_effect(
         self, expected: int, result: Accepted
     ) -> LostRace | NoEffect:
+        """Return why a record in the log had no effect.
+
+        The race is lost if another change since the expected version comes before the
+        record in the log.
+        """
         winners = self._view.changes_since(expected)
         if any(change.offset < result.outcome.offset for change in winners):
             return self._lost_race(expected)
@@ -319,7 +328,7 @@
 def _conflicts_with_any(
     winners: Iterable[PublishedChange], before: Mapping[str, Any], paths: set[tuple]
 ) -> bool:
-    """Tell whether one of the changes touched one of the paths."""
+    """Tell whether a winner changed a setting at, above or below one of the paths."""
     return any(
         paths_overlap(paths, changed_paths(before, winner.patch)) for winner in winners
     )
--- a/libs/operator/src/lycheeloom/operator/output.py
+++ b/libs/operator/src/lycheeloom/operator/output.py
@@ -33,14 +33,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """What a command prints, as text or as ``data`` for ``--json``; its exit code."""
+    """The output of a command, as text and as ``data`` for ``--json``, and its code.
+
+    ``code`` is the exit code.
+    """
 
     lines: tuple[str, ...]
     data: Mapping[str, Any] = field(default_factory=dict)
     code: ExitCode = ExitCode.OK
 
     def __add__(self, other: Report) -> Report:
-        """Join two reports; the first exit code that is not OK is kept."""
+        """Join two reports; the exit code is the first one that is not OK."""
         return Report(
             self.lines + other.lines,
             {**self.data, **other.data},
@@ -55,7 +58,10 @@
 
 
 def report_problems(problems: Sequence[Problem]) -> Report:
-    """Report every problem on a line of its own."""
+    """Report problems that prevent publication, each on a line of its own.
+
+    If all of them are warnings, the report says how to publish nevertheless.
+    """
     lines = [
         f"{'warning' if item.severity is Severity.WARNING else 'error'}: {item}"
         for item in problems
@@ -139,20 +145,23 @@
 
 
 def report_history(changes: Iterable[PublishedChange]) -> Report:
-    """Report accepted changes, newest last."""
+    """Report accepted changes in the given order."""
     changes = tuple(changes)
     lines = [line for change in changes for line in _change_lines(change)]
     return Report(tuple(lines or ["No change is on record."]), {"changes": changes})
 
 
 def table(headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> list[str]:
-    """Return the lines of a table."""
+    """Return the lines of a text table."""
     text = tabulate(list(rows), headers=list(headers), tablefmt="simple")
     return text.splitlines()
 
 
 def to_json_value(value: Any) -> Any:
-    """Convert data classes, models and collections to values for ``json.dumps``."""
+    """Convert data classes, models and collections to values for ``json.dumps``.
+
+    ``ABSENT`` becomes null.
+    """
     if value is ABSENT:
         return None
     if isinstance(value, BaseModel):
--- a/libs/operator/src/lycheeloom/operator/problems.py
+++ b/libs/operator/src/lycheeloom/operator/problems.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """What is wrong with one key of one file and which values are allowed.
+    """What is wrong with one key of one file, and what is allowed there.
 
     ``str(Problem("a.toml", "organisations.red.share", "is 0", "a number above 0"))``
     gives ``a.toml: organisations.red.share: is 0; allowed: a number above 0``.
@@ -54,13 +54,13 @@
 
 
 def format_value(value: Any) -> str:
-    """Return a value as JSON, shortened to 60 characters."""
+    """Return a value as JSON, cut to at most 60 characters."""
     text = json.dumps(value, ensure_ascii=False, default=str)
     return text if len(text) <= 60 else text[:57] + "..."
 
 
 def join_key(*parts: str) -> str:
-    """Return a dotted key; a part is quoted unless it is letters, digits, - and _."""
+    """Return a dotted key; parts with more than letters, digits, - and _ are quoted."""
     return ".".join(
         part if part.replace("-", "").replace("_", "").isalnum() else json.dumps(part)
         for part in parts
--- a/libs/operator/src/lycheeloom/operator/reading_commands.py
+++ b/libs/operator/src/lycheeloom/operator/reading_commands.py
@@ -43,7 +43,7 @@
 
 
 def check_file(args: argparse.Namespace) -> Report:
-    """Check a file without comparing it with the configuration in force."""
+    """Check a file without reading the log or calling an entry."""
     file = read_config(args.file)
     if isinstance(file, Problem):
         return report_problems([file])
@@ -75,7 +75,7 @@
 
 
 def show_history(operator: Operator, args: argparse.Namespace) -> Report:
-    """List the newest published changes and who made them."""
+    """List the newest published changes, oldest first, and who made them."""
     failure = operator.refresh()
     if failure is not None:
         return report_log_unavailable(failure)
@@ -135,7 +135,7 @@
 
 
 def show_waves(operator: Operator, args: argparse.Namespace) -> Report:
-    """Show the progress of waves."""
+    """Show the progress of one wave, or of all."""
     failure = operator.refresh()
     if failure is not None:
         return report_log_unavailable(failure)
@@ -150,7 +150,8 @@
 
 
 def explain(operator: Operator, args: argparse.Namespace) -> Report:
-    """Print how entries and controllers explain the decisions on one object."""
+    """Print the sentences with which entries and controllers explain decisions."""
+    # The fleet has no id, so its kind is its name.
     name = args.id or args.kind
     answers = operator.explain(args.kind, name)
     found = {
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -19,7 +19,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Running tasks of organisations, and the pools instances are in or moving to."""
+    """What runs in the fleet: tasks of organisations, and instances in pools.
+
+    ``running_by_organisation`` counts running tasks. ``pool_by_instance`` has the
+    current pool of instances, and ``target_pool_by_instance`` the pool to which an
+    instance is moving now.
+    """
 
     running_by_organisation: Mapping[str, int] = field(default_factory=dict)
     pool_by_instance: Mapping[str, str] = field(default_factory=dict)
@@ -28,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DocumentTables:
-    """The sections of a document; an item that is not a table is left out."""
+    """The sections of a document, without the items that are not tables."""
 
     zones: Mapping[str, Mapping[str, Any]]
     pools: Mapping[str, Mapping[str, Any]]
@@ -38,7 +43,7 @@
 
     @classmethod
     def of(cls, document: Mapping[str, Any]) -> DocumentTables:
-        """Pick the tables of a document, which may be invalid in other places."""
+        """Return the tables of a document that may have problems in other places."""
         return cls(
             *(
                 _named_tables(document.get(section))
@@ -56,14 +61,17 @@
         """Return how many instances each pool has.
 
         An instance that names no known pool counts for every pool. Its own problem
-        is reported already and must not cause further ones about pools that lack
+        is reported already and must not cause further problems about pools that lack
         an instance.
         """
-        named = Counter(
+        # An empty name counts the instances that name no known pool.
+        count_by_name = Counter(
             pool if isinstance(pool, str) and pool in self.pools else ""
             for pool in (item.get("pool") for item in self.instances.values())
         )
-        return Counter({pool: named[pool] + named[""] for pool in self.pools})
+        return Counter(
+            {pool: count_by_name[pool] + count_by_name[""] for pool in self.pools}
+        )
 
 
 def check_references(
@@ -105,6 +113,7 @@
 
 
 def _check_racks(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    """Require that all instances of a rack are in one zone."""
     zone_by_rack: dict[str, str] = {}
     for name, instance in tables.instances.items():
         rack, zone = instance.get("rack"), instance.get("zone")
@@ -152,7 +161,7 @@
                 file, key, wrong, "at least one organisation", Severity.WARNING
             )
         hedge_budget = queue.get("hedge_budget_percent", 0)
-        is_number = _is_count(hedge_budget) or isinstance(hedge_budget, float)
+        is_number = _is_whole_number(hedge_budget) or isinstance(hedge_budget, float)
         if is_number and hedge_budget > 0 and queue.get("idempotent") is not True:
             wrong = f"is {hedge_budget}, but no request of this queue may run twice"
             key = join_key("queues", name, "hedge_budget_percent")
@@ -178,6 +187,10 @@
 def _check_defined(
     file: str, key: str, noun: str, name: Any, known: Mapping[str, Any]
 ) -> Iterator[Problem]:
+    """Require that ``name``, the value of ``key``, is one of the known names.
+
+    A name that is not a string is reported by ``check_fields``.
+    """
     if not isinstance(name, str) or name in known:
         return
     wrong = (
@@ -187,6 +200,7 @@
 
 
 def _check_keys(tables: DocumentTables, file: str) -> Iterator[Problem]:
+    """Require that no two organisations have a key with the same id."""
     organisation_by_key: dict[str, str] = {}
     for organisation, item in tables.organisations.items():
         keys = item.get("keys")
@@ -194,9 +208,9 @@
             owner = organisation_by_key.setdefault(key_id, organisation)
             if owner != organisation:
                 wrong = f'is a key of the organisation "{owner}" too'
-                key = join_key("organisations", organisation, "keys", key_id)
+                dotted_key = join_key("organisations", organisation, "keys", key_id)
                 yield Problem(
-                    file, key, wrong, "key names used by one organisation only"
+                    file, dotted_key, wrong, "key names used by one organisation only"
                 )
 
 
@@ -206,7 +220,7 @@
         count = counts[name]
         needed = pool.get("needed", 0)
         max_unavailable = pool.get("max_unavailable", 1)
-        if not _is_count(needed) or not _is_count(max_unavailable):
+        if not _is_whole_number(needed) or not _is_whole_number(max_unavailable):
             continue
         if needed > count:
             wrong = f"is {needed}, but the pool has {count} instances"
@@ -228,9 +242,10 @@
 
 
 def _check_usage(tables: DocumentTables, usage: Usage, file: str) -> Iterator[Problem]:
+    """Yield a problem for each organisation or pool in use that is cut or removed."""
     for organisation, running in usage.running_by_organisation.items():
         limit = tables.organisations.get(organisation, {}).get("upper_limit")
-        if _is_count(limit) and 0 < limit < running:
+        if _is_whole_number(limit) and 0 < limit < running:
             wrong = f"is {limit}, but {running} tasks of this organisation are running"
             allowed = (
                 f"{running} or more; a lower limit starts no task until enough end"
@@ -257,7 +272,7 @@
 
 
 def _check_startable(tables: DocumentTables, file: str) -> Iterator[Problem]:
-    """Warn if no task can start: all zones are out, or a pool has no instances."""
+    """Warn if all zones are out, or if the pool of a queue has no instances."""
     if tables.zones and all(
         zone.get("state") == "out" for zone in tables.zones.values()
     ):
@@ -274,7 +289,7 @@
             yield Problem(file, key, wrong, allowed, Severity.WARNING)
 
 
-def _is_count(value: Any) -> bool:
+def _is_whole_number(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
 
--- a/libs/operator/src/lycheeloom/operator/results.py
+++ b/libs/operator/src/lycheeloom/operator/results.py
@@ -18,8 +18,8 @@
 class Published:
     """The change is accepted as ``version``.
 
-    ``not_handed`` gives the reason for each entry that could not be sent the batch
-    directly; such an entry reads it from the log.
+    ``not_handed`` has the address of each entry to which the batch could not be sent
+    directly, with the reason; such an entry reads the batch from the log.
     """
 
     version: int
@@ -36,16 +36,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """The document has errors or unaccepted warnings; nothing was published."""
+    """The document has errors or unaccepted warnings, so nothing was published."""
 
     problems: tuple[Problem, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class LostRace:
-    """Another operator published first; nothing of this change took effect.
+    """The expected version is not in force; nothing of this change took effect.
 
-    ``winners`` are the changes since the expected version, the oldest first.
+    Usually another operator has published first. ``version`` is the one in force, and
+    ``winners`` are the changes after the expected version, oldest first. There are
+    none if the expected version does not exist yet.
     """
 
     expected_version: int
@@ -71,8 +73,8 @@
 class PartlyPublished:
     """Of a change that needs several batches, only the first ones took effect.
 
-    ``parts`` of ``all_parts`` batches took effect. ``stopped_by`` is the outcome of
-    the next one.
+    The first ``parts`` of ``all_parts`` batches took effect, and ``version`` is in
+    force. ``stopped_by`` is the outcome of the batch after them.
     """
 
     version: int
@@ -103,7 +105,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NotYetInForce:
-    """Some entries do not have the version yet; ``missing`` says why, by address."""
+    """Some entries do not have the version yet.
+
+    ``missing`` has the address of each such entry, with its state as a text.
+    """
 
     version: int
     missing: Mapping[str, str]
@@ -111,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveChanged:
-    """The command to a wave took effect.
+    """The command took effect on the wave.
 
     ``not_handed`` is as in ``Published``.
     """
--- a/libs/operator/src/lycheeloom/operator/settings.py
+++ b/libs/operator/src/lycheeloom/operator/settings.py
@@ -17,7 +17,7 @@
 DEFAULT_TIMEOUT_S = 10.0
 MAX_TIMEOUT_S = 3600
 ADDRESS_FORMAT = 'host and port, such as "10.1.0.4:7100"'
-ADDRESS_LIST_FORMAT = f"a list of at least one {ADDRESS_FORMAT}, each once"
+ADDRESS_LIST_FORMAT = f"a list of one or more distinct addresses, each {ADDRESS_FORMAT}"
 KNOWN_KEYS = (
     "log",
     "entries",
@@ -32,8 +32,10 @@
 class Settings:
     """Addresses of the log, entries and controllers, and the name of the operator.
 
-    Controllers are asked only for explanations. ``handover_token`` authorises
-    sending accepted batches directly to the entries.
+    Controllers are asked only for explanations. When the log has accepted a batch with
+    a change, the batch is also sent directly to each entry, so that the entry need not
+    wait until it reads the batch from the log. ``handover_token`` is the bearer token
+    of these calls; entries refuse the batch without it.
     """
 
     log: str
@@ -45,7 +47,7 @@
 
 
 def load_settings(path: str) -> Settings | list[Problem]:
-    """Read and check a settings file, or return every problem in it."""
+    """Return the settings in a file, or all problems of the file if it has any."""
     file = read_toml(path)
     if isinstance(file, Problem):
         return [file]
@@ -79,12 +81,15 @@
     operator = values.get("operator", "")
     if not isinstance(operator, str):
         yield Problem(
-            path, "operator", f"is {format_value(operator)}", "your name as a text"
+            path,
+            "operator",
+            f"is {format_value(operator)}",
+            "your name in quotation marks",
         )
     token = values.get("handover_token", "")
     if not isinstance(token, str):
-        allowed = "the handover_token of the entries, as a text"
-        yield Problem(path, "handover_token", "is not a text", allowed)
+        allowed = "the handover_token of the entries, in quotation marks"
+        yield Problem(path, "handover_token", "is not a string", allowed)
     timeout = values.get("timeout_s", DEFAULT_TIMEOUT_S)
     if not _is_timeout(timeout):
         allowed = f"a number of seconds above 0, at most {MAX_TIMEOUT_S}"
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -8,15 +8,16 @@
 
 from lycheeloom.model.limits import MAX_BATCH_BYTES
 
-# The difference is room for the author and the encoding of the batch.
+# A batch also holds its author and the bytes of its encoding, for which 4,096 are left.
 MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
-# A section comes after those that its items refer to. Additions follow this order and
-# removals the reverse, so that no part refers to an item that does not exist.
+# The items of a section refer only to items of sections before it. Additions are made
+# in this order and removals in the reverse order, so that no part refers to an item
+# that does not exist.
 _ADDITION_ORDER = ("zones", "pools", "organisations", "instances", "queues")
 
 
 def patch_text(patch: Mapping[str, Any]) -> str:
-    """Serialise a patch for the log."""
+    """Serialise a patch for the log, in ASCII: its length is its size in bytes."""
     return json.dumps(patch, separators=(",", ":"))
 
 
@@ -25,20 +26,20 @@
 ) -> list[dict[str, Any]]:
     """Return patches that, applied in order, have the effect of the given one.
 
-    A patch that fits into ``max_bytes`` is not split, so that it takes effect at
-    once. A larger one is split between the items of its sections, with additions
-    and changes before removals.
+    A patch of at most ``max_bytes`` is not split, so that it takes effect as a whole.
+    A larger one is split between the items of its sections, with additions and
+    changes before removals. A single item is not split, however large it is.
     """
     if len(patch_text(patch)) <= max_bytes:
         return [dict(patch)]
     parts: list[dict[str, Any]] = []
-    size = 0
+    part_bytes = 0
     for section, name, value in _items_in_order(patch):
-        item_size = len(patch_text({section: {name: value}}))
-        if not parts or size + item_size > max_bytes:
+        item_bytes = len(patch_text({section: {name: value}}))
+        if not parts or part_bytes + item_bytes > max_bytes:
             parts.append({})
-            size = 0
-        size += item_size
+            part_bytes = 0
+        part_bytes += item_bytes
         if name is None:
             parts[-1][section] = value
         else:
@@ -47,7 +48,12 @@
 
 
 def _items_in_order(patch: Mapping[str, Any]) -> Iterator[tuple[str, str | None, Any]]:
-    """Yield section, item name and value; the name is None for a whole section."""
+    """Yield section, item name and value in the order in which to apply them.
+
+    The name is None if the value is that of the whole section, or of another field
+    at the top level. First come such values, then added or changed items, removed
+    items and last removed sections.
+    """
     for section, value in patch.items():
         is_table = isinstance(value, Mapping) and value
         if value is not None and not (is_table and section in _ADDITION_ORDER):
--- a/libs/operator/src/lycheeloom/operator/status_text.py
+++ b/libs/operator/src/lycheeloom/operator/status_text.py
@@ -11,7 +11,7 @@
 from .entries import EntryUnavailable
 from .output import table
 
-_ENDED = (WaveState.DONE, WaveState.ABORTED)
+_ENDED_WAVE_STATES = (WaveState.DONE, WaveState.ABORTED)
 # The headers and rows of a table.
 TableData = tuple[Sequence[str], list[Sequence[Any]]]
 
@@ -20,7 +20,11 @@
     newest: StatusDocument | None,
     statuses: Mapping[str, StatusDocument | EntryUnavailable],
 ) -> list[str]:
-    """Return all tables; those about the fleet are taken from ``newest``."""
+    """Return the tables about the fleet and the table of its entries.
+
+    The tables about the fleet show ``newest``, the status of the entry that has read
+    the log furthest; it is None if no entry answered.
+    """
     lines: list[str] = []
     if newest is None:
         lines.append("No entry answered.")
@@ -31,8 +35,8 @@
             f"Fleet {newest.name}, configuration version {newest.config_version}, "
             f"seen by {newest.instance or newest.incarnation}."
         )
-        for title, rows in _fleet_tables(newest):
-            lines += ["", title, *table(*rows)]
+        for title, table_data in _fleet_tables(newest):
+            lines += ["", title, *table(*table_data)]
     return [*lines, "", "Entries", *table(*_entry_table(statuses))]
 
 
@@ -46,7 +50,9 @@
             f"{wave.done} of {wave.total}",
             wave.in_progress,
             wave.failed,
-            "ended" if wave.state in _ENDED else format_duration(wave.ends_in_s),
+            "ended"
+            if wave.state in _ENDED_WAVE_STATES
+            else format_duration(wave.ends_in_s),
             wave.reason,
         )
         for name, wave in waves.items()
@@ -65,6 +71,7 @@
 
 
 def _fleet_tables(status: StatusDocument) -> Iterator[tuple[str, TableData]]:
+    """Yield the title and the data of each table about the fleet."""
     yield "Organisations", _organisation_table(status)
     yield "Queues", _queue_table(status)
     yield "Zones", _zone_table(status)
@@ -156,7 +163,7 @@
         if isinstance(status, EntryUnavailable):
             rows.append((address, "", "", f"no answer: {status.reason}", "", "", ""))
             continue
-        age = None if status.log_age_ms is None else status.log_age_ms / 1000
+        log_age_s = None if status.log_age_ms is None else status.log_age_ms / 1000
         rows.append(
             (
                 address,
@@ -164,7 +171,7 @@
                 status.zone,
                 _entry_state(status),
                 status.config_version,
-                "never" if age is None else f"{format_duration(age)} ago",
+                "never" if log_age_s is None else f"{format_duration(log_age_s)} ago",
                 status.next_offset,
             )
         )
--- a/libs/operator/src/lycheeloom/operator/toml_reader.py
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -1,4 +1,4 @@
-"""Reads configuration and other TOML files, and names the line or key of an error."""
+"""Reads configuration files and other TOML files; errors name the line or key."""
 
 from __future__ import annotations
 
@@ -11,14 +11,16 @@
 
 from .problems import Problem, format_value, join_key
 
-# Patterns for the error messages of ``tomllib``.
+# Patterns for error messages of ``tomllib``: that a table is declared twice, and the
+# position at the end of a message.
 _DUPLICATE_DECLARATION = re.compile(
     r"Cannot (?:declare|mutate immutable namespace) (\(.*\))"
 )
 _POSITION = re.compile(r"\s*\(at (?:line (\d+), column \d+|end of document)\)$")
 
 
-# ``print_config`` writes this key into the file; it is not part of the document.
+# Key of a configuration file that is not part of the document. ``print_config`` writes
+# it, and publishing the file requires that this version is in force.
 VERSION_KEY = "printed_from_version"
 
 
@@ -34,7 +36,8 @@
 class ConfigFile:
     """A configuration document read from a file.
 
-    ``version`` is the configuration version that the file was printed from.
+    ``version`` is the configuration version that the file was printed from, None if
+    the file does not name one.
     """
 
     source: str
@@ -45,16 +48,16 @@
 def read_config(path: str) -> ConfigFile | Problem:
     """Read a configuration file."""
     file = read_toml(path)
-    return file if isinstance(file, Problem) else _config_file(file)
+    return file if isinstance(file, Problem) else _to_config_file(file)
 
 
 def read_config_text(text: str, source: str) -> ConfigFile | Problem:
-    """Read a configuration; ``source`` names it in messages."""
+    """Read the text of a configuration file; ``source`` names the file in messages."""
     file = read_toml_text(text, source)
-    return file if isinstance(file, Problem) else _config_file(file)
+    return file if isinstance(file, Problem) else _to_config_file(file)
 
 
-def _config_file(file: TomlFile) -> ConfigFile | Problem:
+def _to_config_file(file: TomlFile) -> ConfigFile | Problem:
     document = dict(file.document)
     version = document.pop(VERSION_KEY, None)
     if version is None:
@@ -77,7 +80,7 @@
 
 
 def read_toml_text(text: str, source: str) -> TomlFile | Problem:
-    """Read TOML text; ``source`` names it in messages."""
+    """Read the text of a TOML file; ``source`` names the file in messages."""
     try:
         return TomlFile(source, tomllib.loads(text))
     except tomllib.TOMLDecodeError as error:
@@ -105,7 +108,7 @@
 
 
 def _key_at(text: str, line: int) -> tuple[str, str]:
-    """Return the dotted key that a line sets, and the section that it is in."""
+    """Return the dotted key that a line sets, and the section of the line or ``""``."""
     lines = text.splitlines()[:line]
     name = lines[-1].partition("=")[0].strip()
     for row in reversed(lines):
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -19,19 +19,20 @@
 def print_config(document: Mapping[str, Any], version: int | None = None) -> str:
     """Return the document as TOML with a sentence that explains each value.
 
-    ``version`` is the one in force; publishing the text requires that it still is.
-    ``read_config_text`` reads back exactly the same document. Defaults of fields
-    that are not set are printed as comments. The document must hold no null: TOML
-    cannot express it, and a merge patch never leaves one in a table.
+    ``version`` is the version in force. The text contains it, and can be published
+    only while it is still in force. ``read_config_text`` reads back exactly the same
+    document. Defaults of fields that are not set are printed as comments. The document
+    must contain no null, which TOML cannot express; a merge patch, which publishes
+    each change, never leaves a null in a table.
     """
-    lines = list(_header(document, version))
+    lines = list(_header_lines(document, version))
     for section in SECTIONS:
         if section in document:
-            lines += _section(section, document[section])
+            lines += _section_lines(section, document[section])
     return "\n".join(lines) + "\n"
 
 
-def _header(document: Mapping[str, Any], version: int | None) -> Iterator[str]:
+def _header_lines(document: Mapping[str, Any], version: int | None) -> Iterator[str]:
     counts = ", ".join(
         f"{section} {len(document[section])}"
         for section in SECTIONS
@@ -48,7 +49,7 @@
             yield f"{_toml_key(name)} = {_toml_value(value)}  # {UNKNOWN_FIELD_COMMENT}"
 
 
-def _section(section: str, items: Any) -> Iterator[str]:
+def _section_lines(section: str, items: Any) -> Iterator[str]:
     if section == "instances" or not items:
         yield ""
         yield f"[{section}]"
@@ -57,13 +58,13 @@
         yield "# memory_mb is memory in MB, accelerators counts accelerators."
     for name, item in items.items():
         if section == "instances":
-            yield from _instance(name, item)
+            yield from _instance_lines(name, item)
             continue
         yield ""
-        yield from _table(section, (section, name), item)
+        yield from _table_lines(section, (section, name), item)
 
 
-def _instance(name: str, item: Mapping[str, Any]) -> Iterator[str]:
+def _instance_lines(name: str, item: Mapping[str, Any]) -> Iterator[str]:
     if {"pool", "zone", "rack", "cores", "memory_mb"} <= item.keys():
         yield "# " + _single_line(
             f"Worker {name} of pool {item['pool']} is in zone {item['zone']}, rack "
@@ -73,7 +74,7 @@
     yield f"{_toml_key(name)} = {_toml_value(item)}"
 
 
-def _table(
+def _table_lines(
     section: str, path: tuple[str, ...], item: Mapping[str, Any]
 ) -> Iterator[str]:
     yield f"[{'.'.join(_toml_key(part) for part in path)}]"
@@ -85,12 +86,12 @@
     for name, value in item.items():
         if name not in meanings:
             yield f"{_toml_key(name)} = {_toml_value(value)}  # {UNKNOWN_FIELD_COMMENT}"
-    yield from _defaults(section, item)
+    yield from _default_lines(section, item)
     if section == "organisations" and "keys" in item:
-        yield from _organisation_keys(path, item["keys"])
+        yield from _organisation_key_lines(path, item["keys"])
 
 
-def _defaults(section: str, item: Mapping[str, Any]) -> Iterator[str]:
+def _default_lines(section: str, item: Mapping[str, Any]) -> Iterator[str]:
     for name, meaning in MEANING_BY_FIELD[section].items():
         default = default_of(section, name)
         if name in item or default is None or default == [] or default == {}:
@@ -102,7 +103,9 @@
         )
 
 
-def _organisation_keys(path: tuple[str, ...], keys: Mapping[str, Any]) -> Iterator[str]:
+def _organisation_key_lines(
+    path: tuple[str, ...], keys: Mapping[str, Any]
+) -> Iterator[str]:
     yield f"[{'.'.join(_toml_key(part) for part in (*path, 'keys'))}]"
     yield f"# {MEANING_BY_FIELD['organisations']['keys'].explain(None)}"
     for key_id, item in keys.items():
--- a/libs/operator/src/lycheeloom/operator/waves.py
+++ b/libs/operator/src/lycheeloom/operator/waves.py
@@ -11,11 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WavePreview:
-    """Rounds of instances that may be under maintenance at the same time.
+    """The rounds of a wave; the instances of one round are maintained together.
 
-    ``never_maintained`` are the instances that fit into no round: a budget allows 0
-    unavailable instances, or their pool and the spare pool have no instance more
-    than they need.
+    ``never_maintained`` are the instances that do not fit even into an empty round,
+    because a budget allows 0 unavailable instances, or because their pool and the
+    spare pool have no more instances than they need.
     """
 
     rounds: tuple[tuple[str, ...], ...]
@@ -27,7 +27,7 @@
         return sum(len(names) for names in self.rounds)
 
     def duration_s(self, drain_s: float, reboot_s: float) -> float:
-        """Return the duration in seconds if each round drains and reboots this long."""
+        """Return the seconds of the wave if each round takes ``drain_s + reboot_s``."""
         return len(self.rounds) * (drain_s + reboot_s)
 
 
@@ -44,6 +44,7 @@
     ]
     # Sorted by zone and rack, so that the wave works through one rack after another.
     remaining = sorted(selected, key=lambda item: (item.zone, item.rack, item.id))
+    # Without recorded pools, instances count for the pools of the configuration.
     layout = Layout(config, {})
     never_maintained = tuple(
         item.id for item in remaining if not _Round(layout).try_add(item)
@@ -60,7 +61,7 @@
 
 
 class _Round:
-    """Instances under maintenance together, within the budgets of the controller."""
+    """Instances that the budgets of the controller allow to be maintained together."""
 
     def __init__(self, layout: Layout) -> None:
         self._usage = BudgetUsage(layout, ())
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A log and entries in memory, a clock and a small configuration."""
+"""A log and entries in memory, a simulated clock and a small configuration."""
 
 from __future__ import annotations
 
@@ -24,13 +24,17 @@
 
 @dataclass
 class FakeLog:
-    """A log in memory; each append takes the next of ``faults``, if any.
+    """A log in memory; each append removes the first fault from ``faults`` and has it.
 
-    "lost": the batch is appended, but the answer is lost. "dropped": batch and answer
-    are lost. "delayed" and "late": the answer is lost, and the batch is appended just
-    before or just after the next one. "down" and "large": the append is refused.
-    ``failing_reads`` is how many reads fail from now on, ``oldest`` the first offset
-    that has not expired, and ``before_append`` is called once before an append.
+    - An empty string, or no fault left: the append succeeds.
+    - "lost": the batch is appended, but the answer is lost.
+    - "dropped": the batch and the answer are lost.
+    - "delayed": the answer is lost; the batch is appended just before the next one.
+    - "late": the answer is lost; the batch is appended just after the next one.
+    - "down" and "large": the log refuses the append.
+
+    The next ``failing_reads`` reads fail. ``oldest`` is the first offset that has not
+    expired. ``before_append`` is called once, before the next append.
     """
 
     batches: list[bytes] = field(default_factory=list)
@@ -76,7 +80,7 @@
 
 
 class FakeEntry:
-    """An entry that replays only the batches that are sent to it."""
+    """An entry that replays only the batches sent to it, and does not read the log."""
 
     def __init__(self, address, running=None, reachable=True):
         self.address = address
--- a/libs/operator/tests/standin_log.py
+++ b/libs/operator/tests/standin_log.py
@@ -11,7 +11,7 @@
 
 @contextmanager
 def running_log(folder: Path) -> Iterator[str]:
-    """Run the stand-ins and yield the address of the log."""
+    """Run the stand-ins and yield the address of the one for the log."""
     settings = folder / "standins.toml"
     settings.write_text("")
     process = subprocess.Popen(
--- a/libs/operator/tests/test_alerts.py
+++ b/libs/operator/tests/test_alerts.py
@@ -12,8 +12,8 @@
 PAGE = (ROOT / "docs/metrics.md").read_text(encoding="utf-8")
 RULES = (ROOT / "ops/alerts.yml").read_text(encoding="utf-8")
 
-# Patterns of the lines that the rules file may have. A plain text holds no ": " or
-# " #" and begins with a letter, so that YAML reads it as a string.
+# Each line of the rules file matches one of these patterns. A plain text has no ": "
+# or " #" in it and begins with a letter, so that YAML reads it as a string.
 PLAIN_TEXT = r"[A-Za-z](?:(?!: | #).)*(?<![ :])"
 LINE_PATTERNS = (
     r"#.*",
@@ -28,13 +28,13 @@
     r"        annotations:",
     rf"          summary: {PLAIN_TEXT}\.",
 )
-# PromQL matches the two sides of an operator by their labels, so these must agree.
-# Scraping adds the label "instance".
+# PromQL matches the two operands of an operator by their labels, so the operands must
+# have the same labels. Scraping adds the label "instance" to every metric.
 BINARY_OPERATOR = re.compile(r" (?:[-+*/]|[<>]=?|==|and) ")
 
 
 def labels_by_metric(registry):
-    """Return the label names of each metric by the name under which it is served."""
+    """Return the label names of each metric, by the name that the daemon serves."""
     found = {}
     for collector in registry._collector_to_names:
         for family in collector.collect():
@@ -53,18 +53,15 @@
 
 
 def expressions():
-    """Return the expression of each alert, with folded lines joined."""
+    """Return name and expression of each alert; folded lines are joined."""
     text = re.sub(r"expr: >-\n +", "expr: ", RULES)
     text = re.sub(r"\n          (?!summary)", " ", text)
     return re.findall(r"- alert: (\w+)\n +expr: (.+)", text)
 
 
 @pytest.mark.parametrize("daemon", LABELS_BY_DAEMON)
-def test_page_lists_what_is_served(daemon):
-    """Guards against alerts and dashboards on a metric that the daemon lacks.
-
-    The page lists exactly the metrics and labels that the daemon serves.
-    """
+def test_page_lists_the_metrics_and_labels_of_the_daemon(daemon):
+    """Guards against alerts and dashboards on a metric that the daemon lacks."""
     text = re.split(r"\n## ", PAGE.split(f"\n## {daemon}\n")[1])[0]
     rows = re.findall(r"^\| `(lycheeloom_\w+)` \| \w+ \| ([^|]+) \|", text, re.M)
     listed = {name: set(re.findall(r"`(\w+)`", labels)) for name, labels in rows}
@@ -84,7 +81,7 @@
 
 
 @pytest.mark.parametrize(("alert", "expression"), expressions())
-def test_expression(alert, expression):
+def test_alert_expression_matches_the_metrics(alert, expression):
     """Guards against an alert that can never fire, such as one on a misspelt metric."""
     for opening, closing in ("()", "{}", "[]"):
         assert expression.count(opening) == expression.count(closing)
@@ -102,7 +99,7 @@
 
 
 def split_operands(expression):
-    """Return the operands of the binary operators, without an outer ``absent()``."""
+    """Return the operands of an expression, without an ``absent()`` around it."""
     if expression.startswith("absent("):
         expression = expression[len("absent(") : -1]
     return BINARY_OPERATOR.split(expression)
@@ -116,9 +113,9 @@
     aggregate = re.match(r"(?:sum|min|max)(?: by \((\w+)\) )?\(", operand)
     if aggregate is None:
         return LABELS_BY_METRIC[name] | {"instance"}
-    kept = {aggregate[1]} - {None}
-    assert kept <= LABELS_BY_METRIC[name] | {"instance"}
-    return kept
+    kept_labels = {aggregate[1]} - {None}
+    assert kept_labels <= LABELS_BY_METRIC[name] | {"instance"}
+    return kept_labels
 
 
 @pytest.mark.parametrize(
@@ -131,7 +128,7 @@
         "max(lycheeloom_members > 0",
     ],
 )
-def test_wrong_expressions_are_found(expression):
-    """Guards against a check of expressions that accepts invalid ones."""
+def test_invalid_expressions_are_rejected(expression):
+    """Guards against a check of alerts that accepts invalid expressions."""
     with pytest.raises(AssertionError):
-        test_expression("", expression)
+        test_alert_expression_matches_the_metrics("", expression)
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -12,7 +12,7 @@
     print_config,
 )
 from lycheeloom.operator import (
-    main as command,
+    main as main_module,
 )
 from lycheeloom.operator.cli_parser import build_parser
 from lycheeloom.operator.entries import ExplanationNotFound
@@ -28,11 +28,14 @@
 
 @pytest.fixture
 def run(monkeypatch, tmp_path, capsys, make_operator, entry):
-    """Return a function that runs a command on the log and entry in memory."""
+    """Return a function that runs a command; it returns the exit code and the output.
+
+    The command works on the log and the entry in memory.
+    """
     settings = tmp_path / "lycheeloom.toml"
     settings.write_text('log = "127.0.0.1:1"\nentries = ["10.0.0.1:7200"]\n')
     monkeypatch.setattr(
-        command, "make_operator", lambda settings: make_operator("aoife", entry)
+        main_module, "make_operator", lambda settings: make_operator("aoife", entry)
     )
 
     def run_command(*args):
@@ -45,12 +48,13 @@
 
 @pytest.fixture
 def published(make_operator, entry, fleet):
+    """Publish the small configuration; return the operator that did so."""
     operator = make_operator("brendan", entry)
     assert isinstance(operator.publish(fleet, 0), Published)
     return operator
 
 
-def test_a_printed_file_is_published_once(run, published, fleet, tmp_path):
+def test_a_printed_file_can_be_published_only_once(run, published, fleet, tmp_path):
     """Guards against publishing a file printed from a version no longer in force."""
     code, text = run("config", "show")
     assert (code, text) == (0, print_config(fleet, 1))
@@ -100,19 +104,20 @@
     assert text.count("error: ") == 4
 
 
-def test_zone_out_is_in_force_at_the_end(run, published, entry):
+def test_zone_out_waits_until_the_change_is_in_force(run, published, entry):
     """Guards against reporting success before the entries have the change."""
     code, text = run("zone", "out", "north")
     assert code == 0
     assert text.endswith("Version 2 is in force on every entry.\n")
     assert entry.state.config.zone_by_id["north"].state == "out"
+    # A misspelt name of the zone.
     code, text = run("zone", "in", "norht")
     assert code == 1
     assert 'there is no zone "norht" (did you mean "north"?)' in text
 
 
 def test_an_entry_without_the_change_is_named(run, published, entry):
-    """Guards against not reporting an entry that does not have a zone out yet."""
+    """Guards against success for a change that an entry does not have yet."""
     entry.reachable = False
     code, text = run("zone", "out", "north", "--timeout-s", "1")
     assert code == 6
@@ -133,7 +138,7 @@
     assert entry.state.config.key_by_id == {}
 
 
-def test_wave_status_shows_the_end_and_why_it_waits(run, published, entry):
+def test_wave_status_shows_the_forecast_and_the_reason(run, published, entry):
     """Guards against omitting the forecast and the reason that entries report."""
     reason = "Instance w2 of pool lookup stays in service for now."
     entry.waves = {"spring": WaveStatus(ends_in_s=1500, reason=reason)}
@@ -145,7 +150,7 @@
     assert "25 min" not in run("wave", "status", "spring")[1]
 
 
-def test_waves_and_moves(run, published):
+def test_wave_and_move_commands_change_the_fleet(run, published):
     """Guards against wave and move commands that do not call the library."""
     code, text = run("wave", "plan", "--pool", "lookup", "--reboot-s", "240")
     assert code == 0
@@ -233,14 +238,17 @@
         (["zone", "out", "north"], 'the zone "north" is out of service already'),
     ],
 )
-def test_nothing_to_change(run, published, command, message):
+def test_a_repeated_change_says_that_nothing_changes(run, published, command, message):
     """Guards against a repeated command that does not say that it changed nothing."""
     run(*command)
     assert run(*command) == (0, f"Nothing to change: {message}.\n")
 
 
-def test_status_watch_and_explain(run, published, entry):
-    """Guards against a ``status`` command that fails while an entry is unreachable."""
+def test_commands_that_ask_the_entries(run, published, entry):
+    """Guards against view commands with wrong exit codes, or without a reason.
+
+    The commands are ``status``, ``watch`` and ``explain``.
+    """
     code, text = run("status")
     assert code == 0
     assert "Fleet fleet, configuration version 1" in text
@@ -262,7 +270,7 @@
     assert "no answer: no answer in time" in text
 
 
-def test_an_outage_of_the_log_changes_nothing(run, published, log):
+def test_a_change_in_an_outage_of_the_log_says_what_to_do(run, published, log):
     """Guards against reporting an outage without saying what to do."""
     advice = (
         "Meanwhile interactive work goes on, and lycheeloom status still answers. "
@@ -327,7 +335,7 @@
     )
 
 
-def test_settings_are_checked(tmp_path, capsys):
+def test_invalid_settings_end_the_command(tmp_path, capsys):
     """Guards against running a command with invalid settings."""
     path = tmp_path / "s.toml"
     path.write_text('log = "127.0.0.1:1"\nentries = ["10.0.0.1:7200"]\n')
@@ -346,7 +354,9 @@
         assert f"lycheeloom {name}" in capsys.readouterr().out.split("examples:")[1]
 
 
-def test_wave_plan_keeps_the_last_spare(run, fleet, make_operator, entry):
+def test_wave_plan_names_instances_that_are_never_maintained(
+    run, fleet, make_operator, entry
+):
     """Guards against planning rounds that the controller would never start."""
     fleet["pools"]["general"]["needed"] = 2
     assert isinstance(make_operator("brendan", entry).publish(fleet, 0), Published)
@@ -373,14 +383,14 @@
         (["status", "--timeout-s", "0"], 2),
     ],
 )
-def test_command_line(arguments, code, capsys):
+def test_exit_codes_of_the_parser(arguments, code, capsys):
     """Guards against exit codes other than the documented ones."""
     with pytest.raises(SystemExit) as exit_info:
         main(arguments)
     assert exit_info.value.code == code
 
 
-def test_no_command_prints_the_exit_codes(capsys):
+def test_help_without_a_command_lists_the_exit_codes(capsys):
     """Guards against exit codes that the help does not list."""
     assert main([]) == 2
     text = capsys.readouterr().err
--- a/libs/operator/tests/test_differences.py
+++ b/libs/operator/tests/test_differences.py
@@ -4,7 +4,7 @@
 
 from lycheeloom.operator.difference import compare
 
-KEYED = {"keys": {"red-1": {"salt": "00", "digest": "00"}}}
+WITH_KEY = {"keys": {"red-1": {"salt": "00", "digest": "00"}}}
 
 
 @pytest.mark.parametrize(
@@ -44,13 +44,18 @@
         (
             "organisations",
             {},
-            KEYED,
+            WITH_KEY,
             "Organisation a: key red-1 is added: a salted hash",
         ),
-        ("organisations", KEYED, {"keys": {}}, "Organisation a: key red-1 is removed"),
+        (
+            "organisations",
+            WITH_KEY,
+            {"keys": {}},
+            "Organisation a: key red-1 is removed",
+        ),
     ],
 )
-def test_sentence(section, before, after, sentence):
-    """Guards against calling a field added or removed that had its default value."""
+def test_change_is_described_by_one_sentence(section, before, after, sentence):
+    """Guards against "added" or "removed" for a field that has a default value."""
     changes = compare({section: {"a": before}}, {section: {"a": after}})
     assert [change.describe() for change in changes] == [sentence]
--- a/libs/operator/tests/test_docs.py
+++ b/libs/operator/tests/test_docs.py
@@ -19,12 +19,13 @@
 ROOT = Path(__file__).parents[3]
 
 
-def read_page(name):
+def read_file(name):
+    """Return the text of a file of the repository."""
     return (ROOT / name).read_text(encoding="utf-8")
 
 
 def rows_of(text):
-    """Return the cells of all table rows of a page."""
+    """Return the cells of each table row in a text."""
     return [
         [cell.strip() for cell in line.strip("|").split("|")]
         for line in text.splitlines()
@@ -32,7 +33,8 @@
     ]
 
 
-def plain_default(section, name):
+def documented_default(section, name):
+    """Return the default of a field as the page writes it."""
     if MODEL_BY_SECTION[section].model_fields[name].is_required():
         return "required"
     default = default_of(section, name)
@@ -42,21 +44,21 @@
 @pytest.mark.parametrize("section", MEANING_BY_FIELD)
 def test_configuration_page_describes_each_field(section):
     """Guards against a field or default that is missing or wrong on the page."""
-    page = read_page("docs/configuration.md")
+    page = read_file("docs/configuration.md")
     part = re.split(r"\n##", page.split(f"\n### `{section}`\n")[1])[0]
     described = [tuple(row[:3]) for row in rows_of(part)[1:]]
     assert list(MEANING_BY_FIELD[section]) == list(
         MODEL_BY_SECTION[section].model_fields
     )
     assert described == [
-        (f"`{name}`", plain_default(section, name), meaning.allowed)
+        (f"`{name}`", documented_default(section, name), meaning.allowed)
         for name, meaning in MEANING_BY_FIELD[section].items()
     ]
 
 
 def test_http_page_lists_each_refusal():
     """Guards against a refusal reason that the page lacks."""
-    part = read_page("docs/http.md").split("\n## Refusals\n")[1]
+    part = read_file("docs/http.md").split("\n## Refusals\n")[1]
     reasons = {row[0].strip("`"): row[1:3] for row in rows_of(part)[1:]}
     assert set(reasons) == {str(reason) for reason in RefusalReason}
     for verdict, status in reasons.values():
@@ -64,23 +66,23 @@
         assert 400 <= int(status) < 600
 
 
-def test_each_alert_is_explained_and_its_metrics_are_listed():
+def test_pages_explain_each_alert_and_list_its_metrics():
     """Guards against alerts that operators cannot look up in the guide."""
-    rules = read_page("ops/alerts.yml")
+    rules = read_file("ops/alerts.yml")
     alerts = re.findall(r"- alert: (\w+)", rules)
     assert len(alerts) == len(set(alerts)) > 10
-    headings = re.findall(r"^### (\w+)$", read_page("docs/operators-guide.md"), re.M)
+    headings = re.findall(r"^### (\w+)$", read_file("docs/operators-guide.md"), re.M)
     assert headings == alerts
     used = set(re.findall(r"lycheeloom_[a-z_]+", rules))
     listed = set(
-        re.findall(r"^\| `(lycheeloom_\w+)`", read_page("docs/metrics.md"), re.M)
+        re.findall(r"^\| `(lycheeloom_\w+)`", read_file("docs/metrics.md"), re.M)
     )
     assert used <= listed
 
 
 def test_guide_lists_each_exit_code():
     """Guards against an exit code that the guide lacks."""
-    rows = rows_of(read_page("docs/operators-guide.md"))
+    rows = rows_of(read_file("docs/operators-guide.md"))
     listed = [int(row[0]) for row in rows if row[0].isdigit()]
     assert listed == [code.value for code in MEANING_BY_EXIT_CODE]
 
@@ -93,7 +95,7 @@
     file = read_config(str(ROOT / f"examples/{name}.toml"))
     document = file.document
     assert check_document(document, file.source) == []
-    assert print_config(document) == read_page(f"examples/{name}.toml")
+    assert print_config(document) == read_file(f"examples/{name}.toml")
     assert document["name"] == fleet
     sizes = {part: len(document[part]) for part in MEANING_BY_FIELD if part != "keys"}
     assert sizes == {
@@ -110,8 +112,8 @@
 
 
 def test_configuration_page_describes_the_settings():
-    """Guards against a setting that the page lacks."""
-    page = read_page("docs/configuration.md")
+    """Guards against a setting of the command that the page lacks."""
+    page = read_file("docs/configuration.md")
     rows = rows_of(page.split("\n## Settings of the command\n")[1])[1:]
     assert [row[0].strip("`") for row in rows] == list(KNOWN_KEYS)
 
--- a/libs/operator/tests/test_entries.py
+++ b/libs/operator/tests/test_entries.py
@@ -1,4 +1,4 @@
-"""Calls to entries over HTTP, with valid, invalid and missing answers."""
+"""Tests calls to entries over HTTP, with valid, invalid and missing answers."""
 
 import base64
 import json
@@ -12,13 +12,18 @@
 
 
 class _QuietHandler(WSGIRequestHandler):
+    """A request handler that logs nothing."""
+
     def log_message(self, format, *args):
         pass
 
 
 @pytest.fixture
 def serve():
-    """Start a server with one fixed answer; return its address and received calls."""
+    """Return a function that starts a server with one fixed answer.
+
+    It returns the address of the server and the list of calls that it receives.
+    """
     servers = []
 
     def start(status, body):
@@ -42,7 +47,7 @@
         server.server_close()
 
 
-def test_records_are_handed_over(serve):
+def test_batches_are_sent_to_an_entry(serve):
     """Guards against a request body in a format that entries do not accept."""
     address, calls = serve("204 No Content", b"")
     assert Entries.at([address]).hand_over(7, [b"\x00one"]) == {}
@@ -60,13 +65,13 @@
         ("200 OK", b'{"config_version": "x"}', "the answer is not a status document"),
     ],
 )
-def test_unusable_status(serve, status, body, reason):
+def test_unusable_status_answer_is_unavailable(serve, status, body, reason):
     """Guards against an exception when an entry gives an invalid answer."""
     address, _ = serve(status, body)
     assert EntryClient(address).status() == EntryUnavailable(reason)
 
 
-def test_status_of_each_entry(serve):
+def test_unreachable_entry_leaves_the_status_of_others(serve):
     """Guards against an unreachable entry hiding the status of the others."""
     alive, _ = serve("200 OK", b'{"config_version": 4, "newer_field": 1}')
     statuses = Entries.at([alive, "127.0.0.1:1"]).statuses()
@@ -83,7 +88,7 @@
         ("500 Error", b"", EntryUnavailable("http status 500")),
     ],
 )
-def test_explanations(serve, status, body, answer):
+def test_explanation_answers(serve, status, body, answer):
     """Guards against reporting an object as unknown when the entry failed."""
     address, calls = serve(status, body)
     assert EntryClient(address).explain("request", "a/b") == answer
--- a/libs/operator/tests/test_exit_codes.py
+++ b/libs/operator/tests/test_exit_codes.py
@@ -1,4 +1,4 @@
-"""Each documented exit code, with the program in a process of its own."""
+"""Tests each documented exit code with the command as a process."""
 
 import signal
 import subprocess
@@ -68,8 +68,12 @@
 
 
 @pytest.fixture
-def losing_log(log_address):
-    """A proxy of the log; from the first append on, the log loses all answers."""
+def losing_log_address(log_address):
+    """The address of a proxy of the log.
+
+    Before it forwards a POST request, which is an append, the proxy sets the fault
+    with which the log stand-in answers no request from then on.
+    """
     pool = urllib3.PoolManager()
 
     def application(environ, start_response):
@@ -96,13 +100,19 @@
 
 
 class _QuietHandler(WSGIRequestHandler):
+    """A request handler that logs nothing."""
+
     def log_message(self, format, *args):
         pass
 
 
 def test_each_documented_code_has_a_test():
-    """Guards against a documented exit code without a test."""
-    tested = {code for code, _ in COMMANDS_BY_CODE} | {
+    """Guards against a documented exit code without a test.
+
+    ``test_exit_code`` covers the codes of ``COMMANDS_WITH_CODE``; each of the others
+    has a test of its own below.
+    """
+    tested = {code for code, _ in COMMANDS_WITH_CODE} | {
         ExitCode.LOST_RACE,
         ExitCode.UNAVAILABLE,
         ExitCode.OUTCOME_UNKNOWN,
@@ -112,8 +122,10 @@
     assert tested == set(MEANING_BY_EXIT_CODE)
 
 
-COMMANDS_BY_CODE = (
+# Exit codes, each with the arguments of a command that ends with it.
+COMMANDS_WITH_CODE = (
     (ExitCode.OK, ["config", "history"]),
+    # A misspelt name of the zone.
     (ExitCode.INVALID_INPUT, ["zone", "out", "norht"]),
     (ExitCode.USAGE, ["zone", "sideways", "north"]),
     (ExitCode.NOT_IN_FORCE, ["zone", "out", "north", "--timeout-s", "0.5"]),
@@ -122,7 +134,7 @@
 )
 
 
-@pytest.mark.parametrize(("code", "arguments"), COMMANDS_BY_CODE)
+@pytest.mark.parametrize(("code", "arguments"), COMMANDS_WITH_CODE)
 def test_exit_code(run, fleet_file, code, arguments):
     """Guards against an exit code that differs from the documented one."""
     exit_code, printed = run(*arguments)
@@ -130,15 +142,15 @@
 
 
 def test_lost_race(run, fleet_file):
-    """Guards against a published file that overwrites another operator's change."""
+    """Guards against a file that overwrites a change published after it was printed."""
     assert run("zone", "out", "north", "--no-wait")[0] == ExitCode.OK
     code, printed = run("config", "publish", str(fleet_file))
     assert code == ExitCode.LOST_RACE
     assert "Version 2 by aoife:\n  Zone north: state changes" in printed
 
 
-def test_differences(run, fleet_file):
-    """Guards against the exit code for no difference when there is one."""
+def test_diff_with_and_without_differences(run, fleet_file):
+    """Guards against the exit code of equal files for a file that differs."""
     assert run("config", "diff", str(fleet_file), "--exit-code")[0] == ExitCode.OK
     fleet_file.write_text(
         fleet_file.read_text().replace("upper_limit = 10", "upper_limit = 11")
@@ -149,24 +161,26 @@
 
 @pytest.mark.parametrize("fault", ["outage", "down"])
 def test_outage_of_the_log(run, log_address, fleet_file, fault):
-    """Guards against reporting an outage without the address of the log."""
+    """Guards against reporting an outage of the log without its address."""
     set_faults(log_address, **{fault: True})
     code, printed = run("zone", "out", "north", "--timeout-s", "1")
     assert code == ExitCode.UNAVAILABLE
     assert printed.startswith(f"Nothing was changed: the log at {log_address} ")
 
 
-def test_outcome_unknown(run, log_address, losing_log, fleet_file):
-    """Guards against reporting a change as failed that took effect."""
-    code, printed = run("zone", "out", "north", "--timeout-s", "1", log=losing_log)
+def test_outcome_unknown(run, log_address, losing_log_address, fleet_file):
+    """Guards against a change that took effect, but is reported as failed."""
+    code, printed = run(
+        "zone", "out", "north", "--timeout-s", "1", log=losing_log_address
+    )
     assert code == ExitCode.OUTCOME_UNKNOWN, printed
     assert printed.startswith("It is not known whether the change takes effect: ")
-    assert losing_log in printed
+    assert losing_log_address in printed
     set_faults(log_address, lose_answers=0)
     assert "Version 2 by aoife:" in run("config", "history")[1]
 
 
-def test_interrupted(start, fleet_file):
+def test_watch_is_interrupted(start, fleet_file):
     """Guards against a traceback when ``watch`` is interrupted."""
     process = start("watch", "--interval-s", "3600")
     assert process.stdout.readline() != ""
--- a/libs/operator/tests/test_first_hour.py
+++ b/libs/operator/tests/test_first_hour.py
@@ -1,4 +1,4 @@
-"""Programs accept the settings and the configuration in ``examples/first-hour``."""
+"""Tests that programs accept the files in ``examples/first-hour``."""
 
 import subprocess
 import sys
@@ -21,7 +21,7 @@
         ("operator.main", ["config", "check", "fleet.toml"]),
     ],
 )
-def test_settings_of_the_first_hour(module, arguments):
+def test_program_accepts_its_example_file(module, arguments):
     """Guards against example files that the programs reject or warn about."""
     command = [sys.executable, "-m", f"lycheeloom.{module}", *arguments]
     result = subprocess.run(command, cwd=FOLDER, capture_output=True, text=True)
--- a/libs/operator/tests/test_guide_commands.py
+++ b/libs/operator/tests/test_guide_commands.py
@@ -1,4 +1,4 @@
-"""The commands, files and ports that the README and the operators' guide name."""
+"""Tests the commands, files and ports that README and operators' guide name."""
 
 import itertools
 import re
@@ -12,12 +12,12 @@
 
 ROOT = Path(__file__).parents[3]
 PAGES = ("README.md", "docs/operators-guide.md")
-# Where a command ends within a line: at a pipe, redirection, ``&`` or comment.
+# Ends a command within a line: a pipe, a redirection, ``&`` or a comment.
 COMMAND_END = re.compile(r" +(?:[|>&#]|>>|2>&1)(?: |$).*")
 
 
 def code_of(page):
-    """Return the lines of all code blocks and the inline code of a page."""
+    """Return the lines of the code blocks of a page, and its pieces of inline code."""
     text = (ROOT / page).read_text(encoding="utf-8")
     blocks = re.findall(r"^ *```\w*\n(.*?)^ *```", text, re.DOTALL | re.MULTILINE)
     lines = [line for block in blocks for line in block.splitlines()]
@@ -60,7 +60,7 @@
         assert (ROOT / file).is_file()
 
 
-def test_commands_are_found():
+def test_search_finds_each_group_of_commands():
     """Guards against a search for commands that finds only some or none."""
     found = {
         command[1] for page in PAGES for command in commands_of(page, "lycheeloom")
@@ -70,7 +70,7 @@
 
 
 @pytest.mark.parametrize("page", PAGES)
-def test_daemons_and_their_settings_exist(page):
+def test_named_programs_and_example_files_exist(page):
     """Guards against naming a program or an example file that does not exist."""
     scripts = {}
     for path in ROOT.glob("libs/*/pyproject.toml"):
--- a/libs/operator/tests/test_log_timeline.py
+++ b/libs/operator/tests/test_log_timeline.py
@@ -1,4 +1,4 @@
-"""Timelines of a job and of the leaders, built from log lines."""
+"""Tests timelines of a job and of the leaders, built from log lines."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 JOB = "5c0e7a21d94b36f8"
 
 
-def line(second: int, process: str, event: str, **fields: str) -> str:
+def log_line(second: int, process: str, event: str, **fields: str) -> str:
     """Return a log line as a process writes it."""
     pairs = " ".join(f"{k}={v}" for k, v in fields.items())
     time = f"2026-12-04T10:00:{second:02d}.000+00:00"
@@ -24,16 +24,16 @@
 
 @pytest.fixture
 def log():
-    """Log lines of a job whose leader changed while a task ran, and of another job."""
+    """Log lines of a job whose leader changed, unordered, and one of another job."""
     return [
-        line(9, "n2", "task_adopted", task=f"{JOB}.0.0.0", run="1", worker="w"),
+        log_line(9, "n2", "task_adopted", task=f"{JOB}.0.0.0", run="1", worker="w"),
         "a line of something else\n",
-        line(1, "n1", "job_submitted", job=JOB, verdict="accepted"),
-        line(1, "n3", "job_opened", job=JOB, queue="q"),
-        line(2, "n3", "task_start", task=f"{JOB}.0.0.0", run="1", outcome="done"),
-        line(2, "n3", "task_start", task="0000000000000000.0.0.0", run="1"),
-        line(8, "n2", "lead_taken", token="2"),
-        line(10, "n2", "job_ended", job=JOB, state="completed"),
+        log_line(1, "n1", "job_submitted", job=JOB, verdict="accepted"),
+        log_line(1, "n3", "job_opened", job=JOB, queue="q"),
+        log_line(2, "n3", "task_start", task=f"{JOB}.0.0.0", run="1", outcome="done"),
+        log_line(2, "n3", "task_start", task="0000000000000000.0.0.0", run="1"),
+        log_line(8, "n2", "lead_taken", token="2"),
+        log_line(10, "n2", "job_ended", job=JOB, state="completed"),
     ]
 
 
--- a/libs/operator/tests/test_mistakes.py
+++ b/libs/operator/tests/test_mistakes.py
@@ -1,4 +1,4 @@
-"""Each problem of a configuration has one exact message, and all are reported."""
+"""Tests that each problem of a configuration is reported with its exact message."""
 
 import datetime
 
@@ -30,7 +30,7 @@
     "named here; allowed: exactly one organisation, or open_to_all = false"
 )
 
-# A merge patch for ``small_fleet`` and the message that it causes.
+# Merge patches for ``small_fleet``, each with the one message that it causes.
 BAD_CONFIGURATIONS = [
     (
         {"organisations": {"red": {"share": 0}}},
@@ -256,7 +256,7 @@
 
 @pytest.mark.parametrize(("patch", "message"), BAD_CONFIGURATIONS)
 def test_each_problem_has_one_exact_message(patch, message):
-    """Guards against a problem that is missed, reported twice or worded otherwise."""
+    """Guards against a problem that is missed, reported twice or worded differently."""
     document = merge_patch(small_fleet(), patch)
     problems = check_document(document, "fleet.toml", small_fleet(), USAGE)
     assert [str(problem) for problem in problems] == [f"fleet.toml: {message}"]
@@ -287,7 +287,7 @@
     }
 
 
-def test_removing_a_pool_that_still_holds_an_instance():
+def test_a_pool_that_holds_an_instance_cannot_be_removed():
     """Guards against publishing a change that would have no effect when replayed."""
     document = merge_patch(small_fleet(), {"pools": {"old": None}})
     usage = Usage(pool_by_instance={"w1": "old"})
@@ -298,7 +298,7 @@
     ]
 
 
-def test_fields_of_a_newer_program_are_kept():
+def test_unknown_fields_are_accepted_if_they_are_in_force():
     """Guards against rejecting fields that a newer program version published."""
     document = merge_patch(small_fleet(), {"organisations": {"red": {"burst": 3}}})
     assert check_document(document, "fleet.toml", in_force=document) == []
@@ -335,13 +335,13 @@
         ),
     ],
 )
-def test_problems_of_toml(text, message):
+def test_toml_problems_name_the_key_or_line(text, message):
     """Guards against parser messages that name neither key nor line."""
     assert str(read_config_text(text, "fleet.toml")) == f"fleet.toml: {message}"
 
 
-def test_dates_are_no_settings():
-    """Guards against values that cannot be expressed in a published document."""
+def test_dates_are_rejected():
+    """Guards against values that a published document, which is JSON, cannot have."""
     file = read_config_text(print_config(small_fleet()) + "\n", "fleet.toml")
     file.document["organisations"]["red"]["since"] = datetime.date(2026, 1, 2)
     problems = check_document(file.document, "fleet.toml", file.document)
--- a/libs/operator/tests/test_publishing.py
+++ b/libs/operator/tests/test_publishing.py
@@ -1,4 +1,4 @@
-"""Publishing with an expected version, with faulty logs and competing operators."""
+"""Tests publication with an expected version, log faults and competing operators."""
 
 from collections import deque
 
@@ -40,7 +40,7 @@
 
 
 def test_published_configuration_is_in_force_on_each_entry(make_operator, fleet):
-    """Guards against an accepted change that the entries learn only from the log."""
+    """Guards against an accepted change that is not sent to the entries directly."""
     entries = [FakeEntry("a"), FakeEntry("b")]
     operator = make_operator("aoife", *entries)
     result = operator.publish(fleet, 0)
@@ -135,18 +135,19 @@
     assert first.publish(raised, 1) == result
 
 
-FAULTS = st.lists(
+FAULT_LISTS = st.lists(
     st.sampled_from(["", "lost", "dropped", "delayed", "late", "down"]), max_size=4
 )
 
 
 @settings(derandomize=True, deadline=None, max_examples=200)
-@given(st.lists(st.tuples(st.integers(0, 2), st.booleans(), FAULTS), max_size=6))
-def test_results_match_the_log(steps):
+@given(st.lists(st.tuples(st.integers(0, 2), st.booleans(), FAULT_LISTS), max_size=6))
+def test_results_match_the_log(publications):
     """Guards against results that contradict the log.
 
-    Three operators set the same limit, each time to a new value, while answers are
-    lost. Some of them publish between the read and the append of another.
+    Three operators set the same limit, each time to a new value, while the log has
+    faults. A publication is the number of the operator, whether another operator
+    publishes between its read and its append, and the faults of the log.
     """
     log = FakeLog()
     operators = [
@@ -162,18 +163,20 @@
         version = operator.version
         results[value] = operator.publish(document, version, timeout_s=1)
 
-    for value, (number, is_between, faults) in enumerate(steps, start=100):
+    for value, (number, is_between, faults) in enumerate(publications, start=100):
         operator = operators[number]
         operator.refresh()
         if is_between:
             rival = operators[number - 1]
             rival.refresh()
+            # There are at most 6 publications, so adding 100 gives a new value.
             log.before_append = lambda rival=rival, value=value: publish(
                 rival, value + 100
             )
         log.faults = deque(faults)
         publish(operator, value)
     log.faults.clear()
+    # With this batch, batches that are still delayed or late get into the log.
     log.append(encode_batch(Batch("end", 1, ())))
     reader = Operator(log, Entries([]), "reader")
     reader.refresh()
@@ -190,7 +193,7 @@
             assert value not in in_history
 
 
-def test_small_changes_of_two_operators_both_take_effect(make_operator, log, fleet):
+def test_unrelated_changes_of_two_operators_both_take_effect(make_operator, log, fleet):
     """Guards against an emergency change that fails because of an unrelated one."""
     first, second = make_operator("aoife"), make_operator("brendan")
     first.publish(fleet, 0)
@@ -202,7 +205,7 @@
     assert first.document["zones"]["north"]["state"] == "out"
 
 
-def test_a_small_change_of_the_same_setting_loses(make_operator, log, fleet):
+def test_the_later_change_of_the_same_setting_loses_the_race(make_operator, log, fleet):
     """Guards against overwriting a setting that another operator has just changed."""
     first, second = make_operator("aoife"), make_operator("brendan")
     first.publish(fleet, 0)
@@ -213,7 +216,7 @@
 
 
 def test_an_expired_log_is_read_from_a_snapshot(make_operator, log, fleet):
-    """Guards against a command that fails once offset 0 of the log has expired."""
+    """Guards against a command that fails after offset 0 of the log has expired."""
     first = make_operator("aoife")
     first.publish(fleet, 0)
     first.change(lambda draft: draft.set_limit("red", 9))
@@ -285,7 +288,7 @@
     assert isinstance(result, Published)
 
 
-def test_an_error_in_force_does_not_block_other_changes(make_operator, log, fleet):
+def test_an_error_in_force_does_not_prevent_other_changes(make_operator, log, fleet):
     """Guards against a newly added check that prevents taking a zone out."""
     fleet["queues"]["find"]["open_to_all"] = True
     older = ConfigChanged(0, canonical_json(fleet), "aoife")
@@ -304,8 +307,8 @@
     assert isinstance(operator.publish(fleet, 0, accept_warnings=True), Rejected)
 
 
-def test_wave_commands_depend_on_the_state(make_operator, log, fleet):
-    """Guards against commanding a wave whose state another operator just changed."""
+def test_a_wave_command_needs_a_suitable_state_of_the_wave(make_operator, log, fleet):
+    """Guards against a command to a wave whose state another operator has changed."""
     first, second = make_operator("aoife"), make_operator("brendan")
     first.publish(fleet, 0)
     assert first.command_wave("spring", WaveState.RUNNING) == WaveChanged()
--- a/libs/operator/tests/test_round_trip.py
+++ b/libs/operator/tests/test_round_trip.py
@@ -1,4 +1,4 @@
-"""Printed configurations read back exactly, and patches rebuild documents."""
+"""Tests that printing and reading, or patching, gives back the same document."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -18,50 +18,53 @@
 from .conftest import small_fleet
 
 TEXT = st.text(max_size=12)
-SCALARS = (
+SCALAR_VALUES = (
     st.booleans()
     | st.integers(-(2**63), 2**63 - 1)
     | st.floats(allow_nan=False, allow_infinity=False)
     | TEXT
 )
-VALUES = st.recursive(
-    SCALARS,
+ANY_VALUES = st.recursive(
+    SCALAR_VALUES,
     lambda inner: (
         st.lists(inner, max_size=3) | st.dictionaries(TEXT, inner, max_size=3)
     ),
     max_leaves=6,
 )
-# Known fields with any value, and unknown fields, as of a newer program version.
-ITEMS = {
+# Items of a section: known fields with any value, and unknown fields, as a newer
+# program version may have published.
+ITEMS_BY_SECTION = {
     section: st.dictionaries(
         st.sampled_from(sorted(set(fields) - {"keys"})) | TEXT.filter("keys".__ne__),
-        VALUES,
+        ANY_VALUES,
         max_size=5,
     )
     for section, fields in MEANING_BY_FIELD.items()
 }
 ORGANISATIONS = st.builds(
     lambda item, keys: item | keys,
-    ITEMS["organisations"],
+    ITEMS_BY_SECTION["organisations"],
     st.just({})
-    | st.fixed_dictionaries({"keys": st.dictionaries(TEXT, ITEMS["keys"], max_size=2)}),
+    | st.fixed_dictionaries(
+        {"keys": st.dictionaries(TEXT, ITEMS_BY_SECTION["keys"], max_size=2)}
+    ),
 )
-SECTIONS = {
+TABLES_BY_SECTION = {
     section: st.dictionaries(
         TEXT, ORGANISATIONS if section == "organisations" else item, max_size=3
     )
-    for section, item in ITEMS.items()
+    for section, item in ITEMS_BY_SECTION.items()
     if section != "keys"
 }
-EXTRAS = st.dictionaries(
-    TEXT.filter(lambda name: name not in {*SECTIONS, "name", VERSION_KEY}),
-    VALUES,
+UNKNOWN_TOP_LEVEL_FIELDS = st.dictionaries(
+    TEXT.filter(lambda name: name not in {*TABLES_BY_SECTION, "name", VERSION_KEY}),
+    ANY_VALUES,
     max_size=2,
 )
 DOCUMENTS = st.builds(
     lambda known, extra: known | extra,
-    st.fixed_dictionaries({}, optional={"name": TEXT, **SECTIONS}),
-    EXTRAS,
+    st.fixed_dictionaries({}, optional={"name": TEXT, **TABLES_BY_SECTION}),
+    UNKNOWN_TOP_LEVEL_FIELDS,
 )
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=300)
 
@@ -69,7 +72,7 @@
 @DETERMINISTIC
 @given(DOCUMENTS, st.none() | st.integers(0, 10**6))
 def test_printed_configuration_reads_back_exactly(document, version):
-    """Guards against a printed file that publishes another document."""
+    """Guards against a printed file that is published as a different document."""
     text = print_config(document, version)
     file = read_config_text(text, "printed")
     assert isinstance(file, ConfigFile), f"{file}\n{text}"
@@ -96,7 +99,7 @@
     assert canonical_json(document) == canonical_json(after)
 
 
-def test_each_value_is_explained():
+def test_printed_values_and_defaults_are_explained():
     """Guards against printed values without an explanation of meaning and unit."""
     text = print_config(small_fleet(), 3)
     for line in (
@@ -117,7 +120,7 @@
 def test_large_change_is_split_below_the_limit():
     """Guards against a fleet of 5,100 workers that cannot be published.
 
-    Its configuration is larger than the largest batch.
+    The configuration of such a fleet is larger than the largest batch.
     """
     worker = small_fleet()["instances"]["w1"]
     after = {"instances": {f"worker-{number}": worker for number in range(5100)}}
--- a/libs/operator/tests/test_settings.py
+++ b/libs/operator/tests/test_settings.py
@@ -1,10 +1,14 @@
-"""Each problem in the settings of the command has one exact message."""
+"""Tests the message of each problem in the settings of the command."""
 
 import pytest
 
 from lycheeloom.operator.settings import load_settings
 
 ADDRESS = 'host and port, such as "10.1.0.4:7100"'
+ADDRESS_LIST = (
+    "a list of one or more distinct addresses, each host and port, such as "
+    '"10.1.0.4:7100"'
+)
 GOOD_SETTINGS = 'log = "127.0.0.1:1"\nentries = ["127.0.0.1:2"]\n'
 
 
@@ -15,24 +19,21 @@
             "",
             [
                 f"log: is missing; allowed: {ADDRESS}",
-                f"entries: is missing; allowed: a list of at least one {ADDRESS}, "
-                "each once",
+                f"entries: is missing; allowed: {ADDRESS_LIST}",
             ],
         ),
         (
             'log = "here"\nentries = []\n',
             [
                 f'log: is "here"; allowed: {ADDRESS}',
-                f"entries: is []; allowed: a list of at least one {ADDRESS}, each once",
+                f"entries: is []; allowed: {ADDRESS_LIST}",
             ],
         ),
         (
             'log = "a:1"\nentries = ["a:2", "a:2", "a:70000"]\n',
             [
-                f'entries: contains "a:2" twice; allowed: a list of at least one '
-                f"{ADDRESS}, each once",
-                f'entries: contains "a:70000"; allowed: a list of at least one '
-                f"{ADDRESS}, each once",
+                f'entries: contains "a:2" twice; allowed: {ADDRESS_LIST}',
+                f'entries: contains "a:70000"; allowed: {ADDRESS_LIST}',
             ],
         ),
         (
@@ -47,14 +48,13 @@
         (
             GOOD_SETTINGS + 'operator = 4\ncontrollers = ["here"]\n',
             [
-                'controllers: contains "here"; allowed: a list of at least one '
-                f"{ADDRESS}, each once",
-                "operator: is 4; allowed: your name as a text",
+                f'controllers: contains "here"; allowed: {ADDRESS_LIST}',
+                "operator: is 4; allowed: your name in quotation marks",
             ],
         ),
     ],
 )
-def test_problems_of_settings(tmp_path, text, messages):
+def test_invalid_settings_are_reported(tmp_path, text, messages):
     """Guards against invalid settings that pass the check and cause failures later."""
     path = tmp_path / "lycheeloom.toml"
     path.write_text(text)
--- a/libs/operator/tests/test_with_standins.py
+++ b/libs/operator/tests/test_with_standins.py
@@ -1,4 +1,4 @@
-"""The library and the command against the stand-in of the log, over HTTP."""
+"""Tests the library and the command with the stand-in for the log, over HTTP."""
 
 import pytest
 
@@ -16,15 +16,15 @@
 
 
 class LosingLog(LogClient):
-    """A client that loses the answer to each append."""
+    """A log client that makes the stand-in lose the answer to each append."""
 
     def append(self, batch, **options):
         set_faults(self.address, lose_answers=1)
         return super().append(batch, **options)
 
 
-def test_lost_append_answer(log_address, fleet):
-    """Guards against a lost answer that is resolved only with the log in memory."""
+def test_lost_append_answer_is_resolved(log_address, fleet):
+    """Guards against resolving a lost answer only with the log in memory."""
     operator = Operator(LosingLog(log_address), Entries([]), "aoife")
     result = operator.publish(fleet, 0)
     assert isinstance(result, Published)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
 """Fixtures and helpers for tests on a small fleet of real processes.
 
-By default a fleet has 6 stand-in workers in 3 zones, and 3 entries.
+A fleet has 3 entries and, by default, 6 stand-in workers in 3 zones.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 from bench.fault_oracle import check_history
 from lycheeloom.operator import Draft, Published
 
-# Only ends a test whose condition never becomes true; no result depends on it.
+# Ends a test whose condition never becomes true. No other result depends on this time.
 WAIT_TIMEOUT_S = 60.0
 
 
@@ -33,11 +33,12 @@
         if value:
             return value
         gevent.sleep(0.05)
+    # The representation of a lambda names the test or function that defines it.
     raise TimeoutError(f"condition did not become true in time: {condition}")
 
 
 class LogProxy:
-    """Forwards the TCP connections of one entry to the log until disconnected."""
+    """Forwards the TCP connections of one entry to the log until ``disconnect``."""
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
@@ -66,7 +67,7 @@
 
 
 class Load:
-    """Callers that repeat a call to the serving entries during a ``with`` block."""
+    """Callers that each repeat a call to a serving entry during a ``with`` block."""
 
     def __init__(
         self, harness: FaultFleet, callers: int, call: Callable[[str], CallRecord]
@@ -101,16 +102,19 @@
 def publish_with_retries(
     harness: FaultFleet, what: str, name: str, edit: Callable[[Draft], object]
 ) -> Publication:
-    """Publish a change, again if the log's answer is lost, and return its record."""
+    """Publish a change, repeatedly until it is accepted, and return its record.
+
+    A publication is repeated after any result but ``Published``.
+    """
     wait_until(lambda: isinstance(harness.publish(what, name, edit), Published))
     return harness.history.publications[-1]
 
 
 def is_known_by(harness, entry, peer):
-    """Tell whether an entry reports that a peer has replayed that the entry joined.
+    """Return whether ``peer``, by the status of ``entry``, has replayed its joining.
 
-    Until then the entry may not vote to expel the peer, so a test that pauses the
-    peer has to wait for this first.
+    Once ``peer`` has replayed the record with which ``entry`` joined, ``entry`` may
+    vote to expel ``peer``. A test that pauses ``peer`` has to wait for this first.
     """
     members = harness.status(entry)["members"]
     return any(m["instance"] == peer and m["knows_reporter"] for m in members)
@@ -121,8 +125,11 @@
     return call if call.verdict == "ran" else None
 
 
-def start_harness(**options: int) -> object:
-    """Start a fleet, yield it once every entry holds its grants, and end it."""
+def yield_harness(**options: int) -> object:
+    """Start a fleet, yield it once every entry holds its grants, and end it.
+
+    This is a generator, from which fixtures are made.
+    """
     with running_fleet() as fleet:
         harness = FaultFleet(fleet, entries=3, **options)
         harness.start()
@@ -135,7 +142,7 @@
 
 
 def holds_all_grants(harness: FaultFleet, name: str) -> bool:
-    """Tell whether an entry holds a grant of every organisation."""
+    """Tell whether an entry holds slots granted to it for every organisation."""
     status = harness.status(name)
     return status is not None and all(
         organisation["grant"] > 0 for organisation in status["organisations"].values()
@@ -144,13 +151,13 @@
 
 @pytest.fixture(scope="module")
 def shared_harness():
-    """The fleet that the tests of a module share; each leaves it healthy."""
-    yield from start_harness()
+    """The fleet that the tests of a module share; each test leaves it healthy."""
+    yield from yield_harness()
 
 
 @pytest.fixture
 def harness(shared_harness):
-    """The shared fleet; the invariants are checked after each test."""
+    """The shared fleet; after each test, paused entries resume and invariants hold."""
     yield shared_harness
     for entry in shared_harness.entry_by_name.values():
         entry.signal(signal.SIGCONT)
@@ -161,8 +168,8 @@
 
 @pytest.fixture
 def isolated_harness():
-    """A fleet for one test only, for tests that stop or replace entries."""
-    for harness in start_harness():
+    """A fleet of its own for a test that stops or replaces entries."""
+    for harness in yield_harness():
         yield harness
         assert_invariants(harness)
 
--- a/tests/newer_entry.py
+++ b/tests/newer_entry.py
@@ -1,7 +1,7 @@
 """A simulated newer version of the entry, run as ``python -m tests.newer_entry``.
 
-It is the current entry with schemas that are extended when they are loaded. It
-writes optional fields and a kind of record that the current version does not know.
+The program is the current entry, with schemas that are extended when they are loaded.
+It writes optional fields and a kind of record that the current version does not know.
 """
 
 from __future__ import annotations
@@ -31,8 +31,8 @@
 COST_CENTRE = "north-7"
 NOTE_INTERVAL_S = 0.3
 
-# Text to insert, by the line that it follows. As in a real later version of the
-# schemas, fields and union members are added after the last existing one.
+# By line of a schema, the text to insert after the line. As in a real later version,
+# fields and union members are added after the last existing one.
 _RECORD_ADDITIONS = {
     "    snapshotChunk @19 :SnapshotChunk;\n": "    entryNote @20 :EntryNote;\n",
     "  checkpointable @10 :Bool;\n": "  costCentre @11 :Text;\n",
@@ -75,13 +75,14 @@
 
 
 def _load_extended(name: str, addition_by_line: dict[str, str]) -> Any:
+    """Load a schema file of ``lycheeloom.wire`` with additions."""
     text = Path(batches.__file__).with_name(name).read_text()
     for line, addition in addition_by_line.items():
         if text.count(line) != 1:
             raise ValueError(f"{name} does not contain {line!r} exactly once")
         text = text.replace(line, line + addition)
-    # Both versions are loaded in one process, so this one needs a file id of its own:
-    # the id on the first line with its last bit inverted.
+    # The process loads both versions of the schema, so the extended one needs another
+    # file id. It gets the id on the first line with the last bit inverted.
     file_id, _, rest = text.partition(";")
     text = f"{file_id[:-1]}{int(file_id[-1], 16) ^ 1:x};{rest}"
     with tempfile.TemporaryDirectory(prefix="lycheeloom-") as folder:
@@ -91,6 +92,7 @@
 
 
 def _patch_in_newer_version() -> None:
+    """Replace schemas, version and service of the entry by those of this version."""
     batches._SCHEMA = load_newer_records()
     batches._KIND_BY_TAG["entryNote"] = EntryNote
     batches._TAG_BY_KIND[EntryNote] = "entryNote"
--- a/tests/run_parts.py
+++ b/tests/run_parts.py
@@ -1,11 +1,13 @@
-"""Runs the tests in parts side by side and prints one verdict.
+"""Runs all tests in several pytest processes at a time and prints one verdict.
 
-gevent's patches rule out runners that share a process tree with the tests, so each
-part is a pytest process of its own. The parts are always the same; which of them
-run at the same time does not matter to any test.
+A part is a test file or folder that one pytest process runs. Each part has a pytest
+process of its own, because gevent's patches rule out plugins that distribute the
+tests of one pytest run over processes. The parts are always the same; which of them run at the same time does
+not matter to any test.
 
-``KNOWN-RED.txt`` lists tests that show a fault which is not mended yet. They run like
-all others; if one of them fails, it is printed and does not fail the run.
+``KNOWN-RED.txt`` lists tests that show a fault which is not fixed yet. They run like
+all others. If such a test fails, it is passed over: the failure is printed, but does
+not fail the run.
 """
 
 from __future__ import annotations
@@ -21,10 +23,11 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-# Tests with real processes wait more than they compute.
-SIDE_BY_SIDE = 5
-# Parts that take longest begin first.
-LONGEST = (
+# How many parts run at the same time. Tests with real processes wait more than they
+# compute.
+MAX_PARALLEL_PARTS = 5
+# The parts that take longest, in the order in which they begin, before all others.
+LONGEST_PARTS = (
     "tests/test_whole_path.py",
     "tests/test_two_versions.py",
     "tests/test_maintenance.py",
@@ -34,13 +37,15 @@
 )
 _COUNT = re.compile(r"(\d+) (passed|failed|error|errors|skipped)\b")
 _FAILED_TEST = re.compile(r"^FAILED (\S+::\S+)", re.M)
+# Exit codes of pytest.
 TESTS_FAILED = 1
-NO_TESTS = 5
-ADAPTER = "platform"
-KNOWN_RED = ROOT / "KNOWN-RED.txt"
-# The part of KNOWN-RED.txt that lists tests ends at this line.
-_END_OF_TESTS = "Shown by a measuring program"
-_ENTRY = re.compile(r"^- (\S+\.py::\S+?):?$", re.M)
+NO_TESTS_COLLECTED = 5
+ADAPTER_FOLDER = "platform"
+KNOWN_RED_PATH = ROOT / "KNOWN-RED.txt"
+# In KNOWN-RED.txt, the list of tests ends at this heading. The entries below it, such
+# as goals that a benchmark missed, excuse no test.
+_HEADING_AFTER_TESTS = "Shown by a measuring program"
+_LISTED_TEST = re.compile(r"^- (\S+\.py::\S+?):?$", re.M)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +59,12 @@
 
 
 def find_parts() -> list[str]:
-    """Return test files and folders so that each test is in exactly one."""
+    """Return test files and folders that contain each test exactly once."""
     parts = [str(p.relative_to(ROOT)) for p in sorted(ROOT.glob("tests/test_*.py"))]
     parts += [str(p.relative_to(ROOT)) for p in sorted(ROOT.glob("libs/*"))]
-    parts += [ADAPTER, "bench"]
+    parts += [ADAPTER_FOLDER, "bench"]
     parts = [part for part in parts if _has_tests(ROOT / part)]
-    rank = {part: number for number, part in enumerate(LONGEST)}
+    rank = {part: number for number, part in enumerate(LONGEST_PARTS)}
     return sorted(parts, key=lambda part: rank.get(part, len(rank)))
 
 
@@ -68,9 +73,10 @@
     began = time.monotonic()
     command = [sys.executable, "-m", "pytest", "-o", "addopts=", part]
     options = ["-q", "--import-mode=importlib", "-p", "no:cacheprovider", "--tb=short"]
-    if part == ADAPTER:
-        # Named from the root, its tests would hide the standard module `platform`.
-        options += ["--rootdir", ADAPTER]
+    if part == ADAPTER_FOLDER:
+        # With module names relative to the repository, these tests would hide the
+        # module `platform` of the standard library.
+        options += ["--rootdir", ADAPTER_FOLDER]
     done = subprocess.run(
         [*command, *options],
         cwd=ROOT,
@@ -84,16 +90,17 @@
 def read_known_red(text: str) -> frozenset[str]:
     """Return the ids of the tests that the text of ``KNOWN-RED.txt`` lists.
 
-    An entry begins with a line of its own: ``- tests/test_a.py::test_b:``.
+    The first line for each test is ``- tests/test_a.py::test_b:``.
     """
-    return frozenset(_ENTRY.findall(text.partition(_END_OF_TESTS)[0]))
+    return frozenset(_LISTED_TEST.findall(text.partition(_HEADING_AFTER_TESTS)[0]))
 
 
-def find_excused(outcome: Outcome, known_red: frozenset[str]) -> frozenset[str]:
-    """Return the failed tests of a part if all its failures are known, else none.
+def find_passed_over(outcome: Outcome, known_red: frozenset[str]) -> frozenset[str]:
+    """Return the failed tests of a part if all of them are known red, else none.
 
-    An error outside a test's own body, a missing test or a crash of pytest is never
-    excused.
+    None is passed over if pytest ended otherwise than with failed tests, for instance
+    by a crash, if an error outside the body of a test occurred, or if the output does
+    not name every failed test.
     """
     if outcome.code != TESTS_FAILED:
         return frozenset()
@@ -105,7 +112,7 @@
 
 
 def count_results(outcome: Outcome) -> Counter[str]:
-    """Return the figures of pytest's last line, such as ``3 passed``, by word."""
+    """Return the counts in pytest's last line, such as ``3 passed``, by word."""
     counts: Counter[str] = Counter()
     for count, word in _COUNT.findall(_summary(outcome)):
         counts[word] += int(count)
@@ -113,30 +120,33 @@
 
 
 def main() -> int:
-    """Run all parts; returns 0 if every test passed or is known to fail."""
-    # A shell that starts this in the background lets it ignore SIGINT, and with it
-    # the programs under test, some of which have to end on it.
+    """Run all parts; return 0 if each failed test was passed over, else 1."""
+    # A shell makes programs that it starts in the background ignore SIGINT. Without
+    # this handler, the programs under test would inherit that, but some of them must
+    # end on SIGINT.
     signal.signal(signal.SIGINT, signal.default_int_handler)
-    known_red = read_known_red(KNOWN_RED.read_text())
+    known_red = read_known_red(KNOWN_RED_PATH.read_text())
     counts: Counter[str] = Counter()
-    excused: set[str] = set()
+    passed_over: set[str] = set()
     failed = False
-    with ThreadPoolExecutor(SIDE_BY_SIDE) as pool:
+    with ThreadPoolExecutor(MAX_PARALLEL_PARTS) as pool:
         for outcome in pool.map(run_part, find_parts()):
             print(f"{outcome.part}: {_summary(outcome)} ({outcome.seconds:.0f} s)")
             counts += count_results(outcome)
-            if outcome.code in (0, NO_TESTS):
+            if outcome.code in (0, NO_TESTS_COLLECTED):
                 continue
             print(outcome.output)
-            known = find_excused(outcome, known_red)
-            excused |= known
+            known = find_passed_over(outcome, known_red)
+            passed_over |= known
             failed = failed or not known
     errors = counts["failed"] + counts["error"] + counts["errors"]
     print(f"{counts['passed']} passed, {errors} failed")
     for test in sorted(known_red):
-        state = "failed, passed over" if test in excused else "not passed over"
+        # A test that was not passed over has passed or not run, or it failed in a part
+        # with other failures.
+        state = "failed, passed over" if test in passed_over else "not passed over"
         print(f"KNOWN-RED.txt: {test}: {state}")
-    return 1 if failed or errors > len(excused) else 0
+    return 1 if failed or errors > len(passed_over) else 0
 
 
 def _summary(outcome: Outcome) -> str:
--- a/tests/test_failing_worker.py
+++ b/tests/test_failing_worker.py
@@ -22,8 +22,8 @@
 def test_failing_worker_is_put_on_probation_without_recorded_requests(isolated_harness):
     """Guards against a controller that counts only outcomes recorded in the log.
 
-    Lookups leave no record there, so a worker that failed all of them was never
-    repaired.
+    Lookups leave no record in the log, so a worker on which all lookups failed was
+    never repaired.
     """
     harness = isolated_harness
     harness.fleet.start_controller("c0", "mid")
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -16,23 +16,29 @@
 )
 from lycheeloom.wire import decode_batch
 
-from .conftest import Load, assert_invariants, start_harness, wait_until
-
-# Short times, within the range that the settings allow, to keep the tests fast.
-SETTINGS = {"step_s": 0.2, "silent_s": 10, "dead_after_s": 20, "probation_s": 1}
-# How long a correlated failure holds maintenance; long enough that a slow machine
-# still finds UNRELATED_WORKER silent within the hold.
+from .conftest import Load, assert_invariants, wait_until, yield_harness
+
+# Settings of the controller: short times, so that the tests are fast.
+CONTROLLER_SETTINGS = {
+    "step_s": 0.2,
+    "silent_s": 10,
+    "dead_after_s": 20,
+    "probation_s": 1,
+}
+# How long maintenance is on hold after a correlated failure. On a slow machine too, the
+# controller must find UNRELATED_WORKER silent within this time.
 HOLD_S = 40
+# The workers of one rack.
 FAILED_RACK = ("w0", "w3")
-# In another zone than FAILED_RACK.
+# A worker in another zone than the failed rack.
 UNRELATED_WORKER = "w1"
 HOLD_TEXT = "because instances failed together"
 
 
 @pytest.fixture
 def harness():
-    """A fleet with two workers per rack; a whole rack may be unavailable at once."""
-    for harness in start_harness(workers=12, workers_per_rack=2):
+    """A fleet with two workers per rack; its limits let a whole rack be unavailable."""
+    for harness in yield_harness(workers=12, workers_per_rack=2):
         result = harness.publish("limits", "main", raise_unavailability_limits)
         assert isinstance(result, Published), result
         yield harness
@@ -70,7 +76,7 @@
         return self.operator.view.state.maintenance
 
     def health(self, name):
-        """Return the health of an instance on record; by default it is in service."""
+        """Return the health of an instance: as recorded, else in service."""
         state = self.state().health_by_instance.get(name)
         return state.health if state is not None else Health.IN_SERVICE
 
@@ -79,14 +85,16 @@
         return any(HOLD_TEXT in sentence for sentence in self.explain("instance", "w2"))
 
 
-def test_failed_rack_is_one_event_that_holds_maintenance(harness):
+def test_failed_rack_is_one_event_that_puts_maintenance_on_hold(harness):
     """Guards against repairs and waves that start just after a rack has failed, and
     against a hold that is not explained to operators.
 
     One worker of the rack refuses connections and the other does not answer, so
     the controller finds them silent at different times.
     """
-    maintenance = MaintenanceView(harness, correlated_pause_s=HOLD_S, **SETTINGS)
+    maintenance = MaintenanceView(
+        harness, correlated_pause_s=HOLD_S, **CONTROLLER_SETTINGS
+    )
     key = next(
         key for key, owner in harness.organisation_by_key.items() if owner == "red"
     )
@@ -122,7 +130,7 @@
     """Check that no move and no repair is in the log while maintenance is on hold.
 
     The log is read between two answers of the controller. If the second answer
-    still reports the hold, all that was read was written during it.
+    still reports the hold, all that was read was written before the hold ended.
     """
     was_out_of_service = False
     while True:
@@ -138,7 +146,8 @@
         assert health == {}
         was_out_of_service = was_out_of_service or is_out_of_service
         gevent.sleep(0.1)
-    # Without the hold, the repair of this worker would have started.
+    # The controller found UNRELATED_WORKER out of service while maintenance was on
+    # hold, so without the hold the repair of this worker would have started.
     assert was_out_of_service
 
 
@@ -149,7 +158,7 @@
     The reboot makes the first worker answer again, and it passes its trial. The
     second one stays silent.
     """
-    maintenance = MaintenanceView(harness, max_reboots=2, **SETTINGS)
+    maintenance = MaintenanceView(harness, max_reboots=2, **CONTROLLER_SETTINGS)
     key = next(
         key for key, owner in harness.organisation_by_key.items() if owner == "blue"
     )
@@ -186,7 +195,7 @@
         "has been given up and needs a person to look at it, because nothing was heard",
     )
     assert count_completed_reboots(harness, dead) == 2
-    # It answers again, but only a person may return it to service.
+    # The worker answers again, but only a person may return it to service.
     harness.fleet.set_faults(dead, slow_ms=0)
     key = next(
         key for key, owner in harness.organisation_by_key.items() if owner == "red"
--- a/tests/test_run_parts.py
+++ b/tests/test_run_parts.py
@@ -1,4 +1,4 @@
-"""The verdict of the runner when tests fail that ``KNOWN-RED.txt`` lists."""
+"""Tests the verdict of ``run_parts`` on tests that ``KNOWN-RED.txt`` lists."""
 
 from __future__ import annotations
 
@@ -33,9 +33,12 @@
 
 @pytest.fixture
 def run(tmp_path, monkeypatch, capsys):
-    """Run the runner on one test file and a list; returns its code and output."""
+    """Return a function that runs the runner; it returns exit code and output.
+
+    It takes the source of the only test file and the text of ``KNOWN-RED.txt``.
+    """
     monkeypatch.setattr(run_parts, "ROOT", tmp_path)
-    monkeypatch.setattr(run_parts, "KNOWN_RED", tmp_path / "KNOWN-RED.txt")
+    monkeypatch.setattr(run_parts, "KNOWN_RED_PATH", tmp_path / "KNOWN-RED.txt")
     (tmp_path / "tests").mkdir()
 
     def run_file(source, listed):
@@ -46,22 +49,22 @@
     return run_file
 
 
-def entry(test):
-    """Return an entry of the list."""
+def list_entry(test):
+    """Return a text of ``KNOWN-RED.txt`` that lists one test."""
     return f"Tests that show a fault.\n\n- {test}:\n  seen once. Issue 1.\n"
 
 
 def test_passes_over_a_listed_test_and_prints_it(run):
-    """Guards against a known fault that keeps every change from landing."""
-    code, output = run(KNOWN_FAILS + OTHER_PASSES, entry(KNOWN))
+    """Guards against a known fault that prevents all changes from landing."""
+    code, output = run(KNOWN_FAILS + OTHER_PASSES, list_entry(KNOWN))
     assert code == 0
     assert f"{KNOWN}: failed, passed over" in output
     assert "assert not 1" in output
 
 
-def test_reports_a_listed_test_that_passes(run):
-    """Guards against a list that claims a failure which did not happen."""
-    code, output = run(KNOWN_PASSES, entry(KNOWN))
+def test_does_not_pass_over_a_listed_test_that_passes(run):
+    """Guards against reporting a failure of a listed test that passed."""
+    code, output = run(KNOWN_PASSES, list_entry(KNOWN))
     assert code == 0
     assert f"{KNOWN}: not passed over" in output
 
@@ -69,16 +72,22 @@
 @pytest.mark.parametrize(
     ("source", "listed"),
     [
-        pytest.param(KNOWN_FAILS + OTHER_FAILS, entry(KNOWN), id="another failure"),
-        pytest.param(KNOWN_FAILS + OTHER_PASSES, entry(OTHER), id="not the listed one"),
+        pytest.param(
+            KNOWN_FAILS + OTHER_FAILS, list_entry(KNOWN), id="another failure"
+        ),
+        pytest.param(
+            KNOWN_FAILS + OTHER_PASSES, list_entry(OTHER), id="not the listed one"
+        ),
         pytest.param(KNOWN_FAILS, "None.\n", id="empty list"),
-        pytest.param(KNOWN_FAILS, f"{entry(KNOWN)[:20]}", id="cut list"),
-        pytest.param(KNOWN_WITH_BROKEN_SETUP, entry(KNOWN), id="error in setup"),
-        pytest.param(KNOWN_WITH_BROKEN_TEARDOWN, entry(KNOWN), id="error in teardown"),
-        pytest.param("def broken(:\n", entry(KNOWN), id="unreadable test file"),
+        pytest.param(KNOWN_FAILS, f"{list_entry(KNOWN)[:20]}", id="cut list"),
+        pytest.param(KNOWN_WITH_BROKEN_SETUP, list_entry(KNOWN), id="error in setup"),
+        pytest.param(
+            KNOWN_WITH_BROKEN_TEARDOWN, list_entry(KNOWN), id="error in teardown"
+        ),
+        pytest.param("def broken(:\n", list_entry(KNOWN), id="unreadable test file"),
         pytest.param(
             "import os\ndef test_known():\n    os._exit(1)\n",
-            entry(KNOWN),
+            list_entry(KNOWN),
             id="crash of pytest",
         ),
         pytest.param(
@@ -89,14 +98,14 @@
     ],
 )
 def test_any_other_failure_fails_the_run(run, source, listed):
-    """Guards against a list that hides failures which it does not name."""
+    """Guards against passing over failures that the list does not name."""
     code, _ = run(source, listed)
     assert code == 1
 
 
-def test_reads_the_list_of_this_repository():
-    """Guards against an entry that the runner cannot read."""
-    known = run_parts.read_known_red(run_parts.KNOWN_RED.read_text())
+def test_each_test_listed_in_this_repository_exists():
+    """Guards against a listed test that was renamed or removed."""
+    known = run_parts.read_known_red(run_parts.KNOWN_RED_PATH.read_text())
     for test in known:
         path, _, name = test.partition("::")
         assert f"def {name}(" in (run_parts.ROOT / path).read_text()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""Tests that one trace and one request id reach the worker from the caller."""
+"""Tests that the caller's trace and the request id reach the worker."""
 
 import json
 import re
@@ -31,7 +31,7 @@
     }
 
 
-def test_trace_is_followed_from_caller_to_worker(harness, key):
+def test_trace_and_request_id_reach_the_worker(harness, key):
     """Guards against an entry or worker call that drops the caller's trace context."""
     work_id = harness.new_work_id()
     headers = {
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -25,7 +25,7 @@
 
 NEWER_PROGRAM = "tests.newer_entry"
 CURRENT_PROGRAM = "lycheeloom.entry.main"
-# The controller appends records again once they are older than half of this.
+# The controller appends records again once they are older than half of this time.
 LOG_RETENTION_S = 4.0
 COLLECT_TIMEOUT_S = 60.0
 NEWER_POOL_FIELDS = {"cost_centre": newer_entry.COST_CENTRE}
@@ -58,7 +58,10 @@
 
 
 def read_cost_centres(schema, encoded, tag):
-    """Return request id and cost centre of the records of a kind in a batch."""
+    """Return the request ids and cost centres of the records of one kind in a batch.
+
+    ``tag`` is the name of the kind in the schema.
+    """
     with schema.Batch.from_bytes(strip_checksum(encoded)) as batch:
         return [
             (str(getattr(item, tag).requestId), str(getattr(item, tag).costCentre))
@@ -68,7 +71,7 @@
 
 
 def cost_centres_in_log(harness, schema, tag, request_id):
-    """Return the cost centre of every copy of a request's record in the log."""
+    """Return the cost centre of each copy of a request's record in the log."""
     return [
         cost_centre
         for encoded in read_batches(harness)
@@ -87,7 +90,7 @@
 
 
 def count_skipped_by(harness, name):
-    """Return how many unknown records an entry reports to have skipped."""
+    """Return how many records of unknown kinds an entry has skipped, by its metrics."""
     answer = harness.fleet.transport.call(
         harness.entry_by_name[name].address, "GET", "/metrics", timeout_s=5.0
     )
@@ -110,9 +113,10 @@
 
 
 def replace_entry(harness, name, program):
-    """Shut an entry down, start another version and wait until it takes part.
+    """Shut an entry down, start another version and wait until that takes part.
 
-    It takes part once it is ready and it and every other entry know each other.
+    The new process takes part once it is ready, and it and every other entry know each
+    other as ``is_known_by`` says.
     """
     assert harness.stop_entry(name) == 0
     harness.start_entry(name, program=program)
@@ -146,7 +150,11 @@
 
 
 def assert_fields_outlive_retention(harness, schema, entry, key):
-    """Check that records keep their newer field when they are appended again."""
+    """Check that records keep their newer field when the controller appends them again.
+
+    The request runs longer than ``LOG_RETENTION_S``, so that the record with which it
+    was submitted is appended again meanwhile.
+    """
     batch = harness.submit("batch", entry, key, work_ms=9000)
     assert batch.status == 202, batch
     request_id = batch.document["request_id"]
@@ -202,7 +210,7 @@
             if name != names[-1]:
                 assert_relays_unchanged(harness, name)
             load.wait_for_more_calls(12)
-            # A draft of the current version keeps fields that it does not know.
+            # Publish with the current version, whose draft keeps fields unknown to it.
             harness.grant_key("green")
             harness.record_versions()
     for call in load.calls:
@@ -220,7 +228,7 @@
 
 
 def assert_kept_in_log_and_snapshot(harness):
-    """Check that log and snapshot return the newer configuration fields unchanged."""
+    """Check that log and snapshot hold the newer configuration fields unchanged."""
     operator = harness.operator("reader")
     operator.refresh()
     assert_newer_fields(operator.document)
@@ -247,8 +255,9 @@
 
 def assert_no_program_failed(harness, controller):
     """Check that every program still runs and has logged no internal error."""
-    expected_running = [*harness.entry_by_name.values(), controller]
-    assert [program.process.poll() for program in expected_running] == [None] * 4
+    programs_in_service = [*harness.entry_by_name.values(), controller]
+    # Three entries and the controller; ``poll`` returns None while a process runs.
+    assert [program.process.poll() for program in programs_in_service] == [None] * 4
     for program in harness.fleet.programs:
         log_text = Path(program.log_path).read_text()
         for error_mark in ("Traceback", "heartbeat_failed", "step_failed"):
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Tests the invariants of the design page on real processes with injected faults.
 
-A docstring that starts with I and a number names the invariant of the design page.
+The letter I and a number at the start of a docstring, such as I2, name an invariant of
+the design page.
 After each test, ``bench.fault_oracle`` checks all invariants on what callers,
 operators and workers observed.
 """
@@ -32,7 +33,7 @@
 )
 
 INSTANCE_LIST_LAG_S = 1.0
-# Target of the design page: a leaving worker gets no new tasks after this time.
+# By the design page, a leaving worker gets no new tasks after this time.
 LEAVING_LIMIT_S = 3.0
 
 
@@ -66,7 +67,7 @@
 
 
 def in_force_everywhere(harness, version):
-    """Tell whether every entry reports at least this configuration version."""
+    """Tell whether all 3 entries report this configuration version or a newer one."""
     versions = harness.record_versions()
     return len(versions) == 3 and min(versions.values()) >= version
 
@@ -140,7 +141,7 @@
         paused_entry.signal(signal.SIGCONT)
         late_calls.append(harness.submit("lookup", "e1", keys[0]))
     assert {call.verdict for call in late_calls} == {"not_run"}
-    # Peers relay the log to the entry, so it still accepts keys in force.
+    # Peers relay the log to e2, so e2 still accepts keys that are in force.
     assert wait_until(lambda: harness.submit("lookup", "e2", keys[1]).status == 200)
 
 
@@ -149,9 +150,9 @@
     booking, after an entry was lost.
 
     e0 is paused, expelled and resumed within the lease of its tasks, while other
-    entries get its slots. e2 is killed and replaced while a keyed booking runs. Both
-    cases share a test because reclaiming the slots and claims of a lost entry takes
-    20 s.
+    entries get its slots. e2 is killed and replaced while a keyed booking runs. The
+    losses of e0 and e2 share a test because reclaiming the slots and claims of a lost
+    entry takes 20 s.
     """
     harness = isolated_harness
     limit = LIMIT_BY_ORGANISATION["green"]
@@ -204,7 +205,7 @@
 
 
 def member_states(harness, name):
-    """Return the states that e1 reports for the members of an instance."""
+    """Return the states that e1 reports for all incarnations of an instance."""
     members = harness.status("e1")["members"]
     return {item["state"] for item in members if item["instance"] == name}
 
