--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -235,7 +235,8 @@
         """Start, pause, resume or abort a maintenance wave.
 
         ``wanted`` is the state to bring the wave into. ``expected`` are the states
-        from which this is allowed; by default all from which a wave can get there.
+        from which this is allowed; by default all states from which a wave can be
+        brought into ``wanted``.
         """
         failure = self.refresh()
         if failure is not None:
--- a/libs/operator/src/lycheeloom/operator/reference_checks.py
+++ b/libs/operator/src/lycheeloom/operator/reference_checks.py
@@ -242,7 +242,7 @@
 
 
 def _check_usage(tables: DocumentTables, usage: Usage, file: str) -> Iterator[Problem]:
-    """Yield a problem for each organisation or pool in use that is cut or removed."""
+    """Check that what runs fits the limits, and that nothing in use is removed."""
     for organisation, running in usage.running_by_organisation.items():
         limit = tables.organisations.get(organisation, {}).get("upper_limit")
         if _is_whole_number(limit) and 0 < limit < running:
--- a/libs/operator/src/lycheeloom/operator/toml_reader.py
+++ b/libs/operator/src/lycheeloom/operator/toml_reader.py
@@ -20,7 +20,7 @@
 
 
 # Key of a configuration file that is not part of the document. ``print_config`` writes
-# it, and publishing the file requires that this version is in force.
+# the version in force to it, and the file can be published while that is in force.
 VERSION_KEY = "printed_from_version"
 
 
--- a/libs/operator/src/lycheeloom/operator/toml_writer.py
+++ b/libs/operator/src/lycheeloom/operator/toml_writer.py
@@ -22,8 +22,8 @@
     ``version`` is the version in force. The text contains it, and can be published
     only while it is still in force. ``read_config_text`` reads back exactly the same
     document. Defaults of fields that are not set are printed as comments. The document
-    must contain no null, which TOML cannot express; a merge patch, which publishes
-    each change, never leaves a null in a table.
+    must contain no null, which TOML cannot express; documents in force have none in a
+    table, since a merge patch leaves none there.
     """
     lines = list(_header_lines(document, version))
     for section in SECTIONS:
--- a/libs/operator/tests/conftest.py
+++ b/libs/operator/tests/conftest.py
@@ -24,9 +24,9 @@
 
 @dataclass
 class FakeLog:
-    """A log in memory; each append removes the first fault from ``faults`` and has it.
+    """A log in memory; each append takes the next fault off ``faults``.
 
-    - An empty string, or no fault left: the append succeeds.
+    - An empty string, or none left: the append succeeds.
     - "lost": the batch is appended, but the answer is lost.
     - "dropped": the batch and the answer are lost.
     - "delayed": the answer is lost; the batch is appended just before the next one.
--- a/libs/operator/tests/test_exit_codes.py
+++ b/libs/operator/tests/test_exit_codes.py
@@ -159,6 +159,7 @@
     assert code == ExitCode.DIFFERENCES_FOUND, printed
 
 
+# In an outage the log answers 503; a log that is down refuses connections.
 @pytest.mark.parametrize("fault", ["outage", "down"])
 def test_outage_of_the_log(run, log_address, fleet_file, fault):
     """Guards against reporting an outage of the log without its address."""
--- a/libs/operator/tests/test_settings.py
+++ b/libs/operator/tests/test_settings.py
@@ -5,10 +5,6 @@
 from lycheeloom.operator.settings import load_settings
 
 ADDRESS = 'host and port, such as "10.1.0.4:7100"'
-ADDRESS_LIST = (
-    "a list of one or more distinct addresses, each host and port, such as "
-    '"10.1.0.4:7100"'
-)
 GOOD_SETTINGS = 'log = "127.0.0.1:1"\nentries = ["127.0.0.1:2"]\n'
 
 
@@ -19,21 +15,25 @@
             "",
             [
                 f"log: is missing; allowed: {ADDRESS}",
-                f"entries: is missing; allowed: {ADDRESS_LIST}",
+                "entries: is missing; allowed: a list of one or more distinct "
+                f"addresses, each {ADDRESS}",
             ],
         ),
         (
             'log = "here"\nentries = []\n',
             [
                 f'log: is "here"; allowed: {ADDRESS}',
-                f"entries: is []; allowed: {ADDRESS_LIST}",
+                "entries: is []; allowed: a list of one or more distinct addresses, "
+                f"each {ADDRESS}",
             ],
         ),
         (
             'log = "a:1"\nentries = ["a:2", "a:2", "a:70000"]\n',
             [
-                f'entries: contains "a:2" twice; allowed: {ADDRESS_LIST}',
-                f'entries: contains "a:70000"; allowed: {ADDRESS_LIST}',
+                'entries: contains "a:2" twice; allowed: a list of one or more '
+                f"distinct addresses, each {ADDRESS}",
+                'entries: contains "a:70000"; allowed: a list of one or more '
+                f"distinct addresses, each {ADDRESS}",
             ],
         ),
         (
@@ -48,7 +48,8 @@
         (
             GOOD_SETTINGS + 'operator = 4\ncontrollers = ["here"]\n',
             [
-                f'controllers: contains "here"; allowed: {ADDRESS_LIST}',
+                'controllers: contains "here"; allowed: a list of one or more '
+                f"distinct addresses, each {ADDRESS}",
                 "operator: is 4; allowed: your name in quotation marks",
             ],
         ),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -175,7 +175,7 @@
 
 
 def assert_invariants(harness: FaultFleet) -> None:
-    """Check the invariants on the recorded calls, publications and worker starts."""
+    """Check the invariants on the recorded calls, publications and task starts."""
     assert (
         check_history(harness.history, harness.fleet.ledger(), LIMIT_BY_ORGANISATION)
         == []
--- a/tests/run_parts.py
+++ b/tests/run_parts.py
@@ -1,9 +1,9 @@
 """Runs all tests in several pytest processes at a time and prints one verdict.
 
-A part is a test file or folder that one pytest process runs. Each part has a pytest
-process of its own, because gevent's patches rule out plugins that distribute the
-tests of one pytest run over processes. The parts are always the same; which of them run at the same time does
-not matter to any test.
+A part is a test file or a folder with tests. Each part is run by a pytest process of
+its own, because gevent's patches rule out plugins that distribute the tests of one
+pytest run over processes. The parts are always the same; which of them run at the
+same time does not matter to any test.
 
 ``KNOWN-RED.txt`` lists tests that show a fault which is not fixed yet. They run like
 all others. If such a test fails, it is passed over: the failure is printed, but does
@@ -26,7 +26,7 @@
 # How many parts run at the same time. Tests with real processes wait more than they
 # compute.
 MAX_PARALLEL_PARTS = 5
-# The parts that take longest, in the order in which they begin, before all others.
+# The parts that take longest; they begin first, in this order.
 LONGEST_PARTS = (
     "tests/test_whole_path.py",
     "tests/test_two_versions.py",
@@ -35,7 +35,7 @@
     "libs/operator",
     "libs/coordinator",
 )
-_COUNT = re.compile(r"(\d+) (passed|failed|error|errors|skipped)\b")
+_RESULT_COUNT = re.compile(r"(\d+) (passed|failed|error|errors|skipped)\b")
 _FAILED_TEST = re.compile(r"^FAILED (\S+::\S+)", re.M)
 # Exit codes of pytest.
 TESTS_FAILED = 1
@@ -43,14 +43,14 @@
 ADAPTER_FOLDER = "platform"
 KNOWN_RED_PATH = ROOT / "KNOWN-RED.txt"
 # In KNOWN-RED.txt, the list of tests ends at this heading. The entries below it, such
-# as goals that a benchmark missed, excuse no test.
+# as goals that a benchmark missed, have no effect here.
 _HEADING_AFTER_TESTS = "Shown by a measuring program"
 _LISTED_TEST = re.compile(r"^- (\S+\.py::\S+?):?$", re.M)
 
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a part ended."""
+    """The exit code and the output of pytest for a part, and how long it ran."""
 
     part: str
     code: int
@@ -114,7 +114,7 @@
 def count_results(outcome: Outcome) -> Counter[str]:
     """Return the counts in pytest's last line, such as ``3 passed``, by word."""
     counts: Counter[str] = Counter()
-    for count, word in _COUNT.findall(_summary(outcome)):
+    for count, word in _RESULT_COUNT.findall(_summary(outcome)):
         counts[word] += int(count)
     return counts
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -261,6 +261,7 @@
 def test_calls_are_answered_despite_silent_log_connections(harness, key):
     """I6: guards against waiting for ever on a connection that no longer answers."""
     with Load(harness, 6, lambda entry: harness.submit("lookup", entry, key)) as load:
+        # Only connections that are open now get no answer any more.
         harness.fleet.set_faults("log", silent=True)
         load.wait_for_more_calls(30)
         booking = {"work": harness.new_work_id(), "idempotency_key": "silent"}
