--- a/libs/operator/src/lycheeloom/operator/log_timeline.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -70,8 +70,8 @@
     """Return the lines about a job, instance, worker or wave, ordered by time.
 
     Changes of leader between the first and the last of these lines are included, since
-    they explain why tasks are started again. At the end stand the main events of a
-    job that no line mentions. Without any line about the object the result is empty.
+    they explain why tasks are started again. For a job, the main events that no line
+    mentions follow at the end. Without any line about the object the result is empty.
     """
     lines = [line for text in raw_lines if (line := parse_line(text)) is not None]
     matching = [line for line in lines if _is_about(line, name)]
@@ -93,7 +93,7 @@
 
 
 def _is_about(line: LogLine, name: str) -> bool:
-    """Tell whether a line names an object, or a task or step of a job of that name."""
+    """Tell whether a line is about an object, or about a task or step of a job."""
     if any(line.fields.get(key) == name for key in _NAME_FIELDS):
         return True
     task = line.fields.get("task", line.fields.get("step", ""))
--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -8,7 +8,7 @@
 
 from lycheeloom.model.limits import MAX_BATCH_BYTES
 
-# A batch also holds its author and the bytes of its encoding, for which 4,096 are left.
+# Leaves 4,096 bytes of a batch for its author and the encoding of the batch.
 MAX_PATCH_BYTES = MAX_BATCH_BYTES - 4096
 # The items of a section refer only to items of sections before it. Additions are made
 # in this order and removals in the reverse order, so that no part refers to an item
@@ -35,6 +35,7 @@
     parts: list[dict[str, Any]] = []
     part_bytes = 0
     for section, name, value in _items_in_order(patch):
+        # Counts section and braces for each item, so it is rather too large.
         item_bytes = len(patch_text({section: {name: value}}))
         if not parts or part_bytes + item_bytes > max_bytes:
             parts.append({})
--- a/libs/operator/tests/test_exit_codes.py
+++ b/libs/operator/tests/test_exit_codes.py
@@ -71,8 +71,8 @@
 def losing_log_address(log_address):
     """The address of a proxy of the log.
 
-    Before it forwards a POST request, which is an append, the proxy sets the fault
-    with which the log stand-in answers no request from then on.
+    Before the proxy forwards a POST request, which is an append, it sets the fault with
+    which the log carries out this and all later requests, but answers none of them.
     """
     pool = urllib3.PoolManager()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -111,10 +111,11 @@
 
 
 def is_known_by(harness, entry, peer):
-    """Return whether ``peer``, by the status of ``entry``, has replayed its joining.
+    """Tell whether ``entry`` reports that ``peer`` knows ``entry`` as a member.
 
-    Once ``peer`` has replayed the record with which ``entry`` joined, ``entry`` may
-    vote to expel ``peer``. A test that pauses ``peer`` has to wait for this first.
+    That is so once ``peer`` has replayed the record by which ``entry`` joined. Until
+    then ``entry`` may not vote to expel ``peer``, so a test that pauses ``peer`` has to
+    wait for this first.
     """
     members = harness.status(entry)["members"]
     return any(m["instance"] == peer and m["knows_reporter"] for m in members)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -18,7 +18,8 @@
 
 from .conftest import Load, assert_invariants, wait_until, yield_harness
 
-# Settings of the controller: short times, so that the tests are fast.
+# Settings of the controller. The times are short, within the range that the settings
+# allow, to keep the tests fast.
 CONTROLLER_SETTINGS = {
     "step_s": 0.2,
     "silent_s": 10,
--- a/tests/test_two_versions.py
+++ b/tests/test_two_versions.py
@@ -188,6 +188,7 @@
     )
 
     def submit_mixed(entry):
+        # A work id ends in a consecutive number, so the kinds take turns.
         work_id = harness.new_work_id()
         kind = ("lookup", "keyed", "batch")[int(work_id.split("-")[1]) % 3]
         options = {"idempotency_key": work_id} if kind == "keyed" else {}
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -370,6 +370,7 @@
     )
 
     def submit_mixed(entry):
+        # A work id ends in a consecutive number, so the kinds take turns.
         work_id = harness.new_work_id()
         kind = ("lookup", "booking", "keyed")[int(work_id.split("-")[1]) % 3]
         options = {"idempotency_key": work_id} if kind == "keyed" else {}
