--- a/libs/operator/src/lycheeloom/operator/splitting.py
+++ b/libs/operator/src/lycheeloom/operator/splitting.py
@@ -35,7 +35,7 @@
     parts: list[dict[str, Any]] = []
     part_bytes = 0
     for section, name, value in _items_in_order(patch):
-        # Counts section and braces for each item, so it is rather too large.
+        # Counts the section and the braces for each item, so no part gets too large.
         item_bytes = len(patch_text({section: {name: value}}))
         if not parts or part_bytes + item_bytes > max_bytes:
             parts.append({})
--- a/tests/run_parts.py
+++ b/tests/run_parts.py
@@ -98,9 +98,9 @@
 def find_passed_over(outcome: Outcome, known_red: frozenset[str]) -> frozenset[str]:
     """Return the failed tests of a part if all are known red, else an empty set.
 
-    No test is passed over if pytest ended otherwise than with failed tests, for instance
-    by a crash, if an error outside the body of a test occurred, or if the output does
-    not name every failed test.
+    No test is passed over if pytest ended otherwise than with failed tests, for
+    instance by a crash, if an error outside the body of a test occurred, or if the
+    output does not name every failed test.
     """
     if outcome.code != TESTS_FAILED:
         return frozenset()
