--- a/libs/operator/src/lycheeloom/operator/changing_commands.py
+++ b/libs/operator/src/lycheeloom/operator/changing_commands.py
@@ -23,8 +23,8 @@
 COMMAND_LINE = "command line"
 AFTER_CHANGE = "after this change"
 
-# By command, the state into which it brings a wave, and the states a wave may be in
-# before.
+# By command, the state into which it brings a wave, and the states from which it may
+# do so.
 _STATES_BY_COMMAND = {
     "wave start": (WaveState.RUNNING, (WaveState.ABSENT,)),
     "wave pause": (WaveState.PAUSED, (WaveState.RUNNING,)),
--- a/libs/operator/src/lycheeloom/operator/difference.py
+++ b/libs/operator/src/lycheeloom/operator/difference.py
@@ -97,7 +97,7 @@
 
 
 def paths_overlap(first: set[tuple], second: set[tuple]) -> bool:
-    """Tell whether a path of one set equals or contains a path of the other set."""
+    """Tell whether a path of either set equals or contains a path of the other set."""
     return any(
         path[: len(other)] == other or other[: len(path)] == path
         for path in first
--- a/libs/operator/src/lycheeloom/operator/operator.py
+++ b/libs/operator/src/lycheeloom/operator/operator.py
@@ -36,7 +36,7 @@
 from .splitting import patch_text, split_patch
 
 DEFAULT_TIMEOUT_S = 10.0
-# Pause between two looks at the status of the entries.
+# Pause after each time that ``wait_in_force`` asks the entries for their status.
 POLL_INTERVAL_S = 0.1
 # How often ``change`` applies its edit if other operators publish first each time.
 MAX_CHANGE_ATTEMPTS = 5
