--- a/libs/operator/tests/test_settings.py
+++ b/libs/operator/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Each problem in the settings of the command has one exact message."""
+"""Tests the message of each problem in the settings of the command."""
 
 import pytest
 
@@ -15,24 +15,25 @@
             "",
             [
                 f"log: is missing; allowed: {ADDRESS}",
-                f"entries: is missing; allowed: a list of at least one {ADDRESS}, "
-                "each once",
+                "entries: is missing; allowed: a list of one or more distinct "
+                f"addresses, each {ADDRESS}",
             ],
         ),
         (
             'log = "here"\nentries = []\n',
             [
                 f'log: is "here"; allowed: {ADDRESS}',
-                f"entries: is []; allowed: a list of at least one {ADDRESS}, each once",
+                "entries: is []; allowed: a list of one or more distinct addresses, "
+                f"each {ADDRESS}",
             ],
         ),
         (
             'log = "a:1"\nentries = ["a:2", "a:2", "a:70000"]\n',
             [
-                f'entries: contains "a:2" twice; allowed: a list of at least one '
-                f"{ADDRESS}, each once",
-                f'entries: contains "a:70000"; allowed: a list of at least one '
-                f"{ADDRESS}, each once",
+                'entries: contains "a:2" twice; allowed: a list of one or more '
+                f"distinct addresses, each {ADDRESS}",
+                'entries: contains "a:70000"; allowed: a list of one or more '
+                f"distinct addresses, each {ADDRESS}",
             ],
         ),
         (
@@ -47,14 +48,14 @@
         (
             GOOD_SETTINGS + 'operator = 4\ncontrollers = ["here"]\n',
             [
-                'controllers: contains "here"; allowed: a list of at least one '
-                f"{ADDRESS}, each once",
-                "operator: is 4; allowed: your name as a text",
+                'controllers: contains "here"; allowed: a list of one or more '
+                f"distinct addresses, each {ADDRESS}",
+                "operator: is 4; allowed: your name in quotation marks",
             ],
         ),
     ],
 )
-def test_problems_of_settings(tmp_path, text, messages):
+def test_invalid_settings_are_reported(tmp_path, text, messages):
     """Guards against invalid settings that pass the check and cause failures later."""
     path = tmp_path / "lycheeloom.toml"
     path.write_text(text)
