Keep records within the limits of the store, and refusals true

Cause, by reading: a record or append above the limits of the store is refused each time. One submission of that size refused all submissions of its group, and a progress record of that size kept the leader, and each later one, from renewing its lease. A job that is too large is refused alone; appends are cut at the limit; checkpoints are left out of progress that would not fit.

--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -16,6 +16,8 @@
 from .clock import steady_s
 from .ports import (
     APPEND_TIMEOUT_S,
+    MAX_APPEND_BYTES,
+    MAX_RECORD_BYTES,
     Appended,
     AppendResult,
     AppendUnknown,
@@ -38,6 +40,8 @@
 # most callers (3 s).
 MAX_APPEND_TIMEOUT_S = 1.6
 RETRY_PAUSE_S = 0.1
+# The store may carry out an append without an answer this long after it was sent.
+MAX_LATE_APPEND_S = 30.0
 
 
 class Verdict(Enum):
@@ -49,6 +53,8 @@
     # The store did not answer; the job may run.
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no_such_job"
+    # The job is too large to be recorded.
+    TOO_LARGE = "too_large"
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,20 +77,30 @@
 class Intake:
     """Records submissions and cancellations, and answers once they are durable."""
 
-    def __init__(self, store: StorePort, replica: Replica) -> None:
+    def __init__(
+        self,
+        store: StorePort,
+        replica: Replica,
+        max_record_bytes: int = MAX_RECORD_BYTES,
+        max_append_bytes: int = MAX_APPEND_BYTES,
+    ) -> None:
         self._store = store
         self.replica = replica
+        self._max_record_bytes = max_record_bytes
+        self._max_append_bytes = max_append_bytes
         self._pending: list[_PendingRecord] = []
         self._has_pending = Event()
         self._timeout_s = APPEND_TIMEOUT_S
+        # Until when an append of a record without an answer may still be carried out,
+        # by the record's key; in the order of these times.
+        self._unsettled_until_s_by_key: dict[str, float] = {}
 
     def run(self) -> None:
         """Append pending records in groups, forever."""
         while True:
             self._has_pending.wait()
             gevent.sleep(GROUP_PAUSE_S)
-            group = self._pending[:MAX_RECORDS_PER_APPEND]
-            del self._pending[:MAX_RECORDS_PER_APPEND]
+            group = self._take_group()
             if not self._pending:
                 self._has_pending.clear()
             if group:
@@ -101,7 +117,14 @@
         entry = self.replica.table.entry_by_id.get(job.job_id)
         if entry is not None and entry.job is not None:
             return Decision(Verdict.ACCEPTED, "known")
-        return self._record(Record(key_of(Kind.JOB, job.job_id), encode(job)))
+        record = Record(key_of(Kind.JOB, job.job_id), encode(job))
+        if record.size_bytes > self._max_record_bytes:
+            return Decision(
+                Verdict.TOO_LARGE,
+                f"the record of the job has {record.size_bytes} bytes of at most "
+                f"{self._max_record_bytes}",
+            )
+        return self._record(record)
 
     def cancel(self, job_id: str) -> Decision:
         """Record the cancellation of a job, unless the job has ended.
@@ -132,6 +155,45 @@
         return self.state(job_id) or Decision(Verdict.NO_SUCH_JOB)
 
     def _record(self, record: Record) -> Decision:
+        """Record an entry of the log; a refusal means that it is not in the log.
+
+        If an earlier append of the same record had no answer, that append may still be
+        carried out, so a refusal of this one leaves the outcome unknown.
+        """
+        decision = self._append_and_wait(record)
+        match decision.verdict:
+            case Verdict.ACCEPTED:
+                self._unsettled_until_s_by_key.pop(record.key, None)
+            case Verdict.UNKNOWN:
+                self._note_unsettled(record.key)
+            case Verdict.NOT_ACCEPTED if self._is_unsettled(record.key):
+                return Decision(Verdict.UNKNOWN, decision.reason)
+        return decision
+
+    def _note_unsettled(self, key: str) -> None:
+        now_s = steady_s()
+        until_s_by_key = self._unsettled_until_s_by_key
+        until_s_by_key.pop(key, None)
+        until_s_by_key[key] = now_s + MAX_LATE_APPEND_S
+        while until_s_by_key[oldest := next(iter(until_s_by_key))] < now_s:
+            del until_s_by_key[oldest]
+
+    def _is_unsettled(self, key: str) -> bool:
+        return self._unsettled_until_s_by_key.get(key, 0.0) > steady_s()
+
+    def _take_group(self) -> list[_PendingRecord]:
+        """Take the pending records that fit into one append, oldest first."""
+        group: list[_PendingRecord] = []
+        size_bytes = 0
+        for pending in self._pending[:MAX_RECORDS_PER_APPEND]:
+            size_bytes += pending.record.size_bytes
+            if group and size_bytes > self._max_append_bytes:
+                break
+            group.append(pending)
+        del self._pending[: len(group)]
+        return group
+
+    def _append_and_wait(self, record: Record) -> Decision:
         """Queue a record for the next append and wait for its result."""
         if not self.replica.reaches_store:
             return Decision(Verdict.NOT_ACCEPTED, "store not reached")
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -123,13 +123,22 @@
             active_job = self.active_job_by_id.get(job_id)
             if active_job is None:
                 continue
-            records.append(
-                Record(key_of(Kind.PROGRESS, job_id), encode(active_job.progress()))
-            )
+            records.append(self._progress_record(active_job))
         self._changed_job_ids.clear()
         if records:
             self.last_commit = self._writer.write(records)
 
+    def _progress_record(self, active_job: ActiveJob) -> Record:
+        """Return the progress of a job, without checkpoints if it is too large.
+
+        Without its checkpoint, a task that starts again does so from the beginning.
+        """
+        key = key_of(Kind.PROGRESS, active_job.job.job_id)
+        record = Record(key, encode(active_job.progress()))
+        if record.size_bytes <= self._writer.max_record_bytes:
+            return record
+        return Record(key, encode(active_job.progress(with_checkpoints=False)))
+
     def put_back(self, run: Run, reason: str) -> None:
         """Return the task of an unfinished run to the waiting ones.
 
--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -10,7 +10,13 @@
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s
-from .ports import Appended, ConditionFailed, StorePort
+from .ports import (
+    MAX_APPEND_BYTES,
+    MAX_RECORD_BYTES,
+    Appended,
+    ConditionFailed,
+    StorePort,
+)
 from .replica import Replica
 from .writer import LEADER_LEASE_S, LeaderWriter
 
@@ -54,6 +60,8 @@
         may_lead: Callable[[], bool],
         rng: random.Random,
         cores: float = MIN_LEADER_CORES,
+        max_record_bytes: int = MAX_RECORD_BYTES,
+        max_append_bytes: int = MAX_APPEND_BYTES,
     ) -> None:
         self._store = store
         self._replica = replica
@@ -62,6 +70,8 @@
         self._may_lead = may_lead
         self._rng = rng
         self.cores = cores
+        self._max_record_bytes = max_record_bytes
+        self._max_append_bytes = max_append_bytes
         # End of the election log if it is known to be past the token of the latest
         # known leader, which means that another instance has claimed the lead; else
         # None.
@@ -157,7 +167,13 @@
             had_leader and not leader.resigned and leader.instance != self._instance
         )
         writer = LeaderWriter(
-            self._store, token, self._instance, lambda: None, self.cores
+            self._store,
+            token,
+            self._instance,
+            lambda: None,
+            self.cores,
+            self._max_record_bytes,
+            self._max_append_bytes,
         )
         self.writer = writer
         end = writer.open(FENCE_TIMEOUT_S)
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -13,6 +13,10 @@
 
 # An append without an answer within this time has an unknown outcome.
 APPEND_TIMEOUT_S = 0.8
+# Limits of the store on one record and on the records of one append, unless the
+# settings name others.
+MAX_RECORD_BYTES = 262_144
+MAX_APPEND_BYTES = 2_097_152
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -11,7 +11,14 @@
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s
-from .ports import Appended, Fenced, Producer, StorePort
+from .ports import (
+    MAX_APPEND_BYTES,
+    MAX_RECORD_BYTES,
+    Appended,
+    Fenced,
+    Producer,
+    StorePort,
+)
 
 # Duration of the leader's lease, from the start of its last successful append. Other
 # instances wait longer than this before they take over.
@@ -63,8 +70,12 @@
         instance: str,
         on_fenced: Callable[[], None],
         cores: float = 0.0,
+        max_record_bytes: int = MAX_RECORD_BYTES,
+        max_append_bytes: int = MAX_APPEND_BYTES,
     ) -> None:
         self.token = token
+        self.max_record_bytes = max_record_bytes
+        self._max_append_bytes = max_append_bytes
         # By the monotonic clock.
         self.lease_until_s = 0.0
         self._store = store
@@ -113,8 +124,21 @@
         return True
 
     def write(self, records: list[Record]) -> Commit:
-        """Queue records; the returned commit becomes durable when they are written."""
+        """Queue records; the returned commit becomes durable when they are written.
+
+        A record that the store would not accept is left out: repeating its append would
+        keep this leader from renewing its lease, and the next leaders too.
+        """
         for record in records:
+            if record.size_bytes > self.max_record_bytes:
+                log_event(
+                    "record_too_large",
+                    level="ERROR",
+                    key=record.key,
+                    size_bytes=record.size_bytes,
+                    max_bytes=self.max_record_bytes,
+                )
+                continue
             self._pending_value_by_key[record.key] = record.value
         self._has_pending_records.set()
         return self._commit
@@ -124,8 +148,7 @@
         while not self.is_fenced:
             self._has_pending_records.wait(RENEWAL_INTERVAL_S)
             self._has_pending_records.clear()
-            keys = list(self._pending_value_by_key)[:MAX_RECORDS_PER_APPEND]
-            batch = [Record(key, self._pending_value_by_key.pop(key)) for key in keys]
+            batch = self._take_batch()
             if self._pending_value_by_key:
                 # Only the batch with the last pending records makes the commit durable
                 # that callers wait for.
@@ -150,6 +173,21 @@
         self.write([self._leader_record(resigned=True)]).wait(timeout_s)
         self.is_fenced = True
 
+    def _take_batch(self) -> list[Record]:
+        """Take the pending records that fit into one append, oldest first."""
+        batch: list[Record] = []
+        size_bytes = 0
+        for key, value in self._pending_value_by_key.items():
+            record = Record(key, value)
+            size_bytes += record.size_bytes
+            is_full = size_bytes > self._max_append_bytes
+            if batch and (is_full or len(batch) >= MAX_RECORDS_PER_APPEND):
+                break
+            batch.append(record)
+        for record in batch:
+            del self._pending_value_by_key[record.key]
+        return batch
+
     def _append(self, batch: list[Record]) -> int | None:
         """Append a batch; return the new end of the log, or None on failure."""
         began_s = steady_s()
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -158,3 +158,45 @@
     store.append_s = 0.0
     wait_until(lambda: intake.replica.reaches_store)
     assert intake.submit(make_job(make_job_id(3))).verdict is Verdict.ACCEPTED
+
+
+def test_refusal_of_a_repeated_call_is_not_claimed_after_an_unknown_outcome(
+    store, intake
+):
+    """A caller must not hear "not run" while its first attempt may still be recorded.
+
+    The first submission gets no answer, and the store refuses the second one.
+    """
+    store.failures = [AppendUnknown("no answer in time")]
+    assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
+    store.failures = [NotAppended("status 503")]
+    assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
+    assert intake.submit(make_job(make_job_id(5))).verdict is Verdict.NOT_ACCEPTED
+    store.failures = []
+    assert intake.submit(make_job()).verdict is Verdict.ACCEPTED
+    store.is_down = True
+    wait_until(lambda: not intake.replica.reaches_store)
+    assert intake.submit(make_job(make_job_id(6))).verdict is Verdict.NOT_ACCEPTED
+
+
+def test_job_that_is_too_large_is_refused_alone(store):
+    """A job that the store never accepts must not be tried, nor with others."""
+    intake = Intake(store, Replica(store), max_record_bytes=50)
+    assert intake.submit(make_job()).verdict is Verdict.TOO_LARGE
+    assert store.begun_appends == 0
+
+
+def test_submissions_are_grouped_up_to_the_limit_of_an_append(store):
+    """Large submissions must not make an append that the store refuses whole."""
+    replica = Replica(store)
+    intake = Intake(store, replica, max_append_bytes=1_000)
+    greenlets = [gevent.spawn(replica.run), gevent.spawn(intake.run)]
+    wait_until(lambda: replica.reaches_store)
+    calls = [
+        gevent.spawn(intake.submit, make_job(make_job_id(number)))
+        for number in range(30)
+    ]
+    gevent.joinall(calls)
+    gevent.killall(greenlets)
+    assert all(call.value.verdict is Verdict.ACCEPTED for call in calls)
+    assert store.begun_appends > 3
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -148,13 +148,13 @@
         if not self.is_final:
             self.state = JobState.CANCELLED
 
-    def progress(self) -> JobProgress:
+    def progress(self, *, with_checkpoints: bool = True) -> JobProgress:
         """Return the progress record from which another leader can continue."""
         return JobProgress(
             self.state,
             self.highest_run,
             tuple(
-                _step_progress(step_key, step_tasks)
+                _step_progress(step_key, step_tasks, with_checkpoints)
                 for step_key, step_tasks in self.tasks_by_step.items()
                 if step_tasks.done
                 or step_tasks.failures_by_index
@@ -233,16 +233,19 @@
     return chain_ms_by_step
 
 
-def _step_progress(step_key: StepKey, step_tasks: StepTasks) -> StepProgress:
+def _step_progress(
+    step_key: StepKey, step_tasks: StepTasks, with_checkpoints: bool
+) -> StepProgress:
     bits = bytearray((step_tasks.step.count + 7) // 8)
     for index in step_tasks.done:
         bits[index // 8] |= 1 << index % 8
+    checkpoint_by_index = step_tasks.checkpoint_by_index if with_checkpoints else {}
     return StepProgress(
         step_key[0],
         step_key[1],
         bytes(bits),
         tuple(step_tasks.failures_by_index.values()),
-        tuple(TaskCheckpoint(i, c) for i, c in step_tasks.checkpoint_by_index.items()),
+        tuple(TaskCheckpoint(i, c) for i, c in checkpoint_by_index.items()),
     )
 
 
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -131,6 +131,15 @@
     key: str
     value: bytes
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the record in the store.
+
+        Besides key and value, these are the length of the key in one byte and the
+        length of the record in four.
+        """
+        return len(self.key.encode()) + len(self.value) + 5
+
 
 _STRUCT_BY_TYPE = {
     Job: _SCHEMA.Job,
