Let an odd entry or an unexpected error cost only itself

- Loops run again after an unexpected exception, which is logged and counted; a record that fails does not stop the ones behind it; a leader whose writer fails gives up.
- Workers of pools that the configuration does not name are not called.
- Moves, maintenance, stops and paces are not sent once the leader may not act, also if its lease ends while it waits for a connection or for its turn.
- A worker that restarts under its id keeps its backoff.

--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import http.client
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import gevent
@@ -84,10 +84,13 @@
         body: bytes | None = None,
         headers: Mapping[str, str] = BASE_HEADERS,
         timeout_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> Response | CallFailed:
         """Make one call, which takes at most ``timeout_s``.
 
-        The connection is closed unless its response was read to the end.
+        ``may_send`` is asked right before the request is sent, when the connection
+        stands: a permission may run out while a process is paused or waits for a
+        connection. The connection is closed unless its response was read to the end.
         """
         idle_connections = self._idle_by_address.get(address)
         if idle_connections is None:
@@ -96,7 +99,9 @@
         deadline = gevent.Timeout.start_new(timeout_s)
         result: Response | CallFailed | None = None
         try:
-            result = self._exchange(connection, method, path, body, headers, timeout_s)
+            result = self._exchange(
+                connection, method, path, body, headers, timeout_s, may_send
+            )
         except gevent.Timeout as timeout:
             if timeout is not deadline:
                 # The timeout belongs to the code that made the call.
@@ -118,11 +123,17 @@
         body: bytes | None,
         headers: Mapping[str, str],
         timeout_s: float,
+        may_send: Callable[[], bool] | None,
     ) -> Response | CallFailed:
         # The attempt to connect must time out before the deadline of the call: a failed
         # attempt shows that nothing was sent, a missed deadline does not.
         connection.timeout = min(self._connect_timeout_s, timeout_s / 2)
         try:
+            if may_send is not None:
+                if connection.sock is None:
+                    connection.connect()
+                if not may_send():
+                    return CallFailed(False, "no longer permitted")
             connection.request(
                 method,
                 path,
@@ -138,6 +149,10 @@
             return CallFailed(False, f"not connected: {_describe(error)}")
         except (HTTPError, http.client.HTTPException, OSError) as error:
             return CallFailed(True, _describe(error))
+        except (OverflowError, ValueError) as error:
+            # Raised for a port or a header that no request can have, and for some
+            # malformed responses.
+            return CallFailed(True, f"invalid request or response: {error}"[:200])
         if len(content) > MAX_RESPONSE_BYTES:
             return CallFailed(True, "answer too large")
         # urllib3 reports a missing part only at the next read.
--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -21,6 +21,7 @@
 from .ports import CallOutcome, WorkerPort
 from .replica import Replica
 from .round_timer import RoundTimer
+from .supervision import note_failure, run_supervised
 from .task_orders import TaskOrders
 from .view import View
 from .worker_link import WorkerLink
@@ -94,16 +95,18 @@
         """Stop a run; it counts as running until the worker no longer has it."""
         self._orders.stop_run(run, reason)
 
-    def run(self, background_loops: Iterable[Callable[[], None]] = ()) -> None:
+    def run(
+        self, background_loop_by_name: Mapping[str, Callable[[], None]] | None = None
+    ) -> None:
         """Schedule tasks until the leader is fenced.
 
-        ``background_loops`` run in greenlets meanwhile, which are killed at the end.
+        The background loops run in greenlets meanwhile, which are killed at the end.
         """
         self._registry.inherit()
         self.replica.add_listener(self._registry.on_record)
-        self._spawn(self.writer.run)
-        for loop in background_loops:
-            self._spawn(loop)
+        self._greenlets.append(gevent.spawn(self._write))
+        for name, loop in (background_loop_by_name or {}).items():
+            self._spawn(name, loop)
         try:
             while not self.writer.is_fenced:
                 self._round_timer.begin()
@@ -199,7 +202,10 @@
     def _sync_worker(self, worker: Worker) -> None:
         link = self.link_by_id.get(worker.worker_id)
         if link is None:
-            self._add_worker(worker)
+            # A pool that the policy does not name may be an error of another writer.
+            policy = self.view.policy
+            if not policy.version or worker.pool in policy.pool_by_name:
+                self._add_worker(worker)
             return
         if worker.started_ms < link.worker.started_ms:
             # The platform still lists an earlier incarnation.
@@ -225,7 +231,7 @@
             self._needs_frequent_polls,
         )
         self.link_by_id[worker.worker_id] = link
-        self._spawn(link.run)
+        self._spawn("worker_link", link.run)
 
     def _replace_incarnation(self, worker: Worker, reason: str) -> None:
         """Track the new incarnation of a worker that has restarted under its id.
@@ -236,10 +242,14 @@
         """
         worker_id = worker.worker_id
         self.link_by_id.pop(worker_id).is_stopped = True
-        is_cordoned = self.fleet.state_by_id[worker_id].is_cordoned
+        former_state = self.fleet.state_by_id[worker_id]
         runs = self.fleet.remove_worker(worker_id)
         self._add_worker(worker)
-        self.fleet.state_by_id[worker_id].is_cordoned = is_cordoned
+        # A restart does not show that the worker or its instance has been repaired.
+        state = self.fleet.state_by_id[worker_id]
+        state.is_cordoned = former_state.is_cordoned
+        state.backoff_until_s = former_state.backoff_until_s
+        state.consecutive_failures = former_state.consecutive_failures
         kept = [run for run in runs if not run.is_listed]
         for run in kept:
             self.fleet.add_run(run)
@@ -347,5 +357,18 @@
             self._orders.begin(start, now_s)
         return len(starts)
 
-    def _spawn(self, target, *args) -> None:
-        self._greenlets.append(gevent.spawn(target, *args))
+    def _write(self) -> None:
+        """Write the leader's records.
+
+        After an unexpected exception, some records may be lost, so this instance gives
+        up the lead: the next leader learns the ends of runs from the workers.
+        """
+        try:
+            self.writer.run()
+        except Exception as error:
+            note_failure("leader_writer", error, token=self.writer.token)
+            self.writer.is_fenced = True
+            self.wake()
+
+    def _spawn(self, name: str, loop: Callable[[], None]) -> None:
+        self._greenlets.append(gevent.spawn(run_supervised, name, loop))
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -44,6 +44,14 @@
     "Moves and maintenance ordered, by outcome",
     ["kind", "outcome"],
 )
+UNEXPECTED_ERRORS = Counter(
+    "lycheeloom_unexpected_errors", "Unexpected exceptions, by part", ["part"]
+)
+UNREADABLE_RECORDS = Counter(
+    "lycheeloom_unreadable_records",
+    "Records of other writers that were left out, by topic",
+    ["topic"],
+)
 LEADING = Gauge("lycheeloom_leading", "1 while this process leads")
 TOKEN = Gauge("lycheeloom_fencing_token", "Token of the newest leader known here")
 POLICY_VERSION = Gauge("lycheeloom_policy_version", "Configuration in force here")
--- a/libs/coordinator/src/lycheeloom/coordinator/pacer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pacer.py
@@ -59,6 +59,8 @@
     def _send_pace(
         self, state: WorkerState, run: Run, percent: int, worst_latency_ratio: float
     ) -> None:
+        if not self._dispatcher.writer.may_act:
+            return
         reply = self._port.pace(
             state.worker, str(run.task), run.run, percent, self._dispatcher.writer.token
         )
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -7,12 +7,14 @@
 import gevent
 from gevent.event import Event
 
-from lycheeloom.jobs.records import Kind
+from lycheeloom.jobs.records import Kind, Record
 from lycheeloom.jobs.table import AppliedRecord, JobTable
 from lycheeloom.telemetry import log_event
 
+from . import metrics
 from .clock import steady_s, wall_ms
 from .ports import Log, ReadFailed, RecordsDropped, RecordsRead, StorePort
+from .supervision import note_failure, run_supervised
 
 # Long-poll timeout of a read that finds no new records.
 READ_WAIT_S = 1.0
@@ -84,7 +86,10 @@
     def run(self) -> None:
         """Load and follow the logs forever."""
         gevent.joinall(
-            [gevent.spawn(follower.run) for follower in self._followers.values()]
+            [
+                gevent.spawn(run_supervised, f"log_{log.value}", follower.run)
+                for log, follower in self._followers.items()
+            ]
         )
 
     def load(self) -> bool:
@@ -114,16 +119,24 @@
         those found while loading the log.
         """
         for offset, record in result.records:
-            applied = self.table.apply(offset, record)
-            if applied is None:
-                continue
-            # Only leaders write records of the other kinds.
-            if applied.kind not in (Kind.JOB, Kind.CANCELLATION, Kind.BID):
-                self.leader_seen_s = steady_s()
-            if applied.kind is Kind.ORDER:
-                self._note_order(applied.name, is_live)
-            for listener in list(self._listeners):
-                listener(applied)
+            try:
+                self._apply_record(offset, record, is_live)
+            except Exception as error:
+                # The records that follow must not wait behind this one.
+                metrics.UNREADABLE_RECORDS.labels("jobs").inc()
+                note_failure("replica", error, offset=offset, key=record.key)
+
+    def _apply_record(self, offset: int, record: Record, is_live: bool) -> None:
+        applied = self.table.apply(offset, record)
+        if applied is None:
+            return
+        # Only leaders write records of the other kinds.
+        if applied.kind not in (Kind.JOB, Kind.CANCELLATION, Kind.BID):
+            self.leader_seen_s = steady_s()
+        if applied.kind is Kind.ORDER:
+            self._note_order(applied.name, is_live)
+        for listener in list(self._listeners):
+            listener(applied)
 
     def _note_order(self, instance_id: str, is_live: bool) -> None:
         ordered_ms = self.table.ordered_ms_by_instance.get(instance_id)
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -280,6 +280,8 @@
                 return
             if self._writer.may_act:
                 reply = self._send_stop(link.worker, str(run.task), run.run)
+                if reply is None:
+                    continue
                 if self._link_by_id.get(run.worker_id) is not link:
                     # The answer is from a former incarnation of the worker.
                     continue
@@ -291,13 +293,21 @@
                     return
             gevent.sleep(STOP_RETRY_DELAY_S)
 
-    def _send_stop(self, worker: Worker, task: str, run: int) -> CallReply:
+    def _send_stop(self, worker: Worker, task: str, run: int) -> CallReply | None:
+        """Send a stop order; return None if this instance may not act any more.
+
+        The order may have waited for other stop orders without an answer.
+        """
         with self._stop_slots:
+            if not self._writer.may_act:
+                return None
             return self._workers.stop(worker, task, run, self._writer.token)
 
     def _stop_listed(self, worker: Worker, row: RunningTask) -> None:
         # Sent once: the next list that contains the run triggers another stop.
         reply = self._send_stop(worker, str(row.task), row.run)
+        if reply is None:
+            return
         log_event(
             "task_stop",
             task=row.task,
--- a/libs/coordinator/tests/faulty_cluster.py
+++ b/libs/coordinator/tests/faulty_cluster.py
@@ -179,7 +179,7 @@
         self._cluster.monitor.note(f"{self.name} leads with token {writer.token}")
         self.dispatcher = Dispatcher(self, self._replica, writer, self.view)
         inventory = Inventory(self, writer, self.dispatcher.note_instances)
-        self.dispatcher.run([inventory.run])
+        self.dispatcher.run({"inventory": inventory.run})
 
 
 class FaultyCluster:
--- a/libs/coordinator/tests/test_leader_tasks.py
+++ b/libs/coordinator/tests/test_leader_tasks.py
@@ -206,3 +206,26 @@
     wait_until(lambda: ("m-off", "pool") in port.moves)
     key = key_of(Kind.ORDER, "m-off")
     assert key in {record.key for record in cluster.store.records}
+
+
+def test_stop_that_waited_is_not_sent_after_the_lease_of_the_leader(cluster):
+    """A leader must not order anything once others may have taken over.
+
+    The stop waits for its turn behind stops that are not answered.
+    """
+    cluster.store.add_job(make_job(JOB_ID, Step(1, 1000)))
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 1)
+    stops = []
+    cluster.workers.stop = lambda *args: stops.append(args)
+    slots = dispatcher._orders._stop_slots
+    while not slots.locked():
+        slots.acquire()
+    (run,) = next(iter(dispatcher.fleet.runs_by_task.values()))
+    dispatcher.stop_run(run, "test")
+    gevent.sleep(0.05)
+    cluster.store.is_down = True
+    wait_until(lambda: not dispatcher.writer.may_act)
+    slots.release()
+    gevent.sleep(0.3)
+    assert stops == []
--- a/libs/coordinator/tests/test_restarted_workers.py
+++ b/libs/coordinator/tests/test_restarted_workers.py
@@ -13,6 +13,7 @@
     wait_until,
 )
 
+from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.ports import CallOutcome
 
@@ -95,3 +96,17 @@
     wait_until(lambda: bool(worker.highest_closed_run_by_task))
     first_start = worker.delayed_starts[0]
     assert cluster.workers.carry_out_start("w0", first_start) is CallOutcome.OLD_RUN
+
+
+def test_restarted_worker_keeps_its_backoff(cluster):
+    """A worker that fails all its tasks must not get new ones by restarting."""
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: "w0" in dispatcher.link_by_id)
+    state = dispatcher.fleet.state_by_id["w0"]
+    state.backoff_until_s, state.consecutive_failures = steady_s() + 600.0, 5
+    cluster.workers.restart("w0", RESTARTED_MS)
+    list_restarted(cluster, "w0")
+    wait_until(lambda: dispatcher.fleet.state_by_id["w0"] is not state)
+    restarted = dispatcher.fleet.state_by_id["w0"]
+    assert restarted.backoff_until_s == state.backoff_until_s
+    assert restarted.consecutive_failures == 5
