--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from lycheeloom.wire.checksum import strip_checksum
+
 from .model import FINAL_STATES, Job, JobState
 from .records import (
     InstanceOrder,
@@ -26,7 +28,20 @@
 
     job: Job | None = None
     cancelled: bool = False
-    progress: JobProgress | None = None
+    # The latest progress record while it is not decoded, else empty. Most records are
+    # replaced before anybody needs them, and every instance reads those of all jobs.
+    encoded_progress: bytes = b""
+    _decoded_progress: JobProgress | None = None
+
+    @property
+    def progress(self) -> JobProgress | None:
+        """Return the latest progress; None if there is none yet."""
+        if self.encoded_progress:
+            decoded = decode(JobProgress, self.encoded_progress)
+            self.encoded_progress = b""
+            if decoded is not None:
+                self._decoded_progress = decoded
+        return self._decoded_progress
 
     @property
     def state(self) -> JobState:
@@ -107,9 +122,9 @@
                 self._entry(name).cancelled = True
                 return AppliedRecord(kind, name)
             case Kind.PROGRESS:
-                decoded = decode(JobProgress, value)
+                decoded = strip_checksum(value)
                 if decoded is not None:
-                    self._entry(name).progress = decoded
+                    self._entry(name).encoded_progress = value
             case Kind.LEADER:
                 decoded = decode(LeaderRecord, value)
                 if decoded is not None:
