--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -246,3 +246,26 @@
     ]
     assert {type(result) for result in unavailable} == {Unavailable}
     standin.stop()
+
+
+def test_permission_is_asked_for_when_the_connection_stands(transport, worker):
+    """A permission may run out while a process waits for a connection.
+
+    Nothing must be sent then, and the call must say so.
+    """
+    connections_when_asked = []
+
+    def refuse() -> bool:
+        gevent.sleep(SHORT_S)
+        connections_when_asked.append(worker.connections_opened)
+        return False
+
+    result = transport.call(
+        worker.address, "GET", "/v1/faults", timeout_s=LONG_S, may_send=refuse
+    )
+    assert result == CallFailed(False, "no longer permitted")
+    assert connections_when_asked == [1]
+    allowed = transport.call(
+        worker.address, "GET", "/v1/faults", timeout_s=LONG_S, may_send=lambda: True
+    )
+    assert isinstance(allowed, Response)
