Read the logs on request on instances too small to lead first

A caller's request for the state of a job that has not ended reads the leader's log up to its end, on every instance: the state is current, where it was up to 0.15 s old. Small instances, which lead only if no larger one can, otherwise read the logs every 0.45 and 0.8 s.

--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -145,10 +145,13 @@
         return entry.state if entry is not None and entry.job is not None else None
 
     def look_up(self, job_id: str) -> JobState | Decision:
-        """Return the state of a job, reading the callers' log if it is not known."""
+        """Return the state of a job, reading the logs if it may have changed."""
         state = self.state(job_id)
-        if state is not None:
+        if state in FINAL_STATES:
             return state
+        if state is not None:
+            self.replica.refresh_progress()
+            return self.state(job_id) or state
         # The job may have just been submitted to another instance.
         if not self.replica.refresh_jobs():
             return Decision(Verdict.NOT_ACCEPTED, "store not reached")
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -21,6 +21,12 @@
 # Pause after a read, so that many small appends are fetched together. A caller's
 # request for a job that is not known yet triggers a read: see ``refresh_jobs``.
 PAUSE_S_BY_LOG = {Log.CALLERS: 0.4, Log.LEADER: 0.15}
+# The same on an instance that leads only if no larger one can, and that may notice
+# later that a leader is silent. A caller's request for a state triggers a read too: see
+# ``refresh_progress``.
+SMALL_INSTANCE_PAUSE_S_BY_LOG = {Log.CALLERS: 0.8, Log.LEADER: 0.45}
+# Progress that was read within this time is shown to callers without another read.
+MAX_PROGRESS_AGE_S = 0.05
 # The leader reads more often, as task starts wait for its reads.
 LEADER_PAUSE_S = 0.015
 RETRY_PAUSE_S = 0.2
@@ -32,10 +38,15 @@
 
 
 class Replica:
-    """The job table of this instance, kept up to date from the logs."""
+    """The job table of this instance, kept up to date from the logs.
 
-    def __init__(self, store: StorePort) -> None:
+    ``is_small`` is set on an instance that leads only if no larger one can; it reads
+    the logs less often.
+    """
+
+    def __init__(self, store: StorePort, *, is_small: bool = False) -> None:
         self.table = JobTable()
+        self.is_small = is_small
         # Set by ``Leadership``; the logs are read more often meanwhile.
         self.is_leading = False
         # When a record written by a leader was last read, or the leader's log was last
@@ -107,6 +118,18 @@
         """Read the callers' log up to its end; return whether that succeeded."""
         return self._followers[Log.CALLERS].catch_up()
 
+    def refresh_progress(self) -> None:
+        """Read the leader's log up to its end, unless it has just been read.
+
+        Does nothing while the store does not answer, so that callers are not kept
+        waiting for it.
+        """
+        follower = self._followers[Log.LEADER]
+        is_recent = steady_s() - follower.read_at_s < MAX_PROGRESS_AGE_S
+        if self.is_leading or is_recent or follower.failing_for_s:
+            return
+        follower.catch_up()
+
     def refresh_leader(self) -> int | None:
         """Read the leader's log up to its end and return that, or None on failure."""
         follower = self._followers[Log.LEADER]
@@ -177,8 +200,14 @@
             if not self._read(READ_WAIT_S):
                 gevent.sleep(RETRY_PAUSE_S)
                 continue
-            is_leading = self._replica.is_leading
-            gevent.sleep(LEADER_PAUSE_S if is_leading else PAUSE_S_BY_LOG[self._log])
+            gevent.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        if self._replica.is_leading:
+            return LEADER_PAUSE_S
+        if self._replica.is_small:
+            return SMALL_INSTANCE_PAUSE_S_BY_LOG[self._log]
+        return PAUSE_S_BY_LOG[self._log]
 
     def load(self) -> bool:
         began_s = steady_s()
--- a/libs/coordinator/tests/test_intake.py
+++ b/libs/coordinator/tests/test_intake.py
@@ -13,9 +13,11 @@
     AppendUnknown,
     Log,
     NotAppended,
+    Producer,
 )
-from lycheeloom.coordinator.replica import Replica
-from lycheeloom.jobs.records import Kind, key_of
+from lycheeloom.coordinator.replica import MAX_PROGRESS_AGE_S, Replica
+from lycheeloom.jobs.model import JobState
+from lycheeloom.jobs.records import JobProgress, Kind, Record, encode, key_of
 
 # Callers of the platform time out after three seconds.
 CALLER_DEADLINE_S = 3.0
@@ -200,3 +202,55 @@
     gevent.killall(greenlets)
     assert all(call.value.verdict is Verdict.ACCEPTED for call in calls)
     assert store.begun_appends > 3
+
+
+@pytest.fixture
+def small_instance(store):
+    """An ``Intake`` of a small instance, which reads the logs only now and then."""
+    replica = Replica(store, is_small=True)
+    assert replica.load()
+    return Intake(store, replica)
+
+
+def test_state_is_current_on_an_instance_that_reads_rarely(store, small_instance):
+    """A caller must see the end of its job when it asks, not some time later.
+
+    Load pattern: a hundred instances read the logs of all jobs. Small ones read less
+    often, and read on request.
+    """
+    job = make_job()
+    store.append([Record(key_of(Kind.JOB, JOB_ID), encode(job))])
+    assert small_instance.look_up(JOB_ID) is JobState.QUEUED
+    gevent.sleep(MAX_PROGRESS_AGE_S)
+    progress = JobProgress(JobState.COMPLETED)
+    store.append(
+        [Record(key_of(Kind.PROGRESS, JOB_ID), encode(progress))], Producer(1, 0)
+    )
+    assert small_instance.look_up(JOB_ID) is JobState.COMPLETED
+
+
+def test_state_is_answered_while_the_store_is_away(store, small_instance):
+    """A caller must get the state that is known while the store does not answer."""
+    store.append([Record(key_of(Kind.JOB, JOB_ID), encode(make_job()))])
+    assert small_instance.look_up(JOB_ID) is JobState.QUEUED
+    store.is_down = True
+    gevent.sleep(MAX_PROGRESS_AGE_S)
+    assert small_instance.look_up(JOB_ID) is JobState.QUEUED
+    reads = []
+    store.read = lambda *args: reads.append(args)
+    assert small_instance.look_up(JOB_ID) is JobState.QUEUED
+    assert reads == []
+
+
+def test_known_end_of_a_job_needs_no_read(store, small_instance):
+    """The state of a job that has ended must not cost a read of the store."""
+    progress = JobProgress(JobState.COMPLETED)
+    store.append([Record(key_of(Kind.JOB, JOB_ID), encode(make_job()))])
+    store.append(
+        [Record(key_of(Kind.PROGRESS, JOB_ID), encode(progress))], Producer(1, 0)
+    )
+    assert small_instance.replica.load()
+    reads = []
+    store.read = lambda *args: reads.append(args)
+    assert small_instance.look_up(JOB_ID) is JobState.COMPLETED
+    assert reads == []
