--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,14 @@
 
 from __future__ import annotations
 
+import os
+import re
+import shutil
 import signal
 import socket
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 import gevent
 import pytest
@@ -23,6 +27,8 @@
 
 # Ends a test whose condition never becomes true. No other result depends on this time.
 WAIT_TIMEOUT_S = 60.0
+# Removed when all tests are run again; ``target`` is not under version control.
+LOGS_FOLDER = Path(__file__).resolve().parent.parent / "target" / "test-logs"
 
 
 def wait_until(condition: Callable[[], object]) -> object:
@@ -129,17 +135,31 @@
 def yield_harness(**options: int) -> object:
     """Start a fleet, yield it once every entry holds its grants, and end it.
 
-    This is a generator, from which fixtures are made.
+    This is a generator, from which fixtures are made. The logs of the programs are kept
+    in ``LOGS_FOLDER``, as a failure seen once can only be traced in them.
     """
     with running_fleet() as fleet:
-        harness = FaultFleet(fleet, entries=3, **options)
-        harness.start()
-        wait_until(
-            lambda: all(
-                holds_all_grants(harness, name) for name in harness.zone_by_entry
+        try:
+            harness = FaultFleet(fleet, entries=3, **options)
+            harness.start()
+            wait_until(
+                lambda: all(
+                    holds_all_grants(harness, name) for name in harness.zone_by_entry
+                )
             )
-        )
-        yield harness
+            yield harness
+        finally:
+            keep_logs(fleet.folder)
+
+
+def keep_logs(folder: Path) -> None:
+    """Copy the logs of a fleet to a folder named by the test that used it last."""
+    test = os.environ.get("PYTEST_CURRENT_TEST", "unknown").partition(" ")[0]
+    name = re.sub(r"[^\w.-]+", "-", test)
+    kept = LOGS_FOLDER / f"{name}-{os.getpid()}"
+    kept.mkdir(parents=True, exist_ok=True)
+    for log in folder.glob("*.log"):
+        shutil.copy(log, kept)
 
 
 def holds_all_grants(harness: FaultFleet, name: str) -> bool:
--- a/tests/run_parts.py
+++ b/tests/run_parts.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import re
+import shutil
 import signal
 import subprocess
 import sys
@@ -125,6 +126,7 @@
     # this handler, the programs under test would inherit that, but some of them must
     # end on SIGINT.
     signal.signal(signal.SIGINT, signal.default_int_handler)
+    shutil.rmtree(ROOT / "target" / "test-logs", ignore_errors=True)
     known_red = read_known_red(KNOWN_RED_PATH.read_text())
     counts: Counter[str] = Counter()
     passed_over: set[str] = set()
