--- a/libs/clients/src/lycheeloom/clients/__init__.py
+++ b/libs/clients/src/lycheeloom/clients/__init__.py
@@ -1,10 +1,6 @@
-"""Clients of the log service, the workers and the platform's instance service.
+"""Clients of the log service, the workers and the platform's instance service."""
 
-The modules are imported on first use, so that a process loads only those it needs:
-many processes start at the same time after a loss of power.
-"""
-
-from importlib import import_module
+from lycheeloom.model.lazy_exports import lazy_exports
 
 _MODULE_BY_NAME = {
     "ActionRefused": "tasks",
@@ -38,11 +34,4 @@
 }
 __all__ = sorted(_MODULE_BY_NAME)
 
-
-def __getattr__(name: str) -> object:
-    """Import the module that defines a name when the name is first used."""
-    module = _MODULE_BY_NAME.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = globals()[name] = getattr(import_module(f".{module}", __name__), name)
-    return value
+__getattr__ = lazy_exports(__name__, _MODULE_BY_NAME)
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -152,7 +152,7 @@
         except (OverflowError, ValueError) as error:
             # Raised for a port or a header that no request can have, and for some
             # malformed responses.
-            return CallFailed(True, f"invalid request or response: {error}"[:200])
+            return CallFailed(True, f"invalid request or response: {error}")
         if len(content) > MAX_RESPONSE_BYTES:
             return CallFailed(True, "answer too large")
         # urllib3 reports a missing part only at the next read.
--- a/libs/entry/src/lycheeloom/entry/attempt.py
+++ b/libs/entry/src/lycheeloom/entry/attempt.py
@@ -26,7 +26,7 @@
 )
 from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
 from lycheeloom.model.resources import Resources
-from lycheeloom.telemetry import Tracer
+from lycheeloom.telemetry.traces import Tracer
 
 from .local_requests import LocalRequest
 from .sessions import WorkerSessions
--- a/libs/entry/src/lycheeloom/entry/request_handler.py
+++ b/libs/entry/src/lycheeloom/entry/request_handler.py
@@ -11,7 +11,7 @@
 from lycheeloom.model.records import Outcome
 from lycheeloom.model.verdict import MayHaveRun, NotRun, Ran, Refusal, RefusalReason
 from lycheeloom.state import RecordedRequest, RequestStatus
-from lycheeloom.telemetry import Tracer
+from lycheeloom.telemetry.traces import Tracer
 
 from .admission import RequestHeaders, check_request, find_organisation
 from .dispatch import Dispatcher
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -41,7 +41,8 @@
 from lycheeloom.sched import Scheduler
 from lycheeloom.settings import split_address
 from lycheeloom.state import FleetState
-from lycheeloom.telemetry import Tracer, log_event
+from lycheeloom.telemetry import log_event
+from lycheeloom.telemetry.traces import Tracer
 from lycheeloom.wire import OrganisationUsage
 
 from .attempt import AttemptRunner
--- a/libs/entry/tests/test_attempt.py
+++ b/libs/entry/tests/test_attempt.py
@@ -28,7 +28,7 @@
 from lycheeloom.entry.sessions import WorkerSessions
 from lycheeloom.model.limits import SESSION_TTL_S, TASK_LEASE_S
 from lycheeloom.model.resources import NO_RESOURCES
-from lycheeloom.telemetry import Tracer
+from lycheeloom.telemetry.traces import Tracer
 
 PLACEMENT = Placement("w1", "127.0.0.1:1", NO_RESOURCES)
 SILENT = Unavailable("no answer in time")
--- a/libs/entry/tests/test_attempt_renewal.py
+++ b/libs/entry/tests/test_attempt_renewal.py
@@ -7,7 +7,7 @@
 from lycheeloom.entry.attempt import AttemptRunner, Placement, Stopped
 from lycheeloom.entry.local_requests import LocalRequest, Submission
 from lycheeloom.model.resources import Resources
-from lycheeloom.telemetry import Tracer
+from lycheeloom.telemetry.traces import Tracer
 
 SIZE = Resources(1.0, 256)
 
--- a/libs/telemetry/src/lycheeloom/telemetry/__init__.py
+++ b/libs/telemetry/src/lycheeloom/telemetry/__init__.py
@@ -1,28 +1,16 @@
-"""Logging and tracing; for metrics, programs use ``prometheus_client`` directly.
+"""Logging; for metrics, programs use ``prometheus_client`` directly.
 
-The modules are imported on first use, so that a process loads only those it needs:
-many processes start at the same time after a loss of power.
+Tracing is in ``lycheeloom.telemetry.traces``. It is not imported here, as programs
+without traces would otherwise load the libraries of OpenTelemetry.
 """
 
-from importlib import import_module
+from .bounded_output import BoundedOutput, standard_output
+from .logs import configure_logging, format_value, log_event
 
-_MODULE_BY_NAME = {
-    "ActiveSpan": "traces",
-    "BoundedOutput": "bounded_output",
-    "LineSpanExporter": "traces",
-    "Tracer": "traces",
-    "configure_logging": "logs",
-    "format_value": "logs",
-    "log_event": "logs",
-    "standard_output": "bounded_output",
-}
-__all__ = sorted(_MODULE_BY_NAME)
-
-
-def __getattr__(name: str) -> object:
-    """Import the module that defines a name when the name is first used."""
-    module = _MODULE_BY_NAME.get(name)
-    if module is None:
-        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    value = globals()[name] = getattr(import_module(f".{module}", __name__), name)
-    return value
+__all__ = [
+    "BoundedOutput",
+    "configure_logging",
+    "format_value",
+    "log_event",
+    "standard_output",
+]
--- a/libs/telemetry/tests/test_telemetry.py
+++ b/libs/telemetry/tests/test_telemetry.py
@@ -9,8 +9,9 @@
 import gevent
 import pytest
 
-from lycheeloom.telemetry import LineSpanExporter, Tracer, configure_logging, log_event
+from lycheeloom.telemetry import configure_logging, log_event
 from lycheeloom.telemetry.logs import format_value
+from lycheeloom.telemetry.traces import LineSpanExporter, Tracer
 
 
 @pytest.mark.parametrize(
