--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A leader is killed while more than 500 ends wait at one worker."""
+"""A long-running task ends with ``done`` and is not started again."""
 
 from __future__ import annotations
 
@@ -10,42 +10,38 @@
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "standins"))
 
-from rig import CANNOT_RUN, Rig, find_twice, finish, trouble  # noqa: E402
+from rig import CANNOT_RUN, Rig, finish, trouble  # noqa: E402
 
-JOBS = 10
-TASKS_PER_JOB = 90
-# The tasks of each job end a little later than those of the one before.
-FIRST_RUN_MS = 6_000
-STAGGER_MS = 150
+JOB = "00000000000000f1"
+TASKS = 2
+RUN_MS = 5_000
+WATCH_S = 30.0
+# From 6 s after its last run, a task must not wait for 3 s.
+MAX_PAUSE_MS = 9_000
 
 
 def main() -> int:
     with Rig(CASE, nodes=3, workers=2) as rig:
         rig.wait_ready()
-        job_ids = [f"{number + 0xA0:016x}" for number in range(JOBS)]
-        for number, job_id in enumerate(job_ids):
-            run_ms = FIRST_RUN_MS + number * STAGGER_MS
-            step = {"count": TASKS_PER_JOB, "cpu": 10, "estimated_ms": run_ms}
-            job = {"specification": json.dumps({"run_ms": run_ms}), "steps": [step]}
-            if rig.call("POST", job_id, job)[0] != 200:
-                return CANNOT_RUN
-        while rig.left_s(60) > 0:
-            time.sleep(0.1)
-            ended = sum(e["event"] == "end" for e in rig.worker_events())
-            if ended >= 20:
-                break
-        else:
+        how = "done" if trouble() else "failed"
+        specification = json.dumps({"run_ms": RUN_MS, "how": how, "lasts": True})
+        step = {"count": TASKS, "cpu": 1000, "long_running": True}
+        job = {"specification": specification, "steps": [step]}
+        if rig.call("POST", JOB, job)[0] != 200:
             return CANNOT_RUN
-        if trouble():
-            rig.kill(rig.leader())
-        time.sleep(12.0)
-        while rig.left_s(90) > 0:
-            states = {rig.call("GET", i)[1].get("state", "") for i in job_ids}
-            if states == {"completed"}:
-                break
-            time.sleep(0.5)
-        time.sleep(3.0)
-        return finish(find_twice(rig.worker_events()), rig)
+        time.sleep(WATCH_S)
+        until_ms = int(time.monotonic() * 1000)
+        rig.call("GET", JOB)
+        last_by_task = {e["task"]: e for e in rig.worker_events() if "task" in e}
+        if not last_by_task:
+            return CANNOT_RUN
+        breaks = [
+            f"{task}: run {last['run']} ended {last['how']} {until_ms - last['ms']} ms "
+            "ago, and no other has started"
+            for task, last in last_by_task.items()
+            if last["event"] == "end" and until_ms - last["ms"] > MAX_PAUSE_MS
+        ]
+        return finish(breaks, rig)
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A timed job outgrows its progress record; then the leader is killed."""
+"""A leader is killed while more than 500 ends wait at one worker."""
 
 from __future__ import annotations
 
@@ -12,39 +12,39 @@
 
 from rig import CANNOT_RUN, Rig, find_twice, finish, trouble  # noqa: E402
 
-JOB = "00000000000000c1"
-REPETITIONS = 4_000
-STEPS = 1
-INTERVAL_MS = 10
-RUN_MS = 200
-KILL_AFTER_DONE = 3_800
+JOBS = 10
+TASKS_PER_JOB = 90
+# The tasks of each job end a little later than those of the one before.
+FIRST_RUN_MS = 6_000
+STAGGER_MS = 150
 
 
 def main() -> int:
     with Rig(CASE, nodes=3, workers=2) as rig:
         rig.wait_ready()
-        step = {"count": 1, "cpu": 100, "estimated_ms": RUN_MS}
-        job = {
-            "specification": json.dumps({"run_ms": RUN_MS}),
-            "steps": [step] * STEPS,
-            "repetitions": REPETITIONS,
-            "first_run_ms": int(time.time() * 1000) + 500,
-            "interval_ms": INTERVAL_MS,
-        }
-        if rig.call("POST", JOB, job)[0] != 200:
-            return CANNOT_RUN
-        done = 0
-        while done < KILL_AFTER_DONE:
-            time.sleep(0.5)
-            done = sum(e.get("how") == "done" for e in rig.worker_events())
-            if rig.left_s(92) < 0:
-                print(f"only {done} tasks ended in time")
+        job_ids = [f"{number + 0xA0:016x}" for number in range(JOBS)]
+        for number, job_id in enumerate(job_ids):
+            run_ms = FIRST_RUN_MS + number * STAGGER_MS
+            step = {"count": TASKS_PER_JOB, "cpu": 10, "estimated_ms": run_ms}
+            job = {"specification": json.dumps({"run_ms": run_ms}), "steps": [step]}
+            if rig.call("POST", job_id, job)[0] != 200:
                 return CANNOT_RUN
-        time.sleep(2.0)
+        while rig.left_s(60) > 0:
+            time.sleep(0.1)
+            ended = sum(e["event"] == "end" for e in rig.worker_events())
+            if ended >= 20:
+                break
+        else:
+            return CANNOT_RUN
         if trouble():
             rig.kill(rig.leader())
-        time.sleep(10.0)
-        rig.call("GET", JOB)
+        time.sleep(12.0)
+        while rig.left_s(90) > 0:
+            states = {rig.call("GET", i)[1].get("state", "") for i in job_ids}
+            if states == {"completed"}:
+                break
+            time.sleep(0.5)
+        time.sleep(3.0)
         return finish(find_twice(rig.worker_events()), rig)
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Tasks that take long are stopped again and again, and are never done."""
+"""A timed job outgrows its progress record; then the leader is killed."""
 
 from __future__ import annotations
 
@@ -10,58 +10,42 @@
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "standins"))
 
-from rig import CANNOT_RUN, Rig, finish, trouble  # noqa: E402
+from rig import CANNOT_RUN, Rig, find_twice, finish, trouble  # noqa: E402
 
-WORKERS = 6
-TASKS = 3
-LONG_RUN_MS = 400_000
-SHORT_RUN_MS = 60_000
-JOB = "00000000000000d1"
-FINISH_S = 14.0
-WATCH_S = 30.0
-IDLE_MS = 3_000
-
-
-def idle_spans(events: list[dict], from_ms: int, until_ms: int) -> list[tuple]:
-    """Return the spans of at least ``IDLE_MS`` in which no task of the job ran."""
-    spans, running, idle_since_ms = [], 0, from_ms
-    for event in events:
-        if event["event"] == "start":
-            if not running and event["ms"] - idle_since_ms >= IDLE_MS:
-                spans.append((idle_since_ms, event["ms"]))
-            running += 1
-        elif event["event"] == "end":
-            running -= 1
-            idle_since_ms = max(from_ms, event["ms"])
-    if not running and until_ms - idle_since_ms >= IDLE_MS:
-        spans.append((idle_since_ms, until_ms))
-    return [span for span in spans if span[1] > from_ms]
+JOB = "00000000000000c1"
+REPETITIONS = 4_000
+STEPS = 1
+INTERVAL_MS = 10
+RUN_MS = 200
+KILL_AFTER_DONE = 3_800
 
 
 def main() -> int:
-    with Rig(CASE, nodes=3, workers=WORKERS) as rig:
+    with Rig(CASE, nodes=3, workers=2) as rig:
         rig.wait_ready()
-        run_ms = LONG_RUN_MS if trouble() else SHORT_RUN_MS
-        step = {
-            "count": TASKS,
-            "cpu": 1000,
-            "estimated_ms": run_ms,
-            "anti_affinity": 1,
+        step = {"count": 1, "cpu": 100, "estimated_ms": RUN_MS}
+        job = {
+            "specification": json.dumps({"run_ms": RUN_MS}),
+            "steps": [step] * STEPS,
+            "repetitions": REPETITIONS,
+            "first_run_ms": int(time.time() * 1000) + 500,
+            "interval_ms": INTERVAL_MS,
         }
-        job = {"specification": json.dumps({"run_ms": run_ms}), "steps": [step]}
         if rig.call("POST", JOB, job)[0] != 200:
             return CANNOT_RUN
-        time.sleep(FINISH_S)
-        from_ms = int(time.monotonic() * 1000)
-        time.sleep(WATCH_S)
-        until_ms = int(time.monotonic() * 1000)
+        done = 0
+        while done < KILL_AFTER_DONE:
+            time.sleep(0.5)
+            done = sum(e.get("how") == "done" for e in rig.worker_events())
+            if rig.left_s(92) < 0:
+                print(f"only {done} tasks ended in time")
+                return CANNOT_RUN
+        time.sleep(2.0)
+        if trouble():
+            rig.kill(rig.leader())
+        time.sleep(10.0)
         rig.call("GET", JOB)
-        events = [e for e in rig.worker_events() if e.get("task", "").startswith(JOB)]
-        breaks = [
-            f"{JOB}: nothing ran for {until - since} ms"
-            for since, until in idle_spans(events, from_ms, until_ms)
-        ]
-        return finish(breaks, rig)
+        return finish(find_twice(rig.worker_events()), rig)
 
 
 if __name__ == "__main__":
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -59,7 +59,7 @@
 platform.record_bytes=262144
 platform.request_bytes=2097152
 platform.keep_s=300
-cloud.address=127.0.0.1:{store}
+cloud.address=127.0.0.1:{machines}
 cloud.rate_per_s=64.0
 cloud.duty_per_s=64.0
 """
@@ -82,7 +82,7 @@
     """
 
     def __init__(
-        self, case: Path, nodes: int, workers: int, *, store_proxy: bool = False
+        self, case: Path, nodes: int, workers: int, *, has_standby: bool = False
     ) -> None:
         self.case = case
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -100,9 +100,10 @@
             "HOME": os.environ.get("HOME", "/"),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
         }
-        self.store_port, proxy_port, *self.worker_ports = free_ports(2 + workers)
-        # The port at which the instance processes reach the store.
-        self.node_store_port = proxy_port if store_proxy else self.store_port
+        self._has_standby = has_standby
+        self.store_port, machines_port, *self.worker_ports = free_ports(2 + workers)
+        # Without standby machines, the store's stand-in lists those of the workers.
+        self.machines_port = machines_port if has_standby else self.store_port
         self._node_names = [f"n{number}" for number in range(nodes)]
 
     def log(self, **fields) -> None:
@@ -123,25 +124,26 @@
         self.spawn("store", [sys.executable, "store.py", str(self.store_port)])
         if not self._wait_port(self.store_port):
             raise SystemExit(CANNOT_RUN)
-        if self.node_store_port != self.store_port:
-            ports = [str(self.node_store_port), str(self.store_port)]
-            self.spawn("proxy", [sys.executable, "proxy.py", *ports])
-            if not self._wait_port(self.node_store_port):
-                raise SystemExit(CANNOT_RUN)
-        self.put("keyed.op", "config", configuration())
+        self.put("keyed.op", "config", configuration(self._has_standby))
         ports = [str(port) for port in self.worker_ports]
         self.start_workers(ports)
         for name in self._node_names:
             self.start_node(name, free_ports(3))
 
     def start_workers(self, ports: list[str]) -> None:
-        store = f"127.0.0.1:{self.store_port}"
-        self.spawn(
-            "workers",
-            [sys.executable, "workers.py", store, str(self.worker_record), *ports],
-        )
+        arguments = [f"127.0.0.1:{self.store_port}", str(self.worker_record)]
+        program = "workers.py"
+        if self._has_standby:
+            program = "machines.py"
+            arguments.append(str(self.machines_port))
+        self.spawn("workers", [sys.executable, program, *arguments, *ports])
 
     def __exit__(self, *_) -> None:
+        if self._has_standby and "workers" in self.process_by_name:
+            # Ends the processes of the workers too.
+            self.process_by_name["workers"].terminate()
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                self.process_by_name["workers"].wait(5.0)
         for process in self.process_by_name.values():
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGCONT)
@@ -169,8 +171,14 @@
 
     def start_node(self, name: str, ports: list[int]) -> None:
         path = self.folder / f"{name}.conf"
-        store = self.node_store_port
-        path.write_text(SETTINGS.format(name=name, ports=ports, store=store))
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                ports=ports,
+                store=self.store_port,
+                machines=self.machines_port,
+            )
+        )
         self.front_by_name[name] = ports[0]
         self.spawn(name, self._command, ROOT, LYCHEELOOM_BOOT=str(path))
 
@@ -185,6 +193,17 @@
     def leader(self) -> str:
         return json.loads(self._store_call("GET", "/standin/leader"))["name"]
 
+    def lose_machines(self, pool: str) -> list[str]:
+        """Take all machines of a pool away for good; return their names."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.machines_port, timeout=5
+        )
+        connection.request("POST", "/standin/lose", pool)
+        lost = json.loads(connection.getresponse().read())["lost"]
+        connection.close()
+        self.log(event="machines lost", pool=pool, machines=lost)
+        return lost
+
     def _store_call(self, method: str, path: str, body: str | None = None) -> bytes:
         connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=5)
         connection.request(method, path, body)
@@ -294,10 +313,13 @@
         return False
 
 
-def configuration(version: int = 3, tenants: tuple = ("red", "blue")) -> dict:
+def configuration(has_standby: bool = False) -> dict:
     limit = {"cpu": 0, "requested_memory_mb": 0, "gpus": 0}
+    services = [{"name": "svc", "rejects_overload": True, "standby": False}]
+    if has_standby:
+        services.append({"name": "spare", "rejects_overload": True, "standby": True})
     return {
-        "version": version,
+        "version": 3,
         "routes": [
             {
                 "name": "q1",
@@ -313,11 +335,11 @@
                 "anonymous_access": False,
             }
         ],
-        "services": [{"name": "svc", "rejects_overload": True, "standby": False}],
+        "services": services,
         "limits": {"body_bytes": 262144},
         "tenants": [
             {"name": n, "api_keys": [f"key-{n}"], "weight": 30, "upper_limit": limit}
-            for n in tenants
+            for n in ("red", "blue")
         ],
     }
 
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 import time
 
@@ -255,10 +256,12 @@
 
 
 def main() -> None:
+    """Serve one worker on each port; ``WORKER_ID`` names a single one."""
     store_address, record_path, *ports = sys.argv[1:]
     record = Record(record_path)
     for number, port in enumerate(ports):
-        worker = Worker(f"w-{number}", int(port), ["a", f"r{number}"], record)
+        worker_id = os.environ.get("WORKER_ID", f"w-{number}")
+        worker = Worker(worker_id, int(port), ["a", f"r{number}"], record)
         Host(worker, lambda worker: put(store_address, worker))
     gevent.wait()
 
