--- a/review/standins/machines.py
+++ b/review/standins/machines.py
@@ -129,9 +129,9 @@
     def lose(self, pool: str) -> tuple[int, dict]:
         lost = [m for m in self._machine_by_name.values() if m.pool == pool]
         for machine in lost:
-            self.record.write(event="lost", machine=machine.name, pool=pool)
-            del self._machine_by_name[machine.name]
             gevent.spawn_later(ENTRY_KEPT_S, self.remove_entry, machine.switch_off())
+            del self._machine_by_name[machine.name]
+            self.record.write(event="lost", machine=machine.name, pool=pool)
         return 200, {"lost": [machine.name for machine in lost]}
 
     def switch_all_off(self) -> None:
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -186,6 +186,16 @@
         self.log(event="signal", process=name, signal=int(signal_number))
         self.process_by_name[name].send_signal(signal_number)
 
+    def restart_all(self, down_s: float) -> None:
+        """Kill all instance processes at once, and start them again."""
+        for name in self.front_by_name:
+            self.kill(name)
+        for name in self.front_by_name:
+            self.process_by_name[name].wait()
+        time.sleep(down_s)
+        for name, port in list(self.front_by_name.items()):
+            self.start_node(name, [port, *free_ports(2)])
+
     def put(self, topic: str, key: str, value: dict | None) -> None:
         document = {"topic": topic, "key": key, "value": value}
         self._store_call("POST", "/standin/put", json.dumps(document))
