Build the state of timed jobs when it is needed

Callers saw that no job ran any more once 20 timed jobs of 43,200 occurrences had been accepted, none of them due, and that cancelling was answered with 503.

Cause: ActiveJob built the state of every task of every occurrence when a job was opened, and JobRegistry.inherit opened all jobs without giving way, before the lease was renewed for the first time.

Change: steps are opened when they may start or when a run of them is reported, at most 100 unstarted ones of a job ahead. Tasks that have not started, and done ones, are bits. The lease is renewed from the start, and long loops over jobs and records give way. A task that its job does not have no longer counts as done.

Tests of jobs, coordinator and platform pass.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -102,12 +102,12 @@
 
         The background loops run in greenlets meanwhile, which are killed at the end.
         """
-        self._registry.inherit()
-        self.replica.add_listener(self._registry.on_record)
         self._greenlets.append(gevent.spawn(self._write))
-        for name, loop in (background_loop_by_name or {}).items():
-            self._spawn(name, loop)
+        self.replica.add_listener(self._registry.on_record)
         try:
+            self._registry.inherit()
+            for name, loop in (background_loop_by_name or {}).items():
+                self._spawn(name, loop)
             while not self.writer.is_fenced:
                 self._round_timer.begin()
                 self.sync_workers()
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -14,6 +14,7 @@
 
 from .clock import steady_s, wall_ms
 from .replica import Replica
+from .turns import Turns
 from .view import View
 from .writer import Commit, LeaderWriter
 
@@ -42,6 +43,8 @@
         # Ids of the jobs that the previous leader left unfinished; empty once no pool
         # can have unknown runs any more.
         self.inherited_job_ids: set[str] = set()
+        # Ids of the jobs that ``inherit`` has yet to open.
+        self._uninherited_job_ids: set[str] = set()
         # Commit of the last progress records; it becomes durable only after all records
         # written before.
         self.last_commit: Commit | None = None
@@ -63,15 +66,23 @@
         return self._replica.is_fresh
 
     def inherit(self) -> None:
-        """Open the jobs that are in the table when this instance becomes leader."""
-        for job_id in self._replica.table.entry_by_id:
-            self._open_job(job_id, is_inherited=True)
+        """Open the jobs that are in the table when this instance becomes leader.
+
+        The lease is renewed meanwhile, and records that arrive are processed.
+        """
+        job_ids = list(self._replica.table.entry_by_id)
+        self._uninherited_job_ids.update(job_ids)
+        turns = Turns()
+        for job_id in job_ids:
+            self._open_job(job_id)
+            turns.give_way()
+        self._uninherited_job_ids.clear()
 
     def on_record(self, applied: AppliedRecord) -> None:
         """Process a record that was applied to the table."""
         match applied.kind:
             case Kind.JOB:
-                self._open_job(applied.name, is_inherited=False)
+                self._open_job(applied.name)
             case Kind.CANCELLATION:
                 self._cancel_job(applied.name)
             case Kind.PROGRESS if applied.name not in self._replica.table.entry_by_id:
@@ -151,7 +162,7 @@
         active_job.put_back(run.task, run.checkpoint)
         self._wake()
 
-    def _open_job(self, job_id: str, *, is_inherited: bool) -> None:
+    def _open_job(self, job_id: str) -> None:
         entry = self._replica.table.entry_by_id.get(job_id)
         if entry is None or entry.job is None or job_id in self.active_job_by_id:
             return
@@ -164,6 +175,7 @@
         self.active_job_by_id[job_id] = active_job
         self.planner.note_job(active_job, self._view.policy)
         queue = self._view.policy.queue_by_name.get(entry.job.queue)
+        is_inherited = job_id in self._uninherited_job_ids
         if is_inherited:
             self.inherited_job_ids.add(job_id)
         elif queue is not None:
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -159,8 +159,7 @@
         """
         worker_id = link.worker.worker_id
         active_job = self._registry.active_job_by_id.get(row.task.job_id)
-        step_key = (row.task.occurrence, row.task.step)
-        step_tasks = active_job.tasks_by_step.get(step_key) if active_job else None
+        step_tasks = active_job.find_tasks(row.task) if active_job else None
         is_needed = (
             step_tasks is not None
             and row.task.index not in step_tasks.done
@@ -170,8 +169,7 @@
             self._orders.stop_listed(link.worker, row)
             return None
         active_job.note_run(row.run)
-        if row.task.index in step_tasks.waiting:
-            step_tasks.waiting.remove(row.task.index)
+        step_tasks.waiting.remove(row.task.index)
         now_s = steady_s()
         run = Run(
             row.task,
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -15,6 +15,7 @@
 from .clock import steady_s, wall_ms
 from .ports import Log, ReadFailed, RecordsDropped, RecordsRead, StorePort
 from .supervision import note_failure, run_supervised
+from .turns import Turns
 
 # Long-poll timeout of a read that finds no new records.
 READ_WAIT_S = 1.0
@@ -141,7 +142,9 @@
         ``is_live`` is true for records that have just been written, and false for
         those found while loading the log.
         """
+        turns = Turns()
         for offset, record in result.records:
+            turns.give_way()
             try:
                 self._apply_record(offset, record, is_live)
             except Exception as error:
--- a/libs/jobs/src/lycheeloom/jobs/availability.py
+++ b/libs/jobs/src/lycheeloom/jobs/availability.py
@@ -17,10 +17,9 @@
     fleet: Fleet, active_job: ActiveJob, occurrence: int, step: int
 ) -> set[int]:
     """Return the indexes of the tasks of a long-running step that are unavailable."""
-    step_tasks = active_job.tasks_by_step[occurrence, step]
     return {
         index
-        for index in range(step_tasks.step.count)
+        for index in range(active_job.job.steps[step].count)
         if not _is_available(
             fleet, TaskKey(active_job.job.job_id, occurrence, step, index)
         )
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -112,6 +112,17 @@
             return 0
         return self.first_run_ms + occurrence * self.interval_ms
 
+    def due_occurrences(self, now_ms: float) -> int:
+        """Return how many occurrences are due; ``now_ms`` is Unix time."""
+        if not self.repetitions:
+            return 1
+        if now_ms < self.first_run_ms:
+            return 0
+        if not self.interval_ms:
+            return self.repetitions
+        passed_intervals = int((now_ms - self.first_run_ms) // self.interval_ms)
+        return min(self.repetitions, passed_intervals + 1)
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class TaskKey:
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -195,7 +195,8 @@
                 self._fleet, ranked.active_job.job.job_id, *ranked.step_key
             )
         choice = WorkerChoice(states, step, counts)
-        for index in list(ranked.step_tasks.waiting):
+        while ranked.step_tasks.waiting:
+            index = ranked.step_tasks.waiting.first
             if not reservations.allows(
                 policy, ranked.active_job.job.organisation, step
             ):
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -10,7 +10,7 @@
 from lycheeloom.model.resources import Resources
 
 from .active_job import ActiveJob
-from .model import Policy
+from .model import Policy, Step
 
 # A pool gets enough instances to finish its waiting work within this time, which is
 # about the duration of a move.
@@ -100,13 +100,23 @@
         if queue is None or capacity is None:
             continue
         for _, step_tasks in active_job.startable_steps(now_ms):
-            step = step_tasks.step
-            run_s = BACKLOG_TARGET_S if step.long_running else step.estimated_ms / 1000
-            share = step.reservation.dominant_share(capacity)
-            backlog[queue.pool] += share * run_s * len(step_tasks.waiting)
+            task_s = _instance_s(step_tasks.step, capacity)
+            backlog[queue.pool] += task_s * len(step_tasks.waiting)
+        unopened_occurrences = active_job.unopened_occurrences(now_ms)
+        for step in active_job.job.steps:
+            if step.after or not unopened_occurrences:
+                continue
+            task_s = _instance_s(step, capacity)
+            backlog[queue.pool] += task_s * step.count * unopened_occurrences
     return dict(backlog)
 
 
+def _instance_s(step: Step, capacity: Resources) -> float:
+    """Return for how many seconds one task of a step would fill an instance."""
+    run_s = BACKLOG_TARGET_S if step.long_running else step.estimated_ms / 1000
+    return step.reservation.dominant_share(capacity) * run_s
+
+
 def min_instances_by_pool(
     active_jobs: Iterable[ActiveJob], policy: Policy
 ) -> dict[str, int]:
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from lycheeloom.jobs.active_job import ActiveJob
+from lycheeloom.jobs.active_job import MAX_UNSTARTED_STEPS, ActiveJob
 from lycheeloom.jobs.model import EndKind, Job, JobState, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, Record, decode, encode, key_of
 from lycheeloom.jobs.table import JobTable
@@ -55,6 +58,73 @@
     assert decode(Job, data) is None
 
 
+@pytest.fixture
+def yearly_job():
+    """A job of two steps that runs each minute of a year, and has begun just now."""
+    steps = (Step(1, 1000), Step(1, 1000, after=(0,)))
+    return ActiveJob(
+        Job("b" * 16, "queue", "red", "text", steps, 0, 525_600, 0, 60_000)
+    )
+
+
+def test_occurrences_cost_nothing_before_they_are_due(yearly_job):
+    """Accepted timed jobs must not take the leader's time and memory at once.
+
+    20 jobs with 43,200 occurrences each kept every instance from holding the lead.
+    """
+    assert len(yearly_job.startable_steps(now_ms=59_999)) == 1
+    assert len(yearly_job.startable_steps(now_ms=60_000)) == 2
+    assert len(yearly_job.tasks_by_step) == 2
+
+
+def test_large_step_costs_nothing_before_its_tasks_start():
+    """The same for a step with very many tasks."""
+    active_job = ActiveJob(Job("b" * 16, "queue", "red", "text", (Step(100_000, 10),)))
+    tracemalloc.start()
+    [(_, step_tasks)] = active_job.startable_steps(0)
+    assert len(step_tasks.waiting) == 100_000
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < 50_000
+
+
+def test_only_some_of_many_due_occurrences_are_opened(yearly_job):
+    """After an outage, thousands of occurrences may be due at the same time."""
+    now_ms = 60_000 * 10_000
+    startable = yearly_job.startable_steps(now_ms)
+    assert len(startable) == MAX_UNSTARTED_STEPS
+    assert yearly_job.unopened_occurrences(now_ms) == 10_001 - MAX_UNSTARTED_STEPS
+    for step_key, _ in startable[:30]:
+        yearly_job.take(TaskKey(yearly_job.job.job_id, *step_key, 0))
+    assert yearly_job.startable_steps(now_ms)[-1][0] == (MAX_UNSTARTED_STEPS + 29, 0)
+
+
+def test_step_starts_after_the_steps_that_it_depends_on(yearly_job):
+    """Steps are opened one after the other; none may start early or be left out."""
+    first = TaskKey(yearly_job.job.job_id, 0, 0, 0)
+    run = yearly_job.take(_only_task(yearly_job))
+    assert not yearly_job.startable_steps(0)
+    yearly_job.note_end(first, run, EndKind.DONE, "")
+    assert [key for key, _ in yearly_job.startable_steps(0)] == [(0, 1)]
+    successor = ActiveJob(yearly_job.job, yearly_job.progress())
+    assert [key for key, _ in successor.startable_steps(0)] == [(0, 1)]
+
+
+def test_unknown_task_changes_nothing(yearly_job):
+    """A worker may list a task that its job does not have."""
+    for task in ((-1, 0, 0), (525_600, 0, 0), (0, 2, 0), (0, 0, 1), (0, 0, 2**40)):
+        key = TaskKey(yearly_job.job.job_id, *task)
+        assert not yearly_job.note_end(key, 1, EndKind.DONE, "")
+        yearly_job.put_back(key)
+    assert not yearly_job.tasks_by_step
+
+
+def _only_task(active_job: ActiveJob) -> TaskKey:
+    """Return the first task of the only step that may start."""
+    [(step_key, step_tasks)] = active_job.startable_steps(0)
+    return TaskKey(active_job.job.job_id, *step_key, step_tasks.waiting.first)
+
+
 class ActiveJobMachine(RuleBasedStateMachine):
     """Lets runs of a job end in any order and kind, with changes of leader in between.
 
@@ -77,10 +147,13 @@
         kind=st.sampled_from(EndKind),
     )
     def run_and_end(self, occurrence, step, index, kind):
-        step_tasks = self.active_job.tasks_by_step[occurrence, step]
-        if index not in step_tasks.waiting or self.active_job.is_final:
-            return
         task = TaskKey(JOB.job_id, occurrence, step, index)
+        step_tasks = self.active_job.find_tasks(task)
+        if step_tasks is None or self.active_job.is_final:
+            assert self.active_job.is_final or index >= STEPS[step].count
+            return
+        if index not in step_tasks.waiting:
+            return
         run = self.active_job.take(task)
         self.active_job.note_end(task, run, kind, "")
         self.ends.append((task, run, kind))
@@ -124,7 +197,11 @@
     @invariant()
     def job_is_completed_if_and_only_if_all_tasks_are_done(self):
         all_done = all(
-            step_tasks.is_done for step_tasks in self.active_job.tasks_by_step.values()
+            (step_tasks := self.active_job.tasks_by_step.get((occurrence, index)))
+            is not None
+            and step_tasks.is_done
+            for occurrence in range(JOB.occurrences)
+            for index in range(len(STEPS))
         )
         assert (self.active_job.state is JobState.COMPLETED) == all_done
 
