Start a long-running task again when its run ends as done

Callers saw that a task of a service that returned without an error was not started again, with idle workers and the job shown as running.

Cause: ListReconciler._process_end took any end of the kind done for the end of the task, while ActiveJob.note_end does not count it for long-running tasks. The task was neither waiting, running nor done.

Change: whether a task is done is asked of the job. Another run of a long-running task is no longer stopped by such an end, and its checkpoint is kept.

Failed before: test_long_running_task_is_restarted_however_it_ends[EndKind.DONE] (no restart within 20 s), test_each_end_leaves_a_task_waiting_running_or_done for done with long_running and long_running_gang ('assert 0 == 1'), and test_other_run_of_a_long_running_task_goes_on. They pass now, for every kind of end.

--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -119,7 +119,7 @@
             self._registry.planner.failed_workers_by_task[end.task].add(worker_id)
         if active_job.is_final:
             self._registry.close_job(active_job)
-        elif end.kind is EndKind.DONE:
+        elif active_job.is_done(end.task):
             self._stop_other_runs(end.task)
         elif end.task not in self._fleet.runs_by_task:
             active_job.put_back(end.task, end.checkpoint)
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -7,6 +7,7 @@
 from unittest.mock import Mock
 
 import gevent
+import pytest
 from libs.coordinator.tests.fakes import (
     JOB_ID,
     POLL_DELAY_S,
@@ -28,7 +29,7 @@
 from lycheeloom.coordinator.view import View
 from lycheeloom.coordinator.worker_link import POLL_WAIT_MS, WORKER_LEASE_S
 from lycheeloom.jobs.fleet import RunState
-from lycheeloom.jobs.model import EndKind, JobState, Policy, Step, TaskKey
+from lycheeloom.jobs.model import EndedTask, EndKind, JobState, Policy, Step, TaskKey
 from lycheeloom.jobs.records import JobProgress, Kind, decode, key_of
 from lycheeloom.model.resources import Resources
 
@@ -242,6 +243,64 @@
     wait_until(lambda: recorded_state(cluster) is JobState.CANCELLED)
 
 
+@pytest.mark.parametrize("kind", EndKind)
+def test_long_running_task_is_restarted_however_it_ends(cluster, kind):
+    """A long-running task must not stay ended because its program returned.
+
+    After a run that ended as done, the task was neither waiting nor running (review,
+    case 3).
+    """
+    cluster.store.add_job(make_job(JOB_ID, Step(2, 1000, long_running=True)))
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    cluster.workers.end_all_runs(kind)
+    wait_until(lambda: len(cluster.workers.started_runs) == 4)
+    restarted = {task for _, task, _ in cluster.workers.started_runs[2:]}
+    assert restarted == {TaskKey(JOB_ID, 0, 0, index) for index in range(2)}
+    assert not dispatcher.active_job_by_id[JOB_ID].is_final
+
+
+@pytest.mark.parametrize("kind", EndKind)
+@pytest.mark.parametrize(
+    "fields",
+    [{}, {"long_running": True}, {"gang": True}, {"gang": True, "long_running": True}],
+    ids=["plain", "long_running", "gang", "long_running_gang"],
+)
+def test_each_end_leaves_a_task_waiting_running_or_done(cluster, kind, fields):
+    """An end must not leave a task that no leader starts again or counts as done."""
+    cluster.store.add_job(make_job(JOB_ID, Step(2, 1000, **fields)))
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    worker_id, task, _ = cluster.workers.started_runs[0]
+    active_job = dispatcher.active_job_by_id[JOB_ID]
+    cluster.workers.end_run(worker_id, task, kind)
+    worker = cluster.workers.worker(worker_id)
+    wait_until(lambda: worker.acknowledged_end == 1)
+    step_tasks = active_job.find_tasks(task)
+    states = [
+        task.index in step_tasks.waiting,
+        task in dispatcher.fleet.runs_by_task,
+        task.index in step_tasks.done,
+    ]
+    assert states.count(True) == 1
+    assert states[2] == (kind is EndKind.DONE and not fields.get("long_running"))
+
+
+def test_other_run_of_a_long_running_task_goes_on(cluster):
+    """A task must not become unavailable because an earlier run of it has ended."""
+    cluster.store.add_job(make_job(JOB_ID, Step(1, 1000, long_running=True)))
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 1)
+    worker_id, task, run = cluster.workers.started_runs[0]
+    worker = cluster.workers.worker(worker_id)
+    worker.end_count += 1
+    worker.ended.append(EndedTask(1, task, run - 1, EndKind.DONE, ""))
+    wait_until(lambda: worker.acknowledged_end == 1)
+    assert worker.running == {task: run}
+    assert len(dispatcher.fleet.runs_by_task[task]) == 1
+    assert len(cluster.workers.started_runs) == 1
+
+
 def test_upper_limit_holds(cluster):
     """An organisation must not exceed its upper limit."""
     cluster.view.policy = make_policy(Resources(2.0, 0, 0))
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -87,6 +87,11 @@
             return None
         return self._open_step((task.occurrence, task.step))
 
+    def is_done(self, task: TaskKey) -> bool:
+        """Return whether a task is done; a long-running one never is."""
+        step_tasks = self.find_tasks(task)
+        return step_tasks is not None and task.index in step_tasks.done
+
     def startable_steps(self, now_ms: float) -> list[tuple[StepKey, StepTasks]]:
         """Return the steps with waiting tasks that may start.
 
@@ -168,11 +173,11 @@
         step_tasks = self.find_tasks(task)
         if step_tasks is None or task.index in step_tasks.done:
             return False
-        if checkpoint and kind is not EndKind.DONE:
-            step_tasks.checkpoint_by_index[task.index] = checkpoint
         if kind is EndKind.DONE and not step_tasks.step.long_running:
             self._note_done(task, step_tasks)
             return True
+        if checkpoint:
+            step_tasks.checkpoint_by_index[task.index] = checkpoint
         if kind is EndKind.FAILED and not step_tasks.step.long_running:
             return self._note_failed(task, run, step_tasks)
         return bool(checkpoint)
