Take a list of 500 ended runs for incomplete

Callers saw finished tasks run again: 50 to 400 of 900 when the leader was killed while more than 500 ends waited at a worker.

Cause: a worker lists 500 ends at a time. A run in neither list counted as gone, and after a takeover a worker counted as listed after one answer, so tasks started again whose ends followed in the next one.

Change: the adapter says when an answer is full. Until the last end is listed, no run of the worker counts as gone and inherited tasks wait; the next poll does not wait.

Failed before: test_end_that_does_not_fit_into_a_list_counts ('assert 12 == 8'), test_end_that_does_not_fit_into_a_list_counts_after_a_takeover and test_ends_are_awaited_beyond_the_lease_of_the_former_leader (more ends than tasks), and test_runs_stay_exclusive.py once its workers list two ends at a time ('was started after its end on w0').

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -288,6 +288,8 @@
             state = self.fleet.state_by_id[link.worker.worker_id]
             if link.failing_for_s > 0 or link.is_lease_expired:
                 state.has_current_lists = False
+            if link.failing_for_s > 0:
+                state.has_unlisted_ends = False
             is_lost = link.failing_for_s > 0 and link.is_lease_expired
             if not is_lost or not state.run_by_task:
                 continue
--- a/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
@@ -60,13 +60,17 @@
         These are the pools with a worker whose lists this leader has not received or
         that only the list of instances names: for some seconds after an outage of the
         store, the platform's list of workers lacks some that are running. All pools are
-        returned as long as no worker is known, or no list of instances.
+        returned as long as no worker is known, or no list of instances. Once the leases
+        of the previous leader have expired, only pools with ends that are still being
+        listed count.
         """
         if not self._job_ids:
             return frozenset()
         if steady_s() - self._took_over_s > MAX_INHERITED_LEASE_S:
-            self._job_ids.clear()
-            return frozenset()
+            pools = self._pools_with_unlisted_ends()
+            if not pools:
+                self._job_ids.clear()
+            return pools
         if self.pool_by_live_worker is None or not self._fleet.state_by_id:
             return set(self._view.policy.pool_by_name)
         pools = {
@@ -82,3 +86,10 @@
         if not pools:
             self._job_ids.clear()
         return pools
+
+    def _pools_with_unlisted_ends(self) -> Collection[str]:
+        return {
+            state.worker.pool
+            for state in self._fleet.state_by_id.values()
+            if state.has_unlisted_ends
+        }
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import EndedTask, EndKind, RunningTask, TaskKey
@@ -26,7 +26,9 @@
 class ListReconciler:
     """Updates the fleet and the jobs from the run lists of workers.
 
-    A worker lists its running runs, and the ends that the leader has not acknowledged.
+    A worker lists its running runs, and the ends that the leader has not acknowledged,
+    some at a time. Until the last of them is listed, a run that the worker does not
+    list may have ended, so its task must not start again.
     ``on_restart`` is called with the start time, in Unix milliseconds, of another
     incarnation that has sent the lists.
     """
@@ -66,6 +68,24 @@
         for row in lists.running:
             listed.add(row.task)
             self._process_running(link, row)
+        state.has_unlisted_ends = lists.has_more_ends
+        if not lists.has_more_ends:
+            self._process_complete_lists(worker_id, listed, sent_s)
+        if not ended:
+            return None
+        self._wake()
+        self._registry.flush()
+        return self._registry.last_commit
+
+    def _process_complete_lists(
+        self, worker_id: str, listed: Collection[TaskKey], sent_s: float
+    ) -> None:
+        """Release the runs that a worker does not have any more.
+
+        ``listed`` contains the tasks of its running runs in lists that were requested
+        at ``sent_s``. Its ended runs have been processed.
+        """
+        state = self._fleet.state_by_id[worker_id]
         for run in list(state.run_by_task.values()):
             if run.task in listed or sent_s <= run.gone_if_unlisted_after_s:
                 continue
@@ -77,13 +97,8 @@
                 self._registry.put_back(run, run.stop_reason or "not listed")
         if not state.has_current_lists:
             state.has_current_lists = True
-            log_event("worker_listed", worker=worker_id, running=len(lists.running))
+            log_event("worker_listed", worker=worker_id, running=len(listed))
             self._wake()
-        if not ended:
-            return None
-        self._wake()
-        self._registry.flush()
-        return self._registry.last_commit
 
     def _process_end(self, worker_id: str, end: EndedTask) -> None:
         run = self._fleet.find_run(worker_id, end.task, end.run)
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -182,12 +182,17 @@
 
     ``started_ms`` identifies the worker's incarnation that answered; it is 0 if the
     worker did not report it. ``clock_ms`` is the time by the worker's clock.
+
+    With ``has_more_ends``, the worker may know of further ended runs, which it lists
+    once the leader has acknowledged these. A run that is in neither list may then have
+    ended.
     """
 
     clock_ms: int
     started_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    has_more_ends: bool = False
 
 
 class WorkerPort(Protocol):
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -62,6 +62,8 @@
         self.created_s = steady_s()
         # Number of the latest end that was processed.
         self.newest_end = 0
+        # The last lists did not contain all ends.
+        self._has_more_ends = False
         # True until the lists of the first successful poll have been processed.
         self.is_first_poll = True
         # When the worker last answered a poll.
@@ -131,9 +133,11 @@
         is_frequent = self.is_first_poll or self._needs_frequent_polls(self)
         wait_ms = SHORT_POLL_WAIT_MS if is_frequent else POLL_WAIT_MS
         # The worker is to answer immediately if its lists are not known or outdated, or
-        # if ends remain to be acknowledged.
+        # if ends remain to be acknowledged or listed.
         if self.is_first_poll or self._newest_durable_end < self.newest_end:
             wait_ms = 0
+        if self._has_more_ends:
+            wait_ms = 0
         if self._failing_since_s is not None or self.is_lease_expired:
             wait_ms = 0
         began_s = steady_s()
@@ -154,6 +158,7 @@
             self._note_failure(result)
             return
         self._note_success(result)
+        self._has_more_ends = result.has_more_ends
         commit = self._on_lists(self, result, began_s)
         self.is_first_poll = False
         if self.is_stopped:
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -71,6 +71,8 @@
     stop_delay_s: float = 0.0
     # The answer to stops that are carried out.
     stop_outcome: CallOutcome = CallOutcome.DONE
+    # Maximum ends in one list; the others are listed once these are acknowledged.
+    max_listed_ends: int = 500
     # Start time of this incarnation in its lists; if 0, see ``FakeWorkers``.
     started_ms: int = 0
 
@@ -174,7 +176,8 @@
                 RunningTask(task, run, "", fake.percent, 0.0)
                 for task, run in fake.running.items()
             ),
-            tuple(self._unacknowledged_ends(fake)),
+            tuple(self._unacknowledged_ends(fake)[: fake.max_listed_ends]),
+            len(self._unacknowledged_ends(fake)) >= fake.max_listed_ends,
         )
 
     def restart(self, worker_id: str, started_ms: int) -> None:
--- a/libs/coordinator/tests/leased_workers.py
+++ b/libs/coordinator/tests/leased_workers.py
@@ -16,6 +16,8 @@
 
 # Longer leases are shortened to this duration.
 MAX_LEASE_MS = 10_000
+# Far fewer than a real worker lists at a time, as the jobs of the tests are small.
+MAX_LISTED_ENDS = 2
 # Duration of a stop.
 STOP_DURATION_S = 0.1
 # Run number and worker id of a run.
@@ -229,7 +231,8 @@
                 RunningTask(*key, "", run.percent, 0.0)
                 for key, run in self.run_by_task_and_number.items()
             ),
-            tuple(self.ends),
+            tuple(self.ends[:MAX_LISTED_ENDS]),
+            len(self.ends) >= MAX_LISTED_ENDS,
         )
 
     def crash(self) -> None:
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -233,6 +233,19 @@
     assert cluster.workers.started_runs == []
 
 
+def test_end_that_does_not_fit_into_a_list_counts(cluster):
+    """A task must not run twice because many runs have ended since the last list."""
+    cluster.view.worker_by_id.pop("w1")
+    cluster.workers.worker("w0").max_listed_ends = 2
+    cluster.store.add_job(make_job(JOB_ID, Step(8, 1000)))
+    cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == 8)
+    cluster.workers.end_all_runs()
+    wait_until(lambda: cluster.workers.worker("w0").acknowledged_end >= 8)
+    assert len(cluster.workers.started_runs) == 8
+    wait_until(lambda: recorded_state(cluster) is JobState.COMPLETED)
+
+
 def test_cancelled_job_is_stopped(cluster):
     """No task may continue after its job was cancelled."""
     cluster.store.add_job(make_job(JOB_ID, Step(3, 1000, long_running=True)))
--- a/libs/coordinator/tests/test_takeover.py
+++ b/libs/coordinator/tests/test_takeover.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 from libs.coordinator.tests.fakes import (
+    JOB_ID,
     POLL_DELAY_S,
     FakeCluster,
     make_job,
@@ -18,7 +19,7 @@
 from lycheeloom.coordinator import inherited_jobs
 from lycheeloom.coordinator.inherited_jobs import MAX_INHERITED_LEASE_S
 from lycheeloom.coordinator.view import View
-from lycheeloom.jobs.model import Policy, Pool
+from lycheeloom.jobs.model import Policy, Pool, Step
 
 # Longer than any test takes.
 LONG_S = 600.0
@@ -90,6 +91,31 @@
     assert two_pools.workers.started_runs[1][1].job_id == "1" * 16
 
 
+def test_end_that_does_not_fit_into_a_list_counts_after_a_takeover(cluster):
+    """A task must not run twice because its end is not among the first in the list.
+
+    A worker lists only some of its ends at a time. Those of 500 and more were taken
+    for all, and the tasks of the others ran again (review, case 4).
+    """
+    cluster.view.worker_by_id.pop("w1")
+    cluster.workers.worker("w0").max_listed_ends = 2
+    cluster.store.add_job(make_job(JOB_ID, Step(7, 1000)))
+    first = cluster.start_leader(1)
+    wait_until(lambda: len(cluster.workers.started_runs) == 7)
+    first.writer.is_fenced = True
+    gevent.sleep(2 * POLL_DELAY_S)
+    cluster.workers.end_all_runs()
+    cluster.start_leader(2)
+    wait_until(lambda: cluster.workers.worker("w0").acknowledged_end >= 7)
+    assert len(cluster.workers.started_runs) == 7
+
+
+def test_ends_are_awaited_beyond_the_lease_of_the_former_leader(cluster, monkeypatch):
+    """The same if the worker takes longer to list its ends than the lease lasts."""
+    monkeypatch.setattr(inherited_jobs, "MAX_INHERITED_LEASE_S", 2 * POLL_DELAY_S)
+    test_end_that_does_not_fit_into_a_list_counts_after_a_takeover(cluster)
+
+
 def test_inherited_task_waits_without_a_list_of_instances(cluster):
     """A task must not run twice because neither list names its worker.
 
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -74,6 +74,8 @@
     consecutive_failures: int = 0
     # This leader has received the run lists of the worker and the worker responds.
     has_current_lists: bool = False
+    # The worker responds, but has ended runs that it has not listed yet.
+    has_unlisted_ends: bool = False
     # The worker gets no new tasks because maintenance or a move is planned.
     is_cordoned: bool = False
 
