Split the progress of large jobs over several records

Callers saw that a job of 4,000 occurrences never became completed, and that some 700 of its finished tasks ran again at each change of leader.

Cause: the progress of a job was one record, 304,096 bytes after 3,800 occurrences. LeaderWriter.write left out a record that the store would not accept, but its commit became durable with the other records, so the workers were told to forget ends that were recorded nowhere.

Change: beyond 1,024 tasks over all occurrences, progress is written in parts of 1,024 tasks, one bit for a done task, and only changed parts; after 3,800 occurrences these are 4 records of 192 bytes. Records of earlier versions are read and split. Of a done step the leader keeps only its bits. While the latest record of a key is left out, no commit becomes durable.

test_record_that_is_too_large_does_not_block_the_writer asked for a durable commit, which was the second half of the fault. It now asks that the other record is written, that no commit becomes durable until a record of that key fits, and that it does then.

--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -5,7 +5,7 @@
 import gevent
 
 from lycheeloom.jobs.model import FINAL_STATES
-from lycheeloom.jobs.records import Kind, Record, key_of
+from lycheeloom.jobs.records import Kind, Record, key_of, part_key
 from lycheeloom.telemetry import log_event
 
 from .clock import wall_ms
@@ -59,13 +59,19 @@
             for job_id in job_ids
             for kind in (Kind.CANCELLATION, Kind.JOB)
         ]
+        part_keys = [
+            part_key(job_id, number)
+            for job_id in job_ids
+            for number in self._replica.table.entry_by_id[job_id].encoded_part_by_number
+        ]
         result = self._store.append(records)
         log_event("jobs_expired", jobs=len(job_ids), first=job_ids[0], result=result)
         if isinstance(result, Appended):
             # Progress records are removed last: a job record without a progress record
             # stands for a new job, which would run again.
+            progress_keys = [key_of(Kind.PROGRESS, job_id) for job_id in job_ids]
             self._dispatcher.writer.write(
-                [Record(key_of(Kind.PROGRESS, job_id), b"") for job_id in job_ids]
+                [Record(key, b"") for key in (*part_keys, *progress_keys)]
             )
 
     def _expired_job_ids(self) -> list[str]:
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -7,8 +7,18 @@
 from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run
+from lycheeloom.jobs.model import FINAL_STATES
 from lycheeloom.jobs.planner import AdvisedWorkers, Planner
-from lycheeloom.jobs.records import Kind, Record, encode, key_of
+from lycheeloom.jobs.records import (
+    JobProgress,
+    Kind,
+    ProgressPart,
+    Record,
+    encode,
+    key_of,
+    part_key,
+    smaller_versions,
+)
 from lycheeloom.jobs.table import AppliedRecord
 from lycheeloom.telemetry import log_event
 
@@ -134,21 +144,33 @@
             active_job = self.active_job_by_id.get(job_id)
             if active_job is None:
                 continue
-            records.append(self._progress_record(active_job))
+            records += self._progress_records(active_job)
         self._changed_job_ids.clear()
         if records:
             self.last_commit = self._writer.write(records)
 
-    def _progress_record(self, active_job: ActiveJob) -> Record:
-        """Return the progress of a job, without checkpoints if it is too large.
+    def _progress_records(self, active_job: ActiveJob) -> list[Record]:
+        """Return the records of what has changed in the progress of a job.
 
-        Without its checkpoint, a task that starts again does so from the beginning.
+        The parts come first: they must be durable when the job counts as completed.
         """
-        key = key_of(Kind.PROGRESS, active_job.job.job_id)
-        record = Record(key, encode(active_job.progress()))
-        if record.size_bytes <= self._writer.max_record_bytes:
-            return record
-        return Record(key, encode(active_job.progress(with_checkpoints=False)))
+        job_id = active_job.job.job_id
+        parts = active_job.changed_parts().items()
+        records = [
+            self._fitting_record(part_key(job_id, number), part)
+            for number, part in parts
+        ]
+        key = key_of(Kind.PROGRESS, job_id)
+        return [*records, self._fitting_record(key, active_job.progress())]
+
+    def _fitting_record(self, key: str, progress: JobProgress | ProgressPart) -> Record:
+        """Return a record with as many details as the store accepts."""
+        record = Record(key, b"")
+        for version in smaller_versions(progress):
+            record = Record(key, encode(version))
+            if record.size_bytes <= self._writer.max_record_bytes:
+                break
+        return record
 
     def put_back(self, run: Run, reason: str) -> None:
         """Return the task of an unfinished run to the waiting ones.
@@ -169,8 +191,13 @@
         if job_id in self._closed_job_ids:
             # A duplicate record; the table may not contain the job's end yet.
             return
-        active_job = ActiveJob(entry.job, entry.progress)
+        progress = entry.progress
+        active_job = ActiveJob(entry.job, progress, entry.part_by_number)
         if active_job.is_final:
+            if progress is None or progress.state not in FINAL_STATES:
+                # The former leader has recorded the last ends, but not the result.
+                self.active_job_by_id[job_id] = active_job
+                self.close_job(active_job)
             return
         self.active_job_by_id[job_id] = active_job
         self.planner.note_job(active_job, self._view.policy)
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -84,6 +84,8 @@
         self._on_fenced = on_fenced
         self._sequence = 0
         self._pending_value_by_key: dict[str, bytes] = {}
+        # Keys whose latest record was left out because it is too large.
+        self._left_out_keys: set[str] = set()
         self._commit = Commit()
         self._has_pending_records = Event()
         # The leader must not act any more: a later leader has written or acted, or this
@@ -127,7 +129,9 @@
         """Queue records; the returned commit becomes durable when they are written.
 
         A record that the store would not accept is left out: repeating its append would
-        keep this leader from renewing its lease, and the next leaders too.
+        keep this leader from renewing its lease, and the next leaders too. Until a
+        smaller record of its key is written, no commit becomes durable, so that no
+        worker forgets an end that is not recorded.
         """
         for record in records:
             if record.size_bytes > self.max_record_bytes:
@@ -138,10 +142,12 @@
                     size_bytes=record.size_bytes,
                     max_bytes=self.max_record_bytes,
                 )
+                self._left_out_keys.add(record.key)
                 continue
+            self._left_out_keys.discard(record.key)
             self._pending_value_by_key[record.key] = record.value
         self._has_pending_records.set()
-        return self._commit
+        return Commit() if self._left_out_keys else self._commit
 
     def run(self) -> None:
         """Write records and renew the lease until the leader is fenced."""
--- a/libs/coordinator/tests/test_dispatcher.py
+++ b/libs/coordinator/tests/test_dispatcher.py
@@ -291,9 +291,9 @@
     wait_until(lambda: worker.acknowledged_end == 1)
     step_tasks = active_job.find_tasks(task)
     states = [
-        task.index in step_tasks.waiting,
+        step_tasks is not None and task.index in step_tasks.waiting,
         task in dispatcher.fleet.runs_by_task,
-        task.index in step_tasks.done,
+        active_job.is_done(task),
     ]
     assert states.count(True) == 1
     assert states[2] == (kind is EndKind.DONE and not fields.get("long_running"))
--- a/libs/coordinator/tests/test_unexpected_errors.py
+++ b/libs/coordinator/tests/test_unexpected_errors.py
@@ -103,10 +103,19 @@
     assert writer.open(1.0) is not None
     greenlet = gevent.spawn(writer.run)
     key = key_of(Kind.PROGRESS, JOB_ID)
-    commit = writer.write([Record(key, b"x" * 200), Record("pother", b"x")])
-    assert commit.wait(10.0)
+    other_record = Record("pother", b"x")
+    left_out = writer.write([Record(key, b"x" * 200), other_record])
+    wait_until(lambda: other_record in store.records)
+    # Nobody is told that the large record, or what is written after it, is durable.
+    assert not writer.write([other_record]).wait(1.0)
+    assert not left_out.is_durable
+    assert writer.write([Record(key, b"x")]).wait(10.0)
     greenlet.kill()
-    assert [record.key for record in store.records] == ["L", "pother"]
+    assert [record.key for record in store.records if record.key != "L"] == [
+        "pother",
+        "pother",
+        key,
+    ]
 
 
 def test_append_of_the_leader_stays_within_the_limit_of_the_store():
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 from .model import FINAL_STATES, EndKind, Job, JobState, Step, TaskKey
-from .records import JobProgress, StepProgress, TaskCheckpoint, TaskFailures
+from .records import (
+    TASKS_PER_PART,
+    JobProgress,
+    ProgressPart,
+    StepProgress,
+    TaskCheckpoint,
+    TaskFailures,
+)
+from .task_numbering import StepKey, TaskNumbering
 from .task_sets import TaskSet, WaitingTasks
 
-# Occurrence, and index of the step within the job.
-StepKey = tuple[int, int]
-
 # No further occurrence of a job is opened while this many of its steps could start and
 # have not: after an outage, thousands of occurrences may be due at once.
 MAX_UNSTARTED_STEPS = 100
@@ -46,13 +51,19 @@
     """Tracks the tasks of a job: waiting, done, failures and checkpoints.
 
     The leader keeps one for each job that has not ended, built from the job's
-    progress record if there is one.
+    progress records if there are any.
 
     A job may have many steps and occurrences of which none is due for days, so the
     state of a step is built when the step may start, or when a run of it is reported.
+    Of a step that is done, only that is kept.
     """
 
-    def __init__(self, job: Job, progress: JobProgress | None = None) -> None:
+    def __init__(
+        self,
+        job: Job,
+        progress: JobProgress | None = None,
+        part_by_number: Mapping[int, ProgressPart] | None = None,
+    ) -> None:
         self.job = job
         # Number of failed runs of a task after which the job fails; None, for no limit,
         # until the leader has found the job's queue in the policy.
@@ -64,13 +75,17 @@
         self.has_begun = False
         # Estimated duration of the longest chain of steps that begins with each step.
         self._chain_ms_by_step = _chain_ms_by_step(job.steps)
-        # The steps whose state has been built.
+        self._successors_by_step = _successors_by_step(job.steps)
+        # The steps whose state has been built and that are not done.
         self.tasks_by_step: dict[StepKey, StepTasks] = {}
-        # Those of them that are not done.
-        self._open_tasks_by_step: dict[StepKey, StepTasks] = {}
+        self._numbering = TaskNumbering(job)
+        # Positions of all done tasks, those of open steps included.
+        self._done = TaskSet()
+        # Numbers of the parts of the progress that ``changed_parts`` has yet to return.
+        self._changed_parts: set[int] = set()
         self._next_occurrence = 0
-        if progress is not None:
-            self._restore(progress)
+        if progress is not None or part_by_number:
+            self._restore(progress or JobProgress(self.state), part_by_number or {})
 
     @property
     def is_final(self) -> bool:
@@ -78,19 +93,18 @@
         return self.state in FINAL_STATES
 
     def find_tasks(self, task: TaskKey) -> StepTasks | None:
-        """Return the state of a task's step; None if the job has no such task."""
-        if not 0 <= task.occurrence < self.job.occurrences:
-            return None
-        if not 0 <= task.step < len(self.job.steps):
-            return None
-        if not 0 <= task.index < self.job.steps[task.step].count:
+        """Return the state of a task's step.
+
+        Returns None if the job has no such task, or if the whole step is done.
+        """
+        step_key = (task.occurrence, task.step)
+        if not self._has_task(task) or self._is_step_done(step_key):
             return None
-        return self._open_step((task.occurrence, task.step))
+        return self._open_step(step_key)
 
     def is_done(self, task: TaskKey) -> bool:
         """Return whether a task is done; a long-running one never is."""
-        step_tasks = self.find_tasks(task)
-        return step_tasks is not None and task.index in step_tasks.done
+        return self._has_task(task) and self._position(task) in self._done
 
     def startable_steps(self, now_ms: float) -> list[tuple[StepKey, StepTasks]]:
         """Return the steps with waiting tasks that may start.
@@ -103,13 +117,15 @@
             return []
         startable = [
             (step_key, step_tasks)
-            for step_key, step_tasks in self._open_tasks_by_step.items()
+            for step_key, step_tasks in self.tasks_by_step.items()
             if self._is_startable(step_key, step_tasks, now_ms)
         ]
         unstarted = sum(step_tasks.is_unstarted for _, step_tasks in startable)
         while unstarted < MAX_UNSTARTED_STEPS and self.unopened_occurrences(now_ms):
             opened = self._open_occurrence(self._next_occurrence)
-            self._next_occurrence += 1
+            self._next_occurrence = self._unfinished_occurrence(
+                self._next_occurrence + 1
+            )
             unstarted += len(opened)
             startable += opened
         return startable
@@ -162,7 +178,7 @@
         ):
             return
         if checkpoint:
-            step_tasks.checkpoint_by_index[task.index] = checkpoint
+            self._note_checkpoint(task, step_tasks, checkpoint)
         step_tasks.waiting.put_back(task.index)
 
     def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
@@ -177,7 +193,7 @@
             self._note_done(task, step_tasks)
             return True
         if checkpoint:
-            step_tasks.checkpoint_by_index[task.index] = checkpoint
+            self._note_checkpoint(task, step_tasks, checkpoint)
         if kind is EndKind.FAILED and not step_tasks.step.long_running:
             return self._note_failed(task, run, step_tasks)
         return bool(checkpoint)
@@ -187,28 +203,92 @@
         if not self.is_final:
             self.state = JobState.CANCELLED
 
-    def progress(self, *, with_checkpoints: bool = True) -> JobProgress:
-        """Return the progress record from which another leader can continue."""
-        return JobProgress(
-            self.state,
-            self.highest_run,
-            tuple(
-                _step_progress(step_key, step_tasks, with_checkpoints)
-                for step_key, step_tasks in self.tasks_by_step.items()
-                if step_tasks.done
-                or step_tasks.failures_by_index
-                or step_tasks.checkpoint_by_index
-            ),
-            self.finished_ms,
-        )
+    def progress(self) -> JobProgress:
+        """Return the progress record from which another leader can continue.
+
+        A job with many tasks has further records; see ``changed_parts``.
+        """
+        steps = () if self._has_parts else tuple(self._steps_progress())
+        return JobProgress(self.state, self.highest_run, steps, self.finished_ms)
+
+    def changed_parts(self) -> dict[int, ProgressPart]:
+        """Return the parts of the progress that changed since the last call.
+
+        The result is empty for a job whose progress fits into one record.
+        """
+        if not self._has_parts:
+            return {}
+        numbers, self._changed_parts = sorted(self._changed_parts), set()
+        return {number: self._part(number) for number in numbers}
+
+    @property
+    def _has_parts(self) -> bool:
+        return self._numbering.total > TASKS_PER_PART
+
+    def _steps_progress(self) -> Iterator[StepProgress]:
+        for step_key in self._numbering.step_keys():
+            count = self.job.steps[step_key[1]].count
+            done = self._done.slice(self._numbering.first_position(step_key), count)
+            step_tasks = self.tasks_by_step.get(step_key)
+            failures, checkpoints = (), ()
+            if step_tasks is not None:
+                failures = tuple(step_tasks.failures_by_index.values())
+                checkpoints = tuple(
+                    TaskCheckpoint(index, checkpoint)
+                    for index, checkpoint in step_tasks.checkpoint_by_index.items()
+                )
+            if done or failures or checkpoints:
+                yield StepProgress(
+                    *step_key, done.to_bytes(count), failures, checkpoints
+                )
+
+    def _part(self, number: int) -> ProgressPart:
+        first = number * TASKS_PER_PART
+        failures, checkpoints = [], []
+        for step_key, step_tasks in self.tasks_by_step.items():
+            # Index in the part of the step's first task.
+            shift = self._numbering.first_position(step_key) - first
+            if not -step_tasks.step.count < shift < TASKS_PER_PART:
+                continue
+            indexes = range(
+                max(0, -shift), min(step_tasks.step.count, TASKS_PER_PART - shift)
+            )
+            failures += [
+                replace(failed, index=index + shift)
+                for index, failed in step_tasks.failures_by_index.items()
+                if index in indexes
+            ]
+            checkpoints += [
+                TaskCheckpoint(index + shift, checkpoint)
+                for index, checkpoint in step_tasks.checkpoint_by_index.items()
+                if index in indexes
+            ]
+        done = self._done.slice(first, TASKS_PER_PART).to_bytes(TASKS_PER_PART)
+        return ProgressPart(done, tuple(failures), tuple(checkpoints))
+
+    def _has_task(self, task: TaskKey) -> bool:
+        if not 0 <= task.occurrence < self.job.occurrences:
+            return False
+        if not 0 <= task.step < len(self.job.steps):
+            return False
+        return 0 <= task.index < self.job.steps[task.step].count
+
+    def _position(self, task: TaskKey) -> int:
+        return self._numbering.first_position((task.occurrence, task.step)) + task.index
+
+    def _mark_changed(self, position: int) -> None:
+        self._changed_parts.add(position // TASKS_PER_PART)
 
     def _note_done(self, task: TaskKey, step_tasks: StepTasks) -> None:
         # All tasks of a gang count as done as soon as one of them is done.
         indexes = (
             range(step_tasks.step.count) if step_tasks.step.gang else (task.index,)
         )
+        first = self._numbering.first_position((task.occurrence, task.step))
         for index in indexes:
             step_tasks.done.add(index)
+            self._done.add(first + index)
+            self._mark_changed(first + index)
             step_tasks.checkpoint_by_index.pop(index, None)
             step_tasks.waiting.remove(index)
         if step_tasks.is_done:
@@ -223,11 +303,18 @@
             return False
         failures = failures.with_run(run)
         step_tasks.failures_by_index[task.index] = failures
+        self._mark_changed(self._position(task))
         limit = self.max_attempts
         if limit is not None and failures.count >= limit and not self.is_final:
             self.state = JobState.FAILED
         return True
 
+    def _note_checkpoint(
+        self, task: TaskKey, step_tasks: StepTasks, checkpoint: str
+    ) -> None:
+        step_tasks.checkpoint_by_index[task.index] = checkpoint
+        self._mark_changed(self._position(task))
+
     def _is_startable(
         self, step_key: StepKey, step_tasks: StepTasks, now_ms: float
     ) -> bool:
@@ -239,72 +326,113 @@
         )
 
     def _are_predecessors_done(self, occurrence: int, step: Step) -> bool:
-        for index in step.after:
-            predecessor = self.tasks_by_step.get((occurrence, index))
-            if predecessor is None or not predecessor.is_done:
-                return False
-        return True
+        return all(self._is_step_done((occurrence, index)) for index in step.after)
+
+    def _is_step_done(self, step_key: StepKey) -> bool:
+        if step_key in self.tasks_by_step:
+            return False
+        first = self._numbering.first_position(step_key)
+        return self._done.has_all(first, self.job.steps[step_key[1]].count)
+
+    def _unfinished_occurrence(self, occurrence: int) -> int:
+        """Return the first occurrence, not before the given one, that is not done."""
+        tasks = self._numbering.tasks_per_occurrence
+        return self._done.first_missing(occurrence * tasks) // tasks
 
     def _open_occurrence(self, occurrence: int) -> list[tuple[StepKey, StepTasks]]:
-        """Build the state of the steps of an occurrence that depend on no others.
+        """Build the state of the steps of an occurrence that depend on no open ones.
 
         Returns those of them that have waiting tasks.
         """
         opened = []
         for index, step in enumerate(self.job.steps):
             step_key = (occurrence, index)
-            is_known = step_key in self.tasks_by_step
-            if step.after or is_known:
+            if step_key in self.tasks_by_step or self._is_step_done(step_key):
                 continue
-            opened.append((step_key, self._open_step(step_key)))
+            if self._are_predecessors_done(occurrence, step):
+                opened.append((step_key, self._open_step(step_key)))
         return opened
 
     def _open_step(self, step_key: StepKey) -> StepTasks:
         """Return the state of a step, built if there is none yet."""
         step_tasks = self.tasks_by_step.get(step_key)
         if step_tasks is None:
-            step_tasks = StepTasks(self.job.steps[step_key[1]])
+            step = self.job.steps[step_key[1]]
+            first = self._numbering.first_position(step_key)
+            step_tasks = StepTasks(step, self._done.slice(first, step.count))
             self.tasks_by_step[step_key] = step_tasks
-            self._open_tasks_by_step[step_key] = step_tasks
         return step_tasks
 
     def _close_step(self, step_key: StepKey) -> None:
         """Open the steps that have waited only for this one, or complete the job."""
-        self._open_tasks_by_step.pop(step_key, None)
+        del self.tasks_by_step[step_key]
         occurrence, done_index = step_key
-        for index, step in enumerate(self.job.steps):
-            if done_index not in step.after:
+        for index in self._successors_by_step.get(done_index, ()):
+            if self._is_step_done((occurrence, index)):
                 continue
-            if self._are_predecessors_done(occurrence, step):
+            if self._are_predecessors_done(occurrence, self.job.steps[index]):
                 self._open_step((occurrence, index))
-        done_steps = len(self.tasks_by_step) - len(self._open_tasks_by_step)
-        total_steps = self.job.occurrences * len(self.job.steps)
-        if done_steps == total_steps and not self.is_final:
+        self._complete_if_done()
+
+    def _complete_if_done(self) -> None:
+        if len(self._done) == self._numbering.total and not self.is_final:
             self.state = JobState.COMPLETED
 
-    def _restore(self, progress: JobProgress) -> None:
+    def _restore(
+        self, progress: JobProgress, part_by_number: Mapping[int, ProgressPart]
+    ) -> None:
         self.state = progress.state
         self.highest_run = progress.highest_run
         self.finished_ms = progress.finished_ms
         self.has_begun = progress.state is not JobState.QUEUED
-        for saved in progress.steps:
-            self._restore_step(saved)
-
-    def _restore_step(self, saved: StepProgress) -> None:
-        is_of_job = saved.occurrence < self.job.occurrences
-        if not is_of_job or saved.step >= len(self.job.steps):
+        if self.is_final:
             return
-        step_key = (saved.occurrence, saved.step)
-        step_tasks = StepTasks(
-            self.job.steps[saved.step],
-            TaskSet(saved.done),
-            {f.index: f for f in saved.failures},
-            {c.index: c.checkpoint for c in saved.checkpoints},
-        )
-        self.tasks_by_step[step_key] = step_tasks
-        self._open_tasks_by_step[step_key] = step_tasks
-        if step_tasks.is_done:
-            self._close_step(step_key)
+        saved_by_position = {
+            self._numbering.first_position((saved.occurrence, saved.step)): saved
+            for saved in progress.steps
+            if saved.occurrence < self.job.occurrences
+            and saved.step < len(self.job.steps)
+        }
+        for position, saved in saved_by_position.items():
+            # Earlier versions wrote one record for a job of any size. If this is one,
+            # its parts are still to be written.
+            end = position + len(saved.done) * 8
+            first_part, last_part = position // TASKS_PER_PART, end // TASKS_PER_PART
+            self._changed_parts.update(range(first_part, last_part + 1))
+        for number, part in part_by_number.items():
+            position = number * TASKS_PER_PART
+            if position < self._numbering.total:
+                saved_by_position[position] = part
+        for position, saved in saved_by_position.items():
+            self._done.add_all(TaskSet(saved.done), position)
+        for position, saved in saved_by_position.items():
+            self._restore_details(saved, position)
+        self._next_occurrence = self._unfinished_occurrence(0)
+        self._complete_if_done()
+
+    def _restore_details(self, saved: StepProgress | ProgressPart, first: int) -> None:
+        """Restore failures and checkpoints of the tasks from position ``first`` on."""
+        for failures in saved.failures:
+            step_key, index = self._numbering.locate(first + failures.index)
+            if self._is_step_done(step_key):
+                continue
+            step_tasks = self._open_step(step_key)
+            step_tasks.failures_by_index[index] = replace(failures, index=index)
+        for saved_checkpoint in saved.checkpoints:
+            step_key, index = self._numbering.locate(first + saved_checkpoint.index)
+            if self._is_step_done(step_key):
+                continue
+            step_tasks = self._open_step(step_key)
+            step_tasks.checkpoint_by_index[index] = saved_checkpoint.checkpoint
+
+
+def _successors_by_step(steps: Sequence[Step]) -> dict[int, list[int]]:
+    """Return the steps that depend on each of the steps, by index."""
+    successors_by_step: dict[int, list[int]] = {}
+    for index, step in enumerate(steps):
+        for predecessor in step.after:
+            successors_by_step.setdefault(predecessor, []).append(index)
+    return successors_by_step
 
 
 def _chain_ms_by_step(steps: Sequence[Step]) -> list[float]:
@@ -322,16 +450,3 @@
                 steps[predecessor].estimated_ms + chain_ms_by_step[index],
             )
     return chain_ms_by_step
-
-
-def _step_progress(
-    step_key: StepKey, step_tasks: StepTasks, with_checkpoints: bool
-) -> StepProgress:
-    checkpoint_by_index = step_tasks.checkpoint_by_index if with_checkpoints else {}
-    return StepProgress(
-        step_key[0],
-        step_key[1],
-        step_tasks.done.to_bytes(step_tasks.step.count),
-        tuple(step_tasks.failures_by_index.values()),
-        tuple(TaskCheckpoint(i, c) for i, c in checkpoint_by_index.items()),
-    )
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -64,6 +64,14 @@
   finishedMs @3 :UInt64;
 }
 
+struct ProgressPart {
+  # Bit set of the tasks of the part that are done, as in StepProgress. Here and in the
+  # lists, tasks are numbered from the first one of the part.
+  done @0 :Data;
+  failures @1 :List(TaskFailures);
+  checkpoints @2 :List(TaskCheckpoint);
+}
+
 struct LeaderRecord {
   token @0 :UInt64;
   instance @1 :Text;
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
 
@@ -13,6 +14,10 @@
 
 from .model import Job, JobState
 
+# Tasks that share one record of a job's progress. With a failure and a checkpoint of
+# each task, the record has less than half of the size that the store accepts.
+TASKS_PER_PART = 1_024
+
 _SCHEMA = capnp.load(str(Path(__file__).with_name("jobs.capnp")))
 
 
@@ -22,6 +27,7 @@
     JOB = "j"
     CANCELLATION = "x"
     PROGRESS = "p"
+    PROGRESS_PART = "q"
     LEADER = "L"
     WAVE = "w"
     ORDER = "o"
@@ -75,7 +81,8 @@
     """Progress of a job, stored so that a new leader can continue the job.
 
     ``highest_run`` is the highest run number of its tasks, and ``finished_ms`` the Unix
-    time at which the job ended, 0 before that.
+    time at which the job ended, 0 before that. ``steps`` is empty for a job of more
+    than ``TASKS_PER_PART`` tasks; see ``ProgressPart``.
     """
 
     state: JobState
@@ -84,6 +91,20 @@
     finished_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ProgressPart:
+    """Progress of some of the tasks of a job that has many.
+
+    Part N covers ``TASKS_PER_PART`` tasks in the order of ``TaskNumbering``, beginning
+    with task N times ``TASKS_PER_PART``. ``done``, and the indexes of ``failures`` and
+    ``checkpoints``, count from that task.
+    """
+
+    done: bytes
+    failures: tuple[TaskFailures, ...] = ()
+    checkpoints: tuple[TaskCheckpoint, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class LeaderRecord:
     """The instance that leads and its fencing token.
@@ -144,6 +165,7 @@
 _STRUCT_BY_TYPE = {
     Job: _SCHEMA.Job,
     JobProgress: _SCHEMA.JobProgress,
+    ProgressPart: _SCHEMA.ProgressPart,
     LeaderRecord: _SCHEMA.LeaderRecord,
     LeadBid: _SCHEMA.LeadBid,
     InstanceOrder: _SCHEMA.InstanceOrder,
@@ -156,8 +178,56 @@
     return kind.value + name
 
 
+def part_key(job_id: str, number: int) -> str:
+    """Return the key of a part of a job's progress, such as ``"q5c0e.3"``."""
+    return key_of(Kind.PROGRESS_PART, f"{job_id}.{number}")
+
+
+def smaller_versions(
+    progress: JobProgress | ProgressPart,
+) -> Iterator[JobProgress | ProgressPart]:
+    """Yield progress with all details, then with ever fewer.
+
+    First the checkpoints are left out, then the numbers of failed runs. Without its
+    checkpoint, a task that starts again does so from the beginning; without the number,
+    a failure that a worker reports to two leaders counts twice.
+    """
+    yield progress
+    without_checkpoints = _with_details(progress, keeps_runs=True)
+    yield without_checkpoints
+    yield _with_details(without_checkpoints, keeps_runs=False)
+
+
+def _with_details(
+    progress: JobProgress | ProgressPart, *, keeps_runs: bool
+) -> JobProgress | ProgressPart:
+    match progress:
+        case JobProgress(steps=steps):
+            return replace(
+                progress,
+                steps=tuple(_strip(step, keeps_runs=keeps_runs) for step in steps),
+            )
+        case ProgressPart():
+            return _strip(progress, keeps_runs=keeps_runs)
+
+
+def _strip(
+    progress: StepProgress | ProgressPart, *, keeps_runs: bool
+) -> StepProgress | ProgressPart:
+    failures = progress.failures
+    if not keeps_runs:
+        failures = tuple(replace(failure, runs=()) for failure in failures)
+    return replace(progress, failures=failures, checkpoints=())
+
+
 def encode(
-    value: Job | JobProgress | LeaderRecord | LeadBid | InstanceOrder | WaveProgress,
+    value: Job
+    | JobProgress
+    | ProgressPart
+    | LeaderRecord
+    | LeadBid
+    | InstanceOrder
+    | WaveProgress,
 ) -> bytes:
     """Serialise a value, prefixed with a checksum."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lycheeloom.wire.checksum import strip_checksum
 
@@ -13,6 +13,7 @@
     Kind,
     LeadBid,
     LeaderRecord,
+    ProgressPart,
     Record,
     WaveProgress,
     decode,
@@ -32,6 +33,8 @@
     # replaced before anybody needs them, and every instance reads those of all jobs.
     encoded_progress: bytes = b""
     _decoded_progress: JobProgress | None = None
+    # The latest records of the parts of the progress, by number.
+    encoded_part_by_number: dict[int, bytes] = field(default_factory=dict)
 
     @property
     def progress(self) -> JobProgress | None:
@@ -43,6 +46,15 @@
                 self._decoded_progress = decoded
         return self._decoded_progress
 
+    @property
+    def part_by_number(self) -> dict[int, ProgressPart]:
+        """Return the parts of the progress of a job that has many tasks."""
+        return {
+            number: part
+            for number, encoded in self.encoded_part_by_number.items()
+            if (part := decode(ProgressPart, encoded)) is not None
+        }
+
     @property
     def state(self) -> JobState:
         """Return the state to report to callers.
@@ -125,6 +137,12 @@
                 decoded = strip_checksum(value)
                 if decoded is not None:
                     self._entry(name).encoded_progress = value
+            case Kind.PROGRESS_PART:
+                job_id, number = _split_part_name(name)
+                decoded = strip_checksum(value) if number is not None else None
+                if decoded is not None:
+                    self._entry(job_id).encoded_part_by_number[number] = value
+                    name = job_id
             case Kind.LEADER:
                 decoded = decode(LeaderRecord, value)
                 if decoded is not None:
@@ -152,6 +170,10 @@
         The removal of a cancellation has no effect of its own: the whole entry is
         removed with the record of the job or of its progress.
         """
+        if kind is Kind.PROGRESS_PART:
+            job_id, number = _split_part_name(name)
+            if job_id in self.entry_by_id:
+                self.entry_by_id[job_id].encoded_part_by_number.pop(number, None)
         if kind is Kind.WAVE:
             self.begun_by_wave.pop(name, None)
         if kind is Kind.BID:
@@ -170,3 +192,11 @@
         return Kind(key[:1])
     except ValueError:
         return None
+
+
+def _split_part_name(name: str) -> tuple[str, int | None]:
+    """Return job id and number of a part; the number is None if the name is invalid."""
+    job_id, _, number = name.rpartition(".")
+    if not job_id or not (number.isascii() and number.isdigit()):
+        return job_id, None
+    return job_id, int(number)
--- a/libs/jobs/src/lycheeloom/jobs/task_sets.py
+++ b/libs/jobs/src/lycheeloom/jobs/task_sets.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator
 
+_FULL_BYTE = 0xFF
+
 
 class TaskSet:
     """Set of task indexes, stored as bits: one byte holds eight tasks.
@@ -30,6 +32,38 @@
         length = (count + 7) // 8
         return bytes(self._bits[:length]).ljust(length, b"\0")
 
+    def slice(self, start: int, count: int) -> TaskSet:
+        """Return the tasks from ``start`` on, renumbered from 0 to ``count`` - 1."""
+        end = start + count
+        bits = int.from_bytes(self._bits[start // 8 : (end + 7) // 8], "little")
+        bits = bits >> start % 8 & (1 << count) - 1
+        return TaskSet(bits.to_bytes((count + 7) // 8, "little"))
+
+    def add_all(self, tasks: TaskSet, start: int) -> None:
+        """Add tasks whose index 0 stands for ``start``."""
+        bits = int.from_bytes(tasks._bits, "little") << start % 8
+        first, length = start // 8, (bits.bit_length() + 7) // 8
+        if len(self._bits) < first + length:
+            self._bits.extend(bytes(first + length - len(self._bits)))
+        former = int.from_bytes(self._bits[first : first + length], "little")
+        merged = former | bits
+        self._bits[first : first + length] = merged.to_bytes(length, "little")
+        self._size += merged.bit_count() - former.bit_count()
+
+    def has_all(self, start: int, count: int) -> bool:
+        """Return whether the set contains ``count`` tasks from ``start`` on."""
+        if count == 1:
+            return start in self
+        return len(self.slice(start, count)) == count
+
+    def first_missing(self, start: int) -> int:
+        """Return the first index, not below ``start``, that the set lacks."""
+        index = start
+        while index in self:
+            is_full_byte = index % 8 == 0 and self._bits[index // 8] == _FULL_BYTE
+            index += 8 if is_full_byte else 1
+        return index
+
     def __contains__(self, index: int) -> bool:
         byte_index = index // 8
         if not 0 <= byte_index < len(self._bits):
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -3,15 +3,29 @@
 from __future__ import annotations
 
 import tracemalloc
+from unittest.mock import patch
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from lycheeloom.jobs import active_job as active_job_module
 from lycheeloom.jobs.active_job import MAX_UNSTARTED_STEPS, ActiveJob
 from lycheeloom.jobs.model import EndKind, Job, JobState, Step, TaskKey
-from lycheeloom.jobs.records import JobProgress, Kind, Record, decode, encode, key_of
+from lycheeloom.jobs.records import (
+    TASKS_PER_PART,
+    JobProgress,
+    Kind,
+    ProgressPart,
+    Record,
+    StepProgress,
+    TaskCheckpoint,
+    TaskFailures,
+    decode,
+    encode,
+    key_of,
+)
 from lycheeloom.jobs.table import JobTable
 
 STEPS = (
@@ -20,6 +34,12 @@
     Step(1, 500, after=(0, 1), image="i", target_ms=5, may_miss=1),
 )
 JOB = Job("a" * 16, "queue", "red", "text", STEPS, 5, 2, 1_000, 500)
+ALL_TASKS = [
+    TaskKey(JOB.job_id, occurrence, step, index)
+    for occurrence in range(JOB.occurrences)
+    for step in range(len(STEPS))
+    for index in range(STEPS[step].count)
+]
 
 
 def test_records_survive_encoding():
@@ -106,7 +126,7 @@
     assert not yearly_job.startable_steps(0)
     yearly_job.note_end(first, run, EndKind.DONE, "")
     assert [key for key, _ in yearly_job.startable_steps(0)] == [(0, 1)]
-    successor = ActiveJob(yearly_job.job, yearly_job.progress())
+    successor = restore(yearly_job, {})
     assert [key for key, _ in successor.startable_steps(0)] == [(0, 1)]
 
 
@@ -125,6 +145,53 @@
     return TaskKey(active_job.job.job_id, *step_key, step_tasks.waiting.first)
 
 
+def restore(active_job: ActiveJob, part_by_number: dict) -> ActiveJob:
+    """Return the job as the next leader builds it.
+
+    Adds the parts of the progress that have changed to ``part_by_number``.
+    """
+    progress = decode(JobProgress, encode(active_job.progress()))
+    for number, part in active_job.changed_parts().items():
+        part_by_number[number] = decode(ProgressPart, encode(part))
+    return ActiveJob(active_job.job, progress, part_by_number)
+
+
+def test_progress_of_an_earlier_version_is_read_and_split(yearly_job):
+    """Tasks must not run again because a new version takes over a large job.
+
+    Earlier versions wrote one record for a job of any size.
+    """
+    job = yearly_job.job
+    steps = [StepProgress(n, step, b"\1") for n in range(2_000) for step in (0, 1)]
+    failures = (TaskFailures(0, 2, (5, 6)),)
+    steps.append(StepProgress(2_000, 0, b"\0", failures, (TaskCheckpoint(0, "c"),)))
+    active_job = ActiveJob(job, JobProgress(JobState.RUNNING, 7, tuple(steps)))
+    part_by_number = {}
+    for successor in (active_job, restore(active_job, part_by_number)):
+        assert successor.is_done(TaskKey(job.job_id, 1_999, 1, 0))
+        assert not successor.is_done(TaskKey(job.job_id, 2_000, 0, 0))
+        [(step_key, step_tasks)] = successor.startable_steps(2_000 * 60_000)
+        assert step_key == (2_000, 0)
+        assert step_tasks.failures_by_index == {0: failures[0]}
+        assert step_tasks.checkpoint_by_index == {0: "c"}
+    assert sorted(part_by_number) == list(range(4))
+    assert active_job.changed_parts() == {}
+
+
+def test_parts_of_the_largest_progress_fit_into_a_record():
+    """A part must fit into a record of the store whatever its tasks have done."""
+    job = Job("b" * 16, "queue", "red", "text", (Step(2 * TASKS_PER_PART, 1),))
+    active_job = ActiveJob(job)
+    for index in range(2 * TASKS_PER_PART):
+        task = TaskKey(job.job_id, 0, 0, index)
+        for run in range(3):
+            active_job.note_end(task, run, EndKind.FAILED, "00000bb87a21d94b")
+    parts = active_job.changed_parts()
+    assert sorted(parts) == [0, 1]
+    assert all(len(encode(part)) < 262_144 / 2 for part in parts.values())
+    assert len(encode(active_job.progress())) < 200
+
+
 class ActiveJobMachine(RuleBasedStateMachine):
     """Lets runs of a job end in any order and kind, with changes of leader in between.
 
@@ -132,14 +199,24 @@
     encoded progress.
     """
 
+    tasks_per_part = active_job_module.TASKS_PER_PART
+
     def __init__(self) -> None:
         super().__init__()
+        self._patch = patch.object(
+            active_job_module, "TASKS_PER_PART", self.tasks_per_part
+        )
+        self._patch.start()
+        self.part_by_number: dict[int, ProgressPart] = {}
         self.active_job = ActiveJob(JOB)
         self.active_job.max_attempts = 4
         self.done_tasks: set[TaskKey] = set()
         # Task, run number and kind of each end so far.
         self.ends: list[tuple[TaskKey, int, EndKind]] = []
 
+    def teardown(self) -> None:
+        self._patch.stop()
+
     @rule(
         occurrence=st.integers(0, 1),
         step=st.integers(0, 2),
@@ -150,7 +227,8 @@
         task = TaskKey(JOB.job_id, occurrence, step, index)
         step_tasks = self.active_job.find_tasks(task)
         if step_tasks is None or self.active_job.is_final:
-            assert self.active_job.is_final or index >= STEPS[step].count
+            is_unknown = index >= STEPS[step].count
+            assert self.active_job.is_final or is_unknown or task in self.all_done()
             return
         if index not in step_tasks.waiting:
             return
@@ -183,28 +261,39 @@
 
     @rule()
     def change_leader(self):
-        progress = decode(JobProgress, encode(self.active_job.progress()))
-        self.active_job = ActiveJob(JOB, progress)
+        self.active_job = restore(self.active_job, self.part_by_number)
         self.active_job.max_attempts = 4
 
     @invariant()
     def done_tasks_stay_done(self):
         for task in self.done_tasks:
-            step_tasks = self.active_job.tasks_by_step[task.occurrence, task.step]
-            assert task.index in step_tasks.done
-            assert task.index not in step_tasks.waiting
+            assert self.active_job.is_done(task)
+            step_tasks = self.active_job.find_tasks(task)
+            assert step_tasks is None or task.index not in step_tasks.waiting
 
     @invariant()
     def job_is_completed_if_and_only_if_all_tasks_are_done(self):
-        all_done = all(
-            (step_tasks := self.active_job.tasks_by_step.get((occurrence, index)))
-            is not None
-            and step_tasks.is_done
-            for occurrence in range(JOB.occurrences)
-            for index in range(len(STEPS))
-        )
+        all_done = self.all_done() == set(ALL_TASKS)
         assert (self.active_job.state is JobState.COMPLETED) == all_done
 
+    def all_done(self) -> set[TaskKey]:
+        """Return the tasks that have ended as done, and the others of their gangs."""
+        done_steps = {(task.occurrence, task.step) for task in self.done_tasks}
+        return {
+            task
+            for task in ALL_TASKS
+            if task in self.done_tasks
+            or (STEPS[task.step].gang and (task.occurrence, task.step) in done_steps)
+        }
+
+
+class ActiveJobInPartsMachine(ActiveJobMachine):
+    """The same with progress that is split over records, within a step too."""
+
+    tasks_per_part = 2
+
 
 TestActiveJob = ActiveJobMachine.TestCase
 TestActiveJob.settings = settings(derandomize=True, max_examples=60, deadline=None)
+TestActiveJobInParts = ActiveJobInPartsMachine.TestCase
+TestActiveJobInParts.settings = TestActiveJob.settings
