Plan a limited number of starts in a round

A job of 100,000 tasks of 1 millicore on 2 workers was planned in one round of 2,556 ms of processor time (20,000 tasks of 10 millicores on 50 workers: 533 ms). The leader's lease lasts 1.5 s, so it would lose the lead, as would the next one.

Change: a round plans at most 200 starts, and a gang as a whole; the next round follows at once. The same two plans take 5 ms a round now.

Failed before: test_one_round_plans_a_limited_number_of_starts, 'assert 251 == 200'. That a fleet is stopped by such a job was not played.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -11,7 +11,7 @@
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import Worker
-from lycheeloom.jobs.planner import AdvisedWorkers
+from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND, AdvisedWorkers
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
@@ -357,6 +357,8 @@
         )
         for start in starts:
             self._orders.begin(start, now_s)
+        if len(starts) >= MAX_STARTS_PER_ROUND:
+            self.wake()
         return len(starts)
 
     def _write(self) -> None:
--- a/libs/coordinator/tests/test_large_jobs.py
+++ b/libs/coordinator/tests/test_large_jobs.py
@@ -9,12 +9,13 @@
 from libs.coordinator.tests.fake_store import APPEND_DURATION_S
 from libs.coordinator.tests.fakes import busy_wait, make_job, wait_until
 
-from lycheeloom.coordinator import job_registry
+from lycheeloom.coordinator import job_registry, round_timer
 from lycheeloom.coordinator.cleaner import Cleaner
 from lycheeloom.coordinator.clock import wall_ms
 from lycheeloom.coordinator.ports import Producer
 from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.model import EndKind, Job, JobState, Step
+from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND
 from lycheeloom.jobs.records import (
     TASKS_PER_PART,
     JobProgress,
@@ -116,6 +117,15 @@
     assert len(step_tasks.waiting) == 100_000 - 32
 
 
+def test_many_small_tasks_start_in_several_rounds(cluster, monkeypatch):
+    """Tasks beyond those of one round must not wait for the next event."""
+    monkeypatch.setattr(round_timer, "PLAN_INTERVAL_S", 600.0)
+    count = 3 * MAX_STARTS_PER_ROUND
+    cluster.store.add_job(make_job(PLAIN_JOB_ID, Step(count)))
+    cluster.start_leader()
+    wait_until(lambda: len(cluster.workers.started_runs) == count)
+
+
 def test_progress_of_a_long_timed_job_survives_a_takeover(cluster):
     """Recorded ends must not be lost because the record of the job is too large.
 
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -20,6 +20,10 @@
 # Time over which the submission rate of an organisation is measured. Jobs that exceed
 # the rate given by its weight, in jobs per second, are ranked behind the others.
 RATE_WINDOW_S = 4.0
+# A round plans at most this many starts, and the members of one gang beyond them, so
+# that the leader's polls and the renewal of its lease are not held up. The next round
+# goes on with the others.
+MAX_STARTS_PER_ROUND = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,7 @@
     ) -> list[Start]:
         """Return the tasks to start now; the caller adds their runs to the fleet.
 
+        With ``MAX_STARTS_PER_ROUND`` or more starts, others may be able to start too.
         ``now_s`` is the leader's monotonic clock, ``now_ms`` is Unix time. Steps of
         queues that require advice start only on ``advised_workers``; None stands for
         no restriction.
@@ -115,6 +120,8 @@
         # need at least as much are not tried again in this round.
         unplaceable_need_by_pool: dict[str, Resources] = {}
         for ranked in ranked_steps:
+            if len(starts) >= MAX_STARTS_PER_ROUND:
+                break
             starts.extend(
                 self._plan_step(
                     ranked,
@@ -124,6 +131,7 @@
                     reservations,
                     unplaceable_need_by_pool,
                     advised_workers,
+                    MAX_STARTS_PER_ROUND - len(starts),
                 )
             )
         reservations.release()
@@ -163,9 +171,11 @@
         reservations: _Reservations,
         unplaceable_need_by_pool: dict[str, Resources],
         advised_workers: AdvisedWorkers | None,
+        max_starts: int,
     ) -> list[Start]:
         """Return the starts of a step, up to the limits of workers and organisation.
 
+        A gang is not subject to ``max_starts``, as its tasks start together.
         Also sets the pool's ``unplaceable_need`` if the pool has no room for a task.
         """
         step, pool = ranked.step_tasks.step, ranked.queue.pool
@@ -195,7 +205,7 @@
                 self._fleet, ranked.active_job.job.job_id, *ranked.step_key
             )
         choice = WorkerChoice(states, step, counts)
-        while ranked.step_tasks.waiting:
+        while ranked.step_tasks.waiting and len(starts) < max_starts:
             index = ranked.step_tasks.waiting.first
             if not reservations.allows(
                 policy, ranked.active_job.job.organisation, step
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -18,7 +18,7 @@
     Step,
     Worker,
 )
-from lycheeloom.jobs.planner import AdvisedWorkers, Planner
+from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND, AdvisedWorkers, Planner
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 NOW_MS = 10_000
@@ -255,3 +255,19 @@
     starts = planner.plan([first, second], policy, (), 1.0, NOW_MS, advised_workers)
     workers = [start.worker_id for start in starts]
     assert workers == ["w0"] * 8 + ["w1"]
+
+
+def test_one_round_plans_a_limited_number_of_starts(fleet):
+    """A job of very many small tasks must not hold up the leader.
+
+    Planning 100,000 tasks at once took longer than the leader's lease lasts.
+    """
+    active_job = make_active_job(Step(MAX_STARTS_PER_ROUND + 50), job_id="a")
+    other_job = make_active_job(Step(1, 1000), job_id="b", accepted_ms=NOW_MS + 1)
+    jobs = [active_job, other_job]
+    first_round = plan(fleet, jobs)
+    assert len(first_round) == MAX_STARTS_PER_ROUND
+    second_round = plan(fleet, jobs)
+    assert [start.task.job_id for start in second_round] == ["a"] * 50 + ["b"]
+    indexes = [start.task.index for start in first_round + second_round[:-1]]
+    assert indexes == list(range(MAX_STARTS_PER_ROUND + 50))
