--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -54,7 +54,7 @@
         # can have unknown runs any more.
         self.inherited_job_ids: set[str] = set()
         # Ids of the jobs that ``inherit`` has yet to open.
-        self._uninherited_job_ids: set[str] = set()
+        self._job_ids_to_inherit: set[str] = set()
         # Commit of the last progress records; it becomes durable only after all records
         # written before.
         self.last_commit: Commit | None = None
@@ -81,12 +81,12 @@
         The lease is renewed meanwhile, and records that arrive are processed.
         """
         job_ids = list(self._replica.table.entry_by_id)
-        self._uninherited_job_ids.update(job_ids)
+        self._job_ids_to_inherit.update(job_ids)
         turns = Turns()
         for job_id in job_ids:
             self._open_job(job_id)
             turns.give_way()
-        self._uninherited_job_ids.clear()
+        self._job_ids_to_inherit.clear()
 
     def on_record(self, applied: AppliedRecord) -> None:
         """Process a record that was applied to the table."""
@@ -202,7 +202,7 @@
         self.active_job_by_id[job_id] = active_job
         self.planner.note_job(active_job, self._view.policy)
         queue = self._view.policy.queue_by_name.get(entry.job.queue)
-        is_inherited = job_id in self._uninherited_job_ids
+        is_inherited = job_id in self._job_ids_to_inherit
         if is_inherited:
             self.inherited_job_ids.add(job_id)
         elif queue is not None:
--- a/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
@@ -4,8 +4,8 @@
 
 import gevent
 
-from lycheeloom.jobs.active_job import StepKey
 from lycheeloom.jobs.model import AdviceTerms
+from lycheeloom.jobs.task_numbering import StepKey
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterator, Mapping
+from dataclasses import replace
 
 from .model import FINAL_STATES, EndKind, Job, JobState, Step, TaskKey
 from .records import (
@@ -14,39 +14,16 @@
     TaskCheckpoint,
     TaskFailures,
 )
+from .step_graph import chain_ms_by_step, successors_by_step
+from .step_tasks import StepTasks
 from .task_numbering import StepKey, TaskNumbering
-from .task_sets import TaskSet, WaitingTasks
+from .task_sets import TaskSet
 
 # No further occurrence of a job is opened while this many of its steps could start and
 # have not: after an outage, thousands of occurrences may be due at once.
 MAX_UNSTARTED_STEPS = 100
 
 
-@dataclass(slots=True)
-class StepTasks:
-    """Scheduling state of the tasks of one occurrence of a step."""
-
-    step: Step
-    done: TaskSet = field(default_factory=TaskSet)
-    failures_by_index: dict[int, TaskFailures] = field(default_factory=dict)
-    checkpoint_by_index: dict[int, str] = field(default_factory=dict)
-    # Tasks that are neither done nor have a run.
-    waiting: WaitingTasks = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.waiting = WaitingTasks(self.step.count, self.done)
-
-    @property
-    def is_done(self) -> bool:
-        """Return whether all tasks are done."""
-        return len(self.done) >= self.step.count
-
-    @property
-    def is_unstarted(self) -> bool:
-        """Return whether all tasks wait."""
-        return len(self.waiting) >= self.step.count
-
-
 class ActiveJob:
     """Tracks the tasks of a job: waiting, done, failures and checkpoints.
 
@@ -74,8 +51,8 @@
         # A task of the job has started.
         self.has_begun = False
         # Estimated duration of the longest chain of steps that begins with each step.
-        self._chain_ms_by_step = _chain_ms_by_step(job.steps)
-        self._successors_by_step = _successors_by_step(job.steps)
+        self._chain_ms_by_step = chain_ms_by_step(job.steps)
+        self._successors_by_step = successors_by_step(job.steps)
         # The steps whose state has been built and that are not done.
         self.tasks_by_step: dict[StepKey, StepTasks] = {}
         self._numbering = TaskNumbering(job)
@@ -97,14 +74,15 @@
 
         Returns None if the job has no such task, or if the whole step is done.
         """
-        step_key = (task.occurrence, task.step)
-        if not self._has_task(task) or self._is_step_done(step_key):
+        if self._numbering.position(task) is None:
             return None
-        return self._open_step(step_key)
+        step_key = (task.occurrence, task.step)
+        return None if self._is_step_done(step_key) else self._open_step(step_key)
 
     def is_done(self, task: TaskKey) -> bool:
         """Return whether a task is done; a long-running one never is."""
-        return self._has_task(task) and self._position(task) in self._done
+        position = self._numbering.position(task)
+        return position is not None and position in self._done
 
     def startable_steps(self, now_ms: float) -> list[tuple[StepKey, StepTasks]]:
         """Return the steps with waiting tasks that may start.
@@ -266,16 +244,6 @@
         done = self._done.slice(first, TASKS_PER_PART).to_bytes(TASKS_PER_PART)
         return ProgressPart(done, tuple(failures), tuple(checkpoints))
 
-    def _has_task(self, task: TaskKey) -> bool:
-        if not 0 <= task.occurrence < self.job.occurrences:
-            return False
-        if not 0 <= task.step < len(self.job.steps):
-            return False
-        return 0 <= task.index < self.job.steps[task.step].count
-
-    def _position(self, task: TaskKey) -> int:
-        return self._numbering.first_position((task.occurrence, task.step)) + task.index
-
     def _mark_changed(self, position: int) -> None:
         self._changed_parts.add(position // TASKS_PER_PART)
 
@@ -303,7 +271,7 @@
             return False
         failures = failures.with_run(run)
         step_tasks.failures_by_index[task.index] = failures
-        self._mark_changed(self._position(task))
+        self._mark_changed(self._numbering.position(task))
         limit = self.max_attempts
         if limit is not None and failures.count >= limit and not self.is_final:
             self.state = JobState.FAILED
@@ -313,7 +281,7 @@
         self, task: TaskKey, step_tasks: StepTasks, checkpoint: str
     ) -> None:
         step_tasks.checkpoint_by_index[task.index] = checkpoint
-        self._mark_changed(self._position(task))
+        self._mark_changed(self._numbering.position(task))
 
     def _is_startable(
         self, step_key: StepKey, step_tasks: StepTasks, now_ms: float
@@ -387,26 +355,28 @@
         self.has_begun = progress.state is not JobState.QUEUED
         if self.is_final:
             return
-        saved_by_position = {
-            self._numbering.first_position((saved.occurrence, saved.step)): saved
-            for saved in progress.steps
-            if saved.occurrence < self.job.occurrences
-            and saved.step < len(self.job.steps)
-        }
-        for position, saved in saved_by_position.items():
+        # Position of the first task that a record describes, and the record.
+        saved_from: list[tuple[int, StepProgress | ProgressPart]] = []
+        for step_progress in progress.steps:
+            is_of_job = step_progress.occurrence < self.job.occurrences
+            if not is_of_job or step_progress.step >= len(self.job.steps):
+                continue
+            step_key = (step_progress.occurrence, step_progress.step)
+            first = self._numbering.first_position(step_key)
+            saved_from.append((first, step_progress))
             # Earlier versions wrote one record for a job of any size. If this is one,
             # its parts are still to be written.
-            end = position + len(saved.done) * 8
-            first_part, last_part = position // TASKS_PER_PART, end // TASKS_PER_PART
-            self._changed_parts.update(range(first_part, last_part + 1))
+            last = first + self.job.steps[step_progress.step].count - 1
+            parts = range(first // TASKS_PER_PART, last // TASKS_PER_PART + 1)
+            self._changed_parts.update(parts)
         for number, part in part_by_number.items():
-            position = number * TASKS_PER_PART
-            if position < self._numbering.total:
-                saved_by_position[position] = part
-        for position, saved in saved_by_position.items():
-            self._done.add_all(TaskSet(saved.done), position)
-        for position, saved in saved_by_position.items():
-            self._restore_details(saved, position)
+            first = number * TASKS_PER_PART
+            if first < self._numbering.total:
+                saved_from.append((first, part))
+        for first, saved in saved_from:
+            self._done.add_all(TaskSet(saved.done), first)
+        for first, saved in saved_from:
+            self._restore_details(saved, first)
         self._next_occurrence = self._unfinished_occurrence(0)
         self._complete_if_done()
 
@@ -424,29 +394,3 @@
                 continue
             step_tasks = self._open_step(step_key)
             step_tasks.checkpoint_by_index[index] = saved_checkpoint.checkpoint
-
-
-def _successors_by_step(steps: Sequence[Step]) -> dict[int, list[int]]:
-    """Return the steps that depend on each of the steps, by index."""
-    successors_by_step: dict[int, list[int]] = {}
-    for index, step in enumerate(steps):
-        for predecessor in step.after:
-            successors_by_step.setdefault(predecessor, []).append(index)
-    return successors_by_step
-
-
-def _chain_ms_by_step(steps: Sequence[Step]) -> list[float]:
-    """Return the duration of the longest chain that begins with each of the steps.
-
-    A step depends only on earlier ones; other dependencies are ignored.
-    """
-    chain_ms_by_step = [float(step.estimated_ms) for step in steps]
-    for index in reversed(range(len(steps))):
-        for predecessor in steps[index].after:
-            if predecessor >= index:
-                continue
-            chain_ms_by_step[predecessor] = max(
-                chain_ms_by_step[predecessor],
-                steps[predecessor].estimated_ms + chain_ms_by_step[index],
-            )
-    return chain_ms_by_step
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -8,10 +8,12 @@
 
 from lycheeloom.model.resources import Resources
 
-from .active_job import ActiveJob, StepKey, StepTasks
+from .active_job import ActiveJob
 from .fleet import Fleet, WorkerState
 from .model import Policy, Queue, Step, TaskKey
 from .placement import WorkerChoice, choose_gang, eligible_workers, tasks_by_worker
+from .step_tasks import StepTasks
+from .task_numbering import StepKey
 
 # Jobs that can no longer meet their deadline are ranked behind the others until they
 # have waited this long; then they are ranked by their deadline again, so that none
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -193,12 +193,12 @@
     a failure that a worker reports to two leaders counts twice.
     """
     yield progress
-    without_checkpoints = _with_details(progress, keeps_runs=True)
+    without_checkpoints = _with_fewer_details(progress, keeps_runs=True)
     yield without_checkpoints
-    yield _with_details(without_checkpoints, keeps_runs=False)
+    yield _with_fewer_details(without_checkpoints, keeps_runs=False)
 
 
-def _with_details(
+def _with_fewer_details(
     progress: JobProgress | ProgressPart, *, keeps_runs: bool
 ) -> JobProgress | ProgressPart:
     match progress:
--- a/libs/jobs/src/lycheeloom/jobs/task_numbering.py
+++ b/libs/jobs/src/lycheeloom/jobs/task_numbering.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from itertools import accumulate
 
-from .model import Job
+from .model import Job, TaskKey
 
 # Occurrence, and index of the step within the job.
 StepKey = tuple[int, int]
@@ -36,6 +36,16 @@
         occurrence, index = step_key
         return occurrence * self.tasks_per_occurrence + self._offsets[index]
 
+    def position(self, task: TaskKey) -> int | None:
+        """Return the position of a task; None if the job has no such task."""
+        if not 0 <= task.occurrence < self._occurrences:
+            return None
+        if not 0 <= task.step < len(self._counts):
+            return None
+        if not 0 <= task.index < self._counts[task.step]:
+            return None
+        return self.first_position((task.occurrence, task.step)) + task.index
+
     def locate(self, position: int) -> tuple[StepKey, int]:
         """Return the step of the task at a position, and its index within the step."""
         occurrence, offset = divmod(position, self.tasks_per_occurrence)
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -174,10 +174,23 @@
         assert step_key == (2_000, 0)
         assert step_tasks.failures_by_index == {0: failures[0]}
         assert step_tasks.checkpoint_by_index == {0: "c"}
-    assert sorted(part_by_number) == list(range(4))
+    assert sorted(part_by_number) == [0, 1, 2, 3]
     assert active_job.changed_parts() == {}
 
 
+def test_progress_written_by_both_versions_is_joined(yearly_job):
+    """A task must not run again because an earlier version led in between."""
+    job = yearly_job.job
+    part = ProgressPart(b"\x03")
+    steps = tuple(StepProgress(0, step, b"\1") for step in (0, 1))
+    steps += (StepProgress(1, 0, b"\1"),)
+    progress = JobProgress(JobState.RUNNING, 7, steps)
+    successor = ActiveJob(job, progress, {0: part, 1: ProgressPart(b"\x01")})
+    done = [(0, 0), (0, 1), (1, 0), (TASKS_PER_PART // 2, 0)]
+    assert all(successor.is_done(TaskKey(job.job_id, *key, 0)) for key in done)
+    assert not successor.is_done(TaskKey(job.job_id, 1, 1, 0))
+
+
 def test_parts_of_the_largest_progress_fit_into_a_record():
     """A part must fit into a record of the store whatever its tasks have done."""
     job = Job("b" * 16, "queue", "red", "text", (Step(2 * TASKS_PER_PART, 1),))
