--- a/review/standins-2/rig2.py
+++ b/review/standins-2/rig2.py
@@ -707,11 +707,16 @@
         self.machines = Machines(self)
         self._random = random.Random(7)
         self.accepted: list[str] = []
+        self.set_config(1)
+
+    def set_config(self, version: int, **tenant) -> None:
+        """Write a version of the configuration, with fields of the tenant."""
+        tenant = {"name": "t", "api_keys": ["key"], "weight": 100, **tenant}
         self.store.put(
             "keyed.op",
             "config",
             {
-                "version": 1,
+                "version": version,
                 "routes": [
                     {
                         "name": "queue",
@@ -725,7 +730,7 @@
                     }
                 ],
                 "services": [{"name": "svc", "rejects_overload": True}],
-                "tenants": [{"name": "t", "api_keys": ["key"], "weight": 100}],
+                "tenants": [tenant],
                 "limits": {"body_bytes": 262144},
             },
         )
