--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""TWICE: a worker starts again under its id, and is then cut off for a while."""
+"""UNASKED: a job whose cancelling was answered with 410 runs all the same."""
 
 import sys
 import time
@@ -6,50 +6,53 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 
-from rig2 import TROUBLE, Stream, main
+from rig2 import TROUBLE, call, main, now_s
 
-ROUNDS = 4
-OFF_S = 1.4
-# The worker's first report to the store after its start.
-FIRST_REPORT_S = 0.5
-CUT_S = 6.0
-LENGTH_S = {"short": 0.2, "long": 12.0}
+LATE_S = 6.0
+CANCEL_S = 3.0
+TASK_S = 1.0
+STEPS = [{"count": 2, "cpu": 1000, "estimated_ms": 1000}]
 
 
 def play(rig):
-    workers = [rig.add_worker() for _ in range(2)]
+    for _ in range(2):
+        rig.add_worker()
     rig.add_nodes(2)
-    short = {"count": 2, "cpu": 100, "estimated_ms": 200}
-    long = {"count": 4, "cpu": 200, "estimated_ms": 12_000}
-    stream = Stream(rig, "short", short, 0.08)
-    time.sleep(4)
-    for _ in range(ROUNDS):
-        worker = max(workers, key=lambda worker: len(worker.life.running))
-        if TROUBLE:
-            worker.lose_power()
-            time.sleep(OFF_S)
-            worker.start_again(FIRST_REPORT_S)
-        time.sleep(1.0)
-        for _ in range(3):
-            rig.submit("long", [long])
-        time.sleep(0.3)
-        if TROUBLE:
-            rig.record("worker", worker.name, "is cut off")
-            worker.server.turn_off()
-            time.sleep(CUT_S)
-            worker.server.turn_on()
-            rig.record("worker", worker.name, "is reached again")
-        time.sleep(9)
-        if at_the_same_time(rig):
+    time.sleep(3)
+    for _ in range(5):
+        rig.submit("usual", STEPS)
+        time.sleep(0.2)
+    found = []
+    for number in range(3):
+        found += cancelled_job(rig, number)
+    return found
+
+
+def cancelled_job(rig, number):
+    """Hand in a job, cancel it when there is no answer; return starts after that."""
+    job = f"{0xC0FFEE00 + number:016x}"
+    if TROUBLE:
+        rig.store.late_s_by_text[job.encode()] = LATE_S
+    body = {"specification": "cancelled", "steps": STEPS}
+    first, second = rig.nodes[number % 2], rig.nodes[(number + 1) % 2]
+    status, _ = call(first.address, "POST", f"/q/{job}", body)
+    rig.record("POST", job, "at", first.name, "answered with", status)
+    rig.store.late_s_by_text.clear()
+    for _ in range(5):
+        status, _ = call(second.address, "DELETE", f"/q/{job}")
+        rig.record("DELETE", job, "at", second.name, "answered with", status)
+        if status in (200, 410):
             break
-    stream.stop()
-    time.sleep(4)
-    return at_the_same_time(rig)
-
-
-def at_the_same_time(rig):
-    """Leave out the tasks that start again after their end; see case 6."""
-    return [line for line in rig.broken_twice() if "at the same time" in line]
-
-
-main(Path(__file__).resolve().parent, LENGTH_S.__getitem__, play)
+        time.sleep(0.2)
+    acknowledged_s = now_s()
+    time.sleep(10)
+    rig.record(job, "is shown as", rig.state(job))
+    return [
+        f"{run} began {run.began_s - acknowledged_s:.2f} s after the cancelling of its "
+        f"job was answered with {status}, and ended {run.how}"
+        for run in rig.runs()
+        if run.task.startswith(job) and run.began_s > acknowledged_s + CANCEL_S
+    ]
+
+
+main(Path(__file__).resolve().parent, lambda specification: TASK_S, play)
