Acknowledge ended runs only over the connection that listed them

Cause: each incarnation of a worker numbers its ended runs from 1. A poll acknowledges the latest recorded number and names the worker by its id only. Starts reach the new incarnation while the leader still waits (up to 1.7 s) for a poll of the former one; the next poll carries the former number, so the new incarnation forgets ends that nobody has read. Its lists then show another start time, the unlisted runs count as not started, and their tasks start again.

Change: an acknowledgement names the connection of the lists that it belongs to and is sent over no other. A connection ends with the incarnation. After a failed poll, or if the connection is gone, the next poll acknowledges nothing.

Related: lists with an earlier start time were left out, but the next poll acknowledged the former numbers to that incarnation.

Simulated workers can now lose power: a poll is silent and connections do not come about, where a restart used to refuse connections at once.

The tests of the adapter and the transport need names of the new code and were not run on the old.

--- a/libs/clients/src/lycheeloom/clients/connections.py
+++ b/libs/clients/src/lycheeloom/clients/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 import time
 from typing import Any
@@ -10,6 +11,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, NewConnectionError
 
+_connection_ids = itertools.count(1)
 _poll, _POLLIN = monkey.get_original("select", ["poll", "POLLIN"])
 
 
@@ -21,6 +23,11 @@
     # Headers and body of the request that ``request`` is about to send, else None.
     _unsent_parts: list[bytes] | None = None
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # Positive, and unique in this process.
+        self.connection_id = next(_connection_ids)
+
     def _new_conn(self) -> socket.socket:
         """Connect without name resolution, as all addresses are IP addresses.
 
@@ -108,6 +115,19 @@
             connection.close()
         return Connection(self._host, self._port)
 
+    def take_by_id(self, connection_id: int, max_idle_s: float) -> Connection | None:
+        """Return the idle connection with an id, or None if it cannot be used."""
+        for connection in self._stack:
+            if connection.connection_id != connection_id:
+                continue
+            self._stack.remove(connection)
+            oldest_allowed = time.monotonic() - max_idle_s
+            if connection.idle_since_s >= oldest_allowed and connection.is_connected:
+                return connection
+            connection.close()
+            break
+        return None
+
     def put(self, connection: Connection, max_count: int) -> None:
         """Keep a connection for reuse; its last response must be read to the end.
 
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -46,6 +46,9 @@
     # The ETag header, or empty. In the If-None-Match header of a later call, it names
     # the version of the document that the client has.
     etag: str = ""
+    # The connection that the response came over, for ``Transport.call``; 0 if the
+    # server has closed it after the response.
+    connection_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,17 +88,27 @@
         headers: Mapping[str, str] = BASE_HEADERS,
         timeout_s: float,
         may_send: Callable[[], bool] | None = None,
+        connection_id: int = 0,
     ) -> Response | CallFailed:
         """Make one call, which takes at most ``timeout_s``.
 
         ``may_send`` is asked right before the request is sent, when the connection
         stands: a permission may run out while a process is paused or waits for a
         connection. The connection is closed unless its response was read to the end.
+
+        With the ``connection_id`` of an earlier response, the request is sent only over
+        the same connection, so the same process receives it; it is not sent if that
+        connection is in use or not open any more.
         """
         idle_connections = self._idle_by_address.get(address)
         if idle_connections is None:
             idle_connections = self._idle_by_address[address] = IdleConnections(address)
-        connection = idle_connections.take(MAX_IDLE_S)
+        if connection_id:
+            connection = idle_connections.take_by_id(connection_id, MAX_IDLE_S)
+            if connection is None:
+                return CallFailed(False, "connection not open any more")
+        else:
+            connection = idle_connections.take(MAX_IDLE_S)
         deadline = gevent.Timeout.start_new(timeout_s)
         result: Response | CallFailed | None = None
         try:
@@ -159,7 +172,9 @@
         if response.length_remaining:
             return CallFailed(True, "connection closed within an answer")
         etag = response.headers.get("ETag") or ""
-        return Response(response.status, content, etag)
+        # Without a socket if the response has asked for closing the connection.
+        connection_id = connection.connection_id if connection.sock else 0
+        return Response(response.status, content, etag, connection_id)
 
     def close_idle(self, idle_s: float = MAX_IDLE_S) -> None:
         """Close connections that have been idle for more than ``idle_s``.
--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -104,6 +104,20 @@
         sock.close()
 
 
+def test_call_over_a_given_connection_goes_over_no_other(transport, worker):
+    """Guards against a request that reaches another process than the earlier one."""
+    first = call(transport, worker)
+    arguments = (worker.address, "GET", "/v1/faults")
+    over_first = {"timeout_s": LONG_S, "connection_id": first.connection_id}
+    again = transport.call(*arguments, **over_first)
+    assert again.connection_id == first.connection_id
+    worker.set_faults(down=True)
+    worker.set_faults(down=False)
+    result = transport.call(*arguments, **over_first)
+    assert result == CallFailed(False, "connection not open any more")
+    assert call(transport, worker).connection_id != first.connection_id
+
+
 def test_close_idle_forgets_unused_addresses(transport, worker):
     """Addresses of replaced workers must not accumulate."""
     call(transport, worker)
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -56,7 +56,7 @@
         runs, or None if there is nothing to wait for.
         """
         worker_id = link.worker.worker_id
-        if _is_other_incarnation(lists.started_ms, link.worker.started_ms):
+        if lists.is_from_other_incarnation(link.worker):
             self._on_restart(link, lists.started_ms)
             return None
         state = self._fleet.state_by_id[worker_id]
@@ -203,11 +203,3 @@
         self._registry.note_begun(active_job)
         log_event("task_adopted", task=row.task, run=row.run, worker=worker_id)
         return run
-
-
-def _is_other_incarnation(listed_started_ms: int, expected_started_ms: int) -> bool:
-    """Return whether two start times differ; 0 means unknown and matches any."""
-    return (
-        bool(listed_started_ms and expected_started_ms)
-        and listed_started_ms != expected_started_ms
-    )
--- a/libs/coordinator/src/lycheeloom/coordinator/ports.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ports.py
@@ -186,6 +186,8 @@
     With ``has_more_ends``, the worker may know of further ended runs, which it lists
     once the leader has acknowledged these. A run that is in neither list may then have
     ended.
+
+    ``connection_id`` identifies the connection over which the lists came.
     """
 
     clock_ms: int
@@ -193,6 +195,32 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     has_more_ends: bool = False
+    connection_id: int = 0
+
+    def is_from_other_incarnation(self, worker: Worker) -> bool:
+        """Return whether another incarnation than the expected one has answered.
+
+        A start time of 0 means unknown and matches any.
+        """
+        return (
+            bool(self.started_ms and worker.started_ms)
+            and self.started_ms != worker.started_ms
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """Says that the ended runs numbered up to ``end`` are recorded.
+
+    Each incarnation of a worker numbers its ended runs from 1, so an acknowledgement
+    must reach the incarnation that has listed them and no other. It is therefore sent
+    only over the connection of the lists, which ends with the incarnation.
+    ``connection_id`` is 0 if the worker has closed that connection after its answer;
+    the acknowledgement may then be sent over any.
+    """
+
+    end: int
+    connection_id: int
 
 
 class WorkerPort(Protocol):
@@ -222,15 +250,15 @@
         self,
         worker: Worker,
         token: int,
-        acknowledged_end: int,
+        acknowledgement: Acknowledgement | None,
         deadline_ms: int | None,
         wait_ms: int,
     ) -> TaskLists | CallReply:
         """Renew the worker's lease until ``deadline_ms`` and list its runs.
 
-        The worker forgets the ended runs numbered up to ``acknowledged_end``, and waits
-        up to ``wait_ms`` for a run to end before it answers. Without a deadline the
-        lease is not renewed.
+        The worker forgets the acknowledged ends, and waits up to ``wait_ms`` for a run
+        to end before it answers. The acknowledgement is left out if its connection is
+        not open any more. Without a deadline the lease is not renewed.
         """
         ...
 
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -12,7 +12,7 @@
 
 from . import metrics
 from .clock import steady_s
-from .ports import CallOutcome, CallReply, TaskLists, WorkerPort
+from .ports import Acknowledgement, CallOutcome, CallReply, TaskLists, WorkerPort
 from .writer import Commit
 
 # Duration of the lease of all runs on a worker; the worker ends them when it expires.
@@ -41,7 +41,9 @@
 
     A worker numbers the ends of its runs and lists each end until the leader
     acknowledges it. The leader does so only when it has recorded the end, so that the
-    next leader does not miss it.
+    next leader does not miss it, and only over the connection that listed the end, so
+    that another incarnation with the same id does not take the number for one of its
+    own.
 
     ``on_lists`` processes the lists requested at a given time. It returns the commit
     that must be durable before the worker may forget the ended runs, or None if there
@@ -79,6 +81,9 @@
         self._needs_frequent_polls = needs_frequent_polls
         # Number of the latest end that was processed and recorded.
         self._newest_durable_end = 0
+        # Connection of the last lists; None before them, after a failed poll, and if
+        # another incarnation has answered.
+        self._lists_connection_id: int | None = None
         # Becomes durable when all ends processed so far are recorded.
         self._commit: Commit | None = None
         # The worker's clock in ms, after the time in s when its answer arrived.
@@ -145,7 +150,7 @@
         # expire before its tasks may start elsewhere.
         deadline_ms = self.grant_lease() if self._failing_since_s is None else None
         result = self._port.renew_and_list(
-            self.worker, self._token, self._newest_durable_end, deadline_ms, wait_ms
+            self.worker, self._token, self._acknowledgement(), deadline_ms, wait_ms
         )
         if self.is_stopped:
             return
@@ -171,8 +176,16 @@
         if self._commit is None or self._commit.wait(MAX_COMMIT_WAIT_S):
             self._newest_durable_end = self.newest_end
 
+    def _acknowledgement(self) -> Acknowledgement | None:
+        """Return the ends to acknowledge, unless the worker may have restarted."""
+        if self._lists_connection_id is None or not self._newest_durable_end:
+            return None
+        return Acknowledgement(self._newest_durable_end, self._lists_connection_id)
+
     def _note_success(self, lists: TaskLists) -> None:
         self.reached_s = steady_s()
+        is_other = lists.is_from_other_incarnation(self.worker)
+        self._lists_connection_id = None if is_other else lists.connection_id
         self.note_clock(lists.clock_ms)
         if self._failing_since_s is not None:
             log_event(
@@ -183,6 +196,7 @@
             self._failing_since_s = None
 
     def _note_failure(self, reply: CallReply) -> None:
+        self._lists_connection_id = None
         if self._failing_since_s is None:
             self._failing_since_s = steady_s()
             log_event(
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -11,6 +11,7 @@
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.ports import (
+    Acknowledgement,
     CallOutcome,
     CallReply,
     TaskLists,
@@ -73,6 +74,8 @@
     stop_outcome: CallOutcome = CallOutcome.DONE
     # Maximum ends in one list; the others are listed once these are acknowledged.
     max_listed_ends: int = 500
+    # All lists come over one connection, which a restart resets.
+    connection_id: int = 1
     # Start time of this incarnation in its lists; if 0, see ``FakeWorkers``.
     started_ms: int = 0
 
@@ -154,7 +157,7 @@
         self,
         worker: Worker,
         token: int,
-        acknowledged_end: int,
+        acknowledgement: Acknowledgement | None,
         deadline_ms: int | None,
         wait_ms: int,
     ) -> TaskLists | CallReply:
@@ -165,7 +168,10 @@
         if token < fake.token:
             return CallReply(CallOutcome.FENCED)
         fake.token = token
-        fake.acknowledged_end = max(fake.acknowledged_end, acknowledged_end)
+        if acknowledgement is not None:
+            if acknowledgement.connection_id != fake.connection_id:
+                return CallReply(CallOutcome.UNKNOWN, "connection reset")
+            fake.acknowledged_end = max(fake.acknowledged_end, acknowledgement.end)
         deadline_s = steady_s() + wait_ms / 1000
         while not self._unacknowledged_ends(fake) and steady_s() < deadline_s:
             gevent.sleep(0.005)
@@ -178,6 +184,7 @@
             ),
             tuple(self._unacknowledged_ends(fake)[: fake.max_listed_ends]),
             len(self._unacknowledged_ends(fake)) >= fake.max_listed_ends,
+            fake.connection_id,
         )
 
     def restart(self, worker_id: str, started_ms: int) -> None:
@@ -187,6 +194,7 @@
         fake.ended.clear()
         fake.highest_closed_run_by_task.clear()
         fake.acknowledged_end = fake.end_count = fake.token = 0
+        fake.connection_id += 1
         fake.started_ms = started_ms
 
     def end_run(
--- a/libs/coordinator/tests/faulty_cluster.py
+++ b/libs/coordinator/tests/faulty_cluster.py
@@ -25,6 +25,7 @@
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.leadership import Leadership
 from lycheeloom.coordinator.ports import (
+    Acknowledgement,
     CallOutcome,
     CallReply,
     Instance,
@@ -132,7 +133,7 @@
         self,
         worker: Worker,
         token: int,
-        acknowledged_end: int,
+        acknowledgement: Acknowledgement | None,
         deadline_ms: int | None,
         wait_ms: int,
     ) -> Answer:
@@ -142,7 +143,7 @@
             "poll",
             wait_ms / 1000 + LIST_TIMEOUT_S,
             lambda receiver: receiver.renew_and_list(
-                token, acknowledged_end, deadline_ms, wait_ms
+                token, acknowledgement, deadline_ms, wait_ms
             ),
         )
 
@@ -268,12 +269,17 @@
         self.store.executes_silently = executes_silently
 
     def restart_worker(
-        self, worker_id: str, down_s: float, listing_lag_s: float
+        self,
+        worker_id: str,
+        down_s: float,
+        listing_lag_s: float,
+        loses_power: bool = False,
     ) -> None:
         """Crash a worker; a new incarnation comes up, and is listed later.
 
         Orders under way may reach the new incarnation, unless the former one had been
-        told to reject them. Has no effect on a worker that is down.
+        told to reject them. Until then, connections are refused, or calls get no answer
+        if the worker loses power. Has no effect on a worker that is down.
         """
         leased = self.worker_by_id[worker_id]
         if not leased.is_up:
@@ -283,6 +289,7 @@
             leased.worker, started_ms=leased.worker.started_ms + 1000
         )
         leased.crash()
+        leased.has_power = not loses_power
         gevent.spawn_later(down_s, leased.come_back, worker)
         gevent.spawn_later(down_s + listing_lag_s, self.register, worker)
 
--- a/libs/coordinator/tests/leased_workers.py
+++ b/libs/coordinator/tests/leased_workers.py
@@ -10,7 +10,12 @@
 from gevent.event import Event
 
 from lycheeloom.coordinator.clock import steady_s
-from lycheeloom.coordinator.ports import CallOutcome, CallReply, TaskLists
+from lycheeloom.coordinator.ports import (
+    Acknowledgement,
+    CallOutcome,
+    CallReply,
+    TaskLists,
+)
 from lycheeloom.jobs.model import EndedTask, EndKind, RunningTask, TaskKey, Worker
 from lycheeloom.jobs.planner import Start
 
@@ -146,6 +151,8 @@
     workload_by_job: dict[str, Workload]
     clock_rate: float = 1.0
     is_up: bool = True
+    # Without power, a worker that is not up does not even refuse connections.
+    has_power: bool = True
     # Highest fencing token of a call to this incarnation.
     token: int = 0
     # End of the lease by the worker's clock.
@@ -210,11 +217,23 @@
         return self._reply(CallOutcome.DONE)
 
     def renew_and_list(
-        self, token: int, acknowledged_end: int, deadline_ms: int | None, wait_ms: int
+        self,
+        token: int,
+        acknowledgement: Acknowledgement | None,
+        deadline_ms: int | None,
+        wait_ms: int,
     ) -> TaskLists | CallReply | None:
-        """Renew the lease and list the runs; None if the worker restarts meanwhile."""
+        """Renew the lease and list the runs; None if the worker restarts meanwhile.
+
+        All connections end with the incarnation. An acknowledgement over a former one
+        has no effect.
+        """
+        connection_id = self.worker.started_ms
+        if acknowledgement and acknowledgement.connection_id != connection_id:
+            return CallReply(CallOutcome.UNKNOWN, "connection reset")
         if not self._accepts(token):
             return self._reply(CallOutcome.FENCED)
+        acknowledged_end = acknowledgement.end if acknowledgement else 0
         self.monitor.note_acknowledged(self.worker_id, acknowledged_end)
         self.ends = [end for end in self.ends if end.number > acknowledged_end]
         if deadline_ms is not None:
@@ -233,6 +252,7 @@
             ),
             tuple(self.ends[:MAX_LISTED_ENDS]),
             len(self.ends) >= MAX_LISTED_ENDS,
+            connection_id,
         )
 
     def crash(self) -> None:
@@ -253,7 +273,7 @@
     def come_back(self, worker: Worker) -> None:
         """Start a new incarnation with the same id."""
         self.worker = worker
-        self.is_up = True
+        self.is_up = self.has_power = True
 
     def _accepts(self, token: int) -> bool:
         if token < self.token:
--- a/libs/coordinator/tests/test_restarted_workers.py
+++ b/libs/coordinator/tests/test_restarted_workers.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 from libs.coordinator.tests.fakes import (
+    JOB_ID,
     POLL_DELAY_S,
     FakeCluster,
     make_job,
@@ -16,6 +17,7 @@
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.ports import CallOutcome
+from lycheeloom.jobs.model import Step
 
 RESTARTED_MS = 2
 # A start order is answered after this time; longer than several polls.
@@ -110,3 +112,23 @@
     restarted = dispatcher.fleet.state_by_id["w0"]
     assert restarted.backoff_until_s == state.backoff_until_s
     assert restarted.consecutive_failures == 5
+
+
+def test_ends_of_an_earlier_start_time_are_not_acknowledged(cluster):
+    """A number must not reach a worker whose start time differs in either direction.
+
+    The time of day of its machine has jumped back, so the new incarnation seems older.
+    """
+    del cluster.view.worker_by_id["w1"]
+    list_restarted(cluster, "w0")
+    cluster.store.add_job(make_job(JOB_ID, Step(2, 1000), Step(1, 1000, after=(0,))))
+    link_by_id = cluster.start_leader().link_by_id
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    cluster.workers.end_all_runs()
+    worker = cluster.workers.worker("w0")
+    wait_until(lambda: worker.acknowledged_end == 2)
+    cluster.workers.restart("w0", RESTARTED_MS - 1)
+    for _ in range(3):
+        polled_s = link_by_id["w0"].reached_s
+        wait_until(lambda after_s=polled_s: link_by_id["w0"].reached_s > after_s)
+    assert worker.acknowledged_end == 0
--- a/libs/coordinator/tests/test_runs_stay_exclusive.py
+++ b/libs/coordinator/tests/test_runs_stay_exclusive.py
@@ -68,10 +68,15 @@
     assert not cluster.unfinished_jobs(), explain(cluster)
 
 
-def submit_stream(cluster: FaultyCluster, interval_s: float, count: int) -> None:
+def submit_stream(
+    cluster: FaultyCluster,
+    interval_s: float,
+    count: int,
+    workload: Workload = WORKLOADS[0],
+) -> None:
     """Submit short jobs at an interval."""
     for _ in range(count):
-        cluster.submit(1, Workload(0.3))
+        cluster.submit(1, workload)
         cluster.time.advance(interval_s)
 
 
@@ -134,10 +139,11 @@
         worker_id=WORKERS,
         down_s=st.sampled_from([0.02, 0.5, 2.0]),
         listing_lag_s=st.sampled_from([0.1, 1.0]),
+        loses_power=st.booleans(),
         pause_s=PAUSES,
     )
-    def restart_worker(self, worker_id, down_s, listing_lag_s, pause_s):
-        self.cluster.restart_worker(worker_id, down_s, listing_lag_s)
+    def restart_worker(self, worker_id, down_s, listing_lag_s, loses_power, pause_s):
+        self.cluster.restart_worker(worker_id, down_s, listing_lag_s, loses_power)
         self.time.advance(pause_s)
 
     @rule(worker_id=WORKERS, duration_s=st.sampled_from([1.0, 4.0]), pause_s=PAUSES)
@@ -340,3 +346,16 @@
     cluster.restart_worker("w0", down_s=2.0, listing_lag_s=0.1)
     cluster.time.advance(5.0)
     settle(cluster)
+
+
+@pytest.mark.parametrize("down_s", [0.05, 0.4, 0.8, 1.2, 1.6])
+def test_ends_of_a_new_incarnation_are_not_acknowledged_unseen(cluster, down_s):
+    """A task must not run again because its worker forgot an end nobody has read.
+
+    Review case 6: a worker restarts while a poll waits for its answer, starts runs
+    before the leader knows of the restart, and numbers their ends from 1 again.
+    """
+    submit_stream(cluster, 0.05, 40, Workload(0.1))
+    cluster.restart_worker("w0", down_s, listing_lag_s=1.5, loses_power=True)
+    submit_stream(cluster, 0.05, 80, Workload(0.1))
+    settle(cluster)
--- a/libs/coordinator/tests/worker_network.py
+++ b/libs/coordinator/tests/worker_network.py
@@ -17,6 +17,8 @@
 
 # Time that a call or an answer takes on its way.
 LATENCY_S = 0.006
+# An attempt to connect to a worker without power fails after this time.
+CONNECT_TIMEOUT_S = 0.35
 # Time in which the caller takes in an answer.
 RECEIVE_S = 0.0002
 
@@ -140,6 +142,11 @@
             route.starts.remove(order)
         if route.is_cut or (order is not None and order.is_rejected):
             return
+        if not leased.has_power:
+            if kind == "poll":
+                # Sent over a connection that is open but silent.
+                return
+            gevent.sleep(CONNECT_TIMEOUT_S)
         if not leased.is_up:
             answer.set(CallReply(CallOutcome.NOT_SENT, "connection refused"))
             return
