Record the cancelling of a job that is not in the log yet

Cause: only the cancelling of a job that is in the log was recorded. The store may append the record of a submission seconds after its caller got no answer, and then nothing says that the job was cancelled.

Change: the cancelling of an unknown job is recorded before it is answered with 410, and refused if the store refuses. A job record that follows it opens a cancelled job. The cleaner removes such cancellations after the retention time, for which the record holds its time. An invalid id is not recorded. A cancelled job is no demand for its pool.

--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -1,4 +1,7 @@
-"""Removes the records of jobs that ended longer ago than the retention time."""
+"""Removes the records of jobs that ended longer ago than the retention time.
+
+Cancellations of jobs that were never recorded are removed after the same time.
+"""
 
 from __future__ import annotations
 
@@ -24,7 +27,7 @@
     """Removes the records of expired jobs while this instance leads.
 
     A job expires when it has been in a final state for ``state_retention_s`` times
-    ``RETENTION_FACTOR``.
+    ``RETENTION_FACTOR``, and the cancellation of an unknown job at that age.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
 
         A record with an empty value removes the earlier record of its key.
         """
+        self._clean_cancellations()
         job_ids = self._expired_job_ids()[:MAX_JOBS_PER_ROUND]
         if not job_ids:
             return
@@ -74,6 +78,26 @@
                 [Record(key, b"") for key in (*part_keys, *progress_keys)]
             )
 
+    def _clean_cancellations(self) -> None:
+        """Remove expired cancellations of jobs without any other record."""
+        cancelled_before_ms = wall_ms() - self._retention_ms
+        job_ids = [
+            job_id
+            for job_id, entry in self._replica.table.entry_by_id.items()
+            if entry.is_only_cancelled and entry.cancelled_ms < cancelled_before_ms
+        ][:MAX_JOBS_PER_ROUND]
+        if not job_ids:
+            return
+        result = self._store.append(
+            [Record(key_of(Kind.CANCELLATION, job_id), b"") for job_id in job_ids]
+        )
+        log_event(
+            "cancellations_expired",
+            cancellations=len(job_ids),
+            first=job_ids[0],
+            result=result,
+        )
+
     def _expired_job_ids(self) -> list[str]:
         finished_before_ms = wall_ms() - self._retention_ms
         # A ``finished_ms`` of 0 means that the record lacks the time of the end.
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -9,11 +9,11 @@
 from gevent.event import Event
 
 from lycheeloom.jobs.model import FINAL_STATES, Job, JobState
-from lycheeloom.jobs.records import Kind, Record, encode, key_of
+from lycheeloom.jobs.records import Cancellation, Kind, Record, encode, key_of
 from lycheeloom.telemetry import log_event
 
 from . import metrics
-from .clock import steady_s
+from .clock import steady_s, wall_ms
 from .ports import (
     APPEND_TIMEOUT_S,
     MAX_APPEND_BYTES,
@@ -112,10 +112,10 @@
         """Record a job.
 
         A job whose id is already known is accepted without a further record, since
-        callers may repeat a submission.
+        callers may repeat a submission. A job that was cancelled before its submission
+        is recorded and does not run.
         """
-        entry = self.replica.table.entry_by_id.get(job.job_id)
-        if entry is not None and entry.job is not None:
+        if self.state(job.job_id) is not None:
             return Decision(Verdict.ACCEPTED, "known")
         record = Record(key_of(Kind.JOB, job.job_id), encode(job))
         if record.size_bytes > self._max_record_bytes:
@@ -130,14 +130,20 @@
         """Record the cancellation of a job, unless the job has ended.
 
         The cancellation of a job that has ended is accepted, with the state as reason.
+        That of an unknown job is recorded too: the record of a submission may arrive
+        later, and the job must not run then.
         """
         state = self.look_up(job_id)
-        if isinstance(state, Decision):
-            return state
         if state in FINAL_STATES:
             return Decision(Verdict.ACCEPTED, state.value)
-        # Any value but an empty one, which would remove the record.
-        return self._record(Record(key_of(Kind.CANCELLATION, job_id), b"1"))
+        if isinstance(state, Decision) and state.verdict is Verdict.NOT_ACCEPTED:
+            return state
+        cancellation = encode(Cancellation(wall_ms()))
+        decision = self._record(Record(key_of(Kind.CANCELLATION, job_id), cancellation))
+        is_recorded = decision.verdict is Verdict.ACCEPTED
+        if is_recorded and state == Decision(Verdict.NO_SUCH_JOB):
+            return state
+        return decision
 
     def state(self, job_id: str) -> JobState | None:
         """Return the state of a job; None if this instance does not know the job."""
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -205,7 +205,7 @@
         is_inherited = job_id in self._job_ids_to_inherit
         if is_inherited:
             self.inherited_job_ids.add(job_id)
-        elif queue is not None:
+        elif queue is not None and not entry.cancelled:
             self.demand.note(queue.pool, entry.job, steady_s())
         if entry.cancelled:
             self._cancel_job(job_id)
--- a/libs/coordinator/tests/fake_store.py
+++ b/libs/coordinator/tests/fake_store.py
@@ -22,7 +22,14 @@
     RecordsRead,
 )
 from lycheeloom.jobs.model import Job
-from lycheeloom.jobs.records import InstanceOrder, Kind, Record, encode, key_of
+from lycheeloom.jobs.records import (
+    Cancellation,
+    InstanceOrder,
+    Kind,
+    Record,
+    encode,
+    key_of,
+)
 
 # Duration of an append by the leader.
 APPEND_DURATION_S = 0.03
@@ -125,4 +132,5 @@
 
     def cancel(self, job_id: str) -> None:
         """Append a cancellation record, as if an instance had accepted the call."""
-        self.append([Record(key_of(Kind.CANCELLATION, job_id), b"1")])
+        cancellation = Cancellation(int(time.time() * 1000))
+        self.append([Record(key_of(Kind.CANCELLATION, job_id), encode(cancellation))])
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -97,3 +97,8 @@
   # Ids of the instances whose maintenance has begun.
   begun @0 :List(Text);
 }
+
+struct Cancellation {
+  # Unix time at which the cancellation was asked for.
+  atMs @0 :UInt64;
+}
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -145,6 +145,16 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Cancellation:
+    """Unix time in ms at which a caller cancelled a job.
+
+    Records of earlier versions cannot be decoded, but cancel the job all the same.
+    """
+
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """A record of a compacted log; an empty value deletes the key."""
@@ -170,6 +180,7 @@
     LeadBid: _SCHEMA.LeadBid,
     InstanceOrder: _SCHEMA.InstanceOrder,
     WaveProgress: _SCHEMA.WaveProgress,
+    Cancellation: _SCHEMA.Cancellation,
 }
 
 
@@ -227,7 +238,8 @@
     | LeaderRecord
     | LeadBid
     | InstanceOrder
-    | WaveProgress,
+    | WaveProgress
+    | Cancellation,
 ) -> bytes:
     """Serialise a value, prefixed with a checksum."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -8,6 +8,7 @@
 
 from .model import FINAL_STATES, Job, JobState
 from .records import (
+    Cancellation,
     InstanceOrder,
     JobProgress,
     Kind,
@@ -24,11 +25,14 @@
 class JobEntry:
     """A job with its latest progress and whether its cancellation was requested.
 
-    ``job`` is None while only other records of the job have been applied.
+    ``job`` is None while only other records of the job have been applied: a caller may
+    cancel a job whose own record the store appends late, or never.
     """
 
     job: Job | None = None
     cancelled: bool = False
+    # Unix time of the latest cancellation; 0 if there is none or its time is not known.
+    cancelled_ms: int = 0
     # The latest progress record while it is not decoded, else empty. Most records are
     # replaced before anybody needs them, and every instance reads those of all jobs.
     encoded_progress: bytes = b""
@@ -46,6 +50,16 @@
                 self._decoded_progress = decoded
         return self._decoded_progress
 
+    @property
+    def is_only_cancelled(self) -> bool:
+        """Return whether there is a cancellation and nothing else of the job."""
+        return (
+            self.cancelled
+            and self.job is None
+            and not self.encoded_part_by_number
+            and self.progress is None
+        )
+
     @property
     def part_by_number(self) -> dict[int, ProgressPart]:
         """Return the parts of the progress of a job that has many tasks."""
@@ -131,7 +145,10 @@
                 if decoded is not None:
                     self._entry(name).job = decoded
             case Kind.CANCELLATION:
-                self._entry(name).cancelled = True
+                cancellation = decode(Cancellation, value)
+                entry = self._entry(name)
+                entry.cancelled = True
+                entry.cancelled_ms = cancellation.at_ms if cancellation else 0
                 return AppliedRecord(kind, name)
             case Kind.PROGRESS:
                 decoded = strip_checksum(value)
@@ -167,9 +184,14 @@
     def _remove(self, kind: Kind, name: str) -> None:
         """Apply the removal of a record.
 
-        The removal of a cancellation has no effect of its own: the whole entry is
-        removed with the record of the job or of its progress.
+        The removal of a cancellation has no effect of its own if there are other
+        records: the whole entry is removed with the record of the job or of its
+        progress.
         """
+        if kind is Kind.CANCELLATION:
+            entry = self.entry_by_id.get(name)
+            if entry is not None and entry.is_only_cancelled:
+                del self.entry_by_id[name]
         if kind is Kind.PROGRESS_PART:
             job_id, number = _split_part_name(name)
             if job_id in self.entry_by_id:
