Do not call a job unknown while its submission may still be recorded

A caller whose submission got 504 asked the same instance for the state and got 410, "no such job". The store could append the record seconds later, and the job ran. A caller that believes the 410 and submits the work under another id has it run twice.

Cause: the instance remembers submissions without an outcome, but only to word refusals.

Other instances cannot know and still answer with 410 until the record arrives.

Failed before: test_job_does_not_count_as_unknown_while_its_record_may_arrive ('assert NO_SUCH_JOB is UNKNOWN').

--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -91,8 +91,8 @@
         self._pending: list[_PendingRecord] = []
         self._has_pending = Event()
         self._timeout_s = APPEND_TIMEOUT_S
-        # Until when an append of a record without an answer may still be carried out,
-        # by the record's key; in the order of these times.
+        # Until when an append of a record that is under way, or has got no answer, may
+        # still be carried out, by the record's key; in the order of these times.
         self._unsettled_until_s_by_key: dict[str, float] = {}
 
     def run(self) -> None:
@@ -151,7 +151,11 @@
         return entry.state if entry is not None and entry.job is not None else None
 
     def look_up(self, job_id: str) -> JobState | Decision:
-        """Return the state of a job, reading the logs if it may have changed."""
+        """Return the state of a job, reading the logs if it may have changed.
+
+        A job whose submission by this instance has got no answer from the store may
+        still be recorded, so it does not count as unknown, unless it is cancelled.
+        """
         state = self.state(job_id)
         if state in FINAL_STATES:
             return state
@@ -161,7 +165,13 @@
         # The job may have just been submitted to another instance.
         if not self.replica.refresh_jobs():
             return Decision(Verdict.NOT_ACCEPTED, "store not reached")
-        return self.state(job_id) or Decision(Verdict.NO_SUCH_JOB)
+        entry = self.replica.table.entry_by_id.get(job_id)
+        if entry is not None and entry.job is not None:
+            return entry.state
+        may_run = entry is None or not entry.cancelled
+        if may_run and self._is_unsettled(key_of(Kind.JOB, job_id)):
+            return Decision(Verdict.UNKNOWN, "submission not settled")
+        return Decision(Verdict.NO_SUCH_JOB)
 
     def _record(self, record: Record) -> Decision:
         """Record an entry of the log; a refusal means that it is not in the log.
@@ -169,14 +179,16 @@
         If an earlier append of the same record had no answer, that append may still be
         carried out, so a refusal of this one leaves the outcome unknown.
         """
+        was_unsettled = self._is_unsettled(record.key)
+        self._note_unsettled(record.key)
         decision = self._append_and_wait(record)
         match decision.verdict:
-            case Verdict.ACCEPTED:
-                self._unsettled_until_s_by_key.pop(record.key, None)
             case Verdict.UNKNOWN:
                 self._note_unsettled(record.key)
-            case Verdict.NOT_ACCEPTED if self._is_unsettled(record.key):
+            case Verdict.NOT_ACCEPTED if was_unsettled:
                 return Decision(Verdict.UNKNOWN, decision.reason)
+            case _:
+                self._unsettled_until_s_by_key.pop(record.key, None)
         return decision
 
     def _note_unsettled(self, key: str) -> None:
--- a/libs/coordinator/tests/test_late_records.py
+++ b/libs/coordinator/tests/test_late_records.py
@@ -89,6 +89,43 @@
     assert intake.cancel(JOB_ID).verdict is verdict
 
 
+def test_job_does_not_count_as_unknown_while_its_record_may_arrive(
+    cluster, intake, monkeypatch
+):
+    """A caller must not submit a job again under another id while the first may run."""
+    assert intake.look_up(JOB_ID).verdict is Verdict.NO_SUCH_JOB
+    lose_appends(cluster, monkeypatch, AppendUnknown("no answer in time"))
+    submission = gevent.spawn(intake.submit, make_job())
+    gevent.sleep(0.05)
+    assert intake.look_up(JOB_ID).verdict is Verdict.UNKNOWN
+    assert submission.get().verdict is Verdict.UNKNOWN
+    assert intake.look_up(JOB_ID).verdict is Verdict.UNKNOWN
+    monkeypatch.undo()
+    cluster.store.add_job(make_job())
+    assert isinstance(intake.look_up(JOB_ID), JobState)
+
+
+def test_refused_submission_leaves_the_job_unknown(cluster, intake, monkeypatch):
+    """A job that was certainly not recorded must not seem to be on its way."""
+    lose_appends(cluster, monkeypatch, NotAppended("status 503"))
+    assert intake.submit(make_job()).verdict is Verdict.NOT_ACCEPTED
+    assert intake.look_up(JOB_ID).verdict is Verdict.NO_SUCH_JOB
+
+
+def test_cancelling_is_recorded_while_the_submission_may_arrive(
+    cluster, intake, monkeypatch
+):
+    """A caller must be able to cancel a job whose submission got no answer."""
+    lose_appends(cluster, monkeypatch, AppendUnknown("no answer in time"))
+    assert intake.submit(make_job()).verdict is Verdict.UNKNOWN
+    monkeypatch.undo()
+    assert intake.cancel(JOB_ID).verdict is Verdict.ACCEPTED
+    assert intake.look_up(JOB_ID).verdict is Verdict.NO_SUCH_JOB
+    cluster.store.add_job(make_job())
+    gevent.sleep(START_TIME_S)
+    assert cluster.workers.started_runs == []
+
+
 def test_cancellations_of_unknown_jobs_are_removed_in_time(cluster, intake):
     """Cancellations of jobs that never arrive must not accumulate."""
     assert intake.cancel(JOB_ID).verdict is Verdict.NO_SUCH_JOB
