Expect the longest lease of a worker that may have restarted

A task ran twice at the same time when its worker restarted under its id, got starts before the leader noticed, and was cut off then.

Cause: the end of a lease is a time by the worker's clock, computed from its last answer. The clock starts anew with each incarnation, so a start that reaches the next one carries a deadline far ahead, which the worker shortens to its longest lease (hold_max_ms, 10 s). The leader went by the 4 s that it had meant.

Change: an answer whose time lies before the one that the same incarnation must have reached raises a doubt (worker_clock_doubted). No lease is granted and nothing starts until lists requested later show who answers. In doubt, and for a new incarnation, the leader expects the longest lease before it starts tasks elsewhere.

Simulated workers start their clock anew; it went on before.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -24,7 +24,7 @@
 from .supervision import note_failure, run_supervised
 from .task_orders import TaskOrders
 from .view import View
-from .worker_link import WorkerLink
+from .worker_link import LONGEST_LEASE_S, WorkerLink
 from .writer import LeaderWriter
 
 # A list of instances requested this long after a worker was first seen contains its
@@ -48,6 +48,7 @@
         replica: Replica,
         writer: LeaderWriter,
         view: View,
+        longest_lease_s: float = LONGEST_LEASE_S,
     ) -> None:
         self.fleet = Fleet()
         self.link_by_id: dict[str, WorkerLink] = {}
@@ -55,6 +56,7 @@
         self.writer = writer
         self.replica = replica
         self._workers = workers
+        self._longest_lease_s = longest_lease_s
         self._registry = JobRegistry(replica, writer, view, self.fleet, self.wake)
         self._orders = TaskOrders(
             workers, self.fleet, self._registry, writer, self.link_by_id, self._on_reply
@@ -218,7 +220,7 @@
             self.fleet.add_worker(worker)
             self.wake()
 
-    def _add_worker(self, worker: Worker) -> None:
+    def _add_worker(self, worker: Worker) -> WorkerLink:
         """Track a worker and poll it."""
         self.fleet.add_worker(worker)
         link = WorkerLink(
@@ -229,22 +231,25 @@
             self._list_reconciler.reconcile,
             self._on_reply,
             self._needs_frequent_polls,
+            self._longest_lease_s,
         )
         self.link_by_id[worker.worker_id] = link
         self._spawn("worker_link", link.run)
+        return link
 
     def _replace_incarnation(self, worker: Worker, reason: str) -> None:
         """Track the new incarnation of a worker that has restarted under its id.
 
         Runs that the former incarnation has listed have ended with it. The start
         orders of the others may be carried out by the new one, so they are kept until
-        its lists show whether they exist.
+        its lists show whether they exist. They carry the end of a lease by the clock of
+        the former incarnation.
         """
         worker_id = worker.worker_id
         self.link_by_id.pop(worker_id).is_stopped = True
         former_state = self.fleet.state_by_id[worker_id]
         runs = self.fleet.remove_worker(worker_id)
-        self._add_worker(worker)
+        self._add_worker(worker).expect_longest_lease()
         # A restart does not show that the worker or its instance has been repaired.
         state = self.fleet.state_by_id[worker_id]
         state.is_cordoned = former_state.is_cordoned
@@ -281,12 +286,13 @@
         """Mark the lists of workers as outdated, and release runs that have ended.
 
         After its lease, a worker gets no tasks until it lists its runs again: some may
-        have ended before the lease did. Only if it does not respond, its runs are
+        have ended before the lease did. Nor does it while another incarnation may have
+        taken its place. Only if it does not respond, its runs are
         released without a list, and their tasks wait again.
         """
         for link in self.link_by_id.values():
             state = self.fleet.state_by_id[link.worker.worker_id]
-            if link.failing_for_s > 0 or link.is_lease_expired:
+            if link.failing_for_s > 0 or link.is_lease_expired or link.is_in_doubt:
                 state.has_current_lists = False
             if link.failing_for_s > 0:
                 state.has_unlisted_ends = False
--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -170,7 +170,7 @@
         )
         if self._writer.is_fenced:
             return
-        link.note_clock(reply.clock_ms)
+        link.note_clock(reply.clock_ms, began_s)
         self._settle_start(start, run, link, reply, began_s)
 
     def _settle_start(
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -13,11 +13,14 @@
 from . import metrics
 from .clock import steady_s
 from .ports import Acknowledgement, CallOutcome, CallReply, TaskLists, WorkerPort
+from .worker_clock import WorkerClock
 from .writer import Commit
 
 # Duration of the lease of all runs on a worker; the worker ends them when it expires.
 # Longer than a change of leader takes.
 WORKER_LEASE_S = 4.0
+# Workers shorten longer leases to this duration, unless the settings name another.
+LONGEST_LEASE_S = 10.0
 # Factor by which a worker's clock may run slower than the leader's, so that the worker
 # ends its runs later.
 CLOCK_RATE_MARGIN = 1.02
@@ -45,6 +48,12 @@
     that another incarnation with the same id does not take the number for one of its
     own.
 
+    The end of a lease is a time by the worker's clock, which starts anew with each
+    incarnation. If another incarnation gets a lease that was meant for this one, that
+    lease may last up to ``longest_lease_s``. So no lease is granted while the answers
+    of the worker are in doubt: from a time that its clock should have passed already,
+    to lists that show which incarnation answers.
+
     ``on_lists`` processes the lists requested at a given time. It returns the commit
     that must be durable before the worker may forget the ended runs, or None if there
     is nothing to wait for. ``on_reply`` is called when a poll fails.
@@ -59,6 +68,7 @@
         on_lists: Callable[[WorkerLink, TaskLists, float], Commit | None],
         on_reply: Callable[[WorkerLink, CallOutcome], None],
         needs_frequent_polls: Callable[[WorkerLink], bool],
+        longest_lease_s: float = LONGEST_LEASE_S,
     ) -> None:
         self.worker = worker
         self.created_s = steady_s()
@@ -72,7 +82,9 @@
         self.reached_s = -math.inf
         # No lease granted to the worker by this leader or its predecessors lasts beyond
         # this time of the leader's monotonic clock.
-        self.granted_until_s = steady_s() + _max_lease_s()
+        self.granted_until_s = steady_s() + _max_duration_s(WORKER_LEASE_S)
+        # Set while another incarnation may have taken the place of this one.
+        self.is_in_doubt = False
         self._port = port
         self._token = token
         self._may_act = may_act
@@ -86,8 +98,9 @@
         self._lists_connection_id: int | None = None
         # Becomes durable when all ends processed so far are recorded.
         self._commit: Commit | None = None
-        # The worker's clock in ms, after the time in s when its answer arrived.
-        self._clock_reading: tuple[float, float] | None = None
+        self._longest_lease_s = longest_lease_s
+        self._clock = WorkerClock()
+        self._in_doubt_since_s = -math.inf
         self._failing_since_s: float | None = None
         self.is_stopped = False
 
@@ -111,20 +124,41 @@
     def grant_lease(self) -> int | None:
         """Grant a new lease; return its end in ms by the worker's clock.
 
-        Returns None if the worker's clock is not known yet.
+        Returns None if the worker's clock is not known yet, or in doubt.
         """
-        if self._clock_reading is None:
-            return None
         now_s = steady_s()
-        read_s, clock_ms = self._clock_reading
-        until_s = now_s + _max_lease_s()
-        self.granted_until_s = max(self.granted_until_s, until_s)
-        return int(clock_ms + (now_s - read_s) * 1000 + WORKER_LEASE_S * 1000)
+        clock_ms = self._clock.estimate_ms(now_s)
+        if clock_ms is None or self.is_in_doubt:
+            return None
+        self._extend_granted(WORKER_LEASE_S)
+        return int(clock_ms + WORKER_LEASE_S * 1000)
+
+    def expect_longest_lease(self) -> None:
+        """Take into account that the worker may hold the longest possible lease."""
+        self._extend_granted(self._longest_lease_s)
+
+    def note_clock(self, clock_ms: int | None, sent_s: float) -> None:
+        """Process the time of the worker's clock, in ms, in an answer.
 
-    def note_clock(self, clock_ms: int | None) -> None:
-        """Store the time of the worker's clock, in ms, taken from an answer."""
-        if clock_ms is not None:
-            self._clock_reading = (steady_s(), clock_ms)
+        The answer belongs to a call that was sent at ``sent_s``.
+        """
+        if clock_ms is None or self.is_in_doubt:
+            return
+        if self._clock.note(clock_ms, sent_s):
+            return
+        log_event(
+            "worker_clock_doubted",
+            level="WARNING",
+            worker=self.worker.worker_id,
+            clock_ms=clock_ms,
+            expected_ms=self._clock.estimate_ms(steady_s()),
+        )
+        self.is_in_doubt, self._in_doubt_since_s = True, steady_s()
+        self.expect_longest_lease()
+
+    def _extend_granted(self, lease_s: float) -> None:
+        until_s = steady_s() + _max_duration_s(lease_s)
+        self.granted_until_s = max(self.granted_until_s, until_s)
 
     def run(self) -> None:
         """Poll the worker until the link is stopped."""
@@ -160,9 +194,9 @@
         took_s = max(0.0, steady_s() - began_s - wait_ms / 1000)
         metrics.POLL_SECONDS.labels(outcome).observe(took_s)
         if isinstance(result, CallReply):
-            self._note_failure(result)
+            self._note_failure(result, began_s)
             return
-        self._note_success(result)
+        self._note_success(result, began_s)
         self._has_more_ends = result.has_more_ends
         commit = self._on_lists(self, result, began_s)
         self.is_first_poll = False
@@ -182,11 +216,14 @@
             return None
         return Acknowledgement(self._newest_durable_end, self._lists_connection_id)
 
-    def _note_success(self, lists: TaskLists) -> None:
+    def _note_success(self, lists: TaskLists, sent_s: float) -> None:
         self.reached_s = steady_s()
         is_other = lists.is_from_other_incarnation(self.worker)
         self._lists_connection_id = None if is_other else lists.connection_id
-        self.note_clock(lists.clock_ms)
+        if not is_other and sent_s >= self._in_doubt_since_s:
+            # The lists show that the clock is that of this incarnation.
+            self._clock, self.is_in_doubt = WorkerClock(), False
+        self.note_clock(lists.clock_ms, sent_s)
         if self._failing_since_s is not None:
             log_event(
                 "worker_regained",
@@ -195,7 +232,7 @@
             )
             self._failing_since_s = None
 
-    def _note_failure(self, reply: CallReply) -> None:
+    def _note_failure(self, reply: CallReply, sent_s: float) -> None:
         self._lists_connection_id = None
         if self._failing_since_s is None:
             self._failing_since_s = steady_s()
@@ -206,11 +243,11 @@
                 outcome=reply.outcome.value,
                 reason=reply.reason,
             )
-        self.note_clock(reply.clock_ms)
+        self.note_clock(reply.clock_ms, sent_s)
         self._on_reply(self, reply.outcome)
         gevent.sleep(FAILURE_PAUSE_S)
 
 
-def _max_lease_s() -> float:
+def _max_duration_s(lease_s: float) -> float:
     """Return the maximum duration of a lease, by the leader's clock."""
-    return WORKER_LEASE_S * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
+    return lease_s * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
--- a/libs/coordinator/tests/leased_workers.py
+++ b/libs/coordinator/tests/leased_workers.py
@@ -142,8 +142,9 @@
 class LeasedWorker:
     """One worker with the lease of its runs, by its own clock.
 
-    ``clock_rate`` is the speed of that clock. A restart keeps the id and the clock, and
-    loses everything else. ``workload_by_job`` is shared by all workers.
+    ``clock_rate`` is the speed of that clock. A restart keeps the id and loses
+    everything else; the clock starts anew. ``workload_by_job`` is shared by all
+    workers.
     """
 
     worker: Worker
@@ -155,6 +156,8 @@
     has_power: bool = True
     # Highest fencing token of a call to this incarnation.
     token: int = 0
+    # When this incarnation started; the first one has been up for long.
+    started_s: float = 0.0
     # End of the lease by the worker's clock.
     deadline_ms: float = 0.0
     run_by_task_and_number: dict[tuple[TaskKey, int], _LeasedRun] = field(
@@ -178,7 +181,7 @@
     @property
     def clock_ms(self) -> float:
         """Return the time by the worker's clock."""
-        return steady_s() * 1000 * self.clock_rate
+        return (steady_s() - self.started_s) * 1000 * self.clock_rate
 
     def start(self, start: Start, token: int, deadline_ms: int) -> CallReply:
         """Start a run, unless it is outdated or does not fit."""
@@ -273,6 +276,7 @@
     def come_back(self, worker: Worker) -> None:
         """Start a new incarnation with the same id."""
         self.worker = worker
+        self.started_s = steady_s()
         self.is_up = self.has_power = True
 
     def _accepts(self, token: int) -> bool:
--- a/libs/coordinator/tests/test_runs_stay_exclusive.py
+++ b/libs/coordinator/tests/test_runs_stay_exclusive.py
@@ -359,3 +359,22 @@
     cluster.restart_worker("w0", down_s, listing_lag_s=1.5, loses_power=True)
     submit_stream(cluster, 0.05, 80, Workload(0.1))
     settle(cluster)
+
+
+@pytest.mark.parametrize("uncut_s", [0.0, 0.05, 0.2, 1.0])
+@pytest.mark.parametrize("down_s", [0.4, 0.8, 1.2, 1.6])
+def test_lease_by_a_former_clock_is_awaited(cluster, down_s, uncut_s):
+    """A task must not start elsewhere while a restarted worker may still run it.
+
+    Starts reach a new incarnation with a deadline by the clock of the former one, which
+    lies far ahead of the new one, so they last as long as any lease. Then the path to
+    the worker is cut.
+    """
+    cluster.restart_worker("w0", down_s, listing_lag_s=1.5, loses_power=True)
+    cluster.time.advance(down_s + 0.01)
+    for _ in range(4):
+        cluster.submit(1, Workload(8.0))
+    cluster.time.advance(0.03 + uncut_s)
+    cluster.cut("w0", 8.0)
+    cluster.time.advance(12.0)
+    settle(cluster)
