Start nothing on a restarted worker that the platform does not list yet

A new incarnation of a worker may be of another kind at the same address. When its lists showed the restart first, the leader went on with the capacity, labels, zone and state that the former incarnation had reported, up to a heartbeat long. A task could start without the label it requires, or over the capacity.

Cause: _on_restart copied the description and changed only the start time.

Change: such a worker gets no tasks until the platform lists the new incarnation. Its runs are known and polled meanwhile.

Failed before: test_restarted_worker_gets_no_tasks_before_the_platform_lists_it (one start, none expected).

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -215,8 +215,10 @@
         if worker.started_ms > link.worker.started_ms:
             self._replace_incarnation(worker, "worker restarted")
             return
-        if link.worker != worker:
+        state = self.fleet.state_by_id[worker.worker_id]
+        if link.worker != worker or state.awaits_description:
             link.worker = worker
+            state.awaits_description = False
             self.fleet.add_worker(worker)
             self.wake()
 
@@ -324,11 +326,16 @@
             self._drop_worker(worker_id, "another worker answered")
 
     def _on_restart(self, link: WorkerLink, started_ms: int) -> None:
-        """Handle lists from an incarnation of a worker that is not the known one."""
+        """Handle lists from an incarnation of a worker that is not the known one.
+
+        It gets no tasks before the platform lists it: capacity, labels and zone are
+        those of the former incarnation until then.
+        """
         is_current = self.link_by_id.get(link.worker.worker_id) is link
         if is_current and started_ms > link.worker.started_ms:
             worker = dataclasses.replace(link.worker, started_ms=started_ms)
             self._replace_incarnation(worker, "another incarnation answered")
+            self.fleet.state_by_id[worker.worker_id].awaits_description = True
 
     def _note_fenced(self, worker_id: str) -> None:
         log_event("leader_fenced", level="WARNING", worker=worker_id)
--- a/libs/coordinator/tests/test_restarted_workers.py
+++ b/libs/coordinator/tests/test_restarted_workers.py
@@ -132,3 +132,23 @@
         polled_s = link_by_id["w0"].reached_s
         wait_until(lambda after_s=polled_s: link_by_id["w0"].reached_s > after_s)
     assert worker.acknowledged_end == 0
+
+
+def test_restarted_worker_gets_no_tasks_before_the_platform_lists_it(cluster):
+    """A task must not start on a worker that may not be what it was.
+
+    A new incarnation may be of a different kind; only its lists are known so far.
+    """
+    del cluster.view.worker_by_id["w1"]
+    dispatcher = cluster.start_leader()
+    wait_until(lambda: "w0" in dispatcher.link_by_id)
+    wait_until(lambda: dispatcher.fleet.state_by_id["w0"].has_current_lists)
+    cluster.workers.restart("w0", RESTARTED_MS)
+    wait_until(lambda: dispatcher.link_by_id["w0"].worker.started_ms == RESTARTED_MS)
+    cluster.store.add_job(make_job())
+    wait_until(lambda: dispatcher.fleet.state_by_id["w0"].has_current_lists)
+    wait_until(lambda: bool(dispatcher.active_job_by_id))
+    gevent.sleep(0.3)
+    assert cluster.workers.started_runs == []
+    list_restarted(cluster, "w0")
+    wait_until(lambda: len(cluster.workers.started_runs) == 1)
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -76,6 +76,9 @@
     has_current_lists: bool = False
     # The worker responds, but has ended runs that it has not listed yet.
     has_unlisted_ends: bool = False
+    # The worker has restarted, and ``worker`` still describes its former incarnation,
+    # which may have been of another kind.
+    awaits_description: bool = False
     # The worker gets no new tasks because maintenance or a move is planned.
     is_cordoned: bool = False
 
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -40,6 +40,7 @@
         for state in fleet.state_by_id.values()
         if state.worker.pool == pool
         and state.has_current_lists
+        and not state.awaits_description
         and not state.is_cordoned
         and not state.worker.draining
         and state.worker.zone not in zones_out_of_service
