Drop the tickets of a worker that has restarted

The advice service issues a ticket for one incarnation of a worker. After a restart under the same id, the leader sent starts with the former ticket, each of which the worker refuses.

Cause: tickets are kept by worker id, and one that arrives after a restart is stored for the new incarnation.

Change: a restart drops the worker's tickets, and the answer of a call that was under way during it gives none for this worker.

Failed before: test_ticket_is_not_used_after_a_restart, both cases (one ticket left).

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -252,6 +252,7 @@
         former_state = self.fleet.state_by_id[worker_id]
         runs = self.fleet.remove_worker(worker_id)
         self._add_worker(worker).expect_longest_lease()
+        self.advised_workers.forget_worker(worker_id)
         # A restart does not show that the worker or its instance has been repaired.
         state = self.fleet.state_by_id[worker_id]
         state.is_cordoned = former_state.is_cordoned
--- a/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import gevent
 
 from lycheeloom.jobs.model import AdviceTerms
@@ -11,6 +13,7 @@
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .ports import Advice, AdvicePort, CallReply
+from .worker_link import WorkerLink
 
 # Pause while no step needs tickets or this instance may not act as leader.
 IDLE_PAUSE_S = 0.02
@@ -90,6 +93,8 @@
             return False
         step = f"{job_id}.{step_key[0]}.{step_key[1]}"
         expected_s = (terms.decision_ms + terms.each_worker_ms * len(worker_ids)) / 1000
+        link_by_id = self._dispatcher.link_by_id
+        asked_link_by_id = {i: link_by_id[i] for i in worker_ids}
         result = self._port.advise(step, worker_ids, expected_s + TIMEOUT_MARGIN_S)
         now_s = steady_s()
         if isinstance(result, CallReply):
@@ -102,6 +107,7 @@
             )
             self._next_call_s_by_step[job_id, step_key] = now_s + MIN_CALL_INTERVAL_S
             return True
+        result = self._without_restarted(result, asked_link_by_id)
         self._store_tickets(result, job_id, step_key, now_s)
         log_event(
             "advice",
@@ -112,6 +118,22 @@
         )
         return True
 
+    def _without_restarted(
+        self, advice: Advice, asked_link_by_id: dict[str, WorkerLink]
+    ) -> Advice:
+        """Leave out the tickets of workers that have restarted during the call.
+
+        A ticket is valid for one incarnation of its worker.
+        """
+        link_by_id = self._dispatcher.link_by_id
+        ticket_by_worker = {
+            worker_id: ticket
+            for worker_id, ticket in advice.ticket_by_worker.items()
+            if worker_id in asked_link_by_id
+            and link_by_id.get(worker_id) is asked_link_by_id[worker_id]
+        }
+        return dataclasses.replace(advice, ticket_by_worker=ticket_by_worker)
+
     def _store_tickets(
         self, advice: Advice, job_id: str, step_key: StepKey, now_s: float
     ) -> None:
--- a/libs/coordinator/tests/test_restarted_workers.py
+++ b/libs/coordinator/tests/test_restarted_workers.py
@@ -16,8 +16,9 @@
 
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import Dispatcher
-from lycheeloom.coordinator.ports import CallOutcome
-from lycheeloom.jobs.model import Step
+from lycheeloom.coordinator.ports import Advice, CallOutcome
+from lycheeloom.coordinator.ticket_fetcher import TicketFetcher
+from lycheeloom.jobs.model import AdviceTerms, Step
 
 RESTARTED_MS = 2
 # A start order is answered after this time; longer than several polls.
@@ -152,3 +153,42 @@
     assert cluster.workers.started_runs == []
     list_restarted(cluster, "w0")
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
+
+
+@pytest.mark.parametrize("restarts_during_the_call", [True, False])
+def test_ticket_is_not_used_after_a_restart(cluster, restarts_during_the_call):
+    """A start must not be refused since its ticket is that of a former incarnation."""
+    del cluster.view.worker_by_id["w1"]
+    policy = cluster.view.policy
+    queue = dataclasses.replace(
+        policy.queue_by_name["queue"], advice=AdviceTerms(1.0, 1.0, 60_000.0)
+    )
+    cluster.view.policy = dataclasses.replace(policy, queue_by_name={"queue": queue})
+    # No worker is large enough, so the ticket stays unused.
+    cluster.store.add_job(make_job(JOB_ID, Step(1, 99_000)))
+    dispatcher = cluster.start_leader()
+    tickets = dispatcher.advised_workers.ticket_by_key
+
+    def restart() -> None:
+        former_link = dispatcher.link_by_id["w0"]
+        cluster.workers.restart("w0", RESTARTED_MS)
+        list_restarted(cluster, "w0")
+        wait_until(lambda: dispatcher.link_by_id["w0"] is not former_link)
+
+    class AdviceService:
+        answers = 0
+
+        def advise(self, step, worker_ids, timeout_s) -> Advice:
+            if restarts_during_the_call:
+                restart()
+            self.answers += 1
+            return Advice({"w0": "ticket"}, 60.0)
+
+    service = AdviceService()
+    cluster.spawn(TicketFetcher(dispatcher, service).run)
+    wait_until(lambda: service.answers > 0)
+    gevent.sleep(0.1)
+    if not restarts_during_the_call:
+        assert len(tickets) == 1
+        restart()
+    assert tickets == {}
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -300,6 +300,11 @@
         for ticket_key in [key for key in self.ticket_by_key if key[0] == job_id]:
             del self.ticket_by_key[ticket_key]
 
+    def forget_worker(self, worker_id: str) -> None:
+        """Discard the tickets of a worker that has restarted."""
+        for ticket_key in [key for key in self.ticket_by_key if key[2] == worker_id]:
+            del self.ticket_by_key[ticket_key]
+
 
 class _Reservations:
     """Resources taken by the starts planned so far in one round.
