--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -289,9 +289,9 @@
         """Mark the lists of workers as outdated, and release runs that have ended.
 
         After its lease, a worker gets no tasks until it lists its runs again: some may
-        have ended before the lease did. Nor does it while another incarnation may have
-        taken its place. Only if it does not respond, its runs are
-        released without a list, and their tasks wait again.
+        have ended before the lease did. The same holds while another incarnation may
+        have taken its place. Only if a worker does not respond, its runs are released
+        without a list, and their tasks wait again.
         """
         for link in self.link_by_id.values():
             state = self.fleet.state_by_id[link.worker.worker_id]
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -133,16 +133,19 @@
         That of an unknown job is recorded too: the record of a submission may arrive
         later, and the job must not run then.
         """
-        state = self.look_up(job_id)
-        if state in FINAL_STATES:
-            return Decision(Verdict.ACCEPTED, state.value)
-        if isinstance(state, Decision) and state.verdict is Verdict.NOT_ACCEPTED:
-            return state
+        found = self.look_up(job_id)
+        match found:
+            case JobState() if found in FINAL_STATES:
+                return Decision(Verdict.ACCEPTED, found.value)
+            case Decision(verdict=Verdict.NOT_ACCEPTED):
+                return found
         cancellation = encode(Cancellation(wall_ms()))
         decision = self._record(Record(key_of(Kind.CANCELLATION, job_id), cancellation))
-        is_recorded = decision.verdict is Verdict.ACCEPTED
-        if is_recorded and state == Decision(Verdict.NO_SUCH_JOB):
-            return state
+        match found, decision:
+            case Decision(verdict=Verdict.NO_SUCH_JOB), Decision(
+                verdict=Verdict.ACCEPTED
+            ):
+                return found
         return decision
 
     def state(self, job_id: str) -> JobState | None:
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -49,10 +49,10 @@
     own.
 
     The end of a lease is a time by the worker's clock, which starts anew with each
-    incarnation. If another incarnation gets a lease that was meant for this one, that
-    lease may last up to ``longest_lease_s``. So no lease is granted while the answers
-    of the worker are in doubt: from a time that its clock should have passed already,
-    to lists that show which incarnation answers.
+    incarnation. A lease that was meant for this incarnation may last up to
+    ``longest_lease_s`` if another one gets it. When the clock in an answer is behind
+    the time to be expected, another incarnation may have answered; no lease is granted
+    from then on until lists show who answers.
 
     ``on_lists`` processes the lists requested at a given time. It returns the commit
     that must be durable before the worker may forget the ended runs, or None if there
@@ -83,7 +83,7 @@
         # No lease granted to the worker by this leader or its predecessors lasts beyond
         # this time of the leader's monotonic clock.
         self.granted_until_s = steady_s() + _max_duration_s(WORKER_LEASE_S)
-        # Set while another incarnation may have taken the place of this one.
+        # True while another incarnation may have taken the place of this one.
         self.is_in_doubt = False
         self._port = port
         self._token = token
@@ -142,7 +142,7 @@
 
         The answer belongs to a call that was sent at ``sent_s``.
         """
-        if clock_ms is None or self.is_in_doubt:
+        if clock_ms is None or self.is_in_doubt or self.is_stopped:
             return
         if self._clock.note(clock_ms, sent_s):
             return
--- a/libs/coordinator/tests/test_late_records.py
+++ b/libs/coordinator/tests/test_late_records.py
@@ -11,6 +11,7 @@
 from lycheeloom.coordinator.ports import AppendUnknown, NotAppended
 from lycheeloom.coordinator.replica import Replica
 from lycheeloom.jobs.model import JobState
+from lycheeloom.jobs.records import Kind, Record, key_of
 
 # Longer than a leader needs to read a record and to start a task.
 START_TIME_S = 0.5
@@ -66,6 +67,14 @@
     assert cluster.workers.started_runs == []
 
 
+def test_cancellation_recorded_by_an_earlier_version_counts(cluster, intake):
+    """A job must stay cancelled across an update; earlier records hold no time."""
+    cluster.store.append([Record(key_of(Kind.CANCELLATION, JOB_ID), b"1")])
+    cluster.store.add_job(make_job())
+    wait_until(lambda: intake.look_up(JOB_ID) is JobState.CANCELLED)
+    assert cluster.workers.started_runs == []
+
+
 def test_repeated_submission_of_a_cancelled_job_does_not_run(cluster, intake):
     """A call that a network delivers late must not undo a cancelling."""
     assert intake.cancel(JOB_ID).verdict is Verdict.NO_SUCH_JOB
