Count unknown runs of a former leader towards the limits of organisations

What callers would see: after a change of leader, an organisation runs more than its upper limit (rule QUOTA), if the new leader cannot reach some workers.

Cause: only the former leader knew what runs on those workers. Inherited jobs wait for their lists, but jobs that are submitted after the takeover start at once, and the limit was compared with the known runs only.

Change: while runs of the former leader may be unknown, all inherited tasks that may start and have no known run count as running. Jobs of organisations without a limit, or below it, do not wait.

Evidence: test_unknown_runs_count_towards_the_limit_of_their_organisation[4.0-4] fails on the code before (5 runs, 4 allowed) and passes with the change; [5.0-5] shows that a job within the limit still starts at once.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -368,6 +368,7 @@
             now_s,
             wall_ms(),
             self.advised_workers,
+            self._inherited.unknown_use(self.active_job_by_id, wall_ms()),
         )
         for start in starts:
             self._orders.begin(start, now_s)
--- a/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Collection, Mapping
 
+from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.fleet import Fleet
 from lycheeloom.jobs.model import Job
+from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s
@@ -54,6 +56,28 @@
         """
         return bool(self._unknown_pools) and job.job_id in self._job_ids
 
+    def unknown_use(
+        self, active_job_by_id: Mapping[str, ActiveJob], now_ms: float
+    ) -> dict[str, Resources]:
+        """Return the resources that unknown runs may use, by organisation.
+
+        These are at most those of all tasks that may start and have no known run.
+        ``now_ms`` is Unix time.
+        """
+        use_by_organisation: dict[str, Resources] = {}
+        if not self._unknown_pools:
+            return use_by_organisation
+        for job_id in self._job_ids:
+            active_job = active_job_by_id.get(job_id)
+            if active_job is None:
+                continue
+            name = active_job.job.organisation
+            use = use_by_organisation.get(name, NO_RESOURCES)
+            for _, step_tasks in active_job.startable_steps(now_ms):
+                use += step_tasks.step.limit_use.times(len(step_tasks.waiting))
+            use_by_organisation[name] = use
+        return use_by_organisation
+
     def _pools_with_unknown_runs(self) -> Collection[str]:
         """Return the pools that may have unknown runs of the previous leader.
 
--- a/libs/coordinator/tests/test_takeover.py
+++ b/libs/coordinator/tests/test_takeover.py
@@ -20,6 +20,7 @@
 from lycheeloom.coordinator.inherited_jobs import MAX_INHERITED_LEASE_S
 from lycheeloom.coordinator.view import View
 from lycheeloom.jobs.model import Policy, Pool, Step
+from lycheeloom.model.resources import Resources
 
 # Longer than any test takes.
 LONG_S = 600.0
@@ -141,3 +142,27 @@
     cluster.store.add_job(make_job())
     cluster.start_leader(has_instance_list=False)
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
+
+
+@pytest.mark.parametrize(("limit_cores", "expected_runs"), [(4.0, 4), (5.0, 5)])
+def test_unknown_runs_count_towards_the_limit_of_their_organisation(
+    cluster, limit_cores, expected_runs
+):
+    """An organisation must not exceed its limit because of a change of leader.
+
+    Four of its tasks run on a worker that the new leader cannot reach, and it submits a
+    job that no former leader can have started.
+    """
+    cluster.view.policy = make_policy(Resources(limit_cores, 0, 0))
+    other_worker = cluster.view.worker_by_id.pop("w1")
+    cluster.store.add_job(make_job(JOB_ID, Step(4, 1000)))
+    first = cluster.start_leader(1)
+    wait_until(lambda: len(cluster.workers.started_runs) == 4)
+    first.writer.is_fenced = True
+    gevent.sleep(2 * POLL_DELAY_S)
+    cluster.workers.worker("w0").is_unresponsive = True
+    cluster.view.worker_by_id["w1"] = other_worker
+    cluster.start_leader(2)
+    cluster.store.add_job(make_job("1" * 16))
+    gevent.sleep(MAX_INHERITED_LEASE_S / 2)
+    assert len(cluster.workers.started_runs) == expected_runs
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from lycheeloom.model.resources import Resources
 
@@ -26,6 +27,7 @@
 # that the leader's polls and the renewal of its lease are not held up. The next round
 # goes on with the others.
 MAX_STARTS_PER_ROUND = 200
+NO_UNKNOWN_USE: Mapping[str, Resources] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,13 +97,15 @@
         now_s: float,
         now_ms: float,
         advised_workers: AdvisedWorkers | None = None,
+        unknown_use_by_organisation: Mapping[str, Resources] = NO_UNKNOWN_USE,
     ) -> list[Start]:
         """Return the tasks to start now; the caller adds their runs to the fleet.
 
         With ``MAX_STARTS_PER_ROUND`` or more starts, others may be able to start too.
         ``now_s`` is the leader's monotonic clock, ``now_ms`` is Unix time. Steps of
         queues that require advice start only on ``advised_workers``; None stands for
-        no restriction.
+        no restriction. ``unknown_use_by_organisation`` contains the resources that runs
+        unknown to the fleet may use; they count towards the organisations' limits.
         """
         ranked_steps = [
             _RankedStep(
@@ -117,7 +121,7 @@
         ]
         ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
-        reservations = _Reservations(self._fleet)
+        reservations = _Reservations(self._fleet, unknown_use_by_organisation)
         # Resources of a task that did not fit on any worker of the pool; tasks that
         # need at least as much are not tried again in this round.
         unplaceable_need_by_pool: dict[str, Resources] = {}
@@ -313,9 +317,14 @@
     organisations' use.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(
+        self, fleet: Fleet, unknown_use_by_organisation: Mapping[str, Resources]
+    ) -> None:
         self._fleet = fleet
-        self._used_by_organisation: dict[str, Resources] = {}
+        self._used_by_organisation = {
+            name: fleet.used_by_organisation[name] + use
+            for name, use in unknown_use_by_organisation.items()
+        }
         # Worker and the resources reserved on it, by worker id.
         self._reservation_by_worker: dict[str, tuple[WorkerState, Resources]] = {}
 
@@ -326,11 +335,9 @@
         organisation = policy.organisation_by_name.get(organisation_name)
         if organisation is None:
             return True
-        use = step.limit_use
-        total = Resources(
-            use.cores * count, use.memory_mb * count, use.accelerators * count
+        return organisation.allows(
+            self._used(organisation_name), step.limit_use.times(count)
         )
-        return organisation.allows(self._used(organisation_name), total)
 
     def add(self, organisation_name: str, step: Step, state: WorkerState) -> None:
         """Reserve the resources of one task."""
--- a/libs/model/src/lycheeloom/model/resources.py
+++ b/libs/model/src/lycheeloom/model/resources.py
@@ -31,6 +31,12 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Return ``count`` times this amount."""
+        return Resources(
+            self.cores * count, self.memory_mb * count, self.accelerators * count
+        )
+
     def fits_in(self, free: Resources) -> bool:
         """Tell whether ``free`` has at least this amount of every resource."""
         return (
