Await the longest lease of silent restarted workers after a takeover

What callers see: a task runs twice. Starts with a deadline by the clock of the former incarnation give a restarted worker a lease of up to hold_max_ms. The leader knew this, but only in its memory; the next one waited 4.4 s for a worker that it did not reach, and took the runs of one that it reached at first for lapsed 4.4 s after its last grant.

Every process follows the platform's list of workers, so each now remembers when a worker was first listed with another start time (RecentRestarts). A new leader waits for the longest lease after the takeover for a silent worker that has restarted within the longest lease before it or since, and its link to such a worker counts on that lease. For all other workers it still waits 4.4 s. inherited_jobs_wait says for how long (max_wait_s) and for which workers.

Before: test_new_leader_awaits_lease_by_a_former_clock 8 of 8 failed (second run at 1007.9 to 1008.9 s beside one that ends at 1009.5 s); without the longest lease of the new link, test_lease_by_a_former_clock_is_awaited_after_the_first_lists fails 2 of 2 (1007.9 and 1008.8 s). All pass now. If every restart counts however old it is, test_new_leader_does_not_await_the_longest_lease_of_other_workers[12.0] fails.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -24,7 +24,7 @@
 from .supervision import note_failure, run_supervised
 from .task_orders import TaskOrders
 from .view import View
-from .worker_link import LONGEST_LEASE_S, WorkerLink
+from .worker_link import LONGEST_LEASE_S, WorkerLink, max_lease_duration_s
 from .writer import LeaderWriter
 
 # A list of instances requested this long after a worker was first seen contains its
@@ -67,7 +67,7 @@
         # Set here since the registry and the orders need each other.
         self._registry.stop_run = self._orders.stop_run
         self._inherited = InheritedJobs(
-            self._registry.inherited_job_ids, self.fleet, view
+            self._registry.inherited_job_ids, self.fleet, view, longest_lease_s
         )
         self._round_timer = RoundTimer()
         self._unlisted_since_s_by_worker: dict[str, float] = {}
@@ -207,7 +207,10 @@
             # A pool that the policy does not name may be an error of another writer.
             policy = self.view.policy
             if not policy.version or worker.pool in policy.pool_by_name:
-                self._add_worker(worker)
+                link = self._add_worker(worker)
+                since_s = steady_s() - max_lease_duration_s(self._longest_lease_s)
+                if self.view.restarts.has_restarted(worker.worker_id, since_s):
+                    link.expect_longest_lease()
             return
         if worker.started_ms < link.worker.started_ms:
             # The platform still lists an earlier incarnation.
--- a/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from lycheeloom.jobs.fleet import Fleet
 from lycheeloom.jobs.model import Job
@@ -10,40 +11,70 @@
 
 from .clock import steady_s
 from .view import View
-from .worker_link import CLOCK_RATE_MARGIN, LEASE_MARGIN_S, WORKER_LEASE_S
+from .worker_link import LONGEST_LEASE_S, WORKER_LEASE_S, max_lease_duration_s
 
-# All leases granted by the previous leader have expired this long after the takeover.
-MAX_INHERITED_LEASE_S = WORKER_LEASE_S * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
+# All leases granted by the previous leader have expired this long after the takeover,
+# except those of workers that have restarted.
+MAX_INHERITED_LEASE_S = max_lease_duration_s(WORKER_LEASE_S)
+MAX_LOGGED_WORKERS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class _Unknown:
+    """What may have runs of the previous leader that are not known."""
+
+    # The pools that may have such runs.
+    pools: frozenset[str] = frozenset()
+    # Workers among them that may hold the longest possible lease.
+    restarted_workers: frozenset[str] = frozenset()
 
 
 class InheritedJobs:
     """Decides which inherited jobs have to wait for lists of workers.
 
     ``job_ids`` contains the ids of these jobs; it is cleared once all runs of the
-    previous leader are known or have ended.
+    previous leader are known or have ended. A worker that has restarted under its id
+    may have got a lease by the clock of its former incarnation, which lasts up to
+    ``longest_lease_s``.
     """
 
-    def __init__(self, job_ids: set[str], fleet: Fleet, view: View) -> None:
+    def __init__(
+        self,
+        job_ids: set[str],
+        fleet: Fleet,
+        view: View,
+        longest_lease_s: float = LONGEST_LEASE_S,
+    ) -> None:
         # Pool of each worker that has an instance, by worker id, according to the
         # latest list of instances; None before the first list.
         self.pool_by_live_worker: Mapping[str, str] | None = None
         self._job_ids = job_ids
         self._fleet = fleet
         self._view = view
+        self._max_restarted_lease_s = max_lease_duration_s(longest_lease_s)
         self._took_over_s = steady_s()
-        # Pools that may have unknown runs, as of the last ``refresh``.
-        self._unknown_pools: Collection[str] = frozenset()
+        # As of the last ``refresh``.
+        self._unknown = _Unknown()
 
     def refresh(self) -> None:
         """Find out which pools may still have unknown runs."""
-        unknown_pools = self._pools_with_unknown_runs()
-        if unknown_pools == self._unknown_pools:
+        unknown = self._find_unknown()
+        if unknown == self._unknown:
+            return
+        self._unknown = unknown
+        after_s = steady_s() - self._took_over_s
+        if not unknown.pools:
+            log_event("inherited_jobs_released", pools="", after_s=after_s)
             return
-        self._unknown_pools = unknown_pools
+        restarted = sorted(unknown.restarted_workers)
+        max_wait_s = self._max_restarted_lease_s if restarted else MAX_INHERITED_LEASE_S
         log_event(
-            "inherited_jobs_wait" if unknown_pools else "inherited_jobs_released",
-            pools=",".join(sorted(unknown_pools)),
-            after_s=steady_s() - self._took_over_s,
+            "inherited_jobs_wait",
+            pools=",".join(sorted(unknown.pools)),
+            after_s=after_s,
+            max_wait_s=max_wait_s,
+            restarted_workers=",".join(restarted[:MAX_LOGGED_WORKERS]),
+            restarted=len(restarted),
         )
 
     def must_wait(self, job: Job) -> bool:
@@ -52,44 +83,71 @@
         They can be in any pool: the previous leader may have sent the job's queue
         elsewhere, by an earlier policy or by one that this instance has not read yet.
         """
-        return bool(self._unknown_pools) and job.job_id in self._job_ids
+        return bool(self._unknown.pools) and job.job_id in self._job_ids
 
-    def _pools_with_unknown_runs(self) -> Collection[str]:
-        """Return the pools that may have unknown runs of the previous leader.
+    def _find_unknown(self) -> _Unknown:
+        """Return what may have unknown runs of the previous leader.
 
         These are the pools with a worker whose lists this leader has not received or
         that only the list of instances names: for some seconds after an outage of the
         store, the platform's list of workers lacks some that are running. All pools are
         returned as long as no worker is known, or no list of instances. Once the leases
         of the previous leader have expired, only pools with ends that are still being
-        listed count.
+        listed count, and those of restarted workers whose leases may last longer.
         """
         if not self._job_ids:
-            return frozenset()
-        if steady_s() - self._took_over_s > MAX_INHERITED_LEASE_S:
+            return _Unknown()
+        after_s = steady_s() - self._took_over_s
+        may_be_unlisted = (
+            self.pool_by_live_worker is None or not self._fleet.state_by_id
+        )
+        if after_s <= MAX_INHERITED_LEASE_S and may_be_unlisted:
+            return _Unknown(frozenset(self._view.policy.pool_by_name))
+        pool_by_restarted = {}
+        if after_s <= self._max_restarted_lease_s:
+            pool_by_restarted = self._silent_restarted_workers()
+        if after_s > MAX_INHERITED_LEASE_S:
             pools = self._pools_with_unlisted_ends()
-            if not pools:
-                self._job_ids.clear()
-            return pools
-        if self.pool_by_live_worker is None or not self._fleet.state_by_id:
-            return set(self._view.policy.pool_by_name)
+        else:
+            pools = self._pools_with_silent_workers()
+        pools |= set(pool_by_restarted.values())
+        if not pools:
+            self._job_ids.clear()
+        return _Unknown(frozenset(pools), frozenset(pool_by_restarted))
+
+    def _pools_with_silent_workers(self) -> set[str]:
         pools = {
             state.worker.pool
             for state in self._fleet.state_by_id.values()
             if not state.has_current_lists
         }
-        pools |= {
+        return pools | {
             pool
-            for worker_id, pool in self.pool_by_live_worker.items()
+            for worker_id, pool in (self.pool_by_live_worker or {}).items()
             if worker_id not in self._fleet.state_by_id
         }
-        if not pools:
-            self._job_ids.clear()
-        return pools
 
-    def _pools_with_unlisted_ends(self) -> Collection[str]:
+    def _pools_with_unlisted_ends(self) -> set[str]:
         return {
             state.worker.pool
             for state in self._fleet.state_by_id.values()
             if state.has_unlisted_ends
         }
+
+    def _silent_restarted_workers(self) -> dict[str, str]:
+        """Return the pools of restarted workers without current lists, by worker id.
+
+        A worker is left out if neither list names it any more.
+        """
+        pool_by_id = {}
+        since_s = self._took_over_s - self._max_restarted_lease_s
+        for restart in self._view.restarts.find_since(since_s):
+            worker_id = restart.worker.worker_id
+            state = self._fleet.state_by_id.get(worker_id)
+            if state is not None and state.has_current_lists:
+                continue
+            live = self.pool_by_live_worker
+            if state is None and live is not None and worker_id not in live:
+                continue
+            pool_by_id[worker_id] = restart.worker.pool
+        return pool_by_id
--- a/libs/coordinator/src/lycheeloom/coordinator/view.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/view.py
@@ -9,6 +9,9 @@
 from lycheeloom.jobs.placement import fits
 from lycheeloom.model.resources import Resources
 
+from .recent_restarts import RecentRestarts
+from .worker_link import LONGEST_LEASE_S, max_lease_duration_s
+
 
 @dataclass(slots=True)
 class View:
@@ -21,10 +24,18 @@
     # can run from those that only have to wait for free resources.
     capacities_seen: set[Resources] = field(default_factory=set)
     labels_seen: set[str] = field(default_factory=set)
+    restarts: RecentRestarts = field(
+        default_factory=lambda: RecentRestarts(max_lease_duration_s(LONGEST_LEASE_S))
+    )
+
+    def __post_init__(self) -> None:
+        for worker in self.worker_by_id.values():
+            self.restarts.note(worker, self.worker_by_id)
 
     def note_worker(self, worker: Worker) -> None:
         """Add a worker, or update the description of a known one."""
         self.worker_by_id[worker.worker_id] = worker
+        self.restarts.note(worker, self.worker_by_id)
         self.capacities_seen.add(worker.capacity)
         self.labels_seen |= worker.labels
 
--- a/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/worker_link.py
@@ -82,7 +82,7 @@
         self.reached_s = -math.inf
         # No lease granted to the worker by this leader or its predecessors lasts beyond
         # this time of the leader's monotonic clock.
-        self.granted_until_s = steady_s() + _max_duration_s(WORKER_LEASE_S)
+        self.granted_until_s = steady_s() + max_lease_duration_s(WORKER_LEASE_S)
         # True while another incarnation may have taken the place of this one.
         self.is_in_doubt = False
         self._port = port
@@ -157,7 +157,7 @@
         self.expect_longest_lease()
 
     def _extend_granted(self, lease_s: float) -> None:
-        until_s = steady_s() + _max_duration_s(lease_s)
+        until_s = steady_s() + max_lease_duration_s(lease_s)
         self.granted_until_s = max(self.granted_until_s, until_s)
 
     def run(self) -> None:
@@ -248,6 +248,6 @@
         gevent.sleep(FAILURE_PAUSE_S)
 
 
-def _max_duration_s(lease_s: float) -> float:
+def max_lease_duration_s(lease_s: float) -> float:
     """Return the maximum duration of a lease, by the leader's clock."""
     return lease_s * CLOCK_RATE_MARGIN + LEASE_MARGIN_S
--- a/libs/coordinator/tests/test_takeover_after_restart.py
+++ b/libs/coordinator/tests/test_takeover_after_restart.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
+from libs.coordinator.tests.fakes import make_worker
 from libs.coordinator.tests.faulty_cluster import FaultyCluster
 from libs.coordinator.tests.leased_workers import Workload
 from libs.coordinator.tests.simulated_time import SimulatedTime
 from libs.coordinator.tests.test_runs_stay_exclusive import settle
 from libs.coordinator.tests.worker_network import CallFault
 
+from lycheeloom.coordinator.inherited_jobs import MAX_INHERITED_LEASE_S
+from lycheeloom.coordinator.recent_restarts import RecentRestarts
+from lycheeloom.coordinator.view import View
+
 # Starts are carried out by the new incarnation of the worker, which has been down
 # meanwhile.
 START_DELAY_S = 0.5
@@ -60,6 +67,76 @@
     settle(cluster)
 
 
+# A new leader that has read the lists of a restarted worker may not take its runs for
+# lapsed earlier than the lease by the former clock.
+@pytest.mark.parametrize("cut_s", [0.1, 1.0])
+def test_lease_by_a_former_clock_is_awaited_after_the_first_lists(cluster, cut_s):
+    """A task must not start twice since its worker is lost right after a takeover."""
+    fault = CallFault(delay_s=START_DELAY_S)
+    restart_during_starts(cluster, fault, LISTING_LAG_S)
+    cluster.crash_leader()
+    while not any("leads with token 2" in line for line in cluster.monitor.history):
+        cluster.time.advance(0.01)
+    cluster.time.advance(cut_s)
+    cluster.cut("w0", 11.0)
+    cluster.time.advance(12.0)
+    settle(cluster)
+
+
+@pytest.mark.parametrize("restarts_before_s", [None, 12.0])
+def test_new_leader_does_not_await_the_longest_lease_of_other_workers(
+    cluster, restarts_before_s
+):
+    """Tasks of a lost worker must not wait longer than the lease that it got."""
+    if restarts_before_s is not None:
+        for worker_id in ("w0", "w1"):
+            cluster.restart_worker(worker_id, 0.1, listing_lag_s=0.1, loses_power=True)
+        cluster.time.advance(restarts_before_s)
+    cluster.submit(1, Workload(8.0))
+    cluster.time.advance(0.1)
+    (holder_id,) = cluster.busy_workers()
+    cluster.crash_leader()
+    cluster.cut(holder_id, 30.0)
+    cluster.time.advance(MAX_INHERITED_LEASE_S + 2.5)
+    assert len(cluster.busy_workers()) == 1
+    assert cluster.busy_workers() != [holder_id]
+    settle(cluster)
+
+
+def test_restarts_and_workers_are_forgotten():
+    """A process that runs for long must not remember each worker that it has seen."""
+    with SimulatedTime() as time:
+        view = View(restarts=RecentRestarts(10.0))
+        view.note_worker(make_worker(0))
+        time.advance(1.0)
+        view.note_worker(dataclasses.replace(make_worker(0), started_ms=2))
+        restarted_s = time.now_s
+        assert view.restarts.has_restarted("w0", restarted_s)
+        assert not view.restarts.has_restarted("w0", restarted_s + 0.1)
+        assert [r.worker.worker_id for r in view.restarts.find_since(0.0)] == ["w0"]
+        view.worker_by_id.clear()
+        for number in range(1, 5):
+            time.advance(11.0)
+            view.note_worker(make_worker(number))
+        assert not view.restarts.find_since(0.0)
+        view.note_worker(dataclasses.replace(make_worker(0), started_ms=3))
+        assert not view.restarts.find_since(0.0)
+
+
+def test_restart_is_noticed_after_a_time_without_the_worker():
+    """A restart must not be overlooked since the list lacked the worker meanwhile."""
+    with SimulatedTime() as time:
+        view = View(restarts=RecentRestarts(10.0))
+        for number in range(3):
+            view.note_worker(make_worker(number))
+        time.advance(20.0)
+        del view.worker_by_id["w0"]
+        view.note_worker(make_worker(3))
+        time.advance(9.0)
+        view.note_worker(dataclasses.replace(make_worker(0), started_ms=2))
+        assert view.restarts.has_restarted("w0", time.now_s)
+
+
 # The leader that sent a start without an answer must not start its task elsewhere while
 # the next incarnation of the worker may run it by a lease of the longest duration.
 @pytest.mark.parametrize("cut_s", [0.0, 0.1])
