Show that a start carried out seconds late outlasts the waits for the longest lease

A call without a response may be executed seconds later. The start reaches the new incarnation whatever the sender names; a platform on which orders reach only the incarnation that they are meant for does not show this.

--- a/libs/coordinator/tests/test_takeover_after_restart.py
+++ b/libs/coordinator/tests/test_takeover_after_restart.py
@@ -201,3 +201,29 @@
     cluster.time.advance(LONGEST_LEASE_S)
     assert not fleet.state_by_id[worker_id].run_by_task
     settle(cluster)
+
+
+# A task may not start elsewhere while the next incarnation of a worker may run it by a
+# start that it carried out seconds after the call had ended.
+@pytest.mark.parametrize("crashes", [False, True])
+def test_start_that_is_seconds_late_is_awaited(cluster, crashes):
+    """A task must not start twice since a start is carried out later than expected.
+
+    Neither stops nor polls reach the new incarnation before the start.
+    """
+    cluster.add_call_fault("w0", "start", CallFault(delay_s=2.5), count=2)
+    for _ in range(2):
+        cluster.submit(1, Workload(12.0))
+    cluster.time.advance(0.05)
+    for kind in ("stop", "poll"):
+        cluster.add_call_fault("w0", kind, CallFault(delay_s=20.0), count=100)
+    lag_s = LISTING_LAG_S if crashes else 9.0
+    cluster.restart_worker("w0", 2.4, lag_s, loses_power=True)
+    cluster.time.advance(0.05)
+    if crashes:
+        cluster.crash_leader()
+    cluster.time.advance(2.45)
+    assert cluster.busy_workers() == ["w0"]
+    cluster.cut("w0", 14.0)
+    cluster.time.advance(16.0)
+    settle(cluster)
