Give no run number again after a change of leader

Cause: a leader goes on from the highest number that it knows, from the progress record and from lists of workers. Starts are not recorded, and a worker that it does not reach may have higher runs.

Change: the numbers of an inherited job go on at the token less one times 65,536, unless a higher one is recorded.

--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -19,6 +19,7 @@
     part_key,
     smaller_versions,
 )
+from lycheeloom.jobs.run_numbers import highest_former_run
 from lycheeloom.jobs.table import AppliedRecord
 from lycheeloom.telemetry import log_event
 
@@ -205,6 +206,8 @@
         is_inherited = job_id in self._job_ids_to_inherit
         if is_inherited:
             self.inherited_job_ids.add(job_id)
+            token, highest_run = self._writer.token, active_job.highest_run
+            active_job.note_run(highest_former_run(token, highest_run))
         elif queue is not None and not entry.cancelled:
             self.demand.note(queue.pool, entry.job, steady_s())
         if entry.cancelled:
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -131,7 +131,7 @@
         return self.highest_run
 
     def note_run(self, run: int) -> None:
-        """Ensure that new run numbers are higher than ``run``, reported by a worker."""
+        """Ensure that new run numbers are higher than ``run``."""
         self.highest_run = max(self.highest_run, run)
 
     def note_begun(self) -> bool:
