Write inherited_jobs_wait only if the pools or the longest wait change

Each restarted worker that answered wrote the line again. The line now has the wait in one value, and the names of the workers are left out of the comparison. test_new_leader_logs_which_restarts_delay_its_jobs checks the fields and that there are at most two lines.

--- a/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lycheeloom.jobs.fleet import Fleet
 from lycheeloom.jobs.model import Job
@@ -25,8 +25,10 @@
 
     # The pools that may have such runs.
     pools: frozenset[str] = frozenset()
-    # Workers among them that may hold the longest possible lease.
-    restarted_workers: frozenset[str] = frozenset()
+    # Jobs wait until at most this long after the takeover.
+    max_wait_s: float = 0.0
+    # Silent workers that have restarted.
+    restarted_workers: frozenset[str] = field(default=frozenset(), compare=False)
 
 
 class InheritedJobs:
@@ -67,12 +69,11 @@
             log_event("inherited_jobs_released", pools="", after_s=after_s)
             return
         restarted = sorted(unknown.restarted_workers)
-        max_wait_s = self._max_restarted_lease_s if restarted else MAX_INHERITED_LEASE_S
         log_event(
             "inherited_jobs_wait",
             pools=",".join(sorted(unknown.pools)),
             after_s=after_s,
-            max_wait_s=max_wait_s,
+            max_wait_s=unknown.max_wait_s,
             restarted_workers=",".join(restarted[:MAX_LOGGED_WORKERS]),
             restarted=len(restarted),
         )
@@ -102,7 +103,8 @@
             self.pool_by_live_worker is None or not self._fleet.state_by_id
         )
         if after_s <= MAX_INHERITED_LEASE_S and may_be_unlisted:
-            return _Unknown(frozenset(self._view.policy.pool_by_name))
+            pools = frozenset(self._view.policy.pool_by_name)
+            return _Unknown(pools, MAX_INHERITED_LEASE_S)
         pool_by_restarted = {}
         if after_s <= self._max_restarted_lease_s:
             pool_by_restarted = self._silent_restarted_workers()
@@ -113,7 +115,11 @@
         pools |= set(pool_by_restarted.values())
         if not pools:
             self._job_ids.clear()
-        return _Unknown(frozenset(pools), frozenset(pool_by_restarted))
+            return _Unknown()
+        max_wait_s = MAX_INHERITED_LEASE_S
+        if pool_by_restarted:
+            max_wait_s = self._max_restarted_lease_s
+        return _Unknown(frozenset(pools), max_wait_s, frozenset(pool_by_restarted))
 
     def _pools_with_silent_workers(self) -> set[str]:
         pools = {
--- a/libs/coordinator/tests/test_takeover_after_restart.py
+++ b/libs/coordinator/tests/test_takeover_after_restart.py
@@ -12,10 +12,11 @@
 from libs.coordinator.tests.test_runs_stay_exclusive import settle
 from libs.coordinator.tests.worker_network import CallFault
 
+from lycheeloom.coordinator import inherited_jobs
 from lycheeloom.coordinator.inherited_jobs import MAX_INHERITED_LEASE_S
 from lycheeloom.coordinator.recent_restarts import RecentRestarts
 from lycheeloom.coordinator.view import View
-from lycheeloom.coordinator.worker_link import LONGEST_LEASE_S
+from lycheeloom.coordinator.worker_link import LONGEST_LEASE_S, max_lease_duration_s
 
 # Starts are carried out by the new incarnation of the worker, which has been down
 # meanwhile.
@@ -71,6 +72,27 @@
     settle(cluster)
 
 
+def test_new_leader_logs_which_restarts_delay_its_jobs(cluster, monkeypatch):
+    """Operators must see why tasks wait for longer than a lease, in few lines."""
+    waits = []
+
+    def note(event, **fields):
+        if event == "inherited_jobs_wait" and fields["restarted"]:
+            waits.append(fields)
+
+    monkeypatch.setattr(inherited_jobs, "log_event", note)
+    restart_during_starts(cluster, CallFault(delay_s=START_DELAY_S), LISTING_LAG_S)
+    cluster.crash_leader()
+    cluster.cut("w0", 11.0)
+    cluster.time.advance(12.0)
+    settle(cluster)
+    assert [wait["restarted_workers"] for wait in waits] == ["w0"] * len(waits)
+    assert {wait["max_wait_s"] for wait in waits} == {
+        max_lease_duration_s(LONGEST_LEASE_S)
+    }
+    assert len(waits) <= 2
+
+
 # A new leader that has read the lists of a restarted worker may not take its runs for
 # lapsed earlier than the lease by the former clock.
 @pytest.mark.parametrize("cut_s", [0.1, 1.0])
