--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -25,7 +25,7 @@
 from .supervision import note_failure, run_supervised
 from .task_orders import TaskOrders
 from .view import View
-from .worker_link import LONGEST_LEASE_S, WorkerLink, max_lease_duration_s
+from .worker_link import LONGEST_LEASE_S, WorkerLink
 from .writer import LeaderWriter
 
 # A list of instances requested this long after a worker was first seen contains its
@@ -212,8 +212,7 @@
             policy = self.view.policy
             if not policy.version or worker.pool in policy.pool_by_name:
                 link = self._add_worker(worker)
-                since_s = steady_s() - max_lease_duration_s(self._longest_lease_s)
-                if self.view.restarts.has_restarted(worker.worker_id, since_s):
+                if self.view.restarts.has_restarted(worker.worker_id):
                     link.expect_longest_lease()
             return
         if worker.started_ms < link.worker.started_ms:
--- a/libs/coordinator/src/lycheeloom/coordinator/recent_restarts.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/recent_restarts.py
@@ -43,10 +43,10 @@
         if steady_s() - self._cleaned_s > self.kept_s:
             self._remove_old(listed_ids)
 
-    def has_restarted(self, worker_id: str, since_s: float) -> bool:
-        """Return whether a restart was listed since a time of the monotonic clock."""
+    def has_restarted(self, worker_id: str) -> bool:
+        """Return whether a restart was listed within the last ``kept_s`` seconds."""
         restart = self._restart_by_id.get(worker_id)
-        return restart is not None and restart.listed_s >= since_s
+        return restart is not None and steady_s() - restart.listed_s <= self.kept_s
 
     def find_since(self, since_s: float) -> list[Restart]:
         """Return the restarts listed since a time of the monotonic clock."""
--- a/libs/coordinator/tests/test_takeover_after_restart.py
+++ b/libs/coordinator/tests/test_takeover_after_restart.py
@@ -137,9 +137,13 @@
         time.advance(1.0)
         view.note_worker(dataclasses.replace(make_worker(0), started_ms=2))
         restarted_s = time.now_s
-        assert view.restarts.has_restarted("w0", restarted_s)
-        assert not view.restarts.has_restarted("w0", restarted_s + 0.1)
-        assert [r.worker.worker_id for r in view.restarts.find_since(0.0)] == ["w0"]
+        restarts = view.restarts.find_since(restarted_s)
+        assert [restart.worker.worker_id for restart in restarts] == ["w0"]
+        assert not view.restarts.find_since(restarted_s + 0.1)
+        time.advance(9.9)
+        assert view.restarts.has_restarted("w0")
+        time.advance(0.2)
+        assert not view.restarts.has_restarted("w0")
         view.worker_by_id.clear()
         for number in range(1, 5):
             time.advance(11.0)
@@ -160,7 +164,7 @@
         view.note_worker(make_worker(3))
         time.advance(9.0)
         view.note_worker(dataclasses.replace(make_worker(0), started_ms=2))
-        assert view.restarts.has_restarted("w0", time.now_s)
+        assert view.restarts.has_restarted("w0")
 
 
 # The leader that sent a start without an answer must not start its task elsewhere while
