Let a new process assume the restarts that it cannot have seen

Such a process knows no earlier start time of the worker, so it waited 4.4 s.

Change: a worker that is seen for the first time and that started, by the time of day, within the longest lease before the process is taken for one that has restarted; 5 s are allowed for clocks that differ. Workers that start later than the process are seen from their first entry.

Restarted workers of the simulated cluster have start times by its time of day now; they had numbers from 1.

--- a/libs/coordinator/src/lycheeloom/coordinator/recent_restarts.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/recent_restarts.py
@@ -7,7 +7,10 @@
 
 from lycheeloom.jobs.model import Worker
 
-from .clock import steady_s
+from .clock import steady_s, wall_ms
+
+# Difference that is allowed between the times of day of two machines.
+TIME_OF_DAY_TOLERANCE_MS = 5_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +27,9 @@
     Every process follows the list, so that a new leader knows of restarts before it
     took over. A restart is remembered for at least ``kept_s`` seconds, and a worker
     that is no longer listed too, as it may come back under its id.
+
+    A process that has just started cannot tell whether a worker that started shortly
+    before it has restarted. Such a worker is taken for one that has.
     """
 
     def __init__(self, kept_s: float) -> None:
@@ -33,12 +39,20 @@
         # Workers that were not listed when old entries were last removed.
         self._gone_ids: set[str] = set()
         self._cleaned_s = steady_s()
+        # First lists may contain workers that restarted between these times.
+        self._max_unseen_ms = wall_ms() + TIME_OF_DAY_TOLERANCE_MS
+        self._min_unseen_ms = wall_ms() - kept_s * 1000 - TIME_OF_DAY_TOLERANCE_MS
 
     def note(self, worker: Worker, listed_ids: Collection[str]) -> None:
         """Note a worker on the platform's list, which contains ``listed_ids``."""
-        known_ms = self._started_ms_by_id.get(worker.worker_id, worker.started_ms)
+        known_ms = self._started_ms_by_id.get(worker.worker_id)
         self._started_ms_by_id[worker.worker_id] = worker.started_ms
-        if worker.started_ms != known_ms:
+        has_restarted = worker.started_ms != known_ms
+        if known_ms is None:
+            has_restarted = (
+                self._min_unseen_ms <= worker.started_ms <= self._max_unseen_ms
+            )
+        if has_restarted:
             self._restart_by_id[worker.worker_id] = Restart(worker, steady_s())
         if steady_s() - self._cleaned_s > self.kept_s:
             self._remove_old(listed_ids)
--- a/libs/coordinator/tests/faulty_cluster.py
+++ b/libs/coordinator/tests/faulty_cluster.py
@@ -285,9 +285,9 @@
         if not leased.is_up:
             return
         self.network.drop_rejected_starts(worker_id)
-        worker = dataclasses.replace(
-            leased.worker, started_ms=leased.worker.started_ms + 1000
-        )
+        started_ms = wall_ms() + int(down_s * 1000)
+        started_ms = max(started_ms, leased.worker.started_ms + 1)
+        worker = dataclasses.replace(leased.worker, started_ms=started_ms)
         leased.crash()
         leased.has_power, leased.has_lost_power = not loses_power, loses_power
         gevent.spawn_later(down_s, leased.come_back, worker)
--- a/libs/coordinator/tests/test_takeover_after_restart.py
+++ b/libs/coordinator/tests/test_takeover_after_restart.py
@@ -13,6 +13,7 @@
 from libs.coordinator.tests.worker_network import CallFault
 
 from lycheeloom.coordinator import inherited_jobs
+from lycheeloom.coordinator.clock import wall_ms
 from lycheeloom.coordinator.inherited_jobs import MAX_INHERITED_LEASE_S
 from lycheeloom.coordinator.recent_restarts import RecentRestarts
 from lycheeloom.coordinator.view import View
@@ -72,6 +73,26 @@
     settle(cluster)
 
 
+@pytest.mark.parametrize("loses_answer", [False, True])
+@pytest.mark.parametrize("cut_s", [0.0, 0.6])
+@pytest.mark.parametrize("crash_s", [0.0, 1.0])
+def test_new_process_awaits_lease_by_a_former_clock(
+    cluster, crash_s, cut_s, loses_answer
+):
+    """The same if the process of the new leader has started after the restart."""
+    fault = CallFault(delay_s=START_DELAY_S, loses_answer=loses_answer)
+    restart_during_starts(cluster, fault, LISTING_LAG_S)
+    cluster.time.advance(crash_s)
+    cluster.crash_leader()
+    for coordinator in cluster.coordinators[:-1]:
+        coordinator.crash()
+        cluster.coordinators.remove(coordinator)
+    cluster.time.advance(cut_s)
+    cluster.cut("w0", 11.0)
+    cluster.time.advance(12.0)
+    settle(cluster)
+
+
 def test_new_leader_logs_which_restarts_delay_its_jobs(cluster, monkeypatch):
     """Operators must see why tasks wait for longer than a lease, in few lines."""
     waits = []
@@ -153,6 +174,19 @@
         assert not view.restarts.find_since(0.0)
 
 
+@pytest.mark.parametrize(
+    ("age_s", "is_expected"), [(20.0, False), (9.0, True), (0.0, True), (-20.0, False)]
+)
+def test_new_process_takes_a_recent_start_for_a_restart(age_s, is_expected):
+    """A new process must not miss a restart, nor take each new worker for one."""
+    with SimulatedTime():
+        restarts = RecentRestarts(10.0)
+        started_ms = wall_ms() - int(age_s * 1000)
+        worker = dataclasses.replace(make_worker(0), started_ms=started_ms)
+        restarts.note(worker, ["w0"])
+        assert restarts.has_restarted("w0") is is_expected
+
+
 def test_restart_is_noticed_after_a_time_without_the_worker():
     """A restart must not be overlooked since the list lacked the worker meanwhile."""
     with SimulatedTime() as time:
