Count unknown runs of jobs that end after a takeover towards limits

Cause: the unknown runs were counted over the active jobs only.

Evidence: test_unknown_runs_count_towards_the_limit_of_their_organisation[4.0-4-True] fails on the code before (5 runs, 4 allowed) and passes with the change.

--- a/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
@@ -59,6 +59,8 @@
         self._took_over_s = steady_s()
         # As of the last ``refresh``.
         self._unknown = _Unknown()
+        # Organisation of each job and what its unknown runs may use, by job id.
+        self._use_by_job: dict[str, tuple[str, Resources]] = {}
 
     def refresh(self) -> None:
         """Find out which pools may still have unknown runs."""
@@ -93,21 +95,26 @@
     ) -> dict[str, Resources]:
         """Return the resources that unknown runs may use, by organisation.
 
-        These are at most those of all tasks that may start and have no known run.
+        These are at most those of all tasks that may start and have no known run. A job
+        that has ended since the takeover may still have the unknown runs that it had.
         ``now_ms`` is Unix time.
         """
-        use_by_organisation: dict[str, Resources] = {}
         if not self._unknown.pools:
-            return use_by_organisation
+            self._use_by_job.clear()
+            return {}
         for job_id in self._job_ids:
             active_job = active_job_by_id.get(job_id)
             if active_job is None:
                 continue
-            name = active_job.job.organisation
-            use = use_by_organisation.get(name, NO_RESOURCES)
+            use = NO_RESOURCES
             for _, step_tasks in active_job.startable_steps(now_ms):
                 use += step_tasks.step.limit_use.times(len(step_tasks.waiting))
-            use_by_organisation[name] = use
+            self._use_by_job[job_id] = (active_job.job.organisation, use)
+        use_by_organisation: dict[str, Resources] = {}
+        for name, use in self._use_by_job.values():
+            use_by_organisation[name] = (
+                use_by_organisation.get(name, NO_RESOURCES) + use
+            )
         return use_by_organisation
 
     def _find_unknown(self) -> _Unknown:
--- a/libs/coordinator/tests/test_takeover.py
+++ b/libs/coordinator/tests/test_takeover.py
@@ -144,14 +144,15 @@
     wait_until(lambda: len(cluster.workers.started_runs) == 1)
 
 
+@pytest.mark.parametrize("is_cancelled", [False, True])
 @pytest.mark.parametrize(("limit_cores", "expected_runs"), [(4.0, 4), (5.0, 5)])
 def test_unknown_runs_count_towards_the_limit_of_their_organisation(
-    cluster, limit_cores, expected_runs
+    cluster, limit_cores, expected_runs, is_cancelled
 ):
     """An organisation must not exceed its limit because of a change of leader.
 
     Four of its tasks run on a worker that the new leader cannot reach, and it submits a
-    job that no former leader can have started.
+    job that no former leader can have started. It may have cancelled the first one.
     """
     cluster.view.policy = make_policy(Resources(limit_cores, 0, 0))
     other_worker = cluster.view.worker_by_id.pop("w1")
@@ -162,7 +163,11 @@
     gevent.sleep(2 * POLL_DELAY_S)
     cluster.workers.worker("w0").is_unresponsive = True
     cluster.view.worker_by_id["w1"] = other_worker
-    cluster.start_leader(2)
+    second = cluster.start_leader(2)
+    if is_cancelled:
+        wait_until(lambda: "w0" in second.link_by_id)
+        cluster.store.cancel(JOB_ID)
+        wait_until(lambda: JOB_ID not in second.active_job_by_id)
     cluster.store.add_job(make_job("1" * 16))
     gevent.sleep(MAX_INHERITED_LEASE_S / 2)
     assert len(cluster.workers.started_runs) == expected_runs
