--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -183,8 +183,7 @@
         The worker of an instance that moves, is maintained or crashes ends
         immediately, but the platform lists the worker for some seconds longer.
         A worker with a run that no list has shown yet is kept until its lease ends, or
-        longer if the start got no answer: if the worker restarts under its id, it may
-        still carry out the start.
+        longer if the start got no answer: its next incarnation may carry it out.
         ``pool_by_live_worker`` contains the workers that have an instance, by id, and
         ``requested_s`` is when the list of instances was requested.
         """
@@ -297,8 +296,7 @@
         After its lease, a worker gets no tasks until it lists its runs again: some may
         have ended before the lease did. The same holds while another incarnation may
         have taken its place. Only if a worker does not respond, its runs are released
-        without a list, and their tasks wait again. Runs whose starts may still be
-        carried out by the next incarnation are kept for longer.
+        without a list, but for those that its next incarnation may still start.
         """
         for link in self.link_by_id.values():
             state = self.fleet.state_by_id[link.worker.worker_id]
--- a/libs/coordinator/tests/faulty_cluster.py
+++ b/libs/coordinator/tests/faulty_cluster.py
@@ -172,6 +172,8 @@
         if self._has_crashed:
             # Greenlets that the process has started must not act any more.
             gevent.sleep(FOREVER_S)
+        if not self._cluster.shows_incarnations:
+            started_ms = 0
         return self._cluster.network.call(
             worker.worker_id, kind, timeout_s, carry_out, order, started_ms
         )
@@ -210,6 +212,9 @@
         }
         # Workers according to the platform's list.
         self.registered = {i: w.worker for i, w in self.worker_by_id.items()}
+        # Connections show which incarnation of a worker they lead to. Otherwise, all
+        # calls reach the one that is up.
+        self.shows_incarnations = True
         self.coordinators: list[Coordinator] = []
         self.network = WorkerNetwork(time, self.worker_by_id)
         self._coordinator_count = 0
