--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -15,6 +15,7 @@
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
+from .features import NO_FEATURES, Features
 from .inherited_jobs import InheritedJobs
 from .job_registry import JobRegistry
 from .late_starts import find_ended_with_lease
@@ -50,7 +51,9 @@
         writer: LeaderWriter,
         view: View,
         longest_lease_s: float = LONGEST_LEASE_S,
+        features: Features = NO_FEATURES,
     ) -> None:
+        self.features = features
         self.fleet = Fleet()
         self.link_by_id: dict[str, WorkerLink] = {}
         self.view = view
