--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -61,7 +61,9 @@
         self.replica = replica
         self._workers = workers
         self._longest_lease_s = longest_lease_s
-        self._registry = JobRegistry(replica, writer, view, self.fleet, self.wake)
+        self._registry = JobRegistry(
+            replica, writer, view, self.fleet, self.wake, features
+        )
         self._orders = TaskOrders(
             workers, self.fleet, self._registry, writer, self.link_by_id, self.on_reply
         )
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -24,6 +24,7 @@
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
+from .features import NO_FEATURES, Features
 from .replica import Replica
 from .turns import Turns
 from .view import View
@@ -45,9 +46,10 @@
         view: View,
         fleet: Fleet,
         wake: Callable[[], None],
+        features: Features = NO_FEATURES,
     ) -> None:
         self.active_job_by_id: dict[str, ActiveJob] = {}
-        self.planner = Planner(fleet)
+        self.planner = Planner(fleet, uses_overload_order=features.overload_control)
         self.demand = PoolDemand()
         self.advised_workers = AdvisedWorkers()
         self.stop_run: Callable[[Run, str], None] = lambda run, reason: None
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -44,6 +44,11 @@
     "Moves and maintenance ordered, by outcome",
     ["kind", "outcome"],
 )
+INSTANCES_EMPTIED = Counter(
+    "lycheeloom_instances_emptied",
+    "Busy instances emptied for pools below their share, by the pool that had them",
+    ["pool"],
+)
 UNEXPECTED_ERRORS = Counter(
     "lycheeloom_unexpected_errors", "Unexpected exceptions, by part", ["part"]
 )
--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
@@ -0,0 +1,194 @@
+"""Empties instances of pools above their share and gives them to other pools."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Mapping
+
+from lycheeloom.jobs.fleet import WorkerState
+from lycheeloom.jobs.pool_sizes import Move, PoolLoad
+from lycheeloom.jobs.room_sharing import (
+    BusyInstance,
+    PoolClaim,
+    choose_donations,
+    needed_instances,
+    neediest_pool,
+)
+from lycheeloom.telemetry import log_event
+
+from . import metrics
+from .ports import Instance
+
+# An instance whose tasks take longer than this to end gets tasks again.
+MAX_EMPTYING_S = 3.0
+# An instance is not given away again within this time after its pool has got it.
+MIN_STAY_S = 3.0
+
+
+class PoolDonations:
+    """Chooses busy instances to be moved between pools that are all short of room.
+
+    ``find_state`` returns the state of the worker on an instance, if there is any.
+    """
+
+    def __init__(self, find_state: Callable[[Instance], WorkerState | None]) -> None:
+        self._find_state = find_state
+        # Since when instances are being emptied, by id.
+        self._emptying_since_s: dict[str, float] = {}
+        # When instances were first seen in their pool, by id and pool.
+        self._seen_since_s: dict[tuple[str, str], float] = {}
+
+    def handles(self, instance_id: str) -> bool:
+        """Return whether an instance is being emptied."""
+        return instance_id in self._emptying_since_s
+
+    def choose(
+        self,
+        candidates: Collection[Instance],
+        load_by_pool: Mapping[str, PoolLoad],
+        priority_by_pool: Mapping[str, int],
+        standby_pools: Collection[str],
+        now_s: float,
+    ) -> list[Move]:
+        """Return moves of emptied instances; begin to empty further ones.
+
+        ``candidates`` are the instances that are up and that may be moved, including
+        those that are being emptied.
+        """
+        self._note_seen(candidates, now_s)
+        in_service = [i for i in candidates if i.pool not in standby_pools]
+        staying = [i for i in in_service if not self.handles(i.instance_id)]
+        claims = self._claims(staying, load_by_pool, priority_by_pool, standby_pools)
+        moves = []
+        total = len(in_service) + sum(claim.arriving for claim in claims)
+        for instance in in_service:
+            if not self.handles(instance.instance_id):
+                continue
+            move = self._advance(instance, claims, load_by_pool, total, now_s)
+            if move is None:
+                continue
+            moves.append(move)
+            claims = [
+                claim
+                if claim.pool != move.pool
+                else PoolClaim(
+                    claim.pool,
+                    claim.needed,
+                    claim.size,
+                    claim.arriving + 1,
+                    claim.kept,
+                    claim.priority,
+                )
+                for claim in claims
+            ]
+        if len(candidates) > len(in_service):
+            # Instances that are switched off go first.
+            return moves
+        self._begin(staying, claims, total, now_s)
+        return moves
+
+    def _advance(
+        self,
+        instance: Instance,
+        claims: list[PoolClaim],
+        load_by_pool: Mapping[str, PoolLoad],
+        total: int,
+        now_s: float,
+    ) -> Move | None:
+        """Return the move of an instance if its tasks have ended."""
+        state = self._find_state(instance)
+        since_s = self._emptying_since_s[instance.instance_id]
+        is_empty = state is None or not state.run_by_task
+        if not is_empty and now_s - since_s < MAX_EMPTYING_S:
+            return None
+        del self._emptying_since_s[instance.instance_id]
+        pool = neediest_pool(claims, total) if is_empty else None
+        if pool is None or pool == instance.pool:
+            if state is not None:
+                state.is_cordoned = False
+            return None
+        load = load_by_pool[pool]
+        size = next(claim.size for claim in claims if claim.pool == pool)
+        return Move(instance.instance_id, pool, "pool below its share", load, size)
+
+    def _begin(
+        self,
+        staying: Collection[Instance],
+        claims: list[PoolClaim],
+        total: int,
+        now_s: float,
+    ) -> None:
+        instance_by_id = {instance.instance_id: instance for instance in staying}
+        busy = [
+            busy
+            for instance in staying
+            if (busy := self._to_busy(instance, now_s)) is not None
+        ]
+        # Instances that are being emptied already will be given to the same pools.
+        emptying = len(self._emptying_since_s)
+        chosen = choose_donations(claims, busy, total)
+        for instance_id in chosen[emptying:]:
+            instance = instance_by_id[instance_id]
+            state = self._find_state(instance)
+            if state is None:
+                continue
+            state.is_cordoned = True
+            self._emptying_since_s[instance_id] = now_s
+            metrics.INSTANCES_EMPTIED.labels(instance.pool).inc()
+        if len(chosen) > emptying:
+            log_event(
+                "pools_share_room",
+                emptied=len(chosen) - emptying,
+                emptying=emptying,
+                needed=",".join(f"{c.pool}:{c.needed:.1f}" for c in claims),
+                size=",".join(f"{c.pool}:{c.size + c.arriving}" for c in claims),
+            )
+
+    def _to_busy(self, instance: Instance, now_s: float) -> BusyInstance | None:
+        """Return an instance that may be emptied, else None."""
+        state = self._find_state(instance)
+        seen_s = self._seen_since_s.get((instance.instance_id, instance.pool), now_s)
+        if state is None or now_s - seen_s < MIN_STAY_S:
+            return None
+        if state.is_cordoned or state.worker.draining or not state.has_current_lists:
+            return None
+        if any(run.step.long_running for run in state.run_by_task.values()):
+            return None
+        work = sum(
+            run.step.estimated_ms * (100 - run.percent) / 100
+            for run in state.run_by_task.values()
+        )
+        return BusyInstance(instance.instance_id, instance.pool, work)
+
+    def _note_seen(self, candidates: Collection[Instance], now_s: float) -> None:
+        keys = {(i.instance_id, i.pool) for i in candidates}
+        self._seen_since_s = {key: self._seen_since_s.get(key, now_s) for key in keys}
+        for instance_id in set(self._emptying_since_s) - {key[0] for key in keys}:
+            # Its worker has ended or is drained for another reason.
+            del self._emptying_since_s[instance_id]
+
+    @staticmethod
+    def _claims(
+        staying: Collection[Instance],
+        load_by_pool: Mapping[str, PoolLoad],
+        priority_by_pool: Mapping[str, int],
+        standby_pools: Collection[str],
+    ) -> list[PoolClaim]:
+        claims = []
+        for pool, load in load_by_pool.items():
+            if pool in standby_pools:
+                continue
+            needed = needed_instances(
+                load.backlog, load.used, load.offered_load, load.long_running_use
+            )
+            kept = max(float(load.min_instances), load.long_running_use)
+            claims.append(
+                PoolClaim(
+                    pool,
+                    max(needed, kept),
+                    sum(instance.pool == pool for instance in staying),
+                    load.arriving,
+                    kept,
+                    priority_by_pool.get(pool, 0),
+                )
+            )
+        return claims
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 import gevent
 from gevent.pool import Pool as GreenletPool
@@ -25,6 +25,7 @@
 from .dispatcher import Dispatcher
 from .inventory import Inventory
 from .order_guard import OrderGuard
+from .pool_donations import PoolDonations
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 ROUND_PAUSE_S = 0.25
@@ -56,6 +57,7 @@
         self._port = port
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
+        self._donations = PoolDonations(self._state_of_instance)
         self._order_greenlets = GreenletPool(MAX_ORDERS_IN_FLIGHT)
         # Since when the workers without runs have had none, by worker id.
         self._idle_since_s_by_worker: dict[str, float] = {}
@@ -82,6 +84,13 @@
             if now_s > moving_until_s:
                 del self._moving_by_id[instance_id]
                 self._release(instance_id)
+        available = [
+            instance
+            for instance in self._inventory.instance_by_id.values()
+            if instance.state is InstanceState.UP
+            and instance.instance_id not in self._moving_by_id
+            and not self._is_in_maintenance(instance.instance_id)
+        ]
         instances = [
             PoolInstance(
                 instance.instance_id,
@@ -90,14 +99,46 @@
                 self._is_usable(instance),
                 self._order_guard.may_order(instance.instance_id),
             )
-            for instance in self._inventory.instance_by_id.values()
-            if instance.state is InstanceState.UP
-            and instance.instance_id not in self._moving_by_id
-            and not self._is_in_maintenance(instance.instance_id)
+            for instance in available
+            if not self._donations.handles(instance.instance_id)
         ]
-        moves = choose_moves(instances, self._load_by_pool(), standby_pools)
+        load_by_pool = self._load_by_pool()
+        moves = choose_moves(instances, load_by_pool, standby_pools)
+        if self._dispatcher.features.overload_control:
+            moves += self._choose_donations(
+                available, moves, load_by_pool, standby_pools, now_s
+            )
         self._send_orders([move for move in moves if self._prepare(move)])
 
+    def _choose_donations(
+        self,
+        available: Collection[Instance],
+        moves: Collection[Move],
+        load_by_pool: Mapping[str, PoolLoad],
+        standby_pools: Collection[str],
+        now_s: float,
+    ) -> list[Move]:
+        """Return moves of instances that are emptied for pools below their share."""
+        moved_ids = {move.instance_id for move in moves}
+        candidates = [
+            instance
+            for instance in available
+            if instance.instance_id not in moved_ids
+            and self._is_usable(instance)
+            and self._order_guard.may_order(instance.instance_id)
+        ]
+        policy = self._dispatcher.view.policy
+        priority_by_pool: dict[str, int] = {}
+        for active_job in self._dispatcher.active_job_by_id.values():
+            queue = policy.queue_by_name.get(active_job.job.queue)
+            if queue is None or active_job.job.steps[0].long_running:
+                continue
+            known = priority_by_pool.get(queue.pool, queue.priority)
+            priority_by_pool[queue.pool] = min(known, queue.priority)
+        return self._donations.choose(
+            candidates, load_by_pool, priority_by_pool, standby_pools, now_s
+        )
+
     def _release(self, instance_id: str) -> None:
         """Allow new tasks on an instance again if it has not moved."""
         instance = self._inventory.instance_by_id.get(instance_id)
@@ -227,6 +268,7 @@
 
     def _state_of(self, move: Move) -> WorkerState | None:
         instance = self._inventory.instance_by_id.get(move.instance_id)
-        if instance is None:
-            return None
+        return self._state_of_instance(instance) if instance else None
+
+    def _state_of_instance(self, instance: Instance) -> WorkerState | None:
         return self._dispatcher.fleet.state_by_id.get(instance.worker_id)
--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -0,0 +1,305 @@
+"""Ranks the waiting jobs of pools that have no room for all of them."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from lycheeloom.model.resources import Resources
+
+from .active_job import ActiveJob
+from .fleet import Fleet
+from .model import Policy, Queue
+from .overload import Contender, PoolRoom, Service, choose_service
+from .size_groups import SizeGroups
+from .step_tasks import StepTasks
+from .task_numbering import StepKey
+
+# The result of a job is of use to its caller for this many times its target duration.
+USEFUL_TARGETS = 3.0
+# A delayed job that has waited for this long is brought forward, one at a time in each
+# pool, so that every accepted job is completed.
+MAX_DELAY_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingJob:
+    """A job with steps that may start, and its queue."""
+
+    active_job: ActiveJob
+    queue: Queue
+    steps: Sequence[tuple[StepKey, StepTasks]]
+
+
+@dataclass(frozen=True, slots=True)
+class JobRank:
+    """How a job is served, and its order among jobs that are served alike."""
+
+    service: Service
+    order: float
+
+
+@dataclass(frozen=True, slots=True)
+class _JobFacts:
+    """Figures of a job that do not change; ``work`` is in instance-seconds."""
+
+    chain_ms: float
+    target_ms: float
+    work: float
+    group: int
+
+
+class OverloadOrder:
+    """Ranks jobs of full pools by what a delay costs their callers.
+
+    Only jobs with steps that end are ranked. All state is in memory: a new leader
+    derives the order from the open jobs and the runs.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._sizes = SizeGroups()
+        self._facts_by_job: dict[str, _JobFacts] = {}
+        # Ids of the jobs whose outcome ``SizeGroups`` knows.
+        self._settled_job_ids: set[str] = set()
+        # The delayed job that has been brought forward in each pool.
+        self._forward_job_by_pool: dict[str, str] = {}
+        # Number of jobs by queue and service, as of the last round; full pools only.
+        self.count_by_queue: dict[str, Counter[Service]] = {}
+
+    def forget_job(self, job_id: str) -> None:
+        """Discard the state kept for a job that has ended."""
+        self._facts_by_job.pop(job_id, None)
+        self._settled_job_ids.discard(job_id)
+        for pool, forward_job_id in list(self._forward_job_by_pool.items()):
+            if forward_job_id == job_id:
+                del self._forward_job_by_pool[pool]
+
+    def rank(
+        self,
+        waiting_jobs: Iterable[WaitingJob],
+        policy: Policy,
+        zones_out_of_service: Collection[str],
+        is_above_rate: Mapping[str, bool],
+        now_ms: float,
+    ) -> dict[tuple[str, int], JobRank]:
+        """Return the rank of each occurrence of a job whose pool is full.
+
+        Occurrences are given by job id and number; those that are missing in the result
+        find room at once. ``now_ms`` is Unix time.
+        """
+        jobs_by_pool: dict[str, list[WaitingJob]] = defaultdict(list)
+        for waiting_job in waiting_jobs:
+            jobs_by_pool[waiting_job.queue.pool].append(waiting_job)
+        rank_by_key: dict[tuple[str, int], JobRank] = {}
+        self.count_by_queue = {}
+        weight_by_organisation = {
+            name: organisation.weight
+            for name, organisation in policy.organisation_by_name.items()
+        }
+        for pool, jobs in jobs_by_pool.items():
+            capacity, room = self._room_of(pool, zones_out_of_service)
+            if capacity is None:
+                continue
+            contenders = self._contenders(jobs, capacity, is_above_rate, now_ms)
+            needed = sum(
+                step_tasks.step.reservation.dominant_share(capacity)
+                * len(step_tasks.waiting)
+                for job in jobs
+                for _, step_tasks in job.steps
+                if not step_tasks.step.long_running
+            )
+            if needed <= room.free:
+                self._forward_job_by_pool.pop(pool, None)
+                continue
+            room = self._with_task_duration(room, jobs)
+            # Queues with a higher priority take their room first.
+            for priority in sorted({job.queue.priority for job in jobs}):
+                of_priority = {
+                    (job.active_job.job.job_id)
+                    for job in jobs
+                    if job.queue.priority == priority
+                }
+                group = [c for c in contenders if c.key[0] in of_priority]
+                chosen = choose_service(group, room, weight_by_organisation, now_ms)
+                for contender in group:
+                    service = chosen[contender.key]
+                    rank_by_key[contender.key] = JobRank(
+                        service, _order(contender, service)
+                    )
+            self._bring_forward(pool, contenders, rank_by_key, now_ms)
+        self._count(jobs_by_pool, rank_by_key)
+        return rank_by_key
+
+    def note_start(self, waiting_job: ActiveJob, now_ms: float) -> None:
+        """Note that the first task of a job is about to start."""
+        job = waiting_job.job
+        facts = self._facts_by_job.get(job.job_id)
+        if facts is None or job.job_id in self._settled_job_ids:
+            return
+        deadline_ms = job.accepted_ms + facts.target_ms - facts.chain_ms
+        self._settle(job.job_id, job.queue, facts, in_time=now_ms <= deadline_ms)
+
+    def _settle(
+        self, job_id: str, queue: str, facts: _JobFacts, *, in_time: bool
+    ) -> None:
+        self._settled_job_ids.add(job_id)
+        self._sizes.note_outcome(queue, facts.group, in_time=in_time)
+
+    def _contenders(
+        self,
+        jobs: Iterable[WaitingJob],
+        capacity: Resources,
+        is_above_rate: Mapping[str, bool],
+        now_ms: float,
+    ) -> list[Contender]:
+        contenders: dict[tuple[str, int], Contender] = {}
+        for waiting_job in jobs:
+            job = waiting_job.active_job.job
+            facts = self._facts_of(waiting_job, capacity)
+            is_disadvantaged = self._sizes.is_disadvantaged(job.queue, facts.group)
+            for (occurrence, step), step_tasks in waiting_job.steps:
+                if step_tasks.step.long_running:
+                    continue
+                begins_ms = max(job.accepted_ms, job.due_ms(occurrence))
+                chain_ms = waiting_job.active_job.remaining_chain_ms((occurrence, step))
+                waiting = len(step_tasks.waiting) / step_tasks.step.count
+                work = facts.work * (chain_ms / facts.chain_ms if chain_ms else waiting)
+                in_time_until_ms = begins_ms + facts.target_ms - chain_ms
+                useful_until_ms = (
+                    begins_ms + USEFUL_TARGETS * facts.target_ms - chain_ms
+                )
+                key = (job.job_id, occurrence)
+                known = contenders.get(key)
+                if known is not None and known.in_time_until_ms <= in_time_until_ms:
+                    continue
+                contenders[key] = Contender(
+                    key,
+                    job.organisation,
+                    work,
+                    in_time_until_ms,
+                    useful_until_ms,
+                    is_above_rate.get(job.job_id, False),
+                    is_disadvantaged,
+                    waiting_job.active_job.has_begun,
+                )
+                is_missed = in_time_until_ms < now_ms
+                if is_missed and job.job_id not in self._settled_job_ids:
+                    self._settle(job.job_id, job.queue, facts, in_time=False)
+        return list(contenders.values())
+
+    def _facts_of(self, waiting_job: WaitingJob, capacity: Resources) -> _JobFacts:
+        active_job, queue = waiting_job.active_job, waiting_job.queue
+        job = active_job.job
+        facts = self._facts_by_job.get(job.job_id)
+        if facts is not None:
+            return facts
+        work = sum(
+            step.count
+            * step.reservation.dominant_share(capacity)
+            * step.estimated_ms
+            / 1000
+            for step in job.steps
+            if not step.long_running
+        )
+        self._sizes.note_job(job.queue, work)
+        chain_ms = active_job.chain_ms()
+        facts = _JobFacts(
+            chain_ms,
+            queue.stretch * chain_ms + queue.target_latency_ms,
+            work,
+            self._sizes.group_of(job.queue, work),
+        )
+        self._facts_by_job[job.job_id] = facts
+        return facts
+
+    def _room_of(
+        self, pool: str, zones_out_of_service: Collection[str]
+    ) -> tuple[Resources | None, PoolRoom]:
+        """Return the capacity of one instance of a pool, and the room of the pool."""
+        capacity: Resources | None = None
+        instances = free = 0.0
+        used_by_organisation: Counter[str] = Counter()
+        for state in self._fleet.state_by_id.values():
+            if state.worker.pool != pool:
+                continue
+            capacity = capacity or state.worker.capacity
+            for run in state.run_by_task.values():
+                if not run.step.long_running:
+                    share = run.step.reservation.dominant_share(capacity)
+                    used_by_organisation[run.organisation] += share
+            is_usable = (
+                state.has_current_lists
+                and not state.is_cordoned
+                and not state.worker.draining
+                and state.worker.zone not in zones_out_of_service
+            )
+            if not is_usable:
+                continue
+            long_running = state.long_running_need.dominant_share(capacity)
+            instances += 1.0 - long_running
+            free += 1.0 - state.used.dominant_share(capacity)
+        return capacity, PoolRoom(instances, free, 0.0, used_by_organisation)
+
+    @staticmethod
+    def _with_task_duration(room: PoolRoom, jobs: Iterable[WaitingJob]) -> PoolRoom:
+        duration_ms = tasks = 0
+        for job in jobs:
+            for _, step_tasks in job.steps:
+                if not step_tasks.step.long_running:
+                    waiting = len(step_tasks.waiting)
+                    tasks += waiting
+                    duration_ms += waiting * step_tasks.step.estimated_ms
+        task_s = duration_ms / tasks / 1000 if tasks else 0.0
+        return PoolRoom(room.instances, room.free, task_s, room.used_by_organisation)
+
+    def _bring_forward(
+        self,
+        pool: str,
+        contenders: Iterable[Contender],
+        rank_by_key: dict[tuple[str, int], JobRank],
+        now_ms: float,
+    ) -> None:
+        """Rank one job of a pool first that has been delayed for a long time."""
+        waiting_since_ms, oldest = min(
+            (
+                (contender.in_time_until_ms, contender.key)
+                for contender in contenders
+                if rank_by_key[contender.key].service >= Service.DELAYED
+            ),
+            default=(now_ms, None),
+        )
+        forward_job_id = self._forward_job_by_pool.get(pool)
+        if forward_job_id is None:
+            if oldest is None or now_ms - waiting_since_ms < MAX_DELAY_S * 1000:
+                return
+            forward_job_id = self._forward_job_by_pool[pool] = oldest[0]
+        for contender in contenders:
+            if contender.key[0] == forward_job_id:
+                rank_by_key[contender.key] = JobRank(Service.IN_TIME, 0.0)
+
+    def _count(
+        self,
+        jobs_by_pool: Mapping[str, Sequence[WaitingJob]],
+        rank_by_key: Mapping[tuple[str, int], JobRank],
+    ) -> None:
+        queue_by_job = {
+            job.active_job.job.job_id: job.queue.name
+            for jobs in jobs_by_pool.values()
+            for job in jobs
+        }
+        for (job_id, _), rank in rank_by_key.items():
+            counts = self.count_by_queue.setdefault(queue_by_job[job_id], Counter())
+            counts[rank.service] += 1
+
+
+def _order(contender: Contender, service: Service) -> float:
+    """Return the order of a job among those that are served alike."""
+    match service:
+        case Service.IN_TIME | Service.IN_TIME_ABOVE_RATE:
+            return contender.in_time_until_ms
+        case Service.DELAYED:
+            # A small job is the one that may still find room.
+            return contender.work
+    return contender.useful_until_ms
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -12,6 +12,7 @@
 from .active_job import ActiveJob
 from .fleet import Fleet, WorkerState
 from .model import Policy, Queue, Step, TaskKey
+from .overload_order import JobRank, OverloadOrder, WaitingJob
 from .placement import WorkerChoice, choose_gang, eligible_workers, tasks_by_worker
 from .step_tasks import StepTasks
 from .task_numbering import StepKey
@@ -58,8 +59,10 @@
 class Planner:
     """Ranks the steps that may start and assigns workers to their tasks."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, *, uses_overload_order: bool = False) -> None:
         self._fleet = fleet
+        # Orders the jobs of full pools; None if this feature is not in use.
+        self.overload_order = OverloadOrder(fleet) if uses_overload_order else None
         # Ids of the workers on which a task has failed; other workers are preferred.
         self.failed_workers_by_task: dict[TaskKey, set[str]] = defaultdict(set)
         # Whether a job was submitted above the rate allowed for its organisation.
@@ -86,6 +89,8 @@
     def forget_job(self, job_id: str) -> None:
         """Discard the state kept for a job that has ended."""
         self._exceeds_rate_by_job.pop(job_id, None)
+        if self.overload_order is not None:
+            self.overload_order.forget_job(job_id)
         for task in [t for t in self.failed_workers_by_task if t.job_id == job_id]:
             del self.failed_workers_by_task[task]
 
@@ -107,17 +112,31 @@
         no restriction. ``unknown_use_by_organisation`` contains the resources that runs
         unknown to the fleet may use; they count towards the organisations' limits.
         """
+        waiting_jobs = [
+            WaitingJob(active_job, queue, steps)
+            for active_job in active_jobs
+            if (queue := policy.queue_by_name.get(active_job.job.queue)) is not None
+            and (steps := active_job.startable_steps(now_ms))
+        ]
+        rank_by_occurrence: Mapping[tuple[str, int], JobRank] = {}
+        if self.overload_order is not None:
+            rank_by_occurrence = self.overload_order.rank(
+                waiting_jobs,
+                policy,
+                zones_out_of_service,
+                self._exceeds_rate_by_job,
+                now_ms,
+            )
         ranked_steps = [
             _RankedStep(
-                self._rank(active_job, queue, step_key, now_ms),
-                active_job,
+                self._rank(waiting_job, step_key, rank_by_occurrence, now_ms),
+                waiting_job.active_job,
                 step_key,
                 step_tasks,
-                queue,
+                waiting_job.queue,
             )
-            for active_job in active_jobs
-            if (queue := policy.queue_by_name.get(active_job.job.queue)) is not None
-            for step_key, step_tasks in active_job.startable_steps(now_ms)
+            for waiting_job in waiting_jobs
+            for step_key, step_tasks in waiting_job.steps
         ]
         ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
@@ -134,6 +153,7 @@
                     policy,
                     zones_out_of_service,
                     now_s,
+                    now_ms,
                     reservations,
                     unplaceable_need_by_pool,
                     advised_workers,
@@ -144,15 +164,21 @@
         return starts
 
     def _rank(
-        self, active_job: ActiveJob, queue: Queue, step_key: StepKey, now_ms: float
+        self,
+        waiting_job: WaitingJob,
+        step_key: StepKey,
+        rank_by_occurrence: Mapping[tuple[str, int], JobRank],
+        now_ms: float,
     ) -> tuple[float, ...]:
         """Return the rank of a step; steps with lower ranks start first.
 
         The rank consists of the priority of the queue, of whether the job exceeds the
         submission rate of its organisation, of whether it can no longer meet its
         deadline, and of the deadline. Long-running steps have no deadline and are
-        ranked by their begin instead.
+        ranked by their begin instead. In a full pool, ``OverloadOrder`` decides if it
+        is in use.
         """
+        active_job, queue = waiting_job.active_job, waiting_job.queue
         job = active_job.job
         begins_ms = max(job.accepted_ms, job.due_ms(step_key[0]))
         target_duration_ms = (
@@ -165,6 +191,9 @@
         step = job.steps[step_key[1]]
         if step.long_running:
             return (queue.priority, 0, 0, begins_ms)
+        job_rank = rank_by_occurrence.get((job.job_id, step_key[0]))
+        if job_rank is not None:
+            return (queue.priority, job_rank.service, 0, job_rank.order)
         exceeds_rate = self._exceeds_rate_by_job.get(job.job_id, False)
         return (queue.priority, exceeds_rate, is_deferred, deadline_ms)
 
@@ -174,6 +203,7 @@
         policy: Policy,
         zones_out_of_service: Collection[str],
         now_s: float,
+        now_ms: float,
         reservations: _Reservations,
         unplaceable_need_by_pool: dict[str, Resources],
         advised_workers: AdvisedWorkers | None,
@@ -225,6 +255,8 @@
                     unplaceable_need_by_pool[pool] = step.reservation
                 break
             counts[state.worker.worker_id] += 1
+            if self.overload_order is not None and not ranked.active_job.has_begun:
+                self.overload_order.note_start(ranked.active_job, now_ms)
             starts.append(
                 self._start(ranked, task, state, ranked.active_job.take(task))
             )
