--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -50,7 +50,7 @@
     ) -> None:
         self.active_job_by_id: dict[str, ActiveJob] = {}
         self.planner = Planner(fleet, uses_overload_order=features.overload_control)
-        self.demand = PoolDemand()
+        self.demand = PoolDemand(measures_fast=features.overload_control)
         self.advised_workers = AdvisedWorkers()
         self.stop_run: Callable[[Run, str], None] = lambda run, reason: None
         # Ids of the jobs that the previous leader left unfinished; empty once no pool
--- a/libs/jobs/src/lycheeloom/jobs/room_sharing.py
+++ b/libs/jobs/src/lycheeloom/jobs/room_sharing.py
@@ -11,7 +11,7 @@
 BACKLOG_TARGET_S = 1.5
 # Average part of a running task's duration that is left.
 REMAINING_FRACTION = 0.5
-# Factor of the claim of a pool with each step down in the priority of its queues.
+# Factor of the share of a pool with each step down in the priority of its queues.
 PRIORITY_FACTOR = 0.5
 # A smaller difference between the size of a pool and its share does not pay for the
 # time in which an instance finishes its tasks and moves.
@@ -65,37 +65,41 @@
 def share_instances(claims: Collection[PoolClaim], total: int) -> dict[str, float]:
     """Return the share of each pool in ``total`` instances.
 
-    Each pool gets what it keeps in any case. The rest is divided in proportion to what
-    the pools need beyond it, weighted by priority; no pool gets more than it needs.
+    Each pool gets what it keeps in any case. The rest is divided evenly, weighted by
+    priority; what a pool does not need goes to the others. A pool with an old backlog
+    thus leaves room for one whose load has just begun.
 
-    Example: two pools of the same priority that need 90 and 60 of 100 instances get 60
-    and 40.
+    Example: two pools of the same priority that need 90 and 30 of 100 instances get 70
+    and 30; if both need 90, they get 50 each.
     """
     share_by_pool = {claim.pool: claim.kept for claim in claims}
     left = total - sum(share_by_pool.values())
     open_claims = [claim for claim in claims if claim.needed > claim.kept]
     while left > 0 and open_claims:
-        weight_by_pool = {
-            claim.pool: (claim.needed - claim.kept) * PRIORITY_FACTOR**claim.priority
-            for claim in open_claims
+        total_weight = sum(_weight(claim) for claim in open_claims)
+        part_by_pool = {
+            claim.pool: left * _weight(claim) / total_weight for claim in open_claims
         }
-        total_weight = sum(weight_by_pool.values())
-        still_open = []
-        given = 0.0
-        for claim in open_claims:
-            part = left * weight_by_pool[claim.pool] / total_weight
-            missing = claim.needed - share_by_pool[claim.pool]
-            share_by_pool[claim.pool] += min(part, missing)
-            given += min(part, missing)
-            if part < missing:
-                still_open.append(claim)
-        if len(still_open) == len(open_claims):
+        satisfied = [
+            claim
+            for claim in open_claims
+            if claim.needed - claim.kept <= part_by_pool[claim.pool]
+        ]
+        if not satisfied:
+            for claim in open_claims:
+                share_by_pool[claim.pool] += part_by_pool[claim.pool]
             break
-        left -= given
-        open_claims = still_open
+        for claim in satisfied:
+            share_by_pool[claim.pool] = claim.needed
+            left -= claim.needed - claim.kept
+            open_claims.remove(claim)
     return share_by_pool
 
 
+def _weight(claim: PoolClaim) -> float:
+    return PRIORITY_FACTOR**claim.priority
+
+
 def choose_donations(
     claims: Collection[PoolClaim], instances: Collection[BusyInstance], total: int
 ) -> list[str]:
