--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -184,7 +184,7 @@
             self._orders.stop_listed(link, row)
             return None
         active_job.note_run(row.run)
-        step_tasks.waiting.remove(row.task.index)
+        active_job.remove_waiting(row.task)
         now_s = steady_s()
         run = Run(
             row.task,
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
@@ -20,8 +20,9 @@
 
 # An instance whose tasks take longer than this to end gets tasks again.
 MAX_EMPTYING_S = 3.0
-# An instance is not given away again within this time after its pool has got it.
-MIN_STAY_S = 3.0
+# An instance is not given away again within this time after its pool has got it: a
+# shorter stay does not pay for a move.
+MIN_STAY_S = 1.5
 
 
 class PoolDonations:
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -61,6 +61,9 @@
         # Numbers of the parts of the progress that ``changed_parts`` has yet to return.
         self._changed_parts: set[int] = set()
         self._next_occurrence = 0
+        # Result of ``startable_steps`` for a job that is not repeated, until a task
+        # begins to wait, starts or ends.
+        self._startable: list[tuple[StepKey, StepTasks]] | None = None
         if progress is not None or part_by_number:
             self._restore(progress or JobProgress(self.state), part_by_number or {})
 
@@ -93,6 +96,8 @@
         """
         if self.is_final:
             return []
+        if self._startable is not None:
+            return self._startable
         startable = [
             (step_key, step_tasks)
             for step_key, step_tasks in self.tasks_by_step.items()
@@ -106,6 +111,8 @@
             )
             unstarted += len(opened)
             startable += opened
+        if not self.job.repetitions:
+            self._startable = startable
         return startable
 
     def unopened_occurrences(self, now_ms: float) -> int:
@@ -122,9 +129,16 @@
 
     def take(self, task: TaskKey) -> int:
         """Remove a task from the waiting tasks and return the number of its new run."""
-        self.tasks_by_step[task.occurrence, task.step].waiting.remove(task.index)
+        self.remove_waiting(task)
         return self.next_run()
 
+    def remove_waiting(self, task: TaskKey) -> None:
+        """Remove a task from the waiting tasks."""
+        waiting = self.tasks_by_step[task.occurrence, task.step].waiting
+        waiting.remove(task.index)
+        if not waiting:
+            self._startable = None
+
     def next_run(self) -> int:
         """Return a run number that no task of the job has used, and mark it as used."""
         self.highest_run += 1
@@ -158,6 +172,7 @@
         if checkpoint:
             self._note_checkpoint(task, step_tasks, checkpoint)
         step_tasks.waiting.put_back(task.index)
+        self._startable = None
 
     def note_end(self, task: TaskKey, run: int, kind: EndKind, checkpoint: str) -> bool:
         """Record the end of a run; return whether the progress must be written.
@@ -259,6 +274,7 @@
             self._mark_changed(first + index)
             step_tasks.checkpoint_by_index.pop(index, None)
             step_tasks.waiting.remove(index)
+        self._startable = None
         if step_tasks.is_done:
             self._close_step((task.occurrence, task.step))
 
@@ -329,11 +345,13 @@
             first = self._numbering.first_position(step_key)
             step_tasks = StepTasks(step, self._done.slice(first, step.count))
             self.tasks_by_step[step_key] = step_tasks
+            self._startable = None
         return step_tasks
 
     def _close_step(self, step_key: StepKey) -> None:
         """Open the steps that have waited only for this one, or complete the job."""
         del self.tasks_by_step[step_key]
+        self._startable = None
         occurrence, done_index = step_key
         for index in self._successors_by_step.get(done_index, ()):
             if self._is_step_done((occurrence, index)):
--- a/libs/jobs/src/lycheeloom/jobs/overload_order.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lycheeloom.model.resources import Resources
 
@@ -21,6 +22,9 @@
 # A delayed job that has waited for this long is brought forward, one at a time in each
 # pool, so that every accepted job is completed.
 MAX_DELAY_S = 10.0
+# Ranks are kept for this long, so that rounds in quick succession cost little. Jobs
+# that arrive meanwhile are ranked by their deadline.
+RANK_INTERVAL_MS = 50.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,14 +46,29 @@
 
 @dataclass(frozen=True, slots=True)
 class _JobFacts:
-    """Figures of a job that do not change; ``work`` is in instance-seconds."""
+    """Figures of a job that do not change.
+
+    ``work`` is in instance-seconds, and ``share_by_step`` holds the part of an instance
+    that a task of each step uses; it is 0 for long-running tasks.
+    """
 
     chain_ms: float
     target_ms: float
     work: float
+    share_by_step: tuple[float, ...]
     group: int
 
 
+@dataclass(slots=True)
+class _Demand:
+    """What waits for a pool: instances needed at once, and durations of tasks."""
+
+    contenders: list[Contender]
+    needed: float = 0.0
+    tasks: int = 0
+    duration_ms: int = 0
+
+
 class OverloadOrder:
     """Ranks jobs of full pools by what a delay costs their callers.
 
@@ -65,6 +84,8 @@
         self._settled_job_ids: set[str] = set()
         # The delayed job that has been brought forward in each pool.
         self._forward_job_by_pool: dict[str, str] = {}
+        self._ranked_ms = -math.inf
+        self._rank_by_key: dict[tuple[str, int], JobRank] = {}
         # Number of jobs by queue and service, as of the last round; full pools only.
         self.count_by_queue: dict[str, Counter[Service]] = {}
 
@@ -89,10 +110,13 @@
         Occurrences are given by job id and number; those that are missing in the result
         find room at once. ``now_ms`` is Unix time.
         """
+        if 0 <= now_ms - self._ranked_ms < RANK_INTERVAL_MS:
+            return self._rank_by_key
+        self._ranked_ms = now_ms
         jobs_by_pool: dict[str, list[WaitingJob]] = defaultdict(list)
         for waiting_job in waiting_jobs:
             jobs_by_pool[waiting_job.queue.pool].append(waiting_job)
-        rank_by_key: dict[tuple[str, int], JobRank] = {}
+        rank_by_key = self._rank_by_key = {}
         self.count_by_queue = {}
         weight_by_organisation = {
             name: organisation.weight
@@ -102,26 +126,22 @@
             capacity, room = self._room_of(pool, zones_out_of_service)
             if capacity is None:
                 continue
-            contenders = self._contenders(jobs, capacity, is_above_rate, now_ms)
-            needed = sum(
-                step_tasks.step.reservation.dominant_share(capacity)
-                * len(step_tasks.waiting)
-                for job in jobs
-                for _, step_tasks in job.steps
-                if not step_tasks.step.long_running
-            )
-            if needed <= room.free:
+            demand = self._demand(jobs, capacity, is_above_rate, now_ms)
+            contenders = demand.contenders
+            if demand.needed <= room.free:
                 self._forward_job_by_pool.pop(pool, None)
                 continue
-            room = self._with_task_duration(room, jobs)
+            if demand.tasks:
+                task_s = demand.duration_ms / demand.tasks / 1000
+                room = replace(room, task_s=task_s)
             # Queues with a higher priority take their room first.
             for priority in sorted({job.queue.priority for job in jobs}):
-                of_priority = {
-                    (job.active_job.job.job_id)
+                job_ids = {
+                    job.active_job.job.job_id
                     for job in jobs
                     if job.queue.priority == priority
                 }
-                group = [c for c in contenders if c.key[0] in of_priority]
+                group = [c for c in contenders if c.key[0] in job_ids]
                 chosen = choose_service(group, room, weight_by_organisation, now_ms)
                 for contender in group:
                     service = chosen[contender.key]
@@ -147,61 +167,69 @@
         self._settled_job_ids.add(job_id)
         self._sizes.note_outcome(queue, facts.group, in_time=in_time)
 
-    def _contenders(
+    def _demand(
         self,
         jobs: Iterable[WaitingJob],
         capacity: Resources,
         is_above_rate: Mapping[str, bool],
         now_ms: float,
-    ) -> list[Contender]:
-        contenders: dict[tuple[str, int], Contender] = {}
+    ) -> _Demand:
+        """Return what waits for a pool; the least urgent step of a job counts."""
+        demand = _Demand([])
+        is_disadvantaged_by_group: dict[tuple[str, int], bool] = {}
         for waiting_job in jobs:
             job = waiting_job.active_job.job
-            facts = self._facts_of(waiting_job, capacity)
-            is_disadvantaged = self._sizes.is_disadvantaged(job.queue, facts.group)
-            for (occurrence, step), step_tasks in waiting_job.steps:
+            facts = self._facts_by_job.get(job.job_id)
+            if facts is None:
+                facts = self._add_facts(waiting_job, capacity)
+            group = (job.queue, facts.group)
+            is_disadvantaged = is_disadvantaged_by_group.get(group)
+            if is_disadvantaged is None:
+                is_disadvantaged = self._sizes.is_disadvantaged(*group)
+                is_disadvantaged_by_group[group] = is_disadvantaged
+            chain_ms_by_occurrence: dict[int, float] = {}
+            for (occurrence, step_index), step_tasks in waiting_job.steps:
                 if step_tasks.step.long_running:
                     continue
+                waiting = len(step_tasks.waiting)
+                demand.needed += facts.share_by_step[step_index] * waiting
+                demand.tasks += waiting
+                demand.duration_ms += step_tasks.step.estimated_ms * waiting
+                chain_ms_by_occurrence[occurrence] = max(
+                    chain_ms_by_occurrence.get(occurrence, 0.0),
+                    waiting_job.active_job.remaining_chain_ms((occurrence, step_index)),
+                )
+            for occurrence, chain_ms in chain_ms_by_occurrence.items():
                 begins_ms = max(job.accepted_ms, job.due_ms(occurrence))
-                chain_ms = waiting_job.active_job.remaining_chain_ms((occurrence, step))
-                waiting = len(step_tasks.waiting) / step_tasks.step.count
-                work = facts.work * (chain_ms / facts.chain_ms if chain_ms else waiting)
                 in_time_until_ms = begins_ms + facts.target_ms - chain_ms
-                useful_until_ms = (
-                    begins_ms + USEFUL_TARGETS * facts.target_ms - chain_ms
-                )
-                key = (job.job_id, occurrence)
-                known = contenders.get(key)
-                if known is not None and known.in_time_until_ms <= in_time_until_ms:
-                    continue
-                contenders[key] = Contender(
-                    key,
-                    job.organisation,
-                    work,
-                    in_time_until_ms,
-                    useful_until_ms,
-                    is_above_rate.get(job.job_id, False),
-                    is_disadvantaged,
-                    waiting_job.active_job.has_begun,
+                remaining = chain_ms / facts.chain_ms if facts.chain_ms else 1.0
+                demand.contenders.append(
+                    Contender(
+                        (job.job_id, occurrence),
+                        job.organisation,
+                        facts.work * remaining,
+                        in_time_until_ms,
+                        in_time_until_ms + (USEFUL_TARGETS - 1.0) * facts.target_ms,
+                        is_above_rate.get(job.job_id, False),
+                        is_disadvantaged,
+                        waiting_job.active_job.has_begun,
+                    )
                 )
                 is_missed = in_time_until_ms < now_ms
                 if is_missed and job.job_id not in self._settled_job_ids:
                     self._settle(job.job_id, job.queue, facts, in_time=False)
-        return list(contenders.values())
+        return demand
 
-    def _facts_of(self, waiting_job: WaitingJob, capacity: Resources) -> _JobFacts:
+    def _add_facts(self, waiting_job: WaitingJob, capacity: Resources) -> _JobFacts:
         active_job, queue = waiting_job.active_job, waiting_job.queue
         job = active_job.job
-        facts = self._facts_by_job.get(job.job_id)
-        if facts is not None:
-            return facts
-        work = sum(
-            step.count
-            * step.reservation.dominant_share(capacity)
-            * step.estimated_ms
-            / 1000
+        share_by_step = tuple(
+            0.0 if step.long_running else step.reservation.dominant_share(capacity)
             for step in job.steps
-            if not step.long_running
+        )
+        work = sum(
+            step.count * share * step.estimated_ms / 1000
+            for step, share in zip(job.steps, share_by_step, strict=True)
         )
         self._sizes.note_job(job.queue, work)
         chain_ms = active_job.chain_ms()
@@ -209,6 +237,7 @@
             chain_ms,
             queue.stretch * chain_ms + queue.target_latency_ms,
             work,
+            share_by_step,
             self._sizes.group_of(job.queue, work),
         )
         self._facts_by_job[job.job_id] = facts
@@ -242,18 +271,6 @@
             free += 1.0 - state.used.dominant_share(capacity)
         return capacity, PoolRoom(instances, free, 0.0, used_by_organisation)
 
-    @staticmethod
-    def _with_task_duration(room: PoolRoom, jobs: Iterable[WaitingJob]) -> PoolRoom:
-        duration_ms = tasks = 0
-        for job in jobs:
-            for _, step_tasks in job.steps:
-                if not step_tasks.step.long_running:
-                    waiting = len(step_tasks.waiting)
-                    tasks += waiting
-                    duration_ms += waiting * step_tasks.step.estimated_ms
-        task_s = duration_ms / tasks / 1000 if tasks else 0.0
-        return PoolRoom(room.instances, room.free, task_s, room.used_by_organisation)
-
     def _bring_forward(
         self,
         pool: str,
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -27,26 +27,69 @@
     )
 
 
-def eligible_workers(
-    fleet: Fleet,
-    pool: str,
-    step: Step,
-    zones_out_of_service: Collection[str],
-    now_s: float,
-) -> list[WorkerState]:
-    """Return the workers of a pool on which tasks of a step may start now."""
-    return [
-        state
-        for state in fleet.state_by_id.values()
-        if state.worker.pool == pool
-        and state.has_current_lists
-        and not state.awaits_description
-        and not state.is_cordoned
-        and not state.worker.draining
-        and state.worker.zone not in zones_out_of_service
-        and state.backoff_until_s <= now_s
-        and (not step.label or step.label in state.worker.labels)
-    ]
+class UsableWorkers:
+    """The workers on which tasks may start, by pool, for one planning round.
+
+    ``now_s`` is the leader's monotonic clock.
+    """
+
+    def __init__(
+        self, fleet: Fleet, zones_out_of_service: Collection[str], now_s: float
+    ) -> None:
+        self._fleet = fleet
+        self._zones_out_of_service = zones_out_of_service
+        self._now_s = now_s
+        self._states_by_pool: dict[str, list[WorkerState]] = {}
+        # What is free on the workers of a pool, without what is less in all respects.
+        self._largest_free_by_pool: dict[str, list[Resources]] = {}
+
+    def of_pool(self, pool: str) -> list[WorkerState]:
+        """Return the usable workers of a pool."""
+        states = self._states_by_pool.get(pool)
+        if states is None:
+            states = self._states_by_pool[pool] = [
+                state
+                for state in self._fleet.state_by_id.values()
+                if state.worker.pool == pool
+                and state.has_current_lists
+                and not state.awaits_description
+                and not state.is_cordoned
+                and not state.worker.draining
+                and state.worker.zone not in self._zones_out_of_service
+                and state.backoff_until_s <= self._now_s
+            ]
+        return states
+
+    def eligible(self, pool: str, step: Step) -> list[WorkerState]:
+        """Return the workers of a pool on which tasks of a step may start."""
+        states = self.of_pool(pool)
+        if not step.label:
+            return states
+        return [state for state in states if step.label in state.worker.labels]
+
+    def may_fit(self, pool: str, need: Resources) -> bool:
+        """Return False if no worker of a pool has room for a task.
+
+        Room that was taken in this round counts as free until ``refresh``. In a full
+        pool, this spares a look at each worker for each step.
+        """
+        largest_free = self._largest_free_by_pool.get(pool)
+        if largest_free is None:
+            largest_free = self.refresh(pool)
+        return any(fits(need, free) for free in largest_free)
+
+    def refresh(self, pool: str) -> list[Resources]:
+        """Determine anew what is free on the workers of a pool."""
+        largest_free: list[Resources] = []
+        by_cores = sorted(
+            (state.free for state in self.of_pool(pool)),
+            key=lambda free: (-free.cores, -free.memory_mb, -free.accelerators),
+        )
+        for free in by_cores:
+            if not any(free.fits_in(larger) for larger in largest_free):
+                largest_free.append(free)
+        self._largest_free_by_pool[pool] = largest_free
+        return largest_free
 
 
 def tasks_by_worker(
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -13,7 +13,12 @@
 from .fleet import Fleet, WorkerState
 from .model import Policy, Queue, Step, TaskKey
 from .overload_order import JobRank, OverloadOrder, WaitingJob
-from .placement import WorkerChoice, choose_gang, eligible_workers, tasks_by_worker
+from .placement import (
+    UsableWorkers,
+    WorkerChoice,
+    choose_gang,
+    tasks_by_worker,
+)
 from .step_tasks import StepTasks
 from .task_numbering import StepKey
 
@@ -141,6 +146,7 @@
         ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
         reservations = _Reservations(self._fleet, unknown_use_by_organisation)
+        workers = UsableWorkers(self._fleet, zones_out_of_service, now_s)
         # Resources of a task that did not fit on any worker of the pool; tasks that
         # need at least as much are not tried again in this round.
         unplaceable_need_by_pool: dict[str, Resources] = {}
@@ -151,8 +157,7 @@
                 self._plan_step(
                     ranked,
                     policy,
-                    zones_out_of_service,
-                    now_s,
+                    workers,
                     now_ms,
                     reservations,
                     unplaceable_need_by_pool,
@@ -180,6 +185,11 @@
         """
         active_job, queue = waiting_job.active_job, waiting_job.queue
         job = active_job.job
+        if job.steps[step_key[1]].long_running:
+            return (queue.priority, 0, 0, max(job.accepted_ms, job.due_ms(step_key[0])))
+        job_rank = rank_by_occurrence.get((job.job_id, step_key[0]))
+        if job_rank is not None:
+            return (queue.priority, job_rank.service, 0, job_rank.order)
         begins_ms = max(job.accepted_ms, job.due_ms(step_key[0]))
         target_duration_ms = (
             queue.stretch * active_job.chain_ms() + queue.target_latency_ms
@@ -188,12 +198,6 @@
         slack_ms = deadline_ms - now_ms - active_job.remaining_chain_ms(step_key)
         waited_s = (now_ms - begins_ms) / 1000
         is_deferred = slack_ms < 0 and waited_s < MAX_LATE_DEFERRAL_S
-        step = job.steps[step_key[1]]
-        if step.long_running:
-            return (queue.priority, 0, 0, begins_ms)
-        job_rank = rank_by_occurrence.get((job.job_id, step_key[0]))
-        if job_rank is not None:
-            return (queue.priority, job_rank.service, 0, job_rank.order)
         exceeds_rate = self._exceeds_rate_by_job.get(job.job_id, False)
         return (queue.priority, exceeds_rate, is_deferred, deadline_ms)
 
@@ -201,8 +205,7 @@
         self,
         ranked: _RankedStep,
         policy: Policy,
-        zones_out_of_service: Collection[str],
-        now_s: float,
+        workers: UsableWorkers,
         now_ms: float,
         reservations: _Reservations,
         unplaceable_need_by_pool: dict[str, Resources],
@@ -215,6 +218,8 @@
         Also sets the pool's ``unplaceable_need`` if the pool has no room for a task.
         """
         step, pool = ranked.step_tasks.step, ranked.queue.pool
+        if not workers.may_fit(pool, step.reservation):
+            return []
         unplaceable_need = unplaceable_need_by_pool.get(pool)
         is_restricted = step.label or step.max_per_worker or step.gang
         # Only a step that may run on any worker can show that the pool is full.
@@ -225,7 +230,7 @@
             and _is_at_least(step.reservation, unplaceable_need)
         ):
             return []
-        states = eligible_workers(self._fleet, pool, step, zones_out_of_service, now_s)
+        states = workers.eligible(pool, step)
         if ranked.queue.advice is not None and advised_workers is not None:
             states = advised_workers.filter(
                 ranked.active_job.job.job_id, ranked.step_key, states
@@ -251,6 +256,7 @@
             avoid = self.failed_workers_by_task.get(task, ())
             state = choice.next_worker(avoid)
             if state is None:
+                workers.refresh(pool)
                 if runs_anywhere:
                     unplaceable_need_by_pool[pool] = step.reservation
                 break
@@ -285,7 +291,7 @@
         starts = []
         for index, state in choice.items():
             task = TaskKey(active_job.job.job_id, *ranked.step_key, index)
-            ranked.step_tasks.waiting.remove(index)
+            active_job.remove_waiting(task)
             starts.append(self._start(ranked, task, state, run))
             reservations.add(organisation, step, state)
         return starts
