Test and document the order beyond full load and the sharing of room

Beyond full load nearly all jobs ended a little late: a late job came first again after 6 s, and a pool whose load began last got no instance while the others had a backlog. Part of the jobs is served in time now, chosen by what a delay costs, and pools share the fleet.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -8,10 +8,11 @@
 import gevent
 
 from lycheeloom.jobs.active_job import ActiveJob
+from lycheeloom.jobs.advised_workers import AdvisedWorkers
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run, WorkerState
 from lycheeloom.jobs.model import Worker
-from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND, AdvisedWorkers
+from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
@@ -373,15 +374,8 @@
             for active_job in self.active_job_by_id.values()
             if not self._inherited.must_wait(active_job.job)
         ]
-        starts = self._registry.planner.plan(
-            active_jobs,
-            self.view.policy,
-            self.view.zones_out_of_service,
-            now_s,
-            wall_ms(),
-            self.advised_workers,
-            self._inherited.unknown_use(self.active_job_by_id, wall_ms()),
-        )
+        unknown_use = self._inherited.unknown_use(self.active_job_by_id, wall_ms())
+        starts = self._registry.plan(active_jobs, now_s, unknown_use)
         for start in starts:
             self._orders.begin(start, now_s)
         if len(starts) >= MAX_STARTS_PER_ROUND:
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 from lycheeloom.jobs.active_job import ActiveJob
+from lycheeloom.jobs.advised_workers import AdvisedWorkers
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run
 from lycheeloom.jobs.model import FINAL_STATES
-from lycheeloom.jobs.planner import AdvisedWorkers, Planner
+from lycheeloom.jobs.planner import Planner, Start
 from lycheeloom.jobs.records import (
     JobProgress,
     Kind,
@@ -21,10 +22,12 @@
 )
 from lycheeloom.jobs.run_numbers import highest_former_run
 from lycheeloom.jobs.table import AppliedRecord
+from lycheeloom.model.resources import Resources
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
 from .features import NO_FEATURES, Features
+from .overload_log import OverloadLog
 from .replica import Replica
 from .turns import Turns
 from .view import View
@@ -50,6 +53,7 @@
     ) -> None:
         self.active_job_by_id: dict[str, ActiveJob] = {}
         self.planner = Planner(fleet, uses_overload_order=features.overload_control)
+        self._overload_log = OverloadLog()
         self.demand = PoolDemand(measures_fast=features.overload_control)
         self.advised_workers = AdvisedWorkers()
         self.stop_run: Callable[[Run, str], None] = lambda run, reason: None
@@ -106,6 +110,27 @@
                 return
         self._wake()
 
+    def plan(
+        self,
+        active_jobs: Iterable[ActiveJob],
+        now_s: float,
+        unknown_use_by_organisation: Mapping[str, Resources],
+    ) -> list[Start]:
+        """Return the tasks of the given jobs to start now; see ``Planner.plan``."""
+        starts = self.planner.plan(
+            active_jobs,
+            self._view.policy,
+            self._view.zones_out_of_service,
+            now_s,
+            wall_ms(),
+            self.advised_workers,
+            unknown_use_by_organisation,
+        )
+        overload_order = self.planner.overload_order
+        if overload_order is not None:
+            self._overload_log.note(overload_order.count_by_queue, now_s)
+        return starts
+
     def note_begun(self, active_job: ActiveJob) -> bool:
         """Note that a task of a job runs; return whether it is the job's first."""
         if not active_job.note_begun():
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -81,4 +81,9 @@
     "Upper limit of an organisation in cores; 0 is no limit",
     ["organisation"],
 )
+OVERLOADED_JOBS = Gauge(
+    "lycheeloom_overloaded_jobs",
+    "Waiting jobs of a queue whose pool is full, by how they are served",
+    ["queue", "service"],
+)
 LINES_DROPPED = Gauge("lycheeloom_log_lines_dropped", "Log lines dropped so far")
--- /dev/null
+++ b/libs/coordinator/tests/test_pool_donations.py
@@ -0,0 +1,122 @@
+"""Tests of busy instances that are emptied for pools below their share."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheeloom.coordinator.pool_donations import (
+    MAX_EMPTYING_S,
+    MIN_STAY_S,
+    PoolDonations,
+)
+from lycheeloom.coordinator.ports import Instance, InstanceState
+from lycheeloom.jobs.fleet import Fleet, Run, RunState
+from lycheeloom.jobs.model import Step, TaskKey, Worker
+from lycheeloom.jobs.pool_sizes import PoolLoad
+from lycheeloom.model.resources import Resources
+
+# Load: pool "old" has a backlog of many times its size, pool "new" needs as much.
+LOAD_BY_POOL = {"old": PoolLoad(10.0, 90.0), "new": PoolLoad(2.0, 30.0)}
+NO_LOAD_BY_POOL = {"old": PoolLoad(10.0, 90.0), "new": PoolLoad(0.0, 0.0)}
+
+
+class DonationSetting:
+    """Ten busy instances of pool "old" and two of pool "new"."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet()
+        self.instances: list[Instance] = []
+        for number in range(12):
+            pool = "old" if number < 10 else "new"
+            self.fleet.add_worker(
+                Worker(f"w{number}", 1, pool, "", "zone", Resources(4.0, 0, 0))
+            ).has_current_lists = True
+            self.instances.append(
+                Instance(f"m{number}", pool, InstanceState.UP, "zone", f"w{number}")
+            )
+            self.add_run(number, Step(1, 4_000, estimated_ms=1_000))
+        self.donations = PoolDonations(
+            lambda instance: self.fleet.state_by_id.get(instance.worker_id)
+        )
+
+    def add_run(self, number: int, step: Step) -> None:
+        task = TaskKey(f"{number:016x}", 0, 0, 0)
+        run = Run(task, 1, f"w{number}", step, "red", "q", RunState.RUNNING, 0.0)
+        self.fleet.add_run(run)
+
+    def end_runs(self, worker_id: str) -> None:
+        for run in list(self.fleet.state_by_id[worker_id].run_by_task.values()):
+            self.fleet.remove_run(run)
+
+    def choose(self, now_s: float, load_by_pool=LOAD_BY_POOL):
+        return self.donations.choose(self.instances, load_by_pool, {}, (), now_s)
+
+    @property
+    def emptying(self) -> set[str]:
+        return {i.worker_id for i in self.instances if self.is_cordoned(i.worker_id)}
+
+    def is_cordoned(self, worker_id: str) -> bool:
+        return self.fleet.state_by_id[worker_id].is_cordoned
+
+
+@pytest.fixture
+def setting():
+    setting = DonationSetting()
+    assert setting.choose(0.0) == []
+    return setting
+
+
+def test_emptied_instances_move_to_the_pool_below_its_share(setting):
+    """Guards against a new load that waits until another backlog is done."""
+    assert setting.choose(MIN_STAY_S) == []
+    emptying = setting.emptying
+    assert len(emptying) == 4
+    setting.end_runs(next(iter(sorted(emptying))))
+    (move,) = setting.choose(MIN_STAY_S + 0.5)
+    assert move.pool == "new"
+    # No further instances are emptied for what is on its way already.
+    assert setting.emptying == emptying
+
+
+def test_instance_stays_for_a_while(setting):
+    """Guards against instances that only move to and fro."""
+    setting.choose(MIN_STAY_S / 2)
+    assert setting.emptying == set()
+
+
+def test_instance_that_does_not_become_empty_gets_tasks_again(setting):
+    """Guards against room that is lost behind a task that takes long."""
+    setting.choose(MIN_STAY_S)
+    first = setting.emptying
+    setting.choose(MIN_STAY_S + MAX_EMPTYING_S, NO_LOAD_BY_POOL)
+    assert first
+    assert setting.emptying == set()
+
+
+def test_instance_stays_if_the_load_has_ended(setting):
+    """Guards against a move to a pool that no longer needs the instance."""
+    setting.choose(MIN_STAY_S)
+    for worker_id in setting.emptying:
+        setting.end_runs(worker_id)
+    assert setting.choose(MIN_STAY_S + 0.5, NO_LOAD_BY_POOL) == []
+    assert setting.emptying == set()
+
+
+def test_worker_that_ends_while_it_is_emptied_is_forgotten(setting):
+    """Guards against a crash of the worker that leaves the instance blocked."""
+    setting.choose(MIN_STAY_S)
+    lost = sorted(setting.emptying)[0]
+    setting.fleet.remove_worker(lost)
+    instance = next(i for i in setting.instances if i.worker_id == lost)
+    setting.instances.remove(instance)
+    setting.choose(MIN_STAY_S + 0.25)
+    assert not setting.donations.handles(instance.instance_id)
+
+
+def test_long_running_tasks_are_not_disturbed(setting):
+    """Guards against instances that never become empty, as their tasks do not end."""
+    for number in range(10):
+        setting.end_runs(f"w{number}")
+        setting.add_run(number, Step(1, 4_000, long_running=True))
+    setting.choose(MIN_STAY_S)
+    assert setting.emptying == set()
--- a/libs/jobs/src/lycheeloom/jobs/overload.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload.py
@@ -9,6 +9,8 @@
 
 # Fraction of a pool that can be filled, as tasks of different sizes leave gaps.
 PACKING_FRACTION = 0.85
+# Stands for a weight of 0, which would have no finite share.
+_MIN_WEIGHT = 1e-9
 
 
 class Service(IntEnum):
@@ -41,6 +43,7 @@
     work: float
     in_time_until_ms: float
     useful_until_ms: float
+    # Submitted above the rate agreed with the organisation.
     is_above_rate: bool = False
     # Jobs of its size have been served less often than those of other sizes.
     is_disadvantaged: bool = False
@@ -75,11 +78,13 @@
     """Return how each job is served, by its key.
 
     Room goes first to jobs that can meet their deadlines, then to those whose results
-    are still of use; in each case, jobs within the rate of their organisation go before
-    the others. When there is not enough room, see ``_choose``.
+    are still of use. Jobs above the rate of an organisation that uses its share of the
+    pool already come after all others. When there is not enough room, jobs are dropped
+    that cost their callers least; see ``_Selection.choose``.
     """
     service_by_key: dict[tuple[str, int], Service] = {}
     selection = _Selection(room, weight_by_organisation, now_ms)
+    above_share = _organisations_above_share(contenders, room, weight_by_organisation)
     remaining: Iterable[Contender] = contenders
     for service in (
         Service.IN_TIME,
@@ -91,7 +96,10 @@
         is_in_time = service in (Service.IN_TIME, Service.IN_TIME_ABOVE_RATE)
         candidates = []
         for contender in remaining:
-            if contender.is_above_rate != is_above_rate:
+            comes_last = (
+                contender.is_above_rate and contender.organisation in above_share
+            )
+            if comes_last != is_above_rate:
                 continue
             until_ms = (
                 contender.in_time_until_ms if is_in_time else contender.useful_until_ms
@@ -108,6 +116,30 @@
     return service_by_key
 
 
+def _organisations_above_share(
+    contenders: Iterable[Contender],
+    room: PoolRoom,
+    weight_by_organisation: Mapping[str, float],
+) -> set[str]:
+    """Return the organisations that use their share of a pool already.
+
+    Shares are proportional to weight, among organisations with work in the pool.
+    """
+    names = {contender.organisation for contender in contenders}
+    names.update(name for name, used in room.used_by_organisation.items() if used > 0)
+    total_weight = sum(_weight(weight_by_organisation, name) for name in names)
+    return {
+        name
+        for name in names
+        if room.used_by_organisation.get(name, 0.0)
+        >= room.instances * _weight(weight_by_organisation, name) / total_weight
+    }
+
+
+def _weight(weight_by_organisation: Mapping[str, float], name: str) -> float:
+    return max(_MIN_WEIGHT, weight_by_organisation.get(name, 1.0))
+
+
 class _Selection:
     """Chooses jobs for the room of a pool, in several passes."""
 
@@ -135,15 +167,20 @@
         are added in the order of this time. Whenever the room until then is exceeded,
         the job is dropped that costs least: of the organisation with the most work for
         its weight, the one that needs most room, since its loss makes room for several
-        others. Jobs that have begun, or whose size has been served less often than
-        others, are dropped last.
+        others. Those above the agreed rate are dropped first, and those that have begun
+        or whose size has been served less often than others are dropped last.
         """
         dropped: set[tuple[str, int]] = set()
         heap_by_organisation: dict[str, list] = {}
         work_by_organisation = self._work_by_organisation
         for until_ms, key, contender in sorted(candidates):
             name = contender.organisation
-            cost = (contender.has_begun, contender.is_disadvantaged, -contender.work)
+            cost = (
+                contender.has_begun,
+                not contender.is_above_rate,
+                contender.is_disadvantaged,
+                -contender.work,
+            )
             heap = heap_by_organisation.setdefault(name, [])
             heapq.heappush(heap, (*cost, key, contender))
             work_by_organisation[name] = (
@@ -160,7 +197,8 @@
         name = max(
             (name for name, heap in heap_by_organisation.items() if heap),
             key=lambda name: (
-                self._work_by_organisation[name] / self._weight(name),
+                self._work_by_organisation[name]
+                / _weight(self._weight_by_organisation, name),
                 name,
             ),
         )
@@ -168,6 +206,3 @@
         self._work_by_organisation[name] -= victim.work
         self._chosen_work -= victim.work
         return victim
-
-    def _weight(self, organisation: str) -> float:
-        return max(1e-9, self._weight_by_organisation.get(organisation, 1.0))
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lycheeloom.jobs.active_job import ActiveJob
+from lycheeloom.jobs.advised_workers import AdvisedWorkers
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import (
     AdviceTerms,
@@ -18,7 +19,7 @@
     Step,
     Worker,
 )
-from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND, AdvisedWorkers, Planner
+from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND, Planner
 from lycheeloom.model.resources import NO_RESOURCES, Resources
 
 NOW_MS = 10_000
