--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -44,6 +44,11 @@
     "Moves and maintenance ordered, by outcome",
     ["kind", "outcome"],
 )
+INSTANCES_EMPTIED = Counter(
+    "lycheeloom_instances_emptied",
+    "Busy instances emptied for pools below their share, by the pool that had them",
+    ["pool"],
+)
 UNEXPECTED_ERRORS = Counter(
     "lycheeloom_unexpected_errors", "Unexpected exceptions, by part", ["part"]
 )
@@ -76,4 +81,9 @@
     "Upper limit of an organisation in cores; 0 is no limit",
     ["organisation"],
 )
+OVERLOADED_JOBS = Gauge(
+    "lycheeloom_overloaded_jobs",
+    "Waiting jobs of a queue whose pool is full, by how they are served",
+    ["queue", "service"],
+)
 LINES_DROPPED = Gauge("lycheeloom_log_lines_dropped", "Log lines dropped so far")
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -10,9 +10,16 @@
 from lycheeloom.model.resources import Resources
 
 from .active_job import ActiveJob
+from .advised_workers import AdvisedWorkers
 from .fleet import Fleet, WorkerState
 from .model import Policy, Queue, Step, TaskKey
-from .placement import WorkerChoice, choose_gang, eligible_workers, tasks_by_worker
+from .overload_order import JobRank, OverloadOrder, WaitingJob
+from .placement import (
+    UsableWorkers,
+    WorkerChoice,
+    choose_gang,
+    tasks_by_worker,
+)
 from .step_tasks import StepTasks
 from .task_numbering import StepKey
 
@@ -58,8 +65,10 @@
 class Planner:
     """Ranks the steps that may start and assigns workers to their tasks."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, *, uses_overload_order: bool = False) -> None:
         self._fleet = fleet
+        # Orders the jobs of full pools; None if this feature is not in use.
+        self.overload_order = OverloadOrder(fleet) if uses_overload_order else None
         # Ids of the workers on which a task has failed; other workers are preferred.
         self.failed_workers_by_task: dict[TaskKey, set[str]] = defaultdict(set)
         # Whether a job was submitted above the rate allowed for its organisation.
@@ -86,6 +95,8 @@
     def forget_job(self, job_id: str) -> None:
         """Discard the state kept for a job that has ended."""
         self._exceeds_rate_by_job.pop(job_id, None)
+        if self.overload_order is not None:
+            self.overload_order.forget_job(job_id)
         for task in [t for t in self.failed_workers_by_task if t.job_id == job_id]:
             del self.failed_workers_by_task[task]
 
@@ -107,21 +118,36 @@
         no restriction. ``unknown_use_by_organisation`` contains the resources that runs
         unknown to the fleet may use; they count towards the organisations' limits.
         """
+        waiting_jobs = [
+            WaitingJob(active_job, queue, steps)
+            for active_job in active_jobs
+            if (queue := policy.queue_by_name.get(active_job.job.queue)) is not None
+            and (steps := active_job.startable_steps(now_ms))
+        ]
+        rank_by_occurrence: Mapping[tuple[str, int], JobRank] = {}
+        if self.overload_order is not None:
+            rank_by_occurrence = self.overload_order.rank(
+                waiting_jobs,
+                policy,
+                zones_out_of_service,
+                self._exceeds_rate_by_job,
+                now_ms,
+            )
         ranked_steps = [
             _RankedStep(
-                self._rank(active_job, queue, step_key, now_ms),
-                active_job,
+                self._rank(waiting_job, step_key, rank_by_occurrence, now_ms),
+                waiting_job.active_job,
                 step_key,
                 step_tasks,
-                queue,
+                waiting_job.queue,
             )
-            for active_job in active_jobs
-            if (queue := policy.queue_by_name.get(active_job.job.queue)) is not None
-            for step_key, step_tasks in active_job.startable_steps(now_ms)
+            for waiting_job in waiting_jobs
+            for step_key, step_tasks in waiting_job.steps
         ]
         ranked_steps.sort(key=lambda ranked: ranked.rank)
         starts: list[Start] = []
         reservations = _Reservations(self._fleet, unknown_use_by_organisation)
+        workers = UsableWorkers(self._fleet, zones_out_of_service, now_s)
         # Resources of a task that did not fit on any worker of the pool; tasks that
         # need at least as much are not tried again in this round.
         unplaceable_need_by_pool: dict[str, Resources] = {}
@@ -132,8 +158,8 @@
                 self._plan_step(
                     ranked,
                     policy,
-                    zones_out_of_service,
-                    now_s,
+                    workers,
+                    now_ms,
                     reservations,
                     unplaceable_need_by_pool,
                     advised_workers,
@@ -144,16 +170,27 @@
         return starts
 
     def _rank(
-        self, active_job: ActiveJob, queue: Queue, step_key: StepKey, now_ms: float
+        self,
+        waiting_job: WaitingJob,
+        step_key: StepKey,
+        rank_by_occurrence: Mapping[tuple[str, int], JobRank],
+        now_ms: float,
     ) -> tuple[float, ...]:
         """Return the rank of a step; steps with lower ranks start first.
 
         The rank consists of the priority of the queue, of whether the job exceeds the
         submission rate of its organisation, of whether it can no longer meet its
         deadline, and of the deadline. Long-running steps have no deadline and are
-        ranked by their begin instead.
+        ranked by their begin instead. In a full pool, ``OverloadOrder`` decides if it
+        is in use.
         """
+        active_job, queue = waiting_job.active_job, waiting_job.queue
         job = active_job.job
+        if job.steps[step_key[1]].long_running:
+            return (queue.priority, 0, 0, max(job.accepted_ms, job.due_ms(step_key[0])))
+        job_rank = rank_by_occurrence.get((job.job_id, step_key[0]))
+        if job_rank is not None:
+            return (queue.priority, job_rank.service, 0, job_rank.order)
         begins_ms = max(job.accepted_ms, job.due_ms(step_key[0]))
         target_duration_ms = (
             queue.stretch * active_job.chain_ms() + queue.target_latency_ms
@@ -162,9 +199,6 @@
         slack_ms = deadline_ms - now_ms - active_job.remaining_chain_ms(step_key)
         waited_s = (now_ms - begins_ms) / 1000
         is_deferred = slack_ms < 0 and waited_s < MAX_LATE_DEFERRAL_S
-        step = job.steps[step_key[1]]
-        if step.long_running:
-            return (queue.priority, 0, 0, begins_ms)
         exceeds_rate = self._exceeds_rate_by_job.get(job.job_id, False)
         return (queue.priority, exceeds_rate, is_deferred, deadline_ms)
 
@@ -172,8 +206,8 @@
         self,
         ranked: _RankedStep,
         policy: Policy,
-        zones_out_of_service: Collection[str],
-        now_s: float,
+        workers: UsableWorkers,
+        now_ms: float,
         reservations: _Reservations,
         unplaceable_need_by_pool: dict[str, Resources],
         advised_workers: AdvisedWorkers | None,
@@ -185,6 +219,8 @@
         Also sets the pool's ``unplaceable_need`` if the pool has no room for a task.
         """
         step, pool = ranked.step_tasks.step, ranked.queue.pool
+        if not workers.may_fit(pool, step.reservation):
+            return []
         unplaceable_need = unplaceable_need_by_pool.get(pool)
         is_restricted = step.label or step.max_per_worker or step.gang
         # Only a step that may run on any worker can show that the pool is full.
@@ -195,7 +231,7 @@
             and _is_at_least(step.reservation, unplaceable_need)
         ):
             return []
-        states = eligible_workers(self._fleet, pool, step, zones_out_of_service, now_s)
+        states = workers.eligible(pool, step)
         if ranked.queue.advice is not None and advised_workers is not None:
             states = advised_workers.filter(
                 ranked.active_job.job.job_id, ranked.step_key, states
@@ -221,10 +257,13 @@
             avoid = self.failed_workers_by_task.get(task, ())
             state = choice.next_worker(avoid)
             if state is None:
+                workers.refresh(pool)
                 if runs_anywhere:
                     unplaceable_need_by_pool[pool] = step.reservation
                 break
             counts[state.worker.worker_id] += 1
+            if self.overload_order is not None and not ranked.active_job.has_begun:
+                self.overload_order.note_start(ranked.active_job, now_ms)
             starts.append(
                 self._start(ranked, task, state, ranked.active_job.take(task))
             )
@@ -253,7 +292,7 @@
         starts = []
         for index, state in choice.items():
             task = TaskKey(active_job.job.job_id, *ranked.step_key, index)
-            ranked.step_tasks.waiting.remove(index)
+            active_job.remove_waiting(task)
             starts.append(self._start(ranked, task, state, run))
             reservations.add(organisation, step, state)
         return starts
@@ -278,38 +317,6 @@
         )
 
 
-class AdvisedWorkers:
-    """Workers that the advice service allows for a step, with their tickets.
-
-    The leader sends the ticket along with a start; the worker checks it.
-    """
-
-    def __init__(self) -> None:
-        # Ticket, and the time of the monotonic clock until which it may be used, by job
-        # id, step and worker id.
-        self.ticket_by_key: dict[tuple[str, StepKey, str], tuple[str, float]] = {}
-
-    def filter(
-        self, job_id: str, step_key: StepKey, states: list[WorkerState]
-    ) -> list[WorkerState]:
-        """Return the workers for which a ticket is known."""
-        return [
-            state
-            for state in states
-            if (job_id, step_key, state.worker.worker_id) in self.ticket_by_key
-        ]
-
-    def forget_job(self, job_id: str) -> None:
-        """Discard the tickets of a job that has ended."""
-        for ticket_key in [key for key in self.ticket_by_key if key[0] == job_id]:
-            del self.ticket_by_key[ticket_key]
-
-    def forget_worker(self, worker_id: str) -> None:
-        """Discard the tickets of a worker that has restarted."""
-        for ticket_key in [key for key in self.ticket_by_key if key[2] == worker_id]:
-            del self.ticket_by_key[ticket_key]
-
-
 class _Reservations:
     """Resources taken by the starts planned so far in one round.
 
