Rate slow, failing and stalling workers

Tasks went on to workers at a third of their speed, and after a backoff a worker that still fails or stalls got a full set of tasks again. With features.worker_ratings, the leader compares the runs of each worker with those of its pool, prefers other workers, gives a badly rated one a task at a time, and stops standing runs on a stalling worker after 1 s instead of 2 s. With the switch off, nothing is recorded and no flag is set.

The walk in test_placement.py, with which choices are compared, covers the two new flags.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -21,6 +21,7 @@
 from .late_starts import find_ended_with_lease
 from .list_reconciler import ListReconciler
 from .ports import CallOutcome, CallReply, WorkerPort
+from .rating_recorder import RatingRecorder
 from .replica import Replica
 from .round_timer import RoundTimer
 from .supervision import note_failure, run_supervised
@@ -65,8 +66,14 @@
         self._orders = TaskOrders(
             workers, self.fleet, self._registry, writer, self.link_by_id, self.on_reply
         )
+        self._ratings = RatingRecorder(self.fleet, is_enabled=features.worker_ratings)
         self._list_reconciler = ListReconciler(
-            self.fleet, self._registry, self._orders, self._on_restart, self.wake
+            self.fleet,
+            self._registry,
+            self._orders,
+            self._ratings,
+            self._on_restart,
+            self.wake,
         )
         # Set here since the registry and the orders need each other.
         self._registry.stop_run = self._orders.stop_run
@@ -261,6 +268,7 @@
         runs = self.fleet.remove_worker(worker_id)
         self._add_worker(worker).expect_longest_lease()
         self.advised_workers.forget_worker(worker_id)
+        self._ratings.forget_worker(worker_id, steady_s())
         # A restart does not show that the worker or its instance has been repaired.
         state = self.fleet.state_by_id[worker_id]
         state.is_cordoned = former_state.is_cordoned
@@ -287,6 +295,7 @@
         link = self.link_by_id.pop(worker_id)
         link.is_stopped = True
         runs = self.fleet.remove_worker(worker_id)
+        self._ratings.forget_worker(worker_id, steady_s())
         self._unlisted_since_s_by_worker.pop(worker_id, None)
         log_event("worker_dropped", worker=worker_id, reason=reason, runs=len(runs))
         for run in runs:
@@ -366,6 +375,7 @@
         """Start tasks; return their number."""
         now_s = steady_s()
         self._inherited.refresh()
+        self._ratings.refresh(now_s)
         active_jobs = [
             active_job
             for active_job in self.active_job_by_id.values()
--- a/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/list_reconciler.py
@@ -6,19 +6,18 @@
 
 from lycheeloom.jobs.fleet import Fleet, Run, RunState
 from lycheeloom.jobs.model import EndedTask, EndKind, RunningTask, TaskKey
+from lycheeloom.jobs.stall_limits import STALL_S
 from lycheeloom.telemetry import log_event
 
 from . import metrics
 from .clock import steady_s
 from .job_registry import JobRegistry
 from .ports import TaskLists
+from .rating_recorder import RatingRecorder
 from .task_orders import START_NOT_ANSWERED, TaskOrders
 from .worker_link import WorkerLink
 from .writer import Commit
 
-# A run without progress for this long is stopped, and its task starts again; does not
-# apply to long-running tasks.
-STALL_S = 2.0
 # The worker of a stalled run gets no tasks for this long.
 STALL_BACKOFF_S = 6.0
 
@@ -38,12 +37,14 @@
         fleet: Fleet,
         registry: JobRegistry,
         orders: TaskOrders,
+        ratings: RatingRecorder,
         on_restart: Callable[[WorkerLink, int], None],
         wake: Callable[[], None],
     ) -> None:
         self._fleet = fleet
         self._registry = registry
         self._orders = orders
+        self._ratings = ratings
         self._on_restart = on_restart
         self._wake = wake
 
@@ -67,7 +68,8 @@
         listed: set[TaskKey] = set()
         for row in lists.running:
             listed.add(row.task)
-            self._process_running(link, row)
+            self._process_running(link, row, sent_s)
+        self._ratings.note_list(worker_id, steady_s())
         state.has_unlisted_ends = lists.has_more_ends
         if not lists.has_more_ends:
             self._process_complete_lists(worker_id, listed, sent_s)
@@ -104,6 +106,7 @@
         run = self._fleet.find_run(worker_id, end.task, end.run)
         if run is not None:
             self._fleet.remove_run(run)
+            self._ratings.note_end(run, end.kind, steady_s())
         active_job = self._registry.active_job_by_id.get(end.task.job_id)
         metrics.TASKS_ENDED.labels(end.kind.value).inc()
         log_event(
@@ -143,7 +146,9 @@
         for other_run in list(self._fleet.runs_by_task.get(task, ())):
             self._orders.stop_run(other_run, "another run is done")
 
-    def _process_running(self, link: WorkerLink, row: RunningTask) -> None:
+    def _process_running(
+        self, link: WorkerLink, row: RunningTask, sent_s: float
+    ) -> None:
         worker_id = link.worker.worker_id
         now_s = steady_s()
         run = self._fleet.find_run(worker_id, row.task, row.run)
@@ -161,10 +166,14 @@
         if run.state in (RunState.STARTING, RunState.UNSURE):
             run.state = RunState.RUNNING
             run.progress_changed_s = now_s
-        is_stalled = now_s - run.progress_changed_s > STALL_S
-        if is_stalled and run.state is RunState.RUNNING and not run.step.long_running:
+        self._ratings.note_progress(run, now_s)
+        if run.state is not RunState.RUNNING or run.step.long_running:
+            return
+        stood_s = now_s - run.progress_changed_s
+        if stood_s > STALL_S or self._ratings.has_stalled_early(run, sent_s, now_s):
             state = self._fleet.state_by_id[worker_id]
             state.backoff_until_s = now_s + STALL_BACKOFF_S
+            self._ratings.note_stall(run, stood_s, now_s)
             self._orders.stop_run(run, "no progress")
 
     def _adopt(self, link: WorkerLink, row: RunningTask) -> Run | None:
@@ -197,6 +206,7 @@
             now_s,
             row.checkpoint,
             progress_changed_s=now_s,
+            is_adopted=True,
             gone_if_unlisted_after_s=now_s,
         )
         self._fleet.add_run(run)
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -52,6 +52,15 @@
     "Records of other writers that were left out, by topic",
     ["topic"],
 )
+BAD_RATINGS = Counter(
+    "lycheeloom_worker_bad_ratings",
+    "Workers that became badly rated, by pool and rating",
+    ["pool", "rating"],
+)
+EARLY_STALLS = Counter(
+    "lycheeloom_early_stalls",
+    "Runs stopped for lack of progress before the usual limit",
+)
 LEADING = Gauge("lycheeloom_leading", "1 while this process leads")
 TOKEN = Gauge("lycheeloom_fencing_token", "Token of the newest leader known here")
 POLICY_VERSION = Gauge("lycheeloom_policy_version", "Configuration in force here")
--- a/libs/coordinator/tests/fakes.py
+++ b/libs/coordinator/tests/fakes.py
@@ -10,6 +10,7 @@
 
 from lycheeloom.coordinator.clock import steady_s
 from lycheeloom.coordinator.dispatcher import Dispatcher
+from lycheeloom.coordinator.features import NO_FEATURES
 from lycheeloom.coordinator.ports import (
     CallOutcome,
     CallReply,
@@ -283,6 +284,8 @@
             make_policy(),
             {f"w{number}": make_worker(number) for number in range(worker_count)},
         )
+        # Optional behaviour of the leaders that start from now on.
+        self.features = NO_FEATURES
         self._greenlets: list[gevent.Greenlet] = []
 
     def start_leader(
@@ -303,7 +306,9 @@
         assert end is not None
         self._greenlets.append(gevent.spawn(replica.run))
         assert replica.wait_for_leader_record(end, 1.0)
-        dispatcher = Dispatcher(self.workers, replica, writer, self.view)
+        dispatcher = Dispatcher(
+            self.workers, replica, writer, self.view, features=self.features
+        )
         if has_instance_list:
             workers = self.view.worker_by_id.values()
             pool_by_live_worker = {w.worker_id: w.pool for w in workers}
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -61,6 +61,8 @@
     is_listed: bool = False
     # When the caller gave up waiting for the answer to the start; None if it got one.
     unanswered_s: float | None = None
+    # An earlier leader has started the run; ``started_s`` is when this one adopted it.
+    is_adopted: bool = False
 
 
 @dataclass(slots=True)
@@ -83,6 +85,21 @@
     awaits_description: bool = False
     # The worker gets no new tasks because maintenance or a move is planned.
     is_cordoned: bool = False
+    # Tasks prefer other workers; set by ``WorkerRatings``, as are the next two.
+    is_badly_rated: bool = False
+    # The worker gets a task only while it has no other, long-running ones apart.
+    takes_one_task: bool = False
+    # Lists are requested more often, since the runs may have stalled.
+    is_watched: bool = False
+    # Tasks planned for the worker so far in a planning round.
+    planned_tasks: int = 0
+
+    @property
+    def has_task(self) -> bool:
+        """Return whether the worker has a task that is not long-running."""
+        return bool(self.planned_tasks) or any(
+            not run.step.long_running for run in self.run_by_task.values()
+        )
 
     @property
     def free(self) -> Resources:
@@ -92,7 +109,7 @@
     @property
     def needs_frequent_polls(self) -> bool:
         """Return whether a run on the worker must be followed closely."""
-        return any(
+        return self.is_watched or any(
             run.state in (RunState.STOPPING, RunState.UNSURE) or run.step.target_ms
             for run in self.run_by_task.values()
         )
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -15,7 +15,7 @@
 # Allows for rounding errors in sums of fractions of cores.
 TOLERANCE_CORES = 1e-6
 
-_Rank = tuple[bool, bool, int, bool, bool, float]
+_Rank = tuple[bool, bool, bool, int, bool, bool, float]
 
 
 def fits(need: Resources, free: Resources) -> bool:
@@ -66,10 +66,10 @@
 class WorkerChoice:
     """Chooses workers for the tasks of a step, one task after the other.
 
-    Prefers the step's rack, then workers outside ``avoid``, then those with the
-    fewest failures in a row, then the fullest worker in use: instances that stay idle
-    can be switched off or moved to another pool. Among equal workers, the first one is
-    chosen.
+    Prefers workers without a bad rating, then the step's rack, then workers outside
+    ``avoid``, then those with the fewest failures in a row, then the fullest worker in
+    use: instances that stay idle can be switched off or moved to another pool. Among
+    equal workers, the first one is chosen.
 
     ``counts`` holds the number of tasks of the step on each worker. After each choice,
     the caller adds the task to it and to the worker's ``used``; until the last choice,
@@ -124,6 +124,8 @@
         long-running tasks rank first, and the emptiest is best.
         """
         step, need, worker = self._step, self._need, state.worker
+        if state.takes_one_task and state.has_task:
+            return None
         count = self._counts[worker.worker_id]
         if step.max_per_worker and count >= step.max_per_worker:
             return None
@@ -145,6 +147,7 @@
                 run.step.long_running for run in state.run_by_task.values()
             )
         return (
+            state.is_badly_rated,
             bool(step.rack) and step.rack != worker.rack,
             worker.worker_id in avoid,
             state.consecutive_failures,
@@ -159,9 +162,15 @@
 ) -> dict[int, WorkerState] | None:
     """Return a worker for each task index of a gang, or None if not all tasks fit.
 
-    With ``same_rack``, several racks are used only if no single rack has room for all
-    tasks.
+    Badly rated workers are used only if the others have no room for all tasks; they
+    may then get several. With ``same_rack``, several racks are used only if no single
+    rack has room for all tasks.
     """
+    well_rated = [state for state in states if not state.is_badly_rated]
+    if len(well_rated) < len(states):
+        state_by_index = choose_gang(well_rated, step, indexes)
+        if state_by_index is not None:
+            return state_by_index
     if step.same_rack:
         racks = {state.worker.rack for state in states}
         for rack in sorted(racks, key=lambda name: (name != step.rack, name)):
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -348,6 +348,7 @@
         _, reserved = self._reservation_by_worker.get(worker_id, (state, Resources()))
         self._reservation_by_worker[worker_id] = (state, reserved + step.reservation)
         state.used = state.used + step.reservation
+        state.planned_tasks += 1
 
     def release(self) -> None:
         """Undo the reservations on the workers.
@@ -356,6 +357,7 @@
         """
         for state, reserved in self._reservation_by_worker.values():
             state.used = state.used - reserved
+            state.planned_tasks = 0
 
     def _used(self, organisation_name: str) -> Resources:
         used = self._used_by_organisation.get(organisation_name)
--- a/libs/jobs/tests/test_placement.py
+++ b/libs/jobs/tests/test_placement.py
@@ -23,6 +23,8 @@
         worker_id = state.worker.worker_id
         if step.max_per_worker and counts[worker_id] >= step.max_per_worker:
             continue
+        if state.takes_one_task and state.has_task:
+            continue
         if not fits(step.reservation, state.free):
             continue
         cores = state.worker.capacity.cores
@@ -38,6 +40,7 @@
                 -free_fraction,
             )
         rank = (
+            state.is_badly_rated,
             bool(step.rack) and step.rack != state.worker.rack,
             worker_id in avoid,
             state.consecutive_failures,
@@ -73,6 +76,8 @@
         rack = draw(st.sampled_from(RACKS))
         worker = Worker(f"w{number}", 1, "pool", "address", "zone", capacity, rack=rack)
         state = WorkerState(worker, consecutive_failures=draw(st.integers(0, 1)))
+        state.is_badly_rated = draw(st.sampled_from([False, False, True]))
+        state.takes_one_task = state.is_badly_rated and draw(st.booleans())
         for index in range(draw(st.integers(0, 2))):
             step = draw(STEPS)
             task = TaskKey("other", 0, 0, index)
@@ -105,6 +110,7 @@
             break
         counts[actual.worker.worker_id] += 1
         actual.used = actual.used + step.reservation
+        actual.planned_tasks += 1
 
 
 def choose_gang_by_walk(states, step, indexes):
@@ -136,7 +142,10 @@
 @given(worker_states(), STEPS, st.integers(1, 12))
 def test_choice_for_a_gang_equals_that_of_a_walk(states, step, count):
     indexes = list(range(count))
-    expected = choose_gang_by_walk(states, step, indexes)
+    well_rated = [state for state in states if not state.is_badly_rated]
+    expected = choose_gang_by_walk(well_rated, step, indexes)
+    if expected is None:
+        expected = choose_gang_by_walk(states, step, indexes)
     assert choose_gang(states, step, indexes) == expected
 
 
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -221,6 +221,33 @@
     assert "w0" in {start.worker_id for start in later_starts}
 
 
+def test_badly_rated_worker_gets_one_task_after_all_others_are_full(fleet):
+    """A slow or faulty worker must not attract tasks, nor more than one at a time.
+
+    The limit covers all steps of a round, and the tasks that run already.
+    """
+    state = fleet.state_by_id["w0"]
+    state.is_badly_rated = state.takes_one_task = True
+    near = Step(3, 1000, rack="rack-0")
+    starts = plan(fleet, [make_active_job(near)])
+    assert {start.worker_id for start in starts} == {"w1"}
+    jobs = [make_active_job(Step(11, 1000), job_id=name) for name in ("b", "c")]
+    starts = plan(fleet, jobs)
+    assert [start.worker_id for start in starts].count("w0") == 1
+    assert len(starts) == 22
+    assert plan(fleet, [make_active_job(Step(1, 1000), job_id="d")]) == []
+
+
+def test_badly_rated_workers_are_used_if_only_they_have_room(fleet):
+    """Ratings must not keep a pool from working, nor a gang from starting."""
+    for state in fleet.state_by_id.values():
+        state.is_badly_rated = True
+    starts = plan(fleet, [make_active_job(Step(20, 1000))])
+    assert len(starts) == 20
+    fleet.state_by_id["w0"].takes_one_task = True
+    assert len(plan(fleet, [make_active_job(Step(12, 1000, gang=True))])) == 12
+
+
 def test_draining_worker_gets_no_starts(fleet):
     """No task may start on a draining worker."""
     fleet.add_worker(replace(make_worker(0), draining=True))
