--- a/libs/coordinator/tests/faulty_cluster.py
+++ b/libs/coordinator/tests/faulty_cluster.py
@@ -22,6 +22,7 @@
 
 from lycheeloom.coordinator.clock import steady_s, wall_ms
 from lycheeloom.coordinator.dispatcher import Dispatcher
+from lycheeloom.coordinator.features import NO_FEATURES, Features
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.leadership import Leadership
 from lycheeloom.coordinator.ports import (
@@ -180,7 +181,9 @@
 
     def _lead(self, writer: LeaderWriter, had_leader: bool) -> None:
         self._cluster.monitor.note(f"{self.name} leads with token {writer.token}")
-        self.dispatcher = Dispatcher(self, self._replica, writer, self.view)
+        self.dispatcher = Dispatcher(
+            self, self._replica, writer, self.view, features=self._cluster.features
+        )
         inventory = Inventory(self, writer, self.dispatcher.note_instances)
         self.dispatcher.run({"inventory": inventory.run})
 
@@ -192,8 +195,9 @@
     other pool.
     """
 
-    def __init__(self, time: SimulatedTime) -> None:
+    def __init__(self, time: SimulatedTime, features: Features = NO_FEATURES) -> None:
         self.time = time
+        self.features = features
         self.monitor = RunMonitor()
         self.store = SilentStore()
         self.policy = _policy("pool", 1)
@@ -241,7 +245,14 @@
         """Submit a job of one step; it lasts if its runs have no duration."""
         job_id = f"{len(self.job_by_id):016x}"
         lasts = workload.run_s is None
-        step = Step(tasks, 1000 if lasts else 3000, long_running=lasts)
+        # Runs stall early only if their steps have an estimate.
+        run_s = workload.run_s if self.features.worker_ratings else None
+        step = Step(
+            tasks,
+            1000 if lasts else 3000,
+            estimated_ms=int(1000 * (run_s or 0)),
+            long_running=lasts,
+        )
         job = Job(job_id, "queue", "red", "spec", (step,), wall_ms())
         self.workload_by_job[job_id] = workload
         self.job_by_id[job_id] = job
--- a/libs/coordinator/tests/leased_workers.py
+++ b/libs/coordinator/tests/leased_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -117,11 +118,13 @@
 class Workload:
     """How the runs of a job go: their duration and how many fail before one is done.
 
-    Runs without a duration end only when they are stopped.
+    Runs without a duration end only when they are stopped. The first ``stalls`` runs
+    make no progress and end only then, too.
     """
 
     run_s: float | None
     failures: int = 0
+    stalls: int = 0
 
 
 @dataclass(slots=True)
@@ -200,10 +203,12 @@
         if not self._has_room(start):
             return self._reply(CallOutcome.NO_ROOM)
         workload = self.workload_by_job[start.task.job_id]
-        run = _LeasedRun(start, steady_s(), workload.run_s)
+        is_stalling = start.run <= workload.stalls
+        run_s = math.inf if is_stalling else workload.run_s
+        run = _LeasedRun(start, steady_s(), run_s)
         self.run_by_task_and_number[key] = run
         self.monitor.note_start(self.worker_id, start.task, start.run, token)
-        if run.run_s is not None:
+        if run.run_s is not None and not is_stalling:
             # The first runs of a job fail.
             is_failing = start.run <= workload.failures
             kind = EndKind.FAILED if is_failing else EndKind.DONE
--- a/libs/coordinator/tests/test_runs_stay_exclusive.py
+++ b/libs/coordinator/tests/test_runs_stay_exclusive.py
@@ -18,6 +18,8 @@
 from libs.coordinator.tests.worker_network import CallFault
 from loguru import logger
 
+from lycheeloom.coordinator.features import NO_FEATURES
+
 WORKERS = st.sampled_from(["w0", "w1", "w2", "w3"])
 WORKLOADS = [
     Workload(0.3),
@@ -83,11 +85,13 @@
 class FaultMachine(RuleBasedStateMachine):
     """Runs jobs while workers, their network, the store and leaders fail."""
 
+    features = NO_FEATURES
+
     def __init__(self) -> None:
         super().__init__()
         self.time = SimulatedTime()
         self.time.__enter__()
-        self.cluster = FaultyCluster(self.time)
+        self.cluster = FaultyCluster(self.time, self.features)
 
     def teardown(self) -> None:
         try:
--- a/libs/jobs/src/lycheeloom/jobs/worker_ratings.py
+++ b/libs/jobs/src/lycheeloom/jobs/worker_ratings.py
@@ -212,12 +212,17 @@
             slow = [entry for entry in evidence if entry[0] >= SLOW_FACTOR]
             if len(slow) >= MIN_SLOW_STEPS and 3 * len(slow) >= 2 * len(evidence):
                 slow_by_id[worker_id] = slow
-        if len(slow_by_id) * MIN_WORKERS_PER_AFFECTED > len(recent_by_id):
-            for worker_id, observed in observed_by_id.items():
-                if observed.rating is BadRating.SLOW:
-                    self._set_rating(
-                        worker_id, observed, None, now_s, "pool slow as a whole"
-                    )
+        # A slow worker with one task at a time soon shows too little to be found again.
+        rated_ids = {
+            worker_id
+            for worker_id, observed in observed_by_id.items()
+            if observed.rating is BadRating.SLOW
+        }
+        affected = len(rated_ids | slow_by_id.keys())
+        if affected * MIN_WORKERS_PER_AFFECTED > len(observed_by_id):
+            for worker_id in rated_ids:
+                observed = observed_by_id[worker_id]
+                self._set_rating(worker_id, observed, None, now_s, "many workers slow")
             return
         for worker_id, slow in slow_by_id.items():
             reason = (
--- a/libs/jobs/tests/test_planner.py
+++ b/libs/jobs/tests/test_planner.py
@@ -231,7 +231,7 @@
     near = Step(3, 1000, rack="rack-0")
     starts = plan(fleet, [make_active_job(near)])
     assert {start.worker_id for start in starts} == {"w1"}
-    jobs = [make_active_job(Step(11, 1000), job_id=name) for name in ("b", "c")]
+    jobs = [make_active_job(Step(13, 1000), job_id=name) for name in ("b", "c")]
     starts = plan(fleet, jobs)
     assert [start.worker_id for start in starts].count("w0") == 1
     assert len(starts) == 22
--- a/libs/jobs/tests/test_worker_ratings.py
+++ b/libs/jobs/tests/test_worker_ratings.py
@@ -137,6 +137,20 @@
     assert pool.changes == []
 
 
+def test_at_most_a_third_of_a_pool_counts_as_slow():
+    """A cause that slows many workers must not restrict most of the pool.
+
+    They are found one after the other.
+    """
+    pool = Pool(slow_down(*range(6)))
+    most_rated = 0
+    while pool.now_s < 15.0:
+        pool.play(pool.now_s + TICK_S)
+        rated = [i for i in pool.fleet.state_by_id if pool.ratings.rating(i)]
+        most_rated = max(most_rated, len(rated))
+    assert 0 < most_rated <= WORKERS / 3
+
+
 def test_estimates_that_are_off_do_not_make_a_worker_slow():
     """No worker at normal speed may be rated because of estimates off by 90%."""
     pool = Pool(max_error=0.9)
