Spare pools that are short of room in maintenance waves

Cause: a wave drains instances of a pool in a load burst while others are idle, and plans only for instances that are up. Two waves were not completed in time.

With gentle_maintenance, instances that are switched off or that their pool can spare go first, up to the limit of the wave. Pools that are short wait while the time left, less one busy round, is enough for all that is left; the duration of a round is the longest of those seen. Orders of one round are recorded together and sent side by side. Instances of a wave are moved between pools last, and not at all once its time is just enough.

--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -4,20 +4,20 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass
-from enum import Enum
 
 import gevent
+from gevent.pool import Pool as GreenletPool
 
 from lycheeloom.jobs.availability import may_stop
 from lycheeloom.jobs.fleet import WorkerState
 from lycheeloom.jobs.records import Kind, Record, WaveProgress, encode, key_of
-from lycheeloom.jobs.waves import WaveInstance, WaveTime, choose_next
+from lycheeloom.jobs.waves import RoundKind, WaveInstance, WaveTime, choose_next
 from lycheeloom.telemetry import log_event
 
 from . import metrics
 from .clock import steady_s
 from .dispatcher import Dispatcher
+from .gentle_waves import GentleWaves
 from .inventory import Inventory
 from .order_guard import OrderGuard
 from .ports import (
@@ -28,6 +28,7 @@
     InstanceState,
     StorePort,
 )
+from .wave_order import HandledInstance, Stage, WaveOrder
 
 ROUND_PAUSE_S = 0.1
 # On an instance being drained, tasks other than long-running ones are stopped only if
@@ -35,44 +36,7 @@
 DRAIN_TIMEOUT_S = 2.5
 # Delay before an order for the same instance is repeated.
 ORDER_RETRY_S = 0.3
-
-
-@dataclass(frozen=True, slots=True)
-class WaveOrder:
-    """A maintenance wave as requested by the operator.
-
-    The instances are to have their maintenance within ``time_limit_s``, and at most
-    ``max_unavailable`` of them may be unavailable at the same time.
-    """
-
-    wave: str
-    instances: tuple[str, ...]
-    time_limit_s: float
-    max_unavailable: int
-    # When this process received the wave, by its monotonic clock.
-    received_s: float
-
-
-class _Stage(Enum):
-    # The instance gets no new tasks, and its runs have to end before the order is sent.
-    DRAINING = "draining"
-    # The maintenance has been ordered.
-    AWAY = "away"
-
-
-@dataclass(slots=True)
-class _HandledInstance:
-    """An instance being drained or maintained; its stage began at ``since_s``.
-
-    The next order is not sent before ``retry_at_s``.
-    """
-
-    wave: str
-    pool: str
-    worker_id: str
-    stage: _Stage
-    since_s: float
-    retry_at_s: float = 0.0
+MAX_ORDERS_IN_FLIGHT = 16
 
 
 class Maintenance:
@@ -106,8 +70,15 @@
             wave: set(begun) for wave, begun in begun_by_wave.items()
         }
         self._maintenance_s = maintenance_s
-        self._handled_by_id: dict[str, _HandledInstance] = {}
+        self._handled_by_id: dict[str, HandledInstance] = {}
         self._reported_state_by_wave: dict[str, str] = {}
+        self._order_greenlets = GreenletPool(MAX_ORDERS_IN_FLIGHT)
+        # None unless the feature is switched on.
+        self.gentle_waves: GentleWaves | None = None
+        if dispatcher.features.gentle_maintenance:
+            self.gentle_waves = GentleWaves(
+                dispatcher, inventory, order_guard, maintenance_s, DRAIN_TIMEOUT_S
+            )
 
     def run(self) -> None:
         """Carry out all waves until the leader is fenced."""
@@ -120,6 +91,11 @@
             ]
             if not self._dispatcher.writer.may_act:
                 continue
+            if self.gentle_waves is not None:
+                # Also the instances of waves that have ended: they would stay excluded
+                # from moves and from later waves.
+                self._release_returned()
+                self.gentle_waves.keep_only({order.wave for order in open_orders})
             for order in open_orders:
                 self._advance_wave(order)
 
@@ -141,20 +117,37 @@
             for instance_id in order.instances
             if instance_id in instance_by_id and instance_id not in begun
         ]
-        self._release_returned(order)
+        if self.gentle_waves is None:
+            self._release_returned(order.wave)
         if not pending:
             self._report(order, "completed")
             return
         self._report(order, "running")
         self._choose(order, pending)
+        ready: list[Instance] = []
         for instance in pending:
             handled = self._handled_by_id.get(instance.instance_id)
-            if handled is not None and handled.stage is _Stage.DRAINING:
-                self._drain(order, instance, handled)
+            if handled is None or handled.stage is not Stage.DRAINING:
+                continue
+            if not self._drain(instance, handled):
+                continue
+            if self.gentle_waves is None:
+                self._record_and_send(order, [instance])
+            else:
+                ready.append(instance)
+        self._record_and_send(order, ready)
 
     def _choose(self, order: WaveOrder, pending: list[Instance]) -> None:
         """Begin to drain the pending instances that the wave's limits allow."""
         away = self._count_away(order)
+        time = WaveTime(
+            steady_s() - order.received_s,
+            order.time_limit_s,
+            self._maintenance_s + DRAIN_TIMEOUT_S,
+        )
+        if self.gentle_waves is not None:
+            self._choose_gently(order, pending, away, time)
+            return
         candidates = [
             self._to_wave_instance(instance)
             for instance in pending
@@ -162,33 +155,65 @@
             and instance.state is InstanceState.UP
             and self._order_guard.may_order(instance.instance_id)
         ]
-        time = WaveTime(
-            steady_s() - order.received_s,
-            order.time_limit_s,
-            self._maintenance_s + DRAIN_TIMEOUT_S,
-        )
         for instance_id in choose_next(candidates, away, order.max_unavailable, time):
-            instance = self._inventory.instance_by_id[instance_id]
-            self._handled_by_id[instance_id] = _HandledInstance(
-                order.wave,
-                instance.pool,
-                instance.worker_id,
-                _Stage.DRAINING,
-                steady_s(),
-            )
-            state = self._state_of(instance.worker_id)
-            if state is not None:
-                state.is_cordoned = True
-            log_event(
-                "maintenance_chosen",
-                wave=order.wave,
-                instance=instance_id,
-                pool=instance.pool,
-                worker=instance.worker_id,
-                left=len(pending),
-                elapsed_s=time.elapsed_s,
+            self._begin_drain(order, instance_id, len(pending), time.elapsed_s)
+
+    def _choose_gently(
+        self,
+        order: WaveOrder,
+        pending: list[Instance],
+        away: Mapping[str, int],
+        time: WaveTime,
+    ) -> None:
+        """Begin to drain instances by the load of their pools."""
+        waiting = [i for i in pending if i.instance_id not in self._handled_by_id]
+        handled = [
+            self._inventory.instance_by_id[instance_id]
+            for instance_id in self._handled_by_id
+            if instance_id in self._inventory.instance_by_id
+        ]
+        chosen = self.gentle_waves.choose(
+            order.wave, waiting, away, handled, order.max_unavailable, time
+        )
+        for instance_id, (kind, reason) in chosen.items():
+            self._begin_drain(
+                order, instance_id, len(pending), time.elapsed_s, kind, reason=reason
             )
 
+    def _begin_drain(
+        self,
+        order: WaveOrder,
+        instance_id: str,
+        left: int,
+        elapsed_s: float,
+        kind: RoundKind = RoundKind.IDLE,
+        **log_fields: object,
+    ) -> None:
+        """Exclude an instance from new tasks, to maintain it once it is drained."""
+        instance = self._inventory.instance_by_id[instance_id]
+        self._handled_by_id[instance_id] = HandledInstance(
+            order.wave,
+            instance.pool,
+            instance.worker_id,
+            Stage.DRAINING,
+            steady_s(),
+            steady_s(),
+            kind,
+        )
+        state = self._state_of(instance.worker_id)
+        if state is not None:
+            state.is_cordoned = True
+        log_event(
+            "maintenance_chosen",
+            wave=order.wave,
+            instance=instance_id,
+            pool=instance.pool,
+            worker=instance.worker_id,
+            left=left,
+            elapsed_s=elapsed_s,
+            **log_fields,
+        )
+
     def _count_away(self, order: WaveOrder) -> Counter[str]:
         """Count the instances that are being drained or maintained, by pool.
 
@@ -223,25 +248,26 @@
             bool(pool and pool.standby),
         )
 
-    def _drain(
-        self, order: WaveOrder, instance: Instance, handled: _HandledInstance
-    ) -> None:
-        """Stop the runs on an instance; order its maintenance when none is left."""
+    def _drain(self, instance: Instance, handled: HandledInstance) -> bool:
+        """Stop the runs on an instance; return whether its maintenance can be ordered.
+
+        That is so when no runs are left and no order was sent recently.
+        """
         now_s = steady_s()
         if instance.worker_id != handled.worker_id:
             # The instance has crashed and restarted meanwhile, with a new worker.
             handled.worker_id, handled.since_s = instance.worker_id, now_s
         state = self._state_of(handled.worker_id)
         if state is not None and not self._runs_are_known(state):
-            return
+            return False
         if state is not None and state.run_by_task:
             state.is_cordoned = True
             self._stop_runs(state, now_s - handled.since_s > DRAIN_TIMEOUT_S)
-            return
+            return False
         if now_s < handled.retry_at_s:
-            return
+            return False
         handled.retry_at_s = now_s + ORDER_RETRY_S
-        self._send_order(order, instance, handled)
+        return True
 
     def _runs_are_known(self, state: WorkerState) -> bool:
         """Return whether all runs on a worker are known or their lease has expired."""
@@ -260,12 +286,20 @@
             if may_stop(self._dispatcher.fleet, active_job, run, steady_s()):
                 self._dispatcher.stop_run(run, "maintenance")
 
-    def _send_order(
-        self, order: WaveOrder, instance: Instance, handled: _HandledInstance
-    ) -> None:
-        if not self._order_guard.record([instance.instance_id]):
+    def _record_and_send(self, order: WaveOrder, instances: list[Instance]) -> None:
+        """Record the orders for drained instances together and send them."""
+        if not instances:
+            return
+        if not self._order_guard.record([i.instance_id for i in instances]):
             log_event("maintenance_order", wave=order.wave, outcome="not recorded")
             return
+        if len(instances) == 1:
+            self._send_order(order, instances[0])
+            return
+        self._order_greenlets.map(lambda i: self._send_order(order, i), instances)
+
+    def _send_order(self, order: WaveOrder, instance: Instance) -> None:
+        handled = self._handled_by_id[instance.instance_id]
         reply = self._port.maintain(
             instance.instance_id, order.wave, self._dispatcher.writer.token
         )
@@ -280,7 +314,7 @@
         metrics.INSTANCE_ORDERS.labels("maintenance", reply.outcome.value).inc()
         match reply.outcome:
             case CallOutcome.DONE:
-                handled.stage = _Stage.AWAY
+                handled.stage = Stage.AWAY
                 handled.since_s = steady_s()
                 self._note_begun(order, instance.instance_id)
             case CallOutcome.FENCED:
@@ -298,22 +332,36 @@
         value = encode(WaveProgress(tuple(sorted(begun))))
         self._dispatcher.writer.write([Record(key_of(Kind.WAVE, order.wave), value)])
 
-    def _release_returned(self, order: WaveOrder) -> None:
-        """Release the wave's instances that are back or can no longer be drained."""
+    def _release_returned(self, wave: str | None = None) -> None:
+        """Release the instances that are back or can no longer be drained.
+
+        Considers the instances of one wave or, without ``wave``, of all waves.
+        Instances being drained for a wave that was withdrawn are released then too.
+        """
         for instance_id, handled in list(self._handled_by_id.items()):
-            if handled.wave != order.wave:
+            if wave is not None and handled.wave != wave:
                 continue
             instance = self._inventory.instance_by_id.get(instance_id)
-            if handled.stage is _Stage.DRAINING:
-                if instance is None or instance.state is not InstanceState.UP:
+            if handled.stage is Stage.DRAINING:
+                is_withdrawn = wave is None and handled.wave not in self._wave_names()
+                is_up = instance is not None and instance.state is InstanceState.UP
+                if is_withdrawn or not is_up:
                     self._release(instance_id)
                 continue
             away_s = steady_s() - handled.since_s
             is_back = instance is None or (
                 away_s > self._maintenance_s and instance.state is InstanceState.UP
             )
-            if is_back:
-                self._release(instance_id)
+            if not is_back:
+                continue
+            if self.gentle_waves is not None and instance is not None:
+                self.gentle_waves.note_round(
+                    handled.kind, steady_s() - handled.chosen_s
+                )
+            self._release(instance_id)
+
+    def _wave_names(self) -> set[str]:
+        return {order.wave for order in self._order_by_wave.values()}
 
     def _release(self, instance_id: str) -> None:
         """Stop handling an instance; its worker may get tasks again."""
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -44,6 +44,16 @@
     "Moves and maintenance ordered, by outcome",
     ["kind", "outcome"],
 )
+MAINTENANCE_CHOSEN = Counter(
+    "lycheeloom_maintenance_chosen",
+    "Instances chosen by gentle maintenance, by reason",
+    ["reason"],
+)
+MAINTENANCE_ROUND_SECONDS = _histogram(
+    "lycheeloom_maintenance_round_seconds",
+    "Time from choosing an instance until it is back, by what it had to get rid of",
+    "kind",
+)
 UNEXPECTED_ERRORS = Counter(
     "lycheeloom_unexpected_errors", "Unexpected exceptions, by part", ["part"]
 )
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -12,19 +12,17 @@
 from lycheeloom.jobs.pool_sizes import (
     Move,
     PoolInstance,
-    PoolLoad,
-    backlog_by_pool,
     choose_moves,
-    min_instances_by_pool,
 )
-from lycheeloom.model.resources import NO_RESOURCES, Resources
 from lycheeloom.telemetry import log_event
 
 from . import metrics
-from .clock import steady_s, wall_ms
+from .clock import steady_s
 from .dispatcher import Dispatcher
+from .gentle_waves import GentleWaves
 from .inventory import Inventory
 from .order_guard import OrderGuard
+from .pool_loads import is_usable, measure_loads
 from .ports import CallOutcome, CallReply, Instance, InstancePort, InstanceState
 
 ROUND_PAUSE_S = 0.25
@@ -38,7 +36,9 @@
     """Moves instances between pools as demand requires, while this instance leads.
 
     ``is_in_maintenance`` returns whether an instance, given by its id, is being drained
-    or maintained; such instances are not moved. A move takes ``move_s``.
+    or maintained; such instances are not moved. A move takes ``move_s``. With
+    ``gentle_waves``, instances that await maintenance are moved last, or not at all if
+    the time left of their wave is just enough.
     """
 
     def __init__(
@@ -49,6 +49,7 @@
         port: InstancePort,
         is_in_maintenance: Callable[[str], bool],
         move_s: float,
+        gentle_waves: GentleWaves | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
@@ -56,12 +57,15 @@
         self._port = port
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
+        self._gentle_waves = gentle_waves
         self._order_greenlets = GreenletPool(MAX_ORDERS_IN_FLIGHT)
         # Since when the workers without runs have had none, by worker id.
         self._idle_since_s_by_worker: dict[str, float] = {}
         # Target pool of a move order, and the time until which the instance counts as
         # moving; the pool is an empty string unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
+        if gentle_waves is not None:
+            gentle_waves.is_moving = self._is_moving
 
     def run(self) -> None:
         """Move instances until the leader is fenced."""
@@ -87,17 +91,34 @@
                 instance.instance_id,
                 instance.pool,
                 self._idle_s(instance.worker_id, now_s),
-                self._is_usable(instance),
-                self._order_guard.may_order(instance.instance_id),
+                is_usable(self._dispatcher, instance),
+                self._may_move(instance.instance_id),
             )
             for instance in self._inventory.instance_by_id.values()
             if instance.state is InstanceState.UP
             and instance.instance_id not in self._moving_by_id
             and not self._is_in_maintenance(instance.instance_id)
         ]
-        moves = choose_moves(instances, self._load_by_pool(), standby_pools)
+        if self._gentle_waves is not None:
+            # Of the instances that are switched off, those that await maintenance are
+            # the last to be moved to a pool.
+            gentle_waves = self._gentle_waves
+            instances.sort(key=lambda i: gentle_waves.is_pending(i.instance_id))
+        arriving = Counter(pool for pool, _ in self._moving_by_id.values())
+        loads = measure_loads(self._dispatcher, arriving)
+        moves = choose_moves(instances, loads, standby_pools)
         self._send_orders([move for move in moves if self._prepare(move)])
 
+    def _is_moving(self, instance: Instance) -> bool:
+        """Return whether a move is ordered of which the target is not reached yet."""
+        moving = self._moving_by_id.get(instance.instance_id)
+        return moving is not None and moving[0] != instance.pool
+
+    def _may_move(self, instance_id: str) -> bool:
+        if self._gentle_waves is not None and self._gentle_waves.must_stay(instance_id):
+            return False
+        return self._order_guard.may_order(instance_id)
+
     def _release(self, instance_id: str) -> None:
         """Allow new tasks on an instance again if it has not moved."""
         instance = self._inventory.instance_by_id.get(instance_id)
@@ -121,52 +142,6 @@
             return 0.0
         return now_s - self._idle_since_s_by_worker.get(worker_id, now_s)
 
-    def _is_usable(self, instance: Instance) -> bool:
-        """Return whether tasks may start on an instance."""
-        state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
-        is_draining = state is not None and state.worker.draining
-        return (
-            not is_draining
-            and instance.zone not in self._dispatcher.view.zones_out_of_service
-        )
-
-    def _load_by_pool(self) -> dict[str, PoolLoad]:
-        dispatcher = self._dispatcher
-        capacity_by_pool: dict[str, Resources] = {}
-        used_by_pool: dict[str, Resources] = {}
-        long_running_need_by_pool: dict[str, Resources] = {}
-        for state in dispatcher.fleet.state_by_id.values():
-            pool = state.worker.pool
-            capacity_by_pool.setdefault(pool, state.worker.capacity)
-            used = used_by_pool.get(pool, NO_RESOURCES)
-            used_by_pool[pool] = used + state.used
-            long_running_need = long_running_need_by_pool.get(pool, NO_RESOURCES)
-            long_running_need_by_pool[pool] = (
-                long_running_need + state.long_running_need
-            )
-        backlog = backlog_by_pool(
-            dispatcher.active_job_by_id.values(),
-            dispatcher.view.policy,
-            capacity_by_pool,
-            wall_ms(),
-        )
-        min_instances = min_instances_by_pool(
-            dispatcher.active_job_by_id.values(), dispatcher.view.policy
-        )
-        now_s = steady_s()
-        arriving = Counter(pool for pool, _ in self._moving_by_id.values())
-        return {
-            pool: PoolLoad(
-                used_by_pool[pool].dominant_share(capacity),
-                backlog.get(pool, 0.0),
-                arriving[pool],
-                min_instances.get(pool, 1),
-                long_running_need_by_pool[pool].dominant_share(capacity),
-                dispatcher.demand.needed_instances(pool, capacity, now_s),
-            )
-            for pool, capacity in capacity_by_pool.items()
-        }
-
     def _prepare(self, move: Move) -> bool:
         """Exclude an instance from new tasks; return False if tasks run on it."""
         state = self._state_of(move)
--- /dev/null
+++ b/libs/coordinator/tests/test_gentle_maintenance.py
@@ -0,0 +1,236 @@
+"""Tests of maintenance waves beside load, with the feature switched on."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import gevent
+import pytest
+from libs.coordinator.tests.fakes import (
+    JOB_ID,
+    FakeCluster,
+    make_job,
+    make_worker,
+    wait_until,
+)
+from libs.coordinator.tests.test_maintenance import MAINTENANCE_S, FakeInstances
+
+from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.features import Features
+from lycheeloom.coordinator.inventory import Inventory
+from lycheeloom.coordinator.maintenance import Maintenance, WaveOrder
+from lycheeloom.coordinator.order_guard import OrderGuard
+from lycheeloom.coordinator.pool_moves import PoolMoves
+from lycheeloom.coordinator.ports import (
+    CallOutcome,
+    CallReply,
+    Instance,
+    InstanceState,
+)
+from lycheeloom.jobs.model import Pool, Step
+
+LIMIT = 2
+
+
+class CountingInstances(FakeInstances):
+    """Fake instances that fail the test if too many are in maintenance at once."""
+
+    def maintain(self, instance_id, wave, token):
+        reply = super().maintain(instance_id, wave, token)
+        states = [instance.state for instance in self.list_instances()]
+        assert states.count(InstanceState.MAINTENANCE) <= LIMIT
+        return reply
+
+
+@pytest.fixture
+def cluster():
+    """A cluster with two workers in each of two pools; only one pool has a queue."""
+    cluster = FakeCluster(2)
+    policy = cluster.view.policy
+    pools = {"pool": Pool("pool"), "other": Pool("other")}
+    cluster.view.policy = dataclasses.replace(policy, pool_by_name=pools)
+    for number in (2, 3):
+        cluster.view.worker_by_id[f"w{number}"] = make_worker(number, "other")
+    yield cluster
+    cluster.close()
+
+
+@pytest.fixture
+def instances(cluster):
+    """Fake instances of the cluster's workers."""
+    return CountingInstances(cluster)
+
+
+def make_order(wave: str, numbers: str, time_limit_s: float = 60.0) -> WaveOrder:
+    """Return a wave of the instances with the given numbers."""
+    ids = tuple(f"m-w{number}" for number in numbers)
+    return WaveOrder(wave, ids, time_limit_s, LIMIT, steady_s())
+
+
+def start_waves(cluster, instances, order_by_wave, token=1):
+    """Start a leader that carries out waves; return its dispatcher and maintenance."""
+    dispatcher = cluster.start_leader(token)
+    dispatcher.features = Features(gentle_maintenance=True)
+    inventory = Inventory(instances, dispatcher.writer)
+    maintenance = Maintenance(
+        dispatcher,
+        inventory,
+        OrderGuard(dispatcher.replica, dispatcher.writer, 0.0, had_leader=False),
+        instances,
+        cluster.store,
+        order_by_wave,
+        dispatcher.replica.table.begun_by_wave,
+        MAINTENANCE_S,
+    )
+    cluster.spawn(inventory.run)
+    cluster.spawn(maintenance.run)
+    return dispatcher, maintenance
+
+
+def fill_pool(cluster) -> None:
+    """Add a job with more work than the two workers of its pool can do at once."""
+    cluster.store.add_job(make_job(JOB_ID, Step(8, 5000, estimated_ms=2_000)))
+
+
+def test_short_pool_keeps_its_instances_while_time_is_left(cluster, instances):
+    """A pool must not lose room while work waits in it and the wave has time.
+
+    Load: one pool is full and has waiting work, the other one is idle.
+    """
+    fill_pool(cluster)
+    order_by_wave: dict[str, WaveOrder] = {}
+    dispatcher, _ = start_waves(cluster, instances, order_by_wave)
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    order_by_wave["1"] = make_order("1", "0123")
+    wait_until(lambda: len(instances.maintained) == 2)
+    gevent.sleep(1.0)
+    assert sorted(instances.maintained) == ["m-w2", "m-w3"]
+    states = dispatcher.fleet.state_by_id
+    assert not states["w0"].is_cordoned and not states["w1"].is_cordoned
+
+
+def test_wave_goes_on_in_a_pool_that_stays_short(cluster, instances):
+    """A wave must end although the load of a pool does not.
+
+    Load: a pool is full for the whole wave, with tasks that do not end.
+    """
+    fill_pool(cluster)
+    order_by_wave: dict[str, WaveOrder] = {}
+    start_waves(cluster, instances, order_by_wave)
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    order_by_wave["1"] = make_order("1", "0123", 8.0)
+    wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
+    assert sorted(instances.maintained) == ["m-w0", "m-w1", "m-w2", "m-w3"]
+
+
+def test_new_leader_continues_a_wave_beside_load(cluster, instances):
+    """A takeover must not cost a wave an instance, a second round or its limit.
+
+    The leader is lost while instances are in maintenance, and a pool is full.
+    """
+    fill_pool(cluster)
+    order_by_wave = {"1": make_order("1", "0123", 8.0)}
+    dispatcher, _ = start_waves(cluster, instances, order_by_wave)
+    wait_until(lambda: any(record.key == "w1" for record in cluster.store.records))
+    dispatcher.writer.is_fenced = True
+    start_waves(cluster, instances, order_by_wave, token=2)
+    wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
+    assert sorted(instances.maintained) == ["m-w0", "m-w1", "m-w2", "m-w3"]
+
+
+def test_orders_that_fail_together_are_repeated(cluster, instances):
+    """A wave must not leave out instances whose orders were sent with others.
+
+    One order is refused, another one gets no answer.
+    """
+    instances.failures = [CallOutcome.REFUSED, CallOutcome.UNKNOWN]
+    start_waves(cluster, instances, {"1": make_order("1", "0123")})
+    wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
+    assert sorted(instances.maintained) == ["m-w0", "m-w1", "m-w2", "m-w3"]
+
+
+def test_instances_of_an_ended_wave_are_released(cluster, instances):
+    """A wave must not wait forever for instances that an earlier wave has maintained.
+
+    A wave is completed when its last maintenance has begun, so its last instances are
+    still away.
+    """
+    order_by_wave = {"1": make_order("1", "0123")}
+    _, maintenance = start_waves(cluster, instances, order_by_wave)
+    wait_until(lambda: ("1", "completed") in cluster.store.wave_states)
+    wait_until(lambda: not any(maintenance.handles(f"m-w{n}") for n in range(4)))
+    order_by_wave["2"] = make_order("2", "0123")
+    wait_until(lambda: ("2", "completed") in cluster.store.wave_states)
+    assert len(instances.maintained) == 8
+
+
+def test_withdrawn_wave_releases_its_instances(cluster, instances):
+    """A wave that is withdrawn must not keep workers from tasks and from moves.
+
+    The wave is due from the beginning, and its tasks do not end.
+    """
+    fill_pool(cluster)
+    order_by_wave: dict[str, WaveOrder] = {}
+    dispatcher, maintenance = start_waves(cluster, instances, order_by_wave)
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    order_by_wave["1"] = make_order("1", "01", 3.0)
+    wait_until(lambda: maintenance.handles("m-w0"))
+    del order_by_wave["1"]
+    wait_until(lambda: not maintenance.handles("m-w0"))
+    assert not dispatcher.fleet.state_by_id["w0"].is_cordoned
+    assert not maintenance.gentle_waves.must_stay("m-w1")
+
+
+class StandbyInstances(CountingInstances):
+    """Fake instances with four further ones that are switched off."""
+
+    def __init__(self, cluster):
+        super().__init__(cluster)
+        self.moved: list[str] = []
+
+    def list_instances(self):
+        return super().list_instances() + tuple(
+            Instance(f"m-w{number}", "off", InstanceState.UP, "zone-a", "")
+            for number in range(6, 10)
+        )
+
+    def move(self, instance_id, pool, token):
+        self.moved.append(instance_id)
+        return CallReply(CallOutcome.DONE)
+
+
+@pytest.mark.parametrize(
+    ("time_limit_s", "moved"),
+    [(60.0, {"m-w8", "m-w9", "m-w6"}), (3.0, {"m-w8", "m-w9"})],
+)
+def test_instances_of_a_wave_move_last(cluster, time_limit_s, moved):
+    """A wave must not be late because its instances are moved while others could be.
+
+    Load: a pool needs three more instances. Two of four that are switched off await
+    maintenance; with little time left, these two must not move at all.
+    """
+    pools = {**cluster.view.policy.pool_by_name, "off": Pool("off", standby=True)}
+    cluster.view.policy = dataclasses.replace(cluster.view.policy, pool_by_name=pools)
+    # Three of five tasks wait; each would fill 0.625 of an instance for 2 s.
+    cluster.store.add_job(make_job(JOB_ID, Step(5, 5000, estimated_ms=2_000)))
+    instances = StandbyInstances(cluster)
+    order = make_order("1", "67", time_limit_s)
+    # Nothing is chosen, so the two go on to await maintenance.
+    order = dataclasses.replace(order, max_unavailable=0)
+    dispatcher, maintenance = start_waves(cluster, instances, {"1": order})
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    wait_until(lambda: maintenance.gentle_waves.is_pending("m-w6"))
+    inventory = Inventory(instances, dispatcher.writer)
+    moves = PoolMoves(
+        dispatcher,
+        inventory,
+        OrderGuard(dispatcher.replica, dispatcher.writer, 0.0, had_leader=False),
+        instances,
+        maintenance.handles,
+        30.0,
+        maintenance.gentle_waves,
+    )
+    cluster.spawn(inventory.run)
+    cluster.spawn(moves.run)
+    wait_until(lambda: len(instances.moved) == len(moved))
+    assert set(instances.moved) == moved
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -11,6 +11,7 @@
 
 from .active_job import ActiveJob
 from .model import Policy, Step
+from .waves import PoolRoom
 
 # A pool gets enough instances to finish its waiting work within this time, which is
 # about the duration of a move.
@@ -82,6 +83,22 @@
     size: int
 
 
+def room_of(load: PoolLoad, size: int, draining_long_running: int = 0) -> PoolRoom:
+    """Return how many instances a pool of ``size`` usable instances can spare.
+
+    Waiting work that fits into the pool, for example of jobs that wait for lists after
+    a takeover, does not make it short of room.
+    """
+    waiting = 0.0
+    if load.backlog >= MIN_BACKLOG_INSTANCE_S:
+        waiting = load.backlog / BACKLOG_TARGET_S
+    is_short = bool(waiting) and load.used + waiting > size * PACKING_FRACTION
+    needed = max(load.used + waiting, load.instances_to_keep_up)
+    needed = max(load.min_instances, needed / (1 - MIN_FREE_FRACTION))
+    spare = 0 if is_short else max(0, math.floor(size - needed))
+    return PoolRoom(size, spare, is_short, draining_long_running)
+
+
 def backlog_by_pool(
     active_jobs: Iterable[ActiveJob],
     policy: Policy,
