--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -49,6 +49,16 @@
     "Busy instances emptied for pools below their share, by the pool that had them",
     ["pool"],
 )
+MAINTENANCE_CHOSEN = Counter(
+    "lycheeloom_maintenance_chosen",
+    "Instances chosen by gentle maintenance, by reason",
+    ["reason"],
+)
+MAINTENANCE_ROUND_SECONDS = _histogram(
+    "lycheeloom_maintenance_round_seconds",
+    "Time from choosing an instance until it is back, by what it had to get rid of",
+    "kind",
+)
 UNEXPECTED_ERRORS = Counter(
     "lycheeloom_unexpected_errors", "Unexpected exceptions, by part", ["part"]
 )
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
@@ -44,7 +44,8 @@
 
     def choose(
         self,
-        candidates: Collection[Instance],
+        available: Collection[Instance],
+        movable_ids: Collection[str],
         load_by_pool: Mapping[str, PoolLoad],
         priority_by_pool: Mapping[str, int],
         standby_pools: Collection[str],
@@ -52,10 +53,16 @@
     ) -> list[Move]:
         """Return moves of emptied instances; begin to empty further ones.
 
-        ``candidates`` are the instances that are up and that may be moved, including
-        those that are being emptied.
+        ``available`` are the instances that are up, neither moving nor in maintenance,
+        including those that are being emptied. Of them, those in ``movable_ids`` may be
+        moved.
         """
-        self._note_seen(candidates, now_s)
+        self._note_seen(available, now_s)
+        for instance in available:
+            is_movable = instance.instance_id in movable_ids
+            if self.handles(instance.instance_id) and not is_movable:
+                self._keep(instance)
+        candidates = [i for i in available if i.instance_id in movable_ids]
         in_service = [i for i in candidates if i.pool not in standby_pools]
         staying = [i for i in in_service if not self.handles(i.instance_id)]
         claims = self._claims(staying, load_by_pool, priority_by_pool, standby_pools)
@@ -101,16 +108,22 @@
         is_empty = state is None or not state.run_by_task
         if not is_empty and now_s - since_s < MAX_EMPTYING_S:
             return None
-        del self._emptying_since_s[instance.instance_id]
         pool = neediest_pool(claims, total) if is_empty else None
         if pool is None or pool == instance.pool:
-            if state is not None:
-                state.is_cordoned = False
+            self._keep(instance)
             return None
+        del self._emptying_since_s[instance.instance_id]
         load = load_by_pool[pool]
         size = next(claim.size for claim in claims if claim.pool == pool)
         return Move(instance.instance_id, pool, "pool below its share", load, size)
 
+    def _keep(self, instance: Instance) -> None:
+        """Stop emptying an instance; its worker may get tasks again."""
+        del self._emptying_since_s[instance.instance_id]
+        state = self._find_state(instance)
+        if state is not None:
+            state.is_cordoned = False
+
     def _begin(
         self,
         staying: Collection[Instance],
@@ -160,11 +173,11 @@
         )
         return BusyInstance(instance.instance_id, instance.pool, work)
 
-    def _note_seen(self, candidates: Collection[Instance], now_s: float) -> None:
-        keys = {(i.instance_id, i.pool) for i in candidates}
+    def _note_seen(self, available: Collection[Instance], now_s: float) -> None:
+        keys = {(i.instance_id, i.pool) for i in available}
         self._seen_since_s = {key: self._seen_since_s.get(key, now_s) for key in keys}
         for instance_id in set(self._emptying_since_s) - {key[0] for key in keys}:
-            # Its worker has ended or is drained for another reason.
+            # It is down, or in maintenance, which decides when it gets tasks again.
             del self._emptying_since_s[instance_id]
 
     @staticmethod
--- a/libs/coordinator/tests/test_pool_donations.py
+++ b/libs/coordinator/tests/test_pool_donations.py
@@ -48,8 +48,11 @@
         for run in list(self.fleet.state_by_id[worker_id].run_by_task.values()):
             self.fleet.remove_run(run)
 
-    def choose(self, now_s: float, load_by_pool=LOAD_BY_POOL):
-        return self.donations.choose(self.instances, load_by_pool, {}, (), now_s)
+    def choose(self, now_s: float, load_by_pool=LOAD_BY_POOL, unmovable_ids=()):
+        movable_ids = {i.instance_id for i in self.instances} - set(unmovable_ids)
+        return self.donations.choose(
+            self.instances, movable_ids, load_by_pool, {}, (), now_s
+        )
 
     @property
     def emptying(self) -> set[str]:
@@ -120,3 +123,12 @@
         setting.add_run(number, Step(1, 4_000, long_running=True))
     setting.choose(MIN_STAY_S)
     assert setting.emptying == set()
+
+
+def test_instance_that_may_no_longer_move_gets_tasks_again(setting):
+    """Guards against an instance without tasks that no part of the leader handles."""
+    setting.choose(MIN_STAY_S)
+    assert setting.emptying
+    all_ids = [instance.instance_id for instance in setting.instances]
+    setting.choose(MIN_STAY_S + 0.25, unmovable_ids=all_ids)
+    assert setting.emptying == set()
