Limit what clients can make a process hold

A process exceeded the memory of its instance, ran out of descriptors or hung when clients sent unfinished or endless heads and bodies, or nothing at all.

Heads and bodies are now received as a whole before a request is handed to the application, within limits of their size and time. Open connections and the bytes of unanswered requests are bounded over all ports of a process; beyond a bound the connection that has gone longest without a complete request goes first, never one whose request was handed over. Refusals say that the request has not run and close the connection; the rest of a body is not read. pywsgi no longer writes a line to standard error for each invalid request. Defaults follow from the memory and the descriptors of the instance; three metrics and a line each 5 s show what was refused.

--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -76,4 +76,15 @@
     "Upper limit of an organisation in cores; 0 is no limit",
     ["organisation"],
 )
+CLIENTS_REFUSED = Counter(
+    "lycheeloom_clients_refused",
+    "Requests and connections refused beyond the client limits, by reason",
+    ["reason"],
+)
+CLIENT_CONNECTIONS = Gauge(
+    "lycheeloom_client_connections", "Open connections of clients"
+)
+CLIENT_PENDING_BYTES = Gauge(
+    "lycheeloom_client_pending_bytes", "Bytes of requests that are not answered yet"
+)
 LINES_DROPPED = Gauge("lycheeloom_log_lines_dropped", "Log lines dropped so far")
--- a/libs/entry/src/lycheeloom/entry/metrics.py
+++ b/libs/entry/src/lycheeloom/entry/metrics.py
@@ -56,6 +56,15 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.clients_refused = self._counter(
+            "clients_refused", "Refused beyond the client limits, by reason", "reason"
+        )
+        self.client_connections = self._gauge(
+            "client_connections", "Open connections of clients"
+        )
+        self.client_pending_bytes = self._gauge(
+            "client_pending_bytes", "Bytes of requests that are not answered yet"
+        )
         self.starts = self._counter(
             "starts", "Starts sent to workers, by result", "result"
         )
--- a/libs/entry/src/lycheeloom/entry/service.py
+++ b/libs/entry/src/lycheeloom/entry/service.py
@@ -50,7 +50,7 @@
 from .explanations import EntryExplanations
 from .grant_manager import GrantManager
 from .http_api import HttpApi
-from .http_server import HttpServer
+from .http_server import ClientGuard, HttpServer
 from .local_requests import LocalRequest, LocalRequestTable
 from .metrics import EntryMetrics
 from .outcome_counts import OutcomeCounts
@@ -111,6 +111,10 @@
         self._tracer = Tracer(settings.instance, settings.trace_ratio)
         self._greenlets: list[gevent.Greenlet] = []
         self._server: HttpServer | None = None
+        self._http_clients = ClientGuard(
+            settings.limits_in_force,
+            lambda reason: self.metrics.clients_refused.labels(reason).inc(),
+        )
         self._stopping = gevent.event.Event()
 
     def run(self) -> None:
@@ -302,7 +306,10 @@
         ):
             self._greenlets.append(gevent.spawn(loop))
         self._server = HttpServer(
-            split_address(self.settings.listen), self._api.app, log=None, error_log=None
+            split_address(self.settings.listen),
+            self._api.app,
+            log=None,
+            clients=self._http_clients,
         )
         self._server.start()
 
@@ -354,6 +361,9 @@
     def _update_metrics(self) -> None:
         self.metrics.set_status(self._status_document())
         self.metrics.unknown_records.set(self.tail.state.unknown_records)
+        accounts = self._http_clients.accounts
+        self.metrics.client_connections.set(len(accounts))
+        self.metrics.client_pending_bytes.set(accounts.pending_bytes)
         for gauge in (self.metrics.running, self.metrics.queued, self.metrics.granted):
             gauge.clear()
         for organisation in self.tail.state.config.organisation_by_id:
--- a/libs/entry/src/lycheeloom/entry/settings.py
+++ b/libs/entry/src/lycheeloom/entry/settings.py
@@ -4,10 +4,12 @@
 
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from lycheeloom.settings import ADDRESS_PATTERN
 
+from .client_limits import ClientLimits, ClientLimitSettings, derive_limits
+
 
 class Settings(BaseModel):
     """Addresses of this entry and of the platform; times are in seconds.
@@ -31,3 +33,18 @@
     # Operators' tools must present this token to send records straight to this entry.
     # If it is empty, such records are refused.
     handover_token: str = Field(default="", max_length=256)
+    # What the process may use; the defaults of ``client_limits`` are derived from it.
+    memory_mb: float = Field(default=200.0, gt=0)
+    file_descriptors: int = Field(default=4_100, gt=0)
+    client_limits: ClientLimitSettings = ClientLimitSettings()
+
+    @property
+    def limits_in_force(self) -> ClientLimits:
+        """The limits for clients, as set or derived."""
+        defaults = derive_limits(self.memory_mb, self.file_descriptors)
+        return self.client_limits.apply_to(defaults)
+
+    @model_validator(mode="after")
+    def _check_client_limits(self) -> Settings:
+        _ = self.limits_in_force
+        return self
--- a/libs/entry/tests/test_http_server.py
+++ b/libs/entry/tests/test_http_server.py
@@ -8,7 +8,8 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from lycheeloom.entry.http_server import HttpServer
+from lycheeloom.entry.client_limits import ClientLimits
+from lycheeloom.entry.http_server import ClientGuard, HttpServer
 
 
 def test_connections_send_without_delay(monkeypatch):
@@ -115,3 +116,117 @@
     sock.sendall(REQUEST)
     slow_server.wait_for_calls(1)
     assert slow_server.server.finish_calls(0.1) == 1
+
+
+def send_to(limits: ClientLimits, *parts: bytes) -> tuple[bytes, list[bytes]]:
+    """Send to a server with limits; return the answer and the bodies that it handled.
+
+    Afterwards nothing may be counted any more, and each refusal must have been.
+    """
+    bodies = []
+
+    def answer(environ, start_response):
+        bodies.append(environ["wsgi.input"].read())
+        start_response("200 OK", [("Content-Length", "2"), ("Connection", "close")])
+        return [b"ok"]
+
+    refused = []
+    guard = ClientGuard(limits, refused.append)
+    server = HttpServer(("127.0.0.1", 0), answer, log=None, clients=guard)
+    server.start()
+    with socket.create_connection(("127.0.0.1", server.server_port)) as sock:
+        sock.settimeout(10.0)
+        for part in parts:
+            sock.sendall(part)
+            gevent.sleep(0.01)
+        content = read_all(sock)
+    assert server.finish_calls(10.0) == 0
+    assert len(guard.accounts) == guard.accounts.pending_bytes == 0
+    assert len(refused) == (not bodies)
+    return content, bodies
+
+
+POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
+
+
+@pytest.mark.parametrize(
+    ("parts", "body"),
+    [
+        ([b"\r\n\r\n" + REQUEST], b""),
+        ([REQUEST[:9], REQUEST[9:-1], REQUEST[-1:]], b""),
+        ([POST + b"Content-Length: 100\r\n\r\n", b"a" * 60, b"a" * 40], b"a" * 100),
+        (
+            [POST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", b"0\r\n\r\n"],
+            b"abc",
+        ),
+    ],
+)
+def test_requests_within_the_limits_are_served(parts, body):
+    """A request must be served in whatever parts it arrives, with its whole body."""
+    content, bodies = send_to(ClientLimits(body_bytes=100), *parts)
+    assert content.endswith(b"ok")
+    assert bodies == [body]
+
+
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        ([b"\r\n" * 100 + REQUEST], 400),
+        ([b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * 1_000], 431),
+        ([b"GET / HTTP/1.1\r\nX: "], 408),
+        ([POST + b"Content-Length: 101\r\n\r\n"], 413),
+        ([POST + b"Content-Length: 100\r\n\r\n" + b"a" * 99], 408),
+        (
+            [POST + b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"a" * 101 + b"\r\n"],
+            413,
+        ),
+        (
+            [POST + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"a: b\r\n" * 4_000],
+            413,
+        ),
+        ([POST + b"Transfer-Encoding: chunked\r\n\r\n\r\n"], 400),
+        ([POST + b"Transfer-Encoding: chunked\r\n\r\nx\r\n"], 400),
+    ],
+)
+def test_refused_requests_do_not_run(parts, status):
+    """A refusal must say which limit was exceeded, and the request must not run."""
+    limits = ClientLimits(head_bytes=2_000, body_bytes=100, head_s=0.2, body_s=0.2)
+    content, bodies = send_to(limits, *parts)
+    assert content.startswith(b"HTTP/1.1 %d " % status)
+    assert b"Connection: close" in content
+    assert bodies == []
+
+
+def test_body_that_is_awaited_is_asked_for():
+    """A client that waits for 100 (Continue) must not wait until its body is late."""
+    head = POST + b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
+    content, bodies = send_to(ClientLimits(), head, b"abc")
+    assert content.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200")
+    assert bodies == [b"abc"]
+
+
+def test_connection_is_dropped_for_a_new_one(slow_server):
+    """The oldest connection without a request goes, one with a call in progress not."""
+    slow_server.server.clients.accounts.limits = ClientLimits(connections=2)
+    caller = slow_server.connect()
+    caller.sendall(REQUEST)
+    slow_server.wait_for_calls(1)
+    partial, idle = slow_server.connect(), None
+    partial.sendall(REQUEST[:-2])
+    gevent.sleep(0.05)
+    idle = slow_server.connect()
+    assert read_all(partial).startswith(b"HTTP/1.1 503 ")
+    gevent.sleep(0.05)
+    slow_server.connect()
+    assert read_all(idle) == b""
+    slow_server.may_answer.set()
+    assert caller.recv(4096).startswith(b"HTTP/1.1 200 ")
+
+
+def test_part_of_a_request_line_does_not_hold_up_a_stop(slow_server):
+    """A client that has sent no complete line must not keep the process from ending."""
+    sock = slow_server.connect()
+    sock.sendall(b"GET /")
+    gevent.sleep(0.05)
+    assert slow_server.server.finish_calls(10.0) == 0
+    assert read_all(sock) == b""
