--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -105,4 +105,15 @@
     "Waiting jobs of a queue whose pool is full, by how they are served",
     ["queue", "service"],
 )
+CLIENTS_REFUSED = Counter(
+    "lycheeloom_clients_refused",
+    "Requests and connections refused beyond the client limits, by reason",
+    ["reason"],
+)
+CLIENT_CONNECTIONS = Gauge(
+    "lycheeloom_client_connections", "Open connections of clients"
+)
+CLIENT_PENDING_BYTES = Gauge(
+    "lycheeloom_client_pending_bytes", "Bytes of requests that are not answered yet"
+)
 LINES_DROPPED = Gauge("lycheeloom_log_lines_dropped", "Log lines dropped so far")
