Record rejections and decide by the wait whether a job is accepted

The records d<id> and r, and the fields rejections and first_offered_ms of a job, are added at the end of the schema; older job records still decode. Job.offered_ms is the time for ranks and deadlines. Nothing writes the new records yet.

--- /dev/null
+++ b/libs/jobs/src/lycheeloom/jobs/acceptance.py
@@ -0,0 +1,149 @@
+"""Decides whether a job is accepted while its queue is overloaded."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Iterable, Mapping
+
+from .active_job import ActiveJob
+from .model import Job, Policy, Queue, TaskKey
+from .step_graph import chain_ms_by_step
+
+# A job that ends later than this many times its target has no value to its caller.
+MAX_TARGETS = 3.0
+# In whole seconds, as in the header ``Retry-After``.
+MIN_RETRY_S = 1
+# Load exceeds capacity for some seconds; a caller that stays away for longer than this
+# would miss the time after it.
+MAX_RETRY_S = 30
+
+
+def target_ms(queue: Queue, chain_ms: float) -> float:
+    """Return the target of a job whose longest chain of steps takes ``chain_ms``."""
+    return queue.stretch * chain_ms + queue.target_latency_ms
+
+
+def chain_ms(job: Job) -> float:
+    """Return the estimated duration of a job's longest chain of steps."""
+    return max(chain_ms_by_step(job.steps), default=0.0)
+
+
+def has_target(job: Job) -> bool:
+    """Return whether the target of a job has a meaning.
+
+    Services run until they are cancelled, and repeated jobs when they are due.
+    """
+    return not job.repetitions and not any(step.long_running for step in job.steps)
+
+
+def wait_ms_by_queue(
+    active_jobs: Iterable[ActiveJob],
+    policy: Policy,
+    cores_by_pool: Mapping[str, float],
+    now_ms: float,
+) -> dict[str, float]:
+    """Return the time until a job that a queue accepts now would start.
+
+    That is the waiting work of the queue, and of queues of its pool with the same or a
+    higher priority, divided by the cores of the pool. Jobs that can no longer end
+    within ``MAX_TARGETS`` times their target are left out, and so are services and
+    repeated jobs. A queue whose pool has no known cores is not in the result.
+
+    For example, 64 waiting tasks of 1 s on 2 cores make a wait of 4,000 ms in a pool
+    of 32 cores. ``now_ms`` is Unix time.
+    """
+    work_by_queue: dict[str, float] = {}
+    for active_job in active_jobs:
+        job = active_job.job
+        queue = policy.queue_by_name.get(job.queue)
+        if queue is None or active_job.is_final or not has_target(job):
+            continue
+        if not _is_useful(active_job, queue, now_ms):
+            continue
+        work = work_by_queue.get(queue.name, 0.0)
+        work_by_queue[queue.name] = work + _waiting_core_ms(active_job)
+    result: dict[str, float] = {}
+    for queue in policy.queue_by_name.values():
+        cores = cores_by_pool.get(queue.pool, 0.0)
+        if cores <= 0:
+            continue
+        work_ahead = sum(
+            work
+            for name, work in work_by_queue.items()
+            if policy.queue_by_name[name].pool == queue.pool
+            and policy.queue_by_name[name].priority <= queue.priority
+        )
+        result[queue.name] = work_ahead / cores
+    return result
+
+
+def is_overloaded(queue: Queue, wait_ms: float) -> bool:
+    """Return whether a job of the queue could be rejected at this wait.
+
+    With a stretch of at least a third, a longer chain extends the limit by more than it
+    takes, so a job with an empty chain is the first to be rejected.
+    """
+    return wait_ms > MAX_TARGETS * target_ms(queue, 0.0)
+
+
+def excess_ms(job: Job, queue: Queue, wait_ms: float, now_ms: float) -> float:
+    """Return by how much a job would end too late; it is rejected if this exceeds 0.
+
+    Work that came after the first attempt of a returning job is behind it, so the time
+    since then is subtracted from the wait. A returning job is therefore accepted
+    whenever a new job of the same shape is. ``now_ms`` is Unix time.
+    """
+    if not has_target(job):
+        return 0.0
+    waited_ms = max(0.0, now_ms - job.offered_ms)
+    chain = chain_ms(job)
+    remaining_wait_ms = max(0.0, wait_ms - waited_ms)
+    if not remaining_wait_ms:
+        return 0.0
+    return max(0.0, remaining_wait_ms + chain - MAX_TARGETS * target_ms(queue, chain))
+
+
+def retry_after_s(excess: float, job_id: str, attempt: int) -> int:
+    """Return after how many whole seconds a rejected caller is to return.
+
+    ``excess`` is the time in ms until the work ahead has shrunk far enough. The result
+    lies between that and twice that, by job id and attempt, so that callers that were
+    rejected together do not return together.
+    """
+    least_s = min(MAX_RETRY_S, max(MIN_RETRY_S, math.ceil(excess / 1000)))
+    spread = zlib.crc32(f"{job_id}.{attempt}".encode()) % (least_s + 1)
+    return min(MAX_RETRY_S, least_s + spread)
+
+
+def _is_useful(active_job: ActiveJob, queue: Queue, now_ms: float) -> bool:
+    """Return whether a job can still end within ``MAX_TARGETS`` times its target."""
+    chain = active_job.chain_ms()
+    limit_ms = active_job.job.offered_ms + MAX_TARGETS * target_ms(queue, chain)
+    remaining_ms = max(
+        (active_job.remaining_chain_ms(key) for key in active_job.tasks_by_step),
+        default=chain,
+    )
+    return now_ms + remaining_ms <= limit_ms
+
+
+def _waiting_core_ms(active_job: ActiveJob) -> float:
+    """Return the core-milliseconds of the tasks of a job that have yet to start."""
+    work = 0.0
+    for index, step in enumerate(active_job.job.steps):
+        cores = step.reservation.cores
+        if not cores or not step.estimated_ms:
+            continue
+        work += cores * step.estimated_ms * _waiting_tasks(active_job, index)
+    return work
+
+
+def _waiting_tasks(active_job: ActiveJob, step: int) -> int:
+    """Return how many tasks of a step wait; it may still depend on other steps."""
+    step_tasks = active_job.tasks_by_step.get((0, step))
+    if step_tasks is not None:
+        return len(step_tasks.waiting)
+    # No state of the step is kept: it has not been opened yet, or it is done.
+    if active_job.is_done(TaskKey(active_job.job.job_id, 0, step, 0)):
+        return 0
+    return active_job.job.steps[step].count
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -11,6 +11,10 @@
   repetitions @6 :UInt32;
   firstRunMs @7 :UInt64;
   intervalMs @8 :UInt64;
+  # Rejections of the id that the accepting instance knew of; 0 in older records.
+  rejections @9 :UInt32;
+  # Unix time of the first attempt to submit the job; 0 if it is the accepted one.
+  firstOfferedMs @10 :UInt64;
 }
 
 struct Step {
@@ -102,3 +106,25 @@
   # Unix time at which the cancellation was asked for.
   atMs @0 :UInt64;
 }
+
+struct Rejection {
+  # Rejections of the job so far, this one included.
+  count @0 :UInt32;
+  # Unix time of the first attempt to submit the job.
+  firstOfferedMs @1 :UInt64;
+  # Unix time of this rejection.
+  atMs @2 :UInt64;
+}
+
+struct LoadReport {
+  # Fencing token of the leader that measured the load.
+  token @0 :UInt64;
+  # The overloaded queues; empty when the last of them no longer is.
+  queues @1 :List(QueueLoad);
+}
+
+struct QueueLoad {
+  queue @0 :Text;
+  # Time until a job that is accepted now would start.
+  waitMs @1 :UInt64;
+}
--- a/libs/jobs/src/lycheeloom/jobs/model.py
+++ b/libs/jobs/src/lycheeloom/jobs/model.py
@@ -97,6 +97,19 @@
     # Unix time at which the first occurrence is due.
     first_run_ms: int = 0
     interval_ms: int = 0
+    # Rejections of this id that the accepting instance knew of.
+    rejections: int = 0
+    # Unix time of the first attempt to submit the job; 0 if that was the accepted one.
+    first_offered_ms: int = 0
+
+    @property
+    def offered_ms(self) -> int:
+        """Return the Unix time of the first attempt to submit the job.
+
+        Deadlines and ranks count from it, so that a job that returns after a rejection
+        is not placed behind jobs that came later.
+        """
+        return self.first_offered_ms or self.accepted_ms
 
     @property
     def occurrences(self) -> int:
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -32,6 +32,8 @@
     WAVE = "w"
     ORDER = "o"
     BID = "b"
+    LOAD = "r"
+    REJECTION = "d"
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +157,36 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """A rejection of a job for lack of capacity.
+
+    ``count`` is the number of rejections of the id that the rejecting instance knew of,
+    this one included. ``first_offered_ms`` is the Unix time of the first attempt to
+    submit the job, and ``at_ms`` that of this rejection.
+    """
+
+    count: int
+    first_offered_ms: int
+    at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLoad:
+    """Time until a job that an overloaded queue accepts now would start."""
+
+    queue: str
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The overloaded queues, as measured by the leader with this fencing token."""
+
+    token: int
+    queues: tuple[QueueLoad, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
     """A record of a compacted log; an empty value deletes the key."""
@@ -181,6 +213,8 @@
     InstanceOrder: _SCHEMA.InstanceOrder,
     WaveProgress: _SCHEMA.WaveProgress,
     Cancellation: _SCHEMA.Cancellation,
+    Rejection: _SCHEMA.Rejection,
+    LoadReport: _SCHEMA.LoadReport,
 }
 
 
@@ -239,7 +273,9 @@
     | LeadBid
     | InstanceOrder
     | WaveProgress
-    | Cancellation,
+    | Cancellation
+    | Rejection
+    | LoadReport,
 ) -> bytes:
     """Serialise a value, prefixed with a checksum."""
     message = _STRUCT_BY_TYPE[type(value)].new_message(**to_fields(value))
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from lycheeloom.wire.checksum import strip_checksum
 
@@ -14,8 +14,10 @@
     Kind,
     LeadBid,
     LeaderRecord,
+    LoadReport,
     ProgressPart,
     Record,
+    Rejection,
     WaveProgress,
     decode,
 )
@@ -23,13 +25,28 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """A job with its latest progress and whether its cancellation was requested.
+    """A job with its latest progress, cancellation and rejection.
 
-    ``job`` is None while only other records of the job have been applied: a caller may
-    cancel a job whose own record the store appends late, or never.
+    ``job`` is the job in effect. It is None while only other records of the job have
+    been applied, as a caller may cancel a job whose own record the store appends late,
+    or never; and while the records of the job knew of fewer rejections than there were
+    before them.
+
+    The records of a job take effect in the order of the log. Once a job is in effect,
+    later rejections have none. The newest job record and the newest rejection, all that
+    a snapshot contains, do not always show that order; see ``is_in_snapshot``.
     """
 
     job: Job | None = None
+    # The newest job record, whether it is in effect or not, and its offset.
+    latest_job: Job | None = None
+    job_offset: int = -1
+    # The newest rejection and its offset.
+    rejection: Rejection | None = None
+    rejection_offset: int = -1
+    # Highest count of the rejections so far, and the offset of the first with it.
+    rejections: int = 0
+    raised_offset: int = -1
     cancelled: bool = False
     # Unix time of the latest cancellation; 0 if there is none or its time is not known.
     cancelled_ms: int = 0
@@ -55,7 +72,8 @@
         """Return whether there is a cancellation and nothing else of the job."""
         return (
             self.cancelled
-            and self.job is None
+            and self.latest_job is None
+            and self.rejection is None
             and not self.encoded_part_by_number
             and self.progress is None
         )
@@ -82,6 +100,67 @@
             return JobState.CANCELLED
         return progress.state if progress else JobState.QUEUED
 
+    @property
+    def is_in_snapshot(self) -> bool:
+        """Return whether the job is in effect by the newest record of each key alone.
+
+        A rejection counts those that its writer knew and itself, so a job record before
+        it that knew one less was in effect when the rejection was written.
+        """
+        if self.latest_job is None or self.rejection is None:
+            return self.latest_job is not None
+        needed = self.rejection.count
+        if self.job_offset < self.rejection_offset:
+            needed -= 1
+        return self.latest_job.rejections >= needed
+
+    @property
+    def needs_correction(self) -> bool:
+        """Return whether a snapshot would show another result than the log."""
+        return self.rejection is not None and self.is_in_snapshot != bool(self.job)
+
+    def corrected_rejection(self) -> Rejection | None:
+        """Return the rejection with which a snapshot shows the result of the log.
+
+        None stands for the removal of the rejection of a job that is in effect.
+        """
+        if self.job is not None or self.rejection is None or self.latest_job is None:
+            return None
+        count = max(self.rejections, self.latest_job.rejections + 2)
+        return replace(self.rejection, count=count)
+
+    def note_job(self, offset: int, job: Job) -> None:
+        """Apply a job record that is newer than those before."""
+        self.latest_job, self.job_offset = job, offset
+        if self.job is not None:
+            if job.rejections >= self.job.rejections:
+                self.job = job
+            return
+        is_in_order = offset > self.rejection_offset
+        if job.rejections >= self.rejections if is_in_order else self.is_in_snapshot:
+            self.job = job
+
+    def note_rejection(
+        self, offset: int, rejection: Rejection, *, is_live: bool
+    ) -> None:
+        """Apply a rejection that is newer than those before.
+
+        A job that was in effect before a live rejection stays so. ``is_live`` is false
+        for the records of a snapshot.
+        """
+        self.rejection, self.rejection_offset = rejection, offset
+        if rejection.count > self.rejections:
+            self.rejections, self.raised_offset = rejection.count, offset
+        is_in_order = is_live and offset > self.job_offset
+        if not is_in_order and not self.is_in_snapshot:
+            self.job = None
+
+    def remove_rejection(self) -> None:
+        """Apply the removal of the rejection; any job record takes effect then."""
+        self.rejection, self.rejection_offset = None, -1
+        self.rejections, self.raised_offset = 0, -1
+        self.job = self.job or self.latest_job
+
 
 @dataclass(frozen=True, slots=True)
 class AppliedRecord:
@@ -111,11 +190,19 @@
         self.leader: LeaderRecord | None = None
         # Latest bid of each instance for the lead.
         self.bid_by_instance: dict[str, LeadBid] = {}
+        # The newest load report, of whichever leader.
+        self.load: LoadReport | None = None
         self.unreadable_records = 0
         self._offset_by_key: dict[str, int] = {}
 
-    def apply(self, offset: int, record: Record) -> AppliedRecord | None:
-        """Apply the record at an offset; return None if it is outdated or invalid."""
+    def apply(
+        self, offset: int, record: Record, *, is_live: bool = True
+    ) -> AppliedRecord | None:
+        """Apply the record at an offset; return None if it is outdated or invalid.
+
+        ``is_live`` is false for a record of a snapshot, which contains only the newest
+        record of each key.
+        """
         if offset <= self._offset_by_key.get(record.key, -1):
             return None
         kind = _kind_of(record.key)
@@ -127,6 +214,16 @@
         if not record.value:
             self._remove(kind, name)
             return AppliedRecord(kind, name)
+        if kind is Kind.JOB:
+            job = decode(Job, record.value)
+            if job is not None:
+                self._entry(name).note_job(offset, job)
+            return self._note_applied(kind, name, job)
+        if kind is Kind.REJECTION:
+            rejection = decode(Rejection, record.value)
+            if rejection is not None:
+                self._entry(name).note_rejection(offset, rejection, is_live=is_live)
+            return self._note_applied(kind, name, rejection)
         return self._apply_value(kind, name, record.value)
 
     def waiting_jobs(self, queue: str) -> int:
@@ -140,10 +237,6 @@
 
     def _apply_value(self, kind: Kind, name: str, value: bytes) -> AppliedRecord | None:
         match kind:
-            case Kind.JOB:
-                decoded = decode(Job, value)
-                if decoded is not None:
-                    self._entry(name).job = decoded
             case Kind.CANCELLATION:
                 cancellation = decode(Cancellation, value)
                 entry = self._entry(name)
@@ -176,6 +269,15 @@
                 decoded = decode(WaveProgress, value)
                 if decoded is not None:
                     self.begun_by_wave[name] = frozenset(decoded.begun)
+            case Kind.LOAD:
+                decoded = decode(LoadReport, value)
+                if decoded is not None:
+                    self.load = decoded
+        return self._note_applied(kind, name, decoded)
+
+    def _note_applied(
+        self, kind: Kind, name: str, decoded: object | None
+    ) -> AppliedRecord | None:
         if decoded is None:
             self.unreadable_records += 1
             return None
@@ -192,6 +294,13 @@
             entry = self.entry_by_id.get(name)
             if entry is not None and entry.is_only_cancelled:
                 del self.entry_by_id[name]
+        if kind is Kind.REJECTION and name in self.entry_by_id:
+            entry = self.entry_by_id[name]
+            entry.remove_rejection()
+            if entry == JobEntry():
+                del self.entry_by_id[name]
+        if kind is Kind.LOAD:
+            self.load = None
         if kind is Kind.PROGRESS_PART:
             job_id, number = _split_part_name(name)
             if job_id in self.entry_by_id:
