Reject jobs for lack of capacity by the load that the leader reports

Jobs were accepted however long their queue would let them wait, and then ended late or never. The rejection is recorded first, and each submission is answered by what the log contains up to its record. Without the feature there are no further reads and records.

--- /dev/null
+++ b/libs/coordinator/src/lycheeloom/coordinator/admission.py
@@ -0,0 +1,134 @@
+"""Accepts or rejects jobs by the load that the leader reports.
+
+Used only with ``Features.overload_control``; see docs/design/admission.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from lycheeloom.jobs.acceptance import excess_ms, retry_after_s
+from lycheeloom.jobs.model import Job, Queue
+from lycheeloom.jobs.records import Kind, Record, Rejection, encode, key_of
+from lycheeloom.jobs.table import JobEntry
+
+from .clock import steady_s, wall_ms
+from .decisions import Decision, Verdict
+from .replica import Replica
+
+# The leader reports every 0.25 s while a queue is overloaded, and small instances read
+# its log every 0.45 s. An older report may come from a leader that has lost its lease.
+MAX_LOAD_AGE_S = 1.5
+# An append takes up to 2 s, and most callers wait 3 s for their answer. The read after
+# an append and the time until the last append begins share the rest.
+READ_TIMEOUT_S = 0.8
+LAST_APPEND_AFTER_S = 0.2
+MAX_APPENDS = 3
+
+
+class Admission:
+    """Decides on submissions, and settles them against those at other instances.
+
+    ``record`` appends a record to the callers' log. ``is_unsettled`` returns whether
+    the record of a key may still be appended by an earlier call of this instance.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        record: Callable[[Record], Decision],
+        is_unsettled: Callable[[str], bool],
+        max_record_bytes: int,
+    ) -> None:
+        self._replica = replica
+        self._record = record
+        self._is_unsettled = is_unsettled
+        self._max_record_bytes = max_record_bytes
+
+    def submit(self, job: Job, queue: Queue | None) -> Decision:
+        """Record the job or its rejection, and answer by what the log then contains.
+
+        An append that was overtaken by records of other instances is repeated with what
+        they say. The outcome is unknown after ``MAX_APPENDS`` appends.
+        """
+        began_s = steady_s()
+        for _ in range(MAX_APPENDS):
+            entry = self._entry(job.job_id)
+            if entry.job is not None:
+                return Decision(Verdict.ACCEPTED, "known")
+            if entry.rejection is not None:
+                job = replace(
+                    job,
+                    rejections=entry.rejections,
+                    first_offered_ms=entry.rejection.first_offered_ms,
+                )
+            decision = self._decide(job, queue)
+            if decision is not None:
+                return decision
+            if steady_s() - began_s > LAST_APPEND_AFTER_S:
+                break
+        return Decision(Verdict.UNKNOWN, "overtaken by other instances")
+
+    def wait_ms(self, queue: str) -> float:
+        """Return the reported wait of a queue; 0 without a report that counts."""
+        report, leader = self._replica.table.load, self._replica.table.leader
+        read_s = self._replica.load_read_s
+        if report is None or leader is None or read_s is None:
+            return 0.0
+        if report.token != leader.token or leader.resigned:
+            return 0.0
+        if steady_s() - read_s > MAX_LOAD_AGE_S:
+            return 0.0
+        return next((load.wait_ms for load in report.queues if load.queue == queue), 0)
+
+    def _decide(self, job: Job, queue: Queue | None) -> Decision | None:
+        """Append a record and read it; None if it was overtaken and has no effect."""
+        now_ms = wall_ms()
+        wait_ms = self.wait_ms(queue.name) if queue else 0.0
+        excess = excess_ms(job, queue, wait_ms, now_ms) if queue and wait_ms else 0.0
+        if excess <= 0:
+            return self._accept(job)
+        rejection = Rejection(job.rejections + 1, job.offered_ms, int(now_ms))
+        reason = f"queue waits {wait_ms:.0f} ms, {excess:.0f} ms too long"
+        return self._reject(job, rejection, excess, reason)
+
+    def _accept(self, job: Job) -> Decision | None:
+        record = Record(key_of(Kind.JOB, job.job_id), encode(job))
+        if record.size_bytes > self._max_record_bytes:
+            return Decision(
+                Verdict.TOO_LARGE,
+                f"the record of the job has {record.size_bytes} bytes of at most "
+                f"{self._max_record_bytes}",
+            )
+        decision = self._record(record)
+        if decision.verdict is not Verdict.ACCEPTED:
+            return decision
+        if not self._replica.read_jobs_to(decision.end, READ_TIMEOUT_S):
+            return Decision(Verdict.UNKNOWN, "log not read after the append")
+        return decision if self._entry(job.job_id).job is not None else None
+
+    def _reject(
+        self, job: Job, rejection: Rejection, excess: float, reason: str
+    ) -> Decision | None:
+        record = Record(key_of(Kind.REJECTION, job.job_id), encode(rejection))
+        decision = self._record(record)
+        is_refused = decision.verdict is Verdict.NOT_ACCEPTED
+        if is_refused and self._is_unsettled(key_of(Kind.JOB, job.job_id)):
+            # The record of an earlier submission may still arrive.
+            return Decision(Verdict.UNKNOWN, decision.reason)
+        if decision.verdict is not Verdict.ACCEPTED:
+            return decision
+        if not self._replica.read_jobs_to(decision.end, READ_TIMEOUT_S):
+            return Decision(Verdict.UNKNOWN, "log not read after the append")
+        entry = self._entry(job.job_id)
+        if entry.job is not None:
+            return Decision(Verdict.ACCEPTED, "accepted before")
+        if entry.raised_offset < decision.end - 1:
+            # A record that knew as many rejections may still arrive and take effect.
+            return None
+        delay_s = retry_after_s(excess, job.job_id, rejection.count)
+        return Decision(Verdict.REJECTED, reason, delay_s)
+
+    def _entry(self, job_id: str) -> JobEntry:
+        return self._replica.table.entry_by_id.get(job_id) or JobEntry()
--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -1,6 +1,7 @@
 """Removes the records of jobs that ended longer ago than the retention time.
 
-Cancellations of jobs that were never recorded are removed after the same time.
+Cancellations of jobs that were never recorded, and rejections, are removed after the
+same time.
 """
 
 from __future__ import annotations
@@ -27,7 +28,8 @@
     """Removes the records of expired jobs while this instance leads.
 
     A job expires when it has been in a final state for ``state_retention_s`` times
-    ``RETENTION_FACTOR``, and the cancellation of an unknown job at that age.
+    ``RETENTION_FACTOR``, and the cancellation of an unknown job, or a rejection after
+    which the job was not accepted, at that age.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         A record with an empty value removes the earlier record of its key.
         """
         self._clean_cancellations()
+        self._clean_rejections()
         job_ids = self._expired_job_ids()[:MAX_JOBS_PER_ROUND]
         if not job_ids:
             return
@@ -62,6 +65,10 @@
             Record(key_of(kind, job_id), b"")
             for job_id in job_ids
             for kind in (Kind.CANCELLATION, Kind.JOB)
+        ] + [
+            Record(key_of(Kind.REJECTION, job_id), b"")
+            for job_id in job_ids
+            if self._replica.table.entry_by_id[job_id].rejection is not None
         ]
         part_keys = [
             part_key(job_id, number)
@@ -98,6 +105,38 @@
             result=result,
         )
 
+    def _clean_rejections(self) -> None:
+        """Remove expired rejections of jobs that were not accepted afterwards.
+
+        A job record without effect is removed first: it would take effect without the
+        rejection.
+        """
+        rejected_before_ms = wall_ms() - self._retention_ms
+        job_ids = [
+            job_id
+            for job_id, entry in self._replica.table.entry_by_id.items()
+            if entry.rejection is not None
+            and entry.job is None
+            and entry.rejection.at_ms < rejected_before_ms
+        ][:MAX_JOBS_PER_ROUND]
+        if not job_ids:
+            return
+        records: list[Record] = []
+        for job_id in job_ids:
+            entry = self._replica.table.entry_by_id[job_id]
+            if entry.latest_job is not None:
+                records.append(Record(key_of(Kind.JOB, job_id), b""))
+            records.append(Record(key_of(Kind.REJECTION, job_id), b""))
+            if entry.cancelled:
+                records.append(Record(key_of(Kind.CANCELLATION, job_id), b""))
+        result = self._store.append(records)
+        log_event(
+            "rejections_expired",
+            rejections=len(job_ids),
+            first=job_ids[0],
+            result=result,
+        )
+
     def _expired_job_ids(self) -> list[str]:
         finished_before_ms = wall_ms() - self._retention_ms
         # A ``finished_ms`` of 0 means that the record lacks the time of the end.
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from enum import Enum
-
 import gevent
 from gevent.event import Event
 
-from lycheeloom.jobs.model import FINAL_STATES, Job, JobState
+from lycheeloom.jobs.model import FINAL_STATES, Job, JobState, Queue
 from lycheeloom.jobs.records import Cancellation, Kind, Record, encode, key_of
 from lycheeloom.telemetry import log_event
 
 from . import metrics
+from .admission import Admission
 from .clock import steady_s, wall_ms
+from .decisions import Decision, Verdict
+from .features import NO_FEATURES, Features
 from .ports import (
     APPEND_TIMEOUT_S,
     MAX_APPEND_BYTES,
@@ -44,33 +44,14 @@
 MAX_LATE_APPEND_S = 30.0
 
 
-class Verdict(Enum):
-    """Result of a submission, cancellation or query of a job."""
-
-    ACCEPTED = "accepted"
-    # Definitely not recorded; the job will not run.
-    NOT_ACCEPTED = "not_accepted"
-    # The store did not answer; the job may run.
-    UNKNOWN = "unknown"
-    NO_SUCH_JOB = "no_such_job"
-    # The job is too large to be recorded.
-    TOO_LARGE = "too_large"
-
-
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """A verdict and its reason, for the caller and the log; the reason may be empty."""
-
-    verdict: Verdict
-    reason: str = ""
-
-
 class _PendingRecord:
     """A record to append; ``done`` is set once ``result`` is known."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
         self.result: AppendResult | None = None
+        # Offset after the record, once it is appended.
+        self.end = 0
         self.done = Event()
 
 
@@ -83,6 +64,7 @@
         replica: Replica,
         max_record_bytes: int = MAX_RECORD_BYTES,
         max_append_bytes: int = MAX_APPEND_BYTES,
+        features: Features = NO_FEATURES,
     ) -> None:
         self._store = store
         self.replica = replica
@@ -94,6 +76,11 @@
         # Until when an append of a record that is under way, or has got no answer, may
         # still be carried out, by the record's key; in the order of these times.
         self._unsettled_until_s_by_key: dict[str, float] = {}
+        self._admission = (
+            Admission(replica, self._record, self.is_unsettled, max_record_bytes)
+            if features.overload_control
+            else None
+        )
 
     def run(self) -> None:
         """Append pending records in groups, forever."""
@@ -108,8 +95,11 @@
                 # meanwhile share the next append.
                 self._append(group)
 
-    def submit(self, job: Job) -> Decision:
-        """Record a job.
+    def submit(self, job: Job, queue: Queue | None = None) -> Decision:
+        """Record a job, or reject it if its queue is overloaded.
+
+        Without ``queue``, or without ``Features.overload_control``, no job is rejected
+        for the load.
 
         A job whose id is already known is accepted without a further record, since
         callers may repeat a submission. A job that was cancelled before its submission
@@ -117,6 +107,8 @@
         """
         if self.state(job.job_id) is not None:
             return Decision(Verdict.ACCEPTED, "known")
+        if self._admission is not None:
+            return self._admission.submit(job, queue)
         record = Record(key_of(Kind.JOB, job.job_id), encode(job))
         if record.size_bytes > self._max_record_bytes:
             return Decision(
@@ -172,7 +164,7 @@
         if entry is not None and entry.job is not None:
             return entry.state
         may_run = entry is None or not entry.cancelled
-        if may_run and self._is_unsettled(key_of(Kind.JOB, job_id)):
+        if may_run and self.is_unsettled(key_of(Kind.JOB, job_id)):
             return Decision(Verdict.UNKNOWN, "submission not settled")
         return Decision(Verdict.NO_SUCH_JOB)
 
@@ -182,7 +174,7 @@
         If an earlier append of the same record had no answer, that append may still be
         carried out, so a refusal of this one leaves the outcome unknown.
         """
-        was_unsettled = self._is_unsettled(record.key)
+        was_unsettled = self.is_unsettled(record.key)
         self._note_unsettled(record.key)
         decision = self._append_and_wait(record)
         match decision.verdict:
@@ -202,7 +194,8 @@
         while until_s_by_key[oldest := next(iter(until_s_by_key))] < now_s:
             del until_s_by_key[oldest]
 
-    def _is_unsettled(self, key: str) -> bool:
+    def is_unsettled(self, key: str) -> bool:
+        """Return whether a record without a known outcome may still be appended."""
         return self._unsettled_until_s_by_key.get(key, 0.0) > steady_s()
 
     def _take_group(self) -> list[_PendingRecord]:
@@ -235,7 +228,7 @@
             metrics.DURABLE_SECONDS.observe(steady_s() - began_s)
         match pending.result:
             case Appended():
-                return Decision(Verdict.ACCEPTED)
+                return Decision(Verdict.ACCEPTED, end=pending.end)
             case NotAppended(reason=reason):
                 return Decision(Verdict.NOT_ACCEPTED, reason)
             case AppendUnknown(reason=reason):
@@ -271,8 +264,10 @@
                 )
                 break
             gevent.sleep(RETRY_PAUSE_S)
-        for pending in group:
+        for number, pending in enumerate(group, 1):
             pending.result = result
+            if isinstance(result, Appended):
+                pending.end = result.end - len(group) + number
             pending.done.set()
 
     def _append_once(self, records: list[Record]) -> AppendResult:
--- a/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/job_registry.py
@@ -94,6 +94,10 @@
         match applied.kind:
             case Kind.JOB:
                 self._open_job(applied.name)
+            case Kind.REJECTION:
+                # The removal of a rejection may put a job into effect.
+                self._open_job(applied.name)
+                return
             case Kind.CANCELLATION:
                 self._cancel_job(applied.name)
             case Kind.PROGRESS if applied.name not in self._replica.table.entry_by_id:
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -17,6 +17,15 @@
 REFUSALS = Counter(
     "lycheeloom_job_refusals", "Calls refused, by kind of reason", ["reason"]
 )
+QUEUE_WAIT = Gauge(
+    "lycheeloom_queue_wait_seconds",
+    "Time until a new job of an overloaded queue would start",
+    ["queue"],
+)
+REJECTION_CORRECTIONS = Counter(
+    "lycheeloom_rejection_corrections",
+    "Rejections corrected in the log by this process as the leader",
+)
 DURABLE_SECONDS = _histogram(
     "lycheeloom_job_durable_seconds", "Time until a submission or cancellation is kept"
 )
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -31,6 +31,8 @@
 # The leader reads more often, as task starts wait for its reads.
 LEADER_PAUSE_S = 0.015
 RETRY_PAUSE_S = 0.2
+# Pause of a caller's answer that waits for its record to be read.
+CATCH_UP_PAUSE_S = 0.02
 # The table counts as current while the last successful read is not older.
 MAX_READ_AGE_S = 2.0
 # A store whose reads have failed for longer than this is not expected to accept
@@ -38,6 +40,9 @@
 MAX_READ_FAILURE_S = 0.5
 
 
+_KINDS_OF_CALLERS = frozenset({Kind.JOB, Kind.CANCELLATION, Kind.REJECTION, Kind.BID})
+
+
 class Replica:
     """The job table of this instance, kept up to date from the logs.
 
@@ -53,6 +58,9 @@
         # When a record written by a leader was last read, or the leader's log was last
         # loaded; None before the first load.
         self.leader_seen_s: float | None = None
+        # When the newest load report was read, by the monotonic clock; None if it was
+        # found while loading the log, so that its age is not known.
+        self.load_read_s: float | None = None
         # When the last order for an instance was recorded, by the monotonic clock. The
         # wall-clock time in a record is used only if the record was found while loading
         # the log; a new record is taken to have been written when it is read.
@@ -119,6 +127,14 @@
         """Read the callers' log up to its end; return whether that succeeded."""
         return self._followers[Log.CALLERS].catch_up()
 
+    def read_jobs_to(self, offset: int, timeout_s: float) -> bool:
+        """Read the callers' log up to an offset, unless that has been done.
+
+        Returns False if that takes longer than ``timeout_s``. Calls at the same time
+        share their reads.
+        """
+        return self._followers[Log.CALLERS].catch_up_to(offset, timeout_s)
+
     def refresh_progress(self) -> None:
         """Read the leader's log up to its end, unless it has just been read.
 
@@ -153,12 +169,14 @@
                 note_failure("replica", error, offset=offset, key=record.key)
 
     def _apply_record(self, offset: int, record: Record, is_live: bool) -> None:
-        applied = self.table.apply(offset, record)
+        applied = self.table.apply(offset, record, is_live=is_live)
         if applied is None:
             return
         # Only leaders write records of the other kinds.
-        if applied.kind not in (Kind.JOB, Kind.CANCELLATION, Kind.BID):
+        if applied.kind not in _KINDS_OF_CALLERS:
             self.leader_seen_s = steady_s()
+        if applied.kind is Kind.LOAD:
+            self.load_read_s = steady_s() if is_live else None
         if applied.kind is Kind.ORDER:
             self._note_order(applied.name, is_live)
         for listener in list(self._listeners):
@@ -187,6 +205,10 @@
         self._log = log
         self._failing_since_s: float | None = None
         self._advanced = Event()
+        # Reads up to the highest offset that ``catch_up_to`` waits for.
+        self._catch_up_greenlet: gevent.Greenlet | None = None
+        self._wanted_offset = 0
+        self._wanted_until_s = 0.0
 
     @property
     def failing_for_s(self) -> float:
@@ -244,6 +266,25 @@
         """Read up to the current end of the log; return whether that succeeded."""
         return self.is_loaded and self._read(0.0)
 
+    def catch_up_to(self, offset: int, timeout_s: float) -> bool:
+        """Read up to an offset; return whether that succeeded in time."""
+        if self.next_offset >= offset:
+            return True
+        self._wanted_offset = max(self._wanted_offset, offset)
+        self._wanted_until_s = steady_s() + timeout_s
+        if self._catch_up_greenlet is None or self._catch_up_greenlet.dead:
+            self._catch_up_greenlet = gevent.spawn(
+                run_supervised, "log_catch_up", self._catch_up_to_wanted
+            )
+        return self.wait_for(offset, timeout_s)
+
+    def _catch_up_to_wanted(self) -> None:
+        while self.next_offset < self._wanted_offset:
+            if steady_s() > self._wanted_until_s:
+                return
+            if not self.catch_up() or self.next_offset < self._wanted_offset:
+                gevent.sleep(CATCH_UP_PAUSE_S)
+
     def _read(self, wait_s: float) -> bool:
         """Read up to the end of the log; return whether that succeeded.
 
--- a/libs/jobs/src/lycheeloom/jobs/acceptance.py
+++ b/libs/jobs/src/lycheeloom/jobs/acceptance.py
@@ -4,6 +4,7 @@
 
 import math
 import zlib
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 
 from .active_job import ActiveJob
@@ -48,12 +49,14 @@
     That is the waiting work of the queue, and of queues of its pool with the same or a
     higher priority, divided by the cores of the pool. Jobs that can no longer end
     within ``MAX_TARGETS`` times their target are left out, and so are services and
-    repeated jobs. A queue whose pool has no known cores is not in the result.
+    repeated jobs. An organisation counts with no more cores than its upper limit, since
+    others get the rest. A queue whose pool has no known cores is not in the result.
 
     For example, 64 waiting tasks of 1 s on 2 cores make a wait of 4,000 ms in a pool
     of 32 cores. ``now_ms`` is Unix time.
     """
-    work_by_queue: dict[str, float] = {}
+    # Work by organisation, by queue.
+    work_by_queue: dict[str, Counter[str]] = defaultdict(Counter)
     for active_job in active_jobs:
         job = active_job.job
         queue = policy.queue_by_name.get(job.queue)
@@ -61,23 +64,51 @@
             continue
         if not _is_useful(active_job, queue, now_ms):
             continue
-        work = work_by_queue.get(queue.name, 0.0)
-        work_by_queue[queue.name] = work + _waiting_core_ms(active_job)
+        work_by_queue[queue.name][job.organisation] += _waiting_core_ms(active_job)
     result: dict[str, float] = {}
     for queue in policy.queue_by_name.values():
         cores = cores_by_pool.get(queue.pool, 0.0)
         if cores <= 0:
             continue
-        work_ahead = sum(
-            work
-            for name, work in work_by_queue.items()
-            if policy.queue_by_name[name].pool == queue.pool
-            and policy.queue_by_name[name].priority <= queue.priority
-        )
-        result[queue.name] = work_ahead / cores
+        work_ahead: Counter[str] = Counter()
+        for name, work_by_organisation in work_by_queue.items():
+            other = policy.queue_by_name[name]
+            if other.pool == queue.pool and other.priority <= queue.priority:
+                work_ahead.update(work_by_organisation)
+        result[queue.name] = _wait_ms(work_ahead, policy, cores)
     return result
 
 
+def _wait_ms(
+    work_by_organisation: Mapping[str, float], policy: Policy, cores: float
+) -> float:
+    """Return the time in ms until the pool has room for a further organisation.
+
+    Organisations whose work does not end by then within their limits use their limits
+    all the time, and the others share what is left.
+    """
+    work = dict(work_by_organisation)
+    limit_by_name = {
+        name: organisation.upper_limit.cores
+        for name, organisation in policy.organisation_by_name.items()
+        if organisation.upper_limit.cores
+    }
+    while True:
+        wait_ms = sum(work.values()) / cores
+        limited = [
+            name
+            for name in work
+            if name in limit_by_name and work[name] > limit_by_name[name] * wait_ms
+        ]
+        # If their limits take up the whole pool, nothing is left for others before.
+        limits = sum(limit_by_name[name] for name in limited)
+        if not limited or limits >= cores:
+            return wait_ms
+        for name in limited:
+            del work[name]
+        cores -= limits
+
+
 def is_overloaded(queue: Queue, wait_ms: float) -> bool:
     """Return whether a job of the queue could be rejected at this wait.
 
--- a/libs/jobs/tests/test_acceptance.py
+++ b/libs/jobs/tests/test_acceptance.py
@@ -14,7 +14,16 @@
     wait_ms_by_queue,
 )
 from lycheeloom.jobs.active_job import ActiveJob
-from lycheeloom.jobs.model import EndKind, Job, Policy, Queue, Step, TaskKey
+from lycheeloom.jobs.model import (
+    EndKind,
+    Job,
+    Organisation,
+    Policy,
+    Queue,
+    Step,
+    TaskKey,
+)
+from lycheeloom.model.resources import Resources
 
 NOW_MS = 1_000_000
 # The quick lookups of the first deployment: target 1.6 x 640 ms + 600 ms = 1,624 ms.
@@ -26,8 +35,8 @@
 
 
 def make_job(number: int = 0, queue: str = "lookups", **fields) -> Job:
-    fields = {"steps": (STEP,), "accepted_ms": NOW_MS, **fields}
-    return Job(f"{number:016x}", queue, "red", "", **fields)
+    defaults = {"organisation": "red", "steps": (STEP,), "accepted_ms": NOW_MS}
+    return Job(f"{number:016x}", queue, specification="", **{**defaults, **fields})
 
 
 def lookups(count: int, **fields) -> list[ActiveJob]:
@@ -68,6 +77,21 @@
     assert waits["long"] == waits["lookups"] > 0
 
 
+def test_organisation_at_its_limit_does_not_keep_others_out():
+    """Guards against rejections while another organisation may not use what is free.
+
+    Load: 867 lookups of an organisation with a limit of a tenth of the pool.
+    """
+    limited = Organisation("red", frozenset(), 1.0, Resources(192.0, 0, 0))
+    policy = dataclasses.replace(POLICY, organisation_by_name={"red": limited})
+    jobs = lookups(867)
+    assert wait_ms_by_queue(jobs, policy, CORES, NOW_MS)["lookups"] == 0
+    # With the work of another organisation, what the limit leaves is divided.
+    jobs += lookups(100, organisation="blue")
+    waits = wait_ms_by_queue(jobs, policy, CORES, NOW_MS)
+    assert waits["lookups"] == pytest.approx(100 * 8 * 3.1 * 640 / (1_920 - 192))
+
+
 def test_done_and_running_tasks_do_not_wait():
     """Guards against a wait that stays while the work ahead is done.
 
