--- a/libs/coordinator/src/lycheeloom/coordinator/admission.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/admission.py
@@ -70,8 +70,11 @@
                 break
         return Decision(Verdict.UNKNOWN, "overtaken by other instances")
 
-    def wait_ms(self, queue: str) -> float:
-        """Return the reported wait of a queue; 0 without a report that counts."""
+    def wait_ms(self, queue: str, organisation: str) -> float:
+        """Return the reported wait of an organisation's jobs in a queue.
+
+        Returns 0 without a report that counts.
+        """
         report, leader = self._replica.table.load, self._replica.table.leader
         read_s = self._replica.load_read_s
         if report is None or leader is None or read_s is None:
@@ -80,12 +83,21 @@
             return 0.0
         if steady_s() - read_s > MAX_LOAD_AGE_S:
             return 0.0
-        return next((load.wait_ms for load in report.queues if load.queue == queue), 0)
+        return next(
+            (
+                wait.wait_ms
+                for load in report.queues
+                if load.queue == queue
+                for wait in load.organisations
+                if wait.organisation == organisation
+            ),
+            0.0,
+        )
 
     def _decide(self, job: Job, queue: Queue | None) -> Decision | None:
         """Append a record and read it; None if it was overtaken and has no effect."""
         now_ms = wall_ms()
-        wait_ms = self.wait_ms(queue.name) if queue else 0.0
+        wait_ms = self.wait_ms(queue.name, job.organisation) if queue else 0.0
         excess = excess_ms(job, queue, wait_ms, now_ms) if queue and wait_ms else 0.0
         if excess <= 0:
             return self._accept(job)
--- a/libs/coordinator/src/lycheeloom/coordinator/load_reporter.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/load_reporter.py
@@ -6,8 +6,16 @@
 
 import gevent
 
-from lycheeloom.jobs.acceptance import is_overloaded, wait_ms_by_queue
-from lycheeloom.jobs.records import Kind, LoadReport, QueueLoad, Record, encode, key_of
+from lycheeloom.jobs.acceptance import find_waits, is_overloaded
+from lycheeloom.jobs.records import (
+    Kind,
+    LoadReport,
+    OrganisationWait,
+    QueueLoad,
+    Record,
+    encode,
+    key_of,
+)
 from lycheeloom.telemetry import log_event
 
 from . import metrics
@@ -16,8 +24,8 @@
 from .inventory import Inventory
 from .ports import InstanceState
 
-# A report is a few hundred bytes; four appends a second are a small part of what the
-# store accepts.
+# A report is at most a few thousand bytes; four appends a second are a small part of
+# what the store accepts.
 REPORT_INTERVAL_S = 0.25
 
 
@@ -43,16 +51,24 @@
     def report(self) -> None:
         """Write a report if a queue is overloaded or was in the last report."""
         policy = self._dispatcher.view.policy
-        waits = wait_ms_by_queue(
+        waits = find_waits(
             self._dispatcher.active_job_by_id.values(),
             policy,
             self.cores_by_pool(),
             wall_ms(),
         )
         loads = tuple(
-            QueueLoad(name, int(wait_ms))
-            for name, wait_ms in sorted(waits.items())
-            if is_overloaded(policy.queue_by_name[name], wait_ms)
+            QueueLoad(
+                name,
+                int(wait.total_ms),
+                tuple(
+                    OrganisationWait(organisation, int(wait_ms))
+                    for organisation, wait_ms in wait.wait_ms_by_organisation.items()
+                    if is_overloaded(policy.queue_by_name[name], wait_ms)
+                ),
+            )
+            for name, wait in sorted(waits.items())
+            if is_overloaded(policy.queue_by_name[name], wait.total_ms)
         )
         if not loads and not self._overloaded:
             return
@@ -103,7 +119,12 @@
         for load in loads:
             metrics.QUEUE_WAIT.labels(load.queue).set(load.wait_ms / 1000)
             if load.queue not in self._overloaded:
-                log_event("queue_overloaded", queue=load.queue, wait_ms=load.wait_ms)
+                log_event(
+                    "queue_overloaded",
+                    queue=load.queue,
+                    wait_ms=load.wait_ms,
+                    organisations=len(load.organisations),
+                )
         overloaded = frozenset(load.queue for load in loads)
         for queue in sorted(self._overloaded - overloaded):
             log_event("queue_relieved", queue=queue)
--- a/libs/coordinator/src/lycheeloom/coordinator/overload_log.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/overload_log.py
@@ -34,7 +34,7 @@
             self._logged_s_by_queue[queue] = now_s
             self._show(queue, counts)
             log_event(
-                "queue_overloaded",
+                "queue_contended",
                 queue=queue,
                 **{service.name.lower(): counts[service] for service in Service},
             )
@@ -44,7 +44,7 @@
                 continue
             del self._logged_s_by_queue[queue]
             self._show(queue, Counter())
-            log_event("queue_has_room", queue=queue)
+            log_event("queue_uncontended", queue=queue)
 
     @staticmethod
     def _show(queue: str, counts: Counter[Service]) -> None:
--- a/libs/coordinator/tests/test_admission.py
+++ b/libs/coordinator/tests/test_admission.py
@@ -23,6 +23,7 @@
     Kind,
     LeaderRecord,
     LoadReport,
+    OrganisationWait,
     QueueLoad,
     Record,
     Rejection,
@@ -79,7 +80,7 @@
 
     def report(self, wait_ms: int, token: int = TOKEN, leader: int = TOKEN) -> None:
         """Write a leader record and a report of ``queue``."""
-        queues = (QueueLoad("queue", wait_ms),) if wait_ms else ()
+        queues = make_loads(wait_ms)
         self.store.records.append(
             Record(key_of(Kind.LEADER), encode(LeaderRecord(leader, "leader")))
         )
@@ -91,7 +92,7 @@
         """Write a report and wait until all instances have read it."""
         self.report(wait_ms)
         for intake in intakes:
-            load = LoadReport(TOKEN, (QueueLoad("queue", wait_ms),) if wait_ms else ())
+            load = LoadReport(TOKEN, make_loads(wait_ms))
             wait_until(lambda i=intake, load=load: i.replica.table.load == load)
 
     def keys(self) -> str:
@@ -107,6 +108,12 @@
         self.store.append([Record(key_of(Kind.REJECTION, JOB_ID), encode(rejection))])
 
 
+def make_loads(wait_ms: int) -> tuple[QueueLoad, ...]:
+    """Return the load of ``queue`` by its only organisation, if it has to wait."""
+    waits = (OrganisationWait("red", wait_ms),)
+    return (QueueLoad("queue", wait_ms, waits),) if wait_ms else ()
+
+
 def job_record(rejections: int = 0) -> Record:
     return Record(key_of(Kind.JOB, JOB_ID), encode(new_job(rejections=rejections)))
 
--- a/libs/jobs/src/lycheeloom/jobs/acceptance.py
+++ b/libs/jobs/src/lycheeloom/jobs/acceptance.py
@@ -6,6 +6,7 @@
 import zlib
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from .active_job import ActiveJob
 from .model import Job, Policy, Queue, TaskKey
@@ -18,6 +19,8 @@
 # Load exceeds capacity for some seconds; a caller that stays away for longer than this
 # would miss the time after it.
 MAX_RETRY_S = 30
+# Stands for a weight of 0, which would have no finite share.
+MIN_WEIGHT = 1e-9
 
 
 def target_ms(queue: Queue, chain_ms: float) -> float:
@@ -38,19 +41,34 @@
     return not job.repetitions and not any(step.long_running for step in job.steps)
 
 
-def wait_ms_by_queue(
+@dataclass(frozen=True, slots=True)
+class QueueWait:
+    """Time in ms until a job that a queue accepts now would start.
+
+    ``total_ms`` is that of an organisation with most of the waiting work.
+    ``wait_ms_by_organisation`` contains the organisations with waiting work; a job of
+    any other one starts at once, as its share of the pool is not in use.
+    """
+
+    total_ms: float
+    wait_ms_by_organisation: Mapping[str, float]
+
+
+def find_waits(
     active_jobs: Iterable[ActiveJob],
     policy: Policy,
     cores_by_pool: Mapping[str, float],
     now_ms: float,
-) -> dict[str, float]:
-    """Return the time until a job that a queue accepts now would start.
+) -> dict[str, QueueWait]:
+    """Return how long new jobs wait, by queue.
 
     That is the waiting work of the queue, and of queues of its pool with the same or a
     higher priority, divided by the cores of the pool. Jobs that can no longer end
     within ``MAX_TARGETS`` times their target are left out, and so are services and
     repeated jobs. An organisation counts with no more cores than its upper limit, since
-    others get the rest. A queue whose pool has no known cores is not in the result.
+    others get the rest. The work of an organisation alone is divided by its share of
+    the pool by weight, so that those with little work do not wait for one with much. A
+    queue whose pool has no known cores is not in the result.
 
     For example, 64 waiting tasks of 1 s on 2 cores make a wait of 4,000 ms in a pool
     of 32 cores. ``now_ms`` is Unix time.
@@ -65,7 +83,7 @@
         if not _is_useful(active_job, queue, now_ms):
             continue
         work_by_queue[queue.name][job.organisation] += _waiting_core_ms(active_job)
-    result: dict[str, float] = {}
+    result: dict[str, QueueWait] = {}
     for queue in policy.queue_by_name.values():
         cores = cores_by_pool.get(queue.pool, 0.0)
         if cores <= 0:
@@ -75,10 +93,41 @@
             other = policy.queue_by_name[name]
             if other.pool == queue.pool and other.priority <= queue.priority:
                 work_ahead.update(work_by_organisation)
-        result[queue.name] = _wait_ms(work_ahead, policy, cores)
+        total_ms = _wait_ms(work_ahead, policy, cores)
+        result[queue.name] = QueueWait(
+            total_ms, _wait_ms_by_organisation(work_ahead, policy, cores, total_ms)
+        )
     return result
 
 
+def _wait_ms_by_organisation(
+    work_by_organisation: Mapping[str, float],
+    policy: Policy,
+    cores: float,
+    total_ms: float,
+) -> dict[str, float]:
+    weight_by_name = {
+        name: _weight(policy, name)
+        for name, work in work_by_organisation.items()
+        if work > 0
+    }
+    total_weight = sum(weight_by_name.values())
+    waits: dict[str, float] = {}
+    for name, weight in weight_by_name.items():
+        work = work_by_organisation[name]
+        wait_ms = min(total_ms, work / (cores * weight / total_weight))
+        organisation = policy.organisation_by_name.get(name)
+        limit = organisation.upper_limit.cores if organisation else 0.0
+        # Its limit holds also while the pool has room.
+        waits[name] = max(wait_ms, work / limit) if limit else wait_ms
+    return waits
+
+
+def _weight(policy: Policy, name: str) -> float:
+    organisation = policy.organisation_by_name.get(name)
+    return max(MIN_WEIGHT, organisation.weight if organisation else 1.0)
+
+
 def _wait_ms(
     work_by_organisation: Mapping[str, float], policy: Policy, cores: float
 ) -> float:
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -125,6 +125,13 @@
 
 struct QueueLoad {
   queue @0 :Text;
-  # Time until a job that is accepted now would start.
+  # Time until a job that is accepted now would start, behind all that waits.
+  waitMs @1 :UInt64;
+  # The same for organisations with waiting work, behind their own share of it.
+  organisations @2 :List(OrganisationWait);
+}
+
+struct OrganisationWait {
+  organisation @0 :Text;
   waitMs @1 :UInt64;
 }
--- a/libs/jobs/src/lycheeloom/jobs/overload.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload.py
@@ -48,7 +48,9 @@
     # Jobs of its size have been served less often than those of other sizes.
     is_disadvantaged: bool = False
     # Tasks of the job have started, or it returns after a rejection.
-    has_begun: bool = False
+    is_protected: bool = False
+    # Time from the first attempt of a returning job to its acceptance.
+    returned_after_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +178,7 @@
         for until_ms, key, contender in sorted(candidates):
             name = contender.organisation
             cost = (
-                contender.has_begun,
+                contender.is_protected,
                 not contender.is_above_rate,
                 contender.is_disadvantaged,
                 -contender.work,
--- a/libs/jobs/src/lycheeloom/jobs/overload_order.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -9,6 +9,7 @@
 
 from lycheeloom.model.resources import Resources
 
+from .acceptance import MAX_TARGETS, target_ms
 from .active_job import ActiveJob
 from .fleet import Fleet
 from .model import Policy, Queue
@@ -17,8 +18,6 @@
 from .step_tasks import StepTasks
 from .task_numbering import StepKey
 
-# The result of a job is of use to its caller for this many times its target duration.
-USEFUL_TARGETS = 3.0
 # A delayed job that has waited for this long is brought forward, one at a time in each
 # pool, so that every accepted job is completed.
 MAX_DELAY_S = 10.0
@@ -209,10 +208,11 @@
                         job.organisation,
                         facts.work * remaining,
                         in_time_until_ms,
-                        in_time_until_ms + (USEFUL_TARGETS - 1.0) * facts.target_ms,
+                        in_time_until_ms + (MAX_TARGETS - 1.0) * facts.target_ms,
                         is_above_rate.get(job.job_id, False),
                         is_disadvantaged,
-                        waiting_job.active_job.has_begun,
+                        waiting_job.active_job.has_begun or job.rejections > 0,
+                        job.accepted_ms - job.offered_ms,
                     )
                 )
                 is_missed = in_time_until_ms < now_ms
@@ -235,7 +235,7 @@
         chain_ms = active_job.chain_ms()
         facts = _JobFacts(
             chain_ms,
-            queue.stretch * chain_ms + queue.target_latency_ms,
+            target_ms(queue, chain_ms),
             work,
             share_by_step,
             self._sizes.group_of(job.queue, work),
@@ -312,10 +312,13 @@
 
 
 def _order(contender: Contender, service: Service) -> float:
-    """Return the order of a job among those that are served alike."""
+    """Return the order of a job among those that are served alike.
+
+    A returning job goes before jobs that came after its first attempt.
+    """
     match service:
         case Service.IN_TIME | Service.IN_TIME_ABOVE_RATE:
-            return contender.in_time_until_ms
+            return contender.in_time_until_ms - contender.returned_after_ms
         case Service.DELAYED:
             # A small job is the one that may still find room.
             return contender.work
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -171,12 +171,24 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrganisationWait:
+    """Time until a job of an organisation would start, by its share of the pool."""
+
+    organisation: str
+    wait_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class QueueLoad:
-    """Time until a job that an overloaded queue accepts now would start."""
+    """Time until a job that an overloaded queue accepts now would start.
+
+    Jobs of organisations that are not among ``organisations`` start at once.
+    """
 
     queue: str
     wait_ms: int
+    organisations: tuple[OrganisationWait, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/jobs/tests/test_acceptance.py
+++ b/libs/jobs/tests/test_acceptance.py
@@ -9,9 +9,9 @@
 from lycheeloom.jobs.acceptance import (
     MAX_RETRY_S,
     excess_ms,
+    find_waits,
     is_overloaded,
     retry_after_s,
-    wait_ms_by_queue,
 )
 from lycheeloom.jobs.active_job import ActiveJob
 from lycheeloom.jobs.model import (
@@ -43,6 +43,11 @@
     return [ActiveJob(make_job(number, **fields)) for number in range(count)]
 
 
+def wait_ms_by_queue(*load) -> dict[str, float]:
+    """Return the waits of queues for an organisation with most of the work."""
+    return {name: wait.total_ms for name, wait in find_waits(*load).items()}
+
+
 def test_overload_of_lookups_is_rejected_and_ordinary_load_is_not():
     """Guards against rejections with free capacity, and against none under overload.
 
@@ -92,6 +97,19 @@
     assert waits["lookups"] == pytest.approx(100 * 8 * 3.1 * 640 / (1_920 - 192))
 
 
+def test_flood_of_one_organisation_does_not_reject_the_others():
+    """Guards against callers turned away for what one organisation sends too much.
+
+    Load: 867 lookups of one organisation, 20 of one within its share, none of a third.
+    """
+    jobs = lookups(867) + lookups(20, organisation="blue")
+    wait = find_waits(jobs, POLICY, CORES, NOW_MS)["lookups"]
+    assert is_overloaded(LOOKUPS, wait.total_ms)
+    assert is_overloaded(LOOKUPS, wait.wait_ms_by_organisation["red"])
+    assert not is_overloaded(LOOKUPS, wait.wait_ms_by_organisation["blue"])
+    assert "green" not in wait.wait_ms_by_organisation
+
+
 def test_done_and_running_tasks_do_not_wait():
     """Guards against a wait that stays while the work ahead is done.
 
--- a/libs/jobs/tests/test_overload.py
+++ b/libs/jobs/tests/test_overload.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -71,7 +72,7 @@
     assert chosen[large.key] is Service.LATE
 
 
-@pytest.mark.parametrize("protected", ["has_begun", "is_disadvantaged"])
+@pytest.mark.parametrize("protected", ["is_protected", "is_disadvantaged"])
 def test_protected_job_is_dropped_last(protected):
     """Guards against work that is wasted, and against large jobs that starve."""
     jobs = [make_contender(n, work=1.0) for n in range(12)]
@@ -199,6 +200,23 @@
     assert sum(int(job_id, 16) < 3 for job_id in order) == 1
 
 
+def test_returning_job_is_not_put_behind_newcomers(policy):
+    """Guards against callers who come back as told and find the room given away.
+
+    Load: a job that was rejected before, larger than nine that come after it.
+    """
+    returning, *newcomers = make_jobs(0, 10, int(NOW_MS) - 100)
+    job = replace(
+        returning.job,
+        rejections=1,
+        first_offered_ms=int(NOW_MS) - 3_000,
+        steps=(Step(4, 4_000, 0, 0, 1_000),),
+    )
+    planner = make_planner(policy, 4, uses_overload_order=True)
+    order = plan_order(planner, [*newcomers, ActiveJob(job)], policy)
+    assert order.count(job.job_id) == 4
+
+
 def test_order_is_unchanged_where_all_fit(policy):
     """Guards against a changed order, and costs, while there is room for all."""
     planner = make_planner(policy, 8, uses_overload_order=True)
