Release instances after a wave only by a list that is not empty

Cause: with gentle_maintenance, instances are released in each round, also while the list of instances is empty, which says nothing about them; the former code waited for a list. The tests share the construction of the loops, and the wave beside bursts is shorter; it now fails at the first instance that is taken from a pool in its burst.

make test ARGS=libs/jobs: 82 passed. make test of test_gentle_maintenance.py, test_maintenance.py and test_metrics_page.py of libs/coordinator: 57 passed. No test shows the empty list.

--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -91,7 +91,7 @@
             ]
             if not self._dispatcher.writer.may_act:
                 continue
-            if self.gentle_waves is not None:
+            if self.gentle_waves is not None and self._inventory.instance_by_id:
                 # Also the instances of waves that have ended: they would stay excluded
                 # from moves and from later waves.
                 self._release_returned()
