Move instances to a pool ahead of load that recurs

Cause: loads of the pools take turns, and instances are moved only when work waits, so they arrive 1.5 s or more after the load has risen, and some when it has ended.

With demand_forecast, the leader learns after which other pool's load that of a pool rises, and moves instances that are switched off or idle ahead of it, from what present needs leave. A load that does not come ends its forecast, and the instances are switched off; after two failures in a row the shift has to be seen again. A pool of which the work lasts less than two moves gets no further instances. Waves count the instances of a forecast as needed. Everything is in the leader's memory.

--- a/libs/coordinator/src/lycheeloom/coordinator/gentle_waves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/gentle_waves.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
+from dataclasses import replace
 
 from lycheeloom.jobs.pool_sizes import PoolLoad, room_of
 from lycheeloom.jobs.waves import (
@@ -54,8 +56,10 @@
         # Returns whether a move of an instance has been ordered that the list of
         # instances does not show yet; set by ``PoolMoves``.
         self.is_moving: Callable[[Instance], bool] = lambda instance: False
+        # Instances that pools are expected to need shortly; set by ``PoolMoves``.
+        self.forecast_by_pool: Mapping[str, float] = {}
         self._load_by_pool: dict[str, PoolLoad] = {}
-        self._measured_s = float("-inf")
+        self._measured_s = -math.inf
         # When the wait of a pool was last logged, by wave and pool.
         self._logged_s: dict[tuple[str, str], float] = {}
         # Instances that await maintenance, by wave, and the waves that have just enough
@@ -79,7 +83,10 @@
         ``handled`` contains those of all waves.
         """
         if steady_s() - self._measured_s >= LOAD_INTERVAL_S:
-            self._load_by_pool = measure_loads(self._dispatcher, {})
+            self._load_by_pool = {
+                pool: replace(load, forecast=self.forecast_by_pool.get(pool, 0.0))
+                for pool, load in measure_loads(self._dispatcher, {}).items()
+            }
             self._measured_s = steady_s()
         candidates = [self._describe(instance) for instance in pending]
         choice = choose_gently(
@@ -188,7 +195,10 @@
         self, wave: str, held_by_pool: Mapping[str, int], left: int, time: WaveTime
     ) -> None:
         for pool, held in held_by_pool.items():
-            if steady_s() - self._logged_s.get((wave, pool), 0.0) < LOG_INTERVAL_S:
+            if (
+                steady_s() - self._logged_s.get((wave, pool), -math.inf)
+                < LOG_INTERVAL_S
+            ):
                 continue
             self._logged_s[wave, pool] = steady_s()
             load = self._load_by_pool.get(pool, PoolLoad(0, 0))
--- a/libs/coordinator/src/lycheeloom/coordinator/metrics.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/metrics.py
@@ -54,6 +54,9 @@
     "Time from choosing an instance until it is back, by what it had to get rid of",
     "kind",
 )
+DEMAND_FORECASTS = Counter(
+    "lycheeloom_demand_forecasts", "Forecasts of a pool's load, by outcome", ["outcome"]
+)
 UNEXPECTED_ERRORS = Counter(
     "lycheeloom_unexpected_errors", "Unexpected exceptions, by part", ["part"]
 )
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -10,6 +10,7 @@
 
 from lycheeloom.jobs.fleet import WorkerState
 from lycheeloom.jobs.pool_sizes import (
+    SWITCH_OFF_IDLE_S,
     Move,
     PoolInstance,
     choose_moves,
@@ -19,6 +20,7 @@
 from . import metrics
 from .clock import steady_s
 from .dispatcher import Dispatcher
+from .early_moves import EarlyMoves
 from .gentle_waves import GentleWaves
 from .inventory import Inventory
 from .order_guard import OrderGuard
@@ -58,6 +60,10 @@
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
         self._gentle_waves = gentle_waves
+        # None unless the feature is switched on.
+        self._early_moves: EarlyMoves | None = None
+        if dispatcher.features.demand_forecast:
+            self._early_moves = EarlyMoves(move_s)
         self._order_greenlets = GreenletPool(MAX_ORDERS_IN_FLIGHT)
         # Since when the workers without runs have had none, by worker id.
         self._idle_since_s_by_worker: dict[str, float] = {}
@@ -93,6 +99,7 @@
                 self._idle_s(instance.worker_id, now_s),
                 is_usable(self._dispatcher, instance),
                 self._may_move(instance.instance_id),
+                self._switch_off_idle_s(instance.instance_id, now_s),
             )
             for instance in self._inventory.instance_by_id.values()
             if instance.state is InstanceState.UP
@@ -106,6 +113,13 @@
             instances.sort(key=lambda i: gentle_waves.is_pending(i.instance_id))
         arriving = Counter(pool for pool, _ in self._moving_by_id.values())
         loads = measure_loads(self._dispatcher, arriving)
+        if self._early_moves is not None:
+            size_by_pool = Counter(i.pool for i in instances if i.is_usable)
+            loads = self._early_moves.add_forecasts(loads, size_by_pool, now_s)
+            if self._gentle_waves is not None:
+                self._gentle_waves.forecast_by_pool = {
+                    pool: load.forecast for pool, load in loads.items()
+                }
         moves = choose_moves(instances, loads, standby_pools)
         self._send_orders([move for move in moves if self._prepare(move)])
 
@@ -119,6 +133,11 @@
             return False
         return self._order_guard.may_order(instance_id)
 
+    def _switch_off_idle_s(self, instance_id: str, now_s: float) -> float:
+        if self._early_moves is None:
+            return SWITCH_OFF_IDLE_S
+        return self._early_moves.switch_off_idle_s(instance_id, now_s)
+
     def _release(self, instance_id: str) -> None:
         """Allow new tasks on an instance again if it has not moved."""
         instance = self._inventory.instance_by_id.get(instance_id)
@@ -192,6 +211,8 @@
         match reply.outcome:
             case CallOutcome.DONE | CallOutcome.UNKNOWN:
                 moving_s = self._move_s + RETRY_DELAY_S
+                if self._early_moves is not None:
+                    self._early_moves.note_move(move)
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
             case _ if state is not None:
--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -25,6 +25,8 @@
 PACKING_FRACTION = 0.85
 # Fraction of a pool that must be free after an instance is taken away.
 MIN_FREE_FRACTION = 0.25
+# Reason of the moves to a pool of which the load is expected to rise.
+FORECAST_REASON = "forecast"
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,8 @@
     idle_s: float
     is_usable: bool = True
     may_move: bool = True
+    # Idle time after which the instance is switched off.
+    switch_off_idle_s: float = SWITCH_OFF_IDLE_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +65,10 @@
     long_running_use: float = 0.0
     # Work submitted per second, as measured by ``PoolDemand``.
     offered_load: float = 0.0
+    # Instances that the pool is expected to need shortly; 0 without a forecast.
+    forecast: float = 0.0
+    # The work of the pool lasts long enough for further instances to pay off.
+    keeps_instances: bool = True
 
     @property
     def instances_to_keep_up(self) -> float:
@@ -83,6 +91,20 @@
     size: int
 
 
+def keeps_instances(
+    load: PoolLoad, size: int, remaining_s: float | None, move_s: float
+) -> bool:
+    """Return whether a pool would keep a further instance for longer than its move.
+
+    ``remaining_s`` is how long work will still be submitted at the present rate; None
+    if that is not known. The waiting work then keeps the pool busy for longer.
+    """
+    if remaining_s is None:
+        return True
+    busy_s = remaining_s + load.backlog / max(1, size + load.arriving)
+    return busy_s > 2 * move_s
+
+
 def room_of(load: PoolLoad, size: int, draining_long_running: int = 0) -> PoolRoom:
     """Return how many instances a pool of ``size`` usable instances can spare.
 
@@ -94,7 +116,7 @@
         waiting = load.backlog / BACKLOG_TARGET_S
     is_short = bool(waiting) and load.used + waiting > size * PACKING_FRACTION
     needed = max(load.used + waiting, load.instances_to_keep_up)
-    needed = max(load.min_instances, needed / (1 - MIN_FREE_FRACTION))
+    needed = max(load.min_instances, load.forecast, needed / (1 - MIN_FREE_FRACTION))
     spare = 0 if is_short else max(0, math.floor(size - needed))
     return PoolRoom(size, spare, is_short, draining_long_running)
 
@@ -163,10 +185,12 @@
 
     A pool that needs instances first gets those that are switched off, then idle
     instances of pools without waiting work. Switched-off instances are those of the
-    ``standby_pools``; idle ones go to the first of these by name.
+    ``standby_pools``; idle ones go to the first of these by name. What present needs
+    leave goes to pools that are expected to need it.
     """
     movable = _MovableInstances(instances, load_by_pool, standby_pools)
     moves = _moves_into_pools(movable)
+    moves += _moves_by_forecast(movable, moves)
     if standby_pools:
         moves += _moves_to_standby(movable, instances, sorted(standby_pools)[0])
     return moves
@@ -204,28 +228,32 @@
     def load_of(self, pool: str) -> PoolLoad:
         return self.load_by_pool.get(pool, PoolLoad(0, 0))
 
-    def take_instance(self) -> PoolInstance | None:
+    def take_instance(self, is_forecast: bool = False) -> PoolInstance | None:
         """Take an instance that is switched off or, if there is none, an idle one.
 
-        Returns None if no pool can spare an instance.
+        Returns None if no pool can spare an instance. With ``is_forecast``, pools keep
+        what their own forecasts need; a present need goes before these.
         """
         if self._standby:
             return self._standby.pop(0)
         for instance in self.idle:
-            if self.release(instance):
+            if self.release(instance, keeps_forecast=is_forecast):
                 self.idle.remove(instance)
                 return instance
         return None
 
-    def release(self, instance: PoolInstance) -> bool:
+    def release(self, instance: PoolInstance, keeps_forecast: bool = True) -> bool:
         """Subtract an instance from the size of its pool.
 
-        Returns False, without a change, if the pool needs the instance.
+        Returns False, without a change, if the pool needs the instance, or is expected
+        to need it and ``keeps_forecast`` is set.
         """
         pool = instance.pool
         load = self.load_of(pool)
         remaining_size = self.size_by_pool[pool] - 1
         used = max(load.used, load.instances_to_keep_up)
+        if keeps_forecast and remaining_size < load.forecast:
+            return False
         if remaining_size < load.min_instances or used > remaining_size * (
             1 - MIN_FREE_FRACTION
         ):
@@ -251,11 +279,32 @@
     return moves
 
 
+def _moves_by_forecast(
+    movable: _MovableInstances, present_moves: Collection[Move]
+) -> list[Move]:
+    """Return moves for expected needs, from what is left after ``present_moves``."""
+    chosen = Counter(move.pool for move in present_moves)
+    moves: list[Move] = []
+    for pool, load in movable.load_by_pool.items():
+        size = movable.size_by_pool[pool]
+        missing = math.ceil(load.forecast) - size - load.arriving - chosen[pool]
+        if pool in movable.standby_pools:
+            continue
+        for _ in range(max(0, missing)):
+            source = movable.take_instance(is_forecast=True)
+            if source is None:
+                return moves
+            moves.append(Move(source.instance_id, pool, FORECAST_REASON, load, size))
+    return moves
+
+
 def _missing_instances(load: PoolLoad, size: int) -> int:
     """Return how many more instances a pool of ``size`` instances needs.
 
     Instances that are already moving to the pool are not subtracted.
     """
+    if not load.keeps_instances:
+        return load.min_instances - size
     missing = max(load.min_instances, math.ceil(load.instances_to_keep_up)) - size
     if load.backlog >= MIN_BACKLOG_INSTANCE_S:
         missing = max(missing, math.ceil(load.backlog / BACKLOG_TARGET_S))
@@ -274,7 +323,7 @@
     ]
     moves: list[Move] = []
     for instance in (*movable.idle, *unusable):
-        if instance.idle_s < SWITCH_OFF_IDLE_S:
+        if instance.idle_s < instance.switch_off_idle_s:
             continue
         pool = instance.pool
         size = movable.size_by_pool[pool]
