--- a/libs/entry/src/lycheeloom/entry/http_server.py
+++ b/libs/entry/src/lycheeloom/entry/http_server.py
@@ -103,7 +103,7 @@
         self.accounts.close(number)
         handler = self._handler_by_number.pop(number)
         self.note_refused(reason)
-        handler.drop()
+        handler.drop(reason)
 
     def _log_refused(self) -> None:
         counts = dict(sorted(self._unlogged.items()))
@@ -123,6 +123,8 @@
     # No request has begun to arrive since the last response.
     _is_waiting = True
     _number = 0
+    # Which bound the connection was dropped for.
+    _drop_reason = ""
 
     def __init__(self, sock: socket.socket, address: Any, server: HttpServer) -> None:
         # The reader buffers; ``rfile`` has the head, then nothing.
@@ -152,7 +154,7 @@
         """
         if self._reader.is_dropped:
             # Was the newest one when no other connection could be dropped.
-            self._send_refusal(503, "too many clients")
+            self._send_refusal(503, self._drop_reason)
             return None
         try:
             self._receive_request()
@@ -163,10 +165,10 @@
             return None
         except ConnectionEndedError:
             if self._reader.is_dropped and not self._is_waiting:
-                self._send_refusal(503, "too many clients")
+                self._send_refusal(503, self._drop_reason)
             return None
         if not self._clients.accounts.hand_over(self._number, time.monotonic()):
-            self._send_refusal(503, "too many clients")
+            self._send_refusal(503, self._drop_reason)
             return None
         self.application = self.server.application
         self.socket.settimeout(self._clients.limits.answer_s)
@@ -178,13 +180,15 @@
             return None
         return True
 
-    def drop(self) -> None:
+    def drop(self, reason: str) -> None:
         """End the connection, whose request was not handed to the application.
 
         The greenlet of the connection wakes, answers with 503 if a request has begun
         to arrive, and closes it.
         """
-        self._is_waiting = self._is_waiting and not self._reader.has_data
+        self._drop_reason = reason
+        has_data = self._reader.has_data or self._has_unread_data()
+        self._is_waiting = self._is_waiting and not has_data
         self._reader.drop()
         self._shut_reading()
 
@@ -192,13 +196,19 @@
         """End the connection unless a request has arrived on it."""
         if not self.is_idle or self.__dict__.get("socket") is None:
             return
-        poll = _poll()
-        poll.register(self.socket.fileno(), _POLLIN)
-        if poll.poll(0):
+        if self._has_unread_data():
             # The greenlet of the connection is about to read a request.
             return
         self._shut_reading()
 
+    def _has_unread_data(self) -> bool:
+        sock = self.__dict__.get("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = _poll()
+        poll.register(sock.fileno(), _POLLIN)
+        return bool(poll.poll(0))
+
     def _shut_reading(self) -> None:
         try:
             self.socket.shutdown(socket.SHUT_RD)
--- a/libs/entry/tests/test_http_server.py
+++ b/libs/entry/tests/test_http_server.py
@@ -223,6 +223,20 @@
     assert caller.recv(4096).startswith(b"HTTP/1.1 200 ")
 
 
+def test_request_that_arrives_as_its_connection_is_dropped_is_refused(slow_server):
+    """A request that is in the socket must get a refusal, not a broken connection."""
+    slow_server.server.clients.accounts.limits = ClientLimits(connections=1)
+    sock = slow_server.connect()
+    gevent.sleep(0.05)
+    sock.sendall(REQUEST)
+    # Drops the other connection before the server has read from it.
+    guard = slow_server.server.clients
+    (handler,) = slow_server.server.handlers
+    guard._drop(handler._number, "connections")
+    assert b'"reason": "connections"' in read_all(sock)
+    assert slow_server.calls_begun == 0
+
+
 def test_part_of_a_request_line_does_not_hold_up_a_stop(slow_server):
     """A client that has sent no complete line must not keep the process from ending."""
     sock = slow_server.connect()
