Give tasks again to instances that are emptied in vain

An instance that went down while it was being emptied was forgotten without ending its exclusion. Its worker may restart under the same id and keeps the exclusion then, so that no part of the leader ever ended it.

An instance that was not empty after 3 s was chosen again in the next round, 0.25 s later: with tasks of 20 s that are estimated at 1 s, four of twelve instances got no tasks for 18.5 of 20 s, and none moved. It is now left alone for 12 s.

--- a/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
@@ -23,18 +23,32 @@
 # An instance is not given away again within this time after its pool has got it: a
 # shorter stay does not pay for a move.
 MIN_STAY_S = 1.5
+# An instance that did not become empty in time is not emptied again for this long. Its
+# tasks take longer than estimated, and while it is emptied its free room is lost.
+RETRY_DELAY_S = 4 * MAX_EMPTYING_S
 
 
 class PoolDonations:
     """Chooses busy instances to be moved between pools that are all short of room.
 
     ``find_state`` returns the state of the worker on an instance, if there is any.
+    ``is_in_maintenance`` returns whether an instance, given by its id, is being drained
+    or maintained.
     """
 
-    def __init__(self, find_state: Callable[[Instance], WorkerState | None]) -> None:
+    def __init__(
+        self,
+        find_state: Callable[[Instance], WorkerState | None],
+        is_in_maintenance: Callable[[str], bool],
+    ) -> None:
         self._find_state = find_state
+        self._is_in_maintenance = is_in_maintenance
         # Since when instances are being emptied, by id.
         self._emptying_since_s: dict[str, float] = {}
+        # These instances, as they were when they were chosen.
+        self._emptied_by_id: dict[str, Instance] = {}
+        # Until when instances that did not become empty are not chosen, by id.
+        self._retry_at_s: dict[str, float] = {}
         # When instances were first seen in their pool, by id and pool.
         self._seen_since_s: dict[tuple[str, str], float] = {}
 
@@ -108,22 +122,28 @@
         is_empty = state is None or not state.run_by_task
         if not is_empty and now_s - since_s < MAX_EMPTYING_S:
             return None
+        if not is_empty:
+            self._retry_at_s[instance.instance_id] = now_s + RETRY_DELAY_S
         pool = neediest_pool(claims, total) if is_empty else None
         if pool is None or pool == instance.pool:
             self._keep(instance)
             return None
-        del self._emptying_since_s[instance.instance_id]
+        self._forget(instance.instance_id)
         load = load_by_pool[pool]
         size = next(claim.size for claim in claims if claim.pool == pool)
         return Move(instance.instance_id, pool, "pool below its share", load, size)
 
     def _keep(self, instance: Instance) -> None:
         """Stop emptying an instance; its worker may get tasks again."""
-        del self._emptying_since_s[instance.instance_id]
+        self._forget(instance.instance_id)
         state = self._find_state(instance)
         if state is not None:
             state.is_cordoned = False
 
+    def _forget(self, instance_id: str) -> None:
+        del self._emptying_since_s[instance_id]
+        del self._emptied_by_id[instance_id]
+
     def _begin(
         self,
         staying: Collection[Instance],
@@ -147,6 +167,7 @@
                 continue
             state.is_cordoned = True
             self._emptying_since_s[instance_id] = now_s
+            self._emptied_by_id[instance_id] = instance
             metrics.INSTANCES_EMPTIED.labels(instance.pool).inc()
         if len(chosen) > emptying:
             log_event(
@@ -163,6 +184,8 @@
         seen_s = self._seen_since_s.get((instance.instance_id, instance.pool), now_s)
         if state is None or now_s - seen_s < MIN_STAY_S:
             return None
+        if now_s < self._retry_at_s.get(instance.instance_id, 0.0):
+            return None
         if state.is_cordoned or state.worker.draining or not state.has_current_lists:
             return None
         if any(run.step.long_running for run in state.run_by_task.values()):
@@ -177,8 +200,18 @@
         keys = {(i.instance_id, i.pool) for i in available}
         self._seen_since_s = {key: self._seen_since_s.get(key, now_s) for key in keys}
         for instance_id in set(self._emptying_since_s) - {key[0] for key in keys}:
-            # It is down, or in maintenance, which decides when it gets tasks again.
-            del self._emptying_since_s[instance_id]
+            if self._is_in_maintenance(instance_id):
+                # Maintenance decides when it gets tasks again.
+                self._forget(instance_id)
+                continue
+            # It is down. Its worker may come back under the same id, and would stay
+            # excluded from tasks.
+            self._keep(self._emptied_by_id[instance_id])
+        self._retry_at_s = {
+            instance_id: retry_at_s
+            for instance_id, retry_at_s in self._retry_at_s.items()
+            if now_s < retry_at_s
+        }
 
     @staticmethod
     def _claims(
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -61,7 +61,7 @@
         self._port = port
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
-        self._donations = PoolDonations(self._state_of_instance)
+        self._donations = PoolDonations(self._state_of_instance, is_in_maintenance)
         self._gentle_waves = gentle_waves
         # None unless the feature is switched on.
         self._early_moves: EarlyMoves | None = None
--- a/libs/coordinator/tests/test_pool_donations.py
+++ b/libs/coordinator/tests/test_pool_donations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
 from lycheeloom.coordinator.pool_donations import (
@@ -35,8 +37,10 @@
                 Instance(f"m{number}", pool, InstanceState.UP, "zone", f"w{number}")
             )
             self.add_run(number, Step(1, 4_000, estimated_ms=1_000))
+        self.maintained_ids: set[str] = set()
         self.donations = PoolDonations(
-            lambda instance: self.fleet.state_by_id.get(instance.worker_id)
+            lambda instance: self.fleet.state_by_id.get(instance.worker_id),
+            lambda instance_id: instance_id in self.maintained_ids,
         )
 
     def add_run(self, number: int, step: Step) -> None:
@@ -132,3 +136,42 @@
     all_ids = [instance.instance_id for instance in setting.instances]
     setting.choose(MIN_STAY_S + 0.25, unmovable_ids=all_ids)
     assert setting.emptying == set()
+
+
+def test_instance_that_was_down_gets_tasks_again(setting):
+    """Guards against an instance without tasks that no part of the leader handles.
+
+    A worker that restarts under its id stays excluded from tasks until somebody ends
+    this.
+    """
+    setting.choose(MIN_STAY_S)
+    lost_id = sorted(setting.emptying)[0]
+    instance = next(i for i in setting.instances if i.worker_id == lost_id)
+    setting.instances.remove(instance)
+    setting.choose(MIN_STAY_S + 0.25)
+    assert not setting.is_cordoned(lost_id)
+
+
+def test_instance_in_maintenance_gets_no_tasks(setting):
+    """Guards against tasks on an instance that maintenance has taken over."""
+    setting.choose(MIN_STAY_S)
+    drained_id = sorted(setting.emptying)[0]
+    instance = next(i for i in setting.instances if i.worker_id == drained_id)
+    setting.instances.remove(instance)
+    setting.maintained_ids.add(instance.instance_id)
+    setting.choose(MIN_STAY_S + 0.25)
+    assert not setting.donations.handles(instance.instance_id)
+    assert setting.is_cordoned(drained_id)
+
+
+def test_instance_that_does_not_become_empty_is_not_emptied_all_the_time(setting):
+    """Guards against a pool that loses its free room to instances that never move.
+
+    Load: tasks that run for 20 s, although they are estimated at 1 s.
+    """
+    emptied_s: Counter[str] = Counter()
+    for tick in range(80):
+        setting.choose(MIN_STAY_S + tick * 0.25)
+        emptied_s.update(dict.fromkeys(setting.emptying, 0.25))
+    # Twice in these 20 s, at the beginning and after the delay.
+    assert 0 < max(emptied_s.values()) <= 2 * (MAX_EMPTYING_S + 0.25)
