Keep maintenance from ordering instances with a move order under way

An instance counted as moving only from the reply to its order on. While the order was recorded and sent, a wave could choose the same instance and send its own order. Besides, a refused move gave tasks again to an instance that maintenance had begun to drain meanwhile.

Both tests failed before.

--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -216,6 +216,10 @@
         """Record and send the orders; moves that cannot be recorded are given up."""
         if not moves:
             return
+        # While the orders are recorded and sent, maintenance must not choose these
+        # instances.
+        for move in moves:
+            self._note_moving(move, "", RETRY_DELAY_S)
         if not self._order_guard.record([move.instance_id for move in moves]):
             log_event("moves_given_up", level="WARNING", moves=len(moves))
             for move in moves:
@@ -256,10 +260,15 @@
                     self._early_moves.note_move(move)
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
-            case _ if state is not None:
+            case _ if state is not None and not self._is_in_maintenance(
+                move.instance_id
+            ):
                 # The order had no effect.
                 state.is_cordoned = False
         target_pool = move.pool if reply.outcome is CallOutcome.DONE else ""
+        self._note_moving(move, target_pool, moving_s)
+
+    def _note_moving(self, move: Move, target_pool: str, moving_s: float) -> None:
         self._moving_by_id[move.instance_id] = (target_pool, steady_s() + moving_s)
 
     def _state_of(self, move: Move) -> WorkerState | None:
--- a/libs/coordinator/tests/test_gentle_maintenance.py
+++ b/libs/coordinator/tests/test_gentle_maintenance.py
@@ -29,6 +29,7 @@
     InstanceState,
 )
 from lycheeloom.jobs.model import Pool, Step
+from lycheeloom.jobs.pool_sizes import Move, PoolLoad
 
 LIMIT = 2
 
@@ -236,3 +237,46 @@
     start_moves(cluster, instances, dispatcher, 30.0, maintenance)
     wait_until(lambda: len(instances.moves) >= len(moved))
     assert {instance_id for instance_id, _ in instances.moves} == moved
+
+
+class SlowMoves(StandbyInstances):
+    """Fake instances on which a move order gets no answer during a test."""
+
+    def move(self, instance_id, pool, token):
+        self.moves.append((instance_id, pool))
+        gevent.sleep(60.0)
+        return CallReply(CallOutcome.REFUSED)
+
+
+def test_instance_with_a_move_order_under_way_is_not_chosen(cluster):
+    """A wave must not order an instance while a move order for it has no answer."""
+    add_standby_pool(cluster)
+    cluster.store.add_job(make_job(JOB_ID, Step(4, 5000, estimated_ms=2_000)))
+    instances = SlowMoves(cluster, [8])
+    order_by_wave: dict[str, WaveOrder] = {}
+    dispatcher, maintenance = start_waves(cluster, instances, order_by_wave)
+    start_moves(cluster, instances, dispatcher, 0.2, maintenance)
+    wait_until(lambda: instances.moves)
+    order_by_wave["1"] = make_order("1", "8")
+    wait_until(lambda: ("1", "running") in cluster.store.wave_states)
+    gevent.sleep(0.5)
+    assert instances.maintained == []
+
+
+def test_refused_move_gives_no_tasks_to_an_instance_in_maintenance(cluster, instances):
+    """An instance that is drained must get no tasks when a move order is refused."""
+    dispatcher = cluster.start_leader()
+    maintained_ids: set[str] = set()
+    moves = PoolMoves(
+        *make_ports(cluster, instances, dispatcher),
+        lambda instance_id: instance_id in maintained_ids,
+        0.2,
+    )
+    wait_until(lambda: "w0" in dispatcher.fleet.state_by_id)
+    wait_until(lambda: moves._inventory.instance_by_id)
+    state = dispatcher.fleet.state_by_id["w0"]
+    move = Move("m-w0", "other", "idle", PoolLoad(0.0, 0.0), 2)
+    assert moves._prepare(move)
+    maintained_ids.add("m-w0")
+    moves._note_reply(move, CallReply(CallOutcome.REFUSED))
+    assert state.is_cordoned
