Open the left-out steps of a job once others have started

The result of startable_steps was also kept while steps of the job were left out because too many had not started. A restored job with 100 such steps then did not open the others until a task ended or all tasks of a step had started, which may never happen with long-running tasks. The result is now kept only once nothing is left out.

--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -111,7 +111,7 @@
             )
             unstarted += len(opened)
             startable += opened
-        if not self.job.repetitions:
+        if not self.job.repetitions and not self.unopened_occurrences(now_ms):
             self._startable = startable
         return startable
 
--- a/libs/jobs/tests/test_active_job.py
+++ b/libs/jobs/tests/test_active_job.py
@@ -205,6 +205,25 @@
     assert len(encode(active_job.progress())) < 200
 
 
+def test_steps_that_were_left_out_are_opened_once_others_start():
+    """Guards against steps that never start since an earlier result is kept.
+
+    The job is restored with so many steps that were begun before that the others are
+    left out at first. The second task of each step has no room.
+    """
+    steps = (Step(2, 500, checkpointing=True),) * (MAX_UNSTARTED_STEPS + 1)
+    job = Job("c" * 16, "queue", "red", "text", steps)
+    former = ActiveJob(job)
+    former.startable_steps(1.0)
+    for number in range(MAX_UNSTARTED_STEPS):
+        former.note_end(TaskKey(job.job_id, 0, number, 0), 1, EndKind.STOPPED, "point")
+    active_job = ActiveJob(job, former.progress())
+    assert len(active_job.startable_steps(1.0)) == MAX_UNSTARTED_STEPS
+    for number in range(MAX_UNSTARTED_STEPS):
+        active_job.take(TaskKey(job.job_id, 0, number, 0))
+    assert len(active_job.startable_steps(1.0)) == MAX_UNSTARTED_STEPS + 1
+
+
 class ActiveJobMachine(RuleBasedStateMachine):
     """Lets runs of a job end in any order and kind, with changes of leader in between.
 
