Count gangs that start in time as served

Only the late ones were counted, so that jobs of a size with gangs always looked disadvantaged and were dropped last. The test failed before.

--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -239,7 +239,7 @@
         if not states:
             return []
         if step.gang:
-            return self._plan_gang(ranked, policy, states, reservations)
+            return self._plan_gang(ranked, policy, states, now_ms, reservations)
         starts = []
         counts: Counter[str] = Counter()
         if step.max_per_worker:
@@ -262,8 +262,7 @@
                     unplaceable_need_by_pool[pool] = step.reservation
                 break
             counts[state.worker.worker_id] += 1
-            if self.overload_order is not None and not ranked.active_job.has_begun:
-                self.overload_order.note_start(ranked.active_job, now_ms)
+            self._note_start(ranked.active_job, now_ms)
             starts.append(
                 self._start(ranked, task, state, ranked.active_job.take(task))
             )
@@ -275,6 +274,7 @@
         ranked: _RankedStep,
         policy: Policy,
         states: list[WorkerState],
+        now_ms: float,
         reservations: _Reservations,
     ) -> list[Start]:
         """Return the starts of all tasks of a gang, or none if not all can start."""
@@ -287,6 +287,7 @@
         choice = choose_gang(states, step, sorted(ranked.step_tasks.waiting))
         if choice is None:
             return []
+        self._note_start(active_job, now_ms)
         # All runs of a gang have the same number.
         run = active_job.next_run()
         starts = []
@@ -297,6 +298,10 @@
             reservations.add(organisation, step, state)
         return starts
 
+    def _note_start(self, active_job: ActiveJob, now_ms: float) -> None:
+        if self.overload_order is not None and not active_job.has_begun:
+            self.overload_order.note_start(active_job, now_ms)
+
     def _start(
         self, ranked: _RankedStep, task: TaskKey, state: WorkerState, run: int
     ) -> Start:
--- a/libs/jobs/tests/test_overload.py
+++ b/libs/jobs/tests/test_overload.py
@@ -200,6 +200,16 @@
     assert sum(int(job_id, 16) < 3 for job_id in order) == 1
 
 
+def test_gang_that_starts_in_time_counts_as_served(policy):
+    """Guards against gangs that are always preferred, as only late ones are counted."""
+    (active_job,) = make_jobs(0, 1, int(NOW_MS))
+    gang = Step(2, 4_000, estimated_ms=1_000, gang=True)
+    active_job = ActiveJob(replace(active_job.job, steps=(gang,)))
+    planner = make_planner(policy, 2, uses_overload_order=True)
+    assert len(plan_order(planner, [active_job], policy)) == 2
+    assert planner.overload_order._sizes._counts == {("queue", 0): [1.0, 1.0]}
+
+
 def test_returning_job_is_not_put_behind_newcomers(policy):
     """Guards against callers who come back as told and find the room given away.
 
