Let delayed jobs of a full pool take turns in being brought forward

One delayed job was brought forward in each pool until it had ended. A job that cannot start (larger than a worker, organisation at its limit, queue of lower priority in a pool that is full with others) or that never ends kept all other delayed jobs from starting for good. Each job now has the place for 5 s, in each pool and priority; the next one is the one that has waited longest since its deadline or its last turn.

Besides, the room of a pool was counted in full for each priority. It is now reduced by the waiting work of higher priorities.

Three tests failed before. The fourth fails if jobs without a turn always go before those that had one.

--- a/libs/jobs/src/lycheeloom/jobs/overload.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload.py
@@ -64,11 +64,14 @@
     free: float
     task_s: float
     used_by_organisation: Mapping[str, float]
+    # Waiting work that goes first, in instance-seconds.
+    preceding_work: float = 0.0
 
     def startable_work(self, until_ms: float, now_ms: float) -> float:
         """Return how much work can start until a time, in instance-seconds."""
         time_s = max(0.0, until_ms - now_ms) / 1000
-        return PACKING_FRACTION * (self.instances * time_s + self.free * self.task_s)
+        room = PACKING_FRACTION * (self.instances * time_s + self.free * self.task_s)
+        return max(0.0, room - self.preceding_work)
 
 
 def choose_service(
--- a/libs/jobs/src/lycheeloom/jobs/overload_order.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -19,8 +19,11 @@
 from .task_numbering import StepKey
 
 # A delayed job that has waited for this long is brought forward, one at a time in each
-# pool, so that every accepted job is completed.
+# pool and priority, so that every accepted job is completed.
 MAX_DELAY_S = 10.0
+# Another one gets its turn after this time: a job may be unable to start, for example
+# because its organisation is at its limit, or may never end.
+FORWARD_TURN_S = 5.0
 # Ranks are kept for this long, so that rounds in quick succession cost little. Jobs
 # that arrive meanwhile are ranked by their deadline.
 RANK_INTERVAL_MS = 50.0
@@ -81,8 +84,10 @@
         self._facts_by_job: dict[str, _JobFacts] = {}
         # Ids of the jobs whose outcome ``SizeGroups`` knows.
         self._settled_job_ids: set[str] = set()
-        # The delayed job that has been brought forward in each pool.
-        self._forward_job_by_pool: dict[str, str] = {}
+        # The delayed job that has been brought forward, by pool and priority.
+        self._forward_job_by_key: dict[tuple[str, int], str] = {}
+        # When jobs were last brought forward, as Unix time.
+        self._forward_ms_by_job: dict[str, float] = {}
         self._ranked_ms = -math.inf
         self._rank_by_key: dict[tuple[str, int], JobRank] = {}
         # Number of jobs by queue and service, as of the last round; full pools only.
@@ -92,9 +97,10 @@
         """Discard the state kept for a job that has ended."""
         self._facts_by_job.pop(job_id, None)
         self._settled_job_ids.discard(job_id)
-        for pool, forward_job_id in list(self._forward_job_by_pool.items()):
+        self._forward_ms_by_job.pop(job_id, None)
+        for key, forward_job_id in list(self._forward_job_by_key.items()):
             if forward_job_id == job_id:
-                del self._forward_job_by_pool[pool]
+                del self._forward_job_by_key[key]
 
     def rank(
         self,
@@ -128,7 +134,6 @@
             demand = self._demand(jobs, capacity, is_above_rate, now_ms)
             contenders = demand.contenders
             if demand.needed <= room.free:
-                self._forward_job_by_pool.pop(pool, None)
                 continue
             if demand.tasks:
                 task_s = demand.duration_ms / demand.tasks / 1000
@@ -147,7 +152,11 @@
                     rank_by_key[contender.key] = JobRank(
                         service, _order(contender, service)
                     )
-            self._bring_forward(pool, contenders, rank_by_key, now_ms)
+                self._bring_forward((pool, priority), group, rank_by_key, now_ms)
+                preceding_work = sum(contender.work for contender in group)
+                room = replace(
+                    room, preceding_work=room.preceding_work + preceding_work
+                )
         self._count(jobs_by_pool, rank_by_key)
         return rank_by_key
 
@@ -273,25 +282,36 @@
 
     def _bring_forward(
         self,
-        pool: str,
+        key: tuple[str, int],
         contenders: Iterable[Contender],
         rank_by_key: dict[tuple[str, int], JobRank],
         now_ms: float,
     ) -> None:
-        """Rank one job of a pool first that has been delayed for a long time."""
-        waiting_since_ms, oldest = min(
-            (
-                (contender.in_time_until_ms, contender.key)
-                for contender in contenders
-                if rank_by_key[contender.key].service >= Service.DELAYED
-            ),
-            default=(now_ms, None),
-        )
-        forward_job_id = self._forward_job_by_pool.get(pool)
-        if forward_job_id is None:
-            if oldest is None or now_ms - waiting_since_ms < MAX_DELAY_S * 1000:
+        """Rank one job of a pool and priority first that has been delayed for long."""
+        forward_job_id = self._forward_job_by_key.get(key, "")
+        turn_ms = now_ms - self._forward_ms_by_job.get(forward_job_id, -math.inf)
+        if not 0 <= turn_ms < FORWARD_TURN_S * 1000:
+            # The one that has waited longest since its deadline or its last turn.
+            _, forward_job_id = min(
+                (
+                    (
+                        max(
+                            contender.in_time_until_ms,
+                            self._forward_ms_by_job.get(contender.key[0], -math.inf),
+                        ),
+                        contender.key[0],
+                    )
+                    for contender in contenders
+                    if rank_by_key[contender.key].service >= Service.DELAYED
+                    and now_ms - contender.in_time_until_ms >= MAX_DELAY_S * 1000
+                ),
+                default=(now_ms, ""),
+            )
+            if not forward_job_id:
+                self._forward_job_by_key.pop(key, None)
                 return
-            forward_job_id = self._forward_job_by_pool[pool] = oldest[0]
+            self._forward_job_by_key[key] = forward_job_id
+            self._forward_ms_by_job[forward_job_id] = now_ms
         for contender in contenders:
             if contender.key[0] == forward_job_id:
                 rank_by_key[contender.key] = JobRank(Service.IN_TIME, 0.0)
--- a/libs/jobs/tests/test_overload.py
+++ b/libs/jobs/tests/test_overload.py
@@ -200,6 +200,86 @@
     assert sum(int(job_id, 16) < 3 for job_id in order) == 1
 
 
+def test_job_without_a_fitting_worker_does_not_keep_others_from_their_turn(policy):
+    """Guards against delayed jobs that never start behind one that cannot start.
+
+    Load: new jobs fill the pool in each round. The oldest job needs more than a worker
+    has, the next oldest one would fit.
+    """
+    too_large, old = make_jobs(0, 2, int(NOW_MS) - 20_000)
+    too_large = ActiveJob(
+        replace(too_large.job, steps=(Step(1, 8_000, estimated_ms=1_000),))
+    )
+    planner = make_planner(policy, 1, uses_overload_order=True)
+    for number in range(20):
+        now_ms = NOW_MS + number * 1_000.0
+        new = make_jobs(100 * (number + 1), 9, int(now_ms))
+        starts = planner.plan([too_large, old, *new], policy, (), 1.0, now_ms)
+        if starts[0].task.job_id == old.job.job_id:
+            return
+    pytest.fail("the old job has not started")
+
+
+def test_job_whose_turn_was_too_short_gets_another_one(policy):
+    """Guards against an old job that waits behind an endless row of newer ones.
+
+    Load: new jobs fill the pool in each round, and all that do not start become late.
+    The oldest job cannot start in the first 30 s.
+    """
+    (old,) = make_jobs(0, 1, int(NOW_MS) - 20_000)
+    large = ActiveJob(replace(old.job, steps=(Step(1, 8_000, estimated_ms=1_000),)))
+    planner = make_planner(policy, 1, uses_overload_order=True)
+    waiting: dict[str, ActiveJob] = {}
+    for number in range(120):
+        now_ms = NOW_MS + number * 1_000.0
+        if number == 30:
+            worker = Worker("large", 1, "pool", "", "zone", Resources(8.0, 8_000, 0))
+            planner._fleet.add_worker(worker).has_current_lists = True
+        for active_job in make_jobs(100 * (number + 1), 3, int(now_ms)):
+            waiting[active_job.job.job_id] = active_job
+        starts = planner.plan([large, *waiting.values()], policy, (), 1.0, now_ms)
+        for start in starts:
+            if start.task.job_id == old.job.job_id:
+                return
+            waiting.pop(start.task.job_id, None)
+    pytest.fail("the old job has not started again")
+
+
+def test_each_priority_brings_its_delayed_jobs_forward(policy):
+    """Guards against delayed jobs that wait behind one of a queue with low priority.
+
+    Load: urgent jobs fill the pool; the oldest job is of a less urgent queue.
+    """
+    urgent = policy.queue_by_name["queue"]
+    slow = replace(urgent, name="slow", priority=1)
+    policy = replace(policy, queue_by_name={"queue": urgent, "slow": slow})
+    oldest, old = make_jobs(0, 2, int(NOW_MS) - 20_000)
+    oldest = ActiveJob(
+        replace(oldest.job, queue="slow", accepted_ms=int(NOW_MS) - 30_000)
+    )
+    planner = make_planner(policy, 1, uses_overload_order=True)
+    new = make_jobs(100, 9, int(NOW_MS))
+    assert plan_order(planner, [oldest, old, *new], policy) == [old.job.job_id]
+
+
+def test_queue_with_low_priority_gets_the_room_that_others_leave(policy):
+    """Guards against jobs that are all late since room is counted twice.
+
+    Load: urgent jobs need all the room of the next seconds; less urgent jobs wait, too.
+    """
+    urgent = policy.queue_by_name["queue"]
+    slow = replace(urgent, name="slow", priority=1)
+    policy = replace(policy, queue_by_name={"queue": urgent, "slow": slow})
+    jobs = make_jobs(0, 40, int(NOW_MS))
+    for active_job in make_jobs(40, 5, int(NOW_MS)):
+        jobs.append(ActiveJob(replace(active_job.job, queue="slow")))
+    planner = make_planner(policy, 1, uses_overload_order=True)
+    plan_order(planner, jobs, policy)
+    counts = planner.overload_order.count_by_queue
+    assert counts["queue"][Service.IN_TIME] > 0
+    assert counts["slow"][Service.IN_TIME] == 0
+
+
 def test_gang_that_starts_in_time_counts_as_served(policy):
     """Guards against gangs that are always preferred, as only late ones are counted."""
     (active_job,) = make_jobs(0, 1, int(NOW_MS))
