Count instances that may not move when pools share room

Instances that await maintenance in a wave that is due, or for which an order of another leader may be under way, were left out of the size of their pool, while their tasks counted as its use. Their pool then looked too small and got the instances of others: of two equal pools of ten, four instances of one were emptied. The test fails if only movable instances are counted, as before.

--- a/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_donations.py
@@ -59,6 +59,7 @@
     def choose(
         self,
         available: Collection[Instance],
+        usable_ids: Collection[str],
         movable_ids: Collection[str],
         load_by_pool: Mapping[str, PoolLoad],
         priority_by_pool: Mapping[str, int],
@@ -68,8 +69,8 @@
         """Return moves of emptied instances; begin to empty further ones.
 
         ``available`` are the instances that are up, neither moving nor in maintenance,
-        including those that are being emptied. Of them, those in ``movable_ids`` may be
-        moved.
+        including those that are being emptied. Of them, tasks may start on those in
+        ``usable_ids``, and of these, those in ``movable_ids`` may be moved.
         """
         self._note_seen(available, now_s)
         for instance in available:
@@ -79,9 +80,20 @@
         candidates = [i for i in available if i.instance_id in movable_ids]
         in_service = [i for i in candidates if i.pool not in standby_pools]
         staying = [i for i in in_service if not self.handles(i.instance_id)]
-        claims = self._claims(staying, load_by_pool, priority_by_pool, standby_pools)
+        # Instances that may not be moved now serve their pools too.
+        serving = [
+            i
+            for i in available
+            if i.instance_id in usable_ids and i.pool not in standby_pools
+        ]
+        claims = self._claims(
+            [i for i in serving if not self.handles(i.instance_id)],
+            load_by_pool,
+            priority_by_pool,
+            standby_pools,
+        )
         moves = []
-        total = len(in_service) + sum(claim.arriving for claim in claims)
+        total = len(serving) + sum(claim.arriving for claim in claims)
         for instance in in_service:
             if not self.handles(instance.instance_id):
                 continue
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -146,12 +146,12 @@
         """Return moves of instances that are emptied for pools below their share."""
         moved_ids = {move.instance_id for move in moves}
         staying = [i for i in available if i.instance_id not in moved_ids]
-        movable_ids = {
+        usable_ids = {
             instance.instance_id
             for instance in staying
             if is_usable(self._dispatcher, instance)
-            and self._may_move(instance.instance_id)
         }
+        movable_ids = set(filter(self._may_move, usable_ids))
         policy = self._dispatcher.view.policy
         priority_by_pool: dict[str, int] = {}
         for active_job in self._dispatcher.active_job_by_id.values():
@@ -161,7 +161,13 @@
             known = priority_by_pool.get(queue.pool, queue.priority)
             priority_by_pool[queue.pool] = min(known, queue.priority)
         return self._donations.choose(
-            staying, movable_ids, load_by_pool, priority_by_pool, standby_pools, now_s
+            staying,
+            usable_ids,
+            movable_ids,
+            load_by_pool,
+            priority_by_pool,
+            standby_pools,
+            now_s,
         )
 
     def _is_moving(self, instance: Instance) -> bool:
--- a/libs/coordinator/tests/test_pool_donations.py
+++ b/libs/coordinator/tests/test_pool_donations.py
@@ -29,20 +29,22 @@
         self.fleet = Fleet()
         self.instances: list[Instance] = []
         for number in range(12):
-            pool = "old" if number < 10 else "new"
-            self.fleet.add_worker(
-                Worker(f"w{number}", 1, pool, "", "zone", Resources(4.0, 0, 0))
-            ).has_current_lists = True
-            self.instances.append(
-                Instance(f"m{number}", pool, InstanceState.UP, "zone", f"w{number}")
-            )
-            self.add_run(number, Step(1, 4_000, estimated_ms=1_000))
+            self.add_instance(number, "old" if number < 10 else "new")
         self.maintained_ids: set[str] = set()
         self.donations = PoolDonations(
             lambda instance: self.fleet.state_by_id.get(instance.worker_id),
             lambda instance_id: instance_id in self.maintained_ids,
         )
 
+    def add_instance(self, number: int, pool: str) -> None:
+        self.fleet.add_worker(
+            Worker(f"w{number}", 1, pool, "", "zone", Resources(4.0, 0, 0))
+        ).has_current_lists = True
+        self.instances.append(
+            Instance(f"m{number}", pool, InstanceState.UP, "zone", f"w{number}")
+        )
+        self.add_run(number, Step(1, 4_000, estimated_ms=1_000))
+
     def add_run(self, number: int, step: Step) -> None:
         task = TaskKey(f"{number:016x}", 0, 0, 0)
         run = Run(task, 1, f"w{number}", step, "red", "q", RunState.RUNNING, 0.0)
@@ -53,9 +55,10 @@
             self.fleet.remove_run(run)
 
     def choose(self, now_s: float, load_by_pool=LOAD_BY_POOL, unmovable_ids=()):
-        movable_ids = {i.instance_id for i in self.instances} - set(unmovable_ids)
+        usable_ids = {i.instance_id for i in self.instances}
+        movable_ids = usable_ids - set(unmovable_ids)
         return self.donations.choose(
-            self.instances, movable_ids, load_by_pool, {}, (), now_s
+            self.instances, usable_ids, movable_ids, load_by_pool, {}, (), now_s
         )
 
     @property
@@ -175,3 +178,18 @@
         emptied_s.update(dict.fromkeys(setting.emptying, 0.25))
     # Twice in these 20 s, at the beginning and after the delay.
     assert 0 < max(emptied_s.values()) <= 2 * (MAX_EMPTYING_S + 0.25)
+
+
+def test_instances_that_may_not_move_count_for_their_pool(setting):
+    """Guards against a pool that gets the instances of another one of the same size.
+
+    Load: two pools of ten need more than there is. Eight instances of one of them must
+    stay for a wave that has just enough time left.
+    """
+    for number in range(12, 20):
+        setting.add_instance(number, "new")
+    load_by_pool = dict.fromkeys(("old", "new"), PoolLoad(10.0, 90.0))
+    unmovable_ids = [f"m{number}" for number in range(12, 20)]
+    for now_s in (0.0, MIN_STAY_S):
+        setting.choose(now_s, load_by_pool, unmovable_ids)
+    assert setting.emptying == set()
