Release instances that come up long after a move order

An instance was released once it no longer counted as moving, but only if it was up at that time. One that was down for longer kept its worker without tasks for good if the worker came back under the same id. It is now released as soon as it is up. The test failed before.

--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -73,6 +73,8 @@
         # Target pool of a move order, and the time until which the instance counts as
         # moving; the pool is an empty string unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
+        # Instances that were not up when they ceased to count as moving.
+        self._unreleased_ids: set[str] = set()
         if gentle_waves is not None:
             gentle_waves.is_moving = self._is_moving
 
@@ -94,7 +96,9 @@
         for instance_id, (_, moving_until_s) in list(self._moving_by_id.items()):
             if now_s > moving_until_s:
                 del self._moving_by_id[instance_id]
-                self._release(instance_id)
+                self._unreleased_ids.add(instance_id)
+        for instance_id in list(self._unreleased_ids):
+            self._release(instance_id)
         available = [
             instance
             for instance in self._inventory.instance_by_id.values()
@@ -186,12 +190,17 @@
         return self._early_moves.switch_off_idle_s(instance_id, now_s)
 
     def _release(self, instance_id: str) -> None:
-        """Allow new tasks on an instance again if it has not moved."""
+        """Allow new tasks on an instance again if it is up."""
         instance = self._inventory.instance_by_id.get(instance_id)
         if instance is None or self._is_in_maintenance(instance_id):
+            self._unreleased_ids.discard(instance_id)
             return
+        if instance.state is not InstanceState.UP:
+            # Its worker may come back under the same id, still without tasks.
+            return
+        self._unreleased_ids.discard(instance_id)
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
-        if state is not None and instance.state is InstanceState.UP:
+        if state is not None:
             state.is_cordoned = False
 
     def _note_idle(self, now_s: float) -> None:
--- a/libs/coordinator/tests/test_gentle_maintenance.py
+++ b/libs/coordinator/tests/test_gentle_maintenance.py
@@ -280,3 +280,24 @@
     maintained_ids.add("m-w0")
     moves._note_reply(move, CallReply(CallOutcome.REFUSED))
     assert state.is_cordoned
+
+
+def test_instance_that_is_down_for_longer_than_a_move_gets_tasks_again(
+    cluster, instances
+):
+    """An instance must not stay without tasks when its move takes long and fails.
+
+    Its worker keeps its id, and no part of the leader handles it afterwards.
+    """
+    dispatcher = cluster.start_leader()
+    moves = start_moves(cluster, instances, dispatcher, 0.2)
+    wait_until(lambda: "w0" in dispatcher.fleet.state_by_id)
+    wait_until(lambda: moves._inventory.instance_by_id)
+    state = dispatcher.fleet.state_by_id["w0"]
+    move = Move("m-w0", "other", "idle", PoolLoad(0.0, 0.0), 2)
+    assert moves._prepare(move)
+    moves._note_reply(move, CallReply(CallOutcome.UNKNOWN))
+    instances.begin_maintenance("m-w0", 3.0)
+    wait_until(lambda: "m-w0" not in moves._moving_by_id)
+    assert state.is_cordoned
+    wait_until(lambda: not state.is_cordoned)
