Leave draining instances where they are after a failed forecast

An instance that was moved for a forecast may be switched off without idle time. An idle time of 0 also stands for tasks that may run and for a worker that is draining, which were moved too. The test failed before.

--- a/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
+++ b/libs/jobs/src/lycheeloom/jobs/pool_sizes.py
@@ -323,7 +323,8 @@
     ]
     moves: list[Move] = []
     for instance in (*movable.idle, *unusable):
-        if instance.idle_s < instance.switch_off_idle_s:
+        # Without idle time, tasks may run, or the worker is draining.
+        if not instance.idle_s or instance.idle_s < instance.switch_off_idle_s:
             continue
         pool = instance.pool
         size = movable.size_by_pool[pool]
--- a/libs/jobs/tests/test_pool_decisions.py
+++ b/libs/jobs/tests/test_pool_decisions.py
@@ -109,6 +109,16 @@
     assert [(m.instance_id, m.pool) for m in moves] == [("m2", "off")]
 
 
+def test_draining_instance_of_a_failed_forecast_is_not_moved():
+    """A worker that is draining, or may have tasks, must not be lost to a move.
+
+    Instances that were moved for a forecast are switched off without a wait if it
+    fails.
+    """
+    instance = PoolInstance("m1", "a", 0.0, is_usable=False, switch_off_idle_s=0.0)
+    assert choose_moves([instance], {"a": PoolLoad(0.5, 0.0)}, {"off"}) == []
+
+
 def test_arriving_instances_count_for_their_target_pool():
     """The same waiting work must not cause new moves in each round."""
     instances = [PoolInstance("m1", "off", 0.0), PoolInstance("m2", "a", 0.0)]
