Accept any priority when pools share room

Priorities are whole numbers of up to 2**53 in the configuration. A priority of 5,000 or -5,000 ended the loop that moves instances with a division by zero or an overflow, each time it was started again. Shares depend on the difference of priorities only. Both tests failed before.

--- a/libs/jobs/src/lycheeloom/jobs/room_sharing.py
+++ b/libs/jobs/src/lycheeloom/jobs/room_sharing.py
@@ -76,9 +76,11 @@
     left = total - sum(share_by_pool.values())
     open_claims = [claim for claim in claims if claim.needed > claim.kept]
     while left > 0 and open_claims:
-        total_weight = sum(_weight(claim) for claim in open_claims)
+        weight_by_pool = _weights(open_claims)
+        total_weight = sum(weight_by_pool.values())
         part_by_pool = {
-            claim.pool: left * _weight(claim) / total_weight for claim in open_claims
+            pool: left * weight / total_weight
+            for pool, weight in weight_by_pool.items()
         }
         satisfied = [
             claim
@@ -96,8 +98,15 @@
     return share_by_pool
 
 
-def _weight(claim: PoolClaim) -> float:
-    return PRIORITY_FACTOR**claim.priority
+def _weights(claims: Collection[PoolClaim]) -> dict[str, float]:
+    """Return the weight of each pool, 1 for the highest priority of all.
+
+    Priorities may be any whole numbers, so their powers may not fit into a float.
+    """
+    highest = min(claim.priority for claim in claims)
+    return {
+        claim.pool: PRIORITY_FACTOR ** (claim.priority - highest) for claim in claims
+    }
 
 
 def choose_donations(
--- a/libs/jobs/tests/test_room_sharing.py
+++ b/libs/jobs/tests/test_room_sharing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from lycheeloom.jobs.demand import FAST_RATE_JOBS, PoolDemand
 from lycheeloom.jobs.model import Job, Step
 from lycheeloom.jobs.room_sharing import (
@@ -42,6 +44,17 @@
     assert shares == {"a": 80.0, "b": 20.0}
 
 
+@pytest.mark.parametrize("priority", [-5_000, 5_000])
+def test_priorities_of_any_size_have_shares(priority):
+    """Guards against a leader that stops moving instances at an unusual priority."""
+    claims = [
+        PoolClaim("a", 90.0, 50, priority=priority),
+        PoolClaim("b", 90.0, 50, priority=priority + 1),
+    ]
+    shares = share_instances(claims, 92)
+    assert shares == {"a": pytest.approx(61.0), "b": pytest.approx(31.0)}
+
+
 def test_instances_with_least_work_are_emptied_and_no_more_than_are_lacking():
     """Guards against instances that wait long for their tasks, and against too many.
 
