Drop old jobs of pools that are not measured

Jobs older than the window were dropped only when the need of their pool was asked for, which does not happen for a pool without workers. Each of its jobs stayed in the memory of the leader. The test failed before.

--- a/libs/jobs/src/lycheeloom/jobs/demand.py
+++ b/libs/jobs/src/lycheeloom/jobs/demand.py
@@ -33,13 +33,15 @@
 
     def note(self, pool: str, job: Job, now_s: float) -> None:
         """Record a job that has just been accepted."""
-        self._recent_jobs_by_pool[pool].append((now_s, job))
+        recent = self._recent_jobs_by_pool[pool]
+        recent.append((now_s, job))
+        # A pool without workers is not measured.
+        _drop_old(recent, now_s)
 
     def needed_instances(self, pool: str, capacity: Resources, now_s: float) -> float:
         """Return the work submitted to a pool, in instance-seconds per second."""
         recent = self._recent_jobs_by_pool[pool]
-        while recent and recent[0][0] < now_s - RATE_WINDOW_S:
-            recent.popleft()
+        _drop_old(recent, now_s)
         rate = sum(_instance_s(job, capacity) for _, job in recent) / RATE_WINDOW_S
         if not self._measures_fast or len(recent) < FAST_RATE_JOBS:
             return rate
@@ -48,6 +50,11 @@
         return max(rate, fast / (now_s - since_s))
 
 
+def _drop_old(recent: deque[tuple[float, Job]], now_s: float) -> None:
+    while recent and recent[0][0] < now_s - RATE_WINDOW_S:
+        recent.popleft()
+
+
 def _instance_s(job: Job, capacity: Resources) -> float:
     """Return the time for which a job's tasks would fill one instance.
 
--- a/libs/jobs/tests/test_demand.py
+++ b/libs/jobs/tests/test_demand.py
@@ -75,3 +75,12 @@
     assert choose_moves(instances, busy, {"off"}) == []
     quiet = {"a": PoolLoad(0.1, 0.0)}
     assert len(choose_moves(instances, quiet, {"off"})) == 3
+
+
+def test_pool_that_is_not_measured_keeps_no_old_jobs():
+    """Guards against memory that grows with each job of a pool without workers."""
+    demand = PoolDemand()
+    job = Job("a" * 16, "queue", "red", "", (Step(1, 1_000),))
+    for number in range(1_000):
+        demand.note("pool", job, float(number))
+    assert len(demand._recent_jobs_by_pool["pool"]) < 5
