--- a/libs/jobs/src/lycheeloom/jobs/overload_order.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -166,7 +166,8 @@
         facts = self._facts_by_job.get(job.job_id)
         if facts is None or job.job_id in self._settled_job_ids:
             return
-        deadline_ms = job.accepted_ms + facts.target_ms - facts.chain_ms
+        begins_ms = max(job.accepted_ms, job.due_ms(0))
+        deadline_ms = begins_ms + facts.target_ms - facts.chain_ms
         self._settle(job.job_id, job.queue, facts, in_time=now_ms <= deadline_ms)
 
     def _settle(
--- a/libs/jobs/tests/test_overload.py
+++ b/libs/jobs/tests/test_overload.py
@@ -290,6 +290,15 @@
     assert planner.overload_order._sizes._counts == {("queue", 0): [1.0, 1.0]}
 
 
+def test_repeated_job_is_in_time_from_its_first_run_on(policy):
+    """Guards against jobs that count as late since they were submitted long before."""
+    (active_job,) = make_jobs(0, 1, int(NOW_MS) - 60_000)
+    job = replace(active_job.job, repetitions=1, first_run_ms=int(NOW_MS))
+    planner = make_planner(policy, 1, uses_overload_order=True)
+    assert plan_order(planner, [ActiveJob(job)], policy) == [job.job_id]
+    assert planner.overload_order._sizes._counts == {("queue", 0): [1.0, 1.0]}
+
+
 def test_returning_job_is_not_put_behind_newcomers(policy):
     """Guards against callers who come back as told and find the room given away.
 
