--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -61,7 +61,7 @@
         self._port = port
         self._is_in_maintenance = is_in_maintenance
         self._move_s = move_s
-        self._donations = PoolDonations(self._state_of_instance)
+        self._donations = PoolDonations(self._state_of_instance, is_in_maintenance)
         self._gentle_waves = gentle_waves
         # None unless the feature is switched on.
         self._early_moves: EarlyMoves | None = None
@@ -73,6 +73,8 @@
         # Target pool of a move order, and the time until which the instance counts as
         # moving; the pool is an empty string unless the order succeeded.
         self._moving_by_id: dict[str, tuple[str, float]] = {}
+        # Instances that were not up when they ceased to count as moving.
+        self._unreleased_ids: set[str] = set()
         if gentle_waves is not None:
             gentle_waves.is_moving = self._is_moving
 
@@ -94,7 +96,9 @@
         for instance_id, (_, moving_until_s) in list(self._moving_by_id.items()):
             if now_s > moving_until_s:
                 del self._moving_by_id[instance_id]
-                self._release(instance_id)
+                self._unreleased_ids.add(instance_id)
+        for instance_id in list(self._unreleased_ids):
+            self._release(instance_id)
         available = [
             instance
             for instance in self._inventory.instance_by_id.values()
@@ -146,12 +150,12 @@
         """Return moves of instances that are emptied for pools below their share."""
         moved_ids = {move.instance_id for move in moves}
         staying = [i for i in available if i.instance_id not in moved_ids]
-        movable_ids = {
+        usable_ids = {
             instance.instance_id
             for instance in staying
             if is_usable(self._dispatcher, instance)
-            and self._may_move(instance.instance_id)
         }
+        movable_ids = set(filter(self._may_move, usable_ids))
         policy = self._dispatcher.view.policy
         priority_by_pool: dict[str, int] = {}
         for active_job in self._dispatcher.active_job_by_id.values():
@@ -161,7 +165,13 @@
             known = priority_by_pool.get(queue.pool, queue.priority)
             priority_by_pool[queue.pool] = min(known, queue.priority)
         return self._donations.choose(
-            staying, movable_ids, load_by_pool, priority_by_pool, standby_pools, now_s
+            staying,
+            usable_ids,
+            movable_ids,
+            load_by_pool,
+            priority_by_pool,
+            standby_pools,
+            now_s,
         )
 
     def _is_moving(self, instance: Instance) -> bool:
@@ -180,12 +190,17 @@
         return self._early_moves.switch_off_idle_s(instance_id, now_s)
 
     def _release(self, instance_id: str) -> None:
-        """Allow new tasks on an instance again if it has not moved."""
+        """Allow new tasks on an instance again if it is up."""
         instance = self._inventory.instance_by_id.get(instance_id)
         if instance is None or self._is_in_maintenance(instance_id):
+            self._unreleased_ids.discard(instance_id)
             return
+        if instance.state is not InstanceState.UP:
+            # Its worker may come back under the same id, still without tasks.
+            return
+        self._unreleased_ids.discard(instance_id)
         state = self._dispatcher.fleet.state_by_id.get(instance.worker_id)
-        if state is not None and instance.state is InstanceState.UP:
+        if state is not None:
             state.is_cordoned = False
 
     def _note_idle(self, now_s: float) -> None:
@@ -216,6 +231,10 @@
         """Record and send the orders; moves that cannot be recorded are given up."""
         if not moves:
             return
+        # While the orders are recorded and sent, maintenance must not choose these
+        # instances.
+        for move in moves:
+            self._note_moving(move, "", RETRY_DELAY_S)
         if not self._order_guard.record([move.instance_id for move in moves]):
             log_event("moves_given_up", level="WARNING", moves=len(moves))
             for move in moves:
@@ -256,10 +275,15 @@
                     self._early_moves.note_move(move)
             case CallOutcome.FENCED:
                 self._dispatcher.writer.is_fenced = True
-            case _ if state is not None:
+            case _ if state is not None and not self._is_in_maintenance(
+                move.instance_id
+            ):
                 # The order had no effect.
                 state.is_cordoned = False
         target_pool = move.pool if reply.outcome is CallOutcome.DONE else ""
+        self._note_moving(move, target_pool, moving_s)
+
+    def _note_moving(self, move: Move, target_pool: str, moving_s: float) -> None:
         self._moving_by_id[move.instance_id] = (target_pool, steady_s() + moving_s)
 
     def _state_of(self, move: Move) -> WorkerState | None:
