Let other connections run while a client sends without a pause

A read of a connection does not wait while there is data, so one client kept the whole process to itself: 349,000 chunks of one byte (2.1 MB, within the limits) for 2.7 s, and 60,000 requests sent at once for 10 s.

--- a/libs/entry/src/lycheeloom/entry/request_reader.py
+++ b/libs/entry/src/lycheeloom/entry/request_reader.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 
+import gevent
 from gevent import socket
 from gevent.pywsgi import Input
 
@@ -16,6 +17,13 @@
 # Sizes of chunks, their extensions and trailers may add this many bytes to a chunked
 # body, besides as many again as the body has.
 MAX_CHUNK_FRAMING_BYTES = 16_384
+# Time for which a connection may use the processor at a time. A read does not give way
+# while there is data: 349,000 chunks of one byte kept the process for 2.7 s, and 60,000
+# requests sent at once for 10 s.
+MAX_TURN_S = 0.005
+# With 0, gevent resumes the greenlet up to 50 times before it looks for input or
+# timers.
+TURN_PAUSE_S = 0.0001
 
 
 class RequestRefusedError(Exception):
@@ -56,6 +64,8 @@
         self._taken_bytes = 0
         self._deadline_s: float | None = None
         self._late_reason = ""
+        # When this connection last waited or gave way.
+        self._turn_began_s = time.monotonic()
         # Bytes, framing included, that may be received for the present body.
         self._max_raw_bytes = 0
         self.is_dropped = False
@@ -77,6 +87,7 @@
 
     def start_request(self) -> None:
         """Forget the former request, and count what has arrived of the next one."""
+        self._give_way()
         self._taken_bytes = 0
         self._deadline_s = None
         if self._buffer:
@@ -158,7 +169,14 @@
             raise RequestRefusedError(413, "body_too_large")
         return data
 
+    def _give_way(self) -> None:
+        """Let others run if this connection has used the processor for its turn."""
+        if time.monotonic() - self._turn_began_s >= MAX_TURN_S:
+            gevent.sleep(TURN_PAUSE_S)
+            self._turn_began_s = time.monotonic()
+
     def _receive(self) -> None:
+        self._give_way()
         left_s = None
         if self._deadline_s is not None:
             # recv does not check its timeout while there is data to read.
@@ -166,6 +184,7 @@
             if left_s <= 0:
                 raise RequestRefusedError(408, self._late_reason)
         self._socket.settimeout(left_s)
+        began_s = time.monotonic()
         try:
             data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError:
@@ -174,6 +193,9 @@
             raise ConnectionEndedError from None
         if not data or self.is_dropped:
             raise ConnectionEndedError
+        now_s = time.monotonic()
+        if now_s - began_s >= MAX_TURN_S:
+            self._turn_began_s = now_s
         self._buffer += data
         self._on_received(self._taken_bytes + len(self._buffer))
         if self.is_dropped:
--- a/libs/entry/tests/test_http_server.py
+++ b/libs/entry/tests/test_http_server.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
+
 import gevent
 import pytest
 from gevent import socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from lycheeloom.entry import request_reader
 from lycheeloom.entry.client_limits import ClientLimits
 from lycheeloom.entry.http_server import ClientGuard, HttpServer
+from lycheeloom.entry.request_reader import RequestReader
 
 
 def test_connections_send_without_delay(monkeypatch):
@@ -244,3 +248,61 @@
     gevent.sleep(0.05)
     assert slow_server.server.finish_calls(10.0) == 0
     assert read_all(sock) == b""
+
+
+class TurnCounter:
+    """Counts how often another greenlet of the process gets a turn.
+
+    It waits for a timer, so it gets none if only greenlets that are ready are resumed.
+    """
+
+    def __init__(self) -> None:
+        self.turns = 0
+        self.greenlet = gevent.spawn(self._count)
+
+    def _count(self) -> None:
+        while True:
+            self.turns += 1
+            gevent.sleep(0.00001)
+
+
+@pytest.fixture
+def turn_counter(monkeypatch):
+    """A counter of turns; each connection gives way as soon as it may."""
+    monkeypatch.setattr(request_reader, "MAX_TURN_S", 0.0, raising=False)
+    counter = TurnCounter()
+    yield counter
+    counter.greenlet.kill()
+
+
+def test_requests_that_are_sent_at_once_let_others_run(turn_counter):
+    """Guards against a process that hangs while one client sends without a pause."""
+    turns = []
+
+    def answer(environ, start_response):
+        turns.append(turn_counter.turns)
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = HttpServer(("127.0.0.1", 0), answer, log=None)
+    server.start()
+    with socket.create_connection(("127.0.0.1", server.server_port)) as sock:
+        sock.sendall(REQUEST * 20)
+        while len(turns) < 20:
+            gevent.sleep(0.005)
+    server.stop(timeout=0)
+    assert all(later > earlier for earlier, later in itertools.pairwise(turns))
+
+
+def test_chunks_without_a_pause_let_others_run(turn_counter, monkeypatch):
+    """Guards against a process that hangs while it reads many small chunks."""
+    monkeypatch.setattr(request_reader, "RECEIVE_BYTES", 64)
+    turns = []
+    client, served = socket.socketpair()
+    with client, served:
+        reader = RequestReader(
+            served, ClientLimits(), lambda _: turns.append(turn_counter.turns)
+        )
+        client.sendall(b"1\r\nx\r\n" * 200 + b"0\r\n\r\n")
+        assert reader.read_chunked_body() == b"x" * 200
+    assert all(later > earlier for earlier, later in itertools.pairwise(turns))
