Record an overtaken job no more after a rejection elsewhere

If a caller loses its connection to one instance and submits the job to another one that rejects it, the first instance may still be handling its call. Its record had no effect then, but it appended a second one with the count now known, and the job ran after the 429. The same happened if the overload ended between two appends of a rejection. A job is recorded only by the first append of a call now; the answer is 504 otherwise, and a caller that is still there is accepted when it sends the job again.

test_lagging_instance_accepts_a_returning_id_with_effect demanded the second record. Three tests replace it: no further record, none after an overtaken rejection, and 200 with effect for the repeated call. All three fail without the change.

--- a/libs/coordinator/src/lycheeloom/coordinator/admission.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/admission.py
@@ -25,6 +25,7 @@
 READ_TIMEOUT_S = 0.8
 LAST_APPEND_AFTER_S = 0.2
 MAX_APPENDS = 3
+_OVERTAKEN = Decision(Verdict.UNKNOWN, "overtaken by other instances")
 
 
 class Admission:
@@ -49,11 +50,14 @@
     def submit(self, job: Job, queue: Queue | None) -> Decision:
         """Record the job or its rejection, and answer by what the log then contains.
 
-        An append that was overtaken by records of other instances is repeated with what
-        they say. The outcome is unknown after ``MAX_APPENDS`` appends.
+        A rejection that was overtaken by records of other instances is repeated with
+        what they say. A job is recorded only by the first append: after a rejection by
+        another instance, the caller may have been told that the job does not run, and
+        this call may be one that it has given up. The outcome is unknown then, and
+        after ``MAX_APPENDS`` appends.
         """
         began_s = steady_s()
-        for _ in range(MAX_APPENDS):
+        for number in range(MAX_APPENDS):
             entry = self._entry(job.job_id)
             if entry.job is not None:
                 return Decision(Verdict.ACCEPTED, "known")
@@ -63,12 +67,12 @@
                     rejections=entry.rejections,
                     first_offered_ms=entry.rejection.first_offered_ms,
                 )
-            decision = self._decide(job, queue)
+            decision = self._decide(job, queue, may_accept=number == 0)
             if decision is not None:
                 return decision
             if steady_s() - began_s > LAST_APPEND_AFTER_S:
                 break
-        return Decision(Verdict.UNKNOWN, "overtaken by other instances")
+        return _OVERTAKEN
 
     def wait_ms(self, queue: str, organisation: str) -> float:
         """Return the reported wait of an organisation's jobs in a queue.
@@ -94,18 +98,20 @@
             0.0,
         )
 
-    def _decide(self, job: Job, queue: Queue | None) -> Decision | None:
-        """Append a record and read it; None if it was overtaken and has no effect."""
+    def _decide(
+        self, job: Job, queue: Queue | None, *, may_accept: bool
+    ) -> Decision | None:
+        """Append a record and read it; None if a rejection was overtaken."""
         now_ms = wall_ms()
         wait_ms = self.wait_ms(queue.name, job.organisation) if queue else 0.0
         excess = excess_ms(job, queue, wait_ms, now_ms) if queue and wait_ms else 0.0
         if excess <= 0:
-            return self._accept(job)
+            return self._accept(job) if may_accept else _OVERTAKEN
         rejection = Rejection(job.rejections + 1, job.offered_ms, int(now_ms))
         reason = f"queue waits {wait_ms:.0f} ms, {excess:.0f} ms too long"
         return self._reject(job, rejection, excess, reason)
 
-    def _accept(self, job: Job) -> Decision | None:
+    def _accept(self, job: Job) -> Decision:
         record = Record(key_of(Kind.JOB, job.job_id), encode(job))
         if record.size_bytes > self._max_record_bytes:
             return Decision(
@@ -118,7 +124,7 @@
             return decision
         if not self._replica.read_jobs_to(decision.end, READ_TIMEOUT_S):
             return Decision(Verdict.UNKNOWN, "log not read after the append")
-        return decision if self._entry(job.job_id).job is not None else None
+        return decision if self._entry(job.job_id).job is not None else _OVERTAKEN
 
     def _reject(
         self, job: Job, rejection: Rejection, excess: float, reason: str
--- a/libs/coordinator/tests/test_admission.py
+++ b/libs/coordinator/tests/test_admission.py
@@ -204,11 +204,39 @@
     assert intake.state(JOB_ID) is None
 
 
-def test_lagging_instance_accepts_a_returning_id_with_effect(instances):
+def test_overtaken_job_is_not_recorded_again(instances):
+    """Guards against a job that runs after its caller was answered 429 elsewhere.
+
+    The caller lost the connection to the first instance, submitted the job to a second
+    one and was rejected there, while the first one still handled its call.
+    """
+    intake = instances.start()
+    instances.store.lags = True
+    instances.append_rejection(1)
+    assert intake.submit(new_job(), QUEUE).verdict is Verdict.UNKNOWN
+    assert instances.keys() == "dj"
+    assert intake.state(JOB_ID) is None
+    assert instances.start().state(JOB_ID) is None
+
+
+def test_overtaken_rejection_is_not_turned_into_an_acceptance(instances, monkeypatch):
+    """Guards against the same if the overload ends between two appends."""
+    intake = instances.start()
+    instances.overload(intake)
+    instances.store.lags = True
+    instances.append_rejection(1)
+    waits = iter([OVERLOAD_MS, 0])
+    monkeypatch.setattr(intake._admission, "wait_ms", lambda *_: next(waits))
+    assert intake.submit(new_job(), QUEUE).verdict is Verdict.UNKNOWN
+    assert instances.keys() == "dd"
+
+
+def test_returning_id_is_accepted_after_an_unknown_outcome(instances):
     """Guards against an answer of 200 for a record without effect."""
     intake = instances.start()
     instances.store.lags = True
     instances.append_rejection(1)
+    assert intake.submit(new_job(), QUEUE).verdict is Verdict.UNKNOWN
     assert intake.submit(new_job(), QUEUE).verdict is Verdict.ACCEPTED
     assert instances.keys() == "djj"
     assert intake.replica.table.entry_by_id[JOB_ID].job.rejections == 1
