Correct rejections whose count a late copy has lowered

The store keeps the newest record of each key. If the copy of a first rejection was appended late, after a second one, a process that started then knew one rejection and the others two: it answered 200 to the id, and its job record had no effect. The leader now repeats the higher count, as it does other corrections; that a process starts between the copy and the correction remains. The two new cases of test_correction_makes_a_snapshot_agree fail without the change. make test ARGS=libs/jobs: 165 passed.

--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -116,17 +116,27 @@
 
     @property
     def needs_correction(self) -> bool:
-        """Return whether a snapshot would show another result than the log."""
-        return self.rejection is not None and self.is_in_snapshot != bool(self.job)
+        """Return whether a snapshot would show another result than the log.
+
+        If a late copy replaced a rejection with a higher count, an instance that loads
+        the snapshot would accept the id again with a count that has no effect.
+        """
+        if self.rejection is None:
+            return False
+        if self.job is None and self.rejection.count < self.rejections:
+            return True
+        return self.is_in_snapshot != bool(self.job)
 
     def corrected_rejection(self) -> Rejection | None:
         """Return the rejection with which a snapshot shows the result of the log.
 
         None stands for the removal of the rejection of a job that is in effect.
         """
-        if self.job is not None or self.rejection is None or self.latest_job is None:
+        if self.job is not None or self.rejection is None:
             return None
-        count = max(self.rejections, self.latest_job.rejections + 2)
+        count = self.rejections
+        if self.latest_job is not None:
+            count = max(count, self.latest_job.rejections + 2)
         return replace(self.rejection, count=count)
 
     def note_job(self, offset: int, job: Job) -> None:
--- a/libs/jobs/tests/test_rejections.py
+++ b/libs/jobs/tests/test_rejections.py
@@ -76,6 +76,17 @@
         # An instance that lags behind writes a count that is not higher.
         ([rejection_record(2), rejection_record(1), job_record(1)], False),
         ([rejection_record(1), job_record(1), job_record(0)], True),
+        # A copy of the first rejection arrives after the second one.
+        ([rejection_record(1), rejection_record(2), rejection_record(1)], False),
+        (
+            [
+                rejection_record(1),
+                job_record(0),
+                rejection_record(3),
+                rejection_record(2),
+            ],
+            False,
+        ),
     ],
 )
 def test_correction_makes_a_snapshot_agree(records, is_in_effect):
@@ -89,6 +100,11 @@
     assert bool(replay(*records).job) is is_in_effect
     assert not replay(*records).needs_correction
     assert {bool(entry.job) for entry in load(*records)} == {is_in_effect}
+    if not is_in_effect:
+        # Those who begin with the snapshot must not accept with too low a count.
+        assert {entry.rejections for entry in load(*records)} == {
+            replay(*records).rejections
+        }
 
 
 def test_snapshot_that_overlaps_the_log_gives_the_same_result():
