Let a job take effect that was rejected before overload control was turned off

An instance without overload control recorded a job without the number of rejections of its id. If the id had been rejected before the restart, the record had no effect: the caller was answered 200 and the job never ran. The instance now states the number that it has read, without a further read or record. The test fails without the change.

--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import gevent
 from gevent.event import Event
 
@@ -109,6 +111,15 @@
             return Decision(Verdict.ACCEPTED, "known")
         if self._admission is not None:
             return self._admission.submit(job, queue)
+        entry = self.replica.table.entry_by_id.get(job.job_id)
+        if entry is not None and entry.rejection is not None:
+            # Rejected before the feature was turned off; without the count, the record
+            # of the job would have no effect.
+            job = replace(
+                job,
+                rejections=entry.rejections,
+                first_offered_ms=entry.rejection.first_offered_ms,
+            )
         record = Record(key_of(Kind.JOB, job.job_id), encode(job))
         if record.size_bytes > self._max_record_bytes:
             return Decision(
--- a/libs/coordinator/tests/test_admission.py
+++ b/libs/coordinator/tests/test_admission.py
@@ -243,6 +243,21 @@
     assert instances.start().state(JOB_ID) is not None
 
 
+def test_rejected_id_is_accepted_with_effect_after_the_feature_was_turned_off(
+    instances,
+):
+    """Guards against an accepted job that does not run: it was rejected before."""
+    instances.append_rejection(1)
+    intake = instances.start(has_feature=False)
+    instances.store.lags = True
+    reads = instances.store.direct_reads
+    assert intake.submit(new_job(), QUEUE).verdict is Verdict.ACCEPTED
+    assert instances.store.direct_reads == reads
+    assert instances.keys() == "dj"
+    assert intake.replica.refresh_jobs()
+    assert intake.state(JOB_ID) is not None
+
+
 @pytest.mark.parametrize("wait_ms", [0, OVERLOAD_MS])
 def test_outcome_is_unknown_if_the_log_cannot_be_read(instances, monkeypatch, wait_ms):
     """Guards against an answer that the log may not agree with, and further records."""
