Report the wait of organisations at their upper limit

find_waits derives it from the limit, but a queue was reported only if the pool had no room for others. Jobs of an organisation at its limit were accepted then however long they had to wait: 867 lookups at a limit of 192 cores stand for 71 s. The queue is reported now, and the jobs of that organisation alone can be rejected. The test fails without the change.

--- a/libs/coordinator/src/lycheeloom/coordinator/load_reporter.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/load_reporter.py
@@ -6,7 +6,8 @@
 
 import gevent
 
-from lycheeloom.jobs.acceptance import find_waits, is_overloaded
+from lycheeloom.jobs.acceptance import QueueWait, find_waits, is_overloaded
+from lycheeloom.jobs.model import Queue
 from lycheeloom.jobs.records import (
     Kind,
     LoadReport,
@@ -29,6 +30,22 @@
 REPORT_INTERVAL_S = 0.25
 
 
+def _find_load(queue: Queue, wait: QueueWait) -> QueueLoad | None:
+    """Return the load of a queue, None if no job of it could be rejected.
+
+    The work of an organisation at its upper limit may be too much for the limit while
+    the pool has room for others.
+    """
+    organisations = tuple(
+        OrganisationWait(organisation, int(wait_ms))
+        for organisation, wait_ms in wait.wait_ms_by_organisation.items()
+        if is_overloaded(queue, wait_ms)
+    )
+    if not organisations and not is_overloaded(queue, wait.total_ms):
+        return None
+    return QueueLoad(queue.name, int(wait.total_ms), organisations)
+
+
 class LoadReporter:
     """Writes load reports to the leader's log while a queue is overloaded."""
 
@@ -58,17 +75,9 @@
             wall_ms(),
         )
         loads = tuple(
-            QueueLoad(
-                name,
-                int(wait.total_ms),
-                tuple(
-                    OrganisationWait(organisation, int(wait_ms))
-                    for organisation, wait_ms in wait.wait_ms_by_organisation.items()
-                    if is_overloaded(policy.queue_by_name[name], wait_ms)
-                ),
-            )
+            load
             for name, wait in sorted(waits.items())
-            if is_overloaded(policy.queue_by_name[name], wait.total_ms)
+            if (load := _find_load(policy.queue_by_name[name], wait))
         )
         if not loads and not self._overloaded:
             return
--- a/libs/coordinator/tests/test_overload_leader.py
+++ b/libs/coordinator/tests/test_overload_leader.py
@@ -15,9 +15,10 @@
 from lycheeloom.coordinator.ports import Instance, InstanceState
 from lycheeloom.coordinator.rejection_corrector import RejectionCorrector
 from lycheeloom.coordinator.replica import Replica
-from lycheeloom.jobs.model import Pool, Step
+from lycheeloom.jobs.model import Organisation, Pool, Step
 from lycheeloom.jobs.records import Kind, LoadReport, Record, Rejection, encode, key_of
 from lycheeloom.jobs.table import JobTable
+from lycheeloom.model.resources import Resources
 
 # Longer than a leader needs to read a record and to start a task.
 START_TIME_S = 0.5
@@ -82,6 +83,28 @@
     assert len([r for r in cluster.store.records if r.key == "r"]) == end
 
 
+def test_overload_of_an_organisation_at_its_limit_is_reported(cluster):
+    """Guards against jobs that are accepted although they wait for their limit.
+
+    Load: 20 jobs of 8 core-seconds of an organisation with a limit of 4 cores, in a
+    pool with room for all of them.
+    """
+    policy = cluster.view.policy
+    name = make_job().organisation
+    limited = Organisation(name, frozenset(), 1.0, Resources(4, 0, 0))
+    cluster.view.policy = replace(policy, organisation_by_name={name: limited})
+    leader = cluster.start_leader()
+    submit_work(cluster, 20)
+    wait_until(lambda: len(cluster.workers.started_runs) >= 1)
+    LoadReporter(leader, make_inventory(cluster, *["pool"] * 100)).report()
+    wait_until(lambda: leader.replica.table.load is not None)
+    (load,) = leader.replica.table.load.queues
+    (wait,) = load.organisations
+    assert load.wait_ms == 0
+    started = len(cluster.workers.started_runs)
+    assert (wait.organisation, wait.wait_ms) == (name, (20 - started) * 8_000 / 4)
+
+
 def test_spare_instances_count_as_capacity(cluster):
     """Guards against rejections while instances can be moved to the pool."""
     policy = cluster.view.policy
