Drop a caller that kept its connection open no earlier than newer clients

A request counts by its first byte now, if that is later. The test, without the argument for the time, fails on the former code.

--- a/libs/entry/src/lycheeloom/entry/client_limits.py
+++ b/libs/entry/src/lycheeloom/entry/client_limits.py
@@ -143,15 +143,25 @@
         self.pending_bytes -= connection.pending_bytes
         self._remove_rank(number, connection)
 
-    def receive(self, number: int, pending_bytes: int) -> None:
-        """Note how many bytes of its present request a connection has sent."""
+    def receive(self, number: int, pending_bytes: int, now_s: float = 0.0) -> None:
+        """Note how many bytes of its present request a connection has sent.
+
+        A request that begins at ``now_s`` moves its connection behind those that began
+        theirs before. Otherwise a caller that had kept its connection open for longer
+        than ``SERVED_ADVANTAGE_S`` would go before clients that came since.
+        """
         connection = self._connection_by_number.get(number)
         if connection is None:
             return
+        begins = bool(pending_bytes) and not connection.pending_bytes
         self.pending_bytes += pending_bytes - connection.pending_bytes
         connection.pending_bytes = pending_bytes
         if connection.is_handed_over:
             return
+        if begins and now_s > connection.rank_s:
+            self._remove_rank(number, connection)
+            connection.rank_s = now_s
+            self._droppable[now_s, number] = None
         if pending_bytes:
             self._holding[connection.rank_s, number] = None
         else:
--- a/libs/entry/src/lycheeloom/entry/http_server.py
+++ b/libs/entry/src/lycheeloom/entry/http_server.py
@@ -88,7 +88,7 @@
 
     def receive(self, number: int, pending_bytes: int) -> None:
         """Count the bytes of a request; drops connections if there are too many."""
-        self.accounts.receive(number, pending_bytes)
+        self.accounts.receive(number, pending_bytes, time.monotonic())
         while (excess := self.accounts.find_excess_bytes()) is not None:
             self._drop(excess, "pending_bytes")
 
--- a/libs/entry/tests/test_client_limits.py
+++ b/libs/entry/tests/test_client_limits.py
@@ -128,3 +128,25 @@
         settings.apply_to(ClientLimits())
     settings = ClientLimitSettings(pending_bytes=200_000, body_bytes=50_000)
     assert settings.apply_to(ClientLimits()).body_bytes == 50_000
+
+
+def test_request_on_a_connection_that_was_idle_is_not_dropped_first():
+    """Guards against callers that are refused since they kept their connection open.
+
+    Two clients that came after the last call of the caller hold most of the bytes.
+    """
+    accounts = ClientAccounts(ClientLimits(pending_bytes=1_000))
+    caller = accounts.open(0.0)
+    assert accounts.hand_over(caller, 0.0)
+    accounts.answered(caller)
+    holders = [accounts.open(now_s) for now_s in (100.0, 101.0)]
+    for now_s, holder in enumerate(holders, 102):
+        accounts.receive(holder, 490, float(now_s))
+    accounts.receive(caller, 100, 104.0)
+    assert accounts.find_excess_bytes() == holders[0]
+    accounts.close(holders[0])
+    assert accounts.find_excess_bytes() is None
+    # Further bytes of the same request do not make it younger.
+    accounts.receive(holders[1], 700, 200.0)
+    accounts.receive(caller, 400, 201.0)
+    assert accounts.find_excess_bytes() == holders[1]
