Keep a cancellation until it has expired itself

The cleaner removed the cancellation of an id together with its expired rejection, however young it was. If the caller had submitted the job again without an answer and cancelled it, the record that was appended late ran, although the caller had been told that the job is cancelled. The test fails without the change.

--- a/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/cleaner.py
@@ -109,7 +109,8 @@
         """Remove expired rejections of jobs that were not accepted afterwards.
 
         A job record without effect is removed first: it would take effect without the
-        rejection.
+        rejection. A cancellation must have expired as well, since the record of a
+        submission that it cancels may be appended late.
         """
         rejected_before_ms = wall_ms() - self._retention_ms
         job_ids = [
@@ -118,6 +119,7 @@
             if entry.rejection is not None
             and entry.job is None
             and entry.rejection.at_ms < rejected_before_ms
+            and entry.cancelled_ms < rejected_before_ms
         ][:MAX_JOBS_PER_ROUND]
         if not job_ids:
             return
--- a/libs/coordinator/tests/test_overload_leader.py
+++ b/libs/coordinator/tests/test_overload_leader.py
@@ -16,7 +16,15 @@
 from lycheeloom.coordinator.rejection_corrector import RejectionCorrector
 from lycheeloom.coordinator.replica import Replica
 from lycheeloom.jobs.model import Organisation, Pool, Step
-from lycheeloom.jobs.records import Kind, LoadReport, Record, Rejection, encode, key_of
+from lycheeloom.jobs.records import (
+    Cancellation,
+    Kind,
+    LoadReport,
+    Record,
+    Rejection,
+    encode,
+    key_of,
+)
 from lycheeloom.jobs.table import JobTable
 from lycheeloom.model.resources import Resources
 
@@ -199,3 +207,24 @@
     cluster.start_leader(2)
     gevent.sleep(START_TIME_S)
     assert cluster.workers.started_runs == []
+
+
+def test_cancellation_outlives_an_expired_rejection(cluster):
+    """Guards against a cancelled job that runs, as its record is appended late.
+
+    The job was rejected long ago. A later submission got no answer, and the caller has
+    just cancelled it.
+    """
+    leader = cluster.start_leader()
+    cancellation = Record(
+        key_of(Kind.CANCELLATION, JOB_ID), encode(Cancellation(wall_ms()))
+    )
+    cluster.store.append([rejection_record(1, wall_ms() - 1_000_000), cancellation])
+    table: JobTable = leader.replica.table
+    wait_until(
+        lambda: JOB_ID in table.entry_by_id and table.entry_by_id[JOB_ID].cancelled
+    )
+    Cleaner(leader, leader.replica, cluster.store, 60.0).clean()
+    cluster.store.append([job_record(1)])
+    gevent.sleep(START_TIME_S)
+    assert cluster.workers.started_runs == []
