Leave out of the load what may run already after a takeover

Until the workers have answered a new leader, their tasks counted as waiting. A single task of 240 core-seconds that ran made a reported wait of 15 s in a pool of two instances with 16 cores together, and jobs could be rejected. Inherited jobs count now as soon as the leader may plan them. The test fails without the change.

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -97,6 +97,14 @@
         """Return the jobs that have not ended, by id."""
         return self._registry.active_job_by_id
 
+    def find_known_jobs(self) -> list[ActiveJob]:
+        """Return the active jobs that can have no unknown runs of a former leader."""
+        return [
+            active_job
+            for active_job in self.active_job_by_id.values()
+            if not self._inherited.must_wait(active_job.job)
+        ]
+
     @property
     def advised_workers(self) -> AdvisedWorkers:
         """Return the workers allowed by the advice service, with their tickets."""
@@ -379,11 +387,7 @@
         now_s = steady_s()
         self._inherited.refresh()
         self._ratings.refresh(now_s)
-        active_jobs = [
-            active_job
-            for active_job in self.active_job_by_id.values()
-            if not self._inherited.must_wait(active_job.job)
-        ]
+        active_jobs = self.find_known_jobs()
         unknown_use = self._inherited.unknown_use(self.active_job_by_id, wall_ms())
         starts = self._registry.plan(active_jobs, now_s, unknown_use)
         for start in starts:
--- a/libs/coordinator/src/lycheeloom/coordinator/load_reporter.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/load_reporter.py
@@ -69,7 +69,8 @@
         """Write a report if a queue is overloaded or was in the last report."""
         policy = self._dispatcher.view.policy
         waits = find_waits(
-            self._dispatcher.active_job_by_id.values(),
+            # Tasks of the others may run already.
+            self._dispatcher.find_known_jobs(),
             policy,
             self.cores_by_pool(),
             wall_ms(),
--- a/libs/coordinator/tests/test_overload_leader.py
+++ b/libs/coordinator/tests/test_overload_leader.py
@@ -137,6 +137,26 @@
     assert leader.replica.table.load is None
 
 
+def test_runs_that_a_new_leader_does_not_know_yet_are_no_waiting_work(cluster):
+    """Guards against rejections right after a takeover, for tasks that run already.
+
+    The worker of a task of 240 core-seconds has not answered the new leader yet.
+    """
+    job = make_job(JOB_ID, Step(1, 4_000, estimated_ms=60_000))
+    cluster.store.add_job(replace(job, accepted_ms=wall_ms()))
+    first = cluster.start_leader(1)
+    wait_until(lambda: len(cluster.workers.started_runs) == 1)
+    first.writer.is_fenced = True
+    gevent.sleep(0.1)
+    cluster.workers.worker(cluster.workers.started_runs[0][0]).is_unresponsive = True
+    second = cluster.start_leader(2)
+    wait_until(lambda: bool(second.active_job_by_id))
+    gevent.sleep(0.3)
+    LoadReporter(second, make_inventory(cluster)).report()
+    gevent.sleep(0.1)
+    assert second.replica.table.load is None
+
+
 @pytest.mark.parametrize(("rejections", "runs"), [(0, 0), (1, 1)])
 def test_job_runs_only_with_the_rejections_before_it(cluster, rejections, runs):
     """Guards against a late append that runs, and a returning job that does not."""
