--- a/libs/coordinator/tests/test_overload_leader.py
+++ b/libs/coordinator/tests/test_overload_leader.py
@@ -15,9 +15,18 @@
 from lycheeloom.coordinator.ports import Instance, InstanceState
 from lycheeloom.coordinator.rejection_corrector import RejectionCorrector
 from lycheeloom.coordinator.replica import Replica
-from lycheeloom.jobs.model import Pool, Step
-from lycheeloom.jobs.records import Kind, LoadReport, Record, Rejection, encode, key_of
+from lycheeloom.jobs.model import Organisation, Pool, Step
+from lycheeloom.jobs.records import (
+    Cancellation,
+    Kind,
+    LoadReport,
+    Record,
+    Rejection,
+    encode,
+    key_of,
+)
 from lycheeloom.jobs.table import JobTable
+from lycheeloom.model.resources import Resources
 
 # Longer than a leader needs to read a record and to start a task.
 START_TIME_S = 0.5
@@ -82,6 +91,28 @@
     assert len([r for r in cluster.store.records if r.key == "r"]) == end
 
 
+def test_overload_of_an_organisation_at_its_limit_is_reported(cluster):
+    """Guards against jobs that are accepted although they wait for their limit.
+
+    Load: 20 jobs of 8 core-seconds of an organisation with a limit of 4 cores, in a
+    pool with room for all of them.
+    """
+    policy = cluster.view.policy
+    name = make_job().organisation
+    limited = Organisation(name, frozenset(), 1.0, Resources(4, 0, 0))
+    cluster.view.policy = replace(policy, organisation_by_name={name: limited})
+    leader = cluster.start_leader()
+    submit_work(cluster, 20)
+    wait_until(lambda: len(cluster.workers.started_runs) >= 1)
+    LoadReporter(leader, make_inventory(cluster, *["pool"] * 100)).report()
+    wait_until(lambda: leader.replica.table.load is not None)
+    (load,) = leader.replica.table.load.queues
+    (wait,) = load.organisations
+    assert load.wait_ms == 0
+    started = len(cluster.workers.started_runs)
+    assert (wait.organisation, wait.wait_ms) == (name, (20 - started) * 8_000 / 4)
+
+
 def test_spare_instances_count_as_capacity(cluster):
     """Guards against rejections while instances can be moved to the pool."""
     policy = cluster.view.policy
@@ -106,6 +137,26 @@
     assert leader.replica.table.load is None
 
 
+def test_runs_that_a_new_leader_does_not_know_yet_are_no_waiting_work(cluster):
+    """Guards against rejections right after a takeover, for tasks that run already.
+
+    The worker of a task of 240 core-seconds has not answered the new leader yet.
+    """
+    job = make_job(JOB_ID, Step(1, 4_000, estimated_ms=60_000))
+    cluster.store.add_job(replace(job, accepted_ms=wall_ms()))
+    first = cluster.start_leader(1)
+    wait_until(lambda: len(cluster.workers.started_runs) == 1)
+    first.writer.is_fenced = True
+    gevent.sleep(0.1)
+    cluster.workers.worker(cluster.workers.started_runs[0][0]).is_unresponsive = True
+    second = cluster.start_leader(2)
+    wait_until(lambda: bool(second.active_job_by_id))
+    gevent.sleep(0.3)
+    LoadReporter(second, make_inventory(cluster)).report()
+    gevent.sleep(0.1)
+    assert second.replica.table.load is None
+
+
 @pytest.mark.parametrize(("rejections", "runs"), [(0, 0), (1, 1)])
 def test_job_runs_only_with_the_rejections_before_it(cluster, rejections, runs):
     """Guards against a late append that runs, and a returning job that does not."""
@@ -176,3 +227,24 @@
     cluster.start_leader(2)
     gevent.sleep(START_TIME_S)
     assert cluster.workers.started_runs == []
+
+
+def test_cancellation_outlives_an_expired_rejection(cluster):
+    """Guards against a cancelled job that runs, as its record is appended late.
+
+    The job was rejected long ago. A later submission got no answer, and the caller has
+    just cancelled it.
+    """
+    leader = cluster.start_leader()
+    cancellation = Record(
+        key_of(Kind.CANCELLATION, JOB_ID), encode(Cancellation(wall_ms()))
+    )
+    cluster.store.append([rejection_record(1, wall_ms() - 1_000_000), cancellation])
+    table: JobTable = leader.replica.table
+    wait_until(
+        lambda: JOB_ID in table.entry_by_id and table.entry_by_id[JOB_ID].cancelled
+    )
+    Cleaner(leader, leader.replica, cluster.store, 60.0).clean()
+    cluster.store.append([job_record(1)])
+    gevent.sleep(START_TIME_S)
+    assert cluster.workers.started_runs == []
