Explain where a job would go without starting it

A trial round plans with one more job on copies of the planner, the fleet and the jobs, so that it uses the code of the decision and leaves the leader as it is. Intake.assess shares the decision of submit and records nothing. UsableWorkers and the explanation share unusable_reason.

Planner.plan is split so that the ranked steps can be read, and the checks of admission are split so that they can be made without an append; neither changes a decision.

--- a/libs/coordinator/src/lycheeloom/coordinator/admission.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/admission.py
@@ -6,11 +6,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from lycheeloom.jobs.acceptance import excess_ms, retry_after_s
 from lycheeloom.jobs.model import Job, Queue
-from lycheeloom.jobs.records import Kind, Record, Rejection, encode, key_of
+from lycheeloom.jobs.records import (
+    Kind,
+    LoadReport,
+    Record,
+    Rejection,
+    encode,
+    key_of,
+)
 from lycheeloom.jobs.table import JobEntry
 
 from .clock import steady_s, wall_ms
@@ -27,6 +34,31 @@
 MAX_APPENDS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Assessment:
+    """How a submission would be decided now.
+
+    ``wait_ms`` is the reported wait, ``excess_ms`` by how much the job would end too
+    late, and ``report_age_s`` the age of the load report; None without one that counts.
+    """
+
+    decision: Decision
+    wait_ms: float = 0.0
+    excess_ms: float = 0.0
+    report_age_s: float | None = None
+
+
+def find_too_large(record: Record, max_record_bytes: int) -> Decision | None:
+    """Return the refusal of a job's record that the store does not accept, if so."""
+    if record.size_bytes <= max_record_bytes:
+        return None
+    return Decision(
+        Verdict.TOO_LARGE,
+        f"the record of the job has {record.size_bytes} bytes of at most "
+        f"{max_record_bytes}",
+    )
+
+
 class Admission:
     """Decides on submissions, and settles them against those at other instances.
 
@@ -57,12 +89,7 @@
             entry = self._entry(job.job_id)
             if entry.job is not None:
                 return Decision(Verdict.ACCEPTED, "known")
-            if entry.rejection is not None:
-                job = replace(
-                    job,
-                    rejections=entry.rejections,
-                    first_offered_ms=entry.rejection.first_offered_ms,
-                )
+            job = self.as_returning(job)
             decision = self._decide(job, queue)
             if decision is not None:
                 return decision
@@ -70,18 +97,37 @@
                 break
         return Decision(Verdict.UNKNOWN, "overtaken by other instances")
 
+    def assess(self, job: Job, queue: Queue | None) -> Assessment:
+        """Return how the load lets ``submit`` decide now; nothing is recorded."""
+        job = self.as_returning(job)
+        wait_ms, excess = self._load(job, queue, wall_ms())
+        decision = Decision(Verdict.ACCEPTED)
+        if excess > 0:
+            delay_s = retry_after_s(excess, job.job_id, job.rejections + 1)
+            decision = Decision(Verdict.REJECTED, _reason(wait_ms, excess), delay_s)
+        age_s = None
+        if self._current_report() is not None:
+            age_s = steady_s() - self._replica.load_read_s
+        return Assessment(decision, wait_ms, excess, age_s)
+
+    def as_returning(self, job: Job) -> Job:
+        """Return a job with the rejections of its id that are known here."""
+        entry = self._entry(job.job_id)
+        if entry.rejection is None:
+            return job
+        return replace(
+            job,
+            rejections=entry.rejections,
+            first_offered_ms=entry.rejection.first_offered_ms,
+        )
+
     def wait_ms(self, queue: str, organisation: str) -> float:
         """Return the reported wait of an organisation's jobs in a queue.
 
         Returns 0 without a report that counts.
         """
-        report, leader = self._replica.table.load, self._replica.table.leader
-        read_s = self._replica.load_read_s
-        if report is None or leader is None or read_s is None:
-            return 0.0
-        if report.token != leader.token or leader.resigned:
-            return 0.0
-        if steady_s() - read_s > MAX_LOAD_AGE_S:
+        report = self._current_report()
+        if report is None:
             return 0.0
         return next(
             (
@@ -94,25 +140,38 @@
             0.0,
         )
 
+    def _current_report(self) -> LoadReport | None:
+        """Return the load report if it counts."""
+        report, leader = self._replica.table.load, self._replica.table.leader
+        read_s = self._replica.load_read_s
+        if report is None or leader is None or read_s is None:
+            return None
+        if report.token != leader.token or leader.resigned:
+            return None
+        return report if steady_s() - read_s <= MAX_LOAD_AGE_S else None
+
+    def _load(
+        self, job: Job, queue: Queue | None, now_ms: float
+    ) -> tuple[float, float]:
+        """Return the wait of a job, and by how much it would end too late, in ms."""
+        wait_ms = self.wait_ms(queue.name, job.organisation) if queue else 0.0
+        excess = excess_ms(job, queue, wait_ms, now_ms) if queue and wait_ms else 0.0
+        return wait_ms, excess
+
     def _decide(self, job: Job, queue: Queue | None) -> Decision | None:
         """Append a record and read it; None if it was overtaken and has no effect."""
         now_ms = wall_ms()
-        wait_ms = self.wait_ms(queue.name, job.organisation) if queue else 0.0
-        excess = excess_ms(job, queue, wait_ms, now_ms) if queue and wait_ms else 0.0
+        wait_ms, excess = self._load(job, queue, now_ms)
         if excess <= 0:
             return self._accept(job)
         rejection = Rejection(job.rejections + 1, job.offered_ms, int(now_ms))
-        reason = f"queue waits {wait_ms:.0f} ms, {excess:.0f} ms too long"
-        return self._reject(job, rejection, excess, reason)
+        return self._reject(job, rejection, excess, _reason(wait_ms, excess))
 
     def _accept(self, job: Job) -> Decision | None:
         record = Record(key_of(Kind.JOB, job.job_id), encode(job))
-        if record.size_bytes > self._max_record_bytes:
-            return Decision(
-                Verdict.TOO_LARGE,
-                f"the record of the job has {record.size_bytes} bytes of at most "
-                f"{self._max_record_bytes}",
-            )
+        too_large = find_too_large(record, self._max_record_bytes)
+        if too_large is not None:
+            return too_large
         decision = self._record(record)
         if decision.verdict is not Verdict.ACCEPTED:
             return decision
@@ -144,3 +203,7 @@
 
     def _entry(self, job_id: str) -> JobEntry:
         return self._replica.table.entry_by_id.get(job_id) or JobEntry()
+
+
+def _reason(wait_ms: float, excess: float) -> str:
+    return f"queue waits {wait_ms:.0f} ms, {excess:.0f} ms too long"
--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -11,8 +11,10 @@
 from lycheeloom.jobs.advised_workers import AdvisedWorkers
 from lycheeloom.jobs.demand import PoolDemand
 from lycheeloom.jobs.fleet import Fleet, Run, WorkerState
-from lycheeloom.jobs.model import Worker
+from lycheeloom.jobs.model import Job, Worker
 from lycheeloom.jobs.planner import MAX_STARTS_PER_ROUND
+from lycheeloom.jobs.trial_round import Trial, try_round
+from lycheeloom.model.resources import Resources
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
@@ -89,7 +91,9 @@
         # still listed by the platform.
         self._ended_incarnations: set[tuple[str, int]] = set()
         # Why no tasks are planned at present; empty if they are.
-        self._pause_reason = ""
+        self.pause_reason = ""
+        # Resources that unknown runs may use, by organisation, as of the last round.
+        self._unknown_use: Mapping[str, Resources] = {}
         self._greenlets: list[gevent.Greenlet] = []
 
     @property
@@ -147,8 +151,8 @@
             reason = "logs not read"
         elif self._orders.is_behind:
             reason = "orders not sent"
-        if reason != self._pause_reason:
-            self._pause_reason = reason
+        if reason != self.pause_reason:
+            self.pause_reason = reason
             log_event(
                 "starts_paused" if reason else "starts_resumed",
                 level="WARNING" if reason else "INFO",
@@ -379,19 +383,38 @@
         now_s = steady_s()
         self._inherited.refresh()
         self._ratings.refresh(now_s)
-        active_jobs = [
-            active_job
-            for active_job in self.active_job_by_id.values()
-            if not self._inherited.must_wait(active_job.job)
-        ]
-        unknown_use = self._inherited.unknown_use(self.active_job_by_id, wall_ms())
-        starts = self._registry.plan(active_jobs, now_s, unknown_use)
+        self._unknown_use = self._inherited.unknown_use(
+            self.active_job_by_id, wall_ms()
+        )
+        starts = self._registry.plan(self._plannable_jobs(), now_s, self._unknown_use)
         for start in starts:
             self._orders.begin(start, now_s)
         if len(starts) >= MAX_STARTS_PER_ROUND:
             self.wake()
         return len(starts)
 
+    def _plannable_jobs(self) -> list[ActiveJob]:
+        return [
+            active_job
+            for active_job in self.active_job_by_id.values()
+            if not self._inherited.must_wait(active_job.job)
+        ]
+
+    def try_round(self, job: Job) -> Trial:
+        """Return what a round would do with a further job now; nothing changes."""
+        return try_round(
+            self._registry.planner,
+            self.fleet,
+            self._plannable_jobs(),
+            job,
+            self.view.policy,
+            self.view.zones_out_of_service,
+            steady_s(),
+            wall_ms(),
+            self.advised_workers,
+            self._unknown_use,
+        )
+
     def _write(self) -> None:
         """Write the leader's records.
 
--- a/libs/coordinator/src/lycheeloom/coordinator/intake.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/intake.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import gevent
 from gevent.event import Event
 
@@ -10,7 +12,7 @@
 from lycheeloom.telemetry import log_event
 
 from . import metrics
-from .admission import Admission
+from .admission import Admission, Assessment, find_too_large
 from .clock import steady_s, wall_ms
 from .decisions import Decision, Verdict
 from .features import NO_FEATURES, Features
@@ -110,13 +112,31 @@
         if self._admission is not None:
             return self._admission.submit(job, queue)
         record = Record(key_of(Kind.JOB, job.job_id), encode(job))
-        if record.size_bytes > self._max_record_bytes:
-            return Decision(
-                Verdict.TOO_LARGE,
-                f"the record of the job has {record.size_bytes} bytes of at most "
-                f"{self._max_record_bytes}",
-            )
-        return self._record(record)
+        too_large = find_too_large(record, self._max_record_bytes)
+        return too_large or self._record(record)
+
+    def as_returning(self, job: Job) -> Job:
+        """Return a job as ``submit`` would record it after rejections of its id."""
+        return job if self._admission is None else self._admission.as_returning(job)
+
+    def assess(self, job: Job, queue: Queue) -> Assessment:
+        """Return how ``submit`` would decide now, from what is known here.
+
+        Nothing is recorded, and the logs are not read for it.
+        """
+        if self.state(job.job_id) is not None:
+            return Assessment(Decision(Verdict.ACCEPTED, "known"))
+        assessment = Assessment(Decision(Verdict.ACCEPTED))
+        if self._admission is not None:
+            assessment = self._admission.assess(job, queue)
+        decision = assessment.decision
+        if decision.verdict is Verdict.ACCEPTED:
+            job = self.as_returning(job)
+            record = Record(key_of(Kind.JOB, job.job_id), encode(job))
+            decision = find_too_large(record, self._max_record_bytes) or decision
+        if decision.verdict is not Verdict.TOO_LARGE and not self.replica.reaches_store:
+            decision = Decision(Verdict.NOT_ACCEPTED, "store not reached")
+        return replace(assessment, decision=decision)
 
     def cancel(self, job_id: str) -> Decision:
         """Record the cancellation of a job, unless the job has ended.
--- a/libs/coordinator/tests/test_admission.py
+++ b/libs/coordinator/tests/test_admission.py
@@ -147,6 +147,29 @@
     assert 0 < job.offered_ms <= job.accepted_ms
 
 
+@pytest.mark.parametrize("wait_ms", [0, OVERLOAD_MS])
+@pytest.mark.parametrize("rejections", [0, 1])
+def test_assessment_is_the_decision_of_the_submission(instances, wait_ms, rejections):
+    """Guards against an explanation that differs from what callers get, or counts."""
+    intake = instances.start()
+    if rejections:
+        instances.append_rejection()
+        assert intake.replica.refresh_jobs()
+    instances.overload(intake, wait_ms=wait_ms)
+    records = len(instances.store.records)
+    assessment = intake.assess(new_job(), QUEUE)
+    assert len(instances.store.records) == records
+    assert assessment.wait_ms == wait_ms
+    assert 0 <= assessment.report_age_s < admission_module.MAX_LOAD_AGE_S
+    decision = intake.submit(new_job(), QUEUE)
+    assert assessment.decision.verdict is decision.verdict
+    # The reason and the excess have the time of the call in them.
+    assert abs(assessment.decision.retry_after_s - decision.retry_after_s) <= 1
+    instances.report(wait_ms, token=TOKEN - 1)
+    wait_until(lambda: intake.replica.table.load.token == TOKEN - 1)
+    assert intake.assess(new_job(job_id="f" * 16), QUEUE).report_age_s is None
+
+
 def test_nothing_changes_without_the_feature(instances):
     """Guards against reads and records of deployments that do not use the feature."""
     intake = instances.start(has_feature=False)
--- a/libs/jobs/src/lycheeloom/jobs/active_job.py
+++ b/libs/jobs/src/lycheeloom/jobs/active_job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Iterator, Mapping
 from dataclasses import replace
 
@@ -67,6 +68,19 @@
         if progress is not None or part_by_number:
             self._restore(progress or JobProgress(self.state), part_by_number or {})
 
+    def copied(self) -> ActiveJob:
+        """Return a copy for planning, from which tasks can be taken.
+
+        What is done is shared, so no ends may be noted on the copy.
+        """
+        copied = copy.copy(self)
+        copied.tasks_by_step = {
+            step_key: step_tasks.copied()
+            for step_key, step_tasks in self.tasks_by_step.items()
+        }
+        copied._startable = None
+        return copied
+
     @property
     def is_final(self) -> bool:
         """Return whether the job has reached a final state."""
--- a/libs/jobs/src/lycheeloom/jobs/fleet.py
+++ b/libs/jobs/src/lycheeloom/jobs/fleet.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from lycheeloom.model.resources import NO_RESOURCES, Resources
@@ -136,6 +136,18 @@
         self.used_by_organisation: dict[str, Resources] = defaultdict(Resources)
         self.runs_by_task: dict[TaskKey, list[Run]] = defaultdict(list)
 
+    def copied(self) -> Fleet:
+        """Return a copy whose workers and use can change; it shares the runs."""
+        copied = Fleet()
+        copied.state_by_id = {
+            worker_id: replace(state, run_by_task=state.run_by_task.copy())
+            for worker_id, state in self.state_by_id.items()
+        }
+        copied.used_by_organisation = self.used_by_organisation.copy()
+        for task, runs in self.runs_by_task.items():
+            copied.runs_by_task[task] = runs.copy()
+        return copied
+
     def add_worker(self, worker: Worker) -> WorkerState:
         """Add a worker, or update the description of a known one."""
         state = self.state_by_id.get(worker.worker_id)
--- a/libs/jobs/src/lycheeloom/jobs/overload_order.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -88,6 +89,22 @@
         # Number of jobs by queue and service, as of the last round; full pools only.
         self.count_by_queue: dict[str, Counter[Service]] = {}
 
+    def copied(self, fleet: Fleet) -> OverloadOrder:
+        """Return a copy for ``fleet`` that ranks anew at its first call."""
+        copied = copy.copy(self)
+        copied._fleet = fleet
+        copied._sizes = copy.deepcopy(self._sizes)
+        copied._facts_by_job = self._facts_by_job.copy()
+        copied._settled_job_ids = self._settled_job_ids.copy()
+        copied._forward_job_by_pool = self._forward_job_by_pool.copy()
+        copied._ranked_ms = -math.inf
+        return copied
+
+    def service_of(self, job_id: str, occurrence: int) -> Service | None:
+        """Return how a job is served by the last ranks; None if it has none."""
+        job_rank = self._rank_by_key.get((job_id, occurrence))
+        return job_rank.service if job_rank is not None else None
+
     def forget_job(self, job_id: str) -> None:
         """Discard the state kept for a job that has ended."""
         self._facts_by_job.pop(job_id, None)
--- a/libs/jobs/src/lycheeloom/jobs/placement.py
+++ b/libs/jobs/src/lycheeloom/jobs/placement.py
@@ -27,6 +27,34 @@
     )
 
 
+def is_at_least(need: Resources, other_need: Resources) -> bool:
+    """Return whether a need is not smaller than another one in any respect."""
+    return (
+        need.cores >= other_need.cores
+        and need.memory_mb >= other_need.memory_mb
+        and need.accelerators >= other_need.accelerators
+    )
+
+
+def unusable_reason(
+    state: WorkerState, zones_out_of_service: Collection[str], now_s: float
+) -> str:
+    """Return why no task may start on a worker; an empty string if one may."""
+    if not state.has_current_lists:
+        return "no lists"
+    if state.awaits_description:
+        return "not described"
+    if state.is_cordoned:
+        return "cordoned"
+    if state.worker.draining:
+        return "draining"
+    if state.worker.zone in zones_out_of_service:
+        return "zone out of service"
+    if state.backoff_until_s > now_s:
+        return "backoff"
+    return ""
+
+
 class UsableWorkers:
     """The workers on which tasks may start, by pool, for one planning round.
 
@@ -51,12 +79,7 @@
                 state
                 for state in self._fleet.state_by_id.values()
                 if state.worker.pool == pool
-                and state.has_current_lists
-                and not state.awaits_description
-                and not state.is_cordoned
-                and not state.worker.draining
-                and state.worker.zone not in self._zones_out_of_service
-                and state.backoff_until_s <= self._now_s
+                and not unusable_reason(state, self._zones_out_of_service, self._now_s)
             ]
         return states
 
--- a/libs/jobs/src/lycheeloom/jobs/planner.py
+++ b/libs/jobs/src/lycheeloom/jobs/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
     UsableWorkers,
     WorkerChoice,
     choose_gang,
+    is_at_least,
     tasks_by_worker,
 )
 from .step_tasks import StepTasks
@@ -52,7 +54,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _RankedStep:
+class RankedStep:
     """A step with waiting tasks that may start; the lowest rank goes first."""
 
     rank: tuple[float, ...]
@@ -100,6 +102,17 @@
         for task in [t for t in self.failed_workers_by_task if t.job_id == job_id]:
             del self.failed_workers_by_task[task]
 
+    def copied(self, fleet: Fleet) -> Planner:
+        """Return a copy that plans for ``fleet`` and leaves this planner as it is."""
+        copied = copy.copy(self)
+        copied._fleet = fleet
+        if self.overload_order is not None:
+            copied.overload_order = self.overload_order.copied(fleet)
+        copied._exceeds_rate_by_job = self._exceeds_rate_by_job.copy()
+        accepted_s = self._accepted_s_by_organisation
+        copied._accepted_s_by_organisation = copy.deepcopy(accepted_s)
+        return copied
+
     def plan(
         self,
         active_jobs: Iterable[ActiveJob],
@@ -118,6 +131,40 @@
         no restriction. ``unknown_use_by_organisation`` contains the resources that runs
         unknown to the fleet may use; they count towards the organisations' limits.
         """
+        starts: list[Start] = []
+        reservations = _Reservations(self._fleet, unknown_use_by_organisation)
+        workers = UsableWorkers(self._fleet, zones_out_of_service, now_s)
+        # Resources of a task that did not fit on any worker of the pool; tasks that
+        # need at least as much are not tried again in this round.
+        unplaceable_need_by_pool: dict[str, Resources] = {}
+        for ranked in self.ranked_steps(
+            active_jobs, policy, zones_out_of_service, now_ms
+        ):
+            if len(starts) >= MAX_STARTS_PER_ROUND:
+                break
+            starts.extend(
+                self._plan_step(
+                    ranked,
+                    policy,
+                    workers,
+                    now_ms,
+                    reservations,
+                    unplaceable_need_by_pool,
+                    advised_workers,
+                    MAX_STARTS_PER_ROUND - len(starts),
+                )
+            )
+        reservations.release()
+        return starts
+
+    def ranked_steps(
+        self,
+        active_jobs: Iterable[ActiveJob],
+        policy: Policy,
+        zones_out_of_service: Collection[str],
+        now_ms: float,
+    ) -> list[RankedStep]:
+        """Return the steps that may start, in the order in which they are planned."""
         waiting_jobs = [
             WaitingJob(active_job, queue, steps)
             for active_job in active_jobs
@@ -134,7 +181,7 @@
                 now_ms,
             )
         ranked_steps = [
-            _RankedStep(
+            RankedStep(
                 self._rank(waiting_job, step_key, rank_by_occurrence, now_ms),
                 waiting_job.active_job,
                 step_key,
@@ -144,30 +191,7 @@
             for waiting_job in waiting_jobs
             for step_key, step_tasks in waiting_job.steps
         ]
-        ranked_steps.sort(key=lambda ranked: ranked.rank)
-        starts: list[Start] = []
-        reservations = _Reservations(self._fleet, unknown_use_by_organisation)
-        workers = UsableWorkers(self._fleet, zones_out_of_service, now_s)
-        # Resources of a task that did not fit on any worker of the pool; tasks that
-        # need at least as much are not tried again in this round.
-        unplaceable_need_by_pool: dict[str, Resources] = {}
-        for ranked in ranked_steps:
-            if len(starts) >= MAX_STARTS_PER_ROUND:
-                break
-            starts.extend(
-                self._plan_step(
-                    ranked,
-                    policy,
-                    workers,
-                    now_ms,
-                    reservations,
-                    unplaceable_need_by_pool,
-                    advised_workers,
-                    MAX_STARTS_PER_ROUND - len(starts),
-                )
-            )
-        reservations.release()
-        return starts
+        return sorted(ranked_steps, key=lambda ranked: ranked.rank)
 
     def _rank(
         self,
@@ -204,7 +228,7 @@
 
     def _plan_step(
         self,
-        ranked: _RankedStep,
+        ranked: RankedStep,
         policy: Policy,
         workers: UsableWorkers,
         now_ms: float,
@@ -228,7 +252,7 @@
         if (
             unplaceable_need is not None
             and runs_anywhere
-            and _is_at_least(step.reservation, unplaceable_need)
+            and is_at_least(step.reservation, unplaceable_need)
         ):
             return []
         states = workers.eligible(pool, step)
@@ -272,7 +296,7 @@
 
     def _plan_gang(
         self,
-        ranked: _RankedStep,
+        ranked: RankedStep,
         policy: Policy,
         states: list[WorkerState],
         reservations: _Reservations,
@@ -298,7 +322,7 @@
         return starts
 
     def _start(
-        self, ranked: _RankedStep, task: TaskKey, state: WorkerState, run: int
+        self, ranked: RankedStep, task: TaskKey, state: WorkerState, run: int
     ) -> Start:
         job, checkpoints = ranked.active_job.job, ranked.step_tasks.checkpoint_by_index
         checkpoint = checkpoints.get(task.index, "")
@@ -373,11 +397,3 @@
             if used is None
             else used
         )
-
-
-def _is_at_least(need: Resources, other_need: Resources) -> bool:
-    return (
-        need.cores >= other_need.cores
-        and need.memory_mb >= other_need.memory_mb
-        and need.accelerators >= other_need.accelerators
-    )
--- a/libs/jobs/src/lycheeloom/jobs/step_tasks.py
+++ b/libs/jobs/src/lycheeloom/jobs/step_tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from dataclasses import dataclass, field
 
 from .model import Step
@@ -23,6 +24,12 @@
     def __post_init__(self) -> None:
         self.waiting = WaitingTasks(self.step.count, self.done)
 
+    def copied(self) -> StepTasks:
+        """Return a copy with its own waiting tasks; it shares the rest."""
+        copied = copy.copy(self)
+        copied.waiting = self.waiting.copied()
+        return copied
+
     @property
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
--- a/libs/jobs/src/lycheeloom/jobs/task_sets.py
+++ b/libs/jobs/src/lycheeloom/jobs/task_sets.py
@@ -17,6 +17,12 @@
         self._bits = bytearray(bits)
         self._size = int.from_bytes(bits).bit_count()
 
+    def copied(self) -> TaskSet:
+        """Return a copy."""
+        copied = TaskSet()
+        copied._bits, copied._size = self._bits.copy(), self._size
+        return copied
+
     def add(self, index: int) -> None:
         """Add a task; does nothing if the set contains it."""
         if index in self:
@@ -98,6 +104,14 @@
         self._next = 0
         self._returned: dict[int, None] = {}
 
+    def copied(self) -> WaitingTasks:
+        """Return a copy, at a cost that suits a copy of all jobs of a leader."""
+        copied = WaitingTasks.__new__(WaitingTasks)
+        copied._count, copied._next = self._count, self._next
+        copied._started = self._started.copied()
+        copied._returned = self._returned.copy()
+        return copied
+
     @property
     def first(self) -> int:
         """Return the task to start first; there must be one."""
