Add lycheeloom explain placement

Instance processes answer POST /v1/placement on their metrics address, within the policy's max_body_bytes. The command prints the queue, what a submission would be answered, and on the leader the rank, the workers by reason and a forecast of the start. An instance that does not lead names the leader.

--- a/libs/operator/src/lycheeloom/operator/cli_parser.py
+++ b/libs/operator/src/lycheeloom/operator/cli_parser.py
@@ -4,6 +4,7 @@
 
 import argparse
 import os
+from collections.abc import Sequence
 
 import shtab
 
@@ -17,7 +18,9 @@
 # Kinds of objects that ``--logs`` explains from log lines; "leader" needs no ID.
 LEADER_KIND = "leader"
 LOGGED_KINDS = ("job", "instance", "worker", "wave", LEADER_KIND)
-ALL_KINDS = tuple(dict.fromkeys(EXPLAINED_KINDS + LOGGED_KINDS))
+# An instance process explains where a submission would go; the ID is its file.
+PLACEMENT_KIND = "placement"
+ALL_KINDS = (*dict.fromkeys(EXPLAINED_KINDS + LOGGED_KINDS), PLACEMENT_KIND)
 # Times that "wave plan" assumes for draining and rebooting an instance.
 DEFAULT_PLANNED_DRAIN_S = 60.0
 DEFAULT_PLANNED_REBOOT_S = 300.0
@@ -61,6 +64,24 @@
     return parser
 
 
+def parse_arguments(
+    parser: argparse.ArgumentParser, argv: Sequence[str] | None
+) -> argparse.Namespace:
+    """Parse a command line.
+
+    argparse takes an optional ID as missing if an option stands between the kind and
+    the ID, as in ``explain placement --host NAME FILE``.
+    """
+    args, rest = parser.parse_known_args(argv)
+    if len(rest) == 1 and getattr(args, "kind", "") == PLACEMENT_KIND:
+        is_file = rest[0] == "-" or not rest[0].startswith("-")
+        if is_file and args.id is None:
+            args.id = rest.pop()
+    if rest:
+        parser.error(f"unrecognized arguments: {' '.join(rest)}")
+    return args
+
+
 def _add_common_options(
     parser: argparse.ArgumentParser, settings: object, as_json: object, timeout: object
 ) -> None:
@@ -284,11 +305,26 @@
         "lycheeloom explain fleet",
         "lycheeloom explain job 5c0e7a21d94b36f8 --logs node-1.log node-2.log",
         "lycheeloom explain leader --logs -",
+        "lycheeloom explain placement --address 10.0.0.1:9100 --host h.example "
+        "--path /a/ --organisation red job.json",
     )
     explain.add_argument("kind", choices=ALL_KINDS)
     explain.add_argument(
-        "id", metavar="ID", nargs="?", help="name; not needed for fleet and leader"
-    )
+        "id",
+        metavar="ID",
+        nargs="?",
+        help="name; not needed for fleet and leader; for placement, a file with a "
+        "submission as JSON, or - for standard input",
+    )
+    for option, text in (
+        ("--address", "metrics address of an instance, host and port"),
+        ("--host", "host of the queue"),
+        ("--path", "path of the queue, or of a submission with its id"),
+        ("--organisation", "organisation; not needed if the queue is open to all"),
+    ):
+        explain.add_argument(
+            option, default="", metavar=option[2:].upper(), help=f"placement: {text}"
+        )
     explain.add_argument(
         "--logs",
         nargs="+",
--- a/libs/operator/src/lycheeloom/operator/main.py
+++ b/libs/operator/src/lycheeloom/operator/main.py
@@ -16,12 +16,16 @@
     FLEET_KIND,
     LEADER_KIND,
     LOGGED_KINDS,
+    PLACEMENT_KIND,
     build_parser,
+    parse_arguments,
 )
 from .entries import Entries
 from .exit_codes import ExitCode
+from .field_checks import is_address
 from .operator import Operator
 from .output import Report, report_problems
+from .placement_command import explain_placement
 from .settings import Settings, load_settings
 
 # Reports with these codes go to standard error. OUTCOME_UNKNOWN and NOT_IN_FORCE are
@@ -61,7 +65,7 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one command and return its exit code."""
     parser = build_parser()
-    args = parser.parse_args(argv)
+    args = parse_arguments(parser, argv)
     try:
         return _run(parser, args)
     except KeyboardInterrupt:
@@ -87,6 +91,8 @@
         return ExitCode.USAGE
     if command == "explain":
         _check_explain_arguments(parser, args)
+        if args.kind == PLACEMENT_KIND:
+            return _print(explain_placement(args), args.json)
         if args.logs:
             return _print(reading.explain_logs(args), args.json)
     settings = load_settings(args.settings)
@@ -107,9 +113,17 @@
 ) -> None:
     if not args.id and args.kind not in (FLEET_KIND, LEADER_KIND):
         parser.error(f"explain {args.kind} needs an ID")
+    placement = (args.address, args.host, args.path)
+    if args.kind == PLACEMENT_KIND:
+        if not all(placement):
+            parser.error("explain placement needs --address, --host and --path")
+        if not is_address(args.address):
+            parser.error(f"--address {args.address}: allowed: HOST:PORT")
+    elif any(placement) or args.organisation:
+        parser.error(f"explain {args.kind} does not ask an instance")
     if args.logs and args.kind not in LOGGED_KINDS:
         parser.error(f"explain {args.kind} does not read logs")
-    if not args.logs and args.kind not in EXPLAINED_KINDS:
+    if not args.logs and args.kind not in (*EXPLAINED_KINDS, PLACEMENT_KIND):
         parser.error(f"explain {args.kind} needs --logs FILE")
 
 
--- a/libs/operator/tests/test_command.py
+++ b/libs/operator/tests/test_command.py
@@ -396,3 +396,24 @@
     text = capsys.readouterr().err
     for code in (0, 1, 2, 3, 4, 5, 6, 7, 8, 130):
         assert f"\n  {code:3}  " in text
+
+
+@pytest.mark.parametrize(
+    ("args", "code", "reason"),
+    [
+        (("--path", "/a/", "job.json"), 2, "needs --address, --host and --path"),
+        (("--path", "/a/"), 2, "needs an ID"),
+        (("--address", "nowhere", "job.json"), 2, "allowed: HOST:PORT"),
+        (("no-such-file.json",), 1, "no-such-file.json: cannot be read: No such file"),
+        ((__file__,), 4, "127.0.0.1:1 gave no answer: not connected"),
+    ],
+)
+def test_placement_names_what_is_wrong(capsys, args, code, reason):
+    """Guards against a traceback, or a wrong exit code, for a mistake or an outage."""
+    where = ["--host", "h.example", "--path", "/a/", "--address", "127.0.0.1:1"]
+    where = where[: 0 if code == 2 and "--address" not in args else None]
+    try:
+        found = main(["explain", "placement", *where, *args])
+    except SystemExit as error:
+        found = error.code
+    assert (found, reason in capsys.readouterr().err) == (code, True)
