--- a/libs/jobs/src/lycheeloom/jobs/overload_order.py
+++ b/libs/jobs/src/lycheeloom/jobs/overload_order.py
@@ -27,7 +27,7 @@
 FORWARD_TURN_S = 5.0
 # Ranks are kept for this long, so that rounds in quick succession cost little. Jobs
 # that arrive meanwhile are ranked by their deadline.
-RANK_INTERVAL_MS = 50.0
+RANK_INTERVAL_MS = 100.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +153,7 @@
             contenders = demand.contenders
             if demand.needed <= room.free:
                 continue
+            room = self._with_use(room, pool, capacity)
             if demand.tasks:
                 task_s = demand.duration_ms / demand.tasks / 1000
                 room = replace(room, task_s=task_s)
@@ -274,30 +275,53 @@
     def _room_of(
         self, pool: str, zones_out_of_service: Collection[str]
     ) -> tuple[Resources | None, PoolRoom]:
-        """Return the capacity of one instance of a pool, and the room of the pool."""
+        """Return the capacity of one instance of a pool, and the room of the pool.
+
+        What the runs use is left out; see ``_with_use``.
+        """
         capacity: Resources | None = None
         instances = free = 0.0
-        used_by_organisation: Counter[str] = Counter()
         for state in self._fleet.state_by_id.values():
             if state.worker.pool != pool:
                 continue
             capacity = capacity or state.worker.capacity
-            for run in state.run_by_task.values():
-                if not run.step.long_running:
-                    share = run.step.reservation.dominant_share(capacity)
-                    used_by_organisation[run.organisation] += share
             is_usable = (
                 state.has_current_lists
                 and not state.is_cordoned
                 and not state.worker.draining
                 and state.worker.zone not in zones_out_of_service
             )
-            if not is_usable:
+            if is_usable:
+                instances += 1.0
+                free += 1.0 - state.used.dominant_share(capacity)
+        return capacity, PoolRoom(instances, free, 0.0, {})
+
+    def _with_use(self, room: PoolRoom, pool: str, capacity: Resources) -> PoolRoom:
+        """Return the room of a pool with what its runs use.
+
+        This looks at each run, so it is done only for a pool that is full.
+        """
+        long_running = 0.0
+        used_by_organisation: Counter[str] = Counter()
+        # Tasks of a step share one object.
+        share_by_step: dict[int, float] = {}
+        for state in self._fleet.state_by_id.values():
+            if state.worker.pool != pool:
                 continue
-            long_running = state.long_running_need.dominant_share(capacity)
-            instances += 1.0 - long_running
-            free += 1.0 - state.used.dominant_share(capacity)
-        return capacity, PoolRoom(instances, free, 0.0, used_by_organisation)
+            for run in state.run_by_task.values():
+                share = share_by_step.get(id(run.step))
+                if share is None:
+                    share = run.step.reservation.dominant_share(capacity)
+                    share_by_step[id(run.step)] = share
+                if run.step.long_running:
+                    long_running += share
+                else:
+                    used_by_organisation[run.organisation] += share
+        return replace(
+            room,
+            instances=max(0.0, room.instances - long_running),
+            used_by_organisation=used_by_organisation,
+        )
 
     def _bring_forward(
         self,
