--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -39,6 +39,9 @@
 # A worker that has been missing from the platform's list of workers for less than this
 # may still come back.
 UNLISTED_GRACE_S = 2.5
+# Pause between planning rounds, in durations of a round. With overload control, rounds
+# take longest when the leader has most starts to send, which need the processor too.
+OVERLOAD_PAUSE_FACTOR = 3.0
 
 
 class Dispatcher:
@@ -85,7 +88,9 @@
         self._inherited = InheritedJobs(
             self._registry.inherited_job_ids, self.fleet, view, longest_lease_s
         )
-        self._round_timer = RoundTimer()
+        self._round_timer = RoundTimer(
+            OVERLOAD_PAUSE_FACTOR if features.overload_control else 1.0
+        )
         self._unlisted_since_s_by_worker: dict[str, float] = {}
         # Worker id and start time of incarnations that have definitely ended but are
         # still listed by the platform.
--- a/libs/coordinator/src/lycheeloom/coordinator/round_timer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/round_timer.py
@@ -28,12 +28,14 @@
     """Waits for planning rounds and measures how late they begin.
 
     A round is due ``PLAN_PAUSE_S`` after the first event or after ``PLAN_INTERVAL_S``.
-    The pause is at least as long as the last round, so that polls, orders and renewals
-    of leases get as much of the processor as the rounds. A round begins later than it
+    The pause is at least ``pause_factor`` times as long as the last round, so that
+    polls, orders and renewals of leases get their part of the processor: with a factor
+    of 1, as much as the rounds. A round begins later than it
     is due while other greenlets are busy, or the process does not run at all.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pause_factor: float = 1.0) -> None:
+        self._pause_factor = pause_factor
         self._wake = Event()
         self._woken_s = 0.0
         self._due_s = math.inf
@@ -79,7 +81,7 @@
     def wait(self) -> None:
         """Wait until the next round."""
         ended_s = steady_s()
-        pause_s = max(PLAN_PAUSE_S, self._round_s)
+        pause_s = max(PLAN_PAUSE_S, self._pause_factor * self._round_s)
         self._wake.wait(PLAN_INTERVAL_S)
         self._due_s = ended_s + PLAN_INTERVAL_S
         if self._wake.is_set():
