--- a/libs/coordinator/tests/test_round_timer.py
+++ b/libs/coordinator/tests/test_round_timer.py
@@ -140,3 +140,17 @@
     wait_until(lambda: bool(late_lines))
     assert late_lines[0]["late_s"] > LATE_S
     assert late_lines[0]["workers"] == 2
+
+
+@pytest.mark.parametrize(("factor", "pause_s"), [(1.0, 0.1), (3.0, 0.3)])
+def test_pause_is_a_multiple_of_the_last_round(clock, monkeypatch, factor, pause_s):
+    """Guards against rounds that take the processor from the starts they plan."""
+    pauses = []
+    timer = RoundTimer(factor)
+    timer.begin()
+    clock.now_s += 0.1
+    timer.end(0, 0)
+    timer.wake()
+    monkeypatch.setattr(round_timer.gevent, "sleep", pauses.append)
+    timer.wait()
+    assert pauses == [pytest.approx(pause_s)]
