--- a/bench/client_crowd.py
+++ b/bench/client_crowd.py
@@ -26,6 +26,9 @@
 import gevent  # noqa: E402
 import psutil  # noqa: E402
 
+from lycheeloom.adapter.documents import CONFIG_KEY  # noqa: E402
+from lycheeloom.adapter.settings import PATH_VARIABLE  # noqa: E402
+from lycheeloom.adapter.store import OPERATOR_TOPIC  # noqa: E402
 from lycheeloom.adapter_standins.caller import free_address, wait_until  # noqa: E402
 from lycheeloom.adapter_standins.store import StoreStandin  # noqa: E402
 from lycheeloom.entry.http_server import HttpServer  # noqa: E402
@@ -124,7 +127,7 @@
         gevent.sleep(options.seconds)
         return
     store = StoreStandin()
-    store.put("keyed.op", "config", CONFIG)
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, CONFIG)
     server = HttpServer(("127.0.0.1", 0), store.app, log=None)
     server.start()
     address, ready = free_address(), free_address()
@@ -140,7 +143,7 @@
         with (Path(folder) / "log").open("w") as log:
             process = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform/node.py")],
-                env={"LYCHEELOOM_BOOT": str(path)},
+                env={PATH_VARIABLE: str(path)},
                 stdout=log,
                 stderr=log,
             )
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -22,6 +22,9 @@
 import pytest
 from demo.processes import free_address, running_fleet
 
+from lycheeloom.adapter.documents import CONFIG_KEY
+from lycheeloom.adapter.settings import PATH_VARIABLE
+from lycheeloom.adapter.store import OPERATOR_TOPIC
 from lycheeloom.adapter_standins.caller import JOB_BODY, wait_until
 from lycheeloom.adapter_standins.store import StoreStandin
 from lycheeloom.entry.http_server import HttpServer
@@ -150,7 +153,7 @@
 def running_node(folder: Path) -> Iterator[Target]:
     """Start an instance process against a store on a loopback address."""
     store = StoreStandin()
-    store.put("keyed.op", "config", make_config())
+    store.put(OPERATOR_TOPIC, CONFIG_KEY, make_config())
     server = HttpServer(("127.0.0.1", 0), store.app, log=None)
     server.start()
     metrics_port = int(free_address().rpartition(":")[2])
@@ -174,7 +177,7 @@
     path.write_text("".join(f"{name}={value}\n" for name, value in settings.items()))
     process = subprocess.Popen(
         [sys.executable, str(ROOT / "platform" / "node.py")],
-        env={"PATH": "/usr/bin:/bin", "LYCHEELOOM_BOOT": str(path)},
+        env={"PATH": "/usr/bin:/bin", PATH_VARIABLE: str(path)},
         stdout=(folder / "node.log").open("w"),
         # Nobody reads it: a supervisor that is slow must not stop the process.
         stderr=subprocess.PIPE,
