Show that an order of a killed leader exceeds the limit of a wave

Cause: a new leader counts an instance that its predecessor has ordered as away only for the lease of orders, and then begins with another one.

--- a/review/standins-3/rig3.py
+++ b/review/standins-3/rig3.py
@@ -13,6 +13,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -33,11 +34,21 @@
 STOP_S = 0.2
 CANCEL_S = 3.0
 CONTACT_S = 3.0
+FINISH_S = 14.0
+MIGRATION_S = 1.5
+MAINTENANCE_S = 2.0
 MAX_HOLD_MS = 10_000
 MAX_WAIT_MS = 2_000
 MAX_LISTED_ENDS = 500
 MAX_PAGE_ITEMS = 500
 READY_TIMEOUT_S = 30.0
+STANDBY_POOL = "off"
+POOL_BY_QUEUE = {"sheet": "desk", "archive": "other-desk"}
+POOLS = tuple(POOL_BY_QUEUE.values())
+# Of each process, from the sheets of the small deployments.
+DESCRIPTORS = 4_100
+# Those of them that are for files.
+RESERVED_DESCRIPTORS = 200
 HOST = "queues.example"
 KEY = "key-of-red"
 
@@ -93,6 +104,13 @@
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
+        self._server = server
+
+    def close(self) -> None:
+        """Stop listening and close all connections, as a process that ends."""
+        self._server.close()
+        for connection in self.connections:
+            connection.writer.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -307,6 +325,10 @@
         self.server = Server(self._receive)
         self.hold_back: Callable[[Worker, Call], float | None] = lambda w, call: None
         self.runs: list[Run] = []
+        self.has_left = False
+        self.arrived_s = time.monotonic()
+        # How long the worker takes to begin a task.
+        self.start_delay_s = 0.0
         self._record = record
         self._run_by_task: dict[str, Run] = {}
         self._barred_run_by_task: dict[str, int] = {}
@@ -342,9 +364,16 @@
         """Return the runs at work now."""
         return list(self._run_by_task.values())
 
+    def leave(self) -> None:
+        """End with all runs, as when the machine is moved."""
+        for run in self.running():
+            self._end(run, "terminated")
+        self.has_left = True
+        self.server.close()
+
     async def follow_time(self) -> None:
         """End runs that are done, and all of them when the lease expires."""
-        while True:
+        while not self.has_left:
             await asyncio.sleep(0.005)
             now_s = time.monotonic()
             for run in self.running():
@@ -375,6 +404,7 @@
         self._token = body.get("fencing_token", 0)
         match call.path:
             case "/v1/run-start":
+                await asyncio.sleep(self.start_delay_s)
                 return self._start(body)
             case "/v1/run-stop":
                 return await self._stop(body)
@@ -505,6 +535,123 @@
         return json_reply({"machines": rows, "next_page_token": ""})
 
 
+@dataclass
+class Machine:
+    """A machine and its present worker; a pool that is switched off has no worker."""
+
+    name: str
+    zone: str
+    rack: str
+    pool: str
+    state: str = "up"
+    worker: Worker | None = None
+    token: int = 0
+
+
+class MovingMachines:
+    """A machine service that moves machines between pools.
+
+    ``start_worker(machine)`` starts the new worker of a machine that has moved to a
+    pool that is not switched off, and ``on_left(worker)`` is called for the former one.
+    """
+
+    def __init__(
+        self,
+        machines: list[Machine],
+        standby_pool: str,
+        start_worker: Callable[[Machine], Awaitable[Worker]],
+        on_left: Callable[[Worker], None],
+        record: Record,
+    ) -> None:
+        self._record = record
+        # Asked for each order; a held one is carried out that many seconds later.
+        self.hold_back: Callable[[Call], float | None] = lambda call: None
+        # When the upkeep of each machine began, by wave and machine.
+        self.upkeeps_by_wave: dict[int, dict[str, float]] = {}
+        self.server = Server(self._handle)
+        self.machine_by_name = {machine.name: machine for machine in machines}
+        self.moves = 0
+        # Refuse all moves.
+        self.is_busy = False
+        self._standby_pool = standby_pool
+        self._start_worker = start_worker
+        self._on_left = on_left
+
+    async def _handle(self, call: Call) -> Reply | None:
+        if call.method == "GET":
+            rows = [
+                {
+                    "machine": machine.name,
+                    "pool": machine.pool,
+                    "state": machine.state,
+                    "zone": machine.zone,
+                    "labels": ["a", machine.rack],
+                    "id": machine.worker.worker_id if machine.worker else "",
+                }
+                for machine in self.machine_by_name.values()
+            ]
+            return json_reply({"machines": rows, "next_page_token": ""})
+        late_s = self.hold_back(call)
+        if late_s is None:
+            return self._carry_out(call)
+
+        async def carry_out_late() -> None:
+            await asyncio.sleep(late_s)
+            reply = self._carry_out(call)
+            self._record.write(
+                f"{call.path} {call.body.decode()} is carried out late: {reply.status} "
+                f"{reply.body.decode()}"
+            )
+
+        keep(asyncio.create_task(carry_out_late()))
+        return None
+
+    def _carry_out(self, call: Call) -> Reply:
+        body = call.document
+        machine = self.machine_by_name.get(body["machine"])
+        if machine is None:
+            return Reply(400)
+        token = int(call.headers["fencing-token"])
+        if token < machine.token:
+            return json_reply({"reason": "fence"}, 409)
+        machine.token = token
+        if call.path == "/v1/machine-upkeep":
+            return self._maintain(machine, body["wave"])
+        if machine.pool == body["pool"]:
+            return json_reply({})
+        if machine.state != "up" or self.is_busy:
+            return json_reply({"reason": "busy"}, 409)
+        machine.pool, machine.state = body["pool"], "moving"
+        self.moves += 1
+        self._take_away(machine, MIGRATION_S)
+        return json_reply({})
+
+    def _maintain(self, machine: Machine, wave: int) -> Reply:
+        if machine.name in self.upkeeps_by_wave.get(wave, {}):
+            return json_reply({})
+        if machine.state != "up":
+            return json_reply({"reason": "busy"}, 409)
+        began_s = time.monotonic()
+        self.upkeeps_by_wave.setdefault(wave, {})[machine.name] = began_s
+        machine.state = "upkeep"
+        self._record.write(f"upkeep of {machine.name} for wave {wave} begins")
+        self._take_away(machine, MAINTENANCE_S)
+        return json_reply({})
+
+    def _take_away(self, machine: Machine, duration_s: float) -> None:
+        worker, machine.worker = machine.worker, None
+        if worker is not None:
+            worker.leave()
+            self._on_left(worker)
+        keep(asyncio.create_task(self._arrive(machine, duration_s)))
+
+    async def _arrive(self, machine: Machine, duration_s: float) -> None:
+        await asyncio.sleep(duration_s)
+        if machine.pool != self._standby_pool:
+            machine.worker = await self._start_worker(machine)
+        machine.state = "up"
+
+
 class Record:
     """What was sent, answered and run, with seconds from the start of the case."""
 
@@ -530,14 +677,41 @@
 class Deployment:
     """Stand-ins, and ``node_count`` processes of the system in one zone each."""
 
-    def __init__(self, record: Record, node_count: int, racks: list[str]) -> None:
+    def __init__(
+        self,
+        record: Record,
+        node_count: int,
+        racks: list[str],
+        machine_count: int = 0,
+        *,
+        can_move: bool = True,
+    ) -> None:
+        """Prepare the deployment.
+
+        ``machine_count`` machines begin in a pool that is switched off, or all but one
+        in the first pool if they cannot move. Without any, each of the workers named by
+        ``racks`` has a machine that never moves.
+        """
         self.record = record
         self.store = Store()
         self.workers = [
             Worker(f"i-{number:010x}", "desk", rack, f"zone-{number % 3}", record)
             for number, rack in enumerate(racks, 1)
         ]
-        self.machines = Machines(self.workers, record)
+        self.machines: Machines | MovingMachines = Machines(self.workers, record)
+        self._can_move = can_move
+        if machine_count:
+            self.machines = MovingMachines(
+                [
+                    Machine(f"m-{n:05x}", f"zone-{n % 3}", f"r-{n // 4}", STANDBY_POOL)
+                    for n in range(machine_count)
+                ],
+                STANDBY_POOL,
+                self._start_worker,
+                lambda worker: self.store.put("keyed.servers", worker.worker_id, None),
+                record,
+            )
+        self.start_delay_s = 0.0
         self._node_count = node_count
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[asyncio.subprocess.Process] = []
@@ -555,6 +729,16 @@
         for worker in self.workers:
             keep(asyncio.create_task(worker.follow_time()))
             keep(asyncio.create_task(self._report(worker)))
+        if isinstance(self.machines, MovingMachines):
+            # One machine is in each pool from the beginning.
+            machines = self.machines.machine_by_name.values()
+            pools = list(POOLS)
+            if not self._can_move:
+                self.machines.is_busy = True
+                pools += [POOLS[0]] * (len(machines) - len(pools))
+            for pool, machine in zip(pools, machines, strict=False):
+                machine.pool = pool
+                machine.worker = await self._start_worker(machine)
         readiness = []
         for number in range(self._node_count):
             readiness.append(await self._start_node(number))
@@ -569,8 +753,20 @@
                 await asyncio.sleep(0.1)
         self.record.write("all processes are ready")
 
+    async def _start_worker(self, machine: Machine) -> Worker:
+        number = len(self.workers) + 1
+        worker = Worker(
+            f"i-{number:010x}", machine.pool, machine.rack, machine.zone, self.record
+        )
+        worker.start_delay_s = self.start_delay_s
+        await worker.server.start()
+        self.workers.append(worker)
+        keep(asyncio.create_task(worker.follow_time()))
+        keep(asyncio.create_task(self._report(worker)))
+        return worker
+
     async def _report(self, worker: Worker) -> None:
-        while True:
+        while not worker.has_left:
             self.store.put("keyed.servers", worker.worker_id, worker.report())
             await asyncio.sleep(1.5)
 
@@ -594,7 +790,7 @@
                 "limits.cpu_share=0.537",
                 "limits.cores=2",
                 "limits.memory_mb=300",
-                "limits.file_descriptors=4100",
+                f"limits.file_descriptors={DESCRIPTORS}",
                 "heartbeat_ms=1500",
                 "contracts=base,drain,config,cost,recover,sched,tenants,quota,places,"
                 "platform,upkeep,sharing",
@@ -634,6 +830,11 @@
         words = role["run"].split(" ")
         program = sys.executable if words[0] == "python3" else words[0]
         log = (self._folder / f"{name}.log").open("wb")
+
+        def limit_descriptors() -> None:
+            limit = DESCRIPTORS - RESERVED_DESCRIPTORS
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
         process = await asyncio.create_subprocess_exec(
             program,
             *words[1:],
@@ -648,6 +849,7 @@
             },
             stdout=log,
             stderr=log,
+            preexec_fn=limit_descriptors,
         )
         self.processes.append(process)
         self.frontends.append(f"127.0.0.1:{ports[0]}")
@@ -658,6 +860,10 @@
         path = self._folder / f"frontend-zone-{number}-1.log"
         return path.read_text(errors="replace")
 
+    def open_descriptors(self, number: int) -> int:
+        """Return how many descriptors a process has open."""
+        return len(os.listdir(f"/proc/{self.processes[number].pid}/fd"))
+
     def leader(self) -> int:
         """Return the number of the process that took the lead last."""
         latest, number = -1, 0
@@ -707,15 +913,15 @@
 
 
 def config() -> dict:
-    """Return a configuration with one queue, one pool and one tenant."""
+    """Return a configuration with two queues, a pool for each, and one tenant."""
     return {
         "version": 3,
         "routes": [
             {
-                "name": "sheet",
+                "name": name,
                 "host": HOST,
-                "path_prefix": "/sheet/",
-                "service": "desk",
+                "path_prefix": f"/{name}/",
+                "service": pool,
                 "kind": "unsafe",
                 "timeout_ms": 3000,
                 "priority": 0,
@@ -723,15 +929,19 @@
                 "stretch": 1.6,
                 "target_latency_ms": 600,
             }
+            for name, pool in POOL_BY_QUEUE.items()
+        ],
+        "services": [
+            *({"name": pool, "rejects_overload": True} for pool in POOLS),
+            {"name": STANDBY_POOL, "rejects_overload": True, "standby": True},
         ],
-        "services": [{"name": "desk", "rejects_overload": True}],
         "limits": {"body_bytes": 262_144},
         "tenants": [
             {
                 "name": "red",
                 "api_keys": [KEY],
                 "weight": 30,
-                "upper_limit": {"cpu": 64_000, "requested_memory_mb": 0, "gpus": 0},
+                "upper_limit": {"cpu": 1_000_000, "requested_memory_mb": 0, "gpus": 0},
             }
         ],
     }
