--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A cancelled job runs on after the open connections to its worker went silent."""
+"""A job never starts, as the leader asks for advice on the same 30 workers for good."""
 
 from __future__ import annotations
 
@@ -12,101 +12,115 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-3"))
 
 from rig3 import (  # noqa: E402
-    CANCEL_S,
-    STOP_S,
+    FINISH_S,
+    Call,
     CannotRunError,
     Deployment,
     Record,
+    Reply,
+    Server,
+    json_reply,
     request,
     run_case,
 )
 
-LASTING_ID = "00000000000000a1"
-BURST_ID = "00000000000000b2"
-BURST_TASKS = 24
-# From the silence of the connections to the cancelling of the job. The rules count a
-# machine as in touch again 3 s after a reset of its connections.
-CALM_S = 4.0
-# For the clocks of this script.
-TOLERANCE_S = 0.3
+# Workers of the pool; grown sites have 28 to 44 in each.
+WORKERS = 40
+# How many of them the policy of the queue allows to run a step.
+ALLOWED = 2
+TERMS = {"decision_ms": 20.0, "each_ms": 1.0, "validity_ms": 4_000}
+MAX_WORKERS_PER_CALL = 100
+JOB_ID = "fe000000000000a1"
+TASKS = 4
+TASK_S = 1.0
+# For so long, a job has nothing running although there is capacity for it.
+NOTHING_S = 3.0
+
+
+class AdviceService:
+    """Knows which workers may run the steps of a queue; handles one call at a time."""
+
+    def __init__(self, record: Record, allowed: set[str]) -> None:
+        self.server = Server(self._handle)
+        self.calls = 0
+        self.asked: set[str] = set()
+        self._record = record
+        self._allowed = allowed
+        self._turn = asyncio.Lock()
+
+    async def _handle(self, call: Call) -> Reply:
+        body = call.document
+        workers = body["workers"]
+        if call.path != "/v1/advise" or len(workers) > MAX_WORKERS_PER_CALL:
+            return Reply(400)
+        async with self._turn:
+            duration_ms = TERMS["decision_ms"] + TERMS["each_ms"] * len(workers)
+            await asyncio.sleep(duration_ms / 1000)
+        self.calls += 1
+        self.asked.update(workers)
+        rows = [
+            [worker, f"t-{worker}"] for worker in workers if worker in self._allowed
+        ]
+        self._record.write(
+            f"advice on {len(workers)} workers for {body['step']}: {len(rows)} eligible"
+        )
+        return json_reply(
+            {"eligible_workers": rows, "validity_ms": TERMS["validity_ms"]}
+        )
 
 
 async def play(record: Record, has_trouble: bool) -> bool:
     """Play the case; return whether the rule was broken."""
-    deployment = Deployment(record, 3, ["r-1", "r-1", "r-2"])
+    deployment = Deployment(record, 3, [f"r-{n // 4}" for n in range(WORKERS)])
+    ids = sorted(worker.worker_id for worker in deployment.workers)
+    allowed = ids[-ALLOWED:] if has_trouble else ids[:ALLOWED]
+    record.write(f"the policy allows {allowed} of {WORKERS} workers")
+    service = AdviceService(record, set(allowed))
     try:
+        await service.server.start()
+        deployment.more_settings = [f"recommendation={service.server.address}"]
+        deployment.advice_terms = TERMS
         await deployment.start()
-        return await _play(deployment, record, has_trouble)
+        return await _play(deployment, service, set(allowed), record)
     finally:
         await deployment.stop()
 
 
-async def _play(deployment: Deployment, record: Record, has_trouble: bool) -> bool:
-    work = json.dumps({"run_s": 1.0, "cpu": 1_000, "lasts": True})
-    step = {"count": 1, "cpu": 1_000, "estimated_ms": 500, "long_running": True}
-    await _submit(deployment, record, LASTING_ID, work, step)
-    run = await _await_run(deployment, LASTING_ID)
-    worker = next(w for w in deployment.workers if w.worker_id == run.worker_id)
-    # Short tasks at once, as a round sheet has them; their starts are sent in parallel.
-    work = json.dumps({"run_s": 0.8, "cpu": 300})
-    step = {"count": BURST_TASKS, "cpu": 300, "estimated_ms": 800}
-    await _submit(deployment, record, BURST_ID, work, step)
-    until_s = time.monotonic() + 10.0
-    while (
-        sum(r.how == "done" for w in deployment.workers for r in w.runs) < BURST_TASKS
-    ):
-        if time.monotonic() > until_s:
-            raise CannotRunError("the short tasks did not end in time")
-        await asyncio.sleep(0.02)
-    await asyncio.sleep(0.3)
-    if has_trouble:
-        count = 0
-        for any_worker in deployment.workers:
-            for connection in any_worker.server.connections:
-                connection.is_silent = True
-                count += 1
-        record.write(f"{count} open connections to the workers are silent from now on")
-    await asyncio.sleep(CALM_S)
-    if run.ended_s is not None:
-        raise CannotRunError(f"the lasting task has ended: {run.how}")
-    reply = await request(deployment.frontends[0], "DELETE", f"/sheet/{LASTING_ID}")
-    acknowledged_s = time.monotonic()
-    record.write(f"DELETE of {LASTING_ID}: {reply}")
+async def _play(
+    deployment: Deployment, service: AdviceService, allowed: set[str], record: Record
+) -> bool:
+    await asyncio.sleep(3.0)
+    body = {
+        "specification": json.dumps({"run_s": TASK_S, "cpu": 1_000}),
+        "steps": [{"count": TASKS, "cpu": 1_000, "estimated_ms": 1_000}],
+    }
+    path = f"/sheet/{JOB_ID}"
+    reply = await request(deployment.frontends[0], "POST", path, body)
+    accepted_s = time.monotonic()
+    record.write(f"POST of {JOB_ID}: {reply}")
     if reply is None or reply[0] != 200:
-        raise CannotRunError("the cancelling was not acknowledged")
-    latest_s = acknowledged_s + CANCEL_S + STOP_S + TOLERANCE_S
-    while time.monotonic() < acknowledged_s + 12.0 and worker.running():
-        await asyncio.sleep(0.02)
-    runs = [r for w in deployment.workers for r in w.runs if LASTING_ID in r.task]
-    for run in runs:
-        after_s = (run.ended_s or time.monotonic()) - acknowledged_s
-        record.write(
-            f"run {run.run} of {run.task} on {run.worker_id} was there until "
-            f"{after_s:.2f} s after the acknowledgement; allowed are "
-            f"{CANCEL_S + STOP_S} s"
-        )
-    return any((run.ended_s or time.monotonic()) > latest_s for run in runs)
-
-
-async def _submit(
-    deployment: Deployment, record: Record, job_id: str, work: str, step: dict
-) -> None:
-    body = {"specification": work, "steps": [step]}
-    reply = await request(deployment.frontends[0], "POST", f"/sheet/{job_id}", body)
-    record.write(f"POST of {job_id}: {reply}")
-    if reply is None or reply[0] != 200:
-        raise CannotRunError("a job was not accepted")
-
-
-async def _await_run(deployment: Deployment, job_id: str):
-    until_s = time.monotonic() + 10.0
-    while time.monotonic() < until_s:
-        for worker in deployment.workers:
-            for run in worker.running():
-                if job_id in run.task:
-                    return run
-        await asyncio.sleep(0.02)
-    raise CannotRunError("the lasting task did not start")
+        raise CannotRunError("the job was not accepted")
+    # The traffic has ended; jobs are asked for after this time.
+    await asyncio.sleep(FINISH_S)
+    looked_s = time.monotonic()
+    state = b""
+    while time.monotonic() < looked_s + NOTHING_S + 1.0:
+        reply = await request(deployment.frontends[1], "GET", path)
+        state = reply[1] if reply else b""
+        await asyncio.sleep(0.2)
+    runs = [run for worker in deployment.workers for run in worker.runs]
+    is_idle = all(
+        not worker.running()
+        for worker in deployment.workers
+        if worker.worker_id in allowed
+    )
+    record.write(
+        f"{time.monotonic() - accepted_s:.1f} s after the acceptance: state {state!r}, "
+        f"{len(runs)} starts, the allowed workers are idle: {is_idle}; {service.calls} "
+        f"calls for advice named {len(service.asked)} workers, of the allowed ones "
+        f"{sorted(service.asked & allowed)}"
+    )
+    return b"completed" not in state and not runs and is_idle
 
 
 if __name__ == "__main__":
--- a/review/standins-3/rig3.py
+++ b/review/standins-3/rig3.py
@@ -712,6 +712,10 @@
                 record,
             )
         self.start_delay_s = 0.0
+        # Lines of the settings file besides the usual ones, and terms of the advice on
+        # the first queue.
+        self.more_settings: list[str] = []
+        self.advice_terms: dict | None = None
         self._node_count = node_count
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[asyncio.subprocess.Process] = []
@@ -725,7 +729,7 @@
             *(worker.server for worker in self.workers),
         ):
             await server.start()
-        self.store.put("keyed.op", "config", config())
+        self.store.put("keyed.op", "config", config(self.advice_terms))
         for worker in self.workers:
             keep(asyncio.create_task(worker.follow_time()))
             keep(asyncio.create_task(self._report(worker)))
@@ -823,6 +827,7 @@
                 f"cloud.address={self.machines.server.address}",
                 "cloud.rate_per_s=64.0",
                 "cloud.duty_per_s=64.0",
+                *self.more_settings,
             ]
         )
         path = self._folder / f"{name}.conf"
@@ -912,7 +917,7 @@
     raise CannotRunError("no free ports")
 
 
-def config() -> dict:
+def config(advice_terms: dict | None = None) -> dict:
     """Return a configuration with two queues, a pool for each, and one tenant."""
     return {
         "version": 3,
@@ -928,6 +933,7 @@
                 "max_attempts": 3,
                 "stretch": 1.6,
                 "target_latency_ms": 600,
+                **({"recommendation": advice_terms} if advice_terms else {}),
             }
             for name, pool in POOL_BY_QUEUE.items()
         ],
