Log repeated appends of a leader and how long the former one was silent

`leader_append_repeated` now gives the age of the record and the lease that the leader counts on, and `lead_taken` how long the new leader had read nothing.

--- a/libs/coordinator/src/lycheeloom/coordinator/leadership.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/leadership.py
@@ -163,6 +163,7 @@
         self._claimed_end = None
         leader = self._replica.table.leader
         had_leader = leader is not None
+        silent_s = steady_s() - self._replica.leader_seen_s
         may_have_renewed = (
             had_leader and not leader.resigned and leader.instance != self._instance
         )
@@ -195,6 +196,7 @@
             instance=self._instance,
             cores=self.cores,
             offset=end,
+            former_silent_s=silent_s,
         )
         self._replica.is_leading = True
         try:
--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -16,6 +16,7 @@
     MAX_RECORD_BYTES,
     Appended,
     Fenced,
+    NotAppended,
     Producer,
     StorePort,
 )
@@ -83,6 +84,9 @@
         self._cores = cores
         self._on_fenced = on_fenced
         self._sequence = 0
+        # When the first attempt of the current append was sent that may have taken
+        # effect; None if there was none.
+        self._first_sent_s: float | None = None
         self._pending_value_by_key: dict[str, bytes] = {}
         # Keys whose latest record was left out because it is too large.
         self._left_out_keys: set[str] = set()
@@ -196,12 +200,13 @@
 
     def _append(self, batch: list[Record]) -> int | None:
         """Append a batch; return the new end of the log, or None on failure."""
-        began_s = steady_s()
+        sent_s = steady_s()
         result = self._store.append(batch, Producer(self.token, self._sequence))
+        if self._first_sent_s is None and not isinstance(result, NotAppended):
+            self._first_sent_s = sent_s
         match result:
             case Appended(end=end):
-                self._sequence += 1
-                self.lease_until_s = began_s + LEADER_LEASE_S
+                self._note_appended(sent_s)
                 return end
             case Fenced():
                 self.is_fenced = True
@@ -209,6 +214,20 @@
                 self._on_fenced()
         return None
 
+    def _note_appended(self, sent_s: float) -> None:
+        """Renew the lease after an answer to an attempt that was sent at ``sent_s``."""
+        first_sent_s, self._first_sent_s = self._first_sent_s, None
+        self.lease_until_s = sent_s + LEADER_LEASE_S
+        if first_sent_s < sent_s:
+            log_event(
+                "leader_append_repeated",
+                token=self.token,
+                sequence=self._sequence,
+                first_sent_for_s=steady_s() - first_sent_s,
+                lease_left_s=self.lease_until_s - steady_s(),
+            )
+        self._sequence += 1
+
     def _leader_record(self, *, resigned: bool) -> Record:
         record = LeaderRecord(self.token, self._instance, resigned, self._cores)
         return Record(key_of(Kind.LEADER), encode(record))
--- a/libs/operator/src/lycheeloom/operator/log_timeline.py
+++ b/libs/operator/src/lycheeloom/operator/log_timeline.py
@@ -21,6 +21,7 @@
         "lead_claim_failed",
         "lead_claimed_elsewhere",
         "lead_not_taken",
+        "leader_append_repeated",
         "leader_fenced",
         "leader_late",
         "process_started",
