Count the lease of a leader from the first attempt of an append

Cause: the lease counted from the attempt that was answered.

Change: the lease counts from the first attempt that may have taken effect. The next renewal begins early enough to take its whole timeout before the lease ends, at once after a repeated append.

--- a/libs/coordinator/src/lycheeloom/coordinator/writer.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/writer.py
@@ -12,6 +12,7 @@
 
 from .clock import steady_s
 from .ports import (
+    APPEND_TIMEOUT_S,
     MAX_APPEND_BYTES,
     MAX_RECORD_BYTES,
     Appended,
@@ -21,8 +22,8 @@
     StorePort,
 )
 
-# Duration of the leader's lease, from the start of its last successful append. Other
-# instances wait longer than this before they take over.
+# Duration of the leader's lease, from the first attempt of its last successful append.
+# Other instances wait longer than this, from the record, before they take over.
 LEADER_LEASE_S = 1.5
 # Interval at which a leader without records to write renews its lease.
 RENEWAL_INTERVAL_S = 0.4
@@ -156,7 +157,7 @@
     def run(self) -> None:
         """Write records and renew the lease until the leader is fenced."""
         while not self.is_fenced:
-            self._has_pending_records.wait(RENEWAL_INTERVAL_S)
+            self._has_pending_records.wait(self._renewal_delay_s())
             self._has_pending_records.clear()
             batch = self._take_batch()
             if self._pending_value_by_key:
@@ -214,10 +215,23 @@
                 self._on_fenced()
         return None
 
+    def _renewal_delay_s(self) -> float:
+        """Return for how long to wait for records before the lease is renewed.
+
+        The renewal may take its whole timeout before the lease ends. No time is left
+        for a wait if the last append had to be repeated.
+        """
+        left_s = self.lease_until_s - steady_s() - APPEND_TIMEOUT_S
+        return min(RENEWAL_INTERVAL_S, max(0.0, left_s))
+
     def _note_appended(self, sent_s: float) -> None:
-        """Renew the lease after an answer to an attempt that was sent at ``sent_s``."""
+        """Renew the lease after an answer to an attempt that was sent at ``sent_s``.
+
+        The record may be as old as the first attempt, and the other instances count
+        from the record.
+        """
         first_sent_s, self._first_sent_s = self._first_sent_s, None
-        self.lease_until_s = sent_s + LEADER_LEASE_S
+        self.lease_until_s = first_sent_s + LEADER_LEASE_S
         if first_sent_s < sent_s:
             log_event(
                 "leader_append_repeated",
