Ask the advice service about all workers of a pool, and all steps, in turn

Cause: each call named the first 30 workers without a ticket. Workers that may not run the step never get one, so each call named them again. Of the steps, too, the first one that was due was always taken, so steps that need a call again and again kept later ones waiting for good.

Change: StepAdvice remembers the answer about each worker. Workers that were not asked about come first, ineligible ones are not named again; the step that has been due for longest comes first. The tickets of a step are renewed when the first of them expires.

--- a/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
+from dataclasses import dataclass
 
 import gevent
 
-from lycheeloom.jobs.model import AdviceTerms
+from lycheeloom.jobs.model import AdviceTerms, Worker
 from lycheeloom.jobs.task_numbering import StepKey
 from lycheeloom.telemetry import log_event
 
 from .clock import steady_s, wall_ms
 from .dispatcher import Dispatcher
 from .ports import Advice, AdvicePort, CallReply
+from .step_advice import StepAdvice
 from .worker_link import WorkerLink
 
 # Pause while no step needs tickets or this instance may not act as leader.
@@ -23,8 +25,22 @@
 TIMEOUT_MARGIN_S = 1.0
 # A ticket is not used for the last 0.3 s of its validity.
 VALIDITY_MARGIN_S = 0.3
-# Minimum time between two calls for the same step, also after a successful call.
+# Minimum time between two calls for the same step, unless no worker is known yet that
+# may run it.
 MIN_CALL_INTERVAL_S = 0.5
+# What is known of a step that could not start tasks for this long is discarded.
+KEPT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class _DueStep:
+    """A step for which the service is to be called, in a queue that requires advice."""
+
+    job_id: str
+    step_key: StepKey
+    pool: str
+    terms: AdviceTerms
+    advice: StepAdvice
 
 
 class TicketFetcher:
@@ -33,69 +49,75 @@
     Some queues require advice: their tasks may start only on workers that the service
     allows. For each of these workers the service issues a ticket, which is valid for
     some seconds and is sent along with the start. Only one call is made at a time,
-    since the service processes one call at a time.
+    since the service processes one call at a time. The step that has been due for
+    longest comes first, so that no step waits for good behind others.
     """
 
     def __init__(self, dispatcher: Dispatcher, port: AdvicePort) -> None:
         self._dispatcher = dispatcher
         self._port = port
-        # Earliest time of the next call, by job id and step.
-        self._next_call_s_by_step: dict[tuple[str, StepKey], float] = {}
+        # By job id and step.
+        self._advice_by_step: dict[tuple[str, StepKey], StepAdvice] = {}
 
     def run(self) -> None:
         """Fetch tickets until the leader is fenced."""
         while not self._dispatcher.writer.is_fenced:
-            if (
-                not self._dispatcher.writer.may_act
-                or not self._fetch_for_first_due_step()
-            ):
+            if not self._dispatcher.writer.may_act or not self._fetch_for_due_step():
                 gevent.sleep(IDLE_PAUSE_S)
 
-    def _fetch_for_first_due_step(self) -> bool:
-        """Call the service for the first step that is due for a call.
+    def _fetch_for_due_step(self) -> bool:
+        """Call the service for the step that has been due for a call for longest.
 
         Returns whether a call was made, successful or not.
         """
-        dispatcher = self._dispatcher
         self._remove_outdated()
-        policy = dispatcher.view.policy
-        for active_job in list(dispatcher.active_job_by_id.values()):
+        due_steps = sorted(self._find_due_steps(), key=lambda due: due.advice.due_s)
+        return any(self._fetch_tickets(due) for due in due_steps)
+
+    def _find_due_steps(self) -> list[_DueStep]:
+        """Return the steps that may start tasks and whose call is due."""
+        now_s = steady_s()
+        policy = self._dispatcher.view.policy
+        due_steps = []
+        for active_job in list(self._dispatcher.active_job_by_id.values()):
             queue = policy.queue_by_name.get(active_job.job.queue)
             if queue is None or queue.advice is None:
                 continue
+            job_id = active_job.job.job_id
             for step_key, _ in active_job.startable_steps(wall_ms()):
-                step_id = (active_job.job.job_id, step_key)
-                if steady_s() < self._next_call_s_by_step.get(step_id, 0.0):
-                    continue
-                if self._fetch_tickets(
-                    active_job.job.job_id, step_key, queue.pool, queue.advice
-                ):
-                    return True
-        return False
-
-    def _fetch_tickets(
-        self, job_id: str, step_key: StepKey, pool: str, terms: AdviceTerms
-    ) -> bool:
-        """Call the service about the pool's workers without a ticket for the step.
+                advice = self._advice_by_step.setdefault(
+                    (job_id, step_key), StepAdvice(now_s)
+                )
+                advice.startable_s = now_s
+                if advice.due_s <= now_s:
+                    due_steps.append(
+                        _DueStep(job_id, step_key, queue.pool, queue.advice, advice)
+                    )
+        return due_steps
+
+    def _fetch_tickets(self, due: _DueStep) -> bool:
+        """Call the service about workers without a ticket for the step.
 
         Returns False, without a call, if there are no such workers.
         """
-        advised_workers = self._dispatcher.advised_workers
-        worker_ids = [
-            worker_id
-            for worker_id, state in self._dispatcher.fleet.state_by_id.items()
-            if state.worker.pool == pool
-            and state.has_current_lists
-            and not state.worker.draining
-            and (job_id, step_key, worker_id) not in advised_workers.ticket_by_key
-        ][:MAX_WORKERS_PER_CALL]
-        if not worker_ids:
+        asked = due.advice.choose(
+            self._without_ticket(due),
+            self._pool_workers(due.pool),
+            MAX_WORKERS_PER_CALL,
+        )
+        if not asked:
             return False
-        step = f"{job_id}.{step_key[0]}.{step_key[1]}"
-        expected_s = (terms.decision_ms + terms.each_worker_ms * len(worker_ids)) / 1000
-        link_by_id = self._dispatcher.link_by_id
-        asked_link_by_id = {i: link_by_id[i] for i in worker_ids}
-        result = self._port.advise(step, worker_ids, expected_s + TIMEOUT_MARGIN_S)
+        step = f"{due.job_id}.{due.step_key[0]}.{due.step_key[1]}"
+        expected_s = (
+            due.terms.decision_ms + due.terms.each_worker_ms * len(asked)
+        ) / 1000
+        asked_link_by_id = {
+            worker.worker_id: self._dispatcher.link_by_id[worker.worker_id]
+            for worker in asked
+        }
+        result = self._port.advise(
+            step, list(asked_link_by_id), expected_s + TIMEOUT_MARGIN_S
+        )
         now_s = steady_s()
         if isinstance(result, CallReply):
             log_event(
@@ -105,19 +127,40 @@
                 outcome=result.outcome.value,
                 reason=result.reason,
             )
-            self._next_call_s_by_step[job_id, step_key] = now_s + MIN_CALL_INTERVAL_S
+            due.advice.due_s = now_s + MIN_CALL_INTERVAL_S
             return True
+        due.advice.note(asked, result.ticket_by_worker)
         result = self._without_restarted(result, asked_link_by_id)
-        self._store_tickets(result, job_id, step_key, now_s)
+        self._store_tickets(result, due, now_s)
         log_event(
             "advice",
             step=step,
-            asked=len(worker_ids),
+            asked=len(asked),
             eligible=len(result.ticket_by_worker),
+            has_unasked=due.advice.has_unasked(self._without_ticket(due)),
             validity_s=result.validity_s,
         )
         return True
 
+    def _pool_workers(self, pool: str) -> list[Worker]:
+        return [
+            state.worker
+            for state in self._dispatcher.fleet.state_by_id.values()
+            if state.worker.pool == pool
+        ]
+
+    def _without_ticket(self, due: _DueStep) -> list[Worker]:
+        """Return the workers of the pool that could get tasks with a ticket."""
+        tickets = self._dispatcher.advised_workers.ticket_by_key
+        return [
+            state.worker
+            for worker_id, state in self._dispatcher.fleet.state_by_id.items()
+            if state.worker.pool == due.pool
+            and state.has_current_lists
+            and not state.worker.draining
+            and (due.job_id, due.step_key, worker_id) not in tickets
+        ]
+
     def _without_restarted(
         self, advice: Advice, asked_link_by_id: dict[str, WorkerLink]
     ) -> Advice:
@@ -134,25 +177,31 @@
         }
         return dataclasses.replace(advice, ticket_by_worker=ticket_by_worker)
 
-    def _store_tickets(
-        self, advice: Advice, job_id: str, step_key: StepKey, now_s: float
-    ) -> None:
+    def _store_tickets(self, advice: Advice, due: _DueStep, now_s: float) -> None:
+        """Store the tickets and set when the next call for the step is due.
+
+        While workers are left about which the service has not been asked, that is soon,
+        and at once if the step has no eligible worker yet. Otherwise it is when the
+        first tickets of the step expire.
+        """
         expires_s = now_s + advice.validity_s - VALIDITY_MARGIN_S
+        tickets = self._dispatcher.advised_workers.ticket_by_key
         for worker_id, ticket in advice.ticket_by_worker.items():
-            ticket_key = (job_id, step_key, worker_id)
-            self._dispatcher.advised_workers.ticket_by_key[ticket_key] = (
-                ticket,
-                expires_s,
-            )
-        # The service is not called again about the workers without a ticket before the
-        # new tickets expire: until then, the step keeps its eligible workers.
-        self._next_call_s_by_step[job_id, step_key] = max(
-            expires_s, now_s + MIN_CALL_INTERVAL_S
-        )
+            tickets[due.job_id, due.step_key, worker_id] = (ticket, expires_s)
+        if not due.advice.has_unasked(self._without_ticket(due)):
+            for worker in self._pool_workers(due.pool):
+                key = (due.job_id, due.step_key, worker.worker_id)
+                if key in tickets:
+                    expires_s = min(expires_s, tickets[key][1])
+            due.advice.due_s = max(expires_s, now_s + MIN_CALL_INTERVAL_S)
+        elif due.advice.has_eligible:
+            due.advice.due_s = now_s + MIN_CALL_INTERVAL_S
+        else:
+            due.advice.due_s = now_s
         self._dispatcher.wake()
 
     def _remove_outdated(self) -> None:
-        """Remove expired tickets, and the call times of jobs that have ended."""
+        """Remove expired tickets, and what is known of steps that have long started."""
         now_s = steady_s()
         tickets = self._dispatcher.advised_workers.ticket_by_key
         for ticket_key in [
@@ -160,9 +209,6 @@
         ]:
             del tickets[ticket_key]
         active_jobs = self._dispatcher.active_job_by_id
-        for step_id in [
-            step_id
-            for step_id in self._next_call_s_by_step
-            if step_id[0] not in active_jobs
-        ]:
-            del self._next_call_s_by_step[step_id]
+        for step_id, advice in list(self._advice_by_step.items()):
+            if step_id[0] not in active_jobs or now_s - advice.startable_s > KEPT_S:
+                del self._advice_by_step[step_id]
