Do not send an order for an instance long after its record

Orders of a round are recorded together, but only 16 are in flight, for up to 1 s each, while the leader renews its own lease; the 33rd was sent 2.04 s after its record.

Change: an order that was recorded over 1.5 s ago is not sent, and is chosen anew.

Failed before: test_order_that_waits_for_others_is_not_sent_long_after_its_record (2.04 s, limit 1.53 s: 2.23 s less the time to be sent and to arrive). Tests of maintenance, leader tasks and gentle maintenance: passed (26 with this one).

--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -300,14 +300,16 @@
 
     def _send_order(self, order: WaveOrder, instance: Instance) -> None:
         handled = self._handled_by_id[instance.instance_id]
-        reply = self._port.maintain(
-            instance.instance_id, order.wave, self._dispatcher.writer.token
+        token = self._dispatcher.writer.token
+        reply = self._order_guard.send(
+            instance.instance_id,
+            lambda: self._port.maintain(instance.instance_id, order.wave, token),
         )
         log_event(
             "maintenance_order",
             wave=order.wave,
             instance=instance.instance_id,
-            token=self._dispatcher.writer.token,
+            token=token,
             outcome=reply.outcome.value,
             reason=reply.reason,
         )
--- a/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from lycheeloom.jobs.records import InstanceOrder, Kind, Record, encode, key_of
 
 from .clock import steady_s, wall_ms
+from .ports import CallOutcome, CallReply
 from .replica import Replica
 from .writer import LEADER_LEASE_S, LeaderWriter
 
-# Maximum time from recording an order until it arrives: the order is sent before the
-# leader's lease ends, and then takes some time to arrive.
-MAX_SEND_DELAY_S = LEADER_LEASE_S * 1.02 + 0.7
+# An order that was recorded longer ago is not sent: it has waited behind other orders.
+MAX_WAIT_S = LEADER_LEASE_S
+# Maximum time from recording an order until it arrives, by a clock that may be 2% slow.
+# An order takes some time to be sent and to arrive.
+MAX_SEND_DELAY_S = MAX_WAIT_S * 1.02 + 0.7
 # Orders that are not recorded within this time are not sent.
 RECORD_TIMEOUT_S = 1.0
 
@@ -21,9 +24,9 @@
     """Decides for which instances this leader may send orders, and records orders.
 
     Between orders of different leaders for the same instance, at least ``lease_s`` must
-    pass. Each order is recorded before it is sent, so a new leader knows for which
-    instances its predecessors cannot have sent an order recently. For the others it
-    waits for ``lease_s`` from the change of leader.
+    pass. Each order is recorded at most ``MAX_WAIT_S`` before it is sent, so a new
+    leader knows for which instances its predecessors cannot have sent an order
+    recently. For the others it waits for ``lease_s`` from the change of leader.
     """
 
     def __init__(
@@ -38,6 +41,9 @@
         # Time of the predecessors' last order for each instance; a copy, so that this
         # leader's own orders are not included.
         self._predecessor_order_s_by_id = dict(replica.last_order_s_by_instance)
+        # When the record of this leader's last order for each instance was handed over
+        # to be written.
+        self._recorded_s_by_id: dict[str, float] = {}
 
     def may_order(self, instance_id: str) -> bool:
         """Return whether no order of another leader can still affect the instance."""
@@ -54,7 +60,17 @@
 
         Returns False if they must not be sent.
         """
+        began_s = steady_s()
         value = encode(InstanceOrder(int(wall_ms())))
         records = [Record(key_of(Kind.ORDER, i), value) for i in instance_ids]
         is_durable = self._writer.write(records).wait(RECORD_TIMEOUT_S)
-        return is_durable and self._writer.may_act
+        if not is_durable or not self._writer.may_act:
+            return False
+        self._recorded_s_by_id.update(dict.fromkeys(instance_ids, began_s))
+        return True
+
+    def send(self, instance_id: str, order: Callable[[], CallReply]) -> CallReply:
+        """Send a recorded order by calling ``order``, unless it has waited too long."""
+        if steady_s() - self._recorded_s_by_id[instance_id] > MAX_WAIT_S:
+            return CallReply(CallOutcome.NOT_SENT, "recorded too long ago")
+        return order()
--- a/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/pool_moves.py
@@ -244,7 +244,10 @@
 
     def _send_order(self, move: Move) -> None:
         token = self._dispatcher.writer.token
-        reply = self._port.move(move.instance_id, move.pool, token)
+        reply = self._order_guard.send(
+            move.instance_id,
+            lambda: self._port.move(move.instance_id, move.pool, token),
+        )
         instance = self._inventory.instance_by_id.get(move.instance_id)
         log_event(
             "instance_move",
