Do not let stop orders wait for workers that do not answer

Change: orders to workers that do not answer polls have slots of their own.

Failed before: test_stops_for_a_silent_worker_do_not_delay_others (no stop within 20 s, as the orders to the silent worker stay in flight there).

--- a/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/task_orders.py
@@ -10,7 +10,7 @@
 from gevent.pool import Group
 
 from lycheeloom.jobs.fleet import Fleet, Run, RunState, WorkerState
-from lycheeloom.jobs.model import RunningTask, TaskKey, Worker
+from lycheeloom.jobs.model import RunningTask, TaskKey
 from lycheeloom.jobs.planner import Start
 from lycheeloom.telemetry import log_event
 
@@ -32,6 +32,7 @@
 REFUSED_BACKOFF_S = 0.5
 # Reason for stopping a run whose start has an unknown outcome.
 START_NOT_ANSWERED = "start not answered"
+# Stop orders in flight to workers that answer polls, and to those that do not.
 MAX_STOPS_IN_FLIGHT = 64
 # Nothing is planned while a planned start has waited longer than this for being sent:
 # the processor is busy, and later plans would wait behind it.
@@ -62,6 +63,9 @@
         self._on_reply = on_reply
         self._stops = Group()
         self._stop_slots = BoundedSemaphore(MAX_STOPS_IN_FLIGHT)
+        # Orders to workers that do not answer take their whole timeout, so they have
+        # slots of their own and do not delay those to other workers.
+        self._silent_stop_slots = BoundedSemaphore(MAX_STOPS_IN_FLIGHT)
         # When each start that has not been sent yet was planned, oldest first, by the
         # identity of its run.
         self._unsent_since_s_by_run: dict[int, float] = {}
@@ -288,7 +292,7 @@
             if link is None or not self._is_current(run):
                 return
             if self._writer.may_act:
-                reply = self._send_stop(link.worker, str(run.task), run.run)
+                reply = self._send_stop(link, str(run.task), run.run)
                 if reply is None:
                     continue
                 if self._link_by_id.get(run.worker_id) is not link:
@@ -305,19 +309,21 @@
                     self._on_reply(link, reply)
             gevent.sleep(STOP_RETRY_DELAY_S)
 
-    def _send_stop(self, worker: Worker, task: str, run: int) -> CallReply | None:
-        """Send a stop order; return None if this instance may not act any more.
+    def _send_stop(self, link: WorkerLink, task: str, run: int) -> CallReply | None:
+        """Send a stop order; return None if it has to be tried again.
 
-        The order may have waited for other stop orders without an answer.
+        The order may have waited for other stop orders. By then, this instance may not
+        act any more, or the worker may need the slots for the other kind of workers.
         """
-        with self._stop_slots:
-            if not self._writer.may_act:
+        is_silent = link.failing_for_s > 0
+        with self._silent_stop_slots if is_silent else self._stop_slots:
+            if not self._writer.may_act or is_silent is not (link.failing_for_s > 0):
                 return None
-            return self._workers.stop(worker, task, run, self._writer.token)
+            return self._workers.stop(link.worker, task, run, self._writer.token)
 
     def _stop_listed(self, link: WorkerLink, row: RunningTask) -> None:
         # Sent once: the next list that contains the run triggers another stop.
-        reply = self._send_stop(link.worker, str(row.task), row.run)
+        reply = self._send_stop(link, str(row.task), row.run)
         if reply is None:
             return
         self._log_stop(link, row.task, row.run, "not needed", reply)
