Ask the advice service about workers that come later without delay

A job in a queue that requires advice waited for a worker that came after the last call until the tickets of that call would have expired, even if it gave none. With tickets that are valid for minutes, the job stayed queued for minutes beside an idle worker.

Cause: the time of the next call of a step came from the validity of the last answer alone.

Change: a step is looked at again after 0.5 s at most, and needs a call if there are workers that were not asked about, or eligible ones without a ticket. Ineligible workers are asked about again only after the validity, and only if no eligible one is known.

Failed before: test_worker_that_comes_later_is_asked_about (no start within 20 s).

--- a/libs/coordinator/src/lycheeloom/coordinator/step_advice.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/step_advice.py
@@ -13,12 +13,13 @@
     A call names only some workers of a large pool. Workers about which the service has
     not been asked come first, so that calls reach all of them in turn, then the
     eligible workers that need a new ticket. Whether a worker is eligible does not
-    change, so the others are asked about again only if no eligible one is known.
+    change, so the others are asked about again only if no eligible one is known, and
+    not before ``repeat_s``.
 
     An answer is for one incarnation of a worker. ::
 
         advice = StepAdvice(steady_s())
-        workers = advice.choose(workers_without_ticket, pool_workers, 30)
+        workers = advice.choose(workers_without_ticket, pool_workers, steady_s(), 30)
         # ... call the service about these workers ...
         advice.note(workers, eligible_ids)
     """
@@ -26,6 +27,8 @@
     def __init__(self, now_s: float) -> None:
         # Earliest time of the next call, by the monotonic clock.
         self.due_s = now_s
+        # Earliest time at which ineligible workers are asked about again.
+        self.repeat_s = now_s
         # When the step could last start tasks.
         self.startable_s = now_s
         # Whether each worker may run the step, by id and start time, in the order of
@@ -43,11 +46,16 @@
         return any(_key_of(worker) not in known for worker in workers)
 
     def choose(
-        self, candidates: Sequence[Worker], pool: Collection[Worker], limit: int
+        self,
+        candidates: Sequence[Worker],
+        pool: Collection[Worker],
+        now_s: float,
+        limit: int,
     ) -> list[Worker]:
         """Return up to ``limit`` of the candidates for the next call.
 
         ``pool`` contains all workers of the pool; what is known of others is discarded.
+        ``now_s`` is the monotonic clock.
         """
         pool_keys = {_key_of(worker) for worker in pool}
         for key in self._is_eligible_by_worker.keys() - pool_keys:
@@ -59,7 +67,7 @@
             if key not in self._is_eligible_by_worker
         ]
         has_eligible = self.has_eligible
-        if has_eligible or not chosen:
+        if has_eligible or (not chosen and now_s >= self.repeat_s):
             chosen += [
                 candidate_by_key[key]
                 for key, is_eligible in self._is_eligible_by_worker.items()
--- a/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/ticket_fetcher.py
@@ -26,7 +26,7 @@
 # A ticket is not used for the last 0.3 s of its validity.
 VALIDITY_MARGIN_S = 0.3
 # Minimum time between two calls for the same step, unless no worker is known yet that
-# may run it.
+# may run it; also the longest time until a step is looked at again.
 MIN_CALL_INTERVAL_S = 0.5
 # What is known of a step that could not start tasks for this long is discarded.
 KEPT_S = 30.0
@@ -103,9 +103,11 @@
         asked = due.advice.choose(
             self._without_ticket(due),
             self._pool_workers(due.pool),
+            steady_s(),
             MAX_WORKERS_PER_CALL,
         )
         if not asked:
+            self._put_off(due)
             return False
         step = f"{due.job_id}.{due.step_key[0]}.{due.step_key[1]}"
         expected_s = (
@@ -178,28 +180,34 @@
         return dataclasses.replace(advice, ticket_by_worker=ticket_by_worker)
 
     def _store_tickets(self, advice: Advice, due: _DueStep, now_s: float) -> None:
-        """Store the tickets and set when the next call for the step is due.
+        """Store the tickets and set when the next call for the step may be made.
 
-        While workers are left about which the service has not been asked, that is soon,
-        and at once if the step has no eligible worker yet. Otherwise it is when the
-        first tickets of the step expire.
+        That is at once while the service has not been asked about all workers and none
+        of them is eligible so far.
         """
         expires_s = now_s + advice.validity_s - VALIDITY_MARGIN_S
         tickets = self._dispatcher.advised_workers.ticket_by_key
         for worker_id, ticket in advice.ticket_by_worker.items():
             tickets[due.job_id, due.step_key, worker_id] = (ticket, expires_s)
-        if not due.advice.has_unasked(self._without_ticket(due)):
-            for worker in self._pool_workers(due.pool):
-                key = (due.job_id, due.step_key, worker.worker_id)
-                if key in tickets:
-                    expires_s = min(expires_s, tickets[key][1])
-            due.advice.due_s = max(expires_s, now_s + MIN_CALL_INTERVAL_S)
-        elif due.advice.has_eligible:
-            due.advice.due_s = now_s + MIN_CALL_INTERVAL_S
-        else:
-            due.advice.due_s = now_s
+        due.advice.repeat_s = expires_s
+        has_unasked = due.advice.has_unasked(self._without_ticket(due))
+        due.advice.due_s = now_s
+        if due.advice.has_eligible or not has_unasked:
+            due.advice.due_s += MIN_CALL_INTERVAL_S
         self._dispatcher.wake()
 
+    def _put_off(self, due: _DueStep) -> None:
+        """Put a step off that needs no call now.
+
+        It needs one when its next ticket expires, or when further workers have come.
+        """
+        tickets = self._dispatcher.advised_workers.ticket_by_key
+        due.advice.due_s = steady_s() + MIN_CALL_INTERVAL_S
+        for worker in self._pool_workers(due.pool):
+            key = (due.job_id, due.step_key, worker.worker_id)
+            if key in tickets:
+                due.advice.due_s = min(due.advice.due_s, tickets[key][1])
+
     def _remove_outdated(self) -> None:
         """Remove expired tickets, and what is known of steps that have long started."""
         now_s = steady_s()
--- a/libs/coordinator/tests/test_ticket_fetcher.py
+++ b/libs/coordinator/tests/test_ticket_fetcher.py
@@ -147,12 +147,36 @@
     wait_until(lambda: len(started_workers(large_cluster)) == WORKER_COUNT)
 
 
+def test_worker_that_comes_later_is_asked_about(large_cluster):
+    """A job must start when a worker comes that may run it.
+
+    The tickets of the service are valid for minutes.
+    """
+    service = AdviceService(validity_s=600.0)
+    service.allowed_by_job[JOB_ID] = {"w99"}
+    large_cluster.store.add_job(make_job())
+    start_fetcher(large_cluster, service)
+    wait_until(lambda: len(service.calls_by_job.get(JOB_ID, ())) == 3)
+    large_cluster.view.worker_by_id["w99"] = make_worker(99)
+    wait_until(lambda: started_workers(large_cluster) == {"w99"})
+
+
 def test_ineligible_workers_are_asked_about_once():
     """Calls must not grow longer by workers that may not run the step."""
     workers = [make_worker(number) for number in range(5)]
     advice = StepAdvice(0.0)
     advice.note(workers, {"w3"})
-    assert advice.choose(workers, workers, 30) == [workers[3]]
+    assert advice.choose(workers, workers, 1.0, 30) == [workers[3]]
+
+
+def test_ineligible_workers_are_not_asked_about_again_at_once():
+    """The service must not be called on and on about workers that it does not allow."""
+    workers = [make_worker(number) for number in range(5)]
+    advice = StepAdvice(0.0)
+    advice.note(workers, set())
+    advice.repeat_s = 4.0
+    assert advice.choose(workers, workers, 3.9, 30) == []
+    assert advice.choose(workers, workers, 4.0, 30) == workers
 
 
 def test_restarted_worker_is_asked_about_again():
@@ -162,7 +186,7 @@
     advice.note(workers, {"w0"})
     restarted = dataclasses.replace(workers[1], started_ms=2)
     pool = [workers[0], restarted]
-    assert advice.choose(pool, pool, 30) == [restarted, workers[0]]
+    assert advice.choose(pool, pool, 1.0, 30) == [restarted, workers[0]]
 
 
 def test_eligible_worker_that_has_left_does_not_keep_others_from_being_asked_about():
@@ -171,4 +195,4 @@
     advice = StepAdvice(0.0)
     advice.note(workers, {"w0"})
     pool = workers[1:]
-    assert advice.choose(pool, pool, 30) == pool
+    assert advice.choose(pool, pool, 1.0, 30) == pool
