--- a/libs/coordinator/tests/test_leader_lease.py
+++ b/libs/coordinator/tests/test_leader_lease.py
@@ -159,7 +159,7 @@
     leaders.time.advance(1.0)
     leaders.store.unanswered_appends = 2
     leaders.time.advance(2 * TAKEOVER_AFTER_S)
-    assert True not in leaders.overlaps
+    assert not any(leaders.overlaps)
 
 
 def test_lease_is_renewed_at_once_after_a_repeated_append(leaders):
