Give each test process loopback ports of its own

Cause: the fixture took a port from the kernel's ephemeral range, closed it and passed it on. Until the process listened, an outgoing connection or a listener of a part of the tests that ran beside could take it. The demo avoided the ephemeral range, but checked only that a port was free at that moment, so two processes could be given the same port.

Change: one allocator in lycheeloom.standins for tests, demo and benchmarks. Ports lie below the ephemeral range; each process owns blocks of them, and gives out each port once. No code of the product changes.

--- a/bench/client_crowd.py
+++ b/bench/client_crowd.py
@@ -29,9 +29,10 @@
 from lycheeloom.adapter.documents import CONFIG_KEY  # noqa: E402
 from lycheeloom.adapter.settings import PATH_VARIABLE  # noqa: E402
 from lycheeloom.adapter.store import OPERATOR_TOPIC  # noqa: E402
-from lycheeloom.adapter_standins.caller import free_address, wait_until  # noqa: E402
+from lycheeloom.adapter_standins.caller import wait_until  # noqa: E402
 from lycheeloom.adapter_standins.store import StoreStandin  # noqa: E402
 from lycheeloom.entry.http_server import HttpServer  # noqa: E402
+from lycheeloom.standins import free_address  # noqa: E402
 
 ROOT = Path(__file__).resolve().parent.parent
 CALLERS = 100
--- a/bench/processes_controller.py
+++ b/bench/processes_controller.py
@@ -10,10 +10,11 @@
 
 import gevent
 import psutil
-from demo.processes import Program, free_address
+from demo.processes import Program
 
 from lycheeloom.model.records import WaveState
 from lycheeloom.operator import WaveChanged
+from lycheeloom.standins import free_address
 
 from .processes_cost import measure_window as measure_entries
 from .processes_entry import BYTES_KEY
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -4,9 +4,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,15 +17,13 @@
 import tomlkit
 
 from lycheeloom.clients import Response, Transport
+from lycheeloom.standins import free_address
 
 # Bounds the wait for a program that never becomes ready.
 START_TIMEOUT_S = 120.0
 STOP_TIMEOUT_S = 15.0
 READY_POLL_INTERVAL_S = 0.05
 HANDOVER_TOKEN = "handover"
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-_random = random.SystemRandom()
 
 
 @dataclass(slots=True)
@@ -210,19 +206,3 @@
             yield fleet
         finally:
             fleet.stop()
-
-
-def free_address() -> str:
-    """Return a loopback address with a port that is currently free.
-
-    The port lies below the kernel's range of ephemeral ports. Otherwise, an outgoing
-    connection could take the port before the program listens.
-    """
-    while True:
-        port = _random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as listener:
-            try:
-                listener.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
--- a/libs/controller/tests/test_controller.py
+++ b/libs/controller/tests/test_controller.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -35,6 +34,7 @@
     WaveCommand,
     WaveState,
 )
+from lycheeloom.standins import free_address
 from lycheeloom.state import FleetState
 from lycheeloom.wire import encode_batch
 
@@ -80,9 +80,7 @@
 
     def start_controller(self, name):
         """Start a controller; return its process and the address that it serves."""
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            listen = f"127.0.0.1:{free.getsockname()[1]}"
+        listen = free_address()
         settings = f"""
             instance = "{name}"
             zone = "z1"
--- a/libs/standins/src/lycheeloom/standins/__init__.py
+++ b/libs/standins/src/lycheeloom/standins/__init__.py
@@ -9,6 +9,7 @@
 from .ledger import peak_concurrency
 from .log import LogLimits, LogStandIn
 from .platform import PlatformStandIns
+from .ports import free_address
 from .server import StandIn
 from .tasks import Amount, TaskStatus
 from .worker import WorkerStandIn
@@ -24,5 +25,6 @@
     "StandIn",
     "TaskStatus",
     "WorkerStandIn",
+    "free_address",
     "peak_concurrency",
 ]
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -20,7 +20,7 @@
 import gevent
 import psutil
 import pytest
-from demo.processes import free_address, running_fleet
+from demo.processes import running_fleet
 
 from lycheeloom.adapter.documents import CONFIG_KEY
 from lycheeloom.adapter.settings import PATH_VARIABLE
@@ -28,6 +28,7 @@
 from lycheeloom.adapter_standins.caller import JOB_BODY, wait_until
 from lycheeloom.adapter_standins.store import StoreStandin
 from lycheeloom.entry.http_server import HttpServer
+from lycheeloom.standins import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
 # Settings of the instance process under test, and thereby bounds of the tests.
