Bound the open connections to all addresses together

Change: IdleConnections keeps those of all addresses, the one that has been idle for the longest time first. A transport may have a limit for all its open connections, calls in progress included; a new connection replaces the oldest idle one.

The tests of the limit need the new parameter, so they could not be run before. Transport._idle_by_address, which a test looked at, is gone; the test now looks at IdleConnections and is as strict.

--- a/libs/clients/src/lycheeloom/clients/connections.py
+++ b/libs/clients/src/lycheeloom/clients/connections.py
@@ -1,10 +1,11 @@
-"""HTTP connections, and the idle ones kept for each address."""
+"""HTTP connections, and the idle ones that are kept."""
 
 from __future__ import annotations
 
 import itertools
 import socket
 import time
+from collections import OrderedDict
 from typing import Any
 
 from gevent import monkey
@@ -18,13 +19,15 @@
 class Connection(HTTPConnection):
     """A urllib3 connection that sends a whole request in one system call."""
 
-    # Time on the monotonic clock of the last ``IdleConnections.put``.
+    # Time on the monotonic clock of the last ``IdleConnections.put_back``.
     idle_since_s = 0.0
     # Headers and body of the request that ``request`` is about to send, else None.
     _unsent_parts: list[bytes] | None = None
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        super().__init__(host.strip("[]"), int(port))
+        self.address = address
         # Positive, and unique in this process.
         self.connection_id = next(_connection_ids)
 
@@ -87,65 +90,102 @@
         poller.register(self.sock.fileno(), _POLLIN)
         return not poller.poll(0)
 
+    def is_usable(self, oldest_allowed_s: float) -> bool:
+        """Tell whether the connection is open and was idle since then at the most."""
+        return self.idle_since_s >= oldest_allowed_s and self.is_connected
+
 
 class IdleConnections:
-    """Idle connections to one address (``"127.0.0.1:80"`` or ``"[::1]:80"``).
+    """Idle connections by address (``"127.0.0.1:80"`` or ``"[::1]:80"``).
 
-    The most recently used one is taken first.
-    """
+    The most recently used connection to an address is taken first::
 
-    __slots__ = ("_host", "_port", "_stack")
+        connections = IdleConnections(max_per_address=64, max_open=1_000)
+        connection = connections.take("127.0.0.1:80", max_idle_s=10.0)
+        # ... a request, and its response to the end
+        connections.put_back(connection, is_reusable=True)
 
-    def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host.strip("[]")
-        self._port = int(port)
-        self._stack: list[Connection] = []
+    At most ``max_open`` connections are open, taken or idle, as long as no more are
+    taken at the same time: a new one replaces the one that has been idle for the
+    longest time, to whichever address. None stands for no limit.
+    """
+
+    def __init__(self, max_per_address: int, max_open: int | None = None) -> None:
+        self._max_per_address = max_per_address
+        self._max_open = max_open
+        # The most recently used connection to each address is the last.
+        self._stack_by_address: dict[str, list[Connection]] = {}
+        # All idle connections, the one that has been idle for the longest time first.
+        self._by_id: OrderedDict[int, Connection] = OrderedDict()
+        self._taken_count = 0
 
     def __len__(self) -> int:
-        return len(self._stack)
+        return len(self._by_id)
 
-    def take(self, max_idle_s: float) -> Connection:
+    def take(self, address: str, max_idle_s: float) -> Connection:
         """Return an idle connection that is usable, or a new unconnected one."""
         oldest_allowed = time.monotonic() - max_idle_s
-        while self._stack:
-            connection = self._stack.pop()
-            if connection.idle_since_s >= oldest_allowed and connection.is_connected:
-                return connection
-            connection.close()
-        return Connection(self._host, self._port)
-
-    def take_by_id(self, connection_id: int, max_idle_s: float) -> Connection | None:
+        connection = None
+        while connection is None and address in self._stack_by_address:
+            connection = self._remove(self._stack_by_address[address][-1])
+            if not connection.is_usable(oldest_allowed):
+                connection.close()
+                connection = None
+        if connection is None:
+            while self._by_id and self._is_full():
+                self._remove(next(iter(self._by_id.values()))).close()
+            connection = Connection(address)
+        self._taken_count += 1
+        return connection
+
+    def take_by_id(
+        self, address: str, connection_id: int, max_idle_s: float
+    ) -> Connection | None:
         """Return the idle connection with an id, or None if it cannot be used."""
-        for connection in self._stack:
-            if connection.connection_id != connection_id:
-                continue
-            self._stack.remove(connection)
-            oldest_allowed = time.monotonic() - max_idle_s
-            if connection.idle_since_s >= oldest_allowed and connection.is_connected:
-                return connection
+        connection = self._by_id.get(connection_id)
+        if connection is None or connection.address != address:
+            return None
+        self._remove(connection)
+        if not connection.is_usable(time.monotonic() - max_idle_s):
             connection.close()
-            break
-        return None
+            return None
+        self._taken_count += 1
+        return connection
 
-    def put(self, connection: Connection, max_count: int) -> None:
-        """Keep a connection for reuse; its last response must be read to the end.
+    def put_back(self, connection: Connection, *, is_reusable: bool) -> None:
+        """Keep a taken connection if it can be reused, or close it.
 
-        The connection is closed instead if ``max_count`` connections are already kept.
-        A connection without a socket is closed already and not kept.
+        It can be reused if its last response was read to the end. A connection without
+        a socket was closed by ``Connection`` and is not kept.
         """
-        if connection.sock is None:
-            return
-        if len(self._stack) >= max_count:
+        self._taken_count -= 1
+        stack = self._stack_by_address.get(connection.address, [])
+        has_room = len(stack) < self._max_per_address and not self._is_full()
+        if not is_reusable or not has_room or connection.sock is None:
             connection.close()
             return
         connection.idle_since_s = time.monotonic()
-        self._stack.append(connection)
+        self._by_id[connection.connection_id] = connection
+        self._stack_by_address.setdefault(connection.address, []).append(connection)
 
     def close_older_than(self, idle_s: float) -> None:
         """Close the connections that have been idle for more than ``idle_s``."""
         oldest_allowed = time.monotonic() - idle_s
-        old_connections = [c for c in self._stack if c.idle_since_s < oldest_allowed]
-        self._stack = [c for c in self._stack if c.idle_since_s >= oldest_allowed]
-        for connection in old_connections:
-            connection.close()
+        while self._by_id:
+            connection = next(iter(self._by_id.values()))
+            if connection.idle_since_s >= oldest_allowed:
+                return
+            self._remove(connection).close()
+
+    def _is_full(self) -> bool:
+        if self._max_open is None:
+            return False
+        return len(self._by_id) + self._taken_count >= self._max_open
+
+    def _remove(self, connection: Connection) -> Connection:
+        del self._by_id[connection.connection_id]
+        stack = self._stack_by_address[connection.address]
+        stack.remove(connection)
+        if not stack:
+            del self._stack_by_address[connection.address]
+        return connection
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -63,17 +63,23 @@
 
 
 class Transport:
-    """Makes HTTP calls to any address; can be shared by greenlets."""
+    """Makes HTTP calls to any address; can be shared by greenlets.
+
+    Idle connections are closed so that no more than ``max_open_connections`` are open,
+    unless more calls are in progress. None stands for no limit.
+    """
 
     def __init__(
         self,
         *,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         max_idle_connections: int = MAX_IDLE_CONNECTIONS,
+        max_open_connections: int | None = None,
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._max_idle_connections = max_idle_connections
-        self._idle_by_address: dict[str, IdleConnections] = {}
+        self._idle_connections = IdleConnections(
+            max_idle_connections, max_open_connections
+        )
         # With gevent's sockets, the gevent.Timeout in call() interrupts every wait, so
         # a timeout for each read would only cost time. Without them, it never fires.
         self._needs_read_timeout = not monkey.is_module_patched("socket")
@@ -100,15 +106,13 @@
         the same connection, so the same process receives it; it is not sent if that
         connection is in use or not open any more.
         """
-        idle_connections = self._idle_by_address.get(address)
-        if idle_connections is None:
-            idle_connections = self._idle_by_address[address] = IdleConnections(address)
+        idle_connections = self._idle_connections
         if connection_id:
-            connection = idle_connections.take_by_id(connection_id, MAX_IDLE_S)
+            connection = idle_connections.take_by_id(address, connection_id, MAX_IDLE_S)
             if connection is None:
                 return CallFailed(False, "connection not open any more")
         else:
-            connection = idle_connections.take(MAX_IDLE_S)
+            connection = idle_connections.take(address, MAX_IDLE_S)
         deadline = gevent.Timeout.start_new(timeout_s)
         result: Response | CallFailed | None = None
         try:
@@ -122,10 +126,8 @@
             result = CallFailed(True, "no answer in time")
         finally:
             deadline.close()
-            if isinstance(result, Response):
-                idle_connections.put(connection, self._max_idle_connections)
-            else:
-                connection.close()
+            is_reusable = isinstance(result, Response)
+            idle_connections.put_back(connection, is_reusable=is_reusable)
         return result
 
     def _exchange(
@@ -177,14 +179,8 @@
         return Response(response.status, content, etag, connection_id)
 
     def close_idle(self, idle_s: float = MAX_IDLE_S) -> None:
-        """Close connections that have been idle for more than ``idle_s``.
-
-        Addresses that have no idle connections left are forgotten.
-        """
-        for address, idle_connections in list(self._idle_by_address.items()):
-            idle_connections.close_older_than(idle_s)
-            if not len(idle_connections):
-                del self._idle_by_address[address]
+        """Close connections that have been idle for more than ``idle_s``."""
+        self._idle_connections.close_older_than(idle_s)
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -20,7 +20,7 @@
     transport as transport_module,
 )
 from lycheeloom.clients.transport import CallFailed, Response, Transport
-from lycheeloom.standins import StandIn
+from lycheeloom.standins import PlatformStandIns, StandIn, WorkerStandIn
 from lycheeloom.standins.server import Reply
 
 # Timeout of calls that must get a response, however busy the machine is.
@@ -107,8 +107,10 @@
 def test_call_over_a_given_connection_goes_over_no_other(transport, worker):
     """Guards against a request that reaches another process than the earlier one."""
     first = call(transport, worker)
-    arguments = (worker.address, "GET", "/v1/faults")
     over_first = {"timeout_s": LONG_S, "connection_id": first.connection_id}
+    result = transport.call("127.0.0.1:9", "GET", "/v1/faults", **over_first)
+    assert result == CallFailed(False, "connection not open any more")
+    arguments = (worker.address, "GET", "/v1/faults")
     again = transport.call(*arguments, **over_first)
     assert again.connection_id == first.connection_id
     worker.set_faults(down=True)
@@ -120,11 +122,52 @@
 
 def test_close_idle_forgets_unused_addresses(transport, worker):
     """Addresses of replaced workers must not accumulate."""
+    stack_by_address = transport._idle_connections._stack_by_address
     call(transport, worker)
     transport.close_idle(LONG_S)
-    assert list(transport._idle_by_address) == [worker.address]
+    assert list(stack_by_address) == [worker.address]
     transport.close_idle(0.0)
-    assert transport._idle_by_address == {}
+    assert stack_by_address == {}
+    assert len(transport._idle_connections) == 0
+
+
+@pytest.fixture
+def workers():
+    with PlatformStandIns(
+        workers=[WorkerStandIn(f"w{number}") for number in range(4)]
+    ) as platform:
+        yield platform.workers
+
+
+def test_connections_to_all_addresses_stay_within_one_limit(workers):
+    """Guards against a process that runs out of descriptors beside many workers."""
+    transport = Transport(connect_timeout_s=LONG_S, max_open_connections=2)
+    for worker in workers:
+        assert isinstance(call(transport, worker), Response)
+        assert len(transport._idle_connections) <= 2
+    # The connections that were used last are kept.
+    for worker in reversed(workers):
+        assert isinstance(call(transport, worker), Response)
+    assert [worker.connections_opened for worker in workers] == [2, 2, 1, 1]
+
+
+def test_calls_in_progress_count_towards_the_limit(workers):
+    """Guards against idle connections that leave no descriptors for further calls."""
+    transport = Transport(connect_timeout_s=LONG_S, max_open_connections=2)
+    slow, *others = workers
+    slow.set_faults(slow_ms=60_000)
+    # The path of the faults answers without delay.
+    arguments = (slow.address, "GET", "/v1/tasks")
+    calls = [
+        gevent.spawn(transport.call, *arguments, timeout_s=LONG_S) for _ in range(2)
+    ]
+    gevent.sleep(0)
+    for worker in others:
+        assert isinstance(call(transport, worker), Response)
+        assert len(transport._idle_connections) == 0
+    gevent.killall(calls)
+    assert isinstance(call(transport, others[0]), Response)
+    assert len(transport._idle_connections) == 1
 
 
 def send_endless_response(sock, _address):
