Give up all silent connections to an address after one timeout

Cause: after a timeout a call was repeated over the next idle connection to the same address, which was silent too; with 24 of them that takes 24 timeouts, or until they had been idle for 10 s.

Change: after a timeout the transport closes the idle connections to the address that have carried no response since the call began. Those used meanwhile are kept.

test_one_timeout_is_enough_to_find_silent_connections failed before (the second call got "no answer in time" too).

--- a/libs/clients/src/lycheeloom/clients/connections.py
+++ b/libs/clients/src/lycheeloom/clients/connections.py
@@ -168,6 +168,15 @@
         self._by_id[connection.connection_id] = connection
         self._stack_by_address.setdefault(connection.address, []).append(connection)
 
+    def close_unproven(self, address: str, since_s: float) -> None:
+        """Close the connections to an address that have carried no response since then.
+
+        ``since_s`` is a time on the monotonic clock.
+        """
+        for connection in list(self._stack_by_address.get(address, ())):
+            if connection.idle_since_s < since_s:
+                self._remove(connection).close()
+
     def close_older_than(self, idle_s: float) -> None:
         """Close the connections that have been idle for more than ``idle_s``."""
         oldest_allowed = time.monotonic() - idle_s
--- a/libs/clients/src/lycheeloom/clients/transport.py
+++ b/libs/clients/src/lycheeloom/clients/transport.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import http.client
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -113,6 +114,7 @@
                 return CallFailed(False, "connection not open any more")
         else:
             connection = idle_connections.take(address, MAX_IDLE_S)
+        began_s = time.monotonic()
         deadline = gevent.Timeout.start_new(timeout_s)
         result: Response | CallFailed | None = None
         try:
@@ -124,6 +126,10 @@
                 # The timeout belongs to the code that made the call.
                 raise
             result = CallFailed(True, "no answer in time")
+            # If the network drops packets of this connection without closing it, then
+            # perhaps also those of the others. Waiting for a timeout on each of them
+            # would delay a repeated call by the sum of these timeouts.
+            idle_connections.close_unproven(address, began_s)
         finally:
             deadline.close()
             is_reusable = isinstance(result, Response)
--- a/libs/clients/tests/test_transport.py
+++ b/libs/clients/tests/test_transport.py
@@ -57,6 +57,32 @@
     assert worker.connections_opened == 2
 
 
+def test_one_timeout_is_enough_to_find_silent_connections(transport, worker):
+    """Guards against a timeout on each idle connection in turn.
+
+    A repeated order would arrive later by the sum of these timeouts.
+    """
+    calls = [gevent.spawn(call, transport, worker) for _ in range(3)]
+    gevent.joinall(calls)
+    assert worker.connections_opened == 3
+    worker.set_faults(silent=True)
+    assert call(transport, worker, SHORT_S) == CallFailed(True, "no answer in time")
+    assert isinstance(call(transport, worker), Response)
+
+
+def test_timeout_keeps_connections_that_have_been_used_meanwhile(transport, worker):
+    """Guards against new connections to a server that is slow for some requests."""
+    worker.set_faults(slow_ms=60_000)
+    slow_call = gevent.spawn(
+        transport.call, worker.address, "GET", "/v1/tasks", timeout_s=SHORT_S
+    )
+    gevent.sleep(0)
+    # The path of the faults answers without delay.
+    first = call(transport, worker)
+    assert slow_call.get() == CallFailed(True, "no answer in time")
+    assert call(transport, worker).connection_id == first.connection_id
+
+
 def test_connection_closed_by_the_server_is_replaced(worker, worker_client, make_start):
     """Guards against a start with an unknown outcome after a worker has restarted."""
     assert isinstance(
