Keep waves from instances whose workers a new leader does not know

Cause: Maintenance took an instance as drained if the leader had no state of its worker, and chose such instances first. For some seconds after an outage the platform's list of workers lacks some that run on under the leases of the former leader. The list of instances names them.

Change: until these leases have ended, no wave chooses an instance with a worker that the leader does not know, or orders its maintenance.

test_new_leader_waits_for_workers_that_are_not_listed failed before (an instance with a running task was maintained).

--- a/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/dispatcher.py
@@ -114,6 +114,13 @@
             if not self._inherited.must_wait(active_job.job)
         ]
 
+    def may_have_unknown_runs(self, worker_id: str) -> bool:
+        """Return whether a worker that is not listed may run tasks of a former leader.
+
+        ``worker_id`` is empty for an instance without a worker.
+        """
+        return self._inherited.may_run_on(worker_id)
+
     @property
     def advised_workers(self) -> AdvisedWorkers:
         """Return the workers allowed by the advice service, with their tickets."""
--- a/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/inherited_jobs.py
@@ -90,6 +90,19 @@
         """
         return bool(self._unknown.pools) and job.job_id in self._job_ids
 
+    def may_run_on(self, worker_id: str) -> bool:
+        """Return whether a worker may have runs although this leader does not know it.
+
+        So it is until the leases of the previous leader have expired: the list of
+        instances names the worker, but the platform's list of workers lacks it.
+        """
+        if not worker_id or worker_id in self._fleet.state_by_id:
+            return False
+        max_lease_s = MAX_INHERITED_LEASE_S
+        if self._view.restarts.has_restarted(worker_id):
+            max_lease_s = self._max_restarted_lease_s
+        return steady_s() - self._took_over_s <= max_lease_s
+
     def unknown_use(
         self, active_job_by_id: Mapping[str, ActiveJob], now_ms: float
     ) -> dict[str, Resources]:
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -123,7 +123,8 @@
             self._report(order, "completed")
             return
         self._report(order, "running")
-        self._choose(order, pending)
+        may_run_unknown = self._dispatcher.may_have_unknown_runs
+        self._choose(order, [i for i in pending if not may_run_unknown(i.worker_id)])
         ready: list[Instance] = []
         for instance in pending:
             handled = self._handled_by_id.get(instance.instance_id)
@@ -258,6 +259,8 @@
             # The instance has crashed and restarted meanwhile, with a new worker.
             handled.worker_id, handled.since_s = instance.worker_id, now_s
         state = self._state_of(handled.worker_id)
+        if state is None and self._dispatcher.may_have_unknown_runs(handled.worker_id):
+            return False
         if state is not None and not self._runs_are_known(state):
             return False
         if state is not None and state.run_by_task:
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -17,7 +17,7 @@
     Instance,
     InstanceState,
 )
-from lycheeloom.jobs.model import EndKind, Step
+from lycheeloom.jobs.model import EndKind, Step, Worker
 
 MAINTENANCE_S = 0.3
 
@@ -35,6 +35,8 @@
         self.maintained: list[str] = []
         # Outcomes of the next maintenance orders, which have no effect.
         self.failures: list[CallOutcome] = []
+        # Workers that have an instance, but that the platform does not list.
+        self.unlisted_workers: list[Worker] = []
         # End of the last maintenance, by worker id.
         self._back_at_s: dict[str, float] = {}
 
@@ -47,7 +49,10 @@
                 w.zone,
                 w.worker_id,
             )
-            for w in self._cluster.view.worker_by_id.values()
+            for w in [
+                *self._cluster.view.worker_by_id.values(),
+                *self.unlisted_workers,
+            ]
         )
 
     def maintain(self, instance_id: str, wave: str, token: int) -> CallReply:
@@ -188,6 +193,35 @@
     wait_until(lambda: len(instances.maintained) == 2)
 
 
+def test_new_leader_waits_for_workers_that_are_not_listed(cluster, instances):
+    """Maintenance must not end tasks on workers that a new leader does not know yet.
+
+    After an outage of the store, the platform's list lacks some workers for seconds.
+    """
+    # Each task needs more than half a worker.
+    cluster.store.add_job(make_job(JOB_ID, Step(2, 5000)))
+    cluster.start_leader(1)
+    wait_until(lambda: len(cluster.workers.started_runs) == 2)
+    worker = cluster.view.worker_by_id.pop("w0")
+    instances.unlisted_workers = [worker]
+    run_wave(cluster, cluster.start_leader(2), instances, token=2)
+    gevent.sleep(1.0)
+    assert instances.maintained == []
+    instances.unlisted_workers = []
+    cluster.view.worker_by_id["w0"] = worker
+    gevent.sleep(0.5)
+    assert instances.maintained == []
+    cluster.workers.end_all_runs(EndKind.DONE)
+    wait_until(lambda: len(instances.maintained) == 2)
+
+
+def test_instance_of_a_worker_that_stays_unlisted_is_maintained(cluster, instances):
+    """A wave must not wait longer than the leases of the previous leader last."""
+    instances.unlisted_workers = [cluster.view.worker_by_id.pop("w0")]
+    run_wave(cluster, cluster.start_leader(), instances)
+    wait_until(lambda: sorted(instances.maintained) == ["m-w0", "m-w1"])
+
+
 def test_new_leader_continues_a_wave(cluster, instances):
     """Instances that have had their maintenance must not get another."""
     dispatcher = cluster.start_leader(1)
