Fence the maintenance orders of former leaders before others are sent

Cause: the new leader counted the instance as away for the lease of orders, 3 s, and then no more. Its orders for other instances do not fence the former one.

Change: the record of an order names its wave (a new field, which earlier versions ignore). For 14.5 s after the record an instance counts as away in its wave, unless it is known to have begun or this leader's order for it was accepted. Such instances are chosen first, within the limit. Counting moves to wave_order.py.

Three tests failed before: the first instance was m-w0 instead of the one with the order in flight, with and without gentle_maintenance, and m-w0 was maintained while the other one counts.

--- a/libs/coordinator/src/lycheeloom/coordinator/gentle_waves.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/gentle_waves.py
@@ -71,6 +71,7 @@
         self,
         wave: str,
         pending: Collection[Instance],
+        eligible: Collection[str],
         away: Mapping[str, int],
         handled: Collection[Instance],
         max_unavailable: int,
@@ -80,7 +81,8 @@
 
         ``pending`` contains the instances of the wave that are not done, except those
         that are being drained or maintained. ``away`` counts these by pool, and
-        ``handled`` contains those of all waves.
+        ``handled`` contains those of all waves. Only the ``eligible`` ones are chosen,
+        by id; the remaining time is planned for the others too.
         """
         if steady_s() - self._measured_s >= LOAD_INTERVAL_S:
             self._load_by_pool = {
@@ -88,7 +90,12 @@
                 for pool, load in measure_loads(self._dispatcher, {}).items()
             }
             self._measured_s = steady_s()
-        candidates = [self._describe(instance) for instance in pending]
+        candidates = [
+            replace(candidate, may_begin=False)
+            if candidate.instance_id not in eligible
+            else candidate
+            for candidate in map(self._describe, pending)
+        ]
         choice = choose_gently(
             candidates,
             self._room_by_pool(handled),
--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Mapping
 
 import gevent
@@ -28,7 +27,7 @@
     InstanceState,
     StorePort,
 )
-from .wave_order import HandledInstance, Stage, WaveOrder
+from .wave_order import HandledInstance, Stage, WaveOrder, count_away
 
 ROUND_PAUSE_S = 0.1
 # On an instance being drained, tasks other than long-running ones are stopped only if
@@ -139,29 +138,59 @@
         self._record_and_send(order, ready)
 
     def _choose(self, order: WaveOrder, pending: list[Instance]) -> None:
-        """Begin to drain the pending instances that the wave's limits allow."""
-        away = self._count_away(order)
+        """Begin to drain the pending instances that the wave's limits allow.
+
+        Those that an order of a former leader may still send into maintenance go first,
+        since the order of this leader fences it. Until then they count as away.
+        """
+        in_flight: list[Instance] = []
+        others: list[Instance] = []
+        for instance in pending:
+            if not self._may_begin(instance):
+                continue
+            if self._order_guard.may_be_in_flight(instance.instance_id, order.wave):
+                in_flight.append(instance)
+            else:
+                others.append(instance)
+        if in_flight:
+            self._choose_from(order, in_flight, pending)
+        self._choose_from(order, others, pending)
+
+    def _choose_from(
+        self, order: WaveOrder, eligible: list[Instance], pending: list[Instance]
+    ) -> None:
+        """Begin to drain instances that are eligible now, planning for all pending."""
+        away = count_away(
+            order,
+            self._handled_by_id,
+            self._inventory.instance_by_id,
+            self._begun_by_wave[order.wave],
+            self._order_guard,
+            left_out={i.instance_id for i in eligible},
+        )
         time = WaveTime(
             steady_s() - order.received_s,
             order.time_limit_s,
             self._maintenance_s + DRAIN_TIMEOUT_S,
         )
         if self.gentle_waves is not None:
-            self._choose_gently(order, pending, away, time)
+            self._choose_gently(order, eligible, pending, away, time)
             return
-        candidates = [
-            self._to_wave_instance(instance)
-            for instance in pending
-            if instance.instance_id not in self._handled_by_id
-            and instance.state is InstanceState.UP
-            and self._order_guard.may_order(instance.instance_id)
-        ]
+        candidates = [self._to_wave_instance(instance) for instance in eligible]
         for instance_id in choose_next(candidates, away, order.max_unavailable, time):
             self._begin_drain(order, instance_id, len(pending), time.elapsed_s)
 
+    def _may_begin(self, instance: Instance) -> bool:
+        return (
+            instance.instance_id not in self._handled_by_id
+            and instance.state is InstanceState.UP
+            and self._order_guard.may_order(instance.instance_id)
+        )
+
     def _choose_gently(
         self,
         order: WaveOrder,
+        eligible: list[Instance],
         pending: list[Instance],
         away: Mapping[str, int],
         time: WaveTime,
@@ -174,7 +203,13 @@
             if instance_id in self._inventory.instance_by_id
         ]
         chosen = self.gentle_waves.choose(
-            order.wave, waiting, away, handled, order.max_unavailable, time
+            order.wave,
+            waiting,
+            {i.instance_id for i in eligible},
+            away,
+            handled,
+            order.max_unavailable,
+            time,
         )
         for instance_id, (kind, reason) in chosen.items():
             self._begin_drain(
@@ -215,22 +250,6 @@
             **log_fields,
         )
 
-    def _count_away(self, order: WaveOrder) -> Counter[str]:
-        """Count the instances that are being drained or maintained, by pool.
-
-        Also counts the wave's instances that an earlier leader has sent into
-        maintenance, and those for which its last order may still be in flight.
-        """
-        away = Counter(handled.pool for handled in self._handled_by_id.values())
-        for instance_id in order.instances:
-            instance = self._inventory.instance_by_id.get(instance_id)
-            if instance is None or instance_id in self._handled_by_id:
-                continue
-            is_away = instance.state is InstanceState.MAINTENANCE
-            if is_away or not self._order_guard.may_order(instance_id):
-                away[instance.pool] += 1
-        return away
-
     def _to_wave_instance(self, instance: Instance) -> WaveInstance:
         """Describe an instance and the load of its pool for ``choose_next``."""
         fleet = self._dispatcher.fleet
@@ -293,7 +312,8 @@
         """Record the orders for drained instances together and send them."""
         if not instances:
             return
-        if not self._order_guard.record([i.instance_id for i in instances]):
+        instance_ids = [i.instance_id for i in instances]
+        if not self._order_guard.record(instance_ids, order.wave):
             log_event("maintenance_order", wave=order.wave, outcome="not recorded")
             return
         if len(instances) == 1:
--- a/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
@@ -16,6 +16,9 @@
 # Maximum time from recording an order until it arrives, by a clock that may be 2% slow.
 # An order takes some time to be sent and to arrive.
 MAX_SEND_DELAY_S = MAX_WAIT_S * 1.02 + 0.7
+# Maximum time from recording an order until it is carried out, by the same clock. The
+# platform may carry out an order that gets no answer up to 12 s late.
+MAX_EXECUTION_DELAY_S = 12.0 * 1.02 + MAX_SEND_DELAY_S
 # Orders that are not recorded within this time are not sent.
 RECORD_TIMEOUT_S = 1.0
 
@@ -41,6 +44,11 @@
         # Time of the predecessors' last order for each instance; a copy, so that this
         # leader's own orders are not included.
         self._predecessor_order_s_by_id = dict(replica.last_order_s_by_instance)
+        # The wave of each of these orders; empty for a move.
+        self._predecessor_wave_by_id = {
+            instance_id: order.wave
+            for instance_id, order in replica.table.order_by_instance.items()
+        }
         # When the record of this leader's last order for each instance was handed over
         # to be written.
         self._recorded_s_by_id: dict[str, float] = {}
@@ -55,13 +63,25 @@
             return True
         return now_s - predecessor_s > self._lease_s + MAX_SEND_DELAY_S
 
-    def record(self, instance_ids: Collection[str]) -> bool:
-        """Record orders before they are sent.
+    def may_be_in_flight(self, instance_id: str, wave: str) -> bool:
+        """Return whether a former leader's order for a wave may still be carried out.
+
+        The first order of this leader that is accepted for the instance fences it.
+        """
+        if self._predecessor_wave_by_id.get(instance_id) != wave:
+            return False
+        predecessor_s = self._predecessor_order_s_by_id.get(instance_id)
+        if predecessor_s is None:
+            return False
+        return steady_s() - predecessor_s <= MAX_EXECUTION_DELAY_S
+
+    def record(self, instance_ids: Collection[str], wave: str = "") -> bool:
+        """Record orders before they are sent; ``wave`` is empty for moves.
 
         Returns False if they must not be sent.
         """
         began_s = steady_s()
-        value = encode(InstanceOrder(int(wall_ms())))
+        value = encode(InstanceOrder(int(wall_ms()), wave))
         records = [Record(key_of(Kind.ORDER, i), value) for i in instance_ids]
         is_durable = self._writer.write(records).wait(RECORD_TIMEOUT_S)
         if not is_durable or not self._writer.may_act:
@@ -73,4 +93,7 @@
         """Send a recorded order by calling ``order``, unless it has waited too long."""
         if steady_s() - self._recorded_s_by_id[instance_id] > MAX_WAIT_S:
             return CallReply(CallOutcome.NOT_SENT, "recorded too long ago")
-        return order()
+        reply = order()
+        if reply.outcome is CallOutcome.DONE:
+            self._predecessor_order_s_by_id.pop(instance_id, None)
+        return reply
--- a/libs/coordinator/src/lycheeloom/coordinator/replica.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/replica.py
@@ -183,11 +183,11 @@
             listener(applied)
 
     def _note_order(self, instance_id: str, is_live: bool) -> None:
-        ordered_ms = self.table.ordered_ms_by_instance.get(instance_id)
-        if ordered_ms is None:
+        order = self.table.order_by_instance.get(instance_id)
+        if order is None:
             self.last_order_s_by_instance.pop(instance_id, None)
             return
-        age_s = 0.0 if is_live else max(0.0, (wall_ms() - ordered_ms) / 1000)
+        age_s = 0.0 if is_live else max(0.0, (wall_ms() - order.at_ms) / 1000)
         self.last_order_s_by_instance[instance_id] = steady_s() - age_s
 
 
--- a/libs/coordinator/src/lycheeloom/coordinator/wave_order.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/wave_order.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 from lycheeloom.jobs.waves import RoundKind
 
+from .order_guard import OrderGuard
+from .ports import Instance, InstanceState
+
 
 @dataclass(frozen=True, slots=True)
 class WaveOrder:
@@ -49,3 +54,35 @@
     chosen_s: float
     kind: RoundKind
     retry_at_s: float = 0.0
+
+
+def count_away(
+    order: WaveOrder,
+    handled_by_id: Mapping[str, HandledInstance],
+    instance_by_id: Mapping[str, Instance],
+    begun: Collection[str],
+    order_guard: OrderGuard,
+    *,
+    left_out: Collection[str],
+) -> Counter[str]:
+    """Count the instances that are being drained or maintained, by pool.
+
+    Also counts the wave's instances that an earlier leader has sent into maintenance,
+    and those for which its last order may still be in flight, except the ids in
+    ``left_out``. ``begun`` contains the ids of those whose maintenance has begun.
+    """
+    away = Counter(handled.pool for handled in handled_by_id.values())
+    for instance_id in order.instances:
+        instance = instance_by_id.get(instance_id)
+        if instance is None or instance_id in handled_by_id or instance_id in left_out:
+            continue
+        if (
+            instance.state is InstanceState.MAINTENANCE
+            or not order_guard.may_order(instance_id)
+            or (
+                instance_id not in begun
+                and order_guard.may_be_in_flight(instance_id, order.wave)
+            )
+        ):
+            away[instance.pool] += 1
+    return away
--- a/libs/coordinator/tests/fake_store.py
+++ b/libs/coordinator/tests/fake_store.py
@@ -122,12 +122,15 @@
         """Append a job record, as if an instance had accepted the job."""
         self.append([Record(key_of(Kind.JOB, job.job_id), encode(job))])
 
-    def append_order(self, instance_id: str, age_s: float = 0.0) -> None:
+    def append_order(
+        self, instance_id: str, age_s: float = 0.0, wave: str = ""
+    ) -> None:
         """Append the record of a move or maintenance order to the leader's log.
 
-        The record says that the order was sent ``age_s`` ago.
+        The record says that the order was sent ``age_s`` ago. ``wave`` is empty for a
+        move.
         """
-        order = InstanceOrder(int(time.time() * 1000 - age_s * 1000))
+        order = InstanceOrder(int(time.time() * 1000 - age_s * 1000), wave)
         self.records.append(Record(key_of(Kind.ORDER, instance_id), encode(order)))
 
     def cancel(self, job_id: str) -> None:
--- a/libs/coordinator/tests/test_gentle_maintenance.py
+++ b/libs/coordinator/tests/test_gentle_maintenance.py
@@ -159,6 +159,15 @@
     assert sorted(instances.maintained) == ["m-w0", "m-w1", "m-w2", "m-w3"]
 
 
+def test_instance_with_an_order_in_flight_is_the_first(cluster, instances):
+    """A wave must not exceed its limit because of an order that is seconds late."""
+    cluster.store.append_order("m-w3", wave="1")
+    order = dataclasses.replace(make_order("1", "0123"), max_unavailable=1)
+    start_waves(cluster, instances, {"1": order})
+    wait_until(lambda: len(instances.maintained) == 4)
+    assert instances.maintained[0] == "m-w3"
+
+
 def test_orders_that_fail_together_are_repeated(cluster, instances):
     """A wave must not leave out instances whose orders were sent with others.
 
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -37,6 +37,8 @@
         self.failures: list[CallOutcome] = []
         # Workers that have an instance, but that the platform does not list.
         self.unlisted_workers: list[Worker] = []
+        # Workers whose instances are being moved.
+        self.moving: set[str] = set()
         # End of the last maintenance, by worker id.
         self._back_at_s: dict[str, float] = {}
 
@@ -73,6 +75,8 @@
         return CallReply(CallOutcome.REFUSED)
 
     def _state(self, worker_id: str) -> InstanceState:
+        if worker_id in self.moving:
+            return InstanceState.MOVING
         is_away = steady_s() < self._back_at_s.get(worker_id, 0.0)
         return InstanceState.MAINTENANCE if is_away else InstanceState.UP
 
@@ -174,6 +178,41 @@
     assert steady_s() - began_s >= 1.0
 
 
+def test_instance_with_an_order_in_flight_is_the_first(cluster, instances):
+    """A wave must not exceed its limit because of an order that is seconds late.
+
+    Such an order takes effect after the lease of the previous leader, unless an order
+    of the next leader for the same instance fences it.
+    """
+    cluster.store.append_order("m-w1", wave="1")
+    run_wave(cluster, cluster.start_leader(), instances, lease_s=0.5)
+    wait_until(lambda: len(instances.maintained) == 2)
+    assert instances.maintained == ["m-w1", "m-w0"]
+
+
+def test_moves_of_the_previous_leader_hold_up_no_wave(cluster, instances):
+    """A wave must go on after a takeover while instances still move."""
+    cluster.store.append_order("m-w1")
+    instances.moving = {"w1"}
+    run_wave(cluster, cluster.start_leader(), instances, lease_s=0.5)
+    wait_until(lambda: instances.maintained == ["m-w0"])
+    instances.moving = set()
+    wait_until(lambda: len(instances.maintained) == 2)
+
+
+def test_instance_with_an_order_in_flight_counts_until_it_is_fenced(cluster, instances):
+    """A wave must not exceed its limit while no order can be sent to the instance."""
+    # The instance is not up, for longer than the lease of the previous leader lasts.
+    cluster.store.append_order("m-w1", wave="1")
+    instances.moving = {"w1"}
+    run_wave(cluster, cluster.start_leader(), instances, lease_s=0.5)
+    gevent.sleep(1.5)
+    assert instances.maintained == []
+    instances.moving = set()
+    wait_until(lambda: len(instances.maintained) == 2)
+    assert instances.maintained == ["m-w1", "m-w0"]
+
+
 def test_new_leader_reads_the_run_lists_before_it_orders(cluster, instances):
     """Maintenance must not stop tasks that a new leader does not know yet."""
     # Each task needs more than half a worker.
--- a/libs/jobs/src/lycheeloom/jobs/jobs.capnp
+++ b/libs/jobs/src/lycheeloom/jobs/jobs.capnp
@@ -95,6 +95,8 @@
 struct InstanceOrder {
   # Unix time just before the order was sent.
   atMs @0 :UInt64;
+  # The wave that a maintenance order belongs to; empty for a move.
+  wave @1 :Text;
 }
 
 struct WaveProgress {
--- a/libs/jobs/src/lycheeloom/jobs/records.py
+++ b/libs/jobs/src/lycheeloom/jobs/records.py
@@ -142,9 +142,13 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceOrder:
-    """Unix time in ms of the last move or maintenance order for an instance."""
+    """The last move or maintenance order for an instance, and its Unix time in ms.
+
+    ``wave`` is empty for a move, and in records of earlier versions.
+    """
 
     at_ms: int
+    wave: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/jobs/src/lycheeloom/jobs/table.py
+++ b/libs/jobs/src/lycheeloom/jobs/table.py
@@ -196,7 +196,7 @@
         # Ids of the instances whose maintenance has begun, by wave.
         self.begun_by_wave: dict[str, frozenset[str]] = {}
         # Unix time of the last move or maintenance order, by instance.
-        self.ordered_ms_by_instance: dict[str, int] = {}
+        self.order_by_instance: dict[str, InstanceOrder] = {}
         self.leader: LeaderRecord | None = None
         # Latest bid of each instance for the lead.
         self.bid_by_instance: dict[str, LeadBid] = {}
@@ -274,7 +274,7 @@
             case Kind.ORDER:
                 decoded = decode(InstanceOrder, value)
                 if decoded is not None:
-                    self.ordered_ms_by_instance[name] = decoded.at_ms
+                    self.order_by_instance[name] = decoded
             case Kind.WAVE:
                 decoded = decode(WaveProgress, value)
                 if decoded is not None:
@@ -320,7 +320,7 @@
         if kind is Kind.BID:
             self.bid_by_instance.pop(name, None)
         if kind is Kind.ORDER:
-            self.ordered_ms_by_instance.pop(name, None)
+            self.order_by_instance.pop(name, None)
         if kind in (Kind.JOB, Kind.PROGRESS):
             self.entry_by_id.pop(name, None)
 
