Do not hold up a wave for orders that were carried out

Cause: after a change of leader, instances whose maintenance was ordered but not recorded as begun counted as away for 14.5 s, also those that were back.

Change: a worker that has started as long after the order as maintenance takes shows that the order was carried out.

--- a/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/maintenance.py
@@ -148,7 +148,7 @@
         for instance in pending:
             if not self._may_begin(instance):
                 continue
-            if self._order_guard.may_be_in_flight(instance.instance_id, order.wave):
+            if self._may_be_in_flight(instance, order.wave):
                 in_flight.append(instance)
             else:
                 others.append(instance)
@@ -164,9 +164,8 @@
             order,
             self._handled_by_id,
             self._inventory.instance_by_id,
-            self._begun_by_wave[order.wave],
-            self._order_guard,
-            left_out={i.instance_id for i in eligible},
+            lambda instance: self._may_be_away(instance, order.wave),
+            {i.instance_id for i in eligible},
         )
         time = WaveTime(
             steady_s() - order.received_s,
@@ -187,6 +186,27 @@
             and self._order_guard.may_order(instance.instance_id)
         )
 
+    def _may_be_away(self, instance: Instance, wave: str) -> bool:
+        """Return whether a former leader has sent an instance away or may have."""
+        return (
+            instance.state is InstanceState.MAINTENANCE
+            or not self._order_guard.may_order(instance.instance_id)
+            or self._may_be_in_flight(instance, wave)
+        )
+
+    def _may_be_in_flight(self, instance: Instance, wave: str) -> bool:
+        """Return whether a former leader's order may still be carried out."""
+        if instance.instance_id in self._begun_by_wave[wave]:
+            return False
+        order = self._order_guard.find_in_flight(instance.instance_id, wave)
+        if order is None:
+            return False
+        state = self._state_of(instance.worker_id)
+        # A worker that has started as long after the order as maintenance takes shows
+        # that it was carried out.
+        back_ms = order.at_ms + self._maintenance_s * 1000
+        return state is None or state.worker.started_ms < back_ms
+
     def _choose_gently(
         self,
         order: WaveOrder,
--- a/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/order_guard.py
@@ -44,11 +44,7 @@
         # Time of the predecessors' last order for each instance; a copy, so that this
         # leader's own orders are not included.
         self._predecessor_order_s_by_id = dict(replica.last_order_s_by_instance)
-        # The wave of each of these orders; empty for a move.
-        self._predecessor_wave_by_id = {
-            instance_id: order.wave
-            for instance_id, order in replica.table.order_by_instance.items()
-        }
+        self._predecessor_order_by_id = dict(replica.table.order_by_instance)
         # When the record of this leader's last order for each instance was handed over
         # to be written.
         self._recorded_s_by_id: dict[str, float] = {}
@@ -63,17 +59,18 @@
             return True
         return now_s - predecessor_s > self._lease_s + MAX_SEND_DELAY_S
 
-    def may_be_in_flight(self, instance_id: str, wave: str) -> bool:
-        """Return whether a former leader's order for a wave may still be carried out.
+    def find_in_flight(self, instance_id: str, wave: str) -> InstanceOrder | None:
+        """Return a former leader's order for a wave that may still be carried out.
 
         The first order of this leader that is accepted for the instance fences it.
         """
-        if self._predecessor_wave_by_id.get(instance_id) != wave:
-            return False
+        order = self._predecessor_order_by_id.get(instance_id)
         predecessor_s = self._predecessor_order_s_by_id.get(instance_id)
-        if predecessor_s is None:
-            return False
-        return steady_s() - predecessor_s <= MAX_EXECUTION_DELAY_S
+        if order is None or order.wave != wave or predecessor_s is None:
+            return None
+        if steady_s() - predecessor_s > MAX_EXECUTION_DELAY_S:
+            return None
+        return order
 
     def record(self, instance_ids: Collection[str], wave: str = "") -> bool:
         """Record orders before they are sent; ``wave`` is empty for moves.
--- a/libs/coordinator/src/lycheeloom/coordinator/wave_order.py
+++ b/libs/coordinator/src/lycheeloom/coordinator/wave_order.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 from lycheeloom.jobs.waves import RoundKind
 
-from .order_guard import OrderGuard
-from .ports import Instance, InstanceState
+from .ports import Instance
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,29 +59,19 @@
     order: WaveOrder,
     handled_by_id: Mapping[str, HandledInstance],
     instance_by_id: Mapping[str, Instance],
-    begun: Collection[str],
-    order_guard: OrderGuard,
-    *,
+    may_be_away: Callable[[Instance], bool],
     left_out: Collection[str],
 ) -> Counter[str]:
     """Count the instances that are being drained or maintained, by pool.
 
-    Also counts the wave's instances that an earlier leader has sent into maintenance,
-    and those for which its last order may still be in flight, except the ids in
-    ``left_out``. ``begun`` contains the ids of those whose maintenance has begun.
+    Also counts the wave's instances that an earlier leader has sent into maintenance or
+    may have, as ``may_be_away`` says, except the ids in ``left_out``.
     """
     away = Counter(handled.pool for handled in handled_by_id.values())
     for instance_id in order.instances:
         instance = instance_by_id.get(instance_id)
         if instance is None or instance_id in handled_by_id or instance_id in left_out:
             continue
-        if (
-            instance.state is InstanceState.MAINTENANCE
-            or not order_guard.may_order(instance_id)
-            or (
-                instance_id not in begun
-                and order_guard.may_be_in_flight(instance_id, order.wave)
-            )
-        ):
+        if may_be_away(instance):
             away[instance.pool] += 1
     return away
--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import gevent
 import pytest
 from libs.coordinator.tests.fakes import JOB_ID, FakeCluster, make_job, wait_until
 
-from lycheeloom.coordinator.clock import steady_s
+from lycheeloom.coordinator.clock import steady_s, wall_ms
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.maintenance import Maintenance, WaveOrder
@@ -200,6 +202,21 @@
     wait_until(lambda: len(instances.maintained) == 2)
 
 
+def test_worker_that_has_started_since_shows_that_an_order_was_carried_out(
+    cluster, instances
+):
+    """A wave must not be late because a takeover holds up instances that are back."""
+    cluster.store.append_order("m-w1", 5.0, wave="1")
+    for worker_id in ("w0", "w1"):
+        worker = cluster.view.worker_by_id[worker_id]
+        cluster.view.worker_by_id[worker_id] = dataclasses.replace(
+            worker, started_ms=int(wall_ms())
+        )
+    instances.moving = {"w1"}
+    run_wave(cluster, cluster.start_leader(), instances, lease_s=0.5)
+    wait_until(lambda: instances.maintained == ["m-w0"])
+
+
 def test_instance_with_an_order_in_flight_counts_until_it_is_fenced(cluster, instances):
     """A wave must not exceed its limit while no order can be sent to the instance."""
     # The instance is not up, for longer than the lease of the previous leader lasts.
