--- a/libs/coordinator/tests/test_maintenance.py
+++ b/libs/coordinator/tests/test_maintenance.py
@@ -12,7 +12,7 @@
 from lycheeloom.coordinator.dispatcher import Dispatcher
 from lycheeloom.coordinator.inventory import Inventory
 from lycheeloom.coordinator.maintenance import Maintenance, WaveOrder
-from lycheeloom.coordinator.order_guard import OrderGuard
+from lycheeloom.coordinator.order_guard import MAX_EXECUTION_DELAY_S, OrderGuard
 from lycheeloom.coordinator.ports import (
     CallOutcome,
     CallReply,
@@ -206,7 +206,9 @@
     cluster, instances
 ):
     """A wave must not be late because a takeover holds up instances that are back."""
-    cluster.store.append_order("m-w1", 5.0, wave="1")
+    order_age_s = 2.0
+    cluster.store.append_order("m-w1", order_age_s, wave="1")
+    began_s = steady_s()
     for worker_id in ("w0", "w1"):
         worker = cluster.view.worker_by_id[worker_id]
         cluster.view.worker_by_id[worker_id] = dataclasses.replace(
@@ -215,6 +217,8 @@
     instances.moving = {"w1"}
     run_wave(cluster, cluster.start_leader(), instances, lease_s=0.5)
     wait_until(lambda: instances.maintained == ["m-w0"])
+    # Afterwards, the order would not count as in flight any more.
+    assert steady_s() - began_s < MAX_EXECUTION_DELAY_S - order_age_s
 
 
 def test_instance_with_an_order_in_flight_counts_until_it_is_fenced(cluster, instances):
